--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load and experiments that measure sardinehook."""
--- /dev/null
+++ b/sardinehook/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: front, control, shutdown."""
--- /dev/null
+++ b/sardinehook/environment/__init__.py
@@ -0,0 +1,1 @@
+"""Environment documents: schema, checks, revisions, promotion and spread."""
--- /dev/null
+++ b/sardinehook/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet of entry VMs: membership, ownership, links."""
--- /dev/null
+++ b/sardinehook/messages.py
@@ -0,0 +1,110 @@
+"""Messages that entry processes exchange about sub-queries.
+
+They travel between processes as MessagePack arrays, one array per named tuple,
+so a field may be added at the end only and needs a default.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+__all__ = [
+    "ANY_VERSION",
+    "NO_ORDER_KEY",
+    "CancelSubQuery",
+    "Outcome",
+    "ReplicaView",
+    "SubQuery",
+    "SubReply",
+    "TargetState",
+]
+
+ANY_VERSION = 0
+NO_ORDER_KEY = ""
+
+
+class Outcome(IntEnum):
+    """How a sub-query ended, as seen by the owner of its replica."""
+
+    ANSWERED = 0
+    NOT_RUN = 1  # refused before a target can have begun
+    SHED = 2  # refused by the target, which says that it did not begin
+    LATE = 3
+    WRONG_VERSION = 4
+    GARBLED = 5
+    CONNECTION_LOST = 6  # bytes may have left, no answer came
+    FAILED = 7  # the target answered with an error
+    CANCELLED = 8
+
+
+class TargetState(IntEnum):
+    """What is known of a replica's readiness for work."""
+
+    UNKNOWN = 0
+    COLD = 1
+    WARM = 2
+    DRAINING = 3
+    GONE = 4
+
+
+class SubQuery(NamedTuple):
+    """One query to one replica of one service.
+
+    ``sub_query_id`` is unique for the sending process. ``deadline_ms`` is the time
+    left when the message was sent. ``index_version`` and ``partitioning`` name the
+    snapshot wanted; ``ANY_VERSION`` leaves the choice to the target. A lower
+    ``priority`` is served first. ``order_key`` is set for non-idempotent requests.
+    """
+
+    sub_query_id: int
+    request_id: str
+    service: str
+    replica: str
+    index_version: int
+    partitioning: int
+    deadline_ms: float
+    priority: int
+    order_key: str
+    body: bytes
+
+
+class SubReply(NamedTuple):
+    """The end of a sub-query, sent once for each ``SubQuery``.
+
+    ``queued_ms`` is the time spent in the owner's queue and ``service_ms`` the time
+    from the first byte sent to the target until its whole reply. ``body`` is the
+    target's reply, empty unless ``outcome`` is ``ANSWERED``. ``began`` tells
+    whether a target can have begun the work.
+    """
+
+    sub_query_id: int
+    outcome: Outcome
+    index_version: int
+    partitioning: int
+    queued_ms: float
+    service_ms: float
+    began: bool
+    detail: str
+    body: bytes
+
+
+class CancelSubQuery(NamedTuple):
+    """Tells an owner that the answer to a sub-query is no longer wanted."""
+
+    sub_query_id: int
+
+
+class ReplicaView(NamedTuple):
+    """What the owner of a replica tells the other entry processes about it.
+
+    ``index_versions`` are the versions that the replica holds, newest last.
+    ``wait_ms`` estimates the time that a new sub-query spends queued and served.
+    """
+
+    replica: str
+    state: TargetState
+    index_versions: tuple[int, ...]
+    partitioning: int
+    wait_ms: float
+    room: int  # sub-queries that the owner can start at once
--- /dev/null
+++ b/sardinehook/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Events, metrics and the time line."""
--- /dev/null
+++ b/sardinehook/order/__init__.py
@@ -0,0 +1,1 @@
+"""Orders: non-idempotent requests that run at most once."""
--- /dev/null
+++ b/sardinehook/query/__init__.py
@@ -0,0 +1,1 @@
+"""Queries: plan, fan-out, hedging, merge, coverage, admission."""
--- /dev/null
+++ b/sardinehook/target/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: replica state, slots, connections, cold start, transport."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,10 @@
+"""Test configuration: property-based tests draw the same examples every time."""
+
+from __future__ import annotations
+
+import os
+
+from hypothesis import settings
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile(os.environ.get("SARDINEHOOK_HYPOTHESIS_PROFILE", "ci"))
