--- /dev/null
+++ b/sardinehook/entry/dispatcher.py
@@ -0,0 +1,145 @@
+"""Carries sub-queries to the owners of replicas and their replies back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from sardinehook.environment.document import Index, Replica
+from sardinehook.messages import CancelSubQuery, Outcome, SubQuery, SubReply
+
+__all__ = ["Dispatcher", "LinkPort", "OwnerDirectory", "OwnerPort", "ReplicaHome"]
+
+ReplyHandler = Callable[[SubReply], None]
+
+
+class LinkPort(Protocol):
+    """The part of the links between entry processes that the dispatcher uses."""
+
+    def send(self, node: str, message: SubQuery | SubReply | CancelSubQuery) -> bool:
+        """Send a message; return False when nothing can have left."""
+
+
+class OwnerPort(Protocol):
+    """The part of the local target owner that the dispatcher uses."""
+
+    def submit(self, sender: str, sub_query: SubQuery, reply: ReplyHandler) -> None:
+        """Run a sub-query and reply exactly once."""
+
+    def cancel(self, sender: str, sub_query_id: int) -> None:
+        """Abandon a sub-query."""
+
+
+class OwnerDirectory(Protocol):
+    """Tells which entry process serves a replica at present."""
+
+    def owner_of(self, replica: Replica) -> str | None:
+        """Return the owner's node name, or None when nobody may serve it."""
+
+
+class ReplicaHome(NamedTuple):
+    """A replica of the document in force with its index."""
+
+    replica: Replica
+    index: Index
+
+
+class PendingSubQuery(NamedTuple):
+    """A sub-query on its way: who has it and whom to tell of its end."""
+
+    node: str
+    on_reply: ReplyHandler
+
+
+class Dispatcher:
+    """Sends each sub-query to the owner of its replica, at this process or another.
+
+    Every sub-query that is sent ends in exactly one reply, unless it is cancelled.
+    """
+
+    def __init__(
+        self, node: str, directory: OwnerDirectory, links: LinkPort, owner: OwnerPort
+    ) -> None:
+        self.node = node
+        self.directory = directory
+        self.links = links
+        self.owner = owner
+        self.homes: Mapping[str, ReplicaHome] = {}
+        self.pending: dict[int, PendingSubQuery] = {}
+
+    def configure(self, homes: Mapping[str, ReplicaHome]) -> None:
+        """Use the replicas of a new document."""
+        self.homes = homes
+
+    def send(self, sub_query: SubQuery, on_reply: ReplyHandler) -> None:
+        """Send a sub-query; ``on_reply`` may be called before this returns."""
+        home = self.homes.get(sub_query.replica)
+        node = None if home is None else self.directory.owner_of(home.replica)
+        if node is None:
+            on_reply(refused(sub_query.sub_query_id, "the replica has no owner"))
+            return
+        self.pending[sub_query.sub_query_id] = PendingSubQuery(node, on_reply)
+        if node == self.node:
+            self.owner.submit(node, sub_query, self.on_reply_here)
+        elif not self.links.send(node, sub_query):
+            self.on_reply(
+                node, refused(sub_query.sub_query_id, "the owner is unreachable")
+            )
+
+    def cancel(self, sub_query_id: int) -> None:
+        """Abandon a sub-query; its reply is dropped."""
+        pending = self.pending.pop(sub_query_id, None)
+        if pending is None:
+            return
+        if pending.node == self.node:
+            self.owner.cancel(self.node, sub_query_id)
+        else:
+            self.links.send(pending.node, CancelSubQuery(sub_query_id))
+
+    def on_reply_here(self, reply: SubReply) -> None:
+        """Take a reply of the local owner."""
+        self.on_reply(self.node, reply)
+
+    def on_reply(self, node: str, reply: SubReply) -> None:
+        """Take a reply; one that is late, repeated or of another node is dropped."""
+        pending = self.pending.get(reply.sub_query_id)
+        if pending is None or pending.node != node:
+            return
+        del self.pending[reply.sub_query_id]
+        pending.on_reply(reply)
+
+    def on_link_down(self, node: str) -> None:
+        """End the sub-queries that a lost link carried: their outcome is unknown."""
+        lost = [key for key, value in self.pending.items() if value.node == node]
+        for sub_query_id in lost:
+            self.on_reply(node, connection_lost(sub_query_id))
+
+
+def refused(sub_query_id: int, detail: str) -> SubReply:
+    """Build the reply to a sub-query that never left this process."""
+    return SubReply(
+        sub_query_id=sub_query_id,
+        outcome=Outcome.NOT_RUN,
+        index_version=0,
+        partitioning=0,
+        queued_ms=0.0,
+        service_ms=0.0,
+        began=False,
+        detail=detail,
+        body=b"",
+    )
+
+
+def connection_lost(sub_query_id: int) -> SubReply:
+    """Build the reply to a sub-query whose link was lost after it was sent."""
+    return SubReply(
+        sub_query_id=sub_query_id,
+        outcome=Outcome.CONNECTION_LOST,
+        index_version=0,
+        partitioning=0,
+        queued_ms=0.0,
+        service_ms=0.0,
+        began=True,
+        detail="the link to the owner was lost",
+        body=b"",
+    )
--- /dev/null
+++ b/sardinehook/entry/requests.py
@@ -0,0 +1,172 @@
+"""Callers' requests: parsing, checks, and the form of answers and errors."""
+
+from __future__ import annotations
+
+import re
+import uuid
+from typing import NamedTuple, TypedDict
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinehook.environment.document import EnvironmentDocument, Scope, Workload
+from sardinehook.errors import ErrorKind, Problem
+
+__all__ = [
+    "CallerRequest",
+    "ErrorAnswer",
+    "ErrorDetail",
+    "SearchBody",
+    "WorkloadTarget",
+    "encode_error",
+    "parse_deadline_ms",
+    "parse_request_id",
+    "resolve_request",
+]
+
+REQUEST_ID_PATTERN = re.compile(r"^[A-Za-z0-9._:-]{1,64}$")
+MIN_DEADLINE_MS = 1.0
+
+
+class SearchBody(TypedDict, total=False):
+    """The fields of a caller's body that sardinehook reads; the rest is passed on."""
+
+    service: str
+    limit: int
+
+
+class CallerRequest(NamedTuple):
+    """One request of a caller, checked against the document in force.
+
+    ``services`` are (index, service) pairs to ask.
+    """
+
+    request_id: str
+    workload_name: str
+    workload: Workload
+    services: tuple[WorkloadTarget, ...]
+    deadline_ms: float
+    limit: int
+    body: bytes
+
+
+class WorkloadTarget(NamedTuple):
+    """A service that a workload asks, with the index that it belongs to."""
+
+    index: str
+    service: str
+
+
+class ErrorDetail(TypedDict):
+    """The error part of an error body."""
+
+    kind: str
+    detail: str
+    not_run: bool
+
+
+class ErrorAnswer(TypedDict):
+    """The body of every answer that is not a success."""
+
+    request_id: str
+    error: ErrorDetail
+
+
+def encode_error(request_id: str, problem: Problem) -> bytes:
+    """Encode the stable error body for a problem.
+
+    >>> encode_error("r1", Problem(ErrorKind.STOPPING, "bye"))[:20]
+    b'{"request_id":"r1","'
+    """
+    detail = ErrorDetail(
+        kind=problem.kind.value,
+        detail=problem.detail,
+        not_run=problem.answer.not_run,
+    )
+    return msgspec.json.encode(ErrorAnswer(request_id=request_id, error=detail))
+
+
+def parse_request_id(header: str | None) -> Result[str, Problem]:
+    """Take the caller's request id, or make one when there is none."""
+    if header is None:
+        return Success(uuid.uuid4().hex)
+    if not REQUEST_ID_PATTERN.match(header):
+        detail = "Request-Id must be 1 to 64 letters, digits or ._:-"
+        return Failure(Problem(ErrorKind.BAD_REQUEST, detail))
+    return Success(header)
+
+
+def parse_deadline_ms(header: str | None, longest_ms: float) -> Result[float, Problem]:
+    """Take the caller's deadline in milliseconds, at most the workload's own.
+
+    >>> parse_deadline_ms("900", 150.0).unwrap()
+    150.0
+    """
+    if header is None:
+        return Success(longest_ms)
+    try:
+        deadline_ms = float(header)
+    except ValueError:
+        deadline_ms = float("nan")
+    if not MIN_DEADLINE_MS <= deadline_ms < float("inf"):
+        detail = f"Deadline-Ms must be a number of at least {MIN_DEADLINE_MS:g}"
+        return Failure(Problem(ErrorKind.BAD_REQUEST, detail))
+    return Success(min(deadline_ms, longest_ms))
+
+
+def resolve_request(
+    document: EnvironmentDocument,
+    workload_name: str,
+    request_id: str,
+    deadline_header: str | None,
+    body: bytes,
+) -> Result[CallerRequest, Problem]:
+    """Check a caller's request against the document in force."""
+    workload = document.workloads.get(workload_name)
+    if workload is None:
+        detail = f"the document has no workload {workload_name!r}"
+        return Failure(Problem(ErrorKind.NOT_FOUND, detail))
+    if len(body) > document.limits.request_bytes:
+        detail = f"the body exceeds {document.limits.request_bytes} bytes"
+        return Failure(Problem(ErrorKind.PAYLOAD_TOO_LARGE, detail))
+    try:
+        fields = msgspec.json.decode(body, type=SearchBody)
+    except msgspec.MsgspecError as error:
+        return Failure(Problem(ErrorKind.BAD_REQUEST, f"the body is invalid: {error}"))
+    limit = fields.get("limit", workload.result_limit)
+    if limit < 1:
+        return Failure(Problem(ErrorKind.BAD_REQUEST, "limit must be at least 1"))
+    services = _select_services(document, workload, fields.get("service"))
+    deadline = parse_deadline_ms(deadline_header, workload.deadline_ms)
+    return services.bind(
+        lambda chosen: deadline.map(
+            lambda deadline_ms: CallerRequest(
+                request_id=request_id,
+                workload_name=workload_name,
+                workload=workload,
+                services=chosen,
+                deadline_ms=deadline_ms,
+                limit=min(limit, workload.result_limit),
+                body=body,
+            )
+        )
+    )
+
+
+def _select_services(
+    document: EnvironmentDocument, workload: Workload, named: str | None
+) -> Result[tuple[WorkloadTarget, ...], Problem]:
+    everything = tuple(
+        WorkloadTarget(index, service)
+        for index in workload.indexes
+        for service in document.indexes[index].services
+    )
+    if workload.scope is Scope.ALL:
+        return Success(everything)
+    if named is None and len(everything) == 1:
+        return Success(everything)
+    chosen = tuple(target for target in everything if target.service == named)
+    if not chosen:
+        detail = "the body must name one service of the workload's indexes"
+        return Failure(Problem(ErrorKind.BAD_REQUEST, detail))
+    return Success(chosen)
--- /dev/null
+++ b/sardinehook/entry/settings.py
@@ -0,0 +1,36 @@
+"""Settings of one entry process: who it is and whom it can reach, no policy."""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+from pydantic import Field
+
+__all__ = ["EntrySettings", "Peer"]
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+
+
+class Peer(NamedTuple):
+    """Another entry VM that this process may contact when it starts."""
+
+    node: Name
+    data_centre: Name
+    link_address: Address
+
+
+class EntrySettings(NamedTuple):
+    """Identity and addresses of one entry process. Addresses are ``IP:port``.
+
+    ``http_address`` takes callers' requests, ``link_address`` the links of other
+    entry processes (TCP) and their membership datagrams (UDP).
+    """
+
+    node: Name
+    data_centre: Name
+    environment: Name
+    http_address: Address
+    link_address: Address
+    platform_address: Address
+    peers: list[Peer] = []
