--- /dev/null
+++ b/bench/platform_state.py
@@ -0,0 +1,120 @@
+"""What the stand-in platform holds: keys, leases and VMs, in memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+__all__ = ["Held", "KeyValues", "Refused"]
+
+
+class Held(NamedTuple):
+    """A key's value with the revision of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+    lease: str
+
+
+class Refused(NamedTuple):
+    """A change whose condition did not hold, with what the key holds."""
+
+    current: Held | None
+
+
+@dataclass
+class Lease:
+    """A lease and the keys that vanish with it."""
+
+    ttl_s: float
+    expires_at: float
+    keys: set[str] = field(default_factory=set)
+
+
+class KeyValues:
+    """Keys under compare-and-swap, one revision counter over all, and leases.
+
+    Times are seconds of one monotonic clock, given by the caller. What changed is
+    collected in ``changed`` until the caller takes it.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.held: dict[str, Held] = {}
+        self.leases: dict[str, Lease] = {}
+        self.granted = 0
+        self.changed: set[str] = set()
+
+    def expire(self, now: float) -> None:
+        """Drop the leases that were not renewed in time."""
+        lapsed = [name for name, lease in self.leases.items() if now > lease.expires_at]
+        for name in lapsed:
+            self.revoke(name)
+
+    def next_expiry(self) -> float | None:
+        """When the next lease lapses unless it is renewed."""
+        return min((lease.expires_at for lease in self.leases.values()), default=None)
+
+    def put(self, key: str, value: bytes, expect: int, lease: str) -> Held | Refused:
+        """Write a key that is at ``expect``, zero if it must be new."""
+        current = self.held.get(key)
+        if expect != (current.revision if current else 0):
+            return Refused(current)
+        if lease and lease not in self.leases:
+            return Refused(current)
+        self.forget_lease(current)
+        self.revision += 1
+        written = Held(key, value, self.revision, lease)
+        self.held[key] = written
+        if lease:
+            self.leases[lease].keys.add(key)
+        self.changed.add(key)
+        return written
+
+    def delete(self, key: str, expect: int) -> Refused | None:
+        """Delete a key that is at ``expect``."""
+        current = self.held.get(key)
+        if current is None or current.revision != expect:
+            return Refused(current)
+        self.drop(key)
+        return None
+
+    def drop(self, key: str) -> None:
+        """Delete a key whatever its revision."""
+        self.revision += 1
+        self.forget_lease(self.held.pop(key))
+        self.changed.add(key)
+
+    def forget_lease(self, held: Held | None) -> None:
+        """Take a key off the lease that it was written with."""
+        if held is not None and held.lease in self.leases:
+            self.leases[held.lease].keys.discard(held.key)
+
+    def scan(self, prefix: str) -> list[Held]:
+        """Every key that starts with ``prefix``, in order."""
+        return [self.held[key] for key in sorted(self.held) if key.startswith(prefix)]
+
+    def grant(self, ttl_s: float, now: float) -> str:
+        """Grant a lease."""
+        self.granted += 1
+        name = f"lease-{self.granted}"
+        self.leases[name] = Lease(ttl_s, now + ttl_s)
+        return name
+
+    def renew(self, name: str, now: float) -> bool:
+        """Renew a lease; false if it is gone."""
+        lease = self.leases.get(name)
+        if lease is None:
+            return False
+        lease.expires_at = now + lease.ttl_s
+        return True
+
+    def revoke(self, name: str) -> bool:
+        """Revoke a lease with its keys; false if it is gone."""
+        lease = self.leases.pop(name, None)
+        if lease is None:
+            return False
+        for key in sorted(lease.keys):
+            self.drop(key)
+        return True
