Load documents strictly and keep revisions

The digest is taken of a canonical form without defaults, so a field that a later version adds changes no digest until it is used. The holder takes only newer, whole revisions of its own environment.

--- /dev/null
+++ b/sardinehook/environment/canonical.py
@@ -0,0 +1,60 @@
+"""The canonical form of a document, of which the digest is taken."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+from pydantic import ConfigDict, TypeAdapter, ValidationError
+from returns.result import Failure, Result, Success
+
+from sardinehook.environment.document import EnvironmentDocument
+from sardinehook.errors import ErrorKind, Problem
+
+__all__ = ["canonical_bytes", "digest_of", "document_from", "plain"]
+
+Plain = None | bool | int | float | str | list["Plain"] | dict[str, "Plain"]
+
+ENCODER = msgspec.json.Encoder(order="deterministic")
+ADAPTER = TypeAdapter(EnvironmentDocument, config=ConfigDict(strict=True))
+
+
+def plain(value: object) -> Plain:
+    """Convert typed data to plain data without the fields that have their default.
+
+    A field that a later version adds therefore changes no digest until it is used.
+    """
+    if isinstance(value, tuple) and hasattr(value, "_fields"):
+        defaults: dict[str, object] = getattr(value, "_field_defaults", {})
+        return {
+            name: plain(field)
+            for name, field in zip(value._fields, value, strict=True)
+            if name not in defaults or field != defaults[name]
+        }
+    if isinstance(value, dict):
+        return {str(key): plain(item) for key, item in value.items()}
+    if isinstance(value, list | tuple):
+        return [plain(item) for item in value]
+    if isinstance(value, str):
+        return str(value)
+    assert value is None or isinstance(value, bool | int | float)
+    return value
+
+
+def canonical_bytes(document: EnvironmentDocument) -> bytes:
+    """JSON of a document with sorted keys and without defaults."""
+    return ENCODER.encode(plain(document))
+
+
+def digest_of(canonical: bytes) -> str:
+    """SHA-256 of a canonical form, in hexadecimal."""
+    return hashlib.sha256(canonical).hexdigest()
+
+
+def document_from(canonical: bytes) -> Result[EnvironmentDocument, Problem]:
+    """Read a canonical form back and validate it."""
+    try:
+        return Success(ADAPTER.validate_json(canonical))
+    except ValidationError as error:
+        detail = f"malformed document: {error.error_count()} errors"
+        return Failure(Problem(ErrorKind.INVALID_DOCUMENT, detail))
--- /dev/null
+++ b/sardinehook/environment/holder.py
@@ -0,0 +1,51 @@
+"""The revision in force in one process."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sardinehook.environment.canonical import canonical_bytes, digest_of
+from sardinehook.environment.revision import Revision
+
+__all__ = ["DocumentHolder"]
+
+Listener = Callable[[Revision], None]
+
+
+class DocumentHolder:
+    """Aggregate that keeps the highest revision it was offered in force.
+
+    Revisions of other environments are refused; an empty ``environment`` stands for
+    that of the first revision taken.
+
+    >>> DocumentHolder("trial").in_force is None
+    True
+    """
+
+    def __init__(self, environment: str = "") -> None:
+        self.environment = environment
+        self.in_force: Revision | None = None
+        self.listeners: list[Listener] = []
+
+    @property
+    def number(self) -> int:
+        """The number of the revision in force, zero if there is none."""
+        return self.in_force.number if self.in_force else 0
+
+    def add_listener(self, listener: Listener) -> None:
+        """Call ``listener`` with each revision that comes in force from now on."""
+        self.listeners.append(listener)
+
+    def offer(self, revision: Revision) -> bool:
+        """Put a revision in force if it is newer and whole; tell whether it was."""
+        if revision.number <= self.number:
+            return False
+        if self.environment not in ("", revision.document.environment):
+            return False
+        if digest_of(canonical_bytes(revision.document)) != revision.digest:
+            return False
+        self.environment = revision.document.environment
+        self.in_force = revision
+        for listener in tuple(self.listeners):
+            listener(revision)
+        return True
