--- /dev/null
+++ b/sardinehook/query/actions.py
@@ -0,0 +1,37 @@
+"""What a search asks its caller to do."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from sardinehook.errors import Problem
+from sardinehook.messages import SubQuery
+from sardinehook.query.answer import SearchAnswer
+from sardinehook.query.coverage import Coverage
+
+__all__ = ["Action", "Cancel", "Send", "Settle"]
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a sub-query to the owner of its replica."""
+
+    sub_query: SubQuery
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Tell the owner that the answer to a sub-query is no longer wanted."""
+
+    sub_query_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Answer the caller; comes once, as the last action of a search."""
+
+    outcome: SearchAnswer | Problem
+    coverage: Coverage
+
+
+Action = Send | Cancel | Settle
