Hedge, retry and restart sub-queries within a budget

The tests of the plain fan-out now use a workload with no extra load, since their subject is a single try; their assertions are the same.

--- a/sardinehook/query/coverage.py
+++ b/sardinehook/query/coverage.py
@@ -24,6 +24,7 @@
     GARBLED = "garbled"
     TRUNCATED = "truncated"
     TOO_LARGE = "too_large"
+    NO_MEMORY = "no_memory"
     CONNECTION_LOST = "connection_lost"
     FAILED = "failed"
 
--- a/sardinehook/query/index_answer.py
+++ b/sardinehook/query/index_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from sardinehook.query.merge import Merger, Page
 from sardinehook.query.snapshot import Snapshot
 
@@ -14,14 +16,25 @@
     ``snapshot`` is the one that was chosen, or ``None`` as long as the first replies
     have to decide. The rule for these: the snapshot under which the most services
     have answered is chosen, and the newer one on a tie. Replies of different
-    snapshots never meet in one merge.
+    snapshots never meet in one merge. The choice is made once more than half of the
+    ``asked`` services have answered, or at the settlement.
+
+    ``refused`` counts the replies that named another snapshot than the chosen one.
     """
 
     def __init__(
-        self, index: str, snapshot: Snapshot | None, limit: int, most_bytes: int
+        self,
+        index: str,
+        asked: int,
+        snapshot: Snapshot | None,
+        limit: int,
+        most_bytes: int,
     ) -> None:
         self.index = index
+        self.asked = asked
         self.snapshot = snapshot
+        self.refused: Counter[Snapshot] = Counter()
+        self.restarted = False
         self.limit = limit
         self.most_bytes = most_bytes
         self.services: dict[Snapshot, set[str]] = {}
@@ -43,6 +56,48 @@
             self.mergers[snapshot] = merger
         merger.add(self.index, page, size)
 
+    def can_choose(self) -> bool:
+        """Tell whether the first replies decide the snapshot now."""
+        if self.snapshot is not None:
+            return False
+        return 2 * self.reply_count() > self.asked
+
+    def choose(self) -> set[str]:
+        """Choose the leading snapshot and return the services of other replies."""
+        others = self.answered_any() - self.answered()
+        self.snapshot = self.leading()
+        for dropped in [held for held in self.services if held != self.snapshot]:
+            del self.services[dropped]
+            del self.mergers[dropped]
+        return others
+
+    def reply_count(self) -> int:
+        """Return how many services answered under any snapshot."""
+        return sum(map(len, self.services.values()))
+
+    def held_bytes(self) -> int:
+        """Return the size of what is held."""
+        return sum(merger.held_bytes for merger in self.mergers.values())
+
+    def newer(self) -> Snapshot | None:
+        """Return the newer snapshot that the most refusing replicas named."""
+        newer = [
+            held for held in self.refused if self.snapshot and held > self.snapshot
+        ]
+        return max(newer, key=lambda held: (self.refused[held], held), default=None)
+
+    def restart(self, snapshot: Snapshot) -> None:
+        """Drop what was collected and collect ``snapshot`` instead."""
+        self.snapshot = snapshot
+        self.restarted = True
+        self.services.clear()
+        self.mergers.clear()
+        self.refused.clear()
+
+    def answered_any(self) -> set[str]:
+        """Return the services that answered under any snapshot."""
+        return set().union(*self.services.values())
+
     def leading(self) -> Snapshot | None:
         """Return the chosen snapshot, or the one that the first replies favour."""
         if self.snapshot is not None or not self.services:
--- a/sardinehook/query/plan.py
+++ b/sardinehook/query/plan.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
 from typing import NamedTuple
 
 from sardinehook.query.coverage import MissingReason
@@ -10,6 +9,9 @@
 
 __all__ = ["Attempt", "SearchRequest", "ServicePlan", "ServiceState"]
 
+MOST_ATTEMPTS = 3
+REPEATABLE = frozenset({MissingReason.CONNECTION_LOST, MissingReason.GARBLED})
+
 
 class SearchRequest(NamedTuple):
     """A caller's search.
@@ -47,15 +49,46 @@
 class ServiceState:
     """How far one service of a query has come.
 
-    ``reason`` is why it would be missing if the query were settled now.
+    ``reason`` is why it would be missing if the query were settled now. ``tried``
+    holds the replicas asked and how each failed; one that has no reply yet holds
+    ``LATE``.
     """
 
-    __slots__ = ("closed", "index", "outstanding", "reason", "replicas", "service")
+    __slots__ = (
+        "attempt_count",
+        "closed",
+        "index",
+        "outstanding",
+        "reason",
+        "replicas",
+        "service",
+        "tried",
+    )
 
     def __init__(self, plan: ServicePlan) -> None:
-        self.index = plan.index
-        self.service = plan.service
-        self.replicas: Sequence[str] = plan.replicas
+        self.index, self.service, self.replicas = plan
+        self.reopen()
+
+    def reopen(self) -> None:
+        """Forget all attempts."""
         self.outstanding: list[int] = []
+        self.tried: dict[str, MissingReason] = {}
+        self.attempt_count = 0
         self.reason = MissingReason.NOT_ASKED
         self.closed = False
+
+    def next_replica(self) -> str | None:
+        """Return the replica to try next, ``None`` if there is none.
+
+        Replicas that were not asked go first. Then one may be asked again whose
+        failure tells nothing of the next try, as a lost connection.
+        """
+        if self.attempt_count >= MOST_ATTEMPTS:
+            return None
+        for replica in self.replicas:
+            if replica not in self.tried:
+                return replica
+        for replica in self.replicas:
+            if self.tried[replica] in REPEATABLE:
+                return replica
+        return None
--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -7,16 +7,35 @@
 from itertools import count
 
 from sardinehook.environment.document import Limits
+from sardinehook.query.budget import Budgets
+from sardinehook.query.hedging import HedgePolicy, QuantileHedge
+from sardinehook.query.latency import LatencyEstimates
+from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.replica_choice import ReplicaChooser
 
 __all__ = ["SearchPolicy"]
 
+PROCESS_REPLY_BYTES = 268_435_456
+
 
 @dataclass(slots=True)
 class SearchPolicy:
     """The parts of the policy that outlive a single search.
 
-    ``sub_query_ids`` must give each id once in the life of the process.
+    ``sub_query_ids`` must give each id once in the life of the process. A sub-query
+    without a reply within ``silent_ratio`` of the time that the query had at first
+    is retried elsewhere, whatever the hedge policy; 1.0 turns that off.
+    ``spends_budget`` is false for baselines only.
     """
 
     sub_query_ids: Iterator[int] = field(default_factory=lambda: count(1))
     limits: Limits = Limits()
+    hedge: HedgePolicy = QuantileHedge()
+    silent_ratio: float = 0.5
+    spends_budget: bool = True
+    budgets: Budgets = field(default_factory=Budgets)
+    latencies: LatencyEstimates = field(default_factory=LatencyEstimates)
+    chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
+    memory: MemoryMeter = field(
+        default_factory=lambda: MemoryMeter(PROCESS_REPLY_BYTES)
+    )
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -7,26 +7,20 @@
 from returns.pipeline import is_successful
 
 from sardinehook.environment.document import Wait, Workload
-from sardinehook.errors import ErrorKind, Problem
-from sardinehook.messages import NO_ORDER_KEY, Outcome, SubQuery, SubReply
-from sardinehook.query.actions import Action, Cancel, Send, Settle
-from sardinehook.query.answer import SearchAnswer
-from sardinehook.query.coverage import (
-    Coverage,
-    MissingReason,
-    MissingService,
-    missing_reason,
-)
+from sardinehook.messages import Outcome, SubReply
+from sardinehook.query.actions import Action, Settle
+from sardinehook.query.coverage import MissingReason, missing_reason
+from sardinehook.query.fan_out import FanOut
 from sardinehook.query.index_answer import IndexAnswer
-from sardinehook.query.merge import Hit, distinct_hits, parse_page
+from sardinehook.query.merge import parse_page
 from sardinehook.query.plan import Attempt, SearchRequest, ServicePlan, ServiceState
 from sardinehook.query.policy import SearchPolicy
-from sardinehook.query.snapshot import ANY_SNAPSHOT, Snapshot
+from sardinehook.query.settlement import coverage_of, outcome_of
+from sardinehook.query.snapshot import Snapshot
 
 __all__ = ["Search", "SearchRequest", "ServicePlan", "Snapshot"]
 
-SETTLE_RESERVE_RATIO = 0.02
-SETTLE_RESERVE_MOST_MS = 2.0
+RESTART_TIME_RATIO = 0.3
 
 
 class Search:
@@ -52,206 +46,237 @@
         self.settled = False
         self.services = [ServiceState(plan) for plan in services]
         self.limit = min(request.limit, workload.result_limit)
-        self.settle_at = request.deadline_at - settle_reserve(request, now)
+        self.began_at = now
+        self.fan_out = FanOut(request, workload, policy, now)
         self.enough_reached = False
-        self.attempts: dict[int, Attempt] = {}
-        self.answered_count = 0
         self.open_count = len(self.services)
         self.began = False
-        self.indexes = self.open_indexes(snapshots)
-
-    def open_indexes(self, snapshots: Mapping[str, Snapshot]) -> dict[str, IndexAnswer]:
-        """Start the collection of each index that is asked."""
-        names = {state.index for state in self.services}
-        most_bytes = self.policy.limits.query_bytes // max(1, len(names))
-        return {
-            name: IndexAnswer(name, snapshots.get(name), self.limit, most_bytes)
-            for name in sorted(names)
+        self.reserved_bytes = 0
+        self.states: dict[str, list[ServiceState]] = {}
+        for state in self.services:
+            self.states.setdefault(state.index, []).append(state)
+        most_bytes = policy.limits.query_bytes // max(1, len(self.states))
+        self.indexes = {
+            name: IndexAnswer(
+                name, len(states), snapshots.get(name), self.limit, most_bytes
+            )
+            for name, states in sorted(self.states.items())
         }
 
     def begin(self, now: float) -> list[Action]:
         """Ask one replica of each service."""
         actions: list[Action] = []
+        for name, index in self.indexes.items():
+            asked = [state for state in self.states[name] if state.replicas]
+            if now < self.fan_out.settle_at:
+                actions.extend(self.fan_out.send_first(asked, index.snapshot, now))
         for state in self.services:
             if not state.replicas:
                 self.close(state, MissingReason.NO_REPLICA)
-            elif now < self.settle_at:
-                actions.append(self.send(state, state.replicas[0], now))
+        self.fan_out.earn(len(actions), now)
         return self.with_settlement(actions, now)
 
     def on_reply(self, reply: SubReply, now: float) -> list[Action]:
         """Take in the end of a sub-query; unknown and repeated ones are dropped."""
-        attempt = self.attempts.pop(reply.sub_query_id, None)
-        if self.settled or attempt is None:
+        attempt = self.fan_out.take(reply.sub_query_id)
+        if attempt is None:
             return []
         state = attempt.service
-        state.outstanding.remove(reply.sub_query_id)
+        index = self.indexes[state.index]
         self.began = self.began or reply.began
-        reason = self.take(attempt, reply)
+        reason = self.accept(index, state, reply)
+        self.observe(attempt, reply.outcome, reason, now)
         if reason is None:
-            return self.with_settlement(self.answer_service(state), now)
-        state.reason = reason
-        if not state.outstanding:
-            self.close(state, reason)
-        return self.with_settlement([], now)
+            actions = self.answer_service(state, now)
+        else:
+            state.reason = state.tried[attempt.replica] = reason
+            actions = self.retry(state, now)
+        if index.can_choose():
+            actions.extend(self.choose_snapshot(index, now))
+        if index.refused and not index.restarted:
+            actions.extend(self.restart(index, now))
+        return self.with_settlement(actions, now)
 
     def on_timer(self, now: float) -> list[Action]:
-        """Do what is due at ``now``."""
-        return self.with_settlement([], now)
+        """Do what is due at ``now``: ask elsewhere what has no reply, or settle."""
+        actions: list[Action] = []
+        if not self.settled and now < self.fan_out.settle_at:
+            snapshots = {name: index.snapshot for name, index in self.indexes.items()}
+            actions = self.fan_out.check_due(snapshots, now)
+        return self.with_settlement(actions, now)
 
     def next_timer(self) -> float | None:
         """Return when ``on_timer`` is due next, ``None`` once settled."""
-        return None if self.settled else self.settle_at
-
-    def send(self, state: ServiceState, replica: str, now: float) -> Send:
-        """Ask ``replica`` and remember it."""
-        snapshot = self.indexes[state.index].snapshot
-        wanted = ANY_SNAPSHOT if snapshot is None else snapshot
-        sub_query_id = next(self.policy.sub_query_ids)
-        self.attempts[sub_query_id] = Attempt(
-            sub_query_id, state, replica, snapshot, now
-        )
-        state.outstanding.append(sub_query_id)
-        state.reason = MissingReason.LATE
-        return Send(
-            SubQuery(
-                sub_query_id,
-                self.request.request_id,
-                state.service,
-                replica,
-                wanted.index_version,
-                wanted.partitioning,
-                (self.settle_at - now) * 1000.0,
-                self.workload.priority,
-                NO_ORDER_KEY,
-                self.request.body,
-            )
-        )
+        return None if self.settled else self.fan_out.next_check()
 
-    def take(self, attempt: Attempt, reply: SubReply) -> MissingReason | None:
+    def accept(
+        self, index: IndexAnswer, state: ServiceState, reply: SubReply
+    ) -> MissingReason | None:
         """Count a reply as answered, or tell why it is not."""
+        snapshot = Snapshot(reply.index_version, reply.partitioning)
+        if reply.outcome is Outcome.WRONG_VERSION:
+            index.refused[snapshot] += 1
         if reply.outcome is not Outcome.ANSWERED:
             return missing_reason(reply.outcome)
-        if len(reply.body) > self.policy.limits.reply_bytes:
-            return MissingReason.TOO_LARGE
-        index = self.indexes[attempt.service.index]
-        snapshot = Snapshot(reply.index_version, reply.partitioning)
         if not index.accepts(snapshot):
+            index.refused[snapshot] += 1
             return MissingReason.WRONG_VERSION
-        page = parse_page(reply.body)
+        return self.collect(index, state.service, snapshot, reply.body)
+
+    def collect(
+        self, index: IndexAnswer, service: str, snapshot: Snapshot, body: bytes
+    ) -> MissingReason | None:
+        """Take in the records of a reply, within the bounds of memory."""
+        size = len(body)
+        if size > self.policy.limits.reply_bytes:
+            return MissingReason.TOO_LARGE
+        page = parse_page(body)
         if not is_successful(page):
             return page.failure()
-        index.add(attempt.service.service, snapshot, page.unwrap(), len(reply.body))
+        if not self.policy.memory.reserve(size):
+            return MissingReason.NO_MEMORY
+        before = index.held_bytes()
+        index.add(service, snapshot, page.unwrap(), size)
+        kept = index.held_bytes() - before
+        self.policy.memory.release(size - kept)
+        self.reserved_bytes += kept
         return None
 
-    def answer_service(self, state: ServiceState) -> list[Action]:
+    def observe(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        reason: MissingReason | None,
+        now: float,
+    ) -> None:
+        """Tell the shared estimates how a sub-query ended."""
+        elapsed_ms = (now - attempt.sent_at) * 1000.0
+        if outcome is Outcome.ANSWERED and reason is not None:
+            wrong_version = reason is MissingReason.WRONG_VERSION
+            outcome = Outcome.WRONG_VERSION if wrong_version else Outcome.GARBLED
+        self.policy.chooser.observe_reply(attempt.replica, outcome, elapsed_ms, now)
+        if outcome is Outcome.ANSWERED:
+            self.policy.latencies.record(attempt.service.index, elapsed_ms)
+
+    def abandon(self, state: ServiceState, now: float) -> list[Action]:
+        """Cancel what is out of a service; its targets may have begun."""
+        if not state.outstanding:
+            return []
+        self.began = True
+        return self.fan_out.abandon(state.outstanding, now)
+
+    def answer_service(self, state: ServiceState, now: float) -> list[Action]:
         """Close a service that answered and cancel its other attempts."""
-        cancels: list[Action] = [Cancel(held) for held in state.outstanding]
-        for sub_query_id in state.outstanding:
-            del self.attempts[sub_query_id]
-            self.began = True
-        state.outstanding.clear()
+        cancels = self.abandon(state, now)
         state.closed = True
         self.open_count -= 1
-        self.answered_count += 1
         return cancels
 
+    def retry(self, state: ServiceState, now: float) -> list[Action]:
+        """Ask elsewhere after a failure, or give the service up."""
+        if state.outstanding:
+            return []
+        reason = state.reason
+        snapshot = self.indexes[state.index].snapshot
+        actions = self.fan_out.send_extra(state, snapshot, now)
+        if not actions:
+            self.close(state, reason)
+        return actions
+
     def close(self, state: ServiceState, reason: MissingReason) -> None:
         """Give up a service."""
         state.reason = reason
         state.closed = True
         self.open_count -= 1
 
+    def choose_snapshot(self, index: IndexAnswer, now: float) -> list[Action]:
+        """Choose what the first replies favour; ask the other services again."""
+        others = index.choose()
+        actions: list[Action] = []
+        for state in self.states[index.index]:
+            if state.service in others:
+                state.reopen()
+                state.reason = MissingReason.WRONG_VERSION
+                self.open_count += 1
+                actions.extend(self.retry(state, now))
+        return actions
+
+    def restart(self, index: IndexAnswer, now: float) -> list[Action]:
+        """Start an index anew on a newer snapshot if the chosen one is gone.
+
+        This is done at most once for an index, only if the coverage aimed at can't be
+        reached any more, with time left, and only if the budget bears all of it.
+        """
+        newer = index.newer()
+        asked = [state for state in self.states[index.index] if state.replicas]
+        if newer is None or not self.must_restart(asked, now):
+            return []
+        if not self.fan_out.pay(len(asked), now):
+            return []
+        index.restart(newer)
+        actions: list[Action] = []
+        for state in asked:
+            actions.extend(self.abandon(state, now))
+            self.open_count += int(state.closed)
+            state.reopen()
+        actions.extend(self.fan_out.send_first(asked, newer, now))
+        return actions
+
+    def must_restart(self, states: Sequence[ServiceState], now: float) -> bool:
+        """Tell whether wrong versions keep the coverage below what is aimed at."""
+        time_left = self.fan_out.settle_at - now
+        if time_left < RESTART_TIME_RATIO * (self.fan_out.settle_at - self.began_at):
+            return False
+        lost = sum(
+            state.closed and state.reason is MissingReason.WRONG_VERSION
+            for state in states
+        )
+        reachable = self.ratio(len(self.services) - lost)
+        return lost > 0 and reachable < self.workload.enough_coverage
+
     def with_settlement(self, actions: list[Action], now: float) -> list[Action]:
         """Settle if nothing more is worth waiting for."""
         if self.settled:
             return []
         self.note_enough(now)
-        if self.open_count == 0 or now >= self.settle_at or self.is_hopeless():
-            actions.extend(self.settle())
+        due = now >= self.fan_out.settle_at
+        if self.open_count == 0 or due or self.is_hopeless():
+            actions.extend(self.settle(now))
         return actions
 
     def note_enough(self, now: float) -> None:
         """Bring the settlement forward once enough services have answered."""
         if self.enough_reached or self.workload.wait is not Wait.ENOUGH:
             return
-        if self.answered_ratio(self.answered_count) >= self.workload.enough_coverage:
+        answered = sum(len(index.answered()) for index in self.indexes.values())
+        if self.ratio(answered) >= self.workload.enough_coverage:
             self.enough_reached = True
             early_at = now + self.workload.settle_ms / 1000.0
-            self.settle_at = min(self.settle_at, early_at)
+            self.fan_out.settle_at = min(self.fan_out.settle_at, early_at)
 
     def is_hopeless(self) -> bool:
         """Tell whether the least coverage is out of reach."""
-        reachable = self.answered_ratio(self.answered_count + self.open_count)
-        return reachable < self.workload.least_coverage
+        answered = sum(index.reply_count() for index in self.indexes.values())
+        return self.ratio(answered + self.open_count) < self.workload.least_coverage
 
-    def answered_ratio(self, answered: int) -> float:
+    def ratio(self, answered: int) -> float:
         """Return ``answered`` as a share of the services asked."""
         return answered / len(self.services) if self.services else 1.0
 
-    def settle(self) -> list[Action]:
+    def settle(self, now: float) -> list[Action]:
         """Cancel what is out and answer the caller."""
-        actions: list[Action] = [Cancel(held) for held in self.attempts]
-        self.began = self.began or bool(self.attempts)
-        self.attempts.clear()
+        self.began = self.began or bool(self.fan_out.attempts)
+        actions = self.fan_out.abandon(tuple(self.fan_out.attempts), now)
         self.settled = True
-        coverage = self.coverage()
-        actions.append(Settle(self.outcome(coverage), coverage))
-        return actions
-
-    def coverage(self) -> Coverage:
-        """Count the services whose accepted reply is of the snapshot."""
-        answered = {name: held.answered() for name, held in self.indexes.items()}
-        missing = tuple(
-            MissingService(state.service, self.reason_missing(state))
-            for state in self.services
-            if state.service not in answered[state.index]
+        self.policy.memory.release(self.reserved_bytes)
+        coverage = coverage_of(self.services, self.indexes)
+        outcome = outcome_of(
+            self.request.request_id,
+            self.workload,
+            coverage,
+            self.indexes,
+            self.limit,
+            self.began,
         )
-        snapshot = {
-            name: leading
-            for name, held in self.indexes.items()
-            if answered[name] and (leading := held.leading()) is not None
-        }
-        asked = len(self.services)
-        return Coverage(asked, asked - len(missing), missing, snapshot)
-
-    def reason_missing(self, state: ServiceState) -> MissingReason:
-        """Tell why a service is missing, also one that answered another snapshot."""
-        answered_another = any(
-            state.service in services
-            for services in self.indexes[state.index].services.values()
-        )
-        return MissingReason.WRONG_VERSION if answered_another else state.reason
-
-    def outcome(self, coverage: Coverage) -> SearchAnswer | Problem:
-        """Return the answer, or why there is none."""
-        enough = coverage.ratio >= self.workload.least_coverage
-        if enough and (coverage.answered or not coverage.asked):
-            return self.answer(coverage)
-        detail = f"{coverage.answered} of {coverage.asked} services answered"
-        if coverage.answered:
-            return Problem(ErrorKind.COVERAGE_BELOW_LEAST, detail)
-        if not self.began:
-            return Problem(ErrorKind.TARGET_UNAVAILABLE, detail)
-        return Problem(ErrorKind.COVERAGE_BELOW_LEAST, detail)
-
-    def answer(self, coverage: Coverage) -> SearchAnswer:
-        """Merge the records of all indexes."""
-        hits: list[Hit] = []
-        limited = False
-        for held in self.indexes.values():
-            merger = held.merger()
-            if merger is not None:
-                merged = merger.merged()
-                hits.extend(merged.records)
-                limited = limited or merged.limited
-        distinct = distinct_hits(hits)
-        limited = limited or len(distinct) > self.limit
-        records = tuple(distinct[: self.limit])
-        return SearchAnswer(self.request.request_id, records, coverage, limited)
-
-
-def settle_reserve(request: SearchRequest, now: float) -> float:
-    """Return the seconds kept before the deadline for the answer's way back."""
-    time_left = max(0.0, request.deadline_at - now)
-    return min(time_left * SETTLE_RESERVE_RATIO, SETTLE_RESERVE_MOST_MS / 1000.0)
+        actions.append(Settle(outcome, coverage))
+        return actions
--- /dev/null
+++ b/sardinehook/query/settlement.py
@@ -0,0 +1,84 @@
+"""The coverage and the answer of a query, worked out from what was collected."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from sardinehook.environment.document import Workload
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.query.answer import SearchAnswer
+from sardinehook.query.coverage import Coverage, MissingReason, MissingService
+from sardinehook.query.index_answer import IndexAnswer
+from sardinehook.query.merge import Hit, distinct_hits
+from sardinehook.query.plan import ServiceState
+
+__all__ = ["coverage_of", "merge_answer", "outcome_of"]
+
+
+def coverage_of(
+    states: Sequence[ServiceState], indexes: Mapping[str, IndexAnswer]
+) -> Coverage:
+    """Count the services whose accepted reply is of their index's snapshot."""
+    answered = {name: held.answered() for name, held in indexes.items()}
+    answered_any = {name: held.answered_any() for name, held in indexes.items()}
+    missing = tuple(
+        MissingService(
+            state.service,
+            MissingReason.WRONG_VERSION
+            if state.service in answered_any[state.index]
+            else state.reason,
+        )
+        for state in states
+        if state.service not in answered[state.index]
+    )
+    snapshot = {
+        name: leading
+        for name, held in indexes.items()
+        if answered[name] and (leading := held.leading()) is not None
+    }
+    return Coverage(len(states), len(states) - len(missing), missing, snapshot)
+
+
+def outcome_of(
+    request_id: str,
+    workload: Workload,
+    coverage: Coverage,
+    indexes: Mapping[str, IndexAnswer],
+    limit: int,
+    began: bool,
+) -> SearchAnswer | Problem:
+    """Return the answer, or why there is none.
+
+    ``began`` tells whether a target can have begun any part of the query; if not, the
+    problem is of a kind that is marked "not run".
+    """
+    enough = coverage.ratio >= workload.least_coverage
+    if enough and (coverage.answered or not coverage.asked):
+        return merge_answer(request_id, coverage, indexes, limit)
+    detail = f"{coverage.answered} of {coverage.asked} services answered"
+    if began:
+        return Problem(ErrorKind.COVERAGE_BELOW_LEAST, detail)
+    reasons = {missing.reason for missing in coverage.missing}
+    if reasons == {MissingReason.SHED}:
+        return Problem(ErrorKind.OVERLOADED, detail)
+    return Problem(ErrorKind.TARGET_UNAVAILABLE, detail)
+
+
+def merge_answer(
+    request_id: str,
+    coverage: Coverage,
+    indexes: Mapping[str, IndexAnswer],
+    limit: int,
+) -> SearchAnswer:
+    """Merge the records of all indexes."""
+    hits: list[Hit] = []
+    limited = False
+    for held in indexes.values():
+        merger = held.merger()
+        if merger is not None:
+            merged = merger.merged()
+            hits.extend(merged.records)
+            limited = limited or merged.limited
+    distinct = distinct_hits(hits) if len(indexes) > 1 else hits
+    limited = limited or len(distinct) > limit
+    return SearchAnswer(request_id, tuple(distinct[:limit]), coverage, limited)
--- a/tests/query/support.py
+++ b/tests/query/support.py
@@ -16,7 +16,8 @@
 
 NEW = Snapshot(42, 1)
 OLD = Snapshot(41, 1)
-WORKLOAD = Workload(["logs"], Scope.ALL, 150.0, 0.5)
+WORKLOAD = Workload(["logs"], Scope.ALL, 150.0, 0.5, extra_load=0.0)
+RETRYING = WORKLOAD._replace(extra_load=0.05)
 
 
 def page_body(*records: tuple[str, float, object], truncated: bool = False) -> bytes:
