Add the owner of replicas and the stand-in of targets

Each replica needs one holder of its connections, queue and cold-start ramp. The owner sends sub-queries over Twisted protocols with the httptools parser, checks the ids of each reply, counts what may still be running at the target and answers each sub-query once. The stand-in runs many targets in one process, with faults set on a control port.

The reactor's own clock is the wall clock; the stand-in replaces it by the monotonic one.

--- /dev/null
+++ b/bench/target.py
@@ -0,0 +1,177 @@
+"""Runs many target stand-ins in one process, with a port to control them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from pathlib import Path
+from time import monotonic
+from typing import Annotated, NamedTuple, cast
+
+import msgspec
+import typer
+import yaml
+from twisted.internet.protocol import ServerFactory
+from twisted.web.http import Request as HttpRequest
+from twisted.web.resource import Resource
+from twisted.web.server import Request as WebRequest
+from twisted.web.server import Site
+
+from bench.target_host import ListeningReactor, TargetHost
+from bench.target_model import TargetModel
+from bench.target_records import Shard, WorkEvent, WorkLog
+from bench.target_settings import Behaviour, Control, TargetSettings
+
+__all__ = ["TargetRig", "load_settings", "main"]
+
+
+class ReplicaPlace(NamedTuple):
+    """Where a replica listens."""
+
+    service: str
+    index_name: str
+    name: str
+    address: str
+
+
+class RecordsReply(msgspec.Struct):
+    """The body of ``GET /records``."""
+
+    counters: dict[str, msgspec.Struct]
+    fields: tuple[str, ...]
+    events: list[WorkEvent]
+    left_out: int
+
+
+def load_settings(path: Path) -> TargetSettings:
+    """Return the settings in a YAML file; raises ``msgspec.ValidationError``."""
+    return msgspec.convert(yaml.safe_load(path.read_text()), TargetSettings)
+
+
+class TargetRig:
+    """All replicas of one stand-in process."""
+
+    def __init__(self, reactor: ListeningReactor, settings: TargetSettings) -> None:
+        self.reactor = reactor
+        self.log = WorkLog(settings.log.entries)
+        services = defaultdict(set)
+        for replica in settings.replicas:
+            services[replica.index].add(replica.service)
+        places = {index: sorted(names) for index, names in services.items()}
+        self.hosts: dict[str, TargetHost] = {}
+        for replica in settings.replicas:
+            names = places[replica.index]
+            shard = Shard(replica.index, names.index(replica.service), len(names), 0, 0)
+            model = TargetModel(
+                reactor,
+                replica,
+                shard,
+                settings.records_per_service,
+                settings.seed,
+                self.log,
+            )
+            self.hosts[replica.name] = TargetHost(reactor, model)
+
+    def listen(self) -> None:
+        """Begin to accept connections for all replicas."""
+        for host in self.hosts.values():
+            host.listen()
+
+    def stop(self) -> None:
+        """End all replicas."""
+        for host in self.hosts.values():
+            host.leave()
+
+    def places(self) -> list[ReplicaPlace]:
+        """Return where each replica listens."""
+        return [
+            ReplicaPlace(
+                host.model.settings.service,
+                host.model.settings.index,
+                name,
+                f"{host.model.settings.address}:{host.port}",
+            )
+            for name, host in self.hosts.items()
+        ]
+
+    def control(self, control: Control) -> int:
+        """Carry out a control request and return how many replicas it met.
+
+        Raises ``msgspec.ValidationError`` for a field that does not exist.
+        """
+        met = [host for host in self.hosts.values() if meant(control, host)]
+        for host in met:
+            for name, raw in control.set.items():
+                set_field(host.model.settings, name, raw)
+            host.act(control.do)
+        return len(met)
+
+    def records(self) -> RecordsReply:
+        """Return the counters and the log."""
+        counters: dict[str, msgspec.Struct] = {
+            name: host.model.counters for name, host in self.hosts.items()
+        }
+        return RecordsReply(
+            counters, WorkEvent._fields, self.log.events, self.log.left_out
+        )
+
+
+def meant(control: Control, host: TargetHost) -> bool:
+    """Tell whether a control request is for a replica."""
+    if not control.replicas and not control.services:
+        return True
+    settings = host.model.settings
+    return settings.name in control.replicas or settings.service in control.services
+
+
+def set_field(behaviour: Behaviour, name: str, raw: msgspec.Raw) -> None:
+    """Set one field of a replica's behaviour from JSON."""
+    types = {field.name: field.type for field in msgspec.structs.fields(Behaviour)}
+    if name not in types:
+        raise msgspec.ValidationError(f"no such field: {name}")
+    setattr(behaviour, name, msgspec.json.decode(raw, type=types[name]))
+
+
+class ControlResource(Resource):
+    """``POST /control``, ``GET /records`` and ``GET /replicas``."""
+
+    def __init__(self, rig: TargetRig) -> None:
+        super().__init__()  # type: ignore[no-untyped-call]
+        self.isLeaf = True
+        self.rig = rig
+
+    def render_GET(self, request: WebRequest) -> bytes:
+        """Return the records or the replicas."""
+        if request.path == b"/records":
+            return msgspec.json.encode(self.rig.records())
+        return msgspec.json.encode([one._asdict() for one in self.rig.places()])
+
+    def render_POST(self, request: WebRequest) -> bytes:
+        """Carry out a control request."""
+        assert request.content is not None
+        try:
+            control = msgspec.json.decode(request.content.read(), type=Control)
+            met = self.rig.control(control)
+        except msgspec.DecodeError as error:
+            cast(HttpRequest, request).setResponseCode(400)
+            return str(error).encode()
+        return msgspec.json.encode({"replicas": met})
+
+
+def main(config: Annotated[Path, typer.Option(help="The settings file.")]) -> None:
+    """Run the target stand-ins until the process is told to end."""
+    from twisted.internet import reactor
+
+    listening = cast(ListeningReactor, reactor)
+    listening.seconds = monotonic  # type: ignore[method-assign]
+    settings = load_settings(config)
+    rig = TargetRig(listening, settings)
+    rig.listen()
+    site = cast(ServerFactory, Site(ControlResource(rig)))  # type: ignore[no-untyped-call]
+    port = listening.listenTCP(settings.control_port, site, 50, "127.0.0.1")
+    control = port.getHost().port
+    print(f"ready replicas={len(rig.hosts)} control={control}", flush=True)
+    listening.run()
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/sardinehook/target/cold_start.py
@@ -0,0 +1,97 @@
+"""How many sub-queries at a time a replica bears, by evidence from its replies."""
+
+from __future__ import annotations
+
+from sardinehook.messages import TargetState
+
+__all__ = ["ColdStart"]
+
+GOOD_REPLIES_PER_STEP = 8
+SLOW_REPLIES_FOR_SETBACK = 3
+LATE_REPLIES_FOR_SETBACK = 2
+
+
+class ColdStart:
+    """The bound on work in flight at one replica.
+
+    It starts at ``cold_start_slots`` and grows by one after eight good replies in
+    time at full use, until it reaches ``slots`` and the replica counts as warm. Any
+    sign of a cold start takes it back to ``cold_start_slots`` at once. Time alone
+    changes nothing.
+
+    >>> ramp = ColdStart(cold_start_slots=1, slots=2)
+    >>> ramp.bound, ramp.state.name
+    (1, 'UNKNOWN')
+    >>> for _ in range(8):
+    ...     ramp.good_reply(TargetState.WARM, full_use=True, slow=False)
+    >>> ramp.bound, ramp.state.name
+    (2, 'WARM')
+    """
+
+    def __init__(self, cold_start_slots: int, slots: int) -> None:
+        self.cold_start_slots = cold_start_slots
+        self.slots = slots
+        self.state = TargetState.UNKNOWN
+        self.bound = min(cold_start_slots, slots)
+        self.good_replies = 0
+        self.slow_replies = 0
+        self.late_replies = 0
+
+    def set_slots(self, slots: int) -> None:
+        """Take a new allowance of ``slots``."""
+        grown = slots > self.slots
+        self.slots = slots
+        if grown and self.state is TargetState.WARM:
+            self.bound = slots
+        self.bound = min(self.bound, slots)
+
+    def good_reply(self, said: TargetState, full_use: bool, slow: bool) -> None:
+        """Count a whole reply in time.
+
+        ``said`` is the state in the reply, ``full_use`` whether as many sub-queries
+        as the bound allows were in flight and ``slow`` whether the reply took far
+        longer than earlier ones.
+        """
+        if said is TargetState.COLD:
+            self.setback()
+            return
+        self.late_replies = 0
+        self.slow_replies = self.slow_replies + 1 if slow else 0
+        if self.slow_replies >= SLOW_REPLIES_FOR_SETBACK:
+            self.setback()
+        elif full_use and not slow:
+            self.count_towards_step()
+
+    def count_towards_step(self) -> None:
+        """Count one good reply at full use and grow the bound when it is due."""
+        self.good_replies += 1
+        if self.good_replies < GOOD_REPLIES_PER_STEP:
+            return
+        self.good_replies = 0
+        self.bound = min(self.bound + 1, self.slots)
+        if self.bound == self.slots:
+            self.state = TargetState.WARM
+
+    def late_reply(self) -> None:
+        """Count a reply that missed its deadline; two in a row are a setback."""
+        self.late_replies += 1
+        if self.late_replies >= LATE_REPLIES_FOR_SETBACK:
+            self.setback()
+
+    def shed(self) -> None:
+        """Halve the bound after the target refused work."""
+        self.good_replies = 0
+        self.bound = max(1, self.bound // 2)
+
+    def setback(self) -> None:
+        """Treat the replica as cold."""
+        self.state = TargetState.COLD
+        self.bound = min(self.cold_start_slots, self.slots)
+        self.good_replies = 0
+        self.slow_replies = 0
+        self.late_replies = 0
+
+    def forget(self) -> None:
+        """Return to knowing nothing, which bears what a cold start bears."""
+        self.setback()
+        self.state = TargetState.UNKNOWN
--- /dev/null
+++ b/sardinehook/target/dialect.py
@@ -0,0 +1,118 @@
+"""The HTTP dialect of targets: requests as bytes, replies as typed values."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sardinehook.messages import ANY_VERSION, SubQuery, TargetState
+
+__all__ = [
+    "ReplyHead",
+    "TargetReply",
+    "encode_cancel",
+    "encode_status",
+    "encode_sub_query",
+    "read_reply_head",
+]
+
+HEADER_STATES = {
+    b"cold": TargetState.COLD,
+    b"warm": TargetState.WARM,
+    b"draining": TargetState.DRAINING,
+}
+
+
+class ReplyHead(NamedTuple):
+    """The headers of a target's reply; zero and empty values mean absent."""
+
+    request_id: bytes = b""
+    exchange_id: bytes = b""
+    index_version: int = 0
+    partitioning: int = 0
+    state: TargetState = TargetState.UNKNOWN
+    in_flight: int = 0
+    versions_held: tuple[int, ...] = ()
+    not_run: bool = False
+
+
+class TargetReply(NamedTuple):
+    """A whole reply of a target."""
+
+    status: int
+    head: ReplyHead
+    body: bytes
+
+
+def encode_sub_query(
+    sub_query: SubQuery, host: bytes, exchange_id: bytes, deadline_ms: int
+) -> bytes:
+    """Return the request for a sub-query with ``deadline_ms`` left.
+
+    ``exchange_id`` goes into the header ``Sub-Query-Id``; it is new for each try.
+    """
+    path = "orders" if sub_query.order_key else "search"
+    lines = [
+        f"POST /services/{sub_query.service}/{path} HTTP/1.1\r\nHost: ".encode(),
+        host,
+        b"\r\nRequest-Id: ",
+        sub_query.request_id.encode(),
+        b"\r\nSub-Query-Id: ",
+        exchange_id,
+        b"\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n"
+        % (deadline_ms, len(sub_query.body)),
+    ]
+    if sub_query.index_version != ANY_VERSION:
+        lines.append(b"Index-Version: %d\r\n" % sub_query.index_version)
+    if sub_query.partitioning != ANY_VERSION:
+        lines.append(b"Partitioning-Version: %d\r\n" % sub_query.partitioning)
+    if sub_query.order_key:
+        lines.append(f"Idempotency-Key: {sub_query.order_key}\r\n".encode())
+    lines.append(b"\r\n")
+    lines.append(sub_query.body)
+    return b"".join(lines)
+
+
+def encode_cancel(host: bytes, request_id: bytes, exchange_id: bytes) -> bytes:
+    """Return the request that abandons an exchange at the target."""
+    return (
+        b"POST /cancel HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n"
+        b"Sub-Query-Id: %b\r\nContent-Length: 0\r\n\r\n"
+        % (host, request_id, exchange_id)
+    )
+
+
+def encode_status(host: bytes, request_id: bytes, exchange_id: bytes) -> bytes:
+    """Return the request for the replica's own account of itself."""
+    return (
+        b"GET /status HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n"
+        b"Sub-Query-Id: %b\r\n\r\n" % (host, request_id, exchange_id)
+    )
+
+
+def read_reply_head(headers: list[tuple[bytes, bytes]]) -> ReplyHead:
+    """Return the typed headers of a reply.
+
+    Raises ``ValueError`` for a header that is not what the dialect says.
+
+    >>> head = read_reply_head([(b"Target-State", b"cold"), (b"Index-Version", b"7")])
+    >>> head.state.name, head.index_version
+    ('COLD', 7)
+    """
+    found = {name.lower(): value for name, value in headers}
+    state_name = found.get(b"target-state")
+    state = TargetState.UNKNOWN
+    if state_name is not None:
+        if state_name not in HEADER_STATES:
+            raise ValueError("unknown Target-State")
+        state = HEADER_STATES[state_name]
+    held = found.get(b"index-versions-held", b"")
+    return ReplyHead(
+        found.get(b"request-id", b""),
+        found.get(b"sub-query-id", b""),
+        int(found.get(b"index-version", b"0")),
+        int(found.get(b"partitioning-version", b"0")),
+        state,
+        int(found.get(b"target-in-flight", b"0")),
+        tuple(int(part) for part in held.split(b",") if part.strip()),
+        found.get(b"not-run") == b"true",
+    )
--- /dev/null
+++ b/sardinehook/target/limits.py
@@ -0,0 +1,24 @@
+"""Bounds that hold for all replicas of one owner."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["OwnerLimits"]
+
+
+class OwnerLimits(NamedTuple):
+    """Bounds of memory and time of a ``TargetOwner``.
+
+    ``occupancy_margin_s`` is how long after its deadline an exchange without an end
+    still counts as running at the target. One replica's status is asked for each
+    ``poll_interval_s``.
+    """
+
+    reply_bytes: int = 1_048_576
+    header_bytes: int = 16_384
+    queue_length: int = 64
+    connect_timeout_s: float = 1.0
+    sweep_interval_s: float = 0.005
+    occupancy_margin_s: float = 0.05
+    poll_interval_s: float = 0.25
--- /dev/null
+++ b/sardinehook/target/occupancy.py
@@ -0,0 +1,40 @@
+"""What may still be running at a replica, as far as its owner can know."""
+
+from __future__ import annotations
+
+__all__ = ["Occupancy"]
+
+
+class Occupancy:
+    """Exchanges that may occupy the target, by exchange id.
+
+    An exchange counts until its reply, until a cancellation that the target has
+    confirmed, or until ``until``, when its deadline has passed at the target. The
+    end of its connection or of the caller's interest does not end it.
+
+    >>> occupancy = Occupancy()
+    >>> occupancy.begin(b"a-1", until=2.0)
+    >>> len(occupancy), occupancy.expire(now=2.5), len(occupancy)
+    (1, [b'a-1'], 0)
+    """
+
+    def __init__(self) -> None:
+        self.until: dict[bytes, float] = {}
+
+    def __len__(self) -> int:
+        return len(self.until)
+
+    def begin(self, exchange_id: bytes, until: float) -> None:
+        """Count an exchange from now on."""
+        self.until[exchange_id] = until
+
+    def end(self, exchange_id: bytes) -> None:
+        """Stop counting an exchange that is known to have ended."""
+        self.until.pop(exchange_id, None)
+
+    def expire(self, now: float) -> list[bytes]:
+        """Stop counting what has passed its deadline and return its ids."""
+        expired = [one for one, until in self.until.items() if until <= now]
+        for exchange_id in expired:
+            del self.until[exchange_id]
+        return expired
--- /dev/null
+++ b/sardinehook/target/owner.py
@@ -0,0 +1,216 @@
+"""The owner of replicas: the one place from which their targets get work."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from itertools import count
+from secrets import token_hex
+
+from twisted.internet.defer import Deferred
+
+from sardinehook.environment.document import Index, Replica
+from sardinehook.messages import Outcome, ReplicaView, SubQuery, SubReply, TargetState
+from sardinehook.target.allowance import Allowance
+from sardinehook.target.limits import OwnerLimits
+from sardinehook.target.reactor import DelayedCall, TargetReactor
+from sardinehook.target.replica import Work, WorkKey
+from sardinehook.target.runner import ReplicaRunner, RunnerContext
+
+__all__ = ["OwnerLimits", "TargetOwner"]
+
+
+class TargetOwner:
+    """Holds the connections, queues and evidence of the replicas it owns.
+
+    Replica names are unique over all indexes. Every sub-query that is submitted
+    gets exactly one ``SubReply``, on the same loop, at the latest a sweep interval
+    after its deadline. The reply may be given before ``submit`` returns.
+    """
+
+    def __init__(self, reactor: TargetReactor, limits: OwnerLimits) -> None:
+        self.reactor = reactor
+        self.limits = limits
+        self.runners: dict[str, ReplicaRunner] = {}
+        self.allowances: dict[str, Allowance] = {}
+        self.retired: list[ReplicaRunner] = []
+        self.busy: set[ReplicaRunner] = set()
+        self.work: dict[WorkKey, tuple[Work, ReplicaRunner]] = {}
+        self.context = RunnerContext(
+            reactor, limits, token_hex(4), count(1), self.settled
+        )
+        self.sweeping: DelayedCall | None = None
+        self.polling: DelayedCall | None = None
+        self.poll_order: list[ReplicaRunner] = []
+        self.closed: Deferred[None] | None = None
+        self.close_by = 0.0
+        self.start_polling()
+
+    def configure(self, indexes: Mapping[str, Index]) -> None:
+        """Take the replicas of a document; those it does not name are let go."""
+        named: set[str] = set()
+        for index in indexes.values():
+            for replicas in index.services.values():
+                for replica in replicas:
+                    named.add(replica.name)
+                    self.configure_replica(index, replica)
+        for name in set(self.runners) - named:
+            self.retire(name)
+
+    def configure_replica(self, index: Index, replica: Replica) -> None:
+        """Create the runner of a replica, or a new one for a new address."""
+        runner = self.runners.get(replica.name)
+        if runner is not None and runner.replica.address == replica.address:
+            runner.configure(index)
+            return
+        if runner is not None:
+            self.retire(replica.name)
+        runner = ReplicaRunner(self.context, index, replica)
+        self.runners[replica.name] = runner
+        runner.set_allowance(self.allowances.get(replica.name))
+        self.watch(runner)
+
+    def retire(self, name: str) -> None:
+        """Send nothing more to a replica and let its work in flight finish."""
+        runner = self.runners.pop(name)
+        runner.set_allowance(None)
+        self.retired.append(runner)
+
+    def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
+        """Take the part of a replica that is held here; ``None`` for no part.
+
+        After ``None`` what is queued is refused, what is in flight finishes, and a
+        later allowance begins from not knowing the replica.
+        """
+        if allowance is None:
+            self.allowances.pop(replica, None)
+        else:
+            self.allowances[replica] = allowance
+        runner = self.runners.get(replica)
+        if runner is not None:
+            runner.set_allowance(allowance)
+            self.watch(runner)
+
+    def note_vm(self, replica: str, listed: TargetState, incarnation: str = "") -> None:
+        """Take what the platform's list of VMs says of a replica.
+
+        ``listed`` is ``DRAINING`` or ``GONE`` for one that leaves and ``UNKNOWN``
+        for one with nothing against it. Another incarnation starts cold.
+        """
+        runner = self.runners.get(replica)
+        if runner is not None:
+            runner.note_vm(listed, incarnation)
+
+    def submit(
+        self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
+    ) -> None:
+        """Run a sub-query and call ``reply`` once.
+
+        A sub-query whose ``sender`` and id are those of one that still runs is
+        dropped: the reply to the first stands for both.
+        """
+        key = WorkKey(sender, sub_query.sub_query_id)
+        if key in self.work:
+            return
+        now = self.reactor.seconds()
+        deadline_at = now + sub_query.deadline_ms / 1000.0
+        work = Work(key, sub_query, reply, now, deadline_at)
+        runner = self.runners.get(sub_query.replica)
+        if runner is None:
+            reply(refused(sub_query, "the replica is not known here"))
+        elif self.closed is not None:
+            reply(refused(sub_query, "stopping"))
+        else:
+            self.work[key] = (work, runner)
+            self.watch(runner)
+            runner.submit(work)
+
+    def cancel(self, sender: str, sub_query_id: int) -> None:
+        """Answer a sub-query as cancelled; one that has ended is left alone."""
+        found = self.work.get(WorkKey(sender, sub_query_id))
+        if found is not None:
+            work, runner = found
+            runner.cancel(work)
+
+    def settled(self, work: Work) -> None:
+        """Forget work that is having its reply."""
+        self.work.pop(work.key, None)
+
+    def views(self) -> list[ReplicaView]:
+        """Return the view of each replica of which a part is held here."""
+        return [runner.view() for runner in self.runners.values() if runner.holds_part]
+
+    def in_flight(self, replica: str) -> int:
+        """Return how many sub-queries may be running at a replica."""
+        runners = [one for one in self.retired if one.replica.name == replica]
+        if replica in self.runners:
+            runners.append(self.runners[replica])
+        return sum(len(runner.occupancy) for runner in runners)
+
+    def watch(self, runner: ReplicaRunner) -> None:
+        """Sweep ``runner`` regularly while it has work."""
+        self.busy.add(runner)
+        if self.sweeping is None:
+            self.sweeping = self.reactor.callLater(
+                self.limits.sweep_interval_s, self.sweep
+            )
+
+    def sweep(self) -> None:
+        """Enforce deadlines and free what cannot be running any more."""
+        self.sweeping = None
+        now = self.reactor.seconds()
+        for runner in list(self.busy):
+            runner.sweep(now)
+            if not runner.has_work:
+                self.busy.discard(runner)
+        self.retired = [one for one in self.retired if one.has_work]
+        if self.busy:
+            self.sweeping = self.reactor.callLater(
+                self.limits.sweep_interval_s, self.sweep
+            )
+        self.finish_closing(now)
+
+    def start_polling(self) -> None:
+        """Ask one replica after another for its status, at a bounded rate."""
+        self.polling = self.reactor.callLater(
+            self.limits.poll_interval_s, self.start_polling
+        )
+        if not self.poll_order:
+            self.poll_order = [one for one in self.runners.values() if one.holds_part]
+        if self.poll_order:
+            self.poll_order.pop().tend()
+
+    def close(self, grace_s: float) -> Deferred[None]:
+        """Refuse new work, let the rest finish and close all connections.
+
+        The result fires when nothing is in flight any more, at the latest after
+        ``grace_s`` seconds; what is left by then is answered as its state allows.
+        """
+        if self.closed is None:
+            self.closed = Deferred()
+            self.close_by = self.reactor.seconds() + grace_s
+            if self.polling is not None:
+                self.polling.cancel()
+            for runner in [*self.runners.values(), *self.retired]:
+                self.watch(runner)
+        return self.closed
+
+    def finish_closing(self, now: float) -> None:
+        """Complete ``close`` once nothing is left or the grace is over."""
+        if self.closed is None or self.closed.called:
+            return
+        runners = [*self.runners.values(), *self.retired]
+        if any(one.has_work for one in runners) and now < self.close_by:
+            return
+        for runner in runners:
+            runner.stop()
+        if self.sweeping is not None:
+            self.sweeping.cancel()
+            self.sweeping = None
+        self.closed.callback(None)
+
+
+def refused(sub_query: SubQuery, detail: str) -> SubReply:
+    """Return the reply to a sub-query that cannot have begun."""
+    return SubReply(
+        sub_query.sub_query_id, Outcome.NOT_RUN, 0, 0, 0.0, 0.0, False, detail, b""
+    )
--- /dev/null
+++ b/sardinehook/target/pool.py
@@ -0,0 +1,201 @@
+"""The connections to one replica, within the owner's allowance."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet.interfaces import IAddress, IConnector
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from sardinehook.target.connection import TargetConnection
+from sardinehook.target.limits import OwnerLimits
+from sardinehook.target.reactor import TargetReactor
+
+__all__ = ["ConnectionPool", "PoolEvents", "TargetAddress"]
+
+LINGER_S = 1.0
+SILENT_LINGER_S = 10.0
+IDLE_CLOSE_S = 60.0
+FIRST_BACKOFF_S = 0.05
+LAST_BACKOFF_S = 2.0
+
+
+class TargetAddress(NamedTuple):
+    """Where a target listens."""
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> TargetAddress:
+        """Return the address in ``IP:port``.
+
+        >>> TargetAddress.parse("[::1]:80")
+        TargetAddress(host='::1', port=80)
+        """
+        host, _, port = text.rpartition(":")
+        return cls(host.strip("[]"), int(port))
+
+
+class PoolEvents(NamedTuple):
+    """What a pool tells its user.
+
+    ``ready`` is called when a connection has become free for use, ``failed`` with
+    the cause when one could not be opened, and ``ended`` when an open one was ended
+    by the peer: with whether it was closed cleanly and none is left.
+    """
+
+    ready: Callable[[], None]
+    failed: Callable[[str], None]
+    ended: Callable[[bool], None]
+
+
+class ConnectionPool:
+    """Opens, lends and closes connections.
+
+    A connection counts against ``allowance`` from the moment it is being opened
+    until the target is known to have let go of it. Where no end from the peer was
+    seen it goes on counting for a while.
+    """
+
+    def __init__(
+        self,
+        reactor: TargetReactor,
+        address: TargetAddress,
+        limits: OwnerLimits,
+        events: PoolEvents,
+    ) -> None:
+        self.reactor = reactor
+        self.address = address
+        self.limits = limits
+        self.events = events
+        self.allowance = 0
+        self.idle: list[TargetConnection] = []
+        self.connections: set[TargetConnection] = set()
+        self.opening = 0
+        self.lingering: list[float] = []
+        self.backoff_s = 0.0
+        self.open_after = 0.0
+
+    def held(self, now: float) -> int:
+        """Return how many connections the target may hold for this owner."""
+        if self.lingering:
+            self.lingering = [until for until in self.lingering if until > now]
+        return len(self.connections) + self.opening + len(self.lingering)
+
+    def take(self) -> TargetConnection | None:
+        """Return the idle connection that was used last, if any."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.idle:
+                return connection
+        return None
+
+    def give_back(self, connection: TargetConnection) -> None:
+        """Take back a connection whose exchange has ended."""
+        if not connection.idle:
+            return
+        if self.over_allowance():
+            connection.close()
+            return
+        connection.idle_since = self.reactor.seconds()
+        self.idle.append(connection)
+
+    def over_allowance(self) -> bool:
+        """Tell whether a connection has to be closed."""
+        if len(self.connections) + self.opening <= self.allowance:
+            return False
+        return self.live() > self.allowance
+
+    def provide(self, wanted: int) -> None:
+        """Open connections until ``wanted`` are idle or on their way."""
+        missing = wanted - len(self.idle) - self.opening
+        if missing <= 0:
+            return
+        now = self.reactor.seconds()
+        if now < self.open_after:
+            return
+        if self.backoff_s and self.opening == 0:
+            missing = 1
+        elif self.backoff_s:
+            return
+        for _ in range(min(missing, self.allowance - self.held(now))):
+            self.open()
+
+    def open(self) -> None:
+        """Begin to open one connection."""
+        self.opening += 1
+        self.reactor.connectTCP(
+            self.address.host,
+            self.address.port,
+            PoolFactory(self),
+            self.limits.connect_timeout_s,
+        )
+
+    def opened(self, connection: TargetConnection) -> None:
+        """Add a connection that has been established."""
+        self.opening -= 1
+        self.backoff_s = 0.0
+        self.connections.add(connection)
+        if self.over_allowance():
+            connection.close()
+            return
+        connection.idle_since = self.reactor.seconds()
+        self.idle.append(connection)
+        self.events.ready()
+
+    def open_failed(self, reason: Failure) -> None:
+        """Note a failed attempt and wait longer before the next."""
+        self.opening -= 1
+        self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
+        self.open_after = self.reactor.seconds() + self.backoff_s
+        self.events.failed(reason.getErrorMessage())
+
+    def closed(self, connection: TargetConnection, clean: bool) -> None:
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if connection.closing_here:
+            linger_s = SILENT_LINGER_S if connection.silent else LINGER_S
+            self.lingering.append(self.reactor.seconds() + linger_s)
+            return
+        self.events.ended(clean)
+
+    def close_idle(self, keep: int) -> None:
+        """Close connections that have been idle for long, but ``keep`` of them."""
+        latest = self.reactor.seconds() - IDLE_CLOSE_S
+        while len(self.idle) > keep and self.idle[0].idle_since < latest:
+            self.idle.pop(0).close()
+
+    def set_allowance(self, allowance: int) -> None:
+        """Take a new bound; idle connections beyond it are closed."""
+        self.allowance = allowance
+        excess = self.live() - allowance
+        for connection in self.idle[: max(0, excess)]:
+            connection.close()
+        del self.idle[: max(0, excess)]
+
+    def live(self) -> int:
+        """Return how many connections are open or being opened."""
+        return self.opening + sum(one.is_open for one in self.connections)
+
+
+class PoolFactory(ClientFactory):
+    """Builds the connections of a pool and reports failures to it."""
+
+    noisy = False
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.pool = pool
+
+    def buildProtocol(self, addr: IAddress | None) -> TargetConnection:
+        """Return the protocol of an established connection."""
+        pool = self.pool
+        return TargetConnection(pool.limits, pool.opened, pool.closed)
+
+    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
+        """Report that the target could not be reached."""
+        self.pool.open_failed(reason)
--- /dev/null
+++ b/tests/target/test_connection.py
@@ -0,0 +1,126 @@
+"""Tests of one connection: own replies, truncated ones, bounds."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinehook.target.connection import (
+    ExchangeEnd,
+    Garbled,
+    Lost,
+    Replied,
+    TargetConnection,
+)
+from sardinehook.target.limits import OwnerLimits
+from tests.target.fakes import FakeLink, connect, reply_bytes
+
+OWN = {"Request_Id": "r1", "Sub_Query_Id": "x-1"}
+
+
+class Exchange:
+    """A connection on which one exchange has begun."""
+
+    def __init__(self) -> None:
+        self.ends: list[ExchangeEnd] = []
+        limits = OwnerLimits(reply_bytes=100, header_bytes=500)
+        self.connection = TargetConnection(limits, lambda _: None, lambda *_: None)
+        self.link = FakeLink(self.connection)
+        connect(self.connection, self.link)
+        self.begin()
+
+    def begin(self, exchange_id: bytes = b"x-1") -> None:
+        self.connection.exchange(b"request", b"r1", exchange_id, self.ends.append)
+
+    def receive(self, data: bytes) -> ExchangeEnd:
+        self.connection.dataReceived(data)
+        return self.ends[-1]
+
+
+class TestOwnReplies:
+    def test_a_matching_reply_leaves_the_connection_usable(self) -> None:
+        exchange = Exchange()
+        end = exchange.receive(reply_bytes(200, b"hit", **OWN))
+        assert isinstance(end, Replied)
+        assert end.reply.body == b"hit"
+        assert exchange.connection.idle
+
+    @pytest.mark.parametrize("header", ["Request_Id", "Sub_Query_Id"])
+    def test_a_foreign_reply_is_garbled_and_closes(self, header: str) -> None:
+        exchange = Exchange()
+        end = exchange.receive(reply_bytes(200, b"hit", **{**OWN, header: "other"}))
+        assert isinstance(end, Garbled)
+        assert not exchange.link.open
+
+    def test_a_reply_without_ids_is_garbled(self) -> None:
+        assert isinstance(Exchange().receive(reply_bytes(200, b"hit")), Garbled)
+
+    def test_a_duplicate_in_the_same_segment_closes_after_the_reply(self) -> None:
+        exchange = Exchange()
+        end = exchange.receive(reply_bytes(200, b"hit", **OWN) * 2)
+        assert isinstance(end, Replied)
+        assert end.reply.body == b"hit"
+        assert not exchange.link.open
+
+    def test_a_late_duplicate_closes_an_idle_connection(self) -> None:
+        exchange = Exchange()
+        exchange.receive(reply_bytes(200, b"hit", **OWN))
+        exchange.connection.dataReceived(reply_bytes(200, b"hit", **OWN))
+        assert not exchange.link.open
+        assert len(exchange.ends) == 1
+
+    def test_a_late_duplicate_is_never_the_reply_to_the_next(self) -> None:
+        exchange = Exchange()
+        first = reply_bytes(200, b"old", **OWN)
+        exchange.receive(first)
+        exchange.begin(b"x-2")
+        assert isinstance(exchange.receive(first), Garbled)
+
+
+class TestBrokenReplies:
+    def test_a_truncated_reply_is_garbled(self) -> None:
+        exchange = Exchange()
+        exchange.connection.dataReceived(reply_bytes(200, b"whole", **OWN)[:-2])
+        exchange.link.loseConnection()
+        assert isinstance(exchange.ends[-1], Garbled)
+
+    def test_a_close_before_any_byte_is_lost(self) -> None:
+        exchange = Exchange()
+        exchange.link.loseConnection()
+        assert isinstance(exchange.ends[-1], Lost)
+
+    def test_a_body_beyond_the_bound_is_garbled(self) -> None:
+        end = Exchange().receive(reply_bytes(200, b"x" * 101, **OWN))
+        assert isinstance(end, Garbled)
+
+    def test_headers_beyond_the_bound_are_garbled(self) -> None:
+        exchange = Exchange()
+        assert isinstance(
+            exchange.receive(b"HTTP/1.1 200 OK\r\nA: " + b"x" * 600), Garbled
+        )
+
+    @pytest.mark.parametrize(
+        "header", ["Index_Version", "Partitioning_Version", "Target_State"]
+    )
+    def test_malformed_headers_are_garbled(self, header: str) -> None:
+        data = reply_bytes(200, b"", **{**OWN, header: "many"})
+        assert isinstance(Exchange().receive(data), Garbled)
+
+    @given(st.binary(min_size=1, max_size=300))
+    def test_no_noise_is_taken_for_a_reply(self, noise: bytes) -> None:
+        exchange = Exchange()
+        exchange.connection.dataReceived(noise)
+        exchange.link.loseConnection()
+        assert len(exchange.ends) == 1
+        assert not isinstance(exchange.ends[0], Replied)
+
+    @given(st.lists(st.integers(0, 120), max_size=4))
+    def test_segments_do_not_matter(self, cuts: list[int]) -> None:
+        exchange = Exchange()
+        data = reply_bytes(200, b"whole", **OWN)
+        places = [0, *sorted(cuts), len(data)]
+        for start, end in zip(places, places[1:], strict=False):
+            if start < end:
+                exchange.connection.dataReceived(data[start:end])
+        assert isinstance(exchange.ends[-1], Replied)
