--- /dev/null
+++ b/sardinehook/observe/events.py
@@ -0,0 +1,207 @@
+"""Events that processes log, one line of key=value pairs each."""
+
+from __future__ import annotations
+
+import logging
+from enum import StrEnum
+from typing import TextIO, TypedDict, Unpack
+
+import structlog
+from structlog.processors import LogfmtRenderer, add_log_level
+from structlog.typing import EventDict, FilteringBoundLogger, WrappedLogger
+
+from sardinehook.observe.clock import HybridClock, stamp_seconds
+
+__all__ = ["EventFields", "EventName", "configure_logging", "log_event"]
+
+MAX_VALUE_CHARACTERS = 512
+LEADING_KEYS = ["stamp", "time", "level", "event", "process", "data_centre"]
+
+
+class EventName(StrEnum):
+    """Every event that a process logs."""
+
+    PROCESS_STARTED = "process_started"
+    PROCESS_STOPPING = "process_stopping"
+    PROCESS_STOPPED = "process_stopped"
+    UNHANDLED_ERROR = "unhandled_error"
+    QUERY_RECEIVED = "query_received"
+    QUERY_PLANNED = "query_planned"
+    QUERY_REFUSED = "query_refused"
+    QUERY_ANSWERED = "query_answered"
+    QUERY_FAILED = "query_failed"
+    QUERY_CANCELLED = "query_cancelled"
+    SUB_QUERY_SENT = "sub_query_sent"
+    SUB_QUERY_HEDGED = "sub_query_hedged"
+    SUB_QUERY_RETRIED = "sub_query_retried"
+    SUB_QUERY_ENDED = "sub_query_ended"
+    SUB_QUERY_CANCELLED = "sub_query_cancelled"
+    SUB_REPLY_DROPPED = "sub_reply_dropped"
+    OWNER_QUEUED = "owner_queued"
+    OWNER_STARTED = "owner_started"
+    OWNER_REFUSED = "owner_refused"
+    ORDER_RECEIVED = "order_received"
+    ORDER_CLAIMED = "order_claimed"
+    ORDER_SENT = "order_sent"
+    ORDER_ENDED = "order_ended"
+    ORDER_REPEATED = "order_repeated"
+    ORDER_REFUSED = "order_refused"
+    ORDER_RECORD_FAILED = "order_record_failed"
+    ORDER_WITHDRAWN = "order_withdrawn"
+    TARGET_STATE = "target_state"
+    TARGET_ACQUIRED = "target_acquired"
+    TARGET_RELEASED = "target_released"
+    CONNECTION_OPENED = "connection_opened"
+    CONNECTION_LOST = "connection_lost"
+    CONNECTION_SILENT = "connection_silent"
+    LINK_UP = "link_up"
+    LINK_DOWN = "link_down"
+    MEMBER_STATE = "member_state"
+    ROSTER_CHANGED = "roster_changed"
+    OWNERSHIP_CHANGED = "ownership_changed"
+    LEASE_GRANTED = "lease_granted"
+    LEASE_RENEWED = "lease_renewed"
+    LEASE_LAPSED = "lease_lapsed"
+    REVISION_ACCEPTED = "revision_accepted"
+    REVISION_REFUSED = "revision_refused"
+    REVISION_RECEIVED = "revision_received"
+    REVISION_IN_FORCE = "revision_in_force"
+    DATA_CENTRE_STATE = "data_centre_state"
+    STORE_DOWN = "store_down"
+    STORE_UP = "store_up"
+
+
+class EventFields(TypedDict, total=False):
+    """The fields that an event may carry; ``_ms`` fields are milliseconds.
+
+    ``stamp`` is given only for an event that is written later than it happened.
+    ``cause`` names what led to the event, for example the request or the peer.
+    """
+
+    stamp: int
+    request: str
+    sub_query: int
+    service: str
+    target: str
+    workload: str
+    caller: str
+    order: str
+    attempt: str
+    kind: str
+    outcome: str
+    state: str
+    previous: str
+    detail: str
+    cause: str
+    revision: int
+    index_version: int
+    partitioning: int
+    epoch: int
+    member: str
+    incarnation: str
+    peer: str
+    address: str
+    lease: str
+    key: str
+    count: int
+    size_bytes: int
+    asked: int
+    answered: int
+    coverage: float
+    hedges: int
+    retries: int
+    dropped: int
+    took_ms: float
+    queued_ms: float
+    service_ms: float
+    deadline_ms: float
+
+
+TROUBLES = frozenset(
+    {
+        EventName.UNHANDLED_ERROR,
+        EventName.QUERY_FAILED,
+        EventName.ORDER_RECORD_FAILED,
+        EventName.CONNECTION_SILENT,
+        EventName.LEASE_LAPSED,
+        EventName.REVISION_REFUSED,
+        EventName.STORE_DOWN,
+    }
+)
+
+
+def log_event(
+    logger: FilteringBoundLogger, event: EventName, **fields: Unpack[EventFields]
+) -> None:
+    """Log one event; those of ``TROUBLES`` at level warning, others at info."""
+    if event in TROUBLES:
+        logger.warning(event, **fields)
+    else:
+        logger.info(event, **fields)
+
+
+def configure_logging(
+    stream: TextIO, process: str, data_centre: str, clock: HybridClock
+) -> None:
+    """Write the events of this process to ``stream``, one line for each.
+
+    Each line starts with the hybrid stamp, the wall clock time in seconds, the
+    level, the event, the process and the data centre.
+    """
+    structlog.configure(
+        processors=[
+            add_log_level,
+            _Stamper(process, data_centre, clock),
+            _bound_values,
+            LogfmtRenderer(key_order=LEADING_KEYS, bool_as_flag=False),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.WriteLoggerFactory(stream),
+        cache_logger_on_first_use=False,
+    )
+
+
+class _Stamper:
+    """Adds stamp, time, process and data centre to an event."""
+
+    def __init__(self, process: str, data_centre: str, clock: HybridClock) -> None:
+        self.process = process
+        self.data_centre = data_centre
+        self.clock = clock
+
+    def __call__(
+        self, _logger: WrappedLogger, _method: str, event: EventDict
+    ) -> EventDict:
+        stamp = event.get("stamp")
+        if stamp is None:
+            stamp = event["stamp"] = self.clock.tick()
+        event["time"] = f"{stamp_seconds(stamp):.3f}"
+        event["process"] = self.process
+        event["data_centre"] = self.data_centre
+        return event
+
+
+def _bound_values(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+    for key, value in event.items():
+        if isinstance(value, str):
+            event[key] = printable(value)
+        elif isinstance(value, float):
+            event[key] = round(value, 3)
+    return event
+
+
+def printable(value: str) -> str:
+    r"""Bound a text from outside and escape what could break or forge a line.
+
+    >>> print(printable("a" + chr(10) + "stamp=1"))
+    a\nstamp=1
+    """
+    if len(value) > MAX_VALUE_CHARACTERS:
+        value = value[:MAX_VALUE_CHARACTERS] + "..."
+    if value.isprintable():
+        return value
+    return "".join(c if c.isprintable() else _escaped(c) for c in value)
+
+
+def _escaped(character: str) -> str:
+    return character.encode("unicode_escape").decode("ascii")
--- /dev/null
+++ b/sardinehook/observe/sampling.py
@@ -0,0 +1,87 @@
+"""Keeps the events of a query until it is known whether to write them."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, Unpack
+from zlib import crc32
+
+from structlog.typing import FilteringBoundLogger
+
+from sardinehook.observe.clock import HybridClock
+from sardinehook.observe.events import EventFields, EventName, log_event
+
+__all__ = ["QueryLog", "QuerySampler"]
+
+MAX_EVENTS_PER_QUERY = 256
+
+
+class QuerySampler:
+    """Chooses by request id which untroubled queries are logged.
+
+    All processes choose alike, so that a sampled query's story is whole.
+
+    >>> QuerySampler(one_in=1).keeps("r-1")
+    True
+    """
+
+    def __init__(self, one_in: int) -> None:
+        self.one_in = max(one_in, 1)
+
+    def keeps(self, request: str) -> bool:
+        """Tell whether the events of an untroubled request are written."""
+        return crc32(request.encode()) % self.one_in == 0
+
+
+class NotedEvent(NamedTuple):
+    """An event that waits for the end of its query."""
+
+    stamp: int
+    event: EventName
+    fields: EventFields
+
+
+class QueryLog:
+    """The events of one query, written at its end if sampled or troubled.
+
+    At most ``MAX_EVENTS_PER_QUERY`` are kept; the number of further ones is
+    written with the last event.
+    """
+
+    def __init__(
+        self,
+        logger: FilteringBoundLogger,
+        clock: HybridClock,
+        sampler: QuerySampler,
+        request: str,
+    ) -> None:
+        self.logger = logger
+        self.clock = clock
+        self.sampler = sampler
+        self.request = request
+        self.events: list[NotedEvent] = []
+        self.dropped = 0
+
+    def note(self, event: EventName, **fields: Unpack[EventFields]) -> None:
+        """Keep an event with the stamp of the present moment."""
+        if len(self.events) >= MAX_EVENTS_PER_QUERY:
+            self.dropped += 1
+            return
+        self.events.append(NotedEvent(self.clock.tick(), event, fields))
+
+    def end(
+        self, event: EventName, trouble: bool, **fields: Unpack[EventFields]
+    ) -> bool:
+        """Write the query's events if troubled or sampled; tell whether written."""
+        if not trouble and not self.sampler.keeps(self.request):
+            self.events.clear()
+            return False
+        for noted in self.events:
+            noted.fields["stamp"] = noted.stamp
+            noted.fields["request"] = self.request
+            log_event(self.logger, noted.event, **noted.fields)
+        self.events.clear()
+        if self.dropped:
+            fields["dropped"] = self.dropped
+        fields["request"] = self.request
+        log_event(self.logger, event, **fields)
+        return True
