Wire the entry process

Cause: the parts of the thin path stood side by side without a process around them. Change: entry process, search desk, exchange of views, graceful stop; twisted's own untyped functions are left out of the typed-call check.

--- a/bench/http_server.py
+++ b/bench/http_server.py
@@ -52,7 +52,7 @@
     reactor: ListeningReactor, resource: Resource, port: int = 0
 ) -> ListeningPort:
     """Serve a resource on loopback."""
-    site = Site(resource)  # type: ignore[no-untyped-call]
+    site = Site(resource)
     return reactor.listenTCP(port, site, 512, LOOPBACK)
 
 
--- a/bench/target.py
+++ b/bench/target.py
@@ -166,7 +166,7 @@
     settings = load_settings(config)
     rig = TargetRig(listening, settings)
     rig.listen()
-    site = cast(ServerFactory, Site(ControlResource(rig)))  # type: ignore[no-untyped-call]
+    site = cast(ServerFactory, Site(ControlResource(rig)))
     port = listening.listenTCP(settings.control_port, site, 50, "127.0.0.1")
     control = port.getHost().port
     print(f"ready replicas={len(rig.hosts)} control={control}", flush=True)
--- a/sardinehook/entry/dispatcher.py
+++ b/sardinehook/entry/dispatcher.py
@@ -41,7 +41,7 @@
     """A replica of the document in force with its index."""
 
     replica: Replica
-    index: Index
+    home_index: Index
 
 
 class PendingSubQuery(NamedTuple):
--- a/sardinehook/entry/front.py
+++ b/sardinehook/entry/front.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol, TypedDict
+from typing import Protocol, TypedDict, cast
 
 import msgspec
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.python.failure import Failure as TwistedFailure
 from twisted.web.http import Request as HttpRequest
-from twisted.web.resource import IResource, NoResource, Resource
+from twisted.web.pages import notFound
+from twisted.web.resource import IResource, Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
 from sardinehook.entry.requests import encode_error, parse_request_id
@@ -77,7 +78,7 @@
     def status(self) -> EntryStatus:
         """Describe this process."""
 
-    def metrics(self) -> bytes:
+    def metrics_text(self) -> bytes:
         """Render the metrics."""
 
 
@@ -97,7 +98,7 @@
     isLeaf = True
 
     def __init__(self, port: FrontPort) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
     def render_GET(self, request: Request) -> bytes:
@@ -115,7 +116,7 @@
     isLeaf = True
 
     def __init__(self, port: FrontPort) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
     def render_GET(self, request: Request) -> bytes:
@@ -130,13 +131,13 @@
     isLeaf = True
 
     def __init__(self, port: FrontPort) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
     def render_GET(self, request: Request) -> bytes:
         """Answer with the metrics."""
         request.setHeader(b"Content-Type", b"text/plain; version=0.0.4")
-        return self.port.metrics()
+        return self.port.metrics_text()
 
 
 class CallResource(Resource):
@@ -145,7 +146,7 @@
     isLeaf = True
 
     def __init__(self, start: Callable[[Request, str], Deferred[Response]]) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.start = start
 
     def render(self, request: HttpRequest) -> int:
@@ -172,15 +173,18 @@
     def __init__(
         self, start: Callable[[str, Request, str], Deferred[Response]]
     ) -> None:
-        super().__init__()
+        super().__init__()  # type: ignore[no-untyped-call]
         self.start = start
 
     def getChild(self, path: bytes, request: HttpRequest) -> IResource:
         """Return the call for one path segment."""
         name = path.decode("utf-8", "replace")
-        if not name or request.postpath:
-            return NoResource()
-        return CallResource(lambda req, request_id: self.start(name, req, request_id))
+        if not name:
+            return notFound()
+        return cast(
+            "IResource",
+            CallResource(lambda req, request_id: self.start(name, req, request_id)),
+        )
 
 
 def respond(request: Request, request_id: str, response: Response) -> None:
@@ -220,7 +224,8 @@
     """Return the whole body of a request."""
     if request.content is None:
         return b""
-    return request.content.read()
+    body: bytes = request.content.read()
+    return body
 
 
 def build_site(port: FrontPort) -> Site:
@@ -238,12 +243,16 @@
         return port.order(name, request_id, deadline, key, read_body(request))
 
     root = Resource()
-    root.putChild(b"live", LiveResource())
-    root.putChild(b"ready", ReadyResource(port))
-    root.putChild(b"status", StatusResource(port))
-    root.putChild(b"metrics", MetricsResource(port))
-    root.putChild(b"search", CallsResource(search))
-    root.putChild(b"orders", CallsResource(order))
+
+    def put(path: bytes, child: Resource) -> None:
+        root.putChild(path, cast("IResource", child))
+
+    put(b"live", LiveResource())  # type: ignore[no-untyped-call]
+    put(b"ready", ReadyResource(port))
+    put(b"status", StatusResource(port))
+    put(b"metrics", MetricsResource(port))
+    put(b"search", CallsResource(search))
+    put(b"orders", CallsResource(order))
     site = Site(root, timeout=IDLE_TIMEOUT_S)
     site.displayTracebacks = False
     site.noisy = False
--- /dev/null
+++ b/sardinehook/entry/process.py
@@ -0,0 +1,285 @@
+"""The entry process: wires its parts, starts them and stops them gracefully."""
+
+from __future__ import annotations
+
+import sys
+import time
+from typing import Any
+
+import structlog
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import deferLater
+
+from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
+from sardinehook.entry.front import EntryStatus, Response, build_site
+from sardinehook.entry.requests import resolve_request
+from sardinehook.entry.searches import SearchDesk
+from sardinehook.entry.settings import EntrySettings
+from sardinehook.entry.view_exchange import ViewExchange
+from sardinehook.environment.document import DataCentreState
+from sardinehook.environment.holder import DocumentHolder
+from sardinehook.environment.revision import Revision, decode_revision, head_key
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.fleet.link import Links, split_address
+from sardinehook.fleet.static import Member, StaticFleet
+from sardinehook.messages import CancelSubQuery, ReplicaView, SubQuery, SubReply
+from sardinehook.observe.clock import HybridClock
+from sardinehook.observe.events import EventName, configure_logging, log_event
+from sardinehook.observe.metrics import Metrics
+from sardinehook.platform.http_store import HttpStore
+from sardinehook.query.policy import SearchPolicy
+from sardinehook.query.replica_choice import ReplicaChooser
+from sardinehook.target.limits import OwnerLimits
+from sardinehook.target.owner import TargetOwner
+
+__all__ = ["EntryProcess", "run_entry"]
+
+logger = structlog.get_logger(__name__)
+
+STORE_TIMEOUT_MS = 1000.0
+WATCH_WAIT_MS = 10_000.0
+WATCH_RETRY_S = 0.5
+STOP_POLL_S = 0.02
+MS_PER_S = 1000.0
+DEFAULT_GRACE_S = 10.0
+
+
+class EntryProcess:
+    """One entry VM's process: front, searches, owned replicas and links."""
+
+    def __init__(self, reactor: Any, settings: EntrySettings) -> None:  # noqa: ANN401
+        self.reactor = reactor
+        self.settings = settings
+        self.clock = HybridClock(time.time)
+        self.metrics = Metrics()
+        self.holder = DocumentHolder(settings.environment)
+        self.store = HttpStore(reactor, settings.platform_address, STORE_TIMEOUT_MS)
+        self.links = Links(reactor, settings.node, settings.link_address)
+        self.links.read_stamp = self.clock.tick
+        self.links.observe_stamp = self.witness
+        self.fleet = StaticFleet(settings.node, self.list_members())
+        self.owner = TargetOwner(reactor, OwnerLimits())
+        self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.owner)
+        chooser = ReplicaChooser(settings.data_centre, hash(settings.node))
+        self.searches = SearchDesk(
+            reactor, self.dispatcher, SearchPolicy(chooser=chooser), self.metrics
+        )
+        self.views = ViewExchange(
+            reactor,
+            self.owner.views,
+            lambda: [peer.node for peer in settings.peers],
+            self.links.send,
+            self.searches.take_view,
+        )
+        self.stopping = False
+        self.front: Any = None
+        self.wire()
+
+    def list_members(self) -> list[Member]:
+        """List this process and its peers."""
+        own = Member(
+            self.settings.node,
+            self.settings.data_centre,
+            self.settings.link_address,
+            self.settings.http_address,
+        )
+        peers = [
+            Member(peer.node, peer.data_centre, peer.link_address, "")
+            for peer in self.settings.peers
+        ]
+        return [own, *peers]
+
+    def wire(self) -> None:
+        """Connect the parts."""
+        self.holder.add_listener(self.apply_revision)
+        self.links.on(SubQuery, self.take_sub_query)
+        self.links.on(CancelSubQuery, self.take_cancel)
+        self.links.on(SubReply, self.dispatcher.on_reply)
+        self.links.on(ReplicaView, lambda _node, view: self.searches.take_view(view))
+        self.links.on_down(self.dispatcher.on_link_down)
+        self.links.on_down(self.views.forget)
+
+    def witness(self, stamp: int) -> None:
+        """Take in the clock of a peer."""
+        self.clock.witness(stamp)
+
+    def take_sub_query(self, node: str, sub_query: SubQuery) -> None:
+        """Run a peer's sub-query at a replica owned here."""
+        self.owner.submit(node, sub_query, lambda reply: self.send_reply(node, reply))
+
+    def send_reply(self, node: str, reply: SubReply) -> None:
+        """Return a reply to the peer that asked; a lost link has told it already."""
+        self.links.send(node, reply)
+
+    def take_cancel(self, node: str, cancel: CancelSubQuery) -> None:
+        """Abandon a peer's sub-query."""
+        self.owner.cancel(node, cancel.sub_query_id)
+
+    def start(self) -> Deferred[None]:
+        """Listen, connect and begin to follow the environment's document."""
+        listening = self.links.listen()
+        for peer in self.settings.peers:
+            self.links.connect(peer.node, peer.link_address)
+        host, port = split_address(self.settings.http_address)
+        self.front = self.reactor.listenTCP(
+            port, build_site(self), backlog=512, interface=host
+        )
+        self.views.start()
+        Deferred.fromCoroutine(self.follow_document())
+        log_event(
+            logger,
+            EventName.PROCESS_STARTED,
+            address=self.settings.http_address,
+            detail=self.settings.environment,
+        )
+        return listening.addCallback(lambda _address: None)
+
+    async def follow_document(self) -> None:
+        """Keep the newest accepted revision in force."""
+        key = head_key(self.settings.environment)
+        after = 0
+        while not self.stopping:
+            match await self.store.watch(key, after, WATCH_WAIT_MS):
+                case Success(None):
+                    continue
+                case Success(entry):
+                    after = entry.revision
+                    self.take_revision(entry.value)
+                case Failure(failure):
+                    logger.warning("store_call_failed", detail=str(failure))
+                    await deferLater(self.reactor, WATCH_RETRY_S)
+
+    def take_revision(self, value: bytes) -> None:
+        """Offer a stored revision to the holder."""
+        match decode_revision(value):
+            case Success(revision):
+                self.holder.offer(revision)
+            case Failure(problem):
+                log_event(logger, EventName.REVISION_REFUSED, detail=problem.detail)
+
+    def apply_revision(self, revision: Revision) -> None:
+        """Put a revision in force in every part of the process."""
+        document = revision.document
+        self.searches.configure(document)
+        chooser = self.searches.policy.chooser
+        chooser.set_out(
+            name
+            for name, data_centre in document.data_centres.items()
+            if data_centre.state is DataCentreState.OUT
+        )
+        homes = {
+            replica.name: ReplicaHome(replica, index)
+            for index in document.indexes.values()
+            for replicas in index.services.values()
+            for replica in replicas
+        }
+        self.dispatcher.configure(homes)
+        self.owner.configure(document.indexes)
+        for name, home in homes.items():
+            allowance = self.fleet.allowance(home.replica, home.home_index)
+            self.owner.set_allowance(name, allowance if allowance.slots else None)
+        self.metrics.revision.set(revision.number)
+        log_event(logger, EventName.REVISION_IN_FORCE, revision=revision.number)
+
+    def refusal(self) -> Problem | None:
+        """Return why this process takes no new request, if it takes none."""
+        revision = self.holder.in_force
+        if revision is None:
+            return Problem(ErrorKind.NO_DOCUMENT, "no document has been seen yet")
+        own = revision.document.data_centres.get(self.settings.data_centre)
+        if own is None or own.state is DataCentreState.OUT:
+            detail = f"data centre {self.settings.data_centre} is out"
+            return Problem(ErrorKind.DATA_CENTRE_OUT, detail)
+        if self.stopping and self.front is None:
+            return Problem(ErrorKind.STOPPING, "this process is stopping")
+        return None
+
+    def search(
+        self, workload: str, request_id: str, deadline: str | None, body: bytes
+    ) -> Deferred[Response]:
+        """Run a caller's search."""
+        problem = self.refusal()
+        if problem is not None:
+            return succeed(problem)
+        assert self.holder.in_force is not None
+        document = self.holder.in_force.document
+        match resolve_request(document, workload, request_id, deadline, body):
+            case Failure(refused):
+                return succeed(refused)
+            case Success(request):
+                if not request.workload.idempotent:
+                    detail = f"workload {workload!r} is placed at /orders"
+                    return succeed(Problem(ErrorKind.BAD_REQUEST, detail))
+                return self.searches.run(request)
+        raise AssertionError("a result is a success or a failure")
+
+    def order(
+        self,
+        workload: str,
+        request_id: str,
+        deadline: str | None,
+        key: str | None,
+        body: bytes,
+    ) -> Deferred[Response]:
+        """Place a caller's order."""
+        return succeed(Problem(ErrorKind.NOT_FOUND, "orders are not served yet"))
+
+    def look_up_order(self, key: str) -> Deferred[Response]:
+        """Tell what became of an order."""
+        return succeed(Problem(ErrorKind.NOT_FOUND, "orders are not served yet"))
+
+    def status(self) -> EntryStatus:
+        """Describe this process."""
+        problem = self.refusal()
+        revision = self.holder.in_force
+        reason = "stopping" if self.stopping else problem.detail if problem else ""
+        return EntryStatus(
+            node=self.settings.node,
+            data_centre=self.settings.data_centre,
+            environment=self.settings.environment,
+            ready=not reason,
+            reason=reason,
+            revision=revision.number if revision else 0,
+            digest=revision.digest if revision else "",
+            members=[member.name for member in self.list_members()],
+            requests_in_flight=self.searches.in_flight,
+        )
+
+    def metrics_text(self) -> bytes:
+        """Render the metrics."""
+        return self.metrics.render()
+
+    async def stop(self) -> None:
+        """Stop gracefully: turn not-ready, finish what is in flight, leave."""
+        log_event(logger, EventName.PROCESS_STOPPING)
+        self.stopping = True
+        revision = self.holder.in_force
+        limits = revision.document.limits if revision else None
+        notice_s = limits.stop_notice_ms / MS_PER_S if limits else 0.0
+        grace_s = limits.stop_grace_ms / MS_PER_S if limits else DEFAULT_GRACE_S
+        give_up_at = self.reactor.seconds() + notice_s + grace_s
+        await deferLater(self.reactor, notice_s)
+        front, self.front = self.front, None
+        await front.stopListening()
+        while self.searches.in_flight and self.reactor.seconds() < give_up_at:
+            await deferLater(self.reactor, STOP_POLL_S)
+        await self.owner.close(max(0.0, give_up_at - self.reactor.seconds()))
+        self.views.stop()
+        await self.links.close()
+        log_event(logger, EventName.PROCESS_STOPPED)
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run an entry process on the default reactor until it is told to stop."""
+    from twisted.internet import reactor
+
+    running: Any = reactor
+    running.seconds = time.monotonic
+    process = EntryProcess(running, settings)
+    configure_logging(sys.stdout, settings.node, settings.data_centre, process.clock)
+    running.callWhenRunning(process.start)
+    running.addSystemEventTrigger(
+        "before", "shutdown", lambda: Deferred.fromCoroutine(process.stop())
+    )
+    running.run()
--- a/sardinehook/entry/requests.py
+++ b/sardinehook/entry/requests.py
@@ -53,7 +53,7 @@
 class WorkloadTarget(NamedTuple):
     """A service that a workload asks, with the index that it belongs to."""
 
-    index: str
+    index_name: str
     service: str
 
 
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from twisted.internet.interfaces import IDelayedCall, IReactorTime
-
 from sardinehook.entry.dispatcher import Dispatcher
 from sardinehook.messages import SubReply
-from sardinehook.query.search import Action, Cancel, Search, Send, Settle
+from sardinehook.platform.timers import Timer, Timers
+from sardinehook.query.actions import Action, Cancel, Send, Settle
+from sardinehook.query.search import Search
 
 __all__ = ["SearchRun"]
 
@@ -20,7 +20,7 @@
 
     def __init__(
         self,
-        reactor: IReactorTime,
+        reactor: Timers,
         search: Search,
         dispatcher: Dispatcher,
         on_settle: Callable[[Settle], None],
@@ -31,7 +31,7 @@
         self.on_settle = on_settle
         self.actions: deque[Action] = deque()
         self.performing = False
-        self.timer: IDelayedCall | None = None
+        self.timer: Timer | None = None
         self.timer_at = 0.0
 
     def begin(self) -> None:
@@ -49,6 +49,11 @@
         if not self.search.settled:
             self.perform(self.search.on_timer(self.reactor.seconds()))
 
+    def abandon(self) -> None:
+        """Settle now and tell nobody: the caller has left."""
+        if not self.search.settled:
+            self.perform(self.search.give_up(self.reactor.seconds()))
+
     def perform(self, actions: Iterable[Action]) -> None:
         """Perform actions in order, also those that arise on the way."""
         self.actions.extend(actions)
--- a/sardinehook/environment/document.py
+++ b/sardinehook/environment/document.py
@@ -101,7 +101,12 @@
 
 
 class Limits(NamedTuple):
-    """Bounds that hold in each entry process."""
+    """Bounds that hold in each entry process.
+
+    A process that is told to stop turns not-ready, serves on for ``stop_notice_ms``
+    so that the balancer notices, then finishes what is in flight within
+    ``stop_grace_ms``.
+    """
 
     requests_in_flight: Count = 512
     request_bytes: Count = 65_536
@@ -109,6 +114,7 @@
     query_bytes: Count = 16_777_216
     stop_grace_ms: Milliseconds = 10_000.0
     order_retention_ms: Annotated[float, Field(gt=0.0)] = 604_800_000.0
+    stop_notice_ms: Milliseconds = 1_000.0
 
 
 class EnvironmentDocument(NamedTuple):
--- a/sardinehook/platform/http_call.py
+++ b/sardinehook/platform/http_call.py
@@ -106,7 +106,7 @@
 
     def make_pool(self, retry: bool) -> HTTPConnectionPool:
         """Make a pool of connections; ``retry`` lets it repeat a call."""
-        pool = HTTPConnectionPool(self.reactor)  # type: ignore[no-untyped-call]
+        pool = HTTPConnectionPool(self.reactor)
         pool.cachedConnectionTimeout = IDLE_CONNECTION_S
         pool.maxPersistentPerHost = IDLE_CONNECTIONS
         pool.retryAutomatically = retry
@@ -181,13 +181,13 @@
 
 def make_producer(body: bytes) -> IBodyProducer:
     """Make the body of a request."""
-    producer = FileBodyProducer(BytesIO(body))  # type: ignore[no-untyped-call]
+    producer = FileBodyProducer(BytesIO(body))
     return cast(IBodyProducer, producer)
 
 
 def close_pool(pool: HTTPConnectionPool) -> Deferred[object]:
     """Close the idle connections of a pool."""
-    closed = pool.closeCachedConnections()  # type: ignore[no-untyped-call]
+    closed = pool.closeCachedConnections()
     return cast("Deferred[object]", closed)
 
 
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -105,6 +105,10 @@
             actions = self.fan_out.check_due(snapshots, now)
         return self.with_settlement(actions, now)
 
+    def give_up(self, now: float) -> list[Action]:
+        """Settle at once, since the caller has left."""
+        return [] if self.settled else self.settle(now)
+
     def next_timer(self) -> float | None:
         """Return when ``on_timer`` is due next, ``None`` once settled."""
         return None if self.settled else self.fan_out.next_check()
