Look at a silent sub-query exactly when it counts as lost

A check's time is worked out once as an absolute time, so rounding can't put a second check after it. The test of the settlement runs all timers up to it: with no latencies known there are two checks on the way, at 40% and 50% of the time.

--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -53,7 +53,7 @@
         """Ask the preferred replica of each service of one index."""
         if not states:
             return []
-        check_at = now + self.hedge_delay(states[0].index, now)
+        check_at = self.check_at(states[0].index, now)
         actions: list[Action] = []
         for state in states:
             action = self.send(state, state.replicas[0], snapshot, now)
@@ -98,7 +98,7 @@
         if not self.pay(1, now):
             return []
         action = self.send(state, replica, snapshot, now)
-        check_at = now + self.hedge_delay(state.index, now)
+        check_at = self.check_at(state.index, now)
         heappush(self.checks, (check_at, action.sub_query.sub_query_id))
         return [action]
 
@@ -168,14 +168,14 @@
             return self.settle_at
         return min(self.checks[0][0], self.settle_at)
 
-    def hedge_delay(self, index: str, now: float) -> float:
-        """Return the seconds after which a sub-query sent now is sent elsewhere."""
+    def check_at(self, index: str, now: float) -> float:
+        """Return when a sub-query sent now is sent elsewhere without a reply."""
         time_left_ms = (self.settle_at - now) * 1000.0
         delay_ms = hedge_delay_ms(
             self.policy.hedge, self.policy.latencies, index, time_left_ms
         )
-        silent = self.silent_at(now) - now
-        return silent if delay_ms is None else min(delay_ms / 1000.0, silent)
+        silent_at = self.silent_at(now)
+        return silent_at if delay_ms is None else min(now + delay_ms / 1000, silent_at)
 
     def silent_at(self, sent_at: float) -> float:
         """Return when a sub-query without a reply counts as lost."""
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -8,7 +8,7 @@
 
 from sardinehook.environment.document import Wait, Workload
 from sardinehook.messages import Outcome, SubReply
-from sardinehook.query.actions import Action, Settle
+from sardinehook.query.actions import Action, Cancel, Send, Settle
 from sardinehook.query.coverage import MissingReason, missing_reason
 from sardinehook.query.fan_out import FanOut
 from sardinehook.query.index_answer import IndexAnswer
@@ -18,7 +18,16 @@
 from sardinehook.query.settlement import coverage_of, outcome_of
 from sardinehook.query.snapshot import Snapshot
 
-__all__ = ["Search", "SearchRequest", "ServicePlan", "Snapshot"]
+__all__ = [
+    "Action",
+    "Cancel",
+    "Search",
+    "SearchRequest",
+    "Send",
+    "ServicePlan",
+    "Settle",
+    "Snapshot",
+]
 
 RESTART_TIME_RATIO = 0.3
 
