--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -12,6 +12,7 @@
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.memory import MemoryMeter
 from sardinehook.query.replica_choice import ReplicaChooser
+from sardinehook.query.snapshot import Holdings
 
 __all__ = ["SearchPolicy"]
 
@@ -36,6 +37,7 @@
     budgets: Budgets = field(default_factory=Budgets)
     latencies: LatencyEstimates = field(default_factory=LatencyEstimates)
     chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
+    holdings: Holdings = field(default_factory=Holdings)
     memory: MemoryMeter = field(
         default_factory=lambda: MemoryMeter(PROCESS_REPLY_BYTES)
     )
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -162,6 +162,21 @@
         self.move_probe_first(ordered, now)
         return tuple([placement.replica for placement in ordered])
 
+    def usable(self, placements: Sequence[Placement]) -> list[str]:
+        """Return the replicas that may be asked, in no order."""
+        return [
+            placement.replica
+            for placement in placements
+            if placement.data_centre not in self.out and self.takes_work(placement)
+        ]
+
+    def takes_work(self, placement: Placement) -> bool:
+        """Tell whether a replica is neither draining nor gone."""
+        record = self.records.get(placement.replica)
+        if record is None or record.view is None:
+            return True
+        return record.view.state not in (TargetState.DRAINING, TargetState.GONE)
+
     def move_probe_first(self, ordered: list[Placement], now: float) -> None:
         """Ask a replica of the own data centre first that was not asked for long."""
         for position in range(1, len(ordered)):
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -93,7 +93,7 @@
         state = attempt.service
         index = self.indexes[state.index]
         self.began = self.began or reply.began
-        reason = self.accept(index, state, reply)
+        reason = self.accept(index, attempt, reply)
         self.observe(attempt, reply.outcome, reason, now)
         if reason is None:
             actions = self.answer_service(state, now)
@@ -119,18 +119,28 @@
         return None if self.settled else self.fan_out.next_check()
 
     def accept(
-        self, index: IndexAnswer, state: ServiceState, reply: SubReply
+        self, index: IndexAnswer, attempt: Attempt, reply: SubReply
     ) -> MissingReason | None:
         """Count a reply as answered, or tell why it is not."""
         snapshot = Snapshot(reply.index_version, reply.partitioning)
         if reply.outcome is Outcome.WRONG_VERSION:
-            index.refused[snapshot] += 1
+            self.note_refusal(index, attempt, snapshot)
         if reply.outcome is not Outcome.ANSWERED:
             return missing_reason(reply.outcome)
         if not index.accepts(snapshot):
-            index.refused[snapshot] += 1
+            self.note_refusal(index, attempt, snapshot)
             return MissingReason.WRONG_VERSION
-        return self.collect(index, state.service, snapshot, reply.body)
+        self.policy.holdings.confirm(attempt.replica, snapshot)
+        return self.collect(index, attempt.service.service, snapshot, reply.body)
+
+    def note_refusal(
+        self, index: IndexAnswer, attempt: Attempt, named: Snapshot
+    ) -> None:
+        """Note that a replica holds another snapshot than the one asked for."""
+        index.refused[named] += 1
+        wanted = attempt.snapshot
+        if wanted is not None:
+            self.policy.holdings.refuse(attempt.replica, wanted, named)
 
     def collect(
         self, index: IndexAnswer, service: str, snapshot: Snapshot, body: bytes
