--- a/bench/make_examples.py
+++ b/bench/make_examples.py
@@ -18,7 +18,7 @@
 )
 from sardinehook.environment.writing import document_text
 
-__all__ = ["EXAMPLES", "Firm", "make_document", "main"]
+__all__ = ["EXAMPLES", "Firm", "main", "make_document"]
 
 LOOPBACK = "127.0.0.1"
 
