--- a/sardinehook/cli/app.py
+++ b/sardinehook/cli/app.py
@@ -5,6 +5,7 @@
 import typer
 
 from sardinehook import __version__
+from sardinehook.cli.document import document
 from sardinehook.cli.entry import entry
 from sardinehook.cli.search import search
 
@@ -19,6 +20,7 @@
 )
 app.command()(entry)
 app.command()(search)
+app.add_typer(document, name="document")
 
 
 @app.command()
--- a/sardinehook/environment/writing.py
+++ b/sardinehook/environment/writing.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import cast
-
 import yaml
 from yaml.nodes import MappingNode, Node
 
@@ -42,11 +40,11 @@
 
 def document_text(document: EnvironmentDocument) -> str:
     """YAML of a document without defaults, which loads to the same document."""
-    text = yaml.dump(
+    text: str = yaml.dump(
         plain(document),
         Dumper=DocumentDumper,
         sort_keys=False,
         width=LINE_CHARACTERS,
         allow_unicode=True,
     )
-    return cast(str, text)
+    return text
