Detect silent links and bound what a link takes in and holds

A connection can go silent for good while new ones work. Malformed and over-long frames, nameless connections and a full buffer each have their bound.

--- /dev/null
+++ b/sardinehook/fleet/connection.py
@@ -0,0 +1,290 @@
+"""One connection between two entry processes."""
+
+from __future__ import annotations
+
+from typing import Any, Protocol, cast
+
+import structlog
+from twisted.internet.base import DelayedCall
+from twisted.internet.defer import Deferred
+from twisted.protocols.basic import Int32StringReceiver
+from twisted.python.failure import Failure
+
+from sardinehook.fleet.silence import SilenceWatch, Step
+from sardinehook.fleet.wire import (
+    PROBE_KINDS,
+    MalformedFrame,
+    Message,
+    PackedMessage,
+    Ping,
+    Pong,
+    count_replies,
+    count_requests,
+    decode_frame,
+    encode_frame,
+    encode_message,
+)
+
+__all__ = ["Link", "LinkHost"]
+
+logger = structlog.get_logger(__name__)
+
+FRAME_LIMIT_BYTES = 8 * 1024 * 1024
+FRAME_TARGET_BYTES = 256 * 1024
+MESSAGE_LIMIT_BYTES = FRAME_LIMIT_BYTES - FRAME_TARGET_BYTES
+UNSENT_LIMIT_BYTES = 8 * 1024 * 1024
+INTRODUCTION_TIMEOUT_S = 2.0
+
+
+class LinkHost(Protocol):
+    """What a link needs of the links that it belongs to."""
+
+    node: str
+    reactor: Any
+
+    def read_stamp(self) -> int:
+        """Return the clock stamp of the next frame."""
+
+    def observe_stamp(self, stamp: int) -> None:
+        """Take note of the clock stamp of a peer's frame."""
+
+    def dispatch(self, sender: str, message: Message) -> None:
+        """Give a message to its handlers."""
+
+    def link_opened(self, link: Link) -> None:
+        """Take note of a connection whose peer is not known yet."""
+
+    def link_up(self, link: Link) -> None:
+        """Take a link into use."""
+
+    def link_doubted(self, link: Link) -> None:
+        """Look for a replacement of a link that has gone silent."""
+
+    def link_down(self, link: Link, was_live: bool) -> None:
+        """Take a lost link out of use."""
+
+
+class TcpTransport(Protocol):
+    """What a link uses of Twisted's TCP transport."""
+
+    def setTcpNoDelay(self, enabled: bool) -> None:
+        """Send small writes at once."""
+
+    def registerProducer(self, producer: object, streaming: bool) -> None:
+        """Report through ``producer`` when the buffer is full or empty again."""
+
+    def unregisterProducer(self) -> None:
+        """Stop these reports."""
+
+    def loseConnection(self) -> None:
+        """Close once the buffer is empty."""
+
+    def abortConnection(self) -> None:
+        """Close at once."""
+
+
+class Link(Int32StringReceiver):
+    """One connection to another entry process.
+
+    It is live once the peer's first frame has told the peer's name. ``dialled`` tells
+    whether this side opened the connection.
+    """
+
+    MAX_LENGTH = FRAME_LIMIT_BYTES
+    tcp: TcpTransport
+
+    def __init__(self, links: LinkHost, expected: str | None = None) -> None:
+        self.links = links
+        self.expected = expected
+        self.peer = ""
+        self.live = False
+        self.waiting: list[PackedMessage] = []
+        self.unsent_bytes = 0
+        self.flush_call: DelayedCall | None = None
+        self.check_call: DelayedCall | None = None
+        self.paused = False
+        self.lost: Deferred[None] = Deferred()
+
+    @property
+    def dialled(self) -> bool:
+        """Whether this side opened the connection."""
+        return self.expected is not None
+
+    def connectionMade(self) -> None:
+        """Introduce this node to the peer by an empty frame."""
+        self.tcp = cast("TcpTransport", self.transport)
+        self.tcp.setTcpNoDelay(True)
+        self.tcp.registerProducer(self, True)
+        self.opened_at = self.links.reactor.seconds()
+        self.watch = SilenceWatch(self.opened_at)
+        self.check_call = self.links.reactor.callLater(
+            INTRODUCTION_TIMEOUT_S, self.check_introduction
+        )
+        self.links.link_opened(self)
+        self.write_frame([])
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take any bytes as a sign of life, then look for whole frames."""
+        self.watch.heard(self.links.reactor.seconds())
+        super().dataReceived(data)  # type: ignore[no-untyped-call]
+
+    def stringReceived(self, data: bytes) -> None:
+        """Pass on the messages of one frame."""
+        try:
+            envelope = decode_frame(data)
+        except MalformedFrame as error:
+            self.reject("malformed_frame", str(error))
+            return
+        now = self.links.reactor.seconds()
+        if not self.live and not self.introduce(envelope.sender, now):
+            return
+        self.watch.replied(count_replies(envelope.messages))
+        self.links.observe_stamp(envelope.stamp)
+        for message in envelope.messages:
+            self.receive(message)
+
+    def receive(self, message: Message) -> None:
+        """Answer a probe; pass on any other message."""
+        match message:
+            case Ping():
+                self.enqueue(encode_message(Pong()))
+            case Pong():
+                pass
+            case _:
+                self.links.dispatch(self.peer, message)
+
+    def introduce(self, sender: str, now: float) -> bool:
+        """Take the peer's name; refuse the connection if it is not the one dialled."""
+        if self.expected not in (None, sender):
+            self.reject("wrong_peer", f"{sender} answered for {self.expected}")
+            return False
+        self.peer = sender
+        self.live = True
+        self.watch.round_trip_s = now - self.opened_at
+        self.cancel_check()
+        self.links.link_up(self)
+        return True
+
+    @property
+    def usable(self) -> bool:
+        """Whether the peer is known and the link not in doubt."""
+        return self.live and not self.watch.in_doubt
+
+    def check_introduction(self) -> None:
+        """Close a connection whose peer has not told its name in time."""
+        self.check_call = None
+        self.reject("no_introduction", f"{INTRODUCTION_TIMEOUT_S} s")
+
+    def check_silence(self) -> None:
+        """Probe the link or cast doubt on it if it has gone silent."""
+        self.check_call = None
+        next_step = self.watch.check(self.links.reactor.seconds())
+        match next_step.step:
+            case Step.REST:
+                return
+            case Step.PROBE:
+                self.enqueue(encode_message(Ping()))
+            case Step.DOUBT:
+                self.links.link_doubted(self)
+        if self.live:
+            self.check_later(next_step.check_after_s)
+
+    def check_later(self, delay_s: float) -> None:
+        """Look at the link again after a delay."""
+        self.check_call = self.links.reactor.callLater(delay_s, self.check_silence)
+
+    def cancel_check(self) -> None:
+        """Cancel the check that is due next."""
+        if self.check_call is not None and self.check_call.active():
+            self.check_call.cancel()
+        self.check_call = None
+
+    def lengthLimitExceeded(self, length: int) -> None:
+        """Close the connection: the length is beyond what a peer would send."""
+        self.reject("frame_too_long", f"{length} bytes")
+
+    def reject(self, reason: str, detail: str) -> None:
+        """Close the connection at once, with one line in the log."""
+        logger.warning("link_rejected", peer=self.peer, reason=reason, detail=detail)
+        self.tcp.abortConnection()
+
+    def enqueue(self, message: PackedMessage) -> bool:
+        """Add a message to the frame that leaves at the end of this reactor turn."""
+        size = len(memoryview(message.fields))
+        if size > MESSAGE_LIMIT_BYTES:
+            return False
+        if self.unsent_bytes + size > UNSENT_LIMIT_BYTES:
+            return False
+        self.unsent_bytes += size
+        self.waiting.append(message)
+        if self.flush_call is None and not self.paused:
+            self.flush_call = self.links.reactor.callLater(0, self.flush)
+        return True
+
+    def flush(self) -> None:
+        """Send what is waiting, as few frames as their target size allows."""
+        self.flush_call = None
+        batch: list[PackedMessage] = []
+        batch_bytes = 0
+        waiting, self.waiting, self.unsent_bytes = self.waiting, [], 0
+        for message in waiting:
+            batch.append(message)
+            batch_bytes += len(memoryview(message.fields))
+            if batch_bytes >= FRAME_TARGET_BYTES:
+                self.write_frame(batch)
+                batch, batch_bytes = [], 0
+        if batch:
+            self.write_frame(batch)
+
+    def write_frame(self, messages: list[PackedMessage]) -> None:
+        """Write one frame to the connection."""
+        if not all(message.kind in PROBE_KINDS for message in messages):
+            self.watch_reply(count_requests(messages))
+        stamp = self.links.read_stamp()
+        frame = encode_frame(self.links.node, stamp, messages)
+        self.sendString(frame)  # type: ignore[no-untyped-call]
+
+    def watch_reply(self, requests: int) -> None:
+        """Watch the link for silence from now on."""
+        now = self.links.reactor.seconds()
+        self.watch.sent(now, requests)
+        due = self.watch.due_at
+        if due is None or not self.live or self.watch.probed_at is not None:
+            return
+        if self.check_call is not None and self.check_call.getTime() <= due:
+            return
+        self.cancel_check()
+        self.check_later(due - now)
+
+    def pauseProducing(self) -> None:
+        """Hold messages back: the connection's own buffer is full."""
+        self.paused = True
+
+    def resumeProducing(self) -> None:
+        """Send what was held back."""
+        self.paused = False
+        if self.waiting and self.flush_call is None:
+            self.flush_call = self.links.reactor.callLater(0, self.flush)
+
+    def stopProducing(self) -> None:
+        """Do nothing: the loss of the connection is reported separately."""
+
+    def finish(self) -> None:
+        """Send what is waiting, then close the connection."""
+        if self.flush_call is not None:
+            self.flush_call.cancel()
+        self.cancel_check()
+        self.flush()
+        self.tcp.unregisterProducer()
+        self.tcp.loseConnection()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:
+        """Report the loss of the connection."""
+        was_live, self.live = self.live, False
+        if self.flush_call is not None and self.flush_call.active():
+            self.flush_call.cancel()
+        self.flush_call = None
+        self.cancel_check()
+        self.waiting.clear()
+        self.links.link_down(self, was_live)
+        self.lost.callback(None)
--- a/sardinehook/fleet/link.py
+++ b/sardinehook/fleet/link.py
@@ -13,20 +13,17 @@
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IProtocolFactory
 from twisted.internet.protocol import Factory
-from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
+from sardinehook.fleet.connection import Link
 from sardinehook.fleet.wire import (
-    MalformedFrame,
     Message,
-    PackedMessage,
-    decode_frame,
-    encode_frame,
+    MessageRole,
     encode_message,
     register_message,
 )
 
-__all__ = ["Link", "Links", "register_message"]
+__all__ = ["Link", "Links", "MessageRole", "register_message"]
 
 logger = structlog.get_logger(__name__)
 
@@ -34,11 +31,9 @@
 Handler = Callable[[str, Any], None]
 DownHandler = Callable[[str], None]
 
-FRAME_LIMIT_BYTES = 8 * 1024 * 1024
-FRAME_TARGET_BYTES = 256 * 1024
-UNSENT_LIMIT_BYTES = 8 * 1024 * 1024
 CONNECT_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 2.0
+DOUBT_LIMIT_S = 1.5
 RETRY_FIRST_S = 0.05
 RETRY_MOST_S = 5.0
 
@@ -55,25 +50,6 @@
     return host.strip("[]"), int(port)
 
 
-class TcpTransport(Protocol):
-    """What a link uses of Twisted's TCP transport."""
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        """Send small writes at once."""
-
-    def registerProducer(self, producer: object, streaming: bool) -> None:
-        """Report through ``producer`` when the buffer is full or empty again."""
-
-    def unregisterProducer(self) -> None:
-        """Stop these reports."""
-
-    def loseConnection(self) -> None:
-        """Close once the buffer is empty."""
-
-    def abortConnection(self) -> None:
-        """Close at once."""
-
-
 class ListeningPort(Protocol):
     """What links use of Twisted's listening port."""
 
@@ -84,140 +60,6 @@
         """Accept no more connections."""
 
 
-class Link(Int32StringReceiver):
-    """One connection to another entry process.
-
-    It is live once the peer's first frame has told the peer's name. ``dialled`` tells
-    whether this side opened the connection.
-    """
-
-    MAX_LENGTH = FRAME_LIMIT_BYTES
-    tcp: TcpTransport
-
-    def __init__(self, links: Links, expected: str | None = None) -> None:
-        self.links = links
-        self.expected = expected
-        self.peer = ""
-        self.live = False
-        self.waiting: list[PackedMessage] = []
-        self.unsent_bytes = 0
-        self.flush_call: DelayedCall | None = None
-        self.paused = False
-        self.lost: Deferred[None] = Deferred()
-
-    @property
-    def dialled(self) -> bool:
-        """Whether this side opened the connection."""
-        return self.expected is not None
-
-    def connectionMade(self) -> None:
-        """Introduce this node to the peer by an empty frame."""
-        self.tcp = cast("TcpTransport", self.transport)
-        self.tcp.setTcpNoDelay(True)
-        self.tcp.registerProducer(self, True)
-        self.links.open_links.add(self)
-        self.write_frame([])
-
-    def stringReceived(self, data: bytes) -> None:
-        """Pass on the messages of one frame."""
-        try:
-            envelope = decode_frame(data)
-        except MalformedFrame as error:
-            self.reject("malformed_frame", str(error))
-            return
-        if not self.live and not self.introduce(envelope.sender):
-            return
-        self.links.observe_stamp(envelope.stamp)
-        for message in envelope.messages:
-            self.links.dispatch(self.peer, message)
-
-    def introduce(self, sender: str) -> bool:
-        """Take the peer's name; refuse the connection if it is not the one dialled."""
-        if self.expected not in (None, sender):
-            self.reject("wrong_peer", f"{sender} answered for {self.expected}")
-            return False
-        self.peer = sender
-        self.live = True
-        self.links.link_up(self)
-        return True
-
-    def lengthLimitExceeded(self, length: int) -> None:
-        """Close the connection: the length is beyond what a peer would send."""
-        self.reject("frame_too_long", f"{length} bytes")
-
-    def reject(self, reason: str, detail: str) -> None:
-        """Close the connection at once, with one line in the log."""
-        logger.warning("link_rejected", peer=self.peer, reason=reason, detail=detail)
-        self.tcp.abortConnection()
-
-    def enqueue(self, message: PackedMessage) -> bool:
-        """Add a message to the frame that leaves at the end of this reactor turn."""
-        size = len(memoryview(message.fields))
-        if size >= FRAME_LIMIT_BYTES - FRAME_TARGET_BYTES:
-            return False
-        if self.unsent_bytes + size > UNSENT_LIMIT_BYTES:
-            return False
-        self.unsent_bytes += size
-        self.waiting.append(message)
-        if self.flush_call is None and not self.paused:
-            self.flush_call = self.links.reactor.callLater(0, self.flush)
-        return True
-
-    def flush(self) -> None:
-        """Send what is waiting, as few frames as their target size allows."""
-        self.flush_call = None
-        batch: list[PackedMessage] = []
-        batch_bytes = 0
-        waiting, self.waiting, self.unsent_bytes = self.waiting, [], 0
-        for message in waiting:
-            batch.append(message)
-            batch_bytes += len(memoryview(message.fields))
-            if batch_bytes >= FRAME_TARGET_BYTES:
-                self.write_frame(batch)
-                batch, batch_bytes = [], 0
-        if batch:
-            self.write_frame(batch)
-
-    def write_frame(self, messages: list[PackedMessage]) -> None:
-        """Write one frame to the connection."""
-        stamp = self.links.read_stamp()
-        frame = encode_frame(self.links.node, stamp, messages)
-        self.sendString(frame)  # type: ignore[no-untyped-call]
-
-    def pauseProducing(self) -> None:
-        """Hold messages back: the connection's own buffer is full."""
-        self.paused = True
-
-    def resumeProducing(self) -> None:
-        """Send what was held back."""
-        self.paused = False
-        if self.waiting and self.flush_call is None:
-            self.flush_call = self.links.reactor.callLater(0, self.flush)
-
-    def stopProducing(self) -> None:
-        """Do nothing: the loss of the connection is reported separately."""
-
-    def finish(self) -> None:
-        """Send what is waiting, then close the connection."""
-        if self.flush_call is not None:
-            self.flush_call.cancel()
-        if self.waiting:
-            self.flush()
-        self.tcp.unregisterProducer()
-        self.tcp.loseConnection()
-
-    def connectionLost(self, reason: Failure | None = None) -> None:
-        """Report the loss of the connection."""
-        was_live, self.live = self.live, False
-        if self.flush_call is not None and self.flush_call.active():
-            self.flush_call.cancel()
-        self.flush_call = None
-        self.waiting.clear()
-        self.links.open_links.discard(self)
-        self.links.link_down(self, was_live)
-        self.lost.callback(None)
-
-
 class LinkFactory(Factory):
     """Builds links for accepted or dialled connections."""
 
@@ -240,6 +82,7 @@
         self.address = address
         self.failures = 0
         self.dialling: Deferred[Any] | None = None
+        self.opening = False
         self.retry_call: DelayedCall | None = None
 
     def stop(self) -> None:
@@ -309,6 +152,7 @@
     def dial(self, peer: Peer) -> None:
         """Open a connection to a peer, or try again later."""
         peer.retry_call = None
+        peer.opening = True
         host, port = split_address(peer.address)
         endpoint = TCP4ClientEndpoint(self.reactor, host, port, CONNECT_TIMEOUT_S)
         peer.dialling = endpoint.connect(
@@ -320,24 +164,37 @@
         """Schedule another attempt when this one failed."""
         peer.dialling = None
         if isinstance(result, Failure):
+            peer.opening = False
             self.retry(peer)
 
     def retry(self, peer: Peer) -> None:
         """Dial again after a jittered delay that grows with the failures in a row."""
         if self.closing or self.peers.get(peer.node) is not peer:
             return
-        if peer.retry_call is not None or peer.dialling is not None:
+        if peer.retry_call is not None or peer.opening:
             return
         delay = self.retry_delay(peer.failures)
         peer.failures += 1
         peer.retry_call = self.reactor.callLater(delay, self.dial, peer)
 
+    def link_opened(self, link: Link) -> None:
+        """Take note of a connection whose peer is not known yet."""
+        self.open_links.add(link)
+
     def link_up(self, link: Link) -> None:
-        """Take a link into use."""
-        self.live_links.setdefault(link.peer, []).append(link)
-        self.live_links[link.peer].sort(key=self.link_preference)
+        """Take a link into use in place of earlier ones that it replaces."""
+        known = self.live_links.setdefault(link.peer, [])
+        replaced = [
+            old for old in known if old.dialled == link.dialled or not old.usable
+        ]
+        known.append(link)
+        known.sort(key=self.link_preference)
         if link.dialled and link.peer in self.peers:
             self.peers[link.peer].failures = 0
+            self.peers[link.peer].opening = False
+        for old in replaced:
+            logger.info("link_replaced", peer=link.peer, doubted=old.watch.in_doubt)
+            old.tcp.abortConnection()
 
     def link_preference(self, link: Link) -> bool:
         """Sort first the connection opened by the node with the smaller name.
@@ -346,28 +203,53 @@
         """
         return link.dialled != (self.node < link.peer)
 
+    def link_doubted(self, link: Link) -> None:
+        """Dial a replacement at once; drop the link if none can be had."""
+        peer = self.peers.get(link.peer)
+        doubted_for = self.reactor.seconds() - link.watch.heard_at
+        if peer is None or doubted_for > DOUBT_LIMIT_S:
+            logger.warning(
+                "link_silent", peer=link.peer, silent_s=round(doubted_for, 3)
+            )
+            link.tcp.abortConnection()
+        elif not peer.opening and peer.retry_call is None:
+            self.dial(peer)
+
     def link_down(self, link: Link, was_live: bool) -> None:
         """Take a lost link out of use and replace it if it was dialled here."""
+        self.open_links.discard(link)
         if was_live:
             self.live_links[link.peer].remove(link)
             if not self.live_links[link.peer]:
                 del self.live_links[link.peer]
             for handler in self.down_handlers:
                 handler(link.peer)
-        peer = self.peers.get(link.expected or "")
-        if peer is not None:
+        peer = self.peers.get(link.expected or link.peer)
+        if peer is not None and link.dialled and not was_live:
+            peer.opening = False
+        if peer is not None and not self.dialled_link(peer.node):
             self.retry(peer)
 
+    def dialled_link(self, node: str) -> Link | None:
+        """Return the live link to a node that was dialled here."""
+        links = self.live_links.get(node, ())
+        return next((link for link in links if link.dialled), None)
+
+    def usable_link(self, node: str) -> Link | None:
+        """Return the link on which to send to a node."""
+        links = self.live_links.get(node, ())
+        return next((link for link in links if link.usable), None)
+
     def send(self, node: str, message: Message) -> bool:
         """Send a message; False tells that nothing of it left this process."""
-        links = self.live_links.get(node)
-        if not links or self.closing:
+        link = self.usable_link(node)
+        if link is None or self.closing:
             return False
-        return links[0].enqueue(encode_message(message))
+        return link.enqueue(encode_message(message))
 
     def connected(self, node: str) -> bool:
-        """Whether there is a live link to a node."""
-        return node in self.live_links
+        """Whether there is a live link to a node that is not in doubt."""
+        return self.usable_link(node) is not None
 
     def on(
         self, message_type: type[MessageT], handler: Callable[[str, MessageT], None]
--- a/sardinehook/fleet/wire.py
+++ b/sardinehook/fleet/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from enum import Enum
 from typing import Any, NamedTuple
 
 import msgspec
@@ -10,9 +11,16 @@
 from sardinehook.messages import CancelSubQuery, ReplicaView, SubQuery, SubReply
 
 __all__ = [
+    "PROBE_KINDS",
     "Envelope",
     "MalformedFrame",
     "Message",
+    "MessageRole",
+    "PackedMessage",
+    "Ping",
+    "Pong",
+    "count_replies",
+    "count_requests",
     "decode_frame",
     "encode_frame",
     "encode_message",
@@ -23,6 +31,22 @@
 """A named tuple whose type was given to :func:`register_message`."""
 
 
+class MessageRole(Enum):
+    """Whether a message awaits one reply, is one, or neither."""
+
+    PLAIN = "plain"
+    REQUEST = "request"
+    REPLY = "reply"
+
+
+class Ping(NamedTuple):
+    """Asks the other end of a link for a sign of life."""
+
+
+class Pong(NamedTuple):
+    """Answers a ``Ping``."""
+
+
 class Envelope(NamedTuple):
     """What one frame holds: the sending node, its clock stamp and its messages."""
 
@@ -52,13 +76,20 @@
 
 kinds: dict[type[Message], int] = {}
 decoders: dict[int, msgspec.msgpack.Decoder[Message]] = {}
+request_kinds: set[int] = set()
+reply_types: set[type[Message]] = set()
 encoder = msgspec.msgpack.Encoder()
 envelope_decoder = msgspec.msgpack.Decoder(PackedEnvelope)
 
 
-def register_message(kind: int, message_type: type[Message]) -> None:
+def register_message(
+    kind: int,
+    message_type: type[Message],
+    role: MessageRole = MessageRole.PLAIN,
+) -> None:
     """Give a type of message its number on the wire.
 
+    While a request waits for its reply the link is watched closely for silence.
     Raises ``ValueError`` when the number or the type is taken by another.
     """
     known = kinds.get(message_type)
@@ -68,6 +99,20 @@
         raise ValueError(f"message kind {kind} or {message_type.__name__} is taken")
     kinds[message_type] = kind
     decoders[kind] = msgspec.msgpack.Decoder(message_type)
+    if role is MessageRole.REQUEST:
+        request_kinds.add(kind)
+    if role is MessageRole.REPLY:
+        reply_types.add(message_type)
+
+
+def count_requests(messages: Iterable[PackedMessage]) -> int:
+    """Count the messages that await a reply."""
+    return sum(message.kind in request_kinds for message in messages)
+
+
+def count_replies(messages: Iterable[Message]) -> int:
+    """Count the messages that are replies."""
+    return sum(type(message) in reply_types for message in messages)
 
 
 def encode_message(message: Message) -> PackedMessage:
@@ -104,7 +149,10 @@
     return Envelope(packed.sender, packed.stamp, messages)
 
 
-register_message(1, SubQuery)
-register_message(2, SubReply)
+register_message(1, SubQuery, MessageRole.REQUEST)
+register_message(2, SubReply, MessageRole.REPLY)
 register_message(3, CancelSubQuery)
 register_message(4, ReplicaView)
+register_message(5, Ping)
+register_message(6, Pong)
+PROBE_KINDS = frozenset({kinds[Ping], kinds[Pong]})
--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -11,7 +11,7 @@
 reactor: Any = global_reactor
 
 POLL_S = 0.005
-GIVE_UP_S = 20.0
+GIVE_UP_S = 10.0
 
 
 async def until(condition: Callable[[], bool]) -> None:
