Check histories of runs against the product's promises

Cause: what the product promises can be shown only by what callers, targets and nodes saw, judged by code that shares nothing with the product. Conclusion: each check passes sound histories and fails its broken ones (tests/bench/test_checks.py, 10 sound, 23 broken).

--- /dev/null
+++ b/bench/history.py
@@ -0,0 +1,209 @@
+"""What a run recorded at callers, targets, nodes and the store, on one time base."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from enum import StrEnum
+from typing import TypeVar
+
+import msgspec
+
+__all__ = [
+    "CallerAnswered",
+    "CallerSent",
+    "ConnectionClosed",
+    "ConnectionOpened",
+    "HistoryEvent",
+    "NodeDown",
+    "NodeUp",
+    "Recorder",
+    "RevisionAccepted",
+    "RevisionInForce",
+    "TargetBegan",
+    "TargetEnded",
+    "TargetState",
+    "Told",
+    "WorkAllowed",
+    "WorkStopped",
+    "read_history",
+    "select",
+    "write_history",
+]
+
+
+class Told(StrEnum):
+    """What a caller was told of its request."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"  # an error that neither answers nor promises "not run"
+
+
+class HistoryEvent(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Something that happened ``at`` seconds on the run's time base."""
+
+    at: float
+
+
+class CallerSent(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A caller sent a request; ``order_key`` is empty for a search."""
+
+    request: str
+    workload: str
+    order_key: str = ""
+
+
+class CallerAnswered(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A caller got an answer to what it takes for its ``request``.
+
+    ``echoed_request`` is the request id in the answer. ``records`` are identities
+    in the order of the answer. ``coverage`` is the ratio stated in it.
+    """
+
+    request: str
+    told: Told
+    kind: str = ""
+    echoed_request: str = ""
+    index_version: int = 0
+    partitioning: int = 0
+    answered: tuple[str, ...] = ()
+    missing: tuple[str, ...] = ()
+    coverage: float = 0.0
+    records: tuple[str, ...] = ()
+    truncated: bool = False
+
+
+class TargetBegan(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target began work on a sub-query."""
+
+    target: str
+    service: str
+    request: str
+    sub_query: int
+    order_key: str = ""
+
+
+class TargetEnded(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target ended work; ``whole`` if it wrote a whole, sound answer."""
+
+    target: str
+    service: str
+    request: str
+    sub_query: int
+    whole: bool
+    index_version: int = 0
+    partitioning: int = 0
+    records: tuple[str, ...] = ()
+
+
+class TargetState(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target can from now on bear so many sub-queries and connections."""
+
+    target: str
+    cold: bool
+    bound: int
+    connections: int
+
+
+class ConnectionOpened(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target accepted a connection."""
+
+    target: str
+
+
+class ConnectionClosed(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target saw a connection end."""
+
+    target: str
+
+
+class WorkStopped(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target is leaving, or operators took its data centre out."""
+
+    target: str
+
+
+class WorkAllowed(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A target may get new work again."""
+
+    target: str
+
+
+class RevisionAccepted(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """The store took a revision of the environment document."""
+
+    revision: int
+
+
+class RevisionInForce(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A node put a revision in force."""
+
+    node: str
+    revision: int
+
+
+class NodeUp(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A node began; ``node`` names one incarnation. It can reach the store."""
+
+    node: str
+
+
+class NodeDown(HistoryEvent, frozen=True, kw_only=True, tag=True):
+    """A node ended, or was cut off from the store and from all other nodes."""
+
+    node: str
+
+
+AnyEvent = (
+    CallerSent
+    | CallerAnswered
+    | TargetBegan
+    | TargetEnded
+    | TargetState
+    | ConnectionOpened
+    | ConnectionClosed
+    | WorkStopped
+    | WorkAllowed
+    | RevisionAccepted
+    | RevisionInForce
+    | NodeUp
+    | NodeDown
+)
+
+Kind = TypeVar("Kind", bound=HistoryEvent)
+
+
+class Recorder:
+    """Collects events; ``now`` gives seconds on the run's time base."""
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self.now = now
+        self.events: list[HistoryEvent] = []
+
+    def add(self, event: HistoryEvent) -> None:
+        """Keep an event."""
+        self.events.append(event)
+
+
+def select(history: Iterable[HistoryEvent], kind: type[Kind]) -> list[Kind]:
+    """Return the events of one kind in their order.
+
+    >>> select([NodeUp(at=0.0, node="a"), NodeDown(at=1.0, node="a")], NodeDown)
+    [NodeDown(at=1.0, node='a')]
+    """
+    return [event for event in history if isinstance(event, kind)]
+
+
+def write_history(history: Iterable[HistoryEvent]) -> bytes:
+    """Encode events as JSON lines."""
+    return msgspec.json.Encoder().encode_lines(list(history))
+
+
+def read_history(*files: bytes) -> list[HistoryEvent]:
+    """Decode JSON lines of several recorders and merge them by time."""
+    decoder = msgspec.json.Decoder(AnyEvent)
+    events: list[HistoryEvent] = []
+    for lines in files:
+        events.extend(decoder.decode_lines(lines))
+    return sorted(events, key=lambda event: event.at)
--- /dev/null
+++ b/tests/bench/test_checks.py
@@ -0,0 +1,316 @@
+"""Tests of the history checks: a history that passes and ones that must fail."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import pytest
+
+from bench.checks import check_all
+from bench.history import (
+    CallerAnswered,
+    CallerSent,
+    ConnectionClosed,
+    ConnectionOpened,
+    HistoryEvent,
+    NodeDown,
+    NodeUp,
+    RevisionAccepted,
+    RevisionInForce,
+    TargetBegan,
+    TargetEnded,
+    TargetState,
+    Told,
+    WorkAllowed,
+    WorkStopped,
+    read_history,
+    select,
+    write_history,
+)
+
+
+def sent(at: float, request: str = "r1", order_key: str = "") -> CallerSent:
+    return CallerSent(at=at, request=request, workload="w", order_key=order_key)
+
+
+def began(
+    at: float, target: str = "t1", request: str = "r1", order_key: str = ""
+) -> TargetBegan:
+    return TargetBegan(
+        at=at,
+        target=target,
+        service=f"s-{target}",
+        request=request,
+        sub_query=1,
+        order_key=order_key,
+    )
+
+
+def ended(
+    at: float,
+    target: str = "t1",
+    request: str = "r1",
+    version: int = 7,
+    records: tuple[str, ...] = ("a",),
+    whole: bool = True,
+) -> TargetEnded:
+    return TargetEnded(
+        at=at,
+        target=target,
+        service=f"s-{target}",
+        request=request,
+        sub_query=1,
+        whole=whole,
+        index_version=version,
+        partitioning=1,
+        records=records,
+    )
+
+
+def answered(
+    at: float,
+    request: str = "r1",
+    services: tuple[str, ...] = ("s-t1",),
+    missing: tuple[str, ...] = (),
+    coverage: float = 1.0,
+    records: tuple[str, ...] = ("a",),
+    echoed: str = "r1",
+) -> CallerAnswered:
+    return CallerAnswered(
+        at=at,
+        request=request,
+        told=Told.ANSWERED,
+        echoed_request=echoed,
+        index_version=7,
+        partitioning=1,
+        answered=services,
+        missing=missing,
+        coverage=coverage,
+        records=records,
+    )
+
+
+def refused(at: float, told: Told, request: str = "r1") -> CallerAnswered:
+    return CallerAnswered(at=at, request=request, told=told, echoed_request=request)
+
+
+def bears(
+    at: float, bound: int, cold: bool = False, connections: int = 1
+) -> TargetState:
+    return TargetState(
+        at=at, target="t1", cold=cold, bound=bound, connections=connections
+    )
+
+
+TWO_SERVED: list[HistoryEvent] = [
+    sent(0.0),
+    began(0.1),
+    began(0.1, target="t2"),
+    ended(0.2),
+    ended(0.2, target="t2", records=("b",)),
+]
+BOTH = ("s-t1", "s-t2")
+
+PASSING: dict[str, Sequence[HistoryEvent]] = {
+    "empty": [],
+    "search": [*TWO_SERVED, answered(0.3, services=BOTH, records=("b", "a"))],
+    "partial": [
+        sent(0.0),
+        began(0.1),
+        ended(0.2),
+        answered(0.3, missing=("s-t2",), coverage=0.5),
+    ],
+    "hedge of another version": [
+        sent(0.0),
+        began(0.1),
+        ended(0.2, version=6, records=("old",)),
+        began(0.2),
+        ended(0.3),
+        answered(0.4),
+    ],
+    "order": [
+        sent(0.0, order_key="k"),
+        began(0.1, order_key="k"),
+        ended(0.2),
+        answered(0.3, services=(), records=()),
+    ],
+    "order unknown": [
+        sent(0.0, order_key="k"),
+        began(0.1, order_key="k"),
+        refused(0.3, Told.UNKNOWN),
+    ],
+    "order not run, then run by a repetition": [
+        sent(0.0, order_key="k"),
+        refused(0.1, Told.NOT_RUN),
+        sent(0.2, request="r2", order_key="k"),
+        began(0.3, request="r2", order_key="k"),
+    ],
+    "bounds": [
+        bears(0.0, bound=2),
+        ConnectionOpened(at=0.0, target="t1"),
+        began(0.1),
+        began(0.1),
+        bears(0.2, bound=1, cold=True),
+        ended(0.3),
+        ended(0.3),
+        began(0.4),
+        ConnectionClosed(at=0.5, target="t1"),
+        ConnectionOpened(at=0.5, target="t1"),
+    ],
+    "stopped": [
+        WorkStopped(at=0.0, target="t1"),
+        began(4.9),
+        WorkAllowed(at=60.0, target="t1"),
+        began(61.0),
+    ],
+    "configuration": [
+        NodeUp(at=0.0, node="n1#1"),
+        NodeUp(at=0.0, node="n2#1"),
+        RevisionAccepted(at=1.0, revision=5),
+        NodeDown(at=4.0, node="n2#1"),
+        RevisionAccepted(at=5.0, revision=6),
+        RevisionInForce(at=6.0, node="n1#1", revision=6),
+        NodeUp(at=20.0, node="n2#2"),
+        RevisionInForce(at=30.0, node="n2#2", revision=6),
+        sent(99.0),
+    ],
+}
+
+FAILING: dict[str, tuple[str, Sequence[HistoryEvent]]] = {
+    "an order sent to a second target": (
+        "at_most_once",
+        [began(0.1, order_key="k"), began(0.9, target="t2", order_key="k")],
+    ),
+    "an order that a repetition ran again": (
+        "at_most_once",
+        [began(0.1, order_key="k"), began(0.9, request="r2", order_key="k")],
+    ),
+    "not run though it ran": (
+        "not_run",
+        [sent(0.0), began(0.1), refused(0.2, Told.NOT_RUN)],
+    ),
+    "not run, and begun afterwards": (
+        "not_run",
+        [sent(0.0), refused(0.2, Told.NOT_RUN), began(0.3)],
+    ),
+    "a service of another version counted": (
+        "one_snapshot",
+        [
+            *TWO_SERVED[:-1],
+            ended(0.2, target="t2", version=8),
+            answered(0.3, services=BOTH),
+        ],
+    ),
+    "a service counted that served nothing": (
+        "coverage",
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3, services=BOTH)],
+    ),
+    "a service counted that served only in part": (
+        "coverage",
+        [sent(0.0), began(0.1), ended(0.2, whole=False), answered(0.3)],
+    ),
+    "a service counted that served only afterwards": (
+        "coverage",
+        [sent(0.0), began(0.1), answered(0.2), ended(0.3)],
+    ),
+    "a ratio that its lists don't make": (
+        "coverage",
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3, missing=("s-t2",))],
+    ),
+    "a service listed twice": (
+        "coverage",
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3, services=("s-t1", "s-t1"))],
+    ),
+    "a counted service's record left out": (
+        "coverage",
+        [*TWO_SERVED, answered(0.3, services=BOTH, records=("a",))],
+    ),
+    "a record of another request": (
+        "coverage",
+        [
+            sent(0.0),
+            began(0.1),
+            ended(0.2),
+            ended(0.2, request="r2", records=("z",)),
+            answered(0.3, records=("a", "z")),
+        ],
+    ),
+    "a record twice": (
+        "no_record_doubled",
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3, records=("a", "a"))],
+    ),
+    "the answer to another request": (
+        "own_answer",
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3, echoed="r2")],
+    ),
+    "two answers": (
+        "own_answer",
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3), answered(0.4)],
+    ),
+    "an answer to nothing": ("own_answer", [refused(0.1, Told.FAILED)]),
+    "a cold target overrun by two entry VMs": (
+        "cold_start",
+        [bears(0.0, bound=1, cold=True), began(0.1), began(0.1, request="r2")],
+    ),
+    "a warm target overrun": (
+        "slots",
+        [bears(0.0, bound=1), began(0.1), began(0.1, request="r2")],
+    ),
+    "too many connections": (
+        "connection_cap",
+        [
+            bears(0.0, bound=1),
+            ConnectionOpened(at=0.0, target="t1"),
+            ConnectionOpened(at=0.1, target="t1"),
+        ],
+    ),
+    "work for a leaving target": (
+        "stopped_target",
+        [WorkStopped(at=0.0, target="t1"), began(5.1)],
+    ),
+    "a stop told twice does not move the bound": (
+        "stopped_target",
+        [
+            WorkStopped(at=0.0, target="t1"),
+            WorkStopped(at=4.0, target="t1"),
+            began(6.0),
+        ],
+    ),
+    "an older revision in force again": (
+        "configuration_reverts",
+        [
+            RevisionInForce(at=0.0, node="n1#1", revision=6),
+            RevisionInForce(at=1.0, node="n1#1", revision=5),
+        ],
+    ),
+    "a revision in force too late": (
+        "configuration_late",
+        [
+            NodeUp(at=0.0, node="n1#1"),
+            RevisionAccepted(at=1.0, revision=5),
+            RevisionInForce(at=12.5, node="n1#1", revision=5),
+        ],
+    ),
+}
+
+
+class TestCheckAll:
+    @pytest.mark.parametrize("name", PASSING)
+    def test_sound_history_passes(self, name: str) -> None:
+        assert check_all(PASSING[name]) == []
+
+    @pytest.mark.parametrize("name", FAILING)
+    def test_broken_promise_is_found(self, name: str) -> None:
+        rule, history = FAILING[name]
+        assert rule in {violation.rule for violation in check_all(history)}
+
+
+class TestHistoryFile:
+    def test_files_of_several_recorders_merge_by_time(self) -> None:
+        history = [event for events in PASSING.values() for event in events]
+        history.sort(key=lambda event: event.at)
+        callers = [e for e in history if isinstance(e, CallerSent | CallerAnswered)]
+        others = [e for e in history if e not in callers]
+        merged = read_history(write_history(callers), write_history(others))
+        assert [event.at for event in merged] == [event.at for event in history]
+        assert select(merged, CallerAnswered) == select(history, CallerAnswered)
