--- /dev/null
+++ b/bench/demo.py
@@ -0,0 +1,79 @@
+"""A short demonstration: three data centres, one search of each workload."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+from pathlib import Path
+
+import msgspec
+
+from bench.rig import Deployment, Rig, load_example
+from sardinehook.cli.search import post_json, print_answer
+from sardinehook.environment.document import EnvironmentDocument, Scope
+
+__all__ = ["main"]
+
+EXAMPLE = "szovetseg-production"
+OK = 200
+
+
+def search_each_workload(rig: Rig) -> bool:
+    """Run one search of each idempotent workload; tell whether all were answered."""
+    good = True
+    for name, workload in rig.document.workloads.items():
+        if not workload.idempotent:
+            continue
+        body = {"query": "strike counts", "limit": 2}
+        if workload.scope is Scope.ONE:
+            body["service"] = first_service(rig.document, workload.indexes[0])
+        address = rig.places[0].http_address
+        print(f"\n{name} ({workload.deadline_ms:g} ms) at {rig.places[0].node}:")
+        url = f"http://{address}/search/{name}"
+        answer = post_json(url, msgspec.json.encode(body), workload.deadline_ms)
+        if answer.status == OK:
+            print_answer(answer)
+        else:
+            print(f"status {answer.status}: {answer.body.decode()}")
+            good = False
+    return good
+
+
+def first_service(document: EnvironmentDocument, index: str) -> str:
+    """Return the first service of an index."""
+    return next(iter(document.indexes[index].services))
+
+
+def print_addresses(rig: Rig) -> None:
+    """Print where the demonstration listens and a request to try."""
+    for place in rig.places:
+        print(f"{place.node}: http://{place.http_address}")
+    print(f"platform: {rig.platform_address}")
+    print(f"logs: {rig.directory}")
+    print("Try:")
+    print(
+        f'  curl -s -XPOST -H \'Deadline-Ms: 150\' -d \'{{"query":"x","limit":3}}\''
+        f" http://{rig.places[0].http_address}/search/storm-night"
+    )
+
+
+def main() -> int:
+    """Run the demonstration; return the exit code."""
+    parser = argparse.ArgumentParser(prog="./demo", description=__doc__)
+    parser.add_argument("--keep", action="store_true", help="leave it running")
+    parser.add_argument("--directory", type=Path, help="where logs are kept")
+    options = parser.parse_args()
+    with Rig(Deployment(load_example(EXAMPLE)), options.directory) as rig:
+        good = search_each_workload(rig)
+        if options.keep:
+            print()
+            print_addresses(rig)
+            print("Ctrl-C ends it.", flush=True)
+            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+    print("\nall answered" if good else "\nnot all answered")
+    return 0 if good else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/sardinehook/cli/app.py
+++ b/sardinehook/cli/app.py
@@ -21,6 +21,7 @@
 app.command()(entry)
 app.command()(search)
 app.add_typer(document, name="document")
+app.add_typer(document, name="document")
 
 
 @app.command()
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -162,12 +162,6 @@
         """Put a revision in force in every part of the process."""
         document = revision.document
         self.searches.configure(document)
-        chooser = self.searches.policy.chooser
-        chooser.set_out(
-            name
-            for name, data_centre in document.data_centres.items()
-            if data_centre.state is DataCentreState.OUT
-        )
         homes = {
             replica.name: ReplicaHome(replica, index)
             for index in document.indexes.values()
--- a/sardinehook/entry/requests.py
+++ b/sardinehook/entry/requests.py
@@ -17,7 +17,6 @@
     "ErrorAnswer",
     "ErrorDetail",
     "SearchBody",
-    "WorkloadTarget",
     "encode_error",
     "parse_deadline_ms",
     "parse_request_id",
@@ -38,25 +37,18 @@
 class CallerRequest(NamedTuple):
     """One request of a caller, checked against the document in force.
 
-    ``services`` are (index, service) pairs to ask.
+    ``service`` is the one to ask if the workload asks a single one.
     """
 
     request_id: str
     workload_name: str
     workload: Workload
-    services: tuple[WorkloadTarget, ...]
+    service: str
     deadline_ms: float
     limit: int
     body: bytes
 
 
-class WorkloadTarget(NamedTuple):
-    """A service that a workload asks, with the index that it belongs to."""
-
-    index_name: str
-    service: str
-
-
 class ErrorDetail(TypedDict):
     """The error part of an error body."""
 
@@ -136,37 +128,26 @@
     limit = fields.get("limit", workload.result_limit)
     if limit < 1:
         return Failure(Problem(ErrorKind.BAD_REQUEST, "limit must be at least 1"))
-    services = _select_services(document, workload, fields.get("service"))
-    deadline = parse_deadline_ms(deadline_header, workload.deadline_ms)
-    return services.bind(
-        lambda chosen: deadline.map(
-            lambda deadline_ms: CallerRequest(
-                request_id=request_id,
-                workload_name=workload_name,
-                workload=workload,
-                services=chosen,
-                deadline_ms=deadline_ms,
-                limit=min(limit, workload.result_limit),
-                body=body,
-            )
+    service = fields.get("service") or only_service(document, workload)
+    if workload.scope is Scope.ONE and not service:
+        detail = "the body must name one service of the workload's indexes"
+        return Failure(Problem(ErrorKind.BAD_REQUEST, detail))
+    return parse_deadline_ms(deadline_header, workload.deadline_ms).map(
+        lambda deadline_ms: CallerRequest(
+            request_id=request_id,
+            workload_name=workload_name,
+            workload=workload,
+            service=service,
+            deadline_ms=deadline_ms,
+            limit=min(limit, workload.result_limit),
+            body=body,
         )
     )
 
 
-def _select_services(
-    document: EnvironmentDocument, workload: Workload, named: str | None
-) -> Result[tuple[WorkloadTarget, ...], Problem]:
-    everything = tuple(
-        WorkloadTarget(index, service)
-        for index in workload.indexes
-        for service in document.indexes[index].services
-    )
-    if workload.scope is Scope.ALL:
-        return Success(everything)
-    if named is None and len(everything) == 1:
-        return Success(everything)
-    chosen = tuple(target for target in everything if target.service == named)
-    if not chosen:
-        detail = "the body must name one service of the workload's indexes"
-        return Failure(Problem(ErrorKind.BAD_REQUEST, detail))
-    return Success(chosen)
+def only_service(document: EnvironmentDocument, workload: Workload) -> str:
+    """Return the service of a workload that has just one, else an empty name."""
+    names = [
+        name for index in workload.indexes for name in document.indexes[index].services
+    ]
+    return names[0] if len(names) == 1 else ""
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from typing import NamedTuple
-
-from twisted.internet.defer import Deferred
+from returns.result import Failure, Success
+from twisted.internet.defer import Deferred, succeed
 
 from sardinehook.entry.dispatcher import Dispatcher
 from sardinehook.entry.front import BodyResponse, Response
@@ -18,9 +16,9 @@
 from sardinehook.platform.timers import Timers
 from sardinehook.query.actions import Settle
 from sardinehook.query.answer import encode_answer
+from sardinehook.query.planner import Plan, Planner
 from sardinehook.query.policy import SearchPolicy
-from sardinehook.query.replica_choice import Placement
-from sardinehook.query.search import Search, SearchRequest, ServicePlan, Snapshot
+from sardinehook.query.search import Search, SearchRequest
 
 __all__ = ["SearchDesk"]
 
@@ -28,13 +26,6 @@
 OK = 200
 
 
-class ServiceHome(NamedTuple):
-    """A service of the document in force: its index and where its replicas are."""
-
-    index_name: str
-    placements: tuple[Placement, ...]
-
-
 class SearchDesk:
     """Plans, runs and answers searches; counts those in flight."""
 
@@ -48,30 +39,34 @@
         self.reactor = reactor
         self.dispatcher = dispatcher
         self.policy = policy
+        self.planner = Planner(policy)
         self.metrics = metrics
-        self.homes: Mapping[str, ServiceHome] = {}
         self.in_flight = 0
 
     def configure(self, document: EnvironmentDocument) -> None:
         """Use the services of a new document."""
-        self.policy.limits = document.limits
-        self.homes = {
-            service: ServiceHome(
-                name,
-                tuple(Placement(one.name, one.data_centre) for one in replicas),
-            )
-            for name, index in document.indexes.items()
-            for service, replicas in index.services.items()
-        }
+        self.planner.apply(document)
 
     def take_view(self, view: ReplicaView) -> None:
         """Use what an owner tells of its replica."""
-        self.policy.chooser.observe_view(view, self.reactor.seconds())
+        self.planner.observe_view(view, self.reactor.seconds())
 
     def run(self, request: CallerRequest) -> Deferred[Response]:
         """Run a search; cancelling the result abandons it at the targets too."""
         now = self.reactor.seconds()
-        search = self.build(request, now)
+        planned = self.planner.plan(request.workload, request.service, now)
+        match planned:
+            case Failure(problem):
+                return succeed(problem)
+            case Success(plan):
+                return self.run_plan(request, plan, now)
+        raise AssertionError("a result is a success or a failure")
+
+    def run_plan(
+        self, request: CallerRequest, plan: Plan, now: float
+    ) -> Deferred[Response]:
+        """Run a planned search."""
+        search = self.build(request, plan, now)
         result: Deferred[Response] = Deferred(lambda _result: run.abandon())
 
         def settled(settle: Settle) -> None:
@@ -85,16 +80,8 @@
         run.begin()
         return result
 
-    def build(self, request: CallerRequest, now: float) -> Search:
+    def build(self, request: CallerRequest, plan: Plan, now: float) -> Search:
         """Build the search of a request."""
-        plans = [
-            ServicePlan(
-                target.index_name,
-                target.service,
-                self.policy.chooser.order(self.homes[target.service].placements, now),
-            )
-            for target in request.services
-        ]
         search_request = SearchRequest(
             request_id=request.request_id,
             workload=request.workload_name,
@@ -105,16 +92,12 @@
         return Search(
             search_request,
             request.workload,
-            plans,
-            self.choose_snapshots(request),
+            plan.services,
+            plan.snapshots,
             self.policy,
             now,
         )
 
-    def choose_snapshots(self, request: CallerRequest) -> dict[str, Snapshot]:
-        """Choose the snapshot of each index that the request asks."""
-        return {}
-
     def finish(self, request: CallerRequest, settle: Settle, took_s: float) -> Response:
         """Count a settled search and build its response."""
         name = request.workload_name
