--- /dev/null
+++ b/bench/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""The experiments, one module for each subject."""
--- /dev/null
+++ b/bench/experiments/path.py
@@ -0,0 +1,55 @@
+"""The whole path at today's size without faults."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from bench.experiment import AT_LEAST, AT_MOST, Bound, Experiment, Options, Trial
+from bench.experiments.common import lookup_stream, storm_stream
+from bench.judging import rule_bounds
+from bench.results import RunResult
+from bench.rig import Deployment, load_example
+
+__all__ = ["PATH"]
+
+
+def trials(options: Options) -> Sequence[Trial]:
+    """Nine entry VMs, storm-night searches and single look-ups."""
+    document = load_example("szovetseg-production")
+    deployment = Deployment(document, entries_per_data_centre=3)
+    streams = (storm_stream(options), lookup_stream(options))
+    return [Trial("product", deployment, streams)]
+
+
+def judge(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge the run."""
+    run = results["product"]
+    source = "size to design for: 99 in 100 within 150 ms"
+    return [
+        *rule_bounds(results),
+        Bound(
+            "storm_p99_ms", run.latency_ms(0.99, "storm-night"), AT_MOST, 150, source
+        ),
+        Bound("answered", run.answered_ratio(), AT_LEAST, 1.0, "no fault, no refusal"),
+    ]
+
+
+def figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+    """Work out the figures to print."""
+    run = results["product"]
+    sub_queries = max(1, run.count_events("begun"))
+    return {
+        "calls": len(run.measured()),
+        "storm_p50_ms": run.latency_ms(0.5, "storm-night"),
+        "lookup_p50_ms": run.latency_ms(0.5, "counter-lookup"),
+        "lookup_p99_ms": run.latency_ms(0.99, "counter-lookup"),
+        "coverage": run.mean_coverage(),
+        "extra_load": run.extra_load(),
+        "processor_us_per_sub_query": 1e6 * sum(run.processor_s.values()) / sub_queries,
+        "memory_mb": max(run.memory_mb.values()),
+    }
+
+
+PATH = Experiment(
+    "path", "The whole path at today's size without faults", trials, judge, figures
+)
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,348 @@
+"""Open-loop load: callers behind a balancer, each request sent at its intended time."""
+
+from __future__ import annotations
+
+import random
+import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple, TypedDict, cast
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+from twisted.web.iweb import IBodyProducer, IResponse
+from zope.interface import implementer
+
+__all__ = ["CallRecord", "LoadPlan", "Stream", "read_calls"]
+
+PROBE_INTERVAL_S = 0.1
+PROBES_TO_LEAVE = 2
+PROBE_TIMEOUT_S = 1.0
+CONNECTIONS_PER_ENTRY = 256
+END_MARGIN_S = 5.0
+MS_PER_S = 1000.0
+OK = 200
+
+
+class Stream(NamedTuple):
+    """Requests of one workload with exponential gaps between them.
+
+    ``rate_per_s`` is the mean rate from ``from_s`` to ``to_s`` seconds after the start.
+    ``services`` are drawn from for workloads that ask one service. With ``order`` each
+    request is an order, repeated at another entry VM with the ratio ``repeat_ratio``.
+    """
+
+    workload: str
+    rate_per_s: float
+    from_s: float
+    to_s: float
+    deadline_ms: float
+    services: tuple[str, ...] = ()
+    limit: int = 50
+    order: bool = False
+    repeat_ratio: float = 0.0
+
+
+class LoadPlan(NamedTuple):
+    """What one load process sends and where."""
+
+    entries: dict[str, str]
+    streams: tuple[Stream, ...]
+    seed: int
+    name: str
+
+
+class Call(NamedTuple):
+    """One request to come: ``at_s`` is seconds after the start."""
+
+    at_s: float
+    stream: Stream
+    service: str
+    order_key: str
+
+
+class CoverageSeen(TypedDict, total=False):
+    """Coverage as a caller sees it."""
+
+    asked: int
+    answered: int
+    ratio: float
+    missing: list[dict[str, str]]
+    snapshot: dict[str, dict[str, int]]
+
+
+class ErrorSeen(TypedDict, total=False):
+    """An error as a caller sees it."""
+
+    kind: str
+    detail: str
+    not_run: bool
+
+
+class RecordSeen(TypedDict):
+    """The identity of a record in an answer."""
+
+    id: str
+
+
+class AnswerSeen(TypedDict, total=False):
+    """The parts of an answer's body that the load process keeps."""
+
+    request_id: str
+    records: list[RecordSeen]
+    coverage: CoverageSeen
+    limited: bool
+    error: ErrorSeen
+    state: str
+
+
+class CallRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of one request; times are ``time.monotonic()`` in seconds.
+
+    ``latency_ms`` counts from the intended start. ``status`` is zero if the
+    connection failed, and ``entry`` is empty if no entry VM was ready.
+    """
+
+    request: str
+    workload: str
+    entry: str
+    intended_at: float
+    sent_at: float
+    ended_at: float
+    status: int
+    order_key: str
+    service: str
+    answer: AnswerSeen
+    detail: str = ""
+
+    @property
+    def latency_ms(self) -> float:
+        """Milliseconds from the intended start to the end."""
+        return (self.ended_at - self.intended_at) * MS_PER_S
+
+    @property
+    def ok(self) -> bool:
+        """Whether the request was answered."""
+        return self.status == OK
+
+
+def read_calls(path: Path) -> list[CallRecord]:
+    """Read the records that a load process wrote."""
+    decoder = msgspec.json.Decoder(CallRecord)
+    return decoder.decode_lines(path.read_bytes())
+
+
+def plan_calls(plan: LoadPlan) -> list[Call]:
+    """Draw the whole schedule of a plan."""
+    rng = random.Random(f"load/{plan.name}/{plan.seed}")
+    calls: list[Call] = []
+    for number, stream in enumerate(plan.streams):
+        at_s = stream.from_s
+        while stream.rate_per_s > 0.0:
+            at_s += rng.expovariate(stream.rate_per_s)
+            if at_s >= stream.to_s:
+                break
+            service = rng.choice(stream.services) if stream.services else ""
+            key = f"{plan.name}-{number}-{len(calls)}" if stream.order else ""
+            calls.append(Call(at_s, stream, service, key))
+            if stream.order and rng.random() < stream.repeat_ratio:
+                again_s = at_s + rng.uniform(0.0, 2.0 * stream.deadline_ms / MS_PER_S)
+                calls.append(Call(again_s, stream, service, key))
+    return sorted(calls, key=lambda call: call.at_s)
+
+
+@implementer(IBodyProducer)
+class BytesProducer:
+    """The body of a request, held in memory."""
+
+    def __init__(self, body: bytes) -> None:
+        self.body = body
+        self.length = len(body)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:  # noqa: ANN401
+        """Write the whole body."""
+        consumer.write(self.body)
+        done: Deferred[None] = Deferred()
+        done.callback(None)
+        return done
+
+    def pauseProducing(self) -> None:
+        """Do nothing: the body is written at once."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing: the body is written at once."""
+
+    def stopProducing(self) -> None:
+        """Do nothing: the body is written at once."""
+
+
+class Balancer:
+    """The platform's balancer: probes ``/ready`` and spreads requests over the ready.
+
+    An entry VM leaves after ``PROBES_TO_LEAVE`` failed probes and returns after one
+    good one.
+    """
+
+    def __init__(self, reactor: Any, agent: Agent, entries: Mapping[str, str]) -> None:  # noqa: ANN401
+        self.reactor = reactor
+        self.agent = agent
+        self.entries = entries
+        self.failures = dict.fromkeys(entries, 0)
+        self.turn = 0
+
+    def probe_all(self) -> None:
+        """Probe every entry VM, again and again."""
+        for node in self.entries:
+            Deferred.fromCoroutine(self.probe(node))
+        self.reactor.callLater(PROBE_INTERVAL_S, self.probe_all)
+
+    async def probe(self, node: str) -> None:
+        """Probe one entry VM."""
+        url = f"http://{self.entries[node]}/ready".encode()
+        try:
+            asked = self.agent.request(b"GET", url)
+            asked.addTimeout(PROBE_TIMEOUT_S, self.reactor)
+            response = await asked
+            await readBody(response)
+            good = response.code == OK
+        except Exception:
+            good = False
+        self.failures[node] = 0 if good else self.failures[node] + 1
+
+    def choose(self, rng: random.Random, avoid: str = "") -> str:
+        """Return the next ready entry VM, empty if there is none."""
+        ready = [
+            node for node, failed in self.failures.items() if failed < PROBES_TO_LEAVE
+        ]
+        others = [node for node in ready if node != avoid] or ready
+        if not others:
+            return ""
+        self.turn += 1
+        return others[self.turn % len(others)]
+
+
+class LoadRun:
+    """Sends a plan's calls and records what became of them."""
+
+    def __init__(self, reactor: Any, plan: LoadPlan, output: Path) -> None:  # noqa: ANN401
+        self.reactor = reactor
+        self.plan = plan
+        self.output = output
+        self.rng = random.Random(f"balancer/{plan.seed}")
+        pool = HTTPConnectionPool(reactor)
+        pool.maxPersistentPerHost = CONNECTIONS_PER_ENTRY
+        pool.retryAutomatically = False
+        self.agent = Agent(reactor, pool, connectTimeout=PROBE_TIMEOUT_S)
+        self.balancer = Balancer(reactor, self.agent, plan.entries)
+        self.records: list[CallRecord] = []
+        self.open_calls = 0
+        self.number = 0
+        self.all_sent = False
+
+    def start(self) -> None:
+        """Schedule everything relative to now."""
+        self.started_at = time.monotonic()
+        self.balancer.probe_all()
+        self.calls = plan_calls(self.plan)
+        self.position = 0
+        print(f"started at={self.started_at!r} calls={len(self.calls)}", flush=True)
+        self.send_due()
+
+    def send_due(self) -> None:
+        """Send every call whose time has come, then wait for the next."""
+        now = time.monotonic() - self.started_at
+        while self.position < len(self.calls):
+            call = self.calls[self.position]
+            if call.at_s > now:
+                self.reactor.callLater(call.at_s - now, self.send_due)
+                return
+            self.position += 1
+            self.open_calls += 1
+            Deferred.fromCoroutine(self.send(call))
+        self.all_sent = True
+        self.end_if_done()
+
+    async def send(self, call: Call) -> None:
+        """Send one call and record its end."""
+        self.number += 1
+        request = f"{self.plan.name}-{self.plan.seed}-{self.number}"
+        node = self.balancer.choose(self.rng)
+        sent_at = time.monotonic()
+        status, answer, detail = 0, AnswerSeen(), "no entry VM is ready"
+        if node:
+            status, answer, detail = await self.exchange(node, call, request)
+        self.records.append(
+            CallRecord(
+                request=request,
+                workload=call.stream.workload,
+                entry=node,
+                intended_at=self.started_at + call.at_s,
+                sent_at=sent_at,
+                ended_at=time.monotonic(),
+                status=status,
+                order_key=call.order_key,
+                service=call.service,
+                answer=answer,
+                detail=detail,
+            )
+        )
+        self.open_calls -= 1
+        self.end_if_done()
+
+    async def exchange(
+        self, node: str, call: Call, request: str
+    ) -> tuple[int, AnswerSeen, str]:
+        """Make one HTTP exchange."""
+        stream = call.stream
+        fields: dict[str, object] = {"query": "x", "limit": stream.limit}
+        if call.service:
+            fields["service"] = call.service
+        headers = {
+            "Request-Id": [request],
+            "Deadline-Ms": [f"{stream.deadline_ms:g}"],
+        }
+        if call.order_key:
+            headers["Idempotency-Key"] = [call.order_key]
+        folder = "orders" if stream.order else "search"
+        url = f"http://{self.plan.entries[node]}/{folder}/{stream.workload}"
+        asked: Deferred[IResponse] = self.agent.request(
+            b"POST",
+            url.encode(),
+            Headers(headers),
+            cast("IBodyProducer", BytesProducer(msgspec.json.encode(fields))),
+        )
+        asked.addTimeout(stream.deadline_ms / MS_PER_S + END_MARGIN_S, self.reactor)
+        try:
+            response = await asked
+            body = await readBody(response)
+            return response.code, msgspec.json.decode(body, type=AnswerSeen), ""
+        except Exception as error:
+            return 0, AnswerSeen(), repr(error)[:200]
+
+    def end_if_done(self) -> None:
+        """Write the records and stop once every call has ended."""
+        if not self.all_sent or self.open_calls:
+            return
+        encoder = msgspec.json.Encoder()
+        self.output.write_bytes(encoder.encode_lines(self.records))
+        print(f"ended calls={len(self.records)}", flush=True)
+        self.reactor.stop()
+
+
+def main() -> None:
+    """Run the plan in the file that the command line names."""
+    from twisted.internet import reactor
+
+    plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=LoadPlan)
+    running: Any = reactor
+    running.seconds = time.monotonic
+    run = LoadRun(running, plan, Path(sys.argv[2]))
+    running.callWhenRunning(run.start)
+    running.run()
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -15,6 +15,7 @@
 READY_TIMEOUT_S = 30.0
 END_TIMEOUT_S = 20.0
 POLL_S = 0.02
+STILL_RUNNING = -1000
 
 
 class StartError(RuntimeError):
@@ -69,6 +70,12 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def exit_code(self) -> int:
+        """The exit code, negative for a signal and for a process that runs on."""
+        code = None if self.process is None else self.process.poll()
+        return STILL_RUNNING if code is None else code
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.running:
--- /dev/null
+++ b/bench/run_trial.py
@@ -0,0 +1,154 @@
+"""Runs one trial: starts the rig, the load and the steps, and collects the records."""
+
+from __future__ import annotations
+
+import time
+import urllib.request
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import psutil
+
+from bench.experiment import Options, Trial
+from bench.load import LoadPlan, read_calls
+from bench.ports import LOOPBACK
+from bench.processes import Child
+from bench.results import RunResult, StepTime, TargetRecords
+from bench.rig import ROOT, Rig
+
+__all__ = ["run_trial"]
+
+FETCH_TIMEOUT_S = 20.0
+LOAD_END_MARGIN_S = 20.0
+BYTES_PER_MB = 1024 * 1024
+
+
+def run_trial(
+    trial: Trial, options: Options, directory: Path, say: Callable[[str], None]
+) -> RunResult:
+    """Run a trial and return its records; everything started is stopped."""
+    rig = Rig(trial.deployment._replace(seed=options.seed), directory)
+    with rig:
+        say(f"{trial.name}: {len(rig.places)} entry processes are ready")
+        loads = start_load(rig, trial, options, directory)
+        started_at = wait_for_start(loads)
+        before = processor_seconds(rig)
+        steps = do_steps(rig, trial, started_at, say)
+        for load in loads:
+            load.wait(trial.duration_s + LOAD_END_MARGIN_S)
+        after = processor_seconds(rig)
+        memory = memory_use(rig)
+        records = [fetch_records(port) for port in rig.control_ports]
+        counts = fetch(rig.platform_address, "/counts")
+    calls = [
+        call
+        for number in range(trial.load_processes)
+        for call in read_calls(directory / f"load-{number}.jsonl")
+    ]
+    return RunResult(
+        name=trial.name,
+        started_at=started_at,
+        measure_from=started_at + trial.measure_from_s,
+        calls=sorted(calls, key=lambda call: call.intended_at),
+        events=sorted(event for part in records for event in part.events),
+        counters={name: one for part in records for name, one in part.counters.items()},
+        left_out=sum(part.left_out for part in records),
+        platform_counts=msgspec.json.decode(counts),
+        steps=steps,
+        processor_s={name: after[name] - before.get(name, 0.0) for name in after},
+        memory_mb=memory,
+        log_lines={
+            place.node: (directory / f"{place.node}.log").read_text().splitlines()
+            for place in rig.places
+        },
+        exit_codes={
+            place.node: rig.children[place.node].exit_code for place in rig.places
+        },
+    )
+
+
+def start_load(
+    rig: Rig, trial: Trial, options: Options, directory: Path
+) -> list[Child]:
+    """Start the load processes; each sends its share of every stream."""
+    share = trial.load_processes
+    streams = tuple(
+        stream._replace(rate_per_s=stream.rate_per_s / share)
+        for stream in trial.streams
+    )
+    entries = {place.node: place.http_address for place in rig.places}
+    loads = []
+    for number in range(share):
+        seed = options.seed * 100 + number
+        plan = LoadPlan(entries, streams, seed, f"load{number}")
+        path = directory / f"load-{number}.json"
+        path.write_bytes(msgspec.json.encode(plan))
+        output = directory / f"load-{number}.jsonl"
+        arguments = ["-m", "bench.load", str(path), str(output)]
+        load = Child(
+            f"load-{number}", arguments, directory / f"load-{number}.log", ROOT
+        )
+        rig.children[load.name] = load
+        load.start()
+        loads.append(load)
+    return loads
+
+
+def wait_for_start(loads: list[Child]) -> float:
+    """Return when the first load process began to send."""
+    starts = []
+    for load in loads:
+        line = load.wait_for_line("started ")
+        starts.append(float(line.partition("at=")[2].split()[0]))
+    return min(starts)
+
+
+def do_steps(
+    rig: Rig, trial: Trial, started_at: float, say: Callable[[str], None]
+) -> list[StepTime]:
+    """Do each step at its time."""
+    done = []
+    for step in sorted(trial.steps, key=lambda one: one.at_s):
+        time.sleep(max(0.0, started_at + step.at_s - time.monotonic()))
+        at = time.monotonic()
+        step.act(rig)
+        done.append(StepTime(step.label, at))
+        say(f"{trial.name}: {step.at_s:.1f} s {step.label}")
+    return done
+
+
+def processor_seconds(rig: Rig) -> dict[str, float]:
+    """Return the processor time that each entry process has used so far."""
+    used = {}
+    for place in rig.places:
+        child = rig.children[place.node]
+        if child.running:
+            times = psutil.Process(child.pid).cpu_times()
+            used[place.node] = times.user + times.system
+    return used
+
+
+def memory_use(rig: Rig) -> dict[str, float]:
+    """Return the resident memory of each entry process in MB."""
+    return {
+        place.node: psutil.Process(rig.children[place.node].pid).memory_info().rss
+        / BYTES_PER_MB
+        for place in rig.places
+        if rig.children[place.node].running
+    }
+
+
+def fetch(address: str, path: str) -> bytes:
+    """Get a document from a stand-in."""
+    url = f"http://{address}{path}"
+    with urllib.request.urlopen(url, timeout=FETCH_TIMEOUT_S) as response:
+        body: Any = response.read()
+    return bytes(body)
+
+
+def fetch_records(port: int) -> TargetRecords:
+    """Get what one target stand-in recorded."""
+    body = fetch(f"{LOOPBACK}:{port}", "/records")
+    return msgspec.json.decode(body, type=TargetRecords)
