Admit requests by an adaptive bound, and compare policies on a virtual clock

Admission bounds sub-queries in flight by additive increase and multiplicative decrease; a request was congested when most of its sub-queries were held up by queues. Later classes may use less of the bound.

--- /dev/null
+++ b/bench/policy_rig.py
@@ -0,0 +1,368 @@
+"""A virtual clock, replicas with slots, and entries that run the pure policy."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from sardinehook.environment.document import Limits, Workload
+from sardinehook.errors import Problem
+from sardinehook.messages import Outcome, SubQuery, SubReply
+from sardinehook.query.actions import Action, Cancel, Send, Settle
+from sardinehook.query.admission import Admission, Ticket
+from sardinehook.query.hedging import HedgePolicy
+from sardinehook.query.plan import SearchRequest, ServicePlan
+from sardinehook.query.policy import SearchPolicy
+from sardinehook.query.replica_choice import Placement, ReplicaChooser
+from sardinehook.query.search import Search
+from sardinehook.query.snapshot import Snapshot
+
+__all__ = ["Arm", "Arrivals", "Clock", "Entry", "Faults", "Finished", "Replica"]
+
+LINK_MS = 0.4
+LINK_JITTER_MS = 0.2
+SERVICE_MEDIAN_MS = 4.0
+SERVICE_SIGMA = 0.35
+SLOW_FACTOR = 20.0
+SNAPSHOT = Snapshot(42, 1)
+DATA_CENTRE = "szolnok-b"
+BODY = b'{"records":[{"id":"a","rank":1.0,"fields":{}}],"truncated":false}'
+
+
+class Clock:
+    """Runs callables in the order of their times, in seconds from zero."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.order = count()
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+
+    def at(self, time: float, call: Callable[[], None]) -> None:
+        """Run ``call`` at ``time``."""
+        heappush(self.events, (time, next(self.order), call))
+
+    def run(self) -> None:
+        """Run until nothing is left."""
+        while self.events:
+            self.now, _, call = heappop(self.events)
+            call()
+
+
+class Faults(NamedTuple):
+    """What goes wrong: a share of slow replies, and replicas slow for good."""
+
+    slow_reply_ratio: float = 0.0
+    slow_replicas: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Arm:
+    """One policy to compare. ``admits`` turns admission on."""
+
+    name: str
+    hedge: HedgePolicy
+    silent_ratio: float = 0.5
+    spends_budget: bool = True
+    random_replica: bool = False
+    admits: bool = False
+
+
+class Arrivals(NamedTuple):
+    """Poisson arrivals of one workload at each entry."""
+
+    workload_name: str
+    workload: Workload
+    per_second: float
+
+
+class RandomChooser(ReplicaChooser):
+    """A baseline: replicas in random order, whatever was seen of them."""
+
+    def order(self, placements: Sequence[Placement], now: float) -> tuple[str, ...]:
+        """Return the replicas in random order."""
+        names = [placement.replica for placement in placements]
+        self.random.shuffle(names)
+        return tuple(names)
+
+
+@dataclass(slots=True)
+class Job:
+    """A sub-query at a replica."""
+
+    sub_query: SubQuery
+    reply: Callable[[SubReply], None]
+    queued_at: float
+    expires_at: float
+    running: bool = False
+    gone: bool = False
+
+
+class Replica:
+    """A target with slots behind its owner's queue, which is served by priority."""
+
+    def __init__(
+        self, name: str, slots: int, clock: Clock, random: Random, faults: Faults
+    ) -> None:
+        self.name = name
+        self.free = slots
+        self.clock = clock
+        self.random = random
+        self.faults = faults
+        self.queues: dict[int, deque[Job]] = {}
+
+    def service_s(self) -> float:
+        """Draw a service time."""
+        time = SERVICE_MEDIAN_MS * self.random.lognormvariate(0.0, SERVICE_SIGMA)
+        slow = self.random.random() < self.faults.slow_reply_ratio
+        if slow or self.name in self.faults.slow_replicas:
+            time *= SLOW_FACTOR
+        return time / 1000.0
+
+    def submit(self, job: Job) -> None:
+        """Take a sub-query."""
+        self.queues.setdefault(job.sub_query.priority, deque()).append(job)
+        self.start_next()
+
+    def cancel(self, job: Job) -> None:
+        """Abandon a sub-query; one that runs frees its slot."""
+        if job.gone:
+            return
+        job.gone = True
+        if job.running:
+            self.free += 1
+            self.start_next()
+
+    def start_next(self) -> None:
+        """Start what waits while slots are free."""
+        while self.free:
+            job = self.next_job()
+            if job is None:
+                return
+            self.start(job)
+
+    def next_job(self) -> Job | None:
+        """Take the next sub-query of the best priority."""
+        for priority in sorted(self.queues):
+            queue = self.queues[priority]
+            while queue:
+                job = queue.popleft()
+                if not job.gone:
+                    return job
+        return None
+
+    def start(self, job: Job) -> None:
+        """Serve a sub-query, or answer that it is late."""
+        now = self.clock.now
+        queued_ms = (now - job.queued_at) * 1000.0
+        if now >= job.expires_at:
+            job.reply(reply_of(job.sub_query, Outcome.LATE, queued_ms, 0.0))
+            return
+        job.running = True
+        self.free -= 1
+        service_s = self.service_s()
+        self.clock.at(now + service_s, lambda: self.finish(job, queued_ms, service_s))
+
+    def finish(self, job: Job, queued_ms: float, service_s: float) -> None:
+        """Answer a sub-query that was not abandoned."""
+        if job.gone:
+            return
+        job.gone = True
+        self.free += 1
+        job.reply(
+            reply_of(job.sub_query, Outcome.ANSWERED, queued_ms, service_s * 1000.0)
+        )
+        self.start_next()
+
+
+def reply_of(
+    sub_query: SubQuery, outcome: Outcome, queued_ms: float, service_ms: float
+) -> SubReply:
+    """Return the reply that ends a sub-query."""
+    answered = outcome is Outcome.ANSWERED
+    return SubReply(
+        sub_query.sub_query_id,
+        outcome,
+        SNAPSHOT.index_version,
+        SNAPSHOT.partitioning,
+        queued_ms,
+        service_ms,
+        answered,
+        "",
+        BODY if answered else b"",
+    )
+
+
+class Finished(NamedTuple):
+    """How one request ended. ``refused`` was not run at all."""
+
+    workload: str
+    arrived_at: float
+    latency_ms: float
+    coverage: float
+    good: bool
+    refused: bool
+    first_tries: int
+    extra_tries: int
+
+
+@dataclass(slots=True)
+class Running:
+    """A search that is under way at an entry."""
+
+    search: Search
+    ticket: Ticket
+    arrived_at: float
+    workload: str
+    timer_at: float = field(default=float("inf"))
+
+
+class Entry:
+    """An entry process: its own policy, estimates and admission."""
+
+    def __init__(
+        self,
+        number: int,
+        arm: Arm,
+        services: Sequence[tuple[str, tuple[Placement, ...]]],
+        replicas: dict[str, Replica],
+        clock: Clock,
+        seed: int,
+    ) -> None:
+        self.number = number
+        self.clock = clock
+        self.services = services
+        self.replicas = replicas
+        self.random = Random(seed * 1000 + number)
+        chooser = RandomChooser if arm.random_replica else ReplicaChooser
+        self.policy = SearchPolicy(
+            hedge=arm.hedge,
+            silent_ratio=arm.silent_ratio,
+            spends_budget=arm.spends_budget,
+            chooser=chooser(DATA_CENTRE, seed * 1000 + number),
+        )
+        self.admission = Admission(Limits()) if arm.admits else None
+        self.running: dict[int, Running] = {}
+        self.jobs: dict[int, Job] = {}
+        self.finished: list[Finished] = []
+
+    def begin(self, arrivals: Arrivals, until: float) -> None:
+        """Schedule the first arrival of a workload."""
+        gap = self.random.expovariate(arrivals.per_second)
+        self.clock.at(gap, lambda: self.arrive(arrivals, until))
+
+    def arrive(self, arrivals: Arrivals, until: float) -> None:
+        """Take one request and schedule the next arrival."""
+        now = self.clock.now
+        gap = self.random.expovariate(arrivals.per_second)
+        if now + gap < until:
+            self.clock.at(now + gap, lambda: self.arrive(arrivals, until))
+        name, workload = arrivals.workload_name, arrivals.workload
+        ticket = self.admit(arrivals, now)
+        if ticket is None:
+            self.finished.append(Finished(name, now, 0.0, 0.0, False, True, 0, 0))
+            return
+        request = SearchRequest(
+            "r", name, now + workload.deadline_ms / 1000.0, 10, b"{}"
+        )
+        plans = [
+            ServicePlan("logs", service, self.policy.chooser.order(placements, now))
+            for service, placements in self.services
+        ]
+        search = Search(request, workload, plans, {"logs": SNAPSHOT}, self.policy, now)
+        running = Running(search, ticket, now, name)
+        self.perform(running, search.begin(now))
+
+    def admit(self, arrivals: Arrivals, now: float) -> Ticket | None:
+        """Ask admission, if it is on."""
+        name, workload = arrivals.workload_name, arrivals.workload
+        cost = len(self.services)
+        if self.admission is None:
+            return Ticket(name, cost, now)
+        admitted = self.admission.admit(name, workload, cost, workload.deadline_ms, now)
+        return admitted.value_or(None)
+
+    def perform(self, running: Running, actions: Sequence[Action]) -> None:
+        """Do what a search asks for."""
+        for action in actions:
+            match action:
+                case Send(sub_query):
+                    self.running[sub_query.sub_query_id] = running
+                    self.send(sub_query)
+                case Cancel(sub_query_id):
+                    self.running.pop(sub_query_id)
+                    self.cancel(sub_query_id)
+                case Settle():
+                    self.settle(running, action)
+        self.arm(running)
+
+    def link_s(self) -> float:
+        """Draw the time that a message takes one way."""
+        return (LINK_MS + self.random.random() * LINK_JITTER_MS) / 1000.0
+
+    def send(self, sub_query: SubQuery) -> None:
+        """Carry a sub-query to its replica."""
+        replica = self.replicas[sub_query.replica]
+        now = self.clock.now
+        job = Job(sub_query, self.carry_back, now, now + sub_query.deadline_ms / 1000.0)
+        self.jobs[sub_query.sub_query_id] = job
+        self.clock.at(now + self.link_s(), lambda: replica.submit(job))
+
+    def cancel(self, sub_query_id: int) -> None:
+        """Carry a cancellation to the replica that has the sub-query."""
+        job = self.jobs.pop(sub_query_id)
+        replica = self.replicas[job.sub_query.replica]
+        self.clock.at(self.clock.now + self.link_s(), lambda: replica.cancel(job))
+
+    def carry_back(self, reply: SubReply) -> None:
+        """Carry a reply to its search."""
+        self.clock.at(self.clock.now + self.link_s(), lambda: self.on_reply(reply))
+
+    def on_reply(self, reply: SubReply) -> None:
+        """Feed a reply to its search."""
+        running = self.running.pop(reply.sub_query_id, None)
+        if running is not None:
+            del self.jobs[reply.sub_query_id]
+            actions = running.search.on_reply(reply, self.clock.now)
+            self.perform(running, actions)
+
+    def arm(self, running: Running) -> None:
+        """Schedule the next timer of a search if it is earlier than the known one."""
+        due = running.search.next_timer()
+        if due is not None and due < running.timer_at:
+            running.timer_at = due
+            self.clock.at(due, lambda: self.on_timer(running))
+
+    def on_timer(self, running: Running) -> None:
+        """Feed the time to a search."""
+        running.timer_at = float("inf")
+        due = running.search.next_timer()
+        if due is not None and due <= self.clock.now:
+            self.perform(running, running.search.on_timer(self.clock.now))
+        else:
+            self.arm(running)
+
+    def settle(self, running: Running, settle: Settle) -> None:
+        """Record how a search ended."""
+        now = self.clock.now
+        good = not isinstance(settle.outcome, Problem)
+        search = running.search
+        self.finished.append(
+            Finished(
+                running.workload,
+                running.arrived_at,
+                (now - running.arrived_at) * 1000.0,
+                settle.coverage.ratio,
+                good,
+                False,
+                search.fan_out.first_tries,
+                search.fan_out.extra_tries,
+            )
+        )
+        if self.admission is not None:
+            congested = search.was_congested()
+            self.admission.finish(running.ticket, congested, good, now)
--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -41,7 +41,8 @@
         self.workload = workload
         self.policy = policy
         self.budget = policy.budgets.of(request.workload, now)
-        self.settle_at = request.deadline_at - settle_reserve(request, now)
+        self.reserve_s = settle_reserve(request, now)
+        self.settle_at = request.deadline_at - self.reserve_s
         self.attempts: dict[int, Attempt] = {}
         self.checks: list[tuple[float, int]] = []
         self.first_tries = 0
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -30,6 +30,10 @@
 ]
 
 RESTART_TIME_RATIO = 0.3
+CONGESTED_QUEUE_RATIO = 0.1
+CONGESTED_REPLY_RATIO = 0.5
+NOT_HELPED_BY_RETRY = frozenset({MissingReason.TOO_LARGE, MissingReason.NO_MEMORY})
+QUEUED_OUT = frozenset({Outcome.LATE, Outcome.SHED, Outcome.NOT_RUN})
 
 
 class Search:
@@ -61,6 +65,11 @@
         self.open_count = len(self.services)
         self.began = False
         self.reserved_bytes = 0
+        self.congested_replies = 0
+        self.unanswered = 0
+        self.most_queued_ms = (
+            (request.deadline_at - now) * 1000.0 * CONGESTED_QUEUE_RATIO
+        )
         self.states: dict[str, list[ServiceState]] = {}
         for state in self.services:
             self.states.setdefault(state.index, []).append(state)
@@ -94,7 +103,7 @@
         index = self.indexes[state.index]
         self.began = self.began or reply.began
         reason = self.accept(index, attempt, reply)
-        self.observe(attempt, reply.outcome, reason, now)
+        self.observe(attempt, reply, reason, now)
         if reason is None:
             actions = self.answer_service(state, now)
         else:
@@ -164,12 +173,15 @@
     def observe(
         self,
         attempt: Attempt,
-        outcome: Outcome,
+        reply: SubReply,
         reason: MissingReason | None,
         now: float,
     ) -> None:
         """Tell the shared estimates how a sub-query ended."""
         elapsed_ms = (now - attempt.sent_at) * 1000.0
+        queued_out = reply.outcome in QUEUED_OUT
+        self.congested_replies += queued_out or reply.queued_ms > self.most_queued_ms
+        outcome = reply.outcome
         if outcome is Outcome.ANSWERED and reason is not None:
             wrong_version = reason is MissingReason.WRONG_VERSION
             outcome = Outcome.WRONG_VERSION if wrong_version else Outcome.GARBLED
@@ -177,6 +189,15 @@
         if outcome is Outcome.ANSWERED:
             self.policy.latencies.record(attempt.service.index, elapsed_ms)
 
+    def was_congested(self) -> bool:
+        """Tell whether most services were held up by queues, not by a few stragglers.
+
+        A reply counts that spent ``CONGESTED_QUEUE_RATIO`` of the query's time queued
+        or was refused, and a service that has no reply at the settlement.
+        """
+        held_up = self.congested_replies + self.unanswered
+        return held_up > CONGESTED_REPLY_RATIO * len(self.services)
+
     def abandon(self, state: ServiceState, now: float) -> list[Action]:
         """Cancel what is out of a service; its targets may have begun."""
         if not state.outstanding:
@@ -196,6 +217,9 @@
         if state.outstanding:
             return []
         reason = state.reason
+        if reason in NOT_HELPED_BY_RETRY:
+            self.close(state, reason)
+            return []
         snapshot = self.indexes[state.index].snapshot
         actions = self.fan_out.send_extra(state, snapshot, now)
         if not actions:
@@ -285,6 +309,8 @@
     def settle(self, now: float) -> list[Action]:
         """Cancel what is out and answer the caller."""
         self.began = self.began or bool(self.fan_out.attempts)
+        if now >= self.request.deadline_at - self.fan_out.reserve_s:
+            self.unanswered = self.open_count
         actions = self.fan_out.abandon(tuple(self.fan_out.attempts), now)
         self.settled = True
         self.policy.memory.release(self.reserved_bytes)
--- /dev/null
+++ b/tests/query/test_admission.py
@@ -0,0 +1,135 @@
+"""Tests of admission."""
+
+from __future__ import annotations
+
+import pytest
+
+from sardinehook.environment.document import Limits, Scope, Workload
+from sardinehook.errors import ErrorKind
+from sardinehook.messages import Outcome
+from sardinehook.query.admission import FIRST_LIMIT, Admission, Ticket
+from sardinehook.query.coverage import MissingReason
+from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.policy import SearchPolicy
+from tests.query.support import (
+    RETRYING,
+    page_body,
+    plans,
+    reply_to,
+    sent,
+    settlement,
+    start,
+)
+
+STORM = Workload(["logs"], Scope.ALL, 150.0, 0.5, priority=0)
+AUDIT = Workload(["logs"], Scope.ALL, 1000.0, 0.95, priority=9)
+
+
+def admit(admission: Admission, workload: Workload, cost: int, now: float) -> Ticket:
+    return admission.admit("any", workload, cost, 100.0, now).unwrap()
+
+
+class TestAdmission:
+    def test_audits_are_refused_before_storm_counts(self) -> None:
+        admission = Admission(Limits())
+        admit(admission, STORM, int(FIRST_LIMIT / 2), 0.0)
+        problem = admission.admit("audit", AUDIT, 10, 900.0, 0.0).failure()
+        assert problem.kind is ErrorKind.OVERLOADED
+        assert problem.answer.not_run
+        admit(admission, STORM, 10, 0.0)
+
+    def test_bound_shrinks_under_congestion_and_grows_back(self) -> None:
+        admission = Admission(Limits())
+        for number in range(40):
+            now = number * 0.2
+            ticket = admit(admission, STORM, 50, now)
+            admission.finish(ticket, True, True, now)
+        shrunk = admission.limit
+        assert shrunk < 50
+        for number in range(100):
+            now = 10.0 + number * 0.2
+            ticket = admit(admission, STORM, 50, now)
+            admission.finish(ticket, False, True, now)
+        assert admission.limit > shrunk
+
+    def test_bound_does_not_grow_unused(self) -> None:
+        admission = Admission(Limits())
+        admission.finish(admit(admission, STORM, 1, 0.0), False, True, 0.1)
+        assert admission.limit == FIRST_LIMIT
+
+    def test_one_congestion_shrinks_the_bound_once(self) -> None:
+        admission = Admission(Limits())
+        tickets = [admit(admission, STORM, 50, 0.0) for _ in range(5)]
+        limits = []
+        for ticket in tickets:
+            admission.finish(ticket, True, True, 0.1)
+            limits.append(admission.limit)
+        assert len(set(limits)) == 1
+
+    def test_something_is_always_let_through(self) -> None:
+        admission = Admission(Limits())
+        admission.limit = 1.0
+        admit(admission, AUDIT, 740, 0.0)
+
+    def test_deadline_that_cannot_be_met_is_refused(self) -> None:
+        admission = Admission(Limits())
+        for number in range(100):
+            ticket = admit(admission, STORM, 1, number)
+            admission.finish(ticket, False, True, number + 0.05)
+        admit(admission, STORM, 1, 200.0)
+        problem = admission.admit("any", STORM, 1, 20.0, 200.0).failure()
+        assert problem.kind is ErrorKind.DEADLINE_TOO_SHORT
+        assert admission.admit("any", STORM, 1, 60.0, 200.0).unwrap()
+
+    def test_requests_in_flight_are_bounded(self) -> None:
+        admission = Admission(Limits(requests_in_flight=1))
+        ticket = admit(admission, STORM, 1, 0.0)
+        problem = admission.admit("any", STORM, 1, 100.0, 0.0).failure()
+        assert problem.kind is ErrorKind.OVERLOADED
+        admission.finish(ticket, False, True, 0.1)
+        admit(admission, STORM, 1, 0.1)
+
+    def test_short_memory_refuses(self) -> None:
+        memory = MemoryMeter(100)
+        memory.reserve(90)
+        admission = Admission(Limits(), memory)
+        problem = admission.admit("any", STORM, 1, 100.0, 0.0).failure()
+        assert problem.kind is ErrorKind.OVERLOADED
+
+
+class TestCongestion:
+    @pytest.mark.parametrize(("slow", "congested"), [(1, False), (3, True)])
+    def test_a_straggler_is_no_congestion(self, slow: int, congested: bool) -> None:
+        search, actions = start(plans(4, replicas=1))
+        for number, query in enumerate(sent(actions)):
+            queued_ms = 40.0 if number < slow else 0.0
+            search.on_reply(reply_to(query)._replace(queued_ms=queued_ms), 0.05)
+        assert search.settled
+        assert search.was_congested() is congested
+
+    def test_no_reply_by_the_deadline_is_congestion(self) -> None:
+        search, _ = start(plans(4, replicas=1))
+        search.on_timer(0.15)
+        assert search.was_congested()
+
+
+class TestMemory:
+    def test_replies_beyond_the_process_bound_are_missing(self) -> None:
+        body = page_body(("a", 1.0, "x" * 100))
+        policy = SearchPolicy(memory=MemoryMeter(2 * len(body)))
+        search, actions = start(plans(4, replicas=1), policy=policy)
+        for query in sent(actions):
+            actions = search.on_reply(reply_to(query, body=body), 0.01)
+        missing = settlement(actions).coverage.missing
+        assert [held.reason for held in missing] == [MissingReason.NO_MEMORY] * 2
+        assert policy.memory.held_bytes == 0
+
+    def test_memory_is_given_back(self) -> None:
+        policy = SearchPolicy()
+        search, actions = start(plans(4), RETRYING, policy=policy)
+        first, second, *_ = sent(actions)
+        search.on_reply(reply_to(first), 0.01)
+        search.on_reply(reply_to(second, Outcome.FAILED), 0.01)
+        assert policy.memory.held_bytes > 0
+        search.on_timer(0.15)
+        assert policy.memory.held_bytes == 0
