Repeat a slow sub-query at a replica that is not much slower

A hedge that only had a replica known to be slow to go to gained nothing, and a service with both tries slow had no third. Now a hedge may go to the same replica again, up to three attempts for a service.

--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -93,7 +93,7 @@
         self, state: ServiceState, snapshot: Snapshot | None, now: float
     ) -> list[Action]:
         """Ask another replica if there is one, with time and budget left."""
-        replica = state.next_replica()
+        replica = state.next_replica(self.policy.chooser)
         if replica is None or not self.has_time(state.index, now):
             return []
         if not self.pay(1, now):
--- a/sardinehook/query/plan.py
+++ b/sardinehook/query/plan.py
@@ -5,12 +5,15 @@
 from typing import NamedTuple
 
 from sardinehook.query.coverage import MissingReason
+from sardinehook.query.replica_choice import ReplicaChooser
 from sardinehook.query.snapshot import Snapshot
 
 __all__ = ["Attempt", "SearchRequest", "ServicePlan", "ServiceState"]
 
 MOST_ATTEMPTS = 3
-REPEATABLE = frozenset({MissingReason.CONNECTION_LOST, MissingReason.GARBLED})
+REPEATABLE = frozenset(
+    {MissingReason.CONNECTION_LOST, MissingReason.GARBLED, MissingReason.LATE}
+)
 
 
 class SearchRequest(NamedTuple):
@@ -77,18 +80,19 @@
         self.reason = MissingReason.NOT_ASKED
         self.closed = False
 
-    def next_replica(self) -> str | None:
+    def next_replica(self, chooser: ReplicaChooser) -> str | None:
         """Return the replica to try next, ``None`` if there is none.
 
-        Replicas that were not asked go first. Then one may be asked again whose
-        failure tells nothing of the next try, as a lost connection.
+        Replicas that were not asked go first, unless the next one is known to be much
+        slower than one that may be asked again: one whose failure tells nothing of
+        the next try, as a lost connection or a reply that is merely slow.
         """
         if self.attempt_count >= MOST_ATTEMPTS:
             return None
-        for replica in self.replicas:
-            if replica not in self.tried:
-                return replica
-        for replica in self.replicas:
-            if self.tried[replica] in REPEATABLE:
-                return replica
-        return None
+        untried = next((name for name in self.replicas if name not in self.tried), None)
+        again = next(
+            (name for name in self.replicas if self.tried.get(name) in REPEATABLE), None
+        )
+        if untried is None or again is None:
+            return untried or again
+        return again if chooser.is_much_slower(untried, again) else untried
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -16,6 +16,7 @@
 FAILURE_COST_MS = 200.0
 FAILURE_HALF_LIFE_S = 5.0
 PROBE_INTERVAL_S = 1.0
+MUCH_SLOWER_RATIO = 3.0
 FIRST_GUESS_MS = 5.0
 REMOTE_COST_MS = 15.0
 COLD_COST_MS = 500.0
@@ -162,6 +163,11 @@
         self.move_probe_first(ordered, now)
         return tuple([placement.replica for placement in ordered])
 
+    def is_much_slower(self, replica: str, than: str) -> bool:
+        """Tell whether ``replica`` was seen to be several times slower than another."""
+        slow = self.record_of(replica).latency_ms
+        return slow > MUCH_SLOWER_RATIO * self.record_of(than).latency_ms > 0.0
+
     def usable(self, placements: Sequence[Placement]) -> list[str]:
         """Return the replicas that may be asked, in no order."""
         return [
