--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -41,7 +41,8 @@
         self.workload = workload
         self.policy = policy
         self.budget = policy.budgets.of(request.workload, now)
-        self.settle_at = request.deadline_at - settle_reserve(request, now)
+        self.reserve_s = settle_reserve(request, now)
+        self.settle_at = request.deadline_at - self.reserve_s
         self.attempts: dict[int, Attempt] = {}
         self.checks: list[tuple[float, int]] = []
         self.first_tries = 0
@@ -92,7 +93,7 @@
         self, state: ServiceState, snapshot: Snapshot | None, now: float
     ) -> list[Action]:
         """Ask another replica if there is one, with time and budget left."""
-        replica = state.next_replica()
+        replica = state.next_replica(self.policy.chooser)
         if replica is None or not self.has_time(state.index, now):
             return []
         if not self.pay(1, now):
