--- a/sardinehook/environment/holder.py
+++ b/sardinehook/environment/holder.py
@@ -15,8 +15,10 @@
 class DocumentHolder:
     """Aggregate that keeps the highest revision it was offered in force.
 
-    Revisions of other environments are refused; an empty ``environment`` stands for
-    that of the first revision taken.
+    ``canonical`` is the canonical form of the document in force.
+
+    Revisions of other environments are refused; an empty ``environment``
+    stands for that of the first revision taken.
 
     >>> DocumentHolder("trial").in_force is None
     True
@@ -25,6 +27,7 @@
     def __init__(self, environment: str = "") -> None:
         self.environment = environment
         self.in_force: Revision | None = None
+        self.canonical = b""
         self.listeners: list[Listener] = []
 
     @property
@@ -42,9 +45,11 @@
             return False
         if self.environment not in ("", revision.document.environment):
             return False
-        if digest_of(canonical_bytes(revision.document)) != revision.digest:
+        canonical = canonical_bytes(revision.document)
+        if digest_of(canonical) != revision.digest:
             return False
         self.environment = revision.document.environment
+        self.canonical = canonical
         self.in_force = revision
         for listener in tuple(self.listeners):
             listener(revision)
--- a/sardinehook/environment/revision.py
+++ b/sardinehook/environment/revision.py
@@ -17,11 +17,13 @@
 from sardinehook.errors import ErrorKind, Problem
 
 __all__ = [
+    "Envelope",
     "Revision",
     "decode_revision",
     "encode_revision",
     "head_key",
     "make_revision",
+    "refusal",
     "revision_key",
     "revision_prefix",
     "revision_with",
@@ -29,7 +31,7 @@
 
 CANONICAL_BYTES = 4_194_304
 ENVELOPE_BYTES = CANONICAL_BYTES + 65_536
-COMPRESSION_LEVEL = 9
+COMPRESSION_LEVEL = 3
 NUMBER_DIGITS = 12
 
 
@@ -105,17 +107,15 @@
         envelope = msgspec.msgpack.decode(packed, type=Envelope)
     except (zstandard.ZstdError, msgspec.MsgspecError) as error:
         return Failure(refusal(str(error)))
-    return revision_with(envelope, envelope.canonical)
+    return revision_with(envelope)
 
 
-def revision_with(
-    identity: Revision | Envelope, canonical: bytes
-) -> Result[Revision, Problem]:
-    """Make a revision from its identity and canonical form, and verify the digest."""
-    if digest_of(canonical) != identity.digest:
+def revision_with(envelope: Envelope) -> Result[Revision, Problem]:
+    """Make a revision from its stored form and verify the digest."""
+    if digest_of(envelope.canonical) != envelope.digest:
         return Failure(refusal("the digest does not match"))
-    return document_from(canonical).map(
-        lambda document: Revision(*identity[:-1], document)
+    return document_from(envelope.canonical).map(
+        lambda document: Revision(*envelope[:-1], document)
     )
 
 
