Admit each priority by a bound of its own

Audits' congestion shrank the one bound that storm counts shared, though targets serve storm counts first. Each priority now has its own bound for what is in flight of itself and better ones.

--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -282,7 +282,7 @@
         name, workload = arrivals.workload_name, arrivals.workload
         cost = len(self.services)
         if self.admission is None:
-            return Ticket(name, cost, now)
+            return Ticket(name, workload.priority, cost, now)
         admitted = self.admission.admit(name, workload, cost, workload.deadline_ms, now)
         return admitted.value_or(None)
 
--- a/sardinehook/query/admission.py
+++ b/sardinehook/query/admission.py
@@ -19,8 +19,6 @@
 INCREASE_PER_WINDOW = 8.0
 DECREASE_RATIO = 0.85
 DECREASE_INTERVAL_S = 0.1
-RESERVE_RATIO = 0.5
-LAST_PRIORITY = 9
 USED_RATIO = 0.5
 MEMORY_RATIO = 0.8
 DEADLINE_QUANTILE = 0.1
@@ -30,10 +28,22 @@
     """A request that was begun; ``cost`` is its number of sub-queries."""
 
     workload: str
+    priority: int
     cost: int
     admitted_at: float
 
 
+class PriorityClass:
+    """The bound and the sub-queries in flight of one priority."""
+
+    __slots__ = ("decreased_at", "in_flight", "limit")
+
+    def __init__(self) -> None:
+        self.limit = FIRST_LIMIT
+        self.in_flight = 0
+        self.decreased_at = -1e9
+
+
 class Admission:
     """Bounds the sub-queries in flight by what the targets' queues bear.
 
@@ -42,19 +52,19 @@
     avoidance in computer networks", 1989): it grows while it is used and requests
     aren't congested, and shrinks at most once in ``DECREASE_INTERVAL_S`` when one is.
 
-    A workload of a higher ``priority`` number may use a smaller part of the bound, so
-    it is refused first; half of the bound is kept from the last class. A request is
-    always begun if none is in flight, so that the estimates can't lock it out.
+    Each priority has a bound of its own for the sub-queries in flight of itself and
+    of better ones. Targets' queues are served by priority, so the last classes feel
+    congestion first and are refused first, and theirs doesn't shrink the bound of a
+    better class. A request is always begun if none is in flight, so that the
+    estimates can't lock it out.
     """
 
     def __init__(self, limits: Limits, memory: MemoryMeter | None = None) -> None:
         self.limits = limits
         self.memory = memory
-        self.limit = FIRST_LIMIT
-        self.in_flight = 0
+        self.classes: dict[int, PriorityClass] = {}
         self.requests: dict[str, int] = {}
         self.request_count = 0
-        self.decreased_at = -1e9
         self.latencies = LatencyEstimates()
 
     def admit(
@@ -73,10 +83,10 @@
         problem = self.refusal(name, workload, cost, time_left_ms)
         if problem is not None:
             return Failure(problem)
-        self.in_flight += cost
+        self.class_of(workload.priority).in_flight += cost
         self.request_count += 1
         self.requests[name] = self.requests.get(name, 0) + 1
-        return Success(Ticket(name, cost, now))
+        return Success(Ticket(name, workload.priority, cost, now))
 
     def refusal(
         self, name: str, workload: Workload, cost: int, time_left_ms: float
@@ -92,7 +102,8 @@
         if usual_ms > time_left_ms and self.requests.get(name, 0):
             detail = f"{time_left_ms:.1f} ms left, at least {usual_ms:.1f} ms needed"
             return Problem(ErrorKind.DEADLINE_TOO_SHORT, detail)
-        if self.request_count and self.in_flight + cost > self.share(workload.priority):
+        in_flight = self.in_flight(workload.priority)
+        if in_flight and in_flight + cost > self.class_of(workload.priority).limit:
             return Problem(ErrorKind.OVERLOADED, "too many sub-queries in flight")
         return None
 
@@ -100,16 +111,25 @@
         """Tell whether replies in flight leave too little memory."""
         return memory.held_bytes > MEMORY_RATIO * memory.most_bytes
 
-    def share(self, priority: int) -> float:
-        """Return the sub-queries in flight up to which a class is admitted."""
-        return self.limit * (1.0 - RESERVE_RATIO * priority / LAST_PRIORITY)
+    def class_of(self, priority: int) -> PriorityClass:
+        """Return what is known of a priority."""
+        held = self.classes.get(priority)
+        if held is None:
+            held = self.classes[priority] = PriorityClass()
+        return held
+
+    def in_flight(self, priority: int) -> int:
+        """Return the sub-queries in flight of ``priority`` and of better ones."""
+        return sum(
+            held.in_flight for known, held in self.classes.items() if known <= priority
+        )
 
     def finish(
         self, ticket: Ticket, congested: bool, answered: bool, now: float
     ) -> None:
         """Take in the end of a request that was admitted."""
         self.adapt(ticket, congested, now)
-        self.in_flight -= ticket.cost
+        self.class_of(ticket.priority).in_flight -= ticket.cost
         self.request_count -= 1
         self.requests[ticket.workload] -= 1
         if answered:
@@ -117,12 +137,14 @@
             self.latencies.record(ticket.workload, elapsed_ms)
 
     def adapt(self, ticket: Ticket, congested: bool, now: float) -> None:
-        """Move the bound by how a request went."""
+        """Move the bound of a class by how a request of it went."""
+        held = self.class_of(ticket.priority)
+        in_flight = self.in_flight(ticket.priority)
         if congested:
-            if now - self.decreased_at >= DECREASE_INTERVAL_S:
-                base = min(self.limit, float(self.in_flight))
-                self.limit = max(LEAST_LIMIT, base * DECREASE_RATIO)
-                self.decreased_at = now
-        elif self.in_flight > USED_RATIO * self.limit:
-            step = INCREASE_PER_WINDOW * ticket.cost / self.limit
-            self.limit = min(MOST_LIMIT, self.limit + step)
+            if now - held.decreased_at >= DECREASE_INTERVAL_S:
+                base = min(held.limit, float(in_flight))
+                held.limit = max(LEAST_LIMIT, base * DECREASE_RATIO)
+                held.decreased_at = now
+        elif in_flight > USED_RATIO * held.limit:
+            step = INCREASE_PER_WINDOW * ticket.cost / held.limit
+            held.limit = min(MOST_LIMIT, held.limit + step)
