Follow documents through peers, admit searches, log their story

Cause: every node polled the store, all searches were begun, and none left a trace. Change: DocumentControl with two watchers a data centre, Admission, QueryLog in the run.

--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import sys
 import time
 from typing import Any
@@ -9,7 +10,7 @@
 import structlog
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import deferLater
+from twisted.internet.task import LoopingCall, deferLater
 
 from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
 from sardinehook.entry.front import EntryStatus, Response, build_site
@@ -19,7 +20,14 @@
 from sardinehook.entry.view_exchange import ViewExchange
 from sardinehook.environment.document import DataCentreState
 from sardinehook.environment.holder import DocumentHolder
-from sardinehook.environment.revision import Revision, decode_revision, head_key
+from sardinehook.environment.revision import Revision
+from sardinehook.environment.spread import (
+    Message,
+    RevisionAnnounce,
+    RevisionDelta,
+    RevisionRequest,
+)
+from sardinehook.environment.watcher import DocumentControl
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.fleet.link import Links, split_address
 from sardinehook.fleet.static import Member, StaticFleet
@@ -38,9 +46,9 @@
 logger = structlog.get_logger(__name__)
 
 STORE_TIMEOUT_MS = 1000.0
-WATCH_WAIT_MS = 10_000.0
-WATCH_RETRY_S = 0.5
 STOP_POLL_S = 0.02
+HOUSEKEEPING_INTERVAL_S = 0.5
+STORE_WATCHERS = 2
 MS_PER_S = 1000.0
 DEFAULT_GRACE_S = 10.0
 
@@ -63,7 +71,11 @@
         self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.owner)
         chooser = ReplicaChooser(settings.data_centre, hash(settings.node))
         self.searches = SearchDesk(
-            reactor, self.dispatcher, SearchPolicy(chooser=chooser), self.metrics
+            reactor,
+            self.dispatcher,
+            SearchPolicy(chooser=chooser),
+            self.metrics,
+            self.clock,
         )
         self.views = ViewExchange(
             reactor,
@@ -72,6 +84,16 @@
             self.links.send,
             self.searches.take_view,
         )
+        self.control = DocumentControl(
+            reactor,
+            self.store,
+            self.holder,
+            self.tell,
+            self.list_connected,
+            random.Random(settings.node),
+        )
+        self.housekeeping = LoopingCall(self.choose_watchers)
+        self.housekeeping.clock = reactor
         self.stopping = False
         self.front: Any = None
         self.wire()
@@ -90,11 +112,33 @@
         ]
         return [own, *peers]
 
+    def list_connected(self) -> list[str]:
+        """List the peers that can be reached now."""
+        return [
+            peer.node for peer in self.settings.peers if self.links.connected(peer.node)
+        ]
+
+    def tell(self, node: str, message: Message) -> None:
+        """Send a message that may be lost."""
+        self.links.send(node, message)
+
+    def choose_watchers(self) -> None:
+        """Watch the store if this is one of the first reachable nodes of its own."""
+        own = self.settings.data_centre
+        reachable = sorted(
+            member.name
+            for member in self.fleet.members(own)
+            if member.name == self.settings.node or self.links.connected(member.name)
+        )
+        self.control.should_watch(self.settings.node in reachable[:STORE_WATCHERS])
+
     def wire(self) -> None:
         """Connect the parts."""
         self.holder.add_listener(self.apply_revision)
         self.links.on(SubQuery, self.take_sub_query)
         self.links.on(CancelSubQuery, self.take_cancel)
+        for message_type in (RevisionAnnounce, RevisionRequest, RevisionDelta):
+            self.links.on(message_type, self.control.on_message)
         self.links.on(SubReply, self.dispatcher.on_reply)
         self.links.on(ReplicaView, lambda _node, view: self.searches.take_view(view))
         self.links.on_down(self.dispatcher.on_link_down)
@@ -126,7 +170,8 @@
             port, build_site(self), backlog=512, interface=host
         )
         self.views.start()
-        Deferred.fromCoroutine(self.follow_document())
+        self.control.start()
+        self.housekeeping.start(HOUSEKEEPING_INTERVAL_S)
         log_event(
             logger,
             EventName.PROCESS_STARTED,
@@ -135,29 +180,6 @@
         )
         return listening.addCallback(lambda _address: None)
 
-    async def follow_document(self) -> None:
-        """Keep the newest accepted revision in force."""
-        key = head_key(self.settings.environment)
-        after = 0
-        while not self.stopping:
-            match await self.store.watch(key, after, WATCH_WAIT_MS):
-                case Success(None):
-                    continue
-                case Success(entry):
-                    after = entry.revision
-                    self.take_revision(entry.value)
-                case Failure(failure):
-                    logger.warning("store_call_failed", detail=str(failure))
-                    await deferLater(self.reactor, WATCH_RETRY_S)
-
-    def take_revision(self, value: bytes) -> None:
-        """Offer a stored revision to the holder."""
-        match decode_revision(value):
-            case Success(revision):
-                self.holder.offer(revision)
-            case Failure(problem):
-                log_event(logger, EventName.REVISION_REFUSED, detail=problem.detail)
-
     def apply_revision(self, revision: Revision) -> None:
         """Put a revision in force in every part of the process."""
         document = revision.document
@@ -259,6 +281,8 @@
         while self.searches.in_flight and self.reactor.seconds() < give_up_at:
             await deferLater(self.reactor, STOP_POLL_S)
         await self.owner.close(max(0.0, give_up_at - self.reactor.seconds()))
+        self.housekeeping.stop()
+        self.control.stop()
         self.views.stop()
         await self.links.close()
         log_event(logger, EventName.PROCESS_STOPPED)
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import structlog
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred, succeed
 
@@ -12,22 +13,29 @@
 from sardinehook.environment.document import EnvironmentDocument
 from sardinehook.errors import Problem
 from sardinehook.messages import ReplicaView
+from sardinehook.observe.clock import HybridClock
+from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.metrics import Metrics
+from sardinehook.observe.sampling import QueryLog, QuerySampler
 from sardinehook.platform.timers import Timers
 from sardinehook.query.actions import Settle
-from sardinehook.query.answer import encode_answer
+from sardinehook.query.admission import Admission, Ticket
+from sardinehook.query.answer import SearchAnswer, encode_answer
 from sardinehook.query.planner import Plan, Planner
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.search import Search, SearchRequest
 
 __all__ = ["SearchDesk"]
 
+logger = structlog.get_logger(__name__)
+
 MS_PER_S = 1000.0
 OK = 200
+LOGGED_ONE_IN = 100
 
 
 class SearchDesk:
-    """Plans, runs and answers searches; counts those in flight."""
+    """Plans, admits, runs and answers searches; counts those in flight."""
 
     def __init__(
         self,
@@ -35,17 +43,22 @@
         dispatcher: Dispatcher,
         policy: SearchPolicy,
         metrics: Metrics,
+        clock: HybridClock,
     ) -> None:
         self.reactor = reactor
         self.dispatcher = dispatcher
         self.policy = policy
         self.planner = Planner(policy)
+        self.admission = Admission(policy.limits, policy.memory)
         self.metrics = metrics
+        self.clock = clock
+        self.sampler = QuerySampler(LOGGED_ONE_IN)
         self.in_flight = 0
 
     def configure(self, document: EnvironmentDocument) -> None:
         """Use the services of a new document."""
         self.planner.apply(document)
+        self.admission.limits = document.limits
 
     def take_view(self, view: ReplicaView) -> None:
         """Use what an owner tells of its replica."""
@@ -57,26 +70,52 @@
         planned = self.planner.plan(request.workload, request.service, now)
         match planned:
             case Failure(problem):
-                return succeed(problem)
+                return succeed(self.refuse(request, problem))
             case Success(plan):
-                return self.run_plan(request, plan, now)
+                return self.admit(request, plan, now)
         raise AssertionError("a result is a success or a failure")
 
-    def run_plan(
+    def admit(
         self, request: CallerRequest, plan: Plan, now: float
     ) -> Deferred[Response]:
-        """Run a planned search."""
-        search = self.build(request, plan, now)
-        result: Deferred[Response] = Deferred(lambda _result: run.abandon())
+        """Run a planned search if it can be answered in time."""
+        admitted = self.admission.admit(
+            request.workload_name,
+            request.workload,
+            len(plan.services),
+            request.deadline_ms,
+            now,
+        )
+        match admitted:
+            case Failure(problem):
+                return succeed(self.refuse(request, problem))
+            case Success(ticket):
+                return self.run_admitted(request, plan, ticket)
+        raise AssertionError("a result is a success or a failure")
+
+    def run_admitted(
+        self, request: CallerRequest, plan: Plan, ticket: Ticket
+    ) -> Deferred[Response]:
+        """Run a search that was admitted."""
+        search = self.build(request, plan, ticket.admitted_at)
+        log = QueryLog(logger, self.clock, self.sampler, request.request_id)
+        result: Deferred[Response] = Deferred(lambda _result: run.give_up())
 
         def settled(settle: Settle) -> None:
             self.in_flight -= 1
-            response = self.finish(request, settle, self.reactor.seconds() - now)
+            response = self.finish(request, run, ticket, settle)
             if not result.called:
                 result.callback(response)
 
-        run = SearchRun(self.reactor, search, self.dispatcher, settled)
+        run = SearchRun(self.reactor, search, self.dispatcher, log, settled)
         self.in_flight += 1
+        self.metrics.in_flight.set(self.in_flight)
+        log.note(
+            EventName.QUERY_RECEIVED,
+            workload=request.workload_name,
+            deadline_ms=request.deadline_ms,
+            asked=len(plan.services),
+        )
         run.begin()
         return result
 
@@ -98,13 +137,57 @@
             now,
         )
 
-    def finish(self, request: CallerRequest, settle: Settle, took_s: float) -> Response:
-        """Count a settled search and build its response."""
+    def refuse(self, request: CallerRequest, problem: Problem) -> Problem:
+        """Count and log a search that was not begun."""
+        self.metrics.observe_refusal(request.workload_name, 0.0, problem.kind)
+        log_event(
+            logger,
+            EventName.QUERY_REFUSED,
+            request=request.request_id,
+            workload=request.workload_name,
+            kind=problem.kind.value,
+            detail=problem.detail,
+        )
+        return problem
+
+    def finish(
+        self, request: CallerRequest, run: SearchRun, ticket: Ticket, settle: Settle
+    ) -> Response:
+        """Count and log a settled search and build its response."""
+        now = self.reactor.seconds()
         name = request.workload_name
+        took_s = now - ticket.admitted_at
+        answered = isinstance(settle.outcome, SearchAnswer)
+        self.metrics.in_flight.set(self.in_flight)
+        self.admission.finish(ticket, run.search.was_congested(), answered, now)
+        for attempt, count in run.attempts.items():
+            self.metrics.count_sub_queries(name, attempt, count)
         match settle.outcome:
             case Problem() as problem:
                 self.metrics.observe_refusal(name, took_s, problem.kind)
+                self.log_end(EventName.QUERY_FAILED, run, settle, took_s, problem)
                 return problem
             case answer:
                 self.metrics.observe_answer(name, took_s, answer.coverage.ratio)
+                self.log_end(EventName.QUERY_ANSWERED, run, settle, took_s, None)
                 return BodyResponse(OK, encode_answer(answer))
+
+    def log_end(
+        self,
+        event: EventName,
+        run: SearchRun,
+        settle: Settle,
+        took_s: float,
+        problem: Problem | None,
+    ) -> None:
+        """Write the story of a search if it is sampled or in trouble."""
+        coverage = settle.coverage
+        written = run.log.end(
+            event,
+            problem is not None,
+            kind=problem.kind.value if problem else "",
+            asked=coverage.asked,
+            answered=coverage.answered,
+            took_ms=took_s * MS_PER_S,
+        )
+        self.metrics.log_queries.labels(str(written).lower()).inc()
