--- a/sardinehook/environment/spread.py
+++ b/sardinehook/environment/spread.py
@@ -26,6 +26,7 @@
 from sardinehook.errors import Problem
 
 __all__ = [
+    "DIGEST_CHARACTERS",
     "Message",
     "RevisionAnnounce",
     "RevisionDelta",
@@ -40,6 +41,8 @@
 START_INTERVAL_S = 0.25
 START_SETTLE_S = 0.4
 START_PEERS = 16
+SILENCE_S = 5.0
+PROBED_PEERS = 3
 REQUEST_TIMEOUT_S = 0.5
 REQUEST_TRIES = 3
 DIGEST_CHARACTERS = 12
@@ -148,8 +151,18 @@
     def tick(self, peers: Sequence[str], now: float) -> list[Send]:
         """Send what is due from time to time, and ask again for what is missing."""
         asked = START_PEERS if self.holder.in_force is None else 1
-        chosen = self.rng.sample(list(peers), min(asked, len(peers)))
-        return [self.announce_to(peer) for peer in chosen] + self.ask(now)
+        announced = [self.announce_to(peer) for peer in self.choose(peers, asked)]
+        probed = self.probe(peers) if now - self.heard_at > SILENCE_S else []
+        return announced + probed + self.ask(now)
+
+    def probe(self, peers: Sequence[str]) -> list[Send]:
+        """Ask a few peers for a sign of life, which an answer to a request is."""
+        request = self.own_request()
+        return [Send(peer, request) for peer in self.choose(peers, PROBED_PEERS)]
+
+    def choose(self, peers: Sequence[str], count: int) -> list[str]:
+        """Choose some peers at random."""
+        return self.rng.sample(list(peers), min(count, len(peers)))
 
     def next_tick_s(self) -> float:
         """The time until the next tick is due."""
@@ -161,8 +174,7 @@
         """Put a revision in force if it is newer, and tell a few peers at once."""
         if not self.holder.offer(revision):
             return []
-        chosen = self.rng.sample(list(peers), min(FANOUT, len(peers)))
-        return [self.announce_to(peer) for peer in chosen]
+        return [self.announce_to(peer) for peer in self.choose(peers, FANOUT)]
 
     def receive(
         self, peer: str, message: Message, peers: Sequence[str], now: float
@@ -220,14 +232,20 @@
 
     def request(self, peer: str, now: float, tries: int, whole: bool) -> Send:
         """Ask a peer for its revision, as a whole if differences don't apply."""
-        own = self.holder.in_force
         self.counts.requests += 1
         number = self.newer.get(peer, NO_REVISION)
         until = now + REQUEST_TIMEOUT_S
         self.pending = Pending(peer, number, until, tries, whole)
-        if own is None or whole:
+        if whole:
             return Send(peer, RevisionRequest(NO_REVISION, ""))
-        return Send(peer, RevisionRequest(own.number, own.digest))
+        return Send(peer, self.own_request())
+
+    def own_request(self) -> RevisionRequest:
+        """A request for what is newer than our own."""
+        own = self.holder.in_force
+        if own is None:
+            return RevisionRequest(NO_REVISION, "")
+        return RevisionRequest(own.number, own.digest)
 
     def answer(self, peer: str, have: int, have_digest: str) -> list[Send]:
         """Send our revision to a peer that has an older one."""
--- a/sardinehook/environment/store_watch.py
+++ b/sardinehook/environment/store_watch.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.environment.revision import Revision, decode_revision, head_key
+from sardinehook.observe.events import EventName, log_event
 from sardinehook.platform.store import Entry, Store, StoreFailure
 from sardinehook.platform.timers import Timers
 
@@ -93,10 +94,10 @@
         wait_ms = WAIT_MS * self.rng.uniform(0.8, 1.2)
         match await self.store.watch(self.key, self.after, wait_ms):
             case Success(Entry() as entry):
-                self.failures_in_a_row = 0
+                self.recover()
                 self.take(entry)
             case Success(None):
-                self.failures_in_a_row = 0
+                self.recover()
             case Failure(failure):
                 await self.back_off(failure)
 
@@ -109,7 +110,19 @@
                 self.offer(revision)
             case Failure(problem):
                 self.counts.refused += 1
-                logger.error("revision_refused", key=self.key, detail=problem.detail)
+                log_event(
+                    logger,
+                    EventName.REVISION_REFUSED,
+                    key=self.key,
+                    cause="store",
+                    detail=problem.detail,
+                )
+
+    def recover(self) -> None:
+        """Note that the service answers."""
+        if self.failures_in_a_row:
+            failures, self.failures_in_a_row = self.failures_in_a_row, 0
+            log_event(logger, EventName.STORE_UP, key=self.key, count=failures)
 
     async def back_off(self, failure: StoreFailure) -> None:
         """Wait after a failure, longer after each and never all nodes alike."""
@@ -117,7 +130,7 @@
         self.failures_in_a_row += 1
         self.after = 0
         if self.failures_in_a_row == 1:
-            logger.warning("store_watch_failed", detail=str(failure))
+            log_event(logger, EventName.STORE_DOWN, key=self.key, detail=str(failure))
         ceiling = BACK_OFF_FIRST_S * 2.0 ** min(self.failures_in_a_row, 16)
         await self.pause(self.rng.uniform(0.1, 1.0) * min(BACK_OFF_MOST_S, ceiling))
 
@@ -130,4 +143,5 @@
         if isinstance(failure.value, CancelledError):
             return
         self.running = None
-        logger.error("store_watch_died", detail=repr(failure.value))
+        detail = repr(failure.value)
+        log_event(logger, EventName.UNHANDLED_ERROR, key=self.key, detail=detail)
--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/watcher.py
@@ -10,6 +10,7 @@
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision
 from sardinehook.environment.spread import (
+    DIGEST_CHARACTERS,
     Message,
     RevisionAnnounce,
     RevisionDelta,
@@ -19,20 +20,27 @@
 )
 from sardinehook.environment.store_watch import StoreWatch
 from sardinehook.fleet.wire import register_message
+from sardinehook.observe.events import EventName, log_event
 from sardinehook.platform.store import Store
 from sardinehook.platform.timers import Timer, Timers
 
-__all__ = ["DocumentControl"]
+__all__ = ["DocumentControl", "register_messages"]
 
 logger = structlog.get_logger(__name__)
 
-ISOLATED_S = 8.0
+ISOLATED_S = 9.0
 START_READ_S = 0.5
 START_READS_PER_S = 200.0
 
-register_message(20, RevisionAnnounce)
-register_message(21, RevisionRequest)
-register_message(22, RevisionDelta)
+
+def register_messages() -> None:
+    """Give the messages about revisions their numbers on the wire."""
+    register_message(20, RevisionAnnounce)
+    register_message(21, RevisionRequest)
+    register_message(22, RevisionDelta)
+
+
+register_messages()
 
 
 class DocumentControl:
@@ -63,6 +71,7 @@
         )
         self.told_to_watch = False
         self.timer: Timer | None = None
+        self.retry_timer: Timer | None = None
         self.read_from = 0.0
 
     def start(self) -> None:
@@ -78,9 +87,10 @@
 
     def stop(self) -> None:
         """Stop watching and sending."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
+        for timer in (self.timer, self.retry_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
+        self.timer = self.retry_timer = None
         self.watch.stop()
 
     def should_watch(self, told: bool) -> None:
@@ -94,6 +104,7 @@
         now = self.reactor.seconds()
         before = self.holder.number
         self.send_all(self.spread.receive(peer, message, self.peers(), now))
+        self.arm_retry(now)
         self.log_change(before, peer)
 
     def offer_from_store(self, revision: Revision) -> None:
@@ -112,6 +123,20 @@
         """Set the timer of the next tick."""
         self.timer = self.reactor.callLater(self.spread.next_tick_s(), self.tick)
 
+    def arm_retry(self, now: float) -> None:
+        """Set the timer after which a request without an answer is sent again."""
+        running = self.retry_timer is not None and self.retry_timer.active()
+        if self.spread.pending is None or self.timer is None or running:
+            return
+        delay_s = max(0.0, self.spread.pending.until - now)
+        self.retry_timer = self.reactor.callLater(delay_s, self.retry)
+
+    def retry(self) -> None:
+        """Ask again if the answer is overdue."""
+        now = self.reactor.seconds()
+        self.send_all(self.spread.ask(now))
+        self.arm_retry(now)
+
     def settle_watch(self) -> None:
         """Start or stop the watch of the store as wanted."""
         if self.wants_watch(self.reactor.seconds()):
@@ -139,11 +164,10 @@
         revision = self.holder.in_force
         if revision is None or revision.number == before:
             return
-        logger.info(
-            "revision_in_force",
-            environment=self.holder.environment,
+        log_event(
+            logger,
+            EventName.REVISION_IN_FORCE,
             revision=revision.number,
-            digest=revision.digest[:12],
-            change=revision.change_id,
-            source=source,
+            cause=source,
+            detail=f"digest {revision.digest[:DIGEST_CHARACTERS]}",
         )
