--- a/bench/platform.py
+++ b/bench/platform.py
@@ -125,7 +125,10 @@
             self.counts.refused += 1
             self.finish(request, Reply(429))
             return
-        self.serve(request, path)
+        try:
+            self.serve(request, path)
+        except ValueError as error:
+            self.finish(request, Reply(400, {"detail": str(error)}))
 
     def count(self, request: Request, path: str) -> None:
         """Count a call."""
@@ -273,9 +276,13 @@
         if path == "/history":
             return Reply(200, [change._asdict() for change in self.history])
         try:
-            control = msgspec.json.decode(body_of(request), type=Control)
+            given = msgspec.json.decode(body_of(request), type=dict[str, object])
+            control = msgspec.convert(given, Control)
         except msgspec.MsgspecError as error:
             return Reply(400, {"detail": str(error)})
+        unknown = sorted(given.keys() - Control.__annotations__.keys())
+        if unknown:
+            return Reply(400, {"detail": f"unknown: {', '.join(unknown)}"})
         self.control(control)
         return Reply(200, {})
 
--- /dev/null
+++ b/tests/environment/test_node_status.py
@@ -0,0 +1,58 @@
+"""Tests of what is told about the nodes."""
+
+from __future__ import annotations
+
+import pytest
+from returns.result import Failure, Success
+
+from sardinehook.environment.node_status import NodeState, node_status
+from sardinehook.platform.http_call import HttpReply
+from sardinehook.platform.store import StoreUnavailable
+from sardinehook.platform.vm_list import Vm, VmState
+from tests.environment.documents import revision
+
+ACCEPTED = revision(5)
+VM = Vm("entry-1", "szolnok-b", "127.0.0.1:1", 1, VmState.LIVE)
+
+
+def told(environment: str, number: int, digest: str) -> bytes:
+    """The body of a node's status."""
+    return (
+        f'{{"environment":"{environment}","revision":{number},"digest":"{digest}",'
+        '"node":"entry-1","ready":true}'
+    ).encode()
+
+
+class TestNodeStatus:
+    @pytest.mark.parametrize(
+        ("environment", "number", "digest", "state"),
+        [
+            ("trial", 5, ACCEPTED.digest, NodeState.IN_FORCE),
+            ("trial", 5, "other", NodeState.DIFFERS),
+            ("trial", 4, "other", NodeState.BEHIND),
+            ("trial", 6, "other", NodeState.AHEAD),
+            ("trial", 0, "", NodeState.NO_DOCUMENT),
+            ("production", 5, ACCEPTED.digest, NodeState.OTHER_ENVIRONMENT),
+        ],
+    )
+    def test_answer_is_compared(
+        self, environment: str, number: int, digest: str, state: NodeState
+    ) -> None:
+        answer = Success(HttpReply(200, told(environment, number, digest)))
+        found = node_status(VM, ACCEPTED, answer)
+        assert (found.state, found.revision) == (state, number)
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            Success(HttpReply(200, b"[]")),
+            Success(HttpReply(503, b"")),
+            Failure(StoreUnavailable("refused", may_have_taken_effect=False)),
+        ],
+    )
+    def test_no_answer_is_unreachable_with_a_reason(
+        self, answer: Success[HttpReply] | Failure[StoreUnavailable]
+    ) -> None:
+        found = node_status(VM, ACCEPTED, answer)
+        assert found.state is NodeState.UNREACHABLE
+        assert found.detail
