Learn that a replica is slow from the sub-queries given up on it

A reply given up after a hedge was averaged with the little time it had been waited for, so a replica 20 times slower looked 3 times slower at most. How often a replica was slow is now a measure of its own.

--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -17,6 +17,10 @@
 FAILURE_HALF_LIFE_S = 5.0
 PROBE_INTERVAL_S = 1.0
 MUCH_SLOWER_RATIO = 3.0
+SLOW_RATIO = 2.0
+SLOW_WEIGHT = 0.1
+SLOW_COST_MS = 50.0
+MUCH_SLOWER_DIFFERENCE = 0.2
 FIRST_GUESS_MS = 5.0
 REMOTE_COST_MS = 15.0
 COLD_COST_MS = 500.0
@@ -34,7 +38,9 @@
     """What this process has seen of one replica.
 
     ``latency_ms`` averages the time from sending to the reply, queueing included.
-    ``failure_ratio`` averages failures; it halves each ``FAILURE_HALF_LIFE_S``.
+    ``slow_ratio`` averages how often a reply took more than ``SLOW_RATIO`` times that,
+    or was given up after such a time. ``failure_ratio`` averages failures; it halves
+    each ``FAILURE_HALF_LIFE_S``.
     ``outstanding`` counts this process's own sub-queries that have no reply.
     """
 
@@ -44,6 +50,7 @@
         "latency_ms",
         "outstanding",
         "seen_at",
+        "slow_ratio",
         "tried_at",
         "view",
         "view_at",
@@ -51,6 +58,7 @@
 
     def __init__(self) -> None:
         self.latency_ms = 0.0
+        self.slow_ratio = 0.0
         self.failure_ratio = 0.0
         self.failed_at = 0.0
         self.outstanding = 0
@@ -65,6 +73,8 @@
         if self.latency_ms == 0.0:
             self.latency_ms = latency_ms
             return
+        slow = latency_ms > SLOW_RATIO * self.latency_ms
+        self.slow_ratio += SLOW_WEIGHT * (float(slow) - self.slow_ratio)
         bounded = min(latency_ms, self.latency_ms * MOST_SAMPLE_RATIO)
         self.latency_ms += SAMPLE_WEIGHT * (bounded - self.latency_ms)
 
@@ -87,12 +97,12 @@
 
     What was seen on real replies goes first: the averaged latency, times one more
     than the own sub-queries that are out (least loaded of two, as in M. Mitzenmacher,
-    "The power of two choices in randomized load balancing", 2001), plus a cost for
-    recent failures. The owner's ``wait_ms`` counts only while nothing was seen for
-    ``HINT_AGE_S``. A replica of another data centre costs ``REMOTE_COST_MS`` more, so
-    work spills only when the own ones are that much worse. Cold replicas come after
-    warm ones, and draining or gone ones and those of a data centre that is out are
-    left away.
+    "The power of two choices in randomized load balancing", 2001), plus costs for slow
+    replies and recent failures. The owner's ``wait_ms`` counts only while nothing was
+    seen for ``HINT_AGE_S``. A replica of another data centre costs ``REMOTE_COST_MS``
+    more, so work spills only when the own ones are that much worse. Cold replicas come
+    after warm ones, and draining or gone ones and those of a data centre that is out
+    are left away.
 
     A replica of the own data centre that looks worse is asked first once in
     ``PROBE_INTERVAL_S`` by this process, so that its recovery is noticed.
@@ -165,8 +175,11 @@
 
     def is_much_slower(self, replica: str, than: str) -> bool:
         """Tell whether ``replica`` was seen to be several times slower than another."""
-        slow = self.record_of(replica).latency_ms
-        return slow > MUCH_SLOWER_RATIO * self.record_of(than).latency_ms > 0.0
+        one = self.record_of(replica)
+        other = self.record_of(than)
+        if one.slow_ratio > other.slow_ratio + MUCH_SLOWER_DIFFERENCE:
+            return True
+        return one.latency_ms > MUCH_SLOWER_RATIO * other.latency_ms > 0.0
 
     def usable(self, placements: Sequence[Placement]) -> list[str]:
         """Return the replicas that may be asked, in no order."""
@@ -212,6 +225,7 @@
             if view.state is TargetState.COLD:
                 cost += COLD_COST_MS
         cost *= record.outstanding + 1
+        cost += SLOW_COST_MS * record.slow_ratio
         if record.failure_ratio:
             cost += FAILURE_COST_MS * record.failures(now)
         if placement.data_centre != self.data_centre:
--- a/tests/query/test_planner.py
+++ b/tests/query/test_planner.py
@@ -159,6 +159,21 @@
             held.observe_sent("own", 0.1)
         assert held.order([OWN, REMOTE], 0.1) == ("remote", "own")
 
+    def test_replica_that_is_always_given_up_as_slow_is_avoided(self) -> None:
+        held = chooser()
+        for _ in range(5):
+            for replica, outcome, latency_ms in (
+                ("own", Outcome.ANSWERED, 4.0),
+                ("twin", Outcome.CANCELLED, 12.0),
+            ):
+                held.observe_sent(replica, 0.0)
+                if held.record_of(replica).latency_ms == 0.0:
+                    held.observe_reply(replica, Outcome.ANSWERED, 4.0, 0.0)
+                held.observe_reply(replica, outcome, latency_ms, 0.0)
+        assert held.order([OWN, TWIN], 0.1) == ("own", "twin")
+        assert held.is_much_slower("twin", "own")
+        assert not held.is_much_slower("own", "twin")
+
     def test_failing_replica_comes_last_and_is_probed(self) -> None:
         held = chooser()
         for replica in ("own", "twin"):
