--- /dev/null
+++ b/sardinehook/fleet/link.py
@@ -0,0 +1,292 @@
+"""Links between entry processes: batches of messages over TCP connections."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar, cast
+
+import structlog
+from twisted.application.internet import backoffPolicy
+from twisted.internet.address import IPv4Address, IPv6Address
+from twisted.internet.base import DelayedCall
+from twisted.internet.defer import Deferred, DeferredList, maybeDeferred, succeed
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.interfaces import IProtocolFactory
+from twisted.internet.protocol import Factory
+from twisted.python.failure import Failure
+
+from sardinehook.fleet.connection import Link
+from sardinehook.fleet.wire import (
+    Message,
+    MessageRole,
+    encode_message,
+    register_message,
+)
+
+__all__ = ["Link", "Links", "MessageRole", "register_message"]
+
+logger = structlog.get_logger(__name__)
+
+MessageT = TypeVar("MessageT", bound=Message)
+Handler = Callable[[str, Any], None]
+DownHandler = Callable[[str], None]
+
+CONNECT_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 2.0
+DOUBT_LIMIT_S = 1.5
+RETRY_FIRST_S = 0.05
+RETRY_MOST_S = 5.0
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:port``.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    >>> split_address("[::1]:80")
+    ('::1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class ListeningPort(Protocol):
+    """What links use of Twisted's listening port."""
+
+    def getHost(self) -> IPv4Address | IPv6Address:
+        """Return the address in use."""
+
+    def stopListening(self) -> Deferred[None] | None:
+        """Accept no more connections."""
+
+
+class LinkFactory(Factory):
+    """Builds links for accepted or dialled connections."""
+
+    noisy = False
+
+    def __init__(self, links: Links, expected: str | None = None) -> None:
+        self.links = links
+        self.expected = expected
+
+    def buildProtocol(self, addr: object) -> Link:
+        """Build the link of one connection."""
+        return Link(self.links, self.expected)
+
+
+class Peer:
+    """A node to which a connection is kept open, and the state of the attempts."""
+
+    def __init__(self, node: str, address: str) -> None:
+        self.node = node
+        self.address = address
+        self.failures = 0
+        self.dialling: Deferred[Any] | None = None
+        self.opening = False
+        self.retry_call: DelayedCall | None = None
+
+    def stop(self) -> None:
+        """End every attempt to connect."""
+        if self.retry_call is not None and self.retry_call.active():
+            self.retry_call.cancel()
+        if self.dialling is not None:
+            self.dialling.cancel()
+
+
+class Links:
+    """All links of one entry process.
+
+    ``node`` is this process's name and ``listen_address`` an ``IP:port``, where port 0
+    takes a free one; ``address`` holds the one in use after ``listen``. Messages sent
+    to one peer in one turn of the reactor leave in one frame. ``read_stamp`` and
+    ``observe_stamp`` connect a hybrid clock to the frames.
+    """
+
+    def __init__(self, reactor: Any, node: str, listen_address: str) -> None:  # noqa: ANN401
+        self.reactor = reactor
+        self.node = node
+        self.listen_address = listen_address
+        self.address = listen_address
+        self.port: ListeningPort | None = None
+        self.peers: dict[str, Peer] = {}
+        self.open_links: set[Link] = set()
+        self.live_links: dict[str, list[Link]] = {}
+        self.handlers: dict[type[Message], list[Handler]] = {}
+        self.down_handlers: list[DownHandler] = []
+        self.read_stamp: Callable[[], int] = lambda: 0
+        self.observe_stamp: Callable[[int], None] = lambda stamp: None
+        self.retry_delay = backoffPolicy(RETRY_FIRST_S, RETRY_MOST_S, 2.0)
+        self.closing = False
+
+    def listen(self) -> Deferred[str]:
+        """Accept connections; the result is the address in use."""
+        host, port = split_address(self.listen_address)
+        accepted: ListeningPort = self.reactor.listenTCP(
+            port, LinkFactory(self), interface=host
+        )
+        self.port = accepted
+        shown = f"[{host}]" if ":" in host else host
+        self.address = f"{shown}:{accepted.getHost().port}"
+        return succeed(self.address)
+
+    def connect(self, node: str, address: str) -> None:
+        """Keep a connection open to a node, also after it is lost."""
+        known = self.peers.get(node)
+        if known is not None and known.address == address:
+            return
+        if known is not None:
+            known.stop()
+        if node == self.node or self.closing:
+            return
+        self.peers[node] = Peer(node, address)
+        self.dial(self.peers[node])
+
+    def disconnect(self, node: str) -> None:
+        """Send what is waiting for a node, close its links and keep none open."""
+        peer = self.peers.pop(node, None)
+        if peer is not None:
+            peer.stop()
+        for link in list(self.live_links.get(node, ())):
+            link.finish()
+
+    def dial(self, peer: Peer) -> None:
+        """Open a connection to a peer, or try again later."""
+        peer.retry_call = None
+        peer.opening = True
+        host, port = split_address(peer.address)
+        endpoint = TCP4ClientEndpoint(self.reactor, host, port, CONNECT_TIMEOUT_S)
+        peer.dialling = endpoint.connect(
+            cast("IProtocolFactory", LinkFactory(self, peer.node))
+        )
+        peer.dialling.addBoth(self.dial_ended, peer)
+
+    def dial_ended(self, result: object, peer: Peer) -> None:
+        """Schedule another attempt when this one failed."""
+        peer.dialling = None
+        if isinstance(result, Failure):
+            peer.opening = False
+            self.retry(peer)
+
+    def retry(self, peer: Peer) -> None:
+        """Dial again after a jittered delay that grows with the failures in a row."""
+        if self.closing or self.peers.get(peer.node) is not peer:
+            return
+        if peer.retry_call is not None or peer.opening:
+            return
+        delay = self.retry_delay(peer.failures)
+        peer.failures += 1
+        peer.retry_call = self.reactor.callLater(delay, self.dial, peer)
+
+    def link_opened(self, link: Link) -> None:
+        """Take note of a connection whose peer is not known yet."""
+        self.open_links.add(link)
+
+    def link_up(self, link: Link) -> None:
+        """Take a link into use in place of earlier ones that it replaces."""
+        known = self.live_links.setdefault(link.peer, [])
+        replaced = [
+            old for old in known if old.dialled == link.dialled or not old.usable
+        ]
+        known.append(link)
+        known.sort(key=self.link_preference)
+        if link.dialled and link.peer in self.peers:
+            self.peers[link.peer].failures = 0
+            self.peers[link.peer].opening = False
+        for old in replaced:
+            logger.info("link_replaced", peer=link.peer, doubted=old.watch.in_doubt)
+            old.tcp.abortConnection()
+
+    def link_preference(self, link: Link) -> bool:
+        """Sort first the connection opened by the node with the smaller name.
+
+        Both ends then send on the same one of two crossing connections.
+        """
+        return link.dialled != (self.node < link.peer)
+
+    def link_doubted(self, link: Link) -> None:
+        """Dial a replacement at once; drop the link if none can be had."""
+        peer = self.peers.get(link.peer)
+        doubted_for = self.reactor.seconds() - link.watch.heard_at
+        if peer is None or doubted_for > DOUBT_LIMIT_S:
+            logger.warning(
+                "link_silent", peer=link.peer, silent_s=round(doubted_for, 3)
+            )
+            link.tcp.abortConnection()
+        elif not peer.opening and peer.retry_call is None:
+            self.dial(peer)
+
+    def link_down(self, link: Link, was_live: bool) -> None:
+        """Take a lost link out of use and replace it if it was dialled here."""
+        self.open_links.discard(link)
+        if was_live:
+            self.live_links[link.peer].remove(link)
+            if not self.live_links[link.peer]:
+                del self.live_links[link.peer]
+            for handler in self.down_handlers:
+                handler(link.peer)
+        peer = self.peers.get(link.expected or link.peer)
+        if peer is not None and link.dialled and not was_live:
+            peer.opening = False
+        if peer is not None and not self.dialled_link(peer.node):
+            self.retry(peer)
+
+    def dialled_link(self, node: str) -> Link | None:
+        """Return the live link to a node that was dialled here."""
+        links = self.live_links.get(node, ())
+        return next((link for link in links if link.dialled), None)
+
+    def usable_link(self, node: str) -> Link | None:
+        """Return the link on which to send to a node."""
+        links = self.live_links.get(node, ())
+        return next((link for link in links if link.usable), None)
+
+    def send(self, node: str, message: Message) -> bool:
+        """Send a message; False tells that nothing of it left this process."""
+        link = self.usable_link(node)
+        if link is None or self.closing:
+            return False
+        return link.enqueue(encode_message(message))
+
+    def connected(self, node: str) -> bool:
+        """Whether there is a live link to a node that is not in doubt."""
+        return self.usable_link(node) is not None
+
+    def on(
+        self, message_type: type[MessageT], handler: Callable[[str, MessageT], None]
+    ) -> None:
+        """Call ``handler(sender, message)`` for each message of a type."""
+        self.handlers.setdefault(message_type, []).append(handler)
+
+    def on_down(self, handler: DownHandler) -> None:
+        """Call ``handler(node)`` when a live link is lost.
+
+        Replies to what was sent to that node before may never come.
+        """
+        self.down_handlers.append(handler)
+
+    def dispatch(self, sender: str, message: Message) -> None:
+        """Give a message to its handlers; a fault in one ends neither link nor loop."""
+        for handler in self.handlers.get(type(message), ()):
+            try:
+                handler(sender, message)
+            except Exception:
+                logger.exception("handler_failed", message=type(message).__name__)
+
+    def close(self) -> Deferred[None]:
+        """Send what is waiting, then close all links; ends within a bound."""
+        self.closing = True
+        for peer in self.peers.values():
+            peer.stop()
+        ended: list[Deferred[Any]] = [link.lost for link in self.open_links]
+        if self.port is not None:
+            ended.append(maybeDeferred(self.port.stopListening))
+        for link in list(self.open_links):
+            link.finish()
+        abort = self.reactor.callLater(CLOSE_TIMEOUT_S, self.abort_all)
+        closed: Deferred[Any] = DeferredList(ended, consumeErrors=True)
+        return closed.addCallback(lambda _: abort.active() and abort.cancel() or None)
+
+    def abort_all(self) -> None:
+        """Drop the links that did not close in time."""
+        for link in list(self.open_links):
+            link.tcp.abortConnection()
