Split the owner by job, retry over live connections, bound silence

A search whose request meets no byte within a bound taken from the replica's own service times is cancelled at the target over a connection that lives, and tried once more within a budget; a request that the target does not know shows a silent connection, which is given up with all that have shown no life since.

--- a/sardinehook/cli/search.py
+++ b/sardinehook/cli/search.py
@@ -105,4 +105,3 @@
         typer.echo(f"  missing {missing['service']}: {missing['reason']}")
     for record in body["records"]:
         typer.echo(f"  {msgspec.json.encode(record).decode()}")
-
--- a/sardinehook/target/cold_start.py
+++ b/sardinehook/target/cold_start.py
@@ -56,11 +56,21 @@
             self.setback()
             return
         self.late_replies = 0
-        self.slow_replies = self.slow_replies + 1 if slow else 0
+        if slow:
+            self.slow_reply()
+            return
+        self.slow_replies = 0
+        at_top = self.bound == self.slots
+        if at_top and self.state is TargetState.WARM:
+            return
+        if full_use or at_top:
+            self.count_towards_step()
+
+    def slow_reply(self) -> None:
+        """Count a reply far slower than usual; three in a row are a setback."""
+        self.slow_replies += 1
         if self.slow_replies >= SLOW_REPLIES_FOR_SETBACK:
             self.setback()
-        elif full_use and not slow:
-            self.count_towards_step()
 
     def count_towards_step(self) -> None:
         """Count one good reply at full use and grow the bound when it is due."""
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -11,7 +11,12 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from sardinehook.target.dialect import ReplyHead, TargetReply, read_reply_head
+from sardinehook.target.dialect import (
+    ReplyHead,
+    TargetReply,
+    header_name,
+    read_reply_head,
+)
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.reactor import TcpTransport
 
@@ -71,12 +76,12 @@
         self.closing_here = False
         self.silent = False
         self.idle_since = 0.0
+        self.parser = HttpResponseParser(self)
         self.reset_reply()
 
     def reset_reply(self) -> None:
         """Forget the last reply."""
-        self.parser = HttpResponseParser(self)
-        self.headers: list[tuple[bytes, bytes]] = []
+        self.headers: dict[bytes, bytes] = {}
         self.chunks: list[bytes] = []
         self.received_bytes = 0
         self.body_bytes = 0
@@ -106,6 +111,7 @@
         self.exchanges += 1
         self.reset_reply()
         self.tcp.write(request)
+        self.tcp.doWrite()
 
     def close(self) -> None:
         """Close the connection; an exchange that runs ends as ``Lost``."""
@@ -200,7 +206,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keep one header of the reply."""
         if not self.surplus:
-            self.headers.append((name, value))
+            self.headers[header_name(name)] = value
 
     def on_headers_complete(self) -> None:
         """Read the headers of the reply."""
--- a/sardinehook/target/dialect.py
+++ b/sardinehook/target/dialect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from functools import lru_cache
 from typing import NamedTuple
 
 from sardinehook.messages import ANY_VERSION, SubQuery, TargetState
@@ -12,6 +14,7 @@
     "encode_cancel",
     "encode_status",
     "encode_sub_query",
+    "header_name",
     "read_reply_head",
 ]
 
@@ -89,30 +92,45 @@
     )
 
 
-def read_reply_head(headers: list[tuple[bytes, bytes]]) -> ReplyHead:
-    """Return the typed headers of a reply.
+def read_reply_head(headers: Mapping[bytes, bytes]) -> ReplyHead:
+    """Return the typed headers of a reply; names are as ``header_name`` gives them.
 
     Raises ``ValueError`` for a header that is not what the dialect says.
 
-    >>> head = read_reply_head([(b"Target-State", b"cold"), (b"Index-Version", b"7")])
+    >>> head = read_reply_head({b"Target-State": b"cold", b"Index-Version": b"7"})
     >>> head.state.name, head.index_version
     ('COLD', 7)
     """
-    found = {name.lower(): value for name, value in headers}
-    state_name = found.get(b"target-state")
+    found = headers.get
+    state_name = found(b"Target-State")
     state = TargetState.UNKNOWN
     if state_name is not None:
         if state_name not in HEADER_STATES:
             raise ValueError("unknown Target-State")
         state = HEADER_STATES[state_name]
-    held = found.get(b"index-versions-held", b"")
     return ReplyHead(
-        found.get(b"request-id", b""),
-        found.get(b"sub-query-id", b""),
-        int(found.get(b"index-version", b"0")),
-        int(found.get(b"partitioning-version", b"0")),
+        found(b"Request-Id", b""),
+        found(b"Sub-Query-Id", b""),
+        int(found(b"Index-Version", b"0")),
+        int(found(b"Partitioning-Version", b"0")),
         state,
-        int(found.get(b"target-in-flight", b"0")),
-        tuple(int(part) for part in held.split(b",") if part.strip()),
-        found.get(b"not-run") == b"true",
+        int(found(b"Target-In-Flight", b"0")),
+        read_versions(found(b"Index-Versions-Held", b"")),
+        found(b"Not-Run") == b"true",
     )
+
+
+@lru_cache(maxsize=256)
+def header_name(name: bytes) -> bytes:
+    """Return a header's name in its usual capitals.
+
+    >>> header_name(b"not-run")
+    b'Not-Run'
+    """
+    return name.title()
+
+
+@lru_cache(maxsize=1024)
+def read_versions(text: bytes) -> tuple[int, ...]:
+    """Return the versions in a comma-separated list; raises ``ValueError``."""
+    return tuple(int(part) for part in text.split(b",") if part.strip())
--- /dev/null
+++ b/sardinehook/target/evidence.py
@@ -0,0 +1,75 @@
+"""All that is known of a replica, gathered from what its connections show."""
+
+from __future__ import annotations
+
+from sardinehook.environment.document import Index
+from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.cold_start import ColdStart
+from sardinehook.target.dialect import TargetReply
+from sardinehook.target.load import ServiceTime
+from sardinehook.target.outcome import Verdict
+from sardinehook.target.standing import Standing
+from sardinehook.target.status import ReplicaStatus, read_status
+
+__all__ = ["Evidence"]
+
+
+class Evidence:
+    """The ramp, the standing, the service time and the versions of one replica."""
+
+    def __init__(self, index: Index) -> None:
+        self.ramp = ColdStart(index.cold_start_slots, index.slots)
+        self.standing = Standing(self.ramp)
+        self.service = ServiceTime()
+        self.status = ReplicaStatus()
+
+    def reply_came(
+        self,
+        reply: TargetReply,
+        verdict: Verdict,
+        took_ms: float,
+        full_use: bool,
+        now: float,
+    ) -> None:
+        """Take a whole reply; ``full_use`` is as in ``ColdStart.good_reply``."""
+        self.status.note_reply(reply.head, now)
+        self.standing.reply_said(reply.head.state, now)
+        match verdict.outcome:
+            case Outcome.ANSWERED:
+                slow = self.service.is_slow(took_ms)
+                self.service.observe(took_ms)
+                self.ramp.good_reply(reply.head.state, full_use, slow)
+            case Outcome.SHED:
+                self.ramp.shed()
+            case Outcome.FAILED if reply.status == 503:
+                self.ramp.shed()
+            case _:
+                pass
+
+    def status_came(self, reply: TargetReply, now: float) -> None:
+        """Take a reply of the status endpoint, which may lag or mislead."""
+        body = read_status(reply.body) if reply.status == 200 else None
+        self.status.note_status(body, now)
+        if body is None:
+            return
+        draining = body.state == "draining"
+        draining = draining or reply.head.state is TargetState.DRAINING
+        self.standing.status_said(draining, now)
+
+    def no_reply_yet(self, waited_ms: float) -> None:
+        """Take a wait that was ended from here, as far as it was long."""
+        if waited_ms <= self.service.mean_ms:
+            return
+        if self.service.is_slow(waited_ms):
+            self.ramp.slow_reply()
+        self.service.observe(waited_ms)
+
+    def deadline_missed(self, waited_ms: float) -> None:
+        """Take a deadline that passed without a reply."""
+        self.ramp.late_reply()
+        self.service.observe(waited_ms)
+
+    def wait_ms(self, ahead: int) -> float:
+        """Estimate the time queued and served behind ``ahead`` others."""
+        turns = ahead // max(1, self.ramp.bound)
+        return turns * self.service.mean_ms + self.service.likely_ms
--- /dev/null
+++ b/sardinehook/target/exchanges.py
@@ -0,0 +1,291 @@
+"""The exchanges with one target: sending, ends, cancellation and silence."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from itertools import count
+from typing import NamedTuple
+
+from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.connection import (
+    ExchangeEnd,
+    Garbled,
+    Lost,
+    Replied,
+    TargetConnection,
+)
+from sardinehook.target.dialect import TargetReply, encode_sub_query
+from sardinehook.target.evidence import Evidence
+from sardinehook.target.occupancy import Occupancy
+from sardinehook.target.outcome import Verdict, judge
+from sardinehook.target.pool import ConnectionPool
+from sardinehook.target.side import Cancellation, SideExchanges
+from sardinehook.target.silence import RetryBudget, silence_bound_s
+from sardinehook.target.work import Work
+
+__all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "Running"]
+
+CANCEL_CONFIRMED = 200
+CANCEL_UNKNOWN = 404
+NEVER = float("inf")
+
+
+class ExchangeIds:
+    """Ids that no other exchange of any owner has.
+
+    >>> ids = ExchangeIds("a1b2")
+    >>> ids.take(), ids.take()
+    (b'a1b2-1', b'a1b2-2')
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix.encode()
+        self.numbers = count(1)
+
+    def take(self) -> bytes:
+        """Return a new id."""
+        return b"%b-%d" % (self.prefix, next(self.numbers))
+
+
+class ExchangeEvents(NamedTuple):
+    """What becomes of sub-queries that were sent.
+
+    ``settled`` is called with the verdict on a sub-query, a detail and the target's
+    reply if there is one; ``again`` with one to be queued once more; ``changed``
+    when slots or connections may have become free.
+    """
+
+    settled: Callable[[Work, Verdict, str, TargetReply | None], None]
+    again: Callable[[Work], None]
+    changed: Callable[[], None]
+
+
+@dataclass(slots=True, eq=False)
+class Running:
+    """One exchange with the target.
+
+    ``until`` is when the target has given up, ``check_at`` when the connection is
+    probed if no byte has come. ``probed`` is set once the target has been asked to
+    abandon the exchange so that it can be tried again, ``over`` once its work has
+    gone on without it.
+    """
+
+    work: Work
+    exchange_id: bytes
+    connection: TargetConnection
+    full_use: bool
+    sent_at: float
+    until: float
+    check_at: float
+    probed: bool = False
+    over: bool = False
+
+
+class Exchanges:
+    """Sub-queries in flight at one target."""
+
+    def __init__(
+        self,
+        ids: ExchangeIds,
+        host: bytes,
+        occupancy_margin_s: float,
+        evidence: Evidence,
+        pool: ConnectionPool,
+        events: ExchangeEvents,
+    ) -> None:
+        self.ids = ids
+        self.host = host
+        self.occupancy_margin_s = occupancy_margin_s
+        self.evidence = evidence
+        self.ramp = evidence.ramp
+        self.pool = pool
+        self.reactor = pool.reactor
+        self.events = events
+        self.side = SideExchanges(pool, host)
+        self.budget = RetryBudget()
+        self.occupancy = Occupancy()
+        self.running: dict[bytes, Running] = {}
+
+    @property
+    def in_flight(self) -> int:
+        """How many sub-queries may be running at the target."""
+        return len(self.occupancy.until)
+
+    @property
+    def needs_sweep(self) -> bool:
+        """Whether any deadline has to be watched."""
+        return bool(self.running or self.occupancy.until or self.side.pending)
+
+    def send(self, work: Work, connection: TargetConnection, now: float) -> None:
+        """Send ``work`` to the target."""
+        left_s = work.deadline_at - now
+        exchange_id = self.ids.take()
+        until = work.deadline_at + self.occupancy_margin_s
+        self.occupancy.begin(exchange_id, until)
+        full_use = len(self.occupancy.until) >= self.ramp.bound
+        check_at = self.probe_time(work, connection, now, left_s)
+        running = Running(work, exchange_id, connection, full_use, now, until, check_at)
+        self.running[exchange_id] = running
+        if not work.sent_at:
+            work.sent_at = now
+        work.may_have_begun = True
+        sub_query = work.sub_query
+        connection.exchange(
+            encode_sub_query(sub_query, self.host, exchange_id, int(left_s * 1000.0)),
+            sub_query.request_id.encode(),
+            exchange_id,
+            partial(self.exchange_ended, running),
+        )
+
+    def probe_time(
+        self, work: Work, connection: TargetConnection, now: float, left_s: float
+    ) -> float:
+        """Return when to doubt the connection if no byte has come by then."""
+        if connection.exchanges == 0 or work.tries or work.sub_query.order_key:
+            return NEVER
+        bound_s = silence_bound_s(self.evidence.service.likely_ms, left_s)
+        return NEVER if bound_s is None else now + bound_s
+
+    def exchange_ended(self, running: Running, end: ExchangeEnd) -> None:
+        """Settle the work by how its exchange ended."""
+        self.running.pop(running.exchange_id, None)
+        match end:
+            case Replied(reply):
+                self.occupancy.end(running.exchange_id)
+                self.pool.give_back(running.connection)
+                if not running.over:
+                    self.replied(running, reply)
+            case Garbled(detail):
+                self.ramp.setback()
+                garbled = Verdict(Outcome.GARBLED, True)
+                self.events.settled(running.work, garbled, detail, None)
+            case Lost(detail):
+                self.ramp.setback()
+                self.try_again(running, detail)
+        self.events.changed()
+
+    def replied(self, running: Running, reply: TargetReply) -> None:
+        """Take the evidence in a whole reply and settle the work."""
+        now = self.reactor.seconds()
+        work = running.work
+        if running.probed and reply.status != 200:
+            self.try_again(running, "no reply in time")
+            return
+        verdict = judge(work.sub_query, reply, now <= work.deadline_at)
+        took_ms = (now - running.sent_at) * 1000.0
+        self.evidence.reply_came(reply, verdict, took_ms, running.full_use, now)
+        if not work.settled:
+            self.events.settled(work, verdict, "", reply)
+
+    def try_again(self, running: Running, detail: str) -> None:
+        """Send a search once more over a live connection, or settle it as lost."""
+        work = running.work
+        running.over = True
+        if work.settled:
+            return
+        if self.may_try_again(running) and self.budget.take():
+            work.tries += 1
+            work.alive_since = running.sent_at
+            self.events.again(work)
+        else:
+            lost = Verdict(Outcome.CONNECTION_LOST, True)
+            self.events.settled(work, lost, detail, None)
+
+    def may_try_again(self, running: Running) -> bool:
+        """Tell whether another try is safe, and can start and finish in time."""
+        work = running.work
+        if work.tries or work.sub_query.order_key or running.connection.exchanges == 1:
+            return False
+        likely_s = self.evidence.service.likely_ms / 1000.0
+        if self.reactor.seconds() + likely_s >= work.deadline_at:
+            return False
+        return self.in_flight < self.ramp.bound
+
+    def cancel(self, work: Work) -> None:
+        """Abandon a sub-query that has been answered as cancelled."""
+        now = self.reactor.seconds()
+        for running in list(self.running.values()):
+            if running.work is work and not running.over:
+                self.evidence.no_reply_yet((now - running.sent_at) * 1000.0)
+                self.abandon(running, 0.0)
+
+    def abandon(self, running: Running, alive_since: float) -> None:
+        """Ask the target to stop a search; an order is left to finish."""
+        if running.work.sub_query.order_key:
+            return
+        self.side.cancel(
+            Cancellation(
+                running.work.sub_query.request_id.encode(),
+                running.exchange_id,
+                alive_since,
+                lambda: running.exchange_id in self.occupancy.until,
+                partial(self.cancel_ended, running),
+            )
+        )
+        self.events.changed()
+
+    def probe(self, running: Running) -> None:
+        """Find out over a live connection whether the target knows the exchange."""
+        running.probed = True
+        running.check_at = NEVER
+        self.abandon(running, running.sent_at)
+
+    def cancel_ended(self, running: Running, status: int) -> None:
+        """Take the target's answer to a cancellation; only its word frees a slot."""
+        unanswered = running.exchange_id in self.running
+        if status == CANCEL_CONFIRMED:
+            self.occupancy.end(running.exchange_id)
+        elif status == CANCEL_UNKNOWN and running.probed and unanswered:
+            self.connection_silent(running)
+        if running.probed and unanswered and not running.over and status:
+            self.try_again(running, "no reply in time")
+        self.events.changed()
+
+    def connection_silent(self, running: Running) -> None:
+        """Give up a connection whose request the target has not received.
+
+        A warm target can be given the slot again. A cold one is spared the doubt
+        until the deadline has passed.
+        """
+        self.running.pop(running.exchange_id, None)
+        running.connection.give_up()
+        self.pool.suspect(running.sent_at)
+        if self.ramp.state is TargetState.WARM:
+            self.occupancy.end(running.exchange_id)
+
+    def sweep(self, now: float) -> None:
+        """Settle what has passed its deadline and free what cannot run any more."""
+        for running in list(self.running.values()):
+            self.check(running, now)
+        if self.occupancy.until:
+            self.occupancy.expire(now)
+        if self.side.pending:
+            self.side.sweep(now)
+
+    def check(self, running: Running, now: float) -> None:
+        """Enforce the deadline and the silence bound of one exchange."""
+        work = running.work
+        if now >= work.deadline_at and not work.settled:
+            self.evidence.deadline_missed((now - running.sent_at) * 1000.0)
+            late = Verdict(Outcome.LATE, True)
+            self.events.settled(work, late, "no reply in time", None)
+        elif now >= running.check_at and not work.settled:
+            if running.connection.received_bytes == 0:
+                self.probe(running)
+            running.check_at = NEVER
+        if now >= running.until:
+            self.running.pop(running.exchange_id, None)
+            running.connection.give_up()
+            self.pool.suspect(running.sent_at)
+
+    def stop(self) -> None:
+        """Settle what is in flight as lost and close its connections."""
+        for running in list(self.running.values()):
+            lost = Verdict(Outcome.CONNECTION_LOST, True)
+            self.events.settled(running.work, lost, "stopping", None)
+            running.connection.give_up()
+        self.running.clear()
+        for pending in self.side.pending:
+            pending.connection.give_up()
--- /dev/null
+++ b/sardinehook/target/outcome.py
@@ -0,0 +1,53 @@
+"""What a whole reply of a target means for the sub-query."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from sardinehook.messages import ANY_VERSION, Outcome, SubQuery
+from sardinehook.target.dialect import TargetReply
+
+__all__ = ["Verdict", "judge"]
+
+
+class Verdict(NamedTuple):
+    """An outcome and whether the target can have begun the work."""
+
+    outcome: Outcome
+    began: bool
+
+
+def judge(sub_query: SubQuery, reply: TargetReply, in_time: bool) -> Verdict:
+    """Return the verdict on a reply whose ids have been checked.
+
+    ``in_time`` tells whether it came by the deadline. An answer of another snapshot
+    than the one asked for is no answer.
+
+    >>> from sardinehook.target.dialect import ReplyHead
+    >>> query = SubQuery(1, "r", "s", "s-a", 7, 0, 100.0, 5, "", b"")
+    >>> judge(query, TargetReply(200, ReplyHead(index_version=8), b""), True).outcome
+    <Outcome.WRONG_VERSION: 4>
+    """
+    match reply.status:
+        case 200 if not in_time:
+            return Verdict(Outcome.LATE, True)
+        case 200 if matches_snapshot(sub_query, reply):
+            return Verdict(Outcome.ANSWERED, True)
+        case 200:
+            return Verdict(Outcome.WRONG_VERSION, True)
+        case 412:
+            return Verdict(Outcome.WRONG_VERSION, False)
+        case 503 if reply.head.not_run:
+            return Verdict(Outcome.SHED, False)
+        case 504:
+            return Verdict(Outcome.LATE, True)
+        case _:
+            return Verdict(Outcome.FAILED, True)
+
+
+def matches_snapshot(wanted: SubQuery, reply: TargetReply) -> bool:
+    """Tell whether a reply is of the index version and partitioning asked for."""
+    head = reply.head
+    if wanted.index_version not in (ANY_VERSION, head.index_version):
+        return False
+    return wanted.partitioning in (ANY_VERSION, head.partitioning)
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
-from itertools import count
 from secrets import token_hex
 
 from twisted.internet.defer import Deferred
@@ -11,10 +10,11 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, ReplicaView, SubQuery, SubReply, TargetState
 from sardinehook.target.allowance import Allowance
+from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.reactor import DelayedCall, TargetReactor
-from sardinehook.target.replica import Work, WorkKey
 from sardinehook.target.runner import ReplicaRunner, RunnerContext
+from sardinehook.target.work import Work, WorkKey
 
 __all__ = ["OwnerLimits", "TargetOwner"]
 
@@ -36,7 +36,7 @@
         self.busy: set[ReplicaRunner] = set()
         self.work: dict[WorkKey, tuple[Work, ReplicaRunner]] = {}
         self.context = RunnerContext(
-            reactor, limits, token_hex(4), count(1), self.settled
+            reactor, limits, ExchangeIds(token_hex(4)), self.settled, self.watch
         )
         self.sweeping: DelayedCall | None = None
         self.polling: DelayedCall | None = None
@@ -144,7 +144,7 @@
         runners = [one for one in self.retired if one.replica.name == replica]
         if replica in self.runners:
             runners.append(self.runners[replica])
-        return sum(len(runner.occupancy) for runner in runners)
+        return sum(runner.exchanges.in_flight for runner in runners)
 
     def watch(self, runner: ReplicaRunner) -> None:
         """Sweep ``runner`` regularly while it has work."""
@@ -160,7 +160,7 @@
         now = self.reactor.seconds()
         for runner in list(self.busy):
             runner.sweep(now)
-            if not runner.has_work:
+            if not runner.needs_sweep:
                 self.busy.discard(runner)
         self.retired = [one for one in self.retired if one.has_work]
         if self.busy:
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IAddress, IConnector
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
@@ -42,13 +43,13 @@
 class PoolEvents(NamedTuple):
     """What a pool tells its user.
 
-    ``ready`` is called when a connection has become free for use, ``failed`` with
-    the cause when one could not be opened, and ``ended`` when an open one was ended
-    by the peer: with whether it was closed cleanly and none is left.
+    ``ready`` is called when a connection has been opened and ``failed`` when one
+    could not be, with the cause and whether the target refused it. ``ended`` is
+    called when the peer has ended one, with whether that was in order.
     """
 
     ready: Callable[[], None]
-    failed: Callable[[str], None]
+    failed: Callable[[str, bool], None]
     ended: Callable[[bool], None]
 
 
@@ -85,16 +86,30 @@
             self.lingering = [until for until in self.lingering if until > now]
         return len(self.connections) + self.opening + len(self.lingering)
 
-    def take(self) -> TargetConnection | None:
-        """Return the idle connection that was used last, if any."""
-        while self.idle:
+    def take(self, alive_since: float = 0.0) -> TargetConnection | None:
+        """Return the idle connection that was used last, if any.
+
+        One that has shown no life since ``alive_since`` is not returned.
+        """
+        while self.idle and self.idle[-1].idle_since >= alive_since:
             connection = self.idle.pop()
             if connection.idle:
                 return connection
         return None
 
+    def suspect(self, before: float) -> None:
+        """Close idle connections that have shown no life since ``before``.
+
+        One connection of theirs was found silent, so they may be silent too.
+        """
+        for connection in self.idle:
+            if connection.idle_since < before:
+                connection.give_up()
+        self.idle = [one for one in self.idle if one.is_open]
+
     def give_back(self, connection: TargetConnection) -> None:
         """Take back a connection whose exchange has ended."""
+        self.backoff_s = 0.0
         if not connection.idle:
             return
         if self.over_allowance():
@@ -122,9 +137,9 @@
         elif self.backoff_s:
             return
         for _ in range(min(missing, self.allowance - self.held(now))):
-            self.open()
+            self.begin_open()
 
-    def open(self) -> None:
+    def begin_open(self) -> None:
         """Begin to open one connection."""
         self.opening += 1
         self.reactor.connectTCP(
@@ -137,7 +152,6 @@
     def opened(self, connection: TargetConnection) -> None:
         """Add a connection that has been established."""
         self.opening -= 1
-        self.backoff_s = 0.0
         self.connections.add(connection)
         if self.over_allowance():
             connection.close()
@@ -149,9 +163,15 @@
     def open_failed(self, reason: Failure) -> None:
         """Note a failed attempt and wait longer before the next."""
         self.opening -= 1
-        self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
+        self.back_off()
+        refused = isinstance(reason.value, ConnectionRefusedError)
+        self.events.failed(reason.getErrorMessage(), refused)
+
+    def back_off(self) -> None:
+        """Wait longer before the next attempt."""
+        wait_s = max(self.backoff_s * 2, FIRST_BACKOFF_S)
+        self.backoff_s = min(wait_s, LAST_BACKOFF_S)
         self.open_after = self.reactor.seconds() + self.backoff_s
-        self.events.failed(reason.getErrorMessage())
 
     def closed(self, connection: TargetConnection, clean: bool) -> None:
         """Forget a connection that has ended."""
@@ -162,7 +182,11 @@
             linger_s = SILENT_LINGER_S if connection.silent else LINGER_S
             self.lingering.append(self.reactor.seconds() + linger_s)
             return
-        self.events.ended(clean)
+        if connection.exchanges == 0:
+            self.back_off()
+            self.events.failed("closed by the target at once", False)
+        else:
+            self.events.ended(clean)
 
     def close_idle(self, keep: int) -> None:
         """Close connections that have been idle for long, but ``keep`` of them."""
@@ -180,7 +204,11 @@
 
     def live(self) -> int:
         """Return how many connections are open or being opened."""
-        return self.opening + sum(one.is_open for one in self.connections)
+        return self.opening + self.open_now()
+
+    def open_now(self) -> int:
+        """Return how many connections are open."""
+        return sum(one.is_open for one in self.connections)
 
 
 class PoolFactory(ClientFactory):
--- a/sardinehook/target/reactor.py
+++ b/sardinehook/target/reactor.py
@@ -41,6 +41,9 @@
     def write(self, data: bytes) -> None:
         """Send ``data``."""
 
+    def doWrite(self) -> object:
+        """Send now what the socket takes, without a turn of the loop."""
+
     def loseConnection(self) -> None:
         """Close after what was written has been sent."""
 
--- a/sardinehook/target/replica.py
+++ b/sardinehook/target/replica.py
@@ -2,34 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
-from sardinehook.messages import SubQuery, SubReply
+from sardinehook.target.work import Work
 
-__all__ = ["ReplicaQueue", "Work", "WorkKey"]
-
-
-class WorkKey(NamedTuple):
-    """Names a sub-query within the owner: who sent it and its id there."""
-
-    sender: str
-    sub_query_id: int
-
-
-@dataclass(slots=True, eq=False)
-class Work:
-    """A sub-query on its way through the owner; times in seconds of one clock."""
-
-    key: WorkKey
-    sub_query: SubQuery
-    reply: Callable[[SubReply], None]
-    received_at: float
-    deadline_at: float
-    sent_at: float = 0.0
-    settled: bool = False
+__all__ = ["ReplicaQueue"]
 
 
 class Entry(NamedTuple):
--- /dev/null
+++ b/sardinehook/target/side.py
@@ -0,0 +1,123 @@
+"""Exchanges beside the sub-queries: cancellations, probes and status polls."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from sardinehook.target.connection import ExchangeEnd, Replied, TargetConnection
+from sardinehook.target.dialect import TargetReply, encode_cancel, encode_status
+from sardinehook.target.pool import ConnectionPool
+
+__all__ = ["Cancellation", "SideExchanges"]
+
+SIDE_TIMEOUT_S = 1.0
+STATUS_REQUEST_ID = b"status"
+
+
+class Cancellation(NamedTuple):
+    """A request to the target to abandon an exchange.
+
+    It goes over a connection that has shown life since ``alive_since`` only.
+    ``wanted`` tells whether it is still of use and ``ended`` gets the status of the
+    target's answer, zero if there was none.
+    """
+
+    request_id: bytes
+    exchange_id: bytes
+    alive_since: float
+    wanted: Callable[[], bool]
+    ended: Callable[[int], None]
+
+
+@dataclass(slots=True, eq=False)
+class Pending:
+    """A side exchange that waits for its answer."""
+
+    connection: TargetConnection
+    sent_at: float
+
+
+class SideExchanges:
+    """Sends side exchanges over idle connections; they take no slot."""
+
+    def __init__(self, pool: ConnectionPool, host: bytes) -> None:
+        self.pool = pool
+        self.host = host
+        self.cancellations: deque[Cancellation] = deque()
+        self.pending: set[Pending] = set()
+
+    def cancel(self, cancellation: Cancellation) -> None:
+        """Queue a cancellation."""
+        self.cancellations.append(cancellation)
+
+    def start(self) -> None:
+        """Send the cancellations for which there is a connection."""
+        for _ in range(len(self.cancellations)):
+            cancellation = self.cancellations.popleft()
+            if not cancellation.wanted():
+                continue
+            connection = self.pool.take(cancellation.alive_since)
+            if connection is None:
+                self.cancellations.append(cancellation)
+            else:
+                self.send_cancel(cancellation, connection)
+
+    def send_cancel(
+        self, cancellation: Cancellation, connection: TargetConnection
+    ) -> None:
+        """Send one cancellation."""
+        request_id, exchange_id = cancellation.request_id, cancellation.exchange_id
+        request = encode_cancel(self.host, request_id, exchange_id)
+
+        def ended(reply: TargetReply | None) -> None:
+            cancellation.ended(0 if reply is None else reply.status)
+
+        self.exchange(request, request_id, exchange_id, connection, ended)
+
+    def poll_status(
+        self, exchange_id: bytes, ended: Callable[[TargetReply], None]
+    ) -> None:
+        """Ask for the replica's status over an idle connection, if there is one."""
+        connection = self.pool.take()
+        if connection is None:
+            return
+
+        def status_ended(reply: TargetReply | None) -> None:
+            if reply is not None:
+                ended(reply)
+
+        request = encode_status(self.host, STATUS_REQUEST_ID, exchange_id)
+        self.exchange(request, STATUS_REQUEST_ID, exchange_id, connection, status_ended)
+
+    def exchange(
+        self,
+        request: bytes,
+        request_id: bytes,
+        exchange_id: bytes,
+        connection: TargetConnection,
+        ended: Callable[[TargetReply | None], None],
+    ) -> None:
+        """Run one side exchange."""
+        pending = Pending(connection, self.pool.reactor.seconds())
+        self.pending.add(pending)
+
+        def finish(end: ExchangeEnd) -> None:
+            self.pending.discard(pending)
+            if isinstance(end, Replied):
+                self.pool.give_back(connection)
+                ended(end.reply)
+            else:
+                ended(None)
+
+        connection.exchange(request, request_id, exchange_id, finish)
+
+    def sweep(self, now: float) -> None:
+        """Give up connections over which no answer came."""
+        for pending in [*self.pending]:
+            if pending.sent_at + SIDE_TIMEOUT_S <= now:
+                self.pending.discard(pending)
+                pending.connection.give_up()
+                self.pool.suspect(pending.sent_at)
--- /dev/null
+++ b/sardinehook/target/silence.py
@@ -0,0 +1,50 @@
+"""When a connection counts as silent, and how many retries that may cause."""
+
+from __future__ import annotations
+
+__all__ = ["RetryBudget", "silence_bound_s"]
+
+LIKELY_FACTOR = 6.0
+DEADLINE_FRACTION = 0.25
+RETRY_RATIO = 0.02
+RETRY_BURST = 10.0
+
+
+def silence_bound_s(likely_ms: float, left_s: float) -> float | None:
+    """Return after how long without a byte a connection is probed.
+
+    ``likely_ms`` is the time within which most replies come and ``left_s`` the time
+    left at sending. ``None`` means that no time would be left for another try.
+
+    >>> silence_bound_s(likely_ms=4.0, left_s=0.2)
+    0.05
+    >>> silence_bound_s(likely_ms=40.0, left_s=0.2) is None
+    True
+    """
+    likely_s = likely_ms / 1000.0
+    bound_s = max(LIKELY_FACTOR * likely_s, DEADLINE_FRACTION * left_s)
+    return bound_s if bound_s + 2.0 * likely_s < left_s else None
+
+
+class RetryBudget:
+    """Retries as a ratio of first tries, with a burst for a shared cause.
+
+    >>> budget = RetryBudget()
+    >>> sum(budget.take() for _ in range(20))
+    10
+    """
+
+    def __init__(self) -> None:
+        self.tokens = RETRY_BURST
+
+    def first_try(self) -> None:
+        """Count a first try."""
+        if self.tokens < RETRY_BURST:
+            self.tokens += RETRY_RATIO
+
+    def take(self) -> bool:
+        """Take one retry from the budget, if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
--- a/sardinehook/target/standing.py
+++ b/sardinehook/target/standing.py
@@ -7,6 +7,9 @@
 
 __all__ = ["Standing"]
 
+DRAIN_HOLD_S = 10.0
+STATUSES_TO_END_DRAIN = 3
+
 
 class Standing:
     """The state of one replica.
@@ -22,6 +25,8 @@
         self.gone = False
         self.listed = TargetState.UNKNOWN
         self.incarnation = ""
+        self.hold_until = 0.0
+        self.statuses_in_favour = 0
 
     @property
     def state(self) -> TargetState:
@@ -34,13 +39,14 @@
 
     def takes_work(self, may_serve_cold: bool) -> bool:
         """Tell whether new work may be sent."""
-        match self.state:
-            case TargetState.WARM:
-                return True
-            case TargetState.COLD | TargetState.UNKNOWN:
-                return may_serve_cold
-            case _:
-                return False
+        if self.leaving:
+            return False
+        return may_serve_cold or self.ramp.state is TargetState.WARM
+
+    @property
+    def leaving(self) -> bool:
+        """Whether any source says that the replica leaves or has left."""
+        return self.gone or self.draining or self.listed is not TargetState.UNKNOWN
 
     def connect_failed(self) -> None:
         """Note that the replica cannot be reached."""
@@ -54,18 +60,36 @@
             self.draining = False
             self.ramp.forget()
 
-    def reply_said(self, said: TargetState) -> None:
+    def reply_said(self, said: TargetState, now: float) -> None:
         """Take the state that stands in a reply."""
         if said is TargetState.DRAINING:
             self.draining = True
+            self.hold_until = now + DRAIN_HOLD_S
+            self.statuses_in_favour = 0
         elif said is TargetState.COLD:
             self.ramp.setback()
 
+    def status_said(self, draining: bool, now: float) -> None:
+        """Take the status endpoint's word on whether the replica drains.
+
+        Since it lags, it ends a drain only when several polls in a row, all of them
+        long after the last sign of the drain, say that there is none.
+        """
+        if draining:
+            self.reply_said(TargetState.DRAINING, now)
+        elif self.draining and now >= self.hold_until:
+            self.statuses_in_favour += 1
+            if self.statuses_in_favour >= STATUSES_TO_END_DRAIN:
+                self.draining = False
+                self.ramp.forget()
+
     def note_vm(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says.
 
         ``listed`` is ``DRAINING``, ``GONE`` or ``UNKNOWN`` for nothing against it.
         """
+        if self.listed is not TargetState.UNKNOWN and listed is TargetState.UNKNOWN:
+            self.ramp.forget()
         self.listed = listed
         if incarnation == self.incarnation:
             return
--- /dev/null
+++ b/sardinehook/target/work.py
@@ -0,0 +1,62 @@
+"""A sub-query on its way through the owner."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from sardinehook.messages import Outcome, SubQuery, SubReply
+from sardinehook.target.dialect import TargetReply
+from sardinehook.target.outcome import Verdict
+
+__all__ = ["Work", "WorkKey"]
+
+
+class WorkKey(NamedTuple):
+    """Names a sub-query within the owner: who sent it and its id there."""
+
+    sender: str
+    sub_query_id: int
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """A sub-query on its way through the owner; times in seconds of one clock.
+
+    ``alive_since`` rules out connections that have shown no life since then.
+    ``may_have_begun`` is set once a byte may have left. ``tries`` counts the tries
+    that were given up.
+    """
+
+    key: WorkKey
+    sub_query: SubQuery
+    reply: Callable[[SubReply], None]
+    received_at: float
+    deadline_at: float
+    sent_at: float = 0.0
+    alive_since: float = 0.0
+    may_have_begun: bool = False
+    tries: int = 0
+    settled: bool = False
+
+    def settle(
+        self, verdict: Verdict, detail: str, reply: TargetReply | None, now: float
+    ) -> None:
+        """Give the sub-query its one reply."""
+        self.settled = True
+        sent_at = self.sent_at or now
+        answered = reply is not None and verdict.outcome is Outcome.ANSWERED
+        self.reply(
+            SubReply(
+                self.sub_query.sub_query_id,
+                verdict.outcome,
+                reply.head.index_version if reply else 0,
+                reply.head.partitioning if reply else 0,
+                (sent_at - self.received_at) * 1000.0,
+                (now - sent_at) * 1000.0,
+                verdict.began,
+                detail or ("" if answered or not reply else f"status {reply.status}"),
+                reply.body if reply and answered else b"",
+            )
+        )
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -35,6 +35,9 @@
     def write(self, data: bytes) -> None:
         self.requests.append(data)
 
+    def doWrite(self) -> None:
+        pass
+
     def loseConnection(self) -> None:
         self.drop(ConnectionDone())
 
