Test the owner's rules by the failures they are for

Focused tests cover each point at which an order can fail, silent connections, the ramp, leaving and returning replicas and the pool. Mended on the way: a sub-query that needs a live connection now has one opened for it; a target that drops an unused connection long after it was opened is not taken to refuse connections.

--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -19,6 +19,7 @@
 LINGER_S = 1.0
 SILENT_LINGER_S = 10.0
 IDLE_CLOSE_S = 60.0
+REFUSED_WITHIN_S = 0.1
 FIRST_BACKOFF_S = 0.05
 LAST_BACKOFF_S = 2.0
 
@@ -89,8 +90,11 @@
     def take(self, alive_since: float = 0.0) -> TargetConnection | None:
         """Return the idle connection that was used last, if any.
 
-        One that has shown no life since ``alive_since`` is not returned.
+        One that has shown no life since ``alive_since`` is returned only where no
+        other can be opened.
         """
+        if alive_since and self.is_full():
+            alive_since = 0.0
         while self.idle and self.idle[-1].idle_since >= alive_since:
             connection = self.idle.pop()
             if connection.idle:
@@ -102,7 +106,7 @@
 
         One connection of theirs was found silent, so they may be silent too.
         """
-        for connection in self.idle:
+        for connection in list(self.idle):
             if connection.idle_since < before:
                 connection.give_up()
         self.idle = [one for one in self.idle if one.is_open]
@@ -124,9 +128,19 @@
             return False
         return self.live() > self.allowance
 
-    def provide(self, wanted: int) -> None:
-        """Open connections until ``wanted`` are idle or on their way."""
-        missing = wanted - len(self.idle) - self.opening
+    def is_full(self) -> bool:
+        """Tell whether no connection is on its way and none can be opened."""
+        return not self.opening and self.held(self.reactor.seconds()) >= self.allowance
+
+    def provide(self, wanted: int, alive_since: float = 0.0) -> None:
+        """Open connections until ``wanted`` are idle or on their way.
+
+        Idle ones count if they have shown life since ``alive_since``.
+        """
+        ready = len(self.idle)
+        if alive_since:
+            ready = sum(one.idle_since >= alive_since for one in self.idle)
+        missing = wanted - ready - self.opening
         if missing <= 0:
             return
         now = self.reactor.seconds()
@@ -182,7 +196,8 @@
             linger_s = SILENT_LINGER_S if connection.silent else LINGER_S
             self.lingering.append(self.reactor.seconds() + linger_s)
             return
-        if connection.exchanges == 0:
+        open_s = self.reactor.seconds() - connection.idle_since
+        if connection.exchanges == 0 and open_s < REFUSED_WITHIN_S:
             self.back_off()
             self.events.failed("closed by the target at once", False)
         else:
@@ -197,10 +212,10 @@
     def set_allowance(self, allowance: int) -> None:
         """Take a new bound; idle connections beyond it are closed."""
         self.allowance = allowance
-        excess = self.live() - allowance
-        for connection in self.idle[: max(0, excess)]:
+        excess = max(0, self.live() - allowance)
+        surplus, self.idle = self.idle[:excess], self.idle[excess:]
+        for connection in surplus:
             connection.close()
-        del self.idle[: max(0, excess)]
 
     def live(self) -> int:
         """Return how many connections are open or being opened."""
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -191,6 +191,18 @@
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
             pool.provide(wanted)
+        since = self.alive_since_wanted()
+        if since:
+            pool.provide(1, since)
+
+    def alive_since_wanted(self) -> float:
+        """Return since when a connection has to have shown life, if it matters."""
+        since = 0.0
+        if self.exchanges.side.cancellations:
+            since = self.exchanges.side.cancellations[0].alive_since
+        if self.queue.entries:
+            since = max(since, self.queue.entries[0].work.alive_since)
+        return since
 
     def cancel(self, work: Work) -> None:
         """Answer ``work`` as cancelled and abandon it at the target."""
@@ -276,7 +288,7 @@
     ) -> None:
         """Answer work whose exchange has ended."""
         self.settle(work, verdict, detail, reply)
-        if self.standing.leaving:
+        if self.queue.entries:
             self.refuse_if_leaving()
 
     def queue_again(self, work: Work) -> None:
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -184,6 +184,15 @@
             and link.last.decode().startswith(start)
         ]
 
+    def sent(self, request_id: str) -> int:
+        """Return how often a sub-query of this request has come to the target."""
+        wanted = f"Request-Id: {request_id}\r\n".encode()
+        return sum(
+            request.startswith(b"POST /services") and wanted in request
+            for link in self.reactor.links
+            for request in link.requests
+        )
+
     def warm_up(self) -> None:
         """Take the replica to warm by good replies at full use."""
         number = 10_000
--- /dev/null
+++ b/tests/target/test_cold_start.py
@@ -0,0 +1,157 @@
+"""Tests of the ramp and of who may serve a replica that is not warm."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.error import ConnectionDone, ConnectionLost
+
+from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.allowance import Allowance
+from sardinehook.target.cold_start import GOOD_REPLIES_PER_STEP, ColdStart
+from tests.target.fakes import Rig, query
+
+WARM, COLD = TargetState.WARM, TargetState.COLD
+
+
+def serve(ramp: ColdStart, times: int, full_use: bool = True) -> None:
+    for _ in range(times):
+        ramp.good_reply(WARM, full_use, slow=False)
+
+
+class TestRamp:
+    def test_it_grows_only_by_replies_at_full_use(self) -> None:
+        ramp = ColdStart(1, 3)
+        serve(ramp, 100, full_use=False)
+        assert ramp.bound == 1
+        serve(ramp, GOOD_REPLIES_PER_STEP)
+        assert ramp.bound == 2
+        assert ramp.state is not WARM
+
+    def test_a_reply_that_says_cold_undoes_all_growth(self) -> None:
+        ramp = ColdStart(1, 3)
+        serve(ramp, 2 * GOOD_REPLIES_PER_STEP)
+        assert ramp.state is WARM
+        ramp.good_reply(COLD, True, slow=False)
+        assert (ramp.bound, ramp.state) == (1, COLD)
+
+    def test_replies_of_a_cold_target_never_grow_it(self) -> None:
+        ramp = ColdStart(1, 3)
+        for _ in range(100):
+            ramp.good_reply(COLD, True, slow=False)
+        assert ramp.bound == 1
+
+    def test_sudden_slowness_is_a_setback_and_one_straggler_is_not(self) -> None:
+        ramp = ColdStart(1, 2)
+        serve(ramp, GOOD_REPLIES_PER_STEP)
+        ramp.good_reply(WARM, True, slow=True)
+        serve(ramp, 1)
+        assert ramp.state is WARM
+        for _ in range(3):
+            ramp.good_reply(WARM, True, slow=True)
+        assert ramp.state is COLD
+
+    def test_more_slots_do_not_raise_a_cold_bound(self) -> None:
+        ramp = ColdStart(1, 2)
+        ramp.set_slots(3)
+        assert ramp.bound == 1
+
+    def test_fewer_slots_bind_at_once(self) -> None:
+        ramp = ColdStart(1, 3)
+        serve(ramp, 2 * GOOD_REPLIES_PER_STEP)
+        ramp.set_slots(2)
+        assert ramp.bound == 2
+
+    @given(
+        st.lists(
+            st.sampled_from(
+                ["good", "cold", "slow", "late", "shed", "setback", "forget"]
+            )
+        ),
+        st.integers(1, 3),
+        st.integers(1, 6),
+    )
+    def test_the_bound_stays_between_one_and_the_slots(
+        self, events: list[str], cold: int, slots: int
+    ) -> None:
+        ramp = ColdStart(cold, slots)
+        grown = 0
+        for event in events:
+            before = ramp.bound
+            match event:
+                case "good":
+                    ramp.good_reply(WARM, True, slow=False)
+                case "cold":
+                    ramp.good_reply(COLD, True, slow=False)
+                case "slow":
+                    ramp.slow_reply()
+                case "late":
+                    ramp.late_reply()
+                case "shed":
+                    ramp.shed()
+                case "setback":
+                    ramp.setback()
+                case _:
+                    ramp.forget()
+            grown = ramp.bound - before
+            assert 1 <= ramp.bound <= slots
+            assert grown <= 0 or event == "good" or ramp.bound <= cold
+
+
+class TestEvidence:
+    @pytest.mark.parametrize("reason", [ConnectionDone(), ConnectionLost()])
+    def test_the_loss_of_all_connections_is_a_setback(self, reason: Exception) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.advance(0.2)
+        for link in rig.reactor.links:
+            link.drop(reason)
+        assert rig.runner.ramp.state is COLD
+
+    def test_one_idle_connection_closed_in_order_is_none(self) -> None:
+        rig = Rig()
+        rig.warm_up()
+        used = [link for link in rig.reactor.links if link.protocol.exchanges]
+        used[0].drop(ConnectionDone())
+        assert rig.runner.ramp.state is WARM
+
+    def test_another_incarnation_is_unknown(self) -> None:
+        rig = Rig()
+        rig.owner.note_vm("s-a", TargetState.UNKNOWN, "one")
+        rig.warm_up()
+        rig.owner.note_vm("s-a", TargetState.UNKNOWN, "two")
+        assert rig.owner.views()[0].state is TargetState.UNKNOWN
+
+    def test_a_new_part_begins_from_unknown(self) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.owner.set_allowance("s-a", None)
+        rig.owner.set_allowance("s-a", Allowance(2, 20, True))
+        (view,) = rig.owner.views()
+        assert (view.state, view.room) == (TargetState.UNKNOWN, 1)
+
+    def test_two_missed_deadlines_are_a_setback(self) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.submit(query(1), query(2))
+        rig.advance(0.2)
+        assert rig.runner.ramp.state is COLD
+
+    def test_time_alone_changes_nothing(self) -> None:
+        rig = Rig()
+        rig.runner.ramp.setback()
+        rig.advance(5.0)
+        assert (rig.runner.ramp.bound, rig.runner.ramp.state) == (1, COLD)
+
+
+class TestWhoServes:
+    def test_a_holder_that_may_not_stops_when_the_replica_turns_cold(self) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.owner.set_allowance("s-a", Allowance(1, 5, may_serve_cold=False))
+        rig.submit(query(1), query(2))
+        rig.busy()[0].answer(Target_State="cold")
+        rig.advance(0.01)
+        assert rig.outcomes() == [Outcome.ANSWERED, Outcome.NOT_RUN]
+        assert not rig.replies[1].began
--- /dev/null
+++ b/tests/target/test_orders.py
@@ -0,0 +1,105 @@
+"""Tests that an order is sent once, and that doubt about it is always said."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from twisted.internet.error import ConnectionLost
+
+from sardinehook.messages import Outcome
+from sardinehook.target.allowance import Allowance
+from tests.target.fakes import FakeLink, Rig, query
+
+ORDER = query(1, order_key="k")
+
+
+def garble(link: FakeLink) -> None:
+    link.protocol.dataReceived(b"nonsense\r\n\r\n")
+
+
+def reset(link: FakeLink) -> None:
+    link.drop(ConnectionLost())
+
+
+def truncate(link: FakeLink) -> None:
+    link.protocol.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf")
+    link.drop(ConnectionLost())
+
+
+class TestFailurePoints:
+    @pytest.mark.parametrize(
+        ("fail", "outcome"),
+        [
+            (garble, Outcome.GARBLED),
+            (reset, Outcome.CONNECTION_LOST),
+            (truncate, Outcome.GARBLED),
+            (lambda link: link.answer(500), Outcome.FAILED),
+            (lambda link: link.answer(503), Outcome.FAILED),
+            (lambda link: link.answer(504), Outcome.LATE),
+            (lambda link: None, Outcome.LATE),
+            (lambda link: link.answer(Sub_Query_Id="other"), Outcome.GARBLED),
+        ],
+    )
+    def test_after_sending_doubt_is_said_and_nothing_repeated(
+        self, fail: Callable[[FakeLink], None], outcome: Outcome
+    ) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.submit(ORDER)
+        fail(rig.busy()[0])
+        rig.advance(0.3)
+        assert [(one.outcome, one.began) for one in rig.replies] == [(outcome, True)]
+        assert rig.sent("r1") == 1
+
+    @pytest.mark.parametrize("status", [412, 503])
+    def test_a_target_that_refuses_says_not_begun(self, status: int) -> None:
+        rig = Rig()
+        rig.submit(ORDER)
+        rig.busy()[0].answer(status, Not_Run="true")
+        assert not rig.replies[0].began
+        assert rig.sent("r1") == 1
+
+    def test_an_unreachable_target_means_not_run(self) -> None:
+        rig = Rig()
+        rig.reactor.refuses = True
+        for link in rig.reactor.links:
+            link.drop(ConnectionLost())
+        rig.submit(ORDER)
+        rig.advance(0.2)
+        assert [(one.outcome, one.began) for one in rig.replies] == [
+            (Outcome.NOT_RUN, False)
+        ]
+
+    def test_a_lapsed_part_means_not_run(self) -> None:
+        rig = Rig()
+        rig.submit(query(9), ORDER)
+        rig.owner.set_allowance("s-a", None)
+        assert [(one.outcome, one.began) for one in rig.replies] == [
+            (Outcome.NOT_RUN, False)
+        ]
+
+    def test_stopping_with_the_order_in_flight_says_doubt(self) -> None:
+        rig = Rig()
+        rig.submit(ORDER)
+        rig.owner.close(0.01)
+        rig.advance(0.05)
+        assert rig.replies[0].began
+
+
+class TestConnections:
+    def test_an_order_avoids_a_connection_that_has_long_been_idle(self) -> None:
+        rig = Rig(slots=1, allowance=Allowance(1, 20, True))
+        rig.advance(1.0)
+        opened = len(rig.reactor.links)
+        rig.submit(ORDER)
+        rig.advance(0.002)
+        (link,) = rig.busy()
+        assert rig.reactor.links.index(link) >= opened
+
+    def test_a_search_uses_it(self) -> None:
+        rig = Rig()
+        rig.advance(1.0)
+        opened = len(rig.reactor.links)
+        rig.submit(query())
+        assert rig.reactor.links.index(rig.busy()[0]) < opened
--- /dev/null
+++ b/tests/target/test_pool.py
@@ -0,0 +1,88 @@
+"""Tests of the pool: connections within the allowance, opened early, closed late."""
+
+from __future__ import annotations
+
+from twisted.internet.error import ConnectionDone, ConnectionLost
+
+from sardinehook.messages import Outcome
+from sardinehook.target.allowance import Allowance
+from sardinehook.target.pool import LINGER_S, SILENT_LINGER_S
+from tests.target.fakes import Rig, query
+
+
+def rig_with(connections: int) -> Rig:
+    return Rig(slots=4, cold=4, allowance=Allowance(4, connections, True))
+
+
+class TestAllowance:
+    def test_connections_being_opened_count(self) -> None:
+        rig = rig_with(2)
+        rig.reactor.accepts = False
+        rig.submit(*(query(n) for n in range(1, 9)))
+        assert len(rig.reactor.attempts) == 2
+
+    def test_a_connection_given_up_goes_on_counting(self) -> None:
+        rig = rig_with(1)
+        rig.runner.poll_status()
+        rig.advance(1.2)
+        assert len(rig.reactor.attempts) == 1
+        rig.advance(SILENT_LINGER_S)
+        rig.runner.tend()
+        assert len(rig.reactor.attempts) == 2
+
+    def test_one_closed_from_here_counts_for_a_while(self) -> None:
+        rig = rig_with(2)
+        for link in rig.reactor.links:
+            link.protocol.close()
+        now = rig.reactor.seconds()
+        assert rig.runner.pool.held(now) >= 1
+        assert rig.runner.pool.held(now + LINGER_S + 0.1) == 0
+
+    def test_one_that_the_target_closed_is_replaced_at_once(self) -> None:
+        rig = rig_with(1)
+        rig.reactor.links[0].drop(ConnectionDone())
+        rig.advance(0.003)
+        assert len([link for link in rig.reactor.links if link.open]) == 1
+
+    def test_a_smaller_allowance_closes_idle_ones_and_spares_busy_ones(self) -> None:
+        rig = rig_with(5)
+        rig.submit(query(1), query(2))
+        rig.owner.set_allowance("s-a", Allowance(4, 1, True))
+        busy = rig.busy()
+        assert len(busy) == 2
+        busy[0].answer()
+        busy[1].answer()
+        assert rig.outcomes() == [Outcome.ANSWERED, Outcome.ANSWERED]
+        assert sum(link.open for link in rig.reactor.links) == 1
+
+
+class TestOpening:
+    def test_one_is_opened_before_it_is_needed(self) -> None:
+        rig = rig_with(5)
+        rig.submit(query(1))
+        assert rig.runner.pool.idle
+
+    def test_attempts_wait_longer_after_each_failure(self) -> None:
+        rig = rig_with(5)
+        rig.reactor.refuses = True
+        for link in rig.reactor.links:
+            link.drop(ConnectionLost())
+        rig.advance(10.0)
+        assert 5 <= len(rig.reactor.attempts) <= 14
+
+    def test_a_target_over_its_cap_is_not_taken_for_a_restart(self) -> None:
+        rig = rig_with(5)
+        rig.warm_up()
+        state = rig.runner.ramp.state
+        for link in rig.reactor.links:
+            if link.protocol.exchanges == 0:
+                link.drop(ConnectionLost())
+        assert rig.runner.ramp.state is state
+
+    def test_long_idle_ones_are_closed_but_for_a_few(self) -> None:
+        rig = rig_with(20)
+        rig.runner.pool.provide(12)
+        rig.advance(0.01)
+        rig.reactor.advance(61.0)
+        rig.runner.tend()
+        assert sum(link.open for link in rig.reactor.links) <= 6
--- /dev/null
+++ b/tests/target/test_standing.py
@@ -0,0 +1,98 @@
+"""Tests of leaving and returning replicas."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost
+
+from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.cold_start import ColdStart
+from sardinehook.target.standing import DRAIN_HOLD_S, Standing
+from tests.target.fakes import Rig, query
+
+
+class TestLeaving:
+    def test_its_own_signal_ends_new_work_and_refuses_the_queue(self) -> None:
+        rig = Rig()
+        rig.submit(query(1), query(2))
+        rig.busy()[0].answer(Target_State="draining")
+        rig.submit(query(3))
+        assert rig.outcomes() == [Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.NOT_RUN]
+        assert rig.owner.views()[0].state is TargetState.DRAINING
+
+    @pytest.mark.parametrize("listed", [TargetState.DRAINING, TargetState.GONE])
+    def test_the_list_of_vms_ends_new_work(self, listed: TargetState) -> None:
+        rig = Rig()
+        rig.owner.note_vm("s-a", listed)
+        rig.submit(query())
+        assert rig.outcomes() == [Outcome.NOT_RUN]
+        assert rig.owner.views()[0].state is listed
+
+    def test_work_in_flight_is_finished(self) -> None:
+        rig = Rig()
+        rig.submit(query(1))
+        rig.owner.note_vm("s-a", TargetState.DRAINING)
+        rig.busy()[0].answer()
+        assert rig.outcomes() == [Outcome.ANSWERED]
+
+    def test_a_refused_connection_ends_new_work(self) -> None:
+        rig = Rig()
+        rig.reactor.refuses = True
+        for link in rig.reactor.links:
+            link.drop(ConnectionDone())
+        rig.submit(query())
+        assert rig.outcomes() == [Outcome.NOT_RUN]
+        assert rig.owner.views()[0].state is TargetState.GONE
+
+
+class TestReturning:
+    def test_a_target_that_accepts_again_is_unknown(self) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.reactor.refuses = True
+        for link in rig.reactor.links:
+            link.drop(ConnectionLost())
+        rig.advance(0.5)
+        rig.reactor.refuses = False
+        rig.advance(2.5)
+        (view,) = rig.owner.views()
+        assert (view.state, view.room) == (TargetState.UNKNOWN, 1)
+
+    def test_a_misleading_status_does_not_end_a_drain(self) -> None:
+        standing = Standing(ColdStart(1, 2))
+        standing.reply_said(TargetState.DRAINING, now=0.0)
+        for second in range(9):
+            standing.status_said(draining=False, now=float(second))
+        assert standing.leaving
+
+    def test_a_drain_that_was_taken_back_ends_after_the_hold(self) -> None:
+        standing = Standing(ColdStart(1, 2))
+        standing.reply_said(TargetState.DRAINING, now=0.0)
+        for second in range(3):
+            standing.status_said(draining=False, now=DRAIN_HOLD_S + second)
+        assert standing.state is TargetState.UNKNOWN
+
+    def test_a_return_by_the_list_starts_unknown(self) -> None:
+        rig = Rig()
+        rig.warm_up()
+        rig.owner.note_vm("s-a", TargetState.DRAINING)
+        rig.owner.note_vm("s-a", TargetState.UNKNOWN)
+        assert rig.owner.views()[0].state is TargetState.UNKNOWN
+
+
+class TestStatusEndpoint:
+    def test_what_replies_show_goes_before_a_lying_status(self) -> None:
+        rig = Rig()
+        rig.submit(query(1))
+        rig.busy()[0].answer(Index_Versions_Held="6,7", Partitioning_Version=3)
+        rig.runner.poll_status()
+        rig.busy("GET /status")[0].answer(body=b'{"index_versions":[1]}')
+        (view,) = rig.owner.views()
+        assert (view.index_versions, view.partitioning) == ((6, 7), 3)
+
+    @pytest.mark.parametrize("body", [b"", b"[]", b'{"index_versions":"all"}'])
+    def test_a_malformed_status_changes_nothing(self, body: bytes) -> None:
+        rig = Rig()
+        rig.runner.poll_status()
+        rig.busy("GET /status")[0].answer(body=body)
+        assert rig.owner.views()[0].index_versions == (1,)
