--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -77,9 +77,9 @@
     """``twisted.web.client.Agent`` with persistent connections."""
 
     def __init__(self, reactor: TargetReactor) -> None:
-        pool = HTTPConnectionPool(reactor)  # type: ignore[no-untyped-call]
+        pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = SLOTS
-        self.agent = Agent(reactor, pool=pool)  # type: ignore[no-untyped-call]
+        self.agent = Agent(reactor, pool=pool)
         self.numbers = count(1)
 
     def send(self, place: Place, done: Callable[[bool], None]) -> None:
--- /dev/null
+++ b/tests/entry/test_dispatcher.py
@@ -0,0 +1,142 @@
+"""Tests of the dispatcher of sub-queries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
+from sardinehook.environment.document import Index, Replica
+from sardinehook.messages import CancelSubQuery, Outcome, SubQuery, SubReply
+
+HERE = Replica("r-here", "duluth", "127.0.0.1:1")
+THERE = Replica("r-there", "marquette", "127.0.0.1:2")
+ORPHAN = Replica("r-orphan", "traverse", "127.0.0.1:3")
+INDEX = Index(2, 25, 6.0, {"s": [HERE, THERE, ORPHAN]})
+OWNERS = {"r-here": "e1", "r-there": "e2"}
+
+
+class FakeDirectory:
+    """Owners from a table."""
+
+    def owner_of(self, replica: Replica) -> str | None:
+        return OWNERS.get(replica.name)
+
+
+class FakeLinks:
+    """Keeps what is sent; down links send nothing."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, object]] = []
+        self.up = True
+
+    def send(self, node: str, message: SubQuery | SubReply | CancelSubQuery) -> bool:
+        if self.up:
+            self.sent.append((node, message))
+        return self.up
+
+
+class FakeOwner:
+    """Keeps what is submitted."""
+
+    def __init__(self) -> None:
+        self.replies: dict[int, Callable[[SubReply], None]] = {}
+        self.cancelled: list[int] = []
+
+    def submit(
+        self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
+    ) -> None:
+        self.replies[sub_query.sub_query_id] = reply
+
+    def cancel(self, sender: str, sub_query_id: int) -> None:
+        self.cancelled.append(sub_query_id)
+
+
+class Fixture:
+    """A dispatcher at node e1 with its fakes and the replies that it delivered."""
+
+    def __init__(self) -> None:
+        self.links = FakeLinks()
+        self.owner = FakeOwner()
+        self.dispatcher = Dispatcher("e1", FakeDirectory(), self.links, self.owner)
+        self.dispatcher.configure(
+            {one.name: ReplicaHome(one, INDEX) for one in (HERE, THERE, ORPHAN)}
+        )
+        self.replies: list[SubReply] = []
+
+    def send(self, number: int, replica: str) -> SubQuery:
+        sub_query = SubQuery(number, "q", "s", replica, 0, 0, 100.0, 5, "", b"{}")
+        self.dispatcher.send(sub_query, self.replies.append)
+        return sub_query
+
+
+def answered(number: int) -> SubReply:
+    return SubReply(number, Outcome.ANSWERED, 1, 1, 0.0, 1.0, True, "", b"{}")
+
+
+class TestSending:
+    def test_an_own_replica_is_served_here(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-here")
+        fixture.owner.replies[1](answered(1))
+        assert [reply.outcome for reply in fixture.replies] == [Outcome.ANSWERED]
+        assert fixture.links.sent == []
+
+    def test_another_node_s_replica_goes_over_its_link(self) -> None:
+        fixture = Fixture()
+        sub_query = fixture.send(1, "r-there")
+        assert fixture.links.sent == [("e2", sub_query)]
+
+    def test_a_replica_without_owner_is_not_run(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-orphan")
+        assert [(one.outcome, one.began) for one in fixture.replies] == [
+            (Outcome.NOT_RUN, False)
+        ]
+
+    def test_an_unknown_replica_is_not_run(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-unheard-of")
+        assert fixture.replies[0].outcome is Outcome.NOT_RUN
+
+    def test_what_a_down_link_refuses_is_not_run(self) -> None:
+        fixture = Fixture()
+        fixture.links.up = False
+        fixture.send(1, "r-there")
+        assert [(one.outcome, one.began) for one in fixture.replies] == [
+            (Outcome.NOT_RUN, False)
+        ]
+
+
+class TestReplies:
+    def test_a_reply_is_delivered_once(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-there")
+        fixture.dispatcher.on_reply("e2", answered(1))
+        fixture.dispatcher.on_reply("e2", answered(1))
+        assert len(fixture.replies) == 1
+
+    def test_a_reply_of_another_node_is_dropped(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-there")
+        fixture.dispatcher.on_reply("e3", answered(1))
+        assert fixture.replies == []
+
+    def test_a_lost_link_leaves_the_outcome_open(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-there")
+        fixture.send(2, "r-here")
+        fixture.dispatcher.on_link_down("e2")
+        assert [(one.outcome, one.began) for one in fixture.replies] == [
+            (Outcome.CONNECTION_LOST, True)
+        ]
+
+    def test_a_reply_after_cancelling_is_dropped(self) -> None:
+        fixture = Fixture()
+        fixture.send(1, "r-there")
+        fixture.send(2, "r-here")
+        fixture.dispatcher.cancel(1)
+        fixture.dispatcher.cancel(2)
+        fixture.dispatcher.on_reply("e2", answered(1))
+        assert fixture.replies == []
+        assert fixture.links.sent[-1] == ("e2", CancelSubQuery(1))
+        assert fixture.owner.cancelled == [2]
--- /dev/null
+++ b/tests/entry/test_requests.py
@@ -0,0 +1,100 @@
+"""Tests of callers' requests."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from sardinehook.entry.requests import (
+    parse_deadline_ms,
+    parse_request_id,
+    resolve_request,
+)
+from sardinehook.environment.document import EnvironmentDocument
+from sardinehook.environment.loading import load_document
+from sardinehook.errors import ANSWERS, ErrorKind
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+
+
+@pytest.fixture(scope="module")
+def document() -> EnvironmentDocument:
+    path = ROOT / "examples" / "szovetseg-production.yaml"
+    return load_document(path.read_text(), str(path)).unwrap()
+
+
+class TestResolving:
+    def test_an_unknown_workload_is_not_found(
+        self, document: EnvironmentDocument
+    ) -> None:
+        refused = resolve_request(document, "nonesuch", "r", None, b"{}")
+        assert refused.failure().kind is ErrorKind.NOT_FOUND
+
+    def test_a_workload_for_one_service_needs_its_name(
+        self, document: EnvironmentDocument
+    ) -> None:
+        refused = resolve_request(document, "counter-lookup", "r", None, b"{}")
+        assert refused.failure().kind is ErrorKind.BAD_REQUEST
+
+    def test_the_only_service_needs_no_name(
+        self, document: EnvironmentDocument
+    ) -> None:
+        taken = resolve_request(document, "maintenance", "r", None, b"{}").unwrap()
+        assert taken.service
+
+    def test_a_body_over_the_bound_is_refused(
+        self, document: EnvironmentDocument
+    ) -> None:
+        body = b'{"query": "' + b"x" * document.limits.request_bytes + b'"}'
+        refused = resolve_request(document, "audit", "r", None, body)
+        assert refused.failure().kind is ErrorKind.PAYLOAD_TOO_LARGE
+
+    def test_the_limit_is_at_most_the_workload_s(
+        self, document: EnvironmentDocument
+    ) -> None:
+        body = b'{"limit": 1000000000}'
+        taken = resolve_request(document, "storm-night", "r", None, body).unwrap()
+        assert taken.limit == document.workloads["storm-night"].result_limit
+
+    @given(body=st.binary(max_size=200), deadline=st.none() | st.text(max_size=20))
+    def test_any_input_is_taken_or_refused_as_not_run(
+        self, document: EnvironmentDocument, body: bytes, deadline: str | None
+    ) -> None:
+        result = resolve_request(document, "audit", "r", deadline, body)
+        if not is_successful(result):
+            assert ANSWERS[result.failure().kind].not_run
+
+
+class TestHeaders:
+    @pytest.mark.parametrize("header", ["", "nan", "inf", "-1", "0", "soon"])
+    def test_a_senseless_deadline_is_refused(self, header: str) -> None:
+        assert not is_successful(parse_deadline_ms(header, 150.0))
+
+    def test_a_request_id_that_could_forge_a_header_is_refused(self) -> None:
+        assert not is_successful(parse_request_id("a\r\nNot-Run: true"))
+
+    def test_a_missing_request_id_is_made(self) -> None:
+        assert parse_request_id(None).unwrap() != parse_request_id(None).unwrap()
+
+
+class TestInterfacesPage:
+    def test_the_table_of_errors_is_that_of_the_code(self) -> None:
+        page = (ROOT / "docs" / "INTERFACES.md").read_text()
+        found: dict[str, tuple[int, bool]] = {}
+        for row in re.findall(
+            r"^\| (`[a-z_`, ]+) \| (\d+) \| (yes|no) \|$", page, re.M
+        ):
+            for kind in re.findall(r"`([a-z_]+)`", row[0]):
+                found[kind] = (int(row[1]), row[2] == "yes")
+        internal = {ErrorKind.INVALID_SETTINGS, ErrorKind.INVALID_DOCUMENT}
+        expected = {
+            kind.value: (answer.status, answer.not_run)
+            for kind, answer in ANSWERS.items()
+            if kind not in internal
+        }
+        assert found == expected
