--- a/tests/target/test_orders.py
+++ b/tests/target/test_orders.py
@@ -52,6 +52,17 @@
         assert [(one.outcome, one.began) for one in rig.replies] == [(outcome, True)]
         assert rig.sent("r1") == 1
 
+    def test_a_free_slot_and_time_left_do_not_tempt_to_repeat(self) -> None:
+        rig = Rig(slots=4, cold=3)
+        rig.warm_up()
+        rig.submit(ORDER)
+        (link,) = rig.busy()
+        assert link.protocol.exchanges > 1
+        link.drop(ConnectionLost())
+        rig.advance(0.01)
+        assert rig.outcomes() == [Outcome.CONNECTION_LOST]
+        assert rig.sent("r1") == 1
+
     @pytest.mark.parametrize("status", [412, 503])
     def test_a_target_that_refuses_says_not_begun(self, status: int) -> None:
         rig = Rig()
