--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -56,7 +56,7 @@
 
     After anything but a whole matching reply the connection closes itself and is
     never used again. ``closed`` is called once, after the end of the exchange that
-    was running, with whether the peer closed it cleanly.
+    was running, with whether the target has closed it in order.
     """
 
     def __init__(
@@ -114,18 +114,16 @@
         self.tcp.doWrite()
 
     def close(self) -> None:
-        """Close the connection; an exchange that runs ends as ``Lost``."""
+        """Tell the target that the connection is done with.
+
+        It ends once the target has closed its side too, and counts until then.
+        """
         self.is_open = False
         self.closing_here = True
-        if self.finish is None:
-            self.tcp.loseConnection()
-        else:
-            self.tcp.abortConnection()
+        self.tcp.loseWriteConnection()
 
     def give_up(self) -> None:
-        """Close a connection that does not answer; no end is reported."""
-        if not self.is_open:
-            return
+        """Drop a connection that does not answer; no end is reported."""
         self.finish = None
         self.silent = True
         self.is_open = False
@@ -189,7 +187,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the exchange that was running and report the close."""
         self.is_open = False
-        clean = isinstance(reason.value, ConnectionDone) and not self.closing_here
+        clean = isinstance(reason.value, ConnectionDone)
         if self.finish is not None:
             cause = reason.getErrorMessage()
             if self.received_bytes:
--- a/sardinehook/target/evidence.py
+++ b/sardinehook/target/evidence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sardinehook.environment.document import Index
-from sardinehook.messages import Outcome, TargetState
+from sardinehook.messages import Outcome
 from sardinehook.target.cold_start import ColdStart
 from sardinehook.target.dialect import TargetReply
 from sardinehook.target.load import ServiceTime
@@ -50,11 +50,9 @@
         """Take a reply of the status endpoint, which may lag or mislead."""
         body = read_status(reply.body) if reply.status == 200 else None
         self.status.note_status(body, now)
-        if body is None:
-            return
-        draining = body.state == "draining"
-        draining = draining or reply.head.state is TargetState.DRAINING
-        self.standing.status_said(draining, now)
+        self.standing.reply_said(reply.head.state, now)
+        if body is not None:
+            self.standing.status_said(body.state == "draining", now)
 
     def no_reply_yet(self, waited_ms: float) -> None:
         """Take a wait that was ended from here, as far as it was long."""
--- a/sardinehook/target/occupancy.py
+++ b/sardinehook/target/occupancy.py
@@ -9,8 +9,9 @@
     """Exchanges that may occupy the target, by exchange id.
 
     An exchange counts until its reply, until a cancellation that the target has
-    confirmed, or until ``until``, when its deadline has passed at the target. The
-    end of its connection or of the caller's interest does not end it.
+    confirmed, until ``until``, when its deadline has passed at the target, or until
+    the target's process has ended. The end of its connection or of the caller's
+    interest does not end it.
 
     >>> occupancy = Occupancy()
     >>> occupancy.begin(b"a-1", until=2.0)
@@ -32,6 +33,10 @@
         """Stop counting an exchange that is known to have ended."""
         self.until.pop(exchange_id, None)
 
+    def clear(self) -> None:
+        """Stop counting everything, since the target's process has ended."""
+        self.until.clear()
+
     def expire(self, now: float) -> list[bytes]:
         """Stop counting what has passed its deadline and return its ids."""
         expired = [one for one, until in self.until.items() if until <= now]
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -16,8 +16,8 @@
 
 __all__ = ["ConnectionPool", "PoolEvents", "TargetAddress"]
 
-LINGER_S = 1.0
-SILENT_LINGER_S = 10.0
+LINGER_S = 10.0
+CLOSE_WITHIN_S = 1.0
 IDLE_CLOSE_S = 60.0
 REFUSED_WITHIN_S = 0.1
 FIRST_BACKOFF_S = 0.05
@@ -193,8 +193,8 @@
         if connection in self.idle:
             self.idle.remove(connection)
         if connection.closing_here:
-            linger_s = SILENT_LINGER_S if connection.silent else LINGER_S
-            self.lingering.append(self.reactor.seconds() + linger_s)
+            if not clean:
+                self.lingering.append(self.reactor.seconds() + LINGER_S)
             return
         open_s = self.reactor.seconds() - connection.idle_since
         if connection.exchanges == 0 and open_s < REFUSED_WITHIN_S:
@@ -204,8 +204,16 @@
             self.events.ended(clean)
 
     def close_idle(self, keep: int) -> None:
-        """Close connections that have been idle for long, but ``keep`` of them."""
-        latest = self.reactor.seconds() - IDLE_CLOSE_S
+        """Close connections that have been idle for long, but ``keep`` of them.
+
+        Those that the target has not closed in turn are dropped.
+        """
+        now = self.reactor.seconds()
+        latest = now - IDLE_CLOSE_S
+        for connection in list(self.connections):
+            closing = connection.closing_here
+            if closing and connection.idle_since < now - CLOSE_WITHIN_S:
+                connection.give_up()
         while len(self.idle) > keep and self.idle[0].idle_since < latest:
             self.idle.pop(0).close()
 
--- a/sardinehook/target/reactor.py
+++ b/sardinehook/target/reactor.py
@@ -47,6 +47,9 @@
     def loseConnection(self) -> None:
         """Close after what was written has been sent."""
 
+    def loseWriteConnection(self) -> None:
+        """Tell the peer that nothing more will be sent."""
+
     def abortConnection(self) -> None:
         """Close at once."""
 
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -246,9 +246,13 @@
     def connect_failed(self, cause: str, refused: bool) -> None:
         """Take a failed attempt as evidence that the replica has gone.
 
-        Only a refusal tells so while other connections are open.
+        Only a refusal tells so while other connections are open. Where none is,
+        it shows that the process has ended, and its work with it.
         """
-        if refused or not self.pool.open_now():
+        connected = self.pool.open_now() > 0
+        if refused and not connected:
+            self.exchanges.occupancy.clear()
+        if refused or not connected:
             self.standing.connect_failed()
             self.refuse_queue(f"no connection: {cause}")
         self.reactor.callLater(self.pool.backoff_s, self.provide)
--- a/sardinehook/target/standing.py
+++ b/sardinehook/target/standing.py
@@ -72,11 +72,12 @@
     def status_said(self, draining: bool, now: float) -> None:
         """Take the status endpoint's word on whether the replica drains.
 
-        Since it lags, it ends a drain only when several polls in a row, all of them
-        long after the last sign of the drain, say that there is none.
+        Since it lags or misleads, it begins no drain. It ends one only when several
+        polls in a row, all of them long after the last sign of the drain, say that
+        there is none.
         """
         if draining:
-            self.reply_said(TargetState.DRAINING, now)
+            self.statuses_in_favour = 0
         elif self.draining and now >= self.hold_until:
             self.statuses_in_favour += 1
             if self.statuses_in_favour >= STATUSES_TO_END_DRAIN:
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -31,6 +31,8 @@
         self.protocol = protocol
         self.requests: list[bytes] = []
         self.open = True
+        self.half_closed = False
+        self.closes_in_turn = True
 
     def write(self, data: bytes) -> None:
         self.requests.append(data)
@@ -41,6 +43,11 @@
     def loseConnection(self) -> None:
         self.drop(ConnectionDone())
 
+    def loseWriteConnection(self) -> None:
+        self.half_closed = True
+        if self.closes_in_turn:
+            self.drop(ConnectionDone())
+
     def abortConnection(self) -> None:
         self.drop(ConnectionLost())
 
--- a/tests/target/test_owner_machine.py
+++ b/tests/target/test_owner_machine.py
@@ -151,6 +151,8 @@
     @rule()
     def refuse_connections(self) -> None:
         self.rig.reactor.refuses = True
+        if not any(link.open for link in self.rig.reactor.links):
+            self.jobs.clear()
         self.step(0.02)
         self.rig.reactor.refuses = False
         self.step(0.08)
--- a/tests/target/test_pool.py
+++ b/tests/target/test_pool.py
@@ -6,7 +6,7 @@
 
 from sardinehook.messages import Outcome
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.pool import LINGER_S, SILENT_LINGER_S
+from sardinehook.target.pool import CLOSE_WITHIN_S, LINGER_S
 from tests.target.fakes import Rig, query
 
 
@@ -26,17 +26,35 @@
         rig.runner.poll_status()
         rig.advance(1.2)
         assert len(rig.reactor.attempts) == 1
-        rig.advance(SILENT_LINGER_S)
+        rig.advance(LINGER_S)
         rig.runner.tend()
         assert len(rig.reactor.attempts) == 2
 
-    def test_one_closed_from_here_counts_for_a_while(self) -> None:
-        rig = rig_with(2)
-        for link in rig.reactor.links:
-            link.protocol.close()
+    def test_one_closed_from_here_counts_until_the_target_closes_too(self) -> None:
+        rig = rig_with(1)
+        (link,) = rig.reactor.links
+        link.closes_in_turn = False
+        link.protocol.close()
+        rig.advance(0.1)
+        assert link.half_closed
+        assert len(rig.reactor.attempts) == 1
+        link.drop(ConnectionDone())
+        rig.submit(query())
+        assert len(rig.reactor.attempts) == 2
+
+    def test_one_that_the_target_never_closes_is_dropped_and_goes_on_counting(
+        self,
+    ) -> None:
+        rig = rig_with(1)
+        (link,) = rig.reactor.links
+        link.closes_in_turn = False
+        link.protocol.close()
+        rig.reactor.advance(CLOSE_WITHIN_S + 0.1)
+        rig.runner.tend()
+        assert not link.open
         now = rig.reactor.seconds()
-        assert rig.runner.pool.held(now) >= 1
-        assert rig.runner.pool.held(now + LINGER_S + 0.1) == 0
+        assert rig.runner.pool.held(now) - rig.runner.pool.opening == 1
+        assert rig.runner.pool.held(now + LINGER_S) - rig.runner.pool.opening == 0
 
     def test_one_that_the_target_closed_is_replaced_at_once(self) -> None:
         rig = rig_with(1)
