--- a/sardinehook/target/cold_start.py
+++ b/sardinehook/target/cold_start.py
@@ -101,6 +101,12 @@
         self.slow_replies = 0
         self.late_replies = 0
 
+    def take_as_warm(self) -> None:
+        """Take another owner's word that the replica is warm, if nothing is known."""
+        if self.state is TargetState.UNKNOWN:
+            self.state = TargetState.WARM
+            self.bound = self.slots
+
     def forget(self) -> None:
         """Return to knowing nothing, which bears what a cold start bears."""
         self.setback()
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -100,6 +100,16 @@
         if runner is not None:
             runner.note_vm(listed, incarnation)
 
+    def note_peer_view(self, replica: str, state: TargetState) -> None:
+        """Take what another owner has last told of a replica.
+
+        It matters only for a part that may not serve the replica while it is cold:
+        such a holder cannot find out by itself that the replica is warm.
+        """
+        runner = self.runners.get(replica)
+        if runner is not None:
+            runner.note_peer_view(state)
+
     def submit(
         self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
     ) -> None:
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -111,6 +111,16 @@
         self.standing.note_vm(listed, incarnation)
         self.refuse_if_leaving()
 
+    def note_peer_view(self, state: TargetState) -> None:
+        """Take the state that another owner has told."""
+        if self.allowance.may_serve_cold or not self.holds_part:
+            return
+        if state is TargetState.WARM:
+            self.ramp.take_as_warm()
+        elif self.ramp.state is TargetState.WARM:
+            self.ramp.forget()
+            self.refuse_if_leaving()
+
     def submit(self, work: Work) -> None:
         """Queue ``work`` or refuse it at once."""
         refusal = self.refusal(work)
--- a/tests/target/test_cold_start.py
+++ b/tests/target/test_cold_start.py
@@ -155,3 +155,30 @@
         rig.advance(0.01)
         assert rig.outcomes() == [Outcome.ANSWERED, Outcome.NOT_RUN]
         assert not rig.replies[1].began
+
+    def test_it_serves_a_replica_that_the_owner_saw_warm(self) -> None:
+        rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
+        rig.owner.note_peer_view("s-a", WARM)
+        rig.submit(query(1))
+        rig.busy()[0].answer()
+        assert rig.outcomes() == [Outcome.ANSWERED]
+
+    def test_it_stops_when_the_owner_sees_it_otherwise(self) -> None:
+        rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
+        rig.owner.note_peer_view("s-a", WARM)
+        rig.owner.note_peer_view("s-a", TargetState.DRAINING)
+        rig.submit(query(1))
+        assert rig.outcomes() == [Outcome.NOT_RUN]
+
+    def test_its_own_evidence_goes_before_the_word_of_another(self) -> None:
+        rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
+        rig.owner.note_peer_view("s-a", WARM)
+        rig.submit(query(1))
+        rig.busy()[0].answer(Target_State="cold")
+        rig.owner.note_peer_view("s-a", WARM)
+        assert rig.owner.views()[0].state is COLD
+
+    def test_the_owner_itself_is_never_told_that_it_is_warm(self) -> None:
+        rig = Rig()
+        rig.owner.note_peer_view("s-a", WARM)
+        assert rig.runner.ramp.bound == 1
