Hold a start back until the peers have answered

A process that starts anew could take an older revision from a store that answers from an older state, and hold it until its peers told it more: to its callers that is a revert. It now waits for the answers of all peers, at most 1 s. A revision that the holder refuses, as of another environment, was asked for again at once and without end; its peer is now forgotten until it speaks again.

--- a/sardinehook/environment/spread.py
+++ b/sardinehook/environment/spread.py
@@ -39,7 +39,7 @@
 FANOUT = 6
 ANNOUNCE_INTERVAL_S = 2.0
 START_INTERVAL_S = 0.25
-START_SETTLE_S = 0.4
+START_SETTLE_S = 1.0
 START_PEERS = 16
 SILENCE_S = 5.0
 PROBED_PEERS = 3
@@ -138,22 +138,34 @@
         self.newer: dict[str, int] = {}
         self.pending: Pending | None = None
         self.settles_at = float("-inf")
+        self.awaited: set[str] = set()
+        self.early: Revision | None = None
         self.heard_at = float("-inf")
         holder.add_listener(self.keep)
         if holder.in_force is not None:
             self.keep(holder.in_force)
 
     def start(self, peers: Sequence[str], now: float) -> list[Send]:
-        """Ask all peers for their numbers; the highest is taken a little later."""
+        """Ask all peers for their numbers.
+
+        Nothing is put in force until all have answered or a little while has passed,
+        so that a node that starts anew does not begin with an older revision.
+        """
         self.settles_at = now + START_SETTLE_S
+        self.awaited = set(peers)
         return [self.announce_to(peer) for peer in peers]
 
+    def settling(self, now: float) -> bool:
+        """Whether answers to the start are still awaited."""
+        started = self.holder.in_force is None and now < self.settles_at
+        return started and bool(self.awaited)
+
     def tick(self, peers: Sequence[str], now: float) -> list[Send]:
         """Send what is due from time to time, and ask again for what is missing."""
         asked = START_PEERS if self.holder.in_force is None else 1
         announced = [self.announce_to(peer) for peer in self.choose(peers, asked)]
         probed = self.probe(peers) if now - self.heard_at > SILENCE_S else []
-        return announced + probed + self.ask(now)
+        return announced + probed + self.ask(peers, now)
 
     def probe(self, peers: Sequence[str]) -> list[Send]:
         """Ask a few peers for a sign of life, which an answer to a request is."""
@@ -170,8 +182,12 @@
         interval = START_INTERVAL_S if waiting else ANNOUNCE_INTERVAL_S
         return interval * self.rng.uniform(0.8, 1.2)
 
-    def offer(self, revision: Revision, peers: Sequence[str]) -> list[Send]:
+    def offer(self, revision: Revision, peers: Sequence[str], now: float) -> list[Send]:
         """Put a revision in force if it is newer, and tell a few peers at once."""
+        if self.settling(now):
+            if self.early is None or revision.number > self.early.number:
+                self.early = revision
+            return []
         if not self.holder.offer(revision):
             return []
         return [self.announce_to(peer) for peer in self.choose(peers, FANOUT)]
@@ -181,38 +197,41 @@
     ) -> list[Send]:
         """Take a message of a peer."""
         self.heard_at = now
+        self.awaited.discard(peer)
         match message:
             case RevisionAnnounce(number, digest):
-                return self.hear(peer, number, digest, now)
+                return self.hear(peer, number, digest) + self.ask(peers, now)
             case RevisionRequest(have, have_digest):
                 return self.answer(peer, have, have_digest)
             case RevisionDelta():
                 return self.take(peer, message, peers, now)
         return []
 
-    def hear(self, peer: str, number: int, digest: str, now: float) -> list[Send]:
-        """Compare a peer's number with our own; the one behind gets to know."""
+    def hear(self, peer: str, number: int, digest: str) -> list[Send]:
+        """Compare a peer's number with our own; a peer that is behind is told."""
         own = self.holder.number
+        if number > own:
+            self.newer[peer] = number
+            return []
+        self.newer.pop(peer, None)
         if number < own:
-            self.newer.pop(peer, None)
             return [self.announce_to(peer)]
-        if number == own:
-            self.newer.pop(peer, None)
-            self.counts.split += number > 0 and digest != self.digest
-            return []
-        self.newer[peer] = number
-        return self.ask(now)
+        self.counts.split += number > 0 and digest != self.digest
+        return []
 
-    def ask(self, now: float) -> list[Send]:
+    def ask(self, peers: Sequence[str], now: float) -> list[Send]:
         """Ask a peer with the highest number, unless an answer is awaited."""
         number = self.holder.number
         self.newer = {peer: seen for peer, seen in self.newer.items() if seen > number}
-        if self.holder.in_force is None and now < self.settles_at:
+        if self.settling(now):
             return []
         tries = self.forget_silent(now)
+        highest = max(self.newer.values(), default=NO_REVISION)
+        if self.early is not None and self.early.number >= highest:
+            early, self.early = self.early, None
+            return self.offer(early, peers, now)
         if not self.newer or self.pending is not None:
             return []
-        highest = max(self.newer.values())
         best = sorted(peer for peer, seen in self.newer.items() if seen == highest)
         return [self.request(self.rng.choice(best), now, tries + 1, whole=False)]
 
@@ -281,12 +300,14 @@
             self.pending = None
         match self.restore(delta):
             case Success(revision):
-                return self.offer(revision, peers) + self.ask(now)
+                sends = self.offer(revision, peers, now)
+                if self.holder.number >= delta.number or self.early is revision:
+                    return sends + self.ask(peers, now)
         self.counts.refused += 1
         if asked is not None and asked.peer == peer and not asked.whole:
             return [self.request(peer, now, asked.tries, whole=True)]
         self.newer.pop(peer, None)
-        return self.ask(now)
+        return self.ask(peers, now)
 
     def restore(self, delta: RevisionDelta) -> Result[Revision, Problem]:
         """Restore a revision from a difference and verify its digest."""
--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/watcher.py
@@ -110,12 +110,15 @@
     def offer_from_store(self, revision: Revision) -> None:
         """Take a revision that the store answered."""
         before = self.holder.number
-        self.send_all(self.spread.offer(revision, self.peers()))
+        now = self.reactor.seconds()
+        self.send_all(self.spread.offer(revision, self.peers(), now))
         self.log_change(before, "store")
 
     def tick(self) -> None:
         """Do what is due from time to time."""
+        before = self.holder.number
         self.send_all(self.spread.tick(self.peers(), self.reactor.seconds()))
+        self.log_change(before, "start")
         self.settle_watch()
         self.arm()
 
@@ -134,7 +137,7 @@
     def retry(self) -> None:
         """Ask again if the answer is overdue."""
         now = self.reactor.seconds()
-        self.send_all(self.spread.ask(now))
+        self.send_all(self.spread.ask(self.peers(), now))
         self.arm_retry(now)
 
     def settle_watch(self) -> None:
