--- a/tests/environment/test_watcher.py
+++ b/tests/environment/test_watcher.py
@@ -32,6 +32,7 @@
         self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
         self.nodes: dict[str, DocumentControl] = {}
         self.frame_bytes = 0
+        self.forced: list[tuple[str, int]] = []
         for name in names:
             self.boot(name)
 
@@ -46,10 +47,12 @@
             if not self.cut(name, peer):
                 self.clock.callLater(LINK_S, self.arrive, peer, name, frame)
 
+        holder = DocumentHolder("trial")
+        holder.add_listener(lambda taken: self.forced.append((name, taken.number)))
         control = DocumentControl(
             self.clock,
             self.store,
-            DocumentHolder("trial"),
+            holder,
             send,
             lambda: [other for other in self.names if other != name],
             random.Random(self.rng.random()),
@@ -164,6 +167,20 @@
         fleet.run(5)
         assert fleet.numbers() == [2] * 3
 
+    def test_older_state_after_an_outage_reverts_nothing(self) -> None:
+        fleet = Fleet("abc", "ab")
+        fleet.accept(revision(1))
+        fleet.run(3)
+        fleet.store.freeze()
+        old, fleet.store.frozen = fleet.store.frozen, None
+        fleet.accept(revision(2))
+        fleet.run(3)
+        fleet.store.down, fleet.store.frozen = True, old
+        fleet.run(10)
+        fleet.store.down = False
+        assert fleet.calls(BACK_OFF_MOST_S) > 0
+        assert sorted(fleet.forced) == [(n, r) for n in "abc" for r in (1, 2)]
+
 
 class TestCutOff:
     def test_node_that_hears_nobody_looks_at_the_store(self) -> None:
--- a/tests/platform/test_http_store.py
+++ b/tests/platform/test_http_store.py
@@ -90,6 +90,13 @@
         assert good(await self.store.get("a")) == Entry("a", b"one", 1, "")
         assert self.platform.counts.calls["PUT kv"] == 1
 
+    async def test_lost_reply_to_a_delete_is_not_repeated(self) -> None:
+        created = good(await self.store.put("a", b"one", CREATE))
+        self.platform.control({"lose_replies": 1})
+        lost = await self.store.delete("a", created.revision)
+        assert may_have_taken_effect(lost)
+        assert self.platform.counts.calls["DELETE kv"] == 1
+
     async def test_hanging_write_may_have_taken_effect(self) -> None:
         self.platform.control({"outage": Outage.HANG})
         hung = await self.store.put("a", b"one", CREATE)
