Average replicas' latencies geometrically and cut the policy's own cost

The average is now geometric, weighs first samples more and recovers faster. The merge sorts by plain attributes and copies only what it keeps on the way; coverage counters replace sums for each reply.

--- a/sardinehook/query/index_answer.py
+++ b/sardinehook/query/index_answer.py
@@ -44,17 +44,15 @@
         """Tell whether a reply of ``snapshot`` may still count."""
         return self.snapshot is None or snapshot == self.snapshot
 
-    def add(self, service: str, snapshot: Snapshot, page: Page, size: int) -> None:
-        """Count ``service`` as answered under ``snapshot``."""
-        services = self.services.setdefault(snapshot, set())
-        if service in services:
-            return
-        services.add(service)
+    def add(self, service: str, snapshot: Snapshot, page: Page, size: int) -> int:
+        """Count ``service`` as answered and return the bytes held for that."""
         merger = self.mergers.get(snapshot)
         if merger is None:
-            merger = Merger(self.limit, self.most_bytes)
+            merger = Merger(self.index, self.limit, self.most_bytes)
             self.mergers[snapshot] = merger
-        merger.add(self.index, page, size)
+            self.services[snapshot] = set()
+        self.services[snapshot].add(service)
+        return merger.add(page, size)
 
     def can_choose(self) -> bool:
         """Tell whether the first replies decide the snapshot now."""
@@ -75,10 +73,6 @@
         """Return how many services answered under any snapshot."""
         return sum(map(len, self.services.values()))
 
-    def held_bytes(self) -> int:
-        """Return the size of what is held."""
-        return sum(merger.held_bytes for merger in self.mergers.values())
-
     def newer(self) -> Snapshot | None:
         """Return the newer snapshot that the most refusing replicas named."""
         newer = [
--- a/sardinehook/query/merge.py
+++ b/sardinehook/query/merge.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from itertools import accumulate
+from operator import attrgetter
 from typing import NamedTuple
 
 import msgspec
@@ -10,7 +12,16 @@
 
 from sardinehook.query.coverage import MissingReason
 
-__all__ = ["Hit", "Merged", "Merger", "Page", "Record", "merge", "parse_page"]
+__all__ = [
+    "Hit",
+    "Merged",
+    "Merger",
+    "Page",
+    "Record",
+    "merge",
+    "merge_indexes",
+    "parse_page",
+]
 
 PRUNE_FACTOR = 4
 
@@ -49,6 +60,8 @@
     limited: bool
 
 
+RECORD_ORDER = attrgetter("rank", "id")
+HIT_ORDER = attrgetter("rank", "id", "index")
 PAGE_DECODER = msgspec.json.Decoder(Page)
 
 
@@ -72,79 +85,104 @@
     return Success(page)
 
 
-def record_order(hit: Hit) -> tuple[float, str, str, bytes]:
-    """Order by rank (lowest first), then id, index and content."""
-    return (hit.rank, hit.id, hit.index, bytes(hit.fields))
-
-
 class Merger:
-    """Collects the records of one query in bounded memory.
+    """Collects the records of one index in bounded memory.
 
-    The lowest rank comes first. A record is kept once for each identity (index and
-    id). When services of one snapshot send different content for one identity, the
-    copy of the lowest rank stays, and on equal ranks the one whose content is first
-    in byte order, so the choice doesn't depend on the order of the replies.
+    The lowest rank comes first. A record is kept once for each id. When services of
+    one snapshot send different content for one id, the copy of the lowest rank stays,
+    and on equal ranks the one whose content is first in byte order, so the choice
+    doesn't depend on the order of the replies.
 
     No more than about ``PRUNE_FACTOR`` times ``limit`` records or ``most_bytes`` are
     held between two calls; what can't be in the answer is dropped on the way.
     """
 
-    def __init__(self, limit: int, most_bytes: int) -> None:
+    def __init__(self, index: str, limit: int, most_bytes: int) -> None:
+        self.index = index
         self.limit = limit
         self.most_bytes = most_bytes
-        self.hits: list[Hit] = []
+        self.records: list[Record] = []
         self.held_bytes = 0
         self.limited = False
 
-    def add(self, index: str, page: Page, body_bytes: int) -> None:
-        """Take in the records of one page that took ``body_bytes`` on the wire."""
-        self.hits.extend(
-            Hit(index, record.id, record.rank, record.fields) for record in page.records
-        )
+    def add(self, page: Page, body_bytes: int) -> int:
+        """Take in a page that took ``body_bytes`` on the wire.
+
+        Returns by how many bytes that changed what is held.
+        """
+        before = self.held_bytes
+        self.records.extend(page.records)
         self.held_bytes += body_bytes
         if self.must_prune():
             self.prune()
+        return self.held_bytes - before
 
     def must_prune(self) -> bool:
         """Tell whether more is held than the bounds allow."""
-        too_many = len(self.hits) > PRUNE_FACTOR * self.limit
+        too_many = len(self.records) > PRUNE_FACTOR * self.limit
         return too_many or self.held_bytes > self.most_bytes
 
     def prune(self) -> None:
-        """Keep the first ``limit`` records that fit, in copies of their own."""
-        kept: list[Hit] = []
-        held_bytes = 0
-        distinct = distinct_hits(self.hits)
-        for hit in distinct[: self.limit]:
-            held_bytes += len(bytes(hit.fields)) + len(hit.id)
-            if held_bytes > self.most_bytes:
-                break
-            kept.append(Hit(hit.index, hit.id, hit.rank, hit.fields.copy()))
-        self.limited = self.limited or len(kept) < len(distinct)
-        self.hits = kept
-        self.held_bytes = sum(len(bytes(hit.fields)) + len(hit.id) for hit in kept)
+        """Keep the first records only, in copies that free the replies they are of."""
+        self.cut()
+        self.records = [
+            Record(record.id, record.rank, record.fields.copy())
+            for record in self.records
+        ]
+
+    def cut(self) -> None:
+        """Keep the first ``limit`` records that fit, in order."""
+        distinct = distinct_records(self.records)
+        kept = distinct[: self.limit]
+        sizes = accumulate(
+            [len(memoryview(record.fields)) + len(record.id) for record in kept]
+        )
+        fitting = [size for size in sizes if size <= self.most_bytes]
+        self.records = kept[: len(fitting)]
+        self.held_bytes = fitting[-1] if fitting else 0
+        self.limited = self.limited or len(fitting) < len(distinct)
 
     def merged(self) -> Merged:
         """Return the records in order."""
-        self.prune()
-        return Merged(tuple(self.hits), self.limited)
+        self.cut()
+        index = self.index
+        hits = [
+            Hit(index, record.id, record.rank, record.fields) for record in self.records
+        ]
+        return Merged(tuple(hits), self.limited)
+
+
+def distinct_records(records: list[Record]) -> list[Record]:
+    """Sort ``records`` by rank and id, and keep one of each id."""
+    records.sort(key=RECORD_ORDER)
+    distinct: dict[str, Record] = {}
+    for record in records:
+        held = distinct.setdefault(record.id, record)
+        if held is not record and goes_before(record, held):
+            distinct[record.id] = record
+    return list(distinct.values())
+
+
+def goes_before(record: Record, held: Record) -> bool:
+    """Tell whether ``record`` stays in place of one with its id and no higher rank."""
+    return record.rank == held.rank and bytes(record.fields) < bytes(held.fields)
 
 
-def distinct_hits(hits: Iterable[Hit]) -> list[Hit]:
-    """Sort ``hits`` and keep the first of each identity."""
-    seen: set[tuple[str, str]] = set()
-    distinct: list[Hit] = []
-    for hit in sorted(hits, key=record_order):
-        identity = (hit.index, hit.id)
-        if identity not in seen:
-            seen.add(identity)
-            distinct.append(hit)
-    return distinct
+def merge_indexes(parts: Iterable[Merged], limit: int) -> Merged:
+    """Merge the records of several indexes, whose ids have nothing in common."""
+    hits: list[Hit] = []
+    limited = False
+    for part in parts:
+        hits.extend(part.records)
+        limited = limited or part.limited
+    hits.sort(key=HIT_ORDER)
+    return Merged(tuple(hits[:limit]), limited or len(hits) > limit)
 
 
 def merge(pages: Iterable[tuple[str, Page]], limit: int, most_bytes: int) -> Merged:
     """Merge pages, each with the name of its index, in one go."""
-    merger = Merger(limit, most_bytes)
+    mergers: dict[str, Merger] = {}
     for index, page in pages:
-        merger.add(index, page, 0)
-    return merger.merged()
+        merger = mergers.setdefault(index, Merger(index, limit, most_bytes))
+        merger.add(page, 0)
+    return merge_indexes([merger.merged() for merger in mergers.values()], limit)
--- a/sardinehook/query/planner.py
+++ b/sardinehook/query/planner.py
@@ -132,10 +132,12 @@
         ordered = self.policy.chooser.order(placements, now)
         if snapshot is None or len(ordered) < 2:
             return ordered
-        of = self.policy.holdings.of
-        if all(snapshot in of(replica) for replica in ordered):
+        held = self.policy.holdings.held
+        lacking = [name for name in ordered if snapshot not in held.get(name, ())]
+        if not lacking:
             return ordered
-        return tuple(sorted(ordered, key=lambda replica: snapshot not in of(replica)))
+        holding = [name for name in ordered if name not in lacking]
+        return (*holding, *lacking)
 
 
 def placements_of(index: Index) -> dict[str, tuple[Placement, ...]]:
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -11,7 +11,10 @@
 __all__ = ["Placement", "ReplicaChooser", "ReplicaRecord"]
 
 SAMPLE_WEIGHT = 0.1
-MOST_SAMPLE_RATIO = 4.0
+RECOVERY_WEIGHT = 0.3
+RECOVERY_RATIO = 0.5
+LEAST_LATENCY_MS = 0.05
+GIVEN_UP_FACTOR = 2.0
 FAILURE_WEIGHT = 0.2
 FAILURE_COST_MS = 200.0
 FAILURE_HALF_LIFE_S = 5.0
@@ -25,6 +28,7 @@
 REMOTE_COST_MS = 15.0
 COLD_COST_MS = 500.0
 HINT_AGE_S = 1.0
+NOT_USABLE = (TargetState.DRAINING, TargetState.GONE)
 
 
 class Placement(NamedTuple):
@@ -37,7 +41,8 @@
 class ReplicaRecord:
     """What this process has seen of one replica.
 
-    ``latency_ms`` averages the time from sending to the reply, queueing included.
+    ``latency_ms`` is the geometric mean, over recent replies, of the time from sending
+    to the reply, queueing included.
     ``slow_ratio`` averages how often a reply took more than ``SLOW_RATIO`` times that,
     or was given up after such a time. ``failure_ratio`` averages failures; it halves
     each ``FAILURE_HALF_LIFE_S``.
@@ -49,6 +54,7 @@
         "failure_ratio",
         "latency_ms",
         "outstanding",
+        "samples",
         "seen_at",
         "slow_ratio",
         "tried_at",
@@ -58,6 +64,7 @@
 
     def __init__(self) -> None:
         self.latency_ms = 0.0
+        self.samples = 0
         self.slow_ratio = 0.0
         self.failure_ratio = 0.0
         self.failed_at = 0.0
@@ -68,15 +75,20 @@
         self.view_at = -1e9
 
     def observe(self, latency_ms: float, now: float) -> None:
-        """Take in the latency of one reply."""
+        """Take in the latency of one reply.
+
+        The first samples weigh more, and so does one much faster than the average: a
+        replica that looks slow gets few samples to prove the contrary.
+        """
         self.seen_at = now
-        if self.latency_ms == 0.0:
-            self.latency_ms = latency_ms
+        self.samples += 1
+        if self.samples == 1:
+            self.latency_ms = max(latency_ms, LEAST_LATENCY_MS)
             return
-        slow = latency_ms > SLOW_RATIO * self.latency_ms
-        self.slow_ratio += SLOW_WEIGHT * (float(slow) - self.slow_ratio)
-        bounded = min(latency_ms, self.latency_ms * MOST_SAMPLE_RATIO)
-        self.latency_ms += SAMPLE_WEIGHT * (bounded - self.latency_ms)
+        ratio = max(latency_ms, LEAST_LATENCY_MS) / self.latency_ms
+        weight = RECOVERY_WEIGHT if ratio < RECOVERY_RATIO else SAMPLE_WEIGHT
+        self.latency_ms *= ratio ** max(weight, 1.0 / self.samples)
+        self.slow_ratio += SLOW_WEIGHT * (float(ratio > SLOW_RATIO) - self.slow_ratio)
 
     def note_result(self, failed: bool, now: float) -> None:
         """Take in whether a sub-query failed."""
@@ -143,7 +155,8 @@
         """Take in the end of a sub-query.
 
         A wrong version says nothing of the replica's speed or health. A cancelled
-        one took at least ``latency_ms``, which counts if it is longer than usual.
+        one took at least ``latency_ms``; if that is longer than usual, it counts as
+        ``GIVEN_UP_FACTOR`` times as long.
         """
         record = self.record_of(replica)
         record.outstanding = max(0, record.outstanding - 1)
@@ -153,7 +166,7 @@
                 record.note_result(False, now)
             case Outcome.CANCELLED:
                 if latency_ms > record.latency_ms:
-                    record.observe(latency_ms, now)
+                    record.observe(latency_ms * GIVEN_UP_FACTOR, now)
             case Outcome.WRONG_VERSION:
                 pass
             case _:
@@ -161,17 +174,16 @@
 
     def order(self, placements: Sequence[Placement], now: float) -> tuple[str, ...]:
         """Return the replicas that may be asked, the best first."""
-        costs: list[tuple[float, float, Placement]] = []
+        costs: list[tuple[float, float, str]] = []
         for placement in placements:
-            if placement.data_centre in self.out:
-                continue
-            cost = self.cost(placement, now)
-            if cost is not None:
-                costs.append((cost, self.random.random(), placement))
-        costs.sort()
-        ordered = [placement for _, _, placement in costs]
-        self.move_probe_first(ordered, now)
-        return tuple([placement.replica for placement in ordered])
+            if placement.data_centre not in self.out:
+                record = self.record_of(placement.replica)
+                cost = self.cost(record, placement.data_centre, now)
+                if cost is not None:
+                    costs.append((cost, self.random.random(), placement.replica))
+        if len(costs) > 1:
+            costs.sort()
+        return tuple([replica for _, _, replica in costs])
 
     def is_much_slower(self, replica: str, than: str) -> bool:
         """Tell whether ``replica`` was seen to be several times slower than another."""
@@ -194,40 +206,28 @@
         record = self.records.get(placement.replica)
         if record is None or record.view is None:
             return True
-        return record.view.state not in (TargetState.DRAINING, TargetState.GONE)
-
-    def move_probe_first(self, ordered: list[Placement], now: float) -> None:
-        """Ask a replica of the own data centre first that was not asked for long."""
-        for position in range(1, len(ordered)):
-            placement = ordered[position]
-            if placement.data_centre == self.data_centre and self.must_probe(
-                self.record_of(placement.replica), now
-            ):
-                ordered.insert(0, ordered.pop(position))
-                return
-
-    def must_probe(self, record: ReplicaRecord, now: float) -> bool:
-        """Tell whether a replica that is not cold was not asked for long."""
-        if record.view is not None and record.view.state is TargetState.COLD:
-            return False
-        return now - record.tried_at > PROBE_INTERVAL_S
-
-    def cost(self, placement: Placement, now: float) -> float | None:
-        """Return the expected cost in ms, ``None`` if it must not be asked."""
-        record = self.record_of(placement.replica)
-        cost = record.latency_ms or FIRST_GUESS_MS
+        return record.view.state not in NOT_USABLE
+
+    def cost(self, record: ReplicaRecord, data_centre: str, now: float) -> float | None:
+        """Return the expected cost in ms, ``None`` if it must not be asked.
+
+        It is zero for a replica of the own data centre that is due for a probe.
+        """
         view = record.view
+        cost = record.latency_ms or FIRST_GUESS_MS
+        cold = False
         if view is not None:
-            if view.state in (TargetState.DRAINING, TargetState.GONE):
+            if view.state in NOT_USABLE:
                 return None
+            cold = view.state is TargetState.COLD
             if now - record.seen_at > HINT_AGE_S:
                 cost = max(cost, view.wait_ms)
-            if view.state is TargetState.COLD:
-                cost += COLD_COST_MS
-        cost *= record.outstanding + 1
-        cost += SLOW_COST_MS * record.slow_ratio
+        own = data_centre == self.data_centre
+        if own and not cold and now - record.tried_at > PROBE_INTERVAL_S:
+            return 0.0
+        cost = cost * (record.outstanding + 1) + SLOW_COST_MS * record.slow_ratio
         if record.failure_ratio:
             cost += FAILURE_COST_MS * record.failures(now)
-        if placement.data_centre != self.data_centre:
-            cost += REMOTE_COST_MS
-        return cost
+        if cold:
+            cost += COLD_COST_MS
+        return cost if own else cost + REMOTE_COST_MS
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -63,6 +63,7 @@
         self.fan_out = FanOut(request, workload, policy, now)
         self.enough_reached = False
         self.open_count = len(self.services)
+        self.lost_count = 0
         self.began = False
         self.reserved_bytes = 0
         self.congested_replies = 0
@@ -167,9 +168,7 @@
             return page.failure()
         if not self.policy.memory.reserve(size):
             return MissingReason.NO_MEMORY
-        before = index.held_bytes()
-        index.add(service, snapshot, page.unwrap(), size)
-        kept = index.held_bytes() - before
+        kept = index.add(service, snapshot, page.unwrap(), size)
         self.policy.memory.release(size - kept)
         self.reserved_bytes += kept
         return None
@@ -183,9 +182,11 @@
     ) -> None:
         """Tell the shared estimates how a sub-query ended."""
         elapsed_ms = (now - attempt.sent_at) * 1000.0
-        queued_out = reply.outcome in QUEUED_OUT
-        self.congested_replies += queued_out or reply.queued_ms > self.most_queued_ms
         outcome = reply.outcome
+        if outcome is not Outcome.ANSWERED:
+            self.congested_replies += outcome in QUEUED_OUT
+        elif reply.queued_ms > self.most_queued_ms:
+            self.congested_replies += 1
         if outcome is Outcome.ANSWERED and reason is not None:
             wrong_version = reason is MissingReason.WRONG_VERSION
             outcome = Outcome.WRONG_VERSION if wrong_version else Outcome.GARBLED
@@ -235,6 +236,7 @@
         state.reason = reason
         state.closed = True
         self.open_count -= 1
+        self.lost_count += 1
 
     def choose_snapshot(self, index: IndexAnswer, now: float) -> list[Action]:
         """Choose what the first replies favour; ask the other services again."""
@@ -266,9 +268,15 @@
             actions.extend(self.abandon(state, now))
             self.open_count += int(state.closed)
             state.reopen()
+        self.lost_count = self.count_lost()
         actions.extend(self.fan_out.send_first(asked, newer, now))
         return actions
 
+    def count_lost(self) -> int:
+        """Count the services that were given up."""
+        answered = sum(index.reply_count() for index in self.indexes.values())
+        return len(self.services) - self.open_count - answered
+
     def must_restart(self, states: Sequence[ServiceState], now: float) -> bool:
         """Tell whether wrong versions keep the coverage below what is aimed at."""
         time_left = self.fan_out.settle_at - now
@@ -295,7 +303,7 @@
         """Bring the settlement forward once enough services have answered."""
         if self.enough_reached or self.workload.wait is not Wait.ENOUGH:
             return
-        answered = sum(len(index.answered()) for index in self.indexes.values())
+        answered = sum([len(index.answered()) for index in self.indexes.values()])
         if self.ratio(answered) >= self.workload.enough_coverage:
             self.enough_reached = True
             early_at = now + self.workload.settle_ms / 1000.0
@@ -303,8 +311,10 @@
 
     def is_hopeless(self) -> bool:
         """Tell whether the least coverage is out of reach."""
-        answered = sum(index.reply_count() for index in self.indexes.values())
-        return self.ratio(answered + self.open_count) < self.workload.least_coverage
+        if not self.lost_count:
+            return False
+        reachable = len(self.services) - self.lost_count
+        return self.ratio(reachable) < self.workload.least_coverage
 
     def ratio(self, answered: int) -> float:
         """Return ``answered`` as a share of the services asked."""
--- a/sardinehook/query/settlement.py
+++ b/sardinehook/query/settlement.py
@@ -9,7 +9,7 @@
 from sardinehook.query.answer import SearchAnswer
 from sardinehook.query.coverage import Coverage, MissingReason, MissingService
 from sardinehook.query.index_answer import IndexAnswer
-from sardinehook.query.merge import Hit, distinct_hits
+from sardinehook.query.merge import merge_indexes
 from sardinehook.query.plan import ServiceState
 
 __all__ = ["coverage_of", "merge_answer", "outcome_of"]
@@ -71,14 +71,8 @@
     limit: int,
 ) -> SearchAnswer:
     """Merge the records of all indexes."""
-    hits: list[Hit] = []
-    limited = False
-    for held in indexes.values():
-        merger = held.merger()
-        if merger is not None:
-            merged = merger.merged()
-            hits.extend(merged.records)
-            limited = limited or merged.limited
-    distinct = distinct_hits(hits) if len(indexes) > 1 else hits
-    limited = limited or len(distinct) > limit
-    return SearchAnswer(request_id, tuple(distinct[:limit]), coverage, limited)
+    mergers = [held.merger() for held in indexes.values()]
+    merged = merge_indexes(
+        [merger.merged() for merger in mergers if merger is not None], limit
+    )
+    return SearchAnswer(request_id, merged.records, coverage, merged.limited)
--- a/sardinehook/query/snapshot.py
+++ b/sardinehook/query/snapshot.py
@@ -11,6 +11,7 @@
 __all__ = ["ANY_SNAPSHOT", "Holdings", "Snapshot", "choose_snapshot"]
 
 LEAST_REPLICA_RATIO = 0.75
+NONE_HELD: frozenset[Snapshot] = frozenset()
 
 
 class Snapshot(NamedTuple):
@@ -43,7 +44,7 @@
 
     def of(self, replica: str) -> frozenset[Snapshot]:
         """Return the snapshots that ``replica`` holds, empty if unknown."""
-        return self.held.get(replica, frozenset())
+        return self.held.get(replica, NONE_HELD)
 
     def observe_view(self, view: ReplicaView) -> None:
         """Take in what an owner tells of its replica."""
@@ -58,7 +59,7 @@
         Snapshots of another partitioning are gone from a replica that answered from
         this one.
         """
-        held = self.of(replica)
+        held = self.held.get(replica, NONE_HELD)
         if snapshot not in held:
             kept = {old for old in held if old.partitioning == snapshot.partitioning}
             self.replace(replica, frozenset(kept | {snapshot}))
--- a/tests/query/test_merge.py
+++ b/tests/query/test_merge.py
@@ -85,10 +85,10 @@
         assert not merge([("logs", page)], 2, 1000).limited
 
     def test_bytes_are_bounded_and_stated(self) -> None:
-        merger = Merger(1000, 1000)
+        merger = Merger("logs", 1000, 1000)
         for number in range(100):
             body = page_body((f"{number:03}", float(number), "x" * 90))
-            merger.add("logs", parse_page(body).unwrap(), len(body))
+            merger.add(parse_page(body).unwrap(), len(body))
             assert merger.held_bytes <= 1000
         merged = merger.merged()
         assert merged.limited
