Count only a first try that was given up as slow

When the first try won, its cancelled hedge was taken for the slow one: its few milliseconds entered the latencies and lowered the hedge delay. Attempts now know their number. A given-up try counts four times the time waited for, which tells a slow replica from a slow reply without a measure of its own.

--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -68,11 +68,13 @@
         """Ask ``replica`` and remember it."""
         wanted = ANY_SNAPSHOT if snapshot is None else snapshot
         sub_query_id = next(self.policy.sub_query_ids)
-        attempt = Attempt(sub_query_id, state, replica, snapshot, now)
+        state.attempt_count += 1
+        attempt = Attempt(
+            sub_query_id, state, state.attempt_count, replica, snapshot, now
+        )
         self.attempts[sub_query_id] = attempt
         self.policy.chooser.observe_sent(replica, now)
         state.outstanding.append(sub_query_id)
-        state.attempt_count += 1
         state.reason = state.tried[replica] = MissingReason.LATE
         return Send(
             SubQuery(
@@ -122,15 +124,18 @@
         time that it took; without that the estimates would forget the slow ones.
         """
         actions: list[Action] = []
+        chooser = self.policy.chooser
         for sub_query_id in tuple(sub_query_ids):
             attempt = self.attempts.pop(sub_query_id)
             state = attempt.service
             elapsed_ms = (now - attempt.sent_at) * 1000.0
-            self.policy.chooser.observe_reply(
-                attempt.replica, Outcome.CANCELLED, elapsed_ms, now
-            )
-            if state.attempt_count > 1 and state.outstanding[0] == sub_query_id:
+            if attempt.number == 1 and state.attempt_count > 1:
+                chooser.observe_given_up(attempt.replica, elapsed_ms, now)
                 self.policy.latencies.record(state.index, elapsed_ms)
+            else:
+                chooser.observe_reply(
+                    attempt.replica, Outcome.CANCELLED, elapsed_ms, now
+                )
             state.outstanding.remove(sub_query_id)
             actions.append(Cancel(sub_query_id))
         return actions
--- a/sardinehook/query/plan.py
+++ b/sardinehook/query/plan.py
@@ -40,10 +40,15 @@
 
 
 class Attempt(NamedTuple):
-    """A sub-query that is out. ``snapshot`` is ``None`` if any was asked for."""
+    """A sub-query that is out.
+
+    ``number`` counts the attempts of its service from one. ``snapshot`` is ``None``
+    if any was asked for.
+    """
 
     sub_query_id: int
     service: ServiceState
+    number: int
     replica: str
     snapshot: Snapshot | None
     sent_at: float
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -14,16 +14,12 @@
 RECOVERY_WEIGHT = 0.3
 RECOVERY_RATIO = 0.5
 LEAST_LATENCY_MS = 0.05
-GIVEN_UP_FACTOR = 2.0
+GIVEN_UP_FACTOR = 4.0
 FAILURE_WEIGHT = 0.2
 FAILURE_COST_MS = 200.0
 FAILURE_HALF_LIFE_S = 5.0
 PROBE_INTERVAL_S = 1.0
 MUCH_SLOWER_RATIO = 3.0
-SLOW_RATIO = 2.0
-SLOW_WEIGHT = 0.1
-SLOW_COST_MS = 50.0
-MUCH_SLOWER_DIFFERENCE = 0.2
 FIRST_GUESS_MS = 5.0
 REMOTE_COST_MS = 15.0
 COLD_COST_MS = 500.0
@@ -43,9 +39,7 @@
 
     ``latency_ms`` is the geometric mean, over recent replies, of the time from sending
     to the reply, queueing included.
-    ``slow_ratio`` averages how often a reply took more than ``SLOW_RATIO`` times that,
-    or was given up after such a time. ``failure_ratio`` averages failures; it halves
-    each ``FAILURE_HALF_LIFE_S``.
+    ``failure_ratio`` averages failures; it halves each ``FAILURE_HALF_LIFE_S``.
     ``outstanding`` counts this process's own sub-queries that have no reply.
     """
 
@@ -56,7 +50,6 @@
         "outstanding",
         "samples",
         "seen_at",
-        "slow_ratio",
         "tried_at",
         "view",
         "view_at",
@@ -65,7 +58,6 @@
     def __init__(self) -> None:
         self.latency_ms = 0.0
         self.samples = 0
-        self.slow_ratio = 0.0
         self.failure_ratio = 0.0
         self.failed_at = 0.0
         self.outstanding = 0
@@ -88,7 +80,6 @@
         ratio = max(latency_ms, LEAST_LATENCY_MS) / self.latency_ms
         weight = RECOVERY_WEIGHT if ratio < RECOVERY_RATIO else SAMPLE_WEIGHT
         self.latency_ms *= ratio ** max(weight, 1.0 / self.samples)
-        self.slow_ratio += SLOW_WEIGHT * (float(ratio > SLOW_RATIO) - self.slow_ratio)
 
     def note_result(self, failed: bool, now: float) -> None:
         """Take in whether a sub-query failed."""
@@ -109,8 +100,8 @@
 
     What was seen on real replies goes first: the averaged latency, times one more
     than the own sub-queries that are out (least loaded of two, as in M. Mitzenmacher,
-    "The power of two choices in randomized load balancing", 2001), plus costs for slow
-    replies and recent failures. The owner's ``wait_ms`` counts only while nothing was
+    "The power of two choices in randomized load balancing", 2001), plus a cost for
+    recent failures. The owner's ``wait_ms`` counts only while nothing was
     seen for ``HINT_AGE_S``. A replica of another data centre costs ``REMOTE_COST_MS``
     more, so work spills only when the own ones are that much worse. Cold replicas come
     after warm ones, and draining or gone ones and those of a data centre that is out
@@ -154,9 +145,7 @@
     ) -> None:
         """Take in the end of a sub-query.
 
-        A wrong version says nothing of the replica's speed or health. A cancelled
-        one took at least ``latency_ms``; if that is longer than usual, it counts as
-        ``GIVEN_UP_FACTOR`` times as long.
+        A wrong version or a cancellation says nothing of the replica.
         """
         record = self.record_of(replica)
         record.outstanding = max(0, record.outstanding - 1)
@@ -164,14 +153,23 @@
             case Outcome.ANSWERED:
                 record.observe(latency_ms, now)
                 record.note_result(False, now)
-            case Outcome.CANCELLED:
-                if latency_ms > record.latency_ms:
-                    record.observe(latency_ms * GIVEN_UP_FACTOR, now)
-            case Outcome.WRONG_VERSION:
+            case Outcome.CANCELLED | Outcome.WRONG_VERSION:
                 pass
             case _:
                 record.note_result(True, now)
 
+    def observe_given_up(self, replica: str, waited_ms: float, now: float) -> None:
+        """Take in that another replica answered what was sent to this one first.
+
+        The reply would have taken more than ``waited_ms``; it counts as if it had
+        taken ``GIVEN_UP_FACTOR`` times as long, but never as better than usual.
+        """
+        record = self.record_of(replica)
+        record.outstanding = max(0, record.outstanding - 1)
+        likely_ms = waited_ms * GIVEN_UP_FACTOR
+        if likely_ms > record.latency_ms:
+            record.observe(likely_ms, now)
+
     def order(self, placements: Sequence[Placement], now: float) -> tuple[str, ...]:
         """Return the replicas that may be asked, the best first."""
         costs: list[tuple[float, float, str]] = []
@@ -187,11 +185,8 @@
 
     def is_much_slower(self, replica: str, than: str) -> bool:
         """Tell whether ``replica`` was seen to be several times slower than another."""
-        one = self.record_of(replica)
-        other = self.record_of(than)
-        if one.slow_ratio > other.slow_ratio + MUCH_SLOWER_DIFFERENCE:
-            return True
-        return one.latency_ms > MUCH_SLOWER_RATIO * other.latency_ms > 0.0
+        usual_ms = self.record_of(than).latency_ms
+        return self.record_of(replica).latency_ms > MUCH_SLOWER_RATIO * usual_ms > 0.0
 
     def usable(self, placements: Sequence[Placement]) -> list[str]:
         """Return the replicas that may be asked, in no order."""
@@ -225,7 +220,7 @@
         own = data_centre == self.data_centre
         if own and not cold and now - record.tried_at > PROBE_INTERVAL_S:
             return 0.0
-        cost = cost * (record.outstanding + 1) + SLOW_COST_MS * record.slow_ratio
+        cost *= record.outstanding + 1
         if record.failure_ratio:
             cost += FAILURE_COST_MS * record.failures(now)
         if cold:
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -52,6 +52,18 @@
         search.on_reply(reply_to(hedges[0]), 0.008)
         assert search.on_reply(reply_to(slow), 0.009) == []
 
+    def test_only_a_given_up_first_try_counts_as_slow(self) -> None:
+        policy = SearchPolicy(hedge=FixedDelayHedge(5.0))
+        search, actions = start(plans(2), RETRYING, policy=policy)
+        first, second = sent(actions)
+        hedges = sent(search.on_timer(0.005))
+        search.on_reply(reply_to(first), 0.006)
+        assert policy.chooser.record_of("logs-0-b").samples == 0
+        search.on_reply(reply_to(hedges[1]), 0.008)
+        assert policy.chooser.record_of(second.replica).latency_ms > 8.0
+        counts = policy.latencies.histograms["logs"]
+        assert counts.total == 3
+
     def test_without_hedges_silence_is_retried_in_half_of_the_time(self) -> None:
         policy = SearchPolicy(hedge=NoHedge())
         search, _ = start(plans(1), RETRYING, policy=policy)
