--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -10,6 +10,7 @@
 import sys
 from argparse import ArgumentParser, Namespace
 from collections.abc import Sequence
+from math import exp
 from random import Random
 from typing import NamedTuple
 
@@ -37,7 +38,7 @@
 SLOTS = 2
 ENTRIES = 6
 WARM_UP_S = 1.0
-MEAN_SERVICE_S = SERVICE_MEDIAN_MS * np.exp(SERVICE_SIGMA**2 / 2) / 1000.0
+MEAN_SERVICE_S = SERVICE_MEDIAN_MS * exp(SERVICE_SIGMA**2 / 2) / 1000.0
 CAPACITY_PER_S = 2 * SLOTS / MEAN_SERVICE_S
 
 AUDIT = Workload(["logs"], Scope.ALL, 1000.0, 0.95, priority=5)
--- a/sardinehook/query/planner.py
+++ b/sardinehook/query/planner.py
@@ -97,6 +97,13 @@
             return Failure(Problem(ErrorKind.NOT_FOUND, detail))
         return Success(Plan(tuple(services), snapshots))
 
+    def count_services(self, workload: Workload, service: str) -> int:
+        """Count the services that a search would ask, without planning it."""
+        return sum(
+            len(self.services_asked(name, workload, service))
+            for name in workload.indexes
+        )
+
     def services_asked(
         self, index: str, workload: Workload, service: str
     ) -> Mapping[str, tuple[Placement, ...]]:
--- a/tests/query/test_planner.py
+++ b/tests/query/test_planner.py
@@ -81,6 +81,11 @@
         problem = planner().plan(ONE, "elsewhere", 0.0).failure()
         assert problem.kind is ErrorKind.NOT_FOUND
 
+    def test_counts_what_a_plan_would_ask(self) -> None:
+        assert planner().count_services(ALL, "") == 3
+        assert planner().count_services(ONE, "logs-1") == 1
+        assert planner().count_services(ONE, "elsewhere") == 0
+
     def test_data_centre_that_is_out_gets_nothing(self) -> None:
         plan = planner(DataCentreState.OUT).plan(ALL, "", 0.0).unwrap()
         assert plan.services[0].replicas == ("logs-0-a",)
