--- a/sardinehook/query/settlement.py
+++ b/sardinehook/query/settlement.py
@@ -59,6 +59,8 @@
     if began:
         return Problem(ErrorKind.COVERAGE_BELOW_LEAST, detail)
     reasons = {missing.reason for missing in coverage.missing}
+    if reasons == {MissingReason.NOT_ASKED}:
+        return Problem(ErrorKind.DEADLINE_TOO_SHORT, detail)
     if reasons == {MissingReason.SHED}:
         return Problem(ErrorKind.OVERLOADED, detail)
     return Problem(ErrorKind.TARGET_UNAVAILABLE, detail)
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -133,6 +133,18 @@
         assert settle.coverage.ratio == 1.0
         assert settle.coverage.snapshot == {"logs": NEWER}
 
+    def test_what_answered_before_the_restart_does_not_count(self) -> None:
+        workload = RETRYING._replace(least_coverage=0.0)
+        search, actions = start(plans(2, replicas=1), workload)
+        first, second = sent(actions)
+        search.on_reply(reply_to(first), 0.01)
+        refusal = reply_to(second, Outcome.WRONG_VERSION, NEWER)
+        _, again = sent(search.on_reply(refusal, 0.012))
+        search.on_reply(reply_to(again, snapshot=NEWER), 0.02)
+        coverage = settlement(search.on_timer(0.15)).coverage
+        assert coverage.snapshot == {"logs": NEWER}
+        assert coverage.missing == (MissingService("logs-0", MissingReason.LATE),)
+
     def test_no_restart_for_an_older_snapshot(self) -> None:
         search, actions = start(plans(2, replicas=1), RETRYING)
         first, second = sent(actions)
