--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -173,6 +173,7 @@
 def compare_overload(options: Namespace) -> None:
     """Print goodput at twice the capacity with and without admission."""
     arms = (
+        Arm("fixed-no-budget", FixedDelayHedge(10.0), spends_budget=False),
         Arm("no-admission", QuantileHedge()),
         Arm("admission", QuantileHedge(), admits=True),
     )
@@ -187,6 +188,8 @@
         ]
         load = [arrivals for arrivals in load if arrivals.per_second]
         for arm in arms:
+            if options.arm not in arm.name:
+                continue
             pooled = [
                 finished
                 for seed in range(options.seed, options.seed + options.seeds)
@@ -194,7 +197,7 @@
                     arm, FAULTS["none"], load, options.seconds, seed
                 )
             ]
-            print(f"{name:22}{arm.name:14}{goodput_line(pooled, options)}", flush=True)
+            print(f"{name:22}{arm.name:16}{goodput_line(pooled, options)}", flush=True)
 
 
 def goodput_line(pooled: Sequence[Finished], options: Namespace) -> str:
