Bound repeats at one replica

Repeats at the only fast replica of a service multiplied its load by 3.5 for 100 ms when its queue was long, which the budget of the workload, shared by all replicas, let pass. Each replica now bears one repeat for five sub-queries sent.

--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -98,6 +98,8 @@
         replica = state.next_replica(self.policy.chooser)
         if replica is None or not self.has_time(state.index, now):
             return []
+        if replica in state.tried and not self.policy.chooser.spend_repeat(replica):
+            return []
         if not self.pay(1, now):
             return []
         action = self.send(state, replica, snapshot, now)
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -20,6 +20,8 @@
 FAILURE_HALF_LIFE_S = 5.0
 PROBE_INTERVAL_S = 1.0
 MUCH_SLOWER_RATIO = 3.0
+REPEAT_RATIO = 0.2
+MOST_REPEATS = 3.0
 FIRST_GUESS_MS = 5.0
 REMOTE_COST_MS = 15.0
 COLD_COST_MS = 500.0
@@ -41,6 +43,8 @@
     to the reply, queueing included.
     ``failure_ratio`` averages failures; it halves each ``FAILURE_HALF_LIFE_S``.
     ``outstanding`` counts this process's own sub-queries that have no reply.
+    ``repeats`` is how many sub-queries may be sent to it once more; each one sent
+    earns ``REPEAT_RATIO`` of that.
     """
 
     __slots__ = (
@@ -48,6 +52,7 @@
         "failure_ratio",
         "latency_ms",
         "outstanding",
+        "repeats",
         "samples",
         "seen_at",
         "tried_at",
@@ -61,6 +66,7 @@
         self.failure_ratio = 0.0
         self.failed_at = 0.0
         self.outstanding = 0
+        self.repeats = MOST_REPEATS
         self.seen_at = -1e9
         self.tried_at = -1e9
         self.view: ReplicaView | None = None
@@ -138,8 +144,21 @@
         """Count a sub-query that is out."""
         record = self.record_of(replica)
         record.outstanding += 1
+        record.repeats = min(MOST_REPEATS, record.repeats + REPEAT_RATIO)
         record.tried_at = now
 
+    def spend_repeat(self, replica: str) -> bool:
+        """Take the right to send a sub-query to the same replica once more.
+
+        Where replies are slow because a queue is long, repeats make it longer. The
+        budget of a workload doesn't prevent that, being shared by all replicas.
+        """
+        record = self.record_of(replica)
+        if record.repeats < 1.0:
+            return False
+        record.repeats -= 1.0
+        return True
+
     def observe_reply(
         self, replica: str, outcome: Outcome, latency_ms: float, now: float
     ) -> None:
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -11,6 +11,7 @@
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.policy import SearchPolicy
+from sardinehook.query.replica_choice import MOST_REPEATS, REPEAT_RATIO
 from sardinehook.query.snapshot import Snapshot
 from tests.query.support import (
     NEW,
@@ -110,6 +111,18 @@
                 extra += len(retries)
         assert extra <= FLOOR_TRIES + 0.05 * 2000
 
+    def test_repeats_at_one_replica_are_bounded_whatever_the_budget(self) -> None:
+        policy = SearchPolicy()
+        workload = RETRYING._replace(extra_load=1.0)
+        first = repeated = 0
+        for _ in range(100):
+            search, actions = start(plans(1, replicas=1), workload, policy=policy)
+            (query,) = sent(actions)
+            lost = reply_to(query, Outcome.CONNECTION_LOST)
+            first += 1
+            repeated += len(sent(search.on_reply(lost, 0.0)))
+        assert 0 < repeated <= MOST_REPEATS + REPEAT_RATIO * (first + repeated)
+
     def test_lost_connection_of_the_only_replica_is_tried_again(self) -> None:
         search, actions = start(plans(1, replicas=1), RETRYING)
         lost = reply_to(sent(actions)[0], Outcome.CONNECTION_LOST)
