--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -31,6 +31,8 @@
         self.protocol = protocol
         self.requests: list[bytes] = []
         self.open = True
+        self.half_closed = False
+        self.closes_in_turn = True
 
     def write(self, data: bytes) -> None:
         self.requests.append(data)
@@ -41,6 +43,11 @@
     def loseConnection(self) -> None:
         self.drop(ConnectionDone())
 
+    def loseWriteConnection(self) -> None:
+        self.half_closed = True
+        if self.closes_in_turn:
+            self.drop(ConnectionDone())
+
     def abortConnection(self) -> None:
         self.drop(ConnectionLost())
 
@@ -184,6 +191,15 @@
             and link.last.decode().startswith(start)
         ]
 
+    def sent(self, request_id: str) -> int:
+        """Return how often a sub-query of this request has come to the target."""
+        wanted = f"Request-Id: {request_id}\r\n".encode()
+        return sum(
+            request.startswith(b"POST /services") and wanted in request
+            for link in self.reactor.links
+            for request in link.requests
+        )
+
     def warm_up(self) -> None:
         """Take the replica to warm by good replies at full use."""
         number = 10_000
