Place orders at most once by a claim in the platform's service

Cause: a doubled order ships twice and a lost one gets no call back, and the VMs keep nothing. Change: OrderDesk claims an order's key by a create before anything is sent, sends exactly one sub-query, and records the outcome.

--- /dev/null
+++ b/sardinehook/order/open_order.py
@@ -0,0 +1,105 @@
+"""An order that this process has at hand."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred
+
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.order.claim import ClaimState, OrderClaim, OrderRequest
+from sardinehook.platform.store import CREATE
+from sardinehook.platform.timers import Timers
+
+__all__ = ["OpenOrder", "OrderAnswer", "answer_of"]
+
+
+class OrderAnswer(NamedTuple):
+    """The answer to an order that ran.
+
+    ``body`` is the target's answer, empty with ``body_kept`` false if it was too
+    large to record. ``repeated`` tells that another request ran it.
+    """
+
+    body: bytes
+    body_kept: bool
+    repeated: bool
+    attempt: str
+
+
+class OpenOrder:
+    """An order with the callers that wait for it and what is still to record.
+
+    ``deadline`` is in seconds of the reactor's clock. ``claiming`` holds until the
+    order was sent or given up. Once ``given_up`` is set nothing is sent any more;
+    once ``sent`` is set the order cannot be given up.
+    ``revision`` is that of the key's record which the next write expects.
+    """
+
+    def __init__(self, request: OrderRequest, deadline: float) -> None:
+        self.request = request
+        self.deadline = deadline
+        self.claiming = True
+        self.given_up = False
+        self.sent = False
+        self.awaits_reply = False
+        self.recording = False
+        self.result: Result[OrderAnswer, Problem] | None = None
+        self.waiters: list[Deferred[Result[OrderAnswer, Problem]]] = []
+        self.claim: OrderClaim | None = None
+        self.recorded: OrderClaim | None = None
+        self.revision = CREATE
+
+    def settle(self, result: Result[OrderAnswer, Problem]) -> None:
+        """Tell all callers the result; a later one replaces it for later callers."""
+        self.result = result
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.callback(result)
+
+    async def result_by(
+        self, timers: Timers, deadline: float
+    ) -> Result[OrderAnswer, Problem]:
+        """Wait for the result until ``deadline`` on the reactor's clock."""
+        if self.result is not None:
+            return self.result
+        waiter: Deferred[Result[OrderAnswer, Problem]] = Deferred()
+        self.waiters.append(waiter)
+        left = max(deadline - timers.seconds(), 0.0)
+        timer = timers.callLater(left, self._leave, waiter)
+        try:
+            return await waiter
+        finally:
+            if timer.active():
+                timer.cancel()
+
+    def _leave(self, waiter: Deferred[Result[OrderAnswer, Problem]]) -> None:
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            detail = "this process is at work on it"
+            waiter.callback(Failure(Problem(ErrorKind.ORDER_IN_PROGRESS, detail)))
+
+    @property
+    def unrecorded(self) -> bool:
+        """Whether the outcome is known here but not yet in the store."""
+        if self.claim is None or self.claim.state is ClaimState.CLAIMED:
+            return False
+        return self.claim != self.recorded
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing is left to wait for or to record."""
+        if self.result is None or self.claiming or self.awaits_reply:
+            return False
+        return not (self.recording or self.unrecorded)
+
+
+def answer_of(
+    claim: OrderClaim, repeated: bool, body: bytes | None = None
+) -> Result[OrderAnswer, Problem]:
+    """Return the answer in a claim that is done, or with the ``body`` at hand."""
+    if body is None:
+        kept = claim.body_kept
+        return Success(OrderAnswer(claim.body, kept, repeated, claim.attempt))
+    return Success(OrderAnswer(body, True, repeated, claim.attempt))
--- /dev/null
+++ b/sardinehook/order/pause.py
@@ -0,0 +1,16 @@
+"""A wait on the reactor's clock."""
+
+from __future__ import annotations
+
+from twisted.internet.defer import Deferred
+
+from sardinehook.platform.timers import Timers
+
+__all__ = ["pause"]
+
+
+def pause(timers: Timers, seconds: float) -> Deferred[None]:
+    """Return a Deferred that fires after ``seconds``."""
+    done: Deferred[None] = Deferred()
+    timers.callLater(seconds, done.callback, None)
+    return done
