Draw one time line over the logs of all processes

Cause: a query's or a change's story is spread over processes whose clocks differ. Change: sardinehook timeline reads key=value lines, counts malformed ones, merges by hybrid stamp, selects by request, target, revision or data centre, and draws rows for a terminal or an escaped static page with a lane for each process. Conclusion: a hedged query with a clock 90 s behind, and a change over three processes, are each drawn whole and in order by one command (tests).

--- a/sardinehook/cli/app.py
+++ b/sardinehook/cli/app.py
@@ -8,6 +8,7 @@
 from sardinehook.cli.document import document
 from sardinehook.cli.entry import entry
 from sardinehook.cli.search import search
+from sardinehook.cli.timeline import timeline
 
 __all__ = ["app", "main"]
 
@@ -20,6 +21,7 @@
 )
 app.command()(entry)
 app.command()(search)
+app.command()(timeline)
 app.add_typer(document, name="document")
 app.add_typer(document, name="document")
 
--- /dev/null
+++ b/sardinehook/observe/timeline_page.py
@@ -0,0 +1,80 @@
+"""A time line as one static HTML page with a lane for each process."""
+
+from __future__ import annotations
+
+from html import escape
+from string import Template
+
+from sardinehook.observe.events import TROUBLES
+from sardinehook.observe.logfmt import LogLine
+from sardinehook.observe.timeline import Timeline, show_fields, summarise
+
+__all__ = ["render_page"]
+
+PAGE = Template(
+    """<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>$title</title>
+<style>
+body { font: 13px sans-serif; margin: 1em; }
+table { border-collapse: collapse; }
+th { position: sticky; top: 0; background: #eee; }
+th, td { border-left: 1px solid #ccc; padding: 1px 6px; vertical-align: top; }
+td.time { text-align: right; white-space: nowrap; color: #555; }
+td div { border-radius: 4px; padding: 2px 5px; background: #e4eefa; }
+td div.trouble { background: #f8d4d0; }
+td b { white-space: nowrap; }
+td span { color: #444; font-size: 11px; overflow-wrap: anywhere; }
+</style>
+</head>
+<body>
+<h1>$title</h1>
+$summary
+<table>
+<thead><tr><th>ms</th>$heads</tr></thead>
+<tbody>
+$rows
+</tbody>
+</table>
+</body>
+</html>
+"""
+)
+TROUBLE_MARKS = ("refused", "failed", "lost", "silent", "dropped", "withdrawn")
+
+
+def render_page(timeline: Timeline, title: str) -> str:
+    """Draw a time line as HTML; all that comes from logs is escaped."""
+    data_centres = {line.process: line.data_centre for line in timeline.lines}
+    heads = "".join(
+        f"<th>{escape(process)}<br>{escape(data_centres[process])}</th>"
+        for process in timeline.processes
+    )
+    return PAGE.substitute(
+        title=escape(title),
+        summary="\n".join(f"<p>{escape(text)}</p>" for text in summarise(timeline)),
+        heads=heads,
+        rows="\n".join(render_row(timeline, line) for line in timeline.lines),
+    )
+
+
+def render_row(timeline: Timeline, line: LogLine) -> str:
+    """Draw one event in the lane of its process."""
+    lane = timeline.processes.index(line.process)
+    before = "<td></td>" * lane
+    after = "<td></td>" * (len(timeline.processes) - lane - 1)
+    style = ' class="trouble"' if is_trouble(line) else ""
+    event, fields = escape(line.event), escape(show_fields(line))
+    return (
+        f'<tr><td class="time">{timeline.offset_ms(line):.0f}</td>{before}'
+        f"<td><div{style}><b>{event}</b> <span>{fields}</span></div></td>{after}</tr>"
+    )
+
+
+def is_trouble(line: LogLine) -> bool:
+    """Tell whether an event is one that a person looks for."""
+    if line.event in {event.value for event in TROUBLES}:
+        return True
+    return any(mark in line.event for mark in TROUBLE_MARKS)
--- /dev/null
+++ b/tests/observe/test_timeline.py
@@ -0,0 +1,129 @@
+"""Tests of reading logs back and of the time line drawn from them."""
+
+from __future__ import annotations
+
+from io import StringIO
+
+import structlog
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinehook.observe.clock import HybridClock
+from sardinehook.observe.events import EventName, configure_logging, log_event
+from sardinehook.observe.logfmt import ParsedLog, parse_line, parse_log
+from sardinehook.observe.timeline import Selection, build_timeline, render_text
+from sardinehook.observe.timeline_page import render_page
+
+EVERYTHING = Selection()
+
+
+class Node:
+    """A process with a wall clock of its own and a log."""
+
+    def __init__(self, name: str, data_centre: str, wall: float) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.clock = HybridClock(lambda: wall)
+        self.stream = StringIO()
+
+    def log(self, event: EventName, **fields: str | int) -> None:
+        configure_logging(self.stream, self.name, self.data_centre, self.clock)
+        log_event(structlog.get_logger(), event, **fields)  # type: ignore[arg-type]
+        structlog.reset_defaults()
+
+    def parsed(self) -> ParsedLog:
+        return parse_log(self.stream.getvalue().splitlines())
+
+
+def hedged_query() -> list[Node]:
+    """Log a query that is hedged to an owner whose clock is 90 s behind."""
+    front, owner = Node("entry-1", "duluth", 100.0), Node("entry-2", "marquette", 10.0)
+    front.log(EventName.QUERY_RECEIVED, request="r-1", workload="storm")
+    front.log(EventName.QUERY_RECEIVED, request="r-2", workload="storm")
+    front.log(EventName.SUB_QUERY_SENT, request="r-1", target="a")
+    front.log(EventName.SUB_QUERY_HEDGED, request="r-1", target="b")
+    owner.clock.witness(front.clock.tick())
+    owner.log(EventName.OWNER_STARTED, request="r-1", target="b")
+    front.clock.witness(owner.clock.tick())
+    front.log(EventName.QUERY_ANSWERED, request="r-1")
+    return [owner, front]
+
+
+def draw(nodes: list[Node], selection: Selection = EVERYTHING) -> list[str]:
+    timeline = build_timeline([node.parsed() for node in nodes], selection)
+    return list(render_text(timeline))
+
+
+class TestParse:
+    @given(st.text(), st.text())
+    def test_what_was_logged_is_read_back(self, detail: str, cause: str) -> None:
+        node = Node("p", "d", 1.0)
+        node.log(EventName.QUERY_FAILED, detail=detail, cause=cause)
+        (line,) = node.parsed().lines
+        if detail.isprintable() and "\\" not in detail:
+            assert line.fields["detail"] == detail
+        assert line.event == "query_failed"
+
+    @given(st.text())
+    def test_any_text_is_read_or_counted(self, text: str) -> None:
+        parsed = parse_log([text])
+        assert len(parsed.lines) + parsed.malformed == bool(text.strip())
+
+    def test_malformed_lines_are_counted_and_left_out(self) -> None:
+        good = "stamp=1 event=e process=p data_centre=d"
+        bad = ["Traceback:", "stamp=x event=e process=p", "event=e process=p", "a=1 b"]
+        parsed = parse_log([good, *bad, "", f"stamp={1 << 64} event=e process=p"])
+        assert (len(parsed.lines), parsed.malformed) == (1, 5)
+        assert parse_line("stamp=" + "9" * 70_000) is None
+
+
+class TestTimeline:
+    def test_events_follow_their_causes_though_clocks_differ(self) -> None:
+        events = [row.split()[3] for row in draw(hedged_query())[:-1]]
+        assert events == [
+            "query_received",
+            "query_received",
+            "sub_query_sent",
+            "sub_query_hedged",
+            "owner_started",
+            "query_answered",
+        ]
+
+    def test_one_request_s_story_is_whole_and_alone(self) -> None:
+        rows = draw(hedged_query(), Selection(request="r-1"))
+        assert len(rows) == 6
+        assert not any("r-2" in row for row in rows)
+        assert rows[-1] == "5 events of 2 processes in 0 ms"
+
+    def test_target_and_data_centre_select(self) -> None:
+        assert len(draw(hedged_query(), Selection(target="b"))) == 3
+        assert len(draw(hedged_query(), Selection(data_centre="duluth"))) == 6
+
+    def test_a_change_s_story_tells_when_it_was_in_force_everywhere(self) -> None:
+        nodes = [Node(f"entry-{n}", "duluth", 100.0 + n) for n in range(3)]
+        nodes[0].log(EventName.REVISION_ACCEPTED, revision=7)
+        for node in nodes:
+            node.log(EventName.REVISION_IN_FORCE, revision=7)
+            node.log(EventName.REVISION_IN_FORCE, revision=8)
+        rows = draw(nodes, Selection(revision=7))
+        assert len(rows) == 6
+        assert rows[-1] == (
+            "revision 7 in force on 3 processes, the last entry-2, 2000 ms after the "
+            "first"
+        )
+
+    def test_malformed_lines_are_named_in_the_summary(self) -> None:
+        node = Node("p", "d", 1.0)
+        node.stream.write("garbage\n")
+        assert draw([node])[-1] == "1 malformed lines left out"
+
+    def test_page_has_a_lane_for_each_process_and_escapes_what_was_logged(self) -> None:
+        nodes = hedged_query()
+        nodes[0].log(EventName.QUERY_FAILED, detail="<script>alert(1)</script>")
+        timeline = build_timeline([node.parsed() for node in nodes], EVERYTHING)
+        page = render_page(timeline, "<b>")
+        assert "<th>entry-1<br>duluth</th><th>entry-2<br>marquette</th>" in page
+        assert page.count("<tr><td") == 7
+        assert 'class="trouble"' in page
+        assert "<script" not in page
+        assert "&lt;script&gt;" in page
