--- a/sardinehook/observe/clock.py
+++ b/sardinehook/observe/clock.py
@@ -45,7 +45,8 @@
     def tick(self) -> int:
         """Return the stamp of a local event or of a message to be sent."""
         now = int(self.wall() * MS_PER_SECOND) << COUNTER_BITS
-        self.last = max(now, self.last + 1)
+        last = self.last + 1
+        self.last = now if now > last else last
         return self.last
 
     def witness(self, stamp: int) -> int:
--- a/sardinehook/observe/sampling.py
+++ b/sardinehook/observe/sampling.py
@@ -13,24 +13,43 @@
 __all__ = ["QueryLog", "QuerySampler"]
 
 MAX_EVENTS_PER_QUERY = 256
+TROUBLE_EVENTS_PER_SECOND = 1000.0
 
 
 class QuerySampler:
-    """Chooses by request id which untroubled queries are logged.
+    """Chooses which queries' events are written.
 
-    All processes choose alike, so that a sampled query's story is whole.
+    Untroubled ones are chosen by request id, by all processes alike, so that a
+    sampled query's story is whole. Troubled ones are told in full as long as the
+    process has not written ``events_per_second`` for them; beyond that each still
+    has its last event.
 
     >>> QuerySampler(one_in=1).keeps("r-1")
     True
     """
 
-    def __init__(self, one_in: int) -> None:
+    def __init__(
+        self, one_in: int, events_per_second: float = TROUBLE_EVENTS_PER_SECOND
+    ) -> None:
         self.one_in = max(one_in, 1)
+        self.events_per_second = events_per_second
+        self.left = events_per_second
+        self.refilled_at = 0.0
 
     def keeps(self, request: str) -> bool:
         """Tell whether the events of an untroubled request are written."""
         return crc32(request.encode()) % self.one_in == 0
 
+    def affords(self, events: int, now: float) -> bool:
+        """Tell whether a troubled query may be told in full at ``now`` seconds."""
+        refill = max(now - self.refilled_at, 0.0) * self.events_per_second
+        self.left = min(self.left + refill, self.events_per_second)
+        self.refilled_at = now
+        if self.left <= 0.0:
+            return False
+        self.left -= events
+        return True
+
 
 class NotedEvent(NamedTuple):
     """An event that waits for the end of its query."""
@@ -72,16 +91,23 @@
         self, event: EventName, trouble: bool, **fields: Unpack[EventFields]
     ) -> bool:
         """Write the query's events if troubled or sampled; tell whether written."""
-        if not trouble and not self.sampler.keeps(self.request):
+        sampled = self.sampler.keeps(self.request)
+        if not (trouble or sampled):
             self.events.clear()
             return False
-        for noted in self.events:
-            noted.fields["stamp"] = noted.stamp
-            noted.fields["request"] = self.request
-            log_event(self.logger, noted.event, **noted.fields)
+        if sampled or self.sampler.affords(len(self.events), self.clock.wall()):
+            self._write_noted()
+        else:
+            self.dropped += len(self.events)
         self.events.clear()
         if self.dropped:
             fields["dropped"] = self.dropped
         fields["request"] = self.request
         log_event(self.logger, event, **fields)
         return True
+
+    def _write_noted(self) -> None:
+        for noted in self.events:
+            noted.fields["stamp"] = noted.stamp
+            noted.fields["request"] = self.request
+            log_event(self.logger, noted.event, **noted.fields)
--- a/tests/observe/test_events.py
+++ b/tests/observe/test_events.py
@@ -109,6 +109,20 @@
         assert len(lines) == MAX_EVENTS_PER_QUERY + 1
         assert "dropped=7" in lines[-1]
 
+    def test_many_troubled_queries_leave_their_last_event_only(
+        self, stream: StringIO, logger: FilteringBoundLogger, clock: HybridClock
+    ) -> None:
+        sampler = QuerySampler(NEVER_SAMPLED, events_per_second=20.0)
+        for number in range(100):
+            log = QueryLog(logger, clock, sampler, f"r-{number}")
+            for _ in range(9):
+                log.note(EventName.SUB_QUERY_SENT)
+            assert log.end(EventName.QUERY_FAILED, trouble=True)
+        lines = stream.getvalue().splitlines()
+        assert len(lines) == 100 + 3 * 9
+        assert "dropped=9" in lines[-1]
+        assert sampler.affords(9, clock.wall() + 1.0)
+
     def test_sampling_keeps_about_the_ratio_asked_for(self) -> None:
         sampler = QuerySampler(one_in=10)
         kept = sum(sampler.keeps(f"r-{number}") for number in range(10_000))
