Turn callers' orders into claims and answers

Cause: the entry process needs one call for each of POST and GET /orders. Change: OrderFront checks a caller's order, places it with the replica that is chosen for it and encodes answers and look-ups as JSON.

--- /dev/null
+++ b/sardinehook/order/front.py
@@ -0,0 +1,163 @@
+"""Callers' orders: from a checked request to the body of the answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol, TypedDict
+
+import msgspec
+from returns.result import Failure, Result
+
+from sardinehook.environment.document import Workload
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.order.claim import OrderRequest
+from sardinehook.order.desk import OrderDesk, OrderStatus
+from sardinehook.order.open_order import OrderAnswer
+
+__all__ = ["CallerOrder", "OrderBody", "OrderFront", "OrderStatusBody"]
+
+NO_ANSWER = msgspec.Raw(b"null")
+
+
+class CallerOrder(Protocol):
+    """The part of a caller's request that an order needs."""
+
+    @property
+    def request_id(self) -> str:
+        """The caller's request id."""
+
+    @property
+    def workload_name(self) -> str:
+        """The name of the workload."""
+
+    @property
+    def workload(self) -> Workload:
+        """The workload as the document in force declares it."""
+
+    @property
+    def service(self) -> str:
+        """The service that takes the order, empty if none was named."""
+
+    @property
+    def deadline_ms(self) -> float:
+        """Time left in milliseconds."""
+
+    @property
+    def body(self) -> bytes:
+        """The caller's body, passed on unread."""
+
+
+class OrderBody(TypedDict):
+    """The answer to an order that ran.
+
+    ``answer`` is the target's own, null if it was too large to record
+    (``answer_kept`` is false then) or is no JSON.
+    """
+
+    request_id: str
+    order_key: str
+    repeated: bool
+    answer_kept: bool
+    answer: msgspec.Raw
+
+
+class OrderStatusBody(TypedDict):
+    """The answer to a look-up of an order's key."""
+
+    order_key: str
+    state: str
+    detail: str
+    answer_kept: bool
+    answer: msgspec.Raw
+
+
+class OrderFront:
+    """Checks callers' orders and encodes their answers.
+
+    ``choose`` returns the replica of a service that is to get an order, None if
+    there is none to be had.
+    """
+
+    def __init__(
+        self, desk: OrderDesk, choose: Callable[[Workload, str], str | None]
+    ) -> None:
+        self.desk = desk
+        self.choose = choose
+
+    async def place(
+        self, request: CallerOrder, key: str | None
+    ) -> Result[bytes, Problem]:
+        """Place an order and return the body of its answer."""
+        problem = refusal(request, key)
+        if problem is not None:
+            return Failure(problem)
+        replica = self.choose(request.workload, request.service)
+        if replica is None:
+            detail = f"no replica of {request.service} takes orders now"
+            return Failure(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
+        order = OrderRequest(
+            request_id=request.request_id,
+            workload=request.workload_name,
+            key=key or "",
+            service=request.service,
+            replica=replica,
+            deadline_ms=request.deadline_ms,
+            priority=request.workload.priority,
+            body=request.body,
+        )
+        placed = await self.desk.place(order)
+        return placed.map(lambda answer: encode_answer(order, answer))
+
+    async def look_up(self, key: str) -> Result[bytes, Problem]:
+        """Return the body that tells what became of an order."""
+        found = await self.desk.look_up(key)
+        return found.map(lambda status: encode_status(key, status))
+
+
+def refusal(request: CallerOrder, key: str | None) -> Problem | None:
+    """Return what is wrong with a caller's order, if anything."""
+    if key is None:
+        return Problem(ErrorKind.BAD_REQUEST, "an order needs an Idempotency-Key")
+    if request.workload.idempotent:
+        detail = f"workload {request.workload_name!r} takes no orders"
+        return Problem(ErrorKind.BAD_REQUEST, detail)
+    if not request.service:
+        return Problem(ErrorKind.BAD_REQUEST, "an order names one service")
+    return None
+
+
+def encode_answer(order: OrderRequest, answer: OrderAnswer) -> bytes:
+    """Encode the answer to an order that ran."""
+    body = OrderBody(
+        request_id=order.request_id,
+        order_key=order.key,
+        repeated=answer.repeated,
+        answer_kept=answer.body_kept,
+        answer=raw_json(answer.body),
+    )
+    return msgspec.json.encode(body)
+
+
+def encode_status(key: str, status: OrderStatus) -> bytes:
+    """Encode the answer to a look-up."""
+    body = OrderStatusBody(
+        order_key=key,
+        state=status.state.value,
+        detail=status.detail,
+        answer_kept=status.body_kept,
+        answer=raw_json(status.body),
+    )
+    return msgspec.json.encode(body)
+
+
+def raw_json(body: bytes) -> msgspec.Raw:
+    """Return a target's body to embed, null if it is no JSON.
+
+    >>> bytes(raw_json(b'{"ok": 1}')), bytes(raw_json(b"{]"))
+    (b'{"ok": 1}', b'null')
+    """
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return NO_ANSWER
+    return msgspec.Raw(body)
