--- a/sardinehook/cli/timeline.py
+++ b/sardinehook/cli/timeline.py
@@ -11,7 +11,13 @@
 from sardinehook.cli.failure import exit_with_problems
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.observe.logfmt import ParsedLog, parse_log
-from sardinehook.observe.timeline import Selection, build_timeline, render_text
+from sardinehook.observe.timeline import (
+    Selection,
+    build_timeline,
+    fold,
+    render_text,
+    single_rows,
+)
 from sardinehook.observe.timeline_page import render_page
 
 __all__ = ["timeline"]
@@ -25,6 +31,9 @@
     data_centre: Annotated[
         str, typer.Option(help="Only events of this data centre.")
     ] = "",
+    every: Annotated[
+        bool, typer.Option("--every", help="One row for every event, none folded.")
+    ] = False,
     html: Annotated[
         Path | None, typer.Option(help="Write one static HTML page here instead.")
     ] = None,
@@ -32,14 +41,15 @@
     """Merge the logs of processes by cause and draw them as one time line."""
     selection = Selection(request, target, revision, data_centre)
     drawn = build_timeline(read_logs(files), selection)
+    rows = single_rows(drawn.lines) if every else fold(drawn)
     if html is None:
-        for text in render_text(drawn):
+        for text in render_text(drawn, rows):
             typer.echo(text)
         return
     chosen = [f"{key} {value}" for key, value in selection._asdict().items() if value]
     title = "Time line" + "".join(f", {choice}" for choice in chosen)
     try:
-        html.write_text(render_page(drawn, title), encoding="utf-8")
+        html.write_text(render_page(drawn, rows, title), encoding="utf-8")
     except OSError as error:
         exit_with_problems(Problem(ErrorKind.INVALID_SETTINGS, str(error)))
     typer.echo(f"{len(drawn.lines)} events written to {html}")
--- a/sardinehook/observe/timeline.py
+++ b/sardinehook/observe/timeline.py
@@ -3,17 +3,29 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
+from itertools import groupby
 from typing import NamedTuple
 
 from sardinehook.observe.clock import stamp_seconds
 from sardinehook.observe.events import EventName, printable
 from sardinehook.observe.logfmt import LogLine, ParsedLog
 
-__all__ = ["Selection", "Timeline", "build_timeline", "render_text", "summarise"]
+__all__ = [
+    "Row",
+    "Selection",
+    "Timeline",
+    "build_timeline",
+    "fold",
+    "render_text",
+    "single_rows",
+    "summarise",
+]
 
 MS_PER_SECOND = 1000.0
-PROCESS_WIDTH = 14
-EVENT_WIDTH = 22
+MAX_PROCESS_WIDTH = 24
+EVENT_WIDTH = 24
+LEAST_FOLDED = 3
+FOLDED_BY = ("request", "outcome", "kind", "state", "revision", "cause", "order")
 
 
 class Selection(NamedTuple):
@@ -55,6 +67,23 @@
         return (stamp_seconds(line.stamp) - first) * MS_PER_SECOND
 
 
+class Row(NamedTuple):
+    """Events that are drawn as one: a single one, or a run of like ones."""
+
+    lines: list[LogLine]
+
+    @property
+    def first(self) -> LogLine:
+        """The first event of the row."""
+        return self.lines[0]
+
+    @property
+    def title(self) -> str:
+        """The event, with the number of times if it is more than one."""
+        count = len(self.lines)
+        return self.first.event if count == 1 else f"{self.first.event} x{count}"
+
+
 def build_timeline(logs: Iterable[ParsedLog], selection: Selection) -> Timeline:
     """Merge logs by hybrid stamp, so that no event comes before its cause."""
     lines: list[LogLine] = []
@@ -67,22 +96,57 @@
     return Timeline(lines, processes, malformed)
 
 
-def render_text(timeline: Timeline) -> Iterator[str]:
-    """Draw a time line for a terminal, one event in a row."""
-    for line in timeline.lines:
-        offset = f"+{timeline.offset_ms(line):.0f} ms"
-        process = printable(line.process)
-        event = printable(line.event)
+def fold(timeline: Timeline) -> list[Row]:
+    """Put runs of like events of a process into one row each."""
+    rows: list[Row] = []
+    for _, run in groupby(timeline.lines, key=likeness):
+        lines = list(run)
+        if len(lines) < LEAST_FOLDED:
+            rows += single_rows(lines)
+        else:
+            rows.append(Row(lines))
+    return rows
+
+
+def likeness(line: LogLine) -> tuple[str, ...]:
+    """Return what events of one row have in common."""
+    same = [line.fields.get(key, "") for key in FOLDED_BY]
+    return (line.process, line.event, *same)
+
+
+def single_rows(lines: Iterable[LogLine]) -> list[Row]:
+    """Return a row for each event."""
+    return [Row([line]) for line in lines]
+
+
+def render_text(timeline: Timeline, rows: Iterable[Row]) -> Iterator[str]:
+    """Draw a time line for a terminal."""
+    width = max((len(name) for name in timeline.processes), default=0)
+    width = min(width, MAX_PROCESS_WIDTH)
+    for row in rows:
+        offset = f"+{timeline.offset_ms(row.first):.0f} ms"
+        process, event = printable(row.first.process), printable(row.title)
         yield (
-            f"{offset:>12}  {process:<{PROCESS_WIDTH}} {event:<{EVENT_WIDTH}} "
-            f"{show_fields(line)}"
+            f"{offset:>10}  {process:<{width}}  {event:<{EVENT_WIDTH}} "
+            f"{show_fields(row)}"
         ).rstrip()
     yield from summarise(timeline)
 
 
-def show_fields(line: LogLine) -> str:
-    """Show the fields of an event as key=value pairs, empty ones left out."""
-    shown = [f"{key}={value}" for key, value in line.fields.items() if value]
+def show_fields(row: Row) -> str:
+    """Show the fields of a row as key=value pairs, empty ones left out.
+
+    Of events that are drawn as one, a field that differs shows its first and its
+    last value.
+    """
+    last = row.lines[-1].fields
+    shown = []
+    for key, value in row.first.fields.items():
+        other = last.get(key, "")
+        if value and value == other:
+            shown.append(f"{key}={value}")
+        elif value:
+            shown.append(f"{key}={value}..{other}")
     return printable(" ".join(shown))
 
 
--- a/sardinehook/observe/timeline_page.py
+++ b/sardinehook/observe/timeline_page.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from html import escape
 from string import Template
 
 from sardinehook.observe.events import TROUBLES
 from sardinehook.observe.logfmt import LogLine
-from sardinehook.observe.timeline import Timeline, show_fields, summarise
+from sardinehook.observe.timeline import Row, Timeline, show_fields, summarise
 
 __all__ = ["render_page"]
 
@@ -45,7 +46,7 @@
 TROUBLE_MARKS = ("refused", "failed", "lost", "silent", "dropped", "withdrawn")
 
 
-def render_page(timeline: Timeline, title: str) -> str:
+def render_page(timeline: Timeline, rows: Iterable[Row], title: str) -> str:
     """Draw a time line as HTML; all that comes from logs is escaped."""
     data_centres = {line.process: line.data_centre for line in timeline.lines}
     heads = "".join(
@@ -56,17 +57,18 @@
         title=escape(title),
         summary="\n".join(f"<p>{escape(text)}</p>" for text in summarise(timeline)),
         heads=heads,
-        rows="\n".join(render_row(timeline, line) for line in timeline.lines),
+        rows="\n".join(render_row(timeline, row) for row in rows),
     )
 
 
-def render_row(timeline: Timeline, line: LogLine) -> str:
-    """Draw one event in the lane of its process."""
+def render_row(timeline: Timeline, row: Row) -> str:
+    """Draw one row in the lane of its process."""
+    line = row.first
     lane = timeline.processes.index(line.process)
     before = "<td></td>" * lane
     after = "<td></td>" * (len(timeline.processes) - lane - 1)
     style = ' class="trouble"' if is_trouble(line) else ""
-    event, fields = escape(line.event), escape(show_fields(line))
+    event, fields = escape(row.title), escape(show_fields(row))
     return (
         f'<tr><td class="time">{timeline.offset_ms(line):.0f}</td>{before}'
         f"<td><div{style}><b>{event}</b> <span>{fields}</span></div></td>{after}</tr>"
--- a/tests/observe/test_timeline.py
+++ b/tests/observe/test_timeline.py
@@ -11,7 +11,7 @@
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.logfmt import ParsedLog, parse_line, parse_log
-from sardinehook.observe.timeline import Selection, build_timeline, render_text
+from sardinehook.observe.timeline import Selection, build_timeline, fold, render_text
 from sardinehook.observe.timeline_page import render_page
 
 EVERYTHING = Selection()
@@ -51,7 +51,7 @@
 
 def draw(nodes: list[Node], selection: Selection = EVERYTHING) -> list[str]:
     timeline = build_timeline([node.parsed() for node in nodes], selection)
-    return list(render_text(timeline))
+    return list(render_text(timeline, fold(timeline)))
 
 
 class TestParse:
@@ -112,6 +112,18 @@
             "first"
         )
 
+    def test_runs_of_like_events_are_drawn_as_one_row(self) -> None:
+        node = Node("p", "d", 1.0)
+        for number in range(50):
+            node.log(EventName.SUB_QUERY_SENT, request="r", target=f"t{number}")
+        for outcome in ("answered", "answered", "late", "answered"):
+            node.log(EventName.SUB_QUERY_ENDED, request="r", outcome=outcome)
+        rows = draw([node])
+        assert len(rows) == 1 + 4 + 1
+        assert "sub_query_sent x50" in rows[0]
+        assert "target=t0..t49" in rows[0]
+        assert "outcome=late" in rows[3]
+
     def test_malformed_lines_are_named_in_the_summary(self) -> None:
         node = Node("p", "d", 1.0)
         node.stream.write("garbage\n")
@@ -121,7 +133,7 @@
         nodes = hedged_query()
         nodes[0].log(EventName.QUERY_FAILED, detail="<script>alert(1)</script>")
         timeline = build_timeline([node.parsed() for node in nodes], EVERYTHING)
-        page = render_page(timeline, "<b>")
+        page = render_page(timeline, fold(timeline), "<b>")
         assert "<th>entry-1<br>duluth</th><th>entry-2<br>marquette</th>" in page
         assert page.count("<tr><td") == 7
         assert 'class="trouble"' in page
