--- /dev/null
+++ b/bench/membership_cost.py
@@ -0,0 +1,197 @@
+"""Count what membership costs a node, driving its decisions on a fake clock."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from heapq import heappop, heappush
+from math import inf
+from time import process_time
+from typing import NamedTuple
+
+import typer
+
+from sardinehook.fleet.datagram import Datagram, decode_datagram, encode_datagram
+from sardinehook.fleet.member import Member, MemberState
+from sardinehook.fleet.membership import Membership
+from sardinehook.fleet.probe import Outgoing
+
+__all__ = ["MembershipCost", "MembershipDriver", "main"]
+
+FLEET = 7
+TICK_S = 0.1
+NEAR_S = 0.0005
+FAR_S = 0.0045
+HEADER_BYTES = 28
+SIZES = ((9, 3), (60, 3), (550, 7))
+WARM_UP_S = 60.0
+MEASURE_S = 60.0
+DETECTION_LIMIT_S = 60.0
+
+Filter = Callable[[str, str], bool]
+
+
+class MembershipCost(NamedTuple):
+    """What one node spends on membership, sent and received, headers included."""
+
+    nodes: int
+    data_centres: int
+    datagrams_per_s: float
+    bytes_per_s: float
+    processor_percent: float
+    detected_first_s: float
+    detected_all_s: float
+    false_deaths: int
+    bytes_per_s_in_restarts: float
+
+
+class MembershipDriver:
+    """Members that exchange datagrams in memory, one tick at a time."""
+
+    def __init__(self, nodes: int, data_centres: int) -> None:
+        self.now = 1000.0
+        self.members: dict[str, Membership] = {}
+        self.addresses: dict[str, str] = {}
+        self.queue: list[tuple[float, int, str, str, bytes]] = []
+        self.stopped: set[str] = set()
+        self.paused: set[str] = set()
+        self.lost: Filter = lambda source, target: False
+        self.count = 0
+        self.datagrams = 0
+        self.bytes = 0
+        for number in range(nodes):
+            place = f"centre-{number % data_centres}"
+            self.start(f"{place}-entry-{number}", place, 1)
+
+    def start(self, name: str, data_centre: str, incarnation: int) -> Membership:
+        """Start a member, again under its address if it was there before."""
+        number = int(name.rpartition("-")[2])
+        address = f"10.0.{number // 256}.{number % 256}:7401"
+        http = f"10.0.{number // 256}.{number % 256}:8401"
+        me = Member(name, data_centre, address, http, incarnation)
+        member = Membership(me, FLEET, seed=number * 1000 + incarnation)
+        first = next(iter(self.members.values()), member)
+        member.seeds = {first.me.link_address}
+        self.members[name] = member
+        self.addresses[address] = name
+        self.stopped.discard(name)
+        return member
+
+    def send(self, source: str, sends: list[Outgoing]) -> None:
+        """Put datagrams on their way."""
+        for address, datagram in sends:
+            data = encode_datagram(datagram)
+            target = self.addresses.get(address)
+            self.datagrams += 1
+            self.bytes += len(data) + HEADER_BYTES
+            if target is None or self.lost(source, target):
+                continue
+            near = self.centre(source) == self.centre(target)
+            self.count += 1
+            due = self.now + (NEAR_S if near else FAR_S)
+            heappush(self.queue, (due, self.count, source, target, data))
+
+    def centre(self, name: str) -> str:
+        """Return the data centre of a member."""
+        return self.members[name].me.data_centre
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            tick = self.now + TICK_S
+            while self.queue and self.queue[0][0] <= tick:
+                self.deliver()
+            self.now = tick
+            for name, member in list(self.members.items()):
+                if name not in self.stopped and name not in self.paused:
+                    self.send(name, member.tick(self.now))
+
+    def deliver(self) -> None:
+        """Deliver the datagram that is due next."""
+        due, _, source, target, data = heappop(self.queue)
+        if target in self.stopped:
+            return
+        if target in self.paused:
+            heappush(self.queue, (due + TICK_S, self.count, source, target, data))
+            self.count += 1
+            return
+        self.now = max(self.now, due)
+        datagram: Datagram | None = decode_datagram(data, FLEET)
+        assert datagram is not None
+        member = self.members[target]
+        address = self.members[source].me.link_address
+        self.send(target, member.receive(datagram, address, self.now))
+
+    def view(self, viewer: str, name: str) -> MemberState | None:
+        """Return what one member thinks of another."""
+        member = self.members[viewer].table.members.get(name)
+        return None if member is None else member.state
+
+    def running(self, data_centre: str) -> list[str]:
+        """Return the members of a data centre that run."""
+        names = [n for n in self.members if self.centre(n) == data_centre]
+        return [n for n in names if n not in self.stopped | self.paused]
+
+
+def detection(driver: MembershipDriver, victim: str) -> tuple[float, float]:
+    """Stop a member; return the seconds until the first and all know it."""
+    driver.stopped.add(victim)
+    started = driver.now
+    peers = driver.running(driver.centre(victim))
+    first = 0.0
+    while driver.now - started < DETECTION_LIMIT_S:
+        driver.run(TICK_S)
+        knowing = sum(driver.view(p, victim) is MemberState.DEAD for p in peers)
+        if knowing and not first:
+            first = driver.now - started
+        if knowing == len(peers):
+            return round(first, 1), round(driver.now - started, 1)
+    return round(first, 1), inf
+
+
+def restart_seven(driver: MembershipDriver) -> float:
+    """Restart seven members at once; return the bytes a second and node after it."""
+    names = list(driver.members)[:7]
+    driver.bytes = 0
+    for name in names:
+        driver.start(name, driver.centre(name), 2)
+    driver.run(MEASURE_S / 4)
+    return 2 * driver.bytes / (MEASURE_S / 4) / len(driver.members)
+
+
+def measure(nodes: int, data_centres: int) -> MembershipCost:
+    """Run one size."""
+    driver = MembershipDriver(nodes, data_centres)
+    driver.run(WARM_UP_S)
+    driver.datagrams = driver.bytes = 0
+    started = process_time()
+    driver.run(MEASURE_S)
+    processor_s = process_time() - started
+    share = 2 / MEASURE_S / nodes
+    datagrams, size = driver.datagrams * share, driver.bytes * share
+    false_deaths = sum(len(m.table.dead_since) for m in driver.members.values())
+    victim = list(driver.members)[-1]
+    first, everyone = detection(driver, victim)
+    storm = restart_seven(driver)
+    return MembershipCost(
+        nodes,
+        data_centres,
+        round(datagrams, 2),
+        round(size),
+        round(100 * processor_s / MEASURE_S / nodes, 2),
+        first,
+        everyone,
+        false_deaths,
+        round(storm),
+    )
+
+
+def main() -> None:
+    """Print a table of the cost at several sizes of the fleet."""
+    print(" | ".join(MembershipCost._fields))
+    for nodes, data_centres in SIZES:
+        print(" | ".join(str(value) for value in measure(nodes, data_centres)))
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/sardinehook/fleet/membership.py
@@ -0,0 +1,337 @@
+"""Who lives: probing with suspicion, and news carried by the probes.
+
+The protocol follows Das, Gupta and Motivala, "SWIM: Scalable weakly-consistent
+infection-style process group membership protocol" (2002), with the local health of
+Dadgar, Phillips and Currey, "Lifeguard" (2018). Only members of the own data centre
+are probed for life; members elsewhere are known by what their data centre tells.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from math import log10
+
+from sardinehook.fleet.datagram import Datagram, DatagramKind
+from sardinehook.fleet.member import Member, MemberState
+from sardinehook.fleet.news import MemberTable
+from sardinehook.fleet.probe import Outgoing, Probe, Relay
+
+__all__ = ["Membership"]
+
+PROBE_PERIOD_S = 1.0
+INDIRECT_AFTER_S = 0.3
+HELPERS = 3
+SUSPICION_S = 3.0
+HEALTH_LIMIT = 7
+REMOTE_PERIOD_S = 5.0
+SEED_PERIOD_S = 0.5
+RELAY_KEPT_S = 2.0
+PAUSE_S = 2.5
+COMPLETE_RATIO = 0.95
+SETTLED_AFTER_S = 30.0
+ROTATED = 1
+ROTATED_REMOTE = 4
+ROTATED_TO_LACKING = 16
+
+
+class Membership:
+    """One member's view of the fleet; times are monotonic seconds.
+
+    ``tick`` and ``receive`` return the datagrams to be sent. Nothing here changes who
+    owns a replica: that takes the roster.
+    """
+
+    def __init__(self, me: Member, fleet: int, seed: int) -> None:
+        self.fleet = fleet
+        self.table = MemberTable(me._replace(state=MemberState.JOINING), seed)
+        self.random = self.table.random
+        self.seeds: set[str] = set()
+        self.sequence = self.random.randrange(1 << 30)
+        self.probe: Probe | None = None
+        self.order: list[str] = []
+        self.urgent: list[str] = []
+        self.suspected_at: dict[str, float] = {}
+        self.relays: dict[int, Relay] = {}
+        self.heard_at: dict[str, float] = {}
+        self.fleet_size = 1
+        self.poor_health = 0
+        self.started_at: float | None = None
+        self.ticked_at: float | None = None
+        self.period_ends_at = 0.0
+        self.remote_due_at = 0.0
+        self.seed_due_at = 0.0
+
+    @property
+    def me(self) -> Member:
+        """Return this process as it tells of itself."""
+        return self.table.me
+
+    @property
+    def size(self) -> int:
+        """Return the number of members known that are not dead."""
+        return len(self.table.members) - len(self.table.dead_since)
+
+    def set_me(self, me: Member) -> None:
+        """Tell something new of this process."""
+        self.table.me = me
+        self.table.members[me.name] = me
+
+    def tick(self, now: float) -> list[Outgoing]:
+        """Do what is due; call it several times a second."""
+        if self.started_at is None:
+            self.started_at = now
+        self.table.spreads_new = now - self.started_at > SETTLED_AFTER_S
+        self.notice_pause(now)
+        self.table.forget_dead(now)
+        self.bury_suspects(now)
+        sends = self.contact_seeds(now)
+        if self.probe is not None and not self.probe.indirect:
+            sends += self.ask_helpers(self.probe, now)
+        if now >= self.period_ends_at:
+            self.end_probe(now)
+            sends += self.start_probe(now)
+            self.period_ends_at = now + PROBE_PERIOD_S
+        if now >= self.remote_due_at:
+            self.remote_due_at = now + REMOTE_PERIOD_S * self.random.uniform(0.8, 1.2)
+            sends += self.contact_elsewhere()
+        return sends
+
+    def notice_pause(self, now: float) -> None:
+        """Judge nobody by the time in which this process did not run."""
+        paused = self.ticked_at is not None and now - self.ticked_at > PAUSE_S
+        if paused and self.ticked_at is not None:
+            gap = now - self.ticked_at
+            for name in self.suspected_at:
+                self.suspected_at[name] += gap
+            self.probe = None
+            self.relays.clear()
+            self.contradict(self.me.incarnation)
+        self.ticked_at = now
+
+    def contradict(self, incarnation: int) -> None:
+        """Tell with a higher incarnation that this process lives."""
+        self.set_me(self.me._replace(incarnation=incarnation + 1))
+        self.table.spread(self.me.name)
+
+    def suspicion_s(self) -> float:
+        """Seconds that a suspect has to contradict; longer in poor local health."""
+        peers = len(self.table.in_data_centre(self.me.data_centre))
+        return SUSPICION_S * max(1.0, log10(peers + 1)) * (1 + self.poor_health)
+
+    def bury_suspects(self, now: float) -> None:
+        """Declare dead who has been suspect for too long."""
+        for name, since in list(self.suspected_at.items()):
+            member = self.table.members.get(name)
+            if member is None or member.state is not MemberState.SUSPECT:
+                del self.suspected_at[name]
+            elif now - since >= self.suspicion_s():
+                del self.suspected_at[name]
+                self.table.merge(member._replace(state=MemberState.DEAD), now)
+
+    def contact_seeds(self, now: float) -> list[Outgoing]:
+        """Ping addresses from settings until enough members are known."""
+        complete = self.size >= COMPLETE_RATIO * self.fleet_size
+        alone = len(self.table.members) == 1
+        if now < self.seed_due_at or (complete and not alone):
+            return []
+        self.seed_due_at = now + SEED_PERIOD_S * self.random.uniform(0.8, 1.2)
+        known = [m.link_address for m in self.table.members.values() if m != self.me]
+        addresses = sorted(self.seeds - {self.me.link_address}) if alone else known
+        if not addresses:
+            return []
+        address = self.random.choice(addresses)
+        return [self.outgoing(address, self.me, DatagramKind.PING, 0)]
+
+    def ask_helpers(self, probe: Probe, now: float) -> list[Outgoing]:
+        """Let others ping a member that has not answered in time."""
+        if now - probe.sent_at < INDIRECT_AFTER_S:
+            return []
+        self.probe = probe._replace(indirect=True)
+        others = [m for m in self.probed_members() if m.name != probe.name]
+        helpers = self.random.sample(others, min(HELPERS, len(others)))
+        return [
+            self.outgoing(
+                helper.link_address,
+                helper,
+                DatagramKind.PING_REQUEST,
+                probe.sequence,
+                probe.name,
+            )
+            for helper in helpers
+        ]
+
+    def end_probe(self, now: float) -> None:
+        """Suspect a member that answered neither this process nor its helpers."""
+        probe, self.probe = self.probe, None
+        if probe is None:
+            return
+        self.poor_health = min(HEALTH_LIMIT, self.poor_health + 1)
+        member = self.table.members.get(probe.name)
+        if member is not None and member.state < MemberState.SUSPECT:
+            self.suspect(member, now)
+
+    def suspect(self, member: Member, now: float) -> None:
+        """Suspect a member and let it hear of that."""
+        self.table.merge(member._replace(state=MemberState.SUSPECT), now)
+        self.suspected_at.setdefault(member.name, now)
+
+    def probed_members(self) -> list[Member]:
+        """Return the other members of this data centre that are not dead."""
+        members = self.table.in_data_centre(self.me.data_centre)
+        return [member for member in members if member.name != self.me.name]
+
+    def start_probe(self, now: float) -> list[Outgoing]:
+        """Ping the next member in a shuffled order."""
+        names = {member.name for member in self.probed_members()}
+        if not self.order:
+            self.order = sorted(names)
+            self.random.shuffle(self.order)
+        waiting = [name for name in self.urgent + self.order if name in names]
+        if not waiting:
+            self.order.clear()
+            return []
+        name = waiting[0]
+        self.urgent = [other for other in self.urgent if other != name]
+        self.order = [other for other in self.order if other != name]
+        self.sequence += 1
+        self.probe = Probe(name, self.sequence, now, False)
+        member = self.table.members[name]
+        return [
+            self.outgoing(member.link_address, member, DatagramKind.PING, self.sequence)
+        ]
+
+    def contact_elsewhere(self) -> list[Outgoing]:
+        """Exchange news with a member of another data centre."""
+        others = [
+            member
+            for member in self.table.members.values()
+            if member.data_centre != self.me.data_centre
+            and member.state is not MemberState.DEAD
+        ]
+        if not others:
+            return []
+        member = self.random.choice(others)
+        return [self.outgoing(member.link_address, member, DatagramKind.PING, 0)]
+
+    def receive(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
+        """Take in a datagram that came from ``address``."""
+        self.fleet_size = datagram.size
+        self.heard_at[datagram.sender.data_centre] = now
+        if self.me.state is MemberState.JOINING:
+            self.set_me(self.me._replace(state=MemberState.ALIVE))
+            self.table.spread(self.me.name)
+        for told in (datagram.sender, *datagram.updates):
+            self.take_in(told, now)
+        for place, epoch in datagram.epochs:
+            self.table.epochs[place] = max(epoch, self.table.epochs.get(place, 0))
+        return self.answer(datagram, address, now)
+
+    def take_in(self, told: Member, now: float) -> None:
+        """Take in what is told of a member."""
+        if told.name == self.me.name:
+            wrong = told.incarnation > self.me.incarnation or (
+                told.incarnation == self.me.incarnation
+                and told.state > max(self.me.state, MemberState.ALIVE)
+            )
+            if wrong:
+                self.contradict(told.incarnation)
+            return
+        self.table.merge(told, now)
+        if self.table.members.get(told.name, told).state is MemberState.SUSPECT:
+            self.suspected_at.setdefault(told.name, now)
+
+    def answer(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
+        """Return what a datagram calls for."""
+        sender = datagram.sender
+        match datagram.kind:
+            case DatagramKind.PING:
+                ack = DatagramKind.ACK
+                lacking = datagram.size < COMPLETE_RATIO * self.size
+                send = self.outgoing(
+                    address, sender, ack, datagram.sequence, lacking=lacking
+                )
+                return [send]
+            case DatagramKind.ACK:
+                return self.take_ack(datagram, now)
+            case DatagramKind.PING_REQUEST:
+                return self.ping_for(datagram, address, now)
+
+    def take_ack(self, datagram: Datagram, now: float) -> list[Outgoing]:
+        """End the probe that is answered, or pass the answer on."""
+        if self.probe is not None and self.probe.sequence == datagram.sequence:
+            self.probe = None
+            self.poor_health = max(0, self.poor_health - 1)
+        relay = self.relays.pop(datagram.sequence, None)
+        if relay is None:
+            return []
+        ack = self.outgoing(
+            relay.address, datagram.sender, DatagramKind.ACK, relay.sequence
+        )
+        return [ack]
+
+    def ping_for(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
+        """Ping a member for another one."""
+        subject = self.table.members.get(datagram.subject)
+        if subject is None:
+            return []
+        old = [n for n, r in self.relays.items() if now - r.sent_at > RELAY_KEPT_S]
+        for sequence in old:
+            del self.relays[sequence]
+        self.sequence += 1
+        self.relays[self.sequence] = Relay(address, datagram.sequence, now)
+        kind = DatagramKind.PING
+        return [self.outgoing(subject.link_address, subject, kind, self.sequence)]
+
+    def outgoing(
+        self,
+        address: str,
+        reader: Member,
+        kind: DatagramKind,
+        sequence: int,
+        subject: str = "",
+        lacking: bool = False,
+    ) -> Outgoing:
+        """Build a datagram with news for its reader, more if it is lacking members."""
+        near = reader.data_centre == self.me.data_centre
+        rotated = ROTATED if near else ROTATED_REMOTE
+        if lacking:
+            rotated = ROTATED_TO_LACKING
+        updates = self.table.pick_updates(rotated, own_only=not near and not lacking)
+        known = self.table.members.get(reader.name)
+        if known is not None and known.state > MemberState.ALIVE:
+            updates = (known, *updates)
+        return Outgoing(
+            address,
+            Datagram(
+                self.fleet,
+                kind,
+                sequence,
+                subject,
+                self.me,
+                self.size,
+                self.table.pick_epochs(),
+                updates,
+            ),
+        )
+
+    def note_link_lost(self, name: str) -> None:
+        """Probe a member next whose link was lost."""
+        if name not in self.urgent:
+            self.urgent.append(name)
+
+    def note_gone(self, names: Iterable[str], now: float) -> None:
+        """Bury suspects that the platform no longer lists."""
+        for name in names:
+            member = self.table.members.get(name)
+            if member is not None and member.state is MemberState.SUSPECT:
+                self.table.merge(member._replace(state=MemberState.DEAD), now)
+
+    def leave(self) -> list[Outgoing]:
+        """Tell some members at once that this process leaves."""
+        self.set_me(self.me._replace(state=MemberState.LEAVING))
+        peers = self.probed_members()
+        told = self.random.sample(peers, min(HELPERS, len(peers)))
+        return [
+            self.outgoing(peer.link_address, peer, DatagramKind.PING, 0)
+            for peer in told
+        ]
--- a/sardinehook/fleet/ownership.py
+++ b/sardinehook/fleet/ownership.py
@@ -6,7 +6,8 @@
 from enum import Enum
 from functools import lru_cache
 from hashlib import blake2b
-from typing import NamedTuple
+
+from sardinehook.target.allowance import Allowance
 
 __all__ = [
     "NOTHING",
@@ -30,19 +31,6 @@
     DEPUTY = "deputy"
 
 
-class Allowance(NamedTuple):
-    """What a node may use of a replica.
-
-    ``slots`` is the number of sub-queries in flight, ``connections`` the number of
-    open connections. ``may_serve_cold`` tells whether the node may send to the
-    replica while it is cold or of unknown state.
-    """
-
-    slots: int
-    connections: int
-    may_serve_cold: bool
-
-
 NOTHING = Allowance(0, 0, False)
 
 
--- /dev/null
+++ b/sardinehook/fleet/roster.py
@@ -0,0 +1,178 @@
+"""The roster of a data centre: which entry processes its replicas are divided among."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+
+from sardinehook.platform.vm_list import Vm, VmList
+
+__all__ = [
+    "EMPTY_ROSTER",
+    "Roster",
+    "RosterChange",
+    "RosterMember",
+    "decode_roster",
+    "encode_roster",
+    "evict",
+    "gone",
+    "join",
+    "release",
+    "roster_key",
+]
+
+CHANGES_KEPT = 64
+VM_LIST_MARGIN_MS = 60_000.0
+UNKNOWN_INCARNATION = 0
+
+
+class RosterMember(NamedTuple):
+    """A member of the roster.
+
+    ``boot`` is drawn anew by each process, ``vm_incarnation`` is the platform's, or
+    ``UNKNOWN_INCARNATION``. ``as_of_ms`` is the platform's clock when the member
+    joined, ``since_epoch`` the epoch that it joined with.
+    """
+
+    name: str
+    boot: int
+    vm_incarnation: int
+    as_of_ms: float
+    since_epoch: int
+
+
+class RosterChange(NamedTuple):
+    """A name that was added to the roster or taken from it with an epoch."""
+
+    epoch: int
+    name: str
+    added: bool
+
+
+class Roster(NamedTuple):
+    """The members of a data centre; each change makes a new epoch.
+
+    ``changes`` holds the latest changes of the list of names, oldest first.
+    """
+
+    epoch: int
+    members: tuple[RosterMember, ...]
+    changes: tuple[RosterChange, ...]
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The members' names, sorted."""
+        return tuple(sorted(member.name for member in self.members))
+
+    def find(self, name: str) -> RosterMember | None:
+        """Return the member of a name."""
+        return next((member for member in self.members if member.name == name), None)
+
+    def names_at(self, epoch: int) -> tuple[str, ...] | None:
+        """Return the names at an earlier epoch; None when the history is too short.
+
+        >>> first = join(EMPTY_ROSTER, RosterMember("e1", 1, 0, 0.0, 0))
+        >>> second = join(first, RosterMember("e2", 2, 0, 0.0, 0))
+        >>> second.names_at(1), second.names_at(2)
+        (('e1',), ('e1', 'e2'))
+        """
+        oldest = self.changes[0].epoch if self.changes else self.epoch + 1
+        if epoch < oldest - 1 and epoch < self.epoch:
+            return None
+        names = set(self.names)
+        for change in reversed(self.changes):
+            if change.epoch <= epoch:
+                break
+            if change.added:
+                names.discard(change.name)
+            else:
+                names.add(change.name)
+        return tuple(sorted(names))
+
+
+EMPTY_ROSTER = Roster(0, (), ())
+
+
+def changed(
+    roster: Roster, members: tuple[RosterMember, ...], name: str, added: bool | None
+) -> Roster:
+    """Return the roster of the next epoch."""
+    epoch = roster.epoch + 1
+    changes = roster.changes
+    if added is not None:
+        changes = (*changes, RosterChange(epoch, name, added))
+    return Roster(epoch, members, changes[-CHANGES_KEPT:])
+
+
+def join(roster: Roster, member: RosterMember) -> Roster:
+    """Add a member; it takes the place of an earlier process of the same name."""
+    known = roster.find(member.name)
+    if known is not None and known.boot == member.boot:
+        return roster
+    others = tuple(other for other in roster.members if other.name != member.name)
+    joined = member._replace(since_epoch=roster.epoch + 1)
+    added = True if known is None else None
+    return changed(roster, (*others, joined), member.name, added)
+
+
+def release(roster: Roster, name: str, boot: int) -> Roster:
+    """Take out a process; do nothing when another one has its name by now."""
+    known = roster.find(name)
+    if known is None or known.boot != boot:
+        return roster
+    others = tuple(member for member in roster.members if member.name != name)
+    return changed(roster, others, name, False)
+
+
+def gone(member: RosterMember, vm_list: VmList) -> bool:
+    """Whether the platform's list shows that a member's VM is no more.
+
+    The list lags, so an absence counts only when it was made well after the member
+    joined. A VM that is listed as leaving still runs.
+
+    >>> member = RosterMember("e1", 1, 4, 1000.0, 1)
+    >>> gone(member, VmList(1000.0, ())), gone(member, VmList(90_000.0, ()))
+    (False, True)
+    """
+    listed = [vm for vm in vm_list.vms if vm.name == member.name]
+    if not listed:
+        return vm_list.as_of_ms >= member.as_of_ms + VM_LIST_MARGIN_MS
+    if member.vm_incarnation == UNKNOWN_INCARNATION:
+        return False
+    return all(restarted(vm, member) for vm in listed)
+
+
+def restarted(vm: Vm, member: RosterMember) -> bool:
+    """Whether a VM was started anew since a member joined."""
+    return vm.incarnation > member.vm_incarnation
+
+
+def evict(roster: Roster, vm_list: VmList) -> Roster:
+    """Take out the members whose VMs are no more, one epoch each."""
+    for member in roster.members:
+        if gone(member, vm_list):
+            roster = release(roster, member.name, member.boot)
+    return roster
+
+
+def roster_key(data_centre: str) -> str:
+    """Return the key of a data centre's roster in the platform's service."""
+    return f"roster/{data_centre}"
+
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(Roster)
+
+
+def encode_roster(roster: Roster) -> bytes:
+    """Encode a roster."""
+    return encoder.encode(roster)
+
+
+def decode_roster(data: bytes) -> Roster | None:
+    """Decode a roster; None when it is malformed."""
+    try:
+        return decoder.decode(data)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/sardinehook/fleet/share.py
@@ -0,0 +1,36 @@
+"""What a node may use of a replica now, from what it holds and its lease."""
+
+from __future__ import annotations
+
+from sardinehook.fleet.holding import Holding
+from sardinehook.fleet.lease import NodeLease
+from sardinehook.fleet.ownership import NOTHING, Role, allowance, marginal_part
+from sardinehook.target.allowance import Allowance
+
+__all__ = ["share_of"]
+
+
+def share_of(
+    holding: Holding,
+    lease: NodeLease,
+    replica: str,
+    slots: int,
+    connections: int,
+    now: float,
+) -> Allowance:
+    """Return what a node may use of a replica that bears so much in total.
+
+    The owner's part comes with the roster, the marginal part with the node lease: the
+    owner has both, a deputy the marginal part alone. An owner that must still wait
+    for an earlier one counts as a deputy. ``now`` is monotonic seconds.
+    """
+    if not holding.member:
+        return NOTHING
+    roster = holding.roster
+    usable = holding.usable(replica)
+    leased = lease.holds_marginal(
+        holding.name, replica, roster.names, now, roster.epoch
+    )
+    if usable:
+        return allowance(Role.OWNER, leased, slots, connections)
+    return marginal_part(slots, connections) if leased else NOTHING
--- /dev/null
+++ b/tests/fleet/test_membership.py
@@ -0,0 +1,161 @@
+"""Tests of membership under loss, pauses, restarts and splits, on a fake clock."""
+
+from __future__ import annotations
+
+from bench.membership_cost import MembershipDriver, detection
+from sardinehook.fleet.datagram import (
+    DATAGRAM_LIMIT_BYTES,
+    DatagramKind,
+    decode_datagram,
+    encode_datagram,
+)
+from sardinehook.fleet.member import Member, MemberState
+
+CONTROL_BUDGET_BYTES_PER_S = 3000
+
+
+def started(nodes: int = 9, data_centres: int = 3) -> MembershipDriver:
+    driver = MembershipDriver(nodes, data_centres)
+    driver.run(40.0)
+    return driver
+
+
+def deaths(driver: MembershipDriver) -> int:
+    return sum(len(member.table.dead_since) for member in driver.members.values())
+
+
+class TestJoining:
+    def test_all_learn_of_all_from_one_seed(self) -> None:
+        driver = started(60)
+        driver.run(60.0)
+        for member in driver.members.values():
+            known = member.table.members.values()
+            assert len(known) == 60
+            assert {other.state for other in known} == {MemberState.ALIVE}
+
+
+class TestDeath:
+    def test_dead_member_is_known_within_seconds(self) -> None:
+        driver = started()
+        _, everyone = detection(driver, "centre-1-entry-4")
+        assert everyone < 10.0
+
+    def test_link_loss_and_vm_list_speed_it_up(self) -> None:
+        driver = started()
+        victim, peer = "centre-1-entry-4", driver.members["centre-1-entry-1"]
+        driver.stopped.add(victim)
+        peer.note_link_lost(victim)
+        driver.run(2.2)
+        assert driver.view(peer.me.name, victim) is MemberState.SUSPECT
+        peer.note_gone([victim], driver.now)
+        assert driver.view(peer.me.name, victim) is MemberState.DEAD
+
+    def test_leaving_member_is_told_not_suspected(self) -> None:
+        driver = started()
+        leaver = driver.members["centre-1-entry-4"]
+        driver.send(leaver.me.name, leaver.leave())
+        driver.run(1.0)
+        assert driver.view("centre-1-entry-1", leaver.me.name) is MemberState.LEAVING
+
+
+class TestPause:
+    def test_woken_member_contradicts_and_buries_nobody(self) -> None:
+        driver = started()
+        name = "centre-2-entry-2"
+        driver.paused.add(name)
+        driver.run(30.0)
+        assert driver.view("centre-2-entry-5", name) is MemberState.DEAD
+        before = driver.members[name].me.incarnation
+        driver.paused.discard(name)
+        driver.run(15.0)
+        assert driver.members[name].me.incarnation > before
+        assert driver.view("centre-2-entry-5", name) is MemberState.ALIVE
+        assert not driver.members[name].table.dead_since
+
+
+class TestLoss:
+    def test_one_way_loss_to_one_peer_is_no_death(self) -> None:
+        driver = started()
+        route = ("centre-0-entry-0", "centre-0-entry-3")
+        driver.lost = lambda source, target: (source, target) == route
+        driver.run(60.0)
+        assert deaths(driver) == 0
+
+    def test_fifth_of_datagrams_lost_is_no_death(self) -> None:
+        driver = started()
+        random = driver.members["centre-0-entry-0"].random
+        driver.lost = lambda source, target: random.random() < 0.2
+        driver.run(120.0)
+        assert deaths(driver) == 0
+
+    def test_flapping_member_is_held_unsteady(self) -> None:
+        driver = started()
+        name, peer = "centre-0-entry-6", driver.members["centre-0-entry-3"]
+        for _ in range(4):
+            driver.paused.add(name)
+            driver.run(4.0)
+            driver.paused.discard(name)
+            driver.run(4.0)
+        assert driver.view(peer.me.name, name) is MemberState.ALIVE
+        assert not peer.table.steady(name, driver.now)
+        driver.run(180.0)
+        assert peer.table.steady(name, driver.now)
+
+
+class TestRestart:
+    def test_restart_under_the_same_address_goes_before_the_old_life(self) -> None:
+        driver = started()
+        names = list(driver.members)[:7]
+        for name in names:
+            driver.start(name, driver.centre(name), 2)
+        driver.run(30.0)
+        for member in driver.members.values():
+            lives = [member.table.members[name].incarnation for name in names]
+            assert min(lives) >= 2
+
+    def test_clock_that_stepped_back_is_made_up_for(self) -> None:
+        driver = started()
+        name = "centre-0-entry-3"
+        driver.start(name, "centre-0", 0)
+        driver.run(30.0)
+        assert driver.members[name].me.incarnation > 1
+        assert driver.view("centre-0-entry-6", name) is MemberState.ALIVE
+
+
+class TestSplit:
+    def test_data_centre_cut_off_kills_nobody_and_heals_quietly(self) -> None:
+        driver = started()
+        driver.lost = lambda a, b: (
+            (driver.centre(a) == "centre-1") != (driver.centre(b) == "centre-1")
+        )
+        driver.run(600.0)
+        assert deaths(driver) == 0
+        member = driver.members["centre-0-entry-0"]
+        assert driver.now - member.heard_at["centre-1"] > 590.0
+        restarted = "centre-1-entry-4"
+        driver.start(restarted, "centre-1", 9)
+        driver.run(10.0)
+        driver.lost = lambda a, b: False
+        driver.bytes = 0
+        driver.run(60.0)
+        assert driver.members["centre-0-entry-0"].table.members[
+            restarted
+        ].incarnation == (9)
+        assert 2 * driver.bytes / 60.0 / 9 < CONTROL_BUDGET_BYTES_PER_S / 2
+
+
+class TestDatagrams:
+    def test_size_is_bounded_and_garbage_is_dropped(self) -> None:
+        driver = started(60)
+        member = driver.members["centre-0-entry-0"]
+        reader = Member("centre-0-entry-99", "centre-0", "10.9.9.9:1", "10.9.9.9:2")
+        datagram = driver.members["centre-0-entry-0"].outgoing(
+            reader.link_address, reader, DatagramKind.PING, 1
+        )[1]
+        many = datagram._replace(updates=tuple(member.table.members.values()))
+        data = encode_datagram(many)
+        assert len(data) <= DATAGRAM_LIMIT_BYTES
+        assert decode_datagram(data, datagram.fleet) is not None
+        assert decode_datagram(data, datagram.fleet + 1) is None
+        assert decode_datagram(data[:-1], datagram.fleet) is None
+        assert decode_datagram(b"\xff" * 40, datagram.fleet) is None
--- /dev/null
+++ b/tests/fleet/test_ownership_model.py
@@ -0,0 +1,360 @@
+"""Model of ownership and leases under loss, delay, pauses and wrong clock rates."""
+
+from __future__ import annotations
+
+from typing import Any, NamedTuple
+
+import pytest
+from hypothesis import Phase, assume, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from sardinehook.fleet.holding import Holding
+from sardinehook.fleet.lease import (
+    CLOCK_RATE_MARGIN,
+    LEASE_LEAST_S,
+    WORK_LIMIT_S,
+    LeaseGrant,
+    LeaseRequest,
+    NodeLease,
+    Registry,
+)
+from sardinehook.fleet.roster import (
+    EMPTY_ROSTER,
+    Roster,
+    RosterMember,
+    join,
+    release,
+)
+from sardinehook.fleet.share import share_of
+from sardinehook.target.allowance import Allowance
+
+NAMES = ("e1", "e2", "e3")
+REPLICAS = ("a", "b", "c")
+SLOTS, CONNECTIONS = 3, 25
+REGISTRAR_LEASE_S = 8.0
+RATE_SPREAD = 0.9 * CLOCK_RATE_MARGIN
+EXAMPLES = 200
+STEPS = 30
+
+nodes = st.sampled_from(NAMES)
+replicas = st.sampled_from(REPLICAS)
+
+
+class Released(NamedTuple):
+    """A process uses only its own as of an epoch."""
+
+    boot: int
+    epoch: int
+
+
+class Parcel(NamedTuple):
+    """A message under way."""
+
+    source: str
+    target: str
+    message: Roster | Released | LeaseRequest | LeaseGrant
+
+
+class Work(NamedTuple):
+    """A sub-query that runs at a replica until a true time."""
+
+    replica: str
+    until: float
+
+
+class Node:
+    """One process."""
+
+    def __init__(self, name: str, boot: int, rate: float) -> None:
+        self.name = name
+        self.boot = boot
+        self.rate = rate
+        self.holding = Holding(name, boot)
+        self.lease = NodeLease()
+        self.registry = Registry()
+        self.store_lease = -1
+        self.works: list[Work] = []
+        self.leaving = False
+
+    def clock(self, now: float) -> float:
+        return now * self.rate
+
+    def share(self, replica: str, now: float) -> Allowance:
+        time = self.clock(now)
+        share = share_of(self.holding, self.lease, replica, SLOTS, CONNECTIONS, time)
+        return Allowance(0, 0, False) if self.leaving else share
+
+    def running(self, replica: str, now: float) -> int:
+        return sum(w.replica == replica and w.until > now for w in self.works)
+
+    def has_surplus(self, now: float) -> bool:
+        return any(self.running(r, now) > self.share(r, now).slots for r in REPLICAS)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Three processes, the platform's service, and messages in any order."""
+
+    @initialize(rates=st.tuples(*[st.floats(-RATE_SPREAD, RATE_SPREAD)] * 3))
+    def begin(self, rates: tuple[float, ...]) -> None:
+        self.now = 100.0
+        self.boots = 0
+        self.store_up = True
+        self.roster = EMPTY_ROSTER
+        self.registrar = (-1, 0.0)
+        self.parcels: list[Parcel] = []
+        self.rates = dict(zip(NAMES, (1 + rate for rate in rates), strict=True))
+        self.nodes: dict[str, Node] = {}
+        for name in NAMES:
+            self.boot(name)
+        for name in NAMES:
+            self.learn(name)
+        for name in NAMES:
+            self.tell_release(name)
+        self.deliver_all()
+        self.take_registrar_lease(NAMES[0])
+        self.now += LEASE_LEAST_S
+
+    def boot(self, name: str) -> None:
+        self.boots += 1
+        node = self.nodes[name] = Node(name, self.boots, self.rates[name])
+        member = RosterMember(name, node.boot, 0, 0.0, 0)
+        self.roster = join(self.roster, member)
+
+    def learn(self, name: str) -> None:
+        self.nodes[name].holding.set_roster(self.roster)
+
+    @rule(seconds=st.sampled_from([0.05, 0.4, 0.9, 1.7, 2.9, 4.1]))
+    def pass_time(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule(up=st.booleans())
+    def turn_store(self, up: bool) -> None:
+        self.store_up = up
+
+    @rule(name=nodes)
+    def read_roster(self, name: str) -> None:
+        assume(self.store_up and name in self.nodes)
+        self.learn(name)
+
+    @rule(name=nodes)
+    def tell_roster(self, name: str) -> None:
+        assume(name in self.nodes)
+        self.post(name, self.nodes[name].holding.roster)
+
+    @rule(name=nodes)
+    def tell_release(self, name: str) -> None:
+        assume(name in self.nodes)
+        node = self.nodes[name]
+        assume(not node.has_surplus(self.now))
+        self.post(name, Released(node.boot, node.holding.roster.epoch))
+
+    @rule(name=nodes)
+    def restart(self, name: str) -> None:
+        assume(self.store_up)
+        self.now += WORK_LIMIT_S if name in self.nodes else 0.0
+        self.boot(name)
+
+    @rule(name=nodes)
+    def leave(self, name: str) -> None:
+        assume(self.store_up and name in self.nodes)
+        node = self.nodes[name]
+        node.leaving = True
+        assume(all(node.running(r, self.now) == 0 for r in REPLICAS))
+        self.roster = release(self.roster, name, node.boot)
+        del self.nodes[name]
+
+    @rule(name=nodes)
+    def die_and_be_evicted(self, name: str) -> None:
+        assume(self.store_up and name in self.nodes)
+        self.roster = release(self.roster, name, self.nodes.pop(name).boot)
+        self.now += WORK_LIMIT_S
+
+    @rule(name=nodes)
+    def take_registrar_lease(self, name: str) -> None:
+        assume(self.store_up and name in self.nodes)
+        node = self.nodes[name]
+        held, until = self.registrar
+        own_until = node.clock(self.now) + REGISTRAR_LEASE_S * (1 - CLOCK_RATE_MARGIN)
+        if held == node.boot and until > self.now:
+            node.registry.prolong(own_until)
+        elif until <= self.now:
+            node.registry.begin(own_until, node.clock(self.now))
+        else:
+            return
+        self.registrar = (node.boot, self.now + REGISTRAR_LEASE_S)
+
+    @rule(name=nodes, replied=st.booleans())
+    def renew_lease(self, name: str, replied: bool) -> None:
+        registrars = [
+            node.name for node in self.nodes.values() if node.boot == self.registrar[0]
+        ]
+        if not registrars or name not in self.nodes:
+            return
+        self.ask_lease(name, registrars[0])
+        request = self.parcels.pop()
+        count = len(self.parcels)
+        self.receive(self.nodes[registrars[0]], request)
+        if len(self.parcels) > count and replied:
+            granted = self.parcels.pop()
+            self.receive(self.nodes[name], granted)
+
+    @rule(silent=st.lists(nodes, max_size=2))
+    def renew_all_but(self, silent: list[str]) -> None:
+        for _ in range(4):
+            self.now += LEASE_LEAST_S / 3
+            for name in sorted(self.nodes):
+                held = self.nodes[name].boot == self.registrar[0]
+                if held and self.store_up:
+                    self.take_registrar_lease(name)
+            for name in sorted(set(self.nodes) - set(silent)):
+                self.try_renewal(name, replied=True)
+
+    def try_renewal(self, name: str, replied: bool) -> None:
+        node = self.nodes[name]
+        behind = node.holding.roster.epoch != node.lease.epoch
+        if not (behind and node.has_surplus(self.now)):
+            self.renew_lease(name, replied)
+
+    @rule(name=nodes, registrar=nodes)
+    def ask_lease(self, name: str, registrar: str) -> None:
+        assume(name in self.nodes)
+        node = self.nodes[name]
+        if node.holding.roster.epoch != node.lease.epoch:
+            node.lease.give_up()
+            assume(not node.has_surplus(self.now))
+        request = node.lease.ask(
+            node.boot, node.holding.roster.epoch, node.clock(self.now)
+        )
+        self.parcels.append(Parcel(name, registrar, request))
+
+    @rule(data=st.data(), again=st.booleans())
+    def deliver(self, data: Any, again: bool) -> None:
+        assume(self.parcels)
+        number = data.draw(st.integers(0, len(self.parcels) - 1))
+        parcel = self.parcels[number]
+        if not again:
+            del self.parcels[number]
+        node = self.nodes.get(parcel.target)
+        if node is not None:
+            self.receive(node, parcel)
+
+    @rule()
+    def deliver_all(self) -> None:
+        parcels, self.parcels = self.parcels, []
+        for parcel in parcels:
+            node = self.nodes.get(parcel.target)
+            if node is not None:
+                self.receive(node, parcel)
+
+    @rule()
+    def lose_all(self) -> None:
+        self.parcels.clear()
+
+    @rule(name=nodes, replica=replicas)
+    def work(self, name: str, replica: str) -> None:
+        assume(name in self.nodes)
+        node = self.nodes[name]
+        if node.running(replica, self.now) < node.share(replica, self.now).slots:
+            until = self.now + WORK_LIMIT_S * (1 - 2 * CLOCK_RATE_MARGIN)
+            node.works.append(Work(replica, until))
+
+    def post(self, source: str, message: Roster | Released) -> None:
+        for target in NAMES:
+            if target != source:
+                self.parcels.append(Parcel(source, target, message))
+
+    def receive(self, node: Node, parcel: Parcel) -> None:
+        match parcel.message:
+            case Roster() as roster:
+                node.holding.set_roster(roster)
+            case Released(boot, epoch):
+                node.holding.note_released(parcel.source, boot, epoch)
+            case LeaseGrant() as grant:
+                node.lease.take(grant)
+            case LeaseRequest() as request:
+                roster = node.holding.roster
+                granted = node.registry.request(
+                    parcel.source,
+                    request,
+                    roster.names,
+                    roster.epoch,
+                    node.clock(self.now),
+                )
+                if granted is not None:
+                    self.parcels.append(Parcel(node.name, parcel.source, granted))
+
+    @invariant()
+    def no_replica_gets_too_much(self) -> None:
+        for replica in REPLICAS:
+            running = [n.running(replica, self.now) for n in self.nodes.values()]
+            shares = [n.share(replica, self.now) for n in self.nodes.values()]
+            assert sum(running) <= SLOTS, f"{running} at {replica}"
+            assert sum(share.slots for share in shares) <= SLOTS
+            assert sum(share.connections for share in shares) <= CONNECTIONS
+            assert sum(share.may_serve_cold for share in shares) <= 1
+
+
+def check_model() -> None:
+    run_state_machine_as_test(
+        Fleet,
+        settings=settings(max_examples=EXAMPLES, stateful_step_count=STEPS),
+    )
+
+
+def check_broken_model() -> None:
+    run_state_machine_as_test(
+        Fleet,
+        settings=settings(
+            max_examples=4 * EXAMPLES,
+            stateful_step_count=STEPS,
+            phases=[Phase.generate],
+            report_multiple_bugs=False,
+        ),
+    )
+
+
+class TestModel:
+    def test_no_replica_ever_gets_more_than_it_bears(self) -> None:
+        check_model()
+
+
+class TestModelFindsBrokenRules:
+    def test_taking_over_without_release(self, monkeypatch: Any) -> None:
+        monkeypatch.setattr(Holding, "usable", Holding.owns)
+        with pytest.raises(AssertionError):
+            check_broken_model()
+
+    def test_forgetting_leases_whose_successor_may_be_lost(
+        self, monkeypatch: Any
+    ) -> None:
+        request = Registry.request
+
+        def forgetful(self: Registry, name: str, *rest: Any) -> LeaseGrant | None:
+            self.grants = [grant for grant in self.grants if grant.name != name]
+            return request(self, name, *rest)
+
+        monkeypatch.setattr(Registry, "request", forgetful)
+        with pytest.raises(AssertionError):
+            check_broken_model()
+
+    def test_leases_that_outlast_the_registrars_own(self, monkeypatch: Any) -> None:
+        prolong = Registry.begin
+
+        def eternal(self: Registry, own_until: float, now: float) -> None:
+            prolong(self, own_until + 100.0, now)
+
+        monkeypatch.setattr(Registry, "begin", eternal)
+        with pytest.raises(AssertionError):
+            check_broken_model()
+
+    def test_leases_across_epochs(self, monkeypatch: Any) -> None:
+        monkeypatch.setattr(Registry, "may_grant", lambda *arguments: True)
+        with pytest.raises(AssertionError):
+            check_broken_model()
