--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -35,6 +35,9 @@
     def write(self, data: bytes) -> None:
         self.requests.append(data)
 
+    def doWrite(self) -> None:
+        pass
+
     def loseConnection(self) -> None:
         self.drop(ConnectionDone())
 
@@ -93,7 +96,7 @@
 
 def failure(error: Exception) -> Failure:
     """Return ``error`` as Twisted passes it on."""
-    return Failure(error)  # type: ignore[no-untyped-call]
+    return Failure(error)
 
 
 def connect(protocol: TargetConnection, link: FakeLink) -> None:
@@ -121,7 +124,7 @@
     def settle(self, factory: ClientFactory) -> None:
         """Establish or refuse one attempt."""
         if self.refuses:
-            error = ConnectionRefusedError()  # type: ignore[no-untyped-call]
+            error = ConnectionRefusedError()
             factory.clientConnectionFailed(cast(IConnector, self), failure(error))
             return
         protocol = factory.buildProtocol(None)
