--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -10,6 +10,7 @@
 import sys
 from argparse import ArgumentParser, Namespace
 from collections.abc import Sequence
+from math import exp
 from random import Random
 from typing import NamedTuple
 
@@ -37,7 +38,7 @@
 SLOTS = 2
 ENTRIES = 6
 WARM_UP_S = 1.0
-MEAN_SERVICE_S = SERVICE_MEDIAN_MS * np.exp(SERVICE_SIGMA**2 / 2) / 1000.0
+MEAN_SERVICE_S = SERVICE_MEDIAN_MS * exp(SERVICE_SIGMA**2 / 2) / 1000.0
 CAPACITY_PER_S = 2 * SLOTS / MEAN_SERVICE_S
 
 AUDIT = Workload(["logs"], Scope.ALL, 1000.0, 0.95, priority=5)
@@ -172,6 +173,7 @@
 def compare_overload(options: Namespace) -> None:
     """Print goodput at twice the capacity with and without admission."""
     arms = (
+        Arm("fixed-no-budget", FixedDelayHedge(10.0), spends_budget=False),
         Arm("no-admission", QuantileHedge()),
         Arm("admission", QuantileHedge(), admits=True),
     )
@@ -186,6 +188,8 @@
         ]
         load = [arrivals for arrivals in load if arrivals.per_second]
         for arm in arms:
+            if options.arm not in arm.name:
+                continue
             pooled = [
                 finished
                 for seed in range(options.seed, options.seed + options.seeds)
@@ -193,7 +197,7 @@
                     arm, FAULTS["none"], load, options.seconds, seed
                 )
             ]
-            print(f"{name:22}{arm.name:14}{goodput_line(pooled, options)}", flush=True)
+            print(f"{name:22}{arm.name:16}{goodput_line(pooled, options)}", flush=True)
 
 
 def goodput_line(pooled: Sequence[Finished], options: Namespace) -> str:
