--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -4,6 +4,7 @@
 
 import gc
 import json
+import logging
 import subprocess
 import sys
 import tempfile
@@ -16,6 +17,7 @@
 from typing import Annotated, NamedTuple, Protocol, cast
 from urllib.request import urlopen
 
+import structlog
 import typer
 from twisted.internet.defer import Deferred, succeed
 from twisted.python.failure import Failure
@@ -333,6 +335,8 @@
     """Compare the ways to reach targets in one run."""
     from twisted.internet import reactor
 
+    quiet = structlog.make_filtering_bound_logger(logging.ERROR)
+    structlog.configure(wrapper_class=quiet)
     ticking = cast(RunningReactor, reactor)
     ticking.seconds = monotonic  # type: ignore[method-assign]
     with tempfile.TemporaryDirectory() as directory:
--- a/bench/target_scenes.py
+++ b/bench/target_scenes.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections import Counter
 from collections.abc import Callable
 from typing import Annotated, NamedTuple, cast
 from unittest.mock import patch
 
 import numpy as np
+import structlog
 import typer
 
 from bench.loopback import LoopReactor
@@ -128,6 +130,8 @@
 
 def main(seeds: Annotated[int, typer.Option(help="Seeds of each scene.")] = 3) -> None:
     """Compare the ramp and the probe with doing without them."""
+    quiet = structlog.make_filtering_bound_logger(logging.ERROR)
+    structlog.configure(wrapper_class=quiet)
     cold, silence = Control(do="cold"), Control(do="silence")
     restart = Control(do="restart")
     for seed in range(1, seeds + 1):
--- a/sardinehook/target/cold_start.py
+++ b/sardinehook/target/cold_start.py
@@ -32,6 +32,7 @@
         self.cold_start_slots = cold_start_slots
         self.slots = slots
         self.state = TargetState.UNKNOWN
+        self.cause = ""
         self.bound = min(cold_start_slots, slots)
         self.good_replies = 0
         self.slow_replies = 0
@@ -53,7 +54,7 @@
         longer than earlier ones.
         """
         if said is TargetState.COLD:
-            self.setback()
+            self.setback("a reply says so")
             return
         self.late_replies = 0
         if slow:
@@ -70,7 +71,7 @@
         """Count a reply far slower than usual; three in a row are a setback."""
         self.slow_replies += 1
         if self.slow_replies >= SLOW_REPLIES_FOR_SETBACK:
-            self.setback()
+            self.setback("sudden slowness")
 
     def count_towards_step(self) -> None:
         """Count one good reply at full use and grow the bound when it is due."""
@@ -86,15 +87,17 @@
         """Count a reply that missed its deadline; two in a row are a setback."""
         self.late_replies += 1
         if self.late_replies >= LATE_REPLIES_FOR_SETBACK:
-            self.setback()
+            self.setback("missed deadlines")
 
     def shed(self) -> None:
         """Halve the bound after the target refused work."""
         self.good_replies = 0
         self.bound = max(1, self.bound // 2)
 
-    def setback(self) -> None:
-        """Treat the replica as cold."""
+    def setback(self, cause: str) -> None:
+        """Treat the replica as cold; ``cause`` is for people."""
+        if self.state is not TargetState.COLD:
+            self.cause = cause
         self.state = TargetState.COLD
         self.bound = min(self.cold_start_slots, self.slots)
         self.good_replies = 0
@@ -109,5 +112,5 @@
 
     def forget(self) -> None:
         """Return to knowing nothing, which bears what a cold start bears."""
-        self.setback()
+        self.setback("")
         self.state = TargetState.UNKNOWN
--- /dev/null
+++ b/sardinehook/target/counts.py
@@ -0,0 +1,42 @@
+"""What an owner holds, in numbers for the metrics."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from sardinehook.messages import TargetState
+from sardinehook.target.runner import ReplicaRunner
+
+__all__ = ["OwnerCounts", "count_holdings"]
+
+
+class OwnerCounts(NamedTuple):
+    """Sums over the replicas of one owner.
+
+    ``given_up`` counts, since the start, connections over which nothing came.
+    """
+
+    connections: int
+    connections_allowed: int
+    slots: int
+    slots_allowed: int
+    queued: int
+    replicas: dict[TargetState, int]
+    given_up: int
+
+
+def count_holdings(runners: Iterable[ReplicaRunner]) -> OwnerCounts:
+    """Sum up what ``runners`` hold."""
+    held = list(runners)
+    states = Counter(one.standing.state for one in held if one.holds_part)
+    return OwnerCounts(
+        sum(len(one.pool.connections) for one in held),
+        sum(one.allowance.connections for one in held),
+        sum(one.exchanges.in_flight for one in held),
+        sum(one.allowance.slots for one in held),
+        sum(len(one.queue) for one in held),
+        {state: states[state] for state in TargetState},
+        sum(one.pool.given_up for one in held),
+    )
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -158,11 +158,11 @@
                 if not running.over:
                     self.replied(running, reply)
             case Garbled(detail):
-                self.ramp.setback()
+                self.ramp.setback("a garbled reply")
                 garbled = Verdict(Outcome.GARBLED, True)
                 self.events.settled(running.work, garbled, detail, None)
             case Lost(detail):
-                self.ramp.setback()
+                self.ramp.setback("a lost connection")
                 self.try_again(running, detail)
         self.events.changed()
 
@@ -249,9 +249,7 @@
         A warm target can be given the slot again. A cold one is spared the doubt
         until the deadline has passed.
         """
-        self.running.pop(running.exchange_id, None)
-        running.connection.give_up()
-        self.pool.suspect(running.sent_at)
+        self.drop(running)
         if self.ramp.state is TargetState.WARM:
             self.occupancy.end(running.exchange_id)
 
@@ -276,9 +274,13 @@
                 self.probe(running)
             running.check_at = NEVER
         if now >= running.until:
-            self.running.pop(running.exchange_id, None)
-            running.connection.give_up()
-            self.pool.suspect(running.sent_at)
+            self.drop(running)
+
+    def drop(self, running: Running) -> None:
+        """Give up the connection of an exchange, and those that may be like it."""
+        self.running.pop(running.exchange_id, None)
+        running.connection.give_up()
+        self.pool.suspect(running.sent_at)
 
     def stop(self) -> None:
         """Settle what is in flight as lost and close its connections."""
--- /dev/null
+++ b/sardinehook/target/journal.py
@@ -0,0 +1,55 @@
+"""Logs what changes about one replica, once for each change."""
+
+from __future__ import annotations
+
+import structlog
+
+from sardinehook.messages import TargetState
+from sardinehook.observe.events import EventName, log_event
+from sardinehook.target.pool import ConnectionPool
+from sardinehook.target.standing import Standing
+
+__all__ = ["ReplicaJournal"]
+
+logger = structlog.get_logger(__name__)
+
+
+class ReplicaJournal:
+    """Compares a replica's standing and pool with what was logged last."""
+
+    def __init__(self, replica: str, standing: Standing, pool: ConnectionPool) -> None:
+        self.replica = replica
+        self.standing = standing
+        self.pool = pool
+        self.state = TargetState.UNKNOWN
+        self.given_up = 0
+
+    def note_part(self, held: bool, holds: bool) -> None:
+        """Log that a part of the replica was taken or let go."""
+        if held == holds:
+            return
+        event = EventName.TARGET_ACQUIRED if holds else EventName.TARGET_RELEASED
+        log_event(logger, event, target=self.replica)
+
+    def note_changes(self) -> None:
+        """Log another state, and connections over which nothing came."""
+        state = self.standing.state
+        if state is not self.state:
+            self.log_state(state)
+        if self.pool.given_up > self.given_up:
+            count = self.pool.given_up - self.given_up
+            self.given_up = self.pool.given_up
+            name = EventName.CONNECTION_SILENT
+            log_event(logger, name, target=self.replica, count=count)
+
+    def log_state(self, state: TargetState) -> None:
+        """Log a new state with what it was concluded from."""
+        log_event(
+            logger,
+            EventName.TARGET_STATE,
+            target=self.replica,
+            previous=self.state.name.lower(),
+            state=state.name.lower(),
+            cause=self.standing.cause,
+        )
+        self.state = state
--- a/sardinehook/target/limits.py
+++ b/sardinehook/target/limits.py
@@ -19,6 +19,6 @@
     header_bytes: int = 16_384
     queue_length: int = 64
     connect_timeout_s: float = 1.0
-    sweep_interval_s: float = 0.005
+    sweep_interval_s: float = 0.01
     occupancy_margin_s: float = 0.05
     poll_interval_s: float = 0.25
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -10,6 +10,7 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, ReplicaView, SubQuery, SubReply, TargetState
 from sardinehook.target.allowance import Allowance
+from sardinehook.target.counts import OwnerCounts, count_holdings
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.reactor import DelayedCall, TargetReactor
@@ -149,6 +150,10 @@
         """Return the view of each replica of which a part is held here."""
         return [runner.view() for runner in self.runners.values() if runner.holds_part]
 
+    def counts(self) -> OwnerCounts:
+        """Return what is held here, in numbers for the metrics."""
+        return count_holdings([*self.runners.values(), *self.retired])
+
     def in_flight(self, replica: str) -> int:
         """Return how many sub-queries may be running at a replica."""
         runners = [one for one in self.retired if one.replica.name == replica]
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -81,6 +81,7 @@
         self.lingering: list[float] = []
         self.backoff_s = 0.0
         self.open_after = 0.0
+        self.given_up = 0
 
     def held(self, now: float) -> int:
         """Return how many connections the target may hold for this owner."""
@@ -211,6 +212,7 @@
             self.idle.remove(connection)
         if connection.closing_here:
             if not clean:
+                self.given_up += 1
                 self.lingering.append(self.reactor.seconds() + LINGER_S)
             return
         open_s = self.reactor.seconds() - connection.idle_since
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -11,6 +11,7 @@
 from sardinehook.target.dialect import TargetReply
 from sardinehook.target.evidence import Evidence
 from sardinehook.target.exchanges import ExchangeEvents, ExchangeIds, Exchanges
+from sardinehook.target.journal import ReplicaJournal
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
@@ -60,6 +61,7 @@
             limits,
             PoolEvents(self.connected, self.connect_failed, self.connection_ended),
         )
+        self.journal = ReplicaJournal(replica.name, self.standing, self.pool)
         self.exchanges = Exchanges(
             context.ids,
             replica.address.encode(),
@@ -96,6 +98,7 @@
 
     def set_allowance(self, allowance: Allowance | None) -> None:
         """Take a new allowance; without one nothing new is sent."""
+        self.journal.note_part(self.holds_part, allowance is not None)
         if allowance is None:
             self.allowance = NO_ALLOWANCE
             self.refuse_queue("the replica has another owner")
@@ -110,6 +113,7 @@
         """Take what the platform's list of VMs says of the replica."""
         self.standing.note_vm(listed, incarnation)
         self.refuse_if_leaving()
+        self.journal.note_changes()
 
     def note_peer_view(self, state: TargetState) -> None:
         """Take the state that another owner has told."""
@@ -235,6 +239,7 @@
         self.poll_status()
         self.pool.close_idle(self.index.slots + SPARE_CONNECTIONS)
         self.pump()
+        self.journal.note_changes()
 
     def poll_status(self) -> None:
         """Ask the replica for its own account of itself."""
@@ -266,12 +271,14 @@
             self.standing.connect_failed()
             self.refuse_queue(f"no connection: {cause}")
         self.reactor.callLater(self.pool.backoff_s, self.provide)
+        self.journal.note_changes()
 
     def connection_ended(self, clean: bool) -> None:
         """Take the end of a connection by the target as evidence."""
         if not clean or not self.pool.open_now():
-            self.ramp.setback()
+            self.ramp.setback("a lost connection")
         self.pump()
+        self.journal.note_changes()
 
     def refuse_if_leaving(self) -> None:
         """Refuse what is queued for a replica that takes no work."""
@@ -304,6 +311,8 @@
         self.settle(work, verdict, detail, reply)
         if self.queue.entries:
             self.refuse_if_leaving()
+        if self.ramp.state is not self.journal.state or self.standing.leaving:
+            self.journal.note_changes()
 
     def queue_again(self, work: Work) -> None:
         """Queue work whose first try was given up."""
--- a/sardinehook/target/standing.py
+++ b/sardinehook/target/standing.py
@@ -37,6 +37,17 @@
             return TargetState.DRAINING
         return self.ramp.state
 
+    @property
+    def cause(self) -> str:
+        """What the present state was concluded from, for people."""
+        if self.gone:
+            return "it cannot be connected to"
+        if self.listed is not TargetState.UNKNOWN:
+            return "the list of VMs"
+        if self.draining:
+            return "its drain signal"
+        return self.ramp.cause if self.ramp.state is TargetState.COLD else ""
+
     def takes_work(self, may_serve_cold: bool) -> bool:
         """Tell whether new work may be sent."""
         if self.leaving:
@@ -67,7 +78,7 @@
             self.hold_until = now + DRAIN_HOLD_S
             self.statuses_in_favour = 0
         elif said is TargetState.COLD:
-            self.ramp.setback()
+            self.ramp.setback("a reply says so")
 
     def status_said(self, draining: bool, now: float) -> None:
         """Take the status endpoint's word on whether the replica drains.
--- a/tests/target/test_cold_start.py
+++ b/tests/target/test_cold_start.py
@@ -91,7 +91,7 @@
                 case "shed":
                     ramp.shed()
                 case "setback":
-                    ramp.setback()
+                    ramp.setback("test")
                 case _:
                     ramp.forget()
             grown = ramp.bound - before
@@ -140,7 +140,7 @@
 
     def test_time_alone_changes_nothing(self) -> None:
         rig = Rig()
-        rig.runner.ramp.setback()
+        rig.runner.ramp.setback("test")
         rig.advance(5.0)
         assert (rig.runner.ramp.bound, rig.runner.ramp.state) == (1, COLD)
 
--- a/tests/target/test_owner.py
+++ b/tests/target/test_owner.py
@@ -213,3 +213,11 @@
         rig.submit(query(1))
         assert rig.owner.views()[0].room == 0
         assert rig.outcomes() == [Outcome.NOT_RUN]
+
+    def test_the_counts_are_those_of_what_is_held(self) -> None:
+        rig = Rig()
+        rig.submit(query(1), query(2))
+        counts = rig.owner.counts()
+        assert (counts.slots, counts.slots_allowed, counts.queued) == (1, 2, 1)
+        assert counts.connections == sum(link.open for link in rig.reactor.links)
+        assert counts.replicas[TargetState.UNKNOWN] == 1
--- a/tests/target/test_standing.py
+++ b/tests/target/test_standing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+from structlog.testing import capture_logs
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
 from sardinehook.messages import Outcome, TargetState
@@ -96,3 +97,17 @@
         rig.runner.poll_status()
         rig.busy("GET /status")[0].answer(body=body)
         assert rig.owner.views()[0].index_versions == (1,)
+
+
+class TestJournal:
+    def test_each_change_is_logged_once_with_its_cause(self) -> None:
+        with capture_logs() as logs:
+            rig = Rig()
+            rig.submit(query(1))
+            rig.busy()[0].answer(Target_State="draining")
+            rig.advance(0.1)
+        states = [one for one in logs if one["event"] == "target_state"]
+        assert [(one["state"], one["cause"]) for one in states] == [
+            ("draining", "its drain signal")
+        ]
+        assert logs[0]["event"] == "target_acquired"
