Serve orders; end a stop without work; draw the start of sub-query ids

Ruled out for the hang: links and front, both closed. Change: orders in the entry, close completes at once without work, random start of ids.

--- /dev/null
+++ b/sardinehook/entry/orders.py
@@ -0,0 +1,102 @@
+"""Places callers' orders through the order desk and the dispatcher."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+from returns.pipeline import is_successful
+from returns.result import Result, Success
+from twisted.internet.defer import Deferred
+
+from sardinehook.entry.dispatcher import Dispatcher
+from sardinehook.entry.front import BodyResponse, Response
+from sardinehook.entry.requests import CallerRequest
+from sardinehook.environment.document import Limits, Workload
+from sardinehook.errors import Problem
+from sardinehook.messages import SubQuery, SubReply
+from sardinehook.observe.metrics import Metrics
+from sardinehook.order.claim import Claimant
+from sardinehook.order.desk import OrderDesk
+from sardinehook.order.front import OrderFront
+from sardinehook.platform.store import Store
+from sardinehook.platform.timers import Timers
+from sardinehook.query.planner import Planner
+
+__all__ = ["EntryOrders"]
+
+OK = 200
+
+
+class EntryOrders:
+    """The orders of one entry process; counts those in flight."""
+
+    def __init__(
+        self,
+        reactor: Timers,
+        store: Store,
+        environment: str,
+        claimant: Claimant,
+        dispatcher: Dispatcher,
+        planner: Planner,
+        sub_query_ids: Iterator[int],
+        metrics: Metrics,
+    ) -> None:
+        self.reactor = reactor
+        self.dispatcher = dispatcher
+        self.planner = planner
+        self.in_flight = 0
+        self.desk = OrderDesk(
+            store,
+            environment,
+            claimant,
+            reactor,
+            time.time,
+            self.send,
+            sub_query_ids,
+            Limits().order_retention_ms,
+            metrics,
+        )
+        self.front = OrderFront(self.desk, self.choose)
+
+    def configure(self, limits: Limits) -> None:
+        """Use the bounds of a new document."""
+        self.desk.register.retention_ms = limits.order_retention_ms
+
+    def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
+        """Send an order's only sub-query."""
+        ended: Deferred[SubReply] = Deferred()
+        self.dispatcher.send(sub_query, ended.callback)
+        return ended
+
+    def choose(self, workload: Workload, service: str) -> str | None:
+        """Choose the replica that is to get an order."""
+        planned = self.planner.plan(workload, service, self.reactor.seconds())
+        match planned:
+            case Success(plan):
+                return next(iter(plan.services[0].replicas), None)
+        return None
+
+    def place(self, request: CallerRequest, key: str | None) -> Deferred[Response]:
+        """Place an order; it goes on when the caller leaves."""
+        return Deferred.fromCoroutine(self.place_counted(request, key))
+
+    async def place_counted(self, request: CallerRequest, key: str | None) -> Response:
+        """Place an order and count it while it is in flight."""
+        self.in_flight += 1
+        try:
+            return to_response(await self.front.place(request, key))
+        finally:
+            self.in_flight -= 1
+
+    def look_up(self, key: str) -> Deferred[Response]:
+        """Tell what became of an order."""
+        looked_up = Deferred.fromCoroutine(self.front.look_up(key))
+        return looked_up.addCallback(to_response)
+
+
+def to_response(result: Result[bytes, Problem]) -> Response:
+    """Turn a result into what the front writes."""
+    if is_successful(result):
+        return BodyResponse(OK, result.unwrap())
+    return result.failure()
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 import random
+import secrets
 import sys
 import time
+from itertools import count
 from typing import Any
+from zlib import crc32
 
 import structlog
-from returns.result import Failure, Success
-from twisted.internet.defer import Deferred, succeed
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred, TimeoutError, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
 from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
 from sardinehook.entry.front import EntryStatus, Response, build_site
-from sardinehook.entry.requests import resolve_request
+from sardinehook.entry.orders import EntryOrders
+from sardinehook.entry.requests import CallerRequest, resolve_request
 from sardinehook.entry.searches import SearchDesk
 from sardinehook.entry.settings import EntrySettings
 from sardinehook.entry.view_exchange import ViewExchange
@@ -35,6 +39,7 @@
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.metrics import Metrics
+from sardinehook.order.claim import Claimant
 from sardinehook.platform.http_store import HttpStore
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.replica_choice import ReplicaChooser
@@ -49,6 +54,9 @@
 STOP_POLL_S = 0.02
 HOUSEKEEPING_INTERVAL_S = 0.5
 STORE_WATCHERS = 2
+INCARNATION_BYTES = 4
+SUB_QUERY_ID_RANDOM_BITS = 31
+SUB_QUERY_ID_COUNT_BITS = 32
 MS_PER_S = 1000.0
 DEFAULT_GRACE_S = 10.0
 
@@ -69,13 +77,21 @@
         self.fleet = StaticFleet(settings.node, self.list_members())
         self.owner = TargetOwner(reactor, OwnerLimits())
         self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.owner)
-        chooser = ReplicaChooser(settings.data_centre, hash(settings.node))
+        self.sub_query_ids = count(first_sub_query_id())
+        chooser = ReplicaChooser(settings.data_centre, crc32(settings.node.encode()))
+        policy = SearchPolicy(self.sub_query_ids, chooser=chooser)
         self.searches = SearchDesk(
+            reactor, self.dispatcher, policy, self.metrics, self.clock
+        )
+        self.orders = EntryOrders(
             reactor,
+            self.store,
+            settings.environment,
+            Claimant(settings.node, secrets.token_hex(INCARNATION_BYTES)),
             self.dispatcher,
-            SearchPolicy(chooser=chooser),
+            self.searches.planner,
+            self.sub_query_ids,
             self.metrics,
-            self.clock,
         )
         self.views = ViewExchange(
             reactor,
@@ -184,6 +200,7 @@
         """Put a revision in force in every part of the process."""
         document = revision.document
         self.searches.configure(document)
+        self.orders.configure(document.limits)
         homes = {
             replica.name: ReplicaHome(replica, index)
             for index in document.indexes.values()
@@ -198,6 +215,11 @@
         self.metrics.revision.set(revision.number)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=revision.number)
 
+    @property
+    def in_flight(self) -> int:
+        """How many callers' requests are in flight."""
+        return self.searches.in_flight + self.orders.in_flight
+
     def refusal(self) -> Problem | None:
         """Return why this process takes no new request, if it takes none."""
         revision = self.holder.in_force
@@ -215,12 +237,7 @@
         self, workload: str, request_id: str, deadline: str | None, body: bytes
     ) -> Deferred[Response]:
         """Run a caller's search."""
-        problem = self.refusal()
-        if problem is not None:
-            return succeed(problem)
-        assert self.holder.in_force is not None
-        document = self.holder.in_force.document
-        match resolve_request(document, workload, request_id, deadline, body):
+        match self.check(workload, request_id, deadline, body):
             case Failure(refused):
                 return succeed(refused)
             case Success(request):
@@ -230,6 +247,17 @@
                 return self.searches.run(request)
         raise AssertionError("a result is a success or a failure")
 
+    def check(
+        self, workload: str, request_id: str, deadline: str | None, body: bytes
+    ) -> Result[CallerRequest, Problem]:
+        """Check a caller's request against the state and document of this process."""
+        problem = self.refusal()
+        if problem is not None:
+            return Failure(problem)
+        assert self.holder.in_force is not None
+        document = self.holder.in_force.document
+        return resolve_request(document, workload, request_id, deadline, body)
+
     def order(
         self,
         workload: str,
@@ -239,11 +267,16 @@
         body: bytes,
     ) -> Deferred[Response]:
         """Place a caller's order."""
-        return succeed(Problem(ErrorKind.NOT_FOUND, "orders are not served yet"))
+        match self.check(workload, request_id, deadline, body):
+            case Failure(refused):
+                return succeed(refused)
+            case Success(request):
+                return self.orders.place(request, key)
+        raise AssertionError("a result is a success or a failure")
 
     def look_up_order(self, key: str) -> Deferred[Response]:
         """Tell what became of an order."""
-        return succeed(Problem(ErrorKind.NOT_FOUND, "orders are not served yet"))
+        return self.orders.look_up(key)
 
     def status(self) -> EntryStatus:
         """Describe this process."""
@@ -259,7 +292,7 @@
             revision=revision.number if revision else 0,
             digest=revision.digest if revision else "",
             members=[member.name for member in self.list_members()],
-            requests_in_flight=self.searches.in_flight,
+            requests_in_flight=self.in_flight,
         )
 
     def metrics_text(self) -> bytes:
@@ -278,8 +311,12 @@
         await deferLater(self.reactor, notice_s)
         front, self.front = self.front, None
         await front.stopListening()
-        while self.searches.in_flight and self.reactor.seconds() < give_up_at:
+        while self.in_flight and self.reactor.seconds() < give_up_at:
             await deferLater(self.reactor, STOP_POLL_S)
+        drained = Deferred.fromCoroutine(self.orders.desk.drain())
+        drained.addTimeout(max(0.0, give_up_at - self.reactor.seconds()), self.reactor)
+        drained.addErrback(lambda failure: failure.trap(TimeoutError))
+        await drained
         await self.owner.close(max(0.0, give_up_at - self.reactor.seconds()))
         self.housekeeping.stop()
         self.control.stop()
@@ -288,6 +325,14 @@
         log_event(logger, EventName.PROCESS_STOPPED)
 
 
+def first_sub_query_id() -> int:
+    """Draw where sub-query ids start, so that a restarted process repeats none.
+
+    An owner may still hold replies to the process that had this node's name before.
+    """
+    return secrets.randbits(SUB_QUERY_ID_RANDOM_BITS) << SUB_QUERY_ID_COUNT_BITS
+
+
 def run_entry(settings: EntrySettings) -> None:
     """Run an entry process on the default reactor until it is told to stop."""
     from twisted.internet import reactor
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -202,6 +202,7 @@
                 self.polling.cancel()
             for runner in [*self.runners.values(), *self.retired]:
                 self.watch(runner)
+            self.finish_closing(self.reactor.seconds())
         return self.closed
 
     def finish_closing(self, now: float) -> None:
--- a/tests/target/test_owner.py
+++ b/tests/target/test_owner.py
@@ -157,6 +157,12 @@
 
 
 class TestStopping:
+    def test_an_owner_without_work_closes_at_once(self) -> None:
+        rig = Rig()
+        done: list[None] = []
+        rig.owner.close(5.0).addCallback(done.append)
+        assert done == [None]
+
     def test_work_in_flight_finishes_and_new_work_is_refused(self) -> None:
         rig = Rig()
         rig.submit(query(1))
