--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -122,8 +122,9 @@
     def abandon(self, sub_query_ids: Sequence[int], now: float) -> list[Action]:
         """Cancel attempts that are out.
 
-        The first of a service that was hedged counts as a latency of at least the
-        time that it took; without that the estimates would forget the slow ones.
+        The first of a service counts as given up if it was hedged or took longer than
+        its replica usually does. Without that the estimates would forget the slow
+        ones, which are cancelled the most.
         """
         actions: list[Action] = []
         chooser = self.policy.chooser
@@ -131,7 +132,9 @@
             attempt = self.attempts.pop(sub_query_id)
             state = attempt.service
             elapsed_ms = (now - attempt.sent_at) * 1000.0
-            if attempt.number == 1 and state.attempt_count > 1:
+            usual_ms = chooser.record_of(attempt.replica).latency_ms
+            slow = state.attempt_count > 1 or elapsed_ms > usual_ms
+            if attempt.number == 1 and slow:
                 chooser.observe_given_up(attempt.replica, elapsed_ms, now)
                 self.policy.latencies.record(state.index, elapsed_ms)
             else:
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sardinehook.environment.document import Wait
 from sardinehook.messages import Outcome
 from sardinehook.query.answer import SearchAnswer
 from sardinehook.query.budget import FLOOR_TRIES
@@ -65,6 +66,19 @@
         counts = policy.latencies.histograms["logs"]
         assert counts.total == 3
 
+    def test_slow_replica_is_learnt_from_early_settlements(self) -> None:
+        policy = SearchPolicy(hedge=NoHedge(), silent_ratio=1.0)
+        workload = RETRYING._replace(
+            wait=Wait.ENOUGH, enough_coverage=0.5, settle_ms=1.0
+        )
+        for _ in range(3):
+            search, actions = start(plans(2), workload, policy=policy)
+            _, fast = sent(actions)
+            search.on_reply(reply_to(fast), 0.004)
+            search.on_timer(0.005)
+            assert search.settled
+        assert policy.chooser.is_much_slower("logs-0-a", "logs-1-a")
+
     def test_without_hedges_silence_is_retried_in_half_of_the_time(self) -> None:
         policy = SearchPolicy(hedge=NoHedge())
         search, _ = start(plans(1), RETRYING, policy=policy)
