--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/watcher.py
@@ -74,10 +74,14 @@
         self.retry_timer: Timer | None = None
         self.read_from = 0.0
 
-    def start(self) -> None:
-        """Ask the peers, and the store if they don't know a document."""
+    def start(self, expected: Sequence[str] = ()) -> None:
+        """Ask the peers, and the store if they don't know a document.
+
+        ``expected`` names peers that may not be connected yet, but whose answers
+        are awaited for a little while.
+        """
         now = self.reactor.seconds()
-        peers = self.peers()
+        peers = sorted({*self.peers(), *expected})
         self.spread.heard_at = now
         spread_s = self.rng.random() * len(peers) / START_READS_PER_S
         self.read_from = now + (START_READ_S + spread_s if peers else 0.0)
@@ -110,12 +114,15 @@
     def offer_from_store(self, revision: Revision) -> None:
         """Take a revision that the store answered."""
         before = self.holder.number
-        self.send_all(self.spread.offer(revision, self.peers()))
+        now = self.reactor.seconds()
+        self.send_all(self.spread.offer(revision, self.peers(), now))
         self.log_change(before, "store")
 
     def tick(self) -> None:
         """Do what is due from time to time."""
+        before = self.holder.number
         self.send_all(self.spread.tick(self.peers(), self.reactor.seconds()))
+        self.log_change(before, "start")
         self.settle_watch()
         self.arm()
 
@@ -134,7 +141,7 @@
     def retry(self) -> None:
         """Ask again if the answer is overdue."""
         now = self.reactor.seconds()
-        self.send_all(self.spread.ask(now))
+        self.send_all(self.spread.ask(self.peers(), now))
         self.arm_retry(now)
 
     def settle_watch(self) -> None:
@@ -160,13 +167,13 @@
             self.send(send.peer, send.message)
 
     def log_change(self, before: int, source: str) -> None:
-        """Log a revision that came in force."""
+        """Log where a revision came from that is in force now."""
         revision = self.holder.in_force
         if revision is None or revision.number == before:
             return
         log_event(
             logger,
-            EventName.REVISION_IN_FORCE,
+            EventName.REVISION_RECEIVED,
             revision=revision.number,
             cause=source,
             detail=f"digest {revision.digest[:DIGEST_CHARACTERS]}",
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -111,6 +111,16 @@
         self.standing.note_vm(listed, incarnation)
         self.refuse_if_leaving()
 
+    def note_peer_view(self, state: TargetState) -> None:
+        """Take the state that another owner has told."""
+        if self.allowance.may_serve_cold or not self.holds_part:
+            return
+        if state is TargetState.WARM:
+            self.ramp.take_as_warm()
+        elif self.ramp.state is TargetState.WARM:
+            self.ramp.forget()
+            self.refuse_if_leaving()
+
     def submit(self, work: Work) -> None:
         """Queue ``work`` or refuse it at once."""
         refusal = self.refusal(work)
@@ -191,6 +201,18 @@
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
             pool.provide(wanted)
+        since = self.alive_since_wanted()
+        if since:
+            pool.provide(1, since)
+
+    def alive_since_wanted(self) -> float:
+        """Return since when a connection has to have shown life, if it matters."""
+        since = 0.0
+        if self.exchanges.side.cancellations:
+            since = self.exchanges.side.cancellations[0].alive_since
+        if self.queue.entries:
+            since = max(since, self.queue.entries[0].work.alive_since)
+        return since
 
     def cancel(self, work: Work) -> None:
         """Answer ``work`` as cancelled and abandon it at the target."""
@@ -234,9 +256,13 @@
     def connect_failed(self, cause: str, refused: bool) -> None:
         """Take a failed attempt as evidence that the replica has gone.
 
-        Only a refusal tells so while other connections are open.
+        Only a refusal tells so while other connections are open. Where none is,
+        it shows that the process has ended, and its work with it.
         """
-        if refused or not self.pool.open_now():
+        connected = self.pool.open_now() > 0
+        if refused and not connected:
+            self.exchanges.occupancy.clear()
+        if refused or not connected:
             self.standing.connect_failed()
             self.refuse_queue(f"no connection: {cause}")
         self.reactor.callLater(self.pool.backoff_s, self.provide)
@@ -276,7 +302,7 @@
     ) -> None:
         """Answer work whose exchange has ended."""
         self.settle(work, verdict, detail, reply)
-        if self.standing.leaving:
+        if self.queue.entries:
             self.refuse_if_leaving()
 
     def queue_again(self, work: Work) -> None:
