--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -84,7 +84,12 @@
 
 
 def simulate(
-    arm: Arm, faults: Faults, load: Sequence[Arrivals], seconds: float, seed: int
+    arm: Arm,
+    faults: Faults,
+    load: Sequence[Arrivals],
+    seconds: float,
+    seed: int,
+    warm_up_s: float = WARM_UP_S,
 ) -> list[Finished]:
     """Run one arm and return the requests that arrived after the warm-up."""
     clock = Clock()
@@ -109,7 +114,7 @@
     entries = [
         Entry(number, arm, services, replicas, clock, seed) for number in range(ENTRIES)
     ]
-    until = WARM_UP_S + seconds
+    until = warm_up_s + seconds
     for entry in entries:
         for arrivals in load:
             share = arrivals._replace(per_second=arrivals.per_second / ENTRIES)
@@ -119,7 +124,7 @@
         finished
         for entry in entries
         for finished in entry.finished
-        if finished.arrived_at >= WARM_UP_S
+        if finished.arrived_at >= warm_up_s
     ]
 
 
