--- a/sardinehook/query/planner.py
+++ b/sardinehook/query/planner.py
@@ -65,6 +65,14 @@
             name: placements_of(index) for name, index in document.indexes.items()
         }
         self.choices.clear()
+        names = {
+            placement.replica
+            for services in self.indexes.values()
+            for placements in services.values()
+            for placement in placements
+        }
+        self.policy.chooser.retain(names)
+        self.policy.holdings.retain(names)
 
     def observe_view(self, view: ReplicaView, now: float) -> None:
         """Take in what an owner tells of its replica."""
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from random import Random
 from typing import NamedTuple
 
@@ -130,6 +130,12 @@
             record = self.records[replica] = ReplicaRecord()
         return record
 
+    def retain(self, replicas: Collection[str]) -> None:
+        """Forget all replicas but these."""
+        self.records = {
+            name: record for name, record in self.records.items() if name in replicas
+        }
+
     def set_out(self, data_centres: Iterable[str]) -> None:
         """Name the data centres that take no new work."""
         self.out = frozenset(data_centres)
--- a/sardinehook/query/snapshot.py
+++ b/sardinehook/query/snapshot.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from sardinehook.messages import ANY_VERSION, ReplicaView
@@ -74,6 +74,11 @@
             held |= {named}
         self.replace(replica, held)
 
+    def retain(self, replicas: Collection[str]) -> None:
+        """Forget all replicas but these."""
+        self.held = {name: held for name, held in self.held.items() if name in replicas}
+        self.revision += 1
+
     def replace(self, replica: str, held: frozenset[Snapshot]) -> None:
         """Set what ``replica`` holds."""
         if self.held.get(replica) != held:
--- a/tests/query/test_planner.py
+++ b/tests/query/test_planner.py
@@ -90,6 +90,14 @@
         plan = planner(DataCentreState.OUT).plan(ALL, "", 0.0).unwrap()
         assert plan.services[0].replicas == ("logs-0-a",)
 
+    def test_replicas_that_left_the_document_are_forgotten(self) -> None:
+        held = planner()
+        for replica in ("logs-0-a", "former"):
+            held.observe_view(view(replica), 0.0)
+        held.apply(document())
+        assert set(held.policy.chooser.records) == {"logs-0-a"}
+        assert set(held.policy.holdings.held) == {"logs-0-a"}
+
     def test_replica_without_the_snapshot_comes_last(self) -> None:
         held = planner()
         for number in range(3):
