--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -11,6 +11,7 @@
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.policy import SearchPolicy
+from sardinehook.query.replica_choice import MOST_REPEATS, REPEAT_RATIO
 from sardinehook.query.snapshot import Snapshot
 from tests.query.support import (
     NEW,
@@ -52,6 +53,18 @@
         search.on_reply(reply_to(hedges[0]), 0.008)
         assert search.on_reply(reply_to(slow), 0.009) == []
 
+    def test_only_a_given_up_first_try_counts_as_slow(self) -> None:
+        policy = SearchPolicy(hedge=FixedDelayHedge(5.0))
+        search, actions = start(plans(2), RETRYING, policy=policy)
+        first, second = sent(actions)
+        hedges = sent(search.on_timer(0.005))
+        search.on_reply(reply_to(first), 0.006)
+        assert policy.chooser.record_of("logs-0-b").samples == 0
+        search.on_reply(reply_to(hedges[1]), 0.008)
+        assert policy.chooser.record_of(second.replica).latency_ms > 8.0
+        counts = policy.latencies.histograms["logs"]
+        assert counts.total == 3
+
     def test_without_hedges_silence_is_retried_in_half_of_the_time(self) -> None:
         policy = SearchPolicy(hedge=NoHedge())
         search, _ = start(plans(1), RETRYING, policy=policy)
@@ -98,6 +111,18 @@
                 extra += len(retries)
         assert extra <= FLOOR_TRIES + 0.05 * 2000
 
+    def test_repeats_at_one_replica_are_bounded_whatever_the_budget(self) -> None:
+        policy = SearchPolicy()
+        workload = RETRYING._replace(extra_load=1.0)
+        first = repeated = 0
+        for _ in range(100):
+            search, actions = start(plans(1, replicas=1), workload, policy=policy)
+            (query,) = sent(actions)
+            lost = reply_to(query, Outcome.CONNECTION_LOST)
+            first += 1
+            repeated += len(sent(search.on_reply(lost, 0.0)))
+        assert 0 < repeated <= MOST_REPEATS + REPEAT_RATIO * (first + repeated)
+
     def test_lost_connection_of_the_only_replica_is_tried_again(self) -> None:
         search, actions = start(plans(1, replicas=1), RETRYING)
         lost = reply_to(sent(actions)[0], Outcome.CONNECTION_LOST)
@@ -121,6 +146,18 @@
         assert settle.coverage.ratio == 1.0
         assert settle.coverage.snapshot == {"logs": NEWER}
 
+    def test_what_answered_before_the_restart_does_not_count(self) -> None:
+        workload = RETRYING._replace(least_coverage=0.0)
+        search, actions = start(plans(2, replicas=1), workload)
+        first, second = sent(actions)
+        search.on_reply(reply_to(first), 0.01)
+        refusal = reply_to(second, Outcome.WRONG_VERSION, NEWER)
+        _, again = sent(search.on_reply(refusal, 0.012))
+        search.on_reply(reply_to(again, snapshot=NEWER), 0.02)
+        coverage = settlement(search.on_timer(0.15)).coverage
+        assert coverage.snapshot == {"logs": NEWER}
+        assert coverage.missing == (MissingService("logs-0", MissingReason.LATE),)
+
     def test_no_restart_for_an_older_snapshot(self) -> None:
         search, actions = start(plans(2, replicas=1), RETRYING)
         first, second = sent(actions)
