--- /dev/null
+++ b/bench/experiments/slow.py
@@ -0,0 +1,112 @@
+"""Stragglers and connections that go silent."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from bench.experiment import AT_LEAST, AT_MOST, Bound, Experiment, Options, Trial
+from bench.experiments.common import (
+    control_step,
+    replicas_of,
+    storm_stream,
+    szovetseg,
+    with_hedge,
+)
+from bench.judging import rule_bounds
+from bench.results import RunResult
+from sardinehook.environment.document import Hedge
+
+__all__ = ["SILENT", "STRAGGLER"]
+
+STORM = "storm-night"
+LOAD_S = 6.0
+SLOW_RATE = 0.01
+FIXED_DELAY_MS = 15.0
+TAIL_SOURCE = "aim: storm-night p99 within 1.5 times the p99 without faults"
+EXTRA_SOURCE = "aim: 5 % or less extra load"
+SILENT_AT_S = 3.0
+
+
+def straggler_trials(options: Options) -> Sequence[Trial]:
+    """1 % of replies 20 times slow: the product and two baselines, and no fault."""
+    slow = szovetseg(straggler_rate=SLOW_RATE)
+    deployments = {
+        "product": slow,
+        "clean": szovetseg(),
+        "no_hedge": with_hedge(slow, Hedge.NONE, FIXED_DELAY_MS),
+        "fixed_hedge": with_hedge(slow, Hedge.FIXED, FIXED_DELAY_MS),
+    }
+    streams = (storm_stream(options, LOAD_S),)
+    return [
+        Trial(name, deployment, streams, duration_s=LOAD_S)
+        for name, deployment in deployments.items()
+    ]
+
+
+def judge_straggler(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge tail and extra load."""
+    ratio = tail_ratio(results, "product")
+    extra = results["product"].extra_load()
+    return [
+        *rule_bounds(results, "product"),
+        Bound("p99_ratio", ratio, AT_MOST, 1.5, TAIL_SOURCE),
+        Bound("extra_load", extra, AT_MOST, 0.05, EXTRA_SOURCE),
+    ]
+
+
+def tail_ratio(results: Mapping[str, RunResult], name: str) -> float:
+    """Return a trial's p99 over that without faults."""
+    clean_ms = results["clean"].latency_ms(0.99, STORM)
+    return results[name].latency_ms(0.99, STORM) / clean_ms
+
+
+def straggler_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+    """Work out the figures of all trials."""
+    figures = {"clean_p99_ms": results["clean"].latency_ms(0.99, STORM)}
+    for name, run in results.items():
+        figures[f"{name}_p50_ms"] = run.latency_ms(0.5, STORM)
+        figures[f"{name}_p99_ratio"] = tail_ratio(results, name)
+        figures[f"{name}_extra"] = run.extra_load()
+        figures[f"{name}_coverage"] = run.mean_coverage(STORM)
+    return figures
+
+
+STRAGGLER = Experiment(
+    "straggler",
+    "1 % of replies 20 times slow, against no hedge and a fixed delay",
+    straggler_trials,
+    judge_straggler,
+    straggler_figures,
+)
+
+
+def silent_trials(options: Options) -> Sequence[Trial]:
+    """The connections of a third of the replicas go silent twice."""
+    deployment = szovetseg()
+    silenced = replicas_of(deployment.document)[::3]
+    steps = [
+        control_step(at_s, "connections go silent", silenced, do="silence")
+        for at_s in (SILENT_AT_S, SILENT_AT_S + 3.0)
+    ]
+    return [Trial("product", deployment, (storm_stream(options),), steps)]
+
+
+def judge_silent(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that storm crews got answers in time all the same."""
+    run = results["product"]
+    p99_ms = run.latency_ms(0.99, STORM)
+    source = "brief: connections can go silent while new ones work"
+    return [
+        *rule_bounds(results),
+        Bound("answered", run.answered_ratio(), AT_LEAST, 0.99, source),
+        Bound("p99_ms", p99_ms, AT_MOST, 160.0, "deadline of 150 ms and its answer"),
+        Bound("coverage", run.mean_coverage(), AT_LEAST, 0.95, "enough_coverage"),
+    ]
+
+
+SILENT = Experiment(
+    "silent",
+    "Open connections to a third of the replicas go silent for good, twice",
+    silent_trials,
+    judge_silent,
+)
--- /dev/null
+++ b/bench/experiments/targets.py
@@ -0,0 +1,226 @@
+"""Cold starts, drains, data centres taken out, and new index versions."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from bench.experiment import (
+    AT_LEAST,
+    AT_MOST,
+    Bound,
+    Experiment,
+    Options,
+    Step,
+    Trial,
+)
+from bench.experiments.common import (
+    control_step,
+    lookup_stream,
+    replicas_of,
+    storm_stream,
+    szovetseg,
+)
+from bench.judging import rule_bounds
+from bench.results import RunResult
+from bench.rig import Rig
+from sardinehook.environment.document import DataCentreState
+
+__all__ = ["COLD_START", "DATA_CENTRE_OUT", "DRAIN", "SNAPSHOT"]
+
+FAULT_AT_S = 3.0
+SECOND_FAULT_AT_S = 5.0
+TAKEN_OUT = "szolnok-b"
+STOP_BOUND_S = 3.0
+FEW_SECONDS = "brief: no new work after a few seconds"
+
+
+def cold_trials(options: Options) -> Sequence[Trial]:
+    """A fifth of the targets restart into a cold start, and other ones later."""
+    deployment = szovetseg()
+    names = replicas_of(deployment.document)
+    steps = [
+        control_step(FAULT_AT_S, "a fifth restarts cold", names[::5], do="restart"),
+        control_step(
+            SECOND_FAULT_AT_S, "others turn cold unheard", names[1::5], do="cold"
+        ),
+    ]
+    streams = (storm_stream(options), lookup_stream(options))
+    return [Trial("product", deployment, streams, steps)]
+
+
+def judge_cold(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that no cold target was overrun."""
+    run = results["product"]
+    overruns = sum(one["cold_overruns"] for one in run.counters.values())
+    source = "brief: never more than a cold target can bear"
+    return [
+        *rule_bounds(results),
+        Bound("cold_overruns", overruns, AT_MOST, 0, source),
+        Bound("coverage", run.mean_coverage(), AT_LEAST, 0.9, "few doubled replicas"),
+    ]
+
+
+def cold_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+    """Work out peaks at cold targets."""
+    run = results["product"]
+    peak = max(one["peak_in_flight_cold"] for one in run.counters.values())
+    return {
+        "peak_in_flight_cold": peak,
+        "answered": run.answered_ratio(),
+        "storm_p99_ms": run.latency_ms(0.99, "storm-night"),
+    }
+
+
+COLD_START = Experiment(
+    "coldstart",
+    "A fifth of the targets restart cold, others turn cold without a sign",
+    cold_trials,
+    judge_cold,
+    cold_figures,
+)
+
+
+def drain_trials(options: Options) -> Sequence[Trial]:
+    """One replica of each service of two indexes drains but would still work."""
+    deployment = szovetseg()
+    leaving = replicas_of(deployment.document, "logfinder", "memberbook")[::2]
+    works_on = {"works_while_draining": True}
+    steps = [
+        control_step(FAULT_AT_S, "half drain", leaving, "drain", works_on),
+    ]
+    streams = (storm_stream(options), lookup_stream(options))
+    return [Trial("product", deployment, streams, steps)]
+
+
+def judge_drain(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that draining targets got no new work after a few seconds."""
+    run = results["product"]
+    document = szovetseg().document
+    leaving = set(replicas_of(document, "logfinder", "memberbook")[::2])
+    last_s = last_begun_after(run, "half drain", leaving)
+    return [
+        *rule_bounds(results),
+        Bound("last_new_work_s", last_s, AT_MOST, STOP_BOUND_S, FEW_SECONDS),
+        Bound("answered", run.answered_ratio(), AT_LEAST, 0.99, "cuts off no request"),
+        Bound("coverage", run.mean_coverage(), AT_LEAST, 0.95, "enough_coverage"),
+    ]
+
+
+def last_begun_after(run: RunResult, label: str, replicas: set[str]) -> float:
+    """Return how long after a step the last work began at any of some replicas."""
+    at = next(step.at for step in run.steps if step.label == label)
+    later = [
+        event.at - at
+        for event in run.events
+        if event.kind == "begun" and event.replica in replicas and event.at > at
+    ]
+    return max(later, default=0.0)
+
+
+DRAIN = Experiment(
+    "drain", "Half of the replicas of two indexes drain", drain_trials, judge_drain
+)
+
+
+def set_data_centre(state: DataCentreState, edited_from: int) -> Step:
+    """Return a step by which operators take a data centre out, or back."""
+
+    def act(rig: Rig) -> None:
+        centres = dict(rig.document.data_centres)
+        centres[TAKEN_OUT] = centres[TAKEN_OUT]._replace(state=state)
+        rig.put_document(rig.document._replace(data_centres=centres), edited_from)
+
+    at_s = {DataCentreState.OUT: 2.5, DataCentreState.IN: 8.0}[state]
+    return Step(at_s, f"{TAKEN_OUT} {state.value}", act)
+
+
+def out_trials(options: Options) -> Sequence[Trial]:
+    """A data centre is taken out by one edit and brought back by another."""
+    steps = [
+        set_data_centre(DataCentreState.OUT, 1),
+        set_data_centre(DataCentreState.IN, 2),
+    ]
+    streams = (storm_stream(options, 12.0), lookup_stream(options, 12.0))
+    return [Trial("product", szovetseg(), streams, steps, duration_s=12.0)]
+
+
+def judge_out(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that no new work went there after a few seconds, and none was cut off."""
+    run = results["product"]
+    inside = set(replicas_of(szovetseg().document, data_centre=TAKEN_OUT))
+    out_at, in_at = (step.at for step in run.steps)
+    begun = [
+        event.at - out_at
+        for event in run.events
+        if event.kind == "begun" and event.replica in inside
+    ]
+    last_s = max((at for at in begun if 0.0 < at < in_at - out_at), default=0.0)
+    back = sum(at > in_at - out_at for at in begun)
+    refused = sum(not call.ok for call in run.calls)
+    return [
+        *rule_bounds(results),
+        Bound("last_new_work_s", last_s, AT_MOST, STOP_BOUND_S, FEW_SECONDS),
+        Bound("work_after_return", back, AT_LEAST, 1, "operators bring it back"),
+        Bound(
+            "refused_ratio",
+            refused / len(run.calls),
+            AT_MOST,
+            0.01,
+            "service while a data centre leaves and returns",
+        ),
+    ]
+
+
+DATA_CENTRE_OUT = Experiment(
+    "dcout", "Operators take a data centre out and bring it back", out_trials, judge_out
+)
+
+
+def snapshot_trials(options: Options) -> Sequence[Trial]:
+    """Versions roll over replica by replica, then the old one goes."""
+    deployment = szovetseg()
+    names = replicas_of(deployment.document, "logfinder", "memberbook")
+    both = {"versions": [1, 2]}
+    new = {"versions": [2]}
+    steps = [
+        control_step(2.5, "half hold both versions", names[::2], set_fields=both),
+        control_step(3.5, "all hold both versions", names, set_fields=both),
+        control_step(4.5, "half drop the old one", names[::2], set_fields=new),
+        control_step(5.5, "all drop the old one", names, set_fields=new),
+    ]
+    return [Trial("product", deployment, (storm_stream(options),), steps)]
+
+
+def judge_snapshot(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that no answer mixed versions and that coverage held."""
+    run = results["product"]
+    mixed = sum(mixes_versions(call.answer.get("records", [])) for call in run.calls)
+    versions = {
+        snapshot["index_version"]
+        for call in run.calls
+        for snapshot in call.answer.get("coverage", {}).get("snapshot", {}).values()
+    }
+    return [
+        *rule_bounds(results),
+        Bound("mixed_answers", mixed, AT_MOST, 0, "brief: one snapshot of the index"),
+        Bound("versions_seen", len(versions), AT_LEAST, 2, "the roll-over was seen"),
+        Bound("coverage", run.mean_coverage(), AT_LEAST, 0.95, "enough_coverage"),
+    ]
+
+
+def mixes_versions(records: Sequence[Mapping[str, object]]) -> bool:
+    """Tell whether the records of one index come from several versions."""
+    seen: dict[object, set[object]] = {}
+    for record in records:
+        fields = record.get("fields")
+        if isinstance(fields, dict):
+            seen.setdefault(record.get("index"), set()).add(fields.get("version"))
+    return any(len(versions) > 1 for versions in seen.values())
+
+
+SNAPSHOT = Experiment(
+    "snapshot",
+    "Index versions roll over under load",
+    snapshot_trials,
+    judge_snapshot,
+)
--- a/bench/load.py
+++ b/bench/load.py
@@ -82,10 +82,12 @@
     not_run: bool
 
 
-class RecordSeen(TypedDict):
-    """The identity of a record in an answer."""
+class RecordSeen(TypedDict, total=False):
+    """A record in an answer."""
 
+    index: str
     id: str
+    fields: dict[str, str]
 
 
 class AnswerSeen(TypedDict, total=False):
--- a/bench/target_http.py
+++ b/bench/target_http.py
@@ -115,13 +115,17 @@
         """Send the reply to a sub-query with the faults that are set."""
         settings, chance = self.model.settings, self.model.random.random
         if chance() < settings.lost_reply_rate:
+            self.model.note("spoiled", request, reply.index_version)
             self.tcp.abortConnection()
         elif chance() < settings.truncated_rate:
+            self.model.note("spoiled", request, reply.index_version)
             self.write(self.encode(request, reply)[:-7])
             self.tcp.loseConnection()
         elif chance() < settings.foreign_rate:
+            self.model.note("spoiled", request, reply.index_version)
             self.send(request._replace(sub_query_id="foreign-1"), reply)
         elif chance() < settings.garbage_rate:
+            self.model.note("spoiled", request, reply.index_version)
             self.write(b"\x00\x01garbage\r\n\r\n")
         elif chance() < settings.duplicate_rate:
             self.send(request, reply)
--- a/bench/target_model.py
+++ b/bench/target_model.py
@@ -193,9 +193,12 @@
         if self.cold:
             self.warm_up()
         if self.random.random() < self.settings.error_rate:
+            self.note("spoiled", job.request, job.version)
             job.reply(self.answer(500, job.version, b""))
         else:
             flagged = self.random.random() < self.settings.flagged_rate
+            if flagged:
+                self.note("spoiled", job.request, job.version)
             job.reply(self.answer(200, job.version, self.body(job.version, flagged)))
         self.start_waiting()
 
--- a/bench/target_records.py
+++ b/bench/target_records.py
@@ -76,7 +76,8 @@
     """One event in a target's life; ``at`` is ``time.monotonic()`` in seconds.
 
     ``kind`` is one of ``begun``, ``finished``, ``cancelled``, ``expired``, ``shed``,
-    ``lost``, ``restart``, ``drain``, ``leave``, ``return`` or ``fell_over``.
+    ``lost``, ``spoiled``, ``restart``, ``drain``, ``leave``, ``return`` or
+    ``fell_over``; ``spoiled`` follows a ``finished`` whose reply was not sound.
     """
 
     at: float
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import structlog
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred, succeed
@@ -10,7 +12,11 @@
 from sardinehook.entry.front import BodyResponse, Response
 from sardinehook.entry.requests import CallerRequest
 from sardinehook.entry.search_run import SearchRun
-from sardinehook.environment.document import EnvironmentDocument
+from sardinehook.environment.document import (
+    EnvironmentDocument,
+    Hedge,
+    Workload,
+)
 from sardinehook.errors import Problem
 from sardinehook.messages import ReplicaView
 from sardinehook.observe.clock import HybridClock
@@ -21,6 +27,7 @@
 from sardinehook.query.actions import Settle
 from sardinehook.query.admission import Admission, Ticket
 from sardinehook.query.answer import SearchAnswer, encode_answer
+from sardinehook.query.hedging import FixedDelayHedge, NoHedge
 from sardinehook.query.planner import Plan, Planner
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.search import Search, SearchRequest
@@ -133,7 +140,7 @@
             request.workload,
             plan.services,
             plan.snapshots,
-            self.policy,
+            policy_of(request.workload, self.policy),
             now,
         )
 
@@ -191,3 +198,15 @@
             took_ms=took_s * MS_PER_S,
         )
         self.metrics.log_queries.labels(str(written).lower()).inc()
+
+
+def policy_of(workload: Workload, policy: SearchPolicy) -> SearchPolicy:
+    """Return the policy of a workload; what policies learn is shared by all."""
+    match workload.hedge:
+        case Hedge.ADAPTIVE:
+            return policy
+        case Hedge.FIXED:
+            fixed = FixedDelayHedge(workload.hedge_delay_ms)
+            return replace(policy, hedge=fixed, spends_budget=False)
+        case Hedge.NONE:
+            return replace(policy, hedge=NoHedge(), silent_ratio=1.0)
--- a/sardinehook/environment/document.py
+++ b/sardinehook/environment/document.py
@@ -11,6 +11,7 @@
     "DataCentre",
     "DataCentreState",
     "EnvironmentDocument",
+    "Hedge",
     "Index",
     "Limits",
     "Replica",
@@ -39,6 +40,19 @@
     ONE = "one"
 
 
+class Hedge(StrEnum):
+    """When a slow sub-query is sent to a second replica.
+
+    ``ADAPTIVE`` goes by the latencies seen and by the budget of the workload.
+    ``FIXED`` waits ``hedge_delay_ms`` and knows no budget; ``NONE`` never hedges and
+    retries failures only. Both are baselines.
+    """
+
+    ADAPTIVE = "adaptive"
+    FIXED = "fixed"
+    NONE = "none"
+
+
 class Wait(StrEnum):
     """When an answer is settled.
 
@@ -98,6 +112,8 @@
     extra_load: Ratio = 0.05
     priority: Annotated[int, Field(ge=0, le=9)] = 5
     result_limit: Count = 100
+    hedge: Hedge = Hedge.ADAPTIVE
+    hedge_delay_ms: Milliseconds = 20.0
 
 
 class Limits(NamedTuple):
