--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -79,9 +79,13 @@
     def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
         """Take the part of a replica that is held here; ``None`` for no part.
 
+        A part without a slot is none.
+
         After ``None`` what is queued is refused, what is in flight finishes, and a
         later allowance begins from not knowing the replica.
         """
+        if allowance is not None and allowance.slots < 1:
+            allowance = None
         if allowance is None:
             self.allowances.pop(replica, None)
         else:
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -194,9 +194,10 @@
 
     def provide(self) -> None:
         """Open connections early, since opening one takes milliseconds."""
-        if not self.holds_part:
-            return
         pool = self.pool
+        waiting = self.queue.entries or self.exchanges.side.cancellations
+        if not self.holds_part or (pool.idle and not waiting):
+            return
         wanted = len(self.exchanges.side.cancellations)
         if not self.standing.draining:
             wanted += SPARE_CONNECTIONS
@@ -205,7 +206,7 @@
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
             pool.provide(wanted)
-        since = self.alive_since_wanted()
+        since = self.alive_since_wanted() if waiting else 0.0
         if since:
             pool.provide(1, since)
 
--- a/tests/target/test_owner.py
+++ b/tests/target/test_owner.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sardinehook.messages import Outcome, TargetState
 from sardinehook.target.allowance import Allowance
 from tests.target.fakes import Rig, query
@@ -55,9 +57,12 @@
         (link,) = rig.busy()
         assert 100 <= int(link.header("Deadline-Ms")) <= 108
 
-    def test_a_replica_without_an_allowance_is_refused(self) -> None:
+    @pytest.mark.parametrize("allowance", [None, Allowance(0, 0, False)])
+    def test_a_replica_without_a_part_is_refused(
+        self, allowance: Allowance | None
+    ) -> None:
         rig = Rig()
-        rig.owner.set_allowance("s-a", None)
+        rig.owner.set_allowance("s-a", allowance)
         rig.submit(query())
         assert (rig.replies[0].outcome, rig.replies[0].began) == (
             Outcome.NOT_RUN,
