--- a/sardinehook/query/snapshot.py
+++ b/sardinehook/query/snapshot.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from sardinehook.messages import ANY_VERSION, ReplicaView
@@ -11,6 +11,7 @@
 __all__ = ["ANY_SNAPSHOT", "Holdings", "Snapshot", "choose_snapshot"]
 
 LEAST_REPLICA_RATIO = 0.75
+NONE_HELD: frozenset[Snapshot] = frozenset()
 
 
 class Snapshot(NamedTuple):
@@ -43,7 +44,7 @@
 
     def of(self, replica: str) -> frozenset[Snapshot]:
         """Return the snapshots that ``replica`` holds, empty if unknown."""
-        return self.held.get(replica, frozenset())
+        return self.held.get(replica, NONE_HELD)
 
     def observe_view(self, view: ReplicaView) -> None:
         """Take in what an owner tells of its replica."""
@@ -58,7 +59,7 @@
         Snapshots of another partitioning are gone from a replica that answered from
         this one.
         """
-        held = self.of(replica)
+        held = self.held.get(replica, NONE_HELD)
         if snapshot not in held:
             kept = {old for old in held if old.partitioning == snapshot.partitioning}
             self.replace(replica, frozenset(kept | {snapshot}))
@@ -73,6 +74,11 @@
             held |= {named}
         self.replace(replica, held)
 
+    def retain(self, replicas: Collection[str]) -> None:
+        """Forget all replicas but these."""
+        self.held = {name: held for name, held in self.held.items() if name in replicas}
+        self.revision += 1
+
     def replace(self, replica: str, held: frozenset[Snapshot]) -> None:
         """Set what ``replica`` holds."""
         if self.held.get(replica) != held:
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -100,6 +100,16 @@
         if runner is not None:
             runner.note_vm(listed, incarnation)
 
+    def note_peer_view(self, replica: str, state: TargetState) -> None:
+        """Take what another owner has last told of a replica.
+
+        It matters only for a part that may not serve the replica while it is cold:
+        such a holder cannot find out by itself that the replica is warm.
+        """
+        runner = self.runners.get(replica)
+        if runner is not None:
+            runner.note_peer_view(state)
+
     def submit(
         self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
     ) -> None:
@@ -192,6 +202,7 @@
                 self.polling.cancel()
             for runner in [*self.runners.values(), *self.retired]:
                 self.watch(runner)
+            self.finish_closing(self.reactor.seconds())
         return self.closed
 
     def finish_closing(self, now: float) -> None:
--- a/sardinehook/target/reactor.py
+++ b/sardinehook/target/reactor.py
@@ -47,11 +47,11 @@
     def loseConnection(self) -> None:
         """Close after what was written has been sent."""
 
+    def loseWriteConnection(self) -> None:
+        """Tell the peer that nothing more will be sent."""
+
     def abortConnection(self) -> None:
         """Close at once."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Send small segments without delay."""
-
-    def setTcpKeepAlive(self, enabled: bool) -> None:
-        """Let the kernel probe an idle connection."""
