--- a/bench/history.py
+++ b/bench/history.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from enum import StrEnum
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -19,6 +19,7 @@
     "Recorder",
     "RevisionAccepted",
     "RevisionInForce",
+    "Snapshot",
     "TargetBegan",
     "TargetEnded",
     "TargetState",
@@ -40,6 +41,16 @@
     FAILED = "failed"  # an error that neither answers nor promises "not run"
 
 
+class Snapshot(NamedTuple):
+    """One version of an index under one partitioning."""
+
+    index_version: int
+    partitioning: int
+
+
+NO_SNAPSHOT = Snapshot(0, 0)
+
+
 class HistoryEvent(msgspec.Struct, frozen=True, kw_only=True, tag=True):
     """Something that happened ``at`` seconds on the run's time base."""
 
@@ -58,15 +69,15 @@
     """A caller got an answer to what it takes for its ``request``.
 
     ``echoed_request`` is the request id in the answer. ``records`` are identities
-    in the order of the answer. ``coverage`` is the ratio stated in it.
+    in the order of the answer. ``coverage`` is the ratio and ``snapshots`` the
+    snapshot of each index that are stated in it.
     """
 
     request: str
     told: Told
     kind: str = ""
     echoed_request: str = ""
-    index_version: int = 0
-    partitioning: int = 0
+    snapshots: dict[str, Snapshot] = {}
     answered: tuple[str, ...] = ()
     missing: tuple[str, ...] = ()
     coverage: float = 0.0
@@ -80,21 +91,24 @@
     target: str
     service: str
     request: str
-    sub_query: int
+    sub_query: str
     order_key: str = ""
 
 
 class TargetEnded(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A target ended work; ``whole`` if it wrote a whole, sound answer."""
+    """A target ended work; ``whole`` if it wrote a whole, sound answer.
+
+    ``records`` is None if the target did not note what it served.
+    """
 
     target: str
     service: str
     request: str
-    sub_query: int
+    sub_query: str
     whole: bool
-    index_version: int = 0
-    partitioning: int = 0
-    records: tuple[str, ...] = ()
+    index: str = ""
+    snapshot: Snapshot = NO_SNAPSHOT
+    records: tuple[str, ...] | None = None
 
 
 class TargetState(HistoryEvent, frozen=True, kw_only=True, tag=True):
--- a/bench/judging.py
+++ b/bench/judging.py
@@ -6,6 +6,7 @@
 
 from bench.experiment import AT_MOST, Bound
 from bench.results import RunResult
+from bench.run_history import violations_of
 
 __all__ = ["rule_bounds"]
 
@@ -19,4 +20,15 @@
         bounds.append(
             Bound(f"{name}.lost_calls", lost, AT_MOST, 0, "graceful: no call cut off")
         )
+        bounds.append(history_bound(results[name]))
     return bounds
+
+
+def history_bound(run: RunResult) -> Bound:
+    """Return the bound of no violation in a run's history; it names the first one."""
+    violations = violations_of(run, run.document) if run.document else []
+    source = "the brief's promises, checked over the run's history"
+    if violations:
+        first = violations[0]
+        source = f"first: {first.rule} {first.subject}: {first.detail}"
+    return Bound(f"{run.name}.violations", len(violations), AT_MOST, 0, source)
--- a/bench/results.py
+++ b/bench/results.py
@@ -11,6 +11,7 @@
 
 from bench.load import CallRecord
 from bench.target_records import WorkEvent
+from sardinehook.environment.document import EnvironmentDocument
 
 __all__ = ["RunResult", "TargetCounters", "percentile"]
 
@@ -57,6 +58,7 @@
     memory_mb: dict[str, float]
     log_lines: dict[str, list[str]]
     exit_codes: dict[str, int]
+    document: EnvironmentDocument | None = None
 
     def measured(
         self, workload: str = "", from_s: float = 0.0, to_s: float = 1e9
--- /dev/null
+++ b/bench/run_history.py
@@ -0,0 +1,156 @@
+"""The history of a trial, from what its load processes and targets recorded."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from bench.checks import check_all
+from bench.history import (
+    CallerAnswered,
+    CallerSent,
+    HistoryEvent,
+    Snapshot,
+    TargetBegan,
+    TargetEnded,
+    Told,
+    WorkAllowed,
+    WorkStopped,
+)
+from bench.load import CallRecord
+from bench.results import RunResult
+from bench.target_records import WorkEvent
+from bench.violation import Violation
+from sardinehook.environment.document import EnvironmentDocument, Scope
+
+__all__ = ["history_of", "violations_of"]
+
+OK = 200
+STOP_KINDS = frozenset({"drain", "leave"})
+ALLOW_KINDS = frozenset({"return", "restart"})
+BROKEN_KINDS = frozenset({"cancelled", "expired", "lost", "fell_over"})
+
+
+class Home(NamedTuple):
+    """The service and the index of a replica."""
+
+    service: str
+    index_name: str
+
+
+def violations_of(run: RunResult, document: EnvironmentDocument) -> list[Violation]:
+    """Return the promises that a trial broke.
+
+    If a target's log was full, what it served is not known; that is told instead.
+    """
+    if run.left_out:
+        detail = f"{run.left_out} events of targets were left out"
+        return [Violation("history_incomplete", run.started_at, run.name, detail)]
+    return check_all(history_of(run, document))
+
+
+def history_of(run: RunResult, document: EnvironmentDocument) -> list[HistoryEvent]:
+    """Return the events of a trial in the order of time."""
+    homes = {
+        replica.name: Home(service, index_name)
+        for index_name, index in document.indexes.items()
+        for service, replicas in index.services.items()
+        for replica in replicas
+    }
+    events: list[HistoryEvent] = []
+    for call in run.calls:
+        events += caller_events(call, document)
+    for event in run.events:
+        events += target_events(event, homes)
+    return sorted(events, key=lambda event: event.at)
+
+
+def caller_events(
+    call: CallRecord, document: EnvironmentDocument
+) -> Iterator[HistoryEvent]:
+    """Return what a caller did; one whose connection failed was told nothing."""
+    yield CallerSent(
+        at=call.sent_at,
+        request=call.request,
+        workload=call.workload,
+        order_key=call.order_key,
+    )
+    if call.status:
+        yield answer_event(call, document)
+
+
+def answer_event(call: CallRecord, document: EnvironmentDocument) -> CallerAnswered:
+    """Return what a caller was told."""
+    answer = call.answer
+    coverage = answer.get("coverage", {})
+    missing = tuple(one["service"] for one in coverage.get("missing", []))
+    asked = () if call.order_key else services_asked(call, document)
+    return CallerAnswered(
+        at=call.ended_at,
+        request=call.request,
+        told=told(call),
+        kind=answer.get("error", {}).get("kind", ""),
+        echoed_request=answer.get("request_id", ""),
+        snapshots={
+            index: Snapshot(one["index_version"], one["partitioning"])
+            for index, one in coverage.get("snapshot", {}).items()
+        },
+        answered=tuple(service for service in asked if service not in missing),
+        missing=missing,
+        coverage=coverage.get("ratio", 0.0),
+        records=tuple(record["id"] for record in answer.get("records", [])),
+        truncated=answer.get("limited", False),
+    )
+
+
+def told(call: CallRecord) -> Told:
+    """Return in one word what a caller was told."""
+    error = call.answer.get("error", {})
+    if call.status == OK:
+        return Told.ANSWERED
+    if error.get("not_run", False):
+        return Told.NOT_RUN
+    return Told.UNKNOWN if error.get("kind") == "outcome_unknown" else Told.FAILED
+
+
+def services_asked(call: CallRecord, document: EnvironmentDocument) -> list[str]:
+    """Return the services that a search had to ask."""
+    workload = document.workloads[call.workload]
+    if workload.scope is Scope.ONE and call.service:
+        return [call.service]
+    return [
+        service
+        for index in workload.indexes
+        for service in document.indexes[index].services
+    ]
+
+
+def target_events(
+    event: WorkEvent, homes: Mapping[str, Home]
+) -> Iterator[HistoryEvent]:
+    """Return what a target's own event means for the checks."""
+    home = homes.get(event.replica, Home("", ""))
+    if event.kind == "begun":
+        yield TargetBegan(
+            at=event.at,
+            target=event.replica,
+            service=home.service,
+            request=event.request_id,
+            sub_query=event.sub_query_id,
+            order_key=event.order_key,
+        )
+    elif event.kind == "finished" or event.kind in BROKEN_KINDS:
+        yield TargetEnded(
+            at=event.at,
+            target=event.replica,
+            service=home.service,
+            request=event.request_id,
+            sub_query=event.sub_query_id,
+            whole=event.kind == "finished",
+            index=home.index_name,
+            snapshot=Snapshot(event.index_version, event.partitioning),
+        )
+    elif event.kind in STOP_KINDS:
+        yield WorkStopped(at=event.at, target=event.replica)
+    elif event.kind in ALLOW_KINDS:
+        yield WorkAllowed(at=event.at, target=event.replica)
--- a/bench/run_trial.py
+++ b/bench/run_trial.py
@@ -66,6 +66,7 @@
         exit_codes={
             place.node: rig.children[place.node].exit_code for place in rig.places
         },
+        document=trial.deployment.document,
     )
 
 
