--- a/bench/judging.py
+++ b/bench/judging.py
@@ -8,7 +8,7 @@
 from bench.results import RunResult
 from bench.run_history import violations_of
 
-__all__ = ["rule_bounds"]
+__all__ = ["history_bound", "rule_bounds"]
 
 
 def rule_bounds(results: Mapping[str, RunResult], *names: str) -> Sequence[Bound]:
