--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -68,11 +68,13 @@
         """Ask ``replica`` and remember it."""
         wanted = ANY_SNAPSHOT if snapshot is None else snapshot
         sub_query_id = next(self.policy.sub_query_ids)
-        attempt = Attempt(sub_query_id, state, replica, snapshot, now)
+        state.attempt_count += 1
+        attempt = Attempt(
+            sub_query_id, state, state.attempt_count, replica, snapshot, now
+        )
         self.attempts[sub_query_id] = attempt
         self.policy.chooser.observe_sent(replica, now)
         state.outstanding.append(sub_query_id)
-        state.attempt_count += 1
         state.reason = state.tried[replica] = MissingReason.LATE
         return Send(
             SubQuery(
@@ -96,6 +98,8 @@
         replica = state.next_replica(self.policy.chooser)
         if replica is None or not self.has_time(state.index, now):
             return []
+        if replica in state.tried and not self.policy.chooser.spend_repeat(replica):
+            return []
         if not self.pay(1, now):
             return []
         action = self.send(state, replica, snapshot, now)
@@ -118,19 +122,25 @@
     def abandon(self, sub_query_ids: Sequence[int], now: float) -> list[Action]:
         """Cancel attempts that are out.
 
-        The first of a service that was hedged counts as a latency of at least the
-        time that it took; without that the estimates would forget the slow ones.
+        The first of a service counts as given up if it was hedged or took longer than
+        its replica usually does. Without that the estimates would forget the slow
+        ones, which are cancelled the most.
         """
         actions: list[Action] = []
+        chooser = self.policy.chooser
         for sub_query_id in tuple(sub_query_ids):
             attempt = self.attempts.pop(sub_query_id)
             state = attempt.service
             elapsed_ms = (now - attempt.sent_at) * 1000.0
-            self.policy.chooser.observe_reply(
-                attempt.replica, Outcome.CANCELLED, elapsed_ms, now
-            )
-            if state.attempt_count > 1 and state.outstanding[0] == sub_query_id:
+            usual_ms = chooser.record_of(attempt.replica).latency_ms
+            slow = state.attempt_count > 1 or elapsed_ms > usual_ms
+            if attempt.number == 1 and slow:
+                chooser.observe_given_up(attempt.replica, elapsed_ms, now)
                 self.policy.latencies.record(state.index, elapsed_ms)
+            else:
+                chooser.observe_reply(
+                    attempt.replica, Outcome.CANCELLED, elapsed_ms, now
+                )
             state.outstanding.remove(sub_query_id)
             actions.append(Cancel(sub_query_id))
         return actions
--- a/sardinehook/query/settlement.py
+++ b/sardinehook/query/settlement.py
@@ -9,7 +9,7 @@
 from sardinehook.query.answer import SearchAnswer
 from sardinehook.query.coverage import Coverage, MissingReason, MissingService
 from sardinehook.query.index_answer import IndexAnswer
-from sardinehook.query.merge import Hit, distinct_hits
+from sardinehook.query.merge import merge_indexes
 from sardinehook.query.plan import ServiceState
 
 __all__ = ["coverage_of", "merge_answer", "outcome_of"]
@@ -59,6 +59,8 @@
     if began:
         return Problem(ErrorKind.COVERAGE_BELOW_LEAST, detail)
     reasons = {missing.reason for missing in coverage.missing}
+    if reasons == {MissingReason.NOT_ASKED}:
+        return Problem(ErrorKind.DEADLINE_TOO_SHORT, detail)
     if reasons == {MissingReason.SHED}:
         return Problem(ErrorKind.OVERLOADED, detail)
     return Problem(ErrorKind.TARGET_UNAVAILABLE, detail)
@@ -71,14 +73,8 @@
     limit: int,
 ) -> SearchAnswer:
     """Merge the records of all indexes."""
-    hits: list[Hit] = []
-    limited = False
-    for held in indexes.values():
-        merger = held.merger()
-        if merger is not None:
-            merged = merger.merged()
-            hits.extend(merged.records)
-            limited = limited or merged.limited
-    distinct = distinct_hits(hits) if len(indexes) > 1 else hits
-    limited = limited or len(distinct) > limit
-    return SearchAnswer(request_id, tuple(distinct[:limit]), coverage, limited)
+    mergers = [held.merger() for held in indexes.values()]
+    merged = merge_indexes(
+        [merger.merged() for merger in mergers if merger is not None], limit
+    )
+    return SearchAnswer(request_id, merged.records, coverage, merged.limited)
