Let a change of epoch wait only for holders that have not given up

A holder that gave its lease up named the lease itself as the lowest number that it goes by, so the registrar waited for its end.

--- a/sardinehook/fleet/lease.py
+++ b/sardinehook/fleet/lease.py
@@ -81,7 +81,7 @@
         """Use the lease no more, nor an answer that is under way."""
         self.until = float("-inf")
         self.lapsed = frozenset()
-        self.holding = self.number
+        self.holding = self.number + 1
         self.asked_at.clear()
 
     def take(self, grant: LeaseGrant) -> None:
