Run the fleet: membership, rosters, allowances, deputies, VM list

Cause: owners were fixed by settings, so a dead entry VM took its replicas with it. Change: Fleet in the entry process, allowances applied on change, dispatch to owner or deputy, notices of the VM list within a data centre, readiness waits for the rosters.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -119,6 +119,7 @@
         self.places = self.place_entries(ports)
         self.document = with_addresses(deployment.document, ports)
         self.children: dict[str, Child] = {}
+        self.vm_incarnations: dict[str, int] = {}
 
     def entry_count(self) -> int:
         """Count the entry processes."""
@@ -247,11 +248,29 @@
 
     def start_entry(self, place: EntryPlace) -> None:
         """Start one entry process."""
+        self.vm_incarnations[place.node] = self.vm_incarnations.get(place.node, 0) + 1
+        self.list_vm(place, "live")
         path = self.directory / f"{place.node}.yaml"
         path.write_text(yaml.safe_dump(self.entry_settings(place)))
         arguments = ["-m", "sardinehook", "entry", "--settings", str(path)]
         self.add_child(place.node, arguments).start()
 
+    def list_vm(self, place: EntryPlace, state: str) -> None:
+        """Put an entry VM on the platform's list."""
+        vm = {
+            "name": place.node,
+            "data_centre": place.data_centre,
+            "address": place.http_address,
+            "incarnation": self.vm_incarnations[place.node],
+            "state": state,
+        }
+        self.control_platform({"upsert_vms": [vm]})
+
+    def kill_vm(self, place: EntryPlace) -> None:
+        """Lose an entry VM without warning; the platform's list shows it gone."""
+        self.children[place.node].kill()
+        self.control_platform({"remove_vms": [place.node]})
+
     def entry_settings(self, place: EntryPlace) -> dict[str, object]:
         """Write the settings of one entry process."""
         peers = [
@@ -271,6 +290,7 @@
             "link_address": place.link_address,
             "platform_address": self.platform_address,
             "peers": peers,
+            "vm_incarnation": self.vm_incarnations[place.node],
         }
 
     def add_child(self, name: str, arguments: Sequence[str]) -> Child:
--- /dev/null
+++ b/sardinehook/entry/allowances.py
@@ -0,0 +1,74 @@
+"""Applies the fleet's allowances to the local owner of replicas."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from sardinehook.entry.dispatcher import ReplicaHome
+from sardinehook.environment.document import Index, Replica
+from sardinehook.platform.timers import Timer, Timers
+from sardinehook.target.allowance import Allowance
+
+__all__ = ["AllowanceApplier", "AllowancePort", "AllowanceTaker"]
+
+
+class AllowancePort(Protocol):
+    """Tells what this process may use of a replica."""
+
+    def allowance(self, replica: Replica, index: Index) -> Allowance:
+        """Return the allowance; one without slots stands for nothing."""
+
+
+class AllowanceTaker(Protocol):
+    """Holds replicas within allowances."""
+
+    def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
+        """Take an allowance, ``None`` for nothing."""
+
+
+class AllowanceApplier:
+    """Gives the owner every allowance that changed, once in a turn of the loop."""
+
+    def __init__(
+        self,
+        reactor: Timers,
+        data_centre: str,
+        source: AllowancePort,
+        taker: AllowanceTaker,
+    ) -> None:
+        self.reactor = reactor
+        self.data_centre = data_centre
+        self.source = source
+        self.taker = taker
+        self.homes: Mapping[str, ReplicaHome] = {}
+        self.applied: dict[str, Allowance] = {}
+        self.timer: Timer | None = None
+
+    def configure(self, homes: Mapping[str, ReplicaHome]) -> None:
+        """Use the replicas of a new document, of which only the own ones count."""
+        for name in self.applied.keys() - homes.keys():
+            self.taker.set_allowance(name, None)
+            del self.applied[name]
+        self.homes = {
+            name: home
+            for name, home in homes.items()
+            if home.replica.data_centre == self.data_centre
+        }
+        self.apply()
+
+    def schedule(self) -> None:
+        """Apply at the end of this turn of the loop."""
+        if self.timer is None:
+            self.timer = self.reactor.callLater(0, self.apply)
+
+    def apply(self) -> None:
+        """Give the owner the allowances that changed."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+        for name, home in self.homes.items():
+            allowance = self.source.allowance(home.replica, home.home_index)
+            if self.applied.get(name) != allowance:
+                self.applied[name] = allowance
+                self.taker.set_allowance(name, allowance if allowance.slots else None)
--- a/sardinehook/entry/dispatcher.py
+++ b/sardinehook/entry/dispatcher.py
@@ -31,10 +31,10 @@
 
 
 class OwnerDirectory(Protocol):
-    """Tells which entry process serves a replica at present."""
+    """Tells which entry processes may serve a replica at present."""
 
-    def owner_of(self, replica: Replica) -> str | None:
-        """Return the owner's node name, or None when nobody may serve it."""
+    def candidates_of(self, replica: Replica) -> tuple[str, ...]:
+        """Return the owner's node name and its possible deputy's."""
 
 
 class ReplicaHome(NamedTuple):
@@ -54,6 +54,9 @@
 class Dispatcher:
     """Sends each sub-query to the owner of its replica, at this process or another.
 
+    An owner that can't be reached is passed over for its possible deputy, which
+    refuses what it may not serve.
+
     Every sub-query that is sent ends in exactly one reply, unless it is cancelled.
     """
 
@@ -74,17 +77,24 @@
     def send(self, sub_query: SubQuery, on_reply: ReplyHandler) -> None:
         """Send a sub-query; ``on_reply`` may be called before this returns."""
         home = self.homes.get(sub_query.replica)
-        node = None if home is None else self.directory.owner_of(home.replica)
-        if node is None:
-            on_reply(refused(sub_query.sub_query_id, "the replica has no owner"))
-            return
-        self.pending[sub_query.sub_query_id] = PendingSubQuery(node, on_reply)
+        nodes = () if home is None else self.directory.candidates_of(home.replica)
+        for node in nodes:
+            if self.try_send(node, sub_query, on_reply):
+                return
+        detail = "no owner of the replica can be reached"
+        on_reply(refused(sub_query.sub_query_id, detail))
+
+    def try_send(self, node: str, sub_query: SubQuery, on_reply: ReplyHandler) -> bool:
+        """Send a sub-query to a node; return False if nothing can have left."""
+        pending = PendingSubQuery(node, on_reply)
         if node == self.node:
+            self.pending[sub_query.sub_query_id] = pending
             self.owner.submit(node, sub_query, self.on_reply_here)
-        elif not self.links.send(node, sub_query):
-            self.on_reply(
-                node, refused(sub_query.sub_query_id, "the owner is unreachable")
-            )
+            return True
+        if not self.links.send(node, sub_query):
+            return False
+        self.pending[sub_query.sub_query_id] = pending
+        return True
 
     def cancel(self, sub_query_id: int) -> None:
         """Abandon a sub-query; its reply is dropped."""
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -15,6 +15,7 @@
 from twisted.internet.defer import Deferred, TimeoutError, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
+from sardinehook.entry.allowances import AllowanceApplier
 from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
 from sardinehook.entry.front import EntryStatus, Response, build_site
 from sardinehook.entry.orders import EntryOrders
@@ -22,6 +23,7 @@
 from sardinehook.entry.searches import SearchDesk
 from sardinehook.entry.settings import EntrySettings
 from sardinehook.entry.view_exchange import ViewExchange
+from sardinehook.entry.vm_watch import VmNotice, VmWatch
 from sardinehook.environment.document import DataCentreState
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision
@@ -34,13 +36,21 @@
 from sardinehook.environment.watcher import DocumentControl
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.fleet.link import Links, split_address
-from sardinehook.fleet.static import Member, StaticFleet
-from sardinehook.messages import CancelSubQuery, ReplicaView, SubQuery, SubReply
+from sardinehook.fleet.member import Member
+from sardinehook.fleet.service import Fleet, Identity
+from sardinehook.messages import (
+    CancelSubQuery,
+    ReplicaView,
+    SubQuery,
+    SubReply,
+    TargetState,
+)
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant
 from sardinehook.platform.http_store import HttpStore
+from sardinehook.platform.vm_list import HttpVmList
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.replica_choice import ReplicaChooser
 from sardinehook.target.limits import OwnerLimits
@@ -55,6 +65,8 @@
 HOUSEKEEPING_INTERVAL_S = 0.5
 STORE_WATCHERS = 2
 INCARNATION_BYTES = 4
+BOOT_BITS = 31
+JOIN_PATIENCE_S = 5.0
 SUB_QUERY_ID_RANDOM_BITS = 31
 SUB_QUERY_ID_COUNT_BITS = 32
 MS_PER_S = 1000.0
@@ -74,8 +86,23 @@
         self.links = Links(reactor, settings.node, settings.link_address)
         self.links.read_stamp = self.clock.tick
         self.links.observe_stamp = self.witness
-        self.fleet = StaticFleet(settings.node, self.list_members())
+        self.vm_list = HttpVmList(reactor, settings.platform_address, STORE_TIMEOUT_MS)
         self.owner = TargetOwner(reactor, OwnerLimits())
+        self.fleet = Fleet(
+            reactor,
+            self.make_identity(),
+            self.links,
+            self.store,
+            self.vm_list,
+            [peer.link_address for peer in settings.peers],
+            self.owner.in_flight,
+        )
+        self.allowances = AllowanceApplier(
+            reactor, settings.data_centre, self.fleet, self.owner
+        )
+        self.vm_watch = VmWatch(
+            reactor, self.vm_list, self.owner.note_vm, self.fleet.peers, self.links.send
+        )
         self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.owner)
         self.sub_query_ids = count(first_sub_query_id())
         chooser = ReplicaChooser(settings.data_centre, crc32(settings.node.encode()))
@@ -96,7 +123,7 @@
         self.views = ViewExchange(
             reactor,
             self.owner.views,
-            lambda: [peer.node for peer in settings.peers],
+            self.list_connected,
             self.links.send,
             self.searches.take_view,
         )
@@ -108,45 +135,49 @@
             self.list_connected,
             random.Random(settings.node),
         )
-        self.housekeeping = LoopingCall(self.choose_watchers)
+        self.housekeeping = LoopingCall(self.keep_house)
         self.housekeeping.clock = reactor
+        self.started_at = 0.0
         self.stopping = False
         self.front: Any = None
         self.wire()
 
-    def list_members(self) -> list[Member]:
-        """List this process and its peers."""
-        own = Member(
-            self.settings.node,
-            self.settings.data_centre,
-            self.settings.link_address,
-            self.settings.http_address,
+    def make_identity(self) -> Identity:
+        """Draw the identity of this run of the process."""
+        settings = self.settings
+        member = Member(
+            settings.node,
+            settings.data_centre,
+            settings.link_address,
+            settings.http_address,
+            int(time.time() * MS_PER_S),
         )
-        peers = [
-            Member(peer.node, peer.data_centre, peer.link_address, "")
-            for peer in self.settings.peers
-        ]
-        return [own, *peers]
+        boot = secrets.randbits(BOOT_BITS)
+        return Identity(settings.environment, member, boot, settings.vm_incarnation)
 
     def list_connected(self) -> list[str]:
         """List the peers that can be reached now."""
-        return [
-            peer.node for peer in self.settings.peers if self.links.connected(peer.node)
-        ]
+        return sorted(self.links.live_links)
 
     def tell(self, node: str, message: Message) -> None:
         """Send a message that may be lost."""
         self.links.send(node, message)
 
-    def choose_watchers(self) -> None:
-        """Watch the store if this is one of the first reachable nodes of its own."""
-        own = self.settings.data_centre
+    def keep_house(self) -> None:
+        """Do what is due from time to time: choose watchers, set gauges."""
         reachable = sorted(
             member.name
-            for member in self.fleet.members(own)
+            for member in self.fleet.members(self.settings.data_centre)
             if member.name == self.settings.node or self.links.connected(member.name)
         )
-        self.control.should_watch(self.settings.node in reachable[:STORE_WATCHERS])
+        watches = self.settings.node in reachable[:STORE_WATCHERS]
+        self.control.should_watch(watches)
+        self.vm_watch.should_fetch(watches)
+
+    def take_view(self, view: ReplicaView) -> None:
+        """Use what the owner of a replica tells, here or at a peer."""
+        self.searches.take_view(view)
+        self.owner.note_peer_view(view.replica, TargetState(view.state))
 
     def wire(self) -> None:
         """Connect the parts."""
@@ -156,7 +187,9 @@
         for message_type in (RevisionAnnounce, RevisionRequest, RevisionDelta):
             self.links.on(message_type, self.control.on_message)
         self.links.on(SubReply, self.dispatcher.on_reply)
-        self.links.on(ReplicaView, lambda _node, view: self.searches.take_view(view))
+        self.links.on(ReplicaView, lambda _node, view: self.take_view(view))
+        self.links.on(VmNotice, lambda _node, notice: self.vm_watch.take(notice))
+        self.fleet.on_change(self.allowances.schedule)
         self.links.on_down(self.dispatcher.on_link_down)
         self.links.on_down(self.views.forget)
 
@@ -178,9 +211,9 @@
 
     def start(self) -> Deferred[None]:
         """Listen, connect and begin to follow the environment's document."""
+        self.started_at = self.reactor.seconds()
         listening = self.links.listen()
-        for peer in self.settings.peers:
-            self.links.connect(peer.node, peer.link_address)
+        self.fleet.start()
         host, port = split_address(self.settings.http_address)
         self.front = self.reactor.listenTCP(
             port, build_site(self), backlog=512, interface=host
@@ -209,9 +242,10 @@
         }
         self.dispatcher.configure(homes)
         self.owner.configure(document.indexes)
-        for name, home in homes.items():
-            allowance = self.fleet.allowance(home.replica, home.home_index)
-            self.owner.set_allowance(name, allowance if allowance.slots else None)
+        self.vm_watch.configure(homes)
+        self.allowances.configure(homes)
+        me = self.fleet.membership.me._replace(revision=revision.number)
+        self.fleet.membership.set_me(me)
         self.metrics.revision.set(revision.number)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=revision.number)
 
@@ -278,11 +312,26 @@
         """Tell what became of an order."""
         return self.orders.look_up(key)
 
+    def unready_reason(self) -> str:
+        """Return why the balancer should send nothing though requests are served."""
+        if self.stopping:
+            return "stopping"
+        waited_s = self.reactor.seconds() - self.started_at
+        unheard = set(self.data_centres()) - self.fleet.rosters.rosters.keys()
+        if unheard and waited_s < JOIN_PATIENCE_S:
+            return f"joining the fleet, not heard of {', '.join(sorted(unheard))}"
+        return ""
+
+    def data_centres(self) -> list[str]:
+        """List the data centres of the document in force."""
+        revision = self.holder.in_force
+        return sorted(revision.document.data_centres) if revision else []
+
     def status(self) -> EntryStatus:
         """Describe this process."""
         problem = self.refusal()
         revision = self.holder.in_force
-        reason = "stopping" if self.stopping else problem.detail if problem else ""
+        reason = problem.detail if problem else self.unready_reason()
         return EntryStatus(
             node=self.settings.node,
             data_centre=self.settings.data_centre,
@@ -291,7 +340,11 @@
             reason=reason,
             revision=revision.number if revision else 0,
             digest=revision.digest if revision else "",
-            members=[member.name for member in self.list_members()],
+            members=[
+                member.name
+                for data_centre in self.data_centres()
+                for member in self.fleet.members(data_centre)
+            ],
             requests_in_flight=self.in_flight,
         )
 
@@ -317,7 +370,10 @@
         drained.addTimeout(max(0.0, give_up_at - self.reactor.seconds()), self.reactor)
         drained.addErrback(lambda failure: failure.trap(TimeoutError))
         await drained
+        await self.fleet.leave(max(0.0, give_up_at - self.reactor.seconds()))
         await self.owner.close(max(0.0, give_up_at - self.reactor.seconds()))
+        self.vm_watch.stop()
+        await self.fleet.stop()
         self.housekeeping.stop()
         self.control.stop()
         self.views.stop()
--- a/sardinehook/entry/settings.py
+++ b/sardinehook/entry/settings.py
@@ -23,6 +23,8 @@
 class EntrySettings(NamedTuple):
     """Identity and addresses of one entry process. Addresses are ``IP:port``.
 
+    ``vm_incarnation`` is the platform's number for this start of the VM, zero if it is
+    not known; it lets the platform's list show that the VM was replaced.
     ``http_address`` takes callers' requests, ``link_address`` the links of other
     entry processes (TCP) and their membership datagrams (UDP).
     """
@@ -34,3 +36,4 @@
     link_address: Address
     platform_address: Address
     peers: list[Peer] = []
+    vm_incarnation: int = 0
--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/watcher.py
@@ -35,9 +35,9 @@
 
 def register_messages() -> None:
     """Give the messages about revisions their numbers on the wire."""
-    register_message(20, RevisionAnnounce)
-    register_message(21, RevisionRequest)
-    register_message(22, RevisionDelta)
+    register_message(40, RevisionAnnounce)
+    register_message(41, RevisionRequest)
+    register_message(42, RevisionDelta)
 
 
 register_messages()
--- a/sardinehook/fleet/roster_book.py
+++ b/sardinehook/fleet/roster_book.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from sardinehook.environment.document import Replica
-from sardinehook.fleet.ownership import owner_of
+from sardinehook.fleet.ownership import owner_of, rendezvous_order
 from sardinehook.fleet.roster import Roster
 
 __all__ = ["RosterBook"]
 
 PULL_PERIOD_S = 1.0
+OWNER_AND_DEPUTY = 2
 
 
 class RosterBook:
@@ -17,6 +18,7 @@
     def __init__(self) -> None:
         self.rosters: dict[str, Roster] = {}
         self.owners: dict[str, str | None] = {}
+        self.candidates: dict[str, tuple[str, ...]] = {}
         self.pulled_at: dict[str, float] = {}
 
     def keep(self, data_centre: str, roster: Roster) -> bool:
@@ -26,6 +28,7 @@
             return False
         self.rosters[data_centre] = roster
         self.owners.clear()
+        self.candidates.clear()
         return True
 
     def owner_of(self, replica: Replica) -> str | None:
@@ -37,6 +40,16 @@
             self.owners[key] = owner_of(replica.name, names)
         return self.owners[key]
 
+    def candidates_of(self, replica: Replica) -> tuple[str, ...]:
+        """Return the owner of a replica and the next in order, its possible deputy."""
+        key = f"{replica.data_centre} {replica.name}"
+        if key not in self.candidates:
+            roster = self.rosters.get(replica.data_centre)
+            names = () if roster is None else roster.names
+            order = rendezvous_order(replica.name, names)
+            self.candidates[key] = tuple(order[:OWNER_AND_DEPUTY])
+        return self.candidates[key]
+
     def wants(self, data_centre: str, epoch: int, now: float) -> bool:
         """Whether to ask for a roster now, given an epoch that someone told of."""
         known = self.rosters.get(data_centre)
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -204,6 +204,10 @@
         """Return the owner by the newest roster known of the replica's data centre."""
         return self.rosters.owner_of(replica)
 
+    def candidates_of(self, replica: Replica) -> tuple[str, ...]:
+        """Return the owner of a replica and its possible deputy."""
+        return self.rosters.candidates_of(replica)
+
     def allowance(self, replica: Replica, index: Index) -> Allowance:
         """Return what this process may use of a replica now."""
         if replica.data_centre != self.data_centre:
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -12,14 +12,14 @@
 THERE = Replica("r-there", "marquette", "127.0.0.1:2")
 ORPHAN = Replica("r-orphan", "traverse", "127.0.0.1:3")
 INDEX = Index(2, 25, 6.0, {"s": [HERE, THERE, ORPHAN]})
-OWNERS = {"r-here": "e1", "r-there": "e2"}
+OWNERS = {"r-here": ("e1",), "r-there": ("e2", "e3")}
 
 
 class FakeDirectory:
     """Owners from a table."""
 
-    def owner_of(self, replica: Replica) -> str | None:
-        return OWNERS.get(replica.name)
+    def candidates_of(self, replica: Replica) -> tuple[str, ...]:
+        return OWNERS.get(replica.name, ())
 
 
 class FakeLinks:
@@ -27,12 +27,12 @@
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, object]] = []
-        self.up = True
+        self.up = {"e2", "e3"}
 
     def send(self, node: str, message: SubQuery | SubReply | CancelSubQuery) -> bool:
-        if self.up:
+        if node in self.up:
             self.sent.append((node, message))
-        return self.up
+        return node in self.up
 
 
 class FakeOwner:
@@ -100,12 +100,18 @@
 
     def test_what_a_down_link_refuses_is_not_run(self) -> None:
         fixture = Fixture()
-        fixture.links.up = False
+        fixture.links.up = set()
         fixture.send(1, "r-there")
         assert [(one.outcome, one.began) for one in fixture.replies] == [
             (Outcome.NOT_RUN, False)
         ]
 
+    def test_an_unreachable_owner_is_passed_over_for_its_deputy(self) -> None:
+        fixture = Fixture()
+        fixture.links.up = {"e3"}
+        sub_query = fixture.send(1, "r-there")
+        assert fixture.links.sent == [("e3", sub_query)]
+
 
 class TestReplies:
     def test_a_reply_is_delivered_once(self) -> None:
@@ -118,7 +124,7 @@
     def test_a_reply_of_another_node_is_dropped(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-there")
-        fixture.dispatcher.on_reply("e3", answered(1))
+        fixture.dispatcher.on_reply("e4", answered(1))
         assert fixture.replies == []
 
     def test_a_lost_link_leaves_the_outcome_open(self) -> None:
