Don't close a connection that has just been lost

Over real sockets the half-close of a connection whose loss was being reported raised an error, so the connection went on counting against the allowance for good.

--- a/bench/loopback.py
+++ b/bench/loopback.py
@@ -61,6 +61,8 @@
 
     def loseWriteConnection(self) -> None:
         """Close; the peer closes in turn."""
+        if not self.open:
+            raise ValueError("the socket is closed")
         if self.open and self.peer is not None:
             self.clock.callLater(DELAY_S, self.peer.end, ConnectionDone())
 
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -187,12 +187,11 @@
         """End the exchange that was running and report the close."""
         self.is_open = False
         clean = isinstance(reason.value, ConnectionDone)
-        if self.finish is not None:
+        finish, self.finish = self.finish, None
+        if finish is not None:
             cause = reason.getErrorMessage()
-            if self.received_bytes:
-                self.end(Garbled(f"truncated reply: {cause}"), False)
-            else:
-                self.end(Lost(cause), False)
+            truncated = Garbled(f"truncated reply: {cause}")
+            finish(truncated if self.received_bytes else Lost(cause))
         self.closed(self, clean)
 
     def on_message_begin(self) -> None:
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -44,6 +44,7 @@
         self.drop(ConnectionDone())
 
     def loseWriteConnection(self) -> None:
+        assert self.open, "the socket is closed"
         self.half_closed = True
         if self.closes_in_turn:
             self.drop(ConnectionDone())
