Read the history with one call for each revision

Each past revision was looked for in the head first, so a history of 1,000 made 2,000 calls on a service whose rates are precious. A test counts them.

--- a/sardinehook/environment/registry.py
+++ b/sardinehook/environment/registry.py
@@ -81,6 +81,12 @@
                 return Success(current)
             case Failure(problem):
                 return Failure(problem)
+        return await self.past_revision(environment, number)
+
+    async def past_revision(
+        self, environment: str, number: int
+    ) -> Result[Revision, Problem]:
+        """Read a revision that was replaced."""
         match await self.store.get(revision_key(environment, number)):
             case Success(Entry(value=value)):
                 return decode_revision(value)
@@ -102,7 +108,7 @@
                 return Failure(problem)
         oldest = max(1, found[0].number - limit + 1)
         for number in range(found[0].number - 1, oldest - 1, -1):
-            match await self.revision(environment, number):
+            match await self.past_revision(environment, number):
                 case Success(past):
                     found.append(past)
                 case Failure(problem):
--- a/tests/environment/test_registry.py
+++ b/tests/environment/test_registry.py
@@ -82,6 +82,14 @@
         assert isinstance(desk.put(200, 1, "c"), Unchanged)
         assert desk.numbers() == [(1, "a"), (2, "b")]
 
+    def test_history_takes_one_call_for_each_revision(self) -> None:
+        desk = Desk()
+        for number in range(4):
+            desk.put(100 + number, number, f"change-{number}")
+        before = len(desk.store.calls)
+        assert len(desk.numbers()) == 4
+        assert len(desk.store.calls) - before == 4
+
     def test_loser_of_a_race_is_told_who_won_and_what_differs(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
