--- a/bench/platform_state.py
+++ b/bench/platform_state.py
@@ -52,10 +52,6 @@
         for name in lapsed:
             self.revoke(name)
 
-    def next_expiry(self) -> float | None:
-        """When the next lease lapses unless it is renewed."""
-        return min((lease.expires_at for lease in self.leases.values()), default=None)
-
     def put(self, key: str, value: bytes, expect: int, lease: str) -> Held | Refused:
         """Write a key that is at ``expect``, zero if it must be new."""
         current = self.held.get(key)
--- a/sardinehook/environment/canonical.py
+++ b/sardinehook/environment/canonical.py
@@ -24,21 +24,22 @@
 
     A field that a later version adds therefore changes no digest until it is used.
     """
-    if isinstance(value, tuple) and hasattr(value, "_fields"):
-        defaults: dict[str, object] = getattr(value, "_field_defaults", {})
-        return {
-            name: plain(field)
-            for name, field in zip(value._fields, value, strict=True)
-            if name not in defaults or field != defaults[name]
-        }
+    if isinstance(value, str):
+        return str(value)
+    if value is None or isinstance(value, bool | int | float):
+        return value
     if isinstance(value, dict):
         return {str(key): plain(item) for key, item in value.items()}
-    if isinstance(value, list | tuple):
+    assert isinstance(value, list | tuple)
+    names: tuple[str, ...] = getattr(value, "_fields", ())
+    if not names:
         return [plain(item) for item in value]
-    if isinstance(value, str):
-        return str(value)
-    assert value is None or isinstance(value, bool | int | float)
-    return value
+    defaults: dict[str, object] = getattr(value, "_field_defaults", {})
+    return {
+        name: plain(field)
+        for name, field in zip(names, value, strict=True)
+        if name not in defaults or field != defaults[name]
+    }
 
 
 def canonical_bytes(document: EnvironmentDocument) -> bytes:
