--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -23,8 +23,8 @@
 FAR_S = 0.0045
 HEADER_BYTES = 28
 SIZES = ((9, 3), (60, 3), (550, 7))
-WARM_UP_S = 60.0
-MEASURE_S = 60.0
+WARM_UP_S = 100.0
+MEASURE_S = 40.0
 DETECTION_LIMIT_S = 60.0
 
 Filter = Callable[[str, str], bool]
--- a/sardinehook/fleet/control_messages.py
+++ b/sardinehook/fleet/control_messages.py
@@ -41,9 +41,9 @@
     name: str
 
 
-register_message(20, RosterPush)
-register_message(21, RosterPull)
-register_message(22, Released)
-register_message(23, LeaseRequest)
-register_message(24, LeaseGrant)
-register_message(25, RegistrarIs)
+register_message(30, RosterPush)
+register_message(31, RosterPull)
+register_message(32, Released)
+register_message(33, LeaseRequest)
+register_message(34, LeaseGrant)
+register_message(35, RegistrarIs)
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -27,8 +27,9 @@
 SEED_PERIOD_S = 0.5
 RELAY_KEPT_S = 2.0
 PAUSE_S = 2.5
-COMPLETE_RATIO = 0.95
-SETTLED_AFTER_S = 30.0
+COMPLETE_RATIO = 0.995
+SIZE_DECAY = 0.99
+SETTLED_AFTER_S = 60.0
 ROTATED = 1
 ROTATED_REMOTE = 4
 ROTATED_TO_LACKING = 16
@@ -53,7 +54,7 @@
         self.suspected_at: dict[str, float] = {}
         self.relays: dict[int, Relay] = {}
         self.heard_at: dict[str, float] = {}
-        self.fleet_size = 1
+        self.fleet_size = 1.0
         self.poor_health = 0
         self.started_at: float | None = None
         self.ticked_at: float | None = None
@@ -215,7 +216,7 @@
 
     def receive(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
         """Take in a datagram that came from ``address``."""
-        self.fleet_size = datagram.size
+        self.fleet_size = max(datagram.size, self.fleet_size * SIZE_DECAY)
         self.heard_at[datagram.sender.data_centre] = now
         if self.me.state is MemberState.JOINING:
             self.set_me(self.me._replace(state=MemberState.ALIVE))
