--- /dev/null
+++ b/bench/fleet_nodes.py
@@ -0,0 +1,62 @@
+"""Fleets of several nodes in one process, on loopback."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet import reactor as global_reactor
+from twisted.internet.task import deferLater
+
+from sardinehook.environment.document import Index, Replica
+from sardinehook.fleet.link import Links
+from sardinehook.fleet.member import Member
+from sardinehook.fleet.service import Fleet, Identity
+from sardinehook.platform.http_store import HttpStore
+from sardinehook.platform.vm_list import HttpVmList
+
+__all__ = ["INDEX", "PLACE", "REPLICAS", "SLOTS", "FleetNode"]
+
+reactor: Any = global_reactor
+
+PLACE = "szolnok-b"
+SLOTS = 2
+CONNECTIONS = 25
+REPLICAS = [Replica(f"counters-{n}", PLACE, "127.0.0.1:9") for n in range(30)]
+INDEX = Index(SLOTS, CONNECTIONS, 6.0, {"counters": REPLICAS})
+TIMEOUT_MS = 300
+SETTLE_S = 0.02
+
+
+class FleetNode:
+    """The fleet of one node with its links and its platform adapters."""
+
+    def __init__(self, name: str, boot: int, platform: str, seeds: list[str]) -> None:
+        self.busy: dict[str, int] = {}
+        self.links = Links(reactor, name, "127.0.0.1:0")
+        self.links.listen()
+        self.store = HttpStore(reactor, platform, TIMEOUT_MS)
+        self.vm_list = HttpVmList(reactor, platform, TIMEOUT_MS)
+        member = Member(name, PLACE, self.links.address, "127.0.0.1:1", boot)
+        self.fleet = Fleet(
+            reactor,
+            Identity("trial", member, boot, 0),
+            self.links,
+            self.store,
+            self.vm_list,
+            seeds,
+            lambda replica: self.busy.get(replica, 0),
+        )
+        self.fleet.start()
+
+    def slots(self) -> dict[str, int]:
+        """Return the slots that this node may use, by replica."""
+        shares = {r.name: self.fleet.allowance(r, INDEX).slots for r in REPLICAS}
+        return {name: slots for name, slots in shares.items() if slots}
+
+    async def close(self) -> None:
+        """End all timers and connections."""
+        await self.fleet.stop()
+        await deferLater(reactor, SETTLE_S)
+        await self.links.close()
+        await self.store.close()
+        await self.vm_list.close()
--- /dev/null
+++ b/bench/hand_over.py
@@ -0,0 +1,150 @@
+"""Measure how long replicas rest when ownership moves, and whether owners overlap."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import typer
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from bench.fleet_nodes import INDEX, REPLICAS, SLOTS, FleetNode, reactor
+from bench.http_server import listen
+from bench.platform import Platform
+
+__all__ = ["HandOver", "main"]
+
+POLL_S = 0.002
+SETTLE_S = 8.0
+WATCH_S = 3.0
+ROUNDS = 5
+LEAVE_LIMIT_S = 5.0
+
+
+class HandOver(NamedTuple):
+    """What one kind of change did to the replicas that rested for a while."""
+
+    change: str
+    rounds: int
+    replicas_moved: int
+    gap_median_ms: float
+    gap_longest_ms: float
+    moments_of_overlap: int
+
+
+class Watch:
+    """Samples who may use what."""
+
+    def __init__(self, nodes: list[FleetNode]) -> None:
+        self.nodes = nodes
+        self.resting: dict[str, float] = {}
+        self.gaps: list[float] = []
+        self.overlaps = 0
+
+    async def run(self, seconds: float) -> None:
+        """Sample for a time."""
+        end = reactor.seconds() + seconds
+        while reactor.seconds() < end:
+            self.sample(reactor.seconds())
+            await deferLater(reactor, POLL_S)
+
+    def sample(self, now: float) -> None:
+        """Look at every replica once."""
+        for replica in REPLICAS:
+            shares = [node.fleet.allowance(replica, INDEX) for node in self.nodes]
+            cold = sum(share.may_serve_cold for share in shares)
+            slots = sum(share.slots for share in shares)
+            self.overlaps += cold > 1 or slots > SLOTS
+            if not cold:
+                self.resting.setdefault(replica.name, now)
+            elif replica.name in self.resting:
+                self.gaps.append(now - self.resting.pop(replica.name))
+
+
+class Experiment:
+    """A fleet that a node joins and leaves again and again."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.nodes: list[FleetNode] = []
+        self.boots = 0
+
+    def start(self) -> FleetNode:
+        """Start a node."""
+        self.boots += 1
+        seeds = [node.links.address for node in self.nodes[:1]]
+        node = FleetNode(f"e{self.boots}", self.boots, self.address, seeds)
+        self.nodes.append(node)
+        return node
+
+    async def join(self) -> None:
+        """Let a node join."""
+        self.start()
+
+    async def leave(self) -> None:
+        """Let the last node leave as planned."""
+        await self.nodes[-1].fleet.leave(LEAVE_LIMIT_S)
+
+    async def measure(
+        self, name: str, change: Callable[[], Awaitable[None]]
+    ) -> tuple[list[float], int]:
+        """Watch the fleet during one change."""
+        watch = Watch(self.nodes)
+        watching: Deferred[Any] = Deferred.fromCoroutine(watch.run(WATCH_S))
+        await change()
+        await watching
+        return watch.gaps, watch.overlaps
+
+    async def run(self) -> list[HandOver]:
+        """Measure joining and leaving."""
+        self.start()
+        self.start()
+        await deferLater(reactor, SETTLE_S)
+        gaps: dict[str, list[float]] = {"join": [], "planned stop": []}
+        overlaps = dict.fromkeys(gaps, 0)
+        for _ in range(ROUNDS):
+            for name, change in (("join", self.join), ("planned stop", self.leave)):
+                found, overlapped = await self.measure(name, change)
+                gaps[name] += found
+                overlaps[name] += overlapped
+            await self.nodes.pop().close()
+        for node in self.nodes:
+            await node.close()
+        return [summary(name, found, overlaps[name]) for name, found in gaps.items()]
+
+
+def summary(name: str, gaps: list[float], overlaps: int) -> HandOver:
+    """Sum up one kind of change."""
+    ordered = sorted(gaps) or [0.0]
+    median = ordered[len(ordered) // 2]
+    return HandOver(
+        name,
+        ROUNDS,
+        len(gaps),
+        round(median * 1000, 1),
+        round(ordered[-1] * 1000, 1),
+        overlaps,
+    )
+
+
+def main() -> None:
+    """Print a table of the changes."""
+    platform = Platform(reactor)
+    platform.start()
+    port = listen(reactor, platform)
+    experiment = Experiment(f"127.0.0.1:{port.getHost().port}")
+
+    def show(rows: list[HandOver]) -> None:
+        print(" | ".join(HandOver._fields))
+        for row in rows:
+            print(" | ".join(str(value) for value in row))
+
+    running = Deferred.fromCoroutine(experiment.run())
+    running.addCallback(show).addErrback(lambda failure: failure.printTraceback())
+    running.addBoth(lambda _: reactor.stop())
+    reactor.run()
+
+
+if __name__ == "__main__":
+    typer.run(main)
