Begin no work under a lease that lapsed during a pause

A process that wakes reads requests before its timers run, and the owner of connections still held the allowance of before. The guard looks at the lease before each sub-query; releases and requests for a lease of a new epoch leave only after allowances have been applied.

--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -5,12 +5,13 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from sardinehook.entry.dispatcher import ReplicaHome
+from sardinehook.entry.dispatcher import OwnerPort, ReplicaHome, ReplyHandler
 from sardinehook.environment.document import Index, Replica
+from sardinehook.messages import SubQuery
 from sardinehook.platform.timers import Timer, Timers
 from sardinehook.target.allowance import Allowance
 
-__all__ = ["AllowanceApplier", "AllowancePort", "AllowanceTaker"]
+__all__ = ["AllowanceApplier", "AllowancePort", "AllowanceTaker", "LeaseGuard"]
 
 
 class AllowancePort(Protocol):
@@ -72,3 +73,35 @@
             if self.applied.get(name) != allowance:
                 self.applied[name] = allowance
                 self.taker.set_allowance(name, allowance if allowance.slots else None)
+
+
+class LeasePort(Protocol):
+    """Tells when the node lease lapsed or changed."""
+
+    def terms_changed(self) -> bool:
+        """Whether the lease changed since this was last asked."""
+
+
+class LeaseGuard:
+    """Passes sub-queries to the owner after a look at the lease.
+
+    A process that was paused reads requests before its timers run; without this it
+    would begin work under a lease that lapsed meanwhile.
+    """
+
+    def __init__(
+        self, lease: LeasePort, applier: AllowanceApplier, owner: OwnerPort
+    ) -> None:
+        self.lease = lease
+        self.applier = applier
+        self.owner = owner
+
+    def submit(self, sender: str, sub_query: SubQuery, reply: ReplyHandler) -> None:
+        """Run a sub-query within the allowances of this moment."""
+        if self.lease.terms_changed():
+            self.applier.apply()
+        self.owner.submit(sender, sub_query, reply)
+
+    def cancel(self, sender: str, sub_query_id: int) -> None:
+        """Abandon a sub-query."""
+        self.owner.cancel(sender, sub_query_id)
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -15,7 +15,7 @@
 from twisted.internet.defer import Deferred, TimeoutError, succeed
 from twisted.internet.task import LoopingCall, deferLater
 
-from sardinehook.entry.allowances import AllowanceApplier
+from sardinehook.entry.allowances import AllowanceApplier, LeaseGuard
 from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
 from sardinehook.entry.front import EntryStatus, Response, build_site
 from sardinehook.entry.orders import EntryOrders
@@ -100,10 +100,11 @@
         self.allowances = AllowanceApplier(
             reactor, settings.data_centre, self.fleet, self.owner
         )
+        self.guard = LeaseGuard(self.fleet, self.allowances, self.owner)
         self.vm_watch = VmWatch(
             reactor, self.vm_list, self.owner.note_vm, self.fleet.peers, self.links.send
         )
-        self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.owner)
+        self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.guard)
         self.sub_query_ids = count(first_sub_query_id())
         chooser = ReplicaChooser(settings.data_centre, crc32(settings.node.encode()))
         policy = SearchPolicy(self.sub_query_ids, chooser=chooser)
@@ -199,7 +200,7 @@
 
     def take_sub_query(self, node: str, sub_query: SubQuery) -> None:
         """Run a peer's sub-query at a replica owned here."""
-        self.owner.submit(node, sub_query, lambda reply: self.send_reply(node, reply))
+        self.guard.submit(node, sub_query, lambda reply: self.send_reply(node, reply))
 
     def send_reply(self, node: str, reply: SubReply) -> None:
         """Return a reply to the peer that asked; a lost link has told it already."""
--- a/sardinehook/fleet/lease_desk.py
+++ b/sardinehook/fleet/lease_desk.py
@@ -45,6 +45,7 @@
         self.asked_at = float("-inf")
         self.stepped_at = float("-inf")
         self.unanswered = 0
+        self.given_up_for = 0
         links.on(LeaseRequest, self.take_request)
         links.on(LeaseGrant, lambda _node, grant: self.take_grant(grant))
         links.on(RegistrarIs, self.take_registrar)
@@ -76,12 +77,18 @@
         return False
 
     def ask(self, now: float) -> None:
-        """Ask the registrar for a lease, or a candidate when it does not answer."""
+        """Ask the registrar for a lease, or a candidate when it does not answer.
+
+        A lease of an earlier epoch is given up a tick before, so that no work is begun
+        under it any more when the request leaves.
+        """
         epoch = self.holding.roster.epoch
-        if epoch != self.lease.epoch:
+        if epoch != self.given_up_for and epoch != self.lease.epoch:
             self.lease.give_up()
-            if self.has_surplus():
-                return
+            self.given_up_for = epoch
+            return
+        if epoch != self.lease.epoch and self.has_surplus():
+            return
         self.asked_at = now
         request = self.lease.ask(self.holding.boot, epoch, now)
         if self.registrar.active:
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -250,14 +250,22 @@
         now = self.reactor.seconds()
         if not self.leaving and self.leases.tick(now):
             self.run(self.registrar.step(len(self.holding.roster.members)))
-        if self.release_due:
-            self.tell_released()
+        self.release_if_due()
         self.ask_releases(now)
-        terms = (self.leases.valid(), self.leases.lease.lapsed)
-        if terms != self.lease_terms:
-            self.lease_terms = terms
+        if self.terms_changed():
             self.changed()
 
+    def terms_changed(self) -> bool:
+        """Whether the lease lapsed, came or changed since this was last asked.
+
+        To be asked before work is begun: a process that was paused may read requests
+        before any timer has run.
+        """
+        terms = (self.leases.valid(), self.leases.lease.lapsed)
+        changed = terms != self.lease_terms
+        self.lease_terms = terms
+        return changed
+
     def follow(self, member: Member) -> None:
         """Keep a link to a member while it lives."""
         logger.info(
@@ -315,7 +323,7 @@
         if written:
             for name in self.peers():
                 self.links.send(name, RosterPush(self.data_centre, roster))
-        self.tell_released()
+        self.reactor.callLater(0, self.release_if_due)
 
     def has_surplus(self) -> bool:
         """Whether more work runs here than this process may start now."""
@@ -329,9 +337,12 @@
         epoch = self.released_epoch
         return Released(self.identity.boot, epoch, wanted)
 
-    def tell_released(self) -> None:
-        """Tell the members that nothing of an earlier epoch is used here any more."""
-        if self.has_surplus():
+    def release_if_due(self) -> None:
+        """Tell the members when nothing of an earlier epoch is used here any more.
+
+        Called in a later turn than the change, when callbacks have taken effect.
+        """
+        if not self.release_due or self.has_surplus():
             return
         self.release_due = False
         self.released_epoch = self.holding.roster.epoch
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -121,3 +121,14 @@
         await self.until_sound(leased)
         foreign = Replica("counters-0", "bekes-c", "127.0.0.1:9")
         assert self.nodes[0].fleet.allowance(foreign, INDEX) == NOTHING
+
+
+class TestLapse(FleetCase):
+    async def test_lapse_shows_before_any_timer_has_run(self) -> None:
+        self.start(1)
+        fleet = self.nodes[0].fleet
+        await self.until_sound(lambda: set(self.nodes[0].slots().values()) == {SLOTS})
+        assert not fleet.terms_changed()
+        fleet.leases.lease.until = float("-inf")
+        assert fleet.terms_changed()
+        assert set(self.nodes[0].slots().values()) == {SLOTS - 1}
