--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -16,9 +16,10 @@
 
 __all__ = ["ConnectionPool", "PoolEvents", "TargetAddress"]
 
-LINGER_S = 10.0
+LINGER_S = 5.0
+LEAST_CONNECTIONS = 2
 CLOSE_WITHIN_S = 1.0
-IDLE_CLOSE_S = 60.0
+IDLE_CLOSE_S = 15.0
 REFUSED_WITHIN_S = 0.1
 FIRST_BACKOFF_S = 0.05
 LAST_BACKOFF_S = 2.0
@@ -80,6 +81,7 @@
         self.lingering: list[float] = []
         self.backoff_s = 0.0
         self.open_after = 0.0
+        self.given_up = 0
 
     def held(self, now: float) -> int:
         """Return how many connections the target may hold for this owner."""
@@ -150,9 +152,25 @@
             missing = 1
         elif self.backoff_s:
             return
-        for _ in range(min(missing, self.allowance - self.held(now))):
+        room = self.allowance - self.held(now)
+        if room <= 0:
+            room = self.forget_lingering()
+        for _ in range(min(missing, room)):
             self.begin_open()
 
+    def forget_lingering(self) -> int:
+        """Make room where nearly all that counts was given up; return the room.
+
+        Without a connection nobody could find out whether the target still holds
+        the others. One that holds them refuses the new one.
+        """
+        least = min(LEAST_CONNECTIONS, self.allowance)
+        room = min(least - self.live(), len(self.lingering))
+        if room <= 0:
+            return 0
+        del self.lingering[:room]
+        return room
+
     def begin_open(self) -> None:
         """Begin to open one connection."""
         self.opening += 1
@@ -194,6 +212,7 @@
             self.idle.remove(connection)
         if connection.closing_here:
             if not clean:
+                self.given_up += 1
                 self.lingering.append(self.reactor.seconds() + LINGER_S)
             return
         open_s = self.reactor.seconds() - connection.idle_since
