Look for missing services only if some are missing

Processor time for a sub-query, least of 15 samples on a shared machine: 86.2 us at a fan-out of 1 and 26.4 at 740 before, 78.5 and 24.4 after.

--- a/sardinehook/query/settlement.py
+++ b/sardinehook/query/settlement.py
@@ -20,17 +20,13 @@
 ) -> Coverage:
     """Count the services whose accepted reply is of their index's snapshot."""
     answered = {name: held.answered() for name, held in indexes.items()}
-    answered_any = {name: held.answered_any() for name, held in indexes.items()}
-    missing = tuple(
-        MissingService(
-            state.service,
-            MissingReason.WRONG_VERSION
-            if state.service in answered_any[state.index]
-            else state.reason,
+    missing: tuple[MissingService, ...] = ()
+    if sum(map(len, answered.values())) < len(states):
+        missing = tuple(
+            MissingService(state.service, reason_of(state, indexes[state.index]))
+            for state in states
+            if state.service not in answered[state.index]
         )
-        for state in states
-        if state.service not in answered[state.index]
-    )
     snapshot = {
         name: leading
         for name, held in indexes.items()
@@ -39,6 +35,13 @@
     return Coverage(len(states), len(states) - len(missing), missing, snapshot)
 
 
+def reason_of(state: ServiceState, index: IndexAnswer) -> MissingReason:
+    """Tell why a service is missing, also one that answered from another snapshot."""
+    if any(state.service in services for services in index.services.values()):
+        return MissingReason.WRONG_VERSION
+    return state.reason
+
+
 def outcome_of(
     request_id: str,
     workload: Workload,
