--- a/sardinehook/cli/timeline.py
+++ b/sardinehook/cli/timeline.py
@@ -26,6 +26,7 @@
 def timeline(
     files: Annotated[list[Path], typer.Argument(help="Logs of processes.")],
     request: Annotated[str, typer.Option(help="Only this request's story.")] = "",
+    order: Annotated[str, typer.Option(help="Only this order key's story.")] = "",
     target: Annotated[str, typer.Option(help="Only events of this replica.")] = "",
     revision: Annotated[int, typer.Option(help="Only this revision's story.")] = 0,
     data_centre: Annotated[
@@ -39,7 +40,7 @@
     ] = None,
 ) -> None:
     """Merge the logs of processes by cause and draw them as one time line."""
-    selection = Selection(request, target, revision, data_centre)
+    selection = Selection(request, target, revision, data_centre, order)
     drawn = build_timeline(read_logs(files), selection)
     rows = single_rows(drawn.lines) if every else fold(drawn)
     if html is None:
--- a/sardinehook/observe/timeline.py
+++ b/sardinehook/observe/timeline.py
@@ -31,13 +31,15 @@
 class Selection(NamedTuple):
     """Which events to show; an empty field selects all.
 
-    ``revision`` zero selects all. ``target`` is the name of a replica.
+    ``revision`` zero selects all. ``target`` is the name of a replica and ``order``
+    the idempotency key of an order.
     """
 
     request: str = ""
     target: str = ""
     revision: int = 0
     data_centre: str = ""
+    order: str = ""
 
     def takes(self, line: LogLine) -> bool:
         """Tell whether an event is to be shown."""
@@ -47,6 +49,8 @@
             fields.get("cause"),
         ):
             return False
+        if self.order and fields.get("order") != self.order:
+            return False
         if self.target and fields.get("target") != self.target:
             return False
         if self.revision and fields.get("revision") != str(self.revision):
--- a/sardinehook/order/attempt.py
+++ b/sardinehook/order/attempt.py
@@ -35,6 +35,7 @@
 
 __all__ = ["Attempt"]
 
+NOTHING_SENT = "this request ran nothing, an earlier one with its key may have"
 MAX_CLAIM_TRIES = 8
 SETTLE_TRIES = 3
 SETTLE_PAUSE_SECONDS = 0.05
@@ -61,7 +62,7 @@
         self.ports = ports
         self.order = order
         self.blocked_by = Problem(
-            ErrorKind.STORE_UNAVAILABLE, "the key could not be claimed in time"
+            ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT}: no claim in time"
         )
         left = max(order.deadline - ports.timers.seconds(), 0.0)
         self.deadline_timer = ports.timers.callLater(left, self._at_deadline)
@@ -109,7 +110,9 @@
         ports = self.ports
         lease = await ports.register.current_lease()
         if isinstance(lease, Unavailable):
-            self._refuse(Problem(ErrorKind.STORE_UNAVAILABLE, lease.detail))
+            self._refuse(
+                Problem(ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT}: {lease.detail}")
+            )
             return None
         claim = first_claim(
             self.order.request, ports.claimant, ports.new_attempt(), ports.wall_ms()
@@ -125,6 +128,7 @@
             case Unreadable(problem):
                 self._refuse(problem)
             case Unavailable(detail, may_have_taken_effect):
+                detail = f"{NOTHING_SENT}: {detail}"
                 problem = Problem(ErrorKind.STORE_UNAVAILABLE, detail)
                 if may_have_taken_effect:
                     self._hold(claim, expect)
--- a/tests/observe/test_timeline.py
+++ b/tests/observe/test_timeline.py
@@ -95,6 +95,14 @@
         assert not any("r-2" in row for row in rows)
         assert rows[-1] == "5 events of 2 processes in 0 ms"
 
+    def test_an_order_s_story_joins_the_requests_that_repeat_it(self) -> None:
+        first, second = Node("e1", "d", 1.0), Node("e2", "d", 2.0)
+        first.log(EventName.ORDER_SENT, request="r-1", order="A-17")
+        first.log(EventName.ORDER_SENT, request="r-2", order="B-1")
+        second.log(EventName.ORDER_REPEATED, request="r-3", order="A-17")
+        rows = draw([first, second], Selection(order="A-17"))
+        assert [row.split()[3] for row in rows[:-1]] == ["order_sent", "order_repeated"]
+
     def test_target_and_data_centre_select(self) -> None:
         assert len(draw(hedged_query(), Selection(target="b"))) == 3
         assert len(draw(hedged_query(), Selection(data_centre="duluth"))) == 6
--- a/tests/order/test_desk.py
+++ b/tests/order/test_desk.py
@@ -146,6 +146,8 @@
         request = rig.place(0, "k")
         deliver(rig, LEASED, Fate.REFUSED)
         assert kind(rig, request) is ErrorKind.STORE_UNAVAILABLE
+        detail = rig.results[request].failure().detail
+        assert "an earlier one with its key may have" in detail
         rig.settle()
         assert rig.began("k") == 0
 
