Contact seeds that are still strangers

Cause: with six entry VMs some searches found 0 of 50 services. Two nodes of different data centres that met first knew just each other, found size 2 = fleet size 2 complete, and asked no other seed; the rest did the same. Ruled out: rosters (each had its epochs), links. Change: seeds whose members aren't known are pinged, twice a second in the first minute or while incomplete, then every 5 s. New test fails before, passes after.

--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -130,19 +130,30 @@
                 self.table.merge(member._replace(state=MemberState.DEAD), now)
 
     def contact_seeds(self, now: float) -> list[Outgoing]:
-        """Ping addresses from settings until enough members are known."""
-        complete = self.size >= COMPLETE_RATIO * self.fleet_size
-        alone = len(self.table.members) == 1
-        if now < self.seed_due_at or (complete and not alone):
+        """Ping addresses from settings whose members aren't known, or others' known.
+
+        Members that know only each other take themselves to be the whole fleet; the
+        seeds that are strangers to them tell otherwise.
+        """
+        if now < self.seed_due_at:
             return []
-        self.seed_due_at = now + SEED_PERIOD_S * self.random.uniform(0.8, 1.2)
-        known = [m.link_address for m in self.table.members.values() if m != self.me]
-        addresses = sorted(self.seeds - {self.me.link_address}) if alone else known
+        known = [m.link_address for m in self.live_members() if m.name != self.me.name]
+        strangers = sorted(self.seeds - {self.me.link_address, *known})
+        complete = self.size >= COMPLETE_RATIO * self.fleet_size
+        settled = self.table.spreads_new
+        period_s = REMOTE_PERIOD_S if complete and settled else SEED_PERIOD_S
+        self.seed_due_at = now + period_s * self.random.uniform(0.8, 1.2)
+        addresses = strangers or ([] if complete else known)
         if not addresses:
             return []
         address = self.random.choice(addresses)
         return [self.outgoing(address, self.me, DatagramKind.PING, 0)]
 
+    def live_members(self) -> list[Member]:
+        """Return all members that are not dead, with this one."""
+        members = self.table.members.values()
+        return [one for one in members if one.state is not MemberState.DEAD]
+
     def ask_helpers(self, probe: Probe, now: float) -> list[Outgoing]:
         """Let others ping a member that has not answered in time."""
         if now - probe.sent_at < INDIRECT_AFTER_S:
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -33,6 +33,19 @@
             assert len(known) == 60
             assert {other.state for other in known} == {MemberState.ALIVE}
 
+    def test_two_that_met_first_still_find_the_others(self) -> None:
+        driver = MembershipDriver(6, 3)
+        addresses = set(driver.addresses)
+        for member in driver.members.values():
+            member.seeds = addresses - {member.me.link_address}
+        first = {"centre-1-entry-4", "centre-2-entry-5"}
+        driver.lost = lambda source, target: (source in first) != (target in first)
+        driver.run(4.0)
+        assert driver.members["centre-1-entry-4"].size == 2
+        driver.lost = lambda source, target: False
+        driver.run(10.0)
+        assert {member.size for member in driver.members.values()} == {6}
+
 
 class TestDeath:
     def test_dead_member_is_known_within_seconds(self) -> None:
