--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 import structlog
 from twisted.internet.defer import CancelledError, Deferred
@@ -20,6 +20,7 @@
 from sardinehook.fleet.datagram import fleet_number
 from sardinehook.fleet.gossip import Gossip
 from sardinehook.fleet.holding import Holding
+from sardinehook.fleet.identity import Demand, Identity
 from sardinehook.fleet.lease_desk import LeaseDesk
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.member import Member, MemberState
@@ -45,22 +46,6 @@
 ASK_RELEASE_PERIOD_S = 1.0
 
 
-class Identity(NamedTuple):
-    """Who a process is; ``boot`` is drawn anew at each start."""
-
-    environment: str
-    member: Member
-    boot: int
-    vm_incarnation: int
-
-
-class Demand(NamedTuple):
-    """What a replica bears in total, as the document says."""
-
-    slots: int
-    connections: int
-
-
 class Fleet:
     """Membership, ownership and leases of one process.
 
