Add experiments on overload, configuration, partitions, restarts and lost VMs

Cause: these rules had no run. Change: five experiments; an entry process with a network that can be cut and delayed.

--- a/bench/catalog.py
+++ b/bench/catalog.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 from bench.experiment import Experiment
+from bench.experiments.fleet import CONFIG, MEMBERSHIP, PARTITION, ROLLING
 from bench.experiments.orders import ORDERS
+from bench.experiments.overload import OVERLOAD
 from bench.experiments.path import PATH
 from bench.experiments.slow import SILENT, STRAGGLER
 from bench.experiments.targets import COLD_START, DATA_CENTRE_OUT, DRAIN, SNAPSHOT
@@ -21,5 +23,10 @@
         DATA_CENTRE_OUT,
         SNAPSHOT,
         ORDERS,
+        OVERLOAD,
+        CONFIG,
+        PARTITION,
+        ROLLING,
+        MEMBERSHIP,
     )
 }
--- /dev/null
+++ b/bench/experiments/fleet.py
@@ -0,0 +1,335 @@
+"""Restarts, changes of the document, partitions and lost entry VMs."""
+
+from __future__ import annotations
+
+import re
+import signal
+from collections.abc import Mapping, Sequence
+
+from bench.experiment import (
+    AT_LEAST,
+    AT_MOST,
+    Bound,
+    Experiment,
+    Options,
+    Step,
+    Trial,
+)
+from bench.experiments.common import (
+    change_workload,
+    lookup_stream,
+    storm_stream,
+    szovetseg,
+)
+from bench.judging import rule_bounds
+from bench.load import CallRecord
+from bench.results import RunResult, percentile
+from bench.rig import EntryPlace, Rig
+
+__all__ = ["CONFIG", "MEMBERSHIP", "PARTITION", "ROLLING"]
+
+GRACEFUL = "brief: every planned stop cuts off no request"
+IN_FORCE = "today's aim: in force within 2 s at p99"
+FORCED = re.compile(r" time=([0-9.]+) .*event=revision_in_force .*revision=(\d+)")
+DELAY_MS = 4.5
+LOST = "bekes-c"
+
+
+def restart_entry(rig: Rig, place: EntryPlace) -> None:
+    """Stop an entry process gracefully and start it again."""
+    rig.list_vm(place, "leaving")
+    child = rig.children[place.node]
+    child.terminate()
+    code = child.wait()
+    if code:
+        raise RuntimeError(f"{place.node} ended with {code}")
+    rig.start_entry(place)
+    rig.wait_ready(place)
+
+
+def rolling_trials(options: Options) -> Sequence[Trial]:
+    """Every entry process is stopped and started in turn under load."""
+
+    def step(number: int) -> Step:
+        def act(rig: Rig) -> None:
+            restart_entry(rig, rig.places[number])
+
+        return Step(2.0 + 4.0 * number, f"restart {number}", act)
+
+    streams = (storm_stream(options, 28.0), lookup_stream(options, 28.0))
+    steps = [step(number) for number in range(6)]
+    return [Trial("product", szovetseg(), streams, steps, duration_s=28.0)]
+
+
+def judge_rolling(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that no query failed."""
+    run = results["product"]
+    failed = sum(not call.ok for call in run.calls)
+    return [
+        *rule_bounds(results),
+        Bound("failed", failed, AT_MOST, 0, GRACEFUL),
+        Bound("restarts", len(run.steps), AT_LEAST, 6, "all were replaced"),
+    ]
+
+
+def rolling_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+    """Work out latency and coverage over the replacement."""
+    run = results["product"]
+    return {
+        "calls": len(run.calls),
+        "storm_p99_ms": run.latency_ms(0.99, "storm-night"),
+        "coverage": run.mean_coverage(),
+    }
+
+
+ROLLING = Experiment(
+    "rolling",
+    "Every entry process is replaced in turn under load",
+    rolling_trials,
+    judge_rolling,
+    rolling_figures,
+)
+
+
+def change_step(at_s: float, edited_from: int) -> Step:
+    """Return a step by which operators change the limit of a workload."""
+
+    def act(rig: Rig) -> None:
+        changed = change_workload(
+            rig.document,
+            "audit",
+            lambda one: one._replace(result_limit=1000 + edited_from),
+        )
+        rig.put_document(changed, edited_from)
+
+    return Step(at_s, f"change {edited_from + 1}", act)
+
+
+def platform_step(at_s: float, label: str, control: Mapping[str, object]) -> Step:
+    """Return a step that changes the stand-in platform."""
+
+    def act(rig: Rig) -> None:
+        rig.control_platform(control)
+
+    return Step(at_s, label, act)
+
+
+def config_trials(options: Options) -> Sequence[Trial]:
+    """Changes while the platform is well, slow, stale, and down right afterwards."""
+    steps = [
+        change_step(2.0, 1),
+        platform_step(5.0, "slow", {"delay_ms": 200.0, "jitter_ms": 200.0}),
+        change_step(5.5, 2),
+        platform_step(10.0, "well", {"delay_ms": 0.0, "jitter_ms": 0.0}),
+        change_step(10.5, 3),
+        platform_step(14.0, "down", {"outage": "refuse"}),
+        platform_step(17.0, "up", {"outage": "none"}),
+        change_step(18.0, 4),
+    ]
+    streams = (lookup_stream(options, 23.0),)
+    deployment = szovetseg(entries=3)
+    return [Trial("product", deployment, streams, steps, duration_s=23.0)]
+
+
+def times_to_force(run: RunResult) -> list[float]:
+    """Return for each node and change the seconds from the first node's to its own.
+
+    The first node that has a revision in force read it from the store.
+    """
+    times: dict[str, list[float]] = {}
+    for lines in run.log_lines.values():
+        for line in lines:
+            found = FORCED.search(line)
+            if found:
+                times.setdefault(found[2], []).append(float(found[1]))
+    return [
+        at - min(ats) for number, ats in times.items() if number != "1" for at in ats
+    ]
+
+
+def reverts(run: RunResult) -> int:
+    """Count steps back to an older revision on a node."""
+    count = 0
+    for lines in run.log_lines.values():
+        numbers = [int(found[2]) for line in lines if (found := FORCED.search(line))]
+        count += sum(b < a for a, b in zip(numbers, numbers[1:], strict=False))
+    return count
+
+
+def judge_config(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that every change is in force on every node in time and none reverts."""
+    run = results["product"]
+    spread_s = times_to_force(run)
+    nodes = len(run.log_lines)
+    return [
+        *rule_bounds(results),
+        Bound("in_force", len(spread_s), AT_LEAST, 4 * nodes, "everywhere"),
+        Bound("p99_s", percentile(spread_s, 0.99), AT_MOST, 2.0, IN_FORCE),
+        Bound("reverts", reverts(run), AT_MOST, 0, "brief: never reverts"),
+    ]
+
+
+CONFIG = Experiment(
+    "config",
+    "Changes while the platform is well, slow and after an outage",
+    config_trials,
+    judge_config,
+)
+
+
+def network_step(
+    at_s: float,
+    label: str,
+    inside: Mapping[str, object],
+    outside: Mapping[str, object],
+) -> Step:
+    """Return a step that changes the network in the lost data centre and elsewhere."""
+
+    def act(rig: Rig) -> None:
+        for place in rig.places:
+            faults = inside if place.data_centre == LOST else outside
+            rig.control_network(place, faults)
+
+    return Step(at_s, label, act)
+
+
+def partition_trials(options: Options) -> Sequence[Trial]:
+    """A data centre loses the others and the platform, then all heals."""
+    others = [name for name in szovetseg().document.data_centres if name != LOST]
+    delay = {"delay_ms": DELAY_MS}
+    steps = [
+        network_step(0.0, "4.5 ms apart", delay, delay),
+        network_step(
+            4.0,
+            "cut off",
+            {"lost_from": others, "store_cut": True},
+            {"lost_from": [LOST]},
+        ),
+        network_step(
+            12.0,
+            "healed",
+            {"lost_from": [], "store_cut": False},
+            {"lost_from": []},
+        ),
+    ]
+    streams = (storm_stream(options, 20.0), lookup_stream(options, 20.0))
+    deployment = szovetseg()._replace(faulty_network=True)
+    return [Trial("product", deployment, streams, steps, duration_s=20.0)]
+
+
+def judge_partition(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that each side serves what it can, and that all is well after healing."""
+    run = results["product"]
+    cut = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST not in c.entry]
+    inside = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST in c.entry]
+    after = run.measured("storm-night", 15.0)
+    source = "brief: each has to go on serving what it can"
+    return [
+        *rule_bounds(results),
+        Bound("majority_coverage", coverage_of(cut), AT_LEAST, 0.9, source),
+        Bound("cut_off_told", told_ratio(inside), AT_LEAST, 1.0, source),
+        Bound("healed_coverage", coverage_of(after), AT_LEAST, 0.95, "enough_coverage"),
+    ]
+
+
+def coverage_of(calls: Sequence[CallRecord]) -> float:
+    """Return the mean coverage of calls, zero for refusals."""
+    ratios = [call.answer.get("coverage", {}).get("ratio", 0.0) for call in calls]
+    return sum(ratios) / len(ratios) if ratios else 0.0
+
+
+def told_ratio(calls: Sequence[CallRecord]) -> float:
+    """Return the share of calls that got an answer or a refusal."""
+    told = sum(call.status != 0 for call in calls)
+    return told / len(calls) if calls else 0.0
+
+
+def partition_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+    """Work out what each side served."""
+    run = results["product"]
+    inside = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST in c.entry]
+    return {
+        "cut_off_calls": len(inside),
+        "cut_off_ok": sum(call.ok for call in inside),
+        "storm_p99_ms": run.latency_ms(0.99, "storm-night"),
+    }
+
+
+PARTITION = Experiment(
+    "partition",
+    "A data centre is cut off from the others and the platform for 8 s",
+    partition_trials,
+    judge_partition,
+    partition_figures,
+)
+
+
+def kill_step(at_s: float, number: int) -> Step:
+    """Return a step that loses an entry VM without warning."""
+
+    def act(rig: Rig) -> None:
+        rig.kill_vm(rig.places[number])
+
+    return Step(at_s, "VM lost", act)
+
+
+def pause_step(at_s: float, number: int, resume: bool) -> Step:
+    """Return a step that pauses an entry process or lets it run on."""
+    kind = signal.SIGCONT if resume else signal.SIGSTOP
+
+    def act(rig: Rig) -> None:
+        rig.children[rig.places[number].node].signal(kind)
+
+    return Step(at_s, "resumed" if resume else "paused", act)
+
+
+def membership_trials(options: Options) -> Sequence[Trial]:
+    """One entry VM is lost, another is paused for eight seconds."""
+    steps = [
+        kill_step(4.0, 0),
+        pause_step(6.0, 3, resume=False),
+        pause_step(14.0, 3, resume=True),
+    ]
+    streams = (storm_stream(options, 24.0), lookup_stream(options, 24.0))
+    deployment = szovetseg(entries=3)
+    return [Trial("product", deployment, streams, steps, duration_s=24.0)]
+
+
+def judge_membership(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+    """Judge that rules held and that service came back."""
+    run = results["product"]
+    after = run.measured("storm-night", 20.0)
+    overruns = sum(one["cold_overruns"] for one in run.counters.values())
+    peaks = max(one["peak_in_flight"] for one in run.counters.values())
+    return [
+        history_only(results),
+        Bound("cold_overruns", overruns, AT_MOST, 0, "cold targets over all VMs"),
+        Bound("peak_in_flight", peaks, AT_MOST, 3, "slots of a target over all VMs"),
+        Bound("coverage_after", coverage_of(after), AT_LEAST, 0.95, "enough_coverage"),
+    ]
+
+
+def history_only(results: Mapping[str, RunResult]) -> Bound:
+    """Return the bound on the history; calls to a killed process may be lost."""
+    return rule_bounds(results)[-1]
+
+
+def membership_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+    """Work out how long coverage was down."""
+    run = results["product"]
+    points = run.series(coverage_of, 0.5)
+    low = [at for at, value in points if at > 4.0 and value < 0.9]
+    return {
+        "half_seconds_below_90_percent": len(low),
+        "last_below_s": max(low, default=0.0),
+        "lost_calls": sum(call.status == 0 for call in run.calls),
+    }
+
+
+MEMBERSHIP = Experiment(
+    "membership",
+    "An entry VM is lost and another pauses for 8 s",
+    membership_trials,
+    judge_membership,
+    membership_figures,
+)
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -44,8 +44,10 @@
 
 
 class Deployment(NamedTuple):
-    """What to start. ``behaviour`` holds settings of the target stand-in for all
-    replicas; ``extra_latency_ms`` is the one-way delay between data centres.
+    """What to start.
+
+    ``behaviour`` holds settings of the target stand-in for all replicas. With
+    ``faulty_network`` the entry processes can be cut off and delayed.
     """
 
     document: EnvironmentDocument
@@ -53,6 +55,7 @@
     seed: int = 1
     behaviour: Mapping[str, float | int | str | bool | list[int]] = {}
     target_processes: int = 3
+    faulty_network: bool = False
 
 
 class EntryPlace(NamedTuple):
@@ -112,11 +115,12 @@
             count_replicas(deployment.document)
             + 1
             + deployment.target_processes
-            + 2 * self.entry_count()
+            + 3 * self.entry_count()
         )
         self.platform_port = ports.pop()
         self.control_ports = [ports.pop() for _ in range(deployment.target_processes)]
         self.places = self.place_entries(ports)
+        self.network_ports = {place.node: ports.pop() for place in self.places}
         self.document = with_addresses(deployment.document, ports)
         self.children: dict[str, Child] = {}
         self.vm_incarnations: dict[str, int] = {}
@@ -252,8 +256,20 @@
         self.list_vm(place, "live")
         path = self.directory / f"{place.node}.yaml"
         path.write_text(yaml.safe_dump(self.entry_settings(place)))
-        arguments = ["-m", "sardinehook", "entry", "--settings", str(path)]
-        self.add_child(place.node, arguments).start()
+        self.add_child(place.node, self.entry_arguments(place, path)).start()
+
+    def entry_arguments(self, place: EntryPlace, path: Path) -> list[str]:
+        """Return how to run an entry process, with a faulty network if wanted."""
+        if not self.deployment.faulty_network:
+            return ["-m", "sardinehook", "entry", "--settings", str(path)]
+        control = str(self.network_ports[place.node])
+        module = "bench.faulty_entry"
+        return ["-m", module, "--settings", str(path), "--control", control]
+
+    def control_network(self, place: EntryPlace, faults: Mapping[str, object]) -> None:
+        """Change the network of one entry process."""
+        port = self.network_ports[place.node]
+        self.post(f"{LOOPBACK}:{port}", "/network", faults)
 
     def list_vm(self, place: EntryPlace, state: str) -> None:
         """Put an entry VM on the platform's list."""
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -323,6 +323,14 @@
             return f"joining the fleet, not heard of {', '.join(sorted(unheard))}"
         return ""
 
+    def run(self) -> None:
+        """Start with the reactor, run it, and stop gracefully when it is told to."""
+        self.reactor.callWhenRunning(self.start)
+        self.reactor.addSystemEventTrigger(
+            "before", "shutdown", lambda: Deferred.fromCoroutine(self.stop())
+        )
+        self.reactor.run()
+
     def data_centres(self) -> list[str]:
         """List the data centres of the document in force."""
         revision = self.holder.in_force
@@ -398,8 +406,4 @@
     running.seconds = time.monotonic
     process = EntryProcess(running, settings)
     configure_logging(sys.stdout, settings.node, settings.data_centre, process.clock)
-    running.callWhenRunning(process.start)
-    running.addSystemEventTrigger(
-        "before", "shutdown", lambda: Deferred.fromCoroutine(process.stop())
-    )
-    running.run()
+    process.run()
