Set gauges, choose watchers by membership, show stolen processor time

Cause: 60 processes made 57 store calls a second, of them 423 VM list fetches in 20 s, as each took itself for one of the first two by its open links; gauges stayed zero; revisions were logged twice; runs on this machine vary with what its host takes away. Change: watchers by live membership; gauges, loop lag and unhandled errors wired; one log line for a revision; each run prints the share of stolen processor time. Conclusion: store calls and path are to be measured again.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -84,6 +84,7 @@
             "figures": figures,
         }
         json_path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
+    figures["stolen_ratio"] = max(run.stolen_ratio for run in results.values())
     shown = {**{bound.name: bound.value for bound in bounds}, **figures}
     pairs = " ".join(f"{key}={value:.4g}" for key, value in shown.items())
     took_s = time.monotonic() - began_at
--- a/bench/results.py
+++ b/bench/results.py
@@ -43,7 +43,11 @@
 
 
 class RunResult(NamedTuple):
-    """The records of one trial; times are ``time.monotonic()`` in seconds."""
+    """The records of one trial; times are ``time.monotonic()`` in seconds.
+
+    ``stolen_ratio`` is the share of the machine's processor time that its host gave to
+    others meanwhile; latencies of a run with much of it say little.
+    """
 
     name: str
     started_at: float
@@ -59,6 +63,7 @@
     log_lines: dict[str, list[str]]
     exit_codes: dict[str, int]
     document: EnvironmentDocument | None = None
+    stolen_ratio: float = 0.0
 
     def measured(
         self, workload: str = "", from_s: float = 0.0, to_s: float = 1e9
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -233,6 +233,7 @@
             str(path),
             "--from",
             str(edited_from),
+            "--untested",
             "--platform",
             self.platform_address,
         )
--- a/bench/run_trial.py
+++ b/bench/run_trial.py
@@ -6,7 +6,7 @@
 import urllib.request
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgspec
 import psutil
@@ -35,10 +35,12 @@
         loads = start_load(rig, trial, options, directory)
         started_at = wait_for_start(loads)
         before = processor_seconds(rig)
+        machine_before = machine_time()
         steps = do_steps(rig, trial, started_at, say)
         for load in loads:
             load.wait(trial.duration_s + LOAD_END_MARGIN_S)
         after = processor_seconds(rig)
+        stolen = stolen_ratio(machine_before, machine_time())
         memory = memory_use(rig)
         records = [fetch_records(port) for port in rig.control_ports]
         counts = fetch(rig.platform_address, "/counts")
@@ -66,6 +68,7 @@
         exit_codes={
             place.node: rig.children[place.node].exit_code for place in rig.places
         },
+        stolen_ratio=stolen,
         document=trial.deployment.document,
     )
 
@@ -120,6 +123,24 @@
     return done
 
 
+class MachineTime(NamedTuple):
+    """Processor seconds of the whole machine: all, and those its host took away."""
+
+    total: float
+    stolen: float
+
+
+def machine_time() -> MachineTime:
+    """Read the machine's processor time so far."""
+    times = psutil.cpu_times()
+    return MachineTime(float(sum(times)), float(getattr(times, "steal", 0.0)))
+
+
+def stolen_ratio(before: MachineTime, after: MachineTime) -> float:
+    """Return the share of time between two readings that the host gave to others."""
+    return (after.stolen - before.stolen) / max(after.total - before.total, 1e-9)
+
+
 def processor_seconds(rig: Rig) -> dict[str, float]:
     """Return the processor time that each entry process has used so far."""
     used = {}
--- a/sardinehook/cli/app.py
+++ b/sardinehook/cli/app.py
@@ -23,7 +23,6 @@
 app.command()(search)
 app.command()(timeline)
 app.add_typer(document, name="document")
-app.add_typer(document, name="document")
 
 
 @app.command()
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -36,7 +36,7 @@
 from sardinehook.environment.watcher import DocumentControl
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.fleet.link import Links, split_address
-from sardinehook.fleet.member import Member
+from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.service import Fleet, Identity
 from sardinehook.messages import (
     CancelSubQuery,
@@ -47,7 +47,9 @@
 )
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, configure_logging, log_event
+from sardinehook.observe.loop_lag import LoopLagProbe
 from sardinehook.observe.metrics import Metrics
+from sardinehook.observe.twisted_errors import log_unhandled_errors
 from sardinehook.order.claim import Claimant
 from sardinehook.platform.http_store import HttpStore
 from sardinehook.platform.vm_list import HttpVmList
@@ -136,6 +138,7 @@
             self.list_connected,
             random.Random(settings.node),
         )
+        self.lag_probe = LoopLagProbe(reactor, self.metrics)
         self.housekeeping = LoopingCall(self.keep_house)
         self.housekeeping.clock = reactor
         self.started_at = 0.0
@@ -166,14 +169,25 @@
 
     def keep_house(self) -> None:
         """Do what is due from time to time: choose watchers, set gauges."""
-        reachable = sorted(
+        alive = sorted(
             member.name
             for member in self.fleet.members(self.settings.data_centre)
-            if member.name == self.settings.node or self.links.connected(member.name)
+            if member.state is MemberState.ALIVE or member.name == self.settings.node
         )
-        watches = self.settings.node in reachable[:STORE_WATCHERS]
+        watches = self.settings.node in alive[:STORE_WATCHERS]
         self.control.should_watch(watches)
         self.vm_watch.should_fetch(watches)
+        self.set_gauges()
+
+    def set_gauges(self) -> None:
+        """Set the metrics of what this process holds and knows."""
+        held = self.owner.counts()
+        self.metrics.connections.set(held.connections)
+        self.metrics.connections_allowed.set(held.connections_allowed)
+        self.metrics.slots.set(held.slots)
+        self.metrics.slots_allowed.set(held.slots_allowed)
+        self.metrics.queued.set(held.queued)
+        self.metrics.set_replicas(held.replicas)
 
     def take_view(self, view: ReplicaView) -> None:
         """Use what the owner of a replica tells, here or at a peer."""
@@ -222,6 +236,7 @@
         self.views.start()
         self.control.start([peer.node for peer in self.settings.peers])
         self.housekeeping.start(HOUSEKEEPING_INTERVAL_S)
+        self.lag_probe.start()
         log_event(
             logger,
             EventName.PROCESS_STARTED,
@@ -248,7 +263,6 @@
         me = self.fleet.membership.me._replace(revision=revision.number)
         self.fleet.membership.set_me(me)
         self.metrics.revision.set(revision.number)
-        log_event(logger, EventName.REVISION_IN_FORCE, revision=revision.number)
 
     @property
     def in_flight(self) -> int:
@@ -384,6 +398,7 @@
         self.vm_watch.stop()
         await self.fleet.stop()
         self.housekeeping.stop()
+        self.lag_probe.stop()
         self.control.stop()
         self.views.stop()
         await self.links.close()
@@ -406,4 +421,5 @@
     running.seconds = time.monotonic
     process = EntryProcess(running, settings)
     configure_logging(sys.stdout, settings.node, settings.data_centre, process.clock)
+    log_unhandled_errors()
     process.run()
