--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -5,13 +5,15 @@
 import sys
 import tempfile
 import time
+from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NamedTuple, TypedDict
 
 import msgspec
 import typer
 
 from bench.catalog import EXPERIMENTS
+from bench.computation import Computation
 from bench.experiment import Bound, Experiment, Options
 from bench.run_trial import run_trial
 
@@ -51,14 +53,66 @@
     raise typer.Exit(0 if passed else 1)
 
 
+class Outcome(NamedTuple):
+    """What a run found."""
+
+    figures: Mapping[str, float]
+    bounds: Sequence[Bound]
+
+
 def perform(
-    experiment: Experiment,
+    experiment: Experiment | Computation,
     options: Options,
     json_path: Path | None,
     report: Path | None,
 ) -> bool:
-    """Run all trials, judge them and print the verdict."""
+    """Run an experiment, judge it and print the verdict."""
     began_at = time.monotonic()
+    match experiment:
+        case Experiment():
+            outcome = run_trials(experiment, options, report)
+        case Computation():
+            outcome = Outcome(*experiment.compute(options))
+    for bound in outcome.bounds:
+        say_bound(bound)
+    verdict = "pass" if all(bound.passed for bound in outcome.bounds) else "fail"
+    values = {bound.name: bound.value for bound in outcome.bounds}
+    if json_path is not None:
+        document = Document(
+            experiment=experiment.name,
+            seed=options.seed,
+            scale=options.scale,
+            verdict=verdict,
+            bounds=values,
+            figures=dict(outcome.figures),
+        )
+        json_path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
+    shown = {**values, **outcome.figures}
+    pairs = " ".join(f"{key}={value:.4g}" for key, value in shown.items())
+    took_s = time.monotonic() - began_at
+    print(
+        f"experiment={experiment.name} verdict={verdict} seed={options.seed}"
+        f" took_s={took_s:.1f} {pairs}",
+        flush=True,
+    )
+    return verdict == "pass"
+
+
+class Document(TypedDict):
+    """The figures of a run as JSON."""
+
+    experiment: str
+    seed: int
+    scale: float
+    verdict: str
+    bounds: dict[str, float]
+    figures: dict[str, float]
+
+
+def run_trials(
+    experiment: Experiment, options: Options, report: Path | None
+) -> Outcome:
+    """Run all trials of an experiment."""
     results = {}
     with tempfile.TemporaryDirectory(prefix="sardinehook-bench-") as directory:
         for trial in experiment.trials(options):
@@ -67,34 +121,12 @@
             results[trial.name] = run_trial(trial, options, folder, say)
     bounds = list(experiment.judge(results))
     figures = dict(experiment.figures(results))
-    passed = all(bound.passed for bound in bounds)
-    for bound in bounds:
-        say_bound(bound)
+    figures["stolen_ratio"] = max(run.stolen_ratio for run in results.values())
     if report is not None:
         from bench.report import write_report
 
         say(f"report: {write_report(experiment, results, bounds, report)}")
-    if json_path is not None:
-        document = {
-            "experiment": experiment.name,
-            "seed": options.seed,
-            "scale": options.scale,
-            "verdict": "pass" if passed else "fail",
-            "bounds": {bound.name: bound.value for bound in bounds},
-            "figures": figures,
-        }
-        json_path.write_bytes(msgspec.json.format(msgspec.json.encode(document)))
-    figures["stolen_ratio"] = max(run.stolen_ratio for run in results.values())
-    shown = {**{bound.name: bound.value for bound in bounds}, **figures}
-    pairs = " ".join(f"{key}={value:.4g}" for key, value in shown.items())
-    took_s = time.monotonic() - began_at
-    verdict = "pass" if passed else "fail"
-    print(
-        f"experiment={experiment.name} verdict={verdict} seed={options.seed}"
-        f" took_s={took_s:.1f} {pairs}",
-        flush=True,
-    )
-    return passed
+    return Outcome(figures, bounds)
 
 
 def say(line: str) -> None:
--- a/bench/catalog.py
+++ b/bench/catalog.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from bench.computation import Computation
 from bench.experiment import Experiment
+from bench.experiments.costs import CONTROL, FANOUT_GROWTH, SUBQUERY_COST
 from bench.experiments.fleet import CONFIG, MEMBERSHIP, PARTITION, ROLLING
 from bench.experiments.orders import ORDERS
 from bench.experiments.overload import OVERLOAD
@@ -12,7 +14,7 @@
 
 __all__ = ["EXPERIMENTS"]
 
-EXPERIMENTS: dict[str, Experiment] = {
+EXPERIMENTS: dict[str, Experiment | Computation] = {
     one.name: one
     for one in (
         PATH,
@@ -28,5 +30,8 @@
         PARTITION,
         ROLLING,
         MEMBERSHIP,
+        CONTROL,
+        SUBQUERY_COST,
+        FANOUT_GROWTH,
     )
 }
--- /dev/null
+++ b/bench/experiments/costs.py
@@ -0,0 +1,116 @@
+"""Slopes of control and of the data path: processor time, memory, messages."""
+
+from __future__ import annotations
+
+import re
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+
+from bench.computation import Computation, Findings
+from bench.experiment import AT_MOST, Bound, Options
+from bench.measure_force import Head, usage
+from bench.membership_cost import measure as measure_membership
+from bench.policy_cost import cost_us
+from bench.rig import Deployment, Rig, load_example
+from bench.state_cost import SIZES, measure_state
+
+__all__ = ["CONTROL", "FANOUT_GROWTH", "SUBQUERY_COST"]
+
+ENTRIES_A_DATA_CENTRE = (1, 2, 5)
+SETTLE_S = 3.0
+REST_S = 4.0
+MEMBERSHIP_SIZES = ((9, 3), (60, 3))
+FAN_OUTS = (1, 10, 50, 200, 740)
+SAMPLES = 5
+TIMEOUT_S = 120.0
+FIGURE = re.compile(r"(\w+)=([0-9.]+)")
+LETTER = "letter: 2.4 % of a core, 64 MB and 3 KB/s for control"
+COST_AIM = "aim: 100 us or less for the whole path of a sub-query on an entry"
+
+
+def at_rest(entries: int) -> Mapping[str, float]:
+    """Measure entry processes without load."""
+    document = load_example("szovetseg-trial")
+    deployment = Deployment(document, entries, target_processes=1)
+    with Rig(deployment) as rig:
+        time.sleep(SETTLE_S)
+        head = Head(rig)
+        calls, used = head.counts(), usage(rig)
+        time.sleep(REST_S)
+        later_calls, later = head.counts(), usage(rig)
+        nodes = len(rig.places)
+    made = sum(later_calls.values()) - sum(calls.values())
+    spent_s = later.cpu_s - used.cpu_s
+    return {
+        f"nodes_{nodes}_store_calls_per_s": made / REST_S,
+        f"nodes_{nodes}_processor_percent": 100.0 * spent_s / REST_S / nodes,
+        f"nodes_{nodes}_memory_mb": later.resident_mb / nodes,
+    }
+
+
+def compute_control(options: Options) -> Findings:
+    """Measure state, memory, processor time and messages of control."""
+    figures: dict[str, float] = {}
+    for entries in ENTRIES_A_DATA_CENTRE:
+        figures.update(at_rest(entries))
+    for nodes, data_centres in MEMBERSHIP_SIZES:
+        cost = measure_membership(nodes, data_centres)
+        figures[f"membership_{nodes}_bytes_per_s"] = cost.bytes_per_s
+        figures[f"membership_{nodes}_restarts_bytes_per_s"] = (
+            cost.bytes_per_s_in_restarts
+        )
+    for size in SIZES:
+        state = measure_state(size)
+        figures[f"replicas_{size}_memory_mb"] = state.memory_mb
+        figures[f"replicas_{size}_apply_ms"] = state.apply_ms
+    memory = max(v for k, v in figures.items() if re.match(r"nodes_\d+_memory", k))
+    percents = [v for k, v in figures.items() if k.endswith("processor_percent")]
+    rates = [v for k, v in figures.items() if k.endswith("bytes_per_s")]
+    bounds = [
+        Bound("processor_percent", max(percents), AT_MOST, 2.4, LETTER),
+        Bound("memory_mb", memory, AT_MOST, 64.0, LETTER),
+        Bound("bytes_per_s", max(rates), AT_MOST, 3000.0, LETTER),
+    ]
+    return Findings(figures, bounds)
+
+
+def run_module(module: str, *arguments: str) -> str:
+    """Run a measuring program of the bench and return what it printed."""
+    command = [sys.executable, "-m", module, *arguments]
+    ended = subprocess.run(
+        command, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
+    )
+    return ended.stdout
+
+
+def compute_sub_query(options: Options) -> Findings:
+    """Measure the parts of a sub-query's path on an entry."""
+    output = run_module("bench.subquery_cost")
+    figures = {f"transport_{k}": float(v) for k, v in FIGURE.findall(output)}
+    figures["policy_us"] = cost_us(50, SAMPLES)
+    whole = figures["transport_owner_us"] + figures["policy_us"]
+    figures["agent_to_owner"] = figures.pop("transport_agent_to_owner")
+    return Findings(figures, [Bound("whole_us", whole, AT_MOST, 100.0, COST_AIM)])
+
+
+def compute_fan_out(options: Options) -> Findings:
+    """Measure how the policy's cost of a sub-query grows with the services asked."""
+    figures = {f"fan_out_{one}_us": cost_us(one, SAMPLES) for one in FAN_OUTS}
+    growth = figures["fan_out_740_us"] / figures["fan_out_50_us"]
+    source = "cost of a sub-query does not grow with the fan-out"
+    return Findings(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
+
+
+CONTROL = Computation(
+    "control", "State and cost of control at several sizes", compute_control
+)
+SUBQUERY_COST = Computation(
+    "subquery-cost", "Processor time of a sub-query's path", compute_sub_query
+)
+FANOUT_GROWTH = Computation(
+    "fanout-growth",
+    "Policy cost of a sub-query from 1 to 740 services",
+    compute_fan_out,
+)
