--- a/bench/catalog.py
+++ b/bench/catalog.py
@@ -4,7 +4,12 @@
 
 from bench.computation import Computation
 from bench.experiment import Experiment
-from bench.experiments.costs import CONTROL, FANOUT_GROWTH, SUBQUERY_COST
+from bench.experiments.costs import (
+    CONTROL,
+    FANOUT_GROWTH,
+    MEMBERSHIP_COST,
+    SUBQUERY_COST,
+)
 from bench.experiments.fleet import CONFIG, MEMBERSHIP, PARTITION, ROLLING
 from bench.experiments.orders import ORDERS
 from bench.experiments.overload import OVERLOAD
@@ -33,5 +38,6 @@
         CONTROL,
         SUBQUERY_COST,
         FANOUT_GROWTH,
+        MEMBERSHIP_COST,
     )
 }
--- a/bench/experiments/costs.py
+++ b/bench/experiments/costs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import re
 import subprocess
 import sys
@@ -16,13 +17,15 @@
 from bench.rig import Deployment, Rig, load_example
 from bench.state_cost import SIZES, measure_state
 
-__all__ = ["CONTROL", "FANOUT_GROWTH", "SUBQUERY_COST"]
+__all__ = ["CONTROL", "FANOUT_GROWTH", "MEMBERSHIP_COST", "SUBQUERY_COST"]
 
 ENTRIES_A_DATA_CENTRE = (1, 2, 5)
 SETTLE_S = 3.0
 REST_S = 4.0
+FULL_SIZE = (550, 7)
 MEMBERSHIP_SIZES = ((9, 3), (60, 3))
 FAN_OUTS = (1, 10, 50, 200, 740)
+LINK_BATCHES = (1, 10, 100)
 SAMPLES = 5
 TIMEOUT_S = 120.0
 FIGURE = re.compile(r"(\w+)=([0-9.]+)")
@@ -90,6 +93,12 @@
     output = run_module("bench.subquery_cost")
     figures = {f"transport_{k}": float(v) for k, v in FIGURE.findall(output)}
     figures["policy_us"] = cost_us(50, SAMPLES)
+    for batch in LINK_BATCHES:
+        output = run_module(
+            "bench.link_cost", "--transport", "link", "--batch", str(batch)
+        )
+        cost = json.loads(output)["processor_us_per_message"]
+        figures[f"link_batch_{batch}_us"] = float(cost)
     whole = figures["transport_owner_us"] + figures["policy_us"]
     figures["agent_to_owner"] = figures.pop("transport_agent_to_owner")
     return Findings(figures, [Bound("whole_us", whole, AT_MOST, 100.0, COST_AIM)])
@@ -103,6 +112,18 @@
     return Findings(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
 
 
+def compute_membership(options: Options) -> Findings:
+    """Measure membership at the full size, on a fake clock."""
+    cost = measure_membership(*FULL_SIZE)
+    figures = {name: float(value) for name, value in cost._asdict().items()}
+    in_restarts = cost.bytes_per_s_in_restarts
+    bounds = [Bound("bytes_per_s_in_restarts", in_restarts, AT_MOST, 3000.0, LETTER)]
+    return Findings(figures, bounds)
+
+
+MEMBERSHIP_COST = Computation(
+    "membership-cost", "Membership of 550 nodes on a fake clock", compute_membership
+)
 CONTROL = Computation(
     "control", "State and cost of control at several sizes", compute_control
 )
