Count links at the fill that frames have at full size

Change: the sum uses 1 a frame; relays in a data centre are named as the mechanism and worked out from the slopes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import TypedDict
 
@@ -52,19 +53,28 @@
     cost = read_slopes("subquery-cost")
     policy_us = read_slopes("fanout-growth")["fan_out_740_us"]
     per_node = QUERIES_PER_S * FAN_OUT / NODES
-    link_us = 2 * cost["link_batch_100_us"]
+    owners = NODES * (1.0 - math.exp(-FAN_OUT / NODES))
+    link_us = 2 * cost["link_batch_1_us"]
+    relayed_us = 2 * (cost["link_batch_100_us"] + cost["link_batch_10_us"])
     transport_us = cost["transport_owner_us"]
     total_us = policy_us + link_us + transport_us
     per_replica = QUERIES_PER_S * FAN_OUT / REPLICAS
     target_batch = max(1.0, per_replica * TARGET_BATCH_WINDOW_S)
-    batched_us = policy_us + link_us + transport_us / target_batch
+    batched_us = policy_us + relayed_us + transport_us / target_batch
     return {
         "sub_queries_million": QUERIES_PER_S * FAN_OUT / 1e6,
         "per_node": per_node,
         "policy_us": policy_us,
         "link_1_us": 2 * cost["link_batch_1_us"],
         "link_10_us": 2 * cost["link_batch_10_us"],
-        "link_100_us": link_us,
+        "link_100_us": 2 * cost["link_batch_100_us"],
+        "relayed_us": relayed_us,
+        "relayed_total_us": policy_us + relayed_us + transport_us,
+        "relayed_cores": per_node * (policy_us + relayed_us + transport_us) / 1e6,
+        "owners": owners,
+        "per_frame": FAN_OUT / owners,
+        "per_centre_frame": FAN_OUT / DATA_CENTRES,
+        "link_cores": per_node * link_us / 1e6,
         "transport_us": transport_us,
         "total_us": total_us,
         "cores": per_node * total_us / 1e6,
