Let look-ups in beside searches after a slow one

Cause: without faults and without stolen time 1.5 % of look-ups were refused as overloaded. A congested look-up shrank its class's bound to 0.85 times what was in flight, often one sub-query, and that bound is held against the searches in flight as well, so one search refused every look-up until the bound had crept back past 50. Change: up to 4 sub-queries are held against their own class only; bounds stay at 16 or more. New test fails before.

--- a/sardinehook/query/admission.py
+++ b/sardinehook/query/admission.py
@@ -14,7 +14,8 @@
 __all__ = ["Admission", "Ticket"]
 
 FIRST_LIMIT = 256.0
-LEAST_LIMIT = 1.0
+LEAST_LIMIT = 16.0
+SMALL_COST = 4
 MOST_LIMIT = 1_000_000.0
 INCREASE_PER_WINDOW = 8.0
 DECREASE_RATIO = 0.85
@@ -56,7 +57,9 @@
     of better ones. Targets' queues are served by priority, so the last classes feel
     congestion first and are refused first, and theirs doesn't shrink the bound of a
     better class. A request is always begun if none is in flight, so that the
-    estimates can't lock it out.
+    estimates can't lock it out. One of at most ``SMALL_COST`` sub-queries competes
+    with its own class only: beside a fan-out it adds next to nothing, and a bound that
+    one slow look-up has shrunk would refuse it whenever a single search is in flight.
     """
 
     def __init__(self, limits: Limits, memory: MemoryMeter | None = None) -> None:
@@ -102,8 +105,10 @@
         if usual_ms > time_left_ms and self.requests.get(name, 0):
             detail = f"{time_left_ms:.1f} ms left, at least {usual_ms:.1f} ms needed"
             return Problem(ErrorKind.DEADLINE_TOO_SHORT, detail)
-        in_flight = self.in_flight(workload.priority)
-        if in_flight and in_flight + cost > self.class_of(workload.priority).limit:
+        held = self.class_of(workload.priority)
+        small = cost <= SMALL_COST
+        in_flight = held.in_flight if small else self.in_flight(workload.priority)
+        if in_flight and in_flight + cost > held.limit:
             return Problem(ErrorKind.OVERLOADED, "too many sub-queries in flight")
         return None
 
--- a/tests/query/test_admission.py
+++ b/tests/query/test_admission.py
@@ -22,6 +22,7 @@
 )
 
 STORM = Workload(["logs"], Scope.ALL, 150.0, 0.5, priority=0)
+LOOK_UP = Workload(["logs"], Scope.ONE, 300.0, 1.0, priority=2)
 AUDIT = Workload(["logs"], Scope.ALL, 1000.0, 0.95, priority=9)
 
 
@@ -49,6 +50,14 @@
         admit(admission, STORM, int(FIRST_LIMIT), 0.0)
         assert admission.admit("audit", AUDIT, 1, 900.0, 0.0).failure()
 
+    def test_a_slow_look_up_does_not_shut_out_the_next_beside_a_search(self) -> None:
+        admission = Admission(Limits())
+        slow = admit(admission, LOOK_UP, 1, 0.0)
+        admission.finish(slow, True, True, 0.0)
+        admit(admission, STORM, 50, 1.0)
+        admit(admission, LOOK_UP, 1, 1.0)
+        admit(admission, LOOK_UP, 1, 1.0)
+
     def test_bound_shrinks_under_congestion_and_grows_back(self) -> None:
         admission = Admission(Limits())
         for number in range(40):
