--- a/bench/demo.py
+++ b/bench/demo.py
@@ -63,8 +63,12 @@
     parser = argparse.ArgumentParser(prog="./demo", description=__doc__)
     parser.add_argument("--keep", action="store_true", help="leave it running")
     parser.add_argument("--directory", type=Path, help="where logs are kept")
+    parser.add_argument("--binary", type=Path, help="run entries from this one file")
     options = parser.parse_args()
-    with Rig(Deployment(load_example(EXAMPLE)), options.directory) as rig:
+    deployment = Deployment(load_example(EXAMPLE))
+    if options.binary is not None:
+        deployment = deployment._replace(program=(str(options.binary.resolve()),))
+    with Rig(deployment, options.directory) as rig:
         good = search_each_workload(rig)
         if options.keep:
             print()
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -47,7 +47,8 @@
     """What to start.
 
     ``behaviour`` holds settings of the target stand-in for all replicas. With
-    ``faulty_network`` the entry processes can be cut off and delayed.
+    ``faulty_network`` the entry processes can be cut off and delayed. ``program`` is
+    what the interpreter is given to run the product, for instance its one file.
     """
 
     document: EnvironmentDocument
@@ -56,6 +57,7 @@
     behaviour: Mapping[str, float | int | str | bool | list[int]] = {}
     target_processes: int = 3
     faulty_network: bool = False
+    program: tuple[str, ...] = ("-m", "sardinehook")
 
 
 class EntryPlace(NamedTuple):
@@ -262,7 +264,7 @@
     def entry_arguments(self, place: EntryPlace, path: Path) -> list[str]:
         """Return how to run an entry process, with a faulty network if wanted."""
         if not self.deployment.faulty_network:
-            return ["-m", "sardinehook", "entry", "--settings", str(path)]
+            return [*self.deployment.program, "entry", "--settings", str(path)]
         control = str(self.network_ports[place.node])
         module = "bench.faulty_entry"
         return ["-m", module, "--settings", str(path), "--control", control]
