--- a/bench/faulty_entry.py
+++ b/bench/faulty_entry.py
@@ -25,8 +25,8 @@
 from sardinehook.errors import ErrorKind
 from sardinehook.fleet.connection import Link
 from sardinehook.observe.events import configure_logging
-from sardinehook.platform.http_call import HttpCaller
-from sardinehook.platform.store import StoreUnavailable
+from sardinehook.store.http_call import HttpCaller
+from sardinehook.store.port import StoreUnavailable
 
 __all__ = ["Network", "NetworkFaults"]
 
--- a/bench/fleet_nodes.py
+++ b/bench/fleet_nodes.py
@@ -11,8 +11,8 @@
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.member import Member
 from sardinehook.fleet.service import Fleet, Identity
-from sardinehook.platform.http_store import HttpStore
-from sardinehook.platform.vm_list import HttpVmList
+from sardinehook.store.http_store import HttpStore
+from sardinehook.store.vm_list import HttpVmList
 
 __all__ = ["INDEX", "PLACE", "REPLICAS", "SLOTS", "FleetNode"]
 
--- a/bench/order_cost.py
+++ b/bench/order_cost.py
@@ -26,7 +26,7 @@
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant, OrderRequest
 from sardinehook.order.desk import OrderDesk
-from sardinehook.platform.http_store import HttpStore
+from sardinehook.store.http_store import HttpStore
 
 RETENTION_MS = 86_400_000.0
 STORE_TIMEOUT_MS = 1000.0
--- a/sardinehook/cli/document_session.py
+++ b/sardinehook/cli/document_session.py
@@ -16,9 +16,9 @@
 from sardinehook.environment.registry import Registry, unavailable
 from sardinehook.environment.revision import Revision
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.platform.http_store import HttpStore
-from sardinehook.platform.timers import Timers
-from sardinehook.platform.vm_list import HttpVmList, VmState
+from sardinehook.store.http_store import HttpStore
+from sardinehook.store.timers import Timers
+from sardinehook.store.vm_list import HttpVmList, VmState
 
 __all__ = ["Session", "StatusReport", "good_or_exit", "with_session"]
 
--- a/sardinehook/cli/reactor_run.py
+++ b/sardinehook/cli/reactor_run.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from sardinehook.platform.timers import Timers
+from sardinehook.store.timers import Timers
 
 __all__ = ["run_until_done"]
 
--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -8,7 +8,7 @@
 from sardinehook.entry.dispatcher import OwnerPort, ReplicaHome, ReplyHandler
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import SubQuery
-from sardinehook.platform.timers import Timer, Timers
+from sardinehook.store.timers import Timer, Timers
 from sardinehook.target.allowance import Allowance
 
 __all__ = ["AllowanceApplier", "AllowancePort", "AllowanceTaker", "LeaseGuard"]
--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -19,8 +19,8 @@
 from sardinehook.order.claim import Claimant
 from sardinehook.order.desk import OrderDesk
 from sardinehook.order.front import OrderFront
-from sardinehook.platform.store import Store
-from sardinehook.platform.timers import Timers
+from sardinehook.store.port import Store
+from sardinehook.store.timers import Timers
 from sardinehook.query.planner import Planner
 
 __all__ = ["EntryOrders"]
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -12,7 +12,7 @@
 from sardinehook.observe.events import EventName
 from sardinehook.observe.metrics import Attempt
 from sardinehook.observe.sampling import QueryLog
-from sardinehook.platform.timers import Timer, Timers
+from sardinehook.store.timers import Timer, Timers
 from sardinehook.query.actions import Action, Cancel, Send, Settle
 from sardinehook.query.search import Search
 
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -23,7 +23,7 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.metrics import Metrics
 from sardinehook.observe.sampling import QueryLog, QuerySampler
-from sardinehook.platform.timers import Timers
+from sardinehook.store.timers import Timers
 from sardinehook.query.actions import Settle
 from sardinehook.query.admission import Admission, Ticket
 from sardinehook.query.answer import SearchAnswer, encode_answer
--- a/sardinehook/entry/vm_watch.py
+++ b/sardinehook/entry/vm_watch.py
@@ -13,7 +13,7 @@
 from sardinehook.entry.dispatcher import ReplicaHome
 from sardinehook.fleet.wire import register_message
 from sardinehook.messages import TargetState
-from sardinehook.platform.vm_list import Vm, VmLister, VmState
+from sardinehook.store.vm_list import Vm, VmLister, VmState
 
 __all__ = ["VmNotice", "VmWatch"]
 
--- a/sardinehook/environment/node_status.py
+++ b/sardinehook/environment/node_status.py
@@ -10,10 +10,10 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from sardinehook.environment.revision import Revision
-from sardinehook.platform.http_call import HttpCaller, HttpReply
-from sardinehook.platform.store import StoreUnavailable
-from sardinehook.platform.timers import Timers
-from sardinehook.platform.vm_list import Vm
+from sardinehook.store.http_call import HttpCaller, HttpReply
+from sardinehook.store.port import StoreUnavailable
+from sardinehook.store.timers import Timers
+from sardinehook.store.vm_list import Vm
 
 __all__ = ["NodeState", "NodeStatus", "ask_nodes", "node_status"]
 
--- a/sardinehook/environment/registry.py
+++ b/sardinehook/environment/registry.py
@@ -25,7 +25,7 @@
     revision_key,
 )
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.platform.store import (
+from sardinehook.store.port import (
     CREATE,
     Conflict,
     Entry,
@@ -33,7 +33,7 @@
     StoreFailure,
     StoreUnavailable,
 )
-from sardinehook.platform.timers import Timers
+from sardinehook.store.timers import Timers
 
 __all__ = ["Head", "Registry"]
 
--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/watcher.py
@@ -21,8 +21,8 @@
 from sardinehook.environment.store_watch import StoreWatch
 from sardinehook.fleet.wire import register_message
 from sardinehook.observe.events import EventName, log_event
-from sardinehook.platform.store import Store
-from sardinehook.platform.timers import Timer, Timers
+from sardinehook.store.port import Store
+from sardinehook.store.timers import Timer, Timers
 
 __all__ = ["DocumentControl", "register_messages"]
 
--- a/sardinehook/fleet/registrar.py
+++ b/sardinehook/fleet/registrar.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Success
 
 from sardinehook.fleet.lease import CLOCK_RATE_MARGIN, MS_PER_S, Registry, lease_seconds
-from sardinehook.platform.store import CREATE, Conflict, Entry, Store
+from sardinehook.store.port import CREATE, Conflict, Entry, Store
 
 __all__ = ["RegistrarDesk", "RegistrarRecord", "registrar_key"]
 
--- a/sardinehook/fleet/roster.py
+++ b/sardinehook/fleet/roster.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from sardinehook.platform.vm_list import Vm, VmList
+from sardinehook.store.vm_list import Vm, VmList
 
 __all__ = [
     "EMPTY_ROSTER",
--- a/sardinehook/fleet/roster_keeper.py
+++ b/sardinehook/fleet/roster_keeper.py
@@ -21,8 +21,8 @@
     release,
     roster_key,
 )
-from sardinehook.platform.store import CREATE, Conflict, Entry, Store
-from sardinehook.platform.vm_list import VmLister
+from sardinehook.store.port import CREATE, Conflict, Entry, Store
+from sardinehook.store.vm_list import VmLister
 
 __all__ = ["RosterKeeper"]
 
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -32,8 +32,8 @@
 from sardinehook.fleet.roster_keeper import RosterKeeper
 from sardinehook.fleet.share import share_of
 from sardinehook.messages import ReplicaView
-from sardinehook.platform.store import Store
-from sardinehook.platform.vm_list import VmLister
+from sardinehook.store.port import Store
+from sardinehook.store.vm_list import VmLister
 from sardinehook.target.allowance import Allowance
 
 __all__ = ["Fleet", "Identity"]
--- /dev/null
+++ b/sardinehook/gateway/choice.py
@@ -0,0 +1,100 @@
+"""Which replica of a service gets a request."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from random import Random
+from zlib import crc32
+
+from sardinehook.gateway.configuration import Service
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.settings import Bounds
+
+__all__ = ["ReplicaChooser"]
+
+CROSS_DATA_CENTRE_S = 0.010  # round trip to another data centre
+STALLED_RATIO = 3.0  # a reply this many times overdue hints at a pause
+STALL_COST_S = 0.1  # mean rest of a pause
+FAILURE_COST_S = 0.4  # a failed exchange costs a repeat at best
+COLD_COST_S = 0.02  # a cold replica works more slowly
+LOST_COST_S = 0.5  # one that left discovery is a last resort
+JITTER = 0.1  # keeps gateways from choosing alike
+COLD_SAFETY_RATIO = 0.9  # of a cold replica's rate, since arrivals bunch on the wire
+
+
+class ReplicaChooser:
+    """Orders the replicas of a service by the time that a reply would take.
+
+    The estimate is the usual latency, times the replica's own slowness, times the
+    requests that are ahead at its slots (least loaded of a few, as in M. Mitzenmacher,
+    "The power of two choices in randomized load balancing", 2001). Costs are added
+    for another data centre, recent failures, a cold start, and a reply that is
+    overdue, which hints at a pause of the whole replica.
+    """
+
+    def __init__(
+        self, directory: Directory, node: str, data_centre: str, seed: int
+    ) -> None:
+        self.directory = directory
+        self.node = node
+        self.data_centre = data_centre
+        self.random = Random(seed)
+        self.bounds = Bounds()
+
+    def choose(
+        self, service: str, usual_s: float, excluded: Collection[Replica], now: float
+    ) -> Replica | None:
+        """Return the replica to ask, ``None`` if there is none to be asked."""
+        best: Replica | None = None
+        best_cost = float("inf")
+        for replica in self.directory.replicas_of(service):
+            if replica in excluded or not self.may_ask(replica, now):
+                continue
+            cost = self.cost(replica, usual_s, now)
+            cost *= 1.0 + JITTER * self.random.random()
+            if cost < best_cost:
+                best, best_cost = replica, cost
+        return best
+
+    def cost(self, replica: Replica, usual_s: float, now: float) -> float:
+        """Return the estimated time in seconds until a reply."""
+        likely_s = usual_s * replica.current_slowness(now)
+        cost = likely_s * (1.0 + replica.busy(now) / replica.entry.slots)
+        if replica.entry.data_centre != self.data_centre:
+            cost += CROSS_DATA_CENTRE_S
+        if replica.oldest_age_s(now) > STALLED_RATIO * likely_s:
+            cost += STALL_COST_S
+        if replica.is_cold(now):
+            cost += COLD_COST_S
+        if replica.lost_at is not None:
+            cost += LOST_COST_S
+        if not replica.pool.has_room:
+            cost += likely_s
+        return cost + FAILURE_COST_S * replica.current_failures(now)
+
+    def may_ask(self, replica: Replica, now: float) -> bool:
+        """Tell whether a replica in its cold start bears one more request."""
+        if not replica.is_cold(now):
+            return True
+        configuration = self.directory.configuration
+        service = configuration and configuration.services.get(replica.entry.service)
+        if not service or service.cold_requests_per_s <= 0.0:
+            return True
+        allowed = self.cold_share(replica, service)
+        return replica.cold_arrivals.total(now) < allowed
+
+    def cold_share(self, replica: Replica, service: Service) -> int:
+        """Return how many requests a second a cold replica may get from here.
+
+        Where not each gateway can have one, some have none, chosen by a hash.
+        """
+        bounds = self.bounds
+        bound = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
+        total = COLD_SAFETY_RATIO * bound
+        gateways = self.directory.gateways
+        share = int(total / gateways)
+        if share >= 1:
+            return share
+        rank = crc32(f"{self.node} {replica.replica_id}".encode()) % gateways
+        return int(rank < int(total))
--- /dev/null
+++ b/sardinehook/gateway/configuration.py
@@ -0,0 +1,129 @@
+"""The configuration that operators write: routes, services and caller limits."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import NamedTuple
+
+__all__ = [
+    "CallerLimits",
+    "Configuration",
+    "Destination",
+    "OneReplica",
+    "Route",
+    "Service",
+    "ShardSet",
+    "WeightedService",
+    "index_routes",
+]
+
+
+class WeightedService(NamedTuple):
+    """A service with its share of a route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class OneReplica:
+    """Each request goes to one replica of one service, chosen by weight."""
+
+    services: tuple[WeightedService, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ShardSet:
+    """Each request goes to one replica of every shard and the answers are merged.
+
+    ``most_records`` bounds the merged answer. An answer with less than the share
+    ``least_coverage`` of the shards is a failure.
+    """
+
+    shards: tuple[str, ...]
+    most_records: int
+    least_coverage: float
+
+
+Destination = OneReplica | ShardSet
+
+
+class Route(NamedTuple):
+    """What is done with the requests of one host and path prefix.
+
+    ``idempotent`` requests may run more than once. ``most_attempts`` is how many
+    replicas (of each shard) may be sent one request. ``objective_s`` is the latency
+    that callers are promised, ``timeout_s`` the longest that they are kept waiting.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    idempotent: bool
+    timeout_s: float
+    objective_s: float
+    priority: int
+    most_attempts: int
+    destination: Destination
+
+
+class Service(NamedTuple):
+    """What is known of all replicas of a service.
+
+    ``most_connections`` is the bound of one replica over all callers. A cold replica
+    bears ``cold_requests_per_s``; zero means that no rate is stated.
+    """
+
+    name: str
+    health_path: str
+    most_connections: int
+    cold_start_s: float
+    cold_requests_per_s: float
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 262144
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of the configuration. ``routes`` are by host, longest prefix first.
+
+    >>> to_one = OneReplica((WeightedService("desk", 1.0),))
+    >>> short = Route("a", "h", "/x/", True, 1.0, 0.5, 0, 2, to_one)
+    >>> routes = index_routes([short, short._replace(name="b", prefix="/x/y/")])
+    >>> configuration = Configuration(1, routes, {}, CallerLimits())
+    >>> configuration.find_route("H", "/x/y/z").name
+    'b'
+    >>> configuration.find_route("h", "/x") is None
+    True
+    """
+
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, Service]
+    limits: CallerLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``."""
+        for route in self.routes.get(host.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def index_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    """Group routes by host, the longest prefix first."""
+    by_host: dict[str, list[Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host.lower(), []).append(route)
+    return {
+        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
+        for host, found in by_host.items()
+    }
--- /dev/null
+++ b/sardinehook/gateway/desk.py
@@ -0,0 +1,174 @@
+"""Takes callers' requests: routes them, starts their work and tells their story."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+from urllib.parse import urlsplit
+
+from returns.result import Failure, Success
+
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.configuration import (
+    Configuration,
+    OneReplica,
+    Route,
+    ShardSet,
+    WeightedService,
+)
+from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.ports import CallerRequest, HttpRequest
+from sardinehook.gateway.single import SingleCall
+from sardinehook.gateway.story import RequestStories
+
+__all__ = ["RequestDesk", "Work"]
+
+Finish = Callable[[CallerAnswer], None]
+
+
+class Work(Protocol):
+    """A caller's request that is being worked on."""
+
+    def cancel(self) -> None:
+        """Stop, since the caller has left."""
+        ...
+
+
+class WeightedRotation:
+    """Deals requests to services by weight, evenly at each moment.
+
+    Smooth weighted round robin: each service earns its weight at every request, and
+    the richest one pays for it. Random first credits keep gateways from choosing
+    alike.
+    """
+
+    def __init__(self, services: tuple[WeightedService, ...], random: Random) -> None:
+        self.services = services
+        self.total = sum(part.weight for part in services)
+        self.credits = [random.random() * self.total for _ in services]
+
+    def next(self) -> str:
+        """Return the service that gets the next request."""
+        for place, part in enumerate(self.services):
+            self.credits[place] += part.weight
+        best = max(range(len(self.services)), key=self.credits.__getitem__)
+        self.credits[best] -= self.total
+        return self.services[best].service
+
+
+class RequestDesk:
+    """Answers or starts each request under the configuration in force."""
+
+    def __init__(
+        self,
+        policy: RequestPolicy,
+        stories: RequestStories,
+        random: Random,
+    ) -> None:
+        self.policy = policy
+        self.stories = stories
+        self.random = random
+        self.reactor: Any = policy.reactor
+        self.configuration: Configuration | None = None
+        self.rotations: dict[str, WeightedRotation] = {}
+        self.in_flight = 0
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force for the requests that come from now on."""
+        self.configuration = configuration
+        for host_routes in configuration.routes.values():
+            for route in host_routes:
+                self.configure_rotation(route)
+
+    def configure_rotation(self, route: Route) -> None:
+        """Keep the rotation of a route unless its services or weights changed."""
+        match route.destination:
+            case OneReplica(services) if len(services) > 1:
+                known = self.rotations.get(route.name)
+                if known is None or known.services != services:
+                    self.rotations[route.name] = WeightedRotation(services, self.random)
+
+    def take(self, raw: HttpRequest, finish: Finish) -> Work | None:
+        """Start a request; ``finish`` is called once, perhaps before this returns."""
+        match self.policy.callers.read_request(raw):
+            case Success(request):
+                return self.route(request, finish)
+            case Failure(detail):
+                answer = refuse(Problem(ErrorKind.BAD_REQUEST, str(detail)))
+                self.stories.refused(raw.target.decode("latin-1"), answer)
+                finish(answer)
+        return None
+
+    def route(self, request: CallerRequest, finish: Finish) -> Work | None:
+        """Find the route of a request and start its work."""
+        configuration = self.configuration
+        if configuration is None:
+            return self.refuse(
+                request, Problem(ErrorKind.NO_DOCUMENT, "no configuration yet"), finish
+            )
+        path = urlsplit(request.target.decode("latin-1")).path
+        route = configuration.find_route(request.host, path)
+        if route is None:
+            detail = f"no route in version {configuration.version}"
+            return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
+        return self.begin(request, route, configuration, finish)
+
+    def refuse(
+        self, request: CallerRequest, problem: Problem, finish: Finish
+    ) -> Work | None:
+        """Answer a request that starts no work."""
+        answer = refuse(problem)
+        self.stories.refused(request.request_id.decode("latin-1"), answer)
+        finish(answer)
+        return None
+
+    def begin(
+        self,
+        request: CallerRequest,
+        route: Route,
+        configuration: Configuration,
+        finish: Finish,
+    ) -> Work | None:
+        """Start the work that a route asks for."""
+        self.in_flight += 1
+        work: Gather | SingleCall
+
+        def done(answer: CallerAnswer) -> None:
+            self.in_flight -= 1
+            self.stories.ended(work, configuration.version, answer)
+            finish(answer)
+
+        match route.destination:
+            case ShardSet() as shards:
+                work = Gather(self.policy, request, route, shards, done)
+            case OneReplica(services):
+                service = self.choose_service(route, services)
+                work = SingleCall(self.policy, request, route, service, done)
+        work.start()
+        return None if work.settled else LeavableWork(self, work)
+
+    def choose_service(
+        self, route: Route, services: tuple[WeightedService, ...]
+    ) -> str:
+        """Return the service that gets this request."""
+        if len(services) == 1:
+            return services[0].service
+        return self.rotations[route.name].next()
+
+
+class LeavableWork:
+    """Work whose caller may leave."""
+
+    def __init__(self, desk: RequestDesk, work: Gather | SingleCall) -> None:
+        self.desk = desk
+        self.work = work
+
+    def cancel(self) -> None:
+        """Stop the work and note that its caller has left."""
+        if not self.work.settled:
+            self.desk.in_flight -= 1
+            self.desk.stories.left(self.work)
+        self.work.cancel()
--- /dev/null
+++ b/sardinehook/gateway/directory.py
@@ -0,0 +1,194 @@
+"""Which replicas each service has, from discovery and from what replies show."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import structlog
+
+from sardinehook.gateway.configuration import Configuration
+from sardinehook.gateway.pool import ConnectionPool
+from sardinehook.gateway.ports import ReplicaEntry
+from sardinehook.gateway.replica import Replica
+from sardinehook.observe.events import EventName, log_event
+
+__all__ = ["Directory"]
+
+logger = structlog.get_logger(__name__)
+
+CONNECTION_SHARE = 0.9  # of a replica's bound, since closed connections linger there
+UNSTATED_CONNECTIONS = 16  # bound of a replica whose service states none
+LOST_GRACE_RATIO = 0.7  # of the drain time, for entries that left discovery
+ORPHAN_GRACE_S = 2.4  # entries that lapsed in an outage are back within two seconds
+
+
+class Directory:
+    """All replicas by id and by service; each has its own connections."""
+
+    def __init__(self, reactor: Any, drain_s: float) -> None:  # noqa: ANN401
+        self.reactor = reactor
+        self.drain_s = drain_s
+        self.replicas: dict[str, Replica] = {}
+        self.by_service: dict[str, list[Replica]] = {}
+        self.evacuated: set[str] = set()
+        self.configuration: Configuration | None = None
+        self.gateways = 1
+        self.on_connect_failure: Callable[[Replica, str], None] = note_nothing
+
+    def replicas_of(self, service: str) -> list[Replica]:
+        """Return the replicas of a service that may be asked now."""
+        now = self.reactor.seconds()
+        return [
+            replica
+            for replica in self.by_service.get(service, ())
+            if self.is_usable(replica, now)
+        ]
+
+    def is_usable(self, replica: Replica, now: float) -> bool:
+        """Tell whether new requests may go to a replica."""
+        if replica.entry.draining or replica.entry.data_centre in self.evacuated:
+            return False
+        lost_at = replica.lost_at
+        return lost_at is None or now < lost_at + self.lost_grace_s
+
+    @property
+    def lost_grace_s(self) -> float:
+        """How long a replica that left discovery is still asked."""
+        return min(LOST_GRACE_RATIO * self.drain_s, ORPHAN_GRACE_S)
+
+    def put(self, entry: ReplicaEntry, now: float) -> None:
+        """Take in an entry of discovery; one of an earlier start is dropped."""
+        known = self.replicas.get(entry.replica_id)
+        if known is not None and entry.born_ms < known.entry.born_ms:
+            return
+        if known is None or is_other_start(known.entry, entry):
+            self.drop_address(entry.address, now)
+            if known is not None:
+                self.forget(known)
+            known = self.add(entry)
+            if entry.cold_left_s:
+                known.cold_until = now + entry.cold_left_s
+            self.log_state(known, "registered")
+        elif known.entry.draining != entry.draining:
+            self.log_state(known, "draining" if entry.draining else "ready")
+        elif known.lost_at is not None:
+            self.log_state(known, "registered again")
+        if entry.cold_left_s and entry.sequence != known.entry.sequence:
+            known.cold_until = now + entry.cold_left_s
+        known.entry = entry
+        known.lost_at = None
+
+    def add(self, entry: ReplicaEntry) -> Replica:
+        """Add a replica that was not known."""
+        replica: Replica
+
+        def failed(detail: str) -> None:
+            self.on_connect_failure(replica, detail)
+
+        most = self.connections_allowed(entry.service)
+        pool = ConnectionPool(self.reactor, entry.address, most, failed)
+        replica = Replica(entry, pool)
+        self.replicas[entry.replica_id] = replica
+        self.by_service.setdefault(entry.service, []).append(replica)
+        return replica
+
+    def remove(self, replica_id: str, now: float) -> None:
+        """Note that a replica left discovery."""
+        replica = self.replicas.get(replica_id)
+        if replica is None:
+            return
+        if replica.entry.draining:
+            self.forget(replica)
+        elif replica.lost_at is None:
+            replica.lost_at = now
+            self.log_state(replica, "left discovery")
+
+    def retain(self, replica_ids: Iterable[str], now: float) -> None:
+        """Note that all replicas but these left discovery."""
+        for replica_id in self.replicas.keys() - set(replica_ids):
+            self.remove(replica_id, now)
+
+    def drop_address(self, address: str, now: float) -> None:
+        """Forget a replica whose address has been given to another one."""
+        for replica in list(self.replicas.values()):
+            if replica.entry.address == address:
+                self.log_state(replica, "address reused")
+                self.forget(replica)
+
+    def forget(self, replica: Replica) -> None:
+        """Remove a replica; what is in flight there goes on to its end."""
+        if self.replicas.get(replica.replica_id) is replica:
+            del self.replicas[replica.replica_id]
+        siblings = self.by_service.get(replica.entry.service, [])
+        if replica in siblings:
+            siblings.remove(replica)
+        replica.pool.close()
+
+    def note_misdirected(self, replica: Replica) -> None:
+        """Forget a replica whose address answers for another one."""
+        self.log_state(replica, "address answers for another replica")
+        self.forget(replica)
+
+    def sweep(self, now: float) -> None:
+        """Forget replicas that left discovery some time ago."""
+        for replica in list(self.replicas.values()):
+            if replica.lost_at is not None and now > replica.lost_at + self.drain_s:
+                self.log_state(replica, "gone")
+                self.forget(replica)
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take new bounds of connections."""
+        self.configuration = configuration
+        self.set_gateways(self.gateways)
+
+    def set_gateways(self, gateways: int) -> None:
+        """Take the number of gateways that share each replica's connections."""
+        self.gateways = gateways
+        for replica in self.replicas.values():
+            replica.pool.most = self.connections_allowed(replica.entry.service)
+
+    def connections_allowed(self, service: str) -> int:
+        """Return this gateway's part of the connections of one replica."""
+        services: Mapping[str, Any] = (
+            self.configuration.services if self.configuration else {}
+        )
+        known = services.get(service)
+        bound = known.most_connections if known else 0
+        share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS) / self.gateways
+        return max(1, int(share))
+
+    def set_evacuated(self, data_centres: set[str]) -> None:
+        """Take the data centres that are to get no new requests."""
+        if data_centres != self.evacuated:
+            log_event(
+                logger,
+                EventName.DATA_CENTRE_STATE,
+                state="evacuated " + (",".join(sorted(data_centres)) or "none"),
+            )
+        self.evacuated = data_centres
+
+    def log_state(self, replica: Replica, state: str) -> None:
+        """Log what this gateway believes of a replica."""
+        log_event(
+            logger,
+            EventName.TARGET_STATE,
+            target=replica.replica_id,
+            service=replica.entry.service,
+            address=replica.entry.address,
+            state=state,
+            incarnation=str(replica.entry.born_ms),
+        )
+
+
+def is_other_start(known: ReplicaEntry, told: ReplicaEntry) -> bool:
+    """Tell whether two entries of one id are of different processes."""
+    return (known.born_ms, known.address, known.service) != (
+        told.born_ms,
+        told.address,
+        told.service,
+    )
+
+
+def note_nothing(_replica: Replica, _detail: str) -> None:
+    """Ignore a failed connection attempt."""
--- /dev/null
+++ b/sardinehook/gateway/dispatch.py
@@ -0,0 +1,220 @@
+"""Sends requests to replicas and classifies how each one ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from sardinehook.gateway.connection import (
+    ClientConnection,
+    ExchangeEnd,
+    Lost,
+    Malformed,
+    Replied,
+)
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
+from sardinehook.gateway.replica import Replica
+
+__all__ = [
+    "Answered",
+    "Dispatcher",
+    "Exchange",
+    "ExchangeOutcome",
+    "Failed",
+    "NotRun",
+]
+
+LEAST_SENDABLE_S = 0.002  # less time than this is not worth a replica's work
+OVERDUE_S = 0.15  # past its deadline, a silent exchange's connection is given up
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The replica answered the request itself, with success or not."""
+
+    reply: ReplicaReply
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request surely did not run: it was refused or never sent."""
+
+    detail: str
+    sent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request may have run, and there is no usable answer."""
+
+    detail: str
+
+
+ExchangeOutcome = Answered | NotRun | Failed
+
+
+class Exchange:
+    """One request at one replica, from the wait for a connection to its end.
+
+    ``sent_at`` is zero until the request has been written.
+    """
+
+    __slots__ = (
+        "connection",
+        "deadline_at",
+        "on_end",
+        "over",
+        "replica",
+        "request",
+        "sent_at",
+        "started_at",
+        "waiter",
+    )
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        replica: Replica,
+        started_at: float,
+        deadline_at: float,
+        on_end: Callable[[Exchange, ExchangeOutcome], None],
+    ) -> None:
+        self.request = request
+        self.replica = replica
+        self.started_at = started_at
+        self.deadline_at = deadline_at
+        self.on_end = on_end
+        self.sent_at = 0.0
+        self.over = False
+        self.connection: ClientConnection | None = None
+        self.waiter: Callable[[ClientConnection | None], None] | None = None
+
+
+class Dispatcher:
+    """Starts, ends and abandons exchanges with replicas."""
+
+    def __init__(
+        self,
+        reactor: Any,  # noqa: ANN401
+        dialect: ReplicaDialect,
+        directory: Directory,
+    ) -> None:
+        self.reactor = reactor
+        self.dialect = dialect
+        self.directory = directory
+        self.exchanges: dict[Exchange, None] = {}
+
+    def start(self, exchange: Exchange) -> None:
+        """Send an exchange's request; its ``on_end`` is called once, perhaps now."""
+        replica = exchange.replica
+        self.exchanges[exchange] = None
+        replica.in_flight[exchange] = None
+
+        def connected(connection: ClientConnection | None) -> None:
+            exchange.waiter = None
+            self.connected(exchange, connection)
+
+        exchange.waiter = connected
+        replica.pool.request(connected)
+
+    def connected(
+        self, exchange: Exchange, connection: ClientConnection | None
+    ) -> None:
+        """Write the request, or end the exchange where there is no connection."""
+        if connection is None:
+            self.end(exchange, NotRun("no connection", False))
+            return
+        now = self.reactor.seconds()
+        left_s = exchange.deadline_at - now
+        if left_s < LEAST_SENDABLE_S:
+            self.end(exchange, NotRun("no connection in time", False))
+            return
+        exchange.sent_at = now
+        exchange.connection = connection
+        request = exchange.request
+        replica = exchange.replica
+        if replica.is_cold(now):
+            replica.cold_arrivals.add(1, now)
+        connection.exchange(
+            self.dialect.encode_request(request, replica.replica_id, left_s),
+            lambda end: self.ended(exchange, end),
+            request.method == b"HEAD",
+        )
+
+    def ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
+        """Classify the end of an exchange on its connection."""
+        now = self.reactor.seconds()
+        replica = exchange.replica
+        match end:
+            case Replied(raw):
+                reply = self.dialect.read_reply(raw, exchange.request.request_id)
+                outcome = self.classify(exchange, reply, now)
+                self.settle_connection(exchange, reply)
+            case Malformed(detail) | Lost(detail):
+                replica.observe_result(True, now)
+                outcome = Failed(detail)
+        self.end(exchange, outcome)
+
+    def classify(
+        self, exchange: Exchange, reply: ReplicaReply, now: float
+    ) -> ExchangeOutcome:
+        """Tell what a whole reply means for the request."""
+        replica = exchange.replica
+        if reply.foreign:
+            replica.observe_result(True, now)
+            return Failed("reply to another request")
+        replica.observe_reply(reply, now)
+        if reply.misdirected:
+            self.directory.note_misdirected(replica)
+            return NotRun("another replica has the address", True)
+        if reply.not_run:
+            replica.observe_result(True, now)
+            return NotRun(f"refused with {reply.status}", True)
+        replica.observe_result(not reply.is_success and reply.status >= 500, now)
+        return Answered(reply)
+
+    def settle_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
+        """Reuse the connection unless the reply belongs to another request."""
+        connection = exchange.connection
+        if connection is None or not connection.is_open:
+            return
+        if reply.foreign:
+            connection.abort()
+        else:
+            exchange.replica.pool.give_back(connection, reply.keep_alive_s)
+
+    def end(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
+        """Report the end of an exchange, once."""
+        exchange.replica.in_flight.pop(exchange, None)
+        self.exchanges.pop(exchange, None)
+        if not exchange.over:
+            exchange.over = True
+            exchange.on_end(exchange, outcome)
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Drop an exchange and its connection, so that the replica stops its work."""
+        exchange.over = True
+        self.exchanges.pop(exchange, None)
+        exchange.replica.in_flight.pop(exchange, None)
+        if exchange.waiter is not None:
+            exchange.replica.pool.withdraw(exchange.waiter)
+        elif exchange.connection is not None and exchange.connection.finish is not None:
+            exchange.connection.abort()
+
+    def sweep(self, now: float) -> None:
+        """Give up the exchanges that are past their deadline."""
+        for exchange in list(self.exchanges):
+            if now < exchange.deadline_at:
+                continue
+            if exchange.waiter is not None:
+                exchange.replica.pool.withdraw(exchange.waiter)
+                exchange.waiter = None
+                self.end(exchange, NotRun("no connection in time", False))
+            elif now >= exchange.deadline_at + OVERDUE_S:
+                connection = exchange.connection
+                exchange.replica.observe_result(True, now)
+                if connection is not None and connection.finish is not None:
+                    connection.abort()
+                self.end(exchange, Failed("no reply in time"))
--- /dev/null
+++ b/sardinehook/gateway/gather.py
@@ -0,0 +1,370 @@
+"""One search over all shards: sending, hedging, settling and merging."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.configuration import Route, ShardSet
+from sardinehook.gateway.dispatch import (
+    Answered,
+    Exchange,
+    ExchangeOutcome,
+    Failed,
+    NotRun,
+)
+from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.ports import CallerRequest
+from sardinehook.gateway.records import merge_records, split_records
+from sardinehook.gateway.replica import Replica
+
+__all__ = ["Gather", "Part"]
+
+RETURN_MARGIN_S = 0.012  # merging, and the way from and back to the caller
+HEDGE_QUANTILE = 0.95  # of the replies come before a second replica is asked
+HEDGE_LEAST_RATIO = 0.08  # of the objective: no hedge is sent earlier
+HEDGE_MOST_RATIO = 0.35  # of the objective: time for a second reply is left then
+LATE_RATIO = 1.5  # of the objective: when a late answer stops waiting for the rest
+PART_DEADLINE_RATIO = 2.5  # of the objective: replicas stop work by then
+REFUSED_SENDS = 2  # sends beyond the route's attempts for those that did not run
+LEAVE_GRACE_S = 0.25  # exchanges that end within it keep their connections
+USEFUL_RATIO = 0.5  # of the usual latency has to be left for another try
+
+
+class Part:
+    """One shard of a search: who was asked and what came back."""
+
+    __slots__ = (
+        "asked",
+        "attempts",
+        "hedge_at",
+        "open_exchanges",
+        "reason",
+        "records",
+        "refusals",
+        "shard",
+        "signature",
+        "tried",
+    )
+
+    def __init__(self, shard: str) -> None:
+        self.shard = shard
+        self.attempts = 0
+        self.refusals = 0
+        self.tried: list[Replica] = []
+        self.open_exchanges: list[Exchange] = []
+        self.hedge_at = 0.0
+        self.records: list[bytes] | None = None
+        self.signature = b""
+        self.reason = "no reply in time"
+        self.asked = False
+
+    @property
+    def is_in(self) -> bool:
+        """Whether the shard has answered."""
+        return self.records is not None
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether nothing more is awaited from the shard."""
+        return self.records is None and self.asked and not self.open_exchanges
+
+
+class Gather:
+    """The aggregate of one search; ``finish`` is called once with the answer.
+
+    Each shard is asked through one replica. A shard without a reply after the time
+    within which most replies come is asked through a second one, paid from the
+    shard's budget. At the latency objective the search is answered with what is
+    there, if that is the least coverage; a search that missed its objective goes on
+    until it has the least coverage or its time is up.
+    """
+
+    def __init__(
+        self,
+        policy: RequestPolicy,
+        request: CallerRequest,
+        route: Route,
+        shards: ShardSet,
+        finish: Callable[[CallerAnswer], None],
+    ) -> None:
+        self.policy = policy
+        self.reactor = policy.reactor
+        self.request = request
+        self.route = route
+        self.shards = shards
+        self.finish = finish
+        self.parts = [Part(shard) for shard in shards.shards]
+        self.settled = False
+        self.in_count = 0
+        self.lost_count = 0
+        self.hedges = 0
+        self.repeats = 0
+        self.may_have_run = False
+        self.missed_objective = False
+        self.timer: Any = None
+        begun = request.received_at
+        patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
+        self.give_up_at = begun + patience_s - RETURN_MARGIN_S
+        objective_at = begun + route.objective_s - RETURN_MARGIN_S
+        self.objective_at = min(objective_at, self.give_up_at)
+        late_at = begun + LATE_RATIO * route.objective_s
+        self.late_at = min(late_at, self.give_up_at)
+        stop_at = begun + PART_DEADLINE_RATIO * route.objective_s
+        self.part_deadline_at = min(stop_at, self.give_up_at)
+        self.usual_s = policy.usual_s(route)
+        hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
+        least_s = HEDGE_LEAST_RATIO * route.objective_s
+        most_s = HEDGE_MOST_RATIO * route.objective_s
+        self.hedge_delay_s = min(max(hedge_s, least_s), most_s)
+
+    @property
+    def least_parts(self) -> int:
+        """How many shards an answer needs."""
+        needed = self.shards.least_coverage * len(self.parts)
+        return max(1, int(needed) + (needed > int(needed) + 1e-9))
+
+    def start(self) -> None:
+        """Ask one replica of each shard, unless too few shards have one."""
+        now = self.reactor.seconds()
+        if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
+            self.settle_with(refuse(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")))
+            return
+        chosen = [self.choose(part, now) for part in self.parts]
+        if sum(replica is not None for replica in chosen) < self.least_parts:
+            self.refuse_unsent(chosen)
+            return
+        for part, replica in zip(self.parts, chosen, strict=True):
+            self.policy.budget_of(part.shard).note_request(now)
+            if replica is None:
+                part.asked = True
+                part.reason = "no replica"
+                self.lost_count += 1
+            else:
+                self.send(part, replica, now)
+            if self.settled:
+                return
+        self.after_change(now)
+        if not self.settled:
+            self.schedule(now)
+
+    def refuse_unsent(self, chosen: list[Replica | None]) -> None:
+        """Refuse a search before anything was sent."""
+        without = [
+            part.shard
+            for part, replica in zip(self.parts, chosen, strict=True)
+            if replica is None
+        ]
+        detail = f"no replica of {len(without)} shards: {','.join(without[:5])}"
+        self.settle_with(refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
+
+    def choose(self, part: Part, now: float) -> Replica | None:
+        """Return the replica to ask for a shard."""
+        return self.policy.chooser.choose(part.shard, self.usual_s, part.tried, now)
+
+    def send(self, part: Part, replica: Replica, now: float) -> None:
+        """Ask ``replica`` for a shard."""
+        part.asked = True
+        part.attempts += 1
+        part.tried.append(replica)
+        part.hedge_at = now + self.hedge_delay_s
+        exchange = Exchange(
+            self.request,
+            replica,
+            now,
+            self.part_deadline_at,
+            lambda exchange, outcome: self.exchange_ended(part, exchange, outcome),
+        )
+        part.open_exchanges.append(exchange)
+        self.policy.dispatcher.start(exchange)
+
+    def exchange_ended(
+        self, part: Part, exchange: Exchange, outcome: ExchangeOutcome
+    ) -> None:
+        """Take in the end of one exchange."""
+        now = self.reactor.seconds()
+        if exchange in part.open_exchanges:
+            part.open_exchanges.remove(exchange)
+        self.observe(exchange, outcome, now)
+        if self.settled or part.is_in:
+            return
+        if not self.accept(part, outcome):
+            self.try_again(part, now)
+        self.after_change(now)
+
+    def observe(
+        self, exchange: Exchange, outcome: ExchangeOutcome, now: float
+    ) -> None:
+        """Learn from how long a reply took."""
+        match outcome:
+            case Answered(reply) if reply.is_success:
+                took_s = now - exchange.sent_at
+                exchange.replica.observe_latency(took_s / max(self.usual_s, 1e-4), now)
+                self.policy.observe(self.route, took_s)
+
+    def accept(self, part: Part, outcome: ExchangeOutcome) -> bool:
+        """Take a part in, or note why it is not one."""
+        match outcome:
+            case Answered(reply):
+                self.may_have_run = True
+                signature = reply.signature
+                if not reply.is_success or signature is None:
+                    part.reason = f"status {reply.status}"
+                    return False
+                if any(other.signature == signature for other in self.parts):
+                    part.reason = "signature of another shard"
+                    return False
+                part.signature = signature
+                part.records = split_records(reply.body, self.shards.most_records)
+                self.in_count += 1
+                return True
+            case NotRun(detail, sent):
+                part.reason = detail
+                part.attempts -= 1
+                part.refusals += sent
+            case Failed(detail):
+                self.may_have_run = True
+                part.reason = detail
+        return False
+
+    def try_again(self, part: Part, now: float) -> None:
+        """Ask another replica after a failure, or give the shard up."""
+        if part.open_exchanges:
+            return
+        if not self.send_extra(part, now):
+            self.lost_count += 1
+        else:
+            self.repeats += 1
+
+    def send_extra(self, part: Part, now: float) -> bool:
+        """Ask one more replica for a shard if attempts, time and budget allow."""
+        if part.attempts >= self.route.most_attempts or part.refusals > REFUSED_SENDS:
+            return False
+        if now + self.usual_s * USEFUL_RATIO > self.part_deadline_at:
+            return False
+        replica = self.choose(part, now)
+        if replica is None or not self.policy.may_repeat(part.shard, now):
+            return False
+        self.send(part, replica, now)
+        return True
+
+    def check(self) -> None:
+        """Do what is due: hedge, or settle."""
+        self.timer = None
+        if self.settled:
+            return
+        now = self.reactor.seconds()
+        self.after_change(now)
+        if self.settled:
+            return
+        for part in self.parts:
+            if part.is_in or not part.open_exchanges or now < part.hedge_at:
+                continue
+            part.hedge_at = float("inf")
+            self.hedges += self.send_extra(part, now)
+        self.schedule(now)
+
+    def schedule(self, now: float) -> None:
+        """Set the timer to what is due next."""
+        due_at = self.next_deadline(now)
+        for part in self.parts:
+            if not part.is_in and part.open_exchanges and part.hedge_at < due_at:
+                due_at = part.hedge_at
+        delay_s = max(0.0, due_at - now)
+        self.timer = self.reactor.callLater(delay_s, self.check)
+
+    def next_deadline(self, now: float) -> float:
+        """Return when the search is settled next, by what it has by then."""
+        if now < self.objective_at:
+            return self.objective_at
+        return self.late_at if now < self.late_at else self.give_up_at
+
+    def after_change(self, now: float) -> None:
+        """Settle if nothing is gained by waiting on."""
+        total = len(self.parts)
+        if self.in_count + self.lost_count >= total:
+            self.settle()
+        elif total - self.lost_count < self.least_parts or now >= self.give_up_at:
+            self.settle()
+        elif now >= self.objective_at:
+            enough = self.in_count >= self.least_parts
+            if enough and (not self.missed_objective or now >= self.late_at):
+                self.settle()
+            self.missed_objective = True
+
+    def settle(self) -> None:
+        """Answer with the parts that are in, or say why there are too few."""
+        if self.in_count >= self.least_parts:
+            self.settle_with(self.merged())
+            return
+        missing = len(self.parts) - self.in_count
+        detail = f"{missing} of {len(self.parts)} shards missing: {self.reasons()}"
+        if not self.may_have_run and not self.is_waiting():
+            self.settle_with(refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
+            return
+        kind = ErrorKind.COVERAGE_BELOW_LEAST
+        if self.reactor.seconds() >= self.give_up_at:
+            kind = ErrorKind.DEADLINE_EXCEEDED
+        self.settle_with(refuse(Problem(kind, detail)))
+
+    def is_waiting(self) -> bool:
+        """Tell whether any replica may be at work on the search."""
+        return any(
+            exchange.sent_at for part in self.parts for exchange in part.open_exchanges
+        )
+
+    def merged(self) -> CallerAnswer:
+        """Merge the parts that are in."""
+        parts = [part for part in self.parts if part.records is not None]
+        missing = len(self.parts) - len(parts)
+        headers = self.policy.callers.merged_headers(
+            [part.signature for part in parts], missing
+        )
+        records = [part.records or [] for part in parts]
+        body = merge_records(records, self.shards.most_records)
+        detail = self.reasons() if missing else ""
+        return CallerAnswer(200, headers, body, "answered", detail)
+
+    def reasons(self) -> str:
+        """List the shards that are missing, each with the replicas asked and why."""
+        missing = [part for part in self.parts if not part.is_in]
+        told = [
+            f"{part.shard}:{'+'.join(r.replica_id for r in part.tried)}:{part.reason}"
+            for part in missing[:8]
+        ]
+        return "; ".join(told)
+
+    def settle_with(self, answer: CallerAnswer) -> None:
+        """End the search with an answer."""
+        self.settled = True
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.drop_waiting()
+        self.finish(answer)
+
+    def drop_waiting(self) -> None:
+        """Abandon what has not been sent; what is at work ends by its deadline."""
+        for part in self.parts:
+            for exchange in list(part.open_exchanges):
+                if not exchange.sent_at:
+                    part.open_exchanges.remove(exchange)
+                    self.policy.dispatcher.abandon(exchange)
+
+    def cancel(self) -> None:
+        """Stop, since the caller has left; replicas get a moment to finish."""
+        if not self.settled:
+            self.settled = True
+            if self.timer is not None and self.timer.active():
+                self.timer.cancel()
+            self.drop_waiting()
+        self.reactor.callLater(LEAVE_GRACE_S, self.abandon_all)
+
+    def abandon_all(self) -> None:
+        """Abandon what is still at work."""
+        for part in self.parts:
+            for exchange in part.open_exchanges:
+                if not exchange.over:
+                    self.policy.dispatcher.abandon(exchange)
+            part.open_exchanges.clear()
--- /dev/null
+++ b/sardinehook/gateway/metrics.py
@@ -0,0 +1,88 @@
+"""Metrics of a gateway, with label sets that don't grow with the fleet."""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+from sardinehook.observe.metrics import LAG_BUCKETS_SECONDS, REQUEST_BUCKETS_SECONDS
+
+__all__ = ["GatewayMetrics"]
+
+
+class GatewayMetrics:
+    """All metrics of one gateway in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        registry = self.registry
+        self.requests = Counter(
+            "sardinehook_requests",
+            "Callers' requests by kind of destination and outcome",
+            ["kind", "outcome"],
+            registry=registry,
+        )
+        self.request_seconds = Histogram(
+            "sardinehook_request_seconds",
+            "Time from a caller's request to its answer",
+            ["kind"],
+            buckets=REQUEST_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self.extra_sends = Counter(
+            "sardinehook_extra_sends",
+            "Requests sent to a further replica",
+            ["cause"],
+            registry=registry,
+        )
+        self.store_calls = Counter(
+            "sardinehook_store_calls",
+            "Calls on the platform's store",
+            ["operation", "outcome"],
+            registry=registry,
+        )
+        self.version = Gauge(
+            "sardinehook_configuration_version",
+            "Version of the configuration in force",
+            registry=registry,
+        )
+        self.gateways = Gauge(
+            "sardinehook_gateways", "Gateways known in the fleet", registry=registry
+        )
+        self.replicas = Gauge(
+            "sardinehook_replicas", "Replicas known", registry=registry
+        )
+        self.connections = Gauge(
+            "sardinehook_connections", "Connections to replicas", registry=registry
+        )
+        self.log_lines_dropped = Counter(
+            "sardinehook_log_lines_dropped",
+            "Log lines left out by the ceiling or by a full pipe",
+            registry=registry,
+        )
+        self.loop_lag_seconds = Histogram(
+            "sardinehook_loop_lag_seconds",
+            "How late the event loop ran a timer",
+            buckets=LAG_BUCKETS_SECONDS,
+            registry=registry,
+        )
+
+    def observe(
+        self, kind: str, outcome: str, seconds: float, hedges: int, repeats: int
+    ) -> None:
+        """Record the end of a request."""
+        self.requests.labels(kind, outcome).inc()
+        self.request_seconds.labels(kind).observe(seconds)
+        if hedges:
+            self.extra_sends.labels("hedge").inc(hedges)
+        if repeats:
+            self.extra_sends.labels("failure").inc(repeats)
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/sardinehook/gateway/policy.py
@@ -0,0 +1,73 @@
+"""What the requests of a gateway share: estimates, budgets and the choice of replicas."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sardinehook.gateway.choice import ReplicaChooser
+from sardinehook.gateway.configuration import Route
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.dispatch import Dispatcher
+from sardinehook.gateway.ports import CallerDialect
+from sardinehook.gateway.repeat_budget import RepeatBudget
+from sardinehook.gateway.settings import Bounds
+from sardinehook.query.latency import LatencyEstimates
+
+__all__ = ["RequestPolicy"]
+
+FIRST_GUESS_RATIO = 0.2  # of the objective: the latency of a route not seen yet
+USUAL_QUANTILE = 0.5
+MS_PER_S = 1000.0
+
+
+class RequestPolicy:
+    """Outlives single requests; one for each gateway."""
+
+    def __init__(
+        self,
+        reactor: Any,  # noqa: ANN401
+        directory: Directory,
+        dispatcher: Dispatcher,
+        chooser: ReplicaChooser,
+        callers: CallerDialect,
+    ) -> None:
+        self.reactor = reactor
+        self.directory = directory
+        self.dispatcher = dispatcher
+        self.chooser = chooser
+        self.callers = callers
+        self.bounds = Bounds()
+        self.latencies = LatencyEstimates()
+        self.budgets: dict[str, RepeatBudget] = {}
+
+    def configure(self, bounds: Bounds) -> None:
+        """Take the promises of the deployment."""
+        if bounds.repeat_window_s != self.bounds.repeat_window_s:
+            self.budgets.clear()
+        self.bounds = bounds
+        self.chooser.bounds = bounds
+        self.directory.drain_s = bounds.drain_s
+
+    def budget_of(self, service: str) -> RepeatBudget:
+        """Return the repeat budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RepeatBudget(self.bounds.repeat_window_s)
+            self.budgets[service] = budget
+        return budget
+
+    def may_repeat(self, service: str, now: float) -> bool:
+        """Take one repeat to a service from the budget, if there is one."""
+        gateways = self.directory.gateways
+        return self.budget_of(service).spend(self.bounds, gateways, now)
+
+    def usual_s(self, route: Route, quantile: float = USUAL_QUANTILE) -> float:
+        """Return a quantile of the time that replicas take for a route."""
+        known = self.latencies.quantile(route.name, quantile)
+        if known is None:
+            return FIRST_GUESS_RATIO * route.objective_s
+        return known / MS_PER_S
+
+    def observe(self, route: Route, took_s: float) -> None:
+        """Take in how long a replica took."""
+        self.latencies.record(route.name, took_s * MS_PER_S)
--- /dev/null
+++ b/sardinehook/gateway/pool.py
@@ -0,0 +1,193 @@
+"""The connections of this gateway to one replica."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.interfaces import IAddress, IConnector
+from twisted.internet.protocol import ClientFactory
+from twisted.python.failure import Failure
+
+from sardinehook.gateway.connection import ClientConnection
+
+__all__ = ["ConnectionPool", "Waiter"]
+
+CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds, so longer means unreachable
+FIRST_BACKOFF_S = 0.05  # wait after a first failed attempt
+LAST_BACKOFF_S = 1.0  # wait after many failed attempts
+IDLE_MARGIN_S = 0.3  # a connection is dropped this long before its peer closes it
+
+Waiter = Callable[[ClientConnection | None], None]
+
+
+class ConnectionPool:
+    """Opens, lends and takes back connections, at most ``most`` of them.
+
+    A request that finds no idle connection waits for one that is being opened or
+    given back. ``on_failure`` is told of each attempt that failed.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,  # noqa: ANN401
+        address: str,
+        most: int,
+        on_failure: Callable[[str], None],
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.reactor = reactor
+        self.host = host
+        self.port = int(port)
+        self.most = most
+        self.on_failure = on_failure
+        self.idle: list[ClientConnection] = []
+        self.connections: set[ClientConnection] = set()
+        self.connecting = 0
+        self.waiters: deque[Waiter] = deque()
+        self.backoff_s = 0.0
+        self.open_after = 0.0
+        self.closed = False
+        self.opened_count = 0
+
+    @property
+    def held(self) -> int:
+        """How many connections are open or being opened."""
+        return len(self.connections) + self.connecting
+
+    @property
+    def has_room(self) -> bool:
+        """Whether a request would not have to wait for another one to end."""
+        if self.idle:
+            return True
+        return self.held < self.most and self.reactor.seconds() >= self.open_after
+
+    def request(self, waiter: Waiter) -> None:
+        """Give ``waiter`` a connection, ``None`` if none can be opened."""
+        connection = self.take_idle()
+        if connection is not None:
+            waiter(connection)
+            return
+        if self.closed or self.reactor.seconds() < self.open_after:
+            if not self.held:
+                waiter(None)
+                return
+        self.waiters.append(waiter)
+        self.open_for_waiters()
+
+    def withdraw(self, waiter: Waiter) -> bool:
+        """Take a waiting request back; tell whether it was waiting."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            return True
+        return False
+
+    def take_idle(self) -> ClientConnection | None:
+        """Return the idle connection that was used last, if any is still good."""
+        now = self.reactor.seconds()
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.idle and now < connection.idle_until:
+                return connection
+            if connection.is_open:
+                connection.abort()
+        return None
+
+    def open_for_waiters(self) -> None:
+        """Open as many connections as are waited for and allowed."""
+        if self.closed or self.reactor.seconds() < self.open_after:
+            return
+        wanted = min(len(self.waiters) - self.connecting, self.most - self.held)
+        if self.backoff_s:
+            wanted = min(wanted, 1 - self.connecting)
+        for _ in range(wanted):
+            self.open()
+
+    def open(self) -> None:
+        """Begin to open a connection."""
+        self.connecting += 1
+        self.reactor.connectTCP(
+            self.host, self.port, PoolFactory(self), CONNECT_TIMEOUT_S
+        )
+
+    def opened(self, connection: ClientConnection) -> None:
+        """Take a connection that was established."""
+        self.connecting -= 1
+        self.opened_count += 1
+        self.backoff_s = 0.0
+        self.connections.add(connection)
+        if self.closed:
+            connection.abort()
+            return
+        connection.idle_until = float("inf")
+        self.lend(connection)
+
+    def lend(self, connection: ClientConnection) -> None:
+        """Give a free connection to the first that waits, or keep it."""
+        while self.waiters and connection.idle:
+            self.waiters.popleft()(connection)
+        if connection.idle:
+            connection.idle_since = self.reactor.seconds()
+            self.idle.append(connection)
+
+    def give_back(self, connection: ClientConnection, keep_alive_s: float) -> None:
+        """Take back a connection after its exchange.
+
+        ``keep_alive_s`` is how long the peer keeps it when idle.
+        """
+        if not connection.idle or self.closed:
+            return
+        kept_s = max(0.0, keep_alive_s - IDLE_MARGIN_S)
+        connection.idle_until = self.reactor.seconds() + kept_s
+        self.lend(connection)
+
+    def connect_failed(self, reason: Failure) -> None:
+        """Note a failed attempt; those that wait are told if nothing is left."""
+        self.connecting -= 1
+        self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
+        self.open_after = self.reactor.seconds() + self.backoff_s
+        self.on_failure(reason.getErrorMessage())
+        if not self.held:
+            self.fail_waiters()
+
+    def fail_waiters(self) -> None:
+        """Tell all that wait that no connection can be had."""
+        waiters, self.waiters = self.waiters, deque()
+        for waiter in waiters:
+            waiter(None)
+
+    def lost(self, connection: ClientConnection) -> None:
+        """Forget a connection that has ended."""
+        self.connections.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if self.waiters:
+            self.open_for_waiters()
+            if not self.held:
+                self.fail_waiters()
+
+    def close(self) -> None:
+        """Close what is idle and open nothing more; exchanges go on to their end."""
+        self.closed = True
+        idle, self.idle = self.idle, []
+        for connection in idle:
+            connection.abort()
+        self.fail_waiters()
+
+
+class PoolFactory(ClientFactory):
+    """Builds the connections of a pool and reports failures to it."""
+
+    noisy = False
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.pool = pool
+
+    def buildProtocol(self, addr: IAddress | None) -> ClientConnection:
+        """Return the protocol of an established connection."""
+        return ClientConnection(self.pool.opened, self.pool.lost)
+
+    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
+        """Report that no connection could be established."""
+        self.pool.connect_failed(reason)
--- /dev/null
+++ b/sardinehook/gateway/ports.py
@@ -0,0 +1,146 @@
+"""What the gateway asks of the dialects that callers, replicas and the store speak."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from sardinehook.gateway.configuration import Configuration
+from sardinehook.gateway.connection import Reply
+
+__all__ = [
+    "CallerDialect",
+    "CallerRequest",
+    "Header",
+    "HttpRequest",
+    "Load",
+    "ReplicaDialect",
+    "ReplicaEntry",
+    "ReplicaReply",
+    "StoreDialect",
+]
+
+Header = tuple[bytes, bytes]
+
+
+class HttpRequest(NamedTuple):
+    """A whole HTTP request as it was received; header names are as sent."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    received_at: float
+
+
+class CallerRequest(NamedTuple):
+    """A caller's request. ``patience_s`` is how long the caller waits, if it says so.
+
+    ``headers`` are those that are passed on to replicas.
+    """
+
+    request_id: bytes
+    method: bytes
+    target: bytes
+    host: str
+    headers: tuple[Header, ...]
+    body: bytes
+    patience_s: float | None
+    received_at: float
+
+
+class Load(NamedTuple):
+    """What a replica tells of its load."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class ReplicaReply(NamedTuple):
+    """A replica's reply, decoded.
+
+    ``signature`` is the replica's mark on an answer of its own. ``not_run`` is set
+    where the replica states that it did not run the request, ``misdirected`` where
+    the address belongs to another replica. A ``foreign`` reply answers another
+    request. ``keep_alive_s`` is how long the replica keeps the connection when idle,
+    ``headers`` are those that a caller may see.
+    """
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    signature: bytes | None
+    not_run: bool
+    misdirected: bool
+    foreign: bool
+    encoded: bool
+    load: Load | None
+    cold_left_s: float | None
+    keep_alive_s: float
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the replica answered the request with success."""
+        signed = self.signature is not None and not self.foreign
+        return 200 <= self.status < 300 and signed and not self.encoded
+
+
+class ReplicaEntry(NamedTuple):
+    """What discovery tells of a replica; ``born_ms`` is when its process started."""
+
+    replica_id: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    cold_left_s: float
+    sequence: int
+    born_ms: int
+
+
+class CallerDialect(Protocol):
+    """The headers that callers send and get."""
+
+    def read_request(self, request: HttpRequest) -> Result[CallerRequest, str]:
+        """Decode a caller's request; the failure says what is wrong with it."""
+        ...
+
+    def merged_headers(
+        self, signatures: Sequence[bytes], missing: int
+    ) -> tuple[Header, ...]:
+        """Return the headers of an answer that was merged from shards."""
+        ...
+
+
+class ReplicaDialect(Protocol):
+    """The requests to replicas and their replies."""
+
+    def encode_request(
+        self, request: CallerRequest, replica_id: str, left_s: float
+    ) -> bytes:
+        """Return the bytes of a request that only ``replica_id`` may run."""
+        ...
+
+    def read_reply(self, reply: Reply, request_id: bytes) -> ReplicaReply:
+        """Decode a replica's reply to the request ``request_id``."""
+        ...
+
+
+class StoreDialect(Protocol):
+    """The keys and values in the platform's store that are not the gateway's own."""
+
+    configuration_key: str
+    evacuation_prefix: str
+    replica_prefix: str
+
+    def read_configuration(self, value: bytes) -> Result[Configuration, str]:
+        """Decode the operators' configuration."""
+        ...
+
+    def read_replica(self, replica_id: str, value: bytes) -> Result[ReplicaEntry, str]:
+        """Decode an entry of discovery."""
+        ...
--- /dev/null
+++ b/sardinehook/gateway/probes.py
@@ -0,0 +1,43 @@
+"""Serves the balancer's probes and the metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.front import Front
+from sardinehook.gateway.ports import HttpRequest
+
+__all__ = ["ProbeServer"]
+
+TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+
+
+class ProbeServer(Front):
+    """Answers ``/ready`` with 200 or 503 and the reason, and ``/metrics``."""
+
+    def __init__(
+        self,
+        reactor: Any,  # noqa: ANN401
+        unready_reason: Callable[[], str],
+        render_metrics: Callable[[], bytes],
+    ) -> None:
+        super().__init__(reactor, self.answer_probe)
+        self.unready_reason = unready_reason
+        self.render_metrics = render_metrics
+
+    def answer_probe(
+        self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
+    ) -> None:
+        """Answer a probe at once."""
+        path = request.target.split(b"?")[0]
+        if path.endswith(b"/ready"):
+            reason = self.unready_reason()
+            status = 503 if reason else 200
+            body = f"{reason or 'ready'}\n".encode()
+            finish(CallerAnswer(status, TEXT, body, "probe"))
+        elif path == b"/metrics":
+            finish(CallerAnswer(200, TEXT, self.render_metrics(), "probe"))
+        else:
+            finish(CallerAnswer(404, TEXT, b"not found\n", "probe"))
--- /dev/null
+++ b/sardinehook/gateway/process.py
@@ -0,0 +1,208 @@
+"""The gateway process: wires its parts, starts them and stops them gracefully."""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Callable
+from random import Random
+from typing import Any
+from zlib import crc32
+
+import structlog
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall, deferLater
+
+from sardinehook.gateway.choice import ReplicaChooser
+from sardinehook.gateway.configuration import Configuration
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.dispatch import Dispatcher
+from sardinehook.gateway.desk import RequestDesk
+from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
+from sardinehook.gateway.follower import StoreFollower
+from sardinehook.gateway.front import Front
+from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
+from sardinehook.gateway.probes import ProbeServer
+from sardinehook.gateway.settings import GatewaySettings
+from sardinehook.gateway.store import GatewayStore
+from sardinehook.gateway.story import RequestStories
+from sardinehook.observe.events import EventName, log_event
+
+__all__ = ["Dialects", "GatewayProcess"]
+
+logger = structlog.get_logger(__name__)
+
+SWEEP_INTERVAL_S = 0.05  # resolution of deadlines that have no timer of their own
+HOUSEKEEPING_INTERVAL_S = 0.5
+NOTICE_S = 3.0  # the balancer needs two missed probes, one a second, to look away
+END_MARGIN_S = 0.4  # before the grace ends, what is left is answered
+BACKLOG = 512  # connections that the kernel may hold before they are accepted
+
+
+class Dialects:
+    """The dialects that this gateway speaks."""
+
+    def __init__(
+        self,
+        callers: CallerDialect,
+        replicas: ReplicaDialect,
+        keys: StoreDialect,
+    ) -> None:
+        self.callers = callers
+        self.replicas = replicas
+        self.keys = keys
+
+
+class GatewayProcess:
+    """One gateway: its front, its replicas and what it follows in the store."""
+
+    def __init__(
+        self,
+        reactor: Any,  # noqa: ANN401
+        settings: GatewaySettings,
+        dialects: Dialects,
+        make_store: Callable[[GatewayMetrics], GatewayStore],
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.reactor = reactor
+        self.settings = settings
+        self.metrics = metrics
+        self.random = Random(crc32(settings.node.encode()))
+        self.store = make_store(metrics)
+        self.directory = Directory(reactor, settings.bounds.drain_s)
+        dispatcher = Dispatcher(reactor, dialects.replicas, self.directory)
+        chooser = ReplicaChooser(
+            self.directory, settings.node, settings.data_centre, self.random.getrandbits(32)
+        )
+        self.policy = RequestPolicy(
+            reactor, self.directory, dispatcher, chooser, dialects.callers
+        )
+        self.policy.configure(settings.bounds)
+        self.stories = RequestStories(reactor, metrics)
+        self.desk = RequestDesk(self.policy, self.stories, self.random)
+        self.front = Front(reactor, self.desk.take)
+        self.probes = ProbeServer(reactor, self.unready_reason, metrics.render)
+        record = GatewayRecord(settings.peer_address, settings.data_centre)
+        self.fleet = GatewayFleet(
+            reactor, self.store, settings.node, record, self.set_gateways
+        )
+        self.follower = StoreFollower(
+            reactor,
+            self.store,
+            dialects.keys,
+            self.directory,
+            self.fleet,
+            self.apply_configuration,
+            self.random,
+        )
+        self.fleet.on_recovery = self.store.drop_connections
+        self.sweeping = LoopingCall(self.sweep)
+        self.sweeping.clock = reactor
+        self.housekeeping = LoopingCall(self.keep_house)
+        self.housekeeping.clock = reactor
+        self.stopping = False
+
+    def run(self) -> None:
+        """Start with the reactor, run it, and stop gracefully when it is told to."""
+        self.reactor.callWhenRunning(self.start)
+        self.reactor.addSystemEventTrigger(
+            "before", "shutdown", lambda: Deferred.fromCoroutine(self.stop())
+        )
+        self.reactor.run()
+
+    def start(self) -> None:
+        """Listen and begin to follow the store."""
+        settings = self.settings
+        listen(self.reactor, settings.front_address, self.front)
+        for address in (settings.ready_address, settings.metrics_address):
+            if address:
+                listen(self.reactor, address, self.probes)
+        self.follower.start()
+        self.fleet.start()
+        self.sweeping.start(SWEEP_INTERVAL_S, now=False)
+        self.housekeeping.start(HOUSEKEEPING_INTERVAL_S, now=False)
+        gc.collect()
+        gc.freeze()
+        log_event(
+            logger,
+            EventName.PROCESS_STARTED,
+            address=settings.front_address,
+            detail=f"store={settings.store_address}",
+        )
+
+    def unready_reason(self) -> str:
+        """Return why the balancer should send nothing, empty if it should."""
+        if self.stopping:
+            return "stopping"
+        if self.desk.configuration is None:
+            return "no configuration yet"
+        return ""
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Put a configuration in force for the requests that come from now on."""
+        self.desk.configure(configuration)
+        self.directory.configure(configuration)
+        self.front.limits = configuration.limits
+        self.metrics.version.set(configuration.version)
+        log_event(
+            logger, EventName.REVISION_IN_FORCE, revision=configuration.version
+        )
+
+    def set_gateways(self, gateways: int) -> None:
+        """Take the number of gateways that share limits and budgets."""
+        if gateways != self.directory.gateways:
+            self.directory.set_gateways(gateways)
+        self.metrics.gateways.set(gateways)
+
+    def sweep(self) -> None:
+        """Enforce deadlines."""
+        self.policy.dispatcher.sweep(self.reactor.seconds())
+
+    def keep_house(self) -> None:
+        """Do what is due now and then."""
+        now = self.reactor.seconds()
+        self.front.sweep()
+        self.directory.sweep(now)
+        self.fleet.count()
+        replicas = self.directory.replicas
+        self.metrics.replicas.set(len(replicas))
+        held = sum(replica.pool.held for replica in replicas.values())
+        self.metrics.connections.set(held)
+
+    async def stop(self) -> None:
+        """Turn not-ready, let callers move on, finish what is in flight, leave.
+
+        Connections are told to close with their next answer at once; idle ones are
+        closed only after the balancer has had time to look away, since a caller may
+        be sending on them.
+        """
+        began = self.reactor.seconds()
+        log_event(logger, EventName.PROCESS_STOPPING, count=self.desk.in_flight)
+        self.stopping = True
+        self.front.stopping = True
+        leaving = Deferred.fromCoroutine(self.fleet.leave())
+        leaving.addErrback(lambda failure: logger.error(str(failure)))
+        await deferLater(self.reactor, NOTICE_S)
+        self.front.closes_idle = True
+        self.front.sweep()
+        end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
+        while self.front.connections and self.reactor.seconds() < end_at:
+            await deferLater(self.reactor, SWEEP_INTERVAL_S)
+            self.front.sweep()
+        self.follower.stop()
+        self.sweeping.stop()
+        self.housekeeping.stop()
+        took_ms = (self.reactor.seconds() - began) * 1000.0
+        log_event(
+            logger,
+            EventName.PROCESS_STOPPED,
+            took_ms=took_ms,
+            count=len(self.front.connections),
+        )
+
+
+def listen(reactor: Any, address: str, factory: Any) -> None:  # noqa: ANN401
+    """Listen on ``IP:port``."""
+    host, _, port = address.rpartition(":")
+    reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=host)
--- /dev/null
+++ b/sardinehook/gateway/replica.py
@@ -0,0 +1,109 @@
+"""One replica as this gateway knows it."""
+
+from __future__ import annotations
+
+from math import exp
+from typing import TYPE_CHECKING
+
+from sardinehook.gateway.pool import ConnectionPool
+from sardinehook.gateway.ports import Load, ReplicaEntry, ReplicaReply
+from sardinehook.gateway.repeat_budget import SlidingCount
+
+if TYPE_CHECKING:
+    from sardinehook.gateway.dispatch import Exchange
+
+__all__ = ["Replica"]
+
+SLOWNESS_WEIGHT = 0.35  # of one sample in the average of a replica's slowness
+SLOWNESS_HALF_LIFE_S = 4.0  # a replica that was slow is tried again after some of these
+MOST_SLOWNESS = 50.0  # bounds how long a replica is avoided after one bad sample
+FAILURE_WEIGHT = 0.3  # of one result in the share of failures
+FAILURE_HALF_LIFE_S = 6.0  # a failing replica is tried again after some of these
+LOAD_MEMORY_S = 0.1  # a stated load says little after a few request times
+COLD_WINDOW_S = 1.0  # the rate of a cold replica is bounded within each second
+LN_2 = 0.693147
+
+
+class Replica:
+    """What discovery, replies and failures tell of one replica.
+
+    ``slowness`` is how many times longer than usual its replies take, ``failures``
+    the share of its recent exchanges that failed; both fade with time, so that a
+    replica that is not asked gets another chance. ``lost_at`` is when it left
+    discovery; it may be used for a short while after, since entries also lapse while
+    the store is away.
+    """
+
+    def __init__(self, entry: ReplicaEntry, pool: ConnectionPool) -> None:
+        self.entry = entry
+        self.pool = pool
+        self.in_flight: dict[Exchange, None] = {}
+        self.slowness = 1.0
+        self.slowness_at = 0.0
+        self.failures = 0.0
+        self.failures_at = 0.0
+        self.load: Load | None = None
+        self.load_at = 0.0
+        self.own_at_load = 0
+        self.cold_until = 0.0
+        self.cold_arrivals = SlidingCount(COLD_WINDOW_S)
+        self.lost_at: float | None = None
+        self.refused_at: float | None = None
+
+    @property
+    def replica_id(self) -> str:
+        """The id under which the replica is registered."""
+        return self.entry.replica_id
+
+    def is_cold(self, now: float) -> bool:
+        """Tell whether the replica is in its cold start."""
+        return now < self.cold_until
+
+    def current_slowness(self, now: float) -> float:
+        """Return the slowness as it has faded by ``now``."""
+        age_s = now - self.slowness_at
+        return 1.0 + (self.slowness - 1.0) * exp(-LN_2 * age_s / SLOWNESS_HALF_LIFE_S)
+
+    def current_failures(self, now: float) -> float:
+        """Return the share of failures as it has faded by ``now``."""
+        if not self.failures:
+            return 0.0
+        return self.failures * exp(-LN_2 * (now - self.failures_at) / FAILURE_HALF_LIFE_S)
+
+    def observe_latency(self, ratio: float, now: float) -> None:
+        """Take in a reply that took ``ratio`` times as long as usual."""
+        ratio = min(ratio, MOST_SLOWNESS)
+        known = self.current_slowness(now)
+        self.slowness = known + SLOWNESS_WEIGHT * (ratio - known)
+        self.slowness_at = now
+
+    def observe_result(self, failed: bool, now: float) -> None:
+        """Take in whether an exchange failed for a reason that lies with the replica."""
+        known = self.current_failures(now)
+        if failed or known:
+            self.failures = known + FAILURE_WEIGHT * (float(failed) - known)
+            self.failures_at = now
+
+    def observe_reply(self, reply: ReplicaReply, now: float) -> None:
+        """Take in what a reply tells of load and cold start."""
+        if reply.load is not None:
+            self.load = reply.load
+            self.load_at = now
+            self.own_at_load = len(self.in_flight)
+        if reply.cold_left_s is not None:
+            self.cold_until = now + reply.cold_left_s
+
+    def busy(self, now: float) -> float:
+        """Return the estimated number of requests at the replica, ours included."""
+        own = float(len(self.in_flight))
+        if self.load is None:
+            return own
+        age_s = now - self.load_at
+        stated = self.load.running + self.load.waiting - self.own_at_load
+        return own + max(0, stated) * exp(-age_s / LOAD_MEMORY_S)
+
+    def oldest_age_s(self, now: float) -> float:
+        """Return for how long the oldest request here has had no reply."""
+        for exchange in self.in_flight:
+            return now - exchange.sent_at if exchange.sent_at else 0.0
+        return 0.0
--- /dev/null
+++ b/sardinehook/gateway/run.py
@@ -0,0 +1,66 @@
+"""Starts a gateway on the users' platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Success
+
+from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.process import Dialects, GatewayProcess
+from sardinehook.gateway.settings import GatewaySettings
+from sardinehook.gateway.store import GatewayStore
+from sardinehook.observe.clock import HybridClock
+from sardinehook.observe.events import configure_logging
+from sardinehook.observe.twisted_errors import log_unhandled_errors
+from sardinehook.platform.callers import PlatformCallers
+from sardinehook.platform.discovery import PlatformKeys
+from sardinehook.platform.kv_store import PlatformStore
+from sardinehook.platform.replicas import PlatformReplicas
+from sardinehook.platform.settings import SETTINGS_VARIABLE, decode_settings
+
+__all__ = ["main"]
+
+EXIT_INVALID_SETTINGS = 2
+
+
+def main() -> None:
+    """Read the settings that the environment names and run a gateway."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    settings = load_settings(path)
+    from twisted.internet import reactor
+
+    running: Any = reactor
+    running.seconds = time.monotonic
+    clock = HybridClock(time.time)
+    configure_logging(sys.stdout, settings.node, settings.data_centre, clock)
+    log_unhandled_errors()
+    metrics = GatewayMetrics()
+
+    def make_store(metrics: GatewayMetrics) -> GatewayStore:
+        def count(operation: str, outcome: str) -> None:
+            metrics.store_calls.labels(operation, outcome).inc()
+
+        return PlatformStore(running, settings.store_address, count)
+
+    dialects = Dialects(PlatformCallers(), PlatformReplicas(), PlatformKeys())
+    GatewayProcess(running, settings, dialects, make_store, metrics).run()
+
+
+def load_settings(path: str) -> GatewaySettings:
+    """Read the settings file or exit with one clear line."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        sys.exit(f"can't read {path!r} named by {SETTINGS_VARIABLE}: {error}")
+    match decode_settings(text):
+        case Success(settings):
+            return settings
+        case Failure(detail):
+            sys.stderr.write(f"{path}: {detail}\n")
+            sys.exit(EXIT_INVALID_SETTINGS)
+    raise AssertionError("a result is a success or a failure")
--- /dev/null
+++ b/sardinehook/gateway/settings.py
@@ -0,0 +1,45 @@
+"""Settings of one gateway process, and the bounds that it has to keep."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["Bounds", "GatewaySettings"]
+
+
+class Bounds(NamedTuple):
+    """What the operators promise of this deployment; all from its settings.
+
+    ``repeat_ratio`` and ``repeat_slack`` bound the requests sent to a service beyond
+    the first of each, within ``repeat_window_s``, over all gateways. ``cold_factor``
+    and ``cold_slack`` bound what a cold replica gets in one second.
+    """
+
+    drain_s: float = 3.0
+    grace_s: float = 6.0
+    configuration_s: float = 3.0
+    evacuation_s: float = 5.0
+    repeat_ratio: float = 0.2
+    repeat_window_s: float = 10.0
+    repeat_slack: float = 50.0
+    cold_factor: float = 1.5
+    cold_slack: float = 5.0
+
+
+class GatewaySettings(NamedTuple):
+    """Identity and addresses of one gateway; addresses are ``IP:port``.
+
+    ``front_address`` takes callers' connections, ``ready_address`` the balancer's
+    probes, ``peer_address`` the other gateways' calls. ``metrics_address`` serves the
+    metrics. ``seeds`` are peer addresses of gateways that may be down.
+    """
+
+    node: str
+    data_centre: str
+    front_address: str
+    ready_address: str
+    peer_address: str
+    metrics_address: str
+    store_address: str
+    seeds: tuple[str, ...]
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/sardinehook/gateway/story.py
@@ -0,0 +1,88 @@
+"""The log lines and metrics that tell what became of each request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.observe.events import EventName, log_event
+
+if TYPE_CHECKING:
+    from sardinehook.gateway.gather import Gather
+    from sardinehook.gateway.single import SingleCall
+
+__all__ = ["RequestStories"]
+
+logger = structlog.get_logger(__name__)
+
+MS_PER_S = 1000.0
+TOLD_IN_FULL_EACH = 16  # untroubled requests: one in so many has a line
+
+
+class RequestStories:
+    """Writes a line for each request that ends badly and for some that don't."""
+
+    def __init__(self, reactor: Any, metrics: GatewayMetrics) -> None:  # noqa: ANN401
+        self.reactor = reactor
+        self.metrics = metrics
+        self.untroubled = 0
+
+    def refused(self, request: str, answer: CallerAnswer) -> None:
+        """Tell of a request that started no work."""
+        self.metrics.requests.labels("none", answer.outcome).inc()
+        log_event(
+            logger,
+            EventName.QUERY_REFUSED,
+            request=request,
+            kind=answer.outcome,
+            detail=answer.detail,
+        )
+
+    def ended(
+        self, work: Gather | SingleCall, version: int, answer: CallerAnswer
+    ) -> None:
+        """Tell how a request ended."""
+        took_s = self.reactor.seconds() - work.request.received_at
+        late = took_s > work.route.objective_s
+        kind = "all" if hasattr(work, "parts") else "one"
+        self.metrics.observe(kind, answer.outcome, took_s, work.hedges, work.repeats)
+        answered = answer.outcome == "answered" and answer.status < 400
+        troubled = bool(not answered or late or answer.detail)
+        self.untroubled += not troubled
+        if not troubled and self.untroubled % TOLD_IN_FULL_EACH:
+            return
+        event = EventName.QUERY_ANSWERED if answered else EventName.QUERY_FAILED
+        log_event(
+            logger,
+            event,
+            request=work.request.request_id.decode("latin-1"),
+            workload=work.route.name,
+            outcome=f"{answer.status} {answer.outcome}",
+            revision=version,
+            detail=answer.detail,
+            hedges=work.hedges,
+            retries=work.repeats,
+            took_ms=took_s * MS_PER_S,
+            target=target_of(work),
+        )
+
+    def left(self, work: Gather | SingleCall) -> None:
+        """Tell of a request whose caller has left."""
+        took_s = self.reactor.seconds() - work.request.received_at
+        self.metrics.requests.labels("any", "caller_left").inc()
+        log_event(
+            logger,
+            EventName.QUERY_CANCELLED,
+            request=work.request.request_id.decode("latin-1"),
+            workload=work.route.name,
+            took_ms=took_s * MS_PER_S,
+        )
+
+
+def target_of(work: Gather | SingleCall) -> str:
+    """Name the replicas that a single request was sent to."""
+    tried = getattr(work, "tried", [])
+    return ",".join(replica.replica_id for replica in tried)
--- a/sardinehook/observe/loop_lag.py
+++ b/sardinehook/observe/loop_lag.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sardinehook.observe.metrics import Metrics
-from sardinehook.platform.timers import Timer, Timers
+from sardinehook.store.timers import Timer, Timers
 
 __all__ = ["LoopLagProbe"]
 
--- a/sardinehook/order/attempt.py
+++ b/sardinehook/order/attempt.py
@@ -31,7 +31,7 @@
     Unreadable,
     Written,
 )
-from sardinehook.platform.store import CREATE
+from sardinehook.store.port import CREATE
 
 __all__ = ["Attempt"]
 
--- a/sardinehook/order/desk.py
+++ b/sardinehook/order/desk.py
@@ -34,8 +34,8 @@
 )
 from sardinehook.order.recorder import Recorder
 from sardinehook.order.register import Gone, Other, Register, Unavailable, Unreadable
-from sardinehook.platform.store import Store
-from sardinehook.platform.timers import Timers
+from sardinehook.store.port import Store
+from sardinehook.store.timers import Timers
 
 __all__ = ["OrderDesk", "OrderState", "OrderStatus"]
 
--- a/sardinehook/order/open_order.py
+++ b/sardinehook/order/open_order.py
@@ -9,8 +9,8 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.order.claim import ClaimState, OrderClaim, OrderRequest
-from sardinehook.platform.store import CREATE
-from sardinehook.platform.timers import Timers
+from sardinehook.store.port import CREATE
+from sardinehook.store.timers import Timers
 
 __all__ = ["OpenOrder", "OrderAnswer", "answer_of"]
 
--- a/sardinehook/order/pause.py
+++ b/sardinehook/order/pause.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
-from sardinehook.platform.timers import Timers
+from sardinehook.store.timers import Timers
 
 __all__ = ["pause"]
 
--- a/sardinehook/order/recorder.py
+++ b/sardinehook/order/recorder.py
@@ -20,8 +20,8 @@
     Unavailable,
     Written,
 )
-from sardinehook.platform.store import CREATE
-from sardinehook.platform.timers import Timers
+from sardinehook.store.port import CREATE
+from sardinehook.store.timers import Timers
 
 __all__ = ["Recorder"]
 
--- a/sardinehook/order/register.py
+++ b/sardinehook/order/register.py
@@ -14,7 +14,7 @@
     encode_claim,
     store_key,
 )
-from sardinehook.platform.store import (
+from sardinehook.store.port import (
     Conflict,
     Entry,
     Store,
--- /dev/null
+++ b/sardinehook/platform/configuration.py
@@ -0,0 +1,151 @@
+"""Decoder of the configuration that the platform's operators write."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinehook.gateway.configuration import (
+    CallerLimits,
+    Configuration,
+    Destination,
+    OneReplica,
+    Route,
+    Service,
+    ShardSet,
+    WeightedService,
+    index_routes,
+)
+
+__all__ = ["decode_configuration"]
+
+MS_PER_S = 1000.0
+IDEMPOTENT = "safe"
+
+
+class WireSplit(msgspec.Struct, rename="pascal"):
+    """One part of a traffic split."""
+
+    service: str
+    weight: float
+
+
+class WireRoute(msgspec.Struct, rename="pascal"):
+    """A route as the operators write it."""
+
+    name: str
+    host: str
+    prefix: str
+    route_type: str
+    timeout_ms: float
+    # The latency objective, not a bound on the time that a request may take.
+    target_latency_ms: float
+    # A rank: 0 goes first.
+    priority: int = 0
+    # Counts replicas that may be sent the request, not repeats.
+    max_attempts: int = 1
+    service: str | None = None
+    traffic_split: list[WireSplit] | None = None
+    # The services that hold the shards.
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_coverage: float = 0.0
+
+
+class WireService(msgspec.Struct, rename="pascal"):
+    """A service as the operators write it."""
+
+    name: str
+    health_path: str = "/health"
+    # Of one replica, over all callers.
+    max_conns: int = 0
+    cold_start_s: float = 0.0
+    # Requests a second that a cold replica bears; 0 if none is stated.
+    cold_per_s: float = 0.0
+
+
+class WireLimits(msgspec.Struct, rename="pascal"):
+    """What callers may send."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 262144
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15000.0
+
+
+class WireConfiguration(msgspec.Struct, rename="pascal"):
+    """The whole configuration."""
+
+    version: int
+    routes: list[WireRoute]
+    services: list[WireService]
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
+
+
+DECODER = msgspec.json.Decoder(WireConfiguration, strict=False)
+
+
+def decode_configuration(value: bytes) -> Result[Configuration, str]:
+    """Decode one version; the failure is one line for the log.
+
+    >>> decode_configuration(b"{").failure()
+    'malformed configuration: Input data was truncated'
+    """
+    try:
+        wire = DECODER.decode(value)
+        routes = [read_route(route) for route in wire.routes]
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
+        return Failure(f"malformed configuration: {error}")
+    services = {service.name: read_service(service) for service in wire.services}
+    limits = read_limits(wire.limits)
+    return Success(Configuration(wire.version, index_routes(routes), services, limits))
+
+
+def read_route(wire: WireRoute) -> Route:
+    """Convert a route; raises ``ValueError`` if it leads nowhere."""
+    return Route(
+        wire.name,
+        wire.host,
+        wire.prefix,
+        wire.route_type == IDEMPOTENT,
+        wire.timeout_ms / MS_PER_S,
+        wire.target_latency_ms / MS_PER_S,
+        wire.priority,
+        max(1, wire.max_attempts),
+        read_destination(wire),
+    )
+
+
+def read_destination(wire: WireRoute) -> Destination:
+    """Tell the three forms of a destination apart."""
+    if wire.gather:
+        return ShardSet(tuple(wire.gather), wire.top_k, wire.min_coverage)
+    if wire.traffic_split:
+        parts = [WeightedService(part.service, part.weight) for part in wire.traffic_split]
+        if sum(part.weight for part in parts) <= 0.0:
+            raise ValueError(f"route {wire.name} splits by no weight")
+        return OneReplica(tuple(parts))
+    if wire.service:
+        return OneReplica((WeightedService(wire.service, 1.0),))
+    raise ValueError(f"route {wire.name} names no service")
+
+
+def read_service(wire: WireService) -> Service:
+    """Convert a service."""
+    return Service(
+        wire.name,
+        wire.health_path,
+        wire.max_conns,
+        wire.cold_start_s,
+        wire.cold_per_s,
+    )
+
+
+def read_limits(wire: WireLimits) -> CallerLimits:
+    """Convert the limits of callers."""
+    return CallerLimits(
+        wire.max_header_bytes,
+        wire.max_body_bytes,
+        wire.header_timeout_ms / MS_PER_S,
+        wire.idle_timeout_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/sardinehook/platform/settings.py
@@ -0,0 +1,103 @@
+"""Decoder of the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinehook.gateway.settings import Bounds, GatewaySettings
+
+__all__ = ["SETTINGS_VARIABLE", "decode_settings"]
+
+SETTINGS_VARIABLE = "SARDINEHOOK_SETTINGS"
+MS_PER_S = 1000.0
+
+
+class WireListen(msgspec.Struct, rename="pascal"):
+    """The addresses of what a process serves."""
+
+    front: str
+    # The balancer's probes.
+    ready: str
+    # Named for machines set aside for control; the gateways call each other here.
+    control: str = ""
+
+
+class WireBounds(msgspec.Struct, rename="pascal"):
+    """The figures of the deployment's promises."""
+
+    drain_ms: float = 3000.0
+    grace_s: float = 6.0
+    config_apply_ms: float = 3000.0
+    evacuate_ms: float = 5000.0
+    retry_budget_ratio: float = 0.2
+    budget_window_s: float = 10.0
+    budget_slack: float = 50.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
+
+
+class WirePlatform(msgspec.Struct):
+    """Where the platform's store is."""
+
+    addr: str = msgspec.field(name="Addr")
+
+
+class WireSettings(msgspec.Struct, rename="pascal"):
+    """The settings file."""
+
+    node: str
+    ip: str
+    zone: str
+    internal_ports: list[int]
+    listen: WireListen
+    platform: WirePlatform = msgspec.field(name="platform")
+    seeds: list[str] = []
+    bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+
+
+def decode_settings(text: str) -> Result[GatewaySettings, str]:
+    """Decode the settings file; the failure is one line for the operator.
+
+    >>> decode_settings("Node = 1").failure()
+    'invalid settings: Expected `str`, got `int` - at `$.Node`'
+    """
+    try:
+        raw: dict[str, Any] = tomllib.loads(text)
+        wire = msgspec.convert(raw, WireSettings)
+    except (tomllib.TOMLDecodeError, msgspec.MsgspecError) as error:
+        return Failure(f"invalid settings: {error}")
+    return Success(read_settings(wire))
+
+
+def read_settings(wire: WireSettings) -> GatewaySettings:
+    """Convert the settings; the metrics take the first port between machines."""
+    return GatewaySettings(
+        wire.node,
+        wire.zone,
+        wire.listen.front,
+        wire.listen.ready,
+        wire.listen.control,
+        f"{wire.ip}:{wire.internal_ports[0]}" if wire.internal_ports else "",
+        wire.platform.addr,
+        tuple(wire.seeds),
+        read_bounds(wire.bounds),
+    )
+
+
+def read_bounds(wire: WireBounds) -> Bounds:
+    """Convert the promises to seconds."""
+    return Bounds(
+        drain_s=wire.drain_ms / MS_PER_S,
+        grace_s=wire.grace_s,
+        configuration_s=wire.config_apply_ms / MS_PER_S,
+        evacuation_s=wire.evacuate_ms / MS_PER_S,
+        repeat_ratio=wire.retry_budget_ratio,
+        repeat_window_s=wire.budget_window_s,
+        repeat_slack=wire.budget_slack,
+        cold_factor=wire.cold_over,
+        cold_slack=wire.cold_slack,
+    )
--- a/sardinehook/platform/http_call.py
+++ b/sardinehook/store/http_call.py
@@ -23,8 +23,8 @@
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer, IResponse
 from zope.interface import implementer
 
-from sardinehook.platform.store import StoreUnavailable
-from sardinehook.platform.timers import Timer, Timers
+from sardinehook.store.port import StoreUnavailable
+from sardinehook.store.timers import Timer, Timers
 
 __all__ = ["HttpCaller", "HttpReply"]
 
--- a/sardinehook/platform/http_store.py
+++ b/sardinehook/store/http_store.py
@@ -9,14 +9,14 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 
-from sardinehook.platform.http_call import HttpCaller, HttpReply
-from sardinehook.platform.store import (
+from sardinehook.store.http_call import HttpCaller, HttpReply
+from sardinehook.store.port import (
     Conflict,
     Entry,
     StoreFailure,
     StoreUnavailable,
 )
-from sardinehook.platform.timers import Timers
+from sardinehook.store.timers import Timers
 
 __all__ = ["HttpStore"]
 
--- a/tests/bench/test_platform.py
+++ b/tests/bench/test_platform.py
@@ -11,9 +11,9 @@
 
 from bench.platform_faults import Outage, VmTable
 from bench.platform_state import Held, KeyValues, Refused
-from sardinehook.platform.http_call import HttpCaller
-from sardinehook.platform.store import CREATE, Entry, StoreFailure, StoreUnavailable
-from tests.platform.platform_case import PlatformCase, good
+from sardinehook.store.http_call import HttpCaller
+from sardinehook.store.port import CREATE, Entry, StoreFailure, StoreUnavailable
+from tests.store.platform_case import PlatformCase, good
 
 
 class TestControl(PlatformCase):
--- a/tests/entry/test_vm_watch.py
+++ b/tests/entry/test_vm_watch.py
@@ -12,8 +12,8 @@
 from sardinehook.entry.vm_watch import FETCH_INTERVAL_S, VmNotice, VmWatch
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import TargetState
-from sardinehook.platform.store import StoreFailure, StoreUnavailable
-from sardinehook.platform.vm_list import Vm, VmList, VmState
+from sardinehook.store.port import StoreFailure, StoreUnavailable
+from sardinehook.store.vm_list import Vm, VmList, VmState
 
 REPLICA = Replica("r1", "duluth", "127.0.0.1:1")
 HOMES = {"r1": ReplicaHome(REPLICA, Index(2, 25, 6.0, {"s": [REPLICA]}))}
--- a/tests/environment/fake_store.py
+++ b/tests/environment/fake_store.py
@@ -9,7 +9,7 @@
 from twisted.internet.task import Clock
 
 from bench.platform_state import Held, KeyValues, Refused
-from sardinehook.platform.store import (
+from sardinehook.store.port import (
     Conflict,
     Entry,
     StoreFailure,
--- a/tests/environment/test_node_status.py
+++ b/tests/environment/test_node_status.py
@@ -6,9 +6,9 @@
 from returns.result import Failure, Success
 
 from sardinehook.environment.node_status import NodeState, node_status
-from sardinehook.platform.http_call import HttpReply
-from sardinehook.platform.store import StoreUnavailable
-from sardinehook.platform.vm_list import Vm, VmState
+from sardinehook.store.http_call import HttpReply
+from sardinehook.store.port import StoreUnavailable
+from sardinehook.store.vm_list import Vm, VmState
 from tests.environment.documents import revision
 
 ACCEPTED = revision(5)
--- a/tests/fleet/test_registrar.py
+++ b/tests/fleet/test_registrar.py
@@ -6,7 +6,7 @@
 from sardinehook.fleet.lease import LeaseRequest
 from sardinehook.fleet.registrar import RegistrarDesk, registrar_key
 from tests.fleet.support import reactor
-from tests.platform.platform_case import PlatformCase
+from tests.store.platform_case import PlatformCase
 
 PLACE = "szolnok-b"
 MEMBERS = ("e1", "e2")
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -20,9 +20,9 @@
     roster_key,
 )
 from sardinehook.fleet.roster_keeper import RosterKeeper
-from sardinehook.platform.vm_list import HttpVmList, Vm, VmList, VmState
+from sardinehook.store.vm_list import HttpVmList, Vm, VmList, VmState
 from tests.fleet.support import reactor
-from tests.platform.platform_case import TIMEOUT_MS, PlatformCase
+from tests.store.platform_case import TIMEOUT_MS, PlatformCase
 
 REPLICAS = [f"counters-{number}" for number in range(40)]
 PLACE = "szolnok-b"
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -11,7 +11,7 @@
 from sardinehook.environment.document import Replica
 from sardinehook.fleet.ownership import NOTHING
 from tests.fleet.support import turns, until
-from tests.platform.platform_case import PlatformCase
+from tests.store.platform_case import PlatformCase
 
 
 class FleetCase(PlatformCase):
--- a/tests/order/rig.py
+++ b/tests/order/rig.py
@@ -26,7 +26,7 @@
 from sardinehook.order.claim import Claimant, OrderRequest
 from sardinehook.order.desk import OrderDesk
 from sardinehook.order.open_order import OrderAnswer
-from sardinehook.platform.store import Conflict, Entry, StoreFailure, StoreUnavailable
+from sardinehook.store.port import Conflict, Entry, StoreFailure, StoreUnavailable
 
 RETENTION_MS = 86_400_000.0
 WALL_START = 1_000_000.0
--- a/tests/platform/platform_case.py
+++ b/tests/store/platform_case.py
@@ -13,7 +13,7 @@
 
 from bench.http_server import ListeningReactor, cut, listen
 from bench.platform import Platform
-from sardinehook.platform.http_store import HttpStore
+from sardinehook.store.http_store import HttpStore
 
 __all__ = ["PlatformCase", "good"]
 
--- a/tests/platform/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -14,16 +14,16 @@
 from bench.platform_faults import Outage, VmRecord
 from sardinehook.environment.revision import Revision
 from sardinehook.environment.store_watch import StoreWatch
-from sardinehook.platform.http_store import HttpStore
-from sardinehook.platform.store import (
+from sardinehook.store.http_store import HttpStore
+from sardinehook.store.port import (
     CREATE,
     Conflict,
     Entry,
     StoreFailure,
     StoreUnavailable,
 )
-from sardinehook.platform.vm_list import HttpVmList, Vm, VmState
-from tests.platform.platform_case import PlatformCase, good
+from sardinehook.store.vm_list import HttpVmList, Vm, VmState
+from tests.store.platform_case import PlatformCase, good
 
 
 def may_have_taken_effect(result: Result[object, StoreFailure]) -> bool:
