--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -19,9 +19,9 @@
 from sardinehook.order.claim import Claimant
 from sardinehook.order.desk import OrderDesk
 from sardinehook.order.front import OrderFront
+from sardinehook.query.planner import Planner
 from sardinehook.store.port import Store
 from sardinehook.store.timers import Timers
-from sardinehook.query.planner import Planner
 
 __all__ = ["EntryOrders"]
 
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -51,10 +51,10 @@
 from sardinehook.observe.metrics import Metrics
 from sardinehook.observe.twisted_errors import log_unhandled_errors
 from sardinehook.order.claim import Claimant
-from sardinehook.store.http_store import HttpStore
-from sardinehook.store.vm_list import HttpVmList
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.replica_choice import ReplicaChooser
+from sardinehook.store.http_store import HttpStore
+from sardinehook.store.vm_list import HttpVmList
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.owner import TargetOwner
 
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -12,9 +12,9 @@
 from sardinehook.observe.events import EventName
 from sardinehook.observe.metrics import Attempt
 from sardinehook.observe.sampling import QueryLog
-from sardinehook.store.timers import Timer, Timers
 from sardinehook.query.actions import Action, Cancel, Send, Settle
 from sardinehook.query.search import Search
+from sardinehook.store.timers import Timer, Timers
 
 __all__ = ["SearchRun"]
 
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -23,7 +23,6 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.metrics import Metrics
 from sardinehook.observe.sampling import QueryLog, QuerySampler
-from sardinehook.store.timers import Timers
 from sardinehook.query.actions import Settle
 from sardinehook.query.admission import Admission, Ticket
 from sardinehook.query.answer import SearchAnswer, encode_answer
@@ -31,6 +30,7 @@
 from sardinehook.query.planner import Plan, Planner
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.search import Search, SearchRequest
+from sardinehook.store.timers import Timers
 
 __all__ = ["SearchDesk"]
 
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Any, Protocol
+from typing import Protocol
 from urllib.parse import urlsplit
 
 from returns.result import Failure, Success
@@ -71,7 +71,7 @@
         self.policy = policy
         self.stories = stories
         self.random = random
-        self.reactor: Any = policy.reactor
+        self.reactor = policy.reactor
         self.configuration: Configuration | None = None
         self.rotations: dict[str, WeightedRotation] = {}
         self.in_flight = 0
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -10,6 +10,7 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.ports import ReplicaEntry
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
 from sardinehook.observe.events import EventName, log_event
 
@@ -26,7 +27,7 @@
 class Directory:
     """All replicas by id and by service; each has its own connections."""
 
-    def __init__(self, reactor: Any, drain_s: float) -> None:  # noqa: ANN401
+    def __init__(self, reactor: GatewayReactor, drain_s: float) -> None:
         self.reactor = reactor
         self.drain_s = drain_s
         self.replicas: dict[str, Replica] = {}
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
 
 from sardinehook.gateway.connection import (
     ClientConnection,
@@ -15,6 +14,7 @@
 )
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
 
 __all__ = [
@@ -97,7 +97,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         dialect: ReplicaDialect,
         directory: Directory,
     ) -> None:
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from typing import Any
 
 import msgspec
 import structlog
@@ -11,6 +10,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.observe.events import EventName, log_event
 
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         store: GatewayStore,
         node: str,
         record: GatewayRecord,
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
-from typing import Any
 
 import structlog
 from returns.result import Failure, Success
@@ -15,6 +14,7 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.ports import StoreDialect
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import Changes, GatewayStore, HistoryGone, Item
 from sardinehook.observe.events import EventName, log_event
 
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         store: GatewayStore,
         dialect: StoreDialect,
         directory: Directory,
@@ -78,9 +78,7 @@
             if self.revision is None:
                 result = await self.store.read_all(ALL_KEYS)
             else:
-                result = await self.store.watch(
-                    ALL_KEYS, self.revision, WATCH_WAIT_S
-                )
+                result = await self.store.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
             match result:
                 case Success(changes):
                     self.note_up()
--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -5,7 +5,8 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any, Protocol as TypingProtocol
+from typing import Any
+from typing import Protocol as TypingProtocol
 
 import structlog
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
@@ -17,6 +18,7 @@
 from sardinehook.gateway.configuration import CallerLimits
 from sardinehook.gateway.connection import set_socket_options
 from sardinehook.gateway.ports import Header, HttpRequest
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["Front", "FrontConnection"]
@@ -43,7 +45,15 @@
 class ParsedRequest:
     """One request on its way through the parser; ``error`` ends the connection."""
 
-    __slots__ = ("body", "body_bytes", "error", "headers", "keep_alive", "method", "url")
+    __slots__ = (
+        "body",
+        "body_bytes",
+        "error",
+        "headers",
+        "keep_alive",
+        "method",
+        "url",
+    )
 
     def __init__(self) -> None:
         self.url = b""
@@ -245,7 +255,9 @@
         elif self.current is not None:
             return
         elif self.reading is not None or (self.in_head and self.head_bytes):
-            allowed_s = limits.header_timeout_s if self.in_head else limits.idle_timeout_s
+            allowed_s = (
+                limits.header_timeout_s if self.in_head else limits.idle_timeout_s
+            )
             if now > self.since + allowed_s:
                 self.refuse(408)
                 self.serve_next()
@@ -254,10 +266,10 @@
 
 
 def encode_answer(answer: CallerAnswer, is_head: bool, keep: bool) -> bytes:
-    """Return the bytes of an answer.
+    r"""Return the bytes of an answer.
 
     >>> encode_answer(CallerAnswer(204, (), b"", "answered"), False, True)
-    b'HTTP/1.1 204 No Content\\r\\n\\r\\n'
+    b'HTTP/1.1 204 No Content\r\n\r\n'
     """
     reason = REASONS.get(answer.status, b"Unknown")
     lines = [b"HTTP/1.1 %d %b\r\n" % (answer.status, reason)]
@@ -277,7 +289,7 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, handle: Handler) -> None:  # noqa: ANN401
+    def __init__(self, reactor: GatewayReactor, handle: Handler) -> None:
         self.reactor = reactor
         self.handle = handle
         self.limits = CallerLimits()
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, refuse
@@ -19,6 +18,7 @@
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
+from sardinehook.target.reactor import DelayedCall
 
 __all__ = ["Gather", "Part"]
 
@@ -104,7 +104,7 @@
         self.repeats = 0
         self.may_have_run = False
         self.missed_objective = False
-        self.timer: Any = None
+        self.timer: DelayedCall | None = None
         begun = request.received_at
         patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
         self.give_up_at = begun + patience_s - RETURN_MARGIN_S
@@ -194,9 +194,7 @@
             self.try_again(part, now)
         self.after_change(now)
 
-    def observe(
-        self, exchange: Exchange, outcome: ExchangeOutcome, now: float
-    ) -> None:
+    def observe(self, exchange: Exchange, outcome: ExchangeOutcome, now: float) -> None:
         """Learn from how long a reply took."""
         match outcome:
             case Answered(reply) if reply.is_success:
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -1,14 +1,13 @@
-"""What the requests of a gateway share: estimates, budgets and the choice of replicas."""
+"""What requests share: estimates, budgets and the choice of replicas."""
 
 from __future__ import annotations
 
-from typing import Any
-
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.ports import CallerDialect
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.repeat_budget import RepeatBudget
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
@@ -25,7 +24,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         directory: Directory,
         dispatcher: Dispatcher,
         chooser: ReplicaChooser,
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -4,13 +4,13 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import Any
 
 from twisted.internet.interfaces import IAddress, IConnector
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
 from sardinehook.gateway.connection import ClientConnection
+from sardinehook.gateway.reactor import GatewayReactor
 
 __all__ = ["ConnectionPool", "Waiter"]
 
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         address: str,
         most: int,
         on_failure: Callable[[str], None],
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.front import Front
 from sardinehook.gateway.ports import HttpRequest
+from sardinehook.gateway.reactor import GatewayReactor
 
 __all__ = ["ProbeServer"]
 
@@ -19,7 +19,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         unready_reason: Callable[[], str],
         render_metrics: Callable[[], bytes],
     ) -> None:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -5,18 +5,18 @@
 import gc
 from collections.abc import Callable
 from random import Random
-from typing import Any
 from zlib import crc32
 
 import structlog
 from twisted.internet.defer import Deferred
+from twisted.internet.protocol import ServerFactory
 from twisted.internet.task import LoopingCall, deferLater
 
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
+from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
-from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.front import Front
@@ -24,6 +24,7 @@
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.story import RequestStories
@@ -59,7 +60,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         settings: GatewaySettings,
         dialects: Dialects,
         make_store: Callable[[GatewayMetrics], GatewayStore],
@@ -73,7 +74,10 @@
         self.directory = Directory(reactor, settings.bounds.drain_s)
         dispatcher = Dispatcher(reactor, dialects.replicas, self.directory)
         chooser = ReplicaChooser(
-            self.directory, settings.node, settings.data_centre, self.random.getrandbits(32)
+            self.directory,
+            settings.node,
+            settings.data_centre,
+            self.random.getrandbits(32),
         )
         self.policy = RequestPolicy(
             reactor, self.directory, dispatcher, chooser, dialects.callers
@@ -145,9 +149,7 @@
         self.directory.configure(configuration)
         self.front.limits = configuration.limits
         self.metrics.version.set(configuration.version)
-        log_event(
-            logger, EventName.REVISION_IN_FORCE, revision=configuration.version
-        )
+        log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
     def set_gateways(self, gateways: int) -> None:
         """Take the number of gateways that share limits and budgets."""
@@ -202,7 +204,7 @@
         )
 
 
-def listen(reactor: Any, address: str, factory: Any) -> None:  # noqa: ANN401
+def listen(reactor: GatewayReactor, address: str, factory: ServerFactory) -> None:
     """Listen on ``IP:port``."""
     host, _, port = address.rpartition(":")
     reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=host)
--- a/sardinehook/gateway/repeat_budget.py
+++ b/sardinehook/gateway/repeat_budget.py
@@ -65,10 +65,9 @@
 
     def left(self, bounds: Bounds, gateways: int, now: float) -> float:
         """Return how many repeats may still be sent at ``now``."""
-        allowance = (
-            bounds.repeat_ratio * self.requests.total(now)
-            + bounds.repeat_slack / max(1, gateways)
-        )
+        allowance = bounds.repeat_ratio * self.requests.total(
+            now
+        ) + bounds.repeat_slack / max(1, gateways)
         return SAFETY_RATIO * allowance - self.repeats.total(now)
 
     def spend(self, bounds: Bounds, gateways: int, now: float) -> bool:
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -68,7 +68,9 @@
         """Return the share of failures as it has faded by ``now``."""
         if not self.failures:
             return 0.0
-        return self.failures * exp(-LN_2 * (now - self.failures_at) / FAILURE_HALF_LIFE_S)
+        return self.failures * exp(
+            -LN_2 * (now - self.failures_at) / FAILURE_HALF_LIFE_S
+        )
 
     def observe_latency(self, ratio: float, now: float) -> None:
         """Take in a reply that took ``ratio`` times as long as usual."""
@@ -78,7 +80,7 @@
         self.slowness_at = now
 
     def observe_result(self, failed: bool, now: float) -> None:
-        """Take in whether an exchange failed for a reason that lies with the replica."""
+        """Take in whether an exchange failed for a reason of the replica."""
         known = self.current_failures(now)
         if failed or known:
             self.failures = known + FAILURE_WEIGHT * (float(failed) - known)
--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from returns.result import Failure, Success
+from returns.pipeline import is_successful
 
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.process import Dialects, GatewayProcess
@@ -57,10 +57,8 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         sys.exit(f"can't read {path!r} named by {SETTINGS_VARIABLE}: {error}")
-    match decode_settings(text):
-        case Success(settings):
-            return settings
-        case Failure(detail):
-            sys.stderr.write(f"{path}: {detail}\n")
-            sys.exit(EXIT_INVALID_SETTINGS)
-    raise AssertionError("a result is a success or a failure")
+    decoded = decode_settings(text)
+    if not is_successful(decoded):
+        sys.stderr.write(f"{path}: {decoded.failure()}\n")
+        sys.exit(EXIT_INVALID_SETTINGS)
+    return decoded.unwrap()
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, refuse
@@ -18,6 +17,7 @@
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
+from sardinehook.target.reactor import DelayedCall
 
 __all__ = ["SingleCall"]
 
@@ -61,7 +61,7 @@
         self.open_exchanges: list[Exchange] = []
         self.reasons: list[str] = []
         self.failure: ReplicaReply | None = None
-        self.timer: Any = None
+        self.timer: DelayedCall | None = None
         patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
         self.give_up_at = request.received_at + patience_s - RETURN_MARGIN_S
         self.usual_s = policy.usual_s(route)
--- a/sardinehook/gateway/story.py
+++ b/sardinehook/gateway/story.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import structlog
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.observe.events import EventName, log_event
 
 if TYPE_CHECKING:
@@ -25,7 +26,7 @@
 class RequestStories:
     """Writes a line for each request that ends badly and for some that don't."""
 
-    def __init__(self, reactor: Any, metrics: GatewayMetrics) -> None:  # noqa: ANN401
+    def __init__(self, reactor: GatewayReactor, metrics: GatewayMetrics) -> None:
         self.reactor = reactor
         self.metrics = metrics
         self.untroubled = 0
--- a/sardinehook/platform/configuration.py
+++ b/sardinehook/platform/configuration.py
@@ -121,7 +121,9 @@
     if wire.gather:
         return ShardSet(tuple(wire.gather), wire.top_k, wire.min_coverage)
     if wire.traffic_split:
-        parts = [WeightedService(part.service, part.weight) for part in wire.traffic_split]
+        parts = [
+            WeightedService(part.service, part.weight) for part in wire.traffic_split
+        ]
         if sum(part.weight for part in parts) <= 0.0:
             raise ValueError(f"route {wire.name} splits by no weight")
         return OneReplica(tuple(parts))
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -4,7 +4,7 @@
 
 from base64 import b64decode, b64encode
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
@@ -20,6 +20,7 @@
     Reply,
 )
 from sardinehook.gateway.pool import ConnectionPool
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import (
     Changes,
     HistoryGone,
@@ -84,7 +85,11 @@
     """One call on its way; it ends by an answer, a failure or its timeout."""
 
     def __init__(
-        self, reactor: Any, pool: ConnectionPool, request: bytes, timeout_s: float  # noqa: ANN401
+        self,
+        reactor: GatewayReactor,
+        pool: ConnectionPool,
+        request: bytes,
+        timeout_s: float,  # noqa: ANN401
     ) -> None:
         self.pool = pool
         self.request = request
@@ -137,7 +142,7 @@
 
     def __init__(
         self,
-        reactor: Any,  # noqa: ANN401
+        reactor: GatewayReactor,
         address: str,
         count_call: Callable[[str, str], None],
     ) -> None:
