Resend what never arrived for free; leave a data centre that does not answer

Ruled out: too few replicas (each shard had one that answered). Change: only arrivals cost budget; a data centre from which none of several replicas answers is suspected, probed by new connections, and its replicas are a last resort; a gateway that can't reach enough replicas turns not-ready and refuses at once.

--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -18,6 +18,7 @@
 STALL_COST_S = 0.1  # mean rest of a pause
 FAILURE_COST_S = 0.4  # a failed exchange costs a repeat at best
 COLD_COST_S = 0.02  # a cold replica works more slowly
+UNREACHABLE_COST_S = 1.0  # one that can't be reached now is a last resort
 LOST_COST_S = 0.5  # one that left discovery is a last resort
 JITTER = 0.1  # keeps gateways from choosing alike
 COLD_SAFETY_RATIO = 0.9  # of a cold replica's rate, since arrivals bunch on the wire
@@ -71,6 +72,10 @@
             cost += LOST_COST_S
         if not replica.pool.has_room:
             cost += likely_s
+        reachability = self.directory.reachability
+        place = replica.entry.data_centre
+        if replica.pool.is_failing or reachability.is_suspect(place, now):
+            cost += UNREACHABLE_COST_S
         return cost + FAILURE_COST_S * replica.current_failures(now)
 
     def may_ask(self, replica: Replica, now: float) -> bool:
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -91,6 +91,32 @@
                 if known is None or known.services != services:
                     self.rotations[route.name] = WeightedRotation(services, self.random)
 
+    def cut_off_reason(self) -> str:
+        """Return why other gateways could serve callers better, empty if none could.
+
+        A gateway that can't reach enough replicas for a search says so, so that the
+        balancer sends callers to other data centres.
+        """
+        now = self.reactor.seconds()
+        cut_off = self.policy.directory.reachability.cut_off(now)
+        if not cut_off or self.configuration is None:
+            return ""
+        for routes in self.configuration.routes.values():
+            for route in routes:
+                if not self.can_serve(route, now):
+                    return f"cut off from {','.join(cut_off)}, as {route.name} needs"
+        return ""
+
+    def can_serve(self, route: Route, now: float) -> bool:
+        """Tell whether enough replicas for a route can be reached."""
+        directory = self.policy.directory
+        match route.destination:
+            case ShardSet(shards, _, least):
+                servable = sum(directory.can_serve(shard, now) for shard in shards)
+                return servable >= least * len(shards)
+            case OneReplica(services):
+                return any(directory.can_serve(part.service, now) for part in services)
+
     def take(self, raw: HttpRequest, finish: Finish) -> Work | None:
         """Start a request; ``finish`` is called once, perhaps before this returns."""
         match self.policy.callers.read_request(raw):
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
+from random import Random
 from typing import Any
 
 import structlog
@@ -10,6 +11,7 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.ports import ReplicaEntry
+from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
 from sardinehook.observe.events import EventName, log_event
@@ -29,13 +31,14 @@
 
     def __init__(self, reactor: GatewayReactor, drain_s: float) -> None:
         self.reactor = reactor
+        self.random = Random(0)
         self.drain_s = drain_s
         self.replicas: dict[str, Replica] = {}
         self.by_service: dict[str, list[Replica]] = {}
         self.evacuated: set[str] = set()
         self.configuration: Configuration | None = None
         self.gateways = 1
-        self.on_connect_failure: Callable[[Replica, str], None] = note_nothing
+        self.reachability = Reachability()
 
     def replicas_of(self, service: str) -> list[Replica]:
         """Return the replicas of a service that may be asked now."""
@@ -84,11 +87,12 @@
         """Add a replica that was not known."""
         replica: Replica
 
-        def failed(detail: str) -> None:
-            self.on_connect_failure(replica, detail)
+        def heard() -> None:
+            now = self.reactor.seconds()
+            self.reachability.note_heard(replica.entry.data_centre, now)
 
         most = self.connections_allowed(entry.service)
-        pool = ConnectionPool(self.reactor, entry.address, most, failed)
+        pool = ConnectionPool(self.reactor, entry.address, most, heard)
         replica = Replica(entry, pool)
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
@@ -159,6 +163,25 @@
         share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS) / self.gateways
         return max(1, int(share))
 
+    def can_serve(self, service: str, now: float) -> bool:
+        """Tell whether a service has a replica that this gateway can reach."""
+        return any(
+            not replica.pool.is_failing
+            and not self.reachability.is_cut_off(replica.entry.data_centre, now)
+            for replica in self.replicas_of(service)
+        )
+
+    def probe_suspects(self, now: float) -> None:
+        """Open a connection to a replica of each data centre that is in doubt."""
+        probed: set[str] = set()
+        replicas = list(self.replicas.values())
+        self.random.shuffle(replicas)
+        for replica in replicas:
+            place = replica.entry.data_centre
+            if place not in probed and self.reachability.is_suspect(place, now):
+                probed.add(place)
+                replica.pool.probe()
+
     def set_evacuated(self, data_centres: set[str]) -> None:
         """Take the data centres that are to get no new requests."""
         if data_centres != self.evacuated:
@@ -189,7 +212,3 @@
         told.address,
         told.service,
     )
-
-
-def note_nothing(_replica: Replica, _detail: str) -> None:
-    """Ignore a failed connection attempt."""
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -111,6 +111,9 @@
         replica = exchange.replica
         self.exchanges[exchange] = None
         replica.in_flight[exchange] = None
+        self.directory.reachability.note_sent(
+            replica.entry.data_centre, replica.replica_id, exchange.started_at
+        )
 
         def connected(connection: ClientConnection | None) -> None:
             exchange.waiter = None
@@ -149,6 +152,7 @@
         replica = exchange.replica
         match end:
             case Replied(raw):
+                self.directory.reachability.note_heard(replica.entry.data_centre, now)
                 reply = self.dialect.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
                 self.settle_connection(exchange, reply)
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -37,6 +37,7 @@
     """One shard of a search: who was asked and what came back."""
 
     __slots__ = (
+        "arrived",
         "asked",
         "attempts",
         "hedge_at",
@@ -60,6 +61,7 @@
         self.signature = b""
         self.reason = "no reply in time"
         self.asked = False
+        self.arrived = False
 
     @property
     def is_in(self) -> bool:
@@ -132,7 +134,7 @@
         if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
             self.settle_with(refuse(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")))
             return
-        chosen = [self.choose(part, now) for part in self.parts]
+        chosen = [self.choose_reachable(part, now) for part in self.parts]
         if sum(replica is not None for replica in chosen) < self.least_parts:
             self.refuse_unsent(chosen)
             return
@@ -164,6 +166,12 @@
         """Return the replica to ask for a shard."""
         return self.policy.chooser.choose(part.shard, self.usual_s, part.tried, now)
 
+    def choose_reachable(self, part: Part, now: float) -> Replica | None:
+        """Return the replica to ask first, ``None`` if all are cut off from here."""
+        if not self.policy.directory.can_serve(part.shard, now):
+            return None
+        return self.choose(part, now)
+
     def send(self, part: Part, replica: Replica, now: float) -> None:
         """Ask ``replica`` for a shard."""
         part.asked = True
@@ -187,6 +195,7 @@
         now = self.reactor.seconds()
         if exchange in part.open_exchanges:
             part.open_exchanges.remove(exchange)
+        part.arrived = part.arrived or exchange.sent_at > 0.0
         self.observe(exchange, outcome, now)
         if self.settled or part.is_in:
             return
@@ -243,7 +252,10 @@
         if now + self.usual_s * USEFUL_RATIO > self.part_deadline_at:
             return False
         replica = self.choose(part, now)
-        if replica is None or not self.policy.may_repeat(part.shard, now):
+        if replica is None:
+            return False
+        is_repeat = part.arrived or part.open_exchanges
+        if is_repeat and not self.policy.may_repeat(part.shard, now):
             return False
         self.send(part, replica, now)
         return True
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IAddress, IConnector
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
@@ -26,7 +27,7 @@
     """Opens, lends and takes back connections, at most ``most`` of them.
 
     A request that finds no idle connection waits for one that is being opened or
-    given back. ``on_failure`` is told of each attempt that failed.
+    given back. ``on_heard`` is called when the peer accepts or refuses a connection.
     """
 
     def __init__(
@@ -34,14 +35,14 @@
         reactor: GatewayReactor,
         address: str,
         most: int,
-        on_failure: Callable[[str], None],
+        on_heard: Callable[[], None],
     ) -> None:
         host, _, port = address.rpartition(":")
         self.reactor = reactor
         self.host = host
         self.port = int(port)
         self.most = most
-        self.on_failure = on_failure
+        self.on_heard = on_heard
         self.idle: list[ClientConnection] = []
         self.connections: set[ClientConnection] = set()
         self.connecting = 0
@@ -63,6 +64,16 @@
             return True
         return self.held < self.most and self.reactor.seconds() >= self.open_after
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether there is no connection and the last attempt to open one failed."""
+        return self.backoff_s > 0.0 and not self.connections
+
+    def probe(self) -> None:
+        """Open one more connection, to find out whether the peer can be reached."""
+        if not self.closed and not self.connecting and self.held < self.most + 1:
+            self.open()
+
     def request(self, waiter: Waiter) -> None:
         """Give ``waiter`` a connection, ``None`` if none can be opened."""
         connection = self.take_idle()
@@ -116,6 +127,7 @@
         self.connecting -= 1
         self.opened_count += 1
         self.backoff_s = 0.0
+        self.on_heard()
         self.connections.add(connection)
         if self.closed:
             connection.abort()
@@ -147,7 +159,8 @@
         self.connecting -= 1
         self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
         self.open_after = self.reactor.seconds() + self.backoff_s
-        self.on_failure(reason.getErrorMessage())
+        if isinstance(reason.value, ConnectionRefusedError):
+            self.on_heard()
         if not self.held:
             self.fail_waiters()
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -141,7 +141,7 @@
             return "stopping"
         if self.desk.configuration is None:
             return "no configuration yet"
-        return ""
+        return self.desk.cut_off_reason()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force for the requests that come from now on."""
@@ -166,6 +166,7 @@
         now = self.reactor.seconds()
         self.front.sweep()
         self.directory.sweep(now)
+        self.directory.probe_suspects(now)
         self.fleet.count()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
--- /dev/null
+++ b/sardinehook/gateway/reachability.py
@@ -0,0 +1,100 @@
+"""Whether this gateway can reach the replicas of each data centre."""
+
+from __future__ import annotations
+
+import structlog
+
+from sardinehook.observe.events import EventName, log_event
+
+__all__ = ["Reachability"]
+
+logger = structlog.get_logger(__name__)
+
+SUSPECT_REPLICAS = 3  # fewer silent replicas may be paused, each for itself
+SUSPECT_AFTER_S = 0.12  # the first reply of several replicas comes within 50 ms
+CUT_OFF_AFTER_S = 0.5  # a suspected data centre counts as cut off after this
+
+
+class DataCentreContact:
+    """What was sent to one data centre since its replicas were last heard."""
+
+    __slots__ = ("silent", "silent_since", "suspect_since")
+
+    def __init__(self) -> None:
+        self.silent: set[str] = set()
+        self.silent_since = 0.0
+        self.suspect_since: float | None = None
+
+
+class Reachability:
+    """Suspects data centres from which no replica answers at all.
+
+    Replicas pause and crash one by one. Where several were sent requests and not one
+    of the whole data centre has answered since, the path to it is in doubt. Any sign
+    of life clears it, be it a new connection.
+
+    >>> contacts = Reachability()
+    >>> for replica in "abc":
+    ...     contacts.note_sent("east", replica, 10.0)
+    >>> contacts.is_suspect("east", 10.05), contacts.is_suspect("east", 10.2)
+    (False, True)
+    >>> contacts.note_heard("east", 10.3)
+    >>> contacts.is_suspect("east", 10.4)
+    False
+    """
+
+    def __init__(self) -> None:
+        self.contacts: dict[str, DataCentreContact] = {}
+
+    def note_sent(self, data_centre: str, replica_id: str, now: float) -> None:
+        """Count a request or a connection attempt to a replica."""
+        contact = self.contacts.get(data_centre)
+        if contact is None:
+            contact = self.contacts[data_centre] = DataCentreContact()
+        if not contact.silent:
+            contact.silent_since = now
+        contact.silent.add(replica_id)
+
+    def note_heard(self, data_centre: str, now: float) -> None:
+        """Take in a sign of life of any replica of a data centre."""
+        contact = self.contacts.get(data_centre)
+        if contact is None or not contact.silent:
+            return
+        contact.silent.clear()
+        if contact.suspect_since is not None:
+            contact.suspect_since = None
+            log_event(
+                logger, EventName.DATA_CENTRE_STATE, state=f"{data_centre} reachable"
+            )
+
+    def is_suspect(self, data_centre: str, now: float) -> bool:
+        """Tell whether the path to a data centre is in doubt."""
+        contact = self.contacts.get(data_centre)
+        if contact is None:
+            return False
+        if contact.suspect_since is not None:
+            return True
+        if len(contact.silent) < SUSPECT_REPLICAS:
+            return False
+        if now - contact.silent_since < SUSPECT_AFTER_S:
+            return False
+        contact.suspect_since = now
+        log_event(
+            logger,
+            EventName.DATA_CENTRE_STATE,
+            state=f"{data_centre} suspect",
+            count=len(contact.silent),
+            took_ms=(now - contact.silent_since) * 1000.0,
+        )
+        return True
+
+    def is_cut_off(self, data_centre: str, now: float) -> bool:
+        """Tell whether a data centre has been in doubt for long enough."""
+        if not self.is_suspect(data_centre, now):
+            return False
+        since = self.contacts[data_centre].suspect_since
+        return since is not None and now - since > CUT_OFF_AFTER_S
+
+    def cut_off(self, now: float) -> list[str]:
+        """List the data centres that count as cut off."""
+        return sorted(place for place in self.contacts if self.is_cut_off(place, now))
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -57,6 +57,7 @@
         self.repeats = 0
         self.hedges = 0
         self.may_have_run = False
+        self.arrived = False
         self.tried: list[Replica] = []
         self.open_exchanges: list[Exchange] = []
         self.reasons: list[str] = []
@@ -77,7 +78,8 @@
             self.settle_with(refuse(problem))
             return
         self.policy.budget_of(self.service).note_request(now)
-        replica = self.choose(now)
+        reachable = self.policy.directory.can_serve(self.service, now)
+        replica = self.choose(now) if reachable else None
         if replica is None:
             problem = Problem(
                 ErrorKind.TARGET_UNAVAILABLE, f"no replica of {self.service}"
@@ -107,6 +109,7 @@
         now = self.reactor.seconds()
         if exchange in self.open_exchanges:
             self.open_exchanges.remove(exchange)
+        self.arrived = self.arrived or exchange.sent_at > 0.0
         answer = self.take(exchange, outcome, now)
         if self.settled:
             return
@@ -162,7 +165,10 @@
         if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
             return False
         replica = self.choose(now)
-        if replica is None or not self.policy.may_repeat(self.service, now):
+        if replica is None:
+            return False
+        is_repeat = self.arrived or self.open_exchanges
+        if is_repeat and not self.policy.may_repeat(self.service, now):
             return False
         self.repeats += 1
         self.send(replica, now)
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -149,7 +149,7 @@
         self.reactor = reactor
         self.address = address
         self.count_call = count_call
-        self.pool = ConnectionPool(reactor, address, MOST_CONNECTIONS, ignore_detail)
+        self.pool = ConnectionPool(reactor, address, MOST_CONNECTIONS, ignore)
 
     async def call(
         self, operation: str, method: str, path: str, body: object, timeout_s: float
@@ -250,8 +250,8 @@
     """Drop a reply of which only the success matters."""
 
 
-def ignore_detail(_detail: str) -> None:
-    """Drop the detail of a failed attempt, which the call reports itself."""
+def ignore() -> None:
+    """Take no note of a connection: the calls tell whether the store answers."""
 
 
 def check_status(reply: Reply) -> Result[Reply, StoreProblem]:
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,176 @@
+"""A gateway's parts around a clock, with replicas that tests answer for."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from twisted.internet.testing import MemoryReactorClock
+
+from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.choice import ReplicaChooser
+from sardinehook.gateway.configuration import (
+    CallerLimits,
+    Configuration,
+    OneReplica,
+    Route,
+    Service,
+    ShardSet,
+    WeightedService,
+    index_routes,
+)
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.dispatch import (
+    Answered,
+    Dispatcher,
+    Exchange,
+    ExchangeOutcome,
+    NotRun,
+)
+from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.ports import CallerRequest, ReplicaEntry, ReplicaReply
+from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.settings import Bounds
+from sardinehook.gateway.single import SingleCall
+from sardinehook.platform.callers import PlatformCallers
+from sardinehook.platform.replicas import PlatformReplicas
+
+DEFAULT_BOUNDS = Bounds()
+HERE = "here"
+THERE = "there"
+REQUEST = CallerRequest(b"r-1", b"GET", b"/x/1", "h", (), b"", 0.8, 0.0)
+
+
+class HeldDispatcher(Dispatcher):
+    """Holds the exchanges that are started until a test ends them."""
+
+    def __init__(self, reactor: MemoryReactorClock, directory: Directory) -> None:
+        super().__init__(reactor, PlatformReplicas(), directory)
+        self.sent: list[Exchange] = []
+        self.refuses: set[str] = set()
+
+    def start(self, exchange: Exchange) -> None:
+        """Note an exchange as sent, unless its replica can't be reached."""
+        replica = exchange.replica
+        replica.in_flight[exchange] = None
+        self.exchanges[exchange] = None
+        if replica.replica_id in self.refuses:
+            self.end(exchange, NotRun("no connection", False))
+            return
+        exchange.sent_at = self.reactor.seconds()
+        self.sent.append(exchange)
+
+    def sent_to(self, service: str) -> list[Exchange]:
+        """List the exchanges with replicas of a service."""
+        return [
+            exchange
+            for exchange in self.sent
+            if exchange.replica.entry.service == service
+        ]
+
+    def open_at(self, service: str) -> list[Exchange]:
+        """List the exchanges with replicas of a service that have not ended."""
+        return [exchange for exchange in self.sent_to(service) if not exchange.over]
+
+
+class Gateway(NamedTuple):
+    """The parts that tests look at."""
+
+    reactor: MemoryReactorClock
+    directory: Directory
+    dispatcher: HeldDispatcher
+    policy: RequestPolicy
+    answers: list[CallerAnswer]
+
+    def entry(self, replica_id: str, service: str, place: str = HERE) -> ReplicaEntry:
+        """Make an entry of discovery with an address of its own."""
+        port = 1000 + len(self.directory.replicas)
+        return ReplicaEntry(
+            replica_id, service, f"127.0.0.1:{port}", place, 2, False, 0.0, 1, 1
+        )
+
+    def add(self, replica_id: str, service: str, place: str = HERE) -> Replica:
+        """Register a replica."""
+        entry = self.entry(replica_id, service, place)
+        self.directory.put(entry, self.reactor.seconds())
+        return self.directory.replicas[replica_id]
+
+    def gather(self, route: Route, request: CallerRequest = REQUEST) -> Gather:
+        """Start a search."""
+        shards = route.destination
+        assert isinstance(shards, ShardSet)
+        arrived = request._replace(received_at=self.reactor.seconds())
+        work = Gather(self.policy, arrived, route, shards, self.answers.append)
+        work.start()
+        return work
+
+    def call(
+        self, route: Route, service: str, request: CallerRequest = REQUEST
+    ) -> SingleCall:
+        """Start a request to one replica."""
+        arrived = request._replace(received_at=self.reactor.seconds())
+        work = SingleCall(self.policy, arrived, route, service, self.answers.append)
+        work.start()
+        return work
+
+    def end(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
+        """End an exchange as a replica would."""
+        self.dispatcher.end(exchange, outcome)
+
+    def answer_all(self, *except_services: str) -> None:
+        """Answer everything that is open, except at some services."""
+        for exchange in list(self.dispatcher.sent):
+            service = exchange.replica.entry.service
+            if not exchange.over and service not in except_services:
+                self.end(exchange, good(exchange.replica.replica_id))
+
+
+def make_gateway(bounds: Bounds = DEFAULT_BOUNDS, gateways: int = 1) -> Gateway:
+    """Put the parts together."""
+    reactor = MemoryReactorClock()
+    reactor.advance(100.0)
+    directory = Directory(reactor, bounds.drain_s)
+    dispatcher = HeldDispatcher(reactor, directory)
+    chooser = ReplicaChooser(directory, "g-1", HERE, 1)
+    policy = RequestPolicy(reactor, directory, dispatcher, chooser, PlatformCallers())
+    policy.configure(bounds)
+    directory.set_gateways(gateways)
+    return Gateway(reactor, directory, dispatcher, policy, [])
+
+
+def shard_names(count: int) -> tuple[str, ...]:
+    """Name some shards."""
+    return tuple(f"s{number:02}" for number in range(count))
+
+
+def search_route(
+    shards: int = 4, least: float = 0.75, objective_s: float = 0.2
+) -> Route:
+    """Make a route that is gathered from shards."""
+    destination = ShardSet(shard_names(shards), 5, least)
+    return Route("r", "h", "/x/", True, 0.8, objective_s, 1, 2, destination)
+
+
+def single_route(idempotent: bool, attempts: int = 2) -> Route:
+    """Make a route to one replica."""
+    destination = OneReplica((WeightedService("desk", 1.0),))
+    return Route("o", "h", "/x/", idempotent, 4.0, 0.6, 1, attempts, destination)
+
+
+def configuration(*routes: Route, cold_rate: float = 0.0) -> Configuration:
+    """Make a configuration whose services are those of the routes."""
+    names = {"desk", *shard_names(40)}
+    services = {name: Service(name, "/health", 26, 3.0, cold_rate) for name in names}
+    return Configuration(1, index_routes(routes), services, CallerLimits())
+
+
+def reply(status: int, signature: bytes | None, body: bytes = b"") -> ReplicaReply:
+    """Make a decoded reply."""
+    return ReplicaReply(
+        status, (), body, signature, False, False, False, False, None, None, 5.0
+    )
+
+
+def good(signature: str, record: bytes = b"a" * 16) -> Answered:
+    """Make a replica's success."""
+    return Answered(reply(200, signature.encode(), record))
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
