--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -5,7 +5,6 @@
 from collections import deque
 from collections.abc import Callable
 
-from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.interfaces import IAddress, IConnector
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
@@ -27,7 +26,7 @@
     """Opens, lends and takes back connections, at most ``most`` of them.
 
     A request that finds no idle connection waits for one that is being opened or
-    given back. ``on_heard`` is called when the peer accepts or refuses a connection.
+    given back. ``on_heard`` is called when the peer accepts a connection.
     """
 
     def __init__(
@@ -159,8 +158,6 @@
         self.connecting -= 1
         self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
         self.open_after = self.reactor.seconds() + self.backoff_s
-        if isinstance(reason.value, ConnectionRefusedError):
-            self.on_heard()
         if not self.held:
             self.fail_waiters()
 
