--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -106,6 +106,7 @@
         self.housekeeping = LoopingCall(self.keep_house)
         self.housekeeping.clock = reactor
         self.stopping = False
+        self.last_reason = "starting"
 
     def run(self) -> None:
         """Start with the reactor, run it, and stop gracefully when it is told to."""
@@ -137,6 +138,14 @@
 
     def unready_reason(self) -> str:
         """Return why the balancer should send nothing, empty if it should."""
+        reason = self.find_unready_reason()
+        if reason != self.last_reason:
+            self.last_reason = reason
+            log_event(logger, EventName.READINESS, state=reason or "ready")
+        return reason
+
+    def find_unready_reason(self) -> str:
+        """Look for what keeps this gateway from serving."""
         if self.stopping:
             return "stopping"
         if self.desk.configuration is None:
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -24,6 +24,7 @@
     PROCESS_STARTED = "process_started"
     PROCESS_STOPPING = "process_stopping"
     PROCESS_STOPPED = "process_stopped"
+    READINESS = "readiness"
     UNHANDLED_ERROR = "unhandled_error"
     QUERY_RECEIVED = "query_received"
     QUERY_PLANNED = "query_planned"
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -51,7 +51,8 @@
 
     def factory(self, attempt: int) -> ClientFactory:
         """Return the factory of a connection attempt."""
-        return cast(ClientFactory, self.reactor.tcpClients[attempt][2])
+        factory: ClientFactory = self.reactor.tcpClients[attempt][2]
+        return factory
 
     def accept(self, attempt: int) -> Wire:
         """Let an attempt succeed."""
