Turn not-ready only if a cut keeps a gateway from most of its demand

Change: only services all of whose replicas are beyond a cut count, and only if they are more than half of the recent demand. Test: TestReadiness.test_a_route_without_any_replica_does_not_count fails without the change.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -21,11 +21,15 @@
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, HttpRequest
+from sardinehook.gateway.repeat_budget import SlidingCount
 from sardinehook.gateway.single import SingleCall
 from sardinehook.gateway.story import RequestStories
 
 __all__ = ["RequestDesk", "Work"]
 
+TRAFFIC_WINDOW_S = 5.0  # over which the demand for each route is counted
+CUT_OFF_SHARE = 0.5  # of the demand: a gateway that can't serve more turns not-ready
+
 Finish = Callable[[CallerAnswer], None]
 
 
@@ -74,6 +78,7 @@
         self.reactor = policy.reactor
         self.configuration: Configuration | None = None
         self.rotations: dict[str, WeightedRotation] = {}
+        self.traffic: dict[str, SlidingCount] = {}
         self.in_flight = 0
 
     def configure(self, configuration: Configuration) -> None:
@@ -94,28 +99,40 @@
     def cut_off_reason(self) -> str:
         """Return why other gateways could serve callers better, empty if none could.
 
-        A gateway that can't reach enough replicas for a search says so, so that the
-        balancer sends callers to other data centres.
+        A gateway that is cut off from what most of its callers need says so, so that
+        the balancer sends them to other data centres. Routes that can't be served
+        anywhere don't count.
         """
         now = self.reactor.seconds()
         cut_off = self.policy.directory.reachability.cut_off(now)
         if not cut_off or self.configuration is None:
             return ""
+        wanted = lost = 0
         for routes in self.configuration.routes.values():
             for route in routes:
-                if not self.can_serve(route, now):
-                    return f"cut off from {','.join(cut_off)}, as {route.name} needs"
-        return ""
+                requests = 1 + self.recent(route).total(now)
+                wanted += requests
+                lost += requests * self.is_cut_off(route, now)
+        if lost <= CUT_OFF_SHARE * wanted:
+            return ""
+        return f"cut off from {','.join(cut_off)}: {lost} of {wanted} requests"
+
+    def recent(self, route: Route) -> SlidingCount:
+        """Return the count of a route's recent requests."""
+        count = self.traffic.get(route.name)
+        if count is None:
+            count = self.traffic[route.name] = SlidingCount(TRAFFIC_WINDOW_S)
+        return count
 
-    def can_serve(self, route: Route, now: float) -> bool:
-        """Tell whether enough replicas for a route can be reached."""
+    def is_cut_off(self, route: Route, now: float) -> bool:
+        """Tell whether a cut keeps this gateway from serving a route."""
         directory = self.policy.directory
         match route.destination:
             case ShardSet(shards, _, least):
-                servable = sum(directory.can_serve(shard, now) for shard in shards)
-                return servable >= least * len(shards)
+                lost = sum(directory.is_cut_off(shard, now) for shard in shards)
+                return len(shards) - lost < least * len(shards)
             case OneReplica(services):
-                return any(directory.can_serve(part.service, now) for part in services)
+                return all(directory.is_cut_off(part.service, now) for part in services)
 
     def take(self, raw: HttpRequest, finish: Finish) -> Work | None:
         """Start a request; ``finish`` is called once, perhaps before this returns."""
@@ -160,6 +177,7 @@
     ) -> Work | None:
         """Start the work that a route asks for."""
         self.in_flight += 1
+        self.recent(route).add(1, request.received_at)
         work: Gather | SingleCall
 
         def done(answer: CallerAnswer) -> None:
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -164,13 +164,21 @@
         return max(1, int(share))
 
     def can_serve(self, service: str, now: float) -> bool:
-        """Tell whether a service has a replica that this gateway can reach."""
+        """Tell whether a service has a replica that takes connections from here."""
         return any(
             not replica.pool.is_failing
             and not self.reachability.is_cut_off(replica.entry.data_centre, now)
             for replica in self.replicas_of(service)
         )
 
+    def is_cut_off(self, service: str, now: float) -> bool:
+        """Tell whether a service has replicas, all of them beyond a cut."""
+        replicas = self.replicas_of(service)
+        return bool(replicas) and all(
+            self.reachability.is_cut_off(replica.entry.data_centre, now)
+            for replica in replicas
+        )
+
     def probe_suspects(self, now: float) -> None:
         """Open a connection to a replica of each data centre that is in doubt."""
         probed: set[str] = set()
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -2,7 +2,21 @@
 
 from __future__ import annotations
 
-from tests.gateway.support import HERE, THERE, make_gateway, search_route, shard_names
+from random import Random
+
+from sardinehook.gateway.desk import RequestDesk
+from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.story import RequestStories
+from tests.gateway.support import (
+    HERE,
+    THERE,
+    Gateway,
+    configuration,
+    make_gateway,
+    search_route,
+    shard_names,
+    single_route,
+)
 from tests.gateway.test_gather import with_replicas
 
 
@@ -53,3 +67,50 @@
         assert reachability.is_suspect(THERE, gateway.reactor.seconds())
         reachability.note_heard(THERE, gateway.reactor.seconds())
         assert not reachability.is_suspect(THERE, gateway.reactor.seconds())
+
+
+def make_desk(gateway: Gateway) -> RequestDesk:
+    """Make a desk for searches over four shards and a route that has no replica."""
+    stories = RequestStories(gateway.reactor, GatewayMetrics())
+    desk = RequestDesk(gateway.policy, stories, Random(1))
+    idle = single_route(True)._replace(name="idle", prefix="/idle/")
+    desk.configure(configuration(search_route(4), idle))
+    return desk
+
+
+def cut(gateway: Gateway, place: str) -> None:
+    """Let a data centre fall silent for long enough to count as cut off."""
+    now = gateway.reactor.seconds()
+    for number in range(4):
+        gateway.directory.reachability.note_sent(place, f"{place}-{number}", now)
+    gateway.reactor.advance(0.2)
+    gateway.directory.reachability.is_suspect(place, gateway.reactor.seconds())
+    gateway.reactor.advance(0.5)
+
+
+class TestReadiness:
+    """Answers the pattern: a zone is cut off; callers should reach another one."""
+
+    def test_a_gateway_beyond_the_cut_turns_not_ready(self) -> None:
+        gateway = make_gateway()
+        for shard in shard_names(4):
+            gateway.add(f"{shard}-b", shard, THERE)
+        desk = make_desk(gateway)
+        cut(gateway, THERE)
+        gateway.directory.reachability.is_suspect(THERE, gateway.reactor.seconds())
+        assert "cut off from there" in desk.cut_off_reason()
+
+    def test_a_gateway_that_can_serve_its_callers_stays_ready(self) -> None:
+        gateway = with_replicas(4)
+        desk = make_desk(gateway)
+        cut(gateway, THERE)
+        assert desk.cut_off_reason() == ""
+
+    def test_a_route_without_any_replica_does_not_count(self) -> None:
+        gateway = with_replicas(4)
+        gateway.add("desk-b", "desk", THERE)
+        desk = make_desk(gateway)
+        now = gateway.reactor.seconds()
+        desk.recent(search_route(4)).add(20, now)
+        cut(gateway, THERE)
+        assert desk.cut_off_reason() == ""
