--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -6,29 +6,12 @@
 
 from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.protocol import ClientFactory
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
 from sardinehook.gateway.connection import ClientConnection, Replied
 from sardinehook.gateway.pool import ConnectionPool
-
-
-class Socket:
-    """Takes the options of a socket."""
-
-    def setsockopt(self, level: int, option: int, value: int) -> None:
-        """Take an option."""
-
-
-class Wire(StringTransport):
-    """A transport that a client connection can use."""
-
-    def setTcpNoDelay(self, enabled: bool) -> None:
-        """Take the option."""
-
-    def getHandle(self) -> Socket:
-        """Return what takes the options of a socket."""
-        return Socket()
+from tests.gateway.wire import Wire, make_wire
 
 
 class PoolRig:
@@ -56,7 +39,7 @@
 
     def accept(self, attempt: int) -> Wire:
         """Let an attempt succeed."""
-        wire: Any = Wire()  # type: ignore[no-untyped-call]
+        wire: Any = make_wire()
         protocol = self.factory(attempt).buildProtocol(None)
         assert protocol is not None
         protocol.makeConnection(wire)
--- /dev/null
+++ b/tests/gateway/test_single.py
@@ -0,0 +1,108 @@
+"""Requests to one replica: at most once, honest refusals, hedges."""
+
+from __future__ import annotations
+
+from sardinehook.gateway.dispatch import Answered, Failed, NotRun
+from sardinehook.gateway.settings import Bounds
+from tests.gateway.support import Gateway, good, make_gateway, reply, single_route
+
+
+def desk_gateway(replicas: int = 3) -> Gateway:
+    """Make a gateway that knows some replicas of one service."""
+    gateway = make_gateway(Bounds(repeat_slack=50.0))
+    for number in range(replicas):
+        gateway.add(f"d{number}", "desk")
+    return gateway
+
+
+class TestAtMostOnce:
+    def test_is_not_sent_again_after_it_may_have_run(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=False), "desk")
+        (exchange,) = gateway.dispatcher.sent
+        gateway.end(exchange, Failed("reset"))
+        assert len(gateway.dispatcher.sent) == 1
+        assert [answer.status for answer in gateway.answers] == [502]
+
+    def test_is_sent_again_after_a_stated_refusal(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=False), "desk")
+        gateway.end(gateway.dispatcher.sent[0], NotRun("refused with 503", True))
+        gateway.end(gateway.dispatcher.sent[1], good("d"))
+        assert [answer.status for answer in gateway.answers] == [200]
+
+    def test_is_never_hedged(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=False), "desk")
+        gateway.reactor.pump([0.1] * 20)
+        assert len(gateway.dispatcher.sent) == 1
+
+    def test_no_promise_after_it_may_have_run(self) -> None:
+        gateway = desk_gateway(1)
+        gateway.call(single_route(idempotent=False), "desk")
+        gateway.end(gateway.dispatcher.sent[0], Failed("reset"))
+        assert gateway.answers[0].status not in (408, 421, 429, 503)
+
+    def test_is_left_to_its_end_when_its_caller_has_left(self) -> None:
+        gateway = desk_gateway()
+        work = gateway.call(single_route(idempotent=False), "desk")
+        work.cancel()
+        assert not gateway.dispatcher.sent[0].over
+
+
+class TestIdempotent:
+    def test_is_sent_again_after_a_failure(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=True), "desk")
+        gateway.end(gateway.dispatcher.sent[0], Failed("reset"))
+        gateway.end(gateway.dispatcher.sent[1], good("d"))
+        assert [answer.status for answer in gateway.answers] == [200]
+
+    def test_is_hedged_when_overdue_and_the_loser_is_abandoned(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=True), "desk")
+        gateway.reactor.advance(0.4)
+        first, second = gateway.dispatcher.sent
+        gateway.end(second, good("d"))
+        assert first.over
+        assert len(gateway.answers) == 1
+
+    def test_stops_when_its_caller_has_left(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=True), "desk").cancel()
+        assert gateway.dispatcher.sent[0].over
+
+    def test_attempts_are_bounded(self) -> None:
+        gateway = desk_gateway(5)
+        gateway.call(single_route(idempotent=True, attempts=2), "desk")
+        for _ in range(3):
+            for exchange in gateway.dispatcher.open_at("desk"):
+                gateway.end(exchange, Failed("reset"))
+        assert len(gateway.dispatcher.sent) == 2
+
+
+class TestAnswers:
+    def test_a_replicas_failure_is_passed_on_unchanged(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=False), "desk")
+        failure = Answered(reply(500, b"stamp", b"broken"))
+        gateway.end(gateway.dispatcher.sent[0], failure)
+        (answer,) = gateway.answers
+        assert (answer.status, answer.body) == (500, b"broken")
+
+    def test_a_success_without_signature_is_no_answer(self) -> None:
+        gateway = desk_gateway(1)
+        gateway.call(single_route(idempotent=False), "desk")
+        gateway.end(gateway.dispatcher.sent[0], Answered(reply(200, None, b"x")))
+        assert [answer.status for answer in gateway.answers] == [502]
+
+    def test_is_refused_at_once_without_a_replica(self) -> None:
+        gateway = make_gateway()
+        gateway.call(single_route(idempotent=False), "desk")
+        assert [answer.status for answer in gateway.answers] == [503]
+
+    def test_is_given_up_before_the_caller_gives_up(self) -> None:
+        gateway = desk_gateway()
+        gateway.call(single_route(idempotent=False), "desk")
+        gateway.reactor.pump([0.1] * 8)
+        assert [answer.status for answer in gateway.answers] == [504]
--- /dev/null
+++ b/tests/platform/test_codecs.py
@@ -0,0 +1,171 @@
+"""The adapter's codecs: whatever comes is decoded or refused, never raised."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.pipeline import is_successful
+
+from sardinehook.gateway.configuration import ShardSet
+from sardinehook.gateway.connection import Reply
+from sardinehook.gateway.ports import CallerRequest, HttpRequest
+from sardinehook.platform.callers import PlatformCallers
+from sardinehook.platform.configuration import decode_configuration
+from sardinehook.platform.discovery import PlatformKeys
+from sardinehook.platform.replicas import PlatformReplicas
+from sardinehook.platform.settings import decode_settings
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["Version", "Routes", "Services", "Addr", "State", "born"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+SETTINGS = """
+Node = "front-a-1"
+Ip = "10.1.0.9"
+Zone = "a"
+InternalPorts = [7380, 7395]
+Seeds = ["10.1.0.9:8106"]
+Unknown = 4
+[Listen]
+Front = "10.1.0.9:8104"
+Ready = "10.1.0.9:8108"
+Control = "10.1.0.9:8106"
+[Bounds]
+DrainMs = 4000
+RetryBudgetRatio = 0.25
+[platform]
+Addr = "10.200.1.7:8102"
+"""
+
+
+class TestConfigurationCodec:
+    @given(st.binary(max_size=60) | JSON.map(msgspec.json.encode))
+    def test_never_raises(self, value: bytes) -> None:
+        decode_configuration(value)
+
+    def test_a_gathered_route(self) -> None:
+        route = {
+            "Name": "r",
+            "Host": "h",
+            "Prefix": "/x/",
+            "RouteType": "safe",
+            "TimeoutMs": 400,
+            "TargetLatencyMs": 111,
+            "Priority": 2,
+            "Gather": ["a", "b"],
+            "MaxAttempts": 2,
+            "TopK": 5,
+            "MinCoverage": 0.75,
+        }
+        value = {"Version": 7, "Routes": [route], "Services": []}
+        decoded = decode_configuration(msgspec.json.encode(value)).unwrap()
+        found = decoded.find_route("h", "/x/1")
+        assert found is not None
+        assert found.destination == ShardSet(("a", "b"), 5, 0.75)
+        assert found.objective_s == 0.111
+
+    def test_a_route_that_leads_nowhere_is_refused(self) -> None:
+        route = {
+            "Name": "r",
+            "Host": "h",
+            "Prefix": "/x/",
+            "RouteType": "safe",
+            "TimeoutMs": 400,
+            "TargetLatencyMs": 111,
+        }
+        value = {"Version": 7, "Routes": [route], "Services": []}
+        assert not is_successful(decode_configuration(msgspec.json.encode(value)))
+
+
+class TestEntryCodec:
+    @given(st.binary(max_size=60) | JSON.map(msgspec.json.encode))
+    def test_never_raises(self, value: bytes) -> None:
+        PlatformKeys().read_replica("i-1", value)
+
+    def test_an_unknown_state_names_no_replica(self) -> None:
+        value = {"Service": "s", "Addr": "1.2.3.4:5", "Zone": "a", "State": "odd"}
+        entry = PlatformKeys().read_replica("i-1", msgspec.json.encode(value))
+        assert not is_successful(entry)
+
+
+class TestSettingsCodec:
+    def test_reads_what_it_knows_and_ignores_the_rest(self) -> None:
+        settings = decode_settings(SETTINGS).unwrap()
+        assert settings.data_centre == "a"
+        assert settings.bounds.drain_s == 4.0
+        assert settings.bounds.repeat_ratio == 0.25
+
+    @given(st.text(max_size=60))
+    def test_never_raises(self, text: str) -> None:
+        decode_settings(text)
+
+
+def request(*headers: tuple[bytes, bytes]) -> HttpRequest:
+    """Make a caller's request."""
+    return HttpRequest(b"GET", b"/x/1?q=1", headers, b"", 5.0)
+
+
+class TestCallerCodec:
+    def test_headers_of_one_connection_are_not_passed_on(self) -> None:
+        raw = request(
+            (b"Host", b"h:80"),
+            (b"X-Request-Id", b"r-1"),
+            (b"X-Deadline-Ms", b"800"),
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"X-Expect-Instance", b"i-9"),
+            (b"X-Other", b"2"),
+        )
+        decoded = PlatformCallers().read_request(raw).unwrap()
+        assert decoded.headers == ((b"X-Other", b"2"),)
+        assert (decoded.host, decoded.patience_s) == ("h", 0.8)
+
+    def test_two_hosts_are_refused(self) -> None:
+        raw = request((b"Host", b"a"), (b"Host", b"b"), (b"X-Request-Id", b"r"))
+        assert not is_successful(PlatformCallers().read_request(raw))
+
+    def test_a_request_without_id_is_refused(self) -> None:
+        assert not is_successful(
+            PlatformCallers().read_request(request((b"Host", b"a")))
+        )
+
+
+class TestReplicaCodec:
+    REQUEST = CallerRequest(
+        b"r-1", b"POST", b"/x/1", "h", ((b"A", b"1"),), b"body", 0.8, 5.0
+    )
+
+    def test_a_request_names_the_replica_and_the_time_left(self) -> None:
+        sent = PlatformReplicas().encode_request(self.REQUEST, "i-7", 0.25)
+        assert b"X-Expect-Instance: i-7\r\n" in sent
+        assert b"X-Deadline-Ms: 250\r\n" in sent
+        assert sent.endswith(b"Content-Length: 4\r\n\r\nbody")
+
+    def test_a_reply_to_another_request_is_foreign(self) -> None:
+        raw = Reply(200, ((b"x-request-id", b"r-0"), (b"x-server-stamp", b"s")), b"")
+        assert not PlatformReplicas().read_reply(raw, b"r-1").is_success
+
+    def test_an_encoded_reply_is_no_success(self) -> None:
+        raw = Reply(
+            200, ((b"x-server-stamp", b"s"), (b"content-encoding", b"gzip")), b""
+        )
+        assert not PlatformReplicas().read_reply(raw, b"r-1").is_success
+
+    def test_a_misdirected_request_did_not_run(self) -> None:
+        told = PlatformReplicas().read_reply(Reply(421, (), b""), b"r-1")
+        assert told.not_run and told.misdirected
+
+    @given(st.binary(max_size=20))
+    def test_a_malformed_load_is_ignored(self, value: bytes) -> None:
+        raw = Reply(200, ((b"x-server-load", value),), b"")
+        PlatformReplicas().read_reply(raw, b"r-1")
