Ask no more slow shards than the least coverage needs

Every search asked all three, though it needed one of them; their queues grew until nobody was served in time. Change: shards whose replies are likely late are asked only if idle, or as far as the least coverage needs them and one to spare, the most promising first. A hedge goes only to a replica that is likely to reply by the objective.

--- /dev/null
+++ b/sardinehook/gateway/fan_out.py
@@ -0,0 +1,62 @@
+"""Which shards a search asks, given how long each one's reply is expected to take."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.choice import Choice
+
+__all__ = ["Ask", "FanOut", "Refuse", "plan_fan_out"]
+
+SPARE_SHARDS = 1  # doubtful shards asked beyond what the least coverage needs
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask the shards at these places."""
+
+    places: frozenset[int]
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Ask none: the search can't be served, or not in time."""
+
+    problem: Problem
+
+
+FanOut = Ask | Refuse
+
+
+def plan_fan_out(
+    choices: Sequence[Choice | None], least_shards: int, left_s: float
+) -> FanOut:
+    """Decide which shards to ask with ``left_s`` left until the objective.
+
+    Shards that are likely to reply in time are asked, and so are those that are
+    slow but idle. Of the others no more are asked than the least coverage needs, and
+    one to spare, the most promising first: their replicas then serve some searches
+    rather than none. Where queues would make the search late it is refused, since it
+    and those behind it would miss their objective; where replicas are slow by
+    themselves it is begun, since coming back later would not help.
+    """
+    offered = [place for place, choice in enumerate(choices) if choice is not None]
+    if len(offered) < least_shards:
+        missing = len(choices) - len(offered)
+        detail = f"no replica of {missing} of {len(choices)} shards can be asked"
+        return Refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
+    found = {place: choice for place, choice in enumerate(choices) if choice}
+    prompt = [place for place in offered if found[place].likely_s <= left_s]
+    doubtful = [place for place in offered if found[place].likely_s > left_s]
+    idle = [p for p in doubtful if found[p].likely_s <= found[p].idle_s]
+    doubtful.sort(key=lambda place: found[place].likely_s)
+    needed = least_shards - len(prompt)
+    if needed <= 0:
+        return Ask(frozenset(prompt + idle))
+    decisive = found[doubtful[needed - 1]]
+    if decisive.idle_s <= left_s:
+        detail = f"the queues of {len(doubtful)} shards are too long"
+        return Refuse(Problem(ErrorKind.OVERLOADED, detail))
+    return Ask(frozenset(prompt + idle + doubtful[: needed + SPARE_SHARDS]))
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -15,6 +15,7 @@
     Failed,
     NotRun,
 )
+from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
@@ -136,16 +137,23 @@
         if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
             self.settle_with(refuse(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")))
             return
-        chosen = [self.choose_reachable(part, now) for part in self.parts]
-        problem = self.refusal(chosen, now)
-        if problem is not None:
-            self.settle_with(refuse(problem, self.retry_after_s(problem)))
-            return
-        for part, choice in zip(self.parts, chosen, strict=True):
+        choices = [self.choose_reachable(part, now) for part in self.parts]
+        match plan_fan_out(choices, self.least_parts, self.objective_at - now):
+            case Refuse(problem):
+                self.settle_with(refuse(problem, self.retry_after_s(problem)))
+            case Ask(places):
+                self.ask(choices, places, now)
+
+    def ask(
+        self, choices: list[Choice | None], places: frozenset[int], now: float
+    ) -> None:
+        """Send the first requests; the shards at no place of ``places`` are left out."""
+        for place, choice in enumerate(choices):
+            part = self.parts[place]
             self.policy.budget_of(part.shard).note_request(now)
-            if choice is None:
+            if choice is None or place not in places:
                 part.asked = True
-                part.reason = "no replica"
+                part.reason = "queue too long" if choice else "no replica"
                 self.lost_count += 1
             else:
                 self.send(part, choice.replica, now)
@@ -155,32 +163,6 @@
         if not self.settled:
             self.schedule(now)
 
-    def refusal(self, chosen: list[Choice | None], now: float) -> Problem | None:
-        """Tell why the search is not begun, if it can't be served or not in time.
-
-        Where queues would make too many shards late, the search is refused: it would
-        miss its objective, and so would those behind it. Where replicas are slow by
-        themselves, it is begun, since coming back later would not help.
-        """
-        without = [
-            part.shard
-            for part, choice in zip(self.parts, chosen, strict=True)
-            if choice is None
-        ]
-        if len(self.parts) - len(without) < self.least_parts:
-            detail = f"no replica of {len(without)} shards: {','.join(without[:5])}"
-            return Problem(ErrorKind.TARGET_UNAVAILABLE, detail)
-        left_s = self.objective_at - now
-        queued = [
-            part.shard
-            for part, choice in zip(self.parts, chosen, strict=True)
-            if choice is not None and choice.idle_s <= left_s < choice.likely_s
-        ]
-        if len(self.parts) - len(without) - len(queued) < self.least_parts:
-            detail = f"queues of {len(queued)} shards are too long: {queued[:5]}"
-            return Problem(ErrorKind.OVERLOADED, detail)
-        return None
-
     def retry_after_s(self, problem: Problem) -> float | None:
         """Return when the caller should come back; spread, so that not all do at once.
 
@@ -198,6 +180,8 @@
     def choose(self, part: Part, now: float) -> Choice | None:
         """Return the replica to ask for a shard."""
         left_s = self.part_deadline_at - now
+        if part.open_exchanges and now < self.objective_at:
+            left_s = self.objective_at - now
         return self.policy.chooser.choose(
             part.shard, self.usual_s, part.tried, left_s, now
         )
