Start from a peer's state while the store is away; bound the log; hedge to any replica again

Change: gateways serve what they know on the peer address, one that can't read the store asks two of them; log lines are bounded to 100 a second, written without blocking, drops counted.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -13,6 +13,7 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
+from sardinehook.gateway.peers import PeerClient, encode_state
 from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import Changes, GatewayStore, HistoryGone, Item
@@ -25,6 +26,7 @@
 WATCH_WAIT_S = 20.0  # each watch is a call, so a quiet one should last
 COALESCE_S = 0.5  # changes come in groups; the promises leave seconds
 FIRST_RETRY_S = 0.1  # wait after a first failed call
+PEER_AFTER_S = 1.0  # the store may turn only this gateway away
 LAST_RETRY_S = 1.0  # wait after many: the promises leave a few seconds
 ALL_KEYS = ""
 
@@ -61,6 +63,9 @@
         self.retry_s = 0.0
         self.down_since: float | None = None
         self.loaded = False
+        self.known: dict[str, Item] = {}
+        self.peers = PeerClient(reactor, random)
+        self.seeds: tuple[str, ...] = ()
 
     def start(self) -> None:
         """Begin to follow."""
@@ -97,9 +102,33 @@
         if self.down_since is None:
             self.down_since = self.reactor.seconds()
             log_event(logger, EventName.STORE_DOWN, detail=str(problem))
+        down_s = self.reactor.seconds() - self.down_since
+        if not self.loaded or down_s > PEER_AFTER_S:
+            await self.ask_peers()
         self.retry_s = min(max(2 * self.retry_s, FIRST_RETRY_S), LAST_RETRY_S)
         await deferLater(self.reactor, self.retry_s * (0.5 + self.random.random()))
 
+    async def ask_peers(self) -> None:
+        """Take what another gateway knows if it is newer, while the store is away."""
+        match await self.peers.fetch([*self.seeds, *self.fleet.peers()]):
+            case Success(changes) if changes.revision > (self.revision or 0):
+                self.revision = None
+                log_event(
+                    logger,
+                    EventName.STATE_FROM_PEER,
+                    revision=changes.revision,
+                    count=len(changes.items),
+                )
+                self.take(changes)
+            case Failure(detail) if not self.loaded:
+                log_event(logger, EventName.STATE_FROM_PEER, detail=str(detail))
+
+    def state(self) -> bytes | None:
+        """Return what this gateway knows, for others; None before it knows anything."""
+        if self.revision is None or not self.loaded:
+            return None
+        return encode_state(self.revision, self.known.values())
+
     def note_up(self) -> None:
         """Note that the store answers."""
         self.retry_s = 0.0
@@ -112,8 +141,13 @@
         """Take in a listing or the events of a watch."""
         listing = self.revision is None
         if listing:
+            self.known.clear()
             self.forget_missing(changes.items)
         for item in changes.items:
+            if item.value is None:
+                self.known.pop(item.key, None)
+            else:
+                self.known[item.key] = item
             self.take_item(item)
         self.revision = changes.revision
         self.loaded = True
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -147,7 +147,7 @@
     def ask(
         self, choices: list[Choice | None], places: frozenset[int], now: float
     ) -> None:
-        """Send the first requests; the shards at no place of ``places`` are left out."""
+        """Send the first requests to the shards at ``places``; the others are lost."""
         for place, choice in enumerate(choices):
             part = self.parts[place]
             self.policy.budget_of(part.shard).note_request(now)
@@ -180,8 +180,6 @@
     def choose(self, part: Part, now: float) -> Choice | None:
         """Return the replica to ask for a shard."""
         left_s = self.part_deadline_at - now
-        if part.open_exchanges and now < self.objective_at:
-            left_s = self.objective_at - now
         return self.policy.chooser.choose(
             part.shard, self.usual_s, part.tried, left_s, now
         )
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -1,4 +1,4 @@
-"""Serves the balancer's probes and the metrics."""
+"""Serves the balancer's probes, the metrics and what other gateways ask for."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.front import Front
+from sardinehook.gateway.peers import STATE_PATH
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
 
@@ -15,17 +16,19 @@
 
 
 class ProbeServer(Front):
-    """Answers ``/ready`` with 200 or 503 and the reason, and ``/metrics``."""
+    """Answers ``/ready`` with 200, or 503 and the reason, and serves metrics."""
 
     def __init__(
         self,
         reactor: GatewayReactor,
         unready_reason: Callable[[], str],
         render_metrics: Callable[[], bytes],
+        state: Callable[[], bytes | None],
     ) -> None:
         super().__init__(reactor, self.answer_probe)
         self.unready_reason = unready_reason
         self.render_metrics = render_metrics
+        self.state = state
 
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
@@ -39,5 +42,9 @@
             finish(CallerAnswer(status, TEXT, body, "probe"))
         elif path == b"/metrics":
             finish(CallerAnswer(200, TEXT, self.render_metrics(), "probe"))
+        elif path == STATE_PATH:
+            known = self.state()
+            status = 503 if known is None else 200
+            finish(CallerAnswer(status, (), known or b"", "probe"))
         else:
             finish(CallerAnswer(404, TEXT, b"not found\n", "probe"))
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -29,6 +29,7 @@
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.story import RequestStories
 from sardinehook.observe.events import EventName, log_event
+from sardinehook.observe.loop_lag import LoopLagProbe
 
 __all__ = ["Dialects", "GatewayProcess"]
 
@@ -86,7 +87,6 @@
         self.stories = RequestStories(reactor, metrics)
         self.desk = RequestDesk(self.policy, self.stories, self.random)
         self.front = Front(reactor, self.desk.take)
-        self.probes = ProbeServer(reactor, self.unready_reason, metrics.render)
         record = GatewayRecord(settings.peer_address, settings.data_centre)
         self.fleet = GatewayFleet(
             reactor, self.store, settings.node, record, self.set_gateways
@@ -100,11 +100,18 @@
             self.apply_configuration,
             self.random,
         )
+        self.follower.seeds = tuple(
+            seed for seed in settings.seeds if seed != settings.peer_address
+        )
+        self.probes = ProbeServer(
+            reactor, self.unready_reason, metrics.render, self.follower.state
+        )
         self.fleet.on_recovery = self.store.drop_connections
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
         self.housekeeping = LoopingCall(self.keep_house)
         self.housekeeping.clock = reactor
+        self.lag_probe = LoopLagProbe(reactor, metrics)
         self.stopping = False
         self.last_reason = "starting"
 
@@ -120,13 +127,18 @@
         """Listen and begin to follow the store."""
         settings = self.settings
         listen(self.reactor, settings.front_address, self.front)
-        for address in (settings.ready_address, settings.metrics_address):
-            if address:
-                listen(self.reactor, address, self.probes)
+        addresses = (
+            settings.ready_address,
+            settings.metrics_address,
+            settings.peer_address,
+        )
+        for address in sorted({address for address in addresses if address}):
+            listen(self.reactor, address, self.probes)
         self.follower.start()
         self.fleet.start()
         self.sweeping.start(SWEEP_INTERVAL_S, now=False)
         self.housekeeping.start(HOUSEKEEPING_INTERVAL_S, now=False)
+        self.lag_probe.start()
         gc.collect()
         gc.freeze()
         log_event(
@@ -206,6 +218,7 @@
         self.follower.stop()
         self.sweeping.stop()
         self.housekeeping.stop()
+        self.lag_probe.stop()
         took_ms = (self.reactor.seconds() - began) * 1000.0
         log_event(
             logger,
--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -14,6 +14,7 @@
 from sardinehook.gateway.process import Dialects, GatewayProcess
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.store import GatewayStore
+from sardinehook.observe.bounded_output import BoundedOutput
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import configure_logging
 from sardinehook.observe.twisted_errors import log_unhandled_errors
@@ -36,10 +37,13 @@
 
     running: Any = reactor
     running.seconds = time.monotonic
+    metrics = GatewayMetrics()
+    output: Any = BoundedOutput(
+        sys.stdout.fileno(), time.monotonic, metrics.log_lines_dropped.inc
+    )
     clock = HybridClock(time.time)
-    configure_logging(sys.stdout, settings.node, settings.data_centre, clock)
+    configure_logging(output, settings.node, settings.data_centre, clock)
     log_unhandled_errors()
-    metrics = GatewayMetrics()
 
     def make_store(metrics: GatewayMetrics) -> GatewayStore:
         def count(operation: str, outcome: str) -> None:
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -70,6 +70,7 @@
     DATA_CENTRE_STATE = "data_centre_state"
     STORE_DOWN = "store_down"
     STORE_UP = "store_up"
+    STATE_FROM_PEER = "state_from_peer"
 
 
 class EventFields(TypedDict, total=False):
--- a/sardinehook/observe/loop_lag.py
+++ b/sardinehook/observe/loop_lag.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from sardinehook.observe.metrics import Metrics
+from typing import Protocol
+
+from prometheus_client import Histogram
+
 from sardinehook.store.timers import Timer, Timers
 
 __all__ = ["LoopLagProbe"]
@@ -10,10 +13,16 @@
 PROBE_INTERVAL_SECONDS = 0.5
 
 
+class LagMetrics(Protocol):
+    """What the probe records to."""
+
+    loop_lag_seconds: Histogram
+
+
 class LoopLagProbe:
     """Observes the lag of a timer twice a second."""
 
-    def __init__(self, timers: Timers, metrics: Metrics) -> None:
+    def __init__(self, timers: Timers, metrics: LagMetrics) -> None:
         self.timers = timers
         self.metrics = metrics
         self.due = 0.0
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -9,16 +9,9 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred
-
-from sardinehook.gateway.connection import (
-    ClientConnection,
-    ExchangeEnd,
-    Lost,
-    Malformed,
-    Replied,
-    Reply,
-)
+
+from sardinehook.gateway.connection import Lost, Reply
+from sardinehook.gateway.http_call import HttpCall
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import (
@@ -35,7 +28,6 @@
 CALL_TIMEOUT_S = 1.0  # the store answers in milliseconds when it is well
 MOST_CONNECTIONS = 4  # one for the watch, and a few for the other calls
 MOST_PAGES = 100  # bounds a listing that never ends
-KEEP_ALIVE_S = 30.0
 MS_PER_S = 1000.0
 
 Body = TypeVar("Body")
@@ -81,62 +73,6 @@
     revision: int
 
 
-class StoreCall:
-    """One call on its way; it ends by an answer, a failure or its timeout."""
-
-    def __init__(
-        self,
-        reactor: GatewayReactor,
-        pool: ConnectionPool,
-        request: bytes,
-        timeout_s: float,  # noqa: ANN401
-    ) -> None:
-        self.pool = pool
-        self.request = request
-        self.done: Deferred[Result[Reply, StoreProblem]] = Deferred()
-        self.connection: ClientConnection | None = None
-        self.timer = reactor.callLater(timeout_s, self.time_out)
-        pool.request(self.connected)
-
-    def connected(self, connection: ClientConnection | None) -> None:
-        """Send the request."""
-        if self.done.called:
-            return
-        if connection is None:
-            self.fail("no connection to the store", False)
-            return
-        self.connection = connection
-        connection.exchange(self.request, self.ended)
-
-    def ended(self, end: ExchangeEnd) -> None:
-        """Take the answer."""
-        match end:
-            case Replied(reply):
-                if self.connection is not None:
-                    self.pool.give_back(self.connection, KEEP_ALIVE_S)
-                self.finish(Success(reply))
-            case Malformed(detail) | Lost(detail):
-                self.fail(detail, True)
-
-    def time_out(self) -> None:
-        """Give the call up; its connection is not used again."""
-        self.pool.withdraw(self.connected)
-        if self.connection is not None and self.connection.finish is not None:
-            self.connection.abort()
-        self.fail("no answer in time", self.connection is not None)
-
-    def fail(self, detail: str, may_have_taken_effect: bool) -> None:
-        """End the call without an answer."""
-        self.finish(Failure(StoreUnavailable(detail, may_have_taken_effect)))
-
-    def finish(self, result: Result[Reply, StoreProblem]) -> None:
-        """Report the end, once."""
-        if self.timer.active():
-            self.timer.cancel()
-        if not self.done.called:
-            self.done.callback(result)
-
-
 class PlatformStore:
     """The calls of the platform's store that the gateway needs."""
 
@@ -161,10 +97,15 @@
             f"Content-Type: application/json\r\nContent-Length: {len(content)}\r\n\r\n"
         )
         request = head.encode() + content
-        result = await StoreCall(self.reactor, self.pool, request, timeout_s).done
-        checked = result.bind(check_status)
-        self.count_call(operation, "ok" if checked == result else "failed")
-        return checked
+        match await HttpCall(self.reactor, self.pool, request, timeout_s).done:
+            case Success(reply):
+                checked = check_status(reply)
+                self.count_call(operation, str(reply.status))
+                return checked
+            case Failure(problem):
+                self.count_call(operation, "no_answer")
+                return Failure(problem)
+        raise AssertionError("a result is a success or a failure")
 
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
         """Read all keys that begin with ``prefix``, as of the first page."""
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -14,6 +14,7 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
+from sardinehook.gateway.peers import decode_state
 from sardinehook.gateway.store import (
     Changes,
     HistoryGone,
@@ -289,3 +290,27 @@
         rig.settle()
         calls = [call for call in rig.store.calls if "a" in call]
         assert calls.count("grant") == 2
+
+
+class TestPeers:
+    """Answers the pattern: a gateway starts while the store is away."""
+
+    def test_what_one_knows_another_can_start_from(self) -> None:
+        first, second = FollowerRig(), FollowerRig()
+        assert first.follower.state() is None
+        first.store.tell(5, version(3, 2), replica("a", 3), replica("b", 4, port=81))
+        first.settle()
+        first.store.tell(6, Item("servers/b", None, 6))
+        first.settle()
+        state = first.follower.state()
+        assert state is not None
+        second.follower.take(decode_state(state).unwrap())
+        assert second.versions == [3]
+        assert list(second.directory.replicas) == ["a"]
+        assert second.follower.revision == 6
+
+    def test_without_a_peer_the_store_is_asked_again(self) -> None:
+        rig = FollowerRig()
+        rig.store.fail(StoreUnavailable("status 503", False))
+        rig.settle()
+        assert rig.store.calls == ["read_all", "read_all"]
