Count only routes that are asked for when judging a cut

Change: a route counts by its recent requests alone. A search refused for long queues is told to come back after 0.15 to 0.3 of its caller's patience, in place of half to one and a half objectives. Test: test_routes_that_nobody_asks_for_do_not_count.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -110,7 +110,7 @@
         wanted = lost = 0
         for routes in self.configuration.routes.values():
             for route in routes:
-                requests = 1 + self.recent(route).total(now)
+                requests = self.recent(route).total(now)
                 wanted += requests
                 lost += requests * self.is_cut_off(route, now)
         if lost <= CUT_OFF_SHARE * wanted:
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -31,6 +31,7 @@
 LATE_RATIO = 1.5  # of the objective: when a late answer stops waiting for the rest
 PART_DEADLINE_RATIO = 2.5  # of the objective: replicas stop work by then
 REFUSED_SENDS = 2  # sends beyond the route's attempts for those that did not run
+RETRY_SHARE = 0.15  # of a caller's patience, at least, passes before it comes back
 CUT_OFF_RETRY_S = 2.0  # two missed probes, one a second, turn the balancer away
 LEAVE_GRACE_S = 0.25  # exchanges that end within it keep their connections
 USEFUL_RATIO = 0.5  # of the usual latency has to be left for another try
@@ -166,15 +167,16 @@
     def retry_after_s(self, problem: Problem) -> float | None:
         """Return when the caller should come back; spread, so that not all do at once.
 
-        Queues pass within about the objective; a path that is cut takes the balancer
-        some seconds to route around.
+        A caller with more patience comes back later, when queues have passed; a path
+        that is cut takes the balancer some seconds to route around.
         """
         now = self.reactor.seconds()
         if self.policy.directory.reachability.cut_off(now):
             return CUT_OFF_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
-            spread = self.policy.chooser.random.random()
-            return self.route.objective_s * (0.5 + spread)
+            patience_s = self.give_up_at - self.request.received_at
+            spread = 1.0 + self.policy.chooser.random.random()
+            return RETRY_SHARE * patience_s * spread
         return None
 
     def choose(self, part: Part, now: float) -> Choice | None:
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -106,6 +106,20 @@
         cut(gateway, THERE)
         assert desk.cut_off_reason() == ""
 
+    def test_routes_that_nobody_asks_for_do_not_count(self) -> None:
+        gateway = make_gateway()
+        for shard in shard_names(4):
+            gateway.add(f"{shard}-b", shard, THERE)
+        desk = make_desk(gateway)
+        idle = [
+            single_route(True)._replace(name=f"n{n}", prefix=f"/n{n}/")
+            for n in range(50)
+        ]
+        desk.configure(configuration(search_route(4), *idle))
+        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        cut(gateway, THERE)
+        assert "cut off from there" in desk.cut_off_reason()
+
     def test_a_route_without_any_replica_does_not_count(self) -> None:
         gateway = with_replicas(4)
         gateway.add("desk-b", "desk", THERE)
