Reload the settings on SIGHUP and when their file changes

Settings that change without a signal were not seen. Change: SIGHUP, or a new modification time of the file, reads the settings again; bounds are taken, malformed settings change nothing and are logged. Test: TestSignals runs a gateway as a process and fails without the change.

--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -5,9 +5,11 @@
 import gc
 from collections.abc import Callable
 from random import Random
+from typing import NamedTuple
 from zlib import crc32
 
 import structlog
+from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.task import LoopingCall, deferLater
@@ -31,7 +33,7 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
 
-__all__ = ["Dialects", "GatewayProcess"]
+__all__ = ["Dialects", "GatewayProcess", "SettingsSource"]
 
 logger = structlog.get_logger(__name__)
 
@@ -42,6 +44,13 @@
 BACKLOG = 512  # connections that the kernel may hold before they are accepted
 
 
+class SettingsSource(NamedTuple):
+    """Where the settings come from, and when they changed last."""
+
+    load: Callable[[], Result[GatewaySettings, str]]
+    changed_at: Callable[[], float]
+
+
 class Dialects:
     """The dialects that this gateway speaks."""
 
@@ -66,9 +75,13 @@
         dialects: Dialects,
         make_store: Callable[[GatewayMetrics], GatewayStore],
         metrics: GatewayMetrics,
+        source: SettingsSource,
     ) -> None:
         self.reactor = reactor
         self.settings = settings
+        self.load_settings = source.load
+        self.settings_changed_at = source.changed_at
+        self.settings_seen_at = source.changed_at()
         self.metrics = metrics
         self.random = Random(crc32(settings.node.encode()))
         self.store = make_store(metrics)
@@ -148,6 +161,25 @@
             detail=f"store={settings.store_address}",
         )
 
+    def reload(self) -> None:
+        """Read the settings again; the addresses stay those of the start."""
+        match self.load_settings():
+            case Success(settings):
+                changed = settings != self.settings
+                self.settings = settings
+                self.policy.configure(settings.bounds)
+                state = "changed" if changed else "unchanged"
+                log_event(logger, EventName.SETTINGS_RELOADED, state=state)
+            case Failure(detail):
+                log_event(logger, EventName.SETTINGS_REFUSED, detail=str(detail))
+
+    def watch_settings(self) -> None:
+        """Read the settings again if their file has changed without a signal."""
+        changed_at = self.settings_changed_at()
+        if changed_at != self.settings_seen_at:
+            self.settings_seen_at = changed_at
+            self.reload()
+
     def unready_reason(self) -> str:
         """Return why the balancer should send nothing, empty if it should."""
         reason = self.find_unready_reason()
@@ -189,6 +221,7 @@
         self.front.sweep()
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
+        self.watch_settings()
         self.fleet.count()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
 from returns.pipeline import is_successful
+from returns.result import Failure, Result
 
 from sardinehook.gateway.metrics import GatewayMetrics
-from sardinehook.gateway.process import Dialects, GatewayProcess
+from sardinehook.gateway.process import Dialects, GatewayProcess, SettingsSource
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.observe.bounded_output import BoundedOutput
@@ -32,7 +34,11 @@
 def main() -> None:
     """Read the settings that the environment names and run a gateway."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    settings = load_settings(path)
+    decoded = read_settings(path)
+    if not is_successful(decoded):
+        sys.stderr.write(f"{decoded.failure()}\n")
+        sys.exit(EXIT_INVALID_SETTINGS)
+    settings = decoded.unwrap()
     from twisted.internet import reactor
 
     running: Any = reactor
@@ -52,17 +58,28 @@
         return PlatformStore(running, settings.store_address, count)
 
     dialects = Dialects(PlatformCallers(), PlatformReplicas(), PlatformKeys())
-    GatewayProcess(running, settings, dialects, make_store, metrics).run()
+    source = SettingsSource(lambda: read_settings(path), lambda: changed_at(path))
+    process = GatewayProcess(running, settings, dialects, make_store, metrics, source)
+
+    def reload_soon(_signal: int, _frame: object) -> None:
+        running.callFromThread(process.reload)
 
+    signal.signal(signal.SIGHUP, reload_soon)
+    process.run()
 
-def load_settings(path: str) -> GatewaySettings:
-    """Read the settings file or exit with one clear line."""
+
+def read_settings(path: str) -> Result[GatewaySettings, str]:
+    """Read the settings file; the failure is one line for the operator."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        sys.exit(f"can't read {path!r} named by {SETTINGS_VARIABLE}: {error}")
-    decoded = decode_settings(text)
-    if not is_successful(decoded):
-        sys.stderr.write(f"{path}: {decoded.failure()}\n")
-        sys.exit(EXIT_INVALID_SETTINGS)
-    return decoded.unwrap()
+        return Failure(f"can't read {path!r} named by {SETTINGS_VARIABLE}: {error}")
+    return decode_settings(text)
+
+
+def changed_at(path: str) -> float:
+    """Return when the settings file was written, zero if it can't be told."""
+    try:
+        return os.stat(path).st_mtime
+    except OSError:
+        return 0.0
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -25,6 +25,8 @@
     PROCESS_STOPPING = "process_stopping"
     PROCESS_STOPPED = "process_stopped"
     READINESS = "readiness"
+    SETTINGS_RELOADED = "settings_reloaded"
+    SETTINGS_REFUSED = "settings_refused"
     UNHANDLED_ERROR = "unhandled_error"
     QUERY_RECEIVED = "query_received"
     QUERY_PLANNED = "query_planned"
--- /dev/null
+++ b/tests/gateway/test_process.py
@@ -0,0 +1,144 @@
+"""A whole gateway process: signals, settings, stopping."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from returns.result import Failure, Result, Success
+from twisted.internet.testing import MemoryReactorClock
+
+from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.process import Dialects, GatewayProcess, SettingsSource
+from sardinehook.gateway.settings import Bounds, GatewaySettings
+from sardinehook.platform.callers import PlatformCallers
+from sardinehook.platform.discovery import PlatformKeys
+from sardinehook.platform.replicas import PlatformReplicas
+from sardinehook.platform.settings import SETTINGS_VARIABLE
+from tests.gateway.test_follower import ScriptedStore
+
+SETTINGS = GatewaySettings(
+    "g-1",
+    "here",
+    "127.0.0.1:1",
+    "127.0.0.1:2",
+    "127.0.0.1:3",
+    "",
+    "127.0.0.1:4",
+    (),
+)
+
+
+class ProcessRig:
+    """A process on a clock, with settings that tests replace."""
+
+    def __init__(self) -> None:
+        self.reactor = MemoryReactorClock()
+        self.loaded: Result[GatewaySettings, str] = Success(SETTINGS)
+        self.changed_at = 1.0
+        self.process = GatewayProcess(
+            self.reactor,
+            SETTINGS,
+            Dialects(PlatformCallers(), PlatformReplicas(), PlatformKeys()),
+            lambda _metrics: ScriptedStore(),
+            GatewayMetrics(),
+            SettingsSource(lambda: self.loaded, lambda: self.changed_at),
+        )
+
+
+class TestSettings:
+    def test_new_bounds_are_taken_when_the_file_changes(self) -> None:
+        rig = ProcessRig()
+        rig.loaded = Success(SETTINGS._replace(bounds=Bounds(drain_s=9.0)))
+        rig.process.watch_settings()
+        assert rig.process.directory.drain_s == 3.0
+        rig.changed_at = 2.0
+        rig.process.watch_settings()
+        assert rig.process.directory.drain_s == 9.0
+
+    def test_settings_that_are_malformed_change_nothing(self) -> None:
+        rig = ProcessRig()
+        rig.loaded = Failure("invalid settings")
+        rig.process.reload()
+        assert rig.process.settings == SETTINGS
+
+
+class TestReadiness:
+    def test_without_a_configuration_it_is_not_ready(self) -> None:
+        assert ProcessRig().process.unready_reason() == "no configuration yet"
+
+
+SETTINGS_FILE = """
+Node = "g-1"
+Ip = "127.0.0.1"
+Zone = "here"
+InternalPorts = []
+[Listen]
+Front = "127.0.0.1:0"
+Ready = "127.0.0.1:0"
+[platform]
+Addr = "127.0.0.1:1"
+"""
+
+
+class RunningGateway:
+    """A gateway as a process of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        self.path = folder / "boot.toml"
+        self.path.write_text(SETTINGS_FILE)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "sardinehook.gateway"],
+            env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def wait_for(self, event: str) -> str:
+        """Return the first line of an event."""
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            if f"event={event}" in line:
+                return line
+        pytest.fail(f"the process ended without {event}")
+
+
+class TestSignals:
+    """Answers the pattern: settings files change, processes get SIGHUP and SIGTERM."""
+
+    def test_a_hangup_reloads_and_a_termination_ends_in_order(
+        self, tmp_path: Path
+    ) -> None:
+        gateway = RunningGateway(tmp_path)
+        try:
+            gateway.wait_for("process_started")
+            gateway.process.send_signal(signal.SIGHUP)
+            assert "state=unchanged" in gateway.wait_for("settings_reloaded")
+            began = time.monotonic()
+            gateway.process.send_signal(signal.SIGTERM)
+            gateway.wait_for("process_stopped")
+            assert gateway.process.wait(10) == 0
+            assert time.monotonic() - began < Bounds().grace_s
+        finally:
+            gateway.process.kill()
+            gateway.process.wait()
+
+    def test_settings_that_are_malformed_end_the_start_with_one_line(
+        self, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "boot.toml"
+        path.write_text("Node = 1")
+        ended = subprocess.run(
+            [sys.executable, "-m", "sardinehook.gateway"],
+            env={**os.environ, SETTINGS_VARIABLE: str(path)},
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+        assert ended.returncode == 2
+        assert ended.stderr.count("\n") == 1
