Judge a data centre by replicas that have each been silent for long enough

Change: three replicas have to be overdue each. A gateway without a configuration asks callers back after 0.2 s in place of 1 s, since it has one within 0.05 s of its start. Test: test_one_replica_that_hangs_does_not_speak_for_the_others fails without the change.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -28,6 +28,7 @@
 __all__ = ["RequestDesk", "Work"]
 
 TRAFFIC_WINDOW_S = 5.0  # over which the demand for each route is counted
+STARTING_RETRY_S = 0.2  # a gateway that starts has its configuration by then
 CUT_OFF_SHARE = 0.5  # of the demand: a gateway that can't serve more turns not-ready
 
 Finish = Callable[[CallerAnswer], None]
@@ -163,7 +164,8 @@
         self, request: CallerRequest, problem: Problem, finish: Finish
     ) -> Work | None:
         """Answer a request that starts no work."""
-        answer = refuse(problem)
+        starting = problem.kind is ErrorKind.NO_DOCUMENT
+        answer = refuse(problem, STARTING_RETRY_S if starting else None)
         self.stories.refused(request.request_id.decode("latin-1"), answer)
         finish(answer)
         return None
--- a/sardinehook/gateway/reachability.py
+++ b/sardinehook/gateway/reachability.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from itertools import islice
+
 import structlog
 
 from sardinehook.observe.events import EventName, log_event
@@ -10,7 +12,7 @@
 
 logger = structlog.get_logger(__name__)
 
-SUSPECT_REPLICAS = 3  # fewer silent replicas may be paused, each for itself
+SUSPECT_REPLICAS = 3  # fewer may be paused, each for itself
 SUSPECT_AFTER_S = 0.12  # the first reply of several replicas comes within 50 ms
 CUT_OFF_AFTER_S = 0.3  # a suspected data centre counts as cut off after this
 
@@ -18,13 +20,19 @@
 class DataCentreContact:
     """What was sent to one data centre since its replicas were last heard."""
 
-    __slots__ = ("silent", "silent_since", "suspect_since")
+    __slots__ = ("silent_since", "suspect_since")
 
     def __init__(self) -> None:
-        self.silent: set[str] = set()
-        self.silent_since = 0.0
+        self.silent_since: dict[str, float] = {}
         self.suspect_since: float | None = None
 
+    def overdue_s(self, now: float) -> float:
+        """Return for how long enough replicas to suspect have all been silent."""
+        latest = next(
+            islice(self.silent_since.values(), SUSPECT_REPLICAS - 1, None), now
+        )
+        return now - latest
+
 
 class Reachability:
     """Suspects data centres from which no replica answers at all.
@@ -42,16 +50,14 @@
         contact = self.contacts.get(data_centre)
         if contact is None:
             contact = self.contacts[data_centre] = DataCentreContact()
-        if not contact.silent:
-            contact.silent_since = now
-        contact.silent.add(replica_id)
+        contact.silent_since.setdefault(replica_id, now)
 
     def note_heard(self, data_centre: str, now: float) -> None:
         """Take in a sign of life of any replica of a data centre."""
         contact = self.contacts.get(data_centre)
-        if contact is None or not contact.silent:
+        if contact is None or not contact.silent_since:
             return
-        contact.silent.clear()
+        contact.silent_since.clear()
         if contact.suspect_since is not None:
             contact.suspect_since = None
             log_event(
@@ -65,17 +71,16 @@
             return False
         if contact.suspect_since is not None:
             return True
-        if len(contact.silent) < SUSPECT_REPLICAS:
-            return False
-        if now - contact.silent_since < SUSPECT_AFTER_S:
+        overdue_s = contact.overdue_s(now)
+        if overdue_s < SUSPECT_AFTER_S:
             return False
         contact.suspect_since = now
         log_event(
             logger,
             EventName.DATA_CENTRE_STATE,
             state=f"{data_centre} suspect",
-            count=len(contact.silent),
-            took_ms=(now - contact.silent_since) * 1000.0,
+            count=len(contact.silent_since),
+            took_ms=overdue_s * 1000.0,
         )
         return True
 
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -31,6 +31,17 @@
         now = gateway.reactor.seconds()
         assert not gateway.directory.reachability.is_suspect(HERE, now)
 
+    def test_one_replica_that_hangs_does_not_speak_for_the_others(self) -> None:
+        gateway = with_replicas(8)
+        reachability = gateway.directory.reachability
+        reachability.note_sent(HERE, "hanging", gateway.reactor.seconds())
+        gateway.reactor.advance(1.0)
+        now = gateway.reactor.seconds()
+        for shard in shard_names(8):
+            reachability.note_sent(HERE, f"{shard}-a", now)
+        assert not reachability.is_suspect(HERE, now + 0.001)
+        assert reachability.is_suspect(HERE, now + 0.2)
+
     def test_work_goes_to_the_data_centre_that_answers(self) -> None:
         gateway = with_replicas(8)
         now = gateway.reactor.seconds()
