Say in a refusal why each replica was not asked; keep a lease whose renewal was not answered

Change: the line of a refused request names up to three shards and the state of their replicas with its age. A lease is replaced only if the store says that it ended.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -56,6 +56,25 @@
         lost_at = replica.lost_at
         return lost_at is None or now < lost_at + self.lost_grace_s
 
+    def describe(self, replica: Replica, now: float) -> str:
+        """Describe for the log what keeps requests from a replica, and since when."""
+        place = replica.entry.data_centre
+        if replica.entry.draining:
+            return "draining"
+        if place in self.evacuated:
+            return f"in evacuated {place}"
+        if replica.lost_at is not None:
+            return f"left discovery {now - replica.lost_at:.1f} s ago"
+        if self.reachability.is_cut_off(place, now):
+            return f"beyond the cut to {place}"
+        if replica.pool.is_failing:
+            return "refuses connections"
+        load_age_s = now - replica.load_at
+        return (
+            f"queue of {replica.waits(now):.1f} service times "
+            f"(load {load_age_s:.1f} s old), {replica.current_slowness(now):.1f} x slow"
+        )
+
     @property
     def lost_grace_s(self) -> float:
         """How long a replica that left discovery is still asked."""
--- a/sardinehook/gateway/fan_out.py
+++ b/sardinehook/gateway/fan_out.py
@@ -22,9 +22,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Ask none: the search can't be served, or not in time."""
+    """Ask none: the search can't be served, or not in time, for these shards."""
 
     problem: Problem
+    places: tuple[int, ...]
 
 
 FanOut = Ask | Refuse
@@ -44,9 +45,9 @@
     """
     offered = [place for place, choice in enumerate(choices) if choice is not None]
     if len(offered) < least_shards:
-        missing = len(choices) - len(offered)
-        detail = f"no replica of {missing} of {len(choices)} shards can be asked"
-        return Refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
+        missing = tuple(p for p, choice in enumerate(choices) if choice is None)
+        detail = f"{len(missing)} of {len(choices)} shards have no replica to ask"
+        return Refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail), missing)
     found = {place: choice for place, choice in enumerate(choices) if choice}
     prompt = [place for place in offered if found[place].likely_s <= left_s]
     doubtful = [place for place in offered if found[place].likely_s > left_s]
@@ -58,5 +59,5 @@
     decisive = found[doubtful[needed - 1]]
     if decisive.idle_s <= left_s:
         detail = f"the queues of {len(doubtful)} shards are too long"
-        return Refuse(Problem(ErrorKind.OVERLOADED, detail))
+        return Refuse(Problem(ErrorKind.OVERLOADED, detail), tuple(doubtful))
     return Ask(frozenset(prompt + idle + doubtful[: needed + SPARE_SHARDS]))
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import deferLater
 
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.store import GatewayStore
+from sardinehook.gateway.store import GatewayStore, LeaseGone
 from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["GATEWAY_PREFIX", "GatewayFleet"]
@@ -36,7 +36,7 @@
     """Registers this gateway and counts all of them.
 
     The count divides what gateways share: connections of replicas, repeat budgets
-    and the rates of cold replicas. ``on_lapse`` is called when a renewal failed.
+    and the rates of cold replicas. ``on_recovery`` is called when renewals succeed again.
     """
 
     def __init__(
@@ -94,21 +94,23 @@
                 self.registered = True
             case Failure(problem):
                 self.lease = 0
-                log_event(logger, EventName.LEASE_LAPSED, detail=str(problem))
+                log_event(logger, EventName.LEASE_NOT_RENEWED, detail=str(problem))
                 await deferLater(self.reactor, RETRY_INTERVAL_S)
 
     async def renew(self) -> None:
-        """Renew the lease; a lease that has ended is replaced."""
+        """Renew the lease; only one that has ended is replaced."""
         match await self.store.renew_lease(self.lease):
             case Success():
                 if self.renew_failed:
                     self.renew_failed = False
                     self.on_recovery()
-            case Failure(problem):
-                self.renew_failed = True
-                log_event(logger, EventName.LEASE_LAPSED, detail=str(problem))
+            case Failure(LeaseGone()):
+                log_event(logger, EventName.LEASE_LAPSED, detail="the store ended it")
                 self.registered = False
                 self.lease = 0
+            case Failure(problem):
+                self.renew_failed = True
+                log_event(logger, EventName.LEASE_NOT_RENEWED, detail=str(problem))
 
     async def leave(self) -> None:
         """End the registration."""
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -140,10 +140,12 @@
             return
         choices = [self.choose_reachable(part, now) for part in self.parts]
         match plan_fan_out(choices, self.least_parts, self.objective_at - now):
-            case Refuse(problem):
+            case Refuse(problem, places):
+                told = [self.policy.explain(self.parts[p].shard) for p in places[:3]]
+                problem = problem._replace(detail="; ".join([problem.detail, *told]))
                 self.settle_with(refuse(problem, self.retry_after_s(problem)))
-            case Ask(places):
-                self.ask(choices, places, now)
+            case Ask(asked):
+                self.ask(choices, asked, now)
 
     def ask(
         self, choices: list[Choice | None], places: frozenset[int], now: float
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -16,6 +16,7 @@
 
 FIRST_GUESS_RATIO = 0.2  # of the objective: the latency of a route not seen yet
 USUAL_QUANTILE = 0.5
+EXPLAINED_REPLICAS = 4  # of a service, in a line of the log
 MS_PER_S = 1000.0
 
 
@@ -70,3 +71,13 @@
     def observe(self, route: Route, took_s: float) -> None:
         """Take in how long a replica took."""
         self.latencies.record(route.name, took_s * MS_PER_S)
+
+    def explain(self, service: str) -> str:
+        """Tell for the log why the replicas of a service are not asked."""
+        now = self.reactor.seconds()
+        known = self.directory.by_service.get(service, [])
+        told = [
+            f"{replica.replica_id} {self.directory.describe(replica, now)}"
+            for replica in known[:EXPLAINED_REPLICAS]
+        ]
+        return f"{service}: {', '.join(told) or 'none registered'}"
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -83,7 +83,8 @@
         choice = self.choose(now) if reachable else None
         if choice is None:
             problem = Problem(
-                ErrorKind.TARGET_UNAVAILABLE, f"no replica of {self.service}"
+                ErrorKind.TARGET_UNAVAILABLE,
+                f"no replica to ask; {self.policy.explain(self.service)}",
             )
             self.settle_with(refuse(problem))
             return
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -65,6 +65,7 @@
     LEASE_GRANTED = "lease_granted"
     LEASE_RENEWED = "lease_renewed"
     LEASE_LAPSED = "lease_lapsed"
+    LEASE_NOT_RENEWED = "lease_not_renewed"
     REVISION_ACCEPTED = "revision_accepted"
     REVISION_REFUSED = "revision_refused"
     REVISION_RECEIVED = "revision_received"
@@ -128,6 +129,7 @@
         EventName.ORDER_RECORD_FAILED,
         EventName.CONNECTION_SILENT,
         EventName.LEASE_LAPSED,
+        EventName.LEASE_NOT_RENEWED,
         EventName.REVISION_REFUSED,
         EventName.STORE_DOWN,
     }
