--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -36,7 +36,8 @@
     """Registers this gateway and counts all of them.
 
     The count divides what gateways share: connections of replicas, repeat budgets
-    and the rates of cold replicas. ``on_recovery`` is called when renewals succeed again.
+    and the rates of cold replicas. ``on_recovery`` is called when a renewal succeeds
+    after one that failed.
     """
 
     def __init__(
