--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -29,6 +29,7 @@
 __all__ = ["main"]
 
 EXIT_INVALID_SETTINGS = 2
+METRICS_PORT_VARIABLE = "SARDINEHOOK_METRICS_PORT"
 
 
 def main() -> None:
@@ -74,7 +75,16 @@
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Failure(f"can't read {path!r} named by {SETTINGS_VARIABLE}: {error}")
-    return decode_settings(text)
+    return decode_settings(text).map(place_metrics)
+
+
+def place_metrics(settings: GatewaySettings) -> GatewaySettings:
+    """Serve the metrics on the port that the environment names, if it names one."""
+    port = os.environ.get(METRICS_PORT_VARIABLE, "")
+    if not port:
+        return settings
+    host = settings.front_address.rpartition(":")[0]
+    return settings._replace(metrics_address=f"{host}:{port}")
 
 
 def changed_at(path: str) -> float:
