Give a cold replica's few requests to ranked gateways

Cause, found by test_the_fleet_keeps_the_rate (6 gateways, 0.5 requests a second: 6 sent, 5.75 allowed): a hash modulo the number of gateways may choose more of them than there are requests. Change: the gateways are ranked by a hash for each replica; the first ones have one request each.

--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -117,7 +117,7 @@
     def cold_share(self, replica: Replica, service: Service) -> int:
         """Return how many requests a second a cold replica may get from here.
 
-        Where not each gateway can have one, some have none, chosen by a hash.
+        Where not each gateway can have one, those with the lowest hashes have one.
         """
         bounds = self.bounds
         bound = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
@@ -126,5 +126,8 @@
         share = int(total / gateways)
         if share >= 1:
             return share
-        rank = crc32(f"{self.node} {replica.replica_id}".encode()) % gateways
-        return int(rank < int(total))
+        ranked = sorted(
+            self.directory.gateway_names,
+            key=lambda name: crc32(f"{name} {replica.replica_id}".encode()),
+        )
+        return int(self.node in ranked[: int(total)])
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -38,6 +38,7 @@
         self.evacuated: set[str] = set()
         self.configuration: Configuration | None = None
         self.gateways = 1
+        self.gateway_names: frozenset[str] = frozenset()
         self.reachability = Reachability()
 
     def replicas_of(self, service: str) -> list[Replica]:
@@ -164,11 +165,16 @@
     def configure(self, configuration: Configuration) -> None:
         """Take new bounds of connections."""
         self.configuration = configuration
-        self.set_gateways(self.gateways)
+        self.share_connections()
 
-    def set_gateways(self, gateways: int) -> None:
-        """Take the number of gateways that share each replica's connections."""
-        self.gateways = gateways
+    def set_gateways(self, names: frozenset[str]) -> None:
+        """Take the names of the gateways that share what replicas bear."""
+        self.gateway_names = names
+        self.gateways = max(1, len(names))
+        self.share_connections()
+
+    def share_connections(self) -> None:
+        """Bound the connections to each replica by this gateway's part."""
         for replica in self.replicas.values():
             replica.pool.most = self.connections_allowed(replica.entry.service)
 
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -46,13 +46,13 @@
         store: GatewayStore,
         node: str,
         record: GatewayRecord,
-        on_count: Callable[[int], None],
+        on_names: Callable[[frozenset[str]], None],
     ) -> None:
         self.reactor = reactor
         self.store = store
         self.node = node
         self.record = record
-        self.on_count = on_count
+        self.on_names = on_names
         self.records: dict[str, GatewayRecord] = {}
         self.left_at: dict[str, float] = {}
         self.registered = False
@@ -150,15 +150,14 @@
                 self.note(node, None)
 
     def count(self) -> None:
-        """Tell how many gateways share what is shared."""
+        """Tell which gateways share what is shared."""
         now = self.reactor.seconds()
         for node, left_at in list(self.left_at.items()):
             if now > left_at + MEMORY_S:
                 del self.left_at[node]
                 del self.records[node]
                 log_event(logger, EventName.MEMBER_STATE, member=node, state="gone")
-        others = self.records.keys() - {self.node}
-        self.on_count(len(others) + 1)
+        self.on_names(frozenset({*self.records, self.node}))
 
     def peers(self) -> list[str]:
         """List the peer addresses of the other gateways."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -204,11 +204,11 @@
         self.metrics.version.set(configuration.version)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
-    def set_gateways(self, gateways: int) -> None:
-        """Take the number of gateways that share limits and budgets."""
-        if gateways != self.directory.gateways:
-            self.directory.set_gateways(gateways)
-        self.metrics.gateways.set(gateways)
+    def set_gateways(self, names: frozenset[str]) -> None:
+        """Take the names of the gateways that share limits and budgets."""
+        if names != self.directory.gateway_names:
+            self.directory.set_gateways(names)
+        self.metrics.gateways.set(len(names))
 
     def sweep(self) -> None:
         """Enforce deadlines."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -134,10 +134,15 @@
     chooser = ReplicaChooser(directory, "g-1", HERE, 1)
     policy = RequestPolicy(reactor, directory, dispatcher, chooser, PlatformCallers())
     policy.configure(bounds)
-    directory.set_gateways(gateways)
+    directory.set_gateways(gateway_names(gateways))
     return Gateway(reactor, directory, dispatcher, policy, [])
 
 
+def gateway_names(count: int) -> frozenset[str]:
+    """Name some gateways."""
+    return frozenset(f"g-{number}" for number in range(count))
+
+
 def shard_names(count: int) -> tuple[str, ...]:
     """Name some shards."""
     return tuple(f"s{number:02}" for number in range(count))
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -97,13 +97,13 @@
         self.store = ScriptedStore()
         self.directory = Directory(self.reactor, 3.0)
         self.versions: list[int] = []
-        self.counts: list[int] = []
+        self.names: list[frozenset[str]] = []
         self.fleet = GatewayFleet(
             self.reactor,
             self.store,
             "g-1",
             GatewayRecord("10.0.0.1:1", "here"),
-            self.counts.append,
+            self.names.append,
         )
         self.follower = StoreFollower(
             self.reactor,
@@ -276,10 +276,10 @@
         rig.store.tell(5, Item(GATEWAY_PREFIX + "g-2", record, 5))
         rig.settle()
         rig.fleet.note("g-2", None)
-        assert rig.counts[-1] == 2
+        assert len(rig.names[-1]) == 2
         rig.reactor.advance(31.0)
         rig.fleet.count()
-        assert rig.counts[-1] == 1
+        assert rig.names[-1] == {"g-1"}
 
     def test_a_lost_lease_is_replaced(self) -> None:
         rig = FollowerRig()
--- /dev/null
+++ b/tests/gateway/test_limits.py
@@ -0,0 +1,96 @@
+"""Bounds that all gateways share: repeats, cold starts, connections."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sardinehook.gateway.repeat_budget import RepeatBudget
+from sardinehook.gateway.settings import Bounds
+from tests.gateway.support import (
+    configuration,
+    gateway_names,
+    make_gateway,
+    single_route,
+)
+
+BOUNDS = Bounds(repeat_ratio=0.2, repeat_window_s=10.0, repeat_slack=58.0)
+STEPS = st.lists(st.tuples(st.floats(0.0, 0.4), st.booleans()), max_size=400)
+
+
+class TestRepeatBudget:
+    @given(STEPS, st.integers(1, 9))
+    def test_no_sliding_window_exceeds_the_share(
+        self, steps: list[tuple[float, bool]], gateways: int
+    ) -> None:
+        budget = RepeatBudget(BOUNDS.repeat_window_s)
+        now = 0.0
+        requests: list[float] = []
+        repeats: list[float] = []
+        for pause_s, is_request in steps:
+            now += pause_s
+            if is_request:
+                budget.note_request(now)
+                requests.append(now)
+            elif budget.spend(BOUNDS, gateways, now):
+                repeats.append(now)
+        for end in repeats:
+            window = [at for at in repeats if end - 10.0 < at <= end]
+            asked = [at for at in requests if end - 10.6 < at <= end]
+            allowed = 0.2 * len(asked) + 58.0 / gateways
+            assert len(window) <= allowed
+
+    def test_all_gateways_together_keep_the_slack(self) -> None:
+        spent = 0
+        for _ in range(9):
+            budget = RepeatBudget(BOUNDS.repeat_window_s)
+            while budget.spend(BOUNDS, 9, 1.0):
+                spent += 1
+        assert spent <= BOUNDS.repeat_slack
+
+
+class TestColdReplicas:
+    """Answers the pattern: the replicas of a zone come back together, cold."""
+
+    def sent_in_one_second(self, gateways: int, rate: float) -> int:
+        """Count what all gateways send to one cold replica within a second."""
+        total = 0
+        for number in range(gateways):
+            gateway = make_gateway(gateways=gateways)
+            gateway.directory.configure(
+                configuration(single_route(True), cold_rate=rate)
+            )
+            gateway.directory.set_gateways(gateway_names(gateways))
+            gateway.policy.chooser.node = f"g-{number}"
+            replica = gateway.add("desk-a", "desk")
+            now = gateway.reactor.seconds()
+            replica.cold_until = now + 3.0
+            while gateway.policy.chooser.may_ask(replica, now):
+                replica.cold_arrivals.add(1, now)
+                total += 1
+        return total
+
+    def test_the_fleet_keeps_the_rate(self) -> None:
+        for gateways in (1, 6, 9, 40):
+            for rate in (0.5, 2.0, 10.0, 40.0):
+                bound = rate * 1.5 + 5.0
+                sent = self.sent_in_one_second(gateways, rate)
+                assert sent <= bound, (gateways, rate)
+
+    def test_a_warm_replica_goes_first(self) -> None:
+        gateway = make_gateway()
+        cold = gateway.add("desk-a", "desk")
+        warm = gateway.add("desk-b", "desk")
+        now = gateway.reactor.seconds()
+        cold.cold_until = now + 3.0
+        gateway.call(single_route(True), "desk")
+        assert gateway.dispatcher.sent[0].replica is warm
+
+
+class TestConnections:
+    def test_gateways_share_what_a_replica_takes(self) -> None:
+        gateway = make_gateway()
+        gateway.directory.configure(configuration(single_route(True)))
+        gateway.directory.set_gateways(gateway_names(9))
+        replica = gateway.add("desk-a", "desk")
+        assert 1 <= replica.pool.most * 9 <= 26
