Turn not-ready on the first doubt about the path to most of the demand

Change: readiness goes by doubt, refusals by a cut that lasts. One missed probe changes nothing at the balancer, so a doubt that passes costs nothing.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -101,22 +101,23 @@
         """Return why other gateways could serve callers better, empty if none could.
 
         A gateway that is cut off from what most of its callers need says so, so that
-        the balancer sends them to other data centres. Routes that can't be served
+        the balancer sends them to other data centres. It says so on the first doubt:
+        the balancer looks away only after two probes. Routes that can't be served
         anywhere don't count.
         """
         now = self.reactor.seconds()
-        cut_off = self.policy.directory.reachability.cut_off(now)
-        if not cut_off or self.configuration is None:
+        silent = self.policy.directory.reachability.suspects(now)
+        if not silent or self.configuration is None:
             return ""
         wanted = lost = 0
         for routes in self.configuration.routes.values():
             for route in routes:
                 requests = self.recent(route).total(now)
                 wanted += requests
-                lost += requests * self.is_cut_off(route, now)
+                lost += requests * self.is_out_of_reach(route, now)
         if lost <= CUT_OFF_SHARE * wanted:
             return ""
-        return f"cut off from {','.join(cut_off)}: {lost} of {wanted} requests"
+        return f"cut off from {','.join(silent)}: {lost} of {wanted} requests"
 
     def recent(self, route: Route) -> SlidingCount:
         """Return the count of a route's recent requests."""
@@ -125,15 +126,17 @@
             count = self.traffic[route.name] = SlidingCount(TRAFFIC_WINDOW_S)
         return count
 
-    def is_cut_off(self, route: Route, now: float) -> bool:
-        """Tell whether a cut keeps this gateway from serving a route."""
+    def is_out_of_reach(self, route: Route, now: float) -> bool:
+        """Tell whether silent data centres keep this gateway from serving a route."""
         directory = self.policy.directory
         match route.destination:
             case ShardSet(shards, _, least):
-                lost = sum(directory.is_cut_off(shard, now) for shard in shards)
+                lost = sum(directory.is_out_of_reach(shard, now) for shard in shards)
                 return len(shards) - lost < least * len(shards)
             case OneReplica(services):
-                return all(directory.is_cut_off(part.service, now) for part in services)
+                return all(
+                    directory.is_out_of_reach(part.service, now) for part in services
+                )
 
     def take(self, raw: HttpRequest, finish: Finish) -> Work | None:
         """Start a request; ``finish`` is called once, perhaps before this returns."""
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -196,11 +196,11 @@
             for replica in self.replicas_of(service)
         )
 
-    def is_cut_off(self, service: str, now: float) -> bool:
-        """Tell whether a service has replicas, all of them beyond a cut."""
+    def is_out_of_reach(self, service: str, now: float) -> bool:
+        """Tell whether a service has replicas, all in data centres that are silent."""
         replicas = self.replicas_of(service)
         return bool(replicas) and all(
-            self.reachability.is_cut_off(replica.entry.data_centre, now)
+            self.reachability.is_suspect(replica.entry.data_centre, now)
             for replica in replicas
         )
 
--- a/sardinehook/gateway/reachability.py
+++ b/sardinehook/gateway/reachability.py
@@ -94,3 +94,7 @@
     def cut_off(self, now: float) -> list[str]:
         """List the data centres that count as cut off."""
         return sorted(place for place in self.contacts if self.is_cut_off(place, now))
+
+    def suspects(self, now: float) -> list[str]:
+        """List the data centres to which the path is in doubt."""
+        return sorted(place for place in self.contacts if self.is_suspect(place, now))
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -111,6 +111,19 @@
         cut(gateway, THERE)
         assert "cut off from there" in desk.cut_off_reason()
 
+    def test_says_so_before_it_refuses(self) -> None:
+        gateway = make_gateway()
+        for shard in shard_names(4):
+            gateway.add(f"{shard}-b", shard, THERE)
+        desk = make_desk(gateway)
+        now = gateway.reactor.seconds()
+        desk.recent(search_route(4)).add(20, now)
+        for shard in shard_names(4):
+            gateway.directory.reachability.note_sent(THERE, f"{shard}-b", now)
+        gateway.reactor.advance(0.15)
+        assert "cut off from there" in desk.cut_off_reason()
+        assert gateway.directory.can_serve("s00", gateway.reactor.seconds())
+
     def test_a_gateway_that_can_serve_its_callers_stays_ready(self) -> None:
         gateway = with_replicas(4)
         desk = make_desk(gateway)
