Count the opening of a connection as time that its first request has waited

Change: a first request that comes within 50 ms of its connection counts from there; the margin is 14 ms.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -16,6 +16,7 @@
 from sardinehook.gateway.peers import PeerClient, encode_state
 from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import Changes, GatewayStore, HistoryGone, Item
 from sardinehook.observe.events import EventName, log_event
 
@@ -24,7 +25,7 @@
 logger = structlog.get_logger(__name__)
 
 WATCH_WAIT_S = 20.0  # each watch is a call, so a quiet one should last
-COALESCE_S = 0.5  # changes come in groups; the promises leave seconds
+COALESCE_RATIO = 0.2  # of the shortest promise on changes, since they come in groups
 FIRST_RETRY_S = 0.1  # wait after a first failed call
 PEER_AFTER_S = 1.0  # the store may turn only this gateway away
 LAST_RETRY_S = 1.0  # wait after many: the promises leave a few seconds
@@ -66,6 +67,12 @@
         self.known: dict[str, Item] = {}
         self.peers = PeerClient(reactor, random)
         self.seeds: tuple[str, ...] = ()
+        self.coalesce_s = 0.0
+
+    def configure(self, bounds: Bounds) -> None:
+        """Take the promises of the deployment."""
+        shortest_s = min(bounds.drain_s, bounds.configuration_s, bounds.evacuation_s)
+        self.coalesce_s = COALESCE_RATIO * shortest_s
 
     def start(self) -> None:
         """Begin to follow."""
@@ -89,7 +96,7 @@
                     self.note_up()
                     self.take(changes)
                     if changes.items:
-                        await deferLater(self.reactor, COALESCE_S)
+                        await deferLater(self.reactor, self.coalesce_s)
                 case Failure(problem):
                     await self.recover(problem)
 
--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -26,6 +26,7 @@
 logger = structlog.get_logger(__name__)
 
 LINGER_S = 1.0  # a caller that was told to go may finish reading for so long
+OPENED_FOR_REQUEST_S = 0.05  # a first request this soon is what opened the connection
 MOST_PIPELINED = 16  # whole requests that wait on one connection
 NO_BODY_STATUS = frozenset({204, 304})
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
@@ -84,13 +85,14 @@
         self.refused = False
         self.closing = False
         self.since = 0.0
+        self.opened_at: float | None = None
 
     def connectionMade(self) -> None:
         """Set the options of the socket."""
         tcp: Any = self.transport
         self.tcp = tcp
         set_socket_options(tcp)
-        self.since = self.front.now()
+        self.since = self.opened_at = self.front.now()
         self.front.connections.add(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -204,12 +206,23 @@
             request.url,
             tuple(request.headers),
             b"".join(request.body),
-            self.front.now(),
+            self.begun_at(),
         )
         work = self.front.handle(raw, lambda answer: self.answer(request, answer))
         if self.current is request:
             self.work = work
 
+    def begun_at(self) -> float:
+        """Return since when the caller has waited for the current request.
+
+        A caller that opened the connection for it has waited for that, too.
+        """
+        now = self.front.now()
+        opened_at, self.opened_at = self.opened_at, None
+        if opened_at is None or now - opened_at > OPENED_FOR_REQUEST_S:
+            return now
+        return opened_at
+
     def answer(self, request: ParsedRequest, answer: CallerAnswer) -> None:
         """Write the answer to the current request."""
         if self.current is not request or self.closing:
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -24,7 +24,7 @@
 
 __all__ = ["Gather", "Part"]
 
-RETURN_MARGIN_S = 0.012  # merging, and the way from and back to the caller
+RETURN_MARGIN_S = 0.014  # merging, and the way from and back to the caller
 HEDGE_QUANTILE = 0.95  # of the replies come before a second replica is asked
 HEDGE_LEAST_RATIO = 0.08  # of the objective: no hedge is sent earlier
 HEDGE_MOST_RATIO = 0.35  # of the objective: time for a second reply is left then
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -119,6 +119,7 @@
         self.probes = ProbeServer(
             reactor, self.unready_reason, metrics.render, self.follower.state
         )
+        self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
@@ -168,6 +169,7 @@
                 changed = settings != self.settings
                 self.settings = settings
                 self.policy.configure(settings.bounds)
+                self.follower.configure(settings.bounds)
                 state = "changed" if changed else "unchanged"
                 log_event(logger, EventName.SETTINGS_RELOADED, state=state)
             case Failure(detail):
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -107,6 +107,25 @@
         assert [work.request.body for work in rig.works] == [b"abc"]
 
 
+class TestWaiting:
+    def test_opening_the_connection_counts_for_its_first_request(self) -> None:
+        rig = FrontRig()
+        rig.reactor.advance(0.006)
+        rig.send(GET)
+        rig.answer(0)
+        rig.reactor.advance(0.02)
+        rig.send(GET)
+        first, second = (work.request.received_at for work in rig.works)
+        assert first == 100.0
+        assert second == rig.reactor.seconds()
+
+    def test_idling_before_the_first_request_does_not(self) -> None:
+        rig = FrontRig()
+        rig.reactor.advance(1.0)
+        rig.send(GET)
+        assert rig.works[0].request.received_at == 101.0
+
+
 class TestSmuggling:
     @pytest.mark.parametrize(
         "head",
