Judge a replica's slowness by the median of three replies

Cause: each pause of 200 to 250 ms made a replica look two to three times slower for seconds, so its gateways asked the twin in another data centre; bytes between zones are the largest price after the machines. Ruled out: a smaller weight of each sample, which would find slow replicas later. Change: slowness is the median of the last three replies, at most 4 s apart; an exchange that was overdue is one sample, not two. Another data centre costs 15 ms in place of 10. The test of a single overdue reply said that one counts; that is what a pause looks like, so it is replaced by two overdue replies that count, one pause that does not, and a slow replica that is found by its second reply.

--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -14,7 +14,7 @@
 
 __all__ = ["Choice", "ReplicaChooser"]
 
-CROSS_DATA_CENTRE_S = 0.010  # round trip to another data centre
+CROSS_DATA_CENTRE_S = 0.015  # round trip to another data centre, and its price
 BUSY_COST_RATIO = 0.5  # of the usual latency, for slots that are taken
 STALLED_RATIO = 3.0  # a reply this many times overdue hints at a pause
 STALL_COST_S = 0.1  # mean rest of a pause
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -75,6 +75,7 @@
         "started_at",
         "waiter",
         "waits",
+        "was_overdue",
     )
 
     def __init__(
@@ -93,6 +94,7 @@
         self.sent_at = 0.0
         self.waits = 1.0
         self.over = False
+        self.was_overdue = False
         self.connection: ClientConnection | None = None
         self.waiter: Callable[[ClientConnection | None], None] | None = None
 
@@ -209,7 +211,8 @@
         """Learn how slow a replica is, apart from its queue; return the time taken."""
         took_s = now - exchange.sent_at
         expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
-        exchange.replica.observe_latency(took_s / expected_s, now)
+        if not exchange.was_overdue:
+            exchange.replica.observe_latency(took_s / expected_s, now)
         return took_s
 
     def observe_overdue(self, exchange: Exchange, usual_s: float, now: float) -> None:
@@ -217,6 +220,7 @@
         if exchange.sent_at:
             waited_s = OVERDUE_FACTOR * (now - exchange.sent_at)
             expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
+            exchange.was_overdue = True
             exchange.replica.observe_overdue(waited_s / expected_s, now)
 
     def abandon(self, exchange: Exchange) -> None:
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -14,7 +14,8 @@
 
 __all__ = ["Replica"]
 
-SLOWNESS_WEIGHT = 0.35  # of one sample in the average of a replica's slowness
+SLOWNESS_SAMPLES = 3  # the fewest of which a median leaves out one pause
+SLOWNESS_MEMORY_S = 4.0  # samples say little of a replica that was not asked for long
 SLOWNESS_HALF_LIFE_S = 2.0  # a replica that was slow is tried again after some of these
 MOST_SLOWNESS = 50.0  # bounds how long a replica is avoided after one bad sample
 FAILURE_WEIGHT = 0.3  # of one result in the share of failures
@@ -40,6 +41,7 @@
         self.in_flight: dict[Exchange, None] = {}
         self.slowness = 1.0
         self.slowness_at = 0.0
+        self.samples: list[float] = []
         self.failures = 0.0
         self.failures_at = 0.0
         self.load: Load | None = None
@@ -73,10 +75,18 @@
         )
 
     def observe_latency(self, ratio: float, now: float) -> None:
-        """Take in a reply that took ``ratio`` times as long as usual."""
-        ratio = min(ratio, MOST_SLOWNESS)
+        """Take in a reply that took ``ratio`` times as long as usual.
+
+        The median of a few replies tells a slow replica from one that paused once.
+        """
         known = self.current_slowness(now)
-        self.slowness = known + SLOWNESS_WEIGHT * (ratio - known)
+        self.samples.append(min(ratio, MOST_SLOWNESS))
+        if now - self.slowness_at > SLOWNESS_MEMORY_S:
+            known = 1.0
+            self.samples = self.samples[-1:]
+        self.samples = self.samples[-SLOWNESS_SAMPLES:]
+        padded = sorted([*self.samples, *[known] * SLOWNESS_SAMPLES][:SLOWNESS_SAMPLES])
+        self.slowness = max(1.0, padded[SLOWNESS_SAMPLES // 2])
         self.slowness_at = now
 
     def observe_overdue(self, ratio: float, now: float) -> None:
