Split a search's parts from the search; refuse a caller whose time is zero

The part has a module, the end of a request one function. Test: TestTime.test_a_caller_with_no_time_left_is_refused_unsent fails without the change.

--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import ceil
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, refuse
@@ -16,15 +17,15 @@
     NotRun,
 )
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
-from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.part import Part
+from sardinehook.gateway.policy import RETURN_MARGIN_S, RequestPolicy, give_up_at
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
 from sardinehook.target.reactor import DelayedCall
 
-__all__ = ["Gather", "Part"]
+__all__ = ["Gather"]
 
-RETURN_MARGIN_S = 0.014  # merging, and the way from and back to the caller
 HEDGE_QUANTILE = 0.95  # of the replies come before a second replica is asked
 HEDGE_LEAST_RATIO = 0.08  # of the objective: no hedge is sent earlier
 HEDGE_MOST_RATIO = 0.35  # of the objective: time for a second reply is left then
@@ -34,50 +35,10 @@
 RETRY_SHARE = 0.15  # of a caller's patience, at least, passes before it comes back
 CUT_OFF_RETRY_S = 2.0  # two missed probes, one a second, turn the balancer away
 LEAVE_GRACE_S = 0.25  # exchanges that end within it keep their connections
+ROUNDING = 1e-9  # a share times a number may come out a little too large
 USEFUL_RATIO = 0.5  # of the usual latency has to be left for another try
 
 
-class Part:
-    """One shard of a search: who was asked and what came back."""
-
-    __slots__ = (
-        "arrived",
-        "asked",
-        "attempts",
-        "hedge_at",
-        "open_exchanges",
-        "reason",
-        "records",
-        "refusals",
-        "shard",
-        "signature",
-        "tried",
-    )
-
-    def __init__(self, shard: str) -> None:
-        self.shard = shard
-        self.attempts = 0
-        self.refusals = 0
-        self.tried: list[Replica] = []
-        self.open_exchanges: list[Exchange] = []
-        self.hedge_at = 0.0
-        self.records: list[bytes] | None = None
-        self.signature = b""
-        self.reason = "no reply in time"
-        self.asked = False
-        self.arrived = False
-
-    @property
-    def is_in(self) -> bool:
-        """Whether the shard has answered."""
-        return self.records is not None
-
-    @property
-    def is_lost(self) -> bool:
-        """Whether nothing more is awaited from the shard."""
-        return self.records is None and self.asked and not self.open_exchanges
-
-
 class Gather:
     """The aggregate of one search; ``finish`` is called once with the answer.
 
@@ -112,8 +73,7 @@
         self.missed_objective = False
         self.timer: DelayedCall | None = None
         begun = request.received_at
-        patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
-        self.give_up_at = begun + patience_s - RETURN_MARGIN_S
+        self.give_up_at = give_up_at(request, route)
         objective_at = begun + route.objective_s - RETURN_MARGIN_S
         self.objective_at = min(objective_at, self.give_up_at)
         late_at = begun + LATE_RATIO * route.objective_s
@@ -130,7 +90,7 @@
     def least_parts(self) -> int:
         """How many shards an answer needs."""
         needed = self.shards.least_coverage * len(self.parts)
-        return max(1, int(needed) + (needed > int(needed) + 1e-9))
+        return max(1, ceil(needed - ROUNDING))
 
     def start(self) -> None:
         """Ask one replica of each shard, unless too few shards have one."""
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -6,20 +6,29 @@
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
-from sardinehook.gateway.ports import CallerDialect
+from sardinehook.gateway.ports import CallerDialect, CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.repeat_budget import RepeatBudget
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
-__all__ = ["RequestPolicy"]
+__all__ = ["RETURN_MARGIN_S", "RequestPolicy", "give_up_at"]
 
+RETURN_MARGIN_S = 0.014  # merging, and the way from and back to the caller
 FIRST_GUESS_RATIO = 0.2  # of the objective: the latency of a route not seen yet
 USUAL_QUANTILE = 0.5
 EXPLAINED_REPLICAS = 4  # of a service, in a line of the log
 MS_PER_S = 1000.0
 
 
+def give_up_at(request: CallerRequest, route: Route) -> float:
+    """Return when a request has to be answered, whatever there is by then."""
+    patience_s = route.timeout_s
+    if request.patience_s is not None:
+        patience_s = min(patience_s, request.patience_s)
+    return request.received_at + patience_s - RETURN_MARGIN_S
+
+
 class RequestPolicy:
     """Outlives single requests; one for each gateway."""
 
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -15,14 +15,13 @@
     Failed,
     NotRun,
 )
-from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.policy import RequestPolicy, give_up_at
 from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
 from sardinehook.target.reactor import DelayedCall
 
 __all__ = ["SingleCall"]
 
-RETURN_MARGIN_S = 0.012  # the way from and back to the caller
 HEDGE_QUANTILE = 0.97  # of the replies come before a second replica is asked
 HEDGE_MOST_RATIO = 0.6  # of the objective: an idempotent request is hedged by then
 REFUSED_SENDS = 3  # sends beyond the route's attempts for those that did not run
@@ -64,8 +63,7 @@
         self.reasons: list[str] = []
         self.failure: ReplicaReply | None = None
         self.timer: DelayedCall | None = None
-        patience_s = min(request.patience_s or route.timeout_s, route.timeout_s)
-        self.give_up_at = request.received_at + patience_s - RETURN_MARGIN_S
+        self.give_up_at = give_up_at(request, route)
         self.usual_s = policy.usual_s(route)
         hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
         hedge_s = min(hedge_s, HEDGE_MOST_RATIO * route.objective_s)
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -4,7 +4,14 @@
 
 from sardinehook.gateway.dispatch import Answered, Failed, NotRun
 from sardinehook.gateway.settings import Bounds
-from tests.gateway.support import Gateway, good, make_gateway, reply, single_route
+from tests.gateway.support import (
+    REQUEST,
+    Gateway,
+    good,
+    make_gateway,
+    reply,
+    single_route,
+)
 
 
 def desk_gateway(replicas: int = 3) -> Gateway:
@@ -106,3 +113,12 @@
         gateway.call(single_route(idempotent=False), "desk")
         gateway.reactor.pump([0.1] * 8)
         assert [answer.status for answer in gateway.answers] == [504]
+
+
+class TestTime:
+    def test_a_caller_with_no_time_left_is_refused_unsent(self) -> None:
+        gateway = desk_gateway()
+        request = REQUEST._replace(patience_s=0.0)
+        gateway.call(single_route(idempotent=False), "desk", request)
+        assert [answer.status for answer in gateway.answers] == [503]
+        assert gateway.dispatcher.sent == []
