Count requests that wait for a connection against a cold replica's rate

Cause, found by reading: a cold replica's rate was counted when a request was written, so searches that were all waiting for its first connection could be sent together beyond the rate. Test: test_requests_that_wait_for_a_connection_count fails without the change. Also removes what reading found unused.

--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -112,7 +112,7 @@
         if not service or service.cold_requests_per_s <= 0.0:
             return True
         allowed = self.cold_share(replica, service)
-        return replica.cold_arrivals.total(now) < allowed
+        return replica.cold_requests(now) < allowed
 
     def cold_share(self, replica: Replica, service: Service) -> int:
         """Return how many requests a second a cold replica may get from here.
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -87,7 +87,7 @@
         if known is not None and entry.born_ms < known.entry.born_ms:
             return
         if known is None or is_other_start(known.entry, entry):
-            self.drop_address(entry.address, now)
+            self.drop_address(entry.address)
             if known is not None:
                 self.forget(known)
             known = self.add(entry)
@@ -134,7 +134,7 @@
         for replica_id in self.replicas.keys() - set(replica_ids):
             self.remove(replica_id, now)
 
-    def drop_address(self, address: str, now: float) -> None:
+    def drop_address(self, address: str) -> None:
         """Forget a replica whose address has been given to another one."""
         for replica in list(self.replicas.values()):
             if replica.entry.address == address:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -51,18 +51,12 @@
     changed_at: Callable[[], float]
 
 
-class Dialects:
+class Dialects(NamedTuple):
     """The dialects that this gateway speaks."""
 
-    def __init__(
-        self,
-        callers: CallerDialect,
-        replicas: ReplicaDialect,
-        keys: StoreDialect,
-    ) -> None:
-        self.callers = callers
-        self.replicas = replicas
-        self.keys = keys
+    callers: CallerDialect
+    replicas: ReplicaDialect
+    keys: StoreDialect
 
 
 class GatewayProcess:
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -50,7 +50,6 @@
         self.cold_until = 0.0
         self.cold_arrivals = SlidingCount(COLD_WINDOW_S)
         self.lost_at: float | None = None
-        self.refused_at: float | None = None
 
     @property
     def replica_id(self) -> str:
@@ -124,6 +123,14 @@
         ahead = self.busy(now) + 1.0 - self.entry.slots
         return 1.0 + max(0.0, ahead) / self.entry.slots
 
+    def cold_requests(self, now: float) -> int:
+        """Return how many requests a cold replica gets in this second from here.
+
+        Those that wait for a connection count, since they may all be sent at once.
+        """
+        unsent = sum(not exchange.sent_at for exchange in self.in_flight)
+        return self.cold_arrivals.total(now) + unsent
+
     def oldest_age_s(self, now: float) -> float:
         """Return for how long the oldest request here has had no reply."""
         for exchange in self.in_flight:
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -5,9 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sardinehook.gateway.dispatch import Exchange
 from sardinehook.gateway.repeat_budget import RepeatBudget
 from sardinehook.gateway.settings import Bounds
 from tests.gateway.support import (
+    REQUEST,
     configuration,
     gateway_names,
     make_gateway,
@@ -77,6 +79,22 @@
                 sent = self.sent_in_one_second(gateways, rate)
                 assert sent <= bound, (gateways, rate)
 
+    def test_requests_that_wait_for_a_connection_count(self) -> None:
+        gateway = make_gateway()
+        gateway.directory.configure(configuration(single_route(True), cold_rate=0.1))
+        gateway.directory.set_gateways(gateway_names(5))
+        replica = gateway.add("desk-a", "desk")
+        now = gateway.reactor.seconds()
+        replica.cold_until = now + 3.0
+        chooser = gateway.policy.chooser
+        for chooser.node in gateway_names(5):
+            if chooser.may_ask(replica, now):
+                break
+        assert chooser.may_ask(replica, now)
+        waiting = Exchange(REQUEST, replica, now, now + 1.0, lambda *_: None)
+        replica.in_flight[waiting] = None
+        assert not chooser.may_ask(replica, now)
+
     def test_a_warm_replica_goes_first(self) -> None:
         gateway = make_gateway()
         cold = gateway.add("desk-a", "desk")
