Resume following the store after an unexpected error

Cause, found by reading: an exception in what a change of the store set off would have ended the watch for good, with one line in the log; the gateway would have served an old configuration. Change: the error is logged, and everything is read anew after a second. The registration likewise. Test: TestUnexpectedErrors fails without the change.

--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import GatewayStore, LeaseGone
@@ -62,10 +63,16 @@
         self.on_recovery: Callable[[], None] = lambda: None
 
     def start(self) -> None:
-        """Register and keep the registration."""
+        """Register; an unexpected error is logged and the registration goes on."""
         self.running = True
         keeping = Deferred.fromCoroutine(self.keep())
-        keeping.addErrback(lambda failure: logger.error(str(failure)))
+        keeping.addErrback(self.resume)
+
+    def resume(self, failure: TwistedFailure) -> None:
+        """Go on after an unexpected error."""
+        log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
+        if self.running:
+            self.reactor.callLater(RENEW_INTERVAL_S, self.start)
 
     async def keep(self) -> None:
         """Register, renew, and register again where that was lost."""
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
+from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
@@ -75,10 +76,17 @@
         self.coalesce_s = COALESCE_RATIO * shortest_s
 
     def start(self) -> None:
-        """Begin to follow."""
+        """Begin to follow; an unexpected error is logged and following resumes."""
         self.running = True
         following = Deferred.fromCoroutine(self.follow())
-        following.addErrback(lambda failure: logger.error(str(failure)))
+        following.addErrback(self.resume)
+
+    def resume(self, failure: TwistedFailure) -> None:
+        """Read everything anew after an unexpected error."""
+        log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
+        self.revision = None
+        if self.running:
+            self.reactor.callLater(LAST_RETRY_S, self.start)
 
     def stop(self) -> None:
         """Follow no more."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -13,6 +13,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import ServerFactory
 from twisted.internet.task import LoopingCall, deferLater
+from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
@@ -206,6 +207,10 @@
             self.directory.set_gateways(names)
         self.metrics.gateways.set(len(names))
 
+    def note_error(self, failure: TwistedFailure) -> None:
+        """Log an unexpected error of a part that ends anyway."""
+        log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
+
     def sweep(self) -> None:
         """Enforce deadlines."""
         self.policy.dispatcher.sweep(self.reactor.seconds())
@@ -236,7 +241,7 @@
         self.stopping = True
         self.front.turns_away = True
         leaving = Deferred.fromCoroutine(self.fleet.leave())
-        leaving.addErrback(lambda failure: logger.error(str(failure)))
+        leaving.addErrback(self.note_error)
         await deferLater(self.reactor, NOTICE_S)
         self.front.closes_idle = True
         self.front.sweep()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -178,6 +178,19 @@
         assert rig.follower.down_since is None
 
 
+class TestUnexpectedErrors:
+    def test_following_resumes_with_a_listing(self) -> None:
+        rig = FollowerRig()
+        rig.store.tell(5, replica("a", 3))
+        rig.settle()
+        rig.store.waiting.popleft().errback(RuntimeError("a fault of ours"))
+        rig.settle()
+        assert rig.store.calls[-1] == "read_all"
+        rig.store.tell(6, replica("a", 3), version(3, 6))
+        rig.settle()
+        assert rig.versions == [3]
+
+
 class TestConfiguration:
     def test_never_goes_back(self) -> None:
         rig = FollowerRig()
