Answer what is left at the end of the grace; end connections of closed pools

Found by reading the diff as a newcomer, each with a test that fails first: a head that never ends was refused only after MaxBodyBytes more; '100 Continue' could come before the answer to the request in front of it; a request still at work when the grace ended was cut off without an answer; a connection to a replica that had been forgotten stayed open.

--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -120,8 +120,7 @@
             self.refused = True
         except HttpParserError:
             self.refuse(400)
-        limits = self.front.limits
-        if self.in_head and self.head_bytes > limits.header_bytes + limits.body_bytes:
+        if self.in_head and self.head_bytes > self.front.limits.header_bytes:
             self.refuse(431)
         self.serve_next()
 
@@ -167,7 +166,12 @@
                 if int(value) > self.front.limits.body_bytes:
                     self.refuse(413)
             elif lower == b"expect" and value.lower() == b"100-continue":
-                self.tcp.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self.invite_body()
+
+    def invite_body(self) -> None:
+        """Ask for a body that the caller holds back, unless an answer is due before."""
+        if self.current is None and not self.waiting and not self.refused:
+            self.tcp.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body within the limit."""
@@ -238,6 +242,16 @@
         elif self.waiting:
             self.front.reactor.callLater(0.0, self.serve_next)
 
+    def give_up(self, answer: CallerAnswer) -> None:
+        """Answer the current request in place of its work, which is abandoned."""
+        request, work = self.current, self.work
+        if request is None:
+            return
+        if work is not None:
+            work.cancel()
+        self.waiting.clear()
+        self.answer(request, answer)
+
     def write_error(self, status: int) -> None:
         """Refuse what can't be read as a request, and end the connection."""
         log_event(
@@ -329,10 +343,7 @@
         for connection in list(self.connections):
             connection.sweep(now)
 
-    @property
-    def busy(self) -> int:
-        """How many connections have a request that is not answered yet."""
-        return sum(
-            connection.current is not None or connection.reading is not None
-            for connection in self.connections
-        )
+    def give_up(self, answer: CallerAnswer) -> None:
+        """Answer all requests that are still at work."""
+        for connection in list(self.connections):
+            connection.give_up(answer)
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -147,7 +147,10 @@
 
         ``keep_alive_s`` is how long the peer keeps it when idle.
         """
-        if not connection.idle or self.closed:
+        if not connection.idle:
+            return
+        if self.closed:
+            connection.abort()
             return
         kept_s = max(0.0, keep_alive_s - IDLE_MARGIN_S)
         connection.idle_until = self.reactor.seconds() + kept_s
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -15,6 +15,8 @@
 from twisted.internet.task import LoopingCall, deferLater
 from twisted.python.failure import Failure as TwistedFailure
 
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.answer import refuse
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.desk import RequestDesk
@@ -249,6 +251,11 @@
         while self.front.connections and self.reactor.seconds() < end_at:
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
             self.front.sweep()
+        left = len(self.front.connections)
+        if left:
+            problem = Problem(ErrorKind.OUTCOME_UNKNOWN, "the gateway is stopping")
+            self.front.give_up(refuse(problem))
+            await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
         self.sweeping.stop()
         self.housekeeping.stop()
@@ -258,7 +265,7 @@
             logger,
             EventName.PROCESS_STOPPED,
             took_ms=took_ms,
-            count=len(self.front.connections),
+            count=left,
         )
 
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -94,6 +94,20 @@
         rig.answer(1, b"second")
         assert rig.written.index(b"first") < rig.written.index(b"second")
 
+    def test_a_body_is_invited_only_when_no_answer_is_due_before(self) -> None:
+        rig = FrontRig()
+        post = (
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        rig.send(GET + post)
+        assert rig.written == b""
+        rig.send(b"ab")
+        rig.answer(0)
+        rig.answer(1)
+        rig.send(post)
+        assert rig.written.endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     @given(st.lists(st.integers(1, 40), max_size=8))
     def test_any_split_of_the_bytes_gives_the_same_request(
         self, cuts: list[int]
@@ -156,6 +170,11 @@
         rig.send(b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 20000 + b"\r\n\r\n")
         assert rig.written.startswith(b"HTTP/1.1 431")
 
+    def test_a_head_that_does_not_end(self) -> None:
+        rig = FrontRig()
+        rig.send(b"GET /x HTTP/1.1\r\nHost: h\r\nA: " + b"x" * 16500)
+        assert rig.written.startswith(b"HTTP/1.1 431")
+
     def test_a_body_that_is_too_large(self) -> None:
         rig = FrontRig()
         rig.send(b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 300000\r\n\r\n")
@@ -215,6 +234,16 @@
         rig.answer(0)
         assert rig.written.endswith(b"ok")
 
+    def test_what_is_left_at_the_end_is_answered_and_not_cut_off(self) -> None:
+        rig = FrontRig()
+        rig.front.turns_away = True
+        rig.send(GET)
+        rig.front.give_up(CallerAnswer(502, (), b"", "outcome_unknown"))
+        assert rig.works[0].cancelled
+        assert rig.written.startswith(b"HTTP/1.1 502")
+        rig.answer(0)
+        assert rig.written.count(b"HTTP/1.1") == 1
+
     def test_a_request_that_is_half_read_is_still_served(self) -> None:
         rig = FrontRig()
         rig.send(GET[:20])
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -93,6 +93,26 @@
         assert rig.heard == 1
 
 
+class TestClosing:
+    def test_a_connection_that_comes_back_to_a_closed_pool_is_ended(self) -> None:
+        rig = PoolRig(most=1)
+        taken: list[ClientConnection] = []
+        ends: list[object] = []
+
+        def use(connection: ClientConnection | None) -> None:
+            assert connection is not None
+            taken.append(connection)
+            connection.exchange(b"GET / HTTP/1.1\r\n\r\n", ends.append)
+
+        rig.pool.request(use)
+        rig.accept(0)
+        rig.pool.close()
+        taken[0].dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        rig.pool.give_back(taken[0], 5.0)
+        assert isinstance(ends[0], Replied)
+        assert not taken[0].is_open
+
+
 class TestReuse:
     def test_a_connection_serves_the_next_that_waits(self) -> None:
         rig = PoolRig(most=1)
