--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -182,8 +182,9 @@
     def unready_reason(self) -> str:
         """Return why the balancer should send nothing, empty if it should."""
         reason = self.find_unready_reason()
-        if reason != self.last_reason:
-            self.last_reason = reason
+        kind = reason.partition(":")[0]
+        if kind != self.last_reason:
+            self.last_reason = kind
             log_event(logger, EventName.READINESS, state=reason or "ready")
         return reason
 
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -11,6 +11,7 @@
 
 import pytest
 from returns.result import Failure, Result, Success
+from structlog.testing import capture_logs
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.metrics import GatewayMetrics
@@ -72,6 +73,15 @@
     def test_without_a_configuration_it_is_not_ready(self) -> None:
         assert ProcessRig().process.unready_reason() == "no configuration yet"
 
+    def test_a_reason_whose_figures_change_is_logged_once(self) -> None:
+        rig = ProcessRig()
+        reasons = iter(["cut off from b: 3 of 4", "cut off from b: 5 of 6"])
+        rig.process.find_unready_reason = lambda: next(reasons)  # type: ignore[method-assign]
+        with capture_logs() as lines:
+            rig.process.unready_reason()
+            rig.process.unready_reason()
+        assert len([line for line in lines if line["event"] == "readiness"]) == 1
+
 
 SETTINGS_FILE = """
 Node = "g-1"
