Let three gateways of a data centre read the store for the others

Ruled out: stale reads (seconds old, and the promises on drains leave five), longer pauses between watches (the same promises).

Change: readers are the gateways with the widest links of a data centre, agreed on by the registrations that all know. The others hold a call at one reader and look in at the rest in turn. A reader that hears nothing from the store says so and is passed over; without one a gateway watches the store itself. Small data centres are as before.

--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -27,10 +27,16 @@
 
 
 class GatewayRecord(msgspec.Struct):
-    """What a gateway tells of itself."""
+    """What a gateway tells of itself.
+
+    It takes other gateways' calls at ``peer_address`` and their datagrams at
+    ``news_address``; ``link_mbps`` is the bandwidth of its VM.
+    """
 
     peer_address: str
     data_centre: str
+    news_address: str = ""
+    link_mbps: float = 0.0
 
 
 class GatewayFleet:
@@ -166,6 +172,14 @@
                 log_event(logger, EventName.MEMBER_STATE, member=node, state="gone")
         self.on_names(frozenset({*self.records, self.node}))
 
+    def present(self) -> dict[str, GatewayRecord]:
+        """Return the records of the gateways that have not left."""
+        return {
+            node: record
+            for node, record in self.records.items()
+            if node not in self.left_at
+        }
+
     def peers(self) -> list[str]:
         """List the peer addresses of the other gateways."""
         return [
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -14,9 +14,12 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
-from sardinehook.gateway.peers import PeerClient, encode_state
+from sardinehook.gateway.knowledge import Knowledge, Told
+from sardinehook.gateway.peers import Peers
 from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.readers import Reader, ReaderRotation
+from sardinehook.gateway.relay import ChangeRelay
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import Changes, GatewayStore, HistoryGone, Item
 from sardinehook.observe.events import EventName, log_event
@@ -26,7 +29,9 @@
 logger = structlog.get_logger(__name__)
 
 WATCH_WAIT_S = 20.0  # each watch is a call, so a quiet one should last
+STAND_IN_WAIT_S = 2.0  # a watch of one that is no reader, until readers are tried again
 COALESCE_RATIO = 0.2  # of the shortest promise on changes, since they come in groups
+POLL_RATIO = 0.2  # of that promise: how long a reader may hold a call
 FIRST_RETRY_S = 0.1  # wait after a first failed call
 PEER_AFTER_S = 1.0  # the store may turn only this gateway away
 LAST_RETRY_S = 1.0  # wait after many: the promises leave a few seconds
@@ -36,6 +41,7 @@
 class StoreFollower:
     """Keeps what this gateway believes in step with the store.
 
+    Some gateways of each data centre watch the store; the others ask those readers.
     One watch covers all keys. Where the history that it needs is gone, everything is
     read anew. ``on_configuration`` is called with each version that goes in force;
     versions only grow.
@@ -45,6 +51,7 @@
         self,
         reactor: GatewayReactor,
         store: GatewayStore,
+        peers: Peers,
         dialect: StoreDialect,
         directory: Directory,
         fleet: GatewayFleet,
@@ -53,27 +60,34 @@
     ) -> None:
         self.reactor = reactor
         self.store = store
+        self.peers = peers
         self.dialect = dialect
         self.directory = directory
         self.fleet = fleet
         self.on_configuration = on_configuration
         self.random = random
-        self.revision: int | None = None
+        self.knowledge = Knowledge()
+        self.relay = ChangeRelay(reactor, self.knowledge)
+        self.rotation = ReaderRotation(fleet.node, fleet.record)
+        self.listing_due = True
         self.version = -1
         self.evacuated: set[str] = set()
         self.running = False
         self.retry_s = 0.0
         self.down_since: float | None = None
-        self.loaded = False
-        self.known: dict[str, Item] = {}
-        self.peers = PeerClient(reactor, random)
         self.seeds: tuple[str, ...] = ()
-        self.coalesce_s = 0.0
+        self.shortest_s = 0.0
+
+    @property
+    def loaded(self) -> bool:
+        """Whether anything is known of the store."""
+        return self.knowledge.revision is not None
 
     def configure(self, bounds: Bounds) -> None:
         """Take the promises of the deployment."""
-        shortest_s = min(bounds.drain_s, bounds.configuration_s, bounds.evacuation_s)
-        self.coalesce_s = COALESCE_RATIO * shortest_s
+        self.shortest_s = min(
+            bounds.drain_s, bounds.configuration_s, bounds.evacuation_s
+        )
 
     def start(self) -> None:
         """Begin to follow; an unexpected error is logged and following resumes."""
@@ -84,35 +98,89 @@
     def resume(self, failure: TwistedFailure) -> None:
         """Read everything anew after an unexpected error."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
-        self.revision = None
+        self.listing_due = True
         if self.running:
             self.reactor.callLater(LAST_RETRY_S, self.start)
 
     def stop(self) -> None:
         """Follow no more."""
         self.running = False
+        self.relay.set_current(False)
 
     async def follow(self) -> None:
         """Read and watch until stopped."""
         while self.running:
-            if self.revision is None:
-                result = await self.store.read_all(ALL_KEYS)
+            self.update_readers()
+            readers = self.rotation.usable(self.reactor.seconds())
+            if readers and not self.listing_due:
+                await self.ask_readers(readers[0])
             else:
-                result = await self.store.watch(ALL_KEYS, self.revision, WATCH_WAIT_S)
-            match result:
-                case Success(changes):
-                    self.note_up()
-                    self.take(changes)
-                    if changes.items:
-                        await deferLater(self.reactor, self.coalesce_s)
-                case Failure(problem):
-                    await self.recover(problem)
+                await self.read_store()
+
+    def update_readers(self) -> None:
+        """Take the gateways that are registered as possible readers."""
+        if self.rotation.update(self.fleet.present()):
+            role = "reads the store" if self.rotation.is_reader else "asks readers"
+            names = ",".join(reader.name for reader in self.rotation.readers)
+            log_event(logger, EventName.READER_STATE, state=role, detail=names)
+
+    async def read_store(self) -> None:
+        """List or watch the store, once."""
+        whole = self.listing_due
+        if whole or self.knowledge.revision is None:
+            result = await self.store.read_all(ALL_KEYS)
+        else:
+            wait_s = WATCH_WAIT_S if self.rotation.is_reader else STAND_IN_WAIT_S
+            result = await self.store.watch(ALL_KEYS, self.knowledge.revision, wait_s)
+        match result:
+            case Success(changes):
+                self.note_up("")
+                self.relay.set_current(True)
+                self.take(changes, whole)
+                if changes.items:
+                    await deferLater(self.reactor, COALESCE_RATIO * self.shortest_s)
+            case Failure(problem):
+                self.relay.set_current(False)
+                await self.recover(problem)
+
+    async def ask_readers(self, first: Reader) -> None:
+        """Wait for changes at one reader, then look in at another one."""
+        self.relay.set_current(False)
+        await self.ask_reader(first, POLL_RATIO * self.shortest_s)
+        other = self.rotation.look_in(self.reactor.seconds())
+        if other is not None and self.running:
+            await self.ask_reader(other, 0.0)
+
+    async def ask_reader(self, reader: Reader, wait_s: float) -> None:
+        """Ask a reader for changes, once; it may hold the call until there are some."""
+        answer = await self.peers.ask(reader.address, self.knowledge.revision, wait_s)
+        match answer:
+            case Success(told):
+                if told.current:
+                    self.note_up(reader.name)
+                trouble = "" if told.current else "does not hear from the store"
+                self.note_reader(reader, trouble)
+                self.take_told(told)
+            case Failure(detail):
+                self.note_reader(reader, detail)
+
+    def note_reader(self, reader: Reader, trouble: str) -> None:
+        """Note whether a reader can be relied on."""
+        now = self.reactor.seconds()
+        if self.rotation.note(reader, not trouble, now):
+            log_event(
+                logger,
+                EventName.READER_STATE,
+                peer=reader.name,
+                state="lost" if trouble else "regained",
+                detail=trouble,
+            )
 
     async def recover(self, problem: object) -> None:
         """Wait before the next call, or read anew where the history is gone."""
         if isinstance(problem, HistoryGone):
             log_event(logger, EventName.STORE_DOWN, detail="history gone, reading anew")
-            self.revision = None
+            self.listing_due = True
             return
         if self.down_since is None:
             self.down_since = self.reactor.seconds()
@@ -120,52 +188,53 @@
         down_s = self.reactor.seconds() - self.down_since
         if not self.loaded or down_s > PEER_AFTER_S:
             await self.ask_peers()
-        self.retry_s = min(max(2 * self.retry_s, FIRST_RETRY_S), LAST_RETRY_S)
+        first_s = FIRST_RETRY_S if self.rotation.is_reader else LAST_RETRY_S
+        self.retry_s = min(max(2 * self.retry_s, first_s), LAST_RETRY_S)
         await deferLater(self.reactor, self.retry_s * (0.5 + self.random.random()))
 
     async def ask_peers(self) -> None:
         """Take what another gateway knows if it is newer, while the store is away."""
-        match await self.peers.fetch([*self.seeds, *self.fleet.peers()]):
-            case Success(changes) if changes.revision > (self.revision or 0):
-                self.revision = None
+        known = self.knowledge.revision
+        peers = [*self.seeds, *self.fleet.peers()]
+        match await self.peers.ask_any(peers, known):
+            case Success(told) if self.take_told(told):
                 log_event(
                     logger,
                     EventName.STATE_FROM_PEER,
-                    revision=changes.revision,
-                    count=len(changes.items),
+                    revision=told.changes.revision,
+                    count=len(told.changes.items),
                 )
-                self.take(changes)
             case Failure(detail) if not self.loaded:
                 log_event(logger, EventName.STATE_FROM_PEER, detail=str(detail))
 
-    def state(self) -> bytes | None:
-        """Return what this gateway knows, for others; None before it knows anything."""
-        if self.revision is None or not self.loaded:
-            return None
-        return encode_state(self.revision, self.known.values())
-
-    def note_up(self) -> None:
-        """Note that the store answers."""
+    def note_up(self, reader: str) -> None:
+        """Note that the store answers, perhaps through a reader."""
         self.retry_s = 0.0
         if self.down_since is not None:
             down_s = self.reactor.seconds() - self.down_since
             self.down_since = None
-            log_event(logger, EventName.STORE_UP, took_ms=down_s * 1000.0)
+            log_event(logger, EventName.STORE_UP, took_ms=down_s * 1000.0, peer=reader)
 
-    def take(self, changes: Changes) -> None:
-        """Take in a listing or the events of a watch."""
-        listing = self.revision is None
-        if listing:
-            self.known.clear()
+    def take_told(self, told: Told) -> bool:
+        """Take what another gateway tells if it is newer; tell whether it was."""
+        known = self.knowledge.revision
+        if known is not None and told.changes.revision <= known:
+            return False
+        self.take(told.changes, told.whole)
+        return True
+
+    def take(self, changes: Changes, whole: bool) -> None:
+        """Take in a listing or the changes after what is known."""
+        if whole:
+            self.knowledge.replace(changes)
+            self.listing_due = False
             self.forget_missing(changes.items)
+        else:
+            self.knowledge.apply(changes)
         for item in changes.items:
-            if item.value is None:
-                self.known.pop(item.key, None)
-            else:
-                self.known[item.key] = item
             self.take_item(item)
-        self.revision = changes.revision
-        self.loaded = True
+        if changes.items:
+            self.relay.release()
 
     def forget_missing(self, items: Sequence[Item]) -> None:
         """Note what a listing does not have any more."""
--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -21,7 +21,7 @@
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.observe.events import EventName, log_event
 
-__all__ = ["Front", "FrontConnection"]
+__all__ = ["Front", "FrontConnection", "Work"]
 
 logger = structlog.get_logger(__name__)
 
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -46,6 +46,12 @@
             ["operation", "outcome"],
             registry=registry,
         )
+        self.peer_calls = Counter(
+            "sardinehook_peer_calls",
+            "Calls for changes to other gateways",
+            ["outcome"],
+            registry=registry,
+        )
         self.version = Gauge(
             "sardinehook_configuration_version",
             "Version of the configuration in force",
@@ -72,6 +78,10 @@
             registry=registry,
         )
 
+    def count_peer_call(self, outcome: str) -> None:
+        """Count a call to another gateway."""
+        self.peer_calls.labels(outcome).inc()
+
     def observe(
         self, kind: str, outcome: str, seconds: float, hedges: int, repeats: int
     ) -> None:
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -1,104 +1,107 @@
-"""What a gateway knows of the store, told to gateways that start while it is away."""
+"""Asks other gateways what they know of the store."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Collection
 from random import Random
+from typing import Protocol
 
-import msgspec
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.connection import Reply
 from sardinehook.gateway.http_call import HttpCall
+from sardinehook.gateway.knowledge import Told, decode_told
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.store import Changes, Item
+from sardinehook.gateway.relay import changes_query
 
-__all__ = ["STATE_PATH", "PeerClient", "decode_state", "encode_state"]
+__all__ = ["PeerClient", "Peers"]
 
-STATE_PATH = b"/state"
 CALL_TIMEOUT_S = 0.4  # peers answer in milliseconds; one that is cut off is passed over
 PEERS_ASKED = 2  # at a time, so that the store is tried again soon
+MOST_POOLS = 8  # connections to peers that are kept: readers, and a few once asked
 OK = 200
 
 
-class KnownItem(msgspec.Struct, array_like=True):
-    """A key as a gateway has seen it last."""
+class Peers(Protocol):
+    """The other gateways as a follower asks them."""
 
-    key: str
-    value: bytes
-    revision: int
+    async def ask_any(
+        self, addresses: Collection[str], after: int | None
+    ) -> Result[Told, str]:
+        """Ask some peers; return what the first one that answers tells."""
+        ...
 
+    async def ask(
+        self, address: str, after: int | None, wait_s: float
+    ) -> Result[Told, str]:
+        """Ask one peer for the changes after a revision; it may wait for some."""
+        ...
 
-class KnownState(msgspec.Struct, array_like=True):
-    """All keys as of a revision of the store."""
 
-    revision: int
-    items: list[KnownItem]
-
-
-def encode_state(revision: int, items: Iterable[Item]) -> bytes:
-    """Encode what a gateway knows."""
-    known = [
-        KnownItem(i.key, i.value, i.revision) for i in items if i.value is not None
-    ]
-    return msgspec.msgpack.encode(KnownState(revision, known))
-
-
-def decode_state(body: bytes) -> Result[Changes, str]:
-    """Decode what a gateway told.
+class PeerClient:
+    """Calls other gateways over connections that are kept.
 
-    >>> decode_state(encode_state(7, [Item("a", b"1", 5)])).unwrap().revision
-    7
-    >>> decode_state(b"x").failure()
-    'malformed state of a peer: Expected `array`, got `int`'
+    ``count_call`` is told the outcome of each call.
     """
-    try:
-        state = msgspec.msgpack.decode(body, type=KnownState)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f"malformed state of a peer: {error}")
-    items = tuple(Item(known.key, known.value, known.revision) for known in state.items)
-    return Success(Changes(items, state.revision))
 
-
-class PeerClient:
-    """Asks other gateways what they know."""
-
-    def __init__(self, reactor: GatewayReactor, random: Random) -> None:
+    def __init__(
+        self,
+        reactor: GatewayReactor,
+        random: Random,
+        count_call: Callable[[str], None],
+    ) -> None:
         self.reactor = reactor
         self.random = random
+        self.count_call = count_call
+        self.pools: dict[str, ConnectionPool] = {}
 
-    async def fetch(self, addresses: Iterable[str]) -> Result[Changes, str]:
-        """Return the state of the first of some random peers that tells one."""
+    async def ask_any(
+        self, addresses: Collection[str], after: int | None
+    ) -> Result[Told, str]:
+        """Ask some random peers; return what the first one that answers tells."""
         candidates = sorted(set(addresses))
         self.random.shuffle(candidates)
         detail = "no peer is known"
         for address in candidates[:PEERS_ASKED]:
-            match await self.fetch_from(address):
-                case Success(changes):
-                    return Success(changes)
+            match await self.ask(address, after, 0.0):
+                case Success(told):
+                    return Success(told)
                 case Failure(problem):
                     detail = f"{address}: {problem}"
         return Failure(detail)
 
-    async def fetch_from(self, address: str) -> Result[Changes, str]:
-        """Ask one peer."""
-        pool = ConnectionPool(self.reactor, address, 1, ignore)
+    async def ask(
+        self, address: str, after: int | None, wait_s: float
+    ) -> Result[Told, str]:
+        """Ask one peer for the changes after a revision; it may wait for some."""
         request = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (
-            STATE_PATH,
+            changes_query(after, wait_s),
             address.encode(),
         )
-        result = await HttpCall(self.reactor, pool, request, CALL_TIMEOUT_S).done
-        pool.close()
+        timeout_s = wait_s + CALL_TIMEOUT_S
+        pool = self.pool_of(address)
+        result = await HttpCall(self.reactor, pool, request, timeout_s).done
         match result:
-            case Success(Reply(status, _, body)) if status == OK:
-                return decode_state(body)
-            case Success(Reply(status)):
-                return Failure(f"status {status}")
+            case Success(Reply(status, _, body)):
+                self.count_call(str(status))
+                return decode_told(body) if status == OK else Failure(f"{status}")
             case Failure(problem):
+                self.count_call("no_answer")
                 return Failure(problem.detail)
         raise AssertionError("a result is a success or a failure")
 
+    def pool_of(self, address: str) -> ConnectionPool:
+        """Return the connection to a peer; the one used first may be closed for it."""
+        pool = self.pools.pop(address, None)
+        if pool is None:
+            pool = ConnectionPool(self.reactor, address, 1, ignore)
+        self.pools[address] = pool
+        if len(self.pools) > MOST_POOLS:
+            oldest = next(iter(self.pools))
+            self.pools.pop(oldest).close()
+        return pool
+
 
 def ignore() -> None:
     """Take no note of a connection: the call tells how it ended."""
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.front import Front
-from sardinehook.gateway.peers import STATE_PATH
+from sardinehook.gateway.front import Front, Work
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.relay import CHANGES_PATH, ChangeRelay
 
 __all__ = ["ProbeServer"]
 
@@ -23,18 +23,18 @@
         reactor: GatewayReactor,
         unready_reason: Callable[[], str],
         render_metrics: Callable[[], bytes],
-        state: Callable[[], bytes | None],
+        relay: ChangeRelay,
     ) -> None:
         super().__init__(reactor, self.answer_probe)
         self.unready_reason = unready_reason
         self.render_metrics = render_metrics
-        self.state = state
+        self.relay = relay
 
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
-    ) -> None:
-        """Answer a probe at once."""
-        path = request.target.split(b"?")[0]
+    ) -> Work | None:
+        """Answer a probe at once; a call for changes may wait for some."""
+        path, _, query = request.target.partition(b"?")
         if path.endswith(b"/ready"):
             reason = self.unready_reason()
             status = 503 if reason else 200
@@ -42,9 +42,8 @@
             finish(CallerAnswer(status, TEXT, body, "probe"))
         elif path == b"/metrics":
             finish(CallerAnswer(200, TEXT, self.render_metrics(), "probe"))
-        elif path == STATE_PATH:
-            known = self.state()
-            status = 503 if known is None else 200
-            finish(CallerAnswer(status, (), known or b"", "probe"))
+        elif path == CHANGES_PATH:
+            return self.relay.answer(query, finish)
         else:
             finish(CallerAnswer(404, TEXT, b"not found\n", "probe"))
+        return None
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -26,6 +26,7 @@
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.front import Front
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
@@ -97,13 +98,19 @@
         self.stories = RequestStories(reactor, metrics)
         self.desk = RequestDesk(self.policy, self.stories, self.random)
         self.front = Front(reactor, self.desk.take)
-        record = GatewayRecord(settings.peer_address, settings.data_centre)
+        record = GatewayRecord(
+            settings.peer_address,
+            settings.data_centre,
+            settings.news_address,
+            settings.link_mbps,
+        )
         self.fleet = GatewayFleet(
             reactor, self.store, settings.node, record, self.set_gateways
         )
         self.follower = StoreFollower(
             reactor,
             self.store,
+            PeerClient(reactor, self.random, metrics.count_peer_call),
             dialects.keys,
             self.directory,
             self.fleet,
@@ -114,7 +121,7 @@
             seed for seed in settings.seeds if seed != settings.peer_address
         )
         self.probes = ProbeServer(
-            reactor, self.unready_reason, metrics.render, self.follower.state
+            reactor, self.unready_reason, metrics.render, self.follower.relay
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
--- a/sardinehook/gateway/settings.py
+++ b/sardinehook/gateway/settings.py
@@ -30,8 +30,9 @@
     """Identity and addresses of one gateway; addresses are ``IP:port``.
 
     ``front_address`` takes callers' connections, ``ready_address`` the balancer's
-    probes, ``peer_address`` the other gateways' calls. ``metrics_address`` serves the
-    metrics. ``seeds`` are peer addresses of gateways that may be down.
+    probes, ``peer_address`` the other gateways' calls and ``news_address`` their
+    datagrams. ``metrics_address`` serves the metrics. ``seeds`` are peer addresses of
+    gateways that may be down. ``link_mbps`` is the bandwidth of the VM.
     """
 
     node: str
@@ -43,3 +44,5 @@
     store_address: str
     seeds: tuple[str, ...]
     bounds: Bounds = Bounds()
+    news_address: str = ""
+    link_mbps: float = 0.0
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -74,6 +74,7 @@
     STORE_DOWN = "store_down"
     STORE_UP = "store_up"
     STATE_FROM_PEER = "state_from_peer"
+    READER_STATE = "reader_state"
 
 
 class EventFields(TypedDict, total=False):
--- a/sardinehook/platform/settings.py
+++ b/sardinehook/platform/settings.py
@@ -46,17 +46,26 @@
     addr: str = msgspec.field(name="Addr")
 
 
+class WireLimits(msgspec.Struct, rename="pascal"):
+    """What the machine has."""
+
+    # Of the machine's own link, in both directions.
+    link_mbps: float = 0.0
+
+
 class WireSettings(msgspec.Struct, rename="pascal"):
     """The settings file."""
 
     node: str
     ip: str
     zone: str
+    # The first and the last of a range that is free for our own protocols.
     internal_ports: list[int]
     listen: WireListen
     platform: WirePlatform = msgspec.field(name="platform")
     seeds: list[str] = []
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
+    limits: WireLimits = msgspec.field(default_factory=WireLimits)
 
 
 def decode_settings(text: str) -> Result[GatewaySettings, str]:
@@ -74,17 +83,20 @@
 
 
 def read_settings(wire: WireSettings) -> GatewaySettings:
-    """Convert the settings; the metrics take the first port between machines."""
+    """Convert the settings; metrics and datagrams take ports between machines."""
+    ports = [f"{wire.ip}:{port}" for port in wire.internal_ports]
     return GatewaySettings(
         wire.node,
         wire.zone,
         wire.listen.front,
         wire.listen.ready,
         wire.listen.control,
-        f"{wire.ip}:{wire.internal_ports[0]}" if wire.internal_ports else "",
+        ports[0] if ports else "",
         wire.platform.addr,
         tuple(wire.seeds),
         read_bounds(wire.bounds),
+        ports[1] if len(ports) > 1 else "",
+        wire.limits.link_mbps,
     )
 
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Collection
 from random import Random
 
 import msgspec
@@ -10,11 +11,14 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
+from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
-from sardinehook.gateway.peers import decode_state
+from sardinehook.gateway.knowledge import Told, decode_told, encode_told
+from sardinehook.gateway.relay import changes_query
+from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import (
     Changes,
     HistoryGone,
@@ -88,11 +92,49 @@
         self.waiting.popleft().callback(Failure(problem))
 
 
+class ScriptedPeers:
+    """Other gateways, each answering as its follower's relay does."""
+
+    def __init__(self) -> None:
+        self.rigs: dict[str, FollowerRig] = {}
+        self.asked: list[str] = []
+        self.silent: set[str] = set()
+
+    async def ask_any(
+        self, addresses: Collection[str], after: int | None
+    ) -> Result[Told, str]:
+        """Ask the first peer that is there."""
+        for address in addresses:
+            if address in self.rigs:
+                return await self.ask(address, after, 0.0)
+        return Failure("no peer is known")
+
+    async def ask(
+        self, address: str, after: int | None, wait_s: float
+    ) -> Result[Told, str]:
+        """Ask one peer."""
+        self.asked.append(address)
+        rig = self.rigs.get(address)
+        if rig is None or address in self.silent:
+            return Failure("no answer in time")
+        answered: Deferred[CallerAnswer] = Deferred()
+        query = changes_query(after, wait_s).partition(b"?")[2]
+        rig.follower.relay.answer(query, answered.callback)
+        answer = await answered
+        return decode_told(answer.body) if answer.status == 200 else Failure("503")
+
+
 class FollowerRig:
     """A follower of a scripted store."""
 
-    def __init__(self) -> None:
-        self.reactor = MemoryReactorClock()
+    def __init__(
+        self,
+        reactor: MemoryReactorClock | None = None,
+        node: str = "g-1",
+        peers: ScriptedPeers | None = None,
+    ) -> None:
+        self.reactor = reactor or MemoryReactorClock()
+        self.peers = peers or ScriptedPeers()
         self.reactor.advance(100.0)
         self.store = ScriptedStore()
         self.directory = Directory(self.reactor, 3.0)
@@ -101,19 +143,22 @@
         self.fleet = GatewayFleet(
             self.reactor,
             self.store,
-            "g-1",
-            GatewayRecord("10.0.0.1:1", "here"),
+            node,
+            GatewayRecord(f"{node}:1", "here"),
             self.names.append,
         )
         self.follower = StoreFollower(
             self.reactor,
             self.store,
+            self.peers,
             PlatformKeys(),
             self.directory,
             self.fleet,
             self.note_version,
             Random(1),
         )
+        self.follower.configure(Bounds(drain_s=5.0, configuration_s=5.0))
+        self.peers.rigs[f"{node}:1"] = self
         self.follower.start()
 
     def note_version(self, configuration: Configuration) -> None:
@@ -310,17 +355,16 @@
 
     def test_what_one_knows_another_can_start_from(self) -> None:
         first, second = FollowerRig(), FollowerRig()
-        assert first.follower.state() is None
+        assert not first.follower.loaded
         first.store.tell(5, version(3, 2), replica("a", 3), replica("b", 4, port=81))
         first.settle()
         first.store.tell(6, Item("servers/b", None, 6))
         first.settle()
-        state = first.follower.state()
-        assert state is not None
-        second.follower.take(decode_state(state).unwrap())
+        told = decode_told(encode_told(first.follower.relay.tell(-1))).unwrap()
+        assert second.follower.take_told(told)
         assert second.versions == [3]
         assert list(second.directory.replicas) == ["a"]
-        assert second.follower.revision == 6
+        assert second.follower.knowledge.revision == 6
 
     def test_without_a_peer_the_store_is_asked_again(self) -> None:
         rig = FollowerRig()
