Tell the gateways of a data centre how replicas answer

Cause: of 70 gateways each asks a replica every two seconds, so none can tell by itself which replicas are slow; searches began with 30 to 50 hedges of 135 shards while replicas of many shards were slow.

Change: replies, overdue replies and failures are told to the other gateways of the data centre by datagrams, five times a second, and taken like own ones. The median is over the last nine samples of 1.5 s, so a pause that held up a few requests of several gateways does not make a replica look slow.

--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -26,6 +26,7 @@
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.front import Front
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.observation_news import ObservationNews
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
@@ -43,6 +44,7 @@
 
 SWEEP_INTERVAL_S = 0.05  # resolution of deadlines that have no timer of their own
 HOUSEKEEPING_INTERVAL_S = 0.5
+NEWS_INTERVAL_S = 0.2  # a replica that turns slow is avoided within a search or two
 NOTICE_S = 3.0  # the balancer needs two missed probes, one a second, to look away
 END_MARGIN_S = 0.4  # before the grace ends, what is left is answered
 BACKLOG = 512  # connections that the kernel may hold before they are accepted
@@ -125,6 +127,12 @@
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
+        self.news = ObservationNews(
+            reactor, self.directory, self.fleet, metrics.count_observations
+        )
+        dispatcher.on_observation = self.news.note
+        self.telling = LoopingCall(self.news.send)
+        self.telling.clock = reactor
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
         self.housekeeping = LoopingCall(self.keep_house)
@@ -152,6 +160,10 @@
         )
         for address in sorted({address for address in addresses if address}):
             listen(self.reactor, address, self.probes)
+        if settings.news_address:
+            host, _, port = settings.news_address.rpartition(":")
+            self.reactor.listenUDP(int(port), self.news, interface=host)
+            self.telling.start(NEWS_INTERVAL_S, now=False)
         self.follower.start()
         self.fleet.start()
         self.sweeping.start(SWEEP_INTERVAL_S, now=False)
@@ -265,8 +277,9 @@
             self.front.give_up(refuse(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
-        self.sweeping.stop()
-        self.housekeeping.stop()
+        for loop in (self.sweeping, self.housekeeping, self.telling):
+            if loop.running:
+                loop.stop()
         self.lag_probe.stop()
         took_ms = (self.reactor.seconds() - began) * 1000.0
         log_event(
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections import deque
 from math import exp
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.ports import Load, ReplicaEntry, ReplicaReply
@@ -14,7 +15,9 @@
 
 __all__ = ["Replica"]
 
-SLOWNESS_SAMPLES = 3  # the fewest of which a median leaves out one pause
+LEAST_SAMPLES = 3  # the fewest of which a median leaves out one pause
+MOST_SAMPLES = 9  # of several gateways; a pause holds up requests of a few of them
+SAMPLE_MEMORY_S = 1.5  # samples beyond the fewest that are older than this are dropped
 SLOWNESS_MEMORY_S = 4.0  # samples say little of a replica that was not asked for long
 SLOWNESS_HALF_LIFE_S = 2.0  # a replica that was slow is tried again after some of these
 MOST_SLOWNESS = 50.0  # bounds how long a replica is avoided after one bad sample
@@ -25,6 +28,13 @@
 LN_2 = 0.693147
 
 
+class Sample(NamedTuple):
+    """How many times longer than usual a reply took, and when it came."""
+
+    at: float
+    ratio: float
+
+
 class Replica:
     """What discovery, replies and failures tell of one replica.
 
@@ -41,7 +51,7 @@
         self.in_flight: dict[Exchange, None] = {}
         self.slowness = 1.0
         self.slowness_at = 0.0
-        self.samples: list[float] = []
+        self.samples: deque[Sample] = deque(maxlen=MOST_SAMPLES)
         self.failures = 0.0
         self.failures_at = 0.0
         self.load: Load | None = None
@@ -79,13 +89,16 @@
         The median of a few replies tells a slow replica from one that paused once.
         """
         known = self.current_slowness(now)
-        self.samples.append(min(ratio, MOST_SLOWNESS))
         if now - self.slowness_at > SLOWNESS_MEMORY_S:
             known = 1.0
-            self.samples = self.samples[-1:]
-        self.samples = self.samples[-SLOWNESS_SAMPLES:]
-        padded = sorted([*self.samples, *[known] * SLOWNESS_SAMPLES][:SLOWNESS_SAMPLES])
-        self.slowness = max(1.0, padded[SLOWNESS_SAMPLES // 2])
+            self.samples.clear()
+        samples = self.samples
+        samples.append(Sample(now, min(ratio, MOST_SLOWNESS)))
+        while len(samples) > LEAST_SAMPLES and samples[0].at < now - SAMPLE_MEMORY_S:
+            samples.popleft()
+        padding = [known] * (LEAST_SAMPLES - len(samples))
+        ordered = sorted([*(sample.ratio for sample in samples), *padding])
+        self.slowness = max(1.0, ordered[len(ordered) // 2])
         self.slowness_at = now
 
     def observe_overdue(self, ratio: float, now: float) -> None:
