Hand searches to gateways with wide links; take passing on observations back

Change: a gateway with gateways of its data centre beside it whose links are at least four times as wide hands its searches to these, with the version that it has in force. What is not taken is done by itself; what was lost there is answered at once, since searching twice could ask more replicas than the route allows. Delegates send datagrams five times a second, so one that was paused or cut off is passed over within a second. Budgets, connections and cold rates of shards are divided by who searches. Where links are alike, as on today's VMs, nothing changes.

--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -117,17 +117,17 @@
     def cold_share(self, replica: Replica, service: Service) -> int:
         """Return how many requests a second a cold replica may get from here.
 
-        Where not each gateway can have one, those with the lowest hashes have one.
+        Where not each of the gateways with the same part can have one, those with the
+        lowest hashes have one.
         """
         bounds = self.bounds
         bound = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
         total = COLD_SAFETY_RATIO * bound
-        gateways = self.directory.gateways
-        share = int(total / gateways)
-        if share >= 1:
-            return share
+        part = total / self.directory.sharers(service.name)
+        if part >= 1.0:
+            return int(part)
+        alike = self.directory.shares.alike
         ranked = sorted(
-            self.directory.gateway_names,
-            key=lambda name: crc32(f"{name} {replica.replica_id}".encode()),
+            alike, key=lambda name: crc32(f"{name} {replica.replica_id}".encode())
         )
-        return int(self.node in ranked[: int(total)])
+        return int(self.node in ranked[: int(part * len(alike))])
--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -110,6 +110,17 @@
     services: Mapping[str, Service]
     limits: CallerLimits
 
+    @property
+    def shard_services(self) -> frozenset[str]:
+        """The services that hold shards of a search."""
+        return frozenset(
+            shard
+            for routes in self.routes.values()
+            for route in routes
+            if isinstance(route.destination, ShardSet)
+            for shard in route.destination.shards
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins ``path``."""
         for route in self.routes.get(host.lower(), ()):
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -18,6 +18,13 @@
     ShardSet,
     WeightedService,
 )
+from sardinehook.gateway.delegation import (
+    DelegatedSearch,
+    Delegates,
+    HandedOver,
+    decode_search,
+    encode_outcome,
+)
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, HttpRequest
@@ -29,6 +36,7 @@
 
 TRAFFIC_WINDOW_S = 5.0  # over which the demand for each route is counted
 STARTING_RETRY_S = 0.2  # a gateway that starts has its configuration by then
+VERSIONS_KEPT = 8  # under which other gateways may still hand searches over
 CUT_OFF_SHARE = 0.5  # of the demand: a gateway that can't serve more turns not-ready
 
 Finish = Callable[[CallerAnswer], None]
@@ -81,10 +89,18 @@
         self.rotations: dict[str, WeightedRotation] = {}
         self.traffic: dict[str, SlidingCount] = {}
         self.in_flight = 0
+        self.recent_versions: dict[int, Configuration] = {}
+        self.delegates: Delegates | None = None
+        self.stopping = False
+        self.handed_over = 0
+        self.most_handed_over = 0
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force for the requests that come from now on."""
         self.configuration = configuration
+        self.recent_versions[configuration.version] = configuration
+        while len(self.recent_versions) > VERSIONS_KEPT:
+            del self.recent_versions[min(self.recent_versions)]
         for host_routes in configuration.routes.values():
             for route in host_routes:
                 self.configure_rotation(route)
@@ -183,21 +199,79 @@
         """Start the work that a route asks for."""
         self.in_flight += 1
         self.recent(route).add(1, request.received_at)
-        work: Gather | SingleCall
+        leavable = LeavableWork(self)
 
         def done(answer: CallerAnswer) -> None:
             self.in_flight -= 1
-            self.stories.ended(work, configuration.version, answer)
+            self.stories.ended(leavable.work, configuration.version, answer)
             finish(answer)
 
+        def search_here() -> None:
+            gather = Gather(self.policy, request, route, shards, done)
+            leavable.begin(gather)
+
         match route.destination:
             case ShardSet() as shards:
-                work = Gather(self.policy, request, route, shards, done)
+                delegate = self.delegates.choose() if self.delegates else None
+                if delegate is None or self.delegates is None:
+                    search_here()
+                else:
+                    version = configuration.version
+                    search = DelegatedSearch(
+                        self.policy,
+                        self.delegates,
+                        delegate,
+                        request,
+                        route,
+                        version,
+                        done,
+                        search_here,
+                    )
+                    leavable.begin(search)
             case OneReplica(services):
                 service = self.choose_service(route, services)
-                work = SingleCall(self.policy, request, route, service, done)
-        work.start()
-        return None if work.settled else LeavableWork(self, work)
+                leavable.begin(SingleCall(self.policy, request, route, service, done))
+        return None if leavable.work.settled else leavable
+
+    def take_over(self, body: bytes, finish: Finish) -> Work | None:
+        """Do a search for another gateway, under the version that it has in force.
+
+        It is not taken where that version is not known here, or where there is enough
+        to do; the other gateway then searches itself.
+        """
+        match decode_search(body, self.reactor.seconds()):
+            case Success(handed):
+                return self.begin_for_peer(handed, finish)
+            case Failure(detail):
+                finish(not_taken(str(detail)))
+        return None
+
+    def begin_for_peer(self, handed: HandedOver, finish: Finish) -> Work | None:
+        """Start a search for another gateway."""
+        request = handed.request
+        configuration = self.recent_versions.get(handed.version)
+        path = urlsplit(request.target.decode("latin-1")).path
+        route = configuration and configuration.find_route(request.host, path)
+        if not route or not isinstance(route.destination, ShardSet):
+            finish(not_taken(f"version {handed.version} is not known"))
+            return None
+        shards = route.destination
+        size = len(shards.shards)
+        if self.stopping or self.handed_over + size > self.most_handed_over:
+            finish(not_taken("stopping" if self.stopping else "enough to do"))
+            return None
+        self.handed_over += size
+        leavable = LeavableWork(self, handed.node, size)
+
+        def done(answer: CallerAnswer) -> None:
+            self.handed_over -= size
+            work = leavable.work
+            self.stories.ended(work, handed.version, answer, handed.node)
+            outcome = encode_outcome(answer, work.hedges, work.repeats)
+            finish(CallerAnswer(200, (), outcome, "for a peer"))
+
+        leavable.begin(Gather(self.policy, request, route, shards, done))
+        return None if leavable.work.settled else leavable
 
     def choose_service(
         self, route: Route, services: tuple[WeightedService, ...]
@@ -208,16 +282,31 @@
         return self.rotations[route.name].next()
 
 
+def not_taken(reason: str) -> CallerAnswer:
+    """Return the answer to a gateway whose search is not taken over."""
+    return CallerAnswer(503, (), reason.encode(), "not taken", reason)
+
+
 class LeavableWork:
-    """Work whose caller may leave."""
+    """Work whose caller may leave; ``peer`` is the gateway that handed it over."""
 
-    def __init__(self, desk: RequestDesk, work: Gather | SingleCall) -> None:
+    def __init__(self, desk: RequestDesk, peer: str = "", size: int = 0) -> None:
         self.desk = desk
+        self.peer = peer
+        self.size = size
+        self.work: Gather | SingleCall | DelegatedSearch
+
+    def begin(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+        """Start work, in place of work that was not taken over."""
         self.work = work
+        work.start()
 
     def cancel(self) -> None:
         """Stop the work and note that its caller has left."""
         if not self.work.settled:
-            self.desk.in_flight -= 1
+            if self.peer:
+                self.desk.handed_over -= self.size
+            else:
+                self.desk.in_flight -= 1
             self.desk.stories.left(self.work)
         self.work.cancel()
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -14,6 +14,7 @@
 from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.shares import Shares
 from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["Directory"]
@@ -37,8 +38,8 @@
         self.by_service: dict[str, list[Replica]] = {}
         self.evacuated: set[str] = set()
         self.configuration: Configuration | None = None
-        self.gateways = 1
-        self.gateway_names: frozenset[str] = frozenset()
+        self.shares = Shares(1.0, 1.0, frozenset())
+        self.shard_services: frozenset[str] = frozenset()
         self.reachability = Reachability()
 
     def replicas_of(self, service: str) -> list[Replica]:
@@ -165,14 +166,19 @@
     def configure(self, configuration: Configuration) -> None:
         """Take new bounds of connections."""
         self.configuration = configuration
+        self.shard_services = configuration.shard_services
         self.share_connections()
 
-    def set_gateways(self, names: frozenset[str]) -> None:
-        """Take the names of the gateways that share what replicas bear."""
-        self.gateway_names = names
-        self.gateways = max(1, len(names))
+    def set_shares(self, shares: Shares) -> None:
+        """Take this gateway's part of what replicas bear."""
+        self.shares = shares
         self.share_connections()
 
+    def sharers(self, service: str) -> float:
+        """Return how many gateways with the part of this one would make up all."""
+        searched = service in self.shard_services
+        return self.shares.searchers if searched else self.shares.gateways
+
     def share_connections(self) -> None:
         """Bound the connections to each replica by this gateway's part."""
         for replica in self.replicas.values():
@@ -185,7 +191,8 @@
         )
         known = services.get(service)
         bound = known.most_connections if known else 0
-        share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS) / self.gateways
+        share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS)
+        share /= self.sharers(service)
         return max(1, int(share))
 
     def can_serve(self, service: str, now: float) -> bool:
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -10,10 +10,9 @@
     ExchangeEnd,
     Lost,
     Malformed,
+    Replied,
 )
-from sardinehook.gateway.connection import Replied as WholeReply
 from sardinehook.gateway.directory import Directory
-from sardinehook.gateway.observations import Observation, Overdue, Replied, Unusable
 from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
@@ -27,7 +26,6 @@
     "NotRun",
 ]
 
-SERVER_ERROR = 500
 LEAST_SENDABLE_S = 0.002  # less time than this is not worth a replica's work
 LEAST_USUAL_S = 0.0001  # keeps ratios of latencies finite
 OVERDUE_FACTOR = 1.5  # an overdue reply is expected to take so much longer yet
@@ -114,7 +112,6 @@
         self.dialect = dialect
         self.directory = directory
         self.exchanges: dict[Exchange, None] = {}
-        self.on_observation: Callable[[Observation], None] = ignore
 
     def start(self, exchange: Exchange) -> None:
         """Send an exchange's request; its ``on_end`` is called once, perhaps now."""
@@ -162,13 +159,13 @@
         now = self.reactor.seconds()
         replica = exchange.replica
         match end:
-            case WholeReply(raw):
+            case Replied(raw):
                 self.directory.reachability.note_heard(replica.entry.data_centre, now)
                 reply = self.dialect.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
                 self.settle_connection(exchange, reply)
             case Malformed(detail) | Lost(detail):
-                self.observe_failure(replica, now)
+                replica.observe_result(True, now)
                 outcome = Failed(detail)
         self.end(exchange, outcome)
 
@@ -178,19 +175,16 @@
         """Tell what a whole reply means for the request."""
         replica = exchange.replica
         if reply.foreign:
-            self.observe_failure(replica, now)
+            replica.observe_result(True, now)
             return Failed("reply to another request")
         replica.observe_reply(reply, now)
         if reply.misdirected:
             self.directory.note_misdirected(replica)
             return NotRun("another replica has the address", True)
         if reply.not_run:
-            self.observe_failure(replica, now)
+            replica.observe_result(True, now)
             return NotRun(f"refused with {reply.status}", True)
-        if not reply.is_success and reply.status >= SERVER_ERROR:
-            self.observe_failure(replica, now)
-        else:
-            replica.observe_result(False, now)
+        replica.observe_result(not reply.is_success and reply.status >= 500, now)
         return Answered(reply)
 
     def settle_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
@@ -218,9 +212,7 @@
         took_s = now - exchange.sent_at
         expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
         if not exchange.was_overdue:
-            ratio = took_s / expected_s
-            exchange.replica.observe_latency(ratio, now)
-            self.on_observation(Replied(exchange.replica.replica_id, ratio))
+            exchange.replica.observe_latency(took_s / expected_s, now)
         return took_s
 
     def observe_overdue(self, exchange: Exchange, usual_s: float, now: float) -> None:
@@ -229,14 +221,7 @@
             waited_s = OVERDUE_FACTOR * (now - exchange.sent_at)
             expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
             exchange.was_overdue = True
-            ratio = waited_s / expected_s
-            exchange.replica.observe_overdue(ratio, now)
-            self.on_observation(Overdue(exchange.replica.replica_id, ratio))
-
-    def observe_failure(self, replica: Replica, now: float) -> None:
-        """Learn from an exchange that failed for a reason of the replica's."""
-        replica.observe_result(True, now)
-        self.on_observation(Unusable(replica.replica_id))
+            exchange.replica.observe_overdue(waited_s / expected_s, now)
 
     def abandon(self, exchange: Exchange) -> None:
         """Drop an exchange and its connection, so that the replica stops its work."""
@@ -259,11 +244,7 @@
                 self.end(exchange, NotRun("no connection in time", False))
             elif now >= exchange.deadline_at + OVERDUE_S:
                 connection = exchange.connection
-                self.observe_failure(exchange.replica, now)
+                exchange.replica.observe_result(True, now)
                 if connection is not None and connection.finish is not None:
                     connection.abort()
                 self.end(exchange, Failed("no reply in time"))
-
-
-def ignore(_observation: Observation) -> None:
-    """Tell nobody of an observation."""
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -30,12 +30,12 @@
     """What a gateway tells of itself.
 
     It takes other gateways' calls at ``peer_address`` and their datagrams at
-    ``news_address``; ``link_mbps`` is the bandwidth of its VM.
+    ``signs_at``; ``link_mbps`` is the bandwidth of its VM.
     """
 
     peer_address: str
     data_centre: str
-    news_address: str = ""
+    signs_at: str = ""
     link_mbps: float = 0.0
 
 
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -52,12 +52,6 @@
             ["outcome"],
             registry=registry,
         )
-        self.observations = Counter(
-            "sardinehook_observations",
-            "Observations of replicas passed on among gateways, by what became of them",
-            ["outcome"],
-            registry=registry,
-        )
         self.version = Gauge(
             "sardinehook_configuration_version",
             "Version of the configuration in force",
@@ -88,10 +82,6 @@
         """Count a call to another gateway."""
         self.peer_calls.labels(outcome).inc()
 
-    def count_observations(self, outcome: str, count: int) -> None:
-        """Count observations that were sent to or came from other gateways."""
-        self.observations.labels(outcome).inc(count)
-
     def observe(
         self, kind: str, outcome: str, seconds: float, hedges: int, repeats: int
     ) -> None:
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -77,8 +77,8 @@
 
     def may_repeat(self, service: str, now: float) -> bool:
         """Take one repeat to a service from the budget, if there is one."""
-        gateways = self.directory.gateways
-        return self.budget_of(service).spend(self.bounds, gateways, now)
+        sharers = self.directory.sharers(service)
+        return self.budget_of(service).spend(self.bounds, sharers, now)
 
     def usual_s(self, route: Route, quantile: float = USUAL_QUANTILE) -> float:
         """Return a quantile of the time that replicas take for a route."""
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.delegation import SEARCH_PATH
 from sardinehook.gateway.front import Front, Work
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
@@ -24,11 +25,13 @@
         unready_reason: Callable[[], str],
         render_metrics: Callable[[], bytes],
         relay: ChangeRelay,
+        take_over: Callable[[bytes, Callable[[CallerAnswer], None]], Work | None],
     ) -> None:
         super().__init__(reactor, self.answer_probe)
         self.unready_reason = unready_reason
         self.render_metrics = render_metrics
         self.relay = relay
+        self.take_over = take_over
 
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
@@ -44,6 +47,8 @@
             finish(CallerAnswer(200, TEXT, self.render_metrics(), "probe"))
         elif path == CHANGES_PATH:
             return self.relay.answer(query, finish)
+        elif path == SEARCH_PATH:
+            return self.take_over(request.body, finish)
         else:
             finish(CallerAnswer(404, TEXT, b"not found\n", "probe"))
         return None
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -19,6 +19,7 @@
 from sardinehook.gateway.answer import refuse
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
+from sardinehook.gateway.delegation import Delegates
 from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
@@ -26,13 +27,14 @@
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.front import Front
 from sardinehook.gateway.metrics import GatewayMetrics
-from sardinehook.gateway.observation_news import ObservationNews
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.settings import GatewaySettings
+from sardinehook.gateway.shares import divide
+from sardinehook.gateway.signs_of_life import SignsOfLife
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.story import RequestStories
 from sardinehook.observe.events import EventName, log_event
@@ -44,7 +46,8 @@
 
 SWEEP_INTERVAL_S = 0.05  # resolution of deadlines that have no timer of their own
 HOUSEKEEPING_INTERVAL_S = 0.5
-NEWS_INTERVAL_S = 0.2  # a replica that turns slow is avoided within a search or two
+SUB_REQUESTS_PER_CORE = 400.0  # at work for other gateways: what a core does in 0.1 s
+SIGNS_INTERVAL_S = 0.2  # a gateway that is paused is passed over within a second
 NOTICE_S = 3.0  # the balancer needs two missed probes, one a second, to look away
 END_MARGIN_S = 0.4  # before the grace ends, what is left is answered
 BACKLOG = 512  # connections that the kernel may hold before they are accepted
@@ -103,12 +106,17 @@
         record = GatewayRecord(
             settings.peer_address,
             settings.data_centre,
-            settings.news_address,
+            settings.signs_address,
             settings.link_mbps,
         )
         self.fleet = GatewayFleet(
             reactor, self.store, settings.node, record, self.set_gateways
         )
+        self.gateway_names: frozenset[str] = frozenset()
+        self.dividing = False
+        self.delegates = Delegates(reactor, self.fleet)
+        self.desk.delegates = self.delegates
+        self.desk.most_handed_over = int(SUB_REQUESTS_PER_CORE * settings.cores)
         self.follower = StoreFollower(
             reactor,
             self.store,
@@ -123,16 +131,17 @@
             seed for seed in settings.seeds if seed != settings.peer_address
         )
         self.probes = ProbeServer(
-            reactor, self.unready_reason, metrics.render, self.follower.relay
+            reactor,
+            self.unready_reason,
+            metrics.render,
+            self.follower.relay,
+            self.desk.take_over,
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
-        self.news = ObservationNews(
-            reactor, self.directory, self.fleet, metrics.count_observations
-        )
-        dispatcher.on_observation = self.news.note
-        self.telling = LoopingCall(self.news.send)
-        self.telling.clock = reactor
+        self.signs = SignsOfLife(self.fleet, self.delegates.note_heard)
+        self.giving_signs = LoopingCall(self.signs.send)
+        self.giving_signs.clock = reactor
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
         self.housekeeping = LoopingCall(self.keep_house)
@@ -160,10 +169,10 @@
         )
         for address in sorted({address for address in addresses if address}):
             listen(self.reactor, address, self.probes)
-        if settings.news_address:
-            host, _, port = settings.news_address.rpartition(":")
-            self.reactor.listenUDP(int(port), self.news, interface=host)
-            self.telling.start(NEWS_INTERVAL_S, now=False)
+        if settings.signs_address:
+            host, _, port = settings.signs_address.rpartition(":")
+            self.reactor.listenUDP(int(port), self.signs, interface=host)
+            self.giving_signs.start(SIGNS_INTERVAL_S, now=False)
         self.follower.start()
         self.fleet.start()
         self.sweeping.start(SWEEP_INTERVAL_S, now=False)
@@ -225,10 +234,22 @@
 
     def set_gateways(self, names: frozenset[str]) -> None:
         """Take the names of the gateways that share limits and budgets."""
-        if names != self.directory.gateway_names:
-            self.directory.set_gateways(names)
+        if names != self.gateway_names:
+            # Many become known in one turn.
+            if not self.dividing:
+                self.dividing = True
+                self.reactor.callLater(0.0, self.divide)
+            self.gateway_names = names
         self.metrics.gateways.set(len(names))
 
+    def divide(self) -> None:
+        """Divide limits, budgets and searches among the gateways that are known."""
+        self.dividing = False
+        records = {**self.fleet.records, self.settings.node: self.fleet.record}
+        shares = divide(self.settings.node, records)
+        self.directory.set_shares(shares)
+        self.signs.gives_signs = shares.searchers < shares.gateways
+
     def note_error(self, failure: TwistedFailure) -> None:
         """Log an unexpected error of a part that ends anyway."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
@@ -236,6 +257,7 @@
     def sweep(self) -> None:
         """Enforce deadlines."""
         self.policy.dispatcher.sweep(self.reactor.seconds())
+        self.delegates.sweep()
 
     def keep_house(self) -> None:
         """Do what is due now and then."""
@@ -246,11 +268,17 @@
         self.directory.probe_suspects(now)
         self.watch_settings()
         self.fleet.count()
+        self.delegates.update()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
         held = sum(replica.pool.held for replica in replicas.values())
         self.metrics.connections.set(held)
 
+    @property
+    def has_work(self) -> bool:
+        """Whether callers are connected or other gateways wait for searches."""
+        return bool(self.front.connections or self.desk.handed_over)
+
     async def stop(self) -> None:
         """Turn not-ready, let callers move on, finish what is in flight, leave.
 
@@ -260,7 +288,7 @@
         """
         began = self.reactor.seconds()
         log_event(logger, EventName.PROCESS_STOPPING, count=self.desk.in_flight)
-        self.stopping = True
+        self.stopping = self.desk.stopping = True
         self.front.turns_away = True
         leaving = Deferred.fromCoroutine(self.fleet.leave())
         leaving.addErrback(self.note_error)
@@ -268,7 +296,7 @@
         self.front.closes_idle = True
         self.front.sweep()
         end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
-        while self.front.connections and self.reactor.seconds() < end_at:
+        while self.has_work and self.reactor.seconds() < end_at:
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
             self.front.sweep()
         left = len(self.front.connections)
@@ -277,7 +305,7 @@
             self.front.give_up(refuse(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
-        for loop in (self.sweeping, self.housekeeping, self.telling):
+        for loop in (self.sweeping, self.housekeeping, self.giving_signs):
             if loop.running:
                 loop.stop()
         self.lag_probe.stop()
--- a/sardinehook/gateway/repeat_budget.py
+++ b/sardinehook/gateway/repeat_budget.py
@@ -63,16 +63,16 @@
         """Count a caller's request to the service."""
         self.requests.add(1, now)
 
-    def left(self, bounds: Bounds, gateways: int, now: float) -> float:
+    def left(self, bounds: Bounds, sharers: float, now: float) -> float:
         """Return how many repeats may still be sent at ``now``."""
         allowance = bounds.repeat_ratio * self.requests.total(
             now
-        ) + bounds.repeat_slack / max(1, gateways)
+        ) + bounds.repeat_slack / max(1.0, sharers)
         return SAFETY_RATIO * allowance - self.repeats.total(now)
 
-    def spend(self, bounds: Bounds, gateways: int, now: float) -> bool:
+    def spend(self, bounds: Bounds, sharers: float, now: float) -> bool:
         """Take one repeat from the budget, if there is one."""
-        if self.left(bounds, gateways, now) < 1.0:
+        if self.left(bounds, sharers, now) < 1.0:
             return False
         self.repeats.add(1, now)
         return True
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -16,7 +16,7 @@
 __all__ = ["Replica"]
 
 LEAST_SAMPLES = 3  # the fewest of which a median leaves out one pause
-MOST_SAMPLES = 9  # of several gateways; a pause holds up requests of a few of them
+MOST_SAMPLES = 9  # bounds the work; a pause holds up fewer requests than half of them
 SAMPLE_MEMORY_S = 1.5  # samples beyond the fewest that are older than this are dropped
 SLOWNESS_MEMORY_S = 4.0  # samples say little of a replica that was not asked for long
 SLOWNESS_HALF_LIFE_S = 2.0  # a replica that was slow is tried again after some of these
--- a/sardinehook/gateway/story.py
+++ b/sardinehook/gateway/story.py
@@ -12,6 +12,7 @@
 from sardinehook.observe.events import EventName, log_event
 
 if TYPE_CHECKING:
+    from sardinehook.gateway.delegation import DelegatedSearch
     from sardinehook.gateway.gather import Gather
     from sardinehook.gateway.single import SingleCall
 
@@ -43,12 +44,18 @@
         )
 
     def ended(
-        self, work: Gather | SingleCall, version: int, answer: CallerAnswer
+        self,
+        work: Gather | SingleCall | DelegatedSearch,
+        version: int,
+        answer: CallerAnswer,
+        peer: str = "",
     ) -> None:
-        """Tell how a request ended."""
+        """Tell how a request ended; ``peer`` is the gateway that handed it over."""
         took_s = self.reactor.seconds() - work.request.received_at
         late = took_s > work.route.objective_s
-        kind = "all" if hasattr(work, "parts") else "one"
+        kind = "one" if hasattr(work, "tried") else "all"
+        if peer:
+            kind = "for_peer"
         self.metrics.observe(kind, answer.outcome, took_s, work.hedges, work.repeats)
         answered = answer.outcome == "answered" and answer.status < 400
         troubled = bool(not answered or late or answer.detail)
@@ -68,9 +75,10 @@
             retries=work.repeats,
             took_ms=took_s * MS_PER_S,
             target=target_of(work),
+            peer=peer or delegate_of(work),
         )
 
-    def left(self, work: Gather | SingleCall) -> None:
+    def left(self, work: Gather | SingleCall | DelegatedSearch) -> None:
         """Tell of a request whose caller has left."""
         took_s = self.reactor.seconds() - work.request.received_at
         self.metrics.requests.labels("any", "caller_left").inc()
@@ -83,7 +91,13 @@
         )
 
 
-def target_of(work: Gather | SingleCall) -> str:
+def target_of(work: Gather | SingleCall | DelegatedSearch) -> str:
     """Name the replicas that a single request was sent to."""
     tried = getattr(work, "tried", [])
     return ",".join(replica.replica_id for replica in tried)
+
+
+def delegate_of(work: Gather | SingleCall | DelegatedSearch) -> str:
+    """Name the gateway to which a search was handed over."""
+    delegate = getattr(work, "delegate", None)
+    return delegate.name if delegate else ""
--- a/sardinehook/platform/settings.py
+++ b/sardinehook/platform/settings.py
@@ -51,6 +51,9 @@
 
     # Of the machine's own link, in both directions.
     link_mbps: float = 0.0
+    # The part of a core that the process gets, and how many times as fast a core is.
+    cpu_share: float = 1.0
+    cores: float = 1.0
 
 
 class WireSettings(msgspec.Struct, rename="pascal"):
@@ -97,6 +100,7 @@
         read_bounds(wire.bounds),
         ports[1] if len(ports) > 1 else "",
         wire.limits.link_mbps,
+        wire.limits.cpu_share * wire.limits.cores,
     )
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -31,6 +31,7 @@
 from sardinehook.gateway.ports import CallerRequest, ReplicaEntry, ReplicaReply
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.settings import Bounds
+from sardinehook.gateway.shares import Shares
 from sardinehook.gateway.single import SingleCall
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.replicas import PlatformReplicas
@@ -134,10 +135,15 @@
     chooser = ReplicaChooser(directory, "g-1", HERE, 1)
     policy = RequestPolicy(reactor, directory, dispatcher, chooser, PlatformCallers())
     policy.configure(bounds)
-    directory.set_gateways(gateway_names(gateways))
+    directory.set_shares(equal_shares(gateways))
     return Gateway(reactor, directory, dispatcher, policy, [])
 
 
+def equal_shares(gateways: int) -> Shares:
+    """Divide evenly among some gateways."""
+    return Shares(float(gateways), float(gateways), gateway_names(gateways))
+
+
 def gateway_names(count: int) -> frozenset[str]:
     """Name some gateways."""
     return frozenset(f"g-{number}" for number in range(count))
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -11,6 +11,7 @@
 from tests.gateway.support import (
     REQUEST,
     configuration,
+    equal_shares,
     gateway_names,
     make_gateway,
     single_route,
@@ -62,7 +63,7 @@
             gateway.directory.configure(
                 configuration(single_route(True), cold_rate=rate)
             )
-            gateway.directory.set_gateways(gateway_names(gateways))
+            gateway.directory.set_shares(equal_shares(gateways))
             gateway.policy.chooser.node = f"g-{number}"
             replica = gateway.add("desk-a", "desk")
             now = gateway.reactor.seconds()
@@ -82,7 +83,7 @@
     def test_requests_that_wait_for_a_connection_count(self) -> None:
         gateway = make_gateway()
         gateway.directory.configure(configuration(single_route(True), cold_rate=0.1))
-        gateway.directory.set_gateways(gateway_names(5))
+        gateway.directory.set_shares(equal_shares(5))
         replica = gateway.add("desk-a", "desk")
         now = gateway.reactor.seconds()
         replica.cold_until = now + 3.0
@@ -109,6 +110,6 @@
     def test_gateways_share_what_a_replica_takes(self) -> None:
         gateway = make_gateway()
         gateway.directory.configure(configuration(single_route(True)))
-        gateway.directory.set_gateways(gateway_names(9))
+        gateway.directory.set_shares(equal_shares(9))
         replica = gateway.add("desk-a", "desk")
         assert 1 <= replica.pool.most * 9 <= 26
--- /dev/null
+++ b/tests/gateway/test_signs_of_life.py
@@ -0,0 +1,70 @@
+"""Signs of life of gateways that search for others."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.testing import MemoryReactorClock
+
+from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
+from sardinehook.gateway.signs_of_life import SignsOfLife
+from tests.gateway.test_follower import ScriptedStore
+
+
+class Port:
+    """Keeps the datagrams that are sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[bytes, tuple[str, int]]] = []
+
+    def write(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Keep a datagram."""
+        self.sent.append((datagram, address))
+
+
+class SignsRig:
+    """A gateway with a wide link among others."""
+
+    def __init__(self) -> None:
+        own = GatewayRecord("10.0.0.1:1", "here", "10.0.0.1:9", 200.0)
+        self.fleet = GatewayFleet(
+            MemoryReactorClock(), ScriptedStore(), "wide", own, lambda _names: None
+        )
+        self.heard: list[str] = []
+        self.signs = SignsOfLife(self.fleet, self.heard.append)
+        self.port = Port()
+        self.signs.transport = self.port  # type: ignore[assignment]
+        self.knows("narrow", GatewayRecord("10.0.0.2:1", "here", "10.0.0.2:9", 20.0))
+        self.knows("equal", GatewayRecord("10.0.0.3:1", "here", "10.0.0.3:9", 200.0))
+        self.knows("far", GatewayRecord("10.0.0.4:1", "there", "10.0.0.4:9", 20.0))
+
+    def knows(self, node: str, record: GatewayRecord) -> None:
+        """Register another gateway."""
+        self.fleet.note(node, msgspec.json.encode(record))
+
+
+class TestSending:
+    def test_those_with_narrower_links_nearby_get_them(self) -> None:
+        rig = SignsRig()
+        rig.signs.gives_signs = True
+        rig.signs.send()
+        assert rig.port.sent == [(b"wide", ("10.0.0.2", 9))]
+
+    def test_one_that_searches_for_nobody_sends_none(self) -> None:
+        rig = SignsRig()
+        rig.signs.send()
+        assert rig.port.sent == []
+
+
+class TestTaking:
+    def test_a_registered_gateway_is_heard(self) -> None:
+        rig = SignsRig()
+        rig.signs.datagramReceived(b"equal", ("10.0.0.3", 9))
+        assert rig.heard == ["equal"]
+
+    @given(st.binary(max_size=300))
+    def test_other_bytes_are_dropped(self, datagram: bytes) -> None:
+        rig = SignsRig()
+        rig.signs.datagramReceived(datagram, ("10.0.0.9", 9))
+        assert rig.heard == []
