Add a randomized fault soak of the gateways

Real gateways run as processes; the store, replicas, operators and callers around them are stand-ins in one runner. Times are judged only where the gateway, the store and the runner itself had been calm for the time that the promises name.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -16,6 +16,7 @@
 from bench.computation import Computation
 from bench.experiment import Bound, Experiment, Options
 from bench.run_trial import run_trial
+from bench.soak.run import SoakOptions, soak
 
 app = typer.Typer(
     help="Measure sardinehook on stand-ins.",
@@ -53,6 +54,35 @@
     raise typer.Exit(0 if passed else 1)
 
 
+@app.command("soak")
+def run_soak(
+    seed: Annotated[int, typer.Option(help="Seeds faults and load.")] = 1,
+    minutes: Annotated[float, typer.Option(min=0.1, help="Of faults.")] = 0.5,
+    gateways: Annotated[int, typer.Option(min=2, max=200)] = 6,
+    callers: Annotated[int, typer.Option(min=1, max=100)] = 12,
+    gap: Annotated[float, typer.Option(min=0.1, help="Mean s between faults.")] = 1.0,
+    mutant: Annotated[str, typer.Option(help="A fault put into the gateways.")] = "",
+    keep: Annotated[
+        Path | None, typer.Option(help="Keep settings and logs here.")
+    ] = None,
+) -> None:
+    """Run gateways under injected faults and check what callers and replicas see."""
+    options = SoakOptions(seed, gateways, callers, minutes * 60.0, gap, mutant)
+    with tempfile.TemporaryDirectory() as scratch:
+        folder = keep or Path(scratch)
+        folder.mkdir(parents=True, exist_ok=True)
+        result = soak(options, folder)
+    for violation in result.violations:
+        typer.echo(" ".join(violation))
+    outcomes = ", ".join(f"{k}: {v}" for k, v in sorted(result.outcomes.items()))
+    typer.echo(
+        f"soak seed={seed} gateways={gateways} faults={result.faults} "
+        f"requests={result.attempts} runner_lag_s={result.lag_s:.2f} ({outcomes}) "
+        f"violations={len(result.violations)}"
+    )
+    raise typer.Exit(1 if result.violations else 0)
+
+
 class Outcome(NamedTuple):
     """What a run found."""
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -32,6 +32,7 @@
         self.arguments = list(arguments)
         self.log = log
         self.directory = directory
+        self.environment: dict[str, str] = {}
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
@@ -49,7 +50,11 @@
                 stderr=subprocess.STDOUT,
                 stdin=subprocess.DEVNULL,
                 cwd=self.directory,
-                env={**os.environ, "PYTHONPATH": str(self.directory)},
+                env={
+                    **os.environ,
+                    "PYTHONPATH": str(self.directory),
+                    **self.environment,
+                },
             )
 
     def wait_for_line(self, prefix: str) -> str:
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateways as processes, faults injected from outside."""
--- /dev/null
+++ b/bench/soak/history.py
@@ -0,0 +1,133 @@
+"""What callers, replicas and the store saw in a soak."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+__all__ = [
+    "Answer",
+    "Attempt",
+    "History",
+    "Interval",
+    "Leaving",
+    "Part",
+    "Revision",
+    "Run",
+]
+
+
+class Part(NamedTuple):
+    """What a replica answered: its signature, and its records or bytes."""
+
+    signature: str
+    service: str
+    replica: str
+    body: bytes
+
+
+class Run(NamedTuple):
+    """A request that a replica began to work on; times are monotonic seconds."""
+
+    request: str
+    replica: str
+    service: str
+    at: float
+    method: str
+    target: str
+    body: bytes
+    deadline_ms: float
+
+
+class Answer(NamedTuple):
+    """A whole answer to a caller."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    at: float
+
+
+@dataclass
+class Attempt:
+    """One request of a caller to one gateway; ``end`` tells how it ended.
+
+    ``end`` is ``answered``, ``closed``, ``unconnected``, ``expired`` or ``left``.
+    ``kept`` is set where the connection had carried requests before.
+    """
+
+    request: str
+    kind: str
+    gateway: str
+    incarnation: int
+    method: str
+    target: str
+    body: bytes
+    patience_s: float
+    sent_at: float
+    kept: bool = False
+    end: str = ""
+    ended_at: float = 0.0
+    answer: Answer | None = None
+
+
+class Revision(NamedTuple):
+    """A configuration, when it was sent and acknowledged, and what it allows.
+
+    ``services`` has, for each prefix, the services that may run its requests.
+    """
+
+    version: int
+    sent_at: float
+    acked_at: float
+    services: dict[str, tuple[str, ...]]
+
+
+class Leaving(NamedTuple):
+    """A replica, or a data centre, that was to get nothing from a moment on."""
+
+    replica: str
+    acked_at: float
+    until: float
+
+
+class Interval(NamedTuple):
+    """A time in which something was disturbed."""
+
+    name: str
+    start: float
+    end: float
+
+
+@dataclass
+class History:
+    """Everything that the checks look at."""
+
+    attempts: dict[str, Attempt] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    parts: dict[str, Part] = field(default_factory=dict)
+    revisions: list[Revision] = field(default_factory=list)
+    draining: list[Leaving] = field(default_factory=list)
+    evacuated: list[Leaving] = field(default_factory=list)
+    disturbed: list[Interval] = field(default_factory=list)
+    stops: list[Interval] = field(default_factory=list)
+    connections: dict[str, int] = field(default_factory=dict)
+    recovered_at: float = 0.0
+
+    def disturb(self, name: str, start: float, end: float) -> None:
+        """Note that a gateway, or the store, is disturbed for a time."""
+        self.disturbed.append(Interval(name, start, end))
+
+    def is_calm(self, names: tuple[str, ...], start: float, end: float) -> bool:
+        """Tell whether none of these was disturbed in a span."""
+        return not any(
+            interval.name in names and interval.start < end and interval.end > start
+            for interval in self.disturbed
+        )
+
+    def runs_of(self) -> dict[str, list[Run]]:
+        """Group the runs by request."""
+        found: dict[str, list[Run]] = {}
+        for run in self.runs:
+            found.setdefault(run.request, []).append(run)
+        return found
--- /dev/null
+++ b/bench/soak/mutant.py
@@ -0,0 +1,97 @@
+"""Runs a gateway with a fault put into it, to show that the soak finds it."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from sardinehook.gateway import gather, records, run
+from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.follower import StoreFollower
+from sardinehook.gateway.process import GatewayProcess
+from sardinehook.gateway.single import SingleCall
+
+__all__ = ["MUTANTS"]
+
+
+def patch(owner: Any, name: str, careless: Callable[..., Any]) -> None:  # noqa: ANN401
+    """Replace a function of the product."""
+    setattr(owner, name, careless)
+
+
+def repeat_orders() -> None:
+    """Send requests that are not idempotent again after any failure."""
+    send_extra = SingleCall.send_extra
+
+    def careless(call: SingleCall, now: float) -> bool:
+        call.may_have_run = False
+        call.policy.budget_of(call.service).repeats.sum = 0
+        return send_extra(call, now)
+
+    patch(SingleCall, "send_extra", careless)
+
+
+def refuse_falsely() -> None:
+    """Say that requests have not run though they may have."""
+    failed = SingleCall.failed
+
+    def careless(call: SingleCall, now: float) -> CallerAnswer:
+        return failed(call, now)._replace(status=503)
+
+    patch(SingleCall, "failed", careless)
+
+
+def ignore_draining() -> None:
+    """Send requests to replicas that drain."""
+
+    def careless(directory: Directory, replica: Any, now: float) -> bool:  # noqa: ANN401
+        return replica.entry.data_centre not in directory.evacuated
+
+    patch(Directory, "is_usable", careless)
+
+
+def drop_records() -> None:
+    """Lose a record of each merged answer."""
+    merge = records.merge_records
+
+    def careless(parts: Any, most: int) -> bytes:  # noqa: ANN401
+        return merge(parts, most - 1)
+
+    patch(gather, "merge_records", careless)
+
+
+def ignore_changes() -> None:
+    """Keep the first configuration."""
+    take = StoreFollower.take_configuration
+
+    def careless(follower: StoreFollower, value: bytes) -> bool:
+        return follower.version < 0 and take(follower, value)
+
+    patch(StoreFollower, "take_configuration", careless)
+
+
+def stop_at_once() -> None:
+    """End on SIGTERM without waiting for requests."""
+
+    async def careless(process: GatewayProcess) -> None:
+        for connection in list(process.front.connections):
+            connection.tcp.abortConnection()
+
+    patch(GatewayProcess, "stop", careless)
+
+
+MUTANTS: dict[str, Callable[[], None]] = {
+    "repeat-orders": repeat_orders,
+    "refuse-falsely": refuse_falsely,
+    "ignore-draining": ignore_draining,
+    "drop-records": drop_records,
+    "ignore-changes": ignore_changes,
+    "stop-at-once": stop_at_once,
+}
+
+
+if __name__ == "__main__":
+    MUTANTS[sys.argv[1]]()
+    run.main()
--- /dev/null
+++ b/bench/soak/world.py
@@ -0,0 +1,230 @@
+"""The outside of the gateways in a soak: store, operators, replicas, proxies."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from bench.http_server import listen
+from bench.soak.history import History, Leaving, Revision
+from bench.soak.kv_server import KvServer
+from bench.soak.proxy import Proxy
+from bench.soak.replica_server import ReplicaServer
+from sardinehook.gateway.reactor import GatewayReactor
+
+__all__ = ["DATA_CENTRES", "Replica", "World"]
+
+DATA_CENTRES = ("a", "b", "c")
+SHARD_SETS = tuple(
+    tuple(f"{name}{number}" for number in range(6)) for name in ("first-", "second-")
+)
+SINGLES = ("desk", "till")
+REPLICAS_EACH = 2
+HEARTBEAT_S = 1.2
+DRAIN_S = 3.0
+LEAVES_LATE_S = (1.0, 8.0)  # beyond the time that was promised
+ADDRESS_REST_S = 2.0
+WORK_S = 0.012
+HOST = "soak.example"
+CONNECTIONS_EACH = 60
+FAR_S = 1e9
+
+
+class Identity(NamedTuple):
+    """What a replica says of itself."""
+
+    name: str
+    service: str
+    data_centre: str
+    born_ms: int
+
+
+class Replica:
+    """A place at which one replica after the other runs, behind a proxy."""
+
+    def __init__(self, world: World, number: int, service: str, place: str) -> None:
+        self.world = world
+        self.number = number
+        self.service = service
+        self.data_centre = place
+        self.starts = 0
+        self.draining = False
+        self.server: ReplicaServer | None = None
+        self.listening: Any = None
+        self.proxy: Proxy | None = None
+        self.start()
+
+    def start(self) -> None:
+        """Start a new replica at this place's address."""
+        world = self.world
+        self.starts += 1
+        self.draining = False
+        born_ms = int(1000 * world.reactor.seconds()) + self.starts
+        name = f"i-{self.number}-{self.starts}"
+        self.identity = Identity(name, self.service, self.data_centre, born_ms)
+        rng = Random(f"{world.seed} {name}")
+        self.server = ReplicaServer(
+            world.reactor, world.history, rng, name, self.service, WORK_S
+        )
+        self.listening = world.reactor.listenTCP(0, self.server, interface="127.0.0.1")
+        port = self.listening.getHost().port
+        if self.proxy is None:
+            self.proxy = Proxy(world.reactor, port)
+        self.proxy.target = port
+        self.register()
+
+    def register(self) -> None:
+        """Write the entry if it is missing, as heartbeats do."""
+        key = f"servers/{self.identity.name}"
+        store = self.world.store
+        if self.server is None or store.mode == "busy" or key in store.values.held:
+            return
+        self.write("draining" if self.draining else "ready")
+
+    def write(self, state: str) -> float:
+        """Write the entry; return when the store has accepted it."""
+        assert self.proxy is not None
+        entry = {
+            "Service": self.identity.service,
+            "Addr": f"127.0.0.1:{self.proxy.port}",
+            "Zone": self.identity.data_centre,
+            "Version": "1",
+            "Slots": 2,
+            "State": state,
+            "ColdLeftMs": 0,
+            "Seq": int(self.world.reactor.seconds()),
+            "born": self.identity.born_ms,
+        }
+        key = f"servers/{self.identity.name}"
+        self.world.store.write(key, msgspec.json.encode(entry))
+        now: float = self.world.reactor.seconds()
+        return now
+
+    def drain(self) -> None:
+        """Leave in an orderly way, and start anew some time after."""
+        world = self.world
+        if self.draining or self.server is None or not world.may_drain(self):
+            return
+        self.draining = True
+        acked_at = self.write("draining")
+        world.history.draining.append(Leaving(self.identity.name, acked_at, FAR_S))
+        stays_s = DRAIN_S + world.rng.uniform(*LEAVES_LATE_S)
+        world.reactor.callLater(stays_s, self.leave)
+
+    def leave(self) -> None:
+        """End."""
+        assert self.server is not None
+        self.world.store.delete(f"servers/{self.identity.name}")
+        self.listening.stopListening()
+        self.server.close()
+        self.server = None
+        self.world.reactor.callLater(ADDRESS_REST_S, self.start)
+
+
+class World:
+    """Everything that a soak puts around the gateways."""
+
+    def __init__(self, reactor: GatewayReactor, seed: int) -> None:
+        self.reactor = reactor
+        self.seed = seed
+        self.rng = Random(f"{seed} world")
+        self.history = History()
+        self.store = KvServer(reactor, Random(f"{seed} store"))
+        self.store_port: int = listen(reactor, self.store).getHost().port
+        self.replicas: list[Replica] = []
+        for service in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLES]:
+            for copy in range(REPLICAS_EACH):
+                number = len(self.replicas)
+                place = DATA_CENTRES[(number + copy) % len(DATA_CENTRES)]
+                self.replicas.append(Replica(self, number, service, place))
+        self.version = 0
+        self.shards = 0
+        self.single = 0
+        self.evacuated = ""
+        self.configure()
+        self.beat()
+
+    def beat(self) -> None:
+        """Let replicas register again where their entries are gone."""
+        for replica in self.replicas:
+            replica.register()
+        self.reactor.callLater(HEARTBEAT_S, self.beat)
+
+    def may_drain(self, replica: Replica) -> bool:
+        """Tell whether another replica of the service stays."""
+        return any(
+            other.service == replica.service
+            and other is not replica
+            and other.server is not None
+            and not other.draining
+            for other in self.replicas
+        )
+
+    def configure(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += self.rng.randint(1, 3)
+        search = SHARD_SETS[self.shards]
+        single = SINGLES[self.single]
+        value = {
+            "Version": self.version,
+            "Routes": [
+                route("find", "safe", Gather=search, TopK=8, MinCoverage=0.5),
+                route("one", "safe", Service=single),
+                route("order", "unsafe", Service=SINGLES[1]),
+            ],
+            "Services": [
+                {"Name": name, "MaxConns": CONNECTIONS_EACH, "HealthPath": "/health"}
+                for name in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLES]
+            ],
+        }
+        sent_at = self.reactor.seconds()
+        self.store.write("op/config", msgspec.json.encode(value))
+        allowed = {"/find/": search, "/one/": (single,), "/order/": (SINGLES[1],)}
+        now = self.reactor.seconds()
+        self.history.revisions.append(Revision(self.version, sent_at, now, allowed))
+
+    def change_route(self) -> None:
+        """Move a route to another service."""
+        self.single = 1 - self.single
+        self.configure()
+
+    def reshard(self) -> None:
+        """Name the other set of shards."""
+        self.shards = 1 - self.shards
+        self.configure()
+
+    def evacuate(self, number: int, for_s: float) -> None:
+        """Take a data centre out, unless another one is."""
+        if self.evacuated:
+            return
+        self.evacuated = DATA_CENTRES[number]
+        self.store.write(f"op/evacuate/{self.evacuated}", b"{}")
+        acked_at = self.reactor.seconds()
+        self.reactor.callLater(for_s, self.take_back, acked_at)
+
+    def take_back(self, acked_at: float) -> None:
+        """Take a data centre in again."""
+        now = self.reactor.seconds()
+        for replica in self.replicas:
+            if replica.data_centre == self.evacuated:
+                left = Leaving(replica.identity.name, acked_at, now)
+                self.history.evacuated.append(left)
+        self.store.delete(f"op/evacuate/{self.evacuated}")
+        self.evacuated = ""
+
+
+def route(name: str, kind: str, **destination: object) -> dict[str, object]:
+    """Return a route as operators write it."""
+    return {
+        "Name": name,
+        "Host": HOST,
+        "Prefix": f"/{name}/",
+        "RouteType": kind,
+        "TimeoutMs": 1200,
+        "TargetLatencyMs": 250,
+        "Priority": 1,
+        "MaxAttempts": 2,
+        **destination,
+    }
