Count missing shards, denied repeats and cold replicas; find unexplained requests

The soak also looks for requests that ended refused, failed or with shards missing and that no line of their gateway's log names.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import signal
 import sys
 from collections import Counter
@@ -51,6 +52,8 @@
 STOP_SLACK_S = 1.5
 LAG_S = 0.3  # a runner that is late by more sees nothing in time itself
 EVACUATION_LEAST_S = 6.0
+CLIENT_ERROR = 400
+REQUEST_FIELD = re.compile(r"\brequest=(\S+)")
 REPOSITORY = Path(__file__).resolve().parents[2]
 
 SETTINGS = """\
@@ -139,6 +142,12 @@
         now = self.soak.reactor.seconds()
         self.soak.history.disturb(self.name, now, now)
 
+    @property
+    def has_started(self) -> bool:
+        """Whether this start of the process has begun to listen."""
+        text = self.child.log.read_text(errors="replace")
+        return text.count("event=process_started") == self.incarnation
+
     async def restart(self, end: Callable[[], None], grace_s: float) -> None:
         """End the process by ``end``, wait for that, and start it again."""
         if self.busy or not self.child.running:
@@ -339,6 +348,8 @@
         now = self.reactor.seconds()
         self.history.disturb(gateway.name, now, now)
         code = gateway.child.exit_code
+        if planned and code == -signal.SIGTERM and not gateway.has_started:
+            return  # it was told to stop before it had begun to listen
         if planned and code not in (0, -signal.SIGKILL):
             self.found("exit", f"{gateway.name} ended with {code}")
 
@@ -413,6 +424,7 @@
         strays = [stray for caller in self.callers for stray in caller.strays]
         for stray in strays:
             self.found("nothing unasked", stray)
+        self.find_unexplained()
         found = [*self.violations, *check_all(self.history, self.promises)]
         attempts = self.history.attempts.values()
         outcomes = Counter(
@@ -421,6 +433,21 @@
         )
         return SoakResult(found, len(attempts), dict(outcomes), faults, self.lag_s)
 
+    def find_unexplained(self) -> None:
+        """Look for requests that ended badly and that no line of a log names."""
+        named: dict[str, set[str]] = {}
+        for gateway in self.gateways:
+            text = gateway.child.log.read_text(errors="replace")
+            named[gateway.name] = set(REQUEST_FIELD.findall(text))
+        for attempt in self.history.attempts.values():
+            answer = attempt.answer
+            if answer is None or attempt.request in named[attempt.gateway]:
+                continue
+            missing = int(answer.headers.get("x-missing-parts", "0"))
+            if answer.status >= CLIENT_ERROR or missing:
+                detail = f"{answer.status} with {missing} missing, in no line"
+                self.violations.append(Violation("explained", attempt.request, detail))
+
 
 def soak(options: SoakOptions, folder: Path) -> SoakResult:
     """Run a soak in this process's reactor; one process runs one soak."""
--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from random import Random
 from typing import NamedTuple
 from zlib import crc32
@@ -55,6 +55,7 @@
         self.data_centre = data_centre
         self.random = Random(seed)
         self.bounds = Bounds()
+        self.note_cold_denied: Callable[[], object] = int
 
     def choose(
         self,
@@ -111,8 +112,10 @@
         service = configuration and configuration.services.get(replica.entry.service)
         if not service or service.cold_requests_per_s <= 0.0:
             return True
-        allowed = self.cold_share(replica, service)
-        return replica.cold_requests(now) < allowed
+        if replica.cold_requests(now) < self.cold_share(replica, service):
+            return True
+        self.note_cold_denied()
+        return False
 
     def cold_share(self, replica: Replica, service: Service) -> int:
         """Return how many requests a second a cold replica may get from here.
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -75,6 +75,7 @@
         self.running = False
         self.retry_s = 0.0
         self.down_since: float | None = None
+        self.heard_at = reactor.seconds()
         self.seeds: tuple[str, ...] = ()
         self.shortest_s = 0.0
 
@@ -210,6 +211,7 @@
     def note_up(self, reader: str) -> None:
         """Note that the store answers, perhaps through a reader."""
         self.retry_s = 0.0
+        self.heard_at = self.reactor.seconds()
         if self.down_since is not None:
             down_s = self.reactor.seconds() - self.down_since
             self.down_since = None
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -52,6 +52,32 @@
             ["outcome"],
             registry=registry,
         )
+        self.missing_shards = Counter(
+            "sardinehook_missing_shards",
+            "Shards that were left out of answers, by why",
+            ["reason"],
+            registry=registry,
+        )
+        self.repeats_denied = Counter(
+            "sardinehook_repeats_denied",
+            "Hedges and retries for which no budget was left",
+            registry=registry,
+        )
+        self.cold_denied = Counter(
+            "sardinehook_cold_denied",
+            "Times that a cold replica was passed over, since its rate was used up",
+            registry=registry,
+        )
+        self.store_age_seconds = Gauge(
+            "sardinehook_store_age_seconds",
+            "Time since the store, or a reader of it, was heard",
+            registry=registry,
+        )
+        self.handed_over = Gauge(
+            "sardinehook_handed_over",
+            "Sub-requests at work for gateways with narrow links",
+            registry=registry,
+        )
         self.version = Gauge(
             "sardinehook_configuration_version",
             "Version of the configuration in force",
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
@@ -58,6 +60,7 @@
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
         self.budgets: dict[str, RepeatBudget] = {}
+        self.note_denied: Callable[[], object] = int
 
     def configure(self, bounds: Bounds) -> None:
         """Take the promises of the deployment."""
@@ -78,7 +81,10 @@
     def may_repeat(self, service: str, now: float) -> bool:
         """Take one repeat to a service from the budget, if there is one."""
         sharers = self.directory.sharers(service)
-        return self.budget_of(service).spend(self.bounds, sharers, now)
+        if self.budget_of(service).spend(self.bounds, sharers, now):
+            return True
+        self.note_denied()
+        return False
 
     def usual_s(self, route: Route, quantile: float = USUAL_QUANTILE) -> float:
         """Return a quantile of the time that replicas take for a route."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -100,6 +100,8 @@
             reactor, self.directory, dispatcher, chooser, dialects.callers
         )
         self.policy.configure(settings.bounds)
+        self.policy.note_denied = metrics.repeats_denied.inc
+        chooser.note_cold_denied = metrics.cold_denied.inc
         self.stories = RequestStories(reactor, metrics)
         self.desk = RequestDesk(self.policy, self.stories, self.random)
         self.front = Front(reactor, self.desk.take)
@@ -273,6 +275,8 @@
         self.metrics.replicas.set(len(replicas))
         held = sum(replica.pool.held for replica in replicas.values())
         self.metrics.connections.set(held)
+        self.metrics.store_age_seconds.set(now - self.follower.heard_at)
+        self.metrics.handed_over.set(self.desk.handed_over)
 
     @property
     def has_work(self) -> bool:
--- a/sardinehook/gateway/story.py
+++ b/sardinehook/gateway/story.py
@@ -21,6 +21,14 @@
 logger = structlog.get_logger(__name__)
 
 MS_PER_S = 1000.0
+MISSING_KINDS = (
+    ("no reply", "overdue"),
+    ("queue", "queue_too_long"),
+    ("no replica", "no_replica"),
+    ("no connection", "unreachable"),
+    ("status", "failed"),
+    ("refused", "failed"),
+)
 TOLD_IN_FULL_EACH = 16  # untroubled requests: one in so many has a line
 
 
@@ -57,6 +65,7 @@
         if peer:
             kind = "for_peer"
         self.metrics.observe(kind, answer.outcome, took_s, work.hedges, work.repeats)
+        self.count_missing(work)
         answered = answer.outcome == "answered" and answer.status < 400
         troubled = bool(not answered or late or answer.detail)
         self.untroubled += not troubled
@@ -78,6 +87,13 @@
             peer=peer or delegate_of(work),
         )
 
+    def count_missing(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+        """Count the shards that a search left out."""
+        for part in getattr(work, "parts", ()):
+            if not part.is_in:
+                kind = missing_kind(part.reason)
+                self.metrics.missing_shards.labels(kind).inc()
+
     def left(self, work: Gather | SingleCall | DelegatedSearch) -> None:
         """Tell of a request whose caller has left."""
         took_s = self.reactor.seconds() - work.request.received_at
@@ -101,3 +117,15 @@
     """Name the gateway to which a search was handed over."""
     delegate = getattr(work, "delegate", None)
     return delegate.name if delegate else ""
+
+
+def missing_kind(reason: str) -> str:
+    """Return the kind of a reason, of which there are few.
+
+    >>> missing_kind("refused with 503"), missing_kind("Connection lost.")
+    ('failed', 'lost')
+    """
+    for start, kind in MISSING_KINDS:
+        if reason.startswith(start):
+            return kind
+    return "lost"
--- a/tests/gateway/test_stories.py
+++ b/tests/gateway/test_stories.py
@@ -7,6 +7,7 @@
 
 from sardinehook.gateway.dispatch import Failed, NotRun
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.story import RequestStories
 from tests.gateway.support import (
     THERE,
@@ -56,6 +57,26 @@
         assert "in evacuated there" in gateway.answers[0].detail
 
 
+class TestMetrics:
+    def test_shards_that_are_left_out_are_counted_by_why(self) -> None:
+        gateway = with_replicas(4)
+        metrics = GatewayMetrics()
+        stories = RequestStories(gateway.reactor, metrics)
+        work = gateway.gather(search_route(4))
+        gateway.answer_all("s03")
+        gateway.reactor.advance(0.2)
+        stories.ended(work, 1, gateway.answers[0])
+        assert b'missing_shards_total{reason="overdue"} 1.0' in metrics.render()
+
+    def test_hedges_without_budget_are_counted(self) -> None:
+        gateway = with_replicas(4, Bounds(repeat_ratio=0.0, repeat_slack=0.0))
+        metrics = GatewayMetrics()
+        gateway.policy.note_denied = metrics.repeats_denied.inc
+        gateway.gather(search_route(4))
+        gateway.reactor.advance(0.1)
+        assert b"repeats_denied_total 4.0" in metrics.render()
+
+
 class TestLines:
     def test_every_request_that_ends_badly_has_a_line_with_its_cause(self) -> None:
         gateway = with_replicas(4)
