Ignore a hangup while a gateway starts; let replicas of the soak echo request ids

SIGHUP came before the handler was installed and ended the process; importing the libraries takes 0.3 s. Now it is ignored from the first lines on; the settings are read after that. The test fails on the code before.

--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -93,5 +94,6 @@
 
 
 if __name__ == "__main__":
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     MUTANTS[sys.argv[1]]()
     run.main()
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -229,7 +229,8 @@
     def repeat(self, part: Part) -> None:
         """Send an answer that nobody asked for."""
         if self.open:
-            self.tcp.write(encode(200, part.signature, part.body, b""))
+            request = part.signature.partition(".")[0]
+            self.tcp.write(encode(200, part.signature, part.body, echo(request)))
 
     def write(
         self,
@@ -242,7 +243,8 @@
         """Write an answer, or only a part of its body."""
         if not self.open:
             return
-        whole = encode(status, signature, body, extra + self.load())
+        extra += echo(self.request) + self.load()
+        whole = encode(status, signature, body, extra)
         if cut is None:
             self.tcp.write(whole)
             self.reset()
@@ -257,6 +259,11 @@
         return f"X-Server-Load: {told}\r\n".encode()
 
 
+def echo(request: str) -> bytes:
+    """Return the header that names the request that is answered."""
+    return f"X-Request-Id: {request}\r\n".encode()
+
+
 def encode(status: int, signature: str, body: bytes, extra: bytes) -> bytes:
     """Return the bytes of an answer."""
     lines = f"HTTP/1.1 {status} Told\r\nContent-Length: {len(body)}\r\n".encode()
--- a/sardinehook/gateway/__main__.py
+++ b/sardinehook/gateway/__main__.py
@@ -1,8 +1,18 @@
-"""Run a gateway by ``python -m sardinehook.gateway``."""
+"""``python -m sardinehook.gateway``: one gateway on the users' platform."""
 
 from __future__ import annotations
 
-from sardinehook.gateway.run import main
+import signal
+
+
+def start() -> None:
+    """Run a gateway; a hangup while it starts is of no use and must not end it."""
+    # The settings are read after this, and the handler that reloads them comes later.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from sardinehook.gateway.run import main
 
-if __name__ == "__main__":
     main()
+
+
+if __name__ == "__main__":
+    start()
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -118,6 +118,19 @@
         pytest.fail(f"the process ended without {event}")
 
 
+def wait_until_ignored(pid: int, number: signal.Signals) -> None:
+    """Wait until a process ignores a signal, as it does from its first lines on."""
+    give_up_at = time.monotonic() + 10.0
+    status = Path(f"/proc/{pid}/status")
+    while time.monotonic() < give_up_at:
+        lines = status.read_text().splitlines()
+        (ignored,) = (line.split()[1] for line in lines if line.startswith("SigIgn"))
+        if int(ignored, 16) >> (number - 1) & 1:
+            return
+        time.sleep(0.001)
+    pytest.fail(f"the process never ignored {number.name}")
+
+
 class TestSignals:
     """Answers the pattern: settings files change, processes get SIGHUP and SIGTERM."""
 
@@ -138,6 +151,17 @@
             gateway.process.kill()
             gateway.process.wait()
 
+    def test_a_hangup_during_the_start_does_not_end_it(self, tmp_path: Path) -> None:
+        gateway = RunningGateway(tmp_path)
+        try:
+            wait_until_ignored(gateway.process.pid, signal.SIGHUP)
+            gateway.process.send_signal(signal.SIGHUP)
+            gateway.wait_for("process_started")
+            assert gateway.process.poll() is None
+        finally:
+            gateway.process.kill()
+            gateway.process.wait()
+
     def test_settings_that_are_malformed_end_the_start_with_one_line(
         self, tmp_path: Path
     ) -> None:
