--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -459,9 +459,6 @@
     work = Soak(running, options, folder)
 
     def end(_ignored: object) -> None:
-        for gateway in work.gateways:
-            if gateway.child.running:
-                gateway.child.kill()
         running.stop()
 
     def begin() -> None:
@@ -471,7 +468,13 @@
         doing.addBoth(end)
 
     running.callWhenRunning(begin)
-    running.run()
+    try:
+        running.run()
+    finally:
+        # Also where the run was interrupted: nothing that it started stays behind.
+        for gateway in work.gateways:
+            if gateway.child.running:
+                gateway.child.kill()
     if not results:
         sys.stderr.write(errors[0] if errors else "the soak was interrupted\n")
         raise SystemExit(2)
