Let gateways that watch the store look in at each other for a watch that fell silent

The way of g-4 to the store had dropped bytes towards it for a moment; its watch then looked well and was silent for 11 s, until it ended. Keep-alive probes don't show it where something between both ends still answers them.

Ruled out: shorter watches; each is a priced call.

Change: while a watch waits, its gateway asks another one, of the same data centre if there is any, after each fifth of the shortest promise. If that one knows of changes twice in a row that the watch has not told, they are taken and the connections to the store dropped.

The test fails on the code before.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -193,7 +193,8 @@
     attempt = history.attempts.get(run.request)
     if attempt is None:
         return False
-    names = (attempt.gateway, "store")
+    helpers = history.helpers.get(attempt.gateway, ())
+    names = (attempt.gateway, *helpers, "store")
     return history.is_calm(names, run.at - promises.stability_s, run.at)
 
 
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -113,6 +113,8 @@
     stops: list[Interval] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
     recovered_at: float = 0.0
+    # The gateways that may have sent on what one of them took.
+    helpers: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def disturb(self, name: str, start: float, end: float) -> None:
         """Note that a gateway, or the store, is disturbed for a time."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -53,6 +53,8 @@
 LAG_S = 0.3  # a runner that is late by more sees nothing in time itself
 EVACUATION_LEAST_S = 6.0
 CLIENT_ERROR = 400
+WIDE_MBPS = 1000.0
+NARROW_MBPS = 20.0  # with odd seeds, all but one of each data centre
 REQUEST_FIELD = re.compile(r"\brequest=(\S+)")
 REPOSITORY = Path(__file__).resolve().parents[2]
 
@@ -74,6 +76,8 @@
 BudgetSlack = 58
 BudgetWindowS = 10
 RetryBudgetRatio = 0.2
+[Limits]
+LinkMbps = {link_mbps}
 [platform]
 Addr = "127.0.0.1:{store}"
 # {comment}
@@ -111,6 +115,7 @@
         self.seeds = seeds
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.store = Proxy(soak.reactor, soak.world.store_port)
+        self.is_wide = not soak.uneven or number < len(DATA_CENTRES)
         self.incarnation = 0
         self.misses = 0
         self.path = soak.folder / f"{self.name}.toml"
@@ -131,6 +136,7 @@
             seeds=self.seeds,
             store=self.store.port,
             comment=comment,
+            link_mbps=WIDE_MBPS if self.is_wide else NARROW_MBPS,
         )
         self.path.write_text(text)
 
@@ -196,12 +202,19 @@
         self.agent = Agent(reactor, connectTimeout=PROBE_S, pool=self.pool)
         self.lag_s = 0.0
         self.ending = False
+        self.uneven = options.seed % 2 == 1
         ports = free_ports(PORTS_EACH * options.gateways)
         each = [ports[n * PORTS_EACH :][:PORTS_EACH] for n in range(options.gateways)]
         seeds = ", ".join(f'"127.0.0.1:{one[2]}"' for one in each[:3])
         self.gateways = [
             Gateway(self, number, one, seeds) for number, one in enumerate(each)
         ]
+        for gateway in self.gateways:
+            self.history.helpers[gateway.name] = tuple(
+                other.name
+                for other in self.gateways
+                if other.is_wide and other.data_centre == gateway.data_centre
+            )
         self.callers = [
             Caller(
                 reactor,
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -31,6 +31,7 @@
 WATCH_WAIT_S = 20.0  # each watch is a call, so a quiet one should last
 STAND_IN_WAIT_S = 2.0  # a watch of one that is no reader, until readers are tried again
 COALESCE_RATIO = 0.2  # of the shortest promise on changes, since they come in groups
+CHECK_RATIO = 0.2  # of that promise, between two looks of a reader at another gateway
 POLL_RATIO = 0.2  # of that promise: how long a reader may hold a call
 FIRST_RETRY_S = 0.1  # wait after a first failed call
 PEER_AFTER_S = 1.0  # the store may turn only this gateway away
@@ -76,6 +77,8 @@
         self.retry_s = 0.0
         self.down_since: float | None = None
         self.heard_at = reactor.seconds()
+        self.watching = False
+        self.behind_at: int | None = None
         self.seeds: tuple[str, ...] = ()
         self.shortest_s = 0.0
 
@@ -93,8 +96,9 @@
     def start(self) -> None:
         """Begin to follow; an unexpected error is logged and following resumes."""
         self.running = True
-        following = Deferred.fromCoroutine(self.follow())
-        following.addErrback(self.resume)
+        for work in (self.follow(), self.compare()):
+            following = Deferred.fromCoroutine(work)
+            following.addErrback(self.resume)
 
     def resume(self, failure: TwistedFailure) -> None:
         """Read everything anew after an unexpected error."""
@@ -132,7 +136,9 @@
             result = await self.store.read_all(ALL_KEYS)
         else:
             wait_s = WATCH_WAIT_S if self.rotation.is_reader else STAND_IN_WAIT_S
+            self.watching = True
             result = await self.store.watch(ALL_KEYS, self.knowledge.revision, wait_s)
+            self.watching = False
         match result:
             case Success(changes):
                 self.note_up("")
@@ -165,6 +171,48 @@
             case Failure(detail):
                 self.note_reader(reader, detail)
 
+    async def compare(self) -> None:
+        """Look in at other gateways while a watch waits, which may have fallen silent.
+
+        A connection that something between both ends has lost track of looks well.
+        """
+        while self.running:
+            await deferLater(self.reactor, CHECK_RATIO * self.shortest_s)
+            known = self.knowledge.revision
+            if not self.watching or known is None:
+                self.behind_at = None
+                continue
+            address = self.rotation.neighbour() or self.any_peer()
+            if not address:
+                continue
+            match await self.peers.ask(address, known, 0.0):
+                case Success(told) if told.current and told.changes.items:
+                    self.note_ahead(told, known)
+                case _:
+                    self.behind_at = None
+
+    def any_peer(self) -> str:
+        """Return the address of some other gateway, empty if none is known."""
+        peers = self.fleet.peers()
+        return self.random.choice(peers) if peers else ""
+
+    def note_ahead(self, told: Told, known: int) -> None:
+        """Take what another gateway knows; twice in a row, the watch is given up."""
+        if not self.watching or self.knowledge.revision != known:
+            return
+        if self.behind_at != known:
+            self.behind_at = known
+            return
+        log_event(
+            logger,
+            EventName.STORE_DOWN,
+            detail="the watch is silent and another gateway knows more",
+            revision=told.changes.revision,
+        )
+        self.behind_at = None
+        self.take_told(told)
+        self.store.drop_connections()
+
     def note_reader(self, reader: Reader, trouble: str) -> None:
         """Note whether a reader can be relied on."""
         now = self.reactor.seconds()
--- a/sardinehook/gateway/readers.py
+++ b/sardinehook/gateway/readers.py
@@ -45,6 +45,7 @@
         self.readers: tuple[Reader, ...] = ()
         self.is_reader = True
         self.turn = 0
+        self.neighbours_asked = 0
         self.avoided_until: dict[str, float] = {}
 
     def update(self, records: Mapping[str, GatewayRecord]) -> bool:
@@ -81,6 +82,14 @@
             if now >= self.avoided_until.get(reader.name, 0.0)
         ]
 
+    def neighbour(self) -> str:
+        """Return the address of another reader, each in its turn, empty if none is."""
+        others = [reader for reader in self.readers if reader.name != self.node]
+        if not others:
+            return ""
+        self.neighbours_asked += 1
+        return others[self.neighbours_asked % len(others)].address
+
     def look_in(self, now: float) -> Reader | None:
         """Return the reader to look in at besides the first, each in its turn."""
         others = self.usable(now)[1:]
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -29,6 +29,7 @@
 
 GATEWAYS = 12
 STEP_S = 0.25
+DRAIN_S = 5.0
 PASSING_ON_S = 2.5  # half of the shortest promise: the store's watch takes the rest
 AWAY = StoreUnavailable("status 503", False)
 
@@ -168,6 +169,27 @@
         assert follower.knowledge.revision == 60
 
 
+class TestSilentWatch:
+    """Answers the pattern: open connections fall silent for good, new ones work."""
+
+    def test_what_others_know_is_taken_and_the_connection_given_up(self) -> None:
+        fleet = Fleet(3)
+        silent, *others = fleet.rigs
+        fleet.tell(replica("a", 40), to=others)
+        fleet.pass_time(DRAIN_S)
+        assert len(silent.directory.replicas) == 1
+        assert silent.store.dropped == 1
+
+    def test_a_watch_that_is_a_moment_behind_is_kept(self) -> None:
+        fleet = Fleet(3)
+        slow, *others = fleet.rigs
+        fleet.tell(replica("a", 40), to=others)
+        fleet.pass_time(1.0)
+        fleet.tell(replica("a", 40), to=[slow])
+        fleet.pass_time(DRAIN_S)
+        assert slow.store.dropped == 0
+
+
 class TestRelay:
     def test_a_call_waits_for_a_change(self) -> None:
         clock = MemoryReactorClock()
