--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,7 +14,7 @@
     if missing:
         sys.exit(
             f"the bench needs {', '.join(missing)}: "
-            "run ./check once, or pip install -e '.[bench]' in the environment of ./demo"
+            "run ./check once, or pip install -e '.[bench]' where ./demo installs"
         )
     from bench.commands import app
 
