--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -18,17 +18,17 @@
     ShardSet,
     WeightedService,
 )
-from sardinehook.gateway.delegation import (
-    DelegatedSearch,
-    Delegates,
-    HandedOver,
-    decode_search,
-    encode_outcome,
-)
+from sardinehook.gateway.delegated_search import DelegatedSearch
+from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, HttpRequest
 from sardinehook.gateway.repeat_budget import SlidingCount
+from sardinehook.gateway.search_codec import (
+    HandedOver,
+    decode_search,
+    encode_outcome,
+)
 from sardinehook.gateway.single import SingleCall
 from sardinehook.gateway.story import RequestStories
 
@@ -206,33 +206,47 @@
             self.stories.ended(leavable.work, configuration.version, answer)
             finish(answer)
 
-        def search_here() -> None:
-            gather = Gather(self.policy, request, route, shards, done)
-            leavable.begin(gather)
-
         match route.destination:
             case ShardSet() as shards:
-                delegate = self.delegates.choose() if self.delegates else None
-                if delegate is None or self.delegates is None:
-                    search_here()
-                else:
-                    version = configuration.version
-                    search = DelegatedSearch(
-                        self.policy,
-                        self.delegates,
-                        delegate,
-                        request,
-                        route,
-                        version,
-                        done,
-                        search_here,
-                    )
-                    leavable.begin(search)
+                self.search(leavable, request, route, shards, configuration, done)
             case OneReplica(services):
                 service = self.choose_service(route, services)
                 leavable.begin(SingleCall(self.policy, request, route, service, done))
         return None if leavable.work.settled else leavable
 
+    def search(
+        self,
+        leavable: LeavableWork,
+        request: CallerRequest,
+        route: Route,
+        shards: ShardSet,
+        configuration: Configuration,
+        done: Finish,
+    ) -> None:
+        """Start a search at a delegate, or here if there is none that takes it."""
+
+        def search_here() -> None:
+            leavable.begin(Gather(self.policy, request, route, shards, done))
+
+        delegates = self.delegates
+        delegate = delegates.choose() if delegates else None
+        if delegates is None or delegate is None:
+            search_here()
+            return
+        version = configuration.version
+        leavable.begin(
+            DelegatedSearch(
+                self.policy,
+                delegates,
+                delegate,
+                request,
+                route,
+                version,
+                done,
+                search_here,
+            )
+        )
+
     def take_over(self, body: bytes, finish: Finish) -> Work | None:
         """Do a search for another gateway, under the version that it has in force.
 
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.delegation import SEARCH_PATH
 from sardinehook.gateway.front import Front, Work
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import CHANGES_PATH, ChangeRelay
+from sardinehook.gateway.search_codec import SEARCH_PATH
 
 __all__ = ["ProbeServer"]
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -19,7 +19,7 @@
 from sardinehook.gateway.answer import refuse
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
-from sardinehook.gateway.delegation import Delegates
+from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
--- a/sardinehook/gateway/story.py
+++ b/sardinehook/gateway/story.py
@@ -12,7 +12,7 @@
 from sardinehook.observe.events import EventName, log_event
 
 if TYPE_CHECKING:
-    from sardinehook.gateway.delegation import DelegatedSearch
+    from sardinehook.gateway.delegated_search import DelegatedSearch
     from sardinehook.gateway.gather import Gather
     from sardinehook.gateway.single import SingleCall
 
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -13,18 +13,17 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.connection import ExchangeEnd, Lost, Replied, Reply
-from sardinehook.gateway.delegation import (
+from sardinehook.gateway.delegates import (
     FAILED_S,
     SILENT_AFTER_S,
     Delegate,
     Delegates,
-    decode_search,
-    encode_search,
 )
 from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.ports import HttpRequest
+from sardinehook.gateway.search_codec import decode_search, encode_search
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.story import RequestStories
 from tests.gateway.support import (
