Take a late hedge of an older version for no proof of a newer one in the soak

Trace of a rerun: c5-82 was sent at 175.310 under version 26, its hedge ran at 175.612, 23 ms after version 29 had been seen at the same gateway. The sets of shards of 26 and 32 are the same, so the check took it for a proof of 32, which was written at 177.68. The gateway's log goes from 26 to 29 to 32. So the check was wrong.

--- a/tests/bench/soak/test_checks.py
+++ b/tests/bench/soak/test_checks.py
@@ -17,6 +17,7 @@
 )
 
 SHARDS = ("s0", "s1")
+BACK = Revision(3, 40.0, 40.0, {"/find/": SHARDS, "/one/": ("desk",)})
 MOVED = Revision(2, 20.0, 20.0, {"/find/": SHARDS, "/one/": ("till",)})
 
 
@@ -247,6 +248,26 @@
         found = {violation.promise for violation in check_all(history, Promises())}
         assert FAULTS[fault] in found
 
+    def test_a_late_hedge_of_an_older_version_proves_no_newer_one(self) -> None:
+        history = good_history()
+        history.revisions.append(MOVED)
+        history.revisions.append(BACK)
+        early = make_attempt("early", "one", 19.99)
+        history.attempts["early"] = early
+        add_single(history, "one", "till", 20.5)
+        add_run(history, early, "desk", 20.6)
+        later = make_attempt("later", "one", 21.0)
+        history.attempts["later"] = later
+        add_run(history, later, "till", 21.01)
+        assert check_all(history, Promises()) == []
+
+    def test_a_version_that_was_not_sent_yet_allows_nothing(self) -> None:
+        history = good_history()
+        history.revisions.append(MOVED)
+        add_run(history, history.attempts["one"], "till", 11.5)
+        found = [violation.promise for violation in check_all(history, Promises())]
+        assert found == ["routing"]
+
     def test_what_happens_while_a_gateway_is_disturbed_is_not_judged(self) -> None:
         history = good_history()
         work_after_drain(history)
