--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -9,6 +9,7 @@
 import pytest
 
 from bench.soak.mutant import MUTANTS
+from bench.soak.regressions import REGRESSIONS, Regression
 from bench.soak.schedule import Size, make_schedule
 
 REPOSITORY = Path(__file__).resolve().parents[3]
@@ -38,6 +39,13 @@
         assert "whole answer" in ended.stdout
 
 
+class TestRegressions:
+    @pytest.mark.parametrize("case", REGRESSIONS, ids=lambda case: str(case.seed))
+    def test_a_seed_that_once_failed_passes(self, case: Regression) -> None:
+        ended = run_soak("--seed", str(case.seed), "--minutes", str(case.minutes))
+        assert ended.returncode == 0, f"{case.cause}: {ended.stdout}{ended.stderr}"
+
+
 class TestSchedule:
     @pytest.mark.parametrize("seed", range(5))
     def test_a_seed_gives_the_same_faults_again(self, seed: int) -> None:
