Resume only the work that failed when following the store

Found by reading: an unexpected error in the look at other gateways began both kinds of work anew, and so a second watch beside the first, for good; one in the watch began a second look. Each is now begun again by itself. The test fails on the code before: two calls wait at the store in place of one.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from random import Random
+from typing import Any
 
 import structlog
 from returns.result import Failure, Success
@@ -94,18 +95,25 @@
         )
 
     def start(self) -> None:
-        """Begin to follow; an unexpected error is logged and following resumes."""
+        """Begin to follow; after an unexpected error, which is logged, work resumes."""
         self.running = True
-        for work in (self.follow(), self.compare()):
-            following = Deferred.fromCoroutine(work)
-            following.addErrback(self.resume)
+        for work in (self.follow, self.compare):
+            self.begin(work)
 
-    def resume(self, failure: TwistedFailure) -> None:
+    def begin(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Begin one kind of work, and begin it again if it fails."""
+        working = Deferred.fromCoroutine(work())
+        working.addErrback(self.resume, work)
+
+    def resume(
+        self, failure: TwistedFailure, work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
         """Read everything anew after an unexpected error."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
         self.listing_due = True
+        self.watching = False
         if self.running:
-            self.reactor.callLater(LAST_RETRY_S, self.start)
+            self.reactor.callLater(LAST_RETRY_S, self.begin, work)
 
     def stop(self) -> None:
         """Follow no more."""
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -99,6 +99,7 @@
         self.rigs: dict[str, FollowerRig] = {}
         self.asked: list[str] = []
         self.silent: set[str] = set()
+        self.broken = False
 
     async def ask_any(
         self, addresses: Collection[str], after: int | None
@@ -113,6 +114,8 @@
         self, address: str, after: int | None, wait_s: float
     ) -> Result[Told, str]:
         """Ask one peer."""
+        if self.broken:
+            raise RuntimeError("a fault of ours")
         self.asked.append(address)
         rig = self.rigs.get(address)
         if rig is None or address in self.silent:
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -190,6 +190,16 @@
         assert slow.store.dropped == 0
 
 
+class TestUnexpectedErrors:
+    def test_a_look_at_another_gateway_that_fails_begins_no_second_watch(self) -> None:
+        rig = FollowerRig()
+        rig.store.tell(5, registration("g-2", 5))
+        rig.settle()
+        rig.peers.broken = True
+        rig.reactor.pump([STEP_S] * 20)
+        assert len(rig.store.waiting) == 1
+
+
 class TestRelay:
     def test_a_call_waits_for_a_change(self) -> None:
         clock = MemoryReactorClock()
