Reserve the ports of a rig, and end a gateway that can't listen

The only 404 of that kind without a line is the probe server's. free_ports looked for ports that nothing listened on and gave them up again, so that soaks which start together could be given overlapping runs (1,200 ports drawn held 1,150 different ones). Moved by one port, the front of one soak's gateway is the ready address of the other's, and its own ready address the other's metrics address, which answers /ready too: it is put in rotation and answers 404. Its own process could not listen and, second fault, went on running without an address, so nothing said so.

Ruled out: the configuration (a missing route is logged with the request), the mutant that runs beside (its 404s would be logged as well).

A gateway takes its addresses before the reactor runs and ends with status 1 and the line process_failed if it can't.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -14,7 +14,7 @@
 import msgspec
 import yaml
 
-from bench.ports import LOOPBACK, free_ports
+from bench.ports import LOOPBACK, reserve_ports
 from bench.processes import Child, StartError
 from sardinehook.environment.canonical import canonical_bytes, document_from
 from sardinehook.environment.document import EnvironmentDocument, Index
@@ -113,7 +113,7 @@
         self.temporary = tempfile.TemporaryDirectory(prefix="sardinehook-rig-")
         self.directory = directory or Path(self.temporary.name)
         self.directory.mkdir(parents=True, exist_ok=True)
-        ports = free_ports(
+        ports = reserve_ports(
             count_replicas(deployment.document)
             + 1
             + deployment.target_processes
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -153,15 +153,19 @@
         self.last_reason = "starting"
 
     def run(self) -> None:
-        """Start with the reactor, run it, and stop gracefully when it is told to."""
+        """Listen, run the reactor, and stop gracefully when it is told to.
+
+        Raises ``CannotListenError`` if an address is in use or not of this VM.
+        """
+        self.listen()
         self.reactor.callWhenRunning(self.start)
         self.reactor.addSystemEventTrigger(
             "before", "shutdown", lambda: Deferred.fromCoroutine(self.stop())
         )
         self.reactor.run()
 
-    def start(self) -> None:
-        """Listen and begin to follow the store."""
+    def listen(self) -> None:
+        """Take all addresses; connections are accepted once the reactor runs."""
         settings = self.settings
         listen(self.reactor, settings.front_address, self.front)
         addresses = (
@@ -174,6 +178,11 @@
         if settings.signs_address:
             host, _, port = settings.signs_address.rpartition(":")
             self.reactor.listenUDP(int(port), self.signs, interface=host)
+
+    def start(self) -> None:
+        """Begin to follow the store and to do what is due now and then."""
+        settings = self.settings
+        if settings.signs_address:
             self.giving_signs.start(SIGNS_INTERVAL_S, now=False)
         self.follower.start()
         self.fleet.start()
--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -9,8 +9,10 @@
 from pathlib import Path
 from typing import Any
 
+import structlog
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
+from twisted.internet.error import CannotListenError
 
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.process import Dialects, GatewayProcess, SettingsSource
@@ -18,7 +20,7 @@
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.observe.bounded_output import BoundedOutput
 from sardinehook.observe.clock import HybridClock
-from sardinehook.observe.events import configure_logging
+from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.twisted_errors import log_unhandled_errors
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.discovery import PlatformKeys
@@ -28,6 +30,9 @@
 
 __all__ = ["main"]
 
+logger = structlog.get_logger(__name__)
+
+EXIT_CANNOT_LISTEN = 1
 EXIT_INVALID_SETTINGS = 2
 METRICS_PORT_VARIABLE = "SARDINEHOOK_METRICS_PORT"
 
@@ -66,7 +71,11 @@
         running.callFromThread(process.reload)
 
     signal.signal(signal.SIGHUP, reload_soon)
-    process.run()
+    try:
+        process.run()
+    except CannotListenError as error:
+        log_event(logger, EventName.PROCESS_FAILED, detail=str(error))
+        sys.exit(EXIT_CANNOT_LISTEN)
 
 
 def read_settings(path: str) -> Result[GatewaySettings, str]:
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -22,6 +22,7 @@
     """Every event that a process logs."""
 
     PROCESS_STARTED = "process_started"
+    PROCESS_FAILED = "process_failed"
     PROCESS_STOPPING = "process_stopping"
     PROCESS_STOPPED = "process_stopped"
     READINESS = "readiness"
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -162,6 +163,26 @@
             gateway.process.kill()
             gateway.process.wait()
 
+    def test_an_address_in_use_ends_the_start(self, tmp_path: Path) -> None:
+        with socket.socket() as other:
+            other.bind(("127.0.0.1", 0))
+            other.listen()
+            front = f"127.0.0.1:{other.getsockname()[1]}"
+            path = tmp_path / "boot.toml"
+            text = SETTINGS_FILE.replace('"127.0.0.1:0"', f'"{front}"', 1)
+            path.write_text(text)
+            ended = subprocess.run(
+                [sys.executable, "-m", "sardinehook.gateway"],
+                env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
+        assert ended.returncode == 1
+        (line,) = ended.stdout.splitlines()
+        assert "process_failed" in line
+        assert front.rpartition(":")[2] in line
+
     def test_settings_that_are_malformed_end_the_start_with_one_line(
         self, tmp_path: Path
     ) -> None:
