Log a listing in a few lines, not one for each replica and gateway

Cause: right after its start a gateway of a large fleet logged a line for each replica and each gateway that the listing names (333 at 63 gateways, 4,850 at the planned size), which used up the burst of the ceiling; a request that failed in those seconds could end without its line.

Change: what becomes known in one turn is logged by name, 24 names a line, where it is more than 8 replicas; fewer keep a line each with service, address and incarnation.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -15,7 +15,7 @@
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.shares import Shares
-from sardinehook.observe.events import EventName, log_event
+from sardinehook.observe.events import EventName, log_event, log_names
 
 __all__ = ["Directory"]
 
@@ -24,6 +24,7 @@
 CONNECTION_SHARE = 0.9  # of a replica's bound, since closed connections linger there
 UNSTATED_CONNECTIONS = 16  # bound of a replica whose service states none
 LOST_GRACE_RATIO = 0.7  # of the drain time, for entries that left discovery
+MOST_SINGLE_LINES = 8  # newcomers at once; more share lines, without their details
 ORPHAN_GRACE_S = 2.4  # entries that lapsed in an outage are back within two seconds
 
 
@@ -41,6 +42,7 @@
         self.shares = Shares(1.0, 1.0, frozenset())
         self.shard_services: frozenset[str] = frozenset()
         self.reachability = Reachability()
+        self.newcomers: list[Replica] = []
 
     def replicas_of(self, service: str) -> list[Replica]:
         """Return the replicas of a service that may be asked now."""
@@ -94,7 +96,7 @@
             known = self.add(entry)
             if entry.cold_left_s:
                 known.cold_until = now + entry.cold_left_s
-            self.log_state(known, "registered")
+            self.newcomers.append(known)
         elif known.entry.draining != entry.draining:
             self.log_state(known, "draining" if entry.draining else "ready")
         elif known.lost_at is not None:
@@ -232,6 +234,20 @@
             )
         self.evacuated = data_centres
 
+    def log_newcomers(self) -> None:
+        """Log the replicas that became known since the last call.
+
+        A listing names them all; with a line for each, a large one would use up the
+        lines that are left for requests.
+        """
+        newcomers, self.newcomers = self.newcomers, []
+        if len(newcomers) <= MOST_SINGLE_LINES:
+            for replica in newcomers:
+                self.log_state(replica, "registered")
+            return
+        names = [replica.replica_id for replica in newcomers]
+        log_names(logger, EventName.TARGET_STATE, "registered", names)
+
     def log_state(self, replica: Replica, state: str) -> None:
         """Log what this gateway believes of a replica."""
         log_event(
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -13,7 +13,7 @@
 
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import GatewayStore, LeaseGone
-from sardinehook.observe.events import EventName, log_event
+from sardinehook.observe.events import EventName, log_event, log_names
 
 __all__ = ["GATEWAY_PREFIX", "GatewayFleet"]
 
@@ -62,6 +62,7 @@
         self.on_names = on_names
         self.records: dict[str, GatewayRecord] = {}
         self.left_at: dict[str, float] = {}
+        self.newcomers: list[str] = []
         self.registered = False
         self.lease = 0
         self.running = False
@@ -152,10 +153,15 @@
             log_event(logger, EventName.MEMBER_STATE, member=node, detail=str(error))
             return
         if node not in self.records or node in self.left_at:
-            log_event(logger, EventName.MEMBER_STATE, member=node, state="registered")
+            self.newcomers.append(node)
         self.records[node] = record
         self.left_at.pop(node, None)
 
+    def log_newcomers(self) -> None:
+        """Log the gateways that became known since the last call."""
+        newcomers, self.newcomers = self.newcomers, []
+        log_names(logger, EventName.MEMBER_STATE, "registered", newcomers)
+
     def retain(self, nodes: Iterable[str]) -> None:
         """Note that all gateways but these have left."""
         for node in self.records.keys() - set(nodes):
--- a/sardinehook/observe/bounded_output.py
+++ b/sardinehook/observe/bounded_output.py
@@ -8,7 +8,7 @@
 __all__ = ["BoundedOutput"]
 
 LINES_PER_S = 100.0  # ten times what the heaviest day needs of one gateway
-BURST_LINES = 400.0  # a start tells of each replica
+BURST_LINES = 400.0  # a start tells of all replicas and gateways
 LINE_BYTES = 4000  # a pipe takes up to 4,096 bytes whole or not at all
 
 
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import TextIO, TypedDict, Unpack
 
@@ -12,9 +13,10 @@
 
 from sardinehook.observe.clock import HybridClock, stamp_seconds
 
-__all__ = ["EventFields", "EventName", "configure_logging", "log_event"]
+__all__ = ["EventFields", "EventName", "configure_logging", "log_event", "log_names"]
 
 MAX_VALUE_CHARACTERS = 512
+NAMES_A_LINE = 24  # of up to 20 characters, within MAX_VALUE_CHARACTERS
 LEADING_KEYS = ["stamp", "time", "level", "event", "process", "data_centre"]
 
 
@@ -148,6 +150,15 @@
         logger.info(event, **fields)
 
 
+def log_names(
+    logger: FilteringBoundLogger, event: EventName, state: str, names: Sequence[str]
+) -> None:
+    """Log what holds for several at once, ``NAMES_A_LINE`` names in a line."""
+    for first in range(0, len(names), NAMES_A_LINE):
+        some = names[first : first + NAMES_A_LINE]
+        log_event(logger, event, state=state, count=len(some), detail=" ".join(some))
+
+
 def configure_logging(
     stream: TextIO, process: str, data_centre: str, clock: HybridClock
 ) -> None:
