Share one HTTP connection and one set of reactor protocols

Cause: gateway/connection.py and target/connection.py were two copies of a client's HTTP/1.1 connection; store/timers.py and target/reactor.py two protocols for the same reactor.

Ruled out: one pool for both sides. The owner tier's pool counts connections until the target has closed them and lingers over those that were given up, which is what its allowance is proved with.

Change: sardinehook/transport/ has the connection, the outlet and the reactor's protocols. A target's connection is one that checks the ids of the reply and closes in order; it gained interim replies, the kernel's probes for silent peers and sending without a turn of the loop. Replies are bounded by their body and by their head apart. Stand-ins in memory (FakeLink, LoopTransport) now offer a socket as the tests of the gateway do; no assertion changed, but for the name Malformed in place of Garbled.

--- a/bench/http_server.py
+++ b/bench/http_server.py
@@ -9,7 +9,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["ListeningReactor", "argument", "body_of", "cut", "listen", "send"]
 
--- a/bench/loopback.py
+++ b/bench/loopback.py
@@ -49,7 +49,16 @@
         if self.open:
             self.protocol.dataReceived(data)
 
-    def doWrite(self) -> None:
+    def getHandle(self) -> LoopTransport:
+        """Return what stands for the socket."""
+        return self
+
+    def send(self, data: bytes) -> int:
+        """Take all of ``data``."""
+        self.write(data)
+        return len(data)
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
         """Do nothing: there is no socket."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -27,7 +27,7 @@
 )
 from bench.platform_faults import Control, Counts, Faults, Outage, RateCap, VmTable
 from bench.platform_state import Held, KeyValues, Refused
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["Platform", "main"]
 
--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -34,7 +34,7 @@
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.owner import TargetOwner
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
-from sardinehook.target.reactor import TargetReactor
+from sardinehook.transport.reactor import TcpReactor
 
 __all__ = ["Cost", "main"]
 
@@ -78,7 +78,7 @@
 class AgentWay:
     """``twisted.web.client.Agent`` with persistent connections."""
 
-    def __init__(self, reactor: TargetReactor) -> None:
+    def __init__(self, reactor: TcpReactor) -> None:
         pool = HTTPConnectionPool(reactor)
         pool.maxPersistentPerHost = SLOTS
         self.agent = Agent(reactor, pool=pool)
@@ -152,7 +152,7 @@
 class ConnectionWay:
     """A bare connection for each sub-query in flight, without an owner."""
 
-    def __init__(self, reactor: TargetReactor, places: list[Place]) -> None:
+    def __init__(self, reactor: TcpReactor, places: list[Place]) -> None:
         events = PoolEvents(ignore, ignore, ignore)
         self.numbers = count(1)
         self.pools: dict[str, ConnectionPool] = {}
@@ -174,7 +174,7 @@
             return
         request = encode_sub_query(query, b"127.0.0.1", exchange_id, 5000)
         end = partial(self.ended, pool, connection, done)
-        connection.exchange(request, query.request_id.encode(), exchange_id, end)
+        connection.ask(request, query.request_id.encode(), exchange_id, end)
 
     def ended(
         self,
@@ -191,7 +191,7 @@
 class OwnerWay:
     """``TargetOwner.submit`` as the entry process uses it."""
 
-    def __init__(self, reactor: TargetReactor, places: list[Place]) -> None:
+    def __init__(self, reactor: TcpReactor, places: list[Place]) -> None:
         self.numbers = count(1)
         self.owner = TargetOwner(reactor, OwnerLimits())
         services = {
@@ -216,9 +216,7 @@
 class Runner:
     """Sends one round of sub-queries after another and measures all but the first."""
 
-    def __init__(
-        self, reactor: TargetReactor, places: list[Place], rounds: int
-    ) -> None:
+    def __init__(self, reactor: TcpReactor, places: list[Place], rounds: int) -> None:
         self.reactor = reactor
         self.places = places
         self.rounds = rounds
@@ -284,9 +282,7 @@
     ]
 
 
-async def measure(
-    reactor: TargetReactor, places: list[Place], rounds: int
-) -> list[Cost]:
+async def measure(reactor: TcpReactor, places: list[Place], rounds: int) -> list[Cost]:
     """Measure the ways in turn, in blocks, and return the median block of each."""
     runner = Runner(reactor, places, max(1, rounds // BLOCKS))
     owner = OwnerWay(reactor, places)
@@ -361,7 +357,7 @@
     raise typer.Exit(0 if costs and report(costs) else 1)
 
 
-class RunningReactor(TargetReactor, Protocol):
+class RunningReactor(TcpReactor, Protocol):
     """A reactor that can be run and stopped."""
 
     def run(self) -> None:
--- a/bench/target_host.py
+++ b/bench/target_host.py
@@ -9,7 +9,7 @@
 
 from bench.target_http import TargetFactory, TargetServer
 from bench.target_model import TargetModel
-from sardinehook.target.reactor import TargetReactor
+from sardinehook.transport.reactor import TcpReactor
 
 __all__ = ["ListeningReactor", "TargetHost"]
 
@@ -30,7 +30,7 @@
         """Stop accepting connections."""
 
 
-class ListeningReactor(TargetReactor, Protocol):
+class ListeningReactor(TcpReactor, Protocol):
     """A reactor that also accepts connections."""
 
     def listenTCP(
--- a/bench/target_http.py
+++ b/bench/target_http.py
@@ -4,28 +4,45 @@
 
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import TYPE_CHECKING, cast
+from typing import Protocol as Port
+from typing import cast
 
 from httptools import HttpParserError, HttpRequestParser
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
 from twisted.python.failure import Failure
 
-from bench.target_model import Request, TargetReply
-from sardinehook.target.reactor import TcpTransport
+from bench.target_model import Request, TargetModel, TargetReply
+from sardinehook.transport.reactor import TcpTransport, Timers
 
-if TYPE_CHECKING:
-    from bench.target_host import TargetHost
-
-__all__ = ["TargetFactory", "TargetServer"]
+__all__ = ["ServerHost", "TargetFactory", "TargetServer"]
 
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
+class ServerHost(Port):
+    """What a connection needs of the place that it belongs to."""
+
+    model: TargetModel
+
+    @property
+    def reactor(self) -> Timers:
+        """The reactor."""
+        ...
+
+    def connected(self, server: TargetServer) -> bool:
+        """Count a connection; tell whether the cap allows it."""
+        ...
+
+    def disconnected(self, server: TargetServer) -> None:
+        """Give the place of a connection free."""
+        ...
+
+
 class TargetServer(Protocol):
     """One connection to a replica; it handles one request at a time."""
 
-    def __init__(self, host: TargetHost) -> None:
+    def __init__(self, host: ServerHost) -> None:
         self.host = host
         self.model = host.model
         self.silent = False
--- a/bench/target_model.py
+++ b/bench/target_model.py
@@ -14,7 +14,7 @@
 
 from bench.target_records import Shard, WorkEvent, WorkLog, records_body
 from bench.target_settings import ReplicaSettings
-from sardinehook.target.reactor import DelayedCall, TargetReactor
+from sardinehook.transport.reactor import TcpReactor, Timer
 
 __all__ = ["Counters", "Request", "TargetModel", "TargetReply"]
 
@@ -69,8 +69,8 @@
     request: Request
     reply: Callable[[TargetReply], None]
     version: int
-    timer: DelayedCall | None = None
-    expiry: DelayedCall | None = None
+    timer: Timer | None = None
+    expiry: Timer | None = None
 
 
 class TargetModel:
@@ -78,7 +78,7 @@
 
     def __init__(
         self,
-        reactor: TargetReactor,
+        reactor: TcpReactor,
         settings: ReplicaSettings,
         shard: Shard,
         per_service: int,
--- a/sardinehook/cli/document_session.py
+++ b/sardinehook/cli/document_session.py
@@ -17,8 +17,8 @@
 from sardinehook.environment.revision import Revision
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.store.http_store import HttpStore
-from sardinehook.store.timers import Timers
 from sardinehook.store.vm_list import HttpVmList, VmState
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["Session", "StatusReport", "good_or_exit", "with_session"]
 
--- a/sardinehook/cli/reactor_run.py
+++ b/sardinehook/cli/reactor_run.py
@@ -9,7 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["run_until_done"]
 
--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -8,8 +8,8 @@
 from sardinehook.entry.dispatcher import OwnerPort, ReplicaHome, ReplyHandler
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import SubQuery
-from sardinehook.store.timers import Timer, Timers
 from sardinehook.target.allowance import Allowance
+from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["AllowanceApplier", "AllowancePort", "AllowanceTaker", "LeaseGuard"]
 
--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -21,7 +21,7 @@
 from sardinehook.order.front import OrderFront
 from sardinehook.query.planner import Planner
 from sardinehook.store.port import Store
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["EntryOrders"]
 
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -14,7 +14,7 @@
 from sardinehook.observe.sampling import QueryLog
 from sardinehook.query.actions import Action, Cancel, Send, Settle
 from sardinehook.query.search import Search
-from sardinehook.store.timers import Timer, Timers
+from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["SearchRun"]
 
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -30,7 +30,7 @@
 from sardinehook.query.planner import Plan, Planner
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.search import Search, SearchRequest
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["SearchDesk"]
 
--- a/sardinehook/environment/node_status.py
+++ b/sardinehook/environment/node_status.py
@@ -12,8 +12,8 @@
 from sardinehook.environment.revision import Revision
 from sardinehook.store.http_call import HttpCaller, HttpReply
 from sardinehook.store.port import StoreUnavailable
-from sardinehook.store.timers import Timers
 from sardinehook.store.vm_list import Vm
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["NodeState", "NodeStatus", "ask_nodes", "node_status"]
 
--- a/sardinehook/environment/registry.py
+++ b/sardinehook/environment/registry.py
@@ -33,7 +33,7 @@
     StoreFailure,
     StoreUnavailable,
 )
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["Head", "Registry"]
 
--- a/sardinehook/environment/store_watch.py
+++ b/sardinehook/environment/store_watch.py
@@ -16,7 +16,7 @@
 from sardinehook.environment.revision import Revision, decode_revision, head_key
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.store.port import Entry, Store, StoreFailure
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["StoreCounts", "StoreWatch"]
 
--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/watcher.py
@@ -22,7 +22,7 @@
 from sardinehook.fleet.wire import register_message
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.store.port import Store
-from sardinehook.store.timers import Timer, Timers
+from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["DocumentControl", "register_messages"]
 
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -5,17 +5,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sardinehook.gateway.connection import (
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
+from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.replica import Replica
+from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
     Lost,
     Malformed,
     Replied,
 )
-from sardinehook.gateway.directory import Directory
-from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
-from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.replica import Replica
 
 __all__ = [
     "Answered",
--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -16,12 +16,12 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import CallerLimits
-from sardinehook.gateway.connection import set_socket_options
-from sardinehook.gateway.outlet import Outlet
 from sardinehook.gateway.ports import Header, HttpRequest, RequestTiming
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.round_trip import round_trip_s
 from sardinehook.observe.events import EventName, log_event
+from sardinehook.transport.connection import set_socket_options
+from sardinehook.transport.outlet import Outlet
 
 __all__ = ["Front", "FrontConnection", "Work"]
 
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -22,7 +22,7 @@
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
-from sardinehook.target.reactor import DelayedCall
+from sardinehook.transport.reactor import Timer
 
 __all__ = ["Gather"]
 
@@ -72,7 +72,7 @@
         self.repeats = 0
         self.may_have_run = False
         self.missed_objective = False
-        self.timer: DelayedCall | None = None
+        self.timer: Timer | None = None
         begun = request.received_at
         self.give_up_at = give_up_at(request, route)
         objective_at = answer_by(request, route.objective_s)
--- a/sardinehook/gateway/http_call.py
+++ b/sardinehook/gateway/http_call.py
@@ -5,7 +5,10 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 
-from sardinehook.gateway.connection import (
+from sardinehook.gateway.pool import ConnectionPool
+from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.store.port import StoreUnavailable
+from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
     Lost,
@@ -13,9 +16,6 @@
     Replied,
     Reply,
 )
-from sardinehook.gateway.pool import ConnectionPool
-from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.store.port import StoreUnavailable
 
 __all__ = ["HttpCall"]
 
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -8,12 +8,12 @@
 
 from returns.result import Failure, Result, Success
 
-from sardinehook.gateway.connection import Reply
 from sardinehook.gateway.http_call import HttpCall
 from sardinehook.gateway.knowledge import Told, decode_told
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import changes_query
+from sardinehook.transport.connection import Reply
 
 __all__ = ["PeerClient", "Peers"]
 
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -9,8 +9,8 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from sardinehook.gateway.connection import ClientConnection
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.transport.connection import ClientConnection
 
 __all__ = ["ConnectionPool", "Waiter"]
 
--- a/sardinehook/gateway/ports.py
+++ b/sardinehook/gateway/ports.py
@@ -8,7 +8,7 @@
 from returns.result import Result
 
 from sardinehook.gateway.configuration import Configuration
-from sardinehook.gateway.connection import Reply
+from sardinehook.transport.connection import Reply
 
 __all__ = [
     "CallerDialect",
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -18,7 +18,7 @@
 from sardinehook.gateway.policy import RequestPolicy, give_up_at
 from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
-from sardinehook.target.reactor import DelayedCall
+from sardinehook.transport.reactor import Timer
 
 __all__ = ["SingleCall"]
 
@@ -62,7 +62,7 @@
         self.open_exchanges: list[Exchange] = []
         self.reasons: list[str] = []
         self.failure: ReplicaReply | None = None
-        self.timer: DelayedCall | None = None
+        self.timer: Timer | None = None
         self.give_up_at = give_up_at(request, route)
         self.usual_s = policy.usual_s(route)
         hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
--- a/sardinehook/observe/loop_lag.py
+++ b/sardinehook/observe/loop_lag.py
@@ -6,7 +6,7 @@
 
 from prometheus_client import Histogram
 
-from sardinehook.store.timers import Timer, Timers
+from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["LoopLagProbe"]
 
--- a/sardinehook/order/desk.py
+++ b/sardinehook/order/desk.py
@@ -35,7 +35,7 @@
 from sardinehook.order.recorder import Recorder
 from sardinehook.order.register import Gone, Other, Register, Unavailable, Unreadable
 from sardinehook.store.port import Store
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["OrderDesk", "OrderState", "OrderStatus"]
 
--- a/sardinehook/order/open_order.py
+++ b/sardinehook/order/open_order.py
@@ -10,7 +10,7 @@
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.order.claim import ClaimState, OrderClaim, OrderRequest
 from sardinehook.store.port import CREATE
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["OpenOrder", "OrderAnswer", "answer_of"]
 
--- a/sardinehook/order/pause.py
+++ b/sardinehook/order/pause.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred
 
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["pause"]
 
--- a/sardinehook/order/ports.py
+++ b/sardinehook/order/ports.py
@@ -15,7 +15,7 @@
 from sardinehook.order.claim import Claimant, OrderClaim
 from sardinehook.order.recorder import Recorder
 from sardinehook.order.register import Register
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["AskTarget", "AttemptPorts", "Send", "conflict", "target_ran"]
 
--- a/sardinehook/order/recorder.py
+++ b/sardinehook/order/recorder.py
@@ -21,7 +21,7 @@
     Written,
 )
 from sardinehook.store.port import CREATE
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["Recorder"]
 
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -10,7 +10,6 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from sardinehook.gateway.connection import Lost, Reply
 from sardinehook.gateway.http_call import HttpCall
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
@@ -22,6 +21,7 @@
     StoreProblem,
 )
 from sardinehook.store.port import StoreUnavailable
+from sardinehook.transport.connection import Lost, Reply
 
 __all__ = ["PlatformStore"]
 
--- a/sardinehook/platform/replicas.py
+++ b/sardinehook/platform/replicas.py
@@ -5,8 +5,8 @@
 import re
 from functools import lru_cache
 
-from sardinehook.gateway.connection import Reply
 from sardinehook.gateway.ports import CallerRequest, Load, ReplicaReply
+from sardinehook.transport.connection import Reply
 
 __all__ = ["PlatformReplicas"]
 
--- a/sardinehook/store/http_call.py
+++ b/sardinehook/store/http_call.py
@@ -24,7 +24,7 @@
 from zope.interface import implementer
 
 from sardinehook.store.port import StoreUnavailable
-from sardinehook.store.timers import Timer, Timers
+from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["HttpCaller", "HttpReply"]
 
--- a/sardinehook/store/vm_list.py
+++ b/sardinehook/store/vm_list.py
@@ -11,7 +11,7 @@
 
 from sardinehook.store.http_call import HttpCaller, HttpReply
 from sardinehook.store.port import StoreFailure, StoreUnavailable
-from sardinehook.store.timers import Timers
+from sardinehook.transport.reactor import Timers
 
 __all__ = ["HttpVmList", "Vm", "VmList", "VmLister", "VmState"]
 
--- a/sardinehook/target/dialect.py
+++ b/sardinehook/target/dialect.py
@@ -14,7 +14,6 @@
     "encode_cancel",
     "encode_status",
     "encode_sub_query",
-    "header_name",
     "read_reply_head",
 ]
 
@@ -93,43 +92,33 @@
 
 
 def read_reply_head(headers: Mapping[bytes, bytes]) -> ReplyHead:
-    """Return the typed headers of a reply; names are as ``header_name`` gives them.
+    """Return the typed headers of a reply; names are in lower case.
 
     Raises ``ValueError`` for a header that is not what the dialect says.
 
-    >>> head = read_reply_head({b"Target-State": b"cold", b"Index-Version": b"7"})
+    >>> head = read_reply_head({b"target-state": b"cold", b"index-version": b"7"})
     >>> head.state.name, head.index_version
     ('COLD', 7)
     """
     found = headers.get
-    state_name = found(b"Target-State")
+    state_name = found(b"target-state")
     state = TargetState.UNKNOWN
     if state_name is not None:
         if state_name not in HEADER_STATES:
             raise ValueError("unknown Target-State")
         state = HEADER_STATES[state_name]
     return ReplyHead(
-        found(b"Request-Id", b""),
-        found(b"Sub-Query-Id", b""),
-        int(found(b"Index-Version", b"0")),
-        int(found(b"Partitioning-Version", b"0")),
+        found(b"request-id", b""),
+        found(b"sub-query-id", b""),
+        int(found(b"index-version", b"0")),
+        int(found(b"partitioning-version", b"0")),
         state,
-        int(found(b"Target-In-Flight", b"0")),
-        read_versions(found(b"Index-Versions-Held", b"")),
-        found(b"Not-Run") == b"true",
+        int(found(b"target-in-flight", b"0")),
+        read_versions(found(b"index-versions-held", b"")),
+        found(b"not-run") == b"true",
     )
 
 
-@lru_cache(maxsize=256)
-def header_name(name: bytes) -> bytes:
-    """Return a header's name in its usual capitals.
-
-    >>> header_name(b"not-run")
-    b'Not-Run'
-    """
-    return name.title()
-
-
 @lru_cache(maxsize=1024)
 def read_versions(text: bytes) -> tuple[int, ...]:
     """Return the versions in a comma-separated list; raises ``ValueError``."""
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -11,7 +11,7 @@
 from sardinehook.messages import Outcome, TargetState
 from sardinehook.target.connection import (
     ExchangeEnd,
-    Garbled,
+    Malformed,
     Lost,
     Replied,
     TargetConnection,
@@ -132,7 +132,7 @@
             work.sent_at = now
         work.may_have_begun = True
         sub_query = work.sub_query
-        connection.exchange(
+        connection.ask(
             encode_sub_query(sub_query, self.host, exchange_id, int(left_s * 1000.0)),
             sub_query.request_id.encode(),
             exchange_id,
@@ -157,7 +157,7 @@
                 self.pool.give_back(running.connection)
                 if not running.over:
                     self.replied(running, reply)
-            case Garbled(detail):
+            case Malformed(detail):
                 self.ramp.setback("a garbled reply")
                 garbled = Verdict(Outcome.GARBLED, True)
                 self.events.settled(running.work, garbled, detail, None)
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -13,7 +13,7 @@
 from sardinehook.target.counts import OwnerCounts, count_holdings
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
-from sardinehook.target.reactor import DelayedCall, TargetReactor
+from sardinehook.transport.reactor import Timer, TcpReactor
 from sardinehook.target.runner import ReplicaRunner, RunnerContext
 from sardinehook.target.work import Work, WorkKey
 
@@ -28,7 +28,7 @@
     after its deadline. The reply may be given before ``submit`` returns.
     """
 
-    def __init__(self, reactor: TargetReactor, limits: OwnerLimits) -> None:
+    def __init__(self, reactor: TcpReactor, limits: OwnerLimits) -> None:
         self.reactor = reactor
         self.limits = limits
         self.runners: dict[str, ReplicaRunner] = {}
@@ -39,8 +39,8 @@
         self.context = RunnerContext(
             reactor, limits, ExchangeIds(token_hex(4)), self.settled, self.watch
         )
-        self.sweeping: DelayedCall | None = None
-        self.polling: DelayedCall | None = None
+        self.sweeping: Timer | None = None
+        self.polling: Timer | None = None
         self.poll_order: list[ReplicaRunner] = []
         self.closed: Deferred[None] | None = None
         self.close_by = 0.0
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -12,7 +12,7 @@
 
 from sardinehook.target.connection import TargetConnection
 from sardinehook.target.limits import OwnerLimits
-from sardinehook.target.reactor import TargetReactor
+from sardinehook.transport.reactor import TcpReactor
 
 __all__ = ["ConnectionPool", "PoolEvents", "TargetAddress"]
 
@@ -65,7 +65,7 @@
 
     def __init__(
         self,
-        reactor: TargetReactor,
+        reactor: TcpReactor,
         address: TargetAddress,
         limits: OwnerLimits,
         events: PoolEvents,
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -15,7 +15,7 @@
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
-from sardinehook.target.reactor import TargetReactor
+from sardinehook.transport.reactor import TcpReactor
 from sardinehook.target.replica import ReplicaQueue
 from sardinehook.target.work import Work
 
@@ -34,7 +34,7 @@
     runner that has to be swept.
     """
 
-    reactor: TargetReactor
+    reactor: TcpReactor
     limits: OwnerLimits
     ids: ExchangeIds
     settled: Callable[[Work], None]
--- /dev/null
+++ b/sardinehook/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Connections as all parts of sardinehook use them."""
--- a/sardinehook/gateway/connection.py
+++ b/sardinehook/transport/connection.py
@@ -12,12 +12,12 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from sardinehook.gateway.outlet import Outlet
+from sardinehook.transport.outlet import Outlet
 
 __all__ = ["ClientConnection", "ExchangeEnd", "Lost", "Malformed", "Replied", "Reply"]
 
-REPLY_BYTES = 8 * 1024 * 1024  # most that is buffered of one reply
-HEAD_BYTES = 64 * 1024  # most that is buffered of the headers of one reply
+BODY_BYTES = 8 * 1024 * 1024  # most that is buffered of the body of one reply
+HEAD_BYTES = 64 * 1024  # most that may come before the headers are complete
 KEEP_ALIVE_IDLE_S = 1  # silence after which the kernel probes a connection
 KEEP_ALIVE_INTERVAL_S = 1  # between two probes
 KEEP_ALIVE_PROBES = 2  # unanswered probes that end a connection
@@ -72,6 +72,9 @@
     never used again, and so is one on which bytes come that nobody asked for.
     """
 
+    most_head_bytes = HEAD_BYTES
+    most_body_bytes = BODY_BYTES
+
     def __init__(
         self,
         on_open: Callable[[ClientConnection], None],
@@ -93,6 +96,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
         self.received_bytes = 0
+        self.body_bytes = 0
         self.in_body = False
         self.whole = False
         self.surplus = False
@@ -144,7 +148,7 @@
         if not self.is_open:
             return
         if self.finish is None:
-            self.abort()
+            self.drop()
             return
         self.received_bytes += len(data)
         try:
@@ -154,10 +158,16 @@
                 self.end(Malformed(f"malformed reply: {error}"), False)
                 return
             self.surplus = True
-        if self.whole:
-            self.complete()
-        elif self.received_bytes > (REPLY_BYTES if self.in_body else HEAD_BYTES):
+        if self.is_too_large():
             self.end(Malformed("the reply is too large"), False)
+        elif self.whole:
+            self.complete()
+
+    def is_too_large(self) -> bool:
+        """Tell whether more came than is buffered of one reply."""
+        if self.in_body or self.whole:
+            return self.body_bytes > self.most_body_bytes
+        return self.received_bytes > self.most_head_bytes
 
     def complete(self) -> None:
         """End the exchange with the whole reply."""
@@ -168,11 +178,15 @@
         """Report the end of the exchange; drop a connection that is not reusable."""
         finish, self.finish = self.finish, None
         if not reusable:
-            self.is_open = False
-            self.tcp.abortConnection()
+            self.drop()
         if finish is not None:
             finish(end)
 
+    def drop(self) -> None:
+        """Close a connection that can't be used any more."""
+        self.is_open = False
+        self.tcp.abortConnection()
+
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the exchange that was running and report the close.
 
@@ -221,7 +235,9 @@
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
         if not self.surplus:
-            self.chunks.append(body)
+            self.body_bytes += len(body)
+            if self.body_bytes <= self.most_body_bytes:
+                self.chunks.append(body)
 
     def on_message_complete(self) -> None:
         """Note that the reply is whole; an interim one is dropped."""
--- a/sardinehook/target/reactor.py
+++ b/sardinehook/transport/reactor.py
@@ -1,4 +1,4 @@
-"""The parts of a Twisted reactor that the target side uses."""
+"""The parts of a Twisted reactor, and of its transports, that are used here."""
 
 from __future__ import annotations
 
@@ -7,32 +7,46 @@
 
 from twisted.internet.protocol import ClientFactory
 
-__all__ = ["DelayedCall", "TargetReactor", "TcpTransport"]
+__all__ = ["TcpReactor", "TcpTransport", "Timer", "Timers"]
 
 
-class DelayedCall(Protocol):
-    """A call that the reactor makes later."""
-
-    def cancel(self) -> None:
-        """Take the call back."""
+class Timer(Protocol):
+    """A call that is due later."""
 
     def active(self) -> bool:
-        """Tell whether the call is still to come."""
+        """Whether the call is still due."""
+        ...
 
+    def cancel(self) -> None:
+        """Don't make the call."""
+        ...
 
-class TargetReactor(Protocol):
-    """Time and outgoing TCP connections."""
 
-    def seconds(self) -> float:
-        """Return monotonic time in seconds."""
+class Timers(Protocol):
+    """What the reactor and ``twisted.internet.task.Clock`` have in common."""
 
-    def callLater(self, delay: float, callable: Callable[[], object]) -> DelayedCall:
+    def seconds(self) -> float:
+        """Monotonic time in seconds."""
+        ...
+
+    def callLater(
+        self,
+        delay: float,
+        callable: Callable[..., object],
+        *args: object,
+        **kw: object,
+    ) -> Timer:
         """Call ``callable`` after ``delay`` seconds."""
+        ...
+
+
+class TcpReactor(Timers, Protocol):
+    """Time and outgoing TCP connections."""
 
     def connectTCP(
         self, host: str, port: int, factory: ClientFactory, timeout: float
     ) -> object:
-        """Open a connection."""
+        """Open a connection; ``timeout`` is in seconds."""
 
 
 class TcpTransport(Protocol):
@@ -41,9 +55,6 @@
     def write(self, data: bytes) -> None:
         """Send ``data``."""
 
-    def doWrite(self) -> object:
-        """Send now what the socket takes, without a turn of the loop."""
-
     def loseConnection(self) -> None:
         """Close after what was written has been sent."""
 
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -12,7 +12,6 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.connection import ExchangeEnd, Lost, Replied, Reply
 from sardinehook.gateway.delegates import (
     FAILED_S,
     SILENT_AFTER_S,
@@ -26,6 +25,7 @@
 from sardinehook.gateway.search_codec import decode_search, encode_search
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.story import RequestStories
+from sardinehook.transport.connection import ExchangeEnd, Lost, Replied, Reply
 from tests.gateway.support import (
     REQUEST,
     Gateway,
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -9,8 +9,8 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
-from sardinehook.gateway.connection import ClientConnection, Replied
 from sardinehook.gateway.pool import ConnectionPool
+from sardinehook.transport.connection import ClientConnection, Replied
 from tests.gateway.wire import Wire, make_wire
 
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -8,13 +8,13 @@
 from returns.pipeline import is_successful
 
 from sardinehook.gateway.configuration import ShardSet
-from sardinehook.gateway.connection import Reply
 from sardinehook.gateway.ports import CallerRequest, HttpRequest
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.configuration import decode_configuration
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.replicas import PlatformReplicas
 from sardinehook.platform.settings import decode_settings
+from sardinehook.transport.connection import Reply
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -37,7 +37,14 @@
     def write(self, data: bytes) -> None:
         self.requests.append(data)
 
-    def doWrite(self) -> None:
+    def getHandle(self) -> FakeLink:
+        return self
+
+    def send(self, data: bytes) -> int:
+        self.requests.append(data)
+        return len(data)
+
+    def setsockopt(self, level: int, option: int, value: int) -> None:
         pass
 
     def loseConnection(self) -> None:
--- a/tests/target/test_connection.py
+++ b/tests/target/test_connection.py
@@ -8,7 +8,7 @@
 
 from sardinehook.target.connection import (
     ExchangeEnd,
-    Garbled,
+    Malformed,
     Lost,
     Replied,
     TargetConnection,
@@ -31,7 +31,7 @@
         self.begin()
 
     def begin(self, exchange_id: bytes = b"x-1") -> None:
-        self.connection.exchange(b"request", b"r1", exchange_id, self.ends.append)
+        self.connection.ask(b"request", b"r1", exchange_id, self.ends.append)
 
     def receive(self, data: bytes) -> ExchangeEnd:
         self.connection.dataReceived(data)
@@ -50,11 +50,11 @@
     def test_a_foreign_reply_is_garbled_and_closes(self, header: str) -> None:
         exchange = Exchange()
         end = exchange.receive(reply_bytes(200, b"hit", **{**OWN, header: "other"}))
-        assert isinstance(end, Garbled)
+        assert isinstance(end, Malformed)
         assert not exchange.link.open
 
     def test_a_reply_without_ids_is_garbled(self) -> None:
-        assert isinstance(Exchange().receive(reply_bytes(200, b"hit")), Garbled)
+        assert isinstance(Exchange().receive(reply_bytes(200, b"hit")), Malformed)
 
     def test_a_duplicate_in_the_same_segment_closes_after_the_reply(self) -> None:
         exchange = Exchange()
@@ -75,7 +75,7 @@
         first = reply_bytes(200, b"old", **OWN)
         exchange.receive(first)
         exchange.begin(b"x-2")
-        assert isinstance(exchange.receive(first), Garbled)
+        assert isinstance(exchange.receive(first), Malformed)
 
 
 class TestBrokenReplies:
@@ -83,7 +83,7 @@
         exchange = Exchange()
         exchange.connection.dataReceived(reply_bytes(200, b"whole", **OWN)[:-2])
         exchange.link.loseConnection()
-        assert isinstance(exchange.ends[-1], Garbled)
+        assert isinstance(exchange.ends[-1], Malformed)
 
     def test_a_close_before_any_byte_is_lost(self) -> None:
         exchange = Exchange()
@@ -92,12 +92,12 @@
 
     def test_a_body_beyond_the_bound_is_garbled(self) -> None:
         end = Exchange().receive(reply_bytes(200, b"x" * 101, **OWN))
-        assert isinstance(end, Garbled)
+        assert isinstance(end, Malformed)
 
     def test_headers_beyond_the_bound_are_garbled(self) -> None:
         exchange = Exchange()
         assert isinstance(
-            exchange.receive(b"HTTP/1.1 200 OK\r\nA: " + b"x" * 600), Garbled
+            exchange.receive(b"HTTP/1.1 200 OK\r\nA: " + b"x" * 600), Malformed
         )
 
     @pytest.mark.parametrize(
@@ -105,7 +105,7 @@
     )
     def test_malformed_headers_are_garbled(self, header: str) -> None:
         data = reply_bytes(200, b"", **{**OWN, header: "many"})
-        assert isinstance(Exchange().receive(data), Garbled)
+        assert isinstance(Exchange().receive(data), Malformed)
 
     @given(st.binary(min_size=1, max_size=300))
     def test_no_noise_is_taken_for_a_reply(self, noise: bytes) -> None:
--- /dev/null
+++ b/tests/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the target package."""
--- a/tests/gateway/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -10,7 +10,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.python.failure import Failure
 
-from sardinehook.gateway.connection import (
+from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
     Lost,
--- a/tests/gateway/test_outlet.py
+++ b/tests/transport/test_outlet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sardinehook.gateway.outlet import Outlet
+from sardinehook.transport.outlet import Outlet
 
 
 class Pipe:
