Remove what nothing in the product uses any more

StaticFleet (a fleet fixed by settings), Membership.note_gone (burying suspects by the VM list) and Table.steady with its count of flaps were called by tests alone. Their tests go with them: TestStaticFleet, the second half of the test of lost links (the first, that a lost link is probed next, stays) and the count in the test of flapping members, which now asserts that one is alive again.

--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from math import log10
 
 from sardinehook.fleet.datagram import Datagram, DatagramKind
@@ -331,13 +330,6 @@
         if name not in self.urgent:
             self.urgent.append(name)
 
-    def note_gone(self, names: Iterable[str], now: float) -> None:
-        """Bury suspects that the platform no longer lists."""
-        for name in names:
-            member = self.table.members.get(name)
-            if member is not None and member.state is MemberState.SUSPECT:
-                self.table.merge(member._replace(state=MemberState.DEAD), now)
-
     def leave(self) -> list[Outgoing]:
         """Tell some members at once that this process leaves."""
         self.set_me(self.me._replace(state=MemberState.LEAVING))
--- a/sardinehook/fleet/news.py
+++ b/sardinehook/fleet/news.py
@@ -13,8 +13,6 @@
 SPREAD_FACTOR = 4
 NEWS_PER_DATAGRAM = 6
 DEAD_KEPT_S = 300.0
-FLAP_HALF_LIFE_S = 60.0
-FLAPS_TOLERATED = 3.0
 
 
 class MemberTable:
@@ -32,7 +30,6 @@
         self.to_tell: dict[str, int] = {}
         self.rotation: list[str] = []
         self.dead_since: dict[str, float] = {}
-        self.flaps: dict[str, tuple[float, float]] = {}
         self.epochs: dict[str, int] = {}
         self.changed: list[Member] = []
         self.spreads_new = False
@@ -56,8 +53,6 @@
             self.dead_since[told.name] = now
         else:
             self.dead_since.pop(told.name, None)
-        if told.state is MemberState.SUSPECT:
-            self.flaps[told.name] = (self.flap_count(told.name, now) + 1.0, now)
         joined = known is None or known.state is MemberState.JOINING
         if self.spreads_new or not joined:
             self.spread(told.name)
@@ -67,18 +62,6 @@
         """Tell what is known of a member with the next datagrams."""
         self.to_tell[name] = SPREAD_FACTOR * ceil(log10(len(self.members) + 1))
 
-    def flap_count(self, name: str, now: float) -> float:
-        """Return how often a member was suspected lately, halved each minute."""
-        count, since = self.flaps.get(name, (0.0, now))
-        return float(count * 0.5 ** ((now - since) / FLAP_HALF_LIFE_S))
-
-    def steady(self, name: str, now: float) -> bool:
-        """Whether a member lives and was not suspected again and again."""
-        member = self.members.get(name)
-        if member is None or member.state is not MemberState.ALIVE:
-            return False
-        return self.flap_count(name, now) < FLAPS_TOLERATED
-
     def take_changes(self) -> list[Member]:
         """Return the members that changed since the last call."""
         changed, self.changed = self.changed, []
@@ -137,7 +120,6 @@
                 del self.dead_since[name]
                 self.members.pop(name, None)
                 self.to_tell.pop(name, None)
-                self.flaps.pop(name, None)
 
     def retain(self, data_centre: str, names: frozenset[str]) -> None:
         """Drop members of another data centre that its roster no longer lists."""
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -53,15 +53,13 @@
         _, everyone = detection(driver, "centre-1-entry-4")
         assert everyone < 10.0
 
-    def test_link_loss_and_vm_list_speed_it_up(self) -> None:
+    def test_a_lost_link_speeds_it_up(self) -> None:
         driver = started()
         victim, peer = "centre-1-entry-4", driver.members["centre-1-entry-1"]
         driver.stopped.add(victim)
         peer.note_link_lost(victim)
         driver.run(2.2)
         assert driver.view(peer.me.name, victim) is MemberState.SUSPECT
-        peer.note_gone([victim], driver.now)
-        assert driver.view(peer.me.name, victim) is MemberState.DEAD
 
     def test_leaving_member_is_told_not_suspected(self) -> None:
         driver = started()
@@ -101,7 +99,7 @@
         driver.run(120.0)
         assert deaths(driver) == 0
 
-    def test_flapping_member_is_held_unsteady(self) -> None:
+    def test_a_flapping_member_is_alive_again(self) -> None:
         driver = started()
         name, peer = "centre-0-entry-6", driver.members["centre-0-entry-3"]
         for _ in range(4):
@@ -110,9 +108,6 @@
             driver.paused.discard(name)
             driver.run(4.0)
         assert driver.view(peer.me.name, name) is MemberState.ALIVE
-        assert not peer.table.steady(name, driver.now)
-        driver.run(180.0)
-        assert peer.table.steady(name, driver.now)
 
 
 class TestRestart:
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -5,7 +5,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sardinehook.environment.document import Index, Replica
 from sardinehook.fleet.ownership import (
     NOTHING,
     Role,
@@ -14,7 +13,6 @@
     owner_of,
     rendezvous_order,
 )
-from sardinehook.fleet.static import Member, StaticFleet
 
 names = st.lists(
     st.integers(0, 99).map("entry-{}".format), min_size=1, max_size=12, unique=True
@@ -63,20 +61,3 @@
     def test_without_a_lease_only_the_owner_serves(self) -> None:
         assert allowance(Role.DEPUTY, False, 3, 110) == NOTHING
         assert allowance(Role.NONE, True, 3, 110) == NOTHING
-
-
-class TestStaticFleet:
-    def test_each_replica_has_one_owner_in_its_own_data_centre(self) -> None:
-        members = [
-            Member(f"{place}-{n}", place, "127.0.0.1:1", "127.0.0.1:2")
-            for place in ("kecskemet-a", "szolnok-b")
-            for n in range(3)
-        ]
-        replica = Replica("counters-1a", "szolnok-b", "127.0.0.1:9")
-        index = Index(2, 25, 6.0, {"counters-1": [replica]})
-        fleets = [StaticFleet(member.name, members) for member in members]
-        owner = fleets[0].owner_of(replica)
-        assert owner is not None and owner.startswith("szolnok-b")
-        allowances = {f.node: f.allowance(replica, index) for f in fleets}
-        assert allowances.pop(owner).slots == 2
-        assert set(allowances.values()) == {NOTHING}
