Split what callers ask for from the entry process

entry/process.py wired, decided and served in one class of 431 lines. CallerDesk checks and starts what callers ask for; the front has a port for callers and one for operators and the balancer.

--- /dev/null
+++ b/sardinehook/entry/caller_desk.py
@@ -0,0 +1,99 @@
+"""Checks what callers ask for and starts it."""
+
+from __future__ import annotations
+
+from returns.result import Failure, Result, Success
+from twisted.internet.defer import Deferred, succeed
+
+from sardinehook.entry.front import Response
+from sardinehook.entry.orders import EntryOrders
+from sardinehook.entry.requests import CallerRequest, resolve_request
+from sardinehook.entry.searches import SearchDesk
+from sardinehook.environment.document import DataCentreState
+from sardinehook.environment.holder import DocumentHolder
+from sardinehook.errors import ErrorKind, Problem
+
+__all__ = ["CallerDesk"]
+
+
+class CallerDesk:
+    """Takes searches and orders while the state and the document allow it.
+
+    ``takes_requests`` is cleared when a stopping process no longer listens.
+    """
+
+    def __init__(
+        self,
+        data_centre: str,
+        holder: DocumentHolder,
+        searches: SearchDesk,
+        orders: EntryOrders,
+    ) -> None:
+        self.data_centre = data_centre
+        self.holder = holder
+        self.searches = searches
+        self.orders = orders
+        self.takes_requests = True
+
+    @property
+    def in_flight(self) -> int:
+        """How many callers' requests are in flight."""
+        return self.searches.in_flight + self.orders.in_flight
+
+    def refusal(self) -> Problem | None:
+        """Return why this process takes no new request, if it takes none."""
+        revision = self.holder.in_force
+        if revision is None:
+            return Problem(ErrorKind.NO_DOCUMENT, "no document has been seen yet")
+        own = revision.document.data_centres.get(self.data_centre)
+        if own is None or own.state is DataCentreState.OUT:
+            detail = f"data centre {self.data_centre} is out"
+            return Problem(ErrorKind.DATA_CENTRE_OUT, detail)
+        if not self.takes_requests:
+            return Problem(ErrorKind.STOPPING, "this process is stopping")
+        return None
+
+    def search(
+        self, workload: str, request_id: str, deadline: str | None, body: bytes
+    ) -> Deferred[Response]:
+        """Run a caller's search."""
+        match self.check(workload, request_id, deadline, body):
+            case Failure(refused):
+                return succeed(refused)
+            case Success(request):
+                if not request.workload.idempotent:
+                    detail = f"workload {workload!r} is placed at /orders"
+                    return succeed(Problem(ErrorKind.BAD_REQUEST, detail))
+                return self.searches.run(request)
+        raise AssertionError("a result is a success or a failure")
+
+    def check(
+        self, workload: str, request_id: str, deadline: str | None, body: bytes
+    ) -> Result[CallerRequest, Problem]:
+        """Check a caller's request against the state and document of this process."""
+        problem = self.refusal()
+        if problem is not None:
+            return Failure(problem)
+        assert self.holder.in_force is not None
+        document = self.holder.in_force.document
+        return resolve_request(document, workload, request_id, deadline, body)
+
+    def order(
+        self,
+        workload: str,
+        request_id: str,
+        deadline: str | None,
+        key: str | None,
+        body: bytes,
+    ) -> Deferred[Response]:
+        """Place a caller's order."""
+        match self.check(workload, request_id, deadline, body):
+            case Failure(refused):
+                return succeed(refused)
+            case Success(request):
+                return self.orders.place(request, key)
+        raise AssertionError("a result is a success or a failure")
+
+    def look_up_order(self, key: str) -> Deferred[Response]:
+        """Tell what became of an order."""
+        return self.orders.look_up(key)
--- a/sardinehook/entry/front.py
+++ b/sardinehook/entry/front.py
@@ -18,9 +18,10 @@
 
 __all__ = [
     "BodyResponse",
+    "CallerPort",
     "EntryStatus",
-    "FrontPort",
     "Response",
+    "StatePort",
     "build_site",
 ]
 
@@ -54,8 +55,8 @@
 Response = BodyResponse | Problem
 
 
-class FrontPort(Protocol):
-    """What the front asks of the entry process."""
+class CallerPort(Protocol):
+    """What callers ask for."""
 
     def search(
         self, workload: str, request_id: str, deadline: str | None, body: bytes
@@ -75,6 +76,10 @@
     def look_up_order(self, key: str) -> Deferred[Response]:
         """Tell what became of an order."""
 
+
+class StatePort(Protocol):
+    """What operators and the balancer ask for."""
+
     def status(self) -> EntryStatus:
         """Describe this process."""
 
@@ -97,7 +102,7 @@
 
     isLeaf = True
 
-    def __init__(self, port: FrontPort) -> None:
+    def __init__(self, port: StatePort) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
@@ -115,7 +120,7 @@
 
     isLeaf = True
 
-    def __init__(self, port: FrontPort) -> None:
+    def __init__(self, port: StatePort) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
@@ -130,7 +135,7 @@
 
     isLeaf = True
 
-    def __init__(self, port: FrontPort) -> None:
+    def __init__(self, port: StatePort) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
@@ -228,7 +233,7 @@
     return body
 
 
-def build_site(port: FrontPort) -> Site:
+def build_site(port: CallerPort, state: StatePort) -> Site:
     """Build the site that serves callers, operators and the balancer."""
 
     def search(name: str, request: Request, request_id: str) -> Deferred[Response]:
@@ -248,9 +253,9 @@
         root.putChild(path, cast("IResource", child))
 
     put(b"live", LiveResource())  # type: ignore[no-untyped-call]
-    put(b"ready", ReadyResource(port))
-    put(b"status", StatusResource(port))
-    put(b"metrics", MetricsResource(port))
+    put(b"ready", ReadyResource(state))
+    put(b"status", StatusResource(state))
+    put(b"metrics", MetricsResource(state))
     put(b"search", CallsResource(search))
     put(b"orders", CallsResource(order))
     site = Site(root, timeout=IDLE_TIMEOUT_S)
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -11,20 +11,18 @@
 from zlib import crc32
 
 import structlog
-from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred, TimeoutError, succeed
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.task import LoopingCall, deferLater
 
 from sardinehook.entry.allowances import AllowanceApplier, LeaseGuard
+from sardinehook.entry.caller_desk import CallerDesk
 from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
-from sardinehook.entry.front import EntryStatus, Response, build_site
+from sardinehook.entry.front import EntryStatus, build_site
 from sardinehook.entry.orders import EntryOrders
-from sardinehook.entry.requests import CallerRequest, resolve_request
 from sardinehook.entry.searches import SearchDesk
 from sardinehook.entry.settings import EntrySettings
 from sardinehook.entry.view_exchange import ViewExchange
 from sardinehook.entry.vm_watch import VmNotice, VmWatch
-from sardinehook.environment.document import DataCentreState
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision
 from sardinehook.environment.spread import (
@@ -34,7 +32,6 @@
     RevisionRequest,
 )
 from sardinehook.environment.watcher import DocumentControl
-from sardinehook.errors import ErrorKind, Problem
 from sardinehook.fleet.link import Links, split_address
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.service import Fleet, Identity
@@ -123,6 +120,9 @@
             self.sub_query_ids,
             self.metrics,
         )
+        self.desk = CallerDesk(
+            settings.data_centre, self.holder, self.searches, self.orders
+        )
         self.views = ViewExchange(
             reactor,
             self.owner.views,
@@ -231,7 +231,7 @@
         self.fleet.start()
         host, port = split_address(self.settings.http_address)
         self.front = self.reactor.listenTCP(
-            port, build_site(self), backlog=512, interface=host
+            port, build_site(self.desk, self), backlog=512, interface=host
         )
         self.views.start()
         self.control.start([peer.node for peer in self.settings.peers])
@@ -270,69 +270,6 @@
             cause=revision.change_id,
         )
 
-    @property
-    def in_flight(self) -> int:
-        """How many callers' requests are in flight."""
-        return self.searches.in_flight + self.orders.in_flight
-
-    def refusal(self) -> Problem | None:
-        """Return why this process takes no new request, if it takes none."""
-        revision = self.holder.in_force
-        if revision is None:
-            return Problem(ErrorKind.NO_DOCUMENT, "no document has been seen yet")
-        own = revision.document.data_centres.get(self.settings.data_centre)
-        if own is None or own.state is DataCentreState.OUT:
-            detail = f"data centre {self.settings.data_centre} is out"
-            return Problem(ErrorKind.DATA_CENTRE_OUT, detail)
-        if self.stopping and self.front is None:
-            return Problem(ErrorKind.STOPPING, "this process is stopping")
-        return None
-
-    def search(
-        self, workload: str, request_id: str, deadline: str | None, body: bytes
-    ) -> Deferred[Response]:
-        """Run a caller's search."""
-        match self.check(workload, request_id, deadline, body):
-            case Failure(refused):
-                return succeed(refused)
-            case Success(request):
-                if not request.workload.idempotent:
-                    detail = f"workload {workload!r} is placed at /orders"
-                    return succeed(Problem(ErrorKind.BAD_REQUEST, detail))
-                return self.searches.run(request)
-        raise AssertionError("a result is a success or a failure")
-
-    def check(
-        self, workload: str, request_id: str, deadline: str | None, body: bytes
-    ) -> Result[CallerRequest, Problem]:
-        """Check a caller's request against the state and document of this process."""
-        problem = self.refusal()
-        if problem is not None:
-            return Failure(problem)
-        assert self.holder.in_force is not None
-        document = self.holder.in_force.document
-        return resolve_request(document, workload, request_id, deadline, body)
-
-    def order(
-        self,
-        workload: str,
-        request_id: str,
-        deadline: str | None,
-        key: str | None,
-        body: bytes,
-    ) -> Deferred[Response]:
-        """Place a caller's order."""
-        match self.check(workload, request_id, deadline, body):
-            case Failure(refused):
-                return succeed(refused)
-            case Success(request):
-                return self.orders.place(request, key)
-        raise AssertionError("a result is a success or a failure")
-
-    def look_up_order(self, key: str) -> Deferred[Response]:
-        """Tell what became of an order."""
-        return self.orders.look_up(key)
-
     def unready_reason(self) -> str:
         """Return why the balancer should send nothing though requests are served."""
         if self.stopping:
@@ -358,7 +295,7 @@
 
     def status(self) -> EntryStatus:
         """Describe this process."""
-        problem = self.refusal()
+        problem = self.desk.refusal()
         revision = self.holder.in_force
         reason = problem.detail if problem else self.unready_reason()
         return EntryStatus(
@@ -374,7 +311,7 @@
                 for data_centre in self.data_centres()
                 for member in self.fleet.members(data_centre)
             ],
-            requests_in_flight=self.in_flight,
+            requests_in_flight=self.desk.in_flight,
         )
 
     def metrics_text(self) -> bytes:
@@ -391,9 +328,9 @@
         grace_s = limits.stop_grace_ms / MS_PER_S if limits else DEFAULT_GRACE_S
         give_up_at = self.reactor.seconds() + notice_s + grace_s
         await deferLater(self.reactor, notice_s)
-        front, self.front = self.front, None
-        await front.stopListening()
-        while self.in_flight and self.reactor.seconds() < give_up_at:
+        self.desk.takes_requests = False
+        await self.front.stopListening()
+        while self.desk.in_flight and self.reactor.seconds() < give_up_at:
             await deferLater(self.reactor, STOP_POLL_S)
         drained = Deferred.fromCoroutine(self.orders.desk.drain())
         drained.addTimeout(max(0.0, give_up_at - self.reactor.seconds()), self.reactor)
