Give a gateway its slack of repeats a window after its start

Each gateway has a share of the slack in each window; one that is killed forgets what it spent, so that six restarted ones spent the slack twice within ten seconds. A gateway that joins takes a share that the others may still have spent, too.

Ruled out: the ratio's part (each process counts its own requests, and the sum of both lives keeps to it); a reserve for restarts (any number of restarts may fall in a window); the record in the store (a write a repeat).

Change: a share of the slack is there one window after the process, or a new length of the window, began. Until then repeats are bound by the ratio alone.

Tests failed first: six gateways killed at once and again; the moment from which the slack is there.

Left: where traffic falls steeply within a window, the ratio's part may rest on requests that came before it.

--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -60,21 +60,27 @@
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
         self.budgets: dict[str, RepeatBudget] = {}
+        self.counts_from = float("-inf")
         self.note_denied: Callable[[], object] = int
 
     def configure(self, bounds: Bounds) -> None:
         """Take the promises of the deployment."""
         if bounds.repeat_window_s != self.bounds.repeat_window_s:
-            self.budgets.clear()
+            self.start_counting()
         self.bounds = bounds
         self.chooser.bounds = bounds
         self.directory.drain_s = bounds.drain_s
 
+    def start_counting(self) -> None:
+        """Begin to count repeats; what was spent before is not known."""
+        self.budgets.clear()
+        self.counts_from = self.reactor.seconds()
+
     def budget_of(self, service: str) -> RepeatBudget:
         """Return the repeat budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RepeatBudget(self.bounds.repeat_window_s)
+            budget = RepeatBudget(self.bounds.repeat_window_s, self.counts_from)
             self.budgets[service] = budget
         return budget
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -184,6 +184,7 @@
         settings = self.settings
         if settings.signs_address:
             self.giving_signs.start(SIGNS_INTERVAL_S, now=False)
+        self.policy.start_counting()
         self.follower.start()
         self.fleet.start()
         self.sweeping.start(SWEEP_INTERVAL_S, now=False)
--- a/sardinehook/gateway/repeat_budget.py
+++ b/sardinehook/gateway/repeat_budget.py
@@ -51,13 +51,18 @@
     Each gateway may repeat the promised ratio of the requests that it took itself
     and, of the fixed slack, its share. So no message is needed between gateways, and
     one that is cut off keeps within its part.
+
+    What was spent before ``counts_from`` is not known: a process before this one may
+    have spent its share, and so may gateways that did not know of this one. The share
+    of the slack is there a window later.
     """
 
-    __slots__ = ("repeats", "requests")
+    __slots__ = ("repeats", "requests", "slack_from")
 
-    def __init__(self, window_s: float) -> None:
+    def __init__(self, window_s: float, counts_from: float = float("-inf")) -> None:
         self.requests = SlidingCount(window_s)
         self.repeats = SlidingCount(window_s)
+        self.slack_from = counts_from + window_s
 
     def note_request(self, now: float) -> None:
         """Count a caller's request to the service."""
@@ -65,9 +70,9 @@
 
     def left(self, bounds: Bounds, sharers: float, now: float) -> float:
         """Return how many repeats may still be sent at ``now``."""
-        allowance = bounds.repeat_ratio * self.requests.total(
-            now
-        ) + bounds.repeat_slack / max(1.0, sharers)
+        allowance = bounds.repeat_ratio * self.requests.total(now)
+        if now >= self.slack_from:
+            allowance += bounds.repeat_slack / max(1.0, sharers)
         return SAFETY_RATIO * allowance - self.repeats.total(now)
 
     def spend(self, bounds: Bounds, sharers: float, now: float) -> bool:
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -11,8 +11,8 @@
 from sardinehook.messages import Outcome, TargetState
 from sardinehook.target.connection import (
     ExchangeEnd,
-    Malformed,
     Lost,
+    Malformed,
     Replied,
     TargetConnection,
 )
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -13,9 +13,9 @@
 from sardinehook.target.counts import OwnerCounts, count_holdings
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
-from sardinehook.transport.reactor import Timer, TcpReactor
 from sardinehook.target.runner import ReplicaRunner, RunnerContext
 from sardinehook.target.work import Work, WorkKey
+from sardinehook.transport.reactor import TcpReactor, Timer
 
 __all__ = ["OwnerLimits", "TargetOwner"]
 
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -15,9 +15,9 @@
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
-from sardinehook.transport.reactor import TcpReactor
 from sardinehook.target.replica import ReplicaQueue
 from sardinehook.target.work import Work
+from sardinehook.transport.reactor import TcpReactor
 
 __all__ = ["ReplicaRunner", "RunnerContext"]
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -51,6 +51,29 @@
                 spent += 1
         assert spent <= BOUNDS.repeat_slack
 
+    def test_gateways_that_restart_keep_the_slack(self) -> None:
+        """Answers the pattern: all gateways are killed while replicas are slow."""
+        repeats: list[float] = []
+        requests: list[float] = []
+        for started in (0.0, 12.0, 16.0):
+            for _ in range(6):
+                budget = RepeatBudget(BOUNDS.repeat_window_s, started)
+                for step in range(40):
+                    now = started + 0.1 * step + (10.0 if started == 0.0 else 0.0)
+                    budget.note_request(now)
+                    requests.append(now)
+                    while budget.spend(BOUNDS, 6, now):
+                        repeats.append(now)
+        for start in repeats:
+            window = [at for at in repeats if start <= at < start + 10.0]
+            asked = [at for at in requests if start <= at < start + 10.0]
+            assert len(window) <= 0.2 * len(asked) + BOUNDS.repeat_slack
+
+    def test_the_slack_is_there_a_window_after_the_start(self) -> None:
+        budget = RepeatBudget(BOUNDS.repeat_window_s, 5.0)
+        assert not budget.spend(BOUNDS, 6, 14.9)
+        assert budget.spend(BOUNDS, 6, 15.0)
+
 
 class TestColdReplicas:
     """Answers the pattern: the replicas of a zone come back together, cold."""
--- a/tests/target/test_connection.py
+++ b/tests/target/test_connection.py
@@ -8,8 +8,8 @@
 
 from sardinehook.target.connection import (
     ExchangeEnd,
-    Malformed,
     Lost,
+    Malformed,
     Replied,
     TargetConnection,
 )
