Log all changes of replicas that come at once in a few lines

Change: a turn's changes are logged by state, more than 8 of one state in lines of 24 names.

Test: 4,300 replicas that lapse and return; it failed before (8,600 lines).

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -24,7 +24,7 @@
 CONNECTION_SHARE = 0.9  # of a replica's bound, since closed connections linger there
 UNSTATED_CONNECTIONS = 16  # bound of a replica whose service states none
 LOST_GRACE_RATIO = 0.7  # of the drain time, for entries that left discovery
-MOST_SINGLE_LINES = 8  # newcomers at once; more share lines, without their details
+MOST_SINGLE_LINES = 8  # changes at once; more share lines, without their details
 ORPHAN_GRACE_S = 2.4  # entries that lapsed in an outage are back within two seconds
 
 
@@ -42,7 +42,7 @@
         self.shares = Shares(1.0, 1.0, frozenset())
         self.shard_services: frozenset[str] = frozenset()
         self.reachability = Reachability()
-        self.newcomers: list[Replica] = []
+        self.changes: dict[str, list[Replica]] = {}
 
     def replicas_of(self, service: str) -> list[Replica]:
         """Return the replicas of a service that may be asked now."""
@@ -96,11 +96,11 @@
             known = self.add(entry)
             if entry.cold_left_s:
                 known.cold_until = now + entry.cold_left_s
-            self.newcomers.append(known)
+            self.note_state(known, "registered")
         elif known.entry.draining != entry.draining:
-            self.log_state(known, "draining" if entry.draining else "ready")
+            self.note_state(known, "draining" if entry.draining else "ready")
         elif known.lost_at is not None:
-            self.log_state(known, "registered again")
+            self.note_state(known, "registered again")
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
             known.cold_until = now + entry.cold_left_s
         known.entry = entry
@@ -130,7 +130,7 @@
             self.forget(replica)
         elif replica.lost_at is None:
             replica.lost_at = now
-            self.log_state(replica, "left discovery")
+            self.note_state(replica, "left discovery")
 
     def retain(self, replica_ids: Iterable[str], now: float) -> None:
         """Note that all replicas but these left discovery."""
@@ -141,7 +141,7 @@
         """Forget a replica whose address has been given to another one."""
         for replica in list(self.replicas.values()):
             if replica.entry.address == address:
-                self.log_state(replica, "address reused")
+                self.note_state(replica, "address reused")
                 self.forget(replica)
 
     def forget(self, replica: Replica) -> None:
@@ -155,15 +155,17 @@
 
     def note_misdirected(self, replica: Replica) -> None:
         """Forget a replica whose address answers for another one."""
-        self.log_state(replica, "address answers for another replica")
+        self.note_state(replica, "address answers for another replica")
+        self.log_changes()
         self.forget(replica)
 
     def sweep(self, now: float) -> None:
         """Forget replicas that left discovery some time ago."""
         for replica in list(self.replicas.values()):
             if replica.lost_at is not None and now > replica.lost_at + self.drain_s:
-                self.log_state(replica, "gone")
+                self.note_state(replica, "gone")
                 self.forget(replica)
+        self.log_changes()
 
     def configure(self, configuration: Configuration) -> None:
         """Take new bounds of connections."""
@@ -234,31 +236,32 @@
             )
         self.evacuated = data_centres
 
-    def log_newcomers(self) -> None:
-        """Log the replicas that became known since the last call.
+    def note_state(self, replica: Replica, state: str) -> None:
+        """Keep for the log what this gateway believes of a replica."""
+        self.changes.setdefault(state, []).append(replica)
 
-        A listing names them all; with a line for each, a large one would use up the
-        lines that are left for requests.
+    def log_changes(self) -> None:
+        """Log what changed since the last call.
+
+        Listings, outages of the store and new shards change much at once; with a line
+        for each replica, none would be left for requests.
         """
-        newcomers, self.newcomers = self.newcomers, []
-        if len(newcomers) <= MOST_SINGLE_LINES:
-            for replica in newcomers:
-                self.log_state(replica, "registered")
-            return
-        names = [replica.replica_id for replica in newcomers]
-        log_names(logger, EventName.TARGET_STATE, "registered", names)
-
-    def log_state(self, replica: Replica, state: str) -> None:
-        """Log what this gateway believes of a replica."""
-        log_event(
-            logger,
-            EventName.TARGET_STATE,
-            target=replica.replica_id,
-            service=replica.entry.service,
-            address=replica.entry.address,
-            state=state,
-            incarnation=str(replica.entry.born_ms),
-        )
+        changes, self.changes = self.changes, {}
+        for state, replicas in changes.items():
+            if len(replicas) > MOST_SINGLE_LINES:
+                names = [replica.replica_id for replica in replicas]
+                log_names(logger, EventName.TARGET_STATE, state, names)
+                continue
+            for replica in replicas:
+                log_event(
+                    logger,
+                    EventName.TARGET_STATE,
+                    target=replica.replica_id,
+                    service=replica.entry.service,
+                    address=replica.entry.address,
+                    state=state,
+                    incarnation=str(replica.entry.born_ms),
+                )
 
 
 def is_other_start(known: ReplicaEntry, told: ReplicaEntry) -> bool:
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -291,7 +291,7 @@
             self.knowledge.apply(changes)
         for item in changes.items:
             self.take_item(item)
-        self.directory.log_newcomers()
+        self.directory.log_changes()
         self.fleet.log_newcomers()
         if changes.items:
             self.relay.release()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -345,6 +345,21 @@
             len(line.get("detail", "")) <= MAX_VALUE_CHARACTERS for line in lines
         )
 
+    def test_replicas_that_all_lapse_and_return_share_lines(self) -> None:
+        rig = FollowerRig()
+        replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
+        rig.store.tell(5, *replicas)
+        with capture_logs() as lines:
+            rig.settle()
+            rig.store.tell(6, *[Item(item.key, None, 6) for item in replicas])
+            rig.settle()
+            rig.store.tell(7, *[item._replace(revision=7) for item in replicas])
+        assert {line.get("state") for line in lines} == {
+            "left discovery",
+            "registered again",
+        }
+        assert len(lines) < BURST_LINES
+
     def test_a_few_newcomers_get_a_line_each(self) -> None:
         rig = FollowerRig()
         with capture_logs() as lines:
