--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -37,6 +37,7 @@
         self.drain_s = drain_s
         self.replicas: dict[str, Replica] = {}
         self.by_service: dict[str, list[Replica]] = {}
+        self.by_address: dict[str, Replica] = {}
         self.evacuated: set[str] = set()
         self.configuration: Configuration | None = None
         self.shares = Shares(1.0, 1.0, frozenset())
@@ -119,6 +120,7 @@
         replica = Replica(entry, pool)
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
+        self.by_address[entry.address] = replica
         return replica
 
     def remove(self, replica_id: str, now: float) -> None:
@@ -139,10 +141,10 @@
 
     def drop_address(self, address: str) -> None:
         """Forget a replica whose address has been given to another one."""
-        for replica in list(self.replicas.values()):
-            if replica.entry.address == address:
-                self.note_state(replica, "address reused")
-                self.forget(replica)
+        replica = self.by_address.get(address)
+        if replica is not None:
+            self.note_state(replica, "address reused")
+            self.forget(replica)
 
     def forget(self, replica: Replica) -> None:
         """Remove a replica; what is in flight there goes on to its end."""
@@ -151,6 +153,8 @@
         siblings = self.by_service.get(replica.entry.service, [])
         if replica in siblings:
             siblings.remove(replica)
+        if self.by_address.get(replica.entry.address) is replica:
+            del self.by_address[replica.entry.address]
         replica.pool.close()
 
     def note_misdirected(self, replica: Replica) -> None:
