Let gateways follow their delegates when those are cut off

Change: signs of life say whether their sender is cut off, twice in a row so that a pause says nothing. A gateway all of whose delegates are cut off is not ready. Searches for others count as demand, routes without any replica don't. One that is cut off stays not-ready when its callers have gone elsewhere, instead of asking for them again every five seconds.

Tests failed first: test_stays_so_when_its_callers_have_gone_elsewhere; those of TestDelegateCutOff and of the signs ask for what did not exist.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -39,6 +39,7 @@
         self.pool = pool
         self.heard_at = heard_at
         self.avoided_until = 0.0
+        self.cut_off = False
         self.searches: dict[SearchAway, None] = {}
 
     def is_usable(self, now: float) -> bool:
@@ -78,16 +79,28 @@
                 heard_at = self.reactor.seconds() - 2 * SILENT_AFTER_S
                 self.known[name] = Delegate(name, pool, heard_at)
 
-    def note_heard(self, node: str) -> None:
-        """Note that a datagram of a gateway came."""
+    def note_heard(self, node: str, cut_off: bool) -> None:
+        """Note a sign of a gateway, which says whether that is cut off."""
         delegate = self.known.get(node)
         if delegate is not None:
             delegate.heard_at = self.reactor.seconds()
+            delegate.cut_off = cut_off
+
+    def usable(self) -> list[Delegate]:
+        """List the delegates to which searches may be handed now."""
+        now = self.reactor.seconds()
+        return [one for one in self.known.values() if one.is_usable(now)]
+
+    def cut_off(self) -> list[str]:
+        """Name the usable delegates if each of them is cut off, else none."""
+        usable = self.usable()
+        if not all(delegate.cut_off for delegate in usable):
+            return []
+        return sorted(delegate.name for delegate in usable)
 
     def choose(self) -> Delegate | None:
         """Return the delegate with the fewest searches, ``None`` to search here."""
-        now = self.reactor.seconds()
-        usable = [one for one in self.known.values() if one.is_usable(now)]
+        usable = self.usable()
         if not usable:
             return None
         self.turn += 1
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -88,6 +88,7 @@
         self.configuration: Configuration | None = None
         self.rotations: dict[str, WeightedRotation] = {}
         self.traffic: dict[str, SlidingCount] = {}
+        self.cut_off_before = ""
         self.in_flight = 0
         self.recent_versions: dict[int, Configuration] = {}
         self.delegates: Delegates | None = None
@@ -120,20 +121,31 @@
         the balancer sends them to other data centres. It says so on the first doubt:
         the balancer looks away only after two probes. Routes that can't be served
         anywhere don't count.
+
+        Where others search for this gateway, it says what they say: the balancer looks
+        away from a data centre only when all gateways of it agree.
         """
+        delegates = self.delegates.cut_off() if self.delegates else []
+        if delegates:
+            return f"cut off as {', '.join(delegates)}"
         now = self.reactor.seconds()
         silent = self.policy.directory.reachability.suspects(now)
         if not silent or self.configuration is None:
+            self.cut_off_before = ""
             return ""
         wanted = lost = 0
         for routes in self.configuration.routes.values():
-            for route in routes:
+            for route in filter(self.has_replicas, routes):
                 requests = self.recent(route).total(now)
                 wanted += requests
                 lost += requests * self.is_out_of_reach(route, now)
-        if lost <= CUT_OFF_SHARE * wanted:
-            return ""
-        return f"cut off from {','.join(silent)}: {lost} of {wanted} requests"
+        if lost > CUT_OFF_SHARE * wanted:
+            places = ",".join(silent)
+            self.cut_off_before = f"cut off from {places}: {lost} of {wanted} requests"
+        elif wanted:
+            self.cut_off_before = ""
+        # Once callers have gone elsewhere, there is no demand to judge by.
+        return self.cut_off_before
 
     def recent(self, route: Route) -> SlidingCount:
         """Return the count of a route's recent requests."""
@@ -142,6 +154,15 @@
             count = self.traffic[route.name] = SlidingCount(TRAFFIC_WINDOW_S)
         return count
 
+    def has_replicas(self, route: Route) -> bool:
+        """Tell whether any replica of a route is registered."""
+        known = self.policy.directory.by_service
+        match route.destination:
+            case ShardSet(shards, _, _):
+                return any(known.get(shard) for shard in shards)
+            case OneReplica(services):
+                return any(known.get(part.service) for part in services)
+
     def is_out_of_reach(self, route: Route, now: float) -> bool:
         """Tell whether silent data centres keep this gateway from serving a route."""
         directory = self.policy.directory
@@ -275,6 +296,7 @@
             finish(not_taken("stopping" if self.stopping else "enough to do"))
             return None
         self.handed_over += size
+        self.recent(route).add(1, request.received_at)
         leavable = LeavableWork(self, handed.node, size)
 
         def done(answer: CallerAnswer) -> None:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -141,7 +141,11 @@
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
-        self.signs = SignsOfLife(self.fleet, self.delegates.note_heard)
+        self.signs = SignsOfLife(
+            self.fleet,
+            lambda: bool(self.desk.cut_off_reason()),
+            self.delegates.note_heard,
+        )
         self.giving_signs = LoopingCall(self.signs.send)
         self.giving_signs.clock = reactor
         self.sweeping = LoopingCall(self.sweep)
--- a/sardinehook/gateway/signs_of_life.py
+++ b/sardinehook/gateway/signs_of_life.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 import structlog
 from twisted.internet.protocol import DatagramProtocol
 
@@ -15,22 +16,40 @@
 
 logger = structlog.get_logger(__name__)
 
-MOST_NAME_BYTES = 200  # of a gateway, as of any key in the store
 MALFORMED_LOGGED = 3  # datagrams from something broken, in a log line each
 
 
+class Sign(msgspec.Struct, array_like=True, frozen=True):
+    """What a datagram says: its sender, and whether that can't reach most replicas."""
+
+    node: str
+    cut_off: bool
+
+
+encode_sign = msgspec.msgpack.Encoder().encode
+decode_sign = msgspec.msgpack.Decoder(Sign).decode
+
+
 class SignsOfLife(DatagramProtocol):
-    """Sends this gateway's name to the others of its data centre, and takes theirs.
+    """Sends signs to the other gateways of the data centre, and takes theirs.
 
     A connection to a process that was paused or cut off looks well for seconds; a
-    datagram that does not come says so within a second. ``on_heard`` is told the name
-    of each registered gateway from which one came.
+    datagram that does not come says so within a second. ``is_cut_off`` tells whether
+    this gateway can't reach most of what it searches. ``on_heard`` is told the name of
+    each registered gateway from which a sign came, and whether that one is cut off.
     """
 
-    def __init__(self, fleet: GatewayFleet, on_heard: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        fleet: GatewayFleet,
+        is_cut_off: Callable[[], bool],
+        on_heard: Callable[[str, bool], None],
+    ) -> None:
         self.fleet = fleet
+        self.is_cut_off = is_cut_off
         self.on_heard = on_heard
         self.gives_signs = False
+        self.was_cut_off = False
         self.malformed = 0
 
     def send(self) -> None:
@@ -40,25 +59,35 @@
         if port is None or not self.gives_signs:
             return
         own = self.fleet.record
-        name = self.fleet.node.encode()
+        # After a pause everything seems silent until what has come in is read.
+        before, self.was_cut_off = self.was_cut_off, self.is_cut_off()
+        sign = encode_sign(Sign(self.fleet.node, before and self.was_cut_off))
         for record in self.fleet.present().values():
             narrower = record.link_mbps < own.link_mbps
             if record.data_centre == own.data_centre and narrower and record.signs_at:
                 host, _, number = record.signs_at.rpartition(":")
-                port.write(name, (host, int(number)))
+                port.write(sign, (host, int(number)))
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Take a sign of another gateway."""
-        name = datagram[:MOST_NAME_BYTES].decode("utf-8", "replace")
-        if name in self.fleet.records:
-            self.on_heard(name)
+        try:
+            sign = decode_sign(datagram)
+        except msgspec.MsgspecError as error:
+            self.note_malformed(addr[0], str(error))
             return
+        if sign.node in self.fleet.records:
+            self.on_heard(sign.node, sign.cut_off)
+        else:
+            self.note_malformed(addr[0], f"{sign.node!r} is not registered")
+
+    def note_malformed(self, address: str, detail: str) -> None:
+        """Log the first datagrams that are no signs of a registered gateway."""
         self.malformed += 1
         if self.malformed <= MALFORMED_LOGGED:
             log_event(
                 logger,
                 EventName.MEMBER_STATE,
-                peer=addr[0],
+                peer=address,
                 state="datagram of no registered gateway",
-                detail=repr(name),
+                detail=detail,
             )
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -237,7 +237,7 @@
         narrow.hears()
         narrow.gateway.reactor.advance(SILENT_AFTER_S + 0.01)
         assert narrow.delegates.choose() is None
-        narrow.delegates.note_heard("wide")
+        narrow.delegates.note_heard("wide", False)
         assert narrow.delegates.choose() is not None
 
     def test_a_failure_turns_searches_away_for_a_while(self) -> None:
@@ -246,10 +246,39 @@
         narrow.delegates.avoid(delegate, "reset")
         assert narrow.delegates.choose() is None
         narrow.gateway.reactor.advance(FAILED_S)
-        narrow.delegates.note_heard("wide")
+        narrow.delegates.note_heard("wide", False)
         assert narrow.delegates.choose() is delegate
 
 
+class TestDelegateCutOff:
+    """Answers the pattern: a data centre of a large fleet is partitioned."""
+
+    def test_gateways_whose_delegates_are_cut_off_turn_not_ready(self) -> None:
+        narrow = Side("narrow", NARROW)
+        narrow.hears()
+        assert narrow.desk.cut_off_reason() == ""
+        narrow.delegates.note_heard("wide", True)
+        assert "wide" in narrow.desk.cut_off_reason()
+        narrow.delegates.note_heard("wide", False)
+        assert narrow.desk.cut_off_reason() == ""
+
+    def test_one_delegate_that_reaches_replicas_is_enough(self) -> None:
+        narrow = Side("narrow", NARROW)
+        narrow.hears("wide")
+        narrow.hears("wide-2")
+        narrow.take()
+        narrow.delegates.note_heard("wide", True)
+        assert narrow.desk.cut_off_reason() == ""
+
+    def test_searches_for_others_count_as_demand(self) -> None:
+        narrow, wide = Side("narrow", NARROW), Side("wide", WIDE)
+        narrow.hears()
+        narrow.take()
+        pass_on(narrow, wide)
+        now = wide.gateway.reactor.seconds()
+        assert wide.desk.recent(wide.route).total(now) == 1
+
+
 class TestWhatIsTaken:
     def test_a_version_that_is_not_known_is_not_taken(self) -> None:
         wide = Side("wide", WIDE)
@@ -307,7 +336,7 @@
         delegates.update()
         assert list(delegates.known) == ["w"]
         assert delegates.choose() is None
-        delegates.note_heard("w")
+        delegates.note_heard("w", False)
         assert delegates.choose() is delegates.known["w"]
         fleet.note("w", None)
         delegates.update()
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -111,6 +111,19 @@
         cut(gateway, THERE)
         assert "cut off from there" in desk.cut_off_reason()
 
+    def test_stays_so_when_its_callers_have_gone_elsewhere(self) -> None:
+        gateway = make_gateway()
+        for shard in shard_names(4):
+            gateway.add(f"{shard}-b", shard, THERE)
+        desk = make_desk(gateway)
+        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        cut(gateway, THERE)
+        assert desk.cut_off_reason()
+        gateway.reactor.advance(10.0)
+        assert "cut off from there" in desk.cut_off_reason()
+        gateway.directory.reachability.note_heard(THERE, gateway.reactor.seconds())
+        assert desk.cut_off_reason() == ""
+
     def test_says_so_before_it_refuses(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
@@ -144,6 +157,17 @@
         cut(gateway, THERE)
         assert "cut off from there" in desk.cut_off_reason()
 
+    def test_requests_for_a_route_without_any_replica_do_not_count(self) -> None:
+        gateway = make_gateway()
+        for shard in shard_names(4):
+            gateway.add(f"{shard}-b", shard, THERE)
+        desk = make_desk(gateway)
+        now = gateway.reactor.seconds()
+        desk.recent(search_route(4)).add(5, now)
+        desk.recent(single_route(True)._replace(name="idle")).add(20, now)
+        cut(gateway, THERE)
+        assert "cut off from there: 5 of 5" in desk.cut_off_reason()
+
     def test_a_route_without_any_replica_does_not_count(self) -> None:
         gateway = with_replicas(4)
         gateway.add("desk-b", "desk", THERE)
--- a/tests/gateway/test_signs_of_life.py
+++ b/tests/gateway/test_signs_of_life.py
@@ -8,7 +8,12 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
-from sardinehook.gateway.signs_of_life import SignsOfLife
+from sardinehook.gateway.signs_of_life import (
+    Sign,
+    SignsOfLife,
+    decode_sign,
+    encode_sign,
+)
 from tests.gateway.test_follower import ScriptedStore
 
 
@@ -31,8 +36,11 @@
         self.fleet = GatewayFleet(
             MemoryReactorClock(), ScriptedStore(), "wide", own, lambda _names: None
         )
-        self.heard: list[str] = []
-        self.signs = SignsOfLife(self.fleet, self.heard.append)
+        self.heard: list[tuple[str, bool]] = []
+        self.cut_off = False
+        self.signs = SignsOfLife(
+            self.fleet, lambda: self.cut_off, lambda *sign: self.heard.append(sign)
+        )
         self.port = Port()
         self.signs.transport = self.port  # type: ignore[assignment]
         self.knows("narrow", GatewayRecord("10.0.0.2:1", "here", "10.0.0.2:9", 20.0))
@@ -49,7 +57,20 @@
         rig = SignsRig()
         rig.signs.gives_signs = True
         rig.signs.send()
-        assert rig.port.sent == [(b"wide", ("10.0.0.2", 9))]
+        (datagram, address), *others = rig.port.sent
+        assert others == []
+        assert decode_sign(datagram) == Sign("wide", False)
+        assert address == ("10.0.0.2", 9)
+
+    def test_one_that_is_cut_off_says_so_when_it_lasts(self) -> None:
+        """Answers the pattern: a VM is paused, and all seems silent for a moment."""
+        rig = SignsRig()
+        rig.signs.gives_signs = True
+        for cut_off in (True, False, True, True):
+            rig.cut_off = cut_off
+            rig.signs.send()
+        told = [decode_sign(datagram).cut_off for datagram, _ in rig.port.sent]
+        assert told == [False, False, False, True]
 
     def test_one_that_searches_for_nobody_sends_none(self) -> None:
         rig = SignsRig()
@@ -60,8 +81,13 @@
 class TestTaking:
     def test_a_registered_gateway_is_heard(self) -> None:
         rig = SignsRig()
-        rig.signs.datagramReceived(b"equal", ("10.0.0.3", 9))
-        assert rig.heard == ["equal"]
+        rig.signs.datagramReceived(encode_sign(Sign("equal", True)), ("10.0.0.3", 9))
+        assert rig.heard == [("equal", True)]
+
+    def test_one_that_is_not_registered_is_not(self) -> None:
+        rig = SignsRig()
+        rig.signs.datagramReceived(encode_sign(Sign("other", True)), ("10.0.0.3", 9))
+        assert rig.heard == []
 
     @given(st.binary(max_size=300))
     def test_other_bytes_are_dropped(self, datagram: bytes) -> None:
