Ask another replica where a connection does not come about

A request that waits for a connection was hedged like one that had been sent: it cost budget and an attempt, and with two dark replicas the third was never asked. A request that is not idempotent waited for the timeout of the connection, 1 s.

Ruled out: a shorter timeout of connections (a lost SYN is sent again after 1 s; far data centres).

Change: where no request could be sent by the time of a hedge, and at least 60 ms have passed, and no hedge may be sent, the oldest is withdrawn and another replica asked. Nothing was sent, so it costs no attempt and no budget and is safe for any request.

Tests failed first: test_a_request_moves_on_while_connections_hang, test_goes_elsewhere_while_a_connection_hangs.

--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -18,7 +18,12 @@
 )
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
 from sardinehook.gateway.part import Part
-from sardinehook.gateway.policy import RequestPolicy, answer_by, give_up_at
+from sardinehook.gateway.policy import (
+    MOVE_AFTER_S,
+    RequestPolicy,
+    answer_by,
+    give_up_at,
+)
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
@@ -258,9 +263,31 @@
                 continue
             part.hedge_at = float("inf")
             self.note_overdue(part, now)
-            self.hedges += self.send_extra(part, now)
+            if self.send_extra(part, now):
+                self.hedges += 1
+            else:
+                self.move(part, now)
         self.schedule(now)
 
+    def move(self, part: Part, now: float) -> None:
+        """Ask another replica in place of one to which no connection comes about.
+
+        Nothing was sent, so it costs neither an attempt nor budget.
+        """
+        if any(exchange.sent_at for exchange in part.open_exchanges):
+            return
+        oldest = part.open_exchanges[0]
+        if now < oldest.started_at + MOVE_AFTER_S:
+            part.hedge_at = oldest.started_at + MOVE_AFTER_S
+            return
+        choice = self.choose(part, now)
+        if choice is None:
+            return
+        part.open_exchanges.remove(oldest)
+        self.policy.dispatcher.abandon(oldest)
+        part.attempts -= 1
+        self.send(part, choice.replica, now)
+
     def note_overdue(self, part: Part, now: float) -> None:
         """Learn from a reply that is overdue, before it comes."""
         for exchange in part.open_exchanges:
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -14,8 +14,9 @@
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
-__all__ = ["RequestPolicy", "answer_by", "give_up_at"]
+__all__ = ["MOVE_AFTER_S", "RequestPolicy", "answer_by", "give_up_at"]
 
+MOVE_AFTER_S = 0.06  # connections to replicas that live are open by then
 ANSWER_MARGIN_S = 0.01  # reading and writing on a busy VM, a late timer, merging
 FIRST_GUESS_RATIO = 0.2  # of the objective: the latency of a route not seen yet
 USUAL_QUANTILE = 0.5
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -15,7 +15,7 @@
     Failed,
     NotRun,
 )
-from sardinehook.gateway.policy import RequestPolicy, give_up_at
+from sardinehook.gateway.policy import MOVE_AFTER_S, RequestPolicy, give_up_at
 from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
 from sardinehook.transport.reactor import Timer
@@ -34,7 +34,8 @@
 
     A request that is not idempotent is sent again only if it surely did not run. An
     idempotent one is also sent again after a failure, and hedged when its reply is
-    overdue. A refusal that promises that nothing ran is given only if that is true.
+    overdue. Either goes to another replica where no connection comes about. A refusal
+    that promises that nothing ran is given only if that is true.
     """
 
     def __init__(
@@ -66,8 +67,8 @@
         self.give_up_at = give_up_at(request, route)
         self.usual_s = policy.usual_s(route)
         hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
-        hedge_s = min(hedge_s, HEDGE_MOST_RATIO * route.objective_s)
-        self.hedge_at = request.received_at + hedge_s if route.idempotent else None
+        self.hedge_delay_s = min(hedge_s, HEDGE_MOST_RATIO * route.objective_s)
+        self.hedge_at: float | None = request.received_at + self.hedge_delay_s
 
     def start(self) -> None:
         """Send the request to the best replica, or refuse it."""
@@ -195,10 +196,35 @@
             return
         if self.hedge_at is not None and now >= self.hedge_at:
             self.hedge_at = None
-            self.hedges += self.send_extra(now)
+            if self.route.idempotent and self.send_extra(now):
+                self.hedges += 1
+            else:
+                self.move(now)
         if not self.settled:
             self.schedule(now)
 
+    def move(self, now: float) -> None:
+        """Ask another replica in place of one to which no connection comes about.
+
+        Nothing was sent, so it is safe for any request, and costs neither an attempt
+        nor budget.
+        """
+        if any(exchange.sent_at for exchange in self.open_exchanges):
+            return
+        ready_at = self.open_exchanges[-1].started_at + MOVE_AFTER_S
+        if now < ready_at:
+            self.hedge_at = ready_at
+            return
+        choice = self.choose(now)
+        if choice is None:
+            return
+        for exchange in self.open_exchanges:
+            self.policy.dispatcher.abandon(exchange)
+            self.attempts -= 1
+        self.open_exchanges.clear()
+        self.send(choice.replica, now)
+        self.hedge_at = now + self.hedge_delay_s
+
     def failed(self, now: float) -> CallerAnswer:
         """Return the answer to a request that no replica answered."""
         detail = "; ".join(self.reasons[-4:])
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -49,15 +49,23 @@
         super().__init__(reactor, PlatformReplicas(), directory)
         self.sent: list[Exchange] = []
         self.refuses: set[str] = set()
+        self.hangs: set[str] = set()
+        self.waiting: list[Exchange] = []
 
     def start(self, exchange: Exchange) -> None:
-        """Note an exchange as sent, unless its replica can't be reached."""
+        """Note an exchange as sent, unless its replica can't be reached.
+
+        One of ``hangs`` neither accepts nor refuses connections.
+        """
         replica = exchange.replica
         replica.in_flight[exchange] = None
         self.exchanges[exchange] = None
         if replica.replica_id in self.refuses:
             self.end(exchange, NotRun("no connection", False))
             return
+        if replica.replica_id in self.hangs:
+            self.waiting.append(exchange)
+            return
         exchange.sent_at = self.reactor.seconds()
         self.sent.append(exchange)
 
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -129,6 +129,27 @@
         gateway.answer_all()
         assert [answer.status for answer in gateway.answers] == [200]
 
+    def test_a_request_moves_on_while_connections_hang(self) -> None:
+        gateway = with_replicas(4, Bounds(repeat_ratio=0.0, repeat_slack=0.0))
+        for shard in shard_names(4):
+            gateway.add(f"{shard}-c", shard)
+        dead = {f"{shard}-{copy}" for shard in shard_names(4) for copy in "ab"}
+        gateway.dispatcher.hangs = dead
+        work = gateway.gather(search_route(4))
+        gateway.reactor.pump([0.01] * 18)
+        assert len(gateway.dispatcher.sent) == 4
+        assert all(exchange.over for exchange in gateway.dispatcher.waiting)
+        assert work.hedges == 0
+        gateway.answer_all()
+        assert [answer.status for answer in gateway.answers] == [200]
+
+    def test_a_connection_that_is_slow_to_open_gets_some_time(self) -> None:
+        gateway = with_replicas(1, Bounds(repeat_ratio=0.0, repeat_slack=0.0))
+        gateway.dispatcher.hangs = {"s00-a", "s00-b"}
+        gateway.gather(search_route(1))
+        gateway.reactor.pump([0.01] * 5)
+        assert len(gateway.dispatcher.waiting) == 1
+
     def test_a_refused_request_costs_budget(self) -> None:
         gateway = with_replicas(1, Bounds(repeat_ratio=0.0, repeat_slack=0.0))
         gateway.gather(search_route(1))
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from sardinehook.gateway.dispatch import Answered, Failed, NotRun
 from sardinehook.gateway.settings import Bounds
 from tests.gateway.support import (
@@ -44,6 +46,23 @@
         gateway.reactor.pump([0.1] * 20)
         assert len(gateway.dispatcher.sent) == 1
 
+    @pytest.mark.parametrize("idempotent", [False, True])
+    def test_goes_elsewhere_while_a_connection_hangs(self, idempotent: bool) -> None:
+        """Answers the pattern: a replica's VM is dark; it refuses no connection."""
+        gateway = desk_gateway(3)
+        bounds = Bounds(repeat_ratio=0.0, repeat_slack=0.0)
+        gateway.policy.configure(bounds)
+        names = {replica.replica_id for replica in gateway.directory.replicas.values()}
+        live = max(names)
+        gateway.dispatcher.hangs = names - {live}
+        gateway.call(single_route(idempotent=idempotent), "desk")
+        gateway.reactor.pump([0.05] * 12)
+        (exchange,) = gateway.dispatcher.sent
+        assert exchange.replica.replica_id == live
+        assert all(waiting.over for waiting in gateway.dispatcher.waiting)
+        gateway.end(exchange, good("d"))
+        assert [answer.status for answer in gateway.answers] == [200]
+
     def test_no_promise_after_it_may_have_run(self) -> None:
         gateway = desk_gateway(1)
         gateway.call(single_route(idempotent=False), "desk")
