Let the soak check what cold replicas get

Replicas that start during a soak are cold for two seconds and bear 8 requests in one, by the bounds of the settings. The check counts what each gets in any second in which it was not disturbed.

--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -31,6 +31,7 @@
     budget_ratio: float = 0.2
     budget_slack: float = 58.0
     budget_window_s: float = 10.0
+    cold_in_a_second: float = 8.0
     most_attempts: int = 2
     least_coverage: float = 0.5
     most_records: int = 8
@@ -198,6 +199,25 @@
     return history.is_calm(names, run.at - promises.stability_s, run.at)
 
 
+def cold_replicas_are_spared(
+    history: History, promises: Promises
+) -> Iterator[Violation]:
+    """A replica in its cold start gets no more than it bears in any second."""
+    cold = {interval.name: interval for interval in history.cold}
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    for run in history.runs:
+        interval = cold.get(run.replica)
+        if interval is not None and interval.start <= run.at < interval.end:
+            arrivals[run.replica].append(run.at)
+    for replica, times in arrivals.items():
+        for start in times:
+            second = [at for at in times if start <= at < start + 1.0]
+            calm = history.is_calm((replica,), start - 1.0, start + 1.0)
+            if calm and len(second) > promises.cold_in_a_second:
+                yield Violation("cold", "", f"{replica} got {len(second)} in a second")
+                break
+
+
 def versions_go_in_force(history: History, promises: Promises) -> Iterator[Violation]:
     """A version is in force in time everywhere, and is never taken back."""
     proven: dict[tuple[str, int], tuple[int, float]] = {}
@@ -304,6 +324,7 @@
     attempts_are_bounded,
     repeats_are_in_budget,
     leaving_get_nothing,
+    cold_replicas_are_spared,
     versions_go_in_force,
     callers_are_answered,
     stops_are_graceful,
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -111,6 +111,8 @@
         server, proxy = replica.server, replica.proxy
         if server is None or proxy is None:
             return
+        now = self.world.reactor.seconds()
+        self.world.history.disturb(replica.identity.name, now, now + for_s)
         if mode in ("pause", "errors", "garble", "extra", "lost"):
             server.set_mode(mode)
             self.world.reactor.callLater(for_s, server.set_mode, "")
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -109,6 +109,8 @@
     revisions: list[Revision] = field(default_factory=list)
     draining: list[Leaving] = field(default_factory=list)
     evacuated: list[Leaving] = field(default_factory=list)
+    # Replicas in their cold start.
+    cold: list[Interval] = field(default_factory=list)
     disturbed: list[Interval] = field(default_factory=list)
     stops: list[Interval] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -12,6 +12,7 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.process import GatewayProcess
+from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.single import SingleCall
 
 __all__ = ["MUTANTS"]
@@ -83,6 +84,15 @@
     patch(GatewayProcess, "stop", careless)
 
 
+def forget_cold() -> None:
+    """Take replicas in their cold start for warm ones."""
+
+    def careless(replica: Replica, now: float) -> bool:  # noqa: ARG001
+        return False
+
+    patch(Replica, "is_cold", careless)
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "repeat-orders": repeat_orders,
     "refuse-falsely": refuse_falsely,
@@ -90,6 +100,7 @@
     "drop-records": drop_records,
     "ignore-changes": ignore_changes,
     "stop-at-once": stop_at_once,
+    "forget-cold": forget_cold,
 }
 
 
--- a/bench/soak/world.py
+++ b/bench/soak/world.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bench.http_server import listen
-from bench.soak.history import History, Leaving, Revision
+from bench.soak.history import History, Interval, Leaving, Revision
 from bench.soak.kv_server import KvServer
 from bench.soak.proxy import Proxy
 from bench.soak.replica_server import ReplicaServer
@@ -29,6 +29,8 @@
 WORK_S = 0.012
 HOST = "soak.example"
 CONNECTIONS_EACH = 60
+COLD_S = 2.0
+COLD_PER_S = 2.0  # with the bounds of the gateways' settings 8 requests in a second
 NEVER = float("inf")
 
 
@@ -64,6 +66,10 @@
         born_ms = int(1000 * world.reactor.seconds()) + self.starts
         name = f"i-{self.number}-{self.starts}"
         self.identity = Identity(name, self.service, self.data_centre, born_ms)
+        now = world.reactor.seconds()
+        # Those that are there from the beginning have served before.
+        self.cold_until = now + COLD_S if self.starts > 1 else now
+        world.history.cold.append(Interval(name, now, self.cold_until))
         rng = Random(f"{world.seed} {name}")
         self.server = ReplicaServer(
             world.reactor, world.history, rng, name, self.service, WORK_S
@@ -86,6 +92,7 @@
     def write(self, state: str) -> float:
         """Write the entry; return when the store has accepted it."""
         assert self.proxy is not None
+        now: float = self.world.reactor.seconds()
         entry = {
             "Service": self.identity.service,
             "Addr": f"127.0.0.1:{self.proxy.port}",
@@ -93,14 +100,14 @@
             "Version": "1",
             "Slots": 2,
             "State": state,
-            "ColdLeftMs": 0,
-            "Seq": int(self.world.reactor.seconds()),
+            "ColdLeftMs": int(1000 * max(0.0, self.cold_until - now)),
+            "Seq": int(now),
             "born": self.identity.born_ms,
         }
         key = f"servers/{self.identity.name}"
         self.world.store.write(key, msgspec.json.encode(entry))
-        now: float = self.world.reactor.seconds()
-        return now
+        accepted_at: float = self.world.reactor.seconds()
+        return accepted_at
 
     def drain(self) -> None:
         """Leave in an orderly way, and start anew some time after."""
@@ -175,7 +182,13 @@
                 route("order", "unsafe", Service=SINGLES[1]),
             ],
             "Services": [
-                {"Name": name, "MaxConns": CONNECTIONS_EACH, "HealthPath": "/health"}
+                {
+                    "Name": name,
+                    "MaxConns": CONNECTIONS_EACH,
+                    "HealthPath": "/health",
+                    "ColdStartS": COLD_S,
+                    "ColdPerS": COLD_PER_S,
+                }
                 for name in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLES]
             ],
         }
--- a/tests/bench/soak/test_checks.py
+++ b/tests/bench/soak/test_checks.py
@@ -168,6 +168,13 @@
     history.evacuated.append(Leaving("i-desk", 4.0, 100.0))
 
 
+def cold_replica_overrun(history: History) -> None:
+    """Send a replica more in a second of its cold start than it bears."""
+    history.cold.append(Interval("i-desk", 30.0, 32.0))
+    for number in range(9):
+        add_single(history, "one", "desk", 30.5 + 0.1 * number)
+
+
 def old_version(history: History) -> None:
     """Handle a request as an old version says."""
     history.revisions.append(MOVED)
@@ -227,6 +234,7 @@
     too_many_repeats: "budget",
     work_after_drain: "drain",
     work_after_evacuation: "evacuation",
+    cold_replica_overrun: "cold",
     old_version: "configuration",
     version_taken_back: "never back",
     never_allowed: "routing",
