Read the path of a target without taking it for a URL

Cause: the desk split a request's target with urlsplit. A target like "//[" raised ValueError out of the front, so that the connection ended without an answer and with a line of an unhandled error; "//h/x/1" was taken for the path /x/1 of another host and found its route.

Change: the path is what stands before the question mark. One that names no route is answered 404 with a line.

New property tests: targets and headers of callers, the store's answers, values that are no base64, statuses.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from random import Random
 from typing import Protocol
-from urllib.parse import urlsplit
 
 from returns.result import Failure, Success
 
@@ -193,8 +192,7 @@
             return self.refuse(
                 request, Problem(ErrorKind.NO_DOCUMENT, "no configuration yet"), finish
             )
-        path = urlsplit(request.target.decode("latin-1")).path
-        route = configuration.find_route(request.host, path)
+        route = configuration.find_route(request.host, request.path)
         if route is None:
             detail = f"no route in version {configuration.version}"
             return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
@@ -285,8 +283,7 @@
         """Start a search for another gateway."""
         request = handed.request
         configuration = self.recent_versions.get(handed.version)
-        path = urlsplit(request.target.decode("latin-1")).path
-        route = configuration and configuration.find_route(request.host, path)
+        route = configuration and configuration.find_route(request.host, request.path)
         if not route or not isinstance(route.destination, ShardSet):
             finish(not_taken(f"version {handed.version} is not known"))
             return None
--- a/sardinehook/gateway/ports.py
+++ b/sardinehook/gateway/ports.py
@@ -67,6 +67,15 @@
     received_at: float
     path_s: float = 0.0
 
+    @property
+    def path(self) -> str:
+        """The path of the target, which names a route.
+
+        >>> CallerRequest(b"r", b"GET", b"//a/1?b", "h", (), b"", None, 0.0).path
+        '//a/1'
+        """
+        return self.target.partition(b"?")[0].decode("latin-1")
+
 
 class Load(NamedTuple):
     """What a replica tells of its load."""
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -279,6 +279,16 @@
         assert wide.desk.recent(wide.route).total(now) == 1
 
 
+class TestTargets:
+    """Answers the pattern: targets that are no URL, from something broken."""
+
+    @pytest.mark.parametrize("target", [b"//[", b"//h/x/1", b"/\xff", b"//a@["])
+    def test_one_that_names_no_route_is_refused(self, target: bytes) -> None:
+        side = Side("wide", WIDE)
+        side.desk.take(RAW._replace(target=target), side.answers.append)
+        assert [answer.status for answer in side.answers] == [404]
+
+
 class TestWhatIsTaken:
     def test_a_version_that_is_not_known_is_not_taken(self) -> None:
         wide = Side("wide", WIDE)
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
 from sardinehook.gateway.configuration import ShardSet
-from sardinehook.gateway.ports import CallerRequest, HttpRequest
+from sardinehook.gateway.ports import CallerRequest, Header, HttpRequest
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.configuration import decode_configuration
 from sardinehook.platform.discovery import PlatformKeys
+from sardinehook.platform.kv_store import (
+    WireEvents,
+    WireItem,
+    WireLease,
+    WireRange,
+    WireRevision,
+    check_status,
+    decode,
+    read_item,
+)
 from sardinehook.platform.replicas import PlatformReplicas
 from sardinehook.platform.settings import decode_settings
 from sardinehook.transport.connection import Reply
@@ -134,12 +145,46 @@
         raw = request((b"Host", b"a"), (b"Host", b"b"), (b"X-Request-Id", b"r"))
         assert not is_successful(PlatformCallers().read_request(raw))
 
+    @given(
+        st.binary(max_size=30).map(lambda rest: b"/" + rest),
+        st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=20)), max_size=4),
+    )
+    def test_never_raises(self, target: bytes, headers: list[Header]) -> None:
+        usual = [(b"Host", b"h"), (b"X-Request-Id", b"r")]
+        raw = HttpRequest(b"GET", target, (*usual, *headers), b"", 5.0)
+        decoded = PlatformCallers().read_request(raw)
+        if is_successful(decoded):
+            assert decoded.unwrap().path.startswith("/")
+
+    @pytest.mark.parametrize("target", [b"//[", b"//h/x/1", b"//a@[/x"])
+    def test_a_target_is_a_path_and_nothing_else(self, target: bytes) -> None:
+        headers = ((b"Host", b"h"), (b"X-Request-Id", b"r"))
+        raw = HttpRequest(b"GET", target, headers, b"", 5.0)
+        decoded = PlatformCallers().read_request(raw).unwrap()
+        assert decoded.path == target.decode()
+
     def test_a_request_without_id_is_refused(self) -> None:
         assert not is_successful(
             PlatformCallers().read_request(request((b"Host", b"a")))
         )
 
 
+class TestStoreCodec:
+    @given(st.binary(max_size=60) | JSON.map(msgspec.json.encode))
+    def test_never_raises(self, body: bytes) -> None:
+        for form in (WireRange, WireEvents, WireLease, WireRevision):
+            decode(Reply(200, (), body), form)
+
+    @given(st.text(max_size=20))
+    def test_a_value_that_is_not_base64_is_empty(self, value: str) -> None:
+        item = read_item(WireItem("k", value, 3))
+        assert item.value is not None
+
+    @given(st.integers(100, 599))
+    def test_only_200_is_a_success(self, status: int) -> None:
+        assert is_successful(check_status(Reply(status, (), b""))) == (status == 200)
+
+
 class TestReplicaCodec:
     REQUEST = CallerRequest(
         b"r-1", b"POST", b"/x/1", "h", ((b"A", b"1"),), b"body", 0.8, 5.0
