Move a waiting single request on before hedging it

An idempotent request whose replica gave no connection was hedged first; with both waiting it stayed there, as the hedge is sent once. Now what has not been sent moves on, and only what has been sent is hedged. Failed first: test_goes_elsewhere_while_a_connection_hangs with budget left.

--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -196,10 +196,10 @@
             return
         if self.hedge_at is not None and now >= self.hedge_at:
             self.hedge_at = None
-            if self.route.idempotent and self.send_extra(now):
-                self.hedges += 1
-            else:
+            if not any(exchange.sent_at for exchange in self.open_exchanges):
                 self.move(now)
+            elif self.route.idempotent:
+                self.hedges += self.send_extra(now)
         if not self.settled:
             self.schedule(now)
 
@@ -209,8 +209,6 @@
         Nothing was sent, so it is safe for any request, and costs neither an attempt
         nor budget.
         """
-        if any(exchange.sent_at for exchange in self.open_exchanges):
-            return
         ready_at = self.open_exchanges[-1].started_at + MOVE_AFTER_S
         if now < ready_at:
             self.hedge_at = ready_at
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -46,12 +46,14 @@
         gateway.reactor.pump([0.1] * 20)
         assert len(gateway.dispatcher.sent) == 1
 
+    @pytest.mark.parametrize("slack", [0.0, 50.0])
     @pytest.mark.parametrize("idempotent", [False, True])
-    def test_goes_elsewhere_while_a_connection_hangs(self, idempotent: bool) -> None:
-        """Answers the pattern: a replica's VM is dark; it refuses no connection."""
+    def test_goes_elsewhere_while_a_connection_hangs(
+        self, idempotent: bool, slack: float
+    ) -> None:
+        """Answers the pattern: dark VMs, which refuse no connection."""
         gateway = desk_gateway(3)
-        bounds = Bounds(repeat_ratio=0.0, repeat_slack=0.0)
-        gateway.policy.configure(bounds)
+        gateway.policy.configure(Bounds(repeat_ratio=0.0, repeat_slack=slack))
         names = {replica.replica_id for replica in gateway.directory.replicas.values()}
         live = max(names)
         gateway.dispatcher.hangs = names - {live}
