--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -8,7 +8,6 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
-from structlog.testing import capture_logs
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
@@ -27,8 +26,6 @@
     LeaseGone,
     StoreProblem,
 )
-from sardinehook.observe.bounded_output import BURST_LINES
-from sardinehook.observe.events import MAX_VALUE_CHARACTERS
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.store.port import StoreUnavailable
 
@@ -322,52 +319,6 @@
         assert len(rig.directory.replicas_of("desk")) == 1
 
 
-def gateway_record(name: str, revision: int) -> Item:
-    """Make the record of a gateway."""
-    value = msgspec.json.encode(GatewayRecord(f"{name}:1", "here"))
-    return Item(f"{GATEWAY_PREFIX}{name}", value, revision)
-
-
-class TestLines:
-    """Answers the pattern: a gateway starts in a large fleet and logs what it reads."""
-
-    def test_a_large_listing_leaves_lines_for_requests(self) -> None:
-        rig = FollowerRig()
-        replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
-        gateways = [gateway_record(f"front-somewhere-{n}", 5) for n in range(550)]
-        with capture_logs() as lines:
-            rig.store.tell(5, *replicas, *gateways)
-        assert len(lines) < BURST_LINES / 1.5
-        text = " ".join(line.get("detail", "") for line in lines)
-        assert all(item.key.rpartition("/")[2] in text for item in replicas)
-        assert all(item.key.rpartition("/")[2] in text for item in gateways)
-        assert all(
-            len(line.get("detail", "")) <= MAX_VALUE_CHARACTERS for line in lines
-        )
-
-    def test_replicas_that_all_lapse_and_return_share_lines(self) -> None:
-        rig = FollowerRig()
-        replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
-        rig.store.tell(5, *replicas)
-        with capture_logs() as lines:
-            rig.settle()
-            rig.store.tell(6, *[Item(item.key, None, 6) for item in replicas])
-            rig.settle()
-            rig.store.tell(7, *[item._replace(revision=7) for item in replicas])
-        assert {line.get("state") for line in lines} == {
-            "left discovery",
-            "registered again",
-        }
-        assert len(lines) < BURST_LINES
-
-    def test_a_few_newcomers_get_a_line_each(self) -> None:
-        rig = FollowerRig()
-        with capture_logs() as lines:
-            rig.store.tell(5, replica("a", 5, port=1), replica("b", 5, port=2))
-        told = [line["target"] for line in lines if line["event"] == "target_state"]
-        assert told == ["a", "b"]
-
-
 class TestEvacuation:
     def test_a_data_centre_is_taken_out_and_back_in(self) -> None:
         rig = FollowerRig()
--- /dev/null
+++ b/tests/gateway/test_follower_lines.py
@@ -0,0 +1,58 @@
+"""What a gateway logs of what it reads from the store."""
+
+from __future__ import annotations
+
+import msgspec
+from structlog.testing import capture_logs
+
+from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
+from sardinehook.gateway.store import Item
+from sardinehook.observe.bounded_output import BURST_LINES
+from sardinehook.observe.events import MAX_VALUE_CHARACTERS
+from tests.gateway.test_follower import FollowerRig, replica
+
+
+def gateway_record(name: str, revision: int) -> Item:
+    """Make the record of a gateway."""
+    value = msgspec.json.encode(GatewayRecord(f"{name}:1", "here"))
+    return Item(f"{GATEWAY_PREFIX}{name}", value, revision)
+
+
+class TestLines:
+    """Answers the pattern: a gateway starts in a large fleet and logs what it reads."""
+
+    def test_a_large_listing_leaves_lines_for_requests(self) -> None:
+        rig = FollowerRig()
+        replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
+        gateways = [gateway_record(f"front-somewhere-{n}", 5) for n in range(550)]
+        with capture_logs() as lines:
+            rig.store.tell(5, *replicas, *gateways)
+        assert len(lines) < BURST_LINES / 1.5
+        text = " ".join(line.get("detail", "") for line in lines)
+        assert all(item.key.rpartition("/")[2] in text for item in replicas)
+        assert all(item.key.rpartition("/")[2] in text for item in gateways)
+        assert all(
+            len(line.get("detail", "")) <= MAX_VALUE_CHARACTERS for line in lines
+        )
+
+    def test_replicas_that_all_lapse_and_return_share_lines(self) -> None:
+        rig = FollowerRig()
+        replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
+        rig.store.tell(5, *replicas)
+        with capture_logs() as lines:
+            rig.settle()
+            rig.store.tell(6, *[Item(item.key, None, 6) for item in replicas])
+            rig.settle()
+            rig.store.tell(7, *[item._replace(revision=7) for item in replicas])
+        assert {line.get("state") for line in lines} == {
+            "left discovery",
+            "registered again",
+        }
+        assert len(lines) < BURST_LINES
+
+    def test_a_few_newcomers_get_a_line_each(self) -> None:
+        rig = FollowerRig()
+        with capture_logs() as lines:
+            rig.store.tell(5, replica("a", 5, port=1), replica("b", 5, port=2))
+        told = [line["target"] for line in lines if line["event"] == "target_state"]
+        assert told == ["a", "b"]
