Rename the fields of a gateway's shares to divisors

`divide`, `gateways`, `searchers` and `alike` did not say that two of them are divisors of a shared limit and that one names the gateways with an equal share.

--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/choice.py
@@ -129,7 +129,7 @@
         part = total / self.directory.sharers(service.name)
         if part >= 1.0:
             return int(part)
-        alike = self.directory.shares.alike
+        alike = self.directory.shares.equal_share_gateways
         ranked = sorted(
             alike, key=lambda name: crc32(f"{name} {replica.replica_id}".encode())
         )
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -185,7 +185,7 @@
     def sharers(self, service: str) -> float:
         """Return how many gateways with the part of this one would make up all."""
         searched = service in self.shard_services
-        return self.shares.searchers if searched else self.shares.gateways
+        return self.shares.search_divisor if searched else self.shares.request_divisor
 
     def share_connections(self) -> None:
         """Bound the connections to each replica by this gateway's part."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -33,7 +33,7 @@
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.settings import GatewaySettings
-from sardinehook.gateway.shares import divide
+from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.signs_of_life import SignsOfLife
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.story import RequestStories
@@ -115,7 +115,7 @@
             reactor, self.store, settings.node, record, self.set_gateways
         )
         self.gateway_names: frozenset[str] = frozenset()
-        self.dividing = False
+        self.shares_update_pending = False
         self.delegates = Delegates(reactor, self.fleet)
         self.desk.delegates = self.delegates
         self.desk.most_handed_over = int(SUB_REQUESTS_PER_CORE * settings.cores)
@@ -252,19 +252,19 @@
         """Take the names of the gateways that share limits and budgets."""
         if names != self.gateway_names:
             # Many become known in one turn.
-            if not self.dividing:
-                self.dividing = True
-                self.reactor.callLater(0.0, self.divide)
+            if not self.shares_update_pending:
+                self.shares_update_pending = True
+                self.reactor.callLater(0.0, self.update_shares)
             self.gateway_names = names
         self.metrics.gateways.set(len(names))
 
-    def divide(self) -> None:
+    def update_shares(self) -> None:
         """Divide limits, budgets and searches among the gateways that are known."""
-        self.dividing = False
+        self.shares_update_pending = False
         records = {**self.fleet.records, self.settings.node: self.fleet.record}
-        shares = divide(self.settings.node, records)
+        shares = compute_shares(self.settings.node, records)
         self.directory.set_shares(shares)
-        self.signs.gives_signs = shares.searchers < shares.gateways
+        self.signs.gives_signs = shares.search_divisor < shares.request_divisor
 
     def note_error(self, failure: TwistedFailure) -> None:
         """Log an unexpected error of a part that ends anyway."""
--- a/sardinehook/gateway/shares.py
+++ b/sardinehook/gateway/shares.py
@@ -7,7 +7,7 @@
 
 from sardinehook.gateway.fleet import GatewayRecord
 
-__all__ = ["Shares", "divide", "wider_gateways"]
+__all__ = ["Shares", "compute_shares", "wider_gateways"]
 
 WIDER_RATIO = 4.0  # how much wider a link has to be for a search to be handed over
 KEPT_SHARE = 0.25  # of its part, for the searches that a gateway does itself after all
@@ -16,13 +16,14 @@
 class Shares(NamedTuple):
     """One gateway's part of what all share.
 
-    It has one part in ``gateways`` of what single requests use, and one part in
-    ``searchers`` of what searches use. ``alike`` are the gateways with the same part.
+    It has one part in ``request_divisor`` of what single requests use, and one part in
+    ``search_divisor`` of what searches use. ``equal_share_gateways`` are the gateways
+    with the same part.
     """
 
-    gateways: float
-    searchers: float
-    alike: frozenset[str]
+    request_divisor: float
+    search_divisor: float
+    equal_share_gateways: frozenset[str]
 
 
 def wider_gateways(
@@ -48,7 +49,7 @@
     )
 
 
-def divide(node: str, records: Mapping[str, GatewayRecord]) -> Shares:
+def compute_shares(node: str, records: Mapping[str, GatewayRecord]) -> Shares:
     """Return the part of ``node``, which is one of ``records``.
 
     A gateway that hands its searches over keeps a part for those that it does itself
@@ -56,7 +57,7 @@
 
     >>> wide, narrow = (GatewayRecord("1", "a", "", mbps) for mbps in (200.0, 20.0))
     >>> records = {"n1": narrow, "n2": narrow, "w": wide}
-    >>> [round(3 / divide(name, records).searchers, 2) for name in records]
+    >>> [round(3 / compute_shares(name, records).search_divisor, 2) for name in records]
     [0.25, 0.25, 2.5]
     """
     weights = dict.fromkeys(records, 1.0)
@@ -67,5 +68,5 @@
             for other in wider:
                 weights[other] += (1.0 - KEPT_SHARE) / len(wider)
     own = weights[node]
-    alike = frozenset(n for n, weight in weights.items() if abs(weight - own) < 1e-9)
-    return Shares(float(len(records)), len(records) / own, alike)
+    equal = frozenset(n for n, weight in weights.items() if abs(weight - own) < 1e-9)
+    return Shares(float(len(records)), len(records) / own, equal)
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -23,7 +23,7 @@
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.search_codec import decode_search, encode_search
-from sardinehook.gateway.shares import divide
+from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.story import RequestStories
 from sardinehook.transport.connection import ExchangeEnd, Lost, Replied, Reply
 from tests.gateway.support import (
@@ -184,13 +184,15 @@
 
     def test_those_that_search_for_others_have_the_larger_part(self) -> None:
         records = {f"n{number}": NARROW for number in range(8)} | {"w": WIDE}
-        parts = {name: 1.0 / divide(name, records).searchers for name in records}
+        parts = {
+            name: 1.0 / compute_shares(name, records).search_divisor for name in records
+        }
         assert sum(parts.values()) == pytest.approx(1.0)
         assert parts["w"] > 0.7
 
     def test_among_equals_all_search_and_all_have_the_same_part(self) -> None:
         records = {f"n{number}": NARROW for number in range(9)}
-        assert divide("n1", records).searchers == 9.0
+        assert compute_shares("n1", records).search_divisor == 9.0
 
 
 class TestDelegateInTrouble:
