Rename what delegates keep about heartbeats and failures

`note_heard`, `heard_at`, `SILENT_AFTER_S` and `FAILED_S` describe a heartbeat failure detector: `record_heartbeat`, `last_heartbeat_at`, `HEARTBEAT_TIMEOUT_S` and `AVOID_AFTER_FAILURE_S`. ruff and mypy pass; tests/gateway/test_delegation.py passes.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -16,8 +16,10 @@
 
 logger = structlog.get_logger(__name__)
 
-SILENT_AFTER_S = 0.7  # three datagrams that did not come, and one that is late
-FAILED_S = 2.0  # nothing is handed over after a failure: a restart is over by then
+HEARTBEAT_TIMEOUT_S = 0.7  # three datagrams that did not come, and one that is late
+AVOID_AFTER_FAILURE_S = (
+    2.0  # nothing is handed over after a failure: a restart is over by then
+)
 MOST_CONNECTIONS = 32  # to one delegate: searches that one gateway hands over at once
 OVERDUE_S = 0.05  # a delegate answers in time, if it has anything to answer with
 
@@ -34,17 +36,22 @@
 class Delegate:
     """A gateway that takes searches over, as another one knows it."""
 
-    def __init__(self, name: str, pool: ConnectionPool, heard_at: float) -> None:
+    def __init__(
+        self, name: str, pool: ConnectionPool, last_heartbeat_at: float
+    ) -> None:
         self.name = name
         self.pool = pool
-        self.heard_at = heard_at
+        self.last_heartbeat_at = last_heartbeat_at
         self.avoided_until = 0.0
         self.cut_off = False
         self.searches: dict[SearchAway, None] = {}
 
     def is_usable(self, now: float) -> bool:
         """Tell whether searches may be handed to it."""
-        return now >= self.avoided_until and now - self.heard_at <= SILENT_AFTER_S
+        return (
+            now >= self.avoided_until
+            and now - self.last_heartbeat_at <= HEARTBEAT_TIMEOUT_S
+        )
 
 
 class Delegates:
@@ -76,14 +83,14 @@
                     self.reactor, records[name].peer_address, MOST_CONNECTIONS, ignore
                 )
                 # Heard of only now: usable once its first datagram has come.
-                heard_at = self.reactor.seconds() - 2 * SILENT_AFTER_S
-                self.known[name] = Delegate(name, pool, heard_at)
+                last_heartbeat_at = self.reactor.seconds() - 2 * HEARTBEAT_TIMEOUT_S
+                self.known[name] = Delegate(name, pool, last_heartbeat_at)
 
-    def note_heard(self, node: str, cut_off: bool) -> None:
+    def record_heartbeat(self, node: str, cut_off: bool) -> None:
         """Note a sign of a gateway, which says whether that is cut off."""
         delegate = self.known.get(node)
         if delegate is not None:
-            delegate.heard_at = self.reactor.seconds()
+            delegate.last_heartbeat_at = self.reactor.seconds()
             delegate.cut_off = cut_off
 
     def usable(self) -> list[Delegate]:
@@ -112,8 +119,8 @@
         """Give up searches at delegates that have fallen silent, and late ones."""
         now = self.reactor.seconds()
         for delegate in [*self.known.values(), *self.gone]:
-            silent_s = now - delegate.heard_at
-            if delegate.searches and silent_s > SILENT_AFTER_S:
+            silent_s = now - delegate.last_heartbeat_at
+            if delegate.searches and silent_s > HEARTBEAT_TIMEOUT_S:
                 self.avoid(delegate, "silent")
                 for search in list(delegate.searches):
                     search.lose("the gateway that searches has fallen silent")
@@ -121,7 +128,9 @@
                 if now > search.give_up_at + OVERDUE_S:
                     search.lose("no answer in time")
 
-    def avoid(self, delegate: Delegate, reason: str, for_s: float = FAILED_S) -> None:
+    def avoid(
+        self, delegate: Delegate, reason: str, for_s: float = AVOID_AFTER_FAILURE_S
+    ) -> None:
         """Hand nothing to a delegate for a while."""
         now = self.reactor.seconds()
         if now >= delegate.avoided_until:
@@ -131,7 +140,7 @@
                 member=delegate.name,
                 state="searches not handed over",
                 detail=reason,
-                took_ms=(now - delegate.heard_at) * 1000.0,
+                took_ms=(now - delegate.last_heartbeat_at) * 1000.0,
             )
         delegate.avoided_until = now + for_s
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -144,7 +144,7 @@
         self.signs = SignsOfLife(
             self.fleet,
             lambda: bool(self.desk.cut_off_reason()),
-            self.delegates.note_heard,
+            self.delegates.record_heartbeat,
         )
         self.giving_signs = LoopingCall(self.signs.send)
         self.giving_signs.clock = reactor
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -13,8 +13,8 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.delegates import (
-    FAILED_S,
-    SILENT_AFTER_S,
+    AVOID_AFTER_FAILURE_S,
+    HEARTBEAT_TIMEOUT_S,
     Delegate,
     Delegates,
 )
@@ -229,7 +229,7 @@
         narrow = Side("narrow", NARROW)
         narrow.hears()
         narrow.take()
-        narrow.gateway.reactor.advance(SILENT_AFTER_S + 0.01)
+        narrow.gateway.reactor.advance(HEARTBEAT_TIMEOUT_S + 0.01)
         narrow.delegates.sweep()
         assert [answer.status for answer in narrow.answers] == [502]
         assert narrow.pool.given[0].aborted
@@ -237,9 +237,9 @@
     def test_it_is_used_again_once_it_is_heard(self) -> None:
         narrow = Side("narrow", NARROW)
         narrow.hears()
-        narrow.gateway.reactor.advance(SILENT_AFTER_S + 0.01)
+        narrow.gateway.reactor.advance(HEARTBEAT_TIMEOUT_S + 0.01)
         assert narrow.delegates.choose() is None
-        narrow.delegates.note_heard("wide", False)
+        narrow.delegates.record_heartbeat("wide", False)
         assert narrow.delegates.choose() is not None
 
     def test_a_failure_turns_searches_away_for_a_while(self) -> None:
@@ -247,8 +247,8 @@
         delegate = narrow.hears()
         narrow.delegates.avoid(delegate, "reset")
         assert narrow.delegates.choose() is None
-        narrow.gateway.reactor.advance(FAILED_S)
-        narrow.delegates.note_heard("wide", False)
+        narrow.gateway.reactor.advance(AVOID_AFTER_FAILURE_S)
+        narrow.delegates.record_heartbeat("wide", False)
         assert narrow.delegates.choose() is delegate
 
 
@@ -259,9 +259,9 @@
         narrow = Side("narrow", NARROW)
         narrow.hears()
         assert narrow.desk.cut_off_reason() == ""
-        narrow.delegates.note_heard("wide", True)
+        narrow.delegates.record_heartbeat("wide", True)
         assert "wide" in narrow.desk.cut_off_reason()
-        narrow.delegates.note_heard("wide", False)
+        narrow.delegates.record_heartbeat("wide", False)
         assert narrow.desk.cut_off_reason() == ""
 
     def test_one_delegate_that_reaches_replicas_is_enough(self) -> None:
@@ -269,7 +269,7 @@
         narrow.hears("wide")
         narrow.hears("wide-2")
         narrow.take()
-        narrow.delegates.note_heard("wide", True)
+        narrow.delegates.record_heartbeat("wide", True)
         assert narrow.desk.cut_off_reason() == ""
 
     def test_searches_for_others_count_as_demand(self) -> None:
@@ -348,7 +348,7 @@
         delegates.update()
         assert list(delegates.known) == ["w"]
         assert delegates.choose() is None
-        delegates.note_heard("w", False)
+        delegates.record_heartbeat("w", False)
         assert delegates.choose() is delegates.known["w"]
         fleet.note("w", None)
         delegates.update()
