--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -134,7 +134,7 @@
         if lease:
             await self.store.end_lease(lease)
 
-    def note(self, node: str, value: bytes | None) -> None:
+    def apply_record(self, node: str, value: bytes | None) -> None:
         """Take in a gateway's record, or that it has left."""
         if value is None:
             if node in self.records:
@@ -166,7 +166,7 @@
         """Note that all gateways but these have left."""
         for node in self.records.keys() - set(nodes):
             if node not in self.left_at:
-                self.note(node, None)
+                self.apply_record(node, None)
 
     def count(self) -> None:
         """Tell which gateways share what is shared."""
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -324,7 +324,7 @@
         elif item.key.startswith(dialect.evacuation_prefix):
             self.take_evacuation(item.key[len(dialect.evacuation_prefix) :], item.value)
         elif item.key.startswith(GATEWAY_PREFIX):
-            self.fleet.note(item.key[len(GATEWAY_PREFIX) :], item.value)
+            self.fleet.apply_record(item.key[len(GATEWAY_PREFIX) :], item.value)
 
     def take_configuration(self, value: bytes) -> bool:
         """Put a configuration in force if it is newer."""
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -344,12 +344,12 @@
         fleet = GatewayFleet(clock, ScriptedStore(), "n", NARROW, lambda _names: None)
         delegates = Delegates(clock, fleet)
         for name, record in (("w", WIDE), ("m", NARROW)):
-            fleet.note(name, msgspec.json.encode(record))
+            fleet.apply_record(name, msgspec.json.encode(record))
         delegates.update()
         assert list(delegates.known) == ["w"]
         assert delegates.choose() is None
         delegates.record_heartbeat("w", False)
         assert delegates.choose() is delegates.known["w"]
-        fleet.note("w", None)
+        fleet.apply_record("w", None)
         delegates.update()
         assert delegates.choose() is None
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -336,7 +336,7 @@
         record = msgspec.json.encode(GatewayRecord("10.0.0.2:1", "there"))
         rig.store.tell(5, Item(GATEWAY_PREFIX + "g-2", record, 5))
         rig.settle()
-        rig.fleet.note("g-2", None)
+        rig.fleet.apply_record("g-2", None)
         assert len(rig.names[-1]) == 2
         rig.reactor.advance(31.0)
         rig.fleet.count()
--- a/tests/gateway/test_signs_of_life.py
+++ b/tests/gateway/test_signs_of_life.py
@@ -49,7 +49,7 @@
 
     def knows(self, node: str, record: GatewayRecord) -> None:
         """Register another gateway."""
-        self.fleet.note(node, msgspec.json.encode(record))
+        self.fleet.apply_record(node, msgspec.json.encode(record))
 
 
 class TestSending:
