--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -66,12 +66,12 @@
 
 def ignore_changes() -> None:
     """Keep the first configuration."""
-    take = StoreFollower.take_configuration
+    take = StoreFollower.apply_configuration
 
     def careless(follower: StoreFollower, value: bytes) -> bool:
         return follower.version < 0 and take(follower, value)
 
-    patch(StoreFollower, "take_configuration", careless)
+    patch(StoreFollower, "apply_configuration", careless)
 
 
 def stop_at_once() -> None:
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -318,7 +318,7 @@
         dialect = self.dialect
         if item.key == dialect.configuration_key:
             if item.value is not None:
-                self.take_configuration(item.value)
+                self.apply_configuration(item.value)
         elif item.key.startswith(dialect.replica_prefix):
             self.take_replica(item.key[len(dialect.replica_prefix) :], item.value)
         elif item.key.startswith(dialect.evacuation_prefix):
@@ -326,7 +326,7 @@
         elif item.key.startswith(GATEWAY_PREFIX):
             self.fleet.apply_record(item.key[len(GATEWAY_PREFIX) :], item.value)
 
-    def take_configuration(self, value: bytes) -> bool:
+    def apply_configuration(self, value: bytes) -> bool:
         """Put a configuration in force if it is newer."""
         match self.dialect.read_configuration(value):
             case Success(configuration):
