--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -26,6 +26,7 @@
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.front import Front
+from sardinehook.gateway.heartbeat import HeartbeatProtocol
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
@@ -34,7 +35,6 @@
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import compute_shares
-from sardinehook.gateway.signs_of_life import SignsOfLife
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.story import RequestStories
 from sardinehook.observe.events import EventName, log_event
@@ -47,7 +47,7 @@
 SWEEP_INTERVAL_S = 0.05  # resolution of deadlines that have no timer of their own
 HOUSEKEEPING_INTERVAL_S = 0.5
 SUB_REQUESTS_PER_CORE = 400.0  # at work for other gateways: what a core does in 0.1 s
-SIGNS_INTERVAL_S = 0.2  # a gateway that is paused is passed over within a second
+HEARTBEAT_INTERVAL_S = 0.2  # a gateway that is paused is passed over within a second
 NOTICE_S = 3.0  # the balancer needs two missed probes, one a second, to look away
 END_MARGIN_S = 0.4  # before the grace ends, what is left is answered
 BACKLOG = 512  # connections that the kernel may hold before they are accepted
@@ -108,7 +108,7 @@
         record = GatewayRecord(
             settings.peer_address,
             settings.data_centre,
-            settings.signs_address,
+            settings.heartbeat_address,
             settings.link_mbps,
         )
         self.fleet = GatewayFleet(
@@ -141,13 +141,13 @@
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
-        self.signs = SignsOfLife(
+        self.heartbeats = HeartbeatProtocol(
             self.fleet,
             lambda: bool(self.desk.cut_off_reason()),
             self.delegates.record_heartbeat,
         )
-        self.giving_signs = LoopingCall(self.signs.send)
-        self.giving_signs.clock = reactor
+        self.heartbeat_loop = LoopingCall(self.heartbeats.send)
+        self.heartbeat_loop.clock = reactor
         self.sweeping = LoopingCall(self.sweep)
         self.sweeping.clock = reactor
         self.housekeeping = LoopingCall(self.keep_house)
@@ -179,15 +179,15 @@
         )
         for address in sorted({address for address in addresses if address}):
             listen(self.reactor, address, self.probes)
-        if settings.signs_address:
-            host, _, port = settings.signs_address.rpartition(":")
-            self.reactor.listenUDP(int(port), self.signs, interface=host)
+        if settings.heartbeat_address:
+            host, _, port = settings.heartbeat_address.rpartition(":")
+            self.reactor.listenUDP(int(port), self.heartbeats, interface=host)
 
     def start(self) -> None:
         """Begin to follow the store and to do what is due now and then."""
         settings = self.settings
-        if settings.signs_address:
-            self.giving_signs.start(SIGNS_INTERVAL_S, now=False)
+        if settings.heartbeat_address:
+            self.heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
         self.policy.start_counting()
         self.follower.start()
         self.fleet.start()
@@ -264,7 +264,9 @@
         records = {**self.fleet.records, self.settings.node: self.fleet.record}
         shares = compute_shares(self.settings.node, records)
         self.directory.set_shares(shares)
-        self.signs.gives_signs = shares.search_divisor < shares.request_divisor
+        self.heartbeats.sends_heartbeats = (
+            shares.search_divisor < shares.request_divisor
+        )
 
     def note_error(self, failure: TwistedFailure) -> None:
         """Log an unexpected error of a part that ends anyway."""
@@ -323,7 +325,7 @@
             self.front.give_up(refuse(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
-        for loop in (self.sweeping, self.housekeeping, self.giving_signs):
+        for loop in (self.sweeping, self.housekeeping, self.heartbeat_loop):
             if loop.running:
                 loop.stop()
         self.lag_probe.stop()
--- a/sardinehook/gateway/settings.py
+++ b/sardinehook/gateway/settings.py
@@ -30,7 +30,7 @@
     """Identity and addresses of one gateway; addresses are ``IP:port``.
 
     ``front_address`` takes callers' connections, ``ready_address`` the balancer's
-    probes, ``peer_address`` the other gateways' calls and ``signs_address`` their
+    probes, ``peer_address`` the other gateways' calls and ``heartbeat_address`` their
     datagrams. ``metrics_address`` serves the metrics. ``seeds`` are peer addresses of
     gateways that may be down. ``link_mbps`` is the bandwidth of the VM and
     ``cores`` how much of its processor this process may use.
@@ -45,6 +45,6 @@
     store_address: str
     seeds: tuple[str, ...]
     bounds: Bounds = Bounds()
-    signs_address: str = ""
+    heartbeat_address: str = ""
     link_mbps: float = 0.0
     cores: float = 1.0
--- a/tests/gateway/test_signs_of_life.py
+++ b/tests/gateway/test_heartbeat.py
@@ -8,11 +8,11 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
-from sardinehook.gateway.signs_of_life import (
-    Sign,
-    SignsOfLife,
-    decode_sign,
-    encode_sign,
+from sardinehook.gateway.heartbeat import (
+    Heartbeat,
+    HeartbeatProtocol,
+    decode_heartbeat,
+    encode_heartbeat,
 )
 from tests.gateway.test_follower import ScriptedStore
 
@@ -28,7 +28,7 @@
         self.sent.append((datagram, address))
 
 
-class SignsRig:
+class HeartbeatRig:
     """A gateway with a wide link among others."""
 
     def __init__(self) -> None:
@@ -38,11 +38,13 @@
         )
         self.heard: list[tuple[str, bool]] = []
         self.cut_off = False
-        self.signs = SignsOfLife(
-            self.fleet, lambda: self.cut_off, lambda *sign: self.heard.append(sign)
+        self.heartbeats = HeartbeatProtocol(
+            self.fleet,
+            lambda: self.cut_off,
+            lambda *heartbeat: self.heard.append(heartbeat),
         )
         self.port = Port()
-        self.signs.transport = self.port  # type: ignore[assignment]
+        self.heartbeats.transport = self.port  # type: ignore[assignment]
         self.knows("narrow", GatewayRecord("10.0.0.2:1", "here", "10.0.0.2:9", 20.0))
         self.knows("equal", GatewayRecord("10.0.0.3:1", "here", "10.0.0.3:9", 200.0))
         self.knows("far", GatewayRecord("10.0.0.4:1", "there", "10.0.0.4:9", 20.0))
@@ -54,43 +56,47 @@
 
 class TestSending:
     def test_those_with_narrower_links_nearby_get_them(self) -> None:
-        rig = SignsRig()
-        rig.signs.gives_signs = True
-        rig.signs.send()
+        rig = HeartbeatRig()
+        rig.heartbeats.sends_heartbeats = True
+        rig.heartbeats.send()
         (datagram, address), *others = rig.port.sent
         assert others == []
-        assert decode_sign(datagram) == Sign("wide", False)
+        assert decode_heartbeat(datagram) == Heartbeat("wide", False)
         assert address == ("10.0.0.2", 9)
 
     def test_one_that_is_cut_off_says_so_when_it_lasts(self) -> None:
         """Answers the pattern: a VM is paused, and all seems silent for a moment."""
-        rig = SignsRig()
-        rig.signs.gives_signs = True
+        rig = HeartbeatRig()
+        rig.heartbeats.sends_heartbeats = True
         for cut_off in (True, False, True, True):
             rig.cut_off = cut_off
-            rig.signs.send()
-        told = [decode_sign(datagram).cut_off for datagram, _ in rig.port.sent]
+            rig.heartbeats.send()
+        told = [decode_heartbeat(datagram).cut_off for datagram, _ in rig.port.sent]
         assert told == [False, False, False, True]
 
     def test_one_that_searches_for_nobody_sends_none(self) -> None:
-        rig = SignsRig()
-        rig.signs.send()
+        rig = HeartbeatRig()
+        rig.heartbeats.send()
         assert rig.port.sent == []
 
 
 class TestTaking:
     def test_a_registered_gateway_is_heard(self) -> None:
-        rig = SignsRig()
-        rig.signs.datagramReceived(encode_sign(Sign("equal", True)), ("10.0.0.3", 9))
+        rig = HeartbeatRig()
+        rig.heartbeats.datagramReceived(
+            encode_heartbeat(Heartbeat("equal", True)), ("10.0.0.3", 9)
+        )
         assert rig.heard == [("equal", True)]
 
     def test_one_that_is_not_registered_is_not(self) -> None:
-        rig = SignsRig()
-        rig.signs.datagramReceived(encode_sign(Sign("other", True)), ("10.0.0.3", 9))
+        rig = HeartbeatRig()
+        rig.heartbeats.datagramReceived(
+            encode_heartbeat(Heartbeat("other", True)), ("10.0.0.3", 9)
+        )
         assert rig.heard == []
 
     @given(st.binary(max_size=300))
     def test_other_bytes_are_dropped(self, datagram: bytes) -> None:
-        rig = SignsRig()
-        rig.signs.datagramReceived(datagram, ("10.0.0.9", 9))
+        rig = HeartbeatRig()
+        rig.heartbeats.datagramReceived(datagram, ("10.0.0.9", 9))
         assert rig.heard == []
