Rename the follower's knowledge to a watch cache and its updates

All keys as of a revision with a bounded log of the changes is a watch cache; what one gateway sends another is a state update.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -15,7 +15,6 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
-from sardinehook.gateway.knowledge import Knowledge, Told
 from sardinehook.gateway.peers import Peers
 from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
@@ -23,6 +22,7 @@
 from sardinehook.gateway.relay import ChangeRelay
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import Changes, GatewayStore, HistoryGone, Item
+from sardinehook.gateway.watch_cache import StateUpdate, WatchCache
 from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["StoreFollower"]
@@ -68,8 +68,8 @@
         self.fleet = fleet
         self.on_configuration = on_configuration
         self.random = random
-        self.knowledge = Knowledge()
-        self.relay = ChangeRelay(reactor, self.knowledge)
+        self.cache = WatchCache()
+        self.relay = ChangeRelay(reactor, self.cache)
         self.rotation = ReaderRotation(fleet.node, fleet.record)
         self.listing_due = True
         self.version = -1
@@ -86,7 +86,7 @@
     @property
     def loaded(self) -> bool:
         """Whether anything is known of the store."""
-        return self.knowledge.revision is not None
+        return self.cache.revision is not None
 
     def configure(self, bounds: Bounds) -> None:
         """Take the promises of the deployment."""
@@ -140,12 +140,12 @@
     async def read_store(self) -> None:
         """List or watch the store, once."""
         whole = self.listing_due
-        if whole or self.knowledge.revision is None:
+        if whole or self.cache.revision is None:
             result = await self.store.read_all(ALL_KEYS)
         else:
             wait_s = WATCH_WAIT_S if self.rotation.is_reader else STAND_IN_WAIT_S
             self.watching = True
-            result = await self.store.watch(ALL_KEYS, self.knowledge.revision, wait_s)
+            result = await self.store.watch(ALL_KEYS, self.cache.revision, wait_s)
             self.watching = False
         match result:
             case Success(changes):
@@ -168,14 +168,14 @@
 
     async def ask_reader(self, reader: Reader, wait_s: float) -> None:
         """Ask a reader for changes, once; it may hold the call until there are some."""
-        answer = await self.peers.ask(reader.address, self.knowledge.revision, wait_s)
+        answer = await self.peers.ask(reader.address, self.cache.revision, wait_s)
         match answer:
-            case Success(told):
-                if told.current:
+            case Success(update):
+                if update.current:
                     self.note_up(reader.name)
-                trouble = "" if told.current else "does not hear from the store"
+                trouble = "" if update.current else "does not hear from the store"
                 self.note_reader(reader, trouble)
-                self.take_told(told)
+                self.apply_update(update)
             case Failure(detail):
                 self.note_reader(reader, detail)
 
@@ -186,7 +186,7 @@
         """
         while self.running:
             await deferLater(self.reactor, CHECK_RATIO * self.shortest_s)
-            known = self.knowledge.revision
+            known = self.cache.revision
             if not self.watching or known is None:
                 self.behind_at = None
                 continue
@@ -194,8 +194,8 @@
             if not address:
                 continue
             match await self.peers.ask(address, known, 0.0):
-                case Success(told) if told.current and told.changes.items:
-                    self.note_ahead(told, known)
+                case Success(update) if update.current and update.changes.items:
+                    self.note_ahead(update, known)
                 case _:
                     self.behind_at = None
 
@@ -204,9 +204,9 @@
         peers = self.fleet.peers()
         return self.random.choice(peers) if peers else ""
 
-    def note_ahead(self, told: Told, known: int) -> None:
+    def note_ahead(self, update: StateUpdate, known: int) -> None:
         """Take what another gateway knows; twice in a row, the watch is given up."""
-        if not self.watching or self.knowledge.revision != known:
+        if not self.watching or self.cache.revision != known:
             return
         if self.behind_at != known:
             self.behind_at = known
@@ -215,10 +215,10 @@
             logger,
             EventName.STORE_DOWN,
             detail="the watch is silent and another gateway knows more",
-            revision=told.changes.revision,
+            revision=update.changes.revision,
         )
         self.behind_at = None
-        self.take_told(told)
+        self.apply_update(update)
         self.store.drop_connections()
 
     def note_reader(self, reader: Reader, trouble: str) -> None:
@@ -251,15 +251,15 @@
 
     async def ask_peers(self) -> None:
         """Take what another gateway knows if it is newer, while the store is away."""
-        known = self.knowledge.revision
+        known = self.cache.revision
         peers = [*self.seeds, *self.fleet.peers()]
         match await self.peers.ask_any(peers, known):
-            case Success(told) if self.take_told(told):
+            case Success(update) if self.apply_update(update):
                 log_event(
                     logger,
                     EventName.STATE_FROM_PEER,
-                    revision=told.changes.revision,
-                    count=len(told.changes.items),
+                    revision=update.changes.revision,
+                    count=len(update.changes.items),
                 )
             case Failure(detail) if not self.loaded:
                 log_event(logger, EventName.STATE_FROM_PEER, detail=str(detail))
@@ -273,22 +273,22 @@
             self.down_since = None
             log_event(logger, EventName.STORE_UP, took_ms=down_s * 1000.0, peer=reader)
 
-    def take_told(self, told: Told) -> bool:
+    def apply_update(self, update: StateUpdate) -> bool:
         """Take what another gateway tells if it is newer; tell whether it was."""
-        known = self.knowledge.revision
-        if known is not None and told.changes.revision <= known:
+        known = self.cache.revision
+        if known is not None and update.changes.revision <= known:
             return False
-        self.take(told.changes, told.whole)
+        self.take(update.changes, update.whole)
         return True
 
     def take(self, changes: Changes, whole: bool) -> None:
         """Take in a listing or the changes after what is known."""
         if whole:
-            self.knowledge.replace(changes)
+            self.cache.replace(changes)
             self.listing_due = False
             self.forget_missing(changes.items)
         else:
-            self.knowledge.apply(changes)
+            self.cache.apply(changes)
         for item in changes.items:
             self.take_item(item)
         self.directory.log_changes()
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -9,10 +9,10 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.http_call import HttpCall
-from sardinehook.gateway.knowledge import Told, decode_told
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import changes_query
+from sardinehook.gateway.watch_cache import StateUpdate, decode_update
 from sardinehook.transport.connection import Reply
 
 __all__ = ["PeerClient", "Peers"]
@@ -28,13 +28,13 @@
 
     async def ask_any(
         self, addresses: Collection[str], after: int | None
-    ) -> Result[Told, str]:
+    ) -> Result[StateUpdate, str]:
         """Ask some peers; return what the first one that answers tells."""
         ...
 
     async def ask(
         self, address: str, after: int | None, wait_s: float
-    ) -> Result[Told, str]:
+    ) -> Result[StateUpdate, str]:
         """Ask one peer for the changes after a revision; it may wait for some."""
         ...
 
@@ -58,22 +58,22 @@
 
     async def ask_any(
         self, addresses: Collection[str], after: int | None
-    ) -> Result[Told, str]:
+    ) -> Result[StateUpdate, str]:
         """Ask some random peers; return what the first one that answers tells."""
         candidates = sorted(set(addresses))
         self.random.shuffle(candidates)
         detail = "no peer is known"
         for address in candidates[:PEERS_ASKED]:
             match await self.ask(address, after, 0.0):
-                case Success(told):
-                    return Success(told)
+                case Success(update):
+                    return Success(update)
                 case Failure(problem):
                     detail = f"{address}: {problem}"
         return Failure(detail)
 
     async def ask(
         self, address: str, after: int | None, wait_s: float
-    ) -> Result[Told, str]:
+    ) -> Result[StateUpdate, str]:
         """Ask one peer for the changes after a revision; it may wait for some."""
         request = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (
             changes_query(after, wait_s),
@@ -85,7 +85,7 @@
         match result:
             case Success(Reply(status, _, body)):
                 self.count_call(str(status))
-                return decode_told(body) if status == OK else Failure(f"{status}")
+                return decode_update(body) if status == OK else Failure(f"{status}")
             case Failure(problem):
                 self.count_call("no_answer")
                 return Failure(problem.detail)
--- a/sardinehook/gateway/relay.py
+++ b/sardinehook/gateway/relay.py
@@ -6,8 +6,8 @@
 from urllib.parse import parse_qs
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.knowledge import Knowledge, Told, encode_told
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.watch_cache import StateUpdate, WatchCache, encode_update
 
 __all__ = ["CHANGES_PATH", "ChangeRelay", "changes_query"]
 
@@ -50,12 +50,12 @@
     calls do not wait for one that doesn't.
     """
 
-    def __init__(self, reactor: GatewayReactor, knowledge: Knowledge) -> None:
+    def __init__(self, reactor: GatewayReactor, cache: WatchCache) -> None:
         self.reactor = reactor
-        self.knowledge = knowledge
+        self.cache = cache
         self.current = False
         self.waiting: dict[Poll, None] = {}
-        self.encoded: tuple[Told, bytes] | None = None
+        self.encoded: tuple[StateUpdate, bytes] | None = None
 
     def set_current(self, current: bool) -> None:
         """Take whether this gateway follows the store itself and hears from it."""
@@ -66,24 +66,24 @@
     def answer(self, query: bytes, finish: Finish) -> Poll | None:
         """Answer a call, or let it wait."""
         after, wait_s = read_query(query)
-        if self.knowledge.revision is None:
+        if self.cache.revision is None:
             finish(CallerAnswer(UNAVAILABLE, (), b"", "probe"))
             return None
-        told = self.tell(after)
-        if not self.current or told.whole or told.changes.items or not wait_s:
-            finish(CallerAnswer(OK, (), self.encode(told), "probe"))
+        update = self.tell(after)
+        if not self.current or update.whole or update.changes.items or not wait_s:
+            finish(CallerAnswer(OK, (), self.encode(update), "probe"))
             return None
         poll = Poll(self, after, finish)
         self.waiting[poll] = None
         self.reactor.callLater(wait_s, self.end, poll)
         return poll
 
-    def tell(self, after: int) -> Told:
+    def tell(self, after: int) -> StateUpdate:
         """Return what is told to a gateway that knows the revision ``after``."""
-        changes = self.knowledge.changes_after(after)
+        changes = self.cache.changes_after(after)
         if changes is None:
-            return Told(self.knowledge.everything(), True, self.current)
-        return Told(changes, False, self.current)
+            return StateUpdate(self.cache.everything(), True, self.current)
+        return StateUpdate(changes, False, self.current)
 
     def release(self) -> None:
         """Answer the calls that wait, since something has changed."""
@@ -97,10 +97,10 @@
             body = self.encode(self.tell(poll.after))
             poll.finish(CallerAnswer(OK, (), body, "probe"))
 
-    def encode(self, told: Told) -> bytes:
+    def encode(self, update: StateUpdate) -> bytes:
         """Encode what is told; most calls that are answered at once are told alike."""
-        if self.encoded is None or self.encoded[0] != told:
-            self.encoded = (told, encode_told(told))
+        if self.encoded is None or self.encoded[0] != update:
+            self.encoded = (update, encode_update(update))
         return self.encoded[1]
 
 
--- a/sardinehook/gateway/knowledge.py
+++ b/sardinehook/gateway/watch_cache.py
@@ -12,17 +12,19 @@
 
 from sardinehook.gateway.store import Changes, Item
 
-__all__ = ["Knowledge", "Told", "decode_told", "encode_told"]
+__all__ = ["StateUpdate", "WatchCache", "decode_update", "encode_update"]
 
-MOST_LOGGED = 2000  # changes kept for gateways that lag: some minutes of a busy store
+MAX_LOGGED_CHANGES = (
+    2000  # changes kept for gateways that lag: some minutes of a busy store
+)
 PLAIN = b"m"
 COMPRESSED = b"z"
 COMPRESSED_FROM = 1400  # bytes: what fits a packet is sent as it is
 COMPRESSION_LEVEL = 1  # the fastest one
-MOST_BYTES = 64 * 1024 * 1024  # bounds what a malformed body can take
+MAX_BODY_BYTES = 64 * 1024 * 1024  # bounds what a malformed body can take
 
 
-class Told(NamedTuple):
+class StateUpdate(NamedTuple):
     """What one gateway tells another.
 
     ``whole`` is set where the items are everything that is known, not only what has
@@ -43,8 +45,8 @@
     revision: int
 
 
-class WireTold(msgspec.Struct, array_like=True):
-    """The form of ``Told`` between gateways."""
+class WireUpdate(msgspec.Struct, array_like=True):
+    """The form of ``StateUpdate`` between gateways."""
 
     revision: int
     whole: bool
@@ -52,34 +54,34 @@
     items: list[WireItem]
 
 
-def encode_told(told: Told) -> bytes:
+def encode_update(update: StateUpdate) -> bytes:
     """Encode what is told to another gateway; much of it is compressed.
 
     A configuration is large and repeats itself, and many gateways ask for it at once.
     """
-    items = [WireItem(*item) for item in told.changes.items]
-    wire = WireTold(told.changes.revision, told.whole, told.current, items)
+    items = [WireItem(*item) for item in update.changes.items]
+    wire = WireUpdate(update.changes.revision, update.whole, update.current, items)
     body = msgspec.msgpack.encode(wire)
     if len(body) < COMPRESSED_FROM:
         return PLAIN + body
     return COMPRESSED + compress(body, COMPRESSION_LEVEL)
 
 
-def decode_told(body: bytes) -> Result[Told, str]:
+def decode_update(body: bytes) -> Result[StateUpdate, str]:
     """Decode what another gateway told.
 
-    >>> told = Told(Changes((Item("a", b"1", 5),), 7), True, True)
-    >>> decode_told(encode_told(told)).unwrap() == told
+    >>> update = StateUpdate(Changes((Item("a", b"1", 5),), 7), True, True)
+    >>> decode_update(encode_update(update)).unwrap() == update
     True
-    >>> decode_told(b"x").failure()
+    >>> decode_update(b"x").failure()
     "malformed changes of a peer: unknown form b'x'"
     """
     try:
-        wire = msgspec.msgpack.decode(unpack(body), type=WireTold)
+        wire = msgspec.msgpack.decode(unpack(body), type=WireUpdate)
     except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, zlib_error) as error:
         return Failure(f"malformed changes of a peer: {error}")
     items = tuple(Item(item.key, item.value, item.revision) for item in wire.items)
-    return Success(Told(Changes(items, wire.revision), wire.whole, wire.current))
+    return Success(StateUpdate(Changes(items, wire.revision), wire.whole, wire.current))
 
 
 def unpack(body: bytes) -> bytes:
@@ -89,21 +91,21 @@
         return content
     if form != COMPRESSED:
         raise ValueError(f"unknown form {form!r}")
-    return decompressobj().decompress(content, MOST_BYTES)
+    return decompressobj().decompress(content, MAX_BODY_BYTES)
 
 
-class Knowledge:
+class WatchCache:
     """All keys as of ``revision``, which is ``None`` before the first listing.
 
     The changes after the revision ``logged_from`` are kept, so that others need not
     be told everything anew.
 
-    >>> knowledge = Knowledge()
-    >>> knowledge.replace(Changes((Item("a", b"1", 3),), 5))
-    >>> knowledge.apply(Changes((Item("a", None, 6),), 6))
-    >>> knowledge.changes_after(5)
+    >>> cache = WatchCache()
+    >>> cache.replace(Changes((Item("a", b"1", 3),), 5))
+    >>> cache.apply(Changes((Item("a", None, 6),), 6))
+    >>> cache.changes_after(5)
     Changes(items=(Item(key='a', value=None, revision=6),), revision=6)
-    >>> knowledge.changes_after(4) is None
+    >>> cache.changes_after(4) is None
     True
     """
 
@@ -132,7 +134,7 @@
         else:
             self.items[item.key] = item
         self.log.append(item)
-        if len(self.log) > MOST_LOGGED:
+        if len(self.log) > MAX_LOGGED_CHANGES:
             self.logged_from = self.log.popleft().revision
 
     def changes_after(self, revision: int) -> Changes | None:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -16,7 +16,6 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
-from sardinehook.gateway.knowledge import Told, decode_told, encode_told
 from sardinehook.gateway.relay import changes_query
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import (
@@ -26,6 +25,7 @@
     LeaseGone,
     StoreProblem,
 )
+from sardinehook.gateway.watch_cache import StateUpdate, decode_update, encode_update
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.store.port import StoreUnavailable
 
@@ -103,7 +103,7 @@
 
     async def ask_any(
         self, addresses: Collection[str], after: int | None
-    ) -> Result[Told, str]:
+    ) -> Result[StateUpdate, str]:
         """Ask the first peer that is there."""
         for address in addresses:
             if address in self.rigs:
@@ -112,7 +112,7 @@
 
     async def ask(
         self, address: str, after: int | None, wait_s: float
-    ) -> Result[Told, str]:
+    ) -> Result[StateUpdate, str]:
         """Ask one peer."""
         if self.broken:
             raise RuntimeError("a fault of ours")
@@ -124,7 +124,7 @@
         query = changes_query(after, wait_s).partition(b"?")[2]
         rig.follower.relay.answer(query, answered.callback)
         answer = await answered
-        return decode_told(answer.body) if answer.status == 200 else Failure("503")
+        return decode_update(answer.body) if answer.status == 200 else Failure("503")
 
 
 class FollowerRig:
@@ -363,11 +363,11 @@
         first.settle()
         first.store.tell(6, Item("servers/b", None, 6))
         first.settle()
-        told = decode_told(encode_told(first.follower.relay.tell(-1))).unwrap()
-        assert second.follower.take_told(told)
+        update = decode_update(encode_update(first.follower.relay.tell(-1))).unwrap()
+        assert second.follower.apply_update(update)
         assert second.versions == [3]
         assert list(second.directory.replicas) == ["a"]
-        assert second.follower.knowledge.revision == 6
+        assert second.follower.cache.revision == 6
 
     def test_without_a_peer_the_store_is_asked_again(self) -> None:
         rig = FollowerRig()
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -11,14 +11,14 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
-from sardinehook.gateway.knowledge import (
-    Knowledge,
-    Told,
-    decode_told,
-    encode_told,
-)
 from sardinehook.gateway.relay import ChangeRelay
 from sardinehook.gateway.store import Changes, Item
+from sardinehook.gateway.watch_cache import (
+    StateUpdate,
+    WatchCache,
+    decode_update,
+    encode_update,
+)
 from sardinehook.store.port import StoreUnavailable
 from tests.gateway.test_follower import (
     FollowerRig,
@@ -126,8 +126,8 @@
                 rig.store.fail(AWAY)
         fleet.tell(replica("a", 40), to=[good])
         fleet.pass_time(PASSING_ON_S)
-        told = [len(rig.directory.replicas) for rig in fleet.others]
-        assert told == [1] * len(told)
+        known = [len(rig.directory.replicas) for rig in fleet.others]
+        assert known == [1] * len(known)
 
     def test_without_any_reader_the_others_read_the_store(self) -> None:
         fleet = Fleet()
@@ -165,8 +165,8 @@
         fleet = Fleet()
         follower = fleet.others[0].follower
         follower.take(Changes((version(8, 60),), 60), False)
-        assert not follower.take_told(Told(Changes((), 50), True, True))
-        assert follower.knowledge.revision == 60
+        assert not follower.apply_update(StateUpdate(Changes((), 50), True, True))
+        assert follower.cache.revision == 60
 
 
 class TestSilentWatch:
@@ -203,23 +203,23 @@
 class TestRelay:
     def test_a_call_waits_for_a_change(self) -> None:
         clock = MemoryReactorClock()
-        knowledge = Knowledge()
-        knowledge.replace(Changes((), 5))
-        relay = ChangeRelay(clock, knowledge)
+        cache = WatchCache()
+        cache.replace(Changes((), 5))
+        relay = ChangeRelay(clock, cache)
         relay.set_current(True)
         answers: list[object] = []
         assert relay.answer(b"after=5&wait_ms=1000", answers.append) is not None
         assert answers == []
-        knowledge.apply(Changes((Item("a", b"1", 6),), 6))
+        cache.apply(Changes((Item("a", b"1", 6),), 6))
         relay.release()
         clock.advance(2.0)
         assert len(answers) == 1
 
     def test_a_call_is_answered_when_its_wait_ends(self) -> None:
         clock = MemoryReactorClock()
-        knowledge = Knowledge()
-        knowledge.replace(Changes((), 5))
-        relay = ChangeRelay(clock, knowledge)
+        cache = WatchCache()
+        cache.replace(Changes((), 5))
+        relay = ChangeRelay(clock, cache)
         relay.set_current(True)
         answers: list[object] = []
         relay.answer(b"after=5&wait_ms=1000", answers.append)
@@ -227,9 +227,9 @@
         assert len(answers) == 1
 
     def test_one_that_does_not_hear_from_the_store_lets_nobody_wait(self) -> None:
-        knowledge = Knowledge()
-        knowledge.replace(Changes((), 5))
-        relay = ChangeRelay(MemoryReactorClock(), knowledge)
+        cache = WatchCache()
+        cache.replace(Changes((), 5))
+        relay = ChangeRelay(MemoryReactorClock(), cache)
         answers: list[object] = []
         relay.answer(b"after=5&wait_ms=1000", answers.append)
         assert len(answers) == 1
@@ -239,20 +239,20 @@
     """Answers the pattern: configurations in quick succession, on narrow links."""
 
     def test_only_the_last_of_several_versions_is_told(self) -> None:
-        knowledge = Knowledge()
-        knowledge.replace(Changes((), 0))
+        cache = WatchCache()
+        cache.replace(Changes((), 0))
         for number in range(1, 13):
-            knowledge.apply(Changes((version(number, number),), number))
-        told = Told(knowledge.changes_after(2) or Changes((), 0), False, True)
-        assert told.changes.items == (version(12, 12),)
+            cache.apply(Changes((version(number, number),), number))
+        update = StateUpdate(cache.changes_after(2) or Changes((), 0), False, True)
+        assert update.changes.items == (version(12, 12),)
 
     def test_a_large_configuration_is_told_in_few_bytes(self) -> None:
         routes = [{"Name": f"r-{n}", "Host": "a.example"} for n in range(2000)]
         value = msgspec.json.encode({"Version": 1, "Routes": routes})
-        told = Told(Changes((Item("op/config", value, 3),), 3), False, True)
-        body = encode_told(told)
+        update = StateUpdate(Changes((Item("op/config", value, 3),), 3), False, True)
+        body = encode_update(update)
         assert len(body) < len(value) / 4
-        assert decode_told(body).unwrap() == told
+        assert decode_update(body).unwrap() == update
 
 
 class TestKnowledge:
@@ -266,9 +266,9 @@
     def test_changes_after_any_revision_lead_to_the_same_items(
         self, writes: list[tuple[str, bytes | None]], at: int
     ) -> None:
-        teller, learner = Knowledge(), Knowledge()
-        for knowledge in (teller, learner):
-            knowledge.replace(Changes((), 0))
+        teller, learner = WatchCache(), WatchCache()
+        for cache in (teller, learner):
+            cache.replace(Changes((), 0))
         for number, (key, value) in enumerate(writes, 1):
             change = Changes((Item(key, value, number),), number)
             teller.apply(change)
