Reword the store port, the gateway registry and the watch cache

Comments and method names described leases, renewals and cached changes in private words (`keep`, `count`, `present`, `newcomers`, `everything`). They now use the terms of leases, listings and logs of changes.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -71,7 +71,7 @@
 
     def update(self) -> None:
         """Take the gateways that are registered."""
-        records = self.fleet.present()
+        records = self.fleet.registered_records()
         wider = wider_gateways(self.fleet.node, self.fleet.record, records)
         for name in self.known.keys() - set(wider):
             gone = self.known.pop(name)
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -1,4 +1,4 @@
-"""The gateways of the fleet, each registered in the store under a lease."""
+"""Registration of the gateways of a deployment, each under a lease of the store."""
 
 from __future__ import annotations
 
@@ -20,17 +20,17 @@
 logger = structlog.get_logger(__name__)
 
 GATEWAY_PREFIX = "sardinehook/gateways/"
-LEASE_TTL_S = 8.0  # a gateway that is cut off for less keeps its entry
-RENEW_INTERVAL_S = 2.5  # three renewals may fail before the lease ends
+LEASE_TTL_S = 8.0  # an entry survives shorter losses of contact with the store
+RENEW_INTERVAL_S = 2.5  # three renewals may fail before the lease expires
 RETRY_INTERVAL_S = 0.5  # after a failed registration
-MEMORY_S = 30.0  # one that left counts on, since it may serve on where it is cut off
+DEPARTED_RETENTION_S = 30.0  # one cut off from the store may still serve
 
 
 class GatewayRecord(msgspec.Struct):
-    """What a gateway tells of itself.
+    """The entry of a gateway in the store.
 
-    It takes other gateways' calls at ``peer_address`` and their datagrams at
-    ``signs_at``; ``link_mbps`` is the bandwidth of its VM.
+    Other gateways send calls to ``peer_address`` and heartbeats to ``signs_at``.
+    ``link_mbps`` is the bandwidth of the gateway's VM.
     """
 
     peer_address: str
@@ -40,11 +40,11 @@
 
 
 class GatewayFleet:
-    """Registers this gateway and counts all of them.
+    """Registers this gateway and keeps the records of all registered gateways.
 
-    The count divides what gateways share: connections of replicas, repeat budgets
-    and the rates of cold replicas. ``on_recovery`` is called when a renewal succeeds
-    after one that failed.
+    ``on_names`` receives the names of the gateways among which connections to
+    replicas, retry budgets and request rates of cold replicas are divided.
+    ``on_recovery`` is called when a lease renewal succeeds after a failed one.
     """
 
     def __init__(
@@ -62,7 +62,7 @@
         self.on_names = on_names
         self.records: dict[str, GatewayRecord] = {}
         self.left_at: dict[str, float] = {}
-        self.newcomers: list[str] = []
+        self.joined: list[str] = []
         self.registered = False
         self.lease = 0
         self.running = False
@@ -70,19 +70,19 @@
         self.on_recovery: Callable[[], None] = lambda: None
 
     def start(self) -> None:
-        """Register; an unexpected error is logged and the registration goes on."""
+        """Start the registration, which is restarted after an unexpected error."""
         self.running = True
-        keeping = Deferred.fromCoroutine(self.keep())
-        keeping.addErrback(self.resume)
+        maintaining = Deferred.fromCoroutine(self.maintain_registration())
+        maintaining.addErrback(self.resume)
 
     def resume(self, failure: TwistedFailure) -> None:
-        """Go on after an unexpected error."""
+        """Log an unexpected error and restart after ``RENEW_INTERVAL_S``."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
         if self.running:
             self.reactor.callLater(RENEW_INTERVAL_S, self.start)
 
-    async def keep(self) -> None:
-        """Register, renew, and register again where that was lost."""
+    async def maintain_registration(self) -> None:
+        """Register, renew the lease, and register again if the registration is lost."""
         while self.running:
             if not self.lease:
                 await self.obtain_lease()
@@ -94,7 +94,7 @@
                     await self.renew()
 
     async def obtain_lease(self) -> None:
-        """Ask for a lease."""
+        """Request a lease; wait before the next attempt if that fails."""
         match await self.store.grant_lease(LEASE_TTL_S):
             case Success(lease):
                 self.lease = lease
@@ -102,7 +102,7 @@
                 await deferLater(self.reactor, RETRY_INTERVAL_S)
 
     async def register(self) -> None:
-        """Write this gateway's record under its lease."""
+        """Write this gateway's record; a failure discards the lease and waits."""
         value = msgspec.json.encode(self.record)
         match await self.store.put(GATEWAY_PREFIX + self.node, value, self.lease):
             case Success():
@@ -113,14 +113,16 @@
                 await deferLater(self.reactor, RETRY_INTERVAL_S)
 
     async def renew(self) -> None:
-        """Renew the lease; only one that has ended is replaced."""
+        """Renew the lease; it is replaced only if the store says that it has ended."""
         match await self.store.renew_lease(self.lease):
             case Success():
                 if self.renew_failed:
                     self.renew_failed = False
                     self.on_recovery()
             case Failure(LeaseGone()):
-                log_event(logger, EventName.LEASE_LAPSED, detail="the store ended it")
+                log_event(
+                    logger, EventName.LEASE_LAPSED, detail="lease expired in the store"
+                )
                 self.registered = False
                 self.lease = 0
             case Failure(problem):
@@ -128,58 +130,61 @@
                 log_event(logger, EventName.LEASE_NOT_RENEWED, detail=str(problem))
 
     async def leave(self) -> None:
-        """End the registration."""
+        """Stop renewing and end the lease, which removes this gateway's record."""
         self.running = False
         lease, self.lease = self.lease, 0
         if lease:
             await self.store.end_lease(lease)
 
     def apply_record(self, node: str, value: bytes | None) -> None:
-        """Take in a gateway's record, or that it has left."""
+        """Apply a change of a gateway's record; ``None`` means that it was removed."""
         if value is None:
             if node in self.records:
                 self.left_at[node] = self.reactor.seconds()
             if node == self.node:
                 self.registered = False
         else:
-            self.take_record(node, value)
-        self.count()
+            self.store_record(node, value)
+        self.publish_names()
 
-    def take_record(self, node: str, value: bytes) -> None:
-        """Take in a record."""
+    def store_record(self, node: str, value: bytes) -> None:
+        """Decode and keep a record; a malformed one is logged and ignored."""
         try:
             record = msgspec.json.decode(value, type=GatewayRecord)
         except msgspec.MsgspecError as error:
             log_event(logger, EventName.MEMBER_STATE, member=node, detail=str(error))
             return
         if node not in self.records or node in self.left_at:
-            self.newcomers.append(node)
+            self.joined.append(node)
         self.records[node] = record
         self.left_at.pop(node, None)
 
-    def log_newcomers(self) -> None:
-        """Log the gateways that became known since the last call."""
-        newcomers, self.newcomers = self.newcomers, []
-        log_names(logger, EventName.MEMBER_STATE, "registered", newcomers)
+    def log_joined(self) -> None:
+        """Log the gateways that registered since the last call."""
+        joined, self.joined = self.joined, []
+        log_names(logger, EventName.MEMBER_STATE, "registered", joined)
 
     def retain(self, nodes: Iterable[str]) -> None:
-        """Note that all gateways but these have left."""
+        """Mark all gateways except ``nodes`` as departed."""
         for node in self.records.keys() - set(nodes):
             if node not in self.left_at:
                 self.apply_record(node, None)
 
-    def count(self) -> None:
-        """Tell which gateways share what is shared."""
+    def publish_names(self) -> None:
+        """Drop departed gateways after a while, and publish the names of the rest.
+
+        Departed gateways are included until ``DEPARTED_RETENTION_S`` has passed.
+        """
         now = self.reactor.seconds()
         for node, left_at in list(self.left_at.items()):
-            if now > left_at + MEMORY_S:
+            if now > left_at + DEPARTED_RETENTION_S:
                 del self.left_at[node]
                 del self.records[node]
                 log_event(logger, EventName.MEMBER_STATE, member=node, state="gone")
         self.on_names(frozenset({*self.records, self.node}))
 
-    def present(self) -> dict[str, GatewayRecord]:
-        """Return the records of the gateways that have not left."""
+    def registered_records(self) -> dict[str, GatewayRecord]:
+        """Return the records of the gateways that are registered at present."""
         return {
             node: record
             for node, record in self.records.items()
@@ -187,7 +192,7 @@
         }
 
     def peers(self) -> list[str]:
-        """List the peer addresses of the other gateways."""
+        """Return the peer addresses of the other gateways, departed ones included."""
         return [
             record.peer_address
             for node, record in self.records.items()
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -132,7 +132,7 @@
 
     def update_readers(self) -> None:
         """Take the gateways that are registered as possible readers."""
-        if self.rotation.update(self.fleet.present()):
+        if self.rotation.update(self.fleet.registered_records()):
             role = "reads the store" if self.rotation.is_reader else "asks readers"
             names = ",".join(reader.name for reader in self.rotation.readers)
             log_event(logger, EventName.READER_STATE, state=role, detail=names)
@@ -292,7 +292,7 @@
         for item in changes.items:
             self.take_item(item)
         self.directory.log_changes()
-        self.fleet.log_newcomers()
+        self.fleet.log_joined()
         if changes.items:
             self.relay.release()
 
--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -65,7 +65,7 @@
         heartbeat = encode_heartbeat(
             Heartbeat(self.fleet.node, before and self.was_cut_off)
         )
-        for record in self.fleet.present().values():
+        for record in self.fleet.registered_records().values():
             narrower = record.link_mbps < own.link_mbps
             if record.data_centre == own.data_centre and narrower and record.signs_at:
                 host, _, number = record.signs_at.rpartition(":")
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -285,7 +285,7 @@
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
         self.watch_settings()
-        self.fleet.count()
+        self.fleet.publish_names()
         self.delegates.update()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
--- a/sardinehook/gateway/relay.py
+++ b/sardinehook/gateway/relay.py
@@ -82,7 +82,7 @@
         """Return what is told to a gateway that knows the revision ``after``."""
         changes = self.cache.changes_after(after)
         if changes is None:
-            return StateUpdate(self.cache.everything(), True, self.current)
+            return StateUpdate(self.cache.listing(), True, self.current)
         return StateUpdate(changes, False, self.current)
 
     def release(self) -> None:
--- a/sardinehook/gateway/store.py
+++ b/sardinehook/gateway/store.py
@@ -1,4 +1,4 @@
-"""The port to the platform's store as the gateway uses it."""
+"""Interface to the platform's key-value store, as far as a gateway uses it."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class Item(NamedTuple):
-    """A key with its value, or without one if it was deleted."""
+    """A key and its value at a revision; ``value`` is ``None`` if it was deleted."""
 
     key: str
     value: bytes | None
@@ -28,7 +28,7 @@
 
 
 class Changes(NamedTuple):
-    """Items as of the store's revision ``revision``."""
+    """A listing or a batch of changes, valid as of the store revision ``revision``."""
 
     items: tuple[Item, ...]
     revision: int
@@ -36,48 +36,51 @@
 
 @dataclass(frozen=True, slots=True)
 class HistoryGone:
-    """The store no longer has the changes after the revision named."""
+    """The store has discarded changes after the requested revision; list again."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseGone:
-    """The lease does not exist any more."""
+    """The lease has expired or was revoked."""
 
 
 StoreProblem = StoreUnavailable | HistoryGone | LeaseGone
 
 
 class GatewayStore(Protocol):
-    """A key-value service with watches and leases. No method raises or repeats."""
+    """A key-value store with watches and leases.
+
+    Methods return failures instead of raising, and do not retry.
+    """
 
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
-        """Read all keys that begin with ``prefix``, as of the first page."""
+        """List the keys that begin with ``prefix``, as of the first page."""
         ...
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> Result[Changes, StoreProblem]:
-        """Wait for changes after a revision; none come if ``wait_s`` passes first."""
+        """Wait for changes after a revision; returns none after ``wait_s``."""
         ...
 
     async def put(
         self, key: str, value: bytes, lease: int
     ) -> Result[int, StoreProblem]:
-        """Write a key that lasts as long as ``lease``; returns its revision."""
+        """Write a key that is deleted when ``lease`` ends; returns its revision."""
         ...
 
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
-        """Return a new lease."""
+        """Grant a lease that expires without renewal in ``ttl_s``; returns its id."""
         ...
 
     async def renew_lease(self, lease: int) -> Result[None, StoreProblem]:
-        """Renew a lease."""
+        """Renew a lease; fails with ``LeaseGone`` if it has ended."""
         ...
 
     async def end_lease(self, lease: int) -> Result[None, StoreProblem]:
-        """End a lease, which deletes its keys."""
+        """Revoke a lease, which deletes the keys written under it."""
         ...
 
     def drop_connections(self) -> None:
-        """Close all connections; calls that wait fail."""
+        """Close all connections; pending calls fail."""
         ...
--- a/sardinehook/gateway/watch_cache.py
+++ b/sardinehook/gateway/watch_cache.py
@@ -1,4 +1,4 @@
-"""What a gateway knows of the store, and the changes that led there."""
+"""Cached state of the store with a log of recent changes, as sent between gateways."""
 
 from __future__ import annotations
 
@@ -15,21 +15,21 @@
 __all__ = ["StateUpdate", "WatchCache", "decode_update", "encode_update"]
 
 MAX_LOGGED_CHANGES = (
-    2000  # changes kept for gateways that lag: some minutes of a busy store
+    2000  # for gateways that lag: some minutes of changes in a busy store
 )
 PLAIN = b"m"
 COMPRESSED = b"z"
-COMPRESSED_FROM = 1400  # bytes: what fits a packet is sent as it is
-COMPRESSION_LEVEL = 1  # the fastest one
-MAX_BODY_BYTES = 64 * 1024 * 1024  # bounds what a malformed body can take
+COMPRESSION_THRESHOLD_BYTES = 1400  # a body that fits one packet stays plain
+COMPRESSION_LEVEL = 1  # the fastest level
+MAX_BODY_BYTES = 64 * 1024 * 1024  # bounds the memory for a malformed body
 
 
 class StateUpdate(NamedTuple):
-    """What one gateway tells another.
+    """The store's state or its recent changes, as one gateway sends them to another.
 
-    ``whole`` is set where the items are everything that is known, not only what has
-    changed. ``current`` is set where the teller follows the store itself and has no
-    reason to doubt that it hears of each change.
+    ``whole`` is set if the items are a full listing instead of changes only.
+    ``current`` is set if the sender reads the store itself and its last call there
+    succeeded.
     """
 
     changes: Changes
@@ -38,7 +38,7 @@
 
 
 class WireItem(msgspec.Struct, array_like=True):
-    """A key as a gateway has seen it last; without a value it was deleted."""
+    """The wire format of ``Item``; ``value`` is ``None`` if the key was deleted."""
 
     key: str
     value: bytes | None
@@ -46,7 +46,7 @@
 
 
 class WireUpdate(msgspec.Struct, array_like=True):
-    """The form of ``StateUpdate`` between gateways."""
+    """The wire format of ``StateUpdate``."""
 
     revision: int
     whole: bool
@@ -55,50 +55,50 @@
 
 
 def encode_update(update: StateUpdate) -> bytes:
-    """Encode what is told to another gateway; much of it is compressed.
+    """Encode an update; bodies above the threshold are compressed.
 
-    A configuration is large and repeats itself, and many gateways ask for it at once.
+    A configuration is large and repetitive, and many gateways request it at once.
     """
     items = [WireItem(*item) for item in update.changes.items]
     wire = WireUpdate(update.changes.revision, update.whole, update.current, items)
     body = msgspec.msgpack.encode(wire)
-    if len(body) < COMPRESSED_FROM:
+    if len(body) < COMPRESSION_THRESHOLD_BYTES:
         return PLAIN + body
     return COMPRESSED + compress(body, COMPRESSION_LEVEL)
 
 
 def decode_update(body: bytes) -> Result[StateUpdate, str]:
-    """Decode what another gateway told.
+    """Decode an update; the failure says why the body is malformed.
 
     >>> update = StateUpdate(Changes((Item("a", b"1", 5),), 7), True, True)
     >>> decode_update(encode_update(update)).unwrap() == update
     True
     >>> decode_update(b"x").failure()
-    "malformed changes of a peer: unknown form b'x'"
+    "malformed update of a peer: unknown encoding b'x'"
     """
     try:
         wire = msgspec.msgpack.decode(unpack(body), type=WireUpdate)
     except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, zlib_error) as error:
-        return Failure(f"malformed changes of a peer: {error}")
+        return Failure(f"malformed update of a peer: {error}")
     items = tuple(Item(item.key, item.value, item.revision) for item in wire.items)
     return Success(StateUpdate(Changes(items, wire.revision), wire.whole, wire.current))
 
 
 def unpack(body: bytes) -> bytes:
-    """Return the encoded changes of a body, of a bounded size."""
-    form, content = body[:1], body[1:]
-    if form == PLAIN:
+    """Return the content of a body, decompressed up to ``MAX_BODY_BYTES``."""
+    encoding, content = body[:1], body[1:]
+    if encoding == PLAIN:
         return content
-    if form != COMPRESSED:
-        raise ValueError(f"unknown form {form!r}")
+    if encoding != COMPRESSED:
+        raise ValueError(f"unknown encoding {encoding!r}")
     return decompressobj().decompress(content, MAX_BODY_BYTES)
 
 
 class WatchCache:
     """All keys as of ``revision``, which is ``None`` before the first listing.
 
-    The changes after the revision ``logged_from`` are kept, so that others need not
-    be told everything anew.
+    Changes after the revision ``logged_from`` are logged, so that other gateways can
+    be sent these instead of a full listing.
 
     >>> cache = WatchCache()
     >>> cache.replace(Changes((Item("a", b"1", 3),), 5))
@@ -116,19 +116,19 @@
         self.logged_from = 0
 
     def replace(self, listing: Changes) -> None:
-        """Take a listing of everything."""
+        """Replace all keys with a full listing, and clear the log."""
         self.items = {item.key: item for item in listing.items}
         self.revision = self.logged_from = listing.revision
         self.log.clear()
 
     def apply(self, changes: Changes) -> None:
-        """Take the changes since the revision that is known."""
+        """Apply the changes since ``revision``."""
         self.revision = max(self.revision or 0, changes.revision)
         for item in changes.items:
-            self.note(item)
+            self.apply_item(item)
 
-    def note(self, item: Item) -> None:
-        """Take one change."""
+    def apply_item(self, item: Item) -> None:
+        """Apply and log one change, evicting the oldest one from a full log."""
         if item.value is None:
             self.items.pop(item.key, None)
         else:
@@ -138,9 +138,9 @@
             self.logged_from = self.log.popleft().revision
 
     def changes_after(self, revision: int) -> Changes | None:
-        """Return what came after a revision, ``None`` if that is not known any more.
+        """Return the changes after a revision, ``None`` if the log begins later.
 
-        Of a key that changed several times only the last change is told.
+        Of several changes of one key, only the last is returned.
         """
         if self.revision is None or revision < self.logged_from:
             return None
@@ -151,6 +151,6 @@
                 last[item.key] = item
         return Changes(tuple(last.values()), max(self.revision, revision))
 
-    def everything(self) -> Changes:
-        """Return all items as a listing."""
+    def listing(self) -> Changes:
+        """Return a full listing."""
         return Changes(tuple(self.items.values()), self.revision or 0)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -339,7 +339,7 @@
         rig.fleet.apply_record("g-2", None)
         assert len(rig.names[-1]) == 2
         rig.reactor.advance(31.0)
-        rig.fleet.count()
+        rig.fleet.publish_names()
         assert rig.names[-1] == {"g-1"}
 
     def test_a_lost_lease_is_replaced(self) -> None:
