Reword the change relay, the peer client and the reader selection

The failure "no peer is known" says "no peer gateway is known", also in the test double. ruff and mypy pass; doctests of sardinehook/gateway and three files of tests/gateway pass.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -15,10 +15,10 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
-from sardinehook.gateway.peers import Peers
+from sardinehook.gateway.peers import PeerCalls
 from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.readers import Reader, ReaderRotation
+from sardinehook.gateway.readers import Reader, ReaderSelector
 from sardinehook.gateway.relay import ChangeRelay
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import Changes, GatewayStore, HistoryGone, Item
@@ -53,7 +53,7 @@
         self,
         reactor: GatewayReactor,
         store: GatewayStore,
-        peers: Peers,
+        peers: PeerCalls,
         dialect: StoreDialect,
         directory: Directory,
         fleet: GatewayFleet,
@@ -70,7 +70,7 @@
         self.random = random
         self.cache = WatchCache()
         self.relay = ChangeRelay(reactor, self.cache)
-        self.rotation = ReaderRotation(fleet.node, fleet.record)
+        self.reader_selector = ReaderSelector(fleet.node, fleet.record)
         self.listing_due = True
         self.version = -1
         self.evacuated: set[str] = set()
@@ -124,7 +124,7 @@
         """Read and watch until stopped."""
         while self.running:
             self.update_readers()
-            readers = self.rotation.usable(self.reactor.seconds())
+            readers = self.reader_selector.usable(self.reactor.seconds())
             if readers and not self.listing_due:
                 await self.ask_readers(readers[0])
             else:
@@ -132,9 +132,11 @@
 
     def update_readers(self) -> None:
         """Take the gateways that are registered as possible readers."""
-        if self.rotation.update(self.fleet.registered_records()):
-            role = "reads the store" if self.rotation.is_reader else "asks readers"
-            names = ",".join(reader.name for reader in self.rotation.readers)
+        if self.reader_selector.update(self.fleet.registered_records()):
+            role = (
+                "reads the store" if self.reader_selector.is_reader else "asks readers"
+            )
+            names = ",".join(reader.name for reader in self.reader_selector.readers)
             log_event(logger, EventName.READER_STATE, state=role, detail=names)
 
     async def read_store(self) -> None:
@@ -143,7 +145,7 @@
         if whole or self.cache.revision is None:
             result = await self.store.read_all(ALL_KEYS)
         else:
-            wait_s = WATCH_WAIT_S if self.rotation.is_reader else STAND_IN_WAIT_S
+            wait_s = WATCH_WAIT_S if self.reader_selector.is_reader else STAND_IN_WAIT_S
             self.watching = True
             result = await self.store.watch(ALL_KEYS, self.cache.revision, wait_s)
             self.watching = False
@@ -162,13 +164,13 @@
         """Wait for changes at one reader, then look in at another one."""
         self.relay.set_current(False)
         await self.ask_reader(first, POLL_RATIO * self.shortest_s)
-        other = self.rotation.look_in(self.reactor.seconds())
+        other = self.reader_selector.next_secondary(self.reactor.seconds())
         if other is not None and self.running:
             await self.ask_reader(other, 0.0)
 
     async def ask_reader(self, reader: Reader, wait_s: float) -> None:
         """Ask a reader for changes, once; it may hold the call until there are some."""
-        answer = await self.peers.ask(reader.address, self.cache.revision, wait_s)
+        answer = await self.peers.fetch(reader.address, self.cache.revision, wait_s)
         match answer:
             case Success(update):
                 if update.current:
@@ -190,10 +192,10 @@
             if not self.watching or known is None:
                 self.behind_at = None
                 continue
-            address = self.rotation.neighbour() or self.any_peer()
+            address = self.reader_selector.next_other_reader() or self.any_peer()
             if not address:
                 continue
-            match await self.peers.ask(address, known, 0.0):
+            match await self.peers.fetch(address, known, 0.0):
                 case Success(update) if update.current and update.changes.items:
                     self.note_ahead(update, known)
                 case _:
@@ -224,7 +226,7 @@
     def note_reader(self, reader: Reader, trouble: str) -> None:
         """Note whether a reader can be relied on."""
         now = self.reactor.seconds()
-        if self.rotation.note(reader, not trouble, now):
+        if self.reader_selector.record_result(reader, not trouble, now):
             log_event(
                 logger,
                 EventName.READER_STATE,
@@ -245,7 +247,7 @@
         down_s = self.reactor.seconds() - self.down_since
         if not self.loaded or down_s > PEER_AFTER_S:
             await self.ask_peers()
-        first_s = FIRST_RETRY_S if self.rotation.is_reader else LAST_RETRY_S
+        first_s = FIRST_RETRY_S if self.reader_selector.is_reader else LAST_RETRY_S
         self.retry_s = min(max(2 * self.retry_s, first_s), LAST_RETRY_S)
         await deferLater(self.reactor, self.retry_s * (0.5 + self.random.random()))
 
@@ -253,7 +255,7 @@
         """Take what another gateway knows if it is newer, while the store is away."""
         known = self.cache.revision
         peers = [*self.seeds, *self.fleet.peers()]
-        match await self.peers.ask_any(peers, known):
+        match await self.peers.fetch_from_any(peers, known):
             case Success(update) if self.apply_update(update):
                 log_event(
                     logger,
@@ -294,7 +296,7 @@
         self.directory.log_changes()
         self.fleet.log_joined()
         if changes.items:
-            self.relay.release()
+            self.relay.answer_waiting()
 
     def forget_missing(self, items: Sequence[Item]) -> None:
         """Note what a listing does not have any more."""
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -1,4 +1,4 @@
-"""Asks other gateways what they know of the store."""
+"""Client for the store state that other gateways hold."""
 
 from __future__ import annotations
 
@@ -15,34 +15,34 @@
 from sardinehook.gateway.watch_cache import StateUpdate, decode_update
 from sardinehook.transport.connection import Reply
 
-__all__ = ["PeerClient", "Peers"]
+__all__ = ["PeerCalls", "PeerClient"]
 
-CALL_TIMEOUT_S = 0.4  # peers answer in milliseconds; one that is cut off is passed over
-PEERS_ASKED = 2  # at a time, so that the store is tried again soon
-MOST_POOLS = 8  # connections to peers that are kept: readers, and a few once asked
+CALL_TIMEOUT_S = 0.4  # peers answer within milliseconds unless cut off
+MAX_PEERS_TRIED = 2  # in one round, so that the store is retried soon
+MAX_POOLS = 8  # peers with open connections: readers, and a few asked recently
 OK = 200
 
 
-class Peers(Protocol):
-    """The other gateways as a follower asks them."""
+class PeerCalls(Protocol):
+    """Calls to other gateways, as the follower makes them."""
 
-    async def ask_any(
+    async def fetch_from_any(
         self, addresses: Collection[str], after: int | None
     ) -> Result[StateUpdate, str]:
-        """Ask some peers; return what the first one that answers tells."""
+        """Call some of the peers; return the first update received."""
         ...
 
-    async def ask(
+    async def fetch(
         self, address: str, after: int | None, wait_s: float
     ) -> Result[StateUpdate, str]:
-        """Ask one peer for the changes after a revision; it may wait for some."""
+        """Request the changes after a revision, which may wait up to ``wait_s``."""
         ...
 
 
 class PeerClient:
-    """Calls other gateways over connections that are kept.
+    """Calls other gateways over persistent connections.
 
-    ``count_call`` is told the outcome of each call.
+    ``count_call`` receives the status of each call, ``no_answer`` if it failed.
     """
 
     def __init__(
@@ -56,25 +56,25 @@
         self.count_call = count_call
         self.pools: dict[str, ConnectionPool] = {}
 
-    async def ask_any(
+    async def fetch_from_any(
         self, addresses: Collection[str], after: int | None
     ) -> Result[StateUpdate, str]:
-        """Ask some random peers; return what the first one that answers tells."""
+        """Call peers in random order; return the first update received."""
         candidates = sorted(set(addresses))
         self.random.shuffle(candidates)
-        detail = "no peer is known"
-        for address in candidates[:PEERS_ASKED]:
-            match await self.ask(address, after, 0.0):
+        detail = "no peer gateway is known"
+        for address in candidates[:MAX_PEERS_TRIED]:
+            match await self.fetch(address, after, 0.0):
                 case Success(update):
                     return Success(update)
                 case Failure(problem):
                     detail = f"{address}: {problem}"
         return Failure(detail)
 
-    async def ask(
+    async def fetch(
         self, address: str, after: int | None, wait_s: float
     ) -> Result[StateUpdate, str]:
-        """Ask one peer for the changes after a revision; it may wait for some."""
+        """Request the changes after a revision, which may wait up to ``wait_s``."""
         request = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (
             changes_query(after, wait_s),
             address.encode(),
@@ -92,16 +92,16 @@
         raise AssertionError("a result is a success or a failure")
 
     def pool_of(self, address: str) -> ConnectionPool:
-        """Return the connection to a peer; the one used first may be closed for it."""
+        """Return the pool of a peer, evicting the least recently used one if needed."""
         pool = self.pools.pop(address, None)
         if pool is None:
             pool = ConnectionPool(self.reactor, address, 1, ignore)
         self.pools[address] = pool
-        if len(self.pools) > MOST_POOLS:
+        if len(self.pools) > MAX_POOLS:
             oldest = next(iter(self.pools))
             self.pools.pop(oldest).close()
         return pool
 
 
 def ignore() -> None:
-    """Take no note of a connection: the call tells how it ended."""
+    """Ignore that a connection was opened: calls report their own outcome."""
--- a/sardinehook/gateway/readers.py
+++ b/sardinehook/gateway/readers.py
@@ -1,4 +1,4 @@
-"""Which gateways follow the store for the others of their data centre."""
+"""Selection of the gateways that watch the store for their data centre."""
 
 from __future__ import annotations
 
@@ -8,34 +8,34 @@
 
 from sardinehook.gateway.fleet import GatewayRecord
 
-__all__ = ["Reader", "ReaderRotation"]
+__all__ = ["Reader", "ReaderSelector"]
 
-READERS_PER_DATA_CENTRE = 3  # one may be down and one cut off from the store
-AVOIDED_S = 2.0  # after a failure: a restart or a short cut is over by then
+READERS_PER_DATA_CENTRE = 3  # tolerates one that is down and one cut off from the store
+AVOID_AFTER_FAILURE_S = 2.0  # covers a restart or a short network interruption
 
 
 class Reader(NamedTuple):
-    """A gateway that follows the store, and where it is asked for changes."""
+    """A gateway that watches the store, and its address for calls of its peers."""
 
     name: str
     address: str
 
 
-class ReaderRotation:
-    """Says whom to ask for changes.
+class ReaderSelector:
+    """Selects the readers of a data centre, and the one to call for changes.
 
-    The readers of a data centre are those of its gateways with the widest links, among
-    equals those with the lowest hashes, so all gateways agree on them without a
-    message as soon as they know each other. Each
-    of the others has one reader whose calls it lets wait, and looks in at the rest in
-    turn: a reader that lags, hangs or is cut off from the store delays the news by
-    one call. With no reader left to ask, a gateway reads the store itself.
+    Readers are the gateways with the highest bandwidth, among equals those with the
+    lowest name hashes, so that all gateways which know each other select the same ones
+    without coordination. The other gateways long-poll one primary reader and call the
+    others in rotation, so that a reader that lags, hangs or is cut off from the store
+    delays changes by one call only. A gateway without a usable reader reads the store
+    itself.
 
     >>> records = {f"g-{n}": GatewayRecord(f"10.0.0.{n}:1", "a") for n in range(9)}
-    >>> rotations = [ReaderRotation(n, record) for n, record in records.items()]
-    >>> for rotation in rotations:
-    ...     _ = rotation.update(records)
-    >>> sum(rotation.is_reader for rotation in rotations)
+    >>> selectors = [ReaderSelector(n, record) for n, record in records.items()]
+    >>> for selector in selectors:
+    ...     _ = selector.update(records)
+    >>> sum(selector.is_reader for selector in selectors)
     3
     """
 
@@ -44,12 +44,12 @@
         self.record = record
         self.readers: tuple[Reader, ...] = ()
         self.is_reader = True
-        self.turn = 0
-        self.neighbours_asked = 0
+        self.secondary_turn = 0
+        self.other_reader_turn = 0
         self.avoided_until: dict[str, float] = {}
 
     def update(self, records: Mapping[str, GatewayRecord]) -> bool:
-        """Take the gateways that are registered; tell whether the readers changed."""
+        """Select from the registered gateways; return whether the readers changed."""
         here = self.record.data_centre
         candidates = {self.node: self.record}
         for name, record in records.items():
@@ -68,9 +68,9 @@
         return True
 
     def usable(self, now: float) -> list[Reader]:
-        """List the readers to ask, the one whose calls may wait first.
+        """Return the usable readers, the one for long polls first.
 
-        The list is empty for a reader, and where no reader can be relied on.
+        The list is empty if this gateway is a reader, or if all of them failed lately.
         """
         if self.is_reader:
             return []
@@ -82,30 +82,30 @@
             if now >= self.avoided_until.get(reader.name, 0.0)
         ]
 
-    def neighbour(self) -> str:
-        """Return the address of another reader, each in its turn, empty if none is."""
+    def next_other_reader(self) -> str:
+        """Return the address of the next other reader in rotation, or ``""``."""
         others = [reader for reader in self.readers if reader.name != self.node]
         if not others:
             return ""
-        self.neighbours_asked += 1
-        return others[self.neighbours_asked % len(others)].address
+        self.other_reader_turn += 1
+        return others[self.other_reader_turn % len(others)].address
 
-    def look_in(self, now: float) -> Reader | None:
-        """Return the reader to look in at besides the first, each in its turn."""
+    def next_secondary(self, now: float) -> Reader | None:
+        """Return the next usable reader in rotation, apart from the primary one."""
         others = self.usable(now)[1:]
         if not others:
             return None
-        self.turn += 1
-        return others[self.turn % len(others)]
+        self.secondary_turn += 1
+        return others[self.secondary_turn % len(others)]
 
-    def note(self, reader: Reader, good: bool, now: float) -> bool:
-        """Take whether a reader can be relied on; tell whether that is news.
+    def record_result(self, reader: Reader, healthy: bool, now: float) -> bool:
+        """Record whether a call succeeded; return whether this is a change.
 
-        One that can't is passed over for a while.
+        After a failure the reader is avoided for ``AVOID_AFTER_FAILURE_S``.
         """
         was_avoided = reader.name in self.avoided_until
-        if good:
+        if healthy:
             self.avoided_until.pop(reader.name, None)
         else:
-            self.avoided_until[reader.name] = now + AVOIDED_S
-        return was_avoided == good
+            self.avoided_until[reader.name] = now + AVOID_AFTER_FAILURE_S
+        return was_avoided == healthy
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -101,16 +101,16 @@
         self.silent: set[str] = set()
         self.broken = False
 
-    async def ask_any(
+    async def fetch_from_any(
         self, addresses: Collection[str], after: int | None
     ) -> Result[StateUpdate, str]:
         """Ask the first peer that is there."""
         for address in addresses:
             if address in self.rigs:
-                return await self.ask(address, after, 0.0)
-        return Failure("no peer is known")
+                return await self.fetch(address, after, 0.0)
+        return Failure("no peer gateway is known")
 
-    async def ask(
+    async def fetch(
         self, address: str, after: int | None, wait_s: float
     ) -> Result[StateUpdate, str]:
         """Ask one peer."""
@@ -363,7 +363,9 @@
         first.settle()
         first.store.tell(6, Item("servers/b", None, 6))
         first.settle()
-        update = decode_update(encode_update(first.follower.relay.tell(-1))).unwrap()
+        update = decode_update(
+            encode_update(first.follower.relay.update_since(-1))
+        ).unwrap()
         assert second.follower.apply_update(update)
         assert second.versions == [3]
         assert list(second.directory.replicas) == ["a"]
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -59,12 +59,12 @@
     @property
     def readers(self) -> list[FollowerRig]:
         """The gateways that watch the store."""
-        return [rig for rig in self.rigs if rig.follower.rotation.is_reader]
+        return [rig for rig in self.rigs if rig.follower.reader_selector.is_reader]
 
     @property
     def others(self) -> list[FollowerRig]:
         """The gateways that ask readers."""
-        return [rig for rig in self.rigs if not rig.follower.rotation.is_reader]
+        return [rig for rig in self.rigs if not rig.follower.reader_selector.is_reader]
 
     def tell(self, *items: Item, to: Iterable[FollowerRig] | None = None) -> None:
         """Answer all calls that wait at the store."""
@@ -98,8 +98,8 @@
     def test_a_gateway_elsewhere_does_not_count(self) -> None:
         rig = FollowerRig()
         records = {f"g-{n}": GatewayRecord("a:1", "there") for n in range(2, 9)}
-        rig.follower.rotation.update(records)
-        assert rig.follower.rotation.is_reader
+        rig.follower.reader_selector.update(records)
+        assert rig.follower.reader_selector.is_reader
 
     def test_those_with_the_widest_links_read(self) -> None:
         rig = FollowerRig()
@@ -107,8 +107,8 @@
             f"g-{n}": GatewayRecord("a:1", "here", "", 1000.0 if n > 6 else 20.0)
             for n in range(2, 12)
         }
-        rig.follower.rotation.update(records)
-        names = {reader.name for reader in rig.follower.rotation.readers}
+        rig.follower.reader_selector.update(records)
+        names = {reader.name for reader in rig.follower.reader_selector.readers}
         assert names <= {f"g-{n}" for n in range(7, 12)}
 
 
@@ -211,7 +211,7 @@
         assert relay.answer(b"after=5&wait_ms=1000", answers.append) is not None
         assert answers == []
         cache.apply(Changes((Item("a", b"1", 6),), 6))
-        relay.release()
+        relay.answer_waiting()
         clock.advance(2.0)
         assert len(answers) == 1
 
