Reword the store follower, its tests and those of the readers

Method names (`take`, `note_up`, `compare`, `ask_reader`, `recover`) and "promises" did not say that the follower applies changes, compares watches, polls readers and retries with backoff within time bounds. Tests are named after what they check, and their stories say which failure they guard against. Log texts: reader_state "reads the store", "asks readers", "lost" and "regained" are "watches store", "polls readers", "unavailable" and "available"; store_down details "history gone, reading anew" and "the watch is silent and another gateway knows more" are "change history discarded, listing again" and "watch returned nothing, another gateway has newer changes"; target_state "entry refused" is "invalid entry".

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Follows the store: configuration, evacuations, replicas and gateways."""
+"""Keeps configuration, evacuations, replicas and gateways in step with the store."""
 
 from __future__ import annotations
 
@@ -29,24 +29,25 @@
 
 logger = structlog.get_logger(__name__)
 
-WATCH_WAIT_S = 20.0  # each watch is a call, so a quiet one should last
-STAND_IN_WAIT_S = 2.0  # a watch of one that is no reader, until readers are tried again
-COALESCE_RATIO = 0.2  # of the shortest promise on changes, since they come in groups
-CHECK_RATIO = 0.2  # of that promise, between two looks of a reader at another gateway
-POLL_RATIO = 0.2  # of that promise: how long a reader may hold a call
-FIRST_RETRY_S = 0.1  # wait after a first failed call
-PEER_AFTER_S = 1.0  # the store may turn only this gateway away
-LAST_RETRY_S = 1.0  # wait after many: the promises leave a few seconds
+WATCH_WAIT_S = 20.0  # long, since each renewed watch costs a call
+FALLBACK_WATCH_WAIT_S = 2.0  # short, so that a non-reader soon retries the readers
+# The next three are fractions of the shortest time bound on applying changes.
+COALESCE_RATIO = 0.2  # wait after a change, since changes come in bursts
+WATCH_CHECK_RATIO = 0.2  # interval at which a reader compares with another gateway
+LONG_POLL_RATIO = 0.2  # how long a reader may hold a call
+INITIAL_BACKOFF_S = 0.1
+ASK_PEERS_AFTER_S = 1.0  # the store may fail for this gateway only
+MAX_BACKOFF_S = 1.0  # upper bound of the backoff: the time bounds are a few seconds
 ALL_KEYS = ""
 
 
 class StoreFollower:
-    """Keeps what this gateway believes in step with the store.
+    """Keeps the cached state of this gateway in step with the store.
 
-    Some gateways of each data centre watch the store; the others ask those readers.
-    One watch covers all keys. Where the history that it needs is gone, everything is
-    read anew. ``on_configuration`` is called with each version that goes in force;
-    versions only grow.
+    Some gateways of each data centre watch the store; the others poll these readers.
+    One watch covers all keys. If the store no longer has the changes that it needs, all
+    keys are listed again. ``on_configuration`` is called with each configuration that
+    comes into force; versions never decrease.
     """
 
     def __init__(
@@ -71,188 +72,201 @@
         self.cache = WatchCache()
         self.relay = ChangeRelay(reactor, self.cache)
         self.reader_selector = ReaderSelector(fleet.node, fleet.record)
-        self.listing_due = True
+        self.listing_needed = True
         self.version = -1
         self.evacuated: set[str] = set()
         self.running = False
-        self.retry_s = 0.0
+        self.backoff_s = 0.0
         self.down_since: float | None = None
-        self.heard_at = reactor.seconds()
+        self.last_contact_at = reactor.seconds()
         self.watching = False
-        self.behind_at: int | None = None
+        self.behind_revision: int | None = None
         self.seeds: tuple[str, ...] = ()
-        self.shortest_s = 0.0
+        self.min_bound_s = 0.0
 
     @property
     def loaded(self) -> bool:
-        """Whether anything is known of the store."""
+        """Whether a listing of the store has been applied."""
         return self.cache.revision is not None
 
     def configure(self, bounds: Bounds) -> None:
-        """Take the promises of the deployment."""
-        self.shortest_s = min(
+        """Derive poll and check intervals from the deployment's time bounds."""
+        self.min_bound_s = min(
             bounds.drain_s, bounds.configuration_s, bounds.evacuation_s
         )
 
     def start(self) -> None:
-        """Begin to follow; after an unexpected error, which is logged, work resumes."""
+        """Start both tasks, each of which is restarted after an unexpected error."""
         self.running = True
-        for work in (self.follow, self.compare):
-            self.begin(work)
+        for task in (self.follow, self.check_watch):
+            self.start_task(task)
 
-    def begin(self, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
-        """Begin one kind of work, and begin it again if it fails."""
-        working = Deferred.fromCoroutine(work())
-        working.addErrback(self.resume, work)
+    def start_task(self, task: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Start a task that is restarted if it raises."""
+        running_task = Deferred.fromCoroutine(task())
+        running_task.addErrback(self.restart_task, task)
 
-    def resume(
-        self, failure: TwistedFailure, work: Callable[[], Coroutine[Any, Any, None]]
+    def restart_task(
+        self, failure: TwistedFailure, task: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
-        """Read everything anew after an unexpected error."""
+        """Log an unexpected error, then restart the task with a new listing."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
-        self.listing_due = True
+        self.listing_needed = True
         self.watching = False
         if self.running:
-            self.reactor.callLater(LAST_RETRY_S, self.begin, work)
+            self.reactor.callLater(MAX_BACKOFF_S, self.start_task, task)
 
     def stop(self) -> None:
-        """Follow no more."""
+        """Stop both tasks after their current call."""
         self.running = False
         self.relay.set_current(False)
 
     async def follow(self) -> None:
-        """Read and watch until stopped."""
+        """Poll a reader, or read the store if no reader is usable, until stopped."""
         while self.running:
             self.update_readers()
             readers = self.reader_selector.usable(self.reactor.seconds())
-            if readers and not self.listing_due:
-                await self.ask_readers(readers[0])
+            if readers and not self.listing_needed:
+                await self.poll_readers(readers[0])
             else:
                 await self.read_store()
 
     def update_readers(self) -> None:
-        """Take the gateways that are registered as possible readers."""
+        """Select readers among the registered gateways, and log a change of readers."""
         if self.reader_selector.update(self.fleet.registered_records()):
             role = (
-                "reads the store" if self.reader_selector.is_reader else "asks readers"
+                "watches store" if self.reader_selector.is_reader else "polls readers"
             )
             names = ",".join(reader.name for reader in self.reader_selector.readers)
             log_event(logger, EventName.READER_STATE, state=role, detail=names)
 
     async def read_store(self) -> None:
-        """List or watch the store, once."""
-        whole = self.listing_due
+        """List or watch the store once, and apply what it returns."""
+        whole = self.listing_needed
         if whole or self.cache.revision is None:
             result = await self.store.read_all(ALL_KEYS)
         else:
-            wait_s = WATCH_WAIT_S if self.reader_selector.is_reader else STAND_IN_WAIT_S
+            wait_s = (
+                WATCH_WAIT_S
+                if self.reader_selector.is_reader
+                else FALLBACK_WATCH_WAIT_S
+            )
             self.watching = True
             result = await self.store.watch(ALL_KEYS, self.cache.revision, wait_s)
             self.watching = False
         match result:
             case Success(changes):
-                self.note_up("")
+                self.record_contact("")
                 self.relay.set_current(True)
-                self.take(changes, whole)
+                self.apply_changes(changes, whole)
                 if changes.items:
-                    await deferLater(self.reactor, COALESCE_RATIO * self.shortest_s)
+                    await deferLater(self.reactor, COALESCE_RATIO * self.min_bound_s)
             case Failure(problem):
                 self.relay.set_current(False)
-                await self.recover(problem)
+                await self.handle_failure(problem)
 
-    async def ask_readers(self, first: Reader) -> None:
-        """Wait for changes at one reader, then look in at another one."""
+    async def poll_readers(self, first: Reader) -> None:
+        """Long-poll one reader, then call another one without waiting."""
         self.relay.set_current(False)
-        await self.ask_reader(first, POLL_RATIO * self.shortest_s)
+        await self.poll_reader(first, LONG_POLL_RATIO * self.min_bound_s)
         other = self.reader_selector.next_secondary(self.reactor.seconds())
         if other is not None and self.running:
-            await self.ask_reader(other, 0.0)
+            await self.poll_reader(other, 0.0)
 
-    async def ask_reader(self, reader: Reader, wait_s: float) -> None:
-        """Ask a reader for changes, once; it may hold the call until there are some."""
+    async def poll_reader(self, reader: Reader, wait_s: float) -> None:
+        """Request changes from a reader once; it may hold the call for ``wait_s``."""
         answer = await self.peers.fetch(reader.address, self.cache.revision, wait_s)
         match answer:
             case Success(update):
                 if update.current:
-                    self.note_up(reader.name)
-                trouble = "" if update.current else "does not hear from the store"
-                self.note_reader(reader, trouble)
+                    self.record_contact(reader.name)
+                failure_detail = (
+                    "" if update.current else "has no contact with the store"
+                )
+                self.record_reader_result(reader, failure_detail)
                 self.apply_update(update)
             case Failure(detail):
-                self.note_reader(reader, detail)
+                self.record_reader_result(reader, detail)
 
-    async def compare(self) -> None:
-        """Look in at other gateways while a watch waits, which may have fallen silent.
+    async def check_watch(self) -> None:
+        """Compare a pending watch with other gateways, to detect a dead connection.
 
-        A connection that something between both ends has lost track of looks well.
+        A connection that the network has lost shows no error at either end.
         """
         while self.running:
-            await deferLater(self.reactor, CHECK_RATIO * self.shortest_s)
+            await deferLater(self.reactor, WATCH_CHECK_RATIO * self.min_bound_s)
             known = self.cache.revision
             if not self.watching or known is None:
-                self.behind_at = None
+                self.behind_revision = None
                 continue
-            address = self.reader_selector.next_other_reader() or self.any_peer()
+            address = self.reader_selector.next_other_reader() or self.random_peer()
             if not address:
                 continue
             match await self.peers.fetch(address, known, 0.0):
                 case Success(update) if update.current and update.changes.items:
-                    self.note_ahead(update, known)
+                    self.handle_newer_state(update, known)
                 case _:
-                    self.behind_at = None
+                    self.behind_revision = None
 
-    def any_peer(self) -> str:
-        """Return the address of some other gateway, empty if none is known."""
+    def random_peer(self) -> str:
+        """Return the address of a random other gateway, empty if none is known."""
         peers = self.fleet.peers()
         return self.random.choice(peers) if peers else ""
 
-    def note_ahead(self, update: StateUpdate, known: int) -> None:
-        """Take what another gateway knows; twice in a row, the watch is given up."""
+    def handle_newer_state(self, update: StateUpdate, known: int) -> None:
+        """Handle newer changes at another gateway while the own watch is pending.
+
+        The second time in a row they are applied and the store connections dropped.
+        """
         if not self.watching or self.cache.revision != known:
             return
-        if self.behind_at != known:
-            self.behind_at = known
+        if self.behind_revision != known:
+            self.behind_revision = known
             return
         log_event(
             logger,
             EventName.STORE_DOWN,
-            detail="the watch is silent and another gateway knows more",
+            detail="watch returned nothing, another gateway has newer changes",
             revision=update.changes.revision,
         )
-        self.behind_at = None
+        self.behind_revision = None
         self.apply_update(update)
         self.store.drop_connections()
 
-    def note_reader(self, reader: Reader, trouble: str) -> None:
-        """Note whether a reader can be relied on."""
+    def record_reader_result(self, reader: Reader, failure_detail: str) -> None:
+        """Record the result of a call to a reader, and log a change."""
         now = self.reactor.seconds()
-        if self.reader_selector.record_result(reader, not trouble, now):
+        if self.reader_selector.record_result(reader, not failure_detail, now):
             log_event(
                 logger,
                 EventName.READER_STATE,
                 peer=reader.name,
-                state="lost" if trouble else "regained",
-                detail=trouble,
+                state="unavailable" if failure_detail else "available",
+                detail=failure_detail,
             )
 
-    async def recover(self, problem: object) -> None:
-        """Wait before the next call, or read anew where the history is gone."""
+    async def handle_failure(self, problem: object) -> None:
+        """Wait with backoff before the next call, or request a listing."""
         if isinstance(problem, HistoryGone):
-            log_event(logger, EventName.STORE_DOWN, detail="history gone, reading anew")
-            self.listing_due = True
+            log_event(
+                logger,
+                EventName.STORE_DOWN,
+                detail="change history discarded, listing again",
+            )
+            self.listing_needed = True
             return
         if self.down_since is None:
             self.down_since = self.reactor.seconds()
             log_event(logger, EventName.STORE_DOWN, detail=str(problem))
         down_s = self.reactor.seconds() - self.down_since
-        if not self.loaded or down_s > PEER_AFTER_S:
-            await self.ask_peers()
-        first_s = FIRST_RETRY_S if self.reader_selector.is_reader else LAST_RETRY_S
-        self.retry_s = min(max(2 * self.retry_s, first_s), LAST_RETRY_S)
-        await deferLater(self.reactor, self.retry_s * (0.5 + self.random.random()))
-
-    async def ask_peers(self) -> None:
-        """Take what another gateway knows if it is newer, while the store is away."""
+        if not self.loaded or down_s > ASK_PEERS_AFTER_S:
+            await self.fetch_from_peers()
+        first_s = INITIAL_BACKOFF_S if self.reader_selector.is_reader else MAX_BACKOFF_S
+        self.backoff_s = min(max(2 * self.backoff_s, first_s), MAX_BACKOFF_S)
+        await deferLater(self.reactor, self.backoff_s * (0.5 + self.random.random()))
+
+    async def fetch_from_peers(self) -> None:
+        """Apply newer state of another gateway while the store is unavailable."""
         known = self.cache.revision
         peers = [*self.seeds, *self.fleet.peers()]
         match await self.peers.fetch_from_any(peers, known):
@@ -266,40 +280,40 @@
             case Failure(detail) if not self.loaded:
                 log_event(logger, EventName.STATE_FROM_PEER, detail=str(detail))
 
-    def note_up(self, reader: str) -> None:
-        """Note that the store answers, perhaps through a reader."""
-        self.retry_s = 0.0
-        self.heard_at = self.reactor.seconds()
+    def record_contact(self, reader: str) -> None:
+        """Record contact with the store, either direct or through ``reader``."""
+        self.backoff_s = 0.0
+        self.last_contact_at = self.reactor.seconds()
         if self.down_since is not None:
             down_s = self.reactor.seconds() - self.down_since
             self.down_since = None
             log_event(logger, EventName.STORE_UP, took_ms=down_s * 1000.0, peer=reader)
 
     def apply_update(self, update: StateUpdate) -> bool:
-        """Take what another gateway tells if it is newer; tell whether it was."""
+        """Apply an update of another gateway if it is newer; return whether it was."""
         known = self.cache.revision
         if known is not None and update.changes.revision <= known:
             return False
-        self.take(update.changes, update.whole)
+        self.apply_changes(update.changes, update.whole)
         return True
 
-    def take(self, changes: Changes, whole: bool) -> None:
-        """Take in a listing or the changes after what is known."""
+    def apply_changes(self, changes: Changes, whole: bool) -> None:
+        """Apply a full listing, or the changes after the cached revision."""
         if whole:
             self.cache.replace(changes)
-            self.listing_due = False
-            self.forget_missing(changes.items)
+            self.listing_needed = False
+            self.remove_missing(changes.items)
         else:
             self.cache.apply(changes)
         for item in changes.items:
-            self.take_item(item)
+            self.apply_item(item)
         self.directory.log_changes()
         self.fleet.log_joined()
         if changes.items:
             self.relay.answer_waiting()
 
-    def forget_missing(self, items: Sequence[Item]) -> None:
-        """Note what a listing does not have any more."""
+    def remove_missing(self, items: Sequence[Item]) -> None:
+        """Remove what a listing no longer contains."""
         now = self.reactor.seconds()
         replicas = self.dialect.replica_prefix
         names = [item.key for item in items]
@@ -315,21 +329,23 @@
             [n[len(GATEWAY_PREFIX) :] for n in names if n.startswith(GATEWAY_PREFIX)]
         )
 
-    def take_item(self, item: Item) -> None:
-        """Take in one key."""
+    def apply_item(self, item: Item) -> None:
+        """Apply the change of one key, according to its prefix."""
         dialect = self.dialect
         if item.key == dialect.configuration_key:
             if item.value is not None:
                 self.apply_configuration(item.value)
         elif item.key.startswith(dialect.replica_prefix):
-            self.take_replica(item.key[len(dialect.replica_prefix) :], item.value)
+            self.apply_replica(item.key[len(dialect.replica_prefix) :], item.value)
         elif item.key.startswith(dialect.evacuation_prefix):
-            self.take_evacuation(item.key[len(dialect.evacuation_prefix) :], item.value)
+            self.apply_evacuation(
+                item.key[len(dialect.evacuation_prefix) :], item.value
+            )
         elif item.key.startswith(GATEWAY_PREFIX):
             self.fleet.apply_record(item.key[len(GATEWAY_PREFIX) :], item.value)
 
     def apply_configuration(self, value: bytes) -> bool:
-        """Put a configuration in force if it is newer."""
+        """Put a configuration in force if it is newer; return whether it was."""
         match self.dialect.read_configuration(value):
             case Success(configuration):
                 if configuration.version <= self.version:
@@ -341,8 +357,8 @@
                 log_event(logger, EventName.REVISION_REFUSED, detail=str(detail))
         return False
 
-    def take_replica(self, replica_id: str, value: bytes | None) -> None:
-        """Take in an entry of discovery; an unreadable one names no replica."""
+    def apply_replica(self, replica_id: str, value: bytes | None) -> None:
+        """Apply a discovery entry; a malformed one removes the replica."""
         now = self.reactor.seconds()
         if value is None:
             self.directory.remove(replica_id, now)
@@ -355,13 +371,13 @@
                     logger,
                     EventName.TARGET_STATE,
                     target=replica_id,
-                    state="entry refused",
+                    state="invalid entry",
                     detail=str(detail),
                 )
                 self.directory.remove(replica_id, now)
 
-    def take_evacuation(self, data_centre: str, value: bytes | None) -> None:
-        """Take a data centre out, or back in."""
+    def apply_evacuation(self, data_centre: str, value: bytes | None) -> None:
+        """Mark a data centre as evacuated, or as back in service."""
         if value is None:
             self.evacuated.discard(data_centre)
         else:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -291,7 +291,7 @@
         self.metrics.replicas.set(len(replicas))
         held = sum(replica.pool.held for replica in replicas.values())
         self.metrics.connections.set(held)
-        self.metrics.store_age_seconds.set(now - self.follower.heard_at)
+        self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
         self.metrics.handed_over.set(self.desk.handed_over)
 
     @property
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -1,4 +1,4 @@
-"""What a gateway believes of the store: watches, outages, versions, leases."""
+"""Store follower: watches, outages, configuration versions, replicas and leases."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class ScriptedStore:
-    """Answers listings and watches when a test says so."""
+    """A store whose listings and watches are answered by the test."""
 
     def __init__(self) -> None:
         self.calls: list[str] = []
@@ -40,16 +40,16 @@
         self.dropped = 0
 
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
-        """Wait for the test to answer."""
+        """Return the result that the test supplies later."""
         self.calls.append("read_all")
-        return await self.hold()
+        return await self.hold_call()
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> Result[Changes, StoreProblem]:
-        """Wait for the test to answer."""
+        """Return the result that the test supplies later."""
         self.calls.append(f"watch {after}")
-        return await self.hold()
+        return await self.hold_call()
 
     async def put(
         self, key: str, value: bytes, lease: int
@@ -77,23 +77,23 @@
         """Count the call."""
         self.dropped += 1
 
-    def hold(self) -> Deferred[Result[Changes, StoreProblem]]:
-        """Return what the next answer ends."""
+    def hold_call(self) -> Deferred[Result[Changes, StoreProblem]]:
+        """Return a call that waits for the test."""
         held: Deferred[Result[Changes, StoreProblem]] = Deferred()
         self.waiting.append(held)
         return held
 
-    def tell(self, revision: int, *items: Item) -> None:
-        """Answer the call that waits."""
+    def answer(self, revision: int, *items: Item) -> None:
+        """Answer the oldest waiting call."""
         self.waiting.popleft().callback(Success(Changes(items, revision)))
 
     def fail(self, problem: StoreProblem) -> None:
-        """Fail the call that waits."""
+        """Fail the oldest waiting call."""
         self.waiting.popleft().callback(Failure(problem))
 
 
 class ScriptedPeers:
-    """Other gateways, each answering as its follower's relay does."""
+    """Other gateways, each answered by the relay of its follower."""
 
     def __init__(self) -> None:
         self.rigs: dict[str, FollowerRig] = {}
@@ -104,7 +104,7 @@
     async def fetch_from_any(
         self, addresses: Collection[str], after: int | None
     ) -> Result[StateUpdate, str]:
-        """Ask the first peer that is there."""
+        """Call the first peer that exists."""
         for address in addresses:
             if address in self.rigs:
                 return await self.fetch(address, after, 0.0)
@@ -113,9 +113,9 @@
     async def fetch(
         self, address: str, after: int | None, wait_s: float
     ) -> Result[StateUpdate, str]:
-        """Ask one peer."""
+        """Call one peer."""
         if self.broken:
-            raise RuntimeError("a fault of ours")
+            raise RuntimeError("unexpected error")
         self.asked.append(address)
         rig = self.rigs.get(address)
         if rig is None or address in self.silent:
@@ -128,7 +128,7 @@
 
 
 class FollowerRig:
-    """A follower of a scripted store."""
+    """A follower with a scripted store and scripted peers."""
 
     def __init__(
         self,
@@ -157,26 +157,26 @@
             PlatformKeys(),
             self.directory,
             self.fleet,
-            self.note_version,
+            self.record_version,
             Random(1),
         )
         self.follower.configure(Bounds(drain_s=5.0, configuration_s=5.0))
         self.peers.rigs[f"{node}:1"] = self
         self.follower.start()
 
-    def note_version(self, configuration: Configuration) -> None:
-        """Note a version that goes in force."""
+    def record_version(self, configuration: Configuration) -> None:
+        """Record a version that comes into force."""
         self.versions.append(configuration.version)
 
-    def settle(self) -> None:
-        """Let the pauses between calls pass."""
+    def pass_pauses(self) -> None:
+        """Advance the clock by the pauses between calls."""
         self.reactor.pump([0.5] * 4)
 
 
 def replica(
     name: str, revision: int, state: str = "ready", born: int = 1, port: int = 80
 ) -> Item:
-    """Make an entry of discovery."""
+    """Make a discovery entry."""
     value = {
         "Service": "desk",
         "Addr": f"10.0.0.9:{port}",
@@ -197,172 +197,172 @@
 
 
 class TestWatching:
-    def test_goes_on_from_the_revision_of_the_listing(self) -> None:
+    def test_watch_continues_from_the_listing_revision(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3))
-        rig.settle()
+        rig.store.answer(5, replica("a", 3))
+        rig.pass_pauses()
         assert rig.store.calls == ["read_all", "watch 5"]
         assert [r.replica_id for r in rig.directory.replicas_of("desk")] == ["a"]
 
-    def test_reads_anew_where_the_history_is_gone(self) -> None:
+    def test_discarded_history_causes_a_new_listing(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3))
-        rig.settle()
+        rig.store.answer(5, replica("a", 3))
+        rig.pass_pauses()
         rig.store.fail(HistoryGone())
-        rig.settle()
+        rig.pass_pauses()
         assert rig.store.calls[-1] == "read_all"
 
-    def test_goes_on_after_an_outage(self) -> None:
+    def test_watch_resumes_after_an_outage(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5)
-        rig.settle()
+        rig.store.answer(5)
+        rig.pass_pauses()
         rig.store.fail(StoreUnavailable("status 503", False))
-        rig.settle()
+        rig.pass_pauses()
         assert rig.store.calls[-1] == "watch 5"
         assert rig.follower.down_since is not None
-        rig.store.tell(6, version(3, 6))
-        rig.settle()
+        rig.store.answer(6, version(3, 6))
+        rig.pass_pauses()
         assert rig.versions == [3]
         assert rig.follower.down_since is None
 
 
 class TestUnexpectedErrors:
-    def test_following_resumes_with_a_listing(self) -> None:
+    def test_follower_restarts_with_a_listing(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3))
-        rig.settle()
-        rig.store.waiting.popleft().errback(RuntimeError("a fault of ours"))
-        rig.settle()
+        rig.store.answer(5, replica("a", 3))
+        rig.pass_pauses()
+        rig.store.waiting.popleft().errback(RuntimeError("unexpected error"))
+        rig.pass_pauses()
         assert rig.store.calls[-1] == "read_all"
-        rig.store.tell(6, replica("a", 3), version(3, 6))
-        rig.settle()
+        rig.store.answer(6, replica("a", 3), version(3, 6))
+        rig.pass_pauses()
         assert rig.versions == [3]
 
 
 class TestConfiguration:
-    def test_never_goes_back(self) -> None:
+    def test_older_version_is_ignored(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, version(7, 5))
-        rig.settle()
-        rig.store.tell(6, version(4, 6))
-        rig.settle()
+        rig.store.answer(5, version(7, 5))
+        rig.pass_pauses()
+        rig.store.answer(6, version(4, 6))
+        rig.pass_pauses()
         assert rig.versions == [7]
 
-    def test_one_that_is_malformed_is_dropped_and_nothing_else(self) -> None:
+    def test_malformed_configuration_is_ignored_alone(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, Item("op/config", b"{", 4), replica("a", 5))
-        rig.settle()
+        rig.store.answer(5, Item("op/config", b"{", 4), replica("a", 5))
+        rig.pass_pauses()
         assert rig.versions == []
         assert len(rig.directory.replicas_of("desk")) == 1
 
 
 class TestReplicas:
-    def test_a_draining_one_gets_nothing_more(self) -> None:
+    def test_draining_replica_is_not_selected(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 5))
-        rig.settle()
-        rig.store.tell(6, replica("a", 6, "draining"))
-        rig.settle()
+        rig.store.answer(5, replica("a", 5))
+        rig.pass_pauses()
+        rig.store.answer(6, replica("a", 6, "draining"))
+        rig.pass_pauses()
         assert rig.directory.replicas_of("desk") == []
 
-    def test_an_unreadable_entry_names_none_and_the_others_hold(self) -> None:
+    def test_malformed_entry_is_ignored_and_others_stay(self) -> None:
         rig = FollowerRig()
         broken = Item("servers/b", b'{"Service": 4}', 4)
-        rig.store.tell(5, replica("a", 3), broken)
-        rig.settle()
+        rig.store.answer(5, replica("a", 3), broken)
+        rig.pass_pauses()
         assert [r.replica_id for r in rig.directory.replicas_of("desk")] == ["a"]
 
-    def test_one_that_lapsed_is_asked_a_while_and_then_gone(self) -> None:
+    def test_deleted_replica_is_used_for_a_grace_period(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3))
-        rig.settle()
-        rig.store.tell(6, Item("servers/a", None, 6))
+        rig.store.answer(5, replica("a", 3))
+        rig.pass_pauses()
+        rig.store.answer(6, Item("servers/a", None, 6))
         rig.reactor.advance(1.0)
         assert len(rig.directory.replicas_of("desk")) == 1
         rig.reactor.advance(1.5)
         assert rig.directory.replicas_of("desk") == []
 
-    def test_one_that_is_back_in_time_stays(self) -> None:
+    def test_replica_that_returns_within_the_grace_period_stays(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3))
-        rig.settle()
-        rig.store.tell(6, Item("servers/a", None, 6))
+        rig.store.answer(5, replica("a", 3))
+        rig.pass_pauses()
+        rig.store.answer(6, Item("servers/a", None, 6))
         rig.reactor.pump([0.5] * 2)
-        rig.store.tell(7, replica("a", 7))
+        rig.store.answer(7, replica("a", 7))
         rig.reactor.pump([0.5] * 8)
         assert len(rig.directory.replicas_of("desk")) == 1
 
-    def test_a_reused_address_ends_the_replica_before(self) -> None:
+    def test_reused_address_replaces_the_earlier_replica(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3))
-        rig.settle()
-        rig.store.tell(6, replica("b", 6))
-        rig.settle()
+        rig.store.answer(5, replica("a", 3))
+        rig.pass_pauses()
+        rig.store.answer(6, replica("b", 6))
+        rig.pass_pauses()
         assert list(rig.directory.replicas) == ["b"]
 
-    def test_a_later_start_under_the_same_id_knows_nothing_of_before(self) -> None:
+    def test_restarted_replica_has_no_earlier_state(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3, born=1))
-        rig.settle()
+        rig.store.answer(5, replica("a", 3, born=1))
+        rig.pass_pauses()
         first = rig.directory.replicas["a"]
-        rig.store.tell(6, replica("a", 6, born=2))
-        rig.settle()
+        rig.store.answer(6, replica("a", 6, born=2))
+        rig.pass_pauses()
         assert rig.directory.replicas["a"] is not first
         assert first.pool.closed
 
-    def test_an_entry_of_an_earlier_start_is_dropped(self) -> None:
+    def test_entry_of_an_earlier_start_is_ignored(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 5, born=9))
-        rig.settle()
-        rig.store.tell(6, replica("a", 6, "draining", born=3))
-        rig.settle()
+        rig.store.answer(5, replica("a", 5, born=9))
+        rig.pass_pauses()
+        rig.store.answer(6, replica("a", 6, "draining", born=3))
+        rig.pass_pauses()
         assert len(rig.directory.replicas_of("desk")) == 1
 
 
 class TestEvacuation:
-    def test_a_data_centre_is_taken_out_and_back_in(self) -> None:
+    def test_data_centre_is_evacuated_and_restored(self) -> None:
         rig = FollowerRig()
-        rig.store.tell(5, replica("a", 3), Item("op/evacuate/here", b"{}", 5))
-        rig.settle()
+        rig.store.answer(5, replica("a", 3), Item("op/evacuate/here", b"{}", 5))
+        rig.pass_pauses()
         assert rig.directory.replicas_of("desk") == []
-        rig.store.tell(6, Item("op/evacuate/here", None, 6))
-        rig.settle()
+        rig.store.answer(6, Item("op/evacuate/here", None, 6))
+        rig.pass_pauses()
         assert len(rig.directory.replicas_of("desk")) == 1
 
 
 class TestGateways:
-    def test_one_that_left_counts_on_for_a_while(self) -> None:
+    def test_departed_gateway_counts_until_its_retention_ends(self) -> None:
         rig = FollowerRig()
         record = msgspec.json.encode(GatewayRecord("10.0.0.2:1", "there"))
-        rig.store.tell(5, Item(GATEWAY_PREFIX + "g-2", record, 5))
-        rig.settle()
+        rig.store.answer(5, Item(GATEWAY_PREFIX + "g-2", record, 5))
+        rig.pass_pauses()
         rig.fleet.apply_record("g-2", None)
         assert len(rig.names[-1]) == 2
         rig.reactor.advance(31.0)
         rig.fleet.publish_names()
         assert rig.names[-1] == {"g-1"}
 
-    def test_a_lost_lease_is_replaced(self) -> None:
+    def test_expired_lease_is_replaced(self) -> None:
         rig = FollowerRig()
         rig.fleet.start()
         rig.store.lease_gone = True
         rig.reactor.advance(2.6)
         rig.store.lease_gone = False
-        rig.settle()
+        rig.pass_pauses()
         calls = [call for call in rig.store.calls if "a" in call]
         assert calls.count("grant") == 2
 
 
-class TestPeers:
-    """Answers the pattern: a gateway starts while the store is away."""
+class TestStateFromPeers:
+    """A gateway starts while the store is unavailable and needs state from a peer."""
 
-    def test_what_one_knows_another_can_start_from(self) -> None:
+    def test_gateway_starts_from_the_state_of_a_peer(self) -> None:
         first, second = FollowerRig(), FollowerRig()
         assert not first.follower.loaded
-        first.store.tell(5, version(3, 2), replica("a", 3), replica("b", 4, port=81))
-        first.settle()
-        first.store.tell(6, Item("servers/b", None, 6))
-        first.settle()
+        first.store.answer(5, version(3, 2), replica("a", 3), replica("b", 4, port=81))
+        first.pass_pauses()
+        first.store.answer(6, Item("servers/b", None, 6))
+        first.pass_pauses()
         update = decode_update(
             encode_update(first.follower.relay.update_since(-1))
         ).unwrap()
@@ -371,8 +371,8 @@
         assert list(second.directory.replicas) == ["a"]
         assert second.follower.cache.revision == 6
 
-    def test_without_a_peer_the_store_is_asked_again(self) -> None:
+    def test_store_is_retried_without_a_peer(self) -> None:
         rig = FollowerRig()
         rig.store.fail(StoreUnavailable("status 503", False))
-        rig.settle()
+        rig.pass_pauses()
         assert rig.store.calls == ["read_all", "read_all"]
--- a/tests/gateway/test_follower_lines.py
+++ b/tests/gateway/test_follower_lines.py
@@ -1,4 +1,4 @@
-"""What a gateway logs of what it reads from the store."""
+"""Log lines about replicas and gateways read from the store."""
 
 from __future__ import annotations
 
@@ -18,15 +18,18 @@
     return Item(f"{GATEWAY_PREFIX}{name}", value, revision)
 
 
-class TestLines:
-    """Answers the pattern: a gateway starts in a large fleet and logs what it reads."""
+class TestLogLines:
+    """A large listing must not use up the burst of lines that the log accepts.
 
-    def test_a_large_listing_leaves_lines_for_requests(self) -> None:
+    At the start, each registered replica and gateway is new at once.
+    """
+
+    def test_large_listing_uses_few_lines(self) -> None:
         rig = FollowerRig()
         replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
         gateways = [gateway_record(f"front-somewhere-{n}", 5) for n in range(550)]
         with capture_logs() as lines:
-            rig.store.tell(5, *replicas, *gateways)
+            rig.store.answer(5, *replicas, *gateways)
         assert len(lines) < BURST_LINES / 1.5
         text = " ".join(line.get("detail", "") for line in lines)
         assert all(item.key.rpartition("/")[2] in text for item in replicas)
@@ -35,24 +38,24 @@
             len(line.get("detail", "")) <= MAX_VALUE_CHARACTERS for line in lines
         )
 
-    def test_replicas_that_all_lapse_and_return_share_lines(self) -> None:
+    def test_replicas_that_all_leave_and_return_share_lines(self) -> None:
         rig = FollowerRig()
         replicas = [replica(f"i-{n:08x}", 5, port=n + 1) for n in range(4300)]
-        rig.store.tell(5, *replicas)
+        rig.store.answer(5, *replicas)
         with capture_logs() as lines:
-            rig.settle()
-            rig.store.tell(6, *[Item(item.key, None, 6) for item in replicas])
-            rig.settle()
-            rig.store.tell(7, *[item._replace(revision=7) for item in replicas])
+            rig.pass_pauses()
+            rig.store.answer(6, *[Item(item.key, None, 6) for item in replicas])
+            rig.pass_pauses()
+            rig.store.answer(7, *[item._replace(revision=7) for item in replicas])
         assert {line.get("state") for line in lines} == {
             "left discovery",
             "registered again",
         }
         assert len(lines) < BURST_LINES
 
-    def test_a_few_newcomers_get_a_line_each(self) -> None:
+    def test_few_new_replicas_get_a_line_each(self) -> None:
         rig = FollowerRig()
         with capture_logs() as lines:
-            rig.store.tell(5, replica("a", 5, port=1), replica("b", 5, port=2))
-        told = [line["target"] for line in lines if line["event"] == "target_state"]
-        assert told == ["a", "b"]
+            rig.store.answer(5, replica("a", 5, port=1), replica("b", 5, port=2))
+        targets = [line["target"] for line in lines if line["event"] == "target_state"]
+        assert targets == ["a", "b"]
