Rename the table of error answers to error responses

`Answer` and `ANSWERS` hold the HTTP status and retry advice of an error kind, while an answer is elsewhere the result of a search. They are now `ErrorResponse` and `ERROR_RESPONSES`, and `Problem.answer` is `Problem.response`.

--- a/sardinehook/entry/front.py
+++ b/sardinehook/entry/front.py
@@ -200,11 +200,11 @@
     request.setHeader(b"Request-Id", request_id.encode())
     match response:
         case Problem() as problem:
-            request.setResponseCode(problem.answer.status)
-            if problem.answer.not_run:
+            request.setResponseCode(problem.response.status)
+            if problem.response.not_run:
                 request.setHeader(b"Not-Run", b"true")
-            if problem.answer.retry_after_ms:
-                seconds = -(-problem.answer.retry_after_ms // MS_PER_S)
+            if problem.response.retry_after_ms:
+                seconds = -(-problem.response.retry_after_ms // MS_PER_S)
                 request.setHeader(b"Retry-After", str(seconds).encode())
             body = encode_error(request_id, problem)
         case BodyResponse():
--- a/sardinehook/entry/requests.py
+++ b/sardinehook/entry/requests.py
@@ -73,7 +73,7 @@
     detail = ErrorDetail(
         kind=problem.kind.value,
         detail=problem.detail,
-        not_run=problem.answer.not_run,
+        not_run=problem.response.not_run,
     )
     return msgspec.json.encode(ErrorAnswer(request_id=request_id, error=detail))
 
--- a/sardinehook/errors.py
+++ b/sardinehook/errors.py
@@ -5,7 +5,13 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["ANSWERS", "Answer", "ErrorKind", "Problem", "SardinehookError"]
+__all__ = [
+    "ERROR_RESPONSES",
+    "ErrorKind",
+    "ErrorResponse",
+    "Problem",
+    "SardinehookError",
+]
 
 
 class ErrorKind(StrEnum):
@@ -31,7 +37,7 @@
     INTERNAL = "internal"
 
 
-class Answer(NamedTuple):
+class ErrorResponse(NamedTuple):
     """What a caller is told about a kind of error.
 
     ``status`` is the HTTP status code. ``not_run`` promises that no target can
@@ -44,32 +50,32 @@
     retry_after_ms: int
 
 
-ANSWERS: dict[ErrorKind, Answer] = {
-    ErrorKind.BAD_REQUEST: Answer(400, True, 0),
-    ErrorKind.NOT_FOUND: Answer(404, True, 0),
-    ErrorKind.PAYLOAD_TOO_LARGE: Answer(413, True, 0),
-    ErrorKind.NO_DOCUMENT: Answer(503, True, 1000),
-    ErrorKind.OVERLOADED: Answer(503, True, 500),
-    ErrorKind.DEADLINE_TOO_SHORT: Answer(503, True, 0),
-    ErrorKind.DATA_CENTRE_OUT: Answer(503, True, 100),
-    ErrorKind.STOPPING: Answer(503, True, 100),
-    ErrorKind.STORE_UNAVAILABLE: Answer(503, True, 1000),
-    ErrorKind.TARGET_UNAVAILABLE: Answer(503, True, 500),
-    ErrorKind.COVERAGE_BELOW_LEAST: Answer(504, False, 500),
-    ErrorKind.DEADLINE_EXCEEDED: Answer(504, False, 0),
-    ErrorKind.ORDER_IN_PROGRESS: Answer(409, False, 500),
-    ErrorKind.OUTCOME_UNKNOWN: Answer(502, False, 0),
-    ErrorKind.INVALID_SETTINGS: Answer(400, True, 0),
-    ErrorKind.INVALID_DOCUMENT: Answer(400, True, 0),
-    ErrorKind.CONFLICT: Answer(409, True, 0),
-    ErrorKind.INTERNAL: Answer(500, False, 0),
+ERROR_RESPONSES: dict[ErrorKind, ErrorResponse] = {
+    ErrorKind.BAD_REQUEST: ErrorResponse(400, True, 0),
+    ErrorKind.NOT_FOUND: ErrorResponse(404, True, 0),
+    ErrorKind.PAYLOAD_TOO_LARGE: ErrorResponse(413, True, 0),
+    ErrorKind.NO_DOCUMENT: ErrorResponse(503, True, 1000),
+    ErrorKind.OVERLOADED: ErrorResponse(503, True, 500),
+    ErrorKind.DEADLINE_TOO_SHORT: ErrorResponse(503, True, 0),
+    ErrorKind.DATA_CENTRE_OUT: ErrorResponse(503, True, 100),
+    ErrorKind.STOPPING: ErrorResponse(503, True, 100),
+    ErrorKind.STORE_UNAVAILABLE: ErrorResponse(503, True, 1000),
+    ErrorKind.TARGET_UNAVAILABLE: ErrorResponse(503, True, 500),
+    ErrorKind.COVERAGE_BELOW_LEAST: ErrorResponse(504, False, 500),
+    ErrorKind.DEADLINE_EXCEEDED: ErrorResponse(504, False, 0),
+    ErrorKind.ORDER_IN_PROGRESS: ErrorResponse(409, False, 500),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorResponse(502, False, 0),
+    ErrorKind.INVALID_SETTINGS: ErrorResponse(400, True, 0),
+    ErrorKind.INVALID_DOCUMENT: ErrorResponse(400, True, 0),
+    ErrorKind.CONFLICT: ErrorResponse(409, True, 0),
+    ErrorKind.INTERNAL: ErrorResponse(500, False, 0),
 }
 
 
 class Problem(NamedTuple):
     """An error kind with one line of detail for a person.
 
-    >>> Problem(ErrorKind.OVERLOADED, "the queue is full").answer.status
+    >>> Problem(ErrorKind.OVERLOADED, "the queue is full").response.status
     503
     """
 
@@ -77,9 +83,9 @@
     detail: str
 
     @property
-    def answer(self) -> Answer:
+    def response(self) -> ErrorResponse:
         """The answer that the table gives for this kind."""
-        return ANSWERS[self.kind]
+        return ERROR_RESPONSES[self.kind]
 
 
 class SardinehookError(Exception):
--- a/sardinehook/gateway/answer.py
+++ b/sardinehook/gateway/answer.py
@@ -31,7 +31,7 @@
     >>> refuse(Problem(ErrorKind.OVERLOADED, "busy"), 0.25).headers[1]
     (b'Retry-After', b'0.25')
     """
-    answer = problem.answer
+    answer = problem.response
     if retry_after_s is None and answer.retry_after_ms:
         retry_after_s = answer.retry_after_ms / 1000.0
     headers: list[Header] = [(b"Content-Type", b"application/json")]
--- a/sardinehook/order/claim.py
+++ b/sardinehook/order/claim.py
@@ -128,7 +128,7 @@
 
     def not_run(self, problem: Problem) -> OrderClaim:
         """Return the claim given up; the problem must be one of kind not run."""
-        if not problem.answer.not_run:
+        if not problem.response.not_run:
             raise ValueError(f"{problem.kind} does not promise that nothing ran")
         return self._ended(ClaimState.NOT_RUN, problem)
 
--- a/sardinehook/order/desk.py
+++ b/sardinehook/order/desk.py
@@ -222,7 +222,7 @@
             return OrderOutcome.RUN
         case Failure(problem) if problem.kind is ErrorKind.ORDER_IN_PROGRESS:
             return OrderOutcome.IN_PROGRESS
-        case Failure(problem) if problem.answer.not_run:
+        case Failure(problem) if problem.response.not_run:
             return OrderOutcome.NOT_RUN
     return OrderOutcome.UNKNOWN
 
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -17,7 +17,7 @@
 )
 from sardinehook.environment.document import EnvironmentDocument
 from sardinehook.environment.loading import load_document
-from sardinehook.errors import ANSWERS, ErrorKind
+from sardinehook.errors import ERROR_RESPONSES, ErrorKind
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -67,7 +67,7 @@
     ) -> None:
         result = resolve_request(document, "audit", "r", deadline, body)
         if not is_successful(result):
-            assert ANSWERS[result.failure().kind].not_run
+            assert ERROR_RESPONSES[result.failure().kind].not_run
 
 
 class TestHeaders:
@@ -94,7 +94,7 @@
         internal = {ErrorKind.INVALID_SETTINGS, ErrorKind.INVALID_DOCUMENT}
         expected = {
             kind.value: (answer.status, answer.not_run)
-            for kind, answer in ANSWERS.items()
+            for kind, answer in ERROR_RESPONSES.items()
             if kind not in internal
         }
         assert found == expected
--- a/tests/query/test_admission.py
+++ b/tests/query/test_admission.py
@@ -40,7 +40,7 @@
         admit(admission, STORM, 50, 9.0)
         problem = admission.admit("audit", AUDIT, 50, 900.0, 9.0).failure()
         assert problem.kind is ErrorKind.OVERLOADED
-        assert problem.answer.not_run
+        assert problem.response.not_run
         for _ in range(int(FIRST_LIMIT / 50) - 1):
             admit(admission, STORM, 50, 9.0)
 
--- a/tests/query/test_search.py
+++ b/tests/query/test_search.py
@@ -182,7 +182,7 @@
         _, actions = start([ServicePlan("logs", "lost", ())])
         problem = settlement(actions).outcome
         assert isinstance(problem, Problem)
-        assert problem.answer.not_run
+        assert problem.response.not_run
 
     def test_no_time_at_the_start_is_marked_not_run(self) -> None:
         _, actions = start(plans(2), deadline_at=0.0)
@@ -190,24 +190,24 @@
         problem = settlement(actions).outcome
         assert isinstance(problem, Problem)
         assert problem.kind is ErrorKind.DEADLINE_TOO_SHORT
-        assert problem.answer.not_run
+        assert problem.response.not_run
 
     def test_nothing_begun_is_marked_not_run(self) -> None:
         search, actions = start(plans(1, replicas=1))
         reply = reply_to(sent(actions)[0], Outcome.NOT_RUN, began=False)
         problem = settlement(search.on_reply(reply, 0.01)).outcome
         assert isinstance(problem, Problem)
-        assert problem.answer.not_run
+        assert problem.response.not_run
 
     def test_what_began_and_failed_is_not_marked_not_run(self) -> None:
         search, actions = start(plans(1, replicas=1))
         reply = reply_to(sent(actions)[0], Outcome.FAILED, began=True)
         problem = settlement(search.on_reply(reply, 0.01)).outcome
         assert isinstance(problem, Problem)
-        assert not problem.answer.not_run
+        assert not problem.response.not_run
 
     def test_what_may_have_begun_is_not_marked_not_run(self) -> None:
         search, _ = start(plans(1, replicas=1))
         problem = settlement(search.on_timer(0.15)).outcome
         assert isinstance(problem, Problem)
-        assert not problem.answer.not_run
+        assert not problem.response.not_run
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from sardinehook.errors import ANSWERS, ErrorKind
+from sardinehook.errors import ERROR_RESPONSES, ErrorKind
 
 
 class TestAnswers:
     def test_every_kind_has_an_answer(self) -> None:
-        assert set(ANSWERS) == set(ErrorKind)
+        assert set(ERROR_RESPONSES) == set(ErrorKind)
 
     def test_an_outcome_in_doubt_is_never_marked_not_run(self) -> None:
         doubtful = {
@@ -17,4 +17,4 @@
             ErrorKind.ORDER_IN_PROGRESS,
             ErrorKind.INTERNAL,
         }
-        assert not any(ANSWERS[kind].not_run for kind in doubtful)
+        assert not any(ERROR_RESPONSES[kind].not_run for kind in doubtful)
