Rename the replica view to the replica report

A `ReplicaView` is not a view that a reader takes, but what the owner of a replica reports to its peers: state, versions, expected wait and capacity. It is now `ReplicaReport`, its field `room` is `free_slots` (it travels as an array, so no name is on the wire) and `observe_view` is `observe_report`.

--- a/bench/state_cost.py
+++ b/bench/state_cost.py
@@ -22,7 +22,7 @@
     Scope,
     Workload,
 )
-from sardinehook.messages import ReplicaView, TargetState
+from sardinehook.messages import ReplicaReport, TargetState
 from sardinehook.query.planner import Planner
 from sardinehook.query.policy import SearchPolicy
 
@@ -83,8 +83,8 @@
     }
     now = Clock().seconds()
     for name in homes:
-        planner.observe_view(
-            ReplicaView(name, TargetState.WARM, (1, 2), 1, 1.0, 2), now
+        planner.observe_report(
+            ReplicaReport(name, TargetState.WARM, (1, 2), 1, 1.0, 2), now
         )
     took_ms = (time.perf_counter() - started) * 1000.0
     grown = process.memory_info().rss - before
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -37,7 +37,7 @@
 from sardinehook.fleet.service import Fleet, Identity
 from sardinehook.messages import (
     CancelSubQuery,
-    ReplicaView,
+    ReplicaReport,
     SubQuery,
     SubReply,
     TargetState,
@@ -189,7 +189,7 @@
         self.metrics.queued.set(held.queued)
         self.metrics.set_replicas(held.replicas)
 
-    def take_view(self, view: ReplicaView) -> None:
+    def take_view(self, view: ReplicaReport) -> None:
         """Use what the owner of a replica tells, here or at a peer."""
         self.searches.take_view(view)
         self.owner.note_peer_view(view.replica, TargetState(view.state))
@@ -202,7 +202,7 @@
         for message_type in (RevisionAnnounce, RevisionRequest, RevisionDelta):
             self.links.on(message_type, self.control.on_message)
         self.links.on(SubReply, self.dispatcher.on_reply)
-        self.links.on(ReplicaView, lambda _node, view: self.take_view(view))
+        self.links.on(ReplicaReport, lambda _node, view: self.take_view(view))
         self.links.on(VmNotice, lambda _node, notice: self.vm_watch.take(notice))
         self.fleet.on_change(self.allowances.schedule)
         self.links.on_down(self.dispatcher.on_link_down)
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -18,7 +18,7 @@
     Workload,
 )
 from sardinehook.errors import Problem
-from sardinehook.messages import ReplicaView
+from sardinehook.messages import ReplicaReport
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.metrics import Metrics
@@ -67,9 +67,9 @@
         self.planner.apply(document)
         self.admission.limits = document.limits
 
-    def take_view(self, view: ReplicaView) -> None:
+    def take_view(self, view: ReplicaReport) -> None:
         """Use what an owner tells of its replica."""
-        self.planner.observe_view(view, self.reactor.seconds())
+        self.planner.observe_report(view, self.reactor.seconds())
 
     def run(self, request: CallerRequest) -> Deferred[Response]:
         """Run a search; cancelling the result abandons it at the targets too."""
--- a/sardinehook/entry/view_exchange.py
+++ b/sardinehook/entry/view_exchange.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
-from sardinehook.messages import ReplicaView, TargetState
+from sardinehook.messages import ReplicaReport, TargetState
 
 __all__ = ["ViewExchange"]
 
@@ -23,7 +23,7 @@
     partitioning: int
 
 
-def facts_of(view: ReplicaView) -> ViewFacts:
+def facts_of(view: ReplicaReport) -> ViewFacts:
     """Return what of a view is told when it changes; load is told on replies."""
     return ViewFacts(view.state, tuple(view.index_versions), view.partitioning)
 
@@ -38,10 +38,10 @@
     def __init__(
         self,
         reactor: IReactorTime,
-        own_views: Callable[[], Sequence[ReplicaView]],
+        own_views: Callable[[], Sequence[ReplicaReport]],
         peers: Callable[[], Iterable[str]],
-        send: Callable[[str, ReplicaView], bool],
-        take: Callable[[ReplicaView], None],
+        send: Callable[[str, ReplicaReport], bool],
+        take: Callable[[ReplicaReport], None],
     ) -> None:
         self.own_views = own_views
         self.peers = peers
@@ -68,7 +68,7 @@
         for peer in self.peers():
             self.tell(peer, views)
 
-    def tell(self, peer: str, views: Sequence[ReplicaView]) -> None:
+    def tell(self, peer: str, views: Sequence[ReplicaReport]) -> None:
         """Tell one peer what changed since it was last told."""
         told = self.told.setdefault(peer, {})
         for view in views:
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -31,7 +31,7 @@
 from sardinehook.fleet.roster_book import RosterBook
 from sardinehook.fleet.roster_keeper import RosterKeeper
 from sardinehook.fleet.share import share_of
-from sardinehook.messages import ReplicaView
+from sardinehook.messages import ReplicaReport
 from sardinehook.store.port import Store
 from sardinehook.store.vm_list import VmLister
 from sardinehook.target.allowance import Allowance
@@ -219,7 +219,7 @@
         for callback in self.callbacks:
             callback()
 
-    def announce(self, views: Sequence[ReplicaView]) -> None:
+    def announce(self, views: Sequence[ReplicaReport]) -> None:
         """Tell all connected members about replicas that this process serves."""
         for node in list(self.links.live_links):
             for view in views:
--- a/sardinehook/fleet/wire.py
+++ b/sardinehook/fleet/wire.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from sardinehook.messages import CancelSubQuery, ReplicaView, SubQuery, SubReply
+from sardinehook.messages import CancelSubQuery, ReplicaReport, SubQuery, SubReply
 
 __all__ = [
     "PROBE_KINDS",
@@ -152,7 +152,7 @@
 register_message(1, SubQuery, MessageRole.REQUEST)
 register_message(2, SubReply, MessageRole.REPLY)
 register_message(3, CancelSubQuery)
-register_message(4, ReplicaView)
+register_message(4, ReplicaReport)
 register_message(5, Ping)
 register_message(6, Pong)
 PROBE_KINDS = frozenset({kinds[Ping], kinds[Pong]})
--- a/sardinehook/messages.py
+++ b/sardinehook/messages.py
@@ -14,7 +14,7 @@
     "NO_ORDER_KEY",
     "CancelSubQuery",
     "Outcome",
-    "ReplicaView",
+    "ReplicaReport",
     "SubQuery",
     "SubReply",
     "TargetState",
@@ -95,7 +95,7 @@
     sub_query_id: int
 
 
-class ReplicaView(NamedTuple):
+class ReplicaReport(NamedTuple):
     """What the owner of a replica tells the other entry processes about it.
 
     ``index_versions`` are the versions that the replica holds, newest last.
@@ -107,4 +107,4 @@
     index_versions: tuple[int, ...]
     partitioning: int
     wait_ms: float
-    room: int  # sub-queries that the owner can start at once
+    free_slots: int  # sub-queries that the owner can start at once
--- a/sardinehook/query/planner.py
+++ b/sardinehook/query/planner.py
@@ -15,7 +15,7 @@
     Workload,
 )
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.messages import ReplicaView
+from sardinehook.messages import ReplicaReport
 from sardinehook.query.plan import ServicePlan
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.replica_choice import Placement
@@ -74,10 +74,10 @@
         self.policy.chooser.retain(names)
         self.policy.holdings.retain(names)
 
-    def observe_view(self, view: ReplicaView, now: float) -> None:
+    def observe_report(self, view: ReplicaReport, now: float) -> None:
         """Take in what an owner tells of its replica."""
-        self.policy.chooser.observe_view(view, now)
-        self.policy.holdings.observe_view(view)
+        self.policy.chooser.observe_report(view, now)
+        self.policy.holdings.observe_report(view)
 
     def plan(
         self, workload: Workload, service: str, now: float
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -6,7 +6,7 @@
 from random import Random
 from typing import NamedTuple
 
-from sardinehook.messages import Outcome, ReplicaView, TargetState
+from sardinehook.messages import Outcome, ReplicaReport, TargetState
 
 __all__ = ["Placement", "ReplicaChooser", "ReplicaRecord"]
 
@@ -69,7 +69,7 @@
         self.repeats = MOST_REPEATS
         self.seen_at = -1e9
         self.tried_at = -1e9
-        self.view: ReplicaView | None = None
+        self.view: ReplicaReport | None = None
         self.view_at = -1e9
 
     def observe(self, latency_ms: float, now: float) -> None:
@@ -140,7 +140,7 @@
         """Name the data centres that take no new work."""
         self.out = frozenset(data_centres)
 
-    def observe_view(self, view: ReplicaView, now: float) -> None:
+    def observe_report(self, view: ReplicaReport, now: float) -> None:
         """Take in what an owner tells of its replica."""
         record = self.record_of(view.replica)
         record.view = view
--- a/sardinehook/query/snapshot.py
+++ b/sardinehook/query/snapshot.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
-from sardinehook.messages import ANY_VERSION, ReplicaView
+from sardinehook.messages import ANY_VERSION, ReplicaReport
 
 __all__ = ["ANY_SNAPSHOT", "Holdings", "Snapshot", "choose_snapshot"]
 
@@ -46,7 +46,7 @@
         """Return the snapshots that ``replica`` holds, empty if unknown."""
         return self.held.get(replica, NONE_HELD)
 
-    def observe_view(self, view: ReplicaView) -> None:
+    def observe_report(self, view: ReplicaReport) -> None:
         """Take in what an owner tells of its replica."""
         held = frozenset(
             Snapshot(version, view.partitioning) for version in view.index_versions
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from sardinehook.environment.document import Index, Replica
-from sardinehook.messages import Outcome, ReplicaView, SubQuery, SubReply, TargetState
+from sardinehook.messages import Outcome, ReplicaReport, SubQuery, SubReply, TargetState
 from sardinehook.target.allowance import Allowance
 from sardinehook.target.counts import OwnerCounts, count_holdings
 from sardinehook.target.exchanges import ExchangeIds
@@ -150,7 +150,7 @@
         """Forget work that is having its reply."""
         self.work.pop(work.key, None)
 
-    def views(self) -> list[ReplicaView]:
+    def views(self) -> list[ReplicaReport]:
         """Return the view of each replica of which a part is held here."""
         return [runner.view() for runner in self.runners.values() if runner.holds_part]
 
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from sardinehook.environment.document import Index, Replica
-from sardinehook.messages import Outcome, ReplicaView, TargetState
+from sardinehook.messages import Outcome, ReplicaReport, TargetState
 from sardinehook.target.allowance import Allowance
 from sardinehook.target.dialect import TargetReply
 from sardinehook.target.evidence import Evidence
@@ -335,12 +335,12 @@
             self.context.settled(work)
             work.settle(verdict, detail, reply, self.reactor.seconds())
 
-    def view(self) -> ReplicaView:
+    def view(self) -> ReplicaReport:
         """Return what other processes are told about the replica."""
         ahead = self.exchanges.in_flight + len(self.queue)
         room = max(0, self.ramp.bound - ahead) if self.takes_work else 0
         status = self.evidence.status
-        return ReplicaView(
+        return ReplicaReport(
             self.replica.name,
             self.standing.state,
             status.index_versions,
--- a/tests/entry/test_view_exchange.py
+++ b/tests/entry/test_view_exchange.py
@@ -8,21 +8,21 @@
 from twisted.internet.task import Clock
 
 from sardinehook.entry.view_exchange import EXCHANGE_INTERVAL_S, ViewExchange
-from sardinehook.messages import ReplicaView, TargetState
+from sardinehook.messages import ReplicaReport, TargetState
 
 
-def view(state: TargetState, wait_ms: float = 1.0) -> ReplicaView:
-    return ReplicaView("r1", state, (1,), 1, wait_ms, 2)
+def view(state: TargetState, wait_ms: float = 1.0) -> ReplicaReport:
+    return ReplicaReport("r1", state, (1,), 1, wait_ms, 2)
 
 
 class TestViewExchange:
     def test_a_peer_is_told_changes_only(self) -> None:
         views = [view(TargetState.COLD)]
-        sent: list[ReplicaView] = []
-        taken: list[ReplicaView] = []
+        sent: list[ReplicaReport] = []
+        taken: list[ReplicaReport] = []
         clock = Clock()
 
-        def send(_peer: str, message: ReplicaView) -> bool:
+        def send(_peer: str, message: ReplicaReport) -> bool:
             sent.append(message)
             return True
 
@@ -48,10 +48,10 @@
         assert len(sent) == 3
 
     def test_what_could_not_be_sent_is_sent_again(self) -> None:
-        tries: list[ReplicaView] = []
+        tries: list[ReplicaReport] = []
         clock = Clock()
 
-        def send(_peer: str, message: ReplicaView) -> bool:
+        def send(_peer: str, message: ReplicaReport) -> bool:
             tries.append(message)
             return len(tries) > 1
 
--- a/tests/query/test_planner.py
+++ b/tests/query/test_planner.py
@@ -14,7 +14,7 @@
     Workload,
 )
 from sardinehook.errors import ErrorKind
-from sardinehook.messages import Outcome, ReplicaView, TargetState
+from sardinehook.messages import Outcome, ReplicaReport, TargetState
 from sardinehook.query.planner import Planner
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.replica_choice import Placement, ReplicaChooser
@@ -56,8 +56,8 @@
     state: TargetState = TargetState.WARM,
     versions: tuple[int, ...] = (42,),
     wait_ms: float = 1.0,
-) -> ReplicaView:
-    return ReplicaView(replica, state, versions, 1, wait_ms, 2)
+) -> ReplicaReport:
+    return ReplicaReport(replica, state, versions, 1, wait_ms, 2)
 
 
 def chooser() -> ReplicaChooser:
@@ -93,7 +93,7 @@
     def test_replicas_that_left_the_document_are_forgotten(self) -> None:
         held = planner()
         for replica in ("logs-0-a", "former"):
-            held.observe_view(view(replica), 0.0)
+            held.observe_report(view(replica), 0.0)
         held.apply(document())
         assert set(held.policy.chooser.records) == {"logs-0-a"}
         assert set(held.policy.holdings.held) == {"logs-0-a"}
@@ -101,9 +101,9 @@
     def test_replica_without_the_snapshot_comes_last(self) -> None:
         held = planner()
         for number in range(3):
-            held.observe_view(view(f"logs-{number}-a", versions=(41, 42)), 0.0)
-            held.observe_view(view(f"logs-{number}-b", versions=(41, 42)), 0.0)
-        held.observe_view(view("logs-0-a", versions=(41,)), 0.0)
+            held.observe_report(view(f"logs-{number}-a", versions=(41, 42)), 0.0)
+            held.observe_report(view(f"logs-{number}-b", versions=(41, 42)), 0.0)
+        held.observe_report(view("logs-0-a", versions=(41,)), 0.0)
         plan = held.plan(ALL, "", 1.0).unwrap()
         assert plan.snapshots == {"logs": NEW}
         assert plan.services[0].replicas == ("logs-0-b", "logs-0-a")
@@ -141,7 +141,7 @@
 
     def test_refusal_corrects_a_view(self) -> None:
         holdings = Holdings()
-        holdings.observe_view(view("a", versions=(41, 42)))
+        holdings.observe_report(view("a", versions=(41, 42)))
         holdings.refuse("a", NEW, ANY_SNAPSHOT)
         assert holdings.of("a") == {OLD}
 
@@ -155,8 +155,8 @@
 class TestReplicaChoice:
     def test_real_replies_go_before_a_misleading_hint(self) -> None:
         held = chooser()
-        held.observe_view(view("own", wait_ms=0.1), 10.0)
-        held.observe_view(view("twin", wait_ms=50.0), 10.0)
+        held.observe_report(view("own", wait_ms=0.1), 10.0)
+        held.observe_report(view("twin", wait_ms=50.0), 10.0)
         for replica, latency_ms in (("own", 100.0), ("twin", 3.0)):
             held.observe_sent(replica, 10.0)
             held.observe_reply(replica, Outcome.ANSWERED, latency_ms, 10.0)
@@ -201,12 +201,12 @@
     @pytest.mark.parametrize("state", [TargetState.DRAINING, TargetState.GONE])
     def test_leaving_replica_gets_nothing(self, state: TargetState) -> None:
         held = chooser()
-        held.observe_view(view("own", state), 0.0)
+        held.observe_report(view("own", state), 0.0)
         assert held.order([OWN, TWIN], 0.1) == ("twin",)
 
     def test_cold_replica_comes_last(self) -> None:
         held = chooser()
-        held.observe_view(view("own", TargetState.COLD), 0.0)
+        held.observe_report(view("own", TargetState.COLD), 0.0)
         assert held.order([OWN, REMOTE], 9.0) == ("remote", "own")
 
     def test_equal_replicas_share_the_load(self) -> None:
--- a/tests/target/test_cold_start.py
+++ b/tests/target/test_cold_start.py
@@ -129,7 +129,7 @@
         rig.owner.set_allowance("s-a", None)
         rig.owner.set_allowance("s-a", Allowance(2, 20, True))
         (view,) = rig.owner.views()
-        assert (view.state, view.room) == (TargetState.UNKNOWN, 1)
+        assert (view.state, view.free_slots) == (TargetState.UNKNOWN, 1)
 
     def test_two_missed_deadlines_are_a_setback(self) -> None:
         rig = Rig()
--- a/tests/target/test_owner.py
+++ b/tests/target/test_owner.py
@@ -208,7 +208,7 @@
     def test_a_view_shows_state_versions_and_room(self) -> None:
         rig = Rig()
         (view,) = rig.owner.views()
-        assert (view.state, view.index_versions, view.room) == (
+        assert (view.state, view.index_versions, view.free_slots) == (
             TargetState.UNKNOWN,
             (1,),
             1,
@@ -222,7 +222,7 @@
     def test_a_holder_that_may_not_serve_cold_has_no_room(self) -> None:
         rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
         rig.submit(query(1))
-        assert rig.owner.views()[0].room == 0
+        assert rig.owner.views()[0].free_slots == 0
         assert rig.outcomes() == [Outcome.NOT_RUN]
 
     def test_the_counts_are_those_of_what_is_held(self) -> None:
--- a/tests/target/test_standing.py
+++ b/tests/target/test_standing.py
@@ -57,7 +57,7 @@
         rig.reactor.refuses = False
         rig.advance(2.5)
         (view,) = rig.owner.views()
-        assert (view.state, view.room) == (TargetState.UNKNOWN, 1)
+        assert (view.state, view.free_slots) == (TargetState.UNKNOWN, 1)
 
     def test_a_misleading_status_does_not_end_a_drain(self) -> None:
         standing = Standing(ColdStart(1, 2))
