Rename Admission and its ticket to the terms of admission control

`Admission` named both the act and the object, and a `Ticket` said nothing of what it holds: the workload, priority and cost of a request in progress. They are now `AdmissionController` and `AdmittedRequest`.

--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -14,7 +14,7 @@
 from sardinehook.errors import Problem
 from sardinehook.messages import Outcome, SubQuery, SubReply
 from sardinehook.query.actions import Action, Cancel, Send, Settle
-from sardinehook.query.admission import Admission, Ticket
+from sardinehook.query.admission import AdmissionController, AdmittedRequest
 from sardinehook.query.hedging import HedgePolicy
 from sardinehook.query.plan import SearchRequest, ServicePlan
 from sardinehook.query.policy import SearchPolicy
@@ -215,7 +215,7 @@
     """A search that is under way at an entry."""
 
     search: Search
-    ticket: Ticket
+    ticket: AdmittedRequest
     arrived_at: float
     workload: str
     timer_at: float = field(default=float("inf"))
@@ -245,7 +245,7 @@
             spends_budget=arm.spends_budget,
             chooser=chooser(DATA_CENTRE, seed * 1000 + number),
         )
-        self.admission = Admission(Limits()) if arm.admits else None
+        self.admission = AdmissionController(Limits()) if arm.admits else None
         self.running: dict[int, Running] = {}
         self.jobs: dict[int, Job] = {}
         self.finished: list[Finished] = []
@@ -277,12 +277,12 @@
         running = Running(search, ticket, now, name)
         self.perform(running, search.begin(now))
 
-    def admit(self, arrivals: Arrivals, now: float) -> Ticket | None:
+    def admit(self, arrivals: Arrivals, now: float) -> AdmittedRequest | None:
         """Ask admission, if it is on."""
         name, workload = arrivals.workload_name, arrivals.workload
         cost = len(self.services)
         if self.admission is None:
-            return Ticket(name, workload.priority, cost, now)
+            return AdmittedRequest(name, workload.priority, cost, now)
         admitted = self.admission.admit(name, workload, cost, workload.deadline_ms, now)
         return admitted.value_or(None)
 
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -24,7 +24,7 @@
 from sardinehook.observe.metrics import Metrics
 from sardinehook.observe.sampling import QueryLog, QuerySampler
 from sardinehook.query.actions import Settle
-from sardinehook.query.admission import Admission, Ticket
+from sardinehook.query.admission import AdmissionController, AdmittedRequest
 from sardinehook.query.answer import SearchAnswer, encode_answer
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge
 from sardinehook.query.planner import Plan, Planner
@@ -56,7 +56,7 @@
         self.dispatcher = dispatcher
         self.policy = policy
         self.planner = Planner(policy)
-        self.admission = Admission(policy.limits, policy.memory)
+        self.admission = AdmissionController(policy.limits, policy.memory)
         self.metrics = metrics
         self.clock = clock
         self.sampler = QuerySampler(LOGGED_ONE_IN)
@@ -101,7 +101,7 @@
         raise AssertionError("a result is a success or a failure")
 
     def run_admitted(
-        self, request: CallerRequest, plan: Plan, ticket: Ticket
+        self, request: CallerRequest, plan: Plan, ticket: AdmittedRequest
     ) -> Deferred[Response]:
         """Run a search that was admitted."""
         search = self.build(request, plan, ticket.admitted_at)
@@ -158,7 +158,11 @@
         return problem
 
     def finish(
-        self, request: CallerRequest, run: SearchRun, ticket: Ticket, settle: Settle
+        self,
+        request: CallerRequest,
+        run: SearchRun,
+        ticket: AdmittedRequest,
+        settle: Settle,
     ) -> Response:
         """Count and log a settled search and build its response."""
         now = self.reactor.seconds()
--- a/sardinehook/query/admission.py
+++ b/sardinehook/query/admission.py
@@ -11,7 +11,7 @@
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.memory import MemoryMeter
 
-__all__ = ["Admission", "Ticket"]
+__all__ = ["AdmissionController", "AdmittedRequest"]
 
 FIRST_LIMIT = 256.0
 LEAST_LIMIT = 16.0
@@ -25,7 +25,7 @@
 DEADLINE_QUANTILE = 0.1
 
 
-class Ticket(NamedTuple):
+class AdmittedRequest(NamedTuple):
     """A request that was begun; ``cost`` is its number of sub-queries."""
 
     workload: str
@@ -45,7 +45,7 @@
         self.decreased_at = -1e9
 
 
-class Admission:
+class AdmissionController:
     """Bounds the sub-queries in flight by what the targets' queues bear.
 
     The bound adapts by additive increase and multiplicative decrease (D. Chiu and
@@ -77,7 +77,7 @@
         cost: int,
         time_left_ms: float,
         now: float,
-    ) -> Result[Ticket, Problem]:
+    ) -> Result[AdmittedRequest, Problem]:
         """Begin a request of the workload ``name``, or refuse it as not run.
 
         Fails with ``DEADLINE_TOO_SHORT`` if hardly any request of the workload was
@@ -89,7 +89,7 @@
         self.class_of(workload.priority).in_flight += cost
         self.request_count += 1
         self.requests[name] = self.requests.get(name, 0) + 1
-        return Success(Ticket(name, workload.priority, cost, now))
+        return Success(AdmittedRequest(name, workload.priority, cost, now))
 
     def refusal(
         self, name: str, workload: Workload, cost: int, time_left_ms: float
@@ -130,7 +130,7 @@
         )
 
     def finish(
-        self, ticket: Ticket, congested: bool, answered: bool, now: float
+        self, ticket: AdmittedRequest, congested: bool, answered: bool, now: float
     ) -> None:
         """Take in the end of a request that was admitted."""
         self.adapt(ticket, congested, now)
@@ -141,7 +141,7 @@
             elapsed_ms = (now - ticket.admitted_at) * 1000.0
             self.latencies.record(ticket.workload, elapsed_ms)
 
-    def adapt(self, ticket: Ticket, congested: bool, now: float) -> None:
+    def adapt(self, ticket: AdmittedRequest, congested: bool, now: float) -> None:
         """Move the bound of a class by how a request of it went."""
         held = self.class_of(ticket.priority)
         in_flight = self.in_flight(ticket.priority)
--- a/tests/query/test_admission.py
+++ b/tests/query/test_admission.py
@@ -7,7 +7,11 @@
 from sardinehook.environment.document import Limits, Scope, Workload
 from sardinehook.errors import ErrorKind
 from sardinehook.messages import Outcome
-from sardinehook.query.admission import FIRST_LIMIT, Admission, Ticket
+from sardinehook.query.admission import (
+    FIRST_LIMIT,
+    AdmissionController,
+    AdmittedRequest,
+)
 from sardinehook.query.coverage import MissingReason
 from sardinehook.query.memory import MemoryMeter
 from sardinehook.query.policy import SearchPolicy
@@ -26,13 +30,15 @@
 AUDIT = Workload(["logs"], Scope.ALL, 1000.0, 0.95, priority=9)
 
 
-def admit(admission: Admission, workload: Workload, cost: int, now: float) -> Ticket:
+def admit(
+    admission: AdmissionController, workload: Workload, cost: int, now: float
+) -> AdmittedRequest:
     return admission.admit("any", workload, cost, 100.0, now).unwrap()
 
 
 class TestAdmission:
     def test_congested_audits_are_refused_before_storm_counts(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         for number in range(40):
             now = number * 0.2
             ticket = admit(admission, AUDIT, 50, now)
@@ -45,13 +51,13 @@
             admit(admission, STORM, 50, 9.0)
 
     def test_audits_in_flight_do_not_keep_storm_counts_out(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         admit(admission, AUDIT, int(FIRST_LIMIT), 0.0)
         admit(admission, STORM, int(FIRST_LIMIT), 0.0)
         assert admission.admit("audit", AUDIT, 1, 900.0, 0.0).failure()
 
     def test_a_slow_look_up_does_not_shut_out_the_next_beside_a_search(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         slow = admit(admission, LOOK_UP, 1, 0.0)
         admission.finish(slow, True, True, 0.0)
         admit(admission, STORM, 50, 1.0)
@@ -59,7 +65,7 @@
         admit(admission, LOOK_UP, 1, 1.0)
 
     def test_bound_shrinks_under_congestion_and_grows_back(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         for number in range(40):
             now = number * 0.2
             ticket = admit(admission, STORM, 50, now)
@@ -73,12 +79,12 @@
         assert admission.class_of(0).limit > shrunk
 
     def test_bound_does_not_grow_unused(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         admission.finish(admit(admission, STORM, 1, 0.0), False, True, 0.1)
         assert admission.class_of(0).limit == FIRST_LIMIT
 
     def test_one_congestion_shrinks_the_bound_once(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         tickets = [admit(admission, STORM, 50, 0.0) for _ in range(5)]
         limits = []
         for ticket in tickets:
@@ -87,12 +93,12 @@
         assert len(set(limits)) == 1
 
     def test_something_is_always_let_through(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         admission.class_of(9).limit = 1.0
         admit(admission, AUDIT, 740, 0.0)
 
     def test_deadline_that_cannot_be_met_is_refused(self) -> None:
-        admission = Admission(Limits())
+        admission = AdmissionController(Limits())
         for number in range(100):
             ticket = admit(admission, STORM, 1, number)
             admission.finish(ticket, False, True, number + 0.05)
@@ -102,7 +108,7 @@
         assert admission.admit("any", STORM, 1, 60.0, 200.0).unwrap()
 
     def test_requests_in_flight_are_bounded(self) -> None:
-        admission = Admission(Limits(requests_in_flight=1))
+        admission = AdmissionController(Limits(requests_in_flight=1))
         ticket = admit(admission, STORM, 1, 0.0)
         problem = admission.admit("any", STORM, 1, 100.0, 0.0).failure()
         assert problem.kind is ErrorKind.OVERLOADED
@@ -112,7 +118,7 @@
     def test_short_memory_refuses(self) -> None:
         memory = MemoryMeter(100)
         memory.reserve(90)
-        admission = Admission(Limits(), memory)
+        admission = AdmissionController(Limits(), memory)
         problem = admission.admit("any", STORM, 1, 100.0, 0.0).failure()
         assert problem.kind is ErrorKind.OVERLOADED
 
