Rename the query budget to the budget of extra attempts

`Budget` did not say what it limits, tries and attempts were used for the same thing, and its floor is a small reserve that refills. The classes are now `AttemptBudget` and `AttemptBudgets`, the constants `RESERVE_ATTEMPTS` and `RESERVE_ATTEMPTS_PER_S`, and `FanOut` counts `first_attempts` and `extra_attempts`.

--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -359,8 +359,8 @@
                 settle.coverage.ratio,
                 good,
                 False,
-                search.fan_out.first_tries,
-                search.fan_out.extra_tries,
+                search.fan_out.first_attempts,
+                search.fan_out.extra_attempts,
             )
         )
         if self.admission is not None:
--- a/sardinehook/query/budget.py
+++ b/sardinehook/query/budget.py
@@ -4,23 +4,23 @@
 
 from math import exp
 
-__all__ = ["Budget", "Budgets"]
+__all__ = ["AttemptBudget", "AttemptBudgets"]
 
 WINDOW_S = 2.0
-FLOOR_TRIES = 20.0
-FLOOR_TRIES_PER_S = 1.0
+RESERVE_ATTEMPTS = 20.0
+RESERVE_ATTEMPTS_PER_S = 1.0
 
 
-class Budget:
+class AttemptBudget:
     """Extra sub-queries that one workload may still send from this process.
 
-    Each first try earns ``ratio`` of an extra one. What is unused fades with a time
-    constant of ``WINDOW_S``, so the extra load stays a ratio of the first tries of
-    the last seconds and an outage can't draw on what was saved up before. A floor of
-    ``FLOOR_TRIES``, refilled by ``FLOOR_TRIES_PER_S``, lets a workload with little
-    traffic retry at all; a ratio of zero has no floor.
+    Each first attempt earns ``ratio`` of an extra one. Unused credit decays with a
+    time constant of ``WINDOW_S``, so the extra load stays a ratio of the first
+    attempts of the last seconds, and an outage can't draw on credit saved before it.
+    A reserve of ``RESERVE_ATTEMPTS``, refilled by ``RESERVE_ATTEMPTS_PER_S``, lets a
+    workload with little traffic retry at all; a ratio of zero has no reserve.
 
-    >>> budget = Budget(0.0)
+    >>> budget = AttemptBudget(0.0)
     >>> budget.earn(1000, 0.05, 0.0)
     >>> budget.spend(50, 0.0), budget.spend(21, 0.0), budget.spend(20, 0.0)
     (True, False, True)
@@ -28,25 +28,25 @@
 
     def __init__(self, now: float) -> None:
         self.earned = 0.0
-        self.floor = FLOOR_TRIES
-        self.most_floor = FLOOR_TRIES
+        self.reserve = RESERVE_ATTEMPTS
+        self.max_reserve = RESERVE_ATTEMPTS
         self.updated_at = now
 
-    def earn(self, first_tries: int, ratio: float, now: float) -> None:
+    def earn(self, first_attempts: int, ratio: float, now: float) -> None:
         """Credit first tries that were sent at ``now``."""
         self.advance(now)
-        self.most_floor = FLOOR_TRIES if ratio > 0.0 else 0.0
-        self.floor = min(self.floor, self.most_floor)
-        self.earned += first_tries * ratio
+        self.max_reserve = RESERVE_ATTEMPTS if ratio > 0.0 else 0.0
+        self.reserve = min(self.reserve, self.max_reserve)
+        self.earned += first_attempts * ratio
 
-    def spend(self, tries: int, now: float) -> bool:
-        """Take ``tries`` extra sub-queries, all of them or none."""
+    def spend(self, attempts: int, now: float) -> bool:
+        """Take ``attempts`` extra sub-queries, all of them or none."""
         self.advance(now)
-        if self.earned + self.floor < tries:
+        if self.earned + self.reserve < attempts:
             return False
-        from_earned = min(self.earned, float(tries))
+        from_earned = min(self.earned, float(attempts))
         self.earned -= from_earned
-        self.floor -= tries - from_earned
+        self.reserve -= attempts - from_earned
         return True
 
     def advance(self, now: float) -> None:
@@ -56,18 +56,20 @@
             return
         self.updated_at = now
         self.earned *= exp(-elapsed / WINDOW_S)
-        self.floor = min(self.most_floor, self.floor + elapsed * FLOOR_TRIES_PER_S)
+        self.reserve = min(
+            self.max_reserve, self.reserve + elapsed * RESERVE_ATTEMPTS_PER_S
+        )
 
 
-class Budgets:
+class AttemptBudgets:
     """The budget of each workload."""
 
     def __init__(self) -> None:
-        self.budgets: dict[str, Budget] = {}
+        self.budgets: dict[str, AttemptBudget] = {}
 
-    def of(self, workload: str, now: float) -> Budget:
+    def of(self, workload: str, now: float) -> AttemptBudget:
         """Return the budget of ``workload``."""
         budget = self.budgets.get(workload)
         if budget is None:
-            budget = self.budgets[workload] = Budget(now)
+            budget = self.budgets[workload] = AttemptBudget(now)
         return budget
--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -45,8 +45,8 @@
         self.settle_at = request.deadline_at - self.reserve_s
         self.attempts: dict[int, Attempt] = {}
         self.checks: list[tuple[float, int]] = []
-        self.first_tries = 0
-        self.extra_tries = 0
+        self.first_attempts = 0
+        self.extra_attempts = 0
 
     def send_first(
         self, states: Sequence[ServiceState], snapshot: Snapshot | None, now: float
@@ -107,10 +107,10 @@
         heappush(self.checks, (check_at, action.sub_query.sub_query_id))
         return [action]
 
-    def earn(self, first_tries: int, now: float) -> None:
+    def earn(self, first_attempts: int, now: float) -> None:
         """Credit the budget with first tries."""
-        self.first_tries += first_tries
-        self.budget.earn(first_tries, self.workload.extra_load, now)
+        self.first_attempts += first_attempts
+        self.budget.earn(first_attempts, self.workload.extra_load, now)
 
     def take(self, sub_query_id: int) -> Attempt | None:
         """Return the attempt that a reply belongs to, once."""
@@ -198,11 +198,11 @@
         usual_ms = self.policy.latencies.quantile(index, USEFUL_QUANTILE) or 0.0
         return now + usual_ms / 1000.0 < self.settle_at
 
-    def pay(self, tries: int, now: float) -> bool:
+    def pay(self, attempts: int, now: float) -> bool:
         """Take extra sub-queries from the budget."""
-        if self.policy.spends_budget and not self.budget.spend(tries, now):
+        if self.policy.spends_budget and not self.budget.spend(attempts, now):
             return False
-        self.extra_tries += tries
+        self.extra_attempts += attempts
         return True
 
 
--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -7,7 +7,7 @@
 from itertools import count
 
 from sardinehook.environment.document import Limits
-from sardinehook.query.budget import Budgets
+from sardinehook.query.budget import AttemptBudgets
 from sardinehook.query.hedging import HedgePolicy, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.memory import MemoryMeter
@@ -34,7 +34,7 @@
     hedge: HedgePolicy = QuantileHedge()
     silent_ratio: float = 0.5
     spends_budget: bool = True
-    budgets: Budgets = field(default_factory=Budgets)
+    budgets: AttemptBudgets = field(default_factory=AttemptBudgets)
     latencies: LatencyEstimates = field(default_factory=LatencyEstimates)
     chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
     holdings: Holdings = field(default_factory=Holdings)
--- a/tests/query/test_budget.py
+++ b/tests/query/test_budget.py
@@ -5,7 +5,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sardinehook.query.budget import FLOOR_TRIES, FLOOR_TRIES_PER_S, Budget
+from sardinehook.query.budget import (
+    RESERVE_ATTEMPTS,
+    RESERVE_ATTEMPTS_PER_S,
+    AttemptBudget,
+)
 
 STEPS = st.lists(
     st.tuples(st.floats(0.0, 5.0), st.integers(0, 50), st.integers(0, 50)), max_size=60
@@ -17,24 +21,24 @@
     def test_extra_tries_stay_a_ratio_of_first_tries(
         self, steps: list[tuple[float, int, int]], ratio: float
     ) -> None:
-        budget = Budget(0.0)
+        budget = AttemptBudget(0.0)
         now, first, extra = 0.0, 0, 0
         for elapsed, earned, wanted in steps:
             now += elapsed
             budget.earn(earned, ratio, now)
             first += earned
             extra += wanted if budget.spend(wanted, now) else 0
-            floor = FLOOR_TRIES + FLOOR_TRIES_PER_S * now
-            assert extra <= first * ratio + floor + 1e-6
+            reserve = RESERVE_ATTEMPTS + RESERVE_ATTEMPTS_PER_S * now
+            assert extra <= first * ratio + reserve + 1e-6
 
     def test_savings_fade(self) -> None:
-        budget = Budget(0.0)
+        budget = AttemptBudget(0.0)
         budget.earn(100_000, 0.05, 0.0)
         assert not budget.spend(100, 20.0)
         assert budget.spend(20, 20.0)
 
     def test_ratio_of_zero_allows_none(self) -> None:
-        budget = Budget(0.0)
+        budget = AttemptBudget(0.0)
         budget.earn(1000, 0.0, 0.0)
         assert not budget.spend(1, 0.0)
         assert not budget.spend(1, 60.0)
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -7,7 +7,7 @@
 from sardinehook.environment.document import Wait
 from sardinehook.messages import Outcome
 from sardinehook.query.answer import SearchAnswer
-from sardinehook.query.budget import FLOOR_TRIES
+from sardinehook.query.budget import RESERVE_ATTEMPTS
 from sardinehook.query.coverage import MissingReason, MissingService
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
@@ -123,7 +123,7 @@
             for query in sent(actions):
                 retries = sent(search.on_reply(reply_to(query, Outcome.SHED), 0.0))
                 extra += len(retries)
-        assert extra <= FLOOR_TRIES + 0.05 * 2000
+        assert extra <= RESERVE_ATTEMPTS + 0.05 * 2000
 
     def test_repeats_at_one_replica_are_bounded_whatever_the_budget(self) -> None:
         policy = SearchPolicy()
--- a/tests/query/test_search_properties.py
+++ b/tests/query/test_search_properties.py
@@ -17,7 +17,7 @@
 from sardinehook.messages import Outcome, SubQuery, SubReply
 from sardinehook.query.actions import Action, Cancel, Send, Settle
 from sardinehook.query.answer import SearchAnswer
-from sardinehook.query.budget import FLOOR_TRIES, FLOOR_TRIES_PER_S
+from sardinehook.query.budget import RESERVE_ATTEMPTS, RESERVE_ATTEMPTS_PER_S
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
 from sardinehook.query.memory import MemoryMeter
 from sardinehook.query.policy import SearchPolicy
@@ -156,11 +156,11 @@
 
     @invariant()
     def extra_sends_are_within_the_budget(self) -> None:
-        extra = len(self.sent) - self.search.fan_out.first_tries
-        floor = FLOOR_TRIES + FLOOR_TRIES_PER_S * self.now
-        earned = self.search.fan_out.first_tries * self.workload.extra_load
-        assert extra == self.search.fan_out.extra_tries
-        assert extra <= (earned + floor if self.workload.extra_load else 0.0) + 1e-6
+        extra = len(self.sent) - self.search.fan_out.first_attempts
+        reserve = RESERVE_ATTEMPTS + RESERVE_ATTEMPTS_PER_S * self.now
+        earned = self.search.fan_out.first_attempts * self.workload.extra_load
+        assert extra == self.search.fan_out.extra_attempts
+        assert extra <= (earned + reserve if self.workload.extra_load else 0.0) + 1e-6
 
     @invariant()
     def memory_is_bounded_and_given_back(self) -> None:
