--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -78,7 +78,7 @@
     def give_up(self) -> None:
         """Settle now: the caller has left."""
         if not self.search.settled:
-            self.perform(self.search.give_up(self.reactor.seconds()))
+            self.perform(self.search.cancel(self.reactor.seconds()))
 
     def perform(self, actions: Iterable[Action]) -> None:
         """Perform actions in order, also those that arise on the way."""
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -124,7 +124,7 @@
             actions = self.fan_out.check_due(snapshots, now)
         return self.with_settlement(actions, now)
 
-    def give_up(self, now: float) -> list[Action]:
+    def cancel(self, now: float) -> list[Action]:
         """Settle at once, since the caller has left."""
         return [] if self.settled else self.settle(now)
 
