--- a/tests/order/rig.py
+++ b/tests/order/rig.py
@@ -273,7 +273,7 @@
         kind = ""
         if isinstance(result, Failure):
             problem = result.failure()
-            told = Told.NOT_RUN if problem.answer.not_run else Told.UNKNOWN
+            told = Told.NOT_RUN if problem.response.not_run else Told.UNKNOWN
             kind = problem.kind.value
         self.history.append(
             CallerAnswered(
