Reword the shares, the delegates and the heartbeats

"Hand over", "wider" and "signs" stood for delegating searches, for a higher bandwidth and for heartbeats. `wider_gateways` is `higher_bandwidth_gateways`, `SearchAway` is `DelegatedWork`; bounds are named `MAX_`, and comments say why they have their value.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -1,4 +1,4 @@
-"""The gateways to which this one hands its searches."""
+"""Selection and failure detection of the gateways that run searches for this one."""
 
 from __future__ import annotations
 
@@ -9,32 +9,30 @@
 from sardinehook.gateway.fleet import GatewayFleet
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.shares import wider_gateways
+from sardinehook.gateway.shares import higher_bandwidth_gateways
 from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["Delegate", "Delegates"]
 
 logger = structlog.get_logger(__name__)
 
-HEARTBEAT_TIMEOUT_S = 0.7  # three datagrams that did not come, and one that is late
-AVOID_AFTER_FAILURE_S = (
-    2.0  # nothing is handed over after a failure: a restart is over by then
-)
-MOST_CONNECTIONS = 32  # to one delegate: searches that one gateway hands over at once
-OVERDUE_S = 0.05  # a delegate answers in time, if it has anything to answer with
+HEARTBEAT_TIMEOUT_S = 0.7  # three missed heartbeats and one that is late
+AVOID_AFTER_FAILURE_S = 2.0  # covers a restart
+MAX_CONNECTIONS = 32  # to one delegate: its concurrent searches from here
+ANSWER_MARGIN_S = 0.05  # a working delegate answers before the deadline
 
 
-class SearchAway(Protocol):
-    """A search that a delegate does."""
+class DelegatedWork(Protocol):
+    """A search that runs at a delegate; ``give_up_at`` is its deadline."""
 
     give_up_at: float
 
     def lose(self, reason: str) -> None:
-        """Answer that the search was lost."""
+        """Answer the caller that the outcome of the search is unknown."""
 
 
 class Delegate:
-    """A gateway that takes searches over, as another one knows it."""
+    """State about a gateway that runs searches for this one."""
 
     def __init__(
         self, name: str, pool: ConnectionPool, last_heartbeat_at: float
@@ -44,10 +42,10 @@
         self.last_heartbeat_at = last_heartbeat_at
         self.avoided_until = 0.0
         self.cut_off = False
-        self.searches: dict[SearchAway, None] = {}
+        self.searches: dict[DelegatedWork, None] = {}
 
     def is_usable(self, now: float) -> bool:
-        """Tell whether searches may be handed to it."""
+        """Return whether heartbeats arrive and no failure was seen lately."""
         return (
             now >= self.avoided_until
             and now - self.last_heartbeat_at <= HEARTBEAT_TIMEOUT_S
@@ -55,58 +53,63 @@
 
 
 class Delegates:
-    """The gateways to which this one hands its searches.
+    """The gateways to which this one delegates its searches.
 
-    They are those of the data centre with much wider links, if there are any. A
-    delegate sends datagrams several times a second; one from which none came for a
-    while is not used, and the searches that it has are given up.
+    These are the gateways of the data centre with a far higher bandwidth, if there are
+    any. Delegates send heartbeats several times a second. A delegate whose heartbeats
+    time out gets no more searches, and its pending searches fail.
     """
 
     def __init__(self, reactor: GatewayReactor, fleet: GatewayFleet) -> None:
         self.reactor = reactor
         self.fleet = fleet
         self.known: dict[str, Delegate] = {}
-        self.gone: list[Delegate] = []
+        self.removed: list[Delegate] = []
         self.turn = 0
 
     def update(self) -> None:
-        """Take the gateways that are registered."""
+        """Select delegates among the registered gateways.
+
+        Removed ones are kept while they have pending searches.
+        """
         records = self.fleet.registered_records()
-        wider = wider_gateways(self.fleet.node, self.fleet.record, records)
-        for name in self.known.keys() - set(wider):
-            gone = self.known.pop(name)
-            gone.pool.close()
-            self.gone = [one for one in [*self.gone, gone] if one.searches]
-        for name in wider:
+        candidates = higher_bandwidth_gateways(
+            self.fleet.node, self.fleet.record, records
+        )
+        for name in self.known.keys() - set(candidates):
+            removed = self.known.pop(name)
+            removed.pool.close()
+            self.removed = [one for one in [*self.removed, removed] if one.searches]
+        for name in candidates:
             if name not in self.known:
                 pool = ConnectionPool(
-                    self.reactor, records[name].peer_address, MOST_CONNECTIONS, ignore
+                    self.reactor, records[name].peer_address, MAX_CONNECTIONS, ignore
                 )
-                # Heard of only now: usable once its first datagram has come.
+                # Usable only after its first heartbeat.
                 last_heartbeat_at = self.reactor.seconds() - 2 * HEARTBEAT_TIMEOUT_S
                 self.known[name] = Delegate(name, pool, last_heartbeat_at)
 
     def record_heartbeat(self, node: str, cut_off: bool) -> None:
-        """Note a sign of a gateway, which says whether that is cut off."""
+        """Record a heartbeat, and whether the sender says that it is cut off."""
         delegate = self.known.get(node)
         if delegate is not None:
             delegate.last_heartbeat_at = self.reactor.seconds()
             delegate.cut_off = cut_off
 
     def usable(self) -> list[Delegate]:
-        """List the delegates to which searches may be handed now."""
+        """Return the delegates that may get searches now."""
         now = self.reactor.seconds()
         return [one for one in self.known.values() if one.is_usable(now)]
 
     def cut_off(self) -> list[str]:
-        """Name the usable delegates if each of them is cut off, else none."""
+        """Return the names of the usable delegates if all of them are cut off."""
         usable = self.usable()
         if not all(delegate.cut_off for delegate in usable):
             return []
         return sorted(delegate.name for delegate in usable)
 
     def choose(self) -> Delegate | None:
-        """Return the delegate with the fewest searches, ``None`` to search here."""
+        """Return the delegate with the fewest searches, ``None`` if none is usable."""
         usable = self.usable()
         if not usable:
             return None
@@ -116,34 +119,34 @@
         return min(ordered, key=lambda delegate: len(delegate.searches))
 
     def sweep(self) -> None:
-        """Give up searches at delegates that have fallen silent, and late ones."""
+        """Fail searches that are late or whose delegate's heartbeats have timed out."""
         now = self.reactor.seconds()
-        for delegate in [*self.known.values(), *self.gone]:
+        for delegate in [*self.known.values(), *self.removed]:
             silent_s = now - delegate.last_heartbeat_at
             if delegate.searches and silent_s > HEARTBEAT_TIMEOUT_S:
-                self.avoid(delegate, "silent")
+                self.avoid(delegate, "heartbeats timed out")
                 for search in list(delegate.searches):
-                    search.lose("the gateway that searches has fallen silent")
+                    search.lose("heartbeats timed out")
             for search in list(delegate.searches):
-                if now > search.give_up_at + OVERDUE_S:
-                    search.lose("no answer in time")
+                if now > search.give_up_at + ANSWER_MARGIN_S:
+                    search.lose("no answer before the deadline")
 
     def avoid(
-        self, delegate: Delegate, reason: str, for_s: float = AVOID_AFTER_FAILURE_S
+        self, delegate: Delegate, reason: str, duration_s: float = AVOID_AFTER_FAILURE_S
     ) -> None:
-        """Hand nothing to a delegate for a while."""
+        """Delegate nothing to ``delegate`` for a while; a new failure is logged."""
         now = self.reactor.seconds()
         if now >= delegate.avoided_until:
             log_event(
                 logger,
                 EventName.MEMBER_STATE,
                 member=delegate.name,
-                state="searches not handed over",
+                state="searches not delegated",
                 detail=reason,
                 took_ms=(now - delegate.last_heartbeat_at) * 1000.0,
             )
-        delegate.avoided_until = now + for_s
+        delegate.avoided_until = now + duration_s
 
 
 def ignore() -> None:
-    """Take no note of a connection: datagrams tell whether a delegate is there."""
+    """Ignore that a connection was opened: heartbeats detect failures."""
--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -1,4 +1,4 @@
-"""Datagrams by which gateways that search for others show that they are there."""
+"""Heartbeats that delegates send to the gateways whose searches they run."""
 
 from __future__ import annotations
 
@@ -16,11 +16,11 @@
 
 logger = structlog.get_logger(__name__)
 
-MALFORMED_LOGGED = 3  # datagrams from something broken, in a log line each
+MALFORMED_LOGGED = 3  # bounds the log lines about faulty senders
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
-    """What a datagram says: its sender, and whether that can't reach most replicas."""
+    """A heartbeat: its sender, and whether that can't reach most replicas."""
 
     node: str
     cut_off: bool
@@ -31,13 +31,12 @@
 
 
 class HeartbeatProtocol(DatagramProtocol):
-    """Sends signs to the other gateways of the data centre, and takes theirs.
+    """Sends heartbeats to other gateways of the data centre, and receives theirs.
 
-    A connection to a process that was paused or cut off looks well for seconds; a
-    datagram that does not come says so within a second. ``is_cut_off`` tells whether
-    this gateway can't reach most of what it searches. ``on_heartbeat`` is told
-    the name of each registered gateway from which a sign came, and whether that one is
-    cut off.
+    A connection to a paused or cut-off process shows no error for seconds, whereas
+    missing heartbeats are detected within a second. ``is_cut_off`` returns whether this
+    gateway can't reach most of the replicas that it searches. ``on_heartbeat`` receives
+    the name of each registered sender, and whether that one is cut off.
     """
 
     def __init__(
@@ -54,13 +53,14 @@
         self.malformed = 0
 
     def send(self) -> None:
-        """Send a datagram to each gateway that may hand searches over."""
-        # The interface of zope that mypy reads here states ``write`` without ``self``.
+        """Send a heartbeat to each gateway that may delegate searches to this one."""
+        # The zope interface that mypy reads here declares ``write`` without ``self``.
         port: Any = self.transport
         if port is None or not self.sends_heartbeats:
             return
         own = self.fleet.record
-        # After a pause everything seems silent until what has come in is read.
+        # After a pause all replicas seem unreachable until pending input is read:
+        # report the state only if two checks in a row agree that it is cut off.
         before, self.was_cut_off = self.was_cut_off, self.is_cut_off()
         heartbeat = encode_heartbeat(
             Heartbeat(self.fleet.node, before and self.was_cut_off)
@@ -72,25 +72,25 @@
                 port.write(heartbeat, (host, int(number)))
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
-        """Take a sign of another gateway."""
+        """Report a heartbeat of a registered gateway; log any other datagram."""
         try:
             heartbeat = decode_heartbeat(datagram)
         except msgspec.MsgspecError as error:
-            self.note_malformed(addr[0], str(error))
+            self.log_malformed(addr[0], str(error))
             return
         if heartbeat.node in self.fleet.records:
             self.on_heartbeat(heartbeat.node, heartbeat.cut_off)
         else:
-            self.note_malformed(addr[0], f"{heartbeat.node!r} is not registered")
+            self.log_malformed(addr[0], f"{heartbeat.node!r} is not registered")
 
-    def note_malformed(self, address: str, detail: str) -> None:
-        """Log the first datagrams that are no signs of a registered gateway."""
+    def log_malformed(self, address: str, detail: str) -> None:
+        """Log the first datagrams that are no heartbeats of a registered gateway."""
         self.malformed += 1
         if self.malformed <= MALFORMED_LOGGED:
             log_event(
                 logger,
                 EventName.MEMBER_STATE,
                 peer=address,
-                state="datagram of no registered gateway",
+                state="invalid heartbeat",
                 detail=detail,
             )
--- a/sardinehook/gateway/shares.py
+++ b/sardinehook/gateway/shares.py
@@ -1,4 +1,4 @@
-"""How the gateways divide what they do, and what replicas bear, among themselves."""
+"""Division of shared limits and delegated searches among the gateways."""
 
 from __future__ import annotations
 
@@ -7,18 +7,18 @@
 
 from sardinehook.gateway.fleet import GatewayRecord
 
-__all__ = ["Shares", "compute_shares", "wider_gateways"]
+__all__ = ["Shares", "compute_shares", "higher_bandwidth_gateways"]
 
-WIDER_RATIO = 4.0  # how much wider a link has to be for a search to be handed over
-KEPT_SHARE = 0.25  # of its part, for the searches that a gateway does itself after all
+MIN_BANDWIDTH_RATIO = 4.0  # of a delegate's link to that of the delegating gateway
+RETAINED_SEARCH_SHARE = 0.25  # for searches run locally while no delegate is usable
 
 
 class Shares(NamedTuple):
-    """One gateway's part of what all share.
+    """One gateway's share of limits that apply to all gateways together.
 
-    It has one part in ``request_divisor`` of what single requests use, and one part in
-    ``search_divisor`` of what searches use. ``equal_share_gateways`` are the gateways
-    with the same part.
+    Its limit is the total divided by ``request_divisor`` for single requests, and by
+    ``search_divisor`` for searches. ``equal_share_gateways`` are the gateways with the
+    same share.
     """
 
     request_divisor: float
@@ -26,15 +26,18 @@
     equal_share_gateways: frozenset[str]
 
 
-def wider_gateways(
+def higher_bandwidth_gateways(
     node: str, record: GatewayRecord, records: Mapping[str, GatewayRecord]
 ) -> list[str]:
-    """List the gateways of the same data centre that have much wider links.
+    """Return the gateways of the same data centre with a far higher bandwidth.
+
+    Searches are delegated to these. There are none if the bandwidth of ``node`` is
+    unknown.
 
     >>> wide, narrow = (GatewayRecord("1", "a", "", mbps) for mbps in (200.0, 20.0))
-    >>> wider_gateways("n", narrow, {"n": narrow, "w": wide})
+    >>> higher_bandwidth_gateways("n", narrow, {"n": narrow, "w": wide})
     ['w']
-    >>> wider_gateways("w", wide, {"n": narrow, "w": wide})
+    >>> higher_bandwidth_gateways("w", wide, {"n": narrow, "w": wide})
     []
     """
     if record.link_mbps <= 0.0:
@@ -45,15 +48,16 @@
         if name != node
         and other.data_centre == record.data_centre
         and other.peer_address
-        and other.link_mbps >= WIDER_RATIO * record.link_mbps
+        and other.link_mbps >= MIN_BANDWIDTH_RATIO * record.link_mbps
     )
 
 
 def compute_shares(node: str, records: Mapping[str, GatewayRecord]) -> Shares:
-    """Return the part of ``node``, which is one of ``records``.
+    """Return the share of ``node``, which is one of ``records``.
 
-    A gateway that hands its searches over keeps a part for those that it does itself
-    while the others are away; the rest goes to those that it hands them to.
+    A gateway that delegates its searches retains a fraction of its share of search
+    limits, for searches run locally while its delegates are unavailable. The rest is
+    divided equally among its delegates.
 
     >>> wide, narrow = (GatewayRecord("1", "a", "", mbps) for mbps in (200.0, 20.0))
     >>> records = {"n1": narrow, "n2": narrow, "w": wide}
@@ -62,11 +66,11 @@
     """
     weights = dict.fromkeys(records, 1.0)
     for name, record in records.items():
-        wider = wider_gateways(name, record, records)
-        if wider:
-            weights[name] -= 1.0 - KEPT_SHARE
-            for other in wider:
-                weights[other] += (1.0 - KEPT_SHARE) / len(wider)
+        delegates = higher_bandwidth_gateways(name, record, records)
+        if delegates:
+            weights[name] -= 1.0 - RETAINED_SEARCH_SHARE
+            for other in delegates:
+                weights[other] += (1.0 - RETAINED_SEARCH_SHARE) / len(delegates)
     own = weights[node]
     equal = frozenset(n for n, weight in weights.items() if abs(weight - own) < 1e-9)
     return Shares(float(len(records)), len(records) / own, equal)
