Reword the gateway process, its settings and its start

"Keep house", "place metrics", "promise" and "look away" did not say that the process runs periodic tasks, overrides an address, meets service bounds and waits until the load balancer has noticed. `keep_house`, `set_gateways` and `place_metrics` are `run_housekeeping`, `update_gateways` and `override_metrics_address`; waits and margins of the stop are named after what they wait for.

--- a/sardinehook/gateway/__main__.py
+++ b/sardinehook/gateway/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m sardinehook.gateway``: one gateway on the users' platform."""
+"""Entry point of ``python -m sardinehook.gateway``."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 
 
 def start() -> None:
-    """Run a gateway; a hangup while it starts is of no use and must not end it."""
-    # The settings are read after this, and the handler that reloads them comes later.
+    """Run a gateway; SIGHUP is ignored until its reload handler is installed."""
+    # By default SIGHUP would end the process. The settings are read later than this, so
+    # a signal during the start requires no reload.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from sardinehook.gateway.run import main
 
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -1,4 +1,4 @@
-"""Serves the balancer's probes, the metrics and what other gateways ask for."""
+"""Internal HTTP server for probes, metrics and calls of other gateways."""
 
 from __future__ import annotations
 
@@ -17,7 +17,10 @@
 
 
 class ProbeServer(Front):
-    """Answers ``/ready`` with 200, or 503 and the reason, and serves metrics."""
+    """Serves ``/ready``, ``/metrics``, store changes and delegated searches.
+
+    ``/ready`` returns 200, or 503 with the reason as its body.
+    """
 
     def __init__(
         self,
@@ -36,7 +39,7 @@
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
     ) -> Work | None:
-        """Answer a probe at once; a call for changes may wait for some."""
+        """Answer a request; calls of other gateways may return pending work."""
         path, _, query = request.target.partition(b"?")
         if path.endswith(b"/ready"):
             reason = self.unready_reason()
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -1,4 +1,4 @@
-"""The gateway process: wires its parts, starts them and stops them gracefully."""
+"""The gateway process: connects its parts, starts them and stops them gracefully."""
 
 from __future__ import annotations
 
@@ -44,24 +44,24 @@
 
 logger = structlog.get_logger(__name__)
 
-SWEEP_INTERVAL_S = 0.05  # resolution of deadlines that have no timer of their own
+SWEEP_INTERVAL_S = 0.05  # resolution of deadlines without a timer of their own
 HOUSEKEEPING_INTERVAL_S = 0.5
-SUB_REQUESTS_PER_CORE = 400.0  # at work for other gateways: what a core does in 0.1 s
-HEARTBEAT_INTERVAL_S = 0.2  # a gateway that is paused is passed over within a second
-NOTICE_S = 3.0  # the balancer needs two missed probes, one a second, to look away
-END_MARGIN_S = 0.4  # before the grace ends, what is left is answered
-BACKLOG = 512  # connections that the kernel may hold before they are accepted
+DELEGATED_SUB_REQUESTS_PER_CORE = 400.0  # concurrent; a core does them in 0.1 s
+HEARTBEAT_INTERVAL_S = 0.2  # a paused gateway is detected within a second
+NOT_READY_NOTICE_S = 3.0  # the balancer needs two failed probes, one a second
+STOP_MARGIN_S = 0.4  # to answer unfinished requests before the grace period ends
+LISTEN_BACKLOG = 512  # connections that the kernel queues before they are accepted
 
 
 class SettingsSource(NamedTuple):
-    """Where the settings come from, and when they changed last."""
+    """Loads the settings, and returns when their file was last modified."""
 
     load: Callable[[], Result[GatewaySettings, str]]
-    changed_at: Callable[[], float]
+    modified_at: Callable[[], float]
 
 
 class Dialects(NamedTuple):
-    """The dialects that this gateway speaks."""
+    """Translations of the protocols of callers, replicas and store keys."""
 
     callers: CallerDialect
     replicas: ReplicaDialect
@@ -69,7 +69,7 @@
 
 
 class GatewayProcess:
-    """One gateway: its front, its replicas and what it follows in the store."""
+    """One gateway: its HTTP front, its replicas and its view of the store."""
 
     def __init__(
         self,
@@ -83,8 +83,8 @@
         self.reactor = reactor
         self.settings = settings
         self.load_settings = source.load
-        self.settings_changed_at = source.changed_at
-        self.settings_seen_at = source.changed_at()
+        self.settings_modified_at = source.modified_at
+        self.settings_last_modified_at = source.modified_at()
         self.metrics = metrics
         self.random = Random(crc32(settings.node.encode()))
         self.store = make_store(metrics)
@@ -112,13 +112,15 @@
             settings.link_mbps,
         )
         self.fleet = GatewayFleet(
-            reactor, self.store, settings.node, record, self.set_gateways
+            reactor, self.store, settings.node, record, self.update_gateways
         )
         self.gateway_names: frozenset[str] = frozenset()
         self.shares_update_pending = False
         self.delegates = Delegates(reactor, self.fleet)
         self.desk.delegates = self.delegates
-        self.desk.most_handed_over = int(SUB_REQUESTS_PER_CORE * settings.cores)
+        self.desk.most_handed_over = int(
+            DELEGATED_SUB_REQUESTS_PER_CORE * settings.cores
+        )
         self.follower = StoreFollower(
             reactor,
             self.store,
@@ -148,18 +150,18 @@
         )
         self.heartbeat_loop = LoopingCall(self.heartbeats.send)
         self.heartbeat_loop.clock = reactor
-        self.sweeping = LoopingCall(self.sweep)
-        self.sweeping.clock = reactor
-        self.housekeeping = LoopingCall(self.keep_house)
-        self.housekeeping.clock = reactor
+        self.sweep_loop = LoopingCall(self.sweep)
+        self.sweep_loop.clock = reactor
+        self.housekeeping_loop = LoopingCall(self.run_housekeeping)
+        self.housekeeping_loop.clock = reactor
         self.lag_probe = LoopLagProbe(reactor, metrics)
         self.stopping = False
-        self.last_reason = "starting"
+        self.last_reason_kind = "starting"
 
     def run(self) -> None:
-        """Listen, run the reactor, and stop gracefully when it is told to.
+        """Listen and run the reactor until a signal has caused a graceful stop.
 
-        Raises ``CannotListenError`` if an address is in use or not of this VM.
+        Raises ``CannotListenError`` if an address is in use or not one of this VM.
         """
         self.listen()
         self.reactor.callWhenRunning(self.start)
@@ -169,7 +171,7 @@
         self.reactor.run()
 
     def listen(self) -> None:
-        """Take all addresses; connections are accepted once the reactor runs."""
+        """Bind all addresses; connections are accepted once the reactor runs."""
         settings = self.settings
         listen(self.reactor, settings.front_address, self.front)
         addresses = (
@@ -184,15 +186,15 @@
             self.reactor.listenUDP(int(port), self.heartbeats, interface=host)
 
     def start(self) -> None:
-        """Begin to follow the store and to do what is due now and then."""
+        """Start following the store, and the periodic tasks."""
         settings = self.settings
         if settings.heartbeat_address:
             self.heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
         self.policy.start_counting()
         self.follower.start()
         self.fleet.start()
-        self.sweeping.start(SWEEP_INTERVAL_S, now=False)
-        self.housekeeping.start(HOUSEKEEPING_INTERVAL_S, now=False)
+        self.sweep_loop.start(SWEEP_INTERVAL_S, now=False)
+        self.housekeeping_loop.start(HOUSEKEEPING_INTERVAL_S, now=False)
         self.lag_probe.start()
         gc.collect()
         gc.freeze()
@@ -204,7 +206,7 @@
         )
 
     def reload(self) -> None:
-        """Read the settings again; the addresses stay those of the start."""
+        """Reload the settings; addresses keep their values from the start."""
         match self.load_settings():
             case Success(settings):
                 changed = settings != self.settings
@@ -217,23 +219,23 @@
                 log_event(logger, EventName.SETTINGS_REFUSED, detail=str(detail))
 
     def watch_settings(self) -> None:
-        """Read the settings again if their file has changed without a signal."""
-        changed_at = self.settings_changed_at()
-        if changed_at != self.settings_seen_at:
-            self.settings_seen_at = changed_at
+        """Reload the settings if their file was modified, even without a signal."""
+        modified_at = self.settings_modified_at()
+        if modified_at != self.settings_last_modified_at:
+            self.settings_last_modified_at = modified_at
             self.reload()
 
     def unready_reason(self) -> str:
-        """Return why the balancer should send nothing, empty if it should."""
+        """Return why this gateway is not ready, empty if it is; log a new kind."""
         reason = self.find_unready_reason()
         kind = reason.partition(":")[0]
-        if kind != self.last_reason:
-            self.last_reason = kind
+        if kind != self.last_reason_kind:
+            self.last_reason_kind = kind
             log_event(logger, EventName.READINESS, state=reason or "ready")
         return reason
 
     def find_unready_reason(self) -> str:
-        """Look for what keeps this gateway from serving."""
+        """Return what prevents this gateway from serving, empty if nothing does."""
         if self.stopping:
             return "stopping"
         if self.desk.configuration is None:
@@ -241,17 +243,17 @@
         return self.desk.cut_off_reason()
 
     def apply_configuration(self, configuration: Configuration) -> None:
-        """Put a configuration in force for the requests that come from now on."""
+        """Put a configuration in force for all later requests."""
         self.desk.configure(configuration)
         self.directory.configure(configuration)
         self.front.limits = configuration.limits
         self.metrics.version.set(configuration.version)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
-    def set_gateways(self, names: frozenset[str]) -> None:
-        """Take the names of the gateways that share limits and budgets."""
+    def update_gateways(self, names: frozenset[str]) -> None:
+        """Update the names of the gateways that share limits and budgets."""
         if names != self.gateway_names:
-            # Many become known in one turn.
+            # Many gateways may become known in one iteration of the event loop.
             if not self.shares_update_pending:
                 self.shares_update_pending = True
                 self.reactor.callLater(0.0, self.update_shares)
@@ -259,7 +261,7 @@
         self.metrics.gateways.set(len(names))
 
     def update_shares(self) -> None:
-        """Divide limits, budgets and searches among the gateways that are known."""
+        """Divide limits, budgets and searches among the known gateways."""
         self.shares_update_pending = False
         records = {**self.fleet.records, self.settings.node: self.fleet.record}
         shares = compute_shares(self.settings.node, records)
@@ -268,17 +270,17 @@
             shares.search_divisor < shares.request_divisor
         )
 
-    def note_error(self, failure: TwistedFailure) -> None:
-        """Log an unexpected error of a part that ends anyway."""
+    def log_error(self, failure: TwistedFailure) -> None:
+        """Log an unexpected error of an operation during the stop."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
 
     def sweep(self) -> None:
-        """Enforce deadlines."""
+        """Enforce deadlines of requests to replicas and of delegated searches."""
         self.policy.dispatcher.sweep(self.reactor.seconds())
         self.delegates.sweep()
 
-    def keep_house(self) -> None:
-        """Do what is due now and then."""
+    def run_housekeeping(self) -> None:
+        """Clean up, reload changed settings, and update readiness, members and gauges."""
         now = self.reactor.seconds()
         self.front.turns_away = bool(self.unready_reason())
         self.front.sweep()
@@ -296,36 +298,37 @@
 
     @property
     def has_work(self) -> bool:
-        """Whether callers are connected or other gateways wait for searches."""
+        """Whether callers are connected or searches run for other gateways."""
         return bool(self.front.connections or self.desk.handed_over)
 
     async def stop(self) -> None:
-        """Turn not-ready, let callers move on, finish what is in flight, leave.
+        """Turn not-ready, drain callers' connections, and stop all tasks.
 
-        Connections are told to close with their next answer at once; idle ones are
-        closed only after the balancer has had time to look away, since a caller may
-        be sending on them.
+        From the start, each answer closes its connection. Idle connections are closed
+        only after the balancer has had time to notice, since a caller may be sending a
+        request on them. Requests unfinished at the end of the grace period are
+        answered as having an unknown outcome.
         """
         began = self.reactor.seconds()
         log_event(logger, EventName.PROCESS_STOPPING, count=self.desk.in_flight)
         self.stopping = self.desk.stopping = True
         self.front.turns_away = True
         leaving = Deferred.fromCoroutine(self.fleet.leave())
-        leaving.addErrback(self.note_error)
-        await deferLater(self.reactor, NOTICE_S)
+        leaving.addErrback(self.log_error)
+        await deferLater(self.reactor, NOT_READY_NOTICE_S)
         self.front.closes_idle = True
         self.front.sweep()
-        end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
+        end_at = began + self.settings.bounds.grace_s - STOP_MARGIN_S
         while self.has_work and self.reactor.seconds() < end_at:
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
             self.front.sweep()
-        left = len(self.front.connections)
-        if left:
+        unfinished = len(self.front.connections)
+        if unfinished:
             problem = Problem(ErrorKind.OUTCOME_UNKNOWN, "the gateway is stopping")
             self.front.give_up(refuse(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
-        for loop in (self.sweeping, self.housekeeping, self.heartbeat_loop):
+        for loop in (self.sweep_loop, self.housekeeping_loop, self.heartbeat_loop):
             if loop.running:
                 loop.stop()
         self.lag_probe.stop()
@@ -334,11 +337,11 @@
             logger,
             EventName.PROCESS_STOPPED,
             took_ms=took_ms,
-            count=left,
+            count=unfinished,
         )
 
 
 def listen(reactor: GatewayReactor, address: str, factory: ServerFactory) -> None:
-    """Listen on ``IP:port``."""
+    """Listen on ``address``, given as ``IP:port``."""
     host, _, port = address.rpartition(":")
-    reactor.listenTCP(int(port), factory, backlog=BACKLOG, interface=host)
+    reactor.listenTCP(int(port), factory, backlog=LISTEN_BACKLOG, interface=host)
--- a/sardinehook/gateway/reactor.py
+++ b/sardinehook/gateway/reactor.py
@@ -1,4 +1,4 @@
-"""The parts of a Twisted reactor that a gateway uses."""
+"""Type of the Twisted reactor that a gateway uses."""
 
 from __future__ import annotations
 
@@ -6,6 +6,6 @@
 
 __all__ = ["GatewayReactor"]
 
-# Twisted spreads a reactor over interfaces of zope that mypy can't intersect; tests
+# A Twisted reactor implements several zope interfaces that mypy can't intersect. Tests
 # pass a ``Clock`` or a ``MemoryReactorClock``.
 GatewayReactor: TypeAlias = Any
--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -1,4 +1,4 @@
-"""Starts a gateway on the users' platform."""
+"""Command that runs a gateway with the adapters of the platform."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 def main() -> None:
-    """Read the settings that the environment names and run a gateway."""
+    """Run a gateway with the settings file that the environment names."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
     decoded = read_settings(path)
     if not is_successful(decoded):
@@ -47,8 +47,8 @@
     settings = decoded.unwrap()
     from twisted.internet import reactor
 
-    running: Any = reactor
-    running.seconds = time.monotonic
+    gateway_reactor: Any = reactor
+    gateway_reactor.seconds = time.monotonic
     metrics = GatewayMetrics()
     output: Any = BoundedOutput(
         sys.stdout.fileno(), time.monotonic, metrics.log_lines_dropped.inc
@@ -61,16 +61,18 @@
         def count(operation: str, outcome: str) -> None:
             metrics.store_calls.labels(operation, outcome).inc()
 
-        return PlatformStore(running, settings.store_address, count)
+        return PlatformStore(gateway_reactor, settings.store_address, count)
 
     dialects = Dialects(PlatformCallers(), PlatformReplicas(), PlatformKeys())
-    source = SettingsSource(lambda: read_settings(path), lambda: changed_at(path))
-    process = GatewayProcess(running, settings, dialects, make_store, metrics, source)
+    source = SettingsSource(lambda: read_settings(path), lambda: modified_at(path))
+    process = GatewayProcess(
+        gateway_reactor, settings, dialects, make_store, metrics, source
+    )
 
-    def reload_soon(_signal: int, _frame: object) -> None:
-        running.callFromThread(process.reload)
+    def schedule_reload(_signal: int, _frame: object) -> None:
+        gateway_reactor.callFromThread(process.reload)
 
-    signal.signal(signal.SIGHUP, reload_soon)
+    signal.signal(signal.SIGHUP, schedule_reload)
     try:
         process.run()
     except CannotListenError as error:
@@ -79,16 +81,16 @@
 
 
 def read_settings(path: str) -> Result[GatewaySettings, str]:
-    """Read the settings file; the failure is one line for the operator."""
+    """Read and decode the settings file; a failure is a message of one line."""
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Failure(f"can't read {path!r} named by {SETTINGS_VARIABLE}: {error}")
-    return decode_settings(text).map(place_metrics)
+    return decode_settings(text).map(override_metrics_address)
 
 
-def place_metrics(settings: GatewaySettings) -> GatewaySettings:
-    """Serve the metrics on the port that the environment names, if it names one."""
+def override_metrics_address(settings: GatewaySettings) -> GatewaySettings:
+    """Return settings with the metrics port of the environment, if it names one."""
     port = os.environ.get(METRICS_PORT_VARIABLE, "")
     if not port:
         return settings
@@ -96,8 +98,8 @@
     return settings._replace(metrics_address=f"{host}:{port}")
 
 
-def changed_at(path: str) -> float:
-    """Return when the settings file was written, zero if it can't be told."""
+def modified_at(path: str) -> float:
+    """Return when a file was last modified, zero if it can't be read."""
     try:
         return os.stat(path).st_mtime
     except OSError:
--- a/sardinehook/gateway/settings.py
+++ b/sardinehook/gateway/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one gateway process, and the bounds that it has to keep."""
+"""Settings of a gateway process, and the service bounds that it has to meet."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 
 class Bounds(NamedTuple):
-    """What the operators promise of this deployment; all from its settings.
+    """Service bounds of this deployment, as its settings state them.
 
-    ``repeat_ratio`` and ``repeat_slack`` bound the requests sent to a service beyond
-    the first of each, within ``repeat_window_s``, over all gateways. ``cold_factor``
-    and ``cold_slack`` bound what a cold replica gets in one second.
+    ``repeat_ratio`` and ``repeat_slack`` bound the hedges and retries to a service
+    within ``repeat_window_s``, summed over all gateways. ``cold_factor`` and
+    ``cold_slack`` bound how many requests a cold replica gets in one second.
     """
 
     drain_s: float = 3.0
@@ -29,11 +29,11 @@
 class GatewaySettings(NamedTuple):
     """Identity and addresses of one gateway; addresses are ``IP:port``.
 
-    ``front_address`` takes callers' connections, ``ready_address`` the balancer's
-    probes, ``peer_address`` the other gateways' calls and ``heartbeat_address`` their
-    datagrams. ``metrics_address`` serves the metrics. ``seeds`` are peer addresses of
-    gateways that may be down. ``link_mbps`` is the bandwidth of the VM and
-    ``cores`` how much of its processor this process may use.
+    ``front_address`` accepts connections of callers, ``ready_address`` probes of the
+    load balancer, ``peer_address`` calls of other gateways and ``heartbeat_address``
+    their heartbeats. ``metrics_address`` serves the metrics. ``seeds`` are peer
+    addresses of gateways, which may be down. ``link_mbps`` is the bandwidth of the VM,
+    and ``cores`` the number of its processor cores that this process may use.
     """
 
     node: str
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -1,4 +1,4 @@
-"""A whole gateway process: signals, settings, stopping."""
+"""Gateway process: settings, readiness, signals and failures at the start."""
 
 from __future__ import annotations
 
@@ -37,44 +37,44 @@
 
 
 class ProcessRig:
-    """A process on a clock, with settings that tests replace."""
+    """A gateway on a simulated clock, with settings that tests replace."""
 
     def __init__(self) -> None:
         self.reactor = MemoryReactorClock()
-        self.loaded: Result[GatewaySettings, str] = Success(SETTINGS)
-        self.changed_at = 1.0
+        self.settings_result: Result[GatewaySettings, str] = Success(SETTINGS)
+        self.modified_at = 1.0
         self.process = GatewayProcess(
             self.reactor,
             SETTINGS,
             Dialects(PlatformCallers(), PlatformReplicas(), PlatformKeys()),
             lambda _metrics: ScriptedStore(),
             GatewayMetrics(),
-            SettingsSource(lambda: self.loaded, lambda: self.changed_at),
+            SettingsSource(lambda: self.settings_result, lambda: self.modified_at),
         )
 
 
 class TestSettings:
-    def test_new_bounds_are_taken_when_the_file_changes(self) -> None:
+    def test_changed_file_puts_new_bounds_in_force(self) -> None:
         rig = ProcessRig()
-        rig.loaded = Success(SETTINGS._replace(bounds=Bounds(drain_s=9.0)))
+        rig.settings_result = Success(SETTINGS._replace(bounds=Bounds(drain_s=9.0)))
         rig.process.watch_settings()
         assert rig.process.directory.drain_s == 3.0
-        rig.changed_at = 2.0
+        rig.modified_at = 2.0
         rig.process.watch_settings()
         assert rig.process.directory.drain_s == 9.0
 
-    def test_settings_that_are_malformed_change_nothing(self) -> None:
+    def test_malformed_settings_are_ignored_on_reload(self) -> None:
         rig = ProcessRig()
-        rig.loaded = Failure("invalid settings")
+        rig.settings_result = Failure("invalid settings")
         rig.process.reload()
         assert rig.process.settings == SETTINGS
 
 
 class TestReadiness:
-    def test_without_a_configuration_it_is_not_ready(self) -> None:
+    def test_gateway_without_configuration_is_not_ready(self) -> None:
         assert ProcessRig().process.unready_reason() == "no configuration yet"
 
-    def test_a_reason_whose_figures_change_is_logged_once(self) -> None:
+    def test_reason_with_changing_figures_is_logged_once(self) -> None:
         rig = ProcessRig()
         reasons = iter(["cut off from b: 3 of 4", "cut off from b: 5 of 6"])
         rig.process.find_unready_reason = lambda: next(reasons)  # type: ignore[method-assign]
@@ -98,7 +98,7 @@
 
 
 class RunningGateway:
-    """A gateway as a process of its own."""
+    """A gateway in a separate process."""
 
     def __init__(self, folder: Path) -> None:
         self.path = folder / "boot.toml"
@@ -111,7 +111,7 @@
         )
 
     def wait_for(self, event: str) -> str:
-        """Return the first line of an event."""
+        """Return the first log line of an event; fail if the process ends before."""
         assert self.process.stdout is not None
         for line in self.process.stdout:
             if f"event={event}" in line:
@@ -120,7 +120,7 @@
 
 
 def wait_until_ignored(pid: int, number: signal.Signals) -> None:
-    """Wait until a process ignores a signal, as it does from its first lines on."""
+    """Wait until a process ignores a signal, as a gateway does early on."""
     give_up_at = time.monotonic() + 10.0
     status = Path(f"/proc/{pid}/status")
     while time.monotonic() < give_up_at:
@@ -133,11 +133,9 @@
 
 
 class TestSignals:
-    """Answers the pattern: settings files change, processes get SIGHUP and SIGTERM."""
+    """SIGHUP at any time must not end the process, SIGTERM must stop it gracefully."""
 
-    def test_a_hangup_reloads_and_a_termination_ends_in_order(
-        self, tmp_path: Path
-    ) -> None:
+    def test_sighup_reloads_and_sigterm_stops_gracefully(self, tmp_path: Path) -> None:
         gateway = RunningGateway(tmp_path)
         try:
             gateway.wait_for("process_started")
@@ -152,7 +150,7 @@
             gateway.process.kill()
             gateway.process.wait()
 
-    def test_a_hangup_during_the_start_does_not_end_it(self, tmp_path: Path) -> None:
+    def test_sighup_during_the_start_is_ignored(self, tmp_path: Path) -> None:
         gateway = RunningGateway(tmp_path)
         try:
             wait_until_ignored(gateway.process.pid, signal.SIGHUP)
@@ -163,7 +161,7 @@
             gateway.process.kill()
             gateway.process.wait()
 
-    def test_an_address_in_use_ends_the_start(self, tmp_path: Path) -> None:
+    def test_address_in_use_fails_the_start(self, tmp_path: Path) -> None:
         with socket.socket() as other:
             other.bind(("127.0.0.1", 0))
             other.listen()
@@ -183,7 +181,7 @@
         assert "process_failed" in line
         assert front.rpartition(":")[2] in line
 
-    def test_settings_that_are_malformed_end_the_start_with_one_line(
+    def test_malformed_settings_fail_the_start_with_one_line(
         self, tmp_path: Path
     ) -> None:
         path = tmp_path / "boot.toml"
