Shorten comments and name test states after failures

Two comments were too long, and "silent", "heard" and "narrower" stood for unreachable peers, received heartbeats and a lower bandwidth.

--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -66,8 +66,12 @@
             Heartbeat(self.fleet.node, before and self.was_cut_off)
         )
         for record in self.fleet.registered_records().values():
-            narrower = record.link_mbps < own.link_mbps
-            if record.data_centre == own.data_centre and narrower and record.signs_at:
+            lower_bandwidth = record.link_mbps < own.link_mbps
+            if (
+                record.data_centre == own.data_centre
+                and lower_bandwidth
+                and record.signs_at
+            ):
                 host, _, number = record.signs_at.rpartition(":")
                 port.write(heartbeat, (host, int(number)))
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -280,7 +280,7 @@
         self.delegates.sweep()
 
     def run_housekeeping(self) -> None:
-        """Clean up, reload changed settings, and update readiness, members and gauges."""
+        """Sweep expired state, reload changed settings, update delegates and gauges."""
         now = self.reactor.seconds()
         self.front.turns_away = bool(self.unready_reason())
         self.front.sweep()
--- a/sardinehook/gateway/readers.py
+++ b/sardinehook/gateway/readers.py
@@ -10,7 +10,7 @@
 
 __all__ = ["Reader", "ReaderSelector"]
 
-READERS_PER_DATA_CENTRE = 3  # tolerates one that is down and one cut off from the store
+READERS_PER_DATA_CENTRE = 3  # one may be down and one cut off from the store
 AVOID_AFTER_FAILURE_S = 2.0  # covers a restart or a short network interruption
 
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -98,7 +98,7 @@
     def __init__(self) -> None:
         self.rigs: dict[str, FollowerRig] = {}
         self.asked: list[str] = []
-        self.silent: set[str] = set()
+        self.unreachable: set[str] = set()
         self.broken = False
 
     async def fetch_from_any(
@@ -118,7 +118,7 @@
             raise RuntimeError("unexpected error")
         self.asked.append(address)
         rig = self.rigs.get(address)
-        if rig is None or address in self.silent:
+        if rig is None or address in self.unreachable:
             return Failure("no answer in time")
         answered: Deferred[CallerAnswer] = Deferred()
         query = changes_query(after, wait_s).partition(b"?")[2]
--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -36,12 +36,12 @@
         self.fleet = GatewayFleet(
             MemoryReactorClock(), ScriptedStore(), "wide", own, lambda _names: None
         )
-        self.heard: list[tuple[str, bool]] = []
+        self.received: list[tuple[str, bool]] = []
         self.cut_off = False
         self.heartbeats = HeartbeatProtocol(
             self.fleet,
             lambda: self.cut_off,
-            lambda *heartbeat: self.heard.append(heartbeat),
+            lambda *heartbeat: self.received.append(heartbeat),
         )
         self.port = RecordingPort()
         self.heartbeats.transport = self.port  # type: ignore[assignment]
@@ -86,17 +86,17 @@
         rig.heartbeats.datagramReceived(
             encode_heartbeat(Heartbeat("equal", True)), ("10.0.0.3", 9)
         )
-        assert rig.heard == [("equal", True)]
+        assert rig.received == [("equal", True)]
 
     def test_heartbeat_of_an_unregistered_gateway_is_ignored(self) -> None:
         rig = HeartbeatRig()
         rig.heartbeats.datagramReceived(
             encode_heartbeat(Heartbeat("other", True)), ("10.0.0.3", 9)
         )
-        assert rig.heard == []
+        assert rig.received == []
 
     @given(st.binary(max_size=300))
     def test_malformed_datagram_is_ignored(self, datagram: bytes) -> None:
         rig = HeartbeatRig()
         rig.heartbeats.datagramReceived(datagram, ("10.0.0.9", 9))
-        assert rig.heard == []
+        assert rig.received == []
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -117,13 +117,13 @@
 class TestFailingReaders:
     """Changes arrive in time while readers are down, paused or without the store."""
 
-    @pytest.mark.parametrize("failure", ["silent", "rejected", "lagging"])
+    @pytest.mark.parametrize("failure", ["unreachable", "rejected", "lagging"])
     def test_one_working_reader_propagates_changes_in_time(self, failure: str) -> None:
         fleet = ReaderFleet()
         good, *bad = fleet.readers
         for rig in bad:
-            if failure == "silent":
-                fleet.peers.silent.add(f"{rig.fleet.node}:1")
+            if failure == "unreachable":
+                fleet.peers.unreachable.add(f"{rig.fleet.node}:1")
             elif failure == "rejected":
                 rig.store.fail(UNAVAILABLE)
         fleet.answer_store(replica("a", 40), to=[good])
@@ -133,7 +133,7 @@
 
     def test_gateways_without_a_reader_read_the_store(self) -> None:
         fleet = ReaderFleet()
-        fleet.peers.silent.update(f"{rig.fleet.node}:1" for rig in fleet.readers)
+        fleet.peers.unreachable.update(f"{rig.fleet.node}:1" for rig in fleet.readers)
         fleet.pass_time(2.0)
         fleet.answer_store(version(9, 50), to=fleet.others)
         assert [rig.versions for rig in fleet.others] == [[9]] * len(fleet.others)
@@ -141,9 +141,9 @@
     def test_recovered_readers_are_polled_again(self) -> None:
         fleet = ReaderFleet()
         names = {f"{rig.fleet.node}:1" for rig in fleet.readers}
-        fleet.peers.silent |= names
+        fleet.peers.unreachable |= names
         fleet.pass_time(2.0)
-        fleet.peers.silent -= names
+        fleet.peers.unreachable -= names
         fleet.answer_store()
         fleet.pass_time(3.0)
         fleet.answer_store()
@@ -176,11 +176,11 @@
 
     def test_state_of_peers_is_applied_and_connection_dropped(self) -> None:
         fleet = ReaderFleet(3)
-        silent, *others = fleet.rigs
+        stale, *others = fleet.rigs
         fleet.answer_store(replica("a", 40), to=others)
         fleet.pass_time(DRAIN_S)
-        assert len(silent.directory.replicas) == 1
-        assert silent.store.dropped == 1
+        assert len(stale.directory.replicas) == 1
+        assert stale.store.dropped == 1
 
     def test_slightly_late_watch_is_kept(self) -> None:
         fleet = ReaderFleet(3)
