Say which status a peer returned and when a request was cut short

A failed call to a peer was logged as the bare number of its status; it now reads "status 503", also in the test double. A caller whose request is unfinished at the end of the stop reads "gateway stopped before the request was finished" instead of "the gateway is stopping".

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -33,11 +33,11 @@
 FALLBACK_WATCH_WAIT_S = 2.0  # short, so that a non-reader soon retries the readers
 # The next three are fractions of the shortest time bound on applying changes.
 COALESCE_RATIO = 0.2  # wait after a change, since changes come in bursts
-WATCH_CHECK_RATIO = 0.2  # interval at which a reader compares with another gateway
+WATCH_CHECK_RATIO = 0.2  # interval of comparing a watch with another gateway
 LONG_POLL_RATIO = 0.2  # how long a reader may hold a call
 INITIAL_BACKOFF_S = 0.1
 ASK_PEERS_AFTER_S = 1.0  # the store may fail for this gateway only
-MAX_BACKOFF_S = 1.0  # upper bound of the backoff: the time bounds are a few seconds
+MAX_BACKOFF_S = 1.0  # low, since the time bounds are a few seconds
 ALL_KEYS = ""
 
 
@@ -86,7 +86,7 @@
 
     @property
     def loaded(self) -> bool:
-        """Whether a listing of the store has been applied."""
+        """Whether any state of the store is known, from the store or from a peer."""
         return self.cache.revision is not None
 
     def configure(self, bounds: Bounds) -> None:
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -85,7 +85,9 @@
         match result:
             case Success(Reply(status, _, body)):
                 self.count_call(str(status))
-                return decode_update(body) if status == OK else Failure(f"{status}")
+                return (
+                    decode_update(body) if status == OK else Failure(f"status {status}")
+                )
             case Failure(problem):
                 self.count_call("no_answer")
                 return Failure(problem.detail)
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -253,7 +253,7 @@
     def update_gateways(self, names: frozenset[str]) -> None:
         """Update the names of the gateways that share limits and budgets."""
         if names != self.gateway_names:
-            # Many gateways may become known in one iteration of the event loop.
+            # Many gateways may become known in one event-loop iteration: update once.
             if not self.shares_update_pending:
                 self.shares_update_pending = True
                 self.reactor.callLater(0.0, self.update_shares)
@@ -261,7 +261,11 @@
         self.metrics.gateways.set(len(names))
 
     def update_shares(self) -> None:
-        """Divide limits, budgets and searches among the known gateways."""
+        """Divide limits, budgets and searches among the known gateways.
+
+        A gateway whose share of searches is above average is a delegate of others, and
+        sends heartbeats.
+        """
         self.shares_update_pending = False
         records = {**self.fleet.records, self.settings.node: self.fleet.record}
         shares = compute_shares(self.settings.node, records)
@@ -324,7 +328,10 @@
             self.front.sweep()
         unfinished = len(self.front.connections)
         if unfinished:
-            problem = Problem(ErrorKind.OUTCOME_UNKNOWN, "the gateway is stopping")
+            problem = Problem(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "gateway stopped before the request was finished",
+            )
             self.front.give_up(refuse(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
--- a/sardinehook/gateway/readers.py
+++ b/sardinehook/gateway/readers.py
@@ -99,9 +99,9 @@
         return others[self.secondary_turn % len(others)]
 
     def record_result(self, reader: Reader, healthy: bool, now: float) -> bool:
-        """Record whether a call succeeded; return whether this is a change.
+        """Record whether a reader is healthy; return whether this is a change.
 
-        After a failure the reader is avoided for ``AVOID_AFTER_FAILURE_S``.
+        Otherwise the reader is avoided for ``AVOID_AFTER_FAILURE_S``.
         """
         was_avoided = reader.name in self.avoided_until
         if healthy:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -124,7 +124,11 @@
         query = changes_query(after, wait_s).partition(b"?")[2]
         rig.follower.relay.answer(query, answered.callback)
         answer = await answered
-        return decode_update(answer.body) if answer.status == 200 else Failure("503")
+        return (
+            decode_update(answer.body)
+            if answer.status == 200
+            else Failure("status 503")
+        )
 
 
 class FollowerRig:
