--- a/sardinehook/query/admission.py
+++ b/sardinehook/query/admission.py
@@ -9,7 +9,7 @@
 from sardinehook.environment.document import Limits, Workload
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.query.latency import LatencyEstimates
-from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.memory import MemoryBudget
 
 __all__ = ["AdmissionController", "AdmittedRequest"]
 
@@ -62,7 +62,7 @@
     one slow look-up has shrunk would refuse it whenever a single search is in flight.
     """
 
-    def __init__(self, limits: Limits, memory: MemoryMeter | None = None) -> None:
+    def __init__(self, limits: Limits, memory: MemoryBudget | None = None) -> None:
         self.limits = limits
         self.memory = memory
         self.classes: dict[int, PriorityClass] = {}
@@ -112,9 +112,9 @@
             return Problem(ErrorKind.OVERLOADED, "too many sub-queries in flight")
         return None
 
-    def is_memory_short(self, memory: MemoryMeter) -> bool:
+    def is_memory_short(self, memory: MemoryBudget) -> bool:
         """Tell whether replies in flight leave too little memory."""
-        return memory.held_bytes > MEMORY_RATIO * memory.most_bytes
+        return memory.reserved_bytes > MEMORY_RATIO * memory.max_bytes
 
     def class_of(self, priority: int) -> PriorityClass:
         """Return what is known of a priority."""
--- a/sardinehook/query/budget.py
+++ b/sardinehook/query/budget.py
@@ -1,4 +1,4 @@
-"""Budgets that bound hedges and retries by the work that callers asked for."""
+"""Budgets that limit hedges and retries to a ratio of the first attempts."""
 
 from __future__ import annotations
 
@@ -33,14 +33,14 @@
         self.updated_at = now
 
     def earn(self, first_attempts: int, ratio: float, now: float) -> None:
-        """Credit first tries that were sent at ``now``."""
+        """Credit the share of first attempts that were sent at ``now``."""
         self.advance(now)
         self.max_reserve = RESERVE_ATTEMPTS if ratio > 0.0 else 0.0
         self.reserve = min(self.reserve, self.max_reserve)
         self.earned += first_attempts * ratio
 
     def spend(self, attempts: int, now: float) -> bool:
-        """Take ``attempts`` extra sub-queries, all of them or none."""
+        """Spend ``attempts`` extra sub-queries, all of them or none."""
         self.advance(now)
         if self.earned + self.reserve < attempts:
             return False
@@ -50,7 +50,7 @@
         return True
 
     def advance(self, now: float) -> None:
-        """Let unused tries fade and the floor refill."""
+        """Decay the unused credit and refill the reserve."""
         elapsed = now - self.updated_at
         if elapsed <= 0.0:
             return
@@ -62,13 +62,13 @@
 
 
 class AttemptBudgets:
-    """The budget of each workload."""
+    """The budgets of all workloads of this process."""
 
     def __init__(self) -> None:
         self.budgets: dict[str, AttemptBudget] = {}
 
     def of(self, workload: str, now: float) -> AttemptBudget:
-        """Return the budget of ``workload``."""
+        """Return the budget of ``workload``, created on first use."""
         budget = self.budgets.get(workload)
         if budget is None:
             budget = self.budgets[workload] = AttemptBudget(now)
--- a/sardinehook/query/hedging.py
+++ b/sardinehook/query/hedging.py
@@ -1,4 +1,4 @@
-"""When a sub-query without a reply is sent to a second replica."""
+"""Hedge policies: when to send a sub-query without a reply to a second replica."""
 
 from __future__ import annotations
 
@@ -17,28 +17,28 @@
 
 @dataclass(frozen=True, slots=True)
 class NoHedge:
-    """Never send a sub-query twice for its slowness."""
+    """Never send a second sub-query because the first one is slow."""
 
 
 @dataclass(frozen=True, slots=True)
 class FixedDelayHedge:
-    """Send a second sub-query after the same delay for every index."""
+    """Send a second sub-query after a fixed delay, the same for every index."""
 
     delay_ms: float
 
 
 @dataclass(frozen=True, slots=True)
 class QuantileHedge:
-    """Send a second sub-query once most replies of the index would have come.
+    """Send a second sub-query once most replies of the index would have arrived.
 
-    The delay is the ``ratio`` quantile of the index's latencies, at least
-    ``least_ms`` and at most ``deadline_ratio`` of the time left, which also applies
-    as long as too little is known.
+    The delay is the given ``quantile`` of the index's latencies, at least
+    ``min_ms`` and at most ``max_time_left_ratio`` of the time left. This maximum also
+    applies while there are too few samples for a quantile.
     """
 
-    ratio: float = 0.97
-    least_ms: float = 0.5
-    deadline_ratio: float = 0.4
+    quantile: float = 0.97
+    min_ms: float = 0.5
+    max_time_left_ratio: float = 0.4
 
 
 HedgePolicy = NoHedge | FixedDelayHedge | QuantileHedge
@@ -47,7 +47,7 @@
 def hedge_delay_ms(
     policy: HedgePolicy, latencies: LatencyEstimates, index: str, time_left_ms: float
 ) -> float | None:
-    """Return the delay in ms after which to hedge, ``None`` for never.
+    """Return the delay in ms after which a sub-query is hedged, ``None`` for never.
 
     >>> hedge_delay_ms(FixedDelayHedge(5.0), LatencyEstimates(), "logs", 100.0)
     5.0
@@ -59,9 +59,7 @@
             return None
         case FixedDelayHedge(delay_ms):
             return delay_ms
-        case QuantileHedge(ratio, least_ms, deadline_ratio):
-            most_ms = time_left_ms * deadline_ratio
-            estimate = latencies.quantile(index, ratio)
-            return (
-                most_ms if estimate is None else min(max(estimate, least_ms), most_ms)
-            )
+        case QuantileHedge(quantile, min_ms, max_time_left_ratio):
+            max_ms = time_left_ms * max_time_left_ratio
+            estimate = latencies.quantile(index, quantile)
+            return max_ms if estimate is None else min(max(estimate, min_ms), max_ms)
--- a/sardinehook/query/index_answer.py
+++ b/sardinehook/query/index_answer.py
@@ -28,7 +28,7 @@
         asked: int,
         snapshot: Snapshot | None,
         limit: int,
-        most_bytes: int,
+        max_bytes: int,
     ) -> None:
         self.index = index
         self.asked = asked
@@ -36,7 +36,7 @@
         self.refused: Counter[Snapshot] = Counter()
         self.restarted = False
         self.limit = limit
-        self.most_bytes = most_bytes
+        self.max_bytes = max_bytes
         self.services: dict[Snapshot, set[str]] = {}
         self.mergers: dict[Snapshot, Merger] = {}
 
@@ -48,7 +48,7 @@
         """Count ``service`` as answered and return the bytes held for that."""
         merger = self.mergers.get(snapshot)
         if merger is None:
-            merger = Merger(self.index, self.limit, self.most_bytes)
+            merger = Merger(self.index, self.limit, self.max_bytes)
             self.mergers[snapshot] = merger
             self.services[snapshot] = set()
         self.services[snapshot].add(service)
--- a/sardinehook/query/memory.py
+++ b/sardinehook/query/memory.py
@@ -1,32 +1,32 @@
-"""A bound on the bytes of replies that all searches of a process hold."""
+"""The limit on the memory that the replies of a process's searches may use."""
 
 from __future__ import annotations
 
-__all__ = ["MemoryMeter"]
+__all__ = ["MemoryBudget"]
 
 
-class MemoryMeter:
-    """Counts bytes held against a bound for the whole process.
+class MemoryBudget:
+    """Accounts for the bytes that are reserved, up to a limit for the whole process.
 
-    >>> meter = MemoryMeter(100)
-    >>> meter.reserve(80), meter.reserve(30)
+    >>> memory = MemoryBudget(100)
+    >>> memory.reserve(80), memory.reserve(30)
     (True, False)
-    >>> meter.release(80)
-    >>> meter.held_bytes
+    >>> memory.release(80)
+    >>> memory.reserved_bytes
     0
     """
 
-    def __init__(self, most_bytes: int) -> None:
-        self.most_bytes = most_bytes
-        self.held_bytes = 0
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.reserved_bytes = 0
 
     def reserve(self, size: int) -> bool:
-        """Reserve ``size`` bytes, or none if that would pass the bound."""
-        if self.held_bytes + size > self.most_bytes:
+        """Reserve ``size`` bytes; return false, reserving none, beyond the limit."""
+        if self.reserved_bytes + size > self.max_bytes:
             return False
-        self.held_bytes += size
+        self.reserved_bytes += size
         return True
 
     def release(self, size: int) -> None:
-        """Give back ``size`` bytes that were reserved."""
-        self.held_bytes -= size
+        """Release ``size`` bytes that were reserved before."""
+        self.reserved_bytes -= size
--- a/sardinehook/query/merge.py
+++ b/sardinehook/query/merge.py
@@ -93,14 +93,14 @@
     and on equal ranks the one whose content is first in byte order, so the choice
     doesn't depend on the order of the replies.
 
-    No more than about ``PRUNE_FACTOR`` times ``limit`` records or ``most_bytes`` are
+    No more than about ``PRUNE_FACTOR`` times ``limit`` records or ``max_bytes`` are
     held between two calls; what can't be in the answer is dropped on the way.
     """
 
-    def __init__(self, index: str, limit: int, most_bytes: int) -> None:
+    def __init__(self, index: str, limit: int, max_bytes: int) -> None:
         self.index = index
         self.limit = limit
-        self.most_bytes = most_bytes
+        self.max_bytes = max_bytes
         self.records: list[Record] = []
         self.held_bytes = 0
         self.limited = False
@@ -120,7 +120,7 @@
     def must_prune(self) -> bool:
         """Tell whether more is held than the bounds allow."""
         too_many = len(self.records) > PRUNE_FACTOR * self.limit
-        return too_many or self.held_bytes > self.most_bytes
+        return too_many or self.held_bytes > self.max_bytes
 
     def prune(self) -> None:
         """Keep the first records only, in copies that free the replies they are of."""
@@ -137,7 +137,7 @@
         sizes = accumulate(
             [len(memoryview(record.fields)) + len(record.id) for record in kept]
         )
-        fitting = [size for size in sizes if size <= self.most_bytes]
+        fitting = [size for size in sizes if size <= self.max_bytes]
         self.records = kept[: len(fitting)]
         self.held_bytes = fitting[-1] if fitting else 0
         self.limited = self.limited or len(fitting) < len(distinct)
@@ -179,10 +179,10 @@
     return Merged(tuple(hits[:limit]), limited or len(hits) > limit)
 
 
-def merge(pages: Iterable[tuple[str, Page]], limit: int, most_bytes: int) -> Merged:
+def merge(pages: Iterable[tuple[str, Page]], limit: int, max_bytes: int) -> Merged:
     """Merge pages, each with the name of its index, in one go."""
     mergers: dict[str, Merger] = {}
     for index, page in pages:
-        merger = mergers.setdefault(index, Merger(index, limit, most_bytes))
+        merger = mergers.setdefault(index, Merger(index, limit, max_bytes))
         merger.add(page, 0)
     return merge_indexes([merger.merged() for merger in mergers.values()], limit)
--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -10,7 +10,7 @@
 from sardinehook.query.budget import AttemptBudgets
 from sardinehook.query.hedging import HedgePolicy, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
-from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.memory import MemoryBudget
 from sardinehook.query.replica_choice import ReplicaChooser
 from sardinehook.query.snapshot import Holdings
 
@@ -39,6 +39,6 @@
     latencies: LatencyEstimates = field(default_factory=LatencyEstimates)
     chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
     holdings: Holdings = field(default_factory=Holdings)
-    memory: MemoryMeter = field(
-        default_factory=lambda: MemoryMeter(PROCESS_REPLY_BYTES)
+    memory: MemoryBudget = field(
+        default_factory=lambda: MemoryBudget(PROCESS_REPLY_BYTES)
     )
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -74,10 +74,10 @@
         self.states: dict[str, list[ServiceState]] = {}
         for state in self.services:
             self.states.setdefault(state.index, []).append(state)
-        most_bytes = policy.limits.query_bytes // max(1, len(self.states))
+        max_bytes = policy.limits.query_bytes // max(1, len(self.states))
         self.indexes = {
             name: IndexAnswer(
-                name, len(states), snapshots.get(name), self.limit, most_bytes
+                name, len(states), snapshots.get(name), self.limit, max_bytes
             )
             for name, states in sorted(self.states.items())
         }
--- a/tests/query/test_admission.py
+++ b/tests/query/test_admission.py
@@ -13,7 +13,7 @@
     AdmittedRequest,
 )
 from sardinehook.query.coverage import MissingReason
-from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.memory import MemoryBudget
 from sardinehook.query.policy import SearchPolicy
 from tests.query.support import (
     RETRYING,
@@ -116,7 +116,7 @@
         admit(admission, STORM, 1, 0.1)
 
     def test_short_memory_refuses(self) -> None:
-        memory = MemoryMeter(100)
+        memory = MemoryBudget(100)
         memory.reserve(90)
         admission = AdmissionController(Limits(), memory)
         problem = admission.admit("any", STORM, 1, 100.0, 0.0).failure()
@@ -142,13 +142,13 @@
 class TestMemory:
     def test_replies_beyond_the_process_bound_are_missing(self) -> None:
         body = page_body(("a", 1.0, "x" * 100))
-        policy = SearchPolicy(memory=MemoryMeter(2 * len(body)))
+        policy = SearchPolicy(memory=MemoryBudget(2 * len(body)))
         search, actions = start(plans(4, replicas=1), policy=policy)
         for query in sent(actions):
             actions = search.on_reply(reply_to(query, body=body), 0.01)
         missing = settlement(actions).coverage.missing
         assert [held.reason for held in missing] == [MissingReason.NO_MEMORY] * 2
-        assert policy.memory.held_bytes == 0
+        assert policy.memory.reserved_bytes == 0
 
     def test_memory_is_given_back(self) -> None:
         policy = SearchPolicy()
@@ -156,6 +156,6 @@
         first, second, *_ = sent(actions)
         search.on_reply(reply_to(first), 0.01)
         search.on_reply(reply_to(second, Outcome.FAILED), 0.01)
-        assert policy.memory.held_bytes > 0
+        assert policy.memory.reserved_bytes > 0
         search.on_timer(0.15)
-        assert policy.memory.held_bytes == 0
+        assert policy.memory.reserved_bytes == 0
--- a/tests/query/test_budget.py
+++ b/tests/query/test_budget.py
@@ -16,9 +16,9 @@
 )
 
 
-class TestBudget:
+class TestAttemptBudget:
     @given(STEPS, st.floats(0.0, 0.5))
-    def test_extra_tries_stay_a_ratio_of_first_tries(
+    def test_extra_attempts_stay_a_ratio_of_first_attempts(
         self, steps: list[tuple[float, int, int]], ratio: float
     ) -> None:
         budget = AttemptBudget(0.0)
@@ -31,13 +31,13 @@
             reserve = RESERVE_ATTEMPTS + RESERVE_ATTEMPTS_PER_S * now
             assert extra <= first * ratio + reserve + 1e-6
 
-    def test_savings_fade(self) -> None:
+    def test_unused_credit_decays(self) -> None:
         budget = AttemptBudget(0.0)
         budget.earn(100_000, 0.05, 0.0)
         assert not budget.spend(100, 20.0)
         assert budget.spend(20, 20.0)
 
-    def test_ratio_of_zero_allows_none(self) -> None:
+    def test_ratio_of_zero_allows_no_extra_attempts(self) -> None:
         budget = AttemptBudget(0.0)
         budget.earn(1000, 0.0, 0.0)
         assert not budget.spend(1, 0.0)
--- a/tests/query/test_search_properties.py
+++ b/tests/query/test_search_properties.py
@@ -19,7 +19,7 @@
 from sardinehook.query.answer import SearchAnswer
 from sardinehook.query.budget import RESERVE_ATTEMPTS, RESERVE_ATTEMPTS_PER_S
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
-from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.memory import MemoryBudget
 from sardinehook.query.policy import SearchPolicy
 from sardinehook.query.search import Search, SearchRequest
 from sardinehook.query.snapshot import ANY_SNAPSHOT, Snapshot
@@ -66,7 +66,7 @@
     ) -> None:
         self.now = 0.0
         self.workload = workload
-        self.policy = SearchPolicy(hedge=hedge, memory=MemoryMeter(2000))
+        self.policy = SearchPolicy(hedge=hedge, memory=MemoryBudget(2000))
         self.services = [
             *plans(counts[0], "logs", replicas),
             *plans(counts[1], "members", replicas),
@@ -164,8 +164,8 @@
 
     @invariant()
     def memory_is_bounded_and_given_back(self) -> None:
-        held = self.policy.memory.held_bytes
-        assert 0 <= held <= self.policy.memory.most_bytes
+        held = self.policy.memory.reserved_bytes
+        assert 0 <= held <= self.policy.memory.max_bytes
         assert self.settle is None or held == 0
 
     @invariant()
