--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -132,10 +132,10 @@
             attempt = self.attempts.pop(sub_query_id)
             state = attempt.service
             elapsed_ms = (now - attempt.sent_at) * 1000.0
-            usual_ms = chooser.record_of(attempt.replica).latency_ms
+            usual_ms = chooser.stats_of(attempt.replica).latency_ms
             slow = state.attempt_count > 1 or elapsed_ms > usual_ms
             if attempt.number == 1 and slow:
-                chooser.observe_given_up(attempt.replica, elapsed_ms, now)
+                chooser.observe_slow_cancel(attempt.replica, elapsed_ms, now)
                 self.policy.latencies.record(state.index, elapsed_ms)
             else:
                 chooser.observe_reply(
--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -12,7 +12,7 @@
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.memory import MemoryBudget
 from sardinehook.query.replica_choice import ReplicaChooser
-from sardinehook.query.snapshot import Holdings
+from sardinehook.query.snapshot import ReplicaSnapshots
 
 __all__ = ["SearchPolicy"]
 
@@ -38,7 +38,7 @@
     budgets: AttemptBudgets = field(default_factory=AttemptBudgets)
     latencies: LatencyEstimates = field(default_factory=LatencyEstimates)
     chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
-    holdings: Holdings = field(default_factory=Holdings)
+    replica_snapshots: ReplicaSnapshots = field(default_factory=ReplicaSnapshots)
     memory: MemoryBudget = field(
         default_factory=lambda: MemoryBudget(PROCESS_REPLY_BYTES)
     )
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -144,7 +144,7 @@
         if not index.accepts(snapshot):
             self.note_refusal(index, attempt, snapshot)
             return MissingReason.WRONG_VERSION
-        self.policy.holdings.confirm(attempt.replica, snapshot)
+        self.policy.replica_snapshots.confirm(attempt.replica, snapshot)
         return self.collect(index, attempt.service.service, snapshot, reply.body)
 
     def note_refusal(
@@ -154,7 +154,7 @@
         index.refused[named] += 1
         wanted = attempt.snapshot
         if wanted is not None:
-            self.policy.holdings.refuse(attempt.replica, wanted, named)
+            self.policy.replica_snapshots.correct(attempt.replica, wanted, named)
 
     def collect(
         self, index: IndexAnswer, service: str, snapshot: Snapshot, body: bytes
--- a/sardinehook/query/snapshot.py
+++ b/sardinehook/query/snapshot.py
@@ -1,4 +1,4 @@
-"""The index version and partitioning that a whole answer comes from."""
+"""Snapshots: the index version and partitioning that an answer is taken from."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 
 from sardinehook.messages import ANY_VERSION, ReplicaReport
 
-__all__ = ["ANY_SNAPSHOT", "Holdings", "Snapshot", "choose_snapshot"]
+__all__ = ["ANY_SNAPSHOT", "ReplicaSnapshots", "Snapshot", "choose_snapshot"]
 
-LEAST_REPLICA_RATIO = 0.75
-NONE_HELD: frozenset[Snapshot] = frozenset()
+MIN_REPLICA_RATIO = 0.75
+NO_SNAPSHOTS: frozenset[Snapshot] = frozenset()
 
 
 class Snapshot(NamedTuple):
@@ -30,77 +30,83 @@
 ANY_SNAPSHOT = Snapshot(ANY_VERSION, ANY_VERSION)
 
 
-class Holdings:
-    """Which snapshots each replica is known to hold.
+class ReplicaSnapshots:
+    """The snapshots that each replica is known to hold.
 
-    An owner's view replaces what was known of its replica. Real replies correct it:
-    an answer shows that its snapshot is held, a refusal that the wanted one is not.
-    ``revision`` grows with each change.
+    A report of the owner replaces the entry of its replica. Replies of targets correct
+    it: an answer shows that its snapshot is held, a reply of a wrong version that the
+    wanted one is not. ``revision`` grows with each change.
     """
 
     def __init__(self) -> None:
-        self.held: dict[str, frozenset[Snapshot]] = {}
+        self.snapshots: dict[str, frozenset[Snapshot]] = {}
         self.revision = 0
 
     def of(self, replica: str) -> frozenset[Snapshot]:
         """Return the snapshots that ``replica`` holds, empty if unknown."""
-        return self.held.get(replica, NONE_HELD)
+        return self.snapshots.get(replica, NO_SNAPSHOTS)
 
-    def observe_report(self, view: ReplicaReport) -> None:
-        """Take in what an owner tells of its replica."""
-        held = frozenset(
-            Snapshot(version, view.partitioning) for version in view.index_versions
+    def observe_report(self, report: ReplicaReport) -> None:
+        """Replace the entry of a replica by the report of its owner."""
+        snapshots = frozenset(
+            Snapshot(version, report.partitioning) for version in report.index_versions
         )
-        self.replace(view.replica, held)
+        self.update(report.replica, snapshots)
 
     def confirm(self, replica: str, snapshot: Snapshot) -> None:
-        """Note that ``replica`` answered from ``snapshot``.
+        """Record that ``replica`` answered from ``snapshot``.
 
-        Snapshots of another partitioning are gone from a replica that answered from
-        this one.
+        Snapshots of other partitionings are removed, because a replica holds one
+        partitioning at a time.
         """
-        held = self.held.get(replica, NONE_HELD)
-        if snapshot not in held:
-            kept = {old for old in held if old.partitioning == snapshot.partitioning}
-            self.replace(replica, frozenset(kept | {snapshot}))
+        snapshots = self.snapshots.get(replica, NO_SNAPSHOTS)
+        if snapshot not in snapshots:
+            kept = {
+                old for old in snapshots if old.partitioning == snapshot.partitioning
+            }
+            self.update(replica, frozenset(kept | {snapshot}))
 
-    def refuse(self, replica: str, wanted: Snapshot, named: Snapshot) -> None:
-        """Note that ``replica`` doesn't hold ``wanted`` but holds ``named``.
+    def correct(self, replica: str, wanted: Snapshot, named: Snapshot) -> None:
+        """Record that ``replica`` doesn't hold ``wanted`` but holds ``named``.
 
-        ``named`` may be ``ANY_SNAPSHOT`` if the replica named none.
+        ``named`` is ``ANY_SNAPSHOT`` if the reply names none.
         """
-        held = self.of(replica) - {wanted}
+        snapshots = self.of(replica) - {wanted}
         if named.index_version != ANY_VERSION and named != wanted:
-            held |= {named}
-        self.replace(replica, held)
+            snapshots |= {named}
+        self.update(replica, snapshots)
 
     def retain(self, replicas: Collection[str]) -> None:
-        """Forget all replicas but these."""
-        self.held = {name: held for name, held in self.held.items() if name in replicas}
+        """Drop the entries of all replicas but these."""
+        self.snapshots = {
+            name: snapshots
+            for name, snapshots in self.snapshots.items()
+            if name in replicas
+        }
         self.revision += 1
 
-    def replace(self, replica: str, held: frozenset[Snapshot]) -> None:
-        """Set what ``replica`` holds."""
-        if self.held.get(replica) != held:
-            self.held[replica] = held
+    def update(self, replica: str, snapshots: frozenset[Snapshot]) -> None:
+        """Set the snapshots of ``replica``; a change increments ``revision``."""
+        if self.snapshots.get(replica) != snapshots:
+            self.snapshots[replica] = snapshots
             self.revision += 1
 
 
 def choose_snapshot(
-    services: Iterable[Sequence[str]], holdings: Holdings
+    services: Iterable[Sequence[str]], replica_snapshots: ReplicaSnapshots
 ) -> Snapshot | None:
     """Choose the snapshot of an index, given the usable replicas of each service.
 
-    It is the newest among those that replicas of the most services hold, passing over
-    one that has less than ``LEAST_REPLICA_RATIO`` of the replicas of the widest held:
-    during a roll-over, half of the replicas must not bear all of the load. Returns
-    ``None`` if nothing is known.
+    Candidates are the snapshots held by replicas of the most services. The newest of
+    them wins that has at least ``MIN_REPLICA_RATIO`` of the replicas of the most
+    replicated one: while a new version is rolled out, half of the replicas must not
+    serve the whole load. Returns ``None`` if no snapshot is known.
 
-    >>> holdings = Holdings()
-    >>> holdings.confirm("a-1", Snapshot(41, 1))
-    >>> holdings.confirm("b-1", Snapshot(41, 1))
-    >>> holdings.confirm("b-1", Snapshot(42, 1))
-    >>> choose_snapshot([["a-1"], ["b-1"]], holdings)
+    >>> replica_snapshots = ReplicaSnapshots()
+    >>> replica_snapshots.confirm("a-1", Snapshot(41, 1))
+    >>> replica_snapshots.confirm("b-1", Snapshot(41, 1))
+    >>> replica_snapshots.confirm("b-1", Snapshot(42, 1))
+    >>> choose_snapshot([["a-1"], ["b-1"]], replica_snapshots)
     Snapshot(index_version=41, partitioning=1)
     """
     service_counts: Counter[Snapshot] = Counter()
@@ -108,14 +114,20 @@
     for replicas in services:
         in_service: set[Snapshot] = set()
         for replica in replicas:
-            held = holdings.of(replica)
-            replica_counts.update(held)
-            in_service |= held
+            snapshots = replica_snapshots.of(replica)
+            replica_counts.update(snapshots)
+            in_service |= snapshots
         service_counts.update(in_service)
     if not service_counts:
         return None
     most_services = max(service_counts.values())
-    widest = [held for held in service_counts if service_counts[held] == most_services]
-    most_replicas = max(replica_counts[held] for held in widest)
-    least_replicas = LEAST_REPLICA_RATIO * most_replicas
-    return max(held for held in widest if replica_counts[held] >= least_replicas)
+    candidates = [
+        snapshot
+        for snapshot in service_counts
+        if service_counts[snapshot] == most_services
+    ]
+    most_replicas = max(replica_counts[snapshot] for snapshot in candidates)
+    min_replicas = MIN_REPLICA_RATIO * most_replicas
+    return max(
+        snapshot for snapshot in candidates if replica_counts[snapshot] >= min_replicas
+    )
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -12,7 +12,7 @@
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.policy import SearchPolicy
-from sardinehook.query.replica_choice import MOST_REPEATS, REPEAT_RATIO
+from sardinehook.query.replica_choice import MAX_REPEATS, REPEAT_RATIO
 from sardinehook.query.snapshot import Snapshot
 from tests.query.support import (
     NEW,
@@ -60,9 +60,9 @@
         first, second = sent(actions)
         hedges = sent(search.on_timer(0.005))
         search.on_reply(reply_to(first), 0.006)
-        assert policy.chooser.record_of("logs-0-b").samples == 0
+        assert policy.chooser.stats_of("logs-0-b").samples == 0
         search.on_reply(reply_to(hedges[1]), 0.008)
-        assert policy.chooser.record_of(second.replica).latency_ms > 8.0
+        assert policy.chooser.stats_of(second.replica).latency_ms > 8.0
         counts = policy.latencies.histograms["logs"]
         assert counts.total == 3
 
@@ -135,7 +135,7 @@
             lost = reply_to(query, Outcome.CONNECTION_LOST)
             first += 1
             repeated += len(sent(search.on_reply(lost, 0.0)))
-        assert 0 < repeated <= MOST_REPEATS + REPEAT_RATIO * (first + repeated)
+        assert 0 < repeated <= MAX_REPEATS + REPEAT_RATIO * (first + repeated)
 
     def test_lost_connection_of_the_only_replica_is_tried_again(self) -> None:
         search, actions = start(plans(1, replicas=1), RETRYING)
