--- a/tests/query/test_admission.py
+++ b/tests/query/test_admission.py
@@ -1,4 +1,4 @@
-"""Tests of admission."""
+"""Tests of admission control, congestion and the memory budget."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from sardinehook.errors import ErrorKind
 from sardinehook.messages import Outcome
 from sardinehook.query.admission import (
-    FIRST_LIMIT,
+    INITIAL_LIMIT,
     AdmissionController,
     AdmittedRequest,
 )
@@ -36,27 +36,27 @@
     return admission.admit("any", workload, cost, 100.0, now).unwrap()
 
 
-class TestAdmission:
-    def test_congested_audits_are_refused_before_storm_counts(self) -> None:
+class TestAdmissionController:
+    def test_congestion_rejects_audits_before_storm_counts(self) -> None:
         admission = AdmissionController(Limits())
         for number in range(40):
             now = number * 0.2
-            ticket = admit(admission, AUDIT, 50, now)
-            admission.finish(ticket, True, True, now)
+            request = admit(admission, AUDIT, 50, now)
+            admission.finish(request, True, True, now)
         admit(admission, STORM, 50, 9.0)
         problem = admission.admit("audit", AUDIT, 50, 900.0, 9.0).failure()
         assert problem.kind is ErrorKind.OVERLOADED
         assert problem.response.not_run
-        for _ in range(int(FIRST_LIMIT / 50) - 1):
+        for _ in range(int(INITIAL_LIMIT / 50) - 1):
             admit(admission, STORM, 50, 9.0)
 
-    def test_audits_in_flight_do_not_keep_storm_counts_out(self) -> None:
+    def test_audits_in_flight_do_not_block_storm_counts(self) -> None:
         admission = AdmissionController(Limits())
-        admit(admission, AUDIT, int(FIRST_LIMIT), 0.0)
-        admit(admission, STORM, int(FIRST_LIMIT), 0.0)
+        admit(admission, AUDIT, int(INITIAL_LIMIT), 0.0)
+        admit(admission, STORM, int(INITIAL_LIMIT), 0.0)
         assert admission.admit("audit", AUDIT, 1, 900.0, 0.0).failure()
 
-    def test_a_slow_look_up_does_not_shut_out_the_next_beside_a_search(self) -> None:
+    def test_a_slow_look_up_does_not_block_the_next_beside_a_search(self) -> None:
         admission = AdmissionController(Limits())
         slow = admit(admission, LOOK_UP, 1, 0.0)
         admission.finish(slow, True, True, 0.0)
@@ -64,58 +64,58 @@
         admit(admission, LOOK_UP, 1, 1.0)
         admit(admission, LOOK_UP, 1, 1.0)
 
-    def test_bound_shrinks_under_congestion_and_grows_back(self) -> None:
+    def test_limit_shrinks_under_congestion_and_grows_again(self) -> None:
         admission = AdmissionController(Limits())
         for number in range(40):
             now = number * 0.2
-            ticket = admit(admission, STORM, 50, now)
-            admission.finish(ticket, True, True, now)
-        shrunk = admission.class_of(0).limit
+            request = admit(admission, STORM, 50, now)
+            admission.finish(request, True, True, now)
+        shrunk = admission.priority_class(0).limit
         assert shrunk < 50
         for number in range(100):
             now = 10.0 + number * 0.2
-            ticket = admit(admission, STORM, 50, now)
-            admission.finish(ticket, False, True, now)
-        assert admission.class_of(0).limit > shrunk
+            request = admit(admission, STORM, 50, now)
+            admission.finish(request, False, True, now)
+        assert admission.priority_class(0).limit > shrunk
 
-    def test_bound_does_not_grow_unused(self) -> None:
+    def test_limit_does_not_grow_unused(self) -> None:
         admission = AdmissionController(Limits())
         admission.finish(admit(admission, STORM, 1, 0.0), False, True, 0.1)
-        assert admission.class_of(0).limit == FIRST_LIMIT
+        assert admission.priority_class(0).limit == INITIAL_LIMIT
 
-    def test_one_congestion_shrinks_the_bound_once(self) -> None:
+    def test_limit_shrinks_once_within_the_decrease_interval(self) -> None:
         admission = AdmissionController(Limits())
-        tickets = [admit(admission, STORM, 50, 0.0) for _ in range(5)]
+        requests = [admit(admission, STORM, 50, 0.0) for _ in range(5)]
         limits = []
-        for ticket in tickets:
-            admission.finish(ticket, True, True, 0.1)
-            limits.append(admission.class_of(0).limit)
+        for request in requests:
+            admission.finish(request, True, True, 0.1)
+            limits.append(admission.priority_class(0).limit)
         assert len(set(limits)) == 1
 
-    def test_something_is_always_let_through(self) -> None:
+    def test_a_request_is_always_admitted_if_none_is_in_flight(self) -> None:
         admission = AdmissionController(Limits())
-        admission.class_of(9).limit = 1.0
+        admission.priority_class(9).limit = 1.0
         admit(admission, AUDIT, 740, 0.0)
 
-    def test_deadline_that_cannot_be_met_is_refused(self) -> None:
+    def test_deadline_that_cannot_be_met_is_rejected(self) -> None:
         admission = AdmissionController(Limits())
         for number in range(100):
-            ticket = admit(admission, STORM, 1, number)
-            admission.finish(ticket, False, True, number + 0.05)
+            request = admit(admission, STORM, 1, number)
+            admission.finish(request, False, True, number + 0.05)
         admit(admission, STORM, 1, 200.0)
         problem = admission.admit("any", STORM, 1, 20.0, 200.0).failure()
         assert problem.kind is ErrorKind.DEADLINE_TOO_SHORT
         assert admission.admit("any", STORM, 1, 60.0, 200.0).unwrap()
 
-    def test_requests_in_flight_are_bounded(self) -> None:
+    def test_requests_in_flight_are_limited(self) -> None:
         admission = AdmissionController(Limits(requests_in_flight=1))
-        ticket = admit(admission, STORM, 1, 0.0)
+        request = admit(admission, STORM, 1, 0.0)
         problem = admission.admit("any", STORM, 1, 100.0, 0.0).failure()
         assert problem.kind is ErrorKind.OVERLOADED
-        admission.finish(ticket, False, True, 0.1)
+        admission.finish(request, False, True, 0.1)
         admit(admission, STORM, 1, 0.1)
 
-    def test_short_memory_refuses(self) -> None:
+    def test_request_is_rejected_when_memory_is_low(self) -> None:
         memory = MemoryBudget(100)
         memory.reserve(90)
         admission = AdmissionController(Limits(), memory)
@@ -125,7 +125,9 @@
 
 class TestCongestion:
     @pytest.mark.parametrize(("slow", "congested"), [(1, False), (3, True)])
-    def test_a_straggler_is_no_congestion(self, slow: int, congested: bool) -> None:
+    def test_a_single_straggler_is_not_congestion(
+        self, slow: int, congested: bool
+    ) -> None:
         search, actions = start(plans(4, replicas=1))
         for number, query in enumerate(sent(actions)):
             queued_ms = 40.0 if number < slow else 0.0
@@ -139,18 +141,18 @@
         assert search.was_congested()
 
 
-class TestMemory:
-    def test_replies_beyond_the_process_bound_are_missing(self) -> None:
+class TestMemoryBudget:
+    def test_replies_beyond_the_process_limit_are_missing(self) -> None:
         body = page_body(("a", 1.0, "x" * 100))
         policy = SearchPolicy(memory=MemoryBudget(2 * len(body)))
         search, actions = start(plans(4, replicas=1), policy=policy)
         for query in sent(actions):
             actions = search.on_reply(reply_to(query, body=body), 0.01)
         missing = settlement(actions).coverage.missing
-        assert [held.reason for held in missing] == [MissingReason.NO_MEMORY] * 2
+        assert [service.reason for service in missing] == [MissingReason.NO_MEMORY] * 2
         assert policy.memory.reserved_bytes == 0
 
-    def test_memory_is_given_back(self) -> None:
+    def test_memory_is_released_at_the_settlement(self) -> None:
         policy = SearchPolicy()
         search, actions = start(plans(4), RETRYING, policy=policy)
         first, second, *_ = sent(actions)
