--- a/sardinehook/query/actions.py
+++ b/sardinehook/query/actions.py
@@ -1,4 +1,4 @@
-"""What a search asks its caller to do."""
+"""The actions that a search returns for its caller to perform."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settle:
-    """Answer the caller; comes once, as the last action of a search."""
+    """Answer the caller; returned once, as the last action of a search."""
 
     outcome: SearchAnswer | Problem
     coverage: Coverage
--- a/sardinehook/query/answer.py
+++ b/sardinehook/query/answer.py
@@ -13,9 +13,9 @@
 
 
 class SearchAnswer(NamedTuple):
-    """Records in order, with the coverage that they stand for.
+    """Records by rank, with the coverage of the services they come from.
 
-    ``limited`` tells that more records were found than the bounds let through.
+    ``limited`` tells whether a limit of number or size left records out.
     """
 
     request_id: str
@@ -58,7 +58,7 @@
 
 
 def coverage_document(coverage: Coverage) -> CoverageDocument:
-    """Lay out a coverage for JSON."""
+    """Return the JSON form of a coverage, its ratio rounded to six digits."""
     return CoverageDocument(
         asked=coverage.asked,
         answered=coverage.answered,
--- a/sardinehook/query/coverage.py
+++ b/sardinehook/query/coverage.py
@@ -1,4 +1,4 @@
-"""What share of the services an answer comes from, and why the others are missing."""
+"""Coverage: the share of services in an answer and why others are missing."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class MissingReason(StrEnum):
-    """Why a service that was asked has no part in the answer."""
+    """Why a service that should be asked is missing from the answer."""
 
     NO_REPLICA = "no_replica"
     NOT_ASKED = "not_asked"
@@ -30,17 +30,17 @@
 
 
 class MissingService(NamedTuple):
-    """A service without a part in the answer."""
+    """A service that is missing from the answer."""
 
     service: str
     reason: MissingReason
 
 
 class Coverage(NamedTuple):
-    """How much of what was asked an answer holds.
+    """How complete an answer is.
 
-    ``asked`` and ``answered`` count distinct services. ``snapshot`` names the
-    snapshot of each index of which a service answered.
+    ``asked`` and ``answered`` count distinct services. ``snapshot`` maps each index
+    with an answer to the snapshot it was taken from.
 
     >>> Coverage(4, 3, (MissingService("s4", MissingReason.LATE),), {}).ratio
     0.75
@@ -57,7 +57,7 @@
         return self.answered / self.asked if self.asked else 1.0
 
 
-REASONS: dict[Outcome, MissingReason] = {
+REASON_OF_OUTCOME: dict[Outcome, MissingReason] = {
     Outcome.NOT_RUN: MissingReason.NOT_RUN,
     Outcome.SHED: MissingReason.SHED,
     Outcome.LATE: MissingReason.LATE,
@@ -70,8 +70,8 @@
 
 
 def missing_reason(outcome: Outcome) -> MissingReason:
-    """Tell why a service is missing whose sub-query ended with ``outcome``.
+    """Return why a service is missing whose sub-query ended with ``outcome``.
 
-    ``Outcome.ANSWERED`` has no reason and raises ``KeyError``.
+    Raises ``KeyError`` for ``Outcome.ANSWERED``, which has no reason.
     """
-    return REASONS[outcome]
+    return REASON_OF_OUTCOME[outcome]
--- a/sardinehook/query/index_answer.py
+++ b/sardinehook/query/index_answer.py
@@ -1,4 +1,4 @@
-"""What one index has contributed to a query so far."""
+"""The replies of one index that a search has accepted so far."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 
 
 class IndexAnswer:
-    """The accepted replies of one index, kept apart by snapshot.
+    """The accepted replies of one index, merged separately for each snapshot.
 
-    ``snapshot`` is the one that was chosen, or ``None`` as long as the first replies
-    have to decide. The rule for these: the snapshot under which the most services
-    have answered is chosen, and the newer one on a tie. Replies of different
-    snapshots never meet in one merge. The choice is made once more than half of the
-    ``asked`` services have answered, or at the settlement.
+    ``snapshot`` is the chosen one, or ``None`` until the first replies decide: the
+    snapshot from which the most services answered is chosen, the newer one on a tie.
+    The choice is made once more than half of the ``asked`` services have answered, or
+    at the settlement. Replies of different snapshots are never merged.
 
-    ``refused`` counts the replies that named another snapshot than the chosen one.
+    ``mismatch_counts`` counts the replies that named another snapshot than the chosen
+    one, by that snapshot.
     """
 
     def __init__(
@@ -33,79 +33,88 @@
         self.index = index
         self.asked = asked
         self.snapshot = snapshot
-        self.refused: Counter[Snapshot] = Counter()
+        self.mismatch_counts: Counter[Snapshot] = Counter()
         self.restarted = False
         self.limit = limit
         self.max_bytes = max_bytes
-        self.services: dict[Snapshot, set[str]] = {}
-        self.mergers: dict[Snapshot, Merger] = {}
+        self.services_by_snapshot: dict[Snapshot, set[str]] = {}
+        self.mergers_by_snapshot: dict[Snapshot, Merger] = {}
 
     def accepts(self, snapshot: Snapshot) -> bool:
-        """Tell whether a reply of ``snapshot`` may still count."""
+        """Tell whether a reply from ``snapshot`` can be part of the answer."""
         return self.snapshot is None or snapshot == self.snapshot
 
     def add(self, service: str, snapshot: Snapshot, page: Page, size: int) -> int:
-        """Count ``service`` as answered and return the bytes held for that."""
-        merger = self.mergers.get(snapshot)
+        """Add a page of ``service``; return the change of the bytes held."""
+        merger = self.mergers_by_snapshot.get(snapshot)
         if merger is None:
             merger = Merger(self.index, self.limit, self.max_bytes)
-            self.mergers[snapshot] = merger
-            self.services[snapshot] = set()
-        self.services[snapshot].add(service)
+            self.mergers_by_snapshot[snapshot] = merger
+            self.services_by_snapshot[snapshot] = set()
+        self.services_by_snapshot[snapshot].add(service)
         return merger.add(page, size)
 
-    def can_choose(self) -> bool:
-        """Tell whether the first replies decide the snapshot now."""
+    def can_choose_snapshot(self) -> bool:
+        """Tell whether enough services have answered to choose the snapshot."""
         if self.snapshot is not None:
             return False
-        return 2 * self.reply_count() > self.asked
-
-    def choose(self) -> set[str]:
-        """Choose the leading snapshot and return the services of other replies."""
-        others = self.answered_any() - self.answered()
-        self.snapshot = self.leading()
-        for dropped in [held for held in self.services if held != self.snapshot]:
-            del self.services[dropped]
-            del self.mergers[dropped]
+        return 2 * self.answered_count() > self.asked
+
+    def choose_snapshot(self) -> set[str]:
+        """Choose the leading snapshot; return the services of other snapshots."""
+        others = self.all_answered_services() - self.answered_services()
+        self.snapshot = self.leading_snapshot()
+        for dropped in [
+            seen for seen in self.services_by_snapshot if seen != self.snapshot
+        ]:
+            del self.services_by_snapshot[dropped]
+            del self.mergers_by_snapshot[dropped]
         return others
 
-    def reply_count(self) -> int:
-        """Return how many services answered under any snapshot."""
-        return sum(map(len, self.services.values()))
+    def answered_count(self) -> int:
+        """Count the services that answered, from any snapshot."""
+        return sum(map(len, self.services_by_snapshot.values()))
 
-    def newer(self) -> Snapshot | None:
-        """Return the newer snapshot that the most refusing replicas named."""
+    def newer_snapshot(self) -> Snapshot | None:
+        """Return the newer snapshot that the most mismatched replies named, if any."""
         newer = [
-            held for held in self.refused if self.snapshot and held > self.snapshot
+            seen
+            for seen in self.mismatch_counts
+            if self.snapshot and seen > self.snapshot
         ]
-        return max(newer, key=lambda held: (self.refused[held], held), default=None)
+        return max(
+            newer, key=lambda seen: (self.mismatch_counts[seen], seen), default=None
+        )
 
     def restart(self, snapshot: Snapshot) -> None:
-        """Drop what was collected and collect ``snapshot`` instead."""
+        """Drop all replies and accept those from ``snapshot`` only."""
         self.snapshot = snapshot
         self.restarted = True
-        self.services.clear()
-        self.mergers.clear()
-        self.refused.clear()
+        self.services_by_snapshot.clear()
+        self.mergers_by_snapshot.clear()
+        self.mismatch_counts.clear()
 
-    def answered_any(self) -> set[str]:
-        """Return the services that answered under any snapshot."""
-        return set().union(*self.services.values())
+    def all_answered_services(self) -> set[str]:
+        """Return the services that answered from any snapshot."""
+        return set().union(*self.services_by_snapshot.values())
 
-    def leading(self) -> Snapshot | None:
-        """Return the chosen snapshot, or the one that the first replies favour."""
-        if self.snapshot is not None or not self.services:
+    def leading_snapshot(self) -> Snapshot | None:
+        """Return the chosen snapshot, or the one with the most replies so far."""
+        if self.snapshot is not None or not self.services_by_snapshot:
             return self.snapshot
-        return max(self.services, key=lambda held: (len(self.services[held]), held))
-
-    def answered(self) -> set[str]:
-        """Return the services that answered under the leading snapshot."""
-        leading = self.leading()
+        return max(
+            self.services_by_snapshot,
+            key=lambda seen: (len(self.services_by_snapshot[seen]), seen),
+        )
+
+    def answered_services(self) -> set[str]:
+        """Return the services that answered from the leading snapshot."""
+        leading = self.leading_snapshot()
         if leading is None:
             return set()
-        return self.services.get(leading, set())
+        return self.services_by_snapshot.get(leading, set())
 
-    def merger(self) -> Merger | None:
-        """Return the records under the leading snapshot."""
-        leading = self.leading()
-        return None if leading is None else self.mergers.get(leading)
+    def leading_merger(self) -> Merger | None:
+        """Return the merger of the leading snapshot, ``None`` if nothing answered."""
+        leading = self.leading_snapshot()
+        return None if leading is None else self.mergers_by_snapshot.get(leading)
--- a/sardinehook/query/merge.py
+++ b/sardinehook/query/merge.py
@@ -1,4 +1,4 @@
-"""Parsing of targets' replies and their merge into one ranked list."""
+"""Parses the replies of targets and merges them into one ranked list."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 __all__ = [
     "Hit",
-    "Merged",
+    "MergedRecords",
     "Merger",
     "Page",
     "Record",
@@ -27,7 +27,7 @@
 
 
 class Record(msgspec.Struct, frozen=True, gc=False):
-    """One record as a target sent it; ``fields`` is passed on unread.
+    """One record as a target sent it; ``fields`` is passed on undecoded.
 
     It is a ``msgspec.Struct`` because named tuples decode from JSON arrays only.
     """
@@ -38,14 +38,14 @@
 
 
 class Page(msgspec.Struct, frozen=True, gc=False):
-    """The whole reply of one target."""
+    """The body of a target's reply; ``truncated`` is set if it left records out."""
 
     records: list[Record]
     truncated: bool
 
 
 class Hit(msgspec.Struct, frozen=True, gc=False):
-    """A record of an answer. Its identity is ``index`` and ``id`` together."""
+    """A record of an answer, identified by ``index`` and ``id`` together."""
 
     index: str
     id: str
@@ -53,8 +53,8 @@
     fields: msgspec.Raw
 
 
-class Merged(NamedTuple):
-    """Records in order, and whether a bound cut some off."""
+class MergedRecords(NamedTuple):
+    """Records by rank; ``limited`` tells whether a limit left some out."""
 
     records: tuple[Hit, ...]
     limited: bool
@@ -68,8 +68,8 @@
 def parse_page(body: bytes) -> Result[Page, MissingReason]:
     """Decode a target's reply.
 
-    A body that isn't a page fails as ``GARBLED`` and a page that its target cut short
-    as ``TRUNCATED``; neither may be counted as an answer.
+    A body that isn't a valid page fails with ``GARBLED`` and a page that its target
+    truncated with ``TRUNCATED``; neither counts as an answer.
 
     >>> parse_page(b'{"records":[],"truncated":false}').unwrap().records
     []
@@ -86,15 +86,15 @@
 
 
 class Merger:
-    """Collects the records of one index in bounded memory.
+    """Merges the records of one index in bounded memory.
 
-    The lowest rank comes first. A record is kept once for each id. When services of
-    one snapshot send different content for one id, the copy of the lowest rank stays,
-    and on equal ranks the one whose content is first in byte order, so the choice
+    Records are ordered by ascending rank and deduplicated by id. If services of one
+    snapshot return different content for one id, the copy of the lowest rank is kept,
+    and on equal ranks the one whose content comes first in byte order, so the result
     doesn't depend on the order of the replies.
 
-    No more than about ``PRUNE_FACTOR`` times ``limit`` records or ``max_bytes`` are
-    held between two calls; what can't be in the answer is dropped on the way.
+    Between two calls at most ``PRUNE_FACTOR`` times ``limit`` records and about
+    ``max_bytes`` are held; records that can't be in the answer are pruned.
     """
 
     def __init__(self, index: str, limit: int, max_bytes: int) -> None:
@@ -106,32 +106,32 @@
         self.limited = False
 
     def add(self, page: Page, body_bytes: int) -> int:
-        """Take in a page that took ``body_bytes`` on the wire.
+        """Add a page whose body has ``body_bytes`` bytes.
 
-        Returns by how many bytes that changed what is held.
+        Returns the change of ``held_bytes``, which is negative after pruning.
         """
         before = self.held_bytes
         self.records.extend(page.records)
         self.held_bytes += body_bytes
-        if self.must_prune():
+        if self.exceeds_bounds():
             self.prune()
         return self.held_bytes - before
 
-    def must_prune(self) -> bool:
-        """Tell whether more is held than the bounds allow."""
+    def exceeds_bounds(self) -> bool:
+        """Tell whether the records held exceed the limits of number or size."""
         too_many = len(self.records) > PRUNE_FACTOR * self.limit
         return too_many or self.held_bytes > self.max_bytes
 
     def prune(self) -> None:
-        """Keep the first records only, in copies that free the replies they are of."""
-        self.cut()
+        """Truncate the records and copy those kept, so that reply bodies are freed."""
+        self.truncate()
         self.records = [
             Record(record.id, record.rank, record.fields.copy())
             for record in self.records
         ]
 
-    def cut(self) -> None:
-        """Keep the first ``limit`` records that fit, in order."""
+    def truncate(self) -> None:
+        """Sort the records and keep the first ``limit`` that fit into ``max_bytes``."""
         distinct = distinct_records(self.records)
         kept = distinct[: self.limit]
         sizes = accumulate(
@@ -142,45 +142,50 @@
         self.held_bytes = fitting[-1] if fitting else 0
         self.limited = self.limited or len(fitting) < len(distinct)
 
-    def merged(self) -> Merged:
-        """Return the records in order."""
-        self.cut()
+    def merged(self) -> MergedRecords:
+        """Return the records by rank, within the limits."""
+        self.truncate()
         index = self.index
         hits = [
             Hit(index, record.id, record.rank, record.fields) for record in self.records
         ]
-        return Merged(tuple(hits), self.limited)
+        return MergedRecords(tuple(hits), self.limited)
 
 
 def distinct_records(records: list[Record]) -> list[Record]:
-    """Sort ``records`` by rank and id, and keep one of each id."""
+    """Sort ``records`` in place by rank and id and return one of each id."""
     records.sort(key=RECORD_ORDER)
     distinct: dict[str, Record] = {}
     for record in records:
         held = distinct.setdefault(record.id, record)
-        if held is not record and goes_before(record, held):
+        if held is not record and precedes(record, held):
             distinct[record.id] = record
     return list(distinct.values())
 
 
-def goes_before(record: Record, held: Record) -> bool:
-    """Tell whether ``record`` stays in place of one with its id and no higher rank."""
+def precedes(record: Record, held: Record) -> bool:
+    """Tell whether ``record`` replaces ``held``, which has the same id.
+
+    ``held`` comes earlier in the sort order, so its rank is not higher.
+    """
     return record.rank == held.rank and bytes(record.fields) < bytes(held.fields)
 
 
-def merge_indexes(parts: Iterable[Merged], limit: int) -> Merged:
-    """Merge the records of several indexes, whose ids have nothing in common."""
+def merge_indexes(parts: Iterable[MergedRecords], limit: int) -> MergedRecords:
+    """Merge the records of several indexes; equal ids of two indexes are distinct."""
     hits: list[Hit] = []
     limited = False
     for part in parts:
         hits.extend(part.records)
         limited = limited or part.limited
     hits.sort(key=HIT_ORDER)
-    return Merged(tuple(hits[:limit]), limited or len(hits) > limit)
+    return MergedRecords(tuple(hits[:limit]), limited or len(hits) > limit)
 
 
-def merge(pages: Iterable[tuple[str, Page]], limit: int, max_bytes: int) -> Merged:
-    """Merge pages, each with the name of its index, in one go."""
+def merge(
+    pages: Iterable[tuple[str, Page]], limit: int, max_bytes: int
+) -> MergedRecords:
+    """Merge pages that are all at hand, each given with the name of its index."""
     mergers: dict[str, Merger] = {}
     for index, page in pages:
         merger = mergers.setdefault(index, Merger(index, limit, max_bytes))
--- a/sardinehook/query/search.py
+++ b/sardinehook/query/search.py
@@ -110,9 +110,9 @@
         else:
             state.reason = state.tried[attempt.replica] = reason
             actions = self.retry(state, now)
-        if index.can_choose():
+        if index.can_choose_snapshot():
             actions.extend(self.choose_snapshot(index, now))
-        if index.refused and not index.restarted:
+        if index.mismatch_counts and not index.restarted:
             actions.extend(self.restart(index, now))
         return self.with_settlement(actions, now)
 
@@ -151,7 +151,7 @@
         self, index: IndexAnswer, attempt: Attempt, named: Snapshot
     ) -> None:
         """Note that a replica holds another snapshot than the one asked for."""
-        index.refused[named] += 1
+        index.mismatch_counts[named] += 1
         wanted = attempt.snapshot
         if wanted is not None:
             self.policy.replica_snapshots.correct(attempt.replica, wanted, named)
@@ -240,7 +240,7 @@
 
     def choose_snapshot(self, index: IndexAnswer, now: float) -> list[Action]:
         """Choose what the first replies favour; ask the other services again."""
-        others = index.choose()
+        others = index.choose_snapshot()
         actions: list[Action] = []
         for state in self.states[index.index]:
             if state.service in others:
@@ -256,7 +256,7 @@
         This is done at most once for an index, only if the coverage aimed at can't be
         reached any more, with time left, and only if the budget bears all of it.
         """
-        newer = index.newer()
+        newer = index.newer_snapshot()
         asked = [state for state in self.states[index.index] if state.replicas]
         if newer is None or not self.must_restart(asked, now):
             return []
@@ -274,7 +274,7 @@
 
     def count_lost(self) -> int:
         """Count the services that were given up."""
-        answered = sum(index.reply_count() for index in self.indexes.values())
+        answered = sum(index.answered_count() for index in self.indexes.values())
         return len(self.services) - self.open_count - answered
 
     def must_restart(self, states: Sequence[ServiceState], now: float) -> bool:
@@ -303,7 +303,9 @@
         """Bring the settlement forward once enough services have answered."""
         if self.enough_reached or self.workload.wait is not Wait.ENOUGH:
             return
-        answered = sum([len(index.answered()) for index in self.indexes.values()])
+        answered = sum(
+            [len(index.answered_services()) for index in self.indexes.values()]
+        )
         if self.ratio(answered) >= self.workload.enough_coverage:
             self.enough_reached = True
             early_at = now + self.workload.settle_ms / 1000.0
--- a/sardinehook/query/settlement.py
+++ b/sardinehook/query/settlement.py
@@ -1,4 +1,4 @@
-"""The coverage and the answer of a query, worked out from what was collected."""
+"""Computes the coverage and the outcome of a search from its accepted replies."""
 
 from __future__ import annotations
 
@@ -18,8 +18,8 @@
 def coverage_of(
     states: Sequence[ServiceState], indexes: Mapping[str, IndexAnswer]
 ) -> Coverage:
-    """Count the services whose accepted reply is of their index's snapshot."""
-    answered = {name: held.answered() for name, held in indexes.items()}
+    """Return the coverage: services count whose reply is from the leading snapshot."""
+    answered = {name: index.answered_services() for name, index in indexes.items()}
     missing: tuple[MissingService, ...] = ()
     if sum(map(len, answered.values())) < len(states):
         missing = tuple(
@@ -29,15 +29,17 @@
         )
     snapshot = {
         name: leading
-        for name, held in indexes.items()
-        if answered[name] and (leading := held.leading()) is not None
+        for name, index in indexes.items()
+        if answered[name] and (leading := index.leading_snapshot()) is not None
     }
     return Coverage(len(states), len(states) - len(missing), missing, snapshot)
 
 
 def reason_of(state: ServiceState, index: IndexAnswer) -> MissingReason:
-    """Tell why a service is missing, also one that answered from another snapshot."""
-    if any(state.service in services for services in index.services.values()):
+    """Return why a service is missing: ``WRONG_VERSION`` if it answered at all."""
+    if any(
+        state.service in services for services in index.services_by_snapshot.values()
+    ):
         return MissingReason.WRONG_VERSION
     return state.reason
 
@@ -50,7 +52,7 @@
     limit: int,
     began: bool,
 ) -> SearchAnswer | Problem:
-    """Return the answer, or why there is none.
+    """Return the answer, or the problem if the coverage is below the least.
 
     ``began`` tells whether a target can have begun any part of the query; if not, the
     problem is of a kind that is marked "not run".
@@ -58,7 +60,10 @@
     enough = coverage.ratio >= workload.least_coverage
     if enough and (coverage.answered or not coverage.asked):
         return merge_answer(request_id, coverage, indexes, limit)
-    detail = f"{coverage.answered} of {coverage.asked} services answered"
+    detail = (
+        f"{coverage.answered} of {coverage.asked} services answered,"
+        f" least coverage {workload.least_coverage:g}"
+    )
     if began:
         return Problem(ErrorKind.COVERAGE_BELOW_LEAST, detail)
     reasons = {missing.reason for missing in coverage.missing}
@@ -75,8 +80,8 @@
     indexes: Mapping[str, IndexAnswer],
     limit: int,
 ) -> SearchAnswer:
-    """Merge the records of all indexes."""
-    mergers = [held.merger() for held in indexes.values()]
+    """Merge the records of all indexes into the answer."""
+    mergers = [index.leading_merger() for index in indexes.values()]
     merged = merge_indexes(
         [merger.merged() for merger in mergers if merger is not None], limit
     )
--- a/tests/query/test_merge.py
+++ b/tests/query/test_merge.py
@@ -1,4 +1,4 @@
-"""Tests of reply parsing and of the merge."""
+"""Tests of parsing and merging the replies of targets."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 class TestParsePage:
-    def test_truncated_page_is_no_answer(self) -> None:
+    def test_truncated_page_fails(self) -> None:
         body = page_body(("a", 1.0, {}), truncated=True)
         assert parse_page(body).failure() is MissingReason.TRUNCATED
 
@@ -47,15 +47,15 @@
             b'{"records":[{"id":"\xff","rank":1,"fields":{}}],"truncated":false}',
         ],
     )
-    def test_garbled_page_is_no_answer(self, body: bytes) -> None:
+    def test_invalid_page_is_garbled(self, body: bytes) -> None:
         assert parse_page(body).failure() is MissingReason.GARBLED
 
     @given(st.binary(max_size=60))
-    def test_any_bytes_are_survived(self, body: bytes) -> None:
+    def test_random_bytes_fail_without_an_exception(self, body: bytes) -> None:
         assert not is_successful(parse_page(body))
 
     @given(st.integers(1, 40))
-    def test_a_cut_body_is_no_answer(self, cut: int) -> None:
+    def test_incomplete_body_fails(self, cut: int) -> None:
         body = page_body(("a", 1.0, {"strikes": 3}))
         assert not is_successful(parse_page(body[:-cut]))
 
@@ -68,23 +68,23 @@
         merged = merge([("logs", page)], 10, 1000)
         assert [hit.id for hit in merged.records] == ["c", "a", "b"]
 
-    def test_identity_is_kept_once_with_the_lowest_rank(self) -> None:
+    def test_duplicate_id_is_kept_once_with_the_lowest_rank(self) -> None:
         first = parse_page(page_body(("a", 2.0, "late"))).unwrap()
         second = parse_page(page_body(("a", 1.0, "early"))).unwrap()
         merged = merge([("logs", first), ("logs", second)], 10, 1000)
         assert [bytes(hit.fields) for hit in merged.records] == [b'"early"']
 
-    def test_same_id_in_two_indexes_is_two_records(self) -> None:
+    def test_same_id_in_two_indexes_gives_two_records(self) -> None:
         page = parse_page(page_body(("a", 1.0, {}))).unwrap()
         merged = merge([("logs", page), ("members", page)], 10, 1000)
         assert [hit.index for hit in merged.records] == ["logs", "members"]
 
-    def test_limit_is_stated(self) -> None:
+    def test_limited_tells_whether_the_limit_left_records_out(self) -> None:
         page = parse_page(page_body(("a", 1.0, {}), ("b", 2.0, {}))).unwrap()
         assert merge([("logs", page)], 1, 1000).limited
         assert not merge([("logs", page)], 2, 1000).limited
 
-    def test_bytes_are_bounded_and_stated(self) -> None:
+    def test_bytes_held_are_limited_and_reported(self) -> None:
         merger = Merger("logs", 1000, 1000)
         for number in range(100):
             body = page_body((f"{number:03}", float(number), "x" * 90))
@@ -95,7 +95,7 @@
         assert [hit.id for hit in merged.records] == [f"{n:03}" for n in range(10)]
 
     @given(PAGES, st.randoms(use_true_random=False), st.integers(1, 5))
-    def test_order_of_replies_and_pruning_do_not_matter(
+    def test_result_is_independent_of_reply_order_and_pruning(
         self, drawn: list[tuple[str, list[Record]]], random: Random, limit: int
     ) -> None:
         pages = [(index, Page(records, False)) for index, records in drawn]
