Reword the search, its fan-out and its tests

Readers stumbled over sub-queries that are out, paid for or asked elsewhere, over services that are given up and over a search that is hopeless. The texts say outstanding, budget, hedge, retry, reply timeout and restart; the methods follow. Test names say the case and the expected result. The names of rules and invariants stay, because their order decides what hypothesis draws.

--- a/sardinehook/query/__init__.py
+++ b/sardinehook/query/__init__.py
@@ -1,1 +1,1 @@
-"""Queries: plan, fan-out, hedging, merge, coverage, admission."""
+"""Query execution: planning, fan-out, hedging, merging, coverage and admission."""
--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -1,4 +1,4 @@
-"""The sub-queries of one search: which are out and when to ask elsewhere."""
+"""The sub-queries of one search: first attempts, hedges and retries."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
 __all__ = ["FanOut"]
 
 SETTLE_RESERVE_RATIO = 0.02
-SETTLE_RESERVE_MOST_MS = 2.0
+MAX_SETTLE_RESERVE_MS = 2.0
 USEFUL_QUANTILE = 0.5
 
 
 class FanOut:
-    """Sends sub-queries, watches those that are out and pays for extra ones.
+    """Creates the sub-queries of a search and tracks the outstanding ones.
 
     Every sub-query beyond the first of a service (a hedge, a retry, a restart on
-    another snapshot) is paid from the budget of the workload. ``settle_at`` is when
-    the search is settled at the latest; ``checks`` is a heap of the times at which an
-    attempt without a reply is looked at again.
+    another snapshot) is charged to the budget of the workload. ``settle_at`` is the
+    latest time of the settlement; ``checks`` is a heap of the times at which an
+    attempt without a reply is due for a hedge or has timed out.
     """
 
     def __init__(
@@ -41,8 +41,8 @@
         self.workload = workload
         self.policy = policy
         self.budget = policy.budgets.of(request.workload, now)
-        self.reserve_s = settle_reserve(request, now)
-        self.settle_at = request.deadline_at - self.reserve_s
+        self.settle_reserve_s = settle_reserve(request, now)
+        self.settle_at = request.deadline_at - self.settle_reserve_s
         self.attempts: dict[int, Attempt] = {}
         self.checks: list[tuple[float, int]] = []
         self.first_attempts = 0
@@ -51,7 +51,7 @@
     def send_first(
         self, states: Sequence[ServiceState], snapshot: Snapshot | None, now: float
     ) -> list[Action]:
-        """Ask the preferred replica of each service of one index."""
+        """Send a sub-query to the preferred replica of each service of one index."""
         if not states:
             return []
         check_at = self.check_at(states[0].index, now)
@@ -65,7 +65,7 @@
     def send(
         self, state: ServiceState, replica: str, snapshot: Snapshot | None, now: float
     ) -> Send:
-        """Ask ``replica`` and remember it."""
+        """Create a sub-query to ``replica`` and track it as outstanding."""
         wanted = ANY_SNAPSHOT if snapshot is None else snapshot
         sub_query_id = next(self.policy.sub_query_ids)
         state.attempt_count += 1
@@ -94,37 +94,37 @@
     def send_extra(
         self, state: ServiceState, snapshot: Snapshot | None, now: float
     ) -> list[Action]:
-        """Ask another replica if there is one, with time and budget left."""
+        """Send a hedge or a retry if a replica, time and budget are left."""
         replica = state.next_replica(self.policy.chooser)
         if replica is None or not self.has_time(state.index, now):
             return []
         if replica in state.tried and not self.policy.chooser.spend_repeat(replica):
             return []
-        if not self.pay(1, now):
+        if not self.spend_budget(1, now):
             return []
         action = self.send(state, replica, snapshot, now)
         check_at = self.check_at(state.index, now)
         heappush(self.checks, (check_at, action.sub_query.sub_query_id))
         return [action]
 
-    def earn(self, first_attempts: int, now: float) -> None:
-        """Credit the budget with first tries."""
+    def credit_budget(self, first_attempts: int, now: float) -> None:
+        """Credit the budget with first attempts."""
         self.first_attempts += first_attempts
         self.budget.earn(first_attempts, self.workload.extra_load, now)
 
-    def take(self, sub_query_id: int) -> Attempt | None:
-        """Return the attempt that a reply belongs to, once."""
+    def remove_attempt(self, sub_query_id: int) -> Attempt | None:
+        """Remove and return an outstanding attempt, ``None`` if it is not known."""
         attempt = self.attempts.pop(sub_query_id, None)
         if attempt is not None:
             attempt.service.outstanding.remove(sub_query_id)
         return attempt
 
-    def abandon(self, sub_query_ids: Sequence[int], now: float) -> list[Action]:
-        """Cancel attempts that are out.
+    def cancel_attempts(self, sub_query_ids: Sequence[int], now: float) -> list[Action]:
+        """Cancel outstanding attempts.
 
-        The first of a service counts as given up if it was hedged or took longer than
-        its replica usually does. Without that the estimates would forget the slow
-        ones, which are cancelled the most.
+        The first attempt of a service counts as slow if it was hedged or has taken
+        longer than the average of its replica. Otherwise the estimates would miss the
+        slow replicas, whose attempts are cancelled most often.
         """
         actions: list[Action] = []
         chooser = self.policy.chooser
@@ -145,34 +145,37 @@
             actions.append(Cancel(sub_query_id))
         return actions
 
-    def check_due(
+    def run_due_checks(
         self, snapshots: Mapping[str, Snapshot | None], now: float
     ) -> list[Action]:
-        """Ask elsewhere what has had no reply for too long."""
+        """Send hedges and retries for the attempts that are due."""
         actions: list[Action] = []
         while self.checks and self.checks[0][0] <= now:
             _, sub_query_id = heappop(self.checks)
             attempt = self.attempts.get(sub_query_id)
             if attempt is not None:
                 snapshot = snapshots[attempt.service.index]
-                actions.extend(self.check(attempt, snapshot, now))
+                actions.extend(self.check_attempt(attempt, snapshot, now))
         return actions
 
-    def check(
+    def check_attempt(
         self, attempt: Attempt, snapshot: Snapshot | None, now: float
     ) -> list[Action]:
-        """Ask another replica if the latest attempt has no reply for long."""
+        """Send a hedge or retry if ``attempt`` is the latest one of its service.
+
+        If none can be sent, the attempt is checked again at its reply timeout.
+        """
         state = attempt.service
         if state.outstanding[-1] != attempt.sub_query_id:
             return []
         extra = self.send_extra(state, snapshot, now)
-        silent_at = self.silent_at(attempt.sent_at)
-        if not extra and now < silent_at:
-            heappush(self.checks, (silent_at, attempt.sub_query_id))
+        reply_timeout_at = self.reply_timeout_at(attempt.sent_at)
+        if not extra and now < reply_timeout_at:
+            heappush(self.checks, (reply_timeout_at, attempt.sub_query_id))
         return extra
 
     def next_check(self) -> float:
-        """Return when a check or the settlement is due."""
+        """Return the time of the next check or of the settlement, if earlier."""
         while self.checks and self.checks[0][1] not in self.attempts:
             heappop(self.checks)
         if not self.checks:
@@ -180,26 +183,30 @@
         return min(self.checks[0][0], self.settle_at)
 
     def check_at(self, index: str, now: float) -> float:
-        """Return when a sub-query sent now is sent elsewhere without a reply."""
+        """Return the time to hedge or retry a sub-query that is sent at ``now``."""
         time_left_ms = (self.settle_at - now) * 1000.0
         delay_ms = hedge_delay_ms(
             self.policy.hedge, self.policy.latencies, index, time_left_ms
         )
-        silent_at = self.silent_at(now)
-        return silent_at if delay_ms is None else min(now + delay_ms / 1000, silent_at)
+        reply_timeout_at = self.reply_timeout_at(now)
+        return (
+            reply_timeout_at
+            if delay_ms is None
+            else min(now + delay_ms / 1000, reply_timeout_at)
+        )
 
-    def silent_at(self, sent_at: float) -> float:
-        """Return when a sub-query without a reply counts as lost."""
+    def reply_timeout_at(self, sent_at: float) -> float:
+        """Return the time at which a sub-query without a reply has timed out."""
         time_left = max(0.0, self.settle_at - sent_at)
         return sent_at + time_left * self.policy.reply_timeout_ratio
 
     def has_time(self, index: str, now: float) -> bool:
-        """Tell whether a reply to a sub-query sent now can be expected in time."""
+        """Tell whether a reply to a sub-query sent at ``now`` is likely in time."""
         usual_ms = self.policy.latencies.quantile(index, USEFUL_QUANTILE) or 0.0
         return now + usual_ms / 1000.0 < self.settle_at
 
-    def pay(self, attempts: int, now: float) -> bool:
-        """Take extra sub-queries from the budget."""
+    def spend_budget(self, attempts: int, now: float) -> bool:
+        """Charge extra sub-queries to the budget; return false if it is exceeded."""
         if self.policy.enforces_budget and not self.budget.spend(attempts, now):
             return False
         self.extra_attempts += attempts
@@ -207,6 +214,6 @@
 
 
 def settle_reserve(request: SearchRequest, now: float) -> float:
-    """Return the seconds kept before the deadline for the answer's way back."""
+    """Return the seconds before the deadline reserved for returning the answer."""
     time_left = max(0.0, request.deadline_at - now)
-    return min(time_left * SETTLE_RESERVE_RATIO, SETTLE_RESERVE_MOST_MS / 1000.0)
+    return min(time_left * SETTLE_RESERVE_RATIO, MAX_SETTLE_RESERVE_MS / 1000.0)
--- a/sardinehook/query/plan.py
+++ b/sardinehook/query/plan.py
@@ -1,4 +1,4 @@
-"""What a search is asked, and whom it may ask."""
+"""The request of a search and the state of the services it asks."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 
 __all__ = ["Attempt", "SearchRequest", "ServicePlan", "ServiceState"]
 
-MOST_ATTEMPTS = 3
-REPEATABLE = frozenset(
+MAX_ATTEMPTS = 3
+RETRYABLE_ON_SAME_REPLICA = frozenset(
     {MissingReason.CONNECTION_LOST, MissingReason.GARBLED, MissingReason.LATE}
 )
 
@@ -19,9 +19,9 @@
 class SearchRequest(NamedTuple):
     """A caller's search.
 
-    ``workload`` is a name of the environment document, ``deadline_at`` a time of the
-    monotonic clock in seconds, ``limit`` the most records wanted and ``body`` the
-    caller's JSON body, which targets receive unread.
+    ``workload`` is a name in the environment document, ``deadline_at`` a time of the
+    monotonic clock in seconds, ``limit`` the maximum number of records and ``body`` the
+    caller's JSON body, which is forwarded to targets undecoded.
     """
 
     request_id: str
@@ -40,10 +40,10 @@
 
 
 class Attempt(NamedTuple):
-    """A sub-query that is out.
+    """An outstanding sub-query.
 
     ``number`` counts the attempts of its service from one. ``snapshot`` is ``None``
-    if any was asked for.
+    if the target may choose it.
     """
 
     sub_query_id: int
@@ -55,11 +55,11 @@
 
 
 class ServiceState:
-    """How far one service of a query has come.
+    """The progress of one service of a search.
 
-    ``reason`` is why it would be missing if the query were settled now. ``tried``
-    holds the replicas asked and how each failed; one that has no reply yet holds
-    ``LATE``.
+    ``reason`` is why it would be missing if the search were settled now. ``tried``
+    maps the replicas asked to how they failed, ``LATE`` if there is no reply yet.
+    ``outstanding`` lists sub-query ids in the order of sending.
     """
 
     __slots__ = (
@@ -78,7 +78,7 @@
         self.reopen()
 
     def reopen(self) -> None:
-        """Forget all attempts."""
+        """Reset the service to its initial state, without attempts."""
         self.outstanding: list[int] = []
         self.tried: dict[str, MissingReason] = {}
         self.attempt_count = 0
@@ -86,18 +86,23 @@
         self.closed = False
 
     def next_replica(self, chooser: ReplicaChooser) -> str | None:
-        """Return the replica to try next, ``None`` if there is none.
+        """Return the replica of the next attempt, ``None`` if there is none.
 
-        Replicas that were not asked go first, unless the next one is known to be much
-        slower than one that may be asked again: one whose failure tells nothing of
-        the next try, as a lost connection or a reply that is merely slow.
+        Replicas not tried yet are preferred, unless the next one is known to be much
+        slower than one that can be retried. A replica can be retried if its failure
+        does not predict the next result, such as a lost connection or a slow reply.
         """
-        if self.attempt_count >= MOST_ATTEMPTS:
+        if self.attempt_count >= MAX_ATTEMPTS:
             return None
         untried = next((name for name in self.replicas if name not in self.tried), None)
-        again = next(
-            (name for name in self.replicas if self.tried.get(name) in REPEATABLE), None
+        retried = next(
+            (
+                name
+                for name in self.replicas
+                if self.tried.get(name) in RETRYABLE_ON_SAME_REPLICA
+            ),
+            None,
         )
-        if untried is None or again is None:
-            return untried or again
-        return again if chooser.is_much_slower(untried, again) else untried
+        if untried is None or retried is None:
+            return untried or retried
+        return retried if chooser.is_much_slower(untried, retried) else untried
--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -1,4 +1,4 @@
-"""What the searches of one process share."""
+"""The policies, limits and statistics that the searches of a process share."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 
 __all__ = ["SearchPolicy"]
 
-PROCESS_REPLY_BYTES = 268_435_456
+MAX_PROCESS_REPLY_BYTES = 268_435_456
 
 
 @dataclass(slots=True)
 class SearchPolicy:
-    """The parts of the policy that outlive a single search.
+    """Shared policies, limits and statistics, which outlive a single search.
 
     ``sub_query_ids`` must yield each id once in the life of the process. A sub-query
     without a reply within ``reply_timeout_ratio`` of the time left when it was sent is
@@ -40,5 +40,5 @@
     chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
     replica_snapshots: ReplicaSnapshots = field(default_factory=ReplicaSnapshots)
     memory: MemoryBudget = field(
-        default_factory=lambda: MemoryBudget(PROCESS_REPLY_BYTES)
+        default_factory=lambda: MemoryBudget(MAX_PROCESS_REPLY_BYTES)
     )
--- a/tests/query/support.py
+++ b/tests/query/support.py
@@ -1,4 +1,4 @@
-"""Builders that the tests of queries share."""
+"""Builders shared by the tests of the query package."""
 
 from __future__ import annotations
 
@@ -64,7 +64,7 @@
     body: bytes | None = None,
     began: bool = True,
 ) -> SubReply:
-    whole = page_body((sub_query.service, 1.0, {})) if body is None else body
+    valid_body = page_body((sub_query.service, 1.0, {})) if body is None else body
     return SubReply(
         sub_query.sub_query_id,
         outcome,
@@ -74,7 +74,7 @@
         1.0,
         began,
         "",
-        whole if outcome is Outcome.ANSWERED else b"",
+        valid_body if outcome is Outcome.ANSWERED else b"",
     )
 
 
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -46,7 +46,7 @@
         assert isinstance(settle.outcome, SearchAnswer)
         assert [hit.id for hit in settle.outcome.records] == ["logs-0", "logs-1"]
 
-    def test_loser_that_answers_too_is_not_counted(self) -> None:
+    def test_late_reply_of_the_slow_attempt_is_dropped(self) -> None:
         policy = SearchPolicy(hedge=FixedDelayHedge(5.0))
         search, actions = start(plans(2), RETRYING, policy=policy)
         slow, _ = sent(actions)
@@ -54,7 +54,7 @@
         search.on_reply(reply_to(hedges[0]), 0.008)
         assert search.on_reply(reply_to(slow), 0.009) == []
 
-    def test_only_a_given_up_first_try_counts_as_slow(self) -> None:
+    def test_only_a_cancelled_first_attempt_counts_as_slow(self) -> None:
         policy = SearchPolicy(hedge=FixedDelayHedge(5.0))
         search, actions = start(plans(2), RETRYING, policy=policy)
         first, second = sent(actions)
@@ -66,7 +66,7 @@
         counts = policy.latencies.histograms["logs"]
         assert counts.total == 3
 
-    def test_slow_replica_is_learnt_from_early_settlements(self) -> None:
+    def test_slow_replica_is_detected_from_early_settlements(self) -> None:
         policy = SearchPolicy(hedge=NoHedge(), reply_timeout_ratio=1.0)
         workload = RETRYING._replace(
             wait=Wait.ENOUGH, enough_coverage=0.5, settle_ms=1.0
@@ -79,14 +79,14 @@
             assert search.settled
         assert policy.chooser.is_much_slower("logs-0-a", "logs-1-a")
 
-    def test_without_hedges_silence_is_retried_in_half_of_the_time(self) -> None:
+    def test_without_hedges_a_sub_query_is_retried_at_the_reply_timeout(self) -> None:
         policy = SearchPolicy(hedge=NoHedge())
         search, _ = start(plans(1), RETRYING, policy=policy)
         due = search.next_timer()
         assert due is not None and 0.07 < due < 0.08
         assert [query.replica for query in sent(search.on_timer(due))] == ["logs-0-b"]
 
-    def test_delay_follows_the_latencies_of_the_index(self) -> None:
+    def test_hedge_delay_follows_the_latencies_of_the_index(self) -> None:
         latencies = LatencyEstimates()
         for number in range(1000):
             latencies.record("logs", 4.0 if number % 50 else 80.0)
@@ -95,11 +95,11 @@
         due = search.next_timer()
         assert due is not None and 0.004 <= due < 0.0045
 
-    def test_hedge_that_is_out_of_budget_is_not_sent(self) -> None:
+    def test_hedges_beyond_the_budget_are_not_sent(self) -> None:
         policy = SearchPolicy(hedge=FixedDelayHedge(5.0))
         search, _ = start(plans(400), RETRYING, policy=policy)
         hedges = sent(search.on_timer(0.005))
-        assert len(hedges) == 39  # what is earned fades a little in 5 ms
+        assert len(hedges) == 39  # the credit of 40 decays a little in 5 ms
 
 
 class TestRetry:
@@ -107,7 +107,9 @@
         "outcome",
         [Outcome.SHED, Outcome.NOT_RUN, Outcome.CONNECTION_LOST, Outcome.WRONG_VERSION],
     )
-    def test_failed_sub_query_is_retried_elsewhere(self, outcome: Outcome) -> None:
+    def test_failed_sub_query_is_retried_on_another_replica(
+        self, outcome: Outcome
+    ) -> None:
         search, actions = start(plans(1), RETRYING)
         (first,) = sent(actions)
         (retry,) = sent(search.on_reply(reply_to(first, outcome), 0.01))
@@ -115,7 +117,7 @@
         settle = settlement(search.on_reply(reply_to(retry), 0.02))
         assert settle.coverage.ratio == 1.0
 
-    def test_outage_is_not_amplified(self) -> None:
+    def test_retries_do_not_amplify_an_outage(self) -> None:
         policy = SearchPolicy()
         extra = 0
         for _ in range(100):
@@ -125,7 +127,7 @@
                 extra += len(retries)
         assert extra <= RESERVE_ATTEMPTS + 0.05 * 2000
 
-    def test_repeats_at_one_replica_are_bounded_whatever_the_budget(self) -> None:
+    def test_retries_on_one_replica_are_limited_whatever_the_budget(self) -> None:
         policy = SearchPolicy()
         workload = RETRYING._replace(extra_load=1.0)
         first = repeated = 0
@@ -137,14 +139,14 @@
             repeated += len(sent(search.on_reply(lost, 0.0)))
         assert 0 < repeated <= MAX_REPEATS + REPEAT_RATIO * (first + repeated)
 
-    def test_lost_connection_of_the_only_replica_is_tried_again(self) -> None:
+    def test_lost_connection_of_the_only_replica_is_retried(self) -> None:
         search, actions = start(plans(1, replicas=1), RETRYING)
         lost = reply_to(sent(actions)[0], Outcome.CONNECTION_LOST)
         assert len(sent(search.on_reply(lost, 0.01))) == 1
 
 
-class TestSnapshotRollsAway:
-    def test_query_starts_again_on_the_newer_snapshot(self) -> None:
+class TestRestart:
+    def test_search_restarts_on_the_newer_snapshot(self) -> None:
         search, actions = start(plans(3, replicas=1), RETRYING)
         first, second, third = sent(actions)
         search.on_reply(reply_to(first), 0.01)
@@ -160,7 +162,7 @@
         assert settle.coverage.ratio == 1.0
         assert settle.coverage.snapshot == {"logs": NEWER}
 
-    def test_what_answered_before_the_restart_does_not_count(self) -> None:
+    def test_replies_before_the_restart_do_not_count(self) -> None:
         workload = RETRYING._replace(least_coverage=0.0)
         search, actions = start(plans(2, replicas=1), workload)
         first, second = sent(actions)
--- a/tests/query/test_search.py
+++ b/tests/query/test_search.py
@@ -1,4 +1,4 @@
-"""Tests of one search with one replica for each service."""
+"""Tests of replies, coverage and settlement of one search."""
 
 from __future__ import annotations
 
@@ -28,13 +28,13 @@
 )
 
 
-def first_only() -> list[ServicePlan]:
+def single_replicas() -> list[ServicePlan]:
     return plans(4, replicas=1)
 
 
 class TestAnswer:
     def test_all_services_answer(self) -> None:
-        search, actions = start(first_only())
+        search, actions = start(single_replicas())
         queries = sent(actions)
         assert [query.index_version for query in queries] == [42] * 4
         for query in queries[:-1]:
@@ -51,14 +51,14 @@
         }
         assert search.next_timer() is None
 
-    def test_ids_are_unique_over_searches(self) -> None:
+    def test_sub_query_ids_are_unique_across_searches(self) -> None:
         policy = SearchPolicy(count(7))
         _, first = start(plans(2), policy=policy)
         _, second = start(plans(2), policy=policy)
         ids = [query.sub_query_id for query in sent(first) + sent(second)]
         assert ids == [7, 8, 9, 10]
 
-    def test_late_duplicated_and_foreign_replies_are_dropped(self) -> None:
+    def test_late_duplicate_and_unknown_replies_are_dropped(self) -> None:
         search, actions = start(plans(2, replicas=1))
         first, second = sent(actions)
         search.on_reply(reply_to(first), 0.01)
@@ -84,7 +84,7 @@
             (Outcome.FAILED, MissingReason.FAILED),
         ],
     )
-    def test_no_answer_is_missing(
+    def test_failed_sub_query_makes_its_service_missing(
         self, outcome: Outcome, reason: MissingReason
     ) -> None:
         search, actions = start(plans(2, replicas=1))
@@ -101,14 +101,16 @@
             (b" " * 1_048_577, MissingReason.TOO_LARGE),
         ],
     )
-    def test_a_bad_body_is_missing(self, body: bytes, reason: MissingReason) -> None:
+    def test_unusable_body_makes_its_service_missing(
+        self, body: bytes, reason: MissingReason
+    ) -> None:
         search, actions = start(plans(2, replicas=1))
         first, second = sent(actions)
         search.on_reply(reply_to(first, body=body), 0.01)
         settle = settlement(search.on_reply(reply_to(second), 0.01))
         assert settle.coverage.missing == (MissingService("logs-0", reason),)
 
-    def test_another_version_is_missing_and_never_mixed(self) -> None:
+    def test_reply_of_another_snapshot_is_missing_and_never_mixed(self) -> None:
         search, actions = start(plans(2, replicas=1))
         first, second = sent(actions)
         search.on_reply(reply_to(first, snapshot=OLD), 0.01)
@@ -143,8 +145,8 @@
 
 
 class TestSettlement:
-    def test_settles_before_the_deadline_and_cancels_what_is_out(self) -> None:
-        search, actions = start(first_only())
+    def test_settles_before_the_deadline_and_cancels_outstanding(self) -> None:
+        search, actions = start(single_replicas())
         queries = sent(actions)
         for query in queries[:2]:
             search.on_reply(reply_to(query), 0.01)
@@ -156,19 +158,19 @@
         assert cancelled(actions) == [query.sub_query_id for query in queries[2:]]
         assert settlement(actions).coverage.ratio == 0.5
 
-    def test_enough_settles_early(self) -> None:
+    def test_enough_coverage_settles_early(self) -> None:
         workload = WORKLOAD._replace(
             wait=Wait.ENOUGH, enough_coverage=0.75, settle_ms=5.0
         )
-        search, actions = start(first_only(), workload)
+        search, actions = start(single_replicas(), workload)
         for query in sent(actions)[:3]:
             search.on_reply(reply_to(query), 0.01)
         assert search.next_timer() == pytest.approx(0.015)
         assert settlement(search.on_timer(0.015)).coverage.ratio == 0.75
 
-    def test_least_coverage_out_of_reach_is_a_problem_at_once(self) -> None:
+    def test_unreachable_least_coverage_fails_at_once(self) -> None:
         workload = WORKLOAD._replace(least_coverage=0.9)
-        search, actions = start(first_only(), workload)
+        search, actions = start(single_replicas(), workload)
         first, second, *_ = sent(actions)
         search.on_reply(reply_to(first), 0.01)
         actions = search.on_reply(reply_to(second, Outcome.FAILED), 0.01)
@@ -178,13 +180,13 @@
         assert settle.outcome.kind is ErrorKind.COVERAGE_BELOW_LEAST
         assert settle.coverage.answered == 1
 
-    def test_nothing_sent_is_marked_not_run(self) -> None:
+    def test_search_without_sub_queries_is_marked_not_run(self) -> None:
         _, actions = start([ServicePlan("logs", "lost", ())])
         problem = settlement(actions).outcome
         assert isinstance(problem, Problem)
         assert problem.response.not_run
 
-    def test_no_time_at_the_start_is_marked_not_run(self) -> None:
+    def test_expired_deadline_is_marked_not_run(self) -> None:
         _, actions = start(plans(2), deadline_at=0.0)
         assert sent(actions) == []
         problem = settlement(actions).outcome
@@ -192,21 +194,21 @@
         assert problem.kind is ErrorKind.DEADLINE_TOO_SHORT
         assert problem.response.not_run
 
-    def test_nothing_begun_is_marked_not_run(self) -> None:
+    def test_search_of_which_nothing_began_is_marked_not_run(self) -> None:
         search, actions = start(plans(1, replicas=1))
         reply = reply_to(sent(actions)[0], Outcome.NOT_RUN, began=False)
         problem = settlement(search.on_reply(reply, 0.01)).outcome
         assert isinstance(problem, Problem)
         assert problem.response.not_run
 
-    def test_what_began_and_failed_is_not_marked_not_run(self) -> None:
+    def test_search_that_began_and_failed_is_not_marked_not_run(self) -> None:
         search, actions = start(plans(1, replicas=1))
         reply = reply_to(sent(actions)[0], Outcome.FAILED, began=True)
         problem = settlement(search.on_reply(reply, 0.01)).outcome
         assert isinstance(problem, Problem)
         assert not problem.response.not_run
 
-    def test_what_may_have_begun_is_not_marked_not_run(self) -> None:
+    def test_search_that_may_have_begun_is_not_marked_not_run(self) -> None:
         search, _ = start(plans(1, replicas=1))
         problem = settlement(search.on_timer(0.15)).outcome
         assert isinstance(problem, Problem)
--- a/tests/query/test_search_properties.py
+++ b/tests/query/test_search_properties.py
@@ -47,7 +47,10 @@
 
 
 class SearchMachine(RuleBasedStateMachine):
-    """Feeds one search and keeps its own account of what must hold."""
+    """Drives one search with arbitrary replies and checks its invariants.
+
+    It keeps its own record of what was sent, is outstanding and was answered.
+    """
 
     @initialize(
         workload=WORKLOADS,
@@ -72,8 +75,8 @@
             *plans(counts[1], "members", replicas),
         ]
         self.sent: dict[int, SubQuery] = {}
-        self.out: set[int] = set()
-        self.whole: dict[tuple[str, Snapshot], bytes] = {}
+        self.outstanding: set[int] = set()
+        self.answered_bodies: dict[tuple[str, Snapshot], bytes] = {}
         self.settle: Settle | None = None
         request = SearchRequest("r1", "storm", DEADLINE_AT, 1000, b"{}")
         self.search = Search(
@@ -89,9 +92,9 @@
                     assert sub_query.sub_query_id not in self.sent
                     assert sub_query.deadline_ms > 0.0
                     self.sent[sub_query.sub_query_id] = sub_query
-                    self.out.add(sub_query.sub_query_id)
+                    self.outstanding.add(sub_query.sub_query_id)
                 case Cancel(sub_query_id):
-                    self.out.remove(sub_query_id)
+                    self.outstanding.remove(sub_query_id)
                 case Settle():
                     self.settle = action
                     assert self.now <= DEADLINE_AT
@@ -120,13 +123,17 @@
         wanted = Snapshot(query.index_version, query.partitioning)
         if as_asked and wanted != ANY_SNAPSHOT:
             snapshot = wanted
-        whole = page_body(
+        valid_body = page_body(
             (query.service, 1.0, snapshot), ("shared", 2.0, query.service)
         )
-        body = whole if bad_body is None else bad_body
-        if sub_query_id in self.out and outcome is Outcome.ANSWERED and body is whole:
-            self.whole[query.service, snapshot] = whole
-        self.out.discard(sub_query_id)
+        body = valid_body if bad_body is None else bad_body
+        if (
+            sub_query_id in self.outstanding
+            and outcome is Outcome.ANSWERED
+            and body is valid_body
+        ):
+            self.answered_bodies[query.service, snapshot] = valid_body
+        self.outstanding.discard(sub_query_id)
         self.perform(
             self.search.on_reply(
                 SubReply(sub_query_id, outcome, *snapshot, 0.0, 1.0, True, "", body),
@@ -151,7 +158,7 @@
             self.now = max(self.now, due)
             self.perform(self.search.on_timer(self.now))
         else:
-            raise AssertionError("timers without end")
+            raise AssertionError("more than 1000 timers within one step")
         self.now = until
 
     @invariant()
@@ -174,7 +181,7 @@
             assert not self.search.settled
             return
         assert self.search.settled
-        assert not self.out
+        assert not self.outstanding
         self.check_coverage()
 
     def check_coverage(self) -> None:
@@ -186,7 +193,7 @@
         assert coverage.answered == coverage.asked - len(missing)
         answered = [plan for plan in self.services if plan.service not in missing]
         for plan in answered:
-            assert (plan.service, coverage.snapshot[plan.index]) in self.whole
+            assert (plan.service, coverage.snapshot[plan.index]) in self.answered_bodies
         match self.settle.outcome:
             case SearchAnswer(_, records):
                 assert coverage.ratio >= self.workload.least_coverage
