--- a/sardinehook/__main__.py
+++ b/sardinehook/__main__.py
@@ -1,4 +1,4 @@
-"""Run the command line by ``python -m sardinehook``."""
+"""Entry point of ``python -m sardinehook``."""
 
 from __future__ import annotations
 
--- a/sardinehook/errors.py
+++ b/sardinehook/errors.py
@@ -1,4 +1,4 @@
-"""The closed list of error kinds and the table from kind to answer."""
+"""Error kinds and the HTTP response of each."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class ErrorKind(StrEnum):
-    """Every way in which a request or an operation can fail."""
+    """The kinds of errors; every failed request or operation has one of them."""
 
     BAD_REQUEST = "bad_request"
     NOT_FOUND = "not_found"
@@ -38,11 +38,11 @@
 
 
 class ErrorResponse(NamedTuple):
-    """What a caller is told about a kind of error.
+    """The response to a caller for one kind of error.
 
-    ``status`` is the HTTP status code. ``not_run`` promises that no target can
-    have begun any part of the request. ``retry_after_ms`` is the wait that is
-    advised before the request is sent again; zero means that no retry is advised.
+    ``status`` is the HTTP status code. ``not_run`` guarantees that no target can have
+    begun any part of the request. ``retry_after_ms`` is the recommended wait before
+    the request is sent again; zero means that a retry is not recommended.
     """
 
     status: int
@@ -73,7 +73,7 @@
 
 
 class Problem(NamedTuple):
-    """An error kind with one line of detail for a person.
+    """An error kind with a detail of one line for operators and callers.
 
     >>> Problem(ErrorKind.OVERLOADED, "the queue is full").response.status
     503
@@ -84,12 +84,12 @@
 
     @property
     def response(self) -> ErrorResponse:
-        """The answer that the table gives for this kind."""
+        """The response to callers for this kind."""
         return ERROR_RESPONSES[self.kind]
 
 
 class SardinehookError(Exception):
-    """Carries a ``Problem`` where an exception is the only way out."""
+    """Carries a ``Problem`` where an error can only be raised, not returned."""
 
     def __init__(self, problem: Problem) -> None:
         super().__init__(f"{problem.kind}: {problem.detail}")
--- a/sardinehook/messages.py
+++ b/sardinehook/messages.py
@@ -1,7 +1,7 @@
-"""Messages that entry processes exchange about sub-queries.
+"""Messages between entry processes about sub-queries and replicas.
 
-They travel between processes as MessagePack arrays, one array per named tuple,
-so a field may be added at the end only and needs a default.
+They are encoded as MessagePack arrays, one array per named tuple, so a field may be
+added at the end only and needs a default.
 """
 
 from __future__ import annotations
@@ -25,21 +25,21 @@
 
 
 class Outcome(IntEnum):
-    """How a sub-query ended, as seen by the owner of its replica."""
+    """The outcome of a sub-query, as determined by the owner of its replica."""
 
     ANSWERED = 0
-    NOT_RUN = 1  # refused before a target can have begun
-    SHED = 2  # refused by the target, which says that it did not begin
+    NOT_RUN = 1  # rejected before a target can have begun
+    SHED = 2  # rejected by the target, which states that it did not begin
     LATE = 3
     WRONG_VERSION = 4
     GARBLED = 5
-    CONNECTION_LOST = 6  # bytes may have left, no answer came
+    CONNECTION_LOST = 6  # bytes may have been sent, no answer was received
     FAILED = 7  # the target answered with an error
     CANCELLED = 8
 
 
 class TargetState(IntEnum):
-    """What is known of a replica's readiness for work."""
+    """The readiness of a replica, as far as its owner knows."""
 
     UNKNOWN = 0
     COLD = 1
@@ -49,12 +49,13 @@
 
 
 class SubQuery(NamedTuple):
-    """One query to one replica of one service.
+    """A query to one replica of one service.
 
-    ``sub_query_id`` is unique for the sending process. ``deadline_ms`` is the time
+    ``sub_query_id`` is unique within the sending process. ``deadline_ms`` is the time
     left when the message was sent. ``index_version`` and ``partitioning`` name the
-    snapshot wanted; ``ANY_VERSION`` leaves the choice to the target. A lower
-    ``priority`` is served first. ``order_key`` is set for non-idempotent requests.
+    snapshot wanted; ``ANY_VERSION`` leaves the choice to the target. Sub-queries of a
+    lower ``priority`` value are served first. ``order_key`` is set for non-idempotent
+    requests.
     """
 
     sub_query_id: int
@@ -70,12 +71,12 @@
 
 
 class SubReply(NamedTuple):
-    """The end of a sub-query, sent once for each ``SubQuery``.
+    """The reply to a sub-query, sent once for each ``SubQuery``.
 
     ``queued_ms`` is the time spent in the owner's queue and ``service_ms`` the time
-    from the first byte sent to the target until its whole reply. ``body`` is the
-    target's reply, empty unless ``outcome`` is ``ANSWERED``. ``began`` tells
-    whether a target can have begun the work.
+    from the first byte sent to the target until its complete reply. ``body`` is the
+    target's reply, empty unless ``outcome`` is ``ANSWERED``. ``began`` tells whether
+    a target may have begun to run the sub-query.
     """
 
     sub_query_id: int
@@ -90,16 +91,17 @@
 
 
 class CancelSubQuery(NamedTuple):
-    """Tells an owner that the answer to a sub-query is no longer wanted."""
+    """Asks the owner of a replica to cancel a sub-query whose reply is not needed."""
 
     sub_query_id: int
 
 
 class ReplicaReport(NamedTuple):
-    """What the owner of a replica tells the other entry processes about it.
+    """The state of a replica, as its owner reports it to the other entry processes.
 
     ``index_versions`` are the versions that the replica holds, newest last.
-    ``wait_ms`` estimates the time that a new sub-query spends queued and served.
+    ``wait_ms`` estimates the queueing and service time of a new sub-query.
+    ``free_slots`` is the number of sub-queries that the owner can start at once.
     """
 
     replica: str
@@ -107,4 +109,4 @@
     index_versions: tuple[int, ...]
     partitioning: int
     wait_ms: float
-    free_slots: int  # sub-queries that the owner can start at once
+    free_slots: int
--- a/sardinehook/query/actions.py
+++ b/sardinehook/query/actions.py
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Tell the owner that the answer to a sub-query is no longer wanted."""
+    """Ask the owner to cancel a sub-query, whose reply is no longer needed."""
 
     sub_query_id: int
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Test configuration: property-based tests draw the same examples every time."""
+"""Test configuration: property-based tests draw the same examples in every run."""
 
 from __future__ import annotations
 
