--- a/sardinehook/query/admission.py
+++ b/sardinehook/query/admission.py
@@ -123,7 +123,7 @@
         if in_flight and in_flight + cost > state.limit:
             detail = (
                 f"{in_flight} sub-queries in flight and {cost} wanted,"
-                f" limit {state.limit:.0f}"
+                f" limit {state.limit:.1f}"
             )
             return Problem(ErrorKind.OVERLOADED, detail)
         return None
--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -201,7 +201,7 @@
         return sent_at + time_left * self.policy.reply_timeout_ratio
 
     def has_time(self, index: str, now: float) -> bool:
-        """Tell whether a reply to a sub-query sent at ``now`` is likely in time."""
+        """Tell whether a sub-query sent at ``now`` is likely to be answered in time."""
         usual_ms = self.policy.latencies.quantile(index, USEFUL_QUANTILE) or 0.0
         return now + usual_ms / 1000.0 < self.settle_at
 
