Call retries on the same replica retries

A repeat was the private word for a retry on the replica that failed. The statistics, the method and the constants say retry, and averages and expected latencies are named as such.

--- a/sardinehook/query/fan_out.py
+++ b/sardinehook/query/fan_out.py
@@ -18,7 +18,7 @@
 
 SETTLE_RESERVE_RATIO = 0.02
 MAX_SETTLE_RESERVE_MS = 2.0
-USEFUL_QUANTILE = 0.5
+EXPECTED_QUANTILE = 0.5
 
 
 class FanOut:
@@ -98,7 +98,7 @@
         replica = state.next_replica(self.policy.chooser)
         if replica is None or not self.has_time(state.index, now):
             return []
-        if replica in state.tried and not self.policy.chooser.spend_repeat(replica):
+        if replica in state.tried and not self.policy.chooser.spend_retry(replica):
             return []
         if not self.spend_budget(1, now):
             return []
@@ -132,8 +132,8 @@
             attempt = self.attempts.pop(sub_query_id)
             state = attempt.service
             elapsed_ms = (now - attempt.sent_at) * 1000.0
-            usual_ms = chooser.stats_of(attempt.replica).latency_ms
-            slow = state.attempt_count > 1 or elapsed_ms > usual_ms
+            average_ms = chooser.stats_of(attempt.replica).latency_ms
+            slow = state.attempt_count > 1 or elapsed_ms > average_ms
             if attempt.number == 1 and slow:
                 chooser.observe_slow_cancel(attempt.replica, elapsed_ms, now)
                 self.policy.latencies.record(state.index, elapsed_ms)
@@ -202,8 +202,8 @@
 
     def has_time(self, index: str, now: float) -> bool:
         """Tell whether a sub-query sent at ``now`` is likely to be answered in time."""
-        usual_ms = self.policy.latencies.quantile(index, USEFUL_QUANTILE) or 0.0
-        return now + usual_ms / 1000.0 < self.settle_at
+        expected_ms = self.policy.latencies.quantile(index, EXPECTED_QUANTILE) or 0.0
+        return now + expected_ms / 1000.0 < self.settle_at
 
     def spend_budget(self, attempts: int, now: float) -> bool:
         """Charge extra sub-queries to the budget; return false if it is exceeded."""
--- a/sardinehook/query/replica_choice.py
+++ b/sardinehook/query/replica_choice.py
@@ -20,8 +20,8 @@
 FAILURE_HALF_LIFE_S = 5.0
 PROBE_INTERVAL_S = 1.0
 MUCH_SLOWER_RATIO = 3.0
-REPEAT_RATIO = 0.2
-MAX_REPEATS = 3.0
+RETRY_RATIO = 0.2
+MAX_RETRIES = 3.0
 DEFAULT_LATENCY_MS = 5.0
 REMOTE_COST_MS = 15.0
 COLD_COST_MS = 500.0
@@ -44,8 +44,8 @@
     ``failure_ratio`` is the moving average of failures; its half-life is
     ``FAILURE_HALF_LIFE_S``.
     ``outstanding`` counts this process's own sub-queries that have no reply.
-    ``repeats`` is how many sub-queries may be retried on the same replica; each one
-    sent adds ``REPEAT_RATIO``, up to ``MAX_REPEATS``.
+    ``retries`` is how many sub-queries may be retried on this same replica; each one
+    sent to it adds ``RETRY_RATIO``, up to ``MAX_RETRIES``.
     """
 
     __slots__ = (
@@ -55,9 +55,9 @@
         "last_sent_at",
         "latency_ms",
         "outstanding",
-        "repeats",
         "report",
         "reported_at",
+        "retries",
         "samples",
     )
 
@@ -67,7 +67,7 @@
         self.failure_ratio = 0.0
         self.failures_updated_at = 0.0
         self.outstanding = 0
-        self.repeats = MAX_REPEATS
+        self.retries = MAX_RETRIES
         self.last_reply_at = -1e9
         self.last_sent_at = -1e9
         self.report: ReplicaReport | None = None
@@ -151,10 +151,10 @@
         """Count a sub-query as outstanding."""
         stats = self.stats_of(replica)
         stats.outstanding += 1
-        stats.repeats = min(MAX_REPEATS, stats.repeats + REPEAT_RATIO)
+        stats.retries = min(MAX_RETRIES, stats.retries + RETRY_RATIO)
         stats.last_sent_at = now
 
-    def spend_repeat(self, replica: str) -> bool:
+    def spend_retry(self, replica: str) -> bool:
         """Spend one retry on the same replica; return false if none is left.
 
         Where replies are slow because a queue is long, retries on the same replica
@@ -162,9 +162,9 @@
         shared by all replicas.
         """
         stats = self.stats_of(replica)
-        if stats.repeats < 1.0:
+        if stats.retries < 1.0:
             return False
-        stats.repeats -= 1.0
+        stats.retries -= 1.0
         return True
 
     def observe_reply(
@@ -213,8 +213,8 @@
 
     def is_much_slower(self, replica: str, than: str) -> bool:
         """Tell whether the latency of ``replica`` is several times that of ``than``."""
-        usual_ms = self.stats_of(than).latency_ms
-        return self.stats_of(replica).latency_ms > MUCH_SLOWER_RATIO * usual_ms > 0.0
+        average_ms = self.stats_of(than).latency_ms
+        return self.stats_of(replica).latency_ms > MUCH_SLOWER_RATIO * average_ms > 0.0
 
     def usable(self, placements: Sequence[Placement]) -> list[str]:
         """Return the replicas that may be asked, in no order."""
--- a/tests/query/test_retries.py
+++ b/tests/query/test_retries.py
@@ -12,7 +12,7 @@
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
 from sardinehook.query.policy import SearchPolicy
-from sardinehook.query.replica_choice import MAX_REPEATS, REPEAT_RATIO
+from sardinehook.query.replica_choice import MAX_RETRIES, RETRY_RATIO
 from sardinehook.query.snapshot import Snapshot
 from tests.query.support import (
     NEW,
@@ -137,7 +137,7 @@
             lost = reply_to(query, Outcome.CONNECTION_LOST)
             first += 1
             repeated += len(sent(search.on_reply(lost, 0.0)))
-        assert 0 < repeated <= MAX_REPEATS + REPEAT_RATIO * (first + repeated)
+        assert 0 < repeated <= MAX_RETRIES + RETRY_RATIO * (first + repeated)
 
     def test_lost_connection_of_the_only_replica_is_retried(self) -> None:
         search, actions = start(plans(1, replicas=1), RETRYING)
