--- a/sardinehook/query/policy.py
+++ b/sardinehook/query/policy.py
@@ -1,4 +1,4 @@
-"""What the searches of one process share."""
+"""The policies, limits and statistics that the searches of a process share."""
 
 from __future__ import annotations
 
@@ -10,18 +10,18 @@
 from sardinehook.query.budget import AttemptBudgets
 from sardinehook.query.hedging import HedgePolicy, QuantileHedge
 from sardinehook.query.latency import LatencyEstimates
-from sardinehook.query.memory import MemoryMeter
+from sardinehook.query.memory import MemoryBudget
 from sardinehook.query.replica_choice import ReplicaChooser
-from sardinehook.query.snapshot import Holdings
+from sardinehook.query.snapshot import ReplicaSnapshots
 
 __all__ = ["SearchPolicy"]
 
-PROCESS_REPLY_BYTES = 268_435_456
+MAX_PROCESS_REPLY_BYTES = 268_435_456
 
 
 @dataclass(slots=True)
 class SearchPolicy:
-    """The parts of the policy that outlive a single search.
+    """Shared policies, limits and statistics, which outlive a single search.
 
     ``sub_query_ids`` must yield each id once in the life of the process. A sub-query
     without a reply within ``reply_timeout_ratio`` of the time left when it was sent is
@@ -38,7 +38,7 @@
     budgets: AttemptBudgets = field(default_factory=AttemptBudgets)
     latencies: LatencyEstimates = field(default_factory=LatencyEstimates)
     chooser: ReplicaChooser = field(default_factory=lambda: ReplicaChooser("", 0))
-    holdings: Holdings = field(default_factory=Holdings)
-    memory: MemoryMeter = field(
-        default_factory=lambda: MemoryMeter(PROCESS_REPLY_BYTES)
+    replica_snapshots: ReplicaSnapshots = field(default_factory=ReplicaSnapshots)
+    memory: MemoryBudget = field(
+        default_factory=lambda: MemoryBudget(MAX_PROCESS_REPLY_BYTES)
     )
