Rename me to local_member in the membership

me and set_me gave no hint that they hold this process as a fleet member; memberlist implementations call it the local member.

--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -65,11 +65,13 @@
     def acquaint(self) -> None:
         """Let every member know all others, as after a long time."""
         known = [
-            member.me._replace(state=MemberState.ALIVE)
+            member.local_member._replace(state=MemberState.ALIVE)
             for member in self.members.values()
         ]
         for member in self.members.values():
-            member.set_me(member.me._replace(state=MemberState.ALIVE))
+            member.set_local_member(
+                member.local_member._replace(state=MemberState.ALIVE)
+            )
             for other in known:
                 member.take_in(other, self.now)
 
@@ -78,10 +80,10 @@
         number = int(name.rpartition("-")[2])
         address = f"10.0.{number // 256}.{number % 256}:7401"
         http = f"10.0.{number // 256}.{number % 256}:8401"
-        me = Member(name, data_centre, address, http, incarnation)
-        member = Membership(me, FLEET, seed=number * 1000 + incarnation)
+        local_member = Member(name, data_centre, address, http, incarnation)
+        member = Membership(local_member, FLEET, seed=number * 1000 + incarnation)
         first = next(iter(self.members.values()), member)
-        member.seeds = {first.me.link_address}
+        member.seeds = {first.local_member.link_address}
         self.members[name] = member
         self.addresses[address] = name
         self.stopped.discard(name)
@@ -103,7 +105,7 @@
 
     def centre(self, name: str) -> str:
         """Return the data centre of a member."""
-        return self.members[name].me.data_centre
+        return self.members[name].local_member.data_centre
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
@@ -130,7 +132,7 @@
         datagram: Datagram | None = decode_datagram(data, FLEET)
         assert datagram is not None
         member = self.members[target]
-        address = self.members[source].me.link_address
+        address = self.members[source].local_member.link_address
         self.send(target, member.receive(datagram, address, self.now))
 
     def view(self, viewer: str, name: str) -> MemberState | None:
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -260,8 +260,10 @@
         self.owner.configure(document.indexes)
         self.vm_watch.configure(homes)
         self.allowances.configure(homes)
-        me = self.fleet.membership.me._replace(revision=revision.number)
-        self.fleet.membership.set_me(me)
+        local_member = self.fleet.membership.local_member._replace(
+            revision=revision.number
+        )
+        self.fleet.membership.set_local_member(local_member)
         self.metrics.revision.set(revision.number)
         log_event(
             logger,
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -41,9 +41,9 @@
     owns a replica: that takes the roster.
     """
 
-    def __init__(self, me: Member, fleet: int, seed: int) -> None:
+    def __init__(self, local_member: Member, fleet: int, seed: int) -> None:
         self.fleet = fleet
-        self.table = MemberTable(me._replace(state=MemberState.JOINING), seed)
+        self.table = MemberTable(local_member._replace(state=MemberState.JOINING), seed)
         self.random = self.table.random
         self.seeds: set[str] = set()
         self.sequence = self.random.randrange(1 << 30)
@@ -62,19 +62,19 @@
         self.seed_due_at = 0.0
 
     @property
-    def me(self) -> Member:
+    def local_member(self) -> Member:
         """Return this process as it tells of itself."""
-        return self.table.me
+        return self.table.local_member
 
     @property
     def size(self) -> int:
         """Return the number of members known that are not dead."""
         return len(self.table.members) - len(self.table.dead_since)
 
-    def set_me(self, me: Member) -> None:
+    def set_local_member(self, local_member: Member) -> None:
         """Tell something new of this process."""
-        self.table.me = me
-        self.table.members[me.name] = me
+        self.table.local_member = local_member
+        self.table.members[local_member.name] = local_member
 
     def tick(self, now: float) -> list[Outgoing]:
         """Do what is due; call it several times a second."""
@@ -105,17 +105,17 @@
                 self.suspected_at[name] += gap
             self.probe = None
             self.relays.clear()
-            self.contradict(self.me.incarnation)
+            self.contradict(self.local_member.incarnation)
         self.ticked_at = now
 
     def contradict(self, incarnation: int) -> None:
         """Tell with a higher incarnation that this process lives."""
-        self.set_me(self.me._replace(incarnation=incarnation + 1))
-        self.table.spread(self.me.name)
+        self.set_local_member(self.local_member._replace(incarnation=incarnation + 1))
+        self.table.spread(self.local_member.name)
 
     def suspicion_s(self) -> float:
         """Seconds that a suspect has to contradict; longer in poor local health."""
-        peers = len(self.table.in_data_centre(self.me.data_centre))
+        peers = len(self.table.in_data_centre(self.local_member.data_centre))
         return SUSPICION_S * max(1.0, log10(peers + 1)) * (1 + self.poor_health)
 
     def bury_suspects(self, now: float) -> None:
@@ -136,8 +136,12 @@
         """
         if now < self.seed_due_at:
             return []
-        known = [m.link_address for m in self.live_members() if m.name != self.me.name]
-        strangers = sorted(self.seeds - {self.me.link_address, *known})
+        known = [
+            m.link_address
+            for m in self.live_members()
+            if m.name != self.local_member.name
+        ]
+        strangers = sorted(self.seeds - {self.local_member.link_address, *known})
         complete = self.size >= COMPLETE_RATIO * self.fleet_size
         settled = self.table.spreads_new
         period_s = REMOTE_PERIOD_S if complete and settled else SEED_PERIOD_S
@@ -146,7 +150,7 @@
         if not addresses:
             return []
         address = self.random.choice(addresses)
-        return [self.outgoing(address, self.me, DatagramKind.PING, 0)]
+        return [self.outgoing(address, self.local_member, DatagramKind.PING, 0)]
 
     def live_members(self) -> list[Member]:
         """Return all members that are not dead, with this one."""
@@ -188,8 +192,8 @@
 
     def probed_members(self) -> list[Member]:
         """Return the other members of this data centre that are not dead."""
-        members = self.table.in_data_centre(self.me.data_centre)
-        return [member for member in members if member.name != self.me.name]
+        members = self.table.in_data_centre(self.local_member.data_centre)
+        return [member for member in members if member.name != self.local_member.name]
 
     def start_probe(self, now: float) -> list[Outgoing]:
         """Ping the next member in a shuffled order."""
@@ -216,7 +220,7 @@
         others = [
             member
             for member in self.table.members.values()
-            if member.data_centre != self.me.data_centre
+            if member.data_centre != self.local_member.data_centre
             and member.state is not MemberState.DEAD
         ]
         if not others:
@@ -228,9 +232,9 @@
         """Take in a datagram that came from ``address``."""
         self.fleet_size = max(datagram.size, self.fleet_size * SIZE_DECAY)
         self.heard_at[datagram.sender.data_centre] = now
-        if self.me.state is MemberState.JOINING:
-            self.set_me(self.me._replace(state=MemberState.ALIVE))
-            self.table.spread(self.me.name)
+        if self.local_member.state is MemberState.JOINING:
+            self.set_local_member(self.local_member._replace(state=MemberState.ALIVE))
+            self.table.spread(self.local_member.name)
         for told in (datagram.sender, *datagram.updates):
             self.take_in(told, now)
         for place, epoch in datagram.epochs:
@@ -239,10 +243,10 @@
 
     def take_in(self, told: Member, now: float) -> None:
         """Take in what is told of a member."""
-        if told.name == self.me.name:
-            wrong = told.incarnation > self.me.incarnation or (
-                told.incarnation == self.me.incarnation
-                and told.state > max(self.me.state, MemberState.ALIVE)
+        if told.name == self.local_member.name:
+            wrong = told.incarnation > self.local_member.incarnation or (
+                told.incarnation == self.local_member.incarnation
+                and told.state > max(self.local_member.state, MemberState.ALIVE)
             )
             if wrong:
                 self.contradict(told.incarnation)
@@ -303,7 +307,7 @@
         lacking: bool = False,
     ) -> Outgoing:
         """Build a datagram with news for its reader, more if it is lacking members."""
-        near = reader.data_centre == self.me.data_centre
+        near = reader.data_centre == self.local_member.data_centre
         rotated = ROTATED if near else ROTATED_REMOTE
         if lacking:
             rotated = ROTATED_TO_LACKING
@@ -318,7 +322,7 @@
                 kind,
                 sequence,
                 subject,
-                self.me,
+                self.local_member,
                 self.size,
                 self.table.pick_epochs(),
                 updates,
@@ -332,7 +336,7 @@
 
     def leave(self) -> list[Outgoing]:
         """Tell some members at once that this process leaves."""
-        self.set_me(self.me._replace(state=MemberState.LEAVING))
+        self.set_local_member(self.local_member._replace(state=MemberState.LEAVING))
         peers = self.probed_members()
         told = self.random.sample(peers, min(HELPERS, len(peers)))
         return [
--- a/sardinehook/fleet/news.py
+++ b/sardinehook/fleet/news.py
@@ -23,10 +23,10 @@
     up for at a constant rate. All times are monotonic seconds.
     """
 
-    def __init__(self, me: Member, seed: int) -> None:
-        self.me = me
+    def __init__(self, local_member: Member, seed: int) -> None:
+        self.local_member = local_member
         self.random = Random(seed)
-        self.members: dict[str, Member] = {me.name: me}
+        self.members: dict[str, Member] = {local_member.name: local_member}
         self.to_tell: dict[str, int] = {}
         self.rotation: list[str] = []
         self.dead_since: dict[str, float] = {}
@@ -85,7 +85,9 @@
             if self.to_tell[name] <= 0:
                 del self.to_tell[name]
         picked += self.rotate(rotated, own_only)
-        unique = dict.fromkeys(name for name in picked if name != self.me.name)
+        unique = dict.fromkeys(
+            name for name in picked if name != self.local_member.name
+        )
         return tuple(self.members[name] for name in unique if name in self.members)
 
     def rotate(self, count: int, own_only: bool) -> list[str]:
@@ -100,13 +102,13 @@
             member = self.members.get(self.rotation.pop())
             if member is None or member.state is MemberState.DEAD:
                 continue
-            if not own_only or member.data_centre == self.me.data_centre:
+            if not own_only or member.data_centre == self.local_member.data_centre:
                 picked.append(member.name)
         return picked
 
     def pick_epochs(self) -> tuple[RosterEpoch, ...]:
         """Pick this data centre's roster epoch and one other to tell."""
-        own = self.me.data_centre
+        own = self.local_member.data_centre
         others = [place for place in self.epochs if place != own]
         places = [own] if own in self.epochs else []
         if others:
@@ -124,6 +126,6 @@
     def retain(self, data_centre: str, names: frozenset[str]) -> None:
         """Drop members of another data centre that its roster no longer lists."""
         for member in self.in_data_centre(data_centre):
-            if member.name not in names and member.name != self.me.name:
+            if member.name not in names and member.name != self.local_member.name:
                 del self.members[member.name]
                 self.to_tell.pop(member.name, None)
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -116,8 +116,10 @@
 
     def start(self) -> None:
         """Begin; the links must be listening."""
-        me = self.membership.me._replace(link_address=self.links.address)
-        self.membership.set_me(me)
+        local_member = self.membership.local_member._replace(
+            link_address=self.links.address
+        )
+        self.membership.set_local_member(local_member)
         self.gossip.start(self.links.address)
         own = self.identity
         entry = RosterMember(self.node, own.boot, own.vm_incarnation, 0.0, 0)
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -37,7 +37,7 @@
         driver = MembershipDriver(6, 3)
         addresses = set(driver.addresses)
         for member in driver.members.values():
-            member.seeds = addresses - {member.me.link_address}
+            member.seeds = addresses - {member.local_member.link_address}
         first = {"centre-1-entry-4", "centre-2-entry-5"}
         driver.lost = lambda source, target: (source in first) != (target in first)
         driver.run(4.0)
@@ -59,14 +59,17 @@
         driver.stopped.add(victim)
         peer.note_link_lost(victim)
         driver.run(2.2)
-        assert driver.view(peer.me.name, victim) is MemberState.SUSPECT
+        assert driver.view(peer.local_member.name, victim) is MemberState.SUSPECT
 
     def test_leaving_member_is_told_not_suspected(self) -> None:
         driver = started()
         leaver = driver.members["centre-1-entry-4"]
-        driver.send(leaver.me.name, leaver.leave())
+        driver.send(leaver.local_member.name, leaver.leave())
         driver.run(1.0)
-        assert driver.view("centre-1-entry-1", leaver.me.name) is MemberState.LEAVING
+        assert (
+            driver.view("centre-1-entry-1", leaver.local_member.name)
+            is MemberState.LEAVING
+        )
 
 
 class TestPause:
@@ -76,10 +79,10 @@
         driver.paused.add(name)
         driver.run(30.0)
         assert driver.view("centre-2-entry-5", name) is MemberState.DEAD
-        before = driver.members[name].me.incarnation
+        before = driver.members[name].local_member.incarnation
         driver.paused.discard(name)
         driver.run(15.0)
-        assert driver.members[name].me.incarnation > before
+        assert driver.members[name].local_member.incarnation > before
         assert driver.view("centre-2-entry-5", name) is MemberState.ALIVE
         assert not driver.members[name].table.dead_since
 
@@ -107,7 +110,7 @@
             driver.run(4.0)
             driver.paused.discard(name)
             driver.run(4.0)
-        assert driver.view(peer.me.name, name) is MemberState.ALIVE
+        assert driver.view(peer.local_member.name, name) is MemberState.ALIVE
 
 
 class TestRestart:
@@ -126,7 +129,7 @@
         name = "centre-0-entry-3"
         driver.start(name, "centre-0", 0)
         driver.run(30.0)
-        assert driver.members[name].me.incarnation > 1
+        assert driver.members[name].local_member.incarnation > 1
         assert driver.view("centre-0-entry-6", name) is MemberState.ALIVE
 
 
