--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -13,7 +13,7 @@
 from sardinehook.fleet.datagram import Datagram, decode_datagram, encode_datagram
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.membership import Membership
-from sardinehook.fleet.probe import Outgoing
+from sardinehook.fleet.probe import OutgoingDatagram
 
 __all__ = ["MembershipCost", "MembershipDriver", "main"]
 
@@ -89,7 +89,7 @@
         self.stopped.discard(name)
         return member
 
-    def send(self, source: str, sends: list[Outgoing]) -> None:
+    def send(self, source: str, sends: list[OutgoingDatagram]) -> None:
         """Put datagrams on their way."""
         for address, datagram in sends:
             data = encode_datagram(datagram)
--- a/sardinehook/fleet/gossip.py
+++ b/sardinehook/fleet/gossip.py
@@ -12,7 +12,7 @@
 from sardinehook.fleet.datagram import decode_datagram, encode_datagram
 from sardinehook.fleet.member import Member
 from sardinehook.fleet.membership import Membership
-from sardinehook.fleet.probe import Outgoing
+from sardinehook.fleet.probe import OutgoingDatagram
 
 __all__ = ["Gossip"]
 
@@ -61,7 +61,7 @@
         self.send(self.membership.tick(self.reactor.seconds()))
         self.on_tick(self.membership.table.take_changes())
 
-    def send(self, sends: list[Outgoing]) -> None:
+    def send(self, sends: list[OutgoingDatagram]) -> None:
         """Send datagrams; one that can't leave counts as lost."""
         for address, datagram in sends:
             data = encode_datagram(datagram)
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -13,7 +13,7 @@
 from sardinehook.fleet.datagram import Datagram, DatagramKind
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.news import MemberTable
-from sardinehook.fleet.probe import Outgoing, Probe, Relay
+from sardinehook.fleet.probe import OutgoingDatagram, Probe, Relay
 
 __all__ = ["Membership"]
 
@@ -76,7 +76,7 @@
         self.table.local_member = local_member
         self.table.members[local_member.name] = local_member
 
-    def tick(self, now: float) -> list[Outgoing]:
+    def tick(self, now: float) -> list[OutgoingDatagram]:
         """Do what is due; call it several times a second."""
         if self.started_at is None:
             self.started_at = now
@@ -128,7 +128,7 @@
                 del self.suspected_at[name]
                 self.table.merge(member._replace(state=MemberState.DEAD), now)
 
-    def contact_seeds(self, now: float) -> list[Outgoing]:
+    def contact_seeds(self, now: float) -> list[OutgoingDatagram]:
         """Ping addresses from settings whose members aren't known, or others' known.
 
         Members that know only each other take themselves to be the whole fleet; the
@@ -157,7 +157,7 @@
         members = self.table.members.values()
         return [one for one in members if one.state is not MemberState.DEAD]
 
-    def ask_helpers(self, probe: Probe, now: float) -> list[Outgoing]:
+    def ask_helpers(self, probe: Probe, now: float) -> list[OutgoingDatagram]:
         """Let others ping a member that has not answered in time."""
         if now - probe.sent_at < INDIRECT_AFTER_S:
             return []
@@ -195,7 +195,7 @@
         members = self.table.in_data_centre(self.local_member.data_centre)
         return [member for member in members if member.name != self.local_member.name]
 
-    def start_probe(self, now: float) -> list[Outgoing]:
+    def start_probe(self, now: float) -> list[OutgoingDatagram]:
         """Ping the next member in a shuffled order."""
         names = {member.name for member in self.probed_members()}
         if not self.order:
@@ -215,7 +215,7 @@
             self.outgoing(member.link_address, member, DatagramKind.PING, self.sequence)
         ]
 
-    def contact_elsewhere(self) -> list[Outgoing]:
+    def contact_elsewhere(self) -> list[OutgoingDatagram]:
         """Exchange news with a member of another data centre."""
         others = [
             member
@@ -228,7 +228,9 @@
         member = self.random.choice(others)
         return [self.outgoing(member.link_address, member, DatagramKind.PING, 0)]
 
-    def receive(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
+    def receive(
+        self, datagram: Datagram, address: str, now: float
+    ) -> list[OutgoingDatagram]:
         """Take in a datagram that came from ``address``."""
         self.fleet_size = max(datagram.size, self.fleet_size * SIZE_DECAY)
         self.heard_at[datagram.sender.data_centre] = now
@@ -255,7 +257,9 @@
         if self.table.members.get(told.name, told).state is MemberState.SUSPECT:
             self.suspected_at.setdefault(told.name, now)
 
-    def answer(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
+    def answer(
+        self, datagram: Datagram, address: str, now: float
+    ) -> list[OutgoingDatagram]:
         """Return what a datagram calls for."""
         sender = datagram.sender
         match datagram.kind:
@@ -271,7 +275,7 @@
             case DatagramKind.PING_REQUEST:
                 return self.ping_for(datagram, address, now)
 
-    def take_ack(self, datagram: Datagram, now: float) -> list[Outgoing]:
+    def take_ack(self, datagram: Datagram, now: float) -> list[OutgoingDatagram]:
         """End the probe that is answered, or pass the answer on."""
         if self.probe is not None and self.probe.sequence == datagram.sequence:
             self.probe = None
@@ -284,7 +288,9 @@
         )
         return [ack]
 
-    def ping_for(self, datagram: Datagram, address: str, now: float) -> list[Outgoing]:
+    def ping_for(
+        self, datagram: Datagram, address: str, now: float
+    ) -> list[OutgoingDatagram]:
         """Ping a member for another one."""
         subject = self.table.members.get(datagram.subject)
         if subject is None:
@@ -305,7 +311,7 @@
         sequence: int,
         subject: str = "",
         lacking: bool = False,
-    ) -> Outgoing:
+    ) -> OutgoingDatagram:
         """Build a datagram with news for its reader, more if it is lacking members."""
         near = reader.data_centre == self.local_member.data_centre
         rotated = ROTATED if near else ROTATED_REMOTE
@@ -315,7 +321,7 @@
         known = self.table.members.get(reader.name)
         if known is not None and known.state > MemberState.ALIVE:
             updates = (known, *updates)
-        return Outgoing(
+        return OutgoingDatagram(
             address,
             Datagram(
                 self.fleet,
@@ -334,7 +340,7 @@
         if name not in self.urgent:
             self.urgent.append(name)
 
-    def leave(self) -> list[Outgoing]:
+    def leave(self) -> list[OutgoingDatagram]:
         """Tell some members at once that this process leaves."""
         self.set_local_member(self.local_member._replace(state=MemberState.LEAVING))
         peers = self.probed_members()
--- a/sardinehook/fleet/probe.py
+++ b/sardinehook/fleet/probe.py
@@ -6,10 +6,10 @@
 
 from sardinehook.fleet.datagram import Datagram
 
-__all__ = ["Outgoing", "Probe", "Relay"]
+__all__ = ["OutgoingDatagram", "Probe", "Relay"]
 
 
-class Outgoing(NamedTuple):
+class OutgoingDatagram(NamedTuple):
     """A datagram to be sent to a link address (``IP:port``)."""
 
     address: str
