--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -73,7 +73,7 @@
                 member.local_member._replace(state=MemberState.ALIVE)
             )
             for other in known:
-                member.take_in(other, self.now)
+                member.apply_update(other, self.now)
 
     def start(self, name: str, data_centre: str, incarnation: int) -> Membership:
         """Start a member, again under its address if it was there before."""
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -238,12 +238,12 @@
             self.set_local_member(self.local_member._replace(state=MemberState.ALIVE))
             self.table.spread(self.local_member.name)
         for told in (datagram.sender, *datagram.updates):
-            self.take_in(told, now)
+            self.apply_update(told, now)
         for place, epoch in datagram.epochs:
             self.table.epochs[place] = max(epoch, self.table.epochs.get(place, 0))
         return self.answer(datagram, address, now)
 
-    def take_in(self, told: Member, now: float) -> None:
+    def apply_update(self, told: Member, now: float) -> None:
         """Take in what is told of a member."""
         if told.name == self.local_member.name:
             wrong = told.incarnation > self.local_member.incarnation or (
