--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -78,7 +78,7 @@
 class LeasePort(Protocol):
     """Tells when the node lease lapsed or changed."""
 
-    def terms_changed(self) -> bool:
+    def lease_changed(self) -> bool:
         """Whether the lease changed since this was last asked."""
 
 
@@ -98,7 +98,7 @@
 
     def submit(self, sender: str, sub_query: SubQuery, reply: ReplyHandler) -> None:
         """Run a sub-query within the allowances of this moment."""
-        if self.lease.terms_changed():
+        if self.lease.lease_changed():
             self.applier.apply()
         self.owner.submit(sender, sub_query, reply)
 
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -98,7 +98,7 @@
         self.rosters = RosterBook()
         self.demands: dict[str, Demand] = {}
         self.callbacks: list[Callable[[], None]] = []
-        self.lease_terms: tuple[bool, frozenset[str]] = (False, frozenset())
+        self.lease_state: tuple[bool, frozenset[str]] = (False, frozenset())
         self.leaving = False
         self.running: set[Deferred[Any]] = set()
         self.release_due = False
@@ -239,18 +239,18 @@
             self.run(self.registrar.step(len(self.holding.roster.members)))
         self.release_if_due()
         self.ask_releases(now)
-        if self.terms_changed():
+        if self.lease_changed():
             self.changed()
 
-    def terms_changed(self) -> bool:
+    def lease_changed(self) -> bool:
         """Whether the lease lapsed, came or changed since this was last asked.
 
         To be asked before work is begun: a process that was paused may read requests
         before any timer has run.
         """
         terms = (self.leases.valid(), self.leases.lease.lapsed)
-        changed = terms != self.lease_terms
-        self.lease_terms = terms
+        changed = terms != self.lease_state
+        self.lease_state = terms
         return changed
 
     def follow(self, member: Member) -> None:
--- a/tests/entry/test_lease_guard.py
+++ b/tests/entry/test_lease_guard.py
@@ -25,7 +25,7 @@
     def allowance(self, replica: Replica, index: Index) -> Allowance:
         return Allowance(self.slots, 20, True)
 
-    def terms_changed(self) -> bool:
+    def lease_changed(self) -> bool:
         changed, self.changed = self.changed, False
         return changed
 
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -128,7 +128,7 @@
         self.start(1)
         fleet = self.nodes[0].fleet
         await self.until_sound(lambda: set(self.nodes[0].slots().values()) == {SLOTS})
-        assert not fleet.terms_changed()
+        assert not fleet.lease_changed()
         fleet.leases.lease.until = float("-inf")
-        assert fleet.terms_changed()
+        assert fleet.lease_changed()
         assert set(self.nodes[0].slots().values()) == {SLOTS - 1}
