Rename RosterBook to RosterCache

It caches the newest roster of each data centre; wants becomes should_pull, keep becomes update, Fleet.rosters becomes Fleet.roster_cache.

--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -277,7 +277,7 @@
         if self.stopping:
             return "stopping"
         waited_s = self.reactor.seconds() - self.started_at
-        unheard = set(self.data_centres()) - self.fleet.rosters.rosters.keys()
+        unheard = set(self.data_centres()) - self.fleet.roster_cache.rosters.keys()
         if unheard and waited_s < JOIN_PATIENCE_S:
             return f"joining the fleet, not heard of {', '.join(sorted(unheard))}"
         return ""
--- a/sardinehook/fleet/roster_book.py
+++ b/sardinehook/fleet/roster_cache.py
@@ -6,13 +6,13 @@
 from sardinehook.fleet.ownership import owner_of, rendezvous_order
 from sardinehook.fleet.roster import Roster
 
-__all__ = ["RosterBook"]
+__all__ = ["RosterCache"]
 
 PULL_PERIOD_S = 1.0
 OWNER_AND_DEPUTY = 2
 
 
-class RosterBook:
+class RosterCache:
     """The newest roster known of each data centre, and the owners that follow."""
 
     def __init__(self) -> None:
@@ -21,7 +21,7 @@
         self.candidates: dict[str, tuple[str, ...]] = {}
         self.pulled_at: dict[str, float] = {}
 
-    def keep(self, data_centre: str, roster: Roster) -> bool:
+    def update(self, data_centre: str, roster: Roster) -> bool:
         """Keep a roster if it is newer than the known one."""
         known = self.rosters.get(data_centre)
         if known is not None and known.epoch >= roster.epoch:
@@ -50,7 +50,7 @@
             self.candidates[key] = tuple(order[:OWNER_AND_DEPUTY])
         return self.candidates[key]
 
-    def wants(self, data_centre: str, epoch: int, now: float) -> bool:
+    def should_pull(self, data_centre: str, epoch: int, now: float) -> bool:
         """Whether to ask for a roster now, given an epoch that someone told of."""
         known = self.rosters.get(data_centre)
         if known is not None and known.epoch >= epoch:
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -28,7 +28,7 @@
 from sardinehook.fleet.ownership import NOTHING
 from sardinehook.fleet.registrar import RegistrarDesk
 from sardinehook.fleet.roster import Roster, RosterMember
-from sardinehook.fleet.roster_book import RosterBook
+from sardinehook.fleet.roster_cache import RosterCache
 from sardinehook.fleet.roster_keeper import RosterKeeper
 from sardinehook.fleet.share import share_of
 from sardinehook.messages import ReplicaReport
@@ -95,7 +95,7 @@
             self.peers,
             self.has_surplus,
         )
-        self.rosters = RosterBook()
+        self.roster_cache = RosterCache()
         self.demands: dict[str, Demand] = {}
         self.callbacks: list[Callable[[], None]] = []
         self.lease_state: tuple[bool, frozenset[str]] = (False, frozenset())
@@ -189,11 +189,11 @@
 
     def owner_of(self, replica: Replica) -> str | None:
         """Return the owner by the newest roster known of the replica's data centre."""
-        return self.rosters.owner_of(replica)
+        return self.roster_cache.owner_of(replica)
 
     def candidates_of(self, replica: Replica) -> tuple[str, ...]:
         """Return the owner of a replica and its possible deputy."""
-        return self.rosters.candidates_of(replica)
+        return self.roster_cache.candidates_of(replica)
 
     def allowance(self, replica: Replica, index: Index) -> Allowance:
         """Return what this process may use of a replica now."""
@@ -232,7 +232,9 @@
         for member in changes:
             self.follow(member)
         for data_centre, epoch in self.membership.table.epochs.items():
-            if self.rosters.wants(data_centre, epoch, self.reactor.seconds()):
+            if self.roster_cache.should_pull(
+                data_centre, epoch, self.reactor.seconds()
+            ):
                 self.pull(data_centre)
         now = self.reactor.seconds()
         if not self.leaving and self.leases.tick(now):
@@ -279,7 +281,7 @@
 
     def take_pull(self, node: str, message: RosterPull) -> None:
         """Send a roster that a member asks for, and what was released here."""
-        roster = self.rosters.rosters.get(message.data_centre)
+        roster = self.roster_cache.rosters.get(message.data_centre)
         if roster is not None:
             self.links.send(node, RosterPush(message.data_centre, roster))
 
@@ -292,7 +294,7 @@
 
     def keep_roster(self, data_centre: str, roster: Roster) -> None:
         """Keep a roster if it is newer than the known one."""
-        if not self.rosters.keep(data_centre, roster):
+        if not self.roster_cache.update(data_centre, roster):
             return
         table = self.membership.table
         table.epochs[data_centre] = roster.epoch
