--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -13,7 +13,7 @@
 from sardinehook.fleet.datagram import Datagram, decode_datagram, encode_datagram
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.membership import Membership
-from sardinehook.fleet.probe import Outgoing
+from sardinehook.fleet.probe import OutgoingDatagram
 
 __all__ = ["MembershipCost", "MembershipDriver", "main"]
 
@@ -65,29 +65,31 @@
     def acquaint(self) -> None:
         """Let every member know all others, as after a long time."""
         known = [
-            member.me._replace(state=MemberState.ALIVE)
+            member.local_member._replace(state=MemberState.ALIVE)
             for member in self.members.values()
         ]
         for member in self.members.values():
-            member.set_me(member.me._replace(state=MemberState.ALIVE))
+            member.set_local_member(
+                member.local_member._replace(state=MemberState.ALIVE)
+            )
             for other in known:
-                member.take_in(other, self.now)
+                member.apply_update(other, self.now)
 
     def start(self, name: str, data_centre: str, incarnation: int) -> Membership:
         """Start a member, again under its address if it was there before."""
         number = int(name.rpartition("-")[2])
         address = f"10.0.{number // 256}.{number % 256}:7401"
         http = f"10.0.{number // 256}.{number % 256}:8401"
-        me = Member(name, data_centre, address, http, incarnation)
-        member = Membership(me, FLEET, seed=number * 1000 + incarnation)
+        local_member = Member(name, data_centre, address, http, incarnation)
+        member = Membership(local_member, FLEET, seed=number * 1000 + incarnation)
         first = next(iter(self.members.values()), member)
-        member.seeds = {first.me.link_address}
+        member.seeds = {first.local_member.link_address}
         self.members[name] = member
         self.addresses[address] = name
         self.stopped.discard(name)
         return member
 
-    def send(self, source: str, sends: list[Outgoing]) -> None:
+    def send(self, source: str, sends: list[OutgoingDatagram]) -> None:
         """Put datagrams on their way."""
         for address, datagram in sends:
             data = encode_datagram(datagram)
@@ -103,7 +105,7 @@
 
     def centre(self, name: str) -> str:
         """Return the data centre of a member."""
-        return self.members[name].me.data_centre
+        return self.members[name].local_member.data_centre
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
@@ -130,7 +132,7 @@
         datagram: Datagram | None = decode_datagram(data, FLEET)
         assert datagram is not None
         member = self.members[target]
-        address = self.members[source].me.link_address
+        address = self.members[source].local_member.link_address
         self.send(target, member.receive(datagram, address, self.now))
 
     def view(self, viewer: str, name: str) -> MemberState | None:
