Rename the request desk to the request handler

"Desk", "take" and "take over" are private figures for handling a request and a delegated search. RequestDesk becomes RequestHandler in its own module, with handle(), handle_delegated(), demand_of() and the counters delegated_in_flight and max_delegated. Names only; metric names stay.

--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -73,7 +73,7 @@
             "Time since the store, or a reader of it, was heard",
             registry=registry,
         )
-        self.handed_over = Gauge(
+        self.delegated_in_flight = Gauge(
             "sardinehook_handed_over",
             "Sub-requests at work for gateways with narrow links",
             registry=registry,
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -25,13 +25,15 @@
         unready_reason: Callable[[], str],
         render_metrics: Callable[[], bytes],
         relay: ChangeRelay,
-        take_over: Callable[[bytes, Callable[[CallerAnswer], None]], Work | None],
+        handle_delegated: Callable[
+            [bytes, Callable[[CallerAnswer], None]], Work | None
+        ],
     ) -> None:
         super().__init__(reactor, self.answer_probe)
         self.unready_reason = unready_reason
         self.render_metrics = render_metrics
         self.relay = relay
-        self.take_over = take_over
+        self.handle_delegated = handle_delegated
 
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
@@ -48,7 +50,7 @@
         elif path == CHANGES_PATH:
             return self.relay.answer(query, finish)
         elif path == SEARCH_PATH:
-            return self.take_over(request.body, finish)
+            return self.handle_delegated(request.body, finish)
         else:
             finish(CallerAnswer(404, TEXT, b"not found\n", "probe"))
         return None
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -20,7 +20,6 @@
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.delegates import Delegates
-from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
@@ -32,6 +31,7 @@
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.signs_of_life import SignsOfLife
@@ -103,8 +103,8 @@
         self.policy.note_denied = metrics.repeats_denied.inc
         chooser.note_cold_denied = metrics.cold_denied.inc
         self.stories = RequestStories(reactor, metrics)
-        self.desk = RequestDesk(self.policy, self.stories, self.random)
-        self.front = Front(reactor, self.desk.take)
+        self.request_handler = RequestHandler(self.policy, self.stories, self.random)
+        self.front = Front(reactor, self.request_handler.handle)
         record = GatewayRecord(
             settings.peer_address,
             settings.data_centre,
@@ -117,8 +117,8 @@
         self.gateway_names: frozenset[str] = frozenset()
         self.dividing = False
         self.delegates = Delegates(reactor, self.fleet)
-        self.desk.delegates = self.delegates
-        self.desk.most_handed_over = int(SUB_REQUESTS_PER_CORE * settings.cores)
+        self.request_handler.delegates = self.delegates
+        self.request_handler.max_delegated = int(SUB_REQUESTS_PER_CORE * settings.cores)
         self.follower = StoreFollower(
             reactor,
             self.store,
@@ -137,13 +137,13 @@
             self.unready_reason,
             metrics.render,
             self.follower.relay,
-            self.desk.take_over,
+            self.request_handler.handle_delegated,
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
         self.signs = SignsOfLife(
             self.fleet,
-            lambda: bool(self.desk.cut_off_reason()),
+            lambda: bool(self.request_handler.cut_off_reason()),
             self.delegates.note_heard,
         )
         self.giving_signs = LoopingCall(self.signs.send)
@@ -236,13 +236,13 @@
         """Look for what keeps this gateway from serving."""
         if self.stopping:
             return "stopping"
-        if self.desk.configuration is None:
+        if self.request_handler.configuration is None:
             return "no configuration yet"
-        return self.desk.cut_off_reason()
+        return self.request_handler.cut_off_reason()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force for the requests that come from now on."""
-        self.desk.configure(configuration)
+        self.request_handler.configure(configuration)
         self.directory.configure(configuration)
         self.front.limits = configuration.limits
         self.metrics.version.set(configuration.version)
@@ -290,12 +290,12 @@
         held = sum(replica.pool.held for replica in replicas.values())
         self.metrics.connections.set(held)
         self.metrics.store_age_seconds.set(now - self.follower.heard_at)
-        self.metrics.handed_over.set(self.desk.handed_over)
+        self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
     @property
     def has_work(self) -> bool:
         """Whether callers are connected or other gateways wait for searches."""
-        return bool(self.front.connections or self.desk.handed_over)
+        return bool(self.front.connections or self.request_handler.delegated_in_flight)
 
     async def stop(self) -> None:
         """Turn not-ready, let callers move on, finish what is in flight, leave.
@@ -305,8 +305,10 @@
         be sending on them.
         """
         began = self.reactor.seconds()
-        log_event(logger, EventName.PROCESS_STOPPING, count=self.desk.in_flight)
-        self.stopping = self.desk.stopping = True
+        log_event(
+            logger, EventName.PROCESS_STOPPING, count=self.request_handler.in_flight
+        )
+        self.stopping = self.request_handler.stopping = True
         self.front.turns_away = True
         leaving = Deferred.fromCoroutine(self.fleet.leave())
         leaving.addErrback(self.note_error)
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/request_handler.py
@@ -71,7 +71,7 @@
         return self.services[best].service
 
 
-class RequestDesk:
+class RequestHandler:
     """Answers or starts each request under the configuration in force."""
 
     def __init__(
@@ -86,14 +86,14 @@
         self.reactor = policy.reactor
         self.configuration: Configuration | None = None
         self.rotations: dict[str, WeightedRotation] = {}
-        self.traffic: dict[str, SlidingCount] = {}
+        self.demand: dict[str, SlidingCount] = {}
         self.cut_off_before = ""
         self.in_flight = 0
         self.recent_versions: dict[int, Configuration] = {}
         self.delegates: Delegates | None = None
         self.stopping = False
-        self.handed_over = 0
-        self.most_handed_over = 0
+        self.delegated_in_flight = 0
+        self.max_delegated = 0
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force for the requests that come from now on."""
@@ -135,7 +135,7 @@
         wanted = lost = 0
         for routes in self.configuration.routes.values():
             for route in filter(self.has_replicas, routes):
-                requests = self.recent(route).total(now)
+                requests = self.demand_of(route).total(now)
                 wanted += requests
                 lost += requests * self.is_out_of_reach(route, now)
         if lost > CUT_OFF_SHARE * wanted:
@@ -146,11 +146,11 @@
         # Once callers have gone elsewhere, there is no demand to judge by.
         return self.cut_off_before
 
-    def recent(self, route: Route) -> SlidingCount:
+    def demand_of(self, route: Route) -> SlidingCount:
         """Return the count of a route's recent requests."""
-        count = self.traffic.get(route.name)
+        count = self.demand.get(route.name)
         if count is None:
-            count = self.traffic[route.name] = SlidingCount(TRAFFIC_WINDOW_S)
+            count = self.demand[route.name] = SlidingCount(TRAFFIC_WINDOW_S)
         return count
 
     def has_replicas(self, route: Route) -> bool:
@@ -174,7 +174,7 @@
                     directory.is_out_of_reach(part.service, now) for part in services
                 )
 
-    def take(self, raw: HttpRequest, finish: Finish) -> Work | None:
+    def handle(self, raw: HttpRequest, finish: Finish) -> Work | None:
         """Start a request; ``finish`` is called once, perhaps before this returns."""
         match self.policy.callers.read_request(raw):
             case Success(request):
@@ -217,7 +217,7 @@
     ) -> Work | None:
         """Start the work that a route asks for."""
         self.in_flight += 1
-        self.recent(route).add(1, request.received_at)
+        self.demand_of(route).add(1, request.received_at)
         leavable = LeavableWork(self)
 
         def done(answer: CallerAnswer) -> None:
@@ -266,7 +266,7 @@
             )
         )
 
-    def take_over(self, body: bytes, finish: Finish) -> Work | None:
+    def handle_delegated(self, body: bytes, finish: Finish) -> Work | None:
         """Do a search for another gateway, under the version that it has in force.
 
         It is not taken where that version is not known here, or where there is enough
@@ -274,12 +274,12 @@
         """
         match decode_search(body, self.reactor.seconds()):
             case Success(handed):
-                return self.begin_for_peer(handed, finish)
+                return self.begin_delegated(handed, finish)
             case Failure(detail):
                 finish(not_taken(str(detail)))
         return None
 
-    def begin_for_peer(self, handed: HandedOver, finish: Finish) -> Work | None:
+    def begin_delegated(self, handed: HandedOver, finish: Finish) -> Work | None:
         """Start a search for another gateway."""
         request = handed.request
         configuration = self.recent_versions.get(handed.version)
@@ -289,15 +289,15 @@
             return None
         shards = route.destination
         size = len(shards.shards)
-        if self.stopping or self.handed_over + size > self.most_handed_over:
+        if self.stopping or self.delegated_in_flight + size > self.max_delegated:
             finish(not_taken("stopping" if self.stopping else "enough to do"))
             return None
-        self.handed_over += size
-        self.recent(route).add(1, request.received_at)
+        self.delegated_in_flight += size
+        self.demand_of(route).add(1, request.received_at)
         leavable = LeavableWork(self, handed.node, size)
 
         def done(answer: CallerAnswer) -> None:
-            self.handed_over -= size
+            self.delegated_in_flight -= size
             work = leavable.work
             self.stories.ended(work, handed.version, answer, handed.node)
             outcome = encode_outcome(answer, work.hedges, work.repeats)
@@ -323,8 +323,8 @@
 class LeavableWork:
     """Work whose caller may leave; ``peer`` is the gateway that handed it over."""
 
-    def __init__(self, desk: RequestDesk, peer: str = "", size: int = 0) -> None:
-        self.desk = desk
+    def __init__(self, handler: RequestHandler, peer: str = "", size: int = 0) -> None:
+        self.handler = handler
         self.peer = peer
         self.size = size
         self.work: Gather | SingleCall | DelegatedSearch
@@ -338,8 +338,8 @@
         """Stop the work and note that its caller has left."""
         if not self.work.settled:
             if self.peer:
-                self.desk.handed_over -= self.size
+                self.handler.delegated_in_flight -= self.size
             else:
-                self.desk.in_flight -= 1
-            self.desk.stories.left(self.work)
+                self.handler.in_flight -= 1
+            self.handler.stories.left(self.work)
         self.work.cancel()
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -18,10 +18,10 @@
     Delegate,
     Delegates,
 )
-from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.ports import HttpRequest
+from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.search_codec import decode_search, encode_search
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.story import RequestStories
@@ -112,21 +112,21 @@
         )
         metrics = GatewayMetrics()
         stories = RequestStories(reactor, metrics)
-        self.desk = RequestDesk(self.gateway.policy, stories, Random(1))
-        self.desk.most_handed_over = 100
+        self.handler = RequestHandler(self.gateway.policy, stories, Random(1))
+        self.handler.max_delegated = 100
         self.route = search_route(SHARDS)
         self.configure(1)
         for shard in shard_names(SHARDS):
             self.gateway.add(f"{shard}-a", shard)
         self.delegates = Delegates(reactor, self.fleet)
-        self.desk.delegates = self.delegates
+        self.handler.delegates = self.delegates
         self.pool = HeldPool(refuses)
         self.answers: list[CallerAnswer] = []
 
     def configure(self, version: int) -> None:
         """Put a version in force."""
         made = configuration(self.route)
-        self.desk.configure(
+        self.handler.configure(
             type(made)(version, made.routes, made.services, made.limits)
         )
 
@@ -139,7 +139,7 @@
 
     def take(self) -> None:
         """Take a caller's search."""
-        self.desk.take(RAW, self.answers.append)
+        self.handler.handle(RAW, self.answers.append)
 
     @property
     def sent(self) -> int:
@@ -156,7 +156,7 @@
     """Let the delegate do what was handed over; return its answer to the gateway."""
     (connection,) = narrow.pool.given
     told: list[CallerAnswer] = []
-    wide.desk.take_over(body_of(connection.sent), told.append)
+    wide.handler.handle_delegated(body_of(connection.sent), told.append)
     wide.gateway.answer_all()
     (answer,) = told
     connection.end(Replied(Reply(answer.status, (), answer.body)))
@@ -173,7 +173,7 @@
         pass_on(narrow, wide)
         assert [answer.status for answer in narrow.answers] == [200]
         assert (narrow.sent, wide.sent) == (0, SHARDS)
-        assert wide.desk.handed_over == 0
+        assert wide.handler.delegated_in_flight == 0
 
     def test_the_time_that_has_passed_goes_with_it(self) -> None:
         request = REQUEST._replace(received_at=10.0, path_s=0.01)
@@ -206,7 +206,7 @@
 
     def test_one_that_is_not_taken_is_done_here_and_so_are_the_next(self) -> None:
         narrow, wide = Side("narrow", NARROW), Side("wide", WIDE)
-        wide.desk.stopping = True
+        wide.handler.stopping = True
         narrow.hears()
         narrow.take()
         pass_on(narrow, wide)
@@ -256,11 +256,11 @@
     def test_gateways_whose_delegates_are_cut_off_turn_not_ready(self) -> None:
         narrow = Side("narrow", NARROW)
         narrow.hears()
-        assert narrow.desk.cut_off_reason() == ""
+        assert narrow.handler.cut_off_reason() == ""
         narrow.delegates.note_heard("wide", True)
-        assert "wide" in narrow.desk.cut_off_reason()
+        assert "wide" in narrow.handler.cut_off_reason()
         narrow.delegates.note_heard("wide", False)
-        assert narrow.desk.cut_off_reason() == ""
+        assert narrow.handler.cut_off_reason() == ""
 
     def test_one_delegate_that_reaches_replicas_is_enough(self) -> None:
         narrow = Side("narrow", NARROW)
@@ -268,7 +268,7 @@
         narrow.hears("wide-2")
         narrow.take()
         narrow.delegates.note_heard("wide", True)
-        assert narrow.desk.cut_off_reason() == ""
+        assert narrow.handler.cut_off_reason() == ""
 
     def test_searches_for_others_count_as_demand(self) -> None:
         narrow, wide = Side("narrow", NARROW), Side("wide", WIDE)
@@ -276,7 +276,7 @@
         narrow.take()
         pass_on(narrow, wide)
         now = wide.gateway.reactor.seconds()
-        assert wide.desk.recent(wide.route).total(now) == 1
+        assert wide.handler.demand_of(wide.route).total(now) == 1
 
 
 class TestTargets:
@@ -285,7 +285,7 @@
     @pytest.mark.parametrize("target", [b"//[", b"//h/x/1", b"/\xff", b"//a@["])
     def test_one_that_names_no_route_is_refused(self, target: bytes) -> None:
         side = Side("wide", WIDE)
-        side.desk.take(RAW._replace(target=target), side.answers.append)
+        side.handler.handle(RAW._replace(target=target), side.answers.append)
         assert [answer.status for answer in side.answers] == [404]
 
 
@@ -294,29 +294,29 @@
         wide = Side("wide", WIDE)
         told: list[CallerAnswer] = []
         body = encode_search("narrow", 9, REQUEST, 100.0)
-        wide.desk.take_over(body, told.append)
+        wide.handler.handle_delegated(body, told.append)
         assert [answer.status for answer in told] == [503]
 
     def test_a_search_is_done_under_the_version_of_its_gateway(self) -> None:
         wide = Side("wide", WIDE)
         wide.route = search_route(2)
         wide.configure(2)
-        wide.desk.take_over(encode_search("narrow", 1, REQUEST, 0.0), print)
+        wide.handler.handle_delegated(encode_search("narrow", 1, REQUEST, 0.0), print)
         assert wide.sent == SHARDS
 
     def test_more_than_the_cores_bear_is_not_taken(self) -> None:
         wide = Side("wide", WIDE)
-        wide.desk.most_handed_over = SHARDS
+        wide.handler.max_delegated = SHARDS
         told: list[CallerAnswer] = []
         for _ in range(2):
             body = encode_search("narrow", 1, REQUEST, 0.0)
-            wide.desk.take_over(body, told.append)
+            wide.handler.handle_delegated(body, told.append)
         assert [answer.status for answer in told] == [503]
 
     @given(st.binary(max_size=60))
     def test_any_bytes_are_refused(self, body: bytes) -> None:
         told: list[CallerAnswer] = []
-        Side("wide", WIDE).desk.take_over(body, told.append)
+        Side("wide", WIDE).handler.handle_delegated(body, told.append)
         assert [answer.status for answer in told] == [503]
 
 
@@ -324,16 +324,19 @@
     def test_a_caller_that_leaves_ends_the_search_at_the_delegate(self) -> None:
         narrow, wide = Side("narrow", NARROW), Side("wide", WIDE)
         narrow.hears()
-        work = narrow.desk.take(RAW, narrow.answers.append)
+        work = narrow.handler.handle(RAW, narrow.answers.append)
         (connection,) = narrow.pool.given
-        taken = wide.desk.take_over(body_of(connection.sent), print)
+        taken = wide.handler.handle_delegated(body_of(connection.sent), print)
         assert work is not None and taken is not None
         work.cancel()
         assert connection.aborted
         taken.cancel()
         wide.gateway.reactor.advance(0.3)
         assert all(exchange.over for exchange in wide.gateway.dispatcher.sent)
-        assert (narrow.desk.in_flight, wide.desk.handed_over) == (0, 0)
+        assert (
+            narrow.handler.in_flight,
+            wide.handler.delegated_in_flight,
+        ) == (0, 0)
 
 
 class TestMembers:
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -4,8 +4,8 @@
 
 from random import Random
 
-from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.story import RequestStories
 from tests.gateway.support import (
     HERE,
@@ -80,13 +80,13 @@
         assert not reachability.is_suspect(THERE, gateway.reactor.seconds())
 
 
-def make_desk(gateway: Gateway) -> RequestDesk:
+def make_handler(gateway: Gateway) -> RequestHandler:
     """Make a desk for searches over four shards and a route that has no replica."""
     stories = RequestStories(gateway.reactor, GatewayMetrics())
-    desk = RequestDesk(gateway.policy, stories, Random(1))
+    handler = RequestHandler(gateway.policy, stories, Random(1))
     idle = single_route(True)._replace(name="idle", prefix="/idle/")
-    desk.configure(configuration(search_route(4), idle))
-    return desk
+    handler.configure(configuration(search_route(4), idle))
+    return handler
 
 
 def cut(gateway: Gateway, place: str) -> None:
@@ -106,73 +106,73 @@
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
-        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        handler = make_handler(gateway)
+        handler.demand_of(search_route(4)).add(20, gateway.reactor.seconds())
         cut(gateway, THERE)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
 
     def test_stays_so_when_its_callers_have_gone_elsewhere(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
-        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        handler = make_handler(gateway)
+        handler.demand_of(search_route(4)).add(20, gateway.reactor.seconds())
         cut(gateway, THERE)
-        assert desk.cut_off_reason()
+        assert handler.cut_off_reason()
         gateway.reactor.advance(10.0)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
         gateway.directory.reachability.note_heard(THERE, gateway.reactor.seconds())
-        assert desk.cut_off_reason() == ""
+        assert handler.cut_off_reason() == ""
 
     def test_says_so_before_it_refuses(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         now = gateway.reactor.seconds()
-        desk.recent(search_route(4)).add(20, now)
+        handler.demand_of(search_route(4)).add(20, now)
         for shard in shard_names(4):
             gateway.directory.reachability.note_sent(THERE, f"{shard}-b", now)
         gateway.reactor.advance(0.15)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
         assert gateway.directory.can_serve("s00", gateway.reactor.seconds())
 
     def test_a_gateway_that_can_serve_its_callers_stays_ready(self) -> None:
         gateway = with_replicas(4)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         cut(gateway, THERE)
-        assert desk.cut_off_reason() == ""
+        assert handler.cut_off_reason() == ""
 
     def test_routes_that_nobody_asks_for_do_not_count(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         idle = [
             single_route(True)._replace(name=f"n{n}", prefix=f"/n{n}/")
             for n in range(50)
         ]
-        desk.configure(configuration(search_route(4), *idle))
-        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        handler.configure(configuration(search_route(4), *idle))
+        handler.demand_of(search_route(4)).add(20, gateway.reactor.seconds())
         cut(gateway, THERE)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
 
     def test_requests_for_a_route_without_any_replica_do_not_count(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         now = gateway.reactor.seconds()
-        desk.recent(search_route(4)).add(5, now)
-        desk.recent(single_route(True)._replace(name="idle")).add(20, now)
+        handler.demand_of(search_route(4)).add(5, now)
+        handler.demand_of(single_route(True)._replace(name="idle")).add(20, now)
         cut(gateway, THERE)
-        assert "cut off from there: 5 of 5" in desk.cut_off_reason()
+        assert "cut off from there: 5 of 5" in handler.cut_off_reason()
 
     def test_a_route_without_any_replica_does_not_count(self) -> None:
         gateway = with_replicas(4)
         gateway.add("desk-b", "desk", THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         now = gateway.reactor.seconds()
-        desk.recent(search_route(4)).add(20, now)
+        handler.demand_of(search_route(4)).add(20, now)
         cut(gateway, THERE)
-        assert desk.cut_off_reason() == ""
+        assert handler.cut_off_reason() == ""
