Rename the request stories to the request log

A "story" is a log record with its metrics. RequestStories becomes RequestLog with record_refused(), record_ended() and record_cancelled(); the test file follows its subject. Names only; events, keys and labels stay.

--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -32,11 +32,11 @@
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.request_handler import RequestHandler
+from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.signs_of_life import SignsOfLife
 from sardinehook.gateway.store import GatewayStore
-from sardinehook.gateway.story import RequestStories
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
 
@@ -102,8 +102,10 @@
         self.policy.configure(settings.bounds)
         self.policy.note_denied = metrics.repeats_denied.inc
         chooser.note_cold_denied = metrics.cold_denied.inc
-        self.stories = RequestStories(reactor, metrics)
-        self.request_handler = RequestHandler(self.policy, self.stories, self.random)
+        self.request_log = RequestLog(reactor, metrics)
+        self.request_handler = RequestHandler(
+            self.policy, self.request_log, self.random
+        )
         self.front = Front(reactor, self.request_handler.handle)
         record = GatewayRecord(
             settings.peer_address,
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -23,13 +23,13 @@
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, HttpRequest
 from sardinehook.gateway.repeat_budget import SlidingCount
+from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.search_codec import (
     HandedOver,
     decode_search,
     encode_outcome,
 )
 from sardinehook.gateway.single import SingleCall
-from sardinehook.gateway.story import RequestStories
 
 __all__ = ["RequestDesk", "Work"]
 
@@ -77,11 +77,11 @@
     def __init__(
         self,
         policy: RequestPolicy,
-        stories: RequestStories,
+        request_log: RequestLog,
         random: Random,
     ) -> None:
         self.policy = policy
-        self.stories = stories
+        self.request_log = request_log
         self.random = random
         self.reactor = policy.reactor
         self.configuration: Configuration | None = None
@@ -181,7 +181,7 @@
                 return self.route(request, finish)
             case Failure(detail):
                 answer = refuse(Problem(ErrorKind.BAD_REQUEST, str(detail)))
-                self.stories.refused(raw.target.decode("latin-1"), answer)
+                self.request_log.record_refused(raw.target.decode("latin-1"), answer)
                 finish(answer)
         return None
 
@@ -204,7 +204,7 @@
         """Answer a request that starts no work."""
         starting = problem.kind is ErrorKind.NO_DOCUMENT
         answer = refuse(problem, STARTING_RETRY_S if starting else None)
-        self.stories.refused(request.request_id.decode("latin-1"), answer)
+        self.request_log.record_refused(request.request_id.decode("latin-1"), answer)
         finish(answer)
         return None
 
@@ -222,7 +222,7 @@
 
         def done(answer: CallerAnswer) -> None:
             self.in_flight -= 1
-            self.stories.ended(leavable.work, configuration.version, answer)
+            self.request_log.record_ended(leavable.work, configuration.version, answer)
             finish(answer)
 
         match route.destination:
@@ -299,7 +299,7 @@
         def done(answer: CallerAnswer) -> None:
             self.delegated_in_flight -= size
             work = leavable.work
-            self.stories.ended(work, handed.version, answer, handed.node)
+            self.request_log.record_ended(work, handed.version, answer, handed.node)
             outcome = encode_outcome(answer, work.hedges, work.repeats)
             finish(CallerAnswer(200, (), outcome, "for a peer"))
 
@@ -341,5 +341,5 @@
                 self.handler.delegated_in_flight -= self.size
             else:
                 self.handler.in_flight -= 1
-            self.handler.stories.left(self.work)
+            self.handler.request_log.record_cancelled(self.work)
         self.work.cancel()
--- a/sardinehook/gateway/story.py
+++ b/sardinehook/gateway/request_log.py
@@ -21,7 +21,7 @@
 logger = structlog.get_logger(__name__)
 
 MS_PER_S = 1000.0
-MISSING_KINDS = (
+MISSING_REASONS = (
     ("no reply", "overdue"),
     ("queue", "queue_too_long"),
     ("no replica", "no_replica"),
@@ -29,18 +29,18 @@
     ("status", "failed"),
     ("refused", "failed"),
 )
-TOLD_IN_FULL_EACH = 16  # untroubled requests: one in so many has a line
+SUCCESS_LOG_INTERVAL = 16  # untroubled requests: one in so many has a line
 
 
-class RequestStories:
+class RequestLog:
     """Writes a line for each request that ends badly and for some that don't."""
 
     def __init__(self, reactor: GatewayReactor, metrics: GatewayMetrics) -> None:
         self.reactor = reactor
         self.metrics = metrics
-        self.untroubled = 0
+        self.successes = 0
 
-    def refused(self, request: str, answer: CallerAnswer) -> None:
+    def record_refused(self, request: str, answer: CallerAnswer) -> None:
         """Tell of a request that started no work."""
         self.metrics.requests.labels("none", answer.outcome).inc()
         log_event(
@@ -51,7 +51,7 @@
             detail=answer.detail,
         )
 
-    def ended(
+    def record_ended(
         self,
         work: Gather | SingleCall | DelegatedSearch,
         version: int,
@@ -67,9 +67,9 @@
         self.metrics.observe(kind, answer.outcome, took_s, work.hedges, work.repeats)
         self.count_missing(work)
         answered = answer.outcome == "answered" and answer.status < 400
-        troubled = bool(not answered or late or answer.detail)
-        self.untroubled += not troubled
-        if not troubled and self.untroubled % TOLD_IN_FULL_EACH:
+        notable = bool(not answered or late or answer.detail)
+        self.successes += not notable
+        if not notable and self.successes % SUCCESS_LOG_INTERVAL:
             return
         event = EventName.QUERY_ANSWERED if answered else EventName.QUERY_FAILED
         log_event(
@@ -91,10 +91,10 @@
         """Count the shards that a search left out."""
         for part in getattr(work, "parts", ()):
             if not part.is_in:
-                kind = missing_kind(part.reason)
+                kind = missing_reason(part.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
-    def left(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+    def record_cancelled(self, work: Gather | SingleCall | DelegatedSearch) -> None:
         """Tell of a request whose caller has left."""
         took_s = self.reactor.seconds() - work.request.received_at
         self.metrics.requests.labels("any", "caller_left").inc()
@@ -119,13 +119,13 @@
     return delegate.name if delegate else ""
 
 
-def missing_kind(reason: str) -> str:
+def missing_reason(reason: str) -> str:
     """Return the kind of a reason, of which there are few.
 
     >>> missing_kind("refused with 503"), missing_kind("Connection lost.")
     ('failed', 'lost')
     """
-    for start, kind in MISSING_KINDS:
+    for start, kind in MISSING_REASONS:
         if reason.startswith(start):
             return kind
     return "lost"
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -22,9 +22,9 @@
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.request_handler import RequestHandler
+from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.search_codec import decode_search, encode_search
 from sardinehook.gateway.shares import divide
-from sardinehook.gateway.story import RequestStories
 from sardinehook.transport.connection import ExchangeEnd, Lost, Replied, Reply
 from tests.gateway.support import (
     REQUEST,
@@ -111,8 +111,8 @@
             reactor, ScriptedStore(), node, record, lambda _names: None
         )
         metrics = GatewayMetrics()
-        stories = RequestStories(reactor, metrics)
-        self.handler = RequestHandler(self.gateway.policy, stories, Random(1))
+        request_log = RequestLog(reactor, metrics)
+        self.handler = RequestHandler(self.gateway.policy, request_log, Random(1))
         self.handler.max_delegated = 100
         self.route = search_route(SHARDS)
         self.configure(1)
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -6,7 +6,7 @@
 
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.request_handler import RequestHandler
-from sardinehook.gateway.story import RequestStories
+from sardinehook.gateway.request_log import RequestLog
 from tests.gateway.support import (
     HERE,
     THERE,
@@ -82,8 +82,8 @@
 
 def make_handler(gateway: Gateway) -> RequestHandler:
     """Make a desk for searches over four shards and a route that has no replica."""
-    stories = RequestStories(gateway.reactor, GatewayMetrics())
-    handler = RequestHandler(gateway.policy, stories, Random(1))
+    request_log = RequestLog(gateway.reactor, GatewayMetrics())
+    handler = RequestHandler(gateway.policy, request_log, Random(1))
     idle = single_route(True)._replace(name="idle", prefix="/idle/")
     handler.configure(configuration(search_route(4), idle))
     return handler
--- a/tests/gateway/test_stories.py
+++ b/tests/gateway/test_request_log.py
@@ -7,8 +7,8 @@
 
 from sardinehook.gateway.dispatch import Failed, NotRun
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.settings import Bounds
-from sardinehook.gateway.story import RequestStories
 from tests.gateway.support import (
     THERE,
     Gateway,
@@ -61,11 +61,11 @@
     def test_shards_that_are_left_out_are_counted_by_why(self) -> None:
         gateway = with_replicas(4)
         metrics = GatewayMetrics()
-        stories = RequestStories(gateway.reactor, metrics)
+        request_log = RequestLog(gateway.reactor, metrics)
         work = gateway.gather(search_route(4))
         gateway.answer_all("s03")
         gateway.reactor.advance(0.2)
-        stories.ended(work, 1, gateway.answers[0])
+        request_log.record_ended(work, 1, gateway.answers[0])
         assert b'missing_shards_total{reason="overdue"} 1.0' in metrics.render()
 
     def test_hedges_without_budget_are_counted(self) -> None:
@@ -80,7 +80,7 @@
 class TestLines:
     def test_every_request_that_ends_badly_has_a_line_with_its_cause(self) -> None:
         gateway = with_replicas(4)
-        stories = RequestStories(gateway.reactor, GatewayMetrics())
+        request_log = RequestLog(gateway.reactor, GatewayMetrics())
         with capture_logs() as lines:
             for outcome in (Failed("reset by peer"), NotRun("refused with 503", True)):
                 gateway.answers.clear()
@@ -88,7 +88,7 @@
                 while not gateway.answers:
                     (exchange, *_) = gateway.dispatcher.open_at("s00")
                     gateway.end(exchange, outcome)
-                stories.ended(work, 7, gateway.answers[0])
+                request_log.record_ended(work, 7, gateway.answers[0])
         failed = [line for line in lines if line["event"] == "query_failed"]
         assert len(failed) == 2
         assert "s00-" in failed[0]["detail"] and "reset" in failed[0]["detail"]
@@ -98,11 +98,11 @@
 
     def test_an_answer_with_missing_shards_names_them(self) -> None:
         gateway = with_replicas(4)
-        stories = RequestStories(gateway.reactor, GatewayMetrics())
+        request_log = RequestLog(gateway.reactor, GatewayMetrics())
         work = gateway.gather(search_route(4))
         gateway.answer_all("s02")
         gateway.reactor.advance(0.2)
         with capture_logs() as lines:
-            stories.ended(work, 7, gateway.answers[0])
+            request_log.record_ended(work, 7, gateway.answers[0])
         assert lines[0]["event"] == "query_answered"
         assert lines[0]["detail"].startswith("s02:")
