Rename the gateway's front to the HTTP server that it is

Front and FrontConnection are the HTTP/1.1 server and its connections: HttpServer and HttpServerConnection in gateway.http_server. turns_away is closes_after_answer, give_up is fail_requests, the Work protocol, of which only cancel() is used, is Cancellable. Names only; the setting keeps its name.

--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -78,7 +78,7 @@
     """End on SIGTERM without waiting for requests."""
 
     async def careless(process: GatewayProcess) -> None:
-        for connection in list(process.front.connections):
+        for connection in list(process.http_server.connections):
             connection.tcp.abortConnection()
 
     patch(GatewayProcess, "stop", careless)
--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/http_server.py
@@ -36,14 +36,14 @@
 NEVER = float("inf")
 
 
-class Work(TypingProtocol):
+class Cancellable(TypingProtocol):
     """A request that is being worked on."""
 
     def cancel(self) -> None:
         """Stop, since the caller has left."""
 
 
-Handler = Callable[[HttpRequest, Callable[[CallerAnswer], None]], Work | None]
+Handler = Callable[[HttpRequest, Callable[[CallerAnswer], None]], Cancellable | None]
 
 
 class ParsedRequest:
@@ -69,22 +69,22 @@
         self.error = 0
 
 
-class FrontConnection(Protocol):
+class HttpServerConnection(Protocol):
     """One caller's connection: its requests are answered one by one, in order.
 
     An answer is written whole or the connection is broken. Whatever the parser does
     not accept is refused and ends the connection, so that nothing can hide in it.
     """
 
-    def __init__(self, front: Front) -> None:
-        self.front = front
+    def __init__(self, server: HttpServer) -> None:
+        self.server = server
         self.parser = HttpRequestParser(self)
         self.reading: ParsedRequest | None = None
         self.head_bytes = 0
         self.in_head = False
         self.waiting: deque[ParsedRequest] = deque()
         self.current: ParsedRequest | None = None
-        self.work: Work | None = None
+        self.work: Cancellable | None = None
         self.refused = False
         self.closing = False
         self.since = 0.0
@@ -96,12 +96,12 @@
         self.tcp = tcp
         self.outlet = Outlet(tcp)
         set_socket_options(tcp)
-        self.since = self.opened_at = self.front.now()
-        self.front.connections.add(self)
+        self.since = self.opened_at = self.server.now()
+        self.server.connections.add(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Stop the work of a caller that has left."""
-        self.front.connections.discard(self)
+        self.server.connections.discard(self)
         self.closing = True
         self.waiting.clear()
         work, self.work = self.work, None
@@ -115,7 +115,7 @@
         if self.reading is None:
             self.head_bytes = 0
             self.in_head = True
-            self.since = self.front.now()
+            self.since = self.server.now()
         if self.in_head:
             self.head_bytes += len(data)
         try:
@@ -124,7 +124,7 @@
             self.refused = True
         except HttpParserError:
             self.refuse(400)
-        if self.in_head and self.head_bytes > self.front.limits.header_bytes:
+        if self.in_head and self.head_bytes > self.server.limits.header_bytes:
             self.refuse(431)
         self.serve_next()
 
@@ -161,13 +161,13 @@
         head_bytes = len(request.url) + sum(
             len(name) + len(value) + 4 for name, value in request.headers
         )
-        if head_bytes > self.front.limits.header_bytes:
+        if head_bytes > self.server.limits.header_bytes:
             self.refuse(431)
             return
         for name, value in request.headers:
             lower = name.lower()
             if lower == b"content-length":
-                if int(value) > self.front.limits.body_bytes:
+                if int(value) > self.server.limits.body_bytes:
                     self.refuse(413)
             elif lower == b"expect" and value.lower() == b"100-continue":
                 self.invite_body()
@@ -183,7 +183,7 @@
         if request is None or self.refused:
             return
         request.body_bytes += len(body)
-        if request.body_bytes > self.front.limits.body_bytes:
+        if request.body_bytes > self.server.limits.body_bytes:
             self.refuse(413)
             return
         request.body.append(body)
@@ -216,7 +216,7 @@
             b"".join(request.body),
             *self.timing(),
         )
-        work = self.front.handle(raw, lambda answer: self.answer(request, answer))
+        work = self.server.handle(raw, lambda answer: self.answer(request, answer))
         if self.current is request:
             self.work = work
 
@@ -225,7 +225,7 @@
 
         A caller that opened the connection for its request has waited for that, too.
         """
-        now = self.front.now()
+        now = self.server.now()
         opened_at, self.opened_at = self.opened_at, None
         trip_s = PATH_VARIATION * round_trip_s(self.tcp.getHandle())
         if opened_at is None or now - opened_at > OPENED_FOR_REQUEST_S:
@@ -238,16 +238,20 @@
             return
         self.current = None
         self.work = None
-        keep = request.keep_alive and not self.front.turns_away and not self.refused
+        keep = (
+            request.keep_alive
+            and not self.server.closes_after_answer
+            and not self.refused
+        )
         keep = keep or bool(self.waiting)
         self.outlet.write(encode_answer(answer, request.method == b"HEAD", keep))
-        self.since = self.front.now()
+        self.since = self.server.now()
         if not keep:
             self.close()
         elif self.waiting:
-            self.front.reactor.callLater(0.0, self.serve_next)
+            self.server.reactor.callLater(0.0, self.serve_next)
 
-    def give_up(self, answer: CallerAnswer) -> None:
+    def fail_request(self, answer: CallerAnswer) -> None:
         """Answer the current request in place of its work, which is abandoned."""
         request, work = self.current, self.work
         if request is None:
@@ -275,12 +279,12 @@
         if self.closing:
             return
         self.closing = True
-        self.since = self.front.now()
+        self.since = self.server.now()
         self.tcp.loseWriteConnection()
 
     def sweep(self, now: float) -> None:
         """Enforce the limits of time."""
-        limits = self.front.limits
+        limits = self.server.limits
         if self.closing:
             if now > self.since + LINGER_S:
                 self.tcp.abortConnection()
@@ -293,7 +297,7 @@
             if now > self.since + allowed_s:
                 self.refuse(408)
                 self.serve_next()
-        elif now > self.since + limits.idle_timeout_s or self.front.closes_idle:
+        elif now > self.since + limits.idle_timeout_s or self.server.closes_idle:
             self.close()
 
 
@@ -316,11 +320,11 @@
     return b"".join(lines)
 
 
-class Front(ServerFactory):
+class HttpServer(ServerFactory):
     """All callers' connections of this gateway.
 
-    ``turns_away`` makes each answer end its connection, so that callers open their
-    next one elsewhere; ``closes_idle`` also ends those that are idle.
+    ``closes_after_answer`` makes each answer end its connection, so that callers
+    open their next one elsewhere; ``closes_idle`` also ends those that are idle.
     """
 
     noisy = False
@@ -329,13 +333,13 @@
         self.reactor = reactor
         self.handle = handle
         self.limits = CallerLimits()
-        self.connections: set[FrontConnection] = set()
-        self.turns_away = False
+        self.connections: set[HttpServerConnection] = set()
+        self.closes_after_answer = False
         self.closes_idle = False
 
-    def buildProtocol(self, addr: IAddress | None) -> FrontConnection:
+    def buildProtocol(self, addr: IAddress | None) -> HttpServerConnection:
         """Return the protocol of a new connection."""
-        return FrontConnection(self)
+        return HttpServerConnection(self)
 
     def now(self) -> float:
         """Return monotonic time in seconds."""
@@ -348,7 +352,7 @@
         for connection in list(self.connections):
             connection.sweep(now)
 
-    def give_up(self, answer: CallerAnswer) -> None:
+    def fail_requests(self, answer: CallerAnswer) -> None:
         """Answer all requests that are still at work."""
         for connection in list(self.connections):
-            connection.give_up(answer)
+            connection.fail_request(answer)
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.front import Front, Work
+from sardinehook.gateway.http_server import Cancellable, HttpServer
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import CHANGES_PATH, ChangeRelay
@@ -16,7 +16,7 @@
 TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 
 
-class ProbeServer(Front):
+class ProbeServer(HttpServer):
     """Answers ``/ready`` with 200, or 503 and the reason, and serves metrics."""
 
     def __init__(
@@ -26,7 +26,7 @@
         render_metrics: Callable[[], bytes],
         relay: ChangeRelay,
         handle_delegated: Callable[
-            [bytes, Callable[[CallerAnswer], None]], Work | None
+            [bytes, Callable[[CallerAnswer], None]], Cancellable | None
         ],
     ) -> None:
         super().__init__(reactor, self.answer_probe)
@@ -37,7 +37,7 @@
 
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
-    ) -> Work | None:
+    ) -> Cancellable | None:
         """Answer a probe at once; a call for changes may wait for some."""
         path, _, query = request.target.partition(b"?")
         if path.endswith(b"/ready"):
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -24,7 +24,7 @@
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
-from sardinehook.gateway.front import Front
+from sardinehook.gateway.http_server import HttpServer
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
@@ -106,7 +106,7 @@
         self.request_handler = RequestHandler(
             self.policy, self.request_log, self.random
         )
-        self.front = Front(reactor, self.request_handler.handle)
+        self.http_server = HttpServer(reactor, self.request_handler.handle)
         record = GatewayRecord(
             settings.peer_address,
             settings.data_centre,
@@ -173,7 +173,7 @@
     def listen(self) -> None:
         """Take all addresses; connections are accepted once the reactor runs."""
         settings = self.settings
-        listen(self.reactor, settings.front_address, self.front)
+        listen(self.reactor, settings.front_address, self.http_server)
         addresses = (
             settings.ready_address,
             settings.metrics_address,
@@ -246,7 +246,7 @@
         """Put a configuration in force for the requests that come from now on."""
         self.request_handler.configure(configuration)
         self.directory.configure(configuration)
-        self.front.limits = configuration.limits
+        self.http_server.limits = configuration.limits
         self.metrics.version.set(configuration.version)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
@@ -280,8 +280,8 @@
     def keep_house(self) -> None:
         """Do what is due now and then."""
         now = self.reactor.seconds()
-        self.front.turns_away = bool(self.unready_reason())
-        self.front.sweep()
+        self.http_server.closes_after_answer = bool(self.unready_reason())
+        self.http_server.sweep()
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
         self.watch_settings()
@@ -297,7 +297,9 @@
     @property
     def has_work(self) -> bool:
         """Whether callers are connected or other gateways wait for searches."""
-        return bool(self.front.connections or self.request_handler.delegated_in_flight)
+        return bool(
+            self.http_server.connections or self.request_handler.delegated_in_flight
+        )
 
     async def stop(self) -> None:
         """Turn not-ready, let callers move on, finish what is in flight, leave.
@@ -311,20 +313,20 @@
             logger, EventName.PROCESS_STOPPING, count=self.request_handler.in_flight
         )
         self.stopping = self.request_handler.stopping = True
-        self.front.turns_away = True
+        self.http_server.closes_after_answer = True
         leaving = Deferred.fromCoroutine(self.fleet.leave())
         leaving.addErrback(self.note_error)
         await deferLater(self.reactor, NOTICE_S)
-        self.front.closes_idle = True
-        self.front.sweep()
+        self.http_server.closes_idle = True
+        self.http_server.sweep()
         end_at = began + self.settings.bounds.grace_s - END_MARGIN_S
         while self.has_work and self.reactor.seconds() < end_at:
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
-            self.front.sweep()
-        left = len(self.front.connections)
+            self.http_server.sweep()
+        left = len(self.http_server.connections)
         if left:
             problem = Problem(ErrorKind.OUTCOME_UNKNOWN, "the gateway is stopping")
-            self.front.give_up(refuse(problem))
+            self.http_server.fail_requests(refuse(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
         for loop in (self.sweeping, self.housekeeping, self.giving_signs):
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -41,7 +41,7 @@
 Finish = Callable[[CallerAnswer], None]
 
 
-class Work(Protocol):
+class Cancellable(Protocol):
     """A caller's request that is being worked on."""
 
     def cancel(self) -> None:
@@ -174,7 +174,7 @@
                     directory.is_out_of_reach(part.service, now) for part in services
                 )
 
-    def handle(self, raw: HttpRequest, finish: Finish) -> Work | None:
+    def handle(self, raw: HttpRequest, finish: Finish) -> Cancellable | None:
         """Start a request; ``finish`` is called once, perhaps before this returns."""
         match self.policy.callers.read_request(raw):
             case Success(request):
@@ -185,7 +185,7 @@
                 finish(answer)
         return None
 
-    def route(self, request: CallerRequest, finish: Finish) -> Work | None:
+    def route(self, request: CallerRequest, finish: Finish) -> Cancellable | None:
         """Find the route of a request and start its work."""
         configuration = self.configuration
         if configuration is None:
@@ -200,7 +200,7 @@
 
     def refuse(
         self, request: CallerRequest, problem: Problem, finish: Finish
-    ) -> Work | None:
+    ) -> Cancellable | None:
         """Answer a request that starts no work."""
         starting = problem.kind is ErrorKind.NO_DOCUMENT
         answer = refuse(problem, STARTING_RETRY_S if starting else None)
@@ -214,7 +214,7 @@
         route: Route,
         configuration: Configuration,
         finish: Finish,
-    ) -> Work | None:
+    ) -> Cancellable | None:
         """Start the work that a route asks for."""
         self.in_flight += 1
         self.demand_of(route).add(1, request.received_at)
@@ -266,7 +266,7 @@
             )
         )
 
-    def handle_delegated(self, body: bytes, finish: Finish) -> Work | None:
+    def handle_delegated(self, body: bytes, finish: Finish) -> Cancellable | None:
         """Do a search for another gateway, under the version that it has in force.
 
         It is not taken where that version is not known here, or where there is enough
@@ -279,7 +279,7 @@
                 finish(not_taken(str(detail)))
         return None
 
-    def begin_delegated(self, handed: HandedOver, finish: Finish) -> Work | None:
+    def begin_delegated(self, handed: HandedOver, finish: Finish) -> Cancellable | None:
         """Start a search for another gateway."""
         request = handed.request
         configuration = self.recent_versions.get(handed.version)
