Rename the repeat budget to the retry budget

A budget for hedges and retries is a retry budget in the terms of the field: RetryBudget, SlidingWindowCounter, record_request(), budget_for(), try_spend_retry(), on_retry_denied, restart_counting(). Settings, metrics and the repeats that are counted keep their names.

--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -29,7 +29,7 @@
 
     def careless(call: SingleCall, now: float) -> bool:
         call.may_have_run = False
-        call.policy.budget_of(call.service).repeats.sum = 0
+        call.policy.budget_for(call.service).repeats.sum = 0
         return send_extra(call, now)
 
     patch(SingleCall, "send_extra", careless)
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -119,7 +119,7 @@
         """Send the first requests to the shards at ``places``; the others are lost."""
         for place, choice in enumerate(choices):
             part = self.parts[place]
-            self.policy.budget_of(part.shard).note_request(now)
+            self.policy.budget_for(part.shard).record_request(now)
             if choice is None or place not in places:
                 part.asked = True
                 part.reason = "queue too long" if choice else "no replica"
@@ -244,7 +244,7 @@
         if choice is None:
             return False
         is_repeat = part.arrived or part.open_exchanges
-        if is_repeat and not self.policy.may_repeat(part.shard, now):
+        if is_repeat and not self.policy.try_spend_retry(part.shard, now):
             return False
         self.send(part, choice.replica, now)
         return True
--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -23,7 +23,7 @@
 from sardinehook.transport.connection import set_socket_options
 from sardinehook.transport.outlet import Outlet
 
-__all__ = ["Front", "FrontConnection", "Work"]
+__all__ = ["Cancellable", "HttpServer", "HttpServerConnection"]
 
 logger = structlog.get_logger(__name__)
 
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -10,7 +10,7 @@
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.ports import CallerDialect, CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.repeat_budget import RepeatBudget
+from sardinehook.gateway.retry_budget import RetryBudget
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
@@ -60,37 +60,37 @@
         self.callers = callers
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
-        self.budgets: dict[str, RepeatBudget] = {}
-        self.counts_from = float("-inf")
-        self.note_denied: Callable[[], object] = int
+        self.budgets: dict[str, RetryBudget] = {}
+        self.counting_since = float("-inf")
+        self.on_retry_denied: Callable[[], object] = int
 
     def configure(self, bounds: Bounds) -> None:
         """Take the promises of the deployment."""
         if bounds.repeat_window_s != self.bounds.repeat_window_s:
-            self.start_counting()
+            self.restart_counting()
         self.bounds = bounds
         self.chooser.bounds = bounds
         self.directory.drain_s = bounds.drain_s
 
-    def start_counting(self) -> None:
+    def restart_counting(self) -> None:
         """Begin to count repeats; what was spent before is not known."""
         self.budgets.clear()
-        self.counts_from = self.reactor.seconds()
+        self.counting_since = self.reactor.seconds()
 
-    def budget_of(self, service: str) -> RepeatBudget:
+    def budget_for(self, service: str) -> RetryBudget:
         """Return the repeat budget of a service."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RepeatBudget(self.bounds.repeat_window_s, self.counts_from)
+            budget = RetryBudget(self.bounds.repeat_window_s, self.counting_since)
             self.budgets[service] = budget
         return budget
 
-    def may_repeat(self, service: str, now: float) -> bool:
+    def try_spend_retry(self, service: str, now: float) -> bool:
         """Take one repeat to a service from the budget, if there is one."""
-        sharers = self.directory.sharers(service)
-        if self.budget_of(service).spend(self.bounds, sharers, now):
+        sharing_gateways = self.directory.sharers(service)
+        if self.budget_for(service).spend(self.bounds, sharing_gateways, now):
             return True
-        self.note_denied()
+        self.on_retry_denied()
         return False
 
     def usual_s(self, route: Route, quantile: float = USUAL_QUANTILE) -> float:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -100,7 +100,7 @@
             reactor, self.directory, dispatcher, chooser, dialects.callers
         )
         self.policy.configure(settings.bounds)
-        self.policy.note_denied = metrics.repeats_denied.inc
+        self.policy.on_retry_denied = metrics.repeats_denied.inc
         chooser.note_cold_denied = metrics.cold_denied.inc
         self.request_log = RequestLog(reactor, metrics)
         self.request_handler = RequestHandler(
@@ -190,7 +190,7 @@
         settings = self.settings
         if settings.signs_address:
             self.giving_signs.start(SIGNS_INTERVAL_S, now=False)
-        self.policy.start_counting()
+        self.policy.restart_counting()
         self.follower.start()
         self.fleet.start()
         self.sweeping.start(SWEEP_INTERVAL_S, now=False)
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -8,7 +8,7 @@
 
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.ports import Load, ReplicaEntry, ReplicaReply
-from sardinehook.gateway.repeat_budget import SlidingCount
+from sardinehook.gateway.retry_budget import SlidingWindowCounter
 
 if TYPE_CHECKING:
     from sardinehook.gateway.dispatch import Exchange
@@ -58,7 +58,7 @@
         self.load_at = 0.0
         self.own_at_load = 0
         self.cold_until = 0.0
-        self.cold_arrivals = SlidingCount(COLD_WINDOW_S)
+        self.cold_arrivals = SlidingWindowCounter(COLD_WINDOW_S)
         self.lost_at: float | None = None
 
     @property
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -22,8 +22,8 @@
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, HttpRequest
-from sardinehook.gateway.repeat_budget import SlidingCount
 from sardinehook.gateway.request_log import RequestLog
+from sardinehook.gateway.retry_budget import SlidingWindowCounter
 from sardinehook.gateway.search_codec import (
     HandedOver,
     decode_search,
@@ -31,7 +31,7 @@
 )
 from sardinehook.gateway.single import SingleCall
 
-__all__ = ["RequestDesk", "Work"]
+__all__ = ["Cancellable", "RequestHandler"]
 
 TRAFFIC_WINDOW_S = 5.0  # over which the demand for each route is counted
 STARTING_RETRY_S = 0.2  # a gateway that starts has its configuration by then
@@ -86,7 +86,7 @@
         self.reactor = policy.reactor
         self.configuration: Configuration | None = None
         self.rotations: dict[str, WeightedRotation] = {}
-        self.demand: dict[str, SlidingCount] = {}
+        self.demand: dict[str, SlidingWindowCounter] = {}
         self.cut_off_before = ""
         self.in_flight = 0
         self.recent_versions: dict[int, Configuration] = {}
@@ -146,11 +146,11 @@
         # Once callers have gone elsewhere, there is no demand to judge by.
         return self.cut_off_before
 
-    def demand_of(self, route: Route) -> SlidingCount:
+    def demand_of(self, route: Route) -> SlidingWindowCounter:
         """Return the count of a route's recent requests."""
         count = self.demand.get(route.name)
         if count is None:
-            count = self.demand[route.name] = SlidingCount(TRAFFIC_WINDOW_S)
+            count = self.demand[route.name] = SlidingWindowCounter(TRAFFIC_WINDOW_S)
         return count
 
     def has_replicas(self, route: Route) -> bool:
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -16,7 +16,7 @@
     from sardinehook.gateway.gather import Gather
     from sardinehook.gateway.single import SingleCall
 
-__all__ = ["RequestStories"]
+__all__ = ["RequestLog"]
 
 logger = structlog.get_logger(__name__)
 
--- a/sardinehook/gateway/repeat_budget.py
+++ b/sardinehook/gateway/retry_budget.py
@@ -6,13 +6,13 @@
 
 from sardinehook.gateway.settings import Bounds
 
-__all__ = ["RepeatBudget", "SlidingCount"]
+__all__ = ["RetryBudget", "SlidingWindowCounter"]
 
 SLICES_PER_WINDOW = 20  # resolution of the sliding window
 SAFETY_RATIO = 0.9  # of the allowance, since clocks and the wire shift arrivals
 
 
-class SlidingCount:
+class SlidingWindowCounter:
     """Counts events within a sliding window of ``window_s`` seconds.
 
     >>> count = SlidingCount(10.0)
@@ -45,39 +45,39 @@
         return self.sum
 
 
-class RepeatBudget:
+class RetryBudget:
     """One service's repeats within this gateway's part of the fleet's budget.
 
     Each gateway may repeat the promised ratio of the requests that it took itself
     and, of the fixed slack, its share. So no message is needed between gateways, and
     one that is cut off keeps within its part.
 
-    What was spent before ``counts_from`` is not known: a process before this one may
+    What was spent before ``counting_since`` is not known: a process before this one may
     have spent its share, and so may gateways that did not know of this one. The share
     of the slack is there a window later.
     """
 
     __slots__ = ("repeats", "requests", "slack_from")
 
-    def __init__(self, window_s: float, counts_from: float = float("-inf")) -> None:
-        self.requests = SlidingCount(window_s)
-        self.repeats = SlidingCount(window_s)
-        self.slack_from = counts_from + window_s
+    def __init__(self, window_s: float, counting_since: float = float("-inf")) -> None:
+        self.requests = SlidingWindowCounter(window_s)
+        self.repeats = SlidingWindowCounter(window_s)
+        self.slack_from = counting_since + window_s
 
-    def note_request(self, now: float) -> None:
+    def record_request(self, now: float) -> None:
         """Count a caller's request to the service."""
         self.requests.add(1, now)
 
-    def left(self, bounds: Bounds, sharers: float, now: float) -> float:
+    def remaining(self, bounds: Bounds, sharing_gateways: float, now: float) -> float:
         """Return how many repeats may still be sent at ``now``."""
         allowance = bounds.repeat_ratio * self.requests.total(now)
         if now >= self.slack_from:
-            allowance += bounds.repeat_slack / max(1.0, sharers)
+            allowance += bounds.repeat_slack / max(1.0, sharing_gateways)
         return SAFETY_RATIO * allowance - self.repeats.total(now)
 
-    def spend(self, bounds: Bounds, sharers: float, now: float) -> bool:
+    def spend(self, bounds: Bounds, sharing_gateways: float, now: float) -> bool:
         """Take one repeat from the budget, if there is one."""
-        if self.left(bounds, sharers, now) < 1.0:
+        if self.remaining(bounds, sharing_gateways, now) < 1.0:
             return False
         self.repeats.add(1, now)
         return True
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -77,7 +77,7 @@
             problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")
             self.settle_with(refuse(problem))
             return
-        self.policy.budget_of(self.service).note_request(now)
+        self.policy.budget_for(self.service).record_request(now)
         reachable = self.policy.directory.can_serve(self.service, now)
         choice = self.choose(now) if reachable else None
         if choice is None:
@@ -172,7 +172,7 @@
         if choice is None:
             return False
         is_repeat = self.arrived or self.open_exchanges
-        if is_repeat and not self.policy.may_repeat(self.service, now):
+        if is_repeat and not self.policy.try_spend_retry(self.service, now):
             return False
         self.repeats += 1
         self.send(choice.replica, now)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from sardinehook.gateway.dispatch import Exchange
-from sardinehook.gateway.repeat_budget import RepeatBudget
+from sardinehook.gateway.retry_budget import RetryBudget
 from sardinehook.gateway.settings import Bounds
 from tests.gateway.support import (
     REQUEST,
@@ -26,14 +26,14 @@
     def test_no_sliding_window_exceeds_the_share(
         self, steps: list[tuple[float, bool]], gateways: int
     ) -> None:
-        budget = RepeatBudget(BOUNDS.repeat_window_s)
+        budget = RetryBudget(BOUNDS.repeat_window_s)
         now = 0.0
         requests: list[float] = []
         repeats: list[float] = []
         for pause_s, is_request in steps:
             now += pause_s
             if is_request:
-                budget.note_request(now)
+                budget.record_request(now)
                 requests.append(now)
             elif budget.spend(BOUNDS, gateways, now):
                 repeats.append(now)
@@ -46,7 +46,7 @@
     def test_all_gateways_together_keep_the_slack(self) -> None:
         spent = 0
         for _ in range(9):
-            budget = RepeatBudget(BOUNDS.repeat_window_s)
+            budget = RetryBudget(BOUNDS.repeat_window_s)
             while budget.spend(BOUNDS, 9, 1.0):
                 spent += 1
         assert spent <= BOUNDS.repeat_slack
@@ -57,10 +57,10 @@
         requests: list[float] = []
         for started in (0.0, 12.0, 16.0):
             for _ in range(6):
-                budget = RepeatBudget(BOUNDS.repeat_window_s, started)
+                budget = RetryBudget(BOUNDS.repeat_window_s, started)
                 for step in range(40):
                     now = started + 0.1 * step + (10.0 if started == 0.0 else 0.0)
-                    budget.note_request(now)
+                    budget.record_request(now)
                     requests.append(now)
                     while budget.spend(BOUNDS, 6, now):
                         repeats.append(now)
@@ -70,7 +70,7 @@
             assert len(window) <= 0.2 * len(asked) + BOUNDS.repeat_slack
 
     def test_the_slack_is_there_a_window_after_the_start(self) -> None:
-        budget = RepeatBudget(BOUNDS.repeat_window_s, 5.0)
+        budget = RetryBudget(BOUNDS.repeat_window_s, 5.0)
         assert not budget.spend(BOUNDS, 6, 14.9)
         assert budget.spend(BOUNDS, 6, 15.0)
 
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -71,7 +71,7 @@
     def test_hedges_without_budget_are_counted(self) -> None:
         gateway = with_replicas(4, Bounds(repeat_ratio=0.0, repeat_slack=0.0))
         metrics = GatewayMetrics()
-        gateway.policy.note_denied = metrics.repeats_denied.inc
+        gateway.policy.on_retry_denied = metrics.repeats_denied.inc
         gateway.gather(search_route(4))
         gateway.reactor.advance(0.1)
         assert b"repeats_denied_total 4.0" in metrics.render()
