--- a/sardinehook/gateway/answer.py
+++ b/sardinehook/gateway/answer.py
@@ -9,7 +9,7 @@
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.ports import Header
 
-__all__ = ["CallerAnswer", "refuse"]
+__all__ = ["CallerAnswer", "error_answer"]
 
 
 class CallerAnswer(NamedTuple):
@@ -25,10 +25,10 @@
     detail: str = ""
 
 
-def refuse(problem: Problem, retry_after_s: float | None = None) -> CallerAnswer:
+def error_answer(problem: Problem, retry_after_s: float | None = None) -> CallerAnswer:
     """Return the answer for an error; the table of kinds decides the status.
 
-    >>> refuse(Problem(ErrorKind.OVERLOADED, "busy"), 0.25).headers[1]
+    >>> error_answer(Problem(ErrorKind.OVERLOADED, "busy"), 0.25).headers[1]
     (b'Retry-After', b'0.25')
     """
     answer = problem.answer
@@ -47,6 +47,6 @@
     )
 
 
-def invalid(detail: str) -> CallerAnswer:
+def bad_request_answer(detail: str) -> CallerAnswer:
     """Return the answer to a request that is malformed."""
-    return refuse(Problem(ErrorKind.BAD_REQUEST, detail))
+    return error_answer(Problem(ErrorKind.BAD_REQUEST, detail))
--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.delegates import Delegate, Delegates
 from sardinehook.gateway.policy import RequestPolicy, give_up_at
@@ -134,7 +134,7 @@
         if connection is not None and connection.finish is not None:
             connection.abort()
         detail = f"{self.delegate.name}: {reason}"
-        self.settle_with(refuse(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
+        self.settle_with(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
 
     def settle_with(self, answer: CallerAnswer) -> None:
         """End the search with an answer."""
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -6,7 +6,7 @@
 from math import ceil
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route, ShardSet
 from sardinehook.gateway.dispatch import (
@@ -102,14 +102,16 @@
         """Ask one replica of each shard, unless too few shards have one."""
         now = self.reactor.seconds()
         if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
-            self.settle_with(refuse(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")))
+            self.settle_with(
+                error_answer(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late"))
+            )
             return
         choices = [self.choose_reachable(part, now) for part in self.parts]
         match plan_fan_out(choices, self.least_parts, self.objective_at - now):
             case Refuse(problem, places):
                 told = [self.policy.explain(self.parts[p].shard) for p in places[:3]]
                 problem = problem._replace(detail="; ".join([problem.detail, *told]))
-                self.settle_with(refuse(problem, self.retry_after_s(problem)))
+                self.settle_with(error_answer(problem, self.retry_after_s(problem)))
             case Ask(asked):
                 self.ask(choices, asked, now)
 
@@ -329,12 +331,14 @@
         missing = len(self.parts) - self.in_count
         detail = f"{missing} of {len(self.parts)} shards missing: {self.reasons()}"
         if not self.may_have_run and not self.is_waiting():
-            self.settle_with(refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
+            self.settle_with(
+                error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
+            )
             return
         kind = ErrorKind.COVERAGE_BELOW_LEAST
         if self.reactor.seconds() >= self.give_up_at:
             kind = ErrorKind.DEADLINE_EXCEEDED
-        self.settle_with(refuse(Problem(kind, detail)))
+        self.settle_with(error_answer(Problem(kind, detail)))
 
     def is_waiting(self) -> bool:
         """Tell whether any replica may be at work on the search."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -16,7 +16,7 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import refuse
+from sardinehook.gateway.answer import error_answer
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.delegates import Delegates
@@ -326,7 +326,7 @@
         left = len(self.http_server.connections)
         if left:
             problem = Problem(ErrorKind.OUTCOME_UNKNOWN, "the gateway is stopping")
-            self.http_server.fail_requests(refuse(problem))
+            self.http_server.fail_requests(error_answer(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
         for loop in (self.sweeping, self.housekeeping, self.giving_signs):
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import (
     Configuration,
     OneReplica,
@@ -180,7 +180,7 @@
             case Success(request):
                 return self.route(request, finish)
             case Failure(detail):
-                answer = refuse(Problem(ErrorKind.BAD_REQUEST, str(detail)))
+                answer = error_answer(Problem(ErrorKind.BAD_REQUEST, str(detail)))
                 self.request_log.record_refused(raw.target.decode("latin-1"), answer)
                 finish(answer)
         return None
@@ -203,7 +203,7 @@
     ) -> Cancellable | None:
         """Answer a request that starts no work."""
         starting = problem.kind is ErrorKind.NO_DOCUMENT
-        answer = refuse(problem, STARTING_RETRY_S if starting else None)
+        answer = error_answer(problem, STARTING_RETRY_S if starting else None)
         self.request_log.record_refused(request.request_id.decode("latin-1"), answer)
         finish(answer)
         return None
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.dispatch import (
@@ -75,7 +75,7 @@
         now = self.reactor.seconds()
         if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
             problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")
-            self.settle_with(refuse(problem))
+            self.settle_with(error_answer(problem))
             return
         self.policy.budget_for(self.service).record_request(now)
         reachable = self.policy.directory.can_serve(self.service, now)
@@ -85,7 +85,7 @@
                 ErrorKind.TARGET_UNAVAILABLE,
                 f"no replica to ask; {self.policy.explain(self.service)}",
             )
-            self.settle_with(refuse(problem))
+            self.settle_with(error_answer(problem))
             return
         self.send(choice.replica, now)
         if not self.settled:
@@ -228,12 +228,14 @@
         detail = "; ".join(self.reasons[-4:])
         at_work = any(exchange.sent_at for exchange in self.open_exchanges)
         if not self.may_have_run and not at_work:
-            return refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
+            return error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
         if self.failure is not None and not at_work:
             return passed_on(self.failure)
         if now >= self.give_up_at:
-            return refuse(Problem(ErrorKind.DEADLINE_EXCEEDED, detail or "no reply"))
-        return refuse(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
+            return error_answer(
+                Problem(ErrorKind.DEADLINE_EXCEEDED, detail or "no reply")
+            )
+        return error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
 
     def settle_with(self, answer: CallerAnswer) -> None:
         """End the request; what is still at work for it is no longer wanted."""
