Name deadlines and failover in requests by the usual terms

give_up_at is the deadline of a request (deadline_at, request_deadline()), answer_by() is answer_deadline(), and asking another replica while no connection is established is a failover (fail_over(), FAILOVER_AFTER_S).

--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -10,7 +10,7 @@
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.delegates import Delegate, Delegates
-from sardinehook.gateway.policy import RequestPolicy, give_up_at
+from sardinehook.gateway.policy import RequestPolicy, request_deadline
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.search_codec import SEARCH_PATH, decode_outcome, encode_search
 from sardinehook.transport.connection import (
@@ -57,7 +57,7 @@
         self.version = version
         self.finish = finish
         self.search_here = search_here
-        self.give_up_at = give_up_at(request, route)
+        self.deadline_at = request_deadline(request, route)
         self.settled = False
         self.hedges = 0
         self.repeats = 0
--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -25,7 +25,7 @@
 class SearchAway(Protocol):
     """A search that a delegate does."""
 
-    give_up_at: float
+    deadline_at: float
 
     def lose(self, reason: str) -> None:
         """Answer that the search was lost."""
@@ -118,7 +118,7 @@
                 for search in list(delegate.searches):
                     search.lose("the gateway that searches has fallen silent")
             for search in list(delegate.searches):
-                if now > search.give_up_at + OVERDUE_S:
+                if now > search.deadline_at + OVERDUE_S:
                     search.lose("no answer in time")
 
     def avoid(self, delegate: Delegate, reason: str, for_s: float = FAILED_S) -> None:
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -19,10 +19,10 @@
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
 from sardinehook.gateway.part import Part
 from sardinehook.gateway.policy import (
-    MOVE_AFTER_S,
+    FAILOVER_AFTER_S,
     RequestPolicy,
-    answer_by,
-    give_up_at,
+    answer_deadline,
+    request_deadline,
 )
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
@@ -79,13 +79,13 @@
         self.missed_objective = False
         self.timer: Timer | None = None
         begun = request.received_at
-        self.give_up_at = give_up_at(request, route)
-        objective_at = answer_by(request, route.objective_s)
-        self.objective_at = min(objective_at, self.give_up_at)
+        self.deadline_at = request_deadline(request, route)
+        objective_at = answer_deadline(request, route.objective_s)
+        self.objective_at = min(objective_at, self.deadline_at)
         late_at = begun + LATE_RATIO * route.objective_s
-        self.late_at = min(late_at, self.give_up_at)
+        self.late_at = min(late_at, self.deadline_at)
         stop_at = begun + PART_DEADLINE_RATIO * route.objective_s
-        self.part_deadline_at = min(stop_at, self.give_up_at)
+        self.part_deadline_at = min(stop_at, self.deadline_at)
         self.usual_s = policy.usual_s(route)
         hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
         least_s = HEDGE_LEAST_RATIO * route.objective_s
@@ -101,7 +101,7 @@
     def start(self) -> None:
         """Ask one replica of each shard, unless too few shards have one."""
         now = self.reactor.seconds()
-        if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
+        if now + self.usual_s * USEFUL_RATIO > self.deadline_at:
             self.settle_with(
                 error_answer(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late"))
             )
@@ -109,7 +109,10 @@
         choices = [self.choose_reachable(part, now) for part in self.parts]
         match plan_fan_out(choices, self.least_parts, self.objective_at - now):
             case Refuse(problem, places):
-                told = [self.policy.explain(self.parts[p].shard) for p in places[:3]]
+                told = [
+                    self.policy.explain_unavailable(self.parts[p].shard)
+                    for p in places[:3]
+                ]
                 problem = problem._replace(detail="; ".join([problem.detail, *told]))
                 self.settle_with(error_answer(problem, self.retry_after_s(problem)))
             case Ask(asked):
@@ -144,7 +147,7 @@
         if self.policy.directory.reachability.cut_off(now):
             return CUT_OFF_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
-            patience_s = self.give_up_at - self.request.received_at
+            patience_s = self.deadline_at - self.request.received_at
             spread = 1.0 + self.policy.chooser.random.random()
             return RETRY_SHARE * patience_s * spread
         return None
@@ -268,10 +271,10 @@
             if self.send_extra(part, now):
                 self.hedges += 1
             else:
-                self.move(part, now)
+                self.fail_over(part, now)
         self.schedule(now)
 
-    def move(self, part: Part, now: float) -> None:
+    def fail_over(self, part: Part, now: float) -> None:
         """Ask another replica in place of one to which no connection comes about.
 
         Nothing was sent, so it costs neither an attempt nor budget.
@@ -279,8 +282,8 @@
         if any(exchange.sent_at for exchange in part.open_exchanges):
             return
         oldest = part.open_exchanges[0]
-        if now < oldest.started_at + MOVE_AFTER_S:
-            part.hedge_at = oldest.started_at + MOVE_AFTER_S
+        if now < oldest.started_at + FAILOVER_AFTER_S:
+            part.hedge_at = oldest.started_at + FAILOVER_AFTER_S
             return
         choice = self.choose(part, now)
         if choice is None:
@@ -308,14 +311,14 @@
         """Return when the search is settled next, by what it has by then."""
         if now < self.objective_at:
             return self.objective_at
-        return self.late_at if now < self.late_at else self.give_up_at
+        return self.late_at if now < self.late_at else self.deadline_at
 
     def after_change(self, now: float) -> None:
         """Settle if nothing is gained by waiting on."""
         total = len(self.parts)
         if self.in_count + self.lost_count >= total:
             self.settle()
-        elif total - self.lost_count < self.least_parts or now >= self.give_up_at:
+        elif total - self.lost_count < self.least_parts or now >= self.deadline_at:
             self.settle()
         elif now >= self.objective_at:
             enough = self.in_count >= self.least_parts
@@ -336,7 +339,7 @@
             )
             return
         kind = ErrorKind.COVERAGE_BELOW_LEAST
-        if self.reactor.seconds() >= self.give_up_at:
+        if self.reactor.seconds() >= self.deadline_at:
             kind = ErrorKind.DEADLINE_EXCEEDED
         self.settle_with(error_answer(Problem(kind, detail)))
 
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -14,17 +14,17 @@
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
-__all__ = ["MOVE_AFTER_S", "RequestPolicy", "answer_by", "give_up_at"]
+__all__ = ["FAILOVER_AFTER_S", "RequestPolicy", "answer_deadline", "request_deadline"]
 
-MOVE_AFTER_S = 0.06  # connections to replicas that live are open by then
+FAILOVER_AFTER_S = 0.06  # connections to replicas that live are open by then
 ANSWER_MARGIN_S = 0.01  # reading and writing on a busy VM, a late timer, merging
-FIRST_GUESS_RATIO = 0.2  # of the objective: the latency of a route not seen yet
-USUAL_QUANTILE = 0.5
+INITIAL_LATENCY_RATIO = 0.2  # of the objective: the latency of a route not seen yet
+MEDIAN = 0.5
 EXPLAINED_REPLICAS = 4  # of a service, in a line of the log
 MS_PER_S = 1000.0
 
 
-def answer_by(request: CallerRequest, within_s: float) -> float:
+def answer_deadline(request: CallerRequest, within_s: float) -> float:
     """Return when the answer has to be written to be there ``within_s`` after it all.
 
     >>> request = CallerRequest(b"r", b"GET", b"/", "h", (), b"", None, 10.0, 0.016)
@@ -34,12 +34,12 @@
     return request.received_at + within_s - request.path_s - ANSWER_MARGIN_S
 
 
-def give_up_at(request: CallerRequest, route: Route) -> float:
+def request_deadline(request: CallerRequest, route: Route) -> float:
     """Return when a request has to be answered, whatever there is by then."""
     patience_s = route.timeout_s
     if request.patience_s is not None:
         patience_s = min(patience_s, request.patience_s)
-    return answer_by(request, patience_s)
+    return answer_deadline(request, patience_s)
 
 
 class RequestPolicy:
@@ -93,18 +93,18 @@
         self.on_retry_denied()
         return False
 
-    def usual_s(self, route: Route, quantile: float = USUAL_QUANTILE) -> float:
+    def usual_s(self, route: Route, quantile: float = MEDIAN) -> float:
         """Return a quantile of the time that replicas take for a route."""
         known = self.latencies.quantile(route.name, quantile)
         if known is None:
-            return FIRST_GUESS_RATIO * route.objective_s
+            return INITIAL_LATENCY_RATIO * route.objective_s
         return known / MS_PER_S
 
     def observe(self, route: Route, took_s: float) -> None:
         """Take in how long a replica took."""
         self.latencies.record(route.name, took_s * MS_PER_S)
 
-    def explain(self, service: str) -> str:
+    def explain_unavailable(self, service: str) -> str:
         """Tell for the log why the replicas of a service are not asked."""
         now = self.reactor.seconds()
         known = self.directory.by_service.get(service, [])
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -15,7 +15,7 @@
     Failed,
     NotRun,
 )
-from sardinehook.gateway.policy import MOVE_AFTER_S, RequestPolicy, give_up_at
+from sardinehook.gateway.policy import FAILOVER_AFTER_S, RequestPolicy, request_deadline
 from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
 from sardinehook.transport.reactor import Timer
@@ -64,7 +64,7 @@
         self.reasons: list[str] = []
         self.failure: ReplicaReply | None = None
         self.timer: Timer | None = None
-        self.give_up_at = give_up_at(request, route)
+        self.deadline_at = request_deadline(request, route)
         self.usual_s = policy.usual_s(route)
         hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
         self.hedge_delay_s = min(hedge_s, HEDGE_MOST_RATIO * route.objective_s)
@@ -73,7 +73,7 @@
     def start(self) -> None:
         """Send the request to the best replica, or refuse it."""
         now = self.reactor.seconds()
-        if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
+        if now + self.usual_s * USEFUL_RATIO > self.deadline_at:
             problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")
             self.settle_with(error_answer(problem))
             return
@@ -83,7 +83,7 @@
         if choice is None:
             problem = Problem(
                 ErrorKind.TARGET_UNAVAILABLE,
-                f"no replica to ask; {self.policy.explain(self.service)}",
+                f"no replica to ask; {self.policy.explain_unavailable(self.service)}",
             )
             self.settle_with(error_answer(problem))
             return
@@ -93,7 +93,7 @@
 
     def choose(self, now: float) -> Choice | None:
         """Return the replica to ask."""
-        left_s = self.give_up_at - now
+        left_s = self.deadline_at - now
         return self.policy.chooser.choose(
             self.service, self.usual_s, self.tried, left_s, now
         )
@@ -103,7 +103,7 @@
         self.attempts += 1
         self.tried.append(replica)
         exchange = Exchange(
-            self.request, replica, now, self.give_up_at, self.exchange_ended
+            self.request, replica, now, self.deadline_at, self.exchange_ended
         )
         self.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
@@ -166,7 +166,7 @@
             return False
         if self.attempts >= self.route.most_attempts or self.refusals > REFUSED_SENDS:
             return False
-        if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
+        if now + self.usual_s * USEFUL_RATIO > self.deadline_at:
             return False
         choice = self.choose(now)
         if choice is None:
@@ -180,7 +180,7 @@
 
     def schedule(self, now: float) -> None:
         """Set the timer to what is due next."""
-        due_at = self.give_up_at
+        due_at = self.deadline_at
         if self.hedge_at is not None:
             due_at = min(due_at, self.hedge_at)
         self.timer = self.reactor.callLater(max(0.0, due_at - now), self.check)
@@ -191,25 +191,25 @@
         if self.settled:
             return
         now = self.reactor.seconds()
-        if now >= self.give_up_at:
+        if now >= self.deadline_at:
             self.settle_with(self.failed(now))
             return
         if self.hedge_at is not None and now >= self.hedge_at:
             self.hedge_at = None
             if not any(exchange.sent_at for exchange in self.open_exchanges):
-                self.move(now)
+                self.fail_over(now)
             elif self.route.idempotent:
                 self.hedges += self.send_extra(now)
         if not self.settled:
             self.schedule(now)
 
-    def move(self, now: float) -> None:
+    def fail_over(self, now: float) -> None:
         """Ask another replica in place of one to which no connection comes about.
 
         Nothing was sent, so it is safe for any request, and costs neither an attempt
         nor budget.
         """
-        ready_at = self.open_exchanges[-1].started_at + MOVE_AFTER_S
+        ready_at = self.open_exchanges[-1].started_at + FAILOVER_AFTER_S
         if now < ready_at:
             self.hedge_at = ready_at
             return
@@ -231,7 +231,7 @@
             return error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
         if self.failure is not None and not at_work:
             return passed_on(self.failure)
-        if now >= self.give_up_at:
+        if now >= self.deadline_at:
             return error_answer(
                 Problem(ErrorKind.DEADLINE_EXCEEDED, detail or "no reply")
             )
