Name the delegation of a search by one family of words

A search was handed over, taken over, kept, lost or away. It is now delegated: DelegatedRequest, WireAnswer with encode_answer() and decode_answer(), search_locally() and fail(). The fields on the wire and their order stay.

--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -12,7 +12,7 @@
 from sardinehook.gateway.delegates import Delegate, Delegates
 from sardinehook.gateway.policy import RequestPolicy, request_deadline
 from sardinehook.gateway.ports import CallerRequest
-from sardinehook.gateway.search_codec import SEARCH_PATH, decode_outcome, encode_search
+from sardinehook.gateway.search_codec import SEARCH_PATH, decode_answer, encode_search
 from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
@@ -23,18 +23,19 @@
 
 __all__ = ["DelegatedSearch"]
 
-NOT_TAKEN_S = 0.5  # after a refusal: the same version is in force at both by then
+REFUSED_AVOID_S = 0.5  # after a refusal: the same version is in force at both by then
 KEEP_ALIVE_S = 30.0  # gateways keep idle connections for longer
-NOT_TAKEN = 503
+SERVICE_UNAVAILABLE = 503
 OK = 200
 
 
 class DelegatedSearch:
     """One search at a delegate; ``finish`` is called once with the answer.
 
-    Where the delegate surely did not take it, ``search_here`` is called instead. One
-    that was lost there is answered as such at once, and the caller may try again:
-    searching here as well could ask replicas more often than the route allows.
+    Where the delegate surely did not take it, ``start_local_search`` is called
+    instead. One that was lost there is answered as such at once, and the caller may
+    try again: searching here as well could ask replicas more often than the route
+    allows.
     """
 
     def __init__(
@@ -46,7 +47,7 @@
         route: Route,
         version: int,
         finish: Callable[[CallerAnswer], None],
-        search_here: Callable[[], None],
+        start_local_search: Callable[[], None],
     ) -> None:
         self.policy = policy
         self.reactor = policy.reactor
@@ -56,7 +57,7 @@
         self.route = route
         self.version = version
         self.finish = finish
-        self.search_here = search_here
+        self.start_local_search = start_local_search
         self.deadline_at = request_deadline(request, route)
         self.settled = False
         self.hedges = 0
@@ -74,7 +75,7 @@
             return
         if connection is None:
             self.delegates.avoid(self.delegate, "no connection")
-            self.keep()
+            self.search_locally()
             return
         self.connection = connection
         node = self.delegates.fleet.node
@@ -93,21 +94,21 @@
             case Replied(reply):
                 if self.connection is not None:
                     self.delegate.pool.give_back(self.connection, KEEP_ALIVE_S)
-                if reply.status == NOT_TAKEN:
+                if reply.status == SERVICE_UNAVAILABLE:
                     reason = reply.body.decode("latin-1")
-                    self.delegates.avoid(self.delegate, reason, NOT_TAKEN_S)
-                    self.keep()
+                    self.delegates.avoid(self.delegate, reason, REFUSED_AVOID_S)
+                    self.search_locally()
                 elif reply.status != OK:
-                    self.lose(f"status {reply.status}")
+                    self.fail(f"status {reply.status}")
                 else:
                     self.take(reply.body)
             case Malformed(detail) | Lost(detail):
                 self.delegates.avoid(self.delegate, detail)
-                self.lose(detail)
+                self.fail(detail)
 
     def take(self, body: bytes) -> None:
         """Pass the delegate's answer on."""
-        match decode_outcome(body):
+        match decode_answer(body):
             case Success(told):
                 self.hedges = told.hedges
                 self.repeats = told.repeats
@@ -118,15 +119,15 @@
                     )
                 )
             case Failure(detail):
-                self.lose(str(detail))
+                self.fail(str(detail))
 
-    def keep(self) -> None:
+    def search_locally(self) -> None:
         """Search here, since the delegate did not take the search."""
-        self.leave_delegate()
+        self.detach()
         self.settled = True
-        self.search_here()
+        self.start_local_search()
 
-    def lose(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
         """Answer that the search was lost."""
         if self.settled:
             return
@@ -138,12 +139,12 @@
 
     def settle_with(self, answer: CallerAnswer) -> None:
         """End the search with an answer."""
-        self.leave_delegate()
+        self.detach()
         if not self.settled:
             self.settled = True
             self.finish(answer)
 
-    def leave_delegate(self) -> None:
+    def detach(self) -> None:
         """Count the search at the delegate no more."""
         self.delegate.searches.pop(self, None)
         self.delegate.pool.withdraw(self.connected)
@@ -153,6 +154,6 @@
         if self.settled:
             return
         self.settled = True
-        self.leave_delegate()
+        self.detach()
         if self.connection is not None and self.connection.finish is not None:
             self.connection.abort()
--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -27,7 +27,7 @@
 
     deadline_at: float
 
-    def lose(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
         """Answer that the search was lost."""
 
 
@@ -116,10 +116,10 @@
             if delegate.searches and silent_s > SILENT_AFTER_S:
                 self.avoid(delegate, "silent")
                 for search in list(delegate.searches):
-                    search.lose("the gateway that searches has fallen silent")
+                    search.fail("the gateway that searches has fallen silent")
             for search in list(delegate.searches):
                 if now > search.deadline_at + OVERDUE_S:
-                    search.lose("no answer in time")
+                    search.fail("no answer in time")
 
     def avoid(self, delegate: Delegate, reason: str, for_s: float = FAILED_S) -> None:
         """Hand nothing to a delegate for a while."""
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -25,9 +25,9 @@
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
 from sardinehook.gateway.search_codec import (
-    HandedOver,
+    DelegatedRequest,
     decode_search,
-    encode_outcome,
+    encode_answer,
 )
 from sardinehook.gateway.single import SingleCall
 
@@ -244,13 +244,13 @@
     ) -> None:
         """Start a search at a delegate, or here if there is none that takes it."""
 
-        def search_here() -> None:
+        def start_local_search() -> None:
             leavable.begin(Gather(self.policy, request, route, shards, done))
 
         delegates = self.delegates
         delegate = delegates.choose() if delegates else None
         if delegates is None or delegate is None:
-            search_here()
+            start_local_search()
             return
         version = configuration.version
         leavable.begin(
@@ -262,7 +262,7 @@
                 route,
                 version,
                 done,
-                search_here,
+                start_local_search,
             )
         )
 
@@ -279,7 +279,9 @@
                 finish(not_taken(str(detail)))
         return None
 
-    def begin_delegated(self, handed: HandedOver, finish: Finish) -> Cancellable | None:
+    def begin_delegated(
+        self, handed: DelegatedRequest, finish: Finish
+    ) -> Cancellable | None:
         """Start a search for another gateway."""
         request = handed.request
         configuration = self.recent_versions.get(handed.version)
@@ -300,7 +302,7 @@
             self.delegated_in_flight -= size
             work = leavable.work
             self.request_log.record_ended(work, handed.version, answer, handed.node)
-            outcome = encode_outcome(answer, work.hedges, work.repeats)
+            outcome = encode_answer(answer, work.hedges, work.repeats)
             finish(CallerAnswer(200, (), outcome, "for a peer"))
 
         leavable.begin(Gather(self.policy, request, route, shards, done))
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -12,16 +12,16 @@
 
 __all__ = [
     "SEARCH_PATH",
-    "HandedOver",
-    "Outcome",
-    "decode_outcome",
+    "DelegatedRequest",
+    "WireAnswer",
+    "decode_answer",
     "decode_search",
-    "encode_outcome",
+    "encode_answer",
     "encode_search",
 ]
 
 SEARCH_PATH = b"/search"
-HAND_OVER_S = 0.004  # both ways between two gateways, over the narrow link of one
+DELEGATION_ROUND_TRIP_S = 0.004  # between two gateways, one with a narrow link
 
 
 class WireSearch(msgspec.Struct, array_like=True):
@@ -40,7 +40,7 @@
     path_s: float
 
 
-class Outcome(msgspec.Struct, array_like=True):
+class WireAnswer(msgspec.Struct, array_like=True):
     """What became of a search that was handed over."""
 
     status: int
@@ -52,7 +52,7 @@
     repeats: int
 
 
-class HandedOver(NamedTuple):
+class DelegatedRequest(NamedTuple):
     """A search that another gateway has handed over."""
 
     node: str
@@ -73,12 +73,12 @@
         request.body,
         request.patience_s,
         now - request.received_at,
-        request.path_s + HAND_OVER_S,
+        request.path_s + DELEGATION_ROUND_TRIP_S,
     )
     return msgspec.msgpack.encode(wire)
 
 
-def decode_search(body: bytes, now: float) -> Result[HandedOver, str]:
+def decode_search(body: bytes, now: float) -> Result[DelegatedRequest, str]:
     """Decode a search that came at ``now``.
 
     >>> decode_search(b"x", 0.0).failure()
@@ -99,12 +99,12 @@
         now - wire.elapsed_s,
         wire.path_s,
     )
-    return Success(HandedOver(wire.node, wire.version, request))
+    return Success(DelegatedRequest(wire.node, wire.version, request))
 
 
-def encode_outcome(answer: CallerAnswer, hedges: int, repeats: int) -> bytes:
+def encode_answer(answer: CallerAnswer, hedges: int, repeats: int) -> bytes:
     """Encode what became of a search."""
-    wire = Outcome(
+    wire = WireAnswer(
         answer.status,
         list(answer.headers),
         answer.body,
@@ -116,9 +116,9 @@
     return msgspec.msgpack.encode(wire)
 
 
-def decode_outcome(body: bytes) -> Result[Outcome, str]:
+def decode_answer(body: bytes) -> Result[WireAnswer, str]:
     """Decode what became of a search."""
     try:
-        return Success(msgspec.msgpack.decode(body, type=Outcome))
+        return Success(msgspec.msgpack.decode(body, type=WireAnswer))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(f"malformed outcome of a peer: {error}")
