Name the request to one shard and its state

A Part that is "in" or "lost" is the request to one shard of a search: ShardRequest with has_answered and has_failed, and the counts and deadlines in the search accordingly. Positions in the list of shards are positions. The attribute that the request log looks up by string follows.

--- a/sardinehook/gateway/fan_out.py
+++ b/sardinehook/gateway/fan_out.py
@@ -8,7 +8,7 @@
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.choice import Choice
 
-__all__ = ["Ask", "FanOut", "Refuse", "plan_fan_out"]
+__all__ = ["Ask", "FanOutPlan", "Refuse", "plan_fan_out"]
 
 SPARE_SHARDS = 1  # doubtful shards asked beyond what the least coverage needs
 
@@ -17,7 +17,7 @@
 class Ask:
     """Ask the shards at these places."""
 
-    places: frozenset[int]
+    positions: frozenset[int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,15 +25,15 @@
     """Ask none: the search can't be served, or not in time, for these shards."""
 
     problem: Problem
-    places: tuple[int, ...]
+    positions: tuple[int, ...]
 
 
-FanOut = Ask | Refuse
+FanOutPlan = Ask | Refuse
 
 
 def plan_fan_out(
     choices: Sequence[Choice | None], least_shards: int, left_s: float
-) -> FanOut:
+) -> FanOutPlan:
     """Decide which shards to ask with ``left_s`` left until the objective.
 
     Shards that are likely to reply in time are asked, and so are those that are
@@ -43,16 +43,18 @@
     and those behind it would miss their objective; where replicas are slow by
     themselves it is begun, since coming back later would not help.
     """
-    offered = [place for place, choice in enumerate(choices) if choice is not None]
+    offered = [
+        position for position, choice in enumerate(choices) if choice is not None
+    ]
     if len(offered) < least_shards:
         missing = tuple(p for p, choice in enumerate(choices) if choice is None)
         detail = f"{len(missing)} of {len(choices)} shards have no replica to ask"
         return Refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail), missing)
-    found = {place: choice for place, choice in enumerate(choices) if choice}
-    prompt = [place for place in offered if found[place].likely_s <= left_s]
-    doubtful = [place for place in offered if found[place].likely_s > left_s]
+    found = {position: choice for position, choice in enumerate(choices) if choice}
+    prompt = [position for position in offered if found[position].likely_s <= left_s]
+    doubtful = [position for position in offered if found[position].likely_s > left_s]
     idle = [p for p in doubtful if found[p].likely_s <= found[p].idle_s]
-    doubtful.sort(key=lambda place: found[place].likely_s)
+    doubtful.sort(key=lambda position: found[position].likely_s)
     needed = least_shards - len(prompt)
     if needed <= 0:
         return Ask(frozenset(prompt + idle))
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -17,7 +17,6 @@
     NotRun,
 )
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
-from sardinehook.gateway.part import Part
 from sardinehook.gateway.policy import (
     FAILOVER_AFTER_S,
     RequestPolicy,
@@ -27,6 +26,7 @@
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.shard_request import ShardRequest
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["Gather"]
@@ -35,7 +35,7 @@
 HEDGE_LEAST_RATIO = 0.08  # of the objective: no hedge is sent earlier
 HEDGE_MOST_RATIO = 0.35  # of the objective: time for a second reply is left then
 LATE_RATIO = 1.5  # of the objective: when a late answer stops waiting for the rest
-PART_DEADLINE_RATIO = 2.5  # of the objective: replicas stop work by then
+SHARD_DEADLINE_RATIO = 2.5  # of the objective: replicas stop work by then
 REFUSED_SENDS = 2  # sends beyond the route's attempts for those that did not run
 RETRY_SHARE = 0.15  # of a caller's patience, at least, passes before it comes back
 CUT_OFF_RETRY_S = 2.0  # two missed probes, one a second, turn the balancer away
@@ -68,11 +68,11 @@
         self.route = route
         self.shards = shards
         self.finish = finish
-        self.parts = [Part(shard) for shard in shards.shards]
+        self.shard_requests = [ShardRequest(name) for name in shards.shards]
         self.signatures: set[bytes] = set()
         self.settled = False
-        self.in_count = 0
-        self.lost_count = 0
+        self.answered_count = 0
+        self.failed_count = 0
         self.hedges = 0
         self.repeats = 0
         self.may_have_run = False
@@ -84,8 +84,8 @@
         self.objective_at = min(objective_at, self.deadline_at)
         late_at = begun + LATE_RATIO * route.objective_s
         self.late_at = min(late_at, self.deadline_at)
-        stop_at = begun + PART_DEADLINE_RATIO * route.objective_s
-        self.part_deadline_at = min(stop_at, self.deadline_at)
+        stop_at = begun + SHARD_DEADLINE_RATIO * route.objective_s
+        self.shard_deadline_at = min(stop_at, self.deadline_at)
         self.usual_s = policy.usual_s(route)
         hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
         least_s = HEDGE_LEAST_RATIO * route.objective_s
@@ -93,9 +93,9 @@
         self.hedge_delay_s = min(max(hedge_s, least_s), most_s)
 
     @property
-    def least_parts(self) -> int:
+    def required_shards(self) -> int:
         """How many shards an answer needs."""
-        needed = self.shards.least_coverage * len(self.parts)
+        needed = self.shards.least_coverage * len(self.shard_requests)
         return max(1, ceil(needed - ROUNDING))
 
     def start(self) -> None:
@@ -106,12 +106,12 @@
                 error_answer(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late"))
             )
             return
-        choices = [self.choose_reachable(part, now) for part in self.parts]
-        match plan_fan_out(choices, self.least_parts, self.objective_at - now):
-            case Refuse(problem, places):
+        choices = [self.choose_reachable(shard, now) for shard in self.shard_requests]
+        match plan_fan_out(choices, self.required_shards, self.objective_at - now):
+            case Refuse(problem, positions):
                 told = [
-                    self.policy.explain_unavailable(self.parts[p].shard)
-                    for p in places[:3]
+                    self.policy.explain_unavailable(self.shard_requests[p].name)
+                    for p in positions[:3]
                 ]
                 problem = problem._replace(detail="; ".join([problem.detail, *told]))
                 self.settle_with(error_answer(problem, self.retry_after_s(problem)))
@@ -119,18 +119,18 @@
                 self.ask(choices, asked, now)
 
     def ask(
-        self, choices: list[Choice | None], places: frozenset[int], now: float
+        self, choices: list[Choice | None], positions: frozenset[int], now: float
     ) -> None:
-        """Send the first requests to the shards at ``places``; the others are lost."""
-        for place, choice in enumerate(choices):
-            part = self.parts[place]
-            self.policy.budget_for(part.shard).record_request(now)
-            if choice is None or place not in places:
-                part.asked = True
-                part.reason = "queue too long" if choice else "no replica"
-                self.lost_count += 1
+        """Send the first requests to the shards at ``positions``; the others fail."""
+        for position, choice in enumerate(choices):
+            shard = self.shard_requests[position]
+            self.policy.budget_for(shard.name).record_request(now)
+            if choice is None or position not in positions:
+                shard.asked = True
+                shard.reason = "queue too long" if choice else "no replica"
+                self.failed_count += 1
             else:
-                self.send(part, choice.replica, now)
+                self.send(shard, choice.replica, now)
             if self.settled:
                 return
         self.after_change(now)
@@ -152,48 +152,48 @@
             return RETRY_SHARE * patience_s * spread
         return None
 
-    def choose(self, part: Part, now: float) -> Choice | None:
+    def choose(self, shard: ShardRequest, now: float) -> Choice | None:
         """Return the replica to ask for a shard."""
-        left_s = self.part_deadline_at - now
+        left_s = self.shard_deadline_at - now
         return self.policy.chooser.choose(
-            part.shard, self.usual_s, part.tried, left_s, now
+            shard.name, self.usual_s, shard.tried, left_s, now
         )
 
-    def choose_reachable(self, part: Part, now: float) -> Choice | None:
+    def choose_reachable(self, shard: ShardRequest, now: float) -> Choice | None:
         """Return the replica to ask first, ``None`` if all are cut off from here."""
-        if not self.policy.directory.can_serve(part.shard, now):
+        if not self.policy.directory.can_serve(shard.name, now):
             return None
-        return self.choose(part, now)
+        return self.choose(shard, now)
 
-    def send(self, part: Part, replica: Replica, now: float) -> None:
+    def send(self, shard: ShardRequest, replica: Replica, now: float) -> None:
         """Ask ``replica`` for a shard."""
-        part.asked = True
-        part.attempts += 1
-        part.tried.append(replica)
-        part.hedge_at = now + self.hedge_delay_s
+        shard.asked = True
+        shard.attempts += 1
+        shard.tried.append(replica)
+        shard.hedge_at = now + self.hedge_delay_s
         exchange = Exchange(
             self.request,
             replica,
             now,
-            self.part_deadline_at,
-            lambda exchange, outcome: self.exchange_ended(part, exchange, outcome),
+            self.shard_deadline_at,
+            lambda exchange, outcome: self.exchange_ended(shard, exchange, outcome),
         )
-        part.open_exchanges.append(exchange)
+        shard.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
 
     def exchange_ended(
-        self, part: Part, exchange: Exchange, outcome: ExchangeOutcome
+        self, shard: ShardRequest, exchange: Exchange, outcome: ExchangeOutcome
     ) -> None:
         """Take in the end of one exchange."""
         now = self.reactor.seconds()
-        if exchange in part.open_exchanges:
-            part.open_exchanges.remove(exchange)
-        part.arrived = part.arrived or exchange.sent_at > 0.0
+        if exchange in shard.open_exchanges:
+            shard.open_exchanges.remove(exchange)
+        shard.arrived = shard.arrived or exchange.sent_at > 0.0
         self.observe(exchange, outcome, now)
-        if self.settled or part.is_in:
+        if self.settled or shard.has_answered:
             return
-        if not self.accept(part, outcome):
-            self.try_again(part, now)
+        if not self.accept(shard, outcome):
+            self.try_again(shard, now)
         self.after_change(now)
 
     def observe(self, exchange: Exchange, outcome: ExchangeOutcome, now: float) -> None:
@@ -204,54 +204,54 @@
                 took_s = dispatcher.observe_reply_time(exchange, self.usual_s, now)
                 self.policy.observe(self.route, took_s)
 
-    def accept(self, part: Part, outcome: ExchangeOutcome) -> bool:
+    def accept(self, shard: ShardRequest, outcome: ExchangeOutcome) -> bool:
         """Take a part in, or note why it is not one."""
         match outcome:
             case Answered(reply):
                 self.may_have_run = True
                 signature = reply.signature
                 if not reply.is_success or signature is None:
-                    part.reason = f"status {reply.status}"
+                    shard.reason = f"status {reply.status}"
                     return False
                 if signature in self.signatures:
-                    part.reason = "signature of another shard"
+                    shard.reason = "signature of another shard"
                     return False
                 self.signatures.add(signature)
-                part.signature = signature
-                part.records = split_records(reply.body, self.shards.most_records)
-                self.in_count += 1
+                shard.signature = signature
+                shard.records = split_records(reply.body, self.shards.most_records)
+                self.answered_count += 1
                 return True
             case NotRun(detail, sent):
-                part.reason = detail
-                part.attempts -= 1
-                part.refusals += sent
+                shard.reason = detail
+                shard.attempts -= 1
+                shard.refusals += sent
             case Failed(detail):
                 self.may_have_run = True
-                part.reason = detail
+                shard.reason = detail
         return False
 
-    def try_again(self, part: Part, now: float) -> None:
+    def try_again(self, shard: ShardRequest, now: float) -> None:
         """Ask another replica after a failure, or give the shard up."""
-        if part.open_exchanges:
+        if shard.open_exchanges:
             return
-        if not self.send_extra(part, now):
-            self.lost_count += 1
+        if not self.send_extra(shard, now):
+            self.failed_count += 1
         else:
             self.repeats += 1
 
-    def send_extra(self, part: Part, now: float) -> bool:
+    def send_extra(self, shard: ShardRequest, now: float) -> bool:
         """Ask one more replica for a shard if attempts, time and budget allow."""
-        if part.attempts >= self.route.most_attempts or part.refusals > REFUSED_SENDS:
+        if shard.attempts >= self.route.most_attempts or shard.refusals > REFUSED_SENDS:
             return False
-        if now + self.usual_s * USEFUL_RATIO > self.part_deadline_at:
+        if now + self.usual_s * USEFUL_RATIO > self.shard_deadline_at:
             return False
-        choice = self.choose(part, now)
+        choice = self.choose(shard, now)
         if choice is None:
             return False
-        is_repeat = part.arrived or part.open_exchanges
-        if is_repeat and not self.policy.try_spend_retry(part.shard, now):
+        is_repeat = shard.arrived or shard.open_exchanges
+        if is_repeat and not self.policy.try_spend_retry(shard.name, now):
             return False
-        self.send(part, choice.replica, now)
+        self.send(shard, choice.replica, now)
         return True
 
     def check(self) -> None:
@@ -263,47 +263,51 @@
         self.after_change(now)
         if self.settled:
             return
-        for part in self.parts:
-            if part.is_in or not part.open_exchanges or now < part.hedge_at:
+        for shard in self.shard_requests:
+            if shard.has_answered or not shard.open_exchanges or now < shard.hedge_at:
                 continue
-            part.hedge_at = float("inf")
-            self.note_overdue(part, now)
-            if self.send_extra(part, now):
+            shard.hedge_at = float("inf")
+            self.note_overdue(shard, now)
+            if self.send_extra(shard, now):
                 self.hedges += 1
             else:
-                self.fail_over(part, now)
+                self.fail_over(shard, now)
         self.schedule(now)
 
-    def fail_over(self, part: Part, now: float) -> None:
+    def fail_over(self, shard: ShardRequest, now: float) -> None:
         """Ask another replica in place of one to which no connection comes about.
 
         Nothing was sent, so it costs neither an attempt nor budget.
         """
-        if any(exchange.sent_at for exchange in part.open_exchanges):
+        if any(exchange.sent_at for exchange in shard.open_exchanges):
             return
-        oldest = part.open_exchanges[0]
+        oldest = shard.open_exchanges[0]
         if now < oldest.started_at + FAILOVER_AFTER_S:
-            part.hedge_at = oldest.started_at + FAILOVER_AFTER_S
+            shard.hedge_at = oldest.started_at + FAILOVER_AFTER_S
             return
-        choice = self.choose(part, now)
+        choice = self.choose(shard, now)
         if choice is None:
             return
-        part.open_exchanges.remove(oldest)
+        shard.open_exchanges.remove(oldest)
         self.policy.dispatcher.abandon(oldest)
-        part.attempts -= 1
-        self.send(part, choice.replica, now)
+        shard.attempts -= 1
+        self.send(shard, choice.replica, now)
 
-    def note_overdue(self, part: Part, now: float) -> None:
+    def note_overdue(self, shard: ShardRequest, now: float) -> None:
         """Learn from a reply that is overdue, before it comes."""
-        for exchange in part.open_exchanges:
+        for exchange in shard.open_exchanges:
             self.policy.dispatcher.observe_overdue(exchange, self.usual_s, now)
 
     def schedule(self, now: float) -> None:
         """Set the timer to what is due next."""
         due_at = self.next_deadline(now)
-        for part in self.parts:
-            if not part.is_in and part.open_exchanges and part.hedge_at < due_at:
-                due_at = part.hedge_at
+        for shard in self.shard_requests:
+            if (
+                not shard.has_answered
+                and shard.open_exchanges
+                and shard.hedge_at < due_at
+            ):
+                due_at = shard.hedge_at
         delay_s = max(0.0, due_at - now)
         self.timer = self.reactor.callLater(delay_s, self.check)
 
@@ -315,24 +319,28 @@
 
     def after_change(self, now: float) -> None:
         """Settle if nothing is gained by waiting on."""
-        total = len(self.parts)
-        if self.in_count + self.lost_count >= total:
+        total = len(self.shard_requests)
+        if self.answered_count + self.failed_count >= total:
             self.settle()
-        elif total - self.lost_count < self.least_parts or now >= self.deadline_at:
+        elif (
+            total - self.failed_count < self.required_shards or now >= self.deadline_at
+        ):
             self.settle()
         elif now >= self.objective_at:
-            enough = self.in_count >= self.least_parts
+            enough = self.answered_count >= self.required_shards
             if enough and (not self.missed_objective or now >= self.late_at):
                 self.settle()
             self.missed_objective = True
 
     def settle(self) -> None:
         """Answer with the parts that are in, or say why there are too few."""
-        if self.in_count >= self.least_parts:
+        if self.answered_count >= self.required_shards:
             self.settle_with(self.merged())
             return
-        missing = len(self.parts) - self.in_count
-        detail = f"{missing} of {len(self.parts)} shards missing: {self.reasons()}"
+        missing = len(self.shard_requests) - self.answered_count
+        detail = (
+            f"{missing} of {len(self.shard_requests)} shards missing: {self.reasons()}"
+        )
         if not self.may_have_run and not self.is_waiting():
             self.settle_with(
                 error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
@@ -346,27 +354,29 @@
     def is_waiting(self) -> bool:
         """Tell whether any replica may be at work on the search."""
         return any(
-            exchange.sent_at for part in self.parts for exchange in part.open_exchanges
+            exchange.sent_at
+            for shard in self.shard_requests
+            for exchange in shard.open_exchanges
         )
 
     def merged(self) -> CallerAnswer:
         """Merge the parts that are in."""
-        parts = [part for part in self.parts if part.records is not None]
-        missing = len(self.parts) - len(parts)
+        answered = [shard for shard in self.shard_requests if shard.records is not None]
+        missing = len(self.shard_requests) - len(answered)
         headers = self.policy.callers.merged_headers(
-            [part.signature for part in parts], missing
+            [shard.signature for shard in answered], missing
         )
-        records = [part.records or [] for part in parts]
+        records = [shard.records or [] for shard in answered]
         body = merge_records(records, self.shards.most_records)
         detail = self.reasons() if missing else ""
         return CallerAnswer(200, headers, body, "answered", detail)
 
     def reasons(self) -> str:
         """List the shards that are missing, each with the replicas asked and why."""
-        missing = [part for part in self.parts if not part.is_in]
+        missing = [shard for shard in self.shard_requests if not shard.has_answered]
         told = [
-            f"{part.shard}:{'+'.join(r.replica_id for r in part.tried)}:{part.reason}"
-            for part in missing[:8]
+            f"{shard.name}:{'+'.join(r.replica_id for r in shard.tried)}:{shard.reason}"
+            for shard in missing[:8]
         ]
         return "; ".join(told)
 
@@ -380,10 +390,10 @@
 
     def drop_waiting(self) -> None:
         """Abandon what has not been sent; what is at work ends by its deadline."""
-        for part in self.parts:
-            for exchange in list(part.open_exchanges):
+        for shard in self.shard_requests:
+            for exchange in list(shard.open_exchanges):
                 if not exchange.sent_at:
-                    part.open_exchanges.remove(exchange)
+                    shard.open_exchanges.remove(exchange)
                     self.policy.dispatcher.abandon(exchange)
 
     def cancel(self) -> None:
@@ -397,8 +407,8 @@
 
     def abandon_all(self) -> None:
         """Abandon what is still at work."""
-        for part in self.parts:
-            for exchange in part.open_exchanges:
+        for shard in self.shard_requests:
+            for exchange in shard.open_exchanges:
                 if not exchange.over:
                     self.policy.dispatcher.abandon(exchange)
-            part.open_exchanges.clear()
+            shard.open_exchanges.clear()
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -89,9 +89,9 @@
 
     def count_missing(self, work: Gather | SingleCall | DelegatedSearch) -> None:
         """Count the shards that a search left out."""
-        for part in getattr(work, "parts", ()):
-            if not part.is_in:
-                kind = missing_reason(part.reason)
+        for shard in getattr(work, "shard_requests", ()):
+            if not shard.has_answered:
+                kind = missing_reason(shard.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
     def record_cancelled(self, work: Gather | SingleCall | DelegatedSearch) -> None:
--- a/sardinehook/gateway/part.py
+++ b/sardinehook/gateway/shard_request.py
@@ -5,10 +5,10 @@
 from sardinehook.gateway.dispatch import Exchange
 from sardinehook.gateway.replica import Replica
 
-__all__ = ["Part"]
+__all__ = ["ShardRequest"]
 
 
-class Part:
+class ShardRequest:
     """One shard of a search: who was asked and what came back.
 
     ``attempts`` counts the sends that may have run, ``refusals`` those that surely did
@@ -21,17 +21,17 @@
         "asked",
         "attempts",
         "hedge_at",
+        "name",
         "open_exchanges",
         "reason",
         "records",
         "refusals",
-        "shard",
         "signature",
         "tried",
     )
 
-    def __init__(self, shard: str) -> None:
-        self.shard = shard
+    def __init__(self, name: str) -> None:
+        self.name = name
         self.attempts = 0
         self.refusals = 0
         self.tried: list[Replica] = []
@@ -44,11 +44,11 @@
         self.arrived = False
 
     @property
-    def is_in(self) -> bool:
+    def has_answered(self) -> bool:
         """Whether the shard has answered."""
         return self.records is not None
 
     @property
-    def is_lost(self) -> bool:
+    def has_failed(self) -> bool:
         """Whether nothing more is awaited from the shard."""
         return self.records is None and self.asked and not self.open_exchanges
--- a/tests/gateway/test_fan_out.py
+++ b/tests/gateway/test_fan_out.py
@@ -32,7 +32,7 @@
     def test_no_more_are_asked_than_the_coverage_needs_and_one(self) -> None:
         plan = plan_fan_out([FAST] * 16 + [SLOW_QUEUED] * 4, 18, 0.2)
         assert isinstance(plan, Ask)
-        assert len(plan.places) == 16 + 3
+        assert len(plan.positions) == 16 + 3
 
     def test_those_that_are_idle_are_always_asked(self) -> None:
         plan = plan_fan_out([FAST] * 16 + [SLOW] * 4, 15, 0.2)
@@ -70,5 +70,5 @@
         least = max(1, round(ratio * len(choices)))
         plan = plan_fan_out(choices, least, 0.2)
         if isinstance(plan, Ask):
-            assert len(plan.places) >= least
-            assert all(choices[place] is not None for place in plan.places)
+            assert len(plan.positions) >= least
+            assert all(choices[position] is not None for position in plan.positions)
