--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -66,13 +66,13 @@
         self.reactor = policy.reactor
         self.request = request
         self.route = route
-        self.shards = shards
+        self.shard_set = shards
         self.finish = finish
-        self.shard_requests = [ShardRequest(name) for name in shards.shards]
+        self.shards = [ShardRequest(name) for name in shards.shards]
         self.signatures: set[bytes] = set()
         self.settled = False
-        self.answered_count = 0
-        self.failed_count = 0
+        self.answered = 0
+        self.failed = 0
         self.hedges = 0
         self.repeats = 0
         self.may_have_run = False
@@ -93,9 +93,9 @@
         self.hedge_delay_s = min(max(hedge_s, least_s), most_s)
 
     @property
-    def required_shards(self) -> int:
+    def required(self) -> int:
         """How many shards an answer needs."""
-        needed = self.shards.least_coverage * len(self.shard_requests)
+        needed = self.shard_set.least_coverage * len(self.shards)
         return max(1, ceil(needed - ROUNDING))
 
     def start(self) -> None:
@@ -106,13 +106,10 @@
                 error_answer(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late"))
             )
             return
-        choices = [self.choose_reachable(shard, now) for shard in self.shard_requests]
-        match plan_fan_out(choices, self.required_shards, self.objective_at - now):
+        choices = [self.choose_reachable(shard, now) for shard in self.shards]
+        match plan_fan_out(choices, self.required, self.objective_at - now):
             case Refuse(problem, positions):
-                told = [
-                    self.policy.explain_unavailable(self.shard_requests[p].name)
-                    for p in positions[:3]
-                ]
+                told = [self.policy.explain(self.shards[p].name) for p in positions[:3]]
                 problem = problem._replace(detail="; ".join([problem.detail, *told]))
                 self.settle_with(error_answer(problem, self.retry_after_s(problem)))
             case Ask(asked):
@@ -123,12 +120,12 @@
     ) -> None:
         """Send the first requests to the shards at ``positions``; the others fail."""
         for position, choice in enumerate(choices):
-            shard = self.shard_requests[position]
+            shard = self.shards[position]
             self.policy.budget_for(shard.name).record_request(now)
             if choice is None or position not in positions:
                 shard.asked = True
                 shard.reason = "queue too long" if choice else "no replica"
-                self.failed_count += 1
+                self.failed += 1
             else:
                 self.send(shard, choice.replica, now)
             if self.settled:
@@ -190,7 +187,7 @@
             shard.open_exchanges.remove(exchange)
         shard.arrived = shard.arrived or exchange.sent_at > 0.0
         self.observe(exchange, outcome, now)
-        if self.settled or shard.has_answered:
+        if self.settled or shard.answered:
             return
         if not self.accept(shard, outcome):
             self.try_again(shard, now)
@@ -218,8 +215,8 @@
                     return False
                 self.signatures.add(signature)
                 shard.signature = signature
-                shard.records = split_records(reply.body, self.shards.most_records)
-                self.answered_count += 1
+                shard.records = split_records(reply.body, self.shard_set.most_records)
+                self.answered += 1
                 return True
             case NotRun(detail, sent):
                 shard.reason = detail
@@ -235,7 +232,7 @@
         if shard.open_exchanges:
             return
         if not self.send_extra(shard, now):
-            self.failed_count += 1
+            self.failed += 1
         else:
             self.repeats += 1
 
@@ -263,8 +260,8 @@
         self.after_change(now)
         if self.settled:
             return
-        for shard in self.shard_requests:
-            if shard.has_answered or not shard.open_exchanges or now < shard.hedge_at:
+        for shard in self.shards:
+            if shard.answered or not shard.open_exchanges or now < shard.hedge_at:
                 continue
             shard.hedge_at = float("inf")
             self.note_overdue(shard, now)
@@ -301,12 +298,8 @@
     def schedule(self, now: float) -> None:
         """Set the timer to what is due next."""
         due_at = self.next_deadline(now)
-        for shard in self.shard_requests:
-            if (
-                not shard.has_answered
-                and shard.open_exchanges
-                and shard.hedge_at < due_at
-            ):
+        for shard in self.shards:
+            if not shard.answered and shard.open_exchanges and shard.hedge_at < due_at:
                 due_at = shard.hedge_at
         delay_s = max(0.0, due_at - now)
         self.timer = self.reactor.callLater(delay_s, self.check)
@@ -319,28 +312,24 @@
 
     def after_change(self, now: float) -> None:
         """Settle if nothing is gained by waiting on."""
-        total = len(self.shard_requests)
-        if self.answered_count + self.failed_count >= total:
+        total = len(self.shards)
+        if self.answered + self.failed >= total:
             self.settle()
-        elif (
-            total - self.failed_count < self.required_shards or now >= self.deadline_at
-        ):
+        elif total - self.failed < self.required or now >= self.deadline_at:
             self.settle()
         elif now >= self.objective_at:
-            enough = self.answered_count >= self.required_shards
+            enough = self.answered >= self.required
             if enough and (not self.missed_objective or now >= self.late_at):
                 self.settle()
             self.missed_objective = True
 
     def settle(self) -> None:
         """Answer with the parts that are in, or say why there are too few."""
-        if self.answered_count >= self.required_shards:
+        if self.answered >= self.required:
             self.settle_with(self.merged())
             return
-        missing = len(self.shard_requests) - self.answered_count
-        detail = (
-            f"{missing} of {len(self.shard_requests)} shards missing: {self.reasons()}"
-        )
+        missing = len(self.shards) - self.answered
+        detail = f"{missing} of {len(self.shards)} shards missing: {self.reasons()}"
         if not self.may_have_run and not self.is_waiting():
             self.settle_with(
                 error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
@@ -355,25 +344,25 @@
         """Tell whether any replica may be at work on the search."""
         return any(
             exchange.sent_at
-            for shard in self.shard_requests
+            for shard in self.shards
             for exchange in shard.open_exchanges
         )
 
     def merged(self) -> CallerAnswer:
         """Merge the parts that are in."""
-        answered = [shard for shard in self.shard_requests if shard.records is not None]
-        missing = len(self.shard_requests) - len(answered)
+        merged = [shard for shard in self.shards if shard.records is not None]
+        missing = len(self.shards) - len(merged)
         headers = self.policy.callers.merged_headers(
-            [shard.signature for shard in answered], missing
+            [shard.signature for shard in merged], missing
         )
-        records = [shard.records or [] for shard in answered]
-        body = merge_records(records, self.shards.most_records)
+        records = [shard.records or [] for shard in merged]
+        body = merge_records(records, self.shard_set.most_records)
         detail = self.reasons() if missing else ""
         return CallerAnswer(200, headers, body, "answered", detail)
 
     def reasons(self) -> str:
         """List the shards that are missing, each with the replicas asked and why."""
-        missing = [shard for shard in self.shard_requests if not shard.has_answered]
+        missing = [shard for shard in self.shards if not shard.answered]
         told = [
             f"{shard.name}:{'+'.join(r.replica_id for r in shard.tried)}:{shard.reason}"
             for shard in missing[:8]
@@ -390,7 +379,7 @@
 
     def drop_waiting(self) -> None:
         """Abandon what has not been sent; what is at work ends by its deadline."""
-        for shard in self.shard_requests:
+        for shard in self.shards:
             for exchange in list(shard.open_exchanges):
                 if not exchange.sent_at:
                     shard.open_exchanges.remove(exchange)
@@ -407,7 +396,7 @@
 
     def abandon_all(self) -> None:
         """Abandon what is still at work."""
-        for shard in self.shard_requests:
+        for shard in self.shards:
             for exchange in shard.open_exchanges:
                 if not exchange.over:
                     self.policy.dispatcher.abandon(exchange)
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -28,7 +28,7 @@
     """Return when the answer has to be written to be there ``within_s`` after it all.
 
     >>> request = CallerRequest(b"r", b"GET", b"/", "h", (), b"", None, 10.0, 0.016)
-    >>> answer_by(request, 0.2)
+    >>> answer_deadline(request, 0.2)
     10.174
     """
     return request.received_at + within_s - request.path_s - ANSWER_MARGIN_S
@@ -104,7 +104,7 @@
         """Take in how long a replica took."""
         self.latencies.record(route.name, took_s * MS_PER_S)
 
-    def explain_unavailable(self, service: str) -> str:
+    def explain(self, service: str) -> str:
         """Tell for the log why the replicas of a service are not asked."""
         now = self.reactor.seconds()
         known = self.directory.by_service.get(service, [])
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -89,8 +89,8 @@
 
     def count_missing(self, work: Gather | SingleCall | DelegatedSearch) -> None:
         """Count the shards that a search left out."""
-        for shard in getattr(work, "shard_requests", ()):
-            if not shard.has_answered:
+        for shard in getattr(work, "shards", ()):
+            if not shard.answered:
                 kind = missing_reason(shard.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
@@ -122,7 +122,7 @@
 def missing_reason(reason: str) -> str:
     """Return the kind of a reason, of which there are few.
 
-    >>> missing_kind("refused with 503"), missing_kind("Connection lost.")
+    >>> missing_reason("refused with 503"), missing_reason("Connection lost.")
     ('failed', 'lost')
     """
     for start, kind in MISSING_REASONS:
--- a/sardinehook/gateway/retry_budget.py
+++ b/sardinehook/gateway/retry_budget.py
@@ -15,7 +15,7 @@
 class SlidingWindowCounter:
     """Counts events within a sliding window of ``window_s`` seconds.
 
-    >>> count = SlidingCount(10.0)
+    >>> count = SlidingWindowCounter(10.0)
     >>> count.add(3, 0.0)
     >>> count.total(9.0), count.total(11.0)
     (3, 0)
--- a/sardinehook/gateway/shard_request.py
+++ b/sardinehook/gateway/shard_request.py
@@ -44,11 +44,11 @@
         self.arrived = False
 
     @property
-    def has_answered(self) -> bool:
+    def answered(self) -> bool:
         """Whether the shard has answered."""
         return self.records is not None
 
     @property
-    def has_failed(self) -> bool:
+    def failed(self) -> bool:
         """Whether nothing more is awaited from the shard."""
         return self.records is None and self.asked and not self.open_exchanges
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -83,7 +83,7 @@
         if choice is None:
             problem = Problem(
                 ErrorKind.TARGET_UNAVAILABLE,
-                f"no replica to ask; {self.policy.explain_unavailable(self.service)}",
+                f"no replica to ask; {self.policy.explain(self.service)}",
             )
             self.settle_with(error_answer(problem))
             return
