Reword the search over shards and the single request

A reader stumbled over requests that are asked for, taken in or given up. Comments and doc comments say sends, retries, hedges, failover and deadlines; constants are named for their bound (MIN_, MAX_). settle_with() is complete(), failed() is failure_answer(), check() is on_timer(). Two error details change: "too late" to "too little time left" and "no replica to ask" to "no replica available".

The soak's mutant patches failure_answer by its new name.

--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -37,12 +37,12 @@
 
 def refuse_falsely() -> None:
     """Say that requests have not run though they may have."""
-    failed = SingleCall.failed
+    failed = SingleCall.failure_answer
 
     def careless(call: SingleCall, now: float) -> CallerAnswer:
         return failed(call, now)._replace(status=503)
 
-    patch(SingleCall, "failed", careless)
+    patch(SingleCall, "failure_answer", careless)
 
 
 def ignore_draining() -> None:
--- a/sardinehook/gateway/answer.py
+++ b/sardinehook/gateway/answer.py
@@ -1,4 +1,4 @@
-"""What a caller is answered."""
+"""Answers to callers."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class CallerAnswer(NamedTuple):
-    """A whole answer to a caller, and the line that the log keeps of it.
+    """A complete HTTP answer to a caller, with its log fields.
 
     ``outcome`` is ``answered`` or the kind of the error.
     """
@@ -26,7 +26,9 @@
 
 
 def error_answer(problem: Problem, retry_after_s: float | None = None) -> CallerAnswer:
-    """Return the answer for an error; the table of kinds decides the status.
+    """Return the answer for an error, with the status of its kind.
+
+    ``retry_after_s`` overrides the Retry-After delay of the kind.
 
     >>> error_answer(Problem(ErrorKind.OVERLOADED, "busy"), 0.25).headers[1]
     (b'Retry-After', b'0.25')
@@ -37,16 +39,16 @@
     headers: list[Header] = [(b"Content-Type", b"application/json")]
     if retry_after_s is not None:
         headers.append((b"Retry-After", f"{retry_after_s:.3g}".encode()))
-    told = {"error": {"kind": problem.kind.value, "detail": problem.detail}}
+    body = {"error": {"kind": problem.kind.value, "detail": problem.detail}}
     return CallerAnswer(
         answer.status,
         tuple(headers),
-        msgspec.json.encode(told),
+        msgspec.json.encode(body),
         problem.kind.value,
         problem.detail,
     )
 
 
 def bad_request_answer(detail: str) -> CallerAnswer:
-    """Return the answer to a request that is malformed."""
+    """Return the answer to a malformed request."""
     return error_answer(Problem(ErrorKind.BAD_REQUEST, detail))
--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -113,7 +113,7 @@
                 self.hedges = told.hedges
                 self.repeats = told.repeats
                 headers = tuple(told.headers)
-                self.settle_with(
+                self.complete(
                     CallerAnswer(
                         told.status, headers, told.body, told.outcome, told.detail
                     )
@@ -135,9 +135,9 @@
         if connection is not None and connection.finish is not None:
             connection.abort()
         detail = f"{self.delegate.name}: {reason}"
-        self.settle_with(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
+        self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
 
-    def settle_with(self, answer: CallerAnswer) -> None:
+    def complete(self, answer: CallerAnswer) -> None:
         """End the search with an answer."""
         self.detach()
         if not self.settled:
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -1,4 +1,4 @@
-"""One search over all shards: sending, hedging, settling and merging."""
+"""Scatter-gather search: sends to all shards, hedges, retries and merges."""
 
 from __future__ import annotations
 
@@ -31,27 +31,26 @@
 
 __all__ = ["Gather"]
 
-HEDGE_QUANTILE = 0.95  # of the replies come before a second replica is asked
-HEDGE_LEAST_RATIO = 0.08  # of the objective: no hedge is sent earlier
-HEDGE_MOST_RATIO = 0.35  # of the objective: time for a second reply is left then
-LATE_RATIO = 1.5  # of the objective: when a late answer stops waiting for the rest
-SHARD_DEADLINE_RATIO = 2.5  # of the objective: replicas stop work by then
-REFUSED_SENDS = 2  # sends beyond the route's attempts for those that did not run
-RETRY_SHARE = 0.15  # of a caller's patience, at least, passes before it comes back
-CUT_OFF_RETRY_S = 2.0  # two missed probes, one a second, turn the balancer away
-LEAVE_GRACE_S = 0.25  # exchanges that end within it keep their connections
-ROUNDING = 1e-9  # a share times a number may come out a little too large
-USEFUL_RATIO = 0.5  # of the usual latency has to be left for another try
+HEDGE_QUANTILE = 0.95  # of reply times: a shard without a reply by then is hedged
+MIN_HEDGE_RATIO = 0.08  # of the objective: the earliest hedge
+MAX_HEDGE_RATIO = 0.35  # of the objective: leaves time for the hedged reply
+LATE_RATIO = 1.5  # of the objective: a late answer waits no longer for more shards
+SHARD_DEADLINE_RATIO = 2.5  # of the objective: the deadline sent to replicas
+MAX_REFUSALS = 2  # sends that did not run and don't count as attempts
+MIN_RETRY_RATIO = 0.15  # of the caller's timeout: the least Retry-After
+UNREACHABLE_RETRY_S = 2.0  # the load balancer needs two failed probes at 1 s
+CANCEL_GRACE_S = 0.25  # exchanges that end by then keep their connections open
+ROUNDING_TOLERANCE = 1e-9  # the product of a ratio and a count may be slightly large
+MIN_TIME_RATIO = 0.5  # of the median latency must remain for another send
 
 
 class Gather:
-    """The aggregate of one search; ``finish`` is called once with the answer.
+    """One search over all shards; ``finish`` is called once with the answer.
 
-    Each shard is asked through one replica. A shard without a reply after the time
-    within which most replies come is asked through a second one, paid from the
-    shard's budget. At the latency objective the search is answered with what is
-    there, if that is the least coverage; a search that missed its objective goes on
-    until it has the least coverage or its time is up.
+    One replica of each shard is queried. A shard without a reply after the hedge
+    delay is queried at a second replica, charged to the shard's retry budget. At the
+    latency objective the search is answered if it has the least coverage; otherwise
+    it goes on until it has that or reaches its deadline.
     """
 
     def __init__(
@@ -78,47 +77,49 @@
         self.may_have_run = False
         self.missed_objective = False
         self.timer: Timer | None = None
-        begun = request.received_at
+        received_at = request.received_at
         self.deadline_at = request_deadline(request, route)
         objective_at = answer_deadline(request, route.objective_s)
         self.objective_at = min(objective_at, self.deadline_at)
-        late_at = begun + LATE_RATIO * route.objective_s
+        late_at = received_at + LATE_RATIO * route.objective_s
         self.late_at = min(late_at, self.deadline_at)
-        stop_at = begun + SHARD_DEADLINE_RATIO * route.objective_s
-        self.shard_deadline_at = min(stop_at, self.deadline_at)
+        shard_deadline_at = received_at + SHARD_DEADLINE_RATIO * route.objective_s
+        self.shard_deadline_at = min(shard_deadline_at, self.deadline_at)
         self.usual_s = policy.usual_s(route)
-        hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
-        least_s = HEDGE_LEAST_RATIO * route.objective_s
-        most_s = HEDGE_MOST_RATIO * route.objective_s
-        self.hedge_delay_s = min(max(hedge_s, least_s), most_s)
+        quantile_s = policy.usual_s(route, HEDGE_QUANTILE)
+        min_s = MIN_HEDGE_RATIO * route.objective_s
+        max_s = MAX_HEDGE_RATIO * route.objective_s
+        self.hedge_delay_s = min(max(quantile_s, min_s), max_s)
 
     @property
     def required(self) -> int:
-        """How many shards an answer needs."""
+        """The number of shards that the least coverage requires."""
         needed = self.shard_set.least_coverage * len(self.shards)
-        return max(1, ceil(needed - ROUNDING))
+        return max(1, ceil(needed - ROUNDING_TOLERANCE))
 
     def start(self) -> None:
-        """Ask one replica of each shard, unless too few shards have one."""
+        """Send to one replica of each shard, or refuse the search."""
         now = self.reactor.seconds()
-        if now + self.usual_s * USEFUL_RATIO > self.deadline_at:
-            self.settle_with(
-                error_answer(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late"))
+        if now + self.usual_s * MIN_TIME_RATIO > self.deadline_at:
+            self.complete(
+                error_answer(
+                    Problem(ErrorKind.DEADLINE_TOO_SHORT, "too little time left")
+                )
             )
             return
         choices = [self.choose_reachable(shard, now) for shard in self.shards]
         match plan_fan_out(choices, self.required, self.objective_at - now):
             case Refuse(problem, positions):
-                told = [self.policy.explain(self.shards[p].name) for p in positions[:3]]
-                problem = problem._replace(detail="; ".join([problem.detail, *told]))
-                self.settle_with(error_answer(problem, self.retry_after_s(problem)))
+                why = [self.policy.explain(self.shards[p].name) for p in positions[:3]]
+                problem = problem._replace(detail="; ".join([problem.detail, *why]))
+                self.complete(error_answer(problem, self.retry_after_s(problem)))
             case Ask(asked):
-                self.ask(choices, asked, now)
+                self.send_first(choices, asked, now)
 
-    def ask(
+    def send_first(
         self, choices: list[Choice | None], positions: frozenset[int], now: float
     ) -> None:
-        """Send the first requests to the shards at ``positions``; the others fail."""
+        """Send to the shards at ``positions`` and count the others as failed."""
         for position, choice in enumerate(choices):
             shard = self.shards[position]
             self.policy.budget_for(shard.name).record_request(now)
@@ -130,40 +131,40 @@
                 self.send(shard, choice.replica, now)
             if self.settled:
                 return
-        self.after_change(now)
+        self.settle_if_decided(now)
         if not self.settled:
             self.schedule(now)
 
     def retry_after_s(self, problem: Problem) -> float | None:
-        """Return when the caller should come back; spread, so that not all do at once.
+        """Return the Retry-After delay, with jitter so that callers don't synchronise.
 
-        A caller with more patience comes back later, when queues have passed; a path
-        that is cut takes the balancer some seconds to route around.
+        It grows with the caller's timeout, so that queues drain first. Where a data
+        centre is unreachable, the load balancer needs seconds to route around it.
         """
         now = self.reactor.seconds()
         if self.policy.directory.reachability.cut_off(now):
-            return CUT_OFF_RETRY_S
+            return UNREACHABLE_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
             patience_s = self.deadline_at - self.request.received_at
             spread = 1.0 + self.policy.chooser.random.random()
-            return RETRY_SHARE * patience_s * spread
+            return MIN_RETRY_RATIO * patience_s * spread
         return None
 
     def choose(self, shard: ShardRequest, now: float) -> Choice | None:
-        """Return the replica to ask for a shard."""
+        """Choose the next replica of a shard."""
         left_s = self.shard_deadline_at - now
         return self.policy.chooser.choose(
             shard.name, self.usual_s, shard.tried, left_s, now
         )
 
     def choose_reachable(self, shard: ShardRequest, now: float) -> Choice | None:
-        """Return the replica to ask first, ``None`` if all are cut off from here."""
+        """Choose the first replica of a shard, ``None`` if none is reachable."""
         if not self.policy.directory.can_serve(shard.name, now):
             return None
         return self.choose(shard, now)
 
     def send(self, shard: ShardRequest, replica: Replica, now: float) -> None:
-        """Ask ``replica`` for a shard."""
+        """Send the request for a shard to ``replica``."""
         shard.asked = True
         shard.attempts += 1
         shard.tried.append(replica)
@@ -181,20 +182,20 @@
     def exchange_ended(
         self, shard: ShardRequest, exchange: Exchange, outcome: ExchangeOutcome
     ) -> None:
-        """Take in the end of one exchange."""
+        """Process the outcome of one exchange."""
         now = self.reactor.seconds()
         if exchange in shard.open_exchanges:
             shard.open_exchanges.remove(exchange)
-        shard.arrived = shard.arrived or exchange.sent_at > 0.0
+        shard.was_sent = shard.was_sent or exchange.sent_at > 0.0
         self.observe(exchange, outcome, now)
         if self.settled or shard.answered:
             return
         if not self.accept(shard, outcome):
-            self.try_again(shard, now)
-        self.after_change(now)
+            self.retry(shard, now)
+        self.settle_if_decided(now)
 
     def observe(self, exchange: Exchange, outcome: ExchangeOutcome, now: float) -> None:
-        """Learn from how long a reply took."""
+        """Update the latency estimates from a successful reply."""
         match outcome:
             case Answered(reply) if reply.is_success:
                 dispatcher = self.policy.dispatcher
@@ -202,7 +203,7 @@
                 self.policy.observe(self.route, took_s)
 
     def accept(self, shard: ShardRequest, outcome: ExchangeOutcome) -> bool:
-        """Take a part in, or note why it is not one."""
+        """Accept a shard's records, or record why the reply is unusable."""
         match outcome:
             case Answered(reply):
                 self.may_have_run = True
@@ -227,8 +228,8 @@
                 shard.reason = detail
         return False
 
-    def try_again(self, shard: ShardRequest, now: float) -> None:
-        """Ask another replica after a failure, or give the shard up."""
+    def retry(self, shard: ShardRequest, now: float) -> None:
+        """Retry a failed shard at another replica, or count it as failed."""
         if shard.open_exchanges:
             return
         if not self.send_extra(shard, now):
@@ -237,34 +238,34 @@
             self.repeats += 1
 
     def send_extra(self, shard: ShardRequest, now: float) -> bool:
-        """Ask one more replica for a shard if attempts, time and budget allow."""
-        if shard.attempts >= self.route.most_attempts or shard.refusals > REFUSED_SENDS:
+        """Send to one more replica if attempts, deadline and budget allow it."""
+        if shard.attempts >= self.route.most_attempts or shard.refusals > MAX_REFUSALS:
             return False
-        if now + self.usual_s * USEFUL_RATIO > self.shard_deadline_at:
+        if now + self.usual_s * MIN_TIME_RATIO > self.shard_deadline_at:
             return False
         choice = self.choose(shard, now)
         if choice is None:
             return False
-        is_repeat = shard.arrived or shard.open_exchanges
+        is_repeat = shard.was_sent or shard.open_exchanges
         if is_repeat and not self.policy.try_spend_retry(shard.name, now):
             return False
         self.send(shard, choice.replica, now)
         return True
 
-    def check(self) -> None:
-        """Do what is due: hedge, or settle."""
+    def on_timer(self) -> None:
+        """Handle the timer: settle the search or send hedges that are due."""
         self.timer = None
         if self.settled:
             return
         now = self.reactor.seconds()
-        self.after_change(now)
+        self.settle_if_decided(now)
         if self.settled:
             return
         for shard in self.shards:
             if shard.answered or not shard.open_exchanges or now < shard.hedge_at:
                 continue
             shard.hedge_at = float("inf")
-            self.note_overdue(shard, now)
+            self.observe_overdue(shard, now)
             if self.send_extra(shard, now):
                 self.hedges += 1
             else:
@@ -272,10 +273,7 @@
         self.schedule(now)
 
     def fail_over(self, shard: ShardRequest, now: float) -> None:
-        """Ask another replica in place of one to which no connection comes about.
-
-        Nothing was sent, so it costs neither an attempt nor budget.
-        """
+        """Replace a replica that doesn't connect, at no cost: nothing was sent."""
         if any(exchange.sent_at for exchange in shard.open_exchanges):
             return
         oldest = shard.open_exchanges[0]
@@ -290,28 +288,28 @@
         shard.attempts -= 1
         self.send(shard, choice.replica, now)
 
-    def note_overdue(self, shard: ShardRequest, now: float) -> None:
-        """Learn from a reply that is overdue, before it comes."""
+    def observe_overdue(self, shard: ShardRequest, now: float) -> None:
+        """Update the replica's latency estimate from an overdue reply."""
         for exchange in shard.open_exchanges:
             self.policy.dispatcher.observe_overdue(exchange, self.usual_s, now)
 
     def schedule(self, now: float) -> None:
-        """Set the timer to what is due next."""
+        """Set the timer to the next deadline or hedge."""
         due_at = self.next_deadline(now)
         for shard in self.shards:
             if not shard.answered and shard.open_exchanges and shard.hedge_at < due_at:
                 due_at = shard.hedge_at
         delay_s = max(0.0, due_at - now)
-        self.timer = self.reactor.callLater(delay_s, self.check)
+        self.timer = self.reactor.callLater(delay_s, self.on_timer)
 
     def next_deadline(self, now: float) -> float:
-        """Return when the search is settled next, by what it has by then."""
+        """Return the next time at which the search may have to settle."""
         if now < self.objective_at:
             return self.objective_at
         return self.late_at if now < self.late_at else self.deadline_at
 
-    def after_change(self, now: float) -> None:
-        """Settle if nothing is gained by waiting on."""
+    def settle_if_decided(self, now: float) -> None:
+        """Settle the search if waiting longer cannot improve the answer."""
         total = len(self.shards)
         if self.answered + self.failed >= total:
             self.settle()
@@ -324,32 +322,30 @@
             self.missed_objective = True
 
     def settle(self) -> None:
-        """Answer with the parts that are in, or say why there are too few."""
+        """Answer with the shards that replied, or with an error if too few did."""
         if self.answered >= self.required:
-            self.settle_with(self.merged())
+            self.complete(self.merge_answer())
             return
         missing = len(self.shards) - self.answered
         detail = f"{missing} of {len(self.shards)} shards missing: {self.reasons()}"
-        if not self.may_have_run and not self.is_waiting():
-            self.settle_with(
-                error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
-            )
+        if not self.may_have_run and not self.may_be_running():
+            self.complete(error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
             return
         kind = ErrorKind.COVERAGE_BELOW_LEAST
         if self.reactor.seconds() >= self.deadline_at:
             kind = ErrorKind.DEADLINE_EXCEEDED
-        self.settle_with(error_answer(Problem(kind, detail)))
+        self.complete(error_answer(Problem(kind, detail)))
 
-    def is_waiting(self) -> bool:
-        """Tell whether any replica may be at work on the search."""
+    def may_be_running(self) -> bool:
+        """Return whether any replica may still be running the search."""
         return any(
             exchange.sent_at
             for shard in self.shards
             for exchange in shard.open_exchanges
         )
 
-    def merged(self) -> CallerAnswer:
-        """Merge the parts that are in."""
+    def merge_answer(self) -> CallerAnswer:
+        """Merge the records of the shards that replied into the answer."""
         merged = [shard for shard in self.shards if shard.records is not None]
         missing = len(self.shards) - len(merged)
         headers = self.policy.callers.merged_headers(
@@ -361,24 +357,24 @@
         return CallerAnswer(200, headers, body, "answered", detail)
 
     def reasons(self) -> str:
-        """List the shards that are missing, each with the replicas asked and why."""
+        """List the first missing shards with their replicas and failure reasons."""
         missing = [shard for shard in self.shards if not shard.answered]
-        told = [
+        causes = [
             f"{shard.name}:{'+'.join(r.replica_id for r in shard.tried)}:{shard.reason}"
             for shard in missing[:8]
         ]
-        return "; ".join(told)
+        return "; ".join(causes)
 
-    def settle_with(self, answer: CallerAnswer) -> None:
-        """End the search with an answer."""
+    def complete(self, answer: CallerAnswer) -> None:
+        """Abandon the unsent exchanges and finish with ``answer``."""
         self.settled = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.drop_waiting()
+        self.abandon_unsent()
         self.finish(answer)
 
-    def drop_waiting(self) -> None:
-        """Abandon what has not been sent; what is at work ends by its deadline."""
+    def abandon_unsent(self) -> None:
+        """Abandon unsent exchanges; those that were sent end by their deadline."""
         for shard in self.shards:
             for exchange in list(shard.open_exchanges):
                 if not exchange.sent_at:
@@ -386,16 +382,16 @@
                     self.policy.dispatcher.abandon(exchange)
 
     def cancel(self) -> None:
-        """Stop, since the caller has left; replicas get a moment to finish."""
+        """Stop after the caller disconnected; replicas get a grace period."""
         if not self.settled:
             self.settled = True
             if self.timer is not None and self.timer.active():
                 self.timer.cancel()
-            self.drop_waiting()
-        self.reactor.callLater(LEAVE_GRACE_S, self.abandon_all)
+            self.abandon_unsent()
+        self.reactor.callLater(CANCEL_GRACE_S, self.abandon_all)
 
     def abandon_all(self) -> None:
-        """Abandon what is still at work."""
+        """Abandon all exchanges that have not ended."""
         for shard in self.shards:
             for exchange in shard.open_exchanges:
                 if not exchange.over:
--- a/sardinehook/gateway/shard_request.py
+++ b/sardinehook/gateway/shard_request.py
@@ -1,4 +1,4 @@
-"""One shard's part in a search."""
+"""The state of a search at one shard."""
 
 from __future__ import annotations
 
@@ -9,15 +9,15 @@
 
 
 class ShardRequest:
-    """One shard of a search: who was asked and what came back.
+    """The requests of a search to one shard's replicas, and the reply.
 
-    ``attempts`` counts the sends that may have run, ``refusals`` those that surely did
-    not. ``arrived`` is set once a request has reached a replica; what is sent after
-    that is a repeat. ``records`` is ``None`` until the shard has answered.
+    ``attempts`` counts the sends that may have run, ``refusals`` those that certainly
+    did not. ``was_sent`` is set once a request has been sent to a replica; later ones
+    count as retries. ``records`` is ``None`` until the shard has answered.
     """
 
     __slots__ = (
-        "arrived",
+        "was_sent",
         "asked",
         "attempts",
         "hedge_at",
@@ -41,7 +41,7 @@
         self.signature = b""
         self.reason = "no reply in time"
         self.asked = False
-        self.arrived = False
+        self.was_sent = False
 
     @property
     def answered(self) -> bool:
@@ -50,5 +50,5 @@
 
     @property
     def failed(self) -> bool:
-        """Whether nothing more is awaited from the shard."""
+        """Whether the shard has no answer and no open exchange."""
         return self.records is None and self.asked and not self.open_exchanges
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -1,4 +1,4 @@
-"""One request to one replica: at most once where it is not idempotent."""
+"""Requests to a single replica, run at most once unless idempotent."""
 
 from __future__ import annotations
 
@@ -22,20 +22,20 @@
 
 __all__ = ["SingleCall"]
 
-HEDGE_QUANTILE = 0.97  # of the replies come before a second replica is asked
-HEDGE_MOST_RATIO = 0.6  # of the objective: an idempotent request is hedged by then
-REFUSED_SENDS = 3  # sends beyond the route's attempts for those that did not run
-USEFUL_RATIO = 0.3  # of the usual latency has to be left for another try
-SERVER_ERROR = 500
+HEDGE_QUANTILE = 0.97  # of reply times: an idempotent request is hedged then
+MAX_HEDGE_RATIO = 0.6  # of the objective: the latest hedge
+MAX_REFUSALS = 3  # sends that did not run and don't count as attempts
+MIN_TIME_RATIO = 0.3  # of the median latency must remain for another send
+INTERNAL_SERVER_ERROR = 500
 
 
 class SingleCall:
-    """The aggregate of one request; ``finish`` is called once with the answer.
+    """One request to a single replica; ``finish`` is called once with the answer.
 
-    A request that is not idempotent is sent again only if it surely did not run. An
-    idempotent one is also sent again after a failure, and hedged when its reply is
-    overdue. Either goes to another replica where no connection comes about. A refusal
-    that promises that nothing ran is given only if that is true.
+    A request that is not idempotent is retried only if it certainly did not run. An
+    idempotent one is also retried after a failure, and hedged when its reply is
+    overdue. Either fails over to another replica if no connection is established. An
+    error that states that nothing ran is returned only if that is certain.
     """
 
     def __init__(
@@ -58,24 +58,24 @@
         self.repeats = 0
         self.hedges = 0
         self.may_have_run = False
-        self.arrived = False
+        self.was_sent = False
         self.tried: list[Replica] = []
         self.open_exchanges: list[Exchange] = []
         self.reasons: list[str] = []
-        self.failure: ReplicaReply | None = None
+        self.error_reply: ReplicaReply | None = None
         self.timer: Timer | None = None
         self.deadline_at = request_deadline(request, route)
         self.usual_s = policy.usual_s(route)
-        hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
-        self.hedge_delay_s = min(hedge_s, HEDGE_MOST_RATIO * route.objective_s)
+        quantile_s = policy.usual_s(route, HEDGE_QUANTILE)
+        self.hedge_delay_s = min(quantile_s, MAX_HEDGE_RATIO * route.objective_s)
         self.hedge_at: float | None = request.received_at + self.hedge_delay_s
 
     def start(self) -> None:
-        """Send the request to the best replica, or refuse it."""
+        """Send the request to the best replica, or refuse it if none can answer."""
         now = self.reactor.seconds()
-        if now + self.usual_s * USEFUL_RATIO > self.deadline_at:
-            problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")
-            self.settle_with(error_answer(problem))
+        if now + self.usual_s * MIN_TIME_RATIO > self.deadline_at:
+            problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "too little time left")
+            self.complete(error_answer(problem))
             return
         self.policy.budget_for(self.service).record_request(now)
         reachable = self.policy.directory.can_serve(self.service, now)
@@ -83,23 +83,23 @@
         if choice is None:
             problem = Problem(
                 ErrorKind.TARGET_UNAVAILABLE,
-                f"no replica to ask; {self.policy.explain(self.service)}",
+                f"no replica available; {self.policy.explain(self.service)}",
             )
-            self.settle_with(error_answer(problem))
+            self.complete(error_answer(problem))
             return
         self.send(choice.replica, now)
         if not self.settled:
             self.schedule(now)
 
     def choose(self, now: float) -> Choice | None:
-        """Return the replica to ask."""
+        """Choose the best replica that was not tried yet, ``None`` if none is left."""
         left_s = self.deadline_at - now
         return self.policy.chooser.choose(
             self.service, self.usual_s, self.tried, left_s, now
         )
 
     def send(self, replica: Replica, now: float) -> None:
-        """Ask ``replica``."""
+        """Send the request to ``replica``."""
         self.attempts += 1
         self.tried.append(replica)
         exchange = Exchange(
@@ -109,32 +109,32 @@
         self.policy.dispatcher.start(exchange)
 
     def exchange_ended(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
-        """Take in the end of one exchange."""
+        """Process the outcome of one exchange."""
         now = self.reactor.seconds()
         if exchange in self.open_exchanges:
             self.open_exchanges.remove(exchange)
-        self.arrived = self.arrived or exchange.sent_at > 0.0
-        answer = self.take(exchange, outcome, now)
+        self.was_sent = self.was_sent or exchange.sent_at > 0.0
+        answer = self.process_outcome(exchange, outcome, now)
         if self.settled:
             return
         if answer is not None:
-            self.settle_with(answer)
+            self.complete(answer)
         elif not self.open_exchanges and not self.send_extra(now):
-            self.settle_with(self.failed(now))
+            self.complete(self.failure_answer(now))
 
-    def take(
+    def process_outcome(
         self, exchange: Exchange, outcome: ExchangeOutcome, now: float
     ) -> CallerAnswer | None:
-        """Return the answer that an outcome makes, ``None`` if it makes none."""
+        """Return the answer for an outcome, ``None`` if it is no final answer."""
         replica_id = exchange.replica.replica_id
         match outcome:
             case Answered(reply):
                 self.may_have_run = True
                 if reply.is_success:
                     self.observe(exchange, now)
-                    return passed_on(reply)
+                    return forward(reply)
                 self.reasons.append(f"{replica_id}:status {reply.status}")
-                return self.take_failure(reply)
+                return self.process_error(reply)
             case NotRun(detail, sent):
                 self.attempts -= 1
                 self.refusals += sent
@@ -144,34 +144,34 @@
                 self.reasons.append(f"{replica_id}:{detail}")
         return None
 
-    def take_failure(self, reply: ReplicaReply) -> CallerAnswer | None:
-        """Pass a replica's failure on unless another replica may do better."""
+    def process_error(self, reply: ReplicaReply) -> CallerAnswer | None:
+        """Forward a replica's error unless another replica may succeed."""
         unsigned = reply.signature is None or reply.foreign or reply.encoded
         if unsigned or 200 <= reply.status < 300:
             return None
-        self.failure = reply
-        if self.route.idempotent and reply.status >= SERVER_ERROR:
+        self.error_reply = reply
+        if self.route.idempotent and reply.status >= INTERNAL_SERVER_ERROR:
             return None
-        return passed_on(reply)
+        return forward(reply)
 
     def observe(self, exchange: Exchange, now: float) -> None:
-        """Learn from how long a reply took."""
+        """Update the latency estimates from a successful reply."""
         dispatcher = self.policy.dispatcher
         took_s = dispatcher.observe_reply_time(exchange, self.usual_s, now)
         self.policy.observe(self.route, took_s)
 
     def send_extra(self, now: float) -> bool:
-        """Ask one more replica if safety, attempts, time and budget allow."""
+        """Send to one more replica if idempotency, attempts, time and budget allow."""
         if self.may_have_run and not self.route.idempotent:
             return False
-        if self.attempts >= self.route.most_attempts or self.refusals > REFUSED_SENDS:
+        if self.attempts >= self.route.most_attempts or self.refusals > MAX_REFUSALS:
             return False
-        if now + self.usual_s * USEFUL_RATIO > self.deadline_at:
+        if now + self.usual_s * MIN_TIME_RATIO > self.deadline_at:
             return False
         choice = self.choose(now)
         if choice is None:
             return False
-        is_repeat = self.arrived or self.open_exchanges
+        is_repeat = self.was_sent or self.open_exchanges
         if is_repeat and not self.policy.try_spend_retry(self.service, now):
             return False
         self.repeats += 1
@@ -179,20 +179,20 @@
         return True
 
     def schedule(self, now: float) -> None:
-        """Set the timer to what is due next."""
+        """Set the timer to the hedge or to the deadline, whichever is first."""
         due_at = self.deadline_at
         if self.hedge_at is not None:
             due_at = min(due_at, self.hedge_at)
-        self.timer = self.reactor.callLater(max(0.0, due_at - now), self.check)
+        self.timer = self.reactor.callLater(max(0.0, due_at - now), self.on_timer)
 
-    def check(self) -> None:
-        """Hedge, or give up at the end of the caller's patience."""
+    def on_timer(self) -> None:
+        """Handle the timer: hedge, fail over or end the request at its deadline."""
         self.timer = None
         if self.settled:
             return
         now = self.reactor.seconds()
         if now >= self.deadline_at:
-            self.settle_with(self.failed(now))
+            self.complete(self.failure_answer(now))
             return
         if self.hedge_at is not None and now >= self.hedge_at:
             self.hedge_at = None
@@ -204,14 +204,14 @@
             self.schedule(now)
 
     def fail_over(self, now: float) -> None:
-        """Ask another replica in place of one to which no connection comes about.
+        """Replace a replica to which no connection could be established.
 
-        Nothing was sent, so it is safe for any request, and costs neither an attempt
-        nor budget.
+        Nothing was sent, so this is safe for any request and uses neither an attempt
+        nor the retry budget.
         """
-        ready_at = self.open_exchanges[-1].started_at + FAILOVER_AFTER_S
-        if now < ready_at:
-            self.hedge_at = ready_at
+        failover_at = self.open_exchanges[-1].started_at + FAILOVER_AFTER_S
+        if now < failover_at:
+            self.hedge_at = failover_at
             return
         choice = self.choose(now)
         if choice is None:
@@ -223,22 +223,22 @@
         self.send(choice.replica, now)
         self.hedge_at = now + self.hedge_delay_s
 
-    def failed(self, now: float) -> CallerAnswer:
-        """Return the answer to a request that no replica answered."""
+    def failure_answer(self, now: float) -> CallerAnswer:
+        """Return the error for a request without a usable reply."""
         detail = "; ".join(self.reasons[-4:])
-        at_work = any(exchange.sent_at for exchange in self.open_exchanges)
-        if not self.may_have_run and not at_work:
+        running = any(exchange.sent_at for exchange in self.open_exchanges)
+        if not self.may_have_run and not running:
             return error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
-        if self.failure is not None and not at_work:
-            return passed_on(self.failure)
+        if self.error_reply is not None and not running:
+            return forward(self.error_reply)
         if now >= self.deadline_at:
             return error_answer(
                 Problem(ErrorKind.DEADLINE_EXCEEDED, detail or "no reply")
             )
         return error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
 
-    def settle_with(self, answer: CallerAnswer) -> None:
-        """End the request; what is still at work for it is no longer wanted."""
+    def complete(self, answer: CallerAnswer) -> None:
+        """Abandon the open exchanges and finish with ``answer``."""
         self.settled = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
@@ -246,7 +246,7 @@
         self.finish(answer)
 
     def cancel(self) -> None:
-        """Stop, since the caller has left."""
+        """Stop after the caller has disconnected."""
         if self.settled:
             return
         self.settled = True
@@ -255,13 +255,13 @@
         self.abandon_all()
 
     def abandon_all(self) -> None:
-        """Abandon idempotent work; other work is left to its end."""
+        """Abandon exchanges that are idempotent or unsent; others run to their end."""
         for exchange in self.open_exchanges:
             if self.route.idempotent or not exchange.sent_at:
                 self.policy.dispatcher.abandon(exchange)
         self.open_exchanges.clear()
 
 
-def passed_on(reply: ReplicaReply) -> CallerAnswer:
-    """Return a replica's reply as the caller's answer, unchanged."""
+def forward(reply: ReplicaReply) -> CallerAnswer:
+    """Return a replica's reply unchanged as the caller's answer."""
     return CallerAnswer(reply.status, reply.headers, reply.body, "answered")
