Reword the gateway's request handling, server, log and delegation

Comments and doc comments said that work is taken, handed over, told or left; they now use the terms of HTTP servers, retry budgets and delegation. Local names follow (RunningRequest, WeightedRoundRobin, queued, parsing, limit). Details of errors are reworded: "no route matches in configuration version", "configuration version N is unknown", "delegation limit reached", "malformed delegated search", "malformed answer to a delegated search".

--- a/sardinehook/gateway/__init__.py
+++ b/sardinehook/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The gateway process: callers' HTTP requests, fanned out to replicas directly."""
+"""The gateway process: forwards callers' HTTP requests to replicas and shards."""
--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -1,4 +1,4 @@
-"""One search that another gateway of the data centre does, over its wider link."""
+"""A search delegated to a gateway of the data centre with a wider link."""
 
 from __future__ import annotations
 
@@ -23,19 +23,18 @@
 
 __all__ = ["DelegatedSearch"]
 
-REFUSED_AVOID_S = 0.5  # after a refusal: the same version is in force at both by then
-KEEP_ALIVE_S = 30.0  # gateways keep idle connections for longer
+REFUSED_AVOID_S = 0.5  # both gateways have the same configuration by then
+KEEP_ALIVE_S = 30.0  # less than the idle timeout of gateways
 SERVICE_UNAVAILABLE = 503
 OK = 200
 
 
 class DelegatedSearch:
-    """One search at a delegate; ``finish`` is called once with the answer.
+    """One delegated search; ``finish`` is called once with the answer.
 
-    Where the delegate surely did not take it, ``start_local_search`` is called
-    instead. One that was lost there is answered as such at once, and the caller may
-    try again: searching here as well could ask replicas more often than the route
-    allows.
+    If the delegate certainly did not start it, ``start_local_search`` is called
+    instead. If the search was lost after that, the caller gets an error at once and
+    may retry: a local search could exceed the attempts that the route allows.
     """
 
     def __init__(
@@ -65,12 +64,12 @@
         self.connection: ClientConnection | None = None
 
     def start(self) -> None:
-        """Hand the search over."""
+        """Request a connection to the delegate."""
         self.delegate.searches[self] = None
         self.delegate.pool.request(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
-        """Send the search, or do it here where there is no connection."""
+        """Send the search, or search locally if there is no connection."""
         if self.settled:
             return
         if connection is None:
@@ -86,10 +85,10 @@
             self.delegate.name.encode(),
             len(body),
         )
-        connection.exchange(head + body, self.ended)
+        connection.exchange(head + body, self.exchange_ended)
 
-    def ended(self, end: ExchangeEnd) -> None:
-        """Take the delegate's answer."""
+    def exchange_ended(self, end: ExchangeEnd) -> None:
+        """Process the end of the exchange with the delegate."""
         match end:
             case Replied(reply):
                 if self.connection is not None:
@@ -101,34 +100,34 @@
                 elif reply.status != OK:
                     self.fail(f"status {reply.status}")
                 else:
-                    self.take(reply.body)
+                    self.accept_answer(reply.body)
             case Malformed(detail) | Lost(detail):
                 self.delegates.avoid(self.delegate, detail)
                 self.fail(detail)
 
-    def take(self, body: bytes) -> None:
-        """Pass the delegate's answer on."""
+    def accept_answer(self, body: bytes) -> None:
+        """Decode the delegate's answer and finish with it."""
         match decode_answer(body):
-            case Success(told):
-                self.hedges = told.hedges
-                self.repeats = told.repeats
-                headers = tuple(told.headers)
+            case Success(wire):
+                self.hedges = wire.hedges
+                self.repeats = wire.repeats
+                headers = tuple(wire.headers)
                 self.complete(
                     CallerAnswer(
-                        told.status, headers, told.body, told.outcome, told.detail
+                        wire.status, headers, wire.body, wire.outcome, wire.detail
                     )
                 )
             case Failure(detail):
                 self.fail(str(detail))
 
     def search_locally(self) -> None:
-        """Search here, since the delegate did not take the search."""
+        """Search locally after the delegate refused or was unreachable."""
         self.detach()
         self.settled = True
         self.start_local_search()
 
     def fail(self, reason: str) -> None:
-        """Answer that the search was lost."""
+        """Drop the connection and answer that the outcome is unknown."""
         if self.settled:
             return
         connection, self.connection = self.connection, None
@@ -138,19 +137,19 @@
         self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
 
     def complete(self, answer: CallerAnswer) -> None:
-        """End the search with an answer."""
+        """Detach from the delegate and finish with ``answer``, once."""
         self.detach()
         if not self.settled:
             self.settled = True
             self.finish(answer)
 
     def detach(self) -> None:
-        """Count the search at the delegate no more."""
+        """Remove the search from the delegate and from its connection pool."""
         self.delegate.searches.pop(self, None)
         self.delegate.pool.withdraw(self.connected)
 
     def cancel(self) -> None:
-        """Stop, since the caller has left; the delegate sees the connection end."""
+        """Stop after the caller disconnected; the connection is closed."""
         if self.settled:
             return
         self.settled = True
--- a/sardinehook/gateway/fan_out.py
+++ b/sardinehook/gateway/fan_out.py
@@ -1,4 +1,4 @@
-"""Which shards a search asks, given how long each one's reply is expected to take."""
+"""Chooses the shards that a search queries, from their expected latencies."""
 
 from __future__ import annotations
 
@@ -10,19 +10,19 @@
 
 __all__ = ["Ask", "FanOutPlan", "Refuse", "plan_fan_out"]
 
-SPARE_SHARDS = 1  # doubtful shards asked beyond what the least coverage needs
+SPARE_SHARDS = 1  # doubtful shards queried beyond the least coverage
 
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """Ask the shards at these places."""
+    """Query the shards at these positions."""
 
     positions: frozenset[int]
 
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """Ask none: the search can't be served, or not in time, for these shards."""
+    """Refuse the search because of the shards at these positions."""
 
     problem: Problem
     positions: tuple[int, ...]
@@ -34,32 +34,38 @@
 def plan_fan_out(
     choices: Sequence[Choice | None], least_shards: int, left_s: float
 ) -> FanOutPlan:
-    """Decide which shards to ask with ``left_s`` left until the objective.
-
-    Shards that are likely to reply in time are asked, and so are those that are
-    slow but idle. Of the others no more are asked than the least coverage needs, and
-    one to spare, the most promising first: their replicas then serve some searches
-    rather than none. Where queues would make the search late it is refused, since it
-    and those behind it would miss their objective; where replicas are slow by
-    themselves it is begun, since coming back later would not help.
+    """Decide which shards to query with ``left_s`` left until the objective.
+
+    Shards that are likely to reply in time are queried, and so are those that are
+    slow but idle. Of the rest, only as many are queried as the least coverage needs,
+    plus one spare, fastest first: their replicas then serve some searches in time
+    rather than none. If queues would make the search late it is refused, since it
+    and the searches behind it would miss their objective. If replicas are slow even
+    without a queue it is started, since a later retry would not help.
     """
-    offered = [
+    available = [
         position for position, choice in enumerate(choices) if choice is not None
     ]
-    if len(offered) < least_shards:
+    if len(available) < least_shards:
         missing = tuple(p for p, choice in enumerate(choices) if choice is None)
         detail = f"{len(missing)} of {len(choices)} shards have no replica to ask"
         return Refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail), missing)
-    found = {position: choice for position, choice in enumerate(choices) if choice}
-    prompt = [position for position in offered if found[position].likely_s <= left_s]
-    doubtful = [position for position in offered if found[position].likely_s > left_s]
-    idle = [p for p in doubtful if found[p].likely_s <= found[p].idle_s]
-    doubtful.sort(key=lambda position: found[position].likely_s)
-    needed = least_shards - len(prompt)
+    by_position = {
+        position: choice for position, choice in enumerate(choices) if choice
+    }
+    in_time = [
+        position for position in available if by_position[position].likely_s <= left_s
+    ]
+    doubtful = [
+        position for position in available if by_position[position].likely_s > left_s
+    ]
+    idle = [p for p in doubtful if by_position[p].likely_s <= by_position[p].idle_s]
+    doubtful.sort(key=lambda position: by_position[position].likely_s)
+    needed = least_shards - len(in_time)
     if needed <= 0:
-        return Ask(frozenset(prompt + idle))
-    decisive = found[doubtful[needed - 1]]
+        return Ask(frozenset(in_time + idle))
+    decisive = by_position[doubtful[needed - 1]]
     if decisive.idle_s <= left_s:
         detail = f"the queues of {len(doubtful)} shards are too long"
         return Refuse(Problem(ErrorKind.OVERLOADED, detail), tuple(doubtful))
-    return Ask(frozenset(prompt + idle + doubtful[: needed + SPARE_SHARDS]))
+    return Ask(frozenset(in_time + idle + doubtful[: needed + SPARE_SHARDS]))
--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -1,4 +1,4 @@
-"""The HTTP/1.1 server side that callers connect to."""
+"""The HTTP/1.1 server for callers."""
 
 from __future__ import annotations
 
@@ -27,27 +27,27 @@
 
 logger = structlog.get_logger(__name__)
 
-LINGER_S = 1.0  # a caller that was told to go may finish reading for so long
-OPENED_FOR_REQUEST_S = 0.05  # a first request this soon is what opened the connection
-PATH_VARIATION = 1.3  # how much longer than the kernel's mean a round trip may take
-MOST_PIPELINED = 16  # whole requests that wait on one connection
+LINGER_S = 1.0  # time for a caller to read the last answer
+OPENED_FOR_REQUEST_S = 0.05  # a first request by then opened the connection
+ROUND_TRIP_MARGIN = 1.3  # allows for round trips above the kernel's mean
+MAX_PIPELINED = 16  # complete requests queued on one connection
 NO_BODY_STATUS = frozenset({204, 304})
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NEVER = float("inf")
 
 
 class Cancellable(TypingProtocol):
-    """A request that is being worked on."""
+    """A request in progress."""
 
     def cancel(self) -> None:
-        """Stop, since the caller has left."""
+        """Stop after the caller has disconnected."""
 
 
 Handler = Callable[[HttpRequest, Callable[[CallerAnswer], None]], Cancellable | None]
 
 
 class ParsedRequest:
-    """One request on its way through the parser; ``error`` ends the connection."""
+    """A request in the parser; ``error`` is a status that ends the connection."""
 
     __slots__ = (
         "body",
@@ -72,50 +72,51 @@
 class HttpServerConnection(Protocol):
     """One caller's connection: its requests are answered one by one, in order.
 
-    An answer is written whole or the connection is broken. Whatever the parser does
-    not accept is refused and ends the connection, so that nothing can hide in it.
+    An answer is written completely, or the connection is closed. Input that the
+    parser rejects is refused and ends the connection, which prevents request
+    smuggling.
     """
 
     def __init__(self, server: HttpServer) -> None:
         self.server = server
         self.parser = HttpRequestParser(self)
-        self.reading: ParsedRequest | None = None
+        self.parsing: ParsedRequest | None = None
         self.head_bytes = 0
         self.in_head = False
-        self.waiting: deque[ParsedRequest] = deque()
+        self.queued: deque[ParsedRequest] = deque()
         self.current: ParsedRequest | None = None
         self.work: Cancellable | None = None
         self.refused = False
         self.closing = False
-        self.since = 0.0
+        self.timeout_started_at = 0.0
         self.opened_at: float | None = None
 
     def connectionMade(self) -> None:
-        """Set the options of the socket."""
+        """Register the connection and set its socket options."""
         tcp: Any = self.transport
         self.tcp = tcp
         self.outlet = Outlet(tcp)
         set_socket_options(tcp)
-        self.since = self.opened_at = self.server.now()
+        self.timeout_started_at = self.opened_at = self.server.now()
         self.server.connections.add(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Stop the work of a caller that has left."""
+        """Cancel the request of a caller that has disconnected."""
         self.server.connections.discard(self)
         self.closing = True
-        self.waiting.clear()
+        self.queued.clear()
         work, self.work = self.work, None
         if work is not None:
             work.cancel()
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse ``data``; what is not HTTP is refused."""
+        """Parse ``data``; refuse invalid HTTP and oversized heads."""
         if self.closing or self.refused:
             return
-        if self.reading is None:
+        if self.parsing is None:
             self.head_bytes = 0
             self.in_head = True
-            self.since = self.server.now()
+            self.timeout_started_at = self.server.now()
         if self.in_head:
             self.head_bytes += len(data)
         try:
@@ -129,31 +130,31 @@
         self.serve_next()
 
     def refuse(self, status: int) -> None:
-        """Queue a refusal after which the connection ends."""
+        """Queue an error answer after which the connection is closed."""
         if self.refused:
             return
         self.refused = True
         request = ParsedRequest()
         request.error = status
-        self.waiting.append(request)
+        self.queued.append(request)
 
     def on_message_begin(self) -> None:
-        """Begin a request."""
-        self.reading = ParsedRequest()
+        """Start a new request."""
+        self.parsing = ParsedRequest()
 
     def on_url(self, url: bytes) -> None:
-        """Keep a part of the request target."""
-        assert self.reading is not None
-        self.reading.url += url
+        """Append a piece of the request target."""
+        assert self.parsing is not None
+        self.parsing.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
-        assert self.reading is not None
-        self.reading.headers.append((name, value))
+        """Append a header."""
+        assert self.parsing is not None
+        self.parsing.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Check the sizes that the headers tell, and invite the body if asked to."""
-        request = self.reading
+        """Check the sizes of head and body, and answer ``Expect: 100-continue``."""
+        request = self.parsing
         assert request is not None
         self.in_head = False
         request.method = self.parser.get_method()
@@ -170,16 +171,16 @@
                 if int(value) > self.server.limits.body_bytes:
                     self.refuse(413)
             elif lower == b"expect" and value.lower() == b"100-continue":
-                self.invite_body()
+                self.send_continue()
 
-    def invite_body(self) -> None:
-        """Ask for a body that the caller holds back, unless an answer is due before."""
-        if self.current is None and not self.waiting and not self.refused:
+    def send_continue(self) -> None:
+        """Send ``100 Continue`` unless an earlier request is still unanswered."""
+        if self.current is None and not self.queued and not self.refused:
             self.outlet.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body within the limit."""
-        request = self.reading
+        """Append a piece of the body, or refuse a body over the size limit."""
+        request = self.parsing
         if request is None or self.refused:
             return
         request.body_bytes += len(body)
@@ -189,18 +190,18 @@
         request.body.append(body)
 
     def on_message_complete(self) -> None:
-        """Queue a whole request."""
-        request, self.reading = self.reading, None
+        """Queue the complete request."""
+        request, self.parsing = self.parsing, None
         if request is None or self.refused:
             return
-        self.waiting.append(request)
-        if len(self.waiting) > MOST_PIPELINED:
+        self.queued.append(request)
+        if len(self.queued) > MAX_PIPELINED:
             self.refuse(400)
 
     def serve_next(self) -> None:
-        """Start the next request once the one before has been answered."""
-        while self.current is None and self.waiting and not self.closing:
-            request = self.waiting.popleft()
+        """Start the next queued request unless one is in progress."""
+        while self.current is None and self.queued and not self.closing:
+            request = self.queued.popleft()
             if request.error:
                 self.write_error(request.error)
                 return
@@ -208,7 +209,7 @@
             self.start(request)
 
     def start(self, request: ParsedRequest) -> None:
-        """Hand a request to the desk."""
+        """Pass a request to the server's handler."""
         raw = HttpRequest(
             request.method,
             request.url,
@@ -221,13 +222,14 @@
             self.work = work
 
     def timing(self) -> RequestTiming:
-        """Return since when the caller has waited, and what the network takes of it.
+        """Return when the caller began to wait, and the time spent in the network.
 
-        A caller that opened the connection for its request has waited for that, too.
+        If the caller opened the connection for this request, it has also waited for
+        the connection to be established.
         """
         now = self.server.now()
         opened_at, self.opened_at = self.opened_at, None
-        trip_s = PATH_VARIATION * round_trip_s(self.tcp.getHandle())
+        trip_s = ROUND_TRIP_MARGIN * round_trip_s(self.tcp.getHandle())
         if opened_at is None or now - opened_at > OPENED_FOR_REQUEST_S:
             return RequestTiming(now, trip_s)
         return RequestTiming(opened_at, 2.0 * trip_s)
@@ -243,26 +245,26 @@
             and not self.server.closes_after_answer
             and not self.refused
         )
-        keep = keep or bool(self.waiting)
+        keep = keep or bool(self.queued)
         self.outlet.write(encode_answer(answer, request.method == b"HEAD", keep))
-        self.since = self.server.now()
+        self.timeout_started_at = self.server.now()
         if not keep:
             self.close()
-        elif self.waiting:
+        elif self.queued:
             self.server.reactor.callLater(0.0, self.serve_next)
 
     def fail_request(self, answer: CallerAnswer) -> None:
-        """Answer the current request in place of its work, which is abandoned."""
+        """Cancel the current request and answer it with ``answer``."""
         request, work = self.current, self.work
         if request is None:
             return
         if work is not None:
             work.cancel()
-        self.waiting.clear()
+        self.queued.clear()
         self.answer(request, answer)
 
     def write_error(self, status: int) -> None:
-        """Refuse what can't be read as a request, and end the connection."""
+        """Write an error for an invalid request and close the connection."""
         log_event(
             logger,
             EventName.QUERY_REFUSED,
@@ -275,34 +277,37 @@
         self.close()
 
     def close(self) -> None:
-        """End the connection after what was written; the caller closes its side."""
+        """Close the write side after flushing; the caller then closes its own."""
         if self.closing:
             return
         self.closing = True
-        self.since = self.server.now()
+        self.timeout_started_at = self.server.now()
         self.tcp.loseWriteConnection()
 
     def sweep(self, now: float) -> None:
-        """Enforce the limits of time."""
+        """Enforce the timeouts for the head, for idling and for closing."""
         limits = self.server.limits
         if self.closing:
-            if now > self.since + LINGER_S:
+            if now > self.timeout_started_at + LINGER_S:
                 self.tcp.abortConnection()
         elif self.current is not None:
             return
-        elif self.reading is not None or (self.in_head and self.head_bytes):
+        elif self.parsing is not None or (self.in_head and self.head_bytes):
             allowed_s = (
                 limits.header_timeout_s if self.in_head else limits.idle_timeout_s
             )
-            if now > self.since + allowed_s:
+            if now > self.timeout_started_at + allowed_s:
                 self.refuse(408)
                 self.serve_next()
-        elif now > self.since + limits.idle_timeout_s or self.server.closes_idle:
+        elif (
+            now > self.timeout_started_at + limits.idle_timeout_s
+            or self.server.closes_idle
+        ):
             self.close()
 
 
 def encode_answer(answer: CallerAnswer, is_head: bool, keep: bool) -> bytes:
-    r"""Return the bytes of an answer.
+    r"""Serialise an answer to HTTP/1.1.
 
     >>> encode_answer(CallerAnswer(204, (), b"", "answered"), False, True)
     b'HTTP/1.1 204 No Content\r\n\r\n'
@@ -321,10 +326,10 @@
 
 
 class HttpServer(ServerFactory):
-    """All callers' connections of this gateway.
+    """An HTTP server and its open connections.
 
-    ``closes_after_answer`` makes each answer end its connection, so that callers
-    open their next one elsewhere; ``closes_idle`` also ends those that are idle.
+    ``closes_after_answer`` closes each connection after its next answer, so that
+    callers reconnect to another gateway; ``closes_idle`` also closes idle ones.
     """
 
     noisy = False
@@ -338,7 +343,7 @@
         self.closes_idle = False
 
     def buildProtocol(self, addr: IAddress | None) -> HttpServerConnection:
-        """Return the protocol of a new connection."""
+        """Create the protocol for a new connection."""
         return HttpServerConnection(self)
 
     def now(self) -> float:
@@ -347,12 +352,12 @@
         return seconds
 
     def sweep(self) -> None:
-        """Enforce the limits of time on all connections."""
+        """Enforce the timeouts on all connections."""
         now = self.now()
         for connection in list(self.connections):
             connection.sweep(now)
 
     def fail_requests(self, answer: CallerAnswer) -> None:
-        """Answer all requests that are still at work."""
+        """Cancel all requests in progress and answer them with ``answer``."""
         for connection in list(self.connections):
             connection.fail_request(answer)
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a gateway, with label sets that don't grow with the fleet."""
+"""Prometheus metrics of a gateway; label values don't grow with the fleet."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 
 
 class GatewayMetrics:
-    """All metrics of one gateway in a registry of its own."""
+    """All metrics of one gateway, in their own registry."""
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
@@ -105,13 +105,13 @@
         )
 
     def count_peer_call(self, outcome: str) -> None:
-        """Count a call to another gateway."""
+        """Count a call to another gateway by its outcome."""
         self.peer_calls.labels(outcome).inc()
 
     def observe(
         self, kind: str, outcome: str, seconds: float, hedges: int, repeats: int
     ) -> None:
-        """Record the end of a request."""
+        """Record a completed request and its extra sends."""
         self.requests.labels(kind, outcome).inc()
         self.request_seconds.labels(kind).observe(seconds)
         if hedges:
@@ -120,5 +120,5 @@
             self.extra_sends.labels("failure").inc(repeats)
 
     def render(self) -> bytes:
-        """Return all metrics in Prometheus' text format."""
+        """Render all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -1,4 +1,4 @@
-"""What requests share: estimates, budgets and the choice of replicas."""
+"""State shared by requests: latency estimates, retry budgets, replica choice."""
 
 from __future__ import annotations
 
@@ -16,16 +16,18 @@
 
 __all__ = ["FAILOVER_AFTER_S", "RequestPolicy", "answer_deadline", "request_deadline"]
 
-FAILOVER_AFTER_S = 0.06  # connections to replicas that live are open by then
-ANSWER_MARGIN_S = 0.01  # reading and writing on a busy VM, a late timer, merging
-INITIAL_LATENCY_RATIO = 0.2  # of the objective: the latency of a route not seen yet
+FAILOVER_AFTER_S = 0.06  # live replicas accept a connection by then
+ANSWER_MARGIN_S = 0.01  # for I/O on a busy VM, timer lag and merging
+INITIAL_LATENCY_RATIO = 0.2  # of the objective: the latency assumed for a new route
 MEDIAN = 0.5
-EXPLAINED_REPLICAS = 4  # of a service, in a line of the log
+MAX_EXPLAINED_REPLICAS = 4  # of a service, in an error detail
 MS_PER_S = 1000.0
 
 
 def answer_deadline(request: CallerRequest, within_s: float) -> float:
-    """Return when the answer has to be written to be there ``within_s`` after it all.
+    """Return when to write the answer so that it arrives within ``within_s``.
+
+    The network path and a processing margin are subtracted.
 
     >>> request = CallerRequest(b"r", b"GET", b"/", "h", (), b"", None, 10.0, 0.016)
     >>> answer_deadline(request, 0.2)
@@ -35,7 +37,7 @@
 
 
 def request_deadline(request: CallerRequest, route: Route) -> float:
-    """Return when a request has to be answered, whatever there is by then."""
+    """Return the deadline from the timeouts of the route and the caller."""
     patience_s = route.timeout_s
     if request.patience_s is not None:
         patience_s = min(patience_s, request.patience_s)
@@ -43,7 +45,7 @@
 
 
 class RequestPolicy:
-    """Outlives single requests; one for each gateway."""
+    """Estimates, budgets and collaborators that all requests of a gateway share."""
 
     def __init__(
         self,
@@ -65,7 +67,7 @@
         self.on_retry_denied: Callable[[], object] = int
 
     def configure(self, bounds: Bounds) -> None:
-        """Take the promises of the deployment."""
+        """Apply the limits of the deployment; a new window restarts the budgets."""
         if bounds.repeat_window_s != self.bounds.repeat_window_s:
             self.restart_counting()
         self.bounds = bounds
@@ -73,12 +75,12 @@
         self.directory.drain_s = bounds.drain_s
 
     def restart_counting(self) -> None:
-        """Begin to count repeats; what was spent before is not known."""
+        """Restart all retry budgets; retries sent before are unknown."""
         self.budgets.clear()
         self.counting_since = self.reactor.seconds()
 
     def budget_for(self, service: str) -> RetryBudget:
-        """Return the repeat budget of a service."""
+        """Return the retry budget of a service, creating it if needed."""
         budget = self.budgets.get(service)
         if budget is None:
             budget = RetryBudget(self.bounds.repeat_window_s, self.counting_since)
@@ -86,7 +88,7 @@
         return budget
 
     def try_spend_retry(self, service: str, now: float) -> bool:
-        """Take one repeat to a service from the budget, if there is one."""
+        """Spend one retry from a service's budget; return whether there was one."""
         sharing_gateways = self.directory.sharers(service)
         if self.budget_for(service).spend(self.bounds, sharing_gateways, now):
             return True
@@ -94,22 +96,22 @@
         return False
 
     def usual_s(self, route: Route, quantile: float = MEDIAN) -> float:
-        """Return a quantile of the time that replicas take for a route."""
+        """Return a quantile of the latency of replicas for a route, in seconds."""
         known = self.latencies.quantile(route.name, quantile)
         if known is None:
             return INITIAL_LATENCY_RATIO * route.objective_s
         return known / MS_PER_S
 
     def observe(self, route: Route, took_s: float) -> None:
-        """Take in how long a replica took."""
+        """Record the latency of a reply."""
         self.latencies.record(route.name, took_s * MS_PER_S)
 
     def explain(self, service: str) -> str:
-        """Tell for the log why the replicas of a service are not asked."""
+        """Describe for the log why the replicas of a service were not chosen."""
         now = self.reactor.seconds()
         known = self.directory.by_service.get(service, [])
-        told = [
+        states = [
             f"{replica.replica_id} {self.directory.describe(replica, now)}"
-            for replica in known[:EXPLAINED_REPLICAS]
+            for replica in known[:MAX_EXPLAINED_REPLICAS]
         ]
-        return f"{service}: {', '.join(told) or 'none registered'}"
+        return f"{service}: {', '.join(states) or 'none registered'}"
--- a/sardinehook/gateway/records.py
+++ b/sardinehook/gateway/records.py
@@ -1,4 +1,4 @@
-"""Records of shards and their merge."""
+"""Splits shard replies into records and merges the top records."""
 
 from __future__ import annotations
 
@@ -9,26 +9,28 @@
 RECORD_BYTES = 16
 
 
-def split_records(body: bytes, most: int) -> list[bytes]:
-    """Return the greatest ``most`` records of a body, the greatest first.
+def split_records(body: bytes, limit: int) -> list[bytes]:
+    """Return the ``limit`` greatest records of a body in descending order.
 
-    A remainder that is shorter than a record is dropped.
+    Trailing bytes that don't fill a record are dropped.
 
     >>> split_records(b"a" * 16 + b"b" * 16 + b"c", 1)
     [b'bbbbbbbbbbbbbbbb']
     """
     last = len(body) - RECORD_BYTES + 1
-    records = [body[at : at + RECORD_BYTES] for at in range(0, last, RECORD_BYTES)]
+    records = [
+        body[offset : offset + RECORD_BYTES] for offset in range(0, last, RECORD_BYTES)
+    ]
     records.sort(reverse=True)
-    return records[:most]
+    return records[:limit]
 
 
-def merge_records(parts: Iterable[list[bytes]], most: int) -> bytes:
-    """Return the greatest ``most`` records of all parts; equal ones all count.
+def merge_records(shards: Iterable[list[bytes]], limit: int) -> bytes:
+    """Return the ``limit`` greatest records of all shards; duplicates are kept.
 
     >>> merge_records([[b"a" * 16], [b"b" * 16, b"a" * 16]], 2)
     b'bbbbbbbbbbbbbbbbaaaaaaaaaaaaaaaa'
     """
-    records = [record for part in parts for record in part]
+    records = [record for shard in shards for record in shard]
     records.sort(reverse=True)
-    return b"".join(records[:most])
+    return b"".join(records[:limit])
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -1,4 +1,4 @@
-"""Takes callers' requests: routes them, starts their work and tells their story."""
+"""Handles callers' requests: routes, runs and logs them."""
 
 from __future__ import annotations
 
@@ -33,46 +33,46 @@
 
 __all__ = ["Cancellable", "RequestHandler"]
 
-TRAFFIC_WINDOW_S = 5.0  # over which the demand for each route is counted
-STARTING_RETRY_S = 0.2  # a gateway that starts has its configuration by then
-VERSIONS_KEPT = 8  # under which other gateways may still hand searches over
-CUT_OFF_SHARE = 0.5  # of the demand: a gateway that can't serve more turns not-ready
+DEMAND_WINDOW_S = 5.0  # window for counting the requests of each route
+STARTING_RETRY_S = 0.2  # a starting gateway has loaded its configuration by then
+MAX_KEPT_VERSIONS = 8  # other gateways may delegate searches under older ones
+MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
 
 Finish = Callable[[CallerAnswer], None]
 
 
 class Cancellable(Protocol):
-    """A caller's request that is being worked on."""
+    """A request in progress."""
 
     def cancel(self) -> None:
-        """Stop, since the caller has left."""
+        """Stop after the caller has disconnected."""
         ...
 
 
-class WeightedRotation:
-    """Deals requests to services by weight, evenly at each moment.
+class WeightedRoundRobin:
+    """Smooth weighted round robin over the services of a route.
 
-    Smooth weighted round robin: each service earns its weight at every request, and
-    the richest one pays for it. Random first credits keep gateways from choosing
-    alike.
+    At each request every service gains its weight in credit, and the one with the
+    most credit is chosen and loses the total weight. Random initial credits keep
+    gateways from choosing in step.
     """
 
     def __init__(self, services: tuple[WeightedService, ...], random: Random) -> None:
         self.services = services
-        self.total = sum(part.weight for part in services)
+        self.total = sum(weighted.weight for weighted in services)
         self.credits = [random.random() * self.total for _ in services]
 
     def next(self) -> str:
-        """Return the service that gets the next request."""
-        for place, part in enumerate(self.services):
-            self.credits[place] += part.weight
-        best = max(range(len(self.services)), key=self.credits.__getitem__)
-        self.credits[best] -= self.total
-        return self.services[best].service
+        """Choose the service for the next request."""
+        for position, weighted in enumerate(self.services):
+            self.credits[position] += weighted.weight
+        chosen = max(range(len(self.services)), key=self.credits.__getitem__)
+        self.credits[chosen] -= self.total
+        return self.services[chosen].service
 
 
 class RequestHandler:
-    """Answers or starts each request under the configuration in force."""
+    """Starts or refuses each request under the configuration in force."""
 
     def __init__(
         self,
@@ -85,9 +85,9 @@
         self.random = random
         self.reactor = policy.reactor
         self.configuration: Configuration | None = None
-        self.rotations: dict[str, WeightedRotation] = {}
+        self.round_robins: dict[str, WeightedRoundRobin] = {}
         self.demand: dict[str, SlidingWindowCounter] = {}
-        self.cut_off_before = ""
+        self.last_cut_off_reason = ""
         self.in_flight = 0
         self.recent_versions: dict[int, Configuration] = {}
         self.delegates: Delegates | None = None
@@ -96,86 +96,93 @@
         self.max_delegated = 0
 
     def configure(self, configuration: Configuration) -> None:
-        """Put a configuration in force for the requests that come from now on."""
+        """Apply a configuration to all requests that arrive from now on."""
         self.configuration = configuration
         self.recent_versions[configuration.version] = configuration
-        while len(self.recent_versions) > VERSIONS_KEPT:
+        while len(self.recent_versions) > MAX_KEPT_VERSIONS:
             del self.recent_versions[min(self.recent_versions)]
         for host_routes in configuration.routes.values():
             for route in host_routes:
-                self.configure_rotation(route)
+                self.update_round_robin(route)
 
-    def configure_rotation(self, route: Route) -> None:
-        """Keep the rotation of a route unless its services or weights changed."""
+    def update_round_robin(self, route: Route) -> None:
+        """Reset the round robin of a route if its services or weights changed."""
         match route.destination:
             case OneReplica(services) if len(services) > 1:
-                known = self.rotations.get(route.name)
-                if known is None or known.services != services:
-                    self.rotations[route.name] = WeightedRotation(services, self.random)
+                current = self.round_robins.get(route.name)
+                if current is None or current.services != services:
+                    self.round_robins[route.name] = WeightedRoundRobin(
+                        services, self.random
+                    )
 
     def cut_off_reason(self) -> str:
-        """Return why other gateways could serve callers better, empty if none could.
+        """Return why the gateway should report not ready, empty if it should not.
 
-        A gateway that is cut off from what most of its callers need says so, so that
-        the balancer sends them to other data centres. It says so on the first doubt:
-        the balancer looks away only after two probes. Routes that can't be served
-        anywhere don't count.
+        A gateway that cannot reach the replicas for most of its recent requests
+        reports not ready, so that the load balancer sends callers to other data
+        centres. It does so at the first suspicion, since the load balancer acts only
+        after two failed probes. Routes without registered replicas don't count.
 
-        Where others search for this gateway, it says what they say: the balancer looks
-        away from a data centre only when all gateways of it agree.
+        A gateway with delegates reports what they report: the load balancer avoids a
+        data centre only when all its gateways are not ready.
         """
         delegates = self.delegates.cut_off() if self.delegates else []
         if delegates:
             return f"cut off as {', '.join(delegates)}"
         now = self.reactor.seconds()
-        silent = self.policy.directory.reachability.suspects(now)
-        if not silent or self.configuration is None:
-            self.cut_off_before = ""
+        suspects = self.policy.directory.reachability.suspects(now)
+        if not suspects or self.configuration is None:
+            self.last_cut_off_reason = ""
             return ""
-        wanted = lost = 0
+        requested = unserved = 0
         for routes in self.configuration.routes.values():
             for route in filter(self.has_replicas, routes):
                 requests = self.demand_of(route).total(now)
-                wanted += requests
-                lost += requests * self.is_out_of_reach(route, now)
-        if lost > CUT_OFF_SHARE * wanted:
-            places = ",".join(silent)
-            self.cut_off_before = f"cut off from {places}: {lost} of {wanted} requests"
-        elif wanted:
-            self.cut_off_before = ""
-        # Once callers have gone elsewhere, there is no demand to judge by.
-        return self.cut_off_before
+                requested += requests
+                unserved += requests * self.is_out_of_reach(route, now)
+        if unserved > MAX_UNSERVED_RATIO * requested:
+            silent_names = ",".join(suspects)
+            self.last_cut_off_reason = (
+                f"cut off from {silent_names}: {unserved} of {requested} requests"
+            )
+        elif requested:
+            self.last_cut_off_reason = ""
+        # Without recent demand the reason stays: callers have been sent elsewhere.
+        return self.last_cut_off_reason
 
     def demand_of(self, route: Route) -> SlidingWindowCounter:
-        """Return the count of a route's recent requests."""
+        """Return the counter of a route's recent requests."""
         count = self.demand.get(route.name)
         if count is None:
-            count = self.demand[route.name] = SlidingWindowCounter(TRAFFIC_WINDOW_S)
+            count = self.demand[route.name] = SlidingWindowCounter(DEMAND_WINDOW_S)
         return count
 
     def has_replicas(self, route: Route) -> bool:
-        """Tell whether any replica of a route is registered."""
-        known = self.policy.directory.by_service
+        """Return whether any replica of a route is registered."""
+        by_service = self.policy.directory.by_service
         match route.destination:
             case ShardSet(shards, _, _):
-                return any(known.get(shard) for shard in shards)
+                return any(by_service.get(shard) for shard in shards)
             case OneReplica(services):
-                return any(known.get(part.service) for part in services)
+                return any(by_service.get(weighted.service) for weighted in services)
 
     def is_out_of_reach(self, route: Route, now: float) -> bool:
-        """Tell whether silent data centres keep this gateway from serving a route."""
+        """Return whether unreachable data centres make a route unservable here."""
         directory = self.policy.directory
         match route.destination:
             case ShardSet(shards, _, least):
-                lost = sum(directory.is_out_of_reach(shard, now) for shard in shards)
-                return len(shards) - lost < least * len(shards)
+                unserved = sum(
+                    directory.is_out_of_reach(shard, now) for shard in shards
+                )
+                return len(shards) - unserved < least * len(shards)
             case OneReplica(services):
                 return all(
-                    directory.is_out_of_reach(part.service, now) for part in services
+                    directory.is_out_of_reach(weighted.service, now)
+                    for weighted in services
                 )
 
     def handle(self, raw: HttpRequest, finish: Finish) -> Cancellable | None:
-        """Start a request; ``finish`` is called once, perhaps before this returns."""
+        """Start a request; ``finish`` is called once, possibly before this returns."""
         match self.policy.callers.read_request(raw):
             case Success(request):
                 return self.route(request, finish)
@@ -186,7 +193,7 @@
         return None
 
     def route(self, request: CallerRequest, finish: Finish) -> Cancellable | None:
-        """Find the route of a request and start its work."""
+        """Find the route of a request and start it."""
         configuration = self.configuration
         if configuration is None:
             return self.refuse(
@@ -194,14 +201,16 @@
             )
         route = configuration.find_route(request.host, request.path)
         if route is None:
-            detail = f"no route in version {configuration.version}"
+            detail = (
+                f"no route matches in configuration version {configuration.version}"
+            )
             return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
         return self.begin(request, route, configuration, finish)
 
     def refuse(
         self, request: CallerRequest, problem: Problem, finish: Finish
     ) -> Cancellable | None:
-        """Answer a request that starts no work."""
+        """Answer a request with an error before it is started."""
         starting = problem.kind is ErrorKind.NO_DOCUMENT
         answer = error_answer(problem, STARTING_RETRY_S if starting else None)
         self.request_log.record_refused(request.request_id.decode("latin-1"), answer)
@@ -215,37 +224,37 @@
         configuration: Configuration,
         finish: Finish,
     ) -> Cancellable | None:
-        """Start the work that a route asks for."""
+        """Start a search or a single request, as the route requires."""
         self.in_flight += 1
         self.demand_of(route).add(1, request.received_at)
-        leavable = LeavableWork(self)
+        running = RunningRequest(self)
 
         def done(answer: CallerAnswer) -> None:
             self.in_flight -= 1
-            self.request_log.record_ended(leavable.work, configuration.version, answer)
+            self.request_log.record_ended(running.work, configuration.version, answer)
             finish(answer)
 
         match route.destination:
             case ShardSet() as shards:
-                self.search(leavable, request, route, shards, configuration, done)
+                self.start_search(running, request, route, shards, configuration, done)
             case OneReplica(services):
                 service = self.choose_service(route, services)
-                leavable.begin(SingleCall(self.policy, request, route, service, done))
-        return None if leavable.work.settled else leavable
+                running.begin(SingleCall(self.policy, request, route, service, done))
+        return None if running.work.settled else running
 
-    def search(
+    def start_search(
         self,
-        leavable: LeavableWork,
+        running: RunningRequest,
         request: CallerRequest,
         route: Route,
         shards: ShardSet,
         configuration: Configuration,
         done: Finish,
     ) -> None:
-        """Start a search at a delegate, or here if there is none that takes it."""
+        """Delegate a search, or run it locally if no delegate is usable."""
 
         def start_local_search() -> None:
-            leavable.begin(Gather(self.policy, request, route, shards, done))
+            running.begin(Gather(self.policy, request, route, shards, done))
 
         delegates = self.delegates
         delegate = delegates.choose() if delegates else None
@@ -253,7 +262,7 @@
             start_local_search()
             return
         version = configuration.version
-        leavable.begin(
+        running.begin(
             DelegatedSearch(
                 self.policy,
                 delegates,
@@ -267,80 +276,92 @@
         )
 
     def handle_delegated(self, body: bytes, finish: Finish) -> Cancellable | None:
-        """Do a search for another gateway, under the version that it has in force.
+        """Run a search for another gateway, under that gateway's configuration.
 
-        It is not taken where that version is not known here, or where there is enough
-        to do; the other gateway then searches itself.
+        It is refused if that configuration version is unknown here or if the limit of
+        delegated sub-requests is reached; the other gateway then searches locally.
         """
         match decode_search(body, self.reactor.seconds()):
-            case Success(handed):
-                return self.begin_delegated(handed, finish)
+            case Success(delegated):
+                return self.begin_delegated(delegated, finish)
             case Failure(detail):
-                finish(not_taken(str(detail)))
+                finish(delegation_refused(str(detail)))
         return None
 
     def begin_delegated(
-        self, handed: DelegatedRequest, finish: Finish
+        self, delegated: DelegatedRequest, finish: Finish
     ) -> Cancellable | None:
-        """Start a search for another gateway."""
-        request = handed.request
-        configuration = self.recent_versions.get(handed.version)
+        """Start a delegated search, or refuse it."""
+        request = delegated.request
+        configuration = self.recent_versions.get(delegated.version)
         route = configuration and configuration.find_route(request.host, request.path)
         if not route or not isinstance(route.destination, ShardSet):
-            finish(not_taken(f"version {handed.version} is not known"))
+            finish(
+                delegation_refused(
+                    f"configuration version {delegated.version} is unknown"
+                )
+            )
             return None
         shards = route.destination
-        size = len(shards.shards)
-        if self.stopping or self.delegated_in_flight + size > self.max_delegated:
-            finish(not_taken("stopping" if self.stopping else "enough to do"))
+        shard_count = len(shards.shards)
+        if self.stopping or self.delegated_in_flight + shard_count > self.max_delegated:
+            finish(
+                delegation_refused(
+                    "stopping" if self.stopping else "delegation limit reached"
+                )
+            )
             return None
-        self.delegated_in_flight += size
+        self.delegated_in_flight += shard_count
         self.demand_of(route).add(1, request.received_at)
-        leavable = LeavableWork(self, handed.node, size)
+        running = RunningRequest(self, delegated.node, shard_count)
 
         def done(answer: CallerAnswer) -> None:
-            self.delegated_in_flight -= size
-            work = leavable.work
-            self.request_log.record_ended(work, handed.version, answer, handed.node)
+            self.delegated_in_flight -= shard_count
+            work = running.work
+            self.request_log.record_ended(
+                work, delegated.version, answer, delegated.node
+            )
             outcome = encode_answer(answer, work.hedges, work.repeats)
             finish(CallerAnswer(200, (), outcome, "for a peer"))
 
-        leavable.begin(Gather(self.policy, request, route, shards, done))
-        return None if leavable.work.settled else leavable
+        running.begin(Gather(self.policy, request, route, shards, done))
+        return None if running.work.settled else running
 
     def choose_service(
         self, route: Route, services: tuple[WeightedService, ...]
     ) -> str:
-        """Return the service that gets this request."""
+        """Choose the service for a request by weight."""
         if len(services) == 1:
             return services[0].service
-        return self.rotations[route.name].next()
+        return self.round_robins[route.name].next()
 
 
-def not_taken(reason: str) -> CallerAnswer:
-    """Return the answer to a gateway whose search is not taken over."""
+def delegation_refused(reason: str) -> CallerAnswer:
+    """Return the answer to a gateway whose delegated search is refused."""
     return CallerAnswer(503, (), reason.encode(), "not taken", reason)
 
 
-class LeavableWork:
-    """Work whose caller may leave; ``peer`` is the gateway that handed it over."""
+class RunningRequest:
+    """A request whose caller may disconnect; ``peer`` is the delegating gateway."""
 
-    def __init__(self, handler: RequestHandler, peer: str = "", size: int = 0) -> None:
+    def __init__(
+        self, handler: RequestHandler, peer: str = "", shard_count: int = 0
+    ) -> None:
         self.handler = handler
         self.peer = peer
-        self.size = size
+        self.shard_count = shard_count
         self.work: Gather | SingleCall | DelegatedSearch
 
     def begin(self, work: Gather | SingleCall | DelegatedSearch) -> None:
-        """Start work, in place of work that was not taken over."""
+        """Start ``work``, replacing a delegated search that was refused."""
         self.work = work
         work.start()
 
     def cancel(self) -> None:
-        """Stop the work and note that its caller has left."""
+        """Stop the request and record that its caller has disconnected."""
         if not self.work.settled:
             if self.peer:
-                self.handler.delegated_in_flight -= self.size
+                self.handler.delegated_in_flight -= self.shard_count
             else:
                 self.handler.in_flight -= 1
             self.handler.request_log.record_cancelled(self.work)
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -1,4 +1,4 @@
-"""The log lines and metrics that tell what became of each request."""
+"""Log lines and metrics for the outcome of each request."""
 
 from __future__ import annotations
 
@@ -29,11 +29,11 @@
     ("status", "failed"),
     ("refused", "failed"),
 )
-SUCCESS_LOG_INTERVAL = 16  # untroubled requests: one in so many has a line
+SUCCESS_LOG_INTERVAL = 16  # one log line per this many ordinary successes
 
 
 class RequestLog:
-    """Writes a line for each request that ends badly and for some that don't."""
+    """Logs each failed, late or incomplete request and a sample of the others."""
 
     def __init__(self, reactor: GatewayReactor, metrics: GatewayMetrics) -> None:
         self.reactor = reactor
@@ -41,7 +41,7 @@
         self.successes = 0
 
     def record_refused(self, request: str, answer: CallerAnswer) -> None:
-        """Tell of a request that started no work."""
+        """Record a request that was refused before it was started."""
         self.metrics.requests.labels("none", answer.outcome).inc()
         log_event(
             logger,
@@ -58,7 +58,7 @@
         answer: CallerAnswer,
         peer: str = "",
     ) -> None:
-        """Tell how a request ended; ``peer`` is the gateway that handed it over."""
+        """Record the end of a request; ``peer`` is the gateway that delegated it."""
         took_s = self.reactor.seconds() - work.request.received_at
         late = took_s > work.route.objective_s
         kind = "one" if hasattr(work, "tried") else "all"
@@ -88,14 +88,14 @@
         )
 
     def count_missing(self, work: Gather | SingleCall | DelegatedSearch) -> None:
-        """Count the shards that a search left out."""
+        """Count the shards that are missing from an answer, by reason."""
         for shard in getattr(work, "shards", ()):
             if not shard.answered:
                 kind = missing_reason(shard.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
     def record_cancelled(self, work: Gather | SingleCall | DelegatedSearch) -> None:
-        """Tell of a request whose caller has left."""
+        """Record a request whose caller has disconnected."""
         took_s = self.reactor.seconds() - work.request.received_at
         self.metrics.requests.labels("any", "caller_left").inc()
         log_event(
@@ -108,19 +108,19 @@
 
 
 def target_of(work: Gather | SingleCall | DelegatedSearch) -> str:
-    """Name the replicas that a single request was sent to."""
+    """Return the ids of the replicas that a single request was sent to."""
     tried = getattr(work, "tried", [])
     return ",".join(replica.replica_id for replica in tried)
 
 
 def delegate_of(work: Gather | SingleCall | DelegatedSearch) -> str:
-    """Name the gateway to which a search was handed over."""
+    """Return the name of the gateway to which a search was delegated."""
     delegate = getattr(work, "delegate", None)
     return delegate.name if delegate else ""
 
 
 def missing_reason(reason: str) -> str:
-    """Return the kind of a reason, of which there are few.
+    """Map a failure reason to one of the few values of the metric's label.
 
     >>> missing_reason("refused with 503"), missing_reason("Connection lost.")
     ('failed', 'lost')
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -1,4 +1,4 @@
-"""The form of searches, and of what became of them, between gateways."""
+"""Encodes delegated searches and their answers between gateways."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class WireSearch(msgspec.Struct, array_like=True):
-    """A search on its way to another gateway."""
+    """A delegated search as sent; times are relative to the sending."""
 
     node: str
     version: int
@@ -41,7 +41,7 @@
 
 
 class WireAnswer(msgspec.Struct, array_like=True):
-    """What became of a search that was handed over."""
+    """The answer to a delegated search as sent, with its log fields."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
@@ -53,7 +53,7 @@
 
 
 class DelegatedRequest(NamedTuple):
-    """A search that another gateway has handed over."""
+    """A search that another gateway has delegated to this one."""
 
     node: str
     version: int
@@ -61,7 +61,7 @@
 
 
 def encode_search(node: str, version: int, request: CallerRequest, now: float) -> bytes:
-    """Encode a search as it stands at ``now``."""
+    """Encode a search that is sent at ``now``."""
     wire = WireSearch(
         node,
         version,
@@ -79,15 +79,15 @@
 
 
 def decode_search(body: bytes, now: float) -> Result[DelegatedRequest, str]:
-    """Decode a search that came at ``now``.
+    """Decode a search that was received at ``now``.
 
     >>> decode_search(b"x", 0.0).failure()
-    'malformed search of a peer: Expected `array`, got `int`'
+    'malformed delegated search: Expected `array`, got `int`'
     """
     try:
         wire = msgspec.msgpack.decode(body, type=WireSearch)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f"malformed search of a peer: {error}")
+        return Failure(f"malformed delegated search: {error}")
     request = CallerRequest(
         wire.request_id,
         wire.method,
@@ -103,7 +103,7 @@
 
 
 def encode_answer(answer: CallerAnswer, hedges: int, repeats: int) -> bytes:
-    """Encode what became of a search."""
+    """Encode the answer to a delegated search."""
     wire = WireAnswer(
         answer.status,
         list(answer.headers),
@@ -117,8 +117,8 @@
 
 
 def decode_answer(body: bytes) -> Result[WireAnswer, str]:
-    """Decode what became of a search."""
+    """Decode the answer to a delegated search; the failure says what is wrong."""
     try:
         return Success(msgspec.msgpack.decode(body, type=WireAnswer))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f"malformed outcome of a peer: {error}")
+        return Failure(f"malformed answer to a delegated search: {error}")
--- a/sardinehook/gateway/shard_request.py
+++ b/sardinehook/gateway/shard_request.py
@@ -17,7 +17,6 @@
     """
 
     __slots__ = (
-        "was_sent",
         "asked",
         "attempts",
         "hedge_at",
@@ -28,6 +27,7 @@
         "refusals",
         "signature",
         "tried",
+        "was_sent",
     )
 
     def __init__(self, name: str) -> None:
