--- a/sardinehook/gateway/answer.py
+++ b/sardinehook/gateway/answer.py
@@ -33,7 +33,7 @@
     >>> error_answer(Problem(ErrorKind.OVERLOADED, "busy"), 0.25).headers[1]
     (b'Retry-After', b'0.25')
     """
-    answer = problem.answer
+    answer = problem.response
     if retry_after_s is None and answer.retry_after_ms:
         retry_after_s = answer.retry_after_ms / 1000.0
     headers: list[Header] = [(b"Content-Type", b"application/json")]
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -287,13 +287,13 @@
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
         self.watch_settings()
-        self.fleet.count()
+        self.fleet.publish_names()
         self.delegates.update()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
         held = sum(replica.pool.held for replica in replicas.values())
         self.metrics.connections.set(held)
-        self.metrics.store_age_seconds.set(now - self.follower.heard_at)
+        self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
     @property
