Name the latency estimate of a route for what it is

The usual time of a route is the median latency of its replies: latency_s() with a quantile, median_s in the requests. Checked: ruff, mypy, 243 tests of the gateway, doctests and soak checks passed; the comparison lists nothing new.

--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -85,8 +85,8 @@
         self.late_at = min(late_at, self.deadline_at)
         shard_deadline_at = received_at + SHARD_DEADLINE_RATIO * route.objective_s
         self.shard_deadline_at = min(shard_deadline_at, self.deadline_at)
-        self.usual_s = policy.usual_s(route)
-        quantile_s = policy.usual_s(route, HEDGE_QUANTILE)
+        self.median_s = policy.latency_s(route)
+        quantile_s = policy.latency_s(route, HEDGE_QUANTILE)
         min_s = MIN_HEDGE_RATIO * route.objective_s
         max_s = MAX_HEDGE_RATIO * route.objective_s
         self.hedge_delay_s = min(max(quantile_s, min_s), max_s)
@@ -100,7 +100,7 @@
     def start(self) -> None:
         """Send to one replica of each shard, or refuse the search."""
         now = self.reactor.seconds()
-        if now + self.usual_s * MIN_TIME_RATIO > self.deadline_at:
+        if now + self.median_s * MIN_TIME_RATIO > self.deadline_at:
             self.complete(
                 error_answer(
                     Problem(ErrorKind.DEADLINE_TOO_SHORT, "too little time left")
@@ -154,7 +154,7 @@
         """Choose the next replica of a shard."""
         left_s = self.shard_deadline_at - now
         return self.policy.chooser.choose(
-            shard.name, self.usual_s, shard.tried, left_s, now
+            shard.name, self.median_s, shard.tried, left_s, now
         )
 
     def choose_reachable(self, shard: ShardRequest, now: float) -> Choice | None:
@@ -199,7 +199,7 @@
         match outcome:
             case Answered(reply) if reply.is_success:
                 dispatcher = self.policy.dispatcher
-                took_s = dispatcher.observe_reply_time(exchange, self.usual_s, now)
+                took_s = dispatcher.observe_reply_time(exchange, self.median_s, now)
                 self.policy.observe(self.route, took_s)
 
     def accept(self, shard: ShardRequest, outcome: ExchangeOutcome) -> bool:
@@ -241,7 +241,7 @@
         """Send to one more replica if attempts, deadline and budget allow it."""
         if shard.attempts >= self.route.most_attempts or shard.refusals > MAX_REFUSALS:
             return False
-        if now + self.usual_s * MIN_TIME_RATIO > self.shard_deadline_at:
+        if now + self.median_s * MIN_TIME_RATIO > self.shard_deadline_at:
             return False
         choice = self.choose(shard, now)
         if choice is None:
@@ -291,7 +291,7 @@
     def observe_overdue(self, shard: ShardRequest, now: float) -> None:
         """Update the replica's latency estimate from an overdue reply."""
         for exchange in shard.open_exchanges:
-            self.policy.dispatcher.observe_overdue(exchange, self.usual_s, now)
+            self.policy.dispatcher.observe_overdue(exchange, self.median_s, now)
 
     def schedule(self, now: float) -> None:
         """Set the timer to the next deadline or hedge."""
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -95,7 +95,7 @@
         self.on_retry_denied()
         return False
 
-    def usual_s(self, route: Route, quantile: float = MEDIAN) -> float:
+    def latency_s(self, route: Route, quantile: float = MEDIAN) -> float:
         """Return a quantile of the latency of replicas for a route, in seconds."""
         known = self.latencies.quantile(route.name, quantile)
         if known is None:
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -141,9 +141,9 @@
                 requested += requests
                 unserved += requests * self.is_out_of_reach(route, now)
         if unserved > MAX_UNSERVED_RATIO * requested:
-            silent_names = ",".join(suspects)
+            data_centres = ",".join(suspects)
             self.last_cut_off_reason = (
-                f"cut off from {silent_names}: {unserved} of {requested} requests"
+                f"cut off from {data_centres}: {unserved} of {requested} requests"
             )
         elif requested:
             self.last_cut_off_reason = ""
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -65,15 +65,15 @@
         self.error_reply: ReplicaReply | None = None
         self.timer: Timer | None = None
         self.deadline_at = request_deadline(request, route)
-        self.usual_s = policy.usual_s(route)
-        quantile_s = policy.usual_s(route, HEDGE_QUANTILE)
+        self.median_s = policy.latency_s(route)
+        quantile_s = policy.latency_s(route, HEDGE_QUANTILE)
         self.hedge_delay_s = min(quantile_s, MAX_HEDGE_RATIO * route.objective_s)
         self.hedge_at: float | None = request.received_at + self.hedge_delay_s
 
     def start(self) -> None:
         """Send the request to the best replica, or refuse it if none can answer."""
         now = self.reactor.seconds()
-        if now + self.usual_s * MIN_TIME_RATIO > self.deadline_at:
+        if now + self.median_s * MIN_TIME_RATIO > self.deadline_at:
             problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "too little time left")
             self.complete(error_answer(problem))
             return
@@ -95,7 +95,7 @@
         """Choose the best replica that was not tried yet, ``None`` if none is left."""
         left_s = self.deadline_at - now
         return self.policy.chooser.choose(
-            self.service, self.usual_s, self.tried, left_s, now
+            self.service, self.median_s, self.tried, left_s, now
         )
 
     def send(self, replica: Replica, now: float) -> None:
@@ -157,7 +157,7 @@
     def observe(self, exchange: Exchange, now: float) -> None:
         """Update the latency estimates from a successful reply."""
         dispatcher = self.policy.dispatcher
-        took_s = dispatcher.observe_reply_time(exchange, self.usual_s, now)
+        took_s = dispatcher.observe_reply_time(exchange, self.median_s, now)
         self.policy.observe(self.route, took_s)
 
     def send_extra(self, now: float) -> bool:
@@ -166,7 +166,7 @@
             return False
         if self.attempts >= self.route.most_attempts or self.refusals > MAX_REFUSALS:
             return False
-        if now + self.usual_s * MIN_TIME_RATIO > self.deadline_at:
+        if now + self.median_s * MIN_TIME_RATIO > self.deadline_at:
             return False
         choice = self.choose(now)
         if choice is None:
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -81,7 +81,7 @@
 
 
 def make_handler(gateway: Gateway) -> RequestHandler:
-    """Make a desk for searches over four shards and a route that has no replica."""
+    """Make a handler for searches over four shards and a route without replicas."""
     request_log = RequestLog(gateway.reactor, GatewayMetrics())
     handler = RequestHandler(gateway.policy, request_log, Random(1))
     idle = single_route(True)._replace(name="idle", prefix="/idle/")
