--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -23,11 +23,11 @@
 
 
 class DelegatedWork(Protocol):
-    """A search that runs at a delegate; ``give_up_at`` is its deadline."""
+    """A search that runs at a delegate; ``deadline_at`` is its deadline."""
 
-    give_up_at: float
+    deadline_at: float
 
-    def lose(self, reason: str) -> None:
+    def fail(self, reason: str) -> None:
         """Answer the caller that the outcome of the search is unknown."""
 
 
@@ -126,10 +126,10 @@
             if delegate.searches and silent_s > HEARTBEAT_TIMEOUT_S:
                 self.avoid(delegate, "heartbeats timed out")
                 for search in list(delegate.searches):
-                    search.lose("heartbeats timed out")
+                    search.fail("heartbeats timed out")
             for search in list(delegate.searches):
-                if now > search.give_up_at + ANSWER_MARGIN_S:
-                    search.lose("no answer before the deadline")
+                if now > search.deadline_at + ANSWER_MARGIN_S:
+                    search.fail("no answer before the deadline")
 
     def avoid(
         self, delegate: Delegate, reason: str, duration_s: float = AVOID_AFTER_FAILURE_S
--- a/sardinehook/gateway/story.py
+++ b/sardinehook/gateway/request_log.py
@@ -1,4 +1,4 @@
-"""The log lines and metrics that tell what became of each request."""
+"""Log lines and metrics for the outcome of each request."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
     from sardinehook.gateway.gather import Gather
     from sardinehook.gateway.single import SingleCall
 
-__all__ = ["RequestStories"]
+__all__ = ["RequestLog"]
 
 logger = structlog.get_logger(__name__)
 
 MS_PER_S = 1000.0
-MISSING_KINDS = (
+MISSING_REASONS = (
     ("no reply", "overdue"),
     ("queue", "queue_too_long"),
     ("no replica", "no_replica"),
@@ -29,19 +29,19 @@
     ("status", "failed"),
     ("refused", "failed"),
 )
-TOLD_IN_FULL_EACH = 16  # untroubled requests: one in so many has a line
+SUCCESS_LOG_INTERVAL = 16  # one log line per this many ordinary successes
 
 
-class RequestStories:
-    """Writes a line for each request that ends badly and for some that don't."""
+class RequestLog:
+    """Logs each failed, late or incomplete request and a sample of the others."""
 
     def __init__(self, reactor: GatewayReactor, metrics: GatewayMetrics) -> None:
         self.reactor = reactor
         self.metrics = metrics
-        self.untroubled = 0
+        self.successes = 0
 
-    def refused(self, request: str, answer: CallerAnswer) -> None:
-        """Tell of a request that started no work."""
+    def record_refused(self, request: str, answer: CallerAnswer) -> None:
+        """Record a request that was refused before it was started."""
         self.metrics.requests.labels("none", answer.outcome).inc()
         log_event(
             logger,
@@ -51,14 +51,14 @@
             detail=answer.detail,
         )
 
-    def ended(
+    def record_ended(
         self,
         work: Gather | SingleCall | DelegatedSearch,
         version: int,
         answer: CallerAnswer,
         peer: str = "",
     ) -> None:
-        """Tell how a request ended; ``peer`` is the gateway that handed it over."""
+        """Record the end of a request; ``peer`` is the gateway that delegated it."""
         took_s = self.reactor.seconds() - work.request.received_at
         late = took_s > work.route.objective_s
         kind = "one" if hasattr(work, "tried") else "all"
@@ -67,9 +67,9 @@
         self.metrics.observe(kind, answer.outcome, took_s, work.hedges, work.repeats)
         self.count_missing(work)
         answered = answer.outcome == "answered" and answer.status < 400
-        troubled = bool(not answered or late or answer.detail)
-        self.untroubled += not troubled
-        if not troubled and self.untroubled % TOLD_IN_FULL_EACH:
+        notable = bool(not answered or late or answer.detail)
+        self.successes += not notable
+        if not notable and self.successes % SUCCESS_LOG_INTERVAL:
             return
         event = EventName.QUERY_ANSWERED if answered else EventName.QUERY_FAILED
         log_event(
@@ -88,14 +88,14 @@
         )
 
     def count_missing(self, work: Gather | SingleCall | DelegatedSearch) -> None:
-        """Count the shards that a search left out."""
-        for part in getattr(work, "parts", ()):
-            if not part.is_in:
-                kind = missing_kind(part.reason)
+        """Count the shards that are missing from an answer, by reason."""
+        for shard in getattr(work, "shards", ()):
+            if not shard.answered:
+                kind = missing_reason(shard.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
-    def left(self, work: Gather | SingleCall | DelegatedSearch) -> None:
-        """Tell of a request whose caller has left."""
+    def record_cancelled(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+        """Record a request whose caller has disconnected."""
         took_s = self.reactor.seconds() - work.request.received_at
         self.metrics.requests.labels("any", "caller_left").inc()
         log_event(
@@ -108,24 +108,24 @@
 
 
 def target_of(work: Gather | SingleCall | DelegatedSearch) -> str:
-    """Name the replicas that a single request was sent to."""
+    """Return the ids of the replicas that a single request was sent to."""
     tried = getattr(work, "tried", [])
     return ",".join(replica.replica_id for replica in tried)
 
 
 def delegate_of(work: Gather | SingleCall | DelegatedSearch) -> str:
-    """Name the gateway to which a search was handed over."""
+    """Return the name of the gateway to which a search was delegated."""
     delegate = getattr(work, "delegate", None)
     return delegate.name if delegate else ""
 
 
-def missing_kind(reason: str) -> str:
-    """Return the kind of a reason, of which there are few.
+def missing_reason(reason: str) -> str:
+    """Map a failure reason to one of the few values of the metric's label.
 
-    >>> missing_kind("refused with 503"), missing_kind("Connection lost.")
+    >>> missing_reason("refused with 503"), missing_reason("Connection lost.")
     ('failed', 'lost')
     """
-    for start, kind in MISSING_KINDS:
+    for start, kind in MISSING_REASONS:
         if reason.startswith(start):
             return kind
     return "lost"
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -1,4 +1,4 @@
-"""The form of searches, and of what became of them, between gateways."""
+"""Encodes delegated searches and their answers between gateways."""
 
 from __future__ import annotations
 
@@ -12,20 +12,20 @@
 
 __all__ = [
     "SEARCH_PATH",
-    "HandedOver",
-    "Outcome",
-    "decode_outcome",
+    "DelegatedRequest",
+    "WireAnswer",
+    "decode_answer",
     "decode_search",
-    "encode_outcome",
+    "encode_answer",
     "encode_search",
 ]
 
 SEARCH_PATH = b"/search"
-HAND_OVER_S = 0.004  # both ways between two gateways, over the narrow link of one
+DELEGATION_ROUND_TRIP_S = 0.004  # between two gateways, one with a narrow link
 
 
 class WireSearch(msgspec.Struct, array_like=True):
-    """A search on its way to another gateway."""
+    """A delegated search as sent; times are relative to the sending."""
 
     node: str
     version: int
@@ -40,8 +40,8 @@
     path_s: float
 
 
-class Outcome(msgspec.Struct, array_like=True):
-    """What became of a search that was handed over."""
+class WireAnswer(msgspec.Struct, array_like=True):
+    """The answer to a delegated search as sent, with its log fields."""
 
     status: int
     headers: list[tuple[bytes, bytes]]
@@ -52,8 +52,8 @@
     repeats: int
 
 
-class HandedOver(NamedTuple):
-    """A search that another gateway has handed over."""
+class DelegatedRequest(NamedTuple):
+    """A search that another gateway has delegated to this one."""
 
     node: str
     version: int
@@ -61,7 +61,7 @@
 
 
 def encode_search(node: str, version: int, request: CallerRequest, now: float) -> bytes:
-    """Encode a search as it stands at ``now``."""
+    """Encode a search that is sent at ``now``."""
     wire = WireSearch(
         node,
         version,
@@ -73,21 +73,21 @@
         request.body,
         request.patience_s,
         now - request.received_at,
-        request.path_s + HAND_OVER_S,
+        request.path_s + DELEGATION_ROUND_TRIP_S,
     )
     return msgspec.msgpack.encode(wire)
 
 
-def decode_search(body: bytes, now: float) -> Result[HandedOver, str]:
-    """Decode a search that came at ``now``.
+def decode_search(body: bytes, now: float) -> Result[DelegatedRequest, str]:
+    """Decode a search that was received at ``now``.
 
     >>> decode_search(b"x", 0.0).failure()
-    'malformed search of a peer: Expected `array`, got `int`'
+    'malformed delegated search: Expected `array`, got `int`'
     """
     try:
         wire = msgspec.msgpack.decode(body, type=WireSearch)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f"malformed search of a peer: {error}")
+        return Failure(f"malformed delegated search: {error}")
     request = CallerRequest(
         wire.request_id,
         wire.method,
@@ -99,12 +99,12 @@
         now - wire.elapsed_s,
         wire.path_s,
     )
-    return Success(HandedOver(wire.node, wire.version, request))
+    return Success(DelegatedRequest(wire.node, wire.version, request))
 
 
-def encode_outcome(answer: CallerAnswer, hedges: int, repeats: int) -> bytes:
-    """Encode what became of a search."""
-    wire = Outcome(
+def encode_answer(answer: CallerAnswer, hedges: int, repeats: int) -> bytes:
+    """Encode the answer to a delegated search."""
+    wire = WireAnswer(
         answer.status,
         list(answer.headers),
         answer.body,
@@ -116,9 +116,9 @@
     return msgspec.msgpack.encode(wire)
 
 
-def decode_outcome(body: bytes) -> Result[Outcome, str]:
-    """Decode what became of a search."""
+def decode_answer(body: bytes) -> Result[WireAnswer, str]:
+    """Decode the answer to a delegated search; the failure says what is wrong."""
     try:
-        return Success(msgspec.msgpack.decode(body, type=Outcome))
+        return Success(msgspec.msgpack.decode(body, type=WireAnswer))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Failure(f"malformed outcome of a peer: {error}")
+        return Failure(f"malformed answer to a delegated search: {error}")
