Rename Outlet to SocketWriter

A reader of "outlet" has to open the module to learn that it writes to the socket directly and falls back to the transport. Module, class, attribute and test file follow the new name.

--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -21,7 +21,7 @@
 from sardinehook.gateway.round_trip import round_trip_s
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.transport.connection import set_socket_options
-from sardinehook.transport.outlet import Outlet
+from sardinehook.transport.socket_writer import SocketWriter
 
 __all__ = ["Front", "FrontConnection", "Work"]
 
@@ -94,7 +94,7 @@
         """Set the options of the socket."""
         tcp: Any = self.transport
         self.tcp = tcp
-        self.outlet = Outlet(tcp)
+        self.writer = SocketWriter(tcp)
         set_socket_options(tcp)
         self.since = self.opened_at = self.front.now()
         self.front.connections.add(self)
@@ -175,7 +175,7 @@
     def invite_body(self) -> None:
         """Ask for a body that the caller holds back, unless an answer is due before."""
         if self.current is None and not self.waiting and not self.refused:
-            self.outlet.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body within the limit."""
@@ -240,7 +240,7 @@
         self.work = None
         keep = request.keep_alive and not self.front.turns_away and not self.refused
         keep = keep or bool(self.waiting)
-        self.outlet.write(encode_answer(answer, request.method == b"HEAD", keep))
+        self.writer.write(encode_answer(answer, request.method == b"HEAD", keep))
         self.since = self.front.now()
         if not keep:
             self.close()
@@ -267,7 +267,7 @@
             caller=str(self.tcp.getPeer().host),
         )
         answer = CallerAnswer(status, (), b"", "bad_request")
-        self.outlet.write(encode_answer(answer, False, False))
+        self.writer.write(encode_answer(answer, False, False))
         self.close()
 
     def close(self) -> None:
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -12,7 +12,7 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from sardinehook.transport.outlet import Outlet
+from sardinehook.transport.socket_writer import SocketWriter
 
 __all__ = ["ClientConnection", "ExchangeEnd", "Lost", "Malformed", "Replied", "Reply"]
 
@@ -126,7 +126,7 @@
         if self.exchanges:
             self.reset_reply()
         self.exchanges += 1
-        self.outlet.write(request)
+        self.writer.write(request)
 
     def abort(self) -> None:
         """Drop the connection at once; no end is reported for its exchange."""
@@ -138,7 +138,7 @@
         """Set the options of the socket and report that it can be used."""
         tcp: Any = self.transport
         self.tcp = tcp
-        self.outlet = Outlet(tcp)
+        self.writer = SocketWriter(tcp)
         set_socket_options(tcp)
         self.is_open = True
         self.on_open(self)
--- a/sardinehook/transport/outlet.py
+++ b/sardinehook/transport/socket_writer.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-__all__ = ["Outlet"]
+__all__ = ["SocketWriter"]
 
 
 class SocketHandle(Protocol):
@@ -27,7 +27,7 @@
         ...
 
 
-class Outlet:
+class SocketWriter:
     """Sends at once while the kernel takes everything, else through the transport.
 
     Twisted sends in the turn after the one that writes. That costs three calls of the
--- a/tests/transport/test_outlet.py
+++ b/tests/transport/test_socket_writer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sardinehook.transport.outlet import Outlet
+from sardinehook.transport.socket_writer import SocketWriter
 
 
 class Pipe:
@@ -34,20 +34,20 @@
 class TestOrder:
     def test_all_is_sent_at_once_while_there_is_room(self) -> None:
         pipe = Pipe(100)
-        outlet = Outlet(pipe)
-        outlet.write(b"abc")
-        outlet.write(b"def")
+        writer = SocketWriter(pipe)
+        writer.write(b"abc")
+        writer.write(b"def")
         assert (pipe.sent, pipe.queued) == (b"abcdef", b"")
 
     def test_the_rest_is_queued_and_all_that_follows_behind_it(self) -> None:
         pipe = Pipe(2)
-        outlet = Outlet(pipe)
-        outlet.write(b"abc")
+        writer = SocketWriter(pipe)
+        writer.write(b"abc")
         pipe.room = 100
-        outlet.write(b"def")
+        writer.write(b"def")
         assert (pipe.sent, pipe.queued) == (b"ab", b"cdef")
 
     def test_an_error_is_left_to_the_transport(self) -> None:
         pipe = Pipe(0)
-        Outlet(pipe).write(b"abc")
+        SocketWriter(pipe).write(b"abc")
         assert (pipe.sent, pipe.queued) == (b"", b"abc")
