Rename the replica chooser and its result to replica selection

"Choice" and "likely_s" do not say what is chosen or what is likely. ReplicaSelector.select returns a SelectedReplica with expected_s and unloaded_s; the module is replica_selection. may_ask becomes cold_limit_allows, extra_cost penalty_s, cold_share cold_request_limit and the callback note_cold_denied on_cold_denied. Imports are sorted again.

--- a/sardinehook/gateway/fan_out.py
+++ b/sardinehook/gateway/fan_out.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.choice import Choice
+from sardinehook.gateway.replica_selection import SelectedReplica
 
 __all__ = ["Ask", "FanOut", "Refuse", "plan_fan_out"]
 
@@ -32,7 +32,7 @@
 
 
 def plan_fan_out(
-    choices: Sequence[Choice | None], least_shards: int, left_s: float
+    choices: Sequence[SelectedReplica | None], least_shards: int, left_s: float
 ) -> FanOut:
     """Decide which shards to ask with ``left_s`` left until the objective.
 
@@ -49,15 +49,15 @@
         detail = f"{len(missing)} of {len(choices)} shards have no replica to ask"
         return Refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail), missing)
     found = {place: choice for place, choice in enumerate(choices) if choice}
-    prompt = [place for place in offered if found[place].likely_s <= left_s]
-    doubtful = [place for place in offered if found[place].likely_s > left_s]
-    idle = [p for p in doubtful if found[p].likely_s <= found[p].idle_s]
-    doubtful.sort(key=lambda place: found[place].likely_s)
+    prompt = [place for place in offered if found[place].expected_s <= left_s]
+    doubtful = [place for place in offered if found[place].expected_s > left_s]
+    idle = [p for p in doubtful if found[p].expected_s <= found[p].unloaded_s]
+    doubtful.sort(key=lambda place: found[place].expected_s)
     needed = least_shards - len(prompt)
     if needed <= 0:
         return Ask(frozenset(prompt + idle))
     decisive = found[doubtful[needed - 1]]
-    if decisive.idle_s <= left_s:
+    if decisive.unloaded_s <= left_s:
         detail = f"the queues of {len(doubtful)} shards are too long"
         return Refuse(Problem(ErrorKind.OVERLOADED, detail), tuple(doubtful))
     return Ask(frozenset(prompt + idle + doubtful[: needed + SPARE_SHARDS]))
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -7,7 +7,6 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, refuse
-from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route, ShardSet
 from sardinehook.gateway.dispatch import (
     Answered,
@@ -27,6 +26,7 @@
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["Gather"]
@@ -114,7 +114,7 @@
                 self.ask(choices, asked, now)
 
     def ask(
-        self, choices: list[Choice | None], places: frozenset[int], now: float
+        self, choices: list[SelectedReplica | None], places: frozenset[int], now: float
     ) -> None:
         """Send the first requests to the shards at ``places``; the others are lost."""
         for place, choice in enumerate(choices):
@@ -143,18 +143,18 @@
             return CUT_OFF_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
             patience_s = self.give_up_at - self.request.received_at
-            spread = 1.0 + self.policy.chooser.random.random()
+            spread = 1.0 + self.policy.selector.random.random()
             return RETRY_SHARE * patience_s * spread
         return None
 
-    def choose(self, part: Part, now: float) -> Choice | None:
+    def choose(self, part: Part, now: float) -> SelectedReplica | None:
         """Return the replica to ask for a shard."""
         left_s = self.part_deadline_at - now
-        return self.policy.chooser.choose(
+        return self.policy.selector.select(
             part.shard, self.usual_s, part.tried, left_s, now
         )
 
-    def choose_reachable(self, part: Part, now: float) -> Choice | None:
+    def choose_reachable(self, part: Part, now: float) -> SelectedReplica | None:
         """Return the replica to ask first, ``None`` if all are cut off from here."""
         if not self.policy.directory.can_serve(part.shard, now):
             return None
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable
 
-from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.ports import CallerDialect, CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.repeat_budget import RepeatBudget
+from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
@@ -50,13 +50,13 @@
         reactor: GatewayReactor,
         directory: Directory,
         dispatcher: Dispatcher,
-        chooser: ReplicaChooser,
+        selector: ReplicaSelector,
         callers: CallerDialect,
     ) -> None:
         self.reactor = reactor
         self.directory = directory
         self.dispatcher = dispatcher
-        self.chooser = chooser
+        self.selector = selector
         self.callers = callers
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
@@ -69,7 +69,7 @@
         if bounds.repeat_window_s != self.bounds.repeat_window_s:
             self.start_counting()
         self.bounds = bounds
-        self.chooser.bounds = bounds
+        self.selector.bounds = bounds
         self.directory.drain_s = bounds.drain_s
 
     def start_counting(self) -> None:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -17,7 +17,6 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import refuse
-from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.desk import RequestDesk
@@ -32,6 +31,7 @@
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.signs_of_life import SignsOfLife
@@ -90,18 +90,18 @@
         self.store = make_store(metrics)
         self.directory = Directory(reactor, settings.bounds.drain_s)
         dispatcher = Dispatcher(reactor, dialects.replicas, self.directory)
-        chooser = ReplicaChooser(
+        selector = ReplicaSelector(
             self.directory,
             settings.node,
             settings.data_centre,
             self.random.getrandbits(32),
         )
         self.policy = RequestPolicy(
-            reactor, self.directory, dispatcher, chooser, dialects.callers
+            reactor, self.directory, dispatcher, selector, dialects.callers
         )
         self.policy.configure(settings.bounds)
         self.policy.note_denied = metrics.repeats_denied.inc
-        chooser.note_cold_denied = metrics.cold_denied.inc
+        selector.on_cold_denied = metrics.cold_denied.inc
         self.stories = RequestStories(reactor, metrics)
         self.desk = RequestDesk(self.policy, self.stories, self.random)
         self.front = Front(reactor, self.desk.take)
--- a/sardinehook/gateway/choice.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -12,7 +12,7 @@
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.settings import Bounds
 
-__all__ = ["Choice", "ReplicaChooser"]
+__all__ = ["ReplicaSelector", "SelectedReplica"]
 
 CROSS_DATA_CENTRE_S = 0.015  # round trip to another data centre, and its price
 BUSY_COST_RATIO = 0.5  # of the usual latency, for slots that are taken
@@ -26,18 +26,18 @@
 COLD_SAFETY_RATIO = 0.9  # of a cold replica's rate, since arrivals bunch on the wire
 
 
-class Choice(NamedTuple):
+class SelectedReplica(NamedTuple):
     """The replica to ask, and how long its reply is expected to take in seconds.
 
-    ``idle_s`` is how long it would take if no other request were there.
+    ``unloaded_s`` is how long it would take if no other request were there.
     """
 
     replica: Replica
-    idle_s: float
-    likely_s: float
+    unloaded_s: float
+    expected_s: float
 
 
-class ReplicaChooser:
+class ReplicaSelector:
     """Orders the replicas of a service by the time that a reply would take.
 
     The estimate is the usual latency, times the replica's own slowness, times the
@@ -55,37 +55,37 @@
         self.data_centre = data_centre
         self.random = Random(seed)
         self.bounds = Bounds()
-        self.note_cold_denied: Callable[[], object] = int
+        self.on_cold_denied: Callable[[], object] = int
 
-    def choose(
+    def select(
         self,
         service: str,
         usual_s: float,
         excluded: Collection[Replica],
         within_s: float,
         now: float,
-    ) -> Choice | None:
+    ) -> SelectedReplica | None:
         """Return the replica to ask, ``None`` if there is none to be asked.
 
         A replica from which no reply is to be expected within ``within_s`` is passed
         over: the request would wait in its queue for nothing, and in front of others.
         """
-        best: Choice | None = None
+        best: SelectedReplica | None = None
         best_cost = float("inf")
         for replica in self.directory.replicas_of(service):
-            if replica in excluded or not self.may_ask(replica, now):
+            if replica in excluded or not self.cold_limit_allows(replica, now):
                 continue
-            idle_s = usual_s * replica.current_slowness(now)
-            likely_s = idle_s * replica.waits(now)
-            if likely_s > within_s:
+            unloaded_s = usual_s * replica.current_slowness(now)
+            expected_s = unloaded_s * replica.waits(now)
+            if expected_s > within_s:
                 continue
-            cost = likely_s + self.extra_cost(replica, usual_s, now)
+            cost = expected_s + self.penalty_s(replica, usual_s, now)
             cost *= 1.0 + JITTER * self.random.random()
             if cost < best_cost:
-                best, best_cost = Choice(replica, idle_s, likely_s), cost
+                best, best_cost = SelectedReplica(replica, unloaded_s, expected_s), cost
         return best
 
-    def extra_cost(self, replica: Replica, usual_s: float, now: float) -> float:
+    def penalty_s(self, replica: Replica, usual_s: float, now: float) -> float:
         """Return what is added to the estimate for other risks, in seconds."""
         cost = usual_s * BUSY_COST_RATIO * replica.busy(now) / replica.entry.slots
         if replica.entry.data_centre != self.data_centre:
@@ -104,7 +104,7 @@
             cost += UNREACHABLE_COST_S
         return cost + FAILURE_COST_S * replica.current_failures(now)
 
-    def may_ask(self, replica: Replica, now: float) -> bool:
+    def cold_limit_allows(self, replica: Replica, now: float) -> bool:
         """Tell whether a replica in its cold start bears one more request."""
         if not replica.is_cold(now):
             return True
@@ -112,12 +112,12 @@
         service = configuration and configuration.services.get(replica.entry.service)
         if not service or service.cold_requests_per_s <= 0.0:
             return True
-        if replica.cold_requests(now) < self.cold_share(replica, service):
+        if replica.cold_requests(now) < self.cold_request_limit(replica, service):
             return True
-        self.note_cold_denied()
+        self.on_cold_denied()
         return False
 
-    def cold_share(self, replica: Replica, service: Service) -> int:
+    def cold_request_limit(self, replica: Replica, service: Service) -> int:
         """Return how many requests a second a cold replica may get from here.
 
         Where not each of the gateways with the same part can have one, those with the
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -6,7 +6,6 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, refuse
-from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.dispatch import (
     Answered,
@@ -18,6 +17,7 @@
 from sardinehook.gateway.policy import MOVE_AFTER_S, RequestPolicy, give_up_at
 from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["SingleCall"]
@@ -91,10 +91,10 @@
         if not self.settled:
             self.schedule(now)
 
-    def choose(self, now: float) -> Choice | None:
+    def choose(self, now: float) -> SelectedReplica | None:
         """Return the replica to ask."""
         left_s = self.give_up_at - now
-        return self.policy.chooser.choose(
+        return self.policy.selector.select(
             self.service, self.usual_s, self.tried, left_s, now
         )
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -7,7 +7,6 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -30,6 +29,7 @@
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerRequest, ReplicaEntry, ReplicaReply
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.shares import Shares
 from sardinehook.gateway.single import SingleCall
@@ -140,8 +140,8 @@
     reactor.advance(100.0)
     directory = Directory(reactor, bounds.drain_s)
     dispatcher = HeldDispatcher(reactor, directory)
-    chooser = ReplicaChooser(directory, "g-1", HERE, 1)
-    policy = RequestPolicy(reactor, directory, dispatcher, chooser, PlatformCallers())
+    selector = ReplicaSelector(directory, "g-1", HERE, 1)
+    policy = RequestPolicy(reactor, directory, dispatcher, selector, PlatformCallers())
     policy.configure(bounds)
     directory.set_shares(equal_shares(gateways))
     return Gateway(reactor, directory, dispatcher, policy, [])
--- a/tests/gateway/test_fan_out.py
+++ b/tests/gateway/test_fan_out.py
@@ -6,18 +6,18 @@
 from hypothesis import strategies as st
 
 from sardinehook.errors import ErrorKind
-from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_selection import SelectedReplica
 from tests.gateway.support import make_gateway
 
 GATEWAY = make_gateway()
 REPLICA: Replica = GATEWAY.add("a", "s")
 
 
-def choice(idle_s: float, likely_s: float) -> Choice:
+def choice(unloaded_s: float, expected_s: float) -> SelectedReplica:
     """Make a choice of a replica with its estimates."""
-    return Choice(REPLICA, idle_s, likely_s)
+    return SelectedReplica(REPLICA, unloaded_s, expected_s)
 
 
 FAST = choice(0.03, 0.03)
@@ -65,7 +65,7 @@
 class TestAlways:
     @given(CHOICES, st.floats(0.1, 1.0))
     def test_enough_are_asked_or_none(
-        self, choices: list[Choice | None], ratio: float
+        self, choices: list[SelectedReplica | None], ratio: float
     ) -> None:
         least = max(1, round(ratio * len(choices)))
         plan = plan_fan_out(choices, least, 0.2)
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -87,11 +87,11 @@
                 configuration(single_route(True), cold_rate=rate)
             )
             gateway.directory.set_shares(equal_shares(gateways))
-            gateway.policy.chooser.node = f"g-{number}"
+            gateway.policy.selector.node = f"g-{number}"
             replica = gateway.add("desk-a", "desk")
             now = gateway.reactor.seconds()
             replica.cold_until = now + 3.0
-            while gateway.policy.chooser.may_ask(replica, now):
+            while gateway.policy.selector.cold_limit_allows(replica, now):
                 replica.cold_arrivals.add(1, now)
                 total += 1
         return total
@@ -110,14 +110,14 @@
         replica = gateway.add("desk-a", "desk")
         now = gateway.reactor.seconds()
         replica.cold_until = now + 3.0
-        chooser = gateway.policy.chooser
-        for chooser.node in gateway_names(5):
-            if chooser.may_ask(replica, now):
+        selector = gateway.policy.selector
+        for selector.node in gateway_names(5):
+            if selector.cold_limit_allows(replica, now):
                 break
-        assert chooser.may_ask(replica, now)
+        assert selector.cold_limit_allows(replica, now)
         waiting = Exchange(REQUEST, replica, now, now + 1.0, lambda *_: None)
         replica.in_flight[waiting] = None
-        assert not chooser.may_ask(replica, now)
+        assert not selector.cold_limit_allows(replica, now)
 
     def test_a_warm_replica_goes_first(self) -> None:
         gateway = make_gateway()
