Rename the dialects to codecs and the store's schema

The module "ports" reads like TCP ports and "dialect" is not the term for a pair of encoder and decoder. gateway.ports becomes gateway.interfaces, CallerDialect CallerCodec, ReplicaDialect ReplicaCodec, and StoreDialect, which also names the keys, StoreSchema.

ruff and strict mypy pass; gateway, transport and platform tests and doctests: 250 passed.

--- a/sardinehook/gateway/answer.py
+++ b/sardinehook/gateway/answer.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.ports import Header
+from sardinehook.gateway.interfaces import Header
 
 __all__ = ["CallerAnswer", "refuse"]
 
--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -10,8 +10,8 @@
 from sardinehook.gateway.answer import CallerAnswer, refuse
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.delegates import Delegate, Delegates
+from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.policy import RequestPolicy, give_up_at
-from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.search_codec import SEARCH_PATH, decode_outcome, encode_search
 from sardinehook.transport.connection import (
     ClientConnection,
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -20,8 +20,8 @@
 from sardinehook.gateway.delegated_search import DelegatedSearch
 from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
 from sardinehook.gateway.policy import RequestPolicy
-from sardinehook.gateway.ports import CallerRequest, HttpRequest
 from sardinehook.gateway.repeat_budget import SlidingCount
 from sardinehook.gateway.search_codec import (
     HandedOver,
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -9,8 +9,8 @@
 import structlog
 
 from sardinehook.gateway.configuration import Configuration
+from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.gateway.pool import ConnectionPool
-from sardinehook.gateway.ports import ReplicaEntry
 from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sardinehook.gateway.directory import Directory
-from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
+from sardinehook.gateway.interfaces import CallerRequest, ReplicaCodec, ReplicaReply
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
 from sardinehook.transport.connection import (
@@ -105,11 +105,11 @@
     def __init__(
         self,
         reactor: GatewayReactor,
-        dialect: ReplicaDialect,
+        codec: ReplicaCodec,
         directory: Directory,
     ) -> None:
         self.reactor = reactor
-        self.dialect = dialect
+        self.codec = codec
         self.directory = directory
         self.exchanges: dict[Exchange, None] = {}
 
@@ -149,7 +149,7 @@
         if replica.is_cold(now):
             replica.cold_arrivals.add(1, now)
         connection.exchange(
-            self.dialect.encode_request(request, replica.replica_id, left_s),
+            self.codec.encode_request(request, replica.replica_id, left_s),
             lambda end: self.ended(exchange, end),
             request.method == b"HEAD",
         )
@@ -161,7 +161,7 @@
         match end:
             case Replied(raw):
                 self.directory.reachability.note_heard(replica.entry.data_centre, now)
-                reply = self.dialect.read_reply(raw, exchange.request.request_id)
+                reply = self.codec.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
                 self.settle_connection(exchange, reply)
             case Malformed(detail) | Lost(detail):
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -15,9 +15,9 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
+from sardinehook.gateway.interfaces import StoreSchema
 from sardinehook.gateway.knowledge import Knowledge, Told
 from sardinehook.gateway.peers import Peers
-from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.readers import Reader, ReaderRotation
 from sardinehook.gateway.relay import ChangeRelay
@@ -54,7 +54,7 @@
         reactor: GatewayReactor,
         store: GatewayStore,
         peers: Peers,
-        dialect: StoreDialect,
+        dialect: StoreSchema,
         directory: Directory,
         fleet: GatewayFleet,
         on_configuration: Callable[[Configuration], None],
--- a/sardinehook/gateway/front.py
+++ b/sardinehook/gateway/front.py
@@ -16,7 +16,7 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import CallerLimits
-from sardinehook.gateway.ports import Header, HttpRequest, RequestTiming
+from sardinehook.gateway.interfaces import Header, HttpRequest, RequestTiming
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.round_trip import round_trip_s
 from sardinehook.observe.events import EventName, log_event
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -16,6 +16,7 @@
     NotRun,
 )
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
+from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.part import Part
 from sardinehook.gateway.policy import (
     MOVE_AFTER_S,
@@ -23,7 +24,6 @@
     answer_by,
     give_up_at,
 )
-from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.replica_selection import SelectedReplica
--- a/sardinehook/gateway/ports.py
+++ b/sardinehook/gateway/interfaces.py
@@ -11,16 +11,16 @@
 from sardinehook.transport.connection import Reply
 
 __all__ = [
-    "CallerDialect",
+    "CallerCodec",
     "CallerRequest",
     "Header",
     "HttpRequest",
     "Load",
-    "ReplicaDialect",
+    "ReplicaCodec",
     "ReplicaEntry",
     "ReplicaReply",
     "RequestTiming",
-    "StoreDialect",
+    "StoreSchema",
 ]
 
 Header = tuple[bytes, bytes]
@@ -128,7 +128,7 @@
     born_ms: int
 
 
-class CallerDialect(Protocol):
+class CallerCodec(Protocol):
     """The headers that callers send and get."""
 
     def read_request(self, request: HttpRequest) -> Result[CallerRequest, str]:
@@ -142,7 +142,7 @@
         ...
 
 
-class ReplicaDialect(Protocol):
+class ReplicaCodec(Protocol):
     """The requests to replicas and their replies."""
 
     def encode_request(
@@ -156,7 +156,7 @@
         ...
 
 
-class StoreDialect(Protocol):
+class StoreSchema(Protocol):
     """The keys and values in the platform's store that are not the gateway's own."""
 
     configuration_key: str
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -7,7 +7,7 @@
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
-from sardinehook.gateway.ports import CallerDialect, CallerRequest
+from sardinehook.gateway.interfaces import CallerCodec, CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.repeat_budget import RepeatBudget
 from sardinehook.gateway.replica_selection import ReplicaSelector
@@ -51,7 +51,7 @@
         directory: Directory,
         dispatcher: Dispatcher,
         selector: ReplicaSelector,
-        callers: CallerDialect,
+        callers: CallerCodec,
     ) -> None:
         self.reactor = reactor
         self.directory = directory
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -6,7 +6,7 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.front import Front, Work
-from sardinehook.gateway.ports import HttpRequest
+from sardinehook.gateway.interfaces import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import CHANGES_PATH, ChangeRelay
 from sardinehook.gateway.search_codec import SEARCH_PATH
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -25,10 +25,10 @@
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.front import Front
+from sardinehook.gateway.interfaces import CallerCodec, ReplicaCodec, StoreSchema
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
-from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica_selection import ReplicaSelector
@@ -63,9 +63,9 @@
 class Dialects(NamedTuple):
     """The dialects that this gateway speaks."""
 
-    callers: CallerDialect
-    replicas: ReplicaDialect
-    keys: StoreDialect
+    callers: CallerCodec
+    replicas: ReplicaCodec
+    keys: StoreSchema
 
 
 class GatewayProcess:
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -6,8 +6,8 @@
 from math import exp
 from typing import TYPE_CHECKING, NamedTuple
 
+from sardinehook.gateway.interfaces import Load, ReplicaEntry, ReplicaReply
 from sardinehook.gateway.pool import ConnectionPool
-from sardinehook.gateway.ports import Load, ReplicaEntry, ReplicaReply
 from sardinehook.gateway.repeat_budget import SlidingCount
 
 if TYPE_CHECKING:
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.ports import CallerRequest
+from sardinehook.gateway.interfaces import CallerRequest
 
 __all__ = [
     "SEARCH_PATH",
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -14,8 +14,8 @@
     Failed,
     NotRun,
 )
+from sardinehook.gateway.interfaces import CallerRequest, ReplicaReply
 from sardinehook.gateway.policy import MOVE_AFTER_S, RequestPolicy, give_up_at
-from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.transport.reactor import Timer
--- a/sardinehook/platform/callers.py
+++ b/sardinehook/platform/callers.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from sardinehook.gateway.ports import CallerRequest, Header, HttpRequest
+from sardinehook.gateway.interfaces import CallerRequest, Header, HttpRequest
 
 __all__ = ["PlatformCallers"]
 
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.configuration import Configuration
-from sardinehook.gateway.ports import ReplicaEntry
+from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.platform.configuration import decode_configuration
 
 __all__ = ["PlatformKeys"]
--- a/sardinehook/platform/replicas.py
+++ b/sardinehook/platform/replicas.py
@@ -5,7 +5,7 @@
 import re
 from functools import lru_cache
 
-from sardinehook.gateway.ports import CallerRequest, Load, ReplicaReply
+from sardinehook.gateway.interfaces import CallerRequest, Load, ReplicaReply
 from sardinehook.transport.connection import Reply
 
 __all__ = ["PlatformReplicas"]
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -26,8 +26,8 @@
     NotRun,
 )
 from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.interfaces import CallerRequest, ReplicaEntry, ReplicaReply
 from sardinehook.gateway.policy import RequestPolicy
-from sardinehook.gateway.ports import CallerRequest, ReplicaEntry, ReplicaReply
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.settings import Bounds
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -20,8 +20,8 @@
 )
 from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
+from sardinehook.gateway.interfaces import HttpRequest
 from sardinehook.gateway.metrics import GatewayMetrics
-from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.search_codec import decode_search, encode_search
 from sardinehook.gateway.shares import divide
 from sardinehook.gateway.story import RequestStories
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -14,7 +14,7 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.front import Front, FrontConnection
-from sardinehook.gateway.ports import HttpRequest
+from sardinehook.gateway.interfaces import HttpRequest
 from tests.gateway.wire import Wire, make_wire
 
 Finish = Callable[[CallerAnswer], None]
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from sardinehook.gateway.ports import Load
+from sardinehook.gateway.interfaces import Load
 from tests.gateway.support import make_gateway, search_route, shard_names
 from tests.gateway.test_gather import with_replicas
 
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -9,7 +9,7 @@
 from returns.pipeline import is_successful
 
 from sardinehook.gateway.configuration import ShardSet
-from sardinehook.gateway.ports import CallerRequest, Header, HttpRequest
+from sardinehook.gateway.interfaces import CallerRequest, Header, HttpRequest
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.configuration import decode_configuration
 from sardinehook.platform.discovery import PlatformKeys
