Name the limits of a route min and max, and its weighted services a split

"most" and "least" are not the usual prefixes of limits, and OneReplica hides that a route divides its traffic by weight. OneReplica becomes TrafficSplit; most_attempts, most_connections and most_records become max_*, and least_coverage of the gateway's shard set becomes min_coverage.

--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -10,10 +10,10 @@
     "CallerLimits",
     "Configuration",
     "Destination",
-    "OneReplica",
     "Route",
     "Service",
     "ShardSet",
+    "TrafficSplit",
     "WeightedService",
     "index_routes",
 ]
@@ -27,7 +27,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OneReplica:
+class TrafficSplit:
     """Each request goes to one replica of one service, chosen by weight."""
 
     services: tuple[WeightedService, ...]
@@ -37,22 +37,22 @@
 class ShardSet:
     """Each request goes to one replica of every shard and the answers are merged.
 
-    ``most_records`` bounds the merged answer. An answer with less than the share
-    ``least_coverage`` of the shards is a failure.
+    ``max_records`` bounds the merged answer. An answer with less than the share
+    ``min_coverage`` of the shards is a failure.
     """
 
     shards: tuple[str, ...]
-    most_records: int
-    least_coverage: float
+    max_records: int
+    min_coverage: float
 
 
-Destination = OneReplica | ShardSet
+Destination = TrafficSplit | ShardSet
 
 
 class Route(NamedTuple):
     """What is done with the requests of one host and path prefix.
 
-    ``idempotent`` requests may run more than once. ``most_attempts`` is how many
+    ``idempotent`` requests may run more than once. ``max_attempts`` is how many
     replicas (of each shard) may be sent one request. ``objective_s`` is the latency
     that callers are promised, ``timeout_s`` the longest that they are kept waiting.
     """
@@ -64,20 +64,20 @@
     timeout_s: float
     objective_s: float
     priority: int
-    most_attempts: int
+    max_attempts: int
     destination: Destination
 
 
 class Service(NamedTuple):
     """What is known of all replicas of a service.
 
-    ``most_connections`` is the bound of one replica over all callers. A cold replica
+    ``max_connections`` is the bound of one replica over all callers. A cold replica
     bears ``cold_requests_per_s``; zero means that no rate is stated.
     """
 
     name: str
     health_path: str
-    most_connections: int
+    max_connections: int
     cold_start_s: float
     cold_requests_per_s: float
 
@@ -95,7 +95,7 @@
 class Configuration:
     """One version of the configuration. ``routes`` are by host, longest prefix first.
 
-    >>> to_one = OneReplica((WeightedService("desk", 1.0),))
+    >>> to_one = TrafficSplit((WeightedService("desk", 1.0),))
     >>> short = Route("a", "h", "/x/", True, 1.0, 0.5, 0, 2, to_one)
     >>> routes = index_routes([short, short._replace(name="b", prefix="/x/y/")])
     >>> configuration = Configuration(1, routes, {}, CallerLimits())
--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -12,9 +12,9 @@
 from sardinehook.gateway.answer import CallerAnswer, refuse
 from sardinehook.gateway.configuration import (
     Configuration,
-    OneReplica,
     Route,
     ShardSet,
+    TrafficSplit,
     WeightedService,
 )
 from sardinehook.gateway.delegated_search import DelegatedSearch
@@ -108,7 +108,7 @@
     def configure_rotation(self, route: Route) -> None:
         """Keep the rotation of a route unless its services or weights changed."""
         match route.destination:
-            case OneReplica(services) if len(services) > 1:
+            case TrafficSplit(services) if len(services) > 1:
                 known = self.rotations.get(route.name)
                 if known is None or known.services != services:
                     self.rotations[route.name] = WeightedRotation(services, self.random)
@@ -159,7 +159,7 @@
         match route.destination:
             case ShardSet(shards, _, _):
                 return any(known.get(shard) for shard in shards)
-            case OneReplica(services):
+            case TrafficSplit(services):
                 return any(known.get(part.service) for part in services)
 
     def is_out_of_reach(self, route: Route, now: float) -> bool:
@@ -169,7 +169,7 @@
             case ShardSet(shards, _, least):
                 lost = sum(directory.is_out_of_reach(shard, now) for shard in shards)
                 return len(shards) - lost < least * len(shards)
-            case OneReplica(services):
+            case TrafficSplit(services):
                 return all(
                     directory.is_out_of_reach(part.service, now) for part in services
                 )
@@ -228,7 +228,7 @@
         match route.destination:
             case ShardSet() as shards:
                 self.search(leavable, request, route, shards, configuration, done)
-            case OneReplica(services):
+            case TrafficSplit(services):
                 service = self.choose_service(route, services)
                 leavable.begin(SingleCall(self.policy, request, route, service, done))
         return None if leavable.work.settled else leavable
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -198,7 +198,7 @@
             self.configuration.services if self.configuration else {}
         )
         known = services.get(service)
-        bound = known.most_connections if known else 0
+        bound = known.max_connections if known else 0
         share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS)
         share /= self.sharers(service)
         return max(1, int(share))
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -95,7 +95,7 @@
     @property
     def least_parts(self) -> int:
         """How many shards an answer needs."""
-        needed = self.shards.least_coverage * len(self.parts)
+        needed = self.shards.min_coverage * len(self.parts)
         return max(1, ceil(needed - ROUNDING))
 
     def start(self) -> None:
@@ -213,7 +213,7 @@
                     return False
                 self.signatures.add(signature)
                 part.signature = signature
-                part.records = split_records(reply.body, self.shards.most_records)
+                part.records = split_records(reply.body, self.shards.max_records)
                 self.in_count += 1
                 return True
             case NotRun(detail, sent):
@@ -236,7 +236,7 @@
 
     def send_extra(self, part: Part, now: float) -> bool:
         """Ask one more replica for a shard if attempts, time and budget allow."""
-        if part.attempts >= self.route.most_attempts or part.refusals > REFUSED_SENDS:
+        if part.attempts >= self.route.max_attempts or part.refusals > REFUSED_SENDS:
             return False
         if now + self.usual_s * USEFUL_RATIO > self.part_deadline_at:
             return False
@@ -350,7 +350,7 @@
             [part.signature for part in parts], missing
         )
         records = [part.records or [] for part in parts]
-        body = merge_records(records, self.shards.most_records)
+        body = merge_records(records, self.shards.max_records)
         detail = self.reasons() if missing else ""
         return CallerAnswer(200, headers, body, "answered", detail)
 
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -164,7 +164,7 @@
         """Ask one more replica if safety, attempts, time and budget allow."""
         if self.may_have_run and not self.route.idempotent:
             return False
-        if self.attempts >= self.route.most_attempts or self.refusals > REFUSED_SENDS:
+        if self.attempts >= self.route.max_attempts or self.refusals > REFUSED_SENDS:
             return False
         if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
             return False
--- a/sardinehook/platform/configuration.py
+++ b/sardinehook/platform/configuration.py
@@ -9,10 +9,10 @@
     CallerLimits,
     Configuration,
     Destination,
-    OneReplica,
     Route,
     Service,
     ShardSet,
+    TrafficSplit,
     WeightedService,
     index_routes,
 )
@@ -126,9 +126,9 @@
         ]
         if sum(part.weight for part in parts) <= 0.0:
             raise ValueError(f"route {wire.name} splits by no weight")
-        return OneReplica(tuple(parts))
+        return TrafficSplit(tuple(parts))
     if wire.service:
-        return OneReplica((WeightedService(wire.service, 1.0),))
+        return TrafficSplit((WeightedService(wire.service, 1.0),))
     raise ValueError(f"route {wire.name} names no service")
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -10,10 +10,10 @@
 from sardinehook.gateway.configuration import (
     CallerLimits,
     Configuration,
-    OneReplica,
     Route,
     Service,
     ShardSet,
+    TrafficSplit,
     WeightedService,
     index_routes,
 )
@@ -172,7 +172,7 @@
 
 def single_route(idempotent: bool, attempts: int = 2) -> Route:
     """Make a route to one replica."""
-    destination = OneReplica((WeightedService("desk", 1.0),))
+    destination = TrafficSplit((WeightedService("desk", 1.0),))
     return Route("o", "h", "/x/", idempotent, 4.0, 0.6, 1, attempts, destination)
 
 
