Name the methods of the connection pool as pools do

request, give_back and withdraw do not tell that connections are acquired and released. They become acquire, release and cancel; take_idle pop_idle, lend assign, most max_connections, held connection_count, has_room has_capacity, open_after retry_at, on_heard on_connected.

--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -66,7 +66,7 @@
     def start(self) -> None:
         """Hand the search over."""
         self.delegate.searches[self] = None
-        self.delegate.pool.request(self.connected)
+        self.delegate.pool.acquire(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
         """Send the search, or do it here where there is no connection."""
@@ -92,7 +92,7 @@
         match end:
             case Replied(reply):
                 if self.connection is not None:
-                    self.delegate.pool.give_back(self.connection, KEEP_ALIVE_S)
+                    self.delegate.pool.release(self.connection, KEEP_ALIVE_S)
                 if reply.status == NOT_TAKEN:
                     reason = reply.body.decode("latin-1")
                     self.delegates.avoid(self.delegate, reason, NOT_TAKEN_S)
@@ -146,7 +146,7 @@
     def leave_delegate(self) -> None:
         """Count the search at the delegate no more."""
         self.delegate.searches.pop(self, None)
-        self.delegate.pool.withdraw(self.connected)
+        self.delegate.pool.cancel(self.connected)
 
     def cancel(self) -> None:
         """Stop, since the caller has left; the delegate sees the connection end."""
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -190,7 +190,9 @@
     def share_connections(self) -> None:
         """Bound the connections to each replica by this gateway's part."""
         for replica in self.replicas.values():
-            replica.pool.most = self.connections_allowed(replica.entry.service)
+            replica.pool.max_connections = self.connections_allowed(
+                replica.entry.service
+            )
 
     def connections_allowed(self, service: str) -> int:
         """Return this gateway's part of the connections of one replica."""
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -128,7 +128,7 @@
             self.connected(exchange, connection)
 
         exchange.waiter = connected
-        replica.pool.request(connected)
+        replica.pool.acquire(connected)
 
     def connected(
         self, exchange: Exchange, connection: ClientConnection | None
@@ -195,7 +195,7 @@
         if reply.foreign:
             connection.abort()
         else:
-            exchange.replica.pool.give_back(connection, reply.keep_alive_s)
+            exchange.replica.pool.release(connection, reply.keep_alive_s)
 
     def end(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
         """Report the end of an exchange, once."""
@@ -229,7 +229,7 @@
         self.exchanges.pop(exchange, None)
         exchange.replica.in_flight.pop(exchange, None)
         if exchange.waiter is not None:
-            exchange.replica.pool.withdraw(exchange.waiter)
+            exchange.replica.pool.cancel(exchange.waiter)
         elif exchange.connection is not None and exchange.connection.finish is not None:
             exchange.connection.abort()
 
@@ -239,7 +239,7 @@
             if now < exchange.deadline_at:
                 continue
             if exchange.waiter is not None:
-                exchange.replica.pool.withdraw(exchange.waiter)
+                exchange.replica.pool.cancel(exchange.waiter)
                 exchange.waiter = None
                 self.end(exchange, NotRun("no connection in time", False))
             elif now >= exchange.deadline_at + OVERDUE_S:
--- a/sardinehook/gateway/http_call.py
+++ b/sardinehook/gateway/http_call.py
@@ -37,7 +37,7 @@
         self.done: Deferred[Result[Reply, StoreUnavailable]] = Deferred()
         self.connection: ClientConnection | None = None
         self.timer = reactor.callLater(timeout_s, self.time_out)
-        pool.request(self.connected)
+        pool.acquire(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
         """Send the request."""
@@ -54,14 +54,14 @@
         match end:
             case Replied(reply):
                 if self.connection is not None:
-                    self.pool.give_back(self.connection, KEEP_ALIVE_S)
+                    self.pool.release(self.connection, KEEP_ALIVE_S)
                 self.finish(Success(reply))
             case Malformed(detail) | Lost(detail):
                 self.fail(detail, True)
 
     def time_out(self) -> None:
         """Give the call up; its connection is not used again."""
-        self.pool.withdraw(self.connected)
+        self.pool.cancel(self.connected)
         if self.connection is not None and self.connection.finish is not None:
             self.connection.abort()
         self.fail("no answer in time", self.connection is not None)
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -23,45 +23,48 @@
 
 
 class ConnectionPool:
-    """Opens, lends and takes back connections, at most ``most`` of them.
+    """Opens, lends and takes back connections, at most ``max_connections`` of them.
 
     A request that finds no idle connection waits for one that is being opened or
-    given back. ``on_heard`` is called when the peer accepts a connection.
+    given back. ``on_connected`` is called when the peer accepts a connection.
     """
 
     def __init__(
         self,
         reactor: GatewayReactor,
         address: str,
-        most: int,
-        on_heard: Callable[[], None],
+        max_connections: int,
+        on_connected: Callable[[], None],
     ) -> None:
         host, _, port = address.rpartition(":")
         self.reactor = reactor
         self.host = host
         self.port = int(port)
-        self.most = most
-        self.on_heard = on_heard
+        self.max_connections = max_connections
+        self.on_connected = on_connected
         self.idle: list[ClientConnection] = []
         self.connections: set[ClientConnection] = set()
         self.connecting = 0
         self.waiters: deque[Waiter] = deque()
         self.backoff_s = 0.0
-        self.open_after = 0.0
+        self.retry_at = 0.0
         self.closed = False
-        self.opened_count = 0
+        self.established_count = 0
 
     @property
-    def held(self) -> int:
+    def connection_count(self) -> int:
         """How many connections are open or being opened."""
         return len(self.connections) + self.connecting
 
     @property
-    def has_room(self) -> bool:
+    def has_capacity(self) -> bool:
         """Whether a request would not have to wait for another one to end."""
         if self.idle:
             return True
-        return self.held < self.most and self.reactor.seconds() >= self.open_after
+        return (
+            self.connection_count < self.max_connections
+            and self.reactor.seconds() >= self.retry_at
+        )
 
     @property
     def is_failing(self) -> bool:
@@ -70,30 +73,34 @@
 
     def probe(self) -> None:
         """Open one more connection, to find out whether the peer can be reached."""
-        if not self.closed and not self.connecting and self.held < self.most + 1:
+        if (
+            not self.closed
+            and not self.connecting
+            and self.connection_count < self.max_connections + 1
+        ):
             self.open()
 
-    def request(self, waiter: Waiter) -> None:
+    def acquire(self, waiter: Waiter) -> None:
         """Give ``waiter`` a connection, ``None`` if none can be opened."""
-        connection = self.take_idle()
+        connection = self.pop_idle()
         if connection is not None:
             waiter(connection)
             return
-        if self.closed or self.reactor.seconds() < self.open_after:
-            if not self.held:
+        if self.closed or self.reactor.seconds() < self.retry_at:
+            if not self.connection_count:
                 waiter(None)
                 return
         self.waiters.append(waiter)
         self.open_for_waiters()
 
-    def withdraw(self, waiter: Waiter) -> bool:
+    def cancel(self, waiter: Waiter) -> bool:
         """Take a waiting request back; tell whether it was waiting."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
             return True
         return False
 
-    def take_idle(self) -> ClientConnection | None:
+    def pop_idle(self) -> ClientConnection | None:
         """Return the idle connection that was used last, if any is still good."""
         now = self.reactor.seconds()
         while self.idle:
@@ -106,9 +113,12 @@
 
     def open_for_waiters(self) -> None:
         """Open as many connections as are waited for and allowed."""
-        if self.closed or self.reactor.seconds() < self.open_after:
+        if self.closed or self.reactor.seconds() < self.retry_at:
             return
-        wanted = min(len(self.waiters) - self.connecting, self.most - self.held)
+        wanted = min(
+            len(self.waiters) - self.connecting,
+            self.max_connections - self.connection_count,
+        )
         if self.backoff_s:
             wanted = min(wanted, 1 - self.connecting)
         for _ in range(wanted):
@@ -121,20 +131,20 @@
             self.host, self.port, PoolFactory(self), CONNECT_TIMEOUT_S
         )
 
-    def opened(self, connection: ClientConnection) -> None:
+    def connection_established(self, connection: ClientConnection) -> None:
         """Take a connection that was established."""
         self.connecting -= 1
-        self.opened_count += 1
+        self.established_count += 1
         self.backoff_s = 0.0
-        self.on_heard()
+        self.on_connected()
         self.connections.add(connection)
         if self.closed:
             connection.abort()
             return
         connection.idle_until = float("inf")
-        self.lend(connection)
+        self.assign(connection)
 
-    def lend(self, connection: ClientConnection) -> None:
+    def assign(self, connection: ClientConnection) -> None:
         """Give a free connection to the first that waits, or keep it."""
         while self.waiters and connection.idle:
             self.waiters.popleft()(connection)
@@ -142,7 +152,7 @@
             connection.idle_since = self.reactor.seconds()
             self.idle.append(connection)
 
-    def give_back(self, connection: ClientConnection, keep_alive_s: float) -> None:
+    def release(self, connection: ClientConnection, keep_alive_s: float) -> None:
         """Take back a connection after its exchange.
 
         ``keep_alive_s`` is how long the peer keeps it when idle.
@@ -154,14 +164,14 @@
             return
         kept_s = max(0.0, keep_alive_s - IDLE_MARGIN_S)
         connection.idle_until = self.reactor.seconds() + kept_s
-        self.lend(connection)
+        self.assign(connection)
 
-    def connect_failed(self, reason: Failure) -> None:
+    def connection_failed(self, reason: Failure) -> None:
         """Note a failed attempt; those that wait are told if nothing is left."""
         self.connecting -= 1
         self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
-        self.open_after = self.reactor.seconds() + self.backoff_s
-        if not self.held:
+        self.retry_at = self.reactor.seconds() + self.backoff_s
+        if not self.connection_count:
             self.fail_waiters()
 
     def fail_waiters(self) -> None:
@@ -170,14 +180,14 @@
         for waiter in waiters:
             waiter(None)
 
-    def lost(self, connection: ClientConnection) -> None:
+    def connection_lost(self, connection: ClientConnection) -> None:
         """Forget a connection that has ended."""
         self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
         if self.waiters:
             self.open_for_waiters()
-            if not self.held:
+            if not self.connection_count:
                 self.fail_waiters()
 
     def close(self) -> None:
@@ -199,8 +209,10 @@
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection:
         """Return the protocol of an established connection."""
-        return ClientConnection(self.pool.opened, self.pool.lost)
+        return ClientConnection(
+            self.pool.connection_established, self.pool.connection_lost
+        )
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
         """Report that no connection could be established."""
-        self.pool.connect_failed(reason)
+        self.pool.connection_failed(reason)
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -287,7 +287,7 @@
         self.delegates.update()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
-        held = sum(replica.pool.held for replica in replicas.values())
+        held = sum(replica.pool.connection_count for replica in replicas.values())
         self.metrics.connections.set(held)
         self.metrics.store_age_seconds.set(now - self.follower.heard_at)
         self.metrics.handed_over.set(self.desk.handed_over)
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -96,7 +96,7 @@
             cost += COLD_COST_S
         if replica.lost_at is not None:
             cost += LOST_COST_S
-        if not replica.pool.has_room:
+        if not replica.pool.has_capacity:
             cost += usual_s
         reachability = self.directory.reachability
         place = replica.entry.data_centre
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -81,7 +81,7 @@
         self.refuses = refuses
         self.given: list[HeldConnection] = []
 
-    def request(self, waiter: Callable[[HeldConnection | None], None]) -> None:
+    def acquire(self, waiter: Callable[[HeldConnection | None], None]) -> None:
         """Give a connection."""
         if self.refuses:
             waiter(None)
@@ -90,11 +90,11 @@
         self.given.append(connection)
         waiter(connection)
 
-    def withdraw(self, waiter: object) -> bool:
+    def cancel(self, waiter: object) -> bool:
         """Withdraw nothing: no request waits."""
         return False
 
-    def give_back(self, connection: object, keep_alive_s: float) -> None:
+    def release(self, connection: object, keep_alive_s: float) -> None:
         """Take a connection back."""
 
     def close(self) -> None:
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -135,4 +135,4 @@
         gateway.directory.configure(configuration(single_route(True)))
         gateway.directory.set_shares(equal_shares(9))
         replica = gateway.add("desk-a", "desk")
-        assert 1 <= replica.pool.most * 9 <= 26
+        assert 1 <= replica.pool.max_connections * 9 <= 26
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -17,12 +17,14 @@
 class PoolRig:
     """A pool whose connection attempts tests decide."""
 
-    def __init__(self, most: int = 2) -> None:
+    def __init__(self, max_connections: int = 2) -> None:
         self.reactor = MemoryReactorClock()
         self.reactor.advance(100.0)
         self.heard = 0
         self.lent: list[ClientConnection | None] = []
-        self.pool = ConnectionPool(self.reactor, "10.0.0.1:80", most, self.note_heard)
+        self.pool = ConnectionPool(
+            self.reactor, "10.0.0.1:80", max_connections, self.note_heard
+        )
 
     def note_heard(self) -> None:
         """Count signs of life."""
@@ -30,7 +32,7 @@
 
     def ask(self) -> None:
         """Ask for a connection."""
-        self.pool.request(self.lent.append)
+        self.pool.acquire(self.lent.append)
 
     def factory(self, attempt: int) -> ClientFactory:
         """Return the factory of a connection attempt."""
@@ -53,13 +55,13 @@
 
 class TestBounds:
     def test_no_more_connections_than_allowed(self) -> None:
-        rig = PoolRig(most=2)
+        rig = PoolRig(max_connections=2)
         for _ in range(5):
             rig.ask()
         assert len(rig.reactor.tcpClients) == 2
 
     def test_those_that_wait_are_told_when_no_connection_can_be_had(self) -> None:
-        rig = PoolRig(most=1)
+        rig = PoolRig(max_connections=1)
         rig.ask()
         rig.ask()
         rig.refuse(0)
@@ -67,7 +69,7 @@
         assert rig.pool.is_failing
 
     def test_a_failing_peer_is_not_asked_again_at_once(self) -> None:
-        rig = PoolRig(most=1)
+        rig = PoolRig(max_connections=1)
         rig.ask()
         rig.refuse(0)
         rig.ask()
@@ -95,7 +97,7 @@
 
 class TestClosing:
     def test_a_connection_that_comes_back_to_a_closed_pool_is_ended(self) -> None:
-        rig = PoolRig(most=1)
+        rig = PoolRig(max_connections=1)
         taken: list[ClientConnection] = []
         ends: list[object] = []
 
@@ -104,18 +106,18 @@
             taken.append(connection)
             connection.exchange(b"GET / HTTP/1.1\r\n\r\n", ends.append)
 
-        rig.pool.request(use)
+        rig.pool.acquire(use)
         rig.accept(0)
         rig.pool.close()
         taken[0].dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        rig.pool.give_back(taken[0], 5.0)
+        rig.pool.release(taken[0], 5.0)
         assert isinstance(ends[0], Replied)
         assert not taken[0].is_open
 
 
 class TestReuse:
     def test_a_connection_serves_the_next_that_waits(self) -> None:
-        rig = PoolRig(most=1)
+        rig = PoolRig(max_connections=1)
         served: list[ClientConnection] = []
         ends: list[object] = []
 
@@ -124,21 +126,21 @@
             served.append(connection)
             connection.exchange(b"GET / HTTP/1.1\r\n\r\n", ends.append)
 
-        rig.pool.request(use)
-        rig.pool.request(use)
+        rig.pool.acquire(use)
+        rig.pool.acquire(use)
         rig.accept(0)
         assert len(served) == 1
         served[0].dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        rig.pool.give_back(served[0], 5.0)
+        rig.pool.release(served[0], 5.0)
         assert isinstance(ends[0], Replied)
         assert served == [served[0], served[0]]
 
     def test_a_connection_is_dropped_before_its_peer_closes_it(self) -> None:
-        rig = PoolRig(most=1)
+        rig = PoolRig(max_connections=1)
         rig.ask()
         rig.accept(0)
         first = rig.lent[0]
         assert first is not None
-        rig.pool.give_back(first, 2.0)
+        rig.pool.release(first, 2.0)
         rig.reactor.advance(1.9)
-        assert rig.pool.take_idle() is None
+        assert rig.pool.pop_idle() is None
