Name the callback and the limits of a client connection

finish reads like a method that ends the exchange, but it is the callback that is called when the exchange ends and marks the connection as in use: on_end. cut_off, overridden by the connection to a target, becomes classify_loss; most_head_bytes and most_body_bytes become max_*.

--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -230,7 +230,7 @@
         exchange.replica.in_flight.pop(exchange, None)
         if exchange.waiter is not None:
             exchange.replica.pool.cancel(exchange.waiter)
-        elif exchange.connection is not None and exchange.connection.finish is not None:
+        elif exchange.connection is not None and exchange.connection.on_end is not None:
             exchange.connection.abort()
 
     def sweep(self, now: float) -> None:
@@ -245,6 +245,6 @@
             elif now >= exchange.deadline_at + OVERDUE_S:
                 connection = exchange.connection
                 exchange.replica.observe_result(True, now)
-                if connection is not None and connection.finish is not None:
+                if connection is not None and connection.on_end is not None:
                     connection.abort()
                 self.end(exchange, Failed("no reply in time"))
--- a/sardinehook/gateway/http_call.py
+++ b/sardinehook/gateway/http_call.py
@@ -62,7 +62,7 @@
     def time_out(self) -> None:
         """Give the call up; its connection is not used again."""
         self.pool.cancel(self.connected)
-        if self.connection is not None and self.connection.finish is not None:
+        if self.connection is not None and self.connection.on_end is not None:
             self.connection.abort()
         self.fail("no answer in time", self.connection is not None)
 
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -46,8 +46,8 @@
             lambda _connection: opened(self),
             lambda _connection: closed(self, self.closed_in_order),
         )
-        self.most_head_bytes = limits.header_bytes
-        self.most_body_bytes = limits.reply_bytes
+        self.max_head_bytes = limits.header_bytes
+        self.max_body_bytes = limits.reply_bytes
         self.request_id = b""
         self.exchange_id = b""
         self.head = ReplyHead()
@@ -60,16 +60,16 @@
         request: bytes,
         request_id: bytes,
         exchange_id: bytes,
-        finish: Callable[[ExchangeEnd], None],
+        on_end: Callable[[ExchangeEnd], None],
     ) -> None:
-        """Send ``request`` and report its end to ``finish``, exactly once."""
+        """Send ``request`` and report its end to ``on_end``, exactly once."""
 
         def ended(end: HttpEnd) -> None:
             match end:
                 case HttpReplied(reply):
-                    finish(Replied(TargetReply(reply.status, self.head, reply.body)))
+                    on_end(Replied(TargetReply(reply.status, self.head, reply.body)))
                 case Malformed() | Lost():
-                    finish(end)
+                    on_end(end)
 
         self.request_id = request_id
         self.exchange_id = exchange_id
@@ -112,7 +112,7 @@
         self.closed_in_order = isinstance(reason.value, ConnectionDone)
         super().connectionLost(reason)
 
-    def cut_off(self, reason: Failure) -> HttpEnd:
+    def classify_loss(self, reason: Failure) -> HttpEnd:
         """Tell what the end of the connection makes of the exchange.
 
         Targets state the length of each reply.
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -72,8 +72,8 @@
     never used again, and so is one on which bytes come that nobody asked for.
     """
 
-    most_head_bytes = HEAD_BYTES
-    most_body_bytes = BODY_BYTES
+    max_head_bytes = HEAD_BYTES
+    max_body_bytes = BODY_BYTES
 
     def __init__(
         self,
@@ -83,7 +83,7 @@
         self.on_open = on_open
         self.on_close = on_close
         self.is_open = False
-        self.finish: Callable[[ExchangeEnd], None] | None = None
+        self.on_end: Callable[[ExchangeEnd], None] | None = None
         self.exchanges = 0
         self.idle_since = 0.0
         self.idle_until = 0.0
@@ -108,21 +108,21 @@
     @property
     def idle(self) -> bool:
         """Whether an exchange can begin."""
-        return self.is_open and self.finish is None
+        return self.is_open and self.on_end is None
 
     def exchange(
         self,
         request: bytes,
-        finish: Callable[[ExchangeEnd], None],
+        on_end: Callable[[ExchangeEnd], None],
         has_no_body: bool = False,
     ) -> None:
-        """Send ``request`` and report its end to ``finish``, exactly once.
+        """Send ``request`` and report its end to ``on_end``, exactly once.
 
         ``has_no_body`` is set where the reply ends with its headers, as to ``HEAD``.
         """
         assert self.idle
         self.ends_with_headers = has_no_body
-        self.finish = finish
+        self.on_end = on_end
         if self.exchanges:
             self.reset_reply()
         self.exchanges += 1
@@ -130,7 +130,7 @@
 
     def abort(self) -> None:
         """Drop the connection at once; no end is reported for its exchange."""
-        self.finish = None
+        self.on_end = None
         self.is_open = False
         self.tcp.abortConnection()
 
@@ -147,7 +147,7 @@
         """Parse ``data`` and end the exchange once the reply is whole."""
         if not self.is_open:
             return
-        if self.finish is None:
+        if self.on_end is None:
             self.drop()
             return
         self.received_bytes += len(data)
@@ -166,8 +166,8 @@
     def is_too_large(self) -> bool:
         """Tell whether more came than is buffered of one reply."""
         if self.in_body or self.whole:
-            return self.body_bytes > self.most_body_bytes
-        return self.received_bytes > self.most_head_bytes
+            return self.body_bytes > self.max_body_bytes
+        return self.received_bytes > self.max_head_bytes
 
     def complete(self) -> None:
         """End the exchange with the whole reply."""
@@ -176,11 +176,11 @@
 
     def end(self, end: ExchangeEnd, reusable: bool) -> None:
         """Report the end of the exchange; drop a connection that is not reusable."""
-        finish, self.finish = self.finish, None
+        on_end, self.on_end = self.on_end, None
         if not reusable:
             self.drop()
-        if finish is not None:
-            finish(end)
+        if on_end is not None:
+            on_end(end)
 
     def drop(self) -> None:
         """Close a connection that can't be used any more."""
@@ -193,12 +193,12 @@
         A reply without a length is whole if its connection was closed in order.
         """
         self.is_open = False
-        finish, self.finish = self.finish, None
-        if finish is not None:
-            finish(self.cut_off(reason))
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(self.classify_loss(reason))
         self.on_close(self)
 
-    def cut_off(self, reason: Failure) -> ExchangeEnd:
+    def classify_loss(self, reason: Failure) -> ExchangeEnd:
         """Tell what the end of the connection makes of the exchange."""
         detail = reason.getErrorMessage()
         if not self.received_bytes:
@@ -236,7 +236,7 @@
         """Keep a part of the body."""
         if not self.surplus:
             self.body_bytes += len(body)
-            if self.body_bytes <= self.most_body_bytes:
+            if self.body_bytes <= self.max_body_bytes:
                 self.chunks.append(body)
 
     def on_message_complete(self) -> None:
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -53,25 +53,25 @@
 
     def __init__(self) -> None:
         self.sent = b""
-        self.finish: Callable[[ExchangeEnd], None] | None = None
+        self.on_end: Callable[[ExchangeEnd], None] | None = None
         self.aborted = False
         self.idle = False
 
-    def exchange(self, request: bytes, finish: Callable[[ExchangeEnd], None]) -> None:
+    def exchange(self, request: bytes, on_end: Callable[[ExchangeEnd], None]) -> None:
         """Keep a request."""
         self.sent = request
-        self.finish = finish
+        self.on_end = on_end
 
     def abort(self) -> None:
         """Note that the connection was dropped."""
         self.aborted = True
-        self.finish = None
+        self.on_end = None
 
     def end(self, end: ExchangeEnd) -> None:
         """End the exchange."""
-        finish, self.finish = self.finish, None
-        assert finish is not None
-        finish(end)
+        on_end, self.on_end = self.on_end, None
+        assert on_end is not None
+        on_end(end)
 
 
 class HeldPool:
