Name the methods of the reachability check after requests and responses

note_sent and note_heard become record_request and record_response; the lists suspects and cut_off say that they list data centres; the record of a data centre is a PathState with unanswered_since.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -128,7 +128,7 @@
         if delegates:
             return f"cut off as {', '.join(delegates)}"
         now = self.reactor.seconds()
-        silent = self.policy.directory.reachability.suspects(now)
+        silent = self.policy.directory.reachability.suspected_data_centres(now)
         if not silent or self.configuration is None:
             self.cut_off_before = ""
             return ""
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -113,7 +113,7 @@
 
         def heard() -> None:
             now = self.reactor.seconds()
-            self.reachability.note_heard(replica.entry.data_centre, now)
+            self.reachability.record_response(replica.entry.data_centre, now)
 
         most = self.connections_allowed(entry.service)
         pool = ConnectionPool(self.reactor, entry.address, most, heard)
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -119,7 +119,7 @@
         exchange.waits = replica.waits(exchange.started_at)
         self.exchanges[exchange] = None
         replica.in_flight[exchange] = None
-        self.directory.reachability.note_sent(
+        self.directory.reachability.record_request(
             replica.entry.data_centre, replica.replica_id, exchange.started_at
         )
 
@@ -160,7 +160,9 @@
         replica = exchange.replica
         match end:
             case Replied(raw):
-                self.directory.reachability.note_heard(replica.entry.data_centre, now)
+                self.directory.reachability.record_response(
+                    replica.entry.data_centre, now
+                )
                 reply = self.codec.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
                 self.settle_connection(exchange, reply)
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -139,7 +139,7 @@
         that is cut takes the balancer some seconds to route around.
         """
         now = self.reactor.seconds()
-        if self.policy.directory.reachability.cut_off(now):
+        if self.policy.directory.reachability.cut_off_data_centres(now):
             return CUT_OFF_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
             patience_s = self.give_up_at - self.request.received_at
--- a/sardinehook/gateway/reachability.py
+++ b/sardinehook/gateway/reachability.py
@@ -17,19 +17,19 @@
 CUT_OFF_AFTER_S = 0.3  # a suspected data centre counts as cut off after this
 
 
-class DataCentreContact:
+class PathState:
     """What was sent to one data centre since its replicas were last heard."""
 
-    __slots__ = ("silent_since", "suspect_since")
+    __slots__ = ("suspect_since", "unanswered_since")
 
     def __init__(self) -> None:
-        self.silent_since: dict[str, float] = {}
+        self.unanswered_since: dict[str, float] = {}
         self.suspect_since: float | None = None
 
     def overdue_s(self, now: float) -> float:
         """Return for how long enough replicas to suspect have all been silent."""
         latest = next(
-            islice(self.silent_since.values(), SUSPECT_REPLICAS - 1, None), now
+            islice(self.unanswered_since.values(), SUSPECT_REPLICAS - 1, None), now
         )
         return now - latest
 
@@ -43,43 +43,43 @@
     """
 
     def __init__(self) -> None:
-        self.contacts: dict[str, DataCentreContact] = {}
+        self.paths: dict[str, PathState] = {}
 
-    def note_sent(self, data_centre: str, replica_id: str, now: float) -> None:
+    def record_request(self, data_centre: str, replica_id: str, now: float) -> None:
         """Count a request or a connection attempt to a replica."""
-        contact = self.contacts.get(data_centre)
-        if contact is None:
-            contact = self.contacts[data_centre] = DataCentreContact()
-        contact.silent_since.setdefault(replica_id, now)
+        path = self.paths.get(data_centre)
+        if path is None:
+            path = self.paths[data_centre] = PathState()
+        path.unanswered_since.setdefault(replica_id, now)
 
-    def note_heard(self, data_centre: str, now: float) -> None:
+    def record_response(self, data_centre: str, now: float) -> None:
         """Take in a sign of life of any replica of a data centre."""
-        contact = self.contacts.get(data_centre)
-        if contact is None or not contact.silent_since:
+        path = self.paths.get(data_centre)
+        if path is None or not path.unanswered_since:
             return
-        contact.silent_since.clear()
-        if contact.suspect_since is not None:
-            contact.suspect_since = None
+        path.unanswered_since.clear()
+        if path.suspect_since is not None:
+            path.suspect_since = None
             log_event(
                 logger, EventName.DATA_CENTRE_STATE, state=f"{data_centre} reachable"
             )
 
     def is_suspect(self, data_centre: str, now: float) -> bool:
         """Tell whether the path to a data centre is in doubt."""
-        contact = self.contacts.get(data_centre)
-        if contact is None:
+        path = self.paths.get(data_centre)
+        if path is None:
             return False
-        if contact.suspect_since is not None:
+        if path.suspect_since is not None:
             return True
-        overdue_s = contact.overdue_s(now)
+        overdue_s = path.overdue_s(now)
         if overdue_s < SUSPECT_AFTER_S:
             return False
-        contact.suspect_since = now
+        path.suspect_since = now
         log_event(
             logger,
             EventName.DATA_CENTRE_STATE,
             state=f"{data_centre} suspect",
-            count=len(contact.silent_since),
+            count=len(path.unanswered_since),
             took_ms=overdue_s * 1000.0,
         )
         return True
@@ -88,13 +88,13 @@
         """Tell whether a data centre has been in doubt for long enough."""
         if not self.is_suspect(data_centre, now):
             return False
-        since = self.contacts[data_centre].suspect_since
+        since = self.paths[data_centre].suspect_since
         return since is not None and now - since > CUT_OFF_AFTER_S
 
-    def cut_off(self, now: float) -> list[str]:
+    def cut_off_data_centres(self, now: float) -> list[str]:
         """List the data centres that count as cut off."""
-        return sorted(place for place in self.contacts if self.is_cut_off(place, now))
+        return sorted(place for place in self.paths if self.is_cut_off(place, now))
 
-    def suspects(self, now: float) -> list[str]:
+    def suspected_data_centres(self, now: float) -> list[str]:
         """List the data centres to which the path is in doubt."""
-        return sorted(place for place in self.contacts if self.is_suspect(place, now))
+        return sorted(place for place in self.paths if self.is_suspect(place, now))
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -34,11 +34,11 @@
     def test_one_replica_that_hangs_does_not_speak_for_the_others(self) -> None:
         gateway = with_replicas(8)
         reachability = gateway.directory.reachability
-        reachability.note_sent(HERE, "hanging", gateway.reactor.seconds())
+        reachability.record_request(HERE, "hanging", gateway.reactor.seconds())
         gateway.reactor.advance(1.0)
         now = gateway.reactor.seconds()
         for shard in shard_names(8):
-            reachability.note_sent(HERE, f"{shard}-a", now)
+            reachability.record_request(HERE, f"{shard}-a", now)
         assert not reachability.is_suspect(HERE, now + 0.001)
         assert reachability.is_suspect(HERE, now + 0.2)
 
@@ -47,7 +47,7 @@
         now = gateway.reactor.seconds()
         reachability = gateway.directory.reachability
         for shard in shard_names(8):
-            reachability.note_sent(HERE, f"{shard}-a", now)
+            reachability.record_request(HERE, f"{shard}-a", now)
         gateway.reactor.advance(0.2)
         gateway.gather(search_route(8))
         places = {e.replica.entry.data_centre for e in gateway.dispatcher.sent}
@@ -60,7 +60,7 @@
         now = gateway.reactor.seconds()
         reachability = gateway.directory.reachability
         for shard in shard_names(4):
-            reachability.note_sent(HERE, f"{shard}-a", now)
+            reachability.record_request(HERE, f"{shard}-a", now)
         gateway.reactor.advance(0.2)
         assert reachability.is_suspect(HERE, gateway.reactor.seconds())
         gateway.reactor.advance(0.6)
@@ -73,10 +73,10 @@
         now = gateway.reactor.seconds()
         reachability = gateway.directory.reachability
         for shard in shard_names(4):
-            reachability.note_sent(THERE, f"{shard}-b", now)
+            reachability.record_request(THERE, f"{shard}-b", now)
         gateway.reactor.advance(0.2)
         assert reachability.is_suspect(THERE, gateway.reactor.seconds())
-        reachability.note_heard(THERE, gateway.reactor.seconds())
+        reachability.record_response(THERE, gateway.reactor.seconds())
         assert not reachability.is_suspect(THERE, gateway.reactor.seconds())
 
 
@@ -93,7 +93,7 @@
     """Let a data centre fall silent for long enough to count as cut off."""
     now = gateway.reactor.seconds()
     for number in range(4):
-        gateway.directory.reachability.note_sent(place, f"{place}-{number}", now)
+        gateway.directory.reachability.record_request(place, f"{place}-{number}", now)
     gateway.reactor.advance(0.2)
     gateway.directory.reachability.is_suspect(place, gateway.reactor.seconds())
     gateway.reactor.advance(0.5)
@@ -121,7 +121,7 @@
         assert desk.cut_off_reason()
         gateway.reactor.advance(10.0)
         assert "cut off from there" in desk.cut_off_reason()
-        gateway.directory.reachability.note_heard(THERE, gateway.reactor.seconds())
+        gateway.directory.reachability.record_response(THERE, gateway.reactor.seconds())
         assert desk.cut_off_reason() == ""
 
     def test_says_so_before_it_refuses(self) -> None:
@@ -132,7 +132,7 @@
         now = gateway.reactor.seconds()
         desk.recent(search_route(4)).add(20, now)
         for shard in shard_names(4):
-            gateway.directory.reachability.note_sent(THERE, f"{shard}-b", now)
+            gateway.directory.reachability.record_request(THERE, f"{shard}-b", now)
         gateway.reactor.advance(0.15)
         assert "cut off from there" in desk.cut_off_reason()
         assert gateway.directory.can_serve("s00", gateway.reactor.seconds())
