Name the estimates of a replica and the state of an exchange

waits and busy do not tell what is counted. They become expected_service_times and estimated_requests; lost_at, the time at which a replica left discovery, deregistered_at; own_at_load in_flight_at_load; cold_arrivals cold_sends. An exchange is done instead of over, and the callbacks of the dispatcher say what has ended.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -58,8 +58,10 @@
         """Tell whether new requests may go to a replica."""
         if replica.entry.draining or replica.entry.data_centre in self.evacuated:
             return False
-        lost_at = replica.lost_at
-        return lost_at is None or now < lost_at + self.lost_grace_s
+        deregistered_at = replica.deregistered_at
+        return (
+            deregistered_at is None or now < deregistered_at + self.deregistered_grace_s
+        )
 
     def describe(self, replica: Replica, now: float) -> str:
         """Describe for the log what keeps requests from a replica, and since when."""
@@ -68,20 +70,20 @@
             return "draining"
         if place in self.evacuated:
             return f"in evacuated {place}"
-        if replica.lost_at is not None:
-            return f"left discovery {now - replica.lost_at:.1f} s ago"
+        if replica.deregistered_at is not None:
+            return f"left discovery {now - replica.deregistered_at:.1f} s ago"
         if self.reachability.is_cut_off(place, now):
             return f"beyond the cut to {place}"
         if replica.pool.is_failing:
             return "refuses connections"
         load_age_s = now - replica.load_at
         return (
-            f"queue of {replica.waits(now):.1f} service times "
+            f"queue of {replica.expected_service_times(now):.1f} service times "
             f"(load {load_age_s:.1f} s old), {replica.current_slowness(now):.1f} x slow"
         )
 
     @property
-    def lost_grace_s(self) -> float:
+    def deregistered_grace_s(self) -> float:
         """How long a replica that left discovery is still asked."""
         return min(LOST_GRACE_RATIO * self.drain_s, ORPHAN_GRACE_S)
 
@@ -100,12 +102,12 @@
             self.note_state(known, "registered")
         elif known.entry.draining != entry.draining:
             self.note_state(known, "draining" if entry.draining else "ready")
-        elif known.lost_at is not None:
+        elif known.deregistered_at is not None:
             self.note_state(known, "registered again")
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
             known.cold_until = now + entry.cold_left_s
         known.entry = entry
-        known.lost_at = None
+        known.deregistered_at = None
 
     def add(self, entry: ReplicaEntry) -> Replica:
         """Add a replica that was not known."""
@@ -130,8 +132,8 @@
             return
         if replica.entry.draining:
             self.forget(replica)
-        elif replica.lost_at is None:
-            replica.lost_at = now
+        elif replica.deregistered_at is None:
+            replica.deregistered_at = now
             self.note_state(replica, "left discovery")
 
     def retain(self, replica_ids: Iterable[str], now: float) -> None:
@@ -166,7 +168,10 @@
     def sweep(self, now: float) -> None:
         """Forget replicas that left discovery some time ago."""
         for replica in list(self.replicas.values()):
-            if replica.lost_at is not None and now > replica.lost_at + self.drain_s:
+            if (
+                replica.deregistered_at is not None
+                and now > replica.deregistered_at + self.drain_s
+            ):
                 self.note_state(replica, "gone")
                 self.forget(replica)
         self.log_changes()
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -60,21 +60,21 @@
 class Exchange:
     """One request at one replica, from the wait for a connection to its end.
 
-    ``sent_at`` is zero until the request has been written. ``waits`` is how many
-    service times the reply was expected to take then, queueing included.
+    ``sent_at`` is zero until the request has been written. ``expected_service_times``
+    is how many service times the reply was expected to take then, queueing included.
     """
 
     __slots__ = (
         "connection",
         "deadline_at",
         "on_end",
-        "over",
+        "done",
         "replica",
         "request",
         "sent_at",
         "started_at",
         "waiter",
-        "waits",
+        "expected_service_times",
         "was_overdue",
     )
 
@@ -92,8 +92,8 @@
         self.deadline_at = deadline_at
         self.on_end = on_end
         self.sent_at = 0.0
-        self.waits = 1.0
-        self.over = False
+        self.expected_service_times = 1.0
+        self.done = False
         self.was_overdue = False
         self.connection: ClientConnection | None = None
         self.waiter: Callable[[ClientConnection | None], None] | None = None
@@ -116,21 +116,23 @@
     def start(self, exchange: Exchange) -> None:
         """Send an exchange's request; its ``on_end`` is called once, perhaps now."""
         replica = exchange.replica
-        exchange.waits = replica.waits(exchange.started_at)
+        exchange.expected_service_times = replica.expected_service_times(
+            exchange.started_at
+        )
         self.exchanges[exchange] = None
         replica.in_flight[exchange] = None
         self.directory.reachability.record_request(
             replica.entry.data_centre, replica.replica_id, exchange.started_at
         )
 
-        def connected(connection: ClientConnection | None) -> None:
+        def connection_acquired(connection: ClientConnection | None) -> None:
             exchange.waiter = None
-            self.connected(exchange, connection)
+            self.connection_acquired(exchange, connection)
 
-        exchange.waiter = connected
-        replica.pool.acquire(connected)
+        exchange.waiter = connection_acquired
+        replica.pool.acquire(connection_acquired)
 
-    def connected(
+    def connection_acquired(
         self, exchange: Exchange, connection: ClientConnection | None
     ) -> None:
         """Write the request, or end the exchange where there is no connection."""
@@ -147,14 +149,14 @@
         exchange.connection = connection
         request = exchange.request
         if replica.is_cold(now):
-            replica.cold_arrivals.add(1, now)
+            replica.cold_sends.add(1, now)
         connection.exchange(
             self.codec.encode_request(request, replica.replica_id, left_s),
-            lambda end: self.ended(exchange, end),
+            lambda end: self.exchange_ended(exchange, end),
             request.method == b"HEAD",
         )
 
-    def ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
+    def exchange_ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
         """Classify the end of an exchange on its connection."""
         now = self.reactor.seconds()
         replica = exchange.replica
@@ -165,7 +167,7 @@
                 )
                 reply = self.codec.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
-                self.settle_connection(exchange, reply)
+                self.release_connection(exchange, reply)
             case Malformed(detail) | Lost(detail):
                 replica.observe_result(True, now)
                 outcome = Failed(detail)
@@ -189,7 +191,7 @@
         replica.observe_result(not reply.is_success and reply.status >= 500, now)
         return Answered(reply)
 
-    def settle_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
+    def release_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
         """Reuse the connection unless the reply belongs to another request."""
         connection = exchange.connection
         if connection is None or not connection.is_open:
@@ -203,8 +205,8 @@
         """Report the end of an exchange, once."""
         exchange.replica.in_flight.pop(exchange, None)
         self.exchanges.pop(exchange, None)
-        if not exchange.over:
-            exchange.over = True
+        if not exchange.done:
+            exchange.done = True
             exchange.on_end(exchange, outcome)
 
     def observe_reply_time(
@@ -212,7 +214,7 @@
     ) -> float:
         """Learn how slow a replica is, apart from its queue; return the time taken."""
         took_s = now - exchange.sent_at
-        expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
+        expected_s = max(usual_s, LEAST_USUAL_S) * exchange.expected_service_times
         if not exchange.was_overdue:
             exchange.replica.observe_latency(took_s / expected_s, now)
         return took_s
@@ -221,13 +223,13 @@
         """Learn from a reply that is overdue, before it comes."""
         if exchange.sent_at:
             waited_s = OVERDUE_FACTOR * (now - exchange.sent_at)
-            expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
+            expected_s = max(usual_s, LEAST_USUAL_S) * exchange.expected_service_times
             exchange.was_overdue = True
             exchange.replica.observe_overdue(waited_s / expected_s, now)
 
     def abandon(self, exchange: Exchange) -> None:
         """Drop an exchange and its connection, so that the replica stops its work."""
-        exchange.over = True
+        exchange.done = True
         self.exchanges.pop(exchange, None)
         exchange.replica.in_flight.pop(exchange, None)
         if exchange.waiter is not None:
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -392,6 +392,6 @@
         """Abandon what is still at work."""
         for part in self.parts:
             for exchange in part.open_exchanges:
-                if not exchange.over:
+                if not exchange.done:
                     self.policy.dispatcher.abandon(exchange)
             part.open_exchanges.clear()
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -40,7 +40,7 @@
 
     ``slowness`` is how many times longer than usual its replies take, ``failures``
     the share of its recent exchanges that failed; both fade with time, so that a
-    replica that is not asked gets another chance. ``lost_at`` is when it left
+    replica that is not asked gets another chance. ``deregistered_at`` is when it left
     discovery; it may be used for a short while after, since entries also lapse while
     the store is away.
     """
@@ -56,10 +56,10 @@
         self.failures_at = 0.0
         self.load: Load | None = None
         self.load_at = 0.0
-        self.own_at_load = 0
+        self.in_flight_at_load = 0
         self.cold_until = 0.0
-        self.cold_arrivals = SlidingCount(COLD_WINDOW_S)
-        self.lost_at: float | None = None
+        self.cold_sends = SlidingCount(COLD_WINDOW_S)
+        self.deregistered_at: float | None = None
 
     @property
     def replica_id(self) -> str:
@@ -118,22 +118,22 @@
         if reply.load is not None:
             self.load = reply.load
             self.load_at = now
-            self.own_at_load = len(self.in_flight)
+            self.in_flight_at_load = len(self.in_flight)
         if reply.cold_left_s is not None:
             self.cold_until = now + reply.cold_left_s
 
-    def busy(self, now: float) -> float:
+    def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the replica, ours included."""
         own = float(len(self.in_flight))
         if self.load is None:
             return own
         age_s = now - self.load_at
-        stated = self.load.running + self.load.waiting - self.own_at_load
+        stated = self.load.running + self.load.waiting - self.in_flight_at_load
         return own + max(0, stated) * exp(-age_s / LOAD_MEMORY_S)
 
-    def waits(self, now: float) -> float:
+    def expected_service_times(self, now: float) -> float:
         """Return how many service times one more request would take, queueing too."""
-        ahead = self.busy(now) + 1.0 - self.entry.slots
+        ahead = self.estimated_requests(now) + 1.0 - self.entry.slots
         return 1.0 + max(0.0, ahead) / self.entry.slots
 
     def cold_requests(self, now: float) -> int:
@@ -142,7 +142,7 @@
         Those that wait for a connection count, since they may all be sent at once.
         """
         unsent = sum(not exchange.sent_at for exchange in self.in_flight)
-        return self.cold_arrivals.total(now) + unsent
+        return self.cold_sends.total(now) + unsent
 
     def oldest_age_s(self, now: float) -> float:
         """Return for how long the oldest request here has had no reply."""
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -76,7 +76,7 @@
             if replica in excluded or not self.cold_limit_allows(replica, now):
                 continue
             unloaded_s = usual_s * replica.current_slowness(now)
-            expected_s = unloaded_s * replica.waits(now)
+            expected_s = unloaded_s * replica.expected_service_times(now)
             if expected_s > within_s:
                 continue
             cost = expected_s + self.penalty_s(replica, usual_s, now)
@@ -87,14 +87,19 @@
 
     def penalty_s(self, replica: Replica, usual_s: float, now: float) -> float:
         """Return what is added to the estimate for other risks, in seconds."""
-        cost = usual_s * BUSY_COST_RATIO * replica.busy(now) / replica.entry.slots
+        cost = (
+            usual_s
+            * BUSY_COST_RATIO
+            * replica.estimated_requests(now)
+            / replica.entry.slots
+        )
         if replica.entry.data_centre != self.data_centre:
             cost += CROSS_DATA_CENTRE_S
         if replica.oldest_age_s(now) > STALLED_RATIO * usual_s:
             cost += STALL_COST_S
         if replica.is_cold(now):
             cost += COLD_COST_S
-        if replica.lost_at is not None:
+        if replica.deregistered_at is not None:
             cost += LOST_COST_S
         if not replica.pool.has_capacity:
             cost += usual_s
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -79,7 +79,7 @@
 
     def open_at(self, service: str) -> list[Exchange]:
         """List the exchanges with replicas of a service that have not ended."""
-        return [exchange for exchange in self.sent_to(service) if not exchange.over]
+        return [exchange for exchange in self.sent_to(service) if not exchange.done]
 
 
 class Gateway(NamedTuple):
@@ -130,7 +130,7 @@
         """Answer everything that is open, except at some services."""
         for exchange in list(self.dispatcher.sent):
             service = exchange.replica.entry.service
-            if not exchange.over and service not in except_services:
+            if not exchange.done and service not in except_services:
                 self.end(exchange, good(exchange.replica.replica_id))
 
 
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -332,7 +332,7 @@
         assert connection.aborted
         taken.cancel()
         wide.gateway.reactor.advance(0.3)
-        assert all(exchange.over for exchange in wide.gateway.dispatcher.sent)
+        assert all(exchange.done for exchange in wide.gateway.dispatcher.sent)
         assert (narrow.desk.in_flight, wide.desk.handed_over) == (0, 0)
 
 
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -138,7 +138,7 @@
         work = gateway.gather(search_route(4))
         gateway.reactor.pump([0.01] * 18)
         assert len(gateway.dispatcher.sent) == 4
-        assert all(exchange.over for exchange in gateway.dispatcher.waiting)
+        assert all(exchange.done for exchange in gateway.dispatcher.waiting)
         assert work.hedges == 0
         gateway.answer_all()
         assert [answer.status for answer in gateway.answers] == [200]
@@ -182,7 +182,7 @@
         work = gateway.gather(search_route(2))
         work.cancel()
         gateway.reactor.advance(0.3)
-        assert all(exchange.over for exchange in gateway.dispatcher.sent)
+        assert all(exchange.done for exchange in gateway.dispatcher.sent)
         assert gateway.answers == []
 
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -92,7 +92,7 @@
             now = gateway.reactor.seconds()
             replica.cold_until = now + 3.0
             while gateway.policy.selector.cold_limit_allows(replica, now):
-                replica.cold_arrivals.add(1, now)
+                replica.cold_sends.add(1, now)
                 total += 1
         return total
 
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -61,7 +61,7 @@
         gateway.reactor.pump([0.05] * 12)
         (exchange,) = gateway.dispatcher.sent
         assert exchange.replica.replica_id == live
-        assert all(waiting.over for waiting in gateway.dispatcher.waiting)
+        assert all(waiting.done for waiting in gateway.dispatcher.waiting)
         gateway.end(exchange, good("d"))
         assert [answer.status for answer in gateway.answers] == [200]
 
@@ -75,7 +75,7 @@
         gateway = desk_gateway()
         work = gateway.call(single_route(idempotent=False), "desk")
         work.cancel()
-        assert not gateway.dispatcher.sent[0].over
+        assert not gateway.dispatcher.sent[0].done
 
 
 class TestIdempotent:
@@ -92,13 +92,13 @@
         gateway.reactor.advance(0.4)
         first, second = gateway.dispatcher.sent
         gateway.end(second, good("d"))
-        assert first.over
+        assert first.done
         assert len(gateway.answers) == 1
 
     def test_stops_when_its_caller_has_left(self) -> None:
         gateway = desk_gateway()
         gateway.call(single_route(idempotent=True), "desk").cancel()
-        assert gateway.dispatcher.sent[0].over
+        assert gateway.dispatcher.sent[0].done
 
     def test_attempts_are_bounded(self) -> None:
         gateway = desk_gateway(5)
