Name the methods of the replica directory after registration

remove and forget read alike, but one notes that a replica left discovery and the other removes it: deregister and discard. sharers, which is a divisor and not a list, becomes share_divisor; is_out_of_reach all_suspected; connections_allowed connection_limit; share_connections update_connection_limits; note_state record_state_change.

--- a/sardinehook/gateway/desk.py
+++ b/sardinehook/gateway/desk.py
@@ -167,11 +167,11 @@
         directory = self.policy.directory
         match route.destination:
             case ShardSet(shards, _, least):
-                lost = sum(directory.is_out_of_reach(shard, now) for shard in shards)
+                lost = sum(directory.all_suspected(shard, now) for shard in shards)
                 return len(shards) - lost < least * len(shards)
             case TrafficSplit(services):
                 return all(
-                    directory.is_out_of_reach(part.service, now) for part in services
+                    directory.all_suspected(part.service, now) for part in services
                 )
 
     def take(self, raw: HttpRequest, finish: Finish) -> Work | None:
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -92,18 +92,18 @@
         known = self.replicas.get(entry.replica_id)
         if known is not None and entry.born_ms < known.entry.born_ms:
             return
-        if known is None or is_other_start(known.entry, entry):
+        if known is None or is_other_process(known.entry, entry):
             self.drop_address(entry.address)
             if known is not None:
-                self.forget(known)
+                self.discard(known)
             known = self.add(entry)
             if entry.cold_left_s:
                 known.cold_until = now + entry.cold_left_s
-            self.note_state(known, "registered")
+            self.record_state_change(known, "registered")
         elif known.entry.draining != entry.draining:
-            self.note_state(known, "draining" if entry.draining else "ready")
+            self.record_state_change(known, "draining" if entry.draining else "ready")
         elif known.deregistered_at is not None:
-            self.note_state(known, "registered again")
+            self.record_state_change(known, "registered again")
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
             known.cold_until = now + entry.cold_left_s
         known.entry = entry
@@ -117,7 +117,7 @@
             now = self.reactor.seconds()
             self.reachability.record_response(replica.entry.data_centre, now)
 
-        most = self.connections_allowed(entry.service)
+        most = self.connection_limit(entry.service)
         pool = ConnectionPool(self.reactor, entry.address, most, heard)
         replica = Replica(entry, pool)
         self.replicas[entry.replica_id] = replica
@@ -125,30 +125,30 @@
         self.by_address[entry.address] = replica
         return replica
 
-    def remove(self, replica_id: str, now: float) -> None:
+    def deregister(self, replica_id: str, now: float) -> None:
         """Note that a replica left discovery."""
         replica = self.replicas.get(replica_id)
         if replica is None:
             return
         if replica.entry.draining:
-            self.forget(replica)
+            self.discard(replica)
         elif replica.deregistered_at is None:
             replica.deregistered_at = now
-            self.note_state(replica, "left discovery")
+            self.record_state_change(replica, "left discovery")
 
     def retain(self, replica_ids: Iterable[str], now: float) -> None:
         """Note that all replicas but these left discovery."""
         for replica_id in self.replicas.keys() - set(replica_ids):
-            self.remove(replica_id, now)
+            self.deregister(replica_id, now)
 
     def drop_address(self, address: str) -> None:
         """Forget a replica whose address has been given to another one."""
         replica = self.by_address.get(address)
         if replica is not None:
-            self.note_state(replica, "address reused")
-            self.forget(replica)
+            self.record_state_change(replica, "address reused")
+            self.discard(replica)
 
-    def forget(self, replica: Replica) -> None:
+    def discard(self, replica: Replica) -> None:
         """Remove a replica; what is in flight there goes on to its end."""
         if self.replicas.get(replica.replica_id) is replica:
             del self.replicas[replica.replica_id]
@@ -159,11 +159,11 @@
             del self.by_address[replica.entry.address]
         replica.pool.close()
 
-    def note_misdirected(self, replica: Replica) -> None:
+    def discard_misdirected(self, replica: Replica) -> None:
         """Forget a replica whose address answers for another one."""
-        self.note_state(replica, "address answers for another replica")
+        self.record_state_change(replica, "address answers for another replica")
         self.log_changes()
-        self.forget(replica)
+        self.discard(replica)
 
     def sweep(self, now: float) -> None:
         """Forget replicas that left discovery some time ago."""
@@ -172,34 +172,32 @@
                 replica.deregistered_at is not None
                 and now > replica.deregistered_at + self.drain_s
             ):
-                self.note_state(replica, "gone")
-                self.forget(replica)
+                self.record_state_change(replica, "gone")
+                self.discard(replica)
         self.log_changes()
 
     def configure(self, configuration: Configuration) -> None:
         """Take new bounds of connections."""
         self.configuration = configuration
         self.shard_services = configuration.shard_services
-        self.share_connections()
+        self.update_connection_limits()
 
     def set_shares(self, shares: Shares) -> None:
         """Take this gateway's part of what replicas bear."""
         self.shares = shares
-        self.share_connections()
+        self.update_connection_limits()
 
-    def sharers(self, service: str) -> float:
+    def share_divisor(self, service: str) -> float:
         """Return how many gateways with the part of this one would make up all."""
         searched = service in self.shard_services
         return self.shares.searchers if searched else self.shares.gateways
 
-    def share_connections(self) -> None:
+    def update_connection_limits(self) -> None:
         """Bound the connections to each replica by this gateway's part."""
         for replica in self.replicas.values():
-            replica.pool.max_connections = self.connections_allowed(
-                replica.entry.service
-            )
+            replica.pool.max_connections = self.connection_limit(replica.entry.service)
 
-    def connections_allowed(self, service: str) -> int:
+    def connection_limit(self, service: str) -> int:
         """Return this gateway's part of the connections of one replica."""
         services: Mapping[str, Any] = (
             self.configuration.services if self.configuration else {}
@@ -207,7 +205,7 @@
         known = services.get(service)
         bound = known.max_connections if known else 0
         share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS)
-        share /= self.sharers(service)
+        share /= self.share_divisor(service)
         return max(1, int(share))
 
     def can_serve(self, service: str, now: float) -> bool:
@@ -218,7 +216,7 @@
             for replica in self.replicas_of(service)
         )
 
-    def is_out_of_reach(self, service: str, now: float) -> bool:
+    def all_suspected(self, service: str, now: float) -> bool:
         """Tell whether a service has replicas, all in data centres that are silent."""
         replicas = self.replicas_of(service)
         return bool(replicas) and all(
@@ -247,7 +245,7 @@
             )
         self.evacuated = data_centres
 
-    def note_state(self, replica: Replica, state: str) -> None:
+    def record_state_change(self, replica: Replica, state: str) -> None:
         """Keep for the log what this gateway believes of a replica."""
         self.changes.setdefault(state, []).append(replica)
 
@@ -275,7 +273,7 @@
                 )
 
 
-def is_other_start(known: ReplicaEntry, told: ReplicaEntry) -> bool:
+def is_other_process(known: ReplicaEntry, told: ReplicaEntry) -> bool:
     """Tell whether two entries of one id are of different processes."""
     return (known.born_ms, known.address, known.service) != (
         told.born_ms,
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -183,7 +183,7 @@
             return Failed("reply to another request")
         replica.observe_reply(reply, now)
         if reply.misdirected:
-            self.directory.note_misdirected(replica)
+            self.directory.discard_misdirected(replica)
             return NotRun("another replica has the address", True)
         if reply.not_run:
             replica.observe_result(True, now)
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -343,7 +343,7 @@
         """Take in an entry of discovery; an unreadable one names no replica."""
         now = self.reactor.seconds()
         if value is None:
-            self.directory.remove(replica_id, now)
+            self.directory.deregister(replica_id, now)
             return
         match self.dialect.read_replica(replica_id, value):
             case Success(entry):
@@ -356,7 +356,7 @@
                     state="entry refused",
                     detail=str(detail),
                 )
-                self.directory.remove(replica_id, now)
+                self.directory.deregister(replica_id, now)
 
     def take_evacuation(self, data_centre: str, value: bytes | None) -> None:
         """Take a data centre out, or back in."""
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -87,7 +87,7 @@
 
     def may_repeat(self, service: str, now: float) -> bool:
         """Take one repeat to a service from the budget, if there is one."""
-        sharers = self.directory.sharers(service)
+        sharers = self.directory.share_divisor(service)
         if self.budget_of(service).spend(self.bounds, sharers, now):
             return True
         self.note_denied()
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -131,7 +131,7 @@
         bounds = self.bounds
         bound = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
         total = COLD_SAFETY_RATIO * bound
-        part = total / self.directory.sharers(service.name)
+        part = total / self.directory.share_divisor(service.name)
         if part >= 1.0:
             return int(part)
         alike = self.directory.shares.alike
