Rename the test doubles of a transport and of the dispatcher

tests.gateway.wire becomes fake_transport with FakeTransport, FakeSocket and make_transport; HeldDispatcher becomes FakeDispatcher.

--- a/tests/gateway/wire.py
+++ b/tests/gateway/fake_transport.py
@@ -6,18 +6,18 @@
 
 from twisted.internet.testing import StringTransport
 
-__all__ = ["Wire", "make_wire"]
+__all__ = ["FakeTransport", "make_transport"]
 
 
-class Socket:
+class FakeSocket:
     """Takes the options of a socket, and what is sent at once."""
 
-    def __init__(self, wire: Wire) -> None:
-        self.wire = wire
+    def __init__(self, transport: FakeTransport) -> None:
+        self.transport = transport
 
     def send(self, data: bytes) -> int:
         """Take everything."""
-        self.wire.write(data)  # type: ignore[no-untyped-call]
+        self.transport.write(data)  # type: ignore[no-untyped-call]
         return len(data)
 
     def setsockopt(self, level: int, option: int, value: int) -> None:
@@ -28,15 +28,15 @@
         return bytes(68) + (2000).to_bytes(4, "little") + bytes(32)
 
 
-class Wire(StringTransport):
+class FakeTransport(StringTransport):
     """Keeps what a protocol writes."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
         """Take the option."""
 
-    def getHandle(self) -> Socket:
+    def getHandle(self) -> FakeSocket:
         """Return what takes the options of a socket."""
-        return Socket(self)
+        return FakeSocket(self)
 
     def loseWriteConnection(self) -> None:
         """End the writing side."""
@@ -46,6 +46,6 @@
         return cast(bytes, self.value())  # type: ignore[no-untyped-call]
 
 
-def make_wire() -> Wire:
+def make_transport() -> FakeTransport:
     """Make a transport."""
-    return Wire()  # type: ignore[no-untyped-call]
+    return FakeTransport()  # type: ignore[no-untyped-call]
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -42,7 +42,7 @@
 REQUEST = CallerRequest(b"r-1", b"GET", b"/x/1", "h", (), b"", 0.8, 0.0)
 
 
-class HeldDispatcher(Dispatcher):
+class FakeDispatcher(Dispatcher):
     """Holds the exchanges that are started until a test ends them."""
 
     def __init__(self, reactor: MemoryReactorClock, directory: Directory) -> None:
@@ -87,7 +87,7 @@
 
     reactor: MemoryReactorClock
     directory: Directory
-    dispatcher: HeldDispatcher
+    dispatcher: FakeDispatcher
     policy: RequestPolicy
     answers: list[CallerAnswer]
 
@@ -139,7 +139,7 @@
     reactor = MemoryReactorClock()
     reactor.advance(100.0)
     directory = Directory(reactor, bounds.drain_s)
-    dispatcher = HeldDispatcher(reactor, directory)
+    dispatcher = FakeDispatcher(reactor, directory)
     selector = ReplicaSelector(directory, "g-1", HERE, 1)
     policy = RequestPolicy(reactor, directory, dispatcher, selector, PlatformCallers())
     policy.configure(bounds)
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -15,7 +15,7 @@
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.front import Front, FrontConnection
 from sardinehook.gateway.interfaces import HttpRequest
-from tests.gateway.wire import Wire, make_wire
+from tests.gateway.fake_transport import FakeTransport, make_transport
 
 Finish = Callable[[CallerAnswer], None]
 
@@ -41,10 +41,10 @@
         self.reactor.advance(100.0)
         self.works: list[HeldWork] = []
         self.front = Front(self.reactor, self.take)
-        self.wire: Wire = make_wire()
+        self.transport: FakeTransport = make_transport()
         self.connection = FrontConnection(self.front)
         connection: Any = self.connection
-        connection.makeConnection(self.wire)
+        connection.makeConnection(self.transport)
 
     def take(self, request: HttpRequest, finish: Finish) -> HeldWork:
         """Hold a request."""
@@ -64,7 +64,7 @@
     @property
     def written(self) -> bytes:
         """What the caller has got."""
-        return self.wire.written()
+        return self.transport.written()
 
 
 GET = b"GET /x/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: a\r\n\r\n"
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -11,7 +11,7 @@
 
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.transport.connection import ClientConnection, Replied
-from tests.gateway.wire import Wire, make_wire
+from tests.gateway.fake_transport import FakeTransport, make_transport
 
 
 class PoolRig:
@@ -39,13 +39,13 @@
         factory: ClientFactory = self.reactor.tcpClients[attempt][2]
         return factory
 
-    def accept(self, attempt: int) -> Wire:
+    def accept(self, attempt: int) -> FakeTransport:
         """Let an attempt succeed."""
-        wire: Any = make_wire()
+        transport: Any = make_transport()
         protocol = self.factory(attempt).buildProtocol(None)
         assert protocol is not None
-        protocol.makeConnection(wire)
-        return cast(Wire, wire)
+        protocol.makeConnection(transport)
+        return cast(FakeTransport, transport)
 
     def refuse(self, attempt: int) -> None:
         """Let an attempt fail."""
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -17,7 +17,7 @@
     Malformed,
     Replied,
 )
-from tests.gateway.wire import make_wire
+from tests.gateway.fake_transport import make_transport
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
 
@@ -29,7 +29,7 @@
         self.ends: list[ExchangeEnd] = []
         self.connection = ClientConnection(ignore, ignore)
         connection: Any = self.connection
-        connection.makeConnection(make_wire())
+        connection.makeConnection(make_transport())
         self.connection.exchange(b"GET / HTTP/1.1\r\n\r\n", self.ends.append)
 
     def lose(self, reason: Exception) -> None:
