Name the times of a request and the marks of a reply

path_s sat beside the path of the URL and patience_s is figurative: they become network_s and caller_timeout_s in the requests, while the message between gateways keeps its field names. A foreign reply, one to another request, is mismatched; encoded is content_encoded; born_ms of a replica entry started_ms.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -90,7 +90,7 @@
     def put(self, entry: ReplicaEntry, now: float) -> None:
         """Take in an entry of discovery; one of an earlier start is dropped."""
         known = self.replicas.get(entry.replica_id)
-        if known is not None and entry.born_ms < known.entry.born_ms:
+        if known is not None and entry.started_ms < known.entry.started_ms:
             return
         if known is None or is_other_process(known.entry, entry):
             self.drop_address(entry.address)
@@ -269,14 +269,14 @@
                     service=replica.entry.service,
                     address=replica.entry.address,
                     state=state,
-                    incarnation=str(replica.entry.born_ms),
+                    incarnation=str(replica.entry.started_ms),
                 )
 
 
 def is_other_process(known: ReplicaEntry, told: ReplicaEntry) -> bool:
     """Tell whether two entries of one id are of different processes."""
-    return (known.born_ms, known.address, known.service) != (
-        told.born_ms,
+    return (known.started_ms, known.address, known.service) != (
+        told.started_ms,
         told.address,
         told.service,
     )
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -178,7 +178,7 @@
     ) -> ExchangeOutcome:
         """Tell what a whole reply means for the request."""
         replica = exchange.replica
-        if reply.foreign:
+        if reply.mismatched:
             replica.observe_result(True, now)
             return Failed("reply to another request")
         replica.observe_reply(reply, now)
@@ -196,7 +196,7 @@
         connection = exchange.connection
         if connection is None or not connection.is_open:
             return
-        if reply.foreign:
+        if reply.mismatched:
             connection.abort()
         else:
             exchange.replica.pool.release(connection, reply.keep_alive_s)
--- a/sardinehook/gateway/interfaces.py
+++ b/sardinehook/gateway/interfaces.py
@@ -29,11 +29,11 @@
 class RequestTiming(NamedTuple):
     """When a request came, and what of its time passes outside of the gateway.
 
-    ``path_s`` covers the ways of the request and of its answer.
+    ``network_s`` covers the ways of the request and of its answer.
     """
 
     received_at: float
-    path_s: float
+    network_s: float
 
 
 class HttpRequest(NamedTuple):
@@ -47,12 +47,13 @@
     headers: tuple[Header, ...]
     body: bytes
     received_at: float
-    path_s: float = 0.0
+    network_s: float = 0.0
 
 
 class CallerRequest(NamedTuple):
-    """A caller's request. ``patience_s`` is how long the caller waits, if it says so.
+    """A caller's request.
 
+    ``caller_timeout_s`` is how long the caller waits, ``None`` if it does not say so.
     ``headers`` are those that are passed on to replicas. The last fields are those of
     ``RequestTiming``.
     """
@@ -63,9 +64,9 @@
     host: str
     headers: tuple[Header, ...]
     body: bytes
-    patience_s: float | None
+    caller_timeout_s: float | None
     received_at: float
-    path_s: float = 0.0
+    network_s: float = 0.0
 
     @property
     def path(self) -> str:
@@ -90,7 +91,7 @@
 
     ``signature`` is the replica's mark on an answer of its own. ``not_run`` is set
     where the replica states that it did not run the request, ``misdirected`` where
-    the address belongs to another replica. A ``foreign`` reply answers another
+    the address belongs to another replica. A ``mismatched`` reply answers another
     request. ``keep_alive_s`` is how long the replica keeps the connection when idle,
     ``headers`` are those that a caller may see.
     """
@@ -101,8 +102,8 @@
     signature: bytes | None
     not_run: bool
     misdirected: bool
-    foreign: bool
-    encoded: bool
+    mismatched: bool
+    content_encoded: bool
     load: Load | None
     cold_left_s: float | None
     keep_alive_s: float
@@ -110,12 +111,12 @@
     @property
     def is_success(self) -> bool:
         """Whether the replica answered the request with success."""
-        signed = self.signature is not None and not self.foreign
-        return 200 <= self.status < 300 and signed and not self.encoded
+        signed = self.signature is not None and not self.mismatched
+        return 200 <= self.status < 300 and signed and not self.content_encoded
 
 
 class ReplicaEntry(NamedTuple):
-    """What discovery tells of a replica; ``born_ms`` is when its process started."""
+    """What discovery tells of a replica; ``started_ms`` is when its process started."""
 
     replica_id: str
     service: str
@@ -125,7 +126,7 @@
     draining: bool
     cold_left_s: float
     sequence: int
-    born_ms: int
+    started_ms: int
 
 
 class CallerCodec(Protocol):
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -31,14 +31,14 @@
     >>> answer_by(request, 0.2)
     10.174
     """
-    return request.received_at + within_s - request.path_s - ANSWER_MARGIN_S
+    return request.received_at + within_s - request.network_s - ANSWER_MARGIN_S
 
 
 def give_up_at(request: CallerRequest, route: Route) -> float:
     """Return when a request has to be answered, whatever there is by then."""
     patience_s = route.timeout_s
-    if request.patience_s is not None:
-        patience_s = min(patience_s, request.patience_s)
+    if request.caller_timeout_s is not None:
+        patience_s = min(patience_s, request.caller_timeout_s)
     return answer_by(request, patience_s)
 
 
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -71,9 +71,9 @@
         request.host,
         list(request.headers),
         request.body,
-        request.patience_s,
+        request.caller_timeout_s,
         now - request.received_at,
-        request.path_s + HAND_OVER_S,
+        request.network_s + HAND_OVER_S,
     )
     return msgspec.msgpack.encode(wire)
 
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -146,7 +146,7 @@
 
     def take_failure(self, reply: ReplicaReply) -> CallerAnswer | None:
         """Pass a replica's failure on unless another replica may do better."""
-        unsigned = reply.signature is None or reply.foreign or reply.encoded
+        unsigned = reply.signature is None or reply.mismatched or reply.content_encoded
         if unsigned or 200 <= reply.status < 300:
             return None
         self.failure = reply
--- a/sardinehook/platform/callers.py
+++ b/sardinehook/platform/callers.py
@@ -81,7 +81,7 @@
                 request.body,
                 read_patience(deadlines),
                 request.received_at,
-                request.path_s,
+                request.network_s,
             )
         )
 
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -176,11 +176,11 @@
         assert wide.desk.handed_over == 0
 
     def test_the_time_that_has_passed_goes_with_it(self) -> None:
-        request = REQUEST._replace(received_at=10.0, path_s=0.01)
+        request = REQUEST._replace(received_at=10.0, network_s=0.01)
         body = encode_search("narrow", 1, request, 10.05)
         handed = decode_search(body, 500.0).unwrap()
         assert handed.request.received_at == pytest.approx(499.95)
-        assert handed.request.path_s > 0.01
+        assert handed.request.network_s > 0.01
 
     def test_those_that_search_for_others_have_the_larger_part(self) -> None:
         records = {f"n{number}": NARROW for number in range(8)} | {"w": WIDE}
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -138,7 +138,7 @@
         rig.send(GET)
         rig.answer(0)
         rig.send(GET)
-        first, second = (work.request.path_s for work in rig.works)
+        first, second = (work.request.network_s for work in rig.works)
         assert first == 2 * second
         assert second >= 0.002
 
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -208,19 +208,21 @@
 
     def test_the_way_to_a_caller_that_is_far_is_allowed_for(self) -> None:
         gateway = with_replicas(4)
-        gateway.gather(search_route(4), REQUEST._replace(path_s=0.06))
+        gateway.gather(search_route(4), REQUEST._replace(network_s=0.06))
         gateway.answer_all("s03")
         gateway.reactor.advance(0.2 - 0.06)
         assert [answer.status for answer in gateway.answers] == [200]
 
     def test_a_request_with_no_time_left_is_refused_unsent(self) -> None:
         gateway = with_replicas(2)
-        gateway.gather(search_route(2), REQUEST._replace(patience_s=0.02))
+        gateway.gather(search_route(2), REQUEST._replace(caller_timeout_s=0.02))
         assert [answer.status for answer in gateway.answers] == [503]
         assert gateway.dispatcher.sent == []
 
     def test_is_answered_before_the_caller_gives_up(self) -> None:
         gateway = with_replicas(2)
-        gateway.gather(search_route(2, least=1.0), REQUEST._replace(patience_s=0.3))
+        gateway.gather(
+            search_route(2, least=1.0), REQUEST._replace(caller_timeout_s=0.3)
+        )
         gateway.reactor.pump([0.05] * 6)
         assert [answer.status for answer in gateway.answers] == [504]
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -139,7 +139,7 @@
 class TestTime:
     def test_a_caller_with_no_time_left_is_refused_unsent(self) -> None:
         gateway = desk_gateway()
-        request = REQUEST._replace(patience_s=0.0)
+        request = REQUEST._replace(caller_timeout_s=0.0)
         gateway.call(single_route(idempotent=False), "desk", request)
         assert [answer.status for answer in gateway.answers] == [503]
         assert gateway.dispatcher.sent == []
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -139,7 +139,7 @@
         )
         decoded = PlatformCallers().read_request(raw).unwrap()
         assert decoded.headers == ((b"X-Other", b"2"),)
-        assert (decoded.host, decoded.patience_s) == ("h", 0.8)
+        assert (decoded.host, decoded.caller_timeout_s) == ("h", 0.8)
 
     def test_two_hosts_are_refused(self) -> None:
         raw = request((b"Host", b"a"), (b"Host", b"b"), (b"X-Request-Id", b"r"))
