--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -13,8 +13,8 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.delegates import (
-    FAILED_S,
-    SILENT_AFTER_S,
+    AVOID_AFTER_FAILURE_S,
+    HEARTBEAT_TIMEOUT_S,
     Delegate,
     Delegates,
 )
@@ -23,7 +23,7 @@
 from sardinehook.gateway.interfaces import HttpRequest
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.search_codec import decode_search, encode_search
-from sardinehook.gateway.shares import divide
+from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.story import RequestStories
 from sardinehook.transport.connection import ExchangeEnd, Lost, Replied, Reply
 from tests.gateway.support import (
@@ -184,13 +184,15 @@
 
     def test_those_that_search_for_others_have_the_larger_part(self) -> None:
         records = {f"n{number}": NARROW for number in range(8)} | {"w": WIDE}
-        parts = {name: 1.0 / divide(name, records).searchers for name in records}
+        parts = {
+            name: 1.0 / compute_shares(name, records).search_divisor for name in records
+        }
         assert sum(parts.values()) == pytest.approx(1.0)
         assert parts["w"] > 0.7
 
     def test_among_equals_all_search_and_all_have_the_same_part(self) -> None:
         records = {f"n{number}": NARROW for number in range(9)}
-        assert divide("n1", records).searchers == 9.0
+        assert compute_shares("n1", records).search_divisor == 9.0
 
 
 class TestDelegateInTrouble:
@@ -227,7 +229,7 @@
         narrow = Side("narrow", NARROW)
         narrow.hears()
         narrow.take()
-        narrow.gateway.reactor.advance(SILENT_AFTER_S + 0.01)
+        narrow.gateway.reactor.advance(HEARTBEAT_TIMEOUT_S + 0.01)
         narrow.delegates.sweep()
         assert [answer.status for answer in narrow.answers] == [502]
         assert narrow.pool.given[0].aborted
@@ -235,9 +237,9 @@
     def test_it_is_used_again_once_it_is_heard(self) -> None:
         narrow = Side("narrow", NARROW)
         narrow.hears()
-        narrow.gateway.reactor.advance(SILENT_AFTER_S + 0.01)
+        narrow.gateway.reactor.advance(HEARTBEAT_TIMEOUT_S + 0.01)
         assert narrow.delegates.choose() is None
-        narrow.delegates.note_heard("wide", False)
+        narrow.delegates.record_heartbeat("wide", False)
         assert narrow.delegates.choose() is not None
 
     def test_a_failure_turns_searches_away_for_a_while(self) -> None:
@@ -245,8 +247,8 @@
         delegate = narrow.hears()
         narrow.delegates.avoid(delegate, "reset")
         assert narrow.delegates.choose() is None
-        narrow.gateway.reactor.advance(FAILED_S)
-        narrow.delegates.note_heard("wide", False)
+        narrow.gateway.reactor.advance(AVOID_AFTER_FAILURE_S)
+        narrow.delegates.record_heartbeat("wide", False)
         assert narrow.delegates.choose() is delegate
 
 
@@ -257,9 +259,9 @@
         narrow = Side("narrow", NARROW)
         narrow.hears()
         assert narrow.desk.cut_off_reason() == ""
-        narrow.delegates.note_heard("wide", True)
+        narrow.delegates.record_heartbeat("wide", True)
         assert "wide" in narrow.desk.cut_off_reason()
-        narrow.delegates.note_heard("wide", False)
+        narrow.delegates.record_heartbeat("wide", False)
         assert narrow.desk.cut_off_reason() == ""
 
     def test_one_delegate_that_reaches_replicas_is_enough(self) -> None:
@@ -267,7 +269,7 @@
         narrow.hears("wide")
         narrow.hears("wide-2")
         narrow.take()
-        narrow.delegates.note_heard("wide", True)
+        narrow.delegates.record_heartbeat("wide", True)
         assert narrow.desk.cut_off_reason() == ""
 
     def test_searches_for_others_count_as_demand(self) -> None:
@@ -342,12 +344,12 @@
         fleet = GatewayFleet(clock, ScriptedStore(), "n", NARROW, lambda _names: None)
         delegates = Delegates(clock, fleet)
         for name, record in (("w", WIDE), ("m", NARROW)):
-            fleet.note(name, msgspec.json.encode(record))
+            fleet.apply_record(name, msgspec.json.encode(record))
         delegates.update()
         assert list(delegates.known) == ["w"]
         assert delegates.choose() is None
-        delegates.note_heard("w", False)
+        delegates.record_heartbeat("w", False)
         assert delegates.choose() is delegates.known["w"]
-        fleet.note("w", None)
+        fleet.apply_record("w", None)
         delegates.update()
         assert delegates.choose() is None
