Describe replica selection, statistics and the directory in usual terms

Comments spoke of usual times, waits, parts and silence. They now use baseline latency, slowdown, share, limit and suspected data centres; the attributes slowness and failures become slowdown and failure_ratio, and constants are MIN_*, MAX_*, DEFAULT_* and DEREGISTERED_*. The explanation of a replica without requests reads "data centre X unreachable" and "expected wait N service times (load A s old), slowdown B".

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -1,4 +1,4 @@
-"""Which replicas each service has, from discovery and from what replies show."""
+"""Directory of the replicas of each service, kept up to date from discovery."""
 
 from __future__ import annotations
 
@@ -21,15 +21,15 @@
 
 logger = structlog.get_logger(__name__)
 
-CONNECTION_SHARE = 0.9  # of a replica's bound, since closed connections linger there
-UNSTATED_CONNECTIONS = 16  # bound of a replica whose service states none
-LOST_GRACE_RATIO = 0.7  # of the drain time, for entries that left discovery
-MOST_SINGLE_LINES = 8  # changes at once; more share lines, without their details
-ORPHAN_GRACE_S = 2.4  # entries that lapsed in an outage are back within two seconds
+MAX_CONNECTIONS_RATIO = 0.9  # of the limit; closing connections still count there
+DEFAULT_MAX_CONNECTIONS = 16  # for replicas of a service without a limit
+DEREGISTERED_GRACE_RATIO = 0.7  # of the drain time
+MAX_DETAILED_CHANGES = 8  # more changes at once share lines, without their details
+MAX_DEREGISTERED_GRACE_S = 2.4  # entries lost in a store outage return within 2 s
 
 
 class Directory:
-    """All replicas by id and by service; each has its own connections."""
+    """Replicas by id, service and address, each with its own connection pool."""
 
     def __init__(self, reactor: GatewayReactor, drain_s: float) -> None:
         self.reactor = reactor
@@ -46,7 +46,7 @@
         self.changes: dict[str, list[Replica]] = {}
 
     def replicas_of(self, service: str) -> list[Replica]:
-        """Return the replicas of a service that may be asked now."""
+        """Return the replicas of a service that accept new requests."""
         now = self.reactor.seconds()
         return [
             replica
@@ -55,7 +55,11 @@
         ]
 
     def is_usable(self, replica: Replica, now: float) -> bool:
-        """Tell whether new requests may go to a replica."""
+        """Return whether a replica accepts new requests.
+
+        Draining replicas and those of evacuated data centres accept none. A replica
+        that left discovery is used for ``deregistered_grace_s``.
+        """
         if replica.entry.draining or replica.entry.data_centre in self.evacuated:
             return False
         deregistered_at = replica.deregistered_at
@@ -64,31 +68,32 @@
         )
 
     def describe(self, replica: Replica, now: float) -> str:
-        """Describe for the log what keeps requests from a replica, and since when."""
-        place = replica.entry.data_centre
+        """Describe for the log why a replica gets no requests."""
+        data_centre = replica.entry.data_centre
         if replica.entry.draining:
             return "draining"
-        if place in self.evacuated:
-            return f"in evacuated {place}"
+        if data_centre in self.evacuated:
+            return f"in evacuated {data_centre}"
         if replica.deregistered_at is not None:
             return f"left discovery {now - replica.deregistered_at:.1f} s ago"
-        if self.reachability.is_cut_off(place, now):
-            return f"beyond the cut to {place}"
+        if self.reachability.is_cut_off(data_centre, now):
+            return f"data centre {data_centre} unreachable"
         if replica.pool.is_failing:
             return "refuses connections"
         load_age_s = now - replica.load_at
         return (
-            f"queue of {replica.expected_service_times(now):.1f} service times "
-            f"(load {load_age_s:.1f} s old), {replica.current_slowness(now):.1f} x slow"
+            f"expected wait {replica.expected_service_times(now):.1f} service times "
+            f"(load {load_age_s:.1f} s old), "
+            f"slowdown {replica.current_slowdown(now):.1f}"
         )
 
     @property
     def deregistered_grace_s(self) -> float:
-        """How long a replica that left discovery is still asked."""
-        return min(LOST_GRACE_RATIO * self.drain_s, ORPHAN_GRACE_S)
+        """How long a replica that left discovery still gets requests."""
+        return min(DEREGISTERED_GRACE_RATIO * self.drain_s, MAX_DEREGISTERED_GRACE_S)
 
     def put(self, entry: ReplicaEntry, now: float) -> None:
-        """Take in an entry of discovery; one of an earlier start is dropped."""
+        """Apply a discovery entry; entries of an earlier process are ignored."""
         known = self.replicas.get(entry.replica_id)
         if known is not None and entry.started_ms < known.entry.started_ms:
             return
@@ -110,15 +115,17 @@
         known.deregistered_at = None
 
     def add(self, entry: ReplicaEntry) -> Replica:
-        """Add a replica that was not known."""
+        """Add the replica of a new entry."""
         replica: Replica
 
-        def heard() -> None:
+        def record_connected() -> None:
             now = self.reactor.seconds()
             self.reachability.record_response(replica.entry.data_centre, now)
 
-        most = self.connection_limit(entry.service)
-        pool = ConnectionPool(self.reactor, entry.address, most, heard)
+        max_connections = self.connection_limit(entry.service)
+        pool = ConnectionPool(
+            self.reactor, entry.address, max_connections, record_connected
+        )
         replica = Replica(entry, pool)
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
@@ -126,7 +133,11 @@
         return replica
 
     def deregister(self, replica_id: str, now: float) -> None:
-        """Note that a replica left discovery."""
+        """Record that a replica left discovery.
+
+        A draining replica is removed at once; another one is kept for the drain time,
+        since its entry may only have expired during an outage of the store.
+        """
         replica = self.replicas.get(replica_id)
         if replica is None:
             return
@@ -137,19 +148,19 @@
             self.record_state_change(replica, "left discovery")
 
     def retain(self, replica_ids: Iterable[str], now: float) -> None:
-        """Note that all replicas but these left discovery."""
+        """Record that all replicas except these left discovery."""
         for replica_id in self.replicas.keys() - set(replica_ids):
             self.deregister(replica_id, now)
 
     def drop_address(self, address: str) -> None:
-        """Forget a replica whose address has been given to another one."""
+        """Remove the replica whose address a new entry has taken over."""
         replica = self.by_address.get(address)
         if replica is not None:
             self.record_state_change(replica, "address reused")
             self.discard(replica)
 
     def discard(self, replica: Replica) -> None:
-        """Remove a replica; what is in flight there goes on to its end."""
+        """Remove a replica; its exchanges in flight continue."""
         if self.replicas.get(replica.replica_id) is replica:
             del self.replicas[replica.replica_id]
         siblings = self.by_service.get(replica.entry.service, [])
@@ -160,13 +171,13 @@
         replica.pool.close()
 
     def discard_misdirected(self, replica: Replica) -> None:
-        """Forget a replica whose address answers for another one."""
+        """Remove a replica whose address belongs to another one by now."""
         self.record_state_change(replica, "address answers for another replica")
         self.log_changes()
         self.discard(replica)
 
     def sweep(self, now: float) -> None:
-        """Forget replicas that left discovery some time ago."""
+        """Remove replicas that left discovery longer than the drain time ago."""
         for replica in list(self.replicas.values()):
             if (
                 replica.deregistered_at is not None
@@ -177,39 +188,39 @@
         self.log_changes()
 
     def configure(self, configuration: Configuration) -> None:
-        """Take new bounds of connections."""
+        """Apply a configuration and its connection limits."""
         self.configuration = configuration
         self.shard_services = configuration.shard_services
         self.update_connection_limits()
 
     def set_shares(self, shares: Shares) -> None:
-        """Take this gateway's part of what replicas bear."""
+        """Set this gateway's share of the limits of replicas."""
         self.shares = shares
         self.update_connection_limits()
 
     def share_divisor(self, service: str) -> float:
-        """Return how many gateways with the part of this one would make up all."""
+        """Return the divisor that gives this gateway's share of a replica's limit."""
         searched = service in self.shard_services
         return self.shares.search_divisor if searched else self.shares.request_divisor
 
     def update_connection_limits(self) -> None:
-        """Bound the connections to each replica by this gateway's part."""
+        """Limit the connections to each replica to this gateway's share."""
         for replica in self.replicas.values():
             replica.pool.max_connections = self.connection_limit(replica.entry.service)
 
     def connection_limit(self, service: str) -> int:
-        """Return this gateway's part of the connections of one replica."""
+        """Return this gateway's share of the connection limit of one replica."""
         services: Mapping[str, Any] = (
             self.configuration.services if self.configuration else {}
         )
         known = services.get(service)
         bound = known.max_connections if known else 0
-        share = CONNECTION_SHARE * (bound or UNSTATED_CONNECTIONS)
+        share = MAX_CONNECTIONS_RATIO * (bound or DEFAULT_MAX_CONNECTIONS)
         share /= self.share_divisor(service)
         return max(1, int(share))
 
     def can_serve(self, service: str, now: float) -> bool:
-        """Tell whether a service has a replica that takes connections from here."""
+        """Return whether a service has a replica that this gateway can connect to."""
         return any(
             not replica.pool.is_failing
             and not self.reachability.is_cut_off(replica.entry.data_centre, now)
@@ -217,7 +228,10 @@
         )
 
     def all_suspected(self, service: str, now: float) -> bool:
-        """Tell whether a service has replicas, all in data centres that are silent."""
+        """Return whether all replicas of a service are in suspected data centres.
+
+        A service without replicas is not suspected.
+        """
         replicas = self.replicas_of(service)
         return bool(replicas) and all(
             self.reachability.is_suspect(replica.entry.data_centre, now)
@@ -225,18 +239,20 @@
         )
 
     def probe_suspects(self, now: float) -> None:
-        """Open a connection to a replica of each data centre that is in doubt."""
+        """Open a connection to one replica in each suspected data centre."""
         probed: set[str] = set()
         replicas = list(self.replicas.values())
         self.random.shuffle(replicas)
         for replica in replicas:
-            place = replica.entry.data_centre
-            if place not in probed and self.reachability.is_suspect(place, now):
-                probed.add(place)
+            data_centre = replica.entry.data_centre
+            if data_centre not in probed and self.reachability.is_suspect(
+                data_centre, now
+            ):
+                probed.add(data_centre)
                 replica.pool.probe()
 
     def set_evacuated(self, data_centres: set[str]) -> None:
-        """Take the data centres that are to get no new requests."""
+        """Set the data centres that get no new requests."""
         if data_centres != self.evacuated:
             log_event(
                 logger,
@@ -246,18 +262,18 @@
         self.evacuated = data_centres
 
     def record_state_change(self, replica: Replica, state: str) -> None:
-        """Keep for the log what this gateway believes of a replica."""
+        """Queue a state change of a replica for ``log_changes``."""
         self.changes.setdefault(state, []).append(replica)
 
     def log_changes(self) -> None:
-        """Log what changed since the last call.
+        """Log the state changes since the last call.
 
-        Listings, outages of the store and new shards change much at once; with a line
-        for each replica, none would be left for requests.
+        Listings, outages of the store and new shards change many replicas at once. A
+        line for each would use up the budget of log lines that requests need.
         """
         changes, self.changes = self.changes, {}
         for state, replicas in changes.items():
-            if len(replicas) > MOST_SINGLE_LINES:
+            if len(replicas) > MAX_DETAILED_CHANGES:
                 names = [replica.replica_id for replica in replicas]
                 log_names(logger, EventName.TARGET_STATE, state, names)
                 continue
@@ -273,10 +289,10 @@
                 )
 
 
-def is_other_process(known: ReplicaEntry, told: ReplicaEntry) -> bool:
-    """Tell whether two entries of one id are of different processes."""
+def is_other_process(known: ReplicaEntry, new: ReplicaEntry) -> bool:
+    """Return whether two entries of one id come from different processes."""
     return (known.started_ms, known.address, known.service) != (
-        told.started_ms,
-        told.address,
-        told.service,
+        new.started_ms,
+        new.address,
+        new.service,
     )
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -26,10 +26,12 @@
     "NotRun",
 ]
 
-LEAST_SENDABLE_S = 0.002  # less time than this is not worth a replica's work
-LEAST_USUAL_S = 0.0001  # keeps ratios of latencies finite
-OVERDUE_FACTOR = 1.5  # an overdue reply is expected to take so much longer yet
-OVERDUE_S = 0.15  # past its deadline, a silent exchange's connection is given up
+MIN_SEND_TIME_S = 0.002  # less time than this is not worth a replica's work
+MIN_BASELINE_S = 0.0001  # keeps ratios of latencies finite
+OVERDUE_RATIO = 1.5  # an overdue reply is expected to take so much longer yet
+CONNECTION_GRACE_S = (
+    0.15  # past its deadline, a silent exchange's connection is given up
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,8 +142,8 @@
             self.end(exchange, NotRun("no connection", False))
             return
         now = self.reactor.seconds()
-        left_s = exchange.deadline_at - now
-        if left_s < LEAST_SENDABLE_S:
+        remaining_s = exchange.deadline_at - now
+        if remaining_s < MIN_SEND_TIME_S:
             self.end(exchange, NotRun("no connection in time", False))
             return
         replica = exchange.replica
@@ -151,7 +153,7 @@
         if replica.is_cold(now):
             replica.cold_sends.add(1, now)
         connection.exchange(
-            self.codec.encode_request(request, replica.replica_id, left_s),
+            self.codec.encode_request(request, replica.replica_id, remaining_s),
             lambda end: self.exchange_ended(exchange, end),
             request.method == b"HEAD",
         )
@@ -210,20 +212,24 @@
             exchange.on_end(exchange, outcome)
 
     def observe_reply_time(
-        self, exchange: Exchange, usual_s: float, now: float
+        self, exchange: Exchange, baseline_s: float, now: float
     ) -> float:
         """Learn how slow a replica is, apart from its queue; return the time taken."""
         took_s = now - exchange.sent_at
-        expected_s = max(usual_s, LEAST_USUAL_S) * exchange.expected_service_times
+        expected_s = max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
         if not exchange.was_overdue:
             exchange.replica.observe_latency(took_s / expected_s, now)
         return took_s
 
-    def observe_overdue(self, exchange: Exchange, usual_s: float, now: float) -> None:
+    def observe_overdue(
+        self, exchange: Exchange, baseline_s: float, now: float
+    ) -> None:
         """Learn from a reply that is overdue, before it comes."""
         if exchange.sent_at:
-            waited_s = OVERDUE_FACTOR * (now - exchange.sent_at)
-            expected_s = max(usual_s, LEAST_USUAL_S) * exchange.expected_service_times
+            waited_s = OVERDUE_RATIO * (now - exchange.sent_at)
+            expected_s = (
+                max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
+            )
             exchange.was_overdue = True
             exchange.replica.observe_overdue(waited_s / expected_s, now)
 
@@ -246,7 +252,7 @@
                 exchange.replica.pool.cancel(exchange.waiter)
                 exchange.waiter = None
                 self.end(exchange, NotRun("no connection in time", False))
-            elif now >= exchange.deadline_at + OVERDUE_S:
+            elif now >= exchange.deadline_at + CONNECTION_GRACE_S:
                 connection = exchange.connection
                 exchange.replica.observe_result(True, now)
                 if connection is not None and connection.on_end is not None:
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -15,8 +15,8 @@
 __all__ = ["ConnectionPool", "Waiter"]
 
 CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds, so longer means unreachable
-FIRST_BACKOFF_S = 0.05  # wait after a first failed attempt
-LAST_BACKOFF_S = 1.0  # wait after many failed attempts
+INITIAL_BACKOFF_S = 0.05  # wait after a first failed attempt
+MAX_BACKOFF_S = 1.0  # wait after many failed attempts
 IDLE_MARGIN_S = 0.3  # a connection is dropped this long before its peer closes it
 
 Waiter = Callable[[ClientConnection | None], None]
@@ -169,7 +169,7 @@
     def connection_failed(self, reason: Failure) -> None:
         """Note a failed attempt; those that wait are told if nothing is left."""
         self.connecting -= 1
-        self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
+        self.backoff_s = min(max(self.backoff_s * 2, INITIAL_BACKOFF_S), MAX_BACKOFF_S)
         self.retry_at = self.reactor.seconds() + self.backoff_s
         if not self.connection_count:
             self.fail_waiters()
--- a/sardinehook/gateway/reachability.py
+++ b/sardinehook/gateway/reachability.py
@@ -93,8 +93,16 @@
 
     def cut_off_data_centres(self, now: float) -> list[str]:
         """List the data centres that count as cut off."""
-        return sorted(place for place in self.paths if self.is_cut_off(place, now))
+        return sorted(
+            data_centre
+            for data_centre in self.paths
+            if self.is_cut_off(data_centre, now)
+        )
 
     def suspected_data_centres(self, now: float) -> list[str]:
         """List the data centres to which the path is in doubt."""
-        return sorted(place for place in self.paths if self.is_suspect(place, now))
+        return sorted(
+            data_centre
+            for data_centre in self.paths
+            if self.is_suspect(data_centre, now)
+        )
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -1,4 +1,4 @@
-"""One replica as this gateway knows it."""
+"""Load, latency and failure statistics of one replica."""
 
 from __future__ import annotations
 
@@ -15,106 +15,106 @@
 
 __all__ = ["Replica"]
 
-LEAST_SAMPLES = 3  # the fewest of which a median leaves out one pause
-MOST_SAMPLES = 9  # bounds the work; a pause holds up fewer requests than half of them
-SAMPLE_MEMORY_S = 1.5  # samples beyond the fewest that are older than this are dropped
-SLOWNESS_MEMORY_S = 4.0  # samples say little of a replica that was not asked for long
-SLOWNESS_HALF_LIFE_S = 2.0  # a replica that was slow is tried again after some of these
-MOST_SLOWNESS = 50.0  # bounds how long a replica is avoided after one bad sample
-FAILURE_WEIGHT = 0.3  # of one result in the share of failures
-FAILURE_HALF_LIFE_S = 6.0  # a failing replica is tried again after some of these
-LOAD_MEMORY_S = 0.1  # a stated load says little after a few request times
-COLD_WINDOW_S = 1.0  # the rate of a cold replica is bounded within each second
+MIN_SAMPLES = 3  # the fewest whose median ignores a single pause
+MAX_SAMPLES = 9  # bounds the cost; a pause delays fewer than half of them
+SAMPLE_MEMORY_S = 1.5  # older samples are dropped down to MIN_SAMPLES
+SLOWDOWN_MEMORY_S = 4.0  # samples are stale after this long without a new one
+SLOWDOWN_HALF_LIFE_S = 2.0  # lets a slow replica be tried again
+MAX_SLOWDOWN = 50.0  # bounds how long one bad sample keeps requests away
+FAILURE_WEIGHT = 0.3  # weight of one result in the moving average
+FAILURE_HALF_LIFE_S = 6.0  # lets a failing replica be tried again
+LOAD_MEMORY_S = 0.1  # a reported load is stale after a few service times
+COLD_RATE_WINDOW_S = 1.0  # window of the cold-start rate limit
 LN_2 = 0.693147
 
 
 class Sample(NamedTuple):
-    """How many times longer than usual a reply took, and when it came."""
+    """Ratio of a reply time to the expected one, and when the reply arrived."""
 
     at: float
     ratio: float
 
 
 class Replica:
-    """What discovery, replies and failures tell of one replica.
+    """State of one replica from discovery, its replies and its failures.
 
-    ``slowness`` is how many times longer than usual its replies take, ``failures``
-    the share of its recent exchanges that failed; both fade with time, so that a
-    replica that is not asked gets another chance. ``deregistered_at`` is when it left
-    discovery; it may be used for a short while after, since entries also lapse while
-    the store is away.
+    ``slowdown`` is the ratio of its reply times to the expected ones, ``failure_ratio``
+    the moving average of failed exchanges. Both decay, so that a replica that gets no
+    requests is tried again. ``deregistered_at`` is when it left discovery; it may be
+    used for a short time after that, since entries also expire while the store is
+    unavailable.
     """
 
     def __init__(self, entry: ReplicaEntry, pool: ConnectionPool) -> None:
         self.entry = entry
         self.pool = pool
         self.in_flight: dict[Exchange, None] = {}
-        self.slowness = 1.0
-        self.slowness_at = 0.0
-        self.samples: deque[Sample] = deque(maxlen=MOST_SAMPLES)
-        self.failures = 0.0
-        self.failures_at = 0.0
+        self.slowdown = 1.0
+        self.slowdown_at = 0.0
+        self.samples: deque[Sample] = deque(maxlen=MAX_SAMPLES)
+        self.failure_ratio = 0.0
+        self.failure_ratio_at = 0.0
         self.load: Load | None = None
         self.load_at = 0.0
         self.in_flight_at_load = 0
         self.cold_until = 0.0
-        self.cold_sends = SlidingCount(COLD_WINDOW_S)
+        self.cold_sends = SlidingCount(COLD_RATE_WINDOW_S)
         self.deregistered_at: float | None = None
 
     @property
     def replica_id(self) -> str:
-        """The id under which the replica is registered."""
+        """The id under which the replica is registered in discovery."""
         return self.entry.replica_id
 
     def is_cold(self, now: float) -> bool:
-        """Tell whether the replica is in its cold start."""
+        """Return whether the replica is in its cold start."""
         return now < self.cold_until
 
-    def current_slowness(self, now: float) -> float:
-        """Return the slowness as it has faded by ``now``."""
-        age_s = now - self.slowness_at
-        return 1.0 + (self.slowness - 1.0) * exp(-LN_2 * age_s / SLOWNESS_HALF_LIFE_S)
+    def current_slowdown(self, now: float) -> float:
+        """Return the slowdown, decayed until ``now``."""
+        age_s = now - self.slowdown_at
+        return 1.0 + (self.slowdown - 1.0) * exp(-LN_2 * age_s / SLOWDOWN_HALF_LIFE_S)
 
-    def current_failures(self, now: float) -> float:
-        """Return the share of failures as it has faded by ``now``."""
-        if not self.failures:
+    def current_failure_ratio(self, now: float) -> float:
+        """Return the failure ratio, decayed until ``now``."""
+        if not self.failure_ratio:
             return 0.0
-        return self.failures * exp(
-            -LN_2 * (now - self.failures_at) / FAILURE_HALF_LIFE_S
+        return self.failure_ratio * exp(
+            -LN_2 * (now - self.failure_ratio_at) / FAILURE_HALF_LIFE_S
         )
 
     def observe_latency(self, ratio: float, now: float) -> None:
-        """Take in a reply that took ``ratio`` times as long as usual.
+        """Record a reply that took ``ratio`` times as long as expected.
 
-        The median of a few replies tells a slow replica from one that paused once.
+        The median of a few replies separates a slow replica from a single pause.
         """
-        known = self.current_slowness(now)
-        if now - self.slowness_at > SLOWNESS_MEMORY_S:
+        known = self.current_slowdown(now)
+        if now - self.slowdown_at > SLOWDOWN_MEMORY_S:
             known = 1.0
             self.samples.clear()
         samples = self.samples
-        samples.append(Sample(now, min(ratio, MOST_SLOWNESS)))
-        while len(samples) > LEAST_SAMPLES and samples[0].at < now - SAMPLE_MEMORY_S:
+        samples.append(Sample(now, min(ratio, MAX_SLOWDOWN)))
+        while len(samples) > MIN_SAMPLES and samples[0].at < now - SAMPLE_MEMORY_S:
             samples.popleft()
-        padding = [known] * (LEAST_SAMPLES - len(samples))
+        padding = [known] * (MIN_SAMPLES - len(samples))
         ordered = sorted([*(sample.ratio for sample in samples), *padding])
-        self.slowness = max(1.0, ordered[len(ordered) // 2])
-        self.slowness_at = now
+        self.slowdown = max(1.0, ordered[len(ordered) // 2])
+        self.slowdown_at = now
 
     def observe_overdue(self, ratio: float, now: float) -> None:
-        """Take in a reply that is overdue; it never speaks for a replica."""
-        if ratio > self.current_slowness(now):
+        """Record an overdue reply; it can only raise the slowdown."""
+        if ratio > self.current_slowdown(now):
             self.observe_latency(ratio, now)
 
     def observe_result(self, failed: bool, now: float) -> None:
-        """Take in whether an exchange failed for a reason of the replica."""
-        known = self.current_failures(now)
+        """Record whether an exchange failed because of the replica."""
+        known = self.current_failure_ratio(now)
         if failed or known:
-            self.failures = known + FAILURE_WEIGHT * (float(failed) - known)
-            self.failures_at = now
+            self.failure_ratio = known + FAILURE_WEIGHT * (float(failed) - known)
+            self.failure_ratio_at = now
 
     def observe_reply(self, reply: ReplicaReply, now: float) -> None:
-        """Take in what a reply tells of load and cold start."""
+        """Record the load and the rest of the cold start that a reply reports."""
         if reply.load is not None:
             self.load = reply.load
             self.load_at = now
@@ -123,7 +123,11 @@
             self.cold_until = now + reply.cold_left_s
 
     def estimated_requests(self, now: float) -> float:
-        """Return the estimated number of requests at the replica, ours included."""
+        """Return the estimated number of requests at the replica.
+
+        It is the number in flight from here plus the reported load of other gateways,
+        which decays with its age.
+        """
         own = float(len(self.in_flight))
         if self.load is None:
             return own
@@ -132,20 +136,20 @@
         return own + max(0, stated) * exp(-age_s / LOAD_MEMORY_S)
 
     def expected_service_times(self, now: float) -> float:
-        """Return how many service times one more request would take, queueing too."""
+        """Return how many service times a new request takes, queueing included."""
         ahead = self.estimated_requests(now) + 1.0 - self.entry.slots
         return 1.0 + max(0.0, ahead) / self.entry.slots
 
     def cold_requests(self, now: float) -> int:
-        """Return how many requests a cold replica gets in this second from here.
+        """Return how many requests count against the cold-start limit now.
 
-        Those that wait for a connection count, since they may all be sent at once.
+        Requests that wait for a connection count, since they may all be sent at once.
         """
         unsent = sum(not exchange.sent_at for exchange in self.in_flight)
         return self.cold_sends.total(now) + unsent
 
-    def oldest_age_s(self, now: float) -> float:
-        """Return for how long the oldest request here has had no reply."""
+    def oldest_pending_s(self, now: float) -> float:
+        """Return how long the oldest request in flight has waited for a reply."""
         for exchange in self.in_flight:
             return now - exchange.sent_at if exchange.sent_at else 0.0
         return 0.0
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -1,4 +1,4 @@
-"""Which replica of a service gets a request."""
+"""Selects the replica of a service that serves a request."""
 
 from __future__ import annotations
 
@@ -14,22 +14,22 @@
 
 __all__ = ["ReplicaSelector", "SelectedReplica"]
 
-CROSS_DATA_CENTRE_S = 0.015  # round trip to another data centre, and its price
-BUSY_COST_RATIO = 0.5  # of the usual latency, for slots that are taken
-STALLED_RATIO = 3.0  # a reply this many times overdue hints at a pause
-STALL_COST_S = 0.1  # mean rest of a pause
-FAILURE_COST_S = 0.4  # a failed exchange costs a repeat at best
-COLD_COST_S = 0.02  # a cold replica works more slowly
-UNREACHABLE_COST_S = 1.0  # one that can't be reached now is a last resort
-LOST_COST_S = 0.5  # one that left discovery is a last resort
-JITTER = 0.1  # keeps gateways from choosing alike
-COLD_SAFETY_RATIO = 0.9  # of a cold replica's rate, since arrivals bunch on the wire
+CROSS_DATA_CENTRE_COST_S = 0.015  # round trip plus a charge for the traffic
+BUSY_COST_RATIO = 0.5  # of the baseline latency, when all slots are in use
+STALLED_RATIO = 3.0  # of the baseline latency; later replies suggest a pause
+STALL_COST_S = 0.1  # mean remaining length of a pause
+FAILURE_COST_S = 0.4  # a failed exchange costs at least one retry
+COLD_COST_S = 0.02  # replies during a cold start take longer
+UNREACHABLE_COST_S = 1.0  # only used when no other replica is left
+DEREGISTERED_COST_S = 0.5  # only used when no registered replica is left
+JITTER = 0.1  # keeps gateways from all selecting the same replica
+COLD_SAFETY_RATIO = 0.9  # of the cold rate; network delay bunches arrivals
 
 
 class SelectedReplica(NamedTuple):
-    """The replica to ask, and how long its reply is expected to take in seconds.
+    """The selected replica and its expected reply time in seconds.
 
-    ``unloaded_s`` is how long it would take if no other request were there.
+    ``unloaded_s`` is the reply time expected if the replica had no other requests.
     """
 
     replica: Replica
@@ -38,13 +38,13 @@
 
 
 class ReplicaSelector:
-    """Orders the replicas of a service by the time that a reply would take.
+    """Selects the replica of a service with the lowest estimated cost.
 
-    The estimate is the usual latency, times the replica's own slowness, times the
-    requests that are ahead at its slots (least loaded of a few, as in M. Mitzenmacher,
-    "The power of two choices in randomized load balancing", 2001). Costs are added
-    for another data centre, recent failures, a cold start, and a reply that is
-    overdue, which hints at a pause of the whole replica.
+    The estimate is the baseline latency, times the slowdown of the replica, times the
+    requests queued per slot (least-loaded selection, as in M. Mitzenmacher, "The power
+    of two choices in randomized load balancing", 2001). Costs are added for another
+    data centre, recent failures, a cold start, and an overdue reply, which suggests
+    that the whole replica is paused.
     """
 
     def __init__(
@@ -60,57 +60,58 @@
     def select(
         self,
         service: str,
-        usual_s: float,
+        baseline_s: float,
         excluded: Collection[Replica],
-        within_s: float,
+        time_left_s: float,
         now: float,
     ) -> SelectedReplica | None:
-        """Return the replica to ask, ``None`` if there is none to be asked.
+        """Return the replica with the lowest cost, ``None`` if none is eligible.
 
-        A replica from which no reply is to be expected within ``within_s`` is passed
-        over: the request would wait in its queue for nothing, and in front of others.
+        Replicas in ``excluded`` are not eligible, nor are those whose expected reply
+        time exceeds ``time_left_s``: the request would expire in the queue and delay
+        the requests behind it.
         """
         best: SelectedReplica | None = None
         best_cost = float("inf")
         for replica in self.directory.replicas_of(service):
             if replica in excluded or not self.cold_limit_allows(replica, now):
                 continue
-            unloaded_s = usual_s * replica.current_slowness(now)
+            unloaded_s = baseline_s * replica.current_slowdown(now)
             expected_s = unloaded_s * replica.expected_service_times(now)
-            if expected_s > within_s:
+            if expected_s > time_left_s:
                 continue
-            cost = expected_s + self.penalty_s(replica, usual_s, now)
+            cost = expected_s + self.penalty_s(replica, baseline_s, now)
             cost *= 1.0 + JITTER * self.random.random()
             if cost < best_cost:
                 best, best_cost = SelectedReplica(replica, unloaded_s, expected_s), cost
         return best
 
-    def penalty_s(self, replica: Replica, usual_s: float, now: float) -> float:
-        """Return what is added to the estimate for other risks, in seconds."""
+    def penalty_s(self, replica: Replica, baseline_s: float, now: float) -> float:
+        """Return the cost added to the expected reply time for risks, in seconds."""
         cost = (
-            usual_s
+            baseline_s
             * BUSY_COST_RATIO
             * replica.estimated_requests(now)
             / replica.entry.slots
         )
         if replica.entry.data_centre != self.data_centre:
-            cost += CROSS_DATA_CENTRE_S
-        if replica.oldest_age_s(now) > STALLED_RATIO * usual_s:
+            cost += CROSS_DATA_CENTRE_COST_S
+        if replica.oldest_pending_s(now) > STALLED_RATIO * baseline_s:
             cost += STALL_COST_S
         if replica.is_cold(now):
             cost += COLD_COST_S
         if replica.deregistered_at is not None:
-            cost += LOST_COST_S
+            cost += DEREGISTERED_COST_S
         if not replica.pool.has_capacity:
-            cost += usual_s
+            cost += baseline_s
         reachability = self.directory.reachability
-        place = replica.entry.data_centre
-        if replica.pool.is_failing or reachability.is_suspect(place, now):
+        data_centre = replica.entry.data_centre
+        if replica.pool.is_failing or reachability.is_suspect(data_centre, now):
             cost += UNREACHABLE_COST_S
-        return cost + FAILURE_COST_S * replica.current_failures(now)
+        return cost + FAILURE_COST_S * replica.current_failure_ratio(now)
 
     def cold_limit_allows(self, replica: Replica, now: float) -> bool:
-        """Tell whether a replica in its cold start bears one more request."""
+        """Return whether the cold-start rate limit allows one more request."""
         if not replica.is_cold(now):
             return True
         configuration = self.directory.configuration
@@ -123,10 +124,10 @@
         return False
 
     def cold_request_limit(self, replica: Replica, service: Service) -> int:
-        """Return how many requests a second a cold replica may get from here.
+        """Return how many requests per second this gateway may send a cold replica.
 
-        Where not each of the gateways with the same part can have one, those with the
-        lowest hashes have one.
+        Where the limit is less than one request per gateway, it goes to those of the
+        gateways with equal shares whose hash for this replica is lowest.
         """
         bounds = self.bounds
         bound = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -43,7 +43,7 @@
         first, second = gateway.dispatcher.open_at("s00")[:2]
         second.replica = first.replica
         gateway.reactor.advance(0.08)
-        assert first.replica.current_slowness(gateway.reactor.seconds()) > 1.2
+        assert first.replica.current_slowdown(gateway.reactor.seconds()) > 1.2
 
     def test_one_pause_does_not_make_a_replica_slow(self) -> None:
         gateway = with_replicas(1)
@@ -51,7 +51,7 @@
         now = gateway.reactor.seconds()
         for ratio in (1.0, 6.0, 1.0):
             replica.observe_latency(ratio, now)
-            assert replica.current_slowness(now) < 1.1
+            assert replica.current_slowdown(now) < 1.1
 
     def test_a_slow_replica_is_found_by_its_second_reply(self) -> None:
         gateway = with_replicas(1)
@@ -59,13 +59,13 @@
         now = gateway.reactor.seconds()
         for ratio in (1.0, 6.0, 8.0):
             replica.observe_latency(ratio, now)
-        assert replica.current_slowness(now) >= 6.0
+        assert replica.current_slowdown(now) >= 6.0
 
     def test_a_replica_that_was_slow_is_tried_again_later(self) -> None:
         gateway = with_replicas(1)
         replica = gateway.directory.replicas["s00-a"]
         for _ in range(3):
             replica.observe_latency(20.0, gateway.reactor.seconds())
-        assert replica.current_slowness(gateway.reactor.seconds()) == 20.0
+        assert replica.current_slowdown(gateway.reactor.seconds()) == 20.0
         gateway.reactor.advance(30.0)
-        assert replica.current_slowness(gateway.reactor.seconds()) < 1.1
+        assert replica.current_slowdown(gateway.reactor.seconds()) < 1.1
