Describe exchanges, the connection pool and reachability in usual terms

The texts spoke of connections that are lent and given back, of doubt and of signs of life. They now describe a connection pool, a failure detector with suspected and cut-off data centres, and exchanges with outcomes. Reworded details: "no connection to the replica", "no connection before the deadline", "no reply before the deadline", "refused with status N", "reply carries the id of another request", "address belongs to another replica", "connection could not be opened", "no answer before the timeout".

--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -26,24 +26,22 @@
     "NotRun",
 ]
 
-MIN_SEND_TIME_S = 0.002  # less time than this is not worth a replica's work
-MIN_BASELINE_S = 0.0001  # keeps ratios of latencies finite
-OVERDUE_RATIO = 1.5  # an overdue reply is expected to take so much longer yet
-CONNECTION_GRACE_S = (
-    0.15  # past its deadline, a silent exchange's connection is given up
-)
+MIN_SEND_TIME_S = 0.002  # with less time left, a request is not sent
+MIN_BASELINE_S = 0.0001  # keeps latency ratios finite
+OVERDUE_RATIO = 1.5  # expected total time of an overdue reply, to the time waited
+CONNECTION_GRACE_S = 0.15  # from the deadline to the abort of the connection
 
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The replica answered the request itself, with success or not."""
+    """The replica processed the request; the reply may report an error."""
 
     reply: ReplicaReply
 
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request surely did not run: it was refused or never sent."""
+    """The request did not run: it was refused, or never sent if not ``sent``."""
 
     detail: str
     sent: bool
@@ -51,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """The request may have run, and there is no usable answer."""
+    """The request may have run, but there is no valid reply."""
 
     detail: str
 
@@ -60,7 +58,7 @@
 
 
 class Exchange:
-    """One request at one replica, from the wait for a connection to its end.
+    """One request to one replica, from the wait for a connection to its outcome.
 
     ``sent_at`` is zero until the request has been written. ``expected_service_times``
     is how many service times the reply was expected to take then, queueing included.
@@ -102,7 +100,7 @@
 
 
 class Dispatcher:
-    """Starts, ends and abandons exchanges with replicas."""
+    """Starts exchanges with replicas, classifies their outcomes and cancels them."""
 
     def __init__(
         self,
@@ -116,7 +114,10 @@
         self.exchanges: dict[Exchange, None] = {}
 
     def start(self, exchange: Exchange) -> None:
-        """Send an exchange's request; its ``on_end`` is called once, perhaps now."""
+        """Send the request of an exchange.
+
+        ``on_end`` is called exactly once, possibly before this returns.
+        """
         replica = exchange.replica
         exchange.expected_service_times = replica.expected_service_times(
             exchange.started_at
@@ -137,14 +138,14 @@
     def connection_acquired(
         self, exchange: Exchange, connection: ClientConnection | None
     ) -> None:
-        """Write the request, or end the exchange where there is no connection."""
+        """Write the request, or end the exchange if there is no connection."""
         if connection is None:
-            self.end(exchange, NotRun("no connection", False))
+            self.end(exchange, NotRun("no connection to the replica", False))
             return
         now = self.reactor.seconds()
         remaining_s = exchange.deadline_at - now
         if remaining_s < MIN_SEND_TIME_S:
-            self.end(exchange, NotRun("no connection in time", False))
+            self.end(exchange, NotRun("no connection before the deadline", False))
             return
         replica = exchange.replica
         exchange.sent_at = now
@@ -159,7 +160,7 @@
         )
 
     def exchange_ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
-        """Classify the end of an exchange on its connection."""
+        """Classify how an exchange ended on its connection."""
         now = self.reactor.seconds()
         replica = exchange.replica
         match end:
@@ -178,23 +179,23 @@
     def classify(
         self, exchange: Exchange, reply: ReplicaReply, now: float
     ) -> ExchangeOutcome:
-        """Tell what a whole reply means for the request."""
+        """Return the outcome that a complete reply means for the request."""
         replica = exchange.replica
         if reply.mismatched:
             replica.observe_result(True, now)
-            return Failed("reply to another request")
+            return Failed("reply carries the id of another request")
         replica.observe_reply(reply, now)
         if reply.misdirected:
             self.directory.discard_misdirected(replica)
-            return NotRun("another replica has the address", True)
+            return NotRun("address belongs to another replica", True)
         if reply.not_run:
             replica.observe_result(True, now)
-            return NotRun(f"refused with {reply.status}", True)
+            return NotRun(f"refused with status {reply.status}", True)
         replica.observe_result(not reply.is_success and reply.status >= 500, now)
         return Answered(reply)
 
     def release_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
-        """Reuse the connection unless the reply belongs to another request."""
+        """Return the connection to its pool, unless the reply is mismatched."""
         connection = exchange.connection
         if connection is None or not connection.is_open:
             return
@@ -204,7 +205,7 @@
             exchange.replica.pool.release(connection, reply.keep_alive_s)
 
     def end(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
-        """Report the end of an exchange, once."""
+        """Report the outcome of an exchange, at most once."""
         exchange.replica.in_flight.pop(exchange, None)
         self.exchanges.pop(exchange, None)
         if not exchange.done:
@@ -214,7 +215,7 @@
     def observe_reply_time(
         self, exchange: Exchange, baseline_s: float, now: float
     ) -> float:
-        """Learn how slow a replica is, apart from its queue; return the time taken."""
+        """Record the reply time relative to the queue; return it in seconds."""
         took_s = now - exchange.sent_at
         expected_s = max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
         if not exchange.was_overdue:
@@ -224,7 +225,7 @@
     def observe_overdue(
         self, exchange: Exchange, baseline_s: float, now: float
     ) -> None:
-        """Learn from a reply that is overdue, before it comes."""
+        """Record the time that an overdue reply has taken so far."""
         if exchange.sent_at:
             waited_s = OVERDUE_RATIO * (now - exchange.sent_at)
             expected_s = (
@@ -234,7 +235,7 @@
             exchange.replica.observe_overdue(waited_s / expected_s, now)
 
     def abandon(self, exchange: Exchange) -> None:
-        """Drop an exchange and its connection, so that the replica stops its work."""
+        """Cancel an exchange; closing its connection tells the replica to stop."""
         exchange.done = True
         self.exchanges.pop(exchange, None)
         exchange.replica.in_flight.pop(exchange, None)
@@ -244,17 +245,21 @@
             exchange.connection.abort()
 
     def sweep(self, now: float) -> None:
-        """Give up the exchanges that are past their deadline."""
+        """End the exchanges that are past their deadline.
+
+        The connection of one that was sent is aborted ``CONNECTION_GRACE_S`` after
+        the deadline.
+        """
         for exchange in list(self.exchanges):
             if now < exchange.deadline_at:
                 continue
             if exchange.waiter is not None:
                 exchange.replica.pool.cancel(exchange.waiter)
                 exchange.waiter = None
-                self.end(exchange, NotRun("no connection in time", False))
+                self.end(exchange, NotRun("no connection before the deadline", False))
             elif now >= exchange.deadline_at + CONNECTION_GRACE_S:
                 connection = exchange.connection
                 exchange.replica.observe_result(True, now)
                 if connection is not None and connection.on_end is not None:
                     connection.abort()
-                self.end(exchange, Failed("no reply in time"))
+                self.end(exchange, Failed("no reply before the deadline"))
--- a/sardinehook/gateway/http_call.py
+++ b/sardinehook/gateway/http_call.py
@@ -1,4 +1,4 @@
-"""One HTTP call to the store or to another gateway, bounded in time."""
+"""One HTTP call to the store or to another gateway, with a timeout."""
 
 from __future__ import annotations
 
@@ -19,11 +19,15 @@
 
 __all__ = ["HttpCall"]
 
-KEEP_ALIVE_S = 30.0  # the store and gateways keep idle connections for longer
+KEEP_ALIVE_S = 30.0  # the store and gateways keep idle connections longer
 
 
 class HttpCall:
-    """One call on its way; ``done`` has its answer, or its failure or timeout."""
+    """One HTTP call in progress.
+
+    ``done`` fires once, with the reply or with ``StoreUnavailable`` after a failure or
+    the timeout.
+    """
 
     def __init__(
         self,
@@ -40,17 +44,17 @@
         pool.acquire(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
-        """Send the request."""
+        """Send the request on the connection, or fail if there is none."""
         if self.done.called:
             return
         if connection is None:
-            self.fail("no connection", False)
+            self.fail("connection could not be opened", False)
             return
         self.connection = connection
         connection.exchange(self.request, self.ended)
 
     def ended(self, end: ExchangeEnd) -> None:
-        """Take the answer."""
+        """Finish with the reply, or with the failure of the connection."""
         match end:
             case Replied(reply):
                 if self.connection is not None:
@@ -60,18 +64,21 @@
                 self.fail(detail, True)
 
     def time_out(self) -> None:
-        """Give the call up; its connection is not used again."""
+        """Fail the call and abort its connection, which may still carry the reply."""
         self.pool.cancel(self.connected)
         if self.connection is not None and self.connection.on_end is not None:
             self.connection.abort()
-        self.fail("no answer in time", self.connection is not None)
+        self.fail("no answer before the timeout", self.connection is not None)
 
     def fail(self, detail: str, may_have_taken_effect: bool) -> None:
-        """End the call without an answer."""
+        """Finish without a reply.
+
+        ``may_have_taken_effect`` is set if the request was sent.
+        """
         self.finish(Failure(StoreUnavailable(detail, may_have_taken_effect)))
 
     def finish(self, result: Result[Reply, StoreUnavailable]) -> None:
-        """Report the end, once."""
+        """Fire ``done``, once."""
         if self.timer.active():
             self.timer.cancel()
         if not self.done.called:
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -1,4 +1,4 @@
-"""The connections of this gateway to one replica."""
+"""Connection pool of one HTTP server: a replica, a gateway or the store."""
 
 from __future__ import annotations
 
@@ -14,19 +14,19 @@
 
 __all__ = ["ConnectionPool", "Waiter"]
 
-CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds, so longer means unreachable
-INITIAL_BACKOFF_S = 0.05  # wait after a first failed attempt
-MAX_BACKOFF_S = 1.0  # wait after many failed attempts
-IDLE_MARGIN_S = 0.3  # a connection is dropped this long before its peer closes it
+CONNECT_TIMEOUT_S = 1.0  # a handshake takes milliseconds, else unreachable
+INITIAL_BACKOFF_S = 0.05  # after the first failed attempt
+MAX_BACKOFF_S = 1.0  # after repeated failures
+IDLE_MARGIN_S = 0.3  # dropped this long before the server closes it
 
 Waiter = Callable[[ClientConnection | None], None]
 
 
 class ConnectionPool:
-    """Opens, lends and takes back connections, at most ``max_connections`` of them.
+    """Opens and reuses at most ``max_connections`` connections.
 
-    A request that finds no idle connection waits for one that is being opened or
-    given back. ``on_connected`` is called when the peer accepts a connection.
+    A request that finds no idle connection waits until one is opened or released.
+    ``on_connected`` is called whenever the server accepts a connection.
     """
 
     def __init__(
@@ -53,12 +53,12 @@
 
     @property
     def connection_count(self) -> int:
-        """How many connections are open or being opened."""
+        """Number of connections that are open or being opened."""
         return len(self.connections) + self.connecting
 
     @property
     def has_capacity(self) -> bool:
-        """Whether a request would not have to wait for another one to end."""
+        """Whether a request can be sent without waiting for another one to end."""
         if self.idle:
             return True
         return (
@@ -68,11 +68,11 @@
 
     @property
     def is_failing(self) -> bool:
-        """Whether there is no connection and the last attempt to open one failed."""
+        """Whether no connection is open and the last attempt to open one failed."""
         return self.backoff_s > 0.0 and not self.connections
 
     def probe(self) -> None:
-        """Open one more connection, to find out whether the peer can be reached."""
+        """Open one connection beyond the limit, to test if the server is reachable."""
         if (
             not self.closed
             and not self.connecting
@@ -81,7 +81,10 @@
             self.open()
 
     def acquire(self, waiter: Waiter) -> None:
-        """Give ``waiter`` a connection, ``None`` if none can be opened."""
+        """Call ``waiter`` with a connection, or with ``None`` if none can be opened.
+
+        The call happens now if a connection is idle, else when one is available.
+        """
         connection = self.pop_idle()
         if connection is not None:
             waiter(connection)
@@ -94,14 +97,14 @@
         self.open_for_waiters()
 
     def cancel(self, waiter: Waiter) -> bool:
-        """Take a waiting request back; tell whether it was waiting."""
+        """Remove a waiting request; return whether it was waiting."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
             return True
         return False
 
     def pop_idle(self) -> ClientConnection | None:
-        """Return the idle connection that was used last, if any is still good."""
+        """Return the most recently used idle connection that is still usable."""
         now = self.reactor.seconds()
         while self.idle:
             connection = self.idle.pop()
@@ -112,7 +115,10 @@
         return None
 
     def open_for_waiters(self) -> None:
-        """Open as many connections as are waited for and allowed."""
+        """Open a connection for each waiting request, within the limit.
+
+        After a failed attempt, at most one connection is opened at a time.
+        """
         if self.closed or self.reactor.seconds() < self.retry_at:
             return
         wanted = min(
@@ -125,14 +131,14 @@
             self.open()
 
     def open(self) -> None:
-        """Begin to open a connection."""
+        """Start to open a connection."""
         self.connecting += 1
         self.reactor.connectTCP(
             self.host, self.port, PoolFactory(self), CONNECT_TIMEOUT_S
         )
 
     def connection_established(self, connection: ClientConnection) -> None:
-        """Take a connection that was established."""
+        """Add an established connection."""
         self.connecting -= 1
         self.established_count += 1
         self.backoff_s = 0.0
@@ -145,7 +151,7 @@
         self.assign(connection)
 
     def assign(self, connection: ClientConnection) -> None:
-        """Give a free connection to the first that waits, or keep it."""
+        """Give a free connection to the first waiting request, else keep it idle."""
         while self.waiters and connection.idle:
             self.waiters.popleft()(connection)
         if connection.idle:
@@ -153,9 +159,9 @@
             self.idle.append(connection)
 
     def release(self, connection: ClientConnection, keep_alive_s: float) -> None:
-        """Take back a connection after its exchange.
+        """Return a connection to the pool after its exchange.
 
-        ``keep_alive_s`` is how long the peer keeps it when idle.
+        ``keep_alive_s`` is how long the server keeps an idle connection open.
         """
         if not connection.idle:
             return
@@ -167,7 +173,10 @@
         self.assign(connection)
 
     def connection_failed(self, reason: Failure) -> None:
-        """Note a failed attempt; those that wait are told if nothing is left."""
+        """Back off after a failed attempt.
+
+        Waiting requests fail if no other connection is open or being opened.
+        """
         self.connecting -= 1
         self.backoff_s = min(max(self.backoff_s * 2, INITIAL_BACKOFF_S), MAX_BACKOFF_S)
         self.retry_at = self.reactor.seconds() + self.backoff_s
@@ -175,13 +184,13 @@
             self.fail_waiters()
 
     def fail_waiters(self) -> None:
-        """Tell all that wait that no connection can be had."""
+        """Call all waiting requests with ``None``."""
         waiters, self.waiters = self.waiters, deque()
         for waiter in waiters:
             waiter(None)
 
     def connection_lost(self, connection: ClientConnection) -> None:
-        """Forget a connection that has ended."""
+        """Remove a closed connection."""
         self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
@@ -191,7 +200,7 @@
                 self.fail_waiters()
 
     def close(self) -> None:
-        """Close what is idle and open nothing more; exchanges go on to their end."""
+        """Close idle connections and open no more; exchanges in flight continue."""
         self.closed = True
         idle, self.idle = self.idle, []
         for connection in idle:
@@ -200,7 +209,7 @@
 
 
 class PoolFactory(ClientFactory):
-    """Builds the connections of a pool and reports failures to it."""
+    """Builds the connections of a pool and reports failed attempts to it."""
 
     noisy = False
 
@@ -208,11 +217,11 @@
         self.pool = pool
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection:
-        """Return the protocol of an established connection."""
+        """Return the protocol for an established connection."""
         return ClientConnection(
             self.pool.connection_established, self.pool.connection_lost
         )
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
-        """Report that no connection could be established."""
+        """Report a failed connection attempt to the pool."""
         self.pool.connection_failed(reason)
--- a/sardinehook/gateway/reachability.py
+++ b/sardinehook/gateway/reachability.py
@@ -1,4 +1,4 @@
-"""Whether this gateway can reach the replicas of each data centre."""
+"""Failure detector for the network paths to other data centres."""
 
 from __future__ import annotations
 
@@ -12,13 +12,13 @@
 
 logger = structlog.get_logger(__name__)
 
-SUSPECT_REPLICAS = 3  # fewer may be paused, each for itself
-SUSPECT_AFTER_S = 0.12  # the first reply of several replicas comes within 50 ms
-CUT_OFF_AFTER_S = 0.3  # a suspected data centre counts as cut off after this
+SUSPECT_REPLICAS = 3  # fewer may be paused independently
+SUSPECT_AFTER_S = 0.12  # the first of several replicas replies within 50 ms
+CUT_OFF_AFTER_S = 0.3  # time from suspected to cut off
 
 
 class PathState:
-    """What was sent to one data centre since its replicas were last heard."""
+    """Requests to one data centre since the last response of any replica there."""
 
     __slots__ = ("suspect_since", "unanswered_since")
 
@@ -27,7 +27,7 @@
         self.suspect_since: float | None = None
 
     def overdue_s(self, now: float) -> float:
-        """Return for how long enough replicas to suspect have all been silent."""
+        """Return how long ``SUSPECT_REPLICAS`` replicas have all been unresponsive."""
         latest = next(
             islice(self.unanswered_since.values(), SUSPECT_REPLICAS - 1, None), now
         )
@@ -35,25 +35,25 @@
 
 
 class Reachability:
-    """Suspects data centres from which no replica answers at all.
+    """Suspects data centres in which no replica responds.
 
-    Replicas pause and crash one by one. Where several were sent requests and not one
-    of the whole data centre has answered since, the path to it is in doubt. Any sign
-    of life clears it, be it a new connection.
+    Replicas pause and crash independently. If several got requests and no replica of
+    the whole data centre has responded since, the path to it is suspected. Any
+    response clears the suspicion, also an accepted connection.
     """
 
     def __init__(self) -> None:
         self.paths: dict[str, PathState] = {}
 
     def record_request(self, data_centre: str, replica_id: str, now: float) -> None:
-        """Count a request or a connection attempt to a replica."""
+        """Record a request or a connection attempt to a replica."""
         path = self.paths.get(data_centre)
         if path is None:
             path = self.paths[data_centre] = PathState()
         path.unanswered_since.setdefault(replica_id, now)
 
     def record_response(self, data_centre: str, now: float) -> None:
-        """Take in a sign of life of any replica of a data centre."""
+        """Record a reply or an accepted connection of any replica there."""
         path = self.paths.get(data_centre)
         if path is None or not path.unanswered_since:
             return
@@ -65,7 +65,7 @@
             )
 
     def is_suspect(self, data_centre: str, now: float) -> bool:
-        """Tell whether the path to a data centre is in doubt."""
+        """Return whether the path to a data centre is suspected."""
         path = self.paths.get(data_centre)
         if path is None:
             return False
@@ -85,14 +85,14 @@
         return True
 
     def is_cut_off(self, data_centre: str, now: float) -> bool:
-        """Tell whether a data centre has been in doubt for long enough."""
+        """Return whether a data centre has been suspected for ``CUT_OFF_AFTER_S``."""
         if not self.is_suspect(data_centre, now):
             return False
         since = self.paths[data_centre].suspect_since
         return since is not None and now - since > CUT_OFF_AFTER_S
 
     def cut_off_data_centres(self, now: float) -> list[str]:
-        """List the data centres that count as cut off."""
+        """Return the sorted names of the data centres that are cut off."""
         return sorted(
             data_centre
             for data_centre in self.paths
@@ -100,7 +100,7 @@
         )
 
     def suspected_data_centres(self, now: float) -> list[str]:
-        """List the data centres to which the path is in doubt."""
+        """Return the sorted names of the data centres that are suspected."""
         return sorted(
             data_centre
             for data_centre in self.paths
--- a/sardinehook/gateway/round_trip.py
+++ b/sardinehook/gateway/round_trip.py
@@ -1,4 +1,4 @@
-"""How long a round trip to the peer of a connection takes, as the kernel knows it."""
+"""Round-trip time of a TCP connection as measured by the kernel."""
 
 from __future__ import annotations
 
@@ -8,22 +8,24 @@
 
 __all__ = ["UNKNOWN_ROUND_TRIP_S", "round_trip_s"]
 
-UNKNOWN_ROUND_TRIP_S = 0.006  # between two sites of one region
-TCP_INFO_BYTES = 104  # up to the fields that all Linux kernels in use fill in
+UNKNOWN_ROUND_TRIP_S = 0.006  # typical between two sites of one region
+TCP_INFO_BYTES = 104  # the part of tcp_info that all Linux kernels in use fill in
 SMOOTHED_ROUND_TRIP = Struct("68xI")  # tcpi_rtt in microseconds
 US_PER_S = 1_000_000.0
 
 
 class SocketHandle(Protocol):
-    """The part of a socket that is asked."""
+    """The part of ``socket.socket`` that is used."""
 
     def getsockopt(self, level: int, option: int, buflen: int) -> bytes:
-        """Return an option."""
+        """Return the value of a socket option."""
         ...
 
 
 def round_trip_s(handle: SocketHandle) -> float:
-    """Return the kernel's smoothed round trip in seconds, or a usual one.
+    """Return the kernel's smoothed round-trip time in seconds.
+
+    Return ``UNKNOWN_ROUND_TRIP_S`` where the kernel has none.
 
     >>> class Peer:
     ...     def getsockopt(self, level, option, buflen):
