Describe the configuration and the gateway's interfaces in usual terms

"What is known", "what is done" and "tells" leave a reader to guess what the records hold. The doc comments now name the limit, objective, timeout or interface; encode_request takes remaining_s.

--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration that operators write: routes, services and caller limits."""
+"""Configuration written by operators: routes, services and caller limits."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class WeightedService(NamedTuple):
-    """A service with its share of a route's requests."""
+    """A service and the weight of its share of a route's requests."""
 
     service: str
     weight: float
@@ -28,17 +28,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TrafficSplit:
-    """Each request goes to one replica of one service, chosen by weight."""
+    """Sends each request to one replica of one service, selected by weight."""
 
     services: tuple[WeightedService, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ShardSet:
-    """Each request goes to one replica of every shard and the answers are merged.
+    """Sends each request to one replica of every shard and merges the answers.
 
-    ``max_records`` bounds the merged answer. An answer with less than the share
-    ``min_coverage`` of the shards is a failure.
+    ``max_records`` limits the merged answer. The request fails if less than the
+    fraction ``min_coverage`` of the shards answer.
     """
 
     shards: tuple[str, ...]
@@ -50,11 +50,11 @@
 
 
 class Route(NamedTuple):
-    """What is done with the requests of one host and path prefix.
+    """How the requests to one host and path prefix are handled.
 
     ``idempotent`` requests may run more than once. ``max_attempts`` is how many
-    replicas (of each shard) may be sent one request. ``objective_s`` is the latency
-    that callers are promised, ``timeout_s`` the longest that they are kept waiting.
+    replicas (of each shard) may get one request. ``objective_s`` is the latency
+    objective, ``timeout_s`` the time after which the caller gets an error.
     """
 
     name: str
@@ -69,10 +69,11 @@
 
 
 class Service(NamedTuple):
-    """What is known of all replicas of a service.
+    """Properties that all replicas of a service share.
 
-    ``max_connections`` is the bound of one replica over all callers. A cold replica
-    bears ``cold_requests_per_s``; zero means that no rate is stated.
+    ``max_connections`` is the limit of one replica for all its callers together. A
+    replica in its cold start takes ``cold_requests_per_s``; zero means no limit is
+    stated.
     """
 
     name: str
@@ -83,7 +84,7 @@
 
 
 class CallerLimits(NamedTuple):
-    """What a caller may send, and how long it may take or stay idle."""
+    """Size limits of a caller's request, and timeouts of its connection."""
 
     header_bytes: int = 16384
     body_bytes: int = 262144
@@ -112,7 +113,7 @@
 
     @property
     def shard_services(self) -> frozenset[str]:
-        """The services that hold shards of a search."""
+        """The services that are shards of some route."""
         return frozenset(
             shard
             for routes in self.routes.values()
@@ -122,7 +123,7 @@
         )
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that begins ``path``."""
+        """Return the route whose prefix is the longest one that ``path`` has."""
         for route in self.routes.get(host.lower(), ()):
             if path.startswith(route.prefix):
                 return route
--- a/sardinehook/gateway/interfaces.py
+++ b/sardinehook/gateway/interfaces.py
@@ -1,4 +1,7 @@
-"""What the gateway asks of the dialects that callers, replicas and the store speak."""
+"""Interfaces of the gateway to callers, replicas and the store, and their data.
+
+The platform implements the codecs and the schema of the store.
+"""
 
 from __future__ import annotations
 
@@ -27,9 +30,9 @@
 
 
 class RequestTiming(NamedTuple):
-    """When a request came, and what of its time passes outside of the gateway.
+    """When a request arrived, and how long it spends outside of the gateway.
 
-    ``network_s`` covers the ways of the request and of its answer.
+    ``network_s`` is the network time of the request and of its answer together.
     """
 
     received_at: float
@@ -37,7 +40,7 @@
 
 
 class HttpRequest(NamedTuple):
-    """A whole HTTP request as it was received; header names are as sent.
+    """A complete HTTP request; header names are as sent.
 
     The last fields are those of ``RequestTiming``.
     """
@@ -53,7 +56,7 @@
 class CallerRequest(NamedTuple):
     """A caller's request.
 
-    ``caller_timeout_s`` is how long the caller waits, ``None`` if it does not say so.
+    ``caller_timeout_s`` is how long the caller waits, ``None`` if it states no time.
     ``headers`` are those that are passed on to replicas. The last fields are those of
     ``RequestTiming``.
     """
@@ -70,7 +73,7 @@
 
     @property
     def path(self) -> str:
-        """The path of the target, which names a route.
+        """The request target without its query, which selects a route.
 
         >>> CallerRequest(b"r", b"GET", b"//a/1?b", "h", (), b"", None, 0.0).path
         '//a/1'
@@ -79,7 +82,7 @@
 
 
 class Load(NamedTuple):
-    """What a replica tells of its load."""
+    """The load that a replica reports."""
 
     running: int
     waiting: int
@@ -87,13 +90,14 @@
 
 
 class ReplicaReply(NamedTuple):
-    """A replica's reply, decoded.
-
-    ``signature`` is the replica's mark on an answer of its own. ``not_run`` is set
-    where the replica states that it did not run the request, ``misdirected`` where
-    the address belongs to another replica. A ``mismatched`` reply answers another
-    request. ``keep_alive_s`` is how long the replica keeps the connection when idle,
-    ``headers`` are those that a caller may see.
+    """A decoded reply of a replica.
+
+    ``signature`` is what the replica adds to an answer of its own. ``not_run`` is set
+    if the replica states that it did not run the request, ``misdirected`` if the
+    address belongs to another replica, ``mismatched`` if the reply carries the id of
+    another request, ``content_encoded`` if its body is compressed or otherwise
+    encoded. ``keep_alive_s`` is how long the replica keeps an idle connection open.
+    ``headers`` are those that are passed on to the caller.
     """
 
     status: int
@@ -110,13 +114,17 @@
 
     @property
     def is_success(self) -> bool:
-        """Whether the replica answered the request with success."""
+        """Whether this is a usable, signed success of the replica."""
         signed = self.signature is not None and not self.mismatched
         return 200 <= self.status < 300 and signed and not self.content_encoded
 
 
 class ReplicaEntry(NamedTuple):
-    """What discovery tells of a replica; ``started_ms`` is when its process started."""
+    """A replica as registered in discovery.
+
+    ``started_ms`` is when its process started; ``sequence``
+    counts the writes of its entry since then.
+    """
 
     replica_id: str
     service: str
@@ -130,44 +138,53 @@
 
 
 class CallerCodec(Protocol):
-    """The headers that callers send and get."""
+    """Decodes callers' requests and encodes the headers of answers."""
 
     def read_request(self, request: HttpRequest) -> Result[CallerRequest, str]:
-        """Decode a caller's request; the failure says what is wrong with it."""
+        """Decode a caller's request; a failure describes the error."""
         ...
 
     def merged_headers(
         self, signatures: Sequence[bytes], missing: int
     ) -> tuple[Header, ...]:
-        """Return the headers of an answer that was merged from shards."""
+        """Return the headers of an answer merged from shards.
+
+        ``missing`` is the number of shards without an answer.
+        """
         ...
 
 
 class ReplicaCodec(Protocol):
-    """The requests to replicas and their replies."""
+    """Encodes requests to replicas and decodes their replies."""
 
     def encode_request(
-        self, request: CallerRequest, replica_id: str, left_s: float
+        self, request: CallerRequest, replica_id: str, remaining_s: float
     ) -> bytes:
-        """Return the bytes of a request that only ``replica_id`` may run."""
+        """Encode a request that only the replica ``replica_id`` may run.
+
+        ``remaining_s`` is the time left until the deadline.
+        """
         ...
 
     def read_reply(self, reply: Reply, request_id: bytes) -> ReplicaReply:
-        """Decode a replica's reply to the request ``request_id``."""
+        """Decode a replica's reply to the request ``request_id``.
+
+        A reply with another request id is marked as mismatched.
+        """
         ...
 
 
 class StoreSchema(Protocol):
-    """The keys and values in the platform's store that are not the gateway's own."""
+    """Keys and values in the store that operators and replicas write."""
 
     configuration_key: str
     evacuation_prefix: str
     replica_prefix: str
 
     def read_configuration(self, value: bytes) -> Result[Configuration, str]:
-        """Decode the operators' configuration."""
+        """Decode the configuration; a failure describes the error."""
         ...
 
     def read_replica(self, replica_id: str, value: bytes) -> Result[ReplicaEntry, str]:
-        """Decode an entry of discovery."""
+        """Decode a discovery entry; a failure describes the error."""
         ...
--- a/sardinehook/platform/replicas.py
+++ b/sardinehook/platform/replicas.py
@@ -41,7 +41,7 @@
     """Encodes requests to replicas and decodes their replies."""
 
     def encode_request(
-        self, request: CallerRequest, replica_id: str, left_s: float
+        self, request: CallerRequest, replica_id: str, remaining_s: float
     ) -> bytes:
         """Return the bytes of a request that only ``replica_id`` may run."""
         lines = [
@@ -52,7 +52,7 @@
                 request.target,
                 request.host.encode("latin-1"),
                 request.request_id,
-                max(1, int(left_s * MS_PER_S)),
+                max(1, int(remaining_s * MS_PER_S)),
                 replica_id.encode("latin-1"),
             )
         ]
