Describe the HTTP connection and its tests in usual terms

The connection spoke of whole and surplus replies and of silence, the writer of turns of the loop. Attributes are now is_complete, has_surplus, has_framing, is_interim and is_reusable; constants say MAX_* or *_TIMEOUT_MS. Tests are named after the behaviour that they check; what they assert is as before. Two error texts state more: "reply too large: N bytes received, limits are H (head) and B (body)", which is formatted only once a reply is refused, and "connection closed before the reply was complete: CAUSE".

--- a/sardinehook/transport/__init__.py
+++ b/sardinehook/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Connections as all parts of sardinehook use them."""
+"""TCP and HTTP client code shared by all parts of sardinehook."""
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -1,4 +1,4 @@
-"""A client's HTTP/1.1 connection that carries one exchange at a time."""
+"""HTTP/1.1 client connection that carries one exchange at a time."""
 
 from __future__ import annotations
 
@@ -16,24 +16,24 @@
 
 __all__ = ["ClientConnection", "ExchangeEnd", "Lost", "Malformed", "Replied", "Reply"]
 
-BODY_BYTES = 8 * 1024 * 1024  # most that is buffered of the body of one reply
-HEAD_BYTES = 64 * 1024  # most that may come before the headers are complete
-KEEP_ALIVE_IDLE_S = 1  # silence after which the kernel probes a connection
-KEEP_ALIVE_INTERVAL_S = 1  # between two probes
-KEEP_ALIVE_PROBES = 2  # unanswered probes that end a connection
-UNACKNOWLEDGED_MS = 2500  # sent bytes without acknowledgement that end a connection
+MAX_BODY_BYTES = 8 * 1024 * 1024  # limit of the body of one reply
+MAX_HEAD_BYTES = 64 * 1024  # limit of the bytes before the headers are complete
+KEEP_ALIVE_IDLE_S = 1  # idle time until the kernel sends a keep-alive probe
+KEEP_ALIVE_INTERVAL_S = 1  # between two keep-alive probes
+KEEP_ALIVE_PROBES = 2  # unanswered probes after which the connection is reset
+UNACKNOWLEDGED_TIMEOUT_MS = 2500  # limit for sent data without acknowledgement
 NO_BODY_STATUS = frozenset({204, 304})
 
 
 class Reply(NamedTuple):
-    """A whole reply; header names are in lower case, in the order received."""
+    """A complete reply; header names are in lower case, in the order received."""
 
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
 
     def header(self, name: bytes) -> bytes | None:
-        """Return the first header called ``name``, which is in lower case."""
+        """Return the value of the first header ``name``, given in lower case."""
         for found, value in self.headers:
             if found == name:
                 return value
@@ -42,21 +42,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Replied:
-    """A whole reply came."""
+    """A complete reply was received."""
 
     reply: Reply
 
 
 @dataclass(frozen=True, slots=True)
 class Malformed:
-    """Bytes came that are no whole reply."""
+    """Bytes were received that are not a complete, valid reply."""
 
     detail: str
 
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The connection ended before any byte of a reply."""
+    """The connection was lost before any byte of a reply."""
 
     detail: str
 
@@ -67,13 +67,13 @@
 class ClientConnection(Protocol):
     """Sends a request and reports one ``ExchangeEnd`` for it.
 
-    ``on_open`` is called once the connection is established and ``on_close`` once
-    after it has ended. After anything but a whole reply the connection is closed and
-    never used again, and so is one on which bytes come that nobody asked for.
+    ``on_open`` is called when the connection is established, ``on_close`` once after
+    it is closed. The connection is closed and never reused after anything but a
+    complete reply, and after bytes that belong to no request.
     """
 
-    max_head_bytes = HEAD_BYTES
-    max_body_bytes = BODY_BYTES
+    max_head_bytes = MAX_HEAD_BYTES
+    max_body_bytes = MAX_BODY_BYTES
 
     def __init__(
         self,
@@ -91,23 +91,23 @@
         self.reset_reply()
 
     def reset_reply(self) -> None:
-        """Forget the last reply."""
+        """Reset the parser and its state for the next reply."""
         self.parser = HttpResponseParser(self)
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
         self.received_bytes = 0
         self.body_bytes = 0
         self.in_body = False
-        self.whole = False
-        self.surplus = False
-        self.framed = False
-        self.reusable = False
-        self.interim = False
+        self.is_complete = False
+        self.has_surplus = False
+        self.has_framing = False
+        self.is_reusable = False
+        self.is_interim = False
         self.status = 0
 
     @property
     def idle(self) -> bool:
-        """Whether an exchange can begin."""
+        """Whether the connection is open and has no exchange in progress."""
         return self.is_open and self.on_end is None
 
     def exchange(
@@ -116,9 +116,9 @@
         on_end: Callable[[ExchangeEnd], None],
         has_no_body: bool = False,
     ) -> None:
-        """Send ``request`` and report its end to ``on_end``, exactly once.
+        """Send ``request`` and call ``on_end`` with its end, exactly once.
 
-        ``has_no_body`` is set where the reply ends with its headers, as to ``HEAD``.
+        Set ``has_no_body`` if the reply ends with its headers, as for ``HEAD``.
         """
         assert self.idle
         self.ends_with_headers = has_no_body
@@ -129,13 +129,13 @@
         self.writer.write(request)
 
     def abort(self) -> None:
-        """Drop the connection at once; no end is reported for its exchange."""
+        """Abort the connection; ``on_end`` is not called for its exchange."""
         self.on_end = None
         self.is_open = False
         self.tcp.abortConnection()
 
     def connectionMade(self) -> None:
-        """Set the options of the socket and report that it can be used."""
+        """Set the socket options and call ``on_open``."""
         tcp: Any = self.transport
         self.tcp = tcp
         self.writer = SocketWriter(tcp)
@@ -144,7 +144,10 @@
         self.on_open(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse ``data`` and end the exchange once the reply is whole."""
+        """Parse ``data`` and end the exchange when the reply is complete.
+
+        Data outside of an exchange closes the connection.
+        """
         if not self.is_open:
             return
         if self.on_end is None:
@@ -154,43 +157,47 @@
         try:
             self.parser.feed_data(data)
         except HttpParserError as error:
-            if not self.whole:
+            if not self.is_complete:
                 self.end(Malformed(f"malformed reply: {error}"), False)
                 return
-            self.surplus = True
+            self.has_surplus = True
         if self.is_too_large():
-            self.end(Malformed("the reply is too large"), False)
-        elif self.whole:
+            detail = (
+                f"reply too large: {self.received_bytes} bytes received, limits are "
+                f"{self.max_head_bytes} (head) and {self.max_body_bytes} (body)"
+            )
+            self.end(Malformed(detail), False)
+        elif self.is_complete:
             self.complete()
 
     def is_too_large(self) -> bool:
-        """Tell whether more came than is buffered of one reply."""
-        if self.in_body or self.whole:
+        """Return whether the headers or the body exceed their size limit."""
+        if self.in_body or self.is_complete:
             return self.body_bytes > self.max_body_bytes
         return self.received_bytes > self.max_head_bytes
 
     def complete(self) -> None:
-        """End the exchange with the whole reply."""
+        """End the exchange with the complete reply."""
         reply = Reply(self.status, tuple(self.headers), b"".join(self.chunks))
-        self.end(Replied(reply), self.reusable and not self.surplus)
+        self.end(Replied(reply), self.is_reusable and not self.has_surplus)
 
-    def end(self, end: ExchangeEnd, reusable: bool) -> None:
-        """Report the end of the exchange; drop a connection that is not reusable."""
+    def end(self, end: ExchangeEnd, is_reusable: bool) -> None:
+        """Report the end of the exchange; close a connection that is not reusable."""
         on_end, self.on_end = self.on_end, None
-        if not reusable:
+        if not is_reusable:
             self.drop()
         if on_end is not None:
             on_end(end)
 
     def drop(self) -> None:
-        """Close a connection that can't be used any more."""
+        """Close a connection that can't be reused."""
         self.is_open = False
         self.tcp.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """End the exchange that was running and report the close.
+        """End the exchange in progress and call ``on_close``.
 
-        A reply without a length is whole if its connection was closed in order.
+        A reply without a length is complete if the connection was closed cleanly.
         """
         self.is_open = False
         on_end, self.on_end = self.on_end, None
@@ -199,61 +206,66 @@
         self.on_close(self)
 
     def classify_loss(self, reason: Failure) -> ExchangeEnd:
-        """Tell what the end of the connection makes of the exchange."""
+        """Return how the exchange ends when the connection is lost."""
         detail = reason.getErrorMessage()
         if not self.received_bytes:
             return Lost(detail)
-        in_order = isinstance(reason.value, ConnectionDone)
-        if in_order and self.in_body and not self.framed and not self.interim:
+        closed_cleanly = isinstance(reason.value, ConnectionDone)
+        if (
+            closed_cleanly
+            and self.in_body
+            and not self.has_framing
+            and not self.is_interim
+        ):
             body = b"".join(self.chunks)
             return Replied(Reply(self.status, tuple(self.headers), body))
-        return Malformed(f"the reply was cut off: {detail}")
+        return Malformed(f"connection closed before the reply was complete: {detail}")
 
     def on_message_begin(self) -> None:
-        """Note a second reply where one was due."""
-        if self.whole:
-            self.surplus = True
+        """Mark a second reply in the same exchange as surplus."""
+        if self.is_complete:
+            self.has_surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep one header."""
-        if not self.surplus:
+        """Store a header of the reply."""
+        if not self.has_surplus:
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Find out how the body is framed."""
-        if self.surplus:
+        """Read the status and determine how the end of the body is marked."""
+        if self.has_surplus:
             return
         self.status = self.parser.get_status_code()
-        self.interim = self.status < 200
+        self.is_interim = self.status < 200
         self.in_body = True
-        self.whole = self.ends_with_headers and not self.interim
-        self.framed = self.status in NO_BODY_STATUS or any(
+        self.is_complete = self.ends_with_headers and not self.is_interim
+        self.has_framing = self.status in NO_BODY_STATUS or any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in self.headers
         )
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body."""
-        if not self.surplus:
+        """Buffer a part of the body, up to the size limit."""
+        if not self.has_surplus:
             self.body_bytes += len(body)
             if self.body_bytes <= self.max_body_bytes:
                 self.chunks.append(body)
 
     def on_message_complete(self) -> None:
-        """Note that the reply is whole; an interim one is dropped."""
-        if self.whole:
+        """Mark the reply as complete; an interim (1xx) reply is discarded."""
+        if self.is_complete:
             return
-        if self.interim:
+        if self.is_interim:
             self.headers.clear()
             self.chunks.clear()
             self.in_body = False
             return
-        self.whole = True
-        self.reusable = self.parser.should_keep_alive()
+        self.is_complete = True
+        self.is_reusable = self.parser.should_keep_alive()
 
 
 def set_socket_options(tcp: Any) -> None:  # noqa: ANN401
-    """Send small segments at once and notice a peer that has fallen silent."""
+    """Set ``TCP_NODELAY``, and keep-alive to detect an unresponsive peer."""
     tcp.setTcpNoDelay(True)
     handle = tcp.getHandle()
     for level, option, value in (
@@ -261,6 +273,6 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
     ):
         handle.setsockopt(level, option, value)
--- a/sardinehook/transport/reactor.py
+++ b/sardinehook/transport/reactor.py
@@ -1,4 +1,4 @@
-"""The parts of a Twisted reactor, and of its transports, that are used here."""
+"""Protocols for the parts of Twisted reactors and transports that are used."""
 
 from __future__ import annotations
 
@@ -11,22 +11,22 @@
 
 
 class Timer(Protocol):
-    """A call that is due later."""
+    """A delayed call, as ``IDelayedCall``."""
 
     def active(self) -> bool:
-        """Whether the call is still due."""
+        """Return whether the call is still pending."""
         ...
 
     def cancel(self) -> None:
-        """Don't make the call."""
+        """Cancel the call."""
         ...
 
 
 class Timers(Protocol):
-    """What the reactor and ``twisted.internet.task.Clock`` have in common."""
+    """Delayed calls, as of the reactor and of ``twisted.internet.task.Clock``."""
 
     def seconds(self) -> float:
-        """Monotonic time in seconds."""
+        """Return the monotonic time in seconds."""
         ...
 
     def callLater(
@@ -41,28 +41,28 @@
 
 
 class TcpReactor(Timers, Protocol):
-    """Time and outgoing TCP connections."""
+    """Clock, delayed calls and outgoing TCP connections."""
 
     def connectTCP(
         self, host: str, port: int, factory: ClientFactory, timeout: float
     ) -> object:
-        """Open a connection; ``timeout`` is in seconds."""
+        """Start to connect; the attempt fails after ``timeout`` seconds."""
 
 
 class TcpTransport(Protocol):
-    """The sending side of a TCP connection."""
+    """The part of a TCP transport that sends and closes."""
 
     def write(self, data: bytes) -> None:
-        """Send ``data``."""
+        """Buffer ``data`` for sending."""
 
     def loseConnection(self) -> None:
-        """Close after what was written has been sent."""
+        """Close the connection after all written data has been sent."""
 
     def loseWriteConnection(self) -> None:
-        """Tell the peer that nothing more will be sent."""
+        """Close the sending direction after all written data has been sent."""
 
     def abortConnection(self) -> None:
-        """Close at once."""
+        """Close the connection at once, dropping unsent data."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
-        """Send small segments without delay."""
+        """Enable or disable ``TCP_NODELAY``."""
--- a/sardinehook/transport/socket_writer.py
+++ b/sardinehook/transport/socket_writer.py
@@ -1,4 +1,4 @@
-"""Writes to a socket without a turn of the loop."""
+"""Writes to a socket directly, without waiting for the reactor."""
 
 from __future__ import annotations
 
@@ -8,30 +8,31 @@
 
 
 class SocketHandle(Protocol):
-    """The part of a socket that is written to."""
+    """The part of ``socket.socket`` that is used for writing."""
 
     def send(self, data: bytes) -> int:
-        """Send what the kernel takes and return how many bytes that was."""
+        """Send as many bytes as the kernel accepts and return their number."""
         ...
 
 
 class Transport(Protocol):
-    """The part of a TCP transport of Twisted that is written to."""
+    """The part of a Twisted TCP transport that is used for writing."""
 
     def getHandle(self) -> SocketHandle:
         """Return the socket."""
         ...
 
     def write(self, data: bytes) -> None:
-        """Send in the next turns of the loop."""
+        """Buffer ``data`` and send it from the next reactor iteration on."""
         ...
 
 
 class SocketWriter:
-    """Sends at once while the kernel takes everything, else through the transport.
+    """Sends directly while the kernel accepts all bytes, else through the transport.
 
-    Twisted sends in the turn after the one that writes. That costs three calls of the
-    kernel a message, and an answer waits until all that came in meanwhile is handled.
+    A Twisted transport sends in the reactor iteration after the write. That costs
+    three system calls per message, and delays an answer until all input received in
+    the meantime is handled.
     """
 
     __slots__ = ("direct", "handle", "tcp")
@@ -42,13 +43,13 @@
         self.direct = True
 
     def write(self, data: bytes) -> None:
-        """Send ``data`` after all that was written before."""
+        """Send ``data`` after all earlier writes."""
         sent = 0
         if self.direct:
             try:
                 sent = self.handle.send(data)
             except OSError:
-                # The transport meets the same error in its turn, and reports it.
+                # The transport gets the same error when it writes, and reports it.
                 sent = 0
             if sent == len(data):
                 return
--- a/tests/gateway/fake_transport.py
+++ b/tests/gateway/fake_transport.py
@@ -1,4 +1,4 @@
-"""A transport in memory for the gateway's protocols."""
+"""In-memory transport for testing protocols."""
 
 from __future__ import annotations
 
@@ -10,42 +10,42 @@
 
 
 class FakeSocket:
-    """Takes the options of a socket, and what is sent at once."""
+    """A socket that passes sent data to its transport and ignores options."""
 
     def __init__(self, transport: FakeTransport) -> None:
         self.transport = transport
 
     def send(self, data: bytes) -> int:
-        """Take everything."""
+        """Accept all bytes."""
         self.transport.write(data)  # type: ignore[no-untyped-call]
         return len(data)
 
     def setsockopt(self, level: int, option: int, value: int) -> None:
-        """Take an option."""
+        """Ignore the option."""
 
     def getsockopt(self, level: int, option: int, buflen: int) -> bytes:
-        """Return the kernel's view of a connection with a round trip of 2 ms."""
+        """Return a ``tcp_info`` with a round-trip time of 2 ms."""
         return bytes(68) + (2000).to_bytes(4, "little") + bytes(32)
 
 
 class FakeTransport(StringTransport):
-    """Keeps what a protocol writes."""
+    """Records the data that a protocol writes."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
-        """Take the option."""
+        """Ignore the option."""
 
     def getHandle(self) -> FakeSocket:
-        """Return what takes the options of a socket."""
+        """Return a socket that writes to this transport."""
         return FakeSocket(self)
 
     def loseWriteConnection(self) -> None:
-        """End the writing side."""
+        """Ignore the close of the sending direction."""
 
     def written(self) -> bytes:
-        """Return all that was written."""
+        """Return all data written so far."""
         return cast(bytes, self.value())  # type: ignore[no-untyped-call]
 
 
 def make_transport() -> FakeTransport:
-    """Make a transport."""
+    """Return a new transport."""
     return FakeTransport()  # type: ignore[no-untyped-call]
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -1,4 +1,4 @@
-"""Connections to one replica."""
+"""Limits, backoff and reuse of the connection pool."""
 
 from __future__ import annotations
 
@@ -14,25 +14,25 @@
 from tests.gateway.fake_transport import FakeTransport, make_transport
 
 
-class PoolRig:
-    """A pool whose connection attempts tests decide."""
+class PoolFixture:
+    """A pool whose connection attempts a test accepts or refuses."""
 
     def __init__(self, max_connections: int = 2) -> None:
         self.reactor = MemoryReactorClock()
         self.reactor.advance(100.0)
-        self.heard = 0
-        self.lent: list[ClientConnection | None] = []
+        self.connected_count = 0
+        self.acquired: list[ClientConnection | None] = []
         self.pool = ConnectionPool(
-            self.reactor, "10.0.0.1:80", max_connections, self.note_heard
+            self.reactor, "10.0.0.1:80", max_connections, self.count_connected
         )
 
-    def note_heard(self) -> None:
-        """Count signs of life."""
-        self.heard += 1
+    def count_connected(self) -> None:
+        """Count accepted connections."""
+        self.connected_count += 1
 
-    def ask(self) -> None:
-        """Ask for a connection."""
-        self.pool.acquire(self.lent.append)
+    def acquire(self) -> None:
+        """Acquire a connection."""
+        self.pool.acquire(self.acquired.append)
 
     def factory(self, attempt: int) -> ClientFactory:
         """Return the factory of a connection attempt."""
@@ -40,7 +40,7 @@
         return factory
 
     def accept(self, attempt: int) -> FakeTransport:
-        """Let an attempt succeed."""
+        """Accept a connection attempt."""
         transport: Any = make_transport()
         protocol = self.factory(attempt).buildProtocol(None)
         assert protocol is not None
@@ -48,56 +48,59 @@
         return cast(FakeTransport, transport)
 
     def refuse(self, attempt: int) -> None:
-        """Let an attempt fail."""
+        """Refuse a connection attempt."""
         failure = Failure(ConnectionRefusedError())
         self.factory(attempt).clientConnectionFailed(None, failure)  # type: ignore[arg-type]
 
 
 class TestBounds:
-    def test_no_more_connections_than_allowed(self) -> None:
-        rig = PoolRig(max_connections=2)
+    def test_opens_no_more_than_max_connections(self) -> None:
+        fixture = PoolFixture(max_connections=2)
         for _ in range(5):
-            rig.ask()
-        assert len(rig.reactor.tcpClients) == 2
-
-    def test_those_that_wait_are_told_when_no_connection_can_be_had(self) -> None:
-        rig = PoolRig(max_connections=1)
-        rig.ask()
-        rig.ask()
-        rig.refuse(0)
-        assert rig.lent == [None, None]
-        assert rig.pool.is_failing
-
-    def test_a_failing_peer_is_not_asked_again_at_once(self) -> None:
-        rig = PoolRig(max_connections=1)
-        rig.ask()
-        rig.refuse(0)
-        rig.ask()
-        assert len(rig.reactor.tcpClients) == 1
-        rig.reactor.advance(0.1)
-        rig.ask()
-        assert len(rig.reactor.tcpClients) == 2
-
-
-class TestSignsOfLife:
-    """Answers the pattern: a zone is cut off and connections to it are reset."""
-
-    def test_a_refused_connection_is_none(self) -> None:
-        rig = PoolRig()
-        rig.ask()
-        rig.refuse(0)
-        assert rig.heard == 0
-
-    def test_an_accepted_connection_is_one(self) -> None:
-        rig = PoolRig()
-        rig.ask()
-        rig.accept(0)
-        assert rig.heard == 1
+            fixture.acquire()
+        assert len(fixture.reactor.tcpClients) == 2
+
+    def test_waiting_requests_fail_when_no_connection_can_be_opened(self) -> None:
+        fixture = PoolFixture(max_connections=1)
+        fixture.acquire()
+        fixture.acquire()
+        fixture.refuse(0)
+        assert fixture.acquired == [None, None]
+        assert fixture.pool.is_failing
+
+    def test_backs_off_after_a_refused_connection(self) -> None:
+        fixture = PoolFixture(max_connections=1)
+        fixture.acquire()
+        fixture.refuse(0)
+        fixture.acquire()
+        assert len(fixture.reactor.tcpClients) == 1
+        fixture.reactor.advance(0.1)
+        fixture.acquire()
+        assert len(fixture.reactor.tcpClients) == 2
+
+
+class TestOnConnected:
+    """A refused or reset connection must not count as a response.
+
+    In a partition, connections to the data centre that is cut off are reset.
+    """
+
+    def test_not_called_for_a_refused_connection(self) -> None:
+        fixture = PoolFixture()
+        fixture.acquire()
+        fixture.refuse(0)
+        assert fixture.connected_count == 0
+
+    def test_called_for_an_accepted_connection(self) -> None:
+        fixture = PoolFixture()
+        fixture.acquire()
+        fixture.accept(0)
+        assert fixture.connected_count == 1
 
 
 class TestClosing:
-    def test_a_connection_that_comes_back_to_a_closed_pool_is_ended(self) -> None:
-        rig = PoolRig(max_connections=1)
+    def test_a_connection_released_to_a_closed_pool_is_closed(self) -> None:
+        fixture = PoolFixture(max_connections=1)
         taken: list[ClientConnection] = []
         ends: list[object] = []
 
@@ -106,18 +109,18 @@
             taken.append(connection)
             connection.exchange(b"GET / HTTP/1.1\r\n\r\n", ends.append)
 
-        rig.pool.acquire(use)
-        rig.accept(0)
-        rig.pool.close()
+        fixture.pool.acquire(use)
+        fixture.accept(0)
+        fixture.pool.close()
         taken[0].dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        rig.pool.release(taken[0], 5.0)
+        fixture.pool.release(taken[0], 5.0)
         assert isinstance(ends[0], Replied)
         assert not taken[0].is_open
 
 
 class TestReuse:
-    def test_a_connection_serves_the_next_that_waits(self) -> None:
-        rig = PoolRig(max_connections=1)
+    def test_a_released_connection_serves_the_next_waiting_request(self) -> None:
+        fixture = PoolFixture(max_connections=1)
         served: list[ClientConnection] = []
         ends: list[object] = []
 
@@ -126,21 +129,21 @@
             served.append(connection)
             connection.exchange(b"GET / HTTP/1.1\r\n\r\n", ends.append)
 
-        rig.pool.acquire(use)
-        rig.pool.acquire(use)
-        rig.accept(0)
+        fixture.pool.acquire(use)
+        fixture.pool.acquire(use)
+        fixture.accept(0)
         assert len(served) == 1
         served[0].dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-        rig.pool.release(served[0], 5.0)
+        fixture.pool.release(served[0], 5.0)
         assert isinstance(ends[0], Replied)
         assert served == [served[0], served[0]]
 
-    def test_a_connection_is_dropped_before_its_peer_closes_it(self) -> None:
-        rig = PoolRig(max_connections=1)
-        rig.ask()
-        rig.accept(0)
-        first = rig.lent[0]
+    def test_an_idle_connection_is_dropped_before_the_server_closes_it(self) -> None:
+        fixture = PoolFixture(max_connections=1)
+        fixture.acquire()
+        fixture.accept(0)
+        first = fixture.acquired[0]
         assert first is not None
-        rig.pool.release(first, 2.0)
-        rig.reactor.advance(1.9)
-        assert rig.pool.pop_idle() is None
+        fixture.pool.release(first, 2.0)
+        fixture.reactor.advance(1.9)
+        assert fixture.pool.pop_idle() is None
--- a/tests/transport/__init__.py
+++ b/tests/transport/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the target package."""
+"""Tests of the transport package."""
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -1,4 +1,4 @@
-"""Replies of replicas: whole ones, and all the ways in which they are not."""
+"""Parsing of replies: complete, truncated and malformed ones."""
 
 from __future__ import annotations
 
@@ -22,8 +22,8 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
 
 
-class ConnectionRig:
-    """A connection with one request on its way."""
+class ConnectionFixture:
+    """A connection with one request in progress."""
 
     def __init__(self) -> None:
         self.ends: list[ExchangeEnd] = []
@@ -33,86 +33,86 @@
         self.connection.exchange(b"GET / HTTP/1.1\r\n\r\n", self.ends.append)
 
     def lose(self, reason: Exception) -> None:
-        """End the connection."""
+        """Close the connection with ``reason``."""
         self.connection.connectionLost(Failure(reason))
 
 
 def ignore(_connection: ClientConnection) -> None:
-    """Take no note."""
+    """Ignore the callback."""
 
 
-class TestWhole:
-    def test_a_sized_reply(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(OK)
-        (end,) = rig.ends
+class TestComplete:
+    def test_a_reply_with_a_content_length(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(OK)
+        (end,) = fixture.ends
         assert isinstance(end, Replied) and end.reply.body == b"abc"
-        assert rig.connection.idle
-
-    def test_a_reply_without_a_length_ends_with_its_connection(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
-        assert rig.ends == []
-        rig.lose(ConnectionDone())
-        (end,) = rig.ends
+        assert fixture.connection.idle
+
+    def test_a_reply_without_a_length_ends_when_the_connection_closes(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
+        assert fixture.ends == []
+        fixture.lose(ConnectionDone())
+        (end,) = fixture.ends
         assert isinstance(end, Replied) and end.reply.body == b"ab"
 
-    def test_an_interim_reply_is_dropped(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
-        (end,) = rig.ends
+    def test_an_interim_reply_is_discarded(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
+        (end,) = fixture.ends
         assert isinstance(end, Replied) and end.reply.status == 200
 
     @given(st.lists(st.integers(1, 20), max_size=8))
-    def test_any_split_of_the_bytes(self, cuts: list[int]) -> None:
-        rig = ConnectionRig()
+    def test_a_reply_split_into_any_segments(self, cuts: list[int]) -> None:
+        fixture = ConnectionFixture()
         data = OK
         for size in cuts:
             if data:
-                rig.connection.dataReceived(data[:size])
+                fixture.connection.dataReceived(data[:size])
             data = data[size:]
         if data:
-            rig.connection.dataReceived(data)
-        (end,) = rig.ends
+            fixture.connection.dataReceived(data)
+        (end,) = fixture.ends
         assert isinstance(end, Replied) and end.reply.body == b"abc"
 
 
-class TestNotWhole:
-    def test_a_reply_that_is_cut_off(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(OK[:-1])
-        rig.lose(ConnectionDone())
-        assert isinstance(rig.ends[0], Malformed)
+class TestIncomplete:
+    def test_a_truncated_reply_is_malformed(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(OK[:-1])
+        fixture.lose(ConnectionDone())
+        assert isinstance(fixture.ends[0], Malformed)
 
-    def test_a_reply_without_a_length_that_is_reset(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
-        rig.lose(ConnectionLost())
-        assert isinstance(rig.ends[0], Malformed)
+    def test_a_reply_without_a_length_is_malformed_after_a_reset(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
+        fixture.lose(ConnectionLost())
+        assert isinstance(fixture.ends[0], Malformed)
 
-    def test_no_byte_of_a_reply(self) -> None:
-        rig = ConnectionRig()
-        rig.lose(ConnectionLost())
-        assert isinstance(rig.ends[0], Lost)
+    def test_a_reset_before_any_byte_is_a_lost_connection(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.lose(ConnectionLost())
+        assert isinstance(fixture.ends[0], Lost)
 
-    def test_bytes_that_are_no_reply(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(b"\x00\x01garbage\r\n\r\n")
-        assert isinstance(rig.ends[0], Malformed)
+    def test_bytes_that_are_not_http_are_malformed(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(b"\x00\x01garbage\r\n\r\n")
+        assert isinstance(fixture.ends[0], Malformed)
 
 
-class TestSurplus:
+class TestSurplusBytes:
     @pytest.mark.parametrize("surplus", [OK, b"garbage", b"\r\n\x00"])
-    def test_bytes_after_a_reply_belong_to_no_request(self, surplus: bytes) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(OK + surplus)
-        (end,) = rig.ends
+    def test_bytes_after_a_reply_close_the_connection(self, surplus: bytes) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(OK + surplus)
+        (end,) = fixture.ends
         assert isinstance(end, Replied) and end.reply.body == b"abc"
-        assert not rig.connection.is_open
-
-    def test_bytes_that_nobody_asked_for_end_the_connection(self) -> None:
-        rig = ConnectionRig()
-        rig.connection.dataReceived(OK)
-        rig.connection.dataReceived(OK)
-        assert len(rig.ends) == 1
-        assert not rig.connection.is_open
+        assert not fixture.connection.is_open
+
+    def test_bytes_without_a_request_close_the_connection(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(OK)
+        fixture.connection.dataReceived(OK)
+        assert len(fixture.ends) == 1
+        assert not fixture.connection.is_open
--- a/tests/transport/test_socket_writer.py
+++ b/tests/transport/test_socket_writer.py
@@ -1,24 +1,24 @@
-"""Writing at once, and what happens where the kernel does not take all."""
+"""Direct writes, and the fallback when the kernel accepts only a part."""
 
 from __future__ import annotations
 
 from sardinehook.transport.socket_writer import SocketWriter
 
 
-class Pipe:
-    """A transport and its socket, which takes ``room`` bytes."""
+class FakeTransport:
+    """A transport whose socket accepts ``room`` bytes."""
 
     def __init__(self, room: int) -> None:
         self.room = room
         self.sent = b""
         self.queued = b""
 
-    def getHandle(self) -> Pipe:
-        """Return the socket."""
+    def getHandle(self) -> FakeTransport:
+        """Return the socket, which is this object too."""
         return self
 
     def send(self, data: bytes) -> int:
-        """Take what there is room for."""
+        """Accept as many bytes as there is room for."""
         if not self.room:
             raise BlockingIOError
         taken = data[: self.room]
@@ -27,27 +27,27 @@
         return len(taken)
 
     def write(self, data: bytes) -> None:
-        """Queue for the next turn."""
+        """Queue for the next reactor iteration."""
         self.queued += data
 
 
 class TestOrder:
-    def test_all_is_sent_at_once_while_there_is_room(self) -> None:
-        pipe = Pipe(100)
-        writer = SocketWriter(pipe)
+    def test_data_is_sent_directly_while_there_is_room(self) -> None:
+        transport = FakeTransport(100)
+        writer = SocketWriter(transport)
         writer.write(b"abc")
         writer.write(b"def")
-        assert (pipe.sent, pipe.queued) == (b"abcdef", b"")
+        assert (transport.sent, transport.queued) == (b"abcdef", b"")
 
-    def test_the_rest_is_queued_and_all_that_follows_behind_it(self) -> None:
-        pipe = Pipe(2)
-        writer = SocketWriter(pipe)
+    def test_the_rest_and_all_later_data_is_queued_in_order(self) -> None:
+        transport = FakeTransport(2)
+        writer = SocketWriter(transport)
         writer.write(b"abc")
-        pipe.room = 100
+        transport.room = 100
         writer.write(b"def")
-        assert (pipe.sent, pipe.queued) == (b"ab", b"cdef")
+        assert (transport.sent, transport.queued) == (b"ab", b"cdef")
 
-    def test_an_error_is_left_to_the_transport(self) -> None:
-        pipe = Pipe(0)
-        SocketWriter(pipe).write(b"abc")
-        assert (pipe.sent, pipe.queued) == (b"", b"abc")
+    def test_after_a_socket_error_the_transport_gets_the_data(self) -> None:
+        transport = FakeTransport(0)
+        SocketWriter(transport).write(b"abc")
+        assert (transport.sent, transport.queued) == (b"", b"abc")
