--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -285,13 +285,13 @@
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
         self.watch_settings()
-        self.fleet.count()
+        self.fleet.publish_names()
         self.delegates.update()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
         held = sum(replica.pool.connection_count for replica in replicas.values())
         self.metrics.connections.set(held)
-        self.metrics.store_age_seconds.set(now - self.follower.heard_at)
+        self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
         self.metrics.handed_over.set(self.desk.handed_over)
 
     @property
