Describe the reachability tests and the gateway test doubles plainly

They are now named after the behaviour that they check, and their heads name the failure they guard against. What they assert is as before.

--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -1,4 +1,4 @@
-"""A gateway's parts around a clock, with replicas that tests answer for."""
+"""Parts of a gateway on a fake clock; tests answer in place of the replicas."""
 
 from __future__ import annotations
 
@@ -43,7 +43,11 @@
 
 
 class FakeDispatcher(Dispatcher):
-    """Holds the exchanges that are started until a test ends them."""
+    """Records started exchanges until a test ends them.
+
+    Replicas in ``refuses`` refuse connections; those in ``hangs`` neither accept nor
+    refuse them.
+    """
 
     def __init__(self, reactor: MemoryReactorClock, directory: Directory) -> None:
         super().__init__(reactor, PlatformReplicas(), directory)
@@ -53,10 +57,7 @@
         self.waiting: list[Exchange] = []
 
     def start(self, exchange: Exchange) -> None:
-        """Note an exchange as sent, unless its replica can't be reached.
-
-        One of ``hangs`` neither accepts nor refuses connections.
-        """
+        """Record an exchange as sent, unless its replica can't be connected to."""
         replica = exchange.replica
         replica.in_flight[exchange] = None
         self.exchanges[exchange] = None
@@ -70,7 +71,7 @@
         self.sent.append(exchange)
 
     def sent_to(self, service: str) -> list[Exchange]:
-        """List the exchanges with replicas of a service."""
+        """Return the exchanges sent to replicas of a service."""
         return [
             exchange
             for exchange in self.sent
@@ -78,12 +79,12 @@
         ]
 
     def open_at(self, service: str) -> list[Exchange]:
-        """List the exchanges with replicas of a service that have not ended."""
+        """Return the exchanges sent to replicas of a service that are not done."""
         return [exchange for exchange in self.sent_to(service) if not exchange.done]
 
 
 class Gateway(NamedTuple):
-    """The parts that tests look at."""
+    """The parts of a gateway that tests use."""
 
     reactor: MemoryReactorClock
     directory: Directory
@@ -91,21 +92,23 @@
     policy: RequestPolicy
     answers: list[CallerAnswer]
 
-    def entry(self, replica_id: str, service: str, place: str = HERE) -> ReplicaEntry:
-        """Make an entry of discovery with an address of its own."""
+    def entry(
+        self, replica_id: str, service: str, data_centre: str = HERE
+    ) -> ReplicaEntry:
+        """Return a discovery entry with an unused address."""
         port = 1000 + len(self.directory.replicas)
         return ReplicaEntry(
-            replica_id, service, f"127.0.0.1:{port}", place, 2, False, 0.0, 1, 1
+            replica_id, service, f"127.0.0.1:{port}", data_centre, 2, False, 0.0, 1, 1
         )
 
-    def add(self, replica_id: str, service: str, place: str = HERE) -> Replica:
-        """Register a replica."""
-        entry = self.entry(replica_id, service, place)
+    def add(self, replica_id: str, service: str, data_centre: str = HERE) -> Replica:
+        """Register a replica in the directory."""
+        entry = self.entry(replica_id, service, data_centre)
         self.directory.put(entry, self.reactor.seconds())
         return self.directory.replicas[replica_id]
 
     def gather(self, route: Route, request: CallerRequest = REQUEST) -> Gather:
-        """Start a search."""
+        """Start a search over the shards of ``route``."""
         shards = route.destination
         assert isinstance(shards, ShardSet)
         arrived = request._replace(received_at=self.reactor.seconds())
@@ -116,18 +119,18 @@
     def call(
         self, route: Route, service: str, request: CallerRequest = REQUEST
     ) -> SingleCall:
-        """Start a request to one replica."""
+        """Start a request to one replica of ``service``."""
         arrived = request._replace(received_at=self.reactor.seconds())
         work = SingleCall(self.policy, arrived, route, service, self.answers.append)
         work.start()
         return work
 
     def end(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
-        """End an exchange as a replica would."""
+        """End an exchange with ``outcome``."""
         self.dispatcher.end(exchange, outcome)
 
     def answer_all(self, *except_services: str) -> None:
-        """Answer everything that is open, except at some services."""
+        """Answer all open exchanges with success, except those with some services."""
         for exchange in list(self.dispatcher.sent):
             service = exchange.replica.entry.service
             if not exchange.done and service not in except_services:
@@ -135,7 +138,7 @@
 
 
 def make_gateway(bounds: Bounds = DEFAULT_BOUNDS, gateways: int = 1) -> Gateway:
-    """Put the parts together."""
+    """Return a gateway with a fake dispatcher and equal shares."""
     reactor = MemoryReactorClock()
     reactor.advance(100.0)
     directory = Directory(reactor, bounds.drain_s)
@@ -148,48 +151,48 @@
 
 
 def equal_shares(gateways: int) -> Shares:
-    """Divide evenly among some gateways."""
+    """Return equal shares for ``gateways`` gateways."""
     return Shares(float(gateways), float(gateways), gateway_names(gateways))
 
 
 def gateway_names(count: int) -> frozenset[str]:
-    """Name some gateways."""
+    """Return the names of ``count`` gateways."""
     return frozenset(f"g-{number}" for number in range(count))
 
 
 def shard_names(count: int) -> tuple[str, ...]:
-    """Name some shards."""
+    """Return the names of ``count`` shards."""
     return tuple(f"s{number:02}" for number in range(count))
 
 
 def search_route(
     shards: int = 4, least: float = 0.75, objective_s: float = 0.2
 ) -> Route:
-    """Make a route that is gathered from shards."""
+    """Return a route that merges the answers of shards."""
     destination = ShardSet(shard_names(shards), 5, least)
     return Route("r", "h", "/x/", True, 0.8, objective_s, 1, 2, destination)
 
 
 def single_route(idempotent: bool, attempts: int = 2) -> Route:
-    """Make a route to one replica."""
+    """Return a route to one replica of one service."""
     destination = TrafficSplit((WeightedService("desk", 1.0),))
     return Route("o", "h", "/x/", idempotent, 4.0, 0.6, 1, attempts, destination)
 
 
 def configuration(*routes: Route, cold_rate: float = 0.0) -> Configuration:
-    """Make a configuration whose services are those of the routes."""
+    """Return a configuration with routes and the services of the tests."""
     names = {"desk", *shard_names(40)}
     services = {name: Service(name, "/health", 26, 3.0, cold_rate) for name in names}
     return Configuration(1, index_routes(routes), services, CallerLimits())
 
 
 def reply(status: int, signature: bytes | None, body: bytes = b"") -> ReplicaReply:
-    """Make a decoded reply."""
+    """Return a decoded reply."""
     return ReplicaReply(
         status, (), body, signature, False, False, False, False, None, None, 5.0
     )
 
 
 def good(signature: str, record: bytes = b"a" * 16) -> Answered:
-    """Make a replica's success."""
+    """Return a successful outcome of an exchange."""
     return Answered(reply(200, signature.encode(), record))
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -1,4 +1,4 @@
-"""A data centre that is cut off: where work goes, who is refused."""
+"""Requests and readiness when a data centre can't be reached."""
 
 from __future__ import annotations
 
@@ -21,9 +21,12 @@
 
 
 class TestCutOffDataCentre:
-    """Answers the pattern: a zone is partitioned, clients still reach its gateways."""
+    """A data centre is partitioned while callers still reach its gateways.
 
-    def test_replicas_that_pause_one_by_one_are_not_suspected(self) -> None:
+    Requests must go to another data centre, or be refused without a timeout.
+    """
+
+    def test_a_few_paused_replicas_do_not_make_the_data_centre_suspect(self) -> None:
         gateway = with_replicas(4)
         gateway.gather(search_route(4))
         gateway.answer_all("s00", "s01")
@@ -31,7 +34,7 @@
         now = gateway.reactor.seconds()
         assert not gateway.directory.reachability.is_suspect(HERE, now)
 
-    def test_one_replica_that_hangs_does_not_speak_for_the_others(self) -> None:
+    def test_one_hanging_replica_does_not_make_the_data_centre_suspect(self) -> None:
         gateway = with_replicas(8)
         reachability = gateway.directory.reachability
         reachability.record_request(HERE, "hanging", gateway.reactor.seconds())
@@ -42,7 +45,7 @@
         assert not reachability.is_suspect(HERE, now + 0.001)
         assert reachability.is_suspect(HERE, now + 0.2)
 
-    def test_work_goes_to_the_data_centre_that_answers(self) -> None:
+    def test_requests_go_to_the_data_centre_that_responds(self) -> None:
         gateway = with_replicas(8)
         now = gateway.reactor.seconds()
         reachability = gateway.directory.reachability
@@ -50,10 +53,10 @@
             reachability.record_request(HERE, f"{shard}-a", now)
         gateway.reactor.advance(0.2)
         gateway.gather(search_route(8))
-        places = {e.replica.entry.data_centre for e in gateway.dispatcher.sent}
-        assert places == {THERE}
+        data_centres = {e.replica.entry.data_centre for e in gateway.dispatcher.sent}
+        assert data_centres == {THERE}
 
-    def test_is_refused_at_once_when_all_replicas_are_cut_off(self) -> None:
+    def test_requests_are_refused_when_all_replicas_are_cut_off(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-a", shard)
@@ -68,7 +71,7 @@
         assert [answer.status for answer in gateway.answers] == [503]
         assert gateway.dispatcher.sent == []
 
-    def test_a_sign_of_life_ends_the_suspicion(self) -> None:
+    def test_a_response_ends_the_suspicion(self) -> None:
         gateway = with_replicas(4)
         now = gateway.reactor.seconds()
         reachability = gateway.directory.reachability
@@ -81,7 +84,7 @@
 
 
 def make_desk(gateway: Gateway) -> RequestDesk:
-    """Make a desk for searches over four shards and a route that has no replica."""
+    """Return a desk with a route over four shards and one without replicas."""
     stories = RequestStories(gateway.reactor, GatewayMetrics())
     desk = RequestDesk(gateway.policy, stories, Random(1))
     idle = single_route(True)._replace(name="idle", prefix="/idle/")
@@ -89,42 +92,47 @@
     return desk
 
 
-def cut(gateway: Gateway, place: str) -> None:
-    """Let a data centre fall silent for long enough to count as cut off."""
+def cut_off(gateway: Gateway, data_centre: str) -> None:
+    """Leave requests to a data centre unanswered until it counts as cut off."""
     now = gateway.reactor.seconds()
     for number in range(4):
-        gateway.directory.reachability.record_request(place, f"{place}-{number}", now)
+        gateway.directory.reachability.record_request(
+            data_centre, f"{data_centre}-{number}", now
+        )
     gateway.reactor.advance(0.2)
-    gateway.directory.reachability.is_suspect(place, gateway.reactor.seconds())
+    gateway.directory.reachability.is_suspect(data_centre, gateway.reactor.seconds())
     gateway.reactor.advance(0.5)
 
 
 class TestReadiness:
-    """Answers the pattern: a zone is cut off; callers should reach another one."""
+    """A gateway cut off from its replicas must report that it is not ready.
+
+    Callers are then sent to a gateway in another data centre.
+    """
 
-    def test_a_gateway_beyond_the_cut_turns_not_ready(self) -> None:
+    def test_not_ready_when_its_replicas_are_cut_off(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
         desk = make_desk(gateway)
         desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
-        cut(gateway, THERE)
+        cut_off(gateway, THERE)
         assert "cut off from there" in desk.cut_off_reason()
 
-    def test_stays_so_when_its_callers_have_gone_elsewhere(self) -> None:
+    def test_stays_not_ready_after_its_callers_have_left(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
         desk = make_desk(gateway)
         desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
-        cut(gateway, THERE)
+        cut_off(gateway, THERE)
         assert desk.cut_off_reason()
         gateway.reactor.advance(10.0)
         assert "cut off from there" in desk.cut_off_reason()
         gateway.directory.reachability.record_response(THERE, gateway.reactor.seconds())
         assert desk.cut_off_reason() == ""
 
-    def test_says_so_before_it_refuses(self) -> None:
+    def test_not_ready_before_requests_are_refused(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
@@ -137,13 +145,13 @@
         assert "cut off from there" in desk.cut_off_reason()
         assert gateway.directory.can_serve("s00", gateway.reactor.seconds())
 
-    def test_a_gateway_that_can_serve_its_callers_stays_ready(self) -> None:
+    def test_stays_ready_while_it_can_serve_its_callers(self) -> None:
         gateway = with_replicas(4)
         desk = make_desk(gateway)
-        cut(gateway, THERE)
+        cut_off(gateway, THERE)
         assert desk.cut_off_reason() == ""
 
-    def test_routes_that_nobody_asks_for_do_not_count(self) -> None:
+    def test_routes_without_requests_do_not_count(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
@@ -154,10 +162,10 @@
         ]
         desk.configure(configuration(search_route(4), *idle))
         desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
-        cut(gateway, THERE)
+        cut_off(gateway, THERE)
         assert "cut off from there" in desk.cut_off_reason()
 
-    def test_requests_for_a_route_without_any_replica_do_not_count(self) -> None:
+    def test_requests_to_a_route_without_replicas_do_not_count(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
@@ -165,14 +173,14 @@
         now = gateway.reactor.seconds()
         desk.recent(search_route(4)).add(5, now)
         desk.recent(single_route(True)._replace(name="idle")).add(20, now)
-        cut(gateway, THERE)
+        cut_off(gateway, THERE)
         assert "cut off from there: 5 of 5" in desk.cut_off_reason()
 
-    def test_a_route_without_any_replica_does_not_count(self) -> None:
+    def test_an_unused_route_that_is_cut_off_does_not_count(self) -> None:
         gateway = with_replicas(4)
         gateway.add("desk-b", "desk", THERE)
         desk = make_desk(gateway)
         now = gateway.reactor.seconds()
         desk.recent(search_route(4)).add(20, now)
-        cut(gateway, THERE)
+        cut_off(gateway, THERE)
         assert desk.cut_off_reason() == ""
