Correct details in the comments on exchanges, pools and costs

Say what on_end of an abandoned exchange does, that a probe may exceed the limit by one, and which costs make a replica a last resort.

--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -28,7 +28,7 @@
 
 MIN_SEND_TIME_S = 0.002  # with less time left, a request is not sent
 MIN_BASELINE_S = 0.0001  # keeps latency ratios finite
-OVERDUE_RATIO = 1.5  # expected total time of an overdue reply, to the time waited
+OVERDUE_RATIO = 1.5  # expected total time of an overdue reply per time waited
 CONNECTION_GRACE_S = 0.15  # from the deadline to the abort of the connection
 
 
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request did not run: it was refused, or never sent if not ``sent``."""
+    """The request did not run: it was refused after being ``sent``, or never sent."""
 
     detail: str
     sent: bool
@@ -100,7 +100,7 @@
 
 
 class Dispatcher:
-    """Starts exchanges with replicas, classifies their outcomes and cancels them."""
+    """Starts exchanges with replicas, classifies their outcomes, abandons them."""
 
     def __init__(
         self,
@@ -116,7 +116,8 @@
     def start(self, exchange: Exchange) -> None:
         """Send the request of an exchange.
 
-        ``on_end`` is called exactly once, possibly before this returns.
+        Its ``on_end`` is called once, possibly before this returns, unless the exchange
+        is abandoned.
         """
         replica = exchange.replica
         exchange.expected_service_times = replica.expected_service_times(
@@ -215,7 +216,7 @@
     def observe_reply_time(
         self, exchange: Exchange, baseline_s: float, now: float
     ) -> float:
-        """Record the reply time relative to the queue; return it in seconds."""
+        """Record how slow the replica was, queueing aside; return the reply time."""
         took_s = now - exchange.sent_at
         expected_s = max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
         if not exchange.was_overdue:
@@ -225,7 +226,7 @@
     def observe_overdue(
         self, exchange: Exchange, baseline_s: float, now: float
     ) -> None:
-        """Record the time that an overdue reply has taken so far."""
+        """Record the slowdown that an overdue reply implies before it arrives."""
         if exchange.sent_at:
             waited_s = OVERDUE_RATIO * (now - exchange.sent_at)
             expected_s = (
@@ -235,7 +236,7 @@
             exchange.replica.observe_overdue(waited_s / expected_s, now)
 
     def abandon(self, exchange: Exchange) -> None:
-        """Cancel an exchange; closing its connection tells the replica to stop."""
+        """Abandon an exchange; closing its connection makes the replica stop work."""
         exchange.done = True
         self.exchanges.pop(exchange, None)
         exchange.replica.in_flight.pop(exchange, None)
--- a/sardinehook/gateway/interfaces.py
+++ b/sardinehook/gateway/interfaces.py
@@ -1,6 +1,6 @@
 """Interfaces of the gateway to callers, replicas and the store, and their data.
 
-The platform implements the codecs and the schema of the store.
+The protocols are implemented in ``sardinehook.platform``.
 """
 
 from __future__ import annotations
@@ -122,8 +122,8 @@
 class ReplicaEntry(NamedTuple):
     """A replica as registered in discovery.
 
-    ``started_ms`` is when its process started; ``sequence``
-    counts the writes of its entry since then.
+    ``started_ms`` is when its process started; ``sequence`` counts
+    the writes of its entry since then.
     """
 
     replica_id: str
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -14,7 +14,7 @@
 
 __all__ = ["ConnectionPool", "Waiter"]
 
-CONNECT_TIMEOUT_S = 1.0  # a handshake takes milliseconds, else unreachable
+CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds; longer means unreachable
 INITIAL_BACKOFF_S = 0.05  # after the first failed attempt
 MAX_BACKOFF_S = 1.0  # after repeated failures
 IDLE_MARGIN_S = 0.3  # dropped this long before the server closes it
@@ -72,7 +72,7 @@
         return self.backoff_s > 0.0 and not self.connections
 
     def probe(self) -> None:
-        """Open one connection beyond the limit, to test if the server is reachable."""
+        """Open a connection to test reachability, one over the limit if needed."""
         if (
             not self.closed
             and not self.connecting
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -14,14 +14,14 @@
 
 __all__ = ["ReplicaSelector", "SelectedReplica"]
 
-CROSS_DATA_CENTRE_COST_S = 0.015  # round trip plus a charge for the traffic
+CROSS_DATA_CENTRE_COST_S = 0.015  # round trip to another data centre, plus its cost
 BUSY_COST_RATIO = 0.5  # of the baseline latency, when all slots are in use
 STALLED_RATIO = 3.0  # of the baseline latency; later replies suggest a pause
 STALL_COST_S = 0.1  # mean remaining length of a pause
 FAILURE_COST_S = 0.4  # a failed exchange costs at least one retry
 COLD_COST_S = 0.02  # replies during a cold start take longer
-UNREACHABLE_COST_S = 1.0  # only used when no other replica is left
-DEREGISTERED_COST_S = 0.5  # only used when no registered replica is left
+UNREACHABLE_COST_S = 1.0  # makes an unreachable replica a last resort
+DEREGISTERED_COST_S = 0.5  # makes a deregistered replica a last resort
 JITTER = 0.1  # keeps gateways from all selecting the same replica
 COLD_SAFETY_RATIO = 0.9  # of the cold rate; network delay bunches arrivals
 
