--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -29,7 +29,7 @@
 
     def careless(call: SingleCall, now: float) -> bool:
         call.may_have_run = False
-        call.policy.budget_of(call.service).repeats.sum = 0
+        call.policy.budget_for(call.service).repeats.sum = 0
         return send_extra(call, now)
 
     patch(SingleCall, "send_extra", careless)
@@ -37,12 +37,12 @@
 
 def refuse_falsely() -> None:
     """Say that requests have not run though they may have."""
-    failed = SingleCall.failed
+    failed = SingleCall.failure_answer
 
     def careless(call: SingleCall, now: float) -> CallerAnswer:
         return failed(call, now)._replace(status=503)
 
-    patch(SingleCall, "failed", careless)
+    patch(SingleCall, "failure_answer", careless)
 
 
 def ignore_draining() -> None:
@@ -78,7 +78,7 @@
     """End on SIGTERM without waiting for requests."""
 
     async def careless(process: GatewayProcess) -> None:
-        for connection in list(process.front.connections):
+        for connection in list(process.http_server.connections):
             connection.tcp.abortConnection()
 
     patch(GatewayProcess, "stop", careless)
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -260,8 +260,10 @@
         self.owner.configure(document.indexes)
         self.vm_watch.configure(homes)
         self.allowances.configure(homes)
-        me = self.fleet.membership.me._replace(revision=revision.number)
-        self.fleet.membership.set_me(me)
+        local_member = self.fleet.membership.local_member._replace(
+            revision=revision.number
+        )
+        self.fleet.membership.set_local_member(local_member)
         self.metrics.revision.set(revision.number)
         log_event(
             logger,
@@ -275,7 +277,7 @@
         if self.stopping:
             return "stopping"
         waited_s = self.reactor.seconds() - self.started_at
-        unheard = set(self.data_centres()) - self.fleet.rosters.rosters.keys()
+        unheard = set(self.data_centres()) - self.fleet.roster_cache.rosters.keys()
         if unheard and waited_s < JOIN_PATIENCE_S:
             return f"joining the fleet, not heard of {', '.join(sorted(unheard))}"
         return ""
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -28,7 +28,7 @@
 from sardinehook.fleet.ownership import NOTHING
 from sardinehook.fleet.registrar import RegistrarDesk
 from sardinehook.fleet.roster import Roster, RosterMember
-from sardinehook.fleet.roster_book import RosterBook
+from sardinehook.fleet.roster_cache import RosterCache
 from sardinehook.fleet.roster_keeper import RosterKeeper
 from sardinehook.fleet.share import share_of
 from sardinehook.messages import ReplicaReport
@@ -95,10 +95,10 @@
             self.peers,
             self.has_surplus,
         )
-        self.rosters = RosterBook()
+        self.roster_cache = RosterCache()
         self.demands: dict[str, Demand] = {}
         self.callbacks: list[Callable[[], None]] = []
-        self.lease_terms: tuple[bool, frozenset[str]] = (False, frozenset())
+        self.lease_state: tuple[bool, frozenset[str]] = (False, frozenset())
         self.leaving = False
         self.running: set[Deferred[Any]] = set()
         self.release_due = False
@@ -116,8 +116,10 @@
 
     def start(self) -> None:
         """Begin; the links must be listening."""
-        me = self.membership.me._replace(link_address=self.links.address)
-        self.membership.set_me(me)
+        local_member = self.membership.local_member._replace(
+            link_address=self.links.address
+        )
+        self.membership.set_local_member(local_member)
         self.gossip.start(self.links.address)
         own = self.identity
         entry = RosterMember(self.node, own.boot, own.vm_incarnation, 0.0, 0)
@@ -187,11 +189,11 @@
 
     def owner_of(self, replica: Replica) -> str | None:
         """Return the owner by the newest roster known of the replica's data centre."""
-        return self.rosters.owner_of(replica)
+        return self.roster_cache.owner_of(replica)
 
     def candidates_of(self, replica: Replica) -> tuple[str, ...]:
         """Return the owner of a replica and its possible deputy."""
-        return self.rosters.candidates_of(replica)
+        return self.roster_cache.candidates_of(replica)
 
     def allowance(self, replica: Replica, index: Index) -> Allowance:
         """Return what this process may use of a replica now."""
@@ -230,25 +232,27 @@
         for member in changes:
             self.follow(member)
         for data_centre, epoch in self.membership.table.epochs.items():
-            if self.rosters.wants(data_centre, epoch, self.reactor.seconds()):
+            if self.roster_cache.should_pull(
+                data_centre, epoch, self.reactor.seconds()
+            ):
                 self.pull(data_centre)
         now = self.reactor.seconds()
         if not self.leaving and self.leases.tick(now):
             self.run(self.registrar.step(len(self.holding.roster.members)))
         self.release_if_due()
         self.ask_releases(now)
-        if self.terms_changed():
+        if self.lease_changed():
             self.changed()
 
-    def terms_changed(self) -> bool:
+    def lease_changed(self) -> bool:
         """Whether the lease lapsed, came or changed since this was last asked.
 
         To be asked before work is begun: a process that was paused may read requests
         before any timer has run.
         """
         terms = (self.leases.valid(), self.leases.lease.lapsed)
-        changed = terms != self.lease_terms
-        self.lease_terms = terms
+        changed = terms != self.lease_state
+        self.lease_state = terms
         return changed
 
     def follow(self, member: Member) -> None:
@@ -277,7 +281,7 @@
 
     def take_pull(self, node: str, message: RosterPull) -> None:
         """Send a roster that a member asks for, and what was released here."""
-        roster = self.rosters.rosters.get(message.data_centre)
+        roster = self.roster_cache.rosters.get(message.data_centre)
         if roster is not None:
             self.links.send(node, RosterPush(message.data_centre, roster))
 
@@ -290,7 +294,7 @@
 
     def keep_roster(self, data_centre: str, roster: Roster) -> None:
         """Keep a roster if it is newer than the known one."""
-        if not self.rosters.keep(data_centre, roster):
+        if not self.roster_cache.update(data_centre, roster):
             return
         table = self.membership.table
         table.epochs[data_centre] = roster.epoch
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -1,4 +1,4 @@
-"""What requests share: estimates, budgets and the choice of replicas."""
+"""State shared by requests: latency estimates, retry budgets, replica choice."""
 
 from __future__ import annotations
 
@@ -9,41 +9,43 @@
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.interfaces import CallerCodec, CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.repeat_budget import RepeatBudget
 from sardinehook.gateway.replica_selection import ReplicaSelector
+from sardinehook.gateway.retry_budget import RetryBudget
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
-__all__ = ["MOVE_AFTER_S", "RequestPolicy", "answer_by", "give_up_at"]
+__all__ = ["FAILOVER_AFTER_S", "RequestPolicy", "answer_deadline", "request_deadline"]
 
-MOVE_AFTER_S = 0.06  # connections to replicas that live are open by then
-ANSWER_MARGIN_S = 0.01  # reading and writing on a busy VM, a late timer, merging
-FIRST_GUESS_RATIO = 0.2  # of the objective: the latency of a route not seen yet
-USUAL_QUANTILE = 0.5
-EXPLAINED_REPLICAS = 4  # of a service, in a line of the log
+FAILOVER_AFTER_S = 0.06  # live replicas accept a connection by then
+ANSWER_MARGIN_S = 0.01  # for I/O on a busy VM, timer lag and merging
+INITIAL_LATENCY_RATIO = 0.2  # of the objective: the latency assumed for a new route
+MEDIAN = 0.5
+MAX_EXPLAINED_REPLICAS = 4  # of a service, in an error detail
 MS_PER_S = 1000.0
 
 
-def answer_by(request: CallerRequest, within_s: float) -> float:
-    """Return when the answer has to be written to be there ``within_s`` after it all.
+def answer_deadline(request: CallerRequest, within_s: float) -> float:
+    """Return when to write the answer so that it arrives within ``within_s``.
+
+    The network path and a processing margin are subtracted.
 
     >>> request = CallerRequest(b"r", b"GET", b"/", "h", (), b"", None, 10.0, 0.016)
-    >>> answer_by(request, 0.2)
+    >>> answer_deadline(request, 0.2)
     10.174
     """
     return request.received_at + within_s - request.network_s - ANSWER_MARGIN_S
 
 
-def give_up_at(request: CallerRequest, route: Route) -> float:
-    """Return when a request has to be answered, whatever there is by then."""
+def request_deadline(request: CallerRequest, route: Route) -> float:
+    """Return the deadline from the timeouts of the route and the caller."""
     patience_s = route.timeout_s
     if request.caller_timeout_s is not None:
         patience_s = min(patience_s, request.caller_timeout_s)
-    return answer_by(request, patience_s)
+    return answer_deadline(request, patience_s)
 
 
 class RequestPolicy:
-    """Outlives single requests; one for each gateway."""
+    """Estimates, budgets and collaborators that all requests of a gateway share."""
 
     def __init__(
         self,
@@ -60,56 +62,56 @@
         self.callers = callers
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
-        self.budgets: dict[str, RepeatBudget] = {}
-        self.counts_from = float("-inf")
-        self.note_denied: Callable[[], object] = int
+        self.budgets: dict[str, RetryBudget] = {}
+        self.counting_since = float("-inf")
+        self.on_retry_denied: Callable[[], object] = int
 
     def configure(self, bounds: Bounds) -> None:
-        """Take the promises of the deployment."""
+        """Apply the limits of the deployment; a new window restarts the budgets."""
         if bounds.repeat_window_s != self.bounds.repeat_window_s:
-            self.start_counting()
+            self.restart_counting()
         self.bounds = bounds
         self.selector.bounds = bounds
         self.directory.drain_s = bounds.drain_s
 
-    def start_counting(self) -> None:
-        """Begin to count repeats; what was spent before is not known."""
+    def restart_counting(self) -> None:
+        """Restart all retry budgets; retries sent before are unknown."""
         self.budgets.clear()
-        self.counts_from = self.reactor.seconds()
+        self.counting_since = self.reactor.seconds()
 
-    def budget_of(self, service: str) -> RepeatBudget:
-        """Return the repeat budget of a service."""
+    def budget_for(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service, creating it if needed."""
         budget = self.budgets.get(service)
         if budget is None:
-            budget = RepeatBudget(self.bounds.repeat_window_s, self.counts_from)
+            budget = RetryBudget(self.bounds.repeat_window_s, self.counting_since)
             self.budgets[service] = budget
         return budget
 
-    def may_repeat(self, service: str, now: float) -> bool:
-        """Take one repeat to a service from the budget, if there is one."""
-        sharers = self.directory.share_divisor(service)
-        if self.budget_of(service).spend(self.bounds, sharers, now):
+    def try_spend_retry(self, service: str, now: float) -> bool:
+        """Spend one retry from a service's budget; return whether there was one."""
+        sharing_gateways = self.directory.share_divisor(service)
+        if self.budget_for(service).spend(self.bounds, sharing_gateways, now):
             return True
-        self.note_denied()
+        self.on_retry_denied()
         return False
 
-    def usual_s(self, route: Route, quantile: float = USUAL_QUANTILE) -> float:
-        """Return a quantile of the time that replicas take for a route."""
+    def latency_s(self, route: Route, quantile: float = MEDIAN) -> float:
+        """Return a quantile of the latency of replicas for a route, in seconds."""
         known = self.latencies.quantile(route.name, quantile)
         if known is None:
-            return FIRST_GUESS_RATIO * route.objective_s
+            return INITIAL_LATENCY_RATIO * route.objective_s
         return known / MS_PER_S
 
     def observe(self, route: Route, took_s: float) -> None:
-        """Take in how long a replica took."""
+        """Record the latency of a reply."""
         self.latencies.record(route.name, took_s * MS_PER_S)
 
     def explain(self, service: str) -> str:
-        """Tell for the log why the replicas of a service are not asked."""
+        """Describe for the log why the replicas of a service were not chosen."""
         now = self.reactor.seconds()
         known = self.directory.by_service.get(service, [])
-        told = [
+        states = [
             f"{replica.replica_id} {self.directory.describe(replica, now)}"
-            for replica in known[:EXPLAINED_REPLICAS]
+            for replica in known[:MAX_EXPLAINED_REPLICAS]
         ]
-        return f"{service}: {', '.join(told) or 'none registered'}"
+        return f"{service}: {', '.join(states) or 'none registered'}"
--- a/sardinehook/gateway/part.py
+++ b/sardinehook/gateway/shard_request.py
@@ -1,37 +1,37 @@
-"""One shard's part in a search."""
+"""The state of a search at one shard."""
 
 from __future__ import annotations
 
 from sardinehook.gateway.dispatch import Exchange
 from sardinehook.gateway.replica import Replica
 
-__all__ = ["Part"]
+__all__ = ["ShardRequest"]
 
 
-class Part:
-    """One shard of a search: who was asked and what came back.
+class ShardRequest:
+    """The requests of a search to one shard's replicas, and the reply.
 
-    ``attempts`` counts the sends that may have run, ``refusals`` those that surely did
-    not. ``arrived`` is set once a request has reached a replica; what is sent after
-    that is a repeat. ``records`` is ``None`` until the shard has answered.
+    ``attempts`` counts the sends that may have run, ``refusals`` those that certainly
+    did not. ``was_sent`` is set once a request has been sent to a replica; later ones
+    count as retries. ``records`` is ``None`` until the shard has answered.
     """
 
     __slots__ = (
-        "arrived",
         "asked",
         "attempts",
         "hedge_at",
+        "name",
         "open_exchanges",
         "reason",
         "records",
         "refusals",
-        "shard",
         "signature",
         "tried",
+        "was_sent",
     )
 
-    def __init__(self, shard: str) -> None:
-        self.shard = shard
+    def __init__(self, name: str) -> None:
+        self.name = name
         self.attempts = 0
         self.refusals = 0
         self.tried: list[Replica] = []
@@ -41,14 +41,14 @@
         self.signature = b""
         self.reason = "no reply in time"
         self.asked = False
-        self.arrived = False
+        self.was_sent = False
 
     @property
-    def is_in(self) -> bool:
+    def answered(self) -> bool:
         """Whether the shard has answered."""
         return self.records is not None
 
     @property
-    def is_lost(self) -> bool:
-        """Whether nothing more is awaited from the shard."""
+    def failed(self) -> bool:
+        """Whether the shard has no answer and no open exchange."""
         return self.records is None and self.asked and not self.open_exchanges
--- a/sardinehook/query/actions.py
+++ b/sardinehook/query/actions.py
@@ -1,4 +1,4 @@
-"""What a search asks its caller to do."""
+"""The actions that a search returns for its caller to perform."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Cancel:
-    """Tell the owner that the answer to a sub-query is no longer wanted."""
+    """Ask the owner to cancel a sub-query, whose reply is no longer needed."""
 
     sub_query_id: int
 
 
 @dataclass(frozen=True, slots=True)
 class Settle:
-    """Answer the caller; comes once, as the last action of a search."""
+    """Answer the caller; returned once, as the last action of a search."""
 
     outcome: SearchAnswer | Problem
     coverage: Coverage
--- a/tests/gateway/test_reachability.py
+++ b/tests/gateway/test_reachability.py
@@ -4,9 +4,9 @@
 
 from random import Random
 
-from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.metrics import GatewayMetrics
-from sardinehook.gateway.story import RequestStories
+from sardinehook.gateway.request_handler import RequestHandler
+from sardinehook.gateway.request_log import RequestLog
 from tests.gateway.support import (
     HERE,
     THERE,
@@ -83,13 +83,13 @@
         assert not reachability.is_suspect(THERE, gateway.reactor.seconds())
 
 
-def make_desk(gateway: Gateway) -> RequestDesk:
-    """Return a desk with a route over four shards and one without replicas."""
-    stories = RequestStories(gateway.reactor, GatewayMetrics())
-    desk = RequestDesk(gateway.policy, stories, Random(1))
+def make_handler(gateway: Gateway) -> RequestHandler:
+    """Return a handler with a route over four shards and one without replicas."""
+    request_log = RequestLog(gateway.reactor, GatewayMetrics())
+    handler = RequestHandler(gateway.policy, request_log, Random(1))
     idle = single_route(True)._replace(name="idle", prefix="/idle/")
-    desk.configure(configuration(search_route(4), idle))
-    return desk
+    handler.configure(configuration(search_route(4), idle))
+    return handler
 
 
 def cut_off(gateway: Gateway, data_centre: str) -> None:
@@ -114,73 +114,73 @@
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
-        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        handler = make_handler(gateway)
+        handler.demand_of(search_route(4)).add(20, gateway.reactor.seconds())
         cut_off(gateway, THERE)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
 
     def test_stays_not_ready_after_its_callers_have_left(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
-        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        handler = make_handler(gateway)
+        handler.demand_of(search_route(4)).add(20, gateway.reactor.seconds())
         cut_off(gateway, THERE)
-        assert desk.cut_off_reason()
+        assert handler.cut_off_reason()
         gateway.reactor.advance(10.0)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
         gateway.directory.reachability.record_response(THERE, gateway.reactor.seconds())
-        assert desk.cut_off_reason() == ""
+        assert handler.cut_off_reason() == ""
 
     def test_not_ready_before_requests_are_refused(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         now = gateway.reactor.seconds()
-        desk.recent(search_route(4)).add(20, now)
+        handler.demand_of(search_route(4)).add(20, now)
         for shard in shard_names(4):
             gateway.directory.reachability.record_request(THERE, f"{shard}-b", now)
         gateway.reactor.advance(0.15)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
         assert gateway.directory.can_serve("s00", gateway.reactor.seconds())
 
     def test_stays_ready_while_it_can_serve_its_callers(self) -> None:
         gateway = with_replicas(4)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         cut_off(gateway, THERE)
-        assert desk.cut_off_reason() == ""
+        assert handler.cut_off_reason() == ""
 
     def test_routes_without_requests_do_not_count(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         idle = [
             single_route(True)._replace(name=f"n{n}", prefix=f"/n{n}/")
             for n in range(50)
         ]
-        desk.configure(configuration(search_route(4), *idle))
-        desk.recent(search_route(4)).add(20, gateway.reactor.seconds())
+        handler.configure(configuration(search_route(4), *idle))
+        handler.demand_of(search_route(4)).add(20, gateway.reactor.seconds())
         cut_off(gateway, THERE)
-        assert "cut off from there" in desk.cut_off_reason()
+        assert "cut off from there" in handler.cut_off_reason()
 
     def test_requests_to_a_route_without_replicas_do_not_count(self) -> None:
         gateway = make_gateway()
         for shard in shard_names(4):
             gateway.add(f"{shard}-b", shard, THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         now = gateway.reactor.seconds()
-        desk.recent(search_route(4)).add(5, now)
-        desk.recent(single_route(True)._replace(name="idle")).add(20, now)
+        handler.demand_of(search_route(4)).add(5, now)
+        handler.demand_of(single_route(True)._replace(name="idle")).add(20, now)
         cut_off(gateway, THERE)
-        assert "cut off from there: 5 of 5" in desk.cut_off_reason()
+        assert "cut off from there: 5 of 5" in handler.cut_off_reason()
 
     def test_an_unused_route_that_is_cut_off_does_not_count(self) -> None:
         gateway = with_replicas(4)
         gateway.add("desk-b", "desk", THERE)
-        desk = make_desk(gateway)
+        handler = make_handler(gateway)
         now = gateway.reactor.seconds()
-        desk.recent(search_route(4)).add(20, now)
+        handler.demand_of(search_route(4)).add(20, now)
         cut_off(gateway, THERE)
-        assert desk.cut_off_reason() == ""
+        assert handler.cut_off_reason() == ""
