--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -10,8 +10,8 @@
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.delegates import Delegate, Delegates
+from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.policy import RequestPolicy, request_deadline
-from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.search_codec import SEARCH_PATH, decode_answer, encode_search
 from sardinehook.transport.connection import (
     ClientConnection,
@@ -66,7 +66,7 @@
     def start(self) -> None:
         """Request a connection to the delegate."""
         self.delegate.searches[self] = None
-        self.delegate.pool.request(self.connected)
+        self.delegate.pool.acquire(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
         """Send the search, or search locally if there is no connection."""
@@ -92,7 +92,7 @@
         match end:
             case Replied(reply):
                 if self.connection is not None:
-                    self.delegate.pool.give_back(self.connection, KEEP_ALIVE_S)
+                    self.delegate.pool.release(self.connection, KEEP_ALIVE_S)
                 if reply.status == SERVICE_UNAVAILABLE:
                     reason = reply.body.decode("latin-1")
                     self.delegates.avoid(self.delegate, reason, REFUSED_AVOID_S)
@@ -131,7 +131,7 @@
         if self.settled:
             return
         connection, self.connection = self.connection, None
-        if connection is not None and connection.finish is not None:
+        if connection is not None and connection.on_end is not None:
             connection.abort()
         detail = f"{self.delegate.name}: {reason}"
         self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
@@ -146,7 +146,7 @@
     def detach(self) -> None:
         """Remove the search from the delegate and from its connection pool."""
         self.delegate.searches.pop(self, None)
-        self.delegate.pool.withdraw(self.connected)
+        self.delegate.pool.cancel(self.connected)
 
     def cancel(self) -> None:
         """Stop after the caller disconnected; the connection is closed."""
@@ -154,5 +154,5 @@
             return
         self.settled = True
         self.detach()
-        if self.connection is not None and self.connection.finish is not None:
+        if self.connection is not None and self.connection.on_end is not None:
             self.connection.abort()
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sardinehook.gateway.directory import Directory
-from sardinehook.gateway.ports import CallerRequest, ReplicaDialect, ReplicaReply
+from sardinehook.gateway.interfaces import CallerRequest, ReplicaCodec, ReplicaReply
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
 from sardinehook.transport.connection import (
@@ -26,22 +26,22 @@
     "NotRun",
 ]
 
-LEAST_SENDABLE_S = 0.002  # less time than this is not worth a replica's work
-LEAST_USUAL_S = 0.0001  # keeps ratios of latencies finite
-OVERDUE_FACTOR = 1.5  # an overdue reply is expected to take so much longer yet
-OVERDUE_S = 0.15  # past its deadline, a silent exchange's connection is given up
+MIN_SEND_TIME_S = 0.002  # with less time left, a request is not sent
+MIN_BASELINE_S = 0.0001  # keeps latency ratios finite
+OVERDUE_RATIO = 1.5  # expected total time of an overdue reply per time waited
+CONNECTION_GRACE_S = 0.15  # from the deadline to the abort of the connection
 
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The replica answered the request itself, with success or not."""
+    """The replica processed the request; the reply may report an error."""
 
     reply: ReplicaReply
 
 
 @dataclass(frozen=True, slots=True)
 class NotRun:
-    """The request surely did not run: it was refused or never sent."""
+    """The request did not run: it was refused after being ``sent``, or never sent."""
 
     detail: str
     sent: bool
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Failed:
-    """The request may have run, and there is no usable answer."""
+    """The request may have run, but there is no valid reply."""
 
     detail: str
 
@@ -58,23 +58,23 @@
 
 
 class Exchange:
-    """One request at one replica, from the wait for a connection to its end.
+    """One request to one replica, from the wait for a connection to its outcome.
 
-    ``sent_at`` is zero until the request has been written. ``waits`` is how many
-    service times the reply was expected to take then, queueing included.
+    ``sent_at`` is zero until the request has been written. ``expected_service_times``
+    is how many service times the reply was expected to take then, queueing included.
     """
 
     __slots__ = (
         "connection",
         "deadline_at",
         "on_end",
-        "over",
+        "done",
         "replica",
         "request",
         "sent_at",
         "started_at",
         "waiter",
-        "waits",
+        "expected_service_times",
         "was_overdue",
     )
 
@@ -92,78 +92,86 @@
         self.deadline_at = deadline_at
         self.on_end = on_end
         self.sent_at = 0.0
-        self.waits = 1.0
-        self.over = False
+        self.expected_service_times = 1.0
+        self.done = False
         self.was_overdue = False
         self.connection: ClientConnection | None = None
         self.waiter: Callable[[ClientConnection | None], None] | None = None
 
 
 class Dispatcher:
-    """Starts, ends and abandons exchanges with replicas."""
+    """Starts exchanges with replicas, classifies their outcomes, abandons them."""
 
     def __init__(
         self,
         reactor: GatewayReactor,
-        dialect: ReplicaDialect,
+        codec: ReplicaCodec,
         directory: Directory,
     ) -> None:
         self.reactor = reactor
-        self.dialect = dialect
+        self.codec = codec
         self.directory = directory
         self.exchanges: dict[Exchange, None] = {}
 
     def start(self, exchange: Exchange) -> None:
-        """Send an exchange's request; its ``on_end`` is called once, perhaps now."""
+        """Send the request of an exchange.
+
+        Its ``on_end`` is called once, possibly before this returns, unless the exchange
+        is abandoned.
+        """
         replica = exchange.replica
-        exchange.waits = replica.waits(exchange.started_at)
+        exchange.expected_service_times = replica.expected_service_times(
+            exchange.started_at
+        )
         self.exchanges[exchange] = None
         replica.in_flight[exchange] = None
-        self.directory.reachability.note_sent(
+        self.directory.reachability.record_request(
             replica.entry.data_centre, replica.replica_id, exchange.started_at
         )
 
-        def connected(connection: ClientConnection | None) -> None:
+        def connection_acquired(connection: ClientConnection | None) -> None:
             exchange.waiter = None
-            self.connected(exchange, connection)
+            self.connection_acquired(exchange, connection)
 
-        exchange.waiter = connected
-        replica.pool.request(connected)
+        exchange.waiter = connection_acquired
+        replica.pool.acquire(connection_acquired)
 
-    def connected(
+    def connection_acquired(
         self, exchange: Exchange, connection: ClientConnection | None
     ) -> None:
-        """Write the request, or end the exchange where there is no connection."""
+        """Write the request, or end the exchange if there is no connection."""
         if connection is None:
-            self.end(exchange, NotRun("no connection", False))
+            self.end(exchange, NotRun("no connection to the replica", False))
             return
         now = self.reactor.seconds()
-        left_s = exchange.deadline_at - now
-        if left_s < LEAST_SENDABLE_S:
-            self.end(exchange, NotRun("no connection in time", False))
+        remaining_s = exchange.deadline_at - now
+        if remaining_s < MIN_SEND_TIME_S:
+            self.end(exchange, NotRun("no connection before the deadline", False))
             return
         replica = exchange.replica
         exchange.sent_at = now
         exchange.connection = connection
         request = exchange.request
         if replica.is_cold(now):
-            replica.cold_arrivals.add(1, now)
+            replica.cold_sends.add(1, now)
         connection.exchange(
-            self.dialect.encode_request(request, replica.replica_id, left_s),
-            lambda end: self.ended(exchange, end),
+            self.codec.encode_request(request, replica.replica_id, remaining_s),
+            lambda end: self.exchange_ended(exchange, end),
             request.method == b"HEAD",
         )
 
-    def ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
-        """Classify the end of an exchange on its connection."""
+    def exchange_ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
+        """Classify how an exchange ended on its connection."""
         now = self.reactor.seconds()
         replica = exchange.replica
         match end:
             case Replied(raw):
-                self.directory.reachability.note_heard(replica.entry.data_centre, now)
-                reply = self.dialect.read_reply(raw, exchange.request.request_id)
+                self.directory.reachability.record_response(
+                    replica.entry.data_centre, now
+                )
+                reply = self.codec.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
-                self.settle_connection(exchange, reply)
+                self.release_connection(exchange, reply)
             case Malformed(detail) | Lost(detail):
                 replica.observe_result(True, now)
                 outcome = Failed(detail)
@@ -172,79 +180,87 @@
     def classify(
         self, exchange: Exchange, reply: ReplicaReply, now: float
     ) -> ExchangeOutcome:
-        """Tell what a whole reply means for the request."""
+        """Return the outcome that a complete reply means for the request."""
         replica = exchange.replica
-        if reply.foreign:
+        if reply.mismatched:
             replica.observe_result(True, now)
-            return Failed("reply to another request")
+            return Failed("reply carries the id of another request")
         replica.observe_reply(reply, now)
         if reply.misdirected:
-            self.directory.note_misdirected(replica)
-            return NotRun("another replica has the address", True)
+            self.directory.discard_misdirected(replica)
+            return NotRun("address belongs to another replica", True)
         if reply.not_run:
             replica.observe_result(True, now)
-            return NotRun(f"refused with {reply.status}", True)
+            return NotRun(f"refused with status {reply.status}", True)
         replica.observe_result(not reply.is_success and reply.status >= 500, now)
         return Answered(reply)
 
-    def settle_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
-        """Reuse the connection unless the reply belongs to another request."""
+    def release_connection(self, exchange: Exchange, reply: ReplicaReply) -> None:
+        """Return the connection to its pool, unless the reply is mismatched."""
         connection = exchange.connection
         if connection is None or not connection.is_open:
             return
-        if reply.foreign:
+        if reply.mismatched:
             connection.abort()
         else:
-            exchange.replica.pool.give_back(connection, reply.keep_alive_s)
+            exchange.replica.pool.release(connection, reply.keep_alive_s)
 
     def end(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
-        """Report the end of an exchange, once."""
+        """Report the outcome of an exchange, at most once."""
         exchange.replica.in_flight.pop(exchange, None)
         self.exchanges.pop(exchange, None)
-        if not exchange.over:
-            exchange.over = True
+        if not exchange.done:
+            exchange.done = True
             exchange.on_end(exchange, outcome)
 
     def observe_reply_time(
-        self, exchange: Exchange, usual_s: float, now: float
+        self, exchange: Exchange, baseline_s: float, now: float
     ) -> float:
-        """Learn how slow a replica is, apart from its queue; return the time taken."""
+        """Record how slow the replica was, queueing aside; return the reply time."""
         took_s = now - exchange.sent_at
-        expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
+        expected_s = max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
         if not exchange.was_overdue:
             exchange.replica.observe_latency(took_s / expected_s, now)
         return took_s
 
-    def observe_overdue(self, exchange: Exchange, usual_s: float, now: float) -> None:
-        """Learn from a reply that is overdue, before it comes."""
+    def observe_overdue(
+        self, exchange: Exchange, baseline_s: float, now: float
+    ) -> None:
+        """Record the slowdown that an overdue reply implies before it arrives."""
         if exchange.sent_at:
-            waited_s = OVERDUE_FACTOR * (now - exchange.sent_at)
-            expected_s = max(usual_s, LEAST_USUAL_S) * exchange.waits
+            waited_s = OVERDUE_RATIO * (now - exchange.sent_at)
+            expected_s = (
+                max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
+            )
             exchange.was_overdue = True
             exchange.replica.observe_overdue(waited_s / expected_s, now)
 
     def abandon(self, exchange: Exchange) -> None:
-        """Drop an exchange and its connection, so that the replica stops its work."""
-        exchange.over = True
+        """Abandon an exchange; closing its connection makes the replica stop work."""
+        exchange.done = True
         self.exchanges.pop(exchange, None)
         exchange.replica.in_flight.pop(exchange, None)
         if exchange.waiter is not None:
-            exchange.replica.pool.withdraw(exchange.waiter)
-        elif exchange.connection is not None and exchange.connection.finish is not None:
+            exchange.replica.pool.cancel(exchange.waiter)
+        elif exchange.connection is not None and exchange.connection.on_end is not None:
             exchange.connection.abort()
 
     def sweep(self, now: float) -> None:
-        """Give up the exchanges that are past their deadline."""
+        """End the exchanges that are past their deadline.
+
+        The connection of one that was sent is aborted ``CONNECTION_GRACE_S`` after
+        the deadline.
+        """
         for exchange in list(self.exchanges):
             if now < exchange.deadline_at:
                 continue
             if exchange.waiter is not None:
-                exchange.replica.pool.withdraw(exchange.waiter)
+                exchange.replica.pool.cancel(exchange.waiter)
                 exchange.waiter = None
-                self.end(exchange, NotRun("no connection in time", False))
-            elif now >= exchange.deadline_at + OVERDUE_S:
+                self.end(exchange, NotRun("no connection before the deadline", False))
+            elif now >= exchange.deadline_at + CONNECTION_GRACE_S:
                 connection = exchange.connection
                 exchange.replica.observe_result(True, now)
-                if connection is not None and connection.finish is not None:
+                if connection is not None and connection.on_end is not None:
                     connection.abort()
-                self.end(exchange, Failed("no reply in time"))
+                self.end(exchange, Failed("no reply before the deadline"))
--- a/sardinehook/gateway/fan_out.py
+++ b/sardinehook/gateway/fan_out.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.choice import Choice
+from sardinehook.gateway.replica_selection import SelectedReplica
 
 __all__ = ["Ask", "FanOutPlan", "Refuse", "plan_fan_out"]
 
@@ -32,7 +32,7 @@
 
 
 def plan_fan_out(
-    choices: Sequence[Choice | None], least_shards: int, left_s: float
+    choices: Sequence[SelectedReplica | None], least_shards: int, left_s: float
 ) -> FanOutPlan:
     """Decide which shards to query with ``left_s`` left until the objective.
 
@@ -54,18 +54,20 @@
         position: choice for position, choice in enumerate(choices) if choice
     }
     in_time = [
-        position for position in available if by_position[position].likely_s <= left_s
+        position for position in available if by_position[position].expected_s <= left_s
     ]
     doubtful = [
-        position for position in available if by_position[position].likely_s > left_s
+        position for position in available if by_position[position].expected_s > left_s
     ]
-    idle = [p for p in doubtful if by_position[p].likely_s <= by_position[p].idle_s]
-    doubtful.sort(key=lambda position: by_position[position].likely_s)
+    idle = [
+        p for p in doubtful if by_position[p].expected_s <= by_position[p].unloaded_s
+    ]
+    doubtful.sort(key=lambda position: by_position[position].expected_s)
     needed = least_shards - len(in_time)
     if needed <= 0:
         return Ask(frozenset(in_time + idle))
     decisive = by_position[doubtful[needed - 1]]
-    if decisive.idle_s <= left_s:
+    if decisive.unloaded_s <= left_s:
         detail = f"the queues of {len(doubtful)} shards are too long"
         return Refuse(Problem(ErrorKind.OVERLOADED, detail), tuple(doubtful))
     return Ask(frozenset(in_time + idle + doubtful[: needed + SPARE_SHARDS]))
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -7,7 +7,6 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, error_answer
-from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route, ShardSet
 from sardinehook.gateway.dispatch import (
     Answered,
@@ -17,15 +16,16 @@
     NotRun,
 )
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
+from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.policy import (
     FAILOVER_AFTER_S,
     RequestPolicy,
     answer_deadline,
     request_deadline,
 )
-from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.gateway.shard_request import ShardRequest
 from sardinehook.transport.reactor import Timer
 
@@ -94,7 +94,7 @@
     @property
     def required(self) -> int:
         """The number of shards that the least coverage requires."""
-        needed = self.shard_set.least_coverage * len(self.shards)
+        needed = self.shard_set.min_coverage * len(self.shards)
         return max(1, ceil(needed - ROUNDING_TOLERANCE))
 
     def start(self) -> None:
@@ -117,7 +117,10 @@
                 self.send_first(choices, asked, now)
 
     def send_first(
-        self, choices: list[Choice | None], positions: frozenset[int], now: float
+        self,
+        choices: list[SelectedReplica | None],
+        positions: frozenset[int],
+        now: float,
     ) -> None:
         """Send to the shards at ``positions`` and count the others as failed."""
         for position, choice in enumerate(choices):
@@ -142,22 +145,24 @@
         centre is unreachable, the load balancer needs seconds to route around it.
         """
         now = self.reactor.seconds()
-        if self.policy.directory.reachability.cut_off(now):
+        if self.policy.directory.reachability.cut_off_data_centres(now):
             return UNREACHABLE_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
             patience_s = self.deadline_at - self.request.received_at
-            spread = 1.0 + self.policy.chooser.random.random()
+            spread = 1.0 + self.policy.selector.random.random()
             return MIN_RETRY_RATIO * patience_s * spread
         return None
 
-    def choose(self, shard: ShardRequest, now: float) -> Choice | None:
+    def choose(self, shard: ShardRequest, now: float) -> SelectedReplica | None:
         """Choose the next replica of a shard."""
         left_s = self.shard_deadline_at - now
-        return self.policy.chooser.choose(
+        return self.policy.selector.select(
             shard.name, self.median_s, shard.tried, left_s, now
         )
 
-    def choose_reachable(self, shard: ShardRequest, now: float) -> Choice | None:
+    def choose_reachable(
+        self, shard: ShardRequest, now: float
+    ) -> SelectedReplica | None:
         """Choose the first replica of a shard, ``None`` if none is reachable."""
         if not self.policy.directory.can_serve(shard.name, now):
             return None
@@ -216,7 +221,7 @@
                     return False
                 self.signatures.add(signature)
                 shard.signature = signature
-                shard.records = split_records(reply.body, self.shard_set.most_records)
+                shard.records = split_records(reply.body, self.shard_set.max_records)
                 self.answered += 1
                 return True
             case NotRun(detail, sent):
@@ -239,7 +244,7 @@
 
     def send_extra(self, shard: ShardRequest, now: float) -> bool:
         """Send to one more replica if attempts, deadline and budget allow it."""
-        if shard.attempts >= self.route.most_attempts or shard.refusals > MAX_REFUSALS:
+        if shard.attempts >= self.route.max_attempts or shard.refusals > MAX_REFUSALS:
             return False
         if now + self.median_s * MIN_TIME_RATIO > self.shard_deadline_at:
             return False
@@ -352,7 +357,7 @@
             [shard.signature for shard in merged], missing
         )
         records = [shard.records or [] for shard in merged]
-        body = merge_records(records, self.shard_set.most_records)
+        body = merge_records(records, self.shard_set.max_records)
         detail = self.reasons() if missing else ""
         return CallerAnswer(200, headers, body, "answered", detail)
 
@@ -394,6 +399,6 @@
         """Abandon all exchanges that have not ended."""
         for shard in self.shards:
             for exchange in shard.open_exchanges:
-                if not exchange.over:
+                if not exchange.done:
                     self.policy.dispatcher.abandon(exchange)
             shard.open_exchanges.clear()
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
-from sardinehook.gateway.ports import CallerDialect, CallerRequest
+from sardinehook.gateway.interfaces import CallerCodec, CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.retry_budget import RetryBudget
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
@@ -33,14 +33,14 @@
     >>> answer_deadline(request, 0.2)
     10.174
     """
-    return request.received_at + within_s - request.path_s - ANSWER_MARGIN_S
+    return request.received_at + within_s - request.network_s - ANSWER_MARGIN_S
 
 
 def request_deadline(request: CallerRequest, route: Route) -> float:
     """Return the deadline from the timeouts of the route and the caller."""
     patience_s = route.timeout_s
-    if request.patience_s is not None:
-        patience_s = min(patience_s, request.patience_s)
+    if request.caller_timeout_s is not None:
+        patience_s = min(patience_s, request.caller_timeout_s)
     return answer_deadline(request, patience_s)
 
 
@@ -52,13 +52,13 @@
         reactor: GatewayReactor,
         directory: Directory,
         dispatcher: Dispatcher,
-        chooser: ReplicaChooser,
-        callers: CallerDialect,
+        selector: ReplicaSelector,
+        callers: CallerCodec,
     ) -> None:
         self.reactor = reactor
         self.directory = directory
         self.dispatcher = dispatcher
-        self.chooser = chooser
+        self.selector = selector
         self.callers = callers
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
@@ -71,7 +71,7 @@
         if bounds.repeat_window_s != self.bounds.repeat_window_s:
             self.restart_counting()
         self.bounds = bounds
-        self.chooser.bounds = bounds
+        self.selector.bounds = bounds
         self.directory.drain_s = bounds.drain_s
 
     def restart_counting(self) -> None:
@@ -89,7 +89,7 @@
 
     def try_spend_retry(self, service: str, now: float) -> bool:
         """Spend one retry from a service's budget; return whether there was one."""
-        sharing_gateways = self.directory.sharers(service)
+        sharing_gateways = self.directory.share_divisor(service)
         if self.budget_for(service).spend(self.bounds, sharing_gateways, now):
             return True
         self.on_retry_denied()
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -17,7 +17,6 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import error_answer
-from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.directory import Directory
@@ -26,12 +25,13 @@
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.heartbeat import HeartbeatProtocol
 from sardinehook.gateway.http_server import HttpServer
+from sardinehook.gateway.interfaces import CallerCodec, ReplicaCodec, StoreSchema
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
-from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.settings import GatewaySettings
@@ -63,9 +63,9 @@
 class Dialects(NamedTuple):
     """Translations of the protocols of callers, replicas and store keys."""
 
-    callers: CallerDialect
-    replicas: ReplicaDialect
-    keys: StoreDialect
+    callers: CallerCodec
+    replicas: ReplicaCodec
+    keys: StoreSchema
 
 
 class GatewayProcess:
@@ -90,18 +90,18 @@
         self.store = make_store(metrics)
         self.directory = Directory(reactor, settings.bounds.drain_s)
         dispatcher = Dispatcher(reactor, dialects.replicas, self.directory)
-        chooser = ReplicaChooser(
+        selector = ReplicaSelector(
             self.directory,
             settings.node,
             settings.data_centre,
             self.random.getrandbits(32),
         )
         self.policy = RequestPolicy(
-            reactor, self.directory, dispatcher, chooser, dialects.callers
+            reactor, self.directory, dispatcher, selector, dialects.callers
         )
         self.policy.configure(settings.bounds)
         self.policy.on_retry_denied = metrics.repeats_denied.inc
-        chooser.note_cold_denied = metrics.cold_denied.inc
+        selector.on_cold_denied = metrics.cold_denied.inc
         self.request_log = RequestLog(reactor, metrics)
         self.request_handler = RequestHandler(
             self.policy, self.request_log, self.random
@@ -297,7 +297,7 @@
         self.delegates.update()
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
-        held = sum(replica.pool.held for replica in replicas.values())
+        held = sum(replica.pool.connection_count for replica in replicas.values())
         self.metrics.connections.set(held)
         self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -12,16 +12,16 @@
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import (
     Configuration,
-    OneReplica,
     Route,
     ShardSet,
+    TrafficSplit,
     WeightedService,
 )
 from sardinehook.gateway.delegated_search import DelegatedSearch
 from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
 from sardinehook.gateway.policy import RequestPolicy
-from sardinehook.gateway.ports import CallerRequest, HttpRequest
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
 from sardinehook.gateway.search_codec import (
@@ -108,7 +108,7 @@
     def update_round_robin(self, route: Route) -> None:
         """Reset the round robin of a route if its services or weights changed."""
         match route.destination:
-            case OneReplica(services) if len(services) > 1:
+            case TrafficSplit(services) if len(services) > 1:
                 current = self.round_robins.get(route.name)
                 if current is None or current.services != services:
                     self.round_robins[route.name] = WeightedRoundRobin(
@@ -130,7 +130,7 @@
         if delegates:
             return f"cut off as {', '.join(delegates)}"
         now = self.reactor.seconds()
-        suspects = self.policy.directory.reachability.suspects(now)
+        suspects = self.policy.directory.reachability.suspected_data_centres(now)
         if not suspects or self.configuration is None:
             self.last_cut_off_reason = ""
             return ""
@@ -163,7 +163,7 @@
         match route.destination:
             case ShardSet(shards, _, _):
                 return any(by_service.get(shard) for shard in shards)
-            case OneReplica(services):
+            case TrafficSplit(services):
                 return any(by_service.get(weighted.service) for weighted in services)
 
     def is_out_of_reach(self, route: Route, now: float) -> bool:
@@ -171,13 +171,11 @@
         directory = self.policy.directory
         match route.destination:
             case ShardSet(shards, _, least):
-                unserved = sum(
-                    directory.is_out_of_reach(shard, now) for shard in shards
-                )
+                unserved = sum(directory.all_suspected(shard, now) for shard in shards)
                 return len(shards) - unserved < least * len(shards)
-            case OneReplica(services):
+            case TrafficSplit(services):
                 return all(
-                    directory.is_out_of_reach(weighted.service, now)
+                    directory.all_suspected(weighted.service, now)
                     for weighted in services
                 )
 
@@ -237,7 +235,7 @@
         match route.destination:
             case ShardSet() as shards:
                 self.start_search(running, request, route, shards, configuration, done)
-            case OneReplica(services):
+            case TrafficSplit(services):
                 service = self.choose_service(route, services)
                 running.begin(SingleCall(self.policy, request, route, service, done))
         return None if running.work.settled else running
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -6,7 +6,6 @@
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, error_answer
-from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.dispatch import (
     Answered,
@@ -15,9 +14,10 @@
     Failed,
     NotRun,
 )
+from sardinehook.gateway.interfaces import CallerRequest, ReplicaReply
 from sardinehook.gateway.policy import FAILOVER_AFTER_S, RequestPolicy, request_deadline
-from sardinehook.gateway.ports import CallerRequest, ReplicaReply
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["SingleCall"]
@@ -91,10 +91,10 @@
         if not self.settled:
             self.schedule(now)
 
-    def choose(self, now: float) -> Choice | None:
+    def choose(self, now: float) -> SelectedReplica | None:
         """Choose the best replica that was not tried yet, ``None`` if none is left."""
         left_s = self.deadline_at - now
-        return self.policy.chooser.choose(
+        return self.policy.selector.select(
             self.service, self.median_s, self.tried, left_s, now
         )
 
@@ -146,7 +146,7 @@
 
     def process_error(self, reply: ReplicaReply) -> CallerAnswer | None:
         """Forward a replica's error unless another replica may succeed."""
-        unsigned = reply.signature is None or reply.foreign or reply.encoded
+        unsigned = reply.signature is None or reply.mismatched or reply.content_encoded
         if unsigned or 200 <= reply.status < 300:
             return None
         self.error_reply = reply
@@ -164,7 +164,7 @@
         """Send to one more replica if idempotency, attempts, time and budget allow."""
         if self.may_have_run and not self.route.idempotent:
             return False
-        if self.attempts >= self.route.most_attempts or self.refusals > MAX_REFUSALS:
+        if self.attempts >= self.route.max_attempts or self.refusals > MAX_REFUSALS:
             return False
         if now + self.median_s * MIN_TIME_RATIO > self.deadline_at:
             return False
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -19,8 +19,8 @@
     Delegates,
 )
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
+from sardinehook.gateway.interfaces import HttpRequest
 from sardinehook.gateway.metrics import GatewayMetrics
-from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.search_codec import decode_search, encode_search
@@ -53,25 +53,25 @@
 
     def __init__(self) -> None:
         self.sent = b""
-        self.finish: Callable[[ExchangeEnd], None] | None = None
+        self.on_end: Callable[[ExchangeEnd], None] | None = None
         self.aborted = False
         self.idle = False
 
-    def exchange(self, request: bytes, finish: Callable[[ExchangeEnd], None]) -> None:
+    def exchange(self, request: bytes, on_end: Callable[[ExchangeEnd], None]) -> None:
         """Record a request."""
         self.sent = request
-        self.finish = finish
+        self.on_end = on_end
 
     def abort(self) -> None:
         """Record that the connection was aborted."""
         self.aborted = True
-        self.finish = None
+        self.on_end = None
 
     def end(self, end: ExchangeEnd) -> None:
         """End the exchange."""
-        finish, self.finish = self.finish, None
-        assert finish is not None
-        finish(end)
+        on_end, self.on_end = self.on_end, None
+        assert on_end is not None
+        on_end(end)
 
 
 class FakePool:
@@ -81,7 +81,7 @@
         self.refuses = refuses
         self.opened: list[FakeConnection] = []
 
-    def request(self, waiter: Callable[[FakeConnection | None], None]) -> None:
+    def acquire(self, waiter: Callable[[FakeConnection | None], None]) -> None:
         """Pass a new connection, or ``None``, to ``waiter``."""
         if self.refuses:
             waiter(None)
@@ -90,11 +90,11 @@
         self.opened.append(connection)
         waiter(connection)
 
-    def withdraw(self, waiter: object) -> bool:
+    def cancel(self, waiter: object) -> bool:
         """Return ``False``: no request is waiting."""
         return False
 
-    def give_back(self, connection: object, keep_alive_s: float) -> None:
+    def release(self, connection: object, keep_alive_s: float) -> None:
         """Ignore the returned connection."""
 
     def close(self) -> None:
@@ -176,11 +176,11 @@
         assert wide.handler.delegated_in_flight == 0
 
     def test_elapsed_time_is_sent_with_the_search(self) -> None:
-        request = REQUEST._replace(received_at=10.0, path_s=0.01)
+        request = REQUEST._replace(received_at=10.0, network_s=0.01)
         body = encode_search("narrow", 1, request, 10.05)
         handed = decode_search(body, 500.0).unwrap()
         assert handed.request.received_at == pytest.approx(499.95)
-        assert handed.request.path_s > 0.01
+        assert handed.request.network_s > 0.01
 
     def test_delegates_have_the_larger_share(self) -> None:
         records = {f"n{number}": NARROW for number in range(8)} | {"w": WIDE}
@@ -334,7 +334,7 @@
         assert connection.aborted
         taken.cancel()
         wide.gateway.reactor.advance(0.3)
-        assert all(exchange.over for exchange in wide.gateway.dispatcher.sent)
+        assert all(exchange.done for exchange in wide.gateway.dispatcher.sent)
         assert (
             narrow.handler.in_flight,
             wide.handler.delegated_in_flight,
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -14,8 +14,8 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.http_server import HttpServer, HttpServerConnection
-from sardinehook.gateway.ports import HttpRequest
-from tests.gateway.wire import Wire, make_wire
+from sardinehook.gateway.interfaces import HttpRequest
+from tests.gateway.fake_transport import FakeTransport, make_transport
 
 Finish = Callable[[CallerAnswer], None]
 
@@ -41,7 +41,7 @@
         self.reactor.advance(100.0)
         self.started: list[PendingWork] = []
         self.server = HttpServer(self.reactor, self.start_request)
-        self.wire: Wire = make_wire()
+        self.wire: FakeTransport = make_transport()
         self.connection = HttpServerConnection(self.server)
         connection: Any = self.connection
         connection.makeConnection(self.wire)
@@ -138,7 +138,7 @@
         rig.send(GET)
         rig.answer(0)
         rig.send(GET)
-        first, second = (work.request.path_s for work in rig.started)
+        first, second = (work.request.network_s for work in rig.started)
         assert first == 2 * second
         assert second >= 0.002
 
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -90,12 +90,12 @@
                 configuration(single_route(True), cold_rate=rate)
             )
             gateway.directory.set_shares(equal_shares(gateways))
-            gateway.policy.chooser.node = f"g-{number}"
+            gateway.policy.selector.node = f"g-{number}"
             replica = gateway.add("desk-a", "desk")
             now = gateway.reactor.seconds()
             replica.cold_until = now + 3.0
-            while gateway.policy.chooser.may_ask(replica, now):
-                replica.cold_arrivals.add(1, now)
+            while gateway.policy.selector.cold_limit_allows(replica, now):
+                replica.cold_sends.add(1, now)
                 total += 1
         return total
 
@@ -113,14 +113,14 @@
         replica = gateway.add("desk-a", "desk")
         now = gateway.reactor.seconds()
         replica.cold_until = now + 3.0
-        chooser = gateway.policy.chooser
-        for chooser.node in gateway_names(5):
-            if chooser.may_ask(replica, now):
+        selector = gateway.policy.selector
+        for selector.node in gateway_names(5):
+            if selector.cold_limit_allows(replica, now):
                 break
-        assert chooser.may_ask(replica, now)
+        assert selector.cold_limit_allows(replica, now)
         waiting = Exchange(REQUEST, replica, now, now + 1.0, lambda *_: None)
         replica.in_flight[waiting] = None
-        assert not chooser.may_ask(replica, now)
+        assert not selector.cold_limit_allows(replica, now)
 
     def test_warm_replica_is_preferred(self) -> None:
         gateway = make_gateway()
@@ -138,4 +138,4 @@
         gateway.directory.configure(configuration(single_route(True)))
         gateway.directory.set_shares(equal_shares(9))
         replica = gateway.add("desk-a", "desk")
-        assert 1 <= replica.pool.most * 9 <= 26
+        assert 1 <= replica.pool.max_connections * 9 <= 26
