Rename Holding to OwnershipState

holding stood for a class, an instance and a field of the lease request. The class tracks what a process owns and which members still have to release; its attributes follow.

--- a/sardinehook/fleet/lease_desk.py
+++ b/sardinehook/fleet/lease_desk.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from sardinehook.fleet.control_messages import RegistrarIs
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.lease import LeaseGrant, LeaseRequest, NodeLease, lease_seconds
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.ownership import rendezvous_order
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.registrar import RegistrarDesk
 
 __all__ = ["LeaseDesk"]
@@ -30,14 +30,14 @@
         self,
         reactor: Any,  # noqa: ANN401
         links: Links,
-        holding: Holding,
+        ownership: OwnershipState,
         registrar: RegistrarDesk,
         peers: Callable[[], list[str]],
         has_surplus: Callable[[], bool],
     ) -> None:
         self.reactor = reactor
         self.links = links
-        self.holding = holding
+        self.ownership = ownership
         self.registrar = registrar
         self.peers = peers
         self.has_surplus = has_surplus
@@ -52,26 +52,26 @@
 
     def valid(self) -> bool:
         """Whether the marginal part may be used now."""
-        return self.lease.valid(self.holding.roster.epoch, self.reactor.seconds())
+        return self.lease.valid(self.ownership.roster.epoch, self.reactor.seconds())
 
     def candidates(self) -> list[str]:
         """Return the nodes that may try to become registrar."""
-        names = [self.holding.name, *self.peers()]
+        names = [self.ownership.name, *self.peers()]
         return rendezvous_order(self.registrar.key, names)[:CANDIDATES]
 
     def renewal_s(self) -> float:
         """Return the seconds between two requests."""
-        return lease_seconds(len(self.holding.roster.members)) / RENEWALS_PER_LEASE
+        return lease_seconds(len(self.ownership.roster.members)) / RENEWALS_PER_LEASE
 
     def tick(self, now: float) -> bool:
         """Do what is due; True when the registrar's own lease is to be looked after."""
-        if not self.holding.member:
+        if not self.ownership.is_member:
             return False
         if now - self.asked_at >= self.renewal_s():
             self.ask(now)
-        members = len(self.holding.roster.members)
+        members = len(self.ownership.roster.members)
         due = now - self.stepped_at >= self.registrar.period_s(members)
-        if due and (self.registrar.active or self.holding.name in self.candidates()):
+        if due and (self.registrar.active or self.ownership.name in self.candidates()):
             self.stepped_at = now
             return True
         return False
@@ -82,7 +82,7 @@
         A lease of an earlier epoch is given up a tick before, so that no work is begun
         under it any more when the request leaves.
         """
-        epoch = self.holding.roster.epoch
+        epoch = self.ownership.roster.epoch
         if epoch != self.given_up_for and epoch != self.lease.epoch:
             self.lease.give_up()
             self.given_up_for = epoch
@@ -90,9 +90,9 @@
         if epoch != self.lease.epoch and self.has_surplus():
             return
         self.asked_at = now
-        request = self.lease.ask(self.holding.boot, epoch, now)
+        request = self.lease.ask(self.ownership.boot, epoch, now)
         if self.registrar.active:
-            self.take_request(self.holding.name, request)
+            self.take_request(self.ownership.name, request)
             return
         self.unanswered += 1
         target = self.registrar.registrar
@@ -105,17 +105,17 @@
         """Grant a lease as the registrar, or name the registrar."""
         if not self.registrar.active:
             known = self.registrar.registrar
-            if known and known != self.holding.name:
+            if known and known != self.ownership.name:
                 self.links.send(node, RegistrarIs(known))
             return
-        roster = self.holding.roster
+        roster = self.ownership.roster
         now = self.reactor.seconds()
         grant = self.registrar.registry.request(
             node, request, roster.names, roster.epoch, now
         )
         if grant is None:
             return
-        if node == self.holding.name:
+        if node == self.ownership.name:
             self.take_grant(grant)
         else:
             self.links.send(node, grant)
@@ -132,4 +132,4 @@
     def announce_registrar(self) -> None:
         """Tell the data centre that this process is the registrar."""
         for name in self.peers():
-            self.links.send(name, RegistrarIs(self.holding.name))
+            self.links.send(name, RegistrarIs(self.ownership.name))
--- a/sardinehook/fleet/holding.py
+++ b/sardinehook/fleet/ownership_state.py
@@ -5,12 +5,12 @@
 from sardinehook.fleet.ownership import owner_of
 from sardinehook.fleet.roster import EMPTY_ROSTER, Roster, RosterMember
 
-__all__ = ["Holding"]
+__all__ = ["OwnershipState"]
 
-HistoryStep = tuple[tuple[str, ...], frozenset[str]]
+PendingRelease = tuple[tuple[str, ...], frozenset[str]]
 
 
-class Holding:
+class OwnershipState:
     """What one process may hold of its data centre's replicas.
 
     A replica is usable once no other member of the roster can still hold it. A member
@@ -24,12 +24,12 @@
         self.boot = boot
         self.roster: Roster = EMPTY_ROSTER
         self.released: dict[tuple[str, int], int] = {}
-        self.unreleased: list[HistoryStep] = []
-        self.unknown_history = False
-        self.lagging: dict[str, int] = {}
+        self.pending_releases: list[PendingRelease] = []
+        self.history_truncated = False
+        self.lagging_members: dict[str, int] = {}
 
     @property
-    def member(self) -> bool:
+    def is_member(self) -> bool:
         """Whether this very process is in the roster."""
         known = self.roster.find(self.name)
         return known is not None and known.boot == self.boot
@@ -39,7 +39,7 @@
         if roster.epoch <= self.roster.epoch:
             return False
         self.roster = roster
-        self.review()
+        self.update_pending_releases()
         return True
 
     def note_released(self, name: str, boot: int, epoch: int) -> bool:
@@ -47,39 +47,43 @@
         if self.released.get((name, boot), 0) >= epoch:
             return False
         self.released[(name, boot)] = epoch
-        self.review()
+        self.update_pending_releases()
         return True
 
-    def confirmed(self, member: RosterMember) -> int:
+    def released_epoch(self, member: RosterMember) -> int:
         """Return the latest epoch up to which a member is known to have released."""
         told = self.released.get((member.name, member.boot), 0)
         return max(told, member.since_epoch)
 
-    def review(self) -> None:
+    def update_pending_releases(self) -> None:
         """Work out who can still hold what by an earlier epoch."""
         others = [m for m in self.roster.members if m.name != self.name]
-        lagging = {m.name: self.confirmed(m) for m in others}
-        lagging = {n: e for n, e in lagging.items() if e < self.roster.epoch}
-        self.lagging = lagging
-        self.unreleased = []
-        self.unknown_history = False
-        for epoch in range(min(lagging.values(), default=0), self.roster.epoch):
+        lagging_members = {m.name: self.released_epoch(m) for m in others}
+        lagging_members = {
+            n: e for n, e in lagging_members.items() if e < self.roster.epoch
+        }
+        self.lagging_members = lagging_members
+        self.pending_releases = []
+        self.history_truncated = False
+        for epoch in range(min(lagging_members.values(), default=0), self.roster.epoch):
             names = self.roster.names_at(epoch)
-            holders = frozenset(n for n, since in lagging.items() if since <= epoch)
+            holders = frozenset(
+                n for n, since in lagging_members.items() if since <= epoch
+            )
             if names is None:
-                self.unknown_history = self.unknown_history or bool(holders)
+                self.history_truncated = self.history_truncated or bool(holders)
             elif holders:
-                self.unreleased.append((names, holders))
+                self.pending_releases.append((names, holders))
 
     def owns(self, replica: str) -> bool:
         """Whether this process is the owner of a replica by its roster."""
-        return self.member and owner_of(replica, self.roster.names) == self.name
+        return self.is_member and owner_of(replica, self.roster.names) == self.name
 
     def usable(self, replica: str) -> bool:
         """Whether this process may use its part of a replica that it owns now."""
-        if not self.owns(replica) or self.unknown_history:
+        if not self.owns(replica) or self.history_truncated:
             return False
         return all(
             owner_of(replica, names) not in holders
-            for names, holders in self.unreleased
+            for names, holders in self.pending_releases
         )
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -19,13 +19,13 @@
 )
 from sardinehook.fleet.datagram import fleet_number
 from sardinehook.fleet.gossip import Gossip
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.identity import Demand, Identity
 from sardinehook.fleet.lease_desk import LeaseDesk
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.membership import Membership
 from sardinehook.fleet.ownership import NOTHING
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.registrar import RegistrarDesk
 from sardinehook.fleet.roster import Roster, RosterMember
 from sardinehook.fleet.roster_cache import RosterCache
@@ -75,7 +75,7 @@
         self.membership = Membership(identity.member, number, identity.boot)
         self.membership.seeds = set(seeds)
         self.gossip = Gossip(reactor, self.membership, self.after_tick)
-        self.holding = Holding(self.node, identity.boot)
+        self.ownership = OwnershipState(self.node, identity.boot)
         self.keeper = RosterKeeper(
             reactor, store, vm_list, self.data_centre, self.take_roster, self.random
         )
@@ -90,7 +90,7 @@
         self.leases = LeaseDesk(
             reactor,
             links,
-            self.holding,
+            self.ownership,
             self.registrar,
             self.peers,
             self.has_surplus,
@@ -130,7 +130,7 @@
 
     def evict_gone(self) -> None:
         """Look for members whose VMs are no more, if this is one of few that do."""
-        if self.holding.member and self.node in self.leases.candidates():
+        if self.ownership.is_member and self.node in self.leases.candidates():
             self.run(self.keeper.evict_gone())
 
     async def leave(self, limit_s: float) -> None:
@@ -209,7 +209,7 @@
         slots, connections = self.demands[replica]
         now = self.reactor.seconds()
         return share_of(
-            self.holding, self.leases.lease, replica, slots, connections, now
+            self.ownership, self.leases.lease, replica, slots, connections, now
         )
 
     def on_change(self, callback: Callable[[], None]) -> None:
@@ -238,7 +238,7 @@
                 self.pull(data_centre)
         now = self.reactor.seconds()
         if not self.leaving and self.leases.tick(now):
-            self.run(self.registrar.step(len(self.holding.roster.members)))
+            self.run(self.registrar.step(len(self.ownership.roster.members)))
         self.release_if_due()
         self.ask_releases(now)
         if self.lease_changed():
@@ -304,7 +304,7 @@
 
     def take_roster(self, roster: Roster, written: bool) -> None:
         """Use a newer roster of the own data centre; its writer sends it to all."""
-        if not self.holding.set_roster(roster):
+        if not self.ownership.set_roster(roster):
             return
         logger.info("roster_changed", epoch=roster.epoch, count=len(roster.members))
         self.release_due = True
@@ -334,7 +334,7 @@
         if not self.release_due or self.has_surplus():
             return
         self.release_due = False
-        self.released_epoch = self.holding.roster.epoch
+        self.released_epoch = self.ownership.roster.epoch
         for name in self.peers():
             self.links.send(name, self.own_release(wanted=False))
 
@@ -343,12 +343,12 @@
         if now - self.release_asked_at < ASK_RELEASE_PERIOD_S:
             return
         self.release_asked_at = now
-        for name in self.holding.lagging:
+        for name in self.ownership.lagging_members:
             self.links.send(name, self.own_release(wanted=True))
 
     def take_released(self, node: str, message: Released) -> None:
         """Note what a member released, and answer it if it asks."""
         if message.wanted:
             self.links.send(node, self.own_release(wanted=False))
-        if self.holding.note_released(node, message.boot, message.epoch):
+        if self.ownership.note_released(node, message.boot, message.epoch):
             self.changed()
--- a/sardinehook/fleet/share.py
+++ b/sardinehook/fleet/share.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.lease import NodeLease
 from sardinehook.fleet.ownership import NOTHING, Role, allowance, marginal_part
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.target.allowance import Allowance
 
 __all__ = ["share_of"]
 
 
 def share_of(
-    holding: Holding,
+    ownership: OwnershipState,
     lease: NodeLease,
     replica: str,
     slots: int,
@@ -24,12 +24,12 @@
     owner has both, a deputy the marginal part alone. An owner that must still wait
     for an earlier one counts as a deputy. ``now`` is monotonic seconds.
     """
-    if not holding.member:
+    if not ownership.is_member:
         return NOTHING
-    roster = holding.roster
-    usable = holding.usable(replica)
+    roster = ownership.roster
+    usable = ownership.usable(replica)
     leased = lease.holds_marginal(
-        holding.name, replica, roster.names, now, roster.epoch
+        ownership.name, replica, roster.names, now, roster.epoch
     )
     if usable:
         return allowance(Role.OWNER, leased, slots, connections)
--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -15,7 +15,6 @@
     run_state_machine_as_test,
 )
 
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.lease import (
     CLOCK_RATE_MARGIN,
     LEASE_LEAST_S,
@@ -25,6 +24,7 @@
     NodeLease,
     Registry,
 )
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
     EMPTY_ROSTER,
     Roster,
@@ -77,7 +77,7 @@
         self.name = name
         self.boot = boot
         self.rate = rate
-        self.holding = Holding(name, boot)
+        self.ownership = OwnershipState(name, boot)
         self.lease = NodeLease()
         self.registry = Registry()
         self.store_lease = -1
@@ -89,7 +89,7 @@
 
     def share(self, replica: str, now: float) -> Allowance:
         time = self.clock(now)
-        share = share_of(self.holding, self.lease, replica, SLOTS, CONNECTIONS, time)
+        share = share_of(self.ownership, self.lease, replica, SLOTS, CONNECTIONS, time)
         return Allowance(0, 0, False) if self.leaving else share
 
     def running(self, replica: str, now: float) -> int:
@@ -129,7 +129,7 @@
         self.roster = join(self.roster, member)
 
     def learn(self, name: str) -> None:
-        self.nodes[name].holding.set_roster(self.roster)
+        self.nodes[name].ownership.set_roster(self.roster)
 
     @rule(seconds=st.sampled_from([0.05, 0.4, 0.9, 1.7, 2.9, 4.1]))
     def pass_time(self, seconds: float) -> None:
@@ -149,7 +149,7 @@
     def tell_roster(self, name: str) -> None:
         if name not in self.nodes:
             return
-        self.post(name, self.nodes[name].holding.roster)
+        self.post(name, self.nodes[name].ownership.roster)
 
     @rule(name=nodes)
     def tell_release(self, name: str) -> None:
@@ -158,7 +158,7 @@
         node = self.nodes[name]
         if not (not node.has_surplus(self.now)):
             return
-        self.post(name, Released(node.boot, node.holding.roster.epoch))
+        self.post(name, Released(node.boot, node.ownership.roster.epoch))
 
     @rule(name=nodes)
     def restart(self, name: str) -> None:
@@ -253,12 +253,12 @@
         if name not in self.nodes:
             return
         node = self.nodes[name]
-        if node.holding.roster.epoch != node.lease.epoch:
+        if node.ownership.roster.epoch != node.lease.epoch:
             node.lease.give_up()
             if not (not node.has_surplus(self.now)):
                 return
         request = node.lease.ask(
-            node.boot, node.holding.roster.epoch, node.clock(self.now)
+            node.boot, node.ownership.roster.epoch, node.clock(self.now)
         )
         self.parcels.append(Parcel(name, registrar, request))
 
@@ -303,13 +303,13 @@
     def receive(self, node: Node, parcel: Parcel) -> None:
         match parcel.message:
             case Roster() as roster:
-                node.holding.set_roster(roster)
+                node.ownership.set_roster(roster)
             case Released(boot, epoch):
-                node.holding.note_released(parcel.source, boot, epoch)
+                node.ownership.note_released(parcel.source, boot, epoch)
             case LeaseGrant() as grant:
                 node.lease.take(grant)
             case LeaseRequest() as request:
-                roster = node.holding.roster
+                roster = node.ownership.roster
                 granted = node.registry.request(
                     parcel.source,
                     request,
@@ -383,7 +383,7 @@
     def test_taking_over_without_release(self, monkeypatch: Any) -> None:
         for name in NAMES:
             take_over_after_death(name)
-        monkeypatch.setattr(Holding, "usable", Holding.owns)
+        monkeypatch.setattr(OwnershipState, "usable", OwnershipState.owns)
         with pytest.raises(AssertionError):
             for name in NAMES:
                 take_over_after_death(name)
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -4,8 +4,8 @@
 
 from random import Random
 
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.ownership import owner_of
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
     CHANGES_KEPT,
     EMPTY_ROSTER,
@@ -60,35 +60,35 @@
         assert release(roster, "e1", 99).names == ()
 
 
-class TestHolding:
+class TestOwnershipState:
     def test_joiner_waits_only_for_those_that_held_its_replicas(self) -> None:
         roster = roster_of("e1", "e2", "e3")
-        holding = Holding("e3", 2)
-        holding.set_roster(roster)
+        ownership = OwnershipState("e3", 2)
+        ownership.set_roster(roster)
         before = {r: owner_of(r, ("e1", "e2")) for r in REPLICAS}
-        gained = [r for r in REPLICAS if holding.owns(r)]
-        assert gained and not any(holding.usable(r) for r in gained)
-        holding.note_released("e1", 0, roster.epoch)
-        assert all(holding.usable(r) == (before[r] == "e1") for r in gained)
-        holding.note_released("e2", 99, roster.epoch)
-        assert not all(holding.usable(r) for r in gained)
-        holding.note_released("e2", 1, roster.epoch)
-        assert all(holding.usable(r) for r in gained)
+        gained = [r for r in REPLICAS if ownership.owns(r)]
+        assert gained and not any(ownership.usable(r) for r in gained)
+        ownership.note_released("e1", 0, roster.epoch)
+        assert all(ownership.usable(r) == (before[r] == "e1") for r in gained)
+        ownership.note_released("e2", 99, roster.epoch)
+        assert not all(ownership.usable(r) for r in gained)
+        ownership.note_released("e2", 1, roster.epoch)
+        assert all(ownership.usable(r) for r in gained)
 
     def test_history_that_is_too_short_blocks(self) -> None:
         roster = roster_of("e1", "e2")
         for boot in range(CHANGES_KEPT):
             roster = release(join(roster, member("e3", boot)), "e3", boot)
-        holding = Holding("e1", 0)
-        holding.set_roster(roster)
-        assert not any(holding.usable(r) for r in REPLICAS)
-        holding.note_released("e2", 1, roster.epoch)
-        assert any(holding.usable(r) for r in REPLICAS)
+        ownership = OwnershipState("e1", 0)
+        ownership.set_roster(roster)
+        assert not any(ownership.usable(r) for r in REPLICAS)
+        ownership.note_released("e2", 1, roster.epoch)
+        assert any(ownership.usable(r) for r in REPLICAS)
 
     def test_older_roster_changes_nothing(self) -> None:
-        holding = Holding("e1", 0)
-        assert holding.set_roster(roster_of("e1", "e2"))
-        assert not holding.set_roster(roster_of("e1"))
+        ownership = OwnershipState("e1", 0)
+        assert ownership.set_roster(roster_of("e1", "e2"))
+        assert not ownership.set_roster(roster_of("e1"))
 
     def test_coding_keeps_a_roster(self) -> None:
         roster = roster_of("e1", "e2")
