Rename the holding field of lease requests to held_number

It is the number of the lease that the sender holds; the request travels as an array, so the wire is the same.

--- a/sardinehook/fleet/lease.py
+++ b/sardinehook/fleet/lease.py
@@ -20,14 +20,14 @@
     """Asks the registrar for a node lease under a roster epoch.
 
     The sender holds no lease of an earlier epoch any more, and no work of one.
-    ``holding`` is the number of the lease that it goes by, 0 for none; it will go by
-    none with a lower number.
+    ``held_number`` is the number of the lease that it goes by, 0 for none; it will go
+    by none with a lower number.
     """
 
     number: int
     boot: int
     epoch: int
-    holding: int
+    held_number: int
 
 
 class LeaseGrant(NamedTuple):
@@ -61,7 +61,7 @@
 
     def __init__(self) -> None:
         self.number = 0
-        self.holding = 0
+        self.held_number = 0
         self.asked_at: dict[int, float] = {}
         self.epoch = 0
         self.until = float("-inf")
@@ -75,13 +75,13 @@
         self.number += 1
         self.asked_at = {n: t for n, t in self.asked_at.items() if n > self.number - 4}
         self.asked_at[self.number] = now
-        return LeaseRequest(self.number, boot, epoch, self.holding)
+        return LeaseRequest(self.number, boot, epoch, self.held_number)
 
     def give_up(self) -> None:
         """Use the lease no more, nor an answer that is under way."""
         self.until = float("-inf")
         self.lapsed = frozenset()
-        self.holding = self.number + 1
+        self.held_number = self.number + 1
         self.asked_at.clear()
 
     def take(self, grant: LeaseGrant) -> None:
@@ -90,7 +90,7 @@
         if asked_at is None or grant.epoch != self.epoch:
             return
         self.asked_at = {n: t for n, t in self.asked_at.items() if n > grant.number}
-        self.holding = grant.number
+        self.held_number = grant.number
         until = asked_at + grant.ttl_ms / MS_PER_S * (1 - CLOCK_RATE_MARGIN)
         self.until = until - WORK_LIMIT_S
         self.lapsed = frozenset(grant.lapsed)
@@ -186,7 +186,7 @@
             and not (
                 grant.name == name
                 and grant.boot == request.boot
-                and grant.number < request.holding
+                and grant.number < request.held_number
             )
         ]
 
