Rename the module news to member_table

News was a private word for updates that are gossiped; queueing, selection and expiry of updates take the usual terms.

--- a/sardinehook/fleet/gossip.py
+++ b/sardinehook/fleet/gossip.py
@@ -59,7 +59,7 @@
     def tick(self) -> None:
         """Do what is due."""
         self.send(self.membership.tick(self.reactor.seconds()))
-        self.on_tick(self.membership.table.take_changes())
+        self.on_tick(self.membership.table.drain_changes())
 
     def send(self, sends: list[OutgoingDatagram]) -> None:
         """Send datagrams; one that can't leave counts as lost."""
--- a/sardinehook/fleet/news.py
+++ b/sardinehook/fleet/member_table.py
@@ -10,9 +10,9 @@
 
 __all__ = ["MemberTable"]
 
-SPREAD_FACTOR = 4
-NEWS_PER_DATAGRAM = 6
-DEAD_KEPT_S = 300.0
+RETRANSMIT_FACTOR = 4
+QUEUED_UPDATES_PER_DATAGRAM = 6
+DEAD_RETENTION_S = 300.0
 
 
 class MemberTable:
@@ -27,42 +27,44 @@
         self.local_member = local_member
         self.random = Random(seed)
         self.members: dict[str, Member] = {local_member.name: local_member}
-        self.to_tell: dict[str, int] = {}
+        self.pending_updates: dict[str, int] = {}
         self.rotation: list[str] = []
         self.dead_since: dict[str, float] = {}
         self.epochs: dict[str, int] = {}
         self.changed: list[Member] = []
-        self.spreads_new = False
+        self.gossip_joins = False
 
-    def merge(self, told: Member, now: float) -> bool:
+    def merge(self, update: Member, now: float) -> bool:
         """Take in what is told of another member; True when it is news."""
-        known = self.members.get(told.name)
-        if known is not None and not overrides(told, known):
+        known = self.members.get(update.name)
+        if known is not None and not overrides(update, known):
             return False
-        if known is None and told.state is MemberState.DEAD:
+        if known is None and update.state is MemberState.DEAD:
             return False
-        self.members[told.name] = told
-        self.note_change(known, told, now)
+        self.members[update.name] = update
+        self.record_change(known, update, now)
         return True
 
-    def note_change(self, known: Member | None, told: Member, now: float) -> None:
+    def record_change(self, known: Member | None, update: Member, now: float) -> None:
         """Record that a member changed, unless only its revision did."""
-        if known is not None and known._replace(revision=told.revision) == told:
+        if known is not None and known._replace(revision=update.revision) == update:
             return
-        if told.state is MemberState.DEAD:
-            self.dead_since[told.name] = now
+        if update.state is MemberState.DEAD:
+            self.dead_since[update.name] = now
         else:
-            self.dead_since.pop(told.name, None)
+            self.dead_since.pop(update.name, None)
         joined = known is None or known.state is MemberState.JOINING
-        if self.spreads_new or not joined:
-            self.spread(told.name)
-        self.changed.append(told)
+        if self.gossip_joins or not joined:
+            self.queue_update(update.name)
+        self.changed.append(update)
 
-    def spread(self, name: str) -> None:
+    def queue_update(self, name: str) -> None:
         """Tell what is known of a member with the next datagrams."""
-        self.to_tell[name] = SPREAD_FACTOR * ceil(log10(len(self.members) + 1))
+        self.pending_updates[name] = RETRANSMIT_FACTOR * ceil(
+            log10(len(self.members) + 1)
+        )
 
-    def take_changes(self) -> list[Member]:
+    def drain_changes(self) -> list[Member]:
         """Return the members that changed since the last call."""
         changed, self.changed = self.changed, []
         return changed
@@ -76,21 +78,23 @@
             and member.state is not MemberState.DEAD
         ]
 
-    def pick_updates(self, rotated: int, own_only: bool) -> tuple[Member, ...]:
+    def select_updates(self, rotated: int, local_only: bool) -> tuple[Member, ...]:
         """Pick what to tell a member: news first, then some of the rest."""
-        names = sorted(self.to_tell, key=self.to_tell.__getitem__, reverse=True)
-        picked = names[:NEWS_PER_DATAGRAM]
+        names = sorted(
+            self.pending_updates, key=self.pending_updates.__getitem__, reverse=True
+        )
+        picked = names[:QUEUED_UPDATES_PER_DATAGRAM]
         for name in picked:
-            self.to_tell[name] -= 1
-            if self.to_tell[name] <= 0:
-                del self.to_tell[name]
-        picked += self.rotate(rotated, own_only)
+            self.pending_updates[name] -= 1
+            if self.pending_updates[name] <= 0:
+                del self.pending_updates[name]
+        picked += self.next_in_rotation(rotated, local_only)
         unique = dict.fromkeys(
             name for name in picked if name != self.local_member.name
         )
         return tuple(self.members[name] for name in unique if name in self.members)
 
-    def rotate(self, count: int, own_only: bool) -> list[str]:
+    def next_in_rotation(self, count: int, local_only: bool) -> list[str]:
         """Return the next names in rotation; only this data centre's to others."""
         picked: list[str] = []
         for _ in range(min(len(self.members), count * 8)):
@@ -102,11 +106,11 @@
             member = self.members.get(self.rotation.pop())
             if member is None or member.state is MemberState.DEAD:
                 continue
-            if not own_only or member.data_centre == self.local_member.data_centre:
+            if not local_only or member.data_centre == self.local_member.data_centre:
                 picked.append(member.name)
         return picked
 
-    def pick_epochs(self) -> tuple[RosterEpoch, ...]:
+    def select_epochs(self) -> tuple[RosterEpoch, ...]:
         """Pick this data centre's roster epoch and one other to tell."""
         own = self.local_member.data_centre
         others = [place for place in self.epochs if place != own]
@@ -115,17 +119,17 @@
             places.append(self.random.choice(others))
         return tuple(RosterEpoch(place, self.epochs[place]) for place in places)
 
-    def forget_dead(self, now: float) -> None:
+    def remove_expired_dead(self, now: float) -> None:
         """Drop members that have been dead for long."""
         for name, since in list(self.dead_since.items()):
-            if now - since > DEAD_KEPT_S:
+            if now - since > DEAD_RETENTION_S:
                 del self.dead_since[name]
                 self.members.pop(name, None)
-                self.to_tell.pop(name, None)
+                self.pending_updates.pop(name, None)
 
     def retain(self, data_centre: str, names: frozenset[str]) -> None:
         """Drop members of another data centre that its roster no longer lists."""
         for member in self.in_data_centre(data_centre):
             if member.name not in names and member.name != self.local_member.name:
                 del self.members[member.name]
-                self.to_tell.pop(member.name, None)
+                self.pending_updates.pop(member.name, None)
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -12,7 +12,7 @@
 
 from sardinehook.fleet.datagram import Datagram, DatagramKind
 from sardinehook.fleet.member import Member, MemberState
-from sardinehook.fleet.news import MemberTable
+from sardinehook.fleet.member_table import MemberTable
 from sardinehook.fleet.probe import OutgoingDatagram, Probe, Relay
 
 __all__ = ["Membership"]
@@ -80,9 +80,9 @@
         """Do what is due; call it several times a second."""
         if self.started_at is None:
             self.started_at = now
-        self.table.spreads_new = now - self.started_at > SETTLED_AFTER_S
+        self.table.gossip_joins = now - self.started_at > SETTLED_AFTER_S
         self.notice_pause(now)
-        self.table.forget_dead(now)
+        self.table.remove_expired_dead(now)
         self.bury_suspects(now)
         sends = self.contact_seeds(now)
         if self.probe is not None and not self.probe.indirect:
@@ -111,7 +111,7 @@
     def contradict(self, incarnation: int) -> None:
         """Tell with a higher incarnation that this process lives."""
         self.set_local_member(self.local_member._replace(incarnation=incarnation + 1))
-        self.table.spread(self.local_member.name)
+        self.table.queue_update(self.local_member.name)
 
     def suspicion_s(self) -> float:
         """Seconds that a suspect has to contradict; longer in poor local health."""
@@ -143,7 +143,7 @@
         ]
         strangers = sorted(self.seeds - {self.local_member.link_address, *known})
         complete = self.size >= COMPLETE_RATIO * self.fleet_size
-        settled = self.table.spreads_new
+        settled = self.table.gossip_joins
         period_s = REMOTE_PERIOD_S if complete and settled else SEED_PERIOD_S
         self.seed_due_at = now + period_s * self.random.uniform(0.8, 1.2)
         addresses = strangers or ([] if complete else known)
@@ -236,26 +236,26 @@
         self.heard_at[datagram.sender.data_centre] = now
         if self.local_member.state is MemberState.JOINING:
             self.set_local_member(self.local_member._replace(state=MemberState.ALIVE))
-            self.table.spread(self.local_member.name)
-        for told in (datagram.sender, *datagram.updates):
-            self.apply_update(told, now)
+            self.table.queue_update(self.local_member.name)
+        for update in (datagram.sender, *datagram.updates):
+            self.apply_update(update, now)
         for place, epoch in datagram.epochs:
             self.table.epochs[place] = max(epoch, self.table.epochs.get(place, 0))
         return self.answer(datagram, address, now)
 
-    def apply_update(self, told: Member, now: float) -> None:
+    def apply_update(self, update: Member, now: float) -> None:
         """Take in what is told of a member."""
-        if told.name == self.local_member.name:
-            wrong = told.incarnation > self.local_member.incarnation or (
-                told.incarnation == self.local_member.incarnation
-                and told.state > max(self.local_member.state, MemberState.ALIVE)
+        if update.name == self.local_member.name:
+            wrong = update.incarnation > self.local_member.incarnation or (
+                update.incarnation == self.local_member.incarnation
+                and update.state > max(self.local_member.state, MemberState.ALIVE)
             )
             if wrong:
-                self.contradict(told.incarnation)
+                self.contradict(update.incarnation)
             return
-        self.table.merge(told, now)
-        if self.table.members.get(told.name, told).state is MemberState.SUSPECT:
-            self.suspected_at.setdefault(told.name, now)
+        self.table.merge(update, now)
+        if self.table.members.get(update.name, update).state is MemberState.SUSPECT:
+            self.suspected_at.setdefault(update.name, now)
 
     def answer(
         self, datagram: Datagram, address: str, now: float
@@ -317,7 +317,9 @@
         rotated = ROTATED if near else ROTATED_REMOTE
         if lacking:
             rotated = ROTATED_TO_LACKING
-        updates = self.table.pick_updates(rotated, own_only=not near and not lacking)
+        updates = self.table.select_updates(
+            rotated, local_only=not near and not lacking
+        )
         known = self.table.members.get(reader.name)
         if known is not None and known.state > MemberState.ALIVE:
             updates = (known, *updates)
@@ -330,7 +332,7 @@
                 subject,
                 self.local_member,
                 self.size,
-                self.table.pick_epochs(),
+                self.table.select_epochs(),
                 updates,
             ),
         )
@@ -344,8 +346,8 @@
         """Tell some members at once that this process leaves."""
         self.set_local_member(self.local_member._replace(state=MemberState.LEAVING))
         peers = self.probed_members()
-        told = self.random.sample(peers, min(HELPERS, len(peers)))
+        update = self.random.sample(peers, min(HELPERS, len(peers)))
         return [
             self.outgoing(peer.link_address, peer, DatagramKind.PING, 0)
-            for peer in told
+            for peer in update
         ]
