Use the terms of SWIM and Lifeguard in Membership

Names such as bury_suspects, contradict and poor_health were private words for declaring a suspect dead, refutation and the local health score.

--- a/sardinehook/fleet/member_table.py
+++ b/sardinehook/fleet/member_table.py
@@ -78,7 +78,9 @@
             and member.state is not MemberState.DEAD
         ]
 
-    def select_updates(self, rotated: int, local_only: bool) -> tuple[Member, ...]:
+    def select_updates(
+        self, rotation_count: int, local_only: bool
+    ) -> tuple[Member, ...]:
         """Pick what to tell a member: news first, then some of the rest."""
         names = sorted(
             self.pending_updates, key=self.pending_updates.__getitem__, reverse=True
@@ -88,7 +90,7 @@
             self.pending_updates[name] -= 1
             if self.pending_updates[name] <= 0:
                 del self.pending_updates[name]
-        picked += self.next_in_rotation(rotated, local_only)
+        picked += self.next_in_rotation(rotation_count, local_only)
         unique = dict.fromkeys(
             name for name in picked if name != self.local_member.name
         )
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -19,19 +19,19 @@
 
 PROBE_PERIOD_S = 1.0
 INDIRECT_AFTER_S = 0.3
-HELPERS = 3
-SUSPICION_S = 3.0
-HEALTH_LIMIT = 7
+INDIRECT_PROBES = 3
+SUSPICION_BASE_S = 3.0
+MAX_HEALTH_SCORE = 7
 REMOTE_PERIOD_S = 5.0
 SEED_PERIOD_S = 0.5
-RELAY_KEPT_S = 2.0
-PAUSE_S = 2.5
+RELAY_RETENTION_S = 2.0
+PAUSE_THRESHOLD_S = 2.5
 COMPLETE_RATIO = 0.995
 SIZE_DECAY = 0.99
 SETTLED_AFTER_S = 60.0
-ROTATED = 1
-ROTATED_REMOTE = 4
-ROTATED_TO_LACKING = 16
+ROTATION_UPDATES = 1
+ROTATION_UPDATES_REMOTE = 4
+ROTATION_UPDATES_INCOMPLETE = 16
 
 
 class Membership:
@@ -48,13 +48,13 @@
         self.seeds: set[str] = set()
         self.sequence = self.random.randrange(1 << 30)
         self.probe: Probe | None = None
-        self.order: list[str] = []
-        self.urgent: list[str] = []
+        self.probe_order: list[str] = []
+        self.priority_probes: list[str] = []
         self.suspected_at: dict[str, float] = {}
         self.relays: dict[int, Relay] = {}
         self.heard_at: dict[str, float] = {}
         self.fleet_size = 1.0
-        self.poor_health = 0
+        self.health_score = 0
         self.started_at: float | None = None
         self.ticked_at: float | None = None
         self.period_ends_at = 0.0
@@ -81,34 +81,34 @@
         if self.started_at is None:
             self.started_at = now
         self.table.gossip_joins = now - self.started_at > SETTLED_AFTER_S
-        self.notice_pause(now)
+        self.handle_local_pause(now)
         self.table.remove_expired_dead(now)
-        self.bury_suspects(now)
-        sends = self.contact_seeds(now)
+        self.declare_dead(now)
+        sends = self.ping_seeds(now)
         if self.probe is not None and not self.probe.indirect:
-            sends += self.ask_helpers(self.probe, now)
+            sends += self.send_indirect_probes(self.probe, now)
         if now >= self.period_ends_at:
             self.end_probe(now)
             sends += self.start_probe(now)
             self.period_ends_at = now + PROBE_PERIOD_S
         if now >= self.remote_due_at:
             self.remote_due_at = now + REMOTE_PERIOD_S * self.random.uniform(0.8, 1.2)
-            sends += self.contact_elsewhere()
+            sends += self.gossip_to_remote()
         return sends
 
-    def notice_pause(self, now: float) -> None:
+    def handle_local_pause(self, now: float) -> None:
         """Judge nobody by the time in which this process did not run."""
-        paused = self.ticked_at is not None and now - self.ticked_at > PAUSE_S
+        paused = self.ticked_at is not None and now - self.ticked_at > PAUSE_THRESHOLD_S
         if paused and self.ticked_at is not None:
             gap = now - self.ticked_at
             for name in self.suspected_at:
                 self.suspected_at[name] += gap
             self.probe = None
             self.relays.clear()
-            self.contradict(self.local_member.incarnation)
+            self.refute(self.local_member.incarnation)
         self.ticked_at = now
 
-    def contradict(self, incarnation: int) -> None:
+    def refute(self, incarnation: int) -> None:
         """Tell with a higher incarnation that this process lives."""
         self.set_local_member(self.local_member._replace(incarnation=incarnation + 1))
         self.table.queue_update(self.local_member.name)
@@ -116,9 +116,9 @@
     def suspicion_s(self) -> float:
         """Seconds that a suspect has to contradict; longer in poor local health."""
         peers = len(self.table.in_data_centre(self.local_member.data_centre))
-        return SUSPICION_S * max(1.0, log10(peers + 1)) * (1 + self.poor_health)
+        return SUSPICION_BASE_S * max(1.0, log10(peers + 1)) * (1 + self.health_score)
 
-    def bury_suspects(self, now: float) -> None:
+    def declare_dead(self, now: float) -> None:
         """Declare dead who has been suspect for too long."""
         for name, since in list(self.suspected_at.items()):
             member = self.table.members.get(name)
@@ -128,7 +128,7 @@
                 del self.suspected_at[name]
                 self.table.merge(member._replace(state=MemberState.DEAD), now)
 
-    def contact_seeds(self, now: float) -> list[OutgoingDatagram]:
+    def ping_seeds(self, now: float) -> list[OutgoingDatagram]:
         """Ping addresses from settings whose members aren't known, or others' known.
 
         Members that know only each other take themselves to be the whole fleet; the
@@ -150,22 +150,22 @@
         if not addresses:
             return []
         address = self.random.choice(addresses)
-        return [self.outgoing(address, self.local_member, DatagramKind.PING, 0)]
+        return [self.build_datagram(address, self.local_member, DatagramKind.PING, 0)]
 
     def live_members(self) -> list[Member]:
         """Return all members that are not dead, with this one."""
         members = self.table.members.values()
         return [one for one in members if one.state is not MemberState.DEAD]
 
-    def ask_helpers(self, probe: Probe, now: float) -> list[OutgoingDatagram]:
+    def send_indirect_probes(self, probe: Probe, now: float) -> list[OutgoingDatagram]:
         """Let others ping a member that has not answered in time."""
         if now - probe.sent_at < INDIRECT_AFTER_S:
             return []
         self.probe = probe._replace(indirect=True)
         others = [m for m in self.probed_members() if m.name != probe.name]
-        helpers = self.random.sample(others, min(HELPERS, len(others)))
+        helpers = self.random.sample(others, min(INDIRECT_PROBES, len(others)))
         return [
-            self.outgoing(
+            self.build_datagram(
                 helper.link_address,
                 helper,
                 DatagramKind.PING_REQUEST,
@@ -180,7 +180,7 @@
         probe, self.probe = self.probe, None
         if probe is None:
             return
-        self.poor_health = min(HEALTH_LIMIT, self.poor_health + 1)
+        self.health_score = min(MAX_HEALTH_SCORE, self.health_score + 1)
         member = self.table.members.get(probe.name)
         if member is not None and member.state < MemberState.SUSPECT:
             self.suspect(member, now)
@@ -198,24 +198,30 @@
     def start_probe(self, now: float) -> list[OutgoingDatagram]:
         """Ping the next member in a shuffled order."""
         names = {member.name for member in self.probed_members()}
-        if not self.order:
-            self.order = sorted(names)
-            self.random.shuffle(self.order)
-        waiting = [name for name in self.urgent + self.order if name in names]
+        if not self.probe_order:
+            self.probe_order = sorted(names)
+            self.random.shuffle(self.probe_order)
+        waiting = [
+            name for name in self.priority_probes + self.probe_order if name in names
+        ]
         if not waiting:
-            self.order.clear()
+            self.probe_order.clear()
             return []
         name = waiting[0]
-        self.urgent = [other for other in self.urgent if other != name]
-        self.order = [other for other in self.order if other != name]
+        self.priority_probes = [
+            other for other in self.priority_probes if other != name
+        ]
+        self.probe_order = [other for other in self.probe_order if other != name]
         self.sequence += 1
         self.probe = Probe(name, self.sequence, now, False)
         member = self.table.members[name]
         return [
-            self.outgoing(member.link_address, member, DatagramKind.PING, self.sequence)
+            self.build_datagram(
+                member.link_address, member, DatagramKind.PING, self.sequence
+            )
         ]
 
-    def contact_elsewhere(self) -> list[OutgoingDatagram]:
+    def gossip_to_remote(self) -> list[OutgoingDatagram]:
         """Exchange news with a member of another data centre."""
         others = [
             member
@@ -226,7 +232,7 @@
         if not others:
             return []
         member = self.random.choice(others)
-        return [self.outgoing(member.link_address, member, DatagramKind.PING, 0)]
+        return [self.build_datagram(member.link_address, member, DatagramKind.PING, 0)]
 
     def receive(
         self, datagram: Datagram, address: str, now: float
@@ -241,7 +247,7 @@
             self.apply_update(update, now)
         for place, epoch in datagram.epochs:
             self.table.epochs[place] = max(epoch, self.table.epochs.get(place, 0))
-        return self.answer(datagram, address, now)
+        return self.reply_to(datagram, address, now)
 
     def apply_update(self, update: Member, now: float) -> None:
         """Take in what is told of a member."""
@@ -251,13 +257,13 @@
                 and update.state > max(self.local_member.state, MemberState.ALIVE)
             )
             if wrong:
-                self.contradict(update.incarnation)
+                self.refute(update.incarnation)
             return
         self.table.merge(update, now)
         if self.table.members.get(update.name, update).state is MemberState.SUSPECT:
             self.suspected_at.setdefault(update.name, now)
 
-    def answer(
+    def reply_to(
         self, datagram: Datagram, address: str, now: float
     ) -> list[OutgoingDatagram]:
         """Return what a datagram calls for."""
@@ -265,60 +271,60 @@
         match datagram.kind:
             case DatagramKind.PING:
                 ack = DatagramKind.ACK
-                lacking = datagram.size < COMPLETE_RATIO * self.size
-                send = self.outgoing(
-                    address, sender, ack, datagram.sequence, lacking=lacking
+                incomplete = datagram.size < COMPLETE_RATIO * self.size
+                send = self.build_datagram(
+                    address, sender, ack, datagram.sequence, incomplete=incomplete
                 )
                 return [send]
             case DatagramKind.ACK:
-                return self.take_ack(datagram, now)
+                return self.handle_ack(datagram, now)
             case DatagramKind.PING_REQUEST:
-                return self.ping_for(datagram, address, now)
+                return self.handle_ping_request(datagram, address, now)
 
-    def take_ack(self, datagram: Datagram, now: float) -> list[OutgoingDatagram]:
+    def handle_ack(self, datagram: Datagram, now: float) -> list[OutgoingDatagram]:
         """End the probe that is answered, or pass the answer on."""
         if self.probe is not None and self.probe.sequence == datagram.sequence:
             self.probe = None
-            self.poor_health = max(0, self.poor_health - 1)
+            self.health_score = max(0, self.health_score - 1)
         relay = self.relays.pop(datagram.sequence, None)
         if relay is None:
             return []
-        ack = self.outgoing(
+        ack = self.build_datagram(
             relay.address, datagram.sender, DatagramKind.ACK, relay.sequence
         )
         return [ack]
 
-    def ping_for(
+    def handle_ping_request(
         self, datagram: Datagram, address: str, now: float
     ) -> list[OutgoingDatagram]:
         """Ping a member for another one."""
         subject = self.table.members.get(datagram.subject)
         if subject is None:
             return []
-        old = [n for n, r in self.relays.items() if now - r.sent_at > RELAY_KEPT_S]
+        old = [n for n, r in self.relays.items() if now - r.sent_at > RELAY_RETENTION_S]
         for sequence in old:
             del self.relays[sequence]
         self.sequence += 1
         self.relays[self.sequence] = Relay(address, datagram.sequence, now)
         kind = DatagramKind.PING
-        return [self.outgoing(subject.link_address, subject, kind, self.sequence)]
+        return [self.build_datagram(subject.link_address, subject, kind, self.sequence)]
 
-    def outgoing(
+    def build_datagram(
         self,
         address: str,
         reader: Member,
         kind: DatagramKind,
         sequence: int,
         subject: str = "",
-        lacking: bool = False,
+        incomplete: bool = False,
     ) -> OutgoingDatagram:
         """Build a datagram with news for its reader, more if it is lacking members."""
         near = reader.data_centre == self.local_member.data_centre
-        rotated = ROTATED if near else ROTATED_REMOTE
-        if lacking:
-            rotated = ROTATED_TO_LACKING
+        rotation_count = ROTATION_UPDATES if near else ROTATION_UPDATES_REMOTE
+        if incomplete:
+            rotation_count = ROTATION_UPDATES_INCOMPLETE
         updates = self.table.select_updates(
-            rotated, local_only=not near and not lacking
+            rotation_count, local_only=not near and not incomplete
         )
         known = self.table.members.get(reader.name)
         if known is not None and known.state > MemberState.ALIVE:
@@ -337,17 +343,17 @@
             ),
         )
 
-    def note_link_lost(self, name: str) -> None:
+    def handle_link_lost(self, name: str) -> None:
         """Probe a member next whose link was lost."""
-        if name not in self.urgent:
-            self.urgent.append(name)
+        if name not in self.priority_probes:
+            self.priority_probes.append(name)
 
     def leave(self) -> list[OutgoingDatagram]:
         """Tell some members at once that this process leaves."""
         self.set_local_member(self.local_member._replace(state=MemberState.LEAVING))
         peers = self.probed_members()
-        update = self.random.sample(peers, min(HELPERS, len(peers)))
+        update = self.random.sample(peers, min(INDIRECT_PROBES, len(peers)))
         return [
-            self.outgoing(peer.link_address, peer, DatagramKind.PING, 0)
+            self.build_datagram(peer.link_address, peer, DatagramKind.PING, 0)
             for peer in update
         ]
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -112,7 +112,7 @@
         self.links.on(RosterPush, self.take_push)
         self.links.on(RosterPull, self.take_pull)
         self.links.on(Released, self.take_released)
-        self.links.on_down(self.membership.note_link_lost)
+        self.links.on_down(self.membership.handle_link_lost)
 
     def start(self) -> None:
         """Begin; the links must be listening."""
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -57,7 +57,7 @@
         driver = started()
         victim, peer = "centre-1-entry-4", driver.members["centre-1-entry-1"]
         driver.stopped.add(victim)
-        peer.note_link_lost(victim)
+        peer.handle_link_lost(victim)
         driver.run(2.2)
         assert driver.view(peer.local_member.name, victim) is MemberState.SUSPECT
 
@@ -160,7 +160,7 @@
         driver = started(60)
         member = driver.members["centre-0-entry-0"]
         reader = Member("centre-0-entry-99", "centre-0", "10.9.9.9:1", "10.9.9.9:2")
-        datagram = driver.members["centre-0-entry-0"].outgoing(
+        datagram = driver.members["centre-0-entry-0"].build_datagram(
             reader.link_address, reader, DatagramKind.PING, 1
         )[1]
         many = datagram._replace(updates=tuple(member.table.members.values()))
