--- a/sardinehook/fleet/roster_keeper.py
+++ b/sardinehook/fleet/roster_updater.py
@@ -24,7 +24,7 @@
 from sardinehook.store.port import CREATE, Conflict, Entry, Store
 from sardinehook.store.vm_list import VmLister
 
-__all__ = ["RosterKeeper"]
+__all__ = ["RosterUpdater"]
 
 logger = structlog.get_logger(__name__)
 
@@ -32,7 +32,7 @@
 RETRY_MOST_S = 10.0
 
 
-class RosterKeeper:
+class RosterUpdater:
     """Reads and changes one roster by compare-and-swap.
 
     ``on_roster`` gets every roster that was read or written, and whether it was
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -29,7 +29,7 @@
 from sardinehook.fleet.registrar import RegistrarDesk
 from sardinehook.fleet.roster import Roster, RosterMember
 from sardinehook.fleet.roster_cache import RosterCache
-from sardinehook.fleet.roster_keeper import RosterKeeper
+from sardinehook.fleet.roster_updater import RosterUpdater
 from sardinehook.fleet.share import share_of
 from sardinehook.messages import ReplicaReport
 from sardinehook.store.port import Store
@@ -76,7 +76,7 @@
         self.membership.seeds = set(seeds)
         self.gossip = Gossip(reactor, self.membership, self.after_tick)
         self.ownership = OwnershipState(self.node, identity.boot)
-        self.keeper = RosterKeeper(
+        self.roster_updater = RosterUpdater(
             reactor, store, vm_list, self.data_centre, self.take_roster, self.random
         )
         self.registrar = RegistrarDesk(
@@ -123,7 +123,7 @@
         self.gossip.start(self.links.address)
         own = self.identity
         entry = RosterMember(self.node, own.boot, own.vm_incarnation, 0.0, 0)
-        self.run(self.keeper.join(entry))
+        self.run(self.roster_updater.join(entry))
         self.eviction = LoopingCall(self.evict_gone)
         self.eviction.clock = self.reactor
         self.eviction.start(EVICTION_PERIOD_S, now=False)
@@ -131,7 +131,7 @@
     def evict_gone(self) -> None:
         """Look for members whose VMs are no more, if this is one of few that do."""
         if self.ownership.is_member and self.node in self.leases.candidates():
-            self.run(self.keeper.evict_gone())
+            self.run(self.roster_updater.evict_gone())
 
     async def leave(self, limit_s: float) -> None:
         """Stop owning anything: finish, release, and tell that this process leaves.
@@ -146,14 +146,16 @@
         give_up_at = self.reactor.seconds() + limit_s
         while self.has_surplus() and self.reactor.seconds() < give_up_at:
             await deferLater(self.reactor, RELEASE_POLL_S)
-        self.keeper.stopped = True
+        self.roster_updater.stopped = True
         if not self.has_surplus():
-            await self.keeper.release(self.node, self.identity.boot, RELEASE_TRIES)
+            await self.roster_updater.release(
+                self.node, self.identity.boot, RELEASE_TRIES
+            )
         await self.registrar.leave()
 
     async def stop(self) -> None:
         """End all timers and close the port; the links are the caller's to close."""
-        self.keeper.stopped = True
+        self.roster_updater.stopped = True
         if self.eviction is not None and self.eviction.running:
             self.eviction.stop()
         await self.gossip.stop()
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -19,7 +19,7 @@
     release,
     roster_key,
 )
-from sardinehook.fleet.roster_keeper import RosterKeeper
+from sardinehook.fleet.roster_updater import RosterUpdater
 from sardinehook.store.vm_list import HttpVmList, Vm, VmList, VmState
 from tests.fleet.support import reactor
 from tests.store.platform_case import TIMEOUT_MS, PlatformCase
@@ -96,10 +96,10 @@
         assert decode_roster(b"garbage") is None
 
 
-class TestKeeper(PlatformCase):
-    def keeper(self, seen: list[Roster]) -> RosterKeeper:
+class TestRosterUpdater(PlatformCase):
+    def roster_updater(self, seen: list[Roster]) -> RosterUpdater:
         self.vm_list = HttpVmList(reactor, self.address, TIMEOUT_MS)
-        return RosterKeeper(
+        return RosterUpdater(
             reactor,
             self.store,
             self.vm_list,
@@ -114,14 +114,14 @@
 
     async def test_join_whose_reply_was_lost_is_done_once(self) -> None:
         seen: list[Roster] = []
-        keeper = self.keeper(seen)
+        roster_updater = self.roster_updater(seen)
         self.platform.control({"lose_replies": 1, "lose_replies_prefix": "roster/"})
-        await keeper.join(member("e1", 1))
+        await roster_updater.join(member("e1", 1))
         assert seen[-1].epoch == 1 and seen[-1].names == ("e1",)
 
     async def test_malformed_roster_is_not_overwritten(self) -> None:
-        keeper = self.keeper([])
+        roster_updater = self.roster_updater([])
         await self.store.put(roster_key(PLACE), b"garbage", 0)
-        assert not await keeper.release("e1", 1, tries=1)
+        assert not await roster_updater.release("e1", 1, tries=1)
         held = (await self.store.get(roster_key(PLACE))).unwrap()
         assert held is not None and held.value == b"garbage"
