--- a/sardinehook/fleet/roster.py
+++ b/sardinehook/fleet/roster.py
@@ -16,13 +16,13 @@
     "decode_roster",
     "encode_roster",
     "evict",
-    "gone",
     "join",
     "release",
     "roster_key",
+    "vm_removed",
 ]
 
-CHANGES_KEPT = 64
+CHANGE_HISTORY_LIMIT = 64
 VM_LIST_MARGIN_MS = 60_000.0
 UNKNOWN_INCARNATION = 0
 
@@ -94,7 +94,7 @@
 EMPTY_ROSTER = Roster(0, (), ())
 
 
-def changed(
+def next_epoch(
     roster: Roster, members: tuple[RosterMember, ...], name: str, added: bool | None
 ) -> Roster:
     """Return the roster of the next epoch."""
@@ -102,7 +102,7 @@
     changes = roster.changes
     if added is not None:
         changes = (*changes, RosterChange(epoch, name, added))
-    return Roster(epoch, members, changes[-CHANGES_KEPT:])
+    return Roster(epoch, members, changes[-CHANGE_HISTORY_LIMIT:])
 
 
 def join(roster: Roster, member: RosterMember) -> Roster:
@@ -113,7 +113,7 @@
     others = tuple(other for other in roster.members if other.name != member.name)
     joined = member._replace(since_epoch=roster.epoch + 1)
     added = True if known is None else None
-    return changed(roster, (*others, joined), member.name, added)
+    return next_epoch(roster, (*others, joined), member.name, added)
 
 
 def release(roster: Roster, name: str, boot: int) -> Roster:
@@ -122,17 +122,17 @@
     if known is None or known.boot != boot:
         return roster
     others = tuple(member for member in roster.members if member.name != name)
-    return changed(roster, others, name, False)
+    return next_epoch(roster, others, name, False)
 
 
-def gone(member: RosterMember, vm_list: VmList) -> bool:
+def vm_removed(member: RosterMember, vm_list: VmList) -> bool:
     """Whether the platform's list shows that a member's VM is no more.
 
     The list lags, so an absence counts only when it was made well after the member
     joined. A VM that is listed as leaving still runs.
 
     >>> member = RosterMember("e1", 1, 4, 1000.0, 1)
-    >>> gone(member, VmList(1000.0, ())), gone(member, VmList(90_000.0, ()))
+    >>> vm_removed(member, VmList(1000.0, ())), vm_removed(member, VmList(90_000.0, ()))
     (False, True)
     """
     listed = [vm for vm in vm_list.vms if vm.name == member.name]
@@ -151,7 +151,7 @@
 def evict(roster: Roster, vm_list: VmList) -> Roster:
     """Take out the members whose VMs are no more, one epoch each."""
     for member in roster.members:
-        if gone(member, vm_list):
+        if vm_removed(member, vm_list):
             roster = release(roster, member.name, member.boot)
     return roster
 
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -7,7 +7,7 @@
 from sardinehook.fleet.ownership import owner_of
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
-    CHANGES_KEPT,
+    CHANGE_HISTORY_LIMIT,
     EMPTY_ROSTER,
     VM_LIST_MARGIN_MS,
     Roster,
@@ -77,7 +77,7 @@
 
     def test_history_that_is_too_short_blocks(self) -> None:
         roster = roster_of("e1", "e2")
-        for boot in range(CHANGES_KEPT):
+        for boot in range(CHANGE_HISTORY_LIMIT):
             roster = release(join(roster, member("e3", boot)), "e3", boot)
         ownership = OwnershipState("e1", 0)
         ownership.set_roster(roster)
