Rename RegistrarDesk to RegistrarElection

It elects the registrar of a data centre through a key under a lease; the attribute registrar, which held a node name, is registrar_name.

--- a/sardinehook/fleet/lease_desk.py
+++ b/sardinehook/fleet/lease_desk.py
@@ -10,7 +10,7 @@
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.ownership import rendezvous_order
 from sardinehook.fleet.ownership_state import OwnershipState
-from sardinehook.fleet.registrar import RegistrarDesk
+from sardinehook.fleet.registrar import RegistrarElection
 
 __all__ = ["LeaseDesk"]
 
@@ -31,14 +31,14 @@
         reactor: Any,  # noqa: ANN401
         links: Links,
         ownership: OwnershipState,
-        registrar: RegistrarDesk,
+        election: RegistrarElection,
         peers: Callable[[], list[str]],
         has_surplus: Callable[[], bool],
     ) -> None:
         self.reactor = reactor
         self.links = links
         self.ownership = ownership
-        self.registrar = registrar
+        self.election = election
         self.peers = peers
         self.has_surplus = has_surplus
         self.lease = NodeLease()
@@ -57,7 +57,7 @@
     def candidates(self) -> list[str]:
         """Return the nodes that may try to become registrar."""
         names = [self.ownership.name, *self.peers()]
-        return rendezvous_order(self.registrar.key, names)[:CANDIDATES]
+        return rendezvous_order(self.election.key, names)[:CANDIDATES]
 
     def renewal_s(self) -> float:
         """Return the seconds between two requests."""
@@ -70,8 +70,8 @@
         if now - self.asked_at >= self.renewal_s():
             self.ask(now)
         members = len(self.ownership.roster.members)
-        due = now - self.stepped_at >= self.registrar.period_s(members)
-        if due and (self.registrar.active or self.ownership.name in self.candidates()):
+        due = now - self.stepped_at >= self.election.renewal_period_s(members)
+        if due and (self.election.active or self.ownership.name in self.candidates()):
             self.stepped_at = now
             return True
         return False
@@ -91,11 +91,11 @@
             return
         self.asked_at = now
         request = self.lease.ask(self.ownership.boot, epoch, now)
-        if self.registrar.active:
+        if self.election.active:
             self.take_request(self.ownership.name, request)
             return
         self.unanswered += 1
-        target = self.registrar.registrar
+        target = self.election.registrar_name
         if not target or self.unanswered > UNANSWERED_LIMIT:
             candidates = self.candidates()
             target = candidates[self.unanswered % len(candidates)]
@@ -103,14 +103,14 @@
 
     def take_request(self, node: str, request: LeaseRequest) -> None:
         """Grant a lease as the registrar, or name the registrar."""
-        if not self.registrar.active:
-            known = self.registrar.registrar
+        if not self.election.active:
+            known = self.election.registrar_name
             if known and known != self.ownership.name:
                 self.links.send(node, RegistrarIs(known))
             return
         roster = self.ownership.roster
         now = self.reactor.seconds()
-        grant = self.registrar.registry.request(
+        grant = self.election.registry.request(
             node, request, roster.names, roster.epoch, now
         )
         if grant is None:
@@ -127,7 +127,7 @@
 
     def take_registrar(self, node: str, message: RegistrarIs) -> None:
         """Note who is the registrar."""
-        self.registrar.registrar = message.name
+        self.election.registrar_name = message.name
 
     def announce_registrar(self) -> None:
         """Tell the data centre that this process is the registrar."""
--- a/sardinehook/fleet/registrar.py
+++ b/sardinehook/fleet/registrar.py
@@ -12,7 +12,7 @@
 from sardinehook.fleet.lease import CLOCK_RATE_MARGIN, MS_PER_S, Registry, lease_seconds
 from sardinehook.store.port import CREATE, Conflict, Entry, Store
 
-__all__ = ["RegistrarDesk", "RegistrarRecord", "registrar_key"]
+__all__ = ["RegistrarElection", "RegistrarRecord", "registrar_key"]
 
 logger = structlog.get_logger(__name__)
 
@@ -37,11 +37,11 @@
 decoder = msgspec.msgpack.Decoder(RegistrarRecord)
 
 
-class RegistrarDesk:
+class RegistrarElection:
     """Takes and keeps the registrar's lease, and owns the registry of node leases.
 
-    ``step`` is called about every ``period_s``. The lease counts from before the call
-    that granted or renewed it. ``registrar`` is the one last heard of.
+    ``step`` is called about every ``renewal_period_s``. The lease counts from before
+    the call that granted or renewed it. ``registrar_name`` is the one last heard of.
     """
 
     def __init__(
@@ -61,10 +61,10 @@
         self.on_begin = on_begin
         self.registry = Registry()
         self.lease = ""
-        self.lease_from = 0.0
+        self.lease_requested_at = 0.0
         self.ttl_s = OWN_LEASE_FACTOR * lease_seconds(1)
-        self.registrar = ""
-        self.busy = False
+        self.registrar_name = ""
+        self.step_running = False
 
     @property
     def active(self) -> bool:
@@ -72,25 +72,25 @@
         now: float = self.reactor.seconds()
         return now < self.registry.own_until
 
-    def period_s(self, members: int) -> float:
+    def renewal_period_s(self, members: int) -> float:
         """Return the seconds between two steps."""
         return OWN_LEASE_FACTOR * lease_seconds(members) / RENEWALS_PER_LEASE
 
     async def step(self, members: int) -> None:
         """Renew the lease, or try to take it."""
-        if self.busy:
+        if self.step_running:
             return
-        self.busy = True
+        self.step_running = True
         try:
             if self.lease and self.active:
                 await self.renew()
             else:
                 self.ttl_s = OWN_LEASE_FACTOR * lease_seconds(members)
-                await self.take()
+                await self.acquire()
         finally:
-            self.busy = False
+            self.step_running = False
 
-    def until(self, sent_at: float) -> float:
+    def lease_end(self, sent_at: float) -> float:
         """Return the end of a lease asked for at a time."""
         return sent_at + self.ttl_s * (1 - CLOCK_RATE_MARGIN)
 
@@ -99,51 +99,51 @@
         sent_at = self.reactor.seconds()
         match await self.store.renew_lease(self.lease):
             case Success(_):
-                self.registry.prolong(self.until(sent_at))
+                self.registry.prolong(self.lease_end(sent_at))
             case Failure(Conflict()):
                 logger.warning("registrar_lease_lost", lease=self.lease)
-                self.give_up()
+                self.step_down()
 
-    def give_up(self) -> None:
+    def step_down(self) -> None:
         """Grant nothing more."""
         self.lease = ""
         self.registry.own_until = float("-inf")
         self.registry.grants.clear()
 
-    async def take(self) -> None:
+    async def acquire(self) -> None:
         """Create the registrar's key under a new lease."""
-        self.give_up()
+        self.step_down()
         sent_at = self.reactor.seconds()
         granted = await self.store.grant_lease(self.ttl_s * MS_PER_S)
         match granted:
             case Success(lease):
-                self.lease_from = sent_at
+                self.lease_requested_at = sent_at
             case _:
                 return
         record = RegistrarRecord(self.name, self.boot, lease)
         value = encoder.encode(record)
         match await self.store.put(self.key, value, CREATE, lease):
             case Success(_):
-                self.begin(lease)
+                self.become_registrar(lease)
             case Failure(Conflict(current)):
-                await self.yield_to(current, lease)
+                await self.resolve_conflict(current, lease)
             case _:
-                await self.read_back(lease)
+                await self.verify_creation(lease)
 
-    async def read_back(self, lease: str) -> None:
+    async def verify_creation(self, lease: str) -> None:
         """Settle a creation in doubt by what the service holds."""
         match await self.store.get(self.key):
             case Success(entry):
-                await self.yield_to(entry, lease)
+                await self.resolve_conflict(entry, lease)
 
-    async def yield_to(self, entry: Entry | None, lease: str) -> None:
+    async def resolve_conflict(self, entry: Entry | None, lease: str) -> None:
         """Begin if the key was created after all, else give the lease back."""
         holder = self.decode(entry)
         if holder is not None and holder.boot == self.boot and holder.lease == lease:
-            self.begin(lease)
+            self.become_registrar(lease)
             return
         if holder is not None:
-            self.registrar = holder.name
+            self.registrar_name = holder.name
         await self.store.revoke_lease(lease)
 
     def decode(self, entry: Entry | None) -> RegistrarRecord | None:
@@ -155,18 +155,18 @@
         except msgspec.MsgspecError:
             return None
 
-    def begin(self, lease: str) -> None:
+    def become_registrar(self, lease: str) -> None:
         """Act as registrar."""
         now = self.reactor.seconds()
         self.lease = lease
-        self.registrar = self.name
-        self.registry.begin(self.until(self.lease_from), now)
+        self.registrar_name = self.name
+        self.registry.begin(self.lease_end(self.lease_requested_at), now)
         logger.info("registrar_began", node=self.name, lease=lease)
         self.on_begin()
 
     async def leave(self) -> None:
         """Let another node become registrar at once, if no node lease is left."""
         lease, held = self.lease, bool(self.registry.grants)
-        self.give_up()
+        self.step_down()
         if lease and not held:
             await self.store.revoke_lease(lease)
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -26,7 +26,7 @@
 from sardinehook.fleet.membership import Membership
 from sardinehook.fleet.ownership import NOTHING
 from sardinehook.fleet.ownership_state import OwnershipState
-from sardinehook.fleet.registrar import RegistrarDesk
+from sardinehook.fleet.registrar import RegistrarElection
 from sardinehook.fleet.roster import Roster, RosterMember
 from sardinehook.fleet.roster_cache import RosterCache
 from sardinehook.fleet.roster_updater import RosterUpdater
@@ -79,7 +79,7 @@
         self.roster_updater = RosterUpdater(
             reactor, store, vm_list, self.data_centre, self.take_roster, self.random
         )
-        self.registrar = RegistrarDesk(
+        self.election = RegistrarElection(
             reactor,
             store,
             self.data_centre,
@@ -91,7 +91,7 @@
             reactor,
             links,
             self.ownership,
-            self.registrar,
+            self.election,
             self.peers,
             self.has_surplus,
         )
@@ -151,7 +151,7 @@
             await self.roster_updater.release(
                 self.node, self.identity.boot, RELEASE_TRIES
             )
-        await self.registrar.leave()
+        await self.election.leave()
 
     async def stop(self) -> None:
         """End all timers and close the port; the links are the caller's to close."""
@@ -240,7 +240,7 @@
                 self.pull(data_centre)
         now = self.reactor.seconds()
         if not self.leaving and self.leases.tick(now):
-            self.run(self.registrar.step(len(self.ownership.roster.members)))
+            self.run(self.election.step(len(self.ownership.roster.members)))
         self.release_if_due()
         self.ask_releases(now)
         if self.lease_changed():
