Rename LeaseDesk to LeaseManager

Desk was a private word; the class requests, renews and grants node leases. Its message handlers and timestamps follow.

--- a/sardinehook/fleet/lease_desk.py
+++ b/sardinehook/fleet/lease_manager.py
@@ -12,17 +12,17 @@
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.registrar import RegistrarElection
 
-__all__ = ["LeaseDesk"]
+__all__ = ["LeaseManager"]
 
-CANDIDATES = 2
+REGISTRAR_CANDIDATES = 2
 RENEWALS_PER_LEASE = 3.0
 UNANSWERED_LIMIT = 2
 
 
-class LeaseDesk:
+class LeaseManager:
     """The node lease of one process, and the registrar if this process is it.
 
-    ``has_surplus`` tells whether work runs that the process could not start now.
+    ``has_excess_work`` tells whether work runs that the process could not start now.
     ``peers`` lists the other members of the data centre.
     """
 
@@ -33,33 +33,33 @@
         ownership: OwnershipState,
         election: RegistrarElection,
         peers: Callable[[], list[str]],
-        has_surplus: Callable[[], bool],
+        has_excess_work: Callable[[], bool],
     ) -> None:
         self.reactor = reactor
         self.links = links
         self.ownership = ownership
         self.election = election
         self.peers = peers
-        self.has_surplus = has_surplus
+        self.has_excess_work = has_excess_work
         self.lease = NodeLease()
-        self.asked_at = float("-inf")
-        self.stepped_at = float("-inf")
+        self.requested_at = float("-inf")
+        self.election_ran_at = float("-inf")
         self.unanswered = 0
-        self.given_up_for = 0
-        links.on(LeaseRequest, self.take_request)
-        links.on(LeaseGrant, lambda _node, grant: self.take_grant(grant))
-        links.on(RegistrarIs, self.take_registrar)
+        self.relinquished_for_epoch = 0
+        links.on(LeaseRequest, self.handle_request)
+        links.on(LeaseGrant, lambda _node, grant: self.handle_grant(grant))
+        links.on(RegistrarIs, self.handle_registrar_is)
 
     def valid(self) -> bool:
         """Whether the marginal part may be used now."""
         return self.lease.valid(self.ownership.roster.epoch, self.reactor.seconds())
 
-    def candidates(self) -> list[str]:
+    def registrar_candidates(self) -> list[str]:
         """Return the nodes that may try to become registrar."""
         names = [self.ownership.name, *self.peers()]
-        return rendezvous_order(self.election.key, names)[:CANDIDATES]
+        return rendezvous_order(self.election.key, names)[:REGISTRAR_CANDIDATES]
 
-    def renewal_s(self) -> float:
+    def renewal_period_s(self) -> float:
         """Return the seconds between two requests."""
         return lease_seconds(len(self.ownership.roster.members)) / RENEWALS_PER_LEASE
 
@@ -67,41 +67,43 @@
         """Do what is due; True when the registrar's own lease is to be looked after."""
         if not self.ownership.is_member:
             return False
-        if now - self.asked_at >= self.renewal_s():
-            self.ask(now)
+        if now - self.requested_at >= self.renewal_period_s():
+            self.request_lease(now)
         members = len(self.ownership.roster.members)
-        due = now - self.stepped_at >= self.election.renewal_period_s(members)
-        if due and (self.election.active or self.ownership.name in self.candidates()):
-            self.stepped_at = now
+        due = now - self.election_ran_at >= self.election.renewal_period_s(members)
+        if due and (
+            self.election.active or self.ownership.name in self.registrar_candidates()
+        ):
+            self.election_ran_at = now
             return True
         return False
 
-    def ask(self, now: float) -> None:
+    def request_lease(self, now: float) -> None:
         """Ask the registrar for a lease, or a candidate when it does not answer.
 
         A lease of an earlier epoch is given up a tick before, so that no work is begun
         under it any more when the request leaves.
         """
         epoch = self.ownership.roster.epoch
-        if epoch != self.given_up_for and epoch != self.lease.epoch:
+        if epoch != self.relinquished_for_epoch and epoch != self.lease.epoch:
             self.lease.give_up()
-            self.given_up_for = epoch
+            self.relinquished_for_epoch = epoch
             return
-        if epoch != self.lease.epoch and self.has_surplus():
+        if epoch != self.lease.epoch and self.has_excess_work():
             return
-        self.asked_at = now
+        self.requested_at = now
         request = self.lease.ask(self.ownership.boot, epoch, now)
         if self.election.active:
-            self.take_request(self.ownership.name, request)
+            self.handle_request(self.ownership.name, request)
             return
         self.unanswered += 1
         target = self.election.registrar_name
         if not target or self.unanswered > UNANSWERED_LIMIT:
-            candidates = self.candidates()
-            target = candidates[self.unanswered % len(candidates)]
+            registrar_candidates = self.registrar_candidates()
+            target = registrar_candidates[self.unanswered % len(registrar_candidates)]
         self.links.send(target, request)
 
-    def take_request(self, node: str, request: LeaseRequest) -> None:
+    def handle_request(self, node: str, request: LeaseRequest) -> None:
         """Grant a lease as the registrar, or name the registrar."""
         if not self.election.active:
             known = self.election.registrar_name
@@ -116,16 +118,16 @@
         if grant is None:
             return
         if node == self.ownership.name:
-            self.take_grant(grant)
+            self.handle_grant(grant)
         else:
             self.links.send(node, grant)
 
-    def take_grant(self, grant: LeaseGrant) -> None:
+    def handle_grant(self, grant: LeaseGrant) -> None:
         """Take in the registrar's answer."""
         self.unanswered = 0
         self.lease.take(grant)
 
-    def take_registrar(self, node: str, message: RegistrarIs) -> None:
+    def handle_registrar_is(self, node: str, message: RegistrarIs) -> None:
         """Note who is the registrar."""
         self.election.registrar_name = message.name
 
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -20,7 +20,7 @@
 from sardinehook.fleet.datagram import fleet_number
 from sardinehook.fleet.gossip import Gossip
 from sardinehook.fleet.identity import Demand, Identity
-from sardinehook.fleet.lease_desk import LeaseDesk
+from sardinehook.fleet.lease_manager import LeaseManager
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.membership import Membership
@@ -87,13 +87,13 @@
             identity.boot,
             lambda: self.leases.announce_registrar(),
         )
-        self.leases = LeaseDesk(
+        self.leases = LeaseManager(
             reactor,
             links,
             self.ownership,
             self.election,
             self.peers,
-            self.has_surplus,
+            self.has_excess_work,
         )
         self.roster_cache = RosterCache()
         self.demands: dict[str, Demand] = {}
@@ -130,7 +130,7 @@
 
     def evict_gone(self) -> None:
         """Look for members whose VMs are no more, if this is one of few that do."""
-        if self.ownership.is_member and self.node in self.leases.candidates():
+        if self.ownership.is_member and self.node in self.leases.registrar_candidates():
             self.run(self.roster_updater.evict_gone())
 
     async def leave(self, limit_s: float) -> None:
@@ -144,10 +144,10 @@
         self.gossip.send(self.membership.leave())
         self.changed()
         give_up_at = self.reactor.seconds() + limit_s
-        while self.has_surplus() and self.reactor.seconds() < give_up_at:
+        while self.has_excess_work() and self.reactor.seconds() < give_up_at:
             await deferLater(self.reactor, RELEASE_POLL_S)
         self.roster_updater.stopped = True
-        if not self.has_surplus():
+        if not self.has_excess_work():
             await self.roster_updater.release(
                 self.node, self.identity.boot, RELEASE_TRIES
             )
@@ -316,7 +316,7 @@
                 self.links.send(name, RosterPush(self.data_centre, roster))
         self.reactor.callLater(0, self.release_if_due)
 
-    def has_surplus(self) -> bool:
+    def has_excess_work(self) -> bool:
         """Whether more work runs here than this process may start now."""
         return any(
             self.in_flight(replica) > self.share(replica).slots
@@ -333,7 +333,7 @@
 
         Called in a later turn than the change, when callbacks have taken effect.
         """
-        if not self.release_due or self.has_surplus():
+        if not self.release_due or self.has_excess_work():
             return
         self.release_due = False
         self.released_epoch = self.ownership.roster.epoch
--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -95,7 +95,7 @@
     def running(self, replica: str, now: float) -> int:
         return sum(w.replica == replica and w.until > now for w in self.works)
 
-    def has_surplus(self, now: float) -> bool:
+    def has_excess_work(self, now: float) -> bool:
         return any(self.running(r, now) > self.share(r, now).slots for r in REPLICAS)
 
 
@@ -156,7 +156,7 @@
         if name not in self.nodes:
             return
         node = self.nodes[name]
-        if not (not node.has_surplus(self.now)):
+        if not (not node.has_excess_work(self.now)):
             return
         self.post(name, Released(node.boot, node.ownership.roster.epoch))
 
@@ -255,7 +255,7 @@
         node = self.nodes[name]
         if node.ownership.roster.epoch != node.lease.epoch:
             node.lease.give_up()
-            if not (not node.has_surplus(self.now)):
+            if not (not node.has_excess_work(self.now)):
                 return
         request = node.lease.ask(
             node.boot, node.ownership.roster.epoch, node.clock(self.now)
