Use the usual terms of leases in NodeLease and LeaseRegistry

Registry stood for two classes in the project; take, ask, forget and settled_at said nothing of leases.

--- a/sardinehook/fleet/lease.py
+++ b/sardinehook/fleet/lease.py
@@ -7,11 +7,11 @@
 
 from sardinehook.fleet.ownership import rendezvous_order
 
-__all__ = ["Grant", "LeaseGrant", "LeaseRequest", "NodeLease", "Registry"]
+__all__ = ["GrantedLease", "LeaseGrant", "LeaseRegistry", "LeaseRequest", "NodeLease"]
 
 CLOCK_RATE_MARGIN = 0.01
 WORK_LIMIT_S = 1.0
-LEASE_LEAST_S = 4.0
+MIN_LEASE_S = 4.0
 LEASE_PER_MEMBER_S = 0.3
 MS_PER_S = 1000.0
 
@@ -49,7 +49,7 @@
     >>> lease_seconds(3), lease_seconds(79)
     (4.0, 23.7)
     """
-    return max(LEASE_LEAST_S, round(LEASE_PER_MEMBER_S * members, 3))
+    return max(MIN_LEASE_S, round(LEASE_PER_MEMBER_S * members, 3))
 
 
 class NodeLease:
@@ -62,36 +62,40 @@
     def __init__(self) -> None:
         self.number = 0
         self.held_number = 0
-        self.asked_at: dict[int, float] = {}
+        self.requested_at: dict[int, float] = {}
         self.epoch = 0
         self.until = float("-inf")
         self.lapsed: frozenset[str] = frozenset()
 
-    def ask(self, boot: int, epoch: int, now: float) -> LeaseRequest:
+    def new_request(self, boot: int, epoch: int, now: float) -> LeaseRequest:
         """Ask for a lease, giving up one of an earlier epoch."""
         if epoch != self.epoch:
-            self.give_up()
+            self.relinquish()
             self.epoch = epoch
         self.number += 1
-        self.asked_at = {n: t for n, t in self.asked_at.items() if n > self.number - 4}
-        self.asked_at[self.number] = now
+        self.requested_at = {
+            n: t for n, t in self.requested_at.items() if n > self.number - 4
+        }
+        self.requested_at[self.number] = now
         return LeaseRequest(self.number, boot, epoch, self.held_number)
 
-    def give_up(self) -> None:
+    def relinquish(self) -> None:
         """Use the lease no more, nor an answer that is under way."""
         self.until = float("-inf")
         self.lapsed = frozenset()
         self.held_number = self.number + 1
-        self.asked_at.clear()
+        self.requested_at.clear()
 
-    def take(self, grant: LeaseGrant) -> None:
+    def apply_grant(self, grant: LeaseGrant) -> None:
         """Take in an answer of the registrar."""
-        asked_at = self.asked_at.get(grant.number)
-        if asked_at is None or grant.epoch != self.epoch:
+        requested_at = self.requested_at.get(grant.number)
+        if requested_at is None or grant.epoch != self.epoch:
             return
-        self.asked_at = {n: t for n, t in self.asked_at.items() if n > grant.number}
+        self.requested_at = {
+            n: t for n, t in self.requested_at.items() if n > grant.number
+        }
         self.held_number = grant.number
-        until = asked_at + grant.ttl_ms / MS_PER_S * (1 - CLOCK_RATE_MARGIN)
+        until = requested_at + grant.ttl_ms / MS_PER_S * (1 - CLOCK_RATE_MARGIN)
         self.until = until - WORK_LIMIT_S
         self.lapsed = frozenset(grant.lapsed)
 
@@ -110,7 +114,7 @@
         return first == node
 
 
-class Grant(NamedTuple):
+class GrantedLease(NamedTuple):
     """A node lease as its granter remembers it."""
 
     name: str
@@ -121,7 +125,7 @@
     lapsed: frozenset[str]
 
 
-class Registry:
+class LeaseRegistry:
     """The node leases that the registrar of a data centre has granted.
 
     A registrar grants none that could outlast its own lease, and forgets all when it
@@ -132,18 +136,18 @@
 
     def __init__(self) -> None:
         self.own_until = float("-inf")
-        self.settled_at = float("inf")
-        self.grants: list[Grant] = []
-        self.asking_until: dict[str, float] = {}
+        self.lapse_detection_from = float("inf")
+        self.grants: list[GrantedLease] = []
+        self.requesting_until: dict[str, float] = {}
 
     def begin(self, own_until: float, now: float) -> None:
         """Start as the holder of a new lease of the platform's service."""
         self.own_until = own_until
-        self.settled_at = now + LEASE_LEAST_S
+        self.lapse_detection_from = now + MIN_LEASE_S
         self.grants.clear()
-        self.asking_until.clear()
+        self.requesting_until.clear()
 
-    def prolong(self, own_until: float) -> None:
+    def extend(self, own_until: float) -> None:
         """Note that the own lease was renewed."""
         self.own_until = max(self.own_until, own_until)
 
@@ -156,10 +160,10 @@
         now: float,
     ) -> LeaseGrant | None:
         """Grant a lease under the registrar's epoch, or nothing when it must wait."""
-        self.forget(name, request, now)
+        self.remove_ended(name, request, now)
         if request.epoch != epoch or name not in members:
             return None
-        self.asking_until[name] = now + lease_seconds(len(members))
+        self.requesting_until[name] = now + lease_seconds(len(members))
         if not self.may_grant(name, request, epoch):
             return None
         ttl_s = min(
@@ -168,17 +172,19 @@
         )
         if ttl_s <= WORK_LIMIT_S:
             return None
-        lapsed = self.lapsed_members(members, now)
+        lapsed = self.find_lapsed(members, now)
         until = now + ttl_s * (1 + CLOCK_RATE_MARGIN)
         self.grants.append(
-            Grant(name, request.boot, request.number, epoch, until, lapsed)
+            GrantedLease(name, request.boot, request.number, epoch, until, lapsed)
         )
         ttl_ms = ttl_s * MS_PER_S
         return LeaseGrant(request.number, epoch, ttl_ms, tuple(sorted(lapsed)))
 
-    def forget(self, name: str, request: LeaseRequest, now: float) -> None:
+    def remove_ended(self, name: str, request: LeaseRequest, now: float) -> None:
         """Forget what has ended and what the sender of a request no longer goes by."""
-        self.asking_until = {n: t for n, t in self.asking_until.items() if t > now}
+        self.requesting_until = {
+            n: t for n, t in self.requesting_until.items() if t > now
+        }
         self.grants = [
             grant
             for grant in self.grants
@@ -199,9 +205,9 @@
             for grant in self.grants
         ) and all(grant.epoch == epoch for grant in self.grants)
 
-    def lapsed_members(self, members: Collection[str], now: float) -> frozenset[str]:
+    def find_lapsed(self, members: Collection[str], now: float) -> frozenset[str]:
         """Return the members that neither hold a lease nor ask for one."""
-        if now < self.settled_at:
+        if now < self.lapse_detection_from:
             return frozenset()
         held = {grant.name for grant in self.grants}
-        return frozenset(members) - held - self.asking_until.keys()
+        return frozenset(members) - held - self.requesting_until.keys()
--- a/sardinehook/fleet/lease_manager.py
+++ b/sardinehook/fleet/lease_manager.py
@@ -86,13 +86,13 @@
         """
         epoch = self.ownership.roster.epoch
         if epoch != self.relinquished_for_epoch and epoch != self.lease.epoch:
-            self.lease.give_up()
+            self.lease.relinquish()
             self.relinquished_for_epoch = epoch
             return
         if epoch != self.lease.epoch and self.has_excess_work():
             return
         self.requested_at = now
-        request = self.lease.ask(self.ownership.boot, epoch, now)
+        request = self.lease.new_request(self.ownership.boot, epoch, now)
         if self.election.active:
             self.handle_request(self.ownership.name, request)
             return
@@ -125,7 +125,7 @@
     def handle_grant(self, grant: LeaseGrant) -> None:
         """Take in the registrar's answer."""
         self.unanswered = 0
-        self.lease.take(grant)
+        self.lease.apply_grant(grant)
 
     def handle_registrar_is(self, node: str, message: RegistrarIs) -> None:
         """Note who is the registrar."""
--- a/sardinehook/fleet/registrar.py
+++ b/sardinehook/fleet/registrar.py
@@ -9,7 +9,12 @@
 import structlog
 from returns.result import Failure, Success
 
-from sardinehook.fleet.lease import CLOCK_RATE_MARGIN, MS_PER_S, Registry, lease_seconds
+from sardinehook.fleet.lease import (
+    CLOCK_RATE_MARGIN,
+    MS_PER_S,
+    LeaseRegistry,
+    lease_seconds,
+)
 from sardinehook.store.port import CREATE, Conflict, Entry, Store
 
 __all__ = ["RegistrarElection", "RegistrarRecord", "registrar_key"]
@@ -59,7 +64,7 @@
         self.name = name
         self.boot = boot
         self.on_begin = on_begin
-        self.registry = Registry()
+        self.registry = LeaseRegistry()
         self.lease = ""
         self.lease_requested_at = 0.0
         self.ttl_s = OWN_LEASE_FACTOR * lease_seconds(1)
@@ -99,7 +104,7 @@
         sent_at = self.reactor.seconds()
         match await self.store.renew_lease(self.lease):
             case Success(_):
-                self.registry.prolong(self.lease_end(sent_at))
+                self.registry.extend(self.lease_end(sent_at))
             case Failure(Conflict()):
                 logger.warning("registrar_lease_lost", lease=self.lease)
                 self.step_down()
--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -17,12 +17,12 @@
 
 from sardinehook.fleet.lease import (
     CLOCK_RATE_MARGIN,
-    LEASE_LEAST_S,
+    MIN_LEASE_S,
     WORK_LIMIT_S,
     LeaseGrant,
+    LeaseRegistry,
     LeaseRequest,
     NodeLease,
-    Registry,
 )
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
@@ -79,7 +79,7 @@
         self.rate = rate
         self.ownership = OwnershipState(name, boot)
         self.lease = NodeLease()
-        self.registry = Registry()
+        self.registry = LeaseRegistry()
         self.store_lease = -1
         self.works: list[Work] = []
         self.leaving = False
@@ -120,7 +120,7 @@
             self.tell_release(name)
         self.deliver_all()
         self.take_registrar_lease(NAMES[0])
-        self.now += LEASE_LEAST_S
+        self.now += MIN_LEASE_S
 
     def boot(self, name: str) -> None:
         self.boots += 1
@@ -196,7 +196,7 @@
         held, until = self.registrar
         own_until = node.clock(self.now) + REGISTRAR_LEASE_S * (1 - CLOCK_RATE_MARGIN)
         if held == node.boot and until > self.now:
-            node.registry.prolong(own_until)
+            node.registry.extend(own_until)
         elif until <= self.now:
             node.registry.begin(own_until, node.clock(self.now))
         else:
@@ -208,7 +208,7 @@
         if self.store_up and name in self.nodes:
             self.now = max(self.now, self.registrar[1])
             self.take_registrar_lease(name)
-            self.now += LEASE_LEAST_S
+            self.now += MIN_LEASE_S
 
     @rule(
         name=nodes,
@@ -233,7 +233,7 @@
     @rule(silent=st.sets(nodes, min_size=1, max_size=2), lost=st.booleans())
     def renew_all_but(self, silent: set[str], lost: bool) -> None:
         for _ in range(4):
-            self.now += LEASE_LEAST_S / 3
+            self.now += MIN_LEASE_S / 3
             for name in sorted(self.nodes):
                 held = self.nodes[name].boot == self.registrar[0]
                 if held and self.store_up:
@@ -254,10 +254,10 @@
             return
         node = self.nodes[name]
         if node.ownership.roster.epoch != node.lease.epoch:
-            node.lease.give_up()
+            node.lease.relinquish()
             if not (not node.has_excess_work(self.now)):
                 return
-        request = node.lease.ask(
+        request = node.lease.new_request(
             node.boot, node.ownership.roster.epoch, node.clock(self.now)
         )
         self.parcels.append(Parcel(name, registrar, request))
@@ -307,7 +307,7 @@
             case Released(boot, epoch):
                 node.ownership.note_released(parcel.source, boot, epoch)
             case LeaseGrant() as grant:
-                node.lease.take(grant)
+                node.lease.apply_grant(grant)
             case LeaseRequest() as request:
                 roster = node.ownership.roster
                 granted = node.registry.request(
@@ -392,28 +392,28 @@
         self, monkeypatch: Any
     ) -> None:
         lose_the_answer_that_ends_a_deputy()
-        request = Registry.request
+        request = LeaseRegistry.request
 
-        def forgetful(self: Registry, name: str, *rest: Any) -> LeaseGrant | None:
+        def forgetful(self: LeaseRegistry, name: str, *rest: Any) -> LeaseGrant | None:
             self.grants = [grant for grant in self.grants if grant.name != name]
             return request(self, name, *rest)
 
-        monkeypatch.setattr(Registry, "request", forgetful)
+        monkeypatch.setattr(LeaseRegistry, "request", forgetful)
         with pytest.raises(AssertionError):
             lose_the_answer_that_ends_a_deputy()
 
     def test_leases_that_outlast_the_registrars_own(self, monkeypatch: Any) -> None:
         ask_the_registrar_before()
-        begin = Registry.begin
+        begin = LeaseRegistry.begin
 
-        def eternal(self: Registry, own_until: float, now: float) -> None:
+        def eternal(self: LeaseRegistry, own_until: float, now: float) -> None:
             begin(self, own_until + 100.0, now)
 
-        monkeypatch.setattr(Registry, "begin", eternal)
+        monkeypatch.setattr(LeaseRegistry, "begin", eternal)
         with pytest.raises(AssertionError):
             ask_the_registrar_before()
 
     def test_granting_over_leases_that_last(self, monkeypatch: Any) -> None:
-        monkeypatch.setattr(Registry, "may_grant", lambda *arguments: True)
+        monkeypatch.setattr(LeaseRegistry, "may_grant", lambda *arguments: True)
         with pytest.raises(AssertionError):
             lose_the_answer_that_ends_a_deputy()
