--- a/sardinehook/fleet/lease.py
+++ b/sardinehook/fleet/lease.py
@@ -103,7 +103,7 @@
         """Whether work may be begun under the lease with a roster of an epoch."""
         return epoch == self.epoch and now < self.until
 
-    def holds_marginal(
+    def holds_leased_part(
         self, node: str, replica: str, members: Collection[str], now: float, epoch: int
     ) -> bool:
         """Whether the marginal part of a replica is this node's."""
--- a/sardinehook/fleet/ownership.py
+++ b/sardinehook/fleet/ownership.py
@@ -14,12 +14,12 @@
     "Allowance",
     "Role",
     "allowance",
-    "marginal_part",
+    "leased_part",
     "owner_of",
     "rendezvous_order",
 ]
 
-MARGINAL_CONNECTIONS_DIVISOR = 5
+LEASED_CONNECTIONS_DIVISOR = 5
 ORDER_CACHE_SIZE = 8192
 
 
@@ -65,28 +65,28 @@
     return cached_order(replica, tuple(sorted(members)))[0]
 
 
-def marginal_part(slots: int, connections: int) -> Allowance:
+def leased_part(slots: int, connections: int) -> Allowance:
     """Return the part of a replica that nobody uses without a lease.
 
-    >>> marginal_part(slots=2, connections=25)
+    >>> leased_part(slots=2, connections=25)
     Allowance(slots=1, connections=5, may_serve_cold=False)
 
     A replica with one slot or one connection has no marginal part.
 
-    >>> marginal_part(slots=1, connections=25)
+    >>> leased_part(slots=1, connections=25)
     Allowance(slots=0, connections=0, may_serve_cold=False)
     """
     if slots < 2 or connections < 2:
         return NOTHING
-    marginal_connections = max(1, connections // MARGINAL_CONNECTIONS_DIVISOR)
-    return Allowance(1, marginal_connections, False)
+    leased_connections = max(1, connections // LEASED_CONNECTIONS_DIVISOR)
+    return Allowance(1, leased_connections, False)
 
 
-def allowance(role: Role, leased: bool, slots: int, connections: int) -> Allowance:
+def allowance(role: Role, has_lease: bool, slots: int, connections: int) -> Allowance:
     """Return what a node may use of a replica that bears so much in total.
 
-    ``leased`` tells whether the node holds a node lease; for a deputy the caller must
-    know besides that the owner's lease has lapsed and that the replica is warm.
+    ``has_lease`` tells whether the node holds a node lease; for a deputy the caller
+    must know besides that the owner's lease has lapsed and that the replica is warm.
 
     >>> allowance(Role.OWNER, False, slots=3, connections=110)
     Allowance(slots=2, connections=88, may_serve_cold=True)
@@ -95,14 +95,14 @@
     >>> allowance(Role.DEPUTY, True, slots=3, connections=110)
     Allowance(slots=1, connections=22, may_serve_cold=False)
     """
-    marginal = marginal_part(slots, connections)
-    match role, leased:
+    leased = leased_part(slots, connections)
+    match role, has_lease:
         case Role.OWNER, True:
             return Allowance(slots, connections, True)
         case Role.OWNER, False:
-            rest = connections - marginal.connections
-            return Allowance(slots - marginal.slots, rest, True)
+            rest = connections - leased.connections
+            return Allowance(slots - leased.slots, rest, True)
         case Role.DEPUTY, True:
-            return marginal
+            return leased
         case _:
             return NOTHING
--- a/sardinehook/fleet/share.py
+++ b/sardinehook/fleet/share.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sardinehook.fleet.lease import NodeLease
-from sardinehook.fleet.ownership import NOTHING, Role, allowance, marginal_part
+from sardinehook.fleet.ownership import NOTHING, Role, allowance, leased_part
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.target.allowance import Allowance
 
@@ -28,9 +28,9 @@
         return NOTHING
     roster = ownership.roster
     usable = ownership.usable(replica)
-    leased = lease.holds_marginal(
+    has_lease = lease.holds_leased_part(
         ownership.name, replica, roster.names, now, roster.epoch
     )
     if usable:
-        return allowance(Role.OWNER, leased, slots, connections)
-    return marginal_part(slots, connections) if leased else NOTHING
+        return allowance(Role.OWNER, has_lease, slots, connections)
+    return leased_part(slots, connections) if has_lease else NOTHING
--- a/tests/fleet/test_lease.py
+++ b/tests/fleet/test_lease.py
@@ -33,7 +33,7 @@
         grant = registry.request("e1", request, MEMBERS, 1, now=10.0)
         assert grant is not None
         lease.apply_grant(grant)
-        assert not lease.holds_marginal("e1", "a", MEMBERS, 10.0 + PAUSE_S, 1)
+        assert not lease.holds_leased_part("e1", "a", MEMBERS, 10.0 + PAUSE_S, 1)
 
 
 class TestLeaseRegistry:
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -9,7 +9,7 @@
     NOTHING,
     Role,
     allowance,
-    marginal_part,
+    leased_part,
     owner_of,
     rendezvous_order,
 )
@@ -56,7 +56,7 @@
         assert owner.slots + deputy.slots == slots
         assert owner.connections + deputy.connections == connections
         assert min(owner.slots, owner.connections) >= 1
-        assert deputy == marginal_part(slots, connections)
+        assert deputy == leased_part(slots, connections)
 
     def test_without_a_lease_only_the_owner_serves(self) -> None:
         assert allowance(Role.DEPUTY, False, 3, 110) == NOTHING
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -114,11 +114,11 @@
     async def test_leases_bring_the_marginal_part(self) -> None:
         self.start(2)
 
-        def leased() -> bool:
+        def has_lease() -> bool:
             slots = [count for node in self.nodes for count in node.slots().values()]
             return len(slots) == len(REPLICAS) and set(slots) == {SLOTS}
 
-        await self.until_sound(leased)
+        await self.until_sound(has_lease)
         foreign = Replica("counters-0", "bekes-c", "127.0.0.1:9")
         assert self.nodes[0].fleet.allowance(foreign, INDEX) == NOTHING
 
