Rename share_of to node_allowance and Demand to ReplicaCapacity

Both shares are allowances, as their type says; Demand held what a replica can bear, not what is asked of it.

Names only; strict mypy and ruff pass.

--- a/sardinehook/fleet/identity.py
+++ b/sardinehook/fleet/identity.py
@@ -6,7 +6,7 @@
 
 from sardinehook.fleet.member import Member
 
-__all__ = ["Demand", "Identity"]
+__all__ = ["Identity", "ReplicaCapacity"]
 
 
 class Identity(NamedTuple):
@@ -18,7 +18,7 @@
     vm_incarnation: int
 
 
-class Demand(NamedTuple):
+class ReplicaCapacity(NamedTuple):
     """What a replica bears in total, as the document says."""
 
     slots: int
--- a/sardinehook/fleet/share.py
+++ b/sardinehook/fleet/node_allowance.py
@@ -7,10 +7,10 @@
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.target.allowance import Allowance
 
-__all__ = ["share_of"]
+__all__ = ["node_allowance"]
 
 
-def share_of(
+def node_allowance(
     ownership: OwnershipState,
     lease: NodeLease,
     replica: str,
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -19,18 +19,18 @@
 )
 from sardinehook.fleet.datagram import fleet_number
 from sardinehook.fleet.gossip import Gossip
-from sardinehook.fleet.identity import Demand, Identity
+from sardinehook.fleet.identity import Identity, ReplicaCapacity
 from sardinehook.fleet.lease_manager import LeaseManager
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.membership import Membership
+from sardinehook.fleet.node_allowance import node_allowance
 from sardinehook.fleet.ownership import NOTHING
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.registrar import RegistrarElection
 from sardinehook.fleet.roster import Roster, RosterMember
 from sardinehook.fleet.roster_cache import RosterCache
 from sardinehook.fleet.roster_updater import RosterUpdater
-from sardinehook.fleet.share import share_of
 from sardinehook.messages import ReplicaReport
 from sardinehook.store.port import Store
 from sardinehook.store.vm_list import VmLister
@@ -96,7 +96,7 @@
             self.has_excess_work,
         )
         self.roster_cache = RosterCache()
-        self.demands: dict[str, Demand] = {}
+        self.capacities: dict[str, ReplicaCapacity] = {}
         self.callbacks: list[Callable[[], None]] = []
         self.lease_state: tuple[bool, frozenset[str]] = (False, frozenset())
         self.leaving = False
@@ -201,16 +201,16 @@
         """Return what this process may use of a replica now."""
         if replica.data_centre != self.data_centre:
             return NOTHING
-        self.demands[replica.name] = Demand(index.slots, index.connections)
-        return self.share(replica.name)
+        self.capacities[replica.name] = ReplicaCapacity(index.slots, index.connections)
+        return self.current_allowance(replica.name)
 
-    def share(self, replica: str) -> Allowance:
+    def current_allowance(self, replica: str) -> Allowance:
         """Return what this process may use of a replica it was asked about before."""
         if self.leaving:
             return NOTHING
-        slots, connections = self.demands[replica]
+        slots, connections = self.capacities[replica]
         now = self.reactor.seconds()
-        return share_of(
+        return node_allowance(
             self.ownership, self.leases.lease, replica, slots, connections, now
         )
 
@@ -319,8 +319,8 @@
     def has_excess_work(self) -> bool:
         """Whether more work runs here than this process may start now."""
         return any(
-            self.in_flight(replica) > self.share(replica).slots
-            for replica in self.demands
+            self.in_flight(replica) > self.current_allowance(replica).slots
+            for replica in self.capacities
         )
 
     def own_release(self, wanted: bool) -> Released:
--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -24,6 +24,7 @@
     LeaseRequest,
     NodeLease,
 )
+from sardinehook.fleet.node_allowance import node_allowance
 from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
     EMPTY_ROSTER,
@@ -32,7 +33,6 @@
     join,
     release,
 )
-from sardinehook.fleet.share import share_of
 from sardinehook.target.allowance import Allowance
 
 NAMES = ("e1", "e2", "e3")
@@ -89,7 +89,9 @@
 
     def share(self, replica: str, now: float) -> Allowance:
         time = self.clock(now)
-        share = share_of(self.ownership, self.lease, replica, SLOTS, CONNECTIONS, time)
+        share = node_allowance(
+            self.ownership, self.lease, replica, SLOTS, CONNECTIONS, time
+        )
         return Allowance(0, 0, False) if self.leaving else share
 
     def running(self, replica: str, now: float) -> int:
