Rename SilenceWatch to LinkMonitor

The class is the failure detector of one link: it decides when to probe and when to suspect. Doubt, silence and watch were private words; timestamps now say what was last sent or received. The values of Step and the keys of log lines stay.

--- a/sardinehook/fleet/connection.py
+++ b/sardinehook/fleet/connection.py
@@ -10,7 +10,7 @@
 from twisted.protocols.basic import Int32StringReceiver
 from twisted.python.failure import Failure
 
-from sardinehook.fleet.silence import SilenceWatch, Step
+from sardinehook.fleet.link_monitor import LinkMonitor, Step
 from sardinehook.fleet.wire import (
     PROBE_KINDS,
     MalformedFrame,
@@ -69,7 +69,7 @@
     def link_up(self, link: Link) -> None:
         """Take a link into use."""
 
-    def link_doubted(self, link: Link) -> None:
+    def link_suspected(self, link: Link) -> None:
         """Look for a replacement of a link that has gone silent."""
 
     def link_down(self, link: Link, was_live: bool) -> None:
@@ -128,7 +128,7 @@
         self.tcp.setTcpNoDelay(True)
         self.tcp.registerProducer(self, True)
         self.opened_at = self.links.reactor.seconds()
-        self.watch = SilenceWatch(self.opened_at)
+        self.monitor = LinkMonitor(self.opened_at)
         self.check_call = self.links.reactor.callLater(
             INTRODUCTION_TIMEOUT_S, self.check_introduction
         )
@@ -137,7 +137,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Take any bytes as a sign of life, then look for whole frames."""
-        self.watch.heard(self.links.reactor.seconds())
+        self.monitor.record_received(self.links.reactor.seconds())
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
     def stringReceived(self, data: bytes) -> None:
@@ -150,7 +150,7 @@
         now = self.links.reactor.seconds()
         if not self.live and not self.introduce(envelope.sender, now):
             return
-        self.watch.replied(count_replies(envelope.messages))
+        self.monitor.record_replies(count_replies(envelope.messages))
         self.links.observe_stamp(envelope.stamp)
         for message in envelope.messages:
             self.receive(message)
@@ -172,7 +172,7 @@
             return False
         self.peer = sender
         self.live = True
-        self.watch.round_trip_s = now - self.opened_at
+        self.monitor.round_trip_s = now - self.opened_at
         self.cancel_check()
         self.links.link_up(self)
         return True
@@ -180,30 +180,30 @@
     @property
     def usable(self) -> bool:
         """Whether the peer is known and the link not in doubt."""
-        return self.live and not self.watch.in_doubt
+        return self.live and not self.monitor.suspected
 
     def check_introduction(self) -> None:
         """Close a connection whose peer has not told its name in time."""
         self.check_call = None
         self.reject("no_introduction", f"{INTRODUCTION_TIMEOUT_S} s")
 
-    def check_silence(self) -> None:
+    def check_link(self) -> None:
         """Probe the link or cast doubt on it if it has gone silent."""
         self.check_call = None
-        next_step = self.watch.check(self.links.reactor.seconds())
+        next_step = self.monitor.check(self.links.reactor.seconds())
         match next_step.step:
             case Step.REST:
                 return
             case Step.PROBE:
                 self.enqueue(encode_message(Ping()))
             case Step.DOUBT:
-                self.links.link_doubted(self)
+                self.links.link_suspected(self)
         if self.live:
-            self.check_later(next_step.check_after_s)
+            self.schedule_check(next_step.check_after_s)
 
-    def check_later(self, delay_s: float) -> None:
+    def schedule_check(self, delay_s: float) -> None:
         """Look at the link again after a delay."""
-        self.check_call = self.links.reactor.callLater(delay_s, self.check_silence)
+        self.check_call = self.links.reactor.callLater(delay_s, self.check_link)
 
     def cancel_check(self) -> None:
         """Cancel the check that is due next."""
@@ -251,22 +251,22 @@
     def write_frame(self, messages: list[PackedMessage]) -> None:
         """Write one frame to the connection."""
         if not all(message.kind in PROBE_KINDS for message in messages):
-            self.watch_reply(count_requests(messages))
+            self.expect_replies(count_requests(messages))
         stamp = self.links.read_stamp()
         frame = encode_frame(self.links.node, stamp, messages)
         self.sendString(frame)  # type: ignore[no-untyped-call]
 
-    def watch_reply(self, requests: int) -> None:
+    def expect_replies(self, requests: int) -> None:
         """Watch the link for silence from now on."""
         now = self.links.reactor.seconds()
-        self.watch.sent(now, requests)
-        due = self.watch.due_at
-        if due is None or not self.live or self.watch.probed_at is not None:
+        self.monitor.record_sent(now, requests)
+        due = self.monitor.due_at
+        if due is None or not self.live or self.monitor.probed_at is not None:
             return
         if self.check_call is not None and self.check_call.getTime() <= due:
             return
         self.cancel_check()
-        self.check_later(max(0.0, due - now))
+        self.schedule_check(max(0.0, due - now))
 
     def pauseProducing(self) -> None:
         """Hold messages back: the connection's own buffer is full."""
--- a/sardinehook/fleet/link.py
+++ b/sardinehook/fleet/link.py
@@ -33,7 +33,7 @@
 
 CONNECT_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 2.0
-DOUBT_LIMIT_S = 1.5
+SUSPICION_LIMIT_S = 1.5
 RETRY_FIRST_S = 0.05
 RETRY_MOST_S = 5.0
 
@@ -181,7 +181,7 @@
             self.peers[link.peer].failures = 0
             self.peers[link.peer].opening = False
         for old in replaced:
-            logger.info("link_replaced", peer=link.peer, doubted=old.watch.in_doubt)
+            logger.info("link_replaced", peer=link.peer, doubted=old.monitor.suspected)
             old.tcp.abortConnection()
 
     def link_preference(self, link: Link) -> bool:
@@ -191,14 +191,12 @@
         """
         return link.dialled != (self.node < link.peer)
 
-    def link_doubted(self, link: Link) -> None:
+    def link_suspected(self, link: Link) -> None:
         """Dial a replacement at once; drop the link if none can be had."""
         peer = self.peers.get(link.peer)
-        doubted_for = self.reactor.seconds() - link.watch.heard_at
-        if peer is None or doubted_for > DOUBT_LIMIT_S:
-            logger.warning(
-                "link_silent", peer=link.peer, silent_s=round(doubted_for, 3)
-            )
+        silent_s = self.reactor.seconds() - link.monitor.last_received_at
+        if peer is None or silent_s > SUSPICION_LIMIT_S:
+            logger.warning("link_silent", peer=link.peer, silent_s=round(silent_s, 3))
             link.tcp.abortConnection()
         elif not peer.opening and peer.retry_call is None:
             self.dial(peer)
--- a/tests/fleet/test_link_faults.py
+++ b/tests/fleet/test_link_faults.py
@@ -190,12 +190,12 @@
         transport = new_transport()
         link.makeConnection(transport)  # type: ignore[no-untyped-call]
         link.dataReceived(framed(encode_frame("e2", 0, [])))
-        link.watch.sent(clock.seconds(), requests=1)
+        link.monitor.record_sent(clock.seconds(), requests=1)
         link.cancel_check()
         transport.clear()
         clock.advance(9.9)
-        assert link.watch.due_at is not None and link.watch.due_at < clock.seconds()
-        link.watch_reply(1)
+        assert link.monitor.due_at is not None and link.monitor.due_at < clock.seconds()
+        link.expect_replies(1)
         check = link.check_call
         assert check is not None and check.getTime() >= clock.seconds()
 
