Rename the handshake and the send queue of Link

introduce takes the peer's name from its first frame, finish flushes before it closes, and waiting is the queue of messages to send.

--- a/sardinehook/fleet/connection.py
+++ b/sardinehook/fleet/connection.py
@@ -33,7 +33,7 @@
 FRAME_TARGET_BYTES = 256 * 1024
 MESSAGE_LIMIT_BYTES = FRAME_LIMIT_BYTES - FRAME_TARGET_BYTES
 UNSENT_LIMIT_BYTES = 8 * 1024 * 1024
-INTRODUCTION_TIMEOUT_S = 2.0
+HANDSHAKE_TIMEOUT_S = 2.0
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -110,7 +110,7 @@
         self.expected = expected
         self.peer = ""
         self.live = False
-        self.waiting: list[PackedMessage] = []
+        self.send_queue: list[PackedMessage] = []
         self.unsent_bytes = 0
         self.flush_call: DelayedCall | None = None
         self.check_call: DelayedCall | None = None
@@ -130,7 +130,7 @@
         self.opened_at = self.links.reactor.seconds()
         self.monitor = LinkMonitor(self.opened_at)
         self.check_call = self.links.reactor.callLater(
-            INTRODUCTION_TIMEOUT_S, self.check_introduction
+            HANDSHAKE_TIMEOUT_S, self.check_peer_identified
         )
         self.links.link_opened(self)
         self.write_frame([])
@@ -148,7 +148,7 @@
             self.reject("malformed_frame", str(error))
             return
         now = self.links.reactor.seconds()
-        if not self.live and not self.introduce(envelope.sender, now):
+        if not self.live and not self.identify_peer(envelope.sender, now):
             return
         self.monitor.record_replies(count_replies(envelope.messages))
         self.links.observe_stamp(envelope.stamp)
@@ -165,7 +165,7 @@
             case _:
                 self.links.dispatch(self.peer, message)
 
-    def introduce(self, sender: str, now: float) -> bool:
+    def identify_peer(self, sender: str, now: float) -> bool:
         """Take the peer's name; refuse the connection if it is not the one dialled."""
         if self.expected not in (None, sender):
             self.reject("wrong_peer", f"{sender} answered for {self.expected}")
@@ -182,10 +182,10 @@
         """Whether the peer is known and the link not in doubt."""
         return self.live and not self.monitor.suspected
 
-    def check_introduction(self) -> None:
+    def check_peer_identified(self) -> None:
         """Close a connection whose peer has not told its name in time."""
         self.check_call = None
-        self.reject("no_introduction", f"{INTRODUCTION_TIMEOUT_S} s")
+        self.reject("no_introduction", f"{HANDSHAKE_TIMEOUT_S} s")
 
     def check_link(self) -> None:
         """Probe the link or cast doubt on it if it has gone silent."""
@@ -228,7 +228,7 @@
         if self.unsent_bytes + size > UNSENT_LIMIT_BYTES:
             return False
         self.unsent_bytes += size
-        self.waiting.append(message)
+        self.send_queue.append(message)
         if self.flush_call is None and not self.paused:
             self.flush_call = self.links.reactor.callLater(0, self.flush)
         return True
@@ -238,8 +238,8 @@
         self.flush_call = None
         batch: list[PackedMessage] = []
         batch_bytes = 0
-        waiting, self.waiting, self.unsent_bytes = self.waiting, [], 0
-        for message in waiting:
+        send_queue, self.send_queue, self.unsent_bytes = self.send_queue, [], 0
+        for message in send_queue:
             batch.append(message)
             batch_bytes += len(memoryview(message.fields))
             if batch_bytes >= FRAME_TARGET_BYTES:
@@ -275,13 +275,13 @@
     def resumeProducing(self) -> None:
         """Send what was held back."""
         self.paused = False
-        if self.waiting and self.flush_call is None:
+        if self.send_queue and self.flush_call is None:
             self.flush_call = self.links.reactor.callLater(0, self.flush)
 
     def stopProducing(self) -> None:
         """Do nothing: the loss of the connection is reported separately."""
 
-    def finish(self) -> None:
+    def flush_and_close(self) -> None:
         """Send what is waiting, then close the connection."""
         if self.flush_call is not None:
             self.flush_call.cancel()
@@ -297,6 +297,6 @@
             self.flush_call.cancel()
         self.flush_call = None
         self.cancel_check()
-        self.waiting.clear()
+        self.send_queue.clear()
         self.links.link_down(self, was_live)
         self.lost.callback(None)
--- a/sardinehook/fleet/link.py
+++ b/sardinehook/fleet/link.py
@@ -34,8 +34,8 @@
 CONNECT_TIMEOUT_S = 2.0
 CLOSE_TIMEOUT_S = 2.0
 SUSPICION_LIMIT_S = 1.5
-RETRY_FIRST_S = 0.05
-RETRY_MOST_S = 5.0
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 5.0
 
 
 class ListeningPort(Protocol):
@@ -103,7 +103,7 @@
         self.down_handlers: list[DownHandler] = []
         self.read_stamp: Callable[[], int] = lambda: 0
         self.observe_stamp: Callable[[int], None] = lambda stamp: None
-        self.retry_delay = backoffPolicy(RETRY_FIRST_S, RETRY_MOST_S, 2.0)
+        self.retry_delay = backoffPolicy(MIN_RETRY_S, MAX_RETRY_S, 2.0)
         self.closing = False
 
     def listen(self) -> Deferred[str]:
@@ -135,7 +135,7 @@
         if peer is not None:
             peer.stop()
         for link in list(self.live_links.get(node, ())):
-            link.finish()
+            link.flush_and_close()
 
     def dial(self, peer: Peer) -> None:
         """Open a connection to a peer, or try again later."""
@@ -267,7 +267,7 @@
         if self.port is not None:
             ended.append(maybeDeferred(self.port.stopListening))
         for link in list(self.open_links):
-            link.finish()
+            link.flush_and_close()
         abort = self.reactor.callLater(CLOSE_TIMEOUT_S, self.abort_all)
         closed: Deferred[Any] = DeferredList(ended, consumeErrors=True)
         return closed.addCallback(lambda _: abort.active() and abort.cancel() or None)
--- a/sardinehook/fleet/roster_updater.py
+++ b/sardinehook/fleet/roster_updater.py
@@ -28,8 +28,8 @@
 
 logger = structlog.get_logger(__name__)
 
-RETRY_FIRST_S = 0.05
-RETRY_MOST_S = 10.0
+MIN_RETRY_S = 0.05
+MAX_RETRY_S = 10.0
 
 
 class RosterUpdater:
@@ -89,7 +89,7 @@
 
     async def back_off(self, attempt: int) -> None:
         """Wait for a jittered time that grows with the attempts."""
-        longest = min(RETRY_MOST_S, RETRY_FIRST_S * 2**attempt)
+        longest = min(MAX_RETRY_S, MIN_RETRY_S * 2**attempt)
         await deferLater(self.reactor, self.random.uniform(longest / 2, longest))
 
     async def read(self) -> bool:
--- a/tests/fleet/test_link_faults.py
+++ b/tests/fleet/test_link_faults.py
@@ -21,7 +21,7 @@
 from twisted.trial.unittest import TestCase
 
 from sardinehook.fleet import connection
-from sardinehook.fleet.connection import INTRODUCTION_TIMEOUT_S, Link
+from sardinehook.fleet.connection import HANDSHAKE_TIMEOUT_S, Link
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.wire import encode_frame
 from sardinehook.messages import Outcome, SubReply
@@ -147,7 +147,7 @@
         link: Any = Link(links)
         transport = new_transport()
         link.makeConnection(transport)
-        clock.advance(INTRODUCTION_TIMEOUT_S)
+        clock.advance(HANDSHAKE_TIMEOUT_S)
         assert transport.disconnecting or transport.disconnected
 
     def test_named_connection_stays(self) -> None:
@@ -156,7 +156,7 @@
         link: Any = Link(links)
         link.makeConnection(new_transport())
         link.stringReceived(encode_frame("e2", 0, []))
-        clock.advance(INTRODUCTION_TIMEOUT_S * 2)
+        clock.advance(HANDSHAKE_TIMEOUT_S * 2)
         assert links.connected("e2")
 
 
