Rename the handlers and tasks of Fleet

take_push, take_pull and take_released are message handlers; wire registers them; running holds tasks. Members that are looked after by the eviction loop had their VMs removed.

--- a/sardinehook/fleet/gossip.py
+++ b/sardinehook/fleet/gossip.py
@@ -39,19 +39,19 @@
         self.dropped = 0
         self.sent_bytes = 0
         self.received_bytes = 0
-        self.ticking = LoopingCall(self.tick)
-        self.ticking.clock = reactor
+        self.tick_loop = LoopingCall(self.tick)
+        self.tick_loop.clock = reactor
 
     def start(self, address: str) -> None:
         """Listen for datagrams at ``IP:port`` and begin to probe."""
         host, port = split_address(address)
         self.port = self.reactor.listenUDP(port, self, interface=host)
-        self.ticking.start(TICK_S)
+        self.tick_loop.start(TICK_S)
 
     async def stop(self) -> None:
         """End probing and close the port."""
-        if self.ticking.running:
-            self.ticking.stop()
+        if self.tick_loop.running:
+            self.tick_loop.stop()
         if self.port is not None:
             port, self.port = self.port, None
             await port.stopListening()
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -52,7 +52,7 @@
         self.priority_probes: list[str] = []
         self.suspected_at: dict[str, float] = {}
         self.relays: dict[int, Relay] = {}
-        self.heard_at: dict[str, float] = {}
+        self.last_heard_at: dict[str, float] = {}
         self.fleet_size = 1.0
         self.health_score = 0
         self.started_at: float | None = None
@@ -239,7 +239,7 @@
     ) -> list[OutgoingDatagram]:
         """Take in a datagram that came from ``address``."""
         self.fleet_size = max(datagram.size, self.fleet_size * SIZE_DECAY)
-        self.heard_at[datagram.sender.data_centre] = now
+        self.last_heard_at[datagram.sender.data_centre] = now
         if self.local_member.state is MemberState.JOINING:
             self.set_local_member(self.local_member._replace(state=MemberState.ALIVE))
             self.table.queue_update(self.local_member.name)
--- a/sardinehook/fleet/roster_updater.py
+++ b/sardinehook/fleet/roster_updater.py
@@ -73,15 +73,15 @@
                 return await self.change(lambda roster: join(roster, joining))
         return False
 
-    async def release(self, name: str, boot: int, tries: int) -> bool:
+    async def release(self, name: str, boot: int, attempts: int) -> bool:
         """Take out a process; False when the service could not be reached."""
-        for attempt in range(tries):
+        for attempt in range(attempts):
             if await self.change(lambda roster: release(roster, name, boot)):
                 return True
             await self.back_off(attempt)
         return False
 
-    async def evict_gone(self) -> None:
+    async def evict_removed_vms(self) -> None:
         """Take out the members whose VMs are no more."""
         match await self.vm_list.fetch():
             case Success(vm_list):
@@ -100,21 +100,21 @@
                 return True
         return False
 
-    async def change(self, rule: Callable[[Roster], Roster]) -> bool:
+    async def change(self, update: Callable[[Roster], Roster]) -> bool:
         """Apply a change once; False when it has to be tried again."""
         match await self.store.get(self.key):
             case Success(entry):
-                return await self.write(entry, rule)
+                return await self.write(entry, update)
         return False
 
     async def write(
-        self, entry: Entry | None, rule: Callable[[Roster], Roster]
+        self, entry: Entry | None, update: Callable[[Roster], Roster]
     ) -> bool:
         """Write the roster that follows from the one that was read."""
         roster = self.decode(entry)
         if roster is None:
             return False
-        following = rule(roster)
+        following = update(roster)
         if following == roster:
             self.on_roster(roster, False)
             return True
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -42,8 +42,8 @@
 
 EVICTION_PERIOD_S = 15.0
 RELEASE_POLL_S = 0.02
-RELEASE_TRIES = 4
-ASK_RELEASE_PERIOD_S = 1.0
+RELEASE_ATTEMPTS = 4
+RELEASE_REQUEST_PERIOD_S = 1.0
 
 
 class Fleet:
@@ -74,10 +74,10 @@
         number = fleet_number(identity.environment)
         self.membership = Membership(identity.member, number, identity.boot)
         self.membership.seeds = set(seeds)
-        self.gossip = Gossip(reactor, self.membership, self.after_tick)
+        self.gossip = Gossip(reactor, self.membership, self.handle_tick)
         self.ownership = OwnershipState(self.node, identity.boot)
         self.roster_updater = RosterUpdater(
-            reactor, store, vm_list, self.data_centre, self.take_roster, self.random
+            reactor, store, vm_list, self.data_centre, self.apply_roster, self.random
         )
         self.election = RegistrarElection(
             reactor,
@@ -100,18 +100,18 @@
         self.callbacks: list[Callable[[], None]] = []
         self.lease_state: tuple[bool, frozenset[str]] = (False, frozenset())
         self.leaving = False
-        self.running: set[Deferred[Any]] = set()
-        self.release_due = False
+        self.tasks: set[Deferred[Any]] = set()
+        self.release_pending = False
         self.released_epoch = 0
-        self.release_asked_at = float("-inf")
-        self.eviction: LoopingCall | None = None
-        self.wire()
+        self.releases_requested_at = float("-inf")
+        self.eviction_loop: LoopingCall | None = None
+        self.register_handlers()
 
-    def wire(self) -> None:
+    def register_handlers(self) -> None:
         """Take the fleet's messages from the links."""
-        self.links.on(RosterPush, self.take_push)
-        self.links.on(RosterPull, self.take_pull)
-        self.links.on(Released, self.take_released)
+        self.links.on(RosterPush, self.handle_roster_push)
+        self.links.on(RosterPull, self.handle_roster_pull)
+        self.links.on(Released, self.handle_released)
         self.links.on_down(self.membership.handle_link_lost)
 
     def start(self) -> None:
@@ -123,15 +123,15 @@
         self.gossip.start(self.links.address)
         own = self.identity
         entry = RosterMember(self.node, own.boot, own.vm_incarnation, 0.0, 0)
-        self.run(self.roster_updater.join(entry))
-        self.eviction = LoopingCall(self.evict_gone)
-        self.eviction.clock = self.reactor
-        self.eviction.start(EVICTION_PERIOD_S, now=False)
+        self.start_task(self.roster_updater.join(entry))
+        self.eviction_loop = LoopingCall(self.evict_removed_vms)
+        self.eviction_loop.clock = self.reactor
+        self.eviction_loop.start(EVICTION_PERIOD_S, now=False)
 
-    def evict_gone(self) -> None:
+    def evict_removed_vms(self) -> None:
         """Look for members whose VMs are no more, if this is one of few that do."""
         if self.ownership.is_member and self.node in self.leases.registrar_candidates():
-            self.run(self.roster_updater.evict_gone())
+            self.start_task(self.roster_updater.evict_removed_vms())
 
     async def leave(self, limit_s: float) -> None:
         """Stop owning anything: finish, release, and tell that this process leaves.
@@ -142,32 +142,32 @@
         """
         self.leaving = True
         self.gossip.send(self.membership.leave())
-        self.changed()
+        self.notify_change()
         give_up_at = self.reactor.seconds() + limit_s
         while self.has_excess_work() and self.reactor.seconds() < give_up_at:
             await deferLater(self.reactor, RELEASE_POLL_S)
         self.roster_updater.stopped = True
         if not self.has_excess_work():
             await self.roster_updater.release(
-                self.node, self.identity.boot, RELEASE_TRIES
+                self.node, self.identity.boot, RELEASE_ATTEMPTS
             )
         await self.election.leave()
 
     async def stop(self) -> None:
         """End all timers and close the port; the links are the caller's to close."""
         self.roster_updater.stopped = True
-        if self.eviction is not None and self.eviction.running:
-            self.eviction.stop()
+        if self.eviction_loop is not None and self.eviction_loop.running:
+            self.eviction_loop.stop()
         await self.gossip.stop()
-        for task in list(self.running):
+        for task in list(self.tasks):
             task.cancel()
 
-    def run(self, coroutine: Any) -> None:  # noqa: ANN401
+    def start_task(self, coroutine: Any) -> None:  # noqa: ANN401
         """Run a coroutine; a fault in it is logged."""
         started: Deferred[Any] = Deferred.fromCoroutine(coroutine)
-        self.running.add(started)
+        self.tasks.add(started)
         started.addErrback(self.task_failed)
-        started.addBoth(lambda _: self.running.discard(started))
+        started.addBoth(lambda _: self.tasks.discard(started))
 
     def task_failed(self, failure: Failure) -> None:
         """Log a fault; being cancelled is none."""
@@ -183,11 +183,11 @@
         members = self.membership.table.in_data_centre(data_centre)
         return tuple(sorted(members))
 
-    def heard_ago_s(self, data_centre: str) -> float | None:
+    def last_heard_age_s(self, data_centre: str) -> float | None:
         """Return the seconds since anyone of a data centre was heard; None if never."""
-        heard_at = self.membership.heard_at.get(data_centre)
+        last_heard_at = self.membership.last_heard_at.get(data_centre)
         now: float = self.reactor.seconds()
-        return None if heard_at is None else now - heard_at
+        return None if last_heard_at is None else now - last_heard_at
 
     def owner_of(self, replica: Replica) -> str | None:
         """Return the owner by the newest roster known of the replica's data centre."""
@@ -218,33 +218,33 @@
         """Call back when ownership or an allowance may have changed."""
         self.callbacks.append(callback)
 
-    def changed(self) -> None:
+    def notify_change(self) -> None:
         """Tell that ownership or an allowance may have changed."""
         for callback in self.callbacks:
             callback()
 
-    def announce(self, views: Sequence[ReplicaReport]) -> None:
+    def announce(self, reports: Sequence[ReplicaReport]) -> None:
         """Tell all connected members about replicas that this process serves."""
         for node in list(self.links.live_links):
-            for view in views:
-                self.links.send(node, view)
+            for report in reports:
+                self.links.send(node, report)
 
-    def after_tick(self, changes: list[Member]) -> None:
+    def handle_tick(self, changes: list[Member]) -> None:
         """Follow the members that changed, the epochs told of, and the own lease."""
         for member in changes:
-            self.follow(member)
+            self.update_link(member)
         for data_centre, epoch in self.membership.table.epochs.items():
             if self.roster_cache.should_pull(
                 data_centre, epoch, self.reactor.seconds()
             ):
-                self.pull(data_centre)
+                self.pull_roster(data_centre)
         now = self.reactor.seconds()
         if not self.leaving and self.leases.tick(now):
-            self.run(self.election.step(len(self.ownership.roster.members)))
-        self.release_if_due()
-        self.ask_releases(now)
+            self.start_task(self.election.step(len(self.ownership.roster.members)))
+        self.announce_release_if_done()
+        self.request_releases(now)
         if self.lease_changed():
-            self.changed()
+            self.notify_change()
 
     def lease_changed(self) -> bool:
         """Whether the lease lapsed, came or changed since this was last asked.
@@ -257,7 +257,7 @@
         self.lease_state = terms
         return changed
 
-    def follow(self, member: Member) -> None:
+    def update_link(self, member: Member) -> None:
         """Keep a link to a member while it lives."""
         logger.info(
             "member_state",
@@ -275,26 +275,26 @@
         names = [member.name for member in self.members(self.data_centre)]
         return [name for name in names if name != self.node]
 
-    def pull(self, data_centre: str) -> None:
+    def pull_roster(self, data_centre: str) -> None:
         """Ask a member for a roster that others know a newer epoch of."""
         connected = sorted(self.links.live_links)
         if connected:
             self.links.send(self.random.choice(connected), RosterPull(data_centre))
 
-    def take_pull(self, node: str, message: RosterPull) -> None:
+    def handle_roster_pull(self, node: str, message: RosterPull) -> None:
         """Send a roster that a member asks for, and what was released here."""
         roster = self.roster_cache.rosters.get(message.data_centre)
         if roster is not None:
             self.links.send(node, RosterPush(message.data_centre, roster))
 
-    def take_push(self, _node: str, message: RosterPush) -> None:
+    def handle_roster_push(self, _node: str, message: RosterPush) -> None:
         """Take in a roster sent by a member."""
         if message.data_centre == self.data_centre:
-            self.take_roster(message.roster, written=False)
+            self.apply_roster(message.roster, written=False)
         else:
-            self.keep_roster(message.data_centre, message.roster)
+            self.cache_roster(message.data_centre, message.roster)
 
-    def keep_roster(self, data_centre: str, roster: Roster) -> None:
+    def cache_roster(self, data_centre: str, roster: Roster) -> None:
         """Keep a roster if it is newer than the known one."""
         if not self.roster_cache.update(data_centre, roster):
             return
@@ -302,19 +302,19 @@
         table.epochs[data_centre] = roster.epoch
         if data_centre != self.data_centre:
             table.retain(data_centre, frozenset(roster.names))
-        self.changed()
+        self.notify_change()
 
-    def take_roster(self, roster: Roster, written: bool) -> None:
+    def apply_roster(self, roster: Roster, written: bool) -> None:
         """Use a newer roster of the own data centre; its writer sends it to all."""
         if not self.ownership.set_roster(roster):
             return
         logger.info("roster_changed", epoch=roster.epoch, count=len(roster.members))
-        self.release_due = True
-        self.keep_roster(self.data_centre, roster)
+        self.release_pending = True
+        self.cache_roster(self.data_centre, roster)
         if written:
             for name in self.peers():
                 self.links.send(name, RosterPush(self.data_centre, roster))
-        self.reactor.callLater(0, self.release_if_due)
+        self.reactor.callLater(0, self.announce_release_if_done)
 
     def has_excess_work(self) -> bool:
         """Whether more work runs here than this process may start now."""
@@ -323,34 +323,34 @@
             for replica in self.capacities
         )
 
-    def own_release(self, wanted: bool) -> Released:
+    def release_message(self, wanted: bool) -> Released:
         """Return what this process has released, or did before the newest roster."""
         epoch = self.released_epoch
         return Released(self.identity.boot, epoch, wanted)
 
-    def release_if_due(self) -> None:
+    def announce_release_if_done(self) -> None:
         """Tell the members when nothing of an earlier epoch is used here any more.
 
         Called in a later turn than the change, when callbacks have taken effect.
         """
-        if not self.release_due or self.has_excess_work():
+        if not self.release_pending or self.has_excess_work():
             return
-        self.release_due = False
+        self.release_pending = False
         self.released_epoch = self.ownership.roster.epoch
         for name in self.peers():
-            self.links.send(name, self.own_release(wanted=False))
+            self.links.send(name, self.release_message(wanted=False))
 
-    def ask_releases(self, now: float) -> None:
+    def request_releases(self, now: float) -> None:
         """Ask those again who have not told that they released."""
-        if now - self.release_asked_at < ASK_RELEASE_PERIOD_S:
+        if now - self.releases_requested_at < RELEASE_REQUEST_PERIOD_S:
             return
-        self.release_asked_at = now
+        self.releases_requested_at = now
         for name in self.ownership.lagging_members:
-            self.links.send(name, self.own_release(wanted=True))
+            self.links.send(name, self.release_message(wanted=True))
 
-    def take_released(self, node: str, message: Released) -> None:
+    def handle_released(self, node: str, message: Released) -> None:
         """Note what a member released, and answer it if it asks."""
         if message.wanted:
-            self.links.send(node, self.own_release(wanted=False))
+            self.links.send(node, self.release_message(wanted=False))
         if self.ownership.note_released(node, message.boot, message.epoch):
-            self.changed()
+            self.notify_change()
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -142,7 +142,7 @@
         driver.run(600.0)
         assert deaths(driver) == 0
         member = driver.members["centre-0-entry-0"]
-        assert driver.now - member.heard_at["centre-1"] > 590.0
+        assert driver.now - member.last_heard_at["centre-1"] > 590.0
         restarted = "centre-1-entry-4"
         driver.start(restarted, "centre-1", 9)
         driver.run(10.0)
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -122,6 +122,6 @@
     async def test_malformed_roster_is_not_overwritten(self) -> None:
         roster_updater = self.roster_updater([])
         await self.store.put(roster_key(PLACE), b"garbage", 0)
-        assert not await roster_updater.release("e1", 1, tries=1)
+        assert not await roster_updater.release("e1", 1, attempts=1)
         held = (await self.store.get(roster_key(PLACE))).unwrap()
         assert held is not None and held.value == b"garbage"
