--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -29,8 +29,8 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, SubQuery, SubReply
 from sardinehook.target.allowance import Allowance
+from sardinehook.target.codec import encode_sub_query
 from sardinehook.target.connection import ExchangeEnd, Replied, TargetConnection
-from sardinehook.target.dialect import encode_sub_query
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.owner import TargetOwner
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
--- a/sardinehook/target/dialect.py
+++ b/sardinehook/target/codec.py
@@ -1,4 +1,4 @@
-"""The HTTP dialect of targets: requests as bytes, replies as typed values."""
+"""The HTTP codec of targets: requests as bytes, replies as typed values."""
 
 from __future__ import annotations
 
@@ -94,7 +94,7 @@
 def read_reply_head(headers: Mapping[bytes, bytes]) -> ReplyHead:
     """Return the typed headers of a reply; names are in lower case.
 
-    Raises ``ValueError`` for a header that is not what the dialect says.
+    Raises ``ValueError`` for a header that is not as the protocol defines it.
 
     >>> head = read_reply_head({b"target-state": b"cold", b"index-version": b"7"})
     >>> head.state.name, head.index_version
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -10,7 +10,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from sardinehook.target.dialect import ReplyHead, TargetReply, read_reply_head
+from sardinehook.target.codec import ReplyHead, TargetReply, read_reply_head
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.transport.connection import ClientConnection, Lost, Malformed
 from sardinehook.transport.connection import ExchangeEnd as HttpEnd
--- a/sardinehook/target/evidence.py
+++ b/sardinehook/target/evidence.py
@@ -4,8 +4,8 @@
 
 from sardinehook.environment.document import Index
 from sardinehook.messages import Outcome
+from sardinehook.target.codec import TargetReply
 from sardinehook.target.cold_start import ColdStart
-from sardinehook.target.dialect import TargetReply
 from sardinehook.target.load import ServiceTime
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.standing import Standing
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.codec import TargetReply, encode_sub_query
 from sardinehook.target.connection import (
     ExchangeEnd,
     Lost,
@@ -16,7 +17,6 @@
     Replied,
     TargetConnection,
 )
-from sardinehook.target.dialect import TargetReply, encode_sub_query
 from sardinehook.target.evidence import Evidence
 from sardinehook.target.occupancy import Occupancy
 from sardinehook.target.outcome import Verdict, judge
--- a/sardinehook/target/outcome.py
+++ b/sardinehook/target/outcome.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from sardinehook.messages import ANY_VERSION, Outcome, SubQuery
-from sardinehook.target.dialect import TargetReply
+from sardinehook.target.codec import TargetReply
 
 __all__ = ["Verdict", "judge"]
 
@@ -23,7 +23,7 @@
     ``in_time`` tells whether it came by the deadline. An answer of another snapshot
     than the one asked for is no answer.
 
-    >>> from sardinehook.target.dialect import ReplyHead
+    >>> from sardinehook.target.codec import ReplyHead
     >>> query = SubQuery(1, "r", "s", "s-a", 7, 0, 100.0, 5, "", b"")
     >>> judge(query, TargetReply(200, ReplyHead(index_version=8), b""), True).outcome
     <Outcome.WRONG_VERSION: 4>
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -8,7 +8,7 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, ReplicaView, TargetState
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.dialect import TargetReply
+from sardinehook.target.codec import TargetReply
 from sardinehook.target.evidence import Evidence
 from sardinehook.target.exchanges import ExchangeEvents, ExchangeIds, Exchanges
 from sardinehook.target.journal import ReplicaJournal
--- a/sardinehook/target/side.py
+++ b/sardinehook/target/side.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from sardinehook.target.codec import TargetReply, encode_cancel, encode_status
 from sardinehook.target.connection import ExchangeEnd, Replied, TargetConnection
-from sardinehook.target.dialect import TargetReply, encode_cancel, encode_status
 from sardinehook.target.pool import ConnectionPool
 
 __all__ = ["Cancellation", "SideExchanges"]
--- a/sardinehook/target/status.py
+++ b/sardinehook/target/status.py
@@ -5,7 +5,7 @@
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder
 
-from sardinehook.target.dialect import ReplyHead
+from sardinehook.target.codec import ReplyHead
 
 __all__ = ["ReplicaStatus", "StatusBody", "read_status"]
 
--- a/sardinehook/target/work.py
+++ b/sardinehook/target/work.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from sardinehook.messages import Outcome, SubQuery, SubReply
-from sardinehook.target.dialect import TargetReply
+from sardinehook.target.codec import TargetReply
 from sardinehook.target.outcome import Verdict
 
 __all__ = ["Work", "WorkKey"]
