Rename the pool's take, give_back and provide to acquire, release, ensure_available

Connection pools call these operations acquire and release; provide did not say that it opens connections until enough are available. All uses follow.

--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -159,7 +159,7 @@
         for place in places:
             pool = ConnectionPool(reactor, place.address, OwnerLimits(), events)
             pool.set_allowance(SLOTS)
-            pool.provide(SLOTS)
+            pool.ensure_available(SLOTS)
             self.pools[place.name] = pool
 
     def send(self, place: Place, done: Callable[[bool], None]) -> None:
@@ -168,7 +168,7 @@
         exchange_id = b"c-%d" % number
         query = sub_query(number, place)
         pool = self.pools[place.name]
-        connection = pool.take()
+        connection = pool.acquire()
         if connection is None:
             done(False)
             return
@@ -184,7 +184,7 @@
         end: ExchangeEnd,
     ) -> None:
         """Give the connection back."""
-        pool.give_back(connection)
+        pool.release(connection)
         done(isinstance(end, Replied) and end.reply.status == 200)
 
 
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -154,7 +154,7 @@
         match end:
             case Replied(reply):
                 self.occupancy.end(running.exchange_id)
-                self.pool.give_back(running.connection)
+                self.pool.release(running.connection)
                 if not running.over:
                     self.replied(running, reply)
             case Malformed(detail):
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -89,7 +89,7 @@
             self.lingering = [until for until in self.lingering if until > now]
         return len(self.connections) + self.opening + len(self.lingering)
 
-    def take(self, alive_since: float = 0.0) -> TargetConnection | None:
+    def acquire(self, alive_since: float = 0.0) -> TargetConnection | None:
         """Return the idle connection that was used last, if any.
 
         One that has shown no life since ``alive_since`` is returned only where no
@@ -113,7 +113,7 @@
                 connection.give_up()
         self.idle = [one for one in self.idle if one.is_open]
 
-    def give_back(self, connection: TargetConnection) -> None:
+    def release(self, connection: TargetConnection) -> None:
         """Take back a connection whose exchange has ended."""
         self.backoff_s = 0.0
         if not connection.idle:
@@ -134,7 +134,7 @@
         """Tell whether no connection is on its way and none can be opened."""
         return not self.opening and self.held(self.reactor.seconds()) >= self.allowance
 
-    def provide(self, wanted: int, alive_since: float = 0.0) -> None:
+    def ensure_available(self, wanted: int, alive_since: float = 0.0) -> None:
         """Open connections until ``wanted`` are idle or on their way.
 
         Idle ones count if they have shown life since ``alive_since``.
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -148,7 +148,7 @@
             return False
         if work.deadline_at < work.received_at + LEAST_SENDABLE_S:
             return False
-        connection = self.pool.take(work.alive_since)
+        connection = self.pool.acquire(work.alive_since)
         if connection is None:
             return False
         self.exchanges.send(work, connection, work.received_at)
@@ -187,7 +187,7 @@
         while self.queue.entries and self.takes_work:
             if self.exchanges.in_flight >= self.ramp.bound:
                 return
-            connection = self.pool.take(self.queue.entries[0].work.alive_since)
+            connection = self.pool.acquire(self.queue.entries[0].work.alive_since)
             if connection is None:
                 return
             self.exchanges.send(self.queue.pop(), connection, now)
@@ -205,10 +205,10 @@
             free_slots = max(0, self.ramp.bound - self.exchanges.in_flight)
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
-            pool.provide(wanted)
+            pool.ensure_available(wanted)
         since = self.alive_since_wanted() if waiting else 0.0
         if since:
-            pool.provide(1, since)
+            pool.ensure_available(1, since)
 
     def alive_since_wanted(self) -> float:
         """Return since when a connection has to have shown life, if it matters."""
--- a/sardinehook/target/side.py
+++ b/sardinehook/target/side.py
@@ -59,7 +59,7 @@
             cancellation = self.cancellations.popleft()
             if not cancellation.wanted():
                 continue
-            connection = self.pool.take(cancellation.alive_since)
+            connection = self.pool.acquire(cancellation.alive_since)
             if connection is None:
                 self.cancellations.append(cancellation)
             else:
@@ -81,7 +81,7 @@
         self, exchange_id: bytes, ended: Callable[[TargetReply], None]
     ) -> None:
         """Ask for the replica's status over an idle connection, if there is one."""
-        connection = self.pool.take()
+        connection = self.pool.acquire()
         if connection is None:
             return
 
@@ -107,7 +107,7 @@
         def finish(end: ExchangeEnd) -> None:
             self.pending.discard(pending)
             if isinstance(end, Replied):
-                self.pool.give_back(connection)
+                self.pool.release(connection)
                 ended(end.reply)
             else:
                 ended(None)
--- a/tests/target/test_pool.py
+++ b/tests/target/test_pool.py
@@ -23,7 +23,7 @@
 
     def test_connections_given_up_go_on_counting(self) -> None:
         rig = rig_with(3)
-        rig.runner.pool.provide(3)
+        rig.runner.pool.ensure_available(3)
         rig.advance(0.01)
         for link in list(rig.reactor.links):
             link.protocol.give_up()
@@ -33,7 +33,7 @@
 
     def test_those_given_up_never_leave_the_replica_without_any(self) -> None:
         rig = rig_with(3)
-        rig.runner.pool.provide(3)
+        rig.runner.pool.ensure_available(3)
         rig.advance(0.01)
         for link in list(rig.reactor.links):
             link.protocol.give_up()
@@ -110,7 +110,7 @@
 
     def test_long_idle_ones_are_closed_but_for_a_few(self) -> None:
         rig = rig_with(20)
-        rig.runner.pool.provide(12)
+        rig.runner.pool.ensure_available(12)
         rig.advance(0.01)
         rig.reactor.advance(16.0)
         rig.runner.tend()
