--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -101,7 +101,11 @@
         )
         self.guard = LeaseGuard(self.fleet, self.allowances, self.owner)
         self.vm_watch = VmWatch(
-            reactor, self.vm_list, self.owner.note_vm, self.fleet.peers, self.links.send
+            reactor,
+            self.vm_list,
+            self.owner.update_vm_state,
+            self.fleet.peers,
+            self.links.send,
         )
         self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.guard)
         self.sub_query_ids = count(first_sub_query_id())
@@ -192,7 +196,7 @@
     def take_view(self, view: ReplicaView) -> None:
         """Use what the owner of a replica tells, here or at a peer."""
         self.searches.take_view(view)
-        self.owner.note_peer_view(view.replica, TargetState(view.state))
+        self.owner.update_peer_view(view.replica, TargetState(view.state))
 
     def wire(self) -> None:
         """Connect the parts."""
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -95,7 +95,9 @@
             runner.set_allowance(allowance)
             self.watch(runner)
 
-    def note_vm(self, replica: str, listed: TargetState, incarnation: str = "") -> None:
+    def update_vm_state(
+        self, replica: str, listed: TargetState, incarnation: str = ""
+    ) -> None:
         """Take what the platform's list of VMs says of a replica.
 
         ``listed`` is ``DRAINING`` or ``GONE`` for one that leaves and ``UNKNOWN``
@@ -103,9 +105,9 @@
         """
         runner = self.runners.get(replica)
         if runner is not None:
-            runner.note_vm(listed, incarnation)
+            runner.update_vm_state(listed, incarnation)
 
-    def note_peer_view(self, replica: str, state: TargetState) -> None:
+    def update_peer_view(self, replica: str, state: TargetState) -> None:
         """Take what another owner has last told of a replica.
 
         It matters only for a part that may not serve the replica while it is cold:
@@ -113,7 +115,7 @@
         """
         runner = self.runners.get(replica)
         if runner is not None:
-            runner.note_peer_view(state)
+            runner.update_peer_view(state)
 
     def submit(
         self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -109,13 +109,13 @@
         self.pool.set_allowance(self.allowance.connections)
         self.pump()
 
-    def note_vm(self, listed: TargetState, incarnation: str) -> None:
+    def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says of the replica."""
-        self.standing.note_vm(listed, incarnation)
+        self.standing.update_vm_state(listed, incarnation)
         self.refuse_if_leaving()
         self.journal.note_changes()
 
-    def note_peer_view(self, state: TargetState) -> None:
+    def update_peer_view(self, state: TargetState) -> None:
         """Take the state that another owner has told."""
         if self.allowance.may_serve_cold or not self.holds_part:
             return
--- a/sardinehook/target/standing.py
+++ b/sardinehook/target/standing.py
@@ -95,7 +95,7 @@
                 self.draining = False
                 self.ramp.forget()
 
-    def note_vm(self, listed: TargetState, incarnation: str) -> None:
+    def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says.
 
         ``listed`` is ``DRAINING``, ``GONE`` or ``UNKNOWN`` for nothing against it.
--- a/tests/target/test_cold_start.py
+++ b/tests/target/test_cold_start.py
@@ -118,9 +118,9 @@
 
     def test_another_incarnation_is_unknown(self) -> None:
         rig = Rig()
-        rig.owner.note_vm("s-a", TargetState.UNKNOWN, "one")
+        rig.owner.update_vm_state("s-a", TargetState.UNKNOWN, "one")
         rig.warm_up()
-        rig.owner.note_vm("s-a", TargetState.UNKNOWN, "two")
+        rig.owner.update_vm_state("s-a", TargetState.UNKNOWN, "two")
         assert rig.owner.views()[0].state is TargetState.UNKNOWN
 
     def test_a_new_part_begins_from_unknown(self) -> None:
@@ -158,27 +158,27 @@
 
     def test_it_serves_a_replica_that_the_owner_saw_warm(self) -> None:
         rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
-        rig.owner.note_peer_view("s-a", WARM)
+        rig.owner.update_peer_view("s-a", WARM)
         rig.submit(query(1))
         rig.busy()[0].answer()
         assert rig.outcomes() == [Outcome.ANSWERED]
 
     def test_it_stops_when_the_owner_sees_it_otherwise(self) -> None:
         rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
-        rig.owner.note_peer_view("s-a", WARM)
-        rig.owner.note_peer_view("s-a", TargetState.DRAINING)
+        rig.owner.update_peer_view("s-a", WARM)
+        rig.owner.update_peer_view("s-a", TargetState.DRAINING)
         rig.submit(query(1))
         assert rig.outcomes() == [Outcome.NOT_RUN]
 
     def test_its_own_evidence_goes_before_the_word_of_another(self) -> None:
         rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
-        rig.owner.note_peer_view("s-a", WARM)
+        rig.owner.update_peer_view("s-a", WARM)
         rig.submit(query(1))
         rig.busy()[0].answer(Target_State="cold")
-        rig.owner.note_peer_view("s-a", WARM)
+        rig.owner.update_peer_view("s-a", WARM)
         assert rig.owner.views()[0].state is COLD
 
     def test_the_owner_itself_is_never_told_that_it_is_warm(self) -> None:
         rig = Rig()
-        rig.owner.note_peer_view("s-a", WARM)
+        rig.owner.update_peer_view("s-a", WARM)
         assert rig.runner.ramp.bound == 1
--- a/tests/target/test_standing.py
+++ b/tests/target/test_standing.py
@@ -24,7 +24,7 @@
     @pytest.mark.parametrize("listed", [TargetState.DRAINING, TargetState.GONE])
     def test_the_list_of_vms_ends_new_work(self, listed: TargetState) -> None:
         rig = Rig()
-        rig.owner.note_vm("s-a", listed)
+        rig.owner.update_vm_state("s-a", listed)
         rig.submit(query())
         assert rig.outcomes() == [Outcome.NOT_RUN]
         assert rig.owner.views()[0].state is listed
@@ -32,7 +32,7 @@
     def test_work_in_flight_is_finished(self) -> None:
         rig = Rig()
         rig.submit(query(1))
-        rig.owner.note_vm("s-a", TargetState.DRAINING)
+        rig.owner.update_vm_state("s-a", TargetState.DRAINING)
         rig.busy()[0].answer()
         assert rig.outcomes() == [Outcome.ANSWERED]
 
@@ -76,8 +76,8 @@
     def test_a_return_by_the_list_starts_unknown(self) -> None:
         rig = Rig()
         rig.warm_up()
-        rig.owner.note_vm("s-a", TargetState.DRAINING)
-        rig.owner.note_vm("s-a", TargetState.UNKNOWN)
+        rig.owner.update_vm_state("s-a", TargetState.DRAINING)
+        rig.owner.update_vm_state("s-a", TargetState.UNKNOWN)
         assert rig.owner.views()[0].state is TargetState.UNKNOWN
 
 
