Rename silence_bound_s to probe_delay_s and its module to retry

The function returns the delay before an unanswered exchange is probed, and the module holds it with the retry budget.

--- a/bench/target_scenes.py
+++ b/bench/target_scenes.py
@@ -140,7 +140,7 @@
             show(name, "ramp", seed, run(seed, 1, 0.002, fault))
             show(name, "none", seed, run(seed, SLOTS, 0.002, fault))
         show("silence", "probe", seed, run(seed, 1, 0.004, silence))
-        with patch("sardinehook.target.exchanges.silence_bound_s", lambda *_: None):
+        with patch("sardinehook.target.exchanges.probe_delay_s", lambda *_: None):
             show("silence", "none", seed, run(seed, 1, 0.004, silence))
 
 
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -21,8 +21,8 @@
 from sardinehook.target.occupancy import Occupancy
 from sardinehook.target.outcome import Verdict, judge
 from sardinehook.target.pool import ConnectionPool
+from sardinehook.target.retry import RetryBudget, probe_delay_s
 from sardinehook.target.side import Cancellation, SideExchanges
-from sardinehook.target.silence import RetryBudget, silence_bound_s
 from sardinehook.target.work import Work
 
 __all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "Running"]
@@ -145,7 +145,7 @@
         """Return when to doubt the connection if no byte has come by then."""
         if connection.exchanges == 0 or work.tries or work.sub_query.order_key:
             return NEVER
-        bound_s = silence_bound_s(self.evidence.service.likely_ms, left_s)
+        bound_s = probe_delay_s(self.evidence.service.likely_ms, left_s)
         return NEVER if bound_s is None else now + bound_s
 
     def exchange_ended(self, running: Running, end: ExchangeEnd) -> None:
--- a/sardinehook/target/silence.py
+++ b/sardinehook/target/retry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-__all__ = ["RetryBudget", "silence_bound_s"]
+__all__ = ["RetryBudget", "probe_delay_s"]
 
 LIKELY_FACTOR = 6.0
 DEADLINE_FRACTION = 0.25
@@ -10,15 +10,15 @@
 RETRY_BURST = 10.0
 
 
-def silence_bound_s(likely_ms: float, left_s: float) -> float | None:
+def probe_delay_s(likely_ms: float, left_s: float) -> float | None:
     """Return after how long without a byte a connection is probed.
 
     ``likely_ms`` is the time within which most replies come and ``left_s`` the time
     left at sending. ``None`` means that no time would be left for another try.
 
-    >>> silence_bound_s(likely_ms=4.0, left_s=0.2)
+    >>> probe_delay_s(likely_ms=4.0, left_s=0.2)
     0.05
-    >>> silence_bound_s(likely_ms=40.0, left_s=0.2) is None
+    >>> probe_delay_s(likely_ms=40.0, left_s=0.2) is None
     True
     """
     likely_s = likely_ms / 1000.0
