Rename ColdStart to ConcurrencyLimit, its bound to limit

The class is the adaptive limit of sub-queries in flight at one replica; cold start is only one of its states. The module, the attributes that were called ramp and the test file follow it.

--- a/sardinehook/target/cold_start.py
+++ b/sardinehook/target/concurrency_limit.py
@@ -4,14 +4,14 @@
 
 from sardinehook.messages import TargetState
 
-__all__ = ["ColdStart"]
+__all__ = ["ConcurrencyLimit"]
 
 GOOD_REPLIES_PER_STEP = 8
 SLOW_REPLIES_FOR_SETBACK = 3
 LATE_REPLIES_FOR_SETBACK = 2
 
 
-class ColdStart:
+class ConcurrencyLimit:
     """The bound on work in flight at one replica.
 
     It starts at ``cold_start_slots`` and grows by one after eight good replies in
@@ -19,12 +19,12 @@
     sign of a cold start takes it back to ``cold_start_slots`` at once. Time alone
     changes nothing.
 
-    >>> ramp = ColdStart(cold_start_slots=1, slots=2)
-    >>> ramp.bound, ramp.state.name
+    >>> concurrency = ConcurrencyLimit(cold_start_slots=1, slots=2)
+    >>> concurrency.limit, concurrency.state.name
     (1, 'UNKNOWN')
     >>> for _ in range(8):
-    ...     ramp.good_reply(TargetState.WARM, full_use=True, slow=False)
-    >>> ramp.bound, ramp.state.name
+    ...     concurrency.good_reply(TargetState.WARM, full_use=True, slow=False)
+    >>> concurrency.limit, concurrency.state.name
     (2, 'WARM')
     """
 
@@ -33,7 +33,7 @@
         self.slots = slots
         self.state = TargetState.UNKNOWN
         self.cause = ""
-        self.bound = min(cold_start_slots, slots)
+        self.limit = min(cold_start_slots, slots)
         self.good_replies = 0
         self.slow_replies = 0
         self.late_replies = 0
@@ -43,8 +43,8 @@
         grown = slots > self.slots
         self.slots = slots
         if grown and self.state is TargetState.WARM:
-            self.bound = slots
-        self.bound = min(self.bound, slots)
+            self.limit = slots
+        self.limit = min(self.limit, slots)
 
     def good_reply(self, said: TargetState, full_use: bool, slow: bool) -> None:
         """Count a whole reply in time.
@@ -61,7 +61,7 @@
             self.slow_reply()
             return
         self.slow_replies = 0
-        at_top = self.bound == self.slots
+        at_top = self.limit == self.slots
         if at_top and self.state is TargetState.WARM:
             return
         if full_use or at_top:
@@ -79,8 +79,8 @@
         if self.good_replies < GOOD_REPLIES_PER_STEP:
             return
         self.good_replies = 0
-        self.bound = min(self.bound + 1, self.slots)
-        if self.bound == self.slots:
+        self.limit = min(self.limit + 1, self.slots)
+        if self.limit == self.slots:
             self.state = TargetState.WARM
 
     def late_reply(self) -> None:
@@ -92,14 +92,14 @@
     def shed(self) -> None:
         """Halve the bound after the target refused work."""
         self.good_replies = 0
-        self.bound = max(1, self.bound // 2)
+        self.limit = max(1, self.limit // 2)
 
     def setback(self, cause: str) -> None:
         """Treat the replica as cold; ``cause`` is for people."""
         if self.state is not TargetState.COLD:
             self.cause = cause
         self.state = TargetState.COLD
-        self.bound = min(self.cold_start_slots, self.slots)
+        self.limit = min(self.cold_start_slots, self.slots)
         self.good_replies = 0
         self.slow_replies = 0
         self.late_replies = 0
@@ -108,7 +108,7 @@
         """Take another owner's word that the replica is warm, if nothing is known."""
         if self.state is TargetState.UNKNOWN:
             self.state = TargetState.WARM
-            self.bound = self.slots
+            self.limit = self.slots
 
     def forget(self) -> None:
         """Return to knowing nothing, which bears what a cold start bears."""
--- a/sardinehook/target/evidence.py
+++ b/sardinehook/target/evidence.py
@@ -5,7 +5,7 @@
 from sardinehook.environment.document import Index
 from sardinehook.messages import Outcome
 from sardinehook.target.codec import TargetReply
-from sardinehook.target.cold_start import ColdStart
+from sardinehook.target.concurrency_limit import ConcurrencyLimit
 from sardinehook.target.load import ServiceTime
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.standing import Standing
@@ -18,8 +18,8 @@
     """The ramp, the standing, the service time and the versions of one replica."""
 
     def __init__(self, index: Index) -> None:
-        self.ramp = ColdStart(index.cold_start_slots, index.slots)
-        self.standing = Standing(self.ramp)
+        self.concurrency = ConcurrencyLimit(index.cold_start_slots, index.slots)
+        self.standing = Standing(self.concurrency)
         self.service = ServiceTime()
         self.status = ReplicaStatus()
 
@@ -31,18 +31,18 @@
         full_use: bool,
         now: float,
     ) -> None:
-        """Take a whole reply; ``full_use`` is as in ``ColdStart.good_reply``."""
+        """Take a whole reply; ``full_use`` is as in ``ConcurrencyLimit.good_reply``."""
         self.status.note_reply(reply.head, now)
         self.standing.reply_said(reply.head.state, now)
         match verdict.outcome:
             case Outcome.ANSWERED:
                 slow = self.service.is_slow(took_ms)
                 self.service.observe(took_ms)
-                self.ramp.good_reply(reply.head.state, full_use, slow)
+                self.concurrency.good_reply(reply.head.state, full_use, slow)
             case Outcome.SHED:
-                self.ramp.shed()
+                self.concurrency.shed()
             case Outcome.FAILED if reply.status == 503:
-                self.ramp.shed()
+                self.concurrency.shed()
             case _:
                 pass
 
@@ -59,15 +59,15 @@
         if waited_ms <= self.service.mean_ms:
             return
         if self.service.is_slow(waited_ms):
-            self.ramp.slow_reply()
+            self.concurrency.slow_reply()
         self.service.observe(waited_ms)
 
     def deadline_missed(self, waited_ms: float) -> None:
         """Take a deadline that passed without a reply."""
-        self.ramp.late_reply()
+        self.concurrency.late_reply()
         self.service.observe(waited_ms)
 
     def wait_ms(self, ahead: int) -> float:
         """Estimate the time queued and served behind ``ahead`` others."""
-        turns = ahead // max(1, self.ramp.bound)
+        turns = ahead // max(1, self.concurrency.limit)
         return turns * self.service.mean_ms + self.service.likely_ms
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -99,7 +99,7 @@
         self.host = host
         self.occupancy_margin_s = occupancy_margin_s
         self.evidence = evidence
-        self.ramp = evidence.ramp
+        self.concurrency = evidence.concurrency
         self.pool = pool
         self.reactor = pool.reactor
         self.events = events
@@ -124,7 +124,7 @@
         exchange_id = self.ids.take()
         until = work.deadline_at + self.occupancy_margin_s
         self.occupancy.begin(exchange_id, until)
-        full_use = len(self.occupancy.until) >= self.ramp.bound
+        full_use = len(self.occupancy.until) >= self.concurrency.limit
         check_at = self.probe_time(work, connection, now, left_s)
         running = Running(work, exchange_id, connection, full_use, now, until, check_at)
         self.running[exchange_id] = running
@@ -158,11 +158,11 @@
                 if not running.over:
                     self.replied(running, reply)
             case Malformed(detail):
-                self.ramp.setback("a garbled reply")
+                self.concurrency.setback("a garbled reply")
                 garbled = Verdict(Outcome.GARBLED, True)
                 self.events.settled(running.work, garbled, detail, None)
             case Lost(detail):
-                self.ramp.setback("a lost connection")
+                self.concurrency.setback("a lost connection")
                 self.try_again(running, detail)
         self.events.changed()
 
@@ -201,7 +201,7 @@
         likely_s = self.evidence.service.likely_ms / 1000.0
         if self.reactor.seconds() + likely_s >= work.deadline_at:
             return False
-        return self.in_flight < self.ramp.bound
+        return self.in_flight < self.concurrency.limit
 
     def cancel(self, work: Work) -> None:
         """Abandon a sub-query that has been answered as cancelled."""
@@ -250,7 +250,7 @@
         until the deadline has passed.
         """
         self.drop(running)
-        if self.ramp.state is TargetState.WARM:
+        if self.concurrency.state is TargetState.WARM:
             self.occupancy.end(running.exchange_id)
 
     def sweep(self, now: float) -> None:
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/runner.py
@@ -51,7 +51,7 @@
         self.replica = replica
         self.allowance = NO_ALLOWANCE
         self.evidence = Evidence(index)
-        self.ramp = self.evidence.ramp
+        self.concurrency = self.evidence.concurrency
         self.standing = self.evidence.standing
         limits = context.limits
         self.queue = ReplicaQueue(limits.queue_length)
@@ -94,7 +94,7 @@
     def configure(self, index: Index) -> None:
         """Take new figures for what the replica bears."""
         self.index = index
-        self.ramp.cold_start_slots = index.cold_start_slots
+        self.concurrency.cold_start_slots = index.cold_start_slots
 
     def set_allowance(self, allowance: Allowance | None) -> None:
         """Take a new allowance; without one nothing new is sent."""
@@ -102,10 +102,10 @@
         if allowance is None:
             self.allowance = NO_ALLOWANCE
             self.refuse_queue("the replica has another owner")
-            self.ramp.forget()
+            self.concurrency.forget()
         else:
             self.allowance = allowance
-            self.ramp.set_slots(allowance.slots)
+            self.concurrency.set_slots(allowance.slots)
         self.pool.set_allowance(self.allowance.connections)
         self.pump()
 
@@ -120,9 +120,9 @@
         if self.allowance.may_serve_cold or not self.holds_part:
             return
         if state is TargetState.WARM:
-            self.ramp.take_as_warm()
-        elif self.ramp.state is TargetState.WARM:
-            self.ramp.forget()
+            self.concurrency.take_as_warm()
+        elif self.concurrency.state is TargetState.WARM:
+            self.concurrency.forget()
             self.refuse_if_leaving()
 
     def submit(self, work: Work) -> None:
@@ -144,7 +144,7 @@
 
     def start_now(self, work: Work) -> bool:
         """Send ``work`` past the empty queue if a slot and a connection are free."""
-        if self.exchanges.in_flight >= self.ramp.bound:
+        if self.exchanges.in_flight >= self.concurrency.limit:
             return False
         if work.deadline_at < work.received_at + LEAST_SENDABLE_S:
             return False
@@ -163,7 +163,7 @@
         ahead = self.exchanges.in_flight
         if self.queue.entries:
             ahead += self.queue.ahead_of(work.sub_query.priority, work.deadline_at)
-        if ahead < self.ramp.bound:
+        if ahead < self.concurrency.limit:
             return ""
         wait_s = self.evidence.wait_ms(ahead) / 1000.0
         if work.received_at + wait_s > work.deadline_at:
@@ -185,7 +185,7 @@
         for work in self.queue.remove_hopeless(now, needed_s):
             self.refuse(work, "the deadline passed in the queue")
         while self.queue.entries and self.takes_work:
-            if self.exchanges.in_flight >= self.ramp.bound:
+            if self.exchanges.in_flight >= self.concurrency.limit:
                 return
             connection = self.pool.acquire(self.queue.entries[0].work.alive_since)
             if connection is None:
@@ -202,7 +202,7 @@
         if not self.standing.draining:
             wanted += SPARE_CONNECTIONS
         if self.queue.entries:
-            free_slots = max(0, self.ramp.bound - self.exchanges.in_flight)
+            free_slots = max(0, self.concurrency.limit - self.exchanges.in_flight)
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
             pool.ensure_available(wanted)
@@ -277,7 +277,7 @@
     def connection_ended(self, clean: bool) -> None:
         """Take the end of a connection by the target as evidence."""
         if not clean or not self.pool.open_now():
-            self.ramp.setback("a lost connection")
+            self.concurrency.setback("a lost connection")
         self.pump()
         self.journal.note_changes()
 
@@ -312,7 +312,7 @@
         self.settle(work, verdict, detail, reply)
         if self.queue.entries:
             self.refuse_if_leaving()
-        if self.ramp.state is not self.journal.state or self.standing.leaving:
+        if self.concurrency.state is not self.journal.state or self.standing.leaving:
             self.journal.note_changes()
 
     def queue_again(self, work: Work) -> None:
@@ -338,7 +338,7 @@
     def view(self) -> ReplicaView:
         """Return what other processes are told about the replica."""
         ahead = self.exchanges.in_flight + len(self.queue)
-        room = max(0, self.ramp.bound - ahead) if self.takes_work else 0
+        room = max(0, self.concurrency.limit - ahead) if self.takes_work else 0
         status = self.evidence.status
         return ReplicaView(
             self.replica.name,
--- a/sardinehook/target/standing.py
+++ b/sardinehook/target/standing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from sardinehook.messages import TargetState
-from sardinehook.target.cold_start import ColdStart
+from sardinehook.target.concurrency_limit import ConcurrencyLimit
 
 __all__ = ["Standing"]
 
@@ -19,8 +19,8 @@
     comes back is unknown and ramps up again.
     """
 
-    def __init__(self, ramp: ColdStart) -> None:
-        self.ramp = ramp
+    def __init__(self, concurrency: ConcurrencyLimit) -> None:
+        self.concurrency = concurrency
         self.draining = False
         self.gone = False
         self.listed = TargetState.UNKNOWN
@@ -35,7 +35,7 @@
             return TargetState.GONE
         if self.draining or self.listed is TargetState.DRAINING:
             return TargetState.DRAINING
-        return self.ramp.state
+        return self.concurrency.state
 
     @property
     def cause(self) -> str:
@@ -46,13 +46,15 @@
             return "the list of VMs"
         if self.draining:
             return "its drain signal"
-        return self.ramp.cause if self.ramp.state is TargetState.COLD else ""
+        return (
+            self.concurrency.cause if self.concurrency.state is TargetState.COLD else ""
+        )
 
     def takes_work(self, may_serve_cold: bool) -> bool:
         """Tell whether new work may be sent."""
         if self.leaving:
             return False
-        return may_serve_cold or self.ramp.state is TargetState.WARM
+        return may_serve_cold or self.concurrency.state is TargetState.WARM
 
     @property
     def leaving(self) -> bool:
@@ -62,14 +64,14 @@
     def connect_failed(self) -> None:
         """Note that the replica cannot be reached."""
         self.gone = True
-        self.ramp.forget()
+        self.concurrency.forget()
 
     def connected(self) -> None:
         """Note a new connection; after an absence the replica is unknown."""
         if self.gone:
             self.gone = False
             self.draining = False
-            self.ramp.forget()
+            self.concurrency.forget()
 
     def reply_said(self, said: TargetState, now: float) -> None:
         """Take the state that stands in a reply."""
@@ -78,7 +80,7 @@
             self.hold_until = now + DRAIN_HOLD_S
             self.statuses_in_favour = 0
         elif said is TargetState.COLD:
-            self.ramp.setback("a reply says so")
+            self.concurrency.setback("a reply says so")
 
     def status_said(self, draining: bool, now: float) -> None:
         """Take the status endpoint's word on whether the replica drains.
@@ -93,7 +95,7 @@
             self.statuses_in_favour += 1
             if self.statuses_in_favour >= STATUSES_TO_END_DRAIN:
                 self.draining = False
-                self.ramp.forget()
+                self.concurrency.forget()
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says.
@@ -101,11 +103,11 @@
         ``listed`` is ``DRAINING``, ``GONE`` or ``UNKNOWN`` for nothing against it.
         """
         if self.listed is not TargetState.UNKNOWN and listed is TargetState.UNKNOWN:
-            self.ramp.forget()
+            self.concurrency.forget()
         self.listed = listed
         if incarnation == self.incarnation:
             return
         if self.incarnation:
             self.draining = False
-            self.ramp.forget()
+            self.concurrency.forget()
         self.incarnation = incarnation
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -208,8 +208,8 @@
     def warm_up(self) -> None:
         """Take the replica to warm by good replies at full use."""
         number = 10_000
-        while self.runner.ramp.state.name != "WARM":
-            for _ in range(self.runner.ramp.bound):
+        while self.runner.concurrency.state.name != "WARM":
+            for _ in range(self.runner.concurrency.limit):
                 number += 1
                 self.submit(query(number))
             for link in self.busy():
--- a/tests/target/test_cold_start.py
+++ b/tests/target/test_concurrency_limit.py
@@ -9,59 +9,59 @@
 
 from sardinehook.messages import Outcome, TargetState
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.cold_start import GOOD_REPLIES_PER_STEP, ColdStart
+from sardinehook.target.concurrency_limit import GOOD_REPLIES_PER_STEP, ConcurrencyLimit
 from tests.target.fakes import Rig, query
 
 WARM, COLD = TargetState.WARM, TargetState.COLD
 
 
-def serve(ramp: ColdStart, times: int, full_use: bool = True) -> None:
+def serve(concurrency: ConcurrencyLimit, times: int, full_use: bool = True) -> None:
     for _ in range(times):
-        ramp.good_reply(WARM, full_use, slow=False)
+        concurrency.good_reply(WARM, full_use, slow=False)
 
 
 class TestRamp:
     def test_it_grows_only_by_replies_at_full_use(self) -> None:
-        ramp = ColdStart(1, 3)
-        serve(ramp, 100, full_use=False)
-        assert ramp.bound == 1
-        serve(ramp, GOOD_REPLIES_PER_STEP)
-        assert ramp.bound == 2
-        assert ramp.state is not WARM
+        concurrency = ConcurrencyLimit(1, 3)
+        serve(concurrency, 100, full_use=False)
+        assert concurrency.limit == 1
+        serve(concurrency, GOOD_REPLIES_PER_STEP)
+        assert concurrency.limit == 2
+        assert concurrency.state is not WARM
 
     def test_a_reply_that_says_cold_undoes_all_growth(self) -> None:
-        ramp = ColdStart(1, 3)
-        serve(ramp, 2 * GOOD_REPLIES_PER_STEP)
-        assert ramp.state is WARM
-        ramp.good_reply(COLD, True, slow=False)
-        assert (ramp.bound, ramp.state) == (1, COLD)
+        concurrency = ConcurrencyLimit(1, 3)
+        serve(concurrency, 2 * GOOD_REPLIES_PER_STEP)
+        assert concurrency.state is WARM
+        concurrency.good_reply(COLD, True, slow=False)
+        assert (concurrency.limit, concurrency.state) == (1, COLD)
 
     def test_replies_of_a_cold_target_never_grow_it(self) -> None:
-        ramp = ColdStart(1, 3)
+        concurrency = ConcurrencyLimit(1, 3)
         for _ in range(100):
-            ramp.good_reply(COLD, True, slow=False)
-        assert ramp.bound == 1
+            concurrency.good_reply(COLD, True, slow=False)
+        assert concurrency.limit == 1
 
     def test_sudden_slowness_is_a_setback_and_one_straggler_is_not(self) -> None:
-        ramp = ColdStart(1, 2)
-        serve(ramp, GOOD_REPLIES_PER_STEP)
-        ramp.good_reply(WARM, True, slow=True)
-        serve(ramp, 1)
-        assert ramp.state is WARM
+        concurrency = ConcurrencyLimit(1, 2)
+        serve(concurrency, GOOD_REPLIES_PER_STEP)
+        concurrency.good_reply(WARM, True, slow=True)
+        serve(concurrency, 1)
+        assert concurrency.state is WARM
         for _ in range(3):
-            ramp.good_reply(WARM, True, slow=True)
-        assert ramp.state is COLD
+            concurrency.good_reply(WARM, True, slow=True)
+        assert concurrency.state is COLD
 
     def test_more_slots_do_not_raise_a_cold_bound(self) -> None:
-        ramp = ColdStart(1, 2)
-        ramp.set_slots(3)
-        assert ramp.bound == 1
+        concurrency = ConcurrencyLimit(1, 2)
+        concurrency.set_slots(3)
+        assert concurrency.limit == 1
 
     def test_fewer_slots_bind_at_once(self) -> None:
-        ramp = ColdStart(1, 3)
-        serve(ramp, 2 * GOOD_REPLIES_PER_STEP)
-        ramp.set_slots(2)
-        assert ramp.bound == 2
+        concurrency = ConcurrencyLimit(1, 3)
+        serve(concurrency, 2 * GOOD_REPLIES_PER_STEP)
+        concurrency.set_slots(2)
+        assert concurrency.limit == 2
 
     @given(
         st.lists(
@@ -75,28 +75,28 @@
     def test_the_bound_stays_between_one_and_the_slots(
         self, events: list[str], cold: int, slots: int
     ) -> None:
-        ramp = ColdStart(cold, slots)
+        concurrency = ConcurrencyLimit(cold, slots)
         grown = 0
         for event in events:
-            before = ramp.bound
+            before = concurrency.limit
             match event:
                 case "good":
-                    ramp.good_reply(WARM, True, slow=False)
+                    concurrency.good_reply(WARM, True, slow=False)
                 case "cold":
-                    ramp.good_reply(COLD, True, slow=False)
+                    concurrency.good_reply(COLD, True, slow=False)
                 case "slow":
-                    ramp.slow_reply()
+                    concurrency.slow_reply()
                 case "late":
-                    ramp.late_reply()
+                    concurrency.late_reply()
                 case "shed":
-                    ramp.shed()
+                    concurrency.shed()
                 case "setback":
-                    ramp.setback("test")
+                    concurrency.setback("test")
                 case _:
-                    ramp.forget()
-            grown = ramp.bound - before
-            assert 1 <= ramp.bound <= slots
-            assert grown <= 0 or event == "good" or ramp.bound <= cold
+                    concurrency.forget()
+            grown = concurrency.limit - before
+            assert 1 <= concurrency.limit <= slots
+            assert grown <= 0 or event == "good" or concurrency.limit <= cold
 
 
 class TestEvidence:
@@ -107,14 +107,14 @@
         rig.advance(0.2)
         for link in rig.reactor.links:
             link.drop(reason)
-        assert rig.runner.ramp.state is COLD
+        assert rig.runner.concurrency.state is COLD
 
     def test_one_idle_connection_closed_in_order_is_none(self) -> None:
         rig = Rig()
         rig.warm_up()
         used = [link for link in rig.reactor.links if link.protocol.exchanges]
         used[0].drop(ConnectionDone())
-        assert rig.runner.ramp.state is WARM
+        assert rig.runner.concurrency.state is WARM
 
     def test_another_incarnation_is_unknown(self) -> None:
         rig = Rig()
@@ -136,13 +136,13 @@
         rig.warm_up()
         rig.submit(query(1), query(2))
         rig.advance(0.2)
-        assert rig.runner.ramp.state is COLD
+        assert rig.runner.concurrency.state is COLD
 
     def test_time_alone_changes_nothing(self) -> None:
         rig = Rig()
-        rig.runner.ramp.setback("test")
+        rig.runner.concurrency.setback("test")
         rig.advance(5.0)
-        assert (rig.runner.ramp.bound, rig.runner.ramp.state) == (1, COLD)
+        assert (rig.runner.concurrency.limit, rig.runner.concurrency.state) == (1, COLD)
 
 
 class TestWhoServes:
@@ -181,4 +181,4 @@
     def test_the_owner_itself_is_never_told_that_it_is_warm(self) -> None:
         rig = Rig()
         rig.owner.update_peer_view("s-a", WARM)
-        assert rig.runner.ramp.bound == 1
+        assert rig.runner.concurrency.limit == 1
--- a/tests/target/test_owner_machine.py
+++ b/tests/target/test_owner_machine.py
@@ -67,7 +67,7 @@
         left_s = int(link.header("Deadline-Ms")) / 1000.0
         job = Job(link, request_id, self.now + left_s)
         self.jobs[link.header("Sub-Query-Id")] = job
-        assert len(self.jobs) <= self.rig.runner.ramp.bound
+        assert len(self.jobs) <= self.rig.runner.concurrency.limit
 
     def step(self, seconds: float = 0.002) -> None:
         """Let time pass, looking at the target after each millisecond."""
--- a/tests/target/test_pool.py
+++ b/tests/target/test_pool.py
@@ -102,11 +102,11 @@
     def test_a_target_over_its_cap_is_not_taken_for_a_restart(self) -> None:
         rig = rig_with(5)
         rig.warm_up()
-        state = rig.runner.ramp.state
+        state = rig.runner.concurrency.state
         for link in rig.reactor.links:
             if link.protocol.exchanges == 0:
                 link.drop(ConnectionLost())
-        assert rig.runner.ramp.state is state
+        assert rig.runner.concurrency.state is state
 
     def test_long_idle_ones_are_closed_but_for_a_few(self) -> None:
         rig = rig_with(20)
--- a/tests/target/test_standing.py
+++ b/tests/target/test_standing.py
@@ -7,7 +7,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
 from sardinehook.messages import Outcome, TargetState
-from sardinehook.target.cold_start import ColdStart
+from sardinehook.target.concurrency_limit import ConcurrencyLimit
 from sardinehook.target.standing import DRAIN_HOLD_S, Standing
 from tests.target.fakes import Rig, query
 
@@ -60,14 +60,14 @@
         assert (view.state, view.room) == (TargetState.UNKNOWN, 1)
 
     def test_a_misleading_status_does_not_end_a_drain(self) -> None:
-        standing = Standing(ColdStart(1, 2))
+        standing = Standing(ConcurrencyLimit(1, 2))
         standing.reply_said(TargetState.DRAINING, now=0.0)
         for second in range(9):
             standing.status_said(draining=False, now=float(second))
         assert standing.leaving
 
     def test_a_drain_that_was_taken_back_ends_after_the_hold(self) -> None:
-        standing = Standing(ColdStart(1, 2))
+        standing = Standing(ConcurrencyLimit(1, 2))
         standing.reply_said(TargetState.DRAINING, now=0.0)
         for second in range(3):
             standing.status_said(draining=False, now=DRAIN_HOLD_S + second)
