Rename ReplicaRunner to ReplicaClient

The class is the owner's client of one replica: queue, connection pool and exchanges. Runner did not say so. Its module, its context and the owner's dictionary of clients follow.

--- a/sardinehook/target/counts.py
+++ b/sardinehook/target/counts.py
@@ -7,7 +7,7 @@
 from typing import NamedTuple
 
 from sardinehook.messages import TargetState
-from sardinehook.target.runner import ReplicaRunner
+from sardinehook.target.replica_client import ReplicaClient
 
 __all__ = ["OwnerCounts", "count_holdings"]
 
@@ -27,9 +27,9 @@
     given_up: int
 
 
-def count_holdings(runners: Iterable[ReplicaRunner]) -> OwnerCounts:
-    """Sum up what ``runners`` hold."""
-    held = list(runners)
+def count_holdings(clients: Iterable[ReplicaClient]) -> OwnerCounts:
+    """Sum up what ``clients`` hold."""
+    held = list(clients)
     states = Counter(one.standing.state for one in held if one.holds_part)
     return OwnerCounts(
         sum(len(one.pool.connections) for one in held),
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -13,7 +13,7 @@
 from sardinehook.target.counts import OwnerCounts, count_holdings
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
-from sardinehook.target.runner import ReplicaRunner, RunnerContext
+from sardinehook.target.replica_client import ClientContext, ReplicaClient
 from sardinehook.target.work import Work, WorkKey
 from sardinehook.transport.reactor import TcpReactor, Timer
 
@@ -31,17 +31,17 @@
     def __init__(self, reactor: TcpReactor, limits: OwnerLimits) -> None:
         self.reactor = reactor
         self.limits = limits
-        self.runners: dict[str, ReplicaRunner] = {}
+        self.clients: dict[str, ReplicaClient] = {}
         self.allowances: dict[str, Allowance] = {}
-        self.retired: list[ReplicaRunner] = []
-        self.busy: set[ReplicaRunner] = set()
-        self.work: dict[WorkKey, tuple[Work, ReplicaRunner]] = {}
-        self.context = RunnerContext(
+        self.retired: list[ReplicaClient] = []
+        self.busy: set[ReplicaClient] = set()
+        self.work: dict[WorkKey, tuple[Work, ReplicaClient]] = {}
+        self.context = ClientContext(
             reactor, limits, ExchangeIds(token_hex(4)), self.settled, self.watch
         )
         self.sweeping: Timer | None = None
         self.polling: Timer | None = None
-        self.poll_order: list[ReplicaRunner] = []
+        self.poll_order: list[ReplicaClient] = []
         self.closed: Deferred[None] | None = None
         self.close_by = 0.0
         self.start_polling()
@@ -54,27 +54,27 @@
                 for replica in replicas:
                     named.add(replica.name)
                     self.configure_replica(index, replica)
-        for name in set(self.runners) - named:
+        for name in set(self.clients) - named:
             self.retire(name)
 
     def configure_replica(self, index: Index, replica: Replica) -> None:
-        """Create the runner of a replica, or a new one for a new address."""
-        runner = self.runners.get(replica.name)
-        if runner is not None and runner.replica.address == replica.address:
-            runner.configure(index)
+        """Create the client of a replica, or a new one for a new address."""
+        client = self.clients.get(replica.name)
+        if client is not None and client.replica.address == replica.address:
+            client.configure(index)
             return
-        if runner is not None:
+        if client is not None:
             self.retire(replica.name)
-        runner = ReplicaRunner(self.context, index, replica)
-        self.runners[replica.name] = runner
-        runner.set_allowance(self.allowances.get(replica.name))
-        self.watch(runner)
+        client = ReplicaClient(self.context, index, replica)
+        self.clients[replica.name] = client
+        client.set_allowance(self.allowances.get(replica.name))
+        self.watch(client)
 
     def retire(self, name: str) -> None:
         """Send nothing more to a replica and let its work in flight finish."""
-        runner = self.runners.pop(name)
-        runner.set_allowance(None)
-        self.retired.append(runner)
+        client = self.clients.pop(name)
+        client.set_allowance(None)
+        self.retired.append(client)
 
     def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
         """Take the part of a replica that is held here; ``None`` for no part.
@@ -90,10 +90,10 @@
             self.allowances.pop(replica, None)
         else:
             self.allowances[replica] = allowance
-        runner = self.runners.get(replica)
-        if runner is not None:
-            runner.set_allowance(allowance)
-            self.watch(runner)
+        client = self.clients.get(replica)
+        if client is not None:
+            client.set_allowance(allowance)
+            self.watch(client)
 
     def update_vm_state(
         self, replica: str, listed: TargetState, incarnation: str = ""
@@ -103,9 +103,9 @@
         ``listed`` is ``DRAINING`` or ``GONE`` for one that leaves and ``UNKNOWN``
         for one with nothing against it. Another incarnation starts cold.
         """
-        runner = self.runners.get(replica)
-        if runner is not None:
-            runner.update_vm_state(listed, incarnation)
+        client = self.clients.get(replica)
+        if client is not None:
+            client.update_vm_state(listed, incarnation)
 
     def update_peer_view(self, replica: str, state: TargetState) -> None:
         """Take what another owner has last told of a replica.
@@ -113,9 +113,9 @@
         It matters only for a part that may not serve the replica while it is cold:
         such a holder cannot find out by itself that the replica is warm.
         """
-        runner = self.runners.get(replica)
-        if runner is not None:
-            runner.update_peer_view(state)
+        client = self.clients.get(replica)
+        if client is not None:
+            client.update_peer_view(state)
 
     def submit(
         self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
@@ -131,22 +131,22 @@
         now = self.reactor.seconds()
         deadline_at = now + sub_query.deadline_ms / 1000.0
         work = Work(key, sub_query, reply, now, deadline_at)
-        runner = self.runners.get(sub_query.replica)
-        if runner is None:
+        client = self.clients.get(sub_query.replica)
+        if client is None:
             reply(refused(sub_query, "the replica is not known here"))
         elif self.closed is not None:
             reply(refused(sub_query, "stopping"))
         else:
-            self.work[key] = (work, runner)
-            self.watch(runner)
-            runner.submit(work)
+            self.work[key] = (work, client)
+            self.watch(client)
+            client.submit(work)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
         """Answer a sub-query as cancelled; one that has ended is left alone."""
         found = self.work.get(WorkKey(sender, sub_query_id))
         if found is not None:
-            work, runner = found
-            runner.cancel(work)
+            work, client = found
+            client.cancel(work)
 
     def settled(self, work: Work) -> None:
         """Forget work that is having its reply."""
@@ -154,22 +154,22 @@
 
     def views(self) -> list[ReplicaView]:
         """Return the view of each replica of which a part is held here."""
-        return [runner.view() for runner in self.runners.values() if runner.holds_part]
+        return [client.view() for client in self.clients.values() if client.holds_part]
 
     def counts(self) -> OwnerCounts:
         """Return what is held here, in numbers for the metrics."""
-        return count_holdings([*self.runners.values(), *self.retired])
+        return count_holdings([*self.clients.values(), *self.retired])
 
     def in_flight(self, replica: str) -> int:
         """Return how many sub-queries may be running at a replica."""
-        runners = [one for one in self.retired if one.replica.name == replica]
-        if replica in self.runners:
-            runners.append(self.runners[replica])
-        return sum(runner.exchanges.in_flight for runner in runners)
-
-    def watch(self, runner: ReplicaRunner) -> None:
-        """Sweep ``runner`` regularly while it has work."""
-        self.busy.add(runner)
+        clients = [one for one in self.retired if one.replica.name == replica]
+        if replica in self.clients:
+            clients.append(self.clients[replica])
+        return sum(client.exchanges.in_flight for client in clients)
+
+    def watch(self, client: ReplicaClient) -> None:
+        """Sweep ``client`` regularly while it has work."""
+        self.busy.add(client)
         if self.sweeping is None:
             self.sweeping = self.reactor.callLater(
                 self.limits.sweep_interval_s, self.sweep
@@ -179,10 +179,10 @@
         """Enforce deadlines and free what cannot be running any more."""
         self.sweeping = None
         now = self.reactor.seconds()
-        for runner in list(self.busy):
-            runner.sweep(now)
-            if not runner.needs_sweep:
-                self.busy.discard(runner)
+        for client in list(self.busy):
+            client.sweep(now)
+            if not client.needs_sweep:
+                self.busy.discard(client)
         self.retired = [one for one in self.retired if one.has_work]
         if self.busy:
             self.sweeping = self.reactor.callLater(
@@ -196,7 +196,7 @@
             self.limits.poll_interval_s, self.start_polling
         )
         if not self.poll_order:
-            self.poll_order = [one for one in self.runners.values() if one.holds_part]
+            self.poll_order = [one for one in self.clients.values() if one.holds_part]
         if self.poll_order:
             self.poll_order.pop().tend()
 
@@ -211,8 +211,8 @@
             self.close_by = self.reactor.seconds() + grace_s
             if self.polling is not None:
                 self.polling.cancel()
-            for runner in [*self.runners.values(), *self.retired]:
-                self.watch(runner)
+            for client in [*self.clients.values(), *self.retired]:
+                self.watch(client)
             self.finish_closing(self.reactor.seconds())
         return self.closed
 
@@ -220,11 +220,11 @@
         """Complete ``close`` once nothing is left or the grace is over."""
         if self.closed is None or self.closed.called:
             return
-        runners = [*self.runners.values(), *self.retired]
-        if any(one.has_work for one in runners) and now < self.close_by:
+        clients = [*self.clients.values(), *self.retired]
+        if any(one.has_work for one in clients) and now < self.close_by:
             return
-        for runner in runners:
-            runner.stop()
+        for client in clients:
+            client.stop()
         if self.sweeping is not None:
             self.sweeping.cancel()
             self.sweeping = None
--- a/sardinehook/target/runner.py
+++ b/sardinehook/target/replica_client.py
@@ -19,7 +19,7 @@
 from sardinehook.target.work import Work
 from sardinehook.transport.reactor import TcpReactor
 
-__all__ = ["ReplicaRunner", "RunnerContext"]
+__all__ = ["ClientContext", "ReplicaClient"]
 
 SPARE_CONNECTIONS = 1
 ORDER_CONNECTION_LIFE_S = 0.25
@@ -27,24 +27,24 @@
 NO_ALLOWANCE = Allowance(0, 0, False)
 
 
-class RunnerContext(NamedTuple):
-    """What the runners of one owner share.
+class ClientContext(NamedTuple):
+    """What the clients of one owner share.
 
     ``settled`` is told of each work that is having its reply and ``busy`` of a
-    runner that has to be swept.
+    client that has to be swept.
     """
 
     reactor: TcpReactor
     limits: OwnerLimits
     ids: ExchangeIds
     settled: Callable[[Work], None]
-    busy: Callable[[ReplicaRunner], None]
+    busy: Callable[[ReplicaClient], None]
 
 
-class ReplicaRunner:
+class ReplicaClient:
     """Holds the queue, the allowance and the evidence of one replica."""
 
-    def __init__(self, context: RunnerContext, index: Index, replica: Replica) -> None:
+    def __init__(self, context: ClientContext, index: Index, replica: Replica) -> None:
         self.context = context
         self.reactor = context.reactor
         self.index = index
--- a/tests/target/test_concurrency_limit.py
+++ b/tests/target/test_concurrency_limit.py
@@ -107,14 +107,14 @@
         rig.advance(0.2)
         for link in rig.reactor.links:
             link.drop(reason)
-        assert rig.runner.concurrency.state is COLD
+        assert rig.client.concurrency.state is COLD
 
     def test_one_idle_connection_closed_in_order_is_none(self) -> None:
         rig = Rig()
         rig.warm_up()
         used = [link for link in rig.reactor.links if link.protocol.exchanges]
         used[0].drop(ConnectionDone())
-        assert rig.runner.concurrency.state is WARM
+        assert rig.client.concurrency.state is WARM
 
     def test_another_incarnation_is_unknown(self) -> None:
         rig = Rig()
@@ -136,13 +136,13 @@
         rig.warm_up()
         rig.submit(query(1), query(2))
         rig.advance(0.2)
-        assert rig.runner.concurrency.state is COLD
+        assert rig.client.concurrency.state is COLD
 
     def test_time_alone_changes_nothing(self) -> None:
         rig = Rig()
-        rig.runner.concurrency.setback("test")
+        rig.client.concurrency.setback("test")
         rig.advance(5.0)
-        assert (rig.runner.concurrency.limit, rig.runner.concurrency.state) == (1, COLD)
+        assert (rig.client.concurrency.limit, rig.client.concurrency.state) == (1, COLD)
 
 
 class TestWhoServes:
@@ -181,4 +181,4 @@
     def test_the_owner_itself_is_never_told_that_it_is_warm(self) -> None:
         rig = Rig()
         rig.owner.update_peer_view("s-a", WARM)
-        assert rig.runner.concurrency.limit == 1
+        assert rig.client.concurrency.limit == 1
--- a/tests/target/test_pool.py
+++ b/tests/target/test_pool.py
@@ -23,17 +23,17 @@
 
     def test_connections_given_up_go_on_counting(self) -> None:
         rig = rig_with(3)
-        rig.runner.pool.ensure_available(3)
+        rig.client.pool.ensure_available(3)
         rig.advance(0.01)
         for link in list(rig.reactor.links):
             link.protocol.give_up()
-        pool = rig.runner.pool
+        pool = rig.client.pool
         assert pool.held(rig.reactor.seconds()) == 3
         assert pool.held(rig.reactor.seconds() + LINGER_S) == 0
 
     def test_those_given_up_never_leave_the_replica_without_any(self) -> None:
         rig = rig_with(3)
-        rig.runner.pool.ensure_available(3)
+        rig.client.pool.ensure_available(3)
         rig.advance(0.01)
         for link in list(rig.reactor.links):
             link.protocol.give_up()
@@ -60,9 +60,9 @@
         link.closes_in_turn = False
         link.protocol.close()
         rig.reactor.advance(CLOSE_WITHIN_S + 0.1)
-        rig.runner.tend()
+        rig.client.tend()
         assert not link.open
-        pool = rig.runner.pool
+        pool = rig.client.pool
         now = rig.reactor.seconds()
         assert pool.held(now) - pool.live() == 1
         assert pool.held(now + LINGER_S) - pool.live() == 0
@@ -89,7 +89,7 @@
     def test_one_is_opened_before_it_is_needed(self) -> None:
         rig = rig_with(5)
         rig.submit(query(1))
-        assert rig.runner.pool.idle
+        assert rig.client.pool.idle
 
     def test_attempts_wait_longer_after_each_failure(self) -> None:
         rig = rig_with(5)
@@ -102,16 +102,16 @@
     def test_a_target_over_its_cap_is_not_taken_for_a_restart(self) -> None:
         rig = rig_with(5)
         rig.warm_up()
-        state = rig.runner.concurrency.state
+        state = rig.client.concurrency.state
         for link in rig.reactor.links:
             if link.protocol.exchanges == 0:
                 link.drop(ConnectionLost())
-        assert rig.runner.concurrency.state is state
+        assert rig.client.concurrency.state is state
 
     def test_long_idle_ones_are_closed_but_for_a_few(self) -> None:
         rig = rig_with(20)
-        rig.runner.pool.ensure_available(12)
+        rig.client.pool.ensure_available(12)
         rig.advance(0.01)
         rig.reactor.advance(16.0)
-        rig.runner.tend()
+        rig.client.tend()
         assert sum(link.open for link in rig.reactor.links) <= 6
