Rename TargetConnection.ask to send_request

The method sends one request and reports the end of its exchange. The uses in exchanges, control exchanges, the benchmark and the tests follow.

--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -174,7 +174,7 @@
             return
         request = encode_sub_query(query, b"127.0.0.1", exchange_id, 5000)
         end = partial(self.ended, pool, connection, done)
-        connection.ask(request, query.request_id.encode(), exchange_id, end)
+        connection.send_request(request, query.request_id.encode(), exchange_id, end)
 
     def ended(
         self,
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -55,7 +55,7 @@
         self.closed_in_order = False
         self.silent = False
 
-    def ask(
+    def send_request(
         self,
         request: bytes,
         request_id: bytes,
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -132,7 +132,7 @@
             work.sent_at = now
         work.may_have_begun = True
         sub_query = work.sub_query
-        connection.ask(
+        connection.send_request(
             encode_sub_query(sub_query, self.host, exchange_id, int(left_s * 1000.0)),
             sub_query.request_id.encode(),
             exchange_id,
--- a/sardinehook/target/side.py
+++ b/sardinehook/target/side.py
@@ -112,7 +112,7 @@
             else:
                 ended(None)
 
-        connection.ask(request, request_id, exchange_id, finish)
+        connection.send_request(request, request_id, exchange_id, finish)
 
     def sweep(self, now: float) -> None:
         """Give up connections over which no answer came."""
--- a/tests/target/test_connection.py
+++ b/tests/target/test_connection.py
@@ -31,7 +31,7 @@
         self.begin()
 
     def begin(self, exchange_id: bytes = b"x-1") -> None:
-        self.connection.ask(b"request", b"r1", exchange_id, self.ends.append)
+        self.connection.send_request(b"request", b"r1", exchange_id, self.ends.append)
 
     def receive(self, data: bytes) -> ExchangeEnd:
         self.connection.dataReceived(data)
