Rename Evidence to ReplicaHealth

The class records what replies, polls and timeouts show about the health of one replica; evidence is not a term of the field. Module and attribute follow.

--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -17,7 +17,7 @@
     Replied,
     TargetConnection,
 )
-from sardinehook.target.evidence import Evidence
+from sardinehook.target.health import ReplicaHealth
 from sardinehook.target.occupancy import Occupancy
 from sardinehook.target.outcome import Verdict, judge
 from sardinehook.target.pool import ConnectionPool
@@ -91,15 +91,15 @@
         ids: ExchangeIds,
         host: bytes,
         occupancy_margin_s: float,
-        evidence: Evidence,
+        health: ReplicaHealth,
         pool: ConnectionPool,
         events: ExchangeEvents,
     ) -> None:
         self.ids = ids
         self.host = host
         self.occupancy_margin_s = occupancy_margin_s
-        self.evidence = evidence
-        self.concurrency = evidence.concurrency
+        self.health = health
+        self.concurrency = health.concurrency
         self.pool = pool
         self.reactor = pool.reactor
         self.events = events
@@ -145,7 +145,7 @@
         """Return when to doubt the connection if no byte has come by then."""
         if connection.exchanges == 0 or work.tries or work.sub_query.order_key:
             return NEVER
-        bound_s = probe_delay_s(self.evidence.service.likely_ms, left_s)
+        bound_s = probe_delay_s(self.health.service.likely_ms, left_s)
         return NEVER if bound_s is None else now + bound_s
 
     def exchange_ended(self, running: Running, end: ExchangeEnd) -> None:
@@ -175,7 +175,7 @@
             return
         verdict = judge(work.sub_query, reply, now <= work.deadline_at)
         took_ms = (now - running.sent_at) * 1000.0
-        self.evidence.reply_came(reply, verdict, took_ms, running.full_use, now)
+        self.health.reply_came(reply, verdict, took_ms, running.full_use, now)
         if not work.settled:
             self.events.settled(work, verdict, "", reply)
 
@@ -198,7 +198,7 @@
         work = running.work
         if work.tries or work.sub_query.order_key or running.connection.exchanges == 1:
             return False
-        likely_s = self.evidence.service.likely_ms / 1000.0
+        likely_s = self.health.service.likely_ms / 1000.0
         if self.reactor.seconds() + likely_s >= work.deadline_at:
             return False
         return self.in_flight < self.concurrency.limit
@@ -208,7 +208,7 @@
         now = self.reactor.seconds()
         for running in list(self.running.values()):
             if running.work is work and not running.over:
-                self.evidence.no_reply_yet((now - running.sent_at) * 1000.0)
+                self.health.no_reply_yet((now - running.sent_at) * 1000.0)
                 self.abandon(running, 0.0)
 
     def abandon(self, running: Running, alive_since: float) -> None:
@@ -266,7 +266,7 @@
         """Enforce the deadline and the silence bound of one exchange."""
         work = running.work
         if now >= work.deadline_at and not work.settled:
-            self.evidence.deadline_missed((now - running.sent_at) * 1000.0)
+            self.health.deadline_missed((now - running.sent_at) * 1000.0)
             late = Verdict(Outcome.LATE, True)
             self.events.settled(work, late, "no reply in time", None)
         elif now >= running.check_at and not work.settled:
--- a/sardinehook/target/evidence.py
+++ b/sardinehook/target/health.py
@@ -11,10 +11,10 @@
 from sardinehook.target.standing import Standing
 from sardinehook.target.status import ReplicaStatus, read_status
 
-__all__ = ["Evidence"]
+__all__ = ["ReplicaHealth"]
 
 
-class Evidence:
+class ReplicaHealth:
     """The ramp, the standing, the service time and the versions of one replica."""
 
     def __init__(self, index: Index) -> None:
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -9,8 +9,8 @@
 from sardinehook.messages import Outcome, ReplicaView, TargetState
 from sardinehook.target.allowance import Allowance
 from sardinehook.target.codec import TargetReply
-from sardinehook.target.evidence import Evidence
 from sardinehook.target.exchanges import ExchangeEvents, ExchangeIds, Exchanges
+from sardinehook.target.health import ReplicaHealth
 from sardinehook.target.journal import ReplicaJournal
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.outcome import Verdict
@@ -50,9 +50,9 @@
         self.index = index
         self.replica = replica
         self.allowance = NO_ALLOWANCE
-        self.evidence = Evidence(index)
-        self.concurrency = self.evidence.concurrency
-        self.standing = self.evidence.standing
+        self.health = ReplicaHealth(index)
+        self.concurrency = self.health.concurrency
+        self.standing = self.health.standing
         limits = context.limits
         self.queue = ReplicaQueue(limits.queue_length)
         self.pool = ConnectionPool(
@@ -66,7 +66,7 @@
             context.ids,
             replica.address.encode(),
             limits.occupancy_margin_s,
-            self.evidence,
+            self.health,
             self.pool,
             ExchangeEvents(self.exchange_settled, self.queue_again, self.pump),
         )
@@ -165,7 +165,7 @@
             ahead += self.queue.ahead_of(work.sub_query.priority, work.deadline_at)
         if ahead < self.concurrency.limit:
             return ""
-        wait_s = self.evidence.wait_ms(ahead) / 1000.0
+        wait_s = self.health.wait_ms(ahead) / 1000.0
         if work.received_at + wait_s > work.deadline_at:
             return "the deadline is too short for the queue"
         return ""
@@ -180,7 +180,7 @@
 
     def start_queued(self, now: float) -> None:
         """Send queued sub-queries while slots and connections are free."""
-        likely_s = self.evidence.service.likely_ms / 1000.0
+        likely_s = self.health.service.likely_ms / 1000.0
         needed_s = max(LEAST_SENDABLE_S, likely_s if self.exchanges.in_flight else 0.0)
         for work in self.queue.remove_hopeless(now, needed_s):
             self.refuse(work, "the deadline passed in the queue")
@@ -249,13 +249,13 @@
         self.context.busy(self)
         self.exchanges.side.poll_status(
             self.context.ids.take(),
-            lambda reply: self.evidence.status_came(reply, self.reactor.seconds()),
+            lambda reply: self.health.status_came(reply, self.reactor.seconds()),
         )
 
     def connected(self) -> None:
         """Take a new connection as evidence that the replica is there."""
         self.standing.connected()
-        if not self.evidence.status.told:
+        if not self.health.status.told:
             self.poll_status()
         self.pump()
 
@@ -339,12 +339,12 @@
         """Return what other processes are told about the replica."""
         ahead = self.exchanges.in_flight + len(self.queue)
         room = max(0, self.concurrency.limit - ahead) if self.takes_work else 0
-        status = self.evidence.status
+        status = self.health.status
         return ReplicaView(
             self.replica.name,
             self.standing.state,
             status.index_versions,
             status.partitioning,
-            self.evidence.wait_ms(ahead),
+            self.health.wait_ms(ahead),
             room,
         )
