--- a/sardinehook/target/standing.py
+++ b/sardinehook/target/availability.py
@@ -5,13 +5,13 @@
 from sardinehook.messages import TargetState
 from sardinehook.target.concurrency_limit import ConcurrencyLimit
 
-__all__ = ["Standing"]
+__all__ = ["Availability"]
 
 DRAIN_HOLD_S = 10.0
-STATUSES_TO_END_DRAIN = 3
+DRAIN_END_STATUSES = 3
 
 
-class Standing:
+class Availability:
     """The state of one replica.
 
     Leaving is believed from whichever source tells first: the replica's own drain
@@ -25,8 +25,8 @@
         self.gone = False
         self.listed = TargetState.UNKNOWN
         self.incarnation = ""
-        self.hold_until = 0.0
-        self.statuses_in_favour = 0
+        self.drain_hold_until = 0.0
+        self.statuses_without_drain = 0
 
     @property
     def state(self) -> TargetState:
@@ -50,7 +50,7 @@
             self.concurrency.cause if self.concurrency.state is TargetState.COLD else ""
         )
 
-    def takes_work(self, may_serve_cold: bool) -> bool:
+    def accepts_work(self, may_serve_cold: bool) -> bool:
         """Tell whether new work may be sent."""
         if self.leaving:
             return False
@@ -73,16 +73,16 @@
             self.draining = False
             self.concurrency.forget()
 
-    def reply_said(self, said: TargetState, now: float) -> None:
+    def record_reply_state(self, said: TargetState, now: float) -> None:
         """Take the state that stands in a reply."""
         if said is TargetState.DRAINING:
             self.draining = True
-            self.hold_until = now + DRAIN_HOLD_S
-            self.statuses_in_favour = 0
+            self.drain_hold_until = now + DRAIN_HOLD_S
+            self.statuses_without_drain = 0
         elif said is TargetState.COLD:
             self.concurrency.setback("a reply says so")
 
-    def status_said(self, draining: bool, now: float) -> None:
+    def record_status(self, draining: bool, now: float) -> None:
         """Take the status endpoint's word on whether the replica drains.
 
         Since it lags or misleads, it begins no drain. It ends one only when several
@@ -90,10 +90,10 @@
         there is none.
         """
         if draining:
-            self.statuses_in_favour = 0
-        elif self.draining and now >= self.hold_until:
-            self.statuses_in_favour += 1
-            if self.statuses_in_favour >= STATUSES_TO_END_DRAIN:
+            self.statuses_without_drain = 0
+        elif self.draining and now >= self.drain_hold_until:
+            self.statuses_without_drain += 1
+            if self.statuses_without_drain >= DRAIN_END_STATUSES:
                 self.draining = False
                 self.concurrency.forget()
 
--- a/sardinehook/target/counts.py
+++ b/sardinehook/target/counts.py
@@ -30,7 +30,7 @@
 def count_holdings(clients: Iterable[ReplicaClient]) -> OwnerCounts:
     """Sum up what ``clients`` hold."""
     held = list(clients)
-    states = Counter(one.standing.state for one in held if one.holds_part)
+    states = Counter(one.availability.state for one in held if one.holds_part)
     return OwnerCounts(
         sum(len(one.pool.connections) for one in held),
         sum(one.allowance.connections for one in held),
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -4,11 +4,11 @@
 
 from sardinehook.environment.document import Index
 from sardinehook.messages import Outcome
+from sardinehook.target.availability import Availability
 from sardinehook.target.codec import TargetReply
 from sardinehook.target.concurrency_limit import ConcurrencyLimit
 from sardinehook.target.load import ServiceTime
 from sardinehook.target.outcome import Verdict
-from sardinehook.target.standing import Standing
 from sardinehook.target.status import ReplicaStatus, read_status
 
 __all__ = ["ReplicaHealth"]
@@ -19,7 +19,7 @@
 
     def __init__(self, index: Index) -> None:
         self.concurrency = ConcurrencyLimit(index.cold_start_slots, index.slots)
-        self.standing = Standing(self.concurrency)
+        self.availability = Availability(self.concurrency)
         self.service = ServiceTime()
         self.status = ReplicaStatus()
 
@@ -33,7 +33,7 @@
     ) -> None:
         """Take a whole reply; ``full_use`` is as in ``ConcurrencyLimit.good_reply``."""
         self.status.note_reply(reply.head, now)
-        self.standing.reply_said(reply.head.state, now)
+        self.availability.record_reply_state(reply.head.state, now)
         match verdict.outcome:
             case Outcome.ANSWERED:
                 slow = self.service.is_slow(took_ms)
@@ -50,9 +50,9 @@
         """Take a reply of the status endpoint, which may lag or mislead."""
         body = read_status(reply.body) if reply.status == 200 else None
         self.status.note_status(body, now)
-        self.standing.reply_said(reply.head.state, now)
+        self.availability.record_reply_state(reply.head.state, now)
         if body is not None:
-            self.standing.status_said(body.state == "draining", now)
+            self.availability.record_status(body.state == "draining", now)
 
     def no_reply_yet(self, waited_ms: float) -> None:
         """Take a wait that was ended from here, as far as it was long."""
--- a/sardinehook/target/journal.py
+++ b/sardinehook/target/journal.py
@@ -6,8 +6,8 @@
 
 from sardinehook.messages import TargetState
 from sardinehook.observe.events import EventName, log_event
+from sardinehook.target.availability import Availability
 from sardinehook.target.pool import ConnectionPool
-from sardinehook.target.standing import Standing
 
 __all__ = ["ReplicaJournal"]
 
@@ -17,9 +17,11 @@
 class ReplicaJournal:
     """Compares a replica's standing and pool with what was logged last."""
 
-    def __init__(self, replica: str, standing: Standing, pool: ConnectionPool) -> None:
+    def __init__(
+        self, replica: str, availability: Availability, pool: ConnectionPool
+    ) -> None:
         self.replica = replica
-        self.standing = standing
+        self.availability = availability
         self.pool = pool
         self.state = TargetState.UNKNOWN
         self.given_up = 0
@@ -33,7 +35,7 @@
 
     def note_changes(self) -> None:
         """Log another state, and connections over which nothing came."""
-        state = self.standing.state
+        state = self.availability.state
         if state is not self.state:
             self.log_state(state)
         if self.pool.given_up > self.given_up:
@@ -50,6 +52,6 @@
             target=self.replica,
             previous=self.state.name.lower(),
             state=state.name.lower(),
-            cause=self.standing.cause,
+            cause=self.availability.cause,
         )
         self.state = state
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -52,7 +52,7 @@
         self.allowance = NO_ALLOWANCE
         self.health = ReplicaHealth(index)
         self.concurrency = self.health.concurrency
-        self.standing = self.health.standing
+        self.availability = self.health.availability
         limits = context.limits
         self.queue = ReplicaQueue(limits.queue_length)
         self.pool = ConnectionPool(
@@ -61,7 +61,7 @@
             limits,
             PoolEvents(self.connected, self.connect_failed, self.connection_ended),
         )
-        self.journal = ReplicaJournal(replica.name, self.standing, self.pool)
+        self.journal = ReplicaJournal(replica.name, self.availability, self.pool)
         self.exchanges = Exchanges(
             context.ids,
             replica.address.encode(),
@@ -77,9 +77,9 @@
         return self.allowance is not NO_ALLOWANCE
 
     @property
-    def takes_work(self) -> bool:
+    def accepts_work(self) -> bool:
         """Whether new work may be sent."""
-        return self.standing.takes_work(self.allowance.may_serve_cold)
+        return self.availability.accepts_work(self.allowance.may_serve_cold)
 
     @property
     def has_work(self) -> bool:
@@ -111,7 +111,7 @@
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says of the replica."""
-        self.standing.update_vm_state(listed, incarnation)
+        self.availability.update_vm_state(listed, incarnation)
         self.refuse_if_leaving()
         self.journal.note_changes()
 
@@ -158,8 +158,8 @@
         """Return why ``work`` cannot be run, or an empty string."""
         if not self.holds_part:
             return "the replica has another owner"
-        if not self.takes_work:
-            return f"the replica is {self.standing.state.name.lower()}"
+        if not self.accepts_work:
+            return f"the replica is {self.availability.state.name.lower()}"
         ahead = self.exchanges.in_flight
         if self.queue.entries:
             ahead += self.queue.ahead_of(work.sub_query.priority, work.deadline_at)
@@ -184,7 +184,7 @@
         needed_s = max(LEAST_SENDABLE_S, likely_s if self.exchanges.in_flight else 0.0)
         for work in self.queue.remove_hopeless(now, needed_s):
             self.refuse(work, "the deadline passed in the queue")
-        while self.queue.entries and self.takes_work:
+        while self.queue.entries and self.accepts_work:
             if self.exchanges.in_flight >= self.concurrency.limit:
                 return
             connection = self.pool.acquire(self.queue.entries[0].work.alive_since)
@@ -199,7 +199,7 @@
         if not self.holds_part or (pool.idle and not waiting):
             return
         wanted = len(self.exchanges.side.cancellations)
-        if not self.standing.draining:
+        if not self.availability.draining:
             wanted += SPARE_CONNECTIONS
         if self.queue.entries:
             free_slots = max(0, self.concurrency.limit - self.exchanges.in_flight)
@@ -244,7 +244,7 @@
 
     def poll_status(self) -> None:
         """Ask the replica for its own account of itself."""
-        if self.standing.gone:
+        if self.availability.gone:
             return
         self.context.busy(self)
         self.exchanges.side.poll_status(
@@ -254,7 +254,7 @@
 
     def connected(self) -> None:
         """Take a new connection as evidence that the replica is there."""
-        self.standing.connected()
+        self.availability.connected()
         if not self.health.status.told:
             self.poll_status()
         self.pump()
@@ -269,7 +269,7 @@
         if refused and not connected:
             self.exchanges.occupancy.clear()
         if refused or not connected:
-            self.standing.connect_failed()
+            self.availability.connect_failed()
             self.refuse_queue(f"no connection: {cause}")
         self.reactor.callLater(self.pool.backoff_s, self.provide)
         self.journal.note_changes()
@@ -283,8 +283,8 @@
 
     def refuse_if_leaving(self) -> None:
         """Refuse what is queued for a replica that takes no work."""
-        if not self.takes_work:
-            self.refuse_queue(f"the replica is {self.standing.state.name.lower()}")
+        if not self.accepts_work:
+            self.refuse_queue(f"the replica is {self.availability.state.name.lower()}")
 
     def refuse_queue(self, detail: str) -> None:
         """Refuse all that is queued."""
@@ -312,12 +312,15 @@
         self.settle(work, verdict, detail, reply)
         if self.queue.entries:
             self.refuse_if_leaving()
-        if self.concurrency.state is not self.journal.state or self.standing.leaving:
+        if (
+            self.concurrency.state is not self.journal.state
+            or self.availability.leaving
+        ):
             self.journal.note_changes()
 
     def queue_again(self, work: Work) -> None:
         """Queue work whose first try was given up."""
-        if self.takes_work and self.holds_part:
+        if self.accepts_work and self.holds_part:
             self.queue.push(work)
             self.pump()
         else:
@@ -338,11 +341,11 @@
     def view(self) -> ReplicaView:
         """Return what other processes are told about the replica."""
         ahead = self.exchanges.in_flight + len(self.queue)
-        room = max(0, self.concurrency.limit - ahead) if self.takes_work else 0
+        room = max(0, self.concurrency.limit - ahead) if self.accepts_work else 0
         status = self.health.status
         return ReplicaView(
             self.replica.name,
-            self.standing.state,
+            self.availability.state,
             status.index_versions,
             status.partitioning,
             self.health.wait_ms(ahead),
--- a/tests/target/test_standing.py
+++ b/tests/target/test_availability.py
@@ -7,8 +7,8 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
 from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.availability import DRAIN_HOLD_S, Availability
 from sardinehook.target.concurrency_limit import ConcurrencyLimit
-from sardinehook.target.standing import DRAIN_HOLD_S, Standing
 from tests.target.fakes import Rig, query
 
 
@@ -60,18 +60,18 @@
         assert (view.state, view.room) == (TargetState.UNKNOWN, 1)
 
     def test_a_misleading_status_does_not_end_a_drain(self) -> None:
-        standing = Standing(ConcurrencyLimit(1, 2))
-        standing.reply_said(TargetState.DRAINING, now=0.0)
+        availability = Availability(ConcurrencyLimit(1, 2))
+        availability.record_reply_state(TargetState.DRAINING, now=0.0)
         for second in range(9):
-            standing.status_said(draining=False, now=float(second))
-        assert standing.leaving
+            availability.record_status(draining=False, now=float(second))
+        assert availability.leaving
 
     def test_a_drain_that_was_taken_back_ends_after_the_hold(self) -> None:
-        standing = Standing(ConcurrencyLimit(1, 2))
-        standing.reply_said(TargetState.DRAINING, now=0.0)
+        availability = Availability(ConcurrencyLimit(1, 2))
+        availability.record_reply_state(TargetState.DRAINING, now=0.0)
         for second in range(3):
-            standing.status_said(draining=False, now=DRAIN_HOLD_S + second)
-        assert standing.state is TargetState.UNKNOWN
+            availability.record_status(draining=False, now=DRAIN_HOLD_S + second)
+        assert availability.state is TargetState.UNKNOWN
 
     def test_a_return_by_the_list_starts_unknown(self) -> None:
         rig = Rig()
