--- a/sardinehook/target/journal.py
+++ b/sardinehook/target/event_log.py
@@ -9,12 +9,12 @@
 from sardinehook.target.availability import Availability
 from sardinehook.target.pool import ConnectionPool
 
-__all__ = ["ReplicaJournal"]
+__all__ = ["ReplicaEventLog"]
 
 logger = structlog.get_logger(__name__)
 
 
-class ReplicaJournal:
+class ReplicaEventLog:
     """Compares a replica's standing and pool with what was logged last."""
 
     def __init__(
@@ -26,14 +26,14 @@
         self.state = TargetState.UNKNOWN
         self.given_up = 0
 
-    def note_part(self, held: bool, holds: bool) -> None:
+    def log_allowance(self, held: bool, holds: bool) -> None:
         """Log that a part of the replica was taken or let go."""
         if held == holds:
             return
         event = EventName.TARGET_ACQUIRED if holds else EventName.TARGET_RELEASED
         log_event(logger, event, target=self.replica)
 
-    def note_changes(self) -> None:
+    def log_changes(self) -> None:
         """Log another state, and connections over which nothing came."""
         state = self.availability.state
         if state is not self.state:
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -9,9 +9,9 @@
 from sardinehook.messages import Outcome, ReplicaView, TargetState
 from sardinehook.target.allowance import Allowance
 from sardinehook.target.codec import TargetReply
+from sardinehook.target.event_log import ReplicaEventLog
 from sardinehook.target.exchanges import ExchangeEvents, ExchangeIds, Exchanges
 from sardinehook.target.health import ReplicaHealth
-from sardinehook.target.journal import ReplicaJournal
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
@@ -61,7 +61,7 @@
             limits,
             PoolEvents(self.connected, self.connect_failed, self.connection_ended),
         )
-        self.journal = ReplicaJournal(replica.name, self.availability, self.pool)
+        self.event_log = ReplicaEventLog(replica.name, self.availability, self.pool)
         self.exchanges = Exchanges(
             context.ids,
             replica.address.encode(),
@@ -98,7 +98,7 @@
 
     def set_allowance(self, allowance: Allowance | None) -> None:
         """Take a new allowance; without one nothing new is sent."""
-        self.journal.note_part(self.holds_part, allowance is not None)
+        self.event_log.log_allowance(self.holds_part, allowance is not None)
         if allowance is None:
             self.allowance = NO_ALLOWANCE
             self.refuse_queue("the replica has another owner")
@@ -113,7 +113,7 @@
         """Take what the platform's list of VMs says of the replica."""
         self.availability.update_vm_state(listed, incarnation)
         self.refuse_if_leaving()
-        self.journal.note_changes()
+        self.event_log.log_changes()
 
     def update_peer_view(self, state: TargetState) -> None:
         """Take the state that another owner has told."""
@@ -240,7 +240,7 @@
         self.poll_status()
         self.pool.close_idle(self.index.slots + SPARE_CONNECTIONS)
         self.pump()
-        self.journal.note_changes()
+        self.event_log.log_changes()
 
     def poll_status(self) -> None:
         """Ask the replica for its own account of itself."""
@@ -272,14 +272,14 @@
             self.availability.connect_failed()
             self.refuse_queue(f"no connection: {cause}")
         self.reactor.callLater(self.pool.backoff_s, self.provide)
-        self.journal.note_changes()
+        self.event_log.log_changes()
 
     def connection_ended(self, clean: bool) -> None:
         """Take the end of a connection by the target as evidence."""
         if not clean or not self.pool.open_now():
             self.concurrency.setback("a lost connection")
         self.pump()
-        self.journal.note_changes()
+        self.event_log.log_changes()
 
     def refuse_if_leaving(self) -> None:
         """Refuse what is queued for a replica that takes no work."""
@@ -313,10 +313,10 @@
         if self.queue.entries:
             self.refuse_if_leaving()
         if (
-            self.concurrency.state is not self.journal.state
+            self.concurrency.state is not self.event_log.state
             or self.availability.leaving
         ):
-            self.journal.note_changes()
+            self.event_log.log_changes()
 
     def queue_again(self, work: Work) -> None:
         """Queue work whose first try was given up."""
--- a/tests/target/test_availability.py
+++ b/tests/target/test_availability.py
@@ -99,7 +99,7 @@
         assert rig.owner.views()[0].index_versions == (1,)
 
 
-class TestJournal:
+class TestEventLog:
     def test_each_change_is_logged_once_with_its_cause(self) -> None:
         with capture_logs() as logs:
             rig = Rig()
