--- a/sardinehook/target/side.py
+++ b/sardinehook/target/control.py
@@ -11,9 +11,9 @@
 from sardinehook.target.connection import ExchangeEnd, Replied, TargetConnection
 from sardinehook.target.pool import ConnectionPool
 
-__all__ = ["Cancellation", "SideExchanges"]
+__all__ = ["Cancellation", "ControlExchanges"]
 
-SIDE_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 1.0
 STATUS_REQUEST_ID = b"status"
 
 
@@ -40,7 +40,7 @@
     sent_at: float
 
 
-class SideExchanges:
+class ControlExchanges:
     """Sends side exchanges over idle connections; they take no slot."""
 
     def __init__(self, pool: ConnectionPool, host: bytes) -> None:
@@ -117,7 +117,7 @@
     def sweep(self, now: float) -> None:
         """Give up connections over which no answer came."""
         for pending in [*self.pending]:
-            if pending.sent_at + SIDE_TIMEOUT_S <= now:
+            if pending.sent_at + CONTROL_TIMEOUT_S <= now:
                 self.pending.discard(pending)
                 pending.connection.give_up()
                 self.pool.suspect(pending.sent_at)
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -17,12 +17,12 @@
     Replied,
     TargetConnection,
 )
+from sardinehook.target.control import Cancellation, ControlExchanges
 from sardinehook.target.health import ReplicaHealth
 from sardinehook.target.occupancy import Occupancy
 from sardinehook.target.outcome import Verdict, judge
 from sardinehook.target.pool import ConnectionPool
 from sardinehook.target.retry import RetryBudget, probe_delay_s
-from sardinehook.target.side import Cancellation, SideExchanges
 from sardinehook.target.work import Work
 
 __all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "Running"]
@@ -103,7 +103,7 @@
         self.pool = pool
         self.reactor = pool.reactor
         self.events = events
-        self.side = SideExchanges(pool, host)
+        self.control = ControlExchanges(pool, host)
         self.budget = RetryBudget()
         self.occupancy = Occupancy()
         self.running: dict[bytes, Running] = {}
@@ -116,7 +116,7 @@
     @property
     def needs_sweep(self) -> bool:
         """Whether any deadline has to be watched."""
-        return bool(self.running or self.occupancy.until or self.side.pending)
+        return bool(self.running or self.occupancy.until or self.control.pending)
 
     def send(self, work: Work, connection: TargetConnection, now: float) -> None:
         """Send ``work`` to the target."""
@@ -215,7 +215,7 @@
         """Ask the target to stop a search; an order is left to finish."""
         if running.work.sub_query.order_key:
             return
-        self.side.cancel(
+        self.control.cancel(
             Cancellation(
                 running.work.sub_query.request_id.encode(),
                 running.exchange_id,
@@ -259,8 +259,8 @@
             self.check(running, now)
         if self.occupancy.until:
             self.occupancy.expire(now)
-        if self.side.pending:
-            self.side.sweep(now)
+        if self.control.pending:
+            self.control.sweep(now)
 
     def check(self, running: Running, now: float) -> None:
         """Enforce the deadline and the silence bound of one exchange."""
@@ -289,5 +289,5 @@
             self.events.settled(running.work, lost, "stopping", None)
             running.connection.give_up()
         self.running.clear()
-        for pending in self.side.pending:
+        for pending in self.control.pending:
             pending.connection.give_up()
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -172,8 +172,8 @@
 
     def pump(self) -> None:
         """Start what can be started and provide connections for the rest."""
-        if self.exchanges.side.cancellations:
-            self.exchanges.side.start()
+        if self.exchanges.control.cancellations:
+            self.exchanges.control.start()
         if self.queue.entries:
             self.start_queued(self.reactor.seconds())
         self.provide()
@@ -195,10 +195,10 @@
     def provide(self) -> None:
         """Open connections early, since opening one takes milliseconds."""
         pool = self.pool
-        waiting = self.queue.entries or self.exchanges.side.cancellations
+        waiting = self.queue.entries or self.exchanges.control.cancellations
         if not self.holds_part or (pool.idle and not waiting):
             return
-        wanted = len(self.exchanges.side.cancellations)
+        wanted = len(self.exchanges.control.cancellations)
         if not self.availability.draining:
             wanted += SPARE_CONNECTIONS
         if self.queue.entries:
@@ -213,8 +213,8 @@
     def alive_since_wanted(self) -> float:
         """Return since when a connection has to have shown life, if it matters."""
         since = 0.0
-        if self.exchanges.side.cancellations:
-            since = self.exchanges.side.cancellations[0].alive_since
+        if self.exchanges.control.cancellations:
+            since = self.exchanges.control.cancellations[0].alive_since
         if self.queue.entries:
             since = max(since, self.queue.entries[0].work.alive_since)
         return since
@@ -232,7 +232,7 @@
         """Enforce the deadlines of what is in flight and queued."""
         if self.exchanges.needs_sweep:
             self.exchanges.sweep(now)
-        if self.queue.entries or self.exchanges.side.cancellations:
+        if self.queue.entries or self.exchanges.control.cancellations:
             self.pump()
 
     def tend(self) -> None:
@@ -247,7 +247,7 @@
         if self.availability.gone:
             return
         self.context.busy(self)
-        self.exchanges.side.poll_status(
+        self.exchanges.control.poll_status(
             self.context.ids.take(),
             lambda reply: self.health.status_came(reply, self.reactor.seconds()),
         )
