--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -145,7 +145,7 @@
         """Return when to doubt the connection if no byte has come by then."""
         if connection.exchanges == 0 or work.tries or work.sub_query.order_key:
             return NEVER
-        bound_s = probe_delay_s(self.health.service.likely_ms, left_s)
+        bound_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
         return NEVER if bound_s is None else now + bound_s
 
     def exchange_ended(self, running: Running, end: ExchangeEnd) -> None:
@@ -198,7 +198,7 @@
         work = running.work
         if work.tries or work.sub_query.order_key or running.connection.exchanges == 1:
             return False
-        likely_s = self.health.service.likely_ms / 1000.0
+        likely_s = self.health.service_time.likely_ms / 1000.0
         if self.reactor.seconds() + likely_s >= work.deadline_at:
             return False
         return self.in_flight < self.concurrency.limit
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -7,8 +7,8 @@
 from sardinehook.target.availability import Availability
 from sardinehook.target.codec import TargetReply
 from sardinehook.target.concurrency_limit import ConcurrencyLimit
-from sardinehook.target.load import ServiceTime
 from sardinehook.target.outcome import Verdict
+from sardinehook.target.service_time import ServiceTime
 from sardinehook.target.status import ReplicaStatus, read_status
 
 __all__ = ["ReplicaHealth"]
@@ -20,7 +20,7 @@
     def __init__(self, index: Index) -> None:
         self.concurrency = ConcurrencyLimit(index.cold_start_slots, index.slots)
         self.availability = Availability(self.concurrency)
-        self.service = ServiceTime()
+        self.service_time = ServiceTime()
         self.status = ReplicaStatus()
 
     def reply_came(
@@ -36,8 +36,8 @@
         self.availability.record_reply_state(reply.head.state, now)
         match verdict.outcome:
             case Outcome.ANSWERED:
-                slow = self.service.is_slow(took_ms)
-                self.service.observe(took_ms)
+                slow = self.service_time.is_slow(took_ms)
+                self.service_time.observe(took_ms)
                 self.concurrency.good_reply(reply.head.state, full_use, slow)
             case Outcome.SHED:
                 self.concurrency.shed()
@@ -56,18 +56,18 @@
 
     def no_reply_yet(self, waited_ms: float) -> None:
         """Take a wait that was ended from here, as far as it was long."""
-        if waited_ms <= self.service.mean_ms:
+        if waited_ms <= self.service_time.mean_ms:
             return
-        if self.service.is_slow(waited_ms):
+        if self.service_time.is_slow(waited_ms):
             self.concurrency.slow_reply()
-        self.service.observe(waited_ms)
+        self.service_time.observe(waited_ms)
 
     def deadline_missed(self, waited_ms: float) -> None:
         """Take a deadline that passed without a reply."""
         self.concurrency.late_reply()
-        self.service.observe(waited_ms)
+        self.service_time.observe(waited_ms)
 
     def wait_ms(self, ahead: int) -> float:
         """Estimate the time queued and served behind ``ahead`` others."""
         turns = ahead // max(1, self.concurrency.limit)
-        return turns * self.service.mean_ms + self.service.likely_ms
+        return turns * self.service_time.mean_ms + self.service_time.likely_ms
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -15,7 +15,7 @@
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
-from sardinehook.target.replica import ReplicaQueue
+from sardinehook.target.replica_queue import ReplicaQueue
 from sardinehook.target.work import Work
 from sardinehook.transport.reactor import TcpReactor
 
@@ -180,9 +180,9 @@
 
     def start_queued(self, now: float) -> None:
         """Send queued sub-queries while slots and connections are free."""
-        likely_s = self.health.service.likely_ms / 1000.0
+        likely_s = self.health.service_time.likely_ms / 1000.0
         needed_s = max(LEAST_SENDABLE_S, likely_s if self.exchanges.in_flight else 0.0)
-        for work in self.queue.remove_hopeless(now, needed_s):
+        for work in self.queue.remove_unservable(now, needed_s):
             self.refuse(work, "the deadline passed in the queue")
         while self.queue.entries and self.accepts_work:
             if self.exchanges.in_flight >= self.concurrency.limit:
--- a/sardinehook/target/replica.py
+++ b/sardinehook/target/replica_queue.py
@@ -55,7 +55,7 @@
                 return True
         return False
 
-    def remove_hopeless(self, now: float, needed_s: float) -> list[Work]:
+    def remove_unservable(self, now: float, needed_s: float) -> list[Work]:
         """Remove and return what has less than ``needed_s`` left."""
         latest = now + needed_s
         if all(entry.deadline_at >= latest for entry in self.entries):
--- a/sardinehook/target/load.py
+++ b/sardinehook/target/service_time.py
@@ -4,7 +4,7 @@
 
 __all__ = ["ServiceTime"]
 
-FIRST_GUESS_MS = 10.0
+INITIAL_ESTIMATE_MS = 10.0
 MEAN_GAIN = 0.125
 DEVIATION_GAIN = 0.25
 SLOW_FACTOR = 4.0
@@ -23,8 +23,8 @@
     """
 
     def __init__(self) -> None:
-        self.mean_ms = FIRST_GUESS_MS
-        self.deviation_ms = FIRST_GUESS_MS / 2
+        self.mean_ms = INITIAL_ESTIMATE_MS
+        self.deviation_ms = INITIAL_ESTIMATE_MS / 2
         self.samples = 0
 
     def observe(self, sample_ms: float) -> None:
