Rename Work to Task and settle to complete

Work names one submitted sub-query with its reply callback, which is a task of the owner; it is complete once it has its reply. Module, key and variables follow.

--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -23,7 +23,7 @@
 from sardinehook.target.outcome import Verdict, judge
 from sardinehook.target.pool import ConnectionPool
 from sardinehook.target.retry import RetryBudget, probe_delay_s
-from sardinehook.target.work import Work
+from sardinehook.target.task import Task
 
 __all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "Running"]
 
@@ -52,13 +52,13 @@
 class ExchangeEvents(NamedTuple):
     """What becomes of sub-queries that were sent.
 
-    ``settled`` is called with the verdict on a sub-query, a detail and the target's
+    ``completed`` is called with the verdict on a sub-query, a detail and the target's
     reply if there is one; ``again`` with one to be queued once more; ``changed``
     when slots or connections may have become free.
     """
 
-    settled: Callable[[Work, Verdict, str, TargetReply | None], None]
-    again: Callable[[Work], None]
+    completed: Callable[[Task, Verdict, str, TargetReply | None], None]
+    again: Callable[[Task], None]
     changed: Callable[[], None]
 
 
@@ -72,7 +72,7 @@
     gone on without it.
     """
 
-    work: Work
+    task: Task
     exchange_id: bytes
     connection: TargetConnection
     full_use: bool
@@ -118,20 +118,20 @@
         """Whether any deadline has to be watched."""
         return bool(self.running or self.occupancy.until or self.control.pending)
 
-    def send(self, work: Work, connection: TargetConnection, now: float) -> None:
-        """Send ``work`` to the target."""
-        left_s = work.deadline_at - now
+    def send(self, task: Task, connection: TargetConnection, now: float) -> None:
+        """Send ``task`` to the target."""
+        left_s = task.deadline_at - now
         exchange_id = self.ids.take()
-        until = work.deadline_at + self.occupancy_margin_s
+        until = task.deadline_at + self.occupancy_margin_s
         self.occupancy.begin(exchange_id, until)
         full_use = len(self.occupancy.until) >= self.concurrency.limit
-        check_at = self.probe_time(work, connection, now, left_s)
-        running = Running(work, exchange_id, connection, full_use, now, until, check_at)
+        check_at = self.probe_time(task, connection, now, left_s)
+        running = Running(task, exchange_id, connection, full_use, now, until, check_at)
         self.running[exchange_id] = running
-        if not work.sent_at:
-            work.sent_at = now
-        work.may_have_begun = True
-        sub_query = work.sub_query
+        if not task.sent_at:
+            task.sent_at = now
+        task.may_have_begun = True
+        sub_query = task.sub_query
         connection.send_request(
             encode_sub_query(sub_query, self.host, exchange_id, int(left_s * 1000.0)),
             sub_query.request_id.encode(),
@@ -140,10 +140,10 @@
         )
 
     def probe_time(
-        self, work: Work, connection: TargetConnection, now: float, left_s: float
+        self, task: Task, connection: TargetConnection, now: float, left_s: float
     ) -> float:
         """Return when to doubt the connection if no byte has come by then."""
-        if connection.exchanges == 0 or work.tries or work.sub_query.order_key:
+        if connection.exchanges == 0 or task.tries or task.sub_query.order_key:
             return NEVER
         bound_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
         return NEVER if bound_s is None else now + bound_s
@@ -160,7 +160,7 @@
             case Malformed(detail):
                 self.concurrency.setback("a garbled reply")
                 garbled = Verdict(Outcome.GARBLED, True)
-                self.events.settled(running.work, garbled, detail, None)
+                self.events.completed(running.task, garbled, detail, None)
             case Lost(detail):
                 self.concurrency.setback("a lost connection")
                 self.try_again(running, detail)
@@ -169,55 +169,55 @@
     def replied(self, running: Running, reply: TargetReply) -> None:
         """Take the evidence in a whole reply and settle the work."""
         now = self.reactor.seconds()
-        work = running.work
+        task = running.task
         if running.probed and reply.status != 200:
             self.try_again(running, "no reply in time")
             return
-        verdict = judge(work.sub_query, reply, now <= work.deadline_at)
+        verdict = judge(task.sub_query, reply, now <= task.deadline_at)
         took_ms = (now - running.sent_at) * 1000.0
         self.health.reply_came(reply, verdict, took_ms, running.full_use, now)
-        if not work.settled:
-            self.events.settled(work, verdict, "", reply)
+        if not task.completed:
+            self.events.completed(task, verdict, "", reply)
 
     def try_again(self, running: Running, detail: str) -> None:
         """Send a search once more over a live connection, or settle it as lost."""
-        work = running.work
+        task = running.task
         running.over = True
-        if work.settled:
+        if task.completed:
             return
         if self.may_try_again(running) and self.budget.take():
-            work.tries += 1
-            work.alive_since = running.sent_at
-            self.events.again(work)
+            task.tries += 1
+            task.alive_since = running.sent_at
+            self.events.again(task)
         else:
             lost = Verdict(Outcome.CONNECTION_LOST, True)
-            self.events.settled(work, lost, detail, None)
+            self.events.completed(task, lost, detail, None)
 
     def may_try_again(self, running: Running) -> bool:
         """Tell whether another try is safe, and can start and finish in time."""
-        work = running.work
-        if work.tries or work.sub_query.order_key or running.connection.exchanges == 1:
+        task = running.task
+        if task.tries or task.sub_query.order_key or running.connection.exchanges == 1:
             return False
         likely_s = self.health.service_time.likely_ms / 1000.0
-        if self.reactor.seconds() + likely_s >= work.deadline_at:
+        if self.reactor.seconds() + likely_s >= task.deadline_at:
             return False
         return self.in_flight < self.concurrency.limit
 
-    def cancel(self, work: Work) -> None:
+    def cancel(self, task: Task) -> None:
         """Abandon a sub-query that has been answered as cancelled."""
         now = self.reactor.seconds()
         for running in list(self.running.values()):
-            if running.work is work and not running.over:
+            if running.task is task and not running.over:
                 self.health.no_reply_yet((now - running.sent_at) * 1000.0)
                 self.abandon(running, 0.0)
 
     def abandon(self, running: Running, alive_since: float) -> None:
         """Ask the target to stop a search; an order is left to finish."""
-        if running.work.sub_query.order_key:
+        if running.task.sub_query.order_key:
             return
         self.control.cancel(
             Cancellation(
-                running.work.sub_query.request_id.encode(),
+                running.task.sub_query.request_id.encode(),
                 running.exchange_id,
                 alive_since,
                 lambda: running.exchange_id in self.occupancy.until,
@@ -264,12 +264,12 @@
 
     def check(self, running: Running, now: float) -> None:
         """Enforce the deadline and the silence bound of one exchange."""
-        work = running.work
-        if now >= work.deadline_at and not work.settled:
+        task = running.task
+        if now >= task.deadline_at and not task.completed:
             self.health.deadline_missed((now - running.sent_at) * 1000.0)
             late = Verdict(Outcome.LATE, True)
-            self.events.settled(work, late, "no reply in time", None)
-        elif now >= running.check_at and not work.settled:
+            self.events.completed(task, late, "no reply in time", None)
+        elif now >= running.check_at and not task.completed:
             if running.connection.received_bytes == 0:
                 self.probe(running)
             running.check_at = NEVER
@@ -286,7 +286,7 @@
         """Settle what is in flight as lost and close its connections."""
         for running in list(self.running.values()):
             lost = Verdict(Outcome.CONNECTION_LOST, True)
-            self.events.settled(running.work, lost, "stopping", None)
+            self.events.completed(running.task, lost, "stopping", None)
             running.connection.give_up()
         self.running.clear()
         for pending in self.control.pending:
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -14,7 +14,7 @@
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.replica_client import ClientContext, ReplicaClient
-from sardinehook.target.work import Work, WorkKey
+from sardinehook.target.task import Task, TaskKey
 from sardinehook.transport.reactor import TcpReactor, Timer
 
 __all__ = ["OwnerLimits", "TargetOwner"]
@@ -35,9 +35,9 @@
         self.allowances: dict[str, Allowance] = {}
         self.retired: list[ReplicaClient] = []
         self.busy: set[ReplicaClient] = set()
-        self.work: dict[WorkKey, tuple[Work, ReplicaClient]] = {}
+        self.task: dict[TaskKey, tuple[Task, ReplicaClient]] = {}
         self.context = ClientContext(
-            reactor, limits, ExchangeIds(token_hex(4)), self.settled, self.watch
+            reactor, limits, ExchangeIds(token_hex(4)), self.completed, self.watch
         )
         self.sweeping: Timer | None = None
         self.polling: Timer | None = None
@@ -125,32 +125,32 @@
         A sub-query whose ``sender`` and id are those of one that still runs is
         dropped: the reply to the first stands for both.
         """
-        key = WorkKey(sender, sub_query.sub_query_id)
-        if key in self.work:
+        key = TaskKey(sender, sub_query.sub_query_id)
+        if key in self.task:
             return
         now = self.reactor.seconds()
         deadline_at = now + sub_query.deadline_ms / 1000.0
-        work = Work(key, sub_query, reply, now, deadline_at)
+        task = Task(key, sub_query, reply, now, deadline_at)
         client = self.clients.get(sub_query.replica)
         if client is None:
             reply(refused(sub_query, "the replica is not known here"))
         elif self.closed is not None:
             reply(refused(sub_query, "stopping"))
         else:
-            self.work[key] = (work, client)
+            self.task[key] = (task, client)
             self.watch(client)
-            client.submit(work)
+            client.submit(task)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
         """Answer a sub-query as cancelled; one that has ended is left alone."""
-        found = self.work.get(WorkKey(sender, sub_query_id))
+        found = self.task.get(TaskKey(sender, sub_query_id))
         if found is not None:
-            work, client = found
-            client.cancel(work)
+            task, client = found
+            client.cancel(task)
 
-    def settled(self, work: Work) -> None:
+    def completed(self, task: Task) -> None:
         """Forget work that is having its reply."""
-        self.work.pop(work.key, None)
+        self.task.pop(task.key, None)
 
     def views(self) -> list[ReplicaView]:
         """Return the view of each replica of which a part is held here."""
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -16,7 +16,7 @@
 from sardinehook.target.outcome import Verdict
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
 from sardinehook.target.replica_queue import ReplicaQueue
-from sardinehook.target.work import Work
+from sardinehook.target.task import Task
 from sardinehook.transport.reactor import TcpReactor
 
 __all__ = ["ClientContext", "ReplicaClient"]
@@ -30,14 +30,14 @@
 class ClientContext(NamedTuple):
     """What the clients of one owner share.
 
-    ``settled`` is told of each work that is having its reply and ``busy`` of a
+    ``completed`` is told of each work that is having its reply and ``busy`` of a
     client that has to be swept.
     """
 
     reactor: TcpReactor
     limits: OwnerLimits
     ids: ExchangeIds
-    settled: Callable[[Work], None]
+    completed: Callable[[Task], None]
     busy: Callable[[ReplicaClient], None]
 
 
@@ -68,7 +68,7 @@
             limits.occupancy_margin_s,
             self.health,
             self.pool,
-            ExchangeEvents(self.exchange_settled, self.queue_again, self.pump),
+            ExchangeEvents(self.exchange_completed, self.queue_again, self.pump),
         )
 
     @property
@@ -125,48 +125,48 @@
             self.concurrency.forget()
             self.refuse_if_leaving()
 
-    def submit(self, work: Work) -> None:
-        """Queue ``work`` or refuse it at once."""
-        refusal = self.refusal(work)
+    def submit(self, task: Task) -> None:
+        """Queue ``task`` or refuse it at once."""
+        refusal = self.refusal(task)
         if refusal:
-            self.refuse(work, refusal)
+            self.refuse(task, refusal)
             return
         self.exchanges.budget.first_try()
-        if work.sub_query.order_key:
-            work.alive_since = work.received_at - ORDER_CONNECTION_LIFE_S
-        if not self.queue.entries and self.start_now(work):
+        if task.sub_query.order_key:
+            task.alive_since = task.received_at - ORDER_CONNECTION_LIFE_S
+        if not self.queue.entries and self.start_now(task):
             self.provide()
             return
-        surplus = self.queue.push(work)
+        surplus = self.queue.push(task)
         if surplus is not None:
             self.refuse(surplus, "the queue is full")
         self.pump()
 
-    def start_now(self, work: Work) -> bool:
-        """Send ``work`` past the empty queue if a slot and a connection are free."""
+    def start_now(self, task: Task) -> bool:
+        """Send ``task`` past the empty queue if a slot and a connection are free."""
         if self.exchanges.in_flight >= self.concurrency.limit:
             return False
-        if work.deadline_at < work.received_at + LEAST_SENDABLE_S:
+        if task.deadline_at < task.received_at + LEAST_SENDABLE_S:
             return False
-        connection = self.pool.acquire(work.alive_since)
+        connection = self.pool.acquire(task.alive_since)
         if connection is None:
             return False
-        self.exchanges.send(work, connection, work.received_at)
+        self.exchanges.send(task, connection, task.received_at)
         return True
 
-    def refusal(self, work: Work) -> str:
-        """Return why ``work`` cannot be run, or an empty string."""
+    def refusal(self, task: Task) -> str:
+        """Return why ``task`` cannot be run, or an empty string."""
         if not self.holds_part:
             return "the replica has another owner"
         if not self.accepts_work:
             return f"the replica is {self.availability.state.name.lower()}"
         ahead = self.exchanges.in_flight
         if self.queue.entries:
-            ahead += self.queue.ahead_of(work.sub_query.priority, work.deadline_at)
+            ahead += self.queue.ahead_of(task.sub_query.priority, task.deadline_at)
         if ahead < self.concurrency.limit:
             return ""
         wait_s = self.health.wait_ms(ahead) / 1000.0
-        if work.received_at + wait_s > work.deadline_at:
+        if task.received_at + wait_s > task.deadline_at:
             return "the deadline is too short for the queue"
         return ""
 
@@ -182,12 +182,12 @@
         """Send queued sub-queries while slots and connections are free."""
         likely_s = self.health.service_time.likely_ms / 1000.0
         needed_s = max(LEAST_SENDABLE_S, likely_s if self.exchanges.in_flight else 0.0)
-        for work in self.queue.remove_unservable(now, needed_s):
-            self.refuse(work, "the deadline passed in the queue")
+        for task in self.queue.remove_unservable(now, needed_s):
+            self.refuse(task, "the deadline passed in the queue")
         while self.queue.entries and self.accepts_work:
             if self.exchanges.in_flight >= self.concurrency.limit:
                 return
-            connection = self.pool.acquire(self.queue.entries[0].work.alive_since)
+            connection = self.pool.acquire(self.queue.entries[0].task.alive_since)
             if connection is None:
                 return
             self.exchanges.send(self.queue.pop(), connection, now)
@@ -216,17 +216,17 @@
         if self.exchanges.control.cancellations:
             since = self.exchanges.control.cancellations[0].alive_since
         if self.queue.entries:
-            since = max(since, self.queue.entries[0].work.alive_since)
+            since = max(since, self.queue.entries[0].task.alive_since)
         return since
 
-    def cancel(self, work: Work) -> None:
-        """Answer ``work`` as cancelled and abandon it at the target."""
-        if self.queue.remove(work):
-            verdict = Verdict(Outcome.CANCELLED, work.may_have_begun)
-            self.settle(work, verdict, "cancelled in the queue")
+    def cancel(self, task: Task) -> None:
+        """Answer ``task`` as cancelled and abandon it at the target."""
+        if self.queue.remove(task):
+            verdict = Verdict(Outcome.CANCELLED, task.may_have_begun)
+            self.complete(task, verdict, "cancelled in the queue")
             return
-        self.settle(work, Verdict(Outcome.CANCELLED, True), "cancelled while running")
-        self.exchanges.cancel(work)
+        self.complete(task, Verdict(Outcome.CANCELLED, True), "cancelled while running")
+        self.exchanges.cancel(task)
 
     def sweep(self, now: float) -> None:
         """Enforce the deadlines of what is in flight and queued."""
@@ -288,15 +288,15 @@
 
     def refuse_queue(self, detail: str) -> None:
         """Refuse all that is queued."""
-        for work in self.queue.remove_all():
-            self.refuse(work, detail)
+        for task in self.queue.remove_all():
+            self.refuse(task, detail)
 
-    def refuse(self, work: Work, detail: str) -> None:
-        """Answer ``work`` as not run, or as lost if an earlier try may have run."""
-        if work.may_have_begun:
-            self.settle(work, Verdict(Outcome.CONNECTION_LOST, True), detail)
+    def refuse(self, task: Task, detail: str) -> None:
+        """Answer ``task`` as not run, or as lost if an earlier try may have run."""
+        if task.may_have_begun:
+            self.complete(task, Verdict(Outcome.CONNECTION_LOST, True), detail)
         else:
-            self.settle(work, Verdict(Outcome.NOT_RUN, False), detail)
+            self.complete(task, Verdict(Outcome.NOT_RUN, False), detail)
 
     def stop(self) -> None:
         """Answer what is left and close all connections."""
@@ -305,11 +305,11 @@
         self.allowance = NO_ALLOWANCE
         self.pool.set_allowance(0)
 
-    def exchange_settled(
-        self, work: Work, verdict: Verdict, detail: str, reply: TargetReply | None
+    def exchange_completed(
+        self, task: Task, verdict: Verdict, detail: str, reply: TargetReply | None
     ) -> None:
         """Answer work whose exchange has ended."""
-        self.settle(work, verdict, detail, reply)
+        self.complete(task, verdict, detail, reply)
         if self.queue.entries:
             self.refuse_if_leaving()
         if (
@@ -318,25 +318,25 @@
         ):
             self.event_log.log_changes()
 
-    def queue_again(self, work: Work) -> None:
+    def queue_again(self, task: Task) -> None:
         """Queue work whose first try was given up."""
         if self.accepts_work and self.holds_part:
-            self.queue.push(work)
+            self.queue.push(task)
             self.pump()
         else:
-            self.refuse(work, "no reply in time")
+            self.refuse(task, "no reply in time")
 
-    def settle(
+    def complete(
         self,
-        work: Work,
+        task: Task,
         verdict: Verdict,
         detail: str,
         reply: TargetReply | None = None,
     ) -> None:
-        """Give ``work`` its reply, unless it has had it."""
-        if not work.settled:
-            self.context.settled(work)
-            work.settle(verdict, detail, reply, self.reactor.seconds())
+        """Give ``task`` its reply, unless it has had it."""
+        if not task.completed:
+            self.context.completed(task)
+            task.complete(verdict, detail, reply, self.reactor.seconds())
 
     def view(self) -> ReplicaView:
         """Return what other processes are told about the replica."""
--- a/sardinehook/target/replica_queue.py
+++ b/sardinehook/target/replica_queue.py
@@ -5,7 +5,7 @@
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
-from sardinehook.target.work import Work
+from sardinehook.target.task import Task
 
 __all__ = ["ReplicaQueue"]
 
@@ -16,7 +16,7 @@
     priority: int
     deadline_at: float
     number: int
-    work: Work
+    task: Task
 
 
 class ReplicaQueue:
@@ -30,44 +30,44 @@
     def __len__(self) -> int:
         return len(self.entries)
 
-    def push(self, work: Work) -> Work | None:
-        """Add ``work``; return what has to go when the queue is full, if any."""
+    def push(self, task: Task) -> Task | None:
+        """Add ``task``; return what has to go when the queue is full, if any."""
         self.numbers += 1
-        entry = Entry(work.sub_query.priority, work.deadline_at, self.numbers, work)
+        entry = Entry(task.sub_query.priority, task.deadline_at, self.numbers, task)
         heappush(self.entries, entry)
         if len(self.entries) <= self.bound:
             return None
         last = max(self.entries)
         self.entries.remove(last)
         heapify(self.entries)
-        return last.work
+        return last.task
 
-    def pop(self) -> Work:
+    def pop(self) -> Task:
         """Remove and return the sub-query that is served next."""
-        return heappop(self.entries).work
+        return heappop(self.entries).task
 
-    def remove(self, work: Work) -> bool:
-        """Remove ``work``; tell whether it was queued."""
+    def remove(self, task: Task) -> bool:
+        """Remove ``task``; tell whether it was queued."""
         for place, entry in enumerate(self.entries):
-            if entry.work is work:
+            if entry.task is task:
                 del self.entries[place]
                 heapify(self.entries)
                 return True
         return False
 
-    def remove_unservable(self, now: float, needed_s: float) -> list[Work]:
+    def remove_unservable(self, now: float, needed_s: float) -> list[Task]:
         """Remove and return what has less than ``needed_s`` left."""
         latest = now + needed_s
         if all(entry.deadline_at >= latest for entry in self.entries):
             return []
-        hopeless = [e.work for e in self.entries if e.deadline_at < latest]
+        hopeless = [e.task for e in self.entries if e.deadline_at < latest]
         self.entries = [e for e in self.entries if e.deadline_at >= latest]
         heapify(self.entries)
         return hopeless
 
-    def remove_all(self) -> list[Work]:
+    def remove_all(self) -> list[Task]:
         """Remove and return everything."""
-        removed = [entry.work for entry in sorted(self.entries)]
+        removed = [entry.task for entry in sorted(self.entries)]
         self.entries = []
         return removed
 
--- a/sardinehook/target/work.py
+++ b/sardinehook/target/task.py
@@ -10,10 +10,10 @@
 from sardinehook.target.codec import TargetReply
 from sardinehook.target.outcome import Verdict
 
-__all__ = ["Work", "WorkKey"]
+__all__ = ["Task", "TaskKey"]
 
 
-class WorkKey(NamedTuple):
+class TaskKey(NamedTuple):
     """Names a sub-query within the owner: who sent it and its id there."""
 
     sender: str
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Work:
+class Task:
     """A sub-query on its way through the owner; times in seconds of one clock.
 
     ``alive_since`` rules out connections that have shown no life since then.
@@ -29,7 +29,7 @@
     that were given up.
     """
 
-    key: WorkKey
+    key: TaskKey
     sub_query: SubQuery
     reply: Callable[[SubReply], None]
     received_at: float
@@ -38,13 +38,13 @@
     alive_since: float = 0.0
     may_have_begun: bool = False
     tries: int = 0
-    settled: bool = False
+    completed: bool = False
 
-    def settle(
+    def complete(
         self, verdict: Verdict, detail: str, reply: TargetReply | None, now: float
     ) -> None:
         """Give the sub-query its one reply."""
-        self.settled = True
+        self.completed = True
         sent_at = self.sent_at or now
         answered = reply is not None and verdict.outcome is Outcome.ANSWERED
         self.reply(
