Rename Verdict to Result and judge to classify_reply

A reply is classified by its status and headers into an outcome and whether the target can have begun; the legal figure says less. All uses follow.

--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -20,7 +20,7 @@
 from sardinehook.target.control import Cancellation, ControlExchanges
 from sardinehook.target.health import ReplicaHealth
 from sardinehook.target.occupancy import Occupancy
-from sardinehook.target.outcome import Verdict, judge
+from sardinehook.target.outcome import Result, classify_reply
 from sardinehook.target.pool import ConnectionPool
 from sardinehook.target.retry import RetryBudget, probe_delay_s
 from sardinehook.target.task import Task
@@ -57,7 +57,7 @@
     when slots or connections may have become free.
     """
 
-    completed: Callable[[Task, Verdict, str, TargetReply | None], None]
+    completed: Callable[[Task, Result, str, TargetReply | None], None]
     again: Callable[[Task], None]
     changed: Callable[[], None]
 
@@ -159,7 +159,7 @@
                     self.replied(running, reply)
             case Malformed(detail):
                 self.concurrency.setback("a garbled reply")
-                garbled = Verdict(Outcome.GARBLED, True)
+                garbled = Result(Outcome.GARBLED, True)
                 self.events.completed(running.task, garbled, detail, None)
             case Lost(detail):
                 self.concurrency.setback("a lost connection")
@@ -173,11 +173,11 @@
         if running.probed and reply.status != 200:
             self.try_again(running, "no reply in time")
             return
-        verdict = judge(task.sub_query, reply, now <= task.deadline_at)
+        result = classify_reply(task.sub_query, reply, now <= task.deadline_at)
         took_ms = (now - running.sent_at) * 1000.0
-        self.health.reply_came(reply, verdict, took_ms, running.full_use, now)
+        self.health.reply_came(reply, result, took_ms, running.full_use, now)
         if not task.completed:
-            self.events.completed(task, verdict, "", reply)
+            self.events.completed(task, result, "", reply)
 
     def try_again(self, running: Running, detail: str) -> None:
         """Send a search once more over a live connection, or settle it as lost."""
@@ -190,7 +190,7 @@
             task.alive_since = running.sent_at
             self.events.again(task)
         else:
-            lost = Verdict(Outcome.CONNECTION_LOST, True)
+            lost = Result(Outcome.CONNECTION_LOST, True)
             self.events.completed(task, lost, detail, None)
 
     def may_try_again(self, running: Running) -> bool:
@@ -267,7 +267,7 @@
         task = running.task
         if now >= task.deadline_at and not task.completed:
             self.health.deadline_missed((now - running.sent_at) * 1000.0)
-            late = Verdict(Outcome.LATE, True)
+            late = Result(Outcome.LATE, True)
             self.events.completed(task, late, "no reply in time", None)
         elif now >= running.check_at and not task.completed:
             if running.connection.received_bytes == 0:
@@ -285,7 +285,7 @@
     def stop(self) -> None:
         """Settle what is in flight as lost and close its connections."""
         for running in list(self.running.values()):
-            lost = Verdict(Outcome.CONNECTION_LOST, True)
+            lost = Result(Outcome.CONNECTION_LOST, True)
             self.events.completed(running.task, lost, "stopping", None)
             running.connection.give_up()
         self.running.clear()
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -7,7 +7,7 @@
 from sardinehook.target.availability import Availability
 from sardinehook.target.codec import TargetReply
 from sardinehook.target.concurrency_limit import ConcurrencyLimit
-from sardinehook.target.outcome import Verdict
+from sardinehook.target.outcome import Result
 from sardinehook.target.service_time import ServiceTime
 from sardinehook.target.status import ReplicaStatus, read_status
 
@@ -26,7 +26,7 @@
     def reply_came(
         self,
         reply: TargetReply,
-        verdict: Verdict,
+        result: Result,
         took_ms: float,
         full_use: bool,
         now: float,
@@ -34,7 +34,7 @@
         """Take a whole reply; ``full_use`` is as in ``ConcurrencyLimit.good_reply``."""
         self.status.note_reply(reply.head, now)
         self.availability.record_reply_state(reply.head.state, now)
-        match verdict.outcome:
+        match result.outcome:
             case Outcome.ANSWERED:
                 slow = self.service_time.is_slow(took_ms)
                 self.service_time.observe(took_ms)
--- a/sardinehook/target/outcome.py
+++ b/sardinehook/target/outcome.py
@@ -7,17 +7,17 @@
 from sardinehook.messages import ANY_VERSION, Outcome, SubQuery
 from sardinehook.target.codec import TargetReply
 
-__all__ = ["Verdict", "judge"]
+__all__ = ["Result", "classify_reply"]
 
 
-class Verdict(NamedTuple):
+class Result(NamedTuple):
     """An outcome and whether the target can have begun the work."""
 
     outcome: Outcome
     began: bool
 
 
-def judge(sub_query: SubQuery, reply: TargetReply, in_time: bool) -> Verdict:
+def classify_reply(sub_query: SubQuery, reply: TargetReply, in_time: bool) -> Result:
     """Return the verdict on a reply whose ids have been checked.
 
     ``in_time`` tells whether it came by the deadline. An answer of another snapshot
@@ -30,19 +30,19 @@
     """
     match reply.status:
         case 200 if not in_time:
-            return Verdict(Outcome.LATE, True)
+            return Result(Outcome.LATE, True)
         case 200 if matches_snapshot(sub_query, reply):
-            return Verdict(Outcome.ANSWERED, True)
+            return Result(Outcome.ANSWERED, True)
         case 200:
-            return Verdict(Outcome.WRONG_VERSION, True)
+            return Result(Outcome.WRONG_VERSION, True)
         case 412:
-            return Verdict(Outcome.WRONG_VERSION, False)
+            return Result(Outcome.WRONG_VERSION, False)
         case 503 if reply.head.not_run:
-            return Verdict(Outcome.SHED, False)
+            return Result(Outcome.SHED, False)
         case 504:
-            return Verdict(Outcome.LATE, True)
+            return Result(Outcome.LATE, True)
         case _:
-            return Verdict(Outcome.FAILED, True)
+            return Result(Outcome.FAILED, True)
 
 
 def matches_snapshot(wanted: SubQuery, reply: TargetReply) -> bool:
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -13,7 +13,7 @@
 from sardinehook.target.exchanges import ExchangeEvents, ExchangeIds, Exchanges
 from sardinehook.target.health import ReplicaHealth
 from sardinehook.target.limits import OwnerLimits
-from sardinehook.target.outcome import Verdict
+from sardinehook.target.outcome import Result
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
 from sardinehook.target.replica_queue import ReplicaQueue
 from sardinehook.target.task import Task
@@ -222,10 +222,10 @@
     def cancel(self, task: Task) -> None:
         """Answer ``task`` as cancelled and abandon it at the target."""
         if self.queue.remove(task):
-            verdict = Verdict(Outcome.CANCELLED, task.may_have_begun)
-            self.complete(task, verdict, "cancelled in the queue")
+            result = Result(Outcome.CANCELLED, task.may_have_begun)
+            self.complete(task, result, "cancelled in the queue")
             return
-        self.complete(task, Verdict(Outcome.CANCELLED, True), "cancelled while running")
+        self.complete(task, Result(Outcome.CANCELLED, True), "cancelled while running")
         self.exchanges.cancel(task)
 
     def sweep(self, now: float) -> None:
@@ -294,9 +294,9 @@
     def refuse(self, task: Task, detail: str) -> None:
         """Answer ``task`` as not run, or as lost if an earlier try may have run."""
         if task.may_have_begun:
-            self.complete(task, Verdict(Outcome.CONNECTION_LOST, True), detail)
+            self.complete(task, Result(Outcome.CONNECTION_LOST, True), detail)
         else:
-            self.complete(task, Verdict(Outcome.NOT_RUN, False), detail)
+            self.complete(task, Result(Outcome.NOT_RUN, False), detail)
 
     def stop(self) -> None:
         """Answer what is left and close all connections."""
@@ -306,10 +306,10 @@
         self.pool.set_allowance(0)
 
     def exchange_completed(
-        self, task: Task, verdict: Verdict, detail: str, reply: TargetReply | None
+        self, task: Task, result: Result, detail: str, reply: TargetReply | None
     ) -> None:
         """Answer work whose exchange has ended."""
-        self.complete(task, verdict, detail, reply)
+        self.complete(task, result, detail, reply)
         if self.queue.entries:
             self.refuse_if_leaving()
         if (
@@ -329,14 +329,14 @@
     def complete(
         self,
         task: Task,
-        verdict: Verdict,
+        result: Result,
         detail: str,
         reply: TargetReply | None = None,
     ) -> None:
         """Give ``task`` its reply, unless it has had it."""
         if not task.completed:
             self.context.completed(task)
-            task.complete(verdict, detail, reply, self.reactor.seconds())
+            task.complete(result, detail, reply, self.reactor.seconds())
 
     def view(self) -> ReplicaView:
         """Return what other processes are told about the replica."""
--- a/sardinehook/target/task.py
+++ b/sardinehook/target/task.py
@@ -8,7 +8,7 @@
 
 from sardinehook.messages import Outcome, SubQuery, SubReply
 from sardinehook.target.codec import TargetReply
-from sardinehook.target.outcome import Verdict
+from sardinehook.target.outcome import Result
 
 __all__ = ["Task", "TaskKey"]
 
@@ -41,21 +41,21 @@
     completed: bool = False
 
     def complete(
-        self, verdict: Verdict, detail: str, reply: TargetReply | None, now: float
+        self, result: Result, detail: str, reply: TargetReply | None, now: float
     ) -> None:
         """Give the sub-query its one reply."""
         self.completed = True
         sent_at = self.sent_at or now
-        answered = reply is not None and verdict.outcome is Outcome.ANSWERED
+        answered = reply is not None and result.outcome is Outcome.ANSWERED
         self.reply(
             SubReply(
                 self.sub_query.sub_query_id,
-                verdict.outcome,
+                result.outcome,
                 reply.head.index_version if reply else 0,
                 reply.head.partitioning if reply else 0,
                 (sent_at - self.received_at) * 1000.0,
                 (now - sent_at) * 1000.0,
-                verdict.began,
+                result.began,
                 detail or ("" if answered or not reply else f"status {reply.status}"),
                 reply.body if reply and answered else b"",
             )
