Name the parts of a running exchange after what they hold

over, until, tries, again and full_use left open what they refer to: the exchange was abandoned, it expires, its task was retried or requeued, the limit was reached.

--- a/sardinehook/target/concurrency_limit.py
+++ b/sardinehook/target/concurrency_limit.py
@@ -23,7 +23,7 @@
     >>> concurrency.limit, concurrency.state.name
     (1, 'UNKNOWN')
     >>> for _ in range(8):
-    ...     concurrency.good_reply(TargetState.WARM, full_use=True, slow=False)
+    ...     concurrency.good_reply(TargetState.WARM, at_limit=True, slow=False)
     >>> concurrency.limit, concurrency.state.name
     (2, 'WARM')
     """
@@ -46,10 +46,10 @@
             self.limit = slots
         self.limit = min(self.limit, slots)
 
-    def good_reply(self, said: TargetState, full_use: bool, slow: bool) -> None:
+    def good_reply(self, said: TargetState, at_limit: bool, slow: bool) -> None:
         """Count a whole reply in time.
 
-        ``said`` is the state in the reply, ``full_use`` whether as many sub-queries
+        ``said`` is the state in the reply, ``at_limit`` whether as many sub-queries
         as the bound allows were in flight and ``slow`` whether the reply took far
         longer than earlier ones.
         """
@@ -64,7 +64,7 @@
         at_top = self.limit == self.slots
         if at_top and self.state is TargetState.WARM:
             return
-        if full_use or at_top:
+        if at_limit or at_top:
             self.count_towards_step()
 
     def slow_reply(self) -> None:
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -25,7 +25,7 @@
 from sardinehook.target.retry import RetryBudget, probe_delay_s
 from sardinehook.target.task import Task
 
-__all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "Running"]
+__all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "RunningExchange"]
 
 CANCEL_CONFIRMED = 200
 CANCEL_UNKNOWN = 404
@@ -53,34 +53,34 @@
     """What becomes of sub-queries that were sent.
 
     ``completed`` is called with the verdict on a sub-query, a detail and the target's
-    reply if there is one; ``again`` with one to be queued once more; ``changed``
+    reply if there is one; ``requeue`` with one to be queued once more; ``capacity_changed``
     when slots or connections may have become free.
     """
 
     completed: Callable[[Task, Result, str, TargetReply | None], None]
-    again: Callable[[Task], None]
-    changed: Callable[[], None]
+    requeue: Callable[[Task], None]
+    capacity_changed: Callable[[], None]
 
 
 @dataclass(slots=True, eq=False)
-class Running:
+class RunningExchange:
     """One exchange with the target.
 
-    ``until`` is when the target has given up, ``check_at`` when the connection is
+    ``expires_at`` is when the target has given up, ``probe_at`` when the connection is
     probed if no byte has come. ``probed`` is set once the target has been asked to
-    abandon the exchange so that it can be tried again, ``over`` once its work has
+    abandon the exchange so that it can be tried again, ``abandoned`` once its work has
     gone on without it.
     """
 
     task: Task
     exchange_id: bytes
     connection: TargetConnection
-    full_use: bool
+    at_limit: bool
     sent_at: float
-    until: float
-    check_at: float
+    expires_at: float
+    probe_at: float
     probed: bool = False
-    over: bool = False
+    abandoned: bool = False
 
 
 class Exchanges:
@@ -106,27 +106,29 @@
         self.control = ControlExchanges(pool, host)
         self.budget = RetryBudget()
         self.occupancy = Occupancy()
-        self.running: dict[bytes, Running] = {}
+        self.running: dict[bytes, RunningExchange] = {}
 
     @property
     def in_flight(self) -> int:
         """How many sub-queries may be running at the target."""
-        return len(self.occupancy.until)
+        return len(self.occupancy.expires_at)
 
     @property
     def needs_sweep(self) -> bool:
         """Whether any deadline has to be watched."""
-        return bool(self.running or self.occupancy.until or self.control.pending)
+        return bool(self.running or self.occupancy.expires_at or self.control.pending)
 
     def send(self, task: Task, connection: TargetConnection, now: float) -> None:
         """Send ``task`` to the target."""
         left_s = task.deadline_at - now
         exchange_id = self.ids.take()
-        until = task.deadline_at + self.occupancy_margin_s
-        self.occupancy.begin(exchange_id, until)
-        full_use = len(self.occupancy.until) >= self.concurrency.limit
-        check_at = self.probe_time(task, connection, now, left_s)
-        running = Running(task, exchange_id, connection, full_use, now, until, check_at)
+        expires_at = task.deadline_at + self.occupancy_margin_s
+        self.occupancy.begin(exchange_id, expires_at)
+        at_limit = len(self.occupancy.expires_at) >= self.concurrency.limit
+        probe_at = self.probe_time(task, connection, now, left_s)
+        running = RunningExchange(
+            task, exchange_id, connection, at_limit, now, expires_at, probe_at
+        )
         self.running[exchange_id] = running
         if not task.sent_at:
             task.sent_at = now
@@ -143,60 +145,64 @@
         self, task: Task, connection: TargetConnection, now: float, left_s: float
     ) -> float:
         """Return when to doubt the connection if no byte has come by then."""
-        if connection.exchanges == 0 or task.tries or task.sub_query.order_key:
+        if connection.exchanges == 0 or task.retries or task.sub_query.order_key:
             return NEVER
         bound_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
         return NEVER if bound_s is None else now + bound_s
 
-    def exchange_ended(self, running: Running, end: ExchangeEnd) -> None:
+    def exchange_ended(self, running: RunningExchange, end: ExchangeEnd) -> None:
         """Settle the work by how its exchange ended."""
         self.running.pop(running.exchange_id, None)
         match end:
             case Replied(reply):
                 self.occupancy.end(running.exchange_id)
                 self.pool.release(running.connection)
-                if not running.over:
-                    self.replied(running, reply)
+                if not running.abandoned:
+                    self.record_reply(running, reply)
             case Malformed(detail):
                 self.concurrency.setback("a garbled reply")
                 garbled = Result(Outcome.GARBLED, True)
                 self.events.completed(running.task, garbled, detail, None)
             case Lost(detail):
                 self.concurrency.setback("a lost connection")
-                self.try_again(running, detail)
-        self.events.changed()
+                self.retry(running, detail)
+        self.events.capacity_changed()
 
-    def replied(self, running: Running, reply: TargetReply) -> None:
+    def record_reply(self, running: RunningExchange, reply: TargetReply) -> None:
         """Take the evidence in a whole reply and settle the work."""
         now = self.reactor.seconds()
         task = running.task
         if running.probed and reply.status != 200:
-            self.try_again(running, "no reply in time")
+            self.retry(running, "no reply in time")
             return
         result = classify_reply(task.sub_query, reply, now <= task.deadline_at)
         took_ms = (now - running.sent_at) * 1000.0
-        self.health.reply_came(reply, result, took_ms, running.full_use, now)
+        self.health.reply_came(reply, result, took_ms, running.at_limit, now)
         if not task.completed:
             self.events.completed(task, result, "", reply)
 
-    def try_again(self, running: Running, detail: str) -> None:
+    def retry(self, running: RunningExchange, detail: str) -> None:
         """Send a search once more over a live connection, or settle it as lost."""
         task = running.task
-        running.over = True
+        running.abandoned = True
         if task.completed:
             return
-        if self.may_try_again(running) and self.budget.take():
-            task.tries += 1
+        if self.may_retry(running) and self.budget.take():
+            task.retries += 1
             task.alive_since = running.sent_at
-            self.events.again(task)
+            self.events.requeue(task)
         else:
             lost = Result(Outcome.CONNECTION_LOST, True)
             self.events.completed(task, lost, detail, None)
 
-    def may_try_again(self, running: Running) -> bool:
+    def may_retry(self, running: RunningExchange) -> bool:
         """Tell whether another try is safe, and can start and finish in time."""
         task = running.task
-        if task.tries or task.sub_query.order_key or running.connection.exchanges == 1:
+        if (
+            task.retries
+            or task.sub_query.order_key
+            or running.connection.exchanges == 1
+        ):
             return False
         likely_s = self.health.service_time.likely_ms / 1000.0
         if self.reactor.seconds() + likely_s >= task.deadline_at:
@@ -207,11 +213,11 @@
         """Abandon a sub-query that has been answered as cancelled."""
         now = self.reactor.seconds()
         for running in list(self.running.values()):
-            if running.task is task and not running.over:
+            if running.task is task and not running.abandoned:
                 self.health.no_reply_yet((now - running.sent_at) * 1000.0)
                 self.abandon(running, 0.0)
 
-    def abandon(self, running: Running, alive_since: float) -> None:
+    def abandon(self, running: RunningExchange, alive_since: float) -> None:
         """Ask the target to stop a search; an order is left to finish."""
         if running.task.sub_query.order_key:
             return
@@ -220,30 +226,30 @@
                 running.task.sub_query.request_id.encode(),
                 running.exchange_id,
                 alive_since,
-                lambda: running.exchange_id in self.occupancy.until,
+                lambda: running.exchange_id in self.occupancy.expires_at,
                 partial(self.cancel_ended, running),
             )
         )
-        self.events.changed()
+        self.events.capacity_changed()
 
-    def probe(self, running: Running) -> None:
+    def probe(self, running: RunningExchange) -> None:
         """Find out over a live connection whether the target knows the exchange."""
         running.probed = True
-        running.check_at = NEVER
+        running.probe_at = NEVER
         self.abandon(running, running.sent_at)
 
-    def cancel_ended(self, running: Running, status: int) -> None:
+    def cancel_ended(self, running: RunningExchange, status: int) -> None:
         """Take the target's answer to a cancellation; only its word frees a slot."""
         unanswered = running.exchange_id in self.running
         if status == CANCEL_CONFIRMED:
             self.occupancy.end(running.exchange_id)
         elif status == CANCEL_UNKNOWN and running.probed and unanswered:
-            self.connection_silent(running)
-        if running.probed and unanswered and not running.over and status:
-            self.try_again(running, "no reply in time")
-        self.events.changed()
+            self.connection_unresponsive(running)
+        if running.probed and unanswered and not running.abandoned and status:
+            self.retry(running, "no reply in time")
+        self.events.capacity_changed()
 
-    def connection_silent(self, running: Running) -> None:
+    def connection_unresponsive(self, running: RunningExchange) -> None:
         """Give up a connection whose request the target has not received.
 
         A warm target can be given the slot again. A cold one is spared the doubt
@@ -257,26 +263,26 @@
         """Settle what has passed its deadline and free what cannot run any more."""
         for running in list(self.running.values()):
             self.check(running, now)
-        if self.occupancy.until:
+        if self.occupancy.expires_at:
             self.occupancy.expire(now)
         if self.control.pending:
             self.control.sweep(now)
 
-    def check(self, running: Running, now: float) -> None:
+    def check(self, running: RunningExchange, now: float) -> None:
         """Enforce the deadline and the silence bound of one exchange."""
         task = running.task
         if now >= task.deadline_at and not task.completed:
             self.health.deadline_missed((now - running.sent_at) * 1000.0)
             late = Result(Outcome.LATE, True)
             self.events.completed(task, late, "no reply in time", None)
-        elif now >= running.check_at and not task.completed:
+        elif now >= running.probe_at and not task.completed:
             if running.connection.received_bytes == 0:
                 self.probe(running)
-            running.check_at = NEVER
-        if now >= running.until:
+            running.probe_at = NEVER
+        if now >= running.expires_at:
             self.drop(running)
 
-    def drop(self, running: Running) -> None:
+    def drop(self, running: RunningExchange) -> None:
         """Give up the connection of an exchange, and those that may be like it."""
         self.running.pop(running.exchange_id, None)
         running.connection.give_up()
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -28,17 +28,17 @@
         reply: TargetReply,
         result: Result,
         took_ms: float,
-        full_use: bool,
+        at_limit: bool,
         now: float,
     ) -> None:
-        """Take a whole reply; ``full_use`` is as in ``ConcurrencyLimit.good_reply``."""
+        """Take a whole reply; ``at_limit`` is as in ``ConcurrencyLimit.good_reply``."""
         self.status.note_reply(reply.head, now)
         self.availability.record_reply_state(reply.head.state, now)
         match result.outcome:
             case Outcome.ANSWERED:
                 slow = self.service_time.is_slow(took_ms)
                 self.service_time.observe(took_ms)
-                self.concurrency.good_reply(reply.head.state, full_use, slow)
+                self.concurrency.good_reply(reply.head.state, at_limit, slow)
             case Outcome.SHED:
                 self.concurrency.shed()
             case Outcome.FAILED if reply.status == 503:
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -68,7 +68,7 @@
             limits.occupancy_margin_s,
             self.health,
             self.pool,
-            ExchangeEvents(self.exchange_completed, self.queue_again, self.pump),
+            ExchangeEvents(self.exchange_completed, self.requeue, self.pump),
         )
 
     @property
@@ -318,7 +318,7 @@
         ):
             self.event_log.log_changes()
 
-    def queue_again(self, task: Task) -> None:
+    def requeue(self, task: Task) -> None:
         """Queue work whose first try was given up."""
         if self.accepts_work and self.holds_part:
             self.queue.push(task)
--- a/sardinehook/target/task.py
+++ b/sardinehook/target/task.py
@@ -25,7 +25,7 @@
     """A sub-query on its way through the owner; times in seconds of one clock.
 
     ``alive_since`` rules out connections that have shown no life since then.
-    ``may_have_begun`` is set once a byte may have left. ``tries`` counts the tries
+    ``may_have_begun`` is set once a byte may have left. ``retries`` counts the tries
     that were given up.
     """
 
@@ -37,7 +37,7 @@
     sent_at: float = 0.0
     alive_since: float = 0.0
     may_have_begun: bool = False
-    tries: int = 0
+    retries: int = 0
     completed: bool = False
 
     def complete(
--- a/tests/target/test_concurrency_limit.py
+++ b/tests/target/test_concurrency_limit.py
@@ -15,15 +15,15 @@
 WARM, COLD = TargetState.WARM, TargetState.COLD
 
 
-def serve(concurrency: ConcurrencyLimit, times: int, full_use: bool = True) -> None:
+def serve(concurrency: ConcurrencyLimit, times: int, at_limit: bool = True) -> None:
     for _ in range(times):
-        concurrency.good_reply(WARM, full_use, slow=False)
+        concurrency.good_reply(WARM, at_limit, slow=False)
 
 
 class TestRamp:
     def test_it_grows_only_by_replies_at_full_use(self) -> None:
         concurrency = ConcurrencyLimit(1, 3)
-        serve(concurrency, 100, full_use=False)
+        serve(concurrency, 100, at_limit=False)
         assert concurrency.limit == 1
         serve(concurrency, GOOD_REPLIES_PER_STEP)
         assert concurrency.limit == 2
