Name the inputs of the concurrency limit and the health record

came, said, setback and forget left open what the methods do: they record a success, a slow reply, a timeout or a shed request, or reset the limit.

--- a/sardinehook/target/availability.py
+++ b/sardinehook/target/availability.py
@@ -64,23 +64,23 @@
     def connect_failed(self) -> None:
         """Note that the replica cannot be reached."""
         self.gone = True
-        self.concurrency.forget()
+        self.concurrency.reset_to_unknown()
 
     def connected(self) -> None:
         """Note a new connection; after an absence the replica is unknown."""
         if self.gone:
             self.gone = False
             self.draining = False
-            self.concurrency.forget()
+            self.concurrency.reset_to_unknown()
 
-    def record_reply_state(self, said: TargetState, now: float) -> None:
+    def record_reply_state(self, reported_state: TargetState, now: float) -> None:
         """Take the state that stands in a reply."""
-        if said is TargetState.DRAINING:
+        if reported_state is TargetState.DRAINING:
             self.draining = True
             self.drain_hold_until = now + DRAIN_HOLD_S
             self.statuses_without_drain = 0
-        elif said is TargetState.COLD:
-            self.concurrency.setback("a reply says so")
+        elif reported_state is TargetState.COLD:
+            self.concurrency.reset_to_cold("a reply says so")
 
     def record_status(self, draining: bool, now: float) -> None:
         """Take the status endpoint's word on whether the replica drains.
@@ -95,7 +95,7 @@
             self.statuses_without_drain += 1
             if self.statuses_without_drain >= DRAIN_END_STATUSES:
                 self.draining = False
-                self.concurrency.forget()
+                self.concurrency.reset_to_unknown()
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says.
@@ -103,11 +103,11 @@
         ``listed`` is ``DRAINING``, ``GONE`` or ``UNKNOWN`` for nothing against it.
         """
         if self.listed is not TargetState.UNKNOWN and listed is TargetState.UNKNOWN:
-            self.concurrency.forget()
+            self.concurrency.reset_to_unknown()
         self.listed = listed
         if incarnation == self.incarnation:
             return
         if self.incarnation:
             self.draining = False
-            self.concurrency.forget()
+            self.concurrency.reset_to_unknown()
         self.incarnation = incarnation
--- a/sardinehook/target/concurrency_limit.py
+++ b/sardinehook/target/concurrency_limit.py
@@ -6,9 +6,9 @@
 
 __all__ = ["ConcurrencyLimit"]
 
-GOOD_REPLIES_PER_STEP = 8
-SLOW_REPLIES_FOR_SETBACK = 3
-LATE_REPLIES_FOR_SETBACK = 2
+SUCCESSES_PER_STEP = 8
+SLOW_REPLIES_TO_RESET = 3
+TIMEOUTS_TO_RESET = 2
 
 
 class ConcurrencyLimit:
@@ -23,7 +23,7 @@
     >>> concurrency.limit, concurrency.state.name
     (1, 'UNKNOWN')
     >>> for _ in range(8):
-    ...     concurrency.good_reply(TargetState.WARM, at_limit=True, slow=False)
+    ...     concurrency.record_success(TargetState.WARM, at_limit=True, slow=False)
     >>> concurrency.limit, concurrency.state.name
     (2, 'WARM')
     """
@@ -34,9 +34,9 @@
         self.state = TargetState.UNKNOWN
         self.cause = ""
         self.limit = min(cold_start_slots, slots)
-        self.good_replies = 0
+        self.successes = 0
         self.slow_replies = 0
-        self.late_replies = 0
+        self.timeouts = 0
 
     def set_slots(self, slots: int) -> None:
         """Take a new allowance of ``slots``."""
@@ -46,71 +46,73 @@
             self.limit = slots
         self.limit = min(self.limit, slots)
 
-    def good_reply(self, said: TargetState, at_limit: bool, slow: bool) -> None:
+    def record_success(
+        self, reported_state: TargetState, at_limit: bool, slow: bool
+    ) -> None:
         """Count a whole reply in time.
 
-        ``said`` is the state in the reply, ``at_limit`` whether as many sub-queries
+        ``reported_state`` is the state in the reply, ``at_limit`` whether as many sub-queries
         as the bound allows were in flight and ``slow`` whether the reply took far
         longer than earlier ones.
         """
-        if said is TargetState.COLD:
-            self.setback("a reply says so")
+        if reported_state is TargetState.COLD:
+            self.reset_to_cold("a reply says so")
             return
-        self.late_replies = 0
+        self.timeouts = 0
         if slow:
-            self.slow_reply()
+            self.record_slow_reply()
             return
         self.slow_replies = 0
         at_top = self.limit == self.slots
         if at_top and self.state is TargetState.WARM:
             return
         if at_limit or at_top:
-            self.count_towards_step()
+            self.count_success()
 
-    def slow_reply(self) -> None:
+    def record_slow_reply(self) -> None:
         """Count a reply far slower than usual; three in a row are a setback."""
         self.slow_replies += 1
-        if self.slow_replies >= SLOW_REPLIES_FOR_SETBACK:
-            self.setback("sudden slowness")
+        if self.slow_replies >= SLOW_REPLIES_TO_RESET:
+            self.reset_to_cold("sudden slowness")
 
-    def count_towards_step(self) -> None:
+    def count_success(self) -> None:
         """Count one good reply at full use and grow the bound when it is due."""
-        self.good_replies += 1
-        if self.good_replies < GOOD_REPLIES_PER_STEP:
+        self.successes += 1
+        if self.successes < SUCCESSES_PER_STEP:
             return
-        self.good_replies = 0
+        self.successes = 0
         self.limit = min(self.limit + 1, self.slots)
         if self.limit == self.slots:
             self.state = TargetState.WARM
 
-    def late_reply(self) -> None:
+    def record_timeout(self) -> None:
         """Count a reply that missed its deadline; two in a row are a setback."""
-        self.late_replies += 1
-        if self.late_replies >= LATE_REPLIES_FOR_SETBACK:
-            self.setback("missed deadlines")
+        self.timeouts += 1
+        if self.timeouts >= TIMEOUTS_TO_RESET:
+            self.reset_to_cold("missed deadlines")
 
-    def shed(self) -> None:
+    def record_shed(self) -> None:
         """Halve the bound after the target refused work."""
-        self.good_replies = 0
+        self.successes = 0
         self.limit = max(1, self.limit // 2)
 
-    def setback(self, cause: str) -> None:
+    def reset_to_cold(self, cause: str) -> None:
         """Treat the replica as cold; ``cause`` is for people."""
         if self.state is not TargetState.COLD:
             self.cause = cause
         self.state = TargetState.COLD
         self.limit = min(self.cold_start_slots, self.slots)
-        self.good_replies = 0
+        self.successes = 0
         self.slow_replies = 0
-        self.late_replies = 0
+        self.timeouts = 0
 
-    def take_as_warm(self) -> None:
+    def assume_warm(self) -> None:
         """Take another owner's word that the replica is warm, if nothing is known."""
         if self.state is TargetState.UNKNOWN:
             self.state = TargetState.WARM
             self.limit = self.slots
 
-    def forget(self) -> None:
+    def reset_to_unknown(self) -> None:
         """Return to knowing nothing, which bears what a cold start bears."""
-        self.setback("")
+        self.reset_to_cold("")
         self.state = TargetState.UNKNOWN
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -160,11 +160,11 @@
                 if not running.abandoned:
                     self.record_reply(running, reply)
             case Malformed(detail):
-                self.concurrency.setback("a garbled reply")
+                self.concurrency.reset_to_cold("a garbled reply")
                 garbled = Result(Outcome.GARBLED, True)
                 self.events.completed(running.task, garbled, detail, None)
             case Lost(detail):
-                self.concurrency.setback("a lost connection")
+                self.concurrency.reset_to_cold("a lost connection")
                 self.retry(running, detail)
         self.events.capacity_changed()
 
@@ -177,7 +177,7 @@
             return
         result = classify_reply(task.sub_query, reply, now <= task.deadline_at)
         took_ms = (now - running.sent_at) * 1000.0
-        self.health.reply_came(reply, result, took_ms, running.at_limit, now)
+        self.health.record_reply(reply, result, took_ms, running.at_limit, now)
         if not task.completed:
             self.events.completed(task, result, "", reply)
 
@@ -214,7 +214,7 @@
         now = self.reactor.seconds()
         for running in list(self.running.values()):
             if running.task is task and not running.abandoned:
-                self.health.no_reply_yet((now - running.sent_at) * 1000.0)
+                self.health.record_cancelled_wait((now - running.sent_at) * 1000.0)
                 self.abandon(running, 0.0)
 
     def abandon(self, running: RunningExchange, alive_since: float) -> None:
@@ -272,7 +272,7 @@
         """Enforce the deadline and the silence bound of one exchange."""
         task = running.task
         if now >= task.deadline_at and not task.completed:
-            self.health.deadline_missed((now - running.sent_at) * 1000.0)
+            self.health.record_timeout((now - running.sent_at) * 1000.0)
             late = Result(Outcome.LATE, True)
             self.events.completed(task, late, "no reply in time", None)
         elif now >= running.probe_at and not task.completed:
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -23,7 +23,7 @@
         self.service_time = ServiceTime()
         self.status = ReplicaStatus()
 
-    def reply_came(
+    def record_reply(
         self,
         reply: TargetReply,
         result: Result,
@@ -31,22 +31,22 @@
         at_limit: bool,
         now: float,
     ) -> None:
-        """Take a whole reply; ``at_limit`` is as in ``ConcurrencyLimit.good_reply``."""
+        """Take a whole reply; ``at_limit`` is as in ``ConcurrencyLimit.record_success``."""
         self.status.note_reply(reply.head, now)
         self.availability.record_reply_state(reply.head.state, now)
         match result.outcome:
             case Outcome.ANSWERED:
                 slow = self.service_time.is_slow(took_ms)
                 self.service_time.observe(took_ms)
-                self.concurrency.good_reply(reply.head.state, at_limit, slow)
+                self.concurrency.record_success(reply.head.state, at_limit, slow)
             case Outcome.SHED:
-                self.concurrency.shed()
+                self.concurrency.record_shed()
             case Outcome.FAILED if reply.status == 503:
-                self.concurrency.shed()
+                self.concurrency.record_shed()
             case _:
                 pass
 
-    def status_came(self, reply: TargetReply, now: float) -> None:
+    def record_status(self, reply: TargetReply, now: float) -> None:
         """Take a reply of the status endpoint, which may lag or mislead."""
         body = read_status(reply.body) if reply.status == 200 else None
         self.status.note_status(body, now)
@@ -54,17 +54,17 @@
         if body is not None:
             self.availability.record_status(body.state == "draining", now)
 
-    def no_reply_yet(self, waited_ms: float) -> None:
+    def record_cancelled_wait(self, waited_ms: float) -> None:
         """Take a wait that was ended from here, as far as it was long."""
         if waited_ms <= self.service_time.mean_ms:
             return
         if self.service_time.is_slow(waited_ms):
-            self.concurrency.slow_reply()
+            self.concurrency.record_slow_reply()
         self.service_time.observe(waited_ms)
 
-    def deadline_missed(self, waited_ms: float) -> None:
+    def record_timeout(self, waited_ms: float) -> None:
         """Take a deadline that passed without a reply."""
-        self.concurrency.late_reply()
+        self.concurrency.record_timeout()
         self.service_time.observe(waited_ms)
 
     def wait_ms(self, ahead: int) -> float:
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -102,7 +102,7 @@
         if allowance is None:
             self.allowance = NO_ALLOWANCE
             self.refuse_queue("the replica has another owner")
-            self.concurrency.forget()
+            self.concurrency.reset_to_unknown()
         else:
             self.allowance = allowance
             self.concurrency.set_slots(allowance.slots)
@@ -120,9 +120,9 @@
         if self.allowance.may_serve_cold or not self.holds_part:
             return
         if state is TargetState.WARM:
-            self.concurrency.take_as_warm()
+            self.concurrency.assume_warm()
         elif self.concurrency.state is TargetState.WARM:
-            self.concurrency.forget()
+            self.concurrency.reset_to_unknown()
             self.refuse_if_leaving()
 
     def submit(self, task: Task) -> None:
@@ -249,7 +249,7 @@
         self.context.busy(self)
         self.exchanges.control.poll_status(
             self.context.ids.take(),
-            lambda reply: self.health.status_came(reply, self.reactor.seconds()),
+            lambda reply: self.health.record_status(reply, self.reactor.seconds()),
         )
 
     def connected(self) -> None:
@@ -277,7 +277,7 @@
     def connection_ended(self, clean: bool) -> None:
         """Take the end of a connection by the target as evidence."""
         if not clean or not self.pool.open_now():
-            self.concurrency.setback("a lost connection")
+            self.concurrency.reset_to_cold("a lost connection")
         self.pump()
         self.event_log.log_changes()
 
--- a/tests/target/test_concurrency_limit.py
+++ b/tests/target/test_concurrency_limit.py
@@ -9,7 +9,7 @@
 
 from sardinehook.messages import Outcome, TargetState
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.concurrency_limit import GOOD_REPLIES_PER_STEP, ConcurrencyLimit
+from sardinehook.target.concurrency_limit import SUCCESSES_PER_STEP, ConcurrencyLimit
 from tests.target.fakes import Rig, query
 
 WARM, COLD = TargetState.WARM, TargetState.COLD
@@ -17,7 +17,7 @@
 
 def serve(concurrency: ConcurrencyLimit, times: int, at_limit: bool = True) -> None:
     for _ in range(times):
-        concurrency.good_reply(WARM, at_limit, slow=False)
+        concurrency.record_success(WARM, at_limit, slow=False)
 
 
 class TestRamp:
@@ -25,31 +25,31 @@
         concurrency = ConcurrencyLimit(1, 3)
         serve(concurrency, 100, at_limit=False)
         assert concurrency.limit == 1
-        serve(concurrency, GOOD_REPLIES_PER_STEP)
+        serve(concurrency, SUCCESSES_PER_STEP)
         assert concurrency.limit == 2
         assert concurrency.state is not WARM
 
     def test_a_reply_that_says_cold_undoes_all_growth(self) -> None:
         concurrency = ConcurrencyLimit(1, 3)
-        serve(concurrency, 2 * GOOD_REPLIES_PER_STEP)
+        serve(concurrency, 2 * SUCCESSES_PER_STEP)
         assert concurrency.state is WARM
-        concurrency.good_reply(COLD, True, slow=False)
+        concurrency.record_success(COLD, True, slow=False)
         assert (concurrency.limit, concurrency.state) == (1, COLD)
 
     def test_replies_of_a_cold_target_never_grow_it(self) -> None:
         concurrency = ConcurrencyLimit(1, 3)
         for _ in range(100):
-            concurrency.good_reply(COLD, True, slow=False)
+            concurrency.record_success(COLD, True, slow=False)
         assert concurrency.limit == 1
 
     def test_sudden_slowness_is_a_setback_and_one_straggler_is_not(self) -> None:
         concurrency = ConcurrencyLimit(1, 2)
-        serve(concurrency, GOOD_REPLIES_PER_STEP)
-        concurrency.good_reply(WARM, True, slow=True)
+        serve(concurrency, SUCCESSES_PER_STEP)
+        concurrency.record_success(WARM, True, slow=True)
         serve(concurrency, 1)
         assert concurrency.state is WARM
         for _ in range(3):
-            concurrency.good_reply(WARM, True, slow=True)
+            concurrency.record_success(WARM, True, slow=True)
         assert concurrency.state is COLD
 
     def test_more_slots_do_not_raise_a_cold_bound(self) -> None:
@@ -59,7 +59,7 @@
 
     def test_fewer_slots_bind_at_once(self) -> None:
         concurrency = ConcurrencyLimit(1, 3)
-        serve(concurrency, 2 * GOOD_REPLIES_PER_STEP)
+        serve(concurrency, 2 * SUCCESSES_PER_STEP)
         concurrency.set_slots(2)
         assert concurrency.limit == 2
 
@@ -81,19 +81,19 @@
             before = concurrency.limit
             match event:
                 case "good":
-                    concurrency.good_reply(WARM, True, slow=False)
+                    concurrency.record_success(WARM, True, slow=False)
                 case "cold":
-                    concurrency.good_reply(COLD, True, slow=False)
+                    concurrency.record_success(COLD, True, slow=False)
                 case "slow":
-                    concurrency.slow_reply()
+                    concurrency.record_slow_reply()
                 case "late":
-                    concurrency.late_reply()
+                    concurrency.record_timeout()
                 case "shed":
-                    concurrency.shed()
+                    concurrency.record_shed()
                 case "setback":
-                    concurrency.setback("test")
+                    concurrency.reset_to_cold("test")
                 case _:
-                    concurrency.forget()
+                    concurrency.reset_to_unknown()
             grown = concurrency.limit - before
             assert 1 <= concurrency.limit <= slots
             assert grown <= 0 or event == "good" or concurrency.limit <= cold
@@ -140,7 +140,7 @@
 
     def test_time_alone_changes_nothing(self) -> None:
         rig = Rig()
-        rig.client.concurrency.setback("test")
+        rig.client.concurrency.reset_to_cold("test")
         rig.advance(5.0)
         assert (rig.client.concurrency.limit, rig.client.concurrency.state) == (1, COLD)
 
--- a/tests/target/test_retry.py
+++ b/tests/target/test_retry.py
@@ -81,7 +81,7 @@
         send_into_silence(rig, query())
         rig.advance(0.05)
         (probe,) = rig.busy("POST /cancel")
-        rig.client.concurrency.setback("test")
+        rig.client.concurrency.reset_to_cold("test")
         probe.answer(404)
         assert rig.owner.in_flight("s-a") == 1
         assert rig.outcomes() == [Outcome.CONNECTION_LOST]
