Name the operations and bounds of the connection pool

suspect, held, live, tend and give_up are now called after what they do or return. Constants say whether they are a timeout, a minimum or a maximum.

--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -88,7 +88,7 @@
         """Close a connection that can't be used any more."""
         self.close()
 
-    def give_up(self) -> None:
+    def abandon(self) -> None:
         """Drop a connection that does not answer; no end is reported."""
         self.silent = True
         self.closing_here = True
--- a/sardinehook/target/control.py
+++ b/sardinehook/target/control.py
@@ -20,14 +20,14 @@
 class Cancellation(NamedTuple):
     """A request to the target to abandon an exchange.
 
-    It goes over a connection that has shown life since ``alive_since`` only.
+    It goes over a connection that has shown life since ``active_since`` only.
     ``wanted`` tells whether it is still of use and ``ended`` gets the status of the
     target's answer, zero if there was none.
     """
 
     request_id: bytes
     exchange_id: bytes
-    alive_since: float
+    active_since: float
     wanted: Callable[[], bool]
     ended: Callable[[int], None]
 
@@ -59,7 +59,7 @@
             cancellation = self.cancellations.popleft()
             if not cancellation.wanted():
                 continue
-            connection = self.pool.acquire(cancellation.alive_since)
+            connection = self.pool.acquire(cancellation.active_since)
             if connection is None:
                 self.cancellations.append(cancellation)
             else:
@@ -119,5 +119,5 @@
         for pending in [*self.pending]:
             if pending.sent_at + CONTROL_TIMEOUT_S <= now:
                 self.pending.discard(pending)
-                pending.connection.give_up()
-                self.pool.suspect(pending.sent_at)
+                pending.connection.abandon()
+                self.pool.close_inactive(pending.sent_at)
--- a/sardinehook/target/counts.py
+++ b/sardinehook/target/counts.py
@@ -9,13 +9,13 @@
 from sardinehook.messages import TargetState
 from sardinehook.target.replica_client import ReplicaClient
 
-__all__ = ["OwnerCounts", "count_holdings"]
+__all__ = ["OwnerCounts", "count_usage"]
 
 
 class OwnerCounts(NamedTuple):
     """Sums over the replicas of one owner.
 
-    ``given_up`` counts, since the start, connections over which nothing came.
+    ``connections_abandoned`` counts, since the start, connections over which nothing came.
     """
 
     connections: int
@@ -24,13 +24,13 @@
     slots_allowed: int
     queued: int
     replicas: dict[TargetState, int]
-    given_up: int
+    connections_abandoned: int
 
 
-def count_holdings(clients: Iterable[ReplicaClient]) -> OwnerCounts:
+def count_usage(clients: Iterable[ReplicaClient]) -> OwnerCounts:
     """Sum up what ``clients`` hold."""
     held = list(clients)
-    states = Counter(one.availability.state for one in held if one.holds_part)
+    states = Counter(one.availability.state for one in held if one.has_allowance)
     return OwnerCounts(
         sum(len(one.pool.connections) for one in held),
         sum(one.allowance.connections for one in held),
@@ -38,5 +38,5 @@
         sum(one.allowance.slots for one in held),
         sum(len(one.queue) for one in held),
         {state: states[state] for state in TargetState},
-        sum(one.pool.given_up for one in held),
+        sum(one.pool.connections_abandoned for one in held),
     )
--- a/sardinehook/target/event_log.py
+++ b/sardinehook/target/event_log.py
@@ -24,7 +24,7 @@
         self.availability = availability
         self.pool = pool
         self.state = TargetState.UNKNOWN
-        self.given_up = 0
+        self.connections_abandoned = 0
 
     def log_allowance(self, held: bool, holds: bool) -> None:
         """Log that a part of the replica was taken or let go."""
@@ -38,9 +38,9 @@
         state = self.availability.state
         if state is not self.state:
             self.log_state(state)
-        if self.pool.given_up > self.given_up:
-            count = self.pool.given_up - self.given_up
-            self.given_up = self.pool.given_up
+        if self.pool.connections_abandoned > self.connections_abandoned:
+            count = self.pool.connections_abandoned - self.connections_abandoned
+            self.connections_abandoned = self.pool.connections_abandoned
             name = EventName.CONNECTION_SILENT
             log_event(logger, name, target=self.replica, count=count)
 
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -189,7 +189,7 @@
             return
         if self.may_retry(running) and self.budget.take():
             task.retries += 1
-            task.alive_since = running.sent_at
+            task.active_since = running.sent_at
             self.events.requeue(task)
         else:
             lost = Result(Outcome.CONNECTION_LOST, True)
@@ -217,7 +217,7 @@
                 self.health.record_cancelled_wait((now - running.sent_at) * 1000.0)
                 self.abandon(running, 0.0)
 
-    def abandon(self, running: RunningExchange, alive_since: float) -> None:
+    def abandon(self, running: RunningExchange, active_since: float) -> None:
         """Ask the target to stop a search; an order is left to finish."""
         if running.task.sub_query.order_key:
             return
@@ -225,7 +225,7 @@
             Cancellation(
                 running.task.sub_query.request_id.encode(),
                 running.exchange_id,
-                alive_since,
+                active_since,
                 lambda: running.exchange_id in self.occupancy.expires_at,
                 partial(self.cancel_ended, running),
             )
@@ -285,15 +285,15 @@
     def drop(self, running: RunningExchange) -> None:
         """Give up the connection of an exchange, and those that may be like it."""
         self.running.pop(running.exchange_id, None)
-        running.connection.give_up()
-        self.pool.suspect(running.sent_at)
+        running.connection.abandon()
+        self.pool.close_inactive(running.sent_at)
 
     def stop(self) -> None:
         """Settle what is in flight as lost and close its connections."""
         for running in list(self.running.values()):
             lost = Result(Outcome.CONNECTION_LOST, True)
             self.events.completed(running.task, lost, "stopping", None)
-            running.connection.give_up()
+            running.connection.abandon()
         self.running.clear()
         for pending in self.control.pending:
-            pending.connection.give_up()
+            pending.connection.abandon()
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -10,7 +10,7 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, ReplicaView, SubQuery, SubReply, TargetState
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.counts import OwnerCounts, count_holdings
+from sardinehook.target.counts import OwnerCounts, count_usage
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.replica_client import ClientContext, ReplicaClient
@@ -154,11 +154,13 @@
 
     def views(self) -> list[ReplicaView]:
         """Return the view of each replica of which a part is held here."""
-        return [client.view() for client in self.clients.values() if client.holds_part]
+        return [
+            client.view() for client in self.clients.values() if client.has_allowance
+        ]
 
     def counts(self) -> OwnerCounts:
         """Return what is held here, in numbers for the metrics."""
-        return count_holdings([*self.clients.values(), *self.retired])
+        return count_usage([*self.clients.values(), *self.retired])
 
     def in_flight(self, replica: str) -> int:
         """Return how many sub-queries may be running at a replica."""
@@ -196,9 +198,11 @@
             self.limits.poll_interval_s, self.start_polling
         )
         if not self.poll_order:
-            self.poll_order = [one for one in self.clients.values() if one.holds_part]
+            self.poll_order = [
+                one for one in self.clients.values() if one.has_allowance
+            ]
         if self.poll_order:
-            self.poll_order.pop().tend()
+            self.poll_order.pop().maintain()
 
     def close(self, grace_s: float) -> Deferred[None]:
         """Refuse new work, let the rest finish and close all connections.
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -17,12 +17,12 @@
 __all__ = ["ConnectionPool", "PoolEvents", "TargetAddress"]
 
 LINGER_S = 5.0
-LEAST_CONNECTIONS = 2
-CLOSE_WITHIN_S = 1.0
-IDLE_CLOSE_S = 15.0
-REFUSED_WITHIN_S = 0.1
-FIRST_BACKOFF_S = 0.05
-LAST_BACKOFF_S = 2.0
+MIN_CONNECTIONS = 2
+CLOSE_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 15.0
+IMMEDIATE_CLOSE_S = 0.1
+INITIAL_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 2.0
 
 
 class TargetAddress(NamedTuple):
@@ -81,36 +81,36 @@
         self.lingering: list[float] = []
         self.backoff_s = 0.0
         self.open_after = 0.0
-        self.given_up = 0
+        self.connections_abandoned = 0
 
-    def held(self, now: float) -> int:
+    def counted(self, now: float) -> int:
         """Return how many connections the target may hold for this owner."""
         if self.lingering:
             self.lingering = [until for until in self.lingering if until > now]
         return len(self.connections) + self.opening + len(self.lingering)
 
-    def acquire(self, alive_since: float = 0.0) -> TargetConnection | None:
+    def acquire(self, active_since: float = 0.0) -> TargetConnection | None:
         """Return the idle connection that was used last, if any.
 
-        One that has shown no life since ``alive_since`` is returned only where no
+        One that has shown no life since ``active_since`` is returned only where no
         other can be opened.
         """
-        if alive_since and self.is_full():
-            alive_since = 0.0
-        while self.idle and self.idle[-1].idle_since >= alive_since:
+        if active_since and self.is_full():
+            active_since = 0.0
+        while self.idle and self.idle[-1].idle_since >= active_since:
             connection = self.idle.pop()
             if connection.idle:
                 return connection
         return None
 
-    def suspect(self, before: float) -> None:
+    def close_inactive(self, before: float) -> None:
         """Close idle connections that have shown no life since ``before``.
 
         One connection of theirs was found silent, so they may be silent too.
         """
         for connection in list(self.idle):
             if connection.idle_since < before:
-                connection.give_up()
+                connection.abandon()
         self.idle = [one for one in self.idle if one.is_open]
 
     def release(self, connection: TargetConnection) -> None:
@@ -128,20 +128,22 @@
         """Tell whether a connection has to be closed."""
         if len(self.connections) + self.opening <= self.allowance:
             return False
-        return self.live() > self.allowance
+        return self.active_count() > self.allowance
 
     def is_full(self) -> bool:
         """Tell whether no connection is on its way and none can be opened."""
-        return not self.opening and self.held(self.reactor.seconds()) >= self.allowance
+        return (
+            not self.opening and self.counted(self.reactor.seconds()) >= self.allowance
+        )
 
-    def ensure_available(self, wanted: int, alive_since: float = 0.0) -> None:
+    def ensure_available(self, wanted: int, active_since: float = 0.0) -> None:
         """Open connections until ``wanted`` are idle or on their way.
 
-        Idle ones count if they have shown life since ``alive_since``.
+        Idle ones count if they have shown life since ``active_since``.
         """
         ready = len(self.idle)
-        if alive_since:
-            ready = sum(one.idle_since >= alive_since for one in self.idle)
+        if active_since:
+            ready = sum(one.idle_since >= active_since for one in self.idle)
         missing = wanted - ready - self.opening
         if missing <= 0:
             return
@@ -152,26 +154,26 @@
             missing = 1
         elif self.backoff_s:
             return
-        room = self.allowance - self.held(now)
+        room = self.allowance - self.counted(now)
         if room <= 0:
-            room = self.forget_lingering()
+            room = self.reclaim_lingering()
         for _ in range(min(missing, room)):
-            self.begin_open()
+            self.start_opening()
 
-    def forget_lingering(self) -> int:
+    def reclaim_lingering(self) -> int:
         """Make room where nearly all that counts was given up; return the room.
 
         Without a connection nobody could find out whether the target still holds
         the others. One that holds them refuses the new one.
         """
-        least = min(LEAST_CONNECTIONS, self.allowance)
-        room = min(least - self.live(), len(self.lingering))
+        least = min(MIN_CONNECTIONS, self.allowance)
+        room = min(least - self.active_count(), len(self.lingering))
         if room <= 0:
             return 0
         del self.lingering[:room]
         return room
 
-    def begin_open(self) -> None:
+    def start_opening(self) -> None:
         """Begin to open one connection."""
         self.opening += 1
         self.reactor.connectTCP(
@@ -201,8 +203,8 @@
 
     def back_off(self) -> None:
         """Wait longer before the next attempt."""
-        wait_s = max(self.backoff_s * 2, FIRST_BACKOFF_S)
-        self.backoff_s = min(wait_s, LAST_BACKOFF_S)
+        wait_s = max(self.backoff_s * 2, INITIAL_BACKOFF_S)
+        self.backoff_s = min(wait_s, MAX_BACKOFF_S)
         self.open_after = self.reactor.seconds() + self.backoff_s
 
     def closed(self, connection: TargetConnection, clean: bool) -> None:
@@ -212,11 +214,11 @@
             self.idle.remove(connection)
         if connection.closing_here:
             if not clean:
-                self.given_up += 1
+                self.connections_abandoned += 1
                 self.lingering.append(self.reactor.seconds() + LINGER_S)
             return
         open_s = self.reactor.seconds() - connection.idle_since
-        if connection.exchanges == 0 and open_s < REFUSED_WITHIN_S:
+        if connection.exchanges == 0 and open_s < IMMEDIATE_CLOSE_S:
             self.back_off()
             self.events.failed("closed by the target at once", False)
         else:
@@ -228,27 +230,27 @@
         Those that the target has not closed in turn are dropped.
         """
         now = self.reactor.seconds()
-        latest = now - IDLE_CLOSE_S
+        latest = now - IDLE_TIMEOUT_S
         for connection in list(self.connections):
             closing = connection.closing_here
-            if closing and connection.idle_since < now - CLOSE_WITHIN_S:
-                connection.give_up()
+            if closing and connection.idle_since < now - CLOSE_TIMEOUT_S:
+                connection.abandon()
         while len(self.idle) > keep and self.idle[0].idle_since < latest:
             self.idle.pop(0).close()
 
     def set_allowance(self, allowance: int) -> None:
         """Take a new bound; idle connections beyond it are closed."""
         self.allowance = allowance
-        excess = max(0, self.live() - allowance)
+        excess = max(0, self.active_count() - allowance)
         surplus, self.idle = self.idle[:excess], self.idle[excess:]
         for connection in surplus:
             connection.close()
 
-    def live(self) -> int:
+    def active_count(self) -> int:
         """Return how many connections are open or being opened."""
-        return self.opening + self.open_now()
+        return self.opening + self.open_count()
 
-    def open_now(self) -> int:
+    def open_count(self) -> int:
         """Return how many connections are open."""
         return sum(one.is_open for one in self.connections)
 
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -22,8 +22,8 @@
 __all__ = ["ClientContext", "ReplicaClient"]
 
 SPARE_CONNECTIONS = 1
-ORDER_CONNECTION_LIFE_S = 0.25
-LEAST_SENDABLE_S = 0.001
+ORDER_MAX_IDLE_S = 0.25
+MIN_SEND_S = 0.001
 NO_ALLOWANCE = Allowance(0, 0, False)
 
 
@@ -72,7 +72,7 @@
         )
 
     @property
-    def holds_part(self) -> bool:
+    def has_allowance(self) -> bool:
         """Whether this owner may use a part of the replica."""
         return self.allowance is not NO_ALLOWANCE
 
@@ -98,7 +98,7 @@
 
     def set_allowance(self, allowance: Allowance | None) -> None:
         """Take a new allowance; without one nothing new is sent."""
-        self.event_log.log_allowance(self.holds_part, allowance is not None)
+        self.event_log.log_allowance(self.has_allowance, allowance is not None)
         if allowance is None:
             self.allowance = NO_ALLOWANCE
             self.refuse_queue("the replica has another owner")
@@ -117,7 +117,7 @@
 
     def update_peer_view(self, state: TargetState) -> None:
         """Take the state that another owner has told."""
-        if self.allowance.may_serve_cold or not self.holds_part:
+        if self.allowance.may_serve_cold or not self.has_allowance:
             return
         if state is TargetState.WARM:
             self.concurrency.assume_warm()
@@ -133,7 +133,7 @@
             return
         self.exchanges.budget.first_try()
         if task.sub_query.order_key:
-            task.alive_since = task.received_at - ORDER_CONNECTION_LIFE_S
+            task.active_since = task.received_at - ORDER_MAX_IDLE_S
         if not self.queue.entries and self.start_now(task):
             self.provide()
             return
@@ -146,9 +146,9 @@
         """Send ``task`` past the empty queue if a slot and a connection are free."""
         if self.exchanges.in_flight >= self.concurrency.limit:
             return False
-        if task.deadline_at < task.received_at + LEAST_SENDABLE_S:
+        if task.deadline_at < task.received_at + MIN_SEND_S:
             return False
-        connection = self.pool.acquire(task.alive_since)
+        connection = self.pool.acquire(task.active_since)
         if connection is None:
             return False
         self.exchanges.send(task, connection, task.received_at)
@@ -156,7 +156,7 @@
 
     def refusal(self, task: Task) -> str:
         """Return why ``task`` cannot be run, or an empty string."""
-        if not self.holds_part:
+        if not self.has_allowance:
             return "the replica has another owner"
         if not self.accepts_work:
             return f"the replica is {self.availability.state.name.lower()}"
@@ -181,13 +181,13 @@
     def start_queued(self, now: float) -> None:
         """Send queued sub-queries while slots and connections are free."""
         likely_s = self.health.service_time.likely_ms / 1000.0
-        needed_s = max(LEAST_SENDABLE_S, likely_s if self.exchanges.in_flight else 0.0)
+        needed_s = max(MIN_SEND_S, likely_s if self.exchanges.in_flight else 0.0)
         for task in self.queue.remove_unservable(now, needed_s):
             self.refuse(task, "the deadline passed in the queue")
         while self.queue.entries and self.accepts_work:
             if self.exchanges.in_flight >= self.concurrency.limit:
                 return
-            connection = self.pool.acquire(self.queue.entries[0].task.alive_since)
+            connection = self.pool.acquire(self.queue.entries[0].task.active_since)
             if connection is None:
                 return
             self.exchanges.send(self.queue.pop(), connection, now)
@@ -196,7 +196,7 @@
         """Open connections early, since opening one takes milliseconds."""
         pool = self.pool
         waiting = self.queue.entries or self.exchanges.control.cancellations
-        if not self.holds_part or (pool.idle and not waiting):
+        if not self.has_allowance or (pool.idle and not waiting):
             return
         wanted = len(self.exchanges.control.cancellations)
         if not self.availability.draining:
@@ -206,17 +206,17 @@
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
             pool.ensure_available(wanted)
-        since = self.alive_since_wanted() if waiting else 0.0
+        since = self.required_active_since() if waiting else 0.0
         if since:
             pool.ensure_available(1, since)
 
-    def alive_since_wanted(self) -> float:
+    def required_active_since(self) -> float:
         """Return since when a connection has to have shown life, if it matters."""
         since = 0.0
         if self.exchanges.control.cancellations:
-            since = self.exchanges.control.cancellations[0].alive_since
+            since = self.exchanges.control.cancellations[0].active_since
         if self.queue.entries:
-            since = max(since, self.queue.entries[0].task.alive_since)
+            since = max(since, self.queue.entries[0].task.active_since)
         return since
 
     def cancel(self, task: Task) -> None:
@@ -235,7 +235,7 @@
         if self.queue.entries or self.exchanges.control.cancellations:
             self.pump()
 
-    def tend(self) -> None:
+    def maintain(self) -> None:
         """Do what is due now and then: ask for the status, close idle connections."""
         self.poll_status()
         self.pool.close_idle(self.index.slots + SPARE_CONNECTIONS)
@@ -265,7 +265,7 @@
         Only a refusal tells so while other connections are open. Where none is,
         it shows that the process has ended, and its work with it.
         """
-        connected = self.pool.open_now() > 0
+        connected = self.pool.open_count() > 0
         if refused and not connected:
             self.exchanges.occupancy.clear()
         if refused or not connected:
@@ -276,7 +276,7 @@
 
     def connection_ended(self, clean: bool) -> None:
         """Take the end of a connection by the target as evidence."""
-        if not clean or not self.pool.open_now():
+        if not clean or not self.pool.open_count():
             self.concurrency.reset_to_cold("a lost connection")
         self.pump()
         self.event_log.log_changes()
@@ -320,7 +320,7 @@
 
     def requeue(self, task: Task) -> None:
         """Queue work whose first try was given up."""
-        if self.accepts_work and self.holds_part:
+        if self.accepts_work and self.has_allowance:
             self.queue.push(task)
             self.pump()
         else:
--- a/sardinehook/target/task.py
+++ b/sardinehook/target/task.py
@@ -24,7 +24,7 @@
 class Task:
     """A sub-query on its way through the owner; times in seconds of one clock.
 
-    ``alive_since`` rules out connections that have shown no life since then.
+    ``active_since`` rules out connections that have shown no life since then.
     ``may_have_begun`` is set once a byte may have left. ``retries`` counts the tries
     that were given up.
     """
@@ -35,7 +35,7 @@
     received_at: float
     deadline_at: float
     sent_at: float = 0.0
-    alive_since: float = 0.0
+    active_since: float = 0.0
     may_have_begun: bool = False
     retries: int = 0
     completed: bool = False
--- a/tests/target/test_pool.py
+++ b/tests/target/test_pool.py
@@ -6,7 +6,7 @@
 
 from sardinehook.messages import Outcome
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.pool import CLOSE_WITHIN_S, LINGER_S
+from sardinehook.target.pool import CLOSE_TIMEOUT_S, LINGER_S
 from tests.target.fakes import Rig, query
 
 
@@ -26,17 +26,17 @@
         rig.client.pool.ensure_available(3)
         rig.advance(0.01)
         for link in list(rig.reactor.links):
-            link.protocol.give_up()
+            link.protocol.abandon()
         pool = rig.client.pool
-        assert pool.held(rig.reactor.seconds()) == 3
-        assert pool.held(rig.reactor.seconds() + LINGER_S) == 0
+        assert pool.counted(rig.reactor.seconds()) == 3
+        assert pool.counted(rig.reactor.seconds() + LINGER_S) == 0
 
     def test_those_given_up_never_leave_the_replica_without_any(self) -> None:
         rig = rig_with(3)
         rig.client.pool.ensure_available(3)
         rig.advance(0.01)
         for link in list(rig.reactor.links):
-            link.protocol.give_up()
+            link.protocol.abandon()
         rig.submit(*(query(n) for n in range(1, 5)))
         assert sum(link.open for link in rig.reactor.links) == 2
 
@@ -59,13 +59,13 @@
         link = rig.reactor.links[0]
         link.closes_in_turn = False
         link.protocol.close()
-        rig.reactor.advance(CLOSE_WITHIN_S + 0.1)
-        rig.client.tend()
+        rig.reactor.advance(CLOSE_TIMEOUT_S + 0.1)
+        rig.client.maintain()
         assert not link.open
         pool = rig.client.pool
         now = rig.reactor.seconds()
-        assert pool.held(now) - pool.live() == 1
-        assert pool.held(now + LINGER_S) - pool.live() == 0
+        assert pool.counted(now) - pool.active_count() == 1
+        assert pool.counted(now + LINGER_S) - pool.active_count() == 0
 
     def test_one_that_the_target_closed_is_replaced_at_once(self) -> None:
         rig = rig_with(1)
@@ -113,5 +113,5 @@
         rig.client.pool.ensure_available(12)
         rig.advance(0.01)
         rig.reactor.advance(16.0)
-        rig.client.tend()
+        rig.client.maintain()
         assert sum(link.open for link in rig.reactor.links) <= 6
