--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -36,7 +36,7 @@
     """Ids that no other exchange of any owner has.
 
     >>> ids = ExchangeIds("a1b2")
-    >>> ids.take(), ids.take()
+    >>> ids.new_id(), ids.new_id()
     (b'a1b2-1', b'a1b2-2')
     """
 
@@ -44,7 +44,7 @@
         self.prefix = prefix.encode()
         self.numbers = count(1)
 
-    def take(self) -> bytes:
+    def new_id(self) -> bytes:
         """Return a new id."""
         return b"%b-%d" % (self.prefix, next(self.numbers))
 
@@ -121,7 +121,7 @@
     def send(self, task: Task, connection: TargetConnection, now: float) -> None:
         """Send ``task`` to the target."""
         left_s = task.deadline_at - now
-        exchange_id = self.ids.take()
+        exchange_id = self.ids.new_id()
         expires_at = task.deadline_at + self.occupancy_margin_s
         self.occupancy.begin(exchange_id, expires_at)
         at_limit = len(self.occupancy.expires_at) >= self.concurrency.limit
@@ -187,7 +187,7 @@
         running.abandoned = True
         if task.completed:
             return
-        if self.may_retry(running) and self.budget.take():
+        if self.may_retry(running) and self.budget.try_acquire():
             task.retries += 1
             task.active_since = running.sent_at
             self.events.requeue(task)
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -34,17 +34,17 @@
         self.clients: dict[str, ReplicaClient] = {}
         self.allowances: dict[str, Allowance] = {}
         self.retired: list[ReplicaClient] = []
-        self.busy: set[ReplicaClient] = set()
+        self.to_sweep: set[ReplicaClient] = set()
         self.task: dict[TaskKey, tuple[Task, ReplicaClient]] = {}
         self.context = ClientContext(
-            reactor, limits, ExchangeIds(token_hex(4)), self.completed, self.watch
+            reactor, limits, ExchangeIds(token_hex(4)), self.completed, self.schedule_sweep
         )
-        self.sweeping: Timer | None = None
-        self.polling: Timer | None = None
+        self.sweep_timer: Timer | None = None
+        self.poll_timer: Timer | None = None
         self.poll_order: list[ReplicaClient] = []
         self.closed: Deferred[None] | None = None
-        self.close_by = 0.0
-        self.start_polling()
+        self.close_deadline = 0.0
+        self.poll_next()
 
     def configure(self, indexes: Mapping[str, Index]) -> None:
         """Take the replicas of a document; those it does not name are let go."""
@@ -68,7 +68,7 @@
         client = ReplicaClient(self.context, index, replica)
         self.clients[replica.name] = client
         client.set_allowance(self.allowances.get(replica.name))
-        self.watch(client)
+        self.schedule_sweep(client)
 
     def retire(self, name: str) -> None:
         """Send nothing more to a replica and let its work in flight finish."""
@@ -93,7 +93,7 @@
         client = self.clients.get(replica)
         if client is not None:
             client.set_allowance(allowance)
-            self.watch(client)
+            self.schedule_sweep(client)
 
     def update_vm_state(
         self, replica: str, listed: TargetState, incarnation: str = ""
@@ -138,7 +138,7 @@
             reply(refused(sub_query, "stopping"))
         else:
             self.task[key] = (task, client)
-            self.watch(client)
+            self.schedule_sweep(client)
             client.submit(task)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
@@ -169,33 +169,33 @@
             clients.append(self.clients[replica])
         return sum(client.exchanges.in_flight for client in clients)
 
-    def watch(self, client: ReplicaClient) -> None:
+    def schedule_sweep(self, client: ReplicaClient) -> None:
         """Sweep ``client`` regularly while it has work."""
-        self.busy.add(client)
-        if self.sweeping is None:
-            self.sweeping = self.reactor.callLater(
+        self.to_sweep.add(client)
+        if self.sweep_timer is None:
+            self.sweep_timer = self.reactor.callLater(
                 self.limits.sweep_interval_s, self.sweep
             )
 
     def sweep(self) -> None:
         """Enforce deadlines and free what cannot be running any more."""
-        self.sweeping = None
+        self.sweep_timer = None
         now = self.reactor.seconds()
-        for client in list(self.busy):
+        for client in list(self.to_sweep):
             client.sweep(now)
             if not client.needs_sweep:
-                self.busy.discard(client)
+                self.to_sweep.discard(client)
         self.retired = [one for one in self.retired if one.has_work]
-        if self.busy:
-            self.sweeping = self.reactor.callLater(
+        if self.to_sweep:
+            self.sweep_timer = self.reactor.callLater(
                 self.limits.sweep_interval_s, self.sweep
             )
         self.finish_closing(now)
 
-    def start_polling(self) -> None:
+    def poll_next(self) -> None:
         """Ask one replica after another for its status, at a bounded rate."""
-        self.polling = self.reactor.callLater(
-            self.limits.poll_interval_s, self.start_polling
+        self.poll_timer = self.reactor.callLater(
+            self.limits.poll_interval_s, self.poll_next
         )
         if not self.poll_order:
             self.poll_order = [
@@ -212,11 +212,11 @@
         """
         if self.closed is None:
             self.closed = Deferred()
-            self.close_by = self.reactor.seconds() + grace_s
-            if self.polling is not None:
-                self.polling.cancel()
+            self.close_deadline = self.reactor.seconds() + grace_s
+            if self.poll_timer is not None:
+                self.poll_timer.cancel()
             for client in [*self.clients.values(), *self.retired]:
-                self.watch(client)
+                self.schedule_sweep(client)
             self.finish_closing(self.reactor.seconds())
         return self.closed
 
@@ -225,13 +225,13 @@
         if self.closed is None or self.closed.called:
             return
         clients = [*self.clients.values(), *self.retired]
-        if any(one.has_work for one in clients) and now < self.close_by:
+        if any(one.has_work for one in clients) and now < self.close_deadline:
             return
         for client in clients:
             client.stop()
-        if self.sweeping is not None:
-            self.sweeping.cancel()
-            self.sweeping = None
+        if self.sweep_timer is not None:
+            self.sweep_timer.cancel()
+            self.sweep_timer = None
         self.closed.callback(None)
 
 
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -30,7 +30,7 @@
 class ClientContext(NamedTuple):
     """What the clients of one owner share.
 
-    ``completed`` is told of each work that is having its reply and ``busy`` of a
+    ``completed`` is told of each work that is having its reply and ``schedule_sweep`` of a
     client that has to be swept.
     """
 
@@ -38,7 +38,7 @@
     limits: OwnerLimits
     ids: ExchangeIds
     completed: Callable[[Task], None]
-    busy: Callable[[ReplicaClient], None]
+    schedule_sweep: Callable[[ReplicaClient], None]
 
 
 class ReplicaClient:
@@ -68,7 +68,7 @@
             limits.occupancy_margin_s,
             self.health,
             self.pool,
-            ExchangeEvents(self.exchange_completed, self.requeue, self.pump),
+            ExchangeEvents(self.exchange_completed, self.requeue, self.dispatch),
         )
 
     @property
@@ -107,12 +107,12 @@
             self.allowance = allowance
             self.concurrency.set_slots(allowance.slots)
         self.pool.set_allowance(self.allowance.connections)
-        self.pump()
+        self.dispatch()
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Take what the platform's list of VMs says of the replica."""
         self.availability.update_vm_state(listed, incarnation)
-        self.refuse_if_leaving()
+        self.refuse_if_unavailable()
         self.event_log.log_changes()
 
     def update_peer_view(self, state: TargetState) -> None:
@@ -123,7 +123,7 @@
             self.concurrency.assume_warm()
         elif self.concurrency.state is TargetState.WARM:
             self.concurrency.reset_to_unknown()
-            self.refuse_if_leaving()
+            self.refuse_if_unavailable()
 
     def submit(self, task: Task) -> None:
         """Queue ``task`` or refuse it at once."""
@@ -131,18 +131,18 @@
         if refusal:
             self.refuse(task, refusal)
             return
-        self.exchanges.budget.first_try()
+        self.exchanges.budget.record_request()
         if task.sub_query.order_key:
             task.active_since = task.received_at - ORDER_MAX_IDLE_S
-        if not self.queue.entries and self.start_now(task):
-            self.provide()
+        if not self.queue.entries and self.send_immediately(task):
+            self.open_connections()
             return
         surplus = self.queue.push(task)
         if surplus is not None:
             self.refuse(surplus, "the queue is full")
-        self.pump()
+        self.dispatch()
 
-    def start_now(self, task: Task) -> bool:
+    def send_immediately(self, task: Task) -> bool:
         """Send ``task`` past the empty queue if a slot and a connection are free."""
         if self.exchanges.in_flight >= self.concurrency.limit:
             return False
@@ -170,13 +170,13 @@
             return "the deadline is too short for the queue"
         return ""
 
-    def pump(self) -> None:
+    def dispatch(self) -> None:
         """Start what can be started and provide connections for the rest."""
         if self.exchanges.control.cancellations:
             self.exchanges.control.start()
         if self.queue.entries:
             self.start_queued(self.reactor.seconds())
-        self.provide()
+        self.open_connections()
 
     def start_queued(self, now: float) -> None:
         """Send queued sub-queries while slots and connections are free."""
@@ -192,7 +192,7 @@
                 return
             self.exchanges.send(self.queue.pop(), connection, now)
 
-    def provide(self) -> None:
+    def open_connections(self) -> None:
         """Open connections early, since opening one takes milliseconds."""
         pool = self.pool
         waiting = self.queue.entries or self.exchanges.control.cancellations
@@ -233,31 +233,31 @@
         if self.exchanges.needs_sweep:
             self.exchanges.sweep(now)
         if self.queue.entries or self.exchanges.control.cancellations:
-            self.pump()
+            self.dispatch()
 
     def maintain(self) -> None:
         """Do what is due now and then: ask for the status, close idle connections."""
         self.poll_status()
         self.pool.close_idle(self.index.slots + SPARE_CONNECTIONS)
-        self.pump()
+        self.dispatch()
         self.event_log.log_changes()
 
     def poll_status(self) -> None:
         """Ask the replica for its own account of itself."""
         if self.availability.gone:
             return
-        self.context.busy(self)
+        self.context.schedule_sweep(self)
         self.exchanges.control.poll_status(
-            self.context.ids.take(),
+            self.context.ids.new_id(),
             lambda reply: self.health.record_status(reply, self.reactor.seconds()),
         )
 
     def connected(self) -> None:
         """Take a new connection as evidence that the replica is there."""
         self.availability.connected()
-        if not self.health.status.told:
+        if not self.health.status.known:
             self.poll_status()
-        self.pump()
+        self.dispatch()
 
     def connect_failed(self, cause: str, refused: bool) -> None:
         """Take a failed attempt as evidence that the replica has gone.
@@ -271,17 +271,17 @@
         if refused or not connected:
             self.availability.connect_failed()
             self.refuse_queue(f"no connection: {cause}")
-        self.reactor.callLater(self.pool.backoff_s, self.provide)
+        self.reactor.callLater(self.pool.backoff_s, self.open_connections)
         self.event_log.log_changes()
 
     def connection_ended(self, clean: bool) -> None:
         """Take the end of a connection by the target as evidence."""
         if not clean or not self.pool.open_count():
             self.concurrency.reset_to_cold("a lost connection")
-        self.pump()
+        self.dispatch()
         self.event_log.log_changes()
 
-    def refuse_if_leaving(self) -> None:
+    def refuse_if_unavailable(self) -> None:
         """Refuse what is queued for a replica that takes no work."""
         if not self.accepts_work:
             self.refuse_queue(f"the replica is {self.availability.state.name.lower()}")
@@ -311,7 +311,7 @@
         """Answer work whose exchange has ended."""
         self.complete(task, result, detail, reply)
         if self.queue.entries:
-            self.refuse_if_leaving()
+            self.refuse_if_unavailable()
         if (
             self.concurrency.state is not self.event_log.state
             or self.availability.leaving
@@ -322,7 +322,7 @@
         """Queue work whose first try was given up."""
         if self.accepts_work and self.has_allowance:
             self.queue.push(task)
-            self.pump()
+            self.dispatch()
         else:
             self.refuse(task, "no reply in time")
 
--- a/sardinehook/target/retry.py
+++ b/sardinehook/target/retry.py
@@ -4,8 +4,8 @@
 
 __all__ = ["RetryBudget", "probe_delay_s"]
 
-LIKELY_FACTOR = 6.0
-DEADLINE_FRACTION = 0.25
+PROBE_DELAY_FACTOR = 6.0
+PROBE_DEADLINE_FRACTION = 0.25
 RETRY_RATIO = 0.02
 RETRY_BURST = 10.0
 
@@ -22,7 +22,7 @@
     True
     """
     likely_s = likely_ms / 1000.0
-    bound_s = max(LIKELY_FACTOR * likely_s, DEADLINE_FRACTION * left_s)
+    bound_s = max(PROBE_DELAY_FACTOR * likely_s, PROBE_DEADLINE_FRACTION * left_s)
     return bound_s if bound_s + 2.0 * likely_s < left_s else None
 
 
@@ -30,19 +30,19 @@
     """Retries as a ratio of first tries, with a burst for a shared cause.
 
     >>> budget = RetryBudget()
-    >>> sum(budget.take() for _ in range(20))
+    >>> sum(budget.try_acquire() for _ in range(20))
     10
     """
 
     def __init__(self) -> None:
         self.tokens = RETRY_BURST
 
-    def first_try(self) -> None:
+    def record_request(self) -> None:
         """Count a first try."""
         if self.tokens < RETRY_BURST:
             self.tokens += RETRY_RATIO
 
-    def take(self) -> bool:
+    def try_acquire(self) -> bool:
         """Take one retry from the budget, if there is one."""
         if self.tokens < 1.0:
             return False
--- a/sardinehook/target/status.py
+++ b/sardinehook/target/status.py
@@ -9,7 +9,7 @@
 
 __all__ = ["ReplicaStatus", "StatusBody", "read_status"]
 
-REPLY_GOES_FIRST_S = 5.0
+REPLY_PRECEDENCE_S = 5.0
 
 
 class StatusBody(Struct, frozen=True):
@@ -48,8 +48,8 @@
     def __init__(self) -> None:
         self.index_versions: tuple[int, ...] = ()
         self.partitioning = 0
-        self.told_at: float | None = None
-        self.told = False
+        self.replied_at: float | None = None
+        self.known = False
 
     def note_reply(self, head: ReplyHead, now: float) -> None:
         """Take the versions in the headers of a reply."""
@@ -57,15 +57,15 @@
             return
         self.index_versions = head.versions_held
         self.partitioning = head.partitioning
-        self.told_at = now
-        self.told = True
+        self.replied_at = now
+        self.known = True
 
     def note_status(self, status: StatusBody | None, now: float) -> None:
         """Take the status endpoint's account where nothing better is known."""
         if status is None:
             return
-        if self.told_at is not None and now < self.told_at + REPLY_GOES_FIRST_S:
+        if self.replied_at is not None and now < self.replied_at + REPLY_PRECEDENCE_S:
             return
-        self.told = True
+        self.known = True
         self.index_versions = status.index_versions
         self.partitioning = status.partitioning
