--- a/sardinehook/target/__init__.py
+++ b/sardinehook/target/__init__.py
@@ -1,1 +1,1 @@
-"""Targets: replica state, slots, connections, cold start, transport."""
+"""Clients of targets: admission control, connection pools, health and retries."""
--- a/sardinehook/target/allowance.py
+++ b/sardinehook/target/allowance.py
@@ -1,4 +1,4 @@
-"""What one owner may use of a replica."""
+"""The share of a replica that one owner may use."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 
 class Allowance(NamedTuple):
-    """The part of a replica's slots and connections that one owner holds.
+    """Limits on the slots and connections that one owner uses of a replica.
 
-    ``slots`` is a number of sub-queries at a time and ``connections`` a number of
-    open connections. Without ``may_serve_cold`` the holder sends work only while it
-    knows that the replica is warm.
+    ``slots`` limits concurrent sub-queries and ``connections`` open connections.
+    Without ``may_serve_cold`` the owner sends sub-queries only while it knows that
+    the replica is warm.
 
     >>> Allowance(slots=2, connections=20, may_serve_cold=True).slots
     2
--- a/sardinehook/target/availability.py
+++ b/sardinehook/target/availability.py
@@ -1,4 +1,4 @@
-"""Whether a replica takes new work, by the evidence its owner has."""
+"""Whether a replica accepts new sub-queries."""
 
 from __future__ import annotations
 
@@ -7,16 +7,16 @@
 
 __all__ = ["Availability"]
 
-DRAIN_HOLD_S = 10.0
+DRAIN_HOLD_S = 10.0  # status polls sooner after a drain signal do not count
 DRAIN_END_STATUSES = 3
 
 
 class Availability:
-    """The state of one replica.
+    """The state of one replica, combined from several sources.
 
-    Leaving is believed from whichever source tells first: the replica's own drain
-    signal, a connection that it refuses, or the platform's list. A replica that
-    comes back is unknown and ramps up again.
+    Any one source suffices to stop new sub-queries: the replica's drain signal, a
+    refused connection or the platform's list of VMs. A replica that returns is in
+    unknown state and warms up again.
     """
 
     def __init__(self, concurrency: ConcurrencyLimit) -> None:
@@ -30,7 +30,7 @@
 
     @property
     def state(self) -> TargetState:
-        """The state that all evidence together gives."""
+        """The state by all sources; ``GONE`` and ``DRAINING`` take precedence."""
         if self.gone or self.listed is TargetState.GONE:
             return TargetState.GONE
         if self.draining or self.listed is TargetState.DRAINING:
@@ -39,9 +39,9 @@
 
     @property
     def cause(self) -> str:
-        """What the present state was concluded from, for people."""
+        """The source of the present state, for the log."""
         if self.gone:
-            return "it cannot be connected to"
+            return "connection failed"
         if self.listed is not TargetState.UNKNOWN:
             return "the list of VMs"
         if self.draining:
@@ -51,43 +51,43 @@
         )
 
     def accepts_work(self, may_serve_cold: bool) -> bool:
-        """Tell whether new work may be sent."""
+        """Tell whether new sub-queries may be sent."""
         if self.leaving:
             return False
         return may_serve_cold or self.concurrency.state is TargetState.WARM
 
     @property
     def leaving(self) -> bool:
-        """Whether any source says that the replica leaves or has left."""
+        """Whether any source reports that the replica leaves or has left."""
         return self.gone or self.draining or self.listed is not TargetState.UNKNOWN
 
     def connect_failed(self) -> None:
-        """Note that the replica cannot be reached."""
+        """Record that the replica cannot be reached."""
         self.gone = True
         self.concurrency.reset_to_unknown()
 
     def connected(self) -> None:
-        """Note a new connection; after an absence the replica is unknown."""
+        """Record a new connection; a replica that was gone is in unknown state."""
         if self.gone:
             self.gone = False
             self.draining = False
             self.concurrency.reset_to_unknown()
 
     def record_reply_state(self, reported_state: TargetState, now: float) -> None:
-        """Take the state that stands in a reply."""
+        """Record the state reported in the headers of a reply."""
         if reported_state is TargetState.DRAINING:
             self.draining = True
             self.drain_hold_until = now + DRAIN_HOLD_S
             self.statuses_without_drain = 0
         elif reported_state is TargetState.COLD:
-            self.concurrency.reset_to_cold("a reply says so")
+            self.concurrency.reset_to_cold("a reply reported a cold target")
 
     def record_status(self, draining: bool, now: float) -> None:
-        """Take the status endpoint's word on whether the replica drains.
+        """Record whether the status endpoint reports a drain.
 
-        Since it lags or misleads, it begins no drain. It ends one only when several
-        polls in a row, all of them long after the last sign of the drain, say that
-        there is none.
+        The endpoint may lag or be wrong, so it never starts a drain. It ends one
+        only after several polls in a row without a drain, all of them at least
+        ``DRAIN_HOLD_S`` after the last reply that signalled one.
         """
         if draining:
             self.statuses_without_drain = 0
@@ -98,9 +98,9 @@
                 self.concurrency.reset_to_unknown()
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
-        """Take what the platform's list of VMs says.
+        """Apply the VM's state and incarnation from the platform's list of VMs.
 
-        ``listed`` is ``DRAINING``, ``GONE`` or ``UNKNOWN`` for nothing against it.
+        ``listed`` is ``DRAINING``, ``GONE`` or, for a VM that stays, ``UNKNOWN``.
         """
         if self.listed is not TargetState.UNKNOWN and listed is TargetState.UNKNOWN:
             self.concurrency.reset_to_unknown()
--- a/sardinehook/target/codec.py
+++ b/sardinehook/target/codec.py
@@ -1,4 +1,4 @@
-"""The HTTP codec of targets: requests as bytes, replies as typed values."""
+"""HTTP codec for targets: encodes requests and decodes reply headers."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class ReplyHead(NamedTuple):
-    """The headers of a target's reply; zero and empty values mean absent."""
+    """Typed headers of a target's reply; zero and empty values mean absent."""
 
     request_id: bytes = b""
     exchange_id: bytes = b""
@@ -38,7 +38,7 @@
 
 
 class TargetReply(NamedTuple):
-    """A whole reply of a target."""
+    """A complete reply of a target."""
 
     status: int
     head: ReplyHead
@@ -50,7 +50,7 @@
 ) -> bytes:
     """Return the request for a sub-query with ``deadline_ms`` left.
 
-    ``exchange_id`` goes into the header ``Sub-Query-Id``; it is new for each try.
+    ``exchange_id`` is sent as ``Sub-Query-Id``; each retry uses a new one.
     """
     path = "orders" if sub_query.order_key else "search"
     lines = [
@@ -75,7 +75,7 @@
 
 
 def encode_cancel(host: bytes, request_id: bytes, exchange_id: bytes) -> bytes:
-    """Return the request that abandons an exchange at the target."""
+    """Return the request that cancels an exchange at the target."""
     return (
         b"POST /cancel HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n"
         b"Sub-Query-Id: %b\r\nContent-Length: 0\r\n\r\n"
@@ -84,7 +84,7 @@
 
 
 def encode_status(host: bytes, request_id: bytes, exchange_id: bytes) -> bytes:
-    """Return the request for the replica's own account of itself."""
+    """Return the request for the replica's status."""
     return (
         b"GET /status HTTP/1.1\r\nHost: %b\r\nRequest-Id: %b\r\n"
         b"Sub-Query-Id: %b\r\n\r\n" % (host, request_id, exchange_id)
@@ -92,9 +92,9 @@
 
 
 def read_reply_head(headers: Mapping[bytes, bytes]) -> ReplyHead:
-    """Return the typed headers of a reply; names are in lower case.
+    """Return the typed headers of a reply from headers with lower-case names.
 
-    Raises ``ValueError`` for a header that is not as the protocol defines it.
+    Raises ``ValueError`` for a header with an invalid value.
 
     >>> head = read_reply_head({b"target-state": b"cold", b"index-version": b"7"})
     >>> head.state.name, head.index_version
@@ -121,5 +121,5 @@
 
 @lru_cache(maxsize=1024)
 def read_versions(text: bytes) -> tuple[int, ...]:
-    """Return the versions in a comma-separated list; raises ``ValueError``."""
+    """Parse a comma-separated list of versions; raises ``ValueError``."""
     return tuple(int(part) for part in text.split(b",") if part.strip())
--- a/sardinehook/target/concurrency_limit.py
+++ b/sardinehook/target/concurrency_limit.py
@@ -1,4 +1,4 @@
-"""How many sub-queries at a time a replica bears, by evidence from its replies."""
+"""Adaptive limit of the sub-queries in flight at one replica."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 
 class ConcurrencyLimit:
-    """The bound on work in flight at one replica.
+    """The limit of concurrent sub-queries at one replica, with its warm-up state.
 
-    It starts at ``cold_start_slots`` and grows by one after eight good replies in
-    time at full use, until it reaches ``slots`` and the replica counts as warm. Any
-    sign of a cold start takes it back to ``cold_start_slots`` at once. Time alone
-    changes nothing.
+    It starts at ``cold_start_slots`` and grows by one after eight timely replies
+    that came while the limit was reached. At ``slots`` the replica counts as warm.
+    Any sign of a cold start resets the limit to ``cold_start_slots`` at once. The
+    passage of time alone changes nothing.
 
     >>> concurrency = ConcurrencyLimit(cold_start_slots=1, slots=2)
     >>> concurrency.limit, concurrency.state.name
@@ -39,7 +39,7 @@
         self.timeouts = 0
 
     def set_slots(self, slots: int) -> None:
-        """Take a new allowance of ``slots``."""
+        """Change the maximum; only a warm replica uses additional slots at once."""
         grown = slots > self.slots
         self.slots = slots
         if grown and self.state is TargetState.WARM:
@@ -49,14 +49,14 @@
     def record_success(
         self, reported_state: TargetState, at_limit: bool, slow: bool
     ) -> None:
-        """Count a whole reply in time.
+        """Record a complete reply that came before its deadline.
 
-        ``reported_state`` is the state in the reply, ``at_limit`` whether as many sub-queries
-        as the bound allows were in flight and ``slow`` whether the reply took far
-        longer than earlier ones.
+        ``reported_state`` is the state in the reply's headers. ``at_limit`` tells
+        whether the limit was reached when the sub-query was sent, ``slow`` whether
+        the reply took much longer than earlier ones.
         """
         if reported_state is TargetState.COLD:
-            self.reset_to_cold("a reply says so")
+            self.reset_to_cold("a reply reported a cold target")
             return
         self.timeouts = 0
         if slow:
@@ -70,13 +70,13 @@
             self.count_success()
 
     def record_slow_reply(self) -> None:
-        """Count a reply far slower than usual; three in a row are a setback."""
+        """Record a reply much slower than usual; three in a row reset the limit."""
         self.slow_replies += 1
         if self.slow_replies >= SLOW_REPLIES_TO_RESET:
-            self.reset_to_cold("sudden slowness")
+            self.reset_to_cold("replies much slower than usual")
 
     def count_success(self) -> None:
-        """Count one good reply at full use and grow the bound when it is due."""
+        """Count one success towards the next increase of the limit."""
         self.successes += 1
         if self.successes < SUCCESSES_PER_STEP:
             return
@@ -86,18 +86,18 @@
             self.state = TargetState.WARM
 
     def record_timeout(self) -> None:
-        """Count a reply that missed its deadline; two in a row are a setback."""
+        """Record a missed deadline; two in a row reset the limit."""
         self.timeouts += 1
         if self.timeouts >= TIMEOUTS_TO_RESET:
             self.reset_to_cold("missed deadlines")
 
     def record_shed(self) -> None:
-        """Halve the bound after the target refused work."""
+        """Halve the limit, to one at least, after the target shed a sub-query."""
         self.successes = 0
         self.limit = max(1, self.limit // 2)
 
     def reset_to_cold(self, cause: str) -> None:
-        """Treat the replica as cold; ``cause`` is for people."""
+        """Treat the replica as cold; ``cause`` appears in the log."""
         if self.state is not TargetState.COLD:
             self.cause = cause
         self.state = TargetState.COLD
@@ -107,12 +107,12 @@
         self.timeouts = 0
 
     def assume_warm(self) -> None:
-        """Take another owner's word that the replica is warm, if nothing is known."""
+        """Adopt the warm state seen by another owner unless the state is known here."""
         if self.state is TargetState.UNKNOWN:
             self.state = TargetState.WARM
             self.limit = self.slots
 
     def reset_to_unknown(self) -> None:
-        """Return to knowing nothing, which bears what a cold start bears."""
+        """Discard the state; an unknown replica has the limit of a cold one."""
         self.reset_to_cold("")
         self.state = TargetState.UNKNOWN
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -1,4 +1,4 @@
-"""A connection to a target that carries one exchange at a time."""
+"""Connection to a target that carries one exchange at a time."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Replied:
-    """The target's whole reply, which carries the ids that were sent."""
+    """The target's complete reply, which carries the ids that were sent."""
 
     reply: TargetReply
 
@@ -33,7 +33,7 @@
     """Sends a request, checks the reply's ids and reports one ``ExchangeEnd``.
 
     ``closed`` is called once, after the end of the exchange that was running, with
-    whether the target has closed the connection in order.
+    whether the connection was closed cleanly.
     """
 
     def __init__(
@@ -76,26 +76,26 @@
         self.exchange(request, ended)
 
     def close(self) -> None:
-        """Tell the target that the connection is done with.
+        """Close this side of the connection.
 
-        It ends once the target has closed its side too, and counts until then.
+        The connection ends, and stops counting, once the target has closed its side.
         """
         self.is_open = False
         self.closing_here = True
         self.tcp.loseWriteConnection()
 
     def drop(self) -> None:
-        """Close a connection that can't be used any more."""
+        """Close a connection that cannot be reused."""
         self.close()
 
     def abandon(self) -> None:
-        """Drop a connection that does not answer; no end is reported."""
+        """Abort an unresponsive connection; no end of its exchange is reported."""
         self.silent = True
         self.closing_here = True
         self.abort()
 
     def complete(self) -> None:
-        """End the exchange with the whole reply, if it is the one to this request."""
+        """End the exchange with the complete reply, if its ids match the request."""
         try:
             self.head = read_reply_head(dict(self.headers))
         except ValueError as error:
@@ -103,19 +103,19 @@
             return
         sent = (self.request_id, self.exchange_id)
         if (self.head.request_id, self.head.exchange_id) != sent:
-            self.end(Malformed("reply to another exchange"), False)
+            self.end(Malformed("reply carries the ids of another exchange"), False)
             return
         super().complete()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """End the exchange that was running and report the close."""
+        """End the running exchange and report the close."""
         self.closed_in_order = isinstance(reason.value, ConnectionDone)
         super().connectionLost(reason)
 
     def cut_off(self, reason: Failure) -> HttpEnd:
-        """Tell what the end of the connection makes of the exchange.
+        """Return the end of an exchange whose connection ended.
 
-        Targets state the length of each reply.
+        Any byte received makes the reply truncated, as targets always send a length.
         """
         cause = reason.getErrorMessage()
         if self.received_bytes:
--- a/sardinehook/target/control.py
+++ b/sardinehook/target/control.py
@@ -1,4 +1,4 @@
-"""Exchanges beside the sub-queries: cancellations, probes and status polls."""
+"""Control requests to a target: cancellations, probes and status polls."""
 
 from __future__ import annotations
 
@@ -18,11 +18,11 @@
 
 
 class Cancellation(NamedTuple):
-    """A request to the target to abandon an exchange.
+    """A request to the target to cancel an exchange.
 
-    It goes over a connection that has shown life since ``active_since`` only.
-    ``wanted`` tells whether it is still of use and ``ended`` gets the status of the
-    target's answer, zero if there was none.
+    It is sent over a connection used since ``active_since``. ``wanted`` tells whether
+    it is still needed. ``ended`` is called with the status of the reply, zero if
+    there was none.
     """
 
     request_id: bytes
@@ -34,14 +34,14 @@
 
 @dataclass(slots=True, eq=False)
 class Pending:
-    """A side exchange that waits for its answer."""
+    """A control request that waits for its reply."""
 
     connection: TargetConnection
     sent_at: float
 
 
 class ControlExchanges:
-    """Sends side exchanges over idle connections; they take no slot."""
+    """Sends control requests over idle connections; they occupy no slot."""
 
     def __init__(self, pool: ConnectionPool, host: bytes) -> None:
         self.pool = pool
@@ -50,11 +50,11 @@
         self.pending: set[Pending] = set()
 
     def cancel(self, cancellation: Cancellation) -> None:
-        """Queue a cancellation."""
+        """Queue a cancellation until a connection is available."""
         self.cancellations.append(cancellation)
 
     def start(self) -> None:
-        """Send the cancellations for which there is a connection."""
+        """Send queued cancellations while connections are available."""
         for _ in range(len(self.cancellations)):
             cancellation = self.cancellations.popleft()
             if not cancellation.wanted():
@@ -80,7 +80,7 @@
     def poll_status(
         self, exchange_id: bytes, ended: Callable[[TargetReply], None]
     ) -> None:
-        """Ask for the replica's status over an idle connection, if there is one."""
+        """Request the status over an idle connection; no effect without one."""
         connection = self.pool.acquire()
         if connection is None:
             return
@@ -100,7 +100,7 @@
         connection: TargetConnection,
         ended: Callable[[TargetReply | None], None],
     ) -> None:
-        """Run one side exchange."""
+        """Send one control request; ``ended`` gets its reply or ``None``."""
         pending = Pending(connection, self.pool.reactor.seconds())
         self.pending.add(pending)
 
@@ -115,7 +115,7 @@
         connection.send_request(request, request_id, exchange_id, finish)
 
     def sweep(self, now: float) -> None:
-        """Give up connections over which no answer came."""
+        """Abort connections whose control request timed out."""
         for pending in [*self.pending]:
             if pending.sent_at + CONTROL_TIMEOUT_S <= now:
                 self.pending.discard(pending)
--- a/sardinehook/target/counts.py
+++ b/sardinehook/target/counts.py
@@ -1,4 +1,4 @@
-"""What an owner holds, in numbers for the metrics."""
+"""Resource usage of an owner, for the metrics."""
 
 from __future__ import annotations
 
@@ -13,9 +13,9 @@
 
 
 class OwnerCounts(NamedTuple):
-    """Sums over the replicas of one owner.
+    """Resource usage summed over the replicas of one owner.
 
-    ``connections_abandoned`` counts, since the start, connections over which nothing came.
+    ``connections_abandoned`` counts unresponsive connections since the start.
     """
 
     connections: int
@@ -28,7 +28,7 @@
 
 
 def count_usage(clients: Iterable[ReplicaClient]) -> OwnerCounts:
-    """Sum up what ``clients`` hold."""
+    """Sum up the resource usage of ``clients``."""
     held = list(clients)
     states = Counter(one.availability.state for one in held if one.has_allowance)
     return OwnerCounts(
--- a/sardinehook/target/event_log.py
+++ b/sardinehook/target/event_log.py
@@ -1,4 +1,4 @@
-"""Logs what changes about one replica, once for each change."""
+"""Logs state changes of one replica, each of them once."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class ReplicaEventLog:
-    """Compares a replica's standing and pool with what was logged last."""
+    """Logs differences between a replica's present state and the last logged one."""
 
     def __init__(
         self, replica: str, availability: Availability, pool: ConnectionPool
@@ -27,14 +27,14 @@
         self.connections_abandoned = 0
 
     def log_allowance(self, held: bool, holds: bool) -> None:
-        """Log that a part of the replica was taken or let go."""
+        """Log that an allowance was acquired or released."""
         if held == holds:
             return
         event = EventName.TARGET_ACQUIRED if holds else EventName.TARGET_RELEASED
         log_event(logger, event, target=self.replica)
 
     def log_changes(self) -> None:
-        """Log another state, and connections over which nothing came."""
+        """Log a changed state and newly abandoned connections."""
         state = self.availability.state
         if state is not self.state:
             self.log_state(state)
@@ -45,7 +45,7 @@
             log_event(logger, name, target=self.replica, count=count)
 
     def log_state(self, state: TargetState) -> None:
-        """Log a new state with what it was concluded from."""
+        """Log a new state with its cause."""
         log_event(
             logger,
             EventName.TARGET_STATE,
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -1,4 +1,4 @@
-"""The exchanges with one target: sending, ends, cancellation and silence."""
+"""Request/reply exchanges with one target: sending, retry, probing, cancellation."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
 
 
 class ExchangeIds:
-    """Ids that no other exchange of any owner has.
+    """Generates exchange ids that are unique across owners, by a random prefix.
 
     >>> ids = ExchangeIds("a1b2")
     >>> ids.new_id(), ids.new_id()
@@ -50,11 +50,11 @@
 
 
 class ExchangeEvents(NamedTuple):
-    """What becomes of sub-queries that were sent.
+    """Callbacks for sub-queries that were sent.
 
-    ``completed`` is called with the verdict on a sub-query, a detail and the target's
-    reply if there is one; ``requeue`` with one to be queued once more; ``capacity_changed``
-    when slots or connections may have become free.
+    ``completed`` is called with the task, its result, a detail and the target's reply
+    if there is one; ``requeue`` with a task to be queued for a retry, and
+    ``capacity_changed`` when slots or connections may have become free.
     """
 
     completed: Callable[[Task, Result, str, TargetReply | None], None]
@@ -66,10 +66,10 @@
 class RunningExchange:
     """One exchange with the target.
 
-    ``expires_at`` is when the target has given up, ``probe_at`` when the connection is
-    probed if no byte has come. ``probed`` is set once the target has been asked to
-    abandon the exchange so that it can be tried again, ``abandoned`` once its work has
-    gone on without it.
+    After ``expires_at`` the target cannot be working on it any more. At ``probe_at``
+    the connection is probed if no byte was received. ``probed`` is set once the
+    target was asked to cancel the exchange so that its task can be retried,
+    ``abandoned`` once the task no longer depends on this exchange.
     """
 
     task: Task
@@ -84,7 +84,7 @@
 
 
 class Exchanges:
-    """Sub-queries in flight at one target."""
+    """Sends sub-queries to one target and handles how their exchanges end."""
 
     def __init__(
         self,
@@ -110,16 +110,16 @@
 
     @property
     def in_flight(self) -> int:
-        """How many sub-queries may be running at the target."""
+        """Upper bound on the number of sub-queries that run at the target."""
         return len(self.occupancy.expires_at)
 
     @property
     def needs_sweep(self) -> bool:
-        """Whether any deadline has to be watched."""
+        """Whether any deadline is pending."""
         return bool(self.running or self.occupancy.expires_at or self.control.pending)
 
     def send(self, task: Task, connection: TargetConnection, now: float) -> None:
-        """Send ``task`` to the target."""
+        """Send ``task`` over ``connection`` with the time left as its deadline."""
         left_s = task.deadline_at - now
         exchange_id = self.ids.new_id()
         expires_at = task.deadline_at + self.occupancy_margin_s
@@ -144,14 +144,17 @@
     def probe_time(
         self, task: Task, connection: TargetConnection, now: float, left_s: float
     ) -> float:
-        """Return when to doubt the connection if no byte has come by then."""
+        """Return when to probe the connection unless a byte has come by then.
+
+        New connections, retries and orders are never probed.
+        """
         if connection.exchanges == 0 or task.retries or task.sub_query.order_key:
             return NEVER
         bound_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
         return NEVER if bound_s is None else now + bound_s
 
     def exchange_ended(self, running: RunningExchange, end: ExchangeEnd) -> None:
-        """Settle the work by how its exchange ended."""
+        """Complete or retry the task by how its exchange ended."""
         self.running.pop(running.exchange_id, None)
         match end:
             case Replied(reply):
@@ -160,16 +163,16 @@
                 if not running.abandoned:
                     self.record_reply(running, reply)
             case Malformed(detail):
-                self.concurrency.reset_to_cold("a garbled reply")
-                garbled = Result(Outcome.GARBLED, True)
-                self.events.completed(running.task, garbled, detail, None)
+                self.concurrency.reset_to_cold("malformed reply")
+                malformed = Result(Outcome.GARBLED, True)
+                self.events.completed(running.task, malformed, detail, None)
             case Lost(detail):
-                self.concurrency.reset_to_cold("a lost connection")
+                self.concurrency.reset_to_cold("connection lost")
                 self.retry(running, detail)
         self.events.capacity_changed()
 
     def record_reply(self, running: RunningExchange, reply: TargetReply) -> None:
-        """Take the evidence in a whole reply and settle the work."""
+        """Record a complete reply and complete its task."""
         now = self.reactor.seconds()
         task = running.task
         if running.probed and reply.status != 200:
@@ -182,7 +185,7 @@
             self.events.completed(task, result, "", reply)
 
     def retry(self, running: RunningExchange, detail: str) -> None:
-        """Send a search once more over a live connection, or settle it as lost."""
+        """Requeue a search for its only retry, or complete it as connection lost."""
         task = running.task
         running.abandoned = True
         if task.completed:
@@ -196,7 +199,7 @@
             self.events.completed(task, lost, detail, None)
 
     def may_retry(self, running: RunningExchange) -> bool:
-        """Tell whether another try is safe, and can start and finish in time."""
+        """Tell whether a retry is safe, has a slot and can finish by the deadline."""
         task = running.task
         if (
             task.retries
@@ -210,7 +213,7 @@
         return self.in_flight < self.concurrency.limit
 
     def cancel(self, task: Task) -> None:
-        """Abandon a sub-query that has been answered as cancelled."""
+        """Cancel at the target a task that was completed as cancelled."""
         now = self.reactor.seconds()
         for running in list(self.running.values()):
             if running.task is task and not running.abandoned:
@@ -218,7 +221,7 @@
                 self.abandon(running, 0.0)
 
     def abandon(self, running: RunningExchange, active_since: float) -> None:
-        """Ask the target to stop a search; an order is left to finish."""
+        """Ask the target to cancel a search; an order is left to finish."""
         if running.task.sub_query.order_key:
             return
         self.control.cancel(
@@ -233,13 +236,17 @@
         self.events.capacity_changed()
 
     def probe(self, running: RunningExchange) -> None:
-        """Find out over a live connection whether the target knows the exchange."""
+        """Cancel the exchange over a recently used connection, to test its own."""
         running.probed = True
         running.probe_at = NEVER
         self.abandon(running, running.sent_at)
 
     def cancel_ended(self, running: RunningExchange, status: int) -> None:
-        """Take the target's answer to a cancellation; only its word frees a slot."""
+        """Handle the reply to a cancellation, which alone frees the slot early.
+
+        A target that does not know a probed exchange never received its request, so
+        that connection is unresponsive.
+        """
         unanswered = running.exchange_id in self.running
         if status == CANCEL_CONFIRMED:
             self.occupancy.end(running.exchange_id)
@@ -250,17 +257,17 @@
         self.events.capacity_changed()
 
     def connection_unresponsive(self, running: RunningExchange) -> None:
-        """Give up a connection whose request the target has not received.
+        """Drop a connection whose request the target has not received.
 
-        A warm target can be given the slot again. A cold one is spared the doubt
-        until the deadline has passed.
+        At a warm target the slot is free at once. At a cold one it stays occupied
+        until the exchange expires, in case the request is running after all.
         """
         self.drop(running)
         if self.concurrency.state is TargetState.WARM:
             self.occupancy.end(running.exchange_id)
 
     def sweep(self, now: float) -> None:
-        """Settle what has passed its deadline and free what cannot run any more."""
+        """Enforce deadlines, probe silent connections and free expired slots."""
         for running in list(self.running.values()):
             self.check(running, now)
         if self.occupancy.expires_at:
@@ -269,7 +276,7 @@
             self.control.sweep(now)
 
     def check(self, running: RunningExchange, now: float) -> None:
-        """Enforce the deadline and the silence bound of one exchange."""
+        """Enforce the deadline, probe time and expiry of one exchange."""
         task = running.task
         if now >= task.deadline_at and not task.completed:
             self.health.record_timeout((now - running.sent_at) * 1000.0)
@@ -283,16 +290,16 @@
             self.drop(running)
 
     def drop(self, running: RunningExchange) -> None:
-        """Give up the connection of an exchange, and those that may be like it."""
+        """Abort the connection of an exchange and idle ones not used since."""
         self.running.pop(running.exchange_id, None)
         running.connection.abandon()
         self.pool.close_inactive(running.sent_at)
 
     def stop(self) -> None:
-        """Settle what is in flight as lost and close its connections."""
+        """Complete all exchanges as connection lost and abort their connections."""
         for running in list(self.running.values()):
             lost = Result(Outcome.CONNECTION_LOST, True)
-            self.events.completed(running.task, lost, "stopping", None)
+            self.events.completed(running.task, lost, "the owner is stopping", None)
             running.connection.abandon()
         self.running.clear()
         for pending in self.control.pending:
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -1,4 +1,4 @@
-"""All that is known of a replica, gathered from what its connections show."""
+"""Passive health record of a replica, from its replies and timeouts."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class ReplicaHealth:
-    """The ramp, the standing, the service time and the versions of one replica."""
+    """Concurrency limit, availability, service time and versions of one replica."""
 
     def __init__(self, index: Index) -> None:
         self.concurrency = ConcurrencyLimit(index.cold_start_slots, index.slots)
@@ -31,7 +31,10 @@
         at_limit: bool,
         now: float,
     ) -> None:
-        """Take a whole reply; ``at_limit`` is as in ``ConcurrencyLimit.record_success``."""
+        """Record a complete reply.
+
+        ``at_limit`` is as in ``ConcurrencyLimit.record_success``.
+        """
         self.status.note_reply(reply.head, now)
         self.availability.record_reply_state(reply.head.state, now)
         match result.outcome:
@@ -47,7 +50,7 @@
                 pass
 
     def record_status(self, reply: TargetReply, now: float) -> None:
-        """Take a reply of the status endpoint, which may lag or mislead."""
+        """Record a reply of the status endpoint, which may be outdated or wrong."""
         body = read_status(reply.body) if reply.status == 200 else None
         self.status.note_status(body, now)
         self.availability.record_reply_state(reply.head.state, now)
@@ -55,7 +58,7 @@
             self.availability.record_status(body.state == "draining", now)
 
     def record_cancelled_wait(self, waited_ms: float) -> None:
-        """Take a wait that was ended from here, as far as it was long."""
+        """Record the wait for a cancelled exchange if it was longer than the mean."""
         if waited_ms <= self.service_time.mean_ms:
             return
         if self.service_time.is_slow(waited_ms):
@@ -63,11 +66,11 @@
         self.service_time.observe(waited_ms)
 
     def record_timeout(self, waited_ms: float) -> None:
-        """Take a deadline that passed without a reply."""
+        """Record a deadline that passed without a reply."""
         self.concurrency.record_timeout()
         self.service_time.observe(waited_ms)
 
     def wait_ms(self, ahead: int) -> float:
-        """Estimate the time queued and served behind ``ahead`` others."""
+        """Estimate the time in queue and service behind ``ahead`` sub-queries."""
         turns = ahead // max(1, self.concurrency.limit)
         return turns * self.service_time.mean_ms + self.service_time.likely_ms
--- a/sardinehook/target/limits.py
+++ b/sardinehook/target/limits.py
@@ -1,4 +1,4 @@
-"""Bounds that hold for all replicas of one owner."""
+"""Limits common to all replicas of one owner."""
 
 from __future__ import annotations
 
@@ -8,11 +8,11 @@
 
 
 class OwnerLimits(NamedTuple):
-    """Bounds of memory and time of a ``TargetOwner``.
+    """Memory and time limits of a ``TargetOwner``.
 
-    ``occupancy_margin_s`` is how long after its deadline an exchange without an end
-    still counts as running at the target. One replica's status is asked for each
-    ``poll_interval_s``.
+    ``occupancy_margin_s`` is how long after its deadline an unfinished exchange still
+    counts as running at the target. In each ``poll_interval_s`` one replica's status
+    is polled.
     """
 
     reply_bytes: int = 1_048_576
--- a/sardinehook/target/occupancy.py
+++ b/sardinehook/target/occupancy.py
@@ -1,4 +1,4 @@
-"""What may still be running at a replica, as far as its owner can know."""
+"""Exchanges that may still be running at a target."""
 
 from __future__ import annotations
 
@@ -6,12 +6,12 @@
 
 
 class Occupancy:
-    """Exchanges that may occupy the target, by exchange id.
+    """Exchanges that may occupy a slot of the target, by exchange id.
 
-    An exchange counts until its reply, until a cancellation that the target has
-    confirmed, until ``expires_at``, when its deadline has passed at the target, or until
-    the target's process has ended. The end of its connection or of the caller's
-    interest does not end it.
+    An exchange counts until its reply, a cancellation confirmed by the target, the
+    end of the target's process or ``expires_at``, when its deadline has passed at
+    the target. It still counts after its connection was lost or its sub-query was
+    cancelled by the sender.
 
     >>> occupancy = Occupancy()
     >>> occupancy.begin(b"a-1", expires_at=2.0)
@@ -26,19 +26,19 @@
         return len(self.expires_at)
 
     def begin(self, exchange_id: bytes, expires_at: float) -> None:
-        """Count an exchange from now on."""
+        """Start counting an exchange."""
         self.expires_at[exchange_id] = expires_at
 
     def end(self, exchange_id: bytes) -> None:
-        """Stop counting an exchange that is known to have ended."""
+        """Stop counting an exchange that has ended at the target."""
         self.expires_at.pop(exchange_id, None)
 
     def clear(self) -> None:
-        """Stop counting everything, since the target's process has ended."""
+        """Stop counting all exchanges, after the end of the target's process."""
         self.expires_at.clear()
 
     def expire(self, now: float) -> list[bytes]:
-        """Stop counting what has passed its deadline and return its ids."""
+        """Stop counting expired exchanges and return their ids."""
         expired = [
             one for one, expires_at in self.expires_at.items() if expires_at <= now
         ]
--- a/sardinehook/target/outcome.py
+++ b/sardinehook/target/outcome.py
@@ -1,4 +1,4 @@
-"""What a whole reply of a target means for the sub-query."""
+"""Classification of a target's replies."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 
 
 def classify_reply(sub_query: SubQuery, reply: TargetReply, in_time: bool) -> Result:
-    """Return the verdict on a reply whose ids have been checked.
+    """Return the result of a reply whose ids have been checked.
 
-    ``in_time`` tells whether it came by the deadline. An answer of another snapshot
-    than the one asked for is no answer.
+    ``in_time`` tells whether it came by the deadline. An answer from a snapshot other
+    than the requested one is ``WRONG_VERSION``.
 
     >>> from sardinehook.target.codec import ReplyHead
     >>> query = SubQuery(1, "r", "s", "s-a", 7, 0, 100.0, 5, "", b"")
@@ -46,7 +46,7 @@
 
 
 def matches_snapshot(wanted: SubQuery, reply: TargetReply) -> bool:
-    """Tell whether a reply is of the index version and partitioning asked for."""
+    """Tell whether a reply has the requested index version and partitioning."""
     head = reply.head
     if wanted.index_version not in (ANY_VERSION, head.index_version):
         return False
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -1,4 +1,4 @@
-"""The owner of replicas: the one place from which their targets get work."""
+"""Serves the replicas owned by this process; nothing else sends to their targets."""
 
 from __future__ import annotations
 
@@ -21,11 +21,11 @@
 
 
 class TargetOwner:
-    """Holds the connections, queues and evidence of the replicas it owns.
+    """Holds the queue, connections and health of each replica that it owns.
 
     Replica names are unique over all indexes. Every sub-query that is submitted
-    gets exactly one ``SubReply``, on the same loop, at the latest a sweep interval
-    after its deadline. The reply may be given before ``submit`` returns.
+    gets exactly one ``SubReply``, on the same event loop, at the latest one sweep
+    interval after its deadline. The reply may be given before ``submit`` returns.
     """
 
     def __init__(self, reactor: TcpReactor, limits: OwnerLimits) -> None:
@@ -37,7 +37,11 @@
         self.to_sweep: set[ReplicaClient] = set()
         self.task: dict[TaskKey, tuple[Task, ReplicaClient]] = {}
         self.context = ClientContext(
-            reactor, limits, ExchangeIds(token_hex(4)), self.completed, self.schedule_sweep
+            reactor,
+            limits,
+            ExchangeIds(token_hex(4)),
+            self.completed,
+            self.schedule_sweep,
         )
         self.sweep_timer: Timer | None = None
         self.poll_timer: Timer | None = None
@@ -47,7 +51,7 @@
         self.poll_next()
 
     def configure(self, indexes: Mapping[str, Index]) -> None:
-        """Take the replicas of a document; those it does not name are let go."""
+        """Apply the replicas of a document and retire those it does not name."""
         named: set[str] = set()
         for index in indexes.values():
             for replicas in index.services.values():
@@ -58,7 +62,7 @@
             self.retire(name)
 
     def configure_replica(self, index: Index, replica: Replica) -> None:
-        """Create the client of a replica, or a new one for a new address."""
+        """Create or update the client of a replica; a new address gets a new client."""
         client = self.clients.get(replica.name)
         if client is not None and client.replica.address == replica.address:
             client.configure(index)
@@ -71,18 +75,16 @@
         self.schedule_sweep(client)
 
     def retire(self, name: str) -> None:
-        """Send nothing more to a replica and let its work in flight finish."""
+        """Stop sending to a replica and let its sub-queries in flight finish."""
         client = self.clients.pop(name)
         client.set_allowance(None)
         self.retired.append(client)
 
     def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
-        """Take the part of a replica that is held here; ``None`` for no part.
+        """Set the allowance of a replica; ``None`` or one without slots withdraws it.
 
-        A part without a slot is none.
-
-        After ``None`` what is queued is refused, what is in flight finishes, and a
-        later allowance begins from not knowing the replica.
+        After a withdrawal the queue is refused, sub-queries in flight finish, and a
+        later allowance starts with the replica in unknown state.
         """
         if allowance is not None and allowance.slots < 1:
             allowance = None
@@ -98,20 +100,20 @@
     def update_vm_state(
         self, replica: str, listed: TargetState, incarnation: str = ""
     ) -> None:
-        """Take what the platform's list of VMs says of a replica.
+        """Apply the state of a replica's VM from the platform's list of VMs.
 
-        ``listed`` is ``DRAINING`` or ``GONE`` for one that leaves and ``UNKNOWN``
-        for one with nothing against it. Another incarnation starts cold.
+        ``listed`` is ``DRAINING`` or ``GONE`` for a VM that leaves or has left, else
+        ``UNKNOWN``. A replica of another incarnation starts in unknown state.
         """
         client = self.clients.get(replica)
         if client is not None:
             client.update_vm_state(listed, incarnation)
 
     def update_peer_view(self, replica: str, state: TargetState) -> None:
-        """Take what another owner has last told of a replica.
+        """Apply the state of a replica that another owner has published.
 
-        It matters only for a part that may not serve the replica while it is cold:
-        such a holder cannot find out by itself that the replica is warm.
+        It is used only with an allowance that does not permit a cold replica: an
+        owner with such an allowance cannot find out itself that the replica is warm.
         """
         client = self.clients.get(replica)
         if client is not None:
@@ -120,10 +122,10 @@
     def submit(
         self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
     ) -> None:
-        """Run a sub-query and call ``reply`` once.
+        """Run a sub-query and call ``reply`` exactly once.
 
-        A sub-query whose ``sender`` and id are those of one that still runs is
-        dropped: the reply to the first stands for both.
+        A duplicate, with the ``sender`` and id of one that is still running, is
+        dropped without a call: the reply to the first counts for both.
         """
         key = TaskKey(sender, sub_query.sub_query_id)
         if key in self.task:
@@ -133,44 +135,44 @@
         task = Task(key, sub_query, reply, now, deadline_at)
         client = self.clients.get(sub_query.replica)
         if client is None:
-            reply(refused(sub_query, "the replica is not known here"))
+            reply(refused(sub_query, "the owner does not have this replica"))
         elif self.closed is not None:
-            reply(refused(sub_query, "stopping"))
+            reply(refused(sub_query, "the owner is stopping"))
         else:
             self.task[key] = (task, client)
             self.schedule_sweep(client)
             client.submit(task)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
-        """Answer a sub-query as cancelled; one that has ended is left alone."""
+        """Complete a sub-query as cancelled; no effect if it has already ended."""
         found = self.task.get(TaskKey(sender, sub_query_id))
         if found is not None:
             task, client = found
             client.cancel(task)
 
     def completed(self, task: Task) -> None:
-        """Forget work that is having its reply."""
+        """Remove a task that is given its reply."""
         self.task.pop(task.key, None)
 
     def views(self) -> list[ReplicaView]:
-        """Return the view of each replica of which a part is held here."""
+        """Return the view of each replica with an allowance here."""
         return [
             client.view() for client in self.clients.values() if client.has_allowance
         ]
 
     def counts(self) -> OwnerCounts:
-        """Return what is held here, in numbers for the metrics."""
+        """Return the resources in use and allowed, for the metrics."""
         return count_usage([*self.clients.values(), *self.retired])
 
     def in_flight(self, replica: str) -> int:
-        """Return how many sub-queries may be running at a replica."""
+        """Return an upper bound on the sub-queries that run at a replica."""
         clients = [one for one in self.retired if one.replica.name == replica]
         if replica in self.clients:
             clients.append(self.clients[replica])
         return sum(client.exchanges.in_flight for client in clients)
 
     def schedule_sweep(self, client: ReplicaClient) -> None:
-        """Sweep ``client`` regularly while it has work."""
+        """Include ``client`` in the sweeps until it needs none."""
         self.to_sweep.add(client)
         if self.sweep_timer is None:
             self.sweep_timer = self.reactor.callLater(
@@ -178,7 +180,7 @@
             )
 
     def sweep(self) -> None:
-        """Enforce deadlines and free what cannot be running any more."""
+        """Enforce the deadlines of all clients and drop retired ones without work."""
         self.sweep_timer = None
         now = self.reactor.seconds()
         for client in list(self.to_sweep):
@@ -193,7 +195,7 @@
         self.finish_closing(now)
 
     def poll_next(self) -> None:
-        """Ask one replica after another for its status, at a bounded rate."""
+        """Maintain the next replica, one in each poll interval, in turn."""
         self.poll_timer = self.reactor.callLater(
             self.limits.poll_interval_s, self.poll_next
         )
@@ -205,10 +207,11 @@
             self.poll_order.pop().maintain()
 
     def close(self, grace_s: float) -> Deferred[None]:
-        """Refuse new work, let the rest finish and close all connections.
+        """Refuse new sub-queries, let the others finish and close all connections.
 
-        The result fires when nothing is in flight any more, at the latest after
-        ``grace_s`` seconds; what is left by then is answered as its state allows.
+        The result fires once nothing is queued or in flight, at the latest after
+        ``grace_s`` seconds. What is left by then is completed as not run if it was
+        not sent, else as connection lost.
         """
         if self.closed is None:
             self.closed = Deferred()
@@ -221,7 +224,7 @@
         return self.closed
 
     def finish_closing(self, now: float) -> None:
-        """Complete ``close`` once nothing is left or the grace is over."""
+        """Complete ``close`` once no work is left or the grace period is over."""
         if self.closed is None or self.closed.called:
             return
         clients = [*self.clients.values(), *self.retired]
@@ -236,7 +239,7 @@
 
 
 def refused(sub_query: SubQuery, detail: str) -> SubReply:
-    """Return the reply to a sub-query that cannot have begun."""
+    """Return the ``NOT_RUN`` reply to a sub-query that was not sent."""
     return SubReply(
         sub_query.sub_query_id, Outcome.NOT_RUN, 0, 0, 0.0, 0.0, False, detail, b""
     )
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -1,4 +1,4 @@
-"""The connections to one replica, within the owner's allowance."""
+"""Connection pool of one replica, bounded by the owner's allowance."""
 
 from __future__ import annotations
 
@@ -16,17 +16,17 @@
 
 __all__ = ["ConnectionPool", "PoolEvents", "TargetAddress"]
 
-LINGER_S = 5.0
-MIN_CONNECTIONS = 2
-CLOSE_TIMEOUT_S = 1.0
+LINGER_S = 5.0  # how long a connection without a seen close still counts
+MIN_CONNECTIONS = 2  # opened even if lingering ones use up the allowance
+CLOSE_TIMEOUT_S = 1.0  # for the target to close its side too
 IDLE_TIMEOUT_S = 15.0
-IMMEDIATE_CLOSE_S = 0.1
+IMMEDIATE_CLOSE_S = 0.1  # an unused connection closed sooner was rejected
 INITIAL_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 2.0
 
 
 class TargetAddress(NamedTuple):
-    """Where a target listens."""
+    """Host and port of a target."""
 
     host: str
     port: int
@@ -43,11 +43,11 @@
 
 
 class PoolEvents(NamedTuple):
-    """What a pool tells its user.
+    """Callbacks of a ``ConnectionPool``.
 
-    ``ready`` is called when a connection has been opened and ``failed`` when one
-    could not be, with the cause and whether the target refused it. ``ended`` is
-    called when the peer has ended one, with whether that was in order.
+    ``ready`` is called when a connection has been opened, ``failed`` when an attempt
+    failed, with the cause and whether the target refused it. ``ended`` is called
+    when the target ended a connection, with whether it was closed cleanly.
     """
 
     ready: Callable[[], None]
@@ -56,11 +56,11 @@
 
 
 class ConnectionPool:
-    """Opens, lends and closes connections.
+    """Opens, reuses and closes the connections to one target.
 
-    A connection counts against ``allowance`` from the moment it is being opened
-    until the target is known to have let go of it. Where no end from the peer was
-    seen it goes on counting for a while.
+    A connection counts against ``allowance`` from the start of the attempt until
+    the target is known to have closed it. One whose close was not seen lingers: it
+    counts for ``LINGER_S`` more, since the target may still hold it.
     """
 
     def __init__(
@@ -84,16 +84,16 @@
         self.connections_abandoned = 0
 
     def counted(self, now: float) -> int:
-        """Return how many connections the target may hold for this owner."""
+        """Return how many connections the target may hold open for this owner."""
         if self.lingering:
             self.lingering = [until for until in self.lingering if until > now]
         return len(self.connections) + self.opening + len(self.lingering)
 
     def acquire(self, active_since: float = 0.0) -> TargetConnection | None:
-        """Return the idle connection that was used last, if any.
+        """Return the most recently used idle connection, or ``None``.
 
-        One that has shown no life since ``active_since`` is returned only where no
-        other can be opened.
+        One that was not used since ``active_since`` is returned only if no other
+        connection can be opened.
         """
         if active_since and self.is_full():
             active_since = 0.0
@@ -104,9 +104,9 @@
         return None
 
     def close_inactive(self, before: float) -> None:
-        """Close idle connections that have shown no life since ``before``.
+        """Abort idle connections that were not used since ``before``.
 
-        One connection of theirs was found silent, so they may be silent too.
+        Another connection was found unresponsive, so these may be broken too.
         """
         for connection in list(self.idle):
             if connection.idle_since < before:
@@ -114,7 +114,7 @@
         self.idle = [one for one in self.idle if one.is_open]
 
     def release(self, connection: TargetConnection) -> None:
-        """Take back a connection whose exchange has ended."""
+        """Return a connection to the pool once its exchange has ended."""
         self.backoff_s = 0.0
         if not connection.idle:
             return
@@ -125,21 +125,22 @@
         self.idle.append(connection)
 
     def over_allowance(self) -> bool:
-        """Tell whether a connection has to be closed."""
+        """Tell whether more connections are open than the allowance permits."""
         if len(self.connections) + self.opening <= self.allowance:
             return False
         return self.active_count() > self.allowance
 
     def is_full(self) -> bool:
-        """Tell whether no connection is on its way and none can be opened."""
+        """Tell whether none is being opened and the allowance is used up."""
         return (
             not self.opening and self.counted(self.reactor.seconds()) >= self.allowance
         )
 
     def ensure_available(self, wanted: int, active_since: float = 0.0) -> None:
-        """Open connections until ``wanted`` are idle or on their way.
+        """Open connections until ``wanted`` are idle or being opened.
 
-        Idle ones count if they have shown life since ``active_since``.
+        Idle ones count if they were used since ``active_since``. While attempts
+        fail, at most one is made at a time, after a backoff.
         """
         ready = len(self.idle)
         if active_since:
@@ -161,10 +162,10 @@
             self.start_opening()
 
     def reclaim_lingering(self) -> int:
-        """Make room where nearly all that counts was given up; return the room.
+        """Stop counting lingering connections to allow a minimum; return the room.
 
-        Without a connection nobody could find out whether the target still holds
-        the others. One that holds them refuses the new one.
+        Without any connection it could not be found out whether the target still
+        holds the lingering ones. A target that does refuses the new connection.
         """
         least = min(MIN_CONNECTIONS, self.allowance)
         room = min(least - self.active_count(), len(self.lingering))
@@ -174,7 +175,7 @@
         return room
 
     def start_opening(self) -> None:
-        """Begin to open one connection."""
+        """Start an attempt to open one connection."""
         self.opening += 1
         self.reactor.connectTCP(
             self.address.host,
@@ -184,7 +185,7 @@
         )
 
     def opened(self, connection: TargetConnection) -> None:
-        """Add a connection that has been established."""
+        """Add an established connection, or close it if it exceeds the allowance."""
         self.opening -= 1
         self.connections.add(connection)
         if self.over_allowance():
@@ -195,20 +196,20 @@
         self.events.ready()
 
     def open_failed(self, reason: Failure) -> None:
-        """Note a failed attempt and wait longer before the next."""
+        """Record a failed attempt, back off and report it."""
         self.opening -= 1
         self.back_off()
         refused = isinstance(reason.value, ConnectionRefusedError)
         self.events.failed(reason.getErrorMessage(), refused)
 
     def back_off(self) -> None:
-        """Wait longer before the next attempt."""
+        """Double the delay before the next attempt, up to ``MAX_BACKOFF_S``."""
         wait_s = max(self.backoff_s * 2, INITIAL_BACKOFF_S)
         self.backoff_s = min(wait_s, MAX_BACKOFF_S)
         self.open_after = self.reactor.seconds() + self.backoff_s
 
     def closed(self, connection: TargetConnection, clean: bool) -> None:
-        """Forget a connection that has ended."""
+        """Remove a connection that has ended and report an end by the target."""
         self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
@@ -220,14 +221,16 @@
         open_s = self.reactor.seconds() - connection.idle_since
         if connection.exchanges == 0 and open_s < IMMEDIATE_CLOSE_S:
             self.back_off()
-            self.events.failed("closed by the target at once", False)
+            self.events.failed(
+                "connection closed by the target right after opening", False
+            )
         else:
             self.events.ended(clean)
 
     def close_idle(self, keep: int) -> None:
-        """Close connections that have been idle for long, but ``keep`` of them.
+        """Close connections past the idle timeout, except for ``keep`` of them.
 
-        Those that the target has not closed in turn are dropped.
+        Those whose target has not closed its side in time are aborted.
         """
         now = self.reactor.seconds()
         latest = now - IDLE_TIMEOUT_S
@@ -239,7 +242,7 @@
             self.idle.pop(0).close()
 
     def set_allowance(self, allowance: int) -> None:
-        """Take a new bound; idle connections beyond it are closed."""
+        """Change the allowance and close idle connections beyond it."""
         self.allowance = allowance
         excess = max(0, self.active_count() - allowance)
         surplus, self.idle = self.idle[:excess], self.idle[excess:]
@@ -256,7 +259,7 @@
 
 
 class PoolFactory(ClientFactory):
-    """Builds the connections of a pool and reports failures to it."""
+    """Builds the protocols of a pool and reports failed attempts to it."""
 
     noisy = False
 
@@ -269,5 +272,5 @@
         return TargetConnection(pool.limits, pool.opened, pool.closed)
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
-        """Report that the target could not be reached."""
+        """Report a failed attempt to the pool."""
         self.pool.open_failed(reason)
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -1,4 +1,4 @@
-"""Serves one replica: admission, queue, allowance and what others are told."""
+"""Client of one replica: admission control, queueing, dispatch and its view."""
 
 from __future__ import annotations
 
@@ -21,17 +21,17 @@
 
 __all__ = ["ClientContext", "ReplicaClient"]
 
-SPARE_CONNECTIONS = 1
-ORDER_MAX_IDLE_S = 0.25
+SPARE_CONNECTIONS = 1  # opened ahead of demand
+ORDER_MAX_IDLE_S = 0.25  # orders avoid connections idle for longer
 MIN_SEND_S = 0.001
 NO_ALLOWANCE = Allowance(0, 0, False)
 
 
 class ClientContext(NamedTuple):
-    """What the clients of one owner share.
+    """State and callbacks shared by the clients of one owner.
 
-    ``completed`` is told of each work that is having its reply and ``schedule_sweep`` of a
-    client that has to be swept.
+    ``completed`` is called with each task that is given its reply,
+    ``schedule_sweep`` with a client that needs to be swept.
     """
 
     reactor: TcpReactor
@@ -42,7 +42,7 @@
 
 
 class ReplicaClient:
-    """Holds the queue, the allowance and the evidence of one replica."""
+    """Admits, queues and sends sub-queries to one replica within an allowance."""
 
     def __init__(self, context: ClientContext, index: Index, replica: Replica) -> None:
         self.context = context
@@ -73,12 +73,12 @@
 
     @property
     def has_allowance(self) -> bool:
-        """Whether this owner may use a part of the replica."""
+        """Whether this owner has an allowance for the replica."""
         return self.allowance is not NO_ALLOWANCE
 
     @property
     def accepts_work(self) -> bool:
-        """Whether new work may be sent."""
+        """Whether new sub-queries may be sent."""
         return self.availability.accepts_work(self.allowance.may_serve_cold)
 
     @property
@@ -88,20 +88,20 @@
 
     @property
     def needs_sweep(self) -> bool:
-        """Whether any deadline has to be watched."""
+        """Whether any deadline is pending."""
         return bool(self.queue.entries) or self.exchanges.needs_sweep
 
     def configure(self, index: Index) -> None:
-        """Take new figures for what the replica bears."""
+        """Apply the settings of the replica's index."""
         self.index = index
         self.concurrency.cold_start_slots = index.cold_start_slots
 
     def set_allowance(self, allowance: Allowance | None) -> None:
-        """Take a new allowance; without one nothing new is sent."""
+        """Change the allowance; without one the queue is refused."""
         self.event_log.log_allowance(self.has_allowance, allowance is not None)
         if allowance is None:
             self.allowance = NO_ALLOWANCE
-            self.refuse_queue("the replica has another owner")
+            self.refuse_queue("this owner has no allowance for the replica")
             self.concurrency.reset_to_unknown()
         else:
             self.allowance = allowance
@@ -110,13 +110,13 @@
         self.dispatch()
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
-        """Take what the platform's list of VMs says of the replica."""
+        """Apply the state of the replica's VM from the platform's list of VMs."""
         self.availability.update_vm_state(listed, incarnation)
         self.refuse_if_unavailable()
         self.event_log.log_changes()
 
     def update_peer_view(self, state: TargetState) -> None:
-        """Take the state that another owner has told."""
+        """Apply the state seen by another owner if it cannot be observed here."""
         if self.allowance.may_serve_cold or not self.has_allowance:
             return
         if state is TargetState.WARM:
@@ -126,7 +126,7 @@
             self.refuse_if_unavailable()
 
     def submit(self, task: Task) -> None:
-        """Queue ``task`` or refuse it at once."""
+        """Send or queue ``task``, or refuse it at once."""
         refusal = self.refusal(task)
         if refusal:
             self.refuse(task, refusal)
@@ -143,7 +143,7 @@
         self.dispatch()
 
     def send_immediately(self, task: Task) -> bool:
-        """Send ``task`` past the empty queue if a slot and a connection are free."""
+        """Send ``task`` without queueing if a slot and a connection are free."""
         if self.exchanges.in_flight >= self.concurrency.limit:
             return False
         if task.deadline_at < task.received_at + MIN_SEND_S:
@@ -155,9 +155,9 @@
         return True
 
     def refusal(self, task: Task) -> str:
-        """Return why ``task`` cannot be run, or an empty string."""
+        """Return why ``task`` is not admitted, or an empty string."""
         if not self.has_allowance:
-            return "the replica has another owner"
+            return "this owner has no allowance for the replica"
         if not self.accepts_work:
             return f"the replica is {self.availability.state.name.lower()}"
         ahead = self.exchanges.in_flight
@@ -167,11 +167,11 @@
             return ""
         wait_s = self.health.wait_ms(ahead) / 1000.0
         if task.received_at + wait_s > task.deadline_at:
-            return "the deadline is too short for the queue"
+            return "expected to miss the deadline in the queue"
         return ""
 
     def dispatch(self) -> None:
-        """Start what can be started and provide connections for the rest."""
+        """Send what can be sent and open connections for the rest."""
         if self.exchanges.control.cancellations:
             self.exchanges.control.start()
         if self.queue.entries:
@@ -183,7 +183,7 @@
         likely_s = self.health.service_time.likely_ms / 1000.0
         needed_s = max(MIN_SEND_S, likely_s if self.exchanges.in_flight else 0.0)
         for task in self.queue.remove_unservable(now, needed_s):
-            self.refuse(task, "the deadline passed in the queue")
+            self.refuse(task, "too little time left after waiting in the queue")
         while self.queue.entries and self.accepts_work:
             if self.exchanges.in_flight >= self.concurrency.limit:
                 return
@@ -193,7 +193,7 @@
             self.exchanges.send(self.queue.pop(), connection, now)
 
     def open_connections(self) -> None:
-        """Open connections early, since opening one takes milliseconds."""
+        """Open connections ahead of demand, since opening one takes milliseconds."""
         pool = self.pool
         waiting = self.queue.entries or self.exchanges.control.cancellations
         if not self.has_allowance or (pool.idle and not waiting):
@@ -211,7 +211,7 @@
             pool.ensure_available(1, since)
 
     def required_active_since(self) -> float:
-        """Return since when a connection has to have shown life, if it matters."""
+        """Return since when the next connection must have been used, or zero."""
         since = 0.0
         if self.exchanges.control.cancellations:
             since = self.exchanges.control.cancellations[0].active_since
@@ -220,7 +220,7 @@
         return since
 
     def cancel(self, task: Task) -> None:
-        """Answer ``task`` as cancelled and abandon it at the target."""
+        """Complete ``task`` as cancelled and cancel it at the target."""
         if self.queue.remove(task):
             result = Result(Outcome.CANCELLED, task.may_have_begun)
             self.complete(task, result, "cancelled in the queue")
@@ -229,21 +229,21 @@
         self.exchanges.cancel(task)
 
     def sweep(self, now: float) -> None:
-        """Enforce the deadlines of what is in flight and queued."""
+        """Enforce the deadlines of sub-queries in flight and queued."""
         if self.exchanges.needs_sweep:
             self.exchanges.sweep(now)
         if self.queue.entries or self.exchanges.control.cancellations:
             self.dispatch()
 
     def maintain(self) -> None:
-        """Do what is due now and then: ask for the status, close idle connections."""
+        """Poll the status, close idle connections and log changes."""
         self.poll_status()
         self.pool.close_idle(self.index.slots + SPARE_CONNECTIONS)
         self.dispatch()
         self.event_log.log_changes()
 
     def poll_status(self) -> None:
-        """Ask the replica for its own account of itself."""
+        """Request the replica's status, unless it cannot be reached."""
         if self.availability.gone:
             return
         self.context.schedule_sweep(self)
@@ -253,54 +253,54 @@
         )
 
     def connected(self) -> None:
-        """Take a new connection as evidence that the replica is there."""
+        """Record that the replica can be reached and poll an unknown status."""
         self.availability.connected()
         if not self.health.status.known:
             self.poll_status()
         self.dispatch()
 
     def connect_failed(self, cause: str, refused: bool) -> None:
-        """Take a failed attempt as evidence that the replica has gone.
+        """Mark the replica as gone if a failed attempt shows it.
 
-        Only a refusal tells so while other connections are open. Where none is,
-        it shows that the process has ended, and its work with it.
+        While other connections are open, only a refusal does. A refusal without an
+        open connection means that the process has ended, so nothing runs there.
         """
         connected = self.pool.open_count() > 0
         if refused and not connected:
             self.exchanges.occupancy.clear()
         if refused or not connected:
             self.availability.connect_failed()
-            self.refuse_queue(f"no connection: {cause}")
+            self.refuse_queue(f"cannot connect to the replica: {cause}")
         self.reactor.callLater(self.pool.backoff_s, self.open_connections)
         self.event_log.log_changes()
 
     def connection_ended(self, clean: bool) -> None:
-        """Take the end of a connection by the target as evidence."""
+        """Treat the replica as cold after an unclean close or that of the last one."""
         if not clean or not self.pool.open_count():
-            self.concurrency.reset_to_cold("a lost connection")
+            self.concurrency.reset_to_cold("connection lost")
         self.dispatch()
         self.event_log.log_changes()
 
     def refuse_if_unavailable(self) -> None:
-        """Refuse what is queued for a replica that takes no work."""
+        """Refuse the queue if the replica accepts no new sub-queries."""
         if not self.accepts_work:
             self.refuse_queue(f"the replica is {self.availability.state.name.lower()}")
 
     def refuse_queue(self, detail: str) -> None:
-        """Refuse all that is queued."""
+        """Refuse all queued sub-queries."""
         for task in self.queue.remove_all():
             self.refuse(task, detail)
 
     def refuse(self, task: Task, detail: str) -> None:
-        """Answer ``task`` as not run, or as lost if an earlier try may have run."""
+        """Complete ``task`` as not run, or as lost if an earlier try may have run."""
         if task.may_have_begun:
             self.complete(task, Result(Outcome.CONNECTION_LOST, True), detail)
         else:
             self.complete(task, Result(Outcome.NOT_RUN, False), detail)
 
     def stop(self) -> None:
-        """Answer what is left and close all connections."""
-        self.refuse_queue("stopping")
+        """Complete the remaining tasks and close all connections."""
+        self.refuse_queue("the owner is stopping")
         self.exchanges.stop()
         self.allowance = NO_ALLOWANCE
         self.pool.set_allowance(0)
@@ -308,7 +308,7 @@
     def exchange_completed(
         self, task: Task, result: Result, detail: str, reply: TargetReply | None
     ) -> None:
-        """Answer work whose exchange has ended."""
+        """Complete a task and react to a change of the replica's state."""
         self.complete(task, result, detail, reply)
         if self.queue.entries:
             self.refuse_if_unavailable()
@@ -319,7 +319,7 @@
             self.event_log.log_changes()
 
     def requeue(self, task: Task) -> None:
-        """Queue work whose first try was given up."""
+        """Queue a task for its retry."""
         if self.accepts_work and self.has_allowance:
             self.queue.push(task)
             self.dispatch()
@@ -333,13 +333,13 @@
         detail: str,
         reply: TargetReply | None = None,
     ) -> None:
-        """Give ``task`` its reply, unless it has had it."""
+        """Give ``task`` its reply unless it already has one."""
         if not task.completed:
             self.context.completed(task)
             task.complete(result, detail, reply, self.reactor.seconds())
 
     def view(self) -> ReplicaView:
-        """Return what other processes are told about the replica."""
+        """Return the view of the replica that is published to other processes."""
         ahead = self.exchanges.in_flight + len(self.queue)
         room = max(0, self.concurrency.limit - ahead) if self.accepts_work else 0
         status = self.health.status
--- a/sardinehook/target/replica_queue.py
+++ b/sardinehook/target/replica_queue.py
@@ -1,4 +1,4 @@
-"""The queue of one replica: who is next, and what is too late to send."""
+"""Bounded priority queue of the sub-queries to one replica."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class Entry(NamedTuple):
-    """A place in the queue; ``number`` keeps equal places in order of arrival."""
+    """A queued task; ``number`` keeps equal entries in order of arrival."""
 
     priority: int
     deadline_at: float
@@ -20,7 +20,7 @@
 
 
 class ReplicaQueue:
-    """Sub-queries in order of priority, then of deadline."""
+    """Tasks in order of priority, then deadline, then arrival."""
 
     def __init__(self, bound: int) -> None:
         self.bound = bound
@@ -31,7 +31,7 @@
         return len(self.entries)
 
     def push(self, task: Task) -> Task | None:
-        """Add ``task``; return what has to go when the queue is full, if any."""
+        """Add ``task``; return the last task if the queue exceeds its bound."""
         self.numbers += 1
         entry = Entry(task.sub_query.priority, task.deadline_at, self.numbers, task)
         heappush(self.entries, entry)
@@ -43,11 +43,11 @@
         return last.task
 
     def pop(self) -> Task:
-        """Remove and return the sub-query that is served next."""
+        """Remove and return the next task."""
         return heappop(self.entries).task
 
     def remove(self, task: Task) -> bool:
-        """Remove ``task``; tell whether it was queued."""
+        """Remove ``task``; return whether it was queued."""
         for place, entry in enumerate(self.entries):
             if entry.task is task:
                 del self.entries[place]
@@ -56,22 +56,22 @@
         return False
 
     def remove_unservable(self, now: float, needed_s: float) -> list[Task]:
-        """Remove and return what has less than ``needed_s`` left."""
+        """Remove and return tasks with less than ``needed_s`` to their deadline."""
         latest = now + needed_s
         if all(entry.deadline_at >= latest for entry in self.entries):
             return []
-        hopeless = [e.task for e in self.entries if e.deadline_at < latest]
+        unservable = [e.task for e in self.entries if e.deadline_at < latest]
         self.entries = [e for e in self.entries if e.deadline_at >= latest]
         heapify(self.entries)
-        return hopeless
+        return unservable
 
     def remove_all(self) -> list[Task]:
-        """Remove and return everything."""
+        """Remove and return all tasks, in order."""
         removed = [entry.task for entry in sorted(self.entries)]
         self.entries = []
         return removed
 
     def ahead_of(self, priority: int, deadline_at: float) -> int:
-        """Return how many sub-queries would be served before such a one."""
+        """Return how many tasks would be served before one with this key."""
         place = (priority, deadline_at)
         return sum((e.priority, e.deadline_at) <= place for e in self.entries)
--- a/sardinehook/target/retry.py
+++ b/sardinehook/target/retry.py
@@ -1,4 +1,4 @@
-"""When a connection counts as silent, and how many retries that may cause."""
+"""Delay before an unresponsive connection is probed, and the retry budget."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 
 
 def probe_delay_s(likely_ms: float, left_s: float) -> float | None:
-    """Return after how long without a byte a connection is probed.
+    """Return the time without a received byte after which a connection is probed.
 
     ``likely_ms`` is the time within which most replies come and ``left_s`` the time
-    left at sending. ``None`` means that no time would be left for another try.
+    to the deadline at sending. ``None`` means that no time would be left for a retry.
 
     >>> probe_delay_s(likely_ms=4.0, left_s=0.2)
     0.05
@@ -27,7 +27,9 @@
 
 
 class RetryBudget:
-    """Retries as a ratio of first tries, with a burst for a shared cause.
+    """Token bucket that limits retries to a ratio of first attempts.
+
+    The burst allows for several requests that fail for the same reason.
 
     >>> budget = RetryBudget()
     >>> sum(budget.try_acquire() for _ in range(20))
@@ -38,12 +40,12 @@
         self.tokens = RETRY_BURST
 
     def record_request(self) -> None:
-        """Count a first try."""
+        """Add the share of a first attempt to the budget."""
         if self.tokens < RETRY_BURST:
             self.tokens += RETRY_RATIO
 
     def try_acquire(self) -> bool:
-        """Take one retry from the budget, if there is one."""
+        """Spend one retry if the budget allows it; return whether it did."""
         if self.tokens < 1.0:
             return False
         self.tokens -= 1.0
--- a/sardinehook/target/service_time.py
+++ b/sardinehook/target/service_time.py
@@ -1,4 +1,4 @@
-"""The service time of a replica, estimated from its replies."""
+"""Estimator of a replica's service time."""
 
 from __future__ import annotations
 
@@ -11,10 +11,10 @@
 
 
 class ServiceTime:
-    """A moving mean of service times and of their deviation, in milliseconds.
+    """Moving mean and mean deviation of service times, in milliseconds.
 
-    The gains are those of the round-trip estimator of RFC 6298. A sample counts for
-    four times the mean at most, so that one straggler moves the estimate little.
+    The gains are those of the round-trip estimator of RFC 6298. Samples are capped
+    at four times the mean, so that a single outlier has little effect.
 
     >>> service = ServiceTime()
     >>> service.observe(4.0)
@@ -28,7 +28,7 @@
         self.samples = 0
 
     def observe(self, sample_ms: float) -> None:
-        """Take one service time into the estimate."""
+        """Add one service time to the estimate."""
         self.samples += 1
         if self.samples == 1:
             self.mean_ms = sample_ms
@@ -40,7 +40,7 @@
         self.mean_ms += MEAN_GAIN * error_ms
 
     def is_slow(self, sample_ms: float) -> bool:
-        """Tell whether a reply took far longer than earlier ones."""
+        """Tell whether a service time is an outlier; never before the first sample."""
         usual_ms = self.mean_ms + SLOW_FACTOR * self.deviation_ms
         return self.samples > 0 and sample_ms > max(
             usual_ms, self.mean_ms * SLOW_FACTOR
@@ -48,5 +48,5 @@
 
     @property
     def likely_ms(self) -> float:
-        """Time within which most replies come."""
+        """Mean plus mean deviation: the time within which most replies come."""
         return self.mean_ms + self.deviation_ms
--- a/sardinehook/target/status.py
+++ b/sardinehook/target/status.py
@@ -1,4 +1,4 @@
-"""Which index versions a replica holds, by its replies before its status."""
+"""Index versions that a replica holds, from its replies and status endpoint."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 __all__ = ["ReplicaStatus", "StatusBody", "read_status"]
 
-REPLY_PRECEDENCE_S = 5.0
+REPLY_PRECEDENCE_S = 5.0  # status polls are ignored for so long after a reply
 
 
 class StatusBody(Struct, frozen=True):
@@ -25,7 +25,7 @@
 
 
 def read_status(body: bytes) -> StatusBody | None:
-    """Return the status in ``body``, or ``None`` where it is malformed.
+    """Return the status in ``body``, or ``None`` if it is malformed.
 
     >>> read_status(b'{"index_versions": [41, 42], "partitioning": 1}').partitioning
     1
@@ -39,10 +39,11 @@
 
 
 class ReplicaStatus:
-    """The newest account of the versions that a replica holds.
+    """The versions that a replica holds, as last reported.
 
-    What stands in real replies goes first: the status endpoint is believed only
-    while no reply has told anything for some seconds.
+    Replies to sub-queries take precedence over the status endpoint, which is used
+    only after ``REPLY_PRECEDENCE_S`` without a reply that lists versions. ``known``
+    is set once either has reported.
     """
 
     def __init__(self) -> None:
@@ -52,7 +53,7 @@
         self.known = False
 
     def note_reply(self, head: ReplyHead, now: float) -> None:
-        """Take the versions in the headers of a reply."""
+        """Record the versions in the headers of a reply, if any."""
         if not head.versions_held:
             return
         self.index_versions = head.versions_held
@@ -61,7 +62,7 @@
         self.known = True
 
     def note_status(self, status: StatusBody | None, now: float) -> None:
-        """Take the status endpoint's account where nothing better is known."""
+        """Record a status unless it is malformed or a recent reply takes precedence."""
         if status is None:
             return
         if self.replied_at is not None and now < self.replied_at + REPLY_PRECEDENCE_S:
--- a/sardinehook/target/task.py
+++ b/sardinehook/target/task.py
@@ -1,4 +1,4 @@
-"""A sub-query on its way through the owner."""
+"""A submitted sub-query and the state of its execution."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class TaskKey(NamedTuple):
-    """Names a sub-query within the owner: who sent it and its id there."""
+    """Identifies a task within the owner: the sender and its id for the sub-query."""
 
     sender: str
     sub_query_id: int
@@ -43,7 +43,7 @@
     def complete(
         self, result: Result, detail: str, reply: TargetReply | None, now: float
     ) -> None:
-        """Give the sub-query its one reply."""
+        """Give the sub-query its only reply."""
         self.completed = True
         sent_at = self.sent_at or now
         answered = reply is not None and result.outcome is Outcome.ANSWERED
--- a/tests/target/test_owner_machine.py
+++ b/tests/target/test_owner_machine.py
@@ -1,4 +1,4 @@
-"""Random histories of an owner and one target, checked against the target's truth."""
+"""Random histories of an owner and one target, checked at the target."""
 
 from __future__ import annotations
 
