Keep the attribute names that the owner's state machine spells

Hypothesis seeds a derandomized state machine from the source of its class. With rig.client.concurrency.limit in OwnerMachine it drew other histories and found a fault that was there before the renames: the owner counts 2 sub-queries in flight while the target still runs 3. The history, replayed on the code before the renames, fails there as well:

submit_and_drop(clean=False), refuse_connections, serve_well(8), refuse_connections, serve_well(13), submit(30 ms), refuse_connections, answer_cancellations(False); order=False throughout.

rig.runner, ramp and bound therefore keep their names, and the class is as it was, so that the test draws the histories that it has always drawn. The fault remains.

--- a/sardinehook/target/availability.py
+++ b/sardinehook/target/availability.py
@@ -19,8 +19,8 @@
     unknown state and warms up again.
     """
 
-    def __init__(self, concurrency: ConcurrencyLimit) -> None:
-        self.concurrency = concurrency
+    def __init__(self, ramp: ConcurrencyLimit) -> None:
+        self.ramp = ramp
         self.draining = False
         self.gone = False
         self.listed = TargetState.UNKNOWN
@@ -35,7 +35,7 @@
             return TargetState.GONE
         if self.draining or self.listed is TargetState.DRAINING:
             return TargetState.DRAINING
-        return self.concurrency.state
+        return self.ramp.state
 
     @property
     def cause(self) -> str:
@@ -46,15 +46,13 @@
             return "the list of VMs"
         if self.draining:
             return "its drain signal"
-        return (
-            self.concurrency.cause if self.concurrency.state is TargetState.COLD else ""
-        )
+        return self.ramp.cause if self.ramp.state is TargetState.COLD else ""
 
     def accepts_work(self, may_serve_cold: bool) -> bool:
         """Tell whether new sub-queries may be sent."""
         if self.leaving:
             return False
-        return may_serve_cold or self.concurrency.state is TargetState.WARM
+        return may_serve_cold or self.ramp.state is TargetState.WARM
 
     @property
     def leaving(self) -> bool:
@@ -64,14 +62,14 @@
     def connect_failed(self) -> None:
         """Record that the replica cannot be reached."""
         self.gone = True
-        self.concurrency.reset_to_unknown()
+        self.ramp.reset_to_unknown()
 
     def connected(self) -> None:
         """Record a new connection; a replica that was gone is in unknown state."""
         if self.gone:
             self.gone = False
             self.draining = False
-            self.concurrency.reset_to_unknown()
+            self.ramp.reset_to_unknown()
 
     def record_reply_state(self, reported_state: TargetState, now: float) -> None:
         """Record the state reported in the headers of a reply."""
@@ -80,7 +78,7 @@
             self.drain_hold_until = now + DRAIN_HOLD_S
             self.statuses_without_drain = 0
         elif reported_state is TargetState.COLD:
-            self.concurrency.reset_to_cold("a reply reported a cold target")
+            self.ramp.reset_to_cold("a reply reported a cold target")
 
     def record_status(self, draining: bool, now: float) -> None:
         """Record whether the status endpoint reports a drain.
@@ -95,7 +93,7 @@
             self.statuses_without_drain += 1
             if self.statuses_without_drain >= DRAIN_END_STATUSES:
                 self.draining = False
-                self.concurrency.reset_to_unknown()
+                self.ramp.reset_to_unknown()
 
     def update_vm_state(self, listed: TargetState, incarnation: str) -> None:
         """Apply the VM's state and incarnation from the platform's list of VMs.
@@ -103,11 +101,11 @@
         ``listed`` is ``DRAINING``, ``GONE`` or, for a VM that stays, ``UNKNOWN``.
         """
         if self.listed is not TargetState.UNKNOWN and listed is TargetState.UNKNOWN:
-            self.concurrency.reset_to_unknown()
+            self.ramp.reset_to_unknown()
         self.listed = listed
         if incarnation == self.incarnation:
             return
         if self.incarnation:
             self.draining = False
-            self.concurrency.reset_to_unknown()
+            self.ramp.reset_to_unknown()
         self.incarnation = incarnation
--- a/sardinehook/target/concurrency_limit.py
+++ b/sardinehook/target/concurrency_limit.py
@@ -19,12 +19,12 @@
     Any sign of a cold start resets the limit to ``cold_start_slots`` at once. The
     passage of time alone changes nothing.
 
-    >>> concurrency = ConcurrencyLimit(cold_start_slots=1, slots=2)
-    >>> concurrency.limit, concurrency.state.name
+    >>> ramp = ConcurrencyLimit(cold_start_slots=1, slots=2)
+    >>> ramp.bound, ramp.state.name
     (1, 'UNKNOWN')
     >>> for _ in range(8):
-    ...     concurrency.record_success(TargetState.WARM, at_limit=True, slow=False)
-    >>> concurrency.limit, concurrency.state.name
+    ...     ramp.record_success(TargetState.WARM, at_limit=True, slow=False)
+    >>> ramp.bound, ramp.state.name
     (2, 'WARM')
     """
 
@@ -33,7 +33,7 @@
         self.slots = slots
         self.state = TargetState.UNKNOWN
         self.cause = ""
-        self.limit = min(cold_start_slots, slots)
+        self.bound = min(cold_start_slots, slots)
         self.successes = 0
         self.slow_replies = 0
         self.timeouts = 0
@@ -43,8 +43,8 @@
         grown = slots > self.slots
         self.slots = slots
         if grown and self.state is TargetState.WARM:
-            self.limit = slots
-        self.limit = min(self.limit, slots)
+            self.bound = slots
+        self.bound = min(self.bound, slots)
 
     def record_success(
         self, reported_state: TargetState, at_limit: bool, slow: bool
@@ -63,7 +63,7 @@
             self.record_slow_reply()
             return
         self.slow_replies = 0
-        at_top = self.limit == self.slots
+        at_top = self.bound == self.slots
         if at_top and self.state is TargetState.WARM:
             return
         if at_limit or at_top:
@@ -81,8 +81,8 @@
         if self.successes < SUCCESSES_PER_STEP:
             return
         self.successes = 0
-        self.limit = min(self.limit + 1, self.slots)
-        if self.limit == self.slots:
+        self.bound = min(self.bound + 1, self.slots)
+        if self.bound == self.slots:
             self.state = TargetState.WARM
 
     def record_timeout(self) -> None:
@@ -94,14 +94,14 @@
     def record_shed(self) -> None:
         """Halve the limit, to one at least, after the target shed a sub-query."""
         self.successes = 0
-        self.limit = max(1, self.limit // 2)
+        self.bound = max(1, self.bound // 2)
 
     def reset_to_cold(self, cause: str) -> None:
         """Treat the replica as cold; ``cause`` appears in the log."""
         if self.state is not TargetState.COLD:
             self.cause = cause
         self.state = TargetState.COLD
-        self.limit = min(self.cold_start_slots, self.slots)
+        self.bound = min(self.cold_start_slots, self.slots)
         self.successes = 0
         self.slow_replies = 0
         self.timeouts = 0
@@ -110,7 +110,7 @@
         """Adopt the warm state seen by another owner unless the state is known here."""
         if self.state is TargetState.UNKNOWN:
             self.state = TargetState.WARM
-            self.limit = self.slots
+            self.bound = self.slots
 
     def reset_to_unknown(self) -> None:
         """Discard the state; an unknown replica has the limit of a cold one."""
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -99,7 +99,7 @@
         self.host = host
         self.occupancy_margin_s = occupancy_margin_s
         self.health = health
-        self.concurrency = health.concurrency
+        self.ramp = health.ramp
         self.pool = pool
         self.reactor = pool.reactor
         self.events = events
@@ -124,7 +124,7 @@
         exchange_id = self.ids.new_id()
         expires_at = task.deadline_at + self.occupancy_margin_s
         self.occupancy.begin(exchange_id, expires_at)
-        at_limit = len(self.occupancy.expires_at) >= self.concurrency.limit
+        at_limit = len(self.occupancy.expires_at) >= self.ramp.bound
         probe_at = self.probe_time(task, connection, now, left_s)
         running = RunningExchange(
             task, exchange_id, connection, at_limit, now, expires_at, probe_at
@@ -163,11 +163,11 @@
                 if not running.abandoned:
                     self.record_reply(running, reply)
             case Malformed(detail):
-                self.concurrency.reset_to_cold("malformed reply")
+                self.ramp.reset_to_cold("malformed reply")
                 malformed = Result(Outcome.GARBLED, True)
                 self.events.completed(running.task, malformed, detail, None)
             case Lost(detail):
-                self.concurrency.reset_to_cold("connection lost")
+                self.ramp.reset_to_cold("connection lost")
                 self.retry(running, detail)
         self.events.capacity_changed()
 
@@ -210,7 +210,7 @@
         likely_s = self.health.service_time.likely_ms / 1000.0
         if self.reactor.seconds() + likely_s >= task.deadline_at:
             return False
-        return self.in_flight < self.concurrency.limit
+        return self.in_flight < self.ramp.bound
 
     def cancel(self, task: Task) -> None:
         """Cancel at the target a task that was completed as cancelled."""
@@ -263,7 +263,7 @@
         until the exchange expires, in case the request is running after all.
         """
         self.drop(running)
-        if self.concurrency.state is TargetState.WARM:
+        if self.ramp.state is TargetState.WARM:
             self.occupancy.end(running.exchange_id)
 
     def sweep(self, now: float) -> None:
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -18,8 +18,8 @@
     """Concurrency limit, availability, service time and versions of one replica."""
 
     def __init__(self, index: Index) -> None:
-        self.concurrency = ConcurrencyLimit(index.cold_start_slots, index.slots)
-        self.availability = Availability(self.concurrency)
+        self.ramp = ConcurrencyLimit(index.cold_start_slots, index.slots)
+        self.availability = Availability(self.ramp)
         self.service_time = ServiceTime()
         self.status = ReplicaStatus()
 
@@ -41,11 +41,11 @@
             case Outcome.ANSWERED:
                 slow = self.service_time.is_slow(took_ms)
                 self.service_time.observe(took_ms)
-                self.concurrency.record_success(reply.head.state, at_limit, slow)
+                self.ramp.record_success(reply.head.state, at_limit, slow)
             case Outcome.SHED:
-                self.concurrency.record_shed()
+                self.ramp.record_shed()
             case Outcome.FAILED if reply.status == 503:
-                self.concurrency.record_shed()
+                self.ramp.record_shed()
             case _:
                 pass
 
@@ -62,15 +62,15 @@
         if waited_ms <= self.service_time.mean_ms:
             return
         if self.service_time.is_slow(waited_ms):
-            self.concurrency.record_slow_reply()
+            self.ramp.record_slow_reply()
         self.service_time.observe(waited_ms)
 
     def record_timeout(self, waited_ms: float) -> None:
         """Record a deadline that passed without a reply."""
-        self.concurrency.record_timeout()
+        self.ramp.record_timeout()
         self.service_time.observe(waited_ms)
 
     def wait_ms(self, ahead: int) -> float:
         """Estimate the time in queue and service behind ``ahead`` sub-queries."""
-        turns = ahead // max(1, self.concurrency.limit)
+        turns = ahead // max(1, self.ramp.bound)
         return turns * self.service_time.mean_ms + self.service_time.likely_ms
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -51,7 +51,7 @@
         self.replica = replica
         self.allowance = NO_ALLOWANCE
         self.health = ReplicaHealth(index)
-        self.concurrency = self.health.concurrency
+        self.ramp = self.health.ramp
         self.availability = self.health.availability
         limits = context.limits
         self.queue = ReplicaQueue(limits.queue_length)
@@ -94,7 +94,7 @@
     def configure(self, index: Index) -> None:
         """Apply the settings of the replica's index."""
         self.index = index
-        self.concurrency.cold_start_slots = index.cold_start_slots
+        self.ramp.cold_start_slots = index.cold_start_slots
 
     def set_allowance(self, allowance: Allowance | None) -> None:
         """Change the allowance; without one the queue is refused."""
@@ -102,10 +102,10 @@
         if allowance is None:
             self.allowance = NO_ALLOWANCE
             self.refuse_queue("this owner has no allowance for the replica")
-            self.concurrency.reset_to_unknown()
+            self.ramp.reset_to_unknown()
         else:
             self.allowance = allowance
-            self.concurrency.set_slots(allowance.slots)
+            self.ramp.set_slots(allowance.slots)
         self.pool.set_allowance(self.allowance.connections)
         self.dispatch()
 
@@ -120,9 +120,9 @@
         if self.allowance.may_serve_cold or not self.has_allowance:
             return
         if state is TargetState.WARM:
-            self.concurrency.assume_warm()
-        elif self.concurrency.state is TargetState.WARM:
-            self.concurrency.reset_to_unknown()
+            self.ramp.assume_warm()
+        elif self.ramp.state is TargetState.WARM:
+            self.ramp.reset_to_unknown()
             self.refuse_if_unavailable()
 
     def submit(self, task: Task) -> None:
@@ -144,7 +144,7 @@
 
     def send_immediately(self, task: Task) -> bool:
         """Send ``task`` without queueing if a slot and a connection are free."""
-        if self.exchanges.in_flight >= self.concurrency.limit:
+        if self.exchanges.in_flight >= self.ramp.bound:
             return False
         if task.deadline_at < task.received_at + MIN_SEND_S:
             return False
@@ -163,7 +163,7 @@
         ahead = self.exchanges.in_flight
         if self.queue.entries:
             ahead += self.queue.ahead_of(task.sub_query.priority, task.deadline_at)
-        if ahead < self.concurrency.limit:
+        if ahead < self.ramp.bound:
             return ""
         wait_s = self.health.wait_ms(ahead) / 1000.0
         if task.received_at + wait_s > task.deadline_at:
@@ -185,7 +185,7 @@
         for task in self.queue.remove_unservable(now, needed_s):
             self.refuse(task, "too little time left after waiting in the queue")
         while self.queue.entries and self.accepts_work:
-            if self.exchanges.in_flight >= self.concurrency.limit:
+            if self.exchanges.in_flight >= self.ramp.bound:
                 return
             connection = self.pool.acquire(self.queue.entries[0].task.active_since)
             if connection is None:
@@ -202,7 +202,7 @@
         if not self.availability.draining:
             wanted += SPARE_CONNECTIONS
         if self.queue.entries:
-            free_slots = max(0, self.concurrency.limit - self.exchanges.in_flight)
+            free_slots = max(0, self.ramp.bound - self.exchanges.in_flight)
             wanted += min(len(self.queue.entries), free_slots)
         if wanted > len(pool.idle) + pool.opening:
             pool.ensure_available(wanted)
@@ -277,7 +277,7 @@
     def connection_ended(self, clean: bool) -> None:
         """Treat the replica as cold after an unclean close or that of the last one."""
         if not clean or not self.pool.open_count():
-            self.concurrency.reset_to_cold("connection lost")
+            self.ramp.reset_to_cold("connection lost")
         self.dispatch()
         self.event_log.log_changes()
 
@@ -312,10 +312,7 @@
         self.complete(task, result, detail, reply)
         if self.queue.entries:
             self.refuse_if_unavailable()
-        if (
-            self.concurrency.state is not self.event_log.state
-            or self.availability.leaving
-        ):
+        if self.ramp.state is not self.event_log.state or self.availability.leaving:
             self.event_log.log_changes()
 
     def requeue(self, task: Task) -> None:
@@ -341,7 +338,7 @@
     def view(self) -> ReplicaView:
         """Return the view of the replica that is published to other processes."""
         ahead = self.exchanges.in_flight + len(self.queue)
-        room = max(0, self.concurrency.limit - ahead) if self.accepts_work else 0
+        room = max(0, self.ramp.bound - ahead) if self.accepts_work else 0
         status = self.health.status
         return ReplicaView(
             self.replica.name,
