--- a/sardinehook/target/outcome.py
+++ b/sardinehook/target/outcome.py
@@ -25,7 +25,8 @@
 
     >>> from sardinehook.target.codec import ReplyHead
     >>> query = SubQuery(1, "r", "s", "s-a", 7, 0, 100.0, 5, "", b"")
-    >>> judge(query, TargetReply(200, ReplyHead(index_version=8), b""), True).outcome
+    >>> reply = TargetReply(200, ReplyHead(index_version=8), b"")
+    >>> classify_reply(query, reply, in_time=True).outcome
     <Outcome.WRONG_VERSION: 4>
     """
     match reply.status:
--- a/sardinehook/target/task.py
+++ b/sardinehook/target/task.py
@@ -22,11 +22,11 @@
 
 @dataclass(slots=True, eq=False)
 class Task:
-    """A sub-query on its way through the owner; times in seconds of one clock.
+    """A submitted sub-query; times are in seconds of the reactor's clock.
 
-    ``active_since`` rules out connections that have shown no life since then.
-    ``may_have_begun`` is set once a byte may have left. ``retries`` counts the tries
-    that were given up.
+    ``active_since`` excludes connections that were not used since then.
+    ``may_have_begun`` is set when the sub-query is sent. ``retries`` counts how often
+    it was queued again. ``completed`` is set once the reply was given.
     """
 
     key: TaskKey
