--- /dev/null
+++ b/sardinehook/gateway/heartbeat.py
@@ -0,0 +1,100 @@
+"""Heartbeats that delegates send to the gateways whose searches they run."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import structlog
+from twisted.internet.protocol import DatagramProtocol
+
+from sardinehook.gateway.fleet import GatewayFleet
+from sardinehook.observe.events import EventName, log_event
+
+__all__ = ["HeartbeatProtocol"]
+
+logger = structlog.get_logger(__name__)
+
+MALFORMED_LOGGED = 3  # bounds the log lines about faulty senders
+
+
+class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
+    """A heartbeat: its sender, and whether that can't reach most replicas."""
+
+    node: str
+    cut_off: bool
+
+
+encode_heartbeat = msgspec.msgpack.Encoder().encode
+decode_heartbeat = msgspec.msgpack.Decoder(Heartbeat).decode
+
+
+class HeartbeatProtocol(DatagramProtocol):
+    """Sends heartbeats to other gateways of the data centre, and receives theirs.
+
+    A connection to a paused or cut-off process shows no error for seconds, whereas
+    missing heartbeats are detected within a second. ``is_cut_off`` returns whether this
+    gateway can't reach most of the replicas that it searches. ``on_heartbeat`` receives
+    the name of each registered sender, and whether that one is cut off.
+    """
+
+    def __init__(
+        self,
+        fleet: GatewayFleet,
+        is_cut_off: Callable[[], bool],
+        on_heartbeat: Callable[[str, bool], None],
+    ) -> None:
+        self.fleet = fleet
+        self.is_cut_off = is_cut_off
+        self.on_heartbeat = on_heartbeat
+        self.sends_heartbeats = False
+        self.was_cut_off = False
+        self.malformed = 0
+
+    def send(self) -> None:
+        """Send a heartbeat to each gateway that may delegate searches to this one."""
+        # The zope interface that mypy reads here declares ``write`` without ``self``.
+        port: Any = self.transport
+        if port is None or not self.sends_heartbeats:
+            return
+        own = self.fleet.record
+        # After a pause all replicas seem unreachable until pending input is read:
+        # report the state only if two checks in a row agree that it is cut off.
+        before, self.was_cut_off = self.was_cut_off, self.is_cut_off()
+        heartbeat = encode_heartbeat(
+            Heartbeat(self.fleet.node, before and self.was_cut_off)
+        )
+        for record in self.fleet.registered_records().values():
+            lower_bandwidth = record.link_mbps < own.link_mbps
+            if (
+                record.data_centre == own.data_centre
+                and lower_bandwidth
+                and record.signs_at
+            ):
+                host, _, number = record.signs_at.rpartition(":")
+                port.write(heartbeat, (host, int(number)))
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Report a heartbeat of a registered gateway; log any other datagram."""
+        try:
+            heartbeat = decode_heartbeat(datagram)
+        except msgspec.MsgspecError as error:
+            self.log_malformed(addr[0], str(error))
+            return
+        if heartbeat.node in self.fleet.records:
+            self.on_heartbeat(heartbeat.node, heartbeat.cut_off)
+        else:
+            self.log_malformed(addr[0], f"{heartbeat.node!r} is not registered")
+
+    def log_malformed(self, address: str, detail: str) -> None:
+        """Log the first datagrams that are no heartbeats of a registered gateway."""
+        self.malformed += 1
+        if self.malformed <= MALFORMED_LOGGED:
+            log_event(
+                logger,
+                EventName.MEMBER_STATE,
+                peer=address,
+                state="invalid heartbeat",
+                detail=detail,
+            )
--- /dev/null
+++ b/sardinehook/gateway/watch_cache.py
@@ -0,0 +1,156 @@
+"""Cached state of the store with a log of recent changes, as sent between gateways."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+from zlib import compress, decompressobj
+from zlib import error as zlib_error
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from sardinehook.gateway.store import Changes, Item
+
+__all__ = ["StateUpdate", "WatchCache", "decode_update", "encode_update"]
+
+MAX_LOGGED_CHANGES = (
+    2000  # for gateways that lag: some minutes of changes in a busy store
+)
+PLAIN = b"m"
+COMPRESSED = b"z"
+COMPRESSION_THRESHOLD_BYTES = 1400  # a body that fits one packet stays plain
+COMPRESSION_LEVEL = 1  # the fastest level
+MAX_BODY_BYTES = 64 * 1024 * 1024  # bounds the memory for a malformed body
+
+
+class StateUpdate(NamedTuple):
+    """The store's state or its recent changes, as one gateway sends them to another.
+
+    ``whole`` is set if the items are a full listing instead of changes only.
+    ``current`` is set if the sender reads the store itself and its last call there
+    succeeded.
+    """
+
+    changes: Changes
+    whole: bool
+    current: bool
+
+
+class WireItem(msgspec.Struct, array_like=True):
+    """The wire format of ``Item``; ``value`` is ``None`` if the key was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class WireUpdate(msgspec.Struct, array_like=True):
+    """The wire format of ``StateUpdate``."""
+
+    revision: int
+    whole: bool
+    current: bool
+    items: list[WireItem]
+
+
+def encode_update(update: StateUpdate) -> bytes:
+    """Encode an update; bodies above the threshold are compressed.
+
+    A configuration is large and repetitive, and many gateways request it at once.
+    """
+    items = [WireItem(*item) for item in update.changes.items]
+    wire = WireUpdate(update.changes.revision, update.whole, update.current, items)
+    body = msgspec.msgpack.encode(wire)
+    if len(body) < COMPRESSION_THRESHOLD_BYTES:
+        return PLAIN + body
+    return COMPRESSED + compress(body, COMPRESSION_LEVEL)
+
+
+def decode_update(body: bytes) -> Result[StateUpdate, str]:
+    """Decode an update; the failure says why the body is malformed.
+
+    >>> update = StateUpdate(Changes((Item("a", b"1", 5),), 7), True, True)
+    >>> decode_update(encode_update(update)).unwrap() == update
+    True
+    >>> decode_update(b"x").failure()
+    "malformed update of a peer: unknown encoding b'x'"
+    """
+    try:
+        wire = msgspec.msgpack.decode(unpack(body), type=WireUpdate)
+    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError, zlib_error) as error:
+        return Failure(f"malformed update of a peer: {error}")
+    items = tuple(Item(item.key, item.value, item.revision) for item in wire.items)
+    return Success(StateUpdate(Changes(items, wire.revision), wire.whole, wire.current))
+
+
+def unpack(body: bytes) -> bytes:
+    """Return the content of a body, decompressed up to ``MAX_BODY_BYTES``."""
+    encoding, content = body[:1], body[1:]
+    if encoding == PLAIN:
+        return content
+    if encoding != COMPRESSED:
+        raise ValueError(f"unknown encoding {encoding!r}")
+    return decompressobj().decompress(content, MAX_BODY_BYTES)
+
+
+class WatchCache:
+    """All keys as of ``revision``, which is ``None`` before the first listing.
+
+    Changes after the revision ``logged_from`` are logged, so that other gateways can
+    be sent these instead of a full listing.
+
+    >>> cache = WatchCache()
+    >>> cache.replace(Changes((Item("a", b"1", 3),), 5))
+    >>> cache.apply(Changes((Item("a", None, 6),), 6))
+    >>> cache.changes_after(5)
+    Changes(items=(Item(key='a', value=None, revision=6),), revision=6)
+    >>> cache.changes_after(4) is None
+    True
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.revision: int | None = None
+        self.log: deque[Item] = deque()
+        self.logged_from = 0
+
+    def replace(self, listing: Changes) -> None:
+        """Replace all keys with a full listing, and clear the log."""
+        self.items = {item.key: item for item in listing.items}
+        self.revision = self.logged_from = listing.revision
+        self.log.clear()
+
+    def apply(self, changes: Changes) -> None:
+        """Apply the changes since ``revision``."""
+        self.revision = max(self.revision or 0, changes.revision)
+        for item in changes.items:
+            self.apply_item(item)
+
+    def apply_item(self, item: Item) -> None:
+        """Apply and log one change, evicting the oldest one from a full log."""
+        if item.value is None:
+            self.items.pop(item.key, None)
+        else:
+            self.items[item.key] = item
+        self.log.append(item)
+        if len(self.log) > MAX_LOGGED_CHANGES:
+            self.logged_from = self.log.popleft().revision
+
+    def changes_after(self, revision: int) -> Changes | None:
+        """Return the changes after a revision, ``None`` if the log begins later.
+
+        Of several changes of one key, only the last is returned.
+        """
+        if self.revision is None or revision < self.logged_from:
+            return None
+        last: dict[str, Item] = {}
+        for item in self.log:
+            if item.revision > revision:
+                last.pop(item.key, None)
+                last[item.key] = item
+        return Changes(tuple(last.values()), max(self.revision, revision))
+
+    def listing(self) -> Changes:
+        """Return a full listing."""
+        return Changes(tuple(self.items.values()), self.revision or 0)
--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -8,7 +8,7 @@
 from twisted.internet.defer import Deferred
 
 from sardinehook.environment.document import Index, Replica
-from sardinehook.messages import Outcome, ReplicaView, SubQuery, SubReply, TargetState
+from sardinehook.messages import Outcome, ReplicaReport, SubQuery, SubReply, TargetState
 from sardinehook.target.allowance import Allowance
 from sardinehook.target.counts import OwnerCounts, count_usage
 from sardinehook.target.exchanges import ExchangeIds
@@ -154,7 +154,7 @@
         """Remove a task that is given its reply."""
         self.task.pop(task.key, None)
 
-    def views(self) -> list[ReplicaView]:
+    def views(self) -> list[ReplicaReport]:
         """Return the view of each replica with an allowance here."""
         return [
             client.view() for client in self.clients.values() if client.has_allowance
--- a/sardinehook/target/replica_client.py
+++ b/sardinehook/target/replica_client.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from sardinehook.environment.document import Index, Replica
-from sardinehook.messages import Outcome, ReplicaView, TargetState
+from sardinehook.messages import Outcome, ReplicaReport, TargetState
 from sardinehook.target.allowance import Allowance
 from sardinehook.target.codec import TargetReply
 from sardinehook.target.event_log import ReplicaEventLog
@@ -335,12 +335,12 @@
             self.context.completed(task)
             task.complete(result, detail, reply, self.reactor.seconds())
 
-    def view(self) -> ReplicaView:
+    def view(self) -> ReplicaReport:
         """Return the view of the replica that is published to other processes."""
         ahead = self.exchanges.in_flight + len(self.queue)
         room = max(0, self.ramp.bound - ahead) if self.accepts_work else 0
         status = self.health.status
-        return ReplicaView(
+        return ReplicaReport(
             self.replica.name,
             self.availability.state,
             status.index_versions,
