--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -35,7 +35,7 @@
         self.allowances: dict[str, Allowance] = {}
         self.retired: list[ReplicaClient] = []
         self.to_sweep: set[ReplicaClient] = set()
-        self.task: dict[TaskKey, tuple[Task, ReplicaClient]] = {}
+        self.tasks: dict[TaskKey, tuple[Task, ReplicaClient]] = {}
         self.context = ClientContext(
             reactor,
             limits,
@@ -128,7 +128,7 @@
         dropped without a call: the reply to the first counts for both.
         """
         key = TaskKey(sender, sub_query.sub_query_id)
-        if key in self.task:
+        if key in self.tasks:
             return
         now = self.reactor.seconds()
         deadline_at = now + sub_query.deadline_ms / 1000.0
@@ -139,20 +139,20 @@
         elif self.closed is not None:
             reply(refused(sub_query, "the owner is stopping"))
         else:
-            self.task[key] = (task, client)
+            self.tasks[key] = (task, client)
             self.schedule_sweep(client)
             client.submit(task)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
         """Complete a sub-query as cancelled; no effect if it has already ended."""
-        found = self.task.get(TaskKey(sender, sub_query_id))
+        found = self.tasks.get(TaskKey(sender, sub_query_id))
         if found is not None:
             task, client = found
             client.cancel(task)
 
     def completed(self, task: Task) -> None:
         """Remove a task that is given its reply."""
-        self.task.pop(task.key, None)
+        self.tasks.pop(task.key, None)
 
     def views(self) -> list[ReplicaReport]:
         """Return the view of each replica with an allowance here."""
