Name the tests of targets after the behaviour they check

They now name the subject and the result; headers say what a file covers. The number of tests and what they assert are as before.

--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -1,4 +1,4 @@
-"""A reactor and targets in memory, driven step by step by tests."""
+"""An in-memory reactor and target connections, driven step by step by tests."""
 
 from __future__ import annotations
 
@@ -25,14 +25,14 @@
 
 
 class FakeLink:
-    """The far end of one connection: what came, and a way to answer."""
+    """The target's end of one connection: records requests and sends replies."""
 
     def __init__(self, protocol: TargetConnection) -> None:
         self.protocol = protocol
         self.requests: list[bytes] = []
         self.open = True
         self.half_closed = False
-        self.closes_in_turn = True
+        self.closes_own_side = True
 
     def write(self, data: bytes) -> None:
         self.requests.append(data)
@@ -53,7 +53,7 @@
     def loseWriteConnection(self) -> None:
         assert self.open, "the socket is closed"
         self.half_closed = True
-        if self.closes_in_turn:
+        if self.closes_own_side:
             self.drop(ConnectionDone())
 
     def abortConnection(self) -> None:
@@ -82,7 +82,7 @@
     def answer(
         self, status: int = 200, body: bytes = b"{}", **headers: str | int
     ) -> None:
-        """Answer the last request; ``headers`` change or add to the usual ones."""
+        """Reply to the last request; ``headers`` override or extend the defaults."""
         self.protocol.dataReceived(
             reply_bytes(
                 status,
@@ -107,7 +107,7 @@
 
 
 def failure(error: Exception) -> Failure:
-    """Return ``error`` as Twisted passes it on."""
+    """Wrap ``error`` as Twisted passes it to protocols."""
     return Failure(error)
 
 
@@ -117,7 +117,7 @@
 
 
 class FakeReactor(Clock):
-    """A clock that also opens connections when the test says so."""
+    """A clock that also accepts or refuses connections as the test sets it."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -131,10 +131,10 @@
     ) -> None:
         self.attempts.append(factory)
         if self.accepts or self.refuses:
-            self.callLater(0.001, self.settle, factory)
+            self.callLater(0.001, self.finish_attempt, factory)
 
-    def settle(self, factory: ClientFactory) -> None:
-        """Establish or refuse one attempt."""
+    def finish_attempt(self, factory: ClientFactory) -> None:
+        """Accept or refuse one connection attempt."""
         if self.refuses:
             error = ConnectionRefusedError()
             factory.clientConnectionFailed(cast(IConnector, self), failure(error))
@@ -153,7 +153,7 @@
 
 
 class Rig:
-    """An owner of one replica with all replies it has given."""
+    """An owner of one replica, with the replies that it has given."""
 
     def __init__(
         self, slots: int = 2, cold: int = 1, allowance: Allowance | None = None
@@ -171,23 +171,23 @@
         self.answer_status()
 
     def answer_status(self) -> None:
-        """Answer status polls that are open."""
+        """Reply to the pending status polls."""
         for link in self.busy("GET /status"):
             link.answer(body=b'{"index_versions":[1],"partitioning":1}')
 
     def advance(self, seconds: float) -> None:
-        """Let time pass in sweeps' steps."""
+        """Advance the clock in steps of one millisecond."""
         for _ in range(max(1, round(seconds / 0.001))):
             self.reactor.advance(0.001)
 
     def submit(self, *sub_queries: SubQuery) -> None:
-        """Submit sub-queries and let connections be opened."""
+        """Submit sub-queries and advance the clock so that connections open."""
         for sub_query in sub_queries:
             self.owner.submit("peer", sub_query, self.replies.append)
         self.advance(0.003)
 
     def busy(self, start: str = "POST /services") -> list[FakeLink]:
-        """Return the open links whose last request still waits for its answer."""
+        """Return the open links whose last request has no reply yet."""
         return [
             link
             for link in self.reactor.links
@@ -197,7 +197,7 @@
         ]
 
     def sent(self, request_id: str) -> int:
-        """Return how often a sub-query of this request has come to the target."""
+        """Return how often a sub-query of this request was sent to the target."""
         wanted = f"Request-Id: {request_id}\r\n".encode()
         return sum(
             request.startswith(b"POST /services") and wanted in request
@@ -206,7 +206,7 @@
         )
 
     def warm_up(self) -> None:
-        """Take the replica to warm by good replies at full use."""
+        """Warm up the replica by timely replies at the concurrency limit."""
         number = 10_000
         while self.runner.ramp.state.name != "WARM":
             for _ in range(self.runner.ramp.bound):
@@ -217,5 +217,5 @@
         self.replies.clear()
 
     def outcomes(self) -> list[Outcome]:
-        """Return how the sub-queries have ended, in order."""
+        """Return the outcomes of the replies, in order."""
         return [reply.outcome for reply in self.replies]
--- a/tests/target/test_availability.py
+++ b/tests/target/test_availability.py
@@ -1,4 +1,4 @@
-"""Tests of leaving and returning replicas."""
+"""Tests of replicas that leave and return."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class TestLeaving:
-    def test_its_own_signal_ends_new_work_and_refuses_the_queue(self) -> None:
+    def test_drain_signal_refuses_new_and_queued_sub_queries(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2))
         rig.busy()[0].answer(Target_State="draining")
@@ -22,21 +22,21 @@
         assert rig.owner.views()[0].state is TargetState.DRAINING
 
     @pytest.mark.parametrize("listed", [TargetState.DRAINING, TargetState.GONE])
-    def test_the_list_of_vms_ends_new_work(self, listed: TargetState) -> None:
+    def test_leaving_vm_refuses_new_sub_queries(self, listed: TargetState) -> None:
         rig = Rig()
         rig.owner.update_vm_state("s-a", listed)
         rig.submit(query())
         assert rig.outcomes() == [Outcome.NOT_RUN]
         assert rig.owner.views()[0].state is listed
 
-    def test_work_in_flight_is_finished(self) -> None:
+    def test_sub_query_in_flight_finishes_while_draining(self) -> None:
         rig = Rig()
         rig.submit(query(1))
         rig.owner.update_vm_state("s-a", TargetState.DRAINING)
         rig.busy()[0].answer()
         assert rig.outcomes() == [Outcome.ANSWERED]
 
-    def test_a_refused_connection_ends_new_work(self) -> None:
+    def test_refused_connection_refuses_new_sub_queries(self) -> None:
         rig = Rig()
         rig.reactor.refuses = True
         for link in rig.reactor.links:
@@ -47,7 +47,7 @@
 
 
 class TestReturning:
-    def test_a_target_that_accepts_again_is_unknown(self) -> None:
+    def test_target_that_accepts_connections_again_is_unknown(self) -> None:
         rig = Rig()
         rig.warm_up()
         rig.reactor.refuses = True
@@ -59,21 +59,21 @@
         (view,) = rig.owner.views()
         assert (view.state, view.free_slots) == (TargetState.UNKNOWN, 1)
 
-    def test_a_misleading_status_does_not_end_a_drain(self) -> None:
+    def test_outdated_status_does_not_end_a_drain(self) -> None:
         availability = Availability(ConcurrencyLimit(1, 2))
         availability.record_reply_state(TargetState.DRAINING, now=0.0)
         for second in range(9):
             availability.record_status(draining=False, now=float(second))
         assert availability.leaving
 
-    def test_a_drain_that_was_taken_back_ends_after_the_hold(self) -> None:
+    def test_revoked_drain_ends_after_the_hold_time(self) -> None:
         availability = Availability(ConcurrencyLimit(1, 2))
         availability.record_reply_state(TargetState.DRAINING, now=0.0)
         for second in range(3):
             availability.record_status(draining=False, now=DRAIN_HOLD_S + second)
         assert availability.state is TargetState.UNKNOWN
 
-    def test_a_return_by_the_list_starts_unknown(self) -> None:
+    def test_vm_that_returns_starts_unknown(self) -> None:
         rig = Rig()
         rig.warm_up()
         rig.owner.update_vm_state("s-a", TargetState.DRAINING)
@@ -82,7 +82,7 @@
 
 
 class TestStatusEndpoint:
-    def test_what_replies_show_goes_before_a_lying_status(self) -> None:
+    def test_versions_in_replies_take_precedence_over_the_status(self) -> None:
         rig = Rig()
         rig.submit(query(1))
         rig.busy()[0].answer(Index_Versions_Held="6,7", Partitioning_Version=3)
@@ -92,7 +92,7 @@
         assert (view.index_versions, view.partitioning) == ((6, 7), 3)
 
     @pytest.mark.parametrize("body", [b"", b"[]", b'{"index_versions":"all"}'])
-    def test_a_malformed_status_changes_nothing(self, body: bytes) -> None:
+    def test_malformed_status_is_ignored(self, body: bytes) -> None:
         rig = Rig()
         rig.runner.poll_status()
         rig.busy("GET /status")[0].answer(body=body)
@@ -100,7 +100,7 @@
 
 
 class TestEventLog:
-    def test_each_change_is_logged_once_with_its_cause(self) -> None:
+    def test_each_state_change_is_logged_once_with_its_cause(self) -> None:
         with capture_logs() as logs:
             rig = Rig()
             rig.submit(query(1))
--- a/tests/target/test_connection.py
+++ b/tests/target/test_connection.py
@@ -1,4 +1,4 @@
-"""Tests of one connection: own replies, truncated ones, bounds."""
+"""Tests of one connection: matching of replies, truncation, size limits."""
 
 from __future__ import annotations
 
@@ -38,8 +38,8 @@
         return self.ends[-1]
 
 
-class TestOwnReplies:
-    def test_a_matching_reply_leaves_the_connection_usable(self) -> None:
+class TestReplyMatching:
+    def test_matching_reply_leaves_the_connection_reusable(self) -> None:
         exchange = Exchange()
         end = exchange.receive(reply_bytes(200, b"hit", **OWN))
         assert isinstance(end, Replied)
@@ -47,30 +47,32 @@
         assert exchange.connection.idle
 
     @pytest.mark.parametrize("header", ["Request_Id", "Sub_Query_Id"])
-    def test_a_foreign_reply_is_garbled_and_closes(self, header: str) -> None:
+    def test_reply_with_other_ids_is_malformed_and_closes_the_connection(
+        self, header: str
+    ) -> None:
         exchange = Exchange()
         end = exchange.receive(reply_bytes(200, b"hit", **{**OWN, header: "other"}))
         assert isinstance(end, Malformed)
         assert not exchange.link.open
 
-    def test_a_reply_without_ids_is_garbled(self) -> None:
+    def test_reply_without_ids_is_malformed(self) -> None:
         assert isinstance(Exchange().receive(reply_bytes(200, b"hit")), Malformed)
 
-    def test_a_duplicate_in_the_same_segment_closes_after_the_reply(self) -> None:
+    def test_duplicate_reply_in_the_same_segment_closes_the_connection(self) -> None:
         exchange = Exchange()
         end = exchange.receive(reply_bytes(200, b"hit", **OWN) * 2)
         assert isinstance(end, Replied)
         assert end.reply.body == b"hit"
         assert not exchange.link.open
 
-    def test_a_late_duplicate_closes_an_idle_connection(self) -> None:
+    def test_late_duplicate_reply_closes_an_idle_connection(self) -> None:
         exchange = Exchange()
         exchange.receive(reply_bytes(200, b"hit", **OWN))
         exchange.connection.dataReceived(reply_bytes(200, b"hit", **OWN))
         assert not exchange.link.open
         assert len(exchange.ends) == 1
 
-    def test_a_late_duplicate_is_never_the_reply_to_the_next(self) -> None:
+    def test_late_duplicate_reply_is_not_taken_for_the_next_reply(self) -> None:
         exchange = Exchange()
         first = reply_bytes(200, b"old", **OWN)
         exchange.receive(first)
@@ -78,23 +80,23 @@
         assert isinstance(exchange.receive(first), Malformed)
 
 
-class TestBrokenReplies:
-    def test_a_truncated_reply_is_garbled(self) -> None:
+class TestMalformedReplies:
+    def test_truncated_reply_is_malformed(self) -> None:
         exchange = Exchange()
         exchange.connection.dataReceived(reply_bytes(200, b"whole", **OWN)[:-2])
         exchange.link.loseConnection()
         assert isinstance(exchange.ends[-1], Malformed)
 
-    def test_a_close_before_any_byte_is_lost(self) -> None:
+    def test_close_before_any_byte_is_a_lost_connection(self) -> None:
         exchange = Exchange()
         exchange.link.loseConnection()
         assert isinstance(exchange.ends[-1], Lost)
 
-    def test_a_body_beyond_the_bound_is_garbled(self) -> None:
+    def test_body_over_the_limit_is_malformed(self) -> None:
         end = Exchange().receive(reply_bytes(200, b"x" * 101, **OWN))
         assert isinstance(end, Malformed)
 
-    def test_headers_beyond_the_bound_are_garbled(self) -> None:
+    def test_headers_over_the_limit_are_malformed(self) -> None:
         exchange = Exchange()
         assert isinstance(
             exchange.receive(b"HTTP/1.1 200 OK\r\nA: " + b"x" * 600), Malformed
@@ -103,12 +105,12 @@
     @pytest.mark.parametrize(
         "header", ["Index_Version", "Partitioning_Version", "Target_State"]
     )
-    def test_malformed_headers_are_garbled(self, header: str) -> None:
+    def test_invalid_header_values_are_malformed(self, header: str) -> None:
         data = reply_bytes(200, b"", **{**OWN, header: "many"})
         assert isinstance(Exchange().receive(data), Malformed)
 
     @given(st.binary(min_size=1, max_size=300))
-    def test_no_noise_is_taken_for_a_reply(self, noise: bytes) -> None:
+    def test_random_bytes_are_never_a_reply(self, noise: bytes) -> None:
         exchange = Exchange()
         exchange.connection.dataReceived(noise)
         exchange.link.loseConnection()
@@ -116,7 +118,7 @@
         assert not isinstance(exchange.ends[0], Replied)
 
     @given(st.lists(st.integers(0, 120), max_size=4))
-    def test_segments_do_not_matter(self, cuts: list[int]) -> None:
+    def test_reply_may_arrive_in_any_segments(self, cuts: list[int]) -> None:
         exchange = Exchange()
         data = reply_bytes(200, b"whole", **OWN)
         places = [0, *sorted(cuts), len(data)]
--- a/tests/target/test_orders.py
+++ b/tests/target/test_orders.py
@@ -1,4 +1,4 @@
-"""Tests that an order is sent once, and that doubt about it is always said."""
+"""Tests that an order is sent at most once and that a possible run is reported."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 ORDER = query(1, order_key="k")
 
 
-def garble(link: FakeLink) -> None:
+def send_malformed(link: FakeLink) -> None:
     link.protocol.dataReceived(b"nonsense\r\n\r\n")
 
 
@@ -31,7 +31,7 @@
     @pytest.mark.parametrize(
         ("fail", "outcome"),
         [
-            (garble, Outcome.GARBLED),
+            (send_malformed, Outcome.GARBLED),
             (reset, Outcome.CONNECTION_LOST),
             (truncate, Outcome.GARBLED),
             (lambda link: link.answer(500), Outcome.FAILED),
@@ -41,7 +41,7 @@
             (lambda link: link.answer(Sub_Query_Id="other"), Outcome.GARBLED),
         ],
     )
-    def test_after_sending_doubt_is_said_and_nothing_repeated(
+    def test_failure_after_sending_reports_began_and_is_not_retried(
         self, fail: Callable[[FakeLink], None], outcome: Outcome
     ) -> None:
         rig = Rig()
@@ -52,7 +52,7 @@
         assert [(one.outcome, one.began) for one in rig.replies] == [(outcome, True)]
         assert rig.sent("r1") == 1
 
-    def test_a_free_slot_and_time_left_do_not_tempt_to_repeat(self) -> None:
+    def test_order_is_not_retried_even_with_a_free_slot_and_time_left(self) -> None:
         rig = Rig(slots=4, cold=3)
         rig.warm_up()
         rig.submit(ORDER)
@@ -64,14 +64,14 @@
         assert rig.sent("r1") == 1
 
     @pytest.mark.parametrize("status", [412, 503])
-    def test_a_target_that_refuses_says_not_begun(self, status: int) -> None:
+    def test_refusal_by_the_target_reports_not_begun(self, status: int) -> None:
         rig = Rig()
         rig.submit(ORDER)
         rig.busy()[0].answer(status, Not_Run="true")
         assert not rig.replies[0].began
         assert rig.sent("r1") == 1
 
-    def test_an_unreachable_target_means_not_run(self) -> None:
+    def test_unreachable_target_reports_not_run(self) -> None:
         rig = Rig()
         rig.reactor.refuses = True
         for link in rig.reactor.links:
@@ -82,7 +82,7 @@
             (Outcome.NOT_RUN, False)
         ]
 
-    def test_a_lapsed_part_means_not_run(self) -> None:
+    def test_withdrawn_allowance_reports_queued_order_not_run(self) -> None:
         rig = Rig()
         rig.submit(query(9), ORDER)
         rig.owner.set_allowance("s-a", None)
@@ -90,7 +90,7 @@
             (Outcome.NOT_RUN, False)
         ]
 
-    def test_stopping_with_the_order_in_flight_says_doubt(self) -> None:
+    def test_stop_with_the_order_in_flight_reports_began(self) -> None:
         rig = Rig()
         rig.submit(ORDER)
         rig.owner.close(0.01)
@@ -99,7 +99,7 @@
 
 
 class TestConnections:
-    def test_an_order_avoids_a_connection_that_has_long_been_idle(self) -> None:
+    def test_order_avoids_a_long_idle_connection(self) -> None:
         rig = Rig(slots=1, allowance=Allowance(1, 20, True))
         rig.advance(1.0)
         opened = len(rig.reactor.links)
@@ -108,7 +108,7 @@
         (link,) = rig.busy()
         assert rig.reactor.links.index(link) >= opened
 
-    def test_a_search_uses_it(self) -> None:
+    def test_search_uses_a_long_idle_connection(self) -> None:
         rig = Rig()
         rig.advance(1.0)
         opened = len(rig.reactor.links)
--- a/tests/target/test_owner.py
+++ b/tests/target/test_owner.py
@@ -1,4 +1,4 @@
-"""Tests of the owner: one reply each, order, slots, cancellation, stopping."""
+"""Tests of the owner: single replies, queue order, slots, cancellation, stopping."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class TestReplies:
-    def test_an_answer_is_passed_on(self) -> None:
+    def test_reply_fields_and_body_are_passed_on(self) -> None:
         rig = Rig()
         rig.submit(query(index_version=7, partitioning=2))
         rig.busy()[0].answer(body=b"hits")
@@ -22,26 +22,26 @@
             b"hits",
         )
 
-    def test_another_version_is_not_an_answer(self) -> None:
+    def test_reply_from_another_version_is_wrong_version(self) -> None:
         rig = Rig()
         rig.submit(query(index_version=7))
         rig.busy()[0].answer(Index_Version=8)
         assert rig.outcomes() == [Outcome.WRONG_VERSION]
         assert rig.replies[0].body == b""
 
-    def test_a_shed_sub_query_did_not_begin(self) -> None:
+    def test_shed_sub_query_reports_not_begun(self) -> None:
         rig = Rig()
         rig.submit(query())
         rig.busy()[0].answer(503, Not_Run="true")
         assert (rig.replies[0].outcome, rig.replies[0].began) == (Outcome.SHED, False)
 
-    def test_a_503_without_the_mark_may_have_begun(self) -> None:
+    def test_503_without_not_run_header_reports_began(self) -> None:
         rig = Rig()
         rig.submit(query(order_key="k"))
         rig.busy()[0].answer(503)
         assert (rig.replies[0].outcome, rig.replies[0].began) == (Outcome.FAILED, True)
 
-    def test_no_answer_by_the_deadline_is_late_and_given_once(self) -> None:
+    def test_missed_deadline_is_reported_late_exactly_once(self) -> None:
         rig = Rig()
         rig.submit(query())
         (link,) = rig.busy()
@@ -49,7 +49,7 @@
         link.answer()
         assert rig.outcomes() == [Outcome.LATE]
 
-    def test_the_target_is_told_what_is_left(self) -> None:
+    def test_target_gets_the_remaining_deadline(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2))
         rig.advance(0.04)
@@ -58,7 +58,7 @@
         assert 100 <= int(link.header("Deadline-Ms")) <= 108
 
     @pytest.mark.parametrize("allowance", [None, Allowance(0, 0, False)])
-    def test_a_replica_without_a_part_is_refused(
+    def test_sub_query_without_an_allowance_is_refused(
         self, allowance: Allowance | None
     ) -> None:
         rig = Rig()
@@ -71,7 +71,7 @@
 
 
 class TestCancel:
-    def test_a_queued_sub_query_does_not_begin(self) -> None:
+    def test_cancelled_queued_sub_query_reports_not_begun(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2))
         rig.owner.cancel("peer", 2)
@@ -80,7 +80,7 @@
             False,
         )
 
-    def test_a_running_one_is_answered_once_and_cancelled_at_the_target(self) -> None:
+    def test_cancelled_running_sub_query_is_cancelled_at_the_target(self) -> None:
         rig = Rig()
         rig.submit(query(1))
         (link,) = rig.busy()
@@ -91,7 +91,7 @@
         link.answer()
         assert rig.outcomes() == [Outcome.CANCELLED]
 
-    def test_the_slot_stays_taken_until_the_target_confirms(self) -> None:
+    def test_slot_stays_occupied_until_the_target_confirms(self) -> None:
         rig = Rig()
         rig.submit(query(1))
         rig.owner.cancel("peer", 1)
@@ -101,7 +101,7 @@
         assert rig.owner.in_flight("s-a") == 1
         assert len(rig.busy()) == 1
 
-    def test_a_confirmed_cancellation_frees_the_slot(self) -> None:
+    def test_confirmed_cancellation_frees_the_slot(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2))
         rig.owner.cancel("peer", 1)
@@ -110,7 +110,7 @@
         rig.advance(0.003)
         assert [link.header("Request-Id") for link in rig.busy()] == ["r1", "r2"]
 
-    def test_an_order_that_was_sent_is_not_cancelled_at_the_target(self) -> None:
+    def test_sent_order_is_not_cancelled_at_the_target(self) -> None:
         rig = Rig()
         rig.submit(query(1, order_key="k"))
         rig.owner.cancel("peer", 1)
@@ -118,7 +118,7 @@
         assert not rig.busy("POST /cancel")
         assert rig.replies[0].began
 
-    def test_ids_of_different_senders_are_apart(self) -> None:
+    def test_ids_of_different_senders_do_not_collide(self) -> None:
         rig = Rig()
         rig.submit(query(1))
         rig.owner.cancel("another", 1)
@@ -126,7 +126,7 @@
 
 
 class TestQueue:
-    def test_priority_goes_before_deadline(self) -> None:
+    def test_priority_takes_precedence_over_deadline(self) -> None:
         rig = Rig()
         rig.submit(
             query(1),
@@ -142,7 +142,7 @@
             rig.advance(0.002)
         assert served == ["r1", "r4", "r3", "r2"]
 
-    def test_what_cannot_finish_is_refused_before_it_is_sent(self) -> None:
+    def test_sub_query_that_cannot_finish_is_refused_unsent(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2, deadline_ms=40.0))
         rig.advance(0.05)
@@ -151,7 +151,7 @@
             False,
         )
 
-    def test_a_full_queue_refuses_the_least_urgent(self) -> None:
+    def test_full_queue_refuses_the_lowest_priority(self) -> None:
         rig = Rig()
         bound = rig.owner.limits.queue_length
         rig.submit(query(0, deadline_ms=9_000.0))
@@ -162,13 +162,13 @@
 
 
 class TestStopping:
-    def test_an_owner_without_work_closes_at_once(self) -> None:
+    def test_idle_owner_closes_at_once(self) -> None:
         rig = Rig()
         done: list[None] = []
         rig.owner.close(5.0).addCallback(done.append)
         assert done == [None]
 
-    def test_work_in_flight_finishes_and_new_work_is_refused(self) -> None:
+    def test_close_lets_sub_queries_finish_and_refuses_new_ones(self) -> None:
         rig = Rig()
         rig.submit(query(1))
         (link,) = rig.busy()
@@ -183,7 +183,7 @@
         assert done == [None]
         assert not any(one.open for one in rig.reactor.links)
 
-    def test_the_grace_bounds_the_wait_and_doubt_is_said(self) -> None:
+    def test_close_after_the_grace_period_reports_began(self) -> None:
         rig = Rig()
         rig.submit(query(1, deadline_ms=60_000.0, order_key="k"))
         done: list[None] = []
@@ -192,7 +192,7 @@
         assert done == [None]
         assert rig.replies[0].began
 
-    def test_work_in_flight_outlives_the_allowance(self) -> None:
+    def test_sub_query_in_flight_finishes_after_withdrawal(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2))
         rig.owner.set_allowance("s-a", None)
@@ -205,7 +205,7 @@
 
 
 class TestViews:
-    def test_a_view_shows_state_versions_and_room(self) -> None:
+    def test_view_shows_state_versions_and_free_slots(self) -> None:
         rig = Rig()
         (view,) = rig.owner.views()
         assert (view.state, view.index_versions, view.free_slots) == (
@@ -214,18 +214,18 @@
             1,
         )
 
-    def test_a_replica_without_a_part_is_not_shown(self) -> None:
+    def test_replica_without_an_allowance_has_no_view(self) -> None:
         rig = Rig()
         rig.owner.set_allowance("s-a", None)
         assert rig.owner.views() == []
 
-    def test_a_holder_that_may_not_serve_cold_has_no_room(self) -> None:
+    def test_owner_not_permitted_to_serve_cold_has_no_free_slots(self) -> None:
         rig = Rig(allowance=Allowance(1, 5, may_serve_cold=False))
         rig.submit(query(1))
         assert rig.owner.views()[0].free_slots == 0
         assert rig.outcomes() == [Outcome.NOT_RUN]
 
-    def test_the_counts_are_those_of_what_is_held(self) -> None:
+    def test_counts_sum_up_usage(self) -> None:
         rig = Rig()
         rig.submit(query(1), query(2))
         counts = rig.owner.counts()
--- a/tests/target/test_pool.py
+++ b/tests/target/test_pool.py
@@ -1,4 +1,4 @@
-"""Tests of the pool: connections within the allowance, opened early, closed late."""
+"""Tests of the connection pool: allowance, opening ahead of demand, idle timeout."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
         rig.submit(*(query(n) for n in range(1, 9)))
         assert len(rig.reactor.attempts) == 2
 
-    def test_connections_given_up_go_on_counting(self) -> None:
+    def test_aborted_connections_still_count_while_they_linger(self) -> None:
         rig = rig_with(3)
         rig.runner.pool.ensure_available(3)
         rig.advance(0.01)
@@ -31,7 +31,7 @@
         assert pool.counted(rig.reactor.seconds()) == 3
         assert pool.counted(rig.reactor.seconds() + LINGER_S) == 0
 
-    def test_those_given_up_never_leave_the_replica_without_any(self) -> None:
+    def test_lingering_connections_do_not_prevent_a_minimum(self) -> None:
         rig = rig_with(3)
         rig.runner.pool.ensure_available(3)
         rig.advance(0.01)
@@ -40,10 +40,10 @@
         rig.submit(*(query(n) for n in range(1, 5)))
         assert sum(link.open for link in rig.reactor.links) == 2
 
-    def test_one_closed_from_here_counts_until_the_target_closes_too(self) -> None:
+    def test_half_closed_connection_counts_until_the_target_closes(self) -> None:
         rig = rig_with(1)
         (link,) = rig.reactor.links
-        link.closes_in_turn = False
+        link.closes_own_side = False
         link.protocol.close()
         rig.advance(0.1)
         assert link.half_closed
@@ -52,12 +52,12 @@
         rig.submit(query())
         assert len(rig.reactor.attempts) == 2
 
-    def test_one_that_the_target_never_closes_is_dropped_and_goes_on_counting(
+    def test_half_closed_connection_is_aborted_after_the_timeout_and_lingers(
         self,
     ) -> None:
         rig = rig_with(6)
         link = rig.reactor.links[0]
-        link.closes_in_turn = False
+        link.closes_own_side = False
         link.protocol.close()
         rig.reactor.advance(CLOSE_TIMEOUT_S + 0.1)
         rig.runner.maintain()
@@ -67,13 +67,13 @@
         assert pool.counted(now) - pool.active_count() == 1
         assert pool.counted(now + LINGER_S) - pool.active_count() == 0
 
-    def test_one_that_the_target_closed_is_replaced_at_once(self) -> None:
+    def test_connection_closed_by_the_target_is_replaced_at_once(self) -> None:
         rig = rig_with(1)
         rig.reactor.links[0].drop(ConnectionDone())
         rig.advance(0.003)
         assert len([link for link in rig.reactor.links if link.open]) == 1
 
-    def test_a_smaller_allowance_closes_idle_ones_and_spares_busy_ones(self) -> None:
+    def test_smaller_allowance_closes_idle_connections_but_not_busy_ones(self) -> None:
         rig = rig_with(5)
         rig.submit(query(1), query(2))
         rig.owner.set_allowance("s-a", Allowance(4, 1, True))
@@ -86,12 +86,12 @@
 
 
 class TestOpening:
-    def test_one_is_opened_before_it_is_needed(self) -> None:
+    def test_spare_connection_is_opened_ahead_of_demand(self) -> None:
         rig = rig_with(5)
         rig.submit(query(1))
         assert rig.runner.pool.idle
 
-    def test_attempts_wait_longer_after_each_failure(self) -> None:
+    def test_failed_attempts_back_off(self) -> None:
         rig = rig_with(5)
         rig.reactor.refuses = True
         for link in rig.reactor.links:
@@ -99,7 +99,7 @@
         rig.advance(10.0)
         assert 5 <= len(rig.reactor.attempts) <= 14
 
-    def test_a_target_over_its_cap_is_not_taken_for_a_restart(self) -> None:
+    def test_connections_rejected_by_the_target_do_not_reset_the_state(self) -> None:
         rig = rig_with(5)
         rig.warm_up()
         state = rig.runner.ramp.state
@@ -108,7 +108,7 @@
                 link.drop(ConnectionLost())
         assert rig.runner.ramp.state is state
 
-    def test_long_idle_ones_are_closed_but_for_a_few(self) -> None:
+    def test_connections_past_the_idle_timeout_are_closed_except_a_few(self) -> None:
         rig = rig_with(20)
         rig.runner.pool.ensure_available(12)
         rig.advance(0.01)
--- a/tests/target/test_retry.py
+++ b/tests/target/test_retry.py
@@ -1,4 +1,4 @@
-"""Tests of connections that go silent while new ones work."""
+"""Tests of probes and retries when a connection stops responding."""
 
 from __future__ import annotations
 
@@ -16,17 +16,17 @@
     return rig
 
 
-def send_into_silence(rig: Rig, sub_query: SubQuery) -> FakeLink:
-    """Submit a sub-query whose connection does not answer any more."""
+def submit_unanswered(rig: Rig, sub_query: SubQuery) -> FakeLink:
+    """Submit a sub-query and leave it without a reply."""
     rig.submit(sub_query)
     (link,) = rig.busy()
     return link
 
 
 class TestProbe:
-    def test_a_silent_connection_is_replaced_and_the_search_answered(self) -> None:
+    def test_search_on_an_unresponsive_connection_is_retried(self) -> None:
         rig = warm_rig()
-        silent = send_into_silence(rig, query())
+        silent = submit_unanswered(rig, query())
         rig.advance(0.05)
         (probe,) = rig.busy("POST /cancel")
         assert probe.protocol.idle_since >= silent.protocol.idle_since
@@ -38,25 +38,25 @@
         assert rig.outcomes() == [Outcome.ANSWERED]
         assert rig.sent("r1") == 2
 
-    def test_the_probe_goes_over_a_connection_that_was_opened_since(self) -> None:
+    def test_probe_uses_a_connection_opened_after_sending(self) -> None:
         rig = warm_rig()
         before = list(rig.reactor.links)
-        send_into_silence(rig, query())
+        submit_unanswered(rig, query())
         rig.advance(0.06)
         (probe,) = rig.busy("POST /cancel")
         assert probe not in before
 
-    def test_idle_connections_without_life_since_are_closed_too(self) -> None:
+    def test_idle_connections_not_used_since_are_closed_too(self) -> None:
         rig = warm_rig()
         before = [link for link in rig.reactor.links if link.open]
-        send_into_silence(rig, query())
+        submit_unanswered(rig, query())
         rig.advance(0.06)
         rig.busy("POST /cancel")[0].answer(404)
         assert not any(link.open for link in before)
 
-    def test_a_straggler_is_cancelled_and_tried_once_more(self) -> None:
+    def test_straggler_is_cancelled_and_retried(self) -> None:
         rig = warm_rig()
-        straggler = send_into_silence(rig, query())
+        straggler = submit_unanswered(rig, query())
         rig.advance(0.06)
         rig.busy("POST /cancel")[0].answer(200)
         rig.advance(0.002)
@@ -66,9 +66,9 @@
         second.answer()
         assert rig.outcomes() == [Outcome.ANSWERED]
 
-    def test_there_is_no_third_try(self) -> None:
+    def test_search_is_retried_only_once(self) -> None:
         rig = warm_rig()
-        first = send_into_silence(rig, query())
+        first = submit_unanswered(rig, query())
         rig.advance(0.05)
         rig.busy("POST /cancel")[0].answer(404)
         rig.advance(0.2)
@@ -76,9 +76,9 @@
         assert rig.outcomes() == [Outcome.LATE]
         assert rig.sent("r1") == 2
 
-    def test_a_cold_target_keeps_the_slot_taken(self) -> None:
+    def test_slot_stays_occupied_at_a_cold_target(self) -> None:
         rig = warm_rig()
-        send_into_silence(rig, query())
+        submit_unanswered(rig, query())
         rig.advance(0.05)
         (probe,) = rig.busy("POST /cancel")
         rig.runner.ramp.reset_to_cold("test")
@@ -86,15 +86,15 @@
         assert rig.owner.in_flight("s-a") == 1
         assert rig.outcomes() == [Outcome.CONNECTION_LOST]
 
-    def test_an_order_is_neither_probed_nor_repeated(self) -> None:
+    def test_order_is_neither_probed_nor_retried(self) -> None:
         rig = warm_rig()
-        send_into_silence(rig, query(order_key="k"))
+        submit_unanswered(rig, query(order_key="k"))
         rig.advance(0.3)
         assert not rig.busy("POST /cancel")
         assert rig.sent("r1") == 1
         assert (rig.replies[0].outcome, rig.replies[0].began) == (Outcome.LATE, True)
 
-    def test_a_fresh_connection_is_not_doubted(self) -> None:
+    def test_new_connection_is_not_probed(self) -> None:
         rig = Rig()
         for link in rig.reactor.links:
             link.drop(ConnectionLost())
@@ -104,7 +104,7 @@
 
 
 class TestLostConnections:
-    def test_a_search_on_a_reused_connection_is_sent_again(self) -> None:
+    def test_search_on_a_reused_connection_is_retried(self) -> None:
         rig = Rig(slots=4, cold=3)
         rig.warm_up()
         rig.submit(query())
@@ -113,14 +113,14 @@
         rig.busy()[0].answer()
         assert rig.outcomes() == [Outcome.ANSWERED]
 
-    def test_without_a_free_slot_it_is_answered_at_once(self) -> None:
+    def test_search_without_a_free_slot_is_reported_lost_at_once(self) -> None:
         rig = warm_rig()
         rig.submit(query())
         rig.busy()[0].drop(ConnectionLost())
         assert rig.outcomes() == [Outcome.CONNECTION_LOST]
         assert rig.replies[0].began
 
-    def test_one_that_then_finds_no_time_is_not_called_not_run(self) -> None:
+    def test_search_that_misses_its_retry_is_not_reported_not_run(self) -> None:
         rig = Rig(slots=4, cold=3)
         rig.warm_up()
         rig.submit(query())
@@ -132,7 +132,7 @@
             (Outcome.CONNECTION_LOST, True)
         ]
 
-    def test_a_status_poll_without_answer_ends_its_connection(self) -> None:
+    def test_status_poll_without_a_reply_closes_its_connection(self) -> None:
         rig = warm_rig()
         rig.runner.poll_status()
         (link,) = rig.busy("GET /status")
