Name the last notes and bounds of the target package

note_reply and note_status record what a replica reported; the probe delay was a local called bound_s. The docstring of cancel_ended says when a slot stays taken.

--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -150,8 +150,8 @@
         """
         if connection.exchanges == 0 or task.retries or task.sub_query.order_key:
             return NEVER
-        bound_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
-        return NEVER if bound_s is None else now + bound_s
+        delay_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
+        return NEVER if delay_s is None else now + delay_s
 
     def exchange_ended(self, running: RunningExchange, end: ExchangeEnd) -> None:
         """Complete or retry the task by how its exchange ended."""
@@ -242,10 +242,10 @@
         self.abandon(running, running.sent_at)
 
     def cancel_ended(self, running: RunningExchange, status: int) -> None:
-        """Handle the reply to a cancellation, which alone frees the slot early.
+        """Handle the end of a cancellation; ``status`` is zero without a reply.
 
-        A target that does not know a probed exchange never received its request, so
-        that connection is unresponsive.
+        Without a reply the slot stays occupied. A target that does not know a probed
+        exchange has not received its request, so its connection is unresponsive.
         """
         unanswered = running.exchange_id in self.running
         if status == CANCEL_CONFIRMED:
--- a/sardinehook/target/health.py
+++ b/sardinehook/target/health.py
@@ -35,7 +35,7 @@
 
         ``at_limit`` is as in ``ConcurrencyLimit.record_success``.
         """
-        self.status.note_reply(reply.head, now)
+        self.status.record_reply(reply.head, now)
         self.availability.record_reply_state(reply.head.state, now)
         match result.outcome:
             case Outcome.ANSWERED:
@@ -52,7 +52,7 @@
     def record_status(self, reply: TargetReply, now: float) -> None:
         """Record a reply of the status endpoint, which may be outdated or wrong."""
         body = read_status(reply.body) if reply.status == 200 else None
-        self.status.note_status(body, now)
+        self.status.record_status(body, now)
         self.availability.record_reply_state(reply.head.state, now)
         if body is not None:
             self.availability.record_status(body.state == "draining", now)
--- a/sardinehook/target/retry.py
+++ b/sardinehook/target/retry.py
@@ -22,8 +22,8 @@
     True
     """
     likely_s = likely_ms / 1000.0
-    bound_s = max(PROBE_DELAY_FACTOR * likely_s, PROBE_DEADLINE_FRACTION * left_s)
-    return bound_s if bound_s + 2.0 * likely_s < left_s else None
+    delay_s = max(PROBE_DELAY_FACTOR * likely_s, PROBE_DEADLINE_FRACTION * left_s)
+    return delay_s if delay_s + 2.0 * likely_s < left_s else None
 
 
 class RetryBudget:
--- a/sardinehook/target/status.py
+++ b/sardinehook/target/status.py
@@ -52,7 +52,7 @@
         self.replied_at: float | None = None
         self.known = False
 
-    def note_reply(self, head: ReplyHead, now: float) -> None:
+    def record_reply(self, head: ReplyHead, now: float) -> None:
         """Record the versions in the headers of a reply, if any."""
         if not head.versions_held:
             return
@@ -61,7 +61,7 @@
         self.replied_at = now
         self.known = True
 
-    def note_status(self, status: StatusBody | None, now: float) -> None:
+    def record_status(self, status: StatusBody | None, now: float) -> None:
         """Record a status unless it is malformed or a recent reply takes precedence."""
         if status is None:
             return
