--- a/sardinehook/target/owner.py
+++ b/sardinehook/target/owner.py
@@ -1,4 +1,4 @@
-"""The owner of replicas: the one place from which their targets get work."""
+"""Serves the replicas owned by this process; nothing else sends to their targets."""
 
 from __future__ import annotations
 
@@ -10,79 +10,81 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, ReplicaReport, SubQuery, SubReply, TargetState
 from sardinehook.target.allowance import Allowance
-from sardinehook.target.counts import OwnerCounts, count_holdings
+from sardinehook.target.counts import OwnerCounts, count_usage
 from sardinehook.target.exchanges import ExchangeIds
 from sardinehook.target.limits import OwnerLimits
-from sardinehook.target.runner import ReplicaRunner, RunnerContext
-from sardinehook.target.work import Work, WorkKey
+from sardinehook.target.replica_client import ClientContext, ReplicaClient
+from sardinehook.target.task import Task, TaskKey
 from sardinehook.transport.reactor import TcpReactor, Timer
 
 __all__ = ["OwnerLimits", "TargetOwner"]
 
 
 class TargetOwner:
-    """Holds the connections, queues and evidence of the replicas it owns.
+    """Holds the queue, connections and health of each replica that it owns.
 
     Replica names are unique over all indexes. Every sub-query that is submitted
-    gets exactly one ``SubReply``, on the same loop, at the latest a sweep interval
-    after its deadline. The reply may be given before ``submit`` returns.
+    gets exactly one ``SubReply``, on the same event loop, at the latest one sweep
+    interval after its deadline. The reply may be given before ``submit`` returns.
     """
 
     def __init__(self, reactor: TcpReactor, limits: OwnerLimits) -> None:
         self.reactor = reactor
         self.limits = limits
-        self.runners: dict[str, ReplicaRunner] = {}
+        self.clients: dict[str, ReplicaClient] = {}
         self.allowances: dict[str, Allowance] = {}
-        self.retired: list[ReplicaRunner] = []
-        self.busy: set[ReplicaRunner] = set()
-        self.work: dict[WorkKey, tuple[Work, ReplicaRunner]] = {}
-        self.context = RunnerContext(
-            reactor, limits, ExchangeIds(token_hex(4)), self.settled, self.watch
+        self.retired: list[ReplicaClient] = []
+        self.to_sweep: set[ReplicaClient] = set()
+        self.tasks: dict[TaskKey, tuple[Task, ReplicaClient]] = {}
+        self.context = ClientContext(
+            reactor,
+            limits,
+            ExchangeIds(token_hex(4)),
+            self.completed,
+            self.schedule_sweep,
         )
-        self.sweeping: Timer | None = None
-        self.polling: Timer | None = None
-        self.poll_order: list[ReplicaRunner] = []
+        self.sweep_timer: Timer | None = None
+        self.poll_timer: Timer | None = None
+        self.poll_order: list[ReplicaClient] = []
         self.closed: Deferred[None] | None = None
-        self.close_by = 0.0
-        self.start_polling()
+        self.close_deadline = 0.0
+        self.poll_next()
 
     def configure(self, indexes: Mapping[str, Index]) -> None:
-        """Take the replicas of a document; those it does not name are let go."""
+        """Apply the replicas of a document and retire those it does not name."""
         named: set[str] = set()
         for index in indexes.values():
             for replicas in index.services.values():
                 for replica in replicas:
                     named.add(replica.name)
                     self.configure_replica(index, replica)
-        for name in set(self.runners) - named:
+        for name in set(self.clients) - named:
             self.retire(name)
 
     def configure_replica(self, index: Index, replica: Replica) -> None:
-        """Create the runner of a replica, or a new one for a new address."""
-        runner = self.runners.get(replica.name)
-        if runner is not None and runner.replica.address == replica.address:
-            runner.configure(index)
+        """Create or update the client of a replica; a new address gets a new client."""
+        client = self.clients.get(replica.name)
+        if client is not None and client.replica.address == replica.address:
+            client.configure(index)
             return
-        if runner is not None:
+        if client is not None:
             self.retire(replica.name)
-        runner = ReplicaRunner(self.context, index, replica)
-        self.runners[replica.name] = runner
-        runner.set_allowance(self.allowances.get(replica.name))
-        self.watch(runner)
+        client = ReplicaClient(self.context, index, replica)
+        self.clients[replica.name] = client
+        client.set_allowance(self.allowances.get(replica.name))
+        self.schedule_sweep(client)
 
     def retire(self, name: str) -> None:
-        """Send nothing more to a replica and let its work in flight finish."""
-        runner = self.runners.pop(name)
-        runner.set_allowance(None)
-        self.retired.append(runner)
+        """Stop sending to a replica and let its sub-queries in flight finish."""
+        client = self.clients.pop(name)
+        client.set_allowance(None)
+        self.retired.append(client)
 
     def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
-        """Take the part of a replica that is held here; ``None`` for no part.
+        """Set the allowance of a replica; ``None`` or one without slots withdraws it.
 
-        A part without a slot is none.
-
-        After ``None`` what is queued is refused, what is in flight finishes, and a
-        later allowance begins from not knowing the replica.
+        After a withdrawal the queue is refused, sub-queries in flight finish, and a
+        later allowance starts with the replica in unknown state.
         """
         if allowance is not None and allowance.slots < 1:
             allowance = None
@@ -90,147 +92,154 @@
             self.allowances.pop(replica, None)
         else:
             self.allowances[replica] = allowance
-        runner = self.runners.get(replica)
-        if runner is not None:
-            runner.set_allowance(allowance)
-            self.watch(runner)
+        client = self.clients.get(replica)
+        if client is not None:
+            client.set_allowance(allowance)
+            self.schedule_sweep(client)
 
-    def note_vm(self, replica: str, listed: TargetState, incarnation: str = "") -> None:
-        """Take what the platform's list of VMs says of a replica.
+    def update_vm_state(
+        self, replica: str, listed: TargetState, incarnation: str = ""
+    ) -> None:
+        """Apply the state of a replica's VM from the platform's list of VMs.
 
-        ``listed`` is ``DRAINING`` or ``GONE`` for one that leaves and ``UNKNOWN``
-        for one with nothing against it. Another incarnation starts cold.
+        ``listed`` is ``DRAINING`` or ``GONE`` for a VM that leaves or has left, else
+        ``UNKNOWN``. A replica of another incarnation starts in unknown state.
         """
-        runner = self.runners.get(replica)
-        if runner is not None:
-            runner.note_vm(listed, incarnation)
+        client = self.clients.get(replica)
+        if client is not None:
+            client.update_vm_state(listed, incarnation)
 
-    def note_peer_view(self, replica: str, state: TargetState) -> None:
-        """Take what another owner has last told of a replica.
+    def update_peer_view(self, replica: str, state: TargetState) -> None:
+        """Apply the state of a replica that another owner has published.
 
-        It matters only for a part that may not serve the replica while it is cold:
-        such a holder cannot find out by itself that the replica is warm.
+        It is used only with an allowance that does not permit a cold replica: an
+        owner with such an allowance cannot find out itself that the replica is warm.
         """
-        runner = self.runners.get(replica)
-        if runner is not None:
-            runner.note_peer_view(state)
+        client = self.clients.get(replica)
+        if client is not None:
+            client.update_peer_view(state)
 
     def submit(
         self, sender: str, sub_query: SubQuery, reply: Callable[[SubReply], None]
     ) -> None:
-        """Run a sub-query and call ``reply`` once.
+        """Run a sub-query and call ``reply`` exactly once.
 
-        A sub-query whose ``sender`` and id are those of one that still runs is
-        dropped: the reply to the first stands for both.
+        A duplicate, with the ``sender`` and id of one that is still running, is
+        dropped without a call: the reply to the first counts for both.
         """
-        key = WorkKey(sender, sub_query.sub_query_id)
-        if key in self.work:
+        key = TaskKey(sender, sub_query.sub_query_id)
+        if key in self.tasks:
             return
         now = self.reactor.seconds()
         deadline_at = now + sub_query.deadline_ms / 1000.0
-        work = Work(key, sub_query, reply, now, deadline_at)
-        runner = self.runners.get(sub_query.replica)
-        if runner is None:
-            reply(refused(sub_query, "the replica is not known here"))
+        task = Task(key, sub_query, reply, now, deadline_at)
+        client = self.clients.get(sub_query.replica)
+        if client is None:
+            reply(refused(sub_query, "the owner does not have this replica"))
         elif self.closed is not None:
-            reply(refused(sub_query, "stopping"))
+            reply(refused(sub_query, "the owner is stopping"))
         else:
-            self.work[key] = (work, runner)
-            self.watch(runner)
-            runner.submit(work)
+            self.tasks[key] = (task, client)
+            self.schedule_sweep(client)
+            client.submit(task)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
-        """Answer a sub-query as cancelled; one that has ended is left alone."""
-        found = self.work.get(WorkKey(sender, sub_query_id))
+        """Complete a sub-query as cancelled; no effect if it has already ended."""
+        found = self.tasks.get(TaskKey(sender, sub_query_id))
         if found is not None:
-            work, runner = found
-            runner.cancel(work)
+            task, client = found
+            client.cancel(task)
 
-    def settled(self, work: Work) -> None:
-        """Forget work that is having its reply."""
-        self.work.pop(work.key, None)
+    def completed(self, task: Task) -> None:
+        """Remove a task that is given its reply."""
+        self.tasks.pop(task.key, None)
 
     def views(self) -> list[ReplicaReport]:
-        """Return the view of each replica of which a part is held here."""
-        return [runner.view() for runner in self.runners.values() if runner.holds_part]
+        """Return the view of each replica with an allowance here."""
+        return [
+            client.view() for client in self.clients.values() if client.has_allowance
+        ]
 
     def counts(self) -> OwnerCounts:
-        """Return what is held here, in numbers for the metrics."""
-        return count_holdings([*self.runners.values(), *self.retired])
+        """Return the resources in use and allowed, for the metrics."""
+        return count_usage([*self.clients.values(), *self.retired])
 
     def in_flight(self, replica: str) -> int:
-        """Return how many sub-queries may be running at a replica."""
-        runners = [one for one in self.retired if one.replica.name == replica]
-        if replica in self.runners:
-            runners.append(self.runners[replica])
-        return sum(runner.exchanges.in_flight for runner in runners)
-
-    def watch(self, runner: ReplicaRunner) -> None:
-        """Sweep ``runner`` regularly while it has work."""
-        self.busy.add(runner)
-        if self.sweeping is None:
-            self.sweeping = self.reactor.callLater(
+        """Return an upper bound on the sub-queries that run at a replica."""
+        clients = [one for one in self.retired if one.replica.name == replica]
+        if replica in self.clients:
+            clients.append(self.clients[replica])
+        return sum(client.exchanges.in_flight for client in clients)
+
+    def schedule_sweep(self, client: ReplicaClient) -> None:
+        """Include ``client`` in the sweeps until it needs none."""
+        self.to_sweep.add(client)
+        if self.sweep_timer is None:
+            self.sweep_timer = self.reactor.callLater(
                 self.limits.sweep_interval_s, self.sweep
             )
 
     def sweep(self) -> None:
-        """Enforce deadlines and free what cannot be running any more."""
-        self.sweeping = None
+        """Enforce the deadlines of all clients and drop retired ones without work."""
+        self.sweep_timer = None
         now = self.reactor.seconds()
-        for runner in list(self.busy):
-            runner.sweep(now)
-            if not runner.needs_sweep:
-                self.busy.discard(runner)
+        for client in list(self.to_sweep):
+            client.sweep(now)
+            if not client.needs_sweep:
+                self.to_sweep.discard(client)
         self.retired = [one for one in self.retired if one.has_work]
-        if self.busy:
-            self.sweeping = self.reactor.callLater(
+        if self.to_sweep:
+            self.sweep_timer = self.reactor.callLater(
                 self.limits.sweep_interval_s, self.sweep
             )
         self.finish_closing(now)
 
-    def start_polling(self) -> None:
-        """Ask one replica after another for its status, at a bounded rate."""
-        self.polling = self.reactor.callLater(
-            self.limits.poll_interval_s, self.start_polling
+    def poll_next(self) -> None:
+        """Maintain the next replica, one in each poll interval, in turn."""
+        self.poll_timer = self.reactor.callLater(
+            self.limits.poll_interval_s, self.poll_next
         )
         if not self.poll_order:
-            self.poll_order = [one for one in self.runners.values() if one.holds_part]
+            self.poll_order = [
+                one for one in self.clients.values() if one.has_allowance
+            ]
         if self.poll_order:
-            self.poll_order.pop().tend()
+            self.poll_order.pop().maintain()
 
     def close(self, grace_s: float) -> Deferred[None]:
-        """Refuse new work, let the rest finish and close all connections.
+        """Refuse new sub-queries, let the others finish and close all connections.
 
-        The result fires when nothing is in flight any more, at the latest after
-        ``grace_s`` seconds; what is left by then is answered as its state allows.
+        The result fires once nothing is queued or in flight, at the latest after
+        ``grace_s`` seconds. What is left by then is completed as not run if it was
+        not sent, else as connection lost.
         """
         if self.closed is None:
             self.closed = Deferred()
-            self.close_by = self.reactor.seconds() + grace_s
-            if self.polling is not None:
-                self.polling.cancel()
-            for runner in [*self.runners.values(), *self.retired]:
-                self.watch(runner)
+            self.close_deadline = self.reactor.seconds() + grace_s
+            if self.poll_timer is not None:
+                self.poll_timer.cancel()
+            for client in [*self.clients.values(), *self.retired]:
+                self.schedule_sweep(client)
             self.finish_closing(self.reactor.seconds())
         return self.closed
 
     def finish_closing(self, now: float) -> None:
-        """Complete ``close`` once nothing is left or the grace is over."""
+        """Complete ``close`` once no work is left or the grace period is over."""
         if self.closed is None or self.closed.called:
             return
-        runners = [*self.runners.values(), *self.retired]
-        if any(one.has_work for one in runners) and now < self.close_by:
+        clients = [*self.clients.values(), *self.retired]
+        if any(one.has_work for one in clients) and now < self.close_deadline:
             return
-        for runner in runners:
-            runner.stop()
-        if self.sweeping is not None:
-            self.sweeping.cancel()
-            self.sweeping = None
+        for client in clients:
+            client.stop()
+        if self.sweep_timer is not None:
+            self.sweep_timer.cancel()
+            self.sweep_timer = None
         self.closed.callback(None)
 
 
 def refused(sub_query: SubQuery, detail: str) -> SubReply:
-    """Return the reply to a sub-query that cannot have begun."""
+    """Return the ``NOT_RUN`` reply to a sub-query that was not sent."""
     return SubReply(
         sub_query.sub_query_id, Outcome.NOT_RUN, 0, 0, 0.0, 0.0, False, detail, b""
     )
