Restore the name finish of a connection's callback

The earlier rename to on_end reached into OwnerMachine, whose histories Hypothesis derives, in the derandomised profile, from the source of the class. The class is again as before, so the same histories run. The callback of a client connection, its users and its fakes are called finish again; on_end of the dispatcher's exchanges keeps its name.

--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -131,7 +131,7 @@
         if self.settled:
             return
         connection, self.connection = self.connection, None
-        if connection is not None and connection.on_end is not None:
+        if connection is not None and connection.finish is not None:
             connection.abort()
         detail = f"{self.delegate.name}: {reason}"
         self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
@@ -154,5 +154,5 @@
             return
         self.settled = True
         self.detach()
-        if self.connection is not None and self.connection.on_end is not None:
+        if self.connection is not None and self.connection.finish is not None:
             self.connection.abort()
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -242,7 +242,7 @@
         exchange.replica.in_flight.pop(exchange, None)
         if exchange.waiter is not None:
             exchange.replica.pool.cancel(exchange.waiter)
-        elif exchange.connection is not None and exchange.connection.on_end is not None:
+        elif exchange.connection is not None and exchange.connection.finish is not None:
             exchange.connection.abort()
 
     def sweep(self, now: float) -> None:
@@ -261,6 +261,6 @@
             elif now >= exchange.deadline_at + CONNECTION_GRACE_S:
                 connection = exchange.connection
                 exchange.replica.observe_result(True, now)
-                if connection is not None and connection.on_end is not None:
+                if connection is not None and connection.finish is not None:
                     connection.abort()
                 self.end(exchange, Failed("no reply before the deadline"))
--- a/sardinehook/gateway/http_call.py
+++ b/sardinehook/gateway/http_call.py
@@ -66,7 +66,7 @@
     def time_out(self) -> None:
         """Fail the call and abort its connection, which may still carry the reply."""
         self.pool.cancel(self.connected)
-        if self.connection is not None and self.connection.on_end is not None:
+        if self.connection is not None and self.connection.finish is not None:
             self.connection.abort()
         self.fail("no answer before the timeout", self.connection is not None)
 
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -181,7 +181,7 @@
     def drop_connections(self) -> None:
         """Close all connections; calls that wait fail."""
         for connection in list(self.pool.connections):
-            finish = connection.on_end
+            finish = connection.finish
             connection.abort()
             if finish is not None:
                 finish(Lost("the connection was given up"))
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -60,16 +60,16 @@
         request: bytes,
         request_id: bytes,
         exchange_id: bytes,
-        on_end: Callable[[ExchangeEnd], None],
+        finish: Callable[[ExchangeEnd], None],
     ) -> None:
-        """Send ``request`` and report its end to ``on_end``, exactly once."""
+        """Send ``request`` and report its end to ``finish``, exactly once."""
 
         def ended(end: HttpEnd) -> None:
             match end:
                 case HttpReplied(reply):
-                    on_end(Replied(TargetReply(reply.status, self.head, reply.body)))
+                    finish(Replied(TargetReply(reply.status, self.head, reply.body)))
                 case Malformed() | Lost():
-                    on_end(end)
+                    finish(end)
 
         self.request_id = request_id
         self.exchange_id = exchange_id
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -83,7 +83,7 @@
         self.on_open = on_open
         self.on_close = on_close
         self.is_open = False
-        self.on_end: Callable[[ExchangeEnd], None] | None = None
+        self.finish: Callable[[ExchangeEnd], None] | None = None
         self.exchanges = 0
         self.idle_since = 0.0
         self.idle_until = 0.0
@@ -108,29 +108,29 @@
     @property
     def idle(self) -> bool:
         """Whether the connection is open and has no exchange in progress."""
-        return self.is_open and self.on_end is None
+        return self.is_open and self.finish is None
 
     def exchange(
         self,
         request: bytes,
-        on_end: Callable[[ExchangeEnd], None],
+        finish: Callable[[ExchangeEnd], None],
         has_no_body: bool = False,
     ) -> None:
-        """Send ``request`` and call ``on_end`` with its end, exactly once.
+        """Send ``request`` and call ``finish`` with its end, exactly once.
 
         Set ``has_no_body`` if the reply ends with its headers, as for ``HEAD``.
         """
         assert self.idle
         self.ends_with_headers = has_no_body
-        self.on_end = on_end
+        self.finish = finish
         if self.exchanges:
             self.reset_reply()
         self.exchanges += 1
         self.writer.write(request)
 
     def abort(self) -> None:
-        """Abort the connection; ``on_end`` is not called for its exchange."""
-        self.on_end = None
+        """Abort the connection; ``finish`` is not called for its exchange."""
+        self.finish = None
         self.is_open = False
         self.tcp.abortConnection()
 
@@ -150,7 +150,7 @@
         """
         if not self.is_open:
             return
-        if self.on_end is None:
+        if self.finish is None:
             self.drop()
             return
         self.received_bytes += len(data)
@@ -183,11 +183,11 @@
 
     def end(self, end: ExchangeEnd, is_reusable: bool) -> None:
         """Report the end of the exchange; close a connection that is not reusable."""
-        on_end, self.on_end = self.on_end, None
+        finish, self.finish = self.finish, None
         if not is_reusable:
             self.drop()
-        if on_end is not None:
-            on_end(end)
+        if finish is not None:
+            finish(end)
 
     def drop(self) -> None:
         """Close a connection that can't be reused."""
@@ -200,9 +200,9 @@
         A reply without a length is complete if the connection was closed cleanly.
         """
         self.is_open = False
-        on_end, self.on_end = self.on_end, None
-        if on_end is not None:
-            on_end(self.classify_loss(reason))
+        finish, self.finish = self.finish, None
+        if finish is not None:
+            finish(self.classify_loss(reason))
         self.on_close(self)
 
     def classify_loss(self, reason: Failure) -> ExchangeEnd:
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -53,25 +53,25 @@
 
     def __init__(self) -> None:
         self.sent = b""
-        self.on_end: Callable[[ExchangeEnd], None] | None = None
+        self.finish: Callable[[ExchangeEnd], None] | None = None
         self.aborted = False
         self.idle = False
 
-    def exchange(self, request: bytes, on_end: Callable[[ExchangeEnd], None]) -> None:
+    def exchange(self, request: bytes, finish: Callable[[ExchangeEnd], None]) -> None:
         """Record a request."""
         self.sent = request
-        self.on_end = on_end
+        self.finish = finish
 
     def abort(self) -> None:
         """Record that the connection was aborted."""
         self.aborted = True
-        self.on_end = None
+        self.finish = None
 
     def end(self, end: ExchangeEnd) -> None:
         """End the exchange."""
-        on_end, self.on_end = self.on_end, None
-        assert on_end is not None
-        on_end(end)
+        finish, self.finish = self.finish, None
+        assert finish is not None
+        finish(end)
 
 
 class FakePool:
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -192,7 +192,7 @@
             link
             for link in self.reactor.links
             if link.open
-            and link.protocol.on_end is not None
+            and link.protocol.finish is not None
             and link.last.decode().startswith(start)
         ]
 
--- a/tests/target/test_owner_machine.py
+++ b/tests/target/test_owner_machine.py
@@ -111,7 +111,7 @@
     def answer(self, data: st.DataObject, status: int, state: str) -> None:
         exchange = data.draw(st.sampled_from(sorted(self.jobs)))
         link = self.jobs[exchange].link
-        if not link.open or link.protocol.on_end is None:
+        if not link.open or link.protocol.finish is None:
             return
         if link.header("Sub-Query-Id") != exchange:
             return
