Reword the fleet service and its membership

Phrases such as tell, take in and news left open which message, timer or record is meant; the comments now use the terms of SWIM. Local names for probes, seeds and recipients follow.

--- a/sardinehook/fleet/__init__.py
+++ b/sardinehook/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The fleet of entry VMs: membership, ownership, links."""
+"""Coordination of the entry VMs: membership, replica ownership and links."""
--- a/sardinehook/fleet/member.py
+++ b/sardinehook/fleet/member.py
@@ -1,4 +1,4 @@
-"""Members of the fleet and the order of what is told about them."""
+"""Member records of the fleet and the precedence between them."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class MemberState(IntEnum):
-    """The life of a member; within one incarnation a higher state goes first."""
+    """State of a member; within an incarnation the higher state takes precedence."""
 
     JOINING = 0
     ALIVE = 1
@@ -19,12 +19,12 @@
 
 
 class Member(NamedTuple):
-    """An entry process as the fleet knows it.
+    """Record of an entry process, as it is gossiped.
 
-    Both addresses are ``IP:port``; the link address takes TCP links and UDP
-    datagrams. A process that starts anew under a name has a higher incarnation, and
-    raises it to contradict what others wrongly believe of it. ``revision`` is the
-    document revision that it has in force.
+    Both addresses are ``IP:port``; the link address accepts TCP links and UDP
+    datagrams. A process that restarts under the same name has a higher incarnation,
+    and it increments the incarnation to refute a wrong state. ``revision`` is the
+    document revision that the process has in force.
     """
 
     name: str
@@ -36,8 +36,8 @@
     revision: int = 0
 
 
-def overrides(told: Member, known: Member) -> bool:
-    """Whether what is told of a member goes before what is known of it.
+def overrides(update: Member, known: Member) -> bool:
+    """Return whether an update takes precedence over the known record.
 
     >>> alive = Member("e1", "szolnok-b", "127.0.0.1:1", "127.0.0.1:2", 7)
     >>> suspect = alive._replace(state=MemberState.SUSPECT)
@@ -46,8 +46,8 @@
     >>> overrides(alive._replace(incarnation=8), suspect)
     True
     """
-    if told.incarnation != known.incarnation:
-        return told.incarnation > known.incarnation
-    if told.state != known.state:
-        return told.state > known.state
-    return told.revision > known.revision
+    if update.incarnation != known.incarnation:
+        return update.incarnation > known.incarnation
+    if update.state != known.state:
+        return update.state > known.state
+    return update.revision > known.revision
--- a/sardinehook/fleet/member_table.py
+++ b/sardinehook/fleet/member_table.py
@@ -1,4 +1,4 @@
-"""What a member knows of all members, and which of it is still to be spread."""
+"""Table of all known members and the queue of updates to gossip."""
 
 from __future__ import annotations
 
@@ -16,11 +16,12 @@
 
 
 class MemberTable:
-    """Members by name, the news about them, and the epochs of the rosters.
+    """Members by name, queued updates, and roster epochs by data centre.
 
-    News is told a number of times that grows with the logarithm of the fleet; the
-    rest of the table is told in rotation, so what a loss or a split kept back is made
-    up for at a constant rate. All times are monotonic seconds.
+    An update is retransmitted a number of times that grows with the logarithm of the
+    fleet. The rest of the table is sent in rotation, so that updates missed through
+    packet loss or a network partition are repaired at a constant rate. All times are
+    monotonic seconds.
     """
 
     def __init__(self, local_member: Member, seed: int) -> None:
@@ -35,7 +36,10 @@
         self.gossip_joins = False
 
     def merge(self, update: Member, now: float) -> bool:
-        """Take in what is told of another member; True when it is news."""
+        """Apply an update of another member; return whether it changed the table.
+
+        Unknown members that are already dead are ignored.
+        """
         known = self.members.get(update.name)
         if known is not None and not overrides(update, known):
             return False
@@ -46,7 +50,7 @@
         return True
 
     def record_change(self, known: Member | None, update: Member, now: float) -> None:
-        """Record that a member changed, unless only its revision did."""
+        """Queue and record a change, unless only the revision changed."""
         if known is not None and known._replace(revision=update.revision) == update:
             return
         if update.state is MemberState.DEAD:
@@ -59,13 +63,13 @@
         self.changed.append(update)
 
     def queue_update(self, name: str) -> None:
-        """Tell what is known of a member with the next datagrams."""
+        """Queue the record of a member for the next datagrams."""
         self.pending_updates[name] = RETRANSMIT_FACTOR * ceil(
             log10(len(self.members) + 1)
         )
 
     def drain_changes(self) -> list[Member]:
-        """Return the members that changed since the last call."""
+        """Return and clear the members that changed since the last call."""
         changed, self.changed = self.changed, []
         return changed
 
@@ -81,7 +85,7 @@
     def select_updates(
         self, rotation_count: int, local_only: bool
     ) -> tuple[Member, ...]:
-        """Pick what to tell a member: news first, then some of the rest."""
+        """Select records to send: queued updates first, then some in rotation."""
         names = sorted(
             self.pending_updates, key=self.pending_updates.__getitem__, reverse=True
         )
@@ -97,7 +101,10 @@
         return tuple(self.members[name] for name in unique if name in self.members)
 
     def next_in_rotation(self, count: int, local_only: bool) -> list[str]:
-        """Return the next names in rotation; only this data centre's to others."""
+        """Return the next names in rotation, without dead members.
+
+        With ``local_only`` these are members of the local data centre only.
+        """
         picked: list[str] = []
         for _ in range(min(len(self.members), count * 8)):
             if len(picked) == count:
@@ -113,7 +120,7 @@
         return picked
 
     def select_epochs(self) -> tuple[RosterEpoch, ...]:
-        """Pick this data centre's roster epoch and one other to tell."""
+        """Select the local roster epoch and a random remote one to send."""
         own = self.local_member.data_centre
         others = [place for place in self.epochs if place != own]
         places = [own] if own in self.epochs else []
@@ -122,7 +129,7 @@
         return tuple(RosterEpoch(place, self.epochs[place]) for place in places)
 
     def remove_expired_dead(self, now: float) -> None:
-        """Drop members that have been dead for long."""
+        """Remove members that have been dead for longer than the retention period."""
         for name, since in list(self.dead_since.items()):
             if now - since > DEAD_RETENTION_S:
                 del self.dead_since[name]
@@ -130,7 +137,7 @@
                 self.pending_updates.pop(name, None)
 
     def retain(self, data_centre: str, names: frozenset[str]) -> None:
-        """Drop members of another data centre that its roster no longer lists."""
+        """Remove members of a data centre that are missing from its roster."""
         for member in self.in_data_centre(data_centre):
             if member.name not in names and member.name != self.local_member.name:
                 del self.members[member.name]
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -1,9 +1,10 @@
-"""Who lives: probing with suspicion, and news carried by the probes.
+"""Failure detector with suspicion; member updates are piggybacked on probes.
 
 The protocol follows Das, Gupta and Motivala, "SWIM: Scalable weakly-consistent
 infection-style process group membership protocol" (2002), with the local health of
-Dadgar, Phillips and Currey, "Lifeguard" (2018). Only members of the own data centre
-are probed for life; members elsewhere are known by what their data centre tells.
+Dadgar, Phillips and Currey, "Lifeguard" (2018). Only members of the local data centre
+are probed by the failure detector; the state of remote members is learned from gossip
+with their data centre.
 """
 
 from __future__ import annotations
@@ -37,8 +38,8 @@
 class Membership:
     """One member's view of the fleet; times are monotonic seconds.
 
-    ``tick`` and ``receive`` return the datagrams to be sent. Nothing here changes who
-    owns a replica: that takes the roster.
+    ``tick`` and ``receive`` return the datagrams to send. Membership never changes the
+    ownership of replicas; only a change of the roster does.
     """
 
     def __init__(self, local_member: Member, fleet: int, seed: int) -> None:
@@ -63,21 +64,21 @@
 
     @property
     def local_member(self) -> Member:
-        """Return this process as it tells of itself."""
+        """Return this process as it is advertised to other members."""
         return self.table.local_member
 
     @property
     def size(self) -> int:
-        """Return the number of members known that are not dead."""
+        """Return the number of known members that are not dead."""
         return len(self.table.members) - len(self.table.dead_since)
 
     def set_local_member(self, local_member: Member) -> None:
-        """Tell something new of this process."""
+        """Replace the record of this process that is advertised."""
         self.table.local_member = local_member
         self.table.members[local_member.name] = local_member
 
     def tick(self, now: float) -> list[OutgoingDatagram]:
-        """Do what is due; call it several times a second."""
+        """Run the timers that are due; must be called several times a second."""
         if self.started_at is None:
             self.started_at = now
         self.table.gossip_joins = now - self.started_at > SETTLED_AFTER_S
@@ -97,7 +98,11 @@
         return sends
 
     def handle_local_pause(self, now: float) -> None:
-        """Judge nobody by the time in which this process did not run."""
+        """Discount the time during which this process did not run.
+
+        Suspicion timeouts are extended by the gap and probes in flight are discarded.
+        Others may have suspected this process meanwhile, so it refutes that.
+        """
         paused = self.ticked_at is not None and now - self.ticked_at > PAUSE_THRESHOLD_S
         if paused and self.ticked_at is not None:
             gap = now - self.ticked_at
@@ -109,17 +114,21 @@
         self.ticked_at = now
 
     def refute(self, incarnation: int) -> None:
-        """Tell with a higher incarnation that this process lives."""
+        """Refute a suspicion by advertising an incarnation above the given one."""
         self.set_local_member(self.local_member._replace(incarnation=incarnation + 1))
         self.table.queue_update(self.local_member.name)
 
     def suspicion_s(self) -> float:
-        """Seconds that a suspect has to contradict; longer in poor local health."""
+        """Return the suspicion timeout in seconds.
+
+        It grows with the logarithm of the data centre's size and with the health
+        score, so poor local health delays the declaration of deaths.
+        """
         peers = len(self.table.in_data_centre(self.local_member.data_centre))
         return SUSPICION_BASE_S * max(1.0, log10(peers + 1)) * (1 + self.health_score)
 
     def declare_dead(self, now: float) -> None:
-        """Declare dead who has been suspect for too long."""
+        """Declare members dead whose suspicion timeout has expired."""
         for name, since in list(self.suspected_at.items()):
             member = self.table.members.get(name)
             if member is None or member.state is not MemberState.SUSPECT:
@@ -129,10 +138,10 @@
                 self.table.merge(member._replace(state=MemberState.DEAD), now)
 
     def ping_seeds(self, now: float) -> list[OutgoingDatagram]:
-        """Ping addresses from settings whose members aren't known, or others' known.
+        """Ping seed addresses that belong to no known member, else known members.
 
-        Members that know only each other take themselves to be the whole fleet; the
-        seeds that are strangers to them tell otherwise.
+        Members that know only each other would take themselves for the whole fleet;
+        pinging unknown seeds joins such groups.
         """
         if now < self.seed_due_at:
             return []
@@ -141,24 +150,24 @@
             for m in self.live_members()
             if m.name != self.local_member.name
         ]
-        strangers = sorted(self.seeds - {self.local_member.link_address, *known})
+        unknown_seeds = sorted(self.seeds - {self.local_member.link_address, *known})
         complete = self.size >= COMPLETE_RATIO * self.fleet_size
         settled = self.table.gossip_joins
         period_s = REMOTE_PERIOD_S if complete and settled else SEED_PERIOD_S
         self.seed_due_at = now + period_s * self.random.uniform(0.8, 1.2)
-        addresses = strangers or ([] if complete else known)
+        addresses = unknown_seeds or ([] if complete else known)
         if not addresses:
             return []
         address = self.random.choice(addresses)
         return [self.build_datagram(address, self.local_member, DatagramKind.PING, 0)]
 
     def live_members(self) -> list[Member]:
-        """Return all members that are not dead, with this one."""
+        """Return all members that are not dead, including this one."""
         members = self.table.members.values()
         return [one for one in members if one.state is not MemberState.DEAD]
 
     def send_indirect_probes(self, probe: Probe, now: float) -> list[OutgoingDatagram]:
-        """Let others ping a member that has not answered in time."""
+        """Request indirect pings of a member that has not acknowledged in time."""
         if now - probe.sent_at < INDIRECT_AFTER_S:
             return []
         self.probe = probe._replace(indirect=True)
@@ -176,7 +185,7 @@
         ]
 
     def end_probe(self, now: float) -> None:
-        """Suspect a member that answered neither this process nor its helpers."""
+        """Suspect a member that acknowledged neither direct nor indirect probes."""
         probe, self.probe = self.probe, None
         if probe is None:
             return
@@ -186,28 +195,28 @@
             self.suspect(member, now)
 
     def suspect(self, member: Member, now: float) -> None:
-        """Suspect a member and let it hear of that."""
+        """Mark a member as suspect and start its suspicion timeout."""
         self.table.merge(member._replace(state=MemberState.SUSPECT), now)
         self.suspected_at.setdefault(member.name, now)
 
     def probed_members(self) -> list[Member]:
-        """Return the other members of this data centre that are not dead."""
+        """Return the other members of the local data centre that are not dead."""
         members = self.table.in_data_centre(self.local_member.data_centre)
         return [member for member in members if member.name != self.local_member.name]
 
     def start_probe(self, now: float) -> list[OutgoingDatagram]:
-        """Ping the next member in a shuffled order."""
+        """Ping the next member: first those with a lost link, then in random order."""
         names = {member.name for member in self.probed_members()}
         if not self.probe_order:
             self.probe_order = sorted(names)
             self.random.shuffle(self.probe_order)
-        waiting = [
+        candidates = [
             name for name in self.priority_probes + self.probe_order if name in names
         ]
-        if not waiting:
+        if not candidates:
             self.probe_order.clear()
             return []
-        name = waiting[0]
+        name = candidates[0]
         self.priority_probes = [
             other for other in self.priority_probes if other != name
         ]
@@ -222,7 +231,7 @@
         ]
 
     def gossip_to_remote(self) -> list[OutgoingDatagram]:
-        """Exchange news with a member of another data centre."""
+        """Exchange updates with a random member of another data centre."""
         others = [
             member
             for member in self.table.members.values()
@@ -237,7 +246,7 @@
     def receive(
         self, datagram: Datagram, address: str, now: float
     ) -> list[OutgoingDatagram]:
-        """Take in a datagram that came from ``address``."""
+        """Apply a datagram from ``address`` and return the replies to send."""
         self.fleet_size = max(datagram.size, self.fleet_size * SIZE_DECAY)
         self.last_heard_at[datagram.sender.data_centre] = now
         if self.local_member.state is MemberState.JOINING:
@@ -250,13 +259,13 @@
         return self.reply_to(datagram, address, now)
 
     def apply_update(self, update: Member, now: float) -> None:
-        """Take in what is told of a member."""
+        """Apply one member update; refute a wrong one about this process."""
         if update.name == self.local_member.name:
-            wrong = update.incarnation > self.local_member.incarnation or (
+            refutable = update.incarnation > self.local_member.incarnation or (
                 update.incarnation == self.local_member.incarnation
                 and update.state > max(self.local_member.state, MemberState.ALIVE)
             )
-            if wrong:
+            if refutable:
                 self.refute(update.incarnation)
             return
         self.table.merge(update, now)
@@ -266,7 +275,7 @@
     def reply_to(
         self, datagram: Datagram, address: str, now: float
     ) -> list[OutgoingDatagram]:
-        """Return what a datagram calls for."""
+        """Return the datagrams to send in response to a received one."""
         sender = datagram.sender
         match datagram.kind:
             case DatagramKind.PING:
@@ -282,7 +291,7 @@
                 return self.handle_ping_request(datagram, address, now)
 
     def handle_ack(self, datagram: Datagram, now: float) -> list[OutgoingDatagram]:
-        """End the probe that is answered, or pass the answer on."""
+        """End the acknowledged probe, or relay the acknowledgement."""
         if self.probe is not None and self.probe.sequence == datagram.sequence:
             self.probe = None
             self.health_score = max(0, self.health_score - 1)
@@ -297,12 +306,14 @@
     def handle_ping_request(
         self, datagram: Datagram, address: str, now: float
     ) -> list[OutgoingDatagram]:
-        """Ping a member for another one."""
+        """Ping a member on behalf of the sender of a ping request."""
         subject = self.table.members.get(datagram.subject)
         if subject is None:
             return []
-        old = [n for n, r in self.relays.items() if now - r.sent_at > RELAY_RETENTION_S]
-        for sequence in old:
+        expired = [
+            n for n, r in self.relays.items() if now - r.sent_at > RELAY_RETENTION_S
+        ]
+        for sequence in expired:
             del self.relays[sequence]
         self.sequence += 1
         self.relays[self.sequence] = Relay(address, datagram.sequence, now)
@@ -318,7 +329,11 @@
         subject: str = "",
         incomplete: bool = False,
     ) -> OutgoingDatagram:
-        """Build a datagram with news for its reader, more if it is lacking members."""
+        """Build a datagram with updates; more if the reader's view is incomplete.
+
+        A reader whose known state is above ``ALIVE`` is sent its own record first, so
+        that it can refute a wrong one.
+        """
         near = reader.data_centre == self.local_member.data_centre
         rotation_count = ROTATION_UPDATES if near else ROTATION_UPDATES_REMOTE
         if incomplete:
@@ -344,16 +359,16 @@
         )
 
     def handle_link_lost(self, name: str) -> None:
-        """Probe a member next whose link was lost."""
+        """Probe a member next, because the link to it was lost."""
         if name not in self.priority_probes:
             self.priority_probes.append(name)
 
     def leave(self) -> list[OutgoingDatagram]:
-        """Tell some members at once that this process leaves."""
+        """Return datagrams that announce the departure to a few members at once."""
         self.set_local_member(self.local_member._replace(state=MemberState.LEAVING))
         peers = self.probed_members()
-        update = self.random.sample(peers, min(INDIRECT_PROBES, len(peers)))
+        recipients = self.random.sample(peers, min(INDIRECT_PROBES, len(peers)))
         return [
             self.build_datagram(peer.link_address, peer, DatagramKind.PING, 0)
-            for peer in update
+            for peer in recipients
         ]
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -1,4 +1,4 @@
-"""The fleet as one entry process sees it: who lives, who owns what, and its share."""
+"""Fleet membership, replica ownership and leases as seen by one entry process."""
 
 from __future__ import annotations
 
@@ -49,9 +49,10 @@
 class Fleet:
     """Membership, ownership and leases of one process.
 
-    ``in_flight`` tells how much work runs at a replica here; ``seeds`` are link
-    addresses to start from. After ``start``, ``on_change`` callbacks run whenever the
-    answer of ``owner_of`` or ``allowance`` may have become another one.
+    ``in_flight`` returns the number of sub-queries that this process runs at a
+    replica. ``seeds`` are the link addresses used for bootstrapping. After ``start``,
+    ``on_change`` callbacks run whenever the result of ``owner_of`` or ``allowance``
+    may have changed.
     """
 
     def __init__(
@@ -108,14 +109,17 @@
         self.register_handlers()
 
     def register_handlers(self) -> None:
-        """Take the fleet's messages from the links."""
+        """Register the handlers of fleet messages and of lost links."""
         self.links.on(RosterPush, self.handle_roster_push)
         self.links.on(RosterPull, self.handle_roster_pull)
         self.links.on(Released, self.handle_released)
         self.links.on_down(self.membership.handle_link_lost)
 
     def start(self) -> None:
-        """Begin; the links must be listening."""
+        """Start gossip, join the roster and start the eviction loop.
+
+        The links must be listening already, since their address is advertised.
+        """
         local_member = self.membership.local_member._replace(
             link_address=self.links.address
         )
@@ -129,22 +133,25 @@
         self.eviction_loop.start(EVICTION_PERIOD_S, now=False)
 
     def evict_removed_vms(self) -> None:
-        """Look for members whose VMs are no more, if this is one of few that do."""
+        """Evict members whose VMs were removed, if this process is a candidate.
+
+        Only the few registrar candidates do this.
+        """
         if self.ownership.is_member and self.node in self.leases.registrar_candidates():
             self.start_task(self.roster_updater.evict_removed_vms())
 
     async def leave(self, limit_s: float) -> None:
-        """Stop owning anything: finish, release, and tell that this process leaves.
+        """Announce the departure, drain work in flight and leave the roster.
 
-        Waits at most about ``limit_s`` seconds for the work in flight; with work left,
-        or without the platform's service, the roster keeps the process until the
-        platform's list shows that it is gone.
+        Waits at most about ``limit_s`` seconds for work in flight. If work remains or
+        the platform's store cannot be reached, the process stays in the roster until
+        the platform's list shows that its VM was removed.
         """
         self.leaving = True
         self.gossip.send(self.membership.leave())
         self.notify_change()
-        give_up_at = self.reactor.seconds() + limit_s
-        while self.has_excess_work() and self.reactor.seconds() < give_up_at:
+        drain_until = self.reactor.seconds() + limit_s
+        while self.has_excess_work() and self.reactor.seconds() < drain_until:
             await deferLater(self.reactor, RELEASE_POLL_S)
         self.roster_updater.stopped = True
         if not self.has_excess_work():
@@ -154,7 +161,10 @@
         await self.election.leave()
 
     async def stop(self) -> None:
-        """End all timers and close the port; the links are the caller's to close."""
+        """Stop all timers and tasks and close the UDP port.
+
+        The caller closes the links.
+        """
         self.roster_updater.stopped = True
         if self.eviction_loop is not None and self.eviction_loop.running:
             self.eviction_loop.stop()
@@ -163,49 +173,55 @@
             task.cancel()
 
     def start_task(self, coroutine: Any) -> None:  # noqa: ANN401
-        """Run a coroutine; a fault in it is logged."""
+        """Run a coroutine as a task until ``stop`` cancels it; log its failure."""
         started: Deferred[Any] = Deferred.fromCoroutine(coroutine)
         self.tasks.add(started)
         started.addErrback(self.task_failed)
         started.addBoth(lambda _: self.tasks.discard(started))
 
     def task_failed(self, failure: Failure) -> None:
-        """Log a fault; being cancelled is none."""
+        """Log the failure of a task, unless the task was cancelled."""
         if failure.check(CancelledError) is None:
             logger.error("fleet_task_failed", detail=failure.getErrorMessage())
 
     def is_self(self, node: str) -> bool:
-        """Whether a node is this process."""
+        """Return whether ``node`` is the name of this process."""
         return node == self.node
 
     def members(self, data_centre: str) -> tuple[Member, ...]:
-        """Return the members of a data centre that are not known to be dead."""
+        """Return the members of a data centre that are not declared dead, sorted."""
         members = self.membership.table.in_data_centre(data_centre)
         return tuple(sorted(members))
 
     def last_heard_age_s(self, data_centre: str) -> float | None:
-        """Return the seconds since anyone of a data centre was heard; None if never."""
+        """Return the seconds since the last datagram from a data centre.
+
+        Returns None if no datagram was ever received from it.
+        """
         last_heard_at = self.membership.last_heard_at.get(data_centre)
         now: float = self.reactor.seconds()
         return None if last_heard_at is None else now - last_heard_at
 
     def owner_of(self, replica: Replica) -> str | None:
-        """Return the owner by the newest roster known of the replica's data centre."""
+        """Return the owner by the newest known roster of the replica's data centre."""
         return self.roster_cache.owner_of(replica)
 
     def candidates_of(self, replica: Replica) -> tuple[str, ...]:
-        """Return the owner of a replica and its possible deputy."""
+        """Return the owner of a replica and the member that can be its deputy."""
         return self.roster_cache.candidates_of(replica)
 
     def allowance(self, replica: Replica, index: Index) -> Allowance:
-        """Return what this process may use of a replica now."""
+        """Return the slots and connections of a replica that this process may use.
+
+        Replicas of other data centres have an empty allowance.
+        """
         if replica.data_centre != self.data_centre:
             return NOTHING
         self.capacities[replica.name] = ReplicaCapacity(index.slots, index.connections)
         return self.current_allowance(replica.name)
 
     def current_allowance(self, replica: str) -> Allowance:
-        """Return what this process may use of a replica it was asked about before."""
+        """Return the allowance of a replica whose capacity ``allowance`` recorded."""
         if self.leaving:
             return NOTHING
         slots, connections = self.capacities[replica]
@@ -215,22 +231,22 @@
         )
 
     def on_change(self, callback: Callable[[], None]) -> None:
-        """Call back when ownership or an allowance may have changed."""
+        """Register a callback for possible changes of ownership or allowances."""
         self.callbacks.append(callback)
 
     def notify_change(self) -> None:
-        """Tell that ownership or an allowance may have changed."""
+        """Run the callbacks registered with ``on_change``."""
         for callback in self.callbacks:
             callback()
 
     def announce(self, reports: Sequence[ReplicaReport]) -> None:
-        """Tell all connected members about replicas that this process serves."""
+        """Send reports on the replicas that this process serves to all live links."""
         for node in list(self.links.live_links):
             for report in reports:
                 self.links.send(node, report)
 
     def handle_tick(self, changes: list[Member]) -> None:
-        """Follow the members that changed, the epochs told of, and the own lease."""
+        """Apply member changes, pull newer rosters and renew leases as needed."""
         for member in changes:
             self.update_link(member)
         for data_centre, epoch in self.membership.table.epochs.items():
@@ -247,18 +263,19 @@
             self.notify_change()
 
     def lease_changed(self) -> bool:
-        """Whether the lease lapsed, came or changed since this was last asked.
+        """Return whether the lease state changed since the previous call.
 
-        To be asked before work is begun: a process that was paused may read requests
-        before any timer has run.
+        The state is whether the lease is valid, and the set of lapsed members. Call
+        this before starting work: a process that was paused may read requests before
+        any of its timers has run.
         """
-        terms = (self.leases.valid(), self.leases.lease.lapsed)
-        changed = terms != self.lease_state
-        self.lease_state = terms
+        state = (self.leases.valid(), self.leases.lease.lapsed)
+        changed = state != self.lease_state
+        self.lease_state = state
         return changed
 
     def update_link(self, member: Member) -> None:
-        """Keep a link to a member while it lives."""
+        """Connect to a member, or disconnect from it if it was declared dead."""
         logger.info(
             "member_state",
             member=member.name,
@@ -271,31 +288,34 @@
             self.links.connect(member.name, member.link_address)
 
     def peers(self) -> list[str]:
-        """Return the other members of the own data centre."""
+        """Return the names of the other members of the local data centre."""
         names = [member.name for member in self.members(self.data_centre)]
         return [name for name in names if name != self.node]
 
     def pull_roster(self, data_centre: str) -> None:
-        """Ask a member for a roster that others know a newer epoch of."""
+        """Request the roster of a data centre from a random connected member."""
         connected = sorted(self.links.live_links)
         if connected:
             self.links.send(self.random.choice(connected), RosterPull(data_centre))
 
     def handle_roster_pull(self, node: str, message: RosterPull) -> None:
-        """Send a roster that a member asks for, and what was released here."""
+        """Reply with the requested roster, if it is known."""
         roster = self.roster_cache.rosters.get(message.data_centre)
         if roster is not None:
             self.links.send(node, RosterPush(message.data_centre, roster))
 
     def handle_roster_push(self, _node: str, message: RosterPush) -> None:
-        """Take in a roster sent by a member."""
+        """Apply a roster of the local data centre, or cache that of another one."""
         if message.data_centre == self.data_centre:
             self.apply_roster(message.roster, written=False)
         else:
             self.cache_roster(message.data_centre, message.roster)
 
     def cache_roster(self, data_centre: str, roster: Roster) -> None:
-        """Keep a roster if it is newer than the known one."""
+        """Cache a roster if it is newer than the known one.
+
+        Members of another data centre that its roster no longer lists are dropped.
+        """
         if not self.roster_cache.update(data_centre, roster):
             return
         table = self.membership.table
@@ -305,7 +325,11 @@
         self.notify_change()
 
     def apply_roster(self, roster: Roster, written: bool) -> None:
-        """Use a newer roster of the own data centre; its writer sends it to all."""
+        """Apply a newer roster of the local data centre.
+
+        ``written`` means that this process wrote the roster to the store; the writer
+        pushes it to all peers.
+        """
         if not self.ownership.set_roster(roster):
             return
         logger.info("roster_changed", epoch=roster.epoch, count=len(roster.members))
@@ -317,21 +341,22 @@
         self.reactor.callLater(0, self.announce_release_if_done)
 
     def has_excess_work(self) -> bool:
-        """Whether more work runs here than this process may start now."""
+        """Return whether more work is in flight at a replica than its allowance."""
         return any(
             self.in_flight(replica) > self.current_allowance(replica).slots
             for replica in self.capacities
         )
 
     def release_message(self, wanted: bool) -> Released:
-        """Return what this process has released, or did before the newest roster."""
+        """Build the message with the latest epoch whose release is complete."""
         epoch = self.released_epoch
         return Released(self.identity.boot, epoch, wanted)
 
     def announce_release_if_done(self) -> None:
-        """Tell the members when nothing of an earlier epoch is used here any more.
+        """Announce the release once no work of an earlier epoch remains.
 
-        Called in a later turn than the change, when callbacks have taken effect.
+        Called in a later reactor turn than the change, after the callbacks have taken
+        effect.
         """
         if not self.release_pending or self.has_excess_work():
             return
@@ -341,7 +366,7 @@
             self.links.send(name, self.release_message(wanted=False))
 
     def request_releases(self, now: float) -> None:
-        """Ask those again who have not told that they released."""
+        """Ask lagging members periodically whether they have released."""
         if now - self.releases_requested_at < RELEASE_REQUEST_PERIOD_S:
             return
         self.releases_requested_at = now
@@ -349,7 +374,7 @@
             self.links.send(name, self.release_message(wanted=True))
 
     def handle_released(self, node: str, message: Released) -> None:
-        """Note what a member released, and answer it if it asks."""
+        """Record a member's release, and reply with the own one on request."""
         if message.wanted:
             self.links.send(node, self.release_message(wanted=False))
         if self.ownership.note_released(node, message.boot, message.epoch):
