Reword rosters, registrar, leases and replica ownership

Comments named leases that one goes by, work that is begun and epochs that are told of. They now say request, grant, relinquish, expire and release.

--- a/sardinehook/fleet/lease.py
+++ b/sardinehook/fleet/lease.py
@@ -1,4 +1,4 @@
-"""Leases of nodes: who may use the marginal part of replicas, and until when."""
+"""Node leases, which permit the use of the leased part of replicas."""
 
 from __future__ import annotations
 
@@ -17,11 +17,11 @@
 
 
 class LeaseRequest(NamedTuple):
-    """Asks the registrar for a node lease under a roster epoch.
+    """Requests a node lease under a roster epoch from the registrar.
 
-    The sender holds no lease of an earlier epoch any more, and no work of one.
-    ``held_number`` is the number of the lease that it goes by, 0 for none; it will go
-    by none with a lower number.
+    The sender holds no lease of an earlier epoch and runs no work started under one.
+    ``held_number`` is the number of the lease that it uses, 0 for none; it will use no
+    lease with a lower number.
     """
 
     number: int
@@ -33,8 +33,8 @@
 class LeaseGrant(NamedTuple):
     """Grants a node lease.
 
-    ``lapsed`` are the members that hold none, and will get none while this lease
-    lasts, so their marginal part falls to the next in rendezvous order.
+    ``lapsed`` lists the members that hold no lease and get none while this one lasts;
+    the leased part of their replicas goes to the next member in rendezvous order.
     """
 
     number: int
@@ -44,7 +44,9 @@
 
 
 def lease_seconds(members: int) -> float:
-    """Return the length of a node lease; it grows so that the registrar's work won't.
+    """Return the duration of a node lease.
+
+    It grows with the number of members, which bounds the registrar's load.
 
     >>> lease_seconds(3), lease_seconds(79)
     (4.0, 23.7)
@@ -55,8 +57,8 @@
 class NodeLease:
     """A node's own lease; all times are monotonic seconds of the node's clock.
 
-    The lease counts from before its request was sent. Work is begun under it only
-    while ``WORK_LIMIT_S`` of it are left.
+    The lease is counted from before its request was sent. Work is started under it
+    only while at least ``WORK_LIMIT_S`` of it remain.
     """
 
     def __init__(self) -> None:
@@ -68,7 +70,7 @@
         self.lapsed: frozenset[str] = frozenset()
 
     def new_request(self, boot: int, epoch: int, now: float) -> LeaseRequest:
-        """Ask for a lease, giving up one of an earlier epoch."""
+        """Build the next request; relinquish a lease of an earlier epoch."""
         if epoch != self.epoch:
             self.relinquish()
             self.epoch = epoch
@@ -80,14 +82,14 @@
         return LeaseRequest(self.number, boot, epoch, self.held_number)
 
     def relinquish(self) -> None:
-        """Use the lease no more, nor an answer that is under way."""
+        """Stop using the lease and ignore grants that are still in flight."""
         self.until = float("-inf")
         self.lapsed = frozenset()
         self.held_number = self.number + 1
         self.requested_at.clear()
 
     def apply_grant(self, grant: LeaseGrant) -> None:
-        """Take in an answer of the registrar."""
+        """Apply a grant; ignore one that is outdated or of another epoch."""
         requested_at = self.requested_at.get(grant.number)
         if requested_at is None or grant.epoch != self.epoch:
             return
@@ -100,13 +102,16 @@
         self.lapsed = frozenset(grant.lapsed)
 
     def valid(self, epoch: int, now: float) -> bool:
-        """Whether work may be begun under the lease with a roster of an epoch."""
+        """Return whether work may be started under the lease in a roster epoch."""
         return epoch == self.epoch and now < self.until
 
     def holds_leased_part(
         self, node: str, replica: str, members: Collection[str], now: float, epoch: int
     ) -> bool:
-        """Whether the marginal part of a replica is this node's."""
+        """Return whether the leased part of a replica belongs to ``node``.
+
+        It belongs to the first member in rendezvous order that has not lapsed.
+        """
         if not self.valid(epoch, now):
             return False
         order = rendezvous_order(replica, tuple(members))
@@ -115,7 +120,7 @@
 
 
 class GrantedLease(NamedTuple):
-    """A node lease as its granter remembers it."""
+    """A node lease as recorded by the registrar."""
 
     name: str
     boot: int
@@ -128,10 +133,10 @@
 class LeaseRegistry:
     """The node leases that the registrar of a data centre has granted.
 
-    A registrar grants none that could outlast its own lease, and forgets all when it
-    is lost. A lease counts until it has ended, or until its holder tells that it goes
-    by a later one: the answer that replaced it may have been lost. All times are
-    monotonic seconds of the registrar's clock.
+    A registrar grants no lease that could outlast its own, and drops all records when
+    its own lease is lost. A granted lease counts until it expires or until its holder
+    reports the use of a later one, because the reply with the later grant may have
+    been lost. All times are monotonic seconds of the registrar's clock.
     """
 
     def __init__(self) -> None:
@@ -141,14 +146,17 @@
         self.requesting_until: dict[str, float] = {}
 
     def begin(self, own_until: float, now: float) -> None:
-        """Start as the holder of a new lease of the platform's service."""
+        """Start as the registrar under a new lease of the platform's store.
+
+        No member counts as lapsed during the first ``MIN_LEASE_S``.
+        """
         self.own_until = own_until
         self.lapse_detection_from = now + MIN_LEASE_S
         self.grants.clear()
         self.requesting_until.clear()
 
     def extend(self, own_until: float) -> None:
-        """Note that the own lease was renewed."""
+        """Record a renewal of the registrar's own lease."""
         self.own_until = max(self.own_until, own_until)
 
     def request(
@@ -159,7 +167,7 @@
         epoch: int,
         now: float,
     ) -> LeaseGrant | None:
-        """Grant a lease under the registrar's epoch, or nothing when it must wait."""
+        """Grant a lease under the registrar's epoch; return None if it must wait."""
         self.remove_ended(name, request, now)
         if request.epoch != epoch or name not in members:
             return None
@@ -181,7 +189,7 @@
         return LeaseGrant(request.number, epoch, ttl_ms, tuple(sorted(lapsed)))
 
     def remove_ended(self, name: str, request: LeaseRequest, now: float) -> None:
-        """Forget what has ended and what the sender of a request no longer goes by."""
+        """Remove expired records and leases that the requester no longer uses."""
         self.requesting_until = {
             n: t for n, t in self.requesting_until.items() if t > now
         }
@@ -197,7 +205,11 @@
         ]
 
     def may_grant(self, name: str, request: LeaseRequest, epoch: int) -> bool:
-        """Whether no lease that lasts stands in the way."""
+        """Return whether no outstanding lease conflicts with a new one.
+
+        A conflict is a lease of another process under the same name, one that counts
+        the name as lapsed, or one of another epoch.
+        """
         return all(
             grant.boot == request.boot
             if grant.name == name
@@ -206,7 +218,7 @@
         ) and all(grant.epoch == epoch for grant in self.grants)
 
     def find_lapsed(self, members: Collection[str], now: float) -> frozenset[str]:
-        """Return the members that neither hold a lease nor ask for one."""
+        """Return the members that neither hold nor have recently requested a lease."""
         if now < self.lapse_detection_from:
             return frozenset()
         held = {grant.name for grant in self.grants}
--- a/sardinehook/fleet/lease_manager.py
+++ b/sardinehook/fleet/lease_manager.py
@@ -1,4 +1,4 @@
-"""Asks for the node lease of one process and answers others as the registrar."""
+"""Node lease of one process, and the granting of leases as the registrar."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 
 
 class LeaseManager:
-    """The node lease of one process, and the registrar if this process is it.
+    """Requests the node lease of this process; grants leases if it is the registrar.
 
-    ``has_excess_work`` tells whether work runs that the process could not start now.
-    ``peers`` lists the other members of the data centre.
+    ``has_excess_work`` returns whether more work is in flight than the current
+    allowance permits. ``peers`` lists the other members of the data centre.
     """
 
     def __init__(
@@ -51,20 +51,20 @@
         links.on(RegistrarIs, self.handle_registrar_is)
 
     def valid(self) -> bool:
-        """Whether the marginal part may be used now."""
+        """Return whether the leased part of replicas may be used now."""
         return self.lease.valid(self.ownership.roster.epoch, self.reactor.seconds())
 
     def registrar_candidates(self) -> list[str]:
-        """Return the nodes that may try to become registrar."""
+        """Return the nodes that may try to become registrar, preferred one first."""
         names = [self.ownership.name, *self.peers()]
         return rendezvous_order(self.election.key, names)[:REGISTRAR_CANDIDATES]
 
     def renewal_period_s(self) -> float:
-        """Return the seconds between two requests."""
+        """Return the seconds between two lease requests."""
         return lease_seconds(len(self.ownership.roster.members)) / RENEWALS_PER_LEASE
 
     def tick(self, now: float) -> bool:
-        """Do what is due; True when the registrar's own lease is to be looked after."""
+        """Request the node lease if due; return whether an election step is due."""
         if not self.ownership.is_member:
             return False
         if now - self.requested_at >= self.renewal_period_s():
@@ -79,10 +79,10 @@
         return False
 
     def request_lease(self, now: float) -> None:
-        """Ask the registrar for a lease, or a candidate when it does not answer.
+        """Request a lease from the registrar, or from a candidate if it is silent.
 
-        A lease of an earlier epoch is given up a tick before, so that no work is begun
-        under it any more when the request leaves.
+        A lease of an earlier epoch is relinquished one tick before the request, so
+        that no more work is started under it when the request is sent.
         """
         epoch = self.ownership.roster.epoch
         if epoch != self.relinquished_for_epoch and epoch != self.lease.epoch:
@@ -97,14 +97,14 @@
             self.handle_request(self.ownership.name, request)
             return
         self.unanswered += 1
-        target = self.election.registrar_name
-        if not target or self.unanswered > UNANSWERED_LIMIT:
-            registrar_candidates = self.registrar_candidates()
-            target = registrar_candidates[self.unanswered % len(registrar_candidates)]
-        self.links.send(target, request)
+        recipient = self.election.registrar_name
+        if not recipient or self.unanswered > UNANSWERED_LIMIT:
+            candidates = self.registrar_candidates()
+            recipient = candidates[self.unanswered % len(candidates)]
+        self.links.send(recipient, request)
 
     def handle_request(self, node: str, request: LeaseRequest) -> None:
-        """Grant a lease as the registrar, or name the registrar."""
+        """Grant a lease if this process is the registrar, else name the registrar."""
         if not self.election.active:
             known = self.election.registrar_name
             if known and known != self.ownership.name:
@@ -123,15 +123,15 @@
             self.links.send(node, grant)
 
     def handle_grant(self, grant: LeaseGrant) -> None:
-        """Take in the registrar's answer."""
+        """Apply a grant from the registrar."""
         self.unanswered = 0
         self.lease.apply_grant(grant)
 
     def handle_registrar_is(self, node: str, message: RegistrarIs) -> None:
-        """Note who is the registrar."""
+        """Record the name of the registrar."""
         self.election.registrar_name = message.name
 
     def announce_registrar(self) -> None:
-        """Tell the data centre that this process is the registrar."""
+        """Announce to the data centre's members that this process is the registrar."""
         for name in self.peers():
             self.links.send(name, RegistrarIs(self.ownership.name))
--- a/sardinehook/fleet/node_allowance.py
+++ b/sardinehook/fleet/node_allowance.py
@@ -1,4 +1,4 @@
-"""What a node may use of a replica now, from what it holds and its lease."""
+"""Current allowance of a node, derived from replica ownership and its lease."""
 
 from __future__ import annotations
 
@@ -18,11 +18,12 @@
     connections: int,
     now: float,
 ) -> Allowance:
-    """Return what a node may use of a replica that bears so much in total.
+    """Return the part of a replica that a node may use now.
 
-    The owner's part comes with the roster, the marginal part with the node lease: the
-    owner has both, a deputy the marginal part alone. An owner that must still wait
-    for an earlier one counts as a deputy. ``now`` is monotonic seconds.
+    ``slots`` and ``connections`` are the replica's total capacity. The owner's part
+    follows from the roster, the leased part from the node lease: an owner has both, a
+    deputy only the leased part. An owner that still waits for the release of an
+    earlier owner counts as a deputy. ``now`` is in monotonic seconds.
     """
     if not ownership.is_member:
         return NOTHING
--- a/sardinehook/fleet/ownership.py
+++ b/sardinehook/fleet/ownership.py
@@ -1,4 +1,4 @@
-"""Who owns a replica, and what part of it a node may use."""
+"""Assignment of replicas to owners by rendezvous hashing, and their allowances."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class Role(Enum):
-    """What a node is to a replica."""
+    """Role of a node for a replica."""
 
     NONE = "none"
     OWNER = "owner"
@@ -41,14 +41,14 @@
 
 @lru_cache(maxsize=ORDER_CACHE_SIZE)
 def cached_order(replica: str, members: tuple[str, ...]) -> tuple[str, ...]:
-    """Sort members by weight, highest first."""
+    """Sort members by rendezvous weight, highest first."""
     return tuple(sorted(members, key=lambda member: score(replica, member)))[::-1]
 
 
 def rendezvous_order(replica: str, members: Sequence[str]) -> list[str]:
     """Order members by highest random weight, the owner first.
 
-    A member that joins or leaves moves only the replicas that it takes or held
+    A member that joins or leaves moves only the replicas that it gains or owned
     (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998).
 
     >>> everyone = rendezvous_order("counters-1a", ["e1", "e2", "e3"])
@@ -59,19 +59,19 @@
 
 
 def owner_of(replica: str, members: Sequence[str]) -> str | None:
-    """Return the owner of a replica; None when there are no members."""
+    """Return the owner of a replica; None if there are no members."""
     if not members:
         return None
     return cached_order(replica, tuple(sorted(members)))[0]
 
 
 def leased_part(slots: int, connections: int) -> Allowance:
-    """Return the part of a replica that nobody uses without a lease.
+    """Return the part of a replica that is used only under a lease.
 
     >>> leased_part(slots=2, connections=25)
     Allowance(slots=1, connections=5, may_serve_cold=False)
 
-    A replica with one slot or one connection has no marginal part.
+    A replica with one slot or one connection has no leased part.
 
     >>> leased_part(slots=1, connections=25)
     Allowance(slots=0, connections=0, may_serve_cold=False)
@@ -83,10 +83,11 @@
 
 
 def allowance(role: Role, has_lease: bool, slots: int, connections: int) -> Allowance:
-    """Return what a node may use of a replica that bears so much in total.
+    """Return the part of a replica that a node may use.
 
-    ``has_lease`` tells whether the node holds a node lease; for a deputy the caller
-    must know besides that the owner's lease has lapsed and that the replica is warm.
+    ``slots`` and ``connections`` are the replica's total capacity. ``has_lease`` is
+    whether the node holds a node lease. For a deputy the caller must also know that
+    the owner's lease has lapsed and that the replica is warm.
 
     >>> allowance(Role.OWNER, False, slots=3, connections=110)
     Allowance(slots=2, connections=88, may_serve_cold=True)
--- a/sardinehook/fleet/ownership_state.py
+++ b/sardinehook/fleet/ownership_state.py
@@ -1,4 +1,4 @@
-"""Which replicas a node holds while ownership moves from epoch to epoch."""
+"""Transfer of replica ownership between the epochs of a roster."""
 
 from __future__ import annotations
 
@@ -11,12 +11,13 @@
 
 
 class OwnershipState:
-    """What one process may hold of its data centre's replicas.
+    """The replicas that one process owns and may already use.
 
-    A replica is usable once no other member of the roster can still hold it. A member
-    tells by ``Released`` up to which epoch it uses nothing that is not its own; it can
-    hold what it owned in that epoch or in a later one. A process that is no longer in
-    the roster left by its own release, or is known to be dead.
+    A replica is usable once no other member of the roster can still be using it. With
+    ``Released`` a member reports the epoch as of which it uses only replicas that it
+    owns; it can still use what it owned in that epoch or in a later one. A process
+    that is no longer in the roster has either released everything or is known to be
+    dead.
     """
 
     def __init__(self, name: str, boot: int) -> None:
@@ -30,12 +31,12 @@
 
     @property
     def is_member(self) -> bool:
-        """Whether this very process is in the roster."""
+        """Return whether this process, not just its name, is in the roster."""
         known = self.roster.find(self.name)
         return known is not None and known.boot == self.boot
 
     def set_roster(self, roster: Roster) -> bool:
-        """Use a newer roster; False when it is not newer."""
+        """Apply a roster; return False if it is not newer than the current one."""
         if roster.epoch <= self.roster.epoch:
             return False
         self.roster = roster
@@ -43,7 +44,7 @@
         return True
 
     def note_released(self, name: str, boot: int, epoch: int) -> bool:
-        """Note that a process uses only its own as of an epoch; True if it is news."""
+        """Record the release of a process; return whether its epoch advanced."""
         if self.released.get((name, boot), 0) >= epoch:
             return False
         self.released[(name, boot)] = epoch
@@ -51,12 +52,16 @@
         return True
 
     def released_epoch(self, member: RosterMember) -> int:
-        """Return the latest epoch up to which a member is known to have released."""
+        """Return the latest epoch that a member is known to have released."""
         told = self.released.get((member.name, member.boot), 0)
         return max(told, member.since_epoch)
 
     def update_pending_releases(self) -> None:
-        """Work out who can still hold what by an earlier epoch."""
+        """Recompute which members may still use replicas of earlier epochs.
+
+        If the roster's history is too short for a lagging member, no replica is
+        usable.
+        """
         others = [m for m in self.roster.members if m.name != self.name]
         lagging_members = {m.name: self.released_epoch(m) for m in others}
         lagging_members = {
@@ -76,11 +81,11 @@
                 self.pending_releases.append((names, holders))
 
     def owns(self, replica: str) -> bool:
-        """Whether this process is the owner of a replica by its roster."""
+        """Return whether this process owns a replica by the current roster."""
         return self.is_member and owner_of(replica, self.roster.names) == self.name
 
     def usable(self, replica: str) -> bool:
-        """Whether this process may use its part of a replica that it owns now."""
+        """Return whether this process owns a replica that nobody else still uses."""
         if not self.owns(replica) or self.history_truncated:
             return False
         return all(
--- a/sardinehook/fleet/registrar.py
+++ b/sardinehook/fleet/registrar.py
@@ -1,4 +1,4 @@
-"""Runs the registrar of a data centre where the platform's service lets it."""
+"""Election of a data centre's registrar through a lease in the platform's store."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class RegistrarRecord(msgspec.Struct, frozen=True):
-    """What the registrar's key holds."""
+    """Value of the registrar's key."""
 
     name: str
     boot: int
@@ -34,7 +34,7 @@
 
 
 def registrar_key(data_centre: str) -> str:
-    """Return the key that the registrar of a data centre holds."""
+    """Return the store key that the registrar of a data centre holds."""
     return f"registrar/{data_centre}"
 
 
@@ -43,10 +43,11 @@
 
 
 class RegistrarElection:
-    """Takes and keeps the registrar's lease, and owns the registry of node leases.
+    """Acquires and renews the registrar's lease; holds the registry of node leases.
 
-    ``step`` is called about every ``renewal_period_s``. The lease counts from before
-    the call that granted or renewed it. ``registrar_name`` is the one last heard of.
+    ``step`` must be called about every ``renewal_period_s``. The lease is counted from
+    before the call that granted or renewed it, so it never outlasts the store's own
+    count. ``registrar_name`` is the last known registrar.
     """
 
     def __init__(
@@ -73,16 +74,16 @@
 
     @property
     def active(self) -> bool:
-        """Whether this process is the registrar now."""
+        """Return whether this process is the registrar now."""
         now: float = self.reactor.seconds()
         return now < self.registry.own_until
 
     def renewal_period_s(self, members: int) -> float:
-        """Return the seconds between two steps."""
+        """Return the seconds between two calls of ``step``."""
         return OWN_LEASE_FACTOR * lease_seconds(members) / RENEWALS_PER_LEASE
 
     async def step(self, members: int) -> None:
-        """Renew the lease, or try to take it."""
+        """Renew the lease, or try to acquire it; do nothing while a step is running."""
         if self.step_running:
             return
         self.step_running = True
@@ -96,11 +97,14 @@
             self.step_running = False
 
     def lease_end(self, sent_at: float) -> float:
-        """Return the end of a lease asked for at a time."""
+        """Return the local end of a lease requested at ``sent_at``.
+
+        The margin covers a difference between the clock rates.
+        """
         return sent_at + self.ttl_s * (1 - CLOCK_RATE_MARGIN)
 
     async def renew(self) -> None:
-        """Renew the lease; one that is gone is given up at once."""
+        """Renew the lease; step down at once if the store no longer has it."""
         sent_at = self.reactor.seconds()
         match await self.store.renew_lease(self.lease):
             case Success(_):
@@ -110,13 +114,16 @@
                 self.step_down()
 
     def step_down(self) -> None:
-        """Grant nothing more."""
+        """Drop the lease and stop granting node leases."""
         self.lease = ""
         self.registry.own_until = float("-inf")
         self.registry.grants.clear()
 
     async def acquire(self) -> None:
-        """Create the registrar's key under a new lease."""
+        """Create the registrar's key under a new lease.
+
+        The key can be created only while no other registrar holds it.
+        """
         self.step_down()
         sent_at = self.reactor.seconds()
         granted = await self.store.grant_lease(self.ttl_s * MS_PER_S)
@@ -136,13 +143,13 @@
                 await self.verify_creation(lease)
 
     async def verify_creation(self, lease: str) -> None:
-        """Settle a creation in doubt by what the service holds."""
+        """Resolve a creation with unknown outcome by reading the key."""
         match await self.store.get(self.key):
             case Success(entry):
                 await self.resolve_conflict(entry, lease)
 
     async def resolve_conflict(self, entry: Entry | None, lease: str) -> None:
-        """Begin if the key was created after all, else give the lease back."""
+        """Become registrar if the key is this process's own, else revoke the lease."""
         holder = self.decode(entry)
         if holder is not None and holder.boot == self.boot and holder.lease == lease:
             self.become_registrar(lease)
@@ -152,7 +159,7 @@
         await self.store.revoke_lease(lease)
 
     def decode(self, entry: Entry | None) -> RegistrarRecord | None:
-        """Decode what the key holds."""
+        """Decode the value of the key; return None if it is absent or malformed."""
         if entry is None:
             return None
         try:
@@ -161,7 +168,7 @@
             return None
 
     def become_registrar(self, lease: str) -> None:
-        """Act as registrar."""
+        """Start to act as registrar under a lease and announce it."""
         now = self.reactor.seconds()
         self.lease = lease
         self.registrar_name = self.name
@@ -170,7 +177,10 @@
         self.on_begin()
 
     async def leave(self) -> None:
-        """Let another node become registrar at once, if no node lease is left."""
+        """Step down; revoke the lease if no node lease is outstanding.
+
+        Then another node can become registrar without waiting for the lease to expire.
+        """
         lease, held = self.lease, bool(self.registry.grants)
         self.step_down()
         if lease and not held:
--- a/sardinehook/fleet/roster.py
+++ b/sardinehook/fleet/roster.py
@@ -1,4 +1,4 @@
-"""The roster of a data centre: which entry processes its replicas are divided among."""
+"""Roster of a data centre: the entry processes that share its replicas."""
 
 from __future__ import annotations
 
@@ -30,9 +30,10 @@
 class RosterMember(NamedTuple):
     """A member of the roster.
 
-    ``boot`` is drawn anew by each process, ``vm_incarnation`` is the platform's, or
-    ``UNKNOWN_INCARNATION``. ``as_of_ms`` is the platform's clock when the member
-    joined, ``since_epoch`` the epoch that it joined with.
+    ``boot`` is a random number drawn by each process at its start.
+    ``vm_incarnation`` is assigned by the platform, or ``UNKNOWN_INCARNATION``.
+    ``as_of_ms`` is the platform's clock when the member joined, ``since_epoch`` the
+    epoch in which it joined.
     """
 
     name: str
@@ -43,7 +44,7 @@
 
 
 class RosterChange(NamedTuple):
-    """A name that was added to the roster or taken from it with an epoch."""
+    """The addition or removal of a name that started an epoch."""
 
     epoch: int
     name: str
@@ -51,9 +52,9 @@
 
 
 class Roster(NamedTuple):
-    """The members of a data centre; each change makes a new epoch.
+    """The members of a data centre; each change starts a new epoch.
 
-    ``changes`` holds the latest changes of the list of names, oldest first.
+    ``changes`` holds the most recent additions and removals of names, oldest first.
     """
 
     epoch: int
@@ -62,15 +63,15 @@
 
     @property
     def names(self) -> tuple[str, ...]:
-        """The members' names, sorted."""
+        """Return the names of the members, sorted."""
         return tuple(sorted(member.name for member in self.members))
 
     def find(self, name: str) -> RosterMember | None:
-        """Return the member of a name."""
+        """Return the member with a name, or None."""
         return next((member for member in self.members if member.name == name), None)
 
     def names_at(self, epoch: int) -> tuple[str, ...] | None:
-        """Return the names at an earlier epoch; None when the history is too short.
+        """Return the names in an earlier epoch; None if the history is too short.
 
         >>> first = join(EMPTY_ROSTER, RosterMember("e1", 1, 0, 0.0, 0))
         >>> second = join(first, RosterMember("e2", 2, 0, 0.0, 0))
@@ -97,7 +98,10 @@
 def next_epoch(
     roster: Roster, members: tuple[RosterMember, ...], name: str, added: bool | None
 ) -> Roster:
-    """Return the roster of the next epoch."""
+    """Return the roster of the next epoch.
+
+    ``added`` is None if the list of names stays the same.
+    """
     epoch = roster.epoch + 1
     changes = roster.changes
     if added is not None:
@@ -106,7 +110,7 @@
 
 
 def join(roster: Roster, member: RosterMember) -> Roster:
-    """Add a member; it takes the place of an earlier process of the same name."""
+    """Add a member; it replaces an earlier process with the same name."""
     known = roster.find(member.name)
     if known is not None and known.boot == member.boot:
         return roster
@@ -117,7 +121,7 @@
 
 
 def release(roster: Roster, name: str, boot: int) -> Roster:
-    """Take out a process; do nothing when another one has its name by now."""
+    """Remove a process, unless a later process has taken over its name."""
     known = roster.find(name)
     if known is None or known.boot != boot:
         return roster
@@ -126,10 +130,11 @@
 
 
 def vm_removed(member: RosterMember, vm_list: VmList) -> bool:
-    """Whether the platform's list shows that a member's VM is no more.
+    """Return whether the platform's list shows that a member's VM was removed.
 
-    The list lags, so an absence counts only when it was made well after the member
-    joined. A VM that is listed as leaving still runs.
+    The list lags, so the absence of a VM counts only if the list was made at least
+    ``VM_LIST_MARGIN_MS`` after the member joined. A VM that is listed as leaving is
+    still running.
 
     >>> member = RosterMember("e1", 1, 4, 1000.0, 1)
     >>> vm_removed(member, VmList(1000.0, ())), vm_removed(member, VmList(90_000.0, ()))
@@ -144,12 +149,12 @@
 
 
 def restarted(vm: Vm, member: RosterMember) -> bool:
-    """Whether a VM was started anew since a member joined."""
+    """Return whether a VM was restarted since the member joined."""
     return vm.incarnation > member.vm_incarnation
 
 
 def evict(roster: Roster, vm_list: VmList) -> Roster:
-    """Take out the members whose VMs are no more, one epoch each."""
+    """Remove the members whose VMs were removed; each removal starts an epoch."""
     for member in roster.members:
         if vm_removed(member, vm_list):
             roster = release(roster, member.name, member.boot)
@@ -157,7 +162,7 @@
 
 
 def roster_key(data_centre: str) -> str:
-    """Return the key of a data centre's roster in the platform's service."""
+    """Return the key of a data centre's roster in the platform's store."""
     return f"roster/{data_centre}"
 
 
@@ -166,12 +171,12 @@
 
 
 def encode_roster(roster: Roster) -> bytes:
-    """Encode a roster."""
+    """Encode a roster as MessagePack."""
     return encoder.encode(roster)
 
 
 def decode_roster(data: bytes) -> Roster | None:
-    """Decode a roster; None when it is malformed."""
+    """Decode a roster; return None if it is malformed."""
     try:
         return decoder.decode(data)
     except msgspec.MsgspecError:
--- a/sardinehook/fleet/roster_cache.py
+++ b/sardinehook/fleet/roster_cache.py
@@ -1,4 +1,4 @@
-"""The rosters of all data centres as one process knows them."""
+"""Cache of the newest known roster of each data centre."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class RosterCache:
-    """The newest roster known of each data centre, and the owners that follow."""
+    """The newest known roster of each data centre, and the replica owners."""
 
     def __init__(self) -> None:
         self.rosters: dict[str, Roster] = {}
@@ -22,7 +22,7 @@
         self.pulled_at: dict[str, float] = {}
 
     def update(self, data_centre: str, roster: Roster) -> bool:
-        """Keep a roster if it is newer than the known one."""
+        """Store a roster if it is newer; return whether it was stored."""
         known = self.rosters.get(data_centre)
         if known is not None and known.epoch >= roster.epoch:
             return False
@@ -32,7 +32,7 @@
         return True
 
     def owner_of(self, replica: Replica) -> str | None:
-        """Return the owner of a replica; None while its roster is not known."""
+        """Return the owner of a replica; None while the roster is unknown."""
         key = f"{replica.data_centre} {replica.name}"
         if key not in self.owners:
             roster = self.rosters.get(replica.data_centre)
@@ -41,7 +41,7 @@
         return self.owners[key]
 
     def candidates_of(self, replica: Replica) -> tuple[str, ...]:
-        """Return the owner of a replica and the next in order, its possible deputy."""
+        """Return the owner and the next member in order, the possible deputy."""
         key = f"{replica.data_centre} {replica.name}"
         if key not in self.candidates:
             roster = self.rosters.get(replica.data_centre)
@@ -51,7 +51,10 @@
         return self.candidates[key]
 
     def should_pull(self, data_centre: str, epoch: int, now: float) -> bool:
-        """Whether to ask for a roster now, given an epoch that someone told of."""
+        """Return whether to request a roster now, given an epoch seen in gossip.
+
+        Requests are limited to one per data centre in ``PULL_PERIOD_S``.
+        """
         known = self.rosters.get(data_centre)
         if known is not None and known.epoch >= epoch:
             return False
--- a/sardinehook/fleet/roster_updater.py
+++ b/sardinehook/fleet/roster_updater.py
@@ -1,4 +1,4 @@
-"""Changes the roster of a data centre in the platform's service."""
+"""Updates of a data centre's roster in the platform's store."""
 
 from __future__ import annotations
 
@@ -35,10 +35,10 @@
 class RosterUpdater:
     """Reads and changes one roster by compare-and-swap.
 
-    ``on_roster`` gets every roster that was read or written, and whether it was
-    written here. A write in doubt is
-    settled by reading back: each change looks at what the service holds, so doing it
-    again changes nothing.
+    ``on_roster`` is called with every roster that was read or written, and whether
+    this process wrote it. A write with unknown outcome is settled by reading the store
+    again: every change starts from the stored roster, so applying it twice has no
+    further effect.
     """
 
     def __init__(
@@ -59,14 +59,14 @@
         self.stopped = False
 
     async def join(self, member: RosterMember) -> None:
-        """Add a process, trying until the service answers."""
+        """Add a process, retrying with backoff until the store confirms it."""
         attempt = 0
         while not self.stopped and not await self.try_join(member):
             await self.back_off(attempt)
             attempt += 1
 
     async def try_join(self, member: RosterMember) -> bool:
-        """Add a process as of the platform's time."""
+        """Add a process once, stamped with the time of the platform's VM list."""
         match await self.vm_list.fetch():
             case Success(vm_list):
                 joining = member._replace(as_of_ms=vm_list.as_of_ms)
@@ -74,7 +74,7 @@
         return False
 
     async def release(self, name: str, boot: int, attempts: int) -> bool:
-        """Take out a process; False when the service could not be reached."""
+        """Remove a process; return False if no attempt succeeded."""
         for attempt in range(attempts):
             if await self.change(lambda roster: release(roster, name, boot)):
                 return True
@@ -82,18 +82,18 @@
         return False
 
     async def evict_removed_vms(self) -> None:
-        """Take out the members whose VMs are no more."""
+        """Remove the members whose VMs were removed."""
         match await self.vm_list.fetch():
             case Success(vm_list):
                 await self.change(lambda roster: evict(roster, vm_list))
 
     async def back_off(self, attempt: int) -> None:
-        """Wait for a jittered time that grows with the attempts."""
+        """Wait with exponential backoff and jitter."""
         longest = min(MAX_RETRY_S, MIN_RETRY_S * 2**attempt)
         await deferLater(self.reactor, self.random.uniform(longest / 2, longest))
 
     async def read(self) -> bool:
-        """Read the roster; False when the service gave no answer."""
+        """Read the roster and report it; return False if the store did not answer."""
         match await self.store.get(self.key):
             case Success(entry):
                 self.deliver(entry)
@@ -101,7 +101,7 @@
         return False
 
     async def change(self, update: Callable[[Roster], Roster]) -> bool:
-        """Apply a change once; False when it has to be tried again."""
+        """Apply a change once; return False if it has to be retried."""
         match await self.store.get(self.key):
             case Success(entry):
                 return await self.write(entry, update)
@@ -110,25 +110,28 @@
     async def write(
         self, entry: Entry | None, update: Callable[[Roster], Roster]
     ) -> bool:
-        """Write the roster that follows from the one that was read."""
+        """Write the changed roster by compare-and-swap, if it differs."""
         roster = self.decode(entry)
         if roster is None:
             return False
-        following = update(roster)
-        if following == roster:
+        updated = update(roster)
+        if updated == roster:
             self.on_roster(roster, False)
             return True
         expect = CREATE if entry is None else entry.revision
-        match await self.store.put(self.key, encode_roster(following), expect):
+        match await self.store.put(self.key, encode_roster(updated), expect):
             case Success(_):
-                self.on_roster(following, True)
+                self.on_roster(updated, True)
                 return True
             case Failure(Conflict(current)):
                 self.deliver(current)
         return False
 
     def decode(self, entry: Entry | None) -> Roster | None:
-        """Decode what the service holds; a malformed roster is left alone."""
+        """Decode a stored roster; log a malformed one and return None.
+
+        A malformed roster is never overwritten.
+        """
         if entry is None:
             return EMPTY_ROSTER
         roster = decode_roster(entry.value)
@@ -137,7 +140,7 @@
         return roster
 
     def deliver(self, entry: Entry | None) -> None:
-        """Pass on a roster that was read."""
+        """Report a roster that was read."""
         roster = self.decode(entry)
         if roster is not None:
             self.on_roster(roster, False)
