Reword links, their monitor and the wire format

Details of link_rejected now say what was expected and what was seen; a message kind that is taken twice is reported as already registered. Doubt and silence are suspicion and a probe timeout.

--- a/sardinehook/fleet/connection.py
+++ b/sardinehook/fleet/connection.py
@@ -1,4 +1,4 @@
-"""One connection between two entry processes."""
+"""Protocol of one connection between two entry processes."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Split ``IP:port``.
+    """Split ``IP:port`` into host and port; IPv6 addresses are in brackets.
 
     >>> split_address("127.0.0.1:80")
     ('127.0.0.1', 80)
@@ -49,57 +49,57 @@
 
 
 class LinkHost(Protocol):
-    """What a link needs of the links that it belongs to."""
+    """The interface through which a link reports to ``Links``."""
 
     node: str
     reactor: Any
 
     def read_stamp(self) -> int:
-        """Return the clock stamp of the next frame."""
+        """Return the clock stamp for the next frame."""
 
     def observe_stamp(self, stamp: int) -> None:
-        """Take note of the clock stamp of a peer's frame."""
+        """Update the clock with the stamp of a received frame."""
 
     def dispatch(self, sender: str, message: Message) -> None:
-        """Give a message to its handlers."""
+        """Call the handlers of a received message."""
 
     def link_opened(self, link: Link) -> None:
-        """Take note of a connection whose peer is not known yet."""
+        """Record a connection whose peer is not identified yet."""
 
     def link_up(self, link: Link) -> None:
-        """Take a link into use."""
+        """Start using a link whose peer is identified."""
 
     def link_suspected(self, link: Link) -> None:
-        """Look for a replacement of a link that has gone silent."""
+        """Replace a link whose probe was not answered in time."""
 
     def link_down(self, link: Link, was_live: bool) -> None:
-        """Take a lost link out of use."""
+        """Remove a lost link."""
 
 
 class TcpTransport(Protocol):
-    """What a link uses of Twisted's TCP transport."""
+    """The part of Twisted's TCP transport that a link uses."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
-        """Send small writes at once."""
+        """Disable Nagle's algorithm."""
 
     def registerProducer(self, producer: object, streaming: bool) -> None:
-        """Report through ``producer`` when the buffer is full or empty again."""
+        """Pause and resume ``producer`` with the state of the write buffer."""
 
     def unregisterProducer(self) -> None:
-        """Stop these reports."""
+        """Stop pausing and resuming the producer."""
 
     def loseConnection(self) -> None:
-        """Close once the buffer is empty."""
+        """Close the connection after the write buffer is flushed."""
 
     def abortConnection(self) -> None:
-        """Close at once."""
+        """Close the connection at once and discard the write buffer."""
 
 
 class Link(Int32StringReceiver):
     """One connection to another entry process.
 
-    It is live once the peer's first frame has told the peer's name. ``dialled`` tells
-    whether this side opened the connection.
+    A link is live once the peer's first frame has identified the peer. ``expected`` is
+    the node that this side dialled, None for an accepted connection.
     """
 
     MAX_LENGTH = FRAME_LIMIT_BYTES
@@ -119,11 +119,11 @@
 
     @property
     def dialled(self) -> bool:
-        """Whether this side opened the connection."""
+        """Return whether this side opened the connection."""
         return self.expected is not None
 
     def connectionMade(self) -> None:
-        """Introduce this node to the peer by an empty frame."""
+        """Identify this node to the peer with an empty frame."""
         self.tcp = cast("TcpTransport", self.transport)
         self.tcp.setTcpNoDelay(True)
         self.tcp.registerProducer(self, True)
@@ -136,12 +136,12 @@
         self.write_frame([])
 
     def dataReceived(self, data: bytes) -> None:
-        """Take any bytes as a sign of life, then look for whole frames."""
+        """Record the receipt of data, then parse complete frames."""
         self.monitor.record_received(self.links.reactor.seconds())
         super().dataReceived(data)  # type: ignore[no-untyped-call]
 
     def stringReceived(self, data: bytes) -> None:
-        """Pass on the messages of one frame."""
+        """Decode one frame and process its messages."""
         try:
             envelope = decode_frame(data)
         except MalformedFrame as error:
@@ -156,7 +156,7 @@
             self.receive(message)
 
     def receive(self, message: Message) -> None:
-        """Answer a probe; pass on any other message."""
+        """Answer a ping, ignore a pong and dispatch any other message."""
         match message:
             case Ping():
                 self.enqueue(encode_message(Pong()))
@@ -166,9 +166,9 @@
                 self.links.dispatch(self.peer, message)
 
     def identify_peer(self, sender: str, now: float) -> bool:
-        """Take the peer's name; refuse the connection if it is not the one dialled."""
+        """Record the peer's name; reject a peer other than the one dialled."""
         if self.expected not in (None, sender):
-            self.reject("wrong_peer", f"{sender} answered for {self.expected}")
+            self.reject("wrong_peer", f"expected node {self.expected}, got {sender}")
             return False
         self.peer = sender
         self.live = True
@@ -179,16 +179,16 @@
 
     @property
     def usable(self) -> bool:
-        """Whether the peer is known and the link not in doubt."""
+        """Return whether the peer is identified and the link is not suspected."""
         return self.live and not self.monitor.suspected
 
     def check_peer_identified(self) -> None:
-        """Close a connection whose peer has not told its name in time."""
+        """Reject a peer that has sent no frame within the handshake timeout."""
         self.check_call = None
-        self.reject("no_introduction", f"{HANDSHAKE_TIMEOUT_S} s")
+        self.reject("no_introduction", f"no frame within {HANDSHAKE_TIMEOUT_S} s")
 
     def check_link(self) -> None:
-        """Probe the link or cast doubt on it if it has gone silent."""
+        """Probe or suspect the link as its monitor decides, and schedule a check."""
         self.check_call = None
         next_step = self.monitor.check(self.links.reactor.seconds())
         match next_step.step:
@@ -202,26 +202,32 @@
             self.schedule_check(next_step.check_after_s)
 
     def schedule_check(self, delay_s: float) -> None:
-        """Look at the link again after a delay."""
+        """Schedule the next check of the link."""
         self.check_call = self.links.reactor.callLater(delay_s, self.check_link)
 
     def cancel_check(self) -> None:
-        """Cancel the check that is due next."""
+        """Cancel the scheduled check of the link."""
         if self.check_call is not None and self.check_call.active():
             self.check_call.cancel()
         self.check_call = None
 
     def lengthLimitExceeded(self, length: int) -> None:
-        """Close the connection: the length is beyond what a peer would send."""
-        self.reject("frame_too_long", f"{length} bytes")
+        """Reject a frame that is longer than any that a peer sends."""
+        self.reject(
+            "frame_too_long", f"frame of {length} bytes, limit {FRAME_LIMIT_BYTES}"
+        )
 
     def reject(self, reason: str, detail: str) -> None:
-        """Close the connection at once, with one line in the log."""
+        """Log the reason and abort the connection."""
         logger.warning("link_rejected", peer=self.peer, reason=reason, detail=detail)
         self.tcp.abortConnection()
 
     def enqueue(self, message: PackedMessage) -> bool:
-        """Add a message to the frame that leaves at the end of this reactor turn."""
+        """Queue a message for the next flush; return False if it is refused.
+
+        A message is refused if it is larger than ``MESSAGE_LIMIT_BYTES`` or if the
+        queue would exceed ``UNSENT_LIMIT_BYTES``.
+        """
         size = len(memoryview(message.fields))
         if size > MESSAGE_LIMIT_BYTES:
             return False
@@ -234,12 +240,12 @@
         return True
 
     def flush(self) -> None:
-        """Send what is waiting, as few frames as their target size allows."""
+        """Send the queued messages in as few frames as the target size allows."""
         self.flush_call = None
         batch: list[PackedMessage] = []
         batch_bytes = 0
-        send_queue, self.send_queue, self.unsent_bytes = self.send_queue, [], 0
-        for message in send_queue:
+        queued, self.send_queue, self.unsent_bytes = self.send_queue, [], 0
+        for message in queued:
             batch.append(message)
             batch_bytes += len(memoryview(message.fields))
             if batch_bytes >= FRAME_TARGET_BYTES:
@@ -249,7 +255,7 @@
             self.write_frame(batch)
 
     def write_frame(self, messages: list[PackedMessage]) -> None:
-        """Write one frame to the connection."""
+        """Write one frame; a frame of pings and pongs alone awaits no answer."""
         if not all(message.kind in PROBE_KINDS for message in messages):
             self.expect_replies(count_requests(messages))
         stamp = self.links.read_stamp()
@@ -257,7 +263,7 @@
         self.sendString(frame)  # type: ignore[no-untyped-call]
 
     def expect_replies(self, requests: int) -> None:
-        """Watch the link for silence from now on."""
+        """Record a sent frame and schedule a check for when an answer is due."""
         now = self.links.reactor.seconds()
         self.monitor.record_sent(now, requests)
         due = self.monitor.due_at
@@ -269,20 +275,20 @@
         self.schedule_check(max(0.0, due - now))
 
     def pauseProducing(self) -> None:
-        """Hold messages back: the connection's own buffer is full."""
+        """Hold queued messages back, because the transport's buffer is full."""
         self.paused = True
 
     def resumeProducing(self) -> None:
-        """Send what was held back."""
+        """Resume sending queued messages."""
         self.paused = False
         if self.send_queue and self.flush_call is None:
             self.flush_call = self.links.reactor.callLater(0, self.flush)
 
     def stopProducing(self) -> None:
-        """Do nothing: the loss of the connection is reported separately."""
+        """Do nothing; ``connectionLost`` handles the loss of the connection."""
 
     def flush_and_close(self) -> None:
-        """Send what is waiting, then close the connection."""
+        """Flush the queued messages, then close the connection."""
         if self.flush_call is not None:
             self.flush_call.cancel()
         self.cancel_check()
@@ -291,7 +297,7 @@
         self.tcp.loseConnection()
 
     def connectionLost(self, reason: Failure | None = None) -> None:
-        """Report the loss of the connection."""
+        """Cancel the timers and report the lost connection."""
         was_live, self.live = self.live, False
         if self.flush_call is not None and self.flush_call.active():
             self.flush_call.cancel()
--- a/sardinehook/fleet/control_messages.py
+++ b/sardinehook/fleet/control_messages.py
@@ -1,4 +1,4 @@
-"""Messages about rosters and leases that entry processes exchange over links."""
+"""Link messages about rosters, releases and leases."""
 
 from __future__ import annotations
 
@@ -12,22 +12,22 @@
 
 
 class RosterPush(NamedTuple):
-    """The roster of a data centre, sent on a change or when asked for."""
+    """The roster of a data centre, sent after a change or on request."""
 
     data_centre: str
     roster: Roster
 
 
 class RosterPull(NamedTuple):
-    """Asks for the roster of a data centre."""
+    """Requests the roster of a data centre."""
 
     data_centre: str
 
 
 class Released(NamedTuple):
-    """The sender uses only what it owns as of an epoch, or a later one.
+    """Reports that the sender uses only what it owns as of an epoch or a later one.
 
-    ``wanted`` asks for the same of the receiver.
+    ``wanted`` requests the same report from the receiver.
     """
 
     boot: int
--- a/sardinehook/fleet/datagram.py
+++ b/sardinehook/fleet/datagram.py
@@ -1,4 +1,4 @@
-"""Datagrams by which entry processes probe each other and spread news."""
+"""Datagrams of the failure detector, with gossiped member updates."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 
 
 class DatagramKind(IntEnum):
-    """What a datagram asks or answers."""
+    """Kind of a datagram."""
 
     PING = 0
     ACK = 1
@@ -32,17 +32,18 @@
 
 
 class RosterEpoch(NamedTuple):
-    """The newest roster that the sender knows of a data centre."""
+    """The epoch of the newest roster of a data centre known to the sender."""
 
     data_centre: str
     epoch: int
 
 
 class Datagram(NamedTuple):
-    """A probe or its answer, with news about members.
+    """A probe or its acknowledgement, with updates about members.
 
-    ``fleet`` tells environments apart. ``subject`` names the member to be probed by a
-    ping request. ``size`` is the number of members that the sender knows.
+    ``fleet`` identifies the environment. ``subject`` names the member that the
+    receiver of a ping request has to probe. ``size`` is the number of members known
+    to the sender.
     """
 
     fleet: int
@@ -60,12 +61,12 @@
 
 
 def fleet_number(environment: str) -> int:
-    """Return the number that tells an environment's datagrams from others'."""
+    """Return the number that identifies the datagrams of an environment."""
     return crc32(environment.encode())
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
-    """Encode a datagram, leaving out the last updates that do not fit."""
+    """Encode a datagram; updates that exceed the size limit are cut from the end."""
     data = encoder.encode(datagram)
     while len(data) > DATAGRAM_LIMIT_BYTES and datagram.updates:
         datagram = datagram._replace(updates=datagram.updates[:-1])
@@ -74,7 +75,7 @@
 
 
 def decode_datagram(data: bytes, fleet: int) -> Datagram | None:
-    """Decode a datagram; None when it is malformed or another environment's."""
+    """Decode a datagram; None if it is malformed or from another environment."""
     if len(data) > DATAGRAM_LIMIT_BYTES:
         return None
     try:
--- a/sardinehook/fleet/gossip.py
+++ b/sardinehook/fleet/gossip.py
@@ -1,4 +1,4 @@
-"""Runs membership over UDP."""
+"""UDP transport of the membership protocol."""
 
 from __future__ import annotations
 
@@ -20,10 +20,10 @@
 
 
 class Gossip(DatagramProtocol):
-    """Carries the datagrams of a ``Membership`` and lets it know the time.
+    """Sends and receives the datagrams of a ``Membership`` and drives its timers.
 
     ``on_tick`` is called after each tick with the members that changed. Datagrams
-    that are malformed or of another environment are counted and dropped.
+    that are malformed or from another environment are counted and dropped.
     """
 
     def __init__(
@@ -43,13 +43,13 @@
         self.tick_loop.clock = reactor
 
     def start(self, address: str) -> None:
-        """Listen for datagrams at ``IP:port`` and begin to probe."""
+        """Listen for datagrams at ``IP:port`` and start probing."""
         host, port = split_address(address)
         self.port = self.reactor.listenUDP(port, self, interface=host)
         self.tick_loop.start(TICK_S)
 
     async def stop(self) -> None:
-        """End probing and close the port."""
+        """Stop probing and close the port."""
         if self.tick_loop.running:
             self.tick_loop.stop()
         if self.port is not None:
@@ -57,12 +57,12 @@
             await port.stopListening()
 
     def tick(self) -> None:
-        """Do what is due."""
+        """Send the datagrams that are due and report changed members."""
         self.send(self.membership.tick(self.reactor.seconds()))
         self.on_tick(self.membership.table.drain_changes())
 
     def send(self, sends: list[OutgoingDatagram]) -> None:
-        """Send datagrams; one that can't leave counts as lost."""
+        """Send datagrams; one that the socket refuses is counted as dropped."""
         for address, datagram in sends:
             data = encode_datagram(datagram)
             self.sent_bytes += len(data)
@@ -74,7 +74,10 @@
                 self.dropped += 1
 
     def datagramReceived(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take in a datagram."""
+        """Apply a received datagram and send the replies.
+
+        Replies go to the address that the sender advertises, not to ``addr``.
+        """
         self.received_bytes += len(data)
         datagram = decode_datagram(data, self.membership.fleet)
         if datagram is None:
--- a/sardinehook/fleet/identity.py
+++ b/sardinehook/fleet/identity.py
@@ -1,4 +1,4 @@
-"""Who a process is in its fleet, and what replicas ask of it."""
+"""Identity of a process in its fleet, and the capacity of replicas."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class Identity(NamedTuple):
-    """Who a process is; ``boot`` is drawn anew at each start."""
+    """Identity of a process; ``boot`` is a random number drawn at each start."""
 
     environment: str
     member: Member
@@ -19,7 +19,7 @@
 
 
 class ReplicaCapacity(NamedTuple):
-    """What a replica bears in total, as the document says."""
+    """Total capacity of a replica, as configured in the document."""
 
     slots: int
     connections: int
--- a/sardinehook/fleet/link.py
+++ b/sardinehook/fleet/link.py
@@ -1,4 +1,4 @@
-"""Links between entry processes: batches of messages over TCP connections."""
+"""Links between entry processes: message batches over TCP connections."""
 
 from __future__ import annotations
 
@@ -39,17 +39,17 @@
 
 
 class ListeningPort(Protocol):
-    """What links use of Twisted's listening port."""
+    """The part of Twisted's listening port that ``Links`` uses."""
 
     def getHost(self) -> IPv4Address | IPv6Address:
-        """Return the address in use."""
+        """Return the bound address."""
 
     def stopListening(self) -> Deferred[None] | None:
-        """Accept no more connections."""
+        """Stop accepting connections."""
 
 
 class LinkFactory(Factory):
-    """Builds links for accepted or dialled connections."""
+    """Creates the protocols of accepted and dialled connections."""
 
     noisy = False
 
@@ -58,12 +58,12 @@
         self.expected = expected
 
     def buildProtocol(self, addr: object) -> Link:
-        """Build the link of one connection."""
+        """Create the link of one connection."""
         return Link(self.links, self.expected)
 
 
 class Peer:
-    """A node to which a connection is kept open, and the state of the attempts."""
+    """A node to which a connection is kept open, and its connection attempts."""
 
     def __init__(self, node: str, address: str) -> None:
         self.node = node
@@ -74,7 +74,7 @@
         self.retry_call: DelayedCall | None = None
 
     def stop(self) -> None:
-        """End every attempt to connect."""
+        """Cancel pending and running connection attempts."""
         if self.retry_call is not None and self.retry_call.active():
             self.retry_call.cancel()
         if self.dialling is not None:
@@ -84,10 +84,10 @@
 class Links:
     """All links of one entry process.
 
-    ``node`` is this process's name and ``listen_address`` an ``IP:port``, where port 0
-    takes a free one; ``address`` holds the one in use after ``listen``. Messages sent
-    to one peer in one turn of the reactor leave in one frame. ``read_stamp`` and
-    ``observe_stamp`` connect a hybrid clock to the frames.
+    ``node`` is the name of this process and ``listen_address`` an ``IP:port``; port 0
+    selects a free port. After ``listen``, ``address`` is the bound address. Messages
+    sent to a peer in the same reactor turn share a frame, up to its target size.
+    ``read_stamp`` and ``observe_stamp`` connect a hybrid logical clock to the frames.
     """
 
     def __init__(self, reactor: Any, node: str, listen_address: str) -> None:  # noqa: ANN401
@@ -107,7 +107,7 @@
         self.closing = False
 
     def listen(self) -> Deferred[str]:
-        """Accept connections; the result is the address in use."""
+        """Start accepting connections; the result is the bound address."""
         host, port = split_address(self.listen_address)
         accepted: ListeningPort = self.reactor.listenTCP(
             port, LinkFactory(self), interface=host
@@ -118,7 +118,7 @@
         return succeed(self.address)
 
     def connect(self, node: str, address: str) -> None:
-        """Keep a connection open to a node, also after it is lost."""
+        """Keep a connection open to a node; reconnect after a loss."""
         known = self.peers.get(node)
         if known is not None and known.address == address:
             return
@@ -130,7 +130,7 @@
         self.dial(self.peers[node])
 
     def disconnect(self, node: str) -> None:
-        """Send what is waiting for a node, close its links and keep none open."""
+        """Flush and close the links to a node and stop reconnecting."""
         peer = self.peers.pop(node, None)
         if peer is not None:
             peer.stop()
@@ -138,7 +138,7 @@
             link.flush_and_close()
 
     def dial(self, peer: Peer) -> None:
-        """Open a connection to a peer, or try again later."""
+        """Open a connection to a peer; a failed attempt is retried."""
         peer.retry_call = None
         peer.opening = True
         host, port = split_address(peer.address)
@@ -149,14 +149,14 @@
         peer.dialling.addBoth(self.dial_ended, peer)
 
     def dial_ended(self, result: object, peer: Peer) -> None:
-        """Schedule another attempt when this one failed."""
+        """Schedule a retry if the connection attempt failed."""
         peer.dialling = None
         if isinstance(result, Failure):
             peer.opening = False
             self.retry(peer)
 
     def retry(self, peer: Peer) -> None:
-        """Dial again after a jittered delay that grows with the failures in a row."""
+        """Schedule a connection attempt with exponential backoff and jitter."""
         if self.closing or self.peers.get(peer.node) is not peer:
             return
         if peer.retry_call is not None or peer.opening:
@@ -166,11 +166,11 @@
         peer.retry_call = self.reactor.callLater(delay, self.dial, peer)
 
     def link_opened(self, link: Link) -> None:
-        """Take note of a connection whose peer is not known yet."""
+        """Record a connection whose peer is not identified yet."""
         self.open_links.add(link)
 
     def link_up(self, link: Link) -> None:
-        """Take a link into use in place of earlier ones that it replaces."""
+        """Start using a link; abort those of the same direction and suspected ones."""
         known = self.live_links.setdefault(link.peer, [])
         replaced = [
             old for old in known if old.dialled == link.dialled or not old.usable
@@ -185,14 +185,18 @@
             old.tcp.abortConnection()
 
     def link_preference(self, link: Link) -> bool:
-        """Sort first the connection opened by the node with the smaller name.
+        """Return a sort key that prefers the link dialled by the smaller node name.
 
-        Both ends then send on the same one of two crossing connections.
+        If both ends have dialled each other, both then send on the same connection.
         """
         return link.dialled != (self.node < link.peer)
 
     def link_suspected(self, link: Link) -> None:
-        """Dial a replacement at once; drop the link if none can be had."""
+        """Dial a replacement at once.
+
+        The link is aborted if it stays silent for ``SUSPICION_LIMIT_S``, or if this
+        process keeps no connection to its peer.
+        """
         peer = self.peers.get(link.peer)
         silent_s = self.reactor.seconds() - link.monitor.last_received_at
         if peer is None or silent_s > SUSPICION_LIMIT_S:
@@ -202,7 +206,7 @@
             self.dial(peer)
 
     def link_down(self, link: Link, was_live: bool) -> None:
-        """Take a lost link out of use and replace it if it was dialled here."""
+        """Remove a lost link, notify the handlers and reconnect if necessary."""
         self.open_links.discard(link)
         if was_live:
             self.live_links[link.peer].remove(link)
@@ -217,41 +221,45 @@
             self.retry(peer)
 
     def dialled_link(self, node: str) -> Link | None:
-        """Return the live link to a node that was dialled here."""
+        """Return the live link to a node that this process dialled, if any."""
         links = self.live_links.get(node, ())
         return next((link for link in links if link.dialled), None)
 
     def usable_link(self, node: str) -> Link | None:
-        """Return the link on which to send to a node."""
+        """Return the link for messages to a node, or None."""
         links = self.live_links.get(node, ())
         return next((link for link in links if link.usable), None)
 
     def send(self, node: str, message: Message) -> bool:
-        """Send a message; False tells that nothing of it left this process."""
+        """Queue a message; False means that nothing of it will be sent."""
         link = self.usable_link(node)
         if link is None or self.closing:
             return False
         return link.enqueue(encode_message(message))
 
     def connected(self, node: str) -> bool:
-        """Whether there is a live link to a node that is not in doubt."""
+        """Return whether there is a live link to a node that is not suspected."""
         return self.usable_link(node) is not None
 
     def on(
         self, message_type: type[MessageT], handler: Callable[[str, MessageT], None]
     ) -> None:
-        """Call ``handler(sender, message)`` for each message of a type."""
+        """Register ``handler(sender, message)`` for the messages of a type."""
         self.handlers.setdefault(message_type, []).append(handler)
 
     def on_down(self, handler: DownHandler) -> None:
-        """Call ``handler(node)`` when a live link is lost.
+        """Register ``handler(node)``, which is called when a live link is lost.
 
-        Replies to what was sent to that node before may never come.
+        Replies to requests sent to that node before may never arrive.
         """
         self.down_handlers.append(handler)
 
     def dispatch(self, sender: str, message: Message) -> None:
-        """Give a message to its handlers; a fault in one ends neither link nor loop."""
+        """Call the handlers of a message.
+
+        An exception in a handler is logged; it affects neither the link nor the other
+        handlers.
+        """
         for handler in self.handlers.get(type(message), ()):
             try:
                 handler(sender, message)
@@ -259,7 +267,7 @@
                 logger.exception("handler_failed", message=type(message).__name__)
 
     def close(self) -> Deferred[None]:
-        """Send what is waiting, then close all links; ends within a bound."""
+        """Flush and close all links; abort those still open at ``CLOSE_TIMEOUT_S``."""
         self.closing = True
         for peer in self.peers.values():
             peer.stop()
@@ -273,6 +281,6 @@
         return closed.addCallback(lambda _: abort.active() and abort.cancel() or None)
 
     def abort_all(self) -> None:
-        """Drop the links that did not close in time."""
+        """Abort the links that did not close in time."""
         for link in list(self.open_links):
             link.tcp.abortConnection()
--- a/sardinehook/fleet/link_monitor.py
+++ b/sardinehook/fleet/link_monitor.py
@@ -1,4 +1,4 @@
-"""Rules that tell when a link has gone silent."""
+"""Failure detector of a single link."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 
 class Step(Enum):
-    """What to do about a link now."""
+    """Action that a link has to take."""
 
     REST = "rest"
     WAIT = "wait"
@@ -24,7 +24,7 @@
 
 
 class NextStep(NamedTuple):
-    """A step and the seconds until the watch has to be asked again."""
+    """An action and the seconds until the next check."""
 
     step: Step
     check_after_s: float
@@ -34,12 +34,12 @@
 
 
 class LinkMonitor:
-    """What one side knows of a link's life. All times are monotonic seconds.
+    """Decides when to probe and when to suspect a link. Times are monotonic seconds.
 
-    A link is probed when a reply is awaited and nothing at all was heard for
-    ``PROBE_AFTER_S``; it is in doubt when the probe too goes without any answer. Two
-    checks are needed, so a pause of this process alone never casts doubt on a link:
-    what arrived meanwhile is read between them.
+    A link is probed if a reply is pending and nothing was received for
+    ``PROBE_AFTER_S``. It is suspected if nothing is received within the probe timeout
+    either. Suspicion takes two checks, so a pause of this process alone never causes
+    it: data that arrived during the pause is read between the checks.
 
     >>> monitor = LinkMonitor(0.0)
     >>> monitor.record_sent(1.0, requests=1)
@@ -63,11 +63,11 @@
 
     @property
     def probe_timeout_s(self) -> float:
-        """Seconds that a probe may go without an answer."""
+        """Return the time allowed for the answer to a probe."""
         return max(MIN_PROBE_TIMEOUT_S, PROBE_TIMEOUT_ROUND_TRIPS * self.round_trip_s)
 
     def record_sent(self, now: float, requests: int) -> None:
-        """Note that a frame with so many requests was sent; probes don't count."""
+        """Record a sent frame with a number of requests; probes are not recorded."""
         if not self.frame_unanswered:
             self.frame_unanswered = True
             self.first_sent_at = now
@@ -78,11 +78,11 @@
             self.last_request_at = now
 
     def record_replies(self, replies: int) -> None:
-        """Note that so many replies arrived."""
+        """Record the receipt of a number of replies."""
         self.pending_replies = max(0, self.pending_replies - replies)
 
     def record_received(self, now: float) -> None:
-        """Note that something arrived."""
+        """Record the receipt of any data, which ends a probe or a suspicion."""
         self.last_received_at = now
         self.frame_unanswered = False
         self.probed_at = None
@@ -90,7 +90,10 @@
 
     @property
     def due_at(self) -> float | None:
-        """When to probe the link if nothing is heard; None when nothing is awaited."""
+        """Return when to probe a silent link; None if no answer is pending.
+
+        Frames without requests are probed only after ``IDLE_PROBE_AFTER_S``.
+        """
         if self.pending_replies:
             return max(self.last_received_at, self.first_request_at) + PROBE_AFTER_S
         if self.frame_unanswered:
@@ -98,7 +101,7 @@
         return None
 
     def check(self, now: float) -> NextStep:
-        """Decide what to do at ``now``; a probe counts as sent."""
+        """Return the action at ``now``; the caller must send a requested probe."""
         if self.probed_at is not None:
             return self.check_probe(now, self.probed_at)
         if now - self.last_request_at > REPLY_WAIT_LIMIT_S:
@@ -112,7 +115,7 @@
         return NextStep(Step.PROBE, self.probe_timeout_s)
 
     def check_probe(self, now: float, probed_at: float) -> NextStep:
-        """Decide what to do while a probe is without an answer."""
+        """Return the action while a probe is unanswered."""
         due = probed_at + self.probe_timeout_s
         if now < due:
             return NextStep(Step.WAIT, due - now)
--- a/sardinehook/fleet/probe.py
+++ b/sardinehook/fleet/probe.py
@@ -1,4 +1,4 @@
-"""What membership keeps of the probes that are under way."""
+"""Records of datagrams to send and of probes in flight."""
 
 from __future__ import annotations
 
@@ -10,14 +10,14 @@
 
 
 class OutgoingDatagram(NamedTuple):
-    """A datagram to be sent to a link address (``IP:port``)."""
+    """A datagram to send to a link address (``IP:port``)."""
 
     address: str
     datagram: Datagram
 
 
 class Probe(NamedTuple):
-    """A member being probed."""
+    """A probe in flight; ``indirect`` is set once ping requests were sent."""
 
     name: str
     sequence: int
@@ -26,7 +26,7 @@
 
 
 class Relay(NamedTuple):
-    """A ping sent for another member, which is told when the answer comes."""
+    """A ping sent on behalf of a member that is to receive the acknowledgement."""
 
     address: str
     sequence: int
--- a/sardinehook/fleet/wire.py
+++ b/sardinehook/fleet/wire.py
@@ -1,4 +1,4 @@
-"""Frames that entry processes exchange over links: MessagePack arrays by kind."""
+"""Wire format of link frames: MessagePack arrays tagged with message kinds."""
 
 from __future__ import annotations
 
@@ -28,11 +28,11 @@
 ]
 
 Message = tuple[Any, ...]
-"""A named tuple whose type was given to :func:`register_message`."""
+"""A named tuple whose type was registered with :func:`register_message`."""
 
 
 class MessageRole(Enum):
-    """Whether a message awaits one reply, is one, or neither."""
+    """Whether a message expects one reply, is a reply, or neither."""
 
     PLAIN = "plain"
     REQUEST = "request"
@@ -40,7 +40,7 @@
 
 
 class Ping(NamedTuple):
-    """Asks the other end of a link for a sign of life."""
+    """Probes the other end of a link, which answers with a ``Pong``."""
 
 
 class Pong(NamedTuple):
@@ -48,7 +48,7 @@
 
 
 class Envelope(NamedTuple):
-    """What one frame holds: the sending node, its clock stamp and its messages."""
+    """Decoded frame: the sending node, its clock stamp and the messages."""
 
     sender: str
     stamp: int
@@ -56,14 +56,14 @@
 
 
 class PackedMessage(NamedTuple):
-    """A message as it travels: the number of its kind and its fields as an array."""
+    """Encoded message: the number of its kind and its fields as an array."""
 
     kind: int
     fields: msgspec.Raw
 
 
 class PackedEnvelope(NamedTuple):
-    """An envelope as it travels."""
+    """Frame whose messages are still encoded."""
 
     sender: str
     stamp: int
@@ -71,7 +71,7 @@
 
 
 class MalformedFrame(ValueError):
-    """The bytes are not a frame that this release understands."""
+    """Raised for bytes that this release cannot decode as a frame."""
 
 
 kinds: dict[type[Message], int] = {}
@@ -87,16 +87,19 @@
     message_type: type[Message],
     role: MessageRole = MessageRole.PLAIN,
 ) -> None:
-    """Give a type of message its number on the wire.
+    """Register a message type under its number on the wire.
 
-    While a request waits for its reply the link is watched closely for silence.
-    Raises ``ValueError`` when the number or the type is taken by another.
+    While the reply to a request is pending, a silent link is probed early. Repeating a
+    registration has no effect. Raises ``ValueError`` if the number or the type is
+    already registered otherwise.
     """
     known = kinds.get(message_type)
     if known == kind:
         return
     if known is not None or kind in decoders:
-        raise ValueError(f"message kind {kind} or {message_type.__name__} is taken")
+        raise ValueError(
+            f"message kind {kind} or {message_type.__name__} is already registered"
+        )
     kinds[message_type] = kind
     decoders[kind] = msgspec.msgpack.Decoder(message_type)
     if role is MessageRole.REQUEST:
@@ -106,7 +109,7 @@
 
 
 def count_requests(messages: Iterable[PackedMessage]) -> int:
-    """Count the messages that await a reply."""
+    """Count the messages that expect a reply."""
     return sum(message.kind in request_kinds for message in messages)
 
 
@@ -116,7 +119,7 @@
 
 
 def encode_message(message: Message) -> PackedMessage:
-    """Encode one message, so that its size is known before it is framed."""
+    """Encode one message; its size is known before it is added to a frame."""
     kind = kinds[type(message)]
     return PackedMessage(kind, msgspec.Raw(encoder.encode(message)))
 
@@ -124,17 +127,17 @@
 def encode_frame(sender: str, stamp: int, messages: Iterable[PackedMessage]) -> bytes:
     """Encode the body of a frame.
 
-    >>> view = CancelSubQuery(7)
-    >>> decode_frame(encode_frame("entry-1", 0, [encode_message(view)]))
+    >>> message = encode_message(CancelSubQuery(7))
+    >>> decode_frame(encode_frame("entry-1", 0, [message]))
     Envelope(sender='entry-1', stamp=0, messages=[CancelSubQuery(sub_query_id=7)])
     """
     return encoder.encode(PackedEnvelope(sender, stamp, list(messages)))
 
 
 def decode_frame(data: bytes) -> Envelope:
-    """Decode the body of a frame; messages of unknown kinds are left out.
+    """Decode the body of a frame; messages of unknown kinds are skipped.
 
-    Raises ``MalformedFrame`` when the bytes are not an envelope or a known message
+    Raises ``MalformedFrame`` if the bytes are not an envelope or a known message
     does not match its type.
     """
     try:
