Reword the tests of membership, rosters and leases

Names such as woken, buries and told now say what is asserted: refutation, detection, eviction, release. Assertions, bounds and numbers are unchanged.

--- a/tests/fleet/test_lease.py
+++ b/tests/fleet/test_lease.py
@@ -15,7 +15,7 @@
 
 
 class TestNodeLease:
-    def test_lease_counts_from_before_the_request(self) -> None:
+    def test_lease_is_counted_from_the_request_time(self) -> None:
         registry, lease = LeaseRegistry(), NodeLease()
         registry.begin(own_until=1000.0, now=0.0)
         request = lease.new_request(boot=1, epoch=1, now=10.0)
@@ -26,7 +26,7 @@
         assert lease.valid(1, last - 0.01) and not lease.valid(1, last)
         assert not lease.valid(2, 10.0)
 
-    def test_process_that_was_paused_holds_nothing(self) -> None:
+    def test_paused_process_holds_no_leased_part(self) -> None:
         registry, lease = LeaseRegistry(), NodeLease()
         registry.begin(own_until=1000.0, now=0.0)
         request = lease.new_request(boot=1, epoch=1, now=10.0)
@@ -37,7 +37,7 @@
 
 
 class TestLeaseRegistry:
-    def test_no_lease_outlasts_the_registrars_own(self) -> None:
+    def test_no_lease_outlasts_that_of_the_registrar(self) -> None:
         registry = LeaseRegistry()
         registry.begin(own_until=3.0, now=0.0)
         grant = registry.request(
@@ -47,7 +47,7 @@
         late = NodeLease().new_request(1, 1, 2.5)
         assert registry.request("e2", late, MEMBERS, 1, 2.5) is None
 
-    def test_change_of_epoch_waits_only_for_holders_to_give_up(self) -> None:
+    def test_new_epoch_waits_until_all_holders_relinquish(self) -> None:
         registry = LeaseRegistry()
         registry.begin(own_until=1000.0, now=0.0)
         leases = {name: NodeLease() for name in MEMBERS[:2]}
@@ -61,7 +61,7 @@
         assert registry.request("e1", first, MEMBERS, 2, 1.5) is None
         assert registry.request("e2", second, MEMBERS, 2, 1.5) is not None
 
-    def test_nobody_is_taken_for_lapsed_at_the_start(self) -> None:
+    def test_no_member_counts_as_lapsed_at_the_start(self) -> None:
         registry = LeaseRegistry()
         registry.begin(own_until=1000.0, now=0.0)
         early = registry.request(
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -1,4 +1,4 @@
-"""Tests of membership under loss, pauses, restarts and splits, on a fake clock."""
+"""Tests of membership under loss, pauses, restarts and partitions (fake clock)."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class TestJoining:
-    def test_all_learn_of_all_from_one_seed(self) -> None:
+    def test_all_members_are_discovered_from_one_seed(self) -> None:
         driver = started(60)
         driver.run(60.0)
         for member in driver.members.values():
@@ -33,7 +33,7 @@
             assert len(known) == 60
             assert {other.state for other in known} == {MemberState.ALIVE}
 
-    def test_two_that_met_first_still_find_the_others(self) -> None:
+    def test_isolated_pair_discovers_the_other_members(self) -> None:
         driver = MembershipDriver(6, 3)
         addresses = set(driver.addresses)
         for member in driver.members.values():
@@ -48,12 +48,12 @@
 
 
 class TestDeath:
-    def test_dead_member_is_known_within_seconds(self) -> None:
+    def test_dead_member_is_detected_within_seconds(self) -> None:
         driver = started()
         _, everyone = detection(driver, "centre-1-entry-4")
         assert everyone < 10.0
 
-    def test_a_lost_link_speeds_it_up(self) -> None:
+    def test_lost_link_speeds_up_suspicion(self) -> None:
         driver = started()
         victim, peer = "centre-1-entry-4", driver.members["centre-1-entry-1"]
         driver.stopped.add(victim)
@@ -61,7 +61,7 @@
         driver.run(2.2)
         assert driver.view(peer.local_member.name, victim) is MemberState.SUSPECT
 
-    def test_leaving_member_is_told_not_suspected(self) -> None:
+    def test_leaving_member_is_announced_not_suspected(self) -> None:
         driver = started()
         leaver = driver.members["centre-1-entry-4"]
         driver.send(leaver.local_member.name, leaver.leave())
@@ -73,7 +73,7 @@
 
 
 class TestPause:
-    def test_woken_member_contradicts_and_buries_nobody(self) -> None:
+    def test_resumed_member_refutes_and_declares_nobody_dead(self) -> None:
         driver = started()
         name = "centre-2-entry-2"
         driver.paused.add(name)
@@ -88,21 +88,21 @@
 
 
 class TestLoss:
-    def test_one_way_loss_to_one_peer_is_no_death(self) -> None:
+    def test_one_way_loss_to_one_peer_causes_no_death(self) -> None:
         driver = started()
         route = ("centre-0-entry-0", "centre-0-entry-3")
         driver.lost = lambda source, target: (source, target) == route
         driver.run(60.0)
         assert deaths(driver) == 0
 
-    def test_fifth_of_datagrams_lost_is_no_death(self) -> None:
+    def test_loss_of_a_fifth_of_datagrams_causes_no_death(self) -> None:
         driver = started()
         random = driver.members["centre-0-entry-0"].random
         driver.lost = lambda source, target: random.random() < 0.2
         driver.run(120.0)
         assert deaths(driver) == 0
 
-    def test_a_flapping_member_is_alive_again(self) -> None:
+    def test_flapping_member_recovers(self) -> None:
         driver = started()
         name, peer = "centre-0-entry-6", driver.members["centre-0-entry-3"]
         for _ in range(4):
@@ -114,17 +114,18 @@
 
 
 class TestRestart:
-    def test_restart_under_the_same_address_goes_before_the_old_life(self) -> None:
+    def test_restart_at_the_same_address_supersedes_the_old_record(self) -> None:
         driver = started()
         names = list(driver.members)[:7]
         for name in names:
             driver.start(name, driver.centre(name), 2)
         driver.run(30.0)
         for member in driver.members.values():
-            lives = [member.table.members[name].incarnation for name in names]
-            assert min(lives) >= 2
+            incarnations = [member.table.members[name].incarnation for name in names]
+            assert min(incarnations) >= 2
 
-    def test_clock_that_stepped_back_is_made_up_for(self) -> None:
+    def test_restart_with_a_lower_incarnation_recovers(self) -> None:
+        # A clock that stepped back gives the new process a lower incarnation.
         driver = started()
         name = "centre-0-entry-3"
         driver.start(name, "centre-0", 0)
@@ -133,8 +134,8 @@
         assert driver.view("centre-0-entry-6", name) is MemberState.ALIVE
 
 
-class TestSplit:
-    def test_data_centre_cut_off_kills_nobody_and_heals_quietly(self) -> None:
+class TestPartition:
+    def test_partition_causes_no_deaths_and_heals_with_little_traffic(self) -> None:
         driver = started()
         driver.lost = lambda a, b: (
             (driver.centre(a) == "centre-1") != (driver.centre(b) == "centre-1")
@@ -156,7 +157,7 @@
 
 
 class TestDatagrams:
-    def test_size_is_bounded_and_garbage_is_dropped(self) -> None:
+    def test_size_is_bounded_and_malformed_data_is_rejected(self) -> None:
         driver = started(60)
         member = driver.members["centre-0-entry-0"]
         reader = Member("centre-0-entry-99", "centre-0", "10.9.9.9:1", "10.9.9.9:2")
--- a/tests/fleet/test_ownership.py
+++ b/tests/fleet/test_ownership.py
@@ -1,4 +1,4 @@
-"""Tests of the ownership of replicas."""
+"""Tests of replica ownership and allowances."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 class TestRendezvous:
     @given(names, st.text(max_size=8))
-    def test_order_does_not_depend_on_the_listing(
+    def test_order_does_not_depend_on_the_member_order(
         self, members: list[str], replica: str
     ) -> None:
         order = rendezvous_order(replica, members)
@@ -48,7 +48,7 @@
 
 class TestAllowance:
     @given(st.integers(1, 50), st.integers(1, 500))
-    def test_owner_and_deputy_never_exceed_the_replica(
+    def test_owner_and_deputy_never_exceed_the_capacity(
         self, slots: int, connections: int
     ) -> None:
         owner = allowance(Role.OWNER, False, slots, connections)
--- a/tests/fleet/test_registrar.py
+++ b/tests/fleet/test_registrar.py
@@ -1,4 +1,4 @@
-"""Tests of the registrar against the stand-in platform."""
+"""Tests of the registrar election against the simulated platform."""
 
 from __future__ import annotations
 
@@ -8,13 +8,15 @@
 from tests.fleet.support import reactor
 from tests.store.platform_case import PlatformCase
 
-PLACE = "szolnok-b"
+DATA_CENTRE = "szolnok-b"
 MEMBERS = ("e1", "e2")
 
 
 class TestRegistrar(PlatformCase):
     def election(self, name: str, boot: int) -> RegistrarElection:
-        return RegistrarElection(reactor, self.store, PLACE, name, boot, lambda: None)
+        return RegistrarElection(
+            reactor, self.store, DATA_CENTRE, name, boot, lambda: None
+        )
 
     async def test_only_one_node_is_registrar(self) -> None:
         first, second = self.election("e1", 1), self.election("e2", 2)
@@ -24,13 +26,13 @@
         assert second.registrar_name == "e1"
         assert len(self.platform.store.leases) == 1
 
-    async def test_creation_whose_reply_was_lost_is_taken_up(self) -> None:
+    async def test_creation_with_a_lost_reply_succeeds(self) -> None:
         election = self.election("e1", 1)
         self.platform.control({"lose_replies": 1, "lose_replies_prefix": "registrar/"})
         await election.step(2)
         assert election.active
 
-    async def test_lost_lease_ends_all_grants(self) -> None:
+    async def test_lost_lease_stops_all_grants(self) -> None:
         election = self.election("e1", 1)
         await election.step(2)
         await self.store.revoke_lease(election.lease)
@@ -40,7 +42,7 @@
         now = reactor.seconds()
         assert election.registry.request("e2", request, MEMBERS, 1, now) is None
 
-    async def test_outage_ends_the_registrar_with_its_lease(self) -> None:
+    async def test_outage_does_not_extend_the_lease(self) -> None:
         election = self.election("e1", 1)
         await election.step(2)
         self.platform.control({"outage": Outage.CUT})
@@ -48,8 +50,8 @@
         await election.step(2)
         assert election.active and election.registry.own_until == until
 
-    async def test_leaving_registrar_makes_room(self) -> None:
+    async def test_leaving_registrar_releases_its_key(self) -> None:
         election = self.election("e1", 1)
         await election.step(2)
         await election.leave()
-        assert (await self.store.get(registrar_key(PLACE))).unwrap() is None
+        assert (await self.store.get(registrar_key(DATA_CENTRE))).unwrap() is None
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -1,4 +1,4 @@
-"""Tests of the roster, of holding through its epochs, and of its upkeep."""
+"""Tests of the roster, its updates and the transfer of ownership by epoch."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 from tests.store.platform_case import TIMEOUT_MS, PlatformCase
 
 REPLICAS = [f"counters-{number}" for number in range(40)]
-PLACE = "szolnok-b"
+DATA_CENTRE = "szolnok-b"
 
 
 def member(name: str, boot: int, vm_incarnation: int = 0) -> RosterMember:
@@ -40,28 +40,28 @@
 
 
 class TestEviction:
-    def test_silence_alone_evicts_nobody(self) -> None:
+    def test_early_list_or_leaving_vm_evicts_nobody(self) -> None:
         roster = roster_of("e1")
         early = VmList(1000.0 + VM_LIST_MARGIN_MS - 1.0, ())
-        leaving = Vm("e1", PLACE, "10.0.0.1", 0, VmState.LEAVING)
+        leaving = Vm("e1", DATA_CENTRE, "10.0.0.1", 0, VmState.LEAVING)
         assert evict(roster, early) == roster
         assert evict(roster, VmList(1e9, (leaving,))) == roster
 
-    def test_vm_that_is_gone_or_started_anew_is_evicted(self) -> None:
+    def test_removed_or_restarted_vm_is_evicted(self) -> None:
         roster = join(join(EMPTY_ROSTER, member("e1", 1, 7)), member("e2", 2, 7))
-        anew = Vm("e1", PLACE, "10.0.0.1", 8, VmState.LIVE)
-        assert evict(roster, VmList(1e9, (anew,))).names == ()
-        same = anew._replace(incarnation=7)
+        restarted = Vm("e1", DATA_CENTRE, "10.0.0.1", 8, VmState.LIVE)
+        assert evict(roster, VmList(1e9, (restarted,))).names == ()
+        same = restarted._replace(incarnation=7)
         assert evict(roster, VmList(1e9, (same,))).names == ("e1",)
 
-    def test_release_does_not_touch_a_later_process_of_the_name(self) -> None:
+    def test_release_keeps_a_later_process_of_the_same_name(self) -> None:
         roster = join(roster_of("e1"), member("e1", 99))
         assert release(roster, "e1", 0) == roster
         assert release(roster, "e1", 99).names == ()
 
 
 class TestOwnershipState:
-    def test_joiner_waits_only_for_those_that_held_its_replicas(self) -> None:
+    def test_joiner_waits_only_for_previous_owners(self) -> None:
         roster = roster_of("e1", "e2", "e3")
         ownership = OwnershipState("e3", 2)
         ownership.set_roster(roster)
@@ -75,7 +75,7 @@
         ownership.note_released("e2", 1, roster.epoch)
         assert all(ownership.usable(r) for r in gained)
 
-    def test_history_that_is_too_short_blocks(self) -> None:
+    def test_truncated_history_blocks_use(self) -> None:
         roster = roster_of("e1", "e2")
         for boot in range(CHANGE_HISTORY_LIMIT):
             roster = release(join(roster, member("e3", boot)), "e3", boot)
@@ -85,12 +85,12 @@
         ownership.note_released("e2", 1, roster.epoch)
         assert any(ownership.usable(r) for r in REPLICAS)
 
-    def test_older_roster_changes_nothing(self) -> None:
+    def test_older_roster_is_ignored(self) -> None:
         ownership = OwnershipState("e1", 0)
         assert ownership.set_roster(roster_of("e1", "e2"))
         assert not ownership.set_roster(roster_of("e1"))
 
-    def test_coding_keeps_a_roster(self) -> None:
+    def test_encoded_roster_decodes_unchanged(self) -> None:
         roster = roster_of("e1", "e2")
         assert decode_roster(encode_roster(roster)) == roster
         assert decode_roster(b"garbage") is None
@@ -103,7 +103,7 @@
             reactor,
             self.store,
             self.vm_list,
-            PLACE,
+            DATA_CENTRE,
             lambda roster, written: seen.append(roster),
             Random(1),
         )
@@ -112,7 +112,7 @@
         await self.vm_list.close()
         await super().close()
 
-    async def test_join_whose_reply_was_lost_is_done_once(self) -> None:
+    async def test_join_with_a_lost_reply_is_applied_once(self) -> None:
         seen: list[Roster] = []
         roster_updater = self.roster_updater(seen)
         self.platform.control({"lose_replies": 1, "lose_replies_prefix": "roster/"})
@@ -121,7 +121,7 @@
 
     async def test_malformed_roster_is_not_overwritten(self) -> None:
         roster_updater = self.roster_updater([])
-        await self.store.put(roster_key(PLACE), b"garbage", 0)
+        await self.store.put(roster_key(DATA_CENTRE), b"garbage", 0)
         assert not await roster_updater.release("e1", 1, attempts=1)
-        held = (await self.store.get(roster_key(PLACE))).unwrap()
+        held = (await self.store.get(roster_key(DATA_CENTRE))).unwrap()
         assert held is not None and held.value == b"garbage"
