Reword the tests of links and of the fleet service

until, turns and forget become wait_until, run_turns and blackhole; test names say which failure they guard against. Assertions, bounds and numbers are unchanged.

--- a/tests/fleet/support.py
+++ b/tests/fleet/support.py
@@ -1,4 +1,4 @@
-"""Support for tests that need the real reactor."""
+"""Helpers for tests on the real reactor."""
 
 from __future__ import annotations
 
@@ -11,18 +11,18 @@
 reactor: Any = global_reactor
 
 POLL_S = 0.005
-GIVE_UP_S = 10.0
+TIMEOUT_S = 10.0
 
 
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds; fail after a generous time."""
+async def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; fail after ``TIMEOUT_S``."""
     started = reactor.seconds()
     while not condition():
-        assert reactor.seconds() - started < GIVE_UP_S, "the condition never held"
+        assert reactor.seconds() - started < TIMEOUT_S, "condition not met"
         await deferLater(reactor, POLL_S)
 
 
-async def turns(count: int = 20) -> None:
-    """Let the reactor turn some times."""
+async def run_turns(count: int = 20) -> None:
+    """Let the reactor run for a number of turns."""
     for _ in range(count):
         await deferLater(reactor, 0.001)
--- a/tests/fleet/test_link.py
+++ b/tests/fleet/test_link.py
@@ -9,7 +9,7 @@
 
 from sardinehook.fleet.link import Links
 from sardinehook.messages import CancelSubQuery, Outcome, SubQuery, SubReply
-from tests.fleet.support import reactor, turns, until
+from tests.fleet.support import reactor, run_turns, wait_until
 
 LOOPBACK = "127.0.0.1:0"
 
@@ -19,7 +19,7 @@
 
 
 class Recorder:
-    """Links of one node with all that they reported."""
+    """Records the messages and lost links reported by the links of one node."""
 
     def __init__(self, node: str) -> None:
         self.links = Links(reactor, node, LOOPBACK)
@@ -37,7 +37,7 @@
     await one.links.listen()
     address = await two.links.listen()
     one.links.connect("e2", address)
-    await until(lambda: one.links.connected("e2") and two.links.connected("e1"))
+    await wait_until(lambda: one.links.connected("e2") and two.links.connected("e1"))
     try:
         yield one, two
     finally:
@@ -46,23 +46,23 @@
 
 
 class TestExchange(TestCase):
-    async def test_request_and_reply_cross_one_connection(self) -> None:
+    async def test_request_and_reply_share_a_connection(self) -> None:
         async with connected_pair() as (one, two):
             assert one.links.send("e2", sub_query(1))
-            await until(lambda: two.queries != [])
+            await wait_until(lambda: two.queries != [])
             assert two.queries == [("e1", sub_query(1))]
             reply = SubReply(1, Outcome.ANSWERED, 4, 1, 0.1, 2.0, True, "", b"[]")
             assert two.links.send("e1", reply)
-            await until(lambda: one.replies != [])
+            await wait_until(lambda: one.replies != [])
             assert one.replies == [("e2", reply)]
 
-    async def test_messages_of_one_turn_leave_in_one_frame(self) -> None:
+    async def test_messages_of_one_reactor_turn_share_a_frame(self) -> None:
         async with connected_pair() as (one, two):
             frames: list[int] = []
             two.links.observe_stamp = frames.append
             for number in range(100):
                 one.links.send("e2", sub_query(number))
-            await until(lambda: len(two.queries) == 100)
+            await wait_until(lambda: len(two.queries) == 100)
             assert len(frames) == 1
 
     async def test_send_without_a_live_link_is_refused(self) -> None:
@@ -75,19 +75,19 @@
     async def test_lost_link_is_reported_and_replaced(self) -> None:
         async with connected_pair() as (one, two):
             two.links.live_links["e1"][0].tcp.abortConnection()
-            await until(lambda: one.lost == ["e2"])
+            await wait_until(lambda: one.lost == ["e2"])
             assert not one.links.connected("e2")
-            await until(lambda: one.links.connected("e2"))
+            await wait_until(lambda: one.links.connected("e2"))
 
-    async def test_a_node_that_answers_under_another_name_is_refused(self) -> None:
+    async def test_peer_with_an_unexpected_name_is_rejected(self) -> None:
         async with connected_pair() as (one, two):
             one.links.connect("e3", two.links.address)
-            await turns()
+            await run_turns()
             assert not one.links.connected("e3")
 
-    async def test_close_sends_what_is_waiting(self) -> None:
+    async def test_close_flushes_queued_messages(self) -> None:
         async with connected_pair() as (one, two):
             for number in range(500):
                 one.links.send("e2", sub_query(number))
             await one.links.close()
-            await until(lambda: len(two.queries) == 500)
+            await wait_until(lambda: len(two.queries) == 500)
--- a/tests/fleet/test_link_faults.py
+++ b/tests/fleet/test_link_faults.py
@@ -1,4 +1,4 @@
-"""Tests of links whose connections go silent, are garbled or are not read."""
+"""Tests of links with silent, malformed or unread connections."""
 
 from __future__ import annotations
 
@@ -25,31 +25,31 @@
 from sardinehook.fleet.link import Links
 from sardinehook.fleet.wire import encode_frame
 from sardinehook.messages import Outcome, SubReply
-from tests.fleet.support import reactor, turns, until
+from tests.fleet.support import reactor, run_turns, wait_until
 from tests.fleet.test_link import LOOPBACK, Recorder, connected_pair, sub_query
 
 
 class FakeTransport(StringTransport):
-    """A transport in memory that takes TCP options."""
+    """An in-memory transport that accepts TCP options."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
-        """Take the option."""
+        """Accept and ignore the option."""
 
 
 new_transport: Any = FakeTransport
 
 
 class Forwarder:
-    """Forwards connections and can lose track of the ones that are open."""
+    """Forwards connections; can drop all data of the open ones without closing them."""
 
     def __init__(self, port: int) -> None:
         forwarder = self
-        self.forgotten: set[object] = set()
+        self.blackholed: set[object] = set()
         self.open: set[object] = set()
 
         class Client(ProxyClient):
             def dataReceived(self, data: bytes) -> None:
-                if self.peer not in forwarder.forgotten:
+                if self.peer not in forwarder.blackholed:
                     super().dataReceived(data)  # type: ignore[no-untyped-call]
 
         class ClientFactory(ProxyClientFactory):
@@ -61,14 +61,14 @@
                 super().connectionMade()
 
             def connectionLost(self, reason: Failure | None = None) -> None:
-                if self not in forwarder.forgotten:
+                if self not in forwarder.blackholed:
                     super().connectionLost(reason)  # type: ignore[no-untyped-call]
                 else:
                     upstream: Any = self.peer
                     upstream.transport.abortConnection()
 
             def dataReceived(self, data: bytes) -> None:
-                if self not in forwarder.forgotten:
+                if self not in forwarder.blackholed:
                     super().dataReceived(data)  # type: ignore[no-untyped-call]
 
         Server.clientProtocolFactory = ClientFactory
@@ -78,9 +78,9 @@
         self.port: Any = reactor.listenTCP(0, factory, interface="127.0.0.1")
         self.address = f"127.0.0.1:{self.port.getHost().port}"
 
-    def forget(self) -> None:
-        """Drop, from now on, all bytes of the connections that are open."""
-        self.forgotten |= self.open
+    def blackhole(self) -> None:
+        """Drop all further data of the connections that are open now."""
+        self.blackholed |= self.open
 
 
 @asynccontextmanager
@@ -89,7 +89,7 @@
     address = await two.links.listen()
     forwarder = Forwarder(int(address.rpartition(":")[2]))
     one.links.connect("e2", forwarder.address)
-    await until(lambda: one.links.connected("e2") and two.links.connected("e1"))
+    await wait_until(lambda: one.links.connected("e2") and two.links.connected("e1"))
     try:
         yield one, two, forwarder
     finally:
@@ -101,18 +101,18 @@
 class TestSilence(TestCase):
     async def test_silent_link_is_reported_and_replaced(self) -> None:
         async with forwarded_pair() as (one, two, forwarder):
-            forwarder.forget()
+            forwarder.blackhole()
             assert one.links.send("e2", sub_query(1))
-            await until(lambda: one.lost == ["e2"])
-            await until(lambda: one.links.connected("e2"))
+            await wait_until(lambda: one.lost == ["e2"])
+            await wait_until(lambda: one.links.connected("e2"))
             assert one.links.send("e2", sub_query(2))
-            await until(lambda: [q.sub_query_id for _, q in two.queries] == [2])
+            await wait_until(lambda: [q.sub_query_id for _, q in two.queries] == [2])
 
-    async def test_slow_answer_over_a_live_link_replaces_nothing(self) -> None:
+    async def test_slow_reply_on_a_live_link_replaces_nothing(self) -> None:
         async with forwarded_pair() as (one, two, _):
             assert one.links.send("e2", sub_query(1))
             started = reactor.seconds()
-            await until(lambda: reactor.seconds() - started > 0.2)
+            await wait_until(lambda: reactor.seconds() - started > 0.2)
             assert one.lost == [] and len(two.queries) == 1
 
 
@@ -124,24 +124,24 @@
                 creator: Any = ClientCreator
                 raw = await creator(reactor, Protocol).connectTCP("127.0.0.1", port)
                 raw.transport.write(data)
-                await until(lambda: not raw.transport.connected)
+                await wait_until(lambda: not raw.transport.connected)
             lines = [line for line in logs if line["event"] == "link_rejected"]
             assert [line["reason"] for line in lines] == [reason]
             assert one.lost == [] and one.links.send("e2", sub_query(1))
 
-    async def test_garbage_closes_only_its_connection(self) -> None:
+    async def test_malformed_frame_closes_only_its_connection(self) -> None:
         await self.check_rejected(struct.pack("!I", 5) + b"\xff" * 5, "malformed_frame")
 
-    async def test_frame_beyond_the_limit_is_not_read(self) -> None:
+    async def test_oversized_frame_is_rejected(self) -> None:
         length = connection.FRAME_LIMIT_BYTES + 1
         await self.check_rejected(struct.pack("!I", length), "frame_too_long")
 
-    async def test_http_request_is_refused(self) -> None:
+    async def test_http_request_is_rejected(self) -> None:
         await self.check_rejected(b"GET / HTTP/1.1\r\n\r\n", "frame_too_long")
 
 
-class TestIntroduction(TestCase):
-    def test_connection_without_a_name_is_closed(self) -> None:
+class TestHandshake(TestCase):
+    def test_unidentified_connection_is_closed(self) -> None:
         clock = Clock()
         links = Links(clock, "e1", LOOPBACK)
         link: Any = Link(links)
@@ -150,7 +150,7 @@
         clock.advance(HANDSHAKE_TIMEOUT_S)
         assert transport.disconnecting or transport.disconnected
 
-    def test_named_connection_stays(self) -> None:
+    def test_identified_connection_stays_open(self) -> None:
         clock = Clock()
         links = Links(clock, "e1", LOOPBACK)
         link: Any = Link(links)
@@ -161,7 +161,7 @@
 
 
 class TestBackpressure(TestCase):
-    async def test_send_is_refused_beyond_the_unsent_bound(self) -> None:
+    async def test_send_is_refused_beyond_the_unsent_limit(self) -> None:
         async with connected_pair() as (one, two):
             reader: Any = two.links.live_links["e1"][0].tcp
             reader.pauseProducing()
@@ -170,20 +170,20 @@
             accepted = 0
             while one.links.send("e2", reply._replace(sub_query_id=accepted)):
                 accepted += 1
-                await turns(1)
+                await run_turns(1)
                 assert accepted < 100
             assert accepted >= 8
             reader.resumeProducing()
-            await until(lambda: len(two.replies) == accepted)
+            await wait_until(lambda: len(two.replies) == accepted)
 
-    async def test_message_beyond_a_frame_is_refused(self) -> None:
+    async def test_message_above_the_size_limit_is_refused(self) -> None:
         async with connected_pair() as (one, _):
             body = bytes(connection.MESSAGE_LIMIT_BYTES)
             assert not one.links.send("e2", sub_query(1)._replace(body=body))
 
 
 class TestOverdueCheck:
-    def test_a_frame_leaves_though_a_check_is_overdue(self) -> None:
+    def test_overdue_check_is_scheduled_without_negative_delay(self) -> None:
         clock = Clock()
         links = Links(clock, "e1", "127.0.0.1:0")
         link = Link(links)
@@ -201,5 +201,5 @@
 
 
 def framed(data: bytes) -> bytes:
-    """Return a frame with its length before it."""
+    """Return a frame with its length prefix."""
     return struct.pack("!I", len(data)) + data
