--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -1,4 +1,4 @@
-"""Model of ownership and leases under loss, delay, pauses and wrong clock rates."""
+"""Stateful model of ownership and leases with loss, delay and clock drift."""
 
 from __future__ import annotations
 
@@ -36,7 +36,7 @@
 from sardinehook.target.allowance import Allowance
 
 NAMES = ("e1", "e2", "e3")
-THE_REGISTRAR = ""
+CURRENT_REGISTRAR = ""
 REPLICAS = ("a", "b", "c")
 SLOTS, CONNECTIONS = 3, 25
 REGISTRAR_LEASE_S = 8.0
@@ -49,14 +49,14 @@
 
 
 class Released(NamedTuple):
-    """A process uses only its own as of an epoch."""
+    """Reports that a process uses only what it owns as of an epoch."""
 
     boot: int
     epoch: int
 
 
-class Parcel(NamedTuple):
-    """A message under way."""
+class InFlightMessage(NamedTuple):
+    """A message that was sent and not yet delivered."""
 
     source: str
     target: str
@@ -64,14 +64,14 @@
 
 
 class Work(NamedTuple):
-    """A sub-query that runs at a replica until a true time."""
+    """A sub-query that runs at a replica until a point in true time."""
 
     replica: str
     until: float
 
 
 class Node:
-    """One process."""
+    """One process, with a clock of its own rate."""
 
     def __init__(self, name: str, boot: int, rate: float) -> None:
         self.name = name
@@ -81,7 +81,7 @@
         self.lease = NodeLease()
         self.registry = LeaseRegistry()
         self.store_lease = -1
-        self.works: list[Work] = []
+        self.work_items: list[Work] = []
         self.leaving = False
 
     def clock(self, now: float) -> float:
@@ -95,14 +95,14 @@
         return Allowance(0, 0, False) if self.leaving else share
 
     def running(self, replica: str, now: float) -> int:
-        return sum(w.replica == replica and w.until > now for w in self.works)
+        return sum(w.replica == replica and w.until > now for w in self.work_items)
 
     def has_excess_work(self, now: float) -> bool:
         return any(self.running(r, now) > self.share(r, now).slots for r in REPLICAS)
 
 
 class Fleet(RuleBasedStateMachine):
-    """Three processes, the platform's service, and messages in any order."""
+    """Three processes, the platform's store, and messages delivered in any order."""
 
     @initialize(rates=st.tuples(*[st.floats(-RATE_SPREAD, RATE_SPREAD)] * 3))
     def begin(self, rates: tuple[float, ...]) -> None:
@@ -111,13 +111,13 @@
         self.store_up = True
         self.roster = EMPTY_ROSTER
         self.registrar = (-1, 0.0)
-        self.parcels: list[Parcel] = []
+        self.in_flight: list[InFlightMessage] = []
         self.rates = dict(zip(NAMES, (1 + rate for rate in rates), strict=True))
         self.nodes: dict[str, Node] = {}
         for name in NAMES:
             self.boot(name)
         for name in NAMES:
-            self.learn(name)
+            self.update_roster(name)
         for name in NAMES:
             self.tell_release(name)
         self.deliver_all()
@@ -130,7 +130,7 @@
         member = RosterMember(name, node.boot, 0, 0.0, 0)
         self.roster = join(self.roster, member)
 
-    def learn(self, name: str) -> None:
+    def update_roster(self, name: str) -> None:
         self.nodes[name].ownership.set_roster(self.roster)
 
     @rule(seconds=st.sampled_from([0.05, 0.4, 0.9, 1.7, 2.9, 4.1]))
@@ -145,13 +145,13 @@
     def read_roster(self, name: str) -> None:
         if not (self.store_up and name in self.nodes):
             return
-        self.learn(name)
+        self.update_roster(name)
 
     @rule(name=nodes)
     def tell_roster(self, name: str) -> None:
         if name not in self.nodes:
             return
-        self.post(name, self.nodes[name].ownership.roster)
+        self.broadcast(name, self.nodes[name].ownership.roster)
 
     @rule(name=nodes)
     def tell_release(self, name: str) -> None:
@@ -160,7 +160,7 @@
         node = self.nodes[name]
         if not (not node.has_excess_work(self.now)):
             return
-        self.post(name, Released(node.boot, node.ownership.roster.epoch))
+        self.broadcast(name, Released(node.boot, node.ownership.roster.epoch))
 
     @rule(name=nodes)
     def restart(self, name: str) -> None:
@@ -168,7 +168,7 @@
             return
         self.now += WORK_LIMIT_S if name in self.nodes else 0.0
         self.boot(name)
-        self.learn(name)
+        self.update_roster(name)
 
     @rule(name=nodes)
     def leave(self, name: str) -> None:
@@ -188,7 +188,7 @@
         self.roster = release(self.roster, name, self.nodes.pop(name).boot)
         self.now += WORK_LIMIT_S
         if by in self.nodes:
-            self.learn(by)
+            self.update_roster(by)
 
     @rule(name=nodes)
     def take_registrar_lease(self, name: str) -> None:
@@ -214,22 +214,22 @@
 
     @rule(
         name=nodes,
-        at=st.sampled_from([THE_REGISTRAR] * 2 + list(NAMES)),
+        at=st.sampled_from([CURRENT_REGISTRAR] * 2 + list(NAMES)),
         replied=st.booleans(),
     )
     def renew_lease(self, name: str, at: str, replied: bool) -> None:
-        if at == THE_REGISTRAR:
+        if at == CURRENT_REGISTRAR:
             self.try_renewal(name, replied)
             return
         if name not in self.nodes or at not in self.nodes:
             return
-        count = len(self.parcels)
+        count = len(self.in_flight)
         self.ask_lease(name, at)
-        if len(self.parcels) == count:
+        if len(self.in_flight) == count:
             return
-        self.receive(self.nodes[at], self.parcels.pop())
-        if len(self.parcels) > count and replied:
-            granted = self.parcels.pop()
+        self.receive(self.nodes[at], self.in_flight.pop())
+        if len(self.in_flight) > count and replied:
+            granted = self.in_flight.pop()
             self.receive(self.nodes[name], granted)
 
     @rule(silent=st.sets(nodes, min_size=1, max_size=2), lost=st.booleans())
@@ -262,31 +262,31 @@
         request = node.lease.new_request(
             node.boot, node.ownership.roster.epoch, node.clock(self.now)
         )
-        self.parcels.append(Parcel(name, registrar, request))
+        self.in_flight.append(InFlightMessage(name, registrar, request))
 
     @rule(data=st.data(), again=st.booleans())
     def deliver(self, data: Any, again: bool) -> None:
-        if not (self.parcels):
+        if not (self.in_flight):
             return
-        number = data.draw(st.integers(0, len(self.parcels) - 1))
-        parcel = self.parcels[number]
+        number = data.draw(st.integers(0, len(self.in_flight) - 1))
+        item = self.in_flight[number]
         if not again:
-            del self.parcels[number]
-        node = self.nodes.get(parcel.target)
+            del self.in_flight[number]
+        node = self.nodes.get(item.target)
         if node is not None:
-            self.receive(node, parcel)
+            self.receive(node, item)
 
     @rule()
     def deliver_all(self) -> None:
-        parcels, self.parcels = self.parcels, []
-        for parcel in parcels:
-            node = self.nodes.get(parcel.target)
+        in_flight, self.in_flight = self.in_flight, []
+        for item in in_flight:
+            node = self.nodes.get(item.target)
             if node is not None:
-                self.receive(node, parcel)
+                self.receive(node, item)
 
     @rule()
     def lose_all(self) -> None:
-        self.parcels.clear()
+        self.in_flight.clear()
 
     @rule(name=nodes, replica=replicas)
     def work(self, name: str, replica: str) -> None:
@@ -295,39 +295,43 @@
         node = self.nodes[name]
         if node.running(replica, self.now) < node.share(replica, self.now).slots:
             until = self.now + WORK_LIMIT_S * (1 - 2 * CLOCK_RATE_MARGIN)
-            node.works.append(Work(replica, until))
+            node.work_items.append(Work(replica, until))
 
-    def post(self, source: str, message: Roster | Released) -> None:
+    def broadcast(self, source: str, message: Roster | Released) -> None:
         for target in NAMES:
             if target != source:
-                self.parcels.append(Parcel(source, target, message))
+                self.in_flight.append(InFlightMessage(source, target, message))
 
-    def receive(self, node: Node, parcel: Parcel) -> None:
-        match parcel.message:
+    def receive(self, node: Node, item: InFlightMessage) -> None:
+        match item.message:
             case Roster() as roster:
                 node.ownership.set_roster(roster)
             case Released(boot, epoch):
-                node.ownership.note_released(parcel.source, boot, epoch)
+                node.ownership.note_released(item.source, boot, epoch)
             case LeaseGrant() as grant:
                 node.lease.apply_grant(grant)
             case LeaseRequest() as request:
                 roster = node.ownership.roster
                 granted = node.registry.request(
-                    parcel.source,
+                    item.source,
                     request,
                     roster.names,
                     roster.epoch,
                     node.clock(self.now),
                 )
                 if granted is not None:
-                    self.parcels.append(Parcel(node.name, parcel.source, granted))
+                    self.in_flight.append(
+                        InFlightMessage(node.name, item.source, granted)
+                    )
 
     @invariant()
-    def no_replica_gets_too_much(self) -> None:
+    def no_replica_exceeds_its_capacity(self) -> None:
         for replica in REPLICAS:
             running = [n.running(replica, self.now) for n in self.nodes.values()]
             shares = [n.share(replica, self.now) for n in self.nodes.values()]
-            assert sum(running) <= SLOTS, f"{running} at {replica}"
+            assert sum(running) <= SLOTS, (
+                f"replica {replica} runs {running}, slots {SLOTS}"
+            )
             assert sum(share.slots for share in shares) <= SLOTS
             assert sum(share.connections for share in shares) <= CONNECTIONS
             assert sum(share.may_serve_cold for share in shares) <= 1
@@ -341,7 +345,7 @@
 
 
 class TestModel:
-    def test_no_replica_ever_gets_more_than_it_bears(self) -> None:
+    def test_no_replica_exceeds_its_capacity(self) -> None:
         check_model()
 
 
@@ -357,32 +361,32 @@
         fleet.die_and_be_evicted(name=name, by=other)
         fleet.read_roster(name=other)
     fleet.restart(name=name)
-    fleet.no_replica_gets_too_much()
+    fleet.no_replica_exceeds_its_capacity()
 
 
-def lose_the_answer_that_ends_a_deputy() -> None:
+def lose_the_grant_that_ends_a_deputy() -> None:
     fleet = started()
     fleet.renew_all_but(silent={"e2", "e3"}, lost=False)
-    fleet.renew_lease(name="e2", at=THE_REGISTRAR, replied=True)
-    fleet.no_replica_gets_too_much()
-    fleet.renew_lease(name="e1", at=THE_REGISTRAR, replied=False)
-    fleet.renew_lease(name="e2", at=THE_REGISTRAR, replied=True)
-    fleet.no_replica_gets_too_much()
+    fleet.renew_lease(name="e2", at=CURRENT_REGISTRAR, replied=True)
+    fleet.no_replica_exceeds_its_capacity()
+    fleet.renew_lease(name="e1", at=CURRENT_REGISTRAR, replied=False)
+    fleet.renew_lease(name="e2", at=CURRENT_REGISTRAR, replied=True)
+    fleet.no_replica_exceeds_its_capacity()
 
 
-def ask_the_registrar_before() -> None:
+def request_from_the_previous_registrar() -> None:
     fleet = started()
     fleet.change_registrar(name="e2")
     fleet.renew_lease(name="e3", at="e1", replied=True)
     for name in ("e1", "e2"):
-        fleet.renew_lease(name=name, at=THE_REGISTRAR, replied=True)
-    fleet.no_replica_gets_too_much()
+        fleet.renew_lease(name=name, at=CURRENT_REGISTRAR, replied=True)
+    fleet.no_replica_exceeds_its_capacity()
 
 
 class TestModelFindsBrokenRules:
-    """Each schedule is sound by the rules and breaks the sums without one of them."""
+    """Each schedule passes, and exceeds the capacity with one rule disabled."""
 
-    def test_taking_over_without_release(self, monkeypatch: Any) -> None:
+    def test_use_before_release_is_detected(self, monkeypatch: Any) -> None:
         for name in NAMES:
             take_over_after_death(name)
         monkeypatch.setattr(OwnershipState, "usable", OwnershipState.owns)
@@ -390,32 +394,40 @@
             for name in NAMES:
                 take_over_after_death(name)
 
-    def test_forgetting_leases_whose_successor_may_be_lost(
+    def test_dropping_leases_with_a_lost_successor_is_detected(
         self, monkeypatch: Any
     ) -> None:
-        lose_the_answer_that_ends_a_deputy()
+        lose_the_grant_that_ends_a_deputy()
         request = LeaseRegistry.request
 
-        def forgetful(self: LeaseRegistry, name: str, *rest: Any) -> LeaseGrant | None:
+        def request_dropping_leases(
+            self: LeaseRegistry, name: str, *rest: Any
+        ) -> LeaseGrant | None:
             self.grants = [grant for grant in self.grants if grant.name != name]
             return request(self, name, *rest)
 
-        monkeypatch.setattr(LeaseRegistry, "request", forgetful)
+        monkeypatch.setattr(LeaseRegistry, "request", request_dropping_leases)
         with pytest.raises(AssertionError):
-            lose_the_answer_that_ends_a_deputy()
+            lose_the_grant_that_ends_a_deputy()
 
-    def test_leases_that_outlast_the_registrars_own(self, monkeypatch: Any) -> None:
-        ask_the_registrar_before()
+    def test_leases_outlasting_the_registrars_are_detected(
+        self, monkeypatch: Any
+    ) -> None:
+        request_from_the_previous_registrar()
         begin = LeaseRegistry.begin
 
-        def eternal(self: LeaseRegistry, own_until: float, now: float) -> None:
+        def begin_with_long_lease(
+            self: LeaseRegistry, own_until: float, now: float
+        ) -> None:
             begin(self, own_until + 100.0, now)
 
-        monkeypatch.setattr(LeaseRegistry, "begin", eternal)
+        monkeypatch.setattr(LeaseRegistry, "begin", begin_with_long_lease)
         with pytest.raises(AssertionError):
-            ask_the_registrar_before()
+            request_from_the_previous_registrar()
 
-    def test_granting_over_leases_that_last(self, monkeypatch: Any) -> None:
+    def test_granting_despite_conflicting_leases_is_detected(
+        self, monkeypatch: Any
+    ) -> None:
         monkeypatch.setattr(LeaseRegistry, "may_grant", lambda *arguments: True)
         with pytest.raises(AssertionError):
-            lose_the_answer_that_ends_a_deputy()
+            lose_the_grant_that_ends_a_deputy()
