--- a/sardinehook/fleet/lease_manager.py
+++ b/sardinehook/fleet/lease_manager.py
@@ -79,7 +79,7 @@
         return False
 
     def request_lease(self, now: float) -> None:
-        """Request a lease from the registrar, or from a candidate if it is silent.
+        """Request a lease from the registrar, or from a candidate if it does not reply.
 
         A lease of an earlier epoch is relinquished one tick before the request, so
         that no more work is started under it when the request is sent.
--- a/sardinehook/fleet/link.py
+++ b/sardinehook/fleet/link.py
@@ -194,8 +194,8 @@
     def link_suspected(self, link: Link) -> None:
         """Dial a replacement at once.
 
-        The link is aborted if it stays silent for ``SUSPICION_LIMIT_S``, or if this
-        process keeps no connection to its peer.
+        The link is aborted instead if it has been silent for longer than
+        ``SUSPICION_LIMIT_S``, or if this process does not dial its peer.
         """
         peer = self.peers.get(link.peer)
         silent_s = self.reactor.seconds() - link.monitor.last_received_at
--- a/sardinehook/fleet/member_table.py
+++ b/sardinehook/fleet/member_table.py
@@ -121,12 +121,12 @@
 
     def select_epochs(self) -> tuple[RosterEpoch, ...]:
         """Select the local roster epoch and a random remote one to send."""
-        own = self.local_member.data_centre
-        others = [place for place in self.epochs if place != own]
-        places = [own] if own in self.epochs else []
+        local = self.local_member.data_centre
+        others = [name for name in self.epochs if name != local]
+        selected = [local] if local in self.epochs else []
         if others:
-            places.append(self.random.choice(others))
-        return tuple(RosterEpoch(place, self.epochs[place]) for place in places)
+            selected.append(self.random.choice(others))
+        return tuple(RosterEpoch(name, self.epochs[name]) for name in selected)
 
     def remove_expired_dead(self, now: float) -> None:
         """Remove members that have been dead for longer than the retention period."""
--- a/sardinehook/fleet/membership.py
+++ b/sardinehook/fleet/membership.py
@@ -101,7 +101,7 @@
         """Discount the time during which this process did not run.
 
         Suspicion timeouts are extended by the gap and probes in flight are discarded.
-        Others may have suspected this process meanwhile, so it refutes that.
+        Others may have suspected this process in the meantime, so it refutes that.
         """
         paused = self.ticked_at is not None and now - self.ticked_at > PAUSE_THRESHOLD_S
         if paused and self.ticked_at is not None:
@@ -122,7 +122,8 @@
         """Return the suspicion timeout in seconds.
 
         It grows with the logarithm of the data centre's size and with the health
-        score, so poor local health delays the declaration of deaths.
+        score. The score rises with each failed probe, so poor local health delays the
+        declaration of deaths.
         """
         peers = len(self.table.in_data_centre(self.local_member.data_centre))
         return SUSPICION_BASE_S * max(1.0, log10(peers + 1)) * (1 + self.health_score)
@@ -254,8 +255,8 @@
             self.table.queue_update(self.local_member.name)
         for update in (datagram.sender, *datagram.updates):
             self.apply_update(update, now)
-        for place, epoch in datagram.epochs:
-            self.table.epochs[place] = max(epoch, self.table.epochs.get(place, 0))
+        for name, epoch in datagram.epochs:
+            self.table.epochs[name] = max(epoch, self.table.epochs.get(name, 0))
         return self.reply_to(datagram, address, now)
 
     def apply_update(self, update: Member, now: float) -> None:
--- a/sardinehook/fleet/ownership_state.py
+++ b/sardinehook/fleet/ownership_state.py
@@ -53,8 +53,8 @@
 
     def released_epoch(self, member: RosterMember) -> int:
         """Return the latest epoch that a member is known to have released."""
-        told = self.released.get((member.name, member.boot), 0)
-        return max(told, member.since_epoch)
+        reported = self.released.get((member.name, member.boot), 0)
+        return max(reported, member.since_epoch)
 
     def update_pending_releases(self) -> None:
         """Recompute which members may still use replicas of earlier epochs.
--- a/sardinehook/fleet/service.py
+++ b/sardinehook/fleet/service.py
@@ -125,9 +125,9 @@
         )
         self.membership.set_local_member(local_member)
         self.gossip.start(self.links.address)
-        own = self.identity
-        entry = RosterMember(self.node, own.boot, own.vm_incarnation, 0.0, 0)
-        self.start_task(self.roster_updater.join(entry))
+        identity = self.identity
+        member = RosterMember(self.node, identity.boot, identity.vm_incarnation, 0.0, 0)
+        self.start_task(self.roster_updater.join(member))
         self.eviction_loop = LoopingCall(self.evict_removed_vms)
         self.eviction_loop.clock = self.reactor
         self.eviction_loop.start(EVICTION_PERIOD_S, now=False)
@@ -374,7 +374,7 @@
             self.links.send(name, self.release_message(wanted=True))
 
     def handle_released(self, node: str, message: Released) -> None:
-        """Record a member's release, and reply with the own one on request."""
+        """Record a member's release; reply with that of this process on request."""
         if message.wanted:
             self.links.send(node, self.release_message(wanted=False))
         if self.ownership.note_released(node, message.boot, message.epoch):
