--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -1,4 +1,4 @@
-"""One search that another gateway of the data centre does, over its wider link."""
+"""A search delegated to a gateway of the data centre with a wider link."""
 
 from __future__ import annotations
 
@@ -7,12 +7,12 @@
 from returns.result import Failure, Success
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.delegates import Delegate, Delegates
-from sardinehook.gateway.policy import RequestPolicy, give_up_at
+from sardinehook.gateway.policy import RequestPolicy, request_deadline
 from sardinehook.gateway.ports import CallerRequest
-from sardinehook.gateway.search_codec import SEARCH_PATH, decode_outcome, encode_search
+from sardinehook.gateway.search_codec import SEARCH_PATH, decode_answer, encode_search
 from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
@@ -23,18 +23,18 @@
 
 __all__ = ["DelegatedSearch"]
 
-NOT_TAKEN_S = 0.5  # after a refusal: the same version is in force at both by then
-KEEP_ALIVE_S = 30.0  # gateways keep idle connections for longer
-NOT_TAKEN = 503
+REFUSED_AVOID_S = 0.5  # both gateways have the same configuration by then
+KEEP_ALIVE_S = 30.0  # less than the idle timeout of gateways
+SERVICE_UNAVAILABLE = 503
 OK = 200
 
 
 class DelegatedSearch:
-    """One search at a delegate; ``finish`` is called once with the answer.
+    """One delegated search; ``finish`` is called once with the answer.
 
-    Where the delegate surely did not take it, ``search_here`` is called instead. One
-    that was lost there is answered as such at once, and the caller may try again:
-    searching here as well could ask replicas more often than the route allows.
+    If the delegate certainly did not start it, ``start_local_search`` is called
+    instead. If the search was lost after that, the caller gets an error at once and
+    may retry: a local search could exceed the attempts that the route allows.
     """
 
     def __init__(
@@ -46,7 +46,7 @@
         route: Route,
         version: int,
         finish: Callable[[CallerAnswer], None],
-        search_here: Callable[[], None],
+        start_local_search: Callable[[], None],
     ) -> None:
         self.policy = policy
         self.reactor = policy.reactor
@@ -56,25 +56,25 @@
         self.route = route
         self.version = version
         self.finish = finish
-        self.search_here = search_here
-        self.give_up_at = give_up_at(request, route)
+        self.start_local_search = start_local_search
+        self.deadline_at = request_deadline(request, route)
         self.settled = False
         self.hedges = 0
         self.repeats = 0
         self.connection: ClientConnection | None = None
 
     def start(self) -> None:
-        """Hand the search over."""
+        """Request a connection to the delegate."""
         self.delegate.searches[self] = None
         self.delegate.pool.request(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
-        """Send the search, or do it here where there is no connection."""
+        """Send the search, or search locally if there is no connection."""
         if self.settled:
             return
         if connection is None:
             self.delegates.avoid(self.delegate, "no connection")
-            self.keep()
+            self.search_locally()
             return
         self.connection = connection
         node = self.delegates.fleet.node
@@ -85,74 +85,74 @@
             self.delegate.name.encode(),
             len(body),
         )
-        connection.exchange(head + body, self.ended)
+        connection.exchange(head + body, self.exchange_ended)
 
-    def ended(self, end: ExchangeEnd) -> None:
-        """Take the delegate's answer."""
+    def exchange_ended(self, end: ExchangeEnd) -> None:
+        """Process the end of the exchange with the delegate."""
         match end:
             case Replied(reply):
                 if self.connection is not None:
                     self.delegate.pool.give_back(self.connection, KEEP_ALIVE_S)
-                if reply.status == NOT_TAKEN:
+                if reply.status == SERVICE_UNAVAILABLE:
                     reason = reply.body.decode("latin-1")
-                    self.delegates.avoid(self.delegate, reason, NOT_TAKEN_S)
-                    self.keep()
+                    self.delegates.avoid(self.delegate, reason, REFUSED_AVOID_S)
+                    self.search_locally()
                 elif reply.status != OK:
-                    self.lose(f"status {reply.status}")
+                    self.fail(f"status {reply.status}")
                 else:
-                    self.take(reply.body)
+                    self.accept_answer(reply.body)
             case Malformed(detail) | Lost(detail):
                 self.delegates.avoid(self.delegate, detail)
-                self.lose(detail)
-
-    def take(self, body: bytes) -> None:
-        """Pass the delegate's answer on."""
-        match decode_outcome(body):
-            case Success(told):
-                self.hedges = told.hedges
-                self.repeats = told.repeats
-                headers = tuple(told.headers)
-                self.settle_with(
+                self.fail(detail)
+
+    def accept_answer(self, body: bytes) -> None:
+        """Decode the delegate's answer and finish with it."""
+        match decode_answer(body):
+            case Success(wire):
+                self.hedges = wire.hedges
+                self.repeats = wire.repeats
+                headers = tuple(wire.headers)
+                self.complete(
                     CallerAnswer(
-                        told.status, headers, told.body, told.outcome, told.detail
+                        wire.status, headers, wire.body, wire.outcome, wire.detail
                     )
                 )
             case Failure(detail):
-                self.lose(str(detail))
+                self.fail(str(detail))
 
-    def keep(self) -> None:
-        """Search here, since the delegate did not take the search."""
-        self.leave_delegate()
+    def search_locally(self) -> None:
+        """Search locally after the delegate refused or was unreachable."""
+        self.detach()
         self.settled = True
-        self.search_here()
+        self.start_local_search()
 
-    def lose(self, reason: str) -> None:
-        """Answer that the search was lost."""
+    def fail(self, reason: str) -> None:
+        """Drop the connection and answer that the outcome is unknown."""
         if self.settled:
             return
         connection, self.connection = self.connection, None
         if connection is not None and connection.finish is not None:
             connection.abort()
         detail = f"{self.delegate.name}: {reason}"
-        self.settle_with(refuse(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
+        self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
 
-    def settle_with(self, answer: CallerAnswer) -> None:
-        """End the search with an answer."""
-        self.leave_delegate()
+    def complete(self, answer: CallerAnswer) -> None:
+        """Detach from the delegate and finish with ``answer``, once."""
+        self.detach()
         if not self.settled:
             self.settled = True
             self.finish(answer)
 
-    def leave_delegate(self) -> None:
-        """Count the search at the delegate no more."""
+    def detach(self) -> None:
+        """Remove the search from the delegate and from its connection pool."""
         self.delegate.searches.pop(self, None)
         self.delegate.pool.withdraw(self.connected)
 
     def cancel(self) -> None:
-        """Stop, since the caller has left; the delegate sees the connection end."""
+        """Stop after the caller disconnected; the connection is closed."""
         if self.settled:
             return
         self.settled = True
-        self.leave_delegate()
+        self.detach()
         if self.connection is not None and self.connection.finish is not None:
             self.connection.abort()
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -1,4 +1,4 @@
-"""One search over all shards: sending, hedging, settling and merging."""
+"""Scatter-gather search: sends to all shards, hedges, retries and merges."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from math import ceil
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import CallerAnswer, refuse
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.choice import Choice
 from sardinehook.gateway.configuration import Route, ShardSet
 from sardinehook.gateway.dispatch import (
@@ -17,41 +17,40 @@
     NotRun,
 )
 from sardinehook.gateway.fan_out import Ask, Refuse, plan_fan_out
-from sardinehook.gateway.part import Part
 from sardinehook.gateway.policy import (
-    MOVE_AFTER_S,
+    FAILOVER_AFTER_S,
     RequestPolicy,
-    answer_by,
-    give_up_at,
+    answer_deadline,
+    request_deadline,
 )
 from sardinehook.gateway.ports import CallerRequest
 from sardinehook.gateway.records import merge_records, split_records
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.shard_request import ShardRequest
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["Gather"]
 
-HEDGE_QUANTILE = 0.95  # of the replies come before a second replica is asked
-HEDGE_LEAST_RATIO = 0.08  # of the objective: no hedge is sent earlier
-HEDGE_MOST_RATIO = 0.35  # of the objective: time for a second reply is left then
-LATE_RATIO = 1.5  # of the objective: when a late answer stops waiting for the rest
-PART_DEADLINE_RATIO = 2.5  # of the objective: replicas stop work by then
-REFUSED_SENDS = 2  # sends beyond the route's attempts for those that did not run
-RETRY_SHARE = 0.15  # of a caller's patience, at least, passes before it comes back
-CUT_OFF_RETRY_S = 2.0  # two missed probes, one a second, turn the balancer away
-LEAVE_GRACE_S = 0.25  # exchanges that end within it keep their connections
-ROUNDING = 1e-9  # a share times a number may come out a little too large
-USEFUL_RATIO = 0.5  # of the usual latency has to be left for another try
+HEDGE_QUANTILE = 0.95  # of reply times: a shard without a reply by then is hedged
+MIN_HEDGE_RATIO = 0.08  # of the objective: the earliest hedge
+MAX_HEDGE_RATIO = 0.35  # of the objective: leaves time for the hedged reply
+LATE_RATIO = 1.5  # of the objective: a late answer waits no longer for more shards
+SHARD_DEADLINE_RATIO = 2.5  # of the objective: the deadline sent to replicas
+MAX_REFUSALS = 2  # sends that did not run and don't count as attempts
+MIN_RETRY_RATIO = 0.15  # of the caller's timeout: the least Retry-After
+UNREACHABLE_RETRY_S = 2.0  # the load balancer needs two failed probes at 1 s
+CANCEL_GRACE_S = 0.25  # exchanges that end by then keep their connections open
+ROUNDING_TOLERANCE = 1e-9  # the product of a ratio and a count may be slightly large
+MIN_TIME_RATIO = 0.5  # of the median latency must remain for another send
 
 
 class Gather:
-    """The aggregate of one search; ``finish`` is called once with the answer.
+    """One search over all shards; ``finish`` is called once with the answer.
 
-    Each shard is asked through one replica. A shard without a reply after the time
-    within which most replies come is asked through a second one, paid from the
-    shard's budget. At the latency objective the search is answered with what is
-    there, if that is the least coverage; a search that missed its objective goes on
-    until it has the least coverage or its time is up.
+    One replica of each shard is queried. A shard without a reply after the hedge
+    delay is queried at a second replica, charged to the shard's retry budget. At the
+    latency objective the search is answered if it has the least coverage; otherwise
+    it goes on until it has that or reaches its deadline.
     """
 
     def __init__(
@@ -66,332 +65,335 @@
         self.reactor = policy.reactor
         self.request = request
         self.route = route
-        self.shards = shards
+        self.shard_set = shards
         self.finish = finish
-        self.parts = [Part(shard) for shard in shards.shards]
+        self.shards = [ShardRequest(name) for name in shards.shards]
         self.signatures: set[bytes] = set()
         self.settled = False
-        self.in_count = 0
-        self.lost_count = 0
+        self.answered = 0
+        self.failed = 0
         self.hedges = 0
         self.repeats = 0
         self.may_have_run = False
         self.missed_objective = False
         self.timer: Timer | None = None
-        begun = request.received_at
-        self.give_up_at = give_up_at(request, route)
-        objective_at = answer_by(request, route.objective_s)
-        self.objective_at = min(objective_at, self.give_up_at)
-        late_at = begun + LATE_RATIO * route.objective_s
-        self.late_at = min(late_at, self.give_up_at)
-        stop_at = begun + PART_DEADLINE_RATIO * route.objective_s
-        self.part_deadline_at = min(stop_at, self.give_up_at)
-        self.usual_s = policy.usual_s(route)
-        hedge_s = policy.usual_s(route, HEDGE_QUANTILE)
-        least_s = HEDGE_LEAST_RATIO * route.objective_s
-        most_s = HEDGE_MOST_RATIO * route.objective_s
-        self.hedge_delay_s = min(max(hedge_s, least_s), most_s)
+        received_at = request.received_at
+        self.deadline_at = request_deadline(request, route)
+        objective_at = answer_deadline(request, route.objective_s)
+        self.objective_at = min(objective_at, self.deadline_at)
+        late_at = received_at + LATE_RATIO * route.objective_s
+        self.late_at = min(late_at, self.deadline_at)
+        shard_deadline_at = received_at + SHARD_DEADLINE_RATIO * route.objective_s
+        self.shard_deadline_at = min(shard_deadline_at, self.deadline_at)
+        self.median_s = policy.latency_s(route)
+        quantile_s = policy.latency_s(route, HEDGE_QUANTILE)
+        min_s = MIN_HEDGE_RATIO * route.objective_s
+        max_s = MAX_HEDGE_RATIO * route.objective_s
+        self.hedge_delay_s = min(max(quantile_s, min_s), max_s)
 
     @property
-    def least_parts(self) -> int:
-        """How many shards an answer needs."""
-        needed = self.shards.least_coverage * len(self.parts)
-        return max(1, ceil(needed - ROUNDING))
+    def required(self) -> int:
+        """The number of shards that the least coverage requires."""
+        needed = self.shard_set.least_coverage * len(self.shards)
+        return max(1, ceil(needed - ROUNDING_TOLERANCE))
 
     def start(self) -> None:
-        """Ask one replica of each shard, unless too few shards have one."""
+        """Send to one replica of each shard, or refuse the search."""
         now = self.reactor.seconds()
-        if now + self.usual_s * USEFUL_RATIO > self.give_up_at:
-            self.settle_with(refuse(Problem(ErrorKind.DEADLINE_TOO_SHORT, "too late")))
+        if now + self.median_s * MIN_TIME_RATIO > self.deadline_at:
+            self.complete(
+                error_answer(
+                    Problem(ErrorKind.DEADLINE_TOO_SHORT, "too little time left")
+                )
+            )
             return
-        choices = [self.choose_reachable(part, now) for part in self.parts]
-        match plan_fan_out(choices, self.least_parts, self.objective_at - now):
-            case Refuse(problem, places):
-                told = [self.policy.explain(self.parts[p].shard) for p in places[:3]]
-                problem = problem._replace(detail="; ".join([problem.detail, *told]))
-                self.settle_with(refuse(problem, self.retry_after_s(problem)))
+        choices = [self.choose_reachable(shard, now) for shard in self.shards]
+        match plan_fan_out(choices, self.required, self.objective_at - now):
+            case Refuse(problem, positions):
+                why = [self.policy.explain(self.shards[p].name) for p in positions[:3]]
+                problem = problem._replace(detail="; ".join([problem.detail, *why]))
+                self.complete(error_answer(problem, self.retry_after_s(problem)))
             case Ask(asked):
-                self.ask(choices, asked, now)
+                self.send_first(choices, asked, now)
 
-    def ask(
-        self, choices: list[Choice | None], places: frozenset[int], now: float
+    def send_first(
+        self, choices: list[Choice | None], positions: frozenset[int], now: float
     ) -> None:
-        """Send the first requests to the shards at ``places``; the others are lost."""
-        for place, choice in enumerate(choices):
-            part = self.parts[place]
-            self.policy.budget_of(part.shard).note_request(now)
-            if choice is None or place not in places:
-                part.asked = True
-                part.reason = "queue too long" if choice else "no replica"
-                self.lost_count += 1
+        """Send to the shards at ``positions`` and count the others as failed."""
+        for position, choice in enumerate(choices):
+            shard = self.shards[position]
+            self.policy.budget_for(shard.name).record_request(now)
+            if choice is None or position not in positions:
+                shard.asked = True
+                shard.reason = "queue too long" if choice else "no replica"
+                self.failed += 1
             else:
-                self.send(part, choice.replica, now)
+                self.send(shard, choice.replica, now)
             if self.settled:
                 return
-        self.after_change(now)
+        self.settle_if_decided(now)
         if not self.settled:
             self.schedule(now)
 
     def retry_after_s(self, problem: Problem) -> float | None:
-        """Return when the caller should come back; spread, so that not all do at once.
+        """Return the Retry-After delay, with jitter so that callers don't synchronise.
 
-        A caller with more patience comes back later, when queues have passed; a path
-        that is cut takes the balancer some seconds to route around.
+        It grows with the caller's timeout, so that queues drain first. Where a data
+        centre is unreachable, the load balancer needs seconds to route around it.
         """
         now = self.reactor.seconds()
         if self.policy.directory.reachability.cut_off(now):
-            return CUT_OFF_RETRY_S
+            return UNREACHABLE_RETRY_S
         if problem.kind is ErrorKind.OVERLOADED:
-            patience_s = self.give_up_at - self.request.received_at
+            patience_s = self.deadline_at - self.request.received_at
             spread = 1.0 + self.policy.chooser.random.random()
-            return RETRY_SHARE * patience_s * spread
+            return MIN_RETRY_RATIO * patience_s * spread
         return None
 
-    def choose(self, part: Part, now: float) -> Choice | None:
-        """Return the replica to ask for a shard."""
-        left_s = self.part_deadline_at - now
+    def choose(self, shard: ShardRequest, now: float) -> Choice | None:
+        """Choose the next replica of a shard."""
+        left_s = self.shard_deadline_at - now
         return self.policy.chooser.choose(
-            part.shard, self.usual_s, part.tried, left_s, now
+            shard.name, self.median_s, shard.tried, left_s, now
         )
 
-    def choose_reachable(self, part: Part, now: float) -> Choice | None:
-        """Return the replica to ask first, ``None`` if all are cut off from here."""
-        if not self.policy.directory.can_serve(part.shard, now):
+    def choose_reachable(self, shard: ShardRequest, now: float) -> Choice | None:
+        """Choose the first replica of a shard, ``None`` if none is reachable."""
+        if not self.policy.directory.can_serve(shard.name, now):
             return None
-        return self.choose(part, now)
-
-    def send(self, part: Part, replica: Replica, now: float) -> None:
-        """Ask ``replica`` for a shard."""
-        part.asked = True
-        part.attempts += 1
-        part.tried.append(replica)
-        part.hedge_at = now + self.hedge_delay_s
+        return self.choose(shard, now)
+
+    def send(self, shard: ShardRequest, replica: Replica, now: float) -> None:
+        """Send the request for a shard to ``replica``."""
+        shard.asked = True
+        shard.attempts += 1
+        shard.tried.append(replica)
+        shard.hedge_at = now + self.hedge_delay_s
         exchange = Exchange(
             self.request,
             replica,
             now,
-            self.part_deadline_at,
-            lambda exchange, outcome: self.exchange_ended(part, exchange, outcome),
+            self.shard_deadline_at,
+            lambda exchange, outcome: self.exchange_ended(shard, exchange, outcome),
         )
-        part.open_exchanges.append(exchange)
+        shard.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
 
     def exchange_ended(
-        self, part: Part, exchange: Exchange, outcome: ExchangeOutcome
+        self, shard: ShardRequest, exchange: Exchange, outcome: ExchangeOutcome
     ) -> None:
-        """Take in the end of one exchange."""
+        """Process the outcome of one exchange."""
         now = self.reactor.seconds()
-        if exchange in part.open_exchanges:
-            part.open_exchanges.remove(exchange)
-        part.arrived = part.arrived or exchange.sent_at > 0.0
+        if exchange in shard.open_exchanges:
+            shard.open_exchanges.remove(exchange)
+        shard.was_sent = shard.was_sent or exchange.sent_at > 0.0
         self.observe(exchange, outcome, now)
-        if self.settled or part.is_in:
+        if self.settled or shard.answered:
             return
-        if not self.accept(part, outcome):
-            self.try_again(part, now)
-        self.after_change(now)
+        if not self.accept(shard, outcome):
+            self.retry(shard, now)
+        self.settle_if_decided(now)
 
     def observe(self, exchange: Exchange, outcome: ExchangeOutcome, now: float) -> None:
-        """Learn from how long a reply took."""
+        """Update the latency estimates from a successful reply."""
         match outcome:
             case Answered(reply) if reply.is_success:
                 dispatcher = self.policy.dispatcher
-                took_s = dispatcher.observe_reply_time(exchange, self.usual_s, now)
+                took_s = dispatcher.observe_reply_time(exchange, self.median_s, now)
                 self.policy.observe(self.route, took_s)
 
-    def accept(self, part: Part, outcome: ExchangeOutcome) -> bool:
-        """Take a part in, or note why it is not one."""
+    def accept(self, shard: ShardRequest, outcome: ExchangeOutcome) -> bool:
+        """Accept a shard's records, or record why the reply is unusable."""
         match outcome:
             case Answered(reply):
                 self.may_have_run = True
                 signature = reply.signature
                 if not reply.is_success or signature is None:
-                    part.reason = f"status {reply.status}"
+                    shard.reason = f"status {reply.status}"
                     return False
                 if signature in self.signatures:
-                    part.reason = "signature of another shard"
+                    shard.reason = "signature of another shard"
                     return False
                 self.signatures.add(signature)
-                part.signature = signature
-                part.records = split_records(reply.body, self.shards.most_records)
-                self.in_count += 1
+                shard.signature = signature
+                shard.records = split_records(reply.body, self.shard_set.most_records)
+                self.answered += 1
                 return True
             case NotRun(detail, sent):
-                part.reason = detail
-                part.attempts -= 1
-                part.refusals += sent
+                shard.reason = detail
+                shard.attempts -= 1
+                shard.refusals += sent
             case Failed(detail):
                 self.may_have_run = True
-                part.reason = detail
+                shard.reason = detail
         return False
 
-    def try_again(self, part: Part, now: float) -> None:
-        """Ask another replica after a failure, or give the shard up."""
-        if part.open_exchanges:
+    def retry(self, shard: ShardRequest, now: float) -> None:
+        """Retry a failed shard at another replica, or count it as failed."""
+        if shard.open_exchanges:
             return
-        if not self.send_extra(part, now):
-            self.lost_count += 1
+        if not self.send_extra(shard, now):
+            self.failed += 1
         else:
             self.repeats += 1
 
-    def send_extra(self, part: Part, now: float) -> bool:
-        """Ask one more replica for a shard if attempts, time and budget allow."""
-        if part.attempts >= self.route.most_attempts or part.refusals > REFUSED_SENDS:
+    def send_extra(self, shard: ShardRequest, now: float) -> bool:
+        """Send to one more replica if attempts, deadline and budget allow it."""
+        if shard.attempts >= self.route.most_attempts or shard.refusals > MAX_REFUSALS:
             return False
-        if now + self.usual_s * USEFUL_RATIO > self.part_deadline_at:
+        if now + self.median_s * MIN_TIME_RATIO > self.shard_deadline_at:
             return False
-        choice = self.choose(part, now)
+        choice = self.choose(shard, now)
         if choice is None:
             return False
-        is_repeat = part.arrived or part.open_exchanges
-        if is_repeat and not self.policy.may_repeat(part.shard, now):
+        is_repeat = shard.was_sent or shard.open_exchanges
+        if is_repeat and not self.policy.try_spend_retry(shard.name, now):
             return False
-        self.send(part, choice.replica, now)
+        self.send(shard, choice.replica, now)
         return True
 
-    def check(self) -> None:
-        """Do what is due: hedge, or settle."""
+    def on_timer(self) -> None:
+        """Handle the timer: settle the search or send hedges that are due."""
         self.timer = None
         if self.settled:
             return
         now = self.reactor.seconds()
-        self.after_change(now)
+        self.settle_if_decided(now)
         if self.settled:
             return
-        for part in self.parts:
-            if part.is_in or not part.open_exchanges or now < part.hedge_at:
+        for shard in self.shards:
+            if shard.answered or not shard.open_exchanges or now < shard.hedge_at:
                 continue
-            part.hedge_at = float("inf")
-            self.note_overdue(part, now)
-            if self.send_extra(part, now):
+            shard.hedge_at = float("inf")
+            self.observe_overdue(shard, now)
+            if self.send_extra(shard, now):
                 self.hedges += 1
             else:
-                self.move(part, now)
+                self.fail_over(shard, now)
         self.schedule(now)
 
-    def move(self, part: Part, now: float) -> None:
-        """Ask another replica in place of one to which no connection comes about.
-
-        Nothing was sent, so it costs neither an attempt nor budget.
-        """
-        if any(exchange.sent_at for exchange in part.open_exchanges):
+    def fail_over(self, shard: ShardRequest, now: float) -> None:
+        """Replace a replica that doesn't connect, at no cost: nothing was sent."""
+        if any(exchange.sent_at for exchange in shard.open_exchanges):
             return
-        oldest = part.open_exchanges[0]
-        if now < oldest.started_at + MOVE_AFTER_S:
-            part.hedge_at = oldest.started_at + MOVE_AFTER_S
+        oldest = shard.open_exchanges[0]
+        if now < oldest.started_at + FAILOVER_AFTER_S:
+            shard.hedge_at = oldest.started_at + FAILOVER_AFTER_S
             return
-        choice = self.choose(part, now)
+        choice = self.choose(shard, now)
         if choice is None:
             return
-        part.open_exchanges.remove(oldest)
+        shard.open_exchanges.remove(oldest)
         self.policy.dispatcher.abandon(oldest)
-        part.attempts -= 1
-        self.send(part, choice.replica, now)
+        shard.attempts -= 1
+        self.send(shard, choice.replica, now)
 
-    def note_overdue(self, part: Part, now: float) -> None:
-        """Learn from a reply that is overdue, before it comes."""
-        for exchange in part.open_exchanges:
-            self.policy.dispatcher.observe_overdue(exchange, self.usual_s, now)
+    def observe_overdue(self, shard: ShardRequest, now: float) -> None:
+        """Update the replica's latency estimate from an overdue reply."""
+        for exchange in shard.open_exchanges:
+            self.policy.dispatcher.observe_overdue(exchange, self.median_s, now)
 
     def schedule(self, now: float) -> None:
-        """Set the timer to what is due next."""
+        """Set the timer to the next deadline or hedge."""
         due_at = self.next_deadline(now)
-        for part in self.parts:
-            if not part.is_in and part.open_exchanges and part.hedge_at < due_at:
-                due_at = part.hedge_at
+        for shard in self.shards:
+            if not shard.answered and shard.open_exchanges and shard.hedge_at < due_at:
+                due_at = shard.hedge_at
         delay_s = max(0.0, due_at - now)
-        self.timer = self.reactor.callLater(delay_s, self.check)
+        self.timer = self.reactor.callLater(delay_s, self.on_timer)
 
     def next_deadline(self, now: float) -> float:
-        """Return when the search is settled next, by what it has by then."""
+        """Return the next time at which the search may have to settle."""
         if now < self.objective_at:
             return self.objective_at
-        return self.late_at if now < self.late_at else self.give_up_at
+        return self.late_at if now < self.late_at else self.deadline_at
 
-    def after_change(self, now: float) -> None:
-        """Settle if nothing is gained by waiting on."""
-        total = len(self.parts)
-        if self.in_count + self.lost_count >= total:
+    def settle_if_decided(self, now: float) -> None:
+        """Settle the search if waiting longer cannot improve the answer."""
+        total = len(self.shards)
+        if self.answered + self.failed >= total:
             self.settle()
-        elif total - self.lost_count < self.least_parts or now >= self.give_up_at:
+        elif total - self.failed < self.required or now >= self.deadline_at:
             self.settle()
         elif now >= self.objective_at:
-            enough = self.in_count >= self.least_parts
+            enough = self.answered >= self.required
             if enough and (not self.missed_objective or now >= self.late_at):
                 self.settle()
             self.missed_objective = True
 
     def settle(self) -> None:
-        """Answer with the parts that are in, or say why there are too few."""
-        if self.in_count >= self.least_parts:
-            self.settle_with(self.merged())
+        """Answer with the shards that replied, or with an error if too few did."""
+        if self.answered >= self.required:
+            self.complete(self.merge_answer())
             return
-        missing = len(self.parts) - self.in_count
-        detail = f"{missing} of {len(self.parts)} shards missing: {self.reasons()}"
-        if not self.may_have_run and not self.is_waiting():
-            self.settle_with(refuse(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
+        missing = len(self.shards) - self.answered
+        detail = f"{missing} of {len(self.shards)} shards missing: {self.reasons()}"
+        if not self.may_have_run and not self.may_be_running():
+            self.complete(error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
             return
         kind = ErrorKind.COVERAGE_BELOW_LEAST
-        if self.reactor.seconds() >= self.give_up_at:
+        if self.reactor.seconds() >= self.deadline_at:
             kind = ErrorKind.DEADLINE_EXCEEDED
-        self.settle_with(refuse(Problem(kind, detail)))
+        self.complete(error_answer(Problem(kind, detail)))
 
-    def is_waiting(self) -> bool:
-        """Tell whether any replica may be at work on the search."""
+    def may_be_running(self) -> bool:
+        """Return whether any replica may still be running the search."""
         return any(
-            exchange.sent_at for part in self.parts for exchange in part.open_exchanges
+            exchange.sent_at
+            for shard in self.shards
+            for exchange in shard.open_exchanges
         )
 
-    def merged(self) -> CallerAnswer:
-        """Merge the parts that are in."""
-        parts = [part for part in self.parts if part.records is not None]
-        missing = len(self.parts) - len(parts)
+    def merge_answer(self) -> CallerAnswer:
+        """Merge the records of the shards that replied into the answer."""
+        merged = [shard for shard in self.shards if shard.records is not None]
+        missing = len(self.shards) - len(merged)
         headers = self.policy.callers.merged_headers(
-            [part.signature for part in parts], missing
+            [shard.signature for shard in merged], missing
         )
-        records = [part.records or [] for part in parts]
-        body = merge_records(records, self.shards.most_records)
+        records = [shard.records or [] for shard in merged]
+        body = merge_records(records, self.shard_set.most_records)
         detail = self.reasons() if missing else ""
         return CallerAnswer(200, headers, body, "answered", detail)
 
     def reasons(self) -> str:
-        """List the shards that are missing, each with the replicas asked and why."""
-        missing = [part for part in self.parts if not part.is_in]
-        told = [
-            f"{part.shard}:{'+'.join(r.replica_id for r in part.tried)}:{part.reason}"
-            for part in missing[:8]
+        """List the first missing shards with their replicas and failure reasons."""
+        missing = [shard for shard in self.shards if not shard.answered]
+        causes = [
+            f"{shard.name}:{'+'.join(r.replica_id for r in shard.tried)}:{shard.reason}"
+            for shard in missing[:8]
         ]
-        return "; ".join(told)
+        return "; ".join(causes)
 
-    def settle_with(self, answer: CallerAnswer) -> None:
-        """End the search with an answer."""
+    def complete(self, answer: CallerAnswer) -> None:
+        """Abandon the unsent exchanges and finish with ``answer``."""
         self.settled = True
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
-        self.drop_waiting()
+        self.abandon_unsent()
         self.finish(answer)
 
-    def drop_waiting(self) -> None:
-        """Abandon what has not been sent; what is at work ends by its deadline."""
-        for part in self.parts:
-            for exchange in list(part.open_exchanges):
+    def abandon_unsent(self) -> None:
+        """Abandon unsent exchanges; those that were sent end by their deadline."""
+        for shard in self.shards:
+            for exchange in list(shard.open_exchanges):
                 if not exchange.sent_at:
-                    part.open_exchanges.remove(exchange)
+                    shard.open_exchanges.remove(exchange)
                     self.policy.dispatcher.abandon(exchange)
 
     def cancel(self) -> None:
-        """Stop, since the caller has left; replicas get a moment to finish."""
+        """Stop after the caller disconnected; replicas get a grace period."""
         if not self.settled:
             self.settled = True
             if self.timer is not None and self.timer.active():
                 self.timer.cancel()
-            self.drop_waiting()
-        self.reactor.callLater(LEAVE_GRACE_S, self.abandon_all)
+            self.abandon_unsent()
+        self.reactor.callLater(CANCEL_GRACE_S, self.abandon_all)
 
     def abandon_all(self) -> None:
-        """Abandon what is still at work."""
-        for part in self.parts:
-            for exchange in part.open_exchanges:
+        """Abandon all exchanges that have not ended."""
+        for shard in self.shards:
+            for exchange in shard.open_exchanges:
                 if not exchange.over:
                     self.policy.dispatcher.abandon(exchange)
-            part.open_exchanges.clear()
+            shard.open_exchanges.clear()
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.front import Front, Work
+from sardinehook.gateway.http_server import Cancellable, HttpServer
 from sardinehook.gateway.ports import HttpRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import CHANGES_PATH, ChangeRelay
@@ -16,7 +16,7 @@
 TEXT = ((b"Content-Type", b"text/plain; version=0.0.4"),)
 
 
-class ProbeServer(Front):
+class ProbeServer(HttpServer):
     """Serves ``/ready``, ``/metrics``, store changes and delegated searches.
 
     ``/ready`` returns 200, or 503 with the reason as its body.
@@ -28,17 +28,19 @@
         unready_reason: Callable[[], str],
         render_metrics: Callable[[], bytes],
         relay: ChangeRelay,
-        take_over: Callable[[bytes, Callable[[CallerAnswer], None]], Work | None],
+        handle_delegated: Callable[
+            [bytes, Callable[[CallerAnswer], None]], Cancellable | None
+        ],
     ) -> None:
         super().__init__(reactor, self.answer_probe)
         self.unready_reason = unready_reason
         self.render_metrics = render_metrics
         self.relay = relay
-        self.take_over = take_over
+        self.handle_delegated = handle_delegated
 
     def answer_probe(
         self, request: HttpRequest, finish: Callable[[CallerAnswer], None]
-    ) -> Work | None:
+    ) -> Cancellable | None:
         """Answer a request; calls of other gateways may return pending work."""
         path, _, query = request.target.partition(b"?")
         if path.endswith(b"/ready"):
@@ -51,7 +53,7 @@
         elif path == CHANGES_PATH:
             return self.relay.answer(query, finish)
         elif path == SEARCH_PATH:
-            return self.take_over(request.body, finish)
+            return self.handle_delegated(request.body, finish)
         else:
             finish(CallerAnswer(404, TEXT, b"not found\n", "probe"))
         return None
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -16,27 +16,27 @@
 from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.gateway.answer import refuse
+from sardinehook.gateway.answer import error_answer
 from sardinehook.gateway.choice import ReplicaChooser
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.delegates import Delegates
-from sardinehook.gateway.desk import RequestDesk
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
-from sardinehook.gateway.front import Front
 from sardinehook.gateway.heartbeat import HeartbeatProtocol
+from sardinehook.gateway.http_server import HttpServer
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import RequestPolicy
 from sardinehook.gateway.ports import CallerDialect, ReplicaDialect, StoreDialect
 from sardinehook.gateway.probes import ProbeServer
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.request_handler import RequestHandler
+from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.store import GatewayStore
-from sardinehook.gateway.story import RequestStories
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
 
@@ -100,11 +100,13 @@
             reactor, self.directory, dispatcher, chooser, dialects.callers
         )
         self.policy.configure(settings.bounds)
-        self.policy.note_denied = metrics.repeats_denied.inc
+        self.policy.on_retry_denied = metrics.repeats_denied.inc
         chooser.note_cold_denied = metrics.cold_denied.inc
-        self.stories = RequestStories(reactor, metrics)
-        self.desk = RequestDesk(self.policy, self.stories, self.random)
-        self.front = Front(reactor, self.desk.take)
+        self.request_log = RequestLog(reactor, metrics)
+        self.request_handler = RequestHandler(
+            self.policy, self.request_log, self.random
+        )
+        self.http_server = HttpServer(reactor, self.request_handler.handle)
         record = GatewayRecord(
             settings.peer_address,
             settings.data_centre,
@@ -117,8 +119,8 @@
         self.gateway_names: frozenset[str] = frozenset()
         self.shares_update_pending = False
         self.delegates = Delegates(reactor, self.fleet)
-        self.desk.delegates = self.delegates
-        self.desk.most_handed_over = int(
+        self.request_handler.delegates = self.delegates
+        self.request_handler.max_delegated = int(
             DELEGATED_SUB_REQUESTS_PER_CORE * settings.cores
         )
         self.follower = StoreFollower(
@@ -139,13 +141,13 @@
             self.unready_reason,
             metrics.render,
             self.follower.relay,
-            self.desk.take_over,
+            self.request_handler.handle_delegated,
         )
         self.follower.configure(settings.bounds)
         self.fleet.on_recovery = self.store.drop_connections
         self.heartbeats = HeartbeatProtocol(
             self.fleet,
-            lambda: bool(self.desk.cut_off_reason()),
+            lambda: bool(self.request_handler.cut_off_reason()),
             self.delegates.record_heartbeat,
         )
         self.heartbeat_loop = LoopingCall(self.heartbeats.send)
@@ -173,7 +175,7 @@
     def listen(self) -> None:
         """Bind all addresses; connections are accepted once the reactor runs."""
         settings = self.settings
-        listen(self.reactor, settings.front_address, self.front)
+        listen(self.reactor, settings.front_address, self.http_server)
         addresses = (
             settings.ready_address,
             settings.metrics_address,
@@ -190,7 +192,7 @@
         settings = self.settings
         if settings.heartbeat_address:
             self.heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
-        self.policy.start_counting()
+        self.policy.restart_counting()
         self.follower.start()
         self.fleet.start()
         self.sweep_loop.start(SWEEP_INTERVAL_S, now=False)
@@ -238,15 +240,15 @@
         """Return what prevents this gateway from serving, empty if nothing does."""
         if self.stopping:
             return "stopping"
-        if self.desk.configuration is None:
+        if self.request_handler.configuration is None:
             return "no configuration yet"
-        return self.desk.cut_off_reason()
+        return self.request_handler.cut_off_reason()
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force for all later requests."""
-        self.desk.configure(configuration)
+        self.request_handler.configure(configuration)
         self.directory.configure(configuration)
-        self.front.limits = configuration.limits
+        self.http_server.limits = configuration.limits
         self.metrics.version.set(configuration.version)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
@@ -286,8 +288,8 @@
     def run_housekeeping(self) -> None:
         """Sweep expired state, reload changed settings, update delegates and gauges."""
         now = self.reactor.seconds()
-        self.front.turns_away = bool(self.unready_reason())
-        self.front.sweep()
+        self.http_server.closes_after_answer = bool(self.unready_reason())
+        self.http_server.sweep()
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
         self.watch_settings()
@@ -298,12 +300,14 @@
         held = sum(replica.pool.held for replica in replicas.values())
         self.metrics.connections.set(held)
         self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
-        self.metrics.handed_over.set(self.desk.handed_over)
+        self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
     @property
     def has_work(self) -> bool:
         """Whether callers are connected or searches run for other gateways."""
-        return bool(self.front.connections or self.desk.handed_over)
+        return bool(
+            self.http_server.connections or self.request_handler.delegated_in_flight
+        )
 
     async def stop(self) -> None:
         """Turn not-ready, drain callers' connections, and stop all tasks.
@@ -314,25 +318,27 @@
         answered as having an unknown outcome.
         """
         began = self.reactor.seconds()
-        log_event(logger, EventName.PROCESS_STOPPING, count=self.desk.in_flight)
-        self.stopping = self.desk.stopping = True
-        self.front.turns_away = True
+        log_event(
+            logger, EventName.PROCESS_STOPPING, count=self.request_handler.in_flight
+        )
+        self.stopping = self.request_handler.stopping = True
+        self.http_server.closes_after_answer = True
         leaving = Deferred.fromCoroutine(self.fleet.leave())
         leaving.addErrback(self.log_error)
         await deferLater(self.reactor, NOT_READY_NOTICE_S)
-        self.front.closes_idle = True
-        self.front.sweep()
+        self.http_server.closes_idle = True
+        self.http_server.sweep()
         end_at = began + self.settings.bounds.grace_s - STOP_MARGIN_S
         while self.has_work and self.reactor.seconds() < end_at:
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
-            self.front.sweep()
-        unfinished = len(self.front.connections)
+            self.http_server.sweep()
+        unfinished = len(self.http_server.connections)
         if unfinished:
             problem = Problem(
                 ErrorKind.OUTCOME_UNKNOWN,
                 "gateway stopped before the request was finished",
             )
-            self.front.give_up(refuse(problem))
+            self.http_server.fail_requests(error_answer(problem))
             await deferLater(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
         for loop in (self.sweep_loop, self.housekeeping_loop, self.heartbeat_loop):
--- /dev/null
+++ b/sardinehook/gateway/request_handler.py
@@ -0,0 +1,368 @@
+"""Handles callers' requests: routes, runs and logs them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from returns.result import Failure, Success
+
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.answer import CallerAnswer, error_answer
+from sardinehook.gateway.configuration import (
+    Configuration,
+    OneReplica,
+    Route,
+    ShardSet,
+    WeightedService,
+)
+from sardinehook.gateway.delegated_search import DelegatedSearch
+from sardinehook.gateway.delegates import Delegates
+from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.policy import RequestPolicy
+from sardinehook.gateway.ports import CallerRequest, HttpRequest
+from sardinehook.gateway.request_log import RequestLog
+from sardinehook.gateway.retry_budget import SlidingWindowCounter
+from sardinehook.gateway.search_codec import (
+    DelegatedRequest,
+    decode_search,
+    encode_answer,
+)
+from sardinehook.gateway.single import SingleCall
+
+__all__ = ["Cancellable", "RequestHandler"]
+
+DEMAND_WINDOW_S = 5.0  # window for counting the requests of each route
+STARTING_RETRY_S = 0.2  # a starting gateway has loaded its configuration by then
+MAX_KEPT_VERSIONS = 8  # other gateways may delegate searches under older ones
+MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
+
+Finish = Callable[[CallerAnswer], None]
+
+
+class Cancellable(Protocol):
+    """A request in progress."""
+
+    def cancel(self) -> None:
+        """Stop after the caller has disconnected."""
+        ...
+
+
+class WeightedRoundRobin:
+    """Smooth weighted round robin over the services of a route.
+
+    At each request every service gains its weight in credit, and the one with the
+    most credit is chosen and loses the total weight. Random initial credits keep
+    gateways from choosing in step.
+    """
+
+    def __init__(self, services: tuple[WeightedService, ...], random: Random) -> None:
+        self.services = services
+        self.total = sum(weighted.weight for weighted in services)
+        self.credits = [random.random() * self.total for _ in services]
+
+    def next(self) -> str:
+        """Choose the service for the next request."""
+        for position, weighted in enumerate(self.services):
+            self.credits[position] += weighted.weight
+        chosen = max(range(len(self.services)), key=self.credits.__getitem__)
+        self.credits[chosen] -= self.total
+        return self.services[chosen].service
+
+
+class RequestHandler:
+    """Starts or refuses each request under the configuration in force."""
+
+    def __init__(
+        self,
+        policy: RequestPolicy,
+        request_log: RequestLog,
+        random: Random,
+    ) -> None:
+        self.policy = policy
+        self.request_log = request_log
+        self.random = random
+        self.reactor = policy.reactor
+        self.configuration: Configuration | None = None
+        self.round_robins: dict[str, WeightedRoundRobin] = {}
+        self.demand: dict[str, SlidingWindowCounter] = {}
+        self.last_cut_off_reason = ""
+        self.in_flight = 0
+        self.recent_versions: dict[int, Configuration] = {}
+        self.delegates: Delegates | None = None
+        self.stopping = False
+        self.delegated_in_flight = 0
+        self.max_delegated = 0
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply a configuration to all requests that arrive from now on."""
+        self.configuration = configuration
+        self.recent_versions[configuration.version] = configuration
+        while len(self.recent_versions) > MAX_KEPT_VERSIONS:
+            del self.recent_versions[min(self.recent_versions)]
+        for host_routes in configuration.routes.values():
+            for route in host_routes:
+                self.update_round_robin(route)
+
+    def update_round_robin(self, route: Route) -> None:
+        """Reset the round robin of a route if its services or weights changed."""
+        match route.destination:
+            case OneReplica(services) if len(services) > 1:
+                current = self.round_robins.get(route.name)
+                if current is None or current.services != services:
+                    self.round_robins[route.name] = WeightedRoundRobin(
+                        services, self.random
+                    )
+
+    def cut_off_reason(self) -> str:
+        """Return why the gateway should report not ready, empty if it should not.
+
+        A gateway that cannot reach the replicas for most of its recent requests
+        reports not ready, so that the load balancer sends callers to other data
+        centres. It does so at the first suspicion, since the load balancer acts only
+        after two failed probes. Routes without registered replicas don't count.
+
+        A gateway with delegates reports what they report: the load balancer avoids a
+        data centre only when all its gateways are not ready.
+        """
+        delegates = self.delegates.cut_off() if self.delegates else []
+        if delegates:
+            return f"cut off as {', '.join(delegates)}"
+        now = self.reactor.seconds()
+        suspects = self.policy.directory.reachability.suspects(now)
+        if not suspects or self.configuration is None:
+            self.last_cut_off_reason = ""
+            return ""
+        requested = unserved = 0
+        for routes in self.configuration.routes.values():
+            for route in filter(self.has_replicas, routes):
+                requests = self.demand_of(route).total(now)
+                requested += requests
+                unserved += requests * self.is_out_of_reach(route, now)
+        if unserved > MAX_UNSERVED_RATIO * requested:
+            data_centres = ",".join(suspects)
+            self.last_cut_off_reason = (
+                f"cut off from {data_centres}: {unserved} of {requested} requests"
+            )
+        elif requested:
+            self.last_cut_off_reason = ""
+        # Without recent demand the reason stays: callers have been sent elsewhere.
+        return self.last_cut_off_reason
+
+    def demand_of(self, route: Route) -> SlidingWindowCounter:
+        """Return the counter of a route's recent requests."""
+        count = self.demand.get(route.name)
+        if count is None:
+            count = self.demand[route.name] = SlidingWindowCounter(DEMAND_WINDOW_S)
+        return count
+
+    def has_replicas(self, route: Route) -> bool:
+        """Return whether any replica of a route is registered."""
+        by_service = self.policy.directory.by_service
+        match route.destination:
+            case ShardSet(shards, _, _):
+                return any(by_service.get(shard) for shard in shards)
+            case OneReplica(services):
+                return any(by_service.get(weighted.service) for weighted in services)
+
+    def is_out_of_reach(self, route: Route, now: float) -> bool:
+        """Return whether unreachable data centres make a route unservable here."""
+        directory = self.policy.directory
+        match route.destination:
+            case ShardSet(shards, _, least):
+                unserved = sum(
+                    directory.is_out_of_reach(shard, now) for shard in shards
+                )
+                return len(shards) - unserved < least * len(shards)
+            case OneReplica(services):
+                return all(
+                    directory.is_out_of_reach(weighted.service, now)
+                    for weighted in services
+                )
+
+    def handle(self, raw: HttpRequest, finish: Finish) -> Cancellable | None:
+        """Start a request; ``finish`` is called once, possibly before this returns."""
+        match self.policy.callers.read_request(raw):
+            case Success(request):
+                return self.route(request, finish)
+            case Failure(detail):
+                answer = error_answer(Problem(ErrorKind.BAD_REQUEST, str(detail)))
+                self.request_log.record_refused(raw.target.decode("latin-1"), answer)
+                finish(answer)
+        return None
+
+    def route(self, request: CallerRequest, finish: Finish) -> Cancellable | None:
+        """Find the route of a request and start it."""
+        configuration = self.configuration
+        if configuration is None:
+            return self.refuse(
+                request, Problem(ErrorKind.NO_DOCUMENT, "no configuration yet"), finish
+            )
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            detail = (
+                f"no route matches in configuration version {configuration.version}"
+            )
+            return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
+        return self.begin(request, route, configuration, finish)
+
+    def refuse(
+        self, request: CallerRequest, problem: Problem, finish: Finish
+    ) -> Cancellable | None:
+        """Answer a request with an error before it is started."""
+        starting = problem.kind is ErrorKind.NO_DOCUMENT
+        answer = error_answer(problem, STARTING_RETRY_S if starting else None)
+        self.request_log.record_refused(request.request_id.decode("latin-1"), answer)
+        finish(answer)
+        return None
+
+    def begin(
+        self,
+        request: CallerRequest,
+        route: Route,
+        configuration: Configuration,
+        finish: Finish,
+    ) -> Cancellable | None:
+        """Start a search or a single request, as the route requires."""
+        self.in_flight += 1
+        self.demand_of(route).add(1, request.received_at)
+        running = RunningRequest(self)
+
+        def done(answer: CallerAnswer) -> None:
+            self.in_flight -= 1
+            self.request_log.record_ended(running.work, configuration.version, answer)
+            finish(answer)
+
+        match route.destination:
+            case ShardSet() as shards:
+                self.start_search(running, request, route, shards, configuration, done)
+            case OneReplica(services):
+                service = self.choose_service(route, services)
+                running.begin(SingleCall(self.policy, request, route, service, done))
+        return None if running.work.settled else running
+
+    def start_search(
+        self,
+        running: RunningRequest,
+        request: CallerRequest,
+        route: Route,
+        shards: ShardSet,
+        configuration: Configuration,
+        done: Finish,
+    ) -> None:
+        """Delegate a search, or run it locally if no delegate is usable."""
+
+        def start_local_search() -> None:
+            running.begin(Gather(self.policy, request, route, shards, done))
+
+        delegates = self.delegates
+        delegate = delegates.choose() if delegates else None
+        if delegates is None or delegate is None:
+            start_local_search()
+            return
+        version = configuration.version
+        running.begin(
+            DelegatedSearch(
+                self.policy,
+                delegates,
+                delegate,
+                request,
+                route,
+                version,
+                done,
+                start_local_search,
+            )
+        )
+
+    def handle_delegated(self, body: bytes, finish: Finish) -> Cancellable | None:
+        """Run a search for another gateway, under that gateway's configuration.
+
+        It is refused if that configuration version is unknown here or if the limit of
+        delegated sub-requests is reached; the other gateway then searches locally.
+        """
+        match decode_search(body, self.reactor.seconds()):
+            case Success(delegated):
+                return self.begin_delegated(delegated, finish)
+            case Failure(detail):
+                finish(delegation_refused(str(detail)))
+        return None
+
+    def begin_delegated(
+        self, delegated: DelegatedRequest, finish: Finish
+    ) -> Cancellable | None:
+        """Start a delegated search, or refuse it."""
+        request = delegated.request
+        configuration = self.recent_versions.get(delegated.version)
+        route = configuration and configuration.find_route(request.host, request.path)
+        if not route or not isinstance(route.destination, ShardSet):
+            finish(
+                delegation_refused(
+                    f"configuration version {delegated.version} is unknown"
+                )
+            )
+            return None
+        shards = route.destination
+        shard_count = len(shards.shards)
+        if self.stopping or self.delegated_in_flight + shard_count > self.max_delegated:
+            finish(
+                delegation_refused(
+                    "stopping" if self.stopping else "delegation limit reached"
+                )
+            )
+            return None
+        self.delegated_in_flight += shard_count
+        self.demand_of(route).add(1, request.received_at)
+        running = RunningRequest(self, delegated.node, shard_count)
+
+        def done(answer: CallerAnswer) -> None:
+            self.delegated_in_flight -= shard_count
+            work = running.work
+            self.request_log.record_ended(
+                work, delegated.version, answer, delegated.node
+            )
+            outcome = encode_answer(answer, work.hedges, work.repeats)
+            finish(CallerAnswer(200, (), outcome, "for a peer"))
+
+        running.begin(Gather(self.policy, request, route, shards, done))
+        return None if running.work.settled else running
+
+    def choose_service(
+        self, route: Route, services: tuple[WeightedService, ...]
+    ) -> str:
+        """Choose the service for a request by weight."""
+        if len(services) == 1:
+            return services[0].service
+        return self.round_robins[route.name].next()
+
+
+def delegation_refused(reason: str) -> CallerAnswer:
+    """Return the answer to a gateway whose delegated search is refused."""
+    return CallerAnswer(503, (), reason.encode(), "not taken", reason)
+
+
+class RunningRequest:
+    """A request whose caller may disconnect; ``peer`` is the delegating gateway."""
+
+    def __init__(
+        self, handler: RequestHandler, peer: str = "", shard_count: int = 0
+    ) -> None:
+        self.handler = handler
+        self.peer = peer
+        self.shard_count = shard_count
+        self.work: Gather | SingleCall | DelegatedSearch
+
+    def begin(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+        """Start ``work``, replacing a delegated search that was refused."""
+        self.work = work
+        work.start()
+
+    def cancel(self) -> None:
+        """Stop the request and record that its caller has disconnected."""
+        if not self.work.settled:
+            if self.peer:
+                self.handler.delegated_in_flight -= self.shard_count
+            else:
+                self.handler.in_flight -= 1
+            self.handler.request_log.record_cancelled(self.work)
+        self.work.cancel()
