Shorten the names of the ownership model to keep its lines whole

A message in flight is a Packet, and the tests of broken rules drop a suffix that their class already says.

--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -55,7 +55,7 @@
     epoch: int
 
 
-class InFlightMessage(NamedTuple):
+class Packet(NamedTuple):
     """A message that was sent and not yet delivered."""
 
     source: str
@@ -111,7 +111,7 @@
         self.store_up = True
         self.roster = EMPTY_ROSTER
         self.registrar = (-1, 0.0)
-        self.in_flight: list[InFlightMessage] = []
+        self.packets: list[Packet] = []
         self.rates = dict(zip(NAMES, (1 + rate for rate in rates), strict=True))
         self.nodes: dict[str, Node] = {}
         for name in NAMES:
@@ -223,13 +223,13 @@
             return
         if name not in self.nodes or at not in self.nodes:
             return
-        count = len(self.in_flight)
+        count = len(self.packets)
         self.ask_lease(name, at)
-        if len(self.in_flight) == count:
+        if len(self.packets) == count:
             return
-        self.receive(self.nodes[at], self.in_flight.pop())
-        if len(self.in_flight) > count and replied:
-            granted = self.in_flight.pop()
+        self.receive(self.nodes[at], self.packets.pop())
+        if len(self.packets) > count and replied:
+            granted = self.packets.pop()
             self.receive(self.nodes[name], granted)
 
     @rule(silent=st.sets(nodes, min_size=1, max_size=2), lost=st.booleans())
@@ -262,31 +262,31 @@
         request = node.lease.new_request(
             node.boot, node.ownership.roster.epoch, node.clock(self.now)
         )
-        self.in_flight.append(InFlightMessage(name, registrar, request))
+        self.packets.append(Packet(name, registrar, request))
 
     @rule(data=st.data(), again=st.booleans())
     def deliver(self, data: Any, again: bool) -> None:
-        if not (self.in_flight):
+        if not (self.packets):
             return
-        number = data.draw(st.integers(0, len(self.in_flight) - 1))
-        item = self.in_flight[number]
+        number = data.draw(st.integers(0, len(self.packets) - 1))
+        packet = self.packets[number]
         if not again:
-            del self.in_flight[number]
-        node = self.nodes.get(item.target)
+            del self.packets[number]
+        node = self.nodes.get(packet.target)
         if node is not None:
-            self.receive(node, item)
+            self.receive(node, packet)
 
     @rule()
     def deliver_all(self) -> None:
-        in_flight, self.in_flight = self.in_flight, []
-        for item in in_flight:
-            node = self.nodes.get(item.target)
+        packets, self.packets = self.packets, []
+        for packet in packets:
+            node = self.nodes.get(packet.target)
             if node is not None:
-                self.receive(node, item)
+                self.receive(node, packet)
 
     @rule()
     def lose_all(self) -> None:
-        self.in_flight.clear()
+        self.packets.clear()
 
     @rule(name=nodes, replica=replicas)
     def work(self, name: str, replica: str) -> None:
@@ -300,38 +300,34 @@
     def broadcast(self, source: str, message: Roster | Released) -> None:
         for target in NAMES:
             if target != source:
-                self.in_flight.append(InFlightMessage(source, target, message))
+                self.packets.append(Packet(source, target, message))
 
-    def receive(self, node: Node, item: InFlightMessage) -> None:
-        match item.message:
+    def receive(self, node: Node, packet: Packet) -> None:
+        match packet.message:
             case Roster() as roster:
                 node.ownership.set_roster(roster)
             case Released(boot, epoch):
-                node.ownership.note_released(item.source, boot, epoch)
+                node.ownership.note_released(packet.source, boot, epoch)
             case LeaseGrant() as grant:
                 node.lease.apply_grant(grant)
             case LeaseRequest() as request:
                 roster = node.ownership.roster
                 granted = node.registry.request(
-                    item.source,
+                    packet.source,
                     request,
                     roster.names,
                     roster.epoch,
                     node.clock(self.now),
                 )
                 if granted is not None:
-                    self.in_flight.append(
-                        InFlightMessage(node.name, item.source, granted)
-                    )
+                    self.packets.append(Packet(node.name, packet.source, granted))
 
     @invariant()
     def no_replica_exceeds_its_capacity(self) -> None:
         for replica in REPLICAS:
             running = [n.running(replica, self.now) for n in self.nodes.values()]
             shares = [n.share(replica, self.now) for n in self.nodes.values()]
-            assert sum(running) <= SLOTS, (
-                f"replica {replica} runs {running}, slots {SLOTS}"
-            )
+            assert sum(running) <= SLOTS, f"{running} at {replica}"
             assert sum(share.slots for share in shares) <= SLOTS
             assert sum(share.connections for share in shares) <= CONNECTIONS
             assert sum(share.may_serve_cold for share in shares) <= 1
@@ -386,7 +382,7 @@
 class TestModelFindsBrokenRules:
     """Each schedule passes, and exceeds the capacity with one rule disabled."""
 
-    def test_use_before_release_is_detected(self, monkeypatch: Any) -> None:
+    def test_use_before_release(self, monkeypatch: Any) -> None:
         for name in NAMES:
             take_over_after_death(name)
         monkeypatch.setattr(OwnershipState, "usable", OwnershipState.owns)
@@ -394,40 +390,30 @@
             for name in NAMES:
                 take_over_after_death(name)
 
-    def test_dropping_leases_with_a_lost_successor_is_detected(
-        self, monkeypatch: Any
-    ) -> None:
+    def test_dropping_leases_with_a_lost_successor(self, monkeypatch: Any) -> None:
         lose_the_grant_that_ends_a_deputy()
         request = LeaseRegistry.request
 
-        def request_dropping_leases(
-            self: LeaseRegistry, name: str, *rest: Any
-        ) -> LeaseGrant | None:
+        def dropping(self: LeaseRegistry, name: str, *rest: Any) -> LeaseGrant | None:
             self.grants = [grant for grant in self.grants if grant.name != name]
             return request(self, name, *rest)
 
-        monkeypatch.setattr(LeaseRegistry, "request", request_dropping_leases)
+        monkeypatch.setattr(LeaseRegistry, "request", dropping)
         with pytest.raises(AssertionError):
             lose_the_grant_that_ends_a_deputy()
 
-    def test_leases_outlasting_the_registrars_are_detected(
-        self, monkeypatch: Any
-    ) -> None:
+    def test_leases_outlasting_the_registrars(self, monkeypatch: Any) -> None:
         request_from_the_previous_registrar()
         begin = LeaseRegistry.begin
 
-        def begin_with_long_lease(
-            self: LeaseRegistry, own_until: float, now: float
-        ) -> None:
+        def extended(self: LeaseRegistry, own_until: float, now: float) -> None:
             begin(self, own_until + 100.0, now)
 
-        monkeypatch.setattr(LeaseRegistry, "begin", begin_with_long_lease)
+        monkeypatch.setattr(LeaseRegistry, "begin", extended)
         with pytest.raises(AssertionError):
             request_from_the_previous_registrar()
 
-    def test_granting_despite_conflicting_leases_is_detected(
-        self, monkeypatch: Any
-    ) -> None:
+    def test_granting_despite_conflicting_leases(self, monkeypatch: Any) -> None:
         monkeypatch.setattr(LeaseRegistry, "may_grant", lambda *arguments: True)
         with pytest.raises(AssertionError):
             lose_the_grant_that_ends_a_deputy()
