Name the document updater for what it does

A reader took DocumentControl in watcher.py for a watch of the store. It keeps the document in force up to date from peers and from the store: DocumentUpdater in environment.updater, with set_watching in place of should_watch, which is a setter and no question.

--- a/bench/measure_spread.py
+++ b/bench/measure_spread.py
@@ -19,7 +19,7 @@
 from sardinehook.environment.revision import Revision, make_revision
 from sardinehook.environment.spread import Message, Send, Spread
 from sardinehook.environment.store_watch import WAIT_MS
-from sardinehook.environment.watcher import register_messages
+from sardinehook.environment.updater import register_messages
 from sardinehook.fleet.wire import encode_frame, encode_message
 
 __all__ = ["Figures", "main", "simulate"]
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -31,7 +31,7 @@
     RevisionDelta,
     RevisionRequest,
 )
-from sardinehook.environment.watcher import DocumentControl
+from sardinehook.environment.updater import DocumentUpdater
 from sardinehook.fleet.link import Links, split_address
 from sardinehook.fleet.member import Member, MemberState
 from sardinehook.fleet.service import Fleet, Identity
@@ -130,7 +130,7 @@
             self.links.send,
             self.searches.take_view,
         )
-        self.control = DocumentControl(
+        self.control = DocumentUpdater(
             reactor,
             self.store,
             self.holder,
@@ -175,7 +175,7 @@
             if member.state is MemberState.ALIVE or member.name == self.settings.node
         )
         watches = self.settings.node in alive[:STORE_WATCHERS]
-        self.control.should_watch(watches)
+        self.control.set_watching(watches)
         self.vm_watch.should_fetch(watches)
         self.set_gauges()
 
--- a/sardinehook/environment/watcher.py
+++ b/sardinehook/environment/updater.py
@@ -24,7 +24,7 @@
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timer, Timers
 
-__all__ = ["DocumentControl", "register_messages"]
+__all__ = ["DocumentUpdater", "register_messages"]
 
 logger = structlog.get_logger(__name__)
 
@@ -43,7 +43,7 @@
 register_messages()
 
 
-class DocumentControl:
+class DocumentUpdater:
     """Runs the spread of revisions in one process.
 
     ``send`` gives a message to a peer and may lose it; ``peers`` names those that
@@ -97,7 +97,7 @@
         self.timer = self.retry_timer = None
         self.watch.stop()
 
-    def should_watch(self, told: bool) -> None:
+    def set_watching(self, told: bool) -> None:
         """Tell whether this node is one of those that watch the store."""
         self.told_to_watch = told
         if self.timer is not None:
--- a/tests/environment/test_watcher.py
+++ b/tests/environment/test_updater.py
@@ -11,7 +11,7 @@
 from sardinehook.environment.revision import Revision, encode_revision, head_key
 from sardinehook.environment.spread import Message
 from sardinehook.environment.store_watch import BACK_OFF_MOST_S
-from sardinehook.environment.watcher import ISOLATED_S, DocumentControl
+from sardinehook.environment.updater import ISOLATED_S, DocumentUpdater
 from sardinehook.fleet.wire import decode_frame, encode_frame, encode_message
 from tests.environment.documents import revision
 from tests.environment.fake_store import FakeStore
@@ -31,7 +31,7 @@
         self.names = names
         self.watchers = watchers
         self.cut: Callable[[str, str], bool] = lambda sender, receiver: False
-        self.nodes: dict[str, DocumentControl] = {}
+        self.nodes: dict[str, DocumentUpdater] = {}
         self.frame_bytes = 0
         self.booted: dict[str, float] = {}
         self.forced: list[tuple[str, int]] = []
@@ -52,7 +52,7 @@
         self.booted[name] = self.clock.seconds()
         holder = DocumentHolder("trial")
         holder.add_listener(lambda taken: self.forced.append((name, taken.number)))
-        control = DocumentControl(
+        control = DocumentUpdater(
             self.clock,
             self.store,
             holder,
@@ -60,7 +60,7 @@
             lambda: self.connected(name),
             random.Random(self.rng.random()),
         )
-        control.should_watch(name in self.watchers)
+        control.set_watching(name in self.watchers)
         self.nodes[name] = control
         control.start([other for other in self.names if other != name])
 
