Name the registry of revisions and its store problem

Two classes were called Registry, one of revisions and one of leases; and unavailable() returns a conflict as well as an unavailable store. They are RevisionRegistry and store_problem now; store_problem, which the document commands import, is listed in __all__.

--- a/sardinehook/cli/document_session.py
+++ b/sardinehook/cli/document_session.py
@@ -13,7 +13,7 @@
 from sardinehook.cli.failure import exit_with_problems
 from sardinehook.cli.reactor_run import run_until_done
 from sardinehook.environment.node_status import NodeState, NodeStatus, ask_nodes
-from sardinehook.environment.registry import Registry, unavailable
+from sardinehook.environment.registry import RevisionRegistry, store_problem
 from sardinehook.environment.revision import Revision
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.store.http_store import HttpStore
@@ -44,7 +44,7 @@
         self.reactor = reactor
         self.store = HttpStore(reactor, platform, CALL_TIMEOUT_MS)
         self.vm_list = HttpVmList(reactor, platform, CALL_TIMEOUT_MS)
-        self.registry = Registry(reactor, self.store)
+        self.registry = RevisionRegistry(reactor, self.store)
 
     async def find(self, environment: str, number: int) -> Revision:
         """Read a revision, the current one if zero, or exit."""
@@ -73,7 +73,7 @@
             case Success(listed):
                 pass
             case Failure(failure):
-                exit_with_problems(unavailable(failure))
+                exit_with_problems(store_problem(failure))
         live = tuple(vm for vm in listed.vms if vm.state is VmState.LIVE)
         nodes = await ask_nodes(self.reactor, live, accepted, NODE_TIMEOUT_MS)
         return StatusReport(accepted, listed.as_of_ms, nodes)
--- a/sardinehook/environment/registry.py
+++ b/sardinehook/environment/registry.py
@@ -35,7 +35,7 @@
 )
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["Head", "Registry"]
+__all__ = ["Head", "RevisionRegistry", "store_problem"]
 
 READ_BACK_INTERVAL_S = 0.25
 READ_BACK_S = 10.0
@@ -49,7 +49,7 @@
     store_revision: int
 
 
-class Registry:
+class RevisionRegistry:
     """Reads and changes the revisions of environments.
 
     A change is *accepted* at the moment at which the service swaps the head key to
@@ -69,7 +69,7 @@
             case Success(Entry() as entry):
                 return head_from(entry).map(optional)
             case Failure(failure):
-                return Failure(unavailable(failure))
+                return Failure(store_problem(failure))
         raise AssertionError
 
     async def revision(
@@ -91,7 +91,7 @@
             case Success(Entry(value=value)):
                 return decode_revision(value)
             case Failure(failure):
-                return Failure(unavailable(failure))
+                return Failure(store_problem(failure))
         detail = f"{environment} has no revision {number}"
         return Failure(Problem(ErrorKind.NOT_FOUND, detail))
 
@@ -147,7 +147,7 @@
             case Failure(Conflict(current=Entry(value=value))):
                 return None if is_change(value, revision) else broken_history(key)
             case Failure(failure):
-                return unavailable(failure)
+                return store_problem(failure)
         return None
 
     async def settle(
@@ -166,7 +166,7 @@
                     .value_or(Refused(broken_history(entry.key)))
                 )
             case Failure(StoreUnavailable(may_have_taken_effect=False) as failure):
-                return Refused(unavailable(failure))
+                return Refused(store_problem(failure))
         return await self.read_back(planned, change)
 
     async def read_back(self, planned: Revision, change: Change) -> Outcome:
@@ -229,7 +229,7 @@
     return Problem(ErrorKind.CONFLICT, detail)
 
 
-def unavailable(failure: StoreFailure) -> Problem:
+def store_problem(failure: StoreFailure) -> Problem:
     """The problem of a service that did not answer, before anything was changed."""
     match failure:
         case StoreUnavailable(detail=detail):
--- a/tests/environment/test_registry.py
+++ b/tests/environment/test_registry.py
@@ -24,7 +24,7 @@
 from sardinehook.environment.difference import differences
 from sardinehook.environment.document import DataCentre, Replica
 from sardinehook.environment.promotion import policy_digest, promoted, same_policy
-from sardinehook.environment.registry import READ_BACK_S, Registry
+from sardinehook.environment.registry import READ_BACK_S, RevisionRegistry
 from sardinehook.environment.revision import encode_revision, head_key, make_revision
 from sardinehook.errors import ErrorKind
 from tests.environment.documents import document
@@ -41,7 +41,7 @@
     def __init__(self) -> None:
         self.clock = Clock()
         self.store = FakeStore(self.clock)
-        self.registry = Registry(self.clock, self.store)
+        self.registry = RevisionRegistry(self.clock, self.store)
 
     def run(
         self, coroutine: Coroutine[Deferred[object], object, Value], limit_s: float = 30
@@ -148,7 +148,7 @@
         desk.clock.advance(0.001)
         desk.clock.advance(0.001)
         desk.clock.advance(0.001)
-        other = Registry(desk.clock, desk.store)
+        other = RevisionRegistry(desk.clock, desk.store)
         later = Change(document(300), 2, "c", "margit", "")
         assert isinstance(desk.run(other.commit(later)), Accepted)
         assert isinstance(desk.run(settled(done)), Accepted)
