--- a/sardinehook/cli/document.py
+++ b/sardinehook/cli/document.py
@@ -31,7 +31,7 @@
 from sardinehook.environment.document import EnvironmentDocument
 from sardinehook.environment.loading import load_document
 from sardinehook.environment.node_status import NodeState
-from sardinehook.environment.promotion import promoted, same_policy
+from sardinehook.environment.promotion import promote_policy, same_policy
 from sardinehook.environment.writing import document_text
 from sardinehook.errors import ErrorKind, Problem
 
@@ -203,7 +203,7 @@
         if kept.environment != target:
             detail = f"--places is a document of {kept.environment}, not of {target}"
             exit_with_problems(Problem(ErrorKind.INVALID_DOCUMENT, detail))
-        result = good_or_exit(promoted(tested.document, kept))
+        result = good_or_exit(promote_policy(tested.document, kept))
         origin = f"promoted from {source} {revision}"
         told = f"{origin}: {note}" if note else origin
         change = new_change(result, edited_from, author, told)
--- a/sardinehook/environment/promotion.py
+++ b/sardinehook/environment/promotion.py
@@ -16,7 +16,7 @@
 from sardinehook.environment.yaml_data import dotted
 from sardinehook.errors import ErrorKind, Problem
 
-__all__ = ["policy_digest", "promoted", "same_policy"]
+__all__ = ["policy_digest", "promote_policy", "same_policy"]
 
 SERVICES_NAMED = 5
 
@@ -40,7 +40,7 @@
     return policy_of(one) == policy_of(other)
 
 
-def promoted(
+def promote_policy(
     tested: EnvironmentDocument, places: EnvironmentDocument
 ) -> Result[EnvironmentDocument, Problem]:
     """The tested policy at the places of another document.
--- a/tests/environment/test_registry.py
+++ b/tests/environment/test_registry.py
@@ -23,7 +23,7 @@
 )
 from sardinehook.environment.difference import differences
 from sardinehook.environment.document import DataCentre, Replica
-from sardinehook.environment.promotion import policy_digest, promoted, same_policy
+from sardinehook.environment.promotion import policy_digest, promote_policy, same_policy
 from sardinehook.environment.registry import READ_BACK_S, RevisionRegistry
 from sardinehook.environment.revision import encode_revision, head_key, make_revision
 from sardinehook.errors import ErrorKind
@@ -224,7 +224,7 @@
         replica = Replica("logfinder-01-z", "szolnok-b", "127.0.0.1:21000")
         moved = index._replace(services={"logfinder-01": [replica]})
         production = production._replace(indexes={"logfinder": moved})
-        result = promoted(tested, production).unwrap()
+        result = promote_policy(tested, production).unwrap()
         assert policy_digest(result) == policy_digest(tested)
         assert same_policy(result, tested)
         assert result.environment == "production"
@@ -241,6 +241,6 @@
         wider = tested._replace(
             indexes={"logfinder": index._replace(services=services)}
         )
-        refused = promoted(wider, document()._replace(environment="production"))
+        refused = promote_policy(wider, document()._replace(environment="production"))
         assert isinstance(refused, Failure)
         assert refused.failure().detail == "production has no replicas of logfinder-02"
