--- a/bench/measure_spread.py
+++ b/bench/measure_spread.py
@@ -18,7 +18,7 @@
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision, make_revision
 from sardinehook.environment.spread import Message, Send, Spread
-from sardinehook.environment.store_watch import WAIT_MS
+from sardinehook.environment.store_watch import WATCH_TIMEOUT_MS
 from sardinehook.environment.updater import register_messages
 from sardinehook.fleet.wire import encode_frame, encode_message
 
@@ -179,7 +179,7 @@
         change_bytes_a_node=change_bytes,
         rest_bytes_a_node_s=rest,
         day_bytes_a_node_s=rest + change_bytes * CHANGES_A_DAY / DAY_S,
-        store_calls_s=watchers * 1000 / WAIT_MS,
+        store_calls_s=watchers * 1000 / WATCH_TIMEOUT_MS,
     )
 
 
--- a/sardinehook/environment/store_watch.py
+++ b/sardinehook/environment/store_watch.py
@@ -22,10 +22,10 @@
 
 logger = structlog.get_logger(__name__)
 
-WAIT_MS = 4_000.0
-READ_ANEW_S = 300.0
-BACK_OFF_FIRST_S = 0.25
-BACK_OFF_MOST_S = 8.0
+WATCH_TIMEOUT_MS = 4_000.0
+FULL_READ_INTERVAL_S = 300.0
+INITIAL_BACKOFF_S = 0.25
+MAX_BACKOFF_S = 8.0
 
 
 class StoreCounts:
@@ -92,9 +92,9 @@
         now = self.reactor.seconds()
         if now >= self.read_anew_at:
             self.after = 0
-            self.read_anew_at = now + READ_ANEW_S * self.rng.uniform(0.8, 1.2)
+            self.read_anew_at = now + FULL_READ_INTERVAL_S * self.rng.uniform(0.8, 1.2)
         self.counts.calls += 1
-        wait_ms = WAIT_MS * self.rng.uniform(0.8, 1.2)
+        wait_ms = WATCH_TIMEOUT_MS * self.rng.uniform(0.8, 1.2)
         match await self.store.watch(self.key, self.after, wait_ms):
             case Success(Entry() as entry):
                 self.recover()
@@ -134,8 +134,8 @@
         self.after = 0
         if self.failures_in_a_row == 1:
             log_event(logger, EventName.STORE_DOWN, key=self.key, detail=str(failure))
-        ceiling = BACK_OFF_FIRST_S * 2.0 ** min(self.failures_in_a_row, 16)
-        await self.pause(self.rng.uniform(0.1, 1.0) * min(BACK_OFF_MOST_S, ceiling))
+        ceiling = INITIAL_BACKOFF_S * 2.0 ** min(self.failures_in_a_row, 16)
+        await self.pause(self.rng.uniform(0.1, 1.0) * min(MAX_BACKOFF_S, ceiling))
 
     async def pause(self, delay_s: float) -> None:
         """Wait."""
--- a/tests/environment/test_updater.py
+++ b/tests/environment/test_updater.py
@@ -10,7 +10,7 @@
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision, encode_revision, head_key
 from sardinehook.environment.spread import Message
-from sardinehook.environment.store_watch import BACK_OFF_MOST_S
+from sardinehook.environment.store_watch import MAX_BACKOFF_S
 from sardinehook.environment.updater import ISOLATED_S, DocumentUpdater
 from sardinehook.fleet.wire import decode_frame, encode_frame, encode_message
 from tests.environment.documents import revision
@@ -150,7 +150,7 @@
         fleet.run(10)
         assert fleet.numbers() == [0] * 4
         fleet.store.down = False
-        fleet.run(BACK_OFF_MOST_S + 2)
+        fleet.run(MAX_BACKOFF_S + 2)
         assert fleet.numbers() == [1] * 4
 
     def test_calls_are_rare_during_and_after_the_outage(self) -> None:
@@ -188,7 +188,7 @@
         fleet.store.down, fleet.store.frozen = True, old
         fleet.run(10)
         fleet.store.down = False
-        assert fleet.calls(BACK_OFF_MOST_S) > 0
+        assert fleet.calls(MAX_BACKOFF_S) > 0
         assert sorted(fleet.forced) == [(n, r) for n in "abc" for r in (1, 2)]
 
 
