--- a/bench/measure_spread.py
+++ b/bench/measure_spread.py
@@ -112,7 +112,7 @@
                 self.post(name, spread.receive(sender, message, peers, self.now))
                 self.push_retry(spread, name)
             elif sender == name:
-                self.post(name, spread.ask(peers, self.now))
+                self.post(name, spread.request_newest(peers, self.now))
                 self.push_retry(spread, name)
             else:
                 self.post(name, spread.tick(peers, self.now))
--- a/sardinehook/environment/spread.py
+++ b/sardinehook/environment/spread.py
@@ -165,7 +165,7 @@
         asked = START_PEERS if self.holder.in_force is None else 1
         announced = [self.announce_to(peer) for peer in self.choose(peers, asked)]
         probed = self.probe(peers) if now - self.heard_at > SILENCE_S else []
-        return announced + probed + self.ask(peers, now)
+        return announced + probed + self.request_newest(peers, now)
 
     def probe(self, peers: Sequence[str]) -> list[Send]:
         """Ask a few peers for a sign of life, which an answer to a request is."""
@@ -200,7 +200,7 @@
         self.awaited.discard(peer)
         match message:
             case RevisionAnnounce(number, digest):
-                return self.hear(peer, number, digest) + self.ask(peers, now)
+                return self.hear(peer, number, digest) + self.request_newest(peers, now)
             case RevisionRequest(have, have_digest):
                 return self.answer(peer, have, have_digest)
             case RevisionDelta():
@@ -219,7 +219,7 @@
         self.counts.split += number > 0 and digest != self.digest
         return []
 
-    def ask(self, peers: Sequence[str], now: float) -> list[Send]:
+    def request_newest(self, peers: Sequence[str], now: float) -> list[Send]:
         """Ask a peer with the highest number, unless an answer is awaited."""
         number = self.holder.number
         self.newer = {peer: seen for peer, seen in self.newer.items() if seen > number}
@@ -302,12 +302,12 @@
             case Success(revision):
                 sends = self.offer(revision, peers, now)
                 if self.holder.number >= delta.number or self.early is revision:
-                    return sends + self.ask(peers, now)
+                    return sends + self.request_newest(peers, now)
         self.counts.refused += 1
         if asked is not None and asked.peer == peer and not asked.whole:
             return [self.request(peer, now, asked.tries, whole=True)]
         self.newer.pop(peer, None)
-        return self.ask(peers, now)
+        return self.request_newest(peers, now)
 
     def restore(self, delta: RevisionDelta) -> Result[Revision, Problem]:
         """Restore a revision from a difference and verify its digest."""
--- a/sardinehook/environment/updater.py
+++ b/sardinehook/environment/updater.py
@@ -141,7 +141,7 @@
     def retry(self) -> None:
         """Ask again if the answer is overdue."""
         now = self.reactor.seconds()
-        self.send_all(self.spread.ask(self.peers(), now))
+        self.send_all(self.spread.request_newest(self.peers(), now))
         self.arm_retry(now)
 
     def settle_watch(self) -> None:
