Reword documents, loading, deltas and differences

A reader met rules that were broken, values that stand twice and tags that are not taken. Comments, names and errors use the usual terms now; errors name the value and the limit. tests/environment/test_loading.py matches the new texts, with the duplicate value and the bound that the old text left out.

--- a/sardinehook/environment/__init__.py
+++ b/sardinehook/environment/__init__.py
@@ -1,1 +1,1 @@
-"""Environment documents: schema, checks, revisions, promotion and spread."""
+"""Environment documents: schema, validation, revisions, promotion, replication."""
--- a/sardinehook/environment/canonical.py
+++ b/sardinehook/environment/canonical.py
@@ -1,4 +1,4 @@
-"""The canonical form of a document, of which the digest is taken."""
+"""Canonical serialization of documents, over which the digest is computed."""
 
 from __future__ import annotations
 
@@ -20,9 +20,9 @@
 
 
 def plain(value: object) -> Plain:
-    """Convert typed data to plain data without the fields that have their default.
+    """Convert typed data to JSON types, omitting fields that have their default value.
 
-    A field that a later version adds therefore changes no digest until it is used.
+    A field added by a later version therefore leaves digests unchanged until it is set.
     """
     if isinstance(value, str):
         return str(value)
@@ -43,19 +43,19 @@
 
 
 def canonical_bytes(document: EnvironmentDocument) -> bytes:
-    """JSON of a document with sorted keys and without defaults."""
+    """Serialize a document as JSON with sorted keys and without default values."""
     return ENCODER.encode(plain(document))
 
 
 def digest_of(canonical: bytes) -> str:
-    """SHA-256 of a canonical form, in hexadecimal."""
+    """Return the SHA-256 digest of a canonical form, in hexadecimal."""
     return hashlib.sha256(canonical).hexdigest()
 
 
 def document_from(canonical: bytes) -> Result[EnvironmentDocument, Problem]:
-    """Read a canonical form back and validate it."""
+    """Parse and validate a canonical form."""
     try:
         return Success(ADAPTER.validate_json(canonical))
     except ValidationError as error:
-        detail = f"malformed document: {error.error_count()} errors"
+        detail = f"malformed document: {error.error_count()} validation errors"
         return Failure(Problem(ErrorKind.INVALID_DOCUMENT, detail))
--- a/sardinehook/environment/change.py
+++ b/sardinehook/environment/change.py
@@ -1,4 +1,4 @@
-"""A change of an environment's document, and how it ended."""
+"""Changes to an environment's document, and their outcomes."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class Change(NamedTuple):
-    """A document that shall replace revision ``edited_from``, zero for none."""
+    """A document to replace revision ``edited_from``; zero if it is to be the first."""
 
     document: EnvironmentDocument
     edited_from: int
@@ -36,23 +36,23 @@
 
 @dataclass(frozen=True)
 class Accepted:
-    """The change is in the service as ``revision`` and comes in force everywhere."""
+    """The store holds the change as ``revision``; all nodes will put it in force."""
 
     revision: Revision
 
 
 @dataclass(frozen=True)
 class Unchanged:
-    """The document in the service is equal already; nothing was written."""
+    """The current revision has the same document; nothing was written."""
 
     revision: Revision
 
 
 @dataclass(frozen=True)
 class Lost:
-    """Another change came first; nothing of this one was written.
+    """Another change was written first; nothing of this one was written.
 
-    ``differences`` lead from this change's document to the winner's.
+    ``differences`` lists what the winner's document changes in this change's document.
     """
 
     winner: Revision | None
@@ -61,16 +61,16 @@
 
 @dataclass(frozen=True)
 class Refused:
-    """Nothing was written."""
+    """The change failed with ``problem``; nothing was written."""
 
     problem: Problem
 
 
 @dataclass(frozen=True)
 class Undecided:
-    """The reply to the write was lost and reading back did not settle it yet.
+    """The reply to the write was lost and the outcome could not be read back in time.
 
-    The write may still take effect. It is not written again.
+    The write may still take effect. It is not retried.
     """
 
     change_id: str
@@ -81,7 +81,7 @@
 
 
 def next_revision(head: Revision | None, change: Change) -> Revision | Outcome:
-    """Decide whether a change may replace the head, and make the revision."""
+    """Return the revision to write, or the outcome if there is none to write."""
     number = head.number if head else 0
     if head is not None and head.document == change.document:
         return Unchanged(head)
@@ -93,34 +93,35 @@
 
 
 def lost_to(head: Revision | None, change: Change) -> Lost:
-    """Tell who won, and what differs."""
+    """Return the outcome of a change that lost to the revision ``head``."""
     if head is None:
         return Lost(None, ())
     return Lost(head, tuple(differences(change.document, head.document)))
 
 
 def problem_of(outcome: Outcome) -> Problem | None:
-    """One line about a change that was not accepted, None if it was."""
+    """Return why a change was not accepted; ``None`` if it was or was not needed."""
     match outcome:
         case Accepted() | Unchanged():
             return None
         case Lost(winner=None):
             return Problem(ErrorKind.CONFLICT, "the environment has no revision")
         case Lost(winner=Revision() as winner):
-            return Problem(ErrorKind.CONFLICT, lost_line(winner))
+            return Problem(ErrorKind.CONFLICT, conflict_detail(winner))
         case Refused(problem):
             return problem
         case Undecided(change_id, detail):
             line = (
-                f"the reply was lost and change {change_id} is not seen yet ({detail});"
-                " it may still be accepted: look at the history before you put again"
+                f"no reply to the write, and change {change_id} is not visible yet"
+                f" ({detail}); it may still be accepted: check the history before"
+                " putting it again"
             )
             return Problem(ErrorKind.OUTCOME_UNKNOWN, line)
     raise AssertionError(outcome)
 
 
-def lost_line(winner: Revision) -> str:
-    """Say who won."""
+def conflict_detail(winner: Revision) -> str:
+    """Return the error message for a change that lost to ``winner``."""
     note = f' "{winner.note}"' if winner.note else ""
     return (
         f"revision {winner.number} by {winner.author}{note} is in force;"
--- a/sardinehook/environment/difference.py
+++ b/sardinehook/environment/difference.py
@@ -1,4 +1,4 @@
-"""What differs between two documents, one line for each value."""
+"""Comparison of two documents, value by value."""
 
 from __future__ import annotations
 
@@ -12,18 +12,18 @@
 __all__ = ["Difference", "differences"]
 
 ABSENT = "(absent)"
-VALUE_CHARACTERS = 60
+MAX_VALUE_CHARACTERS = 60
 
 
 class Difference(NamedTuple):
-    """A value that differs; ``key`` is its path, and the values are JSON."""
+    """A changed value: ``key`` is its path; the values are abbreviated JSON."""
 
     key: str
     old: str
     new: str
 
     def line(self) -> str:
-        """The difference for a person.
+        """Format the difference for display.
 
         >>> Difference("limits.request_bytes", "1", "2").line()
         'limits.request_bytes: 1 -> 2'
@@ -32,30 +32,30 @@
 
 
 def differences(old: EnvironmentDocument, new: EnvironmentDocument) -> list[Difference]:
-    """Find every value that differs; a default counts as absent."""
-    return list(compare(plain(old), plain(new), ""))
+    """List all values that differ; a field with its default value counts as absent."""
+    return list(compare_values(plain(old), plain(new), ""))
 
 
-def compare(old: Plain, new: Plain, key: str) -> Iterator[Difference]:
-    """Compare two values of one key."""
+def compare_values(old: Plain, new: Plain, key: str) -> Iterator[Difference]:
+    """Yield the differences between two values of the same key, recursively."""
     if old == new:
         return
-    old, new = by_name(old), by_name(new)
+    old, new = key_by_name(old), key_by_name(new)
     if not isinstance(old, dict) or not isinstance(new, dict):
-        yield Difference(key, shown(old), shown(new))
+        yield Difference(key, abbreviated_json(old), abbreviated_json(new))
         return
     for name in [*old, *(name for name in new if name not in old)]:
         inner = f"{key}.{name}" if key else name
         if name not in old:
-            yield Difference(inner, ABSENT, shown(new[name]))
+            yield Difference(inner, ABSENT, abbreviated_json(new[name]))
         elif name not in new:
-            yield Difference(inner, shown(old[name]), ABSENT)
+            yield Difference(inner, abbreviated_json(old[name]), ABSENT)
         else:
-            yield from compare(old[name], new[name], inner)
+            yield from compare_values(old[name], new[name], inner)
 
 
-def by_name(value: Plain) -> Plain:
-    """Turn a list of replicas into a mapping from name to replica."""
+def key_by_name(value: Plain) -> Plain:
+    """Convert a list of named items, such as replicas, to a mapping by name."""
     if not isinstance(value, list) or not value:
         return value
     names = [item.get("name") if isinstance(item, dict) else None for item in value]
@@ -64,9 +64,9 @@
     return {str(name): item for name, item in zip(names, value, strict=True)}
 
 
-def shown(value: Plain) -> str:
-    """A value as JSON, cut short."""
+def abbreviated_json(value: Plain) -> str:
+    """Serialize a value as JSON, truncated to ``MAX_VALUE_CHARACTERS``."""
     text = json.dumps(value, ensure_ascii=False)
-    if len(text) <= VALUE_CHARACTERS:
+    if len(text) <= MAX_VALUE_CHARACTERS:
         return text
-    return text[: VALUE_CHARACTERS - 3] + "..."
+    return text[: MAX_VALUE_CHARACTERS - 3] + "..."
--- a/sardinehook/environment/document.py
+++ b/sardinehook/environment/document.py
@@ -1,4 +1,4 @@
-"""The environment document: what operators declare and every entry VM obeys."""
+"""Schema of the environment document, the configuration shared by all entry VMs."""
 
 from __future__ import annotations
 
@@ -27,14 +27,14 @@
 
 
 class DataCentreState(StrEnum):
-    """Whether a data centre takes new work."""
+    """Whether a data centre accepts new requests."""
 
     IN = "in"
     OUT = "out"
 
 
 class Scope(StrEnum):
-    """Whether a workload asks every service or one that the caller names."""
+    """Whether a workload queries all services or one that the caller names."""
 
     ALL = "all"
     ONE = "one"
@@ -43,9 +43,9 @@
 class Hedge(StrEnum):
     """When a slow sub-query is sent to a second replica.
 
-    ``ADAPTIVE`` goes by the latencies seen and by the budget of the workload.
-    ``FIXED`` waits ``hedge_delay_ms`` and knows no budget; ``NONE`` never hedges and
-    retries failures only. Both are baselines.
+    ``ADAPTIVE`` derives the hedge delay from observed latencies and is limited by the
+    budget of the workload. ``FIXED`` hedges after ``hedge_delay_ms`` without a budget;
+    ``NONE`` never hedges and retries failures only. Both serve as baselines.
     """
 
     ADAPTIVE = "adaptive"
@@ -54,10 +54,10 @@
 
 
 class Wait(StrEnum):
-    """When an answer is settled.
+    """When an answer is complete.
 
-    ``ENOUGH`` settles once ``enough_coverage`` is reached and the stragglers have had
-    ``settle_ms`` more; ``FULL`` waits for every service until the deadline.
+    ``ENOUGH`` completes ``settle_ms`` after ``enough_coverage`` is reached, a grace
+    period for stragglers; ``FULL`` waits for all services until the deadline.
     """
 
     ENOUGH = "enough"
@@ -65,14 +65,14 @@
 
 
 class DataCentre(NamedTuple):
-    """A data centre and whether operators let it take new work."""
+    """A data centre and whether it accepts new requests."""
 
     region: Name
     state: DataCentreState = DataCentreState.IN
 
 
 class Replica(NamedTuple):
-    """One target that serves a service. ``address`` is ``IP:port``."""
+    """A target that serves one service. ``address`` is ``IP:port``."""
 
     name: Name
     data_centre: Name
@@ -80,11 +80,11 @@
 
 
 class Index(NamedTuple):
-    """Services that share one index, and what each of their replicas bears.
+    """The services of an index, and the capacity of each of their replicas.
 
-    ``slots`` is the number of sub-queries that a replica runs at a time,
-    ``connections`` the connections it takes from the whole fleet and
-    ``cold_start_slots`` what it runs at a time while it is cold.
+    ``slots`` is the number of sub-queries that a replica runs concurrently,
+    ``connections`` the number of connections it accepts from the whole fleet, and
+    ``cold_start_slots`` its concurrency while it is cold.
     """
 
     slots: Count
@@ -95,10 +95,10 @@
 
 
 class Workload(NamedTuple):
-    """What the callers of one kind of request want of its answer.
+    """Deadline, coverage, hedging and priority of one kind of request.
 
-    ``extra_load`` is the ratio of hedges and retries to first tries. A lower
-    ``priority`` is served first and shed last.
+    ``extra_load`` is the allowed ratio of hedges and retries to first attempts. A lower
+    ``priority`` value is served first and shed last.
     """
 
     indexes: list[Name]
@@ -117,11 +117,11 @@
 
 
 class Limits(NamedTuple):
-    """Bounds that hold in each entry process.
+    """Limits that apply to each entry process.
 
-    A process that is told to stop turns not-ready, serves on for ``stop_notice_ms``
-    so that the balancer notices, then finishes what is in flight within
-    ``stop_grace_ms``.
+    On shutdown a process reports not-ready and keeps serving for ``stop_notice_ms``, so
+    that the load balancer stops sending requests, then has ``stop_grace_ms`` to finish
+    the requests in flight.
     """
 
     requests_in_flight: Count = 512
@@ -134,7 +134,7 @@
 
 
 class EnvironmentDocument(NamedTuple):
-    """The whole declaration of one environment."""
+    """The complete configuration of one environment."""
 
     environment: Name
     data_centres: dict[Name, DataCentre]
--- a/sardinehook/environment/document_rules.py
+++ b/sardinehook/environment/document_rules.py
@@ -1,4 +1,4 @@
-"""Rules that tie the parts of an environment document together."""
+"""Consistency rules of environment documents that the schema can't express."""
 
 from __future__ import annotations
 
@@ -15,78 +15,84 @@
     Workload,
 )
 
-__all__ = ["BrokenRule", "broken_rules"]
+__all__ = ["RuleViolation", "rule_violations"]
 
-HIGHEST_PORT = 65_535
+MAX_PORT = 65_535
 
 Path = tuple[str | int, ...]
 
 
-class BrokenRule(NamedTuple):
-    """A rule that a document breaks, and the path of the part that breaks it."""
+class RuleViolation(NamedTuple):
+    """A violated rule: the path of the offending value, and what is wrong with it."""
 
     path: Path
     message: str
 
 
-def broken_rules(document: EnvironmentDocument) -> Iterator[BrokenRule]:
-    """Find every rule that a document breaks."""
+def rule_violations(document: EnvironmentDocument) -> Iterator[RuleViolation]:
+    """Yield all rule violations of a document."""
     if not document.data_centres:
-        yield BrokenRule(("data_centres",), "names no data centre")
+        yield RuleViolation(("data_centres",), "must contain at least one data centre")
     if not document.indexes:
-        yield BrokenRule(("indexes",), "names no index")
-    yield from broken_index_rules(document)
-    yield from broken_replica_rules(document)
+        yield RuleViolation(("indexes",), "must contain at least one index")
+    yield from index_violations(document)
+    yield from replica_violations(document)
     for name, workload in document.workloads.items():
-        for rule in broken_workload_rules(workload, document.indexes):
-            yield rule._replace(path=("workloads", name, *rule.path))
+        for violation in workload_violations(workload, document.indexes):
+            yield violation._replace(path=("workloads", name, *violation.path))
 
 
-def broken_index_rules(document: EnvironmentDocument) -> Iterator[BrokenRule]:
-    """Check each index by itself, and that a service belongs to one index."""
+def index_violations(document: EnvironmentDocument) -> Iterator[RuleViolation]:
+    """Check each index on its own, and that each service belongs to one index."""
     owners: dict[str, str] = {}
     for name, index in document.indexes.items():
         path: Path = ("indexes", name)
         if index.cold_start_slots > index.slots:
-            yield BrokenRule((*path, "cold_start_slots"), "is more than slots")
+            message = f"{index.cold_start_slots} is more than slots ({index.slots})"
+            yield RuleViolation((*path, "cold_start_slots"), message)
         if not index.services:
-            yield BrokenRule((*path, "services"), "names no service")
+            yield RuleViolation(
+                (*path, "services"), "must contain at least one service"
+            )
         for service, replicas in index.services.items():
             where = (*path, "services", service)
             if not replicas:
-                yield BrokenRule(where, "has no replica")
+                yield RuleViolation(where, "must contain at least one replica")
             if owners.setdefault(service, name) != name:
-                yield BrokenRule(where, f"is a service of index {owners[service]} too")
+                message = f"already belongs to index {owners[service]}"
+                yield RuleViolation(where, message)
 
 
-def broken_replica_rules(document: EnvironmentDocument) -> Iterator[BrokenRule]:
-    """Check that replicas are distinct and stand in data centres that exist."""
+def replica_violations(document: EnvironmentDocument) -> Iterator[RuleViolation]:
+    """Check that replicas have unique names and addresses and known data centres."""
     names: set[str] = set()
     addresses: set[str] = set()
     for path, replica in every_replica(document.indexes):
         if replica.data_centre not in document.data_centres:
             message = f"unknown data centre {replica.data_centre}"
-            yield BrokenRule((*path, "data_centre"), message)
+            yield RuleViolation((*path, "data_centre"), message)
         if replica.name in names:
-            yield BrokenRule((*path, "name"), f"{replica.name} stands twice")
+            yield RuleViolation((*path, "name"), f"duplicate name {replica.name}")
         if replica.address in addresses:
-            yield BrokenRule((*path, "address"), f"{replica.address} stands twice")
+            yield RuleViolation(
+                (*path, "address"), f"duplicate address {replica.address}"
+            )
         if not is_address(replica.address):
-            yield BrokenRule((*path, "address"), f"{replica.address} is not IP:port")
+            yield RuleViolation((*path, "address"), f"{replica.address} is not IP:port")
         names.add(replica.name)
         addresses.add(replica.address)
 
 
 def every_replica(indexes: dict[str, Index]) -> Iterator[tuple[Path, Replica]]:
-    """Go through all replicas with their paths."""
+    """Yield all replicas with their paths."""
     for name, index in indexes.items():
         for service, replicas in index.services.items():
-            for place, replica in enumerate(replicas):
-                yield ("indexes", name, "services", service, place), replica
+            for position, replica in enumerate(replicas):
+                yield ("indexes", name, "services", service, position), replica
 
 
 def is_address(text: str) -> bool:
-    """Whether a text is an IP address and a port.
+    """Return whether a string is an IP address and a port.
 
     >>> is_address("127.0.0.1:21000"), is_address("[::1]:80"), is_address("1.2.3:4")
     (True, True, False)
@@ -96,32 +102,32 @@
         ip_address(host.removeprefix("[").removesuffix("]"))
     except ValueError:
         return False
-    return 1 <= int(port) <= HIGHEST_PORT
+    return 1 <= int(port) <= MAX_PORT
 
 
-def broken_workload_rules(
+def workload_violations(
     workload: Workload, indexes: dict[str, Index]
-) -> Iterator[BrokenRule]:
-    """Check a workload by itself and against the indexes."""
+) -> Iterator[RuleViolation]:
+    """Check a workload on its own and against the indexes."""
     if not workload.indexes:
-        yield BrokenRule(("indexes",), "names no index")
-    for place, name in enumerate(workload.indexes):
+        yield RuleViolation(("indexes",), "must name at least one index")
+    for position, name in enumerate(workload.indexes):
         if name not in indexes:
-            yield BrokenRule(("indexes", place), f"unknown index {name}")
-        if name in workload.indexes[:place]:
-            yield BrokenRule(("indexes", place), f"{name} stands twice")
+            yield RuleViolation(("indexes", position), f"unknown index {name}")
+        if name in workload.indexes[:position]:
+            yield RuleViolation(("indexes", position), f"duplicate index {name}")
     if workload.scope is Scope.ONE and len(workload.indexes) > 1:
-        yield BrokenRule(("indexes",), "scope one takes one index")
+        yield RuleViolation(("indexes",), "scope one allows only one index")
     if not workload.idempotent and workload.scope is not Scope.ONE:
-        yield BrokenRule(("scope",), "a non-idempotent workload needs scope one")
-    yield from broken_wait_rules(workload)
+        yield RuleViolation(("scope",), "a non-idempotent workload requires scope one")
+    yield from wait_violations(workload)
 
 
-def broken_wait_rules(workload: Workload) -> Iterator[BrokenRule]:
-    """Check that coverage and times are in order."""
+def wait_violations(workload: Workload) -> Iterator[RuleViolation]:
+    """Check that the coverage bounds and times of a workload are consistent."""
     if workload.enough_coverage < workload.least_coverage:
-        yield BrokenRule(("enough_coverage",), "is less than least_coverage")
+        yield RuleViolation(("enough_coverage",), "is less than least_coverage")
     if workload.wait is Wait.FULL and workload.enough_coverage < 1.0:
-        yield BrokenRule(("enough_coverage",), "is for wait enough only")
+        yield RuleViolation(("enough_coverage",), "applies to wait enough only")
     if workload.settle_ms >= workload.deadline_ms:
-        yield BrokenRule(("settle_ms",), "is not less than deadline_ms")
+        yield RuleViolation(("settle_ms",), "is not less than deadline_ms")
--- a/sardinehook/environment/holder.py
+++ b/sardinehook/environment/holder.py
@@ -1,4 +1,4 @@
-"""The revision in force in one process."""
+"""The revision of the environment document in force in this process."""
 
 from __future__ import annotations
 
@@ -13,12 +13,12 @@
 
 
 class DocumentHolder:
-    """Aggregate that keeps the highest revision it was offered in force.
+    """Holds the highest revision offered so far; the number never decreases.
 
     ``canonical`` is the canonical form of the document in force.
 
-    Revisions of other environments are refused; an empty ``environment``
-    stands for that of the first revision taken.
+    Revisions of other environments are refused. An empty ``environment`` is set from
+    the first revision accepted.
 
     >>> DocumentHolder("trial").in_force is None
     True
@@ -32,15 +32,18 @@
 
     @property
     def number(self) -> int:
-        """The number of the revision in force, zero if there is none."""
+        """The number of the revision in force, or zero if there is none."""
         return self.in_force.number if self.in_force else 0
 
     def add_listener(self, listener: Listener) -> None:
-        """Call ``listener`` with each revision that comes in force from now on."""
+        """Register a function to call with each revision that comes in force."""
         self.listeners.append(listener)
 
     def offer(self, revision: Revision) -> bool:
-        """Put a revision in force if it is newer and whole; tell whether it was."""
+        """Put a revision in force if it is newer and its digest matches.
+
+        Returns whether the revision was put in force.
+        """
         if revision.number <= self.number:
             return False
         if self.environment not in ("", revision.document.environment):
--- a/sardinehook/environment/loading.py
+++ b/sardinehook/environment/loading.py
@@ -1,4 +1,4 @@
-"""Load YAML into typed data, with one line for each problem found."""
+"""Load YAML into typed data, reporting each problem with file and line."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.environment.document import EnvironmentDocument
-from sardinehook.environment.document_rules import BrokenRule, broken_rules
+from sardinehook.environment.document_rules import RuleViolation, rule_violations
 from sardinehook.environment.yaml_data import Data, Path, YamlData, dotted, read_yaml
 from sardinehook.errors import ErrorKind, Problem
 
@@ -19,37 +19,39 @@
 
 Model = TypeVar("Model")
 
-PROBLEMS = 20  # reported at once
-ECHO_CHARACTERS = 40
+MAX_PROBLEMS = 20  # reported for one file
+MAX_ECHO_CHARACTERS = 40
 
 
 def load_document(
     text: str, file_name: str
 ) -> Result[EnvironmentDocument, tuple[Problem, ...]]:
-    """Load an environment document and check that its parts agree.
+    """Load an environment document and check its consistency rules.
 
     >>> load_document("environment: 3", "a.yaml").failure()[0].detail
     'a.yaml:1: environment: Input should be a valid string, got 3'
     """
     match read_yaml(text):
-        case Success(found):
+        case Success(source):
             loaded = validate(
-                EnvironmentDocument, found, file_name, ErrorKind.INVALID_DOCUMENT
+                EnvironmentDocument, source, file_name, ErrorKind.INVALID_DOCUMENT
+            )
+            return loaded.bind(
+                lambda document: check_rules(document, source, file_name)
             )
-            return loaded.bind(lambda document: check_rules(document, found, file_name))
     return load_yaml(EnvironmentDocument, text, file_name, ErrorKind.INVALID_DOCUMENT)
 
 
 def load_yaml(
     model: type[Model], text: str, file_name: str, kind: ErrorKind
 ) -> Result[Model, tuple[Problem, ...]]:
-    """Load YAML into a named tuple, strictly: no unknown keys, no conversions.
+    """Load YAML into a named tuple in strict mode: no unknown keys, no type coercion.
 
-    Each problem is one line, ``file:line: key: message``, of the given kind.
+    Each problem is of the given kind and reads ``file:line: key: message``.
     """
     match read_yaml(text):
-        case Success(found):
-            return validate(model, found, file_name, kind)
+        case Success(source):
+            return validate(model, source, file_name, kind)
         case Failure(fault):
             key = f"{fault.key}: " if fault.key else ""
             detail = f"{file_name}:{fault.line}: {key}{fault.message}"
@@ -58,87 +60,94 @@
 
 
 def validate(
-    model: type[Model], found: YamlData, file_name: str, kind: ErrorKind
+    model: type[Model], source: YamlData, file_name: str, kind: ErrorKind
 ) -> Result[Model, tuple[Problem, ...]]:
-    """Validate plain data against a named tuple."""
-    shapes = tuple(wrong_shapes(model, found.data, ()))
-    if shapes:
+    """Validate parsed YAML against the schema of a named tuple."""
+    misplaced = tuple(non_mappings(model, source.data, ()))
+    if misplaced:
         message = "Input should be a mapping"
         return Failure(
             tuple(
-                to_problem(path, message, found, file_name, kind)
-                for path in shapes[:PROBLEMS]
+                to_problem(path, message, source, file_name, kind)
+                for path in misplaced[:MAX_PROBLEMS]
             )
         )
     adapter = TypeAdapter(model, config=ConfigDict(strict=True))
     try:
-        return Success(adapter.validate_json(json.dumps(found.data)))
+        return Success(adapter.validate_json(json.dumps(source.data)))
     except ValidationError as error:
         details = error.errors(include_url=False, include_context=False)
         details.sort(key=lambda detail: detail["type"] != "extra_forbidden")
         return Failure(
             tuple(
-                to_problem(key_of(detail), explain(detail), found, file_name, kind)
-                for detail in details[:PROBLEMS]
+                to_problem(path_of(detail), explain(detail), source, file_name, kind)
+                for detail in details[:MAX_PROBLEMS]
             )
         )
 
 
-def wrong_shapes(model: object, data: Data, path: Path) -> Iterator[Path]:
-    """Find what should be a mapping but is not; a list would pass for a tuple."""
+def non_mappings(model: object, data: Data, path: Path) -> Iterator[Path]:
+    """Yield the paths that must be mappings but are not.
+
+    Pydantic would accept a list for a named tuple.
+    """
     if get_origin(model) is Annotated:
-        yield from wrong_shapes(get_args(model)[0], data, path)
+        yield from non_mappings(get_args(model)[0], data, path)
     elif isinstance(model, type) and hasattr(model, "_fields"):
         if not isinstance(data, dict):
             yield path
             return
         hints = get_type_hints(model, include_extras=True)
         for name in hints.keys() & data.keys():
-            yield from wrong_shapes(hints[name], data[name], (*path, name))
+            yield from non_mappings(hints[name], data[name], (*path, name))
     elif get_origin(model) is dict and isinstance(data, dict):
         for key, value in data.items():
-            yield from wrong_shapes(get_args(model)[1], value, (*path, key))
+            yield from non_mappings(get_args(model)[1], value, (*path, key))
     elif get_origin(model) in (list, tuple) and isinstance(data, list):
-        for place, value in enumerate(data):
-            yield from wrong_shapes(get_args(model)[0], value, (*path, place))
+        for position, value in enumerate(data):
+            yield from non_mappings(get_args(model)[0], value, (*path, position))
 
 
-def key_of(detail: ErrorDetails) -> Path:
-    """The path of a validation error."""
+def path_of(detail: ErrorDetails) -> Path:
+    """Return the path of a validation error."""
     return tuple(part for part in detail["loc"] if part != "[key]")
 
 
 def explain(detail: ErrorDetails) -> str:
-    """One line about a validation error, with the value if it is short."""
+    """Return the message of a validation error, with the input if it is short."""
     if detail["type"] in ("missing", "extra_forbidden"):
         return {"missing": "is missing", "extra_forbidden": "unknown key"}[
             detail["type"]
         ]
     echoed = json.dumps(detail["input"], default=str)
     message = detail["msg"].replace("\n", " ")
-    return f"{message}, got {echoed}" if len(echoed) <= ECHO_CHARACTERS else message
+    return f"{message}, got {echoed}" if len(echoed) <= MAX_ECHO_CHARACTERS else message
 
 
 def to_problem(
-    path: Path, message: str, found: YamlData, file_name: str, kind: ErrorKind
+    path: Path, message: str, source: YamlData, file_name: str, kind: ErrorKind
 ) -> Problem:
-    """Write a problem as one line with file, line and key."""
+    """Return a problem whose message starts with file, line and key."""
     key = dotted(path) or "document"
-    return Problem(kind, f"{file_name}:{found.line(path)}: {key}: {message}")
+    return Problem(kind, f"{file_name}:{source.line(path)}: {key}: {message}")
 
 
 def check_rules(
-    document: EnvironmentDocument, found: YamlData, file_name: str
+    document: EnvironmentDocument, source: YamlData, file_name: str
 ) -> Result[EnvironmentDocument, tuple[Problem, ...]]:
-    """Check that the parts of a document agree with each other."""
-    broken: list[BrokenRule] = list(broken_rules(document))
-    if not broken:
+    """Check the consistency rules; report up to ``MAX_PROBLEMS`` violations."""
+    violations: list[RuleViolation] = list(rule_violations(document))
+    if not violations:
         return Success(document)
     return Failure(
         tuple(
             to_problem(
-                rule.path, rule.message, found, file_name, ErrorKind.INVALID_DOCUMENT
+                violation.path,
+                violation.message,
+                source,
+                file_name,
+                ErrorKind.INVALID_DOCUMENT,
             )
-            for rule in broken[:PROBLEMS]
+            for violation in violations[:MAX_PROBLEMS]
         )
     )
--- a/sardinehook/environment/revision.py
+++ b/sardinehook/environment/revision.py
@@ -23,14 +23,14 @@
     "encode_revision",
     "head_key",
     "make_revision",
-    "refusal",
+    "malformed_revision",
+    "revision_from_envelope",
     "revision_key",
     "revision_prefix",
-    "revision_with",
 ]
 
-CANONICAL_BYTES = 4_194_304
-ENVELOPE_BYTES = CANONICAL_BYTES + 65_536
+MAX_CANONICAL_BYTES = 4_194_304
+MAX_ENVELOPE_BYTES = MAX_CANONICAL_BYTES + 65_536
 COMPRESSION_LEVEL = 3
 NUMBER_DIGITS = 12
 
@@ -100,25 +100,25 @@
     """Decode a revision and verify its digest."""
     try:
         packed = zstandard.ZstdDecompressor().decompress(
-            data, max_output_size=ENVELOPE_BYTES, allow_extra_data=False
+            data, max_output_size=MAX_ENVELOPE_BYTES, allow_extra_data=False
         )
-        if len(packed) > ENVELOPE_BYTES:
-            return Failure(refusal("too large"))
+        if len(packed) > MAX_ENVELOPE_BYTES:
+            return Failure(malformed_revision("too large"))
         envelope = msgspec.msgpack.decode(packed, type=Envelope)
     except (zstandard.ZstdError, msgspec.MsgspecError) as error:
-        return Failure(refusal(str(error)))
-    return revision_with(envelope)
+        return Failure(malformed_revision(str(error)))
+    return revision_from_envelope(envelope)
 
 
-def revision_with(envelope: Envelope) -> Result[Revision, Problem]:
+def revision_from_envelope(envelope: Envelope) -> Result[Revision, Problem]:
     """Make a revision from its stored form and verify the digest."""
     if digest_of(envelope.canonical) != envelope.digest:
-        return Failure(refusal("the digest does not match"))
+        return Failure(malformed_revision("the digest does not match"))
     return document_from(envelope.canonical).map(
         lambda document: Revision(*envelope[:-1], document)
     )
 
 
-def refusal(detail: str) -> Problem:
+def malformed_revision(detail: str) -> Problem:
     """The problem of a revision that can't be taken."""
     return Problem(ErrorKind.INVALID_DOCUMENT, f"malformed revision: {detail}")
--- a/sardinehook/environment/spread.py
+++ b/sardinehook/environment/spread.py
@@ -18,10 +18,10 @@
 from sardinehook.environment.delta import NO_BASE, apply_delta, make_delta
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import (
-    CANONICAL_BYTES,
+    MAX_CANONICAL_BYTES,
     Envelope,
     Revision,
-    revision_with,
+    revision_from_envelope,
 )
 from sardinehook.errors import Problem
 
@@ -320,7 +320,7 @@
         )
         base = self.canonical(delta.base) if delta.base in self.kept else NO_BASE
         return apply_delta(base, delta.data).bind(
-            lambda canonical: revision_with(Envelope(*identity, canonical))
+            lambda canonical: revision_from_envelope(Envelope(*identity, canonical))
         )
 
     def keep(self, revision: Revision) -> None:
@@ -333,7 +333,7 @@
     def canonical(self, number: int) -> bytes:
         """The canonical form of a kept revision."""
         packed = self.kept[number].packed
-        return zstandard.decompress(packed, max_output_size=CANONICAL_BYTES)
+        return zstandard.decompress(packed, max_output_size=MAX_CANONICAL_BYTES)
 
     @property
     def digest(self) -> str:
--- a/sardinehook/environment/writing.py
+++ b/sardinehook/environment/writing.py
@@ -1,4 +1,4 @@
-"""Write a document as YAML for people to read and edit."""
+"""Serialize documents as YAML for display and editing."""
 
 from __future__ import annotations
 
@@ -10,15 +10,15 @@
 
 __all__ = ["document_text"]
 
-LINE_CHARACTERS = 100
+MAX_LINE_CHARACTERS = 100
 REPLICA_KEYS = {"name", "data_centre", "address"}
 
 
 class DocumentDumper(yaml.SafeDumper):
-    """Writes replicas and lists of names on one line each."""
+    """YAML dumper that writes replicas and lists of names in flow style."""
 
     def ignore_aliases(self, data: object) -> bool:
-        """Never write anchors, which documents may not have."""
+        """Disable anchors and aliases, which ``read_yaml`` rejects."""
         return True
 
 
@@ -39,12 +39,12 @@
 
 
 def document_text(document: EnvironmentDocument) -> str:
-    """YAML of a document without defaults, which loads to the same document."""
+    """Serialize a document as YAML without default values; loading it restores it."""
     text: str = yaml.dump(
         plain(document),
         Dumper=DocumentDumper,
         sort_keys=False,
-        width=LINE_CHARACTERS,
+        width=MAX_LINE_CHARACTERS,
         allow_unicode=True,
     )
     return text
--- a/tests/environment/documents.py
+++ b/tests/environment/documents.py
@@ -1,4 +1,4 @@
-"""Documents that tests start from."""
+"""Sample documents and revisions for tests."""
 
 from __future__ import annotations
 
@@ -34,12 +34,12 @@
 
 
 def document(deadline_ms: float = 150.0) -> EnvironmentDocument:
-    """The document of ``TEXT`` with another deadline."""
+    """Load the document of ``TEXT`` with the given deadline."""
     text = TEXT.replace("deadline_ms: 150", f"deadline_ms: {deadline_ms}")
     return load_document(text, "trial.yaml").unwrap()
 
 
 def revision(number: int, deadline_ms: float | None = None) -> Revision:
-    """A revision; its deadline differs by number unless it is given."""
+    """Make a revision; unless given, its deadline depends on its number."""
     changed = document(100.0 + number if deadline_ms is None else deadline_ms)
     return make_revision(number, f"change-{number}", "ilona", "", changed)
--- a/tests/environment/test_delta.py
+++ b/tests/environment/test_delta.py
@@ -1,4 +1,4 @@
-"""Tests of differences between canonical documents."""
+"""Tests of delta compression of canonical documents."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
     def test_restores_whatever_the_base(self, base: bytes, canonical: bytes) -> None:
         assert apply_delta(base, make_delta(base, canonical)) == Success(canonical)
 
-    def test_one_field_of_a_large_document_takes_few_bytes(self) -> None:
+    def test_delta_of_one_field_in_a_large_document_is_small(self) -> None:
         old = canonical_bytes(large_document(1000, 150.0))
         new = canonical_bytes(large_document(1000, 140.0))
         assert len(make_delta(old, new)) < 100
--- a/tests/environment/test_loading.py
+++ b/tests/environment/test_loading.py
@@ -1,4 +1,4 @@
-"""Tests of loading YAML that nobody has checked yet."""
+"""Tests of loading untrusted YAML."""
 
 from __future__ import annotations
 
@@ -14,21 +14,21 @@
 
 
 def details(text: str) -> list[str]:
-    """The lines that a text is refused with."""
+    """The messages that a text is rejected with."""
     problems = load_document(text, "f.yaml").failure()
     assert all(problem.kind is ErrorKind.INVALID_DOCUMENT for problem in problems)
     return [problem.detail for problem in problems]
 
 
-class TestGoodDocument:
-    def test_values_are_typed(self) -> None:
+class TestValidDocument:
+    def test_values_are_converted_to_types(self) -> None:
         loaded = document()
         assert loaded.data_centres["szolnok-b"].state is DataCentreState.OUT
         assert loaded.workloads["storm-night"].wait is Wait.ENOUGH
         assert loaded.workloads["storm-night"].deadline_ms == 150.0
 
 
-class TestRefusals:
+class TestRejections:
     @pytest.mark.parametrize(
         ("old", "new", "line"),
         [
@@ -39,7 +39,11 @@
             ("slots: 2", "slots: 2\n    slots: 3", "f.yaml:8: indexes.logfinder.slots"),
             ("state: out", "state: off", "f.yaml:4: data_centres.szolnok-b.state: "),
             ("{region: alfold}", "[alfold]", "f.yaml:3: data_centres.kecskemet-a: "),
-            ("  kecskemet-a:", "  1:", "f.yaml:3: data_centres: a key must be a text"),
+            (
+                "  kecskemet-a:",
+                "  1:",
+                "f.yaml:3: data_centres: a key must be a string",
+            ),
             ("deadline_ms: 150", "deadline_ms: .inf", "f.yaml:18: workloads.storm-"),
             ("deadline_ms: 150", "deadline_ms: .nan", "f.yaml:18: workloads.storm-"),
             ("[logfinder]", "[*x]", "f.yaml:16: "),
@@ -53,7 +57,9 @@
             ("environment: trial", "{", "f.yaml:"),
         ],
     )
-    def test_one_clear_line_for_a_form(self, old: str, new: str, line: str) -> None:
+    def test_malformed_value_is_reported_on_one_line(
+        self, old: str, new: str, line: str
+    ) -> None:
         found = details(TEXT.replace(old, new))
         assert found[0].startswith(line)
         assert "\n" not in found[0]
@@ -63,21 +69,31 @@
         [
             ("[logfinder]", "[memberbook]", "unknown index memberbook"),
             ("data_centre: szolnok-b", "data_centre: b", "unknown data centre b"),
-            ("name: logfinder-01-b", "name: logfinder-01-a", "stands twice"),
-            ("127.0.0.1:23001", "127.0.0.1:23000", "stands twice"),
+            (
+                "name: logfinder-01-b",
+                "name: logfinder-01-a",
+                "duplicate name logfinder-01-a",
+            ),
+            ("127.0.0.1:23001", "127.0.0.1:23000", "duplicate address 127.0.0.1:23000"),
             ("127.0.0.1:23001", "127.0.0.1:99999", "is not IP:port"),
             (
                 "enough_coverage: 0.9",
                 "enough_coverage: 0.4",
                 "than least_coverage",
             ),
-            ("scope: all", "scope: all\n    idempotent: false", "needs scope one"),
-            ("wait: enough", "wait: full", "is for wait enough only"),
-            ("slots: 2", "slots: 2\n    cold_start_slots: 3", "is more than slots"),
+            ("scope: all", "scope: all\n    idempotent: false", "requires scope one"),
+            ("wait: enough", "wait: full", "applies to wait enough only"),
+            (
+                "slots: 2",
+                "slots: 2\n    cold_start_slots: 3",
+                "3 is more than slots (2)",
+            ),
             ("scope: all", "scope: all\n    settle_ms: 150", "not less than deadline"),
         ],
     )
-    def test_parts_must_agree(self, old: str, new: str, expected: str) -> None:
+    def test_consistency_rules_are_checked(
+        self, old: str, new: str, expected: str
+    ) -> None:
         found = details(TEXT.replace(old, new))
         assert len(found) == 1
         assert found[0].endswith(expected) or expected in found[0]
