Reword revisions, registry, promotion and node status

A reader had to learn what a service is that does not answer, what looking behind does, and what the places of a document are. The service is the key-value store, replaced revisions are archived, and promotion combines a policy with a placement.

--- a/sardinehook/environment/node_status.py
+++ b/sardinehook/environment/node_status.py
@@ -1,4 +1,4 @@
-"""Ask every entry VM which revision it has in force."""
+"""Query the entry VMs for the revision that each has in force."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 
 
 class NodeState(StrEnum):
-    """How a node's revision compares with the accepted one."""
+    """How the revision in force on a node compares with the accepted one."""
 
     IN_FORCE = "in force"
     BEHIND = "behind"
@@ -33,7 +33,7 @@
 
 
 class NodeStatus(NamedTuple):
-    """What a node answered; ``revision`` is zero if it has none or is unreachable."""
+    """Status of a node; ``revision`` is zero if it has none or is unreachable."""
 
     node: str
     data_centre: str
@@ -45,7 +45,7 @@
 
 
 class StatusBody(TypedDict):
-    """The part of ``GET /status`` of an entry VM that is read here."""
+    """The fields read from the ``GET /status`` response of an entry VM."""
 
     environment: str
     revision: int
@@ -55,53 +55,58 @@
 async def ask_nodes(
     reactor: Timers, vms: tuple[Vm, ...], accepted: Revision, timeout_ms: float
 ) -> list[NodeStatus]:
-    """Ask all VMs at once; each answer counts as it was when it was given."""
-    asked = [
+    """Query all VMs concurrently.
+
+    The result is no consistent snapshot: each VM reports its own moment.
+    """
+    pending = [
         Deferred.fromCoroutine(ask_node(reactor, vm, accepted, timeout_ms))
         for vm in vms
     ]
-    return list(await gatherResults(asked))
+    return list(await gatherResults(pending))
 
 
 async def ask_node(
     reactor: Timers, vm: Vm, accepted: Revision, timeout_ms: float
 ) -> NodeStatus:
-    """Ask one VM."""
+    """Query one VM; ``timeout_ms`` bounds the call."""
     caller = HttpCaller(reactor, vm.address, timeout_ms)
-    answer = await caller.read("/status")
+    reply = await caller.read("/status")
     await caller.close()
-    return node_status(vm, accepted, answer)
+    return node_status(vm, accepted, reply)
 
 
 def node_status(
-    vm: Vm, accepted: Revision, answer: Result[HttpReply, StoreUnavailable]
+    vm: Vm, accepted: Revision, reply: Result[HttpReply, StoreUnavailable]
 ) -> NodeStatus:
-    """Judge the answer of a VM."""
+    """Evaluate the status response of a VM, or the failure to get one."""
     unreachable = NodeStatus(
         vm.name, vm.data_centre, vm.address, NodeState.UNREACHABLE, 0, "", ""
     )
-    match answer:
+    match reply:
         case Success(HttpReply(status=status, body=body)) if status == OK:
             try:
-                told = msgspec.json.decode(body, type=StatusBody)
+                reported = msgspec.json.decode(body, type=StatusBody)
             except msgspec.MsgspecError as error:
-                return unreachable._replace(detail=f"malformed status: {error}")
+                return unreachable._replace(
+                    detail=f"malformed status response: {error}"
+                )
             return unreachable._replace(
-                state=state_of(told, accepted),
-                revision=told["revision"],
-                digest=told["digest"],
+                state=state_of(reported, accepted),
+                revision=reported["revision"],
+                digest=reported["digest"],
             )
         case Success(HttpReply(status=status)):
-            return unreachable._replace(detail=f"status {status}")
+            return unreachable._replace(detail=f"HTTP status {status}, expected {OK}")
         case Failure(StoreUnavailable(detail=detail)):
             return unreachable._replace(detail=detail)
-    raise AssertionError(answer)
+    raise AssertionError(reply)
 
 
-def state_of(told: StatusBody, accepted: Revision) -> NodeState:
-    """Compare a node's revision with the accepted one."""
-    number = told["revision"]
-    if told["environment"] != accepted.document.environment:
+def state_of(reported: StatusBody, accepted: Revision) -> NodeState:
+    """Compare the revision that a node reports with the accepted one."""
+    number = reported["revision"]
+    if reported["environment"] != accepted.document.environment:
         return NodeState.OTHER_ENVIRONMENT
     if number == 0:
         return NodeState.NO_DOCUMENT
@@ -109,6 +114,6 @@
         return NodeState.BEHIND
     if number > accepted.number:
         return NodeState.AHEAD
-    if told["digest"] != accepted.digest:
+    if reported["digest"] != accepted.digest:
         return NodeState.DIFFERS
     return NodeState.IN_FORCE
--- a/sardinehook/environment/registry.py
+++ b/sardinehook/environment/registry.py
@@ -1,4 +1,4 @@
-"""The revisions of environments in the platform's service, as operators change them."""
+"""Reads and writes the revisions of environments in the platform's key-value store."""
 
 from __future__ import annotations
 
@@ -38,12 +38,12 @@
 __all__ = ["Head", "RevisionRegistry", "store_problem"]
 
 READ_BACK_INTERVAL_S = 0.25
-READ_BACK_S = 10.0
-VALUE_BYTES = 1_000_000
+READ_BACK_TIMEOUT_S = 10.0
+MAX_VALUE_BYTES = 1_000_000
 
 
 class Head(NamedTuple):
-    """The current revision and its key's revision in the service."""
+    """The current revision, and the revision of its key in the store."""
 
     revision: Revision
     store_revision: int
@@ -52,9 +52,9 @@
 class RevisionRegistry:
     """Reads and changes the revisions of environments.
 
-    A change is *accepted* at the moment at which the service swaps the head key to
-    its revision. The revision that it replaces is kept under its own key before that,
-    so the history has no gaps and nothing is ever half applied.
+    A change is *accepted* when a compare-and-swap of the head key to its revision
+    succeeds. The revision that it replaces is archived under its own key before that,
+    so the history has no gaps and no change is partially applied.
     """
 
     def __init__(self, reactor: Timers, store: Store) -> None:
@@ -62,12 +62,12 @@
         self.store = store
 
     async def head(self, environment: str) -> Result[Head | None, Problem]:
-        """Read the current revision; None if the environment has none."""
+        """Read the current revision; ``None`` if the environment has none."""
         match await self.store.get(head_key(environment)):
             case Success(None):
                 return Success(None)
             case Success(Entry() as entry):
-                return head_from(entry).map(optional)
+                return decode_head(entry).map(optional)
             case Failure(failure):
                 return Failure(store_problem(failure))
         raise AssertionError
@@ -86,7 +86,7 @@
     async def past_revision(
         self, environment: str, number: int
     ) -> Result[Revision, Problem]:
-        """Read a revision that was replaced."""
+        """Read an archived revision; a ``NOT_FOUND`` problem if there is none."""
         match await self.store.get(revision_key(environment, number)):
             case Success(Entry(value=value)):
                 return decode_revision(value)
@@ -98,7 +98,7 @@
     async def history(
         self, environment: str, limit: int
     ) -> Result[list[Revision], Problem]:
-        """Read the newest revisions, newest first."""
+        """Read up to ``limit`` revisions, newest first."""
         match await self.head(environment):
             case Success(Head(revision=current)):
                 found = [current]
@@ -116,7 +116,10 @@
         return Success(found)
 
     async def commit(self, change: Change) -> Outcome:
-        """Try to replace the head by a change, once."""
+        """Try once to replace the current revision with a change.
+
+        A write whose reply is lost is not retried but read back.
+        """
         environment = change.document.environment
         match await self.head(environment):
             case Success(head):
@@ -127,113 +130,122 @@
         if not isinstance(planned, Revision):
             return planned
         encoded = encode_revision(planned)
-        if len(encoded) > VALUE_BYTES:
-            detail = f"the document takes {len(encoded)} bytes, at most {VALUE_BYTES}"
+        if len(encoded) > MAX_VALUE_BYTES:
+            detail = f"the revision has {len(encoded)} bytes, limit {MAX_VALUE_BYTES}"
             return Refused(Problem(ErrorKind.INVALID_DOCUMENT, detail))
-        kept = await self.keep(head)
-        if kept is not None:
-            return Refused(kept)
+        archive_problem = await self.archive(head)
+        if archive_problem is not None:
+            return Refused(archive_problem)
         expect = head.store_revision if head else CREATE
-        written = await self.store.put(head_key(environment), encoded, expect)
-        return await self.settle(written, planned, change)
+        result = await self.store.put(head_key(environment), encoded, expect)
+        return await self.resolve_write(result, planned, change)
+
+    async def archive(self, head: Head | None) -> Problem | None:
+        """Copy the current revision to its own key; idempotent.
 
-    async def keep(self, head: Head | None) -> Problem | None:
-        """Keep the current revision under its own key; repeating it is harmless."""
+        Returns ``None`` on success.
+        """
         if head is None:
             return None
         revision = head.revision
         key = revision_key(revision.document.environment, revision.number)
         match await self.store.put(key, encode_revision(revision), CREATE):
             case Failure(Conflict(current=Entry(value=value))):
-                return None if is_change(value, revision) else broken_history(key)
+                return (
+                    None if is_same_change(value, revision) else history_conflict(key)
+                )
             case Failure(failure):
                 return store_problem(failure)
         return None
 
-    async def settle(
-        self, written: Result[Entry, StoreFailure], planned: Revision, change: Change
+    async def resolve_write(
+        self, result: Result[Entry, StoreFailure], planned: Revision, change: Change
     ) -> Outcome:
-        """Tell how a write ended, by reading back if its reply was lost."""
-        match written:
+        """Return the outcome of a write; reads it back if the reply was lost."""
+        match result:
             case Success():
                 return Accepted(planned)
             case Failure(Conflict(current=None)):
                 return lost_to(None, change)
             case Failure(Conflict(current=Entry() as entry)):
                 return (
-                    head_from(entry)
-                    .map(lambda head: self.compare(head.revision, planned, change))
-                    .value_or(Refused(broken_history(entry.key)))
+                    decode_head(entry)
+                    .map(lambda head: self.outcome_of(head.revision, planned, change))
+                    .value_or(Refused(history_conflict(entry.key)))
                 )
             case Failure(StoreUnavailable(may_have_taken_effect=False) as failure):
                 return Refused(store_problem(failure))
         return await self.read_back(planned, change)
 
     async def read_back(self, planned: Revision, change: Change) -> Outcome:
-        """Look for a change whose reply was lost."""
-        until = self.reactor.seconds() + READ_BACK_S
+        """Poll the store for a change whose reply was lost, until a timeout."""
+        deadline = self.reactor.seconds() + READ_BACK_TIMEOUT_S
         environment = planned.document.environment
-        detail = "the service does not answer"
-        while self.reactor.seconds() < until:
+        detail = "the store does not answer"
+        while self.reactor.seconds() < deadline:
             match await self.head(environment):
-                case Success(Head(revision=seen)) if seen.number == planned.number:
-                    return self.compare(seen, planned, change)
-                case Success(Head(revision=seen)) if seen.number > planned.number:
-                    return await self.look_behind(seen, planned, change)
+                case Success(Head(revision=stored)) if stored.number == planned.number:
+                    return self.outcome_of(stored, planned, change)
+                case Success(Head(revision=stored)) if stored.number > planned.number:
+                    return await self.check_history(stored, planned, change)
                 case Success(head):
                     number = head.revision.number if head else 0
-                    detail = f"the service holds revision {number}"
+                    detail = f"the store holds revision {number}"
             await deferLater(cast(IReactorTime, self.reactor), READ_BACK_INTERVAL_S)
         return Undecided(change.change_id, detail)
 
-    async def look_behind(
-        self, seen: Revision, planned: Revision, change: Change
+    async def check_history(
+        self, stored: Revision, planned: Revision, change: Change
     ) -> Outcome:
-        """Tell whether a later revision replaced this change or beat it."""
+        """Check whether the change was accepted before a later revision replaced it."""
         environment = planned.document.environment
         match await self.revision(environment, planned.number):
             case Success(past) if past.change_id == planned.change_id:
                 return Accepted(planned)
             case Success():
-                return lost_to(seen, change)
-        return Undecided(change.change_id, "the history does not answer")
+                return lost_to(stored, change)
+        return Undecided(
+            change.change_id, f"revision {planned.number} could not be read"
+        )
 
-    def compare(self, seen: Revision, planned: Revision, change: Change) -> Outcome:
-        """Tell whether the revision that is in the service is this change."""
-        if seen.change_id == planned.change_id:
+    def outcome_of(
+        self, stored: Revision, planned: Revision, change: Change
+    ) -> Outcome:
+        """Return whether the revision in the store is this change, as an outcome."""
+        if stored.change_id == planned.change_id:
             return Accepted(planned)
-        return lost_to(seen, change)
+        return lost_to(stored, change)
 
 
-def head_from(entry: Entry) -> Result[Head, Problem]:
-    """Decode the entry of a head key."""
+def decode_head(entry: Entry) -> Result[Head, Problem]:
+    """Decode the entry of the head key."""
     return decode_revision(entry.value).map(
         lambda revision: Head(revision, entry.revision)
     )
 
 
 def optional(head: Head) -> Head | None:
-    """A head where there might be none."""
+    """Return the head, typed as optional for ``Result.map``."""
     return head
 
 
-def is_change(value: bytes, revision: Revision) -> bool:
-    """Whether a stored revision is the given one."""
-    kept = decode_revision(value).value_or(None)
-    return kept is not None and kept.change_id == revision.change_id
+def is_same_change(value: bytes, revision: Revision) -> bool:
+    """Return whether an encoded revision has the change id of the given one."""
+    stored = decode_revision(value).value_or(None)
+    return stored is not None and stored.change_id == revision.change_id
 
 
-def broken_history(key: str) -> Problem:
-    """The problem of a key that holds something else than it must."""
-    detail = f"{key} holds something else; nothing was written"
+def history_conflict(key: str) -> Problem:
+    """Return the problem of a key that does not hold the expected revision."""
+    detail = f"{key} does not hold the expected revision; nothing was written"
     return Problem(ErrorKind.CONFLICT, detail)
 
 
 def store_problem(failure: StoreFailure) -> Problem:
-    """The problem of a service that did not answer, before anything was changed."""
+    """Return the problem of a store call that failed before anything was changed."""
     match failure:
         case StoreUnavailable(detail=detail):
             line = f"{detail}; nothing was changed"
             return Problem(ErrorKind.STORE_UNAVAILABLE, line)
         case Conflict():
-            return Problem(ErrorKind.CONFLICT, "another change came first")
+            return Problem(ErrorKind.CONFLICT, "another change was written first")
--- a/sardinehook/environment/revision.py
+++ b/sardinehook/environment/revision.py
@@ -1,4 +1,4 @@
-"""A revision of an environment's document, as the platform's service holds it."""
+"""Revisions of an environment's document and their encoding in the store."""
 
 from __future__ import annotations
 
@@ -36,11 +36,11 @@
 
 
 class Revision(NamedTuple):
-    """A document with its place in the history of its environment.
+    """A numbered version of an environment's document.
 
-    ``number`` counts from one without gaps. ``digest`` is that of the document's
-    canonical form. ``change_id`` is drawn by the writer, so that a writer whose reply
-    was lost recognizes its own change.
+    Numbers start at one and have no gaps. ``digest`` is that of the document's
+    canonical form. The writer generates ``change_id``, by which it recognizes its own
+    change if the reply to the write is lost.
     """
 
     number: int
@@ -52,7 +52,7 @@
 
 
 class Envelope(NamedTuple):
-    """The stored form of a revision."""
+    """The encoded form of a revision, in the store and between peers."""
 
     number: int
     digest: str
@@ -63,17 +63,17 @@
 
 
 def head_key(environment: str) -> str:
-    """The key that holds the whole current revision of an environment."""
+    """Return the key of an environment's current revision."""
     return f"environments/{environment}/head"
 
 
 def revision_prefix(environment: str) -> str:
-    """What the keys of all past revisions of an environment start with."""
+    """Return the key prefix of an environment's past revisions."""
     return f"environments/{environment}/revisions/"
 
 
 def revision_key(environment: str, number: int) -> str:
-    """The key that holds one revision; keys sort by number.
+    """Return the key of a past revision; keys sort by number.
 
     >>> revision_key("trial", 7)
     'environments/trial/revisions/000000000007'
@@ -84,26 +84,28 @@
 def make_revision(
     number: int, change_id: str, author: str, note: str, document: EnvironmentDocument
 ) -> Revision:
-    """Make a revision with the digest of its document."""
+    """Create a revision and compute the digest of its document."""
     digest = digest_of(canonical_bytes(document))
     return Revision(number, digest, change_id, author, note, document)
 
 
 def encode_revision(revision: Revision) -> bytes:
-    """Encode and compress a revision."""
+    """Encode a revision with MessagePack and compress it."""
     canonical = canonical_bytes(revision.document)
     envelope = Envelope(*revision[:-1], canonical)
     return zstandard.compress(msgspec.msgpack.encode(envelope), COMPRESSION_LEVEL)
 
 
 def decode_revision(data: bytes) -> Result[Revision, Problem]:
-    """Decode a revision and verify its digest."""
+    """Decode a revision, limited in size, and verify its digest."""
     try:
         packed = zstandard.ZstdDecompressor().decompress(
             data, max_output_size=MAX_ENVELOPE_BYTES, allow_extra_data=False
         )
         if len(packed) > MAX_ENVELOPE_BYTES:
-            return Failure(malformed_revision("too large"))
+            return Failure(
+                malformed_revision(f"larger than {MAX_ENVELOPE_BYTES} bytes")
+            )
         envelope = msgspec.msgpack.decode(packed, type=Envelope)
     except (zstandard.ZstdError, msgspec.MsgspecError) as error:
         return Failure(malformed_revision(str(error)))
@@ -111,7 +113,7 @@
 
 
 def revision_from_envelope(envelope: Envelope) -> Result[Revision, Problem]:
-    """Make a revision from its stored form and verify the digest."""
+    """Verify the digest of an envelope and parse its document."""
     if digest_of(envelope.canonical) != envelope.digest:
         return Failure(malformed_revision("the digest does not match"))
     return document_from(envelope.canonical).map(
@@ -120,5 +122,5 @@
 
 
 def malformed_revision(detail: str) -> Problem:
-    """The problem of a revision that can't be taken."""
+    """Return the problem of a revision that can't be decoded."""
     return Problem(ErrorKind.INVALID_DOCUMENT, f"malformed revision: {detail}")
--- a/tests/environment/fake_store.py
+++ b/tests/environment/fake_store.py
@@ -1,4 +1,4 @@
-"""A key-value service in memory, with faults, for tests without sockets."""
+"""In-memory key-value store with fault injection, for tests without sockets."""
 
 from __future__ import annotations
 
@@ -24,11 +24,12 @@
 
 
 class FakeStore:
-    """Implements ``Store``; each call takes ``CALL_S`` of the clock.
+    """Implements ``Store``; each call takes ``CALL_S`` on the clock.
 
-    ``down`` refuses every call. ``lose_replies`` writes take effect without a reply.
-    ``before_write`` runs once before the next write, as a racing operator.
-    ``frozen`` answers reads from an older state.
+    While ``down`` is set, all calls fail. The replies to the next ``lose_replies``
+    writes of a head key are lost. ``before_write`` is called once before the next write
+    of a head key, to simulate a concurrent writer. If ``frozen`` is set, reads return
+    this older state.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -41,16 +42,16 @@
         self.calls: list[str] = []
 
     def freeze(self) -> None:
-        """Answer reads from what is held now, whatever is written."""
+        """Answer all further reads from the current state."""
         self.frozen = dict(self.state.held)
 
     def held(self, key: str) -> Entry | None:
-        """What a read sees."""
+        """Return the entry that a read returns."""
         held = (self.state.held if self.frozen is None else self.frozen).get(key)
         return Entry(*held) if held else None
 
     def pause(self) -> Deferred[None]:
-        """Let the time of a call pass."""
+        """Wait for the duration of a call."""
         waited: Deferred[None] = Deferred()
         self.clock.callLater(CALL_S, waited.callback, None)
         return waited
--- a/tests/environment/test_node_status.py
+++ b/tests/environment/test_node_status.py
@@ -1,4 +1,4 @@
-"""Tests of what is told about the nodes."""
+"""Tests of comparing the revisions that nodes report."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 VM = Vm("entry-1", "szolnok-b", "127.0.0.1:1", 1, VmState.LIVE)
 
 
-def told(environment: str, number: int, digest: str) -> bytes:
-    """The body of a node's status."""
+def status_body(environment: str, number: int, digest: str) -> bytes:
+    """Return the body of a node's status response."""
     return (
         f'{{"environment":"{environment}","revision":{number},"digest":"{digest}",'
         '"node":"entry-1","ready":true}'
@@ -35,24 +35,24 @@
             ("production", 5, ACCEPTED.digest, NodeState.OTHER_ENVIRONMENT),
         ],
     )
-    def test_answer_is_compared(
+    def test_reported_revision_is_compared(
         self, environment: str, number: int, digest: str, state: NodeState
     ) -> None:
-        answer = Success(HttpReply(200, told(environment, number, digest)))
-        found = node_status(VM, ACCEPTED, answer)
+        reply = Success(HttpReply(200, status_body(environment, number, digest)))
+        found = node_status(VM, ACCEPTED, reply)
         assert (found.state, found.revision) == (state, number)
 
     @pytest.mark.parametrize(
-        "answer",
+        "reply",
         [
             Success(HttpReply(200, b"[]")),
             Success(HttpReply(503, b"")),
             Failure(StoreUnavailable("refused", may_have_taken_effect=False)),
         ],
     )
-    def test_no_answer_is_unreachable_with_a_reason(
-        self, answer: Success[HttpReply] | Failure[StoreUnavailable]
+    def test_invalid_or_missing_response_is_unreachable_with_detail(
+        self, reply: Success[HttpReply] | Failure[StoreUnavailable]
     ) -> None:
-        found = node_status(VM, ACCEPTED, answer)
+        found = node_status(VM, ACCEPTED, reply)
         assert found.state is NodeState.UNREACHABLE
         assert found.detail
--- a/tests/environment/test_registry.py
+++ b/tests/environment/test_registry.py
@@ -1,4 +1,4 @@
-"""Tests of racing operators, lost replies and promotion."""
+"""Tests of concurrent changes, lost replies and promotion."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 from sardinehook.environment.difference import differences
 from sardinehook.environment.document import DataCentre, Replica
 from sardinehook.environment.promotion import policy_digest, promote_policy, same_policy
-from sardinehook.environment.registry import READ_BACK_S, RevisionRegistry
+from sardinehook.environment.registry import READ_BACK_TIMEOUT_S, RevisionRegistry
 from sardinehook.environment.revision import encode_revision, head_key, make_revision
 from sardinehook.errors import ErrorKind
 from tests.environment.documents import document
@@ -36,7 +36,7 @@
 
 
 class Desk:
-    """An operator's registry over a fake store and clock."""
+    """The registry of one operator with a fake store and clock."""
 
     def __init__(self) -> None:
         self.clock = Clock()
@@ -46,7 +46,7 @@
     def run(
         self, coroutine: Coroutine[Deferred[object], object, Value], limit_s: float = 30
     ) -> Value:
-        """Run a coroutine to its end on the clock."""
+        """Run a coroutine to completion on the fake clock."""
         values: list[Value] = []
         done = Deferred.fromCoroutine(coroutine)
         done.addCallback(values.append)
@@ -56,17 +56,17 @@
         return values[0]
 
     def put(self, deadline_ms: float, edited_from: int, change_id: str) -> object:
-        """Put the document with a deadline."""
+        """Commit the document with the given deadline."""
         change = Change(document(deadline_ms), edited_from, change_id, "ilona", "")
         return self.run(self.registry.commit(change))
 
     def numbers(self) -> list[tuple[int, str]]:
-        """The history, oldest first."""
+        """Return the numbers and change ids of the history, oldest first."""
         found = self.run(self.registry.history("trial", 100)).unwrap()
         return [(past.number, past.change_id) for past in reversed(found)]
 
     def race(self, number: int, change_id: str, deadline_ms: float) -> None:
-        """Let another operator swap the head."""
+        """Replace the head as another operator."""
         key = head_key("trial")
         held = self.store.state.held.get(key)
         other = make_revision(number, change_id, "margit", "", document(deadline_ms))
@@ -75,14 +75,14 @@
 
 
 class TestCommit:
-    def test_changes_follow_each_other(self) -> None:
+    def test_successive_changes_are_accepted(self) -> None:
         desk = Desk()
         assert isinstance(desk.put(100, 0, "a"), Accepted)
         assert isinstance(desk.put(200, 1, "b"), Accepted)
         assert isinstance(desk.put(200, 1, "c"), Unchanged)
         assert desk.numbers() == [(1, "a"), (2, "b")]
 
-    def test_history_takes_one_call_for_each_revision(self) -> None:
+    def test_history_makes_one_call_per_revision(self) -> None:
         desk = Desk()
         for number in range(4):
             desk.put(100 + number, number, f"change-{number}")
@@ -90,7 +90,7 @@
         assert len(desk.numbers()) == 4
         assert len(desk.store.calls) - before == 4
 
-    def test_loser_of_a_race_is_told_who_won_and_what_differs(self) -> None:
+    def test_losing_change_reports_the_winner_and_the_differences(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.store.before_write = lambda: desk.race(2, "b", 300)
@@ -106,7 +106,7 @@
         assert "revision 2 by margit" in problem.detail
         assert desk.numbers() == [(1, "a"), (2, "b")]
 
-    def test_edited_from_an_older_revision_writes_nothing(self) -> None:
+    def test_change_based_on_an_older_revision_writes_nothing(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.put(200, 1, "b")
@@ -114,14 +114,14 @@
         assert isinstance(desk.put(300, 1, "c"), Lost)
         assert [c for c in desk.store.calls if c.startswith("put")] == writes
 
-    def test_store_down_writes_nothing(self) -> None:
+    def test_change_is_refused_while_the_store_is_down(self) -> None:
         desk = Desk()
         desk.store.down = True
         refused = desk.put(100, 0, "a")
         assert isinstance(refused, Refused)
         assert refused.problem.kind is ErrorKind.STORE_UNAVAILABLE
 
-    def test_decision_on_an_older_state_loses(self) -> None:
+    def test_change_planned_on_a_stale_read_loses(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.store.freeze()
@@ -130,7 +130,7 @@
 
 
 class TestLostReply:
-    def test_settled_by_reading_back(self) -> None:
+    def test_change_is_accepted_after_reading_back(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.store.lose_replies = 1
@@ -139,7 +139,7 @@
         assert len(heads) == 2
         assert desk.numbers() == [(1, "a"), (2, "b")]
 
-    def test_replaced_meanwhile_is_still_accepted(self) -> None:
+    def test_change_replaced_before_reading_back_is_accepted(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.store.lose_replies = 1
@@ -154,14 +154,14 @@
         assert isinstance(desk.run(settled(done)), Accepted)
         assert desk.numbers() == [(1, "a"), (2, "b"), (3, "c")]
 
-    def test_beaten_by_another_is_lost(self) -> None:
+    def test_change_that_lost_to_another_is_lost(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.store.lose_replies = 1
         desk.store.before_write = lambda: desk.race(2, "b", 300)
         assert isinstance(desk.put(200, 1, "c"), Lost)
 
-    def test_unseen_for_long_is_undecided_and_not_written_again(self) -> None:
+    def test_change_not_read_back_in_time_is_undecided_and_not_retried(self) -> None:
         desk = Desk()
         desk.put(100, 0, "a")
         desk.store.freeze()
@@ -169,7 +169,7 @@
         began = desk.clock.seconds()
         undecided = desk.put(200, 1, "b")
         assert isinstance(undecided, Undecided)
-        assert desk.clock.seconds() - began >= READ_BACK_S
+        assert desk.clock.seconds() - began >= READ_BACK_TIMEOUT_S
         heads = [c for c in desk.store.calls if c == "put environments/trial/head"]
         assert len(heads) == 2
         problem = problem_of(undecided)
@@ -178,7 +178,7 @@
 
 
 async def settled(done: Deferred[Value]) -> Value:
-    """Wait for a coroutine that runs already."""
+    """Wait for a coroutine that is already running."""
     return await done
 
 
@@ -215,7 +215,7 @@
 
 
 class TestPromotion:
-    def test_policy_is_as_tested_and_places_stay(self) -> None:
+    def test_policy_is_copied_and_placement_is_kept(self) -> None:
         tested = document(140)
         production = document(150)._replace(
             environment="production", data_centres={"szolnok-b": DataCentre("alfold")}
@@ -233,7 +233,7 @@
             "workloads.storm-night.deadline_ms"
         ]
 
-    def test_service_without_a_place_is_refused(self) -> None:
+    def test_service_without_replicas_in_the_target_is_refused(self) -> None:
         tested = document()
         index = tested.indexes["logfinder"]
         replica = Replica("logfinder-02-a", "szolnok-b", "127.0.0.1:9")
--- a/tests/environment/test_revision.py
+++ b/tests/environment/test_revision.py
@@ -20,19 +20,19 @@
 
 
 class TestCanonicalForm:
-    def test_reads_back(self) -> None:
+    def test_round_trip(self) -> None:
         assert document_from(canonical_bytes(document())) == Success(document())
 
-    def test_defaults_and_order_change_nothing(self) -> None:
-        said = document()._replace(limits=Limits())
-        turned = said._replace(
-            data_centres=dict(reversed(list(said.data_centres.items())))
+    def test_defaults_and_key_order_do_not_matter(self) -> None:
+        explicit = document()._replace(limits=Limits())
+        reordered = explicit._replace(
+            data_centres=dict(reversed(list(explicit.data_centres.items())))
         )
-        assert canonical_bytes(turned) == canonical_bytes(document())
+        assert canonical_bytes(reordered) == canonical_bytes(document())
 
 
 class TestEncoding:
-    def test_reads_back(self) -> None:
+    def test_round_trip(self) -> None:
         assert decode_revision(encode_revision(revision(3))) == Success(revision(3))
 
     def test_digest_is_verified(self) -> None:
@@ -58,7 +58,7 @@
 
 
 class TestHolder:
-    def test_never_reverts(self) -> None:
+    def test_revision_number_never_decreases(self) -> None:
         holder = DocumentHolder("trial")
         seen: list[Revision] = []
         holder.add_listener(seen.append)
@@ -75,7 +75,7 @@
             revision(1)._replace(document=document()._replace(environment="other")),
         ],
     )
-    def test_foreign_or_damaged_is_refused(self, bad: Revision) -> None:
+    def test_other_environment_or_wrong_digest_is_refused(self, bad: Revision) -> None:
         holder = DocumentHolder("trial")
         assert not holder.offer(bad)
         assert holder.in_force is None
