Reword the revision protocol, the store watch and the updater

A reader had to guess what hear, take, early, settle and read anew mean. Protocol state, timeouts, backoff and their tests are named in the usual terms: deltas and base revisions, outstanding request, startup revision, full read, consecutive failures.

--- a/sardinehook/environment/store_watch.py
+++ b/sardinehook/environment/store_watch.py
@@ -1,4 +1,4 @@
-"""Watches the head of an environment in the platform's service."""
+"""Watches the head key of an environment in the platform's key-value store."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 from sardinehook.store.port import Entry, Store, StoreFailure
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["StoreCounts", "StoreWatch"]
+__all__ = ["StoreWatch", "StoreWatchCounters"]
 
 logger = structlog.get_logger(__name__)
 
@@ -28,8 +28,8 @@
 MAX_BACKOFF_S = 8.0
 
 
-class StoreCounts:
-    """Calls on the service and what came of them."""
+class StoreWatchCounters:
+    """Counters of store calls, failures, bytes received and refused revisions."""
 
     def __init__(self) -> None:
         self.calls = 0
@@ -39,11 +39,11 @@
 
 
 class StoreWatch:
-    """Keeps one watch waiting while it is started.
+    """Long-polls the head key while started, with one watch call at a time.
 
-    A watch waits a few seconds only, since a connection may be silent for good. After
-    a failure the next one comes after a random wait that grows with each failure, and
-    reads anew whatever the revision.
+    A call waits for about ``WATCH_TIMEOUT_MS`` only, since a dead connection may stay
+    silent forever. After a failure the next call is delayed by exponential backoff with
+    jitter, and reads the key regardless of its revision.
     """
 
     def __init__(
@@ -59,54 +59,54 @@
         self.key = head_key(environment)
         self.offer = offer
         self.rng = rng
-        self.counts = StoreCounts()
-        self.failures_in_a_row = 0
-        self.after = 0
-        self.read_anew_at = 0.0
+        self.counts = StoreWatchCounters()
+        self.consecutive_failures = 0
+        self.after_revision = 0
+        self.full_read_at = 0.0
         self.running: Deferred[None] | None = None
-        self.stops = 0
+        self.stop_count = 0
 
     def start(self, delay_s: float = 0.0) -> None:
-        """Start to watch after a delay, unless started."""
+        """Start watching after a delay; does nothing if already started."""
         if self.running is None:
             self.running = Deferred.fromCoroutine(self.run(delay_s))
-            self.running.addErrback(self.ended)
+            self.running.addErrback(self.on_end)
 
     def stop(self) -> None:
-        """Stop watching."""
-        self.stops += 1
+        """Stop watching and cancel the call in progress."""
+        self.stop_count += 1
         running, self.running = self.running, None
         if running is not None:
             running.cancel()
 
     async def run(self, delay_s: float) -> None:
-        """Watch until stopped."""
-        stops = self.stops
-        await self.pause(delay_s)
-        self.after = 0
-        while stops == self.stops:
+        """Watch in a loop until stopped."""
+        stop_count = self.stop_count
+        await self.sleep(delay_s)
+        self.after_revision = 0
+        while stop_count == self.stop_count:
             await self.watch_once()
 
     async def watch_once(self) -> None:
-        """Make one watch and take its answer."""
+        """Make one watch call and process its result."""
         now = self.reactor.seconds()
-        if now >= self.read_anew_at:
-            self.after = 0
-            self.read_anew_at = now + FULL_READ_INTERVAL_S * self.rng.uniform(0.8, 1.2)
+        if now >= self.full_read_at:
+            self.after_revision = 0
+            self.full_read_at = now + FULL_READ_INTERVAL_S * self.rng.uniform(0.8, 1.2)
         self.counts.calls += 1
         wait_ms = WATCH_TIMEOUT_MS * self.rng.uniform(0.8, 1.2)
-        match await self.store.watch(self.key, self.after, wait_ms):
+        match await self.store.watch(self.key, self.after_revision, wait_ms):
             case Success(Entry() as entry):
-                self.recover()
-                self.take(entry)
+                self.record_success()
+                self.offer_entry(entry)
             case Success(None):
-                self.recover()
+                self.record_success()
             case Failure(failure):
                 await self.back_off(failure)
 
-    def take(self, entry: Entry) -> None:
-        """Offer the revision of an entry; an older one does no harm."""
-        self.after = entry.revision
+    def offer_entry(self, entry: Entry) -> None:
+        """Offer the revision of an entry; the holder ignores outdated ones."""
+        self.after_revision = entry.revision
         self.counts.bytes_in += len(entry.value)
         match decode_revision(entry.value):
             case Success(revision):
@@ -121,28 +121,31 @@
                     detail=problem.detail,
                 )
 
-    def recover(self) -> None:
-        """Note that the service answers."""
-        if self.failures_in_a_row:
-            failures, self.failures_in_a_row = self.failures_in_a_row, 0
+    def record_success(self) -> None:
+        """Reset the backoff; log recovery if the previous call failed."""
+        if self.consecutive_failures:
+            failures, self.consecutive_failures = self.consecutive_failures, 0
             log_event(logger, EventName.STORE_UP, key=self.key, count=failures)
 
     async def back_off(self, failure: StoreFailure) -> None:
-        """Wait after a failure, longer after each and never all nodes alike."""
+        """Wait after a failure, with exponential backoff.
+
+        The jitter keeps the nodes from retrying at the same time.
+        """
         self.counts.failures += 1
-        self.failures_in_a_row += 1
-        self.after = 0
-        if self.failures_in_a_row == 1:
+        self.consecutive_failures += 1
+        self.after_revision = 0
+        if self.consecutive_failures == 1:
             log_event(logger, EventName.STORE_DOWN, key=self.key, detail=str(failure))
-        ceiling = INITIAL_BACKOFF_S * 2.0 ** min(self.failures_in_a_row, 16)
-        await self.pause(self.rng.uniform(0.1, 1.0) * min(MAX_BACKOFF_S, ceiling))
+        ceiling = INITIAL_BACKOFF_S * 2.0 ** min(self.consecutive_failures, 16)
+        await self.sleep(self.rng.uniform(0.1, 1.0) * min(MAX_BACKOFF_S, ceiling))
 
-    async def pause(self, delay_s: float) -> None:
-        """Wait."""
+    async def sleep(self, delay_s: float) -> None:
+        """Wait for ``delay_s`` on the reactor's clock."""
         await deferLater(cast(IReactorTime, self.reactor), delay_s)
 
-    def ended(self, failure: TwistedFailure) -> None:
-        """Take a cancellation; log any other end, after which a start is possible."""
+    def on_end(self, failure: TwistedFailure) -> None:
+        """Ignore a cancellation; log any other failure and allow a restart."""
         if isinstance(failure.value, CancelledError):
             return
         self.running = None
--- a/sardinehook/environment/updater.py
+++ b/sardinehook/environment/updater.py
@@ -1,4 +1,4 @@
-"""Keeps the document in force up to date from peers and the platform's service."""
+"""Keeps the document in force up to date from peers and the key-value store."""
 
 from __future__ import annotations
 
@@ -28,13 +28,13 @@
 
 logger = structlog.get_logger(__name__)
 
-ISOLATED_S = 9.0
-START_READ_S = 0.5
+ISOLATION_TIMEOUT_S = 9.0
+START_READ_DELAY_S = 0.5
 START_READS_PER_S = 200.0
 
 
 def register_messages() -> None:
-    """Give the messages about revisions their numbers on the wire."""
+    """Register the message numbers of the revision protocol."""
     register_message(40, RevisionAnnounce)
     register_message(41, RevisionRequest)
     register_message(42, RevisionDelta)
@@ -44,11 +44,11 @@
 
 
 class DocumentUpdater:
-    """Runs the spread of revisions in one process.
+    """Runs the revision protocol and the store watch of one process.
 
-    ``send`` gives a message to a peer and may lose it; ``peers`` names those that
-    are thought alive. The store is watched by the few nodes that are told to, and by
-    one that has no document or hears no peer.
+    ``send`` sends a message to a peer without a delivery guarantee; ``peers`` returns
+    the peers considered alive. Only the few nodes assigned by ``set_watching`` watch
+    the store, and nodes that have no document or are isolated from their peers.
     """
 
     def __init__(
@@ -69,69 +69,70 @@
         self.watch = StoreWatch(
             reactor, store, holder.environment, self.offer_from_store, rng
         )
-        self.told_to_watch = False
+        self.assigned_to_watch = False
         self.timer: Timer | None = None
         self.retry_timer: Timer | None = None
-        self.read_from = 0.0
+        self.first_read_at = 0.0
 
     def start(self, expected: Sequence[str] = ()) -> None:
-        """Ask the peers, and the store if they don't know a document.
+        """Query the peers, and the store if no peer has a document.
 
-        ``expected`` names peers that may not be connected yet, but whose answers
-        are awaited for a little while.
+        ``expected`` names peers that may not be connected yet; their answers are
+        awaited as well. The first store read is delayed at random, so that a fleet that
+        restarts at once makes about ``START_READS_PER_S`` reads per second.
         """
         now = self.reactor.seconds()
         peers = sorted({*self.peers(), *expected})
-        self.spread.heard_at = now
+        self.spread.last_message_at = now
         spread_s = self.rng.random() * len(peers) / START_READS_PER_S
-        self.read_from = now + (START_READ_S + spread_s if peers else 0.0)
+        self.first_read_at = now + (START_READ_DELAY_S + spread_s if peers else 0.0)
         self.send_all(self.spread.start(peers, now))
-        self.arm()
-        self.settle_watch()
+        self.schedule_tick()
+        self.update_watch()
 
     def stop(self) -> None:
-        """Stop watching and sending."""
+        """Cancel the timers and stop the store watch."""
         for timer in (self.timer, self.retry_timer):
             if timer is not None and timer.active():
                 timer.cancel()
         self.timer = self.retry_timer = None
         self.watch.stop()
 
-    def set_watching(self, told: bool) -> None:
-        """Tell whether this node is one of those that watch the store."""
-        self.told_to_watch = told
+    def set_watching(self, assigned: bool) -> None:
+        """Set whether this node is assigned to watch the store."""
+        self.assigned_to_watch = assigned
         if self.timer is not None:
-            self.settle_watch()
+            self.update_watch()
 
     def on_message(self, peer: str, message: Message) -> None:
-        """Take a message of a peer."""
+        """Process a message from a peer."""
         now = self.reactor.seconds()
         before = self.holder.number
         self.send_all(self.spread.receive(peer, message, self.peers(), now))
-        self.arm_retry(now)
-        self.log_change(before, peer)
+        self.schedule_retry(now)
+        self.log_revision(before, peer)
 
     def offer_from_store(self, revision: Revision) -> None:
-        """Take a revision that the store answered."""
+        """Offer a revision read from the store."""
         before = self.holder.number
         now = self.reactor.seconds()
         self.send_all(self.spread.offer(revision, self.peers(), now))
-        self.log_change(before, "store")
+        self.log_revision(before, "store")
 
     def tick(self) -> None:
-        """Do what is due from time to time."""
+        """Run the periodic work of the protocol and schedule the next tick."""
         before = self.holder.number
         self.send_all(self.spread.tick(self.peers(), self.reactor.seconds()))
-        self.log_change(before, "start")
-        self.settle_watch()
-        self.arm()
+        self.log_revision(before, "start")
+        self.update_watch()
+        self.schedule_tick()
 
-    def arm(self) -> None:
-        """Set the timer of the next tick."""
+    def schedule_tick(self) -> None:
+        """Schedule the next tick."""
         self.timer = self.reactor.callLater(self.spread.next_tick_s(), self.tick)
 
-    def arm_retry(self, now: float) -> None:
-        """Set the timer after which a request without an answer is sent again."""
+    def schedule_retry(self, now: float) -> None:
+        """Schedule the retry of the outstanding request at its timeout."""
         running = self.retry_timer is not None and self.retry_timer.active()
         if self.spread.pending is None or self.timer is None or running:
             return
@@ -139,35 +140,35 @@
         self.retry_timer = self.reactor.callLater(delay_s, self.retry)
 
     def retry(self) -> None:
-        """Ask again if the answer is overdue."""
+        """Retry the outstanding request if it has timed out."""
         now = self.reactor.seconds()
         self.send_all(self.spread.request_newest(self.peers(), now))
-        self.arm_retry(now)
+        self.schedule_retry(now)
 
-    def settle_watch(self) -> None:
-        """Start or stop the watch of the store as wanted."""
-        if self.wants_watch(self.reactor.seconds()):
+    def update_watch(self) -> None:
+        """Start or stop the store watch as needed."""
+        if self.needs_watch(self.reactor.seconds()):
             self.watch.start()
         else:
             self.watch.stop()
 
-    def wants_watch(self, now: float) -> bool:
-        """Whether this node has to look at the store itself."""
-        if self.told_to_watch:
+    def needs_watch(self, now: float) -> bool:
+        """Return whether this node has to watch the store itself."""
+        if self.assigned_to_watch:
             return True
         if self.holder.in_force is None:
-            return now >= self.read_from
+            return now >= self.first_read_at
         if not self.peers():
             return True
-        return now - self.spread.heard_at > ISOLATED_S
+        return now - self.spread.last_message_at > ISOLATION_TIMEOUT_S
 
     def send_all(self, sends: Sequence[Send]) -> None:
-        """Send messages."""
+        """Send all messages to their peers."""
         for send in sends:
             self.send(send.peer, send.message)
 
-    def log_change(self, before: int, source: str) -> None:
-        """Log where a revision came from that is in force now."""
+    def log_revision(self, before: int, source: str) -> None:
+        """Log the source of the revision in force if its number has changed."""
         revision = self.holder.in_force
         if revision is None or revision.number == before:
             return
--- a/tests/environment/test_spread.py
+++ b/tests/environment/test_spread.py
@@ -1,4 +1,4 @@
-"""Tests of the spread of revisions between peers that lose and reorder messages."""
+"""Tests of the revision protocol over a network that loses and reorders messages."""
 
 from __future__ import annotations
 
@@ -12,9 +12,9 @@
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision
 from sardinehook.environment.spread import (
-    KEPT_REVISIONS,
+    MAX_BASE_REVISIONS,
     REQUEST_TRIES,
-    START_SETTLE_S,
+    START_TIMEOUT_S,
     RevisionAnnounce,
     RevisionDelta,
     RevisionRequest,
@@ -28,7 +28,7 @@
 
 
 def node(*held: int) -> Spread:
-    """A node that took revisions one after another."""
+    """Create a node that has put the given revisions in force, in this order."""
     spread = Spread(DocumentHolder("trial"), random.Random(1))
     for number in held:
         spread.offer(revision(number), [], 0.0)
@@ -36,7 +36,7 @@
 
 
 def talk(one: Spread, other: Spread, sends: Sequence[Send], now: float = 0.0) -> int:
-    """Let two nodes exchange all messages; returns their number."""
+    """Deliver all messages between two nodes; return their number."""
     queue = [(other, "one", send.message) for send in sends]
     count = 0
     while queue:
@@ -50,44 +50,44 @@
 
 
 class TestExchange:
-    def test_one_behind_asks_and_gets_a_difference(self) -> None:
+    def test_node_behind_requests_and_receives_a_delta(self) -> None:
         ahead, behind = node(1, 2), node(1)
         talk(ahead, behind, [ahead.announce_to("other")])
         assert behind.holder.in_force == revision(2)
         assert ahead.counts.deltas == 1
         assert ahead.counts.delta_bytes < 100
 
-    def test_one_behind_that_announces_learns_too(self) -> None:
+    def test_announcement_from_a_node_behind_is_answered(self) -> None:
         ahead, behind = node(1, 2), node(1)
         talk(behind, ahead, [behind.announce_to("other")])
         assert behind.holder.in_force == revision(2)
 
-    def test_equal_nodes_fall_silent(self) -> None:
+    def test_equal_nodes_send_no_replies(self) -> None:
         assert talk(node(3), node(3), [Send("x", RevisionAnnounce(3, "0"))]) == 1
 
-    def test_too_old_a_base_gets_the_whole(self) -> None:
-        ahead, behind = node(*range(1, KEPT_REVISIONS + 5)), node(1)
+    def test_node_with_an_evicted_base_receives_a_full_copy(self) -> None:
+        ahead, behind = node(*range(1, MAX_BASE_REVISIONS + 5)), node(1)
         talk(ahead, behind, [ahead.announce_to("other")])
         assert behind.holder.in_force == ahead.holder.in_force
 
-    def test_other_document_under_one_number_is_counted(self) -> None:
+    def test_different_document_with_the_same_number_is_counted(self) -> None:
         spread = node(3)
         spread.receive("x", RevisionAnnounce(3, "other"), [], 0.0)
-        assert spread.counts.split == 1
+        assert spread.counts.conflicts == 1
 
 
 class TestBadPeers:
-    def test_old_peer_reverts_nothing(self) -> None:
+    def test_outdated_peer_reverts_nothing(self) -> None:
         spread = node(5)
         old = node(4)
-        sent = old.answer("x", 0, "")[0].message
+        sent = old.answer_request("x", 0, "")[0].message
         assert spread.receive("old", sent, [], 0.0) == []
         assert spread.receive("old", RevisionAnnounce(4, ""), [], 0.0) == [
             spread.announce_to("old")
         ]
         assert spread.holder.number == 5
 
-    def test_garbled_difference_is_asked_whole_once(self) -> None:
+    def test_full_copy_is_requested_once_after_a_malformed_delta(self) -> None:
         spread = node(1)
         bad = RevisionDelta(2, "0" * 64, "c", "a", "", 1, b"garbage")
         asked = spread.receive("x", RevisionAnnounce(2, ""), [], 0.0)
@@ -98,44 +98,44 @@
         assert spread.receive("x", bad, [], 0.0) == []
         assert spread.counts.refused == 3
 
-    def test_boast_without_a_revision_is_forgotten(self) -> None:
+    def test_peer_that_announces_but_never_delivers_is_forgotten(self) -> None:
         spread = node(1)
         spread.receive("x", RevisionAnnounce(10**9, ""), [], 0.0)
         for second in range(1, 10):
             spread.tick([], float(second))
         assert spread.counts.requests == REQUEST_TRIES
-        assert spread.newer == {}
+        assert spread.peers_ahead == {}
 
-    def test_silent_peer_is_replaced(self) -> None:
+    def test_timed_out_request_is_sent_to_another_peer(self) -> None:
         spread = node(1)
         first = spread.receive("x", RevisionAnnounce(2, ""), [], 0.0)[0].peer
         spread.receive("y", RevisionAnnounce(2, ""), [], 0.1)
         second = [s.peer for s in spread.tick([], 2.0)]
         assert (first, second) == ("x", ["y"])
 
-    def test_other_environment_is_not_asked_for_ever(self) -> None:
+    def test_peer_of_another_environment_is_forgotten(self) -> None:
         spread = Spread(DocumentHolder("production"), random.Random(1))
         other = node(1, 2)
         talk(spread, other, [spread.announce_to("other")])
         assert spread.holder.in_force is None
-        assert spread.newer == {}
+        assert spread.peers_ahead == {}
 
 
 class TestStart:
-    def test_highest_answer_is_taken_once_all_have_answered(self) -> None:
+    def test_highest_number_is_requested_once_all_have_answered(self) -> None:
         spread = node()
         assert len(spread.start(["x", "y"], 0.0)) == 2
         assert spread.receive("x", RevisionAnnounce(4, ""), [], 0.1) == []
         asked = spread.receive("y", RevisionAnnounce(7, ""), [], 0.2)
         assert asked == [Send("y", RevisionRequest(0, ""))]
 
-    def test_silent_peers_are_not_awaited_for_long(self) -> None:
+    def test_startup_wait_for_silent_peers_times_out(self) -> None:
         spread = node()
         spread.start(["x", "y"], 0.0)
         assert spread.receive("x", RevisionAnnounce(4, ""), [], 0.1) == []
-        assert spread.tick([], START_SETTLE_S) == [Send("x", RevisionRequest(0, ""))]
+        assert spread.tick([], START_TIMEOUT_S) == [Send("x", RevisionRequest(0, ""))]
 
-    def test_older_answer_of_the_store_waits_for_the_peers(self) -> None:
+    def test_outdated_store_read_is_held_until_the_peers_answer(self) -> None:
         spread, peer = node(), node(7)
         spread.start(["one"], 0.0)
         assert spread.offer(revision(6), [], 0.1) == []
@@ -143,11 +143,11 @@
         talk(peer, spread, [peer.announce_to("other")], 0.2)
         assert spread.holder.in_force == revision(7)
 
-    def test_store_is_taken_if_no_peer_knows_more(self) -> None:
+    def test_store_read_is_used_if_no_peer_is_ahead(self) -> None:
         spread = node()
         spread.start(["x"], 0.0)
         spread.offer(revision(6), [], 0.1)
-        spread.tick([], START_SETTLE_S)
+        spread.tick([], START_TIMEOUT_S)
         assert spread.holder.in_force == revision(6)
 
 
