--- a/sardinehook/fleet/share.py
+++ b/sardinehook/fleet/node_allowance.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.lease import NodeLease
-from sardinehook.fleet.ownership import NOTHING, Role, allowance, marginal_part
+from sardinehook.fleet.ownership import NOTHING, Role, allowance, leased_part
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.target.allowance import Allowance
 
-__all__ = ["share_of"]
+__all__ = ["node_allowance"]
 
 
-def share_of(
-    holding: Holding,
+def node_allowance(
+    ownership: OwnershipState,
     lease: NodeLease,
     replica: str,
     slots: int,
@@ -24,13 +24,13 @@
     owner has both, a deputy the marginal part alone. An owner that must still wait
     for an earlier one counts as a deputy. ``now`` is monotonic seconds.
     """
-    if not holding.member:
+    if not ownership.is_member:
         return NOTHING
-    roster = holding.roster
-    usable = holding.usable(replica)
-    leased = lease.holds_marginal(
-        holding.name, replica, roster.names, now, roster.epoch
+    roster = ownership.roster
+    usable = ownership.usable(replica)
+    has_lease = lease.holds_leased_part(
+        ownership.name, replica, roster.names, now, roster.epoch
     )
     if usable:
-        return allowance(Role.OWNER, leased, slots, connections)
-    return marginal_part(slots, connections) if leased else NOTHING
+        return allowance(Role.OWNER, has_lease, slots, connections)
+    return leased_part(slots, connections) if has_lease else NOTHING
--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -1,4 +1,4 @@
-"""The configuration that operators write: routes, services and caller limits."""
+"""Configuration written by operators: routes, services and caller limits."""
 
 from __future__ import annotations
 
@@ -10,51 +10,51 @@
     "CallerLimits",
     "Configuration",
     "Destination",
-    "OneReplica",
     "Route",
     "Service",
     "ShardSet",
+    "TrafficSplit",
     "WeightedService",
     "index_routes",
 ]
 
 
 class WeightedService(NamedTuple):
-    """A service with its share of a route's requests."""
+    """A service and the weight of its share of a route's requests."""
 
     service: str
     weight: float
 
 
 @dataclass(frozen=True, slots=True)
-class OneReplica:
-    """Each request goes to one replica of one service, chosen by weight."""
+class TrafficSplit:
+    """Sends each request to one replica of one service, selected by weight."""
 
     services: tuple[WeightedService, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class ShardSet:
-    """Each request goes to one replica of every shard and the answers are merged.
+    """Sends each request to one replica of every shard and merges the answers.
 
-    ``most_records`` bounds the merged answer. An answer with less than the share
-    ``least_coverage`` of the shards is a failure.
+    ``max_records`` limits the merged answer. The request fails if less than the
+    fraction ``min_coverage`` of the shards answer.
     """
 
     shards: tuple[str, ...]
-    most_records: int
-    least_coverage: float
+    max_records: int
+    min_coverage: float
 
 
-Destination = OneReplica | ShardSet
+Destination = TrafficSplit | ShardSet
 
 
 class Route(NamedTuple):
-    """What is done with the requests of one host and path prefix.
+    """How the requests to one host and path prefix are handled.
 
-    ``idempotent`` requests may run more than once. ``most_attempts`` is how many
-    replicas (of each shard) may be sent one request. ``objective_s`` is the latency
-    that callers are promised, ``timeout_s`` the longest that they are kept waiting.
+    ``idempotent`` requests may run more than once. ``max_attempts`` is how many
+    replicas (of each shard) may get one request. ``objective_s`` is the latency
+    objective, ``timeout_s`` the time after which the caller gets an error.
     """
 
     name: str
@@ -64,26 +64,27 @@
     timeout_s: float
     objective_s: float
     priority: int
-    most_attempts: int
+    max_attempts: int
     destination: Destination
 
 
 class Service(NamedTuple):
-    """What is known of all replicas of a service.
+    """Properties that all replicas of a service share.
 
-    ``most_connections`` is the bound of one replica over all callers. A cold replica
-    bears ``cold_requests_per_s``; zero means that no rate is stated.
+    ``max_connections`` is the limit of one replica for all its callers together. A
+    replica in its cold start takes ``cold_requests_per_s``; zero means no limit is
+    stated.
     """
 
     name: str
     health_path: str
-    most_connections: int
+    max_connections: int
     cold_start_s: float
     cold_requests_per_s: float
 
 
 class CallerLimits(NamedTuple):
-    """What a caller may send, and how long it may take or stay idle."""
+    """Size limits of a caller's request, and timeouts of its connection."""
 
     header_bytes: int = 16384
     body_bytes: int = 262144
@@ -95,7 +96,7 @@
 class Configuration:
     """One version of the configuration. ``routes`` are by host, longest prefix first.
 
-    >>> to_one = OneReplica((WeightedService("desk", 1.0),))
+    >>> to_one = TrafficSplit((WeightedService("desk", 1.0),))
     >>> short = Route("a", "h", "/x/", True, 1.0, 0.5, 0, 2, to_one)
     >>> routes = index_routes([short, short._replace(name="b", prefix="/x/y/")])
     >>> configuration = Configuration(1, routes, {}, CallerLimits())
@@ -112,7 +113,7 @@
 
     @property
     def shard_services(self) -> frozenset[str]:
-        """The services that hold shards of a search."""
+        """The services that are shards of some route."""
         return frozenset(
             shard
             for routes in self.routes.values()
@@ -122,7 +123,7 @@
         )
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix that begins ``path``."""
+        """Return the route whose prefix is the longest one that ``path`` has."""
         for route in self.routes.get(host.lower(), ()):
             if path.startswith(route.prefix):
                 return route
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -15,8 +15,8 @@
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
+from sardinehook.gateway.interfaces import StoreSchema
 from sardinehook.gateway.peers import PeerCalls
-from sardinehook.gateway.ports import StoreDialect
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.readers import Reader, ReaderSelector
 from sardinehook.gateway.relay import ChangeRelay
@@ -55,7 +55,7 @@
         reactor: GatewayReactor,
         store: GatewayStore,
         peers: PeerCalls,
-        dialect: StoreDialect,
+        dialect: StoreSchema,
         directory: Directory,
         fleet: GatewayFleet,
         on_configuration: Callable[[Configuration], None],
@@ -361,7 +361,7 @@
         """Apply a discovery entry; a malformed one removes the replica."""
         now = self.reactor.seconds()
         if value is None:
-            self.directory.remove(replica_id, now)
+            self.directory.deregister(replica_id, now)
             return
         match self.dialect.read_replica(replica_id, value):
             case Success(entry):
@@ -374,7 +374,7 @@
                     state="invalid entry",
                     detail=str(detail),
                 )
-                self.directory.remove(replica_id, now)
+                self.directory.deregister(replica_id, now)
 
     def apply_evacuation(self, data_centre: str, value: bytes | None) -> None:
         """Mark a data centre as evacuated, or as back in service."""
--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -16,12 +16,12 @@
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import CallerLimits
-from sardinehook.gateway.ports import Header, HttpRequest, RequestTiming
+from sardinehook.gateway.interfaces import Header, HttpRequest, RequestTiming
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.round_trip import round_trip_s
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.transport.connection import set_socket_options
-from sardinehook.transport.outlet import Outlet
+from sardinehook.transport.socket_writer import SocketWriter
 
 __all__ = ["Cancellable", "HttpServer", "HttpServerConnection"]
 
@@ -95,7 +95,7 @@
         """Register the connection and set its socket options."""
         tcp: Any = self.transport
         self.tcp = tcp
-        self.outlet = Outlet(tcp)
+        self.writer = SocketWriter(tcp)
         set_socket_options(tcp)
         self.timeout_started_at = self.opened_at = self.server.now()
         self.server.connections.add(self)
@@ -176,7 +176,7 @@
     def send_continue(self) -> None:
         """Send ``100 Continue`` unless an earlier request is still unanswered."""
         if self.current is None and not self.queued and not self.refused:
-            self.outlet.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a piece of the body, or refuse a body over the size limit."""
@@ -246,7 +246,7 @@
             and not self.refused
         )
         keep = keep or bool(self.queued)
-        self.outlet.write(encode_answer(answer, request.method == b"HEAD", keep))
+        self.writer.write(encode_answer(answer, request.method == b"HEAD", keep))
         self.timeout_started_at = self.server.now()
         if not keep:
             self.close()
@@ -273,7 +273,7 @@
             caller=str(self.tcp.getPeer().host),
         )
         answer = CallerAnswer(status, (), b"", "bad_request")
-        self.outlet.write(encode_answer(answer, False, False))
+        self.writer.write(encode_answer(answer, False, False))
         self.close()
 
     def close(self) -> None:
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -1,4 +1,4 @@
-"""The connections of this gateway to one replica."""
+"""Connection pool of one HTTP server: a replica, a gateway or the store."""
 
 from __future__ import annotations
 
@@ -14,87 +14,97 @@
 
 __all__ = ["ConnectionPool", "Waiter"]
 
-CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds, so longer means unreachable
-FIRST_BACKOFF_S = 0.05  # wait after a first failed attempt
-LAST_BACKOFF_S = 1.0  # wait after many failed attempts
-IDLE_MARGIN_S = 0.3  # a connection is dropped this long before its peer closes it
+CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds; longer means unreachable
+INITIAL_BACKOFF_S = 0.05  # after the first failed attempt
+MAX_BACKOFF_S = 1.0  # after repeated failures
+IDLE_MARGIN_S = 0.3  # dropped this long before the server closes it
 
 Waiter = Callable[[ClientConnection | None], None]
 
 
 class ConnectionPool:
-    """Opens, lends and takes back connections, at most ``most`` of them.
+    """Opens and reuses at most ``max_connections`` connections.
 
-    A request that finds no idle connection waits for one that is being opened or
-    given back. ``on_heard`` is called when the peer accepts a connection.
+    A request that finds no idle connection waits until one is opened or released.
+    ``on_connected`` is called whenever the server accepts a connection.
     """
 
     def __init__(
         self,
         reactor: GatewayReactor,
         address: str,
-        most: int,
-        on_heard: Callable[[], None],
+        max_connections: int,
+        on_connected: Callable[[], None],
     ) -> None:
         host, _, port = address.rpartition(":")
         self.reactor = reactor
         self.host = host
         self.port = int(port)
-        self.most = most
-        self.on_heard = on_heard
+        self.max_connections = max_connections
+        self.on_connected = on_connected
         self.idle: list[ClientConnection] = []
         self.connections: set[ClientConnection] = set()
         self.connecting = 0
         self.waiters: deque[Waiter] = deque()
         self.backoff_s = 0.0
-        self.open_after = 0.0
+        self.retry_at = 0.0
         self.closed = False
-        self.opened_count = 0
+        self.established_count = 0
 
     @property
-    def held(self) -> int:
-        """How many connections are open or being opened."""
+    def connection_count(self) -> int:
+        """Number of connections that are open or being opened."""
         return len(self.connections) + self.connecting
 
     @property
-    def has_room(self) -> bool:
-        """Whether a request would not have to wait for another one to end."""
+    def has_capacity(self) -> bool:
+        """Whether a request can be sent without waiting for another one to end."""
         if self.idle:
             return True
-        return self.held < self.most and self.reactor.seconds() >= self.open_after
+        return (
+            self.connection_count < self.max_connections
+            and self.reactor.seconds() >= self.retry_at
+        )
 
     @property
     def is_failing(self) -> bool:
-        """Whether there is no connection and the last attempt to open one failed."""
+        """Whether no connection is open and the last attempt to open one failed."""
         return self.backoff_s > 0.0 and not self.connections
 
     def probe(self) -> None:
-        """Open one more connection, to find out whether the peer can be reached."""
-        if not self.closed and not self.connecting and self.held < self.most + 1:
+        """Open a connection to test reachability, one over the limit if needed."""
+        if (
+            not self.closed
+            and not self.connecting
+            and self.connection_count < self.max_connections + 1
+        ):
             self.open()
 
-    def request(self, waiter: Waiter) -> None:
-        """Give ``waiter`` a connection, ``None`` if none can be opened."""
-        connection = self.take_idle()
+    def acquire(self, waiter: Waiter) -> None:
+        """Call ``waiter`` with a connection, or with ``None`` if none can be opened.
+
+        The call happens now if a connection is idle, else when one is available.
+        """
+        connection = self.pop_idle()
         if connection is not None:
             waiter(connection)
             return
-        if self.closed or self.reactor.seconds() < self.open_after:
-            if not self.held:
+        if self.closed or self.reactor.seconds() < self.retry_at:
+            if not self.connection_count:
                 waiter(None)
                 return
         self.waiters.append(waiter)
         self.open_for_waiters()
 
-    def withdraw(self, waiter: Waiter) -> bool:
-        """Take a waiting request back; tell whether it was waiting."""
+    def cancel(self, waiter: Waiter) -> bool:
+        """Remove a waiting request; return whether it was waiting."""
         if waiter in self.waiters:
             self.waiters.remove(waiter)
             return True
         return False
 
-    def take_idle(self) -> ClientConnection | None:
-        """Return the idle connection that was used last, if any is still good."""
+    def pop_idle(self) -> ClientConnection | None:
+        """Return the most recently used idle connection that is still usable."""
         now = self.reactor.seconds()
         while self.idle:
             connection = self.idle.pop()
@@ -105,47 +115,53 @@
         return None
 
     def open_for_waiters(self) -> None:
-        """Open as many connections as are waited for and allowed."""
-        if self.closed or self.reactor.seconds() < self.open_after:
+        """Open a connection for each waiting request, within the limit.
+
+        After a failed attempt, at most one connection is opened at a time.
+        """
+        if self.closed or self.reactor.seconds() < self.retry_at:
             return
-        wanted = min(len(self.waiters) - self.connecting, self.most - self.held)
+        wanted = min(
+            len(self.waiters) - self.connecting,
+            self.max_connections - self.connection_count,
+        )
         if self.backoff_s:
             wanted = min(wanted, 1 - self.connecting)
         for _ in range(wanted):
             self.open()
 
     def open(self) -> None:
-        """Begin to open a connection."""
+        """Start to open a connection."""
         self.connecting += 1
         self.reactor.connectTCP(
             self.host, self.port, PoolFactory(self), CONNECT_TIMEOUT_S
         )
 
-    def opened(self, connection: ClientConnection) -> None:
-        """Take a connection that was established."""
+    def connection_established(self, connection: ClientConnection) -> None:
+        """Add an established connection."""
         self.connecting -= 1
-        self.opened_count += 1
+        self.established_count += 1
         self.backoff_s = 0.0
-        self.on_heard()
+        self.on_connected()
         self.connections.add(connection)
         if self.closed:
             connection.abort()
             return
         connection.idle_until = float("inf")
-        self.lend(connection)
+        self.assign(connection)
 
-    def lend(self, connection: ClientConnection) -> None:
-        """Give a free connection to the first that waits, or keep it."""
+    def assign(self, connection: ClientConnection) -> None:
+        """Give a free connection to the first waiting request, else keep it idle."""
         while self.waiters and connection.idle:
             self.waiters.popleft()(connection)
         if connection.idle:
             connection.idle_since = self.reactor.seconds()
             self.idle.append(connection)
 
-    def give_back(self, connection: ClientConnection, keep_alive_s: float) -> None:
-        """Take back a connection after its exchange.
+    def release(self, connection: ClientConnection, keep_alive_s: float) -> None:
+        """Return a connection to the pool after its exchange.
 
-        ``keep_alive_s`` is how long the peer keeps it when idle.
+        ``keep_alive_s`` is how long the server keeps an idle connection open.
         """
         if not connection.idle:
             return
@@ -154,34 +170,37 @@
             return
         kept_s = max(0.0, keep_alive_s - IDLE_MARGIN_S)
         connection.idle_until = self.reactor.seconds() + kept_s
-        self.lend(connection)
+        self.assign(connection)
+
+    def connection_failed(self, reason: Failure) -> None:
+        """Back off after a failed attempt.
 
-    def connect_failed(self, reason: Failure) -> None:
-        """Note a failed attempt; those that wait are told if nothing is left."""
+        Waiting requests fail if no other connection is open or being opened.
+        """
         self.connecting -= 1
-        self.backoff_s = min(max(self.backoff_s * 2, FIRST_BACKOFF_S), LAST_BACKOFF_S)
-        self.open_after = self.reactor.seconds() + self.backoff_s
-        if not self.held:
+        self.backoff_s = min(max(self.backoff_s * 2, INITIAL_BACKOFF_S), MAX_BACKOFF_S)
+        self.retry_at = self.reactor.seconds() + self.backoff_s
+        if not self.connection_count:
             self.fail_waiters()
 
     def fail_waiters(self) -> None:
-        """Tell all that wait that no connection can be had."""
+        """Call all waiting requests with ``None``."""
         waiters, self.waiters = self.waiters, deque()
         for waiter in waiters:
             waiter(None)
 
-    def lost(self, connection: ClientConnection) -> None:
-        """Forget a connection that has ended."""
+    def connection_lost(self, connection: ClientConnection) -> None:
+        """Remove a closed connection."""
         self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
         if self.waiters:
             self.open_for_waiters()
-            if not self.held:
+            if not self.connection_count:
                 self.fail_waiters()
 
     def close(self) -> None:
-        """Close what is idle and open nothing more; exchanges go on to their end."""
+        """Close idle connections and open no more; exchanges in flight continue."""
         self.closed = True
         idle, self.idle = self.idle, []
         for connection in idle:
@@ -190,7 +209,7 @@
 
 
 class PoolFactory(ClientFactory):
-    """Builds the connections of a pool and reports failures to it."""
+    """Builds the connections of a pool and reports failed attempts to it."""
 
     noisy = False
 
@@ -198,9 +217,11 @@
         self.pool = pool
 
     def buildProtocol(self, addr: IAddress | None) -> ClientConnection:
-        """Return the protocol of an established connection."""
-        return ClientConnection(self.pool.opened, self.pool.lost)
+        """Return the protocol for an established connection."""
+        return ClientConnection(
+            self.pool.connection_established, self.pool.connection_lost
+        )
 
     def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
-        """Report that no connection could be established."""
-        self.pool.connect_failed(reason)
+        """Report a failed connection attempt to the pool."""
+        self.pool.connection_failed(reason)
--- /dev/null
+++ b/sardinehook/gateway/replica_selection.py
@@ -0,0 +1,142 @@
+"""Selects the replica of a service that serves a request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from random import Random
+from typing import NamedTuple
+from zlib import crc32
+
+from sardinehook.gateway.configuration import Service
+from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.settings import Bounds
+
+__all__ = ["ReplicaSelector", "SelectedReplica"]
+
+CROSS_DATA_CENTRE_COST_S = 0.015  # round trip to another data centre, plus its cost
+BUSY_COST_RATIO = 0.5  # of the baseline latency, when all slots are in use
+STALLED_RATIO = 3.0  # of the baseline latency; later replies suggest a pause
+STALL_COST_S = 0.1  # mean remaining length of a pause
+FAILURE_COST_S = 0.4  # a failed exchange costs at least one retry
+COLD_COST_S = 0.02  # replies during a cold start take longer
+UNREACHABLE_COST_S = 1.0  # makes an unreachable replica a last resort
+DEREGISTERED_COST_S = 0.5  # makes a deregistered replica a last resort
+JITTER = 0.1  # keeps gateways from all selecting the same replica
+COLD_SAFETY_RATIO = 0.9  # of the cold rate; network delay bunches arrivals
+
+
+class SelectedReplica(NamedTuple):
+    """The selected replica and its expected reply time in seconds.
+
+    ``unloaded_s`` is the reply time expected if the replica had no other requests.
+    """
+
+    replica: Replica
+    unloaded_s: float
+    expected_s: float
+
+
+class ReplicaSelector:
+    """Selects the replica of a service with the lowest estimated cost.
+
+    The estimate is the baseline latency, times the slowdown of the replica, times the
+    requests queued per slot (least-loaded selection, as in M. Mitzenmacher, "The power
+    of two choices in randomized load balancing", 2001). Costs are added for another
+    data centre, recent failures, a cold start, and an overdue reply, which suggests
+    that the whole replica is paused.
+    """
+
+    def __init__(
+        self, directory: Directory, node: str, data_centre: str, seed: int
+    ) -> None:
+        self.directory = directory
+        self.node = node
+        self.data_centre = data_centre
+        self.random = Random(seed)
+        self.bounds = Bounds()
+        self.on_cold_denied: Callable[[], object] = int
+
+    def select(
+        self,
+        service: str,
+        baseline_s: float,
+        excluded: Collection[Replica],
+        time_left_s: float,
+        now: float,
+    ) -> SelectedReplica | None:
+        """Return the replica with the lowest cost, ``None`` if none is eligible.
+
+        Replicas in ``excluded`` are not eligible, nor are those whose expected reply
+        time exceeds ``time_left_s``: the request would expire in the queue and delay
+        the requests behind it.
+        """
+        best: SelectedReplica | None = None
+        best_cost = float("inf")
+        for replica in self.directory.replicas_of(service):
+            if replica in excluded or not self.cold_limit_allows(replica, now):
+                continue
+            unloaded_s = baseline_s * replica.current_slowdown(now)
+            expected_s = unloaded_s * replica.expected_service_times(now)
+            if expected_s > time_left_s:
+                continue
+            cost = expected_s + self.penalty_s(replica, baseline_s, now)
+            cost *= 1.0 + JITTER * self.random.random()
+            if cost < best_cost:
+                best, best_cost = SelectedReplica(replica, unloaded_s, expected_s), cost
+        return best
+
+    def penalty_s(self, replica: Replica, baseline_s: float, now: float) -> float:
+        """Return the cost added to the expected reply time for risks, in seconds."""
+        cost = (
+            baseline_s
+            * BUSY_COST_RATIO
+            * replica.estimated_requests(now)
+            / replica.entry.slots
+        )
+        if replica.entry.data_centre != self.data_centre:
+            cost += CROSS_DATA_CENTRE_COST_S
+        if replica.oldest_pending_s(now) > STALLED_RATIO * baseline_s:
+            cost += STALL_COST_S
+        if replica.is_cold(now):
+            cost += COLD_COST_S
+        if replica.deregistered_at is not None:
+            cost += DEREGISTERED_COST_S
+        if not replica.pool.has_capacity:
+            cost += baseline_s
+        reachability = self.directory.reachability
+        data_centre = replica.entry.data_centre
+        if replica.pool.is_failing or reachability.is_suspect(data_centre, now):
+            cost += UNREACHABLE_COST_S
+        return cost + FAILURE_COST_S * replica.current_failure_ratio(now)
+
+    def cold_limit_allows(self, replica: Replica, now: float) -> bool:
+        """Return whether the cold-start rate limit allows one more request."""
+        if not replica.is_cold(now):
+            return True
+        configuration = self.directory.configuration
+        service = configuration and configuration.services.get(replica.entry.service)
+        if not service or service.cold_requests_per_s <= 0.0:
+            return True
+        if replica.cold_requests(now) < self.cold_request_limit(replica, service):
+            return True
+        self.on_cold_denied()
+        return False
+
+    def cold_request_limit(self, replica: Replica, service: Service) -> int:
+        """Return how many requests per second this gateway may send a cold replica.
+
+        Where the limit is less than one request per gateway, it goes to those of the
+        gateways with equal shares whose hash for this replica is lowest.
+        """
+        bounds = self.bounds
+        bound = service.cold_requests_per_s * bounds.cold_factor + bounds.cold_slack
+        total = COLD_SAFETY_RATIO * bound
+        part = total / self.directory.share_divisor(service.name)
+        if part >= 1.0:
+            return int(part)
+        alike = self.directory.shares.equal_share_gateways
+        ranked = sorted(
+            alike, key=lambda name: crc32(f"{name} {replica.replica_id}".encode())
+        )
+        return int(self.node in ranked[: int(part * len(alike))])
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.answer import CallerAnswer
-from sardinehook.gateway.ports import CallerRequest
+from sardinehook.gateway.interfaces import CallerRequest
 
 __all__ = [
     "SEARCH_PATH",
@@ -71,9 +71,9 @@
         request.host,
         list(request.headers),
         request.body,
-        request.patience_s,
+        request.caller_timeout_s,
         now - request.received_at,
-        request.path_s + DELEGATION_ROUND_TRIP_S,
+        request.network_s + DELEGATION_ROUND_TRIP_S,
     )
     return msgspec.msgpack.encode(wire)
 
--- a/sardinehook/platform/callers.py
+++ b/sardinehook/platform/callers.py
@@ -7,7 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from sardinehook.gateway.ports import CallerRequest, Header, HttpRequest
+from sardinehook.gateway.interfaces import CallerRequest, Header, HttpRequest
 
 __all__ = ["PlatformCallers"]
 
@@ -81,7 +81,7 @@
                 request.body,
                 read_patience(deadlines),
                 request.received_at,
-                request.path_s,
+                request.network_s,
             )
         )
 
--- a/sardinehook/target/exchanges.py
+++ b/sardinehook/target/exchanges.py
@@ -1,4 +1,4 @@
-"""The exchanges with one target: sending, ends, cancellation and silence."""
+"""Request/reply exchanges with one target: sending, retry, probing, cancellation."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from sardinehook.messages import Outcome, TargetState
+from sardinehook.target.codec import TargetReply, encode_sub_query
 from sardinehook.target.connection import (
     ExchangeEnd,
     Lost,
@@ -16,16 +17,15 @@
     Replied,
     TargetConnection,
 )
-from sardinehook.target.dialect import TargetReply, encode_sub_query
-from sardinehook.target.evidence import Evidence
+from sardinehook.target.control import Cancellation, ControlExchanges
+from sardinehook.target.health import ReplicaHealth
 from sardinehook.target.occupancy import Occupancy
-from sardinehook.target.outcome import Verdict, judge
+from sardinehook.target.outcome import Result, classify_reply
 from sardinehook.target.pool import ConnectionPool
-from sardinehook.target.side import Cancellation, SideExchanges
-from sardinehook.target.silence import RetryBudget, silence_bound_s
-from sardinehook.target.work import Work
+from sardinehook.target.retry import RetryBudget, probe_delay_s
+from sardinehook.target.task import Task
 
-__all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "Running"]
+__all__ = ["ExchangeEvents", "ExchangeIds", "Exchanges", "RunningExchange"]
 
 CANCEL_CONFIRMED = 200
 CANCEL_UNKNOWN = 404
@@ -33,10 +33,10 @@
 
 
 class ExchangeIds:
-    """Ids that no other exchange of any owner has.
+    """Generates exchange ids that are unique across owners, by a random prefix.
 
     >>> ids = ExchangeIds("a1b2")
-    >>> ids.take(), ids.take()
+    >>> ids.new_id(), ids.new_id()
     (b'a1b2-1', b'a1b2-2')
     """
 
@@ -44,95 +44,97 @@
         self.prefix = prefix.encode()
         self.numbers = count(1)
 
-    def take(self) -> bytes:
+    def new_id(self) -> bytes:
         """Return a new id."""
         return b"%b-%d" % (self.prefix, next(self.numbers))
 
 
 class ExchangeEvents(NamedTuple):
-    """What becomes of sub-queries that were sent.
+    """Callbacks for sub-queries that were sent.
 
-    ``settled`` is called with the verdict on a sub-query, a detail and the target's
-    reply if there is one; ``again`` with one to be queued once more; ``changed``
-    when slots or connections may have become free.
+    ``completed`` is called with the task, its result, a detail and the target's reply
+    if there is one; ``requeue`` with a task to be queued for a retry, and
+    ``capacity_changed`` when slots or connections may have become free.
     """
 
-    settled: Callable[[Work, Verdict, str, TargetReply | None], None]
-    again: Callable[[Work], None]
-    changed: Callable[[], None]
+    completed: Callable[[Task, Result, str, TargetReply | None], None]
+    requeue: Callable[[Task], None]
+    capacity_changed: Callable[[], None]
 
 
 @dataclass(slots=True, eq=False)
-class Running:
+class RunningExchange:
     """One exchange with the target.
 
-    ``until`` is when the target has given up, ``check_at`` when the connection is
-    probed if no byte has come. ``probed`` is set once the target has been asked to
-    abandon the exchange so that it can be tried again, ``over`` once its work has
-    gone on without it.
+    After ``expires_at`` the target cannot be working on it any more. At ``probe_at``
+    the connection is probed if no byte was received. ``probed`` is set once the
+    target was asked to cancel the exchange so that its task can be retried,
+    ``abandoned`` once the task no longer depends on this exchange.
     """
 
-    work: Work
+    task: Task
     exchange_id: bytes
     connection: TargetConnection
-    full_use: bool
+    at_limit: bool
     sent_at: float
-    until: float
-    check_at: float
+    expires_at: float
+    probe_at: float
     probed: bool = False
-    over: bool = False
+    abandoned: bool = False
 
 
 class Exchanges:
-    """Sub-queries in flight at one target."""
+    """Sends sub-queries to one target and handles how their exchanges end."""
 
     def __init__(
         self,
         ids: ExchangeIds,
         host: bytes,
         occupancy_margin_s: float,
-        evidence: Evidence,
+        health: ReplicaHealth,
         pool: ConnectionPool,
         events: ExchangeEvents,
     ) -> None:
         self.ids = ids
         self.host = host
         self.occupancy_margin_s = occupancy_margin_s
-        self.evidence = evidence
-        self.ramp = evidence.ramp
+        self.health = health
+        self.ramp = health.ramp
         self.pool = pool
         self.reactor = pool.reactor
         self.events = events
-        self.side = SideExchanges(pool, host)
+        self.control = ControlExchanges(pool, host)
         self.budget = RetryBudget()
         self.occupancy = Occupancy()
-        self.running: dict[bytes, Running] = {}
+        self.running: dict[bytes, RunningExchange] = {}
 
     @property
     def in_flight(self) -> int:
-        """How many sub-queries may be running at the target."""
-        return len(self.occupancy.until)
+        """Upper bound on the number of sub-queries that run at the target."""
+        return len(self.occupancy.expires_at)
 
     @property
     def needs_sweep(self) -> bool:
-        """Whether any deadline has to be watched."""
-        return bool(self.running or self.occupancy.until or self.side.pending)
-
-    def send(self, work: Work, connection: TargetConnection, now: float) -> None:
-        """Send ``work`` to the target."""
-        left_s = work.deadline_at - now
-        exchange_id = self.ids.take()
-        until = work.deadline_at + self.occupancy_margin_s
-        self.occupancy.begin(exchange_id, until)
-        full_use = len(self.occupancy.until) >= self.ramp.bound
-        check_at = self.probe_time(work, connection, now, left_s)
-        running = Running(work, exchange_id, connection, full_use, now, until, check_at)
+        """Whether any deadline is pending."""
+        return bool(self.running or self.occupancy.expires_at or self.control.pending)
+
+    def send(self, task: Task, connection: TargetConnection, now: float) -> None:
+        """Send ``task`` over ``connection`` with the time left as its deadline."""
+        left_s = task.deadline_at - now
+        exchange_id = self.ids.new_id()
+        expires_at = task.deadline_at + self.occupancy_margin_s
+        self.occupancy.begin(exchange_id, expires_at)
+        at_limit = len(self.occupancy.expires_at) >= self.ramp.bound
+        probe_at = self.probe_time(task, connection, now, left_s)
+        running = RunningExchange(
+            task, exchange_id, connection, at_limit, now, expires_at, probe_at
+        )
         self.running[exchange_id] = running
-        if not work.sent_at:
-            work.sent_at = now
-        work.may_have_begun = True
-        sub_query = work.sub_query
-        connection.ask(
+        if not task.sent_at:
+            task.sent_at = now
+        task.may_have_begun = True
+        sub_query = task.sub_query
+        connection.send_request(
             encode_sub_query(sub_query, self.host, exchange_id, int(left_s * 1000.0)),
             sub_query.request_id.encode(),
             exchange_id,
@@ -140,154 +142,165 @@
         )
 
     def probe_time(
-        self, work: Work, connection: TargetConnection, now: float, left_s: float
+        self, task: Task, connection: TargetConnection, now: float, left_s: float
     ) -> float:
-        """Return when to doubt the connection if no byte has come by then."""
-        if connection.exchanges == 0 or work.tries or work.sub_query.order_key:
+        """Return when to probe the connection unless a byte has come by then.
+
+        New connections, retries and orders are never probed.
+        """
+        if connection.exchanges == 0 or task.retries or task.sub_query.order_key:
             return NEVER
-        bound_s = silence_bound_s(self.evidence.service.likely_ms, left_s)
-        return NEVER if bound_s is None else now + bound_s
+        delay_s = probe_delay_s(self.health.service_time.likely_ms, left_s)
+        return NEVER if delay_s is None else now + delay_s
 
-    def exchange_ended(self, running: Running, end: ExchangeEnd) -> None:
-        """Settle the work by how its exchange ended."""
+    def exchange_ended(self, running: RunningExchange, end: ExchangeEnd) -> None:
+        """Complete or retry the task by how its exchange ended."""
         self.running.pop(running.exchange_id, None)
         match end:
             case Replied(reply):
                 self.occupancy.end(running.exchange_id)
-                self.pool.give_back(running.connection)
-                if not running.over:
-                    self.replied(running, reply)
+                self.pool.release(running.connection)
+                if not running.abandoned:
+                    self.record_reply(running, reply)
             case Malformed(detail):
-                self.ramp.setback("a garbled reply")
-                garbled = Verdict(Outcome.GARBLED, True)
-                self.events.settled(running.work, garbled, detail, None)
+                self.ramp.reset_to_cold("malformed reply")
+                malformed = Result(Outcome.GARBLED, True)
+                self.events.completed(running.task, malformed, detail, None)
             case Lost(detail):
-                self.ramp.setback("a lost connection")
-                self.try_again(running, detail)
-        self.events.changed()
+                self.ramp.reset_to_cold("connection lost")
+                self.retry(running, detail)
+        self.events.capacity_changed()
 
-    def replied(self, running: Running, reply: TargetReply) -> None:
-        """Take the evidence in a whole reply and settle the work."""
+    def record_reply(self, running: RunningExchange, reply: TargetReply) -> None:
+        """Record a complete reply and complete its task."""
         now = self.reactor.seconds()
-        work = running.work
+        task = running.task
         if running.probed and reply.status != 200:
-            self.try_again(running, "no reply in time")
+            self.retry(running, "no reply in time")
             return
-        verdict = judge(work.sub_query, reply, now <= work.deadline_at)
+        result = classify_reply(task.sub_query, reply, now <= task.deadline_at)
         took_ms = (now - running.sent_at) * 1000.0
-        self.evidence.reply_came(reply, verdict, took_ms, running.full_use, now)
-        if not work.settled:
-            self.events.settled(work, verdict, "", reply)
-
-    def try_again(self, running: Running, detail: str) -> None:
-        """Send a search once more over a live connection, or settle it as lost."""
-        work = running.work
-        running.over = True
-        if work.settled:
+        self.health.record_reply(reply, result, took_ms, running.at_limit, now)
+        if not task.completed:
+            self.events.completed(task, result, "", reply)
+
+    def retry(self, running: RunningExchange, detail: str) -> None:
+        """Requeue a search for its only retry, or complete it as connection lost."""
+        task = running.task
+        running.abandoned = True
+        if task.completed:
             return
-        if self.may_try_again(running) and self.budget.take():
-            work.tries += 1
-            work.alive_since = running.sent_at
-            self.events.again(work)
+        if self.may_retry(running) and self.budget.try_acquire():
+            task.retries += 1
+            task.active_since = running.sent_at
+            self.events.requeue(task)
         else:
-            lost = Verdict(Outcome.CONNECTION_LOST, True)
-            self.events.settled(work, lost, detail, None)
-
-    def may_try_again(self, running: Running) -> bool:
-        """Tell whether another try is safe, and can start and finish in time."""
-        work = running.work
-        if work.tries or work.sub_query.order_key or running.connection.exchanges == 1:
+            lost = Result(Outcome.CONNECTION_LOST, True)
+            self.events.completed(task, lost, detail, None)
+
+    def may_retry(self, running: RunningExchange) -> bool:
+        """Tell whether a retry is safe, has a slot and can finish by the deadline."""
+        task = running.task
+        if (
+            task.retries
+            or task.sub_query.order_key
+            or running.connection.exchanges == 1
+        ):
             return False
-        likely_s = self.evidence.service.likely_ms / 1000.0
-        if self.reactor.seconds() + likely_s >= work.deadline_at:
+        likely_s = self.health.service_time.likely_ms / 1000.0
+        if self.reactor.seconds() + likely_s >= task.deadline_at:
             return False
         return self.in_flight < self.ramp.bound
 
-    def cancel(self, work: Work) -> None:
-        """Abandon a sub-query that has been answered as cancelled."""
+    def cancel(self, task: Task) -> None:
+        """Cancel at the target a task that was completed as cancelled."""
         now = self.reactor.seconds()
         for running in list(self.running.values()):
-            if running.work is work and not running.over:
-                self.evidence.no_reply_yet((now - running.sent_at) * 1000.0)
+            if running.task is task and not running.abandoned:
+                self.health.record_cancelled_wait((now - running.sent_at) * 1000.0)
                 self.abandon(running, 0.0)
 
-    def abandon(self, running: Running, alive_since: float) -> None:
-        """Ask the target to stop a search; an order is left to finish."""
-        if running.work.sub_query.order_key:
+    def abandon(self, running: RunningExchange, active_since: float) -> None:
+        """Ask the target to cancel a search; an order is left to finish."""
+        if running.task.sub_query.order_key:
             return
-        self.side.cancel(
+        self.control.cancel(
             Cancellation(
-                running.work.sub_query.request_id.encode(),
+                running.task.sub_query.request_id.encode(),
                 running.exchange_id,
-                alive_since,
-                lambda: running.exchange_id in self.occupancy.until,
+                active_since,
+                lambda: running.exchange_id in self.occupancy.expires_at,
                 partial(self.cancel_ended, running),
             )
         )
-        self.events.changed()
+        self.events.capacity_changed()
 
-    def probe(self, running: Running) -> None:
-        """Find out over a live connection whether the target knows the exchange."""
+    def probe(self, running: RunningExchange) -> None:
+        """Cancel the exchange over a recently used connection, to test its own."""
         running.probed = True
-        running.check_at = NEVER
+        running.probe_at = NEVER
         self.abandon(running, running.sent_at)
 
-    def cancel_ended(self, running: Running, status: int) -> None:
-        """Take the target's answer to a cancellation; only its word frees a slot."""
+    def cancel_ended(self, running: RunningExchange, status: int) -> None:
+        """Handle the end of a cancellation; ``status`` is zero without a reply.
+
+        Without a reply the slot stays occupied. A target that does not know a probed
+        exchange has not received its request, so its connection is unresponsive.
+        """
         unanswered = running.exchange_id in self.running
         if status == CANCEL_CONFIRMED:
             self.occupancy.end(running.exchange_id)
         elif status == CANCEL_UNKNOWN and running.probed and unanswered:
-            self.connection_silent(running)
-        if running.probed and unanswered and not running.over and status:
-            self.try_again(running, "no reply in time")
-        self.events.changed()
+            self.connection_unresponsive(running)
+        if running.probed and unanswered and not running.abandoned and status:
+            self.retry(running, "no reply in time")
+        self.events.capacity_changed()
 
-    def connection_silent(self, running: Running) -> None:
-        """Give up a connection whose request the target has not received.
+    def connection_unresponsive(self, running: RunningExchange) -> None:
+        """Drop a connection whose request the target has not received.
 
-        A warm target can be given the slot again. A cold one is spared the doubt
-        until the deadline has passed.
+        At a warm target the slot is free at once. At a cold one it stays occupied
+        until the exchange expires, in case the request is running after all.
         """
         self.drop(running)
         if self.ramp.state is TargetState.WARM:
             self.occupancy.end(running.exchange_id)
 
     def sweep(self, now: float) -> None:
-        """Settle what has passed its deadline and free what cannot run any more."""
+        """Enforce deadlines, probe silent connections and free expired slots."""
         for running in list(self.running.values()):
             self.check(running, now)
-        if self.occupancy.until:
+        if self.occupancy.expires_at:
             self.occupancy.expire(now)
-        if self.side.pending:
-            self.side.sweep(now)
-
-    def check(self, running: Running, now: float) -> None:
-        """Enforce the deadline and the silence bound of one exchange."""
-        work = running.work
-        if now >= work.deadline_at and not work.settled:
-            self.evidence.deadline_missed((now - running.sent_at) * 1000.0)
-            late = Verdict(Outcome.LATE, True)
-            self.events.settled(work, late, "no reply in time", None)
-        elif now >= running.check_at and not work.settled:
+        if self.control.pending:
+            self.control.sweep(now)
+
+    def check(self, running: RunningExchange, now: float) -> None:
+        """Enforce the deadline, probe time and expiry of one exchange."""
+        task = running.task
+        if now >= task.deadline_at and not task.completed:
+            self.health.record_timeout((now - running.sent_at) * 1000.0)
+            late = Result(Outcome.LATE, True)
+            self.events.completed(task, late, "no reply in time", None)
+        elif now >= running.probe_at and not task.completed:
             if running.connection.received_bytes == 0:
                 self.probe(running)
-            running.check_at = NEVER
-        if now >= running.until:
+            running.probe_at = NEVER
+        if now >= running.expires_at:
             self.drop(running)
 
-    def drop(self, running: Running) -> None:
-        """Give up the connection of an exchange, and those that may be like it."""
+    def drop(self, running: RunningExchange) -> None:
+        """Abort the connection of an exchange and idle ones not used since."""
         self.running.pop(running.exchange_id, None)
-        running.connection.give_up()
-        self.pool.suspect(running.sent_at)
+        running.connection.abandon()
+        self.pool.close_inactive(running.sent_at)
 
     def stop(self) -> None:
-        """Settle what is in flight as lost and close its connections."""
+        """Complete all exchanges as connection lost and abort their connections."""
         for running in list(self.running.values()):
-            lost = Verdict(Outcome.CONNECTION_LOST, True)
-            self.events.settled(running.work, lost, "stopping", None)
-            running.connection.give_up()
+            lost = Result(Outcome.CONNECTION_LOST, True)
+            self.events.completed(running.task, lost, "the owner is stopping", None)
+            running.connection.abandon()
         self.running.clear()
-        for pending in self.side.pending:
-            pending.connection.give_up()
+        for pending in self.control.pending:
+            pending.connection.abandon()
--- a/tests/fleet/test_ownership_model.py
+++ b/tests/fleet/test_ownership_model.py
@@ -15,16 +15,17 @@
     run_state_machine_as_test,
 )
 
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.lease import (
     CLOCK_RATE_MARGIN,
-    LEASE_LEAST_S,
+    MIN_LEASE_S,
     WORK_LIMIT_S,
     LeaseGrant,
+    LeaseRegistry,
     LeaseRequest,
     NodeLease,
-    Registry,
 )
+from sardinehook.fleet.node_allowance import node_allowance
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
     EMPTY_ROSTER,
     Roster,
@@ -32,7 +33,6 @@
     join,
     release,
 )
-from sardinehook.fleet.share import share_of
 from sardinehook.target.allowance import Allowance
 
 NAMES = ("e1", "e2", "e3")
@@ -77,9 +77,9 @@
         self.name = name
         self.boot = boot
         self.rate = rate
-        self.holding = Holding(name, boot)
+        self.ownership = OwnershipState(name, boot)
         self.lease = NodeLease()
-        self.registry = Registry()
+        self.registry = LeaseRegistry()
         self.store_lease = -1
         self.works: list[Work] = []
         self.leaving = False
@@ -89,13 +89,15 @@
 
     def share(self, replica: str, now: float) -> Allowance:
         time = self.clock(now)
-        share = share_of(self.holding, self.lease, replica, SLOTS, CONNECTIONS, time)
+        share = node_allowance(
+            self.ownership, self.lease, replica, SLOTS, CONNECTIONS, time
+        )
         return Allowance(0, 0, False) if self.leaving else share
 
     def running(self, replica: str, now: float) -> int:
         return sum(w.replica == replica and w.until > now for w in self.works)
 
-    def has_surplus(self, now: float) -> bool:
+    def has_excess_work(self, now: float) -> bool:
         return any(self.running(r, now) > self.share(r, now).slots for r in REPLICAS)
 
 
@@ -120,7 +122,7 @@
             self.tell_release(name)
         self.deliver_all()
         self.take_registrar_lease(NAMES[0])
-        self.now += LEASE_LEAST_S
+        self.now += MIN_LEASE_S
 
     def boot(self, name: str) -> None:
         self.boots += 1
@@ -129,7 +131,7 @@
         self.roster = join(self.roster, member)
 
     def learn(self, name: str) -> None:
-        self.nodes[name].holding.set_roster(self.roster)
+        self.nodes[name].ownership.set_roster(self.roster)
 
     @rule(seconds=st.sampled_from([0.05, 0.4, 0.9, 1.7, 2.9, 4.1]))
     def pass_time(self, seconds: float) -> None:
@@ -149,16 +151,16 @@
     def tell_roster(self, name: str) -> None:
         if name not in self.nodes:
             return
-        self.post(name, self.nodes[name].holding.roster)
+        self.post(name, self.nodes[name].ownership.roster)
 
     @rule(name=nodes)
     def tell_release(self, name: str) -> None:
         if name not in self.nodes:
             return
         node = self.nodes[name]
-        if not (not node.has_surplus(self.now)):
+        if not (not node.has_excess_work(self.now)):
             return
-        self.post(name, Released(node.boot, node.holding.roster.epoch))
+        self.post(name, Released(node.boot, node.ownership.roster.epoch))
 
     @rule(name=nodes)
     def restart(self, name: str) -> None:
@@ -196,7 +198,7 @@
         held, until = self.registrar
         own_until = node.clock(self.now) + REGISTRAR_LEASE_S * (1 - CLOCK_RATE_MARGIN)
         if held == node.boot and until > self.now:
-            node.registry.prolong(own_until)
+            node.registry.extend(own_until)
         elif until <= self.now:
             node.registry.begin(own_until, node.clock(self.now))
         else:
@@ -208,7 +210,7 @@
         if self.store_up and name in self.nodes:
             self.now = max(self.now, self.registrar[1])
             self.take_registrar_lease(name)
-            self.now += LEASE_LEAST_S
+            self.now += MIN_LEASE_S
 
     @rule(
         name=nodes,
@@ -233,7 +235,7 @@
     @rule(silent=st.sets(nodes, min_size=1, max_size=2), lost=st.booleans())
     def renew_all_but(self, silent: set[str], lost: bool) -> None:
         for _ in range(4):
-            self.now += LEASE_LEAST_S / 3
+            self.now += MIN_LEASE_S / 3
             for name in sorted(self.nodes):
                 held = self.nodes[name].boot == self.registrar[0]
                 if held and self.store_up:
@@ -253,12 +255,12 @@
         if name not in self.nodes:
             return
         node = self.nodes[name]
-        if node.holding.roster.epoch != node.lease.epoch:
-            node.lease.give_up()
-            if not (not node.has_surplus(self.now)):
+        if node.ownership.roster.epoch != node.lease.epoch:
+            node.lease.relinquish()
+            if not (not node.has_excess_work(self.now)):
                 return
-        request = node.lease.ask(
-            node.boot, node.holding.roster.epoch, node.clock(self.now)
+        request = node.lease.new_request(
+            node.boot, node.ownership.roster.epoch, node.clock(self.now)
         )
         self.parcels.append(Parcel(name, registrar, request))
 
@@ -303,13 +305,13 @@
     def receive(self, node: Node, parcel: Parcel) -> None:
         match parcel.message:
             case Roster() as roster:
-                node.holding.set_roster(roster)
+                node.ownership.set_roster(roster)
             case Released(boot, epoch):
-                node.holding.note_released(parcel.source, boot, epoch)
+                node.ownership.note_released(parcel.source, boot, epoch)
             case LeaseGrant() as grant:
-                node.lease.take(grant)
+                node.lease.apply_grant(grant)
             case LeaseRequest() as request:
-                roster = node.holding.roster
+                roster = node.ownership.roster
                 granted = node.registry.request(
                     parcel.source,
                     request,
@@ -383,7 +385,7 @@
     def test_taking_over_without_release(self, monkeypatch: Any) -> None:
         for name in NAMES:
             take_over_after_death(name)
-        monkeypatch.setattr(Holding, "usable", Holding.owns)
+        monkeypatch.setattr(OwnershipState, "usable", OwnershipState.owns)
         with pytest.raises(AssertionError):
             for name in NAMES:
                 take_over_after_death(name)
@@ -392,28 +394,28 @@
         self, monkeypatch: Any
     ) -> None:
         lose_the_answer_that_ends_a_deputy()
-        request = Registry.request
+        request = LeaseRegistry.request
 
-        def forgetful(self: Registry, name: str, *rest: Any) -> LeaseGrant | None:
+        def forgetful(self: LeaseRegistry, name: str, *rest: Any) -> LeaseGrant | None:
             self.grants = [grant for grant in self.grants if grant.name != name]
             return request(self, name, *rest)
 
-        monkeypatch.setattr(Registry, "request", forgetful)
+        monkeypatch.setattr(LeaseRegistry, "request", forgetful)
         with pytest.raises(AssertionError):
             lose_the_answer_that_ends_a_deputy()
 
     def test_leases_that_outlast_the_registrars_own(self, monkeypatch: Any) -> None:
         ask_the_registrar_before()
-        begin = Registry.begin
+        begin = LeaseRegistry.begin
 
-        def eternal(self: Registry, own_until: float, now: float) -> None:
+        def eternal(self: LeaseRegistry, own_until: float, now: float) -> None:
             begin(self, own_until + 100.0, now)
 
-        monkeypatch.setattr(Registry, "begin", eternal)
+        monkeypatch.setattr(LeaseRegistry, "begin", eternal)
         with pytest.raises(AssertionError):
             ask_the_registrar_before()
 
     def test_granting_over_leases_that_last(self, monkeypatch: Any) -> None:
-        monkeypatch.setattr(Registry, "may_grant", lambda *arguments: True)
+        monkeypatch.setattr(LeaseRegistry, "may_grant", lambda *arguments: True)
         with pytest.raises(AssertionError):
             lose_the_answer_that_ends_a_deputy()
--- a/tests/gateway/test_gather.py
+++ b/tests/gateway/test_gather.py
@@ -138,7 +138,7 @@
         work = gateway.gather(search_route(4))
         gateway.reactor.pump([0.01] * 18)
         assert len(gateway.dispatcher.sent) == 4
-        assert all(exchange.over for exchange in gateway.dispatcher.waiting)
+        assert all(exchange.done for exchange in gateway.dispatcher.waiting)
         assert work.hedges == 0
         gateway.answer_all()
         assert [answer.status for answer in gateway.answers] == [200]
@@ -182,7 +182,7 @@
         work = gateway.gather(search_route(2))
         work.cancel()
         gateway.reactor.advance(0.3)
-        assert all(exchange.over for exchange in gateway.dispatcher.sent)
+        assert all(exchange.done for exchange in gateway.dispatcher.sent)
         assert gateway.answers == []
 
 
@@ -208,19 +208,21 @@
 
     def test_network_path_to_a_distant_caller_is_subtracted(self) -> None:
         gateway = with_replicas(4)
-        gateway.gather(search_route(4), REQUEST._replace(path_s=0.06))
+        gateway.gather(search_route(4), REQUEST._replace(network_s=0.06))
         gateway.answer_all("s03")
         gateway.reactor.advance(0.2 - 0.06)
         assert [answer.status for answer in gateway.answers] == [200]
 
     def test_request_without_time_left_is_refused_unsent(self) -> None:
         gateway = with_replicas(2)
-        gateway.gather(search_route(2), REQUEST._replace(patience_s=0.02))
+        gateway.gather(search_route(2), REQUEST._replace(caller_timeout_s=0.02))
         assert [answer.status for answer in gateway.answers] == [503]
         assert gateway.dispatcher.sent == []
 
     def test_error_is_returned_before_the_caller_times_out(self) -> None:
         gateway = with_replicas(2)
-        gateway.gather(search_route(2, least=1.0), REQUEST._replace(patience_s=0.3))
+        gateway.gather(
+            search_route(2, least=1.0), REQUEST._replace(caller_timeout_s=0.3)
+        )
         gateway.reactor.pump([0.05] * 6)
         assert [answer.status for answer in gateway.answers] == [504]
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -61,7 +61,7 @@
         gateway.reactor.pump([0.05] * 12)
         (exchange,) = gateway.dispatcher.sent
         assert exchange.replica.replica_id == live
-        assert all(waiting.over for waiting in gateway.dispatcher.waiting)
+        assert all(waiting.done for waiting in gateway.dispatcher.waiting)
         gateway.end(exchange, good("d"))
         assert [answer.status for answer in gateway.answers] == [200]
 
@@ -75,7 +75,7 @@
         gateway = gateway_with_replicas()
         work = gateway.call(single_route(idempotent=False), "desk")
         work.cancel()
-        assert not gateway.dispatcher.sent[0].over
+        assert not gateway.dispatcher.sent[0].done
 
 
 class TestIdempotent:
@@ -92,13 +92,13 @@
         gateway.reactor.advance(0.4)
         first, second = gateway.dispatcher.sent
         gateway.end(second, good("d"))
-        assert first.over
+        assert first.done
         assert len(gateway.answers) == 1
 
     def test_exchange_is_abandoned_after_a_disconnect(self) -> None:
         gateway = gateway_with_replicas()
         gateway.call(single_route(idempotent=True), "desk").cancel()
-        assert gateway.dispatcher.sent[0].over
+        assert gateway.dispatcher.sent[0].done
 
     def test_attempts_are_bounded(self) -> None:
         gateway = gateway_with_replicas(5)
@@ -139,7 +139,7 @@
 class TestDeadlines:
     def test_request_without_time_left_is_refused_unsent(self) -> None:
         gateway = gateway_with_replicas()
-        request = REQUEST._replace(patience_s=0.0)
+        request = REQUEST._replace(caller_timeout_s=0.0)
         gateway.call(single_route(idempotent=False), "desk", request)
         assert [answer.status for answer in gateway.answers] == [503]
         assert gateway.dispatcher.sent == []
