Reword when a node watches the store

The sentence on who watches the store read as if unassigned nodes never did; talk() in the tests of the revision protocol is exchange_messages().

--- a/sardinehook/environment/updater.py
+++ b/sardinehook/environment/updater.py
@@ -47,8 +47,8 @@
     """Runs the revision protocol and the store watch of one process.
 
     ``send`` sends a message to a peer without a delivery guarantee; ``peers`` returns
-    the peers considered alive. Only the few nodes assigned by ``set_watching`` watch
-    the store, and nodes that have no document or are isolated from their peers.
+    the peers considered alive. The store is watched by the few nodes assigned with
+    ``set_watching``, and by nodes without a document or isolated from their peers.
     """
 
     def __init__(
--- a/tests/environment/test_spread.py
+++ b/tests/environment/test_spread.py
@@ -35,7 +35,9 @@
     return spread
 
 
-def talk(one: Spread, other: Spread, sends: Sequence[Send], now: float = 0.0) -> int:
+def exchange_messages(
+    one: Spread, other: Spread, sends: Sequence[Send], now: float = 0.0
+) -> int:
     """Deliver all messages between two nodes; return their number."""
     queue = [(other, "one", send.message) for send in sends]
     count = 0
@@ -52,22 +54,25 @@
 class TestExchange:
     def test_node_behind_requests_and_receives_a_delta(self) -> None:
         ahead, behind = node(1, 2), node(1)
-        talk(ahead, behind, [ahead.announce_to("other")])
+        exchange_messages(ahead, behind, [ahead.announce_to("other")])
         assert behind.holder.in_force == revision(2)
         assert ahead.counts.deltas == 1
         assert ahead.counts.delta_bytes < 100
 
     def test_announcement_from_a_node_behind_is_answered(self) -> None:
         ahead, behind = node(1, 2), node(1)
-        talk(behind, ahead, [behind.announce_to("other")])
+        exchange_messages(behind, ahead, [behind.announce_to("other")])
         assert behind.holder.in_force == revision(2)
 
     def test_equal_nodes_send_no_replies(self) -> None:
-        assert talk(node(3), node(3), [Send("x", RevisionAnnounce(3, "0"))]) == 1
+        assert (
+            exchange_messages(node(3), node(3), [Send("x", RevisionAnnounce(3, "0"))])
+            == 1
+        )
 
     def test_node_with_an_evicted_base_receives_a_full_copy(self) -> None:
         ahead, behind = node(*range(1, MAX_BASE_REVISIONS + 5)), node(1)
-        talk(ahead, behind, [ahead.announce_to("other")])
+        exchange_messages(ahead, behind, [ahead.announce_to("other")])
         assert behind.holder.in_force == ahead.holder.in_force
 
     def test_different_document_with_the_same_number_is_counted(self) -> None:
@@ -116,7 +121,7 @@
     def test_peer_of_another_environment_is_forgotten(self) -> None:
         spread = Spread(DocumentHolder("production"), random.Random(1))
         other = node(1, 2)
-        talk(spread, other, [spread.announce_to("other")])
+        exchange_messages(spread, other, [spread.announce_to("other")])
         assert spread.holder.in_force is None
         assert spread.peers_ahead == {}
 
@@ -140,7 +145,7 @@
         spread.start(["one"], 0.0)
         assert spread.offer(revision(6), [], 0.1) == []
         assert spread.holder.in_force is None
-        talk(peer, spread, [peer.announce_to("other")], 0.2)
+        exchange_messages(peer, spread, [peer.announce_to("other")], 0.2)
         assert spread.holder.in_force == revision(7)
 
     def test_store_read_is_used_if_no_peer_is_ahead(self) -> None:
