--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -29,8 +29,8 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import Outcome, SubQuery, SubReply
 from sardinehook.target.allowance import Allowance
+from sardinehook.target.codec import encode_sub_query
 from sardinehook.target.connection import ExchangeEnd, Replied, TargetConnection
-from sardinehook.target.dialect import encode_sub_query
 from sardinehook.target.limits import OwnerLimits
 from sardinehook.target.owner import TargetOwner
 from sardinehook.target.pool import ConnectionPool, PoolEvents, TargetAddress
@@ -159,7 +159,7 @@
         for place in places:
             pool = ConnectionPool(reactor, place.address, OwnerLimits(), events)
             pool.set_allowance(SLOTS)
-            pool.provide(SLOTS)
+            pool.ensure_available(SLOTS)
             self.pools[place.name] = pool
 
     def send(self, place: Place, done: Callable[[bool], None]) -> None:
@@ -168,13 +168,13 @@
         exchange_id = b"c-%d" % number
         query = sub_query(number, place)
         pool = self.pools[place.name]
-        connection = pool.take()
+        connection = pool.acquire()
         if connection is None:
             done(False)
             return
         request = encode_sub_query(query, b"127.0.0.1", exchange_id, 5000)
         end = partial(self.ended, pool, connection, done)
-        connection.ask(request, query.request_id.encode(), exchange_id, end)
+        connection.send_request(request, query.request_id.encode(), exchange_id, end)
 
     def ended(
         self,
@@ -184,7 +184,7 @@
         end: ExchangeEnd,
     ) -> None:
         """Give the connection back."""
-        pool.give_back(connection)
+        pool.release(connection)
         done(isinstance(end, Replied) and end.reply.status == 200)
 
 
--- a/sardinehook/target/side.py
+++ b/sardinehook/target/control.py
@@ -1,4 +1,4 @@
-"""Exchanges beside the sub-queries: cancellations, probes and status polls."""
+"""Control requests to a target: cancellations, probes and status polls."""
 
 from __future__ import annotations
 
@@ -7,41 +7,41 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from sardinehook.target.codec import TargetReply, encode_cancel, encode_status
 from sardinehook.target.connection import ExchangeEnd, Replied, TargetConnection
-from sardinehook.target.dialect import TargetReply, encode_cancel, encode_status
 from sardinehook.target.pool import ConnectionPool
 
-__all__ = ["Cancellation", "SideExchanges"]
+__all__ = ["Cancellation", "ControlExchanges"]
 
-SIDE_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 1.0
 STATUS_REQUEST_ID = b"status"
 
 
 class Cancellation(NamedTuple):
-    """A request to the target to abandon an exchange.
+    """A request to the target to cancel an exchange.
 
-    It goes over a connection that has shown life since ``alive_since`` only.
-    ``wanted`` tells whether it is still of use and ``ended`` gets the status of the
-    target's answer, zero if there was none.
+    It is sent over a connection used since ``active_since``. ``wanted`` tells whether
+    it is still needed. ``ended`` is called with the status of the reply, zero if
+    there was none.
     """
 
     request_id: bytes
     exchange_id: bytes
-    alive_since: float
+    active_since: float
     wanted: Callable[[], bool]
     ended: Callable[[int], None]
 
 
 @dataclass(slots=True, eq=False)
 class Pending:
-    """A side exchange that waits for its answer."""
+    """A control request that waits for its reply."""
 
     connection: TargetConnection
     sent_at: float
 
 
-class SideExchanges:
-    """Sends side exchanges over idle connections; they take no slot."""
+class ControlExchanges:
+    """Sends control requests over idle connections; they occupy no slot."""
 
     def __init__(self, pool: ConnectionPool, host: bytes) -> None:
         self.pool = pool
@@ -50,16 +50,16 @@
         self.pending: set[Pending] = set()
 
     def cancel(self, cancellation: Cancellation) -> None:
-        """Queue a cancellation."""
+        """Queue a cancellation until a connection is available."""
         self.cancellations.append(cancellation)
 
     def start(self) -> None:
-        """Send the cancellations for which there is a connection."""
+        """Send queued cancellations while connections are available."""
         for _ in range(len(self.cancellations)):
             cancellation = self.cancellations.popleft()
             if not cancellation.wanted():
                 continue
-            connection = self.pool.take(cancellation.alive_since)
+            connection = self.pool.acquire(cancellation.active_since)
             if connection is None:
                 self.cancellations.append(cancellation)
             else:
@@ -80,8 +80,8 @@
     def poll_status(
         self, exchange_id: bytes, ended: Callable[[TargetReply], None]
     ) -> None:
-        """Ask for the replica's status over an idle connection, if there is one."""
-        connection = self.pool.take()
+        """Request the status over an idle connection; no effect without one."""
+        connection = self.pool.acquire()
         if connection is None:
             return
 
@@ -100,24 +100,24 @@
         connection: TargetConnection,
         ended: Callable[[TargetReply | None], None],
     ) -> None:
-        """Run one side exchange."""
+        """Send one control request; ``ended`` gets its reply or ``None``."""
         pending = Pending(connection, self.pool.reactor.seconds())
         self.pending.add(pending)
 
         def finish(end: ExchangeEnd) -> None:
             self.pending.discard(pending)
             if isinstance(end, Replied):
-                self.pool.give_back(connection)
+                self.pool.release(connection)
                 ended(end.reply)
             else:
                 ended(None)
 
-        connection.ask(request, request_id, exchange_id, finish)
+        connection.send_request(request, request_id, exchange_id, finish)
 
     def sweep(self, now: float) -> None:
-        """Give up connections over which no answer came."""
+        """Abort connections whose control request timed out."""
         for pending in [*self.pending]:
-            if pending.sent_at + SIDE_TIMEOUT_S <= now:
+            if pending.sent_at + CONTROL_TIMEOUT_S <= now:
                 self.pending.discard(pending)
-                pending.connection.give_up()
-                self.pool.suspect(pending.sent_at)
+                pending.connection.abandon()
+                self.pool.close_inactive(pending.sent_at)
--- a/sardinehook/target/counts.py
+++ b/sardinehook/target/counts.py
@@ -1,4 +1,4 @@
-"""What an owner holds, in numbers for the metrics."""
+"""Resource usage of an owner, for the metrics."""
 
 from __future__ import annotations
 
@@ -7,15 +7,15 @@
 from typing import NamedTuple
 
 from sardinehook.messages import TargetState
-from sardinehook.target.runner import ReplicaRunner
+from sardinehook.target.replica_client import ReplicaClient
 
-__all__ = ["OwnerCounts", "count_holdings"]
+__all__ = ["OwnerCounts", "count_usage"]
 
 
 class OwnerCounts(NamedTuple):
-    """Sums over the replicas of one owner.
+    """Resource usage summed over the replicas of one owner.
 
-    ``given_up`` counts, since the start, connections over which nothing came.
+    ``connections_abandoned`` counts unresponsive connections since the start.
     """
 
     connections: int
@@ -24,13 +24,13 @@
     slots_allowed: int
     queued: int
     replicas: dict[TargetState, int]
-    given_up: int
+    connections_abandoned: int
 
 
-def count_holdings(runners: Iterable[ReplicaRunner]) -> OwnerCounts:
-    """Sum up what ``runners`` hold."""
-    held = list(runners)
-    states = Counter(one.standing.state for one in held if one.holds_part)
+def count_usage(clients: Iterable[ReplicaClient]) -> OwnerCounts:
+    """Sum up the resource usage of ``clients``."""
+    held = list(clients)
+    states = Counter(one.availability.state for one in held if one.has_allowance)
     return OwnerCounts(
         sum(len(one.pool.connections) for one in held),
         sum(one.allowance.connections for one in held),
@@ -38,5 +38,5 @@
         sum(one.allowance.slots for one in held),
         sum(len(one.queue) for one in held),
         {state: states[state] for state in TargetState},
-        sum(one.pool.given_up for one in held),
+        sum(one.pool.connections_abandoned for one in held),
     )
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -4,10 +4,10 @@
 
 from random import Random
 
-from sardinehook.fleet.holding import Holding
 from sardinehook.fleet.ownership import owner_of
+from sardinehook.fleet.ownership_state import OwnershipState
 from sardinehook.fleet.roster import (
-    CHANGES_KEPT,
+    CHANGE_HISTORY_LIMIT,
     EMPTY_ROSTER,
     VM_LIST_MARGIN_MS,
     Roster,
@@ -19,7 +19,7 @@
     release,
     roster_key,
 )
-from sardinehook.fleet.roster_keeper import RosterKeeper
+from sardinehook.fleet.roster_updater import RosterUpdater
 from sardinehook.store.vm_list import HttpVmList, Vm, VmList, VmState
 from tests.fleet.support import reactor
 from tests.store.platform_case import TIMEOUT_MS, PlatformCase
@@ -60,35 +60,35 @@
         assert release(roster, "e1", 99).names == ()
 
 
-class TestHolding:
+class TestOwnershipState:
     def test_joiner_waits_only_for_those_that_held_its_replicas(self) -> None:
         roster = roster_of("e1", "e2", "e3")
-        holding = Holding("e3", 2)
-        holding.set_roster(roster)
+        ownership = OwnershipState("e3", 2)
+        ownership.set_roster(roster)
         before = {r: owner_of(r, ("e1", "e2")) for r in REPLICAS}
-        gained = [r for r in REPLICAS if holding.owns(r)]
-        assert gained and not any(holding.usable(r) for r in gained)
-        holding.note_released("e1", 0, roster.epoch)
-        assert all(holding.usable(r) == (before[r] == "e1") for r in gained)
-        holding.note_released("e2", 99, roster.epoch)
-        assert not all(holding.usable(r) for r in gained)
-        holding.note_released("e2", 1, roster.epoch)
-        assert all(holding.usable(r) for r in gained)
+        gained = [r for r in REPLICAS if ownership.owns(r)]
+        assert gained and not any(ownership.usable(r) for r in gained)
+        ownership.note_released("e1", 0, roster.epoch)
+        assert all(ownership.usable(r) == (before[r] == "e1") for r in gained)
+        ownership.note_released("e2", 99, roster.epoch)
+        assert not all(ownership.usable(r) for r in gained)
+        ownership.note_released("e2", 1, roster.epoch)
+        assert all(ownership.usable(r) for r in gained)
 
     def test_history_that_is_too_short_blocks(self) -> None:
         roster = roster_of("e1", "e2")
-        for boot in range(CHANGES_KEPT):
+        for boot in range(CHANGE_HISTORY_LIMIT):
             roster = release(join(roster, member("e3", boot)), "e3", boot)
-        holding = Holding("e1", 0)
-        holding.set_roster(roster)
-        assert not any(holding.usable(r) for r in REPLICAS)
-        holding.note_released("e2", 1, roster.epoch)
-        assert any(holding.usable(r) for r in REPLICAS)
+        ownership = OwnershipState("e1", 0)
+        ownership.set_roster(roster)
+        assert not any(ownership.usable(r) for r in REPLICAS)
+        ownership.note_released("e2", 1, roster.epoch)
+        assert any(ownership.usable(r) for r in REPLICAS)
 
     def test_older_roster_changes_nothing(self) -> None:
-        holding = Holding("e1", 0)
-        assert holding.set_roster(roster_of("e1", "e2"))
-        assert not holding.set_roster(roster_of("e1"))
+        ownership = OwnershipState("e1", 0)
+        assert ownership.set_roster(roster_of("e1", "e2"))
+        assert not ownership.set_roster(roster_of("e1"))
 
     def test_coding_keeps_a_roster(self) -> None:
         roster = roster_of("e1", "e2")
@@ -96,10 +96,10 @@
         assert decode_roster(b"garbage") is None
 
 
-class TestKeeper(PlatformCase):
-    def keeper(self, seen: list[Roster]) -> RosterKeeper:
+class TestRosterUpdater(PlatformCase):
+    def roster_updater(self, seen: list[Roster]) -> RosterUpdater:
         self.vm_list = HttpVmList(reactor, self.address, TIMEOUT_MS)
-        return RosterKeeper(
+        return RosterUpdater(
             reactor,
             self.store,
             self.vm_list,
@@ -114,14 +114,14 @@
 
     async def test_join_whose_reply_was_lost_is_done_once(self) -> None:
         seen: list[Roster] = []
-        keeper = self.keeper(seen)
+        roster_updater = self.roster_updater(seen)
         self.platform.control({"lose_replies": 1, "lose_replies_prefix": "roster/"})
-        await keeper.join(member("e1", 1))
+        await roster_updater.join(member("e1", 1))
         assert seen[-1].epoch == 1 and seen[-1].names == ("e1",)
 
     async def test_malformed_roster_is_not_overwritten(self) -> None:
-        keeper = self.keeper([])
+        roster_updater = self.roster_updater([])
         await self.store.put(roster_key(PLACE), b"garbage", 0)
-        assert not await keeper.release("e1", 1, tries=1)
+        assert not await roster_updater.release("e1", 1, attempts=1)
         held = (await self.store.get(roster_key(PLACE))).unwrap()
         assert held is not None and held.value == b"garbage"
