Rename the order desk to order coordinator

A reader stumbled over "desk", a figure for the object that runs orders and answers look-ups. The module, its class and its test file are named after the coordinator; every use follows.

--- a/bench/order_cost.py
+++ b/bench/order_cost.py
@@ -25,7 +25,7 @@
 from sardinehook.observe.events import configure_logging
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant, OrderRequest
-from sardinehook.order.desk import OrderDesk
+from sardinehook.order.coordinator import OrderCoordinator
 from sardinehook.store.http_store import HttpStore
 
 RETENTION_MS = 86_400_000.0
@@ -50,7 +50,7 @@
         self.begun: dict[str, float] = {}
         self.before_send_ms: list[float] = []
         self.whole_ms: list[float] = []
-        self.desk = OrderDesk(
+        self.desk = OrderCoordinator(
             self.store,
             "trial",
             Claimant("entry-1", "1"),
--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -1,4 +1,4 @@
-"""Places callers' orders through the order desk and the dispatcher."""
+"""Places callers' orders through the order coordinator and the dispatcher."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 from sardinehook.messages import SubQuery, SubReply
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant
-from sardinehook.order.desk import OrderDesk
+from sardinehook.order.coordinator import OrderCoordinator
 from sardinehook.order.front import OrderFront
 from sardinehook.query.planner import Planner
 from sardinehook.store.port import Store
@@ -46,7 +46,7 @@
         self.dispatcher = dispatcher
         self.planner = planner
         self.in_flight = 0
-        self.desk = OrderDesk(
+        self.desk = OrderCoordinator(
             store,
             environment,
             claimant,
--- a/sardinehook/order/desk.py
+++ b/sardinehook/order/coordinator.py
@@ -37,7 +37,7 @@
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["OrderDesk", "OrderState", "OrderStatus"]
+__all__ = ["OrderCoordinator", "OrderState", "OrderStatus"]
 
 MAX_OPEN_ORDERS = 256
 DRAIN_POLL_SECONDS = 0.1
@@ -69,7 +69,7 @@
     body_kept: bool = True
 
 
-class OrderDesk:
+class OrderCoordinator:
     """Places orders for one entry process.
 
     An order's key is claimed by a create in the platform's service before any byte
--- a/sardinehook/order/front.py
+++ b/sardinehook/order/front.py
@@ -11,7 +11,7 @@
 from sardinehook.environment.document import Workload
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.order.claim import OrderRequest
-from sardinehook.order.desk import OrderDesk, OrderStatus
+from sardinehook.order.coordinator import OrderCoordinator, OrderStatus
 from sardinehook.order.open_order import OrderAnswer
 
 __all__ = ["CallerOrder", "OrderBody", "OrderFront", "OrderStatusBody"]
@@ -79,7 +79,7 @@
     """
 
     def __init__(
-        self, desk: OrderDesk, choose: Callable[[Workload, str], str | None]
+        self, desk: OrderCoordinator, choose: Callable[[Workload, str], str | None]
     ) -> None:
         self.desk = desk
         self.choose = choose
--- a/tests/order/rig.py
+++ b/tests/order/rig.py
@@ -24,7 +24,7 @@
 from sardinehook.messages import Outcome, SubQuery, SubReply
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant, OrderRequest
-from sardinehook.order.desk import OrderDesk
+from sardinehook.order.coordinator import OrderCoordinator
 from sardinehook.order.open_order import OrderAnswer
 from sardinehook.store.port import Conflict, Entry, StoreFailure, StoreUnavailable
 
@@ -175,7 +175,7 @@
         self.rig = rig
         self.waiting: set[str] = set()
         self.skew = 3.0 * number
-        self.desk = OrderDesk(
+        self.desk = OrderCoordinator(
             FakeStore(rig, self.clock, lambda: self.alive),
             "trial",
             Claimant(f"n{number}", str(incarnation)),
--- a/tests/order/test_desk.py
+++ b/tests/order/test_coordinator.py
@@ -9,7 +9,7 @@
 from bench.checks import check_all
 from sardinehook.errors import ErrorKind
 from sardinehook.order.claim import MAX_RECORDED_BODY_BYTES
-from sardinehook.order.desk import MAX_OPEN_ORDERS, OrderState, OrderStatus
+from sardinehook.order.coordinator import MAX_OPEN_ORDERS, OrderState, OrderStatus
 from tests.order.rig import Fate, OrderRig
 
 
--- a/tests/order/test_order_histories.py
+++ b/tests/order/test_order_histories.py
@@ -18,10 +18,10 @@
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.messages import Outcome, SubReply
 from sardinehook.order import attempt as attempt_module
-from sardinehook.order import desk as desk_module
+from sardinehook.order import coordinator as coordinator_module
 from sardinehook.order.attempt import Attempt
 from sardinehook.order.claim import OrderClaim, judge_reply
-from sardinehook.order.desk import OrderState, OrderStatus
+from sardinehook.order.coordinator import OrderState, OrderStatus
 from sardinehook.order.register import Register, Swap, Unavailable, Written
 from tests.order.rig import Fate, OrderRig
 
@@ -187,10 +187,14 @@
 YIELD_TO = Attempt._yield_to
 
 MUTATIONS = {
-    "retries": (desk_module, "Attempt", RetryingAttempt),
-    "sends before claiming": (desk_module, "Attempt", SendingFirstAttempt),
-    "sends after its deadline": (desk_module, "Attempt", IgnoringDeadlineAttempt),
-    "trusts an unsettled claim": (desk_module, "Register", TrustingRegister),
+    "retries": (coordinator_module, "Attempt", RetryingAttempt),
+    "sends before claiming": (coordinator_module, "Attempt", SendingFirstAttempt),
+    "sends after its deadline": (
+        coordinator_module,
+        "Attempt",
+        IgnoringDeadlineAttempt,
+    ),
+    "trusts an unsettled claim": (coordinator_module, "Register", TrustingRegister),
     "says not run after a lost connection": (
         attempt_module,
         "judge_reply",
