Rename the order front to order handler

"Front" did not say what the class does: it validates callers' order requests and encodes the responses. The module, class and test file follow.

--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -18,7 +18,7 @@
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant
 from sardinehook.order.coordinator import OrderCoordinator
-from sardinehook.order.front import OrderFront
+from sardinehook.order.handler import OrderHandler
 from sardinehook.query.planner import Planner
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timers
@@ -57,7 +57,7 @@
             Limits().order_retention_ms,
             metrics,
         )
-        self.front = OrderFront(self.desk, self.choose)
+        self.front = OrderHandler(self.desk, self.choose)
 
     def configure(self, limits: Limits) -> None:
         """Use the bounds of a new document."""
--- a/sardinehook/order/front.py
+++ b/sardinehook/order/handler.py
@@ -14,7 +14,7 @@
 from sardinehook.order.coordinator import OrderCoordinator, OrderStatus
 from sardinehook.order.open_order import OrderAnswer
 
-__all__ = ["CallerOrder", "OrderBody", "OrderFront", "OrderStatusBody"]
+__all__ = ["CallerOrder", "OrderBody", "OrderHandler", "OrderStatusBody"]
 
 NO_ANSWER = msgspec.Raw(b"null")
 
@@ -71,7 +71,7 @@
     answer: msgspec.Raw
 
 
-class OrderFront:
+class OrderHandler:
     """Checks callers' orders and encodes their answers.
 
     ``choose`` returns the replica of a service that is to get an order, None if
--- a/tests/order/test_front.py
+++ b/tests/order/test_handler.py
@@ -10,7 +10,7 @@
 from sardinehook.entry.requests import CallerRequest
 from sardinehook.environment.document import Scope, Workload
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.order.front import OrderFront
+from sardinehook.order.handler import OrderHandler
 from tests.order.rig import OrderRig
 
 ORDERS = Workload(["order-desk"], Scope.ONE, 1000.0, 1.0, idempotent=False)
@@ -26,14 +26,14 @@
     key: str | None = "k",
     replica: str | None = "t1",
 ) -> Result[bytes, Problem]:
-    front = OrderFront(rig.processes[0].desk, lambda _workload, _service: replica)
+    front = OrderHandler(rig.processes[0].desk, lambda _workload, _service: replica)
     results: list[Result[bytes, Problem]] = []
     Deferred.fromCoroutine(front.place(order, key)).addCallback(results.append)
     rig.settle(2)
     return results[0]
 
 
-class TestOrderFront:
+class TestOrderHandler:
     def test_answer_carries_the_target_s_own_only_if_it_is_json(self) -> None:
         rig = OrderRig()
         match place(rig, request()):
@@ -51,7 +51,7 @@
     def test_look_up_tells_the_state(self) -> None:
         rig = OrderRig()
         place(rig, request())
-        front = OrderFront(rig.processes[1].desk, lambda _workload, _service: None)
+        front = OrderHandler(rig.processes[1].desk, lambda _workload, _service: None)
         found: list[Result[bytes, Problem]] = []
         Deferred.fromCoroutine(front.look_up("k")).addCallback(found.append)
         rig.settle(2)
