Rename the order register to claim store

"Register" can be read as the verb; the class reads and compare-and-swaps the claims of order keys in the platform's store. Attributes that hold it are called claims.

--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -61,7 +61,7 @@
 
     def configure(self, limits: Limits) -> None:
         """Use the bounds of a new document."""
-        self.desk.register.retention_ms = limits.order_retention_ms
+        self.desk.claims.retention_ms = limits.order_retention_ms
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
         """Send an order's only sub-query."""
--- a/sardinehook/order/attempt.py
+++ b/sardinehook/order/attempt.py
@@ -19,10 +19,7 @@
     first_claim,
     judge_reply,
 )
-from sardinehook.order.open_order import OpenOrder, OrderAnswer, answer_of
-from sardinehook.order.pause import pause
-from sardinehook.order.ports import AttemptPorts, conflict, target_ran
-from sardinehook.order.register import (
+from sardinehook.order.claim_store import (
     Behind,
     Gone,
     Other,
@@ -31,6 +28,9 @@
     Unreadable,
     Written,
 )
+from sardinehook.order.open_order import OpenOrder, OrderAnswer, answer_of
+from sardinehook.order.pause import pause
+from sardinehook.order.ports import AttemptPorts, conflict, target_ran
 from sardinehook.store.port import CREATE
 
 __all__ = ["Attempt"]
@@ -108,7 +108,7 @@
     async def _try_claim(self, expect: int) -> OrderClaim | Other | Gone | None:
         """Return the claim that stands, who else holds the key, or None if refused."""
         ports = self.ports
-        lease = await ports.register.current_lease()
+        lease = await ports.claims.current_lease()
         if isinstance(lease, Unavailable):
             self._refuse(
                 Problem(ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT}: {lease.detail}")
@@ -146,7 +146,7 @@
         for _ in range(SETTLE_TRIES):
             if self.order.given_up:
                 break
-            swap = await self.ports.register.swap(claim, expect, lease)
+            swap = await self.ports.claims.swap(claim, expect, lease)
             if not isinstance(swap, Unavailable):
                 return swap
             detail = swap.detail
@@ -184,7 +184,7 @@
         timers = self.ports.timers
         left_ms = (self.order.deadline - timers.seconds()) * MS_PER_SECOND
         wait_ms = max(min(left_ms, WATCH_MS), MIN_WATCH_MS)
-        seen = await self.ports.register.await_change(claim, revision, wait_ms)
+        seen = await self.ports.claims.await_change(claim, revision, wait_ms)
         if isinstance(seen, Other):
             return seen
         await pause(timers, WATCH_PAUSE_SECONDS)
--- a/sardinehook/order/register.py
+++ b/sardinehook/order/claim_store.py
@@ -23,9 +23,9 @@
 
 __all__ = [
     "Behind",
+    "ClaimStore",
     "Gone",
     "Other",
-    "Register",
     "Seen",
     "Swap",
     "Unavailable",
@@ -84,7 +84,7 @@
 Seen = Other | Gone | Unreadable | Unavailable
 
 
-class Register:
+class ClaimStore:
     """The order records of one environment.
 
     Records last for ``retention_ms`` by leases of the service, each shared by the
--- a/sardinehook/order/coordinator.py
+++ b/sardinehook/order/coordinator.py
@@ -23,6 +23,13 @@
     OrderClaim,
     OrderRequest,
 )
+from sardinehook.order.claim_store import (
+    ClaimStore,
+    Gone,
+    Other,
+    Unavailable,
+    Unreadable,
+)
 from sardinehook.order.open_order import OpenOrder, OrderAnswer
 from sardinehook.order.pause import pause
 from sardinehook.order.ports import (
@@ -33,7 +40,6 @@
     target_ran,
 )
 from sardinehook.order.recorder import Recorder
-from sardinehook.order.register import Gone, Other, Register, Unavailable, Unreadable
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timers
 
@@ -95,10 +101,10 @@
     ) -> None:
         self.timers = timers
         self.metrics = metrics
-        self.register = Register(store, environment, retention_ms, timers.seconds)
+        self.claims = ClaimStore(store, environment, retention_ms, timers.seconds)
         self.ports = AttemptPorts(
-            register=self.register,
-            recorder=Recorder(self.register, timers, metrics, self.close_order),
+            claims=self.claims,
+            recorder=Recorder(self.claims, timers, metrics, self.close_order),
             claimant=claimant,
             timers=timers,
             wall=wall,
@@ -176,9 +182,9 @@
             answer = order.result.unwrap()
             status = OrderStatus(OrderState.RUN, "", answer.body, answer.body_kept)
             return Success(status)
-        seen = await self.register.read(key)
+        seen = await self.claims.read(key)
         if isinstance(seen, Other) and seen.claim.state is ClaimState.NOT_RUN:
-            seen = await self.register.confirm(seen)
+            seen = await self.claims.confirm(seen)
         match seen:
             case Other(claim, _):
                 return Success(await self._status(claim))
--- a/sardinehook/order/ports.py
+++ b/sardinehook/order/ports.py
@@ -13,8 +13,8 @@
 from sardinehook.messages import SubQuery, SubReply
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.order.claim import Claimant, OrderClaim
+from sardinehook.order.claim_store import ClaimStore
 from sardinehook.order.recorder import Recorder
-from sardinehook.order.register import Register
 from sardinehook.transport.reactor import Timers
 
 __all__ = ["AskTarget", "AttemptPorts", "Send", "conflict", "target_ran"]
@@ -35,7 +35,7 @@
     whether it ran an order key.
     """
 
-    register: Register
+    claims: ClaimStore
     recorder: Recorder
     claimant: Claimant
     timers: Timers
--- a/sardinehook/order/recorder.py
+++ b/sardinehook/order/recorder.py
@@ -11,15 +11,15 @@
 
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.metrics import Metrics
-from sardinehook.order.open_order import OpenOrder
-from sardinehook.order.pause import pause
-from sardinehook.order.register import (
+from sardinehook.order.claim_store import (
     Behind,
+    ClaimStore,
     Gone,
-    Register,
     Unavailable,
     Written,
 )
+from sardinehook.order.open_order import OpenOrder
+from sardinehook.order.pause import pause
 from sardinehook.store.port import CREATE
 from sardinehook.transport.reactor import Timers
 
@@ -43,12 +43,12 @@
 
     def __init__(
         self,
-        register: Register,
+        claims: ClaimStore,
         timers: Timers,
         metrics: Metrics,
         on_change: Callable[[OpenOrder], None],
     ) -> None:
-        self.register = register
+        self.claims = claims
         self.timers = timers
         self.metrics = metrics
         self.on_change = on_change
@@ -89,10 +89,10 @@
         claim = order.claim
         if claim is None:
             return True
-        lease = await self.register.current_lease()
+        lease = await self.claims.current_lease()
         if isinstance(lease, Unavailable):
             return False
-        match await self.register.swap(claim, order.revision, lease):
+        match await self.claims.swap(claim, order.revision, lease):
             case Written(revision):
                 order.revision = revision
                 order.recorded = claim
--- a/tests/order/test_order_histories.py
+++ b/tests/order/test_order_histories.py
@@ -21,8 +21,8 @@
 from sardinehook.order import coordinator as coordinator_module
 from sardinehook.order.attempt import Attempt
 from sardinehook.order.claim import OrderClaim, judge_reply
+from sardinehook.order.claim_store import ClaimStore, Swap, Unavailable, Written
 from sardinehook.order.coordinator import OrderState, OrderStatus
-from sardinehook.order.register import Register, Swap, Unavailable, Written
 from tests.order.rig import Fate, OrderRig
 
 PROCESSES = 2
@@ -154,7 +154,7 @@
         super()._send(claim)
 
 
-class TrustingRegister(Register):
+class TrustingClaimStore(ClaimStore):
     """Takes a claim whose reply was lost to stand."""
 
     async def swap(self, claim: OrderClaim, expect: int, lease: str) -> Swap:
@@ -194,7 +194,7 @@
         "Attempt",
         IgnoringDeadlineAttempt,
     ),
-    "trusts an unsettled claim": (coordinator_module, "Register", TrustingRegister),
+    "trusts an unsettled claim": (coordinator_module, "ClaimStore", TrustingClaimStore),
     "says not run after a lost connection": (
         attempt_module,
         "judge_reply",
