--- a/sardinehook/order/front.py
+++ b/sardinehook/order/handler.py
@@ -11,10 +11,10 @@
 from sardinehook.environment.document import Workload
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.order.claim import OrderRequest
-from sardinehook.order.desk import OrderDesk, OrderStatus
+from sardinehook.order.coordinator import OrderCoordinator, OrderStatus
 from sardinehook.order.open_order import OrderAnswer
 
-__all__ = ["CallerOrder", "OrderBody", "OrderFront", "OrderStatusBody"]
+__all__ = ["CallerOrder", "OrderBody", "OrderHandler", "OrderStatusBody"]
 
 NO_ANSWER = msgspec.Raw(b"null")
 
@@ -71,7 +71,7 @@
     answer: msgspec.Raw
 
 
-class OrderFront:
+class OrderHandler:
     """Checks callers' orders and encodes their answers.
 
     ``choose`` returns the replica of a service that is to get an order, None if
@@ -79,7 +79,7 @@
     """
 
     def __init__(
-        self, desk: OrderDesk, choose: Callable[[Workload, str], str | None]
+        self, desk: OrderCoordinator, choose: Callable[[Workload, str], str | None]
     ) -> None:
         self.desk = desk
         self.choose = choose
