Rename the record of a replica and its index

A replica's home is not a term of the field: ReplicaHome pairs a replica of the document with the configuration of its index. It is IndexedReplica now, home_index is index_config, and the mappings of them are called replicas.

--- a/bench/state_cost.py
+++ b/bench/state_cost.py
@@ -12,7 +12,7 @@
 import psutil
 from twisted.internet.task import Clock
 
-from sardinehook.entry.dispatcher import ReplicaHome
+from sardinehook.entry.dispatcher import IndexedReplica
 from sardinehook.environment.canonical import canonical_bytes, document_from
 from sardinehook.environment.document import (
     DataCentre,
@@ -75,20 +75,20 @@
     document = document_from(canonical).unwrap()
     planner = Planner(SearchPolicy())
     planner.apply(document)
-    homes = {
-        replica.name: ReplicaHome(replica, index)
+    indexed = {
+        replica.name: IndexedReplica(replica, index)
         for index in document.indexes.values()
         for group in index.services.values()
         for replica in group
     }
     now = Clock().seconds()
-    for name in homes:
+    for name in indexed:
         planner.observe_report(
             ReplicaReport(name, TargetState.WARM, (1, 2), 1, 1.0, 2), now
         )
     took_ms = (time.perf_counter() - started) * 1000.0
     grown = process.memory_info().rss - before
-    return StateCost(len(homes), grown / BYTES_PER_MB, took_ms)
+    return StateCost(len(indexed), grown / BYTES_PER_MB, took_ms)
 
 
 def measure_state(replicas: int) -> StateCost:
--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-from sardinehook.entry.dispatcher import OwnerPort, ReplicaHome, ReplyHandler
+from sardinehook.entry.dispatcher import IndexedReplica, OwnerPort, ReplyHandler
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import SubQuery
 from sardinehook.target.allowance import Allowance
@@ -42,19 +42,19 @@
         self.data_centre = data_centre
         self.source = source
         self.taker = taker
-        self.homes: Mapping[str, ReplicaHome] = {}
+        self.replicas: Mapping[str, IndexedReplica] = {}
         self.applied: dict[str, Allowance] = {}
         self.timer: Timer | None = None
 
-    def configure(self, homes: Mapping[str, ReplicaHome]) -> None:
+    def configure(self, replicas: Mapping[str, IndexedReplica]) -> None:
         """Use the replicas of a new document, of which only the own ones count."""
-        for name in self.applied.keys() - homes.keys():
+        for name in self.applied.keys() - replicas.keys():
             self.taker.set_allowance(name, None)
             del self.applied[name]
-        self.homes = {
-            name: home
-            for name, home in homes.items()
-            if home.replica.data_centre == self.data_centre
+        self.replicas = {
+            name: indexed
+            for name, indexed in replicas.items()
+            if indexed.replica.data_centre == self.data_centre
         }
         self.apply()
 
@@ -68,8 +68,8 @@
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.timer = None
-        for name, home in self.homes.items():
-            allowance = self.source.allowance(home.replica, home.home_index)
+        for name, indexed in self.replicas.items():
+            allowance = self.source.allowance(indexed.replica, indexed.index_config)
             if self.applied.get(name) != allowance:
                 self.applied[name] = allowance
                 self.taker.set_allowance(name, allowance if allowance.slots else None)
--- a/sardinehook/entry/dispatcher.py
+++ b/sardinehook/entry/dispatcher.py
@@ -8,7 +8,7 @@
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import CancelSubQuery, Outcome, SubQuery, SubReply
 
-__all__ = ["Dispatcher", "LinkPort", "OwnerDirectory", "OwnerPort", "ReplicaHome"]
+__all__ = ["Dispatcher", "IndexedReplica", "LinkPort", "OwnerDirectory", "OwnerPort"]
 
 ReplyHandler = Callable[[SubReply], None]
 
@@ -37,11 +37,11 @@
         """Return the owner's node name and its possible deputy's."""
 
 
-class ReplicaHome(NamedTuple):
+class IndexedReplica(NamedTuple):
     """A replica of the document in force with its index."""
 
     replica: Replica
-    home_index: Index
+    index_config: Index
 
 
 class PendingSubQuery(NamedTuple):
@@ -67,17 +67,17 @@
         self.directory = directory
         self.links = links
         self.owner = owner
-        self.homes: Mapping[str, ReplicaHome] = {}
+        self.replicas: Mapping[str, IndexedReplica] = {}
         self.pending: dict[int, PendingSubQuery] = {}
 
-    def configure(self, homes: Mapping[str, ReplicaHome]) -> None:
+    def configure(self, replicas: Mapping[str, IndexedReplica]) -> None:
         """Use the replicas of a new document."""
-        self.homes = homes
+        self.replicas = replicas
 
     def send(self, sub_query: SubQuery, on_reply: ReplyHandler) -> None:
         """Send a sub-query; ``on_reply`` may be called before this returns."""
-        home = self.homes.get(sub_query.replica)
-        nodes = () if home is None else self.directory.candidates_of(home.replica)
+        indexed = self.replicas.get(sub_query.replica)
+        nodes = () if indexed is None else self.directory.candidates_of(indexed.replica)
         for node in nodes:
             if self.try_send(node, sub_query, on_reply):
                 return
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -16,7 +16,7 @@
 
 from sardinehook.entry.allowances import AllowanceApplier, LeaseGuard
 from sardinehook.entry.caller_desk import CallerDesk
-from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
+from sardinehook.entry.dispatcher import Dispatcher, IndexedReplica
 from sardinehook.entry.front import EntryStatus, build_site
 from sardinehook.entry.orders import EntryOrders
 from sardinehook.entry.searches import SearchDesk
@@ -254,16 +254,16 @@
         document = revision.document
         self.searches.configure(document)
         self.orders.configure(document.limits)
-        homes = {
-            replica.name: ReplicaHome(replica, index)
+        replicas = {
+            replica.name: IndexedReplica(replica, index)
             for index in document.indexes.values()
-            for replicas in index.services.values()
-            for replica in replicas
+            for group in index.services.values()
+            for replica in group
         }
-        self.dispatcher.configure(homes)
+        self.dispatcher.configure(replicas)
         self.owner.configure(document.indexes)
-        self.vm_watch.configure(homes)
-        self.allowances.configure(homes)
+        self.vm_watch.configure(replicas)
+        self.allowances.configure(replicas)
         local_member = self.fleet.membership.local_member._replace(
             revision=revision.number
         )
--- a/sardinehook/entry/vm_watch.py
+++ b/sardinehook/entry/vm_watch.py
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 
-from sardinehook.entry.dispatcher import ReplicaHome
+from sardinehook.entry.dispatcher import IndexedReplica
 from sardinehook.fleet.wire import register_message
 from sardinehook.messages import TargetState
 from sardinehook.store.vm_list import Vm, VmLister, VmState
@@ -54,16 +54,16 @@
         self.note = note
         self.peers = peers
         self.send = send
-        self.homes: Mapping[str, ReplicaHome] = {}
+        self.replicas: Mapping[str, IndexedReplica] = {}
         self.told: dict[str, VmNotice] = {}
         self.fetching = False
         self.loop = LoopingCall(self.fetch)
         self.loop.clock = reactor
 
-    def configure(self, homes: Mapping[str, ReplicaHome]) -> None:
+    def configure(self, replicas: Mapping[str, IndexedReplica]) -> None:
         """Use the replicas of a new document."""
-        self.homes = homes
-        self.told = {name: one for name, one in self.told.items() if name in homes}
+        self.replicas = replicas
+        self.told = {name: one for name, one in self.told.items() if name in replicas}
 
     def should_fetch(self, told: bool) -> None:
         """Begin or end to fetch the list."""
@@ -93,7 +93,7 @@
 
     def compare(self, listed: Mapping[str, Vm]) -> None:
         """Pass on what the list says anew of each replica."""
-        for name in self.homes:
+        for name in self.replicas:
             notice = self.notice_of(name, listed.get(name))
             if notice is not None and self.told.get(name) != notice:
                 self.take(notice)
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from sardinehook.entry.dispatcher import Dispatcher, ReplicaHome
+from sardinehook.entry.dispatcher import Dispatcher, IndexedReplica
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import CancelSubQuery, Outcome, SubQuery, SubReply
 
@@ -59,7 +59,7 @@
         self.owner = FakeOwner()
         self.dispatcher = Dispatcher("e1", FakeDirectory(), self.links, self.owner)
         self.dispatcher.configure(
-            {one.name: ReplicaHome(one, INDEX) for one in (HERE, THERE, ORPHAN)}
+            {one.name: IndexedReplica(one, INDEX) for one in (HERE, THERE, ORPHAN)}
         )
         self.replies: list[SubReply] = []
 
--- a/tests/entry/test_lease_guard.py
+++ b/tests/entry/test_lease_guard.py
@@ -5,7 +5,7 @@
 from twisted.internet.task import Clock
 
 from sardinehook.entry.allowances import AllowanceApplier, LeaseGuard
-from sardinehook.entry.dispatcher import ReplicaHome, ReplyHandler
+from sardinehook.entry.dispatcher import IndexedReplica, ReplyHandler
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import SubQuery
 from sardinehook.target.allowance import Allowance
@@ -52,7 +52,7 @@
         clock = Clock()
         fleet, owner = FakeFleet(), FakeOwner()
         applier = AllowanceApplier(clock, REPLICA.data_centre, fleet, owner)
-        applier.configure({REPLICA.name: ReplicaHome(REPLICA, INDEX)})
+        applier.configure({REPLICA.name: IndexedReplica(REPLICA, INDEX)})
         guard = LeaseGuard(fleet, applier, owner)
         guard.submit("e2", QUERY, lambda reply: None)
         fleet.slots, fleet.changed = 1, True
--- a/tests/entry/test_vm_watch.py
+++ b/tests/entry/test_vm_watch.py
@@ -8,7 +8,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import Clock
 
-from sardinehook.entry.dispatcher import ReplicaHome
+from sardinehook.entry.dispatcher import IndexedReplica
 from sardinehook.entry.vm_watch import FETCH_INTERVAL_S, VmNotice, VmWatch
 from sardinehook.environment.document import Index, Replica
 from sardinehook.messages import TargetState
@@ -16,7 +16,7 @@
 from sardinehook.store.vm_list import Vm, VmList, VmState
 
 REPLICA = Replica("r1", "duluth", "127.0.0.1:1")
-HOMES = {"r1": ReplicaHome(REPLICA, Index(2, 25, 6.0, {"s": [REPLICA]}))}
+REPLICAS = {"r1": IndexedReplica(REPLICA, Index(2, 25, 6.0, {"s": [REPLICA]}))}
 
 
 class FakeVmList:
@@ -46,7 +46,7 @@
             lambda: ["e2"],
             self.send,
         )
-        self.watch.configure(HOMES)
+        self.watch.configure(REPLICAS)
         self.watch.should_fetch(True)
 
     def send(self, _node: str, notice: VmNotice) -> bool:
