--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -18,9 +18,9 @@
 from sardinehook.gateway.process import Dialects, GatewayProcess, SettingsSource
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.store import GatewayStore
-from sardinehook.observe.bounded_output import BoundedOutput
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, configure_logging, log_event
+from sardinehook.observe.rate_limited_stream import RateLimitedStream
 from sardinehook.observe.twisted_errors import log_unhandled_errors
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.discovery import PlatformKeys
@@ -50,7 +50,7 @@
     gateway_reactor: Any = reactor
     gateway_reactor.seconds = time.monotonic
     metrics = GatewayMetrics()
-    output: Any = BoundedOutput(
+    output: Any = RateLimitedStream(
         sys.stdout.fileno(), time.monotonic, metrics.log_lines_dropped.inc
     )
     clock = HybridClock(time.time)
--- a/sardinehook/observe/bounded_output.py
+++ b/sardinehook/observe/rate_limited_stream.py
@@ -5,19 +5,19 @@
 import os
 from collections.abc import Callable
 
-__all__ = ["BoundedOutput"]
+__all__ = ["RateLimitedStream"]
 
-LINES_PER_S = 100.0  # ten times what the heaviest day needs of one gateway
+MAX_LINES_PER_S = 100.0  # ten times what the heaviest day needs of one gateway
 BURST_LINES = 400.0  # a start tells of all replicas and gateways
-LINE_BYTES = 4000  # a pipe takes up to 4,096 bytes whole or not at all
+MAX_LINE_BYTES = 4000  # a pipe takes up to 4,096 bytes whole or not at all
 
 
-class BoundedOutput:
+class RateLimitedStream:
     """A stream for log lines over a file descriptor.
 
     Lines beyond the rate and those that a full pipe does not take are left out and
     counted; the next line that is written says how many. ``on_drop`` is called for
-    each. Lines are cut at ``LINE_BYTES``.
+    each. Lines are cut at ``MAX_LINE_BYTES``.
     """
 
     def __init__(
@@ -43,7 +43,7 @@
         if self.dropped:
             line = f"{line} lines_dropped={self.dropped}"
         try:
-            os.write(self.descriptor, line.encode()[:LINE_BYTES] + b"\n")
+            os.write(self.descriptor, line.encode()[:MAX_LINE_BYTES] + b"\n")
             self.dropped = 0
         except OSError:
             self.drop()
@@ -55,7 +55,7 @@
     def take_turn(self) -> bool:
         """Take one line from the rate, if there is one left."""
         now = self.seconds()
-        refill = (now - self.refilled_at) * LINES_PER_S
+        refill = (now - self.refilled_at) * MAX_LINES_PER_S
         self.left = min(BURST_LINES, self.left + refill)
         self.refilled_at = now
         if self.left < 1.0:
--- a/tests/gateway/test_follower_lines.py
+++ b/tests/gateway/test_follower_lines.py
@@ -7,8 +7,8 @@
 
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
 from sardinehook.gateway.store import Item
-from sardinehook.observe.bounded_output import BURST_LINES
 from sardinehook.observe.events import MAX_VALUE_CHARACTERS
+from sardinehook.observe.rate_limited_stream import BURST_LINES
 from tests.gateway.test_follower import FollowerRig, replica
 
 
--- a/tests/observe/test_bounded_output.py
+++ b/tests/observe/test_rate_limited_stream.py
@@ -4,10 +4,10 @@
 
 import os
 
-from sardinehook.observe.bounded_output import (
+from sardinehook.observe.rate_limited_stream import (
     BURST_LINES,
-    LINES_PER_S,
-    BoundedOutput,
+    MAX_LINES_PER_S,
+    RateLimitedStream,
 )
 
 
@@ -19,7 +19,7 @@
         self.drops = 0
         self.reading, self.writing = os.pipe()
         os.set_blocking(self.reading, False)
-        self.output = BoundedOutput(self.writing, lambda: self.now, self.note_drop)
+        self.output = RateLimitedStream(self.writing, lambda: self.now, self.note_drop)
 
     def note_drop(self) -> None:
         """Count a line that was left out."""
@@ -52,7 +52,7 @@
             for _ in range(100):
                 rig.output.write("event=a\n")
             written += len(rig.read())
-        assert written <= BURST_LINES + 5.0 * LINES_PER_S + 1
+        assert written <= BURST_LINES + 5.0 * MAX_LINES_PER_S + 1
 
 
 class TestFullPipe:
