--- a/bench/faulty_entry.py
+++ b/bench/faulty_entry.py
@@ -25,7 +25,7 @@
 from sardinehook.errors import ErrorKind
 from sardinehook.fleet.connection import Link
 from sardinehook.observe.events import configure_logging
-from sardinehook.store.http_call import HttpCaller
+from sardinehook.store.http_client import HttpClient
 from sardinehook.store.port import StoreUnavailable
 
 __all__ = ["Network", "NetworkFaults"]
@@ -75,7 +75,7 @@
         """Put the faults around the interfaces of a process."""
         network = self
         take_frame = Link.stringReceived
-        call = HttpCaller.call
+        call = HttpClient.call
         gossip = process.fleet.gossip
         take_datagram = gossip.datagramReceived
 
@@ -86,13 +86,13 @@
             node = network.node_at(process, addr)
             network.arrive(node, partial(take_datagram, data, addr))
 
-        async def cut_call(caller: HttpCaller, *rest: Any) -> Any:  # noqa: ANN401
+        async def cut_call(caller: HttpClient, *rest: Any) -> Any:  # noqa: ANN401
             if network.store_cut:
                 return Failure(StoreUnavailable("cut off", False))
             return await call(caller, *rest)
 
         setattr(Link, "stringReceived", frame)  # noqa: B010
-        setattr(HttpCaller, "call", cut_call)  # noqa: B010
+        setattr(HttpClient, "call", cut_call)  # noqa: B010
         setattr(gossip, "datagramReceived", datagram)  # noqa: B010
 
     def node_at(self, process: EntryProcess, addr: tuple[str, int]) -> str:
--- a/sardinehook/environment/node_status.py
+++ b/sardinehook/environment/node_status.py
@@ -10,7 +10,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from sardinehook.environment.revision import Revision
-from sardinehook.store.http_call import HttpCaller, HttpReply
+from sardinehook.store.http_client import HttpClient, HttpReply
 from sardinehook.store.port import StoreUnavailable
 from sardinehook.store.vm_list import Vm
 from sardinehook.transport.reactor import Timers
@@ -67,7 +67,7 @@
     reactor: Timers, vm: Vm, accepted: Revision, timeout_ms: float
 ) -> NodeStatus:
     """Ask one VM."""
-    caller = HttpCaller(reactor, vm.address, timeout_ms)
+    caller = HttpClient(reactor, vm.address, timeout_ms)
     answer = await caller.read("/status")
     await caller.close()
     return node_status(vm, accepted, answer)
--- a/sardinehook/store/http_call.py
+++ b/sardinehook/store/http_client.py
@@ -26,7 +26,7 @@
 from sardinehook.store.port import StoreUnavailable
 from sardinehook.transport.reactor import Timer, Timers
 
-__all__ = ["HttpCaller", "HttpReply"]
+__all__ = ["HttpClient", "HttpReply"]
 
 IDLE_CONNECTION_S = 20
 IDLE_CONNECTIONS = 8
@@ -84,7 +84,7 @@
             self.gathered.errback(reason)
 
 
-class HttpCaller:
+class HttpClient:
     """Makes HTTP calls to one address over connections that are kept alive.
 
     A call that reads is repeated by the pool if an idle connection turns out to be
--- a/sardinehook/store/http_store.py
+++ b/sardinehook/store/http_store.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 
-from sardinehook.store.http_call import HttpCaller, HttpReply
+from sardinehook.store.http_client import HttpClient, HttpReply
 from sardinehook.store.port import (
     Conflict,
     Entry,
@@ -63,11 +63,11 @@
     """
 
     def __init__(self, reactor: Timers, address: str, timeout_ms: float) -> None:
-        self.caller = HttpCaller(reactor, address, timeout_ms)
+        self.client = HttpClient(reactor, address, timeout_ms)
 
     async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
         """Read a key; None if it does not exist."""
-        return read_entry(await self.caller.read(f"/kv/{quote(key)}"), NOT_FOUND)
+        return read_entry(await self.client.read(f"/kv/{quote(key)}"), NOT_FOUND)
 
     async def put(
         self, key: str, value: bytes, expect: int, lease: str = ""
@@ -76,7 +76,7 @@
         path = f"/kv/{quote(key)}?expect={expect}"
         if lease:
             path += f"&lease={quote(lease, safe='')}"
-        done = checked_write(await self.caller.write("PUT", path, value))
+        done = checked_write(await self.client.write("PUT", path, value))
         return done.bind(lambda reply: decode(reply, RevisionReply, True)).map(
             lambda told: Entry(key, value, told["revision"], lease)
         )
@@ -84,11 +84,11 @@
     async def delete(self, key: str, expect: int) -> Result[None, StoreFailure]:
         """Delete a key that is at revision ``expect``."""
         path = f"/kv/{quote(key)}?expect={expect}"
-        return checked_write(await self.caller.write("DELETE", path)).map(nothing)
+        return checked_write(await self.client.write("DELETE", path)).map(nothing)
 
     async def scan(self, prefix: str) -> Result[list[Entry], StoreFailure]:
         """Read all keys that start with ``prefix``, in the order of their keys."""
-        sent = await self.caller.read(f"/kv?prefix={quote(prefix, safe='')}")
+        sent = await self.client.read(f"/kv?prefix={quote(prefix, safe='')}")
         return (
             checked_read(sent)
             .bind(lambda reply: decode(reply, EntriesReply, False))
@@ -100,11 +100,11 @@
     ) -> Result[Entry | None, StoreFailure]:
         """Wait until the key's revision exceeds ``after``; None if it did not."""
         path = f"/watch/{quote(key)}?after={after}&wait_ms={wait_ms:.0f}"
-        return read_entry(await self.caller.read(path, wait_ms), NO_CONTENT)
+        return read_entry(await self.client.read(path, wait_ms), NO_CONTENT)
 
     async def grant_lease(self, ttl_ms: float) -> Result[str, StoreFailure]:
         """Grant a lease that lasts ``ttl_ms`` unless it is renewed."""
-        sent = await self.caller.write("POST", f"/lease?ttl_ms={ttl_ms:.0f}")
+        sent = await self.client.write("POST", f"/lease?ttl_ms={ttl_ms:.0f}")
         return (
             checked_write(sent)
             .bind(lambda reply: decode(reply, LeaseReply, True))
@@ -114,16 +114,16 @@
     async def renew_lease(self, lease: str) -> Result[None, StoreFailure]:
         """Renew a lease; ``Conflict`` if it does not exist any more."""
         path = f"/lease/{quote(lease, safe='')}/renew"
-        return checked_write(await self.caller.write("POST", path)).map(nothing)
+        return checked_write(await self.client.write("POST", path)).map(nothing)
 
     async def revoke_lease(self, lease: str) -> Result[None, StoreFailure]:
         """Revoke a lease and delete its keys."""
         path = f"/lease/{quote(lease, safe='')}"
-        return checked_write(await self.caller.write("DELETE", path)).map(nothing)
+        return checked_write(await self.client.write("DELETE", path)).map(nothing)
 
     def close(self) -> Deferred[list[object]]:
         """Close the connections that are idle."""
-        return self.caller.close()
+        return self.client.close()
 
 
 def nothing(_reply: HttpReply) -> None:
--- a/sardinehook/store/vm_list.py
+++ b/sardinehook/store/vm_list.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 from twisted.internet.defer import Deferred
 
-from sardinehook.store.http_call import HttpCaller, HttpReply
+from sardinehook.store.http_client import HttpClient, HttpReply
 from sardinehook.store.port import StoreFailure, StoreUnavailable
 from sardinehook.transport.reactor import Timers
 
@@ -71,11 +71,11 @@
     """Adapter of ``VmLister`` to the platform's HTTP at ``address`` (``IP:port``)."""
 
     def __init__(self, reactor: Timers, address: str, timeout_ms: float) -> None:
-        self.caller = HttpCaller(reactor, address, timeout_ms)
+        self.client = HttpClient(reactor, address, timeout_ms)
 
     async def fetch(self) -> Result[VmList, StoreFailure]:
         """Read the list."""
-        match await self.caller.read("/vms"):
+        match await self.client.read("/vms"):
             case Success(HttpReply(status=status, body=body)) if status == OK:
                 return decode_vm_list(body)
             case Success(HttpReply(status=status)):
@@ -86,7 +86,7 @@
 
     def close(self) -> Deferred[list[object]]:
         """Close the connections that are idle."""
-        return self.caller.close()
+        return self.client.close()
 
 
 def decode_vm_list(body: bytes) -> Result[VmList, StoreFailure]:
--- a/tests/bench/test_platform.py
+++ b/tests/bench/test_platform.py
@@ -11,14 +11,14 @@
 
 from bench.platform_faults import Outage, VmTable
 from bench.platform_state import Held, KeyValues, Refused
-from sardinehook.store.http_call import HttpCaller
+from sardinehook.store.http_client import HttpClient
 from sardinehook.store.port import CREATE, Entry, StoreFailure, StoreUnavailable
 from tests.store.platform_case import PlatformCase, good
 
 
 class TestControl(PlatformCase):
     async def exchange(self, method: str, path: str, body: bytes = b"") -> bytes:
-        caller = HttpCaller(self.reactor, self.address, 300)
+        caller = HttpClient(self.reactor, self.address, 300)
         if method == "GET":
             reply = good(await caller.read(path))
         else:
--- a/tests/environment/test_node_status.py
+++ b/tests/environment/test_node_status.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from sardinehook.environment.node_status import NodeState, node_status
-from sardinehook.store.http_call import HttpReply
+from sardinehook.store.http_client import HttpReply
 from sardinehook.store.port import StoreUnavailable
 from sardinehook.store.vm_list import Vm, VmState
 from tests.environment.documents import revision
