Rename the query log's methods to what they do

A query is troubled exactly if it ended with a problem: the parameter is named failed. QueryLog.note is named record, QuerySampler.keeps is_sampled, and affords, which takes from a token bucket, try_consume. TROUBLES is named WARNING_EVENTS after the level at which they are logged.

--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -50,10 +50,10 @@
 ) -> None:
     """Log a query as the front does: two events for each sub-query."""
     log = QueryLog(logger, clock, sampler, "r-12345678")
-    log.note(EventName.QUERY_RECEIVED, workload="storm", asked=sub_queries)
+    log.record(EventName.QUERY_RECEIVED, workload="storm", asked=sub_queries)
     for number in range(sub_queries):
-        log.note(EventName.SUB_QUERY_SENT, target="logfinder-07-a", sub_query=number)
-        log.note(EventName.SUB_QUERY_ENDED, target="logfinder-07-a", sub_query=number)
+        log.record(EventName.SUB_QUERY_SENT, target="logfinder-07-a", sub_query=number)
+        log.record(EventName.SUB_QUERY_ENDED, target="logfinder-07-a", sub_query=number)
     log.end(EventName.QUERY_ANSWERED, trouble, asked=sub_queries, took_ms=12.5)
 
 
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -132,7 +132,7 @@
         self.attempts[attempt] += 1
         self.asked.add(service)
         self.open[sub_query.sub_query_id] = OpenSubQuery(service, replica)
-        self.log.note(
+        self.log.record(
             SENT_EVENTS[attempt],
             sub_query=sub_query.sub_query_id,
             service=service,
@@ -143,7 +143,7 @@
         """Log the end of a sub-query."""
         ended = self.open.pop(reply.sub_query_id, None)
         if ended is not None:
-            self.log.note(
+            self.log.record(
                 EventName.SUB_QUERY_ENDED,
                 sub_query=reply.sub_query_id,
                 target=ended.replica,
@@ -157,7 +157,7 @@
         """Log that a sub-query is cancelled."""
         ended = self.open.pop(sub_query_id, None)
         if ended is not None:
-            self.log.note(
+            self.log.record(
                 EventName.SUB_QUERY_CANCELLED,
                 sub_query=sub_query_id,
                 target=ended.replica,
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/searches.py
@@ -117,7 +117,7 @@
         run = SearchRun(self.reactor, search, self.dispatcher, log, settled)
         self.in_flight += 1
         self.metrics.in_flight.set(self.in_flight)
-        log.note(
+        log.record(
             EventName.QUERY_RECEIVED,
             workload=request.workload_name,
             deadline_ms=request.deadline_ms,
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -126,7 +126,7 @@
     deadline_ms: float
 
 
-TROUBLES = frozenset(
+WARNING_EVENTS = frozenset(
     {
         EventName.UNHANDLED_ERROR,
         EventName.QUERY_FAILED,
@@ -143,8 +143,8 @@
 def log_event(
     logger: FilteringBoundLogger, event: EventName, **fields: Unpack[EventFields]
 ) -> None:
-    """Log one event; those of ``TROUBLES`` at level warning, others at info."""
-    if event in TROUBLES:
+    """Log one event; those of ``WARNING_EVENTS`` at level warning, others at info."""
+    if event in WARNING_EVENTS:
         logger.warning(event, **fields)
     else:
         logger.info(event, **fields)
--- a/sardinehook/observe/sampling.py
+++ b/sardinehook/observe/sampling.py
@@ -13,7 +13,7 @@
 __all__ = ["QueryLog", "QuerySampler"]
 
 MAX_EVENTS_PER_QUERY = 256
-TROUBLE_EVENTS_PER_SECOND = 1000.0
+FAILED_QUERY_EVENTS_PER_S = 1000.0
 
 
 class QuerySampler:
@@ -29,18 +29,18 @@
     """
 
     def __init__(
-        self, one_in: int, events_per_second: float = TROUBLE_EVENTS_PER_SECOND
+        self, one_in: int, events_per_second: float = FAILED_QUERY_EVENTS_PER_S
     ) -> None:
         self.one_in = max(one_in, 1)
         self.events_per_second = events_per_second
         self.left = events_per_second
         self.refilled_at = 0.0
 
-    def keeps(self, request: str) -> bool:
+    def is_sampled(self, request: str) -> bool:
         """Tell whether the events of an untroubled request are written."""
         return crc32(request.encode()) % self.one_in == 0
 
-    def affords(self, events: int, now: float) -> bool:
+    def try_consume(self, events: int, now: float) -> bool:
         """Tell whether a troubled query may be told in full at ``now`` seconds."""
         refill = max(now - self.refilled_at, 0.0) * self.events_per_second
         self.left = min(self.left + refill, self.events_per_second)
@@ -51,7 +51,7 @@
         return True
 
 
-class NotedEvent(NamedTuple):
+class PendingEvent(NamedTuple):
     """An event that waits for the end of its query."""
 
     stamp: int
@@ -77,26 +77,26 @@
         self.clock = clock
         self.sampler = sampler
         self.request = request
-        self.events: list[NotedEvent] = []
+        self.events: list[PendingEvent] = []
         self.dropped = 0
 
-    def note(self, event: EventName, **fields: Unpack[EventFields]) -> None:
+    def record(self, event: EventName, **fields: Unpack[EventFields]) -> None:
         """Keep an event with the stamp of the present moment."""
         if len(self.events) >= MAX_EVENTS_PER_QUERY:
             self.dropped += 1
             return
-        self.events.append(NotedEvent(self.clock.tick(), event, fields))
+        self.events.append(PendingEvent(self.clock.tick(), event, fields))
 
     def end(
-        self, event: EventName, trouble: bool, **fields: Unpack[EventFields]
+        self, event: EventName, failed: bool, **fields: Unpack[EventFields]
     ) -> bool:
         """Write the query's events if troubled or sampled; tell whether written."""
-        sampled = self.sampler.keeps(self.request)
-        if not (trouble or sampled):
+        sampled = self.sampler.is_sampled(self.request)
+        if not (failed or sampled):
             self.events.clear()
             return False
-        if sampled or self.sampler.affords(len(self.events), self.clock.wall()):
-            self._write_noted()
+        if sampled or self.sampler.try_consume(len(self.events), self.clock.wall()):
+            self._write_pending()
         else:
             self.dropped += len(self.events)
         self.events.clear()
@@ -106,8 +106,8 @@
         log_event(self.logger, event, **fields)
         return True
 
-    def _write_noted(self) -> None:
-        for noted in self.events:
-            noted.fields["stamp"] = noted.stamp
-            noted.fields["request"] = self.request
-            log_event(self.logger, noted.event, **noted.fields)
+    def _write_pending(self) -> None:
+        for pending in self.events:
+            pending.fields["stamp"] = pending.stamp
+            pending.fields["request"] = self.request
+            log_event(self.logger, pending.event, **pending.fields)
--- a/sardinehook/observe/timeline_page.py
+++ b/sardinehook/observe/timeline_page.py
@@ -6,7 +6,7 @@
 from html import escape
 from string import Template
 
-from sardinehook.observe.events import TROUBLES
+from sardinehook.observe.events import WARNING_EVENTS
 from sardinehook.observe.logfmt import LogLine
 from sardinehook.observe.timeline import Row, Timeline, show_fields, summarise
 
@@ -77,6 +77,6 @@
 
 def is_trouble(line: LogLine) -> bool:
     """Tell whether an event is one that a person looks for."""
-    if line.event in {event.value for event in TROUBLES}:
+    if line.event in {event.value for event in WARNING_EVENTS}:
         return True
     return any(mark in line.event for mark in TROUBLE_MARKS)
--- a/tests/observe/test_events.py
+++ b/tests/observe/test_events.py
@@ -77,8 +77,8 @@
         self, stream: StringIO, logger: FilteringBoundLogger, clock: HybridClock
     ) -> None:
         log = QueryLog(logger, clock, QuerySampler(NEVER_SAMPLED), "r-1")
-        log.note(EventName.SUB_QUERY_SENT, target="a")
-        assert not log.end(EventName.QUERY_ANSWERED, trouble=False)
+        log.record(EventName.SUB_QUERY_SENT, target="a")
+        assert not log.end(EventName.QUERY_ANSWERED, failed=False)
         assert stream.getvalue() == ""
 
     def test_troubled_query_is_written_whole_with_the_times_of_its_events(
@@ -86,9 +86,9 @@
     ) -> None:
         log = QueryLog(logger, clock, QuerySampler(NEVER_SAMPLED), "r-1")
         for target in ("a", "b"):
-            log.note(EventName.SUB_QUERY_SENT, target=target)
+            log.record(EventName.SUB_QUERY_SENT, target=target)
         clock.tick()
-        assert log.end(EventName.QUERY_FAILED, trouble=True)
+        assert log.end(EventName.QUERY_FAILED, failed=True)
         lines = stream.getvalue().splitlines()
         first = 12500 << 16
         assert [line.split()[0] for line in lines] == [
@@ -103,8 +103,8 @@
     ) -> None:
         log = QueryLog(logger, clock, QuerySampler(1), "r-1")
         for _ in range(MAX_EVENTS_PER_QUERY + 7):
-            log.note(EventName.SUB_QUERY_SENT)
-        log.end(EventName.QUERY_ANSWERED, trouble=False)
+            log.record(EventName.SUB_QUERY_SENT)
+        log.end(EventName.QUERY_ANSWERED, failed=False)
         lines = stream.getvalue().splitlines()
         assert len(lines) == MAX_EVENTS_PER_QUERY + 1
         assert "dropped=7" in lines[-1]
@@ -116,14 +116,14 @@
         for number in range(100):
             log = QueryLog(logger, clock, sampler, f"r-{number}")
             for _ in range(9):
-                log.note(EventName.SUB_QUERY_SENT)
-            assert log.end(EventName.QUERY_FAILED, trouble=True)
+                log.record(EventName.SUB_QUERY_SENT)
+            assert log.end(EventName.QUERY_FAILED, failed=True)
         lines = stream.getvalue().splitlines()
         assert len(lines) == 100 + 3 * 9
         assert "dropped=9" in lines[-1]
-        assert sampler.affords(9, clock.wall() + 1.0)
+        assert sampler.try_consume(9, clock.wall() + 1.0)
 
     def test_sampling_keeps_about_the_ratio_asked_for(self) -> None:
         sampler = QuerySampler(one_in=10)
-        kept = sum(sampler.keeps(f"r-{number}") for number in range(10_000))
+        kept = sum(sampler.is_sampled(f"r-{number}") for number in range(10_000))
         assert 900 < kept < 1100
