Rename the grouping of time line rows to the usual terms

fold, single_rows and likeness are named group_rows, ungrouped_rows and grouping_key, with their constants; Selection.takes is named matches.

--- a/sardinehook/cli/timeline.py
+++ b/sardinehook/cli/timeline.py
@@ -14,9 +14,9 @@
 from sardinehook.observe.timeline import (
     Selection,
     build_timeline,
-    fold,
+    group_rows,
     render_text,
-    single_rows,
+    ungrouped_rows,
 )
 from sardinehook.observe.timeline_page import render_page
 
@@ -42,7 +42,7 @@
     """Merge the logs of processes by cause and draw them as one time line."""
     selection = Selection(request, target, revision, data_centre, order)
     drawn = build_timeline(read_logs(files), selection)
-    rows = single_rows(drawn.lines) if every else fold(drawn)
+    rows = ungrouped_rows(drawn.lines) if every else group_rows(drawn)
     if html is None:
         for text in render_text(drawn, rows):
             typer.echo(text)
--- a/sardinehook/observe/timeline.py
+++ b/sardinehook/observe/timeline.py
@@ -15,17 +15,17 @@
     "Selection",
     "Timeline",
     "build_timeline",
-    "fold",
+    "group_rows",
     "render_text",
-    "single_rows",
     "summarise",
+    "ungrouped_rows",
 ]
 
 MS_PER_SECOND = 1000.0
 MAX_PROCESS_WIDTH = 24
 EVENT_WIDTH = 24
-LEAST_FOLDED = 3
-FOLDED_BY = ("request", "outcome", "kind", "state", "revision", "cause", "order")
+MIN_GROUPED_EVENTS = 3
+GROUPING_FIELDS = ("request", "outcome", "kind", "state", "revision", "cause", "order")
 
 
 class Selection(NamedTuple):
@@ -41,7 +41,7 @@
     data_centre: str = ""
     order: str = ""
 
-    def takes(self, line: LogLine) -> bool:
+    def matches(self, line: LogLine) -> bool:
         """Tell whether an event is to be shown."""
         fields = line.fields
         if self.request and self.request not in (
@@ -94,31 +94,31 @@
     malformed = 0
     for log in logs:
         malformed += log.malformed
-        lines += [line for line in log.lines if selection.takes(line)]
+        lines += [line for line in log.lines if selection.matches(line)]
     lines.sort(key=lambda line: (line.stamp, line.process))
     processes = list(dict.fromkeys(line.process for line in lines))
     return Timeline(lines, processes, malformed)
 
 
-def fold(timeline: Timeline) -> list[Row]:
+def group_rows(timeline: Timeline) -> list[Row]:
     """Put runs of like events of a process into one row each."""
     rows: list[Row] = []
-    for _, run in groupby(timeline.lines, key=likeness):
+    for _, run in groupby(timeline.lines, key=grouping_key):
         lines = list(run)
-        if len(lines) < LEAST_FOLDED:
-            rows += single_rows(lines)
+        if len(lines) < MIN_GROUPED_EVENTS:
+            rows += ungrouped_rows(lines)
         else:
             rows.append(Row(lines))
     return rows
 
 
-def likeness(line: LogLine) -> tuple[str, ...]:
+def grouping_key(line: LogLine) -> tuple[str, ...]:
     """Return what events of one row have in common."""
-    same = [line.fields.get(key, "") for key in FOLDED_BY]
+    same = [line.fields.get(key, "") for key in GROUPING_FIELDS]
     return (line.process, line.event, *same)
 
 
-def single_rows(lines: Iterable[LogLine]) -> list[Row]:
+def ungrouped_rows(lines: Iterable[LogLine]) -> list[Row]:
     """Return a row for each event."""
     return [Row([line]) for line in lines]
 
@@ -132,12 +132,12 @@
         process, event = printable(row.first.process), printable(row.title)
         yield (
             f"{offset:>10}  {process:<{width}}  {event:<{EVENT_WIDTH}} "
-            f"{show_fields(row)}"
+            f"{format_fields(row)}"
         ).rstrip()
     yield from summarise(timeline)
 
 
-def show_fields(row: Row) -> str:
+def format_fields(row: Row) -> str:
     """Show the fields of a row as key=value pairs, empty ones left out.
 
     Of events that are drawn as one, a field that differs shows its first and its
@@ -161,7 +161,7 @@
     yield f"{count} events of {processes} processes in {span:.0f} ms"
     if timeline.malformed:
         yield f"{timeline.malformed} malformed lines left out"
-    for revision, lines in in_force(timeline).items():
+    for revision, lines in events_in_force(timeline).items():
         first, last = lines[0], lines[-1]
         spread = timeline.offset_ms(last) - timeline.offset_ms(first)
         nodes = len({line.process for line in lines})
@@ -171,7 +171,7 @@
         )
 
 
-def in_force(timeline: Timeline) -> dict[str, list[LogLine]]:
+def events_in_force(timeline: Timeline) -> dict[str, list[LogLine]]:
     """Return for each revision the events by which processes put it in force."""
     found: dict[str, list[LogLine]] = {}
     for line in timeline.lines:
--- a/sardinehook/observe/timeline_page.py
+++ b/sardinehook/observe/timeline_page.py
@@ -8,7 +8,7 @@
 
 from sardinehook.observe.events import WARNING_EVENTS
 from sardinehook.observe.logfmt import LogLine
-from sardinehook.observe.timeline import Row, Timeline, show_fields, summarise
+from sardinehook.observe.timeline import Row, Timeline, format_fields, summarise
 
 __all__ = ["render_page"]
 
@@ -68,7 +68,7 @@
     before = "<td></td>" * lane
     after = "<td></td>" * (len(timeline.processes) - lane - 1)
     style = ' class="trouble"' if is_trouble(line) else ""
-    event, fields = escape(row.title), escape(show_fields(row))
+    event, fields = escape(row.title), escape(format_fields(row))
     return (
         f'<tr><td class="time">{timeline.offset_ms(line):.0f}</td>{before}'
         f"<td><div{style}><b>{event}</b> <span>{fields}</span></div></td>{after}</tr>"
--- a/tests/observe/test_timeline.py
+++ b/tests/observe/test_timeline.py
@@ -11,7 +11,12 @@
 from sardinehook.observe.clock import HybridClock
 from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.logfmt import ParsedLog, parse_line, parse_log
-from sardinehook.observe.timeline import Selection, build_timeline, fold, render_text
+from sardinehook.observe.timeline import (
+    Selection,
+    build_timeline,
+    group_rows,
+    render_text,
+)
 from sardinehook.observe.timeline_page import render_page
 
 EVERYTHING = Selection()
@@ -51,7 +56,7 @@
 
 def draw(nodes: list[Node], selection: Selection = EVERYTHING) -> list[str]:
     timeline = build_timeline([node.parsed() for node in nodes], selection)
-    return list(render_text(timeline, fold(timeline)))
+    return list(render_text(timeline, group_rows(timeline)))
 
 
 class TestParse:
@@ -141,7 +146,7 @@
         nodes = hedged_query()
         nodes[0].log(EventName.QUERY_FAILED, detail="<script>alert(1)</script>")
         timeline = build_timeline([node.parsed() for node in nodes], EVERYTHING)
-        page = render_page(timeline, fold(timeline), "<b>")
+        page = render_page(timeline, group_rows(timeline), "<b>")
         assert "<th>entry-1<br>duluth</th><th>entry-2<br>marquette</th>" in page
         assert page.count("<tr><td") == 7
         assert 'class="trouble"' in page
