--- a/tests/bench/test_platform.py
+++ b/tests/bench/test_platform.py
@@ -13,22 +13,22 @@
 from bench.platform_state import Held, KeyValues, Refused
 from sardinehook.store.http_client import HttpClient
 from sardinehook.store.port import CREATE, Entry, StoreFailure, StoreUnavailable
-from tests.store.platform_case import PlatformCase, good
+from tests.store.platform_case import PlatformCase, expect_success
 
 
 class TestControl(PlatformCase):
     async def exchange(self, method: str, path: str, body: bytes = b"") -> bytes:
         caller = HttpClient(self.reactor, self.address, 300)
         if method == "GET":
-            reply = good(await caller.read(path))
+            reply = expect_success(await caller.read(path))
         else:
-            reply = good(await caller.write(method, path, body))
+            reply = expect_success(await caller.write(method, path, body))
         await caller.close()
         return reply.body
 
     async def test_calls_and_bytes_are_counted(self) -> None:
-        good(await self.store.put("orders/1", b"12345", CREATE))
-        good(await self.store.get("orders/1"))
+        expect_success(await self.store.put("orders/1", b"12345", CREATE))
+        expect_success(await self.store.get("orders/1"))
         counts = msgspec.json.decode(await self.exchange("GET", "/counts"))
         assert counts["calls"] == {"PUT kv": 1, "GET kv": 1}
         assert counts["prefixes"] == {"orders": 2}
@@ -46,8 +46,8 @@
         assert b"detail" in await self.exchange("POST", "/lease?ttl_ms=x")
 
     async def test_history_tells_every_change(self) -> None:
-        written = good(await self.store.put("a", b"", CREATE))
-        good(await self.store.delete("a", written.revision))
+        written = expect_success(await self.store.put("a", b"", CREATE))
+        expect_success(await self.store.delete("a", written.revision))
         history = msgspec.json.decode(await self.exchange("GET", "/history"))
         assert [(c["key"], c["deleted"]) for c in history] == [
             ("a", False),
@@ -57,7 +57,7 @@
     async def test_outages_end_waiting_watches(self) -> None:
         for outage in (Outage.CUT, Outage.REFUSE):
             watch = Deferred.fromCoroutine(self.store.watch("a", 0, 10_000))
-            await self.later(0.05)
+            await self.sleep(0.05)
             self.platform.control({"outage": outage})
             failure = (await watch).failure()
             assert isinstance(failure, StoreUnavailable)
@@ -68,7 +68,7 @@
     async def test_slowness_delays_every_call(self) -> None:
         self.platform.control({"delay_ms": 120.0})
         began = self.reactor.seconds()
-        good(await self.store.get("a"))
+        expect_success(await self.store.get("a"))
         assert self.reactor.seconds() - began >= 0.12
 
 
--- a/tests/store/platform_case.py
+++ b/tests/store/platform_case.py
@@ -15,14 +15,14 @@
 from bench.platform import Platform
 from sardinehook.store.http_store import HttpStore
 
-__all__ = ["PlatformCase", "good"]
+__all__ = ["PlatformCase", "expect_success"]
 
 Value = TypeVar("Value")
 
 TIMEOUT_MS = 300
 
 
-def good(result: Result[Value, object]) -> Value:
+def expect_success(result: Result[Value, object]) -> Value:
     """The value of a result that must be a success."""
     return result.unwrap()
 
@@ -48,11 +48,11 @@
             cut(watch.request)
         await cast("Deferred[None]", self.port.stopListening())
 
-    def later(self, delay_s: float) -> Deferred[None]:
+    def sleep(self, delay_s: float) -> Deferred[None]:
         """Fire after a while."""
         return deferLater(cast(IReactorTime, self.reactor), delay_s)
 
-    async def free_address(self) -> str:
+    async def unused_address(self) -> str:
         """An address at which nothing listens."""
         port = listen(self.reactor, self.platform)
         address = f"127.0.0.1:{port.getHost().port}"
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -23,7 +23,7 @@
     StoreUnavailable,
 )
 from sardinehook.store.vm_list import HttpVmList, Vm, VmState
-from tests.store.platform_case import PlatformCase, good
+from tests.store.platform_case import PlatformCase, expect_success
 
 
 def may_have_taken_effect(result: Result[object, StoreFailure]) -> bool:
@@ -35,15 +35,17 @@
 
 class TestCompareAndSwap(PlatformCase):
     async def test_create_read_replace_delete(self) -> None:
-        created = good(await self.store.put("a/b c", b"\x00one", CREATE))
-        assert good(await self.store.get("a/b c")) == created
-        replaced = good(await self.store.put("a/b c", b"two", created.revision))
+        created = expect_success(await self.store.put("a/b c", b"\x00one", CREATE))
+        assert expect_success(await self.store.get("a/b c")) == created
+        replaced = expect_success(
+            await self.store.put("a/b c", b"two", created.revision)
+        )
         assert replaced.revision > created.revision
-        good(await self.store.delete("a/b c", replaced.revision))
-        assert good(await self.store.get("a/b c")) is None
+        expect_success(await self.store.delete("a/b c", replaced.revision))
+        assert expect_success(await self.store.get("a/b c")) is None
 
     async def test_loser_is_told_what_is_held(self) -> None:
-        created = good(await self.store.put("a", b"one", CREATE))
+        created = expect_success(await self.store.put("a", b"one", CREATE))
         lost = await self.store.put("a", b"two", CREATE)
         assert lost == Failure(Conflict(created))
         assert await self.store.delete("a", 99) == Failure(Conflict(created))
@@ -51,17 +53,17 @@
 
     async def test_scan_is_sorted(self) -> None:
         for key in ("p/2", "p/1", "q/1"):
-            good(await self.store.put(key, b"", CREATE))
-        found = good(await self.store.scan("p/"))
+            expect_success(await self.store.put(key, b"", CREATE))
+        found = expect_success(await self.store.scan("p/"))
         assert [entry.key for entry in found] == ["p/1", "p/2"]
 
 
 class TestWatch(PlatformCase):
     async def test_change_ends_the_wait(self) -> None:
-        created = good(await self.store.put("a", b"one", CREATE))
+        created = expect_success(await self.store.put("a", b"one", CREATE))
         waiting = Deferred.fromCoroutine(self.store.watch("a", created.revision, 5_000))
-        await self.later(0.02)
-        changed = good(await self.store.put("a", b"two", created.revision))
+        await self.sleep(0.02)
+        changed = expect_success(await self.store.put("a", b"two", created.revision))
         assert await waiting == Success(changed)
 
     async def test_wait_ends_without_a_change(self) -> None:
@@ -69,7 +71,7 @@
 
     async def test_watch_that_is_given_up_ends_as_cancelled(self) -> None:
         waiting = Deferred.fromCoroutine(self.store.watch("a", 0, 5_000))
-        await self.later(0.03)
+        await self.sleep(0.03)
         waiting.cancel()
         with pytest.raises(CancelledError):
             await waiting
@@ -80,29 +82,29 @@
 
         watcher = StoreWatch(self.reactor, self.store, "trial", offer, random.Random(1))
         watcher.start()
-        await self.later(0.03)
+        await self.sleep(0.03)
         watcher.stop()
-        await self.later(1.0)
+        await self.sleep(1.0)
         assert self.platform.counts.calls["GET watch"] == 1
         assert watcher.counts.failures == 0
 
 
 class TestLease(PlatformCase):
     async def test_lapsed_lease_deletes_its_keys(self) -> None:
-        lease = good(await self.store.grant_lease(60))
-        good(await self.store.put("a", b"", CREATE, lease))
-        good(await self.store.renew_lease(lease))
-        await self.later(0.15)
-        assert good(await self.store.get("a")) is None
+        lease = expect_success(await self.store.grant_lease(60))
+        expect_success(await self.store.put("a", b"", CREATE, lease))
+        expect_success(await self.store.renew_lease(lease))
+        await self.sleep(0.15)
+        assert expect_success(await self.store.get("a")) is None
         assert await self.store.renew_lease(lease) == Failure(Conflict(None))
         put = await self.store.put("a", b"", CREATE, lease)
         assert put == Failure(Conflict(None))
 
     async def test_revoked_lease_deletes_its_keys(self) -> None:
-        lease = good(await self.store.grant_lease(60_000))
-        good(await self.store.put("a", b"", CREATE, lease))
-        good(await self.store.revoke_lease(lease))
-        assert good(await self.store.get("a")) is None
+        lease = expect_success(await self.store.grant_lease(60_000))
+        expect_success(await self.store.put("a", b"", CREATE, lease))
+        expect_success(await self.store.revoke_lease(lease))
+        assert expect_success(await self.store.get("a")) is None
 
 
 class TestFaults(PlatformCase):
@@ -110,11 +112,11 @@
         self.platform.control({"lose_replies": 1})
         lost = await self.store.put("a", b"one", CREATE)
         assert may_have_taken_effect(lost)
-        assert good(await self.store.get("a")) == Entry("a", b"one", 1, "")
+        assert expect_success(await self.store.get("a")) == Entry("a", b"one", 1, "")
         assert self.platform.counts.calls["PUT kv"] == 1
 
     async def test_lost_reply_to_a_delete_is_not_repeated(self) -> None:
-        created = good(await self.store.put("a", b"one", CREATE))
+        created = expect_success(await self.store.put("a", b"one", CREATE))
         self.platform.control({"lose_replies": 1})
         lost = await self.store.delete("a", created.revision)
         assert may_have_taken_effect(lost)
@@ -126,23 +128,23 @@
         assert may_have_taken_effect(hung)
 
     async def test_refused_connection_changed_nothing(self) -> None:
-        nobody = HttpStore(self.reactor, await self.free_address(), 300)
+        nobody = HttpStore(self.reactor, await self.unused_address(), 300)
         assert not may_have_taken_effect(await nobody.put("a", b"", CREATE))
 
     async def test_rate_cap_refuses_before_any_effect(self) -> None:
         self.platform.control({"writes_per_s": 1.0})
-        good(await self.store.put("a", b"", CREATE))
+        expect_success(await self.store.put("a", b"", CREATE))
         refused = await self.store.put("b", b"", CREATE)
         assert refused == Failure(StoreUnavailable("rate exceeded", False))
-        assert good(await self.store.get("b")) is None
+        assert expect_success(await self.store.get("b")) is None
 
     async def test_stale_reads_beside_true_writes(self) -> None:
-        old = good(await self.store.put("a", b"old", CREATE))
+        old = expect_success(await self.store.put("a", b"old", CREATE))
         self.platform.control({"stale": True})
-        new = good(await self.store.put("a", b"new", old.revision))
-        assert good(await self.store.get("a")) == old
+        new = expect_success(await self.store.put("a", b"new", old.revision))
+        assert expect_success(await self.store.get("a")) == old
         self.platform.control({"stale": False})
-        assert good(await self.store.get("a")) == new
+        assert expect_success(await self.store.get("a")) == new
 
     async def test_garbled_reply_is_a_failure(self) -> None:
         with mock.patch.object(self.platform, "get", return_value=Reply(200, [1])):
@@ -156,7 +158,7 @@
         vm = Vm("entry-1", "szolnok-b", "127.0.0.1:9", 3, VmState.LEAVING)
         record = cast(VmRecord, vm._asdict())
         self.platform.control({"vm_lag_ms": 100, "upsert_vms": [record]})
-        assert good(await lister.fetch()).vms == ()
-        await self.later(0.15)
-        assert good(await lister.fetch()).vms == (vm,)
+        assert expect_success(await lister.fetch()).vms == ()
+        await self.sleep(0.15)
+        assert expect_success(await lister.fetch()).vms == (vm,)
         await lister.close()
