--- a/sardinehook/observe/sampling.py
+++ b/sardinehook/observe/sampling.py
@@ -24,7 +24,7 @@
     process has not written ``events_per_second`` for them; beyond that each still
     has its last event.
 
-    >>> QuerySampler(one_in=1).keeps("r-1")
+    >>> QuerySampler(one_in=1).is_sampled("r-1")
     True
     """
 
