Reword the event log, metrics and timeline in plain terms

Comments and doc comments spoke of stories, lanes and troubled queries. They now use the usual terms: token bucket, tail-based sampling, causal order, logfmt. Local names and test names follow. Log lines, metric names, help texts and the class names of the HTML page are unchanged.

--- a/sardinehook/observe/__init__.py
+++ b/sardinehook/observe/__init__.py
@@ -1,1 +1,1 @@
-"""Events, metrics and the time line."""
+"""Event log, metrics, and the timeline built from event logs."""
--- a/sardinehook/observe/clock.py
+++ b/sardinehook/observe/clock.py
@@ -1,4 +1,4 @@
-"""Hybrid logical clock that orders the events of many processes by cause."""
+"""Hybrid logical clock that gives events of many processes a causal order."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 def stamp_seconds(stamp: int) -> float:
-    """Give the wall clock part of a stamp in seconds since the epoch.
+    """Return the wall clock part of a stamp in seconds since the epoch.
 
     >>> stamp_seconds(1500 << COUNTER_BITS)
     1.5
@@ -21,15 +21,15 @@
 
 
 class HybridClock:
-    """Gives stamps that grow with each event and with each message received.
+    """Issues stamps that increase with each event and each message received.
 
     A stamp packs wall clock milliseconds and a counter into one integer
-    (``milliseconds << 16 | counter``). Sorted by stamp, an event comes after all
-    that can have caused it, also where the wall clocks of two processes differ
-    or step back, provided that each message carries the sender's stamp and the
-    receiver calls ``witness`` with it. The algorithm is that of Kulkarni and
-    others, "Logical Physical Clocks" (2014), with the counter carrying over into
-    the milliseconds. ``wall`` returns seconds since the epoch.
+    (``milliseconds << 16 | counter``). Sorting by stamp respects causal order even
+    if the wall clocks of two processes differ or step back, provided that each
+    message carries the sender's stamp and the receiver passes it to ``witness``.
+    The algorithm is that of Kulkarni et al., "Logical Physical Clocks" (2014),
+    with an overflowing counter carrying over into the milliseconds. ``wall``
+    returns seconds since the epoch.
 
     >>> clock = HybridClock(lambda: 2.0)
     >>> clock.tick() == 2000 << COUNTER_BITS
@@ -52,7 +52,7 @@
     def witness(self, stamp: int) -> int:
         """Return the stamp of the receipt of a message that carries ``stamp``.
 
-        A stamp outside of 0 to ``MAX_STAMP`` is not believed and counts as zero.
+        A stamp that is negative, or not below ``MAX_STAMP``, is ignored.
         """
         if 0 <= stamp < MAX_STAMP:
             self.last = max(self.last, stamp)
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -1,4 +1,4 @@
-"""Events that processes log, one line of key=value pairs each."""
+"""Structured event log: one line of key=value pairs (logfmt) for each event."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 __all__ = ["EventFields", "EventName", "configure_logging", "log_event", "log_names"]
 
 MAX_VALUE_CHARACTERS = 512
-NAMES_A_LINE = 24  # of up to 20 characters, within MAX_VALUE_CHARACTERS
+MAX_NAMES_PER_LINE = 24  # up to 20 characters each, within MAX_VALUE_CHARACTERS
 LEADING_KEYS = ["stamp", "time", "level", "event", "process", "data_centre"]
 
 
 class EventName(StrEnum):
-    """Every event that a process logs."""
+    """The names of all events in the event log."""
 
     PROCESS_STARTED = "process_started"
     PROCESS_FAILED = "process_failed"
@@ -81,10 +81,10 @@
 
 
 class EventFields(TypedDict, total=False):
-    """The fields that an event may carry; ``_ms`` fields are milliseconds.
+    """The optional fields of an event; fields ending in ``_ms`` are milliseconds.
 
-    ``stamp`` is given only for an event that is written later than it happened.
-    ``cause`` names what led to the event, for example the request or the peer.
+    ``stamp`` is set only if the event is written later than it happened. ``cause``
+    names what led to the event, for example the request or the peer.
     """
 
     stamp: int
@@ -143,7 +143,7 @@
 def log_event(
     logger: FilteringBoundLogger, event: EventName, **fields: Unpack[EventFields]
 ) -> None:
-    """Log one event; those of ``WARNING_EVENTS`` at level warning, others at info."""
+    """Log an event, at level warning if in ``WARNING_EVENTS``, otherwise at info."""
     if event in WARNING_EVENTS:
         logger.warning(event, **fields)
     else:
@@ -153,25 +153,25 @@
 def log_names(
     logger: FilteringBoundLogger, event: EventName, state: str, names: Sequence[str]
 ) -> None:
-    """Log what holds for several at once, ``NAMES_A_LINE`` names in a line."""
-    for first in range(0, len(names), NAMES_A_LINE):
-        some = names[first : first + NAMES_A_LINE]
-        log_event(logger, event, state=state, count=len(some), detail=" ".join(some))
+    """Log an event for many names, ``MAX_NAMES_PER_LINE`` names in each line."""
+    for first in range(0, len(names), MAX_NAMES_PER_LINE):
+        batch = names[first : first + MAX_NAMES_PER_LINE]
+        log_event(logger, event, state=state, count=len(batch), detail=" ".join(batch))
 
 
 def configure_logging(
     stream: TextIO, process: str, data_centre: str, clock: HybridClock
 ) -> None:
-    """Write the events of this process to ``stream``, one line for each.
+    """Configure structlog to write this process's events to ``stream``.
 
-    Each line starts with the hybrid stamp, the wall clock time in seconds, the
-    level, the event, the process and the data centre.
+    Each event is one line, which starts with the hybrid logical stamp, the wall
+    clock time in seconds, the level, the event, the process and the data centre.
     """
     structlog.configure(
         processors=[
             add_log_level,
-            _Stamper(process, data_centre, clock),
-            _bound_values,
+            _HeaderProcessor(process, data_centre, clock),
+            _limit_values,
             LogfmtRenderer(key_order=LEADING_KEYS, bool_as_flag=False),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
@@ -180,8 +180,8 @@
     )
 
 
-class _Stamper:
-    """Adds stamp, time, process and data centre to an event."""
+class _HeaderProcessor:
+    """Log processor that adds stamp, time, process and data centre to an event."""
 
     def __init__(self, process: str, data_centre: str, clock: HybridClock) -> None:
         self.process = process
@@ -200,7 +200,7 @@
         return event
 
 
-def _bound_values(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
+def _limit_values(_logger: WrappedLogger, _method: str, event: EventDict) -> EventDict:
     for key, value in event.items():
         if isinstance(value, str):
             event[key] = printable(value)
@@ -210,7 +210,7 @@
 
 
 def printable(value: str) -> str:
-    r"""Bound a text from outside and escape what could break or forge a line.
+    r"""Truncate untrusted text and escape characters that could forge a log line.
 
     >>> print(printable("a" + chr(10) + "stamp=1"))
     a\nstamp=1
--- a/sardinehook/observe/logfmt.py
+++ b/sardinehook/observe/logfmt.py
@@ -1,4 +1,4 @@
-"""Reads back the lines of key=value pairs that processes log."""
+"""Parser for the logfmt lines of the event log."""
 
 from __future__ import annotations
 
@@ -12,12 +12,12 @@
 
 MAX_LINE_CHARACTERS = 65_536
 PAIR = re.compile(r'([a-z_]+)=(?:"((?:[^"\\]|\\.)*)"|([^ "]*))(?: |$)')
-ESCAPED = re.compile(r"\\(.)")
-HEAD_FIELDS = frozenset({"stamp", "time", "level", "event", "process", "data_centre"})
+ESCAPE_SEQUENCE = re.compile(r"\\(.)")
+HEADER_FIELDS = frozenset({"stamp", "time", "level", "event", "process", "data_centre"})
 
 
 class LogLine(NamedTuple):
-    """One event of one process; ``fields`` are those that only some events have."""
+    """One logged event; ``fields`` holds all but the header fields."""
 
     stamp: int
     event: str
@@ -27,14 +27,14 @@
 
 
 class ParsedLog(NamedTuple):
-    """The events of some logs, and how many lines could not be read."""
+    """The events of a log, and the number of malformed lines."""
 
     lines: list[LogLine]
     malformed: int
 
 
 def parse_line(text: str) -> LogLine | None:
-    r"""Parse one line as ``configure_logging`` writes it; None if it is malformed.
+    r"""Parse one line as ``configure_logging`` writes it; None if malformed.
 
     >>> parse_line('stamp=5 event=a process=p detail="no \\"x\\""').fields
     {'detail': 'no "x"'}
@@ -52,12 +52,12 @@
         event=pairs["event"],
         process=pairs["process"],
         data_centre=pairs.get("data_centre", ""),
-        fields={key: pairs[key] for key in pairs if key not in HEAD_FIELDS},
+        fields={key: pairs[key] for key in pairs if key not in HEADER_FIELDS},
     )
 
 
 def parse_pairs(text: str) -> dict[str, str] | None:
-    """Parse the key=value pairs of a line; None if anything else is in it."""
+    """Parse the key=value pairs of a line; None if it contains anything else."""
     text = text.rstrip("\n")
     if not text or len(text) > MAX_LINE_CHARACTERS:
         return None
@@ -68,13 +68,13 @@
         if match is None:
             return None
         key, quoted, plain = match.groups()
-        pairs[key] = plain if quoted is None else ESCAPED.sub(r"\1", quoted)
+        pairs[key] = plain if quoted is None else ESCAPE_SEQUENCE.sub(r"\1", quoted)
         position = match.end()
     return pairs
 
 
 def parse_log(lines: Iterable[str]) -> ParsedLog:
-    """Parse lines; malformed ones are counted, blank ones ignored."""
+    """Parse lines, counting malformed ones and ignoring blank ones."""
     parsed: list[LogLine] = []
     malformed = 0
     for text in lines:
--- a/sardinehook/observe/loop_lag.py
+++ b/sardinehook/observe/loop_lag.py
@@ -1,4 +1,4 @@
-"""Measures how late the event loop runs its timers."""
+"""Measurement of event loop lag: how late timers run."""
 
 from __future__ import annotations
 
@@ -14,31 +14,31 @@
 
 
 class LagMetrics(Protocol):
-    """What the probe records to."""
+    """The metric that the probe records to."""
 
     loop_lag_seconds: Histogram
 
 
 class LoopLagProbe:
-    """Observes the lag of a timer twice a second."""
+    """Records the lag of a timer every ``PROBE_INTERVAL_SECONDS``."""
 
     def __init__(self, timers: Timers, metrics: LagMetrics) -> None:
         self.timers = timers
         self.metrics = metrics
-        self.due = 0.0
-        self.call: Timer | None = None
+        self.due_at = 0.0
+        self.timer: Timer | None = None
 
     def start(self) -> None:
-        """Begin to measure."""
-        self.due = self.timers.seconds() + PROBE_INTERVAL_SECONDS
-        self.call = self.timers.callLater(PROBE_INTERVAL_SECONDS, self._observe)
+        """Schedule the next measurement."""
+        self.due_at = self.timers.seconds() + PROBE_INTERVAL_SECONDS
+        self.timer = self.timers.callLater(PROBE_INTERVAL_SECONDS, self._observe)
 
     def stop(self) -> None:
-        """Measure no more."""
-        if self.call is not None and self.call.active():
-            self.call.cancel()
+        """Cancel the scheduled measurement."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
 
     def _observe(self) -> None:
-        lag = max(self.timers.seconds() - self.due, 0.0)
+        lag = max(self.timers.seconds() - self.due_at, 0.0)
         self.metrics.loop_lag_seconds.observe(lag)
         self.start()
--- a/sardinehook/observe/metrics.py
+++ b/sardinehook/observe/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of an entry process, with label sets that don't grow with the fleet."""
+"""Prometheus metrics of an entry process, with bounded label cardinality."""
 
 from __future__ import annotations
 
@@ -58,7 +58,7 @@
 
 
 class StoreOperation(StrEnum):
-    """A call on the platform's service."""
+    """An operation of the platform's key-value service or VM list."""
 
     GET = "get"
     PUT = "put"
@@ -70,7 +70,7 @@
 
 
 class MemberState(StrEnum):
-    """What an entry process knows of the members of its fleet."""
+    """The state of a fleet member as seen by this entry process."""
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -79,14 +79,14 @@
 
 
 class Direction(StrEnum):
-    """Which way bytes of control went."""
+    """The direction of control traffic."""
 
     SENT = "sent"
     RECEIVED = "received"
 
 
 class OrderOutcome(StrEnum):
-    """What the caller of an order was told."""
+    """The outcome of an order as reported to its caller."""
 
     RUN = "run"
     NOT_RUN = "not_run"
@@ -95,10 +95,11 @@
 
 
 class Metrics:
-    """All metrics of one process in a registry of its own.
+    """All metrics of one process, in a separate registry.
 
     Labels are workload, error kind, outcome, state, operation and data centre,
-    never a replica, service, caller or request.
+    never a replica, service, caller or request: cardinality must not grow with the
+    fleet.
     """
 
     def __init__(self) -> None:
@@ -248,7 +249,10 @@
         )
 
     def workload(self, name: str) -> str:
-        """Return the label for a workload, bounded to ``MAX_WORKLOADS`` names."""
+        """Return the label value for a workload.
+
+        Beyond ``MAX_WORKLOADS`` distinct names, it is ``OTHER_WORKLOAD``.
+        """
         if name in self.workloads:
             return name
         if len(self.workloads) >= MAX_WORKLOADS:
@@ -263,7 +267,7 @@
         self.coverage_ratio.labels(label).observe(coverage)
 
     def observe_refusal(self, workload: str, seconds: float, kind: ErrorKind) -> None:
-        """Record a request that was not answered, and why."""
+        """Record a request that failed or was rejected, by error kind."""
         self.request_seconds.labels(self.workload(workload), kind.value).observe(
             seconds
         )
@@ -274,33 +278,33 @@
         self.sub_queries.labels(self.workload(workload), attempt.value).inc(count)
 
     def count_sub_reply(self, outcome: Outcome, data_centre: str) -> None:
-        """Count the end of a sub-query to a target of a data centre."""
+        """Count the outcome of a sub-query by the data centre of its target."""
         self.sub_replies.labels(outcome.name.lower(), data_centre).inc()
 
     def count_order(self, outcome: OrderOutcome) -> None:
-        """Count what the caller of an order was told."""
+        """Count the outcome of an order as reported to its caller."""
         self.orders.labels(outcome.value).inc()
 
     def count_store_call(self, operation: StoreOperation, failed: bool) -> None:
-        """Count a call on the platform's service."""
+        """Count a call to the platform, and its failure if ``failed``."""
         self.store_calls.labels(operation.value).inc()
         if failed:
             self.store_failures.labels(operation.value).inc()
 
     def count_control_bytes(self, direction: Direction, count: int) -> None:
-        """Count bytes of control messages."""
+        """Count bytes of control messages sent or received."""
         self.control_bytes.labels(direction.value).inc(count)
 
     def set_replicas(self, counts: dict[TargetState, int]) -> None:
-        """Set how many replicas this process owns in each state."""
+        """Set the number of owned replicas in each state; missing states are zero."""
         for state in TargetState:
             self.replicas.labels(state.name.lower()).set(counts.get(state, 0))
 
     def set_members(self, counts: dict[MemberState, int]) -> None:
-        """Set how many entry processes are known in each state."""
+        """Set the number of known members in each state; missing states are zero."""
         for state in MemberState:
             self.members.labels(state.value).set(counts.get(state, 0))
 
     def render(self) -> bytes:
-        """Return all metrics in Prometheus' text format."""
+        """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/sardinehook/observe/rate_limited_stream.py
+++ b/sardinehook/observe/rate_limited_stream.py
@@ -1,4 +1,4 @@
-"""Writes log lines without ever blocking, at a bounded rate."""
+"""Non-blocking, rate-limited output stream for log lines."""
 
 from __future__ import annotations
 
@@ -7,17 +7,18 @@
 
 __all__ = ["RateLimitedStream"]
 
-MAX_LINES_PER_S = 100.0  # ten times what the heaviest day needs of one gateway
-BURST_LINES = 400.0  # a start tells of all replicas and gateways
-MAX_LINE_BYTES = 4000  # a pipe takes up to 4,096 bytes whole or not at all
+MAX_LINES_PER_S = 100.0  # ten times the need of one gateway on its busiest day
+BURST_LINES = 400.0  # start-up logs all replicas and gateways
+MAX_LINE_BYTES = 4000  # pipe writes are atomic up to 4,096 bytes
 
 
 class RateLimitedStream:
-    """A stream for log lines over a file descriptor.
+    """Writes log lines to a file descriptor without blocking.
 
-    Lines beyond the rate and those that a full pipe does not take are left out and
-    counted; the next line that is written says how many. ``on_drop`` is called for
-    each. Lines are cut at ``MAX_LINE_BYTES``.
+    A token bucket limits the rate. Lines above the rate and lines that a full pipe
+    does not accept are dropped and counted; the next line written carries the count
+    as ``lines_dropped``. ``on_drop`` is called for each dropped line. Lines are
+    truncated to ``MAX_LINE_BYTES``.
     """
 
     def __init__(
@@ -29,15 +30,15 @@
         self.descriptor = descriptor
         self.seconds = seconds
         self.on_drop = on_drop
-        self.left = BURST_LINES
+        self.tokens = BURST_LINES
         self.refilled_at = seconds()
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> int:
-        """Write one line, or count it as left out."""
-        if not self.take_turn():
-            self.drop()
+        """Write one line, or drop and count it; return the length of ``text``."""
+        if not self.try_take_token():
+            self.count_drop()
             return len(text)
         line = text.rstrip("\n")
         if self.dropped:
@@ -46,24 +47,24 @@
             os.write(self.descriptor, line.encode()[:MAX_LINE_BYTES] + b"\n")
             self.dropped = 0
         except OSError:
-            self.drop()
+            self.count_drop()
         return len(text)
 
     def flush(self) -> None:
-        """Do nothing: each line has been written."""
+        """Do nothing: lines are not buffered."""
 
-    def take_turn(self) -> bool:
-        """Take one line from the rate, if there is one left."""
+    def try_take_token(self) -> bool:
+        """Take the token for one line; return False if the bucket is empty."""
         now = self.seconds()
         refill = (now - self.refilled_at) * MAX_LINES_PER_S
-        self.left = min(BURST_LINES, self.left + refill)
+        self.tokens = min(BURST_LINES, self.tokens + refill)
         self.refilled_at = now
-        if self.left < 1.0:
+        if self.tokens < 1.0:
             return False
-        self.left -= 1.0
+        self.tokens -= 1.0
         return True
 
-    def drop(self) -> None:
-        """Count a line that is left out."""
+    def count_drop(self) -> None:
+        """Count a dropped line and report it to ``on_drop``."""
         self.dropped += 1
         self.on_drop()
--- a/sardinehook/observe/sampling.py
+++ b/sardinehook/observe/sampling.py
@@ -1,4 +1,4 @@
-"""Keeps the events of a query until it is known whether to write them."""
+"""Tail-based sampling of the events of queries."""
 
 from __future__ import annotations
 
@@ -17,12 +17,12 @@
 
 
 class QuerySampler:
-    """Chooses which queries' events are written.
+    """Decides which queries' events are written.
 
-    Untroubled ones are chosen by request id, by all processes alike, so that a
-    sampled query's story is whole. Troubled ones are told in full as long as the
-    process has not written ``events_per_second`` for them; beyond that each still
-    has its last event.
+    Successful queries are sampled by a hash of the request id, so that all
+    processes sample the same queries. Failed queries are written with all their
+    events up to a rate of ``events_per_second``; above it, only the last event of
+    each is written.
 
     >>> QuerySampler(one_in=1).is_sampled("r-1")
     True
@@ -33,26 +33,29 @@
     ) -> None:
         self.one_in = max(one_in, 1)
         self.events_per_second = events_per_second
-        self.left = events_per_second
+        self.tokens = events_per_second
         self.refilled_at = 0.0
 
     def is_sampled(self, request: str) -> bool:
-        """Tell whether the events of an untroubled request are written."""
+        """Return whether the events of a successful request are written."""
         return crc32(request.encode()) % self.one_in == 0
 
     def try_consume(self, events: int, now: float) -> bool:
-        """Tell whether a troubled query may be told in full at ``now`` seconds."""
+        """Take tokens for all events of a failed query at ``now`` seconds.
+
+        Returns False if the bucket is empty. The last query may overdraw it.
+        """
         refill = max(now - self.refilled_at, 0.0) * self.events_per_second
-        self.left = min(self.left + refill, self.events_per_second)
+        self.tokens = min(self.tokens + refill, self.events_per_second)
         self.refilled_at = now
-        if self.left <= 0.0:
+        if self.tokens <= 0.0:
             return False
-        self.left -= events
+        self.tokens -= events
         return True
 
 
 class PendingEvent(NamedTuple):
-    """An event that waits for the end of its query."""
+    """An event that is buffered until its query ends."""
 
     stamp: int
     event: EventName
@@ -60,10 +63,10 @@
 
 
 class QueryLog:
-    """The events of one query, written at its end if sampled or troubled.
+    """Buffers the events of one query; writes them at its end if sampled or failed.
 
-    At most ``MAX_EVENTS_PER_QUERY`` are kept; the number of further ones is
-    written with the last event.
+    Keeps at most ``MAX_EVENTS_PER_QUERY``; the number of dropped events is written
+    with the last event.
     """
 
     def __init__(
@@ -81,7 +84,7 @@
         self.dropped = 0
 
     def record(self, event: EventName, **fields: Unpack[EventFields]) -> None:
-        """Keep an event with the stamp of the present moment."""
+        """Buffer an event with the current stamp."""
         if len(self.events) >= MAX_EVENTS_PER_QUERY:
             self.dropped += 1
             return
@@ -90,7 +93,7 @@
     def end(
         self, event: EventName, failed: bool, **fields: Unpack[EventFields]
     ) -> bool:
-        """Write the query's events if troubled or sampled; tell whether written."""
+        """Write the query's events if failed or sampled; return whether written."""
         sampled = self.sampler.is_sampled(self.request)
         if not (failed or sampled):
             self.events.clear()
--- a/sardinehook/observe/timeline.py
+++ b/sardinehook/observe/timeline.py
@@ -1,4 +1,4 @@
-"""One time line of the events of many processes, in the order of cause."""
+"""Merges the event logs of many processes into one timeline in causal order."""
 
 from __future__ import annotations
 
@@ -29,9 +29,9 @@
 
 
 class Selection(NamedTuple):
-    """Which events to show; an empty field selects all.
+    """Filter for events; an empty field matches all.
 
-    ``revision`` zero selects all. ``target`` is the name of a replica and ``order``
+    ``revision`` zero matches all. ``target`` is the name of a replica and ``order``
     the idempotency key of an order.
     """
 
@@ -42,7 +42,7 @@
     order: str = ""
 
     def matches(self, line: LogLine) -> bool:
-        """Tell whether an event is to be shown."""
+        """Return whether an event matches all fields of the filter."""
         fields = line.fields
         if self.request and self.request not in (
             fields.get("request"),
@@ -59,20 +59,20 @@
 
 
 class Timeline(NamedTuple):
-    """Events in the order of cause, the processes in that of their first event."""
+    """Events in causal order, and processes in the order of their first event."""
 
     lines: list[LogLine]
     processes: list[str]
     malformed: int
 
     def offset_ms(self, line: LogLine) -> float:
-        """Return the time of an event after the first one in milliseconds."""
+        """Return the milliseconds from the first event to ``line``."""
         first = stamp_seconds(self.lines[0].stamp)
         return (stamp_seconds(line.stamp) - first) * MS_PER_SECOND
 
 
 class Row(NamedTuple):
-    """Events that are drawn as one: a single one, or a run of like ones."""
+    """One row of the timeline: a single event or a run of similar events."""
 
     lines: list[LogLine]
 
@@ -83,13 +83,13 @@
 
     @property
     def title(self) -> str:
-        """The event, with the number of times if it is more than one."""
+        """The event name, with the count if the row has more than one event."""
         count = len(self.lines)
         return self.first.event if count == 1 else f"{self.first.event} x{count}"
 
 
 def build_timeline(logs: Iterable[ParsedLog], selection: Selection) -> Timeline:
-    """Merge logs by hybrid stamp, so that no event comes before its cause."""
+    """Merge the selected events of logs by hybrid stamp, that is, in causal order."""
     lines: list[LogLine] = []
     malformed = 0
     for log in logs:
@@ -101,10 +101,10 @@
 
 
 def group_rows(timeline: Timeline) -> list[Row]:
-    """Put runs of like events of a process into one row each."""
+    """Group runs of ``MIN_GROUPED_EVENTS`` or more similar events into rows."""
     rows: list[Row] = []
-    for _, run in groupby(timeline.lines, key=grouping_key):
-        lines = list(run)
+    for _, similar in groupby(timeline.lines, key=grouping_key):
+        lines = list(similar)
         if len(lines) < MIN_GROUPED_EVENTS:
             rows += ungrouped_rows(lines)
         else:
@@ -113,9 +113,9 @@
 
 
 def grouping_key(line: LogLine) -> tuple[str, ...]:
-    """Return what events of one row have in common."""
-    same = [line.fields.get(key, "") for key in GROUPING_FIELDS]
-    return (line.process, line.event, *same)
+    """Return the values that all events of a row share."""
+    values = [line.fields.get(key, "") for key in GROUPING_FIELDS]
+    return (line.process, line.event, *values)
 
 
 def ungrouped_rows(lines: Iterable[LogLine]) -> list[Row]:
@@ -124,7 +124,7 @@
 
 
 def render_text(timeline: Timeline, rows: Iterable[Row]) -> Iterator[str]:
-    """Draw a time line for a terminal."""
+    """Yield the lines of a timeline for a terminal."""
     width = max((len(name) for name in timeline.processes), default=0)
     width = min(width, MAX_PROCESS_WIDTH)
     for row in rows:
@@ -138,43 +138,43 @@
 
 
 def format_fields(row: Row) -> str:
-    """Show the fields of a row as key=value pairs, empty ones left out.
+    """Format the fields of a row as key=value pairs, omitting empty ones.
 
-    Of events that are drawn as one, a field that differs shows its first and its
-    last value.
+    In a row of several events, a field whose first and last values differ shows
+    both.
     """
     last = row.lines[-1].fields
-    shown = []
+    pairs = []
     for key, value in row.first.fields.items():
-        other = last.get(key, "")
-        if value and value == other:
-            shown.append(f"{key}={value}")
+        last_value = last.get(key, "")
+        if value and value == last_value:
+            pairs.append(f"{key}={value}")
         elif value:
-            shown.append(f"{key}={value}..{other}")
-    return printable(" ".join(shown))
+            pairs.append(f"{key}={value}..{last_value}")
+    return printable(" ".join(pairs))
 
 
 def summarise(timeline: Timeline) -> Iterator[str]:
-    """Sum up a time line: its size, and when each revision was in force."""
+    """Yield summary lines: event count, and when each revision was in force."""
     count, processes = len(timeline.lines), len(timeline.processes)
-    span = timeline.offset_ms(timeline.lines[-1]) if timeline.lines else 0.0
-    yield f"{count} events of {processes} processes in {span:.0f} ms"
+    total_ms = timeline.offset_ms(timeline.lines[-1]) if timeline.lines else 0.0
+    yield f"{count} events of {processes} processes in {total_ms:.0f} ms"
     if timeline.malformed:
         yield f"{timeline.malformed} malformed lines left out"
     for revision, lines in events_in_force(timeline).items():
         first, last = lines[0], lines[-1]
-        spread = timeline.offset_ms(last) - timeline.offset_ms(first)
+        span_ms = timeline.offset_ms(last) - timeline.offset_ms(first)
         nodes = len({line.process for line in lines})
         yield (
             f"revision {printable(revision)} in force on {nodes} processes, "
-            f"the last {printable(last.process)}, {spread:.0f} ms after the first"
+            f"the last {printable(last.process)}, {span_ms:.0f} ms after the first"
         )
 
 
 def events_in_force(timeline: Timeline) -> dict[str, list[LogLine]]:
-    """Return for each revision the events by which processes put it in force."""
-    found: dict[str, list[LogLine]] = {}
+    """Return the ``REVISION_IN_FORCE`` events of each revision."""
+    by_revision: dict[str, list[LogLine]] = {}
     for line in timeline.lines:
         if line.event == EventName.REVISION_IN_FORCE:
-            found.setdefault(line.fields.get("revision", "?"), []).append(line)
-    return found
+            by_revision.setdefault(line.fields.get("revision", "?"), []).append(line)
+    return by_revision
--- a/sardinehook/observe/timeline_page.py
+++ b/sardinehook/observe/timeline_page.py
@@ -1,4 +1,4 @@
-"""A time line as one static HTML page with a lane for each process."""
+"""Renders a timeline as a static HTML page with one column per process."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 __all__ = ["render_page"]
 
-PAGE = Template(
+PAGE_TEMPLATE = Template(
     """<!doctype html>
 <html lang="en">
 <head>
@@ -43,17 +43,17 @@
 </html>
 """
 )
-TROUBLE_MARKS = ("refused", "failed", "lost", "silent", "dropped", "withdrawn")
+PROBLEM_WORDS = ("refused", "failed", "lost", "silent", "dropped", "withdrawn")
 
 
 def render_page(timeline: Timeline, rows: Iterable[Row], title: str) -> str:
-    """Draw a time line as HTML; all that comes from logs is escaped."""
+    """Render a timeline as HTML; all text from logs is escaped."""
     data_centres = {line.process: line.data_centre for line in timeline.lines}
     heads = "".join(
         f"<th>{escape(process)}<br>{escape(data_centres[process])}</th>"
         for process in timeline.processes
     )
-    return PAGE.substitute(
+    return PAGE_TEMPLATE.substitute(
         title=escape(title),
         summary="\n".join(f"<p>{escape(text)}</p>" for text in summarise(timeline)),
         heads=heads,
@@ -62,12 +62,12 @@
 
 
 def render_row(timeline: Timeline, row: Row) -> str:
-    """Draw one row in the lane of its process."""
+    """Render one row, with its event in the column of its process."""
     line = row.first
-    lane = timeline.processes.index(line.process)
-    before = "<td></td>" * lane
-    after = "<td></td>" * (len(timeline.processes) - lane - 1)
-    style = ' class="trouble"' if is_trouble(line) else ""
+    column = timeline.processes.index(line.process)
+    before = "<td></td>" * column
+    after = "<td></td>" * (len(timeline.processes) - column - 1)
+    style = ' class="trouble"' if is_problem(line) else ""
     event, fields = escape(row.title), escape(format_fields(row))
     return (
         f'<tr><td class="time">{timeline.offset_ms(line):.0f}</td>{before}'
@@ -75,8 +75,8 @@
     )
 
 
-def is_trouble(line: LogLine) -> bool:
-    """Tell whether an event is one that a person looks for."""
+def is_problem(line: LogLine) -> bool:
+    """Return whether an event is highlighted as a problem."""
     if line.event in {event.value for event in WARNING_EVENTS}:
         return True
-    return any(mark in line.event for mark in TROUBLE_MARKS)
+    return any(word in line.event for word in PROBLEM_WORDS)
--- a/sardinehook/observe/twisted_errors.py
+++ b/sardinehook/observe/twisted_errors.py
@@ -1,4 +1,4 @@
-"""Writes errors that nobody handled into the event log."""
+"""Forwards unhandled errors from Twisted's log to the event log."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 def log_unhandled_errors() -> None:
-    """Send Twisted's own errors to the event log, once in a process's life."""
+    """Forward Twisted's log errors to the event log; call once per process."""
     globalLogBeginner.beginLoggingTo(
         [cast(ILogObserver, observe_error)],
         discardBuffer=True,
@@ -32,7 +32,7 @@
 
 
 def observe_error(event: LogEvent) -> None:
-    """Log an event of Twisted as one line if it tells of an error."""
+    """Log a Twisted log event as one line if its level is error or critical."""
     level = event.get("log_level")
     if level not in (LogLevel.error, LogLevel.critical):
         return
@@ -46,6 +46,6 @@
 
 
 def last_frames(failure: Failure, count: int = 3) -> str:
-    """Return where a failure was raised, the innermost frames last."""
+    """Return the last ``count`` frames of a failure, innermost last."""
     frames = failure.frames[-count:]
     return " > ".join(f"{frame[1].rsplit('/', 1)[-1]}:{frame[2]}" for frame in frames)
--- a/tests/observe/test_clock.py
+++ b/tests/observe/test_clock.py
@@ -18,18 +18,18 @@
         stamps = [clock.tick() for _ in walls]
         assert stamps == sorted(set(stamps))
 
-    def test_receipt_sorts_after_sending_by_a_faster_clock(self) -> None:
+    def test_receipt_sorts_after_sending_by_clock_that_is_ahead(self) -> None:
         ahead, behind = HybridClock(lambda: 100.0), HybridClock(lambda: 1.0)
         sent = ahead.tick()
         assert behind.witness(sent) > sent
         assert behind.tick() > sent
 
-    def test_wall_clock_leads_again_once_it_has_caught_up(self) -> None:
+    def test_stamps_follow_wall_clock_again_once_it_has_caught_up(self) -> None:
         clock = HybridClock(lambda: 100.0)
         clock.witness(5 << COUNTER_BITS)
         assert clock.tick() >> COUNTER_BITS == 100_000
 
-    def test_impossible_stamps_are_not_believed(self) -> None:
+    def test_out_of_range_stamps_are_ignored(self) -> None:
         clock = HybridClock(lambda: 1.0)
         clock.witness(MAX_STAMP)
         clock.witness(-1)
--- a/tests/observe/test_data.py
+++ b/tests/observe/test_data.py
@@ -1,4 +1,4 @@
-"""Tests of alerts and dashboard against the metrics and the operators' pages."""
+"""Tests that alerts and dashboard use existing metrics and documentation pages."""
 
 from __future__ import annotations
 
@@ -49,7 +49,7 @@
 
 
 def known_labels() -> dict[str, set[str]]:
-    """Return the labels of each sample that the metrics can render."""
+    """Return the label names of each sample that the metrics can render."""
     known = {}
     for metric in vars(Metrics()).values():
         if isinstance(metric, MetricWrapperBase):
@@ -86,6 +86,6 @@
         assert page.is_file()
         assert not section or section in set(headings(page))
 
-    def test_a_metric_that_does_not_exist_would_be_found(self) -> None:
+    def test_unknown_metric_is_not_a_known_sample(self) -> None:
         assert "sardinehook_revision" in known_labels()
         assert "sardinehook_revision_total" not in known_labels()
--- a/tests/observe/test_events.py
+++ b/tests/observe/test_events.py
@@ -1,4 +1,4 @@
-"""Tests of the event log and of the sampling of queries' events."""
+"""Tests of the event log and of the sampling of query events."""
 
 from __future__ import annotations
 
@@ -48,7 +48,7 @@
 
 
 class TestLogEvent:
-    def test_one_line_of_pairs_for_each_event(
+    def test_each_event_is_one_logfmt_line(
         self, stream: StringIO, logger: FilteringBoundLogger
     ) -> None:
         log_event(logger, EventName.STORE_DOWN, detail="no route", took_ms=1.23456)
@@ -58,7 +58,7 @@
             'process=entry-1 data_centre=duluth detail="no route" took_ms=1.235\n'
         )
 
-    def test_text_from_outside_cannot_forge_a_line(
+    def test_untrusted_text_cannot_forge_a_line(
         self, stream: StringIO, logger: FilteringBoundLogger
     ) -> None:
         log_event(logger, EventName.QUERY_FAILED, detail="x\r\nstamp=1 event=y\x1b[2J")
@@ -73,7 +73,7 @@
 
 
 class TestQueryLog:
-    def test_untroubled_query_is_not_written_unless_sampled(
+    def test_successful_query_is_not_written_unless_sampled(
         self, stream: StringIO, logger: FilteringBoundLogger, clock: HybridClock
     ) -> None:
         log = QueryLog(logger, clock, QuerySampler(NEVER_SAMPLED), "r-1")
@@ -81,7 +81,7 @@
         assert not log.end(EventName.QUERY_ANSWERED, failed=False)
         assert stream.getvalue() == ""
 
-    def test_troubled_query_is_written_whole_with_the_times_of_its_events(
+    def test_failed_query_is_written_with_original_stamps_of_its_events(
         self, stream: StringIO, logger: FilteringBoundLogger, clock: HybridClock
     ) -> None:
         log = QueryLog(logger, clock, QuerySampler(NEVER_SAMPLED), "r-1")
@@ -98,7 +98,7 @@
         ]
         assert all("request=r-1" in line for line in lines)
 
-    def test_events_of_a_query_are_bounded_and_the_rest_counted(
+    def test_events_beyond_limit_per_query_are_dropped_and_counted(
         self, stream: StringIO, logger: FilteringBoundLogger, clock: HybridClock
     ) -> None:
         log = QueryLog(logger, clock, QuerySampler(1), "r-1")
@@ -109,7 +109,7 @@
         assert len(lines) == MAX_EVENTS_PER_QUERY + 1
         assert "dropped=7" in lines[-1]
 
-    def test_many_troubled_queries_leave_their_last_event_only(
+    def test_failed_queries_above_rate_write_only_their_last_event(
         self, stream: StringIO, logger: FilteringBoundLogger, clock: HybridClock
     ) -> None:
         sampler = QuerySampler(NEVER_SAMPLED, events_per_second=20.0)
@@ -123,7 +123,7 @@
         assert "dropped=9" in lines[-1]
         assert sampler.try_consume(9, clock.wall() + 1.0)
 
-    def test_sampling_keeps_about_the_ratio_asked_for(self) -> None:
+    def test_sampling_approximates_configured_ratio(self) -> None:
         sampler = QuerySampler(one_in=10)
         kept = sum(sampler.is_sampled(f"r-{number}") for number in range(10_000))
         assert 900 < kept < 1100
--- a/tests/observe/test_loop_lag.py
+++ b/tests/observe/test_loop_lag.py
@@ -1,4 +1,4 @@
-"""Tests of the probe of the event loop."""
+"""Tests of the event loop lag probe."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 
 class TestLoopLagProbe:
-    def test_observes_how_late_a_timer_ran_until_stopped(self) -> None:
+    def test_records_timer_lag_until_stopped(self) -> None:
         clock, metrics = Clock(), Metrics()
         probe = LoopLagProbe(clock, metrics)
         probe.start()
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -13,7 +13,7 @@
 
 
 class TestMetrics:
-    def test_rendered_text_has_what_was_recorded(self) -> None:
+    def test_rendered_text_contains_recorded_values(self) -> None:
         metrics = Metrics()
         metrics.observe_answer("storm", 0.04, 0.98)
         metrics.observe_refusal("storm", 0.001, ErrorKind.OVERLOADED)
@@ -26,7 +26,7 @@
         assert 'sardinehook_replicas{state="cold"} 2.0' in text
         assert 'sardinehook_replicas{state="warm"} 0.0' in text
 
-    def test_processes_in_one_interpreter_do_not_share_a_registry(self) -> None:
+    def test_instances_do_not_share_a_registry(self) -> None:
         first, second = Metrics(), Metrics()
         first.in_flight.inc()
         assert b"sardinehook_in_flight 0.0" in second.render()
--- a/tests/observe/test_timeline.py
+++ b/tests/observe/test_timeline.py
@@ -1,4 +1,4 @@
-"""Tests of reading logs back and of the time line drawn from them."""
+"""Tests of the log parser and of the timeline."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 )
 from sardinehook.observe.timeline_page import render_page
 
-EVERYTHING = Selection()
+ALL_EVENTS = Selection()
 
 
 class Node:
-    """A process with a wall clock of its own and a log."""
+    """A process with its own wall clock and log."""
 
     def __init__(self, name: str, data_centre: str, wall: float) -> None:
         self.name = name
@@ -40,7 +40,7 @@
         return parse_log(self.stream.getvalue().splitlines())
 
 
-def hedged_query() -> list[Node]:
+def log_hedged_query() -> list[Node]:
     """Log a query that is hedged to an owner whose clock is 90 s behind."""
     front, owner = Node("entry-1", "duluth", 100.0), Node("entry-2", "marquette", 10.0)
     front.log(EventName.QUERY_RECEIVED, request="r-1", workload="storm")
@@ -54,7 +54,7 @@
     return [owner, front]
 
 
-def draw(nodes: list[Node], selection: Selection = EVERYTHING) -> list[str]:
+def render(nodes: list[Node], selection: Selection = ALL_EVENTS) -> list[str]:
     timeline = build_timeline([node.parsed() for node in nodes], selection)
     return list(render_text(timeline, group_rows(timeline)))
 
@@ -74,7 +74,7 @@
         parsed = parse_log([text])
         assert len(parsed.lines) + parsed.malformed == bool(text.strip())
 
-    def test_malformed_lines_are_counted_and_left_out(self) -> None:
+    def test_malformed_lines_are_counted_and_skipped(self) -> None:
         good = "stamp=1 event=e process=p data_centre=d"
         bad = ["Traceback:", "stamp=x event=e process=p", "event=e process=p", "a=1 b"]
         parsed = parse_log([good, *bad, "", f"stamp={1 << 64} event=e process=p"])
@@ -83,8 +83,8 @@
 
 
 class TestTimeline:
-    def test_events_follow_their_causes_though_clocks_differ(self) -> None:
-        events = [row.split()[3] for row in draw(hedged_query())[:-1]]
+    def test_events_are_in_causal_order_despite_clock_skew(self) -> None:
+        events = [row.split()[3] for row in render(log_hedged_query())[:-1]]
         assert events == [
             "query_received",
             "query_received",
@@ -94,58 +94,58 @@
             "query_answered",
         ]
 
-    def test_one_request_s_story_is_whole_and_alone(self) -> None:
-        rows = draw(hedged_query(), Selection(request="r-1"))
+    def test_request_filter_selects_all_events_of_one_request(self) -> None:
+        rows = render(log_hedged_query(), Selection(request="r-1"))
         assert len(rows) == 6
         assert not any("r-2" in row for row in rows)
         assert rows[-1] == "5 events of 2 processes in 0 ms"
 
-    def test_an_order_s_story_joins_the_requests_that_repeat_it(self) -> None:
+    def test_order_filter_joins_requests_that_repeat_the_order(self) -> None:
         first, second = Node("e1", "d", 1.0), Node("e2", "d", 2.0)
         first.log(EventName.ORDER_SENT, request="r-1", order="A-17")
         first.log(EventName.ORDER_SENT, request="r-2", order="B-1")
         second.log(EventName.ORDER_REPEATED, request="r-3", order="A-17")
-        rows = draw([first, second], Selection(order="A-17"))
+        rows = render([first, second], Selection(order="A-17"))
         assert [row.split()[3] for row in rows[:-1]] == ["order_sent", "order_repeated"]
 
-    def test_target_and_data_centre_select(self) -> None:
-        assert len(draw(hedged_query(), Selection(target="b"))) == 3
-        assert len(draw(hedged_query(), Selection(data_centre="duluth"))) == 6
+    def test_filters_by_target_and_data_centre(self) -> None:
+        assert len(render(log_hedged_query(), Selection(target="b"))) == 3
+        assert len(render(log_hedged_query(), Selection(data_centre="duluth"))) == 6
 
-    def test_a_change_s_story_tells_when_it_was_in_force_everywhere(self) -> None:
+    def test_summary_says_when_revision_was_in_force_on_all_processes(self) -> None:
         nodes = [Node(f"entry-{n}", "duluth", 100.0 + n) for n in range(3)]
         nodes[0].log(EventName.REVISION_ACCEPTED, revision=7)
         for node in nodes:
             node.log(EventName.REVISION_IN_FORCE, revision=7)
             node.log(EventName.REVISION_IN_FORCE, revision=8)
-        rows = draw(nodes, Selection(revision=7))
+        rows = render(nodes, Selection(revision=7))
         assert len(rows) == 6
         assert rows[-1] == (
             "revision 7 in force on 3 processes, the last entry-2, 2000 ms after the "
             "first"
         )
 
-    def test_runs_of_like_events_are_drawn_as_one_row(self) -> None:
+    def test_runs_of_similar_events_are_one_row(self) -> None:
         node = Node("p", "d", 1.0)
         for number in range(50):
             node.log(EventName.SUB_QUERY_SENT, request="r", target=f"t{number}")
         for outcome in ("answered", "answered", "late", "answered"):
             node.log(EventName.SUB_QUERY_ENDED, request="r", outcome=outcome)
-        rows = draw([node])
+        rows = render([node])
         assert len(rows) == 1 + 4 + 1
         assert "sub_query_sent x50" in rows[0]
         assert "target=t0..t49" in rows[0]
         assert "outcome=late" in rows[3]
 
-    def test_malformed_lines_are_named_in_the_summary(self) -> None:
+    def test_summary_counts_malformed_lines(self) -> None:
         node = Node("p", "d", 1.0)
         node.stream.write("garbage\n")
-        assert draw([node])[-1] == "1 malformed lines left out"
+        assert render([node])[-1] == "1 malformed lines left out"
 
-    def test_page_has_a_lane_for_each_process_and_escapes_what_was_logged(self) -> None:
-        nodes = hedged_query()
+    def test_page_has_column_per_process_and_escapes_logged_text(self) -> None:
+        nodes = log_hedged_query()
         nodes[0].log(EventName.QUERY_FAILED, detail="<script>alert(1)</script>")
-        timeline = build_timeline([node.parsed() for node in nodes], EVERYTHING)
+        timeline = build_timeline([node.parsed() for node in nodes], ALL_EVENTS)
         page = render_page(timeline, group_rows(timeline), "<b>")
         assert "<th>entry-1<br>duluth</th><th>entry-2<br>marquette</th>" in page
         assert page.count("<tr><td") == 7
--- a/tests/observe/test_twisted_errors.py
+++ b/tests/observe/test_twisted_errors.py
@@ -1,4 +1,4 @@
-"""Tests of the log of errors that nobody handled."""
+"""Tests of the logging of unhandled errors."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class TestObserveError:
-    def test_a_failure_is_one_line_with_its_place(self) -> None:
+    def test_failure_is_one_line_with_its_location(self) -> None:
         try:
             raise ValueError("two\nlines")
         except ValueError:
@@ -34,6 +34,6 @@
         assert "ValueError: two" in line
         assert "test_twisted_errors.py:" in line
 
-    def test_what_is_no_error_is_left_out(self) -> None:
+    def test_only_errors_are_logged(self) -> None:
         assert observed(LogLevel.info, None) == []
         assert len(observed(LogLevel.error, None)) == 1
