Reword the store client in plain terms

The HTTP client, the key-value adapter and the VM list spoke of calls that are told apart and repeated. They now use the usual terms: timeout, retry, connection pool, conflict. Local names and test names follow. Failure details are unchanged.

--- a/sardinehook/store/__init__.py
+++ b/sardinehook/store/__init__.py
@@ -1,1 +1,1 @@
-"""The key-value service and VM list: ports, and adapters of the stand-in's HTTP."""
+"""Ports for the key-value service and the VM list, with their HTTP adapters."""
--- a/sardinehook/store/http_client.py
+++ b/sardinehook/store/http_client.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange with the platform, bounded in time."""
+"""HTTP client for the platform, with a timeout on each call."""
 
 from __future__ import annotations
 
@@ -28,14 +28,14 @@
 
 __all__ = ["HttpClient", "HttpReply"]
 
-IDLE_CONNECTION_S = 20
-IDLE_CONNECTIONS = 8
-CONNECT_SHARE = 0.5  # of the timeout, so that a refused connection is told apart
-RATE_EXCEEDED = 429
+IDLE_TIMEOUT_S = 20
+MAX_IDLE_CONNECTIONS = 8
+CONNECT_TIMEOUT_RATIO = 0.5  # of the timeout, to tell failed connects from lost replies
+TOO_MANY_REQUESTS = 429
 
 
 class HttpReply(NamedTuple):
-    """The status and the whole body of a reply."""
+    """The status and the complete body of a reply."""
 
     status: int
     body: bytes
@@ -43,52 +43,55 @@
 
 @implementer(IAgentEndpointFactory)
 class IpEndpointFactory:
-    """Connects by IP number, so that a refused connection is told at once."""
+    """Creates endpoints for IP addresses, which report a refused connection at once."""
 
     def __init__(self, reactor: Timers, timeout_s: float) -> None:
         self.reactor = reactor
         self.timeout_s = timeout_s
 
     def endpointForURI(self, uri: URI) -> TCP4ClientEndpoint | TCP6ClientEndpoint:
-        """The endpoint of an address."""
+        """Return the endpoint of an IP address, version 4 or 6."""
         host = uri.host.decode().strip("[]")
-        version_6 = isIPv6Address(host)
-        endpoint = TCP6ClientEndpoint if version_6 else TCP4ClientEndpoint
+        is_ipv6 = isIPv6Address(host)
+        endpoint = TCP6ClientEndpoint if is_ipv6 else TCP4ClientEndpoint
         return endpoint(self.reactor, host, uri.port, self.timeout_s)
 
 
-class BodyGatherer(Protocol):
-    """Gathers the body of a response; cancelling it closes the connection."""
+class BodyCollector(Protocol):
+    """Collects the body of a response.
+
+    Cancelling ``body_read`` closes the connection.
+    """
 
     def __init__(self) -> None:
-        self.parts: list[bytes] = []
-        self.gathered: Deferred[bytes] = Deferred(self.cancel)
+        self.chunks: list[bytes] = []
+        self.body_read: Deferred[bytes] = Deferred(self.cancel)
 
-    def cancel(self, _gathered: Deferred[bytes]) -> None:
-        """Close the connection of a body that is no longer wanted."""
+    def cancel(self, _body_read: Deferred[bytes]) -> None:
+        """Close the connection after the body's ``Deferred`` was cancelled."""
         close = getattr(self.transport, "loseConnection", None)
         if close is not None:
             close()
 
     def dataReceived(self, data: bytes) -> None:
-        """Take a part of the body."""
-        self.parts.append(data)
+        """Append a chunk of the body."""
+        self.chunks.append(data)
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
-        """Take the end of the body, whole or not."""
-        if self.gathered.called:
+        """Fire with the complete body, or fail if the connection ended early."""
+        if self.body_read.called:
             return
         if isinstance(reason.value, ResponseDone):
-            self.gathered.callback(b"".join(self.parts))
+            self.body_read.callback(b"".join(self.chunks))
         else:
-            self.gathered.errback(reason)
+            self.body_read.errback(reason)
 
 
 class HttpClient:
-    """Makes HTTP calls to one address over connections that are kept alive.
+    """Makes HTTP calls to one address over persistent connections.
 
-    A call that reads is repeated by the pool if an idle connection turns out to be
-    closed. A call that writes is never repeated.
+    The connection pool retries a read if an idle connection turns out to be closed.
+    A write is never retried.
     """
 
     def __init__(self, reactor: Timers, address: str, timeout_ms: float) -> None:
@@ -97,30 +100,32 @@
         self.timeout_ms = timeout_ms
         self.read_pool = self.make_pool(retry=True)
         self.write_pool = self.make_pool(retry=False)
-        endpoints = IpEndpointFactory(reactor, CONNECT_SHARE * timeout_ms / 1000)
+        endpoints = IpEndpointFactory(
+            reactor, CONNECT_TIMEOUT_RATIO * timeout_ms / 1000
+        )
         self.agents = {
             pool: make_agent(reactor, endpoints, pool)
             for pool in (self.read_pool, self.write_pool)
         }
 
     def make_pool(self, retry: bool) -> HTTPConnectionPool:
-        """Make a pool of connections; ``retry`` lets it repeat a call."""
+        """Create a connection pool; ``retry`` allows it to retry calls."""
         pool = HTTPConnectionPool(self.reactor)
-        pool.cachedConnectionTimeout = IDLE_CONNECTION_S
-        pool.maxPersistentPerHost = IDLE_CONNECTIONS
+        pool.cachedConnectionTimeout = IDLE_TIMEOUT_S
+        pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         pool.retryAutomatically = retry
         return pool
 
     async def read(
-        self, path: str, extra_ms: float = 0.0
+        self, path: str, server_wait_ms: float = 0.0
     ) -> Result[HttpReply, StoreUnavailable]:
-        """Send a GET; ``extra_ms`` is the time that the server may wait by itself."""
-        return await self.call("GET", path, b"", self.read_pool, extra_ms)
+        """Send a GET; ``server_wait_ms`` adds the server's own wait to the timeout."""
+        return await self.call("GET", path, b"", self.read_pool, server_wait_ms)
 
     async def write(
         self, method: str, path: str, body: bytes = b""
     ) -> Result[HttpReply, StoreUnavailable]:
-        """Send a call that changes something."""
+        """Send a request that may change the server's state."""
         return await self.call(method, path, body, self.write_pool, 0.0)
 
     async def call(
@@ -129,43 +134,45 @@
         path: str,
         body: bytes,
         pool: HTTPConnectionPool,
-        extra_ms: float,
+        server_wait_ms: float,
     ) -> Result[HttpReply, StoreUnavailable]:
-        """Send one request and gather its reply within the timeout.
+        """Send one request and read its reply within the timeout.
 
-        Raises ``CancelledError`` if the caller gives the call up.
+        A failure before the connection is open changed nothing, and neither did
+        status 429; after any other failure a write may have taken effect. Raises
+        ``CancelledError`` if the call is cancelled.
         """
-        timeout_s = (self.timeout_ms + extra_ms) / 1000
+        timeout_s = (self.timeout_ms + server_wait_ms) / 1000
         exchange = Deferred.fromCoroutine(self.exchange(method, path, body, pool))
         timer = self.reactor.callLater(timeout_s, exchange.cancel)
-        writes = pool is self.write_pool
+        is_write = pool is self.write_pool
         try:
             reply = await exchange
         except (ConnectError, ConnectingCancelledError) as error:
             raise_if_cancelled(error, timer)
-            return Failure(StoreUnavailable(describe(error), False))
-        except Exception as error:  # any fault of a library or peer is one outcome
+            return Failure(StoreUnavailable(describe_error(error), False))
+        except Exception as error:  # any library or peer error is one outcome
             raise_if_cancelled(error, timer)
-            return Failure(StoreUnavailable(describe(error), writes))
+            return Failure(StoreUnavailable(describe_error(error), is_write))
         finally:
             if timer.active():
                 timer.cancel()
-        if reply.status == RATE_EXCEEDED:
+        if reply.status == TOO_MANY_REQUESTS:
             return Failure(StoreUnavailable("rate exceeded", False))
         return Success(reply)
 
     async def exchange(
         self, method: str, path: str, body: bytes, pool: HTTPConnectionPool
     ) -> HttpReply:
-        """Send one request and gather its reply; raises what the library raises."""
+        """Send one request and read its reply; library exceptions propagate."""
         producer = make_producer(body) if body else None
         agent = self.agents[pool]
         uri = (self.base + path).encode()
         response = await agent.request(method.encode(), uri, bodyProducer=producer)
-        return HttpReply(response.code, await gather_body(response))
+        return HttpReply(response.code, await read_body(response))
 
     def close(self) -> Deferred[list[object]]:
-        """Close the connections that are idle."""
+        """Close the idle connections."""
         pools = (self.read_pool, self.write_pool)
         return gatherResults([close_pool(pool) for pool in pools])
 
@@ -173,21 +180,21 @@
 def make_agent(
     reactor: Timers, endpoints: IpEndpointFactory, pool: HTTPConnectionPool
 ) -> Agent:
-    """Make an agent that connects by IP number."""
+    """Create an agent that connects by IP address."""
     make = cast(Callable[..., Agent], Agent.usingEndpointFactory)
     return make(reactor, endpoints, pool)
 
 
-def gather_body(response: IResponse) -> Deferred[bytes]:
-    """Gather the whole body of a response."""
-    gatherer = BodyGatherer()
-    deliver = cast(Callable[[Protocol], None], response.deliverBody)
-    deliver(gatherer)
-    return gatherer.gathered
+def read_body(response: IResponse) -> Deferred[bytes]:
+    """Read the complete body of a response."""
+    collector = BodyCollector()
+    deliver_body = cast(Callable[[Protocol], None], response.deliverBody)
+    deliver_body(collector)
+    return collector.body_read
 
 
 def make_producer(body: bytes) -> IBodyProducer:
-    """Make the body of a request."""
+    """Create a producer that sends ``body``."""
     producer = FileBodyProducer(BytesIO(body))
     return cast(IBodyProducer, producer)
 
@@ -199,16 +206,18 @@
 
 
 def raise_if_cancelled(error: Exception, timer: Timer) -> None:
-    """Raise ``CancelledError`` if the caller gave the call up before its timeout."""
+    """Raise ``CancelledError`` if the call was cancelled before its timeout."""
     if not timer.active():
         return
     reasons = getattr(error, "reasons", ())
-    given_up = (CancelledError, ConnectingCancelledError)
-    if isinstance(error, given_up) or any(r.check(*given_up) for r in reasons):
+    cancellations = (CancelledError, ConnectingCancelledError)
+    if isinstance(error, cancellations) or any(
+        r.check(*cancellations) for r in reasons
+    ):
         raise CancelledError from error
 
 
-def describe(error: Exception) -> str:
-    """One line that names an error."""
+def describe_error(error: Exception) -> str:
+    """Return the type and the first line of the message of an error."""
     detail = str(error).splitlines()
     return f"{type(error).__name__}: {detail[0]}" if detail else type(error).__name__
--- a/sardinehook/store/http_store.py
+++ b/sardinehook/store/http_store.py
@@ -1,4 +1,4 @@
-"""The key-value service over HTTP, in the dialect of the platform."""
+"""HTTP adapter for the platform's key-value service."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
 
 
 class EntryReply(TypedDict):
-    """An entry as JSON; ``value`` travels as base64."""
+    """An entry as JSON; ``value`` is base64-encoded."""
 
     key: str
     value: bytes
@@ -38,28 +38,28 @@
 
 
 class EntriesReply(TypedDict):
-    """The entries of a scan."""
+    """The reply to a scan."""
 
     entries: list[EntryReply]
 
 
 class RevisionReply(TypedDict):
-    """The revision that a put was given."""
+    """The reply to a put."""
 
     revision: int
 
 
 class LeaseReply(TypedDict):
-    """The lease that was granted."""
+    """The reply to the grant of a lease."""
 
     lease: str
 
 
 class HttpStore:
-    """Adapter of ``Store`` to the platform's HTTP.
+    """Implements ``Store`` over the platform's HTTP API.
 
-    ``address`` is ``IP:port``; ``timeout_ms`` bounds each call, to which a watch
-    adds its own wait.
+    ``address`` is ``IP:port``. ``timeout_ms`` applies to each call; a watch adds its
+    own wait to it.
     """
 
     def __init__(self, reactor: Timers, address: str, timeout_ms: float) -> None:
@@ -72,109 +72,116 @@
     async def put(
         self, key: str, value: bytes, expect: int, lease: str = ""
     ) -> Result[Entry, StoreFailure]:
-        """Write a key that is at revision ``expect``, ``CREATE`` if it is new."""
+        """Write a key if its revision is ``expect``; ``CREATE`` means it is absent."""
         path = f"/kv/{quote(key)}?expect={expect}"
         if lease:
             path += f"&lease={quote(lease, safe='')}"
-        done = checked_write(await self.client.write("PUT", path, value))
-        return done.bind(lambda reply: decode(reply, RevisionReply, True)).map(
-            lambda told: Entry(key, value, told["revision"], lease)
+        result = check_write(await self.client.write("PUT", path, value))
+        return result.bind(lambda reply: decode(reply, RevisionReply, True)).map(
+            lambda body: Entry(key, value, body["revision"], lease)
         )
 
     async def delete(self, key: str, expect: int) -> Result[None, StoreFailure]:
-        """Delete a key that is at revision ``expect``."""
+        """Delete a key if its revision is ``expect``."""
         path = f"/kv/{quote(key)}?expect={expect}"
-        return checked_write(await self.client.write("DELETE", path)).map(nothing)
+        return check_write(await self.client.write("DELETE", path)).map(discard_reply)
 
     async def scan(self, prefix: str) -> Result[list[Entry], StoreFailure]:
-        """Read all keys that start with ``prefix``, in the order of their keys."""
-        sent = await self.client.read(f"/kv?prefix={quote(prefix, safe='')}")
+        """Read all entries whose keys start with ``prefix``, sorted by key."""
+        result = await self.client.read(f"/kv?prefix={quote(prefix, safe='')}")
         return (
-            checked_read(sent)
+            check_read(result)
             .bind(lambda reply: decode(reply, EntriesReply, False))
-            .map(lambda told: [to_entry(entry) for entry in told["entries"]])
+            .map(lambda body: [to_entry(entry) for entry in body["entries"]])
         )
 
     async def watch(
         self, key: str, after: int, wait_ms: float
     ) -> Result[Entry | None, StoreFailure]:
-        """Wait until the key's revision exceeds ``after``; None if it did not."""
+        """Wait up to ``wait_ms`` for a revision above ``after``; None if none came."""
         path = f"/watch/{quote(key)}?after={after}&wait_ms={wait_ms:.0f}"
         return read_entry(await self.client.read(path, wait_ms), NO_CONTENT)
 
     async def grant_lease(self, ttl_ms: float) -> Result[str, StoreFailure]:
-        """Grant a lease that lasts ``ttl_ms`` unless it is renewed."""
-        sent = await self.client.write("POST", f"/lease?ttl_ms={ttl_ms:.0f}")
+        """Grant a lease that expires after ``ttl_ms`` unless it is renewed."""
+        result = await self.client.write("POST", f"/lease?ttl_ms={ttl_ms:.0f}")
         return (
-            checked_write(sent)
+            check_write(result)
             .bind(lambda reply: decode(reply, LeaseReply, True))
-            .map(lambda told: told["lease"])
+            .map(lambda body: body["lease"])
         )
 
     async def renew_lease(self, lease: str) -> Result[None, StoreFailure]:
-        """Renew a lease; ``Conflict`` if it does not exist any more."""
+        """Renew a lease; ``Conflict`` if it no longer exists."""
         path = f"/lease/{quote(lease, safe='')}/renew"
-        return checked_write(await self.client.write("POST", path)).map(nothing)
+        return check_write(await self.client.write("POST", path)).map(discard_reply)
 
     async def revoke_lease(self, lease: str) -> Result[None, StoreFailure]:
         """Revoke a lease and delete its keys."""
         path = f"/lease/{quote(lease, safe='')}"
-        return checked_write(await self.client.write("DELETE", path)).map(nothing)
+        return check_write(await self.client.write("DELETE", path)).map(discard_reply)
 
     def close(self) -> Deferred[list[object]]:
-        """Close the connections that are idle."""
+        """Close the idle connections."""
         return self.client.close()
 
 
-def nothing(_reply: HttpReply) -> None:
-    """Drop a reply of which only the success matters."""
+def discard_reply(_reply: HttpReply) -> None:
+    """Discard the reply of a call whose success is the only result."""
 
 
 def to_entry(reply: EntryReply) -> Entry:
-    """Convert an entry from its JSON form."""
+    """Convert the JSON form of an entry."""
     return Entry(reply["key"], reply["value"], reply["revision"], reply["lease"])
 
 
 def decode(
-    reply: HttpReply, form: type[Reply], wrote: bool
+    reply: HttpReply, reply_type: type[Reply], is_write: bool
 ) -> Result[Reply, StoreFailure]:
-    """Decode the body of a reply, which may come from something broken."""
+    """Decode the body of a reply; a malformed one counts as unavailability.
+
+    ``is_write`` says that the call was a write, which may have taken effect.
+    """
     try:
-        return Success(msgspec.json.decode(reply.body, type=form))
+        return Success(msgspec.json.decode(reply.body, type=reply_type))
     except msgspec.MsgspecError as error:
-        return Failure(StoreUnavailable(f"malformed reply: {error}", wrote))
+        return Failure(StoreUnavailable(f"malformed reply: {error}", is_write))
 
 
 def read_entry(
-    sent: Result[HttpReply, StoreUnavailable], absent_status: int
+    result: Result[HttpReply, StoreUnavailable], absent_status: int
 ) -> Result[Entry | None, StoreFailure]:
-    """Take the entry from a reply, None if its status is ``absent_status``."""
-    match sent:
+    """Decode the entry in a reply; None if its status is ``absent_status``."""
+    match result:
         case Success(HttpReply(status=status)) if status == absent_status:
             return Success(None)
-    decoded = checked_read(sent).bind(lambda reply: decode(reply, EntryReply, False))
+    decoded = check_read(result).bind(lambda reply: decode(reply, EntryReply, False))
     return decoded.map(to_entry)
 
 
-def checked_read(
-    sent: Result[HttpReply, StoreUnavailable],
+def check_read(
+    result: Result[HttpReply, StoreUnavailable],
 ) -> Result[HttpReply, StoreFailure]:
-    """Let a reply pass whose status is success."""
-    match sent:
+    """Return the reply to a read if its status is 200, otherwise a failure."""
+    match result:
         case Success(HttpReply(status=status) as reply):
             if status == OK:
                 return Success(reply)
             return Failure(StoreUnavailable(f"status {status}", False))
         case Failure(StoreUnavailable() as failure):
             return Failure(failure)
-    raise AssertionError(sent)
+    raise AssertionError(result)
 
 
-def checked_write(
-    sent: Result[HttpReply, StoreUnavailable],
+def check_write(
+    result: Result[HttpReply, StoreUnavailable],
 ) -> Result[HttpReply, StoreFailure]:
-    """Let a reply pass whose status is success, and tell a conflict apart."""
-    match sent:
+    """Return the reply to a write if its status is 200 or 204, otherwise a failure.
+
+    Statuses 404 and 409 are conflicts. After any other failure status, the write may
+    have taken effect.
+    """
+    match result:
         case Success(HttpReply(status=status) as reply):
             if status in (OK, NO_CONTENT):
                 return Success(reply)
@@ -183,11 +190,11 @@
             return Failure(StoreUnavailable(f"status {status}", True))
         case Failure(StoreUnavailable() as failure):
             return Failure(failure)
-    raise AssertionError(sent)
+    raise AssertionError(result)
 
 
 def to_conflict(reply: HttpReply) -> Conflict:
-    """Take the current entry from a refusal; None if the key does not exist."""
+    """Decode the current entry in a conflict reply; None if the key is absent."""
     match decode(reply, EntryReply, False):
         case Success(current):
             return Conflict(to_entry(current))
--- a/sardinehook/store/port.py
+++ b/sardinehook/store/port.py
@@ -1,4 +1,4 @@
-"""The port to the platform's key-value service."""
+"""Port for the platform's key-value service."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
     "StoreUnavailable",
 ]
 
-CREATE = 0  # the revision that a put expects of a key that does not exist
+CREATE = 0  # expected revision of a key that does not exist yet
 
 
 class Entry(NamedTuple):
-    """A key with its value, as the service holds it.
+    """A key with its value.
 
-    ``revision`` is the service's counter at the last change of this key. ``lease``
-    is empty for a key that lasts until it is deleted.
+    ``revision`` is the service's change counter at the last change of this key.
+    ``lease`` is empty for a key that is not bound to a lease.
     """
 
     key: str
@@ -36,7 +36,7 @@
 class StoreUnavailable:
     """The service gave no usable answer.
 
-    ``may_have_taken_effect`` is false only if the call surely changed nothing.
+    ``may_have_taken_effect`` is false only if the call certainly changed nothing.
     """
 
     detail: str
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True)
 class Conflict:
-    """The key was not at the expected revision; ``current`` is what it holds."""
+    """The key was not at the expected revision; ``current`` is its entry, if any."""
 
     current: Entry | None
 
@@ -56,8 +56,8 @@
 class Store(Protocol):
     """A key-value service with compare-and-swap, leases and watches.
 
-    No method raises for a failure of the service, and none writes twice: after a
-    write that may have taken effect the caller reads back.
+    Methods return failures of the service instead of raising them. They never retry
+    a write: after one that may have taken effect, the caller has to read back.
     """
 
     async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
@@ -67,29 +67,29 @@
     async def put(
         self, key: str, value: bytes, expect: int, lease: str = ""
     ) -> Result[Entry, StoreFailure]:
-        """Write a key that is at revision ``expect``, ``CREATE`` if it is new."""
+        """Write a key if its revision is ``expect``; ``CREATE`` means it is absent."""
         ...
 
     async def delete(self, key: str, expect: int) -> Result[None, StoreFailure]:
-        """Delete a key that is at revision ``expect``."""
+        """Delete a key if its revision is ``expect``."""
         ...
 
     async def scan(self, prefix: str) -> Result[list[Entry], StoreFailure]:
-        """Read all keys that start with ``prefix``, in the order of their keys."""
+        """Read all entries whose keys start with ``prefix``, sorted by key."""
         ...
 
     async def watch(
         self, key: str, after: int, wait_ms: float
     ) -> Result[Entry | None, StoreFailure]:
-        """Wait until the key's revision exceeds ``after``; None if it did not."""
+        """Wait up to ``wait_ms`` for a revision above ``after``; None if none came."""
         ...
 
     async def grant_lease(self, ttl_ms: float) -> Result[str, StoreFailure]:
-        """Grant a lease; keys put with it vanish when it is not renewed in time."""
+        """Grant a lease; its keys are deleted if it is not renewed in ``ttl_ms``."""
         ...
 
     async def renew_lease(self, lease: str) -> Result[None, StoreFailure]:
-        """Renew a lease; ``Conflict`` if it does not exist any more."""
+        """Renew a lease; ``Conflict`` if it no longer exists."""
         ...
 
     async def revoke_lease(self, lease: str) -> Result[None, StoreFailure]:
--- a/sardinehook/store/vm_list.py
+++ b/sardinehook/store/vm_list.py
@@ -1,4 +1,4 @@
-"""The platform's list of live and leaving VMs, which lags behind the truth."""
+"""The platform's list of live and leaving VMs, which lags behind their actual state."""
 
 from __future__ import annotations
 
@@ -19,14 +19,14 @@
 
 
 class VmState(StrEnum):
-    """What the platform says of a VM."""
+    """The state of a VM as the platform reports it."""
 
     LIVE = "live"
     LEAVING = "leaving"
 
 
 class Vm(NamedTuple):
-    """A VM; ``incarnation`` grows each time that its name is started anew."""
+    """A VM; ``incarnation`` increases with each restart under the same name."""
 
     name: str
     data_centre: str
@@ -36,17 +36,17 @@
 
 
 class VmList(NamedTuple):
-    """The VMs as they were at ``as_of_ms`` of the platform's clock."""
+    """The VMs as of ``as_of_ms`` on the platform's clock."""
 
     as_of_ms: float
     vms: tuple[Vm, ...]
 
 
 class VmLister(Protocol):
-    """Port to the platform's list of VMs."""
+    """Port for the platform's list of VMs."""
 
     async def fetch(self) -> Result[VmList, StoreFailure]:
-        """Read the list."""
+        """Fetch the current list."""
         ...
 
 
@@ -68,13 +68,13 @@
 
 
 class HttpVmList:
-    """Adapter of ``VmLister`` to the platform's HTTP at ``address`` (``IP:port``)."""
+    """Implements ``VmLister`` over the platform's HTTP at ``address`` (``IP:port``)."""
 
     def __init__(self, reactor: Timers, address: str, timeout_ms: float) -> None:
         self.client = HttpClient(reactor, address, timeout_ms)
 
     async def fetch(self) -> Result[VmList, StoreFailure]:
-        """Read the list."""
+        """Fetch the current list; any status but 200 is a failure."""
         match await self.client.read("/vms"):
             case Success(HttpReply(status=status, body=body)) if status == OK:
                 return decode_vm_list(body)
@@ -85,15 +85,15 @@
         raise AssertionError
 
     def close(self) -> Deferred[list[object]]:
-        """Close the connections that are idle."""
+        """Close the idle connections."""
         return self.client.close()
 
 
 def decode_vm_list(body: bytes) -> Result[VmList, StoreFailure]:
-    """Decode the list from JSON."""
+    """Decode the list from JSON; a malformed reply is a failure."""
     try:
-        told = msgspec.json.decode(body, type=VmListReply)
+        reply = msgspec.json.decode(body, type=VmListReply)
     except msgspec.MsgspecError as error:
         return Failure(StoreUnavailable(f"malformed reply: {error}", False))
-    vms = tuple(Vm(**vm) for vm in told["vms"])
-    return Success(VmList(told["as_of_ms"], vms))
+    vms = tuple(Vm(**vm) for vm in reply["vms"])
+    return Success(VmList(reply["as_of_ms"], vms))
--- a/tests/store/platform_case.py
+++ b/tests/store/platform_case.py
@@ -1,4 +1,4 @@
-"""A stand-in platform on loopback for tests that need real sockets."""
+"""Test case with a fake platform on loopback, for tests that need real sockets."""
 
 from __future__ import annotations
 
@@ -23,12 +23,12 @@
 
 
 def expect_success(result: Result[Value, object]) -> Value:
-    """The value of a result that must be a success."""
+    """Return the value of a result that must be a success."""
     return result.unwrap()
 
 
 class PlatformCase(TestCase):
-    """Starts a platform and a store that speaks to it."""
+    """Starts a fake platform and a store client connected to it."""
 
     def setUp(self) -> None:
         self.reactor = cast(ListeningReactor, default_reactor)
@@ -49,11 +49,11 @@
         await cast("Deferred[None]", self.port.stopListening())
 
     def sleep(self, delay_s: float) -> Deferred[None]:
-        """Fire after a while."""
+        """Return a ``Deferred`` that fires after ``delay_s`` seconds."""
         return deferLater(cast(IReactorTime, self.reactor), delay_s)
 
     async def unused_address(self) -> str:
-        """An address at which nothing listens."""
+        """Return an address at which nothing listens."""
         port = listen(self.reactor, self.platform)
         address = f"127.0.0.1:{port.getHost().port}"
         await cast("Deferred[None]", port.stopListening())
--- a/tests/store/test_http_store.py
+++ b/tests/store/test_http_store.py
@@ -1,4 +1,4 @@
-"""Tests of the key-value service's adapter against the stand-in."""
+"""Tests of the key-value and VM list adapters against the fake platform."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
 
 
 def may_have_taken_effect(result: Result[object, StoreFailure]) -> bool:
-    """What a call that must have failed tells of its effect."""
+    """Return ``may_have_taken_effect`` of a result that must be a failure."""
     failure = result.failure()
     assert isinstance(failure, StoreUnavailable)
     return failure.may_have_taken_effect
@@ -44,10 +44,10 @@
         expect_success(await self.store.delete("a/b c", replaced.revision))
         assert expect_success(await self.store.get("a/b c")) is None
 
-    async def test_loser_is_told_what_is_held(self) -> None:
+    async def test_conflict_carries_current_entry(self) -> None:
         created = expect_success(await self.store.put("a", b"one", CREATE))
-        lost = await self.store.put("a", b"two", CREATE)
-        assert lost == Failure(Conflict(created))
+        result = await self.store.put("a", b"two", CREATE)
+        assert result == Failure(Conflict(created))
         assert await self.store.delete("a", 99) == Failure(Conflict(created))
         assert await self.store.put("b", b"", 7) == Failure(Conflict(None))
 
@@ -59,22 +59,22 @@
 
 
 class TestWatch(PlatformCase):
-    async def test_change_ends_the_wait(self) -> None:
+    async def test_watch_returns_changed_entry(self) -> None:
         created = expect_success(await self.store.put("a", b"one", CREATE))
-        waiting = Deferred.fromCoroutine(self.store.watch("a", created.revision, 5_000))
+        watch = Deferred.fromCoroutine(self.store.watch("a", created.revision, 5_000))
         await self.sleep(0.02)
-        changed = expect_success(await self.store.put("a", b"two", created.revision))
-        assert await waiting == Success(changed)
+        current = expect_success(await self.store.put("a", b"two", created.revision))
+        assert await watch == Success(current)
 
-    async def test_wait_ends_without_a_change(self) -> None:
+    async def test_watch_returns_none_if_nothing_changes(self) -> None:
         assert await self.store.watch("a", 0, 30) == Success(None)
 
-    async def test_watch_that_is_given_up_ends_as_cancelled(self) -> None:
-        waiting = Deferred.fromCoroutine(self.store.watch("a", 0, 5_000))
+    async def test_cancelled_watch_raises_cancelled_error(self) -> None:
+        watch = Deferred.fromCoroutine(self.store.watch("a", 0, 5_000))
         await self.sleep(0.03)
-        waiting.cancel()
+        watch.cancel()
         with pytest.raises(CancelledError):
-            await waiting
+            await watch
 
     async def test_stopped_watcher_makes_no_more_calls(self) -> None:
         def offer(_revision: Revision) -> None:
@@ -90,7 +90,7 @@
 
 
 class TestLease(PlatformCase):
-    async def test_lapsed_lease_deletes_its_keys(self) -> None:
+    async def test_expired_lease_deletes_its_keys(self) -> None:
         lease = expect_success(await self.store.grant_lease(60))
         expect_success(await self.store.put("a", b"", CREATE, lease))
         expect_success(await self.store.renew_lease(lease))
@@ -108,37 +108,37 @@
 
 
 class TestFaults(PlatformCase):
-    async def test_lost_reply_took_effect_and_is_not_repeated(self) -> None:
+    async def test_write_with_lost_reply_is_not_retried(self) -> None:
         self.platform.control({"lose_replies": 1})
-        lost = await self.store.put("a", b"one", CREATE)
-        assert may_have_taken_effect(lost)
+        result = await self.store.put("a", b"one", CREATE)
+        assert may_have_taken_effect(result)
         assert expect_success(await self.store.get("a")) == Entry("a", b"one", 1, "")
         assert self.platform.counts.calls["PUT kv"] == 1
 
-    async def test_lost_reply_to_a_delete_is_not_repeated(self) -> None:
+    async def test_delete_with_lost_reply_is_not_retried(self) -> None:
         created = expect_success(await self.store.put("a", b"one", CREATE))
         self.platform.control({"lose_replies": 1})
-        lost = await self.store.delete("a", created.revision)
-        assert may_have_taken_effect(lost)
+        result = await self.store.delete("a", created.revision)
+        assert may_have_taken_effect(result)
         assert self.platform.counts.calls["DELETE kv"] == 1
 
     async def test_hanging_write_may_have_taken_effect(self) -> None:
         self.platform.control({"outage": Outage.HANG})
-        hung = await self.store.put("a", b"one", CREATE)
-        assert may_have_taken_effect(hung)
+        result = await self.store.put("a", b"one", CREATE)
+        assert may_have_taken_effect(result)
 
     async def test_refused_connection_changed_nothing(self) -> None:
-        nobody = HttpStore(self.reactor, await self.unused_address(), 300)
-        assert not may_have_taken_effect(await nobody.put("a", b"", CREATE))
+        unreachable = HttpStore(self.reactor, await self.unused_address(), 300)
+        assert not may_have_taken_effect(await unreachable.put("a", b"", CREATE))
 
-    async def test_rate_cap_refuses_before_any_effect(self) -> None:
+    async def test_write_above_rate_limit_changes_nothing(self) -> None:
         self.platform.control({"writes_per_s": 1.0})
         expect_success(await self.store.put("a", b"", CREATE))
-        refused = await self.store.put("b", b"", CREATE)
-        assert refused == Failure(StoreUnavailable("rate exceeded", False))
+        result = await self.store.put("b", b"", CREATE)
+        assert result == Failure(StoreUnavailable("rate exceeded", False))
         assert expect_success(await self.store.get("b")) is None
 
-    async def test_stale_reads_beside_true_writes(self) -> None:
+    async def test_writes_are_current_while_reads_are_stale(self) -> None:
         old = expect_success(await self.store.put("a", b"old", CREATE))
         self.platform.control({"stale": True})
         new = expect_success(await self.store.put("a", b"new", old.revision))
@@ -146,14 +146,14 @@
         self.platform.control({"stale": False})
         assert expect_success(await self.store.get("a")) == new
 
-    async def test_garbled_reply_is_a_failure(self) -> None:
+    async def test_malformed_reply_is_a_failure(self) -> None:
         with mock.patch.object(self.platform, "get", return_value=Reply(200, [1])):
-            garbled = await self.store.get("a")
-        assert not may_have_taken_effect(garbled)
+            result = await self.store.get("a")
+        assert not may_have_taken_effect(result)
 
 
 class TestVmList(PlatformCase):
-    async def test_list_lags(self) -> None:
+    async def test_list_lags_behind_changes(self) -> None:
         lister = HttpVmList(self.reactor, self.address, 300)
         vm = Vm("entry-1", "szolnok-b", "127.0.0.1:9", 3, VmState.LEAVING)
         record = cast(VmRecord, vm._asdict())
