Reword the platform adapter in plain terms

Comments, error texts and local names now use the usual terms: hop-by-hop header, timeout, load balancer, latency objective. Error texts name the field and what is required of it: a request without exactly one Host or X-Request-Id header, a target that is no path, a route without a destination, an address without a port. The fields of the Wire structs keep their names.

--- a/sardinehook/platform/__init__.py
+++ b/sardinehook/platform/__init__.py
@@ -1,5 +1,5 @@
-"""The adapter to the users' platform: its names, formats and calls.
+"""Adapter to the users' platform: its names, wire formats and API calls.
 
-Nothing here decides. Everything is decoded once into the types of
-``sardinehook.gateway``, and no other package knows a name of the platform.
+This package only translates and makes no decisions. It decodes all input into the
+types of ``sardinehook.gateway``; no other package uses names of the platform.
 """
--- a/sardinehook/platform/callers.py
+++ b/sardinehook/platform/callers.py
@@ -1,4 +1,4 @@
-"""The headers that callers of this platform send and get."""
+"""Codec of the platform's headers in callers' requests and in answers to them."""
 
 from __future__ import annotations
 
@@ -12,17 +12,17 @@
 __all__ = ["PlatformCallers"]
 
 REQUEST_ID = b"x-request-id"
-# How long the caller waits from sending the request, not a moment.
+# A duration from the time of sending, not a point in time.
 DEADLINE_MS = b"x-deadline-ms"
 EXPECT_REPLICA = b"x-expect-instance"
-# The signatures of the shards' answers in a merged one, separated by commas.
+# The signatures of the shard answers in a merged answer, separated by commas.
 SIGNATURES = b"X-Part-Stamps"
-# The number of shards that are left out.
+# The number of shards missing from a merged answer.
 MISSING_SHARDS = b"X-Missing-Parts"
 MS_PER_S = 1000.0
-MOST_DEADLINE_MS = 86_400_000.0
-# Headers of one connection, and those that the gateway sets itself.
-NOT_PASSED_ON = frozenset(
+MAX_DEADLINE_MS = 86_400_000.0
+# Hop-by-hop headers, and headers that the gateway sets itself.
+NOT_FORWARDED = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -44,29 +44,29 @@
 
 
 class PlatformCallers:
-    """Decodes callers' requests and encodes what is particular in their answers."""
+    """Decodes callers' requests and encodes the platform's headers in answers."""
 
     def read_request(self, request: HttpRequest) -> Result[CallerRequest, str]:
-        """Decode a caller's request; the failure says what is wrong with it."""
+        """Decode a caller's request; a failure says which requirement it violates."""
         hosts, ids, deadlines = [], [], []
-        dropped = set(NOT_PASSED_ON)
+        dropped = set(NOT_FORWARDED)
         for name, value in request.headers:
-            lower = name.lower()
-            if lower == b"host":
+            lower_name = name.lower()
+            if lower_name == b"host":
                 hosts.append(value)
-            elif lower == REQUEST_ID:
+            elif lower_name == REQUEST_ID:
                 ids.append(value)
-            elif lower == DEADLINE_MS:
+            elif lower_name == DEADLINE_MS:
                 deadlines.append(value)
-            elif lower == b"connection":
+            elif lower_name == b"connection":
                 dropped.update(token.strip().lower() for token in value.split(b","))
         if len(hosts) != 1 or not hosts[0]:
-            return Failure("exactly one Host header is needed")
+            return Failure("exactly one non-empty Host header is required")
         if len(ids) != 1 or not ids[0]:
-            return Failure("exactly one request id is needed")
+            return Failure("exactly one non-empty X-Request-Id header is required")
         if not request.target.startswith(b"/"):
-            return Failure("the request target is not a path")
-        passed_on = tuple(
+            return Failure("request target must start with /")
+        forwarded = tuple(
             (name, value)
             for name, value in request.headers
             if name.lower() not in dropped
@@ -77,9 +77,9 @@
                 request.method,
                 request.target,
                 read_host(hosts[0]),
-                passed_on,
+                forwarded,
                 request.body,
-                read_patience(deadlines),
+                read_timeout(deadlines),
                 request.received_at,
                 request.network_s,
             )
@@ -88,7 +88,7 @@
     def merged_headers(
         self, signatures: Sequence[bytes], missing: int
     ) -> tuple[Header, ...]:
-        """Return the headers of an answer that was merged from shards."""
+        """Return the platform's headers of an answer merged from shards."""
         return (
             (SIGNATURES, b", ".join(signatures)),
             (MISSING_SHARDS, b"%d" % missing),
@@ -96,7 +96,7 @@
 
 
 def read_host(value: bytes) -> str:
-    """Return the name in a Host header, without the port.
+    """Return the host name in a Host header without the port; empty if malformed.
 
     >>> read_host(b"Desk.example:8080")
     'desk.example'
@@ -107,11 +107,13 @@
         return ""
 
 
-def read_patience(values: Sequence[bytes]) -> float | None:
-    """Return the shortest time in seconds that was stated; None if none is readable.
+def read_timeout(values: Sequence[bytes]) -> float | None:
+    """Return the shortest valid timeout in seconds; None if there is no valid one.
 
-    >>> read_patience([b"1200"]), read_patience([b"soon"]), read_patience([])
+    >>> read_timeout([b"1200"]), read_timeout([b"soon"]), read_timeout([])
     (1.2, None, None)
     """
-    stated = [int(value) for value in values if value.isdigit() and len(value) < 12]
-    return min(min(stated), MOST_DEADLINE_MS) / MS_PER_S if stated else None
+    timeouts_ms = [
+        int(value) for value in values if value.isdigit() and len(value) < 12
+    ]
+    return min(min(timeouts_ms), MAX_DEADLINE_MS) / MS_PER_S if timeouts_ms else None
--- a/sardinehook/platform/configuration.py
+++ b/sardinehook/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Decoder of the configuration that the platform's operators write."""
+"""Decoder for the configuration that the platform's operators write."""
 
 from __future__ import annotations
 
@@ -20,52 +20,52 @@
 __all__ = ["decode_configuration"]
 
 MS_PER_S = 1000.0
-IDEMPOTENT = "safe"
+IDEMPOTENT_ROUTE_TYPE = "safe"
 
 
 class WireSplit(msgspec.Struct, rename="pascal"):
-    """One part of a traffic split."""
+    """A weighted service in a traffic split."""
 
     service: str
     weight: float
 
 
 class WireRoute(msgspec.Struct, rename="pascal"):
-    """A route as the operators write it."""
+    """A route in the operators' configuration."""
 
     name: str
     host: str
     prefix: str
     route_type: str
     timeout_ms: float
-    # The latency objective, not a bound on the time that a request may take.
+    # A latency objective, not a timeout.
     target_latency_ms: float
-    # A rank: 0 goes first.
+    # 0 is the highest priority.
     priority: int = 0
-    # Counts replicas that may be sent the request, not repeats.
+    # The number of replicas that may be tried, not the number of retries.
     max_attempts: int = 1
     service: str | None = None
     traffic_split: list[WireSplit] | None = None
-    # The services that hold the shards.
+    # The services that serve the shards.
     gather: list[str] | None = None
     top_k: int = 0
     min_coverage: float = 0.0
 
 
 class WireService(msgspec.Struct, rename="pascal"):
-    """A service as the operators write it."""
+    """A service in the operators' configuration."""
 
     name: str
     health_path: str = "/health"
-    # Of one replica, over all callers.
+    # The connections to one replica, over all its clients.
     max_conns: int = 0
     cold_start_s: float = 0.0
-    # Requests a second that a cold replica bears; 0 if none is stated.
+    # Requests per second that a cold replica can handle; 0 if not specified.
     cold_per_s: float = 0.0
 
 
 class WireLimits(msgspec.Struct, rename="pascal"):
-    """What callers may send."""
+    """Size limits and timeouts for callers' requests."""
 
     max_header_bytes: int = 16384
     max_body_bytes: int = 262144
@@ -74,7 +74,7 @@
 
 
 class WireConfiguration(msgspec.Struct, rename="pascal"):
-    """The whole configuration."""
+    """The configuration document."""
 
     version: int
     routes: list[WireRoute]
@@ -86,7 +86,7 @@
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
-    """Decode one version; the failure is one line for the log.
+    """Decode one version of the configuration; a failure is one line for the log.
 
     >>> decode_configuration(b"{").failure()
     'malformed configuration: Input data was truncated'
@@ -102,12 +102,12 @@
 
 
 def read_route(wire: WireRoute) -> Route:
-    """Convert a route; raises ``ValueError`` if it leads nowhere."""
+    """Convert a route; raises ``ValueError`` if it has no destination."""
     return Route(
         wire.name,
         wire.host,
         wire.prefix,
-        wire.route_type == IDEMPOTENT,
+        wire.route_type == IDEMPOTENT_ROUTE_TYPE,
         wire.timeout_ms / MS_PER_S,
         wire.target_latency_ms / MS_PER_S,
         wire.priority,
@@ -117,23 +117,29 @@
 
 
 def read_destination(wire: WireRoute) -> Destination:
-    """Tell the three forms of a destination apart."""
+    """Convert the destination: a shard set, a traffic split or a single service.
+
+    Raises ``ValueError`` if there is none, or if a split has no positive weight.
+    """
     if wire.gather:
         return ShardSet(tuple(wire.gather), wire.top_k, wire.min_coverage)
     if wire.traffic_split:
-        parts = [
-            WeightedService(part.service, part.weight) for part in wire.traffic_split
+        weighted = [
+            WeightedService(service.service, service.weight)
+            for service in wire.traffic_split
         ]
-        if sum(part.weight for part in parts) <= 0.0:
-            raise ValueError(f"route {wire.name} splits by no weight")
-        return TrafficSplit(tuple(parts))
+        if sum(service.weight for service in weighted) <= 0.0:
+            raise ValueError(
+                f"route {wire.name} has a traffic split without positive weight"
+            )
+        return TrafficSplit(tuple(weighted))
     if wire.service:
         return TrafficSplit((WeightedService(wire.service, 1.0),))
-    raise ValueError(f"route {wire.name} names no service")
+    raise ValueError(f"route {wire.name} has no service, traffic split or shards")
 
 
 def read_service(wire: WireService) -> Service:
-    """Convert a service."""
+    """Convert a service of the operators' configuration."""
     return Service(
         wire.name,
         wire.health_path,
@@ -144,7 +150,7 @@
 
 
 def read_limits(wire: WireLimits) -> CallerLimits:
-    """Convert the limits of callers."""
+    """Convert the limits for callers' requests, with times in seconds."""
     return CallerLimits(
         wire.max_header_bytes,
         wire.max_body_bytes,
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -1,4 +1,4 @@
-"""Decoder of the platform's keys: the operators' and those of replicas."""
+"""Decoder for the keys that operators and replicas write to the platform's store."""
 
 from __future__ import annotations
 
@@ -12,22 +12,22 @@
 __all__ = ["PlatformKeys"]
 
 MS_PER_S = 1000.0
-STATES = frozenset({"ready", "draining"})
+REPLICA_STATES = frozenset({"ready", "draining"})
 
 
 class WireEntry(msgspec.Struct, rename="pascal"):
-    """A replica's own entry."""
+    """The service discovery entry that a replica writes about itself."""
 
     service: str
     addr: str
     zone: str
     state: str
     slots: int = 1
-    # How much longer the replica is slow, when the entry was written.
+    # The remaining warm-up time of the replica when it wrote the entry.
     cold_left_ms: float = 0.0
-    # Counts the replica's writes since its start.
+    # Incremented with each write of the replica since its start.
     seq: int = 0
-    # The Unix millisecond of its start.
+    # The replica's start time, in milliseconds since the Unix epoch.
     born: int = msgspec.field(name="born", default=0)
 
 
@@ -35,18 +35,18 @@
 
 
 class PlatformKeys:
-    """Names and decodes the keys that operators and replicas write."""
+    """The names of the keys that operators and replicas write, and their decoders."""
 
     configuration_key = "op/config"
     evacuation_prefix = "op/evacuate/"
     replica_prefix = "servers/"
 
     def read_configuration(self, value: bytes) -> Result[Configuration, str]:
-        """Decode the operators' configuration."""
+        """Decode the operators' configuration; a failure is one line for the log."""
         return decode_configuration(value)
 
     def read_replica(self, replica_id: str, value: bytes) -> Result[ReplicaEntry, str]:
-        """Decode an entry of discovery; the failure says why it names no replica.
+        """Decode a service discovery entry; a failure says why it is invalid.
 
         >>> PlatformKeys().read_replica("i-1", b"[]").failure()
         'Expected `object`, got `array`'
@@ -55,11 +55,11 @@
             wire = DECODER.decode(value)
             host, _, port = wire.addr.rpartition(":")
             if not host or not 0 < int(port) < 65536:
-                raise ValueError(f"no address: {wire.addr!r}")
+                raise ValueError(f"address is not host:port: {wire.addr!r}")
         except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as error:
             return Failure(str(error))
-        if wire.state not in STATES or not wire.service:
-            return Failure(f"unknown state {wire.state!r} or no service")
+        if wire.state not in REPLICA_STATES or not wire.service:
+            return Failure(f"unknown state {wire.state!r} or empty service name")
         return Success(
             ReplicaEntry(
                 replica_id,
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's key-value store."""
+"""Client for the platform's key-value store."""
 
 from __future__ import annotations
 
@@ -25,22 +25,22 @@
 
 __all__ = ["PlatformStore"]
 
-CALL_TIMEOUT_S = 1.0  # the store answers in milliseconds when it is well
-MOST_CONNECTIONS = 4  # one for the watch, and a few for the other calls
-MOST_PAGES = 100  # bounds a listing that never ends
+CALL_TIMEOUT_S = 1.0  # a healthy store answers within milliseconds
+MAX_CONNECTIONS = 4  # one for the watch, the rest for other calls
+MAX_PAGES = 100  # bounds a listing that always reports more pages
 MS_PER_S = 1000.0
 
 Body = TypeVar("Body")
 
 
 class WireItem(msgspec.Struct, rename="pascal"):
-    """An item, or an event of a watch."""
+    """An item of a listing, or an event of a watch."""
 
     key: str
     value: str = ""
-    # The store's revision at the key's last change.
+    # The store's revision at the last change of the key.
     revision: int = 0
-    # Set in the event of a deletion.
+    # True in the event of a deletion.
     deleted: bool = False
 
 
@@ -48,33 +48,33 @@
     """One page of a listing."""
 
     items: list[WireItem]
-    # The store's revision when the page was read.
+    # The store's revision at the time of the read.
     as_of: int = msgspec.field(name="AsOf")
     has_more: bool = msgspec.field(name="HasMore", default=False)
 
 
 class WireEvents(msgspec.Struct):
-    """The answer to a watch."""
+    """The reply to a watch."""
 
     events: list[WireItem]
-    # The revision from which to watch on.
+    # The revision from which to continue the watch.
     as_of: int = msgspec.field(name="AsOf")
 
 
 class WireLease(msgspec.Struct, rename="pascal"):
-    """A lease that was granted."""
+    """The reply to the grant of a lease."""
 
     lease: int
 
 
 class WireRevision(msgspec.Struct, rename="pascal"):
-    """The revision of a write."""
+    """The reply to a write."""
 
     revision: int
 
 
 class PlatformStore:
-    """The calls of the platform's store that the gateway needs."""
+    """Implements the gateway's store port over the platform's HTTP API."""
 
     def __init__(
         self,
@@ -85,12 +85,12 @@
         self.reactor = reactor
         self.address = address
         self.count_call = count_call
-        self.pool = ConnectionPool(reactor, address, MOST_CONNECTIONS, ignore)
+        self.pool = ConnectionPool(reactor, address, MAX_CONNECTIONS, ignore_connection)
 
     async def call(
         self, operation: str, method: str, path: str, body: object, timeout_s: float
     ) -> Result[Reply, StoreProblem]:
-        """Make one call; a status other than success is a failure."""
+        """Send one request and count it; any status but 200 is a failure."""
         content = b"" if body is None else msgspec.json.encode(body)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
@@ -108,16 +108,16 @@
         raise AssertionError("a result is a success or a failure")
 
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
-        """Read all keys that begin with ``prefix``, as of the first page."""
+        """Read all items under ``prefix``, with the revision of the first page."""
         items: list[Item] = []
         revision = 0
         after = ""
-        for _ in range(MOST_PAGES):
+        for _ in range(MAX_PAGES):
             path = f"/kv-range?Prefix={quote(prefix, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            told = await self.call("range", "GET", path, None, CALL_TIMEOUT_S)
-            match told.bind(lambda reply: decode(reply, WireRange)):
+            result = await self.call("range", "GET", path, None, CALL_TIMEOUT_S)
+            match result.bind(lambda reply: decode(reply, WireRange)):
                 case Success(page):
                     items.extend(read_item(item) for item in page.items)
                     revision = revision or page.as_of
@@ -126,18 +126,20 @@
                     after = page.items[-1].key
                 case Failure(problem):
                     return Failure(problem)
-        return Failure(StoreUnavailable("the listing does not end", False))
+        return Failure(
+            StoreUnavailable(f"listing has more than {MAX_PAGES} pages", False)
+        )
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> Result[Changes, StoreProblem]:
-        """Wait for changes after a revision; none come if ``wait_s`` passes first."""
+        """Wait up to ``wait_s`` for changes after a revision; may return none."""
         path = (
             f"/kv-watch?Prefix={quote(prefix, safe='')}&after={after}"
             f"&WaitMs={int(wait_s * MS_PER_S)}"
         )
-        told = await self.call("watch", "GET", path, None, wait_s + CALL_TIMEOUT_S)
-        return told.bind(lambda reply: decode(reply, WireEvents)).map(
+        result = await self.call("watch", "GET", path, None, wait_s + CALL_TIMEOUT_S)
+        return result.bind(lambda reply: decode(reply, WireEvents)).map(
             lambda page: Changes(
                 tuple(read_item(item) for item in page.events), page.as_of
             )
@@ -146,57 +148,57 @@
     async def put(
         self, key: str, value: bytes, lease: int
     ) -> Result[int, StoreProblem]:
-        """Write a key that lasts as long as ``lease``; returns its revision."""
+        """Write a key bound to ``lease``; return its revision."""
         text = b64encode(value).decode()
         body = {
             "ExpectedRev": [],
             "Puts": [{"Key": key, "Value": text, "Lease": lease}],
             "Deletes": [],
         }
-        told = await self.call("put", "POST", "/kv-txn", body, CALL_TIMEOUT_S)
-        return told.bind(lambda reply: decode(reply, WireRevision)).map(
+        result = await self.call("put", "POST", "/kv-txn", body, CALL_TIMEOUT_S)
+        return result.bind(lambda reply: decode(reply, WireRevision)).map(
             lambda written: written.revision
         )
 
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
-        """Return a new lease."""
+        """Grant a lease that expires after ``ttl_s`` unless renewed."""
         body = {"TtlMs": int(ttl_s * MS_PER_S)}
-        told = await self.call("lease", "POST", "/kv-lease", body, CALL_TIMEOUT_S)
-        return told.bind(lambda reply: decode(reply, WireLease)).map(
+        result = await self.call("lease", "POST", "/kv-lease", body, CALL_TIMEOUT_S)
+        return result.bind(lambda reply: decode(reply, WireLease)).map(
             lambda granted: granted.lease
         )
 
     async def renew_lease(self, lease: int) -> Result[None, StoreProblem]:
-        """Renew a lease."""
+        """Renew a lease; ``LeaseGone`` if it no longer exists."""
         path = f"/kv-keep/{lease}"
-        told = await self.call("renew", "POST", path, {}, CALL_TIMEOUT_S)
-        return told.map(drop_reply)
+        result = await self.call("renew", "POST", path, {}, CALL_TIMEOUT_S)
+        return result.map(discard_reply)
 
     async def end_lease(self, lease: int) -> Result[None, StoreProblem]:
-        """End a lease, which deletes its keys."""
+        """Revoke a lease, which deletes its keys."""
         path = f"/kv-lease-end/{lease}"
-        told = await self.call("end_lease", "DELETE", path, None, CALL_TIMEOUT_S)
-        return told.map(drop_reply)
+        result = await self.call("end_lease", "DELETE", path, None, CALL_TIMEOUT_S)
+        return result.map(discard_reply)
 
     def drop_connections(self) -> None:
-        """Close all connections; calls that wait fail."""
+        """Close all connections; pending calls fail."""
         for connection in list(self.pool.connections):
-            finish = connection.on_end
+            on_end = connection.on_end
             connection.abort()
-            if finish is not None:
-                finish(Lost("the connection was given up"))
+            if on_end is not None:
+                on_end(Lost("connection closed by the gateway"))
 
 
-def drop_reply(_reply: Reply) -> None:
-    """Drop a reply of which only the success matters."""
+def discard_reply(_reply: Reply) -> None:
+    """Discard the reply of a call whose success is the only result."""
 
 
-def ignore() -> None:
-    """Take no note of a connection: the calls tell whether the store answers."""
+def ignore_connection() -> None:
+    """Ignore new connections: the calls' results show whether the store answers."""
 
 
 def check_status(reply: Reply) -> Result[Reply, StoreProblem]:
-    """Tell success from the failures that the store states."""
+    """Map 404 and 410 to their failures, and any other status but 200 to a third."""
     match reply.status:
         case 200:
             return Success(reply)
@@ -207,16 +209,16 @@
     return Failure(StoreUnavailable(f"status {reply.status}", False))
 
 
-def decode(reply: Reply, form: type[Body]) -> Result[Body, StoreProblem]:
-    """Decode the body of a reply, which may come from something broken."""
+def decode(reply: Reply, reply_type: type[Body]) -> Result[Body, StoreProblem]:
+    """Decode the body of a reply; a malformed one counts as unavailability."""
     try:
-        return Success(msgspec.json.decode(reply.body, type=form))
+        return Success(msgspec.json.decode(reply.body, type=reply_type))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         return Failure(StoreUnavailable(f"malformed reply: {error}", True))
 
 
 def read_item(wire: WireItem) -> Item:
-    """Convert an item; a value that is not base64 is passed on as no text at all."""
+    """Convert an item; a value that is not valid base64 becomes empty."""
     if wire.deleted:
         return Item(wire.key, None, wire.revision)
     try:
--- a/sardinehook/platform/replicas.py
+++ b/sardinehook/platform/replicas.py
@@ -1,4 +1,4 @@
-"""The requests to replicas of this platform, and what their replies say."""
+"""Codec of the platform's requests to replicas and of their replies."""
 
 from __future__ import annotations
 
@@ -11,17 +11,18 @@
 __all__ = ["PlatformReplicas"]
 
 REQUEST_ID = b"x-request-id"
-# The signature on an answer of a replica's own; some failures have it too.
+# The signature on answers that the replica itself produced; some failures carry
+# it too.
 SIGNATURE = b"x-server-stamp"
-# Present, with any value, where the replica states that it did not run the request.
+# Present, with any value, if the replica did not run the request.
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-server-load"
 COLD_LEFT_MS = b"x-cold-ms"
 MISDIRECTED = 421
 MS_PER_S = 1000.0
-# Replicas close idle connections after a time that not all of them state.
-UNSTATED_KEEP_ALIVE_S = 4.0
-TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
+# Replicas close idle connections; this timeout is for those that announce none.
+DEFAULT_KEEP_ALIVE_S = 4.0
+KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 CONNECTION_HEADERS = frozenset(
     {
         b"connection",
@@ -43,7 +44,7 @@
     def encode_request(
         self, request: CallerRequest, replica_id: str, remaining_s: float
     ) -> bytes:
-        """Return the bytes of a request that only ``replica_id`` may run."""
+        """Encode a request with a header that lets only ``replica_id`` run it."""
         lines = [
             b"%b %b HTTP/1.1\r\nHost: %b\r\nX-Request-Id: %b\r\n"
             b"X-Deadline-Ms: %d\r\nX-Expect-Instance: %b\r\n"
@@ -64,28 +65,28 @@
         return b"".join(lines)
 
     def read_reply(self, reply: Reply, request_id: bytes) -> ReplicaReply:
-        """Decode a replica's reply to the request ``request_id``."""
-        found = dict(reversed(reply.headers))
-        echoed = found.get(REQUEST_ID)
+        """Decode a replica's reply, checking that it answers ``request_id``."""
+        headers = dict(reversed(reply.headers))
+        echoed = headers.get(REQUEST_ID)
         misdirected = reply.status == MISDIRECTED
         return ReplicaReply(
             reply.status,
             tuple(h for h in reply.headers if h[0] not in CONNECTION_HEADERS),
             reply.body,
-            found.get(SIGNATURE) or None,
-            NOT_RUN in found or misdirected,
+            headers.get(SIGNATURE) or None,
+            NOT_RUN in headers or misdirected,
             misdirected,
             echoed is not None and echoed != request_id,
-            found.get(b"content-encoding", b"identity").lower() != b"identity",
-            read_load(found.get(LOAD, b"")),
-            read_cold(found.get(COLD_LEFT_MS)),
-            read_keep_alive(found.get(b"keep-alive", b"")),
+            headers.get(b"content-encoding", b"identity").lower() != b"identity",
+            read_load(headers.get(LOAD, b"")),
+            read_cold(headers.get(COLD_LEFT_MS)),
+            read_keep_alive(headers.get(b"keep-alive", b"")),
         )
 
 
 @lru_cache(maxsize=1024)
 def read_load(value: bytes) -> Load | None:
-    """Return the load that a replica states: running, waiting, slots.
+    """Decode a reported load (running, waiting, slots); None if malformed.
 
     >>> read_load(b"3,0,8")
     Load(running=3, waiting=0, slots=8)
@@ -99,7 +100,7 @@
 
 
 def read_cold(value: bytes | None) -> float | None:
-    """Return for how many seconds the replica stays cold, if it says so."""
+    """Return the remaining cold time in seconds; None if absent or malformed."""
     if value is None or not value.isdigit():
         return None
     return int(value) / MS_PER_S
@@ -107,10 +108,10 @@
 
 @lru_cache(maxsize=256)
 def read_keep_alive(value: bytes) -> float:
-    """Return for how many seconds an idle connection is kept.
+    """Return the idle timeout of a connection in seconds, or the default.
 
     >>> read_keep_alive(b"timeout=5, max=100")
     5.0
     """
-    found = TIMEOUT.search(value)
-    return float(found.group(1)) if found else UNSTATED_KEEP_ALIVE_S
+    match = KEEP_ALIVE_TIMEOUT.search(value)
+    return float(match.group(1)) if match else DEFAULT_KEEP_ALIVE_S
--- a/sardinehook/platform/settings.py
+++ b/sardinehook/platform/settings.py
@@ -1,4 +1,4 @@
-"""Decoder of the settings file that the platform writes for each process."""
+"""Decoder for the settings file that the platform writes for each process."""
 
 from __future__ import annotations
 
@@ -17,17 +17,17 @@
 
 
 class WireListen(msgspec.Struct, rename="pascal"):
-    """The addresses of what a process serves."""
+    """The listening addresses of a process."""
 
     front: str
-    # The balancer's probes.
+    # For the load balancer's health checks.
     ready: str
-    # Named for machines set aside for control; the gateways call each other here.
+    # Named after dedicated control machines; gateways call each other at this address.
     control: str = ""
 
 
 class WireBounds(msgspec.Struct, rename="pascal"):
-    """The figures of the deployment's promises."""
+    """The time limits and budgets that the deployment guarantees."""
 
     drain_ms: float = 3000.0
     grace_s: float = 6.0
@@ -41,17 +41,17 @@
 
 
 class WirePlatform(msgspec.Struct):
-    """Where the platform's store is."""
+    """The address of the platform's store."""
 
     addr: str = msgspec.field(name="Addr")
 
 
 class WireLimits(msgspec.Struct, rename="pascal"):
-    """What the machine has."""
+    """The resources of the machine."""
 
-    # Of the machine's own link, in both directions.
+    # The bandwidth of the machine's link, for both directions.
     link_mbps: float = 0.0
-    # The part of a core that the process gets, and how many times as fast a core is.
+    # The share of a core that the process gets, and a factor for its speed.
     cpu_share: float = 1.0
     cores: float = 1.0
 
@@ -62,7 +62,7 @@
     node: str
     ip: str
     zone: str
-    # The first and the last of a range that is free for our own protocols.
+    # The first and last port of a range that is free for the gateways' own protocols.
     internal_ports: list[int]
     listen: WireListen
     platform: WirePlatform = msgspec.field(name="platform")
@@ -72,7 +72,7 @@
 
 
 def decode_settings(text: str) -> Result[GatewaySettings, str]:
-    """Decode the settings file; the failure is one line for the operator.
+    """Decode the settings file; a failure is one line for the operator.
 
     >>> decode_settings("Node = 1").failure()
     'invalid settings: Expected `str`, got `int` - at `$.Node`'
@@ -86,7 +86,7 @@
 
 
 def read_settings(wire: WireSettings) -> GatewaySettings:
-    """Convert the settings; metrics and datagrams take ports between machines."""
+    """Convert the settings; metrics and datagrams use the internal ports."""
     ports = [f"{wire.ip}:{port}" for port in wire.internal_ports]
     return GatewaySettings(
         wire.node,
@@ -105,7 +105,7 @@
 
 
 def read_bounds(wire: WireBounds) -> Bounds:
-    """Convert the promises to seconds."""
+    """Convert the guarantees, with times in seconds."""
     return Bounds(
         drain_s=wire.drain_ms / MS_PER_S,
         grace_s=wire.grace_s,
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -1,4 +1,4 @@
-"""The adapter's codecs: whatever comes is decoded or refused, never raised."""
+"""Tests of the platform codecs: any input is decoded or rejected without raising."""
 
 from __future__ import annotations
 
@@ -64,7 +64,7 @@
     def test_never_raises(self, value: bytes) -> None:
         decode_configuration(value)
 
-    def test_a_gathered_route(self) -> None:
+    def test_route_with_shard_set(self) -> None:
         route = {
             "Name": "r",
             "Host": "h",
@@ -85,7 +85,7 @@
         assert found.destination == ShardSet(("a", "b"), 5, 0.75)
         assert found.objective_s == 0.111
 
-    def test_a_route_that_leads_nowhere_is_refused(self) -> None:
+    def test_route_without_destination_is_rejected(self) -> None:
         route = {
             "Name": "r",
             "Host": "h",
@@ -103,14 +103,14 @@
     def test_never_raises(self, value: bytes) -> None:
         PlatformKeys().read_replica("i-1", value)
 
-    def test_an_unknown_state_names_no_replica(self) -> None:
+    def test_entry_with_unknown_state_is_rejected(self) -> None:
         value = {"Service": "s", "Addr": "1.2.3.4:5", "Zone": "a", "State": "odd"}
         entry = PlatformKeys().read_replica("i-1", msgspec.json.encode(value))
         assert not is_successful(entry)
 
 
 class TestSettingsCodec:
-    def test_reads_what_it_knows_and_ignores_the_rest(self) -> None:
+    def test_unknown_settings_are_ignored(self) -> None:
         settings = decode_settings(SETTINGS).unwrap()
         assert settings.data_centre == "a"
         assert settings.bounds.drain_s == 4.0
@@ -122,12 +122,12 @@
 
 
 def request(*headers: tuple[bytes, bytes]) -> HttpRequest:
-    """Make a caller's request."""
+    """Return a caller's request with these headers."""
     return HttpRequest(b"GET", b"/x/1?q=1", headers, b"", 5.0)
 
 
 class TestCallerCodec:
-    def test_headers_of_one_connection_are_not_passed_on(self) -> None:
+    def test_hop_by_hop_headers_are_not_forwarded(self) -> None:
         raw = request(
             (b"Host", b"h:80"),
             (b"X-Request-Id", b"r-1"),
@@ -141,7 +141,7 @@
         assert decoded.headers == ((b"X-Other", b"2"),)
         assert (decoded.host, decoded.caller_timeout_s) == ("h", 0.8)
 
-    def test_two_hosts_are_refused(self) -> None:
+    def test_request_with_two_host_headers_is_rejected(self) -> None:
         raw = request((b"Host", b"a"), (b"Host", b"b"), (b"X-Request-Id", b"r"))
         assert not is_successful(PlatformCallers().read_request(raw))
 
@@ -157,13 +157,13 @@
             assert decoded.unwrap().path.startswith("/")
 
     @pytest.mark.parametrize("target", [b"//[", b"//h/x/1", b"//a@[/x"])
-    def test_a_target_is_a_path_and_nothing_else(self, target: bytes) -> None:
+    def test_target_is_used_as_path_only(self, target: bytes) -> None:
         headers = ((b"Host", b"h"), (b"X-Request-Id", b"r"))
         raw = HttpRequest(b"GET", target, headers, b"", 5.0)
         decoded = PlatformCallers().read_request(raw).unwrap()
         assert decoded.path == target.decode()
 
-    def test_a_request_without_id_is_refused(self) -> None:
+    def test_request_without_id_is_rejected(self) -> None:
         assert not is_successful(
             PlatformCallers().read_request(request((b"Host", b"a")))
         )
@@ -190,25 +190,25 @@
         b"r-1", b"POST", b"/x/1", "h", ((b"A", b"1"),), b"body", 0.8, 5.0
     )
 
-    def test_a_request_names_the_replica_and_the_time_left(self) -> None:
+    def test_request_carries_replica_id_and_remaining_time(self) -> None:
         sent = PlatformReplicas().encode_request(self.REQUEST, "i-7", 0.25)
         assert b"X-Expect-Instance: i-7\r\n" in sent
         assert b"X-Deadline-Ms: 250\r\n" in sent
         assert sent.endswith(b"Content-Length: 4\r\n\r\nbody")
 
-    def test_a_reply_to_another_request_is_foreign(self) -> None:
+    def test_reply_with_another_request_id_is_not_a_success(self) -> None:
         raw = Reply(200, ((b"x-request-id", b"r-0"), (b"x-server-stamp", b"s")), b"")
         assert not PlatformReplicas().read_reply(raw, b"r-1").is_success
 
-    def test_an_encoded_reply_is_no_success(self) -> None:
+    def test_content_encoded_reply_is_not_a_success(self) -> None:
         raw = Reply(
             200, ((b"x-server-stamp", b"s"), (b"content-encoding", b"gzip")), b""
         )
         assert not PlatformReplicas().read_reply(raw, b"r-1").is_success
 
-    def test_a_misdirected_request_did_not_run(self) -> None:
-        told = PlatformReplicas().read_reply(Reply(421, (), b""), b"r-1")
-        assert told.not_run and told.misdirected
+    def test_misdirected_request_did_not_run(self) -> None:
+        reply = PlatformReplicas().read_reply(Reply(421, (), b""), b"r-1")
+        assert reply.not_run and reply.misdirected
 
     @given(st.binary(max_size=20))
     def test_a_malformed_load_is_ignored(self, value: bytes) -> None:
