--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -183,10 +183,10 @@
     def drop_connections(self) -> None:
         """Close all connections; pending calls fail."""
         for connection in list(self.pool.connections):
-            on_end = connection.on_end
+            finish = connection.finish
             connection.abort()
-            if on_end is not None:
-                on_end(Lost("connection closed by the gateway"))
+            if finish is not None:
+                finish(Lost("connection closed by the gateway"))
 
 
 def discard_reply(_reply: Reply) -> None:
