--- a/tests/observe/test_twisted_errors.py
+++ b/tests/observe/test_twisted_errors.py
@@ -13,7 +13,7 @@
 from sardinehook.observe.twisted_errors import observe_error
 
 
-def observed(level: object, failure: Failure | None) -> list[str]:
+def logged_lines(level: object, failure: Failure | None) -> list[str]:
     stream = StringIO()
     configure_logging(stream, "p", "d", HybridClock(lambda: 1.0))
     event = {"log_level": level, "log_format": "Unhandled\nError"}
@@ -29,11 +29,11 @@
         try:
             raise ValueError("two\nlines")
         except ValueError:
-            (line,) = observed(LogLevel.critical, Failure())
+            (line,) = logged_lines(LogLevel.critical, Failure())
         assert "event=unhandled_error" in line
         assert "ValueError: two" in line
         assert "test_twisted_errors.py:" in line
 
     def test_only_errors_are_logged(self) -> None:
-        assert observed(LogLevel.info, None) == []
-        assert len(observed(LogLevel.error, None)) == 1
+        assert logged_lines(LogLevel.info, None) == []
+        assert len(logged_lines(LogLevel.error, None)) == 1
