Rename internals of the order package to usual terms

Names such as Other, Gone, Behind, lanes, told and _yield_to needed their docstrings to be understood. Results of the claim store say what the key holds, the recorder uses backoff terms, and the attempt's private methods say what they wait for or report. The strings through which tests patch _wait_for_holder and apply_reply follow.

--- a/sardinehook/order/attempt.py
+++ b/sardinehook/order/attempt.py
@@ -16,34 +16,34 @@
 from sardinehook.order.claim import (
     ClaimState,
     OrderClaim,
-    first_claim,
-    judge_reply,
+    apply_reply,
+    new_claim,
 )
 from sardinehook.order.claim_store import (
-    Behind,
-    Gone,
-    Other,
-    Swap,
+    NoRecord,
+    OlderState,
+    StoredClaim,
+    SwapResult,
     Unavailable,
     Unreadable,
     Written,
 )
-from sardinehook.order.open_order import OpenOrder, OrderAnswer, answer_of
+from sardinehook.order.open_order import OpenOrder, OrderAnswer, answer_from_claim
 from sardinehook.order.pause import pause
-from sardinehook.order.ports import AttemptPorts, conflict, target_ran
+from sardinehook.order.ports import AttemptPorts, key_conflict, target_ran
 from sardinehook.store.port import CREATE
 
 __all__ = ["Attempt"]
 
-NOTHING_SENT = "this request ran nothing, an earlier one with its key may have"
+NOTHING_SENT_DETAIL = "this request ran nothing, an earlier one with its key may have"
 MAX_CLAIM_TRIES = 8
-SETTLE_TRIES = 3
-SETTLE_PAUSE_SECONDS = 0.05
+MAX_SWAP_TRIES = 3
+SWAP_RETRY_DELAY_SECONDS = 0.05
 MIN_WATCH_MS = 1.0
-WATCH_MS = 1000.0
-WATCH_PAUSE_SECONDS = 0.1
+MAX_WATCH_MS = 1000.0
+WATCH_RETRY_DELAY_SECONDS = 0.1
 MIN_SEND_MS = 1.0
-LATE_REPLY_SECONDS = 60.0
+LATE_REPLY_TIMEOUT_SECONDS = 60.0
 MS_PER_SECOND = 1000.0
 
 logger: FilteringBoundLogger = get_logger()
@@ -61,27 +61,27 @@
     def __init__(self, ports: AttemptPorts, order: OpenOrder) -> None:
         self.ports = ports
         self.order = order
-        self.blocked_by = Problem(
-            ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT}: no claim in time"
+        self.deadline_problem = Problem(
+            ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT_DETAIL}: no claim in time"
         )
         left = max(order.deadline - ports.timers.seconds(), 0.0)
-        self.deadline_timer = ports.timers.callLater(left, self._at_deadline)
+        self.deadline_timer = ports.timers.callLater(left, self._on_deadline)
 
     async def run(self) -> None:
         """Claim the order's key and send the order."""
         claim = await self._claim()
         if claim is not None:
             self._send(claim)
-        self._end_claiming()
+        self._finish_claiming()
 
     def fail(self, failure: TwistedFailure) -> None:
         """Answer after an error of the program itself."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=failure.getTraceback())
         self.order.given_up = True
-        self._refuse(Problem(ErrorKind.INTERNAL, failure.getErrorMessage()))
-        self._end_claiming()
+        self._fail_callers(Problem(ErrorKind.INTERNAL, failure.getErrorMessage()))
+        self._finish_claiming()
 
-    def _end_claiming(self) -> None:
+    def _finish_claiming(self) -> None:
         self.order.claiming = False
         self.ports.recorder.on_change(self.order)
 
@@ -92,58 +92,63 @@
             match await self._try_claim(expect):
                 case OrderClaim() as claim:
                     return claim
-                case Other(claim, revision):
-                    replaceable = await self._yield_to(claim, revision)
+                case StoredClaim(claim, revision):
+                    replaceable = await self._wait_for_holder(claim, revision)
                     if replaceable is None:
                         return None
                     expect = replaceable
-                case Gone():
+                case NoRecord():
                     expect = CREATE
                 case None:
                     return None
         detail = "other attempts at the key kept coming first"
-        self._refuse(Problem(ErrorKind.ORDER_IN_PROGRESS, detail))
+        self._fail_callers(Problem(ErrorKind.ORDER_IN_PROGRESS, detail))
         return None
 
-    async def _try_claim(self, expect: int) -> OrderClaim | Other | Gone | None:
+    async def _try_claim(
+        self, expect: int
+    ) -> OrderClaim | StoredClaim | NoRecord | None:
         """Return the claim that stands, who else holds the key, or None if refused."""
         ports = self.ports
         lease = await ports.claims.current_lease()
         if isinstance(lease, Unavailable):
-            self._refuse(
-                Problem(ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT}: {lease.detail}")
+            self._fail_callers(
+                Problem(
+                    ErrorKind.STORE_UNAVAILABLE,
+                    f"{NOTHING_SENT_DETAIL}: {lease.detail}",
+                )
             )
             return None
-        claim = first_claim(
+        claim = new_claim(
             self.order.request, ports.claimant, ports.new_attempt(), ports.wall_ms()
         )
-        swap = await self._swap_until_settled(claim, expect, lease)
+        swap = await self._swap_with_retries(claim, expect, lease)
         match swap:
-            case Written(revision) | Behind(revision):
-                self._hold(claim, revision)
+            case Written(revision) | OlderState(revision):
+                self._set_claim(claim, revision)
                 self._log(EventName.ORDER_CLAIMED)
                 return claim
-            case Other() | Gone():
+            case StoredClaim() | NoRecord():
                 return swap
             case Unreadable(problem):
-                self._refuse(problem)
+                self._fail_callers(problem)
             case Unavailable(detail, may_have_taken_effect):
-                detail = f"{NOTHING_SENT}: {detail}"
+                detail = f"{NOTHING_SENT_DETAIL}: {detail}"
                 problem = Problem(ErrorKind.STORE_UNAVAILABLE, detail)
                 if may_have_taken_effect:
-                    self._hold(claim, expect)
+                    self._set_claim(claim, expect)
                     self._withdraw(claim, problem)
-                self._refuse(problem)
+                self._fail_callers(problem)
         return None
 
-    async def _swap_until_settled(
+    async def _swap_with_retries(
         self, claim: OrderClaim, expect: int, lease: str
-    ) -> Swap:
+    ) -> SwapResult:
         """Repeat a swap whose reply was lost, within bounds."""
         may_have_taken_effect = False
-        pause_seconds = SETTLE_PAUSE_SECONDS
+        delay_seconds = SWAP_RETRY_DELAY_SECONDS
         detail = "the order was given up before its key was claimed"
-        for _ in range(SETTLE_TRIES):
+        for _ in range(MAX_SWAP_TRIES):
             if self.order.given_up:
                 break
             swap = await self.ports.claims.swap(claim, expect, lease)
@@ -153,59 +158,61 @@
             may_have_taken_effect |= swap.may_have_taken_effect
             if not may_have_taken_effect:
                 break
-            await pause(self.ports.timers, pause_seconds)
-            pause_seconds *= 2
+            await pause(self.ports.timers, delay_seconds)
+            delay_seconds *= 2
         return Unavailable(detail, may_have_taken_effect)
 
-    def _hold(self, claim: OrderClaim, revision: int) -> None:
+    def _set_claim(self, claim: OrderClaim, revision: int) -> None:
         self.order.claim = claim
         self.order.recorded = claim
         self.order.revision = revision
 
-    async def _yield_to(self, claim: OrderClaim, revision: int) -> int | None:
+    async def _wait_for_holder(self, claim: OrderClaim, revision: int) -> int | None:
         """Wait for another attempt; return the revision if it may be replaced."""
         while not self.order.given_up:
             if claim.digest != self.order.request.digest:
-                self._refuse(conflict(claim.key))
+                self._fail_callers(key_conflict(claim.key))
                 return None
             if claim.state is ClaimState.NOT_RUN:
                 return revision
             wall_ms = self.ports.wall_ms()
-            if claim.state is not ClaimState.CLAIMED or claim.abandoned(wall_ms):
-                await self._repeat(claim)
+            if claim.state is not ClaimState.CLAIMED or claim.is_abandoned(wall_ms):
+                await self._answer_from_claim(claim)
                 return None
-            self._blocked(claim)
+            self._update_deadline_problem(claim)
             newer = await self._await_change(claim, revision)
             if newer is not None:
                 claim, revision = newer.claim, newer.revision
         return None
 
-    async def _await_change(self, claim: OrderClaim, revision: int) -> Other | None:
+    async def _await_change(
+        self, claim: OrderClaim, revision: int
+    ) -> StoredClaim | None:
         timers = self.ports.timers
         left_ms = (self.order.deadline - timers.seconds()) * MS_PER_SECOND
-        wait_ms = max(min(left_ms, WATCH_MS), MIN_WATCH_MS)
-        seen = await self.ports.claims.await_change(claim, revision, wait_ms)
-        if isinstance(seen, Other):
+        wait_ms = max(min(left_ms, MAX_WATCH_MS), MIN_WATCH_MS)
+        seen = await self.ports.claims.wait_for_change(claim, revision, wait_ms)
+        if isinstance(seen, StoredClaim):
             return seen
-        await pause(timers, WATCH_PAUSE_SECONDS)
+        await pause(timers, WATCH_RETRY_DELAY_SECONDS)
         return None
 
-    def _blocked(self, claim: OrderClaim) -> None:
+    def _update_deadline_problem(self, claim: OrderClaim) -> None:
         match claim.result(self.ports.wall_ms()):
             case Failure(problem):
-                self.blocked_by = problem
+                self.deadline_problem = problem
 
-    async def _repeat(self, claim: OrderClaim) -> None:
+    async def _answer_from_claim(self, claim: OrderClaim) -> None:
         """Tell this order's callers what became of another attempt."""
-        self._blocked(claim)
+        self._update_deadline_problem(claim)
         if claim.state is not ClaimState.DONE:
             if await target_ran(self.ports.ask_target, claim):
-                claim = claim.done_elsewhere()
+                claim = claim.done_without_answer()
         match claim.result(self.ports.wall_ms()):
             case Success(done):
-                self._settle(answer_of(done, repeated=True))
+                self._answer_callers(answer_from_claim(done, repeated=True))
             case Failure(problem):
-                self._refuse(problem)
+                self._fail_callers(problem)
 
     def _send(self, claim: OrderClaim) -> None:
         """Send the order, unless its time is over; nothing is awaited before."""
@@ -214,7 +221,7 @@
         if order.given_up or left_ms < MIN_SEND_MS:
             problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "no time was left to send")
             self._withdraw(claim, problem)
-            self._refuse(problem)
+            self._fail_callers(problem)
             return
         order.sent = True
         order.awaits_reply = True
@@ -222,7 +229,9 @@
         self._log(EventName.ORDER_SENT, sub_query=sub_query.sub_query_id)
         reply = maybeDeferred(self.ports.send, sub_query)
         reply.addCallbacks(
-            self._on_reply, self._on_lost, callbackArgs=(sub_query.sub_query_id,)
+            self._on_reply,
+            self._on_send_failure,
+            callbackArgs=(sub_query.sub_query_id,),
         )
         reply.addErrback(self.fail)
 
@@ -247,29 +256,29 @@
             return
         if reply.sub_query_id != sub_query_id:
             self.order.awaits_reply = False
-            self._end_unknown("the reply belongs to another sub-query")
+            self._set_outcome_unknown("the reply belongs to another sub-query")
             return
-        ended = judge_reply(claim, reply)
+        ended = apply_reply(claim, reply)
         self.order.awaits_reply = False
-        self._end(ended, reply.body)
+        self._set_outcome(ended, reply.body)
 
-    def _on_lost(self, failure: TwistedFailure) -> None:
+    def _on_send_failure(self, failure: TwistedFailure) -> None:
         self.order.awaits_reply = False
-        self._end_unknown(failure.getErrorMessage())
+        self._set_outcome_unknown(failure.getErrorMessage())
 
-    def _end_unknown(self, detail: str) -> None:
+    def _set_outcome_unknown(self, detail: str) -> None:
         if self.order.claim is not None:
             problem = Problem(ErrorKind.OUTCOME_UNKNOWN, detail)
-            self._end(self.order.claim.unknown(problem), b"")
+            self._set_outcome(self.order.claim.unknown(problem), b"")
 
-    def _end(self, claim: OrderClaim, body: bytes) -> None:
+    def _set_outcome(self, claim: OrderClaim, body: bytes) -> None:
         """Take the outcome that was learned, tell the callers and record it."""
         self.order.claim = claim
         match claim.result(self.ports.wall_ms()):
             case Success(done):
-                self._settle(answer_of(done, repeated=False, body=body))
+                self._answer_callers(answer_from_claim(done, repeated=False, body=body))
             case Failure(problem):
-                self._refuse(problem)
+                self._fail_callers(problem)
         self._log(EventName.ORDER_ENDED, outcome=claim.state.value, detail=claim.detail)
         self.ports.recorder.record(self.order)
 
@@ -280,28 +289,30 @@
         self._log(EventName.ORDER_WITHDRAWN, detail=problem.detail)
         self.ports.recorder.record(self.order)
 
-    def _at_deadline(self) -> None:
+    def _on_deadline(self) -> None:
         order = self.order
         if order.result is not None:
             return
         if not order.sent:
             order.given_up = True
-            self._refuse(self.blocked_by)
+            self._fail_callers(self.deadline_problem)
             return
-        self.ports.timers.callLater(LATE_REPLY_SECONDS, self._stop_waiting)
-        self._end_unknown("no reply came before the deadline")
+        self.ports.timers.callLater(
+            LATE_REPLY_TIMEOUT_SECONDS, self._stop_awaiting_reply
+        )
+        self._set_outcome_unknown("no reply came before the deadline")
 
-    def _stop_waiting(self) -> None:
+    def _stop_awaiting_reply(self) -> None:
         self.order.awaits_reply = False
         self.ports.recorder.on_change(self.order)
 
-    def _refuse(self, problem: Problem) -> None:
-        self._settle(Failure(problem))
+    def _fail_callers(self, problem: Problem) -> None:
+        self._answer_callers(Failure(problem))
 
-    def _settle(self, result: Result[OrderAnswer, Problem]) -> None:
+    def _answer_callers(self, result: Result[OrderAnswer, Problem]) -> None:
         if self.deadline_timer.active():
             self.deadline_timer.cancel()
-        self.order.settle(result)
+        self.order.set_result(result)
 
     def _log(self, event: EventName, **fields: Unpack[EventFields]) -> None:
         request = self.order.request
--- a/sardinehook/order/claim.py
+++ b/sardinehook/order/claim.py
@@ -20,10 +20,10 @@
     "Claimant",
     "OrderClaim",
     "OrderRequest",
+    "apply_reply",
     "decode_claim",
     "encode_claim",
-    "first_claim",
-    "judge_reply",
+    "new_claim",
     "store_key",
 ]
 
@@ -31,7 +31,7 @@
 MAX_RECORDED_BODY_BYTES = 65_536
 MAX_DETAIL_CHARACTERS = 200
 ABANDONED_GRACE_MS = 5_000
-NOT_BEGUN = frozenset(
+NOT_STARTED_OUTCOMES = frozenset(
     {
         Outcome.NOT_RUN,
         Outcome.SHED,
@@ -122,7 +122,7 @@
             body_kept=kept,
         )
 
-    def done_elsewhere(self) -> OrderClaim:
+    def done_without_answer(self) -> OrderClaim:
         """Return the claim of an order that a target ran, its answer lost."""
         return replace(self, state=ClaimState.DONE, detail="", body_kept=False)
 
@@ -130,17 +130,17 @@
         """Return the claim given up; the problem must be one of kind not run."""
         if not problem.response.not_run:
             raise ValueError(f"{problem.kind} does not promise that nothing ran")
-        return self._ended(ClaimState.NOT_RUN, problem)
+        return self._with_outcome(ClaimState.NOT_RUN, problem)
 
     def unknown(self, problem: Problem) -> OrderClaim:
         """Return the claim with an outcome that nobody knows yet."""
-        return self._ended(ClaimState.UNKNOWN, problem)
+        return self._with_outcome(ClaimState.UNKNOWN, problem)
 
-    def _ended(self, state: ClaimState, problem: Problem) -> OrderClaim:
+    def _with_outcome(self, state: ClaimState, problem: Problem) -> OrderClaim:
         detail = problem.detail[:MAX_DETAIL_CHARACTERS]
         return replace(self, state=state, kind=problem.kind, detail=detail)
 
-    def abandoned(self, wall_ms: int) -> bool:
+    def is_abandoned(self, wall_ms: int) -> bool:
         """Tell whether a claim without an outcome is past its time."""
         return wall_ms > self.claimed_at_ms + self.valid_ms + ABANDONED_GRACE_MS
 
@@ -153,7 +153,7 @@
                 return Failure(Problem(self.kind, self.detail))
             case ClaimState.UNKNOWN:
                 return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, self.detail))
-            case ClaimState.CLAIMED if self.abandoned(wall_ms):
+            case ClaimState.CLAIMED if self.is_abandoned(wall_ms):
                 detail = f"{self.claimant} claimed the key and recorded no outcome"
                 return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
             case ClaimState.CLAIMED:
@@ -161,7 +161,7 @@
                 return Failure(Problem(ErrorKind.ORDER_IN_PROGRESS, detail))
 
 
-def first_claim(
+def new_claim(
     request: OrderRequest, claimant: Claimant, attempt: str, wall_ms: int
 ) -> OrderClaim:
     """Return the claim with which an attempt begins."""
@@ -178,14 +178,14 @@
     )
 
 
-def judge_reply(claim: OrderClaim, reply: SubReply) -> OrderClaim:
+def apply_reply(claim: OrderClaim, reply: SubReply) -> OrderClaim:
     """Return the claim with the outcome that a reply proves, and no more.
 
     Only a reply that says that no target can have begun proves "not run".
     """
     if reply.outcome is Outcome.ANSWERED:
         return claim.done(reply.body)
-    if reply.outcome in NOT_BEGUN and not reply.began:
+    if reply.outcome in NOT_STARTED_OUTCOMES and not reply.began:
         kind = ErrorKind.TARGET_UNAVAILABLE
         if reply.outcome is Outcome.SHED:
             kind = ErrorKind.OVERLOADED
--- a/sardinehook/order/claim_store.py
+++ b/sardinehook/order/claim_store.py
@@ -22,18 +22,18 @@
 )
 
 __all__ = [
-    "Behind",
     "ClaimStore",
-    "Gone",
-    "Other",
-    "Seen",
-    "Swap",
+    "NoRecord",
+    "OlderState",
+    "ReadResult",
+    "StoredClaim",
+    "SwapResult",
     "Unavailable",
     "Unreadable",
     "Written",
 ]
 
-LEASE_SHARED_SECONDS = 3600.0
+LEASE_REUSE_SECONDS = 3600.0
 LEASE_MARGIN_SECONDS = 900.0
 MS_PER_SECOND = 1000.0
 
@@ -46,14 +46,14 @@
 
 
 @dataclass(frozen=True)
-class Behind:
+class OlderState:
     """The key holds an earlier state of the same attempt's claim."""
 
     revision: int
 
 
 @dataclass(frozen=True)
-class Other:
+class StoredClaim:
     """The key is held by another attempt."""
 
     claim: OrderClaim
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True)
-class Gone:
+class NoRecord:
     """The key does not exist."""
 
 
@@ -80,15 +80,15 @@
     may_have_taken_effect: bool
 
 
-Swap = Written | Behind | Other | Gone | Unreadable | Unavailable
-Seen = Other | Gone | Unreadable | Unavailable
+SwapResult = Written | OlderState | StoredClaim | NoRecord | Unreadable | Unavailable
+ReadResult = StoredClaim | NoRecord | Unreadable | Unavailable
 
 
 class ClaimStore:
     """The order records of one environment.
 
     Records last for ``retention_ms`` by leases of the service, each shared by the
-    claims of an hour and never renewed. ``seconds`` is a monotonic clock.
+    claims of an hour and never renewed. ``monotonic_clock`` returns seconds.
     """
 
     def __init__(
@@ -96,14 +96,14 @@
         store: Store,
         environment: str,
         retention_ms: float,
-        seconds: Callable[[], float],
+        monotonic_clock: Callable[[], float],
     ) -> None:
         self.store = store
         self.environment = environment
         self.retention_ms = retention_ms
-        self.seconds = seconds
+        self.monotonic_clock = monotonic_clock
         self.lease = ""
-        self.lease_shared_until = float("-inf")
+        self.lease_reuse_until = float("-inf")
 
     async def current_lease(self) -> str | Unavailable:
         """Return the lease to put claims with, granted anew once an hour.
@@ -111,24 +111,24 @@
         Its time is counted from before the request, so that each record lasts
         for the retention time at least.
         """
-        asked_at = self.seconds()
-        if asked_at < self.lease_shared_until:
+        requested_at = self.monotonic_clock()
+        if requested_at < self.lease_reuse_until:
             return self.lease
-        shared_ms = (LEASE_SHARED_SECONDS + LEASE_MARGIN_SECONDS) * MS_PER_SECOND
+        shared_ms = (LEASE_REUSE_SECONDS + LEASE_MARGIN_SECONDS) * MS_PER_SECOND
         match await self.store.grant_lease(self.retention_ms + shared_ms):
             case Success(lease):
                 self.lease = lease
-                self.lease_shared_until = asked_at + LEASE_SHARED_SECONDS
+                self.lease_reuse_until = requested_at + LEASE_REUSE_SECONDS
                 return self.lease
             case Failure(StoreUnavailable(detail=detail)):
                 return Unavailable(detail, may_have_taken_effect=False)
         return Unavailable("no lease was granted", may_have_taken_effect=False)
 
-    def forget_lease(self) -> None:
+    def invalidate_lease(self) -> None:
         """Grant another lease for the next claim."""
-        self.lease_shared_until = float("-inf")
+        self.lease_reuse_until = float("-inf")
 
-    async def swap(self, claim: OrderClaim, expect: int, lease: str) -> Swap:
+    async def swap(self, claim: OrderClaim, expect: int, lease: str) -> SwapResult:
         """Write a claim over revision ``expect``, ``CREATE`` if the key is new.
 
         A conflict with the very claim that was to be written means that an
@@ -143,23 +143,24 @@
                 return Written(entry.revision)
             case Failure(Conflict(current)):
                 if current is None or current.revision == expect:
-                    self.forget_lease()  # only a lost lease refuses what is expected
-                return _judge_conflict(claim, value, current)
+                    # With the expected revision, only a lost lease is a conflict.
+                    self.invalidate_lease()
+                return _classify_conflict(claim, value, current)
             case Failure(StoreUnavailable(detail=detail, may_have_taken_effect=may)):
                 return Unavailable(detail, may)
         raise AssertionError("unreachable")
 
-    async def read(self, key: str) -> Seen:
+    async def read(self, key: str) -> ReadResult:
         """Read a key's record, which may be an older state of it."""
         name = store_key(self.environment, key)
         match await self.store.get(name):
             case Success(entry):
-                return judge_entry(entry)
+                return decode_entry(entry)
             case Failure(StoreUnavailable(detail=detail)):
                 return Unavailable(detail, may_have_taken_effect=False)
         return Unavailable("the read was refused", may_have_taken_effect=False)
 
-    async def confirm(self, seen: Other) -> Seen:
+    async def confirm(self, seen: StoredClaim) -> ReadResult:
         """Return the record as it is now, by rewriting what was read.
 
         A read may be stale, but a swap succeeds on the present state only.
@@ -169,41 +170,43 @@
             return lease
         match await self.swap(seen.claim, seen.revision, lease):
             case Written(revision):
-                return Other(seen.claim, revision)
-            case Behind():
+                return StoredClaim(seen.claim, revision)
+            case OlderState():
                 return await self.read(seen.claim.key)
             case other:
                 return other
 
-    async def await_change(self, claim: OrderClaim, after: int, wait_ms: float) -> Seen:
-        """Wait until a key has changed; ``Gone`` if it has not or is gone."""
+    async def wait_for_change(
+        self, claim: OrderClaim, after: int, wait_ms: float
+    ) -> ReadResult:
+        """Wait until a key has changed; ``NoRecord`` if it has not or is gone."""
         name = store_key(self.environment, claim.key)
         match await self.store.watch(name, after, wait_ms):
             case Success(entry):
-                return judge_entry(entry)
+                return decode_entry(entry)
             case Failure(StoreUnavailable(detail=detail)):
                 return Unavailable(detail, may_have_taken_effect=False)
         return Unavailable("the watch was refused", may_have_taken_effect=False)
 
 
-def judge_entry(entry: Entry | None) -> Other | Gone | Unreadable:
+def decode_entry(entry: Entry | None) -> StoredClaim | NoRecord | Unreadable:
     """Decode what a key holds."""
     if entry is None:
-        return Gone()
+        return NoRecord()
     match decode_claim(entry.value):
         case Success(claim):
-            return Other(claim, entry.revision)
+            return StoredClaim(claim, entry.revision)
         case Failure(problem):
             return Unreadable(problem)
     raise AssertionError("unreachable")
 
 
-def _judge_conflict(
+def _classify_conflict(
     claim: OrderClaim, value: bytes, current: Entry | None
-) -> Written | Behind | Other | Gone | Unreadable:
+) -> Written | OlderState | StoredClaim | NoRecord | Unreadable:
     if current is not None and current.value == value:
         return Written(current.revision)
-    seen = judge_entry(current)
-    if isinstance(seen, Other) and seen.claim.attempt == claim.attempt:
-        return Behind(seen.revision)
+    seen = decode_entry(current)
+    if isinstance(seen, StoredClaim) and seen.claim.attempt == claim.attempt:
+        return OlderState(seen.revision)
     return seen
--- a/sardinehook/order/coordinator.py
+++ b/sardinehook/order/coordinator.py
@@ -25,8 +25,8 @@
 )
 from sardinehook.order.claim_store import (
     ClaimStore,
-    Gone,
-    Other,
+    NoRecord,
+    StoredClaim,
     Unavailable,
     Unreadable,
 )
@@ -35,8 +35,8 @@
 from sardinehook.order.ports import (
     AskTarget,
     AttemptPorts,
-    Send,
-    conflict,
+    SendSubQuery,
+    key_conflict,
     target_ran,
 )
 from sardinehook.order.recorder import Recorder
@@ -81,7 +81,7 @@
     An order's key is claimed by a create in the platform's service before any byte
     goes to a target; then exactly one sub-query is sent, never hedged or retried.
     ``send`` sends a sub-query and fires with its end, or fails if that cannot be
-    learned. ``ask_target`` asks a replica whether it ran a key. ``wall`` returns
+    learned. ``ask_target`` asks a replica whether it ran a key. ``wall_clock`` returns
     seconds since the epoch.
     """
 
@@ -91,8 +91,8 @@
         environment: str,
         claimant: Claimant,
         timers: Timers,
-        wall: Callable[[], float],
-        send: Send,
+        wall_clock: Callable[[], float],
+        send: SendSubQuery,
         sub_query_ids: Iterator[int],
         retention_ms: float,
         metrics: Metrics,
@@ -107,7 +107,7 @@
             recorder=Recorder(self.claims, timers, metrics, self.close_order),
             claimant=claimant,
             timers=timers,
-            wall=wall,
+            wall_clock=wall_clock,
             send=send,
             sub_query_ids=sub_query_ids,
             new_attempt=new_attempt,
@@ -123,22 +123,24 @@
         repetition of a key may be refused "not run" though an earlier one ran.
         """
         result = await self._place(request)
-        self.metrics.count_order(told(result))
+        self.metrics.count_order(order_outcome(result))
         return result
 
     async def _place(self, request: OrderRequest) -> Result[OrderAnswer, Problem]:
         deadline = self.timers.seconds() + request.deadline_ms / MS_PER_SECOND
-        problem = invalid_key(request.key)
+        problem = key_problem(request.key)
         if problem is not None:
             return Failure(problem)
         order = self.open.get(request.key)
         if order is None:
-            problem = self._refusal()
+            problem = self._admission_problem()
             if problem is not None:
                 return Failure(problem)
-            return await self._begin(request, deadline).result_by(self.timers, deadline)
+            return await self._start(request, deadline).wait_for_result(
+                self.timers, deadline
+            )
         if order.request.digest != request.digest:
-            return Failure(conflict(request.key))
+            return Failure(key_conflict(request.key))
         log_event(
             logger,
             EventName.ORDER_REPEATED,
@@ -146,16 +148,16 @@
             order=request.key,
             cause=order.request.request_id,
         )
-        return repeated(await order.result_by(self.timers, deadline))
+        return mark_repeated(await order.wait_for_result(self.timers, deadline))
 
-    def _refusal(self) -> Problem | None:
+    def _admission_problem(self) -> Problem | None:
         if self.stopping:
             return Problem(ErrorKind.STOPPING, "this process takes no new orders")
         if len(self.open) >= MAX_OPEN_ORDERS:
             return Problem(ErrorKind.OVERLOADED, "too many orders are open here")
         return None
 
-    def _begin(self, request: OrderRequest, deadline: float) -> OpenOrder:
+    def _start(self, request: OrderRequest, deadline: float) -> OpenOrder:
         order = OpenOrder(request, deadline)
         self.open[request.key] = order
         attempt = Attempt(self.ports, order)
@@ -172,7 +174,7 @@
 
     async def look_up(self, key: str) -> Result[OrderStatus, Problem]:
         """Tell what is known of an order's key, here or in its record."""
-        problem = invalid_key(key)
+        problem = key_problem(key)
         if problem is not None:
             return Failure(problem)
         order = self.open.get(key)
@@ -183,12 +185,12 @@
             status = OrderStatus(OrderState.RUN, "", answer.body, answer.body_kept)
             return Success(status)
         seen = await self.claims.read(key)
-        if isinstance(seen, Other) and seen.claim.state is ClaimState.NOT_RUN:
+        if isinstance(seen, StoredClaim) and seen.claim.state is ClaimState.NOT_RUN:
             seen = await self.claims.confirm(seen)
         match seen:
-            case Other(claim, _):
+            case StoredClaim(claim, _):
                 return Success(await self._status(claim))
-            case Gone():
+            case NoRecord():
                 return Success(OrderStatus(OrderState.UNSEEN, "no record of the key"))
             case Unreadable(problem):
                 return Failure(problem)
@@ -200,7 +202,7 @@
         if status.state is not OrderState.UNKNOWN:
             return status
         if await target_ran(self.ports.ask_target, claim):
-            return status_of(claim.done_elsewhere(), self.ports.wall_ms())
+            return status_of(claim.done_without_answer(), self.ports.wall_ms())
         return status
 
     async def drain(self) -> None:
@@ -210,7 +212,7 @@
             await pause(self.timers, DRAIN_POLL_SECONDS)
 
 
-def invalid_key(key: str) -> Problem | None:
+def key_problem(key: str) -> Problem | None:
     """Return what is wrong with a caller's order key, if anything."""
     if not 0 < len(key) <= MAX_KEY_CHARACTERS:
         detail = f"an order needs a key of 1 to {MAX_KEY_CHARACTERS} characters"
@@ -221,7 +223,7 @@
     return None
 
 
-def told(result: Result[OrderAnswer, Problem]) -> OrderOutcome:
+def order_outcome(result: Result[OrderAnswer, Problem]) -> OrderOutcome:
     """Return in one word what a caller is told by a result."""
     match result:
         case Success(_):
@@ -233,7 +235,7 @@
     return OrderOutcome.UNKNOWN
 
 
-def repeated(
+def mark_repeated(
     result: Result[OrderAnswer, Problem],
 ) -> Result[OrderAnswer, Problem]:
     """Mark an answer as that to a repetition."""
@@ -246,6 +248,6 @@
         case Success(done):
             return OrderStatus(OrderState.RUN, "", done.body, done.body_kept)
         case Failure(problem):
-            outcome = told(Failure(problem))
+            outcome = order_outcome(Failure(problem))
             return OrderStatus(OrderState(outcome.value), problem.detail)
     raise AssertionError("unreachable")
--- a/sardinehook/order/handler.py
+++ b/sardinehook/order/handler.py
@@ -16,7 +16,7 @@
 
 __all__ = ["CallerOrder", "OrderBody", "OrderHandler", "OrderStatusBody"]
 
-NO_ANSWER = msgspec.Raw(b"null")
+JSON_NULL = msgspec.Raw(b"null")
 
 
 class CallerOrder(Protocol):
@@ -74,24 +74,26 @@
 class OrderHandler:
     """Checks callers' orders and encodes their answers.
 
-    ``choose`` returns the replica of a service that is to get an order, None if
+    ``choose_replica`` returns the replica of a service that is to get an order, None if
     there is none to be had.
     """
 
     def __init__(
-        self, desk: OrderCoordinator, choose: Callable[[Workload, str], str | None]
+        self,
+        coordinator: OrderCoordinator,
+        choose_replica: Callable[[Workload, str], str | None],
     ) -> None:
-        self.desk = desk
-        self.choose = choose
+        self.coordinator = coordinator
+        self.choose_replica = choose_replica
 
     async def place(
         self, request: CallerOrder, key: str | None
     ) -> Result[bytes, Problem]:
         """Place an order and return the body of its answer."""
-        problem = refusal(request, key)
+        problem = request_problem(request, key)
         if problem is not None:
             return Failure(problem)
-        replica = self.choose(request.workload, request.service)
+        replica = self.choose_replica(request.workload, request.service)
         if replica is None:
             detail = f"no replica of {request.service} takes orders now"
             return Failure(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
@@ -105,16 +107,16 @@
             priority=request.workload.priority,
             body=request.body,
         )
-        placed = await self.desk.place(order)
+        placed = await self.coordinator.place(order)
         return placed.map(lambda answer: encode_answer(order, answer))
 
     async def look_up(self, key: str) -> Result[bytes, Problem]:
         """Return the body that tells what became of an order."""
-        found = await self.desk.look_up(key)
+        found = await self.coordinator.look_up(key)
         return found.map(lambda status: encode_status(key, status))
 
 
-def refusal(request: CallerOrder, key: str | None) -> Problem | None:
+def request_problem(request: CallerOrder, key: str | None) -> Problem | None:
     """Return what is wrong with a caller's order, if anything."""
     if key is None:
         return Problem(ErrorKind.BAD_REQUEST, "an order needs an Idempotency-Key")
@@ -159,5 +161,5 @@
     try:
         msgspec.json.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError):
-        return NO_ANSWER
+        return JSON_NULL
     return msgspec.Raw(body)
--- a/sardinehook/order/open_order.py
+++ b/sardinehook/order/open_order.py
@@ -12,7 +12,7 @@
 from sardinehook.store.port import CREATE
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["OpenOrder", "OrderAnswer", "answer_of"]
+__all__ = ["OpenOrder", "OrderAnswer", "answer_from_claim"]
 
 
 class OrderAnswer(NamedTuple):
@@ -51,14 +51,14 @@
         self.recorded: OrderClaim | None = None
         self.revision = CREATE
 
-    def settle(self, result: Result[OrderAnswer, Problem]) -> None:
+    def set_result(self, result: Result[OrderAnswer, Problem]) -> None:
         """Tell all callers the result; a later one replaces it for later callers."""
         self.result = result
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
             waiter.callback(result)
 
-    async def result_by(
+    async def wait_for_result(
         self, timers: Timers, deadline: float
     ) -> Result[OrderAnswer, Problem]:
         """Wait for the result until ``deadline`` on the reactor's clock."""
@@ -67,14 +67,14 @@
         waiter: Deferred[Result[OrderAnswer, Problem]] = Deferred()
         self.waiters.append(waiter)
         left = max(deadline - timers.seconds(), 0.0)
-        timer = timers.callLater(left, self._leave, waiter)
+        timer = timers.callLater(left, self._on_wait_timeout, waiter)
         try:
             return await waiter
         finally:
             if timer.active():
                 timer.cancel()
 
-    def _leave(self, waiter: Deferred[Result[OrderAnswer, Problem]]) -> None:
+    def _on_wait_timeout(self, waiter: Deferred[Result[OrderAnswer, Problem]]) -> None:
         if waiter in self.waiters:
             self.waiters.remove(waiter)
             detail = "this process is at work on it"
@@ -95,7 +95,7 @@
         return not (self.recording or self.unrecorded)
 
 
-def answer_of(
+def answer_from_claim(
     claim: OrderClaim, repeated: bool, body: bytes | None = None
 ) -> Result[OrderAnswer, Problem]:
     """Return the answer in a claim that is done, or with the ``body`` at hand."""
--- a/sardinehook/order/ports.py
+++ b/sardinehook/order/ports.py
@@ -17,20 +17,20 @@
 from sardinehook.order.recorder import Recorder
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["AskTarget", "AttemptPorts", "Send", "conflict", "target_ran"]
+__all__ = ["AskTarget", "AttemptPorts", "SendSubQuery", "key_conflict", "target_ran"]
 
 MS_PER_SECOND = 1000.0
 
 logger: FilteringBoundLogger = get_logger()
 
-Send = Callable[[SubQuery], Deferred[SubReply]]
+SendSubQuery = Callable[[SubQuery], Deferred[SubReply]]
 AskTarget = Callable[[str, str], Deferred[bool]]
 
 
 class AttemptPorts(NamedTuple):
     """What attempts work with.
 
-    ``wall`` returns seconds since the epoch. ``send`` sends a sub-query and fires
+    ``wall_clock`` returns seconds since the epoch. ``send`` sends a sub-query and fires
     with its end, or fails if that cannot be learned. ``ask_target`` asks a replica
     whether it ran an order key.
     """
@@ -39,15 +39,15 @@
     recorder: Recorder
     claimant: Claimant
     timers: Timers
-    wall: Callable[[], float]
-    send: Send
+    wall_clock: Callable[[], float]
+    send: SendSubQuery
     sub_query_ids: Iterator[int]
     new_attempt: Callable[[], str]
     ask_target: AskTarget | None
 
     def wall_ms(self) -> int:
         """Return the wall clock in milliseconds since the epoch."""
-        return int(self.wall() * MS_PER_SECOND)
+        return int(self.wall_clock() * MS_PER_SECOND)
 
 
 async def target_ran(ask_target: AskTarget | None, claim: OrderClaim) -> bool:
@@ -62,6 +62,6 @@
         return False
 
 
-def conflict(key: str) -> Problem:
+def key_conflict(key: str) -> Problem:
     """Return the problem of a key that stands for another order."""
     return Problem(ErrorKind.CONFLICT, f"key {key} was used for another order")
--- a/sardinehook/order/recorder.py
+++ b/sardinehook/order/recorder.py
@@ -12,9 +12,9 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim_store import (
-    Behind,
     ClaimStore,
-    Gone,
+    NoRecord,
+    OlderState,
     Unavailable,
     Written,
 )
@@ -25,10 +25,10 @@
 
 __all__ = ["Recorder"]
 
-WRITES_AT_ONCE = 2
-RECORD_FOR_SECONDS = 3600.0
-FIRST_PAUSE_SECONDS = 0.1
-MAX_PAUSE_SECONDS = 5.0
+MAX_CONCURRENT_WRITES = 2
+RECORD_TIMEOUT_SECONDS = 3600.0
+MIN_BACKOFF_SECONDS = 0.1
+MAX_BACKOFF_SECONDS = 5.0
 
 logger: FilteringBoundLogger = get_logger()
 
@@ -36,9 +36,9 @@
 class Recorder:
     """Records outcomes in the background, one write at a time for each order.
 
-    ``on_change`` is told of each order of which something was recorded or given up.
-    At most ``WRITES_AT_ONCE`` are under way or wait for their next try, so that a
-    service in trouble is asked seldom, however many outcomes wait.
+    ``on_change`` is called with an order whenever its recording starts or ends.
+    At most ``MAX_CONCURRENT_WRITES`` writes are in progress or in backoff, which
+    bounds the load on a failing store however many outcomes are pending.
     """
 
     def __init__(
@@ -52,8 +52,8 @@
         self.timers = timers
         self.metrics = metrics
         self.on_change = on_change
-        self.pause_seconds = FIRST_PAUSE_SECONDS
-        self.lanes = DeferredSemaphore(WRITES_AT_ONCE)
+        self.backoff_seconds = MIN_BACKOFF_SECONDS
+        self.write_slots = DeferredSemaphore(MAX_CONCURRENT_WRITES)
 
     def record(self, order: OpenOrder) -> None:
         """Begin to record an order's newest claim, unless that is under way."""
@@ -65,23 +65,23 @@
         done.addErrback(self._fail, order)
 
     async def _record(self, order: OpenOrder) -> None:
-        until = self.timers.seconds() + RECORD_FOR_SECONDS
-        while order.unrecorded and self.timers.seconds() < until:
-            await self.lanes.acquire()
+        record_deadline = self.timers.seconds() + RECORD_TIMEOUT_SECONDS
+        while order.unrecorded and self.timers.seconds() < record_deadline:
+            await self.write_slots.acquire()
             try:
                 if await self._write(order):
-                    self.pause_seconds = FIRST_PAUSE_SECONDS
+                    self.backoff_seconds = MIN_BACKOFF_SECONDS
                 else:
                     await self._back_off()
             finally:
-                self.lanes.release()
+                self.write_slots.release()
         if order.unrecorded:
             self._give_up(order, "the service took no write in time")
         self._end(order)
 
     async def _back_off(self) -> None:
-        seconds = self.pause_seconds
-        self.pause_seconds = min(2 * seconds, MAX_PAUSE_SECONDS)
+        seconds = self.backoff_seconds
+        self.backoff_seconds = min(2 * seconds, MAX_BACKOFF_SECONDS)
         await pause(self.timers, seconds)
 
     async def _write(self, order: OpenOrder) -> bool:
@@ -97,11 +97,11 @@
                 order.revision = revision
                 order.recorded = claim
                 return True
-            case Behind(revision):
-                moved = revision != order.revision
+            case OlderState(revision):
+                advanced = revision != order.revision
                 order.revision = revision
-                return moved
-            case Gone() if order.revision == CREATE:
+                return advanced
+            case NoRecord() if order.revision == CREATE:
                 return False
             case Unavailable():
                 return False
--- a/tests/order/test_order_histories.py
+++ b/tests/order/test_order_histories.py
@@ -20,8 +20,8 @@
 from sardinehook.order import attempt as attempt_module
 from sardinehook.order import coordinator as coordinator_module
 from sardinehook.order.attempt import Attempt
-from sardinehook.order.claim import OrderClaim, judge_reply
-from sardinehook.order.claim_store import ClaimStore, Swap, Unavailable, Written
+from sardinehook.order.claim import OrderClaim, apply_reply
+from sardinehook.order.claim_store import ClaimStore, SwapResult, Unavailable, Written
 from sardinehook.order.coordinator import OrderState, OrderStatus
 from tests.order.rig import Fate, OrderRig
 
@@ -125,7 +125,7 @@
 class RetryingAttempt(Attempt):
     """Sends an order again when its connection is lost."""
 
-    def _end_unknown(self, detail: str) -> None:
+    def _set_outcome_unknown(self, detail: str) -> None:
         if not self.order.given_up:
             self.order.given_up = True
             self.order.awaits_reply = True
@@ -140,9 +140,9 @@
         reply = self.ports.send(self._sub_query(1000.0))
         claim = await self._claim()
         if claim is not None:
-            self._hold(claim, self.order.revision)
+            self._set_claim(claim, self.order.revision)
             reply.addCallback(lambda got: self._on_reply(got, got.sub_query_id))
-        self._end_claiming()
+        self._finish_claiming()
 
 
 class IgnoringDeadlineAttempt(Attempt):
@@ -157,7 +157,7 @@
 class TrustingClaimStore(ClaimStore):
     """Takes a claim whose reply was lost to stand."""
 
-    async def swap(self, claim: OrderClaim, expect: int, lease: str) -> Swap:
+    async def swap(self, claim: OrderClaim, expect: int, lease: str) -> SwapResult:
         swap = await super().swap(claim, expect, lease)
         if isinstance(swap, Unavailable) and swap.may_have_taken_effect:
             return Written(expect)
@@ -168,7 +168,7 @@
     """Judge a lost connection to mean "not run"."""
     if reply.outcome is Outcome.CONNECTION_LOST:
         return claim.not_run(Problem(ErrorKind.TARGET_UNAVAILABLE, "lost"))
-    return judge_reply(claim, reply)
+    return apply_reply(claim, reply)
 
 
 def taken_over_when_abandoned(
@@ -176,15 +176,15 @@
 ) -> Deferred[int | None]:
     """Replace another attempt's claim once its time is over."""
 
-    async def yield_to() -> int | None:
-        if claim.abandoned(self.ports.wall_ms()):
+    async def wait_for_holder() -> int | None:
+        if claim.is_abandoned(self.ports.wall_ms()):
             return revision
-        return await YIELD_TO(self, claim, revision)
+        return await WAIT_FOR_HOLDER(self, claim, revision)
 
-    return Deferred.fromCoroutine(yield_to())
+    return Deferred.fromCoroutine(wait_for_holder())
 
 
-YIELD_TO = Attempt._yield_to
+WAIT_FOR_HOLDER = Attempt._wait_for_holder
 
 MUTATIONS = {
     "retries": (coordinator_module, "Attempt", RetryingAttempt),
@@ -197,10 +197,14 @@
     "trusts an unsettled claim": (coordinator_module, "ClaimStore", TrustingClaimStore),
     "says not run after a lost connection": (
         attempt_module,
-        "judge_reply",
+        "apply_reply",
         not_run_after_lost_connection,
     ),
-    "takes over an abandoned claim": (Attempt, "_yield_to", taken_over_when_abandoned),
+    "takes over an abandoned claim": (
+        Attempt,
+        "_wait_for_holder",
+        taken_over_when_abandoned,
+    ),
 }
 
 
