Reword docstrings and messages of the order package

A reader stumbled over a "service" that is the platform's store, claims that "stand" and answers that are "told". Docstrings now state what a function returns and when it fails; problem details name the limit or the order key. The test that searches for part of the detail of an unsent order searches for the same part of its new text.

Structure: four details on refusal paths became or gained formatted strings, each with a module constant or the length of the key (claim tries, open orders, key length, recording timeout).

--- a/sardinehook/order/attempt.py
+++ b/sardinehook/order/attempt.py
@@ -1,4 +1,4 @@
-"""One attempt at an order: claim its key, send it once, record what became of it."""
+"""One attempt at an order: claims its key, sends it once, records the outcome."""
 
 from __future__ import annotations
 
@@ -35,7 +35,9 @@
 
 __all__ = ["Attempt"]
 
-NOTHING_SENT_DETAIL = "this request ran nothing, an earlier one with its key may have"
+NOTHING_SENT_DETAIL = (
+    "this request ran nothing, an earlier request with its key may have"
+)
 MAX_CLAIM_TRIES = 8
 MAX_SWAP_TRIES = 3
 SWAP_RETRY_DELAY_SECONDS = 0.05
@@ -52,30 +54,32 @@
 class Attempt:
     """Runs one order.
 
-    The key's record is created before anything is sent. Whether that took effect
-    is settled by repeating the same compare-and-swap; while it is not settled
-    nothing is sent, and the claim is marked "not run" afterwards, however long
-    that takes. After the claim stands, the order is sent at once or not at all.
+    The claim on the key is stored before anything is sent. If the reply of the
+    store is lost, the same compare-and-swap is repeated to learn whether it took
+    effect. While that is unknown nothing is sent; if it stays unknown, the recorder
+    marks the claim "not run" in the background. Once the claim is stored, the order
+    is sent immediately or not at all.
     """
 
     def __init__(self, ports: AttemptPorts, order: OpenOrder) -> None:
         self.ports = ports
         self.order = order
         self.deadline_problem = Problem(
-            ErrorKind.STORE_UNAVAILABLE, f"{NOTHING_SENT_DETAIL}: no claim in time"
+            ErrorKind.STORE_UNAVAILABLE,
+            f"{NOTHING_SENT_DETAIL}: no claim stored before the deadline",
         )
         left = max(order.deadline - ports.timers.seconds(), 0.0)
         self.deadline_timer = ports.timers.callLater(left, self._on_deadline)
 
     async def run(self) -> None:
-        """Claim the order's key and send the order."""
+        """Claim the order's key; if that succeeds, send the order."""
         claim = await self._claim()
         if claim is not None:
             self._send(claim)
         self._finish_claiming()
 
     def fail(self, failure: TwistedFailure) -> None:
-        """Answer after an error of the program itself."""
+        """Log an unhandled error and answer the callers with ``INTERNAL``."""
         log_event(logger, EventName.UNHANDLED_ERROR, detail=failure.getTraceback())
         self.order.given_up = True
         self._fail_callers(Problem(ErrorKind.INTERNAL, failure.getErrorMessage()))
@@ -86,7 +90,7 @@
         self.ports.recorder.on_change(self.order)
 
     async def _claim(self) -> OrderClaim | None:
-        """Return the claim once it stands, None if the order was refused."""
+        """Return the claim once it is stored, None if no claim was made."""
         expect = CREATE
         for _ in range(MAX_CLAIM_TRIES):
             match await self._try_claim(expect):
@@ -101,14 +105,16 @@
                     expect = CREATE
                 case None:
                     return None
-        detail = "other attempts at the key kept coming first"
+        detail = (
+            f"order key not claimed in {MAX_CLAIM_TRIES} tries: other attempts hold it"
+        )
         self._fail_callers(Problem(ErrorKind.ORDER_IN_PROGRESS, detail))
         return None
 
     async def _try_claim(
         self, expect: int
     ) -> OrderClaim | StoredClaim | NoRecord | None:
-        """Return the claim that stands, who else holds the key, or None if refused."""
+        """Return the stored claim, what the key holds instead, or None if it failed."""
         ports = self.ports
         lease = await ports.claims.current_lease()
         if isinstance(lease, Unavailable):
@@ -144,7 +150,7 @@
     async def _swap_with_retries(
         self, claim: OrderClaim, expect: int, lease: str
     ) -> SwapResult:
-        """Repeat a swap whose reply was lost, within bounds."""
+        """Repeat a swap whose reply was lost, up to ``MAX_SWAP_TRIES`` times."""
         may_have_taken_effect = False
         delay_seconds = SWAP_RETRY_DELAY_SECONDS
         detail = "the order was given up before its key was claimed"
@@ -168,7 +174,10 @@
         self.order.revision = revision
 
     async def _wait_for_holder(self, claim: OrderClaim, revision: int) -> int | None:
-        """Wait for another attempt; return the revision if it may be replaced."""
+        """Wait for the attempt that holds the key.
+
+        Returns the revision of its claim if that may be replaced, else None.
+        """
         while not self.order.given_up:
             if claim.digest != self.order.request.digest:
                 self._fail_callers(key_conflict(claim.key))
@@ -203,7 +212,7 @@
                 self.deadline_problem = problem
 
     async def _answer_from_claim(self, claim: OrderClaim) -> None:
-        """Tell this order's callers what became of another attempt."""
+        """Answer this order's callers with the outcome of another attempt."""
         self._update_deadline_problem(claim)
         if claim.state is not ClaimState.DONE:
             if await target_ran(self.ports.ask_target, claim):
@@ -215,11 +224,18 @@
                 self._fail_callers(problem)
 
     def _send(self, claim: OrderClaim) -> None:
-        """Send the order, unless its time is over; nothing is awaited before."""
+        """Send the order unless its deadline is over.
+
+        Not a coroutine: an await between this check and the sending could let the
+        deadline pass.
+        """
         order = self.order
         left_ms = (order.deadline - self.ports.timers.seconds()) * MS_PER_SECOND
         if order.given_up or left_ms < MIN_SEND_MS:
-            problem = Problem(ErrorKind.DEADLINE_TOO_SHORT, "no time was left to send")
+            problem = Problem(
+                ErrorKind.DEADLINE_TOO_SHORT,
+                "no time was left before the deadline to send the order",
+            )
             self._withdraw(claim, problem)
             self._fail_callers(problem)
             return
@@ -256,7 +272,7 @@
             return
         if reply.sub_query_id != sub_query_id:
             self.order.awaits_reply = False
-            self._set_outcome_unknown("the reply belongs to another sub-query")
+            self._set_outcome_unknown("reply carries the id of another sub-query")
             return
         ended = apply_reply(claim, reply)
         self.order.awaits_reply = False
@@ -272,7 +288,7 @@
             self._set_outcome(self.order.claim.unknown(problem), b"")
 
     def _set_outcome(self, claim: OrderClaim, body: bytes) -> None:
-        """Take the outcome that was learned, tell the callers and record it."""
+        """Set the claim's outcome, answer the callers and record it."""
         self.order.claim = claim
         match claim.result(self.ports.wall_ms()):
             case Success(done):
@@ -283,7 +299,7 @@
         self.ports.recorder.record(self.order)
 
     def _withdraw(self, claim: OrderClaim, problem: Problem) -> None:
-        """Mark the claim "not run"; nothing of it was sent nor will be."""
+        """Mark the claim "not run"; nothing was sent and nothing will be."""
         self.order.given_up = True
         self.order.claim = claim.not_run(problem)
         self._log(EventName.ORDER_WITHDRAWN, detail=problem.detail)
@@ -300,7 +316,7 @@
         self.ports.timers.callLater(
             LATE_REPLY_TIMEOUT_SECONDS, self._stop_awaiting_reply
         )
-        self._set_outcome_unknown("no reply came before the deadline")
+        self._set_outcome_unknown("no reply before the deadline")
 
     def _stop_awaiting_reply(self) -> None:
         self.order.awaits_reply = False
--- a/sardinehook/order/claim.py
+++ b/sardinehook/order/claim.py
@@ -1,4 +1,4 @@
-"""The record of an order's key in the platform's service, and its transitions."""
+"""The claim on an order key, as stored in the platform's store, and its states."""
 
 from __future__ import annotations
 
@@ -43,10 +43,10 @@
 
 
 class OrderRequest(NamedTuple):
-    """A non-idempotent request of a caller.
+    """A caller's non-idempotent request.
 
     ``key`` is the caller's idempotency key, unique in the environment. ``replica``
-    is the one target that the order may go to. ``deadline_ms`` is the time left.
+    is the only target that may receive the order. ``deadline_ms`` is the time left.
     """
 
     request_id: str
@@ -60,20 +60,20 @@
 
     @property
     def digest(self) -> str:
-        """Digest of what is ordered, without what a repetition may change."""
+        """SHA-256 of the workload, service and body, which a repeat must not change."""
         text = f"{self.workload}\0{self.service}\0".encode()
         return sha256(text + self.body).hexdigest()
 
 
 class Claimant(NamedTuple):
-    """The process that claims orders."""
+    """Identity of the process that claims order keys."""
 
     node: str
     incarnation: str
 
 
 class ClaimState(StrEnum):
-    """How far the attempt that holds a key has come, as its claimant knows."""
+    """State of the attempt that holds a key, as last recorded by its claimant."""
 
     CLAIMED = "claimed"
     DONE = "done"
@@ -83,17 +83,17 @@
 
 @dataclass(frozen=True)
 class OrderClaim:
-    """An attempt's hold on an order's key.
+    """An attempt's exclusive claim on an order key.
 
-    Only the claimant changes its claim, with one exception: a claim that it has
-    itself marked ``NOT_RUN`` may be replaced by another attempt's. A claimant
-    marks a claim so only when it has sent nothing and never will, or when the
-    target or its owner said that it did not begin. So at any time at most one
-    attempt may send, and no clock is needed for that.
+    Only the claimant changes its claim, with one exception: once it has marked the
+    claim ``NOT_RUN``, another attempt may replace it. A claimant marks a claim
+    ``NOT_RUN`` only if it has sent nothing and never will, or if the target or its
+    owner reported that the order did not begin. So at most one attempt may send at
+    any time, and this does not depend on clocks.
 
-    ``claimed_at_ms`` is the claimant's wall clock and ``valid_ms`` the time after
-    which a claim without an outcome counts as abandoned; both serve only to tell
-    "in progress" from "unknown".
+    ``claimed_at_ms`` is read from the claimant's wall clock. A claim that has no
+    outcome after ``valid_ms`` and a grace period counts as abandoned. Both serve
+    only to distinguish "in progress" from "unknown".
     """
 
     workload: str
@@ -112,7 +112,7 @@
     body_kept: bool = True
 
     def done(self, body: bytes) -> OrderClaim:
-        """Return the claim with the target's answer, if that is small enough."""
+        """Return the claim as done; an answer over the size limit is not kept."""
         kept = len(body) <= MAX_RECORDED_BODY_BYTES
         return replace(
             self,
@@ -123,17 +123,22 @@
         )
 
     def done_without_answer(self) -> OrderClaim:
-        """Return the claim of an order that a target ran, its answer lost."""
+        """Return the claim as done for an order that ran but whose answer was lost."""
         return replace(self, state=ClaimState.DONE, detail="", body_kept=False)
 
     def not_run(self, problem: Problem) -> OrderClaim:
-        """Return the claim given up; the problem must be one of kind not run."""
+        """Return the claim as not run.
+
+        Raises ``ValueError`` if the kind of the problem does not imply "not run".
+        """
         if not problem.response.not_run:
-            raise ValueError(f"{problem.kind} does not promise that nothing ran")
+            raise ValueError(
+                f"{problem.kind} does not imply that the order was not run"
+            )
         return self._with_outcome(ClaimState.NOT_RUN, problem)
 
     def unknown(self, problem: Problem) -> OrderClaim:
-        """Return the claim with an outcome that nobody knows yet."""
+        """Return the claim as one whose outcome is unknown."""
         return self._with_outcome(ClaimState.UNKNOWN, problem)
 
     def _with_outcome(self, state: ClaimState, problem: Problem) -> OrderClaim:
@@ -141,11 +146,11 @@
         return replace(self, state=state, kind=problem.kind, detail=detail)
 
     def is_abandoned(self, wall_ms: int) -> bool:
-        """Tell whether a claim without an outcome is past its time."""
+        """Return whether ``valid_ms`` and the grace period have passed."""
         return wall_ms > self.claimed_at_ms + self.valid_ms + ABANDONED_GRACE_MS
 
     def result(self, wall_ms: int) -> Result[OrderClaim, Problem]:
-        """Return the claim if the order ran, or the problem to tell a repetition."""
+        """Return the claim if the order ran, else the problem to report to a repeat."""
         match self.state:
             case ClaimState.DONE:
                 return Success(self)
@@ -154,17 +159,17 @@
             case ClaimState.UNKNOWN:
                 return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, self.detail))
             case ClaimState.CLAIMED if self.is_abandoned(wall_ms):
-                detail = f"{self.claimant} claimed the key and recorded no outcome"
+                detail = f"{self.claimant} claimed the key but recorded no outcome"
                 return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
             case ClaimState.CLAIMED:
-                detail = f"{self.claimant} is at work on it"
+                detail = f"{self.claimant} is processing the order"
                 return Failure(Problem(ErrorKind.ORDER_IN_PROGRESS, detail))
 
 
 def new_claim(
     request: OrderRequest, claimant: Claimant, attempt: str, wall_ms: int
 ) -> OrderClaim:
-    """Return the claim with which an attempt begins."""
+    """Return the claim that an attempt writes first, in state ``CLAIMED``."""
     return OrderClaim(
         workload=request.workload,
         key=request.key,
@@ -179,9 +184,10 @@
 
 
 def apply_reply(claim: OrderClaim, reply: SubReply) -> OrderClaim:
-    """Return the claim with the outcome that a reply proves, and no more.
+    """Return the claim with the outcome that a reply proves.
 
-    Only a reply that says that no target can have begun proves "not run".
+    Only a reply which rules out that any target began proves "not run"; every
+    other failure leaves the outcome unknown.
     """
     if reply.outcome is Outcome.ANSWERED:
         return claim.done(reply.body)
@@ -195,7 +201,7 @@
 
 
 def store_key(environment: str, key: str) -> str:
-    """Return the key in the platform's service for a caller's order key.
+    """Return the key in the platform's store for a caller's order key.
 
     >>> store_key("prod", "A-1")
     'prod/orders/bc4e7be982ab79ec4fb6388a6153e03b'
@@ -205,14 +211,14 @@
 
 
 def encode_claim(claim: OrderClaim) -> bytes:
-    """Encode a claim as the JSON value that is stored."""
+    """Encode a claim as the JSON value to store."""
     return msgspec.json.encode(claim)
 
 
 def decode_claim(value: bytes) -> Result[OrderClaim, Problem]:
-    """Decode a stored value; one that is unreadable leaves the outcome unknown."""
+    """Decode a stored claim; fails with ``OUTCOME_UNKNOWN`` if it is malformed."""
     try:
         return Success(msgspec.json.decode(value, type=OrderClaim))
     except msgspec.MsgspecError as error:
-        detail = f"the order's record cannot be read: {error}"
+        detail = f"stored claim of the order cannot be decoded: {error}"
         return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
--- a/sardinehook/order/claim_store.py
+++ b/sardinehook/order/claim_store.py
@@ -1,4 +1,4 @@
-"""Reads and compare-and-swaps of order records in the platform's service."""
+"""Reads and compare-and-swaps order claims in the platform's store."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True)
 class Written:
-    """The key holds the claim that was to be written."""
+    """The key holds the claim that was written."""
 
     revision: int
 
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True)
 class StoredClaim:
-    """The key is held by another attempt."""
+    """The key holds this claim; as the result of a swap, another attempt's."""
 
     claim: OrderClaim
     revision: int
@@ -67,14 +67,14 @@
 
 @dataclass(frozen=True)
 class Unreadable:
-    """The key holds something that is no claim."""
+    """The key holds a value that cannot be decoded as a claim."""
 
     problem: Problem
 
 
 @dataclass(frozen=True)
 class Unavailable:
-    """The service did not answer; the write may have taken effect if so marked."""
+    """The store did not answer; the flag tells whether a write may have happened."""
 
     detail: str
     may_have_taken_effect: bool
@@ -85,10 +85,11 @@
 
 
 class ClaimStore:
-    """The order records of one environment.
+    """The order claims of one environment.
 
-    Records last for ``retention_ms`` by leases of the service, each shared by the
-    claims of an hour and never renewed. ``monotonic_clock`` returns seconds.
+    A claim is kept for at least ``retention_ms`` by a lease of the store. All
+    claims written within an hour share a lease, which is never renewed.
+    ``monotonic_clock`` returns seconds.
     """
 
     def __init__(
@@ -106,10 +107,10 @@
         self.lease_reuse_until = float("-inf")
 
     async def current_lease(self) -> str | Unavailable:
-        """Return the lease to put claims with, granted anew once an hour.
+        """Return the lease for writing claims; a new one is granted once an hour.
 
-        Its time is counted from before the request, so that each record lasts
-        for the retention time at least.
+        The hour counts from before the request, so that each claim is kept for at
+        least the retention time.
         """
         requested_at = self.monotonic_clock()
         if requested_at < self.lease_reuse_until:
@@ -122,19 +123,18 @@
                 return self.lease
             case Failure(StoreUnavailable(detail=detail)):
                 return Unavailable(detail, may_have_taken_effect=False)
-        return Unavailable("no lease was granted", may_have_taken_effect=False)
+        return Unavailable("the store granted no lease", may_have_taken_effect=False)
 
     def invalidate_lease(self) -> None:
-        """Grant another lease for the next claim."""
+        """Make the next ``current_lease`` request a new lease."""
         self.lease_reuse_until = float("-inf")
 
     async def swap(self, claim: OrderClaim, expect: int, lease: str) -> SwapResult:
-        """Write a claim over revision ``expect``, ``CREATE`` if the key is new.
+        """Write a claim if the key is at revision ``expect``, ``CREATE`` if new.
 
-        A conflict with the very claim that was to be written means that an
-        earlier try took effect though its reply was lost: that is ``Written``.
-        So repeating a swap whose reply was lost settles what became of it, also
-        where reads may be stale.
+        A conflict with an identical claim means that an earlier try took effect
+        and its reply was lost; the result is then ``Written``. So repeating a swap
+        whose reply was lost reveals its outcome, even if reads may be stale.
         """
         key = store_key(self.environment, claim.key)
         value = encode_claim(claim)
@@ -143,7 +143,7 @@
                 return Written(entry.revision)
             case Failure(Conflict(current)):
                 if current is None or current.revision == expect:
-                    # With the expected revision, only a lost lease is a conflict.
+                    # The revision is as expected, so the conflict is a lost lease.
                     self.invalidate_lease()
                 return _classify_conflict(claim, value, current)
             case Failure(StoreUnavailable(detail=detail, may_have_taken_effect=may)):
@@ -151,19 +151,19 @@
         raise AssertionError("unreachable")
 
     async def read(self, key: str) -> ReadResult:
-        """Read a key's record, which may be an older state of it."""
+        """Read the claim on a key; the read may be stale."""
         name = store_key(self.environment, key)
         match await self.store.get(name):
             case Success(entry):
                 return decode_entry(entry)
             case Failure(StoreUnavailable(detail=detail)):
                 return Unavailable(detail, may_have_taken_effect=False)
-        return Unavailable("the read was refused", may_have_taken_effect=False)
+        return Unavailable("the store refused the read", may_have_taken_effect=False)
 
     async def confirm(self, seen: StoredClaim) -> ReadResult:
-        """Return the record as it is now, by rewriting what was read.
+        """Return the current claim, by writing back the one that was read.
 
-        A read may be stale, but a swap succeeds on the present state only.
+        A read may be stale, but a swap succeeds only on the current state.
         """
         lease = await self.current_lease()
         if isinstance(lease, Unavailable):
@@ -179,18 +179,18 @@
     async def wait_for_change(
         self, claim: OrderClaim, after: int, wait_ms: float
     ) -> ReadResult:
-        """Wait until a key has changed; ``NoRecord`` if it has not or is gone."""
+        """Wait for a change of the key; ``NoRecord`` if unchanged or deleted."""
         name = store_key(self.environment, claim.key)
         match await self.store.watch(name, after, wait_ms):
             case Success(entry):
                 return decode_entry(entry)
             case Failure(StoreUnavailable(detail=detail)):
                 return Unavailable(detail, may_have_taken_effect=False)
-        return Unavailable("the watch was refused", may_have_taken_effect=False)
+        return Unavailable("the store refused the watch", may_have_taken_effect=False)
 
 
 def decode_entry(entry: Entry | None) -> StoredClaim | NoRecord | Unreadable:
-    """Decode what a key holds."""
+    """Decode the claim in a store entry."""
     if entry is None:
         return NoRecord()
     match decode_claim(entry.value):
--- a/sardinehook/order/coordinator.py
+++ b/sardinehook/order/coordinator.py
@@ -1,4 +1,4 @@
-"""Places orders so that each runs at most once, and tells what became of them."""
+"""Runs each order at most once and answers look-ups of order outcomes."""
 
 from __future__ import annotations
 
@@ -53,10 +53,10 @@
 
 
 class OrderState(StrEnum):
-    """What is known of an order's key.
+    """What is known about an order key.
 
-    ``UNSEEN`` promises nothing: a claim of the last moments may not show yet. To
-    place the order again with the same key is safe in every state.
+    ``UNSEEN`` does not prove "not run": a stale read may miss a recent claim.
+    Repeating the order with the same key is safe in every state.
     """
 
     RUN = "run"
@@ -67,7 +67,7 @@
 
 
 class OrderStatus(NamedTuple):
-    """The answer to a look-up of an order's key."""
+    """The result of looking up an order key."""
 
     state: OrderState
     detail: str
@@ -76,13 +76,13 @@
 
 
 class OrderCoordinator:
-    """Places orders for one entry process.
+    """Runs the orders of one entry process.
 
-    An order's key is claimed by a create in the platform's service before any byte
-    goes to a target; then exactly one sub-query is sent, never hedged or retried.
-    ``send`` sends a sub-query and fires with its end, or fails if that cannot be
-    learned. ``ask_target`` asks a replica whether it ran a key. ``wall_clock`` returns
-    seconds since the epoch.
+    Before anything is sent to a target, the order key is claimed by creating a
+    record in the platform's store. Then exactly one sub-query is sent; it is never
+    hedged or retried. ``send`` sends a sub-query and fires with its reply, or fails
+    if the outcome cannot be learned. ``ask_target`` asks a replica whether it ran
+    an order key. ``wall_clock`` returns seconds since the epoch.
     """
 
     def __init__(
@@ -119,8 +119,8 @@
     async def place(self, request: OrderRequest) -> Result[OrderAnswer, Problem]:
         """Run an order at most once and return its answer.
 
-        A problem whose kind promises "not run" says so of this request: a
-        repetition of a key may be refused "not run" though an earlier one ran.
+        A problem that implies "not run" refers to this request only: a repeat may
+        be refused with "not run" although an earlier request with its key ran.
         """
         result = await self._place(request)
         self.metrics.count_order(order_outcome(result))
@@ -152,9 +152,14 @@
 
     def _admission_problem(self) -> Problem | None:
         if self.stopping:
-            return Problem(ErrorKind.STOPPING, "this process takes no new orders")
+            return Problem(
+                ErrorKind.STOPPING, "this process is stopping and accepts no new orders"
+            )
         if len(self.open) >= MAX_OPEN_ORDERS:
-            return Problem(ErrorKind.OVERLOADED, "too many orders are open here")
+            return Problem(
+                ErrorKind.OVERLOADED,
+                f"this process has reached its limit of {MAX_OPEN_ORDERS} open orders",
+            )
         return None
 
     def _start(self, request: OrderRequest, deadline: float) -> OpenOrder:
@@ -165,7 +170,7 @@
         return order
 
     def close_order(self, order: OpenOrder) -> None:
-        """Forget an order if nothing of it is left to learn or to record."""
+        """Remove an order once it has nothing pending; update the metric."""
         key = order.request.key
         if order.closed and self.open.get(key) is order:
             del self.open[key]
@@ -173,13 +178,17 @@
         self.metrics.orders_unrecorded.set(waiting)
 
     async def look_up(self, key: str) -> Result[OrderStatus, Problem]:
-        """Tell what is known of an order's key, here or in its record."""
+        """Return what this process or the store knows about an order key."""
         problem = key_problem(key)
         if problem is not None:
             return Failure(problem)
         order = self.open.get(key)
         if order is not None and order.result is None:
-            return Success(OrderStatus(OrderState.IN_PROGRESS, "at work on it here"))
+            return Success(
+                OrderStatus(
+                    OrderState.IN_PROGRESS, "this process is processing the order"
+                )
+            )
         if order is not None and isinstance(order.result, Success):
             answer = order.result.unwrap()
             status = OrderStatus(OrderState.RUN, "", answer.body, answer.body_kept)
@@ -191,7 +200,11 @@
             case StoredClaim(claim, _):
                 return Success(await self._status(claim))
             case NoRecord():
-                return Success(OrderStatus(OrderState.UNSEEN, "no record of the key"))
+                return Success(
+                    OrderStatus(
+                        OrderState.UNSEEN, "no record of the order key was found"
+                    )
+                )
             case Unreadable(problem):
                 return Failure(problem)
             case Unavailable(detail, _):
@@ -206,25 +219,27 @@
         return status
 
     async def drain(self) -> None:
-        """Take no new orders and wait for the open ones to end and be recorded."""
+        """Refuse new orders; wait until all open ones have ended and are recorded."""
         self.stopping = True
         while self.open:
             await pause(self.timers, DRAIN_POLL_SECONDS)
 
 
 def key_problem(key: str) -> Problem | None:
-    """Return what is wrong with a caller's order key, if anything."""
+    """Return why a caller's order key is invalid, None if it is valid."""
     if not 0 < len(key) <= MAX_KEY_CHARACTERS:
-        detail = f"an order needs a key of 1 to {MAX_KEY_CHARACTERS} characters"
+        detail = (
+            f"order key must have 1 to {MAX_KEY_CHARACTERS} characters, got {len(key)}"
+        )
         return Problem(ErrorKind.BAD_REQUEST, detail)
     if not all("!" <= character <= "~" for character in key):
-        detail = "an order's key is of ASCII letters, digits and marks, no spaces"
+        detail = "order key must consist of printable ASCII characters without spaces"
         return Problem(ErrorKind.BAD_REQUEST, detail)
     return None
 
 
 def order_outcome(result: Result[OrderAnswer, Problem]) -> OrderOutcome:
-    """Return in one word what a caller is told by a result."""
+    """Return the outcome that a result reports, as the metrics label it."""
     match result:
         case Success(_):
             return OrderOutcome.RUN
@@ -238,12 +253,12 @@
 def mark_repeated(
     result: Result[OrderAnswer, Problem],
 ) -> Result[OrderAnswer, Problem]:
-    """Mark an answer as that to a repetition."""
+    """Mark an answer as given to a repeat of the request that ran."""
     return result.map(lambda answer: answer._replace(repeated=True))
 
 
 def status_of(claim: OrderClaim, wall_ms: int) -> OrderStatus:
-    """Return the status that a claim in the store gives."""
+    """Return the status that a stored claim implies."""
     match claim.result(wall_ms):
         case Success(done):
             return OrderStatus(OrderState.RUN, "", done.body, done.body_kept)
--- a/sardinehook/order/handler.py
+++ b/sardinehook/order/handler.py
@@ -1,4 +1,4 @@
-"""Callers' orders: from a checked request to the body of the answer."""
+"""Validates callers' orders and encodes the answers."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class CallerOrder(Protocol):
-    """The part of a caller's request that an order needs."""
+    """The part of a caller's request that an order uses."""
 
     @property
     def request_id(self) -> str:
@@ -36,7 +36,7 @@
 
     @property
     def service(self) -> str:
-        """The service that takes the order, empty if none was named."""
+        """The service to run the order on, empty if none was given."""
 
     @property
     def deadline_ms(self) -> float:
@@ -44,14 +44,14 @@
 
     @property
     def body(self) -> bytes:
-        """The caller's body, passed on unread."""
+        """The caller's body, forwarded unparsed."""
 
 
 class OrderBody(TypedDict):
     """The answer to an order that ran.
 
-    ``answer`` is the target's own, null if it was too large to record
-    (``answer_kept`` is false then) or is no JSON.
+    ``answer`` is the target's answer, null if it was lost or too large to record
+    (``answer_kept`` is then false) or is not JSON.
     """
 
     request_id: str
@@ -62,7 +62,7 @@
 
 
 class OrderStatusBody(TypedDict):
-    """The answer to a look-up of an order's key."""
+    """The answer to a look-up of an order key."""
 
     order_key: str
     state: str
@@ -72,10 +72,10 @@
 
 
 class OrderHandler:
-    """Checks callers' orders and encodes their answers.
+    """Validates callers' orders and encodes their answers.
 
-    ``choose_replica`` returns the replica of a service that is to get an order, None if
-    there is none to be had.
+    ``choose_replica`` returns the replica of a service to send an order to, None if
+    none is available.
     """
 
     def __init__(
@@ -95,7 +95,7 @@
             return Failure(problem)
         replica = self.choose_replica(request.workload, request.service)
         if replica is None:
-            detail = f"no replica of {request.service} takes orders now"
+            detail = f"no replica of service {request.service} is available for orders"
             return Failure(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
         order = OrderRequest(
             request_id=request.request_id,
@@ -111,20 +111,20 @@
         return placed.map(lambda answer: encode_answer(order, answer))
 
     async def look_up(self, key: str) -> Result[bytes, Problem]:
-        """Return the body that tells what became of an order."""
+        """Return the encoded status of an order."""
         found = await self.coordinator.look_up(key)
         return found.map(lambda status: encode_status(key, status))
 
 
 def request_problem(request: CallerOrder, key: str | None) -> Problem | None:
-    """Return what is wrong with a caller's order, if anything."""
+    """Return why a caller's order is invalid, None if it is valid."""
     if key is None:
-        return Problem(ErrorKind.BAD_REQUEST, "an order needs an Idempotency-Key")
+        return Problem(ErrorKind.BAD_REQUEST, "order has no Idempotency-Key header")
     if request.workload.idempotent:
-        detail = f"workload {request.workload_name!r} takes no orders"
+        detail = f"workload {request.workload_name!r} is idempotent and takes no orders"
         return Problem(ErrorKind.BAD_REQUEST, detail)
     if not request.service:
-        return Problem(ErrorKind.BAD_REQUEST, "an order names one service")
+        return Problem(ErrorKind.BAD_REQUEST, "order must name one service")
     return None
 
 
@@ -153,7 +153,7 @@
 
 
 def raw_json(body: bytes) -> msgspec.Raw:
-    """Return a target's body to embed, null if it is no JSON.
+    """Return a target's body for embedding, null if it is not JSON.
 
     >>> bytes(raw_json(b'{"ok": 1}')), bytes(raw_json(b"{]"))
     (b'{"ok": 1}', b'null')
--- a/sardinehook/order/open_order.py
+++ b/sardinehook/order/open_order.py
@@ -1,4 +1,4 @@
-"""An order that this process has at hand."""
+"""An order that this process is running or recording."""
 
 from __future__ import annotations
 
@@ -18,8 +18,9 @@
 class OrderAnswer(NamedTuple):
     """The answer to an order that ran.
 
-    ``body`` is the target's answer, empty with ``body_kept`` false if it was too
-    large to record. ``repeated`` tells that another request ran it.
+    ``body`` is the target's answer, empty with ``body_kept`` false if it was lost or
+    too large to record. ``repeated`` is set if another request with the same key
+    ran the order.
     """
 
     body: bytes
@@ -29,12 +30,12 @@
 
 
 class OpenOrder:
-    """An order with the callers that wait for it and what is still to record.
+    """The state of an order: its callers, its claim and what remains to record.
 
-    ``deadline`` is in seconds of the reactor's clock. ``claiming`` holds until the
-    order was sent or given up. Once ``given_up`` is set nothing is sent any more;
-    once ``sent`` is set the order cannot be given up.
-    ``revision`` is that of the key's record which the next write expects.
+    ``deadline`` is in seconds of the reactor's clock. ``claiming`` is set until the
+    order is sent or given up. Once ``given_up`` is set nothing is sent; once
+    ``sent`` is set the order cannot be given up. ``revision`` is the revision of
+    the stored claim that the next write expects.
     """
 
     def __init__(self, request: OrderRequest, deadline: float) -> None:
@@ -52,7 +53,7 @@
         self.revision = CREATE
 
     def set_result(self, result: Result[OrderAnswer, Problem]) -> None:
-        """Tell all callers the result; a later one replaces it for later callers."""
+        """Answer all waiting callers; callers that join later get the latest result."""
         self.result = result
         waiters, self.waiters = self.waiters, []
         for waiter in waiters:
@@ -61,7 +62,10 @@
     async def wait_for_result(
         self, timers: Timers, deadline: float
     ) -> Result[OrderAnswer, Problem]:
-        """Wait for the result until ``deadline`` on the reactor's clock."""
+        """Wait for the result until ``deadline``, in seconds of the reactor's clock.
+
+        After the deadline it fails with ``ORDER_IN_PROGRESS``.
+        """
         if self.result is not None:
             return self.result
         waiter: Deferred[Result[OrderAnswer, Problem]] = Deferred()
@@ -77,19 +81,19 @@
     def _on_wait_timeout(self, waiter: Deferred[Result[OrderAnswer, Problem]]) -> None:
         if waiter in self.waiters:
             self.waiters.remove(waiter)
-            detail = "this process is at work on it"
+            detail = "this process is still processing the order"
             waiter.callback(Failure(Problem(ErrorKind.ORDER_IN_PROGRESS, detail)))
 
     @property
     def unrecorded(self) -> bool:
-        """Whether the outcome is known here but not yet in the store."""
+        """Whether the outcome is known to this process but not yet stored."""
         if self.claim is None or self.claim.state is ClaimState.CLAIMED:
             return False
         return self.claim != self.recorded
 
     @property
     def closed(self) -> bool:
-        """Whether nothing is left to wait for or to record."""
+        """Whether no reply, claim or record is pending."""
         if self.result is None or self.claiming or self.awaits_reply:
             return False
         return not (self.recording or self.unrecorded)
@@ -98,7 +102,7 @@
 def answer_from_claim(
     claim: OrderClaim, repeated: bool, body: bytes | None = None
 ) -> Result[OrderAnswer, Problem]:
-    """Return the answer in a claim that is done, or with the ``body`` at hand."""
+    """Return the answer of a claim that is done, with ``body`` if it is given."""
     if body is None:
         kept = claim.body_kept
         return Success(OrderAnswer(claim.body, kept, repeated, claim.attempt))
--- a/sardinehook/order/pause.py
+++ b/sardinehook/order/pause.py
@@ -1,4 +1,4 @@
-"""A wait on the reactor's clock."""
+"""A delay on the reactor's clock."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 def pause(timers: Timers, seconds: float) -> Deferred[None]:
-    """Return a Deferred that fires after ``seconds``."""
+    """Return a Deferred that fires with None after ``seconds``."""
     done: Deferred[None] = Deferred()
     timers.callLater(seconds, done.callback, None)
     return done
--- a/sardinehook/order/ports.py
+++ b/sardinehook/order/ports.py
@@ -1,4 +1,4 @@
-"""What attempts at orders work with."""
+"""Dependencies of order attempts."""
 
 from __future__ import annotations
 
@@ -28,11 +28,11 @@
 
 
 class AttemptPorts(NamedTuple):
-    """What attempts work with.
+    """Dependencies that all attempts of a process share.
 
-    ``wall_clock`` returns seconds since the epoch. ``send`` sends a sub-query and fires
-    with its end, or fails if that cannot be learned. ``ask_target`` asks a replica
-    whether it ran an order key.
+    ``wall_clock`` returns seconds since the epoch. ``send`` sends a sub-query and
+    fires with its reply, or fails if the outcome cannot be learned. ``ask_target``
+    asks a replica whether it ran an order key.
     """
 
     claims: ClaimStore
@@ -51,17 +51,19 @@
 
 
 async def target_ran(ask_target: AskTarget | None, claim: OrderClaim) -> bool:
-    """Ask the target of a claim whether it ran; false if it cannot be asked."""
+    """Ask the claim's target whether the order ran; false if it cannot tell."""
     if ask_target is None:
         return False
     try:
         return await ask_target(claim.replica, claim.key)
-    except Exception as error:  # the port may fail in any way; then nothing is known
-        detail = f"the target could not be asked: {error}"
+    except Exception as error:  # any failure of the port means unknown
+        detail = f"could not ask the target whether the order ran: {error}"
         log_event(logger, EventName.ORDER_REPEATED, order=claim.key, detail=detail)
         return False
 
 
 def key_conflict(key: str) -> Problem:
-    """Return the problem of a key that stands for another order."""
-    return Problem(ErrorKind.CONFLICT, f"key {key} was used for another order")
+    """Return the problem of a key that is in use for a different order."""
+    return Problem(
+        ErrorKind.CONFLICT, f"order key {key} was already used for a different order"
+    )
--- a/sardinehook/order/recorder.py
+++ b/sardinehook/order/recorder.py
@@ -1,4 +1,4 @@
-"""Writes the outcomes of orders to their records until the service takes them."""
+"""Writes the outcomes of orders to the claim store, with retries."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 class Recorder:
-    """Records outcomes in the background, one write at a time for each order.
+    """Records outcomes in the background, one write at a time per order.
 
     ``on_change`` is called with an order whenever its recording starts or ends.
     At most ``MAX_CONCURRENT_WRITES`` writes are in progress or in backoff, which
@@ -56,7 +56,7 @@
         self.write_slots = DeferredSemaphore(MAX_CONCURRENT_WRITES)
 
     def record(self, order: OpenOrder) -> None:
-        """Begin to record an order's newest claim, unless that is under way."""
+        """Start recording an order's latest claim, unless already in progress."""
         if order.recording:
             return
         order.recording = True
@@ -76,7 +76,10 @@
             finally:
                 self.write_slots.release()
         if order.unrecorded:
-            self._give_up(order, "the service took no write in time")
+            self._give_up(
+                order,
+                f"the store accepted no write within {RECORD_TIMEOUT_SECONDS:.0f} s",
+            )
         self._end(order)
 
     async def _back_off(self) -> None:
@@ -85,7 +88,7 @@
         await pause(self.timers, seconds)
 
     async def _write(self, order: OpenOrder) -> bool:
-        """Write once; return whether the next try may follow at once."""
+        """Try one write; return false if the next try needs a backoff."""
         claim = order.claim
         if claim is None:
             return True
@@ -106,7 +109,7 @@
             case Unavailable():
                 return False
             case _:
-                # Another attempt holds the key, so this one's claim never stood.
+                # Another attempt holds the key, so this claim never took effect.
                 order.recorded = claim
                 return True
 
--- a/tests/order/test_coordinator.py
+++ b/tests/order/test_coordinator.py
@@ -147,7 +147,7 @@
         deliver(rig, LEASED, Fate.REFUSED)
         assert kind(rig, request) is ErrorKind.STORE_UNAVAILABLE
         detail = rig.results[request].failure().detail
-        assert "an earlier one with its key may have" in detail
+        assert "an earlier request with its key may have" in detail
         rig.settle()
         assert rig.began("k") == 0
 
