Reword the tests of the order package

Test names and docstrings spoke of fates, deafness and keeping promises. They now name the fault and the expected result; the mutations are marked as such. The state machine is unchanged byte for byte.

--- a/tests/order/rig.py
+++ b/tests/order/rig.py
@@ -1,4 +1,4 @@
-"""Order desks over one fake store and one fake target whose faults are chosen."""
+"""Order coordinators over a fake store and target with injected faults."""
 
 from __future__ import annotations
 
@@ -39,58 +39,58 @@
 
 
 class Fate(Enum):
-    """What becomes of a message to the store or to the target."""
+    """The injected outcome of a message to the store or to the target."""
 
     DONE = auto()
-    STALE = auto()  # a read is answered from an older state; else done
-    REPLY_LOST = auto()  # it takes effect, and its sender is told of a failure
-    SILENT = auto()  # it takes effect, and its sender hears nothing
-    LOST = auto()  # it takes no effect, and its sender is told of a failure
-    DELAYED = auto()  # its sender is told of a failure, and it takes effect later
-    REFUSED = auto()  # surely no effect, and its sender is told so
+    STALE = auto()  # reads return the previous revision; other calls as DONE
+    REPLY_LOST = auto()  # takes effect; the sender sees a failure
+    SILENT = auto()  # takes effect; the sender gets no reply
+    LOST = auto()  # takes no effect; the sender sees a failure
+    DELAYED = auto()  # the sender sees a failure; takes effect later
+    REFUSED = auto()  # takes no effect, and the sender is told so
 
 
 class Call(NamedTuple):
-    """A message on its way; ``act`` takes effect and returns how to reply."""
+    """A message in flight; ``apply`` performs it and returns how to reply."""
 
-    act: Callable[[bool], Reply]
+    apply: Callable[[bool], Reply]
     lost: Reply
     refused: Reply
 
 
 class Network:
-    """Messages that wait for their fate to be chosen."""
+    """Messages in flight, delivered or lost as the test decides."""
 
     def __init__(self) -> None:
         self.calls: list[Call] = []
         self.late: list[Callable[[bool], Reply]] = []
 
     def decide(self, number: int, fate: Fate) -> None:
-        """Let a message meet its fate."""
+        """Apply an outcome to the pending message at index ``number``."""
         call = self.calls.pop(number % len(self.calls))
         match fate:
             case Fate.DONE | Fate.STALE:
-                call.act(fate is Fate.STALE)()
+                call.apply(fate is Fate.STALE)()
             case Fate.REPLY_LOST:
-                call.act(False)
+                call.apply(False)
                 call.lost()
             case Fate.SILENT:
-                call.act(False)
+                call.apply(False)
             case Fate.LOST:
                 call.lost()
             case Fate.DELAYED:
-                self.late.append(call.act)
+                self.late.append(call.apply)
                 call.lost()
             case Fate.REFUSED:
                 call.refused()
 
     def arrive_late(self, number: int) -> None:
-        """Let a delayed message take effect; nobody listens to its reply."""
+        """Apply a delayed message; its reply is discarded."""
         self.late.pop(number % len(self.late))(False)
 
 
 class FakeStore:
-    """The store as one process sees it: each call waits in the network."""
+    """The store as one process sees it: each call is queued in the network."""
 
     def __init__(self, rig: OrderRig, clock: Clock, alive: Callable[[], bool]) -> None:
         self.rig = rig
@@ -100,22 +100,22 @@
     async def call(
         self, act: Callable[[bool], Result[T, StoreFailure]]
     ) -> Result[T, StoreFailure]:
-        """Put a call into the network and wait for its reply."""
+        """Queue a call in the network and wait for its reply."""
         done: Deferred[Result[T, StoreFailure]] = Deferred()
 
         def reply(result: Result[T, StoreFailure]) -> Reply:
-            return lambda: None if self.deaf(done) else done.callback(result)
+            return lambda: None if self.drops_reply(done) else done.callback(result)
 
         def fail(may_have_taken_effect: bool) -> Reply:
             return reply(Failure(StoreUnavailable("no reply", may_have_taken_effect)))
 
         self.clock.callLater(STORE_TIMEOUT_SECONDS, fail(True))
-        acted = Call(lambda stale: reply(act(stale)), fail(True), fail(False))
-        self.rig.network.calls.append(acted)
+        call = Call(lambda stale: reply(act(stale)), fail(True), fail(False))
+        self.rig.network.calls.append(call)
         return await done
 
-    def deaf(self, done: Deferred[T]) -> bool:
-        """Tell whether a reply is too late, or its process dead."""
+    def drops_reply(self, done: Deferred[T]) -> bool:
+        """Return whether the caller has timed out or its process is dead."""
         return done.called or not self.alive()
 
     async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
@@ -138,7 +138,7 @@
                 case Refused(current):
                     return Failure(Conflict(to_entry(current)))
                 case Held() as held:
-                    self.rig.past.setdefault(key, []).append(held)
+                    self.rig.versions.setdefault(key, []).append(held)
                     return Success(Entry(*held))
 
         return await self.call(write)
@@ -166,7 +166,7 @@
 
 
 class Process:
-    """An entry process with its own clock; a dead one hears nothing."""
+    """An entry process with its own clock; a dead one gets no replies."""
 
     def __init__(self, rig: OrderRig, number: int, incarnation: int) -> None:
         self.name = f"n{number}#{incarnation}"
@@ -174,13 +174,13 @@
         self.alive = True
         self.rig = rig
         self.waiting: set[str] = set()
-        self.skew = 3.0 * number
+        self.clock_skew = 3.0 * number
         self.desk = OrderCoordinator(
             FakeStore(rig, self.clock, lambda: self.alive),
             "trial",
             Claimant(f"n{number}", str(incarnation)),
             self.clock,
-            lambda: WALL_START + self.skew + self.clock.seconds(),
+            lambda: WALL_START + self.clock_skew + self.clock.seconds(),
             self.send,
             count(1),
             RETENTION_MS,
@@ -208,11 +208,11 @@
 
 
 class OrderRig:
-    """Processes, the store, the target and the history of what they did."""
+    """Processes, a store, a target and the history of their events."""
 
     def __init__(self, processes: int = 2) -> None:
         self.values = KeyValues()
-        self.past: dict[str, list[Held]] = {}
+        self.versions: dict[str, list[Held]] = {}
         self.network = Network()
         self.numbers = count(1)
         self.history: list[HistoryEvent] = []
@@ -220,18 +220,18 @@
         self.processes = [Process(self, n, 1) for n in range(processes)]
 
     def now(self) -> float:
-        """Return the time base of the history: one second for each event."""
+        """Return the next time of the history: one second per number drawn."""
         return float(next(self.numbers))
 
     def read(self, key: str, stale: bool) -> Entry | None:
-        """Read a key, as it is or as it was before its last write."""
+        """Read a key: its current state or, if stale, the one before its last write."""
         if not stale:
             return to_entry(self.values.held.get(key))
-        past = self.past.get(key, [])
-        return to_entry(past[-2]) if len(past) > 1 else None
+        versions = self.versions.get(key, [])
+        return to_entry(versions[-2]) if len(versions) > 1 else None
 
     def run(self, sub_query: SubQuery) -> None:
-        """Let the target run an order and log its key."""
+        """Run an order at the target and add its start and end to the history."""
         request, number = sub_query.request_id, sub_query.sub_query_id
         began = TargetBegan(
             at=self.now(),
@@ -286,7 +286,7 @@
         )
 
     def crash(self, number: int) -> None:
-        """Let a process die and another take its place."""
+        """Kill a process and start another with the next incarnation."""
         old = self.processes[number]
         old.alive = False
         incarnation = int(old.name.split("#")[1]) + 1
@@ -294,7 +294,7 @@
         self.processes[number].clock.advance(old.clock.seconds())
 
     def settle(self, seconds: float = 120.0) -> None:
-        """Let all messages arrive and time pass until nothing is left to do."""
+        """Deliver all messages, advancing all clocks by one second per round."""
         for _ in range(int(seconds)):
             while self.network.late:
                 self.network.arrive_late(0)
@@ -304,7 +304,7 @@
                 process.clock.advance(1.0)
 
     def began(self, key: str) -> int:
-        """Return how often the target ran a key."""
+        """Return how often the target began an order with this key."""
         return sum(
             isinstance(event, TargetBegan) and event.order_key == key
             for event in self.history
--- a/tests/order/test_coordinator.py
+++ b/tests/order/test_coordinator.py
@@ -1,4 +1,4 @@
-"""Tests of orders through one fault at a time."""
+"""Tests of the order coordinator under one fault at a time."""
 
 from __future__ import annotations
 
@@ -50,13 +50,15 @@
         assert not rig.processes[0].desk.open
         assert look_up(rig, 1, "k") is OrderState.RUN
 
-    def test_nothing_is_sent_before_the_claim_stands(self, rig: OrderRig) -> None:
+    def test_nothing_is_sent_before_the_claim_is_stored(self, rig: OrderRig) -> None:
         rig.place(0, "k")
         deliver(rig, LEASED)
         assert len(rig.network.calls) == 1
         assert not rig.values.held
 
-    def test_repetition_elsewhere_gets_the_recorded_answer(self, rig: OrderRig) -> None:
+    def test_repeat_at_another_process_gets_recorded_answer(
+        self, rig: OrderRig
+    ) -> None:
         rig.place(0, "k")
         rig.settle(2)
         again = rig.place(1, "k")
@@ -65,7 +67,7 @@
         assert (answer.body, answer.repeated) == (b"ran x", True)
         assert rig.began("k") == 1
 
-    def test_repetition_elsewhere_waits_for_the_first(self, rig: OrderRig) -> None:
+    def test_repeat_at_another_process_waits_for_first(self, rig: OrderRig) -> None:
         rig.place(0, "k")
         deliver(rig, LEASED, CLAIMED)
         again = rig.place(1, "k", deadline_ms=5000.0)
@@ -74,7 +76,7 @@
         assert rig.results[again].unwrap().body == b"ran x"
         assert rig.began("k") == 1
 
-    def test_repetition_here_waits_without_a_call_on_the_store(
+    def test_repeat_at_same_process_waits_without_store_call(
         self, rig: OrderRig
     ) -> None:
         rig.place(0, "k")
@@ -84,7 +86,7 @@
         deliver(rig, SENT)
         assert rig.results[again].unwrap().repeated
 
-    def test_repetition_whose_deadline_comes_first_is_in_progress(
+    def test_repeat_that_reaches_its_deadline_is_in_progress(
         self, rig: OrderRig
     ) -> None:
         rig.place(0, "k", deadline_ms=9000.0)
@@ -99,7 +101,7 @@
         assert kind(rig, there) is ErrorKind.ORDER_IN_PROGRESS
 
     @pytest.mark.parametrize("number", [0, 1])
-    def test_key_of_another_order_is_a_conflict(
+    def test_key_reuse_for_another_order_is_a_conflict(
         self, rig: OrderRig, number: int
     ) -> None:
         rig.place(0, "k")
@@ -110,17 +112,15 @@
         assert rig.began("k") == 1
 
     @pytest.mark.parametrize("key", ["", "k" * 129, "k\n", "k ", "ké"])
-    def test_bad_keys_are_refused(self, rig: OrderRig, key: str) -> None:
+    def test_invalid_keys_are_refused(self, rig: OrderRig, key: str) -> None:
         assert kind(rig, rig.place(0, key)) is ErrorKind.BAD_REQUEST
 
-    def test_open_orders_are_bounded(self, rig: OrderRig) -> None:
+    def test_open_orders_are_limited(self, rig: OrderRig) -> None:
         for number in range(MAX_OPEN_ORDERS):
             rig.place(0, f"k{number}")
         assert kind(rig, rig.place(0, "one-more")) is ErrorKind.OVERLOADED
 
-    def test_large_answer_reaches_its_caller_but_is_not_kept(
-        self, rig: OrderRig
-    ) -> None:
+    def test_large_answer_is_returned_but_not_recorded(self, rig: OrderRig) -> None:
         body = b"x" * MAX_RECORDED_BODY_BYTES
         first = rig.place(0, "k", body=body)
         rig.settle(2)
@@ -142,7 +142,7 @@
 
 
 class TestStoreFaults:
-    def test_store_that_refuses_means_not_run(self, rig: OrderRig) -> None:
+    def test_refusal_by_the_store_is_not_run(self, rig: OrderRig) -> None:
         request = rig.place(0, "k")
         deliver(rig, LEASED, Fate.REFUSED)
         assert kind(rig, request) is ErrorKind.STORE_UNAVAILABLE
@@ -151,9 +151,7 @@
         rig.settle()
         assert rig.began("k") == 0
 
-    def test_lost_reply_to_the_claim_is_settled_by_repeating_it(
-        self, rig: OrderRig
-    ) -> None:
+    def test_claim_write_with_lost_reply_is_repeated(self, rig: OrderRig) -> None:
         request = rig.place(0, "k")
         deliver(rig, LEASED, Fate.REPLY_LOST)
         rig.processes[0].clock.advance(0.1)
@@ -162,7 +160,7 @@
         assert rig.began("k") == 1
 
     @pytest.mark.parametrize("fate", [Fate.REPLY_LOST, Fate.LOST, Fate.DELAYED])
-    def test_unsettled_claim_sends_nothing_and_is_withdrawn(
+    def test_claim_of_unknown_outcome_is_not_sent_and_is_withdrawn(
         self, rig: OrderRig, fate: Fate
     ) -> None:
         request = rig.place(0, "k")
@@ -179,7 +177,7 @@
         rig.settle(2)
         assert isinstance(rig.results[again], Success)
 
-    def test_stale_read_of_not_run_is_not_believed(self, rig: OrderRig) -> None:
+    def test_stale_read_of_not_run_is_confirmed_by_a_write(self, rig: OrderRig) -> None:
         rig.place(0, "k")
         deliver(rig, LEASED, CLAIMED, Fate.REFUSED)
         rig.settle(2)
@@ -192,7 +190,7 @@
             rig.network.decide(1, Fate.STALE)
         assert found[0].state is OrderState.IN_PROGRESS
 
-    def test_outage_after_the_run_is_told_and_recorded_afterwards(
+    def test_outcome_during_outage_is_answered_and_recorded_later(
         self, rig: OrderRig
     ) -> None:
         request = rig.place(0, "k")
@@ -206,7 +204,7 @@
         assert look_up(rig, 1, "k") is OrderState.RUN
         assert rig.processes[0].desk.metrics.orders_unrecorded._value.get() == 0
 
-    def test_service_in_trouble_is_asked_seldom(self, rig: OrderRig) -> None:
+    def test_recording_backs_off_while_the_store_fails(self, rig: OrderRig) -> None:
         for number in range(40):
             rig.place(0, f"k{number}")
         while len(rig.network.calls) < 40 or not rig.values.held:
@@ -223,7 +221,7 @@
         rig.settle(60)
         assert not rig.processes[0].desk.open
 
-    def test_lapsed_lease_is_granted_anew(self, rig: OrderRig) -> None:
+    def test_expired_lease_is_replaced(self, rig: OrderRig) -> None:
         rig.place(0, "k1")
         rig.settle(2)
         rig.values.leases.clear()
@@ -231,7 +229,7 @@
         rig.settle(2)
         assert isinstance(rig.results[request], Success)
 
-    def test_unreadable_record_is_unknown(self, rig: OrderRig) -> None:
+    def test_malformed_claim_is_unknown(self, rig: OrderRig) -> None:
         rig.place(0, "k")
         rig.settle(2)
         (name,) = rig.values.held
@@ -242,7 +240,7 @@
 
 
 class TestTargetFaults:
-    def test_refusal_by_the_target_is_not_run_and_the_key_free_again(
+    def test_refusal_by_the_target_is_not_run_and_frees_the_key(
         self, rig: OrderRig
     ) -> None:
         request = rig.place(0, "k")
@@ -255,9 +253,7 @@
         assert rig.began("k") == 1
 
     @pytest.mark.parametrize("fate", [Fate.REPLY_LOST, Fate.LOST, Fate.DELAYED])
-    def test_lost_connection_is_unknown_for_good(
-        self, rig: OrderRig, fate: Fate
-    ) -> None:
+    def test_lost_connection_stays_unknown(self, rig: OrderRig, fate: Fate) -> None:
         request = rig.place(0, "k")
         deliver(rig, LEASED, CLAIMED, fate)
         assert kind(rig, request) is ErrorKind.OUTCOME_UNKNOWN
@@ -267,9 +263,7 @@
         assert kind(rig, again) is ErrorKind.OUTCOME_UNKNOWN
         assert rig.began("k") <= 1
 
-    def test_target_that_logged_the_key_turns_unknown_into_run(
-        self, rig: OrderRig
-    ) -> None:
+    def test_unknown_becomes_run_if_the_target_ran_the_key(self, rig: OrderRig) -> None:
         rig.place(0, "k")
         deliver(rig, LEASED, CLAIMED, Fate.REPLY_LOST)
         rig.settle(2)
@@ -293,9 +287,7 @@
 
 
 class TestPausesAndCrashes:
-    def test_claimant_paused_past_its_deadline_sends_nothing(
-        self, rig: OrderRig
-    ) -> None:
+    def test_claim_stored_after_the_deadline_sends_nothing(self, rig: OrderRig) -> None:
         request = rig.place(0, "k", deadline_ms=500.0)
         deliver(rig, LEASED)
         rig.processes[0].clock.advance(0.6)
@@ -305,7 +297,7 @@
         assert rig.began("k") == 0
         assert look_up(rig, 1, "k") is OrderState.NOT_RUN
 
-    def test_abandoned_claim_becomes_unknown_and_is_not_taken_over(
+    def test_abandoned_claim_becomes_unknown_and_is_not_replaced(
         self, rig: OrderRig
     ) -> None:
         rig.place(0, "k")
--- a/tests/order/test_handler.py
+++ b/tests/order/test_handler.py
@@ -1,4 +1,4 @@
-"""Tests of callers' orders, from their request to the body of the answer."""
+"""Tests of the validation of callers' orders and the encoding of answers."""
 
 from __future__ import annotations
 
@@ -26,15 +26,15 @@
     key: str | None = "k",
     replica: str | None = "t1",
 ) -> Result[bytes, Problem]:
-    front = OrderHandler(rig.processes[0].desk, lambda _workload, _service: replica)
+    handler = OrderHandler(rig.processes[0].desk, lambda _workload, _service: replica)
     results: list[Result[bytes, Problem]] = []
-    Deferred.fromCoroutine(front.place(order, key)).addCallback(results.append)
+    Deferred.fromCoroutine(handler.place(order, key)).addCallback(results.append)
     rig.settle(2)
     return results[0]
 
 
 class TestOrderHandler:
-    def test_answer_carries_the_target_s_own_only_if_it_is_json(self) -> None:
+    def test_target_answer_that_is_not_json_is_null(self) -> None:
         rig = OrderRig()
         match place(rig, request()):
             case Success(body):
@@ -48,12 +48,12 @@
         }
         assert rig.began("k") == 1
 
-    def test_look_up_tells_the_state(self) -> None:
+    def test_look_up_returns_the_state(self) -> None:
         rig = OrderRig()
         place(rig, request())
-        front = OrderHandler(rig.processes[1].desk, lambda _workload, _service: None)
+        handler = OrderHandler(rig.processes[1].desk, lambda _workload, _service: None)
         found: list[Result[bytes, Problem]] = []
-        Deferred.fromCoroutine(front.look_up("k")).addCallback(found.append)
+        Deferred.fromCoroutine(handler.look_up("k")).addCallback(found.append)
         rig.settle(2)
         assert msgspec.json.decode(found[0].unwrap())["state"] == "run"
 
@@ -71,7 +71,7 @@
             (request(), "k", None, ErrorKind.TARGET_UNAVAILABLE),
         ],
     )
-    def test_orders_that_cannot_be_placed_run_nothing(
+    def test_refused_orders_run_nothing(
         self,
         order: CallerRequest,
         key: str | None,
--- a/tests/order/test_order_histories.py
+++ b/tests/order/test_order_histories.py
@@ -1,4 +1,7 @@
-"""Orders under any mix of faults, judged by their history."""
+"""Stateful tests: histories of orders under random faults are checked.
+
+Mutations of the order code must be detected by the same checks.
+"""
 
 from __future__ import annotations
 
@@ -123,7 +126,7 @@
 
 
 class RetryingAttempt(Attempt):
-    """Sends an order again when its connection is lost."""
+    """Mutation: sends an order again after its connection is lost."""
 
     def _set_outcome_unknown(self, detail: str) -> None:
         if not self.order.given_up:
@@ -133,8 +136,8 @@
             reply.addCallback(lambda again: self._on_reply(again, again.sub_query_id))
 
 
-class SendingFirstAttempt(Attempt):
-    """Sends an order before its key is claimed."""
+class SendBeforeClaimAttempt(Attempt):
+    """Mutation: sends an order before its key is claimed."""
 
     async def run(self) -> None:
         reply = self.ports.send(self._sub_query(1000.0))
@@ -145,8 +148,8 @@
         self._finish_claiming()
 
 
-class IgnoringDeadlineAttempt(Attempt):
-    """Sends an order though its callers were told that it was given up."""
+class DeadlineIgnoringAttempt(Attempt):
+    """Mutation: sends an order that was reported to its callers as given up."""
 
     def _send(self, claim: OrderClaim) -> None:
         self.order.given_up = False
@@ -154,8 +157,8 @@
         super()._send(claim)
 
 
-class TrustingClaimStore(ClaimStore):
-    """Takes a claim whose reply was lost to stand."""
+class UnconfirmedClaimStore(ClaimStore):
+    """Mutation: treats a swap whose reply was lost as written."""
 
     async def swap(self, claim: OrderClaim, expect: int, lease: str) -> SwapResult:
         swap = await super().swap(claim, expect, lease)
@@ -165,16 +168,16 @@
 
 
 def not_run_after_lost_connection(claim: OrderClaim, reply: SubReply) -> OrderClaim:
-    """Judge a lost connection to mean "not run"."""
+    """Mutation: takes a lost connection as proof of "not run"."""
     if reply.outcome is Outcome.CONNECTION_LOST:
         return claim.not_run(Problem(ErrorKind.TARGET_UNAVAILABLE, "lost"))
     return apply_reply(claim, reply)
 
 
-def taken_over_when_abandoned(
+def replaced_when_abandoned(
     self: Attempt, claim: OrderClaim, revision: int
 ) -> Deferred[int | None]:
-    """Replace another attempt's claim once its time is over."""
+    """Mutation: replaces another attempt's claim once it is abandoned."""
 
     async def wait_for_holder() -> int | None:
         if claim.is_abandoned(self.ports.wall_ms()):
@@ -188,13 +191,17 @@
 
 MUTATIONS = {
     "retries": (coordinator_module, "Attempt", RetryingAttempt),
-    "sends before claiming": (coordinator_module, "Attempt", SendingFirstAttempt),
+    "sends before claiming": (coordinator_module, "Attempt", SendBeforeClaimAttempt),
     "sends after its deadline": (
         coordinator_module,
         "Attempt",
-        IgnoringDeadlineAttempt,
+        DeadlineIgnoringAttempt,
+    ),
+    "treats an unconfirmed claim as stored": (
+        coordinator_module,
+        "ClaimStore",
+        UnconfirmedClaimStore,
     ),
-    "trusts an unsettled claim": (coordinator_module, "ClaimStore", TrustingClaimStore),
     "says not run after a lost connection": (
         attempt_module,
         "apply_reply",
@@ -203,17 +210,17 @@
     "takes over an abandoned claim": (
         Attempt,
         "_wait_for_holder",
-        taken_over_when_abandoned,
+        replaced_when_abandoned,
     ),
 }
 
 
 class TestOrderHistories:
-    def test_every_history_keeps_the_promises(self) -> None:
+    def test_every_history_satisfies_the_checks(self) -> None:
         run_state_machine_as_test(OrderMachine, settings=MACHINE_SETTINGS)
 
     @pytest.mark.parametrize("name", MUTATIONS)
-    def test_broken_desk_is_caught(
+    def test_mutation_is_detected(
         self, name: str, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         owner, attribute, mutation = MUTATIONS[name]
