Rename the module judging to history_bounds

A reader could not tell from the name what is judged. The module builds the bounds that each experiment derives from the history of its runs. Imports only.

--- a/bench/experiments/fleet.py
+++ b/bench/experiments/fleet.py
@@ -21,7 +21,7 @@
     storm_stream,
     szovetseg,
 )
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.load import CallRecord
 from bench.results import RunResult, percentile
 from bench.rig import EntryPlace, Rig
--- a/bench/experiments/orders.py
+++ b/bench/experiments/orders.py
@@ -13,7 +13,7 @@
     Step,
     Trial,
 )
-from bench.judging import history_bound
+from bench.history_bounds import history_bound
 from bench.load import CallRecord, Stream
 from bench.processes import Child
 from bench.results import RunResult
--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -6,7 +6,7 @@
 
 from bench.experiment import AT_LEAST, Bound, Experiment, Options, Trial
 from bench.experiments.common import szovetseg
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.load import Stream
 from bench.results import RunResult
 
--- a/bench/experiments/path.py
+++ b/bench/experiments/path.py
@@ -6,7 +6,7 @@
 
 from bench.experiment import AT_LEAST, AT_MOST, Bound, Experiment, Options, Trial
 from bench.experiments.common import lookup_stream, storm_stream, szovetseg
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.results import RunResult
 
 __all__ = ["PATH"]
--- a/bench/experiments/slow.py
+++ b/bench/experiments/slow.py
@@ -12,7 +12,7 @@
     szovetseg,
     with_hedge,
 )
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.results import RunResult
 from sardinehook.environment.document import Hedge
 
--- a/bench/experiments/targets.py
+++ b/bench/experiments/targets.py
@@ -20,7 +20,7 @@
     storm_stream,
     szovetseg,
 )
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.results import RunResult
 from bench.rig import Rig
 from sardinehook.environment.document import DataCentreState
