Rename Computation and Findings to Measurement and MeasurementResult

The class is described as a measurement and measures costs; Findings did not say what it holds. The field compute becomes measure. Names and imports only.

--- a/bench/catalog.py
+++ b/bench/catalog.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from bench.computation import Computation
 from bench.experiment import Experiment
 from bench.experiments.costs import (
     CONTROL,
@@ -16,10 +15,11 @@
 from bench.experiments.path import PATH
 from bench.experiments.slow import SILENT, STRAGGLER
 from bench.experiments.targets import COLD_START, DATA_CENTRE_OUT, DRAIN, SNAPSHOT
+from bench.measurement import Measurement
 
 __all__ = ["EXPERIMENTS"]
 
-EXPERIMENTS: dict[str, Experiment | Computation] = {
+EXPERIMENTS: dict[str, Experiment | Measurement] = {
     one.name: one
     for one in (
         PATH,
--- a/bench/commands.py
+++ b/bench/commands.py
@@ -13,8 +13,8 @@
 import typer
 
 from bench.catalog import EXPERIMENTS
-from bench.computation import Computation
 from bench.experiment import Bound, Experiment, Options
+from bench.measurement import Measurement
 from bench.run_trial import run_trial
 from bench.soak.run import SoakOptions, soak
 
@@ -91,7 +91,7 @@
 
 
 def perform(
-    experiment: Experiment | Computation,
+    experiment: Experiment | Measurement,
     options: Options,
     json_path: Path | None,
     report: Path | None,
@@ -101,8 +101,8 @@
     match experiment:
         case Experiment():
             outcome = run_trials(experiment, options, report)
-        case Computation():
-            outcome = Outcome(*experiment.compute(options))
+        case Measurement():
+            outcome = Outcome(*experiment.measure(options))
     for bound in outcome.bounds:
         say_bound(bound)
     verdict = "pass" if all(bound.passed for bound in outcome.bounds) else "fail"
--- a/bench/experiments/costs.py
+++ b/bench/experiments/costs.py
@@ -9,9 +9,9 @@
 import time
 from collections.abc import Mapping
 
-from bench.computation import Computation, Findings
 from bench.experiment import AT_MOST, Bound, Options
 from bench.measure_force import Head, usage
+from bench.measurement import Measurement, MeasurementResult
 from bench.membership_cost import measure as measure_membership
 from bench.policy_cost import cost_us
 from bench.rig import Deployment, Rig, load_example
@@ -53,7 +53,7 @@
     }
 
 
-def compute_control(options: Options) -> Findings:
+def compute_control(options: Options) -> MeasurementResult:
     """Measure state, memory, processor time and messages of control."""
     figures: dict[str, float] = {}
     for entries in ENTRIES_A_DATA_CENTRE:
@@ -76,7 +76,7 @@
         Bound("memory_mb", memory, AT_MOST, 64.0, LETTER),
         Bound("bytes_per_s", max(rates), AT_MOST, 3000.0, LETTER),
     ]
-    return Findings(figures, bounds)
+    return MeasurementResult(figures, bounds)
 
 
 def run_module(module: str, *arguments: str) -> str:
@@ -88,7 +88,7 @@
     return ended.stdout
 
 
-def compute_sub_query(options: Options) -> Findings:
+def compute_sub_query(options: Options) -> MeasurementResult:
     """Measure the parts of a sub-query's path on an entry."""
     output = run_module("bench.subquery_cost")
     figures = {f"transport_{k}": float(v) for k, v in FIGURE.findall(output)}
@@ -101,36 +101,38 @@
         figures[f"link_batch_{batch}_us"] = float(cost)
     whole = figures["transport_owner_us"] + figures["policy_us"]
     figures["agent_to_owner"] = figures.pop("transport_agent_to_owner")
-    return Findings(figures, [Bound("whole_us", whole, AT_MOST, 100.0, COST_AIM)])
+    return MeasurementResult(
+        figures, [Bound("whole_us", whole, AT_MOST, 100.0, COST_AIM)]
+    )
 
 
-def compute_fan_out(options: Options) -> Findings:
+def compute_fan_out(options: Options) -> MeasurementResult:
     """Measure how the policy's cost of a sub-query grows with the services asked."""
     figures = {f"fan_out_{one}_us": cost_us(one, SAMPLES) for one in FAN_OUTS}
     growth = figures["fan_out_740_us"] / figures["fan_out_50_us"]
     source = "cost of a sub-query does not grow with the fan-out"
-    return Findings(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
+    return MeasurementResult(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
 
 
-def compute_membership(options: Options) -> Findings:
+def compute_membership(options: Options) -> MeasurementResult:
     """Measure membership at the full size, on a fake clock."""
     cost = measure_membership(*FULL_SIZE)
     figures = {name: float(value) for name, value in cost._asdict().items()}
     in_restarts = cost.bytes_per_s_in_restarts
     bounds = [Bound("bytes_per_s_in_restarts", in_restarts, AT_MOST, 3000.0, LETTER)]
-    return Findings(figures, bounds)
+    return MeasurementResult(figures, bounds)
 
 
-MEMBERSHIP_COST = Computation(
+MEMBERSHIP_COST = Measurement(
     "membership-cost", "Membership of 550 nodes on a fake clock", compute_membership
 )
-CONTROL = Computation(
+CONTROL = Measurement(
     "control", "State and cost of control at several sizes", compute_control
 )
-SUBQUERY_COST = Computation(
+SUBQUERY_COST = Measurement(
     "subquery-cost", "Processor time of a sub-query's path", compute_sub_query
 )
-FANOUT_GROWTH = Computation(
+FANOUT_GROWTH = Measurement(
     "fanout-growth",
     "Policy cost of a sub-query from 1 to 740 services",
     compute_fan_out,
--- a/bench/computation.py
+++ b/bench/measurement.py
@@ -8,10 +8,10 @@
 
 from bench.experiment import Bound, Options
 
-__all__ = ["Computation", "Findings"]
+__all__ = ["Measurement", "MeasurementResult"]
 
 
-class Findings(NamedTuple):
+class MeasurementResult(NamedTuple):
     """Figures by name, and the bounds that they are judged by."""
 
     figures: Mapping[str, float]
@@ -19,9 +19,9 @@
 
 
 @dataclass(frozen=True)
-class Computation:
+class Measurement:
     """A named measurement."""
 
     name: str
     summary: str
-    compute: Callable[[Options], Findings]
+    measure: Callable[[Options], MeasurementResult]
