--- a/bench/experiments/fleet.py
+++ b/bench/experiments/fleet.py
@@ -220,9 +220,13 @@
 def judge_partition(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that each side serves what it can, and that all is well after healing."""
     run = results["product"]
-    cut = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST not in c.entry]
-    inside = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST in c.entry]
-    after = run.measured("storm-night", 15.0)
+    cut = [
+        c for c in run.measured_calls("storm-night", 5.0, 12.0) if LOST not in c.entry
+    ]
+    inside = [
+        c for c in run.measured_calls("storm-night", 5.0, 12.0) if LOST in c.entry
+    ]
+    after = run.measured_calls("storm-night", 15.0)
     source = "brief: each has to go on serving what it can"
     return [
         *rule_bounds(results),
@@ -247,7 +251,9 @@
 def partition_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out what each side served."""
     run = results["product"]
-    inside = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST in c.entry]
+    inside = [
+        c for c in run.measured_calls("storm-night", 5.0, 12.0) if LOST in c.entry
+    ]
     return {
         "cut_off_calls": len(inside),
         "cut_off_ok": sum(call.ok for call in inside),
@@ -298,7 +304,7 @@
 def judge_membership(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that rules held and that service came back."""
     run = results["product"]
-    after = run.measured("storm-night", 20.0)
+    after = run.measured_calls("storm-night", 20.0)
     overruns = sum(one["cold_overruns"] for one in run.counters.values())
     peaks = max(one["peak_in_flight"] for one in run.counters.values())
     return [
--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -45,7 +45,7 @@
 
 def goodput(run: RunResult) -> float:
     """Return answers a second within the deadline."""
-    calls = run.measured()
+    calls = run.measured_calls()
     good = sum(call.ok and call.latency_ms <= DEADLINE_MS * 1.1 for call in calls)
     return good / (LOAD_S - 3.0)
 
@@ -64,7 +64,7 @@
 def figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out goodput and what the others were told."""
     run = results["product"]
-    calls = run.measured()
+    calls = run.measured_calls()
     not_run = sum(c.answer.get("error", {}).get("not_run", False) for c in calls)
     return {
         "goodput_per_s": goodput(run),
--- a/bench/experiments/path.py
+++ b/bench/experiments/path.py
@@ -36,7 +36,7 @@
     run = results["product"]
     sub_queries = max(1, run.count_events("begun"))
     return {
-        "calls": len(run.measured()),
+        "calls": len(run.measured_calls()),
         "storm_p50_ms": run.latency_ms(0.5, "storm-night"),
         "lookup_p50_ms": run.latency_ms(0.5, "counter-lookup"),
         "lookup_p99_ms": run.latency_ms(0.99, "counter-lookup"),
--- a/bench/report.py
+++ b/bench/report.py
@@ -51,7 +51,7 @@
 def plot_latency(axes: Axes, results: Mapping[str, RunResult]) -> None:
     """Plot the share of calls that took longer, for each trial."""
     for name, result in results.items():
-        latencies = numpy.sort([call.latency_ms for call in result.measured()])
+        latencies = numpy.sort([call.latency_ms for call in result.measured_calls()])
         if latencies.size:
             shares = 1.0 - numpy.arange(latencies.size) / latencies.size
             axes.plot(latencies, shares, label=name)
--- a/bench/results.py
+++ b/bench/results.py
@@ -65,7 +65,7 @@
     document: EnvironmentDocument | None = None
     stolen_ratio: float = 0.0
 
-    def measured(
+    def measured_calls(
         self, workload: str = "", from_s: float = 0.0, to_s: float = 1e9
     ) -> list[CallRecord]:
         """Return the calls after the warm-up, of one workload or of all.
@@ -82,16 +82,18 @@
 
     def latency_ms(self, quantile: float, workload: str = "") -> float:
         """Return a quantile of the latency of all measured calls, answered or not."""
-        return percentile([one.latency_ms for one in self.measured(workload)], quantile)
+        return percentile(
+            [one.latency_ms for one in self.measured_calls(workload)], quantile
+        )
 
     def answered_ratio(self, workload: str = "") -> float:
         """Return the share of measured calls that were answered."""
-        calls = self.measured(workload)
+        calls = self.measured_calls(workload)
         return sum(call.ok for call in calls) / len(calls) if calls else 0.0
 
     def mean_coverage(self, workload: str = "") -> float:
         """Return the mean coverage of measured answers, zero for a refusal."""
-        calls = self.measured(workload)
+        calls = self.measured_calls(workload)
         ratios = [call.answer.get("coverage", {}).get("ratio", 0.0) for call in calls]
         return float(numpy.mean(ratios)) if ratios else 0.0
 
@@ -100,7 +102,7 @@
 
         Needed is one for each service that the measured calls asked for.
         """
-        calls = self.measured()
+        calls = self.measured_calls()
         needed = sum(call.answer.get("coverage", {}).get("asked", 0) for call in calls)
         requests = {call.request for call in calls}
         begun = sum(
