--- a/bench/commands.py
+++ b/bench/commands.py
@@ -149,7 +149,7 @@
             folder = Path(report or directory) / trial.name
             folder.mkdir(parents=True, exist_ok=True)
             results[trial.name] = run_trial(trial, options, folder, say)
-    bounds = list(experiment.judge(results))
+    bounds = list(experiment.evaluate(results))
     figures = dict(experiment.figures(results))
     figures["stolen_ratio"] = max(run.stolen_ratio for run in results.values())
     if report is not None:
@@ -169,5 +169,5 @@
     verdict = "ok" if bound.passed else "BROKEN"
     say(
         f"  {verdict:6} {bound.name} = {bound.value:.4g}"
-        f" {bound.relation.sign} {bound.limit:g} ({bound.source})"
+        f" {bound.comparison.symbol} {bound.limit:g} ({bound.source})"
     )
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -13,7 +13,7 @@
     from bench.results import RunResult
     from bench.rig import Rig
 
-__all__ = ["Bound", "Experiment", "Options", "Relation", "Step", "Trial"]
+__all__ = ["Bound", "Comparison", "Experiment", "Options", "Step", "Trial"]
 
 
 class Options(NamedTuple):
@@ -47,15 +47,15 @@
     load_processes: int = 2
 
 
-class Relation(NamedTuple):
+class Comparison(NamedTuple):
     """How a value has to stand to its limit."""
 
-    sign: str
+    symbol: str
     holds: Callable[[float, float], bool]
 
 
-AT_MOST = Relation("<=", lambda value, limit: value <= limit)
-AT_LEAST = Relation(">=", lambda value, limit: value >= limit)
+AT_MOST = Comparison("<=", lambda value, limit: value <= limit)
+AT_LEAST = Comparison(">=", lambda value, limit: value >= limit)
 
 
 class Bound(NamedTuple):
@@ -63,14 +63,14 @@
 
     name: str
     value: float
-    relation: Relation
+    comparison: Comparison
     limit: float
     source: str
 
     @property
     def passed(self) -> bool:
         """Whether the value is within the limit."""
-        return self.relation.holds(self.value, self.limit)
+        return self.comparison.holds(self.value, self.limit)
 
 
 def no_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
@@ -82,12 +82,12 @@
 class Experiment:
     """A named experiment.
 
-    ``trials`` builds the runs, the product's own policy first; ``judge`` derives the
+    ``trials`` builds the runs, the product's own policy first; ``evaluate`` derives the
     figures to print and the bounds of the verdict from their results.
     """
 
     name: str
     summary: str
     trials: Callable[[Options], Sequence[Trial]]
-    judge: Callable[[Mapping[str, RunResult]], Sequence[Bound]]
+    evaluate: Callable[[Mapping[str, RunResult]], Sequence[Bound]]
     figures: Callable[[Mapping[str, RunResult]], Mapping[str, float]] = no_figures
--- a/bench/report.py
+++ b/bench/report.py
@@ -108,7 +108,7 @@
     figures = experiment.figures(results)
     rows = "".join(
         f"<tr><td>{html.escape(bound.name)}</td><td>{bound.value:.4g}</td>"
-        f"<td>{bound.relation.sign} {bound.limit:g}</td>"
+        f"<td>{bound.comparison.symbol} {bound.limit:g}</td>"
         f"<td>{'pass' if bound.passed else 'fail'}</td>"
         f"<td>{html.escape(bound.source)}</td></tr>"
         for bound in bounds
