Name the entry nodes of the test rig by what they are

A reader could not tell from EntryPlace and Rig.places that they list the entry processes. EntryPlace becomes EntryNode, Rig.places becomes Rig.entries, and the methods that assign addresses and upsert a VM say so.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -28,8 +28,8 @@
         body = {"query": "strike counts", "limit": 2}
         if workload.scope is Scope.ONE:
             body["service"] = first_service(rig.document, workload.indexes[0])
-        address = rig.places[0].http_address
-        print(f"\n{name} ({workload.deadline_ms:g} ms) at {rig.places[0].node}:")
+        address = rig.entries[0].http_address
+        print(f"\n{name} ({workload.deadline_ms:g} ms) at {rig.entries[0].node}:")
         url = f"http://{address}/search/{name}"
         answer = post_json(url, msgspec.json.encode(body), workload.deadline_ms)
         if answer.status == OK:
@@ -47,14 +47,14 @@
 
 def print_addresses(rig: Rig) -> None:
     """Print where the demonstration listens and a request to try."""
-    for place in rig.places:
+    for place in rig.entries:
         print(f"{place.node}: http://{place.http_address}")
     print(f"platform: {rig.platform_address}")
     print(f"logs: {rig.directory}")
     print("Try:")
     print(
         f'  curl -s -XPOST -H \'Deadline-Ms: 150\' -d \'{{"query":"x","limit":3}}\''
-        f" http://{rig.places[0].http_address}/search/storm-night"
+        f" http://{rig.entries[0].http_address}/search/storm-night"
     )
 
 
--- a/bench/experiments/costs.py
+++ b/bench/experiments/costs.py
@@ -43,7 +43,7 @@
         calls, used = head.counts(), usage(rig)
         time.sleep(REST_S)
         later_calls, later = head.counts(), usage(rig)
-        nodes = len(rig.places)
+        nodes = len(rig.entries)
     made = sum(later_calls.values()) - sum(calls.values())
     spent_s = later.cpu_s - used.cpu_s
     return {
--- a/bench/experiments/fleet.py
+++ b/bench/experiments/fleet.py
@@ -24,7 +24,7 @@
 from bench.judging import rule_bounds
 from bench.load import CallRecord
 from bench.results import RunResult, percentile
-from bench.rig import EntryPlace, Rig
+from bench.rig import EntryNode, Rig
 
 __all__ = ["CONFIG", "MEMBERSHIP", "PARTITION", "ROLLING"]
 
@@ -35,9 +35,9 @@
 LOST = "bekes-c"
 
 
-def restart_entry(rig: Rig, place: EntryPlace) -> None:
+def restart_entry(rig: Rig, place: EntryNode) -> None:
     """Stop an entry process gracefully and start it again."""
-    rig.list_vm(place, "leaving")
+    rig.upsert_vm(place, "leaving")
     child = rig.children[place.node]
     child.terminate()
     code = child.wait()
@@ -52,7 +52,7 @@
 
     def step(number: int) -> Step:
         def act(rig: Rig) -> None:
-            restart_entry(rig, rig.places[number])
+            restart_entry(rig, rig.entries[number])
 
         return Step(2.0 + 4.0 * number, f"restart {number}", act)
 
@@ -186,7 +186,7 @@
     """Return a step that changes the network in the lost data centre and elsewhere."""
 
     def act(rig: Rig) -> None:
-        for place in rig.places:
+        for place in rig.entries:
             faults = inside if place.data_centre == LOST else outside
             rig.control_network(place, faults)
 
@@ -268,7 +268,7 @@
     """Return a step that loses an entry VM without warning."""
 
     def act(rig: Rig) -> None:
-        rig.kill_vm(rig.places[number])
+        rig.kill_vm(rig.entries[number])
 
     return Step(at_s, "VM lost", act)
 
@@ -278,7 +278,7 @@
     kind = signal.SIGCONT if resume else signal.SIGSTOP
 
     def act(rig: Rig) -> None:
-        rig.children[rig.places[number].node].signal(kind)
+        rig.children[rig.entries[number].node].signal(kind)
 
     return Step(at_s, "resumed" if resume else "paused", act)
 
--- a/bench/experiments/orders.py
+++ b/bench/experiments/orders.py
@@ -80,7 +80,7 @@
 
 def child(rig: Rig, number: int) -> Child:
     """Return the process of an entry VM."""
-    return rig.children[rig.places[number].node]
+    return rig.children[rig.entries[number].node]
 
 
 def judge(results: Mapping[str, RunResult]) -> Sequence[Bound]:
--- a/bench/measure_force.py
+++ b/bench/measure_force.py
@@ -82,7 +82,7 @@
 def usage(rig: Rig) -> Usage:
     """Read what the entry processes have used so far."""
     cpu_s = resident_mb = 0.0
-    for place in rig.places:
+    for place in rig.entries:
         process = rig.children[place.node].process
         assert process is not None
         stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -116,7 +116,7 @@
             rig.control_platform({"delay_ms": SLOW_MS})
         down = fault is Fault.DOWN
         times = [at for n in range(CHANGES) for at in change_once(rig, head, n, down)]
-        nodes = len(rig.places)
+        nodes = len(rig.entries)
     times.sort()
     cpu_s = used_later.cpu_s - used.cpu_s
     calls = sum(after.values()) - sum(before.values())
@@ -148,7 +148,7 @@
     if down:
         rig.control_platform({"outage": "none"})
         time.sleep(RECOVER_S)
-    logs = [forced_at(rig.directory / f"{place.node}.log") for place in rig.places]
+    logs = [forced_at(rig.directory / f"{place.node}.log") for place in rig.entries]
     assert all(head.number in log for log in logs), "not in force everywhere"
     return [(log[head.number] - accepted_at) * 1000 for log in logs]
 
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -21,7 +21,7 @@
 from sardinehook.environment.loading import load_document
 from sardinehook.environment.writing import document_text
 
-__all__ = ["Deployment", "EntryPlace", "Rig", "load_example", "with_addresses"]
+__all__ = ["Deployment", "EntryNode", "Rig", "load_example", "with_addresses"]
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
@@ -60,7 +60,7 @@
     program: tuple[str, ...] = ("-m", "sardinehook")
 
 
-class EntryPlace(NamedTuple):
+class EntryNode(NamedTuple):
     """Where one entry process of the rig is."""
 
     node: str
@@ -121,8 +121,8 @@
         )
         self.platform_port = ports.pop()
         self.control_ports = [ports.pop() for _ in range(deployment.target_processes)]
-        self.places = self.place_entries(ports)
-        self.network_ports = {place.node: ports.pop() for place in self.places}
+        self.entries = self.assign_entry_addresses(ports)
+        self.network_ports = {place.node: ports.pop() for place in self.entries}
         self.document = with_addresses(deployment.document, ports)
         self.children: dict[str, Child] = {}
         self.vm_incarnations: dict[str, int] = {}
@@ -132,10 +132,10 @@
         per_data_centre = self.deployment.entries_per_data_centre
         return per_data_centre * len(self.deployment.document.data_centres)
 
-    def place_entries(self, ports: list[int]) -> list[EntryPlace]:
+    def assign_entry_addresses(self, ports: list[int]) -> list[EntryNode]:
         """Choose names and addresses of the entry processes."""
         return [
-            EntryPlace(
+            EntryNode(
                 node=f"entry-{data_centre}-{number}",
                 data_centre=data_centre,
                 http_address=f"{LOOPBACK}:{ports.pop()}",
@@ -171,9 +171,9 @@
         self.start_platform()
         self.start_targets()
         self.put_document(self.document)
-        for place in self.places:
+        for place in self.entries:
             self.start_entry(place)
-        for place in self.places:
+        for place in self.entries:
             self.wait_ready(place)
 
     def start_platform(self) -> None:
@@ -253,15 +253,15 @@
             raise StartError(f"sardinehook {' '.join(arguments)}: {output}")
         return output
 
-    def start_entry(self, place: EntryPlace) -> None:
+    def start_entry(self, place: EntryNode) -> None:
         """Start one entry process."""
         self.vm_incarnations[place.node] = self.vm_incarnations.get(place.node, 0) + 1
-        self.list_vm(place, "live")
+        self.upsert_vm(place, "live")
         path = self.directory / f"{place.node}.yaml"
         path.write_text(yaml.safe_dump(self.entry_settings(place)))
         self.add_child(place.node, self.entry_arguments(place, path)).start()
 
-    def entry_arguments(self, place: EntryPlace, path: Path) -> list[str]:
+    def entry_arguments(self, place: EntryNode, path: Path) -> list[str]:
         """Return how to run an entry process, with a faulty network if wanted."""
         if not self.deployment.faulty_network:
             return [*self.deployment.program, "entry", "--settings", str(path)]
@@ -269,12 +269,12 @@
         module = "bench.faulty_entry"
         return ["-m", module, "--settings", str(path), "--control", control]
 
-    def control_network(self, place: EntryPlace, faults: Mapping[str, object]) -> None:
+    def control_network(self, place: EntryNode, faults: Mapping[str, object]) -> None:
         """Change the network of one entry process."""
         port = self.network_ports[place.node]
         self.post(f"{LOOPBACK}:{port}", "/network", faults)
 
-    def list_vm(self, place: EntryPlace, state: str) -> None:
+    def upsert_vm(self, place: EntryNode, state: str) -> None:
         """Put an entry VM on the platform's list."""
         vm = {
             "name": place.node,
@@ -285,12 +285,12 @@
         }
         self.control_platform({"upsert_vms": [vm]})
 
-    def kill_vm(self, place: EntryPlace) -> None:
+    def kill_vm(self, place: EntryNode) -> None:
         """Lose an entry VM without warning; the platform's list shows it gone."""
         self.children[place.node].kill()
         self.control_platform({"remove_vms": [place.node]})
 
-    def entry_settings(self, place: EntryPlace) -> dict[str, object]:
+    def entry_settings(self, place: EntryNode) -> dict[str, object]:
         """Write the settings of one entry process."""
         peers = [
             {
@@ -298,7 +298,7 @@
                 "data_centre": other.data_centre,
                 "link_address": other.link_address,
             }
-            for other in self.places
+            for other in self.entries
             if other.node != place.node
         ]
         return {
@@ -318,7 +318,7 @@
         self.children[name] = child
         return child
 
-    def wait_ready(self, place: EntryPlace) -> None:
+    def wait_ready(self, place: EntryNode) -> None:
         """Wait until an entry process takes requests."""
         give_up_at = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < give_up_at:
@@ -330,7 +330,7 @@
         tail = self.children[place.node].log.read_text()[-2000:]
         raise StartError(f"{place.node} is not ready: {tail}")
 
-    def is_ready(self, place: EntryPlace) -> bool:
+    def is_ready(self, place: EntryNode) -> bool:
         """Ask an entry process whether it takes requests."""
         url = f"http://{place.http_address}/ready"
         try:
@@ -358,7 +358,7 @@
 
     def stop(self) -> None:
         """Stop everything that this rig started."""
-        entries = [self.children.get(place.node) for place in self.places]
+        entries = [self.children.get(place.node) for place in self.entries]
         for child in entries:
             if child is not None:
                 child.resume()
--- a/bench/run_trial.py
+++ b/bench/run_trial.py
@@ -31,7 +31,7 @@
     """Run a trial and return its records; everything started is stopped."""
     rig = Rig(trial.deployment._replace(seed=options.seed), directory)
     with rig:
-        say(f"{trial.name}: {len(rig.places)} entry processes are ready")
+        say(f"{trial.name}: {len(rig.entries)} entry processes are ready")
         loads = start_load(rig, trial, options, directory)
         started_at = wait_for_start(loads)
         before = processor_seconds(rig)
@@ -63,10 +63,10 @@
         memory_mb=memory,
         log_lines={
             place.node: (directory / f"{place.node}.log").read_text().splitlines()
-            for place in rig.places
+            for place in rig.entries
         },
         exit_codes={
-            place.node: rig.children[place.node].exit_code for place in rig.places
+            place.node: rig.children[place.node].exit_code for place in rig.entries
         },
         stolen_ratio=stolen,
         document=trial.deployment.document,
@@ -82,7 +82,7 @@
         stream._replace(rate_per_s=stream.rate_per_s / share)
         for stream in trial.streams
     )
-    entries = {place.node: place.http_address for place in rig.places}
+    entries = {place.node: place.http_address for place in rig.entries}
     loads = []
     for number in range(share):
         seed = options.seed * 100 + number
@@ -144,7 +144,7 @@
 def processor_seconds(rig: Rig) -> dict[str, float]:
     """Return the processor time that each entry process has used so far."""
     used = {}
-    for place in rig.places:
+    for place in rig.entries:
         child = rig.children[place.node]
         if child.running:
             times = psutil.Process(child.pid).cpu_times()
@@ -157,7 +157,7 @@
     return {
         place.node: psutil.Process(rig.children[place.node].pid).memory_info().rss
         / BYTES_PER_MB
-        for place in rig.places
+        for place in rig.entries
         if rig.children[place.node].running
     }
 
