--- a/bench/http_server.py
+++ b/bench/http_server.py
@@ -11,7 +11,14 @@
 
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["ListeningReactor", "argument", "body_of", "cut", "listen", "send"]
+__all__ = [
+    "ListeningReactor",
+    "abort_connection",
+    "listen",
+    "query_argument",
+    "request_body",
+    "send_reply",
+]
 
 LOOPBACK = "127.0.0.1"
 
@@ -56,19 +63,19 @@
     return reactor.listenTCP(port, site, 512, LOOPBACK)
 
 
-def argument(request: Request, name: str, default: str) -> str:
+def query_argument(request: Request, name: str, default: str) -> str:
     """A query argument."""
     values = request.args.get(name.encode())
     return values[0].decode() if values else default
 
 
-def body_of(request: Request) -> bytes:
+def request_body(request: Request) -> bytes:
     """The body of a request."""
     content = request.content
     return b"" if content is None else cast(bytes, content.read())
 
 
-def send(request: Request, status: int, body: bytes) -> int:
+def send_reply(request: Request, status: int, body: bytes) -> int:
     """Send an answer and tell its bytes; nothing if the caller has gone."""
     if request._disconnected or request.finished:
         return 0
@@ -82,7 +89,7 @@
     return len(body)
 
 
-def cut(request: Request) -> None:
+def abort_connection(request: Request) -> None:
     """Drop the connection of a request without an answer."""
     transport = getattr(request.channel, "transport", None)
     if transport is not None:
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -19,11 +19,11 @@
 
 from bench.http_server import (
     ListeningReactor,
-    argument,
-    body_of,
-    cut,
+    abort_connection,
     listen,
-    send,
+    query_argument,
+    request_body,
+    send_reply,
 )
 from bench.platform_faults import Control, Counts, Faults, Outage, RateCap, VmTable
 from bench.platform_state import Held, KeyValues, Refused
@@ -110,7 +110,7 @@
             case Outage.HANG:
                 return
             case Outage.CUT:
-                cut(request)
+                abort_connection(request)
                 return
             case Outage.REFUSE:
                 self.finish(request, Reply(503))
@@ -150,7 +150,7 @@
         reply = self.answer(request, path)
         self.settle()
         if request.method != b"GET" and reply.status < 300 and self.loses(path):
-            cut(request)
+            abort_connection(request)
             return
         self.finish(request, reply)
 
@@ -168,13 +168,15 @@
         """Answer a call other than a watch."""
         match request.method, path.split("/", 2)[1:]:
             case b"GET", ["kv"]:
-                return self.scan(argument(request, "prefix", ""))
+                return self.scan(query_argument(request, "prefix", ""))
             case b"GET", ["kv", key]:
                 return self.get(key)
             case b"PUT", ["kv", key]:
                 return self.put(request, key)
             case b"DELETE", ["kv", key]:
-                refused = self.store.delete(key, int(argument(request, "expect", "0")))
+                refused = self.store.delete(
+                    key, int(query_argument(request, "expect", "0"))
+                )
                 return Reply(409, entry(refused.current)) if refused else Reply(204)
             case b"GET", ["vms"]:
                 as_of, vms = self.vms.seen(self.reactor.seconds())
@@ -198,9 +200,9 @@
 
     def put(self, request: Request, key: str) -> Reply:
         """Answer a write."""
-        expect = int(argument(request, "expect", "0"))
-        lease = argument(request, "lease", "")
-        match self.store.put(key, body_of(request), expect, lease):
+        expect = int(query_argument(request, "expect", "0"))
+        lease = query_argument(request, "lease", "")
+        match self.store.put(key, request_body(request), expect, lease):
             case Refused(current):
                 return Reply(409, entry(current))
             case Held(revision=revision):
@@ -211,7 +213,7 @@
         now = self.reactor.seconds()
         match method, rest:
             case b"POST", []:
-                ttl_s = float(argument(request, "ttl_ms", "1000")) / 1000
+                ttl_s = float(query_argument(request, "ttl_ms", "1000")) / 1000
                 return Reply(200, {"lease": self.store.grant(ttl_s, now)})
             case b"POST", [name] if name.endswith("/renew"):
                 renewed = self.store.renew(name.removesuffix("/renew"), now)
@@ -222,8 +224,8 @@
 
     def watch(self, request: Request, key: str) -> None:
         """Answer a watch when its key has changed, or when its wait is over."""
-        watch = Watch(request, key, int(argument(request, "after", "0")))
-        wait_s = float(argument(request, "wait_ms", "0")) / 1000
+        watch = Watch(request, key, int(query_argument(request, "after", "0")))
+        wait_s = float(query_argument(request, "wait_ms", "0")) / 1000
         self.watches.append(watch)
         timer = self.reactor.callLater(wait_s, self.end_watch, watch, Reply(204))
 
@@ -250,7 +252,7 @@
         if self.faults.outage is Outage.NONE:
             self.finish(watch.request, reply)
         else:
-            cut(watch.request)
+            abort_connection(watch.request)
 
     def settle(self) -> None:
         """Let leases lapse, write the history and wake watches."""
@@ -276,7 +278,7 @@
         if path == "/history":
             return Reply(200, [change._asdict() for change in self.history])
         try:
-            given = msgspec.json.decode(body_of(request), type=dict[str, object])
+            given = msgspec.json.decode(request_body(request), type=dict[str, object])
             control = msgspec.convert(given, Control)
         except msgspec.MsgspecError as error:
             return Reply(400, {"detail": str(error)})
@@ -311,7 +313,7 @@
     def finish(self, request: Request, reply: Reply) -> None:
         """Send an answer, unless the caller has gone."""
         body = b"" if reply.data is None else msgspec.json.encode(reply.data)
-        self.counts.bytes_out += send(request, reply.status, body)
+        self.counts.bytes_out += send_reply(request, reply.status, body)
 
 
 def entry(held: Held | None) -> dict[str, object] | None:
--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -12,7 +12,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from bench.http_server import argument, body_of, cut, send
+from bench.http_server import abort_connection, query_argument, request_body, send_reply
 from bench.platform_state import Held, KeyValues, Refused
 from sardinehook.gateway.reactor import GatewayReactor
 
@@ -105,7 +105,7 @@
         self.compacted_at = self.values.revision
         for watch in list(self.watches):
             del self.watches[watch]
-            cut(watch.request)
+            abort_connection(watch.request)
 
     def lapse(self, prefix: str) -> None:
         """Drop the keys below a prefix, as if their leases had run out."""
@@ -117,7 +117,7 @@
         """Answer a call, in the way that the mode tells."""
         self.calls += 1
         if self.mode == "busy":
-            send(request, 503, b"{}")
+            send_reply(request, 503, b"{}")
         elif self.mode == "slow":
             self.reactor.callLater(SLOW_S, self.serve, request)
         else:
@@ -134,7 +134,7 @@
         elif path == "/kv-txn":
             self.write_all(request)
         elif path == "/kv-lease":
-            ttl_s = msgspec.json.decode(body_of(request))["TtlMs"] / 1000.0
+            ttl_s = msgspec.json.decode(request_body(request))["TtlMs"] / 1000.0
             name = self.values.grant(ttl_s, self.reactor.seconds())
             lease = int(name.rpartition("-")[2])
             told = {"Lease": lease, "TtlMs": int(ttl_s * 1000)}
@@ -155,8 +155,8 @@
 
     def read_range(self, request: Request) -> dict[str, object]:
         """Read one page of a listing."""
-        after = argument(request, "after", "")
-        held = self.values.scan(argument(request, "Prefix", ""))
+        after = query_argument(request, "after", "")
+        held = self.values.scan(query_argument(request, "Prefix", ""))
         found = [one for one in held if one.key > after]
         return {
             "items": [describe(one) for one in found[:PAGE]],
@@ -166,14 +166,14 @@
 
     def start_watch(self, request: Request) -> None:
         """Answer a watch, or let it wait."""
-        after = int(argument(request, "after", "0"))
+        after = int(query_argument(request, "after", "0"))
         if after < self.compacted_at:
             self.reply(request, 410, {})
             return
-        watch = Watch(request, argument(request, "Prefix", ""), after)
+        watch = Watch(request, query_argument(request, "Prefix", ""), after)
         self.watches[watch] = None
         self.answer_watch(watch, False)
-        wait_s = int(argument(request, "WaitMs", "0")) / 1000.0
+        wait_s = int(query_argument(request, "WaitMs", "0")) / 1000.0
         self.reactor.callLater(wait_s, self.answer_watch, watch, True)
 
     def answer_watch(self, watch: Watch, ended: bool) -> None:
@@ -190,7 +190,7 @@
 
     def write_all(self, request: Request) -> None:
         """Write the keys of a transaction; those of gateways have no conditions."""
-        body = msgspec.json.decode(body_of(request))
+        body = msgspec.json.decode(request_body(request))
         now = self.reactor.seconds()
         for put in body["Puts"]:
             lease = f"lease-{put['Lease']}" if put["Lease"] else ""
@@ -209,13 +209,13 @@
     def reply_to_write(self, request: Request, status: int, told: object) -> None:
         """Answer a write, unless answers are lost."""
         if self.mode == "lost" and self.rng.random() < LOST_SHARE:
-            cut(request)
+            abort_connection(request)
         else:
             self.reply(request, status, told)
 
     def reply(self, request: Request, status: int, told: object) -> None:
         """Answer a call."""
-        send(request, status, msgspec.json.encode(told))
+        send_reply(request, status, msgspec.json.encode(told))
 
 
 def describe(held: Held) -> WireEvent:
--- a/tests/store/platform_case.py
+++ b/tests/store/platform_case.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import deferLater
 from twisted.trial.unittest import TestCase
 
-from bench.http_server import ListeningReactor, cut, listen
+from bench.http_server import ListeningReactor, abort_connection, listen
 from bench.platform import Platform
 from sardinehook.store.http_store import HttpStore
 
@@ -45,7 +45,7 @@
         self.platform.stop()
         await self.store.close()
         for watch in self.platform.watches:
-            cut(watch.request)
+            abort_connection(watch.request)
         await cast("Deferred[None]", self.port.stopListening())
 
     def later(self, delay_s: float) -> Deferred[None]:
