Rename the outcome that a caller was given

Told read like a verb in a history of events; CallerOutcome says whose outcome it is. The values and the encoded field told are as before.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -12,10 +12,10 @@
 
 from bench.history import (
     CallerAnswered,
+    CallerOutcome,
     CallerSent,
     TargetBegan,
     TargetEnded,
-    Told,
     select,
 )
 from bench.load_checks import (
@@ -70,7 +70,7 @@
     return [
         answer
         for answer in select(history, CallerAnswered)
-        if answer.told is Told.ANSWERED and answer.request not in orders
+        if answer.told is CallerOutcome.ANSWERED and answer.request not in orders
     ]
 
 
@@ -99,7 +99,7 @@
     return [
         Violation("not_run", answer.at, answer.request, f"ran at {event.target}")
         for answer in select(history, CallerAnswered)
-        if answer.told is Told.NOT_RUN
+        if answer.told is CallerOutcome.NOT_RUN
         and (event := began.get(answer.request)) is not None
     ]
 
--- a/bench/history.py
+++ b/bench/history.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "CallerAnswered",
+    "CallerOutcome",
     "CallerSent",
     "ConnectionClosed",
     "ConnectionOpened",
@@ -23,7 +24,6 @@
     "TargetBegan",
     "TargetEnded",
     "TargetState",
-    "Told",
     "WorkAllowed",
     "WorkStopped",
     "read_history",
@@ -32,7 +32,7 @@
 ]
 
 
-class Told(StrEnum):
+class CallerOutcome(StrEnum):
     """What a caller was told of its request."""
 
     ANSWERED = "answered"
@@ -74,7 +74,7 @@
     """
 
     request: str
-    told: Told
+    told: CallerOutcome
     kind: str = ""
     echoed_request: str = ""
     snapshots: dict[str, Snapshot] = {}
--- a/bench/run_history.py
+++ b/bench/run_history.py
@@ -8,12 +8,12 @@
 from bench.checks import check_all
 from bench.history import (
     CallerAnswered,
+    CallerOutcome,
     CallerSent,
     HistoryEvent,
     Snapshot,
     TargetBegan,
     TargetEnded,
-    Told,
     WorkAllowed,
     WorkStopped,
 )
@@ -103,14 +103,18 @@
     )
 
 
-def told(call: CallRecord) -> Told:
+def told(call: CallRecord) -> CallerOutcome:
     """Return in one word what a caller was told."""
     error = call.answer.get("error", {})
     if call.status == OK:
-        return Told.ANSWERED
+        return CallerOutcome.ANSWERED
     if error.get("not_run", False):
-        return Told.NOT_RUN
-    return Told.UNKNOWN if error.get("kind") == "outcome_unknown" else Told.FAILED
+        return CallerOutcome.NOT_RUN
+    return (
+        CallerOutcome.UNKNOWN
+        if error.get("kind") == "outcome_unknown"
+        else CallerOutcome.FAILED
+    )
 
 
 def services_asked(call: CallRecord, document: EnvironmentDocument) -> list[str]:
--- a/tests/bench/test_checks.py
+++ b/tests/bench/test_checks.py
@@ -9,6 +9,7 @@
 from bench.checks import check_all
 from bench.history import (
     CallerAnswered,
+    CallerOutcome,
     CallerSent,
     ConnectionClosed,
     ConnectionOpened,
@@ -21,7 +22,6 @@
     TargetBegan,
     TargetEnded,
     TargetState,
-    Told,
     WorkAllowed,
     WorkStopped,
     read_history,
@@ -80,7 +80,7 @@
     return CallerAnswered(
         at=at,
         request=request,
-        told=Told.ANSWERED,
+        told=CallerOutcome.ANSWERED,
         echoed_request=echoed,
         snapshots={"i": Snapshot(7, 1)},
         answered=services,
@@ -90,7 +90,7 @@
     )
 
 
-def refused(at: float, told: Told, request: str = "r1") -> CallerAnswered:
+def refused(at: float, told: CallerOutcome, request: str = "r1") -> CallerAnswered:
     return CallerAnswered(at=at, request=request, told=told, echoed_request=request)
 
 
@@ -137,11 +137,11 @@
     "order unknown": [
         sent(0.0, order_key="k"),
         began(0.1, order_key="k"),
-        refused(0.3, Told.UNKNOWN),
+        refused(0.3, CallerOutcome.UNKNOWN),
     ],
     "order not run, then run by a repetition": [
         sent(0.0, order_key="k"),
-        refused(0.1, Told.NOT_RUN),
+        refused(0.1, CallerOutcome.NOT_RUN),
         sent(0.2, request="r2", order_key="k"),
         began(0.3, request="r2", order_key="k"),
     ],
@@ -187,11 +187,11 @@
     ),
     "not run though it ran": (
         "not_run",
-        [sent(0.0), began(0.1), refused(0.2, Told.NOT_RUN)],
+        [sent(0.0), began(0.1), refused(0.2, CallerOutcome.NOT_RUN)],
     ),
     "not run, and begun afterwards": (
         "not_run",
-        [sent(0.0), refused(0.2, Told.NOT_RUN), began(0.3)],
+        [sent(0.0), refused(0.2, CallerOutcome.NOT_RUN), began(0.3)],
     ),
     "a service of another version counted": (
         "one_snapshot",
@@ -247,7 +247,7 @@
         "own_answer",
         [sent(0.0), began(0.1), ended(0.2), answered(0.3), answered(0.4)],
     ),
-    "an answer to nothing": ("own_answer", [refused(0.1, Told.FAILED)]),
+    "an answer to nothing": ("own_answer", [refused(0.1, CallerOutcome.FAILED)]),
     "a cold target overrun by two entry VMs": (
         "cold_start",
         [bears(0.0, bound=1, cold=True), began(0.1), began(0.1, request="r2")],
--- a/tests/order/rig.py
+++ b/tests/order/rig.py
@@ -13,11 +13,11 @@
 
 from bench.history import (
     CallerAnswered,
+    CallerOutcome,
     CallerSent,
     HistoryEvent,
     TargetBegan,
     TargetEnded,
-    Told,
 )
 from bench.platform_state import Held, KeyValues, Refused
 from sardinehook.errors import Problem
@@ -269,11 +269,15 @@
     def _answer(self, result: OrderResult, process: Process, request: str) -> None:
         process.waiting.discard(request)
         self.results[request] = result
-        told = Told.ANSWERED
+        told = CallerOutcome.ANSWERED
         kind = ""
         if isinstance(result, Failure):
             problem = result.failure()
-            told = Told.NOT_RUN if problem.response.not_run else Told.UNKNOWN
+            told = (
+                CallerOutcome.NOT_RUN
+                if problem.response.not_run
+                else CallerOutcome.UNKNOWN
+            )
             kind = problem.kind.value
         self.history.append(
             CallerAnswered(
