--- a/bench/judging.py
+++ b/bench/judging.py
@@ -6,7 +6,7 @@
 
 from bench.experiment import AT_MOST, Bound
 from bench.results import RunResult
-from bench.run_history import violations_of
+from bench.run_history import find_violations
 
 __all__ = ["history_bound", "rule_bounds"]
 
@@ -26,7 +26,7 @@
 
 def history_bound(run: RunResult) -> Bound:
     """Return the bound of no violation in a run's history; it names the first one."""
-    violations = violations_of(run, run.document) if run.document else []
+    violations = find_violations(run, run.document) if run.document else []
     source = "the brief's promises, checked over the run's history"
     if violations:
         first = violations[0]
--- a/bench/run_history.py
+++ b/bench/run_history.py
@@ -23,7 +23,7 @@
 from bench.violation import Violation
 from sardinehook.environment.document import EnvironmentDocument, Scope
 
-__all__ = ["history_of", "violations_of"]
+__all__ = ["build_history", "find_violations"]
 
 OK = 200
 STOP_KINDS = frozenset({"drain", "leave"})
@@ -38,7 +38,7 @@
     index_name: str
 
 
-def violations_of(run: RunResult, document: EnvironmentDocument) -> list[Violation]:
+def find_violations(run: RunResult, document: EnvironmentDocument) -> list[Violation]:
     """Return the promises that a trial broke.
 
     If a target's log was full, what it served is not known; that is told instead.
@@ -46,10 +46,10 @@
     if run.left_out:
         detail = f"{run.left_out} events of targets were left out"
         return [Violation("history_incomplete", run.started_at, run.name, detail)]
-    return check_all(history_of(run, document))
+    return check_all(build_history(run, document))
 
 
-def history_of(run: RunResult, document: EnvironmentDocument) -> list[HistoryEvent]:
+def build_history(run: RunResult, document: EnvironmentDocument) -> list[HistoryEvent]:
     """Return the events of a trial in the order of time."""
     homes = {
         replica.name: Home(service, index_name)
--- a/tests/bench/test_run_history.py
+++ b/tests/bench/test_run_history.py
@@ -5,7 +5,7 @@
 from bench.load import AnswerSeen, CallRecord
 from bench.results import RunResult
 from bench.rig import load_example
-from bench.run_history import violations_of
+from bench.run_history import find_violations
 from bench.target_records import WorkEvent
 
 DOCUMENT = load_example("szovetseg-production")
@@ -62,7 +62,7 @@
     run = RunResult(
         "t", 0.0, 0.0, calls, events, {}, left_out, {}, [], {}, {}, {}, {}, DOCUMENT
     )
-    return [violation.rule for violation in violations_of(run, DOCUMENT)]
+    return [violation.rule for violation in find_violations(run, DOCUMENT)]
 
 
 class TestViolationsOf:
