Name two history checks by what they check

check_bounds_of_targets checks slots, cold start and connection limits, and check_no_record_doubled looks for duplicate records.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -19,9 +19,9 @@
     select,
 )
 from bench.load_checks import (
-    check_bounds_of_targets,
     check_configuration,
     check_stopped_targets,
+    check_target_limits,
 )
 from bench.violation import History, Violation
 
@@ -30,7 +30,7 @@
     "check_all",
     "check_at_most_once",
     "check_coverage",
-    "check_no_record_doubled",
+    "check_no_duplicate_records",
     "check_not_run",
     "check_one_snapshot",
     "check_own_answer",
@@ -172,7 +172,7 @@
     return faults
 
 
-def check_no_record_doubled(history: History) -> list[Violation]:
+def check_no_duplicate_records(history: History) -> list[Violation]:
     """Check that no answer has a record twice."""
     violations = []
     for answer in searches(history):
@@ -211,9 +211,9 @@
     check_not_run,
     check_one_snapshot,
     check_coverage,
-    check_no_record_doubled,
+    check_no_duplicate_records,
     check_own_answer,
-    check_bounds_of_targets,
+    check_target_limits,
     check_stopped_targets,
     check_configuration,
 )
--- a/bench/load_checks.py
+++ b/bench/load_checks.py
@@ -23,9 +23,9 @@
 from bench.violation import History, Violation
 
 __all__ = [
-    "check_bounds_of_targets",
     "check_configuration",
     "check_stopped_targets",
+    "check_target_limits",
 ]
 
 STOP_BOUND_SECONDS = 5.0
@@ -70,7 +70,7 @@
                 self.state = event
 
 
-def check_bounds_of_targets(history: History) -> list[Violation]:
+def check_target_limits(history: History) -> list[Violation]:
     """Check cold-start bounds, slots and connection caps over all entry VMs.
 
     Work and connections that a target has when its bound falls may end; only
