Name the decoded answer of the load generator a body

AnswerSeen and its parts are the typed parts of a response body. Fields are as before.

Checked: ruff passes; mypy: Success: no issues found in 366 source files.

--- a/bench/load.py
+++ b/bench/load.py
@@ -64,7 +64,7 @@
     order_key: str
 
 
-class CoverageSeen(TypedDict, total=False):
+class CoverageBody(TypedDict, total=False):
     """Coverage as a caller sees it."""
 
     asked: int
@@ -74,7 +74,7 @@
     snapshot: dict[str, dict[str, int]]
 
 
-class ErrorSeen(TypedDict, total=False):
+class ErrorBody(TypedDict, total=False):
     """An error as a caller sees it."""
 
     kind: str
@@ -82,7 +82,7 @@
     not_run: bool
 
 
-class RecordSeen(TypedDict, total=False):
+class RecordBody(TypedDict, total=False):
     """A record in an answer."""
 
     index: str
@@ -90,14 +90,14 @@
     fields: dict[str, str]
 
 
-class AnswerSeen(TypedDict, total=False):
+class AnswerBody(TypedDict, total=False):
     """The parts of an answer's body that the load process keeps."""
 
     request_id: str
-    records: list[RecordSeen]
-    coverage: CoverageSeen
+    records: list[RecordBody]
+    coverage: CoverageBody
     limited: bool
-    error: ErrorSeen
+    error: ErrorBody
     state: str
 
 
@@ -117,7 +117,7 @@
     status: int
     order_key: str
     service: str
-    answer: AnswerSeen
+    answer: AnswerBody
     detail: str = ""
 
     @property
@@ -273,7 +273,7 @@
         request = f"{self.plan.name}-{self.plan.seed}-{self.number}"
         node = self.balancer.choose(self.rng)
         sent_at = time.monotonic()
-        status, answer, detail = 0, AnswerSeen(), "no entry VM is ready"
+        status, answer, detail = 0, AnswerBody(), "no entry VM is ready"
         if node:
             status, answer, detail = await self.exchange(node, call, request)
         self.records.append(
@@ -296,7 +296,7 @@
 
     async def exchange(
         self, node: str, call: Call, request: str
-    ) -> tuple[int, AnswerSeen, str]:
+    ) -> tuple[int, AnswerBody, str]:
         """Make one HTTP exchange."""
         stream = call.stream
         fields: dict[str, object] = {"query": "x", "limit": stream.limit}
@@ -320,9 +320,9 @@
         try:
             response = await asked
             body = await readBody(response)
-            return response.code, msgspec.json.decode(body, type=AnswerSeen), ""
+            return response.code, msgspec.json.decode(body, type=AnswerBody), ""
         except Exception as error:
-            return 0, AnswerSeen(), repr(error)[:200]
+            return 0, AnswerBody(), repr(error)[:200]
 
     def end_if_done(self) -> None:
         """Write the records and stop once every call has ended."""
--- a/tests/bench/test_run_history.py
+++ b/tests/bench/test_run_history.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.load import AnswerSeen, CallRecord
+from bench.load import AnswerBody, CallRecord
 from bench.results import RunResult
 from bench.rig import load_example
 from bench.run_history import find_violations
@@ -26,7 +26,7 @@
     return begun + [work(2.0, "finished", service) for service in SERVICES]
 
 
-def call(answer: AnswerSeen, status: int = 200, order_key: str = "") -> CallRecord:
+def call(answer: AnswerBody, status: int = 200, order_key: str = "") -> CallRecord:
     return CallRecord(
         request="r-1",
         workload="storm-night",
@@ -41,7 +41,7 @@
     )
 
 
-def full_answer() -> AnswerSeen:
+def full_answer() -> AnswerBody:
     version = {"index_version": 4, "partitioning": 1}
     return {
         "request_id": "r-1",
@@ -81,7 +81,7 @@
     def test_order_that_ran_twice_and_was_refused_is_found(self) -> None:
         service = next(iter(SERVICES))
         events = [work(at, "begun", service, "k") for at in (1.0, 2.0)]
-        refused: AnswerSeen = {
+        refused: AnswerBody = {
             "request_id": "r-1",
             "error": {"kind": "stopping", "detail": "", "not_run": True},
         }
