--- a/bench/fleet_nodes.py
+++ b/bench/fleet_nodes.py
@@ -31,7 +31,7 @@
     """The fleet of one node with its links and its platform adapters."""
 
     def __init__(self, name: str, boot: int, platform: str, seeds: list[str]) -> None:
-        self.busy: dict[str, int] = {}
+        self.in_flight: dict[str, int] = {}
         self.links = Links(reactor, name, "127.0.0.1:0")
         self.links.listen()
         self.store = HttpStore(reactor, platform, TIMEOUT_MS)
@@ -44,7 +44,7 @@
             self.store,
             self.vm_list,
             seeds,
-            lambda replica: self.busy.get(replica, 0),
+            lambda replica: self.in_flight.get(replica, 0),
         )
         self.fleet.start()
 
--- a/tests/fleet/test_service.py
+++ b/tests/fleet/test_service.py
@@ -74,11 +74,11 @@
         )
         leaver, other = self.nodes
         held = next(iter(leaver.slots()))
-        leaver.busy[held] = 1
+        leaver.in_flight[held] = 1
         left = Deferred.fromCoroutine(leaver.fleet.leave(limit_s=5.0))
         await run_turns(100)
         assert leaver.slots() == {} and held not in other.slots()
-        leaver.busy.clear()
+        leaver.in_flight.clear()
         await left
         await self.wait_within_capacity(lambda: len(other.slots()) == len(REPLICAS))
 
@@ -86,13 +86,13 @@
         self.start(1)
         first = self.nodes[0]
         await self.wait_within_capacity(lambda: len(first.slots()) == len(REPLICAS))
-        first.busy = {replica.name: 1 for replica in REPLICAS}
+        first.in_flight = {replica.name: 1 for replica in REPLICAS}
         self.start(1)
         second = self.nodes[1]
         await self.wait_within_capacity(lambda: len(first.slots()) < len(REPLICAS))
         await run_turns(100)
         assert second.slots() == {}
-        first.busy.clear()
+        first.in_flight.clear()
         await self.wait_within_capacity(self.served)
         assert second.slots()
 
