Rename the group of simulated targets

Rig already names the whole test deployment; one process of simulated targets is now TargetGroup, and the address of a replica ReplicaAddress.

--- a/bench/target.py
+++ b/bench/target.py
@@ -21,10 +21,10 @@
 from bench.target_records import Shard, WorkEvent, WorkLog
 from bench.target_settings import Behaviour, Control, TargetSettings
 
-__all__ = ["TargetRig", "load_settings", "main"]
+__all__ = ["TargetGroup", "load_settings", "main"]
 
 
-class ReplicaPlace(NamedTuple):
+class ReplicaAddress(NamedTuple):
     """Where a replica listens."""
 
     service: str
@@ -47,7 +47,7 @@
     return msgspec.convert(yaml.safe_load(path.read_text()), TargetSettings)
 
 
-class TargetRig:
+class TargetGroup:
     """All replicas of one stand-in process."""
 
     def __init__(self, reactor: ListeningReactor, settings: TargetSettings) -> None:
@@ -81,10 +81,10 @@
         for host in self.hosts.values():
             host.leave()
 
-    def places(self) -> list[ReplicaPlace]:
+    def places(self) -> list[ReplicaAddress]:
         """Return where each replica listens."""
         return [
-            ReplicaPlace(
+            ReplicaAddress(
                 host.model.settings.service,
                 host.model.settings.index,
                 name,
@@ -134,7 +134,7 @@
 class ControlResource(Resource):
     """``POST /control``, ``GET /records`` and ``GET /replicas``."""
 
-    def __init__(self, rig: TargetRig) -> None:
+    def __init__(self, rig: TargetGroup) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.isLeaf = True
         self.rig = rig
@@ -164,7 +164,7 @@
     listening = cast(ListeningReactor, reactor)
     listening.seconds = monotonic  # type: ignore[method-assign]
     settings = load_settings(config)
-    rig = TargetRig(listening, settings)
+    rig = TargetGroup(listening, settings)
     rig.listen()
     site = cast(ServerFactory, Site(ControlResource(rig)))
     port = listening.listenTCP(settings.control_port, site, 50, "127.0.0.1")
--- a/bench/target_scenes.py
+++ b/bench/target_scenes.py
@@ -13,7 +13,7 @@
 import typer
 
 from bench.loopback import LoopReactor
-from bench.target import TargetRig
+from bench.target import TargetGroup
 from bench.target_host import ListeningReactor
 from bench.target_settings import Control, ReplicaSettings, TargetSettings
 from sardinehook.environment.document import Index, Replica
@@ -53,7 +53,7 @@
     settings = ReplicaSettings(
         service="s", index="i", name="s-a", slots=SLOTS, straggler_rate=0.01
     )
-    rig = TargetRig(
+    rig = TargetGroup(
         cast(ListeningReactor, reactor), TargetSettings([settings], seed=seed)
     )
     rig.listen()
@@ -71,7 +71,7 @@
 def load(
     reactor: LoopReactor,
     owner: TargetOwner,
-    rig: TargetRig,
+    rig: TargetGroup,
     gap_s: float,
     fault: Control | None,
     replies: list[tuple[SubReply, float]],
@@ -103,7 +103,7 @@
     )
 
 
-def figures(replies: list[tuple[SubReply, float]], rig: TargetRig) -> Figures:
+def figures(replies: list[tuple[SubReply, float]], rig: TargetGroup) -> Figures:
     """Sum up one run."""
     outcomes = Counter(reply.outcome for reply, _ in replies)
     answered = [ms for reply, ms in replies if reply.outcome is Outcome.ANSWERED]
--- a/tests/bench/test_target.py
+++ b/tests/bench/test_target.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bench.loopback import LoopReactor
-from bench.target import TargetRig
+from bench.target import TargetGroup
 from bench.target_host import ListeningReactor, TargetHost
 from bench.target_records import Shard, records_body
 from bench.target_settings import Control, ReplicaSettings, TargetSettings
@@ -28,7 +28,7 @@
         replica = ReplicaSettings(service="s", index="i", name="s-a", slots=slots)
         for name, value in fields.items():
             setattr(replica, name, value)
-        self.rig = TargetRig(
+        self.rig = TargetGroup(
             cast(ListeningReactor, self.reactor), TargetSettings([replica])
         )
         self.rig.listen()
