Name the in-memory reactor

LoopReactor in bench.loopback did not use the loopback interface; it carries TCP in memory on a fake clock. It is now MemoryReactor in bench.memory_reactor.

--- a/bench/loopback.py
+++ b/bench/memory_reactor.py
@@ -14,7 +14,7 @@
 from twisted.internet.task import Clock
 from twisted.python.failure import Failure
 
-__all__ = ["LoopReactor"]
+__all__ = ["MemoryReactor"]
 
 DELAY_S = 0.0005
 
@@ -30,13 +30,13 @@
     port: int
 
 
-class LoopTransport:
+class MemoryTransport:
     """One end of a connection in memory."""
 
     def __init__(self, clock: Clock, protocol: Protocol) -> None:
         self.clock = clock
         self.protocol = protocol
-        self.peer: LoopTransport | None = None
+        self.peer: MemoryTransport | None = None
         self.open = True
 
     def write(self, data: bytes) -> None:
@@ -49,7 +49,7 @@
         if self.open:
             self.protocol.dataReceived(data)
 
-    def getHandle(self) -> LoopTransport:
+    def getHandle(self) -> MemoryTransport:
         """Return what stands for the socket."""
         return self
 
@@ -89,10 +89,10 @@
             self.clock.callLater(DELAY_S, self.peer.end, reason)
 
 
-class LoopPort:
+class MemoryPort:
     """A listening port in memory."""
 
-    def __init__(self, reactor: LoopReactor, port: int) -> None:
+    def __init__(self, reactor: MemoryReactor, port: int) -> None:
         self.reactor = reactor
         self.port = port
 
@@ -105,7 +105,7 @@
         del self.reactor.listeners[self.port]
 
 
-class LoopReactor(Clock):
+class MemoryReactor(Clock):
     """A fake clock with TCP between its own users."""
 
     def __init__(self) -> None:
@@ -115,13 +115,13 @@
 
     def listenTCP(
         self, port: int, factory: ServerFactory, backlog: int, interface: str
-    ) -> LoopPort:
+    ) -> MemoryPort:
         """Accept connections on ``port``, or on a free one for 0."""
         if not port:
             self.last_port += 1
             port = self.last_port
         self.listeners[port] = factory
-        return LoopPort(self, port)
+        return MemoryPort(self, port)
 
     def connectTCP(
         self, host: str, port: int, factory: ClientFactory, timeout: float
@@ -138,7 +138,7 @@
             return
         ends = [factory.buildProtocol(None), listener.buildProtocol(None)]
         assert isinstance(ends[0], Protocol) and isinstance(ends[1], Protocol)
-        client, server = LoopTransport(self, ends[0]), LoopTransport(self, ends[1])
+        client, server = MemoryTransport(self, ends[0]), MemoryTransport(self, ends[1])
         client.peer, server.peer = server, client
         ends[1].makeConnection(server)
         ends[0].makeConnection(client)
--- a/bench/target_scenes.py
+++ b/bench/target_scenes.py
@@ -12,7 +12,7 @@
 import structlog
 import typer
 
-from bench.loopback import LoopReactor
+from bench.memory_reactor import MemoryReactor
 from bench.target import TargetGroup
 from bench.target_host import ListeningReactor
 from bench.target_settings import Control, ReplicaSettings, TargetSettings
@@ -49,7 +49,7 @@
     seed: int, cold_start_slots: int, gap_s: float, fault: Control | None
 ) -> Figures:
     """Load one target for ten seconds, with ``fault`` every two seconds."""
-    reactor = LoopReactor()
+    reactor = MemoryReactor()
     settings = ReplicaSettings(
         service="s", index="i", name="s-a", slots=SLOTS, straggler_rate=0.01
     )
@@ -69,7 +69,7 @@
 
 
 def load(
-    reactor: LoopReactor,
+    reactor: MemoryReactor,
     owner: TargetOwner,
     rig: TargetGroup,
     gap_s: float,
@@ -95,7 +95,7 @@
 
 
 def keep(
-    replies: list[tuple[SubReply, float]], reactor: LoopReactor, begun_at: float
+    replies: list[tuple[SubReply, float]], reactor: MemoryReactor, begun_at: float
 ) -> Callable[[SubReply], None]:
     """Return a function that keeps a reply with its latency."""
     return lambda reply: replies.append(
--- a/tests/bench/test_target.py
+++ b/tests/bench/test_target.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from bench.loopback import LoopReactor
+from bench.memory_reactor import MemoryReactor
 from bench.target import TargetGroup
 from bench.target_host import ListeningReactor, TargetHost
 from bench.target_records import Shard, records_body
@@ -24,7 +24,7 @@
     """One target of the stand-in and its owner, on a fake clock."""
 
     def __init__(self, slots: int = 2, **fields: object) -> None:
-        self.reactor = LoopReactor()
+        self.reactor = MemoryReactor()
         replica = ReplicaSettings(service="s", index="i", name="s-a", slots=slots)
         for name, value in fields.items():
             setattr(replica, name, value)
