Correct the message of an order whose key could not be claimed

The message said that other attempts hold the key; they may also have released it between the tries.

--- a/sardinehook/order/attempt.py
+++ b/sardinehook/order/attempt.py
@@ -106,7 +106,7 @@
                 case None:
                     return None
         detail = (
-            f"order key not claimed in {MAX_CLAIM_TRIES} tries: other attempts hold it"
+            f"order key not claimed in {MAX_CLAIM_TRIES} tries due to other attempts"
         )
         self._fail_callers(Problem(ErrorKind.ORDER_IN_PROGRESS, detail))
         return None
