Rename the detection measurement and the loss rule of the fleet simulation

"detection" and "lost" did not say that one is a measurement and the other a predicate on the source and the target of a datagram. They are now measure_detection, is_lost and LossRule.

--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -27,7 +27,7 @@
 MEASURE_S = 40.0
 DETECTION_LIMIT_S = 60.0
 
-Filter = Callable[[str, str], bool]
+LossRule = Callable[[str, str], bool]
 
 
 class MembershipCost(NamedTuple):
@@ -54,7 +54,7 @@
         self.queue: list[tuple[float, int, str, str, bytes]] = []
         self.stopped: set[str] = set()
         self.paused: set[str] = set()
-        self.lost: Filter = lambda source, target: False
+        self.is_lost: LossRule = lambda source, target: False
         self.count = 0
         self.datagrams = 0
         self.bytes = 0
@@ -96,7 +96,7 @@
             target = self.addresses.get(address)
             self.datagrams += 1
             self.bytes += len(data) + HEADER_BYTES
-            if target is None or self.lost(source, target):
+            if target is None or self.is_lost(source, target):
                 continue
             near = self.centre(source) == self.centre(target)
             self.count += 1
@@ -146,7 +146,7 @@
         return [n for n in names if n not in self.stopped | self.paused]
 
 
-def detection(driver: MembershipDriver, victim: str) -> tuple[float, float]:
+def measure_detection(driver: MembershipDriver, victim: str) -> tuple[float, float]:
     """Stop a member; return the seconds until the first and all know it."""
     driver.stopped.add(victim)
     started = driver.now
@@ -185,7 +185,7 @@
     datagrams, size = driver.datagrams * share, driver.bytes * share
     false_deaths = sum(len(m.table.dead_since) for m in driver.members.values())
     victim = list(driver.members)[-1]
-    first, everyone = detection(driver, victim)
+    first, everyone = measure_detection(driver, victim)
     storm = restart_seven(driver)
     return MembershipCost(
         nodes,
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from bench.membership_cost import MembershipDriver, detection
+from bench.membership_cost import MembershipDriver, measure_detection
 from sardinehook.fleet.datagram import (
     DATAGRAM_LIMIT_BYTES,
     DatagramKind,
@@ -39,10 +39,10 @@
         for member in driver.members.values():
             member.seeds = addresses - {member.local_member.link_address}
         first = {"centre-1-entry-4", "centre-2-entry-5"}
-        driver.lost = lambda source, target: (source in first) != (target in first)
+        driver.is_lost = lambda source, target: (source in first) != (target in first)
         driver.run(4.0)
         assert driver.members["centre-1-entry-4"].size == 2
-        driver.lost = lambda source, target: False
+        driver.is_lost = lambda source, target: False
         driver.run(10.0)
         assert {member.size for member in driver.members.values()} == {6}
 
@@ -50,7 +50,7 @@
 class TestDeath:
     def test_dead_member_is_detected_within_seconds(self) -> None:
         driver = started()
-        _, everyone = detection(driver, "centre-1-entry-4")
+        _, everyone = measure_detection(driver, "centre-1-entry-4")
         assert everyone < 10.0
 
     def test_lost_link_speeds_up_suspicion(self) -> None:
@@ -91,14 +91,14 @@
     def test_one_way_loss_to_one_peer_causes_no_death(self) -> None:
         driver = started()
         route = ("centre-0-entry-0", "centre-0-entry-3")
-        driver.lost = lambda source, target: (source, target) == route
+        driver.is_lost = lambda source, target: (source, target) == route
         driver.run(60.0)
         assert deaths(driver) == 0
 
     def test_loss_of_a_fifth_of_datagrams_causes_no_death(self) -> None:
         driver = started()
         random = driver.members["centre-0-entry-0"].random
-        driver.lost = lambda source, target: random.random() < 0.2
+        driver.is_lost = lambda source, target: random.random() < 0.2
         driver.run(120.0)
         assert deaths(driver) == 0
 
@@ -137,7 +137,7 @@
 class TestPartition:
     def test_partition_causes_no_deaths_and_heals_with_little_traffic(self) -> None:
         driver = started()
-        driver.lost = lambda a, b: (
+        driver.is_lost = lambda a, b: (
             (driver.centre(a) == "centre-1") != (driver.centre(b) == "centre-1")
         )
         driver.run(600.0)
@@ -147,7 +147,7 @@
         restarted = "centre-1-entry-4"
         driver.start(restarted, "centre-1", 9)
         driver.run(10.0)
-        driver.lost = lambda a, b: False
+        driver.is_lost = lambda a, b: False
         driver.bytes = 0
         driver.run(60.0)
         assert driver.members["centre-0-entry-0"].table.members[
