Rename the request handlers and the report exchange to what they do

Desk, view and taker are words of this project: the handlers of requests, searches and orders, the exchange of replica reports between entry processes and the sink of allowances now carry names that say so.

Ruff and strict mypy pass; the 35 tests of the entry package pass.

--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -11,7 +11,7 @@
 from sardinehook.target.allowance import Allowance
 from sardinehook.transport.reactor import Timer, Timers
 
-__all__ = ["AllowanceApplier", "AllowancePort", "AllowanceTaker", "LeaseGuard"]
+__all__ = ["AllowanceApplier", "AllowancePort", "AllowanceSink", "LeaseGuard"]
 
 
 class AllowancePort(Protocol):
@@ -21,7 +21,7 @@
         """Return the allowance; one without slots stands for nothing."""
 
 
-class AllowanceTaker(Protocol):
+class AllowanceSink(Protocol):
     """Holds replicas within allowances."""
 
     def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
@@ -36,7 +36,7 @@
         reactor: Timers,
         data_centre: str,
         source: AllowancePort,
-        taker: AllowanceTaker,
+        taker: AllowanceSink,
     ) -> None:
         self.reactor = reactor
         self.data_centre = data_centre
--- a/sardinehook/entry/front.py
+++ b/sardinehook/entry/front.py
@@ -21,7 +21,7 @@
     "CallerPort",
     "EntryStatus",
     "Response",
-    "StatePort",
+    "StatusPort",
     "build_site",
 ]
 
@@ -77,7 +77,7 @@
         """Tell what became of an order."""
 
 
-class StatePort(Protocol):
+class StatusPort(Protocol):
     """What operators and the balancer ask for."""
 
     def status(self) -> EntryStatus:
@@ -87,7 +87,7 @@
         """Render the metrics."""
 
 
-class LiveResource(Resource):
+class LivenessResource(Resource):
     """Answers while the loop turns: a failing probe means restart."""
 
     isLeaf = True
@@ -97,12 +97,12 @@
         return b"live\n"
 
 
-class ReadyResource(Resource):
+class ReadinessResource(Resource):
     """Answers 200 while this process takes new requests, else 503 with the reason."""
 
     isLeaf = True
 
-    def __init__(self, port: StatePort) -> None:
+    def __init__(self, port: StatusPort) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
@@ -120,7 +120,7 @@
 
     isLeaf = True
 
-    def __init__(self, port: StatePort) -> None:
+    def __init__(self, port: StatusPort) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
@@ -135,7 +135,7 @@
 
     isLeaf = True
 
-    def __init__(self, port: StatePort) -> None:
+    def __init__(self, port: StatusPort) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.port = port
 
@@ -172,7 +172,7 @@
         return NOT_DONE_YET
 
 
-class CallsResource(Resource):
+class CallCollection(Resource):
     """A folder of calls: the last path segment names the workload or the order key."""
 
     def __init__(
@@ -233,7 +233,7 @@
     return body
 
 
-def build_site(port: CallerPort, state: StatePort) -> Site:
+def build_site(port: CallerPort, state: StatusPort) -> Site:
     """Build the site that serves callers, operators and the balancer."""
 
     def search(name: str, request: Request, request_id: str) -> Deferred[Response]:
@@ -252,12 +252,12 @@
     def put(path: bytes, child: Resource) -> None:
         root.putChild(path, cast("IResource", child))
 
-    put(b"live", LiveResource())  # type: ignore[no-untyped-call]
-    put(b"ready", ReadyResource(state))
+    put(b"live", LivenessResource())  # type: ignore[no-untyped-call]
+    put(b"ready", ReadinessResource(state))
     put(b"status", StatusResource(state))
     put(b"metrics", MetricsResource(state))
-    put(b"search", CallsResource(search))
-    put(b"orders", CallsResource(order))
+    put(b"search", CallCollection(search))
+    put(b"orders", CallCollection(order))
     site = Site(root, timeout=IDLE_TIMEOUT_S)
     site.displayTracebacks = False
     site.noisy = False
--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/order_handler.py
@@ -23,12 +23,12 @@
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["EntryOrders"]
+__all__ = ["OrderHandler"]
 
 OK = 200
 
 
-class EntryOrders:
+class OrderHandler:
     """The orders of one entry process; counts those in flight."""
 
     def __init__(
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -15,13 +15,13 @@
 from twisted.internet.task import LoopingCall, deferLater
 
 from sardinehook.entry.allowances import AllowanceApplier, LeaseGuard
-from sardinehook.entry.caller_desk import CallerDesk
 from sardinehook.entry.dispatcher import Dispatcher, IndexedReplica
 from sardinehook.entry.front import EntryStatus, build_site
-from sardinehook.entry.orders import EntryOrders
-from sardinehook.entry.searches import SearchDesk
+from sardinehook.entry.order_handler import OrderHandler
+from sardinehook.entry.report_exchange import ReportExchange
+from sardinehook.entry.request_handler import RequestHandler
+from sardinehook.entry.search_handler import SearchHandler
 from sardinehook.entry.settings import EntrySettings
-from sardinehook.entry.view_exchange import ViewExchange
 from sardinehook.entry.vm_watch import VmNotice, VmWatch
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.environment.revision import Revision
@@ -111,10 +111,10 @@
         self.sub_query_ids = count(first_sub_query_id())
         chooser = ReplicaChooser(settings.data_centre, crc32(settings.node.encode()))
         policy = SearchPolicy(self.sub_query_ids, chooser=chooser)
-        self.searches = SearchDesk(
+        self.searches = SearchHandler(
             reactor, self.dispatcher, policy, self.metrics, self.clock
         )
-        self.orders = EntryOrders(
+        self.orders = OrderHandler(
             reactor,
             self.store,
             settings.environment,
@@ -124,10 +124,10 @@
             self.sub_query_ids,
             self.metrics,
         )
-        self.desk = CallerDesk(
+        self.desk = RequestHandler(
             settings.data_centre, self.holder, self.searches, self.orders
         )
-        self.views = ViewExchange(
+        self.views = ReportExchange(
             reactor,
             self.owner.views,
             self.list_connected,
--- a/sardinehook/entry/view_exchange.py
+++ b/sardinehook/entry/report_exchange.py
@@ -10,12 +10,12 @@
 
 from sardinehook.messages import ReplicaReport, TargetState
 
-__all__ = ["ViewExchange"]
+__all__ = ["ReportExchange"]
 
 EXCHANGE_INTERVAL_S = 0.25
 
 
-class ViewFacts(NamedTuple):
+class ReportedState(NamedTuple):
     """The part of a view whose change is worth telling at once."""
 
     state: TargetState
@@ -23,12 +23,12 @@
     partitioning: int
 
 
-def facts_of(view: ReplicaReport) -> ViewFacts:
+def facts_of(view: ReplicaReport) -> ReportedState:
     """Return what of a view is told when it changes; load is told on replies."""
-    return ViewFacts(view.state, tuple(view.index_versions), view.partitioning)
+    return ReportedState(view.state, tuple(view.index_versions), view.partitioning)
 
 
-class ViewExchange:
+class ReportExchange:
     """Sends each peer the views that changed since it was last told.
 
     A peer whose link is new is told every view. ``take`` receives the own views as
@@ -47,7 +47,7 @@
         self.peers = peers
         self.send = send
         self.take = take
-        self.told: dict[str, dict[str, ViewFacts]] = {}
+        self.told: dict[str, dict[str, ReportedState]] = {}
         self.loop = LoopingCall(self.exchange)
         self.loop.clock = reactor
 
--- a/sardinehook/entry/caller_desk.py
+++ b/sardinehook/entry/request_handler.py
@@ -6,17 +6,17 @@
 from twisted.internet.defer import Deferred, succeed
 
 from sardinehook.entry.front import Response
-from sardinehook.entry.orders import EntryOrders
+from sardinehook.entry.order_handler import OrderHandler
 from sardinehook.entry.requests import CallerRequest, resolve_request
-from sardinehook.entry.searches import SearchDesk
+from sardinehook.entry.search_handler import SearchHandler
 from sardinehook.environment.document import DataCentreState
 from sardinehook.environment.holder import DocumentHolder
 from sardinehook.errors import ErrorKind, Problem
 
-__all__ = ["CallerDesk"]
+__all__ = ["RequestHandler"]
 
 
-class CallerDesk:
+class RequestHandler:
     """Takes searches and orders while the state and the document allow it.
 
     ``takes_requests`` is cleared when a stopping process no longer listens.
@@ -26,8 +26,8 @@
         self,
         data_centre: str,
         holder: DocumentHolder,
-        searches: SearchDesk,
-        orders: EntryOrders,
+        searches: SearchHandler,
+        orders: OrderHandler,
     ) -> None:
         self.data_centre = data_centre
         self.holder = holder
--- a/sardinehook/entry/searches.py
+++ b/sardinehook/entry/search_handler.py
@@ -32,7 +32,7 @@
 from sardinehook.query.search import Search, SearchRequest
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["SearchDesk"]
+__all__ = ["SearchHandler"]
 
 logger = structlog.get_logger(__name__)
 
@@ -41,7 +41,7 @@
 LOGGED_ONE_IN = 100
 
 
-class SearchDesk:
+class SearchHandler:
     """Plans, admits, runs and answers searches; counts those in flight."""
 
     def __init__(
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -25,7 +25,7 @@
 }
 
 
-class OpenSubQuery(NamedTuple):
+class OutstandingSubQuery(NamedTuple):
     """A sub-query that has no end yet."""
 
     service: str
@@ -52,7 +52,7 @@
         self.log = log
         self.on_settle = on_settle
         self.attempts: Counter[Attempt] = Counter()
-        self.open: dict[int, OpenSubQuery] = {}
+        self.open: dict[int, OutstandingSubQuery] = {}
         self.asked: set[str] = set()
         self.actions: deque[Action] = deque()
         self.performing = False
@@ -131,7 +131,7 @@
         attempt = self.classify(service)
         self.attempts[attempt] += 1
         self.asked.add(service)
-        self.open[sub_query.sub_query_id] = OpenSubQuery(service, replica)
+        self.open[sub_query.sub_query_id] = OutstandingSubQuery(service, replica)
         self.log.note(
             SENT_EVENTS[attempt],
             sub_query=sub_query.sub_query_id,
--- a/tests/entry/test_view_exchange.py
+++ b/tests/entry/test_report_exchange.py
@@ -7,7 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import Clock
 
-from sardinehook.entry.view_exchange import EXCHANGE_INTERVAL_S, ViewExchange
+from sardinehook.entry.report_exchange import EXCHANGE_INTERVAL_S, ReportExchange
 from sardinehook.messages import ReplicaReport, TargetState
 
 
@@ -15,7 +15,7 @@
     return ReplicaReport("r1", state, (1,), 1, wait_ms, 2)
 
 
-class TestViewExchange:
+class TestReportExchange:
     def test_a_peer_is_told_changes_only(self) -> None:
         views = [view(TargetState.COLD)]
         sent: list[ReplicaReport] = []
@@ -26,7 +26,7 @@
             sent.append(message)
             return True
 
-        exchange = ViewExchange(
+        exchange = ReportExchange(
             cast("IReactorTime", clock),
             lambda: views,
             lambda: ["e2"],
@@ -55,7 +55,7 @@
             tries.append(message)
             return len(tries) > 1
 
-        exchange = ViewExchange(
+        exchange = ReportExchange(
             cast("IReactorTime", clock),
             lambda: [view(TargetState.WARM)],
             lambda: ["e2"],
