--- a/sardinehook/entry/__init__.py
+++ b/sardinehook/entry/__init__.py
@@ -1,1 +1,1 @@
-"""The entry process: front, control, shutdown."""
+"""The entry process: HTTP server, request handling, start-up and shutdown."""
--- a/sardinehook/entry/allowances.py
+++ b/sardinehook/entry/allowances.py
@@ -1,4 +1,4 @@
-"""Applies the fleet's allowances to the local owner of replicas."""
+"""Applies the allowances granted by the fleet to the local target owner."""
 
 from __future__ import annotations
 
@@ -15,41 +15,41 @@
 
 
 class AllowancePort(Protocol):
-    """Tells what this process may use of a replica."""
+    """Source of the allowances of this process."""
 
     def allowance(self, replica: Replica, index: Index) -> Allowance:
-        """Return the allowance; one without slots stands for nothing."""
+        """Return the allowance; zero slots mean that the replica may not be used."""
 
 
 class AllowanceSink(Protocol):
-    """Holds replicas within allowances."""
+    """Enforces the allowances of replicas."""
 
     def set_allowance(self, replica: str, allowance: Allowance | None) -> None:
-        """Take an allowance, ``None`` for nothing."""
+        """Set the allowance of a replica; ``None`` if it may not be used."""
 
 
 class AllowanceApplier:
-    """Gives the owner every allowance that changed, once in a turn of the loop."""
+    """Passes changed allowances to the owner, at most once per reactor iteration."""
 
     def __init__(
         self,
         reactor: Timers,
         data_centre: str,
         source: AllowancePort,
-        taker: AllowanceSink,
+        sink: AllowanceSink,
     ) -> None:
         self.reactor = reactor
         self.data_centre = data_centre
         self.source = source
-        self.taker = taker
+        self.sink = sink
         self.replicas: Mapping[str, IndexedReplica] = {}
         self.applied: dict[str, Allowance] = {}
         self.timer: Timer | None = None
 
     def configure(self, replicas: Mapping[str, IndexedReplica]) -> None:
-        """Use the replicas of a new document, of which only the own ones count."""
+        """Use the replicas of a new document that are in the local data centre."""
         for name in self.applied.keys() - replicas.keys():
-            self.taker.set_allowance(name, None)
+            self.sink.set_allowance(name, None)
             del self.applied[name]
         self.replicas = {
             name: indexed
@@ -59,12 +59,12 @@
         self.apply()
 
     def schedule(self) -> None:
-        """Apply at the end of this turn of the loop."""
+        """Schedule ``apply`` for the next reactor iteration."""
         if self.timer is None:
             self.timer = self.reactor.callLater(0, self.apply)
 
     def apply(self) -> None:
-        """Give the owner the allowances that changed."""
+        """Pass the allowances that changed to the owner."""
         if self.timer is not None and self.timer.active():
             self.timer.cancel()
         self.timer = None
@@ -72,21 +72,21 @@
             allowance = self.source.allowance(indexed.replica, indexed.index_config)
             if self.applied.get(name) != allowance:
                 self.applied[name] = allowance
-                self.taker.set_allowance(name, allowance if allowance.slots else None)
+                self.sink.set_allowance(name, allowance if allowance.slots else None)
 
 
 class LeasePort(Protocol):
-    """Tells when the node lease lapsed or changed."""
+    """Reports whether the node lease expired or changed."""
 
     def lease_changed(self) -> bool:
-        """Whether the lease changed since this was last asked."""
+        """Return whether the lease changed since the last call."""
 
 
 class LeaseGuard:
-    """Passes sub-queries to the owner after a look at the lease.
+    """Checks the node lease before passing a sub-query to the owner.
 
-    A process that was paused reads requests before its timers run; without this it
-    would begin work under a lease that lapsed meanwhile.
+    A process that resumes after a pause reads requests before its timers run. Without
+    this check it would start work under a lease that expired during the pause.
     """
 
     def __init__(
@@ -97,11 +97,11 @@
         self.owner = owner
 
     def submit(self, sender: str, sub_query: SubQuery, reply: ReplyHandler) -> None:
-        """Run a sub-query within the allowances of this moment."""
+        """Run a sub-query under the current allowances."""
         if self.lease.lease_changed():
             self.applier.apply()
         self.owner.submit(sender, sub_query, reply)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
-        """Abandon a sub-query."""
+        """Cancel a sub-query of a sender."""
         self.owner.cancel(sender, sub_query_id)
--- a/sardinehook/entry/dispatcher.py
+++ b/sardinehook/entry/dispatcher.py
@@ -1,4 +1,4 @@
-"""Carries sub-queries to the owners of replicas and their replies back."""
+"""Routes sub-queries to the owners of replicas and their replies back."""
 
 from __future__ import annotations
 
@@ -14,50 +14,50 @@
 
 
 class LinkPort(Protocol):
-    """The part of the links between entry processes that the dispatcher uses."""
+    """The interface of the links between entry processes that is needed here."""
 
     def send(self, node: str, message: SubQuery | SubReply | CancelSubQuery) -> bool:
-        """Send a message; return False when nothing can have left."""
+        """Send a message; return False if no part of it was sent."""
 
 
 class OwnerPort(Protocol):
-    """The part of the local target owner that the dispatcher uses."""
+    """The interface of the local target owner that is needed here."""
 
     def submit(self, sender: str, sub_query: SubQuery, reply: ReplyHandler) -> None:
-        """Run a sub-query and reply exactly once."""
+        """Run a sub-query and call ``reply`` exactly once."""
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
-        """Abandon a sub-query."""
+        """Cancel a sub-query of a sender."""
 
 
 class OwnerDirectory(Protocol):
-    """Tells which entry processes may serve a replica at present."""
+    """Looks up the entry processes that may currently serve a replica."""
 
     def candidates_of(self, replica: Replica) -> tuple[str, ...]:
-        """Return the owner's node name and its possible deputy's."""
+        """Return the node names of the owner and, if there is one, its deputy."""
 
 
 class IndexedReplica(NamedTuple):
-    """A replica of the document in force with its index."""
+    """A replica of the document in force and the configuration of its index."""
 
     replica: Replica
     index_config: Index
 
 
 class PendingSubQuery(NamedTuple):
-    """A sub-query on its way: who has it and whom to tell of its end."""
+    """A sub-query awaiting its reply: the node it was sent to and its callback."""
 
     node: str
     on_reply: ReplyHandler
 
 
 class Dispatcher:
-    """Sends each sub-query to the owner of its replica, at this process or another.
+    """Sends each sub-query to the owner of its replica, local or remote.
 
-    An owner that can't be reached is passed over for its possible deputy, which
-    refuses what it may not serve.
+    If the owner is unreachable, the sub-query goes to its deputy, if there is one. The
+    deputy refuses sub-queries that it may not serve.
 
-    Every sub-query that is sent ends in exactly one reply, unless it is cancelled.
+    Every sub-query that is sent gets exactly one reply, unless it is cancelled.
     """
 
     def __init__(
@@ -81,15 +81,15 @@
         for node in nodes:
             if self.try_send(node, sub_query, on_reply):
                 return
-        detail = "no owner of the replica can be reached"
-        on_reply(refused(sub_query.sub_query_id, detail))
+        detail = "no owner of the replica is reachable"
+        on_reply(not_run_reply(sub_query.sub_query_id, detail))
 
     def try_send(self, node: str, sub_query: SubQuery, on_reply: ReplyHandler) -> bool:
-        """Send a sub-query to a node; return False if nothing can have left."""
+        """Send a sub-query to a node; return False if no part of it was sent."""
         pending = PendingSubQuery(node, on_reply)
         if node == self.node:
             self.pending[sub_query.sub_query_id] = pending
-            self.owner.submit(node, sub_query, self.on_reply_here)
+            self.owner.submit(node, sub_query, self.on_local_reply)
             return True
         if not self.links.send(node, sub_query):
             return False
@@ -97,7 +97,7 @@
         return True
 
     def cancel(self, sub_query_id: int) -> None:
-        """Abandon a sub-query; its reply is dropped."""
+        """Cancel a sub-query; a later reply is dropped."""
         pending = self.pending.pop(sub_query_id, None)
         if pending is None:
             return
@@ -106,12 +106,12 @@
         else:
             self.links.send(pending.node, CancelSubQuery(sub_query_id))
 
-    def on_reply_here(self, reply: SubReply) -> None:
-        """Take a reply of the local owner."""
+    def on_local_reply(self, reply: SubReply) -> None:
+        """Handle a reply of the local owner."""
         self.on_reply(self.node, reply)
 
     def on_reply(self, node: str, reply: SubReply) -> None:
-        """Take a reply; one that is late, repeated or of another node is dropped."""
+        """Deliver a reply; drop it if late, repeated or from another node."""
         pending = self.pending.get(reply.sub_query_id)
         if pending is None or pending.node != node:
             return
@@ -119,14 +119,14 @@
         pending.on_reply(reply)
 
     def on_link_down(self, node: str) -> None:
-        """End the sub-queries that a lost link carried: their outcome is unknown."""
+        """Fail the sub-queries pending on a lost link; their outcome is unknown."""
         lost = [key for key, value in self.pending.items() if value.node == node]
         for sub_query_id in lost:
-            self.on_reply(node, connection_lost(sub_query_id))
+            self.on_reply(node, connection_lost_reply(sub_query_id))
 
 
-def refused(sub_query_id: int, detail: str) -> SubReply:
-    """Build the reply to a sub-query that never left this process."""
+def not_run_reply(sub_query_id: int, detail: str) -> SubReply:
+    """Build the reply to a sub-query that was not sent."""
     return SubReply(
         sub_query_id=sub_query_id,
         outcome=Outcome.NOT_RUN,
@@ -140,8 +140,8 @@
     )
 
 
-def connection_lost(sub_query_id: int) -> SubReply:
-    """Build the reply to a sub-query whose link was lost after it was sent."""
+def connection_lost_reply(sub_query_id: int) -> SubReply:
+    """Build the reply to a sub-query whose link was lost after sending."""
     return SubReply(
         sub_query_id=sub_query_id,
         outcome=Outcome.CONNECTION_LOST,
--- a/sardinehook/entry/front.py
+++ b/sardinehook/entry/front.py
@@ -1,4 +1,4 @@
-"""The HTTP front: callers' searches and orders, and the balancer's probes."""
+"""The HTTP server: searches, orders, load balancer probes, status and metrics."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
 
 
 class BodyResponse:
-    """A success: a status code and a JSON body."""
+    """A successful response: a status code and a JSON body."""
 
     def __init__(self, status: int, body: bytes) -> None:
         self.status = status
@@ -56,7 +56,7 @@
 
 
 class CallerPort(Protocol):
-    """What callers ask for."""
+    """Handles the requests of callers."""
 
     def search(
         self, workload: str, request_id: str, deadline: str | None, body: bytes
@@ -74,31 +74,31 @@
         """Place an order; cancelling the Deferred does not undo it."""
 
     def look_up_order(self, key: str) -> Deferred[Response]:
-        """Tell what became of an order."""
+        """Return the status of an order."""
 
 
 class StatusPort(Protocol):
-    """What operators and the balancer ask for."""
+    """Reports status and metrics to operators and the load balancer."""
 
     def status(self) -> EntryStatus:
-        """Describe this process."""
+        """Return the status of this process."""
 
     def metrics_text(self) -> bytes:
         """Render the metrics."""
 
 
 class LivenessResource(Resource):
-    """Answers while the loop turns: a failing probe means restart."""
+    """Liveness probe: answers while the event loop runs; failure means restart."""
 
     isLeaf = True
 
     def render_GET(self, request: Request) -> bytes:
-        """Answer the probe."""
+        """Return 200 unconditionally."""
         return b"live\n"
 
 
 class ReadinessResource(Resource):
-    """Answers 200 while this process takes new requests, else 503 with the reason."""
+    """Readiness probe: 200 if new requests are accepted, else 503 and the reason."""
 
     isLeaf = True
 
@@ -107,7 +107,7 @@
         self.port = port
 
     def render_GET(self, request: Request) -> bytes:
-        """Answer the balancer."""
+        """Return readiness, with the reason if not ready."""
         status = self.port.status()
         if status["ready"]:
             return b"ready\n"
@@ -116,7 +116,7 @@
 
 
 class StatusResource(Resource):
-    """Describes the process as JSON."""
+    """Serves the status of the process as JSON."""
 
     isLeaf = True
 
@@ -125,13 +125,13 @@
         self.port = port
 
     def render_GET(self, request: Request) -> bytes:
-        """Answer with the status."""
+        """Return the status."""
         request.setHeader(b"Content-Type", JSON_TYPE)
         return msgspec.json.encode(self.port.status())
 
 
 class MetricsResource(Resource):
-    """Serves the metrics in Prometheus' text format."""
+    """Serves the metrics in the Prometheus text format."""
 
     isLeaf = True
 
@@ -140,13 +140,13 @@
         self.port = port
 
     def render_GET(self, request: Request) -> bytes:
-        """Answer with the metrics."""
+        """Return the metrics."""
         request.setHeader(b"Content-Type", b"text/plain; version=0.0.4")
         return self.port.metrics_text()
 
 
 class CallResource(Resource):
-    """One call of a caller: starts it and writes its response."""
+    """Starts one call and writes its response."""
 
     isLeaf = True
 
@@ -155,7 +155,7 @@
         self.start = start
 
     def render(self, request: HttpRequest) -> int:
-        """Start the call; the response follows later."""
+        """Start the call; the response is written asynchronously."""
         assert isinstance(request, Request)
         match parse_request_id(request.getHeader("Request-Id")).swap().value_or(None):
             case Problem() as problem:
@@ -173,7 +173,7 @@
 
 
 class CallCollection(Resource):
-    """A folder of calls: the last path segment names the workload or the order key."""
+    """Parent of calls: the last path segment is the workload or the order key."""
 
     def __init__(
         self, start: Callable[[str, Request, str], Deferred[Response]]
@@ -182,7 +182,7 @@
         self.start = start
 
     def getChild(self, path: bytes, request: HttpRequest) -> IResource:
-        """Return the call for one path segment."""
+        """Return the resource of the call for a path segment."""
         name = path.decode("utf-8", "replace")
         if not name:
             return notFound()
@@ -193,7 +193,7 @@
 
 
 def respond(request: Request, request_id: str, response: Response) -> None:
-    """Write a response unless the caller has left."""
+    """Write a response unless the caller has disconnected."""
     if request.finished or request._disconnected:
         return
     request.setHeader(b"Content-Type", JSON_TYPE)
@@ -218,7 +218,7 @@
 def respond_failure(
     request: Request, request_id: str, failure: TwistedFailure
 ) -> TwistedFailure | None:
-    """Answer a call that broke; a cancelled one has nobody to answer."""
+    """Answer a failed call with an internal error; ignore a cancelled one."""
     if failure.check(CancelledError):
         return None
     respond(request, request_id, Problem(ErrorKind.INTERNAL, "internal error"))
@@ -226,7 +226,7 @@
 
 
 def read_body(request: Request) -> bytes:
-    """Return the whole body of a request."""
+    """Return the body of a request, empty if there is none."""
     if request.content is None:
         return b""
     body: bytes = request.content.read()
@@ -234,7 +234,7 @@
 
 
 def build_site(port: CallerPort, state: StatusPort) -> Site:
-    """Build the site that serves callers, operators and the balancer."""
+    """Build the site for callers, operators and the load balancer."""
 
     def search(name: str, request: Request, request_id: str) -> Deferred[Response]:
         deadline = request.getHeader("Deadline-Ms")
@@ -249,15 +249,15 @@
 
     root = Resource()
 
-    def put(path: bytes, child: Resource) -> None:
+    def add_child(path: bytes, child: Resource) -> None:
         root.putChild(path, cast("IResource", child))
 
-    put(b"live", LivenessResource())  # type: ignore[no-untyped-call]
-    put(b"ready", ReadinessResource(state))
-    put(b"status", StatusResource(state))
-    put(b"metrics", MetricsResource(state))
-    put(b"search", CallCollection(search))
-    put(b"orders", CallCollection(order))
+    add_child(b"live", LivenessResource())  # type: ignore[no-untyped-call]
+    add_child(b"ready", ReadinessResource(state))
+    add_child(b"status", StatusResource(state))
+    add_child(b"metrics", MetricsResource(state))
+    add_child(b"search", CallCollection(search))
+    add_child(b"orders", CallCollection(order))
     site = Site(root, timeout=IDLE_TIMEOUT_S)
     site.displayTracebacks = False
     site.noisy = False
--- a/sardinehook/entry/order_handler.py
+++ b/sardinehook/entry/order_handler.py
@@ -1,4 +1,4 @@
-"""Places callers' orders through the order desk and the dispatcher."""
+"""Places callers' orders and looks up their status."""
 
 from __future__ import annotations
 
@@ -25,11 +25,11 @@
 
 __all__ = ["OrderHandler"]
 
-OK = 200
+HTTP_OK = 200
 
 
 class OrderHandler:
-    """The orders of one entry process; counts those in flight."""
+    """Handles the orders of one entry process and counts those in flight."""
 
     def __init__(
         self,
@@ -57,32 +57,32 @@
             Limits().order_retention_ms,
             metrics,
         )
-        self.front = OrderFront(self.desk, self.choose)
+        self.front = OrderFront(self.desk, self.choose_replica)
 
     def configure(self, limits: Limits) -> None:
-        """Use the bounds of a new document."""
+        """Use the limits of a new document."""
         self.desk.register.retention_ms = limits.order_retention_ms
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
-        """Send an order's only sub-query."""
-        ended: Deferred[SubReply] = Deferred()
-        self.dispatcher.send(sub_query, ended.callback)
-        return ended
-
-    def choose(self, workload: Workload, service: str) -> str | None:
-        """Choose the replica that is to get an order."""
-        planned = self.planner.plan(workload, service, self.reactor.seconds())
-        match planned:
+        """Send the single sub-query of an order."""
+        reply_received: Deferred[SubReply] = Deferred()
+        self.dispatcher.send(sub_query, reply_received.callback)
+        return reply_received
+
+    def choose_replica(self, workload: Workload, service: str) -> str | None:
+        """Choose the replica for an order, ``None`` if none is available."""
+        plan_result = self.planner.plan(workload, service, self.reactor.seconds())
+        match plan_result:
             case Success(plan):
                 return next(iter(plan.services[0].replicas), None)
         return None
 
     def place(self, request: CallerRequest, key: str | None) -> Deferred[Response]:
-        """Place an order; it goes on when the caller leaves."""
+        """Place an order; it continues if the caller disconnects."""
         return Deferred.fromCoroutine(self.place_counted(request, key))
 
     async def place_counted(self, request: CallerRequest, key: str | None) -> Response:
-        """Place an order and count it while it is in flight."""
+        """Place an order and count it as in flight until it ends."""
         self.in_flight += 1
         try:
             return to_response(await self.front.place(request, key))
@@ -90,13 +90,13 @@
             self.in_flight -= 1
 
     def look_up(self, key: str) -> Deferred[Response]:
-        """Tell what became of an order."""
-        looked_up = Deferred.fromCoroutine(self.front.look_up(key))
-        return looked_up.addCallback(to_response)
+        """Return the status of an order."""
+        answer = Deferred.fromCoroutine(self.front.look_up(key))
+        return answer.addCallback(to_response)
 
 
 def to_response(result: Result[bytes, Problem]) -> Response:
-    """Turn a result into what the front writes."""
+    """Convert a result to an HTTP response."""
     if is_successful(result):
-        return BodyResponse(OK, result.unwrap())
+        return BodyResponse(HTTP_OK, result.unwrap())
     return result.failure()
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -1,4 +1,4 @@
-"""The entry process: wires its parts, starts them and stops them gracefully."""
+"""The entry process: builds its components, starts and stops them."""
 
 from __future__ import annotations
 
@@ -62,18 +62,18 @@
 STORE_TIMEOUT_MS = 1000.0
 STOP_POLL_S = 0.02
 HOUSEKEEPING_INTERVAL_S = 0.5
-STORE_WATCHERS = 2
+WATCHERS_PER_DATA_CENTRE = 2
 INCARNATION_BYTES = 4
 BOOT_BITS = 31
-JOIN_PATIENCE_S = 5.0
+JOIN_TIMEOUT_S = 5.0
 SUB_QUERY_ID_RANDOM_BITS = 31
 SUB_QUERY_ID_COUNT_BITS = 32
 MS_PER_S = 1000.0
-DEFAULT_GRACE_S = 10.0
+DEFAULT_STOP_GRACE_S = 10.0
 
 
 class EntryProcess:
-    """One entry VM's process: front, searches, owned replicas and links."""
+    """The process of an entry VM: HTTP server, searches, owned replicas, links."""
 
     def __init__(self, reactor: Any, settings: EntrySettings) -> None:  # noqa: ANN401
         self.reactor = reactor
@@ -84,7 +84,7 @@
         self.store = HttpStore(reactor, settings.platform_address, STORE_TIMEOUT_MS)
         self.links = Links(reactor, settings.node, settings.link_address)
         self.links.read_stamp = self.clock.tick
-        self.links.observe_stamp = self.witness
+        self.links.observe_stamp = self.observe_stamp
         self.vm_list = HttpVmList(reactor, settings.platform_address, STORE_TIMEOUT_MS)
         self.owner = TargetOwner(reactor, OwnerLimits())
         self.fleet = Fleet(
@@ -99,7 +99,7 @@
         self.allowances = AllowanceApplier(
             reactor, settings.data_centre, self.fleet, self.owner
         )
-        self.guard = LeaseGuard(self.fleet, self.allowances, self.owner)
+        self.lease_guard = LeaseGuard(self.fleet, self.allowances, self.owner)
         self.vm_watch = VmWatch(
             reactor,
             self.vm_list,
@@ -107,51 +107,53 @@
             self.fleet.peers,
             self.links.send,
         )
-        self.dispatcher = Dispatcher(settings.node, self.fleet, self.links, self.guard)
+        self.dispatcher = Dispatcher(
+            settings.node, self.fleet, self.links, self.lease_guard
+        )
         self.sub_query_ids = count(first_sub_query_id())
         chooser = ReplicaChooser(settings.data_centre, crc32(settings.node.encode()))
         policy = SearchPolicy(self.sub_query_ids, chooser=chooser)
-        self.searches = SearchHandler(
+        self.search_handler = SearchHandler(
             reactor, self.dispatcher, policy, self.metrics, self.clock
         )
-        self.orders = OrderHandler(
+        self.order_handler = OrderHandler(
             reactor,
             self.store,
             settings.environment,
             Claimant(settings.node, secrets.token_hex(INCARNATION_BYTES)),
             self.dispatcher,
-            self.searches.planner,
+            self.search_handler.planner,
             self.sub_query_ids,
             self.metrics,
         )
-        self.desk = RequestHandler(
-            settings.data_centre, self.holder, self.searches, self.orders
+        self.request_handler = RequestHandler(
+            settings.data_centre, self.holder, self.search_handler, self.order_handler
         )
-        self.views = ReportExchange(
+        self.report_exchange = ReportExchange(
             reactor,
             self.owner.views,
-            self.list_connected,
+            self.connected_peers,
             self.links.send,
-            self.searches.take_view,
+            self.search_handler.on_report,
         )
-        self.control = DocumentUpdater(
+        self.updater = DocumentUpdater(
             reactor,
             self.store,
             self.holder,
-            self.tell,
-            self.list_connected,
+            self.send_message,
+            self.connected_peers,
             random.Random(settings.node),
         )
         self.lag_probe = LoopLagProbe(reactor, self.metrics)
-        self.housekeeping = LoopingCall(self.keep_house)
+        self.housekeeping = LoopingCall(self.run_housekeeping)
         self.housekeeping.clock = reactor
         self.started_at = 0.0
         self.stopping = False
-        self.front: Any = None
-        self.wire()
+        self.listener: Any = None
+        self.connect_components()
 
     def make_identity(self) -> Identity:
-        """Draw the identity of this run of the process."""
+        """Create the identity of this run, with a random boot number."""
         settings = self.settings
         member = Member(
             settings.node,
@@ -163,82 +165,84 @@
         boot = secrets.randbits(BOOT_BITS)
         return Identity(settings.environment, member, boot, settings.vm_incarnation)
 
-    def list_connected(self) -> list[str]:
-        """List the peers that can be reached now."""
+    def connected_peers(self) -> list[str]:
+        """Return the names of the peers with a live link, sorted."""
         return sorted(self.links.live_links)
 
-    def tell(self, node: str, message: Message) -> None:
-        """Send a message that may be lost."""
+    def send_message(self, node: str, message: Message) -> None:
+        """Send a message; delivery is not guaranteed."""
         self.links.send(node, message)
 
-    def keep_house(self) -> None:
-        """Do what is due from time to time: choose watchers, set gauges."""
+    def run_housekeeping(self) -> None:
+        """Run periodic work: select the store watchers and update the gauges."""
         alive = sorted(
             member.name
             for member in self.fleet.members(self.settings.data_centre)
             if member.state is MemberState.ALIVE or member.name == self.settings.node
         )
-        watches = self.settings.node in alive[:STORE_WATCHERS]
-        self.control.set_watching(watches)
-        self.vm_watch.should_fetch(watches)
-        self.set_gauges()
-
-    def set_gauges(self) -> None:
-        """Set the metrics of what this process holds and knows."""
-        held = self.owner.counts()
-        self.metrics.connections.set(held.connections)
-        self.metrics.connections_allowed.set(held.connections_allowed)
-        self.metrics.slots.set(held.slots)
-        self.metrics.slots_allowed.set(held.slots_allowed)
-        self.metrics.queued.set(held.queued)
-        self.metrics.set_replicas(held.replicas)
-
-    def take_view(self, view: ReplicaReport) -> None:
-        """Use what the owner of a replica tells, here or at a peer."""
-        self.searches.take_view(view)
-        self.owner.update_peer_view(view.replica, TargetState(view.state))
-
-    def wire(self) -> None:
-        """Connect the parts."""
+        watches = self.settings.node in alive[:WATCHERS_PER_DATA_CENTRE]
+        self.updater.set_watching(watches)
+        self.vm_watch.set_fetching(watches)
+        self.update_gauges()
+
+    def update_gauges(self) -> None:
+        """Update the gauges of connections, slots, queue and replicas."""
+        counts = self.owner.counts()
+        self.metrics.connections.set(counts.connections)
+        self.metrics.connections_allowed.set(counts.connections_allowed)
+        self.metrics.slots.set(counts.slots)
+        self.metrics.slots_allowed.set(counts.slots_allowed)
+        self.metrics.queued.set(counts.queued)
+        self.metrics.set_replicas(counts.replicas)
+
+    def on_report(self, report: ReplicaReport) -> None:
+        """Apply a peer's report on a replica to searches and the local owner."""
+        self.search_handler.on_report(report)
+        self.owner.update_peer_view(report.replica, TargetState(report.state))
+
+    def connect_components(self) -> None:
+        """Register listeners and message handlers."""
         self.holder.add_listener(self.apply_revision)
-        self.links.on(SubQuery, self.take_sub_query)
-        self.links.on(CancelSubQuery, self.take_cancel)
+        self.links.on(SubQuery, self.on_sub_query)
+        self.links.on(CancelSubQuery, self.on_cancel)
         for message_type in (RevisionAnnounce, RevisionRequest, RevisionDelta):
-            self.links.on(message_type, self.control.on_message)
+            self.links.on(message_type, self.updater.on_message)
         self.links.on(SubReply, self.dispatcher.on_reply)
-        self.links.on(ReplicaReport, lambda _node, view: self.take_view(view))
-        self.links.on(VmNotice, lambda _node, notice: self.vm_watch.take(notice))
+        self.links.on(ReplicaReport, lambda _node, report: self.on_report(report))
+        self.links.on(VmNotice, lambda _node, notice: self.vm_watch.on_notice(notice))
         self.fleet.on_change(self.allowances.schedule)
         self.links.on_down(self.dispatcher.on_link_down)
-        self.links.on_down(self.views.forget)
+        self.links.on_down(self.report_exchange.forget)
 
-    def witness(self, stamp: int) -> None:
-        """Take in the clock of a peer."""
+    def observe_stamp(self, stamp: int) -> None:
+        """Advance the hybrid clock to a peer's stamp."""
         self.clock.witness(stamp)
 
-    def take_sub_query(self, node: str, sub_query: SubQuery) -> None:
-        """Run a peer's sub-query at a replica owned here."""
-        self.guard.submit(node, sub_query, lambda reply: self.send_reply(node, reply))
+    def on_sub_query(self, node: str, sub_query: SubQuery) -> None:
+        """Run a peer's sub-query on a replica owned by this process."""
+        self.lease_guard.submit(
+            node, sub_query, lambda reply: self.send_reply(node, reply)
+        )
 
     def send_reply(self, node: str, reply: SubReply) -> None:
-        """Return a reply to the peer that asked; a lost link has told it already."""
+        """Send a reply to the peer; a lost link has already failed its request."""
         self.links.send(node, reply)
 
-    def take_cancel(self, node: str, cancel: CancelSubQuery) -> None:
-        """Abandon a peer's sub-query."""
+    def on_cancel(self, node: str, cancel: CancelSubQuery) -> None:
+        """Cancel a peer's sub-query."""
         self.owner.cancel(node, cancel.sub_query_id)
 
     def start(self) -> Deferred[None]:
-        """Listen, connect and begin to follow the environment's document."""
+        """Open the listeners, join the fleet and start following the document."""
         self.started_at = self.reactor.seconds()
         listening = self.links.listen()
         self.fleet.start()
         host, port = split_address(self.settings.http_address)
-        self.front = self.reactor.listenTCP(
-            port, build_site(self.desk, self), backlog=512, interface=host
+        self.listener = self.reactor.listenTCP(
+            port, build_site(self.request_handler, self), backlog=512, interface=host
         )
-        self.views.start()
-        self.control.start([peer.node for peer in self.settings.peers])
+        self.report_exchange.start()
+        self.updater.start([peer.node for peer in self.settings.peers])
         self.housekeeping.start(HOUSEKEEPING_INTERVAL_S)
         self.lag_probe.start()
         log_event(
@@ -250,10 +254,10 @@
         return listening.addCallback(lambda _address: None)
 
     def apply_revision(self, revision: Revision) -> None:
-        """Put a revision in force in every part of the process."""
+        """Put a revision in force in every component."""
         document = revision.document
-        self.searches.configure(document)
-        self.orders.configure(document.limits)
+        self.search_handler.configure(document)
+        self.order_handler.configure(document.limits)
         replicas = {
             replica.name: IndexedReplica(replica, index)
             for index in document.indexes.values()
@@ -277,17 +281,17 @@
         )
 
     def unready_reason(self) -> str:
-        """Return why the balancer should send nothing though requests are served."""
+        """Return why readiness fails while requests are accepted, else empty."""
         if self.stopping:
             return "stopping"
         waited_s = self.reactor.seconds() - self.started_at
-        unheard = set(self.data_centres()) - self.fleet.roster_cache.rosters.keys()
-        if unheard and waited_s < JOIN_PATIENCE_S:
-            return f"joining the fleet, not heard of {', '.join(sorted(unheard))}"
+        missing = set(self.data_centres()) - self.fleet.roster_cache.rosters.keys()
+        if missing and waited_s < JOIN_TIMEOUT_S:
+            return f"joining the fleet, no roster from {', '.join(sorted(missing))}"
         return ""
 
     def run(self) -> None:
-        """Start with the reactor, run it, and stop gracefully when it is told to."""
+        """Run the reactor; start with it and stop gracefully before it shuts down."""
         self.reactor.callWhenRunning(self.start)
         self.reactor.addSystemEventTrigger(
             "before", "shutdown", lambda: Deferred.fromCoroutine(self.stop())
@@ -295,13 +299,13 @@
         self.reactor.run()
 
     def data_centres(self) -> list[str]:
-        """List the data centres of the document in force."""
+        """Return the data centres of the document in force, sorted."""
         revision = self.holder.in_force
         return sorted(revision.document.data_centres) if revision else []
 
     def status(self) -> EntryStatus:
-        """Describe this process."""
-        problem = self.desk.refusal()
+        """Return the status of this process."""
+        problem = self.request_handler.refusal()
         revision = self.holder.in_force
         reason = problem.detail if problem else self.unready_reason()
         return EntryStatus(
@@ -317,7 +321,7 @@
                 for data_centre in self.data_centres()
                 for member in self.fleet.members(data_centre)
             ],
-            requests_in_flight=self.desk.in_flight,
+            requests_in_flight=self.request_handler.in_flight,
         )
 
     def metrics_text(self) -> bytes:
@@ -325,45 +329,45 @@
         return self.metrics.render()
 
     async def stop(self) -> None:
-        """Stop gracefully: turn not-ready, finish what is in flight, leave."""
+        """Stop gracefully: fail readiness, drain requests, leave the fleet."""
         log_event(logger, EventName.PROCESS_STOPPING)
         self.stopping = True
         revision = self.holder.in_force
         limits = revision.document.limits if revision else None
         notice_s = limits.stop_notice_ms / MS_PER_S if limits else 0.0
-        grace_s = limits.stop_grace_ms / MS_PER_S if limits else DEFAULT_GRACE_S
-        give_up_at = self.reactor.seconds() + notice_s + grace_s
+        grace_s = limits.stop_grace_ms / MS_PER_S if limits else DEFAULT_STOP_GRACE_S
+        deadline = self.reactor.seconds() + notice_s + grace_s
         await deferLater(self.reactor, notice_s)
-        self.desk.takes_requests = False
-        await self.front.stopListening()
-        while self.desk.in_flight and self.reactor.seconds() < give_up_at:
+        self.request_handler.takes_requests = False
+        await self.listener.stopListening()
+        while self.request_handler.in_flight and self.reactor.seconds() < deadline:
             await deferLater(self.reactor, STOP_POLL_S)
-        drained = Deferred.fromCoroutine(self.orders.desk.drain())
-        drained.addTimeout(max(0.0, give_up_at - self.reactor.seconds()), self.reactor)
+        drained = Deferred.fromCoroutine(self.order_handler.desk.drain())
+        drained.addTimeout(max(0.0, deadline - self.reactor.seconds()), self.reactor)
         drained.addErrback(lambda failure: failure.trap(TimeoutError))
         await drained
-        await self.fleet.leave(max(0.0, give_up_at - self.reactor.seconds()))
-        await self.owner.close(max(0.0, give_up_at - self.reactor.seconds()))
+        await self.fleet.leave(max(0.0, deadline - self.reactor.seconds()))
+        await self.owner.close(max(0.0, deadline - self.reactor.seconds()))
         self.vm_watch.stop()
         await self.fleet.stop()
         self.housekeeping.stop()
         self.lag_probe.stop()
-        self.control.stop()
-        self.views.stop()
+        self.updater.stop()
+        self.report_exchange.stop()
         await self.links.close()
         log_event(logger, EventName.PROCESS_STOPPED)
 
 
 def first_sub_query_id() -> int:
-    """Draw where sub-query ids start, so that a restarted process repeats none.
+    """Return a random first sub-query id, so that a restart reuses no ids.
 
-    An owner may still hold replies to the process that had this node's name before.
+    An owner may still hold replies for the previous process with this node name.
     """
     return secrets.randbits(SUB_QUERY_ID_RANDOM_BITS) << SUB_QUERY_ID_COUNT_BITS
 
 
 def run_entry(settings: EntrySettings) -> None:
-    """Run an entry process on the default reactor until it is told to stop."""
+    """Run an entry process on the default reactor until SIGTERM or SIGINT."""
     from twisted.internet import reactor
 
     running: Any = reactor
--- a/sardinehook/entry/report_exchange.py
+++ b/sardinehook/entry/report_exchange.py
@@ -1,4 +1,4 @@
-"""Exchanges what owners know of their replicas between entry processes."""
+"""Exchanges owners' replica reports between entry processes."""
 
 from __future__ import annotations
 
@@ -16,66 +16,68 @@
 
 
 class ReportedState(NamedTuple):
-    """The part of a view whose change is worth telling at once."""
+    """The part of a report whose change triggers sending it to peers."""
 
     state: TargetState
     index_versions: tuple[int, ...]
     partitioning: int
 
 
-def facts_of(view: ReplicaReport) -> ReportedState:
-    """Return what of a view is told when it changes; load is told on replies."""
-    return ReportedState(view.state, tuple(view.index_versions), view.partitioning)
+def reported_state(report: ReplicaReport) -> ReportedState:
+    """Return the state to compare; load is excluded, as replies carry it."""
+    return ReportedState(
+        report.state, tuple(report.index_versions), report.partitioning
+    )
 
 
 class ReportExchange:
-    """Sends each peer the views that changed since it was last told.
+    """Sends each peer the reports that changed since the last one sent to it.
 
-    A peer whose link is new is told every view. ``take`` receives the own views as
-    well as those of the peers.
+    A peer whose link is new is sent every report. ``on_report`` is called with every
+    local report at each exchange.
     """
 
     def __init__(
         self,
         reactor: IReactorTime,
-        own_views: Callable[[], Sequence[ReplicaReport]],
+        local_reports: Callable[[], Sequence[ReplicaReport]],
         peers: Callable[[], Iterable[str]],
         send: Callable[[str, ReplicaReport], bool],
-        take: Callable[[ReplicaReport], None],
+        on_report: Callable[[ReplicaReport], None],
     ) -> None:
-        self.own_views = own_views
+        self.local_reports = local_reports
         self.peers = peers
         self.send = send
-        self.take = take
-        self.told: dict[str, dict[str, ReportedState]] = {}
+        self.on_report = on_report
+        self.last_sent: dict[str, dict[str, ReportedState]] = {}
         self.loop = LoopingCall(self.exchange)
         self.loop.clock = reactor
 
     def start(self) -> None:
-        """Begin to exchange views."""
+        """Start the periodic exchange."""
         self.loop.start(EXCHANGE_INTERVAL_S)
 
     def stop(self) -> None:
-        """Exchange no more views."""
+        """Stop the exchange."""
         if self.loop.running:
             self.loop.stop()
 
     def exchange(self) -> None:
-        """Tell every peer what changed."""
-        views = self.own_views()
-        for view in views:
-            self.take(view)
+        """Apply the local reports and send each peer those that changed."""
+        reports = self.local_reports()
+        for report in reports:
+            self.on_report(report)
         for peer in self.peers():
-            self.tell(peer, views)
+            self.send_changes(peer, reports)
 
-    def tell(self, peer: str, views: Sequence[ReplicaReport]) -> None:
-        """Tell one peer what changed since it was last told."""
-        told = self.told.setdefault(peer, {})
-        for view in views:
-            facts = facts_of(view)
-            if told.get(view.replica) != facts and self.send(peer, view):
-                told[view.replica] = facts
+    def send_changes(self, peer: str, reports: Sequence[ReplicaReport]) -> None:
+        """Send one peer the reports that changed since the last one sent to it."""
+        last_sent = self.last_sent.setdefault(peer, {})
+        for report in reports:
+            state = reported_state(report)
+            if last_sent.get(report.replica) != state and self.send(peer, report):
+                last_sent[report.replica] = state
 
     def forget(self, peer: str) -> None:
-        """Tell a peer everything again, since its link was lost."""
-        self.told.pop(peer, None)
+        """Discard what was sent to a peer whose link was lost; resend everything."""
+        self.last_sent.pop(peer, None)
--- a/sardinehook/entry/request_handler.py
+++ b/sardinehook/entry/request_handler.py
@@ -1,4 +1,4 @@
-"""Checks what callers ask for and starts it."""
+"""Validates callers' requests and starts searches and orders."""
 
 from __future__ import annotations
 
@@ -17,9 +17,9 @@
 
 
 class RequestHandler:
-    """Takes searches and orders while the state and the document allow it.
+    """Accepts searches and orders if the process state and the document allow it.
 
-    ``takes_requests`` is cleared when a stopping process no longer listens.
+    ``takes_requests`` is cleared when a stopping process closes its listener.
     """
 
     def __init__(
@@ -37,14 +37,14 @@
 
     @property
     def in_flight(self) -> int:
-        """How many callers' requests are in flight."""
+        """The number of callers' requests in flight."""
         return self.searches.in_flight + self.orders.in_flight
 
     def refusal(self) -> Problem | None:
-        """Return why this process takes no new request, if it takes none."""
+        """Return why new requests are refused, ``None`` if they are accepted."""
         revision = self.holder.in_force
         if revision is None:
-            return Problem(ErrorKind.NO_DOCUMENT, "no document has been seen yet")
+            return Problem(ErrorKind.NO_DOCUMENT, "no document has been loaded yet")
         own = revision.document.data_centres.get(self.data_centre)
         if own is None or own.state is DataCentreState.OUT:
             detail = f"data centre {self.data_centre} is out"
@@ -56,13 +56,13 @@
     def search(
         self, workload: str, request_id: str, deadline: str | None, body: bytes
     ) -> Deferred[Response]:
-        """Run a caller's search."""
+        """Validate a search and run it."""
         match self.check(workload, request_id, deadline, body):
             case Failure(refused):
                 return succeed(refused)
             case Success(request):
                 if not request.workload.idempotent:
-                    detail = f"workload {workload!r} is placed at /orders"
+                    detail = f"workload {workload!r} is not idempotent: use /orders"
                     return succeed(Problem(ErrorKind.BAD_REQUEST, detail))
                 return self.searches.run(request)
         raise AssertionError("a result is a success or a failure")
@@ -70,7 +70,7 @@
     def check(
         self, workload: str, request_id: str, deadline: str | None, body: bytes
     ) -> Result[CallerRequest, Problem]:
-        """Check a caller's request against the state and document of this process."""
+        """Validate a request against the process state and the document in force."""
         problem = self.refusal()
         if problem is not None:
             return Failure(problem)
@@ -86,7 +86,7 @@
         key: str | None,
         body: bytes,
     ) -> Deferred[Response]:
-        """Place a caller's order."""
+        """Validate an order and place it."""
         match self.check(workload, request_id, deadline, body):
             case Failure(refused):
                 return succeed(refused)
@@ -95,5 +95,5 @@
         raise AssertionError("a result is a success or a failure")
 
     def look_up_order(self, key: str) -> Deferred[Response]:
-        """Tell what became of an order."""
+        """Return the status of an order."""
         return self.orders.look_up(key)
--- a/sardinehook/entry/requests.py
+++ b/sardinehook/entry/requests.py
@@ -1,4 +1,4 @@
-"""Callers' requests: parsing, checks, and the form of answers and errors."""
+"""Parsing and validation of callers' requests, and the error format."""
 
 from __future__ import annotations
 
@@ -28,16 +28,16 @@
 
 
 class SearchBody(TypedDict, total=False):
-    """The fields of a caller's body that sardinehook reads; the rest is passed on."""
+    """The fields of a request body that are read here; all are passed on."""
 
     service: str
     limit: int
 
 
 class CallerRequest(NamedTuple):
-    """One request of a caller, checked against the document in force.
+    """A caller's request, validated against the document in force.
 
-    ``service`` is the one to ask if the workload asks a single one.
+    ``service`` is the service to query if the workload has scope one.
     """
 
     request_id: str
@@ -50,7 +50,7 @@
 
 
 class ErrorDetail(TypedDict):
-    """The error part of an error body."""
+    """The ``error`` member of an error body."""
 
     kind: str
     detail: str
@@ -58,14 +58,14 @@
 
 
 class ErrorAnswer(TypedDict):
-    """The body of every answer that is not a success."""
+    """The body of every error response."""
 
     request_id: str
     error: ErrorDetail
 
 
 def encode_error(request_id: str, problem: Problem) -> bytes:
-    """Encode the stable error body for a problem.
+    """Encode the error body for a problem.
 
     >>> encode_error("r1", Problem(ErrorKind.STOPPING, "bye"))[:20]
     b'{"request_id":"r1","'
@@ -79,7 +79,7 @@
 
 
 def parse_request_id(header: str | None) -> Result[str, Problem]:
-    """Take the caller's request id, or make one when there is none."""
+    """Return the caller's request id; generate one if the header is absent."""
     if header is None:
         return Success(uuid.uuid4().hex)
     if not REQUEST_ID_PATTERN.match(header):
@@ -89,7 +89,7 @@
 
 
 def parse_deadline_ms(header: str | None, longest_ms: float) -> Result[float, Problem]:
-    """Take the caller's deadline in milliseconds, at most the workload's own.
+    """Return the deadline in ms, capped at the workload's ``longest_ms``.
 
     >>> parse_deadline_ms("900", 150.0).unwrap()
     150.0
@@ -113,13 +113,15 @@
     deadline_header: str | None,
     body: bytes,
 ) -> Result[CallerRequest, Problem]:
-    """Check a caller's request against the document in force."""
+    """Validate a caller's request against the document in force."""
     workload = document.workloads.get(workload_name)
     if workload is None:
         detail = f"the document has no workload {workload_name!r}"
         return Failure(Problem(ErrorKind.NOT_FOUND, detail))
     if len(body) > document.limits.request_bytes:
-        detail = f"the body exceeds {document.limits.request_bytes} bytes"
+        detail = (
+            f"the body has {len(body)} bytes, limit {document.limits.request_bytes}"
+        )
         return Failure(Problem(ErrorKind.PAYLOAD_TOO_LARGE, detail))
     try:
         fields = msgspec.json.decode(body, type=SearchBody)
@@ -127,7 +129,9 @@
         return Failure(Problem(ErrorKind.BAD_REQUEST, f"the body is invalid: {error}"))
     limit = fields.get("limit", workload.result_limit)
     if limit < 1:
-        return Failure(Problem(ErrorKind.BAD_REQUEST, "limit must be at least 1"))
+        return Failure(
+            Problem(ErrorKind.BAD_REQUEST, f"limit must be at least 1, got {limit}")
+        )
     service = fields.get("service") or only_service(document, workload)
     if workload.scope is Scope.ONE and not service:
         detail = "the body must name one service of the workload's indexes"
@@ -146,7 +150,7 @@
 
 
 def only_service(document: EnvironmentDocument, workload: Workload) -> str:
-    """Return the service of a workload that has just one, else an empty name."""
+    """Return the service if the workload has only one, else an empty string."""
     names = [
         name for index in workload.indexes for name in document.indexes[index].services
     ]
--- a/sardinehook/entry/search_handler.py
+++ b/sardinehook/entry/search_handler.py
@@ -1,4 +1,4 @@
-"""Runs callers' searches with the document, views and policy of this process."""
+"""Runs callers' searches under the current document, replica state and policy."""
 
 from __future__ import annotations
 
@@ -37,12 +37,12 @@
 logger = structlog.get_logger(__name__)
 
 MS_PER_S = 1000.0
-OK = 200
-LOGGED_ONE_IN = 100
+HTTP_OK = 200
+LOG_SAMPLE_ONE_IN = 100
 
 
 class SearchHandler:
-    """Plans, admits, runs and answers searches; counts those in flight."""
+    """Plans, admits and runs searches, and counts those in flight."""
 
     def __init__(
         self,
@@ -59,7 +59,7 @@
         self.admission = AdmissionController(policy.limits, policy.memory)
         self.metrics = metrics
         self.clock = clock
-        self.sampler = QuerySampler(LOGGED_ONE_IN)
+        self.sampler = QuerySampler(LOG_SAMPLE_ONE_IN)
         self.in_flight = 0
 
     def configure(self, document: EnvironmentDocument) -> None:
@@ -67,12 +67,12 @@
         self.planner.apply(document)
         self.admission.limits = document.limits
 
-    def take_view(self, view: ReplicaReport) -> None:
-        """Use what an owner tells of its replica."""
-        self.planner.observe_report(view, self.reactor.seconds())
+    def on_report(self, report: ReplicaReport) -> None:
+        """Record an owner's report on its replica."""
+        self.planner.observe_report(report, self.reactor.seconds())
 
     def run(self, request: CallerRequest) -> Deferred[Response]:
-        """Run a search; cancelling the result abandons it at the targets too."""
+        """Run a search; cancelling the result also cancels it at the targets."""
         now = self.reactor.seconds()
         planned = self.planner.plan(request.workload, request.service, now)
         match planned:
@@ -85,7 +85,7 @@
     def admit(
         self, request: CallerRequest, plan: Plan, now: float
     ) -> Deferred[Response]:
-        """Run a planned search if it can be answered in time."""
+        """Apply admission control to a planned search and run it if admitted."""
         admitted = self.admission.admit(
             request.workload_name,
             request.workload,
@@ -96,25 +96,25 @@
         match admitted:
             case Failure(problem):
                 return succeed(self.refuse(request, problem))
-            case Success(ticket):
-                return self.run_admitted(request, plan, ticket)
+            case Success(admitted_request):
+                return self.run_admitted(request, plan, admitted_request)
         raise AssertionError("a result is a success or a failure")
 
     def run_admitted(
-        self, request: CallerRequest, plan: Plan, ticket: AdmittedRequest
+        self, request: CallerRequest, plan: Plan, admitted_request: AdmittedRequest
     ) -> Deferred[Response]:
-        """Run a search that was admitted."""
-        search = self.build(request, plan, ticket.admitted_at)
+        """Run an admitted search."""
+        search = self.build_search(request, plan, admitted_request.admitted_at)
         log = QueryLog(logger, self.clock, self.sampler, request.request_id)
-        result: Deferred[Response] = Deferred(lambda _result: run.give_up())
+        result: Deferred[Response] = Deferred(lambda _result: run.cancel())
 
-        def settled(settle: Settle) -> None:
+        def on_settle(settle: Settle) -> None:
             self.in_flight -= 1
-            response = self.finish(request, run, ticket, settle)
+            response = self.finish(request, run, admitted_request, settle)
             if not result.called:
                 result.callback(response)
 
-        run = SearchRun(self.reactor, search, self.dispatcher, log, settled)
+        run = SearchRun(self.reactor, search, self.dispatcher, log, on_settle)
         self.in_flight += 1
         self.metrics.in_flight.set(self.in_flight)
         log.note(
@@ -123,11 +123,11 @@
             deadline_ms=request.deadline_ms,
             asked=len(plan.services),
         )
-        run.begin()
+        run.start()
         return result
 
-    def build(self, request: CallerRequest, plan: Plan, now: float) -> Search:
-        """Build the search of a request."""
+    def build_search(self, request: CallerRequest, plan: Plan, now: float) -> Search:
+        """Build the search for a request and its plan."""
         search_request = SearchRequest(
             request_id=request.request_id,
             workload=request.workload_name,
@@ -140,12 +140,12 @@
             request.workload,
             plan.services,
             plan.snapshots,
-            policy_of(request.workload, self.policy),
+            workload_policy(request.workload, self.policy),
             now,
         )
 
     def refuse(self, request: CallerRequest, problem: Problem) -> Problem:
-        """Count and log a search that was not begun."""
+        """Count and log a refused search."""
         self.metrics.observe_refusal(request.workload_name, 0.0, problem.kind)
         log_event(
             logger,
@@ -161,16 +161,18 @@
         self,
         request: CallerRequest,
         run: SearchRun,
-        ticket: AdmittedRequest,
+        admitted_request: AdmittedRequest,
         settle: Settle,
     ) -> Response:
-        """Count and log a settled search and build its response."""
+        """Update metrics, log a settled search and build its response."""
         now = self.reactor.seconds()
         name = request.workload_name
-        took_s = now - ticket.admitted_at
+        took_s = now - admitted_request.admitted_at
         answered = isinstance(settle.outcome, SearchAnswer)
         self.metrics.in_flight.set(self.in_flight)
-        self.admission.finish(ticket, run.search.was_congested(), answered, now)
+        self.admission.finish(
+            admitted_request, run.search.was_congested(), answered, now
+        )
         for attempt, count in run.attempts.items():
             self.metrics.count_sub_queries(name, attempt, count)
         match settle.outcome:
@@ -181,7 +183,7 @@
             case answer:
                 self.metrics.observe_answer(name, took_s, answer.coverage.ratio)
                 self.log_end(EventName.QUERY_ANSWERED, run, settle, took_s, None)
-                return BodyResponse(OK, encode_answer(answer))
+                return BodyResponse(HTTP_OK, encode_answer(answer))
 
     def log_end(
         self,
@@ -191,7 +193,7 @@
         took_s: float,
         problem: Problem | None,
     ) -> None:
-        """Write the story of a search if it is sampled or in trouble."""
+        """Log the end of a search; its events are kept if sampled or failed."""
         coverage = settle.coverage
         written = run.log.end(
             event,
@@ -204,8 +206,8 @@
         self.metrics.log_queries.labels(str(written).lower()).inc()
 
 
-def policy_of(workload: Workload, policy: SearchPolicy) -> SearchPolicy:
-    """Return the policy of a workload; what policies learn is shared by all."""
+def workload_policy(workload: Workload, policy: SearchPolicy) -> SearchPolicy:
+    """Return a workload's policy; learned state is shared by all workloads."""
     match workload.hedge:
         case Hedge.ADAPTIVE:
             return policy
--- a/sardinehook/entry/search_run.py
+++ b/sardinehook/entry/search_run.py
@@ -1,4 +1,4 @@
-"""Runs one search: performs its actions and feeds it replies and time."""
+"""Runs one search: executes its actions and passes it replies and timeouts."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
 
 class OutstandingSubQuery(NamedTuple):
-    """A sub-query that has no end yet."""
+    """A sub-query that has been sent and not completed."""
 
     service: str
     replica: str
@@ -35,7 +35,7 @@
 class SearchRun:
     """Drives a ``Search`` until it settles, then calls ``on_settle`` once.
 
-    ``attempts`` counts the sub-queries sent, by why they were sent.
+    ``attempts`` counts the sub-queries sent, by kind: first, hedge or retry.
     """
 
     def __init__(
@@ -52,36 +52,36 @@
         self.log = log
         self.on_settle = on_settle
         self.attempts: Counter[Attempt] = Counter()
-        self.open: dict[int, OutstandingSubQuery] = {}
-        self.asked: set[str] = set()
+        self.outstanding: dict[int, OutstandingSubQuery] = {}
+        self.queried_services: set[str] = set()
         self.actions: deque[Action] = deque()
         self.performing = False
         self.timer: Timer | None = None
         self.timer_at = 0.0
 
-    def begin(self) -> None:
-        """Send the first sub-queries."""
+    def start(self) -> None:
+        """Start the search and send its first sub-queries."""
         self.perform(self.search.begin(self.reactor.seconds()))
 
     def on_reply(self, reply: SubReply) -> None:
-        """Feed a reply to the search."""
-        self.note_end(reply)
+        """Pass a reply to the search."""
+        self.log_end(reply)
         if not self.search.settled:
             self.perform(self.search.on_reply(reply, self.reactor.seconds()))
 
     def on_timer(self) -> None:
-        """Feed the time to the search."""
+        """Pass a timer expiry to the search."""
         self.timer = None
         if not self.search.settled:
             self.perform(self.search.on_timer(self.reactor.seconds()))
 
-    def give_up(self) -> None:
-        """Settle now: the caller has left."""
+    def cancel(self) -> None:
+        """Cancel the search because the caller disconnected."""
         if not self.search.settled:
             self.perform(self.search.cancel(self.reactor.seconds()))
 
     def perform(self, actions: Iterable[Action]) -> None:
-        """Perform actions in order, also those that arise on the way."""
+        """Execute actions in order, including those queued during execution."""
         self.actions.extend(actions)
         if self.performing:
             return
@@ -94,44 +94,46 @@
         self.arm_timer()
 
     def perform_one(self, action: Action) -> None:
-        """Perform one action."""
+        """Execute one action."""
         match action:
             case Send(sub_query):
-                self.note_sent(sub_query)
+                self.record_sent(sub_query)
                 self.dispatcher.send(sub_query, self.on_reply)
             case Cancel(sub_query_id):
-                self.note_cancel(sub_query_id)
+                self.log_cancelled(sub_query_id)
                 self.dispatcher.cancel(sub_query_id)
             case Settle():
                 self.reactor.callLater(0, partial(self.on_settle, action))
 
     def arm_timer(self) -> None:
-        """Set the timer for the next moment at which the search wants the time."""
-        due = None if self.search.settled else self.search.next_timer()
+        """Set the timer to the next timer due in the search."""
+        due_at = None if self.search.settled else self.search.next_timer()
         if self.timer is not None:
-            if due == self.timer_at:
+            if due_at == self.timer_at:
                 return
             self.timer.cancel()
             self.timer = None
-        if due is not None:
-            delay = max(0.0, due - self.reactor.seconds())
+        if due_at is not None:
+            delay = max(0.0, due_at - self.reactor.seconds())
             self.timer = self.reactor.callLater(delay, self.on_timer)
-            self.timer_at = due
+            self.timer_at = due_at
 
-    def classify(self, service: str) -> Attempt:
-        """Tell why a sub-query is sent from what was sent before."""
-        if service not in self.asked:
+    def classify_attempt(self, service: str) -> Attempt:
+        """Classify a sub-query as first, hedge or retry from those sent before."""
+        if service not in self.queried_services:
             return Attempt.FIRST
-        waiting = any(one.service == service for one in self.open.values())
-        return Attempt.HEDGE if waiting else Attempt.RETRY
+        outstanding_for_service = any(
+            other.service == service for other in self.outstanding.values()
+        )
+        return Attempt.HEDGE if outstanding_for_service else Attempt.RETRY
 
-    def note_sent(self, sub_query: SubQuery) -> None:
-        """Count and log a sub-query that is sent."""
+    def record_sent(self, sub_query: SubQuery) -> None:
+        """Count and log a sub-query being sent."""
         service, replica = sub_query.service, sub_query.replica
-        attempt = self.classify(service)
+        attempt = self.classify_attempt(service)
         self.attempts[attempt] += 1
-        self.asked.add(service)
-        self.open[sub_query.sub_query_id] = OutstandingSubQuery(service, replica)
+        self.queried_services.add(service)
+        self.outstanding[sub_query.sub_query_id] = OutstandingSubQuery(service, replica)
         self.log.note(
             SENT_EVENTS[attempt],
             sub_query=sub_query.sub_query_id,
@@ -139,9 +141,9 @@
             target=replica,
         )
 
-    def note_end(self, reply: SubReply) -> None:
-        """Log the end of a sub-query."""
-        ended = self.open.pop(reply.sub_query_id, None)
+    def log_end(self, reply: SubReply) -> None:
+        """Log the completion of a sub-query."""
+        ended = self.outstanding.pop(reply.sub_query_id, None)
         if ended is not None:
             self.log.note(
                 EventName.SUB_QUERY_ENDED,
@@ -153,9 +155,9 @@
                 detail=reply.detail,
             )
 
-    def note_cancel(self, sub_query_id: int) -> None:
-        """Log that a sub-query is cancelled."""
-        ended = self.open.pop(sub_query_id, None)
+    def log_cancelled(self, sub_query_id: int) -> None:
+        """Log the cancellation of a sub-query."""
+        ended = self.outstanding.pop(sub_query_id, None)
         if ended is not None:
             self.log.note(
                 EventName.SUB_QUERY_CANCELLED,
--- a/sardinehook/entry/settings.py
+++ b/sardinehook/entry/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one entry process: who it is and whom it can reach, no policy."""
+"""Settings of one entry process: identity, addresses, peers, no policy."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class Peer(NamedTuple):
-    """Another entry VM that this process may contact when it starts."""
+    """Another entry VM that this process may contact at start-up."""
 
     node: Name
     data_centre: Name
@@ -23,10 +23,10 @@
 class EntrySettings(NamedTuple):
     """Identity and addresses of one entry process. Addresses are ``IP:port``.
 
-    ``vm_incarnation`` is the platform's number for this start of the VM, zero if it is
-    not known; it lets the platform's list show that the VM was replaced.
-    ``http_address`` takes callers' requests, ``link_address`` the links of other
-    entry processes (TCP) and their membership datagrams (UDP).
+    ``vm_incarnation`` is the platform's number for this start of the VM, zero if
+    unknown; a different number in the platform's VM list means that the VM was
+    replaced. ``http_address`` accepts callers' requests, ``link_address`` the links
+    (TCP) and membership datagrams (UDP) of other entry processes.
     """
 
     node: Name
--- a/sardinehook/entry/vm_watch.py
+++ b/sardinehook/entry/vm_watch.py
@@ -1,4 +1,4 @@
-"""Follows the platform's list of VMs for replicas that leave or were replaced."""
+"""Polls the platform's VM list for replicas that leave or were replaced."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
 
 
 class VmNotice(NamedTuple):
-    """Tells a peer of the own data centre what the VM list says of a replica.
+    """The state of a replica in the VM list, sent to peers in the same data centre.
 
-    ``state`` is ``DRAINING``, ``GONE`` or ``UNKNOWN`` for nothing against it.
+    ``state`` is ``DRAINING``, ``GONE``, or ``UNKNOWN`` if the VM is listed as live.
     """
 
     replica: str
@@ -35,27 +35,27 @@
 
 
 class VmWatch:
-    """Fetches the list where this process is told to, and passes on what changed.
+    """Polls the VM list if fetching is enabled, and passes on changes.
 
-    A replica is known to the list by its name. One that was never listed is not taken
-    to be gone: the list may not cover targets. ``peers`` are those of the own data
-    centre, so that few processes of it need to fetch.
+    Replicas and VMs are matched by name. A replica that was never listed is not
+    considered gone, as the list may not cover targets. Changes are sent to ``peers``,
+    those of the same data centre, so that few processes of it need to poll.
     """
 
     def __init__(
         self,
         reactor: IReactorTime,
         vm_list: VmLister,
-        note: Callable[[str, TargetState, str], None],
+        on_state: Callable[[str, TargetState, str], None],
         peers: Callable[[], Iterable[str]],
         send: Callable[[str, VmNotice], bool],
     ) -> None:
         self.vm_list = vm_list
-        self.note = note
+        self.on_state = on_state
         self.peers = peers
         self.send = send
         self.replicas: Mapping[str, IndexedReplica] = {}
-        self.told: dict[str, VmNotice] = {}
+        self.last_notices: dict[str, VmNotice] = {}
         self.fetching = False
         self.loop = LoopingCall(self.fetch)
         self.loop.clock = reactor
@@ -63,55 +63,59 @@
     def configure(self, replicas: Mapping[str, IndexedReplica]) -> None:
         """Use the replicas of a new document."""
         self.replicas = replicas
-        self.told = {name: one for name, one in self.told.items() if name in replicas}
-
-    def should_fetch(self, told: bool) -> None:
-        """Begin or end to fetch the list."""
-        if told and not self.loop.running:
+        self.last_notices = {
+            name: notice
+            for name, notice in self.last_notices.items()
+            if name in replicas
+        }
+
+    def set_fetching(self, enabled: bool) -> None:
+        """Start or stop polling the list."""
+        if enabled and not self.loop.running:
             self.loop.start(FETCH_INTERVAL_S)
-        elif not told and self.loop.running:
+        elif not enabled and self.loop.running:
             self.loop.stop()
 
     def stop(self) -> None:
-        """End to fetch the list."""
-        self.should_fetch(False)
+        """Stop polling the list."""
+        self.set_fetching(False)
 
     def fetch(self) -> None:
-        """Fetch the list unless the last fetch still waits."""
+        """Fetch the list unless a fetch is in progress."""
         if not self.fetching:
             self.fetching = True
             Deferred.fromCoroutine(self.fetch_once())
 
     async def fetch_once(self) -> None:
-        """Fetch the list and pass on what changed."""
+        """Fetch the list and pass on changes; an outage changes nothing."""
         try:
             match await self.vm_list.fetch():
                 case Success(listed):
-                    self.compare({vm.name: vm for vm in listed.vms})
+                    self.process_list({vm.name: vm for vm in listed.vms})
         finally:
             self.fetching = False
 
-    def compare(self, listed: Mapping[str, Vm]) -> None:
-        """Pass on what the list says anew of each replica."""
+    def process_list(self, listed: Mapping[str, Vm]) -> None:
+        """Apply changed replica states and send them to the peers."""
         for name in self.replicas:
             notice = self.notice_of(name, listed.get(name))
-            if notice is not None and self.told.get(name) != notice:
-                self.take(notice)
+            if notice is not None and self.last_notices.get(name) != notice:
+                self.on_notice(notice)
                 for peer in self.peers():
                     self.send(peer, notice)
 
     def notice_of(self, name: str, vm: Vm | None) -> VmNotice | None:
-        """Return what the list says of a replica, ``None`` if nothing."""
+        """Return the notice for a replica, ``None`` if it was never listed."""
         if vm is None:
-            before = self.told.get(name)
-            if before is None:
+            previous = self.last_notices.get(name)
+            if previous is None:
                 return None
-            return VmNotice(name, TargetState.GONE, before.incarnation)
+            return VmNotice(name, TargetState.GONE, previous.incarnation)
         leaving = vm.state is VmState.LEAVING
         state = TargetState.DRAINING if leaving else TargetState.UNKNOWN
         return VmNotice(name, state, str(vm.incarnation))
 
-    def take(self, notice: VmNotice) -> None:
-        """Take a notice of the own list or of a peer."""
-        self.told[notice.replica] = notice
-        self.note(notice.replica, TargetState(notice.state), notice.incarnation)
+    def on_notice(self, notice: VmNotice) -> None:
+        """Apply a notice from the list or from a peer."""
+        self.last_notices[notice.replica] = notice
+        self.on_state(notice.replica, TargetState(notice.state), notice.incarnation)
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -1,4 +1,4 @@
-"""Tests of the dispatcher of sub-queries."""
+"""Tests of the sub-query dispatcher."""
 
 from __future__ import annotations
 
@@ -16,14 +16,14 @@
 
 
 class FakeDirectory:
-    """Owners from a table."""
+    """A directory backed by ``OWNERS``."""
 
     def candidates_of(self, replica: Replica) -> tuple[str, ...]:
         return OWNERS.get(replica.name, ())
 
 
 class FakeLinks:
-    """Keeps what is sent; down links send nothing."""
+    """Records sent messages; sending on a link that is down fails."""
 
     def __init__(self) -> None:
         self.sent: list[tuple[str, object]] = []
@@ -36,7 +36,7 @@
 
 
 class FakeOwner:
-    """Keeps what is submitted."""
+    """Records submitted and cancelled sub-queries."""
 
     def __init__(self) -> None:
         self.replies: dict[int, Callable[[SubReply], None]] = {}
@@ -52,7 +52,7 @@
 
 
 class Fixture:
-    """A dispatcher at node e1 with its fakes and the replies that it delivered."""
+    """A dispatcher on node e1 with fakes, recording the delivered replies."""
 
     def __init__(self) -> None:
         self.links = FakeLinks()
@@ -74,31 +74,31 @@
 
 
 class TestSending:
-    def test_an_own_replica_is_served_here(self) -> None:
+    def test_local_replica_is_served_locally(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-here")
         fixture.owner.replies[1](answered(1))
         assert [reply.outcome for reply in fixture.replies] == [Outcome.ANSWERED]
         assert fixture.links.sent == []
 
-    def test_another_node_s_replica_goes_over_its_link(self) -> None:
+    def test_remote_replica_is_sent_over_the_link(self) -> None:
         fixture = Fixture()
         sub_query = fixture.send(1, "r-there")
         assert fixture.links.sent == [("e2", sub_query)]
 
-    def test_a_replica_without_owner_is_not_run(self) -> None:
+    def test_replica_without_owner_is_not_run(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-orphan")
         assert [(one.outcome, one.began) for one in fixture.replies] == [
             (Outcome.NOT_RUN, False)
         ]
 
-    def test_an_unknown_replica_is_not_run(self) -> None:
+    def test_unknown_replica_is_not_run(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-unheard-of")
         assert fixture.replies[0].outcome is Outcome.NOT_RUN
 
-    def test_what_a_down_link_refuses_is_not_run(self) -> None:
+    def test_send_on_a_down_link_is_not_run(self) -> None:
         fixture = Fixture()
         fixture.links.up = set()
         fixture.send(1, "r-there")
@@ -106,7 +106,7 @@
             (Outcome.NOT_RUN, False)
         ]
 
-    def test_an_unreachable_owner_is_passed_over_for_its_deputy(self) -> None:
+    def test_deputy_is_used_if_owner_is_unreachable(self) -> None:
         fixture = Fixture()
         fixture.links.up = {"e3"}
         sub_query = fixture.send(1, "r-there")
@@ -114,20 +114,20 @@
 
 
 class TestReplies:
-    def test_a_reply_is_delivered_once(self) -> None:
+    def test_duplicate_reply_is_dropped(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-there")
         fixture.dispatcher.on_reply("e2", answered(1))
         fixture.dispatcher.on_reply("e2", answered(1))
         assert len(fixture.replies) == 1
 
-    def test_a_reply_of_another_node_is_dropped(self) -> None:
+    def test_reply_from_another_node_is_dropped(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-there")
         fixture.dispatcher.on_reply("e4", answered(1))
         assert fixture.replies == []
 
-    def test_a_lost_link_leaves_the_outcome_open(self) -> None:
+    def test_lost_link_makes_the_outcome_unknown(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-there")
         fixture.send(2, "r-here")
@@ -136,7 +136,7 @@
             (Outcome.CONNECTION_LOST, True)
         ]
 
-    def test_a_reply_after_cancelling_is_dropped(self) -> None:
+    def test_reply_after_cancellation_is_dropped(self) -> None:
         fixture = Fixture()
         fixture.send(1, "r-there")
         fixture.send(2, "r-here")
--- a/tests/entry/test_lease_guard.py
+++ b/tests/entry/test_lease_guard.py
@@ -1,4 +1,8 @@
-"""Tests of the look at the lease before work is begun."""
+"""Tests of the lease check before a sub-query starts.
+
+A process that resumes after a pause must not start work under a lease that expired
+during the pause.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +20,7 @@
 
 
 class FakeFleet:
-    """A lease that can lapse, and the allowance that follows from it."""
+    """A lease that can change, and the allowance derived from it."""
 
     def __init__(self) -> None:
         self.slots = 2
@@ -31,7 +35,7 @@
 
 
 class FakeOwner:
-    """Records the slots that were allowed when each sub-query came."""
+    """Records the slots allowed when each sub-query is submitted."""
 
     def __init__(self) -> None:
         self.slots = 0
@@ -44,11 +48,11 @@
         self.seen.append(self.slots)
 
     def cancel(self, sender: str, sub_query_id: int) -> None:
-        raise AssertionError("nothing is cancelled here")
+        raise AssertionError("unexpected cancel")
 
 
 class TestLeaseGuard:
-    def test_woken_process_begins_nothing_under_a_lapsed_lease(self) -> None:
+    def test_allowance_is_updated_before_submit_if_the_lease_changed(self) -> None:
         clock = Clock()
         fleet, owner = FakeFleet(), FakeOwner()
         applier = AllowanceApplier(clock, REPLICA.data_centre, fleet, owner)
--- a/tests/entry/test_report_exchange.py
+++ b/tests/entry/test_report_exchange.py
@@ -1,4 +1,4 @@
-"""Tests of the exchange of replica views."""
+"""Tests of the exchange of replica reports."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 from sardinehook.messages import ReplicaReport, TargetState
 
 
-def view(state: TargetState, wait_ms: float = 1.0) -> ReplicaReport:
+def report(state: TargetState, wait_ms: float = 1.0) -> ReplicaReport:
     return ReplicaReport("r1", state, (1,), 1, wait_ms, 2)
 
 
 class TestReportExchange:
-    def test_a_peer_is_told_changes_only(self) -> None:
-        views = [view(TargetState.COLD)]
+    def test_peer_is_sent_changes_only(self) -> None:
+        reports = [report(TargetState.COLD)]
         sent: list[ReplicaReport] = []
-        taken: list[ReplicaReport] = []
+        received: list[ReplicaReport] = []
         clock = Clock()
 
         def send(_peer: str, message: ReplicaReport) -> bool:
@@ -28,41 +28,44 @@
 
         exchange = ReportExchange(
             cast("IReactorTime", clock),
-            lambda: views,
+            lambda: reports,
             lambda: ["e2"],
             send,
-            taken.append,
+            received.append,
         )
         exchange.start()
         clock.advance(EXCHANGE_INTERVAL_S)
         assert len(sent) == 1
-        views[0] = view(TargetState.COLD, wait_ms=9.0)
+        reports[0] = report(TargetState.COLD, wait_ms=9.0)
         clock.advance(EXCHANGE_INTERVAL_S)
         assert len(sent) == 1
-        views[0] = view(TargetState.WARM)
+        reports[0] = report(TargetState.WARM)
         clock.advance(EXCHANGE_INTERVAL_S)
-        assert [one.state for one in sent] == [TargetState.COLD, TargetState.WARM]
-        assert taken[-1].state is TargetState.WARM
+        assert [message.state for message in sent] == [
+            TargetState.COLD,
+            TargetState.WARM,
+        ]
+        assert received[-1].state is TargetState.WARM
         exchange.forget("e2")
         clock.advance(EXCHANGE_INTERVAL_S)
         assert len(sent) == 3
 
-    def test_what_could_not_be_sent_is_sent_again(self) -> None:
-        tries: list[ReplicaReport] = []
+    def test_failed_send_is_retried(self) -> None:
+        attempts: list[ReplicaReport] = []
         clock = Clock()
 
         def send(_peer: str, message: ReplicaReport) -> bool:
-            tries.append(message)
-            return len(tries) > 1
+            attempts.append(message)
+            return len(attempts) > 1
 
         exchange = ReportExchange(
             cast("IReactorTime", clock),
-            lambda: [view(TargetState.WARM)],
+            lambda: [report(TargetState.WARM)],
             lambda: ["e2"],
             send,
-            lambda _view: None,
+            lambda _report: None,
         )
         exchange.start()
         clock.advance(EXCHANGE_INTERVAL_S)
         clock.advance(EXCHANGE_INTERVAL_S)
-        assert len(tries) == 2
+        assert len(attempts) == 2
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -1,4 +1,4 @@
-"""Tests of callers' requests."""
+"""Tests of the parsing and validation of callers' requests."""
 
 from __future__ import annotations
 
@@ -29,37 +29,29 @@
 
 
 class TestResolving:
-    def test_an_unknown_workload_is_not_found(
-        self, document: EnvironmentDocument
-    ) -> None:
+    def test_unknown_workload_is_not_found(self, document: EnvironmentDocument) -> None:
         refused = resolve_request(document, "nonesuch", "r", None, b"{}")
         assert refused.failure().kind is ErrorKind.NOT_FOUND
 
-    def test_a_workload_for_one_service_needs_its_name(
-        self, document: EnvironmentDocument
-    ) -> None:
+    def test_scope_one_requires_a_service(self, document: EnvironmentDocument) -> None:
         refused = resolve_request(document, "counter-lookup", "r", None, b"{}")
         assert refused.failure().kind is ErrorKind.BAD_REQUEST
 
-    def test_the_only_service_needs_no_name(
-        self, document: EnvironmentDocument
-    ) -> None:
-        taken = resolve_request(document, "maintenance", "r", None, b"{}").unwrap()
-        assert taken.service
+    def test_single_service_is_the_default(self, document: EnvironmentDocument) -> None:
+        request = resolve_request(document, "maintenance", "r", None, b"{}").unwrap()
+        assert request.service
 
-    def test_a_body_over_the_bound_is_refused(
-        self, document: EnvironmentDocument
-    ) -> None:
+    def test_oversized_body_is_refused(self, document: EnvironmentDocument) -> None:
         body = b'{"query": "' + b"x" * document.limits.request_bytes + b'"}'
         refused = resolve_request(document, "audit", "r", None, body)
         assert refused.failure().kind is ErrorKind.PAYLOAD_TOO_LARGE
 
-    def test_the_limit_is_at_most_the_workload_s(
+    def test_limit_is_capped_at_the_workload_limit(
         self, document: EnvironmentDocument
     ) -> None:
         body = b'{"limit": 1000000000}'
-        taken = resolve_request(document, "storm-night", "r", None, body).unwrap()
-        assert taken.limit == document.workloads["storm-night"].result_limit
+        request = resolve_request(document, "storm-night", "r", None, body).unwrap()
+        assert request.limit == document.workloads["storm-night"].result_limit
 
     @given(body=st.binary(max_size=200), deadline=st.none() | st.text(max_size=20))
     def test_any_input_is_taken_or_refused_as_not_run(
@@ -72,18 +64,18 @@
 
 class TestHeaders:
     @pytest.mark.parametrize("header", ["", "nan", "inf", "-1", "0", "soon"])
-    def test_a_senseless_deadline_is_refused(self, header: str) -> None:
+    def test_invalid_deadline_is_refused(self, header: str) -> None:
         assert not is_successful(parse_deadline_ms(header, 150.0))
 
-    def test_a_request_id_that_could_forge_a_header_is_refused(self) -> None:
+    def test_request_id_with_line_break_is_refused(self) -> None:
         assert not is_successful(parse_request_id("a\r\nNot-Run: true"))
 
-    def test_a_missing_request_id_is_made(self) -> None:
+    def test_missing_request_id_is_generated(self) -> None:
         assert parse_request_id(None).unwrap() != parse_request_id(None).unwrap()
 
 
 class TestInterfacesPage:
-    def test_the_table_of_errors_is_that_of_the_code(self) -> None:
+    def test_error_table_matches_the_code(self) -> None:
         page = (ROOT / "docs" / "INTERFACES.md").read_text()
         found: dict[str, tuple[int, bool]] = {}
         for row in re.findall(
--- a/tests/entry/test_vm_watch.py
+++ b/tests/entry/test_vm_watch.py
@@ -1,4 +1,4 @@
-"""Tests of the watch of the platform's list of VMs."""
+"""Tests of the VM list watch."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class FakeVmList:
-    """A list that tests set; ``None`` fails."""
+    """A list set by the test; fetching fails if it is ``None``."""
 
     def __init__(self) -> None:
         self.vms: tuple[Vm, ...] | None = ()
@@ -32,28 +32,28 @@
 
 
 class Fixture:
-    """A watch with its list, its notes and what it sent to its peer."""
+    """A watch with a fake list, recording states and notices sent to the peer."""
 
     def __init__(self) -> None:
         self.clock = Clock()
         self.listed = FakeVmList()
-        self.noted: list[tuple[str, TargetState, str]] = []
+        self.states: list[tuple[str, TargetState, str]] = []
         self.sent: list[VmNotice] = []
         self.watch = VmWatch(
             cast("IReactorTime", self.clock),
             self.listed,
-            lambda *note: self.noted.append(note),
+            lambda *state: self.states.append(state),
             lambda: ["e2"],
             self.send,
         )
         self.watch.configure(REPLICAS)
-        self.watch.should_fetch(True)
+        self.watch.set_fetching(True)
 
     def send(self, _node: str, notice: VmNotice) -> bool:
         self.sent.append(notice)
         return True
 
-    def show(self, *vms: Vm) -> None:
+    def set_list(self, *vms: Vm) -> None:
         self.listed.vms = vms
         self.clock.advance(FETCH_INTERVAL_S)
 
@@ -63,36 +63,36 @@
 
 
 class TestVmWatch:
-    def test_a_replica_that_was_never_listed_is_not_gone(self) -> None:
+    def test_replica_that_was_never_listed_is_not_gone(self) -> None:
         fixture = Fixture()
-        fixture.show()
-        assert fixture.noted == []
+        fixture.set_list()
+        assert fixture.states == []
 
-    def test_leaving_and_gone_are_noted_here_and_at_peers(self) -> None:
+    def test_leaving_and_gone_are_applied_and_sent_to_peers(self) -> None:
         fixture = Fixture()
-        fixture.show(vm())
-        fixture.show(vm(VmState.LEAVING))
-        fixture.show(vm(VmState.LEAVING))
-        fixture.show()
-        states = [state for _, state, _ in fixture.noted]
+        fixture.set_list(vm())
+        fixture.set_list(vm(VmState.LEAVING))
+        fixture.set_list(vm(VmState.LEAVING))
+        fixture.set_list()
+        states = [state for _, state, _ in fixture.states]
         expected = [TargetState.UNKNOWN, TargetState.DRAINING, TargetState.GONE]
         assert states == expected
         assert [notice.state for notice in fixture.sent] == expected
 
-    def test_a_new_incarnation_is_noted(self) -> None:
+    def test_new_incarnation_is_applied(self) -> None:
         fixture = Fixture()
-        fixture.show(vm())
-        fixture.show(vm(incarnation=2))
-        assert fixture.noted[-1] == ("r1", TargetState.UNKNOWN, "2")
+        fixture.set_list(vm())
+        fixture.set_list(vm(incarnation=2))
+        assert fixture.states[-1] == ("r1", TargetState.UNKNOWN, "2")
 
-    def test_an_outage_says_nothing_of_replicas(self) -> None:
+    def test_outage_changes_no_replica_state(self) -> None:
         fixture = Fixture()
-        fixture.show(vm())
+        fixture.set_list(vm())
         fixture.listed.vms = None
         fixture.clock.advance(FETCH_INTERVAL_S)
-        assert len(fixture.noted) == 1
+        assert len(fixture.states) == 1
 
-    def test_a_peer_s_notice_is_noted(self) -> None:
+    def test_notice_from_a_peer_is_applied(self) -> None:
         fixture = Fixture()
-        fixture.watch.take(VmNotice("r1", TargetState.DRAINING, "1"))
-        assert fixture.noted == [("r1", TargetState.DRAINING, "1")]
+        fixture.watch.on_notice(VmNotice("r1", TargetState.DRAINING, "1"))
+        assert fixture.states == [("r1", TargetState.DRAINING, "1")]
