Reword the command line in the terms of the field

Help, comments and names now speak of events, revisions, polling and results; commands, flags, JSON keys and exit codes stay as they are. The tests of the commands are named for what they check.

--- a/sardinehook/cli/__init__.py
+++ b/sardinehook/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line: one program with every command."""
+"""The command line interface of ``sardinehook``."""
 
 from __future__ import annotations
 
--- a/sardinehook/cli/app.py
+++ b/sardinehook/cli/app.py
@@ -32,5 +32,5 @@
 
 
 def main() -> None:
-    """Run the command that the command line names."""
+    """Run the command given on the command line."""
     app()
--- a/sardinehook/cli/document.py
+++ b/sardinehook/cli/document.py
@@ -1,4 +1,4 @@
-"""The commands by which operators check, change and promote documents."""
+"""The ``document`` commands: check, change and promote environment documents."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
     print_status,
 )
 from sardinehook.cli.document_session import (
-    Session,
+    PlatformSession,
     StatusReport,
-    good_or_exit,
-    with_session,
+    run_with_session,
+    value_or_exit,
 )
 from sardinehook.cli.entry import read_text
 from sardinehook.cli.failure import exit_with_problems
@@ -46,20 +46,22 @@
 )
 
 FileArgument = Annotated[Path, typer.Argument(help="A document (YAML).")]
-EnvironmentArgument = Annotated[str, typer.Argument(help="An environment's name.")]
-Platform = Annotated[
+EnvironmentArgument = Annotated[str, typer.Argument(help="Name of the environment.")]
+PlatformOption = Annotated[
     str,
     typer.Option(
         envvar="SARDINEHOOK_PLATFORM", help="IP:port of the platform's service."
     ),
 ]
-Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
-From = Annotated[
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+EditedFromOption = Annotated[
     int,
-    typer.Option("--from", min=0, help="The revision you edited from; 0 for none."),
+    typer.Option("--from", min=0, help="The revision that was edited; 0 for none."),
 ]
-Author = Annotated[str, typer.Option(help="Who changes; your login by default.")]
-Note = Annotated[str, typer.Option(help="Why, in one line.")]
+AuthorOption = Annotated[
+    str, typer.Option(help="Author of the change; your login by default.")
+]
+NoteOption = Annotated[str, typer.Option(help="Reason for the change, in one line.")]
 
 
 def load_file(path: Path) -> EnvironmentDocument:
@@ -73,13 +75,13 @@
 def new_change(
     changed: EnvironmentDocument, edited_from: int, author: str, note: str
 ) -> Change:
-    """Make a change with an identity of its own."""
+    """Build a change with a new random change id."""
     change_id = secrets.token_hex(CHANGE_ID_BYTES)
-    return Change(changed, edited_from, change_id, author or login(), note)
+    return Change(changed, edited_from, change_id, author or login_name(), note)
 
 
-def login() -> str:
-    """The login of the operator, or a stand-in where the machine has none."""
+def login_name() -> str:
+    """Return the login of the operator, or "unknown" if the machine has none."""
     try:
         return getpass.getuser()
     except (KeyError, OSError):
@@ -87,7 +89,7 @@
 
 
 @document.command()
-def check(file: FileArgument, json: Json = False) -> None:
+def check(file: FileArgument, json: JsonOption = False) -> None:
     """Check a document offline."""
     loaded = load_file(file)
     digest = digest_of(canonical_bytes(loaded))
@@ -100,38 +102,38 @@
 @document.command()
 def put(
     file: FileArgument,
-    platform: Platform,
-    edited_from: From = 0,
-    author: Author = "",
-    note: Note = "",
+    platform: PlatformOption,
+    edited_from: EditedFromOption = 0,
+    author: AuthorOption = "",
+    note: NoteOption = "",
     untested: Annotated[
-        bool, typer.Option(help="Let a change of policy pass without promotion.")
+        bool, typer.Option(help="Allow a policy change without promotion.")
     ] = False,
-    json: Json = False,
+    json: JsonOption = False,
 ) -> None:
     """Put a document in force in the environment that it names.
 
-    The first one needs no more. A later one names the revision that you edited from
-    (--from) and is refused if another came first. Outside trial only places may
-    differ from what is in force: policy comes by promote, unless --untested is given.
+    The first document needs no option. A later one requires the revision that was
+    edited (--from) and is refused if another change was accepted since. Outside trial,
+    only data centres and replicas may change: use promote for policy, or --untested.
     """
     change = new_change(load_file(file), edited_from, author, note)
 
-    async def run(session: Session) -> None:
-        head = good_or_exit(await session.registry.head(change.document.environment))
+    async def execute(session: PlatformSession) -> None:
+        head = value_or_exit(await session.registry.head(change.document.environment))
         if head is not None and not untested:
-            refuse_untested(head.revision.document, change.document)
+            exit_if_untested(head.revision.document, change.document)
         print_outcome(await session.registry.commit(change), json)
 
-    with_session(platform, run)
+    run_with_session(platform, execute)
 
 
-def refuse_untested(old: EnvironmentDocument, new: EnvironmentDocument) -> None:
-    """Exit if a change of policy does not come from trial."""
+def exit_if_untested(old: EnvironmentDocument, new: EnvironmentDocument) -> None:
+    """Exit with an error if the policy changes outside trial."""
     if new.environment == "trial" or same_policy(old, new):
         return
     detail = (
-        f"the policy of {new.environment} differs from what is in force: put it to"
+        f"the policy of {new.environment} differs from the one in force: put it to"
         " trial and promote it, or give --untested"
     )
     exit_with_problems(Problem(ErrorKind.CONFLICT, detail))
@@ -140,135 +142,143 @@
 @document.command()
 def show(
     environment: EnvironmentArgument,
-    platform: Platform,
+    platform: PlatformOption,
     revision: Annotated[
-        int, typer.Option(min=0, help="A past revision; the current one if 0.")
+        int, typer.Option(min=0, help="A past revision; 0 for the current one.")
     ] = 0,
-    json: Json = False,
+    json: JsonOption = False,
 ) -> None:
-    """Print a revision's document, to edit from."""
+    """Print the document of a revision as a basis for editing."""
 
-    async def run(session: Session) -> None:
-        found = await session.find(environment, revision)
+    async def execute(session: PlatformSession) -> None:
+        found = await session.read_revision(environment, revision)
         if json:
             print_json(found)
             return
         typer.echo(f"# {environment}: revision {found.number} by {found.author}")
         typer.echo(document_text(found.document), nl=False)
 
-    with_session(platform, run)
+    run_with_session(platform, execute)
 
 
 @document.command()
-def diff(file: FileArgument, platform: Platform, json: Json = False) -> None:
-    """Print what a file would change in the environment that it names."""
+def diff(
+    file: FileArgument, platform: PlatformOption, json: JsonOption = False
+) -> None:
+    """Print the differences between a file and the document in force."""
     loaded = load_file(file)
 
-    async def run(session: Session) -> None:
-        found = await session.find(loaded.environment, 0)
+    async def execute(session: PlatformSession) -> None:
+        found = await session.read_revision(loaded.environment, 0)
         if not json:
             typer.echo(f"against revision {found.number} by {found.author}")
         print_differences(differences(found.document, loaded), json)
 
-    with_session(platform, run)
+    run_with_session(platform, execute)
 
 
 @document.command()
 def promote(
-    source: Annotated[str, typer.Argument(help="Where it was tested, as trial.")],
-    target: Annotated[str, typer.Argument(help="Where it goes, as production.")],
-    platform: Platform,
+    source: Annotated[
+        str, typer.Argument(help="Environment where it was tested, such as trial.")
+    ],
+    target: Annotated[
+        str, typer.Argument(help="Environment to change, such as production.")
+    ],
+    platform: PlatformOption,
     revision: Annotated[
         int, typer.Option(min=1, help="The revision of the source that was tested.")
     ],
-    edited_from: From = 0,
+    edited_from: EditedFromOption = 0,
     places: Annotated[
         Path | None,
-        typer.Option(help="A document of the target with the places of new services."),
+        typer.Option(help="A document of the target that places new services."),
     ] = None,
-    author: Author = "",
-    note: Note = "",
-    json: Json = False,
+    author: AuthorOption = "",
+    note: NoteOption = "",
+    json: JsonOption = False,
 ) -> None:
-    """Promote the policy of a tested revision, exactly as it was tested.
+    """Promote the policy of a tested revision unchanged.
 
-    Workloads, limits and what each index bears come from the source; the name, data
-    centres and replicas stay the target's own, or come from --places.
+    Workloads, limits and the capacity of each index come from the source. The name,
+    data centres and replicas are those of the target, or come from --places.
     """
-    given = load_file(places) if places else None
+    placement = load_file(places) if places else None
 
-    async def run(session: Session) -> None:
-        tested = await session.find(source, revision)
-        kept = given or (await session.find(target, 0)).document
-        if kept.environment != target:
-            detail = f"--places is a document of {kept.environment}, not of {target}"
+    async def execute(session: PlatformSession) -> None:
+        tested = await session.read_revision(source, revision)
+        base = placement or (await session.read_revision(target, 0)).document
+        if base.environment != target:
+            detail = f"--places is a document of {base.environment}, not of {target}"
             exit_with_problems(Problem(ErrorKind.INVALID_DOCUMENT, detail))
-        result = good_or_exit(promote_policy(tested.document, kept))
+        promoted = value_or_exit(promote_policy(tested.document, base))
         origin = f"promoted from {source} {revision}"
-        told = f"{origin}: {note}" if note else origin
-        change = new_change(result, edited_from, author, told)
+        full_note = f"{origin}: {note}" if note else origin
+        change = new_change(promoted, edited_from, author, full_note)
         print_outcome(await session.registry.commit(change), json)
 
-    with_session(platform, run)
+    run_with_session(platform, execute)
 
 
 @document.command()
 def rollback(
     environment: EnvironmentArgument,
-    platform: Platform,
+    platform: PlatformOption,
     to: Annotated[int, typer.Option(min=1, help="The revision to go back to.")],
-    edited_from: From = 0,
-    author: Author = "",
-    note: Note = "",
-    json: Json = False,
+    edited_from: EditedFromOption = 0,
+    author: AuthorOption = "",
+    note: NoteOption = "",
+    json: JsonOption = False,
 ) -> None:
-    """Put a past revision's document in force, as a new revision."""
+    """Put the document of a past revision in force as a new revision."""
 
-    async def run(session: Session) -> None:
-        past = await session.find(environment, to)
+    async def execute(session: PlatformSession) -> None:
+        past = await session.read_revision(environment, to)
         origin = f"roll-back to {to}"
-        told = f"{origin}: {note}" if note else origin
-        change = new_change(past.document, edited_from, author, told)
+        full_note = f"{origin}: {note}" if note else origin
+        change = new_change(past.document, edited_from, author, full_note)
         print_outcome(await session.registry.commit(change), json)
 
-    with_session(platform, run)
+    run_with_session(platform, execute)
 
 
 @document.command()
 def history(
     environment: EnvironmentArgument,
-    platform: Platform,
-    limit: Annotated[int, typer.Option(min=1, max=1000, help="How many.")] = 20,
-    json: Json = False,
+    platform: PlatformOption,
+    limit: Annotated[
+        int, typer.Option(min=1, max=1000, help="Maximum number of revisions.")
+    ] = 20,
+    json: JsonOption = False,
 ) -> None:
     """Print the newest revisions of an environment."""
 
-    async def run(session: Session) -> None:
-        found = good_or_exit(await session.registry.history(environment, limit))
+    async def execute(session: PlatformSession) -> None:
+        found = value_or_exit(await session.registry.history(environment, limit))
         print_history(found, json)
 
-    with_session(platform, run)
+    run_with_session(platform, execute)
 
 
 @document.command()
 def status(
     environment: EnvironmentArgument,
-    platform: Platform,
+    platform: PlatformOption,
     wait_ms: Annotated[
-        int, typer.Option(min=0, help="Ask again until in force on all, so long.")
+        int, typer.Option(min=0, help="How long to wait until all are in force.")
     ] = 0,
-    json: Json = False,
+    json: JsonOption = False,
 ) -> None:
-    """Tell which entry VMs have the accepted revision in force.
+    """Show which entry VMs have the accepted revision in force.
 
-    Exits with 1 unless every VM that the platform lists as live has it in force.
-    The list lags: a VM that started in the last seconds may not be in it.
+    Exits with 1 unless it is in force on every VM that the platform lists as live.
+    The list lags: a VM that started in the last few seconds may be missing from it.
     """
 
-    async def run(session: Session) -> StatusReport:
+    async def execute(session: PlatformSession) -> StatusReport:
         return await session.status(environment, wait_ms)
 
-    report = with_session(platform, run)
+    report = run_with_session(platform, execute)
     print_status(report, json)
     if not report.nodes:
         detail = "the platform lists no live VM"
--- a/sardinehook/cli/document_output.py
+++ b/sardinehook/cli/document_output.py
@@ -1,4 +1,4 @@
-"""What the document commands print."""
+"""Output of the document commands, as text and JSON."""
 
 from __future__ import annotations
 
@@ -33,50 +33,50 @@
 
 
 def print_json(value: object) -> None:
-    """Print typed data as JSON on one line."""
+    """Print a value as JSON on one line."""
     typer.echo(msgspec.json.encode(plain(value)).decode())
 
 
 def print_outcome(outcome: Outcome, json: bool) -> None:
-    """Print how a change ended; exit with 1 unless it is in force."""
+    """Print the outcome of a change; exit with 1 unless it is in force."""
     if json:
-        print_json(outcome_data(outcome))
+        print_json(outcome_fields(outcome))
     match outcome:
         case Accepted(revision) if not json:
-            typer.echo(f"accepted: {title(revision)}")
+            typer.echo(f"accepted: {revision_summary(revision)}")
         case Unchanged(revision) if not json:
-            typer.echo(f"unchanged: {title(revision)} is the same")
+            typer.echo(f"unchanged: {revision_summary(revision)} is the same")
     problem = problem_of(outcome)
     if problem is None:
         return
     if isinstance(outcome, Lost) and not json:
-        typer.echo("what is in force differs from yours:", err=True)
+        typer.echo("the revision in force differs from your document:", err=True)
         for difference in outcome.differences[:DIFFERENCES_SHOWN]:
             typer.echo(f"  {difference.line()}", err=True)
-        more = len(outcome.differences) - DIFFERENCES_SHOWN
-        if more > 0:
-            typer.echo(f"  and {more} more", err=True)
+        remaining = len(outcome.differences) - DIFFERENCES_SHOWN
+        if remaining > 0:
+            typer.echo(f"  and {remaining} more", err=True)
     exit_with_problems(problem)
 
 
-def outcome_data(outcome: Outcome) -> dict[str, object]:
-    """The outcome of a change as plain data."""
+def outcome_fields(outcome: Outcome) -> dict[str, object]:
+    """Return the outcome of a change as plain data."""
     problem = problem_of(outcome)
-    data: dict[str, object] = {
+    fields: dict[str, object] = {
         "outcome": type(outcome).__name__.lower(),
         "detail": problem.detail if problem else "",
     }
     match outcome:
         case Accepted(revision) | Unchanged(revision):
-            data.update(identity(revision))
+            fields.update(revision_fields(revision))
         case Lost(winner=Revision() as winner, differences=found):
-            data.update(identity(winner))
-            data["differences"] = list(found)
-    return data
+            fields.update(revision_fields(winner))
+            fields["differences"] = list(found)
+    return fields
 
 
-def identity(revision: Revision) -> dict[str, Plain]:
-    """A revision without its document, as plain data."""
+def revision_fields(revision: Revision) -> dict[str, Plain]:
+    """Return a revision without its document as plain data."""
     return {
         "environment": revision.document.environment,
         "revision": revision.number,
@@ -87,15 +87,15 @@
     }
 
 
-def title(revision: Revision) -> str:
-    """A revision in a few words."""
+def revision_summary(revision: Revision) -> str:
+    """Return the environment, number and shortened digest of a revision."""
     environment = revision.document.environment
     digest = revision.digest[:DIGEST_CHARACTERS]
     return f"{environment} revision {revision.number}, digest {digest}"
 
 
 def print_differences(found: Sequence[Difference], json: bool) -> None:
-    """Print differences."""
+    """Print one line for each difference, or a JSON list."""
     if json:
         print_json(list(found))
         return
@@ -106,9 +106,9 @@
 
 
 def print_history(found: Sequence[Revision], json: bool) -> None:
-    """Print revisions."""
+    """Print one line for each revision, or a JSON list."""
     if json:
-        print_json([identity(revision) for revision in found])
+        print_json([revision_fields(revision) for revision in found])
         return
     for revision in found:
         digest = revision.digest[:DIGEST_CHARACTERS]
@@ -119,16 +119,16 @@
 
 
 def print_status(report: StatusReport, json: bool) -> None:
-    """Print what each entry VM has in force."""
+    """Print the accepted revision and the state of each entry VM."""
     if json:
-        data = {
-            **identity(report.accepted),
+        fields = {
+            **revision_fields(report.accepted),
             "list_as_of_ms": report.list_as_of_ms,
             "nodes": report.nodes,
         }
-        print_json(data)
+        print_json(fields)
         return
-    typer.echo(f"accepted: {title(report.accepted)}")
+    typer.echo(f"accepted: {revision_summary(report.accepted)}")
     for node in report.nodes:
         detail = f" ({node.detail})" if node.detail else ""
         typer.echo(
--- a/sardinehook/cli/document_session.py
+++ b/sardinehook/cli/document_session.py
@@ -1,4 +1,4 @@
-"""What the document commands share: the platform's adapters on one reactor."""
+"""The platform clients that the document commands use, on one reactor."""
 
 from __future__ import annotations
 
@@ -20,11 +20,11 @@
 from sardinehook.store.vm_list import HttpVmList, VmState
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["Session", "StatusReport", "good_or_exit", "with_session"]
+__all__ = ["PlatformSession", "StatusReport", "run_with_session", "value_or_exit"]
 
 CALL_TIMEOUT_MS = 3_000.0
 NODE_TIMEOUT_MS = 2_000.0
-ASK_AGAIN_S = 0.1
+POLL_INTERVAL_S = 0.1
 
 Value = TypeVar("Value")
 
@@ -37,8 +37,8 @@
     nodes: list[NodeStatus]
 
 
-class Session:
-    """The platform as one command uses it."""
+class PlatformSession:
+    """The store, VM list and revision registry used by one command."""
 
     def __init__(self, reactor: Timers, platform: str) -> None:
         self.reactor = reactor
@@ -46,29 +46,31 @@
         self.vm_list = HttpVmList(reactor, platform, CALL_TIMEOUT_MS)
         self.registry = RevisionRegistry(reactor, self.store)
 
-    async def find(self, environment: str, number: int) -> Revision:
-        """Read a revision, the current one if zero, or exit."""
+    async def read_revision(self, environment: str, number: int) -> Revision:
+        """Read a revision, the current one if ``number`` is 0; exit on failure."""
         if number:
-            return good_or_exit(await self.registry.revision(environment, number))
-        head = good_or_exit(await self.registry.head(environment))
+            return value_or_exit(await self.registry.revision(environment, number))
+        head = value_or_exit(await self.registry.head(environment))
         if head is None:
             detail = f"{environment} has no revision"
             exit_with_problems(Problem(ErrorKind.NOT_FOUND, detail))
         return head.revision
 
     async def status(self, environment: str, wait_ms: float) -> StatusReport:
-        """Ask all entry VMs, again until all agree or ``wait_ms`` are over."""
-        until = self.reactor.seconds() + wait_ms / 1000
+        """Poll all entry VMs until all are in force or ``wait_ms`` have passed."""
+        deadline = self.reactor.seconds() + wait_ms / 1000
         while True:
-            report = await self.ask_all(environment)
-            settled = all(node.state is NodeState.IN_FORCE for node in report.nodes)
-            if settled or self.reactor.seconds() >= until:
+            report = await self.poll_nodes(environment)
+            all_in_force = all(
+                node.state is NodeState.IN_FORCE for node in report.nodes
+            )
+            if all_in_force or self.reactor.seconds() >= deadline:
                 return report
-            await deferLater(cast(IReactorTime, self.reactor), ASK_AGAIN_S)
+            await deferLater(cast(IReactorTime, self.reactor), POLL_INTERVAL_S)
 
-    async def ask_all(self, environment: str) -> StatusReport:
-        """Ask all entry VMs that the platform lists as live."""
-        accepted = await self.find(environment, 0)
+    async def poll_nodes(self, environment: str) -> StatusReport:
+        """Query all entry VMs that the platform lists as live."""
+        accepted = await self.read_revision(environment, 0)
         match await self.vm_list.fetch():
             case Success(listed):
                 pass
@@ -84,24 +86,24 @@
         await self.vm_list.close()
 
 
-def with_session(
+def run_with_session(
     platform: str,
-    run: Callable[[Session], Coroutine[Deferred[object], object, Value]],
+    run: Callable[[PlatformSession], Coroutine[Deferred[object], object, Value]],
 ) -> Value:
-    """Run a coroutine with a session and close it."""
+    """Run a coroutine function with a session, which is closed afterwards."""
 
-    async def whole(reactor: Timers) -> Value:
-        session = Session(reactor, platform)
+    async def run_session(reactor: Timers) -> Value:
+        session = PlatformSession(reactor, platform)
         try:
             return await run(session)
         finally:
             await session.close()
 
-    return run_until_done(whole)
+    return run_until_done(run_session)
 
 
-def good_or_exit(result: Result[Value, Problem]) -> Value:
-    """The value of a success, or exit with the problem's line."""
+def value_or_exit(result: Result[Value, Problem]) -> Value:
+    """Return the value of a success; print the problem and exit otherwise."""
     if isinstance(result, Failure):
         exit_with_problems(result.failure())
     return result.unwrap()
--- a/sardinehook/cli/entry.py
+++ b/sardinehook/cli/entry.py
@@ -16,7 +16,7 @@
 
 
 def read_text(path: Path) -> str:
-    """Read a text file or exit with one clear line."""
+    """Read a text file; exit with a one-line error if that fails."""
     try:
         return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
@@ -28,7 +28,7 @@
 def entry(
     settings: Annotated[Path, typer.Option(help="The settings file (YAML).")],
 ) -> None:
-    """Run an entry process until it is told to stop (SIGTERM or SIGINT)."""
+    """Run an entry process until SIGTERM or SIGINT."""
     text = read_text(settings)
     loaded = load_yaml(EntrySettings, text, str(settings), ErrorKind.INVALID_SETTINGS)
     problems = loaded.swap().value_or(None)
--- a/sardinehook/cli/failure.py
+++ b/sardinehook/cli/failure.py
@@ -1,4 +1,4 @@
-"""One clear line and a non-zero exit for a command that cannot go on."""
+"""Error output and exit status of commands."""
 
 from __future__ import annotations
 
--- a/sardinehook/cli/reactor_run.py
+++ b/sardinehook/cli/reactor_run.py
@@ -1,4 +1,4 @@
-"""Run one coroutine on the reactor for a command that ends."""
+"""Runs one coroutine on the reactor and returns when it is done."""
 
 from __future__ import annotations
 
@@ -19,39 +19,42 @@
 
 
 class RunningReactor(Timers, Protocol):
-    """A reactor that runs until it is stopped."""
+    """A reactor that can be run and stopped."""
 
     running: bool
 
     def run(self) -> None:
-        """Run until stopped."""
+        """Run the event loop until ``stop`` is called."""
         ...
 
     def stop(self) -> None:
-        """Stop running."""
+        """Stop the event loop."""
         ...
 
 
 def run_until_done(
-    make: Callable[[Timers], Coroutine[Deferred[object], object, Value]],
+    create: Callable[[Timers], Coroutine[Deferred[object], object, Value]],
 ) -> Value:
-    """Run the coroutine that ``make`` gives for the reactor, and return its value."""
+    """Run the coroutine that ``create`` returns for the reactor; return its value.
+
+    Raises its exception if it fails; exits with 130 if the reactor was interrupted.
+    """
     from twisted.internet import reactor as default_reactor
 
     reactor = cast(RunningReactor, default_reactor)
     values: list[Value] = []
     failures: list[Failure] = []
 
-    def begin() -> None:
-        done = Deferred.fromCoroutine(make(reactor))
+    def start() -> None:
+        done = Deferred.fromCoroutine(create(reactor))
         done.addCallbacks(values.append, failures.append)
-        done.addBoth(end)
+        done.addBoth(stop)
 
-    def end(_result: object) -> None:
+    def stop(_result: object) -> None:
         if reactor.running:
             reactor.stop()
 
-    reactor.callLater(0.0, begin)
+    reactor.callLater(0.0, start)
     reactor.run()
     for failure in failures:
         failure.raiseException()
--- a/sardinehook/cli/search.py
+++ b/sardinehook/cli/search.py
@@ -1,4 +1,4 @@
-"""The command by which operators ask what a caller would ask."""
+"""The ``search`` command: sends a search as a caller would."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
 
 __all__ = ["search"]
 
-GRACE_S = 5.0
+TIMEOUT_MARGIN_S = 5.0
 MS_PER_S = 1000
 MISSING_SHOWN = 5
 
 
 class CoverageBody(TypedDict):
-    """The coverage of an answer, as far as the command shows it."""
+    """The part of an answer's coverage that the command prints."""
 
     asked: int
     answered: int
@@ -31,7 +31,7 @@
 
 
 class AnswerBody(TypedDict):
-    """An answer, as far as the command shows it."""
+    """The part of an answer that the command prints."""
 
     request_id: str
     records: list[dict[str, object]]
@@ -39,7 +39,7 @@
 
 
 class HttpAnswer(NamedTuple):
-    """Status and body of an HTTP answer with the time that it took."""
+    """Status, body and latency of an HTTP response."""
 
     status: int
     body: bytes
@@ -50,12 +50,14 @@
     workload: Annotated[str, typer.Argument(help="A workload of the document.")],
     entry: Annotated[str, typer.Option(help="IP:port of an entry VM.")],
     query: Annotated[str, typer.Option(help="The text to search for.")] = "",
-    service: Annotated[str, typer.Option(help="The one service to ask.")] = "",
-    limit: Annotated[int, typer.Option(min=1, help="Most records.")] = 5,
-    deadline_ms: Annotated[float, typer.Option(min=1.0, help="Deadline.")] = 2000.0,
+    service: Annotated[str, typer.Option(help="Query only this service.")] = "",
+    limit: Annotated[int, typer.Option(min=1, help="Maximum number of records.")] = 5,
+    deadline_ms: Annotated[
+        float, typer.Option(min=1.0, help="Deadline in ms.")
+    ] = 2000.0,
     as_json: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
 ) -> None:
-    """Ask an entry VM for a workload's answer and print it with its coverage."""
+    """Send a search to an entry VM and print the answer and its coverage."""
     fields: dict[str, object] = {"query": query, "limit": limit}
     if service:
         fields["service"] = service
@@ -72,24 +74,27 @@
 
 
 def post_json(url: str, body: bytes, deadline_ms: float) -> HttpAnswer:
-    """Post a body and return the answer, whatever its status."""
+    """POST a JSON body and return the response, whatever its status.
+
+    Exits with an error if no response arrives.
+    """
     headers = {"Content-Type": "application/json", "Deadline-Ms": f"{deadline_ms:g}"}
     request = urllib.request.Request(url, data=body, headers=headers, method="POST")
     started = time.monotonic()
-    timeout_s = deadline_ms / MS_PER_S + GRACE_S
+    timeout_s = deadline_ms / MS_PER_S + TIMEOUT_MARGIN_S
     try:
         with urllib.request.urlopen(request, timeout=timeout_s) as response:
             status, reply = response.status, response.read()
     except urllib.error.HTTPError as error:
         status, reply = error.code, error.read()
     except (OSError, ValueError) as error:
-        detail = f"no answer from {url}: {error}"
+        detail = f"no response from {url}: {error}"
         exit_with_problems(Problem(ErrorKind.TARGET_UNAVAILABLE, detail))
     return HttpAnswer(status, reply, (time.monotonic() - started) * MS_PER_S)
 
 
 def print_answer(answer: HttpAnswer) -> None:
-    """Print coverage, latency and records for a person."""
+    """Print coverage, latency and records as text."""
     body = msgspec.json.decode(answer.body, type=AnswerBody)
     coverage = body["coverage"]
     typer.echo(
--- a/sardinehook/cli/timeline.py
+++ b/sardinehook/cli/timeline.py
@@ -1,4 +1,4 @@
-"""The command that draws the events of all processes as one time line."""
+"""The ``timeline`` command: merges the logs of processes into one time line."""
 
 from __future__ import annotations
 
@@ -24,40 +24,40 @@
 
 
 def timeline(
-    files: Annotated[list[Path], typer.Argument(help="Logs of processes.")],
-    request: Annotated[str, typer.Option(help="Only this request's story.")] = "",
-    order: Annotated[str, typer.Option(help="Only this order key's story.")] = "",
+    files: Annotated[list[Path], typer.Argument(help="Log files of processes.")],
+    request: Annotated[str, typer.Option(help="Only events of this request.")] = "",
+    order: Annotated[str, typer.Option(help="Only events of this order key.")] = "",
     target: Annotated[str, typer.Option(help="Only events of this replica.")] = "",
-    revision: Annotated[int, typer.Option(help="Only this revision's story.")] = 0,
+    revision: Annotated[int, typer.Option(help="Only events of this revision.")] = 0,
     data_centre: Annotated[
         str, typer.Option(help="Only events of this data centre.")
     ] = "",
     every: Annotated[
-        bool, typer.Option("--every", help="One row for every event, none folded.")
+        bool, typer.Option("--every", help="One row for each event, without folding.")
     ] = False,
     html: Annotated[
-        Path | None, typer.Option(help="Write one static HTML page here instead.")
+        Path | None, typer.Option(help="Write a static HTML page to this file instead.")
     ] = None,
 ) -> None:
-    """Merge the logs of processes by cause and draw them as one time line."""
+    """Merge the logs of processes in causal order and print one time line."""
     selection = Selection(request, target, revision, data_centre, order)
-    drawn = build_timeline(read_logs(files), selection)
-    rows = single_rows(drawn.lines) if every else fold(drawn)
+    merged = build_timeline(read_logs(files), selection)
+    rows = single_rows(merged.lines) if every else fold(merged)
     if html is None:
-        for text in render_text(drawn, rows):
+        for text in render_text(merged, rows):
             typer.echo(text)
         return
-    chosen = [f"{key} {value}" for key, value in selection._asdict().items() if value]
-    title = "Time line" + "".join(f", {choice}" for choice in chosen)
+    selected = [f"{key} {value}" for key, value in selection._asdict().items() if value]
+    title = "Time line" + "".join(f", {criterion}" for criterion in selected)
     try:
-        html.write_text(render_page(drawn, rows, title), encoding="utf-8")
+        html.write_text(render_page(merged, rows, title), encoding="utf-8")
     except OSError as error:
         exit_with_problems(Problem(ErrorKind.INVALID_SETTINGS, str(error)))
-    typer.echo(f"{len(drawn.lines)} events written to {html}")
+    typer.echo(f"{len(merged.lines)} events written to {html}")
 
 
 def read_logs(files: list[Path]) -> Iterator[ParsedLog]:
-    """Read logs one by one; bytes that are no UTF-8 make a line malformed at most."""
+    """Read and parse logs one by one; bytes that are not UTF-8 are replaced."""
     for file in files:
         try:
             with file.open(encoding="utf-8", errors="replace", newline="\n") as lines:
--- a/tests/cli/test_timeline.py
+++ b/tests/cli/test_timeline.py
@@ -1,4 +1,4 @@
-"""Tests of the time line command."""
+"""Tests of the ``timeline`` command."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class TestTimelineCommand:
-    def test_draws_a_request_s_story(self, tmp_path: Path) -> None:
+    def test_prints_the_events_of_a_request(self, tmp_path: Path) -> None:
         log = tmp_path / "p1.log"
         log.write_text(LOG)
         result = CliRunner().invoke(app, ["timeline", str(log), "--request", "r-1"])
@@ -32,14 +32,14 @@
             "1 malformed lines left out",
         ]
 
-    def test_writes_one_page(self, tmp_path: Path) -> None:
+    def test_writes_an_html_page(self, tmp_path: Path) -> None:
         log, page = tmp_path / "p1.log", tmp_path / "page.html"
         log.write_text(LOG)
         result = CliRunner().invoke(app, ["timeline", str(log), "--html", str(page)])
         assert result.exit_code == 0
         assert page.read_text().startswith("<!doctype html>")
 
-    def test_a_file_that_is_not_there_is_one_clear_line(self, tmp_path: Path) -> None:
+    def test_missing_file_is_a_one_line_error(self, tmp_path: Path) -> None:
         result = CliRunner().invoke(app, ["timeline", str(tmp_path / "absent")])
         assert result.exit_code == 1
         assert "invalid_settings" in result.output
