Name the switch that refuses requests after what it does

The attribute takes_requests of the request handler is accepts_requests now; two comments of the entry package are put more exactly.

--- a/sardinehook/entry/order_handler.py
+++ b/sardinehook/entry/order_handler.py
@@ -91,8 +91,8 @@
 
     def look_up(self, key: str) -> Deferred[Response]:
         """Return the status of an order."""
-        answer = Deferred.fromCoroutine(self.front.look_up(key))
-        return answer.addCallback(to_response)
+        body = Deferred.fromCoroutine(self.front.look_up(key))
+        return body.addCallback(to_response)
 
 
 def to_response(result: Result[bytes, Problem]) -> Response:
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -225,7 +225,7 @@
         )
 
     def send_reply(self, node: str, reply: SubReply) -> None:
-        """Send a reply to the peer; a lost link has already failed its request."""
+        """Send a reply to the peer; a lost link has already failed its sub-query."""
         self.links.send(node, reply)
 
     def on_cancel(self, node: str, cancel: CancelSubQuery) -> None:
@@ -338,7 +338,7 @@
         grace_s = limits.stop_grace_ms / MS_PER_S if limits else DEFAULT_STOP_GRACE_S
         deadline = self.reactor.seconds() + notice_s + grace_s
         await deferLater(self.reactor, notice_s)
-        self.request_handler.takes_requests = False
+        self.request_handler.accepts_requests = False
         await self.listener.stopListening()
         while self.request_handler.in_flight and self.reactor.seconds() < deadline:
             await deferLater(self.reactor, STOP_POLL_S)
--- a/sardinehook/entry/request_handler.py
+++ b/sardinehook/entry/request_handler.py
@@ -19,7 +19,7 @@
 class RequestHandler:
     """Accepts searches and orders if the process state and the document allow it.
 
-    ``takes_requests`` is cleared when a stopping process closes its listener.
+    ``accepts_requests`` is cleared when a stopping process closes its listener.
     """
 
     def __init__(
@@ -33,7 +33,7 @@
         self.holder = holder
         self.searches = searches
         self.orders = orders
-        self.takes_requests = True
+        self.accepts_requests = True
 
     @property
     def in_flight(self) -> int:
@@ -49,7 +49,7 @@
         if own is None or own.state is DataCentreState.OUT:
             detail = f"data centre {self.data_centre} is out"
             return Problem(ErrorKind.DATA_CENTRE_OUT, detail)
-        if not self.takes_requests:
+        if not self.accepts_requests:
             return Problem(ErrorKind.STOPPING, "this process is stopping")
         return None
 
