--- a/sardinehook/entry/order_handler.py
+++ b/sardinehook/entry/order_handler.py
@@ -1,4 +1,4 @@
-"""Places callers' orders and looks up their status."""
+"""Places callers' orders through the order coordinator and the dispatcher."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 from sardinehook.messages import SubQuery, SubReply
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant
-from sardinehook.order.desk import OrderDesk
-from sardinehook.order.front import OrderFront
+from sardinehook.order.coordinator import OrderCoordinator
+from sardinehook.order.handler import OrderHandler
 from sardinehook.query.planner import Planner
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timers
 
-__all__ = ["OrderHandler"]
+__all__ = ["EntryOrderHandler"]
 
 HTTP_OK = 200
 
 
-class OrderHandler:
+class EntryOrderHandler:
     """Handles the orders of one entry process and counts those in flight."""
 
     def __init__(
@@ -46,7 +46,7 @@
         self.dispatcher = dispatcher
         self.planner = planner
         self.in_flight = 0
-        self.desk = OrderDesk(
+        self.desk = OrderCoordinator(
             store,
             environment,
             claimant,
@@ -57,11 +57,11 @@
             Limits().order_retention_ms,
             metrics,
         )
-        self.front = OrderFront(self.desk, self.choose_replica)
+        self.front = OrderHandler(self.desk, self.choose_replica)
 
     def configure(self, limits: Limits) -> None:
         """Use the limits of a new document."""
-        self.desk.register.retention_ms = limits.order_retention_ms
+        self.desk.claims.retention_ms = limits.order_retention_ms
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
         """Send the single sub-query of an order."""
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -17,7 +17,7 @@
 from sardinehook.entry.allowances import AllowanceApplier, LeaseGuard
 from sardinehook.entry.dispatcher import Dispatcher, IndexedReplica
 from sardinehook.entry.front import EntryStatus, build_site
-from sardinehook.entry.order_handler import OrderHandler
+from sardinehook.entry.order_handler import EntryOrderHandler
 from sardinehook.entry.report_exchange import ReportExchange
 from sardinehook.entry.request_handler import RequestHandler
 from sardinehook.entry.search_handler import SearchHandler
@@ -116,7 +116,7 @@
         self.search_handler = SearchHandler(
             reactor, self.dispatcher, policy, self.metrics, self.clock
         )
-        self.order_handler = OrderHandler(
+        self.order_handler = EntryOrderHandler(
             reactor,
             self.store,
             settings.environment,
--- a/sardinehook/entry/request_handler.py
+++ b/sardinehook/entry/request_handler.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from sardinehook.entry.front import Response
-from sardinehook.entry.order_handler import OrderHandler
+from sardinehook.entry.order_handler import EntryOrderHandler
 from sardinehook.entry.requests import CallerRequest, resolve_request
 from sardinehook.entry.search_handler import SearchHandler
 from sardinehook.environment.document import DataCentreState
@@ -27,7 +27,7 @@
         data_centre: str,
         holder: DocumentHolder,
         searches: SearchHandler,
-        orders: OrderHandler,
+        orders: EntryOrderHandler,
     ) -> None:
         self.data_centre = data_centre
         self.holder = holder
