Name the attributes of orders in the entry process after their classes

Desk and front are gone from the order package: the attributes are coordinator and handler, after OrderCoordinator and OrderHandler.

Ruff and strict mypy pass; the 42 tests of the entry package and of the command line pass.

--- a/sardinehook/entry/order_handler.py
+++ b/sardinehook/entry/order_handler.py
@@ -46,7 +46,7 @@
         self.dispatcher = dispatcher
         self.planner = planner
         self.in_flight = 0
-        self.desk = OrderCoordinator(
+        self.coordinator = OrderCoordinator(
             store,
             environment,
             claimant,
@@ -57,11 +57,11 @@
             Limits().order_retention_ms,
             metrics,
         )
-        self.front = OrderHandler(self.desk, self.choose_replica)
+        self.handler = OrderHandler(self.coordinator, self.choose_replica)
 
     def configure(self, limits: Limits) -> None:
         """Use the limits of a new document."""
-        self.desk.claims.retention_ms = limits.order_retention_ms
+        self.coordinator.claims.retention_ms = limits.order_retention_ms
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
         """Send the single sub-query of an order."""
@@ -85,13 +85,13 @@
         """Place an order and count it as in flight until it ends."""
         self.in_flight += 1
         try:
-            return to_response(await self.front.place(request, key))
+            return to_response(await self.handler.place(request, key))
         finally:
             self.in_flight -= 1
 
     def look_up(self, key: str) -> Deferred[Response]:
         """Return the status of an order."""
-        body = Deferred.fromCoroutine(self.front.look_up(key))
+        body = Deferred.fromCoroutine(self.handler.look_up(key))
         return body.addCallback(to_response)
 
 
--- a/sardinehook/entry/process.py
+++ b/sardinehook/entry/process.py
@@ -342,7 +342,7 @@
         await self.listener.stopListening()
         while self.request_handler.in_flight and self.reactor.seconds() < deadline:
             await deferLater(self.reactor, STOP_POLL_S)
-        drained = Deferred.fromCoroutine(self.order_handler.desk.drain())
+        drained = Deferred.fromCoroutine(self.order_handler.coordinator.drain())
         drained.addTimeout(max(0.0, deadline - self.reactor.seconds()), self.reactor)
         drained.addErrback(lambda failure: failure.trap(TimeoutError))
         await drained
