--- a/bench/http_server.py
+++ b/bench/http_server.py
@@ -1,4 +1,4 @@
-"""Typed helpers for stand-ins that serve HTTP by ``twisted.web``."""
+"""Typed helpers for simulated servers on ``twisted.web``."""
 
 from __future__ import annotations
 
@@ -24,59 +24,62 @@
 
 
 class Address(Protocol):
-    """An address with a port."""
+    """The address of a listening port."""
 
     port: int
 
 
 class ListeningPort(Protocol):
-    """A port that listens."""
+    """A listening port."""
 
     def getHost(self) -> Address:
-        """The address that is listened to."""
+        """Return the local address."""
         ...
 
     def stopListening(self) -> object:
-        """Stop listening."""
+        """Stop accepting connections."""
         ...
 
 
 class ListeningReactor(Timers, Protocol):
-    """A reactor that can listen and run."""
+    """The parts of the reactor that a simulated server uses."""
 
     def listenTCP(
         self, port: int, factory: Site, backlog: int, interface: str
     ) -> ListeningPort:
-        """Listen on a port, any free one if zero."""
+        """Listen on ``port``, or on any free port if it is zero."""
         ...
 
     def run(self) -> None:
-        """Run until told to stop."""
+        """Run the event loop until the reactor is stopped."""
         ...
 
 
 def listen(
     reactor: ListeningReactor, resource: Resource, port: int = 0
 ) -> ListeningPort:
-    """Serve a resource on loopback."""
+    """Serve a resource on loopback; port zero takes a free one."""
     site = Site(resource)
     return reactor.listenTCP(port, site, 512, LOOPBACK)
 
 
 def query_argument(request: Request, name: str, default: str) -> str:
-    """A query argument."""
+    """Return the first value of a query argument, or ``default``."""
     values = request.args.get(name.encode())
     return values[0].decode() if values else default
 
 
 def request_body(request: Request) -> bytes:
-    """The body of a request."""
+    """Return the body of a request."""
     content = request.content
     return b"" if content is None else cast(bytes, content.read())
 
 
 def send_reply(request: Request, status: int, body: bytes) -> int:
-    """Send an answer and tell its bytes; nothing if the caller has gone."""
+    """Send a JSON reply and return the length of its body.
+
+    Sends nothing and returns 0 if the caller has disconnected.
+    """
     if request._disconnected or request.finished:
         return 0
     request.setResponseCode(status)
@@ -90,7 +93,7 @@
 
 
 def abort_connection(request: Request) -> None:
-    """Drop the connection of a request without an answer."""
+    """Abort the connection of a request without a reply."""
     transport = getattr(request.channel, "transport", None)
     if transport is not None:
         transport.abortConnection()
--- a/bench/platform.py
+++ b/bench/platform.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform: key-value service and VM list, in memory, with faults."""
+"""Simulated platform: in-memory key-value store and VM list, with fault injection."""
 
 from __future__ import annotations
 
@@ -25,19 +25,19 @@
     request_body,
     send_reply,
 )
-from bench.platform_faults import Control, Counts, Faults, Outage, RateCap, VmTable
+from bench.platform_faults import Control, Counts, Faults, Outage, TokenBucket, VmTable
 from bench.platform_state import Held, KeyValues, Refused
 from sardinehook.transport.reactor import Timers
 
 __all__ = ["Platform", "main"]
 
 EXPIRY_INTERVAL_S = 0.02
-HISTORY_CHANGES = 200_000
+HISTORY_MAX_CHANGES = 200_000
 FAULT_KEYS = frozenset(Faults._fields)
 
 
 class Change(NamedTuple):
-    """A change of a key, for those who check histories; an empty state is deleted."""
+    """A change of a key in ``GET /history``; ``deleted`` if the key was removed."""
 
     at_s: float
     key: str
@@ -47,14 +47,14 @@
 
 
 class Reply(NamedTuple):
-    """A status and JSON data, empty if there is no body."""
+    """An HTTP status and the JSON data of the body; None for no body."""
 
     status: int
     data: object = None
 
 
 class Watch(NamedTuple):
-    """A waiting watch."""
+    """A pending long poll for a revision of ``key`` newer than ``after``."""
 
     request: Request
     key: str
@@ -62,7 +62,10 @@
 
 
 class Platform(Resource):
-    """Answers the platform's HTTP; the faults are applied before and after."""
+    """Serves the platform's HTTP interface and applies the injected faults.
+
+    Delays, outages and rate limits apply before a call, lost replies after it.
+    """
 
     isLeaf = True  # noqa: N815 - the name that twisted.web reads
 
@@ -71,30 +74,33 @@
         self.reactor = reactor
         self.rng = random.Random(seed)
         self.store = KeyValues()
-        self.frozen: KeyValues | None = None
+        self.stale_store: KeyValues | None = None
         self.faults = Faults()
         self.counts = Counts()
-        self.read_cap = RateCap()
-        self.write_cap = RateCap()
+        self.read_limiter = TokenBucket()
+        self.write_limiter = TokenBucket()
         self.vms = VmTable()
         self.watches: list[Watch] = []
-        self.history: deque[Change] = deque(maxlen=HISTORY_CHANGES)
-        self.expiry = LoopingCall(self.settle)
+        self.history: deque[Change] = deque(maxlen=HISTORY_MAX_CHANGES)
+        self.expiry = LoopingCall(self.process_changes)
         self.expiry.clock = cast(IReactorTime, reactor)
 
     def start(self) -> None:
-        """Start to let leases lapse."""
+        """Start the timer that expires leases."""
         self.expiry.start(EXPIRY_INTERVAL_S)
 
     def stop(self) -> None:
-        """Stop the timer."""
+        """Stop the timer that expires leases."""
         self.expiry.stop()
 
     def render(self, request: Request) -> int:
-        """Take a request, at once or after the delay that is set."""
+        """Handle a request, after the injected delay if one is set.
+
+        Control requests are exempt from all faults.
+        """
         path = unquote(request.path.decode("latin-1"))
         if path in ("/control", "/counts", "/history"):
-            self.finish(request, self.manage(path, request))
+            self.finish(request, self.handle_control_request(path, request))
             return NOT_DONE_YET
         faults = self.faults
         delay_s = (faults.delay_ms + self.rng.random() * faults.jitter_ms) / 1000
@@ -105,7 +111,7 @@
         return NOT_DONE_YET
 
     def admit(self, request: Request, path: str) -> None:
-        """Let a call through the outage and the rate caps."""
+        """Apply the outage and the rate limits to a call, then serve it."""
         match self.faults.outage:
             case Outage.HANG:
                 return
@@ -118,10 +124,10 @@
             case Outage.NONE:
                 pass
         reads = request.method == b"GET"
-        cap = self.read_cap if reads else self.write_cap
+        limiter = self.read_limiter if reads else self.write_limiter
         rate = self.faults.reads_per_s if reads else self.faults.writes_per_s
         self.count(request, path)
-        if not cap.take(self.reactor.seconds(), rate):
+        if not limiter.take(self.reactor.seconds(), rate):
             self.counts.refused += 1
             self.finish(request, Reply(429))
             return
@@ -131,7 +137,7 @@
             self.finish(request, Reply(400, {"detail": str(error)}))
 
     def count(self, request: Request, path: str) -> None:
-        """Count a call."""
+        """Count a call and its request bytes."""
         parts = path.split("/")
         kind = "watch" if parts[1] == "watch" else parts[1]
         self.counts.calls[f"{request.method.decode()} {kind}"] += 1
@@ -142,20 +148,24 @@
         )
 
     def serve(self, request: Request, path: str) -> None:
-        """Do what a call asks."""
+        """Serve a call; a lost reply still takes effect in the store."""
         self.store.expire(self.reactor.seconds())
         if path.startswith("/watch/"):
             self.watch(request, path.removeprefix("/watch/"))
             return
         reply = self.answer(request, path)
-        self.settle()
-        if request.method != b"GET" and reply.status < 300 and self.loses(path):
+        self.process_changes()
+        if (
+            request.method != b"GET"
+            and reply.status < 300
+            and self.should_lose_reply(path)
+        ):
             abort_connection(request)
             return
         self.finish(request, reply)
 
-    def loses(self, path: str) -> bool:
-        """Whether the reply to this write is lost."""
+    def should_lose_reply(self, path: str) -> bool:
+        """Whether to drop the reply to this write; consumes one of ``lose_replies``."""
         faults = self.faults
         key = path.removeprefix("/kv/")
         if faults.lose_replies < 1 or not key.startswith(faults.lose_replies_prefix):
@@ -165,10 +175,10 @@
         return True
 
     def answer(self, request: Request, path: str) -> Reply:
-        """Answer a call other than a watch."""
+        """Return the reply to a call other than a watch."""
         match request.method, path.split("/", 2)[1:]:
             case b"GET", ["kv"]:
-                return self.scan(query_argument(request, "prefix", ""))
+                return self.list_entries(query_argument(request, "prefix", ""))
             case b"GET", ["kv", key]:
                 return self.get(key)
             case b"PUT", ["kv", key]:
@@ -185,21 +195,23 @@
                 return self.lease(method, rest, request)
         return Reply(404)
 
-    def readable(self) -> KeyValues:
-        """The state that reads are answered from."""
-        return self.frozen or self.store
+    def read_state(self) -> KeyValues:
+        """The state that serves reads; a snapshot while ``stale`` is set."""
+        return self.stale_store or self.store
 
     def get(self, key: str) -> Reply:
-        """Answer a read of one key."""
-        held = self.readable().held.get(key)
+        """Return the entry of a key, or 404."""
+        held = self.read_state().held.get(key)
         return Reply(200, entry(held)) if held else Reply(404)
 
-    def scan(self, prefix: str) -> Reply:
-        """Answer a read of all keys with a prefix."""
-        return Reply(200, {"entries": [entry(h) for h in self.readable().scan(prefix)]})
+    def list_entries(self, prefix: str) -> Reply:
+        """Return all entries whose key starts with ``prefix``."""
+        return Reply(
+            200, {"entries": [entry(h) for h in self.read_state().scan(prefix)]}
+        )
 
     def put(self, request: Request, key: str) -> Reply:
-        """Answer a write."""
+        """Compare and swap a key; 409 with the current entry if it does not match."""
         expect = int(query_argument(request, "expect", "0"))
         lease = query_argument(request, "lease", "")
         match self.store.put(key, request_body(request), expect, lease):
@@ -209,7 +221,7 @@
                 return Reply(200, {"revision": revision})
 
     def lease(self, method: bytes, rest: list[str], request: Request) -> Reply:
-        """Answer a call about a lease."""
+        """Grant, renew or revoke a lease; 409 if the lease has expired."""
         now = self.reactor.seconds()
         match method, rest:
             case b"POST", []:
@@ -223,7 +235,7 @@
         return Reply(404)
 
     def watch(self, request: Request, key: str) -> None:
-        """Answer a watch when its key has changed, or when its wait is over."""
+        """Answer a watch when its key has changed, or with 204 at its time-out."""
         watch = Watch(request, key, int(query_argument(request, "after", "0")))
         wait_s = float(query_argument(request, "wait_ms", "0")) / 1000
         self.watches.append(watch)
@@ -236,16 +248,16 @@
                 self.watches.remove(watch)
 
         request.notifyFinish().addBoth(ended)
-        self.wake(watch)
+        self.notify_watch(watch)
 
-    def wake(self, watch: Watch) -> None:
-        """End a watch whose key has changed."""
-        held = self.readable().held.get(watch.key)
+    def notify_watch(self, watch: Watch) -> None:
+        """Answer a watch if its key has a newer revision."""
+        held = self.read_state().held.get(watch.key)
         if held is not None and held.revision > watch.after:
             self.end_watch(watch, Reply(200, entry(held)))
 
     def end_watch(self, watch: Watch, reply: Reply) -> None:
-        """Send the answer to a watch, once, unless an outage holds it back."""
+        """Answer a watch at most once; during an outage, hang or abort it."""
         if watch not in self.watches or self.faults.outage is Outage.HANG:
             return
         self.watches.remove(watch)
@@ -254,27 +266,30 @@
         else:
             abort_connection(watch.request)
 
-    def settle(self) -> None:
-        """Let leases lapse, write the history and wake watches."""
+    def process_changes(self) -> None:
+        """Expire leases, record the changes and notify watches."""
         self.store.expire(self.reactor.seconds())
         changed, self.store.changed = self.store.changed, set()
         for key in changed:
-            self.record(key)
+            self.record_change(key)
         for watch in tuple(self.watches):
             if watch.key in changed:
-                self.wake(watch)
+                self.notify_watch(watch)
 
-    def record(self, key: str) -> None:
-        """Write a change to the history."""
+    def record_change(self, key: str) -> None:
+        """Append the current state of a key to the history."""
         held = self.store.held.get(key)
         revision, lease = (held.revision, held.lease) if held else (0, "")
         now = self.reactor.seconds()
         self.history.append(Change(now, key, revision, lease, held is None))
 
-    def manage(self, path: str, request: Request) -> Reply:
-        """Answer a call of the bench itself."""
+    def handle_control_request(self, path: str, request: Request) -> Reply:
+        """Return the reply to ``/control``, ``/counts`` or ``/history``.
+
+        An invalid control request gets 400 and changes nothing.
+        """
         if path == "/counts":
-            return Reply(200, self.counts.plain())
+            return Reply(200, self.counts.as_dict())
         if path == "/history":
             return Reply(200, [change._asdict() for change in self.history])
         try:
@@ -284,20 +299,22 @@
             return Reply(400, {"detail": str(error)})
         unknown = sorted(given.keys() - Control.__annotations__.keys())
         if unknown:
-            return Reply(400, {"detail": f"unknown: {', '.join(unknown)}"})
+            return Reply(
+                400, {"detail": f"unknown control fields: {', '.join(unknown)}"}
+            )
         self.control(control)
         return Reply(200, {})
 
     def control(self, control: Control) -> None:
-        """Change faults and VMs."""
+        """Apply a control request; fields that are absent keep their value."""
         now = self.reactor.seconds()
         changes = {key: value for key, value in control.items() if key in FAULT_KEYS}
         self.faults = Faults(**{**self.faults._asdict(), **changes})
-        if self.faults.stale and self.frozen is None:
-            self.frozen = KeyValues()
-            self.frozen.held = dict(self.store.held)
+        if self.faults.stale and self.stale_store is None:
+            self.stale_store = KeyValues()
+            self.stale_store.held = dict(self.store.held)
         if not self.faults.stale:
-            self.frozen = None
+            self.stale_store = None
         self.vms.lag_s = control.get("vm_lag_ms", self.vms.lag_s * 1000) / 1000
         if "vms" in control:
             self.vms.replace(now, control["vms"])
@@ -311,18 +328,18 @@
                 self.end_watch(watch, Reply(503))
 
     def finish(self, request: Request, reply: Reply) -> None:
-        """Send an answer, unless the caller has gone."""
+        """Send a reply and count its bytes, unless the caller has disconnected."""
         body = b"" if reply.data is None else msgspec.json.encode(reply.data)
         self.counts.bytes_out += send_reply(request, reply.status, body)
 
 
 def entry(held: Held | None) -> dict[str, object] | None:
-    """A key as JSON data."""
+    """The JSON data of an entry; None if the key does not exist."""
     return held._asdict() if held else None
 
 
 def main(arguments: list[str]) -> None:
-    """Serve until the process is told to stop."""
+    """Run the simulated platform until the process is terminated."""
     parser = argparse.ArgumentParser(prog="python -m bench.platform")
     parser.add_argument("--port", type=int, default=0)
     parser.add_argument("--seed", type=int, default=0)
--- a/bench/platform_faults.py
+++ b/bench/platform_faults.py
@@ -1,4 +1,4 @@
-"""Faults of the stand-in platform, set by ``POST /control``."""
+"""Injected faults of the simulated platform, set by ``POST /control``."""
 
 from __future__ import annotations
 
@@ -6,11 +6,19 @@
 from enum import StrEnum
 from typing import NamedTuple, TypedDict
 
-__all__ = ["Control", "Counts", "Faults", "Outage", "RateCap", "VmRecord", "VmTable"]
+__all__ = [
+    "Control",
+    "Counts",
+    "Faults",
+    "Outage",
+    "TokenBucket",
+    "VmRecord",
+    "VmTable",
+]
 
 
 class Outage(StrEnum):
-    """What the platform does with every call."""
+    """How the platform fails every call during an outage."""
 
     NONE = "none"
     REFUSE = "refuse"  # answers 503 at once
@@ -19,7 +27,7 @@
 
 
 class VmRecord(TypedDict):
-    """A VM in the platform's list."""
+    """An entry of the platform's VM list."""
 
     name: str
     data_centre: str
@@ -29,7 +37,7 @@
 
 
 class Control(TypedDict, total=False):
-    """The body of ``POST /control``; what is absent stays as it is."""
+    """The body of ``POST /control``; absent fields keep their value."""
 
     outage: Outage
     delay_ms: float
@@ -47,10 +55,11 @@
 
 
 class Faults(NamedTuple):
-    """The faults at present; a rate of zero is no cap.
+    """The faults in effect; a rate of zero means no limit.
 
-    ``lose_replies`` is how many further writes to keys that start with
-    ``lose_replies_prefix`` take effect without a reply.
+    The next ``lose_replies`` writes to keys that start with
+    ``lose_replies_prefix`` take effect, but their replies are dropped. With ``stale``,
+    reads are served from a snapshot.
     """
 
     outage: Outage = Outage.NONE
@@ -63,18 +72,18 @@
     stale: bool = False
 
 
-class RateCap:
-    """A token bucket that holds the tokens of one second."""
+class TokenBucket:
+    """Rate limiter whose burst size is the rate of one second."""
 
     def __init__(self) -> None:
         self.tokens = 0.0
         self.filled_at = float("-inf")
 
     def take(self, now: float, rate_per_s: float) -> bool:
-        """Take a token; false if the rate is exceeded.
+        """Take a token; returns False if the rate is exceeded.
 
-        >>> cap = RateCap()
-        >>> [cap.take(0.0, 2), cap.take(0.0, 2), cap.take(0.0, 2), cap.take(0.5, 2)]
+        >>> bucket = TokenBucket()
+        >>> [bucket.take(now, 2) for now in (0.0, 0.0, 0.0, 0.5)]
         [True, True, False, True]
         """
         if rate_per_s <= 0.0:
@@ -89,7 +98,7 @@
 
 
 class Counts:
-    """Calls and bytes so far, by kind of call and by first part of the key."""
+    """Counters of calls and bytes, by kind of call and first segment of the key."""
 
     def __init__(self) -> None:
         self.calls: Counter[str] = Counter()
@@ -99,8 +108,8 @@
         self.bytes_in = 0
         self.bytes_out = 0
 
-    def plain(self) -> dict[str, int | dict[str, int]]:
-        """The counts as JSON data."""
+    def as_dict(self) -> dict[str, int | dict[str, int]]:
+        """The body of ``GET /counts``."""
         return {
             "calls": dict(self.calls),
             "prefixes": dict(self.prefixes),
@@ -112,7 +121,7 @@
 
 
 class VmTable:
-    """The list of VMs, of which readers see the state of ``lag_s`` ago."""
+    """The VM list; reads return its state of ``lag_s`` seconds ago."""
 
     def __init__(self) -> None:
         self.lag_s = 0.0
@@ -127,11 +136,11 @@
         self.states.append((now, table))
 
     def replace(self, now: float, vms: list[VmRecord]) -> None:
-        """Set the whole list."""
+        """Replace the whole list."""
         self.states.append((now, {vm["name"]: vm for vm in vms}))
 
     def seen(self, now: float) -> tuple[float, list[VmRecord]]:
-        """The moment of the list that readers see, and the list."""
+        """Return the time of the state that reads see, and the VMs at that time."""
         as_of = now - self.lag_s
         while len(self.states) > 1 and self.states[1][0] <= as_of:
             self.states.pop(0)
--- a/bench/platform_state.py
+++ b/bench/platform_state.py
@@ -1,4 +1,4 @@
-"""What the stand-in platform holds: keys, leases and VMs, in memory."""
+"""The in-memory key-value store and leases of the simulated platform."""
 
 from __future__ import annotations
 
@@ -18,14 +18,14 @@
 
 
 class Refused(NamedTuple):
-    """A change whose condition did not hold, with what the key holds."""
+    """A compare-and-swap that did not match, with the current entry."""
 
     current: Held | None
 
 
 @dataclass
 class Lease:
-    """A lease and the keys that vanish with it."""
+    """A lease and the keys that are deleted when it ends."""
 
     ttl_s: float
     expires_at: float
@@ -33,10 +33,10 @@
 
 
 class KeyValues:
-    """Keys under compare-and-swap, one revision counter over all, and leases.
+    """Key-value store with compare-and-swap, a global revision counter and leases.
 
-    Times are seconds of one monotonic clock, given by the caller. What changed is
-    collected in ``changed`` until the caller takes it.
+    Times are seconds of one monotonic clock, passed by the caller. ``changed``
+    collects the keys that changed until the caller resets it.
     """
 
     def __init__(self) -> None:
@@ -47,19 +47,24 @@
         self.changed: set[str] = set()
 
     def expire(self, now: float) -> None:
-        """Drop the leases that were not renewed in time."""
-        lapsed = [name for name, lease in self.leases.items() if now > lease.expires_at]
-        for name in lapsed:
+        """Revoke the leases that were not renewed in time."""
+        expired = [
+            name for name, lease in self.leases.items() if now > lease.expires_at
+        ]
+        for name in expired:
             self.revoke(name)
 
     def put(self, key: str, value: bytes, expect: int, lease: str) -> Held | Refused:
-        """Write a key that is at ``expect``, zero if it must be new."""
+        """Write a key if its revision is ``expect``; zero if it must not exist.
+
+        An unknown or expired lease refuses the write as well.
+        """
         current = self.held.get(key)
         if expect != (current.revision if current else 0):
             return Refused(current)
         if lease and lease not in self.leases:
             return Refused(current)
-        self.forget_lease(current)
+        self.detach_from_lease(current)
         self.revision += 1
         written = Held(key, value, self.revision, lease)
         self.held[key] = written
@@ -69,7 +74,7 @@
         return written
 
     def delete(self, key: str, expect: int) -> Refused | None:
-        """Delete a key that is at ``expect``."""
+        """Delete a key if its revision is ``expect``."""
         current = self.held.get(key)
         if current is None or current.revision != expect:
             return Refused(current)
@@ -77,29 +82,29 @@
         return None
 
     def drop(self, key: str) -> None:
-        """Delete a key whatever its revision."""
+        """Delete a key regardless of its revision; it must exist."""
         self.revision += 1
-        self.forget_lease(self.held.pop(key))
+        self.detach_from_lease(self.held.pop(key))
         self.changed.add(key)
 
-    def forget_lease(self, held: Held | None) -> None:
-        """Take a key off the lease that it was written with."""
+    def detach_from_lease(self, held: Held | None) -> None:
+        """Remove a key from the lease that it was written with."""
         if held is not None and held.lease in self.leases:
             self.leases[held.lease].keys.discard(held.key)
 
     def scan(self, prefix: str) -> list[Held]:
-        """Every key that starts with ``prefix``, in order."""
+        """Return the entries whose key starts with ``prefix``, sorted by key."""
         return [self.held[key] for key in sorted(self.held) if key.startswith(prefix)]
 
     def grant(self, ttl_s: float, now: float) -> str:
-        """Grant a lease."""
+        """Grant a lease and return its name."""
         self.granted += 1
         name = f"lease-{self.granted}"
         self.leases[name] = Lease(ttl_s, now + ttl_s)
         return name
 
     def renew(self, name: str, now: float) -> bool:
-        """Renew a lease; false if it is gone."""
+        """Renew a lease; returns False if it has expired or was revoked."""
         lease = self.leases.get(name)
         if lease is None:
             return False
@@ -107,7 +112,7 @@
         return True
 
     def revoke(self, name: str) -> bool:
-        """Revoke a lease with its keys; false if it is gone."""
+        """Revoke a lease and delete its keys; returns False if it does not exist."""
         lease = self.leases.pop(name, None)
         if lease is None:
             return False
--- a/tests/bench/test_platform.py
+++ b/tests/bench/test_platform.py
@@ -1,4 +1,4 @@
-"""Tests of the stand-in platform's faults, which experiments rely on."""
+"""Tests of the simulated platform and its injected faults."""
 
 from __future__ import annotations
 
@@ -36,16 +36,16 @@
         await self.exchange("POST", "/control", b'{"reset_counts": true}')
         assert msgspec.json.decode(await self.exchange("GET", "/counts"))["calls"] == {}
 
-    async def test_malformed_control_changes_nothing(self) -> None:
+    async def test_invalid_control_request_changes_nothing(self) -> None:
         for body in (b"", b"[]", b'{"outage":"x"}', b'{"stale":1}', b'{"oops":1}'):
             assert b"detail" in await self.exchange("POST", "/control", body)
         assert self.platform.faults.outage is Outage.NONE
 
-    async def test_malformed_call_is_refused(self) -> None:
+    async def test_invalid_query_argument_is_refused(self) -> None:
         assert b"detail" in await self.exchange("PUT", "/kv/a?expect=x", b"1")
         assert b"detail" in await self.exchange("POST", "/lease?ttl_ms=x")
 
-    async def test_history_tells_every_change(self) -> None:
+    async def test_history_records_every_change(self) -> None:
         written = good(await self.store.put("a", b"", CREATE))
         good(await self.store.delete("a", written.revision))
         history = msgspec.json.decode(await self.exchange("GET", "/history"))
@@ -54,7 +54,7 @@
             ("a", True),
         ]
 
-    async def test_outages_end_waiting_watches(self) -> None:
+    async def test_outage_ends_pending_watches(self) -> None:
         for outage in (Outage.CUT, Outage.REFUSE):
             watch = Deferred.fromCoroutine(self.store.watch("a", 0, 10_000))
             await self.later(0.05)
@@ -65,7 +65,7 @@
             self.platform.control({"outage": Outage.NONE})
             assert await self.store.get("a") == Success(None)
 
-    async def test_slowness_delays_every_call(self) -> None:
+    async def test_injected_delay_applies_to_calls(self) -> None:
         self.platform.control({"delay_ms": 120.0})
         began = self.reactor.seconds()
         good(await self.store.get("a"))
@@ -73,7 +73,7 @@
 
 
 def good_or_none(result: Result[Entry | None, StoreFailure]) -> object:
-    """The value of a success, None for a failure."""
+    """Return the value of a success, None for a failure."""
     return result.value_or(None)
 
 
