Reword the simulated targets in the terms of the field

Replicas fell over, took work on and came back; they now crash, accept jobs and resume cold. Event kinds, settings and output stay as they are.

--- a/bench/memory_reactor.py
+++ b/bench/memory_reactor.py
@@ -1,4 +1,4 @@
-"""TCP in memory on a fake clock, to run the owner against the target stand-in."""
+"""In-memory TCP on a fake clock, to run an owner against simulated targets."""
 
 from __future__ import annotations
 
@@ -16,22 +16,22 @@
 
 __all__ = ["MemoryReactor"]
 
-DELAY_S = 0.0005
+ONE_WAY_DELAY_S = 0.0005
 
 
 def failure(error: Exception) -> Failure:
-    """Return ``error`` as Twisted passes it on."""
+    """Wrap ``error`` in a Twisted ``Failure``."""
     return Failure(error)
 
 
 class Address(NamedTuple):
-    """The address of a port in memory."""
+    """The address of an in-memory port."""
 
     port: int
 
 
 class MemoryTransport:
-    """One end of a connection in memory."""
+    """One end of an in-memory connection."""
 
     def __init__(self, clock: Clock, protocol: Protocol) -> None:
         self.clock = clock
@@ -40,73 +40,76 @@
         self.open = True
 
     def write(self, data: bytes) -> None:
-        """Bring ``data`` to the peer a little later."""
+        """Deliver ``data`` to the peer after the one-way delay."""
         if self.open and self.peer is not None:
-            self.clock.callLater(DELAY_S, self.peer.receive, data)
+            self.clock.callLater(ONE_WAY_DELAY_S, self.peer.receive, data)
 
     def receive(self, data: bytes) -> None:
-        """Take data from the peer."""
+        """Pass data from the peer to the protocol, unless this end is closed."""
         if self.open:
             self.protocol.dataReceived(data)
 
     def getHandle(self) -> MemoryTransport:
-        """Return what stands for the socket."""
+        """Return the object that is used in place of the socket."""
         return self
 
     def send(self, data: bytes) -> int:
-        """Take all of ``data``."""
+        """Write ``data``; always accepts all of it."""
         self.write(data)
         return len(data)
 
     def setsockopt(self, level: int, option: int, value: int) -> None:
-        """Do nothing: there is no socket."""
+        """Do nothing; there is no socket."""
 
     def setTcpNoDelay(self, enabled: bool) -> None:
-        """Do nothing: there is no socket."""
+        """Do nothing; there is no socket."""
 
     def loseConnection(self) -> None:
-        """Close both sides."""
+        """Close the connection cleanly on both ends."""
         self.end(ConnectionDone())
 
     def loseWriteConnection(self) -> None:
-        """Close; the peer closes in turn."""
+        """Close the peer's end, which then closes this one.
+
+        Raises ``ValueError`` if this end is closed.
+        """
         if not self.open:
-            raise ValueError("the socket is closed")
+            raise ValueError("cannot close the write side: the connection is closed")
         if self.open and self.peer is not None:
-            self.clock.callLater(DELAY_S, self.peer.end, ConnectionDone())
+            self.clock.callLater(ONE_WAY_DELAY_S, self.peer.end, ConnectionDone())
 
     def abortConnection(self) -> None:
-        """Close at once."""
+        """Abort the connection."""
         self.end(ConnectionLost())
 
     def end(self, reason: Exception) -> None:
-        """End this side now and the other one a little later."""
+        """Close this end now and the peer's after the one-way delay."""
         if not self.open:
             return
         self.open = False
         self.clock.callLater(0.0, self.protocol.connectionLost, failure(reason))
         if self.peer is not None:
-            self.clock.callLater(DELAY_S, self.peer.end, reason)
+            self.clock.callLater(ONE_WAY_DELAY_S, self.peer.end, reason)
 
 
 class MemoryPort:
-    """A listening port in memory."""
+    """A listening in-memory port."""
 
     def __init__(self, reactor: MemoryReactor, port: int) -> None:
         self.reactor = reactor
         self.port = port
 
     def getHost(self) -> Address:
-        """Return the address."""
+        """Return the local address."""
         return Address(self.port)
 
     def stopListening(self) -> None:
-        """Accept no more connections."""
+        """Stop accepting connections."""
         del self.reactor.listeners[self.port]
 
 
 class MemoryReactor(Clock):
-    """A fake clock with TCP between its own users."""
+    """A fake clock that connects clients and servers of the same process."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -116,7 +119,7 @@
     def listenTCP(
         self, port: int, factory: ServerFactory, backlog: int, interface: str
     ) -> MemoryPort:
-        """Accept connections on ``port``, or on a free one for 0."""
+        """Listen on ``port``, or on a free port if it is zero."""
         if not port:
             self.last_port += 1
             port = self.last_port
@@ -126,11 +129,11 @@
     def connectTCP(
         self, host: str, port: int, factory: ClientFactory, timeout: float
     ) -> None:
-        """Establish a connection a round trip later."""
-        self.callLater(2 * DELAY_S, self.establish, port, factory)
+        """Connect after one round trip."""
+        self.callLater(2 * ONE_WAY_DELAY_S, self.establish, port, factory)
 
     def establish(self, port: int, factory: ClientFactory) -> None:
-        """Connect both ends, or refuse."""
+        """Connect both ends, or report a refused connection."""
         listener = self.listeners.get(port)
         if listener is None:
             error = ConnectionRefusedError()
@@ -144,4 +147,4 @@
         ends[0].makeConnection(client)
 
     def run(self) -> None:
-        """Do nothing: the clock is advanced by its user."""
+        """Do nothing; the caller advances the clock."""
--- a/bench/target.py
+++ b/bench/target.py
@@ -1,4 +1,4 @@
-"""Runs many target stand-ins in one process, with a port to control them."""
+"""Runs many simulated targets in one process, with an HTTP port to control them."""
 
 from __future__ import annotations
 
@@ -25,7 +25,7 @@
 
 
 class ReplicaAddress(NamedTuple):
-    """Where a replica listens."""
+    """The address at which a replica listens."""
 
     service: str
     index_name: str
@@ -48,7 +48,7 @@
 
 
 class TargetGroup:
-    """All replicas of one stand-in process."""
+    """All simulated replicas of one process."""
 
     def __init__(self, reactor: ListeningReactor, settings: TargetSettings) -> None:
         self.reactor = reactor
@@ -72,17 +72,17 @@
             self.hosts[replica.name] = TargetHost(reactor, model)
 
     def listen(self) -> None:
-        """Begin to accept connections for all replicas."""
+        """Start listening for all replicas."""
         for host in self.hosts.values():
             host.listen()
 
     def stop(self) -> None:
-        """End all replicas."""
+        """Shut down all replicas."""
         for host in self.hosts.values():
-            host.leave()
+            host.shut_down()
 
     def places(self) -> list[ReplicaAddress]:
-        """Return where each replica listens."""
+        """Return the address of each replica."""
         return [
             ReplicaAddress(
                 host.model.settings.service,
@@ -94,19 +94,19 @@
         ]
 
     def control(self, control: Control) -> int:
-        """Carry out a control request and return how many replicas it met.
+        """Apply a control request and return the number of selected replicas.
 
-        Raises ``msgspec.ValidationError`` for a field that does not exist.
+        Raises ``msgspec.ValidationError`` for an unknown field.
         """
-        met = [host for host in self.hosts.values() if meant(control, host)]
-        for host in met:
+        selected = [host for host in self.hosts.values() if is_selected(control, host)]
+        for host in selected:
             for name, raw in control.set.items():
                 set_field(host.model.settings, name, raw)
-            host.act(control.do)
-        return len(met)
+            host.apply_action(control.do)
+        return len(selected)
 
     def records(self) -> RecordsReply:
-        """Return the counters and the log."""
+        """Return the counters of all replicas and the event log."""
         counters: dict[str, msgspec.Struct] = {
             name: host.model.counters for name, host in self.hosts.items()
         }
@@ -115,8 +115,8 @@
         )
 
 
-def meant(control: Control, host: TargetHost) -> bool:
-    """Tell whether a control request is for a replica."""
+def is_selected(control: Control, host: TargetHost) -> bool:
+    """Return whether a control request selects a replica."""
     if not control.replicas and not control.services:
         return True
     settings = host.model.settings
@@ -127,49 +127,49 @@
     """Set one field of a replica's behaviour from JSON."""
     types = {field.name: field.type for field in msgspec.structs.fields(Behaviour)}
     if name not in types:
-        raise msgspec.ValidationError(f"no such field: {name}")
+        raise msgspec.ValidationError(f"unknown field of Behaviour: {name}")
     setattr(behaviour, name, msgspec.json.decode(raw, type=types[name]))
 
 
 class ControlResource(Resource):
     """``POST /control``, ``GET /records`` and ``GET /replicas``."""
 
-    def __init__(self, rig: TargetGroup) -> None:
+    def __init__(self, group: TargetGroup) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.isLeaf = True
-        self.rig = rig
+        self.group = group
 
     def render_GET(self, request: WebRequest) -> bytes:
-        """Return the records or the replicas."""
+        """Return the records, or the replicas for any other path."""
         if request.path == b"/records":
-            return msgspec.json.encode(self.rig.records())
-        return msgspec.json.encode([one._asdict() for one in self.rig.places()])
+            return msgspec.json.encode(self.group.records())
+        return msgspec.json.encode([one._asdict() for one in self.group.places()])
 
     def render_POST(self, request: WebRequest) -> bytes:
-        """Carry out a control request."""
+        """Apply a control request; 400 if it is invalid."""
         assert request.content is not None
         try:
             control = msgspec.json.decode(request.content.read(), type=Control)
-            met = self.rig.control(control)
+            selected = self.group.control(control)
         except msgspec.DecodeError as error:
             cast(HttpRequest, request).setResponseCode(400)
             return str(error).encode()
-        return msgspec.json.encode({"replicas": met})
+        return msgspec.json.encode({"replicas": selected})
 
 
 def main(config: Annotated[Path, typer.Option(help="The settings file.")]) -> None:
-    """Run the target stand-ins until the process is told to end."""
+    """Run the simulated targets until the process is terminated."""
     from twisted.internet import reactor
 
     listening = cast(ListeningReactor, reactor)
     listening.seconds = monotonic  # type: ignore[method-assign]
     settings = load_settings(config)
-    rig = TargetGroup(listening, settings)
-    rig.listen()
-    site = cast(ServerFactory, Site(ControlResource(rig)))
+    group = TargetGroup(listening, settings)
+    group.listen()
+    site = cast(ServerFactory, Site(ControlResource(group)))
     port = listening.listenTCP(settings.control_port, site, 50, "127.0.0.1")
     control = port.getHost().port
-    print(f"ready replicas={len(rig.hosts)} control={control}", flush=True)
+    print(f"ready replicas={len(group.hosts)} control={control}", flush=True)
     listening.run()
 
 
--- a/bench/target_host.py
+++ b/bench/target_host.py
@@ -1,4 +1,4 @@
-"""A replica of the target stand-in on its port: restarts, silence, connection cap."""
+"""One simulated replica on its port: restarts, silence and the connection limit."""
 
 from __future__ import annotations
 
@@ -21,29 +21,29 @@
 
 
 class ListeningPort(Protocol):
-    """A port that accepts connections."""
+    """A listening port."""
 
     def getHost(self) -> Address:
-        """Return the address."""
+        """Return the local address."""
 
     def stopListening(self) -> object:
         """Stop accepting connections."""
 
 
 class ListeningReactor(TcpReactor, Protocol):
-    """A reactor that also accepts connections."""
+    """A reactor that can also listen and run."""
 
     def listenTCP(
         self, port: int, factory: ServerFactory, backlog: int, interface: str
     ) -> ListeningPort:
-        """Accept connections on ``port``."""
+        """Listen on ``port``."""
 
     def run(self) -> None:
-        """Run until the process is told to end."""
+        """Run the event loop until the reactor is stopped."""
 
 
 class TargetHost:
-    """Listens for one replica and carries out what a control request asks."""
+    """Listens for one replica and applies the actions of control requests."""
 
     def __init__(self, reactor: ListeningReactor, model: TargetModel) -> None:
         self.reactor = reactor
@@ -51,10 +51,10 @@
         self.port = model.settings.port
         self.listening: ListeningPort | None = None
         self.connections: set[TargetServer] = set()
-        model.fall_over = self.fall_over
+        model.crash = self.crash
 
     def listen(self) -> None:
-        """Begin to accept connections."""
+        """Start listening; does nothing if already listening."""
         if self.listening is not None:
             return
         factory = TargetFactory(lambda: TargetServer(self))
@@ -63,8 +63,8 @@
         )
         self.port = self.listening.getHost().port
 
-    def connected(self, server: TargetServer) -> bool:
-        """Count a connection; tell whether the cap allows it."""
+    def add_connection(self, server: TargetServer) -> bool:
+        """Count a connection; returns whether the connection limit admits it."""
         counters = self.model.counters
         counters.connections_opened += 1
         if len(self.connections) >= self.model.settings.connections:
@@ -77,68 +77,68 @@
         )
         return True
 
-    def disconnected(self, server: TargetServer) -> None:
-        """Give the place of a connection free."""
+    def remove_connection(self, server: TargetServer) -> None:
+        """Remove a closed connection from the count."""
         self.connections.discard(server)
         self.model.counters.connections = len(self.connections)
 
-    def fall_over(self) -> None:
-        """End the process after an overrun and start it again, cold."""
-        self.model.note_life("fell_over")
-        self.go_down(self.model.settings.fall_over_ms / 1000.0)
+    def crash(self) -> None:
+        """Simulate a process crash on overload and a cold restart."""
+        self.model.log_replica_event("fell_over")
+        self.restart_cold(self.model.settings.fall_over_ms / 1000.0)
 
-    def go_down(self, seconds: float) -> None:
-        """Lose all work and connections; come back cold after ``seconds``."""
-        self.leave()
-        self.reactor.callLater(seconds, self.come_back)
+    def restart_cold(self, seconds: float) -> None:
+        """Shut down and restart cold after ``seconds``."""
+        self.shut_down()
+        self.reactor.callLater(seconds, self.resume_cold)
 
-    def leave(self) -> None:
-        """Lose all work and connections and accept none."""
+    def shut_down(self) -> None:
+        """Stop listening, abort all jobs and all connections."""
         if self.listening is not None:
             self.listening.stopListening()
             self.listening = None
-        self.model.lose_all()
+        self.model.abort_all()
         for server in list(self.connections):
             server.open = False
             server.tcp.abortConnection()
 
-    def come_back(self) -> None:
-        """Accept connections again, cold."""
-        self.model.become_cold()
+    def resume_cold(self) -> None:
+        """Listen again, in the cold state and not draining."""
+        self.model.start_cold_state()
         self.model.draining = False
         self.listen()
-        self.model.note_life("return")
+        self.model.log_replica_event("return")
 
-    def act(self, action: str) -> None:
-        """Carry out one action of a control request."""
+    def apply_action(self, action: str) -> None:
+        """Log and apply one action of a control request, if any."""
         if action:
-            self.model.note_life(action)
+            self.model.log_replica_event(action)
         actions: dict[str, Callable[[], None]] = {
-            "restart": lambda: self.go_down(0.02),
+            "restart": lambda: self.restart_cold(0.02),
             "drain": self.drain,
             "undrain": self.undrain,
-            "leave": self.leave,
-            "return": self.come_back,
+            "leave": self.shut_down,
+            "return": self.resume_cold,
             "silence": self.silence,
-            "cold": self.model.become_cold,
+            "cold": self.model.start_cold_state,
             "warm": self.warm,
         }
         if action:
             actions[action]()
 
     def drain(self) -> None:
-        """Refuse new work and say so."""
+        """Start draining: refuse new work and report the state."""
         self.model.draining = True
 
     def undrain(self) -> None:
-        """Take new work again."""
+        """Stop draining."""
         self.model.draining = False
 
     def warm(self) -> None:
-        """End a cold start."""
+        """End the cold start."""
         self.model.cold = False
 
     def silence(self) -> None:
-        """Let the connections that are open now go silent for good."""
+        """Stop all reads and writes on the connections that are open now."""
         for server in self.connections:
             server.silent = True
--- a/bench/target_http.py
+++ b/bench/target_http.py
@@ -1,4 +1,4 @@
-"""The HTTP side of the target stand-in, with the faults of its connections."""
+"""The HTTP server of a simulated target, with connection faults."""
 
 from __future__ import annotations
 
@@ -21,26 +21,26 @@
 
 
 class ServerHost(Port):
-    """What a connection needs of the place that it belongs to."""
+    """What a connection needs of the replica's host."""
 
     model: TargetModel
 
     @property
     def reactor(self) -> Timers:
-        """The reactor."""
+        """The reactor that provides the clock and timers."""
         ...
 
-    def connected(self, server: TargetServer) -> bool:
-        """Count a connection; tell whether the cap allows it."""
+    def add_connection(self, server: TargetServer) -> bool:
+        """Count a connection; returns whether the connection limit admits it."""
         ...
 
-    def disconnected(self, server: TargetServer) -> None:
-        """Give the place of a connection free."""
+    def remove_connection(self, server: TargetServer) -> None:
+        """Remove a closed connection from the count."""
         ...
 
 
 class TargetServer(Protocol):
-    """One connection to a replica; it handles one request at a time."""
+    """One connection to a replica; no pipelining of requests."""
 
     def __init__(self, host: ServerHost) -> None:
         self.host = host
@@ -51,17 +51,20 @@
         self.reset_request()
 
     def reset_request(self) -> None:
-        """Forget the last request."""
+        """Prepare the parser for the next request."""
         self.parser = HttpRequestParser(self)
         self.path = b""
         self.headers: dict[bytes, str] = {}
         self.complete = False
 
     def connectionMade(self) -> None:
-        """Accept the connection, or refuse it beyond the cap."""
+        """Accept the connection, or abort it if the connection limit is reached.
+
+        Requests are read only after ``connect_ms``.
+        """
         self.tcp = cast(TcpTransport, self.transport)
         self.tcp.setTcpNoDelay(True)
-        self.open = self.host.connected(self)
+        self.open = self.host.add_connection(self)
         if not self.open:
             self.tcp.abortConnection()
             return
@@ -69,12 +72,15 @@
         self.ready_at = self.host.reactor.seconds() + connect_s
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Give the connection's place free."""
+        """Remove the connection from the host."""
         self.open = False
-        self.host.disconnected(self)
+        self.host.remove_connection(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Parse a request, unless this end has gone silent or is not ready yet."""
+        """Parse a request; delays it until the connection is ready.
+
+        Data on a silent connection is dropped.
+        """
         if self.silent or not self.open:
             return
         wait_s = self.ready_at - self.host.reactor.seconds()
@@ -90,19 +96,19 @@
             self.handle()
 
     def on_url(self, url: bytes) -> None:
-        """Keep the path of the request."""
+        """Append a part of the path."""
         self.path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header of the request."""
+        """Store a header under its lower-case name."""
         self.headers[name.lower()] = value.decode()
 
     def on_message_complete(self) -> None:
-        """Note that the request is whole."""
+        """Mark the request as complete."""
         self.complete = True
 
     def handle(self) -> None:
-        """Act on a whole request."""
+        """Dispatch a complete request by its path."""
         path, headers = self.path.decode(), self.headers
         request = Request(
             headers.get(b"request-id", ""),
@@ -129,22 +135,22 @@
             self.send(request, TargetReply(404, 0, 0, b"", not_run=True))
 
     def send_faulty(self, request: Request, reply: TargetReply) -> None:
-        """Send the reply to a sub-query with the faults that are set."""
-        settings, chance = self.model.settings, self.model.random.random
-        if chance() < settings.lost_reply_rate:
-            self.model.note("spoiled", request, reply.index_version)
+        """Send the reply to a sub-query with at most one injected fault."""
+        settings, draw = self.model.settings, self.model.random.random
+        if draw() < settings.lost_reply_rate:
+            self.model.log_event("spoiled", request, reply.index_version)
             self.tcp.abortConnection()
-        elif chance() < settings.truncated_rate:
-            self.model.note("spoiled", request, reply.index_version)
+        elif draw() < settings.truncated_rate:
+            self.model.log_event("spoiled", request, reply.index_version)
             self.write(self.encode(request, reply)[:-7])
             self.tcp.loseConnection()
-        elif chance() < settings.foreign_rate:
-            self.model.note("spoiled", request, reply.index_version)
+        elif draw() < settings.foreign_rate:
+            self.model.log_event("spoiled", request, reply.index_version)
             self.send(request._replace(sub_query_id="foreign-1"), reply)
-        elif chance() < settings.garbage_rate:
-            self.model.note("spoiled", request, reply.index_version)
+        elif draw() < settings.garbage_rate:
+            self.model.log_event("spoiled", request, reply.index_version)
             self.write(b"\x00\x01garbage\r\n\r\n")
-        elif chance() < settings.duplicate_rate:
+        elif draw() < settings.duplicate_rate:
             self.send(request, reply)
             self.send(request, reply)
         else:
@@ -155,12 +161,12 @@
         self.write(self.encode(request, reply))
 
     def write(self, data: bytes) -> None:
-        """Write unless this end has gone silent."""
+        """Write data unless the connection is closed or silent."""
         if self.open and not self.silent:
             self.tcp.write(data)
 
     def encode(self, request: Request, reply: TargetReply) -> bytes:
-        """Return the bytes of a reply."""
+        """Encode a reply as an HTTP/1.1 response."""
         model = self.model
         held = ",".join(map(str, model.settings.versions))
         not_run = b"Not-Run: true\r\n" if reply.not_run else b""
@@ -183,7 +189,7 @@
 
 
 class TargetFactory(ServerFactory):
-    """Builds the connections of one replica."""
+    """Twisted factory for the connections of one replica."""
 
     noisy = False
 
--- a/bench/target_model.py
+++ b/bench/target_model.py
@@ -1,4 +1,4 @@
-"""The behaviour of one replica of the target stand-in, apart from its sockets."""
+"""The behaviour of one simulated replica, independent of its sockets."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
 
 
 class Request(NamedTuple):
-    """A sub-query as a target sees it; ``deadline_ms`` is the time left."""
+    """A sub-query as received; ``deadline_ms`` is the remaining time."""
 
     request_id: str
     sub_query_id: str
@@ -31,7 +31,7 @@
 
 
 class TargetReply(NamedTuple):
-    """What a target answers; ``not_run`` promises that nothing was begun."""
+    """A reply; ``not_run`` guarantees that no work was begun."""
 
     status: int
     index_version: int
@@ -41,7 +41,7 @@
 
 
 class Counters(msgspec.Struct):
-    """What a replica has counted since the start of the process."""
+    """Counters of a replica since the start of the process."""
 
     begun: int = 0
     finished: int = 0
@@ -64,7 +64,7 @@
 
 @dataclass(eq=False, slots=True)
 class Job:
-    """Work that a target has taken on; ``timer`` is set once it runs."""
+    """An accepted sub-query; ``timer`` is set once it occupies a slot."""
 
     request: Request
     reply: Callable[[TargetReply], None]
@@ -74,78 +74,88 @@
 
 
 class TargetModel:
-    """Slots, cold start, shedding, drain, deadlines and cancellation of a replica."""
+    """Models slots, queue, cold start, shedding, drain, deadlines and cancellation."""
 
     def __init__(
         self,
         reactor: TcpReactor,
         settings: ReplicaSettings,
         shard: Shard,
-        per_service: int,
+        records_per_service: int,
         seed: int,
         log: WorkLog,
     ) -> None:
         self.reactor = reactor
         self.settings = settings
         self.shard = shard
-        self.per_service = per_service
+        self.records_per_service = records_per_service
         self.seed = seed
         self.log = log
         self.random = random.Random(f"{seed}/{settings.name}")
         self.counters = Counters()
         self.cold = settings.cold
         self.draining = False
-        self.fall_over: Callable[[], None] = lambda: None
-        self.warm_after = settings.cold_replies
+        self.crash: Callable[[], None] = lambda: None
+        self.cold_replies_left = settings.cold_replies
         self.running: set[Job] = set()
         self.waiting: deque[Job] = deque()
         self.status_history: deque[tuple[float, bytes]] = deque(maxlen=512)
 
     @property
     def in_flight(self) -> int:
-        """Return how many jobs run or wait."""
+        """The number of running and queued jobs."""
         return len(self.running) + len(self.waiting)
 
     @property
     def state(self) -> str:
-        """Return the state as it stands in replies."""
+        """The state that replies report."""
         if self.draining:
             return "draining"
         return "cold" if self.cold else "warm"
 
     def submit(self, request: Request, reply: Callable[[TargetReply], None]) -> None:
-        """Take on a sub-query or refuse it."""
+        """Accept a sub-query or refuse it at once.
+
+        Index version 0 selects the newest version held.
+        """
         version = request.index_version or max(self.settings.versions)
         refusal = self.refusal(request, version)
         if refusal is not None:
             reply(refusal)
             return
-        self.take_on(Job(request, reply, version))
+        self.accept(Job(request, reply, version))
 
     def refusal(self, request: Request, version: int) -> TargetReply | None:
-        """Return the refusal of a sub-query, if it has one."""
+        """Return the reply that refuses a sub-query, None if it is admitted.
+
+        412 for a version that is not held; 503 while draining, when slots and queue
+        are full, or at random.
+        """
         settings = self.settings
         wrong = version not in settings.versions
         if wrong or request.partitioning not in (0, settings.partitioning):
             self.counters.wrong_version += 1
-            return self.answer(412, 0, b"", not_run=True)
+            return self.make_reply(412, 0, b"", not_run=True)
         refuses = self.draining and not settings.works_while_draining
         full = self.in_flight >= settings.slots + settings.waiting
         if refuses or full or self.random.random() < settings.shed_rate:
             self.counters.shed += 1
-            self.note("shed", request, version)
-            return self.answer(503, version, b"", not_run=True)
+            self.log_event("shed", request, version)
+            return self.make_reply(503, version, b"", not_run=True)
         return None
 
-    def take_on(self, job: Job) -> None:
-        """Begin or queue a job; a cold target that is overrun falls over."""
+    def accept(self, job: Job) -> None:
+        """Queue a job and start it if a slot is free.
+
+        A cold target with more jobs than ``cold_start_slots`` crashes.
+        """
         self.counters.begun += 1
         self.counters.begun_while_draining += self.draining
         if job.request.order_key:
             runs = self.counters.orders.get(job.request.order_key, 0)
             self.counters.orders[job.request.order_key] = runs + 1
         self.waiting.append(job)
-        self.note("begun", job.request, job.version)
+        self.log_event("begun", job.request, job.version)
         if not self.settings.ignores_deadline:
             job.expiry = self.reactor.callLater(
                 job.request.deadline_ms / 1000.0, lambda: self.expire(job)
@@ -154,7 +164,7 @@
         self.start_waiting()
 
     def count_in_flight(self) -> None:
-        """Keep the peaks, and fall over where a cold start is overrun."""
+        """Update the peaks; crash if a cold target exceeds ``cold_start_slots``."""
         counters = self.counters
         counters.peak_in_flight = max(counters.peak_in_flight, self.in_flight)
         if not self.cold:
@@ -163,10 +173,10 @@
         if self.in_flight > self.settings.cold_start_slots:
             counters.cold_overruns += 1
             counters.fell_over += 1
-            self.fall_over()
+            self.crash()
 
     def start_waiting(self) -> None:
-        """Run jobs in the order of arrival while slots are free."""
+        """Start queued jobs in FIFO order while slots are free."""
         while self.waiting and len(self.running) < self.settings.slots:
             job = self.waiting.popleft()
             self.running.add(job)
@@ -174,7 +184,7 @@
             job.timer = self.reactor.callLater(seconds, partial(self.finish, job))
 
     def service_ms(self) -> float:
-        """Draw how long a job runs."""
+        """Draw the log-normal service time of a job, with stragglers and cold start."""
         settings = self.settings
         drawn = settings.service_ms * math.exp(
             self.random.gauss(0.0, settings.service_sigma)
@@ -186,53 +196,58 @@
         return drawn * settings.slow_factor
 
     def finish(self, job: Job) -> None:
-        """Answer a job that has run."""
+        """Send the reply of a completed job and start the next."""
         self.remove(job)
         self.counters.finished += 1
-        self.note("finished", job.request, job.version)
+        self.log_event("finished", job.request, job.version)
         if self.cold:
-            self.warm_up()
+            self.count_cold_reply()
         if self.random.random() < self.settings.error_rate:
-            self.note("spoiled", job.request, job.version)
-            job.reply(self.answer(500, job.version, b""))
+            self.log_event("spoiled", job.request, job.version)
+            job.reply(self.make_reply(500, job.version, b""))
         else:
             flagged = self.random.random() < self.settings.flagged_rate
             if flagged:
-                self.note("spoiled", job.request, job.version)
-            job.reply(self.answer(200, job.version, self.body(job.version, flagged)))
+                self.log_event("spoiled", job.request, job.version)
+            job.reply(
+                self.make_reply(200, job.version, self.body(job.version, flagged))
+            )
         self.start_waiting()
 
     def body(self, version: int, flagged: bool) -> bytes:
-        """Return the records of this replica at ``version``."""
+        """Return the reply body with the records of this replica at ``version``."""
         shard = self.shard._replace(
             version=version, partitioning=self.settings.partitioning
         )
-        return records_body(shard, self.per_service, self.seed, flagged)
+        return records_body(shard, self.records_per_service, self.seed, flagged)
 
-    def answer(
+    def make_reply(
         self, status: int, version: int, body: bytes, not_run: bool = False
     ) -> TargetReply:
-        """Return a reply from this replica."""
+        """Build a reply with the partitioning of this replica."""
         return TargetReply(status, version, self.settings.partitioning, body, not_run)
 
-    def warm_up(self) -> None:
-        """Count a reply given while cold."""
-        self.warm_after -= 1
-        if self.warm_after <= 0:
+    def count_cold_reply(self) -> None:
+        """Count a reply in the cold state; the last one ends the cold start."""
+        self.cold_replies_left -= 1
+        if self.cold_replies_left <= 0:
             self.cold = False
 
     def expire(self, job: Job) -> None:
-        """Abandon a job whose deadline has passed."""
+        """Abort a job whose deadline has passed; replies 504."""
         if job not in self.running and job not in self.waiting:
             return
         self.remove(job)
         self.counters.expired += 1
-        self.note("expired", job.request, job.version)
-        job.reply(self.answer(504, job.version, b""))
+        self.log_event("expired", job.request, job.version)
+        job.reply(self.make_reply(504, job.version, b""))
         self.start_waiting()
 
     def cancel(self, request_id: str, sub_query_id: str) -> int:
-        """Abandon a job; return the status of the answer to the cancellation."""
+        """Cancel a job and return the HTTP status of the cancellation.
+
+        200 if cancelled, 404 if there is no such job, 202 if cancellation is ignored.
+        """
         if self.settings.ignores_cancel:
             return 202
         for job in [*self.running, *self.waiting]:
@@ -240,14 +255,14 @@
             if (request.request_id, request.sub_query_id) == (request_id, sub_query_id):
                 self.remove(job)
                 self.counters.cancelled += 1
-                self.note("cancelled", request, job.version)
-                job.reply(self.answer(409, job.version, b""))
+                self.log_event("cancelled", request, job.version)
+                job.reply(self.make_reply(409, job.version, b""))
                 self.start_waiting()
                 return 200
         return 404
 
     def remove(self, job: Job) -> None:
-        """Take a job out of the slots or the queue."""
+        """Remove a job from the slots or the queue and cancel its timers."""
         self.running.discard(job)
         if job in self.waiting:
             self.waiting.remove(job)
@@ -255,19 +270,19 @@
             if timer is not None and timer.active():
                 timer.cancel()
 
-    def lose_all(self) -> None:
-        """Lose all work, as a process does that ends."""
+    def abort_all(self) -> None:
+        """Drop all jobs without a reply, as when the process exits."""
         for job in [*self.running, *self.waiting]:
             self.remove(job)
-            self.note("lost", job.request, job.version)
+            self.log_event("lost", job.request, job.version)
 
-    def become_cold(self) -> None:
-        """Begin a cold start."""
+    def start_cold_state(self) -> None:
+        """Enter the cold state."""
         self.cold = True
-        self.warm_after = self.settings.cold_replies
+        self.cold_replies_left = self.settings.cold_replies
 
-    def note(self, kind: str, request: Request, version: int) -> None:
-        """Log an event of a sub-query."""
+    def log_event(self, kind: str, request: Request, version: int) -> None:
+        """Append an event of a sub-query to the log."""
         event = WorkEvent(
             self.reactor.seconds(),
             kind,
@@ -281,12 +296,15 @@
         )
         self.log.add(event)
 
-    def note_life(self, kind: str) -> None:
-        """Log an event of the replica itself."""
-        self.note(kind, Request("", "", 0.0, 0, 0, ""), 0)
+    def log_replica_event(self, kind: str) -> None:
+        """Append an event of the replica itself to the log."""
+        self.log_event(kind, Request("", "", 0.0, 0, 0, ""), 0)
 
     def status_body(self) -> bytes:
-        """Return the body of ``GET /status``, which may lag or lie."""
+        """Return the body of ``GET /status``.
+
+        With ``status_lag_ms`` it is out of date; ``status_state`` replaces the state.
+        """
         self.counters.status_polls += 1
         now = self.reactor.seconds()
         body = msgspec.json.encode(
@@ -298,8 +316,8 @@
             }
         )
         self.status_history.append((now, body))
-        latest = now - self.settings.status_lag_ms / 1000.0
-        for at, older in reversed(self.status_history):
-            if at <= latest:
-                return older
+        as_of = now - self.settings.status_lag_ms / 1000.0
+        for at, body_then in reversed(self.status_history):
+            if at <= as_of:
+                return body_then
         return self.status_history[0][1]
--- a/bench/target_records.py
+++ b/bench/target_records.py
@@ -1,4 +1,4 @@
-"""What a target stand-in answers and what it remembers of its work."""
+"""The records and the event log of a simulated target."""
 
 from __future__ import annotations
 
@@ -12,14 +12,14 @@
 
 
 class Record(NamedTuple):
-    """Names one record of an index by its number over all services."""
+    """Identifies a record of an index by its number across all services."""
 
     number: int
     service: int
 
 
 class FoundRecord(msgspec.Struct):
-    """A record as it stands in a reply."""
+    """A record in the body of a reply."""
 
     id: str
     rank: float
@@ -33,11 +33,13 @@
     truncated: bool = False
 
 
-def place(number: int, services: int, partitioning: int) -> int:
-    """Return which service holds a record under a partitioning.
+def service_of_record(number: int, services: int, partitioning: int) -> int:
+    """Return the service that holds a record under a partitioning.
 
-    >>> [place(n, 3, 1) for n in range(6)], [place(n, 3, 2) for n in range(6)]
-    ([0, 1, 2, 1, 2, 0], [0, 1, 2, 2, 0, 1])
+    >>> [service_of_record(n, 3, 1) for n in range(6)]
+    [0, 1, 2, 1, 2, 0]
+    >>> [service_of_record(n, 3, 2) for n in range(6)]
+    [0, 1, 2, 2, 0, 1]
     """
     return (number + number // services * partitioning) % services
 
@@ -53,15 +55,20 @@
 
 
 @lru_cache(maxsize=4096)
-def records_body(shard: Shard, per_service: int, seed: int, flagged: bool) -> bytes:
-    """Return the reply body of a shard; the same arguments give the same bytes.
+def records_body(
+    shard: Shard, records_per_service: int, seed: int, flagged: bool
+) -> bytes:
+    """Return the reply body of a shard; it is deterministic in the arguments.
 
-    The ids are those of the whole index spread over its services, so a record that
-    is returned twice in one answer shows that two partitionings were mixed.
+    Record ids are unique across the services of an index under one partitioning. A
+    duplicate record in an answer therefore shows that partitionings were mixed.
     """
     records = []
-    for number in range(shard.services * per_service):
-        if place(number, shard.services, shard.partitioning) != shard.service:
+    for number in range(shard.services * records_per_service):
+        if (
+            service_of_record(number, shard.services, shard.partitioning)
+            != shard.service
+        ):
             continue
         draw = random.Random(f"{seed}/{shard.index_name}/{number}/{shard.version}")
         fields = {"version": str(shard.version), "strikes": str(draw.randrange(1000))}
@@ -73,11 +80,12 @@
 
 
 class WorkEvent(NamedTuple):
-    """One event in a target's life; ``at`` is ``time.monotonic()`` in seconds.
+    """An event at a target; ``at`` is ``time.monotonic()`` in seconds.
 
     ``kind`` is one of ``begun``, ``finished``, ``cancelled``, ``expired``, ``shed``,
     ``lost``, ``spoiled``, ``restart``, ``drain``, ``leave``, ``return`` or
-    ``fell_over``; ``spoiled`` follows a ``finished`` whose reply was not sound.
+    ``fell_over``; ``spoiled`` follows a ``finished`` whose reply carries an injected
+    fault.
     """
 
     at: float
@@ -92,16 +100,16 @@
 
 
 class WorkLog:
-    """A bounded log of events; what does not fit is counted."""
+    """An event log of fixed capacity; events that do not fit are counted."""
 
-    def __init__(self, bound: int) -> None:
-        self.bound = bound
+    def __init__(self, capacity: int) -> None:
+        self.capacity = capacity
         self.events: list[WorkEvent] = []
         self.left_out = 0
 
     def add(self, event: WorkEvent) -> None:
-        """Add an event where there is room."""
-        if len(self.events) < self.bound:
+        """Append an event, or count it as left out if the log is full."""
+        if len(self.events) < self.capacity:
             self.events.append(event)
         else:
             self.left_out += 1
--- a/bench/target_settings.py
+++ b/bench/target_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the target stand-in and the faults that can be set on it."""
+"""Settings and injected faults of the simulated targets."""
 
 from __future__ import annotations
 
@@ -10,10 +10,12 @@
 
 
 class Behaviour(msgspec.Struct, forbid_unknown_fields=True):
-    """How a replica behaves; every field can be changed while it runs.
+    """How a replica behaves; every field can be changed at run time.
 
-    Rates are fractions of replies and ``*_ms`` are milliseconds. ``slow_factor``
-    makes every reply slower. ``status_state`` makes the status endpoint lie.
+    Rates are fractions of replies, ``*_ms`` are milliseconds and ``*_factor``
+    multiply the service time. ``waiting`` is the length of the queue. A non-empty
+    ``status_state`` is the state that the status endpoint reports instead of the
+    real one.
     """
 
     service_ms: float = 2.0
@@ -44,7 +46,7 @@
 
 
 class ReplicaSettings(Behaviour, kw_only=True, forbid_unknown_fields=True):
-    """One replica; ``port`` 0 takes a free one."""
+    """The settings of one replica; ``port`` 0 takes a free port."""
 
     service: str
     index: str
@@ -58,13 +60,13 @@
 
 
 class RecordLog(msgspec.Struct, forbid_unknown_fields=True):
-    """How much of the work is logged."""
+    """The capacity of the event log."""
 
     entries: int = 400_000
 
 
 class TargetSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """The settings file of one stand-in process."""
+    """The settings file of one process of simulated targets."""
 
     replicas: list[ReplicaSettings]
     seed: int = 1
@@ -76,8 +78,9 @@
 class Control(msgspec.Struct, forbid_unknown_fields=True):
     """The body of ``POST /control``.
 
-    ``replicas`` and ``services`` choose which replicas are meant; when both are
-    empty, all are. ``set`` changes fields of ``Behaviour`` and ``do`` acts once.
+    ``replicas`` and ``services`` select replicas by name or service; if both are empty,
+    all are selected. ``set`` changes fields of ``Behaviour``; ``do`` is a one-time
+    action.
     """
 
     replicas: list[str] = []
