--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,4 +1,4 @@
-"""A short demonstration: three data centres, one search of each workload."""
+"""Demonstration: three data centres and one search of each workload."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 __all__ = ["main"]
 
 EXAMPLE = "szovetseg-production"
-OK = 200
+HTTP_OK = 200
 
 
 def search_each_workload(rig: Rig) -> bool:
-    """Run one search of each idempotent workload; tell whether all were answered."""
-    good = True
+    """Run one search of each idempotent workload; returns whether all succeeded."""
+    all_answered = True
     for name, workload in rig.document.workloads.items():
         if not workload.idempotent:
             continue
@@ -32,12 +32,12 @@
         print(f"\n{name} ({workload.deadline_ms:g} ms) at {rig.entries[0].node}:")
         url = f"http://{address}/search/{name}"
         answer = post_json(url, msgspec.json.encode(body), workload.deadline_ms)
-        if answer.status == OK:
+        if answer.status == HTTP_OK:
             print_answer(answer)
         else:
             print(f"status {answer.status}: {answer.body.decode()}")
-            good = False
-    return good
+            all_answered = False
+    return all_answered
 
 
 def first_service(document: EnvironmentDocument, index: str) -> str:
@@ -46,9 +46,9 @@
 
 
 def print_addresses(rig: Rig) -> None:
-    """Print where the demonstration listens and a request to try."""
-    for place in rig.entries:
-        print(f"{place.node}: http://{place.http_address}")
+    """Print the addresses of the demonstration and an example request."""
+    for entry in rig.entries:
+        print(f"{entry.node}: http://{entry.http_address}")
     print(f"platform: {rig.platform_address}")
     print(f"logs: {rig.directory}")
     print("Try:")
@@ -61,22 +61,26 @@
 def main() -> int:
     """Run the demonstration; return the exit code."""
     parser = argparse.ArgumentParser(prog="./demo", description=__doc__)
-    parser.add_argument("--keep", action="store_true", help="leave it running")
-    parser.add_argument("--directory", type=Path, help="where logs are kept")
-    parser.add_argument("--binary", type=Path, help="run entries from this one file")
+    parser.add_argument(
+        "--keep", action="store_true", help="keep running until interrupted"
+    )
+    parser.add_argument("--directory", type=Path, help="directory for logs")
+    parser.add_argument(
+        "--binary", type=Path, help="run entries from this executable file"
+    )
     options = parser.parse_args()
     deployment = Deployment(load_example(EXAMPLE))
     if options.binary is not None:
         deployment = deployment._replace(program=(str(options.binary.resolve()),))
     with Rig(deployment, options.directory) as rig:
-        good = search_each_workload(rig)
+        all_answered = search_each_workload(rig)
         if options.keep:
             print()
             print_addresses(rig)
-            print("Ctrl-C ends it.", flush=True)
+            print("Press Ctrl-C to stop.", flush=True)
             signal.sigwait({signal.SIGINT, signal.SIGTERM})
-    print("\nall answered" if good else "\nnot all answered")
-    return 0 if good else 1
+    print("\nall answered" if all_answered else "\nnot all answered")
+    return 0 if all_answered else 1
 
 
 if __name__ == "__main__":
--- a/bench/faulty_entry.py
+++ b/bench/faulty_entry.py
@@ -1,7 +1,7 @@
-"""An entry process whose network can be cut and delayed.
+"""An entry process with injected network faults.
 
-Takes the product's process as it is and puts faults around three of its interfaces: the
-frames of links, the datagrams of membership and the calls on the platform.
+Runs the unmodified entry process and wraps three of its interfaces: the frames of
+links, the datagrams of membership and the calls to the platform.
 """
 
 from __future__ import annotations
@@ -28,16 +28,17 @@
 from sardinehook.store.http_call import HttpCaller
 from sardinehook.store.port import StoreUnavailable
 
-__all__ = ["Network", "NetworkFaults"]
+__all__ = ["FaultInjector", "NetworkFaults"]
 
 MS_PER_S = 1000.0
 
 
 class NetworkFaults(TypedDict, total=False):
-    """The body of ``POST /network``; what is absent stays as it is.
+    """The body of ``POST /network``; absent fields keep their value.
 
-    ``lost_from`` are data centres from which nothing arrives, ``delay_ms`` the one-way
-    delay from other data centres, and ``store_cut`` cuts the platform off.
+    Frames and datagrams from data centres in ``lost_from`` are dropped, and those from
+    other data centres are delayed by ``delay_ms``. With ``store_cut`` calls to the
+    platform fail.
     """
 
     lost_from: list[str]
@@ -45,58 +46,64 @@
     store_cut: bool
 
 
-class Network:
-    """The faults of one process; everything is decided where it arrives."""
+class FaultInjector:
+    """The network faults of one process, applied on the receiving side."""
 
     def __init__(self, reactor: Any, own_data_centre: str) -> None:  # noqa: ANN401
         self.reactor = reactor
-        self.own = own_data_centre
+        self.own_data_centre = own_data_centre
         self.lost_from: frozenset[str] = frozenset()
         self.delay_ms = 0.0
         self.store_cut = False
 
     def set_faults(self, faults: NetworkFaults) -> None:
-        """Change the faults."""
+        """Set the faults that are given; the others keep their value."""
         self.lost_from = frozenset(faults.get("lost_from", self.lost_from))
         self.delay_ms = faults.get("delay_ms", self.delay_ms)
         self.store_cut = faults.get("store_cut", self.store_cut)
 
-    def arrive(self, node: str, deliver: partial[None]) -> None:
-        """Deliver what came from a node: now, later, or never."""
+    def deliver_with_faults(self, node: str, deliver: partial[None]) -> None:
+        """Deliver data from a node at once, after the delay, or not at all."""
         data_centre = data_centre_of(node)
         if data_centre in self.lost_from:
             return
-        if data_centre == self.own or not self.delay_ms:
+        if data_centre == self.own_data_centre or not self.delay_ms:
             deliver()
         else:
             self.reactor.callLater(self.delay_ms / MS_PER_S, deliver)
 
     def install(self, process: EntryProcess) -> None:
-        """Put the faults around the interfaces of a process."""
-        network = self
-        take_frame = Link.stringReceived
-        call = HttpCaller.call
+        """Patch the receiving methods and the platform calls of a process."""
+        injector = self
+        original_receive_frame = Link.stringReceived
+        original_call = HttpCaller.call
         gossip = process.fleet.gossip
-        take_datagram = gossip.datagramReceived
-
-        def frame(link: Link, data: bytes) -> None:
-            network.arrive(sender_of(data), partial(take_frame, link, data))
-
-        def datagram(data: bytes, addr: tuple[str, int]) -> None:
-            node = network.node_at(process, addr)
-            network.arrive(node, partial(take_datagram, data, addr))
-
-        async def cut_call(caller: HttpCaller, *rest: Any) -> Any:  # noqa: ANN401
-            if network.store_cut:
-                return Failure(StoreUnavailable("cut off", False))
-            return await call(caller, *rest)
-
-        setattr(Link, "stringReceived", frame)  # noqa: B010
-        setattr(HttpCaller, "call", cut_call)  # noqa: B010
-        setattr(gossip, "datagramReceived", datagram)  # noqa: B010
-
-    def node_at(self, process: EntryProcess, addr: tuple[str, int]) -> str:
-        """Return the member that sends from an address."""
+        original_receive_datagram = gossip.datagramReceived
+
+        def receive_frame(link: Link, data: bytes) -> None:
+            injector.deliver_with_faults(
+                frame_sender(data), partial(original_receive_frame, link, data)
+            )
+
+        def receive_datagram(data: bytes, addr: tuple[str, int]) -> None:
+            node = injector.find_member(process, addr)
+            injector.deliver_with_faults(
+                node, partial(original_receive_datagram, data, addr)
+            )
+
+        async def call_platform(caller: HttpCaller, *args: Any) -> Any:  # noqa: ANN401
+            if injector.store_cut:
+                return Failure(
+                    StoreUnavailable("platform is cut off by fault injection", False)
+                )
+            return await original_call(caller, *args)
+
+        setattr(Link, "stringReceived", receive_frame)  # noqa: B010
+        setattr(HttpCaller, "call", call_platform)  # noqa: B010
+        setattr(gossip, "datagramReceived", receive_datagram)  # noqa: B010
+
+    def find_member(self, process: EntryProcess, addr: tuple[str, int]) -> str:
+        """Return the name of the member at an address, empty if there is none."""
         wanted = f"{addr[0]}:{addr[1]}"
         for member in process.fleet.membership.table.members.values():
             if member.link_address == wanted:
@@ -104,14 +111,14 @@
         return ""
 
 
-def sender_of(frame: bytes) -> str:
-    """Return the sender that a frame of a link names."""
-    fields = msgspec.msgpack.decode(frame)
+def frame_sender(receive_frame: bytes) -> str:
+    """Return the sender's name in a link frame."""
+    fields = msgspec.msgpack.decode(receive_frame)
     return str(fields[0])
 
 
 def data_centre_of(node: str) -> str:
-    """Return the data centre in a node name of the rig.
+    """Return the data centre from a node name that the rig assigned.
 
     >>> data_centre_of("entry-bekes-c-1")
     'bekes-c'
@@ -119,25 +126,25 @@
     return node.removeprefix("entry-").rpartition("-")[0]
 
 
-class NetworkResource(Resource):
-    """``POST /network`` changes the faults."""
+class FaultResource(Resource):
+    """Serves ``POST /network``, which sets the faults."""
 
     isLeaf = True
 
-    def __init__(self, network: Network) -> None:
+    def __init__(self, injector: FaultInjector) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
-        self.network = network
+        self.injector = injector
 
     def render_POST(self, request: Request) -> bytes:
-        """Change the faults."""
+        """Set the faults in the request body."""
         assert request.content is not None
         faults = msgspec.json.decode(request.content.read(), type=NetworkFaults)
-        self.network.set_faults(faults)
+        self.injector.set_faults(faults)
         return b"{}"
 
 
 def main() -> None:
-    """Run the process."""
+    """Run the entry process and its fault control port until terminated."""
     parser = argparse.ArgumentParser(prog="python -m bench.faulty_entry")
     parser.add_argument("--settings", type=Path, required=True)
     parser.add_argument("--control", type=int, required=True)
@@ -150,10 +157,10 @@
     running: Any = reactor
     running.seconds = time.monotonic
     process = EntryProcess(running, settings)
-    network = Network(running, settings.data_centre)
-    network.install(process)
+    injector = FaultInjector(running, settings.data_centre)
+    injector.install(process)
     configure_logging(sys.stdout, settings.node, settings.data_centre, process.clock)
-    site = Site(NetworkResource(network))
+    site = Site(FaultResource(injector))
     running.listenTCP(options.control, site, interface=LOOPBACK)
     process.run()
 
--- a/bench/make_examples.py
+++ b/bench/make_examples.py
@@ -1,4 +1,7 @@
-"""Writes the example documents of both firms (``python -m bench.make_examples``)."""
+"""Writes the example documents of both organisations.
+
+Run as ``python -m bench.make_examples [DIRECTORY]``.
+"""
 
 from __future__ import annotations
 
@@ -18,13 +21,13 @@
 )
 from sardinehook.environment.writing import document_text
 
-__all__ = ["EXAMPLES", "Firm", "main", "make_document"]
+__all__ = ["EXAMPLES", "Organisation", "main", "make_document"]
 
 LOOPBACK = "127.0.0.1"
 
 
-class Group(NamedTuple):
-    """An index, with how many services and replicas of each it has."""
+class IndexShape(NamedTuple):
+    """The size and limits of an index; ``replicas`` is per service."""
 
     services: int
     replicas: int
@@ -33,31 +36,31 @@
     connect_cost_ms: float
 
 
-class Firm(NamedTuple):
-    """What the documents of a firm have in common."""
+class Organisation(NamedTuple):
+    """The settings that all documents of an organisation share."""
 
     region: str
     data_centres: tuple[str, ...]
-    groups: dict[str, Group]
+    groups: dict[str, IndexShape]
     workloads: dict[str, Workload]
 
 
 class Example(NamedTuple):
-    """One document; its replicas take the ports from ``first_port`` up."""
+    """An example document; its replicas use consecutive ports from ``first_port``."""
 
-    firm: Firm
+    organisation: Organisation
     environment: str
     first_port: int
 
 
-SZOVETSEG = Firm(
+SZOVETSEG = Organisation(
     region="alfold",
     data_centres=("kecskemet-a", "szolnok-b", "bekes-c"),
     groups={
-        "logfinder": Group(20, 2, 2, 25, 6.0),
-        "memberbook": Group(30, 2, 2, 25, 6.0),
-        "fixdesk": Group(1, 7, 3, 110, 1.0),
-        "alertmail": Group(1, 3, 3, 110, 1.0),
+        "logfinder": IndexShape(20, 2, 2, 25, 6.0),
+        "memberbook": IndexShape(30, 2, 2, 25, 6.0),
+        "fixdesk": IndexShape(1, 7, 3, 110, 1.0),
+        "alertmail": IndexShape(1, 3, 3, 110, 1.0),
     },
     workloads={
         "storm-night": Workload(
@@ -108,14 +111,14 @@
 
 LAKESHORE_INDEXES = ["order-desk", "invoicing", "warehouse", "scheduling"]
 
-LAKESHORE = Firm(
+LAKESHORE = Organisation(
     region="great-lakes",
     data_centres=("duluth", "marquette", "traverse"),
     groups={
-        "order-desk": Group(20, 2, 3, 30, 6.0),
-        "invoicing": Group(30, 2, 3, 30, 6.0),
-        "warehouse": Group(1, 5, 6, 50, 1.0),
-        "scheduling": Group(1, 3, 6, 50, 1.0),
+        "order-desk": IndexShape(20, 2, 3, 30, 6.0),
+        "invoicing": IndexShape(30, 2, 3, 30, 6.0),
+        "warehouse": IndexShape(1, 5, 6, 50, 1.0),
+        "scheduling": IndexShape(1, 3, 6, 50, 1.0),
     },
     workloads={
         "field-app": Workload(
@@ -177,41 +180,47 @@
 
 
 def make_document(example: Example) -> EnvironmentDocument:
-    """Make a document whose services have replicas in different data centres."""
-    firm = example.firm
+    """Build a document with the replicas of each service in different data centres."""
+    organisation = example.organisation
     ports = count(example.first_port)
     indexes = {
-        name: make_index(name, group, firm, ports)
-        for name, group in firm.groups.items()
+        name: make_index(name, shape, organisation, ports)
+        for name, shape in organisation.groups.items()
+    }
+    data_centres = {
+        name: DataCentre(organisation.region) for name in organisation.data_centres
     }
-    data_centres = {name: DataCentre(firm.region) for name in firm.data_centres}
     return EnvironmentDocument(
-        example.environment, data_centres, indexes, firm.workloads
+        example.environment, data_centres, indexes, organisation.workloads
     )
 
 
-def make_index(name: str, group: Group, firm: Firm, ports: count[int]) -> Index:
-    """Make an index; an index of one service names the service after itself."""
+def make_index(
+    name: str, shape: IndexShape, organisation: Organisation, ports: count[int]
+) -> Index:
+    """Build an index; a single service has the name of the index."""
     services: dict[str, list[Replica]] = {}
-    for place in range(group.services):
-        service = name if group.services == 1 else f"{name}-{place + 1:02d}"
+    for position in range(shape.services):
+        service = name if shape.services == 1 else f"{name}-{position + 1:02d}"
         services[service] = [
-            make_replica(service, number, place, firm, next(ports))
-            for number in range(group.replicas)
+            make_replica(service, number, position, organisation, next(ports))
+            for number in range(shape.replicas)
         ]
-    return Index(group.slots, group.connections, group.connect_cost_ms, services)
+    return Index(shape.slots, shape.connections, shape.connect_cost_ms, services)
 
 
 def make_replica(
-    service: str, number: int, place: int, firm: Firm, port: int
+    service: str, number: int, position: int, organisation: Organisation, port: int
 ) -> Replica:
-    """Make a replica; data centres take turns."""
-    centre = firm.data_centres[(place + number) % len(firm.data_centres)]
-    return Replica(f"{service}-r{number + 1}", centre, f"{LOOPBACK}:{port}")
+    """Build a replica; data centres are assigned round robin."""
+    data_centre = organisation.data_centres[
+        (position + number) % len(organisation.data_centres)
+    ]
+    return Replica(f"{service}-r{number + 1}", data_centre, f"{LOOPBACK}:{port}")
 
 
 def main(directory: Path) -> None:
-    """Write every example document."""
+    """Write every example document to ``directory`` as YAML."""
     for name, example in EXAMPLES.items():
         text = document_text(make_document(example))
         (directory / f"{name}.yaml").write_text(text)
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -1,4 +1,4 @@
-"""Starts a whole deployment on loopback: platform, targets and entry processes."""
+"""Runs a complete deployment on loopback: platform, targets and entry processes."""
 
 from __future__ import annotations
 
@@ -21,7 +21,7 @@
 from sardinehook.environment.loading import load_document
 from sardinehook.environment.writing import document_text
 
-__all__ = ["Deployment", "EntryNode", "Rig", "load_example", "with_addresses"]
+__all__ = ["Deployment", "EntryNode", "Rig", "assign_ports", "load_example"]
 
 ROOT = Path(__file__).resolve().parent.parent
 READY_TIMEOUT_S = 30.0
@@ -31,7 +31,7 @@
 
 
 class TargetSpec(TypedDict, total=False):
-    """One replica in the settings file of the target stand-in."""
+    """A replica in the settings file of the simulated targets."""
 
     service: str
     index: str
@@ -44,11 +44,12 @@
 
 
 class Deployment(NamedTuple):
-    """What to start.
+    """The processes to start.
 
-    ``behaviour`` holds settings of the target stand-in for all replicas. With
-    ``faulty_network`` the entry processes can be cut off and delayed. ``program`` is
-    what the interpreter is given to run the product, for instance its one file.
+    ``behaviour`` holds settings of the simulated targets for all replicas. With
+    ``faulty_network`` network faults can be injected into the entry processes.
+    ``program`` are the interpreter's arguments that run sardinehook, for instance the
+    path of its single-file build.
     """
 
     document: EnvironmentDocument
@@ -61,7 +62,7 @@
 
 
 class EntryNode(NamedTuple):
-    """Where one entry process of the rig is."""
+    """The name, data centre and addresses of an entry process."""
 
     node: str
     data_centre: str
@@ -75,13 +76,13 @@
     return load_document(path.read_text(), str(path)).unwrap()
 
 
-def with_addresses(
+def assign_ports(
     document: EnvironmentDocument, ports: Sequence[int]
 ) -> EnvironmentDocument:
-    """Give each replica of a document the next port on loopback."""
+    """Return a copy of the document with a loopback port for each replica."""
     remaining = iter(ports)
 
-    def moved(index: Index) -> Index:
+    def assign(index: Index) -> Index:
         services = {
             service: [
                 replica._replace(address=f"{LOOPBACK}:{next(remaining)}")
@@ -91,13 +92,13 @@
         }
         return index._replace(services=services)
 
-    indexes = {name: moved(index) for name, index in document.indexes.items()}
+    indexes = {name: assign(index) for name, index in document.indexes.items()}
     changed = document._replace(indexes=indexes)
     return document_from(canonical_bytes(changed)).unwrap()
 
 
 def count_replicas(document: EnvironmentDocument) -> int:
-    """Count the replicas of a document."""
+    """Return the number of replicas in a document."""
     return sum(
         len(replicas)
         for index in document.indexes.values()
@@ -106,7 +107,7 @@
 
 
 class Rig:
-    """A running deployment; use it in a ``with`` statement."""
+    """A running deployment; a context manager that stops its processes on exit."""
 
     def __init__(self, deployment: Deployment, directory: Path | None = None) -> None:
         self.deployment = deployment
@@ -117,23 +118,23 @@
             count_replicas(deployment.document)
             + 1
             + deployment.target_processes
-            + 3 * self.entry_count()
+            + 3 * self.count_entries()
         )
         self.platform_port = ports.pop()
         self.control_ports = [ports.pop() for _ in range(deployment.target_processes)]
         self.entries = self.assign_entry_addresses(ports)
-        self.network_ports = {place.node: ports.pop() for place in self.entries}
-        self.document = with_addresses(deployment.document, ports)
+        self.network_ports = {entry.node: ports.pop() for entry in self.entries}
+        self.document = assign_ports(deployment.document, ports)
         self.children: dict[str, Child] = {}
         self.vm_incarnations: dict[str, int] = {}
 
-    def entry_count(self) -> int:
-        """Count the entry processes."""
+    def count_entries(self) -> int:
+        """Return the number of entry processes."""
         per_data_centre = self.deployment.entries_per_data_centre
         return per_data_centre * len(self.deployment.document.data_centres)
 
     def assign_entry_addresses(self, ports: list[int]) -> list[EntryNode]:
-        """Choose names and addresses of the entry processes."""
+        """Name the entry processes and assign their addresses."""
         return [
             EntryNode(
                 node=f"entry-{data_centre}-{number}",
@@ -147,7 +148,7 @@
 
     @property
     def platform_address(self) -> str:
-        """Where the platform's stand-in listens."""
+        """The address of the simulated platform."""
         return f"{LOOPBACK}:{self.platform_port}"
 
     def __enter__(self) -> Rig:
@@ -167,25 +168,28 @@
         self.stop()
 
     def start(self) -> None:
-        """Start platform and targets, put the document, start the entries."""
+        """Start platform and targets, put the document, then start the entries.
+
+        Returns once all entries are ready; raises ``StartError`` otherwise.
+        """
         self.start_platform()
         self.start_targets()
         self.put_document(self.document)
-        for place in self.entries:
-            self.start_entry(place)
-        for place in self.entries:
-            self.wait_ready(place)
+        for entry in self.entries:
+            self.start_entry(entry)
+        for entry in self.entries:
+            self.wait_ready(entry)
 
     def start_platform(self) -> None:
-        """Start the platform's stand-in."""
+        """Start the simulated platform and wait until it listens."""
         arguments = ["-m", "bench.platform", "--port", str(self.platform_port)]
         child = self.add_child("platform", arguments)
         child.start()
         child.wait_for_line("ready ")
 
     def start_targets(self) -> None:
-        """Start the target stand-ins, the replicas spread over their processes."""
-        shares = self.share_replicas()
+        """Start the processes of simulated targets and wait until they listen."""
+        shares = self.distribute_replicas()
         for number, (port, replicas) in enumerate(
             zip(self.control_ports, shares, strict=True)
         ):
@@ -201,8 +205,8 @@
         for number in range(len(shares)):
             self.children[f"targets-{number}"].wait_for_line("ready ")
 
-    def share_replicas(self) -> list[list[TargetSpec]]:
-        """Spread the replicas over the target processes."""
+    def distribute_replicas(self) -> list[list[TargetSpec]]:
+        """Distribute the replicas round robin over the target processes."""
         shares: list[list[TargetSpec]] = [[] for _ in self.control_ports]
         specs = [
             {
@@ -226,7 +230,7 @@
         return shares
 
     def put_document(self, document: EnvironmentDocument, edited_from: int = 0) -> None:
-        """Put a document by the command line, as an operator does."""
+        """Put a document with ``sardinehook document put``."""
         path = self.directory / "document.yaml"
         path.write_text(document_text(document))
         self.run_command(
@@ -241,7 +245,10 @@
         )
 
     def run_command(self, *arguments: str) -> str:
-        """Run the command line and return its output; raise if it fails."""
+        """Run ``sardinehook`` and return its output.
+
+        Raises ``StartError`` if the exit code is not zero.
+        """
         name = f"command-{len(self.children)}"
         child = self.add_child(name, ["-m", "sardinehook", *arguments])
         child.start()
@@ -250,48 +257,50 @@
         del self.children[name]
         child.log.unlink()
         if code:
-            raise StartError(f"sardinehook {' '.join(arguments)}: {output}")
+            raise StartError(
+                f"sardinehook {' '.join(arguments)} exited with {code}: {output}"
+            )
         return output
 
-    def start_entry(self, place: EntryNode) -> None:
-        """Start one entry process."""
-        self.vm_incarnations[place.node] = self.vm_incarnations.get(place.node, 0) + 1
-        self.upsert_vm(place, "live")
-        path = self.directory / f"{place.node}.yaml"
-        path.write_text(yaml.safe_dump(self.entry_settings(place)))
-        self.add_child(place.node, self.entry_arguments(place, path)).start()
+    def start_entry(self, entry: EntryNode) -> None:
+        """Start one entry process with a new incarnation of its VM."""
+        self.vm_incarnations[entry.node] = self.vm_incarnations.get(entry.node, 0) + 1
+        self.upsert_vm(entry, "live")
+        path = self.directory / f"{entry.node}.yaml"
+        path.write_text(yaml.safe_dump(self.entry_settings(entry)))
+        self.add_child(entry.node, self.entry_arguments(entry, path)).start()
 
-    def entry_arguments(self, place: EntryNode, path: Path) -> list[str]:
-        """Return how to run an entry process, with a faulty network if wanted."""
+    def entry_arguments(self, entry: EntryNode, path: Path) -> list[str]:
+        """Return the arguments of an entry process, with network faults if set."""
         if not self.deployment.faulty_network:
             return [*self.deployment.program, "entry", "--settings", str(path)]
-        control = str(self.network_ports[place.node])
+        control = str(self.network_ports[entry.node])
         module = "bench.faulty_entry"
         return ["-m", module, "--settings", str(path), "--control", control]
 
-    def control_network(self, place: EntryNode, faults: Mapping[str, object]) -> None:
-        """Change the network of one entry process."""
-        port = self.network_ports[place.node]
+    def control_network(self, entry: EntryNode, faults: Mapping[str, object]) -> None:
+        """Set the network faults of one entry process."""
+        port = self.network_ports[entry.node]
         self.post(f"{LOOPBACK}:{port}", "/network", faults)
 
-    def upsert_vm(self, place: EntryNode, state: str) -> None:
-        """Put an entry VM on the platform's list."""
+    def upsert_vm(self, entry: EntryNode, state: str) -> None:
+        """Add or update an entry VM in the platform's list."""
         vm = {
-            "name": place.node,
-            "data_centre": place.data_centre,
-            "address": place.http_address,
-            "incarnation": self.vm_incarnations[place.node],
+            "name": entry.node,
+            "data_centre": entry.data_centre,
+            "address": entry.http_address,
+            "incarnation": self.vm_incarnations[entry.node],
             "state": state,
         }
         self.control_platform({"upsert_vms": [vm]})
 
-    def kill_vm(self, place: EntryNode) -> None:
-        """Lose an entry VM without warning; the platform's list shows it gone."""
-        self.children[place.node].kill()
-        self.control_platform({"remove_vms": [place.node]})
+    def kill_vm(self, entry: EntryNode) -> None:
+        """Kill an entry process and remove its VM from the platform's list."""
+        self.children[entry.node].kill()
+        self.control_platform({"remove_vms": [entry.node]})
 
-    def entry_settings(self, place: EntryNode) -> dict[str, object]:
-        """Write the settings of one entry process."""
+    def entry_settings(self, entry: EntryNode) -> dict[str, object]:
+        """Return the settings of one entry process."""
         peers = [
             {
                 "node": other.node,
@@ -299,40 +308,45 @@
                 "link_address": other.link_address,
             }
             for other in self.entries
-            if other.node != place.node
+            if other.node != entry.node
         ]
         return {
-            "node": place.node,
-            "data_centre": place.data_centre,
+            "node": entry.node,
+            "data_centre": entry.data_centre,
             "environment": self.document.environment,
-            "http_address": place.http_address,
-            "link_address": place.link_address,
+            "http_address": entry.http_address,
+            "link_address": entry.link_address,
             "platform_address": self.platform_address,
             "peers": peers,
-            "vm_incarnation": self.vm_incarnations[place.node],
+            "vm_incarnation": self.vm_incarnations[entry.node],
         }
 
     def add_child(self, name: str, arguments: Sequence[str]) -> Child:
-        """Prepare a process of the rig."""
+        """Register a process of the rig; does not start it."""
         child = Child(name, arguments, self.directory / f"{name}.log", ROOT)
         self.children[name] = child
         return child
 
-    def wait_ready(self, place: EntryNode) -> None:
-        """Wait until an entry process takes requests."""
-        give_up_at = time.monotonic() + READY_TIMEOUT_S
-        while time.monotonic() < give_up_at:
-            if self.is_ready(place):
+    def wait_ready(self, entry: EntryNode) -> None:
+        """Wait until an entry process is ready.
+
+        Raises ``StartError`` if it exits or is not ready within ``READY_TIMEOUT_S``.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
+            if self.is_ready(entry):
                 return
-            if not self.children[place.node].running:
+            if not self.children[entry.node].running:
                 break
             time.sleep(POLL_S)
-        tail = self.children[place.node].log.read_text()[-2000:]
-        raise StartError(f"{place.node} is not ready: {tail}")
+        tail = self.children[entry.node].log.read_text()[-2000:]
+        raise StartError(
+            f"{entry.node} exited or not ready in {READY_TIMEOUT_S:g} s: {tail}"
+        )
 
-    def is_ready(self, place: EntryNode) -> bool:
-        """Ask an entry process whether it takes requests."""
-        url = f"http://{place.http_address}/ready"
+    def is_ready(self, entry: EntryNode) -> bool:
+        """Return whether ``/ready`` of an entry process answers 200."""
+        url = f"http://{entry.http_address}/ready"
         try:
             with urllib.request.urlopen(url, timeout=1.0) as response:
                 return bool(response.status == 200)
@@ -340,16 +354,16 @@
             return False
 
     def control_targets(self, control: Mapping[str, object]) -> None:
-        """Send a control message to all target stand-ins."""
+        """Send a control request to all target processes."""
         for port in self.control_ports:
             self.post(f"{LOOPBACK}:{port}", "/control", control)
 
     def control_platform(self, control: Mapping[str, object]) -> None:
-        """Send a control message to the platform's stand-in."""
+        """Send a control request to the simulated platform."""
         self.post(self.platform_address, "/control", control)
 
     def post(self, address: str, path: str, body: Mapping[str, object]) -> bytes:
-        """Post JSON to a stand-in."""
+        """POST JSON to a simulated server and return the response body."""
         request = urllib.request.Request(
             f"http://{address}{path}", data=msgspec.json.encode(body), method="POST"
         )
@@ -357,8 +371,8 @@
             return bytes(response.read())
 
     def stop(self) -> None:
-        """Stop everything that this rig started."""
-        entries = [self.children.get(place.node) for place in self.entries]
+        """Terminate the entry processes and wait for them, then kill the others."""
+        entries = [self.children.get(entry.node) for entry in self.entries]
         for child in entries:
             if child is not None:
                 child.resume()
--- a/tests/bench/test_make_examples.py
+++ b/tests/bench/test_make_examples.py
@@ -1,4 +1,4 @@
-"""Tests of the example documents."""
+"""Tests of the example documents in ``examples/``."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 
 class TestExamples:
     @pytest.mark.parametrize("name", sorted(EXAMPLES))
-    def test_file_is_what_is_made_and_loads(self, name: str) -> None:
+    def test_file_matches_generated_document_and_loads(self, name: str) -> None:
         text = (DIRECTORY / f"{name}.yaml").read_text()
         made = make_document(EXAMPLES[name])
         assert text == document_text(made)
