--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,7 @@
-"""Open-loop load: callers behind a balancer, each request sent at its intended time."""
+"""Open-loop load generator: sends each request at its scheduled time.
+
+Requests go to the entry VMs through a load balancer with health checks.
+"""
 
 from __future__ import annotations
 
@@ -19,20 +22,21 @@
 __all__ = ["CallRecord", "LoadPlan", "Stream", "read_calls"]
 
 PROBE_INTERVAL_S = 0.1
-PROBES_TO_LEAVE = 2
+FAILED_PROBES_UNTIL_UNREADY = 2
 PROBE_TIMEOUT_S = 1.0
 CONNECTIONS_PER_ENTRY = 256
-END_MARGIN_S = 5.0
+TIMEOUT_MARGIN_S = 5.0
 MS_PER_S = 1000.0
-OK = 200
+HTTP_OK = 200
 
 
 class Stream(NamedTuple):
-    """Requests of one workload with exponential gaps between them.
+    """Requests of one workload with exponentially distributed inter-arrival times.
 
     ``rate_per_s`` is the mean rate from ``from_s`` to ``to_s`` seconds after the start.
-    ``services`` are drawn from for workloads that ask one service. With ``order`` each
-    request is an order, repeated at another entry VM with the ratio ``repeat_ratio``.
+    For workloads of scope "one", the service of a request is drawn from ``services``.
+    With ``order``, each request is an order, and the fraction ``repeat_ratio`` of them
+    is sent a second time with the same idempotency key.
     """
 
     workload: str
@@ -47,7 +51,7 @@
 
 
 class LoadPlan(NamedTuple):
-    """What one load process sends and where."""
+    """The streams that one load process sends, and the entry VMs by node name."""
 
     entries: dict[str, str]
     streams: tuple[Stream, ...]
@@ -56,7 +60,7 @@
 
 
 class Call(NamedTuple):
-    """One request to come: ``at_s`` is seconds after the start."""
+    """A scheduled request; ``at_s`` is in seconds after the start."""
 
     at_s: float
     stream: Stream
@@ -65,7 +69,7 @@
 
 
 class CoverageBody(TypedDict, total=False):
-    """Coverage as a caller sees it."""
+    """The coverage in the body of an answer."""
 
     asked: int
     answered: int
@@ -75,7 +79,7 @@
 
 
 class ErrorBody(TypedDict, total=False):
-    """An error as a caller sees it."""
+    """The error in the body of an answer."""
 
     kind: str
     detail: str
@@ -83,7 +87,7 @@
 
 
 class RecordBody(TypedDict, total=False):
-    """A record in an answer."""
+    """A record in the body of an answer."""
 
     index: str
     id: str
@@ -91,7 +95,7 @@
 
 
 class AnswerBody(TypedDict, total=False):
-    """The parts of an answer's body that the load process keeps."""
+    """The parts of an answer's body that the load process records."""
 
     request_id: str
     records: list[RecordBody]
@@ -102,10 +106,10 @@
 
 
 class CallRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """What became of one request; times are ``time.monotonic()`` in seconds.
+    """The result of one request; times are ``time.monotonic()`` in seconds.
 
-    ``latency_ms`` counts from the intended start. ``status`` is zero if the
-    connection failed, and ``entry`` is empty if no entry VM was ready.
+    ``status`` is zero if the connection failed or the call timed out, and ``entry``
+    is empty if no entry VM was ready.
     """
 
     request: str
@@ -122,23 +126,23 @@
 
     @property
     def latency_ms(self) -> float:
-        """Milliseconds from the intended start to the end."""
+        """Latency from the scheduled start, including delays of the load process."""
         return (self.ended_at - self.intended_at) * MS_PER_S
 
     @property
     def ok(self) -> bool:
-        """Whether the request was answered."""
-        return self.status == OK
+        """Whether the status is 200."""
+        return self.status == HTTP_OK
 
 
 def read_calls(path: Path) -> list[CallRecord]:
-    """Read the records that a load process wrote."""
+    """Read the JSON lines that a load process wrote."""
     decoder = msgspec.json.Decoder(CallRecord)
     return decoder.decode_lines(path.read_bytes())
 
 
 def plan_calls(plan: LoadPlan) -> list[Call]:
-    """Draw the whole schedule of a plan."""
+    """Return the schedule of a plan; it depends only on the plan and its seed."""
     rng = random.Random(f"load/{plan.name}/{plan.seed}")
     calls: list[Call] = []
     for number, stream in enumerate(plan.streams):
@@ -148,17 +152,19 @@
             if at_s >= stream.to_s:
                 break
             service = rng.choice(stream.services) if stream.services else ""
-            key = f"{plan.name}-{number}-{len(calls)}" if stream.order else ""
-            calls.append(Call(at_s, stream, service, key))
+            order_key = f"{plan.name}-{number}-{len(calls)}" if stream.order else ""
+            calls.append(Call(at_s, stream, service, order_key))
             if stream.order and rng.random() < stream.repeat_ratio:
-                again_s = at_s + rng.uniform(0.0, 2.0 * stream.deadline_ms / MS_PER_S)
-                calls.append(Call(again_s, stream, service, key))
+                repeat_at_s = at_s + rng.uniform(
+                    0.0, 2.0 * stream.deadline_ms / MS_PER_S
+                )
+                calls.append(Call(repeat_at_s, stream, service, order_key))
     return sorted(calls, key=lambda call: call.at_s)
 
 
 @implementer(IBodyProducer)
 class BytesProducer:
-    """The body of a request, held in memory."""
+    """Produces the body of a request from memory."""
 
     def __init__(self, body: bytes) -> None:
         self.body = body
@@ -181,11 +187,12 @@
         """Do nothing: the body is written at once."""
 
 
-class Balancer:
-    """The platform's balancer: probes ``/ready`` and spreads requests over the ready.
+class LoadBalancer:
+    """Simulates the platform's load balancer: round robin over the ready entry VMs.
 
-    An entry VM leaves after ``PROBES_TO_LEAVE`` failed probes and returns after one
-    good one.
+    It probes ``/ready``. An entry VM counts as unready after
+    ``FAILED_PROBES_UNTIL_UNREADY`` consecutive failures, and as ready after one
+    success.
     """
 
     def __init__(self, reactor: Any, agent: Agent, entries: Mapping[str, str]) -> None:  # noqa: ANN401
@@ -196,28 +203,33 @@
         self.turn = 0
 
     def probe_all(self) -> None:
-        """Probe every entry VM, again and again."""
+        """Probe every entry VM now and at each ``PROBE_INTERVAL_S``."""
         for node in self.entries:
             Deferred.fromCoroutine(self.probe(node))
         self.reactor.callLater(PROBE_INTERVAL_S, self.probe_all)
 
     async def probe(self, node: str) -> None:
-        """Probe one entry VM."""
+        """Probe one entry VM; any exception counts as a failure."""
         url = f"http://{self.entries[node]}/ready".encode()
         try:
-            asked = self.agent.request(b"GET", url)
-            asked.addTimeout(PROBE_TIMEOUT_S, self.reactor)
-            response = await asked
+            pending = self.agent.request(b"GET", url)
+            pending.addTimeout(PROBE_TIMEOUT_S, self.reactor)
+            response = await pending
             await readBody(response)
-            good = response.code == OK
+            ready = response.code == HTTP_OK
         except Exception:
-            good = False
-        self.failures[node] = 0 if good else self.failures[node] + 1
+            ready = False
+        self.failures[node] = 0 if ready else self.failures[node] + 1
 
     def choose(self, rng: random.Random, avoid: str = "") -> str:
-        """Return the next ready entry VM, empty if there is none."""
+        """Return the next ready entry VM other than ``avoid``, if there is another.
+
+        Returns an empty string if no entry VM is ready.
+        """
         ready = [
-            node for node, failed in self.failures.items() if failed < PROBES_TO_LEAVE
+            node
+            for node, failed in self.failures.items()
+            if failed < FAILED_PROBES_UNTIL_UNREADY
         ]
         others = [node for node in ready if node != avoid] or ready
         if not others:
@@ -227,7 +239,7 @@
 
 
 class LoadRun:
-    """Sends a plan's calls and records what became of them."""
+    """Sends the calls of a plan and records their results."""
 
     def __init__(self, reactor: Any, plan: LoadPlan, output: Path) -> None:  # noqa: ANN401
         self.reactor = reactor
@@ -238,14 +250,14 @@
         pool.maxPersistentPerHost = CONNECTIONS_PER_ENTRY
         pool.retryAutomatically = False
         self.agent = Agent(reactor, pool, connectTimeout=PROBE_TIMEOUT_S)
-        self.balancer = Balancer(reactor, self.agent, plan.entries)
+        self.balancer = LoadBalancer(reactor, self.agent, plan.entries)
         self.records: list[CallRecord] = []
         self.open_calls = 0
         self.number = 0
         self.all_sent = False
 
     def start(self) -> None:
-        """Schedule everything relative to now."""
+        """Start the health checks and the schedule; its time base is now."""
         self.started_at = time.monotonic()
         self.balancer.probe_all()
         self.calls = plan_calls(self.plan)
@@ -254,7 +266,7 @@
         self.send_due()
 
     def send_due(self) -> None:
-        """Send every call whose time has come, then wait for the next."""
+        """Send every call that is due, then set a timer for the next one."""
         now = time.monotonic() - self.started_at
         while self.position < len(self.calls):
             call = self.calls[self.position]
@@ -265,17 +277,17 @@
             self.open_calls += 1
             Deferred.fromCoroutine(self.send(call))
         self.all_sent = True
-        self.end_if_done()
+        self.finish_if_done()
 
     async def send(self, call: Call) -> None:
-        """Send one call and record its end."""
+        """Send one call and record its result."""
         self.number += 1
         request = f"{self.plan.name}-{self.plan.seed}-{self.number}"
         node = self.balancer.choose(self.rng)
         sent_at = time.monotonic()
         status, answer, detail = 0, AnswerBody(), "no entry VM is ready"
         if node:
-            status, answer, detail = await self.exchange(node, call, request)
+            status, answer, detail = await self.post_call(node, call, request)
         self.records.append(
             CallRecord(
                 request=request,
@@ -292,40 +304,42 @@
             )
         )
         self.open_calls -= 1
-        self.end_if_done()
+        self.finish_if_done()
 
-    async def exchange(
+    async def post_call(
         self, node: str, call: Call, request: str
     ) -> tuple[int, AnswerBody, str]:
-        """Make one HTTP exchange."""
+        """Send a call over HTTP; returns status, body and the error text, if any."""
         stream = call.stream
-        fields: dict[str, object] = {"query": "x", "limit": stream.limit}
+        request_body: dict[str, object] = {"query": "x", "limit": stream.limit}
         if call.service:
-            fields["service"] = call.service
+            request_body["service"] = call.service
         headers = {
             "Request-Id": [request],
             "Deadline-Ms": [f"{stream.deadline_ms:g}"],
         }
         if call.order_key:
             headers["Idempotency-Key"] = [call.order_key]
-        folder = "orders" if stream.order else "search"
-        url = f"http://{self.plan.entries[node]}/{folder}/{stream.workload}"
-        asked: Deferred[IResponse] = self.agent.request(
+        resource = "orders" if stream.order else "search"
+        url = f"http://{self.plan.entries[node]}/{resource}/{stream.workload}"
+        pending: Deferred[IResponse] = self.agent.request(
             b"POST",
             url.encode(),
             Headers(headers),
-            cast("IBodyProducer", BytesProducer(msgspec.json.encode(fields))),
+            cast("IBodyProducer", BytesProducer(msgspec.json.encode(request_body))),
+        )
+        pending.addTimeout(
+            stream.deadline_ms / MS_PER_S + TIMEOUT_MARGIN_S, self.reactor
         )
-        asked.addTimeout(stream.deadline_ms / MS_PER_S + END_MARGIN_S, self.reactor)
         try:
-            response = await asked
+            response = await pending
             body = await readBody(response)
             return response.code, msgspec.json.decode(body, type=AnswerBody), ""
         except Exception as error:
             return 0, AnswerBody(), repr(error)[:200]
 
-    def end_if_done(self) -> None:
-        """Write the records and stop once every call has ended."""
+    def finish_if_done(self) -> None:
+        """Write the records and stop the reactor once every call has ended."""
         if not self.all_sent or self.open_calls:
             return
         encoder = msgspec.json.Encoder()
@@ -335,7 +349,7 @@
 
 
 def main() -> None:
-    """Run the plan in the file that the command line names."""
+    """Run the plan in the file ``argv[1]`` and write the records to ``argv[2]``."""
     from twisted.internet import reactor
 
     plan = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=LoadPlan)
--- a/bench/run_trial.py
+++ b/bench/run_trial.py
@@ -1,4 +1,4 @@
-"""Runs one trial: starts the rig, the load and the steps, and collects the records."""
+"""Runs one trial: starts the rig and the load, runs the steps, collects the records."""
 
 from __future__ import annotations
 
@@ -26,22 +26,25 @@
 
 
 def run_trial(
-    trial: Trial, options: Options, directory: Path, say: Callable[[str], None]
+    trial: Trial,
+    options: Options,
+    directory: Path,
+    report_progress: Callable[[str], None],
 ) -> RunResult:
-    """Run a trial and return its records; everything started is stopped."""
+    """Run a trial and return its records; stops all processes that it started."""
     rig = Rig(trial.deployment._replace(seed=options.seed), directory)
     with rig:
-        say(f"{trial.name}: {len(rig.entries)} entry processes are ready")
+        report_progress(f"{trial.name}: {len(rig.entries)} entry processes are ready")
         loads = start_load(rig, trial, options, directory)
         started_at = wait_for_start(loads)
-        before = processor_seconds(rig)
-        machine_before = machine_time()
-        steps = do_steps(rig, trial, started_at, say)
+        before = read_processor_seconds(rig)
+        machine_before = read_machine_time()
+        steps = run_steps(rig, trial, started_at, report_progress)
         for load in loads:
             load.wait(trial.duration_s + LOAD_END_MARGIN_S)
-        after = processor_seconds(rig)
-        stolen = stolen_ratio(machine_before, machine_time())
-        memory = memory_use(rig)
+        after = read_processor_seconds(rig)
+        stolen = stolen_ratio(machine_before, read_machine_time())
+        memory = read_memory_use(rig)
         records = [fetch_records(port) for port in rig.control_ports]
         counts = fetch(rig.platform_address, "/counts")
     calls = [
@@ -62,11 +65,11 @@
         processor_s={name: after[name] - before.get(name, 0.0) for name in after},
         memory_mb=memory,
         log_lines={
-            place.node: (directory / f"{place.node}.log").read_text().splitlines()
-            for place in rig.entries
+            entry.node: (directory / f"{entry.node}.log").read_text().splitlines()
+            for entry in rig.entries
         },
         exit_codes={
-            place.node: rig.children[place.node].exit_code for place in rig.entries
+            entry.node: rig.children[entry.node].exit_code for entry in rig.entries
         },
         stolen_ratio=stolen,
         document=trial.deployment.document,
@@ -76,15 +79,15 @@
 def start_load(
     rig: Rig, trial: Trial, options: Options, directory: Path
 ) -> list[Child]:
-    """Start the load processes; each sends its share of every stream."""
-    share = trial.load_processes
+    """Start the load processes; each sends an equal share of every stream."""
+    load_processes = trial.load_processes
     streams = tuple(
-        stream._replace(rate_per_s=stream.rate_per_s / share)
+        stream._replace(rate_per_s=stream.rate_per_s / load_processes)
         for stream in trial.streams
     )
-    entries = {place.node: place.http_address for place in rig.entries}
+    entries = {entry.node: entry.http_address for entry in rig.entries}
     loads = []
-    for number in range(share):
+    for number in range(load_processes):
         seed = options.seed * 100 + number
         plan = LoadPlan(entries, streams, seed, f"load{number}")
         path = directory / f"load-{number}.json"
@@ -101,7 +104,7 @@
 
 
 def wait_for_start(loads: list[Child]) -> float:
-    """Return when the first load process began to send."""
+    """Wait for all load processes; returns the earliest start time."""
     starts = []
     for load in loads:
         line = load.wait_for_line("started ")
@@ -109,61 +112,61 @@
     return min(starts)
 
 
-def do_steps(
-    rig: Rig, trial: Trial, started_at: float, say: Callable[[str], None]
+def run_steps(
+    rig: Rig, trial: Trial, started_at: float, report_progress: Callable[[str], None]
 ) -> list[StepTime]:
-    """Do each step at its time."""
+    """Run each step at its time and return the actual times."""
     done = []
     for step in sorted(trial.steps, key=lambda one: one.at_s):
         time.sleep(max(0.0, started_at + step.at_s - time.monotonic()))
         at = time.monotonic()
         step.act(rig)
         done.append(StepTime(step.label, at))
-        say(f"{trial.name}: {step.at_s:.1f} s {step.label}")
+        report_progress(f"{trial.name}: {step.at_s:.1f} s {step.label}")
     return done
 
 
 class MachineTime(NamedTuple):
-    """Processor seconds of the whole machine: all, and those its host took away."""
+    """Processor seconds of the whole machine: total, and stolen by the hypervisor."""
 
     total: float
     stolen: float
 
 
-def machine_time() -> MachineTime:
-    """Read the machine's processor time so far."""
+def read_machine_time() -> MachineTime:
+    """Return the processor time of the machine since boot."""
     times = psutil.cpu_times()
     return MachineTime(float(sum(times)), float(getattr(times, "steal", 0.0)))
 
 
 def stolen_ratio(before: MachineTime, after: MachineTime) -> float:
-    """Return the share of time between two readings that the host gave to others."""
+    """Return the steal time between two readings as a fraction of the total."""
     return (after.stolen - before.stolen) / max(after.total - before.total, 1e-9)
 
 
-def processor_seconds(rig: Rig) -> dict[str, float]:
-    """Return the processor time that each entry process has used so far."""
+def read_processor_seconds(rig: Rig) -> dict[str, float]:
+    """Return the processor time used by each running entry process."""
     used = {}
-    for place in rig.entries:
-        child = rig.children[place.node]
+    for entry in rig.entries:
+        child = rig.children[entry.node]
         if child.running:
             times = psutil.Process(child.pid).cpu_times()
-            used[place.node] = times.user + times.system
+            used[entry.node] = times.user + times.system
     return used
 
 
-def memory_use(rig: Rig) -> dict[str, float]:
-    """Return the resident memory of each entry process in MB."""
+def read_memory_use(rig: Rig) -> dict[str, float]:
+    """Return the resident memory of each running entry process in MB."""
     return {
-        place.node: psutil.Process(rig.children[place.node].pid).memory_info().rss
+        entry.node: psutil.Process(rig.children[entry.node].pid).memory_info().rss
         / BYTES_PER_MB
-        for place in rig.entries
-        if rig.children[place.node].running
+        for entry in rig.entries
+        if rig.children[entry.node].running
     }
 
 
 def fetch(address: str, path: str) -> bytes:
-    """Get a document from a stand-in."""
+    """GET a path from a simulated server and return the response body."""
     url = f"http://{address}{path}"
     with urllib.request.urlopen(url, timeout=FETCH_TIMEOUT_S) as response:
         body: Any = response.read()
@@ -171,6 +174,6 @@
 
 
 def fetch_records(port: int) -> TargetRecords:
-    """Get what one target stand-in recorded."""
+    """Return the records of one process of simulated targets."""
     body = fetch(f"{LOOPBACK}:{port}", "/records")
     return msgspec.json.decode(body, type=TargetRecords)
