Reword the history checks

Names and details of violations spoke of bearing, telling and lacking; they now name limits, reported outcomes and missing records. Rules stay as they are.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -1,7 +1,7 @@
-"""Decides from a history whether the promises of the product held.
+"""Checks a recorded history against the guarantees of sardinehook.
 
-Nothing here uses the product's code. Each check takes a history in the order of
-time and returns its violations, none if the rule held.
+The checks use no code of sardinehook. Each one takes a history sorted by time and
+returns the violations of one rule.
 """
 
 from __future__ import annotations
@@ -39,33 +39,35 @@
 COVERAGE_TOLERANCE = 1e-6
 
 
-class Ends(NamedTuple):
-    """The whole replies of targets for each request and service."""
+class CompleteReplies(NamedTuple):
+    """The complete replies of targets, by request and service."""
 
     by_service: dict[tuple[str, str], list[TargetEnded]]
 
-    def of(self, answer: CallerAnswered, service: str) -> list[TargetEnded]:
-        """Return the whole replies of a service until the answer, of its snapshot."""
+    def matching(self, answer: CallerAnswered, service: str) -> list[TargetEnded]:
+        """Return a service's replies before the answer that match its snapshot."""
         ends = self.by_service.get((answer.request, service), [])
-        return [end for end in ends if end.at <= answer.at and of_snapshot(answer, end)]
+        return [
+            end for end in ends if end.at <= answer.at and matches_snapshot(answer, end)
+        ]
 
 
-def of_snapshot(answer: CallerAnswered, end: TargetEnded) -> bool:
-    """Tell whether a target served the snapshot that an answer states."""
+def matches_snapshot(answer: CallerAnswered, end: TargetEnded) -> bool:
+    """Return whether a target served the snapshot that an answer reports."""
     return answer.snapshots.get(end.index) == end.snapshot
 
 
-def whole_ends(history: History) -> Ends:
-    """Collect the whole replies of targets."""
+def complete_replies(history: History) -> CompleteReplies:
+    """Collect the complete replies of targets."""
     by_service: dict[tuple[str, str], list[TargetEnded]] = defaultdict(list)
     for end in select(history, TargetEnded):
         if end.whole:
             by_service[end.request, end.service].append(end)
-    return Ends(by_service)
+    return CompleteReplies(by_service)
 
 
-def searches(history: History) -> list[CallerAnswered]:
-    """Return the answers to searches."""
+def search_answers(history: History) -> list[CallerAnswered]:
+    """Return the successful answers to searches."""
     orders = {sent.request for sent in select(history, CallerSent) if sent.order_key}
     return [
         answer
@@ -75,7 +77,7 @@
 
 
 def check_at_most_once(history: History) -> list[Violation]:
-    """Check that no order key began at targets more than once."""
+    """Check that work on an order key began at most once over all targets."""
     began: Counter[str] = Counter()
     violations = []
     for event in select(history, TargetBegan):
@@ -91,9 +93,9 @@
 
 
 def check_not_run(history: History) -> list[Violation]:
-    """Check that no request refused "not run" began at a target, ever.
+    """Check that no request refused as "not run" began at a target.
 
-    Work that begins after the refusal breaks the promise as well.
+    Work that begins after the refusal is a violation as well.
     """
     began = {event.request: event for event in select(history, TargetBegan)}
     return [
@@ -105,13 +107,13 @@
 
 
 def check_one_snapshot(history: History) -> list[Violation]:
-    """Check that each service counted as answered served the answer's snapshot."""
-    ends = whole_ends(history)
+    """Check that each service reported as answered served the answer's snapshot."""
+    ends = complete_replies(history)
     violations = []
-    for answer in searches(history):
+    for answer in search_answers(history):
         for service in answer.answered:
             served = ends.by_service.get((answer.request, service), [])
-            if served and not any(of_snapshot(answer, end) for end in served):
+            if served and not any(matches_snapshot(answer, end) for end in served):
                 detail = f"{service} served {served[0].snapshot}"
                 violations.append(
                     Violation("one_snapshot", answer.at, answer.request, detail)
@@ -120,62 +122,75 @@
 
 
 def check_coverage(history: History) -> list[Violation]:
-    """Check that coverage is the ratio of services that really served.
+    """Check that coverage is the ratio of services that actually served.
 
-    Each service counted as answered needs a whole reply of a target to this
-    request, of the answer's snapshot, before the answer; and no record may be
-    there that none of these replies has, nor be lacking unless truncated.
+    Each service reported as answered needs a complete reply of a target to this
+    request, with the answer's snapshot, before the answer. The answer must have no
+    record that is in none of these replies, and must lack none unless truncated.
     """
-    ends = whole_ends(history)
+    ends = complete_replies(history)
     violations = []
-    for answer in searches(history):
-        for detail in coverage_faults(answer, ends):
+    for answer in search_answers(history):
+        for detail in find_coverage_errors(answer, ends):
             violations.append(Violation("coverage", answer.at, answer.request, detail))
     return violations
 
 
-def coverage_faults(answer: CallerAnswered, ends: Ends) -> list[str]:
-    """Return what is untrue in the coverage that an answer states."""
-    faults = []
+def find_coverage_errors(answer: CallerAnswered, ends: CompleteReplies) -> list[str]:
+    """Return the errors in the coverage that an answer reports."""
+    errors = []
     asked = len(answer.answered) + len(answer.missing)
-    true_coverage = len(answer.answered) / asked if asked else 0.0
-    if abs(true_coverage - answer.coverage) > COVERAGE_TOLERANCE:
-        faults.append(f"states {answer.coverage}, lists make {true_coverage}")
+    actual_coverage = len(answer.answered) / asked if asked else 0.0
+    if abs(actual_coverage - answer.coverage) > COVERAGE_TOLERANCE:
+        errors.append(
+            f"reports coverage {answer.coverage}, its lists give {actual_coverage}"
+        )
     if len(set(answer.answered + answer.missing)) != asked:
-        faults.append("a service is listed twice")
-    served = {service: ends.of(answer, service) for service in answer.answered}
-    faults += [f"{service} did not serve" for service in served if not served[service]]
-    return faults + record_faults(answer, served)
+        errors.append("a service is listed more than once")
+    served = {service: ends.matching(answer, service) for service in answer.answered}
+    errors += [
+        f"{service} is reported as answered but did not serve"
+        for service in served
+        if not served[service]
+    ]
+    return errors + find_record_errors(answer, served)
 
 
-def record_faults(
+def find_record_errors(
     answer: CallerAnswered, served: dict[str, list[TargetEnded]]
 ) -> list[str]:
-    """Return how an answer's records differ from those that targets served."""
+    """Return how an answer's records differ from those that targets served.
+
+    Returns nothing if a target did not record the ids that it served.
+    """
     known: set[str] = set()
     for ends in served.values():
         for end in ends:
             if end.records is None:
                 return []
             known.update(end.records)
-    faults = []
-    foreign = set(answer.records) - known
-    if foreign:
-        faults.append(f"no counted target served {min(foreign)}")
-    certain: set[str] = set()
+    errors = []
+    unexpected = set(answer.records) - known
+    if unexpected:
+        errors.append(
+            f"record {min(unexpected)} was served by no service reported as answered"
+        )
+    expected: set[str] = set()
     for ends in served.values():
         if ends:
-            certain |= set.intersection(*(set(end.records or ()) for end in ends))
-    lacking = certain - set(answer.records)
-    if lacking and not answer.truncated:
-        faults.append(f"{min(lacking)} is lacking though counted")
-    return faults
+            expected |= set.intersection(*(set(end.records or ()) for end in ends))
+    absent = expected - set(answer.records)
+    if absent and not answer.truncated:
+        errors.append(
+            f"record {min(absent)} is missing from an answer that is not truncated"
+        )
+    return errors
 
 
 def check_no_duplicate_records(history: History) -> list[Violation]:
-    """Check that no answer has a record twice."""
+    """Check that no answer contains a record more than once."""
     violations = []
-    for answer in searches(history):
+    for answer in search_answers(history):
         counts = Counter(answer.records)
         violations += [
             Violation("no_record_doubled", answer.at, answer.request, record)
@@ -186,7 +201,7 @@
 
 
 def check_own_answer(history: History) -> list[Violation]:
-    """Check that each request got one answer, after it was sent, and its own."""
+    """Check that each request got one answer, after it was sent, with its own id."""
     rule = "own_answer"
     sent = {event.request: event.at for event in select(history, CallerSent)}
     answers: Counter[str] = Counter()
@@ -195,13 +210,13 @@
         answers[answer.request] += 1
         sent_at = sent.get(answer.request)
         if sent_at is None or sent_at > answer.at:
-            detail = "answered without having been sent"
+            detail = "no request was sent before the answer"
             violations.append(Violation(rule, answer.at, answer.request, detail))
         if answer.echoed_request != answer.request:
-            detail = f"carries the id {answer.echoed_request!r}"
+            detail = f"answer has the request id {answer.echoed_request!r}"
             violations.append(Violation(rule, answer.at, answer.request, detail))
         if answers[answer.request] == 2:
-            detail = "was answered twice"
+            detail = "answered more than once"
             violations.append(Violation(rule, answer.at, answer.request, detail))
     return violations
 
@@ -220,6 +235,6 @@
 
 
 def check_all(history: History) -> list[Violation]:
-    """Run every check and return the violations in the order of time."""
+    """Run every check and return the violations sorted by time."""
     violations = [violation for check in CHECKS for violation in check(history)]
     return sorted(violations, key=lambda violation: violation.at)
--- a/bench/history.py
+++ b/bench/history.py
@@ -1,4 +1,4 @@
-"""What a run recorded at callers, targets, nodes and the store, on one time base."""
+"""Events recorded at callers, targets, nodes and the store, on one time base."""
 
 from __future__ import annotations
 
@@ -33,16 +33,16 @@
 
 
 class CallerOutcome(StrEnum):
-    """What a caller was told of its request."""
+    """The outcome that a caller was given for its request."""
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
-    FAILED = "failed"  # an error that neither answers nor promises "not run"
+    FAILED = "failed"  # an error without the guarantee "not run"
 
 
 class Snapshot(NamedTuple):
-    """One version of an index under one partitioning."""
+    """An index version with a partitioning."""
 
     index_version: int
     partitioning: int
@@ -52,7 +52,7 @@
 
 
 class HistoryEvent(msgspec.Struct, frozen=True, kw_only=True, tag=True):
-    """Something that happened ``at`` seconds on the run's time base."""
+    """An event; ``at`` is in seconds on the run's time base."""
 
     at: float
 
@@ -66,11 +66,11 @@
 
 
 class CallerAnswered(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A caller got an answer to what it takes for its ``request``.
+    """A caller received a response on the connection of its ``request``.
 
-    ``echoed_request`` is the request id in the answer. ``records`` are identities
-    in the order of the answer. ``coverage`` is the ratio and ``snapshots`` the
-    snapshot of each index that are stated in it.
+    ``echoed_request`` is the request id in the response. ``records`` are record ids
+    in the order of the response. ``coverage`` is the reported ratio and ``snapshots``
+    the reported snapshot of each index.
     """
 
     request: str
@@ -96,9 +96,9 @@
 
 
 class TargetEnded(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A target ended work; ``whole`` if it wrote a whole, sound answer.
+    """A target ended work; ``whole`` if it sent a complete and valid reply.
 
-    ``records`` is None if the target did not note what it served.
+    ``records`` is None if the target did not record the ids that it served.
     """
 
     target: str
@@ -112,7 +112,10 @@
 
 
 class TargetState(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A target can from now on bear so many sub-queries and connections."""
+    """The limits of a target from now on.
+
+    ``bound`` is the limit of concurrent sub-queries.
+    """
 
     target: str
     cold: bool
@@ -127,13 +130,13 @@
 
 
 class ConnectionClosed(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A target saw a connection end."""
+    """A connection to a target was closed."""
 
     target: str
 
 
 class WorkStopped(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A target is leaving, or operators took its data centre out."""
+    """A target must get no new work: it is leaving or its data centre is out."""
 
     target: str
 
@@ -145,7 +148,7 @@
 
 
 class RevisionAccepted(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """The store took a revision of the environment document."""
+    """The store accepted a revision of the environment document."""
 
     revision: int
 
@@ -158,13 +161,13 @@
 
 
 class NodeUp(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A node began; ``node`` names one incarnation. It can reach the store."""
+    """A node started and can reach the store; ``node`` names one incarnation."""
 
     node: str
 
 
 class NodeDown(HistoryEvent, frozen=True, kw_only=True, tag=True):
-    """A node ended, or was cut off from the store and from all other nodes."""
+    """A node stopped, or was partitioned from the store and all other nodes."""
 
     node: str
 
@@ -189,19 +192,19 @@
 
 
 class Recorder:
-    """Collects events; ``now`` gives seconds on the run's time base."""
+    """Collects events; ``now`` returns seconds on the run's time base."""
 
     def __init__(self, now: Callable[[], float]) -> None:
         self.now = now
         self.events: list[HistoryEvent] = []
 
     def add(self, event: HistoryEvent) -> None:
-        """Keep an event."""
+        """Append an event."""
         self.events.append(event)
 
 
 def select(history: Iterable[HistoryEvent], kind: type[Kind]) -> list[Kind]:
-    """Return the events of one kind in their order.
+    """Return the events of one type, in the order of the history.
 
     >>> select([NodeUp(at=0.0, node="a"), NodeDown(at=1.0, node="a")], NodeDown)
     [NodeDown(at=1.0, node='a')]
--- a/bench/load_checks.py
+++ b/bench/load_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a history: what targets and nodes were made to bear, and when."""
+"""Checks of a history: limits of targets, stopped targets and configuration."""
 
 from __future__ import annotations
 
@@ -28,12 +28,12 @@
     "check_target_limits",
 ]
 
-STOP_BOUND_SECONDS = 5.0
-IN_FORCE_BOUND_SECONDS = 11.0
+STOP_LIMIT_S = 5.0
+IN_FORCE_LIMIT_S = 11.0
 
 
 class TargetLoad:
-    """What a target bears at a moment, counted over all entry VMs."""
+    """The current load and state of a target, summed over all entry VMs."""
 
     def __init__(self, target: str) -> None:
         self.target = target
@@ -41,22 +41,22 @@
         self.connections = 0
         self.state: TargetState | None = None
 
-    def violation(self, event: HistoryEvent) -> Violation | None:
-        """Return what the event overran, if anything."""
+    def find_violation(self, event: HistoryEvent) -> Violation | None:
+        """Return the limit that the event exceeds, if any."""
         if self.state is None:
             return None
         if isinstance(event, TargetBegan) and self.in_flight > self.state.bound:
             rule = "cold_start" if self.state.cold else "slots"
-            detail = f"{self.in_flight} in flight, bears {self.state.bound}"
+            detail = f"{self.in_flight} in flight, limit {self.state.bound}"
             return Violation(rule, event.at, self.target, detail)
         too_many = self.connections > self.state.connections
         if isinstance(event, ConnectionOpened) and too_many:
-            detail = f"{self.connections} open, takes {self.state.connections}"
+            detail = f"{self.connections} open, limit {self.state.connections}"
             return Violation("connection_cap", event.at, self.target, detail)
         return None
 
     def apply(self, event: HistoryEvent) -> None:
-        """Count an event."""
+        """Update the load and state by an event."""
         match event:
             case TargetBegan():
                 self.in_flight += 1
@@ -71,10 +71,10 @@
 
 
 def check_target_limits(history: History) -> list[Violation]:
-    """Check cold-start bounds, slots and connection caps over all entry VMs.
+    """Check cold-start limits, slots and connection limits over all entry VMs.
 
-    Work and connections that a target has when its bound falls may end; only
-    what comes on top breaks the rule.
+    Work and connections that exist when a limit is lowered may continue; only
+    new ones above the limit are violations.
     """
     loads: dict[str, TargetLoad] = {}
     violations = []
@@ -89,16 +89,19 @@
             ):
                 load = loads.setdefault(target, TargetLoad(target))
                 load.apply(event)
-                violation = load.violation(event)
+                violation = load.find_violation(event)
                 if violation is not None:
                     violations.append(violation)
     return violations
 
 
 def check_stopped_targets(
-    history: History, bound_seconds: float = STOP_BOUND_SECONDS
+    history: History, limit_s: float = STOP_LIMIT_S
 ) -> list[Violation]:
-    """Check that a leaving target, or one taken out, gets no new work after a bound."""
+    """Check that a stopped target gets no new work once ``limit_s`` has passed.
+
+    A target is stopped while it is leaving or its data centre is out.
+    """
     stopped: dict[str, float] = {}
     violations = []
     for event in history:
@@ -108,9 +111,9 @@
             case WorkAllowed(target=target):
                 stopped.pop(target, None)
             case TargetBegan(target=target) if target in stopped:
-                late = event.at - stopped[target]
-                if late > bound_seconds:
-                    detail = f"began {event.request} {late:.3f} s after"
+                elapsed_s = event.at - stopped[target]
+                if elapsed_s > limit_s:
+                    detail = f"began {event.request} {elapsed_s:.3f} s after the stop"
                     violations.append(
                         Violation("stopped_target", event.at, target, detail)
                     )
@@ -118,24 +121,25 @@
 
 
 def check_configuration(
-    history: History, bound_seconds: float = IN_FORCE_BOUND_SECONDS
+    history: History, limit_s: float = IN_FORCE_LIMIT_S
 ) -> list[Violation]:
     """Check that revisions never revert on a node and are in force in time.
 
-    A node that was up and in touch from a revision's acceptance, or from its own
-    later start, until the bound after that must have it, or a newer one, by then.
+    The limit counts from the acceptance of a revision or the start of the node,
+    whichever is later. A node that is up and connected until the limit must have
+    put this revision or a newer one in force by then.
     """
-    return reverts(history) + late_revisions(history, bound_seconds)
+    return find_reversions(history) + find_late_revisions(history, limit_s)
 
 
-def reverts(history: History) -> list[Violation]:
-    """Return each step of a node back to an older revision."""
+def find_reversions(history: History) -> list[Violation]:
+    """Return a violation for each node that went back to an older revision."""
     newest: dict[str, int] = {}
     violations = []
     for event in select(history, RevisionInForce):
         before = newest.get(event.node, event.revision)
         if event.revision < before:
-            detail = f"{event.revision} after {before}"
+            detail = f"revision {event.revision} in force after {before}"
             violations.append(
                 Violation("configuration_reverts", event.at, event.node, detail)
             )
@@ -143,16 +147,16 @@
     return violations
 
 
-class UpTime(NamedTuple):
-    """A time in which a node was up and in touch."""
+class UptimeInterval(NamedTuple):
+    """An interval in which a node was up and connected."""
 
     node: str
     start: float
     end: float
 
 
-def up_times(history: History) -> list[UpTime]:
-    """Return the times in which nodes were up, until the end of the history."""
+def uptime_intervals(history: History) -> list[UptimeInterval]:
+    """Return the intervals in which nodes were up; open ones end with the history."""
     starts: dict[str, float] = {}
     times = []
     for event in history:
@@ -160,28 +164,32 @@
             case NodeUp(node=node):
                 starts[node] = event.at
             case NodeDown(node=node) if node in starts:
-                times.append(UpTime(node, starts.pop(node), event.at))
+                times.append(UptimeInterval(node, starts.pop(node), event.at))
     end = history[-1].at if history else 0.0
-    return times + [UpTime(node, start, end) for node, start in starts.items()]
+    return times + [UptimeInterval(node, start, end) for node, start in starts.items()]
 
 
-def late_revisions(history: History, bound_seconds: float) -> list[Violation]:
-    """Return each revision that a node in touch did not have in time."""
+def find_late_revisions(history: History, limit_s: float) -> list[Violation]:
+    """Return a violation for each revision that a connected node got too late."""
     in_force: dict[str, list[RevisionInForce]] = defaultdict(list)
     for event in select(history, RevisionInForce):
         in_force[event.node].append(event)
-    times = up_times(history)
+    times = uptime_intervals(history)
     violations = []
     for accepted in select(history, RevisionAccepted):
-        for up in times:
-            due = max(accepted.at, up.start) + bound_seconds
-            if due > up.end:
+        for uptime in times:
+            due = max(accepted.at, uptime.start) + limit_s
+            if due > uptime.end:
                 continue
             met = any(
                 event.revision >= accepted.revision and event.at <= due
-                for event in in_force[up.node]
+                for event in in_force[uptime.node]
             )
             if not met:
-                detail = f"revision {accepted.revision} not in force in time"
-                violations.append(Violation("configuration_late", due, up.node, detail))
+                detail = (
+                    f"revision {accepted.revision} not in force within {limit_s:g} s"
+                )
+                violations.append(
+                    Violation("configuration_late", due, uptime.node, detail)
+                )
     return violations
--- a/bench/run_history.py
+++ b/bench/run_history.py
@@ -1,4 +1,4 @@
-"""The history of a trial, from what its load processes and targets recorded."""
+"""Builds the history of a trial from the records of its load processes and targets."""
 
 from __future__ import annotations
 
@@ -25,34 +25,35 @@
 
 __all__ = ["build_history", "find_violations"]
 
-OK = 200
+HTTP_OK = 200
 STOP_KINDS = frozenset({"drain", "leave"})
 ALLOW_KINDS = frozenset({"return", "restart"})
-BROKEN_KINDS = frozenset({"cancelled", "expired", "lost", "fell_over"})
+INCOMPLETE_KINDS = frozenset({"cancelled", "expired", "lost", "fell_over"})
 
 
-class Home(NamedTuple):
-    """The service and the index of a replica."""
+class ReplicaLocation(NamedTuple):
+    """The service and index that a replica belongs to."""
 
     service: str
     index_name: str
 
 
 def find_violations(run: RunResult, document: EnvironmentDocument) -> list[Violation]:
-    """Return the promises that a trial broke.
+    """Return the violations in a trial.
 
-    If a target's log was full, what it served is not known; that is told instead.
+    If a target's event log overflowed, the history is incomplete and can't be checked;
+    returns this as the only violation.
     """
     if run.left_out:
-        detail = f"{run.left_out} events of targets were left out"
+        detail = f"event logs of targets overflowed by {run.left_out} events"
         return [Violation("history_incomplete", run.started_at, run.name, detail)]
     return check_all(build_history(run, document))
 
 
 def build_history(run: RunResult, document: EnvironmentDocument) -> list[HistoryEvent]:
-    """Return the events of a trial in the order of time."""
-    homes = {
-        replica.name: Home(service, index_name)
+    """Return the events of a trial sorted by time."""
+    locations = {
+        replica.name: ReplicaLocation(service, index_name)
         for index_name, index in document.indexes.items()
         for service, replicas in index.services.items()
         for replica in replicas
@@ -61,14 +62,14 @@
     for call in run.calls:
         events += caller_events(call, document)
     for event in run.events:
-        events += target_events(event, homes)
+        events += target_events(event, locations)
     return sorted(events, key=lambda event: event.at)
 
 
 def caller_events(
     call: CallRecord, document: EnvironmentDocument
 ) -> Iterator[HistoryEvent]:
-    """Return what a caller did; one whose connection failed was told nothing."""
+    """Yield the events of a call; without a response there is no answer event."""
     yield CallerSent(
         at=call.sent_at,
         request=call.request,
@@ -80,7 +81,7 @@
 
 
 def answer_event(call: CallRecord, document: EnvironmentDocument) -> CallerAnswered:
-    """Return what a caller was told."""
+    """Return the event of a response."""
     answer = call.answer
     coverage = answer.get("coverage", {})
     missing = tuple(one["service"] for one in coverage.get("missing", []))
@@ -88,7 +89,7 @@
     return CallerAnswered(
         at=call.ended_at,
         request=call.request,
-        told=told(call),
+        told=caller_outcome(call),
         kind=answer.get("error", {}).get("kind", ""),
         echoed_request=answer.get("request_id", ""),
         snapshots={
@@ -103,10 +104,10 @@
     )
 
 
-def told(call: CallRecord) -> CallerOutcome:
-    """Return in one word what a caller was told."""
+def caller_outcome(call: CallRecord) -> CallerOutcome:
+    """Return the outcome that a caller was given."""
     error = call.answer.get("error", {})
-    if call.status == OK:
+    if call.status == HTTP_OK:
         return CallerOutcome.ANSWERED
     if error.get("not_run", False):
         return CallerOutcome.NOT_RUN
@@ -118,7 +119,7 @@
 
 
 def services_asked(call: CallRecord, document: EnvironmentDocument) -> list[str]:
-    """Return the services that a search had to ask."""
+    """Return the services that a search must ask."""
     workload = document.workloads[call.workload]
     if workload.scope is Scope.ONE and call.service:
         return [call.service]
@@ -130,28 +131,28 @@
 
 
 def target_events(
-    event: WorkEvent, homes: Mapping[str, Home]
+    event: WorkEvent, locations: Mapping[str, ReplicaLocation]
 ) -> Iterator[HistoryEvent]:
-    """Return what a target's own event means for the checks."""
-    home = homes.get(event.replica, Home("", ""))
+    """Translate an event of a target's log into events of the history."""
+    location = locations.get(event.replica, ReplicaLocation("", ""))
     if event.kind == "begun":
         yield TargetBegan(
             at=event.at,
             target=event.replica,
-            service=home.service,
+            service=location.service,
             request=event.request_id,
             sub_query=event.sub_query_id,
             order_key=event.order_key,
         )
-    elif event.kind == "finished" or event.kind in BROKEN_KINDS:
+    elif event.kind == "finished" or event.kind in INCOMPLETE_KINDS:
         yield TargetEnded(
             at=event.at,
             target=event.replica,
-            service=home.service,
+            service=location.service,
             request=event.request_id,
             sub_query=event.sub_query_id,
             whole=event.kind == "finished",
-            index=home.index_name,
+            index=location.index_name,
             snapshot=Snapshot(event.index_version, event.partitioning),
         )
     elif event.kind in STOP_KINDS:
--- a/tests/bench/test_checks.py
+++ b/tests/bench/test_checks.py
@@ -1,4 +1,4 @@
-"""Tests of the history checks: a history that passes and ones that must fail."""
+"""Tests of the history checks: histories that must pass and ones that must fail."""
 
 from __future__ import annotations
 
@@ -94,7 +94,7 @@
     return CallerAnswered(at=at, request=request, told=told, echoed_request=request)
 
 
-def bears(
+def limits(
     at: float, bound: int, cold: bool = False, connections: int = 1
 ) -> TargetState:
     return TargetState(
@@ -102,18 +102,21 @@
     )
 
 
-TWO_SERVED: list[HistoryEvent] = [
+TWO_SERVED_EVENTS: list[HistoryEvent] = [
     sent(0.0),
     began(0.1),
     began(0.1, target="t2"),
     ended(0.2),
     ended(0.2, target="t2", records=("b",)),
 ]
-BOTH = ("s-t1", "s-t2")
+BOTH_SERVICES = ("s-t1", "s-t2")
 
 PASSING: dict[str, Sequence[HistoryEvent]] = {
     "empty": [],
-    "search": [*TWO_SERVED, answered(0.3, services=BOTH, records=("b", "a"))],
+    "search": [
+        *TWO_SERVED_EVENTS,
+        answered(0.3, services=BOTH_SERVICES, records=("b", "a")),
+    ],
     "partial": [
         sent(0.0),
         began(0.1),
@@ -139,25 +142,25 @@
         began(0.1, order_key="k"),
         refused(0.3, CallerOutcome.UNKNOWN),
     ],
-    "order not run, then run by a repetition": [
+    "order refused as not run, then run by a repeated request": [
         sent(0.0, order_key="k"),
         refused(0.1, CallerOutcome.NOT_RUN),
         sent(0.2, request="r2", order_key="k"),
         began(0.3, request="r2", order_key="k"),
     ],
-    "bounds": [
-        bears(0.0, bound=2),
+    "target limits": [
+        limits(0.0, bound=2),
         ConnectionOpened(at=0.0, target="t1"),
         began(0.1),
         began(0.1),
-        bears(0.2, bound=1, cold=True),
+        limits(0.2, bound=1, cold=True),
         ended(0.3),
         ended(0.3),
         began(0.4),
         ConnectionClosed(at=0.5, target="t1"),
         ConnectionOpened(at=0.5, target="t1"),
     ],
-    "stopped": [
+    "stopped target": [
         WorkStopped(at=0.0, target="t1"),
         began(4.9),
         WorkAllowed(at=60.0, target="t1"),
@@ -181,39 +184,39 @@
         "at_most_once",
         [began(0.1, order_key="k"), began(0.9, target="t2", order_key="k")],
     ),
-    "an order that a repetition ran again": (
+    "an order run again by a repeated request": (
         "at_most_once",
         [began(0.1, order_key="k"), began(0.9, request="r2", order_key="k")],
     ),
-    "not run though it ran": (
+    "refused as not run after work began": (
         "not_run",
         [sent(0.0), began(0.1), refused(0.2, CallerOutcome.NOT_RUN)],
     ),
-    "not run, and begun afterwards": (
+    "refused as not run before work began": (
         "not_run",
         [sent(0.0), refused(0.2, CallerOutcome.NOT_RUN), began(0.3)],
     ),
-    "a service of another version counted": (
+    "a service of another version reported as answered": (
         "one_snapshot",
         [
-            *TWO_SERVED[:-1],
+            *TWO_SERVED_EVENTS[:-1],
             ended(0.2, target="t2", version=8),
-            answered(0.3, services=BOTH),
+            answered(0.3, services=BOTH_SERVICES),
         ],
     ),
-    "a service counted that served nothing": (
+    "a service reported as answered that served nothing": (
         "coverage",
-        [sent(0.0), began(0.1), ended(0.2), answered(0.3, services=BOTH)],
+        [sent(0.0), began(0.1), ended(0.2), answered(0.3, services=BOTH_SERVICES)],
     ),
-    "a service counted that served only in part": (
+    "a service reported as answered that served incompletely": (
         "coverage",
         [sent(0.0), began(0.1), ended(0.2, whole=False), answered(0.3)],
     ),
-    "a service counted that served only afterwards": (
+    "a service reported as answered that served after the answer": (
         "coverage",
         [sent(0.0), began(0.1), answered(0.2), ended(0.3)],
     ),
-    "a ratio that its lists don't make": (
+    "a ratio that does not match the lists": (
         "coverage",
         [sent(0.0), began(0.1), ended(0.2), answered(0.3, missing=("s-t2",))],
     ),
@@ -221,9 +224,9 @@
         "coverage",
         [sent(0.0), began(0.1), ended(0.2), answered(0.3, services=("s-t1", "s-t1"))],
     ),
-    "a counted service's record left out": (
+    "a record of an answered service missing": (
         "coverage",
-        [*TWO_SERVED, answered(0.3, services=BOTH, records=("a",))],
+        [*TWO_SERVED_EVENTS, answered(0.3, services=BOTH_SERVICES, records=("a",))],
     ),
     "a record of another request": (
         "coverage",
@@ -247,28 +250,28 @@
         "own_answer",
         [sent(0.0), began(0.1), ended(0.2), answered(0.3), answered(0.4)],
     ),
-    "an answer to nothing": ("own_answer", [refused(0.1, CallerOutcome.FAILED)]),
-    "a cold target overrun by two entry VMs": (
+    "an answer without a request": ("own_answer", [refused(0.1, CallerOutcome.FAILED)]),
+    "a cold target over its limit across two entry VMs": (
         "cold_start",
-        [bears(0.0, bound=1, cold=True), began(0.1), began(0.1, request="r2")],
+        [limits(0.0, bound=1, cold=True), began(0.1), began(0.1, request="r2")],
     ),
-    "a warm target overrun": (
+    "a warm target over its slots": (
         "slots",
-        [bears(0.0, bound=1), began(0.1), began(0.1, request="r2")],
+        [limits(0.0, bound=1), began(0.1), began(0.1, request="r2")],
     ),
     "too many connections": (
         "connection_cap",
         [
-            bears(0.0, bound=1),
+            limits(0.0, bound=1),
             ConnectionOpened(at=0.0, target="t1"),
             ConnectionOpened(at=0.1, target="t1"),
         ],
     ),
-    "work for a leaving target": (
+    "new work for a leaving target": (
         "stopped_target",
         [WorkStopped(at=0.0, target="t1"), began(5.1)],
     ),
-    "a stop told twice does not move the bound": (
+    "a repeated stop does not extend the limit": (
         "stopped_target",
         [
             WorkStopped(at=0.0, target="t1"),
@@ -296,11 +299,11 @@
 
 class TestCheckAll:
     @pytest.mark.parametrize("name", PASSING)
-    def test_sound_history_passes(self, name: str) -> None:
+    def test_valid_history_has_no_violation(self, name: str) -> None:
         assert check_all(PASSING[name]) == []
 
     @pytest.mark.parametrize("name", FAILING)
-    def test_broken_promise_is_found(self, name: str) -> None:
+    def test_violation_is_found(self, name: str) -> None:
         rule, history = FAILING[name]
         assert rule in {violation.rule for violation in check_all(history)}
 
--- a/tests/bench/test_run_history.py
+++ b/tests/bench/test_run_history.py
@@ -1,4 +1,4 @@
-"""Tests that a trial's records become a history that the checks can judge."""
+"""Tests of the history that is built from a trial's records."""
 
 from __future__ import annotations
 
@@ -16,17 +16,19 @@
 }
 
 
-def work(at: float, kind: str, service: str, order_key: str = "") -> WorkEvent:
+def work_event(at: float, kind: str, service: str, order_key: str = "") -> WorkEvent:
     replica = DOCUMENT.indexes[SERVICES[service]].services[service][0].name
     return WorkEvent(at, kind, replica, "r-1", "1", order_key, 4, 1, 0)
 
 
-def served() -> list[WorkEvent]:
-    begun = [work(1.0, "begun", service) for service in SERVICES]
-    return begun + [work(2.0, "finished", service) for service in SERVICES]
+def served_events() -> list[WorkEvent]:
+    begun = [work_event(1.0, "begun", service) for service in SERVICES]
+    return begun + [work_event(2.0, "finished", service) for service in SERVICES]
 
 
-def call(answer: AnswerBody, status: int = 200, order_key: str = "") -> CallRecord:
+def call_record(
+    answer: AnswerBody, status: int = 200, order_key: str = ""
+) -> CallRecord:
     return CallRecord(
         request="r-1",
         workload="storm-night",
@@ -56,7 +58,7 @@
     }
 
 
-def rules(
+def violated_rules(
     calls: list[CallRecord], events: list[WorkEvent], left_out: int = 0
 ) -> list[str]:
     run = RunResult(
@@ -66,27 +68,29 @@
 
 
 class TestViolationsOf:
-    def test_sound_search_has_none(self) -> None:
-        assert rules([call(full_answer())], served()) == []
+    def test_valid_search_has_no_violation(self) -> None:
+        assert violated_rules([call_record(full_answer())], served_events()) == []
 
     def test_service_that_did_not_serve_is_found(self) -> None:
-        assert rules([call(full_answer())], served()[:-1]) == ["coverage"]
+        assert violated_rules([call_record(full_answer())], served_events()[:-1]) == [
+            "coverage"
+        ]
 
     def test_other_version_is_found(self) -> None:
-        events = served()
+        events = served_events()
         events[-1] = events[-1]._replace(index_version=3)
-        found = rules([call(full_answer())], events)
+        found = violated_rules([call_record(full_answer())], events)
         assert sorted(found) == ["coverage", "one_snapshot"]
 
     def test_order_that_ran_twice_and_was_refused_is_found(self) -> None:
         service = next(iter(SERVICES))
-        events = [work(at, "begun", service, "k") for at in (1.0, 2.0)]
+        events = [work_event(at, "begun", service, "k") for at in (1.0, 2.0)]
         refused: AnswerBody = {
             "request_id": "r-1",
             "error": {"kind": "stopping", "detail": "", "not_run": True},
         }
-        found = rules([call(refused, 503, "k")], events)
+        found = violated_rules([call_record(refused, 503, "k")], events)
         assert sorted(found) == ["at_most_once", "not_run"]
 
-    def test_log_that_was_full_is_told(self) -> None:
-        assert rules([], [], left_out=1) == ["history_incomplete"]
+    def test_overflow_of_event_log_is_reported(self) -> None:
+        assert violated_rules([], [], left_out=1) == ["history_incomplete"]
