--- a/bench/faulty_entry.py
+++ b/bench/faulty_entry.py
@@ -25,7 +25,7 @@
 from sardinehook.errors import ErrorKind
 from sardinehook.fleet.connection import Link
 from sardinehook.observe.events import configure_logging
-from sardinehook.store.http_call import HttpCaller
+from sardinehook.store.http_client import HttpClient
 from sardinehook.store.port import StoreUnavailable
 
 __all__ = ["FaultInjector", "NetworkFaults"]
@@ -76,7 +76,7 @@
         """Patch the receiving methods and the platform calls of a process."""
         injector = self
         original_receive_frame = Link.stringReceived
-        original_call = HttpCaller.call
+        original_call = HttpClient.call
         gossip = process.fleet.gossip
         original_receive_datagram = gossip.datagramReceived
 
@@ -91,7 +91,7 @@
                 node, partial(original_receive_datagram, data, addr)
             )
 
-        async def call_platform(caller: HttpCaller, *args: Any) -> Any:  # noqa: ANN401
+        async def call_platform(caller: HttpClient, *args: Any) -> Any:  # noqa: ANN401
             if injector.store_cut:
                 return Failure(
                     StoreUnavailable("platform is cut off by fault injection", False)
@@ -99,7 +99,7 @@
             return await original_call(caller, *args)
 
         setattr(Link, "stringReceived", receive_frame)  # noqa: B010
-        setattr(HttpCaller, "call", call_platform)  # noqa: B010
+        setattr(HttpClient, "call", call_platform)  # noqa: B010
         setattr(gossip, "datagramReceived", receive_datagram)  # noqa: B010
 
     def find_member(self, process: EntryProcess, addr: tuple[str, int]) -> str:
--- a/sardinehook/entry/orders.py
+++ b/sardinehook/entry/orders.py
@@ -1,4 +1,4 @@
-"""Places callers' orders through the order desk and the dispatcher."""
+"""Places callers' orders through the order coordinator and the dispatcher."""
 
 from __future__ import annotations
 
@@ -17,8 +17,8 @@
 from sardinehook.messages import SubQuery, SubReply
 from sardinehook.observe.metrics import Metrics
 from sardinehook.order.claim import Claimant
-from sardinehook.order.desk import OrderDesk
-from sardinehook.order.front import OrderFront
+from sardinehook.order.coordinator import OrderCoordinator
+from sardinehook.order.handler import OrderHandler
 from sardinehook.query.planner import Planner
 from sardinehook.store.port import Store
 from sardinehook.transport.reactor import Timers
@@ -46,7 +46,7 @@
         self.dispatcher = dispatcher
         self.planner = planner
         self.in_flight = 0
-        self.desk = OrderDesk(
+        self.desk = OrderCoordinator(
             store,
             environment,
             claimant,
@@ -57,11 +57,11 @@
             Limits().order_retention_ms,
             metrics,
         )
-        self.front = OrderFront(self.desk, self.choose)
+        self.front = OrderHandler(self.desk, self.choose)
 
     def configure(self, limits: Limits) -> None:
         """Use the bounds of a new document."""
-        self.desk.register.retention_ms = limits.order_retention_ms
+        self.desk.claims.retention_ms = limits.order_retention_ms
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
         """Send an order's only sub-query."""
--- a/tests/observe/test_twisted_errors.py
+++ b/tests/observe/test_twisted_errors.py
@@ -1,4 +1,4 @@
-"""Tests of the log of errors that nobody handled."""
+"""Tests of the logging of unhandled errors."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from sardinehook.observe.twisted_errors import observe_error
 
 
-def observed(level: object, failure: Failure | None) -> list[str]:
+def logged_lines(level: object, failure: Failure | None) -> list[str]:
     stream = StringIO()
     configure_logging(stream, "p", "d", HybridClock(lambda: 1.0))
     event = {"log_level": level, "log_format": "Unhandled\nError"}
@@ -25,15 +25,15 @@
 
 
 class TestObserveError:
-    def test_a_failure_is_one_line_with_its_place(self) -> None:
+    def test_failure_is_one_line_with_its_location(self) -> None:
         try:
             raise ValueError("two\nlines")
         except ValueError:
-            (line,) = observed(LogLevel.critical, Failure())
+            (line,) = logged_lines(LogLevel.critical, Failure())
         assert "event=unhandled_error" in line
         assert "ValueError: two" in line
         assert "test_twisted_errors.py:" in line
 
-    def test_what_is_no_error_is_left_out(self) -> None:
-        assert observed(LogLevel.info, None) == []
-        assert len(observed(LogLevel.error, None)) == 1
+    def test_only_errors_are_logged(self) -> None:
+        assert logged_lines(LogLevel.info, None) == []
+        assert len(logged_lines(LogLevel.error, None)) == 1
--- a/tests/order/test_front.py
+++ b/tests/order/test_handler.py
@@ -1,4 +1,4 @@
-"""Tests of callers' orders, from their request to the body of the answer."""
+"""Tests of the validation of callers' orders and the encoding of answers."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from sardinehook.entry.requests import CallerRequest
 from sardinehook.environment.document import Scope, Workload
 from sardinehook.errors import ErrorKind, Problem
-from sardinehook.order.front import OrderFront
+from sardinehook.order.handler import OrderHandler
 from tests.order.rig import OrderRig
 
 ORDERS = Workload(["order-desk"], Scope.ONE, 1000.0, 1.0, idempotent=False)
@@ -26,15 +26,15 @@
     key: str | None = "k",
     replica: str | None = "t1",
 ) -> Result[bytes, Problem]:
-    front = OrderFront(rig.processes[0].desk, lambda _workload, _service: replica)
+    handler = OrderHandler(rig.processes[0].desk, lambda _workload, _service: replica)
     results: list[Result[bytes, Problem]] = []
-    Deferred.fromCoroutine(front.place(order, key)).addCallback(results.append)
+    Deferred.fromCoroutine(handler.place(order, key)).addCallback(results.append)
     rig.settle(2)
     return results[0]
 
 
-class TestOrderFront:
-    def test_answer_carries_the_target_s_own_only_if_it_is_json(self) -> None:
+class TestOrderHandler:
+    def test_target_answer_that_is_not_json_is_null(self) -> None:
         rig = OrderRig()
         match place(rig, request()):
             case Success(body):
@@ -48,12 +48,12 @@
         }
         assert rig.began("k") == 1
 
-    def test_look_up_tells_the_state(self) -> None:
+    def test_look_up_returns_the_state(self) -> None:
         rig = OrderRig()
         place(rig, request())
-        front = OrderFront(rig.processes[1].desk, lambda _workload, _service: None)
+        handler = OrderHandler(rig.processes[1].desk, lambda _workload, _service: None)
         found: list[Result[bytes, Problem]] = []
-        Deferred.fromCoroutine(front.look_up("k")).addCallback(found.append)
+        Deferred.fromCoroutine(handler.look_up("k")).addCallback(found.append)
         rig.settle(2)
         assert msgspec.json.decode(found[0].unwrap())["state"] == "run"
 
@@ -71,7 +71,7 @@
             (request(), "k", None, ErrorKind.TARGET_UNAVAILABLE),
         ],
     )
-    def test_orders_that_cannot_be_placed_run_nothing(
+    def test_refused_orders_run_nothing(
         self,
         order: CallerRequest,
         key: str | None,
