Name the replies, addresses and index shapes in bench

ends, places and groups named replies of targets, addresses of replicas and shapes of indexes; they are named so now. Two comments of the rig regain their reasons.

--- a/bench/checks.py
+++ b/bench/checks.py
@@ -46,23 +46,25 @@
 
     def matching(self, answer: CallerAnswered, service: str) -> list[TargetEnded]:
         """Return a service's replies before the answer that match its snapshot."""
-        ends = self.by_service.get((answer.request, service), [])
+        replies = self.by_service.get((answer.request, service), [])
         return [
-            end for end in ends if end.at <= answer.at and matches_snapshot(answer, end)
+            reply
+            for reply in replies
+            if reply.at <= answer.at and matches_snapshot(answer, reply)
         ]
 
 
-def matches_snapshot(answer: CallerAnswered, end: TargetEnded) -> bool:
+def matches_snapshot(answer: CallerAnswered, reply: TargetEnded) -> bool:
     """Return whether a target served the snapshot that an answer reports."""
-    return answer.snapshots.get(end.index) == end.snapshot
+    return answer.snapshots.get(reply.index) == reply.snapshot
 
 
 def complete_replies(history: History) -> CompleteReplies:
     """Collect the complete replies of targets."""
     by_service: dict[tuple[str, str], list[TargetEnded]] = defaultdict(list)
-    for end in select(history, TargetEnded):
-        if end.whole:
-            by_service[end.request, end.service].append(end)
+    for reply in select(history, TargetEnded):
+        if reply.whole:
+            by_service[reply.request, reply.service].append(reply)
     return CompleteReplies(by_service)
 
 
@@ -108,12 +110,12 @@
 
 def check_one_snapshot(history: History) -> list[Violation]:
     """Check that each service reported as answered served the answer's snapshot."""
-    ends = complete_replies(history)
+    replies = complete_replies(history)
     violations = []
     for answer in search_answers(history):
         for service in answer.answered:
-            served = ends.by_service.get((answer.request, service), [])
-            if served and not any(matches_snapshot(answer, end) for end in served):
+            served = replies.by_service.get((answer.request, service), [])
+            if served and not any(matches_snapshot(answer, reply) for reply in served):
                 detail = f"{service} served {served[0].snapshot}"
                 violations.append(
                     Violation("one_snapshot", answer.at, answer.request, detail)
@@ -128,15 +130,15 @@
     request, with the answer's snapshot, before the answer. The answer must have no
     record that is in none of these replies, and must lack none unless truncated.
     """
-    ends = complete_replies(history)
+    replies = complete_replies(history)
     violations = []
     for answer in search_answers(history):
-        for detail in find_coverage_errors(answer, ends):
+        for detail in find_coverage_errors(answer, replies):
             violations.append(Violation("coverage", answer.at, answer.request, detail))
     return violations
 
 
-def find_coverage_errors(answer: CallerAnswered, ends: CompleteReplies) -> list[str]:
+def find_coverage_errors(answer: CallerAnswered, replies: CompleteReplies) -> list[str]:
     """Return the errors in the coverage that an answer reports."""
     errors = []
     asked = len(answer.answered) + len(answer.missing)
@@ -147,7 +149,7 @@
         )
     if len(set(answer.answered + answer.missing)) != asked:
         errors.append("a service is listed more than once")
-    served = {service: ends.matching(answer, service) for service in answer.answered}
+    served = {service: replies.matching(answer, service) for service in answer.answered}
     errors += [
         f"{service} is reported as answered but did not serve"
         for service in served
@@ -164,11 +166,11 @@
     Returns nothing if a target did not record the ids that it served.
     """
     known: set[str] = set()
-    for ends in served.values():
-        for end in ends:
-            if end.records is None:
+    for replies in served.values():
+        for reply in replies:
+            if reply.records is None:
                 return []
-            known.update(end.records)
+            known.update(reply.records)
     errors = []
     unexpected = set(answer.records) - known
     if unexpected:
@@ -176,9 +178,11 @@
             f"record {min(unexpected)} was served by no service reported as answered"
         )
     expected: set[str] = set()
-    for ends in served.values():
-        if ends:
-            expected |= set.intersection(*(set(end.records or ()) for end in ends))
+    for replies in served.values():
+        if replies:
+            expected |= set.intersection(
+                *(set(reply.records or ()) for reply in replies)
+            )
     absent = expected - set(answer.records)
     if absent and not answer.truncated:
         errors.append(
--- a/bench/make_examples.py
+++ b/bench/make_examples.py
@@ -41,7 +41,7 @@
 
     region: str
     data_centres: tuple[str, ...]
-    groups: dict[str, IndexShape]
+    index_shapes: dict[str, IndexShape]
     workloads: dict[str, Workload]
 
 
@@ -56,7 +56,7 @@
 SZOVETSEG = Organisation(
     region="alfold",
     data_centres=("kecskemet-a", "szolnok-b", "bekes-c"),
-    groups={
+    index_shapes={
         "logfinder": IndexShape(20, 2, 2, 25, 6.0),
         "memberbook": IndexShape(30, 2, 2, 25, 6.0),
         "fixdesk": IndexShape(1, 7, 3, 110, 1.0),
@@ -114,7 +114,7 @@
 LAKESHORE = Organisation(
     region="great-lakes",
     data_centres=("duluth", "marquette", "traverse"),
-    groups={
+    index_shapes={
         "order-desk": IndexShape(20, 2, 3, 30, 6.0),
         "invoicing": IndexShape(30, 2, 3, 30, 6.0),
         "warehouse": IndexShape(1, 5, 6, 50, 1.0),
@@ -185,7 +185,7 @@
     ports = count(example.first_port)
     indexes = {
         name: make_index(name, shape, organisation, ports)
-        for name, shape in organisation.groups.items()
+        for name, shape in organisation.index_shapes.items()
     }
     data_centres = {
         name: DataCentre(organisation.region) for name in organisation.data_centres
--- a/bench/rig.py
+++ b/bench/rig.py
@@ -230,7 +230,7 @@
         return shares
 
     def put_document(self, document: EnvironmentDocument, edited_from: int = 0) -> None:
-        """Put a document with ``sardinehook document put``."""
+        """Put a document with ``sardinehook document put``, as an operator does."""
         path = self.directory / "document.yaml"
         path.write_text(document_text(document))
         self.run_command(
@@ -295,7 +295,7 @@
         self.control_platform({"upsert_vms": [vm]})
 
     def kill_vm(self, entry: EntryNode) -> None:
-        """Kill an entry process and remove its VM from the platform's list."""
+        """Kill an entry process without notice and remove its VM from the list."""
         self.children[entry.node].kill()
         self.control_platform({"remove_vms": [entry.node]})
 
@@ -341,7 +341,7 @@
             time.sleep(POLL_S)
         tail = self.children[entry.node].log.read_text()[-2000:]
         raise StartError(
-            f"{entry.node} exited or not ready in {READY_TIMEOUT_S:g} s: {tail}"
+            f"{entry.node} exited or was not ready in {READY_TIMEOUT_S:g} s: {tail}"
         )
 
     def is_ready(self, entry: EntryNode) -> bool:
--- a/bench/target.py
+++ b/bench/target.py
@@ -56,10 +56,10 @@
         services = defaultdict(set)
         for replica in settings.replicas:
             services[replica.index].add(replica.service)
-        places = {index: sorted(names) for index, names in services.items()}
+        services_by_index = {index: sorted(names) for index, names in services.items()}
         self.hosts: dict[str, TargetHost] = {}
         for replica in settings.replicas:
-            names = places[replica.index]
+            names = services_by_index[replica.index]
             shard = Shard(replica.index, names.index(replica.service), len(names), 0, 0)
             model = TargetModel(
                 reactor,
@@ -81,7 +81,7 @@
         for host in self.hosts.values():
             host.shut_down()
 
-    def places(self) -> list[ReplicaAddress]:
+    def addresses(self) -> list[ReplicaAddress]:
         """Return the address of each replica."""
         return [
             ReplicaAddress(
@@ -143,7 +143,7 @@
         """Return the records, or the replicas for any other path."""
         if request.path == b"/records":
             return msgspec.json.encode(self.group.records())
-        return msgspec.json.encode([one._asdict() for one in self.group.places()])
+        return msgspec.json.encode([one._asdict() for one in self.group.addresses()])
 
     def render_POST(self, request: WebRequest) -> bytes:
         """Apply a control request; 400 if it is invalid."""
--- a/bench/target_scenes.py
+++ b/bench/target_scenes.py
@@ -60,7 +60,7 @@
         cast(ListeningReactor, reactor), TargetSettings([settings], seed=seed)
     )
     group.listen()
-    replica = Replica("s-a", "dc", group.places()[0].address)
+    replica = Replica("s-a", "dc", group.addresses()[0].address)
     owner = TargetOwner(reactor, OwnerLimits())
     owner.configure({"i": Index(SLOTS, 25, 1.0, {"s": [replica]}, cold_start_slots)})
     owner.set_allowance("s-a", Allowance(SLOTS, 20, True))
--- a/tests/bench/test_platform.py
+++ b/tests/bench/test_platform.py
@@ -61,7 +61,7 @@
             self.platform.control({"outage": outage})
             failure = (await watch).failure()
             assert isinstance(failure, StoreUnavailable)
-            assert not good_or_none(await self.store.get("a"))
+            assert not value_or_none(await self.store.get("a"))
             self.platform.control({"outage": Outage.NONE})
             assert await self.store.get("a") == Success(None)
 
@@ -72,7 +72,7 @@
         assert self.reactor.seconds() - began >= 0.12
 
 
-def good_or_none(result: Result[Entry | None, StoreFailure]) -> object:
+def value_or_none(result: Result[Entry | None, StoreFailure]) -> object:
     """Return the value of a success, None for a failure."""
     return result.value_or(None)
 
--- a/tests/bench/test_run_history.py
+++ b/tests/bench/test_run_history.py
@@ -67,7 +67,7 @@
     return [violation.rule for violation in find_violations(run, DOCUMENT)]
 
 
-class TestViolationsOf:
+class TestFindViolations:
     def test_valid_search_has_no_violation(self) -> None:
         assert violated_rules([call_record(full_answer())], served_events()) == []
 
--- a/tests/bench/test_target.py
+++ b/tests/bench/test_target.py
@@ -32,9 +32,9 @@
             cast(ListeningReactor, self.reactor), TargetSettings([replica])
         )
         self.group.listen()
-        place = self.group.places()[0]
+        listed = self.group.addresses()[0]
         self.owner = TargetOwner(self.reactor, OwnerLimits())
-        index = Index(slots, 25, 1.0, {"s": [Replica("s-a", "dc", place.address)]}, 1)
+        index = Index(slots, 25, 1.0, {"s": [Replica("s-a", "dc", listed.address)]}, 1)
         self.owner.configure({"i": index})
         self.owner.set_allowance("s-a", Allowance(slots, 20, True))
         self.replies: list[SubReply] = []
