--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -9,7 +9,7 @@
 from bench.soak.gateways import Gateway
 from bench.soak.proxy import Proxy
 from bench.soak.schedule import (
-    CallersLeave,
+    CallersDisconnect,
     ChangeConfiguration,
     DrainReplica,
     Evacuate,
@@ -19,15 +19,15 @@
     GatewayStop,
     ReplicaFault,
     Reshard,
-    Scheduled,
+    ScheduledFault,
     StoreFault,
     StoreLink,
 )
-from bench.soak.world import World
+from bench.soak.testbed import Testbed
 
 __all__ = ["FaultInjector"]
 
-EVACUATION_LEAST_S = 6.0
+MIN_EVACUATION_S = 6.0
 
 
 class FaultInjector:
@@ -35,93 +35,101 @@
 
     def __init__(
         self,
-        world: World,
+        testbed: Testbed,
         gateways: Sequence[Gateway],
         callers: Sequence[Caller],
         grace_s: float,
         spawn: Callable[[Any], None],
     ) -> None:
-        self.world = world
+        self.testbed = testbed
         self.gateways = gateways
         self.callers = callers
         self.grace_s = grace_s
         self.spawn = spawn
 
-    def inject(self, one: Scheduled) -> None:
+    def inject(self, scheduled: ScheduledFault) -> None:
         """Begin a fault of a gateway, or else of what is around them."""
-        match one.fault:
+        match scheduled.fault:
             case GatewayStop(number):
                 self.spawn(self.gateways[number].stop(self.grace_s))
             case GatewayKill(number):
                 gateway = self.gateways[number]
                 self.spawn(gateway.restart(gateway.child.kill, 0.0))
             case GatewayPause(number):
-                self.spawn(self.gateways[number].pause(one.for_s))
+                self.spawn(self.gateways[number].pause(scheduled.duration_s))
             case GatewayReload(number, signalled):
                 self.gateways[number].reload(signalled)
             case StoreLink(number, mode):
                 gateway = self.gateways[number]
-                self.disturb_link(gateway.store, mode, one.for_s, gateway.name)
+                self.inject_link_fault(
+                    gateway.store, mode, scheduled.duration_s, gateway.name
+                )
             case _:
-                self.inject_outside(one)
+                self.inject_outside(scheduled)
 
-    def inject_outside(self, one: Scheduled) -> None:
+    def inject_outside(self, scheduled: ScheduledFault) -> None:
         """Begin a fault of the store, replicas, operators or callers."""
-        world = self.world
-        match one.fault:
+        testbed = self.testbed
+        match scheduled.fault:
             case StoreFault(mode):
-                self.disturb_store(mode, one.for_s)
+                self.inject_store_fault(mode, scheduled.duration_s)
             case ReplicaFault(number, mode):
-                self.disturb_replica(number, mode, one.for_s)
+                self.inject_replica_fault(number, mode, scheduled.duration_s)
             case DrainReplica(number):
-                world.replicas[number].drain()
+                testbed.replicas[number].drain()
             case Evacuate(number):
-                world.evacuate(number, one.for_s + EVACUATION_LEAST_S)
+                testbed.evacuate(number, scheduled.duration_s + MIN_EVACUATION_S)
             case ChangeConfiguration():
-                world.change_route()
+                testbed.change_route()
             case Reshard():
-                world.reshard()
-            case CallersLeave():
-                self.let_leave(one.for_s)
+                testbed.reshard()
+            case CallersDisconnect():
+                self.disconnect_callers(scheduled.duration_s)
 
-    def disturb_link(self, proxy: Proxy, mode: str, for_s: float, name: str) -> None:
+    def inject_link_fault(
+        self, proxy: Proxy, mode: str, duration_s: float, name: str
+    ) -> None:
         """Disturb the connections through a proxy for a while."""
         proxy.set_mode(mode)
-        now = self.world.reactor.seconds()
-        self.world.history.disturb(name, now, now + for_s)
-        self.world.reactor.callLater(for_s, proxy.set_mode, "")
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.record_disturbance(name, now, now + duration_s)
+        self.testbed.reactor.callLater(duration_s, proxy.set_mode, "")
 
-    def disturb_store(self, mode: str, for_s: float) -> None:
+    def inject_store_fault(self, mode: str, duration_s: float) -> None:
         """Let the store misbehave for a while."""
-        store = self.world.store
-        now = self.world.reactor.seconds()
-        self.world.history.disturb("store", now, now + for_s)
+        store = self.testbed.store
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.record_disturbance("store", now, now + duration_s)
         if mode == "compact":
             store.compact()
         elif mode == "lapse":
-            store.lapse("servers/")
-            store.lapse("sardinehook/")
+            store.expire_leases("servers/")
+            store.expire_leases("sardinehook/")
         else:
             store.mode = mode
-            self.world.reactor.callLater(for_s, setattr, store, "mode", "")
+            self.testbed.reactor.callLater(duration_s, setattr, store, "mode", "")
 
-    def disturb_replica(self, number: int, mode: str, for_s: float) -> None:
+    def inject_replica_fault(self, number: int, mode: str, duration_s: float) -> None:
         """Let a replica or the way to it misbehave for a while."""
-        replica = self.world.replicas[number]
+        replica = self.testbed.replicas[number]
         server, proxy = replica.server, replica.proxy
         if server is None or proxy is None:
             return
-        now = self.world.reactor.seconds()
-        self.world.history.disturb(replica.identity.name, now, now + for_s)
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.record_disturbance(
+            replica.identity.name, now, now + duration_s
+        )
         if mode in ("pause", "errors", "garble", "extra", "lost"):
             server.set_mode(mode)
-            self.world.reactor.callLater(for_s, server.set_mode, "")
+            self.testbed.reactor.callLater(duration_s, server.set_mode, "")
         else:
             proxy.set_mode(mode)
-            self.world.reactor.callLater(for_s, proxy.set_mode, "")
+            self.testbed.reactor.callLater(duration_s, proxy.set_mode, "")
 
-    def let_leave(self, for_s: float) -> None:
+    def disconnect_callers(self, duration_s: float) -> None:
         """Let callers leave early for a while."""
         for caller in self.callers:
-            caller.leaves = True
-            self.world.reactor.callLater(for_s, setattr, caller, "leaves", False)
+            caller.disconnects_early = True
+            self.testbed.reactor.callLater(
+                duration_s, setattr, caller, "disconnects_early", False
+            )
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -13,16 +13,16 @@
 from bench.processes import Child
 from bench.soak.history import Interval
 from bench.soak.proxy import Proxy
-from bench.soak.world import DATA_CENTRES, World
+from bench.soak.testbed import DATA_CENTRES, Testbed
 
-__all__ = ["Gateway", "GatewayKind", "make_gateways"]
+__all__ = ["Gateway", "GatewayOptions", "make_gateways"]
 
 POLL_S = 0.05
-PORTS_EACH = 5  # front, ready, peers, two internal ones
-SEEDS = 3  # gateways that all others know from their settings
-STOP_SLACK_S = 1.5  # beyond the grace, for the runner to notice an end
-WIDE_MBPS = 1000.0
-NARROW_MBPS = 20.0
+PORTS_PER_GATEWAY = 5  # front, ready, peers, two internal ones
+SEED_COUNT = 3  # gateways that all others know from their settings
+STOP_MARGIN_S = 1.5  # beyond the grace, for the runner to notice an end
+FAST_LINK_MBPS = 1000.0
+SLOW_LINK_MBPS = 20.0
 REPOSITORY = Path(__file__).resolve().parents[2]
 
 SETTINGS = """\
@@ -51,43 +51,47 @@
 """
 
 
-class GatewayKind(NamedTuple):
-    """What all gateways of a soak have in common.
+class GatewayOptions(NamedTuple):
+    """Options that all gateways of a soak share.
 
-    With ``uneven``, one gateway of each data centre alone has a wide link. What
-    breaks a promise is told to ``found``.
+    With ``mixed_link_speeds``, only one gateway in each data centre has a fast link.
+    ``report_violation`` is called with the name of the guarantee and a detail.
     """
 
     folder: Path
-    uneven: bool
+    mixed_link_speeds: bool
     mutant: str
-    found: Callable[[str, str], None]
+    report_violation: Callable[[str, str], None]
 
 
 class Gateway:
     """One gateway process with its settings file and its way to the store."""
 
     def __init__(
-        self, world: World, kind: GatewayKind, number: int, ports: list[list[int]]
+        self,
+        testbed: Testbed,
+        options: GatewayOptions,
+        number: int,
+        ports: list[list[int]],
     ) -> None:
-        self.world = world
-        self.found = kind.found
+        self.testbed = testbed
+        self.report_violation = options.report_violation
         self.name = f"g-{number}"
         self.ports = ports[number]
-        self.seeds = ", ".join(f'"{LOOPBACK}:{one[2]}"' for one in ports[:SEEDS])
+        self.seeds = ", ".join(f'"{LOOPBACK}:{one[2]}"' for one in ports[:SEED_COUNT])
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-        self.store = Proxy(world.reactor, world.store_port)
-        self.is_wide = not kind.uneven or number < len(DATA_CENTRES)
+        self.store = Proxy(testbed.reactor, testbed.store_port)
+        self.has_fast_link = not options.mixed_link_speeds or number < len(DATA_CENTRES)
         self.incarnation = 0
-        self.misses = 0
-        self.path = kind.folder / f"{self.name}.toml"
+        self.missed_probes = 0
+        self.path = options.folder / f"{self.name}.toml"
         self.write_settings("first")
         module = ["-m", "sardinehook.gateway"]
-        if kind.mutant:
-            module = ["-m", "bench.soak.mutant", kind.mutant]
-        log = kind.folder / f"{self.name}.log"
+        if options.mutant:
+            module = ["-m", "bench.soak.mutant", options.mutant]
+        log = options.folder / f"{self.name}.log"
         self.child = Child(self.name, module, log, REPOSITORY)
-        self.busy = False
+        self.in_transition = False
 
     def write_settings(self, comment: str) -> None:
         """Write the settings file."""
@@ -98,7 +102,7 @@
             seeds=self.seeds,
             store=self.store.port,
             comment=comment,
-            link_mbps=WIDE_MBPS if self.is_wide else NARROW_MBPS,
+            link_mbps=FAST_LINK_MBPS if self.has_fast_link else SLOW_LINK_MBPS,
         )
         self.path.write_text(text)
 
@@ -107,8 +111,8 @@
         self.incarnation += 1
         self.child.environment = {"SARDINEHOOK_SETTINGS": str(self.path)}
         self.child.start()
-        now = self.world.reactor.seconds()
-        self.world.history.disturb(self.name, now, now)
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.record_disturbance(self.name, now, now)
 
     @property
     def has_started(self) -> bool:
@@ -118,74 +122,78 @@
 
     async def restart(self, end: Callable[[], None], grace_s: float) -> None:
         """End the process by ``end``, wait for that, and start it again."""
-        if self.busy or not self.child.running:
+        if self.in_transition or not self.child.running:
             return
-        self.busy = True
-        began = self.world.reactor.seconds()
+        self.in_transition = True
+        began = self.testbed.reactor.seconds()
         end()
         while self.child.running:
-            if self.world.reactor.seconds() > began + grace_s + STOP_SLACK_S:
-                self.found("grace", f"{self.name} did not end in time")
+            if self.testbed.reactor.seconds() > began + grace_s + STOP_MARGIN_S:
+                self.report_violation("grace", f"{self.name} did not end in time")
                 self.child.kill()
-            await deferLater(self.world.reactor, POLL_S)
-        self.note_exit(grace_s > 0.0)
+            await deferLater(self.testbed.reactor, POLL_S)
+        self.record_exit(grace_s > 0.0)
         self.start()
-        self.busy = False
+        self.in_transition = False
 
-    async def pause(self, for_s: float) -> None:
+    async def pause(self, duration_s: float) -> None:
         """Stop the process from running for a while."""
-        if self.busy or not self.child.running:
+        if self.in_transition or not self.child.running:
             return
-        self.busy = True
-        began = self.world.reactor.seconds()
+        self.in_transition = True
+        began = self.testbed.reactor.seconds()
         self.child.pause()
-        await deferLater(self.world.reactor, for_s)
+        await deferLater(self.testbed.reactor, duration_s)
         self.child.resume()
-        now = self.world.reactor.seconds()
-        self.world.history.disturb(self.name, began, now)
-        self.busy = False
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.record_disturbance(self.name, began, now)
+        self.in_transition = False
 
     async def stop(self, grace_s: float) -> None:
         """Stop the process as planned, and start it again."""
-        if self.busy or not self.child.running:
+        if self.in_transition or not self.child.running:
             return
-        now = self.world.reactor.seconds()
-        self.world.history.stops.append(Interval(self.name, now, now + grace_s))
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.planned_stops.append(
+            Interval(self.name, now, now + grace_s)
+        )
         await self.restart(self.child.terminate, grace_s)
 
     def reload(self, signalled: bool) -> None:
         """Change the settings file."""
-        self.write_settings(f"{self.world.reactor.seconds()}")
-        if signalled and not self.busy:
+        self.write_settings(f"{self.testbed.reactor.seconds()}")
+        if signalled and not self.in_transition:
             self.child.signal(signal.SIGHUP)
 
-    def restart_if_ended(self) -> None:
+    def restart_if_exited(self) -> None:
         """Start the process again that has ended by itself, which breaks a promise."""
-        if not self.busy and not self.child.running:
+        if not self.in_transition and not self.child.running:
             code = self.child.exit_code
-            self.found("exit", f"{self.name} ended by itself with {code}")
+            self.report_violation("exit", f"{self.name} ended by itself with {code}")
             self.start()
 
-    def note_exit(self, planned: bool) -> None:
+    def record_exit(self, planned: bool) -> None:
         """Note the end of a process; a planned one is in order."""
-        now = self.world.reactor.seconds()
-        self.world.history.disturb(self.name, now, now)
+        now = self.testbed.reactor.seconds()
+        self.testbed.history.record_disturbance(self.name, now, now)
         code = self.child.exit_code
         if planned and code == -signal.SIGTERM and not self.has_started:
             return  # it was told to stop before it had begun to listen
         if planned and code not in (0, -signal.SIGKILL):
-            self.found("exit", f"{self.name} ended with {code}")
+            self.report_violation("exit", f"{self.name} ended with {code}")
 
 
-def make_gateways(world: World, kind: GatewayKind, count: int) -> list[Gateway]:
+def make_gateways(
+    testbed: Testbed, options: GatewayOptions, count: int
+) -> list[Gateway]:
     """Return gateways that are yet to be started, and note who may help whom."""
-    ports = reserve_ports(PORTS_EACH * count)
-    each = [ports[n * PORTS_EACH :][:PORTS_EACH] for n in range(count)]
-    gateways = [Gateway(world, kind, number, each) for number in range(count)]
+    ports = reserve_ports(PORTS_PER_GATEWAY * count)
+    each = [ports[n * PORTS_PER_GATEWAY :][:PORTS_PER_GATEWAY] for n in range(count)]
+    gateways = [Gateway(testbed, options, number, each) for number in range(count)]
     for gateway in gateways:
-        world.history.helpers[gateway.name] = tuple(
+        testbed.history.forwarders[gateway.name] = tuple(
             other.name
             for other in gateways
-            if other.is_wide and other.data_centre == gateway.data_centre
+            if other.has_fast_link and other.data_centre == gateway.data_centre
         )
     return gateways
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -8,16 +8,16 @@
 __all__ = [
     "Answer",
     "Attempt",
+    "Execution",
     "History",
     "Interval",
-    "Leaving",
-    "Part",
+    "ReplicaAnswer",
     "Revision",
-    "Run",
+    "Withdrawal",
 ]
 
 
-class Part(NamedTuple):
+class ReplicaAnswer(NamedTuple):
     """What a replica answered: its signature, and its records or bytes."""
 
     signature: str
@@ -26,7 +26,7 @@
     body: bytes
 
 
-class Run(NamedTuple):
+class Execution(NamedTuple):
     """A request that a replica began to work on; times are monotonic seconds."""
 
     request: str
@@ -53,7 +53,7 @@
     """One request of a caller to one gateway; ``end`` tells how it ended.
 
     ``end`` is ``answered``, ``closed``, ``unconnected``, ``expired`` or ``left``.
-    ``kept`` is set where the connection had carried requests before.
+    ``reused_connection`` is set where the connection had carried requests before.
     """
 
     request: str
@@ -63,9 +63,9 @@
     method: str
     target: str
     body: bytes
-    patience_s: float
+    timeout_s: float
     sent_at: float
-    kept: bool = False
+    reused_connection: bool = False
     end: str = ""
     ended_at: float = 0.0
     answer: Answer | None = None
@@ -83,7 +83,7 @@
     services: dict[str, tuple[str, ...]]
 
 
-class Leaving(NamedTuple):
+class Withdrawal(NamedTuple):
     """A replica, or a data centre, that was to get nothing from a moment on."""
 
     replica: str
@@ -104,34 +104,34 @@
     """Everything that the checks look at."""
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
-    runs: list[Run] = field(default_factory=list)
-    parts: dict[str, Part] = field(default_factory=dict)
+    executions: list[Execution] = field(default_factory=list)
+    replica_answers: dict[str, ReplicaAnswer] = field(default_factory=dict)
     revisions: list[Revision] = field(default_factory=list)
-    draining: list[Leaving] = field(default_factory=list)
-    evacuated: list[Leaving] = field(default_factory=list)
+    draining: list[Withdrawal] = field(default_factory=list)
+    evacuated: list[Withdrawal] = field(default_factory=list)
     # Replicas in their cold start.
-    cold: list[Interval] = field(default_factory=list)
-    disturbed: list[Interval] = field(default_factory=list)
-    stops: list[Interval] = field(default_factory=list)
+    cold_starts: list[Interval] = field(default_factory=list)
+    disturbances: list[Interval] = field(default_factory=list)
+    planned_stops: list[Interval] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
     recovered_at: float = 0.0
     # The gateways that may have sent on what one of them took.
-    helpers: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    forwarders: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
-    def disturb(self, name: str, start: float, end: float) -> None:
+    def record_disturbance(self, name: str, start: float, end: float) -> None:
         """Note that a gateway, or the store, is disturbed for a time."""
-        self.disturbed.append(Interval(name, start, end))
+        self.disturbances.append(Interval(name, start, end))
 
-    def is_calm(self, names: tuple[str, ...], start: float, end: float) -> bool:
+    def is_undisturbed(self, names: tuple[str, ...], start: float, end: float) -> bool:
         """Tell whether none of these was disturbed in a span."""
         return not any(
             interval.name in names and interval.start < end and interval.end > start
-            for interval in self.disturbed
+            for interval in self.disturbances
         )
 
-    def runs_of(self) -> dict[str, list[Run]]:
+    def executions_by_request(self) -> dict[str, list[Execution]]:
         """Group the runs by request."""
-        found: dict[str, list[Run]] = {}
-        for run in self.runs:
-            found.setdefault(run.request, []).append(run)
+        found: dict[str, list[Execution]] = {}
+        for execution in self.executions:
+            found.setdefault(execution.request, []).append(execution)
         return found
--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -19,10 +19,10 @@
 __all__ = ["KvServer"]
 
 EXPIRY_INTERVAL_S = 0.05
-PAGE = 40  # keys: small, so that listings have pages
-SLOW_S = 0.8
-LOST_SHARE = 0.5  # of the writes, while answers are lost
-HISTORY = 4000
+PAGE_KEYS = 40  # keys: small, so that listings have pages
+RESPONSE_DELAY_S = 0.8
+LOST_REPLY_SHARE = 0.5  # of the writes, while answers are lost
+HISTORY_EVENTS = 4000
 
 
 class WireEvent(TypedDict, total=False):
@@ -58,19 +58,19 @@
         self.reactor = reactor
         self.rng = rng
         self.values = KeyValues()
-        self.history: deque[WireEvent] = deque(maxlen=HISTORY)
+        self.history: deque[WireEvent] = deque(maxlen=HISTORY_EVENTS)
         self.compacted_at = 0
         self.mode = ""
         self.watches: dict[Watch, None] = {}
         self.calls = 0
-        self.tick()
+        self.expire_periodically()
 
-    def tick(self) -> None:
+    def expire_periodically(self) -> None:
         """Let leases run out."""
         if self.mode != "busy":
             self.values.expire(self.reactor.seconds())
             self.publish()
-        self.reactor.callLater(EXPIRY_INTERVAL_S, self.tick)
+        self.reactor.callLater(EXPIRY_INTERVAL_S, self.expire_periodically)
 
     def write(self, key: str, value: bytes, lease: str = "") -> int:
         """Write a key unconditionally, as operators and replicas do."""
@@ -95,7 +95,7 @@
                 "Revision": self.values.revision,
                 "Deleted": True,
             }
-            self.history.append(gone if held is None else describe(held))
+            self.history.append(gone if held is None else encode_item(held))
         if changed:
             for watch in list(self.watches):
                 self.answer_watch(watch, False)
@@ -107,7 +107,7 @@
             del self.watches[watch]
             cut(watch.request)
 
-    def lapse(self, prefix: str) -> None:
+    def expire_leases(self, prefix: str) -> None:
         """Drop the keys below a prefix, as if their leases had run out."""
         for held in self.values.scan(prefix):
             self.values.drop(held.key)
@@ -119,7 +119,7 @@
         if self.mode == "busy":
             send(request, 503, b"{}")
         elif self.mode == "slow":
-            self.reactor.callLater(SLOW_S, self.serve, request)
+            self.reactor.callLater(RESPONSE_DELAY_S, self.serve, request)
         else:
             self.serve(request)
         return NOT_DONE_YET
@@ -132,13 +132,13 @@
         elif path == "/kv-watch":
             self.start_watch(request)
         elif path == "/kv-txn":
-            self.write_all(request)
+            self.write_transaction(request)
         elif path == "/kv-lease":
             ttl_s = msgspec.json.decode(body_of(request))["TtlMs"] / 1000.0
             name = self.values.grant(ttl_s, self.reactor.seconds())
             lease = int(name.rpartition("-")[2])
-            told = {"Lease": lease, "TtlMs": int(ttl_s * 1000)}
-            self.reply_to_write(request, 200, told)
+            content = {"Lease": lease, "TtlMs": int(ttl_s * 1000)}
+            self.reply_to_write(request, 200, content)
         else:
             self.serve_lease(request, path)
 
@@ -159,8 +159,8 @@
         held = self.values.scan(argument(request, "Prefix", ""))
         found = [one for one in held if one.key > after]
         return {
-            "items": [describe(one) for one in found[:PAGE]],
-            "HasMore": len(found) > PAGE,
+            "items": [encode_item(one) for one in found[:PAGE_KEYS]],
+            "HasMore": len(found) > PAGE_KEYS,
             "AsOf": self.values.revision,
         }
 
@@ -185,10 +185,10 @@
         ]
         if watch in self.watches and (events or ended):
             del self.watches[watch]
-            told = {"events": events, "AsOf": self.values.revision}
-            self.reply(watch.request, 200, told)
+            content = {"events": events, "AsOf": self.values.revision}
+            self.reply(watch.request, 200, content)
 
-    def write_all(self, request: Request) -> None:
+    def write_transaction(self, request: Request) -> None:
         """Write the keys of a transaction; those of gateways have no conditions."""
         body = msgspec.json.decode(body_of(request))
         now = self.reactor.seconds()
@@ -206,19 +206,19 @@
         self.publish()
         self.reply_to_write(request, 200, {"Revision": revision})
 
-    def reply_to_write(self, request: Request, status: int, told: object) -> None:
+    def reply_to_write(self, request: Request, status: int, content: object) -> None:
         """Answer a write, unless answers are lost."""
-        if self.mode == "lost" and self.rng.random() < LOST_SHARE:
+        if self.mode == "lost" and self.rng.random() < LOST_REPLY_SHARE:
             cut(request)
         else:
-            self.reply(request, status, told)
+            self.reply(request, status, content)
 
-    def reply(self, request: Request, status: int, told: object) -> None:
+    def reply(self, request: Request, status: int, content: object) -> None:
         """Answer a call."""
-        send(request, status, msgspec.json.encode(told))
+        send(request, status, msgspec.json.encode(content))
 
 
-def describe(held: Held) -> WireEvent:
+def encode_item(held: Held) -> WireEvent:
     """Return an item as the store tells it."""
     return {
         "Key": held.key,
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -18,19 +18,19 @@
 
 DELAY_S = 0.3
 LOOPBACK = "127.0.0.1"
-UP = "cut_up"
-DOWN = "cut_down"
+UPSTREAM = "cut_up"
+DOWNSTREAM = "cut_down"
 
 
-class Side(Protocol):
-    """One end of a proxied connection; what it reads goes to ``other``."""
+class ProxyConnection(Protocol):
+    """One end of a proxied connection; what it reads goes to ``peer``."""
 
     def __init__(self, proxy: Proxy, direction: str) -> None:
         self.proxy = proxy
         self.direction = direction
-        self.other: Side | None = None
-        self.held: list[bytes] = []
-        self.dead = False
+        self.peer: ProxyConnection | None = None
+        self.pending: list[bytes] = []
+        self.broken = False
         self.closed = False
 
     def connectionMade(self) -> None:
@@ -38,74 +38,74 @@
         tcp: Any = self.transport
         self.tcp = tcp
         tcp.setTcpNoDelay(True)
-        self.proxy.sides.add(self)
-        if self.direction == UP:
-            self.proxy.accepted(self)
+        self.proxy.connections.add(self)
+        if self.direction == UPSTREAM:
+            self.proxy.connection_accepted(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """End the other side, unless the path is cut."""
         self.closed = True
-        self.proxy.sides.discard(self)
-        if self.other is not None and not self.is_dead and not self.other.closed:
-            self.other.tcp.loseConnection()
+        self.proxy.connections.discard(self)
+        if self.peer is not None and not self.is_broken and not self.peer.closed:
+            self.peer.tcp.loseConnection()
 
     @property
-    def is_dead(self) -> bool:
+    def is_broken(self) -> bool:
         """Whether bytes of the connection were lost, so that no more may follow."""
-        return self.dead or (self.other is not None and self.other.dead)
+        return self.broken or (self.peer is not None and self.peer.broken)
 
     def dataReceived(self, data: bytes) -> None:
         """Pass data on, late or never where the proxy is to disturb it."""
         mode = self.proxy.mode
         if mode in (self.direction, "silent"):
-            self.dead = True
-        if self.is_dead:
+            self.broken = True
+        if self.is_broken:
             return
         if mode == "delay":
-            self.proxy.reactor.callLater(DELAY_S, self.pass_on, data)
+            self.proxy.reactor.callLater(DELAY_S, self.forward, data)
         else:
-            self.pass_on(data)
+            self.forward(data)
 
-    def pass_on(self, data: bytes) -> None:
+    def forward(self, data: bytes) -> None:
         """Give data to the other side, or hold it until that is there."""
-        if self.other is None:
-            self.held.append(data)
-        elif not self.other.closed and not self.is_dead:
-            self.other.tcp.write(data)
+        if self.peer is None:
+            self.pending.append(data)
+        elif not self.peer.closed and not self.is_broken:
+            self.peer.tcp.write(data)
 
-    def join(self, other: Side) -> None:
+    def attach(self, peer: ProxyConnection) -> None:
         """Take the other side and give it what was held for it."""
-        self.other, other.other = other, self
-        held, self.held = self.held, []
-        for data in held:
-            self.pass_on(data)
+        self.peer, peer.peer = peer, self
+        pending, self.pending = self.pending, []
+        for data in pending:
+            self.forward(data)
 
 
-class Outgoing(ClientFactory):
+class OutgoingFactory(ClientFactory):
     """Opens the second half of a proxied connection."""
 
     noisy = False
 
-    def __init__(self, proxy: Proxy, caller: Side) -> None:
+    def __init__(self, proxy: Proxy, client: ProxyConnection) -> None:
         self.proxy = proxy
-        self.caller = caller
+        self.client = client
 
-    def buildProtocol(self, addr: object) -> Side:
+    def buildProtocol(self, addr: object) -> ProxyConnection:
         """Return the side towards the server."""
-        side = Side(self.proxy, DOWN)
-        self.proxy.reactor.callLater(0.0, self.join, side)
-        return side
+        outgoing = ProxyConnection(self.proxy, DOWNSTREAM)
+        self.proxy.reactor.callLater(0.0, self.attach, outgoing)
+        return outgoing
 
-    def join(self, side: Side) -> None:
+    def attach(self, outgoing: ProxyConnection) -> None:
         """Connect both sides."""
-        self.caller.join(side)
-        if self.caller.closed:
-            side.tcp.abortConnection()
+        self.client.attach(outgoing)
+        if self.client.closed:
+            outgoing.tcp.abortConnection()
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
         """Reset the caller whose way on could not be opened."""
-        if not self.caller.closed:
-            self.caller.tcp.abortConnection()
+        if not self.client.closed:
+            self.client.tcp.abortConnection()
 
 
 class Proxy(ServerFactory):
@@ -115,28 +115,30 @@
 
     def __init__(self, reactor: GatewayReactor, port: int) -> None:
         self.reactor = reactor
-        self.target = port
+        self.target_port = port
         self.mode = ""
-        self.sides: set[Side] = set()
+        self.connections: set[ProxyConnection] = set()
         listening = reactor.listenTCP(0, self, interface=LOOPBACK)
         self.port: int = listening.getHost().port
 
-    def buildProtocol(self, addr: object) -> Side:
+    def buildProtocol(self, addr: object) -> ProxyConnection:
         """Return the side towards a caller."""
-        return Side(self, UP)
+        return ProxyConnection(self, UPSTREAM)
 
-    def accepted(self, caller: Side) -> None:
+    def connection_accepted(self, client: ProxyConnection) -> None:
         """Open the way on for a caller."""
         if self.mode == "reset":
-            caller.tcp.abortConnection()
+            client.tcp.abortConnection()
         elif self.mode == "silent":
-            caller.dead = True
+            client.broken = True
         else:
-            self.reactor.connectTCP(LOOPBACK, self.target, Outgoing(self, caller))
+            self.reactor.connectTCP(
+                LOOPBACK, self.target_port, OutgoingFactory(self, client)
+            )
 
     def set_mode(self, mode: str) -> None:
         """Begin or end to disturb."""
         self.mode = mode
         if mode == "reset":
-            for side in list(self.sides):
-                side.tcp.abortConnection()
+            for connection in list(self.connections):
+                connection.tcp.abortConnection()
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -10,16 +10,16 @@
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
 from twisted.python.failure import Failure
 
-from bench.soak.history import History, Part, Run
+from bench.soak.history import Execution, History, ReplicaAnswer
 from sardinehook.gateway.reactor import GatewayReactor
 
 __all__ = ["ReplicaServer"]
 
 SLOTS = 2
-QUEUE = 12
-RECORDS = 3
+QUEUE_LIMIT = 12
+RECORDS_PER_ANSWER = 3
 FAULTY_SHARE = 0.4  # of the answers, while a replica misbehaves
-LATE_EXTRA_S = 0.05
+DUPLICATE_DELAY_S = 0.05
 
 
 class ReplicaServer(ServerFactory):
@@ -57,7 +57,7 @@
         """Return the protocol of a connection."""
         return ReplicaConnection(self)
 
-    def opened(self, connection: ReplicaConnection) -> None:
+    def connection_opened(self, connection: ReplicaConnection) -> None:
         """Count a connection."""
         self.connections.add(connection)
         most = max(self.history.connections.get(self.name, 0), len(self.connections))
@@ -67,7 +67,7 @@
         """Run a request, queue it, or refuse it."""
         if self.running < SLOTS and self.mode != "pause":
             self.run(connection)
-        elif len(self.queue) < QUEUE:
+        elif len(self.queue) < QUEUE_LIMIT:
             self.queue.append(connection)
         else:
             connection.refuse(503)
@@ -75,17 +75,17 @@
     def run(self, connection: ReplicaConnection) -> None:
         """Work on a request."""
         self.running += 1
-        connection.note_run()
+        connection.record_execution()
         took_s = self.work_s * self.rng.uniform(0.7, 1.5)
-        self.reactor.callLater(took_s, self.end, connection)
+        self.reactor.callLater(took_s, self.finish_request, connection)
 
-    def end(self, connection: ReplicaConnection) -> None:
+    def finish_request(self, connection: ReplicaConnection) -> None:
         """Answer a request and begin the next one."""
         self.running -= 1
         connection.finish()
-        self.resume()
+        self.run_queued()
 
-    def resume(self) -> None:
+    def run_queued(self) -> None:
         """Work on what is queued."""
         while self.queue and self.running < SLOTS and self.mode != "pause":
             connection = self.queue.pop(0)
@@ -95,7 +95,7 @@
     def set_mode(self, mode: str) -> None:
         """Begin or end to misbehave."""
         self.mode = mode
-        self.resume()
+        self.run_queued()
 
     def close(self) -> None:
         """End all connections."""
@@ -118,14 +118,14 @@
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
-        self.whole = False
+        self.complete = False
 
     def connectionMade(self) -> None:
         """Count the connection."""
         tcp: Any = self.transport
         self.tcp = tcp
         self.open = True
-        self.replica.opened(self)
+        self.replica.connection_opened(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Forget the connection."""
@@ -139,9 +139,9 @@
         except HttpParserError:
             self.tcp.abortConnection()
             return
-        if self.whole:
-            self.whole = False
-            self.take()
+        if self.complete:
+            self.complete = False
+            self.dispatch()
 
     def on_url(self, url: bytes) -> None:
         """Keep a part of the target."""
@@ -157,9 +157,9 @@
 
     def on_message_complete(self) -> None:
         """Note that the request is whole."""
-        self.whole = True
+        self.complete = True
 
-    def take(self) -> None:
+    def dispatch(self) -> None:
         """Take a request in, unless it is for another replica."""
         expected = self.headers.get(b"x-expect-instance", b"").decode()
         if expected and expected != self.replica.name:
@@ -172,11 +172,11 @@
         """The id of the request."""
         return self.headers.get(b"x-request-id", b"").decode()
 
-    def note_run(self) -> None:
+    def record_execution(self) -> None:
         """Record that the replica works on the request."""
         deadline = self.headers.get(b"x-deadline-ms", b"0")
         replica = self.replica
-        run = Run(
+        execution = Execution(
             self.request,
             replica.name,
             replica.service,
@@ -186,7 +186,7 @@
             self.body,
             float(deadline),
         )
-        replica.history.runs.append(run)
+        replica.history.executions.append(execution)
 
     def refuse(self, status: int) -> None:
         """Answer that the request was not run."""
@@ -201,19 +201,19 @@
         if faulty == "lost":
             self.tcp.abortConnection()
             return
-        part = self.make_part()
+        answer = self.make_answer()
         if faulty == "errors":
-            self.write(500, part.signature, b"failed")
+            self.write(500, answer.signature, b"failed")
             return
-        replica.history.parts[part.signature] = part
+        replica.history.replica_answers[answer.signature] = answer
         if faulty == "garble":
-            self.write(200, part.signature, part.body, cut=len(part.body) // 2)
+            self.write(200, answer.signature, answer.body, cut=len(answer.body) // 2)
             return
-        self.write(200, part.signature, part.body)
+        self.write(200, answer.signature, answer.body)
         if faulty == "extra":
-            replica.reactor.callLater(LATE_EXTRA_S, self.repeat, part)
+            replica.reactor.callLater(DUPLICATE_DELAY_S, self.send_duplicate, answer)
 
-    def make_part(self) -> Part:
+    def make_answer(self) -> ReplicaAnswer:
         """Make the answer to the request."""
         replica = self.replica
         nonce = replica.rng.getrandbits(32)
@@ -221,16 +221,22 @@
         seed = f"{replica.service} {self.request}".encode()
         records = [
             blake2b(seed, digest_size=16, salt=bytes([number])).digest()
-            for number in range(RECORDS)
+            for number in range(RECORDS_PER_ANSWER)
         ]
         tail = b"tail"[: replica.rng.randrange(4)]
-        return Part(signature, replica.service, replica.name, b"".join(records) + tail)
+        return ReplicaAnswer(
+            signature, replica.service, replica.name, b"".join(records) + tail
+        )
 
-    def repeat(self, part: Part) -> None:
+    def send_duplicate(self, answer: ReplicaAnswer) -> None:
         """Send an answer that nobody asked for."""
         if self.open:
-            request = part.signature.partition(".")[0]
-            self.tcp.write(encode(200, part.signature, part.body, echo(request)))
+            request = answer.signature.partition(".")[0]
+            self.tcp.write(
+                encode_response(
+                    200, answer.signature, answer.body, request_id_header(request)
+                )
+            )
 
     def write(
         self,
@@ -243,28 +249,28 @@
         """Write an answer, or only a part of its body."""
         if not self.open:
             return
-        extra += echo(self.request) + self.load()
-        whole = encode(status, signature, body, extra)
+        extra += request_id_header(self.request) + self.load_header()
+        response = encode_response(status, signature, body, extra)
         if cut is None:
-            self.tcp.write(whole)
+            self.tcp.write(response)
             self.reset()
         else:
-            self.tcp.write(whole[: len(whole) - cut])
+            self.tcp.write(response[: len(response) - cut])
             self.tcp.loseConnection()
 
-    def load(self) -> bytes:
+    def load_header(self) -> bytes:
         """Return the header with the load."""
         replica = self.replica
-        told = f"{replica.running},{len(replica.queue)},{SLOTS}"
-        return f"X-Server-Load: {told}\r\n".encode()
+        load = f"{replica.running},{len(replica.queue)},{SLOTS}"
+        return f"X-Server-Load: {load}\r\n".encode()
 
 
-def echo(request: str) -> bytes:
+def request_id_header(request: str) -> bytes:
     """Return the header that names the request that is answered."""
     return f"X-Request-Id: {request}\r\n".encode()
 
 
-def encode(status: int, signature: str, body: bytes, extra: bytes) -> bytes:
+def encode_response(status: int, signature: str, body: bytes, extra: bytes) -> bytes:
     """Return the bytes of an answer."""
     lines = f"HTTP/1.1 {status} Told\r\nContent-Length: {len(body)}\r\n".encode()
     if signature:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 __all__ = [
-    "CallersLeave",
+    "CallersDisconnect",
     "ChangeConfiguration",
     "DrainReplica",
     "Evacuate",
@@ -19,19 +19,19 @@
     "GatewayStop",
     "ReplicaFault",
     "Reshard",
-    "Scheduled",
-    "Size",
+    "ScheduledFault",
     "StoreFault",
     "StoreLink",
+    "Topology",
     "make_schedule",
 ]
 
-SETTLE_S = 3.0  # calm at the start
+QUIET_START_S = 3.0  # calm at the start
 SERIES_SHARE = 0.3  # of the faults come as a series of the same kind
-MOST_IN_SERIES = 4
+MAX_SERIES_LENGTH = 4
 SERIES_GAP_S = 0.7
-SHORTEST_S = 0.5
-LONGEST_S = 5.0
+MIN_DURATION_S = 0.5
+MAX_DURATION_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +111,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallersLeave:
+class CallersDisconnect:
     """Some callers leave before their answer for a time."""
 
 
@@ -127,7 +127,7 @@
     | Evacuate
     | ChangeConfiguration
     | Reshard
-    | CallersLeave
+    | CallersDisconnect
 )
 
 LINK_MODES = ("delay", "reset", "cut_up", "cut_down", "silent")
@@ -135,15 +135,15 @@
 REPLICA_MODES = ("pause", "errors", "garble", "extra", "lost", *LINK_MODES)
 
 
-class Scheduled(NamedTuple):
+class ScheduledFault(NamedTuple):
     """A fault, its start in seconds, and how long it lasts where that applies."""
 
     at: float
     fault: Fault
-    for_s: float
+    duration_s: float
 
 
-class Size(NamedTuple):
+class Topology(NamedTuple):
     """What there is to disturb."""
 
     gateways: int
@@ -152,8 +152,8 @@
 
 
 def make_schedule(
-    seed: int, size: Size, duration_s: float, mean_gap_s: float
-) -> list[Scheduled]:
+    seed: int, topology: Topology, duration_s: float, mean_gap_s: float
+) -> list[ScheduledFault]:
     """Draw faults; those of a series follow each other, and all may overlap.
 
     >>> size = Size(4, 8, 3)
@@ -161,43 +161,49 @@
     True
     """
     rng = Random(seed)
-    scheduled: list[Scheduled] = []
-    at = SETTLE_S
+    scheduled: list[ScheduledFault] = []
+    at = QUIET_START_S
     while at < duration_s:
-        scheduled.extend(draw_series(rng, size, at))
+        scheduled.extend(draw_series(rng, topology, at))
         at += rng.expovariate(1.0 / mean_gap_s)
     within = [one for one in scheduled if one.at < duration_s]
     return sorted(within, key=lambda one: one.at)
 
 
-def draw_series(rng: Random, size: Size, at: float) -> Iterator[Scheduled]:
+def draw_series(rng: Random, topology: Topology, at: float) -> Iterator[ScheduledFault]:
     """Draw one fault, or several of one kind in a row."""
-    draw = rng.choice(KINDS)
-    count = rng.randint(2, MOST_IN_SERIES) if rng.random() < SERIES_SHARE else 1
+    draw = rng.choice(FAULT_DRAWS)
+    count = rng.randint(2, MAX_SERIES_LENGTH) if rng.random() < SERIES_SHARE else 1
     for _ in range(count):
-        yield Scheduled(at, draw(rng, size), rng.uniform(SHORTEST_S, LONGEST_S))
+        yield ScheduledFault(
+            at, draw(rng, topology), rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        )
         at += rng.uniform(0.0, 2 * SERIES_GAP_S)
 
 
-Draw = Callable[[Random, Size], Fault]
+FaultDraw = Callable[[Random, Topology], Fault]
 
 # How often a kind stands here is how often it is drawn.
-KINDS: tuple[Draw, ...] = (
-    lambda rng, size: GatewayStop(rng.randrange(size.gateways)),
-    lambda rng, size: GatewayKill(rng.randrange(size.gateways)),
-    lambda rng, size: GatewayPause(rng.randrange(size.gateways)),
-    lambda rng, size: GatewayReload(rng.randrange(size.gateways), rng.random() < 0.5),
-    lambda rng, size: StoreLink(rng.randrange(size.gateways), rng.choice(LINK_MODES)),
-    lambda rng, size: StoreFault(rng.choice(STORE_MODES)),
+FAULT_DRAWS: tuple[FaultDraw, ...] = (
+    lambda rng, topology: GatewayStop(rng.randrange(topology.gateways)),
+    lambda rng, topology: GatewayKill(rng.randrange(topology.gateways)),
+    lambda rng, topology: GatewayPause(rng.randrange(topology.gateways)),
+    lambda rng, topology: GatewayReload(
+        rng.randrange(topology.gateways), rng.random() < 0.5
+    ),
+    lambda rng, topology: StoreLink(
+        rng.randrange(topology.gateways), rng.choice(LINK_MODES)
+    ),
+    lambda rng, topology: StoreFault(rng.choice(STORE_MODES)),
     *[
-        lambda rng, size: ReplicaFault(
-            rng.randrange(size.replicas), rng.choice(REPLICA_MODES)
+        lambda rng, topology: ReplicaFault(
+            rng.randrange(topology.replicas), rng.choice(REPLICA_MODES)
         )
     ]
     * 3,
-    *[lambda rng, size: DrainReplica(rng.randrange(size.replicas))] * 2,
-    lambda rng, size: Evacuate(rng.randrange(size.data_centres)),
+    *[lambda rng, topology: DrainReplica(rng.randrange(topology.replicas))] * 2,
+    lambda rng, topology: Evacuate(rng.randrange(topology.data_centres)),
     *[lambda _rng, _size: ChangeConfiguration()] * 2,
     lambda _rng, _size: Reshard(),
-    lambda _rng, _size: CallersLeave(),
+    lambda _rng, _size: CallersDisconnect(),
 )
--- a/bench/soak/world.py
+++ b/bench/soak/testbed.py
@@ -8,30 +8,30 @@
 import msgspec
 
 from bench.http_server import listen
-from bench.soak.history import History, Interval, Leaving, Revision
+from bench.soak.history import History, Interval, Revision, Withdrawal
 from bench.soak.kv_server import KvServer
 from bench.soak.proxy import Proxy
 from bench.soak.replica_server import ReplicaServer
 from sardinehook.gateway.reactor import GatewayReactor
 
-__all__ = ["DATA_CENTRES", "Replica", "World"]
+__all__ = ["DATA_CENTRES", "ReplicaSite", "Testbed"]
 
 DATA_CENTRES = ("a", "b", "c")
 SHARD_SETS = tuple(
     tuple(f"{name}{number}" for number in range(6)) for name in ("first-", "second-")
 )
-SINGLES = ("desk", "till")
-REPLICAS_EACH = 2
+SINGLE_SERVICES = ("desk", "till")
+REPLICAS_PER_SERVICE = 2
 HEARTBEAT_S = 1.2
 DRAIN_S = 3.0
-LEAVES_LATE_S = (1.0, 8.0)  # beyond the time that was promised
-ADDRESS_REST_S = 2.0
+EXIT_DELAY_S = (1.0, 8.0)  # beyond the time that was promised
+RESTART_DELAY_S = 2.0
 WORK_S = 0.012
 HOST = "soak.example"
-CONNECTIONS_EACH = 60
-COLD_S = 2.0
+CONNECTIONS_PER_SERVICE = 60
+COLD_START_S = 2.0
 COLD_PER_S = 2.0  # with the bounds of the gateways' settings 8 requests in a second
-NEVER = float("inf")
+NO_END = float("inf")
 
 
 class Identity(NamedTuple):
@@ -43,14 +43,16 @@
     born_ms: int
 
 
-class Replica:
+class ReplicaSite:
     """A place at which one replica after the other runs, behind a proxy."""
 
-    def __init__(self, world: World, number: int, service: str, place: str) -> None:
-        self.world = world
+    def __init__(
+        self, testbed: Testbed, number: int, service: str, data_centre: str
+    ) -> None:
+        self.testbed = testbed
         self.number = number
         self.service = service
-        self.data_centre = place
+        self.data_centre = data_centre
         self.starts = 0
         self.draining = False
         self.server: ReplicaServer | None = None
@@ -60,31 +62,33 @@
 
     def start(self) -> None:
         """Start a new replica at this place's address."""
-        world = self.world
+        testbed = self.testbed
         self.starts += 1
         self.draining = False
-        born_ms = int(1000 * world.reactor.seconds()) + self.starts
+        born_ms = int(1000 * testbed.reactor.seconds()) + self.starts
         name = f"i-{self.number}-{self.starts}"
         self.identity = Identity(name, self.service, self.data_centre, born_ms)
-        now = world.reactor.seconds()
+        now = testbed.reactor.seconds()
         # Those that are there from the beginning have served before.
-        self.cold_until = now + COLD_S if self.starts > 1 else now
-        world.history.cold.append(Interval(name, now, self.cold_until))
-        rng = Random(f"{world.seed} {name}")
+        self.cold_until = now + COLD_START_S if self.starts > 1 else now
+        testbed.history.cold_starts.append(Interval(name, now, self.cold_until))
+        rng = Random(f"{testbed.seed} {name}")
         self.server = ReplicaServer(
-            world.reactor, world.history, rng, name, self.service, WORK_S
+            testbed.reactor, testbed.history, rng, name, self.service, WORK_S
+        )
+        self.listening = testbed.reactor.listenTCP(
+            0, self.server, interface="127.0.0.1"
         )
-        self.listening = world.reactor.listenTCP(0, self.server, interface="127.0.0.1")
         port = self.listening.getHost().port
         if self.proxy is None:
-            self.proxy = Proxy(world.reactor, port)
-        self.proxy.target = port
+            self.proxy = Proxy(testbed.reactor, port)
+        self.proxy.target_port = port
         self.register()
 
     def register(self) -> None:
         """Write the entry if it is missing, as heartbeats do."""
         key = f"servers/{self.identity.name}"
-        store = self.world.store
+        store = self.testbed.store
         if self.server is None or store.mode == "busy" or key in store.values.held:
             return
         self.write("draining" if self.draining else "ready")
@@ -92,7 +96,7 @@
     def write(self, state: str) -> float:
         """Write the entry; return when the store has accepted it."""
         assert self.proxy is not None
-        now: float = self.world.reactor.seconds()
+        now: float = self.testbed.reactor.seconds()
         entry = {
             "Service": self.identity.service,
             "Addr": f"127.0.0.1:{self.proxy.port}",
@@ -105,32 +109,34 @@
             "born": self.identity.born_ms,
         }
         key = f"servers/{self.identity.name}"
-        self.world.store.write(key, msgspec.json.encode(entry))
-        accepted_at: float = self.world.reactor.seconds()
+        self.testbed.store.write(key, msgspec.json.encode(entry))
+        accepted_at: float = self.testbed.reactor.seconds()
         return accepted_at
 
     def drain(self) -> None:
         """Leave in an orderly way, and start anew some time after."""
-        world = self.world
-        if self.draining or self.server is None or not world.may_drain(self):
+        testbed = self.testbed
+        if self.draining or self.server is None or not testbed.may_drain(self):
             return
         self.draining = True
         acked_at = self.write("draining")
-        world.history.draining.append(Leaving(self.identity.name, acked_at, NEVER))
-        stays_s = DRAIN_S + world.rng.uniform(*LEAVES_LATE_S)
-        world.reactor.callLater(stays_s, self.leave)
+        testbed.history.draining.append(
+            Withdrawal(self.identity.name, acked_at, NO_END)
+        )
+        stays_s = DRAIN_S + testbed.rng.uniform(*EXIT_DELAY_S)
+        testbed.reactor.callLater(stays_s, self.stop)
 
-    def leave(self) -> None:
+    def stop(self) -> None:
         """End."""
         assert self.server is not None
-        self.world.store.delete(f"servers/{self.identity.name}")
+        self.testbed.store.delete(f"servers/{self.identity.name}")
         self.listening.stopListening()
         self.server.close()
         self.server = None
-        self.world.reactor.callLater(ADDRESS_REST_S, self.start)
+        self.testbed.reactor.callLater(RESTART_DELAY_S, self.start)
 
 
-class World:
+class Testbed:
     """Everything that a soak puts around the gateways."""
 
     def __init__(self, reactor: GatewayReactor, seed: int) -> None:
@@ -140,26 +146,26 @@
         self.history = History()
         self.store = KvServer(reactor, Random(f"{seed} store"))
         self.store_port: int = listen(reactor, self.store).getHost().port
-        self.replicas: list[Replica] = []
-        for service in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLES]:
-            for copy in range(REPLICAS_EACH):
+        self.replicas: list[ReplicaSite] = []
+        for service in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLE_SERVICES]:
+            for copy in range(REPLICAS_PER_SERVICE):
                 number = len(self.replicas)
-                place = DATA_CENTRES[(number + copy) % len(DATA_CENTRES)]
-                self.replicas.append(Replica(self, number, service, place))
+                data_centre = DATA_CENTRES[(number + copy) % len(DATA_CENTRES)]
+                self.replicas.append(ReplicaSite(self, number, service, data_centre))
         self.version = 0
-        self.shards = 0
-        self.single = 0
+        self.active_shard_set = 0
+        self.active_single = 0
         self.evacuated = ""
         self.configure()
-        self.beat()
+        self.send_heartbeats()
 
-    def beat(self) -> None:
+    def send_heartbeats(self) -> None:
         """Let replicas register again where their entries are gone."""
         for replica in self.replicas:
             replica.register()
-        self.reactor.callLater(HEARTBEAT_S, self.beat)
+        self.reactor.callLater(HEARTBEAT_S, self.send_heartbeats)
 
-    def may_drain(self, replica: Replica) -> bool:
+    def may_drain(self, replica: ReplicaSite) -> bool:
         """Tell whether another replica of the service stays."""
         return any(
             other.service == replica.service
@@ -172,58 +178,62 @@
     def configure(self) -> None:
         """Write the next version of the configuration."""
         self.version += self.rng.randint(1, 3)
-        search = SHARD_SETS[self.shards]
-        single = SINGLES[self.single]
+        search = SHARD_SETS[self.active_shard_set]
+        active_single = SINGLE_SERVICES[self.active_single]
         value = {
             "Version": self.version,
             "Routes": [
                 route("find", "safe", Gather=search, TopK=8, MinCoverage=0.5),
-                route("one", "safe", Service=single),
-                route("order", "unsafe", Service=SINGLES[1]),
+                route("one", "safe", Service=active_single),
+                route("order", "unsafe", Service=SINGLE_SERVICES[1]),
             ],
             "Services": [
                 {
                     "Name": name,
-                    "MaxConns": CONNECTIONS_EACH,
+                    "MaxConns": CONNECTIONS_PER_SERVICE,
                     "HealthPath": "/health",
-                    "ColdStartS": COLD_S,
+                    "ColdStartS": COLD_START_S,
                     "ColdPerS": COLD_PER_S,
                 }
-                for name in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLES]
+                for name in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLE_SERVICES]
             ],
         }
         sent_at = self.reactor.seconds()
         self.store.write("op/config", msgspec.json.encode(value))
-        allowed = {"/find/": search, "/one/": (single,), "/order/": (SINGLES[1],)}
+        allowed = {
+            "/find/": search,
+            "/one/": (active_single,),
+            "/order/": (SINGLE_SERVICES[1],),
+        }
         now = self.reactor.seconds()
         self.history.revisions.append(Revision(self.version, sent_at, now, allowed))
 
     def change_route(self) -> None:
         """Move a route to another service."""
-        self.single = 1 - self.single
+        self.active_single = 1 - self.active_single
         self.configure()
 
     def reshard(self) -> None:
         """Name the other set of shards."""
-        self.shards = 1 - self.shards
+        self.active_shard_set = 1 - self.active_shard_set
         self.configure()
 
-    def evacuate(self, number: int, for_s: float) -> None:
+    def evacuate(self, number: int, duration_s: float) -> None:
         """Take a data centre out, unless another one is."""
         if self.evacuated:
             return
         self.evacuated = DATA_CENTRES[number]
         self.store.write(f"op/evacuate/{self.evacuated}", b"{}")
         acked_at = self.reactor.seconds()
-        self.reactor.callLater(for_s, self.take_back, acked_at)
+        self.reactor.callLater(duration_s, self.end_evacuation, acked_at)
 
-    def take_back(self, acked_at: float) -> None:
+    def end_evacuation(self, acked_at: float) -> None:
         """Take a data centre in again."""
         now = self.reactor.seconds()
         for replica in self.replicas:
             if replica.data_centre == self.evacuated:
-                left = Leaving(replica.identity.name, acked_at, now)
-                self.history.evacuated.append(left)
+                withdrawal = Withdrawal(replica.identity.name, acked_at, now)
+                self.history.evacuated.append(withdrawal)
         self.store.delete(f"op/evacuate/{self.evacuated}")
         self.evacuated = ""
 
--- a/tests/bench/soak/test_checks.py
+++ b/tests/bench/soak/test_checks.py
@@ -4,16 +4,16 @@
 
 import pytest
 
-from bench.soak.checks import Promises, check_all
+from bench.soak.checks import Guarantees, check_all
 from bench.soak.history import (
     Answer,
     Attempt,
+    Execution,
     History,
     Interval,
-    Leaving,
-    Part,
+    ReplicaAnswer,
     Revision,
-    Run,
+    Withdrawal,
 )
 
 SHARDS = ("s0", "s1")
@@ -40,7 +40,9 @@
     for shard, body in zip(SHARDS, bodies, strict=True):
         add_run(history, attempt, shard, at + 0.01)
         signature = f"{request}.i-{shard}"
-        history.parts[signature] = Part(signature, shard, f"i-{shard}", body)
+        history.replica_answers[signature] = ReplicaAnswer(
+            signature, shard, f"i-{shard}", body
+        )
     headers = {
         "x-part-stamps": ", ".join(f"{request}.i-{shard}" for shard in SHARDS),
         "x-missing-parts": "0",
@@ -55,7 +57,9 @@
     attempt = make_attempt(kind, kind, at)
     add_run(history, attempt, service, at + 0.01)
     signature = f"{kind}.i-{service}"
-    history.parts[signature] = Part(signature, service, f"i-{service}", b"told")
+    history.replica_answers[signature] = ReplicaAnswer(
+        signature, service, f"i-{service}", b"told"
+    )
     answer = Answer(200, {"x-server-stamp": signature}, b"told", at + 0.05)
     end(attempt, answer)
     history.attempts[kind] = attempt
@@ -72,8 +76,8 @@
     history: History, attempt: Attempt, service: str, at: float, replica: str = ""
 ) -> None:
     """Add the work of a replica."""
-    history.runs.append(
-        Run(
+    history.executions.append(
+        Execution(
             attempt.request,
             replica or f"i-{service}",
             service,
@@ -109,7 +113,9 @@
 
 def doubled_part(history: History) -> None:
     """Take in two parts of one shard."""
-    history.parts["r0.other"] = Part("r0.other", "s0", "i-other", b"")
+    history.replica_answers["r0.other"] = ReplicaAnswer(
+        "r0.other", "s0", "i-other", b""
+    )
     answer = history.attempts["r0"].answer
     assert answer is not None
     answer.headers["x-part-stamps"] = "r0.i-s0, r0.other"
@@ -160,17 +166,17 @@
 
 def work_after_drain(history: History) -> None:
     """Send work to a replica long after it drained."""
-    history.draining.append(Leaving("i-desk", 5.0, 1e9))
+    history.draining.append(Withdrawal("i-desk", 5.0, 1e9))
 
 
 def work_after_evacuation(history: History) -> None:
     """Send work to a data centre long after it was taken out."""
-    history.evacuated.append(Leaving("i-desk", 4.0, 100.0))
+    history.evacuated.append(Withdrawal("i-desk", 4.0, 100.0))
 
 
 def cold_replica_overrun(history: History) -> None:
     """Send a replica more in a second of its cold start than it bears."""
-    history.cold.append(Interval("i-desk", 30.0, 32.0))
+    history.cold_starts.append(Interval("i-desk", 30.0, 32.0))
     for number in range(9):
         add_single(history, "one", "desk", 30.5 + 0.1 * number)
 
@@ -199,7 +205,7 @@
     """Hold requests far beyond the timeout of their route."""
     for number in range(10):
         attempt = make_attempt(f"held-{number}", "one", 30.0)
-        attempt.patience_s, attempt.end, attempt.ended_at = 9.0, "expired", 39.0
+        attempt.timeout_s, attempt.end, attempt.ended_at = 9.0, "expired", 39.0
         history.attempts[attempt.request] = attempt
 
 
@@ -209,7 +215,7 @@
     add_run(history, attempt, "desk", 30.51)
     attempt.end, attempt.ended_at = "closed", 30.6
     history.attempts["cut"] = attempt
-    history.stops.append(Interval("g-0", 30.0, 36.0))
+    history.planned_stops.append(Interval("g-0", 30.0, 36.0))
 
 
 def no_recovery(history: History) -> None:
@@ -246,14 +252,14 @@
 
 class TestChecks:
     def test_a_good_history_has_no_violation(self) -> None:
-        assert check_all(good_history(), Promises()) == []
+        assert check_all(good_history(), Guarantees()) == []
 
     @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
     def test_a_fault_is_found(self, fault: object) -> None:
         history = good_history()
         assert callable(fault)
         fault(history)
-        found = {violation.promise for violation in check_all(history, Promises())}
+        found = {violation.guarantee for violation in check_all(history, Guarantees())}
         assert FAULTS[fault] in found
 
     def test_a_late_hedge_of_an_older_version_proves_no_newer_one(self) -> None:
@@ -267,17 +273,17 @@
         later = make_attempt("later", "one", 21.0)
         history.attempts["later"] = later
         add_run(history, later, "till", 21.01)
-        assert check_all(history, Promises()) == []
+        assert check_all(history, Guarantees()) == []
 
     def test_a_version_that_was_not_sent_yet_allows_nothing(self) -> None:
         history = good_history()
         history.revisions.append(MOVED)
         add_run(history, history.attempts["one"], "till", 11.5)
-        found = [violation.promise for violation in check_all(history, Promises())]
+        found = [violation.guarantee for violation in check_all(history, Guarantees())]
         assert found == ["routing"]
 
     def test_what_happens_while_a_gateway_is_disturbed_is_not_judged(self) -> None:
         history = good_history()
         work_after_drain(history)
-        history.disturb("g-0", 8.0, 9.0)
-        assert check_all(history, Promises()) == []
+        history.record_disturbance("g-0", 8.0, 9.0)
+        assert check_all(history, Guarantees()) == []
--- a/tests/bench/soak/test_gateways.py
+++ b/tests/bench/soak/test_gateways.py
@@ -9,7 +9,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from bench.processes import STILL_RUNNING, Child
-from bench.soak.gateways import Gateway, GatewayKind
+from bench.soak.gateways import Gateway, GatewayOptions
 from bench.soak.history import History
 
 
@@ -38,9 +38,9 @@
     def __init__(self, folder: Path) -> None:
         self.found: list[tuple[str, str]] = []
         reactor = MemoryReactorClock()
-        world: Any = SimpleNamespace(reactor=reactor, history=History(), store_port=1)
-        kind = GatewayKind(folder, False, "", lambda *one: self.found.append(one))
-        self.gateway = Gateway(world, kind, 0, [[1, 2, 3, 4, 5]])
+        testbed: Any = SimpleNamespace(reactor=reactor, history=History(), store_port=1)
+        kind = GatewayOptions(folder, False, "", lambda *one: self.found.append(one))
+        self.gateway = Gateway(testbed, kind, 0, [[1, 2, 3, 4, 5]])
         self.child = ScriptedChild("g-0", [], folder / "log", folder)
         self.gateway.child = self.child
         self.gateway.start()
@@ -52,15 +52,15 @@
     ) -> None:
         rig = Rig(tmp_path)
         rig.child.code = 1
-        rig.gateway.restart_if_ended()
-        rig.gateway.restart_if_ended()
+        rig.gateway.restart_if_exited()
+        rig.gateway.restart_if_exited()
         assert rig.found == [("exit", "g-0 ended by itself with 1")]
         assert rig.child.starts == 2
 
     def test_one_that_is_being_stopped_does_not(self, tmp_path: Path) -> None:
         rig = Rig(tmp_path)
-        rig.gateway.busy = True
+        rig.gateway.in_transition = True
         rig.child.code = 0
-        rig.gateway.restart_if_ended()
+        rig.gateway.restart_if_exited()
         assert rig.found == []
         assert rig.child.starts == 1
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -11,7 +11,7 @@
 
 from bench.soak.mutant import MUTANTS
 from bench.soak.regressions import REGRESSIONS, Regression
-from bench.soak.schedule import Size, make_schedule
+from bench.soak.schedule import Topology, make_schedule
 
 REPOSITORY = Path(__file__).resolve().parents[3]
 TIMEOUT_S = 150.0
@@ -90,14 +90,14 @@
 class TestSchedule:
     @pytest.mark.parametrize("seed", range(5))
     def test_a_seed_gives_the_same_faults_again(self, seed: int) -> None:
-        size = Size(6, 28, 3)
-        first = make_schedule(seed, size, 60.0, 1.0)
-        assert first == make_schedule(seed, size, 60.0, 1.0)
+        topology = Topology(6, 28, 3)
+        first = make_schedule(seed, topology, 60.0, 1.0)
+        assert first == make_schedule(seed, topology, 60.0, 1.0)
         assert len(first) > 20
 
     def test_all_kinds_are_drawn(self) -> None:
-        size = Size(6, 28, 3)
-        kinds = {type(one.fault) for one in make_schedule(1, size, 600.0, 1.0)}
+        topology = Topology(6, 28, 3)
+        kinds = {type(one.fault) for one in make_schedule(1, topology, 600.0, 1.0)}
         assert len(kinds) == 12
 
 
