Reword the callers, the history and the checks of the soak

Comments spoke of promises, calm and patience; details of violations such as "it ran" did not say what was seen. They now use the usual terms. The names of the guarantees, which are printed and matched, stay. Tests keep what they assert.

--- a/bench/soak/__init__.py
+++ b/bench/soak/__init__.py
@@ -1,1 +1,1 @@
-"""A randomized soak: real gateways as processes, faults injected from outside."""
+"""Randomized soak test: gateway processes under injected faults."""
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers of a soak: they keep connections open and note all that they see."""
+"""HTTP callers of a soak: send requests over kept connections, record the answers."""
 
 from __future__ import annotations
 
@@ -17,18 +17,18 @@
 LOOPBACK = "127.0.0.1"
 HOST = "soak.example"
 CONNECT_TIMEOUT_S = 1.0
-REQUEST_INTERVAL_S = (0.05, 0.35)  # between two requests of a caller
+REQUEST_INTERVAL_S = (0.05, 0.35)  # between an answer and the caller's next request
 CALLER_TIMEOUT_S = (0.8, 3.0)
-NEW_CONNECTION_SHARE = 0.05  # of the requests go over a new connection
+NEW_CONNECTION_SHARE = 0.05  # of requests that open a new connection
 DISCONNECT_DELAY_S = (0.005, 0.1)
-DISCONNECT_SHARE = 0.5  # of the requests, while callers leave
+DISCONNECT_SHARE = 0.5  # of requests, while early disconnects are injected
 REQUEST_KINDS = ("search", "search", "one", "order")
 PREFIXES = {"search": "/find/", "one": "/one/", "order": "/order/"}
 RECONNECT_DELAY_S = 0.3
 
 
 class GatewayEndpoint(NamedTuple):
-    """A gateway as callers find it."""
+    """Name, incarnation and front port of a gateway that callers may use."""
 
     name: str
     incarnation: int
@@ -36,7 +36,7 @@
 
 
 class CallerConnection(Protocol):
-    """One connection to a gateway, with one request at a time."""
+    """Client connection to a gateway; one request at a time, no pipelining."""
 
     def __init__(self, caller: Caller, endpoint: GatewayEndpoint) -> None:
         self.caller = caller
@@ -46,14 +46,14 @@
         self.reset()
 
     def reset(self) -> None:
-        """Forget the last answer."""
+        """Reset the parser and the buffers for the next answer."""
         self.parser = HttpResponseParser(self)
         self.headers: dict[str, str] = {}
         self.body = b""
         self.complete = False
 
     def connectionMade(self) -> None:
-        """Send the request for which the connection was opened."""
+        """Disable Nagle's algorithm and report the open connection to the caller."""
         tcp: Any = self.transport
         self.tcp = tcp
         tcp.setTcpNoDelay(True)
@@ -61,12 +61,12 @@
         self.caller.connection_opened(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Tell the caller."""
+        """Report the closed connection to the caller."""
         self.open = False
         self.caller.connection_closed(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Read an answer."""
+        """Parse an answer; record data that no request is waiting for."""
         if self.caller.attempt is None or self.caller.connection is not self:
             self.caller.record_unsolicited(data)
             self.tcp.abortConnection()
@@ -83,23 +83,23 @@
             self.caller.answer_received(status, self.headers, self.body, keep_alive)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header; repeated ones are joined."""
+        """Store a header; values of a repeated header are joined by commas."""
         key = name.decode().lower()
         previous = self.headers.get(key)
         text = value.decode("latin-1")
         self.headers[key] = f"{previous},{text}" if previous else text
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body."""
+        """Append a part of the body."""
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Note that the answer is whole."""
+        """Mark the answer as complete."""
         self.complete = True
 
 
 class CallerConnectionFactory(ClientFactory):
-    """Opens a caller's connection."""
+    """Creates the protocol of a caller's connection to a gateway."""
 
     noisy = False
 
@@ -108,16 +108,16 @@
         self.endpoint = endpoint
 
     def buildProtocol(self, addr: object) -> CallerConnection:
-        """Return the connection."""
+        """Return a new protocol for the connection."""
         return CallerConnection(self.caller, self.endpoint)
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        """Tell the caller."""
+        """Report the failed connection attempt to the caller."""
         self.caller.connection_failed()
 
 
 class Caller:
-    """Sends one request after the other; ``endpoints`` are the gateways in rotation."""
+    """Sends requests one at a time; ``endpoints`` are the gateways in rotation."""
 
     def __init__(
         self,
@@ -141,7 +141,7 @@
         self.expiry: Any = None
 
     def send_next(self) -> None:
-        """Send the next request, if there is a gateway to send it to."""
+        """Send the next request, or wait if no gateway is in rotation."""
         if self.stopped or self.attempt is not None:
             return
         connection = self.connection
@@ -165,7 +165,7 @@
         self.reactor.connectTCP(LOOPBACK, endpoint.port, factory, CONNECT_TIMEOUT_S)
 
     def create_request(self, endpoint: GatewayEndpoint) -> None:
-        """Make up a request."""
+        """Draw a random request, record it and start its timeout."""
         self.count += 1
         kind = self.rng.choice(REQUEST_KINDS)
         attempt = Attempt(
@@ -184,7 +184,7 @@
         self.expiry = self.reactor.callLater(attempt.timeout_s, self.time_out, attempt)
 
     def connection_opened(self, connection: CallerConnection) -> None:
-        """Send the request for which the connection was opened."""
+        """Send the pending request; abort the connection if there is none left."""
         if self.attempt is None:
             connection.tcp.abortConnection()
             return
@@ -192,7 +192,7 @@
         self.send(connection)
 
     def send(self, connection: CallerConnection) -> None:
-        """Write the request."""
+        """Write the request; schedule an early disconnect where this is injected."""
         attempt = self.attempt
         assert attempt is not None
         attempt.reused_connection = connection.requests_sent > 0
@@ -213,7 +213,7 @@
     def answer_received(
         self, status: int, headers: dict[str, str], body: bytes, keep_alive: bool
     ) -> None:
-        """Note an answer and go on."""
+        """Record an answer and schedule the next request; honours ``Retry-After``."""
         now = self.reactor.seconds()
         assert self.attempt is not None
         self.attempt.answer = Answer(status, headers, body, now)
@@ -227,7 +227,7 @@
         )
 
     def record_end(self, end: str) -> None:
-        """Note how the request has ended."""
+        """Record how and when the request ended, and cancel its timeout."""
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             attempt.end = end
@@ -236,7 +236,7 @@
             self.expiry.cancel()
 
     def connection_closed(self, connection: CallerConnection) -> None:
-        """Note that the connection has ended, perhaps with a request on it."""
+        """Record the end of a connection, and of the request in flight on it."""
         if connection is self.connection:
             self.connection = None
             if self.attempt is not None:
@@ -244,21 +244,21 @@
                 self.schedule_next(self.rng.uniform(*REQUEST_INTERVAL_S))
 
     def connection_failed(self) -> None:
-        """Note that no connection could be opened."""
+        """Record that the connection for the request could not be opened."""
         if self.attempt is not None:
             self.record_end("unconnected")
             self.schedule_next(RECONNECT_DELAY_S)
 
     def time_out(self, attempt: Attempt) -> None:
-        """Give up at the end of the patience."""
+        """Abandon the request when its timeout is reached."""
         self.abandon(attempt, "expired")
 
     def disconnect(self, attempt: Attempt) -> None:
-        """Leave before the answer."""
+        """Abandon the request before its answer, as an injected early disconnect."""
         self.abandon(attempt, "left")
 
     def abandon(self, attempt: Attempt, end: str) -> None:
-        """End a request that is still going on, with its connection."""
+        """End a request that is still in flight and abort its connection."""
         if attempt is not self.attempt:
             return
         self.record_end(end)
@@ -268,9 +268,9 @@
         self.schedule_next(self.rng.uniform(*REQUEST_INTERVAL_S))
 
     def record_unsolicited(self, data: bytes) -> None:
-        """Note bytes that belong to no request."""
+        """Record data that arrived without a request in flight."""
         self.unsolicited.append(f"{self.name}: {data[:60]!r}")
 
     def schedule_next(self, seconds: float) -> None:
-        """Send the next request after a while."""
+        """Send the next request after a delay."""
         self.reactor.callLater(seconds, self.send_next)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -1,4 +1,4 @@
-"""The promises to callers and replicas, checked over the history of a soak."""
+"""Checks of the guarantees to callers and replicas over the history of a soak."""
 
 from __future__ import annotations
 
@@ -13,14 +13,14 @@
 REFUSALS = frozenset({408, 421, 429, 503})
 RECORD_BYTES = 16
 TIMEOUT_MARGIN_S = 0.5
-MAX_LATE_SHARE = 0.5  # of the requests that reach their timeout
+MAX_LATE_SHARE = 0.5  # of the requests that reach their route's timeout
 MIN_LATE_REQUESTS = 8
 BUDGET_STEP_S = 0.5
 LOST_AFTER_LAST_BYTE_S = 0.2
 
 
 class Guarantees(NamedTuple):
-    """The figures of the promises, as in the settings of the gateways."""
+    """Limits of the guarantees, equal to the settings of the gateways."""
 
     stability_s: float = 4.0
     drain_s: float = 3.0
@@ -40,7 +40,7 @@
 
 
 class Violation(NamedTuple):
-    """A promise that was broken, and by what."""
+    """A guarantee that was violated, with the request and a description."""
 
     guarantee: str
     request: str
@@ -51,14 +51,14 @@
 
 
 def check_all(history: History, guarantees: Guarantees) -> list[Violation]:
-    """Return all violations in a history."""
+    """Run all checks and return the violations that they found."""
     return [found for check in CHECKS for found in check(history, guarantees)]
 
 
 def check_answers_complete(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A success is a replica's whole answer, or the merge of what it names."""
+    """Check that a 2xx answer is the named replica's body, or a correct merge."""
     for attempt in history.attempts.values():
         answer = attempt.answer
         if answer is None or not 200 <= answer.status < 300:
@@ -69,66 +69,78 @@
             part = history.replica_answers.get(answer.headers.get("x-server-stamp", ""))
             right = part is not None and part.signature.startswith(attempt.request)
             right = right and part is not None and part.body == answer.body
-            detail = "" if right else "not the body of the replica that is named"
+            detail = (
+                "" if right else "body differs from the answer of the named replica"
+            )
         if detail:
             yield Violation("whole answer", attempt.request, detail)
 
 
 def merge_error(attempt: Attempt, history: History, guarantees: Guarantees) -> str:
-    """Tell what is wrong with a merged answer, empty if nothing is."""
+    """Return what is wrong with a merged answer, or an empty string."""
     assert attempt.answer is not None
     headers = attempt.answer.headers
     names = [n.strip() for n in headers.get("x-part-stamps", "").split(",")]
     parts = [history.replica_answers.get(name) for name in names]
     if any(p is None or not p.signature.startswith(attempt.request) for p in parts):
-        return "a signature of another request, or none"
+        return "part signature is unknown or belongs to another request"
     found = [part for part in parts if part is not None]
     services = [part.service for part in found]
     if len(set(services)) < len(services):
-        return "two parts of one service"
+        return "two parts from the same service"
     missing = int(headers.get("x-missing-parts", "0"))
     total = len(services) + missing
     sets = [r.services.get(route_prefix(attempt.target), ()) for r in history.revisions]
     if not any(len(s) == total and set(services) <= set(s) for s in sets):
-        return f"{services} and {missing} missing make up no set of shards"
+        return f"{services} plus {missing} missing match no configured set of shards"
     if len(services) < guarantees.min_coverage * total:
-        return f"{len(services)} of {total} shards are too few"
+        return f"coverage too low: {len(services)} of {total} shards"
     records = [record for part in found for record in split_records(part.body)]
     wanted = b"".join(sorted(records, reverse=True)[: guarantees.max_records])
-    return "" if attempt.answer.body == wanted else "not the greatest records"
+    return (
+        ""
+        if attempt.answer.body == wanted
+        else "body is not the top records of the named parts"
+    )
 
 
 def split_records(body: bytes) -> list[bytes]:
-    """Return the whole records of a body."""
+    """Split a body into records; an incomplete last record is ignored."""
     last = len(body) - RECORD_BYTES + 1
     return [body[at : at + RECORD_BYTES] for at in range(0, last, RECORD_BYTES)]
 
 
 def route_prefix(target: str) -> str:
-    """Return the prefix of the route of a target."""
+    """Return the route prefix of a request target."""
     return "/" + target.split("/")[1] + "/"
 
 
 def check_executions_requested(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A replica runs only what a caller sent, unchanged."""
+    """Check that replicas execute only requests that a caller sent, unmodified."""
     for execution in history.executions:
         attempt = history.attempts.get(execution.request)
         if attempt is None:
-            yield Violation("asked for", execution.request, "no caller sent it")
+            yield Violation(
+                "asked for", execution.request, "no caller sent this request"
+            )
         elif (execution.method, execution.target, execution.body) != (
             attempt.method,
             attempt.target,
             attempt.body,
         ):
-            yield Violation("asked for", execution.request, "changed on the way")
+            yield Violation(
+                "asked for",
+                execution.request,
+                "method, target or body differs from what the caller sent",
+            )
 
 
 def check_orders_run_once(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A request that is not idempotent runs once at most."""
+    """Check that a request that is not idempotent is executed at most once."""
     counts = Counter(execution.request for execution in history.executions)
     for attempt in history.attempts.values():
         if attempt.kind == "order" and counts[attempt.request] > 1:
@@ -138,28 +150,30 @@
 def check_refused_orders_not_run(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """What is refused as not run has not run and never will."""
+    """Check that orders refused as not run were never executed."""
     ran = {execution.request for execution in history.executions}
     for attempt in history.attempts.values():
         refused = attempt.answer is not None and attempt.answer.status in REFUSALS
         if attempt.kind == "order" and refused and attempt.request in ran:
-            yield Violation("true refusal", attempt.request, "it ran")
+            yield Violation(
+                "true refusal", attempt.request, "refused order was executed"
+            )
 
 
 def check_attempt_limit(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A request runs on no more replicas of a service than its route allows."""
+    """Check that a request is executed no more often than its route allows."""
     for request, executions in history.executions_by_request().items():
         for service, count in Counter(
             execution.service for execution in executions
         ).items():
             if count > guarantees.max_attempts:
-                yield Violation("attempts", request, f"{count} at {service}")
+                yield Violation("attempts", request, f"{count} executions at {service}")
 
 
 def check_retry_budget(history: History, guarantees: Guarantees) -> Iterator[Violation]:
-    """Repeats to a service stay within the shared budget in each window."""
+    """Check that retries and hedges of a service stay within the shared budget."""
     firsts: dict[str, list[float]] = defaultdict(list)
     extras: dict[str, list[float]] = defaultdict(list)
     seen: set[tuple[str, str]] = set()
@@ -179,14 +193,16 @@
             )
             allowed = guarantees.budget_ratio * requests + guarantees.budget_slack
             if repeats > allowed:
-                yield Violation("budget", service, f"{repeats} > {allowed:.0f}")
+                yield Violation(
+                    "budget", service, f"{repeats} repeats, budget {allowed:.0f}"
+                )
                 break
 
 
 def check_withdrawn_replicas(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A replica that drains, or whose data centre is taken out, gets no more work."""
+    """Check that draining and evacuated replicas get no requests after the bound."""
     for withdrawals, bound_s, guarantee in (
         (history.draining, guarantees.drain_s, "drain"),
         (history.evacuated, guarantees.evacuation_s, "evacuation"),
@@ -200,14 +216,14 @@
                 ):
                     late_s = execution.at - withdrawal.acked_at
                     yield Violation(
-                        guarantee, execution.request, f"{late_s:.2f} s after"
+                        guarantee, execution.request, f"executed {late_s:.2f} s after"
                     )
 
 
 def executions_after(
     history: History, replica: str, after: float
 ) -> Iterator[Execution]:
-    """List the runs of a replica after a moment."""
+    """Return the executions of a replica after a time."""
     return (
         execution
         for execution in history.executions
@@ -218,7 +234,7 @@
 def is_sender_undisturbed(
     history: History, guarantees: Guarantees, execution: Execution
 ) -> bool:
-    """Tell whether the gateway that sent a request, and the store, had been calm."""
+    """Return whether the sending gateways and the store were undisturbed before it."""
     attempt = history.attempts.get(execution.request)
     if attempt is None:
         return False
@@ -232,7 +248,7 @@
 def check_cold_start_limit(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A replica in its cold start gets no more than it bears in any second."""
+    """Check that a replica in its cold start stays below its request rate limit."""
     cold = {interval.name: interval for interval in history.cold_starts}
     arrivals: dict[str, list[float]] = defaultdict(list)
     for execution in history.executions:
@@ -244,14 +260,16 @@
             second = [at for at in times if start <= at < start + 1.0]
             calm = history.is_undisturbed((replica,), start - 1.0, start + 1.0)
             if calm and len(second) > guarantees.cold_requests_per_s:
-                yield Violation("cold", "", f"{replica} got {len(second)} in a second")
+                yield Violation(
+                    "cold", "", f"{replica} got {len(second)} requests in 1 s"
+                )
                 break
 
 
 def check_configuration_versions(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A version is in force in time everywhere, and is never taken back."""
+    """Check that versions apply in time and that no gateway reverts to an older one."""
     proven: dict[tuple[str, int], tuple[int, float]] = {}
     for execution in sorted(history.executions, key=lambda execution: execution.at):
         attempt = history.attempts.get(execution.request)
@@ -265,25 +283,25 @@
             continue
         due = newest_acknowledged(history, attempt.sent_at - guarantees.configuration_s)
         if allowed[-1] < due and is_sender_undisturbed(history, guarantees, execution):
-            detail = f"as of {allowed[-1]}, {due} was due"
+            detail = f"routed by version {allowed[-1]}, version {due} was due"
             yield Violation("configuration", execution.request, detail)
         incarnation = (attempt.gateway, attempt.incarnation)
         known, since = proven.get(incarnation, (-1, 0.0))
         later = [version for version in allowed if version >= known]
         in_order = attempt.sent_at > since + guarantees.rollback_margin_s
-        # A hedge of a request from before may still run as an older version says.
+        # A late hedge of an earlier request may still follow an older version.
         if later and later[0] > known and (in_order or allowed[0] > known):
             proven[incarnation] = (later[0], execution.at)
         elif not later and in_order:
             yield Violation(
-                "never back", execution.request, f"{allowed[-1]} after {known}"
+                "never back", execution.request, f"version {allowed[-1]} after {known}"
             )
 
 
 def allowed_versions(
     history: History, attempt: Attempt, execution: Execution
 ) -> list[int]:
-    """List the versions, of those sent by then, under which a run is allowed."""
+    """Return the versions sent before an execution whose routes allow it."""
     prefix = route_prefix(attempt.target)
     return [
         revision.version
@@ -294,7 +312,7 @@
 
 
 def newest_acknowledged(history: History, at: float) -> int:
-    """Return the newest version that was acknowledged by a moment."""
+    """Return the newest version acknowledged by a time, -1 if there is none."""
     versions = [r.version for r in history.revisions if r.acked_at <= at]
     return max(versions, default=-1)
 
@@ -302,7 +320,7 @@
 def check_route_timeouts(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """Requests that reach the timeout of their route get an answer then."""
+    """Check that requests get an answer when the timeout of their route is reached."""
     reached = [
         attempt
         for attempt in history.attempts.values()
@@ -318,14 +336,14 @@
     slack_s = guarantees.timeout_s + TIMEOUT_MARGIN_S
     late = [a for a in reached if a.ended_at - a.sent_at > slack_s]
     if len(late) >= MIN_LATE_REQUESTS and len(late) > MAX_LATE_SHARE * len(reached):
-        detail = f"{len(late)} of {len(reached)} held longer"
+        detail = f"{len(late)} of {len(reached)} requests held beyond the timeout"
         yield Violation("timeout", late[0].request, detail)
 
 
 def check_graceful_stops(
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
-    """A planned stop ends no request that the gateway has taken."""
+    """Check that a planned stop aborts no request that the gateway has accepted."""
     ran = {execution.request for execution in history.executions}
     for stop in history.planned_stops:
         for attempt in history.attempts.values():
@@ -340,11 +358,13 @@
                 attempt.ended_at,
             )
             if calm and (taken or held_s > LOST_AFTER_LAST_BYTE_S):
-                yield Violation("graceful stop", attempt.request, f"{held_s:.3f} s")
+                yield Violation(
+                    "graceful stop", attempt.request, f"aborted after {held_s:.3f} s"
+                )
 
 
 def check_recovery(history: History, guarantees: Guarantees) -> Iterator[Violation]:
-    """After the last fault most requests are served again."""
+    """Check that most requests succeed again after the last fault."""
     late = [
         attempt
         for attempt in history.attempts.values()
@@ -355,7 +375,9 @@
         reasons: Mapping[str, int] = Counter(
             str(a.answer.status) if a.answer else a.end for a in late
         )
-        yield Violation("recovery", "", f"{good} of {len(late)}: {dict(reasons)}")
+        yield Violation(
+            "recovery", "", f"{good} of {len(late)} answered: {dict(reasons)}"
+        )
 
 
 CHECKS: tuple[Check, ...] = (
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -1,4 +1,4 @@
-"""What callers, replicas and the store saw in a soak."""
+"""Observations of callers, replicas and the store during a soak."""
 
 from __future__ import annotations
 
@@ -18,7 +18,7 @@
 
 
 class ReplicaAnswer(NamedTuple):
-    """What a replica answered: its signature, and its records or bytes."""
+    """An answer that a replica sent, identified by its ``X-Server-Stamp`` signature."""
 
     signature: str
     service: str
@@ -27,7 +27,7 @@
 
 
 class Execution(NamedTuple):
-    """A request that a replica began to work on; times are monotonic seconds."""
+    """Execution of a request by a replica; ``at`` is monotonic, in seconds."""
 
     request: str
     replica: str
@@ -40,7 +40,7 @@
 
 
 class Answer(NamedTuple):
-    """A whole answer to a caller."""
+    """A complete answer that a caller received."""
 
     status: int
     headers: dict[str, str]
@@ -50,10 +50,10 @@
 
 @dataclass
 class Attempt:
-    """One request of a caller to one gateway; ``end`` tells how it ended.
+    """A request of a caller to one gateway, and how it ended.
 
     ``end`` is ``answered``, ``closed``, ``unconnected``, ``expired`` or ``left``.
-    ``reused_connection`` is set where the connection had carried requests before.
+    ``reused_connection`` is set if the connection had carried earlier requests.
     """
 
     request: str
@@ -72,9 +72,9 @@
 
 
 class Revision(NamedTuple):
-    """A configuration, when it was sent and acknowledged, and what it allows.
+    """A configuration version with the times of its write and acknowledgement.
 
-    ``services`` has, for each prefix, the services that may run its requests.
+    ``services`` maps a route prefix to the services that may run its requests.
     """
 
     version: int
@@ -84,7 +84,7 @@
 
 
 class Withdrawal(NamedTuple):
-    """A replica, or a data centre, that was to get nothing from a moment on."""
+    """A period in which a draining or evacuated replica must get no new requests."""
 
     replica: str
     acked_at: float
@@ -92,7 +92,7 @@
 
 
 class Interval(NamedTuple):
-    """A time in which something was disturbed."""
+    """A time span of a gateway, a replica or the store, in seconds."""
 
     name: str
     start: float
@@ -101,7 +101,7 @@
 
 @dataclass
 class History:
-    """Everything that the checks look at."""
+    """All observations that the checks evaluate."""
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
     executions: list[Execution] = field(default_factory=list)
@@ -109,28 +109,28 @@
     revisions: list[Revision] = field(default_factory=list)
     draining: list[Withdrawal] = field(default_factory=list)
     evacuated: list[Withdrawal] = field(default_factory=list)
-    # Replicas in their cold start.
+    # Cold start periods by replica.
     cold_starts: list[Interval] = field(default_factory=list)
     disturbances: list[Interval] = field(default_factory=list)
     planned_stops: list[Interval] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
     recovered_at: float = 0.0
-    # The gateways that may have sent on what one of them took.
+    # For each gateway, the gateways that may send its requests to replicas.
     forwarders: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def record_disturbance(self, name: str, start: float, end: float) -> None:
-        """Note that a gateway, or the store, is disturbed for a time."""
+        """Record that a gateway, a replica or the store is disturbed for a time."""
         self.disturbances.append(Interval(name, start, end))
 
     def is_undisturbed(self, names: tuple[str, ...], start: float, end: float) -> bool:
-        """Tell whether none of these was disturbed in a span."""
+        """Return whether none of the names was disturbed in a time span."""
         return not any(
             interval.name in names and interval.start < end and interval.end > start
             for interval in self.disturbances
         )
 
     def executions_by_request(self) -> dict[str, list[Execution]]:
-        """Group the runs by request."""
+        """Group the executions by request."""
         found: dict[str, list[Execution]] = {}
         for execution in self.executions:
             found.setdefault(execution.request, []).append(execution)
