Reword the fault injector and the gateway processes of the soak

Details of violations now name the exit code and the grace period. The test of an unexpected exit matches the new text in full, as it did before.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,4 +1,4 @@
-"""Brings the faults of a schedule about."""
+"""Injects the faults of a schedule into the running soak."""
 
 from __future__ import annotations
 
@@ -31,7 +31,10 @@
 
 
 class FaultInjector:
-    """Disturbs gateways, the world and callers; ``spawn`` runs what takes time."""
+    """Injects faults into gateways, the testbed and callers.
+
+    ``spawn`` starts the coroutines of faults that last.
+    """
 
     def __init__(
         self,
@@ -48,7 +51,7 @@
         self.spawn = spawn
 
     def inject(self, scheduled: ScheduledFault) -> None:
-        """Begin a fault of a gateway, or else of what is around them."""
+        """Inject a fault into a gateway, or pass it to ``inject_outside``."""
         match scheduled.fault:
             case GatewayStop(number):
                 self.spawn(self.gateways[number].stop(self.grace_s))
@@ -68,7 +71,7 @@
                 self.inject_outside(scheduled)
 
     def inject_outside(self, scheduled: ScheduledFault) -> None:
-        """Begin a fault of the store, replicas, operators or callers."""
+        """Inject a fault of the store, replicas, operators or callers."""
         testbed = self.testbed
         match scheduled.fault:
             case StoreFault(mode):
@@ -89,14 +92,14 @@
     def inject_link_fault(
         self, proxy: Proxy, mode: str, duration_s: float, name: str
     ) -> None:
-        """Disturb the connections through a proxy for a while."""
+        """Put a proxy into a fault mode for a time."""
         proxy.set_mode(mode)
         now = self.testbed.reactor.seconds()
         self.testbed.history.record_disturbance(name, now, now + duration_s)
         self.testbed.reactor.callLater(duration_s, proxy.set_mode, "")
 
     def inject_store_fault(self, mode: str, duration_s: float) -> None:
-        """Let the store misbehave for a while."""
+        """Put the store into a fault mode, or compact it or expire its leases once."""
         store = self.testbed.store
         now = self.testbed.reactor.seconds()
         self.testbed.history.record_disturbance("store", now, now + duration_s)
@@ -110,7 +113,7 @@
             self.testbed.reactor.callLater(duration_s, setattr, store, "mode", "")
 
     def inject_replica_fault(self, number: int, mode: str, duration_s: float) -> None:
-        """Let a replica or the way to it misbehave for a while."""
+        """Put a replica or the proxy in front of it into a fault mode for a time."""
         replica = self.testbed.replicas[number]
         server, proxy = replica.server, replica.proxy
         if server is None or proxy is None:
@@ -127,7 +130,7 @@
             self.testbed.reactor.callLater(duration_s, proxy.set_mode, "")
 
     def disconnect_callers(self, duration_s: float) -> None:
-        """Let callers leave early for a while."""
+        """Let callers disconnect before their answers for a time."""
         for caller in self.callers:
             caller.disconnects_early = True
             self.testbed.reactor.callLater(
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -1,4 +1,4 @@
-"""The gateways of a soak, as processes that are stopped, paused and started again."""
+"""Gateway processes of a soak: started, paused, stopped and restarted."""
 
 from __future__ import annotations
 
@@ -18,9 +18,9 @@
 __all__ = ["Gateway", "GatewayOptions", "make_gateways"]
 
 POLL_S = 0.05
-PORTS_PER_GATEWAY = 5  # front, ready, peers, two internal ones
-SEED_COUNT = 3  # gateways that all others know from their settings
-STOP_MARGIN_S = 1.5  # beyond the grace, for the runner to notice an end
+PORTS_PER_GATEWAY = 5  # front, ready, control, two internal ports
+SEED_COUNT = 3  # gateways listed as seeds in all settings files
+STOP_MARGIN_S = 1.5  # beyond the grace period, to detect the exit
 FAST_LINK_MBPS = 1000.0
 SLOW_LINK_MBPS = 20.0
 REPOSITORY = Path(__file__).resolve().parents[2]
@@ -65,7 +65,7 @@
 
 
 class Gateway:
-    """One gateway process with its settings file and its way to the store."""
+    """A gateway process with its settings file and its proxy to the store."""
 
     def __init__(
         self,
@@ -94,7 +94,7 @@
         self.in_transition = False
 
     def write_settings(self, comment: str) -> None:
-        """Write the settings file."""
+        """Write the settings file; a new ``comment`` changes the file only."""
         text = SETTINGS.format(
             name=self.name,
             data_centre=self.data_centre,
@@ -107,7 +107,7 @@
         self.path.write_text(text)
 
     def start(self) -> None:
-        """Start the process."""
+        """Start the process as a new incarnation."""
         self.incarnation += 1
         self.child.environment = {"SARDINEHOOK_SETTINGS": str(self.path)}
         self.child.start()
@@ -116,12 +116,12 @@
 
     @property
     def has_started(self) -> bool:
-        """Whether this start of the process has begun to listen."""
+        """Whether the current incarnation has logged that it is listening."""
         text = self.child.log.read_text(errors="replace")
         return text.count("event=process_started") == self.incarnation
 
     async def restart(self, end: Callable[[], None], grace_s: float) -> None:
-        """End the process by ``end``, wait for that, and start it again."""
+        """Call ``end``, await the exit and restart; kill it after the grace period."""
         if self.in_transition or not self.child.running:
             return
         self.in_transition = True
@@ -129,7 +129,9 @@
         end()
         while self.child.running:
             if self.testbed.reactor.seconds() > began + grace_s + STOP_MARGIN_S:
-                self.report_violation("grace", f"{self.name} did not end in time")
+                self.report_violation(
+                    "grace", f"{self.name} did not exit within the grace period"
+                )
                 self.child.kill()
             await deferLater(self.testbed.reactor, POLL_S)
         self.record_exit(grace_s > 0.0)
@@ -137,7 +139,7 @@
         self.in_transition = False
 
     async def pause(self, duration_s: float) -> None:
-        """Stop the process from running for a while."""
+        """Suspend the process for a time and record the disturbance."""
         if self.in_transition or not self.child.running:
             return
         self.in_transition = True
@@ -150,7 +152,7 @@
         self.in_transition = False
 
     async def stop(self, grace_s: float) -> None:
-        """Stop the process as planned, and start it again."""
+        """Stop the process gracefully and restart it."""
         if self.in_transition or not self.child.running:
             return
         now = self.testbed.reactor.seconds()
@@ -160,33 +162,37 @@
         await self.restart(self.child.terminate, grace_s)
 
     def reload(self, signalled: bool) -> None:
-        """Change the settings file."""
+        """Rewrite the settings file, with SIGHUP if ``signalled``."""
         self.write_settings(f"{self.testbed.reactor.seconds()}")
         if signalled and not self.in_transition:
             self.child.signal(signal.SIGHUP)
 
     def restart_if_exited(self) -> None:
-        """Start the process again that has ended by itself, which breaks a promise."""
+        """Restart a process that exited unexpectedly, and report the violation."""
         if not self.in_transition and not self.child.running:
             code = self.child.exit_code
-            self.report_violation("exit", f"{self.name} ended by itself with {code}")
+            self.report_violation(
+                "exit", f"{self.name} exited unexpectedly with code {code}"
+            )
             self.start()
 
     def record_exit(self, planned: bool) -> None:
-        """Note the end of a process; a planned one is in order."""
+        """Record an exit; report a planned one whose exit code is not expected."""
         now = self.testbed.reactor.seconds()
         self.testbed.history.record_disturbance(self.name, now, now)
         code = self.child.exit_code
         if planned and code == -signal.SIGTERM and not self.has_started:
-            return  # it was told to stop before it had begun to listen
+            return  # SIGTERM arrived before the process was listening
         if planned and code not in (0, -signal.SIGKILL):
-            self.report_violation("exit", f"{self.name} ended with {code}")
+            self.report_violation(
+                "exit", f"{self.name} exited with code {code} after a planned stop"
+            )
 
 
 def make_gateways(
     testbed: Testbed, options: GatewayOptions, count: int
 ) -> list[Gateway]:
-    """Return gateways that are yet to be started, and note who may help whom."""
+    """Create gateways without starting them, and record who may forward for whom."""
     ports = reserve_ports(PORTS_PER_GATEWAY * count)
     each = [ports[n * PORTS_PER_GATEWAY :][:PORTS_PER_GATEWAY] for n in range(count)]
     gateways = [Gateway(testbed, options, number, each) for number in range(count)]
--- a/tests/bench/soak/test_gateways.py
+++ b/tests/bench/soak/test_gateways.py
@@ -1,4 +1,4 @@
-"""Gateways of a soak that end when nobody told them to."""
+"""Gateways of a soak that exit unexpectedly."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 
 
 class ScriptedChild(Child):
-    """A process that ends when the test says so."""
+    """A child process whose exit the test scripts."""
 
     starts = 0
     code = STILL_RUNNING
@@ -33,34 +33,34 @@
 
 
 class Rig:
-    """A gateway around a scripted process, and the promises found broken."""
+    """A gateway with a scripted process, and the reported violations."""
 
     def __init__(self, folder: Path) -> None:
-        self.found: list[tuple[str, str]] = []
+        self.violations: list[tuple[str, str]] = []
         reactor = MemoryReactorClock()
         testbed: Any = SimpleNamespace(reactor=reactor, history=History(), store_port=1)
-        kind = GatewayOptions(folder, False, "", lambda *one: self.found.append(one))
-        self.gateway = Gateway(testbed, kind, 0, [[1, 2, 3, 4, 5]])
+        options = GatewayOptions(
+            folder, False, "", lambda *one: self.violations.append(one)
+        )
+        self.gateway = Gateway(testbed, options, 0, [[1, 2, 3, 4, 5]])
         self.child = ScriptedChild("g-0", [], folder / "log", folder)
         self.gateway.child = self.child
         self.gateway.start()
 
 
-class TestEnds:
-    def test_a_process_that_ends_by_itself_breaks_a_promise(
-        self, tmp_path: Path
-    ) -> None:
+class TestUnexpectedExit:
+    def test_unexpected_exit_is_reported_and_restarted(self, tmp_path: Path) -> None:
         rig = Rig(tmp_path)
         rig.child.code = 1
         rig.gateway.restart_if_exited()
         rig.gateway.restart_if_exited()
-        assert rig.found == [("exit", "g-0 ended by itself with 1")]
+        assert rig.violations == [("exit", "g-0 exited unexpectedly with code 1")]
         assert rig.child.starts == 2
 
-    def test_one_that_is_being_stopped_does_not(self, tmp_path: Path) -> None:
+    def test_exit_during_a_planned_stop_is_not_reported(self, tmp_path: Path) -> None:
         rig = Rig(tmp_path)
         rig.gateway.in_transition = True
         rig.child.code = 0
         rig.gateway.restart_if_exited()
-        assert rig.found == []
+        assert rig.violations == []
         assert rig.child.starts == 1
