Reword the test servers, the proxy and the mutants of the soak

Comments only, the causes of earlier failures in regressions.py, and local names of the patched methods in mutant.py. Modes and names of mutants stay.

--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's store as the gateways speak to it, with faults."""
+"""Test server with the HTTP interface of the platform's store, and fault modes."""
 
 from __future__ import annotations
 
@@ -19,14 +19,14 @@
 __all__ = ["KvServer"]
 
 EXPIRY_INTERVAL_S = 0.05
-PAGE_KEYS = 40  # keys: small, so that listings have pages
+PAGE_KEYS = 40  # small, so that listings span several pages
 RESPONSE_DELAY_S = 0.8
-LOST_REPLY_SHARE = 0.5  # of the writes, while answers are lost
+LOST_REPLY_SHARE = 0.5  # of writes, in mode ``lost``
 HISTORY_EVENTS = 4000
 
 
 class WireEvent(TypedDict, total=False):
-    """An item, or a change of it, as the store tells it."""
+    """An item or a change event in the encoding of the store."""
 
     Key: str
     Value: str
@@ -37,7 +37,7 @@
 
 
 class Watch(NamedTuple):
-    """A watch that waits."""
+    """A pending long poll for changes below a prefix after a revision."""
 
     request: Request
     prefix: str
@@ -45,10 +45,10 @@
 
 
 class KvServer(Resource):
-    """Answers reads, watches, writes and leases; ``mode`` is how it misbehaves.
+    """Serves reads, watches, writes and leases; ``mode`` selects a fault.
 
-    ``busy`` refuses, ``slow`` delays, ``lost`` drops answers to writes that were done,
-    ``lapse`` ends leases as if they had run out; ``compact`` forgets the history.
+    ``busy`` refuses calls, ``slow`` delays them, ``lost`` drops answers to completed
+    writes. ``expire_leases`` and ``compact`` inject the faults that happen once.
     """
 
     isLeaf = True  # noqa: N815 - the name that twisted.web reads
@@ -66,7 +66,7 @@
         self.expire_periodically()
 
     def expire_periodically(self) -> None:
-        """Let leases run out."""
+        """Expire leases periodically, except in mode ``busy``."""
         if self.mode != "busy":
             self.values.expire(self.reactor.seconds())
             self.publish()
@@ -80,13 +80,13 @@
         return written.revision if isinstance(written, Held) else 0
 
     def delete(self, key: str) -> None:
-        """Delete a key that exists."""
+        """Delete a key if it exists."""
         if key in self.values.held:
             self.values.drop(key)
             self.publish()
 
     def publish(self) -> None:
-        """Tell what has changed to the watches that wait."""
+        """Append the changes to the history and answer the pending watches."""
         changed, self.values.changed = self.values.changed, set()
         for key in sorted(changed):
             held = self.values.held.get(key)
@@ -101,20 +101,20 @@
                 self.answer_watch(watch, False)
 
     def compact(self) -> None:
-        """Forget the history and cut the watches."""
+        """Compact the history and close the connections of pending watches."""
         self.compacted_at = self.values.revision
         for watch in list(self.watches):
             del self.watches[watch]
             cut(watch.request)
 
     def expire_leases(self, prefix: str) -> None:
-        """Drop the keys below a prefix, as if their leases had run out."""
+        """Remove the keys below a prefix, as if their leases had expired."""
         for held in self.values.scan(prefix):
             self.values.drop(held.key)
         self.publish()
 
     def render(self, request: Request) -> int:
-        """Answer a call, in the way that the mode tells."""
+        """Serve a call according to the fault mode."""
         self.calls += 1
         if self.mode == "busy":
             send(request, 503, b"{}")
@@ -125,7 +125,7 @@
         return NOT_DONE_YET
 
     def serve(self, request: Request) -> None:
-        """Carry a call out."""
+        """Dispatch a call by its path."""
         path = request.path.decode()
         if path == "/kv-range":
             self.reply(request, 200, self.read_range(request))
@@ -143,7 +143,7 @@
             self.serve_lease(request, path)
 
     def serve_lease(self, request: Request, path: str) -> None:
-        """Renew or end a lease."""
+        """Renew or revoke a lease."""
         operation, _, number = path[1:].partition("/")
         name = f"lease-{number}"
         if operation == "kv-keep":
@@ -154,7 +154,7 @@
         self.reply(request, 200 if known else 404, {})
 
     def read_range(self, request: Request) -> dict[str, object]:
-        """Read one page of a listing."""
+        """Return one page of a listing."""
         after = argument(request, "after", "")
         held = self.values.scan(argument(request, "Prefix", ""))
         found = [one for one in held if one.key > after]
@@ -165,7 +165,7 @@
         }
 
     def start_watch(self, request: Request) -> None:
-        """Answer a watch, or let it wait."""
+        """Answer a watch or keep it pending; 410 if its revision is compacted."""
         after = int(argument(request, "after", "0"))
         if after < self.compacted_at:
             self.reply(request, 410, {})
@@ -177,7 +177,7 @@
         self.reactor.callLater(wait_s, self.answer_watch, watch, True)
 
     def answer_watch(self, watch: Watch, ended: bool) -> None:
-        """Answer a watch if there are events for it, or if its wait has ended."""
+        """Answer a pending watch if it has events or its wait has ended."""
         events = [
             event
             for event in self.history
@@ -189,7 +189,7 @@
             self.reply(watch.request, 200, content)
 
     def write_transaction(self, request: Request) -> None:
-        """Write the keys of a transaction; those of gateways have no conditions."""
+        """Write the keys of a transaction; gateways send no conditions."""
         body = msgspec.json.decode(body_of(request))
         now = self.reactor.seconds()
         for put in body["Puts"]:
@@ -207,19 +207,19 @@
         self.reply_to_write(request, 200, {"Revision": revision})
 
     def reply_to_write(self, request: Request, status: int, content: object) -> None:
-        """Answer a write, unless answers are lost."""
+        """Answer a write; in mode ``lost`` a share of the answers is dropped."""
         if self.mode == "lost" and self.rng.random() < LOST_REPLY_SHARE:
             cut(request)
         else:
             self.reply(request, status, content)
 
     def reply(self, request: Request, status: int, content: object) -> None:
-        """Answer a call."""
+        """Send a JSON answer."""
         send(request, status, msgspec.json.encode(content))
 
 
 def encode_item(held: Held) -> WireEvent:
-    """Return an item as the store tells it."""
+    """Encode an item as the store does."""
     return {
         "Key": held.key,
         "Value": b64encode(held.value).decode(),
--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -1,4 +1,4 @@
-"""Runs a gateway with a fault put into it, to show that the soak finds it."""
+"""Runs a gateway with an injected defect, to show that the soak detects it."""
 
 from __future__ import annotations
 
@@ -19,12 +19,12 @@
 
 
 def patch(owner: Any, name: str, mutated: Callable[..., Any]) -> None:  # noqa: ANN401
-    """Replace a function of the product."""
+    """Replace a function or method of the gateway."""
     setattr(owner, name, mutated)
 
 
 def repeat_orders() -> None:
-    """Send requests that are not idempotent again after any failure."""
+    """Retry requests that are not idempotent after any failure."""
     send_extra = SingleCall.send_extra
 
     def mutated(call: SingleCall, now: float) -> bool:
@@ -36,17 +36,17 @@
 
 
 def refuse_falsely() -> None:
-    """Say that requests have not run though they may have."""
-    failed = SingleCall.failure_answer
+    """Answer that requests were not run although they may have been."""
+    failure_answer = SingleCall.failure_answer
 
     def mutated(call: SingleCall, now: float) -> CallerAnswer:
-        return failed(call, now)._replace(status=503)
+        return failure_answer(call, now)._replace(status=503)
 
     patch(SingleCall, "failure_answer", mutated)
 
 
 def ignore_draining() -> None:
-    """Send requests to replicas that drain."""
+    """Send requests to draining replicas."""
 
     def mutated(directory: Directory, replica: Any, now: float) -> bool:  # noqa: ANN401
         return replica.entry.data_centre not in directory.evacuated
@@ -55,7 +55,7 @@
 
 
 def drop_records() -> None:
-    """Lose a record of each merged answer."""
+    """Drop one record of each merged answer."""
     merge = records.merge_records
 
     def mutated(parts: Any, most: int) -> bytes:  # noqa: ANN401
@@ -65,17 +65,17 @@
 
 
 def ignore_changes() -> None:
-    """Keep the first configuration."""
-    take = StoreFollower.apply_configuration
+    """Ignore configuration changes after the first version."""
+    apply_configuration = StoreFollower.apply_configuration
 
     def mutated(follower: StoreFollower, value: bytes) -> bool:
-        return follower.version < 0 and take(follower, value)
+        return follower.version < 0 and apply_configuration(follower, value)
 
     patch(StoreFollower, "apply_configuration", mutated)
 
 
 def stop_at_once() -> None:
-    """End on SIGTERM without waiting for requests."""
+    """Exit on SIGTERM without waiting for requests in flight."""
 
     async def mutated(process: GatewayProcess) -> None:
         for connection in list(process.http_server.connections):
@@ -85,7 +85,7 @@
 
 
 def forget_cold() -> None:
-    """Take replicas in their cold start for warm ones."""
+    """Treat replicas in their cold start as warm."""
 
     def mutated(replica: Replica, now: float) -> bool:  # noqa: ARG001
         return False
--- a/bench/soak/proxy.py
+++ b/bench/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, resets, cuts one way or silences connections."""
+"""A loopback TCP proxy that can delay, reset, cut or silence connections."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class ProxyConnection(Protocol):
-    """One end of a proxied connection; what it reads goes to ``peer``."""
+    """One end of a proxied connection; data is forwarded to ``peer``."""
 
     def __init__(self, proxy: Proxy, direction: str) -> None:
         self.proxy = proxy
@@ -34,7 +34,7 @@
         self.closed = False
 
     def connectionMade(self) -> None:
-        """Open the way on, where this is the side that was called."""
+        """Register the connection; on the client side, connect to the server."""
         tcp: Any = self.transport
         self.tcp = tcp
         tcp.setTcpNoDelay(True)
@@ -43,7 +43,7 @@
             self.proxy.connection_accepted(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """End the other side, unless the path is cut."""
+        """Close the peer, unless data of the connection was dropped."""
         self.closed = True
         self.proxy.connections.discard(self)
         if self.peer is not None and not self.is_broken and not self.peer.closed:
@@ -51,11 +51,11 @@
 
     @property
     def is_broken(self) -> bool:
-        """Whether bytes of the connection were lost, so that no more may follow."""
+        """Whether data of the connection was dropped, so that no more may follow."""
         return self.broken or (self.peer is not None and self.peer.broken)
 
     def dataReceived(self, data: bytes) -> None:
-        """Pass data on, late or never where the proxy is to disturb it."""
+        """Forward data, or delay or drop it as the fault mode demands."""
         mode = self.proxy.mode
         if mode in (self.direction, "silent"):
             self.broken = True
@@ -67,14 +67,14 @@
             self.forward(data)
 
     def forward(self, data: bytes) -> None:
-        """Give data to the other side, or hold it until that is there."""
+        """Write data to the peer, or buffer it until the peer is connected."""
         if self.peer is None:
             self.pending.append(data)
         elif not self.peer.closed and not self.is_broken:
             self.peer.tcp.write(data)
 
     def attach(self, peer: ProxyConnection) -> None:
-        """Take the other side and give it what was held for it."""
+        """Set the peer and forward the buffered data."""
         self.peer, peer.peer = peer, self
         pending, self.pending = self.pending, []
         for data in pending:
@@ -82,7 +82,7 @@
 
 
 class OutgoingFactory(ClientFactory):
-    """Opens the second half of a proxied connection."""
+    """Creates the server side of a proxied connection."""
 
     noisy = False
 
@@ -91,25 +91,25 @@
         self.client = client
 
     def buildProtocol(self, addr: object) -> ProxyConnection:
-        """Return the side towards the server."""
+        """Return the protocol towards the server."""
         outgoing = ProxyConnection(self.proxy, DOWNSTREAM)
         self.proxy.reactor.callLater(0.0, self.attach, outgoing)
         return outgoing
 
     def attach(self, outgoing: ProxyConnection) -> None:
-        """Connect both sides."""
+        """Attach both sides; abort the server side if the client has gone."""
         self.client.attach(outgoing)
         if self.client.closed:
             outgoing.tcp.abortConnection()
 
     def clientConnectionFailed(self, connector: object, reason: Failure) -> None:
-        """Reset the caller whose way on could not be opened."""
+        """Reset the client connection if the server could not be reached."""
         if not self.client.closed:
             self.client.tcp.abortConnection()
 
 
 class Proxy(ServerFactory):
-    """Passes connections on to ``port``; ``mode`` is how it disturbs them."""
+    """Forwards connections to ``target_port``; ``mode`` selects a fault."""
 
     noisy = False
 
@@ -122,11 +122,11 @@
         self.port: int = listening.getHost().port
 
     def buildProtocol(self, addr: object) -> ProxyConnection:
-        """Return the side towards a caller."""
+        """Return the protocol towards a client."""
         return ProxyConnection(self, UPSTREAM)
 
     def connection_accepted(self, client: ProxyConnection) -> None:
-        """Open the way on for a caller."""
+        """Connect to the server for a client, or apply the fault mode."""
         if self.mode == "reset":
             client.tcp.abortConnection()
         elif self.mode == "silent":
@@ -137,7 +137,7 @@
             )
 
     def set_mode(self, mode: str) -> None:
-        """Begin or end to disturb."""
+        """Set the fault mode, empty for none; ``reset`` aborts open connections."""
         self.mode = mode
         if mode == "reset":
             for connection in list(self.connections):
--- a/bench/soak/regressions.py
+++ b/bench/soak/regressions.py
@@ -1,4 +1,4 @@
-"""Soaks that once failed, each with its cause; the tests run them again."""
+"""Soak runs that failed in the past; the tests repeat them."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 
 
 class Regression(NamedTuple):
-    """A soak by its arguments, and what it once found."""
+    """The arguments of a soak run and the cause of its failure."""
 
     seed: int
     minutes: float
@@ -16,7 +16,7 @@
 
 
 REGRESSIONS = (
-    Regression(7, 0.3, "a watch fell silent, versions were in force too late"),
-    Regression(101, 0.5, "replicas of the stand-in left the request id out"),
-    Regression(130, 0.5, "the check took a late hedge for a proof of a newer version"),
+    Regression(7, 0.3, "a watch went silent, so versions were applied too late"),
+    Regression(101, 0.5, "replicas of the test server omitted the request id"),
+    Regression(130, 0.5, "the check took a late hedge as proof of a newer version"),
 )
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -1,4 +1,4 @@
-"""Stand-in of a replica: answers searches and orders, and misbehaves on demand."""
+"""Test server of a replica: answers searches and orders, with fault modes."""
 
 from __future__ import annotations
 
@@ -18,16 +18,16 @@
 SLOTS = 2
 QUEUE_LIMIT = 12
 RECORDS_PER_ANSWER = 3
-FAULTY_SHARE = 0.4  # of the answers, while a replica misbehaves
+FAULTY_SHARE = 0.4  # of answers, in a fault mode
 DUPLICATE_DELAY_S = 0.05
 
 
 class ReplicaServer(ServerFactory):
-    """One replica with its slots and queue; ``mode`` is how it misbehaves.
+    """A replica with slots and a queue; ``mode`` selects a fault.
 
-    ``errors`` fails requests after running them, ``garble`` breaks answers off,
-    ``extra`` sends each twice, ``lost`` runs requests and drops the answer, ``pause``
-    holds everything up.
+    ``errors`` fails requests after running them, ``garble`` truncates answers,
+    ``extra`` sends them twice, ``lost`` closes the connection instead of answering,
+    ``pause`` starts no request.
     """
 
     noisy = False
@@ -54,17 +54,17 @@
         self.most_connections = 0
 
     def buildProtocol(self, addr: object) -> ReplicaConnection:
-        """Return the protocol of a connection."""
+        """Return a new protocol for an accepted connection."""
         return ReplicaConnection(self)
 
     def connection_opened(self, connection: ReplicaConnection) -> None:
-        """Count a connection."""
+        """Track a connection and the peak number of open connections."""
         self.connections.add(connection)
         most = max(self.history.connections.get(self.name, 0), len(self.connections))
         self.history.connections[self.name] = most
 
     def admit(self, connection: ReplicaConnection) -> None:
-        """Run a request, queue it, or refuse it."""
+        """Run a request, queue it, or refuse it with 503 if the queue is full."""
         if self.running < SLOTS and self.mode != "pause":
             self.run(connection)
         elif len(self.queue) < QUEUE_LIMIT:
@@ -73,38 +73,38 @@
             connection.refuse(503)
 
     def run(self, connection: ReplicaConnection) -> None:
-        """Work on a request."""
+        """Run a request for a random service time."""
         self.running += 1
         connection.record_execution()
         took_s = self.work_s * self.rng.uniform(0.7, 1.5)
         self.reactor.callLater(took_s, self.finish_request, connection)
 
     def finish_request(self, connection: ReplicaConnection) -> None:
-        """Answer a request and begin the next one."""
+        """Answer a request and start the next queued one."""
         self.running -= 1
         connection.finish()
         self.run_queued()
 
     def run_queued(self) -> None:
-        """Work on what is queued."""
+        """Start queued requests while slots are free."""
         while self.queue and self.running < SLOTS and self.mode != "pause":
             connection = self.queue.pop(0)
             if connection.open:
                 self.run(connection)
 
     def set_mode(self, mode: str) -> None:
-        """Begin or end to misbehave."""
+        """Set the fault mode, empty for none."""
         self.mode = mode
         self.run_queued()
 
     def close(self) -> None:
-        """End all connections."""
+        """Abort all connections."""
         for connection in list(self.connections):
             connection.tcp.abortConnection()
 
 
 class ReplicaConnection(Protocol):
-    """One connection, with one request at a time."""
+    """A server connection; one request at a time, no pipelining."""
 
     def __init__(self, replica: ReplicaServer) -> None:
         self.replica = replica
@@ -113,7 +113,7 @@
         self.reset()
 
     def reset(self) -> None:
-        """Forget the last request."""
+        """Reset the parser and the buffers for the next request."""
         self.parser = HttpRequestParser(self)
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
@@ -121,19 +121,19 @@
         self.complete = False
 
     def connectionMade(self) -> None:
-        """Count the connection."""
+        """Register the connection with the replica."""
         tcp: Any = self.transport
         self.tcp = tcp
         self.open = True
         self.replica.connection_opened(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Forget the connection."""
+        """Remove the connection from the replica."""
         self.open = False
         self.replica.connections.discard(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Read a request."""
+        """Parse a request and dispatch it when complete."""
         try:
             self.parser.feed_data(data)
         except HttpParserError:
@@ -144,23 +144,23 @@
             self.dispatch()
 
     def on_url(self, url: bytes) -> None:
-        """Keep a part of the target."""
+        """Append a part of the request target."""
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
+        """Store a header under its lower-case name."""
         self.headers[name.lower()] = value
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body."""
+        """Append a part of the body."""
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Note that the request is whole."""
+        """Mark the request as complete."""
         self.complete = True
 
     def dispatch(self) -> None:
-        """Take a request in, unless it is for another replica."""
+        """Admit a request; refuse it with 421 if it expects another replica."""
         expected = self.headers.get(b"x-expect-instance", b"").decode()
         if expected and expected != self.replica.name:
             self.refuse(421)
@@ -169,11 +169,11 @@
 
     @property
     def request(self) -> str:
-        """The id of the request."""
+        """The request id from the header."""
         return self.headers.get(b"x-request-id", b"").decode()
 
     def record_execution(self) -> None:
-        """Record that the replica works on the request."""
+        """Record the start of the request's execution in the history."""
         deadline = self.headers.get(b"x-deadline-ms", b"0")
         replica = self.replica
         execution = Execution(
@@ -189,11 +189,11 @@
         replica.history.executions.append(execution)
 
     def refuse(self, status: int) -> None:
-        """Answer that the request was not run."""
+        """Answer with a status and the header that the request was not executed."""
         self.write(status, "", b"", b"X-Not-Executed: 1\r\n")
 
     def finish(self) -> None:
-        """Answer the request that was run."""
+        """Answer an executed request, or apply the fault mode to a share of them."""
         replica = self.replica
         if not self.open:
             return
@@ -214,7 +214,7 @@
             replica.reactor.callLater(DUPLICATE_DELAY_S, self.send_duplicate, answer)
 
     def make_answer(self) -> ReplicaAnswer:
-        """Make the answer to the request."""
+        """Create the answer; replicas of a service return the same records."""
         replica = self.replica
         nonce = replica.rng.getrandbits(32)
         signature = f"{self.request}.{replica.name}.{nonce:08x}"
@@ -229,7 +229,7 @@
         )
 
     def send_duplicate(self, answer: ReplicaAnswer) -> None:
-        """Send an answer that nobody asked for."""
+        """Send an answer a second time, without a request for it."""
         if self.open:
             request = answer.signature.partition(".")[0]
             self.tcp.write(
@@ -246,7 +246,7 @@
         extra: bytes = b"",
         cut: int | None = None,
     ) -> None:
-        """Write an answer, or only a part of its body."""
+        """Write an answer; with ``cut``, leave out that many bytes and close."""
         if not self.open:
             return
         extra += request_id_header(self.request) + self.load_header()
@@ -259,19 +259,19 @@
             self.tcp.loseConnection()
 
     def load_header(self) -> bytes:
-        """Return the header with the load."""
+        """Return the load header: running, queued, slots."""
         replica = self.replica
         load = f"{replica.running},{len(replica.queue)},{SLOTS}"
         return f"X-Server-Load: {load}\r\n".encode()
 
 
 def request_id_header(request: str) -> bytes:
-    """Return the header that names the request that is answered."""
+    """Return the header with the id of the answered request."""
     return f"X-Request-Id: {request}\r\n".encode()
 
 
 def encode_response(status: int, signature: str, body: bytes, extra: bytes) -> bytes:
-    """Return the bytes of an answer."""
+    """Encode an HTTP answer."""
     lines = f"HTTP/1.1 {status} Told\r\nContent-Length: {len(body)}\r\n".encode()
     if signature:
         lines += f"X-Server-Stamp: {signature}\r\n".encode()
