Reword the run, the schedule and the testbed of the soak

Comments spoke of a world, verdicts and things that end by themselves. The error of a failed start now names the timeout.

ruff and mypy pass; the 25 tests of test_checks.py and test_gateways.py pass.

--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -1,4 +1,4 @@
-"""Runs a soak: gateways as processes, callers, faults, and the verdict."""
+"""Runs a soak: starts gateways and callers, injects faults, checks the history."""
 
 from __future__ import annotations
 
@@ -28,16 +28,16 @@
 PROBE_INTERVAL_S = 1.0
 POLL_S = 0.05
 MISSED_PROBES = 2
-READY_TIMEOUT_S = 60.0  # for all gateways, also on a machine that is busy
+READY_TIMEOUT_S = 60.0  # for all gateways, on a busy machine too
 RECOVERY_S = 12.0
 AFTER_RECOVERY_S = 4.0
-MAX_LAG_S = 0.3  # a runner that is late by more sees nothing in time itself
+MAX_LAG_S = 0.3  # beyond this lag the runner's own observations are late
 CLIENT_ERROR = 400
 REQUEST_FIELD = re.compile(r"\brequest=(\S+)")
 
 
 class SoakOptions(NamedTuple):
-    """What to run: ``mutant`` names a fault that is put into the gateways."""
+    """Options of a soak; ``mutant`` names a defect injected into the gateways."""
 
     seed: int
     gateways: int = 6
@@ -48,7 +48,7 @@
 
 
 class SoakResult(NamedTuple):
-    """What a soak found."""
+    """Violations and statistics of a soak."""
 
     violations: list[Violation]
     attempts: int
@@ -58,7 +58,7 @@
 
 
 class Soak:
-    """One soak from start to verdict."""
+    """A soak run from the start of the gateways to the checks."""
 
     def __init__(
         self, reactor: GatewayReactor, options: SoakOptions, folder: Path
@@ -98,7 +98,7 @@
         )
 
     async def run(self) -> SoakResult:
-        """Run everything and judge."""
+        """Run the soak and return its result."""
         for gateway in self.gateways:
             gateway.start()
             self.spawn(self.probe(gateway))
@@ -125,34 +125,37 @@
         return self.evaluate(len(schedule))
 
     async def wait_until_ready(self) -> None:
-        """Wait until all gateways are in rotation."""
+        """Wait until all gateways are ready; raise ``StartError`` after the timeout."""
         give_up_at = self.reactor.seconds() + READY_TIMEOUT_S
         while len(self.endpoints) < len(self.gateways):
             if self.reactor.seconds() > give_up_at:
                 missing = {one.name for one in self.gateways} - set(self.endpoints)
-                raise StartError(f"not ready: {', '.join(sorted(missing))}")
+                raise StartError(
+                    f"gateways not ready within {READY_TIMEOUT_S:g} s: "
+                    f"{', '.join(sorted(missing))}"
+                )
             await self.sleep(POLL_S)
 
     async def wait_for_restarts(self) -> None:
-        """Wait until what was started has ended by itself."""
+        """Wait until pauses and restarts of gateways have ended."""
         while any(gateway.in_transition for gateway in self.gateways):
             await self.sleep(POLL_S)
 
     async def sleep(self, seconds: float) -> None:
-        """Let time pass."""
+        """Sleep; a negative time returns at the next turn of the reactor."""
         await deferLater(self.reactor, max(0.0, seconds))
 
     def spawn(self, coroutine: Any) -> None:  # noqa: ANN401 - a coroutine
-        """Run something beside; an error ends the soak as a violation."""
+        """Run a coroutine concurrently; its failure is reported as a violation."""
         running = Deferred.fromCoroutine(coroutine)
         running.addErrback(lambda failure: self.report_violation("soak", str(failure)))
 
     def report_violation(self, guarantee: str, detail: str) -> None:
-        """Note a violation."""
+        """Record a violation."""
         self.violations.append(Violation(guarantee, "", detail))
 
     async def probe(self, gateway: Gateway) -> None:
-        """Keep a gateway in rotation while it says that it is ready."""
+        """Probe a gateway's readiness; add it to the rotation or remove it."""
         url = f"http://127.0.0.1:{gateway.ports[1]}/ready".encode()
         while not self.stopping:
             began = self.reactor.seconds()
@@ -170,18 +173,18 @@
             await self.sleep(began + PROBE_INTERVAL_S - self.reactor.seconds())
 
     async def is_ready(self, url: bytes) -> bool:
-        """Ask a gateway once."""
+        """Return whether a readiness probe answered 200 in time."""
         asked = self.agent.request(b"GET", url)
         asked.addTimeout(PROBE_INTERVAL_S, self.reactor)
         try:
             response = await asked
             await readBody(response)
-        except Exception:  # a miss, whatever the reason
+        except Exception:  # any failure counts as a missed probe
             return False
         return int(response.code) == 200
 
     async def monitor_lag(self) -> None:
-        """Note when this runner itself is late."""
+        """Measure the runner's lag; a long one counts as a disturbance of all."""
         while not self.stopping:
             began = self.reactor.seconds()
             await self.sleep(POLL_S)
@@ -193,7 +196,7 @@
                     self.history.record_disturbance(name, began, now)
 
     async def stop_all(self) -> None:
-        """Stop all gateways while callers go on."""
+        """Stop all gateways gracefully while callers keep sending."""
         now = self.reactor.seconds()
         grace_s = self.guarantees.grace_s
         for gateway in self.gateways:
@@ -211,12 +214,14 @@
             caller.stopped = True
         for gateway in self.gateways:
             if gateway.child.running:
-                self.report_violation("grace", f"{gateway.name} did not end in time")
+                self.report_violation(
+                    "grace", f"{gateway.name} did not exit within the grace period"
+                )
                 gateway.child.kill()
             gateway.record_exit(True)
 
     def evaluate(self, faults: int) -> SoakResult:
-        """Check all promises over what was seen."""
+        """Check all guarantees over the history and return the result."""
         unsolicited = [data for caller in self.callers for data in caller.unsolicited]
         for data in unsolicited:
             self.report_violation("nothing unasked", data)
@@ -230,7 +235,7 @@
         return SoakResult(found, len(attempts), dict(outcomes), faults, self.lag_s)
 
     def find_unlogged_failures(self) -> None:
-        """Look for requests that ended badly and that no line of a log names."""
+        """Report failed or partial answers that no log line of their gateway names."""
         named: dict[str, set[str]] = {}
         for gateway in self.gateways:
             text = gateway.child.log.read_text(errors="replace")
@@ -241,12 +246,15 @@
                 continue
             missing = int(answer.headers.get("x-missing-parts", "0"))
             if answer.status >= CLIENT_ERROR or missing:
-                detail = f"{answer.status} with {missing} missing, in no line"
+                detail = f"{answer.status} with {missing} missing parts, not logged"
                 self.violations.append(Violation("explained", attempt.request, detail))
 
 
 def soak(options: SoakOptions, folder: Path) -> SoakResult:
-    """Run a soak in this process's reactor; one process runs one soak."""
+    """Run a soak in the global reactor, which can run once per process.
+
+    Raises ``SystemExit`` with code 2 if the soak failed or was interrupted.
+    """
     from twisted.internet import reactor
 
     running: Any = reactor
@@ -267,7 +275,7 @@
     try:
         running.run()
     finally:
-        # Also where the run was interrupted: nothing that it started stays behind.
+        # Also after an interrupt, no gateway process may be left running.
         for gateway in instance.gateways:
             if gateway.child.running:
                 gateway.child.kill()
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -1,4 +1,4 @@
-"""Which faults a soak injects, and when: a function of the seed alone."""
+"""The schedule of a soak's faults, determined by the seed alone."""
 
 from __future__ import annotations
 
@@ -26,8 +26,8 @@
     "make_schedule",
 ]
 
-QUIET_START_S = 3.0  # calm at the start
-SERIES_SHARE = 0.3  # of the faults come as a series of the same kind
+QUIET_START_S = 3.0  # without faults, after the start
+SERIES_SHARE = 0.3  # of draws that give a series of faults of the same kind
 MAX_SERIES_LENGTH = 4
 SERIES_GAP_S = 0.7
 MIN_DURATION_S = 0.5
@@ -36,28 +36,28 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayStop:
-    """SIGTERM, then a new start."""
+    """A graceful stop by SIGTERM, then a restart."""
 
     gateway: int
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayKill:
-    """SIGKILL, then a new start."""
+    """A crash by SIGKILL, then a restart."""
 
     gateway: int
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayPause:
-    """SIGSTOP for a time, then SIGCONT."""
+    """A suspended process: SIGSTOP, then SIGCONT."""
 
     gateway: int
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayReload:
-    """The settings file changes, with SIGHUP or without."""
+    """A change of the settings file, with SIGHUP if ``signalled``."""
 
     gateway: int
     signalled: bool
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreLink:
-    """A gateway's connections to the store are disturbed by the proxy."""
+    """A fault of the proxy between a gateway and the store."""
 
     gateway: int
     mode: str
@@ -73,14 +73,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreFault:
-    """The store itself misbehaves towards all."""
+    """A fault of the store that affects all gateways."""
 
     mode: str
 
 
 @dataclass(frozen=True, slots=True)
 class ReplicaFault:
-    """A replica, or the proxy in front of it, misbehaves."""
+    """A fault of a replica or of the proxy in front of it."""
 
     replica: int
     mode: str
@@ -88,31 +88,31 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainReplica:
-    """A replica drains and leaves; another one starts at its address."""
+    """A replica drains and stops; a new one starts at its address."""
 
     replica: int
 
 
 @dataclass(frozen=True, slots=True)
 class Evacuate:
-    """A data centre is taken out for a time."""
+    """A temporary evacuation of a data centre."""
 
     data_centre: int
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeConfiguration:
-    """The operators move a route to another service."""
+    """A configuration change that moves a route to another service."""
 
 
 @dataclass(frozen=True, slots=True)
 class Reshard:
-    """The operators name the other set of shards."""
+    """A configuration change to the other set of shards."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallersDisconnect:
-    """Some callers leave before their answer for a time."""
+    """A time in which callers disconnect before their answers."""
 
 
 Fault = (
@@ -136,7 +136,7 @@
 
 
 class ScheduledFault(NamedTuple):
-    """A fault, its start in seconds, and how long it lasts where that applies."""
+    """A fault with its start and duration, which instantaneous faults ignore."""
 
     at: float
     fault: Fault
@@ -144,7 +144,7 @@
 
 
 class Topology(NamedTuple):
-    """What there is to disturb."""
+    """Numbers of the parts that faults can affect."""
 
     gateways: int
     replicas: int
@@ -154,7 +154,7 @@
 def make_schedule(
     seed: int, topology: Topology, duration_s: float, mean_gap_s: float
 ) -> list[ScheduledFault]:
-    """Draw faults; those of a series follow each other, and all may overlap.
+    """Draw the faults of a soak, sorted by start; faults may overlap.
 
     >>> size = Size(4, 8, 3)
     >>> make_schedule(1, size, 20.0, 1.0) == make_schedule(1, size, 20.0, 1.0)
@@ -171,7 +171,7 @@
 
 
 def draw_series(rng: Random, topology: Topology, at: float) -> Iterator[ScheduledFault]:
-    """Draw one fault, or several of one kind in a row."""
+    """Draw one fault, or a series of faults of the same kind."""
     draw = rng.choice(FAULT_DRAWS)
     count = rng.randint(2, MAX_SERIES_LENGTH) if rng.random() < SERIES_SHARE else 1
     for _ in range(count):
@@ -183,7 +183,7 @@
 
 FaultDraw = Callable[[Random, Topology], Fault]
 
-# How often a kind stands here is how often it is drawn.
+# A kind that is listed n times is drawn n times as often.
 FAULT_DRAWS: tuple[FaultDraw, ...] = (
     lambda rng, topology: GatewayStop(rng.randrange(topology.gateways)),
     lambda rng, topology: GatewayKill(rng.randrange(topology.gateways)),
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -1,4 +1,4 @@
-"""The outside of the gateways in a soak: store, operators, replicas, proxies."""
+"""Environment of the gateways in a soak: store, replicas, proxies, operators."""
 
 from __future__ import annotations
 
@@ -24,18 +24,18 @@
 REPLICAS_PER_SERVICE = 2
 HEARTBEAT_S = 1.2
 DRAIN_S = 3.0
-EXIT_DELAY_S = (1.0, 8.0)  # beyond the time that was promised
+EXIT_DELAY_S = (1.0, 8.0)  # beyond the drain time
 RESTART_DELAY_S = 2.0
 WORK_S = 0.012
 HOST = "soak.example"
 CONNECTIONS_PER_SERVICE = 60
 COLD_START_S = 2.0
-COLD_PER_S = 2.0  # with the bounds of the gateways' settings 8 requests in a second
+COLD_PER_S = 2.0  # 8 requests in a second, with the bounds in the gateways' settings
 NO_END = float("inf")
 
 
 class Identity(NamedTuple):
-    """What a replica says of itself."""
+    """The identity of a replica in its registration."""
 
     name: str
     service: str
@@ -44,7 +44,7 @@
 
 
 class ReplicaSite:
-    """A place at which one replica after the other runs, behind a proxy."""
+    """An address behind a proxy at which successive replicas run."""
 
     def __init__(
         self, testbed: Testbed, number: int, service: str, data_centre: str
@@ -61,7 +61,7 @@
         self.start()
 
     def start(self) -> None:
-        """Start a new replica at this place's address."""
+        """Start a new replica at this address and register it."""
         testbed = self.testbed
         self.starts += 1
         self.draining = False
@@ -69,7 +69,7 @@
         name = f"i-{self.number}-{self.starts}"
         self.identity = Identity(name, self.service, self.data_centre, born_ms)
         now = testbed.reactor.seconds()
-        # Those that are there from the beginning have served before.
+        # The first replica at an address starts warm.
         self.cold_until = now + COLD_START_S if self.starts > 1 else now
         testbed.history.cold_starts.append(Interval(name, now, self.cold_until))
         rng = Random(f"{testbed.seed} {name}")
@@ -86,7 +86,7 @@
         self.register()
 
     def register(self) -> None:
-        """Write the entry if it is missing, as heartbeats do."""
+        """Write the registration if it is missing, as heartbeats do."""
         key = f"servers/{self.identity.name}"
         store = self.testbed.store
         if self.server is None or store.mode == "busy" or key in store.values.held:
@@ -94,7 +94,7 @@
         self.write("draining" if self.draining else "ready")
 
     def write(self, state: str) -> float:
-        """Write the entry; return when the store has accepted it."""
+        """Write the registration; return the time at which the store accepted it."""
         assert self.proxy is not None
         now: float = self.testbed.reactor.seconds()
         entry = {
@@ -114,7 +114,7 @@
         return accepted_at
 
     def drain(self) -> None:
-        """Leave in an orderly way, and start anew some time after."""
+        """Drain, unless it is the service's last replica; stop after the drain time."""
         testbed = self.testbed
         if self.draining or self.server is None or not testbed.may_drain(self):
             return
@@ -127,7 +127,7 @@
         testbed.reactor.callLater(stays_s, self.stop)
 
     def stop(self) -> None:
-        """End."""
+        """Remove the registration, stop the replica and schedule a new one."""
         assert self.server is not None
         self.testbed.store.delete(f"servers/{self.identity.name}")
         self.listening.stopListening()
@@ -137,7 +137,7 @@
 
 
 class Testbed:
-    """Everything that a soak puts around the gateways."""
+    """The store, the replicas and the operators' actions of a soak."""
 
     def __init__(self, reactor: GatewayReactor, seed: int) -> None:
         self.reactor = reactor
@@ -160,13 +160,13 @@
         self.send_heartbeats()
 
     def send_heartbeats(self) -> None:
-        """Let replicas register again where their entries are gone."""
+        """Register replicas again whose registrations are missing, periodically."""
         for replica in self.replicas:
             replica.register()
         self.reactor.callLater(HEARTBEAT_S, self.send_heartbeats)
 
     def may_drain(self, replica: ReplicaSite) -> bool:
-        """Tell whether another replica of the service stays."""
+        """Return whether the service has another replica that is not draining."""
         return any(
             other.service == replica.service
             and other is not replica
@@ -176,7 +176,7 @@
         )
 
     def configure(self) -> None:
-        """Write the next version of the configuration."""
+        """Write the next configuration version and record it."""
         self.version += self.rng.randint(1, 3)
         search = SHARD_SETS[self.active_shard_set]
         active_single = SINGLE_SERVICES[self.active_single]
@@ -209,17 +209,17 @@
         self.history.revisions.append(Revision(self.version, sent_at, now, allowed))
 
     def change_route(self) -> None:
-        """Move a route to another service."""
+        """Move the route ``one`` to the other service."""
         self.active_single = 1 - self.active_single
         self.configure()
 
     def reshard(self) -> None:
-        """Name the other set of shards."""
+        """Switch the search route to the other set of shards."""
         self.active_shard_set = 1 - self.active_shard_set
         self.configure()
 
     def evacuate(self, number: int, duration_s: float) -> None:
-        """Take a data centre out, unless another one is."""
+        """Evacuate a data centre for a time, unless one is evacuated already."""
         if self.evacuated:
             return
         self.evacuated = DATA_CENTRES[number]
@@ -228,7 +228,7 @@
         self.reactor.callLater(duration_s, self.end_evacuation, acked_at)
 
     def end_evacuation(self, acked_at: float) -> None:
-        """Take a data centre in again."""
+        """End the evacuation and record it for the replicas of the data centre."""
         now = self.reactor.seconds()
         for replica in self.replicas:
             if replica.data_centre == self.evacuated:
@@ -239,7 +239,7 @@
 
 
 def route(name: str, kind: str, **destination: object) -> dict[str, object]:
-    """Return a route as operators write it."""
+    """Return a route in the encoding of the configuration."""
     return {
         "Name": name,
         "Host": HOST,
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -1,4 +1,4 @@
-"""A short soak, and that a fault put into the gateways is found."""
+"""Short soak runs, regressions of earlier seeds, and the detection of a mutant."""
 
 from __future__ import annotations
 
@@ -18,11 +18,11 @@
 
 
 SHORT = ("--seed", "1", "--minutes", "0.25", "--gateways", "4")
-FAULTY = ("--seed", "1", "--minutes", "0.1", "--gateways", "2", "--mutant")
+MUTATED = ("--seed", "1", "--minutes", "0.1", "--gateways", "2", "--mutant")
 
 
 class Soaks:
-    """Soaks as processes of their own, all at once, since they mostly wait."""
+    """Soak processes that run concurrently, since they mostly wait."""
 
     def __init__(self) -> None:
         self.running = {
@@ -35,7 +35,7 @@
             )
             for arguments in [
                 SHORT,
-                (*FAULTY, "drop-records"),
+                (*MUTATED, "drop-records"),
                 *(arguments_of(case) for case in REGRESSIONS),
             ]
         }
@@ -47,7 +47,7 @@
         return process.returncode, output
 
     def end(self) -> None:
-        """End what still runs; a soak ends its gateways."""
+        """Terminate the running soaks; each terminates its gateways."""
         for process in self.running.values():
             if process.poll() is None:
                 process.terminate()
@@ -55,7 +55,7 @@
 
 
 def arguments_of(case: Regression) -> tuple[str, ...]:
-    """Return the arguments that run a case again."""
+    """Return the command-line arguments that repeat a regression."""
     return ("--seed", str(case.seed), "--minutes", str(case.minutes))
 
 
@@ -68,19 +68,19 @@
 
 
 class TestShortSoak:
-    def test_no_promise_is_broken(self, soaks: Soaks) -> None:
+    def test_short_soak_has_no_violation(self, soaks: Soaks) -> None:
         code, output = soaks.result(*SHORT)
         assert code == 0, output
 
-    def test_a_fault_in_the_gateways_is_found(self, soaks: Soaks) -> None:
-        code, output = soaks.result(*FAULTY, "drop-records")
+    def test_defect_in_the_gateways_is_detected(self, soaks: Soaks) -> None:
+        code, output = soaks.result(*MUTATED, "drop-records")
         assert code == 1, output
         assert "whole answer" in output
 
 
 class TestRegressions:
     @pytest.mark.parametrize("case", REGRESSIONS, ids=lambda case: str(case.seed))
-    def test_a_seed_that_once_failed_passes(
+    def test_seed_that_failed_before_passes(
         self, soaks: Soaks, case: Regression
     ) -> None:
         code, output = soaks.result(*arguments_of(case))
@@ -89,18 +89,18 @@
 
 class TestSchedule:
     @pytest.mark.parametrize("seed", range(5))
-    def test_a_seed_gives_the_same_faults_again(self, seed: int) -> None:
+    def test_same_seed_gives_the_same_schedule(self, seed: int) -> None:
         topology = Topology(6, 28, 3)
         first = make_schedule(seed, topology, 60.0, 1.0)
         assert first == make_schedule(seed, topology, 60.0, 1.0)
         assert len(first) > 20
 
-    def test_all_kinds_are_drawn(self) -> None:
+    def test_all_kinds_of_faults_are_drawn(self) -> None:
         topology = Topology(6, 28, 3)
         kinds = {type(one.fault) for one in make_schedule(1, topology, 600.0, 1.0)}
         assert len(kinds) == 12
 
 
 class TestMutants:
-    def test_each_says_what_is_wrong_with_it(self) -> None:
+    def test_each_mutant_documents_its_defect(self) -> None:
         assert all(mutant.__doc__ for mutant in MUTANTS.values())
