--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -156,8 +156,9 @@
 ) -> list[ScheduledFault]:
     """Draw the faults of a soak, sorted by start; faults may overlap.
 
-    >>> size = Size(4, 8, 3)
-    >>> make_schedule(1, size, 20.0, 1.0) == make_schedule(1, size, 20.0, 1.0)
+    >>> topology = Topology(4, 8, 3)
+    >>> one = make_schedule(1, topology, 20.0, 1.0)
+    >>> one == make_schedule(1, topology, 20.0, 1.0)
     True
     """
     rng = Random(seed)
