Reword the port reservation and the child processes

Comments spoke of rigs and what is given up; the errors now name the range of ports and the log line that was awaited.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -1,4 +1,4 @@
-"""Free ports on loopback for the processes of a rig."""
+"""Reservation of free loopback ports for processes that run concurrently."""
 
 from __future__ import annotations
 
@@ -8,19 +8,19 @@
 __all__ = ["LOOPBACK", "reserve_ports"]
 
 LOOPBACK = "127.0.0.1"
-LOWEST_PORT = 10_000  # above what common services use
-HIGHEST_PORT = 32_000  # below the ports that Linux gives to outgoing connections
-BLOCK = 32  # ports; the first of a block is bound by whoever has reserved it
+LOWEST_PORT = 10_000  # above the ports of common services
+HIGHEST_PORT = 32_000  # below the ephemeral port range of Linux
+BLOCK = 32  # ports; the first one is bound as the guard of the reservation
 
-# Bound until the process ends, so that no other rig takes a block before the
-# processes of this one have begun to listen.
+# Guard sockets stay bound until this process ends, so that no other process reserves
+# the block before the child processes listen.
 guards: list[socket.socket] = []
 
 
 def reserve_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on and no other rig is given.
+    """Reserve ports that are free and that no other caller gets.
 
-    The reservation ends with this process. Raises ``OSError`` if there are not
+    The reservation lasts until this process ends. Raises ``OSError`` if there are not
     enough consecutive free blocks.
     """
     blocks = -(-count // (BLOCK - 1))
@@ -30,28 +30,31 @@
         ports = reserve_blocks(first, blocks)
         if ports:
             return ports[:count]
-    raise OSError(f"no {blocks} consecutive blocks of free ports found")
+    raise OSError(
+        f"no {blocks} consecutive blocks of {BLOCK} free ports "
+        f"between {LOWEST_PORT} and {HIGHEST_PORT}"
+    )
 
 
 def reserve_blocks(first: int, blocks: int) -> list[int]:
-    """Reserve consecutive blocks and return their ports, none if one is in use."""
-    held: list[socket.socket] = []
+    """Reserve consecutive blocks; return no ports if one of them is in use."""
+    sockets: list[socket.socket] = []
     ports: list[int] = []
-    for guarded in range(first, first + blocks * BLOCK, BLOCK):
+    for first_port in range(first, first + blocks * BLOCK, BLOCK):
         guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        held.append(guard)
-        rest = range(guarded + 1, guarded + BLOCK)
-        if not bind(guard, guarded) or not all(is_free(port) for port in rest):
-            for one in held:
-                one.close()
+        sockets.append(guard)
+        usable = range(first_port + 1, first_port + BLOCK)
+        if not bind(guard, first_port) or not all(is_free(port) for port in usable):
+            for opened in sockets:
+                opened.close()
             return []
-        ports += rest
-    guards.extend(held)
+        ports += usable
+    guards.extend(sockets)
     return ports
 
 
 def is_free(port: int) -> bool:
-    """Tell whether a port can be bound for both TCP and UDP."""
+    """Return whether a port can be bound for both TCP and UDP."""
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
             if not bind(probe, port):
@@ -59,10 +62,10 @@
     return True
 
 
-def bind(bound: socket.socket, port: int) -> bool:
-    """Bind a socket to a port of loopback; tell whether that could be done."""
+def bind(sock: socket.socket, port: int) -> bool:
+    """Bind a socket to a loopback port; return whether this succeeded."""
     try:
-        bound.bind((LOOPBACK, port))
+        sock.bind((LOOPBACK, port))
     except OSError:
         return False
     return True
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -1,4 +1,4 @@
-"""Child processes of a rig: started, awaited and ended by their own id."""
+"""Child processes: start, wait for readiness, signal and stop."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
 
 
 class StartError(RuntimeError):
-    """A process of the rig did not start; its last output is the detail."""
+    """A process did not become ready; the message ends with its last output."""
 
 
 class Child:
-    """One process of the rig, with its output in a file."""
+    """A child Python process that appends its output to a log file."""
 
     def __init__(
         self, name: str, arguments: Sequence[str], log: Path, directory: Path
@@ -37,7 +37,7 @@
 
     @property
     def pid(self) -> int:
-        """The id of the running process."""
+        """The process id; the process must have been started."""
         assert self.process is not None
         return self.process.pid
 
@@ -58,7 +58,10 @@
             )
 
     def wait_for_line(self, prefix: str) -> str:
-        """Wait until a line of the log starts with ``prefix`` and return the line."""
+        """Wait for a log line that starts with ``prefix`` and return it.
+
+        Raises ``StartError`` if the process exits first or the wait times out.
+        """
         give_up_at = time.monotonic() + READY_TIMEOUT_S
         while time.monotonic() < give_up_at:
             for line in self.log.read_text(errors="replace").splitlines():
@@ -68,7 +71,7 @@
                 break
             time.sleep(POLL_S)
         tail = self.log.read_text(errors="replace")[-2000:]
-        raise StartError(f"{self.name} did not start: {tail}")
+        raise StartError(f"{self.name} did not log {prefix!r}: {tail}")
 
     @property
     def running(self) -> bool:
@@ -77,7 +80,7 @@
 
     @property
     def exit_code(self) -> int:
-        """The exit code, negative for a signal and for a process that runs on."""
+        """The exit code; a negative signal number, or ``STILL_RUNNING``."""
         code = None if self.process is None else self.process.poll()
         return STILL_RUNNING if code is None else code
 
@@ -88,24 +91,24 @@
             self.process.send_signal(number)
 
     def kill(self) -> None:
-        """End the process without warning."""
+        """Send SIGKILL and wait for the exit."""
         self.signal(signal.SIGKILL)
         self.wait()
 
     def pause(self) -> None:
-        """Stop the process from running until ``resume``."""
+        """Suspend the process with SIGSTOP until ``resume``."""
         self.signal(signal.SIGSTOP)
 
     def resume(self) -> None:
-        """Let a paused process run on."""
+        """Continue a suspended process with SIGCONT."""
         self.signal(signal.SIGCONT)
 
     def terminate(self) -> None:
-        """Ask the process to stop gracefully; ``wait`` for its end."""
+        """Send SIGTERM for a graceful stop; does not wait for the exit."""
         self.signal(signal.SIGTERM)
 
     def wait(self, timeout_s: float = END_TIMEOUT_S) -> int:
-        """Wait for the end of the process; kill it after ``timeout_s`` seconds."""
+        """Wait for the exit and return its code; kill it after ``timeout_s``."""
         assert self.process is not None
         try:
             return self.process.wait(timeout_s)
