--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m bench``: the commands of the bench, once their libraries are there."""
+"""Entry point of ``python -m bench``; checks first that its libraries exist."""
 
 from __future__ import annotations
 
@@ -9,11 +9,11 @@
 
 
 def main() -> None:
-    """Run a command, or say what has to be installed first."""
+    """Run a command; exit with a message if required libraries are missing."""
     missing = [name for name in LIBRARIES if find_spec(name) is None]
     if missing:
         sys.exit(
-            f"the bench needs {', '.join(missing)}: "
+            f"python -m bench requires {', '.join(missing)}, not installed: "
             "run ./check once, or pip install -e '.[bench]' where ./demo installs"
         )
     from bench.commands import app
--- a/bench/catalog.py
+++ b/bench/catalog.py
@@ -1,4 +1,4 @@
-"""All experiments by name."""
+"""Registry of all experiments and measurements by name."""
 
 from __future__ import annotations
 
--- a/bench/experiment.py
+++ b/bench/experiment.py
@@ -1,4 +1,4 @@
-"""An experiment as data: a deployment, load, faults at times, and bounds."""
+"""Declarative experiments: deployments, load, timed faults, bounds of results."""
 
 from __future__ import annotations
 
@@ -17,14 +17,14 @@
 
 
 class Options(NamedTuple):
-    """How an experiment is run. ``scale`` multiplies load and duration alike."""
+    """Options of an experiment run; ``scale`` multiplies load and duration."""
 
     seed: int = 1
     scale: float = 1.0
 
 
 class Step(NamedTuple):
-    """Something done to a running rig ``at_s`` seconds after the load began."""
+    """An action on a running rig, ``at_s`` seconds after the load began."""
 
     at_s: float
     label: str
@@ -32,10 +32,10 @@
 
 
 class Trial(NamedTuple):
-    """One deployment under load: the product's policy or a baseline.
+    """One deployment under load, with sardinehook's own policy or a baseline.
 
-    What happens before ``measure_from_s`` is warm-up and is left out of figures, not
-    out of the checks of rules.
+    Calls before ``measure_from_s`` are warm-up: figures leave them out, checks of
+    rules include them.
     """
 
     name: str
@@ -48,7 +48,7 @@
 
 
 class Comparison(NamedTuple):
-    """How a value has to stand to its limit."""
+    """A comparison of a value with its limit."""
 
     symbol: str
     holds: Callable[[float, float], bool]
@@ -59,7 +59,7 @@
 
 
 class Bound(NamedTuple):
-    """A measured value, its limit from a stated target, and where that is stated."""
+    """A measured value with its limit and the source of the limit."""
 
     name: str
     value: float
@@ -69,12 +69,12 @@
 
     @property
     def passed(self) -> bool:
-        """Whether the value is within the limit."""
+        """Whether the value satisfies the comparison."""
         return self.comparison.holds(self.value, self.limit)
 
 
 def no_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Print no figures besides the bounds."""
+    """Return no figures besides the bounds."""
     return {}
 
 
@@ -82,8 +82,8 @@
 class Experiment:
     """A named experiment.
 
-    ``trials`` builds the runs, the product's own policy first; ``evaluate`` derives the
-    figures to print and the bounds of the verdict from their results.
+    ``trials`` returns the trials, sardinehook's own policy first. ``evaluate`` derives
+    the bounds of the verdict from their results, ``figures`` further values to print.
     """
 
     name: str
--- a/bench/history_bounds.py
+++ b/bench/history_bounds.py
@@ -1,4 +1,4 @@
-"""Bounds that hold in every experiment, decided over the history of the run."""
+"""Bounds that apply to every experiment, derived from the history of a run."""
 
 from __future__ import annotations
 
@@ -12,22 +12,31 @@
 
 
 def rule_bounds(results: Mapping[str, RunResult], *names: str) -> Sequence[Bound]:
-    """Return a bound of zero violations for each rule, over the trials named."""
+    """Return bounds of zero lost calls and zero violations for the named trials.
+
+    Without names, all trials are covered.
+    """
     bounds: list[Bound] = []
     for name in names or tuple(results):
         calls = results[name].calls
         lost = sum(call.status == 0 for call in calls)
         bounds.append(
-            Bound(f"{name}.lost_calls", lost, AT_MOST, 0, "graceful: no call cut off")
+            Bound(
+                f"{name}.lost_calls",
+                lost,
+                AT_MOST,
+                0,
+                "graceful stop: no call cut off",
+            )
         )
         bounds.append(history_bound(results[name]))
     return bounds
 
 
 def history_bound(run: RunResult) -> Bound:
-    """Return the bound of no violation in a run's history; it names the first one."""
+    """Return a bound of zero violations; its source describes the first one found."""
     violations = violations_of(run, run.document) if run.document else []
-    source = "the brief's promises, checked over the run's history"
+    source = "guarantees, checked over the history of the run"
     if violations:
         first = violations[0]
         source = f"first: {first.rule} {first.subject}: {first.detail}"
--- a/bench/measurement.py
+++ b/bench/measurement.py
@@ -1,4 +1,4 @@
-"""A measurement that needs no trial: slopes of processor time, memory and messages."""
+"""Measurements without a trial: costs in processor time, memory and messages."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 
 class MeasurementResult(NamedTuple):
-    """Figures by name, and the bounds that they are judged by."""
+    """Figures by name and the bounds of the verdict."""
 
     figures: Mapping[str, float]
     bounds: Sequence[Bound]
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True)
 class Measurement:
-    """A named measurement."""
+    """A named measurement that ``measure`` carries out without a rig."""
 
     name: str
     summary: str
--- a/bench/report.py
+++ b/bench/report.py
@@ -1,4 +1,4 @@
-"""Writes an experiment's report: figures, bounds and plots in one HTML page."""
+"""HTML report of an experiment: figures, bounds and plots."""
 
 from __future__ import annotations
 
@@ -29,7 +29,7 @@
     bounds: Sequence[Bound],
     directory: Path,
 ) -> Path:
-    """Write plots and page into a directory and return the page's path."""
+    """Write the plots and the HTML page; return the path of the page."""
     directory.mkdir(parents=True, exist_ok=True)
     plots = {
         "latency.svg": plot_latency,
@@ -49,7 +49,7 @@
 
 
 def plot_latency(axes: Axes, results: Mapping[str, RunResult]) -> None:
-    """Plot the share of calls that took longer, for each trial."""
+    """Plot the complementary distribution of the latency for each trial."""
     for name, result in results.items():
         latencies = numpy.sort([call.latency_ms for call in result.measured_calls()])
         if latencies.size:
@@ -59,7 +59,7 @@
 
 
 def plot_latency_over_time(axes: Axes, results: Mapping[str, RunResult]) -> None:
-    """Plot the 99th percentile over the run."""
+    """Plot the 99th percentile of the latency over time."""
     for name, result in results.items():
         points = result.series(
             lambda calls: percentile([call.latency_ms for call in calls], 0.99),
@@ -70,7 +70,7 @@
 
 
 def plot_coverage_over_time(axes: Axes, results: Mapping[str, RunResult]) -> None:
-    """Plot the mean coverage over the run, zero for a refusal."""
+    """Plot the mean coverage over time; a refusal counts as zero."""
     for name, result in results.items():
         points = result.series(
             lambda calls: float(
@@ -85,7 +85,7 @@
 
 
 def plot_in_flight(axes: Axes, results: Mapping[str, RunResult]) -> None:
-    """Plot the sub-queries in flight at all targets."""
+    """Plot the sub-queries in flight at all targets over time."""
     for name, result in results.items():
         changes = {"begun": 1, "finished": -1, "cancelled": -1, "lost": -1}
         times, level, levels = [], 0, []
@@ -104,7 +104,7 @@
     bounds: Sequence[Bound],
     plots: Sequence[str],
 ) -> str:
-    """Render the page."""
+    """Return the HTML page with figures, bounds and references to the plots."""
     figures = experiment.figures(results)
     rows = "".join(
         f"<tr><td>{html.escape(bound.name)}</td><td>{bound.value:.4g}</td>"
--- a/bench/results.py
+++ b/bench/results.py
@@ -1,4 +1,4 @@
-"""What a trial left behind, and the measures taken from it."""
+"""Results of a trial and the figures derived from them."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 class TargetCounters(msgspec.Struct):
-    """What a replica of the stand-in counted of itself."""
+    """Counters of one replica of a simulated target."""
 
     peak_in_flight: int = 0
     peak_cold_in_flight: int = 0
@@ -28,7 +28,7 @@
 
 
 class TargetRecords(msgspec.Struct):
-    """The body of a stand-in's ``GET /records``."""
+    """The body of a simulated target's ``GET /records``."""
 
     counters: dict[str, dict[str, Any]]
     events: list[WorkEvent]
@@ -36,7 +36,7 @@
 
 
 class StepTime(NamedTuple):
-    """When a step was done, in seconds of ``time.monotonic()``."""
+    """The time at which a step was done, by ``time.monotonic()`` in seconds."""
 
     label: str
     at: float
@@ -45,8 +45,9 @@
 class RunResult(NamedTuple):
     """The records of one trial; times are ``time.monotonic()`` in seconds.
 
-    ``stolen_ratio`` is the share of the machine's processor time that its host gave to
-    others meanwhile; latencies of a run with much of it say little.
+    ``stolen_ratio`` is the share of processor time that the hypervisor gave to other
+    guests (steal time). With a high ratio, latencies are not meaningful. ``left_out``
+    counts target events that were not recorded.
     """
 
     name: str
@@ -70,7 +71,7 @@
     ) -> list[CallRecord]:
         """Return the calls after the warm-up, of one workload or of all.
 
-        ``from_s`` and ``to_s`` bound the intended start, in seconds of the run.
+        ``from_s`` and ``to_s`` limit the intended start, in seconds of the run.
         """
         first = max(self.measure_from, self.started_at + from_s)
         last = self.started_at + to_s
@@ -87,20 +88,20 @@
         )
 
     def answered_ratio(self, workload: str = "") -> float:
-        """Return the share of measured calls that were answered."""
+        """Return the share of measured calls with an answer, zero without calls."""
         calls = self.measured_calls(workload)
         return sum(call.ok for call in calls) / len(calls) if calls else 0.0
 
     def mean_coverage(self, workload: str = "") -> float:
-        """Return the mean coverage of measured answers, zero for a refusal."""
+        """Return the mean coverage of measured calls; a refusal counts as zero."""
         calls = self.measured_calls(workload)
         ratios = [call.answer.get("coverage", {}).get("ratio", 0.0) for call in calls]
         return float(numpy.mean(ratios)) if ratios else 0.0
 
     def extra_load(self) -> float:
-        """Return sub-queries begun at targets over those that answers needed, less one.
+        """Return the ratio of sub-queries begun to those needed, minus one.
 
-        Needed is one for each service that the measured calls asked for.
+        Each service that a measured call asked for needs one sub-query.
         """
         calls = self.measured_calls()
         needed = sum(call.answer.get("coverage", {}).get("asked", 0) for call in calls)
@@ -112,13 +113,13 @@
         return begun / needed - 1.0 if needed else 0.0
 
     def count_events(self, kind: str) -> int:
-        """Count the targets' events of one kind."""
+        """Return the number of target events of one kind."""
         return sum(event.kind == kind for event in self.events)
 
     def series(
         self, value: Callable[[Sequence[CallRecord]], float], step_s: float = 0.25
     ) -> list[tuple[float, float]]:
-        """Return a measure over time: (seconds of the run, value) for each step."""
+        """Return a time series: (seconds of the run, value) for each interval."""
         buckets: dict[int, list[CallRecord]] = defaultdict(list)
         for call in self.calls:
             buckets[int((call.intended_at - self.started_at) / step_s)].append(call)
@@ -126,7 +127,7 @@
 
 
 def percentile(values: Sequence[float], quantile: float) -> float:
-    """Return a quantile, ``nan`` of nothing.
+    """Return a quantile, ``nan`` without values.
 
     >>> percentile([1.0, 2.0, 3.0], 0.5)
     2.0
--- a/bench/violation.py
+++ b/bench/violation.py
@@ -1,4 +1,4 @@
-"""What a check of a history found."""
+"""Violations that the checks of a history report."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 
 class Violation(NamedTuple):
-    """A promise that was broken at a time, by or towards ``subject``."""
+    """A violation of a rule at a time; ``subject`` is a request, order or target."""
 
     rule: str
     at: float
--- a/tests/bench/test_main.py
+++ b/tests/bench/test_main.py
@@ -1,4 +1,4 @@
-"""The command of the bench where its libraries are not installed."""
+"""The benchmark command without its required libraries."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from bench import __main__ as command
 
 
-class TestLibraries:
-    def test_what_is_missing_is_named_with_what_to_do(
+class TestMissingLibraries:
+    def test_error_names_the_missing_library_and_the_install_command(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         monkeypatch.setattr(command, "LIBRARIES", ("no_such_library",))
