--- a/bench/checks.py
+++ b/bench/checks.py
@@ -12,16 +12,16 @@
 
 from bench.history import (
     CallerAnswered,
+    CallerOutcome,
     CallerSent,
     TargetBegan,
     TargetEnded,
-    Told,
     select,
 )
 from bench.load_checks import (
-    check_bounds_of_targets,
     check_configuration,
     check_stopped_targets,
+    check_target_limits,
 )
 from bench.violation import History, Violation
 
@@ -30,7 +30,7 @@
     "check_all",
     "check_at_most_once",
     "check_coverage",
-    "check_no_record_doubled",
+    "check_no_duplicate_records",
     "check_not_run",
     "check_one_snapshot",
     "check_own_answer",
@@ -70,7 +70,7 @@
     return [
         answer
         for answer in select(history, CallerAnswered)
-        if answer.told is Told.ANSWERED and answer.request not in orders
+        if answer.told is CallerOutcome.ANSWERED and answer.request not in orders
     ]
 
 
@@ -99,7 +99,7 @@
     return [
         Violation("not_run", answer.at, answer.request, f"ran at {event.target}")
         for answer in select(history, CallerAnswered)
-        if answer.told is Told.NOT_RUN
+        if answer.told is CallerOutcome.NOT_RUN
         and (event := began.get(answer.request)) is not None
     ]
 
@@ -172,7 +172,7 @@
     return faults
 
 
-def check_no_record_doubled(history: History) -> list[Violation]:
+def check_no_duplicate_records(history: History) -> list[Violation]:
     """Check that no answer has a record twice."""
     violations = []
     for answer in searches(history):
@@ -211,9 +211,9 @@
     check_not_run,
     check_one_snapshot,
     check_coverage,
-    check_no_record_doubled,
+    check_no_duplicate_records,
     check_own_answer,
-    check_bounds_of_targets,
+    check_target_limits,
     check_stopped_targets,
     check_configuration,
 )
--- a/bench/history_bounds.py
+++ b/bench/history_bounds.py
@@ -6,7 +6,7 @@
 
 from bench.experiment import AT_MOST, Bound
 from bench.results import RunResult
-from bench.run_history import violations_of
+from bench.run_history import find_violations
 
 __all__ = ["history_bound", "rule_bounds"]
 
@@ -35,7 +35,7 @@
 
 def history_bound(run: RunResult) -> Bound:
     """Return a bound of zero violations; its source describes the first one found."""
-    violations = violations_of(run, run.document) if run.document else []
+    violations = find_violations(run, run.document) if run.document else []
     source = "guarantees, checked over the history of the run"
     if violations:
         first = violations[0]
--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -12,7 +12,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET
 
-from bench.http_server import argument, body_of, cut, send
+from bench.http_server import abort_connection, query_argument, request_body, send_reply
 from bench.platform_state import Held, KeyValues, Refused
 from sardinehook.gateway.reactor import GatewayReactor
 
@@ -105,7 +105,7 @@
         self.compacted_at = self.values.revision
         for watch in list(self.watches):
             del self.watches[watch]
-            cut(watch.request)
+            abort_connection(watch.request)
 
     def expire_leases(self, prefix: str) -> None:
         """Remove the keys below a prefix, as if their leases had expired."""
@@ -117,7 +117,7 @@
         """Serve a call according to the fault mode."""
         self.calls += 1
         if self.mode == "busy":
-            send(request, 503, b"{}")
+            send_reply(request, 503, b"{}")
         elif self.mode == "slow":
             self.reactor.callLater(RESPONSE_DELAY_S, self.serve, request)
         else:
@@ -134,7 +134,7 @@
         elif path == "/kv-txn":
             self.write_transaction(request)
         elif path == "/kv-lease":
-            ttl_s = msgspec.json.decode(body_of(request))["TtlMs"] / 1000.0
+            ttl_s = msgspec.json.decode(request_body(request))["TtlMs"] / 1000.0
             name = self.values.grant(ttl_s, self.reactor.seconds())
             lease = int(name.rpartition("-")[2])
             content = {"Lease": lease, "TtlMs": int(ttl_s * 1000)}
@@ -155,8 +155,8 @@
 
     def read_range(self, request: Request) -> dict[str, object]:
         """Return one page of a listing."""
-        after = argument(request, "after", "")
-        held = self.values.scan(argument(request, "Prefix", ""))
+        after = query_argument(request, "after", "")
+        held = self.values.scan(query_argument(request, "Prefix", ""))
         found = [one for one in held if one.key > after]
         return {
             "items": [encode_item(one) for one in found[:PAGE_KEYS]],
@@ -166,14 +166,14 @@
 
     def start_watch(self, request: Request) -> None:
         """Answer a watch or keep it pending; 410 if its revision is compacted."""
-        after = int(argument(request, "after", "0"))
+        after = int(query_argument(request, "after", "0"))
         if after < self.compacted_at:
             self.reply(request, 410, {})
             return
-        watch = Watch(request, argument(request, "Prefix", ""), after)
+        watch = Watch(request, query_argument(request, "Prefix", ""), after)
         self.watches[watch] = None
         self.answer_watch(watch, False)
-        wait_s = int(argument(request, "WaitMs", "0")) / 1000.0
+        wait_s = int(query_argument(request, "WaitMs", "0")) / 1000.0
         self.reactor.callLater(wait_s, self.answer_watch, watch, True)
 
     def answer_watch(self, watch: Watch, ended: bool) -> None:
@@ -190,7 +190,7 @@
 
     def write_transaction(self, request: Request) -> None:
         """Write the keys of a transaction; gateways send no conditions."""
-        body = msgspec.json.decode(body_of(request))
+        body = msgspec.json.decode(request_body(request))
         now = self.reactor.seconds()
         for put in body["Puts"]:
             lease = f"lease-{put['Lease']}" if put["Lease"] else ""
@@ -209,13 +209,13 @@
     def reply_to_write(self, request: Request, status: int, content: object) -> None:
         """Answer a write; in mode ``lost`` a share of the answers is dropped."""
         if self.mode == "lost" and self.rng.random() < LOST_REPLY_SHARE:
-            cut(request)
+            abort_connection(request)
         else:
             self.reply(request, status, content)
 
     def reply(self, request: Request, status: int, content: object) -> None:
         """Send a JSON answer."""
-        send(request, status, msgspec.json.encode(content))
+        send_reply(request, status, msgspec.json.encode(content))
 
 
 def encode_item(held: Held) -> WireEvent:
--- a/bench/target_scenes.py
+++ b/bench/target_scenes.py
@@ -12,8 +12,8 @@
 import structlog
 import typer
 
-from bench.loopback import LoopReactor
-from bench.target import TargetRig
+from bench.memory_reactor import MemoryReactor
+from bench.target import TargetGroup
 from bench.target_host import ListeningReactor
 from bench.target_settings import Control, ReplicaSettings, TargetSettings
 from sardinehook.environment.document import Index, Replica
@@ -49,11 +49,11 @@
     seed: int, cold_start_slots: int, gap_s: float, fault: Control | None
 ) -> Figures:
     """Load one target for ten seconds, with ``fault`` every two seconds."""
-    reactor = LoopReactor()
+    reactor = MemoryReactor()
     settings = ReplicaSettings(
         service="s", index="i", name="s-a", slots=SLOTS, straggler_rate=0.01
     )
-    rig = TargetRig(
+    rig = TargetGroup(
         cast(ListeningReactor, reactor), TargetSettings([settings], seed=seed)
     )
     rig.listen()
@@ -69,9 +69,9 @@
 
 
 def load(
-    reactor: LoopReactor,
+    reactor: MemoryReactor,
     owner: TargetOwner,
-    rig: TargetRig,
+    rig: TargetGroup,
     gap_s: float,
     fault: Control | None,
     replies: list[tuple[SubReply, float]],
@@ -95,7 +95,7 @@
 
 
 def keep(
-    replies: list[tuple[SubReply, float]], reactor: LoopReactor, begun_at: float
+    replies: list[tuple[SubReply, float]], reactor: MemoryReactor, begun_at: float
 ) -> Callable[[SubReply], None]:
     """Return a function that keeps a reply with its latency."""
     return lambda reply: replies.append(
@@ -103,7 +103,7 @@
     )
 
 
-def figures(replies: list[tuple[SubReply, float]], rig: TargetRig) -> Figures:
+def figures(replies: list[tuple[SubReply, float]], rig: TargetGroup) -> Figures:
     """Sum up one run."""
     outcomes = Counter(reply.outcome for reply, _ in replies)
     answered = [ms for reply, ms in replies if reply.outcome is Outcome.ANSWERED]
--- a/tests/order/test_order_histories.py
+++ b/tests/order/test_order_histories.py
@@ -1,4 +1,7 @@
-"""Orders under any mix of faults, judged by their history."""
+"""Stateful tests: histories of orders under random faults are checked.
+
+Mutations of the order code must be detected by the same checks.
+"""
 
 from __future__ import annotations
 
@@ -20,8 +23,8 @@
 from sardinehook.order import attempt as attempt_module
 from sardinehook.order import coordinator as coordinator_module
 from sardinehook.order.attempt import Attempt
-from sardinehook.order.claim import OrderClaim, judge_reply
-from sardinehook.order.claim_store import ClaimStore, Swap, Unavailable, Written
+from sardinehook.order.claim import OrderClaim, apply_reply
+from sardinehook.order.claim_store import ClaimStore, SwapResult, Unavailable, Written
 from sardinehook.order.coordinator import OrderState, OrderStatus
 from tests.order.rig import Fate, OrderRig
 
@@ -123,9 +126,9 @@
 
 
 class RetryingAttempt(Attempt):
-    """Sends an order again when its connection is lost."""
+    """Mutation: sends an order again after its connection is lost."""
 
-    def _end_unknown(self, detail: str) -> None:
+    def _set_outcome_unknown(self, detail: str) -> None:
         if not self.order.given_up:
             self.order.given_up = True
             self.order.awaits_reply = True
@@ -133,20 +136,20 @@
             reply.addCallback(lambda again: self._on_reply(again, again.sub_query_id))
 
 
-class SendingFirstAttempt(Attempt):
-    """Sends an order before its key is claimed."""
+class SendBeforeClaimAttempt(Attempt):
+    """Mutation: sends an order before its key is claimed."""
 
     async def run(self) -> None:
         reply = self.ports.send(self._sub_query(1000.0))
         claim = await self._claim()
         if claim is not None:
-            self._hold(claim, self.order.revision)
+            self._set_claim(claim, self.order.revision)
             reply.addCallback(lambda got: self._on_reply(got, got.sub_query_id))
-        self._end_claiming()
+        self._finish_claiming()
 
 
-class IgnoringDeadlineAttempt(Attempt):
-    """Sends an order though its callers were told that it was given up."""
+class DeadlineIgnoringAttempt(Attempt):
+    """Mutation: sends an order that was reported to its callers as given up."""
 
     def _send(self, claim: OrderClaim) -> None:
         self.order.given_up = False
@@ -154,10 +157,10 @@
         super()._send(claim)
 
 
-class TrustingClaimStore(ClaimStore):
-    """Takes a claim whose reply was lost to stand."""
+class UnconfirmedClaimStore(ClaimStore):
+    """Mutation: treats a swap whose reply was lost as written."""
 
-    async def swap(self, claim: OrderClaim, expect: int, lease: str) -> Swap:
+    async def swap(self, claim: OrderClaim, expect: int, lease: str) -> SwapResult:
         swap = await super().swap(claim, expect, lease)
         if isinstance(swap, Unavailable) and swap.may_have_taken_effect:
             return Written(expect)
@@ -165,51 +168,59 @@
 
 
 def not_run_after_lost_connection(claim: OrderClaim, reply: SubReply) -> OrderClaim:
-    """Judge a lost connection to mean "not run"."""
+    """Mutation: takes a lost connection as proof of "not run"."""
     if reply.outcome is Outcome.CONNECTION_LOST:
         return claim.not_run(Problem(ErrorKind.TARGET_UNAVAILABLE, "lost"))
-    return judge_reply(claim, reply)
+    return apply_reply(claim, reply)
 
 
-def taken_over_when_abandoned(
+def replaced_when_abandoned(
     self: Attempt, claim: OrderClaim, revision: int
 ) -> Deferred[int | None]:
-    """Replace another attempt's claim once its time is over."""
+    """Mutation: replaces another attempt's claim once it is abandoned."""
 
-    async def yield_to() -> int | None:
-        if claim.abandoned(self.ports.wall_ms()):
+    async def wait_for_holder() -> int | None:
+        if claim.is_abandoned(self.ports.wall_ms()):
             return revision
-        return await YIELD_TO(self, claim, revision)
+        return await WAIT_FOR_HOLDER(self, claim, revision)
 
-    return Deferred.fromCoroutine(yield_to())
+    return Deferred.fromCoroutine(wait_for_holder())
 
 
-YIELD_TO = Attempt._yield_to
+WAIT_FOR_HOLDER = Attempt._wait_for_holder
 
 MUTATIONS = {
     "retries": (coordinator_module, "Attempt", RetryingAttempt),
-    "sends before claiming": (coordinator_module, "Attempt", SendingFirstAttempt),
+    "sends before claiming": (coordinator_module, "Attempt", SendBeforeClaimAttempt),
     "sends after its deadline": (
         coordinator_module,
         "Attempt",
-        IgnoringDeadlineAttempt,
+        DeadlineIgnoringAttempt,
+    ),
+    "treats an unconfirmed claim as stored": (
+        coordinator_module,
+        "ClaimStore",
+        UnconfirmedClaimStore,
     ),
-    "trusts an unsettled claim": (coordinator_module, "ClaimStore", TrustingClaimStore),
     "says not run after a lost connection": (
         attempt_module,
-        "judge_reply",
+        "apply_reply",
         not_run_after_lost_connection,
     ),
-    "takes over an abandoned claim": (Attempt, "_yield_to", taken_over_when_abandoned),
+    "takes over an abandoned claim": (
+        Attempt,
+        "_wait_for_holder",
+        replaced_when_abandoned,
+    ),
 }
 
 
 class TestOrderHistories:
-    def test_every_history_keeps_the_promises(self) -> None:
+    def test_every_history_satisfies_the_checks(self) -> None:
         run_state_machine_as_test(OrderMachine, settings=MACHINE_SETTINGS)
 
     @pytest.mark.parametrize("name", MUTATIONS)
-    def test_broken_desk_is_caught(
+    def test_mutation_is_detected(
         self, name: str, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         owner, attribute, mutation = MUTATIONS[name]
