--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -1,4 +1,4 @@
-"""What callers, replicas and the store saw in a soak."""
+"""Observations of callers, replicas and the store during a soak."""
 
 from __future__ import annotations
 
@@ -8,17 +8,17 @@
 __all__ = [
     "Answer",
     "Attempt",
+    "Execution",
     "History",
     "Interval",
-    "Leaving",
-    "Part",
+    "ReplicaAnswer",
     "Revision",
-    "Run",
+    "Withdrawal",
 ]
 
 
-class Part(NamedTuple):
-    """What a replica answered: its signature, and its records or bytes."""
+class ReplicaAnswer(NamedTuple):
+    """An answer that a replica sent, identified by its ``X-Server-Stamp`` signature."""
 
     signature: str
     service: str
@@ -26,8 +26,8 @@
     body: bytes
 
 
-class Run(NamedTuple):
-    """A request that a replica began to work on; times are monotonic seconds."""
+class Execution(NamedTuple):
+    """Execution of a request by a replica; ``at`` is monotonic, in seconds."""
 
     request: str
     replica: str
@@ -40,7 +40,7 @@
 
 
 class Answer(NamedTuple):
-    """A whole answer to a caller."""
+    """A complete answer that a caller received."""
 
     status: int
     headers: dict[str, str]
@@ -50,10 +50,10 @@
 
 @dataclass
 class Attempt:
-    """One request of a caller to one gateway; ``end`` tells how it ended.
+    """A request of a caller to one gateway, and how it ended.
 
     ``end`` is ``answered``, ``closed``, ``unconnected``, ``expired`` or ``left``.
-    ``kept`` is set where the connection had carried requests before.
+    ``reused_connection`` is set if the connection had carried earlier requests.
     """
 
     request: str
@@ -63,18 +63,18 @@
     method: str
     target: str
     body: bytes
-    patience_s: float
+    timeout_s: float
     sent_at: float
-    kept: bool = False
+    reused_connection: bool = False
     end: str = ""
     ended_at: float = 0.0
     answer: Answer | None = None
 
 
 class Revision(NamedTuple):
-    """A configuration, when it was sent and acknowledged, and what it allows.
+    """A configuration version with the times of its write and acknowledgement.
 
-    ``services`` has, for each prefix, the services that may run its requests.
+    ``services`` maps a route prefix to the services that may run its requests.
     """
 
     version: int
@@ -83,8 +83,8 @@
     services: dict[str, tuple[str, ...]]
 
 
-class Leaving(NamedTuple):
-    """A replica, or a data centre, that was to get nothing from a moment on."""
+class Withdrawal(NamedTuple):
+    """A period in which a draining or evacuated replica must get no new requests."""
 
     replica: str
     acked_at: float
@@ -92,7 +92,7 @@
 
 
 class Interval(NamedTuple):
-    """A time in which something was disturbed."""
+    """A time span of a gateway, a replica or the store, in seconds."""
 
     name: str
     start: float
@@ -101,37 +101,37 @@
 
 @dataclass
 class History:
-    """Everything that the checks look at."""
+    """All observations that the checks evaluate."""
 
     attempts: dict[str, Attempt] = field(default_factory=dict)
-    runs: list[Run] = field(default_factory=list)
-    parts: dict[str, Part] = field(default_factory=dict)
+    executions: list[Execution] = field(default_factory=list)
+    replica_answers: dict[str, ReplicaAnswer] = field(default_factory=dict)
     revisions: list[Revision] = field(default_factory=list)
-    draining: list[Leaving] = field(default_factory=list)
-    evacuated: list[Leaving] = field(default_factory=list)
-    # Replicas in their cold start.
-    cold: list[Interval] = field(default_factory=list)
-    disturbed: list[Interval] = field(default_factory=list)
-    stops: list[Interval] = field(default_factory=list)
+    draining: list[Withdrawal] = field(default_factory=list)
+    evacuated: list[Withdrawal] = field(default_factory=list)
+    # Cold start periods by replica.
+    cold_starts: list[Interval] = field(default_factory=list)
+    disturbances: list[Interval] = field(default_factory=list)
+    planned_stops: list[Interval] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
     recovered_at: float = 0.0
-    # The gateways that may have sent on what one of them took.
-    helpers: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    # For each gateway, the gateways that may send its requests to replicas.
+    forwarders: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
-    def disturb(self, name: str, start: float, end: float) -> None:
-        """Note that a gateway, or the store, is disturbed for a time."""
-        self.disturbed.append(Interval(name, start, end))
+    def record_disturbance(self, name: str, start: float, end: float) -> None:
+        """Record that a gateway, a replica or the store is disturbed for a time."""
+        self.disturbances.append(Interval(name, start, end))
 
-    def is_calm(self, names: tuple[str, ...], start: float, end: float) -> bool:
-        """Tell whether none of these was disturbed in a span."""
+    def is_undisturbed(self, names: tuple[str, ...], start: float, end: float) -> bool:
+        """Return whether none of the names was disturbed in a time span."""
         return not any(
             interval.name in names and interval.start < end and interval.end > start
-            for interval in self.disturbed
+            for interval in self.disturbances
         )
 
-    def runs_of(self) -> dict[str, list[Run]]:
-        """Group the runs by request."""
-        found: dict[str, list[Run]] = {}
-        for run in self.runs:
-            found.setdefault(run.request, []).append(run)
+    def executions_by_request(self) -> dict[str, list[Execution]]:
+        """Group the executions by request."""
+        found: dict[str, list[Execution]] = {}
+        for execution in self.executions:
+            found.setdefault(execution.request, []).append(execution)
         return found
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -1,4 +1,4 @@
-"""Stand-in of a replica: answers searches and orders, and misbehaves on demand."""
+"""Test server of a replica: answers searches and orders, with fault modes."""
 
 from __future__ import annotations
 
@@ -10,24 +10,24 @@
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
 from twisted.python.failure import Failure
 
-from bench.soak.history import History, Part, Run
+from bench.soak.history import Execution, History, ReplicaAnswer
 from sardinehook.gateway.reactor import GatewayReactor
 
 __all__ = ["ReplicaServer"]
 
 SLOTS = 2
-QUEUE = 12
-RECORDS = 3
-FAULTY_SHARE = 0.4  # of the answers, while a replica misbehaves
-LATE_EXTRA_S = 0.05
+QUEUE_LIMIT = 12
+RECORDS_PER_ANSWER = 3
+FAULTY_SHARE = 0.4  # of answers, in a fault mode
+DUPLICATE_DELAY_S = 0.05
 
 
 class ReplicaServer(ServerFactory):
-    """One replica with its slots and queue; ``mode`` is how it misbehaves.
+    """A replica with slots and a queue; ``mode`` selects a fault.
 
-    ``errors`` fails requests after running them, ``garble`` breaks answers off,
-    ``extra`` sends each twice, ``lost`` runs requests and drops the answer, ``pause``
-    holds everything up.
+    ``errors`` fails requests after running them, ``garble`` truncates answers,
+    ``extra`` sends them twice, ``lost`` closes the connection instead of answering,
+    ``pause`` starts no request.
     """
 
     noisy = False
@@ -54,57 +54,57 @@
         self.most_connections = 0
 
     def buildProtocol(self, addr: object) -> ReplicaConnection:
-        """Return the protocol of a connection."""
+        """Return a new protocol for an accepted connection."""
         return ReplicaConnection(self)
 
-    def opened(self, connection: ReplicaConnection) -> None:
-        """Count a connection."""
+    def connection_opened(self, connection: ReplicaConnection) -> None:
+        """Track a connection and the peak number of open connections."""
         self.connections.add(connection)
         most = max(self.history.connections.get(self.name, 0), len(self.connections))
         self.history.connections[self.name] = most
 
     def admit(self, connection: ReplicaConnection) -> None:
-        """Run a request, queue it, or refuse it."""
+        """Run a request, queue it, or refuse it with 503 if the queue is full."""
         if self.running < SLOTS and self.mode != "pause":
             self.run(connection)
-        elif len(self.queue) < QUEUE:
+        elif len(self.queue) < QUEUE_LIMIT:
             self.queue.append(connection)
         else:
             connection.refuse(503)
 
     def run(self, connection: ReplicaConnection) -> None:
-        """Work on a request."""
+        """Run a request for a random service time."""
         self.running += 1
-        connection.note_run()
+        connection.record_execution()
         took_s = self.work_s * self.rng.uniform(0.7, 1.5)
-        self.reactor.callLater(took_s, self.end, connection)
+        self.reactor.callLater(took_s, self.finish_request, connection)
 
-    def end(self, connection: ReplicaConnection) -> None:
-        """Answer a request and begin the next one."""
+    def finish_request(self, connection: ReplicaConnection) -> None:
+        """Answer a request and start the next queued one."""
         self.running -= 1
         connection.finish()
-        self.resume()
+        self.run_queued()
 
-    def resume(self) -> None:
-        """Work on what is queued."""
+    def run_queued(self) -> None:
+        """Start queued requests while slots are free."""
         while self.queue and self.running < SLOTS and self.mode != "pause":
             connection = self.queue.pop(0)
             if connection.open:
                 self.run(connection)
 
     def set_mode(self, mode: str) -> None:
-        """Begin or end to misbehave."""
+        """Set the fault mode, empty for none."""
         self.mode = mode
-        self.resume()
+        self.run_queued()
 
     def close(self) -> None:
-        """End all connections."""
+        """Abort all connections."""
         for connection in list(self.connections):
             connection.tcp.abortConnection()
 
 
 class ReplicaConnection(Protocol):
-    """One connection, with one request at a time."""
+    """A server connection; one request at a time, no pipelining."""
 
     def __init__(self, replica: ReplicaServer) -> None:
         self.replica = replica
@@ -113,54 +113,54 @@
         self.reset()
 
     def reset(self) -> None:
-        """Forget the last request."""
+        """Reset the parser and the buffers for the next request."""
         self.parser = HttpRequestParser(self)
         self.target = b""
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
-        self.whole = False
+        self.complete = False
 
     def connectionMade(self) -> None:
-        """Count the connection."""
+        """Register the connection with the replica."""
         tcp: Any = self.transport
         self.tcp = tcp
         self.open = True
-        self.replica.opened(self)
+        self.replica.connection_opened(self)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Forget the connection."""
+        """Remove the connection from the replica."""
         self.open = False
         self.replica.connections.discard(self)
 
     def dataReceived(self, data: bytes) -> None:
-        """Read a request."""
+        """Parse a request and dispatch it when complete."""
         try:
             self.parser.feed_data(data)
         except HttpParserError:
             self.tcp.abortConnection()
             return
-        if self.whole:
-            self.whole = False
-            self.take()
+        if self.complete:
+            self.complete = False
+            self.dispatch()
 
     def on_url(self, url: bytes) -> None:
-        """Keep a part of the target."""
+        """Append a part of the request target."""
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Keep a header."""
+        """Store a header under its lower-case name."""
         self.headers[name.lower()] = value
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the body."""
+        """Append a part of the body."""
         self.body += body
 
     def on_message_complete(self) -> None:
-        """Note that the request is whole."""
-        self.whole = True
+        """Mark the request as complete."""
+        self.complete = True
 
-    def take(self) -> None:
-        """Take a request in, unless it is for another replica."""
+    def dispatch(self) -> None:
+        """Admit a request; refuse it with 421 if it expects another replica."""
         expected = self.headers.get(b"x-expect-instance", b"").decode()
         if expected and expected != self.replica.name:
             self.refuse(421)
@@ -169,14 +169,14 @@
 
     @property
     def request(self) -> str:
-        """The id of the request."""
+        """The request id from the header."""
         return self.headers.get(b"x-request-id", b"").decode()
 
-    def note_run(self) -> None:
-        """Record that the replica works on the request."""
+    def record_execution(self) -> None:
+        """Record the start of the request's execution in the history."""
         deadline = self.headers.get(b"x-deadline-ms", b"0")
         replica = self.replica
-        run = Run(
+        execution = Execution(
             self.request,
             replica.name,
             replica.service,
@@ -186,14 +186,14 @@
             self.body,
             float(deadline),
         )
-        replica.history.runs.append(run)
+        replica.history.executions.append(execution)
 
     def refuse(self, status: int) -> None:
-        """Answer that the request was not run."""
+        """Answer with a status and the header that the request was not executed."""
         self.write(status, "", b"", b"X-Not-Executed: 1\r\n")
 
     def finish(self) -> None:
-        """Answer the request that was run."""
+        """Answer an executed request, or apply the fault mode to a share of them."""
         replica = self.replica
         if not self.open:
             return
@@ -201,36 +201,42 @@
         if faulty == "lost":
             self.tcp.abortConnection()
             return
-        part = self.make_part()
+        answer = self.make_answer()
         if faulty == "errors":
-            self.write(500, part.signature, b"failed")
+            self.write(500, answer.signature, b"failed")
             return
-        replica.history.parts[part.signature] = part
+        replica.history.replica_answers[answer.signature] = answer
         if faulty == "garble":
-            self.write(200, part.signature, part.body, cut=len(part.body) // 2)
+            self.write(200, answer.signature, answer.body, cut=len(answer.body) // 2)
             return
-        self.write(200, part.signature, part.body)
+        self.write(200, answer.signature, answer.body)
         if faulty == "extra":
-            replica.reactor.callLater(LATE_EXTRA_S, self.repeat, part)
+            replica.reactor.callLater(DUPLICATE_DELAY_S, self.send_duplicate, answer)
 
-    def make_part(self) -> Part:
-        """Make the answer to the request."""
+    def make_answer(self) -> ReplicaAnswer:
+        """Create the answer; replicas of a service return the same records."""
         replica = self.replica
         nonce = replica.rng.getrandbits(32)
         signature = f"{self.request}.{replica.name}.{nonce:08x}"
         seed = f"{replica.service} {self.request}".encode()
         records = [
             blake2b(seed, digest_size=16, salt=bytes([number])).digest()
-            for number in range(RECORDS)
+            for number in range(RECORDS_PER_ANSWER)
         ]
         tail = b"tail"[: replica.rng.randrange(4)]
-        return Part(signature, replica.service, replica.name, b"".join(records) + tail)
+        return ReplicaAnswer(
+            signature, replica.service, replica.name, b"".join(records) + tail
+        )
 
-    def repeat(self, part: Part) -> None:
-        """Send an answer that nobody asked for."""
+    def send_duplicate(self, answer: ReplicaAnswer) -> None:
+        """Send an answer a second time, without a request for it."""
         if self.open:
-            request = part.signature.partition(".")[0]
-            self.tcp.write(encode(200, part.signature, part.body, echo(request)))
+            request = answer.signature.partition(".")[0]
+            self.tcp.write(
+                encode_response(
+                    200, answer.signature, answer.body, request_id_header(request)
+                )
+            )
 
     def write(
         self,
@@ -240,32 +246,32 @@
         extra: bytes = b"",
         cut: int | None = None,
     ) -> None:
-        """Write an answer, or only a part of its body."""
+        """Write an answer; with ``cut``, leave out that many bytes and close."""
         if not self.open:
             return
-        extra += echo(self.request) + self.load()
-        whole = encode(status, signature, body, extra)
+        extra += request_id_header(self.request) + self.load_header()
+        response = encode_response(status, signature, body, extra)
         if cut is None:
-            self.tcp.write(whole)
+            self.tcp.write(response)
             self.reset()
         else:
-            self.tcp.write(whole[: len(whole) - cut])
+            self.tcp.write(response[: len(response) - cut])
             self.tcp.loseConnection()
 
-    def load(self) -> bytes:
-        """Return the header with the load."""
+    def load_header(self) -> bytes:
+        """Return the load header: running, queued, slots."""
         replica = self.replica
-        told = f"{replica.running},{len(replica.queue)},{SLOTS}"
-        return f"X-Server-Load: {told}\r\n".encode()
+        load = f"{replica.running},{len(replica.queue)},{SLOTS}"
+        return f"X-Server-Load: {load}\r\n".encode()
 
 
-def echo(request: str) -> bytes:
-    """Return the header that names the request that is answered."""
+def request_id_header(request: str) -> bytes:
+    """Return the header with the id of the answered request."""
     return f"X-Request-Id: {request}\r\n".encode()
 
 
-def encode(status: int, signature: str, body: bytes, extra: bytes) -> bytes:
-    """Return the bytes of an answer."""
+def encode_response(status: int, signature: str, body: bytes, extra: bytes) -> bytes:
+    """Encode an HTTP answer."""
     lines = f"HTTP/1.1 {status} Told\r\nContent-Length: {len(body)}\r\n".encode()
     if signature:
         lines += f"X-Server-Stamp: {signature}\r\n".encode()
