--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -28,9 +28,9 @@
 RESTARTS_PER_DAY = 890
 SECONDS_PER_DAY = 86_400
 TARGET_BATCH_WINDOW_S = 0.002
-MEMORY_MB = 64.0
+MEMORY_LIMIT_MB = 64.0
 ROSTER_ENTRY_BYTES = 64
-VIEW_BYTES = 64
+VIEW_ENTRY_BYTES = 64
 
 
 class Slopes(TypedDict):
@@ -48,15 +48,17 @@
     return msgspec.json.decode(path.read_bytes(), type=Slopes)["figures"]
 
 
-def data_path() -> dict[str, float]:
+def data_path_figures() -> dict[str, float]:
     """Work out the data path."""
-    cost = read_slopes("subquery-cost")
+    cost_slopes = read_slopes("subquery-cost")
     policy_us = read_slopes("fanout-growth")["fan_out_740_us"]
     per_node = QUERIES_PER_S * FAN_OUT / NODES
     owners = NODES * (1.0 - math.exp(-FAN_OUT / NODES))
-    link_us = 2 * cost["link_batch_1_us"]
-    relayed_us = 2 * (cost["link_batch_100_us"] + cost["link_batch_10_us"])
-    transport_us = cost["transport_owner_us"]
+    link_us = 2 * cost_slopes["link_batch_1_us"]
+    relayed_us = 2 * (
+        cost_slopes["link_batch_100_us"] + cost_slopes["link_batch_10_us"]
+    )
+    transport_us = cost_slopes["transport_owner_us"]
     total_us = policy_us + link_us + transport_us
     per_replica = QUERIES_PER_S * FAN_OUT / REPLICAS
     target_batch = max(1.0, per_replica * TARGET_BATCH_WINDOW_S)
@@ -65,9 +67,9 @@
         "sub_queries_million": QUERIES_PER_S * FAN_OUT / 1e6,
         "per_node": per_node,
         "policy_us": policy_us,
-        "link_1_us": 2 * cost["link_batch_1_us"],
-        "link_10_us": 2 * cost["link_batch_10_us"],
-        "link_100_us": 2 * cost["link_batch_100_us"],
+        "link_1_us": 2 * cost_slopes["link_batch_1_us"],
+        "link_10_us": 2 * cost_slopes["link_batch_10_us"],
+        "link_100_us": 2 * cost_slopes["link_batch_100_us"],
         "relayed_us": relayed_us,
         "relayed_total_us": policy_us + relayed_us + transport_us,
         "relayed_cores": per_node * (policy_us + relayed_us + transport_us) / 1e6,
@@ -88,53 +90,61 @@
     }
 
 
-def control() -> dict[str, float]:
+def control_figures() -> dict[str, float]:
     """Work out control."""
-    rest = read_slopes("control")
-    membership = read_slopes("membership-cost")
-    calls_a_centre = rest["nodes_15_store_calls_per_s"] / 3
-    per_centre = NODES / DATA_CENTRES
+    control_slopes = read_slopes("control")
+    membership_slopes = read_slopes("membership-cost")
+    store_calls_per_data_centre = control_slopes["nodes_15_store_calls_per_s"] / 3
+    nodes_per_data_centre = NODES / DATA_CENTRES
     roster_changes = 2 * RESTARTS_PER_DAY / DATA_CENTRES / SECONDS_PER_DAY
-    roster_bytes = roster_changes * per_centre * ROSTER_ENTRY_BYTES * 2
-    slope_mb = (rest["replicas_4300_memory_mb"] - rest["replicas_100_memory_mb"]) / 4200
-    memory = rest["nodes_15_memory_mb"] + rest["replicas_4300_memory_mb"]
-    view_bytes = VIEW_BYTES * REPLICAS
+    roster_bytes = roster_changes * nodes_per_data_centre * ROSTER_ENTRY_BYTES * 2
+    slope_mb = (
+        control_slopes["replicas_4300_memory_mb"]
+        - control_slopes["replicas_100_memory_mb"]
+    ) / 4200
+    memory_mb = (
+        control_slopes["nodes_15_memory_mb"] + control_slopes["replicas_4300_memory_mb"]
+    )
+    view_bytes = VIEW_ENTRY_BYTES * REPLICAS
     return {
-        "rest_percent": rest["nodes_15_processor_percent"],
-        "rest_memory": rest["nodes_15_memory_mb"],
+        "rest_percent": control_slopes["nodes_15_processor_percent"],
+        "rest_memory": control_slopes["nodes_15_memory_mb"],
         "kb_per_replica": slope_mb * 1024,
-        "state_memory": rest["replicas_4300_memory_mb"],
-        "memory": memory,
-        "memory_factor": memory / MEMORY_MB,
-        "apply_ms": rest["replicas_4300_apply_ms"],
-        "apply_percent": rest["replicas_4300_apply_ms"]
+        "state_memory": control_slopes["replicas_4300_memory_mb"],
+        "memory": memory_mb,
+        "memory_factor": memory_mb / MEMORY_LIMIT_MB,
+        "apply_ms": control_slopes["replicas_4300_apply_ms"],
+        "apply_percent": control_slopes["replicas_4300_apply_ms"]
         / 10
         * CHANGES_PER_DAY
         / SECONDS_PER_DAY,
-        "calls_3": rest["nodes_3_store_calls_per_s"],
-        "calls_6": rest["nodes_6_store_calls_per_s"],
-        "calls_15": rest["nodes_15_store_calls_per_s"],
-        "calls_a_centre": calls_a_centre,
-        "calls": calls_a_centre * DATA_CENTRES,
-        "membership_9": rest["membership_9_bytes_per_s"],
-        "membership_60": rest["membership_60_bytes_per_s"],
-        "membership_550": membership["bytes_per_s"],
-        "membership_550_restarts": membership["bytes_per_s_in_restarts"],
-        "membership_percent": membership["processor_percent"],
-        "death_all_s": membership["detected_all_s"],
+        "calls_3": control_slopes["nodes_3_store_calls_per_s"],
+        "calls_6": control_slopes["nodes_6_store_calls_per_s"],
+        "calls_15": control_slopes["nodes_15_store_calls_per_s"],
+        "calls_a_centre": store_calls_per_data_centre,
+        "calls": store_calls_per_data_centre * DATA_CENTRES,
+        "membership_9": control_slopes["membership_9_bytes_per_s"],
+        "membership_60": control_slopes["membership_60_bytes_per_s"],
+        "membership_550": membership_slopes["bytes_per_s"],
+        "membership_550_restarts": membership_slopes["bytes_per_s_in_restarts"],
+        "membership_percent": membership_slopes["processor_percent"],
+        "death_all_s": membership_slopes["detected_all_s"],
         "roster_bytes": roster_bytes,
         "roster_changes_per_hour": roster_changes * 3600,
         "view_round_kb": view_bytes / 1024,
         "view_bytes_hourly": 2 * view_bytes / 3600,
-        "nodes_a_centre": per_centre,
+        "nodes_a_centre": nodes_per_data_centre,
         "replicas_a_node": REPLICAS / NODES,
-        "bytes": membership["bytes_per_s"] + roster_bytes + 2 * view_bytes / 3600 + 25,
+        "bytes": membership_slopes["bytes_per_s"]
+        + roster_bytes
+        + 2 * view_bytes / 3600
+        + 25,
     }
 
 
 def render_capacity() -> str:
     """Render the page."""
-    values = {**data_path(), **control()}
+    values = {**data_path_figures(), **control_figures()}
     return TEMPLATE.read_text().format(**values)
 
 
--- a/bench/experiments/common.py
+++ b/bench/experiments/common.py
@@ -20,16 +20,16 @@
     "replicas_of",
     "services_of",
     "storm_stream",
-    "szovetseg",
+    "szovetseg_deployment",
     "with_hedge",
 ]
 
 STORM_RATE_PER_S = 40.0
 LOOKUP_RATE_PER_S = 40.0
-STORM = "storm-night"
+STORM_WORKLOAD = "storm-night"
 
 
-def szovetseg(
+def szovetseg_deployment(
     entries: int = 2, **behaviour: float | int | str | bool | list[int]
 ) -> Deployment:
     """Return the Szovetseg's production environment with some entry VMs in each
@@ -69,7 +69,7 @@
     """Return the deployment with another hedge policy for the storm night."""
     document = change_workload(
         deployment.document,
-        STORM,
+        STORM_WORKLOAD,
         lambda workload: workload._replace(hedge=hedge, hedge_delay_ms=delay_ms),
     )
     return deployment._replace(document=document)
@@ -78,7 +78,7 @@
 def storm_stream(options: Options, to_s: float = 8.0, factor: float = 1.0) -> Stream:
     """Searches of the storm night over all fifty services."""
     rate = STORM_RATE_PER_S * options.scale * factor
-    return Stream(STORM, rate, 0.0, to_s, 150.0, limit=20)
+    return Stream(STORM_WORKLOAD, rate, 0.0, to_s, 150.0, limit=20)
 
 
 def lookup_stream(options: Options, to_s: float = 8.0) -> Stream:
--- a/bench/experiments/costs.py
+++ b/bench/experiments/costs.py
@@ -11,53 +11,53 @@
 
 from bench.computation import Computation, Findings
 from bench.experiment import AT_MOST, Bound, Options
-from bench.measure_force import Head, usage
+from bench.measure_force import HeadClient, read_usage
 from bench.membership_cost import measure as measure_membership
-from bench.policy_cost import cost_us
+from bench.policy_cost import measure_policy_us
 from bench.rig import Deployment, Rig, load_example
-from bench.state_cost import SIZES, measure_state
+from bench.state_cost import SIZES, measure_in_subprocess
 
 __all__ = ["CONTROL", "FANOUT_GROWTH", "MEMBERSHIP_COST", "SUBQUERY_COST"]
 
-ENTRIES_A_DATA_CENTRE = (1, 2, 5)
+ENTRIES_PER_DATA_CENTRE = (1, 2, 5)
 SETTLE_S = 3.0
-REST_S = 4.0
+IDLE_S = 4.0
 FULL_SIZE = (550, 7)
 MEMBERSHIP_SIZES = ((9, 3), (60, 3))
 FAN_OUTS = (1, 10, 50, 200, 740)
 LINK_BATCHES = (1, 10, 100)
-SAMPLES = 5
-TIMEOUT_S = 120.0
-FIGURE = re.compile(r"(\w+)=([0-9.]+)")
-LETTER = "letter: 2.4 % of a core, 64 MB and 3 KB/s for control"
-COST_AIM = "aim: 100 us or less for the whole path of a sub-query on an entry"
+POLICY_SAMPLES = 5
+PROGRAM_TIMEOUT_S = 120.0
+FIGURE_PATTERN = re.compile(r"(\w+)=([0-9.]+)")
+CONTROL_SOURCE = "letter: 2.4 % of a core, 64 MB and 3 KB/s for control"
+COST_SOURCE = "aim: 100 us or less for the whole path of a sub-query on an entry"
 
 
-def at_rest(entries: int) -> Mapping[str, float]:
+def measure_idle(entries: int) -> Mapping[str, float]:
     """Measure entry processes without load."""
     document = load_example("szovetseg-trial")
     deployment = Deployment(document, entries, target_processes=1)
     with Rig(deployment) as rig:
         time.sleep(SETTLE_S)
-        head = Head(rig)
-        calls, used = head.counts(), usage(rig)
-        time.sleep(REST_S)
-        later_calls, later = head.counts(), usage(rig)
+        head = HeadClient(rig)
+        calls_before, usage_before = head.counts(), read_usage(rig)
+        time.sleep(IDLE_S)
+        calls_after, usage_after = head.counts(), read_usage(rig)
         nodes = len(rig.places)
-    made = sum(later_calls.values()) - sum(calls.values())
-    spent_s = later.cpu_s - used.cpu_s
+    call_count = sum(calls_after.values()) - sum(calls_before.values())
+    cpu_s = usage_after.cpu_s - usage_before.cpu_s
     return {
-        f"nodes_{nodes}_store_calls_per_s": made / REST_S,
-        f"nodes_{nodes}_processor_percent": 100.0 * spent_s / REST_S / nodes,
-        f"nodes_{nodes}_memory_mb": later.resident_mb / nodes,
+        f"nodes_{nodes}_store_calls_per_s": call_count / IDLE_S,
+        f"nodes_{nodes}_processor_percent": 100.0 * cpu_s / IDLE_S / nodes,
+        f"nodes_{nodes}_memory_mb": usage_after.resident_mb / nodes,
     }
 
 
 def compute_control(options: Options) -> Findings:
     """Measure state, memory, processor time and messages of control."""
     figures: dict[str, float] = {}
-    for entries in ENTRIES_A_DATA_CENTRE:
-        figures.update(at_rest(entries))
+    for entries in ENTRIES_PER_DATA_CENTRE:
+        figures.update(measure_idle(entries))
     for nodes, data_centres in MEMBERSHIP_SIZES:
         cost = measure_membership(nodes, data_centres)
         figures[f"membership_{nodes}_bytes_per_s"] = cost.bytes_per_s
@@ -65,16 +65,16 @@
             cost.bytes_per_s_in_restarts
         )
     for size in SIZES:
-        state = measure_state(size)
+        state = measure_in_subprocess(size)
         figures[f"replicas_{size}_memory_mb"] = state.memory_mb
         figures[f"replicas_{size}_apply_ms"] = state.apply_ms
     memory = max(v for k, v in figures.items() if re.match(r"nodes_\d+_memory", k))
     percents = [v for k, v in figures.items() if k.endswith("processor_percent")]
     rates = [v for k, v in figures.items() if k.endswith("bytes_per_s")]
     bounds = [
-        Bound("processor_percent", max(percents), AT_MOST, 2.4, LETTER),
-        Bound("memory_mb", memory, AT_MOST, 64.0, LETTER),
-        Bound("bytes_per_s", max(rates), AT_MOST, 3000.0, LETTER),
+        Bound("processor_percent", max(percents), AT_MOST, 2.4, CONTROL_SOURCE),
+        Bound("memory_mb", memory, AT_MOST, 64.0, CONTROL_SOURCE),
+        Bound("bytes_per_s", max(rates), AT_MOST, 3000.0, CONTROL_SOURCE),
     ]
     return Findings(figures, bounds)
 
@@ -82,31 +82,33 @@
 def run_module(module: str, *arguments: str) -> str:
     """Run a measuring program of the bench and return what it printed."""
     command = [sys.executable, "-m", module, *arguments]
-    ended = subprocess.run(
-        command, capture_output=True, text=True, timeout=TIMEOUT_S, check=False
+    completed = subprocess.run(
+        command, capture_output=True, text=True, timeout=PROGRAM_TIMEOUT_S, check=False
     )
-    return ended.stdout
+    return completed.stdout
 
 
 def compute_sub_query(options: Options) -> Findings:
     """Measure the parts of a sub-query's path on an entry."""
     output = run_module("bench.subquery_cost")
-    figures = {f"transport_{k}": float(v) for k, v in FIGURE.findall(output)}
-    figures["policy_us"] = cost_us(50, SAMPLES)
+    figures = {f"transport_{k}": float(v) for k, v in FIGURE_PATTERN.findall(output)}
+    figures["policy_us"] = measure_policy_us(50, POLICY_SAMPLES)
     for batch in LINK_BATCHES:
         output = run_module(
             "bench.link_cost", "--transport", "link", "--batch", str(batch)
         )
         cost = json.loads(output)["processor_us_per_message"]
         figures[f"link_batch_{batch}_us"] = float(cost)
-    whole = figures["transport_owner_us"] + figures["policy_us"]
+    total_us = figures["transport_owner_us"] + figures["policy_us"]
     figures["agent_to_owner"] = figures.pop("transport_agent_to_owner")
-    return Findings(figures, [Bound("whole_us", whole, AT_MOST, 100.0, COST_AIM)])
+    return Findings(figures, [Bound("whole_us", total_us, AT_MOST, 100.0, COST_SOURCE)])
 
 
 def compute_fan_out(options: Options) -> Findings:
     """Measure how the policy's cost of a sub-query grows with the services asked."""
-    figures = {f"fan_out_{one}_us": cost_us(one, SAMPLES) for one in FAN_OUTS}
+    figures = {
+        f"fan_out_{one}_us": measure_policy_us(one, POLICY_SAMPLES) for one in FAN_OUTS
+    }
     growth = figures["fan_out_740_us"] / figures["fan_out_50_us"]
     source = "cost of a sub-query does not grow with the fan-out"
     return Findings(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
@@ -117,7 +119,9 @@
     cost = measure_membership(*FULL_SIZE)
     figures = {name: float(value) for name, value in cost._asdict().items()}
     in_restarts = cost.bytes_per_s_in_restarts
-    bounds = [Bound("bytes_per_s_in_restarts", in_restarts, AT_MOST, 3000.0, LETTER)]
+    bounds = [
+        Bound("bytes_per_s_in_restarts", in_restarts, AT_MOST, 3000.0, CONTROL_SOURCE)
+    ]
     return Findings(figures, bounds)
 
 
--- a/bench/experiments/fleet.py
+++ b/bench/experiments/fleet.py
@@ -19,7 +19,7 @@
     change_workload,
     lookup_stream,
     storm_stream,
-    szovetseg,
+    szovetseg_deployment,
 )
 from bench.judging import rule_bounds
 from bench.load import CallRecord
@@ -28,11 +28,13 @@
 
 __all__ = ["CONFIG", "MEMBERSHIP", "PARTITION", "ROLLING"]
 
-GRACEFUL = "brief: every planned stop cuts off no request"
-IN_FORCE = "today's aim: in force within 2 s at p99"
-FORCED = re.compile(r" time=([0-9.]+) .*event=revision_in_force .*revision=(\d+)")
-DELAY_MS = 4.5
-LOST = "bekes-c"
+STOP_SOURCE = "brief: every planned stop cuts off no request"
+PROPAGATION_SOURCE = "today's aim: in force within 2 s at p99"
+REVISION_IN_FORCE = re.compile(
+    r" time=([0-9.]+) .*event=revision_in_force .*revision=(\d+)"
+)
+DATA_CENTRE_DELAY_MS = 4.5
+CUT_OFF_DATA_CENTRE = "bekes-c"
 
 
 def restart_entry(rig: Rig, place: EntryPlace) -> None:
@@ -47,7 +49,7 @@
     rig.wait_ready(place)
 
 
-def rolling_trials(options: Options) -> Sequence[Trial]:
+def build_rolling_trials(options: Options) -> Sequence[Trial]:
     """Every entry process is stopped and started in turn under load."""
 
     def step(number: int) -> Step:
@@ -58,21 +60,21 @@
 
     streams = (storm_stream(options, 28.0), lookup_stream(options, 28.0))
     steps = [step(number) for number in range(6)]
-    return [Trial("product", szovetseg(), streams, steps, duration_s=28.0)]
+    return [Trial("product", szovetseg_deployment(), streams, steps, duration_s=28.0)]
 
 
-def judge_rolling(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_rolling(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that no query failed."""
     run = results["product"]
     failed = sum(not call.ok for call in run.calls)
     return [
         *rule_bounds(results),
-        Bound("failed", failed, AT_MOST, 0, GRACEFUL),
+        Bound("failed", failed, AT_MOST, 0, STOP_SOURCE),
         Bound("restarts", len(run.steps), AT_LEAST, 6, "all were replaced"),
     ]
 
 
-def rolling_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_rolling_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out latency and coverage over the replacement."""
     run = results["product"]
     return {
@@ -85,9 +87,9 @@
 ROLLING = Experiment(
     "rolling",
     "Every entry process is replaced in turn under load",
-    rolling_trials,
-    judge_rolling,
-    rolling_figures,
+    build_rolling_trials,
+    evaluate_rolling,
+    compute_rolling_figures,
 )
 
 
@@ -114,7 +116,7 @@
     return Step(at_s, label, act)
 
 
-def config_trials(options: Options) -> Sequence[Trial]:
+def build_config_trials(options: Options) -> Sequence[Trial]:
     """Changes while the platform is well, slow, stale, and down right afterwards."""
     steps = [
         change_step(2.0, 1),
@@ -127,11 +129,11 @@
         change_step(18.0, 4),
     ]
     streams = (lookup_stream(options, 23.0),)
-    deployment = szovetseg(entries=3)
+    deployment = szovetseg_deployment(entries=3)
     return [Trial("product", deployment, streams, steps, duration_s=23.0)]
 
 
-def times_to_force(run: RunResult) -> list[float]:
+def propagation_delays_s(run: RunResult) -> list[float]:
     """Return for each node and change the seconds from the first node's to its own.
 
     The first node that has a revision in force read it from the store.
@@ -139,7 +141,7 @@
     times: dict[str, list[float]] = {}
     for lines in run.log_lines.values():
         for line in lines:
-            found = FORCED.search(line)
+            found = REVISION_IN_FORCE.search(line)
             if found:
                 times.setdefault(found[2], []).append(float(found[1]))
     return [
@@ -147,63 +149,69 @@
     ]
 
 
-def reverts(run: RunResult) -> int:
+def count_reverts(run: RunResult) -> int:
     """Count steps back to an older revision on a node."""
     count = 0
     for lines in run.log_lines.values():
-        numbers = [int(found[2]) for line in lines if (found := FORCED.search(line))]
+        numbers = [
+            int(found[2]) for line in lines if (found := REVISION_IN_FORCE.search(line))
+        ]
         count += sum(b < a for a, b in zip(numbers, numbers[1:], strict=False))
     return count
 
 
-def judge_config(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_config(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that every change is in force on every node in time and none reverts."""
     run = results["product"]
-    spread_s = times_to_force(run)
+    delays_s = propagation_delays_s(run)
     nodes = len(run.log_lines)
     return [
         *rule_bounds(results),
-        Bound("in_force", len(spread_s), AT_LEAST, 4 * nodes, "everywhere"),
-        Bound("p99_s", percentile(spread_s, 0.99), AT_MOST, 2.0, IN_FORCE),
-        Bound("reverts", reverts(run), AT_MOST, 0, "brief: never reverts"),
+        Bound("in_force", len(delays_s), AT_LEAST, 4 * nodes, "everywhere"),
+        Bound("p99_s", percentile(delays_s, 0.99), AT_MOST, 2.0, PROPAGATION_SOURCE),
+        Bound("reverts", count_reverts(run), AT_MOST, 0, "brief: never reverts"),
     ]
 
 
 CONFIG = Experiment(
     "config",
     "Changes while the platform is well, slow and after an outage",
-    config_trials,
-    judge_config,
+    build_config_trials,
+    evaluate_config,
 )
 
 
 def network_step(
     at_s: float,
     label: str,
-    inside: Mapping[str, object],
+    cut_off: Mapping[str, object],
     outside: Mapping[str, object],
 ) -> Step:
     """Return a step that changes the network in the lost data centre and elsewhere."""
 
     def act(rig: Rig) -> None:
         for place in rig.places:
-            faults = inside if place.data_centre == LOST else outside
+            faults = cut_off if place.data_centre == CUT_OFF_DATA_CENTRE else outside
             rig.control_network(place, faults)
 
     return Step(at_s, label, act)
 
 
-def partition_trials(options: Options) -> Sequence[Trial]:
+def build_partition_trials(options: Options) -> Sequence[Trial]:
     """A data centre loses the others and the platform, then all heals."""
-    others = [name for name in szovetseg().document.data_centres if name != LOST]
-    delay = {"delay_ms": DELAY_MS}
+    others = [
+        name
+        for name in szovetseg_deployment().document.data_centres
+        if name != CUT_OFF_DATA_CENTRE
+    ]
+    delay = {"delay_ms": DATA_CENTRE_DELAY_MS}
     steps = [
         network_step(0.0, "4.5 ms apart", delay, delay),
         network_step(
             4.0,
             "cut off",
             {"lost_from": others, "store_cut": True},
-            {"lost_from": [LOST]},
+            {"lost_from": [CUT_OFF_DATA_CENTRE]},
         ),
         network_step(
             12.0,
@@ -213,44 +221,62 @@
         ),
     ]
     streams = (storm_stream(options, 20.0), lookup_stream(options, 20.0))
-    deployment = szovetseg()._replace(faulty_network=True)
+    deployment = szovetseg_deployment()._replace(faulty_network=True)
     return [Trial("product", deployment, streams, steps, duration_s=20.0)]
 
 
-def judge_partition(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_partition(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that each side serves what it can, and that all is well after healing."""
     run = results["product"]
-    cut = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST not in c.entry]
-    inside = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST in c.entry]
+    connected = [
+        c
+        for c in run.measured("storm-night", 5.0, 12.0)
+        if CUT_OFF_DATA_CENTRE not in c.entry
+    ]
+    cut_off = [
+        c
+        for c in run.measured("storm-night", 5.0, 12.0)
+        if CUT_OFF_DATA_CENTRE in c.entry
+    ]
     after = run.measured("storm-night", 15.0)
     source = "brief: each has to go on serving what it can"
     return [
         *rule_bounds(results),
-        Bound("majority_coverage", coverage_of(cut), AT_LEAST, 0.9, source),
-        Bound("cut_off_told", told_ratio(inside), AT_LEAST, 1.0, source),
-        Bound("healed_coverage", coverage_of(after), AT_LEAST, 0.95, "enough_coverage"),
+        Bound("majority_coverage", mean_coverage_of(connected), AT_LEAST, 0.9, source),
+        Bound("cut_off_told", replied_ratio(cut_off), AT_LEAST, 1.0, source),
+        Bound(
+            "healed_coverage",
+            mean_coverage_of(after),
+            AT_LEAST,
+            0.95,
+            "enough_coverage",
+        ),
     ]
 
 
-def coverage_of(calls: Sequence[CallRecord]) -> float:
+def mean_coverage_of(calls: Sequence[CallRecord]) -> float:
     """Return the mean coverage of calls, zero for refusals."""
     ratios = [call.answer.get("coverage", {}).get("ratio", 0.0) for call in calls]
     return sum(ratios) / len(ratios) if ratios else 0.0
 
 
-def told_ratio(calls: Sequence[CallRecord]) -> float:
+def replied_ratio(calls: Sequence[CallRecord]) -> float:
     """Return the share of calls that got an answer or a refusal."""
-    told = sum(call.status != 0 for call in calls)
-    return told / len(calls) if calls else 0.0
+    replied = sum(call.status != 0 for call in calls)
+    return replied / len(calls) if calls else 0.0
 
 
-def partition_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_partition_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out what each side served."""
     run = results["product"]
-    inside = [c for c in run.measured("storm-night", 5.0, 12.0) if LOST in c.entry]
+    cut_off = [
+        c
+        for c in run.measured("storm-night", 5.0, 12.0)
+        if CUT_OFF_DATA_CENTRE in c.entry
+    ]
     return {
-        "cut_off_calls": len(inside),
-        "cut_off_ok": sum(call.ok for call in inside),
+        "cut_off_calls": len(cut_off),
+        "cut_off_ok": sum(call.ok for call in cut_off),
         "storm_p99_ms": run.latency_ms(0.99, "storm-night"),
     }
 
@@ -258,9 +284,9 @@
 PARTITION = Experiment(
     "partition",
     "A data centre is cut off from the others and the platform for 8 s",
-    partition_trials,
-    judge_partition,
-    partition_figures,
+    build_partition_trials,
+    evaluate_partition,
+    compute_partition_figures,
 )
 
 
@@ -283,7 +309,7 @@
     return Step(at_s, "resumed" if resume else "paused", act)
 
 
-def membership_trials(options: Options) -> Sequence[Trial]:
+def build_membership_trials(options: Options) -> Sequence[Trial]:
     """One entry VM is lost, another is paused for eight seconds."""
     steps = [
         kill_step(4.0, 0),
@@ -291,33 +317,35 @@
         pause_step(14.0, 3, resume=True),
     ]
     streams = (storm_stream(options, 24.0), lookup_stream(options, 24.0))
-    deployment = szovetseg(entries=3)
+    deployment = szovetseg_deployment(entries=3)
     return [Trial("product", deployment, streams, steps, duration_s=24.0)]
 
 
-def judge_membership(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_membership(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that rules held and that service came back."""
     run = results["product"]
     after = run.measured("storm-night", 20.0)
     overruns = sum(one["cold_overruns"] for one in run.counters.values())
     peaks = max(one["peak_in_flight"] for one in run.counters.values())
     return [
-        history_only(results),
+        history_bound_of(results),
         Bound("cold_overruns", overruns, AT_MOST, 0, "cold targets over all VMs"),
         Bound("peak_in_flight", peaks, AT_MOST, 3, "slots of a target over all VMs"),
-        Bound("coverage_after", coverage_of(after), AT_LEAST, 0.95, "enough_coverage"),
+        Bound(
+            "coverage_after", mean_coverage_of(after), AT_LEAST, 0.95, "enough_coverage"
+        ),
     ]
 
 
-def history_only(results: Mapping[str, RunResult]) -> Bound:
+def history_bound_of(results: Mapping[str, RunResult]) -> Bound:
     """Return the bound on the history; calls to a killed process may be lost."""
     return rule_bounds(results)[-1]
 
 
-def membership_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_membership_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out how long coverage was down."""
     run = results["product"]
-    points = run.series(coverage_of, 0.5)
+    points = run.series(mean_coverage_of, 0.5)
     low = [at for at, value in points if at > 4.0 and value < 0.9]
     return {
         "half_seconds_below_90_percent": len(low),
@@ -329,7 +357,7 @@
 MEMBERSHIP = Experiment(
     "membership",
     "An entry VM is lost and another pauses for 8 s",
-    membership_trials,
-    judge_membership,
-    membership_figures,
+    build_membership_trials,
+    evaluate_membership,
+    compute_membership_figures,
 )
--- a/bench/experiments/orders.py
+++ b/bench/experiments/orders.py
@@ -25,13 +25,13 @@
 REPEAT_RATIO = 0.3
 LOAD_S = 14.0
 DEADLINE_MS = 1000.0
-LOST_REPLIES = 40
+LOST_STORE_REPLIES = 40
 ORDER_RECORDS = "production/orders/"
-PAUSED, KILLED = 0, 1
+PAUSED_ENTRY, KILLED_ENTRY = 0, 1
 UNKNOWN_KINDS = frozenset({"outcome_unknown", "order_in_progress"})
 
 
-def trials(options: Options) -> Sequence[Trial]:
+def build_trials(options: Options) -> Sequence[Trial]:
     """Orders without a fault, and with all of them in turn."""
     document = load_example("lakeshore-production")
     deployment = Deployment(document)
@@ -53,10 +53,10 @@
     return [product, calm]
 
 
-def lose_replies(rig: Rig) -> None:
+def lose_store_replies(rig: Rig) -> None:
     """Let writes of order records take effect without a reply."""
     rig.control_platform(
-        {"lose_replies": LOST_REPLIES, "lose_replies_prefix": ORDER_RECORDS}
+        {"lose_replies": LOST_STORE_REPLIES, "lose_replies_prefix": ORDER_RECORDS}
     )
 
 
@@ -66,57 +66,65 @@
 
 
 STEPS = (
-    Step(2.0, "replies of the store are lost", lose_replies),
+    Step(2.0, "replies of the store are lost", lose_store_replies),
     Step(4.0, "store out", lambda rig: rig.control_platform({"outage": "cut"})),
     Step(5.0, "store back", lambda rig: rig.control_platform({"outage": "none"})),
     Step(6.0, "stale reads", lambda rig: rig.control_platform({"stale": True})),
     Step(7.0, "true reads", lambda rig: rig.control_platform({"stale": False})),
     Step(8.0, "connections go silent", silence_targets),
-    Step(9.0, "entry paused", lambda rig: child(rig, PAUSED).pause()),
-    Step(11.0, "entry goes on", lambda rig: child(rig, PAUSED).resume()),
-    Step(12.0, "entry killed", lambda rig: child(rig, KILLED).kill()),
+    Step(9.0, "entry paused", lambda rig: entry_process(rig, PAUSED_ENTRY).pause()),
+    Step(11.0, "entry goes on", lambda rig: entry_process(rig, PAUSED_ENTRY).resume()),
+    Step(12.0, "entry killed", lambda rig: entry_process(rig, KILLED_ENTRY).kill()),
 )
 
 
-def child(rig: Rig, number: int) -> Child:
+def entry_process(rig: Rig, number: int) -> Child:
     """Return the process of an entry VM."""
     return rig.children[rig.places[number].node]
 
 
-def judge(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge the runs."""
     calm, product = results["calm"], results["product"]
-    killed = product_node(product, KILLED)
-    lost = sum(call.status == 0 and call.entry != killed for call in product.calls)
-    promise = "the caller always learns run, not run or unknown"
+    killed = entry_name(product, KILLED_ENTRY)
+    without_reply = sum(
+        call.status == 0 and call.entry != killed for call in product.calls
+    )
+    source = "the caller always learns run, not run or unknown"
     return [
         history_bound(product),
         history_bound(calm),
-        Bound("untold", lost, AT_MOST, 0, promise),
-        Bound("answered_but_not_run", not_run(product), AT_MOST, 0, promise),
+        Bound("untold", without_reply, AT_MOST, 0, source),
+        Bound(
+            "answered_but_not_run",
+            count_answered_not_begun(product),
+            AT_MOST,
+            0,
+            source,
+        ),
         Bound("calm.answered", calm.answered_ratio(), AT_LEAST, 1.0, "no fault"),
         Bound("answered", product.answered_ratio(), AT_LEAST, 0.5, "faults of 6 s"),
     ]
 
 
-def product_node(run: RunResult, number: int) -> str:
+def entry_name(run: RunResult, number: int) -> str:
     """Return the name of an entry VM of a run."""
     return list(run.exit_codes)[number]
 
 
-def not_run(run: RunResult) -> int:
+def count_answered_not_begun(run: RunResult) -> int:
     """Count the orders that were answered though no target began them."""
     began = {event.order_key for event in run.events if event.kind == "begun"}
     return sum(call.ok and call.order_key not in began for call in run.calls)
 
 
-def share(calls: Sequence[CallRecord], kinds: frozenset[str]) -> float:
+def kind_ratio(calls: Sequence[CallRecord], kinds: frozenset[str]) -> float:
     """Return the share of calls that were told one of some kinds."""
-    told = [call.answer.get("error", {}).get("kind", "") for call in calls]
-    return sum(kind in kinds for kind in told) / max(len(calls), 1)
+    kinds_seen = [call.answer.get("error", {}).get("kind", "") for call in calls]
+    return sum(kind in kinds for kind in kinds_seen) / max(len(calls), 1)
 
 
-def figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out the figures to print."""
     calm, product = results["calm"], results["product"]
     refused = sum(
@@ -129,7 +137,7 @@
         "keys": len({call.order_key for call in product.calls}),
         "begun": product.count_events("begun"),
         "not_run_ratio": refused / max(len(product.calls), 1),
-        "unknown_ratio": share(product.calls, UNKNOWN_KINDS),
+        "unknown_ratio": kind_ratio(product.calls, UNKNOWN_KINDS),
         "calm_p50_ms": calm.latency_ms(0.5),
         "calm_p99_ms": calm.latency_ms(0.99),
         "p99_ms": product.latency_ms(0.99),
@@ -140,7 +148,7 @@
 ORDERS = Experiment(
     "orders",
     "Orders at most once while store, targets and entry VMs fail",
-    trials,
-    judge,
-    figures,
+    build_trials,
+    evaluate,
+    compute_figures,
 )
--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 
 from bench.experiment import AT_LEAST, Bound, Experiment, Options, Trial
-from bench.experiments.common import szovetseg
+from bench.experiments.common import szovetseg_deployment
 from bench.judging import rule_bounds
 from bench.load import Stream
 from bench.results import RunResult
@@ -18,24 +18,30 @@
 SERVICES = 20
 LOAD_S = 10.0
 DEADLINE_MS = 300.0
-STORM = "order-search"
+STORM_WORKLOAD = "order-search"
 
 
-def trials(options: Options) -> Sequence[Trial]:
+def build_trials(options: Options) -> Sequence[Trial]:
     """Searches over one index at three quarters and at twice its capacity."""
-    base = szovetseg(service_ms=SERVICE_MS)
+    base = szovetseg_deployment(service_ms=SERVICE_MS)
     document = base.document
     storm = document.workloads["storm-night"]._replace(
         indexes=["logfinder"], deadline_ms=DEADLINE_MS
     )
-    document = document._replace(workloads={**document.workloads, STORM: storm})
+    document = document._replace(
+        workloads={**document.workloads, STORM_WORKLOAD: storm}
+    )
     deployment = base._replace(document=document)
     capacity = REPLICAS * SLOTS * 1000.0 / SERVICE_MS
     return [
         Trial(
             name,
             deployment,
-            (Stream(STORM, capacity * factor, 0.0, LOAD_S, DEADLINE_MS, limit=5),),
+            (
+                Stream(
+                    STORM_WORKLOAD, capacity * factor, 0.0, LOAD_S, DEADLINE_MS, limit=5
+                ),
+            ),
             duration_s=LOAD_S,
             measure_from_s=3.0,
         )
@@ -50,7 +56,7 @@
     return good / (LOAD_S - 3.0)
 
 
-def judge(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge goodput against what the targets bear."""
     capacity = REPLICAS * SLOTS * 1000.0 / SERVICE_MS
     ratio = goodput(results["product"]) / capacity
@@ -61,7 +67,7 @@
     ]
 
 
-def figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out goodput and what the others were told."""
     run = results["product"]
     calls = run.measured()
@@ -77,5 +83,9 @@
 
 
 OVERLOAD = Experiment(
-    "overload", "Twice the load that the targets bear", trials, judge, figures
+    "overload",
+    "Twice the load that the targets bear",
+    build_trials,
+    evaluate,
+    compute_figures,
 )
--- a/bench/experiments/path.py
+++ b/bench/experiments/path.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 
 from bench.experiment import AT_LEAST, AT_MOST, Bound, Experiment, Options, Trial
-from bench.experiments.common import lookup_stream, storm_stream, szovetseg
+from bench.experiments.common import lookup_stream, storm_stream, szovetseg_deployment
 from bench.judging import rule_bounds
 from bench.results import RunResult
 
@@ -14,13 +14,13 @@
 P99_SOURCE = "size to design for: 99 in 100 within 150 ms"
 
 
-def trials(options: Options) -> Sequence[Trial]:
+def build_trials(options: Options) -> Sequence[Trial]:
     """Nine entry VMs, storm-night searches and single look-ups."""
     streams = (storm_stream(options), lookup_stream(options))
-    return [Trial("product", szovetseg(entries=3), streams)]
+    return [Trial("product", szovetseg_deployment(entries=3), streams)]
 
 
-def judge(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge the run."""
     run = results["product"]
     p99_ms = run.latency_ms(0.99, "storm-night")
@@ -31,7 +31,7 @@
     ]
 
 
-def figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out the figures to print."""
     run = results["product"]
     sub_queries = max(1, run.count_events("begun"))
@@ -48,5 +48,9 @@
 
 
 PATH = Experiment(
-    "path", "The whole path at today's size without faults", trials, judge, figures
+    "path",
+    "The whole path at today's size without faults",
+    build_trials,
+    evaluate,
+    compute_figures,
 )
--- a/bench/experiments/slow.py
+++ b/bench/experiments/slow.py
@@ -9,7 +9,7 @@
     control_step,
     replicas_of,
     storm_stream,
-    szovetseg,
+    szovetseg_deployment,
     with_hedge,
 )
 from bench.judging import rule_bounds
@@ -18,23 +18,23 @@
 
 __all__ = ["SILENT", "STRAGGLER"]
 
-STORM = "storm-night"
+STORM_WORKLOAD = "storm-night"
 LOAD_S = 6.0
-SLOW_RATE = 0.01
+STRAGGLER_RATE = 0.01
 FIXED_DELAY_MS = 15.0
 TAIL_SOURCE = "aim: storm-night p99 within 1.5 times the p99 without faults"
 EXTRA_SOURCE = "aim: 5 % or less extra load"
 SILENT_AT_S = 3.0
 
 
-def straggler_trials(options: Options) -> Sequence[Trial]:
+def build_straggler_trials(options: Options) -> Sequence[Trial]:
     """1 % of replies 20 times slow: the product and two baselines, and no fault."""
-    slow = szovetseg(straggler_rate=SLOW_RATE)
+    straggling = szovetseg_deployment(straggler_rate=STRAGGLER_RATE)
     deployments = {
-        "product": slow,
-        "clean": szovetseg(),
-        "no_hedge": with_hedge(slow, Hedge.NONE, FIXED_DELAY_MS),
-        "fixed_hedge": with_hedge(slow, Hedge.FIXED, FIXED_DELAY_MS),
+        "product": straggling,
+        "clean": szovetseg_deployment(),
+        "no_hedge": with_hedge(straggling, Hedge.NONE, FIXED_DELAY_MS),
+        "fixed_hedge": with_hedge(straggling, Hedge.FIXED, FIXED_DELAY_MS),
     }
     streams = (storm_stream(options, LOAD_S),)
     return [
@@ -43,7 +43,7 @@
     ]
 
 
-def judge_straggler(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_straggler(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge tail and extra load."""
     ratio = tail_ratio(results, "product")
     extra = results["product"].extra_load()
@@ -56,45 +56,45 @@
 
 def tail_ratio(results: Mapping[str, RunResult], name: str) -> float:
     """Return a trial's p99 over that without faults."""
-    clean_ms = results["clean"].latency_ms(0.99, STORM)
-    return results[name].latency_ms(0.99, STORM) / clean_ms
+    clean_ms = results["clean"].latency_ms(0.99, STORM_WORKLOAD)
+    return results[name].latency_ms(0.99, STORM_WORKLOAD) / clean_ms
 
 
-def straggler_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_straggler_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out the figures of all trials."""
-    figures = {"clean_p99_ms": results["clean"].latency_ms(0.99, STORM)}
+    figures = {"clean_p99_ms": results["clean"].latency_ms(0.99, STORM_WORKLOAD)}
     for name, run in results.items():
-        figures[f"{name}_p50_ms"] = run.latency_ms(0.5, STORM)
+        figures[f"{name}_p50_ms"] = run.latency_ms(0.5, STORM_WORKLOAD)
         figures[f"{name}_p99_ratio"] = tail_ratio(results, name)
         figures[f"{name}_extra"] = run.extra_load()
-        figures[f"{name}_coverage"] = run.mean_coverage(STORM)
+        figures[f"{name}_coverage"] = run.mean_coverage(STORM_WORKLOAD)
     return figures
 
 
 STRAGGLER = Experiment(
     "straggler",
     "1 % of replies 20 times slow, against no hedge and a fixed delay",
-    straggler_trials,
-    judge_straggler,
-    straggler_figures,
+    build_straggler_trials,
+    evaluate_straggler,
+    compute_straggler_figures,
 )
 
 
-def silent_trials(options: Options) -> Sequence[Trial]:
+def build_silent_trials(options: Options) -> Sequence[Trial]:
     """The connections of a third of the replicas go silent twice."""
-    deployment = szovetseg()
-    silenced = replicas_of(deployment.document)[::3]
+    deployment = szovetseg_deployment()
+    silent_replicas = replicas_of(deployment.document)[::3]
     steps = [
-        control_step(at_s, "connections go silent", silenced, do="silence")
+        control_step(at_s, "connections go silent", silent_replicas, do="silence")
         for at_s in (SILENT_AT_S, SILENT_AT_S + 3.0)
     ]
     return [Trial("product", deployment, (storm_stream(options),), steps)]
 
 
-def judge_silent(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_silent(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that storm crews got answers in time all the same."""
     run = results["product"]
-    p99_ms = run.latency_ms(0.99, STORM)
+    p99_ms = run.latency_ms(0.99, STORM_WORKLOAD)
     source = "brief: connections can go silent while new ones work"
     return [
         *rule_bounds(results),
@@ -107,6 +107,6 @@
 SILENT = Experiment(
     "silent",
     "Open connections to a third of the replicas go silent for good, twice",
-    silent_trials,
-    judge_silent,
+    build_silent_trials,
+    evaluate_silent,
 )
--- a/bench/experiments/targets.py
+++ b/bench/experiments/targets.py
@@ -18,7 +18,7 @@
     lookup_stream,
     replicas_of,
     storm_stream,
-    szovetseg,
+    szovetseg_deployment,
 )
 from bench.judging import rule_bounds
 from bench.results import RunResult
@@ -30,13 +30,13 @@
 FAULT_AT_S = 3.0
 SECOND_FAULT_AT_S = 5.0
 TAKEN_OUT = "szolnok-b"
-STOP_BOUND_S = 3.0
-FEW_SECONDS = "brief: no new work after a few seconds"
+MAX_STOP_S = 3.0
+STOP_SOURCE = "brief: no new work after a few seconds"
 
 
-def cold_trials(options: Options) -> Sequence[Trial]:
+def build_cold_trials(options: Options) -> Sequence[Trial]:
     """A fifth of the targets restart into a cold start, and other ones later."""
-    deployment = szovetseg()
+    deployment = szovetseg_deployment()
     names = replicas_of(deployment.document)
     steps = [
         control_step(FAULT_AT_S, "a fifth restarts cold", names[::5], do="restart"),
@@ -48,7 +48,7 @@
     return [Trial("product", deployment, streams, steps)]
 
 
-def judge_cold(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_cold(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that no cold target was overrun."""
     run = results["product"]
     overruns = sum(one["cold_overruns"] for one in run.counters.values())
@@ -60,7 +60,7 @@
     ]
 
 
-def cold_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
+def compute_cold_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
     """Work out peaks at cold targets."""
     run = results["product"]
     peak = max(one["peak_in_flight_cold"] for one in run.counters.values())
@@ -74,39 +74,39 @@
 COLD_START = Experiment(
     "coldstart",
     "A fifth of the targets restart cold, others turn cold without a sign",
-    cold_trials,
-    judge_cold,
-    cold_figures,
+    build_cold_trials,
+    evaluate_cold,
+    compute_cold_figures,
 )
 
 
-def drain_trials(options: Options) -> Sequence[Trial]:
+def build_drain_trials(options: Options) -> Sequence[Trial]:
     """One replica of each service of two indexes drains but would still work."""
-    deployment = szovetseg()
-    leaving = replicas_of(deployment.document, "logfinder", "memberbook")[::2]
-    works_on = {"works_while_draining": True}
+    deployment = szovetseg_deployment()
+    draining = replicas_of(deployment.document, "logfinder", "memberbook")[::2]
+    keeps_working = {"works_while_draining": True}
     steps = [
-        control_step(FAULT_AT_S, "half drain", leaving, "drain", works_on),
+        control_step(FAULT_AT_S, "half drain", draining, "drain", keeps_working),
     ]
     streams = (storm_stream(options), lookup_stream(options))
     return [Trial("product", deployment, streams, steps)]
 
 
-def judge_drain(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_drain(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that draining targets got no new work after a few seconds."""
     run = results["product"]
-    document = szovetseg().document
-    leaving = set(replicas_of(document, "logfinder", "memberbook")[::2])
-    last_s = last_begun_after(run, "half drain", leaving)
+    document = szovetseg_deployment().document
+    draining = set(replicas_of(document, "logfinder", "memberbook")[::2])
+    last_s = last_begun_after_s(run, "half drain", draining)
     return [
         *rule_bounds(results),
-        Bound("last_new_work_s", last_s, AT_MOST, STOP_BOUND_S, FEW_SECONDS),
+        Bound("last_new_work_s", last_s, AT_MOST, MAX_STOP_S, STOP_SOURCE),
         Bound("answered", run.answered_ratio(), AT_LEAST, 0.99, "cuts off no request"),
         Bound("coverage", run.mean_coverage(), AT_LEAST, 0.95, "enough_coverage"),
     ]
 
 
-def last_begun_after(run: RunResult, label: str, replicas: set[str]) -> float:
+def last_begun_after_s(run: RunResult, label: str, replicas: set[str]) -> float:
     """Return how long after a step the last work began at any of some replicas."""
     at = next(step.at for step in run.steps if step.label == label)
     later = [
@@ -118,11 +118,14 @@
 
 
 DRAIN = Experiment(
-    "drain", "Half of the replicas of two indexes drain", drain_trials, judge_drain
+    "drain",
+    "Half of the replicas of two indexes drain",
+    build_drain_trials,
+    evaluate_drain,
 )
 
 
-def set_data_centre(state: DataCentreState, edited_from: int) -> Step:
+def data_centre_step(state: DataCentreState, edited_from: int) -> Step:
     """Return a step by which operators take a data centre out, or back."""
 
     def act(rig: Rig) -> None:
@@ -134,33 +137,41 @@
     return Step(at_s, f"{TAKEN_OUT} {state.value}", act)
 
 
-def out_trials(options: Options) -> Sequence[Trial]:
+def build_data_centre_out_trials(options: Options) -> Sequence[Trial]:
     """A data centre is taken out by one edit and brought back by another."""
     steps = [
-        set_data_centre(DataCentreState.OUT, 1),
-        set_data_centre(DataCentreState.IN, 2),
+        data_centre_step(DataCentreState.OUT, 1),
+        data_centre_step(DataCentreState.IN, 2),
     ]
     streams = (storm_stream(options, 12.0), lookup_stream(options, 12.0))
-    return [Trial("product", szovetseg(), streams, steps, duration_s=12.0)]
+    return [Trial("product", szovetseg_deployment(), streams, steps, duration_s=12.0)]
 
 
-def judge_out(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_data_centre_out(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that no new work went there after a few seconds, and none was cut off."""
     run = results["product"]
-    inside = set(replicas_of(szovetseg().document, data_centre=TAKEN_OUT))
+    replicas_out = set(
+        replicas_of(szovetseg_deployment().document, data_centre=TAKEN_OUT)
+    )
     out_at, in_at = (step.at for step in run.steps)
     begun = [
         event.at - out_at
         for event in run.events
-        if event.kind == "begun" and event.replica in inside
+        if event.kind == "begun" and event.replica in replicas_out
     ]
     last_s = max((at for at in begun if 0.0 < at < in_at - out_at), default=0.0)
-    back = sum(at > in_at - out_at for at in begun)
+    begun_after_return = sum(at > in_at - out_at for at in begun)
     refused = sum(not call.ok for call in run.calls)
     return [
         *rule_bounds(results),
-        Bound("last_new_work_s", last_s, AT_MOST, STOP_BOUND_S, FEW_SECONDS),
-        Bound("work_after_return", back, AT_LEAST, 1, "operators bring it back"),
+        Bound("last_new_work_s", last_s, AT_MOST, MAX_STOP_S, STOP_SOURCE),
+        Bound(
+            "work_after_return",
+            begun_after_return,
+            AT_LEAST,
+            1,
+            "operators bring it back",
+        ),
         Bound(
             "refused_ratio",
             refused / len(run.calls),
@@ -172,29 +183,36 @@
 
 
 DATA_CENTRE_OUT = Experiment(
-    "dcout", "Operators take a data centre out and bring it back", out_trials, judge_out
+    "dcout",
+    "Operators take a data centre out and bring it back",
+    build_data_centre_out_trials,
+    evaluate_data_centre_out,
 )
 
 
-def snapshot_trials(options: Options) -> Sequence[Trial]:
+def build_snapshot_trials(options: Options) -> Sequence[Trial]:
     """Versions roll over replica by replica, then the old one goes."""
-    deployment = szovetseg()
+    deployment = szovetseg_deployment()
     names = replicas_of(deployment.document, "logfinder", "memberbook")
-    both = {"versions": [1, 2]}
-    new = {"versions": [2]}
+    both_versions = {"versions": [1, 2]}
+    new_version = {"versions": [2]}
     steps = [
-        control_step(2.5, "half hold both versions", names[::2], set_fields=both),
-        control_step(3.5, "all hold both versions", names, set_fields=both),
-        control_step(4.5, "half drop the old one", names[::2], set_fields=new),
-        control_step(5.5, "all drop the old one", names, set_fields=new),
+        control_step(
+            2.5, "half hold both versions", names[::2], set_fields=both_versions
+        ),
+        control_step(3.5, "all hold both versions", names, set_fields=both_versions),
+        control_step(4.5, "half drop the old one", names[::2], set_fields=new_version),
+        control_step(5.5, "all drop the old one", names, set_fields=new_version),
     ]
     return [Trial("product", deployment, (storm_stream(options),), steps)]
 
 
-def judge_snapshot(results: Mapping[str, RunResult]) -> Sequence[Bound]:
+def evaluate_snapshot(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that no answer mixed versions and that coverage held."""
     run = results["product"]
-    mixed = sum(mixes_versions(call.answer.get("records", [])) for call in run.calls)
+    mixed = sum(
+        has_mixed_versions(call.answer.get("records", [])) for call in run.calls
+    )
     versions = {
         snapshot["index_version"]
         for call in run.calls
@@ -208,7 +226,7 @@
     ]
 
 
-def mixes_versions(records: Sequence[Mapping[str, object]]) -> bool:
+def has_mixed_versions(records: Sequence[Mapping[str, object]]) -> bool:
     """Tell whether the records of one index come from several versions."""
     seen: dict[object, set[object]] = {}
     for record in records:
@@ -221,6 +239,6 @@
 SNAPSHOT = Experiment(
     "snapshot",
     "Index versions roll over under load",
-    snapshot_trials,
-    judge_snapshot,
+    build_snapshot_trials,
+    evaluate_snapshot,
 )
--- a/bench/hand_over.py
+++ b/bench/hand_over.py
@@ -17,7 +17,7 @@
 
 POLL_S = 0.002
 SETTLE_S = 8.0
-WATCH_S = 3.0
+SAMPLING_S = 3.0
 ROUNDS = 5
 LEAVE_LIMIT_S = 5.0
 
@@ -33,12 +33,12 @@
     moments_of_overlap: int
 
 
-class Watch:
+class AllowanceSampler:
     """Samples who may use what."""
 
     def __init__(self, nodes: list[FleetNode]) -> None:
         self.nodes = nodes
-        self.resting: dict[str, float] = {}
+        self.unserved_since: dict[str, float] = {}
         self.gaps: list[float] = []
         self.overlaps = 0
 
@@ -57,12 +57,12 @@
             slots = sum(share.slots for share in shares)
             self.overlaps += cold > 1 or slots > SLOTS
             if not cold:
-                self.resting.setdefault(replica.name, now)
-            elif replica.name in self.resting:
-                self.gaps.append(now - self.resting.pop(replica.name))
+                self.unserved_since.setdefault(replica.name, now)
+            elif replica.name in self.unserved_since:
+                self.gaps.append(now - self.unserved_since.pop(replica.name))
 
 
-class Experiment:
+class HandOverBenchmark:
     """A fleet that a node joins and leaves again and again."""
 
     def __init__(self, address: str) -> None:
@@ -90,11 +90,11 @@
         self, name: str, change: Callable[[], Awaitable[None]]
     ) -> tuple[list[float], int]:
         """Watch the fleet during one change."""
-        watch = Watch(self.nodes)
-        watching: Deferred[Any] = Deferred.fromCoroutine(watch.run(WATCH_S))
+        sampler = AllowanceSampler(self.nodes)
+        watching: Deferred[Any] = Deferred.fromCoroutine(sampler.run(SAMPLING_S))
         await change()
         await watching
-        return watch.gaps, watch.overlaps
+        return sampler.gaps, sampler.overlaps
 
     async def run(self) -> list[HandOver]:
         """Measure joining and leaving."""
@@ -105,16 +105,19 @@
         overlaps = dict.fromkeys(gaps, 0)
         for _ in range(ROUNDS):
             for name, change in (("join", self.join), ("planned stop", self.leave)):
-                found, overlapped = await self.measure(name, change)
-                gaps[name] += found
-                overlaps[name] += overlapped
+                gaps_found, overlaps_found = await self.measure(name, change)
+                gaps[name] += gaps_found
+                overlaps[name] += overlaps_found
             await self.nodes.pop().close()
         for node in self.nodes:
             await node.close()
-        return [summary(name, found, overlaps[name]) for name, found in gaps.items()]
+        return [
+            summarise(name, gaps_found, overlaps[name])
+            for name, gaps_found in gaps.items()
+        ]
 
 
-def summary(name: str, gaps: list[float], overlaps: int) -> HandOver:
+def summarise(name: str, gaps: list[float], overlaps: int) -> HandOver:
     """Sum up one kind of change."""
     ordered = sorted(gaps) or [0.0]
     median = ordered[len(ordered) // 2]
@@ -133,15 +136,17 @@
     platform = Platform(reactor)
     platform.start()
     port = listen(reactor, platform)
-    experiment = Experiment(f"127.0.0.1:{port.getHost().port}")
+    benchmark = HandOverBenchmark(f"127.0.0.1:{port.getHost().port}")
 
-    def show(rows: list[HandOver]) -> None:
+    def print_table(rows: list[HandOver]) -> None:
         print(" | ".join(HandOver._fields))
         for row in rows:
             print(" | ".join(str(value) for value in row))
 
-    running = Deferred.fromCoroutine(experiment.run())
-    running.addCallback(show).addErrback(lambda failure: failure.printTraceback())
+    running = Deferred.fromCoroutine(benchmark.run())
+    running.addCallback(print_table).addErrback(
+        lambda failure: failure.printTraceback()
+    )
     running.addBoth(lambda _: reactor.stop())
     reactor.run()
 
--- a/bench/link_cost.py
+++ b/bench/link_cost.py
@@ -26,7 +26,7 @@
 WARM_UP_S = 0.5
 MEASURE_S = 2.0
 TRANSPORTS = ("link", "pynng-asyncio", "pynng-fd", "pynng-fd-capped")
-BUFFERED = 16
+BUFFER_MESSAGES = 16
 BATCH_SIZES = (1, 10, 100)
 BODY = b'{"query":"strike counts of substation 4711","limit":20}'
 
@@ -53,28 +53,28 @@
         self.started = perf_counter()
         self.round_trips = 0
         self.measuring = False
-        self.processor_from_s = 0.0
-        self.measured_from = 0.0
+        self.processor_started_s = 0.0
+        self.measuring_started = 0.0
         self.seconds = 0.0
         self.processor_s = 0.0
 
-    def round_trip(self) -> bool:
+    def count_round_trip(self) -> bool:
         """Count one round trip; False tells to stop."""
         now = perf_counter()
         if not self.measuring and now - self.started > WARM_UP_S:
             self.measuring = True
-            self.measured_from = now
-            self.processor_from_s = process_time()
+            self.measuring_started = now
+            self.processor_started_s = process_time()
         elif self.measuring:
             self.round_trips += 1
-        if self.measuring and now - self.measured_from > MEASURE_S:
-            self.seconds = now - self.measured_from
-            self.processor_s = process_time() - self.processor_from_s
+        if self.measuring and now - self.measuring_started > MEASURE_S:
+            self.seconds = now - self.measuring_started
+            self.processor_s = process_time() - self.processor_started_s
             return False
         return True
 
 
-def sub_queries(count: int) -> list[SubQuery]:
+def make_sub_queries(count: int) -> list[SubQuery]:
     """Return so many sub-queries of the usual size."""
     return [
         SubQuery(n, "r-1", "counters-1", "counters-1a", 0, 0, 90.0, 5, "", BODY)
@@ -88,19 +88,19 @@
 
     reactor: Any = global_reactor
     ends = [Links(reactor, name, "127.0.0.1:0") for name in ("e1", "e2")]
-    messages = sub_queries(batch)
-    returned = 0
+    messages = make_sub_queries(batch)
+    echoed = 0
 
     def send_batch() -> None:
         for message in messages:
             ends[0].send("e2", message)
 
     def receive(_: str, message: SubQuery) -> None:
-        nonlocal returned
-        returned += 1
-        if returned == batch:
-            returned = 0
-            send_batch() if meter.round_trip() else reactor.stop()
+        nonlocal echoed
+        echoed += 1
+        if echoed == batch:
+            echoed = 0
+            send_batch() if meter.count_round_trip() else reactor.stop()
 
     def start() -> None:
         if ends[0].connected("e2") and ends[1].connected("e1"):
@@ -129,7 +129,7 @@
     return encode_frame("e2", 0, messages)
 
 
-def new_pair(capped: bool) -> tuple[Any, Any]:
+def open_socket_pair(capped: bool) -> tuple[Any, Any]:
     """Return two connected pynng sockets."""
     import pynng
 
@@ -139,7 +139,7 @@
                 parameter = getattr(pynng.lib, f"NNG_INIT_{bound}_{name}_THREADS")
                 pynng.lib.nng_init_set_parameter(parameter, 1)
         pynng.lib.nng_init_set_parameter(pynng.lib.NNG_INIT_NUM_RESOLVER_THREADS, 1)
-    buffers = {"recv_buffer_size": BUFFERED, "send_buffer_size": BUFFERED}
+    buffers = {"recv_buffer_size": BUFFER_MESSAGES, "send_buffer_size": BUFFER_MESSAGES}
     listener = pynng.Pair0(listen="tcp://127.0.0.1:0", **buffers)
     address = listener.listeners[0].local_address
     dialler = pynng.Pair0(dial=f"tcp://{address}", block_on_dial=True, **buffers)
@@ -152,7 +152,7 @@
 
     from pynng.exceptions import Closed
 
-    dialler, listener = new_pair(capped=False)
+    dialler, listener = open_socket_pair(capped=False)
 
     async def echo() -> None:
         with suppress(Closed):
@@ -161,8 +161,8 @@
 
     async def drive() -> None:
         echoing = asyncio.create_task(echo())
-        await dialler.asend(encode_batch(sub_queries(batch)))
-        while meter.round_trip():
+        await dialler.asend(encode_batch(make_sub_queries(batch)))
+        while meter.count_round_trip():
             await dialler.asend(echo_batch(await dialler.arecv()))
         listener.close()
         await asyncio.wait([echoing], timeout=1.0)
@@ -205,10 +205,10 @@
     from twisted.internet import reactor as global_reactor
 
     reactor: Any = global_reactor
-    dialler, listener = new_pair(capped)
+    dialler, listener = open_socket_pair(capped)
 
     def receive(data: bytes) -> None:
-        if meter.round_trip():
+        if meter.count_round_trip():
             dialler.send(echo_batch(data), block=False)
         else:
             reactor.stop()
@@ -217,7 +217,7 @@
     reactor.addReader(
         DescriptorReader(listener, lambda data: listener.send(echo_batch(data)))
     )
-    reactor.callLater(0.05, dialler.send, encode_batch(sub_queries(batch)))
+    reactor.callLater(0.05, dialler.send, encode_batch(make_sub_queries(batch)))
     reactor.run()
 
 
@@ -260,8 +260,14 @@
         for size in BATCH_SIZES:
             arguments = ["--transport", name, "--batch", str(size)]
             command = [sys.executable, "-m", "bench.link_cost", *arguments]
-            done = subprocess.run(command, capture_output=True, text=True, check=True)
-            print(" | ".join(str(value) for value in json.loads(done.stdout).values()))
+            completed = subprocess.run(
+                command, capture_output=True, text=True, check=True
+            )
+            print(
+                " | ".join(
+                    str(value) for value in json.loads(completed.stdout).values()
+                )
+            )
 
 
 if __name__ == "__main__":
--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -17,9 +17,9 @@
 from sardinehook.observe.metrics import Attempt, Metrics
 from sardinehook.observe.sampling import QueryLog, QuerySampler
 
-US_PER_SECOND = 1e6
+US_PER_S = 1e6
 ROUNDS = 5
-NEVER = 1 << 62
+VERY_LARGE = 1 << 62
 
 
 class Cost(NamedTuple):
@@ -34,11 +34,11 @@
     action()
     rounds = []
     for _ in range(ROUNDS):
-        begun = time.process_time()
+        started = time.process_time()
         for _ in range(count):
             action()
-        rounds.append((time.process_time() - begun) / count)
-    return Cost(name, min(rounds) * US_PER_SECOND)
+        rounds.append((time.process_time() - started) / count)
+    return Cost(name, min(rounds) * US_PER_S)
 
 
 def run_query(
@@ -46,7 +46,7 @@
     clock: HybridClock,
     sampler: QuerySampler,
     sub_queries: int,
-    trouble: bool,
+    failed: bool,
 ) -> None:
     """Log a query as the front does: two events for each sub-query."""
     log = QueryLog(logger, clock, sampler, "r-12345678")
@@ -54,18 +54,18 @@
     for number in range(sub_queries):
         log.note(EventName.SUB_QUERY_SENT, target="logfinder-07-a", sub_query=number)
         log.note(EventName.SUB_QUERY_ENDED, target="logfinder-07-a", sub_query=number)
-    log.end(EventName.QUERY_ANSWERED, trouble, asked=sub_queries, took_ms=12.5)
+    log.end(EventName.QUERY_ANSWERED, failed, asked=sub_queries, took_ms=12.5)
 
 
 def log_costs(sub_queries: int, count: int) -> list[Cost]:
     """Measure events and queries, written to the null device line by line."""
     clock, metrics = HybridClock(time.time), Metrics()
-    never = QuerySampler(NEVER, events_per_second=NEVER)
+    sampler = QuerySampler(VERY_LARGE, events_per_second=VERY_LARGE)
     logger = structlog.get_logger()
     with open(os.devnull, "w", encoding="utf-8") as stream:
         configure_logging(stream, "entry-1", "duluth", clock)
 
-        def refuse() -> None:
+        def log_refusal() -> None:
             log_event(
                 logger,
                 EventName.QUERY_REFUSED,
@@ -79,11 +79,11 @@
             metrics.observe_answer("storm", 0.04, 0.99)
             metrics.count_sub_queries("storm", Attempt.FIRST, sub_queries)
 
-        def query(trouble: bool) -> Callable[[], None]:
-            return lambda: run_query(logger, clock, never, sub_queries, trouble)
+        def query(failed: bool) -> Callable[[], None]:
+            return lambda: run_query(logger, clock, sampler, sub_queries, failed)
 
         costs = [
-            measure("event written", count, refuse),
+            measure("event written", count, log_refusal),
             measure("stamp", count, clock.tick),
             measure("query not sampled", max(count // 20, 1), query(False)),
             measure("query in trouble", max(count // 100, 1), query(True)),
--- a/bench/measure_force.py
+++ b/bench/measure_force.py
@@ -23,26 +23,28 @@
 __all__ = ["main"]
 
 EXAMPLE = "szovetseg-trial"
-ENTRIES_A_DATA_CENTRE = (3, 10, 20)
+ENTRIES_PER_DATA_CENTRE = (3, 10, 20)
 CHANGES = 20
 SETTLE_S = 8.0
-CHANGE_S = 3.0
-REST_S = 20.0
-FORCED = re.compile(r" time=([0-9.]+) .*event=revision_in_force .*revision=(\d+)")
-SLOW_MS = 500.0
-DOWN_AFTER_S = 0.01
-RECOVER_S = 2.0
-TICKS_A_SECOND = 100
-
-
-class Usage(NamedTuple):
+CHANGE_WAIT_S = 3.0
+IDLE_S = 20.0
+REVISION_IN_FORCE = re.compile(
+    r" time=([0-9.]+) .*event=revision_in_force .*revision=(\d+)"
+)
+SLOW_DELAY_MS = 500.0
+OUTAGE_DELAY_S = 0.01
+RECOVERY_WAIT_S = 2.0
+CLOCK_TICKS_PER_S = 100
+
+
+class ProcessUsage(NamedTuple):
     """Processor time and memory of the entry processes together."""
 
     cpu_s: float
     resident_mb: float
 
 
-class Head:
+class HeadClient:
     """The head key of the stand-in platform, changed without the command line."""
 
     def __init__(self, rig: Rig) -> None:
@@ -54,7 +56,7 @@
         """The URL of a path."""
         return f"http://{self.rig.platform_address}{path}"
 
-    def accept(self, document: EnvironmentDocument) -> float:
+    def put_revision(self, document: EnvironmentDocument) -> float:
         """Swap the head and return when its reply came, in wall clock seconds."""
         with urllib.request.urlopen(self.url(f"/kv/{self.key}")) as reply:
             revision = msgspec.json.decode(reply.read())["revision"]
@@ -73,24 +75,24 @@
         return calls
 
 
-def forced_at(log: Path) -> dict[int, float]:
+def read_in_force_times(log: Path) -> dict[int, float]:
     """When a process put each revision in force, from its log."""
-    found = FORCED.findall(log.read_text())
+    found = REVISION_IN_FORCE.findall(log.read_text())
     return {int(number): float(at) for at, number in reversed(found)}
 
 
-def usage(rig: Rig) -> Usage:
+def read_usage(rig: Rig) -> ProcessUsage:
     """Read what the entry processes have used so far."""
     cpu_s = resident_mb = 0.0
     for place in rig.places:
         process = rig.children[place.node].process
         assert process is not None
         stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-        cpu_s += (int(stat[11]) + int(stat[12])) / TICKS_A_SECOND
+        cpu_s += (int(stat[11]) + int(stat[12])) / CLOCK_TICKS_PER_S
         status = Path(f"/proc/{process.pid}/status").read_text()
         match = re.search(r"VmRSS:\s+(\d+) kB", status)
         resident_mb += int(match.group(1)) / 1024 if match else 0.0
-    return Usage(cpu_s, resident_mb)
+    return ProcessUsage(cpu_s, resident_mb)
 
 
 class Fault(StrEnum):
@@ -108,47 +110,56 @@
     )
     with Rig(deployment) as rig:
         time.sleep(SETTLE_S)
-        head = Head(rig)
-        before, used = head.counts(), usage(rig)
-        time.sleep(REST_S)
-        after, used_later = head.counts(), usage(rig)
+        head = HeadClient(rig)
+        counts_before, usage_before = head.counts(), read_usage(rig)
+        time.sleep(IDLE_S)
+        counts_after, usage_after = head.counts(), read_usage(rig)
         if fault is Fault.SLOW:
-            rig.control_platform({"delay_ms": SLOW_MS})
+            rig.control_platform({"delay_ms": SLOW_DELAY_MS})
         down = fault is Fault.DOWN
-        times = [at for n in range(CHANGES) for at in change_once(rig, head, n, down)]
+        delays_ms = [
+            delay_ms
+            for n in range(CHANGES)
+            for delay_ms in measure_change(rig, head, n, down)
+        ]
         nodes = len(rig.places)
-    times.sort()
-    cpu_s = used_later.cpu_s - used.cpu_s
-    calls = sum(after.values()) - sum(before.values())
-    kinds = {f"calls {kind}": n - before.get(kind, 0) for kind, n in after.items()}
+    delays_ms.sort()
+    cpu_s = usage_after.cpu_s - usage_before.cpu_s
+    calls = sum(counts_after.values()) - sum(counts_before.values())
+    kinds = {
+        f"calls {kind}": n - counts_before.get(kind, 0)
+        for kind, n in counts_after.items()
+    }
     print(" ".join(f"{kind}={count}" for kind, count in kinds.items()))
     return {
         "nodes": nodes,
-        "samples": len(times),
-        "p50_ms": times[len(times) // 2],
-        "p99_ms": times[int(len(times) * 0.99)],
-        "max_ms": times[-1],
-        "rest_store_calls_s": calls / REST_S,
-        "rest_cpu_percent_a_node": cpu_s / REST_S / nodes * 100,
-        "resident_mb_a_node": used_later.resident_mb / nodes,
+        "samples": len(delays_ms),
+        "p50_ms": delays_ms[len(delays_ms) // 2],
+        "p99_ms": delays_ms[int(len(delays_ms) * 0.99)],
+        "max_ms": delays_ms[-1],
+        "rest_store_calls_s": calls / IDLE_S,
+        "rest_cpu_percent_a_node": cpu_s / IDLE_S / nodes * 100,
+        "resident_mb_a_node": usage_after.resident_mb / nodes,
     }
 
 
-def change_once(rig: Rig, head: Head, place: int, down: bool) -> list[float]:
+def measure_change(rig: Rig, head: HeadClient, number: int, down: bool) -> list[float]:
     """Accept one change and return how late each node had it, in milliseconds."""
     workloads = {
-        name: workload._replace(deadline_ms=200.0 + place)
+        name: workload._replace(deadline_ms=200.0 + number)
         for name, workload in rig.document.workloads.items()
     }
-    accepted_at = head.accept(rig.document._replace(workloads=workloads))
+    accepted_at = head.put_revision(rig.document._replace(workloads=workloads))
     if down:
-        time.sleep(DOWN_AFTER_S)
+        time.sleep(OUTAGE_DELAY_S)
         rig.control_platform({"outage": "cut"})
-    time.sleep(CHANGE_S)
+    time.sleep(CHANGE_WAIT_S)
     if down:
         rig.control_platform({"outage": "none"})
-        time.sleep(RECOVER_S)
-    logs = [forced_at(rig.directory / f"{place.node}.log") for place in rig.places]
+        time.sleep(RECOVERY_WAIT_S)
+    logs = [
+        read_in_force_times(rig.directory / f"{place.node}.log") for place in rig.places
+    ]
     assert all(head.number in log for log in logs), "not in force everywhere"
     return [(log[head.number] - accepted_at) * 1000 for log in logs]
 
@@ -156,7 +167,9 @@
 def main() -> None:
     """Print a line for each size."""
     parser = argparse.ArgumentParser(prog="python -m bench.measure_force")
-    parser.add_argument("--entries", type=int, nargs="*", default=ENTRIES_A_DATA_CENTRE)
+    parser.add_argument(
+        "--entries", type=int, nargs="*", default=ENTRIES_PER_DATA_CENTRE
+    )
     parser.add_argument("--fault", type=Fault, default=Fault.NONE)
     options = parser.parse_args()
     for entries in options.entries:
--- a/bench/measure_revisions.py
+++ b/bench/measure_revisions.py
@@ -31,44 +31,48 @@
 
 SIZES = (100, 1_000, 4_300)
 DATA_CENTRES = 7
-REPLICAS_A_SERVICE = 2
+REPLICAS_PER_SERVICE = 2
 REPEATS = 9
 FIRST_PORT = 21_000
 
 
 def large_document(replicas: int, deadline_ms: float) -> EnvironmentDocument:
     """A document with so many replicas over seven data centres in two regions."""
-    centres = {f"dc-{n}": DataCentre(f"region-{n // 4}") for n in range(DATA_CENTRES)}
+    data_centres = {
+        f"dc-{n}": DataCentre(f"region-{n // 4}") for n in range(DATA_CENTRES)
+    }
     services = {
         f"logfinder-{number:04d}": [
-            make_replica(number, place) for place in range(REPLICAS_A_SERVICE)
+            make_replica(number, place) for place in range(REPLICAS_PER_SERVICE)
         ]
-        for number in range(replicas // REPLICAS_A_SERVICE)
+        for number in range(replicas // REPLICAS_PER_SERVICE)
     }
     workload = Workload(
         ["logfinder"], Scope.ALL, deadline_ms, 0.6, Wait.ENOUGH, enough_coverage=0.95
     )
     indexes = {"logfinder": Index(2, 25, 6.0, services)}
     workloads = {"storm-night": workload}
-    return EnvironmentDocument("production", centres, indexes, workloads)
+    return EnvironmentDocument("production", data_centres, indexes, workloads)
 
 
 def make_replica(number: int, place: int) -> Replica:
     """Make a replica; consecutive ones stand in different data centres."""
     service = f"logfinder-{number:04d}"
-    centre = (number + place) % DATA_CENTRES
-    host = (number * REPLICAS_A_SERVICE + place) * 37 % 62_500
-    address = f"10.{centre}.{host // 250}.{host % 250 + 1}:{FIRST_PORT + number % 9}"
-    return Replica(f"{service}-r{place + 1}", f"dc-{centre}", address)
+    data_centre = (number + place) % DATA_CENTRES
+    host = (number * REPLICAS_PER_SERVICE + place) * 37 % 62_500
+    address = (
+        f"10.{data_centre}.{host // 250}.{host % 250 + 1}:{FIRST_PORT + number % 9}"
+    )
+    return Replica(f"{service}-r{place + 1}", f"dc-{data_centre}", address)
 
 
-def fastest_ms(call: Callable[[], object]) -> float:
+def min_duration_ms(call: Callable[[], object]) -> float:
     """The least time of several calls, in milliseconds."""
     times = []
     for _ in range(REPEATS):
-        began = time.perf_counter()
+        started = time.perf_counter()
         call()
-        times.append(time.perf_counter() - began)
+        times.append(time.perf_counter() - started)
     return min(times) * 1000
 
 
@@ -77,19 +81,19 @@
     old, new = large_document(replicas, 150.0), large_document(replicas, 140.0)
     old_form, new_form = canonical_bytes(old), canonical_bytes(new)
     revision = make_revision(2, "0123456789abcdef", "ilona", "", new)
-    stored = encode_revision(revision)
+    stored_revision = encode_revision(revision)
     delta = make_delta(old_form, new_form)
     assert apply_delta(old_form, delta).unwrap() == new_form
     return {
         "replicas": replicas,
         "canonical_bytes": len(new_form),
-        "stored_bytes": len(stored),
+        "stored_bytes": len(stored_revision),
         "whole_bytes": len(make_delta(NO_BASE, new_form)),
         "delta_bytes": len(delta),
-        "make_delta_ms": fastest_ms(lambda: make_delta(old_form, new_form)),
-        "apply_delta_ms": fastest_ms(lambda: apply_delta(old_form, delta)),
-        "decode_ms": fastest_ms(lambda: decode_revision(stored)),
-        "offer_ms": fastest_ms(lambda: DocumentHolder().offer(revision)),
+        "make_delta_ms": min_duration_ms(lambda: make_delta(old_form, new_form)),
+        "apply_delta_ms": min_duration_ms(lambda: apply_delta(old_form, delta)),
+        "decode_ms": min_duration_ms(lambda: decode_revision(stored_revision)),
+        "offer_ms": min_duration_ms(lambda: DocumentHolder().offer(revision)),
     }
 
 
--- a/bench/measure_spread.py
+++ b/bench/measure_spread.py
@@ -25,14 +25,14 @@
 __all__ = ["Figures", "main", "simulate"]
 
 SIZES = ((9, 3), (60, 3), (550, 7))
-WATCHERS_A_DATA_CENTRE = 2
+WATCHERS_PER_DATA_CENTRE = 2
 LOCAL_DELAY_S = 0.0005
 REMOTE_DELAY_S = 0.0045
 STORE_DELAY_S = 0.005
-REST_S = 60.0
-CHANGE_S = 20.0
+IDLE_S = 60.0
+CHANGE_WAIT_S = 20.0
 REPLICAS = 100
-CHANGES_A_DAY = 330
+CHANGES_PER_DAY = 330
 DAY_S = 86_400
 
 
@@ -55,11 +55,13 @@
 class Network:
     """Nodes with timers and messages on a fake clock."""
 
-    def __init__(self, nodes: int, centres: int, loss: float, seed: int) -> None:
+    def __init__(self, nodes: int, data_centres: int, loss: float, seed: int) -> None:
         self.rng = random.Random(seed)
         self.loss = loss
         self.names = [f"entry-{number:03d}" for number in range(nodes)]
-        self.centre = {name: n % centres for n, name in enumerate(self.names)}
+        self.data_centre_of = {
+            name: n % data_centres for n, name in enumerate(self.names)
+        }
         self.spreads = {
             name: Spread(DocumentHolder("production"), random.Random(self.rng.random()))
             for name in self.names
@@ -67,12 +69,12 @@
         self.now = 0.0
         self.queue: list[tuple[float, int, str, str, Message | None]] = []
         self.order = 0
-        self.sent: Counter[str] = Counter()
-        self.sizes: Counter[str] = Counter()
+        self.sent_messages: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
         for name in self.names:
-            self.push(self.spreads[name].next_tick_s() * self.rng.random(), name)
+            self.schedule(self.spreads[name].next_tick_s() * self.rng.random(), name)
 
-    def push(
+    def schedule(
         self,
         delay_s: float,
         name: str,
@@ -84,17 +86,17 @@
         event = (self.now + delay_s, self.order, name, sender, message)
         heapq.heappush(self.queue, event)
 
-    def post(self, sender: str, sends: Sequence[Send]) -> None:
+    def send(self, sender: str, sends: Sequence[Send]) -> None:
         """Send messages, of which some are lost."""
         for peer, message in sends:
             kind = type(message).__name__
             frame = encode_frame(sender, 0, [encode_message(message)])
-            self.sent[kind] += 1
-            self.sizes[kind] += len(frame)
-            local = self.centre[sender] == self.centre[peer]
+            self.sent_messages[kind] += 1
+            self.sent_bytes[kind] += len(frame)
+            local = self.data_centre_of[sender] == self.data_centre_of[peer]
             delay_s = LOCAL_DELAY_S if local else REMOTE_DELAY_S
             if self.rng.random() >= self.loss:
-                self.push(delay_s * self.rng.uniform(1, 2), peer, sender, message)
+                self.schedule(delay_s * self.rng.uniform(1, 2), peer, sender, message)
 
     def peers(self, name: str) -> list[str]:
         """All but one."""
@@ -102,43 +104,45 @@
 
     def run(self, until: float, number: int = 0) -> list[float]:
         """Let time pass; returns when each node got to ``number``."""
-        forced: list[float] = []
+        in_force_at: list[float] = []
         while self.queue and self.queue[0][0] <= until:
             self.now, _, name, sender, message = heapq.heappop(self.queue)
             spread = self.spreads[name]
             before = spread.holder.number
             peers = self.peers(name)
             if message is not None:
-                self.post(name, spread.receive(sender, message, peers, self.now))
-                self.push_retry(spread, name)
+                self.send(name, spread.receive(sender, message, peers, self.now))
+                self.schedule_retry(spread, name)
             elif sender == name:
-                self.post(name, spread.request_newest(peers, self.now))
-                self.push_retry(spread, name)
+                self.send(name, spread.request_newest(peers, self.now))
+                self.schedule_retry(spread, name)
             else:
-                self.post(name, spread.tick(peers, self.now))
-                self.push(spread.next_tick_s(), name)
+                self.send(name, spread.tick(peers, self.now))
+                self.schedule(spread.next_tick_s(), name)
             if before < number <= spread.holder.number:
-                forced.append(self.now)
+                in_force_at.append(self.now)
         self.now = until
-        return forced
+        return in_force_at
 
-    def push_retry(self, spread: Spread, name: str) -> None:
+    def schedule_retry(self, spread: Spread, name: str) -> None:
         """Let a node look again once its request is overdue."""
         if spread.pending is not None:
-            self.push(spread.pending.until - self.now, name, name)
+            self.schedule(spread.pending.until - self.now, name, name)
 
     def watchers(self) -> list[str]:
         """The first nodes of each data centre."""
-        by_centre: dict[int, list[str]] = {}
+        by_data_centre: dict[int, list[str]] = {}
         for name in self.names:
-            by_centre.setdefault(self.centre[name], []).append(name)
+            by_data_centre.setdefault(self.data_centre_of[name], []).append(name)
         return [
-            n for names in by_centre.values() for n in names[:WATCHERS_A_DATA_CENTRE]
+            n
+            for names in by_data_centre.values()
+            for n in names[:WATCHERS_PER_DATA_CENTRE]
         ]
 
     def total_bytes(self) -> int:
         """The bytes sent so far."""
-        return self.sizes.total()
+        return self.sent_bytes.total()
 
 
 def make_change(number: int) -> Revision:
@@ -147,38 +151,42 @@
     return make_revision(number, "0123456789abcdef", "ilona", "shorter", document)
 
 
-def simulate(nodes: int, centres: int, loss: float, seed: int) -> Figures:
+def simulate(nodes: int, data_centres: int, loss: float, seed: int) -> Figures:
     """Measure one size."""
-    network = Network(nodes, centres, loss, seed)
+    network = Network(nodes, data_centres, loss, seed)
     for name in network.names:
         network.spreads[name].offer(make_change(1), [], 0.0)
-    network.run(REST_S)
-    rest = network.total_bytes() / nodes / REST_S
-    messages, size = network.sent.total(), network.total_bytes()
+    network.run(IDLE_S)
+    idle_bytes_per_s = network.total_bytes() / nodes / IDLE_S
+    messages, size = network.sent_messages.total(), network.total_bytes()
     accepted_at = network.now
-    forced = []
+    in_force_at = []
     for name in network.watchers():
         network.now = accepted_at + STORE_DELAY_S * network.rng.uniform(1, 2)
         spread, peers = network.spreads[name], network.peers(name)
-        network.post(name, spread.offer(make_change(2), peers, network.now))
-        forced.append(network.now)
-    forced += network.run(accepted_at + CHANGE_S, 2)
-    times = sorted((at - accepted_at) * 1000 for at in forced)
-    assert len(times) == nodes, "not in force everywhere"
-    change_bytes = (network.total_bytes() - size) / nodes - rest * CHANGE_S
-    change_messages = network.sent.total() - messages * (1 + CHANGE_S / REST_S)
+        network.send(name, spread.offer(make_change(2), peers, network.now))
+        in_force_at.append(network.now)
+    in_force_at += network.run(accepted_at + CHANGE_WAIT_S, 2)
+    delays_ms = sorted((at - accepted_at) * 1000 for at in in_force_at)
+    assert len(delays_ms) == nodes, "not in force everywhere"
+    change_bytes = (
+        network.total_bytes() - size
+    ) / nodes - idle_bytes_per_s * CHANGE_WAIT_S
+    change_messages = network.sent_messages.total() - messages * (
+        1 + CHANGE_WAIT_S / IDLE_S
+    )
     watchers = len(network.watchers())
     return Figures(
         nodes=nodes,
-        data_centres=centres,
+        data_centres=data_centres,
         loss=loss,
-        p50_ms=times[len(times) // 2],
-        p99_ms=times[min(len(times) - 1, int(len(times) * 0.99))],
-        max_ms=times[-1],
+        p50_ms=delays_ms[len(delays_ms) // 2],
+        p99_ms=delays_ms[min(len(delays_ms) - 1, int(len(delays_ms) * 0.99))],
+        max_ms=delays_ms[-1],
         change_messages_a_node=change_messages / nodes,
         change_bytes_a_node=change_bytes,
-        rest_bytes_a_node_s=rest,
-        day_bytes_a_node_s=rest + change_bytes * CHANGES_A_DAY / DAY_S,
+        rest_bytes_a_node_s=idle_bytes_per_s,
+        day_bytes_a_node_s=idle_bytes_per_s + change_bytes * CHANGES_PER_DAY / DAY_S,
         store_calls_s=watchers * 1000 / WATCH_TIMEOUT_MS,
     )
 
@@ -189,9 +197,9 @@
     parser = argparse.ArgumentParser(prog="python -m bench.measure_spread")
     parser.add_argument("--seed", type=int, default=1)
     seed = parser.parse_args().seed
-    for nodes, centres in SIZES:
+    for nodes, data_centres in SIZES:
         for loss in (0.0, 0.2):
-            figures = simulate(nodes, centres, loss, seed)
+            figures = simulate(nodes, data_centres, loss, seed)
             print(" ".join(f"{k}={v:.4g}" for k, v in figures._asdict().items()))
 
 
--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -17,11 +17,11 @@
 
 __all__ = ["MembershipCost", "MembershipDriver", "main"]
 
-FLEET = 7
+FLEET_ID = 7
 TICK_S = 0.1
-NEAR_S = 0.0005
-FAR_S = 0.0045
-HEADER_BYTES = 28
+LOCAL_DELAY_S = 0.0005
+REMOTE_DELAY_S = 0.0045
+IP_UDP_HEADER_BYTES = 28
 SIZES = ((9, 3), (60, 3), (550, 7))
 WARM_UP_S = 65.0
 MEASURE_S = 40.0
@@ -62,7 +62,7 @@
             place = f"centre-{number % data_centres}"
             self.start(f"{place}-entry-{number}", place, 1)
 
-    def acquaint(self) -> None:
+    def introduce_all(self) -> None:
         """Let every member know all others, as after a long time."""
         known = [
             member.local_member._replace(state=MemberState.ALIVE)
@@ -81,7 +81,7 @@
         address = f"10.0.{number // 256}.{number % 256}:7401"
         http = f"10.0.{number // 256}.{number % 256}:8401"
         local_member = Member(name, data_centre, address, http, incarnation)
-        member = Membership(local_member, FLEET, seed=number * 1000 + incarnation)
+        member = Membership(local_member, FLEET_ID, seed=number * 1000 + incarnation)
         first = next(iter(self.members.values()), member)
         member.seeds = {first.local_member.link_address}
         self.members[name] = member
@@ -95,12 +95,12 @@
             data = encode_datagram(datagram)
             target = self.addresses.get(address)
             self.datagrams += 1
-            self.bytes += len(data) + HEADER_BYTES
+            self.bytes += len(data) + IP_UDP_HEADER_BYTES
             if target is None or self.is_lost(source, target):
                 continue
-            near = self.centre(source) == self.centre(target)
+            local = self.centre(source) == self.centre(target)
             self.count += 1
-            due = self.now + (NEAR_S if near else FAR_S)
+            due = self.now + (LOCAL_DELAY_S if local else REMOTE_DELAY_S)
             heappush(self.queue, (due, self.count, source, target, data))
 
     def centre(self, name: str) -> str:
@@ -129,7 +129,7 @@
             self.count += 1
             return
         self.now = max(self.now, due)
-        datagram: Datagram | None = decode_datagram(data, FLEET)
+        datagram: Datagram | None = decode_datagram(data, FLEET_ID)
         assert datagram is not None
         member = self.members[target]
         address = self.members[source].local_member.link_address
@@ -146,23 +146,25 @@
         return [n for n in names if n not in self.stopped | self.paused]
 
 
-def measure_detection(driver: MembershipDriver, victim: str) -> tuple[float, float]:
+def measure_detection(
+    driver: MembershipDriver, stopped_name: str
+) -> tuple[float, float]:
     """Stop a member; return the seconds until the first and all know it."""
-    driver.stopped.add(victim)
+    driver.stopped.add(stopped_name)
     started = driver.now
-    peers = driver.running(driver.centre(victim))
+    peers = driver.running(driver.centre(stopped_name))
     first = 0.0
     while driver.now - started < DETECTION_LIMIT_S:
         driver.run(TICK_S)
-        knowing = sum(driver.view(p, victim) is MemberState.DEAD for p in peers)
-        if knowing and not first:
+        detected = sum(driver.view(p, stopped_name) is MemberState.DEAD for p in peers)
+        if detected and not first:
             first = driver.now - started
-        if knowing == len(peers):
+        if detected == len(peers):
             return round(first, 1), round(driver.now - started, 1)
     return round(first, 1), inf
 
 
-def restart_seven(driver: MembershipDriver) -> float:
+def measure_restarts(driver: MembershipDriver) -> float:
     """Restart seven members at once; return the bytes a second and node after it."""
     names = list(driver.members)[:7]
     driver.bytes = 0
@@ -175,7 +177,7 @@
 def measure(nodes: int, data_centres: int) -> MembershipCost:
     """Run one size."""
     driver = MembershipDriver(nodes, data_centres)
-    driver.acquaint()
+    driver.introduce_all()
     driver.run(WARM_UP_S)
     driver.datagrams = driver.bytes = 0
     started = process_time()
@@ -184,9 +186,9 @@
     share = 2 / MEASURE_S / nodes
     datagrams, size = driver.datagrams * share, driver.bytes * share
     false_deaths = sum(len(m.table.dead_since) for m in driver.members.values())
-    victim = list(driver.members)[-1]
-    first, everyone = measure_detection(driver, victim)
-    storm = restart_seven(driver)
+    stopped_name = list(driver.members)[-1]
+    first, detected_all_s = measure_detection(driver, stopped_name)
+    restart_bytes_per_s = measure_restarts(driver)
     return MembershipCost(
         nodes,
         data_centres,
@@ -194,9 +196,9 @@
         round(size),
         round(100 * processor_s / MEASURE_S / nodes, 2),
         first,
-        everyone,
+        detected_all_s,
         false_deaths,
-        round(storm),
+        round(restart_bytes_per_s),
     )
 
 
--- a/bench/order_cost.py
+++ b/bench/order_cost.py
@@ -31,26 +31,26 @@
 RETENTION_MS = 86_400_000.0
 STORE_TIMEOUT_MS = 1000.0
 DEADLINE_MS = 5000.0
-MS_PER_SECOND = 1000.0
+MS_PER_S = 1000.0
 PERCENTILES = (50, 99)
 
 
-class OrderTrial:
+class OrderBenchmark:
     """A desk whose target answers after ``service_ms``."""
 
     def __init__(self, reactor: Any, delay_ms: float, service_ms: float) -> None:  # noqa: ANN401
         self.reactor = reactor
-        self.service_s = service_ms / MS_PER_SECOND
+        self.service_s = service_ms / MS_PER_S
         self.platform = Platform(reactor)
         self.platform.faults = self.platform.faults._replace(delay_ms=delay_ms)
         self.platform.start()
         self.port = listen(cast(ListeningReactor, reactor), self.platform)
         address = f"127.0.0.1:{self.port.getHost().port}"
         self.store = HttpStore(reactor, address, STORE_TIMEOUT_MS)
-        self.begun: dict[str, float] = {}
+        self.started: dict[str, float] = {}
         self.before_send_ms: list[float] = []
-        self.whole_ms: list[float] = []
-        self.desk = OrderCoordinator(
+        self.total_ms: list[float] = []
+        self.coordinator = OrderCoordinator(
             self.store,
             "trial",
             Claimant("entry-1", "1"),
@@ -64,8 +64,8 @@
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
         """Answer an order after the service time."""
-        elapsed = time.perf_counter() - self.begun[sub_query.request_id]
-        self.before_send_ms.append(elapsed * MS_PER_SECOND)
+        elapsed = time.perf_counter() - self.started[sub_query.request_id]
+        self.before_send_ms.append(elapsed * MS_PER_S)
         reply = SubReply(
             sub_query.sub_query_id, Outcome.ANSWERED, 1, 1, 0.0, 1.0, True, "", b"{}"
         )
@@ -74,37 +74,37 @@
     async def place(self, number: int) -> None:
         """Place one order and note its latency."""
         request = f"r-{number}"
-        self.begun[request] = time.perf_counter()
+        self.started[request] = time.perf_counter()
         order = OrderRequest(
             request, "orders", f"key-{number}", "s", "t", DEADLINE_MS, 5, b"{}"
         )
-        result = await self.desk.place(order)
+        result = await self.coordinator.place(order)
         if not isinstance(result, Success):
             raise RuntimeError(str(result))
-        elapsed = time.perf_counter() - self.begun[request]
-        self.whole_ms.append(elapsed * MS_PER_SECOND)
+        elapsed = time.perf_counter() - self.started[request]
+        self.total_ms.append(elapsed * MS_PER_S)
 
     async def run(self, orders: int, at_once: int) -> None:
         """Place orders in turns of ``at_once``."""
         for first in range(0, orders, at_once):
-            turn = [
+            batch = [
                 Deferred.fromCoroutine(self.place(first + number))
                 for number in range(at_once)
             ]
-            await gatherResults(turn)
-        await self.desk.drain()
+            await gatherResults(batch)
+        await self.coordinator.drain()
         self.platform.stop()
         await cast("Deferred[object]", self.store.close())
         await cast("Deferred[object]", self.port.stopListening())
 
     def report(self) -> None:
         """Print what was measured."""
-        placed = len(self.whole_ms)
+        placed = len(self.total_ms)
         calls = dict(self.platform.counts.calls)
         print(f"orders: {placed}, store calls: {calls}")
         for name, values in (
             ("before sending", self.before_send_ms),
-            ("whole order", self.whole_ms),
+            ("whole order", self.total_ms),
         ):
             p50, p99 = np.percentile(values, PERCENTILES)
             print(f"{name}: p50 {p50:.2f} ms, p99 {p99:.2f} ms")
@@ -121,12 +121,12 @@
     stream = open(os.devnull, "w", encoding="utf-8")
     configure_logging(stream, "entry-1", "duluth", HybridClock(time.time))
 
-    def begin(reactor: Any) -> Deferred[None]:  # noqa: ANN401
-        trial = OrderTrial(reactor, delay_ms, service_ms)
-        work: Coroutine[Any, Any, None] = trial.run(orders, at_once)
-        return Deferred.fromCoroutine(work).addCallback(lambda _: trial.report())
+    def start(reactor: Any) -> Deferred[None]:  # noqa: ANN401
+        benchmark = OrderBenchmark(reactor, delay_ms, service_ms)
+        running: Coroutine[Any, Any, None] = benchmark.run(orders, at_once)
+        return Deferred.fromCoroutine(running).addCallback(lambda _: benchmark.report())
 
-    react(begin, (), _reactor=default_reactor)
+    react(start, (), _reactor=default_reactor)
 
 
 if __name__ == "__main__":
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -21,12 +21,12 @@
     SERVICE_MEDIAN_MS,
     SERVICE_SIGMA,
     Arm,
-    Arrivals,
-    Clock,
-    Entry,
+    ArrivalProcess,
     Faults,
-    Finished,
-    Replica,
+    FinishedRequest,
+    SimulatedEntry,
+    SimulatedReplica,
+    VirtualClock,
 )
 from sardinehook.environment.document import Scope, Wait, Workload
 from sardinehook.query.hedging import FixedDelayHedge, NoHedge, QuantileHedge
@@ -52,7 +52,7 @@
     settle_ms=5.0,
     priority=0,
 )
-FULL_STORM = STORM._replace(wait=Wait.FULL, enough_coverage=1.0)
+FULL_COVERAGE_STORM = STORM._replace(wait=Wait.FULL, enough_coverage=1.0)
 
 BASELINE = Arm("random-no-hedge", NoHedge(), 1.0, False, random_replica=True)
 FIXED = Arm(
@@ -78,30 +78,30 @@
     p99_ms: float
     p999_ms: float
     coverage: float
-    extra: float
-    good: float
+    extra_ratio: float
+    answered_ratio: float
     offered: int
 
 
 def simulate(
     arm: Arm,
     faults: Faults,
-    load: Sequence[Arrivals],
+    load: Sequence[ArrivalProcess],
     seconds: float,
     seed: int,
     warm_up_s: float = WARM_UP_S,
-) -> list[Finished]:
+) -> list[FinishedRequest]:
     """Run one arm and return the requests that arrived after the warm-up."""
-    clock = Clock()
+    clock = VirtualClock()
     services = [
         (
             f"logs-{number}",
-            tuple(Placement(f"logs-{number}-{twin}", DATA_CENTRE) for twin in "ab"),
+            tuple(Placement(f"logs-{number}-{copy}", DATA_CENTRE) for copy in "ab"),
         )
         for number in range(SERVICES)
     ]
     replicas = {
-        placement.replica: Replica(
+        placement.replica: SimulatedReplica(
             placement.replica,
             SLOTS,
             clock,
@@ -112,13 +112,14 @@
         for placement in placements
     }
     entries = [
-        Entry(number, arm, services, replicas, clock, seed) for number in range(ENTRIES)
+        SimulatedEntry(number, arm, services, replicas, clock, seed)
+        for number in range(ENTRIES)
     ]
-    until = warm_up_s + seconds
+    end_s = warm_up_s + seconds
     for entry in entries:
         for arrivals in load:
             share = arrivals._replace(per_second=arrivals.per_second / ENTRIES)
-            entry.begin(share, until)
+            entry.begin(share, end_s)
     clock.run()
     return [
         finished
@@ -128,29 +129,29 @@
     ]
 
 
-def figures_of(finished: Sequence[Finished]) -> Figures:
+def compute_figures(finished: Sequence[FinishedRequest]) -> Figures:
     """Work out the measures of finished requests."""
     run = [request for request in finished if not request.refused]
     latencies = [request.latency_ms for request in run]
     p50, p99, p999 = np.percentile(latencies, [50.0, 99.0, 99.9])
-    first = sum(request.first_tries for request in run)
-    extra = sum(request.extra_tries for request in run)
+    first = sum(request.first_attempts for request in run)
+    extra = sum(request.extra_attempts for request in run)
     return Figures(
         float(p50),
         float(p99),
         float(p999),
         float(np.mean([request.coverage for request in run])),
         extra / first,
-        sum(request.good for request in finished) / len(finished),
+        sum(request.answered for request in finished) / len(finished),
         len(finished),
     )
 
 
 def compare_stragglers(options: Namespace) -> None:
     """Print all arms under each straggler fault, as ratios to the fault-free run."""
-    for name, workload in (("storm", STORM), ("storm-full", FULL_STORM)):
-        load = [Arrivals(name, workload, options.load * CAPACITY_PER_S)]
-        free: dict[str, Figures] = {}
+    for name, workload in (("storm", STORM), ("storm-full", FULL_COVERAGE_STORM)):
+        load = [ArrivalProcess(name, workload, options.load * CAPACITY_PER_S)]
+        fault_free: dict[str, Figures] = {}
         for fault, faults in FAULTS.items():
             for arm in STRAGGLER_ARMS:
                 if options.arm not in arm.name:
@@ -160,16 +161,16 @@
                     for seed in range(options.seed, options.seed + options.seeds)
                     for finished in simulate(arm, faults, load, options.seconds, seed)
                 ]
-                figures = figures_of(pooled)
-                own = free.setdefault(arm.name, figures)
-                baseline = next(iter(free.values()))
+                figures = compute_figures(pooled)
+                reference = fault_free.setdefault(arm.name, figures)
+                baseline = next(iter(fault_free.values()))
                 print(
                     f"{name:11}{fault:13}{arm.name:23}"
                     f" p50={figures.p50_ms:6.2f}ms p99={figures.p99_ms:7.2f}ms"
-                    f" x{figures.p99_ms / own.p99_ms:5.2f}"
+                    f" x{figures.p99_ms / reference.p99_ms:5.2f}"
                     f" xb{figures.p99_ms / baseline.p99_ms:5.2f}"
                     f" p99.9={figures.p999_ms:7.2f}ms"
-                    f" coverage={figures.coverage:.4f} extra={figures.extra:.4f}"
+                    f" coverage={figures.coverage:.4f} extra={figures.extra_ratio:.4f}"
                     f" n={figures.offered}",
                     flush=True,
                 )
@@ -188,8 +189,8 @@
         ("storm-0.5x-audit-1.5x", 0.5, 1.5),
     ):
         load = [
-            Arrivals("storm", FULL_STORM, storm_ratio * CAPACITY_PER_S),
-            Arrivals("audit", AUDIT, audit_ratio * CAPACITY_PER_S),
+            ArrivalProcess("storm", FULL_COVERAGE_STORM, storm_ratio * CAPACITY_PER_S),
+            ArrivalProcess("audit", AUDIT, audit_ratio * CAPACITY_PER_S),
         ]
         load = [arrivals for arrivals in load if arrivals.per_second]
         for arm in arms:
@@ -205,21 +206,24 @@
             print(f"{name:22}{arm.name:16}{goodput_line(pooled, options)}", flush=True)
 
 
-def goodput_line(pooled: Sequence[Finished], options: Namespace) -> str:
+def goodput_line(pooled: Sequence[FinishedRequest], options: Namespace) -> str:
     """Describe how much of the capacity was answered, by workload."""
-    span = options.seconds * options.seeds
+    duration_s = options.seconds * options.seeds
     parts = []
     total = 0.0
     for workload in ("storm", "audit"):
-        own = [request for request in pooled if request.workload == workload]
-        if own:
-            rate = sum(request.good * request.coverage for request in own) / span
+        arm_requests = [request for request in pooled if request.workload == workload]
+        if arm_requests:
+            rate = (
+                sum(request.answered * request.coverage for request in arm_requests)
+                / duration_s
+            )
             total += rate / CAPACITY_PER_S
-            figures = figures_of(own)
+            figures = compute_figures(arm_requests)
             parts.append(
                 f" {workload}: goodput={rate / CAPACITY_PER_S:.3f}"
-                f" answered={figures.good:.3f} p99={figures.p99_ms:.1f}ms"
-                f" coverage={figures.coverage:.3f} extra={figures.extra:.3f}"
+                f" answered={figures.answered_ratio:.3f} p99={figures.p99_ms:.1f}ms"
+                f" coverage={figures.coverage:.3f} extra={figures.extra_ratio:.3f}"
             )
     return f"goodput={total:.3f} of capacity;" + ";".join(parts)
 
--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -38,24 +38,24 @@
 WORKLOAD = Workload(["logs"], Scope.ALL, 150.0, 0.5)
 
 
-def document(services: int) -> EnvironmentDocument:
+def make_document(service_count: int) -> EnvironmentDocument:
     """Build an environment of one index with two replicas for each service."""
-    held = {
+    services = {
         f"logs-{number}": [
-            Replica(f"logs-{number}-{twin}", "szolnok-b", "127.0.0.1:80")
-            for twin in "ab"
+            Replica(f"logs-{number}-{copy}", "szolnok-b", "127.0.0.1:80")
+            for copy in "ab"
         ]
-        for number in range(services)
+        for number in range(service_count)
     }
     return EnvironmentDocument(
         "trial",
         {"szolnok-b": DataCentre("alfold")},
-        {"logs": Index(2, 25, 6.0, held)},
+        {"logs": Index(2, 25, 6.0, services)},
         {"storm": WORKLOAD},
     )
 
 
-def page(service: str) -> bytes:
+def make_page(service: str) -> bytes:
     """Build a target's reply."""
     return msgspec.json.encode(
         {
@@ -72,7 +72,7 @@
     )
 
 
-def reply_to(sub_query: SubQuery, body: bytes) -> SubReply:
+def make_reply(sub_query: SubQuery, body: bytes) -> SubReply:
     """Answer a sub-query from the only snapshot."""
     return SubReply(
         sub_query.sub_query_id, Outcome.ANSWERED, 42, 1, 0.1, 4.0, True, "", body
@@ -88,9 +88,9 @@
         request, WORKLOAD, plan.services, plan.snapshots, planner.policy, now
     )
     actions = search.begin(now)
-    spent = process_time() - started
+    spent_s = process_time() - started
     replies = [
-        reply_to(action.sub_query, bodies[action.sub_query.service])
+        make_reply(action.sub_query, bodies[action.sub_query.service])
         for action in actions
         if isinstance(action, Send)
     ]
@@ -99,11 +99,11 @@
     for reply in replies:
         last = search.on_reply(reply, now + 0.004)
         search.next_timer()
-    encode_settlement(last)
-    return spent + process_time() - started
+    encode_outcome(last)
+    return spent_s + process_time() - started
 
 
-def encode_settlement(actions: Sequence[Action]) -> None:
+def encode_outcome(actions: Sequence[Action]) -> None:
     """Encode the answer that ends a query."""
     settle = actions[-1]
     if not isinstance(settle, Settle) or not isinstance(settle.outcome, SearchAnswer):
@@ -111,20 +111,22 @@
     encode_answer(settle.outcome)
 
 
-def cost_us(fan_out: int, samples: int) -> float:
+def measure_policy_us(fan_out: int, samples: int) -> float:
     """Return the least processor time in us for each sub-query over ``samples``."""
     planner = Planner(SearchPolicy(chooser=ReplicaChooser("szolnok-b", 1)))
-    planner.apply(document(fan_out))
-    bodies = {f"logs-{number}": page(f"logs-{number}") for number in range(fan_out)}
+    planner.apply(make_document(fan_out))
+    bodies = {
+        f"logs-{number}": make_page(f"logs-{number}") for number in range(fan_out)
+    }
     queries = max(1, SUB_QUERIES_PER_SAMPLE // fan_out)
     now = 0.0
     costs = []
     for _ in range(samples + 1):
-        spent = 0.0
+        spent_s = 0.0
         for _ in range(queries):
             now += 0.01
-            spent += run_query(planner, bodies, now)
-        costs.append(spent * 1e6 / (queries * fan_out))
+            spent_s += run_query(planner, bodies, now)
+        costs.append(spent_s * 1e6 / (queries * fan_out))
     return min(costs[1:])
 
 
@@ -134,7 +136,7 @@
     parser.add_argument("--samples", type=int, default=9)
     options = parser.parse_args(arguments)
     for fan_out in FAN_OUTS:
-        cost = cost_us(fan_out, options.samples)
+        cost = measure_policy_us(fan_out, options.samples)
         print(f"fan_out={fan_out} us_per_sub_query={cost:.1f}")
 
 
--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -22,19 +22,27 @@
 from sardinehook.query.search import Search
 from sardinehook.query.snapshot import Snapshot
 
-__all__ = ["Arm", "Arrivals", "Clock", "Entry", "Faults", "Finished", "Replica"]
-
-LINK_MS = 0.4
+__all__ = [
+    "Arm",
+    "ArrivalProcess",
+    "Faults",
+    "FinishedRequest",
+    "SimulatedEntry",
+    "SimulatedReplica",
+    "VirtualClock",
+]
+
+LINK_DELAY_MS = 0.4
 LINK_JITTER_MS = 0.2
 SERVICE_MEDIAN_MS = 4.0
 SERVICE_SIGMA = 0.35
 SLOW_FACTOR = 20.0
-SNAPSHOT = Snapshot(42, 1)
+CURRENT_SNAPSHOT = Snapshot(42, 1)
 DATA_CENTRE = "szolnok-b"
-BODY = b'{"records":[{"id":"a","rank":1.0,"fields":{}}],"truncated":false}'
+REPLY_BODY = b'{"records":[{"id":"a","rank":1.0,"fields":{}}],"truncated":false}'
 
 
-class Clock:
+class VirtualClock:
     """Runs callables in the order of their times, in seconds from zero."""
 
     def __init__(self) -> None:
@@ -72,7 +80,7 @@
     admits: bool = False
 
 
-class Arrivals(NamedTuple):
+class ArrivalProcess(NamedTuple):
     """Poisson arrivals of one workload at each entry."""
 
     workload_name: str
@@ -91,7 +99,7 @@
 
 
 @dataclass(slots=True)
-class Job:
+class SubQueryJob:
     """A sub-query at a replica."""
 
     sub_query: SubQuery
@@ -99,23 +107,23 @@
     queued_at: float
     expires_at: float
     running: bool = False
-    gone: bool = False
+    ended: bool = False
 
 
-class Replica:
+class SimulatedReplica:
     """A target with slots behind its owner's queue, which is served by priority."""
 
     def __init__(
-        self, name: str, slots: int, clock: Clock, random: Random, faults: Faults
+        self, name: str, slots: int, clock: VirtualClock, random: Random, faults: Faults
     ) -> None:
         self.name = name
-        self.free = slots
+        self.free_slots = slots
         self.clock = clock
         self.random = random
         self.faults = faults
-        self.queues: dict[int, deque[Job]] = {}
+        self.queues: dict[int, deque[SubQueryJob]] = {}
 
-    def service_s(self) -> float:
+    def draw_service_s(self) -> float:
         """Draw a service time."""
         time = SERVICE_MEDIAN_MS * self.random.lognormvariate(0.0, SERVICE_SIGMA)
         slow = self.random.random() < self.faults.slow_reply_ratio
@@ -123,63 +131,63 @@
             time *= SLOW_FACTOR
         return time / 1000.0
 
-    def submit(self, job: Job) -> None:
+    def submit(self, job: SubQueryJob) -> None:
         """Take a sub-query."""
         self.queues.setdefault(job.sub_query.priority, deque()).append(job)
-        self.start_next()
+        self.start_queued()
 
-    def cancel(self, job: Job) -> None:
+    def cancel(self, job: SubQueryJob) -> None:
         """Abandon a sub-query; one that runs frees its slot."""
-        if job.gone:
+        if job.ended:
             return
-        job.gone = True
+        job.ended = True
         if job.running:
-            self.free += 1
-            self.start_next()
+            self.free_slots += 1
+            self.start_queued()
 
-    def start_next(self) -> None:
+    def start_queued(self) -> None:
         """Start what waits while slots are free."""
-        while self.free:
-            job = self.next_job()
+        while self.free_slots:
+            job = self.take_next_job()
             if job is None:
                 return
             self.start(job)
 
-    def next_job(self) -> Job | None:
+    def take_next_job(self) -> SubQueryJob | None:
         """Take the next sub-query of the best priority."""
         for priority in sorted(self.queues):
             queue = self.queues[priority]
             while queue:
                 job = queue.popleft()
-                if not job.gone:
+                if not job.ended:
                     return job
         return None
 
-    def start(self, job: Job) -> None:
+    def start(self, job: SubQueryJob) -> None:
         """Serve a sub-query, or answer that it is late."""
         now = self.clock.now
         queued_ms = (now - job.queued_at) * 1000.0
         if now >= job.expires_at:
-            job.reply(reply_of(job.sub_query, Outcome.LATE, queued_ms, 0.0))
+            job.reply(make_reply(job.sub_query, Outcome.LATE, queued_ms, 0.0))
             return
         job.running = True
-        self.free -= 1
-        service_s = self.service_s()
+        self.free_slots -= 1
+        service_s = self.draw_service_s()
         self.clock.at(now + service_s, lambda: self.finish(job, queued_ms, service_s))
 
-    def finish(self, job: Job, queued_ms: float, service_s: float) -> None:
+    def finish(self, job: SubQueryJob, queued_ms: float, service_s: float) -> None:
         """Answer a sub-query that was not abandoned."""
-        if job.gone:
+        if job.ended:
             return
-        job.gone = True
-        self.free += 1
+        job.ended = True
+        self.free_slots += 1
         job.reply(
-            reply_of(job.sub_query, Outcome.ANSWERED, queued_ms, service_s * 1000.0)
+            make_reply(job.sub_query, Outcome.ANSWERED, queued_ms, service_s * 1000.0)
         )
-        self.start_next()
+        self.start_queued()
 
 
-def reply_of(
+def make_reply(
     sub_query: SubQuery, outcome: Outcome, queued_ms: float, service_ms: float
 ) -> SubReply:
     """Return the reply that ends a sub-query."""
@@ -187,41 +195,41 @@
     return SubReply(
         sub_query.sub_query_id,
         outcome,
-        SNAPSHOT.index_version,
-        SNAPSHOT.partitioning,
+        CURRENT_SNAPSHOT.index_version,
+        CURRENT_SNAPSHOT.partitioning,
         queued_ms,
         service_ms,
         answered,
         "",
-        BODY if answered else b"",
+        REPLY_BODY if answered else b"",
     )
 
 
-class Finished(NamedTuple):
+class FinishedRequest(NamedTuple):
     """How one request ended. ``refused`` was not run at all."""
 
     workload: str
     arrived_at: float
     latency_ms: float
     coverage: float
-    good: bool
+    answered: bool
     refused: bool
-    first_tries: int
-    extra_tries: int
+    first_attempts: int
+    extra_attempts: int
 
 
 @dataclass(slots=True)
-class Running:
+class RunningSearch:
     """A search that is under way at an entry."""
 
     search: Search
-    ticket: AdmittedRequest
+    admitted_request: AdmittedRequest
     arrived_at: float
     workload: str
     timer_at: float = field(default=float("inf"))
 
 
-class Entry:
+class SimulatedEntry:
     """An entry process: its own policy, estimates and admission."""
 
     def __init__(
@@ -229,8 +237,8 @@
         number: int,
         arm: Arm,
         services: Sequence[tuple[str, tuple[Placement, ...]]],
-        replicas: dict[str, Replica],
-        clock: Clock,
+        replicas: dict[str, SimulatedReplica],
+        clock: VirtualClock,
         seed: int,
     ) -> None:
         self.number = number
@@ -246,25 +254,27 @@
             chooser=chooser(DATA_CENTRE, seed * 1000 + number),
         )
         self.admission = AdmissionController(Limits()) if arm.admits else None
-        self.running: dict[int, Running] = {}
-        self.jobs: dict[int, Job] = {}
-        self.finished: list[Finished] = []
+        self.running: dict[int, RunningSearch] = {}
+        self.jobs: dict[int, SubQueryJob] = {}
+        self.finished: list[FinishedRequest] = []
 
-    def begin(self, arrivals: Arrivals, until: float) -> None:
+    def begin(self, arrivals: ArrivalProcess, until: float) -> None:
         """Schedule the first arrival of a workload."""
         gap = self.random.expovariate(arrivals.per_second)
         self.clock.at(gap, lambda: self.arrive(arrivals, until))
 
-    def arrive(self, arrivals: Arrivals, until: float) -> None:
+    def arrive(self, arrivals: ArrivalProcess, until: float) -> None:
         """Take one request and schedule the next arrival."""
         now = self.clock.now
         gap = self.random.expovariate(arrivals.per_second)
         if now + gap < until:
             self.clock.at(now + gap, lambda: self.arrive(arrivals, until))
         name, workload = arrivals.workload_name, arrivals.workload
-        ticket = self.admit(arrivals, now)
-        if ticket is None:
-            self.finished.append(Finished(name, now, 0.0, 0.0, False, True, 0, 0))
+        admitted_request = self.admit(arrivals, now)
+        if admitted_request is None:
+            self.finished.append(
+                FinishedRequest(name, now, 0.0, 0.0, False, True, 0, 0)
+            )
             return
         request = SearchRequest(
             "r", name, now + workload.deadline_ms / 1000.0, 10, b"{}"
@@ -273,11 +283,13 @@
             ServicePlan("logs", service, self.policy.chooser.order(placements, now))
             for service, placements in self.services
         ]
-        search = Search(request, workload, plans, {"logs": SNAPSHOT}, self.policy, now)
-        running = Running(search, ticket, now, name)
-        self.perform(running, search.begin(now))
+        search = Search(
+            request, workload, plans, {"logs": CURRENT_SNAPSHOT}, self.policy, now
+        )
+        running = RunningSearch(search, admitted_request, now, name)
+        self.perform_actions(running, search.begin(now))
 
-    def admit(self, arrivals: Arrivals, now: float) -> AdmittedRequest | None:
+    def admit(self, arrivals: ArrivalProcess, now: float) -> AdmittedRequest | None:
         """Ask admission, if it is on."""
         name, workload = arrivals.workload_name, arrivals.workload
         cost = len(self.services)
@@ -286,7 +298,9 @@
         admitted = self.admission.admit(name, workload, cost, workload.deadline_ms, now)
         return admitted.value_or(None)
 
-    def perform(self, running: Running, actions: Sequence[Action]) -> None:
+    def perform_actions(
+        self, running: RunningSearch, actions: Sequence[Action]
+    ) -> None:
         """Do what a search asks for."""
         for action in actions:
             match action:
@@ -300,27 +314,29 @@
                     self.settle(running, action)
         self.arm(running)
 
-    def link_s(self) -> float:
+    def draw_link_s(self) -> float:
         """Draw the time that a message takes one way."""
-        return (LINK_MS + self.random.random() * LINK_JITTER_MS) / 1000.0
+        return (LINK_DELAY_MS + self.random.random() * LINK_JITTER_MS) / 1000.0
 
     def send(self, sub_query: SubQuery) -> None:
         """Carry a sub-query to its replica."""
         replica = self.replicas[sub_query.replica]
         now = self.clock.now
-        job = Job(sub_query, self.carry_back, now, now + sub_query.deadline_ms / 1000.0)
+        job = SubQueryJob(
+            sub_query, self.deliver_reply, now, now + sub_query.deadline_ms / 1000.0
+        )
         self.jobs[sub_query.sub_query_id] = job
-        self.clock.at(now + self.link_s(), lambda: replica.submit(job))
+        self.clock.at(now + self.draw_link_s(), lambda: replica.submit(job))
 
     def cancel(self, sub_query_id: int) -> None:
         """Carry a cancellation to the replica that has the sub-query."""
         job = self.jobs.pop(sub_query_id)
         replica = self.replicas[job.sub_query.replica]
-        self.clock.at(self.clock.now + self.link_s(), lambda: replica.cancel(job))
+        self.clock.at(self.clock.now + self.draw_link_s(), lambda: replica.cancel(job))
 
-    def carry_back(self, reply: SubReply) -> None:
+    def deliver_reply(self, reply: SubReply) -> None:
         """Carry a reply to its search."""
-        self.clock.at(self.clock.now + self.link_s(), lambda: self.on_reply(reply))
+        self.clock.at(self.clock.now + self.draw_link_s(), lambda: self.on_reply(reply))
 
     def on_reply(self, reply: SubReply) -> None:
         """Feed a reply to its search."""
@@ -328,36 +344,36 @@
         if running is not None:
             del self.jobs[reply.sub_query_id]
             actions = running.search.on_reply(reply, self.clock.now)
-            self.perform(running, actions)
+            self.perform_actions(running, actions)
 
-    def arm(self, running: Running) -> None:
+    def arm(self, running: RunningSearch) -> None:
         """Schedule the next timer of a search if it is earlier than the known one."""
         due = running.search.next_timer()
         if due is not None and due < running.timer_at:
             running.timer_at = due
             self.clock.at(due, lambda: self.on_timer(running))
 
-    def on_timer(self, running: Running) -> None:
+    def on_timer(self, running: RunningSearch) -> None:
         """Feed the time to a search."""
         running.timer_at = float("inf")
         due = running.search.next_timer()
         if due is not None and due <= self.clock.now:
-            self.perform(running, running.search.on_timer(self.clock.now))
+            self.perform_actions(running, running.search.on_timer(self.clock.now))
         else:
             self.arm(running)
 
-    def settle(self, running: Running, settle: Settle) -> None:
+    def settle(self, running: RunningSearch, settle: Settle) -> None:
         """Record how a search ended."""
         now = self.clock.now
-        good = not isinstance(settle.outcome, Problem)
+        answered = not isinstance(settle.outcome, Problem)
         search = running.search
         self.finished.append(
-            Finished(
+            FinishedRequest(
                 running.workload,
                 running.arrived_at,
                 (now - running.arrived_at) * 1000.0,
                 settle.coverage.ratio,
-                good,
+                answered,
                 False,
                 search.fan_out.first_attempts,
                 search.fan_out.extra_attempts,
@@ -365,4 +381,4 @@
         )
         if self.admission is not None:
             congested = search.was_congested()
-            self.admission.finish(running.ticket, congested, good, now)
+            self.admission.finish(running.admitted_request, congested, answered, now)
--- a/bench/state_cost.py
+++ b/bench/state_cost.py
@@ -26,7 +26,7 @@
 from sardinehook.query.planner import Planner
 from sardinehook.query.policy import SearchPolicy
 
-__all__ = ["StateCost", "measure_state"]
+__all__ = ["StateCost", "measure_in_subprocess"]
 
 from typing import NamedTuple
 
@@ -46,12 +46,12 @@
 
 def make_document(replicas: int) -> EnvironmentDocument:
     """Make a document with one index of two replicas a service."""
-    centres = [f"centre-{number}" for number in range(DATA_CENTRES)]
+    data_centres = [f"centre-{number}" for number in range(DATA_CENTRES)]
     services = {
         f"logs-{service}": [
             Replica(
                 f"logs-{service}-r{copy}",
-                centres[(service + copy) % DATA_CENTRES],
+                data_centres[(service + copy) % DATA_CENTRES],
                 f"10.{copy}.{service // 250}.{service % 250}:7000",
             )
             for copy in range(REPLICAS_PER_SERVICE)
@@ -60,38 +60,38 @@
     }
     return EnvironmentDocument(
         environment="production",
-        data_centres={name: DataCentre("north") for name in centres},
+        data_centres={name: DataCentre("north") for name in data_centres},
         indexes={"logs": Index(2, 25, 6.0, services)},
         workloads={"search": Workload(["logs"], Scope.ALL, 150.0, 0.9)},
     )
 
 
-def measure_here(replicas: int) -> StateCost:
+def measure_in_process(replicas: int) -> StateCost:
     """Measure one size in this process."""
     canonical = canonical_bytes(make_document(replicas))
     process = psutil.Process()
-    before = process.memory_info().rss
+    rss_before = process.memory_info().rss
     started = time.perf_counter()
     document = document_from(canonical).unwrap()
     planner = Planner(SearchPolicy())
     planner.apply(document)
-    indexed = {
+    replicas_by_name = {
         replica.name: IndexedReplica(replica, index)
         for index in document.indexes.values()
         for group in index.services.values()
         for replica in group
     }
     now = Clock().seconds()
-    for name in indexed:
+    for name in replicas_by_name:
         planner.observe_report(
             ReplicaReport(name, TargetState.WARM, (1, 2), 1, 1.0, 2), now
         )
     took_ms = (time.perf_counter() - started) * 1000.0
-    grown = process.memory_info().rss - before
-    return StateCost(len(indexed), grown / BYTES_PER_MB, took_ms)
+    growth_bytes = process.memory_info().rss - rss_before
+    return StateCost(len(replicas_by_name), growth_bytes / BYTES_PER_MB, took_ms)
 
 
-def measure_state(replicas: int) -> StateCost:
+def measure_in_subprocess(replicas: int) -> StateCost:
     """Measure one size in a process of its own."""
     arguments = [sys.executable, "-m", "bench.state_cost", str(replicas)]
     output = subprocess.run(arguments, capture_output=True, text=True, check=True)
@@ -102,10 +102,10 @@
 def main() -> None:
     """Measure the size on the command line, or all sizes."""
     if len(sys.argv) > 1:
-        print(*measure_here(int(sys.argv[1])))
+        print(*measure_in_process(int(sys.argv[1])))
         return
     for size in SIZES:
-        print(*measure_state(size))
+        print(*measure_in_subprocess(size))
 
 
 if __name__ == "__main__":
--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -40,11 +40,11 @@
 
 SLOTS = 4
 BODY = b'{"query":"strikes"}'
-LARGEST_COST_US = 60.0
+MAX_OWNER_COST_US = 60.0
 BLOCKS = 9
 
 
-class Place(NamedTuple):
+class ReplicaEndpoint(NamedTuple):
     """A replica of the stand-in."""
 
     name: str
@@ -55,27 +55,27 @@
 class Cost(NamedTuple):
     """The cost of one way to reach targets."""
 
-    way: str
+    transport: str
     sub_queries: int
     failed: int
     cost_us: float
 
 
-class Way(Protocol):
+class Transport(Protocol):
     """A way to send a sub-query and learn of its end."""
 
-    def send(self, place: Place, done: Callable[[bool], None]) -> None:
+    def send(self, endpoint: ReplicaEndpoint, done: Callable[[bool], None]) -> None:
         """Send a sub-query and tell ``done`` whether it was answered."""
 
 
-def sub_query(number: int, place: Place) -> SubQuery:
+def make_sub_query(number: int, endpoint: ReplicaEndpoint) -> SubQuery:
     """Return the sub-query that every way sends."""
     return SubQuery(
-        number, f"r{number}", place.service, place.name, 1, 1, 5000.0, 5, "", BODY
+        number, f"r{number}", endpoint.service, endpoint.name, 1, 1, 5000.0, 5, "", BODY
     )
 
 
-class AgentWay:
+class AgentTransport:
     """``twisted.web.client.Agent`` with persistent connections."""
 
     def __init__(self, reactor: TcpReactor) -> None:
@@ -84,7 +84,7 @@
         self.agent = Agent(reactor, pool=pool)
         self.numbers = count(1)
 
-    def send(self, place: Place, done: Callable[[bool], None]) -> None:
+    def send(self, endpoint: ReplicaEndpoint, done: Callable[[bool], None]) -> None:
         """Send a sub-query."""
         number = next(self.numbers)
         headers = Headers(
@@ -96,17 +96,17 @@
                 "Partitioning-Version": ["1"],
             }
         )
-        url = f"http://127.0.0.1:{place.address.port}/services/{place.service}/search"
+        url = f"http://127.0.0.1:{endpoint.address.port}/services/{endpoint.service}/search"
         producer = cast(IBodyProducer, BytesBody(BODY))
-        found = self.agent.request(b"POST", url.encode(), headers, producer)
-        found.addCallback(partial(self.read, f"r{number}"))
-        found.addCallbacks(done, lambda _: done(False))
+        response_received = self.agent.request(b"POST", url.encode(), headers, producer)
+        response_received.addCallback(partial(self.read, f"r{number}"))
+        response_received.addCallbacks(done, lambda _: done(False))
 
     def read(self, request_id: str, response: IResponse) -> Deferred[bool]:
         """Read the body and check the reply."""
-        whole = readBody(response)
+        body_read = readBody(response)
         own = response.headers.getRawHeaders("Request-Id") == [request_id]
-        return whole.addCallback(lambda body: own and response.code == 200)
+        return body_read.addCallback(lambda body: own and response.code == 200)
 
 
 @implementer(IBodyProducer)
@@ -139,7 +139,7 @@
         """Take a part of the body."""
 
 
-def show(failure: Failure) -> list[Cost]:
+def print_failure(failure: Failure) -> list[Cost]:
     """Print why the measurement failed."""
     print(failure.getTraceback())
     return []
@@ -149,25 +149,25 @@
     """Take no notice of a pool's event."""
 
 
-class ConnectionWay:
+class ConnectionTransport:
     """A bare connection for each sub-query in flight, without an owner."""
 
-    def __init__(self, reactor: TcpReactor, places: list[Place]) -> None:
+    def __init__(self, reactor: TcpReactor, endpoints: list[ReplicaEndpoint]) -> None:
         events = PoolEvents(ignore, ignore, ignore)
         self.numbers = count(1)
         self.pools: dict[str, ConnectionPool] = {}
-        for place in places:
-            pool = ConnectionPool(reactor, place.address, OwnerLimits(), events)
+        for endpoint in endpoints:
+            pool = ConnectionPool(reactor, endpoint.address, OwnerLimits(), events)
             pool.set_allowance(SLOTS)
             pool.ensure_available(SLOTS)
-            self.pools[place.name] = pool
+            self.pools[endpoint.name] = pool
 
-    def send(self, place: Place, done: Callable[[bool], None]) -> None:
+    def send(self, endpoint: ReplicaEndpoint, done: Callable[[bool], None]) -> None:
         """Send a sub-query."""
         number = next(self.numbers)
         exchange_id = b"c-%d" % number
-        query = sub_query(number, place)
-        pool = self.pools[place.name]
+        query = make_sub_query(number, endpoint)
+        pool = self.pools[endpoint.name]
         connection = pool.acquire()
         if connection is None:
             done(False)
@@ -188,68 +188,70 @@
         done(isinstance(end, Replied) and end.reply.status == 200)
 
 
-class OwnerWay:
+class OwnerTransport:
     """``TargetOwner.submit`` as the entry process uses it."""
 
-    def __init__(self, reactor: TcpReactor, places: list[Place]) -> None:
+    def __init__(self, reactor: TcpReactor, endpoints: list[ReplicaEndpoint]) -> None:
         self.numbers = count(1)
         self.owner = TargetOwner(reactor, OwnerLimits())
         services = {
-            place.service: [
-                Replica(place.name, "dc", f"127.0.0.1:{place.address.port}")
+            endpoint.service: [
+                Replica(endpoint.name, "dc", f"127.0.0.1:{endpoint.address.port}")
             ]
-            for place in places
+            for endpoint in endpoints
         }
         self.owner.configure({"i": Index(SLOTS, 25, 1.0, services, SLOTS)})
-        for place in places:
-            self.owner.set_allowance(place.name, Allowance(SLOTS, 20, True))
+        for endpoint in endpoints:
+            self.owner.set_allowance(endpoint.name, Allowance(SLOTS, 20, True))
 
-    def send(self, place: Place, done: Callable[[bool], None]) -> None:
+    def send(self, endpoint: ReplicaEndpoint, done: Callable[[bool], None]) -> None:
         """Send a sub-query."""
 
         def reply(sub_reply: SubReply) -> None:
             done(sub_reply.outcome is Outcome.ANSWERED)
 
-        self.owner.submit("self", sub_query(next(self.numbers), place), reply)
+        self.owner.submit("self", make_sub_query(next(self.numbers), endpoint), reply)
 
 
-class Runner:
+class TransportBenchmark:
     """Sends one round of sub-queries after another and measures all but the first."""
 
-    def __init__(self, reactor: TcpReactor, places: list[Place], rounds: int) -> None:
+    def __init__(
+        self, reactor: TcpReactor, endpoints: list[ReplicaEndpoint], rounds: int
+    ) -> None:
         self.reactor = reactor
-        self.places = places
+        self.endpoints = endpoints
         self.rounds = rounds
 
-    def run(self, name: str, way: Way) -> Deferred[Cost]:
+    def run(self, name: str, transport: Transport) -> Deferred[Cost]:
         """Measure one way."""
         finished: Deferred[Cost] = Deferred()
         warm_up_rounds = 5
         left_rounds = self.rounds + warm_up_rounds
-        waiting = failed = 0
+        pending = failed = 0
         started = 0.0
 
         def begin_round() -> None:
-            nonlocal left_rounds, waiting, started, failed
+            nonlocal left_rounds, pending, started, failed
             if left_rounds == self.rounds:
                 gc.collect()
                 failed = 0
                 started = process_time()
             if left_rounds == 0:
                 spent = process_time() - started
-                done = self.rounds * len(self.places)
+                done = self.rounds * len(self.endpoints)
                 finished.callback(Cost(name, done, failed, spent / done * 1e6))
                 return
             left_rounds -= 1
-            waiting = len(self.places)
-            for place in self.places:
-                way.send(place, ended)
+            pending = len(self.endpoints)
+            for endpoint in self.endpoints:
+                transport.send(endpoint, ended)
 
         def ended(answered: bool) -> None:
-            nonlocal waiting, failed
-            waiting -= 1
+            nonlocal pending, failed
+            pending -= 1
             failed += not answered
-            if waiting == 0:
+            if pending == 0:
                 self.reactor.callLater(0.0, begin_round)
 
         self.reactor.callLater(0.05, begin_round)
@@ -272,37 +274,41 @@
     path.write_text(json.dumps({"replicas": replicas, "log": {"entries": 0}}))
 
 
-def read_places(control: str) -> list[Place]:
+def read_endpoints(control: str) -> list[ReplicaEndpoint]:
     """Return the stand-in's replicas."""
     with urlopen(f"http://127.0.0.1:{control}/replicas") as response:
-        found = json.load(response)
+        replicas = json.load(response)
     return [
-        Place(one["name"], one["service"], TargetAddress.parse(one["address"]))
-        for one in found
+        ReplicaEndpoint(
+            replica["name"], replica["service"], TargetAddress.parse(replica["address"])
+        )
+        for replica in replicas
     ]
 
 
-async def measure(reactor: TcpReactor, places: list[Place], rounds: int) -> list[Cost]:
+async def measure(
+    reactor: TcpReactor, endpoints: list[ReplicaEndpoint], rounds: int
+) -> list[Cost]:
     """Measure the ways in turn, in blocks, and return the median block of each."""
-    runner = Runner(reactor, places, max(1, rounds // BLOCKS))
-    owner = OwnerWay(reactor, places)
-    ways: dict[str, Way] = {
-        "agent": AgentWay(reactor),
-        "connection": ConnectionWay(reactor, places),
+    runner = TransportBenchmark(reactor, endpoints, max(1, rounds // BLOCKS))
+    owner = OwnerTransport(reactor, endpoints)
+    transports: dict[str, Transport] = {
+        "agent": AgentTransport(reactor),
+        "connection": ConnectionTransport(reactor, endpoints),
         "owner": owner,
     }
     blocks = [
-        [await runner.run(name, way) for name, way in ways.items()]
+        [await runner.run(name, transport) for name, transport in transports.items()]
         for _ in range(BLOCKS)
     ]
     await owner.owner.close(1.0)
-    return [summary(list(costs)) for costs in zip(*blocks, strict=True)]
+    return [summarise_blocks(list(costs)) for costs in zip(*blocks, strict=True)]
 
 
-def summary(blocks: list[Cost]) -> Cost:
+def summarise_blocks(blocks: list[Cost]) -> Cost:
     """Return the sums of the counts and the median of the costs."""
     return Cost(
-        blocks[0].way,
+        blocks[0].transport,
         sum(cost.sub_queries for cost in blocks),
         sum(cost.failed for cost in blocks),
         median(cost.cost_us for cost in blocks),
@@ -311,10 +317,10 @@
 
 def report(costs: list[Cost]) -> bool:
     """Print the figures and tell whether they are within bounds."""
-    owner = next(cost for cost in costs if cost.way == "owner")
-    agent = next(cost for cost in costs if cost.way == "agent")
-    passed = owner.cost_us <= LARGEST_COST_US and not any(c.failed for c in costs)
-    figures = " ".join(f"{cost.way}_us={cost.cost_us:.1f}" for cost in costs)
+    owner = next(cost for cost in costs if cost.transport == "owner")
+    agent = next(cost for cost in costs if cost.transport == "agent")
+    passed = owner.cost_us <= MAX_OWNER_COST_US and not any(c.failed for c in costs)
+    figures = " ".join(f"{cost.transport}_us={cost.cost_us:.1f}" for cost in costs)
     verdict = "pass" if passed else "fail"
     print(
         f"experiment=subquery-transport verdict={verdict} {figures} "
@@ -331,10 +337,10 @@
     """Compare the ways to reach targets in one run."""
     from twisted.internet import reactor
 
-    quiet = structlog.make_filtering_bound_logger(logging.ERROR)
-    structlog.configure(wrapper_class=quiet)
-    ticking = cast(RunningReactor, reactor)
-    ticking.seconds = monotonic  # type: ignore[method-assign]
+    errors_only = structlog.make_filtering_bound_logger(logging.ERROR)
+    structlog.configure(wrapper_class=errors_only)
+    running_reactor = cast(RunningReactor, reactor)
+    running_reactor.seconds = monotonic  # type: ignore[method-assign]
     with tempfile.TemporaryDirectory() as directory:
         config = Path(directory) / "targets.yaml"
         write_config(config, services)
@@ -342,17 +348,19 @@
         with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as targets:
             assert targets.stdout is not None
             control = targets.stdout.readline().strip().rpartition("control=")[2]
-            places = read_places(control)
+            endpoints = read_endpoints(control)
             costs: list[Cost] = []
 
             def start() -> None:
-                measuring = Deferred.fromCoroutine(measure(ticking, places, rounds))
+                measuring = Deferred.fromCoroutine(
+                    measure(running_reactor, endpoints, rounds)
+                )
                 measuring.addCallback(costs.extend)
-                measuring.addErrback(show)
-                measuring.addCallback(lambda _: ticking.stop())
+                measuring.addErrback(print_failure)
+                measuring.addCallback(lambda _: running_reactor.stop())
 
-            ticking.callLater(0.0, start)
-            ticking.run()
+            running_reactor.callLater(0.0, start)
+            running_reactor.run()
             targets.terminate()
     raise typer.Exit(0 if costs and report(costs) else 1)
 
--- a/tests/bench/test_policy_bench.py
+++ b/tests/bench/test_policy_bench.py
@@ -6,24 +6,24 @@
     BASELINE,
     CAPACITY_PER_S,
     FAULTS,
-    FULL_STORM,
+    FULL_COVERAGE_STORM,
     QUANTILE,
-    figures_of,
+    compute_figures,
     simulate,
 )
-from bench.policy_rig import Arm, Arrivals
+from bench.policy_rig import Arm, ArrivalProcess
 
-LOAD = [Arrivals("storm", FULL_STORM, 0.2 * CAPACITY_PER_S)]
-OVERLOAD = [Arrivals("storm", FULL_STORM, 2.0 * CAPACITY_PER_S)]
+LOAD = [ArrivalProcess("storm", FULL_COVERAGE_STORM, 0.2 * CAPACITY_PER_S)]
+OVERLOAD = [ArrivalProcess("storm", FULL_COVERAGE_STORM, 2.0 * CAPACITY_PER_S)]
 
 
 class TestSimulate:
     def test_hedges_cut_the_tail_within_the_budget(self) -> None:
         faults = FAULTS["slow-replies"]
-        baseline = figures_of(simulate(BASELINE, faults, LOAD, 0.3, 1, 0.2))
-        hedged = figures_of(simulate(QUANTILE, faults, LOAD, 0.3, 1, 0.2))
+        baseline = compute_figures(simulate(BASELINE, faults, LOAD, 0.3, 1, 0.2))
+        hedged = compute_figures(simulate(QUANTILE, faults, LOAD, 0.3, 1, 0.2))
         assert hedged.p99_ms < baseline.p99_ms / 2
-        assert hedged.extra < 0.06
+        assert hedged.extra_ratio < 0.06
         assert hedged.coverage == 1.0
 
     def test_same_seed_gives_the_same_run(self) -> None:
@@ -35,4 +35,4 @@
         finished = simulate(arm, FAULTS["none"], OVERLOAD, 0.1, 1, 0.0)
         refused = [request for request in finished if request.refused]
         assert refused
-        assert all(request.first_tries == 0 for request in refused)
+        assert all(request.first_attempts == 0 for request in refused)
