--- a/bench/experiments/costs.py
+++ b/bench/experiments/costs.py
@@ -9,9 +9,9 @@
 import time
 from collections.abc import Mapping
 
-from bench.computation import Computation, Findings
 from bench.experiment import AT_MOST, Bound, Options
 from bench.measure_force import HeadClient, read_usage
+from bench.measurement import Measurement, MeasurementResult
 from bench.membership_cost import measure as measure_membership
 from bench.policy_cost import measure_policy_us
 from bench.rig import Deployment, Rig, load_example
@@ -43,7 +43,7 @@
         calls_before, usage_before = head.counts(), read_usage(rig)
         time.sleep(IDLE_S)
         calls_after, usage_after = head.counts(), read_usage(rig)
-        nodes = len(rig.places)
+        nodes = len(rig.entries)
     call_count = sum(calls_after.values()) - sum(calls_before.values())
     cpu_s = usage_after.cpu_s - usage_before.cpu_s
     return {
@@ -53,7 +53,7 @@
     }
 
 
-def compute_control(options: Options) -> Findings:
+def compute_control(options: Options) -> MeasurementResult:
     """Measure state, memory, processor time and messages of control."""
     figures: dict[str, float] = {}
     for entries in ENTRIES_PER_DATA_CENTRE:
@@ -76,7 +76,7 @@
         Bound("memory_mb", memory, AT_MOST, 64.0, CONTROL_SOURCE),
         Bound("bytes_per_s", max(rates), AT_MOST, 3000.0, CONTROL_SOURCE),
     ]
-    return Findings(figures, bounds)
+    return MeasurementResult(figures, bounds)
 
 
 def run_module(module: str, *arguments: str) -> str:
@@ -88,7 +88,7 @@
     return completed.stdout
 
 
-def compute_sub_query(options: Options) -> Findings:
+def compute_sub_query(options: Options) -> MeasurementResult:
     """Measure the parts of a sub-query's path on an entry."""
     output = run_module("bench.subquery_cost")
     figures = {f"transport_{k}": float(v) for k, v in FIGURE_PATTERN.findall(output)}
@@ -101,20 +101,22 @@
         figures[f"link_batch_{batch}_us"] = float(cost)
     total_us = figures["transport_owner_us"] + figures["policy_us"]
     figures["agent_to_owner"] = figures.pop("transport_agent_to_owner")
-    return Findings(figures, [Bound("whole_us", total_us, AT_MOST, 100.0, COST_SOURCE)])
+    return MeasurementResult(
+        figures, [Bound("whole_us", total_us, AT_MOST, 100.0, COST_SOURCE)]
+    )
 
 
-def compute_fan_out(options: Options) -> Findings:
+def compute_fan_out(options: Options) -> MeasurementResult:
     """Measure how the policy's cost of a sub-query grows with the services asked."""
     figures = {
         f"fan_out_{one}_us": measure_policy_us(one, POLICY_SAMPLES) for one in FAN_OUTS
     }
     growth = figures["fan_out_740_us"] / figures["fan_out_50_us"]
     source = "cost of a sub-query does not grow with the fan-out"
-    return Findings(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
+    return MeasurementResult(figures, [Bound("growth", growth, AT_MOST, 1.5, source)])
 
 
-def compute_membership(options: Options) -> Findings:
+def compute_membership(options: Options) -> MeasurementResult:
     """Measure membership at the full size, on a fake clock."""
     cost = measure_membership(*FULL_SIZE)
     figures = {name: float(value) for name, value in cost._asdict().items()}
@@ -122,19 +124,19 @@
     bounds = [
         Bound("bytes_per_s_in_restarts", in_restarts, AT_MOST, 3000.0, CONTROL_SOURCE)
     ]
-    return Findings(figures, bounds)
+    return MeasurementResult(figures, bounds)
 
 
-MEMBERSHIP_COST = Computation(
+MEMBERSHIP_COST = Measurement(
     "membership-cost", "Membership of 550 nodes on a fake clock", compute_membership
 )
-CONTROL = Computation(
+CONTROL = Measurement(
     "control", "State and cost of control at several sizes", compute_control
 )
-SUBQUERY_COST = Computation(
+SUBQUERY_COST = Measurement(
     "subquery-cost", "Processor time of a sub-query's path", compute_sub_query
 )
-FANOUT_GROWTH = Computation(
+FANOUT_GROWTH = Measurement(
     "fanout-growth",
     "Policy cost of a sub-query from 1 to 740 services",
     compute_fan_out,
--- a/bench/experiments/fleet.py
+++ b/bench/experiments/fleet.py
@@ -21,10 +21,10 @@
     storm_stream,
     szovetseg_deployment,
 )
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.load import CallRecord
 from bench.results import RunResult, percentile
-from bench.rig import EntryPlace, Rig
+from bench.rig import EntryNode, Rig
 
 __all__ = ["CONFIG", "MEMBERSHIP", "PARTITION", "ROLLING"]
 
@@ -37,9 +37,9 @@
 CUT_OFF_DATA_CENTRE = "bekes-c"
 
 
-def restart_entry(rig: Rig, place: EntryPlace) -> None:
+def restart_entry(rig: Rig, place: EntryNode) -> None:
     """Stop an entry process gracefully and start it again."""
-    rig.list_vm(place, "leaving")
+    rig.upsert_vm(place, "leaving")
     child = rig.children[place.node]
     child.terminate()
     code = child.wait()
@@ -54,7 +54,7 @@
 
     def step(number: int) -> Step:
         def act(rig: Rig) -> None:
-            restart_entry(rig, rig.places[number])
+            restart_entry(rig, rig.entries[number])
 
         return Step(2.0 + 4.0 * number, f"restart {number}", act)
 
@@ -190,7 +190,7 @@
     """Return a step that changes the network in the lost data centre and elsewhere."""
 
     def act(rig: Rig) -> None:
-        for place in rig.places:
+        for place in rig.entries:
             faults = cut_off if place.data_centre == CUT_OFF_DATA_CENTRE else outside
             rig.control_network(place, faults)
 
@@ -230,15 +230,15 @@
     run = results["product"]
     connected = [
         c
-        for c in run.measured("storm-night", 5.0, 12.0)
+        for c in run.measured_calls("storm-night", 5.0, 12.0)
         if CUT_OFF_DATA_CENTRE not in c.entry
     ]
     cut_off = [
         c
-        for c in run.measured("storm-night", 5.0, 12.0)
+        for c in run.measured_calls("storm-night", 5.0, 12.0)
         if CUT_OFF_DATA_CENTRE in c.entry
     ]
-    after = run.measured("storm-night", 15.0)
+    after = run.measured_calls("storm-night", 15.0)
     source = "brief: each has to go on serving what it can"
     return [
         *rule_bounds(results),
@@ -271,7 +271,7 @@
     run = results["product"]
     cut_off = [
         c
-        for c in run.measured("storm-night", 5.0, 12.0)
+        for c in run.measured_calls("storm-night", 5.0, 12.0)
         if CUT_OFF_DATA_CENTRE in c.entry
     ]
     return {
@@ -294,7 +294,7 @@
     """Return a step that loses an entry VM without warning."""
 
     def act(rig: Rig) -> None:
-        rig.kill_vm(rig.places[number])
+        rig.kill_vm(rig.entries[number])
 
     return Step(at_s, "VM lost", act)
 
@@ -304,7 +304,7 @@
     kind = signal.SIGCONT if resume else signal.SIGSTOP
 
     def act(rig: Rig) -> None:
-        rig.children[rig.places[number].node].signal(kind)
+        rig.children[rig.entries[number].node].signal(kind)
 
     return Step(at_s, "resumed" if resume else "paused", act)
 
@@ -324,7 +324,7 @@
 def evaluate_membership(results: Mapping[str, RunResult]) -> Sequence[Bound]:
     """Judge that rules held and that service came back."""
     run = results["product"]
-    after = run.measured("storm-night", 20.0)
+    after = run.measured_calls("storm-night", 20.0)
     overruns = sum(one["cold_overruns"] for one in run.counters.values())
     peaks = max(one["peak_in_flight"] for one in run.counters.values())
     return [
--- a/bench/experiments/orders.py
+++ b/bench/experiments/orders.py
@@ -13,7 +13,7 @@
     Step,
     Trial,
 )
-from bench.judging import history_bound
+from bench.history_bounds import history_bound
 from bench.load import CallRecord, Stream
 from bench.processes import Child
 from bench.results import RunResult
@@ -80,7 +80,7 @@
 
 def entry_process(rig: Rig, number: int) -> Child:
     """Return the process of an entry VM."""
-    return rig.children[rig.places[number].node]
+    return rig.children[rig.entries[number].node]
 
 
 def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
--- a/bench/experiments/path.py
+++ b/bench/experiments/path.py
@@ -6,7 +6,7 @@
 
 from bench.experiment import AT_LEAST, AT_MOST, Bound, Experiment, Options, Trial
 from bench.experiments.common import lookup_stream, storm_stream, szovetseg_deployment
-from bench.judging import rule_bounds
+from bench.history_bounds import rule_bounds
 from bench.results import RunResult
 
 __all__ = ["PATH"]
@@ -36,7 +36,7 @@
     run = results["product"]
     sub_queries = max(1, run.count_events("begun"))
     return {
-        "calls": len(run.measured()),
+        "calls": len(run.measured_calls()),
         "storm_p50_ms": run.latency_ms(0.5, "storm-night"),
         "lookup_p50_ms": run.latency_ms(0.5, "counter-lookup"),
         "lookup_p99_ms": run.latency_ms(0.99, "counter-lookup"),
--- a/bench/measure_force.py
+++ b/bench/measure_force.py
@@ -84,7 +84,7 @@
 def read_usage(rig: Rig) -> ProcessUsage:
     """Read what the entry processes have used so far."""
     cpu_s = resident_mb = 0.0
-    for place in rig.places:
+    for place in rig.entries:
         process = rig.children[place.node].process
         assert process is not None
         stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
@@ -122,7 +122,7 @@
             for n in range(CHANGES)
             for delay_ms in measure_change(rig, head, n, down)
         ]
-        nodes = len(rig.places)
+        nodes = len(rig.entries)
     delays_ms.sort()
     cpu_s = usage_after.cpu_s - usage_before.cpu_s
     calls = sum(counts_after.values()) - sum(counts_before.values())
@@ -158,7 +158,8 @@
         rig.control_platform({"outage": "none"})
         time.sleep(RECOVERY_WAIT_S)
     logs = [
-        read_in_force_times(rig.directory / f"{place.node}.log") for place in rig.places
+        read_in_force_times(rig.directory / f"{place.node}.log")
+        for place in rig.entries
     ]
     assert all(head.number in log for log in logs), "not in force everywhere"
     return [(log[head.number] - accepted_at) * 1000 for log in logs]
--- a/bench/report.py
+++ b/bench/report.py
@@ -51,7 +51,7 @@
 def plot_latency(axes: Axes, results: Mapping[str, RunResult]) -> None:
     """Plot the share of calls that took longer, for each trial."""
     for name, result in results.items():
-        latencies = numpy.sort([call.latency_ms for call in result.measured()])
+        latencies = numpy.sort([call.latency_ms for call in result.measured_calls()])
         if latencies.size:
             shares = 1.0 - numpy.arange(latencies.size) / latencies.size
             axes.plot(latencies, shares, label=name)
@@ -108,7 +108,7 @@
     figures = experiment.figures(results)
     rows = "".join(
         f"<tr><td>{html.escape(bound.name)}</td><td>{bound.value:.4g}</td>"
-        f"<td>{bound.relation.sign} {bound.limit:g}</td>"
+        f"<td>{bound.comparison.symbol} {bound.limit:g}</td>"
         f"<td>{'pass' if bound.passed else 'fail'}</td>"
         f"<td>{html.escape(bound.source)}</td></tr>"
         for bound in bounds
--- a/tests/store/platform_case.py
+++ b/tests/store/platform_case.py
@@ -1,4 +1,4 @@
-"""A stand-in platform on loopback for tests that need real sockets."""
+"""Test case with a fake platform on loopback, for tests that need real sockets."""
 
 from __future__ import annotations
 
@@ -11,24 +11,24 @@
 from twisted.internet.task import deferLater
 from twisted.trial.unittest import TestCase
 
-from bench.http_server import ListeningReactor, cut, listen
+from bench.http_server import ListeningReactor, abort_connection, listen
 from bench.platform import Platform
 from sardinehook.store.http_store import HttpStore
 
-__all__ = ["PlatformCase", "good"]
+__all__ = ["PlatformCase", "expect_success"]
 
 Value = TypeVar("Value")
 
 TIMEOUT_MS = 300
 
 
-def good(result: Result[Value, object]) -> Value:
-    """The value of a result that must be a success."""
+def expect_success(result: Result[Value, object]) -> Value:
+    """Return the value of a result that must be a success."""
     return result.unwrap()
 
 
 class PlatformCase(TestCase):
-    """Starts a platform and a store that speaks to it."""
+    """Starts a fake platform and a store client connected to it."""
 
     def setUp(self) -> None:
         self.reactor = cast(ListeningReactor, default_reactor)
@@ -45,15 +45,15 @@
         self.platform.stop()
         await self.store.close()
         for watch in self.platform.watches:
-            cut(watch.request)
+            abort_connection(watch.request)
         await cast("Deferred[None]", self.port.stopListening())
 
-    def later(self, delay_s: float) -> Deferred[None]:
-        """Fire after a while."""
+    def sleep(self, delay_s: float) -> Deferred[None]:
+        """Return a ``Deferred`` that fires after ``delay_s`` seconds."""
         return deferLater(cast(IReactorTime, self.reactor), delay_s)
 
-    async def free_address(self) -> str:
-        """An address at which nothing listens."""
+    async def unused_address(self) -> str:
+        """Return an address at which nothing listens."""
         port = listen(self.reactor, self.platform)
         address = f"127.0.0.1:{port.getHost().port}"
         await cast("Deferred[None]", port.stopListening())
