Rename vague local names in the soak and the catalog

Locals such as calm, right, known, proven, second and each did not say what they hold; started_at and deadline replace began and give_up_at. Local names only.

--- a/bench/catalog.py
+++ b/bench/catalog.py
@@ -20,8 +20,8 @@
 __all__ = ["EXPERIMENTS"]
 
 EXPERIMENTS: dict[str, Experiment | Measurement] = {
-    one.name: one
-    for one in (
+    experiment.name: experiment
+    for experiment in (
         PATH,
         STRAGGLER,
         SILENT,
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -62,8 +62,8 @@
 
         Raises ``StartError`` if the process exits first or the wait times out.
         """
-        give_up_at = time.monotonic() + READY_TIMEOUT_S
-        while time.monotonic() < give_up_at:
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < deadline:
             for line in self.log.read_text(errors="replace").splitlines():
                 if line.startswith(prefix):
                     return line
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -67,10 +67,10 @@
             detail = merge_error(attempt, history, guarantees)
         else:
             part = history.replica_answers.get(answer.headers.get("x-server-stamp", ""))
-            right = part is not None and part.signature.startswith(attempt.request)
-            right = right and part is not None and part.body == answer.body
+            matches = part is not None and part.signature.startswith(attempt.request)
+            matches = matches and part is not None and part.body == answer.body
             detail = (
-                "" if right else "body differs from the answer of the named replica"
+                "" if matches else "body differs from the answer of the named replica"
             )
         if detail:
             yield Violation("whole answer", attempt.request, detail)
@@ -96,10 +96,10 @@
     if len(services) < guarantees.min_coverage * total:
         return f"coverage too low: {len(services)} of {total} shards"
     records = [record for part in found for record in split_records(part.body)]
-    wanted = b"".join(sorted(records, reverse=True)[: guarantees.max_records])
+    expected = b"".join(sorted(records, reverse=True)[: guarantees.max_records])
     return (
         ""
-        if attempt.answer.body == wanted
+        if attempt.answer.body == expected
         else "body is not the top records of the named parts"
     )
 
@@ -174,20 +174,23 @@
 
 def check_retry_budget(history: History, guarantees: Guarantees) -> Iterator[Violation]:
     """Check that retries and hedges of a service stay within the shared budget."""
-    firsts: dict[str, list[float]] = defaultdict(list)
-    extras: dict[str, list[float]] = defaultdict(list)
+    first_executions: dict[str, list[float]] = defaultdict(list)
+    repeats_by_service: dict[str, list[float]] = defaultdict(list)
     seen: set[tuple[str, str]] = set()
     for execution in sorted(history.executions, key=lambda execution: execution.at):
-        known = (execution.request, execution.service) in seen
-        (extras if known else firsts)[execution.service].append(execution.at)
+        is_repeat = (execution.request, execution.service) in seen
+        (repeats_by_service if is_repeat else first_executions)[
+            execution.service
+        ].append(execution.at)
         seen.add((execution.request, execution.service))
     window_s = guarantees.budget_window_s
-    for service, times in extras.items():
+    for service, times in repeats_by_service.items():
         for end in times:
             repeats = sum(end - window_s < at <= end for at in times)
             requests = max(
                 sum(
-                    end - shift - window_s < at <= end - shift for at in firsts[service]
+                    end - shift - window_s < at <= end - shift
+                    for at in first_executions[service]
                 )
                 for shift in (0.0, window_s / 2, window_s)
             )
@@ -257,11 +260,11 @@
             arrivals[execution.replica].append(execution.at)
     for replica, times in arrivals.items():
         for start in times:
-            second = [at for at in times if start <= at < start + 1.0]
-            calm = history.is_undisturbed((replica,), start - 1.0, start + 1.0)
-            if calm and len(second) > guarantees.cold_requests_per_s:
+            within_1_s = [at for at in times if start <= at < start + 1.0]
+            undisturbed = history.is_undisturbed((replica,), start - 1.0, start + 1.0)
+            if undisturbed and len(within_1_s) > guarantees.cold_requests_per_s:
                 yield Violation(
-                    "cold", "", f"{replica} got {len(second)} requests in 1 s"
+                    "cold", "", f"{replica} got {len(within_1_s)} requests in 1 s"
                 )
                 break
 
@@ -270,7 +273,7 @@
     history: History, guarantees: Guarantees
 ) -> Iterator[Violation]:
     """Check that versions apply in time and that no gateway reverts to an older one."""
-    proven: dict[tuple[str, int], tuple[int, float]] = {}
+    applied: dict[tuple[str, int], tuple[int, float]] = {}
     for execution in sorted(history.executions, key=lambda execution: execution.at):
         attempt = history.attempts.get(execution.request)
         if attempt is None:
@@ -286,15 +289,17 @@
             detail = f"routed by version {allowed[-1]}, version {due} was due"
             yield Violation("configuration", execution.request, detail)
         incarnation = (attempt.gateway, attempt.incarnation)
-        known, since = proven.get(incarnation, (-1, 0.0))
-        later = [version for version in allowed if version >= known]
+        current, since = applied.get(incarnation, (-1, 0.0))
+        later = [version for version in allowed if version >= current]
         in_order = attempt.sent_at > since + guarantees.rollback_margin_s
         # A late hedge of an earlier request may still follow an older version.
-        if later and later[0] > known and (in_order or allowed[0] > known):
-            proven[incarnation] = (later[0], execution.at)
+        if later and later[0] > current and (in_order or allowed[0] > current):
+            applied[incarnation] = (later[0], execution.at)
         elif not later and in_order:
             yield Violation(
-                "never back", execution.request, f"version {allowed[-1]} after {known}"
+                "never back",
+                execution.request,
+                f"version {allowed[-1]} after {current}",
             )
 
 
@@ -333,8 +338,8 @@
             attempt.ended_at,
         )
     ]
-    slack_s = guarantees.timeout_s + TIMEOUT_MARGIN_S
-    late = [a for a in reached if a.ended_at - a.sent_at > slack_s]
+    limit_s = guarantees.timeout_s + TIMEOUT_MARGIN_S
+    late = [a for a in reached if a.ended_at - a.sent_at > limit_s]
     if len(late) >= MIN_LATE_REQUESTS and len(late) > MAX_LATE_SHARE * len(reached):
         detail = f"{len(late)} of {len(reached)} requests held beyond the timeout"
         yield Violation("timeout", late[0].request, detail)
@@ -352,12 +357,12 @@
                 continue
             taken = attempt.request in ran
             held_s = attempt.ended_at - attempt.sent_at
-            calm = history.is_undisturbed(
+            undisturbed = history.is_undisturbed(
                 (attempt.gateway,),
                 attempt.sent_at - guarantees.stability_s,
                 attempt.ended_at,
             )
-            if calm and (taken or held_s > LOST_AFTER_LAST_BYTE_S):
+            if undisturbed and (taken or held_s > LOST_AFTER_LAST_BYTE_S):
                 yield Violation(
                     "graceful stop", attempt.request, f"aborted after {held_s:.3f} s"
                 )
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -78,7 +78,9 @@
         self.report_violation = options.report_violation
         self.name = f"g-{number}"
         self.ports = ports[number]
-        self.seeds = ", ".join(f'"{LOOPBACK}:{one[2]}"' for one in ports[:SEED_COUNT])
+        self.seeds = ", ".join(
+            f'"{LOOPBACK}:{listed[2]}"' for listed in ports[:SEED_COUNT]
+        )
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.store = Proxy(testbed.reactor, testbed.store_port)
         self.has_fast_link = not options.mixed_link_speeds or number < len(DATA_CENTRES)
@@ -125,10 +127,10 @@
         if self.in_transition or not self.child.running:
             return
         self.in_transition = True
-        began = self.testbed.reactor.seconds()
+        started_at = self.testbed.reactor.seconds()
         end()
         while self.child.running:
-            if self.testbed.reactor.seconds() > began + grace_s + STOP_MARGIN_S:
+            if self.testbed.reactor.seconds() > started_at + grace_s + STOP_MARGIN_S:
                 self.report_violation(
                     "grace", f"{self.name} did not exit within the grace period"
                 )
@@ -143,12 +145,12 @@
         if self.in_transition or not self.child.running:
             return
         self.in_transition = True
-        began = self.testbed.reactor.seconds()
+        started_at = self.testbed.reactor.seconds()
         self.child.pause()
         await deferLater(self.testbed.reactor, duration_s)
         self.child.resume()
         now = self.testbed.reactor.seconds()
-        self.testbed.history.record_disturbance(self.name, began, now)
+        self.testbed.history.record_disturbance(self.name, started_at, now)
         self.in_transition = False
 
     async def stop(self, grace_s: float) -> None:
@@ -194,8 +196,12 @@
 ) -> list[Gateway]:
     """Create gateways without starting them, and record who may forward for whom."""
     ports = reserve_ports(PORTS_PER_GATEWAY * count)
-    each = [ports[n * PORTS_PER_GATEWAY :][:PORTS_PER_GATEWAY] for n in range(count)]
-    gateways = [Gateway(testbed, options, number, each) for number in range(count)]
+    ports_by_gateway = [
+        ports[n * PORTS_PER_GATEWAY :][:PORTS_PER_GATEWAY] for n in range(count)
+    ]
+    gateways = [
+        Gateway(testbed, options, number, ports_by_gateway) for number in range(count)
+    ]
     for gateway in gateways:
         testbed.history.forwarders[gateway.name] = tuple(
             other.name
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -131,7 +131,7 @@
 
     def executions_by_request(self) -> dict[str, list[Execution]]:
         """Group the executions by request."""
-        found: dict[str, list[Execution]] = {}
+        grouped: dict[str, list[Execution]] = {}
         for execution in self.executions:
-            found.setdefault(execution.request, []).append(execution)
-        return found
+            grouped.setdefault(execution.request, []).append(execution)
+        return grouped
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -197,20 +197,20 @@
         replica = self.replica
         if not self.open:
             return
-        faulty = replica.rng.random() < FAULTY_SHARE and replica.mode
-        if faulty == "lost":
+        fault = replica.rng.random() < FAULTY_SHARE and replica.mode
+        if fault == "lost":
             self.tcp.abortConnection()
             return
         answer = self.make_answer()
-        if faulty == "errors":
+        if fault == "errors":
             self.write(500, answer.signature, b"failed")
             return
         replica.history.replica_answers[answer.signature] = answer
-        if faulty == "garble":
+        if fault == "garble":
             self.write(200, answer.signature, answer.body, cut=len(answer.body) // 2)
             return
         self.write(200, answer.signature, answer.body)
-        if faulty == "extra":
+        if fault == "extra":
             replica.reactor.callLater(DUPLICATE_DELAY_S, self.send_duplicate, answer)
 
     def make_answer(self) -> ReplicaAnswer:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -113,11 +113,11 @@
         schedule = make_schedule(
             options.seed, topology, options.faults_s, options.mean_gap_s
         )
-        began = self.reactor.seconds()
-        for one in schedule:
-            await self.sleep(began + one.at - self.reactor.seconds())
-            self.injector.inject(one)
-        await self.sleep(began + options.faults_s - self.reactor.seconds())
+        started_at = self.reactor.seconds()
+        for scheduled in schedule:
+            await self.sleep(started_at + scheduled.at - self.reactor.seconds())
+            self.injector.inject(scheduled)
+        await self.sleep(started_at + options.faults_s - self.reactor.seconds())
         await self.wait_for_restarts()
         self.history.recovered_at = self.reactor.seconds() + RECOVERY_S
         await self.sleep(RECOVERY_S + AFTER_RECOVERY_S)
@@ -126,9 +126,9 @@
 
     async def wait_until_ready(self) -> None:
         """Wait until all gateways are ready; raise ``StartError`` after the timeout."""
-        give_up_at = self.reactor.seconds() + READY_TIMEOUT_S
+        deadline = self.reactor.seconds() + READY_TIMEOUT_S
         while len(self.endpoints) < len(self.gateways):
-            if self.reactor.seconds() > give_up_at:
+            if self.reactor.seconds() > deadline:
                 missing = {one.name for one in self.gateways} - set(self.endpoints)
                 raise StartError(
                     f"gateways not ready within {READY_TIMEOUT_S:g} s: "
@@ -158,7 +158,7 @@
         """Probe a gateway's readiness; add it to the rotation or remove it."""
         url = f"http://127.0.0.1:{gateway.ports[1]}/ready".encode()
         while not self.stopping:
-            began = self.reactor.seconds()
+            started_at = self.reactor.seconds()
             gateway.restart_if_exited()
             gateway.missed_probes = (
                 0 if await self.is_ready(url) else gateway.missed_probes + 1
@@ -170,14 +170,14 @@
                 self.endpoints[gateway.name] = endpoint
             elif gateway.missed_probes >= MISSED_PROBES:
                 self.endpoints.pop(gateway.name, None)
-            await self.sleep(began + PROBE_INTERVAL_S - self.reactor.seconds())
+            await self.sleep(started_at + PROBE_INTERVAL_S - self.reactor.seconds())
 
     async def is_ready(self, url: bytes) -> bool:
         """Return whether a readiness probe answered 200 in time."""
-        asked = self.agent.request(b"GET", url)
-        asked.addTimeout(PROBE_INTERVAL_S, self.reactor)
+        request = self.agent.request(b"GET", url)
+        request.addTimeout(PROBE_INTERVAL_S, self.reactor)
         try:
-            response = await asked
+            response = await request
             await readBody(response)
         except Exception:  # any failure counts as a missed probe
             return False
@@ -186,14 +186,14 @@
     async def monitor_lag(self) -> None:
         """Measure the runner's lag; a long one counts as a disturbance of all."""
         while not self.stopping:
-            began = self.reactor.seconds()
+            started_at = self.reactor.seconds()
             await self.sleep(POLL_S)
             now = self.reactor.seconds()
-            late_s = now - began - POLL_S
+            late_s = now - started_at - POLL_S
             self.lag_s = max(self.lag_s, late_s)
             if late_s > MAX_LAG_S:
                 for name in ("store", *(gateway.name for gateway in self.gateways)):
-                    self.history.record_disturbance(name, began, now)
+                    self.history.record_disturbance(name, started_at, now)
 
     async def stop_all(self) -> None:
         """Stop all gateways gracefully while callers keep sending."""
