--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -1,6 +1,6 @@
-"""Renders docs/CAPACITY.md from the slopes that the bench measured.
+"""Renders docs/CAPACITY.md from the measurements stored in docs/slopes.
 
-``python -m bench.capacity`` writes the page; a test checks that it is in step.
+``python -m bench.capacity`` writes the page; a test checks that it is up to date.
 """
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
 
 
 class Slopes(TypedDict):
-    """The figures of one measurement."""
+    """The stored result of one measurement."""
 
     experiment: str
     seed: int
@@ -49,7 +49,7 @@
 
 
 def data_path_figures() -> dict[str, float]:
-    """Work out the data path."""
+    """Return the figures of the data path: processor time, links and connections."""
     cost_slopes = read_slopes("subquery-cost")
     policy_us = read_slopes("fanout-growth")["fan_out_740_us"]
     per_node = QUERIES_PER_S * FAN_OUT / NODES
@@ -91,7 +91,7 @@
 
 
 def control_figures() -> dict[str, float]:
-    """Work out control."""
+    """Return the figures of control: processor time, memory, store calls and bytes."""
     control_slopes = read_slopes("control")
     membership_slopes = read_slopes("membership-cost")
     store_calls_per_data_centre = control_slopes["nodes_15_store_calls_per_s"] / 3
@@ -143,13 +143,13 @@
 
 
 def render_capacity() -> str:
-    """Render the page."""
+    """Render the capacity page from its template."""
     values = {**data_path_figures(), **control_figures()}
     return TEMPLATE.read_text().format(**values)
 
 
 def main() -> None:
-    """Write the page."""
+    """Write the capacity page."""
     PAGE.write_text(render_capacity())
     print(f"wrote {PAGE.relative_to(Path.cwd())}")
 
--- a/bench/experiments/__init__.py
+++ b/bench/experiments/__init__.py
@@ -1,1 +1,1 @@
-"""The experiments, one module for each subject."""
+"""The experiments of the benchmark suite, one module for each subject."""
--- a/bench/experiments/common.py
+++ b/bench/experiments/common.py
@@ -1,4 +1,4 @@
-"""Deployments, load and steps that several experiments share."""
+"""Deployments, load streams and steps that several experiments share."""
 
 from __future__ import annotations
 
@@ -32,22 +32,27 @@
 def szovetseg_deployment(
     entries: int = 2, **behaviour: float | int | str | bool | list[int]
 ) -> Deployment:
-    """Return the Szovetseg's production environment with some entry VMs in each
-    data centre.
+    """Return a deployment of the Szovetseg production example.
+
+    ``entries`` is the number of entry VMs in each data centre, ``behaviour`` the
+    settings of the simulated targets.
     """
     document = load_example("szovetseg-production")
     return Deployment(document, entries, behaviour=behaviour)
 
 
 def services_of(document: EnvironmentDocument, index: str) -> tuple[str, ...]:
-    """Return the services of an index."""
+    """Return the names of the services of an index."""
     return tuple(document.indexes[index].services)
 
 
 def replicas_of(
     document: EnvironmentDocument, *indexes: str, data_centre: str = ""
 ) -> list[str]:
-    """Return the names of the replicas of some indexes, in one data centre or all."""
+    """Return the names of the replicas of the given indexes, by default of all.
+
+    With ``data_centre`` only replicas in that data centre are included.
+    """
     return [
         replica.name
         for index in indexes or tuple(document.indexes)
@@ -60,13 +65,13 @@
 def change_workload(
     document: EnvironmentDocument, name: str, change: Callable[[Workload], Workload]
 ) -> EnvironmentDocument:
-    """Return the document with one workload changed."""
+    """Return a copy of the document with ``change`` applied to one workload."""
     workloads = {**document.workloads, name: change(document.workloads[name])}
     return document._replace(workloads=workloads)
 
 
 def with_hedge(deployment: Deployment, hedge: Hedge, delay_ms: float) -> Deployment:
-    """Return the deployment with another hedge policy for the storm night."""
+    """Return a copy of the deployment with another hedge policy for storm searches."""
     document = change_workload(
         deployment.document,
         STORM_WORKLOAD,
@@ -76,13 +81,13 @@
 
 
 def storm_stream(options: Options, to_s: float = 8.0, factor: float = 1.0) -> Stream:
-    """Searches of the storm night over all fifty services."""
+    """Return the load of storm-night searches over all fifty services."""
     rate = STORM_RATE_PER_S * options.scale * factor
     return Stream(STORM_WORKLOAD, rate, 0.0, to_s, 150.0, limit=20)
 
 
 def lookup_stream(options: Options, to_s: float = 8.0) -> Stream:
-    """Look-ups of a single counter."""
+    """Return the load of look-ups of a single counter."""
     rate = LOOKUP_RATE_PER_S * options.scale
     services = services_of(load_example("szovetseg-production"), "memberbook")
     return Stream("counter-lookup", rate, 0.0, to_s, 300.0, services, limit=5)
@@ -95,7 +100,7 @@
     do: str = "",
     set_fields: Mapping[str, object] | None = None,
 ) -> Step:
-    """Return a step that changes the replicas named, all if none is named."""
+    """Return a step that changes the given replicas, or all if none is given."""
     control = {"replicas": list(replicas), "do": do, "set": dict(set_fields or {})}
 
     def act(rig: Rig) -> None:
--- a/bench/experiments/costs.py
+++ b/bench/experiments/costs.py
@@ -1,4 +1,4 @@
-"""Slopes of control and of the data path: processor time, memory, messages."""
+"""Measures how control and the data path scale: processor time, memory, messages."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
 
 
 def measure_idle(entries: int) -> Mapping[str, float]:
-    """Measure entry processes without load."""
+    """Measure store calls, processor time and memory of idle entry processes."""
     document = load_example("szovetseg-trial")
     deployment = Deployment(document, entries, target_processes=1)
     with Rig(deployment) as rig:
@@ -54,7 +54,7 @@
 
 
 def compute_control(options: Options) -> MeasurementResult:
-    """Measure state, memory, processor time and messages of control."""
+    """Measure what control costs a node: processor time, memory and network bytes."""
     figures: dict[str, float] = {}
     for entries in ENTRIES_PER_DATA_CENTRE:
         figures.update(measure_idle(entries))
@@ -80,7 +80,7 @@
 
 
 def run_module(module: str, *arguments: str) -> str:
-    """Run a measuring program of the bench and return what it printed."""
+    """Run a benchmark program in a subprocess and return its standard output."""
     command = [sys.executable, "-m", module, *arguments]
     completed = subprocess.run(
         command, capture_output=True, text=True, timeout=PROGRAM_TIMEOUT_S, check=False
@@ -89,7 +89,7 @@
 
 
 def compute_sub_query(options: Options) -> MeasurementResult:
-    """Measure the parts of a sub-query's path on an entry."""
+    """Measure the cost of policy, links and target transport for a sub-query."""
     output = run_module("bench.subquery_cost")
     figures = {f"transport_{k}": float(v) for k, v in FIGURE_PATTERN.findall(output)}
     figures["policy_us"] = measure_policy_us(50, POLICY_SAMPLES)
@@ -107,7 +107,7 @@
 
 
 def compute_fan_out(options: Options) -> MeasurementResult:
-    """Measure how the policy's cost of a sub-query grows with the services asked."""
+    """Measure how the policy cost per sub-query grows with the fan-out."""
     figures = {
         f"fan_out_{one}_us": measure_policy_us(one, POLICY_SAMPLES) for one in FAN_OUTS
     }
@@ -117,7 +117,7 @@
 
 
 def compute_membership(options: Options) -> MeasurementResult:
-    """Measure membership at the full size, on a fake clock."""
+    """Measure membership at ``FULL_SIZE`` on a virtual clock."""
     cost = measure_membership(*FULL_SIZE)
     figures = {name: float(value) for name, value in cost._asdict().items()}
     in_restarts = cost.bytes_per_s_in_restarts
--- a/bench/experiments/fleet.py
+++ b/bench/experiments/fleet.py
@@ -1,4 +1,4 @@
-"""Restarts, changes of the document, partitions and lost entry VMs."""
+"""Experiments on rolling restarts, document changes, partitions and lost entry VMs."""
 
 from __future__ import annotations
 
@@ -37,20 +37,23 @@
 CUT_OFF_DATA_CENTRE = "bekes-c"
 
 
-def restart_entry(rig: Rig, place: EntryNode) -> None:
-    """Stop an entry process gracefully and start it again."""
-    rig.upsert_vm(place, "leaving")
-    child = rig.children[place.node]
+def restart_entry(rig: Rig, entry: EntryNode) -> None:
+    """Stop an entry process gracefully, start it again and wait until it is ready.
+
+    Raises RuntimeError if the process ended with an error.
+    """
+    rig.upsert_vm(entry, "leaving")
+    child = rig.children[entry.node]
     child.terminate()
     code = child.wait()
     if code:
-        raise RuntimeError(f"{place.node} ended with {code}")
-    rig.start_entry(place)
-    rig.wait_ready(place)
+        raise RuntimeError(f"entry process {entry.node} ended with exit code {code}")
+    rig.start_entry(entry)
+    rig.wait_ready(entry)
 
 
 def build_rolling_trials(options: Options) -> Sequence[Trial]:
-    """Every entry process is stopped and started in turn under load."""
+    """Build the trial that restarts every entry process in turn under load."""
 
     def step(number: int) -> Step:
         def act(rig: Rig) -> None:
@@ -64,7 +67,7 @@
 
 
 def evaluate_rolling(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that no query failed."""
+    """Check that all processes were restarted and that no query failed."""
     run = results["product"]
     failed = sum(not call.ok for call in run.calls)
     return [
@@ -75,7 +78,7 @@
 
 
 def compute_rolling_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out latency and coverage over the replacement."""
+    """Return latency and coverage during the restarts."""
     run = results["product"]
     return {
         "calls": len(run.calls),
@@ -94,7 +97,7 @@
 
 
 def change_step(at_s: float, edited_from: int) -> Step:
-    """Return a step by which operators change the limit of a workload."""
+    """Return a step that changes a workload's result limit, as an operator does."""
 
     def act(rig: Rig) -> None:
         changed = change_workload(
@@ -108,7 +111,7 @@
 
 
 def platform_step(at_s: float, label: str, control: Mapping[str, object]) -> Step:
-    """Return a step that changes the stand-in platform."""
+    """Return a step that injects faults into the simulated platform or removes them."""
 
     def act(rig: Rig) -> None:
         rig.control_platform(control)
@@ -117,7 +120,7 @@
 
 
 def build_config_trials(options: Options) -> Sequence[Trial]:
-    """Changes while the platform is well, slow, stale, and down right afterwards."""
+    """Build the trial: changes while the store is healthy, slow and after an outage."""
     steps = [
         change_step(2.0, 1),
         platform_step(5.0, "slow", {"delay_ms": 200.0, "jitter_ms": 200.0}),
@@ -134,9 +137,10 @@
 
 
 def propagation_delays_s(run: RunResult) -> list[float]:
-    """Return for each node and change the seconds from the first node's to its own.
+    """Return how long after the first node each node put each change in force.
 
-    The first node that has a revision in force read it from the store.
+    The first node that has a revision in force has read it from the store. The
+    initial revision is left out.
     """
     times: dict[str, list[float]] = {}
     for lines in run.log_lines.values():
@@ -150,7 +154,7 @@
 
 
 def count_reverts(run: RunResult) -> int:
-    """Count steps back to an older revision on a node."""
+    """Count how often a node went back to an older revision."""
     count = 0
     for lines in run.log_lines.values():
         numbers = [
@@ -161,7 +165,7 @@
 
 
 def evaluate_config(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that every change is in force on every node in time and none reverts."""
+    """Check that each change is in force on all nodes in time and none is reverted."""
     run = results["product"]
     delays_s = propagation_delays_s(run)
     nodes = len(run.log_lines)
@@ -187,18 +191,18 @@
     cut_off: Mapping[str, object],
     outside: Mapping[str, object],
 ) -> Step:
-    """Return a step that changes the network in the lost data centre and elsewhere."""
+    """Return a step that sets network faults inside and outside the cut-off centre."""
 
     def act(rig: Rig) -> None:
-        for place in rig.entries:
-            faults = cut_off if place.data_centre == CUT_OFF_DATA_CENTRE else outside
-            rig.control_network(place, faults)
+        for entry in rig.entries:
+            faults = cut_off if entry.data_centre == CUT_OFF_DATA_CENTRE else outside
+            rig.control_network(entry, faults)
 
     return Step(at_s, label, act)
 
 
 def build_partition_trials(options: Options) -> Sequence[Trial]:
-    """A data centre loses the others and the platform, then all heals."""
+    """Build the trial: a data centre is cut off from the others and the platform."""
     others = [
         name
         for name in szovetseg_deployment().document.data_centres
@@ -226,7 +230,7 @@
 
 
 def evaluate_partition(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that each side serves what it can, and that all is well after healing."""
+    """Check coverage on both sides of the partition and after it has healed."""
     run = results["product"]
     connected = [
         c
@@ -255,7 +259,7 @@
 
 
 def mean_coverage_of(calls: Sequence[CallRecord]) -> float:
-    """Return the mean coverage of calls, zero for refusals."""
+    """Return the mean coverage of calls; a refusal counts as zero."""
     ratios = [call.answer.get("coverage", {}).get("ratio", 0.0) for call in calls]
     return sum(ratios) / len(ratios) if ratios else 0.0
 
@@ -267,7 +271,7 @@
 
 
 def compute_partition_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out what each side served."""
+    """Return what the cut-off data centre served, and the latency of all."""
     run = results["product"]
     cut_off = [
         c
@@ -291,7 +295,7 @@
 
 
 def kill_step(at_s: float, number: int) -> Step:
-    """Return a step that loses an entry VM without warning."""
+    """Return a step that kills an entry VM without warning."""
 
     def act(rig: Rig) -> None:
         rig.kill_vm(rig.entries[number])
@@ -300,7 +304,7 @@
 
 
 def pause_step(at_s: float, number: int, resume: bool) -> Step:
-    """Return a step that pauses an entry process or lets it run on."""
+    """Return a step that pauses or resumes an entry process."""
     kind = signal.SIGCONT if resume else signal.SIGSTOP
 
     def act(rig: Rig) -> None:
@@ -310,7 +314,7 @@
 
 
 def build_membership_trials(options: Options) -> Sequence[Trial]:
-    """One entry VM is lost, another is paused for eight seconds."""
+    """Build the trial: one entry VM is lost, another is paused for 8 s."""
     steps = [
         kill_step(4.0, 0),
         pause_step(6.0, 3, resume=False),
@@ -322,7 +326,7 @@
 
 
 def evaluate_membership(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that rules held and that service came back."""
+    """Check target limits over all VMs and that coverage has recovered."""
     run = results["product"]
     after = run.measured_calls("storm-night", 20.0)
     overruns = sum(one["cold_overruns"] for one in run.counters.values())
@@ -338,12 +342,15 @@
 
 
 def history_bound_of(results: Mapping[str, RunResult]) -> Bound:
-    """Return the bound on the history; calls to a killed process may be lost."""
+    """Return only the bound on the history.
+
+    The other rules do not apply, as calls to a killed process may be lost.
+    """
     return rule_bounds(results)[-1]
 
 
 def compute_membership_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out how long coverage was down."""
+    """Return how long coverage was low, and the number of lost calls."""
     run = results["product"]
     points = run.series(mean_coverage_of, 0.5)
     low = [at for at, value in points if at > 4.0 and value < 0.9]
--- a/bench/experiments/orders.py
+++ b/bench/experiments/orders.py
@@ -1,4 +1,4 @@
-"""Orders that callers repeat, while the store, the targets and entry VMs fail."""
+"""Experiment: repeated orders while the store, targets and entry VMs fail."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 
 def build_trials(options: Options) -> Sequence[Trial]:
-    """Orders without a fault, and with all of them in turn."""
+    """Build the trials: orders without faults, and with all faults in turn."""
     document = load_example("lakeshore-production")
     deployment = Deployment(document)
     index = document.workloads["place-order"].indexes[0]
@@ -54,14 +54,14 @@
 
 
 def lose_store_replies(rig: Rig) -> None:
-    """Let writes of order records take effect without a reply."""
+    """Apply the next writes of order records but drop the replies."""
     rig.control_platform(
         {"lose_replies": LOST_STORE_REPLIES, "lose_replies_prefix": ORDER_RECORDS}
     )
 
 
 def silence_targets(rig: Rig) -> None:
-    """Let every open connection to a target go silent for good."""
+    """Make every open connection to a target stop responding without closing."""
     rig.control_targets({"do": "silence"})
 
 
@@ -79,12 +79,12 @@
 
 
 def entry_process(rig: Rig, number: int) -> Child:
-    """Return the process of an entry VM."""
+    """Return the process of the entry VM with this index."""
     return rig.children[rig.entries[number].node]
 
 
 def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge the runs."""
+    """Check both histories, and that every caller learned the outcome."""
     calm, product = results["calm"], results["product"]
     killed = entry_name(product, KILLED_ENTRY)
     without_reply = sum(
@@ -108,7 +108,7 @@
 
 
 def entry_name(run: RunResult, number: int) -> str:
-    """Return the name of an entry VM of a run."""
+    """Return the node name of the entry VM with this index."""
     return list(run.exit_codes)[number]
 
 
@@ -119,13 +119,13 @@
 
 
 def kind_ratio(calls: Sequence[CallRecord], kinds: frozenset[str]) -> float:
-    """Return the share of calls that were told one of some kinds."""
+    """Return the share of calls whose error is of one of the given kinds."""
     kinds_seen = [call.answer.get("error", {}).get("kind", "") for call in calls]
     return sum(kind in kinds for kind in kinds_seen) / max(len(calls), 1)
 
 
 def compute_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out the figures to print."""
+    """Return call counts, outcome ratios and latencies."""
     calm, product = results["calm"], results["product"]
     refused = sum(
         call.answer.get("error", {}).get("not_run", False) for call in product.calls
--- a/bench/experiments/overload.py
+++ b/bench/experiments/overload.py
@@ -1,4 +1,4 @@
-"""Load of twice what the targets bear."""
+"""Experiment: load of twice the capacity of the targets."""
 
 from __future__ import annotations
 
@@ -22,7 +22,7 @@
 
 
 def build_trials(options: Options) -> Sequence[Trial]:
-    """Searches over one index at three quarters and at twice its capacity."""
+    """Build the trials: searches of one index at 0.75 and 2 times its capacity."""
     base = szovetseg_deployment(service_ms=SERVICE_MS)
     document = base.document
     storm = document.workloads["storm-night"]._replace(
@@ -50,14 +50,14 @@
 
 
 def goodput(run: RunResult) -> float:
-    """Return answers a second within the deadline."""
+    """Return the answers per second that arrive within 1.1 times the deadline."""
     calls = run.measured_calls()
     good = sum(call.ok and call.latency_ms <= DEADLINE_MS * 1.1 for call in calls)
     return good / (LOAD_S - 3.0)
 
 
 def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge goodput against what the targets bear."""
+    """Check goodput against the capacity of the targets."""
     capacity = REPLICAS * SLOTS * 1000.0 / SERVICE_MS
     ratio = goodput(results["product"]) / capacity
     source = "aim: goodput at 2x overload 90 % or more of capacity"
@@ -68,7 +68,7 @@
 
 
 def compute_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out goodput and what the others were told."""
+    """Return goodput, the share of requests not run, and latency."""
     run = results["product"]
     calls = run.measured_calls()
     not_run = sum(c.answer.get("error", {}).get("not_run", False) for c in calls)
--- a/bench/experiments/path.py
+++ b/bench/experiments/path.py
@@ -1,4 +1,4 @@
-"""The whole path at today's size without faults."""
+"""Experiment: the whole request path at the current size, without faults."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 
 
 def build_trials(options: Options) -> Sequence[Trial]:
-    """Nine entry VMs, storm-night searches and single look-ups."""
+    """Build the trial: searches and look-ups, 3 entry VMs in each data centre."""
     streams = (storm_stream(options), lookup_stream(options))
     return [Trial("product", szovetseg_deployment(entries=3), streams)]
 
 
 def evaluate(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge the run."""
+    """Check latency, and that every request was answered."""
     run = results["product"]
     p99_ms = run.latency_ms(0.99, "storm-night")
     return [
@@ -32,7 +32,7 @@
 
 
 def compute_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out the figures to print."""
+    """Return latencies, coverage, extra load, processor time and memory."""
     run = results["product"]
     sub_queries = max(1, run.count_events("begun"))
     return {
--- a/bench/experiments/slow.py
+++ b/bench/experiments/slow.py
@@ -1,4 +1,4 @@
-"""Stragglers and connections that go silent."""
+"""Experiments on slow replies and connections that stop responding."""
 
 from __future__ import annotations
 
@@ -28,7 +28,10 @@
 
 
 def build_straggler_trials(options: Options) -> Sequence[Trial]:
-    """1 % of replies 20 times slow: the product and two baselines, and no fault."""
+    """Build the trials with 1 % of replies 20 times slower, and one without faults.
+
+    The product is compared with no hedging and with hedging after a fixed delay.
+    """
     straggling = szovetseg_deployment(straggler_rate=STRAGGLER_RATE)
     deployments = {
         "product": straggling,
@@ -44,7 +47,7 @@
 
 
 def evaluate_straggler(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge tail and extra load."""
+    """Check tail latency and the extra load of hedges."""
     ratio = tail_ratio(results, "product")
     extra = results["product"].extra_load()
     return [
@@ -55,13 +58,13 @@
 
 
 def tail_ratio(results: Mapping[str, RunResult], name: str) -> float:
-    """Return a trial's p99 over that without faults."""
+    """Return the ratio of a trial's p99 to the p99 without faults."""
     clean_ms = results["clean"].latency_ms(0.99, STORM_WORKLOAD)
     return results[name].latency_ms(0.99, STORM_WORKLOAD) / clean_ms
 
 
 def compute_straggler_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out the figures of all trials."""
+    """Return latency, extra load and coverage of each trial."""
     figures = {"clean_p99_ms": results["clean"].latency_ms(0.99, STORM_WORKLOAD)}
     for name, run in results.items():
         figures[f"{name}_p50_ms"] = run.latency_ms(0.5, STORM_WORKLOAD)
@@ -81,7 +84,7 @@
 
 
 def build_silent_trials(options: Options) -> Sequence[Trial]:
-    """The connections of a third of the replicas go silent twice."""
+    """Build the trial: connections to a third of the replicas stop responding twice."""
     deployment = szovetseg_deployment()
     silent_replicas = replicas_of(deployment.document)[::3]
     steps = [
@@ -92,7 +95,7 @@
 
 
 def evaluate_silent(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that storm crews got answers in time all the same."""
+    """Check that searches are still answered in time."""
     run = results["product"]
     p99_ms = run.latency_ms(0.99, STORM_WORKLOAD)
     source = "brief: connections can go silent while new ones work"
--- a/bench/experiments/targets.py
+++ b/bench/experiments/targets.py
@@ -1,4 +1,4 @@
-"""Cold starts, drains, data centres taken out, and new index versions."""
+"""Experiments on cold starts, draining, data centre removal and index versions."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 
 def build_cold_trials(options: Options) -> Sequence[Trial]:
-    """A fifth of the targets restart into a cold start, and other ones later."""
+    """Build the trial: a fifth of the targets restart cold, others turn cold later."""
     deployment = szovetseg_deployment()
     names = replicas_of(deployment.document)
     steps = [
@@ -49,7 +49,7 @@
 
 
 def evaluate_cold(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that no cold target was overrun."""
+    """Check that no cold target got more than its cold-start slots."""
     run = results["product"]
     overruns = sum(one["cold_overruns"] for one in run.counters.values())
     source = "brief: never more than a cold target can bear"
@@ -61,7 +61,7 @@
 
 
 def compute_cold_figures(results: Mapping[str, RunResult]) -> Mapping[str, float]:
-    """Work out peaks at cold targets."""
+    """Return the peak concurrency at cold targets, answers and latency."""
     run = results["product"]
     peak = max(one["peak_in_flight_cold"] for one in run.counters.values())
     return {
@@ -81,7 +81,10 @@
 
 
 def build_drain_trials(options: Options) -> Sequence[Trial]:
-    """One replica of each service of two indexes drains but would still work."""
+    """Build the trial: one replica of each service of two indexes drains.
+
+    A draining replica still runs what it is sent, so that late work is counted.
+    """
     deployment = szovetseg_deployment()
     draining = replicas_of(deployment.document, "logfinder", "memberbook")[::2]
     keeps_working = {"works_while_draining": True}
@@ -93,7 +96,7 @@
 
 
 def evaluate_drain(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that draining targets got no new work after a few seconds."""
+    """Check that draining targets get no new work after ``MAX_STOP_S``."""
     run = results["product"]
     document = szovetseg_deployment().document
     draining = set(replicas_of(document, "logfinder", "memberbook")[::2])
@@ -107,7 +110,7 @@
 
 
 def last_begun_after_s(run: RunResult, label: str, replicas: set[str]) -> float:
-    """Return how long after a step the last work began at any of some replicas."""
+    """Return how long after a step the given replicas last began new work."""
     at = next(step.at for step in run.steps if step.label == label)
     later = [
         event.at - at
@@ -126,7 +129,7 @@
 
 
 def data_centre_step(state: DataCentreState, edited_from: int) -> Step:
-    """Return a step by which operators take a data centre out, or back."""
+    """Return a step that sets the state of a data centre, as an operator does."""
 
     def act(rig: Rig) -> None:
         centres = dict(rig.document.data_centres)
@@ -138,7 +141,7 @@
 
 
 def build_data_centre_out_trials(options: Options) -> Sequence[Trial]:
-    """A data centre is taken out by one edit and brought back by another."""
+    """Build the trial: a data centre is taken out and then brought back."""
     steps = [
         data_centre_step(DataCentreState.OUT, 1),
         data_centre_step(DataCentreState.IN, 2),
@@ -148,7 +151,7 @@
 
 
 def evaluate_data_centre_out(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that no new work went there after a few seconds, and none was cut off."""
+    """Check that new work stops and resumes there, and that few calls are refused."""
     run = results["product"]
     replicas_out = set(
         replicas_of(szovetseg_deployment().document, data_centre=TAKEN_OUT)
@@ -191,7 +194,7 @@
 
 
 def build_snapshot_trials(options: Options) -> Sequence[Trial]:
-    """Versions roll over replica by replica, then the old one goes."""
+    """Build the trial: replicas load a new index version, then drop the old one."""
     deployment = szovetseg_deployment()
     names = replicas_of(deployment.document, "logfinder", "memberbook")
     both_versions = {"versions": [1, 2]}
@@ -208,7 +211,7 @@
 
 
 def evaluate_snapshot(results: Mapping[str, RunResult]) -> Sequence[Bound]:
-    """Judge that no answer mixed versions and that coverage held."""
+    """Check that no answer mixes index versions and that coverage stays high."""
     run = results["product"]
     mixed = sum(
         has_mixed_versions(call.answer.get("records", [])) for call in run.calls
@@ -227,7 +230,7 @@
 
 
 def has_mixed_versions(records: Sequence[Mapping[str, object]]) -> bool:
-    """Tell whether the records of one index come from several versions."""
+    """Return whether records of one index come from different versions."""
     seen: dict[object, set[object]] = {}
     for record in records:
         fields = record.get("fields")
--- a/bench/hand_over.py
+++ b/bench/hand_over.py
@@ -1,4 +1,4 @@
-"""Measure how long replicas rest when ownership moves, and whether owners overlap."""
+"""Measures how long replicas are unserved when ownership moves, and any overlap."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class HandOver(NamedTuple):
-    """What one kind of change did to the replicas that rested for a while."""
+    """The gaps of service and the overlaps that one kind of change caused."""
 
     change: str
     rounds: int
@@ -34,7 +34,7 @@
 
 
 class AllowanceSampler:
-    """Samples who may use what."""
+    """Samples the allowances of all nodes to find unserved replicas and overlaps."""
 
     def __init__(self, nodes: list[FleetNode]) -> None:
         self.nodes = nodes
@@ -43,14 +43,14 @@
         self.overlaps = 0
 
     async def run(self, seconds: float) -> None:
-        """Sample for a time."""
+        """Sample every ``POLL_S`` for the given time."""
         end = reactor.seconds() + seconds
         while reactor.seconds() < end:
             self.sample(reactor.seconds())
             await deferLater(reactor, POLL_S)
 
     def sample(self, now: float) -> None:
-        """Look at every replica once."""
+        """Check the allowances of every replica once."""
         for replica in REPLICAS:
             shares = [node.fleet.allowance(replica, INDEX) for node in self.nodes]
             cold = sum(share.may_serve_cold for share in shares)
@@ -63,7 +63,7 @@
 
 
 class HandOverBenchmark:
-    """A fleet that a node joins and leaves again and again."""
+    """Measures a fleet that a node repeatedly joins and leaves."""
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -71,7 +71,7 @@
         self.boots = 0
 
     def start(self) -> FleetNode:
-        """Start a node."""
+        """Start a node that joins through the first node."""
         self.boots += 1
         seeds = [node.links.address for node in self.nodes[:1]]
         node = FleetNode(f"e{self.boots}", self.boots, self.address, seeds)
@@ -79,17 +79,17 @@
         return node
 
     async def join(self) -> None:
-        """Let a node join."""
+        """Let a new node join the fleet."""
         self.start()
 
     async def leave(self) -> None:
-        """Let the last node leave as planned."""
+        """Let the last node leave gracefully."""
         await self.nodes[-1].fleet.leave(LEAVE_LIMIT_S)
 
     async def measure(
         self, name: str, change: Callable[[], Awaitable[None]]
     ) -> tuple[list[float], int]:
-        """Watch the fleet during one change."""
+        """Sample the fleet during one change and return the gaps and overlaps."""
         sampler = AllowanceSampler(self.nodes)
         watching: Deferred[Any] = Deferred.fromCoroutine(sampler.run(SAMPLING_S))
         await change()
@@ -97,7 +97,7 @@
         return sampler.gaps, sampler.overlaps
 
     async def run(self) -> list[HandOver]:
-        """Measure joining and leaving."""
+        """Measure ``ROUNDS`` joins and planned stops."""
         self.start()
         self.start()
         await deferLater(reactor, SETTLE_S)
@@ -118,7 +118,7 @@
 
 
 def summarise(name: str, gaps: list[float], overlaps: int) -> HandOver:
-    """Sum up one kind of change."""
+    """Return the figures of one kind of change."""
     ordered = sorted(gaps) or [0.0]
     median = ordered[len(ordered) // 2]
     return HandOver(
@@ -132,7 +132,7 @@
 
 
 def main() -> None:
-    """Print a table of the changes."""
+    """Print a table of the figures of each kind of change."""
     platform = Platform(reactor)
     platform.start()
     port = listen(reactor, platform)
--- a/bench/link_cost.py
+++ b/bench/link_cost.py
@@ -1,4 +1,4 @@
-"""Measure what a message between entry processes costs by transport and batch size."""
+"""Measures what a message between entry processes costs by transport and batch size."""
 
 from __future__ import annotations
 
@@ -59,7 +59,7 @@
         self.processor_s = 0.0
 
     def count_round_trip(self) -> bool:
-        """Count one round trip; False tells to stop."""
+        """Count one round trip and return False when the measurement is over."""
         now = perf_counter()
         if not self.measuring and now - self.started > WARM_UP_S:
             self.measuring = True
@@ -75,7 +75,7 @@
 
 
 def make_sub_queries(count: int) -> list[SubQuery]:
-    """Return so many sub-queries of the usual size."""
+    """Return ``count`` sub-queries of the usual size."""
     return [
         SubQuery(n, "r-1", "counters-1", "counters-1a", 0, 0, 90.0, 5, "", BODY)
         for n in range(count)
@@ -83,7 +83,7 @@
 
 
 def run_link(batch: int, meter: Meter) -> None:
-    """Echo batches over the project's own link."""
+    """Echo batches over ``sardinehook.fleet.link``."""
     from twisted.internet import reactor as global_reactor
 
     reactor: Any = global_reactor
@@ -130,7 +130,7 @@
 
 
 def open_socket_pair(capped: bool) -> tuple[Any, Any]:
-    """Return two connected pynng sockets."""
+    """Return two connected pynng sockets, with single-threaded pools if ``capped``."""
     import pynng
 
     if capped:
@@ -147,7 +147,7 @@
 
 
 def run_pynng_asyncio(batch: int, meter: Meter) -> None:
-    """Echo batches over pynng's own asyncio interface."""
+    """Echo batches over pynng's asyncio interface."""
     import asyncio
 
     from pynng.exceptions import Closed
@@ -178,11 +178,11 @@
         self.received = received
 
     def fileno(self) -> int:
-        """Return the descriptor that is readable when a message waits."""
+        """Return the descriptor that is readable when a message has arrived."""
         return cast("int", self.socket.recv_fd)
 
     def doRead(self) -> None:
-        """Take every message that waits."""
+        """Receive all messages that have arrived."""
         import pynng
 
         while True:
@@ -196,7 +196,7 @@
         """Do nothing at the end of the run."""
 
     def logPrefix(self) -> str:
-        """Name the reader for the reactor's log."""
+        """Return the name of the reader in the reactor's log."""
         return "pynng"
 
 
@@ -222,14 +222,14 @@
 
 
 def read_status(key: str) -> int:
-    """Read a number from the process's status."""
+    """Return a number from ``/proc/self/status``."""
     with open("/proc/self/status", encoding="utf-8") as status:
         lines = dict(line.split(":", 1) for line in status)
     return int(lines[key].split()[0])
 
 
 def measure(transport: str, batch: int) -> LinkCost:
-    """Run one transport in this process."""
+    """Measure one transport in this process."""
     meter = Meter()
     match transport:
         case "link":
--- a/bench/log_cost.py
+++ b/bench/log_cost.py
@@ -1,4 +1,4 @@
-"""Measures what the event log costs: for each event, and for each query."""
+"""Measures the processor time of the event log per event and per query."""
 
 from __future__ import annotations
 
@@ -23,14 +23,14 @@
 
 
 class Cost(NamedTuple):
-    """Processor time of one thing in microseconds, the least of some rounds."""
+    """Processor time of one operation in microseconds, the minimum of all rounds."""
 
     name: str
     microseconds: float
 
 
 def measure(name: str, count: int, action: Callable[[], object]) -> Cost:
-    """Return the processor time of an action, the least of ``ROUNDS`` rounds."""
+    """Return the processor time per call, the minimum of ``ROUNDS`` rounds."""
     action()
     rounds = []
     for _ in range(ROUNDS):
@@ -48,7 +48,7 @@
     sub_queries: int,
     failed: bool,
 ) -> None:
-    """Log a query as the front does: two events for each sub-query."""
+    """Log a query as the HTTP front end does: two events for each sub-query."""
     log = QueryLog(logger, clock, sampler, "r-12345678")
     log.record(EventName.QUERY_RECEIVED, workload="storm", asked=sub_queries)
     for number in range(sub_queries):
@@ -98,7 +98,7 @@
     sub_queries: Annotated[int, typer.Option(help="Sub-queries of a query.")] = 50,
     count: Annotated[int, typer.Option(help="Events for each round.")] = 20_000,
 ) -> None:
-    """Print the cost of each thing in microseconds of processor time."""
+    """Print the cost of each operation in microseconds of processor time."""
     for cost in log_costs(sub_queries, count):
         sys.stdout.write(f"{cost.name}: {cost.microseconds:.2f} us\n")
 
--- a/bench/measure_force.py
+++ b/bench/measure_force.py
@@ -1,7 +1,7 @@
-"""Measures how soon a change is in force (``python -m bench.measure_force``).
+"""Measures the delay until a change is in force (``python -m bench.measure_force``).
 
-Starts real entry processes on loopback, swaps the head in the stand-in platform and
-reads from the processes' logs when each put the revision in force.
+Starts real entry processes on loopback, replaces the head key in the simulated
+platform and reads from the logs when each process put the revision in force.
 """
 
 from __future__ import annotations
@@ -38,14 +38,14 @@
 
 
 class ProcessUsage(NamedTuple):
-    """Processor time and memory of the entry processes together."""
+    """Total processor time and memory of the entry processes."""
 
     cpu_s: float
     resident_mb: float
 
 
 class HeadClient:
-    """The head key of the stand-in platform, changed without the command line."""
+    """Writes the head key of the simulated platform directly, without the CLI."""
 
     def __init__(self, rig: Rig) -> None:
         self.rig = rig
@@ -53,11 +53,11 @@
         self.number = 1
 
     def url(self, path: str) -> str:
-        """The URL of a path."""
+        """Return the URL of a path on the platform."""
         return f"http://{self.rig.platform_address}{path}"
 
     def put_revision(self, document: EnvironmentDocument) -> float:
-        """Swap the head and return when its reply came, in wall clock seconds."""
+        """Write the next revision and return the wall-clock time of the reply."""
         with urllib.request.urlopen(self.url(f"/kv/{self.key}")) as reply:
             revision = msgspec.json.decode(reply.read())["revision"]
         self.number += 1
@@ -69,23 +69,23 @@
         return time.time()
 
     def counts(self) -> dict[str, int]:
-        """The calls on the platform so far."""
+        """Return the number of calls to the platform by kind."""
         with urllib.request.urlopen(self.url("/counts")) as reply:
             calls: dict[str, int] = msgspec.json.decode(reply.read())["calls"]
         return calls
 
 
 def read_in_force_times(log: Path) -> dict[int, float]:
-    """When a process put each revision in force, from its log."""
+    """Return when a process first put each revision in force, from its log."""
     found = REVISION_IN_FORCE.findall(log.read_text())
     return {int(number): float(at) for at, number in reversed(found)}
 
 
 def read_usage(rig: Rig) -> ProcessUsage:
-    """Read what the entry processes have used so far."""
+    """Read the resource usage of the entry processes from ``/proc``."""
     cpu_s = resident_mb = 0.0
-    for place in rig.entries:
-        process = rig.children[place.node].process
+    for entry in rig.entries:
+        process = rig.children[entry.node].process
         assert process is not None
         stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
         cpu_s += (int(stat[11]) + int(stat[12])) / CLOCK_TICKS_PER_S
@@ -96,15 +96,15 @@
 
 
 class Fault(StrEnum):
-    """What ails the store during the changes."""
+    """The fault of the store during the changes."""
 
     NONE = "none"
-    SLOW = "slow"  # every call takes SLOW_MS longer
-    DOWN = "down"  # it drops every call from DOWN_AFTER_S after each change
+    SLOW = "slow"  # every call takes SLOW_DELAY_MS longer
+    DOWN = "down"  # all calls are dropped from OUTAGE_DELAY_S after each change
 
 
 def measure(entries: int, fault: Fault) -> dict[str, float]:
-    """Measure one size."""
+    """Measure a fleet with ``entries`` entry VMs in each data centre."""
     deployment = Deployment(
         load_example(EXAMPLE), entries_per_data_centre=entries, target_processes=1
     )
@@ -144,7 +144,7 @@
 
 
 def measure_change(rig: Rig, head: HeadClient, number: int, down: bool) -> list[float]:
-    """Accept one change and return how late each node had it, in milliseconds."""
+    """Write one change and return the delay in ms until each node has it in force."""
     workloads = {
         name: workload._replace(deadline_ms=200.0 + number)
         for name, workload in rig.document.workloads.items()
@@ -158,15 +158,17 @@
         rig.control_platform({"outage": "none"})
         time.sleep(RECOVERY_WAIT_S)
     logs = [
-        read_in_force_times(rig.directory / f"{place.node}.log")
-        for place in rig.entries
+        read_in_force_times(rig.directory / f"{entry.node}.log")
+        for entry in rig.entries
     ]
-    assert all(head.number in log for log in logs), "not in force everywhere"
+    assert all(head.number in log for log in logs), (
+        f"revision {head.number} is not in force on every node"
+    )
     return [(log[head.number] - accepted_at) * 1000 for log in logs]
 
 
 def main() -> None:
-    """Print a line for each size."""
+    """Print one line of figures for each fleet size."""
     parser = argparse.ArgumentParser(prog="python -m bench.measure_force")
     parser.add_argument(
         "--entries", type=int, nargs="*", default=ENTRIES_PER_DATA_CENTRE
--- a/bench/measure_revisions.py
+++ b/bench/measure_revisions.py
@@ -1,7 +1,7 @@
-"""Measures bytes and time of revisions by size (``python -m bench.measure_revisions``).
+"""Measures size and time of revisions (``python -m bench.measure_revisions``).
 
-One field of a document changes; the printed bytes are those of the canonical form, of
-the stored revision, and of the change sent whole and as a difference.
+One field of a document changes. The printed bytes are those of the canonical form, of
+the stored revision, and of the change sent as a full document and as a delta.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
 
 
 def large_document(replicas: int, deadline_ms: float) -> EnvironmentDocument:
-    """A document with so many replicas over seven data centres in two regions."""
+    """Return a document of a given size, with seven data centres in two regions."""
     data_centres = {
         f"dc-{n}": DataCentre(f"region-{n // 4}") for n in range(DATA_CENTRES)
     }
@@ -56,7 +56,7 @@
 
 
 def make_replica(number: int, place: int) -> Replica:
-    """Make a replica; consecutive ones stand in different data centres."""
+    """Return a replica; replicas of one service are in different data centres."""
     service = f"logfinder-{number:04d}"
     data_centre = (number + place) % DATA_CENTRES
     host = (number * REPLICAS_PER_SERVICE + place) * 37 % 62_500
@@ -67,7 +67,7 @@
 
 
 def min_duration_ms(call: Callable[[], object]) -> float:
-    """The least time of several calls, in milliseconds."""
+    """Return the minimum duration of ``REPEATS`` calls, in milliseconds."""
     times = []
     for _ in range(REPEATS):
         started = time.perf_counter()
@@ -77,7 +77,7 @@
 
 
 def measure(replicas: int) -> dict[str, float]:
-    """Measure one size."""
+    """Measure a document with ``replicas`` replicas."""
     old, new = large_document(replicas, 150.0), large_document(replicas, 140.0)
     old_form, new_form = canonical_bytes(old), canonical_bytes(new)
     revision = make_revision(2, "0123456789abcdef", "ilona", "", new)
@@ -98,7 +98,7 @@
 
 
 def main() -> None:
-    """Print a line for each size."""
+    """Print one line of figures for each document size."""
     for replicas in SIZES:
         measured = measure(replicas)
         print(" ".join(f"{key}={value:.5g}" for key, value in measured.items()))
--- a/bench/measure_spread.py
+++ b/bench/measure_spread.py
@@ -1,8 +1,8 @@
-"""Counts what the spread of revisions costs (``python -m bench.measure_spread``).
+"""Measures the cost of spreading revisions (``python -m bench.measure_spread``).
 
-Drives the decisions of many nodes on a fake clock: one change of a field is accepted,
-the watchers of each data centre learn of it, and all others from their peers. Times
-leave out processor time; bytes are those of link frames without TCP's headers.
+Simulates many nodes on a virtual clock: one field is changed, the watchers of each
+data centre read it from the store, and all others get it from their peers. Times
+exclude processor time; bytes are those of link frames without TCP headers.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
 
 
 class Figures(NamedTuple):
-    """What one change and a minute at rest cost."""
+    """The cost of one change, and of a minute without changes."""
 
     nodes: int
     data_centres: int
@@ -53,7 +53,7 @@
 
 
 class Network:
-    """Nodes with timers and messages on a fake clock."""
+    """Simulates nodes with timers and messages on a virtual clock."""
 
     def __init__(self, nodes: int, data_centres: int, loss: float, seed: int) -> None:
         self.rng = random.Random(seed)
@@ -81,13 +81,13 @@
         sender: str = "",
         message: Message | None = None,
     ) -> None:
-        """Let a message arrive, or a tick happen, after a delay."""
+        """Schedule the arrival of a message, or a tick if there is none."""
         self.order += 1
         event = (self.now + delay_s, self.order, name, sender, message)
         heapq.heappush(self.queue, event)
 
     def send(self, sender: str, sends: Sequence[Send]) -> None:
-        """Send messages, of which some are lost."""
+        """Send messages, of which a ratio of ``loss`` is dropped."""
         for peer, message in sends:
             kind = type(message).__name__
             frame = encode_frame(sender, 0, [encode_message(message)])
@@ -99,11 +99,11 @@
                 self.schedule(delay_s * self.rng.uniform(1, 2), peer, sender, message)
 
     def peers(self, name: str) -> list[str]:
-        """All but one."""
+        """Return the names of all other nodes."""
         return [other for other in self.names if other != name]
 
     def run(self, until: float, number: int = 0) -> list[float]:
-        """Let time pass; returns when each node got to ``number``."""
+        """Advance the clock and return when each node reached revision ``number``."""
         in_force_at: list[float] = []
         while self.queue and self.queue[0][0] <= until:
             self.now, _, name, sender, message = heapq.heappop(self.queue)
@@ -125,12 +125,12 @@
         return in_force_at
 
     def schedule_retry(self, spread: Spread, name: str) -> None:
-        """Let a node look again once its request is overdue."""
+        """Schedule a retry for when the pending request of a node times out."""
         if spread.pending is not None:
             self.schedule(spread.pending.until - self.now, name, name)
 
     def watchers(self) -> list[str]:
-        """The first nodes of each data centre."""
+        """Return the nodes that watch the store, the first ones of each data centre."""
         by_data_centre: dict[int, list[str]] = {}
         for name in self.names:
             by_data_centre.setdefault(self.data_centre_of[name], []).append(name)
@@ -141,18 +141,18 @@
         ]
 
     def total_bytes(self) -> int:
-        """The bytes sent so far."""
+        """Return the number of bytes sent."""
         return self.sent_bytes.total()
 
 
 def make_change(number: int) -> Revision:
-    """A revision whose deadline differs by its number."""
+    """Return a revision whose document has a deadline that depends on ``number``."""
     document = large_document(REPLICAS, 100.0 + number)
     return make_revision(number, "0123456789abcdef", "ilona", "shorter", document)
 
 
 def simulate(nodes: int, data_centres: int, loss: float, seed: int) -> Figures:
-    """Measure one size."""
+    """Simulate idle time and one change in a fleet of one size."""
     network = Network(nodes, data_centres, loss, seed)
     for name in network.names:
         network.spreads[name].offer(make_change(1), [], 0.0)
@@ -168,7 +168,9 @@
         in_force_at.append(network.now)
     in_force_at += network.run(accepted_at + CHANGE_WAIT_S, 2)
     delays_ms = sorted((at - accepted_at) * 1000 for at in in_force_at)
-    assert len(delays_ms) == nodes, "not in force everywhere"
+    assert len(delays_ms) == nodes, (
+        f"revision 2 is in force on {len(delays_ms)} of {nodes} nodes"
+    )
     change_bytes = (
         network.total_bytes() - size
     ) / nodes - idle_bytes_per_s * CHANGE_WAIT_S
@@ -192,7 +194,7 @@
 
 
 def main() -> None:
-    """Print a line for each size and loss."""
+    """Print one line of figures for each fleet size and message loss."""
     register_messages()
     parser = argparse.ArgumentParser(prog="python -m bench.measure_spread")
     parser.add_argument("--seed", type=int, default=1)
--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -1,4 +1,4 @@
-"""Count what membership costs a node, driving its decisions on a fake clock."""
+"""Measures what membership costs a node, in a simulation on a virtual clock."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 
 class MembershipCost(NamedTuple):
-    """What one node spends on membership, sent and received, headers included."""
+    """The cost of membership per node, sent and received, with IP and UDP headers."""
 
     nodes: int
     data_centres: int
@@ -45,7 +45,7 @@
 
 
 class MembershipDriver:
-    """Members that exchange datagrams in memory, one tick at a time."""
+    """Simulates members that exchange datagrams in memory, one tick at a time."""
 
     def __init__(self, nodes: int, data_centres: int) -> None:
         self.now = 1000.0
@@ -63,7 +63,7 @@
             self.start(f"{place}-entry-{number}", place, 1)
 
     def introduce_all(self) -> None:
-        """Let every member know all others, as after a long time."""
+        """Make every member know all others as alive, as in a converged fleet."""
         known = [
             member.local_member._replace(state=MemberState.ALIVE)
             for member in self.members.values()
@@ -76,7 +76,7 @@
                 member.apply_update(other, self.now)
 
     def start(self, name: str, data_centre: str, incarnation: int) -> Membership:
-        """Start a member, again under its address if it was there before."""
+        """Start a member; a restarted one keeps its address."""
         number = int(name.rpartition("-")[2])
         address = f"10.0.{number // 256}.{number % 256}:7401"
         http = f"10.0.{number // 256}.{number % 256}:8401"
@@ -90,7 +90,7 @@
         return member
 
     def send(self, source: str, sends: list[OutgoingDatagram]) -> None:
-        """Put datagrams on their way."""
+        """Queue datagrams for delivery, except those that are lost."""
         for address, datagram in sends:
             data = encode_datagram(datagram)
             target = self.addresses.get(address)
@@ -108,7 +108,7 @@
         return self.members[name].local_member.data_centre
 
     def run(self, seconds: float) -> None:
-        """Let time pass."""
+        """Advance the clock, delivering datagrams and ticking the running members."""
         end = self.now + seconds
         while self.now < end:
             tick = self.now + TICK_S
@@ -120,7 +120,7 @@
                     self.send(name, member.tick(self.now))
 
     def deliver(self) -> None:
-        """Deliver the datagram that is due next."""
+        """Deliver the datagram that is due next; a paused member gets it later."""
         due, _, source, target, data = heappop(self.queue)
         if target in self.stopped:
             return
@@ -136,12 +136,12 @@
         self.send(target, member.receive(datagram, address, self.now))
 
     def view(self, viewer: str, name: str) -> MemberState | None:
-        """Return what one member thinks of another."""
+        """Return a member's state in the view of another, None if unknown."""
         member = self.members[viewer].table.members.get(name)
         return None if member is None else member.state
 
     def running(self, data_centre: str) -> list[str]:
-        """Return the members of a data centre that run."""
+        """Return the members of a data centre that are neither stopped nor paused."""
         names = [n for n in self.members if self.centre(n) == data_centre]
         return [n for n in names if n not in self.stopped | self.paused]
 
@@ -149,7 +149,11 @@
 def measure_detection(
     driver: MembershipDriver, stopped_name: str
 ) -> tuple[float, float]:
-    """Stop a member; return the seconds until the first and all know it."""
+    """Stop a member and time its detection.
+
+    Returns the seconds until the first and until all running members of its data
+    centre have declared it dead; infinity if not all did within the limit.
+    """
     driver.stopped.add(stopped_name)
     started = driver.now
     peers = driver.running(driver.centre(stopped_name))
@@ -165,7 +169,7 @@
 
 
 def measure_restarts(driver: MembershipDriver) -> float:
-    """Restart seven members at once; return the bytes a second and node after it."""
+    """Restart seven members at once and return the bytes per second and node."""
     names = list(driver.members)[:7]
     driver.bytes = 0
     for name in names:
@@ -175,7 +179,7 @@
 
 
 def measure(nodes: int, data_centres: int) -> MembershipCost:
-    """Run one size."""
+    """Measure a fleet of one size."""
     driver = MembershipDriver(nodes, data_centres)
     driver.introduce_all()
     driver.run(WARM_UP_S)
@@ -203,7 +207,7 @@
 
 
 def main() -> None:
-    """Print a table of the cost at several sizes of the fleet."""
+    """Print a table of the cost for several fleet sizes."""
     print(" | ".join(MembershipCost._fields))
     for nodes, data_centres in SIZES:
         print(" | ".join(str(value) for value in measure(nodes, data_centres)))
--- a/bench/order_cost.py
+++ b/bench/order_cost.py
@@ -1,6 +1,6 @@
-"""Measures orders over HTTP against the platform's stand-in, in one process.
+"""Measures orders over HTTP against the simulated platform, in one process.
 
-``python -m bench.order_cost`` prints calls on the store, latencies and processor time.
+``python -m bench.order_cost`` prints store calls, latencies and processor time.
 """
 
 from __future__ import annotations
@@ -36,7 +36,7 @@
 
 
 class OrderBenchmark:
-    """A desk whose target answers after ``service_ms``."""
+    """An order coordinator whose target replies after ``service_ms``."""
 
     def __init__(self, reactor: Any, delay_ms: float, service_ms: float) -> None:  # noqa: ANN401
         self.reactor = reactor
@@ -63,7 +63,7 @@
         )
 
     def send(self, sub_query: SubQuery) -> Deferred[SubReply]:
-        """Answer an order after the service time."""
+        """Reply to an order after the service time."""
         elapsed = time.perf_counter() - self.started[sub_query.request_id]
         self.before_send_ms.append(elapsed * MS_PER_S)
         reply = SubReply(
@@ -72,7 +72,7 @@
         return deferLater(self.reactor, self.service_s, lambda: reply)
 
     async def place(self, number: int) -> None:
-        """Place one order and note its latency."""
+        """Place one order and record its latency; raises RuntimeError if it fails."""
         request = f"r-{number}"
         self.started[request] = time.perf_counter()
         order = OrderRequest(
@@ -85,7 +85,7 @@
         self.total_ms.append(elapsed * MS_PER_S)
 
     async def run(self, orders: int, at_once: int) -> None:
-        """Place orders in turns of ``at_once``."""
+        """Place orders in batches of ``at_once``."""
         for first in range(0, orders, at_once):
             batch = [
                 Deferred.fromCoroutine(self.place(first + number))
@@ -98,7 +98,7 @@
         await cast("Deferred[object]", self.port.stopListening())
 
     def report(self) -> None:
-        """Print what was measured."""
+        """Print store calls, latencies and processor time."""
         placed = len(self.total_ms)
         calls = dict(self.platform.counts.calls)
         print(f"orders: {placed}, store calls: {calls}")
@@ -117,7 +117,7 @@
     delay_ms: Annotated[float, typer.Option(help="Delay of the store.")] = 3.0,
     service_ms: Annotated[float, typer.Option(help="Time at the target.")] = 20.0,
 ) -> None:
-    """Place orders and print what they cost."""
+    """Place orders and print their cost."""
     stream = open(os.devnull, "w", encoding="utf-8")
     configure_logging(stream, "entry-1", "duluth", HybridClock(time.time))
 
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -72,7 +72,10 @@
 
 
 class Figures(NamedTuple):
-    """Measures of one run, or of several pooled."""
+    """Latency, coverage and load of one run, or of several pooled.
+
+    ``extra_ratio`` is hedges and retries over first attempts.
+    """
 
     p50_ms: float
     p99_ms: float
@@ -91,7 +94,7 @@
     seed: int,
     warm_up_s: float = WARM_UP_S,
 ) -> list[FinishedRequest]:
-    """Run one arm and return the requests that arrived after the warm-up."""
+    """Simulate one arm and return the requests that arrived after the warm-up."""
     clock = VirtualClock()
     services = [
         (
@@ -130,7 +133,7 @@
 
 
 def compute_figures(finished: Sequence[FinishedRequest]) -> Figures:
-    """Work out the measures of finished requests."""
+    """Compute the figures of finished requests; refused ones have no latency."""
     run = [request for request in finished if not request.refused]
     latencies = [request.latency_ms for request in run]
     p50, p99, p999 = np.percentile(latencies, [50.0, 99.0, 99.9])
@@ -148,7 +151,7 @@
 
 
 def compare_stragglers(options: Namespace) -> None:
-    """Print all arms under each straggler fault, as ratios to the fault-free run."""
+    """Print the latency of all arms under each fault, relative to runs without."""
     for name, workload in (("storm", STORM), ("storm-full", FULL_COVERAGE_STORM)):
         load = [ArrivalProcess(name, workload, options.load * CAPACITY_PER_S)]
         fault_free: dict[str, Figures] = {}
@@ -177,7 +180,7 @@
 
 
 def compare_overload(options: Namespace) -> None:
-    """Print goodput at twice the capacity with and without admission."""
+    """Print goodput at twice the capacity with and without admission control."""
     arms = (
         Arm("fixed-no-budget", FixedDelayHedge(10.0), enforces_budget=False),
         Arm("no-admission", QuantileHedge()),
@@ -207,7 +210,7 @@
 
 
 def goodput_line(pooled: Sequence[FinishedRequest], options: Namespace) -> str:
-    """Describe how much of the capacity was answered, by workload."""
+    """Format goodput as a share of the capacity, in total and by workload."""
     duration_s = options.seconds * options.seeds
     parts = []
     total = 0.0
@@ -229,7 +232,7 @@
 
 
 def main(arguments: Sequence[str]) -> None:
-    """Run the comparison that the command line names."""
+    """Run the comparison that is selected on the command line."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("part", choices=["stragglers", "overload"])
     parser.add_argument("--seeds", type=int, default=3)
--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -1,8 +1,8 @@
-"""Measures the processor time that the pure policy takes for each sub-query.
+"""Measures the processor time of the search policy per sub-query, without I/O.
 
 Run ``python -m bench.policy_cost``. A query is planned, fanned out, answered with
-pages of ``RECORDS`` records each, merged and encoded; there is no I/O. The least of the
-samples is given, as other work on the machine only adds to it.
+pages of ``RECORDS`` records each, merged and encoded. The minimum of the samples is
+reported, as other work on the machine can only add to it.
 """
 
 from __future__ import annotations
@@ -56,7 +56,7 @@
 
 
 def make_page(service: str) -> bytes:
-    """Build a target's reply."""
+    """Encode a target's reply with ``RECORDS`` records."""
     return msgspec.json.encode(
         {
             "records": [
@@ -73,14 +73,14 @@
 
 
 def make_reply(sub_query: SubQuery, body: bytes) -> SubReply:
-    """Answer a sub-query from the only snapshot."""
+    """Return a successful reply to a sub-query."""
     return SubReply(
         sub_query.sub_query_id, Outcome.ANSWERED, 42, 1, 0.1, 4.0, True, "", body
     )
 
 
 def run_query(planner: Planner, bodies: dict[str, bytes], now: float) -> float:
-    """Run one query and return the processor seconds spent in the policy."""
+    """Run one query and return the processor time spent in the policy, in seconds."""
     started = process_time()
     plan = planner.plan(WORKLOAD, "", now).unwrap()
     request = SearchRequest("r1", "storm", now + 0.15, 100, b"{}")
@@ -104,15 +104,18 @@
 
 
 def encode_outcome(actions: Sequence[Action]) -> None:
-    """Encode the answer that ends a query."""
+    """Encode the answer that ends a query; raises RuntimeError if there is none."""
     settle = actions[-1]
     if not isinstance(settle, Settle) or not isinstance(settle.outcome, SearchAnswer):
-        raise RuntimeError("the query was not answered")
+        raise RuntimeError(f"query ended without an answer: {settle}")
     encode_answer(settle.outcome)
 
 
 def measure_policy_us(fan_out: int, samples: int) -> float:
-    """Return the least processor time in us for each sub-query over ``samples``."""
+    """Return the minimum over ``samples`` of the processor time per sub-query, in us.
+
+    One more sample is run first as warm-up and left out.
+    """
     planner = Planner(SearchPolicy(chooser=ReplicaChooser("szolnok-b", 1)))
     planner.apply(make_document(fan_out))
     bodies = {
@@ -131,7 +134,7 @@
 
 
 def main(arguments: Sequence[str]) -> None:
-    """Print the cost for each fan-out."""
+    """Print the cost per sub-query for each fan-out."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument("--samples", type=int, default=9)
     options = parser.parse_args(arguments)
--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -1,4 +1,4 @@
-"""A virtual clock, replicas with slots, and entries that run the pure policy."""
+"""Simulates entries that run the search policy, and replicas, on a virtual clock."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
 
 
 class VirtualClock:
-    """Runs callables in the order of their times, in seconds from zero."""
+    """Runs scheduled calls in order of time, in seconds from zero."""
 
     def __init__(self) -> None:
         self.now = 0.0
@@ -55,14 +55,14 @@
         heappush(self.events, (time, next(self.order), call))
 
     def run(self) -> None:
-        """Run until nothing is left."""
+        """Run until no scheduled call is left."""
         while self.events:
             self.now, _, call = heappop(self.events)
             call()
 
 
 class Faults(NamedTuple):
-    """What goes wrong: a share of slow replies, and replicas slow for good."""
+    """Injected faults: a ratio of slow replies, and replicas that are always slow."""
 
     slow_reply_ratio: float = 0.0
     slow_replicas: frozenset[str] = frozenset()
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Arm:
-    """One policy to compare. ``admits`` turns admission on."""
+    """One policy to compare. ``admits`` turns admission control on."""
 
     name: str
     hedge: HedgePolicy
@@ -81,7 +81,7 @@
 
 
 class ArrivalProcess(NamedTuple):
-    """Poisson arrivals of one workload at each entry."""
+    """Poisson arrivals of the requests of one workload."""
 
     workload_name: str
     workload: Workload
@@ -89,7 +89,7 @@
 
 
 class RandomChooser(ReplicaChooser):
-    """A baseline: replicas in random order, whatever was seen of them."""
+    """A baseline that orders replicas at random and ignores their latency and load."""
 
     def order(self, placements: Sequence[Placement], now: float) -> tuple[str, ...]:
         """Return the replicas in random order."""
@@ -100,7 +100,7 @@
 
 @dataclass(slots=True)
 class SubQueryJob:
-    """A sub-query at a replica."""
+    """A sub-query that is queued or running at a replica."""
 
     sub_query: SubQuery
     reply: Callable[[SubReply], None]
@@ -111,7 +111,7 @@
 
 
 class SimulatedReplica:
-    """A target with slots behind its owner's queue, which is served by priority."""
+    """A target with a number of slots behind its owner's priority queue."""
 
     def __init__(
         self, name: str, slots: int, clock: VirtualClock, random: Random, faults: Faults
@@ -124,7 +124,7 @@
         self.queues: dict[int, deque[SubQueryJob]] = {}
 
     def draw_service_s(self) -> float:
-        """Draw a service time."""
+        """Draw a service time in seconds from the log-normal distribution."""
         time = SERVICE_MEDIAN_MS * self.random.lognormvariate(0.0, SERVICE_SIGMA)
         slow = self.random.random() < self.faults.slow_reply_ratio
         if slow or self.name in self.faults.slow_replicas:
@@ -132,12 +132,12 @@
         return time / 1000.0
 
     def submit(self, job: SubQueryJob) -> None:
-        """Take a sub-query."""
+        """Queue a sub-query and start it if a slot is free."""
         self.queues.setdefault(job.sub_query.priority, deque()).append(job)
         self.start_queued()
 
     def cancel(self, job: SubQueryJob) -> None:
-        """Abandon a sub-query; one that runs frees its slot."""
+        """Cancel a sub-query; a running one frees its slot."""
         if job.ended:
             return
         job.ended = True
@@ -146,7 +146,7 @@
             self.start_queued()
 
     def start_queued(self) -> None:
-        """Start what waits while slots are free."""
+        """Start queued sub-queries while slots are free."""
         while self.free_slots:
             job = self.take_next_job()
             if job is None:
@@ -154,7 +154,7 @@
             self.start(job)
 
     def take_next_job(self) -> SubQueryJob | None:
-        """Take the next sub-query of the best priority."""
+        """Remove and return the next sub-query in order of priority."""
         for priority in sorted(self.queues):
             queue = self.queues[priority]
             while queue:
@@ -164,7 +164,7 @@
         return None
 
     def start(self, job: SubQueryJob) -> None:
-        """Serve a sub-query, or answer that it is late."""
+        """Run a sub-query, or reply LATE if its deadline has passed."""
         now = self.clock.now
         queued_ms = (now - job.queued_at) * 1000.0
         if now >= job.expires_at:
@@ -176,7 +176,7 @@
         self.clock.at(now + service_s, lambda: self.finish(job, queued_ms, service_s))
 
     def finish(self, job: SubQueryJob, queued_ms: float, service_s: float) -> None:
-        """Answer a sub-query that was not abandoned."""
+        """Reply to a sub-query that was not cancelled, and free its slot."""
         if job.ended:
             return
         job.ended = True
@@ -206,7 +206,7 @@
 
 
 class FinishedRequest(NamedTuple):
-    """How one request ended. ``refused`` was not run at all."""
+    """The result of one request. A ``refused`` one was not run at all."""
 
     workload: str
     arrived_at: float
@@ -220,7 +220,7 @@
 
 @dataclass(slots=True)
 class RunningSearch:
-    """A search that is under way at an entry."""
+    """A search in progress at an entry."""
 
     search: Search
     admitted_request: AdmittedRequest
@@ -230,7 +230,7 @@
 
 
 class SimulatedEntry:
-    """An entry process: its own policy, estimates and admission."""
+    """An entry process with its own policy, latency estimates and admission control."""
 
     def __init__(
         self,
@@ -264,7 +264,7 @@
         self.clock.at(gap, lambda: self.arrive(arrivals, until))
 
     def arrive(self, arrivals: ArrivalProcess, until: float) -> None:
-        """Take one request and schedule the next arrival."""
+        """Start the search of one request and schedule the next arrival."""
         now = self.clock.now
         gap = self.random.expovariate(arrivals.per_second)
         if now + gap < until:
@@ -290,7 +290,7 @@
         self.perform_actions(running, search.begin(now))
 
     def admit(self, arrivals: ArrivalProcess, now: float) -> AdmittedRequest | None:
-        """Ask admission, if it is on."""
+        """Return the admitted request, or None if admission control refuses it."""
         name, workload = arrivals.workload_name, arrivals.workload
         cost = len(self.services)
         if self.admission is None:
@@ -301,7 +301,7 @@
     def perform_actions(
         self, running: RunningSearch, actions: Sequence[Action]
     ) -> None:
-        """Do what a search asks for."""
+        """Perform the actions that a search returned."""
         for action in actions:
             match action:
                 case Send(sub_query):
@@ -312,14 +312,14 @@
                     self.cancel(sub_query_id)
                 case Settle():
                     self.settle(running, action)
-        self.arm(running)
+        self.schedule_timer(running)
 
     def draw_link_s(self) -> float:
-        """Draw the time that a message takes one way."""
+        """Draw the one-way delay of a message in seconds."""
         return (LINK_DELAY_MS + self.random.random() * LINK_JITTER_MS) / 1000.0
 
     def send(self, sub_query: SubQuery) -> None:
-        """Carry a sub-query to its replica."""
+        """Send a sub-query to its replica."""
         replica = self.replicas[sub_query.replica]
         now = self.clock.now
         job = SubQueryJob(
@@ -329,38 +329,38 @@
         self.clock.at(now + self.draw_link_s(), lambda: replica.submit(job))
 
     def cancel(self, sub_query_id: int) -> None:
-        """Carry a cancellation to the replica that has the sub-query."""
+        """Send a cancellation to the replica that has the sub-query."""
         job = self.jobs.pop(sub_query_id)
         replica = self.replicas[job.sub_query.replica]
         self.clock.at(self.clock.now + self.draw_link_s(), lambda: replica.cancel(job))
 
     def deliver_reply(self, reply: SubReply) -> None:
-        """Carry a reply to its search."""
+        """Schedule the arrival of a reply at its search."""
         self.clock.at(self.clock.now + self.draw_link_s(), lambda: self.on_reply(reply))
 
     def on_reply(self, reply: SubReply) -> None:
-        """Feed a reply to its search."""
+        """Pass a reply to its search; replies to cancelled sub-queries are dropped."""
         running = self.running.pop(reply.sub_query_id, None)
         if running is not None:
             del self.jobs[reply.sub_query_id]
             actions = running.search.on_reply(reply, self.clock.now)
             self.perform_actions(running, actions)
 
-    def arm(self, running: RunningSearch) -> None:
-        """Schedule the next timer of a search if it is earlier than the known one."""
+    def schedule_timer(self, running: RunningSearch) -> None:
+        """Schedule the next timer of a search if it is due before the current one."""
         due = running.search.next_timer()
         if due is not None and due < running.timer_at:
             running.timer_at = due
             self.clock.at(due, lambda: self.on_timer(running))
 
     def on_timer(self, running: RunningSearch) -> None:
-        """Feed the time to a search."""
+        """Fire the timer of a search if it is due, or schedule it again."""
         running.timer_at = float("inf")
         due = running.search.next_timer()
         if due is not None and due <= self.clock.now:
             self.perform_actions(running, running.search.on_timer(self.clock.now))
         else:
-            self.arm(running)
+            self.schedule_timer(running)
 
     def settle(self, running: RunningSearch, settle: Settle) -> None:
         """Record how a search ended."""
--- a/bench/state_cost.py
+++ b/bench/state_cost.py
@@ -1,6 +1,6 @@
-"""Measures the memory that a document's replicas take (``python -m bench.state_cost``).
+"""Measures the memory per replica of a document (``python -m bench.state_cost``).
 
-Each size runs in a process of its own, since memory is not given back.
+Each size runs in its own process, as freed memory is not returned to the system.
 """
 
 from __future__ import annotations
@@ -37,7 +37,7 @@
 
 
 class StateCost(NamedTuple):
-    """Memory in MB and time in ms of putting a document of a size in force."""
+    """Memory and time that applying a document of a given size takes."""
 
     replicas: int
     memory_mb: float
@@ -45,7 +45,7 @@
 
 
 def make_document(replicas: int) -> EnvironmentDocument:
-    """Make a document with one index of two replicas a service."""
+    """Return a document with one index and two replicas for each service."""
     data_centres = [f"centre-{number}" for number in range(DATA_CENTRES)]
     services = {
         f"logs-{service}": [
@@ -92,7 +92,7 @@
 
 
 def measure_in_subprocess(replicas: int) -> StateCost:
-    """Measure one size in a process of its own."""
+    """Measure one size in a separate process."""
     arguments = [sys.executable, "-m", "bench.state_cost", str(replicas)]
     output = subprocess.run(arguments, capture_output=True, text=True, check=True)
     count, memory_mb, apply_ms = output.stdout.split()
@@ -100,7 +100,7 @@
 
 
 def main() -> None:
-    """Measure the size on the command line, or all sizes."""
+    """Print the cost of the size on the command line, or of all sizes."""
     if len(sys.argv) > 1:
         print(*measure_in_process(int(sys.argv[1])))
         return
--- a/bench/subquery_cost.py
+++ b/bench/subquery_cost.py
@@ -1,4 +1,7 @@
-"""Measures processor time per sub-query: ``Agent``, a connection, the owner."""
+"""Compares the processor time per sub-query of three transports to targets.
+
+The transports are Twisted's ``Agent``, a bare connection pool and the target owner.
+"""
 
 from __future__ import annotations
 
@@ -45,7 +48,7 @@
 
 
 class ReplicaEndpoint(NamedTuple):
-    """A replica of the stand-in."""
+    """A replica of the simulated targets and its address."""
 
     name: str
     service: str
@@ -53,7 +56,7 @@
 
 
 class Cost(NamedTuple):
-    """The cost of one way to reach targets."""
+    """The processor time per sub-query of one transport."""
 
     transport: str
     sub_queries: int
@@ -62,14 +65,14 @@
 
 
 class Transport(Protocol):
-    """A way to send a sub-query and learn of its end."""
+    """A transport that sends a sub-query and reports its end."""
 
     def send(self, endpoint: ReplicaEndpoint, done: Callable[[bool], None]) -> None:
-        """Send a sub-query and tell ``done`` whether it was answered."""
+        """Send a sub-query and call ``done`` with whether it was answered."""
 
 
 def make_sub_query(number: int, endpoint: ReplicaEndpoint) -> SubQuery:
-    """Return the sub-query that every way sends."""
+    """Return the sub-query that every transport sends."""
     return SubQuery(
         number, f"r{number}", endpoint.service, endpoint.name, 1, 1, 5000.0, 5, "", BODY
     )
@@ -133,10 +136,10 @@
 
 
 class Consumer(Protocol):
-    """Takes a request body."""
+    """Receives a request body."""
 
     def write(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Receive a part of the body."""
 
 
 def print_failure(failure: Failure) -> list[Cost]:
@@ -146,7 +149,7 @@
 
 
 def ignore(*_: object) -> None:
-    """Take no notice of a pool's event."""
+    """Ignore an event of a pool."""
 
 
 class ConnectionTransport:
@@ -183,13 +186,13 @@
         done: Callable[[bool], None],
         end: ExchangeEnd,
     ) -> None:
-        """Give the connection back."""
+        """Release the connection and report whether the reply was successful."""
         pool.release(connection)
         done(isinstance(end, Replied) and end.reply.status == 200)
 
 
 class OwnerTransport:
-    """``TargetOwner.submit`` as the entry process uses it."""
+    """Submits sub-queries to a ``TargetOwner``, as the entry process does."""
 
     def __init__(self, reactor: TcpReactor, endpoints: list[ReplicaEndpoint]) -> None:
         self.numbers = count(1)
@@ -214,7 +217,7 @@
 
 
 class TransportBenchmark:
-    """Sends one round of sub-queries after another and measures all but the first."""
+    """Sends rounds of sub-queries and measures those after the warm-up."""
 
     def __init__(
         self, reactor: TcpReactor, endpoints: list[ReplicaEndpoint], rounds: int
@@ -224,7 +227,7 @@
         self.rounds = rounds
 
     def run(self, name: str, transport: Transport) -> Deferred[Cost]:
-        """Measure one way."""
+        """Measure one transport."""
         finished: Deferred[Cost] = Deferred()
         warm_up_rounds = 5
         left_rounds = self.rounds + warm_up_rounds
@@ -259,7 +262,7 @@
 
 
 def write_config(path: Path, services: int) -> None:
-    """Write the stand-in's settings: one replica for each service."""
+    """Write the settings of the simulated targets: one replica for each service."""
     replicas = [
         {
             "service": f"s{n}",
@@ -275,7 +278,7 @@
 
 
 def read_endpoints(control: str) -> list[ReplicaEndpoint]:
-    """Return the stand-in's replicas."""
+    """Fetch the replicas of the simulated targets from their control port."""
     with urlopen(f"http://127.0.0.1:{control}/replicas") as response:
         replicas = json.load(response)
     return [
@@ -289,7 +292,7 @@
 async def measure(
     reactor: TcpReactor, endpoints: list[ReplicaEndpoint], rounds: int
 ) -> list[Cost]:
-    """Measure the ways in turn, in blocks, and return the median block of each."""
+    """Measure the transports in alternating blocks and return the median of each."""
     runner = TransportBenchmark(reactor, endpoints, max(1, rounds // BLOCKS))
     owner = OwnerTransport(reactor, endpoints)
     transports: dict[str, Transport] = {
@@ -306,7 +309,7 @@
 
 
 def summarise_blocks(blocks: list[Cost]) -> Cost:
-    """Return the sums of the counts and the median of the costs."""
+    """Return the sum of the counts and the median of the costs of all blocks."""
     return Cost(
         blocks[0].transport,
         sum(cost.sub_queries for cost in blocks),
@@ -316,7 +319,7 @@
 
 
 def report(costs: list[Cost]) -> bool:
-    """Print the figures and tell whether they are within bounds."""
+    """Print the figures and return whether they are within bounds."""
     owner = next(cost for cost in costs if cost.transport == "owner")
     agent = next(cost for cost in costs if cost.transport == "agent")
     passed = owner.cost_us <= MAX_OWNER_COST_US and not any(c.failed for c in costs)
@@ -334,7 +337,7 @@
     services: Annotated[int, typer.Option(help="Targets of each round.")] = 50,
     rounds: Annotated[int, typer.Option(help="Rounds for each way.")] = 270,
 ) -> None:
-    """Compare the ways to reach targets in one run."""
+    """Compare the transports to targets in one run."""
     from twisted.internet import reactor
 
     errors_only = structlog.make_filtering_bound_logger(logging.ERROR)
