--- a/bench/policy_cost.py
+++ b/bench/policy_cost.py
@@ -107,7 +107,7 @@
     """Encode the answer that ends a query; raises RuntimeError if there is none."""
     settle = actions[-1]
     if not isinstance(settle, Settle) or not isinstance(settle.outcome, SearchAnswer):
-        raise RuntimeError(f"query ended without an answer: {settle}")
+        raise RuntimeError("benchmark query ended without an answer")
     encode_answer(settle.outcome)
 
 
