Rename MembershipDriver.centre to data_centre_of

"centre" took a member's name and returned its data centre; the simulation of revision spread already calls the same mapping data_centre_of.

--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -98,12 +98,12 @@
             self.bytes += len(data) + IP_UDP_HEADER_BYTES
             if target is None or self.is_lost(source, target):
                 continue
-            local = self.centre(source) == self.centre(target)
+            local = self.data_centre_of(source) == self.data_centre_of(target)
             self.count += 1
             due = self.now + (LOCAL_DELAY_S if local else REMOTE_DELAY_S)
             heappush(self.queue, (due, self.count, source, target, data))
 
-    def centre(self, name: str) -> str:
+    def data_centre_of(self, name: str) -> str:
         """Return the data centre of a member."""
         return self.members[name].local_member.data_centre
 
@@ -142,7 +142,7 @@
 
     def running(self, data_centre: str) -> list[str]:
         """Return the members of a data centre that are neither stopped nor paused."""
-        names = [n for n in self.members if self.centre(n) == data_centre]
+        names = [n for n in self.members if self.data_centre_of(n) == data_centre]
         return [n for n in names if n not in self.stopped | self.paused]
 
 
@@ -156,7 +156,7 @@
     """
     driver.stopped.add(stopped_name)
     started = driver.now
-    peers = driver.running(driver.centre(stopped_name))
+    peers = driver.running(driver.data_centre_of(stopped_name))
     first = 0.0
     while driver.now - started < DETECTION_LIMIT_S:
         driver.run(TICK_S)
@@ -173,7 +173,7 @@
     names = list(driver.members)[:7]
     driver.bytes = 0
     for name in names:
-        driver.start(name, driver.centre(name), 2)
+        driver.start(name, driver.data_centre_of(name), 2)
     driver.run(MEASURE_S / 4)
     return 2 * driver.bytes / (MEASURE_S / 4) / len(driver.members)
 
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -118,7 +118,7 @@
         driver = started()
         names = list(driver.members)[:7]
         for name in names:
-            driver.start(name, driver.centre(name), 2)
+            driver.start(name, driver.data_centre_of(name), 2)
         driver.run(30.0)
         for member in driver.members.values():
             incarnations = [member.table.members[name].incarnation for name in names]
@@ -138,7 +138,8 @@
     def test_partition_causes_no_deaths_and_heals_with_little_traffic(self) -> None:
         driver = started()
         driver.is_lost = lambda a, b: (
-            (driver.centre(a) == "centre-1") != (driver.centre(b) == "centre-1")
+            (driver.data_centre_of(a) == "centre-1")
+            != (driver.data_centre_of(b) == "centre-1")
         )
         driver.run(600.0)
         assert deaths(driver) == 0
