--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -1,4 +1,4 @@
-"""Stand-in of the platform's store as the gateways speak to it, with faults."""
+"""Test server with the HTTP interface of the platform's store, and fault modes."""
 
 from __future__ import annotations
 
@@ -19,14 +19,14 @@
 __all__ = ["KvServer"]
 
 EXPIRY_INTERVAL_S = 0.05
-PAGE = 40  # keys: small, so that listings have pages
-SLOW_S = 0.8
-LOST_SHARE = 0.5  # of the writes, while answers are lost
-HISTORY = 4000
+PAGE_KEYS = 40  # small, so that listings span several pages
+RESPONSE_DELAY_S = 0.8
+LOST_REPLY_SHARE = 0.5  # of writes, in mode ``lost``
+HISTORY_EVENTS = 4000
 
 
 class WireEvent(TypedDict, total=False):
-    """An item, or a change of it, as the store tells it."""
+    """An item or a change event in the encoding of the store."""
 
     Key: str
     Value: str
@@ -37,7 +37,7 @@
 
 
 class Watch(NamedTuple):
-    """A watch that waits."""
+    """A pending long poll for changes below a prefix after a revision."""
 
     request: Request
     prefix: str
@@ -45,10 +45,10 @@
 
 
 class KvServer(Resource):
-    """Answers reads, watches, writes and leases; ``mode`` is how it misbehaves.
+    """Serves reads, watches, writes and leases; ``mode`` selects a fault.
 
-    ``busy`` refuses, ``slow`` delays, ``lost`` drops answers to writes that were done,
-    ``lapse`` ends leases as if they had run out; ``compact`` forgets the history.
+    ``busy`` refuses calls, ``slow`` delays them, ``lost`` drops answers to completed
+    writes. ``expire_leases`` and ``compact`` inject the faults that happen once.
     """
 
     isLeaf = True  # noqa: N815 - the name that twisted.web reads
@@ -58,19 +58,19 @@
         self.reactor = reactor
         self.rng = rng
         self.values = KeyValues()
-        self.history: deque[WireEvent] = deque(maxlen=HISTORY)
+        self.history: deque[WireEvent] = deque(maxlen=HISTORY_EVENTS)
         self.compacted_at = 0
         self.mode = ""
         self.watches: dict[Watch, None] = {}
         self.calls = 0
-        self.tick()
+        self.expire_periodically()
 
-    def tick(self) -> None:
-        """Let leases run out."""
+    def expire_periodically(self) -> None:
+        """Expire leases periodically, except in mode ``busy``."""
         if self.mode != "busy":
             self.values.expire(self.reactor.seconds())
             self.publish()
-        self.reactor.callLater(EXPIRY_INTERVAL_S, self.tick)
+        self.reactor.callLater(EXPIRY_INTERVAL_S, self.expire_periodically)
 
     def write(self, key: str, value: bytes, lease: str = "") -> int:
         """Write a key unconditionally, as operators and replicas do."""
@@ -80,13 +80,13 @@
         return written.revision if isinstance(written, Held) else 0
 
     def delete(self, key: str) -> None:
-        """Delete a key that exists."""
+        """Delete a key if it exists."""
         if key in self.values.held:
             self.values.drop(key)
             self.publish()
 
     def publish(self) -> None:
-        """Tell what has changed to the watches that wait."""
+        """Append the changes to the history and answer the pending watches."""
         changed, self.values.changed = self.values.changed, set()
         for key in sorted(changed):
             held = self.values.held.get(key)
@@ -95,55 +95,55 @@
                 "Revision": self.values.revision,
                 "Deleted": True,
             }
-            self.history.append(gone if held is None else describe(held))
+            self.history.append(gone if held is None else encode_item(held))
         if changed:
             for watch in list(self.watches):
                 self.answer_watch(watch, False)
 
     def compact(self) -> None:
-        """Forget the history and cut the watches."""
+        """Compact the history and close the connections of pending watches."""
         self.compacted_at = self.values.revision
         for watch in list(self.watches):
             del self.watches[watch]
             abort_connection(watch.request)
 
-    def lapse(self, prefix: str) -> None:
-        """Drop the keys below a prefix, as if their leases had run out."""
+    def expire_leases(self, prefix: str) -> None:
+        """Remove the keys below a prefix, as if their leases had expired."""
         for held in self.values.scan(prefix):
             self.values.drop(held.key)
         self.publish()
 
     def render(self, request: Request) -> int:
-        """Answer a call, in the way that the mode tells."""
+        """Serve a call according to the fault mode."""
         self.calls += 1
         if self.mode == "busy":
             send_reply(request, 503, b"{}")
         elif self.mode == "slow":
-            self.reactor.callLater(SLOW_S, self.serve, request)
+            self.reactor.callLater(RESPONSE_DELAY_S, self.serve, request)
         else:
             self.serve(request)
         return NOT_DONE_YET
 
     def serve(self, request: Request) -> None:
-        """Carry a call out."""
+        """Dispatch a call by its path."""
         path = request.path.decode()
         if path == "/kv-range":
             self.reply(request, 200, self.read_range(request))
         elif path == "/kv-watch":
             self.start_watch(request)
         elif path == "/kv-txn":
-            self.write_all(request)
+            self.write_transaction(request)
         elif path == "/kv-lease":
             ttl_s = msgspec.json.decode(request_body(request))["TtlMs"] / 1000.0
             name = self.values.grant(ttl_s, self.reactor.seconds())
             lease = int(name.rpartition("-")[2])
-            told = {"Lease": lease, "TtlMs": int(ttl_s * 1000)}
-            self.reply_to_write(request, 200, told)
+            content = {"Lease": lease, "TtlMs": int(ttl_s * 1000)}
+            self.reply_to_write(request, 200, content)
         else:
             self.serve_lease(request, path)
 
     def serve_lease(self, request: Request, path: str) -> None:
-        """Renew or end a lease."""
+        """Renew or revoke a lease."""
         operation, _, number = path[1:].partition("/")
         name = f"lease-{number}"
         if operation == "kv-keep":
@@ -154,18 +154,18 @@
         self.reply(request, 200 if known else 404, {})
 
     def read_range(self, request: Request) -> dict[str, object]:
-        """Read one page of a listing."""
+        """Return one page of a listing."""
         after = query_argument(request, "after", "")
         held = self.values.scan(query_argument(request, "Prefix", ""))
         found = [one for one in held if one.key > after]
         return {
-            "items": [describe(one) for one in found[:PAGE]],
-            "HasMore": len(found) > PAGE,
+            "items": [encode_item(one) for one in found[:PAGE_KEYS]],
+            "HasMore": len(found) > PAGE_KEYS,
             "AsOf": self.values.revision,
         }
 
     def start_watch(self, request: Request) -> None:
-        """Answer a watch, or let it wait."""
+        """Answer a watch or keep it pending; 410 if its revision is compacted."""
         after = int(query_argument(request, "after", "0"))
         if after < self.compacted_at:
             self.reply(request, 410, {})
@@ -177,7 +177,7 @@
         self.reactor.callLater(wait_s, self.answer_watch, watch, True)
 
     def answer_watch(self, watch: Watch, ended: bool) -> None:
-        """Answer a watch if there are events for it, or if its wait has ended."""
+        """Answer a pending watch if it has events or its wait has ended."""
         events = [
             event
             for event in self.history
@@ -185,11 +185,11 @@
         ]
         if watch in self.watches and (events or ended):
             del self.watches[watch]
-            told = {"events": events, "AsOf": self.values.revision}
-            self.reply(watch.request, 200, told)
+            content = {"events": events, "AsOf": self.values.revision}
+            self.reply(watch.request, 200, content)
 
-    def write_all(self, request: Request) -> None:
-        """Write the keys of a transaction; those of gateways have no conditions."""
+    def write_transaction(self, request: Request) -> None:
+        """Write the keys of a transaction; gateways send no conditions."""
         body = msgspec.json.decode(request_body(request))
         now = self.reactor.seconds()
         for put in body["Puts"]:
@@ -206,20 +206,20 @@
         self.publish()
         self.reply_to_write(request, 200, {"Revision": revision})
 
-    def reply_to_write(self, request: Request, status: int, told: object) -> None:
-        """Answer a write, unless answers are lost."""
-        if self.mode == "lost" and self.rng.random() < LOST_SHARE:
+    def reply_to_write(self, request: Request, status: int, content: object) -> None:
+        """Answer a write; in mode ``lost`` a share of the answers is dropped."""
+        if self.mode == "lost" and self.rng.random() < LOST_REPLY_SHARE:
             abort_connection(request)
         else:
-            self.reply(request, status, told)
+            self.reply(request, status, content)
 
-    def reply(self, request: Request, status: int, told: object) -> None:
-        """Answer a call."""
-        send_reply(request, status, msgspec.json.encode(told))
+    def reply(self, request: Request, status: int, content: object) -> None:
+        """Send a JSON answer."""
+        send_reply(request, status, msgspec.json.encode(content))
 
 
-def describe(held: Held) -> WireEvent:
-    """Return an item as the store tells it."""
+def encode_item(held: Held) -> WireEvent:
+    """Encode an item as the store does."""
     return {
         "Key": held.key,
         "Value": b64encode(held.value).decode(),
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -1,4 +1,4 @@
-"""Which faults a soak injects, and when: a function of the seed alone."""
+"""The schedule of a soak's faults, determined by the seed alone."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 __all__ = [
-    "CallersLeave",
+    "CallersDisconnect",
     "ChangeConfiguration",
     "DrainReplica",
     "Evacuate",
@@ -19,45 +19,45 @@
     "GatewayStop",
     "ReplicaFault",
     "Reshard",
-    "Scheduled",
-    "Size",
+    "ScheduledFault",
     "StoreFault",
     "StoreLink",
+    "Topology",
     "make_schedule",
 ]
 
-SETTLE_S = 3.0  # calm at the start
-SERIES_SHARE = 0.3  # of the faults come as a series of the same kind
-MOST_IN_SERIES = 4
+QUIET_START_S = 3.0  # without faults, after the start
+SERIES_SHARE = 0.3  # of draws that give a series of faults of the same kind
+MAX_SERIES_LENGTH = 4
 SERIES_GAP_S = 0.7
-SHORTEST_S = 0.5
-LONGEST_S = 5.0
+MIN_DURATION_S = 0.5
+MAX_DURATION_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayStop:
-    """SIGTERM, then a new start."""
+    """A graceful stop by SIGTERM, then a restart."""
 
     gateway: int
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayKill:
-    """SIGKILL, then a new start."""
+    """A crash by SIGKILL, then a restart."""
 
     gateway: int
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayPause:
-    """SIGSTOP for a time, then SIGCONT."""
+    """A suspended process: SIGSTOP, then SIGCONT."""
 
     gateway: int
 
 
 @dataclass(frozen=True, slots=True)
 class GatewayReload:
-    """The settings file changes, with SIGHUP or without."""
+    """A change of the settings file, with SIGHUP if ``signalled``."""
 
     gateway: int
     signalled: bool
@@ -65,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreLink:
-    """A gateway's connections to the store are disturbed by the proxy."""
+    """A fault of the proxy between a gateway and the store."""
 
     gateway: int
     mode: str
@@ -73,14 +73,14 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreFault:
-    """The store itself misbehaves towards all."""
+    """A fault of the store that affects all gateways."""
 
     mode: str
 
 
 @dataclass(frozen=True, slots=True)
 class ReplicaFault:
-    """A replica, or the proxy in front of it, misbehaves."""
+    """A fault of a replica or of the proxy in front of it."""
 
     replica: int
     mode: str
@@ -88,31 +88,31 @@
 
 @dataclass(frozen=True, slots=True)
 class DrainReplica:
-    """A replica drains and leaves; another one starts at its address."""
+    """A replica drains and stops; a new one starts at its address."""
 
     replica: int
 
 
 @dataclass(frozen=True, slots=True)
 class Evacuate:
-    """A data centre is taken out for a time."""
+    """A temporary evacuation of a data centre."""
 
     data_centre: int
 
 
 @dataclass(frozen=True, slots=True)
 class ChangeConfiguration:
-    """The operators move a route to another service."""
+    """A configuration change that moves a route to another service."""
 
 
 @dataclass(frozen=True, slots=True)
 class Reshard:
-    """The operators name the other set of shards."""
+    """A configuration change to the other set of shards."""
 
 
 @dataclass(frozen=True, slots=True)
-class CallersLeave:
-    """Some callers leave before their answer for a time."""
+class CallersDisconnect:
+    """A time in which callers disconnect before their answers."""
 
 
 Fault = (
@@ -127,7 +127,7 @@
     | Evacuate
     | ChangeConfiguration
     | Reshard
-    | CallersLeave
+    | CallersDisconnect
 )
 
 LINK_MODES = ("delay", "reset", "cut_up", "cut_down", "silent")
@@ -135,16 +135,16 @@
 REPLICA_MODES = ("pause", "errors", "garble", "extra", "lost", *LINK_MODES)
 
 
-class Scheduled(NamedTuple):
-    """A fault, its start in seconds, and how long it lasts where that applies."""
+class ScheduledFault(NamedTuple):
+    """A fault with its start and duration, which instantaneous faults ignore."""
 
     at: float
     fault: Fault
-    for_s: float
+    duration_s: float
 
 
-class Size(NamedTuple):
-    """What there is to disturb."""
+class Topology(NamedTuple):
+    """Numbers of the parts that faults can affect."""
 
     gateways: int
     replicas: int
@@ -152,52 +152,59 @@
 
 
 def make_schedule(
-    seed: int, size: Size, duration_s: float, mean_gap_s: float
-) -> list[Scheduled]:
-    """Draw faults; those of a series follow each other, and all may overlap.
+    seed: int, topology: Topology, duration_s: float, mean_gap_s: float
+) -> list[ScheduledFault]:
+    """Draw the faults of a soak, sorted by start; faults may overlap.
 
-    >>> size = Size(4, 8, 3)
-    >>> make_schedule(1, size, 20.0, 1.0) == make_schedule(1, size, 20.0, 1.0)
+    >>> topology = Topology(4, 8, 3)
+    >>> one = make_schedule(1, topology, 20.0, 1.0)
+    >>> one == make_schedule(1, topology, 20.0, 1.0)
     True
     """
     rng = Random(seed)
-    scheduled: list[Scheduled] = []
-    at = SETTLE_S
+    scheduled: list[ScheduledFault] = []
+    at = QUIET_START_S
     while at < duration_s:
-        scheduled.extend(draw_series(rng, size, at))
+        scheduled.extend(draw_series(rng, topology, at))
         at += rng.expovariate(1.0 / mean_gap_s)
     within = [one for one in scheduled if one.at < duration_s]
     return sorted(within, key=lambda one: one.at)
 
 
-def draw_series(rng: Random, size: Size, at: float) -> Iterator[Scheduled]:
-    """Draw one fault, or several of one kind in a row."""
-    draw = rng.choice(KINDS)
-    count = rng.randint(2, MOST_IN_SERIES) if rng.random() < SERIES_SHARE else 1
+def draw_series(rng: Random, topology: Topology, at: float) -> Iterator[ScheduledFault]:
+    """Draw one fault, or a series of faults of the same kind."""
+    draw = rng.choice(FAULT_DRAWS)
+    count = rng.randint(2, MAX_SERIES_LENGTH) if rng.random() < SERIES_SHARE else 1
     for _ in range(count):
-        yield Scheduled(at, draw(rng, size), rng.uniform(SHORTEST_S, LONGEST_S))
+        yield ScheduledFault(
+            at, draw(rng, topology), rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        )
         at += rng.uniform(0.0, 2 * SERIES_GAP_S)
 
 
-Draw = Callable[[Random, Size], Fault]
-
-# How often a kind stands here is how often it is drawn.
-KINDS: tuple[Draw, ...] = (
-    lambda rng, size: GatewayStop(rng.randrange(size.gateways)),
-    lambda rng, size: GatewayKill(rng.randrange(size.gateways)),
-    lambda rng, size: GatewayPause(rng.randrange(size.gateways)),
-    lambda rng, size: GatewayReload(rng.randrange(size.gateways), rng.random() < 0.5),
-    lambda rng, size: StoreLink(rng.randrange(size.gateways), rng.choice(LINK_MODES)),
-    lambda rng, size: StoreFault(rng.choice(STORE_MODES)),
+FaultDraw = Callable[[Random, Topology], Fault]
+
+# A kind that is listed n times is drawn n times as often.
+FAULT_DRAWS: tuple[FaultDraw, ...] = (
+    lambda rng, topology: GatewayStop(rng.randrange(topology.gateways)),
+    lambda rng, topology: GatewayKill(rng.randrange(topology.gateways)),
+    lambda rng, topology: GatewayPause(rng.randrange(topology.gateways)),
+    lambda rng, topology: GatewayReload(
+        rng.randrange(topology.gateways), rng.random() < 0.5
+    ),
+    lambda rng, topology: StoreLink(
+        rng.randrange(topology.gateways), rng.choice(LINK_MODES)
+    ),
+    lambda rng, topology: StoreFault(rng.choice(STORE_MODES)),
     *[
-        lambda rng, size: ReplicaFault(
-            rng.randrange(size.replicas), rng.choice(REPLICA_MODES)
+        lambda rng, topology: ReplicaFault(
+            rng.randrange(topology.replicas), rng.choice(REPLICA_MODES)
         )
     ]
     * 3,
-    *[lambda rng, size: DrainReplica(rng.randrange(size.replicas))] * 2,
-    lambda rng, size: Evacuate(rng.randrange(size.data_centres)),
+    *[lambda rng, topology: DrainReplica(rng.randrange(topology.replicas))] * 2,
+    lambda rng, topology: Evacuate(rng.randrange(topology.data_centres)),
     *[lambda _rng, _size: ChangeConfiguration()] * 2,
     lambda _rng, _size: Reshard(),
-    lambda _rng, _size: CallersLeave(),
+    lambda _rng, _size: CallersDisconnect(),
 )
