--- a/bench/membership_cost.py
+++ b/bench/membership_cost.py
@@ -191,7 +191,7 @@
     datagrams, size = driver.datagrams * share, driver.bytes * share
     false_deaths = sum(len(m.table.dead_since) for m in driver.members.values())
     stopped_name = list(driver.members)[-1]
-    first, detected_all_s = measure_detection(driver, stopped_name)
+    detected_first_s, detected_all_s = measure_detection(driver, stopped_name)
     restart_bytes_per_s = measure_restarts(driver)
     return MembershipCost(
         nodes,
@@ -199,7 +199,7 @@
         round(datagrams, 2),
         round(size),
         round(100 * processor_s / MEASURE_S / nodes, 2),
-        first,
+        detected_first_s,
         detected_all_s,
         false_deaths,
         round(restart_bytes_per_s),
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -122,7 +122,7 @@
     for entry in entries:
         for arrivals in load:
             share = arrivals._replace(per_second=arrivals.per_second / ENTRIES)
-            entry.begin(share, end_s)
+            entry.schedule_first_arrival(share, end_s)
     clock.run()
     return [
         finished
--- a/bench/policy_rig.py
+++ b/bench/policy_rig.py
@@ -258,7 +258,7 @@
         self.jobs: dict[int, SubQueryJob] = {}
         self.finished: list[FinishedRequest] = []
 
-    def begin(self, arrivals: ArrivalProcess, until: float) -> None:
+    def schedule_first_arrival(self, arrivals: ArrivalProcess, until: float) -> None:
         """Schedule the first arrival of a workload."""
         gap = self.random.expovariate(arrivals.per_second)
         self.clock.at(gap, lambda: self.arrive(arrivals, until))
