--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -10,7 +10,6 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.answer import CallerAnswer
@@ -25,6 +24,7 @@
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.kv_store import CALL_TIMEOUT_S
 from sardinehook.store.port import StoreUnavailable
+from sardinehook.transport.tasks import Promise
 
 __all__ = ["FleetSimulation", "SimulatedGateway", "SimulatedStore", "run_outages"]
 
@@ -95,7 +95,7 @@
 
     def __init__(self, client: StoreClient, timeout_s: float) -> None:
         self.client = client
-        self.done: Deferred[Result[object, StoreProblem]] = Deferred()
+        self.done: Promise[Result[object, StoreProblem]] = Promise()
         self.timer: Any = client.store.reactor.callLater(
             timeout_s, self.fail, "no answer before the timeout"
         )
@@ -113,7 +113,7 @@
             if self.timer.active():
                 self.timer.cancel()
             if not self.client.killed:
-                self.done.callback(result)
+                self.done.resolve(result)
 
 
 class StoreClient:
@@ -238,9 +238,9 @@
         gateway = self.gateways.get(address)
         if gateway is None:
             return Failure("connection refused")
-        answered: Deferred[CallerAnswer] = Deferred()
+        answered: Promise[CallerAnswer] = Promise()
         query = changes_query(after, wait_s).partition(b"?")[2]
-        gateway.follower.relay.answer(query, answered.callback)
+        gateway.follower.relay.answer(query, answered.resolve)
         answer = await answered
         if answer.status != OK:
             return Failure(f"status {answer.status}")
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -9,14 +9,13 @@
 import structlog
 from msgspec import Meta
 from returns.result import Failure, Success
-from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
-from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.decoding import DECODE_ERRORS, is_address, is_token
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import GatewayStore, LeaseGone, StoreProblem
+from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event, log_names
+from sardinehook.transport.tasks import sleep, start_task
 
 __all__ = ["GATEWAY_PREFIX", "GatewayFleet"]
 
@@ -86,12 +85,11 @@
     def start(self) -> None:
         """Start the registration, which is restarted after an unexpected error."""
         self.running = True
-        maintaining = Deferred.fromCoroutine(self.maintain_registration())
-        maintaining.addErrback(self.resume)
+        start_task(self.maintain_registration(), self.resume)
 
-    def resume(self, failure: TwistedFailure) -> None:
+    def resume(self, error: Exception) -> None:
         """Log an unexpected error and restart after ``RENEW_INTERVAL_S``."""
-        log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
+        log_error(error)
         if self.running:
             self.reactor.callLater(RENEW_INTERVAL_S, self.start)
 
@@ -103,7 +101,7 @@
             elif not self.registered:
                 await self.register()
             else:
-                await deferLater(self.reactor, RENEW_INTERVAL_S)
+                await sleep(self.reactor, RENEW_INTERVAL_S)
                 if self.running:
                     await self.renew()
 
@@ -115,7 +113,7 @@
                 self.lease = lease
             case Failure(problem):
                 self.record_failure(problem)
-                await deferLater(self.reactor, RETRY_INTERVAL_S)
+                await sleep(self.reactor, RETRY_INTERVAL_S)
 
     async def register(self) -> None:
         """Write this gateway's record; a failure discards the lease and waits."""
@@ -127,7 +125,7 @@
             case Failure(problem):
                 self.lease = 0
                 self.record_failure(problem)
-                await deferLater(self.reactor, RETRY_INTERVAL_S)
+                await sleep(self.reactor, RETRY_INTERVAL_S)
 
     def publish_demand(self, request_demand: float, search_demand: float) -> None:
         """Write this gateway's demand into its record, if it has changed enough."""
@@ -140,12 +138,7 @@
             self.demand_written_at = now
             record.request_demand = request_demand
             record.search_demand = search_demand
-            writing = Deferred.fromCoroutine(self.write_record())
-            writing.addErrback(
-                lambda failure: log_event(
-                    logger, EventName.UNHANDLED_ERROR, detail=str(failure)
-                )
-            )
+            start_task(self.write_record(), log_error)
 
     async def write_record(self) -> None:
         """Write the record under the present lease; renewals handle a lost lease."""
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -8,9 +8,6 @@
 
 import structlog
 from returns.result import Failure, Success
-from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
-from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.gateway.fleet import GatewayFleet
 from sardinehook.gateway.peers import PeerCalls
@@ -21,7 +18,9 @@
 from sardinehook.gateway.store import GatewayStore, HistoryGone
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.watch_monitor import WatchMonitor
+from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
+from sardinehook.transport.tasks import sleep, start_task
 
 __all__ = ["StoreFollower"]
 
@@ -92,14 +91,13 @@
 
     def start_task(self, task: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """Start a task that is restarted if it raises."""
-        running_task = Deferred.fromCoroutine(task())
-        running_task.addErrback(self.restart_task, task)
+        start_task(task(), lambda error: self.restart_task(error, task))
 
     def restart_task(
-        self, failure: TwistedFailure, task: Callable[[], Coroutine[Any, Any, None]]
+        self, error: Exception, task: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
         """Log an unexpected error, then restart the task with a new listing."""
-        log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
+        log_error(error)
         self.state.listing_needed = True
         self.monitor.end()
         if self.running:
@@ -153,7 +151,7 @@
                 self.relay.set_current(True)
                 self.state.apply_changes(changes, whole)
                 if changes.items:
-                    await deferLater(self.reactor, COALESCE_RATIO * self.min_bound_s)
+                    await sleep(self.reactor, COALESCE_RATIO * self.min_bound_s)
             case Failure(problem):
                 self.watch_proven = False
                 self.relay.set_current(False)
@@ -241,7 +239,7 @@
             await self.fetch_from_peers()
         first_s = INITIAL_BACKOFF_S if self.reader_selector.is_reader else MAX_BACKOFF_S
         self.backoff_s = min(max(2 * self.backoff_s, first_s), MAX_BACKOFF_S)
-        await deferLater(self.reactor, self.backoff_s * (0.5 + self.random.random()))
+        await sleep(self.reactor, self.backoff_s * (0.5 + self.random.random()))
 
     async def fetch_from_peers(self) -> None:
         """Apply newer state of another gateway while the store is unavailable."""
--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -7,7 +7,6 @@
 
 import msgspec
 import structlog
-from twisted.internet.protocol import DatagramProtocol
 
 from sardinehook.decoding import DECODE_ERRORS
 from sardinehook.gateway.fleet import GatewayFleet
@@ -31,7 +30,7 @@
 decode_heartbeat = msgspec.msgpack.Decoder(Heartbeat).decode
 
 
-class HeartbeatProtocol(DatagramProtocol):
+class HeartbeatProtocol:
     """Sends heartbeats to other gateways of the data centre, and receives theirs.
 
     A connection to a paused or cut-off process shows no error for seconds, whereas
@@ -46,6 +45,7 @@
         is_cut_off: Callable[[], bool],
         on_heartbeat: Callable[[str, bool], None],
     ) -> None:
+        self.transport: Any = None
         self.fleet = fleet
         self.is_cut_off = is_cut_off
         self.on_heartbeat = on_heartbeat
@@ -55,8 +55,7 @@
 
     def send(self) -> None:
         """Send a heartbeat to each gateway that may delegate searches to this one."""
-        # The zope interface that mypy reads here declares ``write`` without ``self``.
-        port: Any = self.transport
+        port = self.transport
         if port is None or not self.sends_heartbeats:
             return
         own = self.fleet.record
--- a/sardinehook/gateway/http_call.py
+++ b/sardinehook/gateway/http_call.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred
 
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
@@ -16,6 +15,7 @@
     Replied,
     Reply,
 )
+from sardinehook.transport.tasks import Promise
 
 __all__ = ["HttpCall"]
 
@@ -25,8 +25,8 @@
 class HttpCall:
     """One HTTP call in progress.
 
-    ``done`` fires once, with the reply or with ``StoreUnavailable`` after a failure or
-    the timeout.
+    ``done`` is resolved once, with the reply or with ``StoreUnavailable`` after a
+    failure or the timeout.
     """
 
     def __init__(
@@ -38,14 +38,14 @@
     ) -> None:
         self.pool = pool
         self.request = request
-        self.done: Deferred[Result[Reply, StoreUnavailable]] = Deferred()
+        self.done: Promise[Result[Reply, StoreUnavailable]] = Promise()
         self.connection: ClientConnection | None = None
         self.timer = reactor.callLater(timeout_s, self.time_out)
         pool.acquire(self.connected)
 
     def connected(self, connection: ClientConnection | None) -> None:
         """Send the request on the connection, or fail if there is none."""
-        if self.done.called:
+        if self.done.is_resolved:
             return
         if connection is None:
             self.fail("connection could not be opened", False)
@@ -78,8 +78,8 @@
         self.finish(Failure(StoreUnavailable(detail, may_have_taken_effect)))
 
     def finish(self, result: Result[Reply, StoreUnavailable]) -> None:
-        """Fire ``done``, once."""
+        """Resolve ``done``, once."""
         if self.timer.active():
             self.timer.cancel()
-        if not self.done.called:
-            self.done.callback(result)
+        if not self.done.is_resolved:
+            self.done.resolve(result)
--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -5,14 +5,10 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
-from typing import Protocol as TypingProtocol
+from typing import Any, Protocol
 
 import structlog
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
-from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
-from twisted.python.failure import Failure
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import CallerLimits
@@ -21,6 +17,7 @@
 from sardinehook.gateway.round_trip import round_trip_s
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.transport.connection import set_socket_options
+from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
 from sardinehook.transport.socket_writer import SocketWriter
 
 __all__ = ["Cancellable", "HttpServer", "HttpServerConnection"]
@@ -36,7 +33,7 @@
 NEVER = float("inf")
 
 
-class Cancellable(TypingProtocol):
+class Cancellable(Protocol):
     """A request in progress."""
 
     def cancel(self) -> None:
@@ -69,7 +66,7 @@
         self.error = 0
 
 
-class HttpServerConnection(Protocol):
+class HttpServerConnection(StreamProtocol):
     """One caller's connection: its requests are answered one by one, in order.
 
     An answer is written completely, or the connection is closed. Input that the
@@ -100,7 +97,7 @@
         self.timeout_started_at = self.opened_at = self.server.now()
         self.server.connections.add(self)
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
+    def connectionLost(self, reason: ConnectionEnd) -> None:
         """Cancel the request of a caller that has disconnected."""
         self.server.connections.discard(self)
         self.closing = True
@@ -325,15 +322,13 @@
     return b"".join(lines)
 
 
-class HttpServer(ServerFactory):
+class HttpServer:
     """An HTTP server and its open connections.
 
     ``closes_after_answer`` closes each connection after its next answer, so that
     callers reconnect to another gateway; ``closes_idle`` also closes idle ones.
     """
 
-    noisy = False
-
     def __init__(self, reactor: GatewayReactor, handle: Handler) -> None:
         self.reactor = reactor
         self.handle = handle
@@ -342,7 +337,7 @@
         self.closes_after_answer = False
         self.closes_idle = False
 
-    def buildProtocol(self, addr: IAddress | None) -> HttpServerConnection:
+    def buildProtocol(self, addr: object) -> HttpServerConnection:
         """Create the protocol for a new connection."""
         return HttpServerConnection(self)
 
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -2,131 +2,103 @@
 
 from __future__ import annotations
 
-from prometheus_client import (
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
-
-from sardinehook.observe.metrics import LAG_BUCKETS_SECONDS, REQUEST_BUCKETS_SECONDS
+from sardinehook.observe.buckets import LAG_BUCKETS_SECONDS, REQUEST_BUCKETS_SECONDS
+from sardinehook.observe.instruments import Instruments
 
 __all__ = ["GatewayMetrics"]
 
 
 class GatewayMetrics:
-    """All metrics of one gateway, in their own registry."""
+    """All metrics of one gateway."""
 
     def __init__(self) -> None:
-        self.registry = CollectorRegistry()
-        registry = self.registry
-        self.requests = Counter(
+        self.instruments = instruments = Instruments()
+        self.requests = instruments.labelled_counter(
             "sardinehook_requests",
             "Callers' requests by kind of destination and outcome",
             ["kind", "outcome"],
-            registry=registry,
         )
-        self.request_seconds = Histogram(
+        self.request_seconds = instruments.labelled_histogram(
             "sardinehook_request_seconds",
             "Time from a caller's request to its answer",
             ["kind"],
-            buckets=REQUEST_BUCKETS_SECONDS,
-            registry=registry,
+            REQUEST_BUCKETS_SECONDS,
         )
-        self.extra_sends = Counter(
+        self.extra_sends = instruments.labelled_counter(
             "sardinehook_extra_sends",
             "Requests sent to a further replica",
             ["cause"],
-            registry=registry,
         )
-        self.store_calls = Counter(
+        self.store_calls = instruments.labelled_counter(
             "sardinehook_store_calls",
             "Calls on the platform's store",
             ["operation", "outcome"],
-            registry=registry,
         )
-        self.peer_calls = Counter(
+        self.peer_calls = instruments.labelled_counter(
             "sardinehook_peer_calls",
             "Calls for changes to other gateways",
             ["outcome"],
-            registry=registry,
         )
-        self.missing_shards = Counter(
+        self.missing_shards = instruments.labelled_counter(
             "sardinehook_missing_shards",
             "Shards that were left out of answers, by why",
             ["reason"],
-            registry=registry,
         )
-        self.repeats_denied = Counter(
+        self.repeats_denied = instruments.counter(
             "sardinehook_repeats_denied",
             "Hedges and retries for which no budget was left",
-            registry=registry,
         )
-        self.cold_denied = Counter(
+        self.cold_denied = instruments.counter(
             "sardinehook_cold_denied",
             "Times that a cold replica was passed over, since its rate was used up",
-            registry=registry,
         )
-        self.rate_denied = Counter(
+        self.rate_denied = instruments.counter(
             "sardinehook_rate_denied",
             "Times that a replica was passed over, since its stated rate was used up",
-            registry=registry,
         )
-        self.pauses = Counter(
+        self.pauses = instruments.counter(
             "sardinehook_replica_pauses",
             "Answers of replicas that asked for a pause",
-            registry=registry,
         )
-        self.leaving_replicas = Gauge(
+        self.leaving_replicas = instruments.gauge(
             "sardinehook_leaving_replicas",
             "Replicas whose answers say that they leave",
-            registry=registry,
         )
-        self.limited_replicas = Gauge(
+        self.limited_replicas = instruments.gauge(
             "sardinehook_limited_replicas",
             "Replicas that state a limit of requests per second",
-            registry=registry,
         )
-        self.store_age_seconds = Gauge(
+        self.store_age_seconds = instruments.gauge(
             "sardinehook_store_age_seconds",
             "Time since the store, or a reader of it, was heard",
-            registry=registry,
         )
-        self.watch_pending_seconds = Gauge(
+        self.watch_pending_seconds = instruments.gauge(
             "sardinehook_watch_pending_seconds",
             "Time since the pending watch was sent to the store, 0 if none is",
-            registry=registry,
         )
-        self.delegated_in_flight = Gauge(
+        self.delegated_in_flight = instruments.gauge(
             "sardinehook_handed_over",
             "Sub-requests at work for gateways with narrow links",
-            registry=registry,
         )
-        self.version = Gauge(
+        self.version = instruments.gauge(
             "sardinehook_configuration_version",
             "Version of the configuration in force",
-            registry=registry,
-        )
-        self.gateways = Gauge(
-            "sardinehook_gateways", "Gateways known in the fleet", registry=registry
         )
-        self.replicas = Gauge(
-            "sardinehook_replicas", "Replicas known", registry=registry
+        self.gateways = instruments.gauge(
+            "sardinehook_gateways", "Gateways known in the fleet"
         )
-        self.connections = Gauge(
-            "sardinehook_connections", "Connections to replicas", registry=registry
+        self.replicas = instruments.gauge("sardinehook_replicas", "Replicas known")
+        self.connections = instruments.gauge(
+            "sardinehook_connections", "Connections to replicas"
         )
-        self.log_lines_dropped = Counter(
+        self.log_lines_dropped = instruments.counter(
             "sardinehook_log_lines_dropped",
             "Log lines left out by the ceiling or by a full pipe",
-            registry=registry,
         )
-        self.loop_lag_seconds = Histogram(
+        self.loop_lag_seconds = instruments.histogram(
             "sardinehook_loop_lag_seconds",
             "How late the event loop ran a timer",
-            buckets=LAG_BUCKETS_SECONDS,
-            registry=registry,
+            LAG_BUCKETS_SECONDS,
         )
 
     def count_peer_call(self, outcome: str) -> None:
@@ -146,4 +118,4 @@
 
     def render(self) -> bytes:
         """Render all metrics in the Prometheus text format."""
-        return generate_latest(self.registry)
+        return self.instruments.render()
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -5,14 +5,11 @@
 from collections import deque
 from collections.abc import Callable
 
-from twisted.internet.interfaces import IAddress, IConnector
-from twisted.internet.protocol import ClientFactory
-from twisted.python.failure import Failure
-
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.transport.connection import ClientConnection
+from sardinehook.transport.reactor import ConnectionEnd
 
-__all__ = ["ConnectionPool", "Waiter"]
+__all__ = ["ConnectionPool", "PoolFactory", "Waiter"]
 
 CONNECT_TIMEOUT_S = 1.0  # handshakes take milliseconds; longer means unreachable
 INITIAL_BACKOFF_S = 0.05  # after the first failed attempt
@@ -172,7 +169,7 @@
         connection.idle_until = self.reactor.seconds() + kept_s
         self.assign(connection)
 
-    def connection_failed(self, reason: Failure) -> None:
+    def connection_failed(self, reason: ConnectionEnd) -> None:
         """Back off after a failed attempt.
 
         Waiting requests fail if no other connection is open or being opened.
@@ -208,20 +205,18 @@
         self.fail_waiters()
 
 
-class PoolFactory(ClientFactory):
+class PoolFactory:
     """Builds the connections of a pool and reports failed attempts to it."""
 
-    noisy = False
-
     def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
 
-    def buildProtocol(self, addr: IAddress | None) -> ClientConnection:
+    def buildProtocol(self, addr: object) -> ClientConnection:
         """Return the protocol for an established connection."""
         return ClientConnection(
             self.pool.connection_established, self.pool.connection_lost
         )
 
-    def clientConnectionFailed(self, connector: IConnector, reason: Failure) -> None:
+    def clientConnectionFailed(self, connector: object, reason: ConnectionEnd) -> None:
         """Report a failed connection attempt to the pool."""
         self.pool.connection_failed(reason)
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import gc
+import signal
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
@@ -10,10 +11,6 @@
 
 import structlog
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred
-from twisted.internet.protocol import ServerFactory
-from twisted.internet.task import LoopingCall, deferLater
-from twisted.python.failure import Failure as TwistedFailure
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import error_answer
@@ -38,9 +35,11 @@
 from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.store_state import StoreState
+from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
-from sardinehook.transport.reactor import Timer
+from sardinehook.transport.reactor import StreamServerFactory, Timer
+from sardinehook.transport.tasks import RepeatingCall, sleep, start_task
 
 __all__ = ["Dialects", "GatewayProcess", "SettingsSource"]
 
@@ -157,12 +156,13 @@
             lambda: bool(self.request_handler.cut_off_reason()),
             self.delegates.record_heartbeat,
         )
-        self.heartbeat_loop = LoopingCall(self.heartbeats.send)
-        self.heartbeat_loop.clock = reactor
-        self.sweep_loop = LoopingCall(self.sweep)
-        self.sweep_loop.clock = reactor
-        self.housekeeping_loop = LoopingCall(self.run_housekeeping)
-        self.housekeeping_loop.clock = reactor
+        self.heartbeat_loop = RepeatingCall(
+            reactor, HEARTBEAT_INTERVAL_S, self.heartbeats.send
+        )
+        self.sweep_loop = RepeatingCall(reactor, SWEEP_INTERVAL_S, self.sweep)
+        self.housekeeping_loop = RepeatingCall(
+            reactor, HOUSEKEEPING_INTERVAL_S, self.run_housekeeping
+        )
         self.lag_probe = LoopLagProbe(reactor, metrics)
         self.stopping = False
         self.last_reason_kind = "starting"
@@ -170,15 +170,27 @@
     def run(self) -> None:
         """Listen and run the reactor until a signal has caused a graceful stop.
 
-        Raises ``CannotListenError`` if an address is in use or not one of this VM.
+        Raises ``OSError`` if an address is in use or not one of this VM.
         """
         self.listen()
         self.reactor.callWhenRunning(self.start)
-        self.reactor.addSystemEventTrigger(
-            "before", "shutdown", lambda: Deferred.fromCoroutine(self.stop())
-        )
+        self.reactor.call_on_signal(signal.SIGHUP, self.reload)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.reactor.call_on_signal(number, self.begin_stop)
         self.reactor.run()
 
+    def begin_stop(self) -> None:
+        """Stop gracefully and then end the reactor; later signals change nothing."""
+        if not self.stopping:
+            start_task(self.stop_and_exit(), log_error)
+
+    async def stop_and_exit(self) -> None:
+        """Stop gracefully, and end the reactor whatever goes wrong."""
+        try:
+            await self.stop()
+        finally:
+            self.reactor.stop()
+
     def listen(self) -> None:
         """Bind all addresses; connections are accepted once the reactor runs."""
         settings = self.settings
@@ -198,12 +210,12 @@
         """Start following the store, and the periodic tasks."""
         settings = self.settings
         if settings.heartbeat_address:
-            self.heartbeat_loop.start(HEARTBEAT_INTERVAL_S, now=False)
+            self.heartbeat_loop.start()
         self.policy.restart_counting()
         self.follower.start()
         self.fleet.start()
-        self.sweep_loop.start(SWEEP_INTERVAL_S, now=False)
-        self.housekeeping_loop.start(HOUSEKEEPING_INTERVAL_S, now=False)
+        self.sweep_loop.start()
+        self.housekeeping_loop.start()
         self.lag_probe.start()
         gc.collect()
         gc.freeze()
@@ -294,10 +306,6 @@
             shares.search_divisor < shares.request_divisor
         )
 
-    def log_error(self, failure: TwistedFailure) -> None:
-        """Log an unexpected error of an operation during the stop."""
-        log_event(logger, EventName.UNHANDLED_ERROR, detail=str(failure))
-
     def sweep(self) -> None:
         """Enforce deadlines of requests to replicas and of delegated searches."""
         self.policy.dispatcher.sweep(self.reactor.seconds())
@@ -355,14 +363,13 @@
         )
         self.stopping = self.request_handler.stopping = True
         self.http_server.closes_after_answer = True
-        leaving = Deferred.fromCoroutine(self.fleet.leave())
-        leaving.addErrback(self.log_error)
-        await deferLater(self.reactor, NOT_READY_NOTICE_S)
+        start_task(self.fleet.leave(), log_error)
+        await sleep(self.reactor, NOT_READY_NOTICE_S)
         self.http_server.closes_idle = True
         self.http_server.sweep()
         end_at = began + self.settings.bounds.grace_s - STOP_MARGIN_S
         while self.has_work and self.reactor.seconds() < end_at:
-            await deferLater(self.reactor, SWEEP_INTERVAL_S)
+            await sleep(self.reactor, SWEEP_INTERVAL_S)
             self.http_server.sweep()
         unfinished = len(self.http_server.connections)
         if unfinished:
@@ -371,11 +378,10 @@
                 "gateway stopped before the request was finished",
             )
             self.http_server.fail_requests(error_answer(problem))
-            await deferLater(self.reactor, SWEEP_INTERVAL_S)
+            await sleep(self.reactor, SWEEP_INTERVAL_S)
         self.follower.stop()
         for loop in (self.sweep_loop, self.housekeeping_loop, self.heartbeat_loop):
-            if loop.running:
-                loop.stop()
+            loop.stop()
         self.lag_probe.stop()
         took_ms = (self.reactor.seconds() - began) * 1000.0
         log_event(
@@ -386,7 +392,7 @@
         )
 
 
-def listen(reactor: GatewayReactor, address: str, factory: ServerFactory) -> None:
+def listen(reactor: GatewayReactor, address: str, factory: StreamServerFactory) -> None:
     """Listen on ``address``, given as ``IP:port``."""
     host, _, port = address.rpartition(":")
     reactor.listenTCP(int(port), factory, backlog=LISTEN_BACKLOG, interface=host)
--- a/sardinehook/gateway/reactor.py
+++ b/sardinehook/gateway/reactor.py
@@ -1,4 +1,4 @@
-"""Type of the Twisted reactor that a gateway uses."""
+"""Type of the event loop that a gateway uses."""
 
 from __future__ import annotations
 
@@ -6,6 +6,5 @@
 
 __all__ = ["GatewayReactor"]
 
-# A Twisted reactor implements several zope interfaces that mypy can't intersect. Tests
-# pass a ``Clock`` or a ``MemoryReactorClock``.
+# An ``EventLoop``; tests pass a simulated clock, and no type covers both.
 GatewayReactor: TypeAlias = Any
--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -3,30 +3,28 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
 import time
 from pathlib import Path
 from typing import Any
 
 import structlog
-from returns.pipeline import is_successful
-from returns.result import Failure, Result
-from twisted.internet.error import CannotListenError
+from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.process import Dialects, GatewayProcess, SettingsSource
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.observe.clock import HybridClock
+from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.rate_limited_stream import RateLimitedStream
-from sardinehook.observe.twisted_errors import log_unhandled_errors
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.kv_store import PlatformStore
 from sardinehook.platform.replicas import PlatformReplicas
 from sardinehook.platform.settings import SETTINGS_VARIABLE, decode_settings
+from sardinehook.transport.event_loop import EventLoop
 
 __all__ = ["main"]
 
@@ -40,42 +38,39 @@
 def main() -> None:
     """Run a gateway with the settings file that the environment names."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    decoded = read_settings(path)
-    if not is_successful(decoded):
-        sys.stderr.write(f"{decoded.failure()}\n")
-        sys.exit(EXIT_INVALID_SETTINGS)
-    settings = decoded.unwrap()
-    from twisted.internet import reactor
-
-    gateway_reactor: Any = reactor
-    gateway_reactor.seconds = time.monotonic
+    match read_settings(path):
+        case Success(settings):
+            run_gateway(path, settings)
+        case Failure(problem):
+            sys.stderr.write(f"{problem}\n")
+            sys.exit(EXIT_INVALID_SETTINGS)
+
+
+def run_gateway(path: str, settings: GatewaySettings) -> None:
+    """Run a gateway with ``settings``, which it reloads from ``path``."""
+    event_loop = EventLoop(lambda detail, error: log_error(error, detail))
     metrics = GatewayMetrics()
     output: Any = RateLimitedStream(
         sys.stdout.fileno(), time.monotonic, metrics.log_lines_dropped.inc
     )
     clock = HybridClock(time.time)
     configure_logging(output, settings.node, settings.data_centre, clock)
-    log_unhandled_errors()
 
     def make_store(metrics: GatewayMetrics) -> GatewayStore:
         def count(operation: str, outcome: str) -> None:
             metrics.store_calls.labels(operation, outcome).inc()
 
-        return PlatformStore(gateway_reactor, settings.store_address, count)
+        return PlatformStore(event_loop, settings.store_address, count)
 
     dialects = Dialects(PlatformCallers(), PlatformReplicas(), PlatformKeys())
     source = SettingsSource(lambda: read_settings(path), lambda: modified_at(path))
     process = GatewayProcess(
-        gateway_reactor, settings, dialects, make_store, metrics, source
+        event_loop, settings, dialects, make_store, metrics, source
     )
 
-    def schedule_reload(_signal: int, _frame: object) -> None:
-        gateway_reactor.callFromThread(process.reload)
-
-    signal.signal(signal.SIGHUP, schedule_reload)
     try:
         process.run()
-    except CannotListenError as error:
+    except OSError as error:
         log_event(logger, EventName.PROCESS_FAILED, detail=str(error))
         sys.exit(EXIT_CANNOT_LISTEN)
 
--- a/sardinehook/gateway/watch_monitor.py
+++ b/sardinehook/gateway/watch_monitor.py
@@ -6,7 +6,6 @@
 
 import structlog
 from returns.result import Failure, Result, Success
-from twisted.internet.task import deferLater
 
 from sardinehook.gateway.fleet import GatewayFleet
 from sardinehook.gateway.peers import PeerCalls
@@ -16,6 +15,7 @@
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.watch_cache import StateUpdate
 from sardinehook.observe.events import EventName, log_event
+from sardinehook.transport.tasks import sleep
 
 __all__ = ["WatchMonitor"]
 
@@ -75,7 +75,7 @@
         Changes that another gateway has and the watch has not returned are applied. If
         the same watch is still pending one interval later, its connection is dropped.
         """
-        await deferLater(self.reactor, self.interval_s)
+        await sleep(self.reactor, self.interval_s)
         if not self.watching:
             self.overtaken_watch = 0
         elif self.overtaken_watch == self.watch_number:
--- a/sardinehook/observe/loop_lag.py
+++ b/sardinehook/observe/loop_lag.py
@@ -4,8 +4,6 @@
 
 from typing import Protocol
 
-from prometheus_client import Histogram
-
 from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["LoopLagProbe"]
@@ -13,10 +11,20 @@
 PROBE_INTERVAL_SECONDS = 0.5
 
 
+class LagHistogram(Protocol):
+    """A histogram, as a part of the metrics."""
+
+    def observe(self, amount: float, /) -> object:
+        """Count one lag in seconds."""
+
+
 class LagMetrics(Protocol):
     """The metric that the probe records to."""
 
-    loop_lag_seconds: Histogram
+    @property
+    def loop_lag_seconds(self) -> LagHistogram:
+        """The lags in seconds."""
+        ...
 
 
 class LoopLagProbe:
--- a/sardinehook/observe/metrics.py
+++ b/sardinehook/observe/metrics.py
@@ -14,6 +14,7 @@
 
 from sardinehook.errors import ErrorKind
 from sardinehook.messages import Outcome, TargetState
+from sardinehook.observe.buckets import LAG_BUCKETS_SECONDS, REQUEST_BUCKETS_SECONDS
 
 __all__ = [
     "OTHER_WORKLOAD",
@@ -28,25 +29,7 @@
 MAX_WORKLOADS = 64
 OTHER_WORKLOAD = "other"
 ANSWERED = "answered"
-REQUEST_BUCKETS_SECONDS = (
-    0.005,
-    0.01,
-    0.02,
-    0.03,
-    0.05,
-    0.075,
-    0.1,
-    0.15,
-    0.2,
-    0.3,
-    0.5,
-    1.0,
-    2.0,
-    5.0,
-    30.0,
-)
 COVERAGE_BUCKETS = (0.0, 0.5, 0.8, 0.9, 0.95, 0.98, 0.99, 0.995, 0.999, 1.0)
-LAG_BUCKETS_SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 2.0)
 
 
 class Attempt(StrEnum):
--- a/sardinehook/target/connection.py
+++ b/sardinehook/target/connection.py
@@ -15,6 +15,7 @@
 from sardinehook.transport.connection import ClientConnection, Lost, Malformed
 from sardinehook.transport.connection import ExchangeEnd as HttpEnd
 from sardinehook.transport.connection import Replied as HttpReplied
+from sardinehook.transport.reactor import ConnectionEnd
 
 __all__ = ["ExchangeEnd", "Lost", "Malformed", "Replied", "TargetConnection"]
 
@@ -107,17 +108,19 @@
             return
         super().complete()
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """End the running exchange and report the close."""
-        self.closed_in_order = isinstance(reason.value, ConnectionDone)
+    def connectionLost(self, reason: ConnectionEnd | Failure = connectionDone) -> None:
+        """End the running exchange and report the close, as Twisted does."""
+        if isinstance(reason, Failure):
+            is_clean = isinstance(reason.value, ConnectionDone)
+            reason = ConnectionEnd(is_clean, reason.getErrorMessage())
+        self.closed_in_order = reason.is_clean
         super().connectionLost(reason)
 
-    def classify_loss(self, reason: Failure) -> HttpEnd:
+    def classify_loss(self, reason: ConnectionEnd) -> HttpEnd:
         """Return the end of an exchange whose connection ended.
 
         Any byte received makes the reply truncated, as targets always send a length.
         """
-        cause = reason.getErrorMessage()
         if self.received_bytes:
-            return Malformed(f"truncated reply: {cause}")
-        return Lost(cause)
+            return Malformed(f"truncated reply: {reason.detail}")
+        return Lost(reason.detail)
--- a/sardinehook/target/pool.py
+++ b/sardinehook/target/pool.py
@@ -266,7 +266,9 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
 
-    def buildProtocol(self, addr: IAddress | None) -> TargetConnection:
+    def buildProtocol(  # type: ignore[override]
+        self, addr: IAddress | None
+    ) -> TargetConnection:
         """Return the protocol of an established connection."""
         pool = self.pool
         return TargetConnection(pool.limits, pool.opened, pool.closed)
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -8,10 +8,8 @@
 from typing import Any, NamedTuple
 
 from httptools import HttpParserError, HttpResponseParser
-from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import Protocol, connectionDone
-from twisted.python.failure import Failure
 
+from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
 from sardinehook.transport.socket_writer import SocketWriter
 
 __all__ = ["ClientConnection", "ExchangeEnd", "Lost", "Malformed", "Replied", "Reply"]
@@ -77,7 +75,7 @@
 receive_buffers = ReceiveBuffers()
 
 
-class ClientConnection(Protocol):
+class ClientConnection(StreamProtocol):
     """Sends a request and reports one ``ExchangeEnd`` for it.
 
     ``on_open`` is called when the connection is established, ``on_close`` once after
@@ -228,7 +226,7 @@
         self.is_open = False
         self.tcp.abortConnection()
 
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
+    def connectionLost(self, reason: ConnectionEnd) -> None:
         """End the exchange in progress and call ``on_close``.
 
         A reply without a length is complete if the connection was closed cleanly.
@@ -242,21 +240,21 @@
         self.release_buffers()
         self.on_close(self)
 
-    def classify_loss(self, reason: Failure) -> ExchangeEnd:
+    def classify_loss(self, reason: ConnectionEnd) -> ExchangeEnd:
         """Return how the exchange ends when the connection is lost."""
-        detail = reason.getErrorMessage()
         if not self.received_bytes:
-            return Lost(detail)
-        closed_cleanly = isinstance(reason.value, ConnectionDone)
+            return Lost(reason.detail)
         if (
-            closed_cleanly
+            reason.is_clean
             and self.in_body
             and not self.has_framing
             and not self.is_interim
         ):
             body = b"".join(self.chunks)
             return Replied(Reply(self.status, tuple(self.headers), body))
-        return Malformed(f"connection closed before the reply was complete: {detail}")
+        return Malformed(
+            f"connection closed before the reply was complete: {reason.detail}"
+        )
 
     def on_message_begin(self) -> None:
         """Mark a second reply in the same exchange as surplus."""
--- a/sardinehook/transport/reactor.py
+++ b/sardinehook/transport/reactor.py
@@ -1,13 +1,84 @@
-"""Protocols for the parts of Twisted reactors and transports that are used."""
+"""Protocols for the parts of reactors and transports that are used.
+
+Twisted's reactors have them, and ``sardinehook.transport.event_loop`` on asyncio.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Any, NamedTuple, Protocol
+
+if TYPE_CHECKING:
+    from twisted.internet.protocol import ClientFactory
+
+__all__ = [
+    "ConnectionEnd",
+    "DatagramHandler",
+    "StreamClientFactory",
+    "StreamProtocol",
+    "StreamServerFactory",
+    "TcpReactor",
+    "TcpTransport",
+    "Timer",
+    "Timers",
+]
+
+
+class ConnectionEnd(NamedTuple):
+    """Why a connection has ended, or could not be opened."""
+
+    is_clean: bool
+    detail: str
+
+
+class StreamProtocol:
+    """The user of one TCP connection.
+
+    ``connectionMade`` is called first, ``connectionLost`` last, and ``dataReceived`` in
+    between. Instances also serve as protocols of Twisted.
+    """
+
+    transport: Any
+
+    def makeConnection(self, transport: Any) -> None:  # noqa: ANN401
+        """Start to use an established connection."""
+        self.transport = transport
+        self.connectionMade()
+
+    def connectionMade(self) -> None:
+        """Handle that the connection is established."""
+
+    def dataReceived(self, data: bytes) -> None:
+        """Handle received bytes."""
 
-from twisted.internet.protocol import ClientFactory
+    def connectionLost(self, reason: ConnectionEnd) -> None:
+        """Handle that the connection has ended."""
 
-__all__ = ["TcpReactor", "TcpTransport", "Timer", "Timers"]
+
+class StreamServerFactory(Protocol):
+    """Makes the protocol of each accepted connection."""
+
+    def buildProtocol(self, addr: object) -> StreamProtocol:
+        """Return the protocol of a new connection."""
+        ...
+
+
+class StreamClientFactory(StreamServerFactory, Protocol):
+    """Makes the protocol of a connection that this process opens."""
+
+    def clientConnectionFailed(self, connector: object, reason: ConnectionEnd) -> None:
+        """Handle that the connection could not be opened."""
+        ...
+
+
+class DatagramHandler(Protocol):
+    """The user of one UDP socket; ``transport`` is set when it is open."""
+
+    transport: Any
+
+    def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
+        """Handle a received datagram."""
+        ...
 
 
 class Timer(Protocol):
--- a/tests/gateway/fake_transport.py
+++ b/tests/gateway/fake_transport.py
@@ -1,12 +1,25 @@
-"""In-memory transport for testing protocols."""
+"""Simulated clock and in-memory transport for testing protocols."""
 
 from __future__ import annotations
 
-from typing import cast
+from typing import Any, cast
 
+from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-__all__ = ["FakeTransport", "make_transport"]
+__all__ = ["FakeTransport", "RecordingReactor", "make_transport"]
+
+
+class RecordingReactor(Clock):
+    """A simulated clock that records connection attempts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tcpClients: list[tuple[Any, ...]] = []
+
+    def connectTCP(self, *attempt: object) -> None:
+        """Record an attempt, which the test accepts or refuses."""
+        self.tcpClients.append(attempt)
 
 
 class FakeSocket:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -4,8 +4,6 @@
 
 from typing import NamedTuple
 
-from twisted.internet.testing import MemoryReactorClock
-
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import (
     CallerLimits,
@@ -35,6 +33,7 @@
 from sardinehook.gateway.single import SingleCall
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.replicas import PlatformReplicas
+from tests.gateway.fake_transport import RecordingReactor
 
 DEFAULT_BOUNDS = Bounds()
 HERE = "here"
@@ -49,7 +48,7 @@
     refuse them.
     """
 
-    def __init__(self, reactor: MemoryReactorClock, directory: Directory) -> None:
+    def __init__(self, reactor: RecordingReactor, directory: Directory) -> None:
         super().__init__(reactor, PlatformReplicas(), directory)
         self.sent: list[Exchange] = []
         self.refuses: set[str] = set()
@@ -86,7 +85,7 @@
 class Gateway(NamedTuple):
     """The parts of a gateway that tests use."""
 
-    reactor: MemoryReactorClock
+    reactor: RecordingReactor
     directory: Directory
     dispatcher: FakeDispatcher
     policy: RequestPolicy
@@ -139,7 +138,7 @@
 
 def make_gateway(bounds: Bounds = DEFAULT_BOUNDS, gateways: int = 1) -> Gateway:
     """Return a gateway with a fake dispatcher and equal shares."""
-    reactor = MemoryReactorClock()
+    reactor = RecordingReactor()
     reactor.advance(100.0)
     directory = Directory(reactor, bounds.drain_s)
     dispatcher = FakeDispatcher(reactor, directory)
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -9,7 +9,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.delegates import (
@@ -26,6 +25,7 @@
 from sardinehook.gateway.search_codec import decode_search, encode_search
 from sardinehook.gateway.shares import compute_shares
 from sardinehook.transport.connection import ExchangeEnd, Lost, Replied, Reply
+from tests.gateway.fake_transport import RecordingReactor
 from tests.gateway.support import (
     REQUEST,
     Gateway,
@@ -343,7 +343,7 @@
 
 class TestMembers:
     def test_delegate_is_chosen_by_its_link_and_used_after_a_heartbeat(self) -> None:
-        clock = MemoryReactorClock()
+        clock = RecordingReactor()
         fleet = GatewayFleet(clock, ScriptedStore(), "n", NARROW, lambda _names: None)
         delegates = Delegates(clock, fleet)
         for name, record in (("w", WIDE), ("m", NARROW)):
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -11,8 +11,6 @@
 
 import msgspec
 from returns.result import Failure, Result, Success
-from twisted.internet.defer import Deferred
-from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.configuration import Configuration
@@ -32,6 +30,8 @@
 from sardinehook.gateway.watch_cache import StateUpdate, decode_update, encode_update
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.store.port import StoreUnavailable
+from sardinehook.transport.tasks import Promise
+from tests.gateway.fake_transport import RecordingReactor
 
 
 class ScriptedStore:
@@ -39,7 +39,9 @@
 
     def __init__(self) -> None:
         self.calls: list[str] = []
-        self.waiting: deque[Deferred[Result[Changes, StoreProblem]]] = deque()
+        self.waiting: deque[Promise[Result[Changes, StoreProblem] | Exception]] = (
+            deque()
+        )
         self.lease_gone = False
         self.dropped = 0
 
@@ -81,19 +83,26 @@
         """Count the call."""
         self.dropped += 1
 
-    def hold_call(self) -> Deferred[Result[Changes, StoreProblem]]:
-        """Return a call that waits for the test."""
-        held: Deferred[Result[Changes, StoreProblem]] = Deferred()
+    async def hold_call(self) -> Result[Changes, StoreProblem]:
+        """Wait for the test's answer, and return or raise it."""
+        held: Promise[Result[Changes, StoreProblem] | Exception] = Promise()
         self.waiting.append(held)
-        return held
+        answer = await held
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
 
     def answer(self, revision: int, *items: Item) -> None:
         """Answer the oldest waiting call."""
-        self.waiting.popleft().callback(Success(Changes(items, revision)))
+        self.waiting.popleft().resolve(Success(Changes(items, revision)))
+
+    def raise_error(self, error: Exception) -> None:
+        """Let the oldest waiting call raise an error."""
+        self.waiting.popleft().resolve(error)
 
     def fail(self, problem: StoreProblem) -> None:
         """Fail the oldest waiting call."""
-        self.waiting.popleft().callback(Failure(problem))
+        self.waiting.popleft().resolve(Failure(problem))
 
 
 class ScriptedPeers:
@@ -124,9 +133,9 @@
         rig = self.rigs.get(address)
         if rig is None or address in self.unreachable:
             return Failure("no answer in time")
-        answered: Deferred[CallerAnswer] = Deferred()
+        answered: Promise[CallerAnswer] = Promise()
         query = changes_query(after, wait_s).partition(b"?")[2]
-        rig.follower.relay.answer(query, answered.callback)
+        rig.follower.relay.answer(query, answered.resolve)
         answer = await answered
         return (
             decode_update(answer.body)
@@ -145,11 +154,11 @@
 
     def __init__(
         self,
-        reactor: MemoryReactorClock | None = None,
+        reactor: RecordingReactor | None = None,
         node: str = "g-1",
         peers: ScriptedPeers | None = None,
     ) -> None:
-        self.reactor = reactor or MemoryReactorClock()
+        self.reactor = reactor or RecordingReactor()
         self.peers = peers or ScriptedPeers()
         self.reactor.advance(100.0)
         self.store = ScriptedStore()
@@ -244,7 +253,7 @@
         rig = FollowerRig()
         rig.store.answer(5, replica("a", 3))
         rig.pass_pauses()
-        rig.store.waiting.popleft().errback(RuntimeError("unexpected error"))
+        rig.store.raise_error(RuntimeError("unexpected error"))
         rig.pass_pauses()
         assert rig.store.calls[-1] == "read_all"
         rig.store.answer(6, replica("a", 3), version(3, 6))
--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -5,7 +5,6 @@
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.fleet import GatewayFleet, GatewayRecord
 from sardinehook.gateway.heartbeat import (
@@ -14,6 +13,7 @@
     decode_heartbeat,
     encode_heartbeat,
 )
+from tests.gateway.fake_transport import RecordingReactor
 from tests.gateway.test_follower import ScriptedStore
 
 
@@ -34,7 +34,7 @@
     def __init__(self) -> None:
         own = GatewayRecord("10.0.0.1:1", "here", "10.0.0.1:9", 200.0)
         self.fleet = GatewayFleet(
-            MemoryReactorClock(), ScriptedStore(), "wide", own, lambda _names: None
+            RecordingReactor(), ScriptedStore(), "wide", own, lambda _names: None
         )
         self.received: list[tuple[str, bool]] = []
         self.cut_off = False
@@ -44,7 +44,7 @@
             lambda *heartbeat: self.received.append(heartbeat),
         )
         self.port = RecordingPort()
-        self.heartbeats.transport = self.port  # type: ignore[assignment]
+        self.heartbeats.transport = self.port
         self.register("narrow", GatewayRecord("10.0.0.2:1", "here", "10.0.0.2:9", 20.0))
         self.register("equal", GatewayRecord("10.0.0.3:1", "here", "10.0.0.3:9", 200.0))
         self.register("far", GatewayRecord("10.0.0.4:1", "there", "10.0.0.4:9", 20.0))
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -8,14 +8,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.error import ConnectionDone
-from twisted.internet.testing import MemoryReactorClock
-from twisted.python.failure import Failure
 
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.http_server import HttpServer, HttpServerConnection
 from sardinehook.gateway.interfaces import HttpRequest
-from tests.gateway.fake_transport import FakeTransport, make_transport
+from sardinehook.transport.reactor import ConnectionEnd
+from tests.gateway.fake_transport import FakeTransport, RecordingReactor, make_transport
 
 Finish = Callable[[CallerAnswer], None]
 
@@ -37,7 +35,7 @@
     """A server with one connection, and the requests that it has started."""
 
     def __init__(self) -> None:
-        self.reactor = MemoryReactorClock()
+        self.reactor = RecordingReactor()
         self.reactor.advance(100.0)
         self.started: list[PendingWork] = []
         self.server = HttpServer(self.reactor, self.start_request)
@@ -212,13 +210,13 @@
     def test_disconnect_cancels_the_request(self) -> None:
         rig = ServerRig()
         rig.send(GET)
-        rig.connection.connectionLost(Failure(ConnectionDone()))
+        rig.connection.connectionLost(ConnectionEnd(True, "closed"))
         assert rig.started[0].cancelled
 
     def test_nothing_is_written_after_a_disconnect(self) -> None:
         rig = ServerRig()
         rig.send(GET)
-        rig.connection.connectionLost(Failure(ConnectionDone()))
+        rig.connection.connectionLost(ConnectionEnd(True, "closed"))
         rig.answer(0)
         assert rig.written == b""
 
--- a/tests/gateway/test_pool.py
+++ b/tests/gateway/test_pool.py
@@ -4,21 +4,17 @@
 
 from typing import Any, cast
 
-from twisted.internet.error import ConnectionRefusedError
-from twisted.internet.protocol import ClientFactory
-from twisted.internet.testing import MemoryReactorClock
-from twisted.python.failure import Failure
-
-from sardinehook.gateway.pool import ConnectionPool
+from sardinehook.gateway.pool import ConnectionPool, PoolFactory
 from sardinehook.transport.connection import ClientConnection, Replied
-from tests.gateway.fake_transport import FakeTransport, make_transport
+from sardinehook.transport.reactor import ConnectionEnd
+from tests.gateway.fake_transport import FakeTransport, RecordingReactor, make_transport
 
 
 class PoolFixture:
     """A pool whose connection attempts a test accepts or refuses."""
 
     def __init__(self, max_connections: int = 2) -> None:
-        self.reactor = MemoryReactorClock()
+        self.reactor = RecordingReactor()
         self.reactor.advance(100.0)
         self.connected_count = 0
         self.acquired: list[ClientConnection | None] = []
@@ -34,23 +30,22 @@
         """Acquire a connection."""
         self.pool.acquire(self.acquired.append)
 
-    def factory(self, attempt: int) -> ClientFactory:
+    def factory(self, attempt: int) -> PoolFactory:
         """Return the factory of a connection attempt."""
-        factory: ClientFactory = self.reactor.tcpClients[attempt][2]
-        return factory
+        factory: Any = self.reactor.tcpClients[attempt][2]
+        return cast(PoolFactory, factory)
 
     def accept(self, attempt: int) -> FakeTransport:
         """Accept a connection attempt."""
         transport: Any = make_transport()
         protocol = self.factory(attempt).buildProtocol(None)
-        assert protocol is not None
         protocol.makeConnection(transport)
         return cast(FakeTransport, transport)
 
     def refuse(self, attempt: int) -> None:
         """Refuse a connection attempt."""
-        failure = Failure(ConnectionRefusedError())
-        self.factory(attempt).clientConnectionFailed(None, failure)  # type: ignore[arg-type]
+        end = ConnectionEnd(False, "refused")
+        self.factory(attempt).clientConnectionFailed(None, end)
 
 
 class TestBounds:
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -13,7 +13,6 @@
 import pytest
 from returns.result import Failure, Result, Success
 from structlog.testing import capture_logs
-from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.metrics import GatewayMetrics
 from sardinehook.gateway.process import Dialects, GatewayProcess, SettingsSource
@@ -22,6 +21,7 @@
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.replicas import PlatformReplicas
 from sardinehook.platform.settings import SETTINGS_VARIABLE
+from tests.gateway.fake_transport import RecordingReactor
 from tests.gateway.test_follower import ScriptedStore
 
 SETTINGS = GatewaySettings(
@@ -40,7 +40,7 @@
     """A gateway on a simulated clock, with settings that tests replace."""
 
     def __init__(self) -> None:
-        self.reactor = MemoryReactorClock()
+        self.reactor = RecordingReactor()
         self.settings_result: Result[GatewaySettings, str] = Success(SETTINGS)
         self.modified_at = 1.0
         self.process = GatewayProcess(
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -8,7 +8,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.testing import MemoryReactorClock
 
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
 from sardinehook.gateway.relay import ChangeRelay
@@ -20,6 +19,7 @@
     encode_update,
 )
 from sardinehook.store.port import StoreUnavailable
+from tests.gateway.fake_transport import RecordingReactor
 from tests.gateway.test_follower import (
     FollowerRig,
     ScriptedPeers,
@@ -45,7 +45,7 @@
     """Registered gateways of one data centre."""
 
     def __init__(self, gateways: int = GATEWAYS) -> None:
-        self.reactor = MemoryReactorClock()
+        self.reactor = RecordingReactor()
         self.peers = ScriptedPeers()
         self.rigs = [
             FollowerRig(self.reactor, f"g-{number}", self.peers)
@@ -207,7 +207,7 @@
 
 class TestRelay:
     def test_call_waits_for_a_change(self) -> None:
-        clock = MemoryReactorClock()
+        clock = RecordingReactor()
         cache = WatchCache()
         cache.replace(Changes((), 5))
         relay = ChangeRelay(clock, cache)
@@ -221,7 +221,7 @@
         assert len(answers) == 1
 
     def test_call_is_answered_after_its_wait(self) -> None:
-        clock = MemoryReactorClock()
+        clock = RecordingReactor()
         cache = WatchCache()
         cache.replace(Changes((), 5))
         relay = ChangeRelay(clock, cache)
@@ -234,7 +234,7 @@
     def test_relay_without_store_contact_answers_at_once(self) -> None:
         cache = WatchCache()
         cache.replace(Changes((), 5))
-        relay = ChangeRelay(MemoryReactorClock(), cache)
+        relay = ChangeRelay(RecordingReactor(), cache)
         answers: list[object] = []
         relay.answer(b"after=5&wait_ms=1000", answers.append)
         assert len(answers) == 1
--- /dev/null
+++ b/tests/observe/test_errors.py
@@ -0,0 +1,24 @@
+"""Log lines of unexpected errors."""
+
+from __future__ import annotations
+
+from structlog.testing import capture_logs
+
+from sardinehook.observe.errors import log_error
+
+
+class TestLogError:
+    def test_the_line_names_the_error_and_where_it_was_raised(self) -> None:
+        try:
+            int("no number")
+        except ValueError as error:
+            with capture_logs() as lines:
+                log_error(error)
+        (line,) = lines
+        assert line["cause"].startswith("ValueError: ")
+        assert line["detail"].startswith("test_errors.py:")
+
+    def test_a_detail_without_an_error_is_logged(self) -> None:
+        with capture_logs() as lines:
+            log_error(None, "socket.accept() out of system resource")
+        assert lines[0]["detail"] == "socket.accept() out of system resource"
--- a/tests/target/fakes.py
+++ b/tests/target/fakes.py
@@ -113,7 +113,7 @@
 
 def connect(protocol: TargetConnection, link: FakeLink) -> None:
     """Establish a connection."""
-    protocol.makeConnection(link)  # type: ignore[no-untyped-call]
+    protocol.makeConnection(link)
 
 
 class FakeReactor(Clock):
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -7,8 +7,6 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.python.failure import Failure
 
 from sardinehook.transport.connection import (
     MAX_BUFFERED_BYTES,
@@ -20,8 +18,11 @@
     Replied,
     receive_buffers,
 )
+from sardinehook.transport.reactor import ConnectionEnd
 from tests.gateway.fake_transport import make_transport
 
+CLOSED = ConnectionEnd(True, "closed")
+RESET = ConnectionEnd(False, "reset")
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
 
 
@@ -35,9 +36,9 @@
         connection.makeConnection(make_transport())
         self.connection.exchange(b"GET / HTTP/1.1\r\n\r\n", self.ends.append)
 
-    def lose(self, reason: Exception) -> None:
+    def lose(self, reason: ConnectionEnd) -> None:
         """Close the connection with ``reason``."""
-        self.connection.connectionLost(Failure(reason))
+        self.connection.connectionLost(reason)
 
 
 def ignore(_connection: ClientConnection) -> None:
@@ -56,7 +57,7 @@
         fixture = ConnectionFixture()
         fixture.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
         assert fixture.ends == []
-        fixture.lose(ConnectionDone())
+        fixture.lose(CLOSED)
         (end,) = fixture.ends
         assert isinstance(end, Replied) and end.reply.body == b"ab"
 
@@ -84,18 +85,18 @@
     def test_a_truncated_reply_is_malformed(self) -> None:
         fixture = ConnectionFixture()
         fixture.connection.dataReceived(OK[:-1])
-        fixture.lose(ConnectionDone())
+        fixture.lose(CLOSED)
         assert isinstance(fixture.ends[0], Malformed)
 
     def test_a_reply_without_a_length_is_malformed_after_a_reset(self) -> None:
         fixture = ConnectionFixture()
         fixture.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nab")
-        fixture.lose(ConnectionLost())
+        fixture.lose(RESET)
         assert isinstance(fixture.ends[0], Malformed)
 
     def test_a_reset_before_any_byte_is_a_lost_connection(self) -> None:
         fixture = ConnectionFixture()
-        fixture.lose(ConnectionLost())
+        fixture.lose(RESET)
         assert isinstance(fixture.ends[0], Lost)
 
     def test_bytes_that_are_not_http_are_malformed(self) -> None:
@@ -131,9 +132,9 @@
     """
 
     @pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
-    @pytest.mark.parametrize("reason", [ConnectionDone(), ConnectionLost()])
+    @pytest.mark.parametrize("reason", [CLOSED, RESET])
     def test_no_part_of_a_head_is_a_reply(
-        self, interim: bytes, reason: Exception
+        self, interim: bytes, reason: ConnectionEnd
     ) -> None:
         for size in range(1, len(HEAD)):
             fixture = ConnectionFixture()
@@ -197,5 +198,5 @@
             assert held <= MAX_BUFFERED_BYTES + len(fixtures) * 2 * SMALL_BODY_BYTES
         assert sum(not one.connection.is_open for one in fixtures) > 0
         for fixture in fixtures:
-            fixture.lose(ConnectionLost())
+            fixture.lose(RESET)
         assert receive_buffers.used == before
