Listen before loading, and let requests wait for the first configuration

Cause: callers that came in the 0.5 s from power to the first listening socket were reset, came back at once and were lost; those that came before the store had answered got 503 though the answer was due in 40 ms. Nothing is sent by a configuration that isn't known; after 0.2 s requests are refused at once, as before.

--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -38,6 +38,7 @@
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
+from sardinehook.transport.early_sockets import LISTEN_BACKLOG
 from sardinehook.transport.reactor import StreamServerFactory, Timer
 from sardinehook.transport.tasks import RepeatingCall, sleep, start_task
 
@@ -52,7 +53,6 @@
 HEARTBEAT_INTERVAL_S = 0.2  # a paused gateway is detected within a second
 NOT_READY_NOTICE_S = 3.0  # the balancer needs two failed probes, one a second
 STOP_MARGIN_S = 0.4  # to answer unfinished requests before the grace period ends
-LISTEN_BACKLOG = 512  # connections that the kernel queues before they are accepted
 
 
 class SettingsSource(NamedTuple):
@@ -142,6 +142,7 @@
         self.follower.seeds = tuple(
             seed for seed in settings.seeds if seed != settings.peer_address
         )
+        state.on_changed = self.handle_changes
         self.probes = ProbeServer(
             reactor,
             self.unready_reason,
@@ -212,13 +213,14 @@
         if settings.heartbeat_address:
             self.heartbeat_loop.start()
         self.policy.restart_counting()
+        self.request_handler.start()
         self.follower.start()
         self.fleet.start()
         self.sweep_loop.start()
         self.housekeeping_loop.start()
         self.lag_probe.start()
-        gc.collect()
         gc.freeze()
+        gc.enable()
         log_event(
             logger,
             EventName.PROCESS_STARTED,
@@ -271,6 +273,13 @@
         self.metrics.version.set(configuration.version)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
+    def handle_changes(self) -> None:
+        """Pass changes of the store on, and start requests that waited for them."""
+        self.follower.relay.answer_waiting()
+        if self.request_handler.waiting and self.request_handler.configuration:
+            # The shares are updated first, in a timer that is due already.
+            self.reactor.callLater(0.0, self.request_handler.release_waiting)
+
     def update_gateways(self, names: frozenset[str]) -> None:
         """Update what gateways share if their records have changed."""
         if self.fleet.records.keys() != self.shared_records.keys():
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -34,6 +34,8 @@
 __all__ = ["Cancellable", "RequestHandler"]
 
 STARTING_RETRY_S = 0.2  # a starting gateway has loaded its configuration by then
+STARTING_WAIT_S = 0.2  # the store answers within this time, or is in trouble
+MAX_WAITING = 256  # requests that wait for the first configuration
 MAX_KEPT_VERSIONS = 8  # other gateways may delegate searches under older ones
 MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
 
@@ -93,6 +95,13 @@
         self.stopping = False
         self.delegated_in_flight = 0
         self.max_delegated = 0
+        self.waiting: list[WaitingRequest] = []
+        self.waits_until = float("-inf")
+
+    def start(self) -> None:
+        """Let requests wait for the first configuration, for a short time from now."""
+        self.waits_until = self.reactor.seconds() + STARTING_WAIT_S
+        self.reactor.callLater(STARTING_WAIT_S, self.release_waiting)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration to all requests that arrive from now on."""
@@ -193,6 +202,8 @@
         """Find the route of a request and start it."""
         configuration = self.configuration
         if configuration is None:
+            if self.can_wait():
+                return self.wait(request, finish)
             return self.refuse(
                 request, Problem(ErrorKind.NO_DOCUMENT, "no configuration yet"), finish
             )
@@ -204,6 +215,30 @@
             return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
         return self.begin(request, route, configuration, finish)
 
+    def can_wait(self) -> bool:
+        """Return whether one more request may wait for the first configuration."""
+        is_starting = self.reactor.seconds() < self.waits_until
+        return is_starting and len(self.waiting) < MAX_WAITING
+
+    def wait(self, request: CallerRequest, finish: Finish) -> WaitingRequest:
+        """Keep a request until the first configuration is known."""
+        waiting = WaitingRequest(request, finish)
+        self.waiting.append(waiting)
+        return waiting
+
+    def release_waiting(self) -> None:
+        """Start the requests that waited for a configuration, or refuse them."""
+        released, self.waiting = self.waiting, []
+        if not released:
+            return
+        now = self.reactor.seconds()
+        self.request_log.record_released(
+            len(released), now - released[0].request.received_at
+        )
+        for waiting in released:
+            if not waiting.cancelled:
+                waiting.work = self.route(waiting.request, waiting.finish)
+
     def refuse(
         self, request: CallerRequest, problem: Problem, finish: Finish
     ) -> Cancellable | None:
@@ -338,6 +373,22 @@
     return CallerAnswer(503, (), reason.encode(), "not taken", reason)
 
 
+class WaitingRequest:
+    """A request that waits for the first configuration, and then its work."""
+
+    def __init__(self, request: CallerRequest, finish: Finish) -> None:
+        self.request = request
+        self.finish = finish
+        self.cancelled = False
+        self.work: Cancellable | None = None
+
+    def cancel(self) -> None:
+        """Stop after the caller has disconnected."""
+        self.cancelled = True
+        if self.work is not None:
+            self.work.cancel()
+
+
 class RunningRequest:
     """A request whose caller may disconnect; ``peer`` is the delegating gateway."""
 
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -51,6 +51,15 @@
             detail=answer.detail,
         )
 
+    def record_released(self, count: int, waited_s: float) -> None:
+        """Record that requests no longer wait for the first configuration."""
+        log_event(
+            logger,
+            EventName.REQUESTS_RELEASED,
+            count=count,
+            took_ms=waited_s * MS_PER_S,
+        )
+
     def record_ended(
         self,
         work: Gather | SingleCall | DelegatedSearch,
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -34,6 +34,7 @@
     QUERY_RECEIVED = "query_received"
     QUERY_PLANNED = "query_planned"
     QUERY_REFUSED = "query_refused"
+    REQUESTS_RELEASED = "requests_released"
     QUERY_ANSWERED = "query_answered"
     QUERY_FAILED = "query_failed"
     QUERY_CANCELLED = "query_cancelled"
--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from sardinehook.transport.early_sockets import Address, take_socket
 from sardinehook.transport.reactor import (
     ConnectionEnd,
     DatagramHandler,
@@ -240,8 +241,10 @@
 
         Raises ``OSError`` if the address is in use or not one of this machine.
         """
-        bound = bind_socket(socket.SOCK_STREAM, interface, port)
-        bound.listen(backlog)
+        bound = take_socket(Address(interface, port))
+        if bound is None:
+            bound = bind_socket(socket.SOCK_STREAM, interface, port)
+            bound.listen(backlog)
         self.listening.append((bound, factory, backlog))
 
     def listenUDP(self, port: int, handler: DatagramHandler, interface: str) -> None:
--- a/tests/transport/test_event_loop.py
+++ b/tests/transport/test_event_loop.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from sardinehook.transport.early_sockets import Address, listen_early, take_socket
 from sardinehook.transport.event_loop import EventLoop, PeerAddress
 from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
 
@@ -183,6 +184,34 @@
             with pytest.raises(OSError, match=str(port)):
                 LoopRig().loop.listenTCP(port, Factory(echo), 16, HOST)
 
+    def test_a_caller_that_came_before_the_loop_is_answered(
+        self, free_port: int
+    ) -> None:
+        """A gateway that starts keeps the requests that arrive meanwhile."""
+        rig = LoopRig()
+        assert listen_early(Address(HOST, free_port))
+        with socket.create_connection((HOST, free_port), 1.0) as caller:
+            caller.sendall(b"question")
+
+            def act(connection: Recorder, event: str) -> None:
+                echo(connection, event)
+                rig.loop.callLater(0.0, rig.loop.stop)
+
+            rig.loop.listenTCP(free_port, Factory(act), 16, HOST)
+            rig.run()
+            assert caller.recv(100) == b"question"
+        assert take_socket(Address(HOST, free_port)) is None
+
+    def test_an_address_in_use_is_left_to_the_loop_to_report(self) -> None:
+        with socket.socket() as other:
+            other.bind((HOST, 0))
+            other.listen()
+            assert not listen_early(Address(HOST, other.getsockname()[1]))
+
+    @pytest.mark.parametrize("port", [-1, 70000])
+    def test_an_impossible_port_is_left_to_the_loop_to_report(self, port: int) -> None:
+        assert not listen_early(Address(HOST, port))
+
 
 class DatagramRecorder:
     """Records datagrams, and stops the loop at the first."""
