Tell second copies of replies by their signatures

Cause: other operators reported a second copy of an answer, late, on a connection in use again. Here a copy was known by the request id that it carries; replies to parts of a search need not carry one, and the records of another search would have been merged. Change: a connection remembers the signatures of its last eight replies; a reply that repeats one is no answer, the request counts as one that may have run, and the connection is closed.

--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -187,6 +187,9 @@
         if reply.mismatched:
             replica.observe_result(True, now)
             return Failed("reply carries the id of another request")
+        if self.repeats_reply(exchange, reply):
+            replica.observe_result(True, now)
+            return Failed("reply repeats an earlier one on its connection")
         replica.observe_reply(reply, now)
         if reply.misdirected:
             self.directory.discard_misdirected(replica)
@@ -200,6 +203,21 @@
         replica.observe_result(not reply.is_success and reply.status >= 500, now)
         return Answered(reply)
 
+    def repeats_reply(self, exchange: Exchange, reply: ReplicaReply) -> bool:
+        """Return whether a reply is a second copy of one to an earlier request.
+
+        Signatures are unique. A copy that arrives late may be read in place of the
+        reply that is due; its connection is not used again.
+        """
+        connection, signature = exchange.connection, reply.signature
+        if connection is None or signature is None:
+            return False
+        if signature in connection.recent_signatures:
+            connection.abort()
+            return True
+        connection.recent_signatures.append(signature)
+        return False
+
     def end_waiting(self, replica: Replica) -> None:
         """End the exchanges that wait for a connection to a replica that paused."""
         for exchange in [one for one in replica.in_flight if one.waiter is not None]:
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -19,6 +20,7 @@
 MAX_BUFFERED_BYTES = 48 * 1024 * 1024  # limit of incomplete bodies of all replies,
 SMALL_BODY_BYTES = 64 * 1024  # which does not end those that are smaller than this
 CHUNK_OVERHEAD_RATIO = 8  # bytes of framing for each byte of the smallest chunks
+REMEMBERED_SIGNATURES = 8  # of replies; a second copy comes soon after the first
 KEEP_ALIVE_IDLE_S = 1  # idle time until the kernel sends a keep-alive probe
 KEEP_ALIVE_INTERVAL_S = 1  # between two keep-alive probes
 KEEP_ALIVE_PROBES = 2  # unanswered probes after which the connection is reset
@@ -80,7 +82,8 @@
 
     ``on_open`` is called when the connection is established, ``on_close`` once after
     it is closed. The connection is closed and never reused after anything but a
-    complete reply, and after bytes that belong to no request.
+    complete reply, and after bytes that belong to no request. ``recent_signatures`` is
+    for the user, who can tell a second copy of a reply from the one that is due.
     """
 
     max_head_bytes = MAX_HEAD_BYTES
@@ -98,6 +101,7 @@
         self.exchanges = 0
         self.idle_since = 0.0
         self.idle_until = 0.0
+        self.recent_signatures: deque[bytes] = deque(maxlen=REMEMBERED_SIGNATURES)
         self.ends_with_headers = False
         self.body_bytes = 0
         self.buffered_bytes = 0
