Refuse requests that a planned stop would cut

Cause: other operators reported requests that came late in the grace, were passed on and cut at its end. It could happen here: until the process was gone each request was taken, and what was unfinished 0.4 s before the end was answered 502, among them requests that may not be repeated. Change: from 3 s after SIGTERM, when the load balancer leads callers elsewhere, a request that may run once only is taken if its whole deadline lies before the stop, another one if three times its objective does. All others get 503 with Retry-After at once and have not run.

--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -363,10 +363,12 @@
 
         From the start, each answer closes its connection. Idle connections are closed
         only after the balancer has had time to notice, since a caller may be sending a
-        request on them. Requests unfinished at the end of the grace period are
-        answered as having an unknown outcome.
+        request on them. From then on, requests that would not be finished in time are
+        refused. Requests unfinished at the end of the grace period are answered as
+        having an unknown outcome.
         """
         began = self.reactor.seconds()
+        end_at = began + self.settings.bounds.grace_s - STOP_MARGIN_S
         log_event(
             logger, EventName.PROCESS_STOPPING, count=self.request_handler.in_flight
         )
@@ -376,7 +378,7 @@
         await sleep(self.reactor, NOT_READY_NOTICE_S)
         self.http_server.closes_idle = True
         self.http_server.sweep()
-        end_at = began + self.settings.bounds.grace_s - STOP_MARGIN_S
+        self.request_handler.stops_at = end_at
         while self.has_work and self.reactor.seconds() < end_at:
             await sleep(self.reactor, SWEEP_INTERVAL_S)
             self.http_server.sweep()
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -21,7 +21,11 @@
 from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
-from sardinehook.gateway.policy import DEMAND_WINDOW_S, RequestPolicy
+from sardinehook.gateway.policy import (
+    DEMAND_WINDOW_S,
+    RequestPolicy,
+    request_deadline,
+)
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
 from sardinehook.gateway.search_codec import (
@@ -37,6 +41,7 @@
 STARTING_WAIT_S = 0.2  # the store answers within this time, or is in trouble
 MAX_WAITING = 256  # requests that wait for the first configuration
 MAX_KEPT_VERSIONS = 8  # other gateways may delegate searches under older ones
+IDEMPOTENT_TIME_RATIO = 3.0  # of the objective: hardly any answer takes longer
 MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
 
 Finish = Callable[[CallerAnswer], None]
@@ -93,6 +98,7 @@
         self.recent_versions: dict[int, Configuration] = {}
         self.delegates: Delegates | None = None
         self.stopping = False
+        self.stops_at = float("inf")
         self.delegated_in_flight = 0
         self.max_delegated = 0
         self.waiting: list[WaitingRequest] = []
@@ -213,8 +219,23 @@
                 f"no route matches in configuration version {configuration.version}"
             )
             return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
+        if not self.can_finish(request, route):
+            detail = "the gateway stops before the request would be finished"
+            return self.refuse(request, Problem(ErrorKind.STOPPING, detail), finish)
         return self.begin(request, route, configuration, finish)
 
+    def can_finish(self, request: CallerRequest, route: Route) -> bool:
+        """Return whether a request that arrives now is finished before the stop.
+
+        ``stops_at`` is finite once the load balancer has led callers elsewhere: another
+        gateway then serves a refused request. One that may run once only is not taken
+        if the stop could cut it, since its caller could not repeat it.
+        """
+        if not route.idempotent:
+            return request_deadline(request, route) <= self.stops_at
+        needed_s = IDEMPOTENT_TIME_RATIO * route.objective_s
+        return request.received_at + needed_s <= self.stops_at
+
     def can_wait(self) -> bool:
         """Return whether one more request may wait for the first configuration."""
         is_starting = self.reactor.seconds() < self.waits_until
