Write what libraries log to the event log

Cause: asyncio logs some warnings through the logging module, whose last resort writes to standard error without a bound. Change: one handler on the root logger writes them as events. Result: tests/observe/test_errors.py.

--- a/sardinehook/gateway/run.py
+++ b/sardinehook/gateway/run.py
@@ -16,7 +16,7 @@
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.observe.clock import HybridClock
-from sardinehook.observe.errors import log_error
+from sardinehook.observe.errors import log_error, log_library_warnings
 from sardinehook.observe.events import EventName, configure_logging, log_event
 from sardinehook.observe.rate_limited_stream import RateLimitedStream
 from sardinehook.platform.callers import PlatformCallers
@@ -55,6 +55,7 @@
     )
     clock = HybridClock(time.time)
     configure_logging(output, settings.node, settings.data_centre, clock)
+    log_library_warnings()
 
     def make_store(metrics: GatewayMetrics) -> GatewayStore:
         def count(operation: str, outcome: str) -> None:
--- a/sardinehook/observe/errors.py
+++ b/sardinehook/observe/errors.py
@@ -2,17 +2,33 @@
 
 from __future__ import annotations
 
+import logging
+
 import structlog
 
 from sardinehook.observe.events import EventName, log_event
 
-__all__ = ["error_frames", "log_error"]
+__all__ = ["error_frames", "log_error", "log_library_warnings"]
 
 logger = structlog.get_logger(__name__)
 
 FRAMES = 3  # innermost frames in a log line
 
 
+class EventLogHandler(logging.Handler):
+    """Writes what libraries log to the event log, which is bounded."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        error = record.exc_info[1] if record.exc_info else None
+        log_error(error, f"{record.name}: {record.getMessage()}")
+
+
+def log_library_warnings() -> None:
+    """Forward warnings and errors that libraries log; call once per process."""
+    logging.getLogger().addHandler(EventLogHandler(logging.WARNING))
+
+
 def log_error(error: BaseException | None, detail: str = "") -> None:
     """Log an error that no code expected, as one line."""
     cause = f"{type(error).__name__}: {error}" if error is not None else ""
--- a/tests/observe/test_errors.py
+++ b/tests/observe/test_errors.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import logging
+
 from structlog.testing import capture_logs
 
-from sardinehook.observe.errors import log_error
+from sardinehook.observe.errors import EventLogHandler, log_error
 
 
 class TestLogError:
@@ -22,3 +24,15 @@
         with capture_logs() as lines:
             log_error(None, "socket.accept() out of system resource")
         assert lines[0]["detail"] == "socket.accept() out of system resource"
+
+
+class TestLibraryWarnings:
+    def test_what_a_library_logs_is_one_event(self) -> None:
+        library = logging.getLogger("a.library")
+        handler = EventLogHandler(logging.WARNING)
+        library.addHandler(handler)
+        with capture_logs() as lines:
+            library.warning("no room for %d more", 3)
+            library.info("fine")
+        library.removeHandler(handler)
+        assert [line["detail"] for line in lines] == ["a.library: no room for 3 more"]
