Start a large fleet through its readers and delegates

Change: a starting gateway lists the gateways first, then readers list all keys and the others get them from a reader, compressed, waiting for one that has no state yet; widest readers first; without readers each lists for itself. Delegates are chosen with the shares, and their first connection counts as a heartbeat. Requests wait up to 0.5 s, a quarter of their caller's time at most. Tests: TestFleetThatStartsAtOnce, TestDelegates in tests/gateway/test_first_second.py.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -40,10 +40,25 @@
         self.name = name
         self.pool = pool
         self.last_heartbeat_at = last_heartbeat_at
+        self.was_heard = False
         self.avoided_until = 0.0
         self.cut_off = False
         self.searches: dict[DelegatedWork, None] = {}
 
+    def record_heartbeat(self, now: float, cut_off: bool) -> None:
+        """Record a heartbeat, and whether the sender says that it is cut off."""
+        self.was_heard = True
+        self.last_heartbeat_at = now
+        self.cut_off = cut_off
+
+    def record_connected(self, now: float) -> None:
+        """Take the first connection for a heartbeat, unless one has arrived.
+
+        Later ones show nothing: the kernel also accepts them for a paused process.
+        """
+        if not self.was_heard:
+            self.record_heartbeat(now, False)
+
     def is_usable(self, now: float) -> bool:
         """Return whether heartbeats arrive and no failure was seen lately."""
         return (
@@ -82,19 +97,24 @@
             self.removed = [one for one in [*self.removed, removed] if one.searches]
         for name in candidates:
             if name not in self.known:
-                pool = ConnectionPool(
-                    self.reactor, records[name].peer_address, MAX_CONNECTIONS, ignore
-                )
-                # Usable only after its first heartbeat.
-                last_heartbeat_at = self.reactor.seconds() - 2 * HEARTBEAT_TIMEOUT_S
-                self.known[name] = Delegate(name, pool, last_heartbeat_at)
+                self.add(name, records[name].peer_address)
+
+    def add(self, name: str, address: str) -> None:
+        """Add a delegate, which is usable after a connection or a heartbeat."""
+
+        def record_connected() -> None:
+            delegate.record_connected(self.reactor.seconds())
+
+        pool = ConnectionPool(self.reactor, address, MAX_CONNECTIONS, record_connected)
+        last_heartbeat_at = self.reactor.seconds() - 2 * HEARTBEAT_TIMEOUT_S
+        delegate = self.known[name] = Delegate(name, pool, last_heartbeat_at)
+        pool.probe()
 
     def record_heartbeat(self, node: str, cut_off: bool) -> None:
         """Record a heartbeat, and whether the sender says that it is cut off."""
         delegate = self.known.get(node)
         if delegate is not None:
-            delegate.last_heartbeat_at = self.reactor.seconds()
-            delegate.cut_off = cut_off
+            delegate.record_heartbeat(self.reactor.seconds(), cut_off)
 
     def usable(self) -> list[Delegate]:
         """Return the delegates that may get searches now."""
@@ -146,7 +166,3 @@
                 took_ms=(now - delegate.last_heartbeat_at) * 1000.0,
             )
         delegate.avoided_until = now + duration_s
-
-
-def ignore() -> None:
-    """Ignore that a connection was opened: heartbeats detect failures."""
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -9,7 +9,7 @@
 import structlog
 from returns.result import Failure, Success
 
-from sardinehook.gateway.fleet import GatewayFleet
+from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.peers import PeerCalls
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.readers import Reader, ReaderSelector
@@ -110,14 +110,38 @@
 
     async def follow(self) -> None:
         """Poll a reader, or read the store if no reader is usable, until stopped."""
+        if not self.state.loaded:
+            await self.read_gateways()
         while self.running:
             self.update_readers()
             readers = self.reader_selector.usable(self.reactor.seconds())
-            if readers and not self.state.listing_needed:
+            if readers and self.can_poll_readers:
                 await self.poll_readers(readers[0])
             else:
                 await self.read_store()
 
+    async def read_gateways(self) -> None:
+        """List the gateways first, which tells who reads the store.
+
+        When a large fleet starts at once, listings of all keys for all gateways would
+        take longer on the store's link than everything else in the start.
+        """
+        match await self.store.read_all(GATEWAY_PREFIX):
+            case Success(listing):
+                self.record_contact("")
+                self.state.apply_gateways(listing.items)
+            case Failure(problem):
+                await self.handle_failure(problem)
+
+    @property
+    def can_poll_readers(self) -> bool:
+        """Whether readers can bring the state up to date.
+
+        A starting gateway gets a listing from them. One that has lost history needs one
+        from the store, since the readers may lack the same changes.
+        """
+        return not self.state.loaded or not self.state.listing_needed
+
     async def monitor_watch(self) -> None:
         """Compare pending watches with other gateways until stopped."""
         while self.running:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -311,6 +311,7 @@
         records = {**self.fleet.records, self.settings.node: self.fleet.record}
         shares = compute_shares(self.settings.node, records)
         self.directory.set_shares(shares)
+        self.delegates.update()
         self.heartbeats.sends_heartbeats = (
             shares.search_divisor < shares.request_divisor
         )
--- a/sardinehook/gateway/readers.py
+++ b/sardinehook/gateway/readers.py
@@ -26,10 +26,10 @@
 
     Readers are the gateways with the highest bandwidth, among equals those with the
     lowest name hashes, so that all gateways which know each other select the same ones
-    without coordination. The other gateways long-poll one primary reader and call the
-    others in rotation, so that a reader that lags, hangs or is cut off from the store
-    delays changes by one call only. A gateway without a usable reader reads the store
-    itself.
+    without coordination. The other gateways long-poll one primary reader, of those with
+    the highest bandwidth, and call the others in rotation, so that a reader that lags,
+    hangs or is cut off from the store delays changes by one call only. A gateway
+    without a usable reader reads the store itself.
 
     >>> records = {f"g-{n}": GatewayRecord(f"10.0.0.{n}:1", "a") for n in range(9)}
     >>> selectors = [ReaderSelector(n, record) for n, record in records.items()]
@@ -44,6 +44,7 @@
         self.record = record
         self.readers: tuple[Reader, ...] = ()
         self.is_reader = True
+        self.primary_count = 0
         self.secondary_turn = 0
         self.other_reader_turn = 0
         self.avoided_until: dict[str, float] = {}
@@ -64,6 +65,10 @@
         if readers == self.readers:
             return False
         self.is_reader = self.node in chosen
+        highest = candidates[ranked[0]].link_mbps
+        self.primary_count = sum(
+            candidates[name].link_mbps == highest for name in chosen
+        )
         self.readers = readers
         return True
 
@@ -74,8 +79,10 @@
         """
         if self.is_reader:
             return []
-        first = crc32(self.node.encode()) % len(self.readers)
-        ordered = self.readers[first:] + self.readers[:first]
+        primaries = self.readers[: self.primary_count]
+        first = crc32(self.node.encode()) % len(primaries)
+        ordered = primaries[first:] + primaries[:first]
+        ordered += self.readers[self.primary_count :]
         return [
             reader
             for reader in ordered
--- a/sardinehook/gateway/relay.py
+++ b/sardinehook/gateway/relay.py
@@ -66,18 +66,28 @@
     def answer(self, query: bytes, finish: FinishCall) -> LongPoll | None:
         """Answer a call at once, or return it as pending for at most its wait."""
         after, wait_s = read_query(query)
-        if self.cache.revision is None:
-            finish(CallerAnswer(UNAVAILABLE, (), b"", "probe"))
-            return None
-        update = self.update_since(after)
-        if not self.current or update.whole or update.changes.items or not wait_s:
-            finish(CallerAnswer(OK, (), self.encode(update), "probe"))
+        if not self.must_wait(after) or not wait_s:
+            finish(self.answer_now(after))
             return None
         poll = LongPoll(self, after, finish)
         self.waiting[poll] = None
         self.reactor.callLater(wait_s, self.answer_poll, poll)
         return poll
 
+    def must_wait(self, after: int) -> bool:
+        """Return whether there is nothing to tell yet: no state, or no change."""
+        if self.cache.revision is None:
+            return True
+        update = self.update_since(after)
+        return self.current and not update.whole and not update.changes.items
+
+    def answer_now(self, after: int) -> CallerAnswer:
+        """Return the answer to a call as of now."""
+        if self.cache.revision is None:
+            return CallerAnswer(UNAVAILABLE, (), b"", "probe")
+        body = self.encode(self.update_since(after))
+        return CallerAnswer(OK, (), body, "probe")
+
     def update_since(self, after: int) -> StateUpdate:
         """Return the changes after a revision, or a listing if these are not logged."""
         changes = self.cache.changes_after(after)
@@ -86,7 +96,9 @@
         return StateUpdate(changes, False, self.current)
 
     def answer_waiting(self) -> None:
-        """Answer all pending calls."""
+        """Answer all pending calls, unless no state is known yet."""
+        if self.cache.revision is None:
+            return
         for poll in list(self.waiting):
             self.answer_poll(poll)
 
@@ -94,8 +106,7 @@
         """Answer a pending call, unless it was answered or cancelled before."""
         if poll in self.waiting:
             del self.waiting[poll]
-            body = self.encode(self.update_since(poll.after))
-            poll.finish(CallerAnswer(OK, (), body, "probe"))
+            poll.finish(self.answer_now(poll.after))
 
     def encode(self, update: StateUpdate) -> bytes:
         """Encode an update; the last one is cached, since many calls get the same."""
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -38,7 +38,8 @@
 __all__ = ["Cancellable", "RequestHandler"]
 
 STARTING_RETRY_S = 0.2  # a starting gateway has loaded its configuration by then
-STARTING_WAIT_S = 0.2  # the store answers within this time, or is in trouble
+STARTING_WAIT_S = 0.5  # a large fleet has its state by then, or is in trouble
+MAX_WAIT_RATIO = 0.25  # of the caller's timeout: leaves time to go elsewhere
 MAX_WAITING = 256  # requests that wait for the first configuration
 MAX_KEPT_VERSIONS = 8  # other gateways may delegate searches under older ones
 IDEMPOTENT_TIME_RATIO = 3.0  # of the objective: hardly any answer takes longer
@@ -210,9 +211,8 @@
         if configuration is None:
             if self.can_wait():
                 return self.wait(request, finish)
-            return self.refuse(
-                request, Problem(ErrorKind.NO_DOCUMENT, "no configuration yet"), finish
-            )
+            self.refuse_starting(request, finish)
+            return None
         route = configuration.find_route(request.host, request.path)
         if route is None:
             detail = (
@@ -245,8 +245,23 @@
         """Keep a request until the first configuration is known."""
         waiting = WaitingRequest(request, finish)
         self.waiting.append(waiting)
+        if request.caller_timeout_s is not None:
+            wait_s = MAX_WAIT_RATIO * request.caller_timeout_s
+            self.reactor.callLater(wait_s, self.stop_waiting, waiting)
         return waiting
 
+    def stop_waiting(self, waiting: WaitingRequest) -> None:
+        """Refuse a request if it still waits for a configuration."""
+        if waiting in self.waiting:
+            self.waiting.remove(waiting)
+            if not waiting.cancelled:
+                self.refuse_starting(waiting.request, waiting.finish)
+
+    def refuse_starting(self, request: CallerRequest, finish: Finish) -> None:
+        """Refuse a request because no configuration is known."""
+        problem = Problem(ErrorKind.NO_DOCUMENT, "no configuration yet")
+        self.refuse(request, problem, finish)
+
     def release_waiting(self) -> None:
         """Start the requests that waited for a configuration, or refuse them."""
         released, self.waiting = self.waiting, []
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -76,6 +76,12 @@
         if items:
             self.on_changed()
 
+    def apply_gateways(self, items: Sequence[Item]) -> None:
+        """Apply records of gateways that were listed before all other keys."""
+        for item in items:
+            if item.key.startswith(GATEWAY_PREFIX):
+                self.apply_item_alone(item)
+
     def remove_missing(self, items: Sequence[Item]) -> None:
         """Remove what a listing no longer contains."""
         now = self.reactor.seconds()
--- a/tests/gateway/test_first_second.py
+++ b/tests/gateway/test_first_second.py
@@ -13,6 +13,7 @@
 import pytest
 
 from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.delegates import HEARTBEAT_TIMEOUT_S, Delegates
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
 from sardinehook.gateway.interfaces import HttpRequest
 from sardinehook.gateway.request_handler import (
@@ -23,8 +24,17 @@
 from sardinehook.gateway.store import Item
 from sardinehook.platform.listen_address import read_front_address
 from sardinehook.transport.early_sockets import Address
-from tests.gateway.test_follower import ScriptedStore, replica
+from tests.gateway.fake_transport import RecordingReactor, make_transport
+from tests.gateway.test_follower import (
+    FollowerRig,
+    ScriptedPeers,
+    ScriptedStore,
+    peer_address,
+    replica,
+    version,
+)
 from tests.gateway.test_process import ProcessRig
+from tests.gateway.test_readers import registration
 
 HEADERS = ((b"Host", b"h"), (b"X-Request-Id", b"r-1"), (b"X-Deadline-Ms", b"800"))
 SERVICES = [{"Name": "desk", "HealthPath": "/health", "MaxConns": 60}]
@@ -70,6 +80,21 @@
         request = HttpRequest(b"GET", b"/x/1", HEADERS, b"", now)
         return self.process.request_handler.handle(request, self.answers.append)
 
+    def start_beside_wide_gateway(self) -> Delegates:
+        """Learn of a gateway with a wide link, and return the delegates."""
+        process = self.process
+        process.fleet.record.link_mbps = 20.0
+        wide = GatewayRecord("10.0.0.9:1", "here", link_mbps=200.0)
+        item = Item(GATEWAY_PREFIX + "wide", msgspec.json.encode(wide), 1)
+        self.store.answer(5, configuration_item(2), item)
+        self.reactor.advance(0.0)
+        return process.delegates
+
+    def accept_connection(self) -> None:
+        """Accept the last connection attempt."""
+        factory = self.reactor.tcpClients[-1][2]
+        factory.buildProtocol(None).makeConnection(make_transport())
+
     def answer_store(self, gateways: int = 6) -> None:
         """Answer the listing: configuration, replica, and gateways of the fleet."""
         records = [gateway_item(f"g-{number + 1}", 1) for number in range(gateways)]
@@ -140,6 +165,85 @@
         assert [answer.status for answer in rig.answers] == [503]
 
 
+class TestFleetThatStartsAtOnce:
+    """Listings for all gateways at once would fill the link of the store."""
+
+    def test_readers_list_all_keys_and_the_others_ask_them(self) -> None:
+        fleet = StartingFleet(9)
+        assert len(fleet.readers) == 3
+        fleet.answer_readers()
+        assert [rig.versions for rig in fleet.rigs] == [[7]] * 9
+        assert [rig.store.calls.count("read_all") for rig in fleet.rigs] == [
+            int(rig in fleet.readers) for rig in fleet.rigs
+        ]
+
+    def test_they_wait_for_readers_that_have_no_state_yet(self) -> None:
+        fleet = StartingFleet(9)
+        fleet.reactor.pump([0.1] * 3)
+        fleet.answer_readers()
+        assert all(rig.versions == [7] for rig in fleet.rigs)
+
+    def test_without_readers_each_gateway_lists_for_itself(self) -> None:
+        fleet = StartingFleet(9, unreachable=True)
+        fleet.reactor.pump([0.1] * 20)
+        assert all("read_all" in rig.store.calls for rig in fleet.rigs)
+
+    def test_a_gateway_without_others_lists_all_keys(self) -> None:
+        (rig,) = StartingFleet(1).rigs
+        assert rig.store.calls == ["read_all"]
+
+
+class StartingFleet:
+    """Gateways whose records have outlived a short loss of power."""
+
+    def __init__(self, gateways: int, unreachable: bool = False) -> None:
+        self.reactor = RecordingReactor()
+        self.peers = ScriptedPeers()
+        names = [f"g-{number}" for number in range(gateways)]
+        if unreachable:
+            self.peers.unreachable = {peer_address(name) for name in names}
+        self.records = tuple(registration(name, 1) for name in names)
+        self.rigs = [
+            FollowerRig(self.reactor, name, self.peers, self.records, starts=False)
+            for name in names
+        ]
+        for rig in self.rigs:
+            rig.follower.start()
+
+    @property
+    def readers(self) -> list[FollowerRig]:
+        """The gateways that read the store."""
+        return [rig for rig in self.rigs if rig.follower.reader_selector.is_reader]
+
+    def answer_readers(self) -> None:
+        """Answer the listings of the readers, and let news spread."""
+        for rig in self.readers:
+            items = (version(7, 5), replica("a", 3), *self.records)
+            rig.store.answer(9, *items)
+        self.reactor.pump([0.05] * 30)
+
+
+class TestDelegates:
+    """A gateway with a narrow link is fast again once its delegates are."""
+
+    def test_a_delegate_is_usable_as_soon_as_it_accepts_a_connection(self) -> None:
+        rig = StartRig()
+        delegates = rig.start_beside_wide_gateway()
+        assert delegates.usable() == []
+        rig.accept_connection()
+        assert [delegate.name for delegate in delegates.usable()] == ["wide"]
+
+    def test_only_the_first_connection_counts(self) -> None:
+        """The kernel accepts connections for a paused process too."""
+        rig = StartRig()
+        delegates = rig.start_beside_wide_gateway()
+        rig.accept_connection()
+        rig.reactor.advance(HEARTBEAT_TIMEOUT_S + 0.1)
+        delegates.known["wide"].pool.probe()
+        rig.accept_connection()
+        assert delegates.usable() == []
+
+
 class TestListeningEarly:
     def test_the_address_is_read_from_the_settings_file(self, tmp_path: object) -> None:
         path = f"{tmp_path}/boot.toml"
--- a/tests/gateway/test_readers.py
+++ b/tests/gateway/test_readers.py
@@ -104,6 +104,15 @@
         rig.follower.reader_selector.update(records)
         assert rig.follower.reader_selector.is_reader
 
+    def test_pollers_prefer_readers_with_the_highest_bandwidth(self) -> None:
+        rig = FollowerRig()
+        records = {f"g-{n}": GatewayRecord(f"a:{n}", "here") for n in range(2, 30)}
+        records["wide"] = GatewayRecord("a:99", "here", link_mbps=200.0)
+        selector = rig.follower.reader_selector
+        selector.update(records)
+        assert [reader.name for reader in selector.usable(0.0)][0] == "wide"
+        assert len(selector.usable(0.0)) == 3
+
     def test_gateways_with_the_highest_bandwidth_are_readers(self) -> None:
         rig = FollowerRig()
         records = {
