Let all gateways of a soak crash at once

Cause: the soak killed gateways one by one or a data centre's within an outage; the first second after a total restart, with callers who stay connected, was not judged.

--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -40,6 +40,7 @@
 MIN_CALM_S = 5.0  # bounds hold from 4 s after an outage
 MAX_CALM_S = 9.0
 LAPSE_SHARE = 0.5
+MEAN_BETWEEN_TOTAL_RESTARTS_S = 10.0
 EVACUATION_SHARE = 0.4
 WHOLE_DATA_CENTRE_SHARE = 0.5
 OUTAGE_MODES = ("silent", "silent", "silent", "busy", "slow", "lost")
@@ -218,6 +219,7 @@
         outage_s = rng.uniform(MIN_OUTAGE_S, MAX_OUTAGE_S)
         scheduled.extend(draw_outage(rng, topology, at, outage_s))
         at += outage_s + rng.uniform(MIN_CALM_S, MAX_CALM_S)
+    scheduled.extend(draw_total_restarts(seed, topology, duration_s))
     within = [one for one in scheduled if one.at < duration_s]
     return sorted(within, key=lambda one: one.at)
 
@@ -250,6 +252,18 @@
         yield ScheduledFault(at + outage_s, evacuation, MIN_DURATION_S)
 
 
+def draw_total_restarts(
+    seed: int, topology: Topology, duration_s: float
+) -> Iterator[ScheduledFault]:
+    """Draw moments at which all gateways crash, while callers stay connected."""
+    rng = Random(f"{seed} total restarts")
+    at = QUIET_START_S + rng.expovariate(1.0 / MEAN_BETWEEN_TOTAL_RESTARTS_S)
+    while at < duration_s:
+        for gateway in range(topology.gateways):
+            yield ScheduledFault(at, GatewayKill(gateway), MIN_DURATION_S)
+        at += MIN_CALM_S + rng.expovariate(1.0 / MEAN_BETWEEN_TOTAL_RESTARTS_S)
+
+
 def draw_gateways(rng: Random, topology: Topology) -> list[int]:
     """Draw the gateways of one data centre, or any of them."""
     gateways = range(topology.gateways)
