Report a connection that was established as its time ended once

Cause, by reading: asyncio may establish a connection in the turn in which its time ends, after a pause of the process for example. It is closed then, and the pool counted the attempt both as failed and as lost, after which it would open one connection too many. Change: a failure is reported only where no protocol was made. Result: a test that fails without it.

--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -222,17 +222,24 @@
     async def connect(
         self, host: str, port: int, factory: StreamClientFactory, timeout: float
     ) -> None:
-        """Connect, or report the failure to the factory."""
+        """Connect, or report the failure to the factory.
+
+        A connection that is established as its time ends is closed by asyncio. Its
+        protocol is told so, and no failure is reported beside that.
+        """
+        made: list[StreamTransport] = []
 
         def make() -> StreamTransport:
-            return StreamTransport(factory.buildProtocol(None), self.buffer)
+            made.append(StreamTransport(factory.buildProtocol(None), self.buffer))
+            return made[0]
 
         try:
             async with asyncio.timeout(timeout):
                 await self.loop.create_connection(make, host, port)
         except OSError as error:
-            detail = str(error) or "connection timed out"
-            factory.clientConnectionFailed(None, ConnectionEnd(False, detail))
+            if not made:
+                detail = str(error) or "connection timed out"
+                factory.clientConnectionFailed(None, ConnectionEnd(False, detail))
 
     def listenTCP(
         self, port: int, factory: StreamServerFactory, backlog: int, interface: str
--- a/tests/transport/test_event_loop.py
+++ b/tests/transport/test_event_loop.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from os import getpid, kill
+from typing import Any
 
 import pytest
 
@@ -154,6 +155,28 @@
         rig.run()
         assert len(client.failed) == 1 and not client.made
 
+    def test_a_connection_established_as_its_time_ends_did_not_fail(
+        self, free_port: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Both reports would count one attempt twice, after a pause of the process."""
+        rig = LoopRig()
+        create_connection = rig.loop.loop.create_connection
+
+        async def establish_late(*args: Any, **kw: Any) -> None:
+            transport, _ = await create_connection(*args, **kw)
+            transport.close()
+            raise TimeoutError
+
+        def stop_when_lost(connection: Recorder, event: str) -> None:
+            if event == "lost":
+                rig.loop.callLater(0.0, rig.loop.stop)
+
+        monkeypatch.setattr(rig.loop.loop, "create_connection", establish_late)
+        client = Factory(stop_when_lost)
+        rig.connect(free_port, client, Factory(echo))
+        rig.run()
+        assert client.failed == [] and len(client.made) == 1
+
     def test_an_error_in_a_handler_ends_its_connection_alone(
         self, free_port: int
     ) -> None:
