Let a gateway ask the delegates that it does not hear

Its delegates had not learnt of it and sent it no heartbeats; it had no requests of its own to suspect anything by, and stayed ready while 40 others turned not-ready. Change: a gateway asks delegates that it has not heard for 0.3 s, and a delegate answers whoever asks. Tests: TestRestartBeforeAPartition.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -17,6 +17,7 @@
 logger = structlog.get_logger(__name__)
 
 HEARTBEAT_TIMEOUT_S = 0.7  # three missed heartbeats and one that is late
+ASK_AFTER_S = 0.3  # one missed heartbeat: the answer comes before the timeout
 AVOID_AFTER_FAILURE_S = 2.0  # covers a restart
 MAX_CONNECTIONS = 32  # to one delegate: its concurrent searches from here
 ANSWER_MARGIN_S = 0.05  # a working delegate answers before the deadline
@@ -116,6 +117,15 @@
         if delegate is not None:
             delegate.record_heartbeat(self.reactor.seconds(), cut_off)
 
+    def unheard(self) -> list[str]:
+        """Return the names of the delegates without a recent heartbeat."""
+        before = self.reactor.seconds() - ASK_AFTER_S
+        return [
+            delegate.name
+            for delegate in self.known.values()
+            if delegate.last_heartbeat_at < before
+        ]
+
     def usable(self) -> list[Delegate]:
         """Return the delegates that may get searches now."""
         now = self.reactor.seconds()
--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -20,10 +20,14 @@
 
 
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
-    """A heartbeat: its sender, and whether that can't reach most replicas."""
+    """A heartbeat: its sender, and whether that can't reach most replicas.
+
+    With ``asks``, the sender wants a heartbeat in return.
+    """
 
     node: str
     cut_off: bool
+    asks: bool = False
 
 
 encode_heartbeat = msgspec.msgpack.Encoder().encode
@@ -37,6 +41,9 @@
     missing heartbeats are detected within a second. ``is_cut_off`` returns whether this
     gateway can't reach most of the replicas that it searches. ``on_heartbeat`` receives
     the name of each registered sender, and whether that one is cut off.
+
+    A delegate sends heartbeats to the gateways that it knows. One that has just started
+    asks for them: its delegates may learn of it late, in a partition only after it.
     """
 
     def __init__(
@@ -51,20 +58,24 @@
         self.on_heartbeat = on_heartbeat
         self.sends_heartbeats = False
         self.was_cut_off = False
+        self.reported_cut_off = False
+        self.unheard: Callable[[], list[str]] = list
         self.malformed = 0
 
     def send(self) -> None:
         """Send a heartbeat to each gateway that may delegate searches to this one."""
         port = self.transport
-        if port is None or not self.sends_heartbeats:
+        if port is None:
+            return
+        self.ask_unheard()
+        if not self.sends_heartbeats:
             return
         own = self.fleet.record
         # After a pause all replicas seem unreachable until pending input is read:
         # report the state only if two checks in a row agree that it is cut off.
         before, self.was_cut_off = self.was_cut_off, self.is_cut_off()
-        heartbeat = encode_heartbeat(
-            Heartbeat(self.fleet.node, before and self.was_cut_off)
-        )
+        self.reported_cut_off = before and self.was_cut_off
+        heartbeat = encode_heartbeat(Heartbeat(self.fleet.node, self.reported_cut_off))
         for record in self.fleet.registered_records().values():
             lower_bandwidth = record.link_mbps < own.link_mbps
             if (
@@ -72,8 +83,16 @@
                 and lower_bandwidth
                 and record.signs_at
             ):
-                host, _, number = record.signs_at.rpartition(":")
-                port.write(heartbeat, (host, int(number)))
+                port.write(heartbeat, socket_address(record.signs_at))
+
+    def ask_unheard(self) -> None:
+        """Ask the delegates that have not been heard lately for a heartbeat."""
+        records = self.fleet.registered_records()
+        question = encode_heartbeat(Heartbeat(self.fleet.node, False, True))
+        for name in self.unheard():
+            record = records.get(name)
+            if record is not None and record.signs_at:
+                self.transport.write(question, socket_address(record.signs_at))
 
     def datagramReceived(self, datagram: bytes, addr: tuple[str, int]) -> None:
         """Report a heartbeat of a registered gateway; log any other datagram."""
@@ -82,7 +101,10 @@
         except DECODE_ERRORS as error:
             self.log_malformed(addr[0], str(error))
             return
-        if heartbeat.node in self.fleet.records:
+        if heartbeat.asks:
+            answer = Heartbeat(self.fleet.node, self.reported_cut_off)
+            self.transport.write(encode_heartbeat(answer), addr)
+        elif heartbeat.node in self.fleet.records:
             self.on_heartbeat(heartbeat.node, heartbeat.cut_off)
         else:
             self.log_malformed(addr[0], f"{heartbeat.node!r} is not registered")
@@ -98,3 +120,13 @@
                 state="invalid heartbeat",
                 detail=detail,
             )
+
+
+def socket_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address.
+
+    >>> socket_address("10.0.0.9:7395")
+    ('10.0.0.9', 7395)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -157,6 +157,7 @@
             lambda: bool(self.request_handler.cut_off_reason()),
             self.delegates.record_heartbeat,
         )
+        self.heartbeats.unheard = self.delegates.unheard
         self.heartbeat_loop = RepeatingCall(
             reactor, HEARTBEAT_INTERVAL_S, self.heartbeats.send
         )
--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -13,7 +13,9 @@
     decode_heartbeat,
     encode_heartbeat,
 )
+from sardinehook.gateway.process import HEARTBEAT_INTERVAL_S
 from tests.gateway.fake_transport import RecordingReactor
+from tests.gateway.test_first_second import StartRig
 from tests.gateway.test_follower import ScriptedStore
 
 
@@ -100,3 +102,56 @@
         rig = HeartbeatRig()
         rig.heartbeats.datagramReceived(datagram, ("10.0.0.9", 9))
         assert rig.received == []
+
+
+class TestRestartBeforeAPartition:
+    """A gateway that registers just before its data centre is cut off.
+
+    The pattern: its delegates never learn of it, and send it no heartbeats. It has no
+    requests either, and would stay ready: with a single ready gateway the load balancer
+    leads all callers of the data centre to gateways that can't serve them.
+    """
+
+    def narrow_rig(self) -> HeartbeatRig:
+        """Return a gateway that has not heard its delegate."""
+        rig = HeartbeatRig()
+        rig.fleet.node = "new"
+        rig.heartbeats.unheard = lambda: ["equal"]
+        return rig
+
+    def test_it_asks_for_the_state_of_its_delegates(self) -> None:
+        rig = self.narrow_rig()
+        rig.heartbeats.send()
+        ((datagram, address),) = rig.port.sent
+        assert decode_heartbeat(datagram) == Heartbeat("new", False, True)
+        assert address == ("10.0.0.3", 9)
+
+    def test_a_delegate_answers_whoever_asks(self) -> None:
+        rig = HeartbeatRig()
+        rig.heartbeats.sends_heartbeats = True
+        rig.cut_off = True
+        for _ in range(2):
+            rig.heartbeats.send()
+        rig.port.sent.clear()
+        question = encode_heartbeat(Heartbeat("new", False, True))
+        rig.heartbeats.datagramReceived(question, ("10.0.0.8", 9))
+        ((datagram, address),) = rig.port.sent
+        assert decode_heartbeat(datagram) == Heartbeat("wide", True)
+        assert address == ("10.0.0.8", 9)
+
+    def test_a_question_is_no_heartbeat(self) -> None:
+        rig = HeartbeatRig()
+        question = encode_heartbeat(Heartbeat("equal", False, True))
+        rig.heartbeats.datagramReceived(question, ("10.0.0.3", 9))
+        assert rig.received == []
+
+    def test_it_turns_not_ready_with_its_delegates(self) -> None:
+        rig = StartRig()
+        delegates = rig.start_beside_wide_gateway()
+        rig.accept_connection()
+        assert delegates.unheard() == []
+        rig.reactor.advance(HEARTBEAT_INTERVAL_S)
+        rig.process.heartbeats.on_heartbeat("wide", True)
+        assert rig.process.unready_reason() == "cut off as wide"
+        rig.reactor.advance(2 * HEARTBEAT_INTERVAL_S)
+        assert delegates.unheard() == ["wide"]
