--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -214,7 +214,7 @@
         if settings.heartbeat_address:
             self.heartbeat_loop.start()
         self.policy.restart_counting()
-        self.request_handler.start()
+        self.request_handler.startup_queue.open()
         self.follower.start()
         self.fleet.start()
         self.sweep_loop.start()
@@ -277,9 +277,10 @@
     def handle_changes(self) -> None:
         """Pass changes of the store on, and start requests that waited for them."""
         self.follower.relay.answer_waiting()
-        if self.request_handler.waiting and self.request_handler.configuration:
+        startup_queue = self.request_handler.startup_queue
+        if startup_queue.waiting and self.request_handler.configuration:
             # The shares are updated first, in a timer that is due already.
-            self.reactor.callLater(0.0, self.request_handler.release_waiting)
+            self.reactor.callLater(0.0, startup_queue.release)
 
     def update_gateways(self, names: frozenset[str]) -> None:
         """Update what gateways share if their records have changed."""
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
 
 from returns.result import Failure, Success
 
@@ -20,6 +19,7 @@
 from sardinehook.gateway.delegated_search import DelegatedSearch
 from sardinehook.gateway.delegates import Delegates
 from sardinehook.gateway.gather import Gather
+from sardinehook.gateway.http_server import Cancellable
 from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
 from sardinehook.gateway.policy import (
     DEMAND_WINDOW_S,
@@ -34,13 +34,11 @@
     encode_answer,
 )
 from sardinehook.gateway.single import SingleCall
+from sardinehook.gateway.startup_queue import StartupQueue
 
 __all__ = ["Cancellable", "RequestHandler"]
 
 STARTING_RETRY_S = 0.2  # a starting gateway has loaded its configuration by then
-STARTING_WAIT_S = 0.5  # a large fleet has its state by then, or is in trouble
-MAX_WAIT_RATIO = 0.25  # of the caller's timeout: leaves time to go elsewhere
-MAX_WAITING = 256  # requests that wait for the first configuration
 MAX_KEPT_VERSIONS = 8  # other gateways may delegate searches under older ones
 IDEMPOTENT_TIME_RATIO = 3.0  # of the objective: hardly any answer takes longer
 MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
@@ -48,14 +46,6 @@
 Finish = Callable[[CallerAnswer], None]
 
 
-class Cancellable(Protocol):
-    """A request in progress."""
-
-    def cancel(self) -> None:
-        """Stop after the caller has disconnected."""
-        ...
-
-
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of a route.
 
@@ -102,13 +92,9 @@
         self.stops_at = float("inf")
         self.delegated_in_flight = 0
         self.max_delegated = 0
-        self.waiting: list[WaitingRequest] = []
-        self.waits_until = float("-inf")
-
-    def start(self) -> None:
-        """Let requests wait for the first configuration, for a short time from now."""
-        self.waits_until = self.reactor.seconds() + STARTING_WAIT_S
-        self.reactor.callLater(STARTING_WAIT_S, self.release_waiting)
+        self.startup_queue = StartupQueue(
+            policy.reactor, request_log, self.route, self.refuse_starting
+        )
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration to all requests that arrive from now on."""
@@ -209,10 +195,9 @@
         """Find the route of a request and start it."""
         configuration = self.configuration
         if configuration is None:
-            if self.can_wait():
-                return self.wait(request, finish)
-            self.refuse_starting(request, finish)
-            return None
+            if self.startup_queue.has_room:
+                return self.startup_queue.add(request, finish)
+            return self.refuse_starting(request, finish)
         route = configuration.find_route(request.host, request.path)
         if route is None:
             detail = (
@@ -236,44 +221,12 @@
         needed_s = IDEMPOTENT_TIME_RATIO * route.objective_s
         return request.received_at + needed_s <= self.stops_at
 
-    def can_wait(self) -> bool:
-        """Return whether one more request may wait for the first configuration."""
-        is_starting = self.reactor.seconds() < self.waits_until
-        return is_starting and len(self.waiting) < MAX_WAITING
-
-    def wait(self, request: CallerRequest, finish: Finish) -> WaitingRequest:
-        """Keep a request until the first configuration is known."""
-        waiting = WaitingRequest(request, finish)
-        self.waiting.append(waiting)
-        if request.caller_timeout_s is not None:
-            wait_s = MAX_WAIT_RATIO * request.caller_timeout_s
-            self.reactor.callLater(wait_s, self.stop_waiting, waiting)
-        return waiting
-
-    def stop_waiting(self, waiting: WaitingRequest) -> None:
-        """Refuse a request if it still waits for a configuration."""
-        if waiting in self.waiting:
-            self.waiting.remove(waiting)
-            if not waiting.cancelled:
-                self.refuse_starting(waiting.request, waiting.finish)
-
-    def refuse_starting(self, request: CallerRequest, finish: Finish) -> None:
+    def refuse_starting(
+        self, request: CallerRequest, finish: Finish
+    ) -> Cancellable | None:
         """Refuse a request because no configuration is known."""
         problem = Problem(ErrorKind.NO_DOCUMENT, "no configuration yet")
-        self.refuse(request, problem, finish)
-
-    def release_waiting(self) -> None:
-        """Start the requests that waited for a configuration, or refuse them."""
-        released, self.waiting = self.waiting, []
-        if not released:
-            return
-        now = self.reactor.seconds()
-        self.request_log.record_released(
-            len(released), now - released[0].request.received_at
-        )
-        for waiting in released:
-            if not waiting.cancelled:
-                waiting.work = self.route(waiting.request, waiting.finish)
+        return self.refuse(request, problem, finish)
 
     def refuse(
         self, request: CallerRequest, problem: Problem, finish: Finish
@@ -409,22 +362,6 @@
     return CallerAnswer(503, (), reason.encode(), "not taken", reason)
 
 
-class WaitingRequest:
-    """A request that waits for the first configuration, and then its work."""
-
-    def __init__(self, request: CallerRequest, finish: Finish) -> None:
-        self.request = request
-        self.finish = finish
-        self.cancelled = False
-        self.work: Cancellable | None = None
-
-    def cancel(self) -> None:
-        """Stop after the caller has disconnected."""
-        self.cancelled = True
-        if self.work is not None:
-            self.work.cancel()
-
-
 class RunningRequest:
     """A request whose caller may disconnect; ``peer`` is the delegating gateway."""
 
--- a/tests/gateway/test_first_second.py
+++ b/tests/gateway/test_first_second.py
@@ -15,12 +15,9 @@
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.delegates import HEARTBEAT_TIMEOUT_S, Delegates
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
+from sardinehook.gateway.http_server import Cancellable
 from sardinehook.gateway.interfaces import HttpRequest
-from sardinehook.gateway.request_handler import (
-    MAX_WAITING,
-    STARTING_WAIT_S,
-    Cancellable,
-)
+from sardinehook.gateway.startup_queue import MAX_WAIT_S, MAX_WAITING
 from sardinehook.gateway.store import Item
 from sardinehook.platform.listen_address import read_front_address
 from sardinehook.transport.early_sockets import Address
@@ -131,14 +128,14 @@
     def test_without_an_answer_of_the_store_they_are_refused_soon(self) -> None:
         rig = StartRig()
         rig.ask()
-        rig.reactor.advance(STARTING_WAIT_S)
+        rig.reactor.advance(MAX_WAIT_S)
         (answer,) = rig.answers
         assert answer.status == 503
         assert dict(answer.headers)[b"Retry-After"]
 
     def test_later_requests_are_refused_at_once(self) -> None:
         rig = StartRig()
-        rig.reactor.advance(STARTING_WAIT_S)
+        rig.reactor.advance(MAX_WAIT_S)
         rig.ask()
         assert [answer.status for answer in rig.answers] == [503]
 
