Count the rate of cold replicas as used in the first second of a gateway

Each gateway keeps a sixth, but a crash forgets what was sent, and a start takes less than a second now: two processes used the share of one window. Change: as with the slack of repeats, what an earlier process may have sent counts as sent for one window.

--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -85,9 +85,10 @@
         self.directory.drain_s = bounds.drain_s
 
     def restart_counting(self) -> None:
-        """Restart all retry budgets; retries sent before are unknown."""
+        """Restart all counts; what was sent before is unknown."""
         self.budgets.clear()
         self.counting_since = self.reactor.seconds()
+        self.selector.counting_since = self.counting_since
 
     def budget_for(self, service: str) -> RetryBudget:
         """Return the retry budget of a service, creating it if needed."""
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from sardinehook.gateway.dispatch import Exchange
 
-__all__ = ["Replica"]
+__all__ = ["COLD_RATE_WINDOW_S", "Replica"]
 
 MIN_SAMPLES = 3  # the fewest whose median ignores a single pause
 MAX_SAMPLES = 9  # bounds the cost; a pause delays fewer than half of them
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -9,7 +9,7 @@
 
 from sardinehook.gateway.configuration import Service
 from sardinehook.gateway.directory import Directory
-from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica import COLD_RATE_WINDOW_S, Replica
 from sardinehook.gateway.settings import Bounds
 
 __all__ = ["ReplicaSelector", "SelectedReplica"]
@@ -57,6 +57,7 @@
         self.data_centre = data_centre
         self.random = Random(seed)
         self.bounds = Bounds()
+        self.counting_since = float("-inf")
         self.on_cold_denied: Callable[[], object] = int
         self.on_rate_denied: Callable[[], object] = int
 
@@ -133,7 +134,10 @@
         service = configuration and configuration.services.get(replica.entry.service)
         if not service or service.cold_requests_per_s <= 0.0:
             return True
-        if replica.cold_requests(now) < self.cold_request_limit(replica, service):
+        # An earlier process may have used the share in the present window.
+        counted = now >= self.counting_since + COLD_RATE_WINDOW_S
+        limit = self.cold_request_limit(replica, service)
+        if counted and replica.cold_requests(now) < limit:
             return True
         self.on_cold_denied()
         return False
--- a/tests/gateway/test_limits.py
+++ b/tests/gateway/test_limits.py
@@ -106,6 +106,21 @@
                 sent = self.sent_in_one_second(gateways, rate)
                 assert sent <= bound, (gateways, rate)
 
+    def test_a_restarted_gateway_leaves_the_first_second_to_its_predecessor(
+        self,
+    ) -> None:
+        """All gateways crash at once, and each had used its share before."""
+        gateway = make_gateway()
+        gateway.directory.configure(configuration(single_route(True), cold_rate=2.0))
+        replica = gateway.add("desk-a", "desk")
+        gateway.policy.restart_counting()
+        began = gateway.reactor.seconds()
+        replica.cold_until = began + 3.0
+        selector = gateway.policy.selector
+        assert not selector.cold_limit_allows(replica, began)
+        assert not selector.cold_limit_allows(replica, began + 0.99)
+        assert selector.cold_limit_allows(replica, began + 1.0)
+
     def test_requests_waiting_for_a_connection_count(self) -> None:
         gateway = make_gateway()
         gateway.directory.configure(configuration(single_route(True), cold_rate=0.1))
