--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -1,8 +1,8 @@
 """Event loop of a gateway: TCP, UDP, timers and signals on asyncio.
 
 It has the methods of a Twisted reactor that gateways use, so that Twisted's simulated
-clocks can take its place in tests. A gateway starts in half the time without Twisted,
-most of whose import it does not need.
+clocks can take its place in tests. Loading Twisted itself would take more time than
+the rest of a gateway's start.
 """
 
 from __future__ import annotations
