Answer for heartbeats only as a delegate that knows its fleet

Cause, by reading: a gateway with a wide link that restarts inside a partition knows nothing yet and would have answered that it isn't cut off, which keeps all that ask it ready. Change: it answers once it sends heartbeats by itself. Result: a test that fails without it.

--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -102,13 +102,21 @@
             self.log_malformed(addr[0], str(error))
             return
         if heartbeat.asks:
-            answer = Heartbeat(self.fleet.node, self.reported_cut_off)
-            self.transport.write(encode_heartbeat(answer), addr)
+            self.answer(addr)
         elif heartbeat.node in self.fleet.records:
             self.on_heartbeat(heartbeat.node, heartbeat.cut_off)
         else:
             self.log_malformed(addr[0], f"{heartbeat.node!r} is not registered")
 
+    def answer(self, address: tuple[str, int]) -> None:
+        """Send a heartbeat to a gateway that asks, if this one is a delegate.
+
+        One that has just started doesn't know yet whether it is cut off.
+        """
+        if self.sends_heartbeats:
+            heartbeat = Heartbeat(self.fleet.node, self.reported_cut_off)
+            self.transport.write(encode_heartbeat(heartbeat), address)
+
     def log_malformed(self, address: str, detail: str) -> None:
         """Log the first datagrams that are no heartbeats of a registered gateway."""
         self.malformed += 1
--- a/tests/gateway/test_heartbeat.py
+++ b/tests/gateway/test_heartbeat.py
@@ -139,6 +139,13 @@
         assert decode_heartbeat(datagram) == Heartbeat("wide", True)
         assert address == ("10.0.0.8", 9)
 
+    def test_a_delegate_that_knows_no_others_yet_does_not_answer(self) -> None:
+        """It would keep gateways ready that are cut off like itself."""
+        rig = HeartbeatRig()
+        question = encode_heartbeat(Heartbeat("new", False, True))
+        rig.heartbeats.datagramReceived(question, ("10.0.0.8", 9))
+        assert rig.port.sent == []
+
     def test_a_question_is_no_heartbeat(self) -> None:
         rig = HeartbeatRig()
         question = encode_heartbeat(Heartbeat("equal", False, True))
