--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -26,6 +26,7 @@
 MAX_CONNECTIONS_RATIO = 0.9  # of the limit; closing connections still count there
 DEFAULT_MAX_CONNECTIONS = 16  # for replicas of a service without a limit
 DEREGISTERED_GRACE_RATIO = 0.7  # of the drain time
+MAX_PROBES = 32  # of failing replicas at once, since each takes processor time
 MAX_DETAILED_CHANGES = 8  # more changes at once share lines, without their details
 MAX_DEREGISTERED_GRACE_S = 2.4  # entries lost in a store outage return within 2 s
 
@@ -299,6 +300,20 @@
                 probed.add(data_centre)
                 replica.pool.probe()
 
+    def probe_failing(self, now: float) -> None:
+        """Connect to replicas that refused all connections, once their backoff ends.
+
+        A service all of whose replicas refuse gets no requests, and so no connections:
+        after a partition that would last for good.
+        """
+        failing = [
+            replica
+            for replica in self.replicas.values()
+            if replica.pool.is_failing and now >= replica.pool.retry_at
+        ]
+        for replica in self.random.sample(failing, min(len(failing), MAX_PROBES)):
+            replica.pool.probe()
+
     def set_evacuated(self, data_centres: set[str]) -> None:
         """Set the data centres that get no new requests."""
         if data_centres != self.evacuated:
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -330,6 +330,7 @@
         self.http_server.sweep()
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
+        self.directory.probe_failing(now)
         self.watch_settings()
         self.fleet.publish_names()
         self.delegates.update()
