--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -6,14 +6,16 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
+from typing import Any
 
 from review.standins.http import Message, read_message
 from review.standins.store import Store
@@ -21,6 +23,7 @@
 REPOSITORY = Path(__file__).resolve().parents[2]
 HOST = "desk.example"
 MEMORY_MB = 300
+LIMIT_S = 110.0  # a case that takes longer ends as one that couldn't run
 GATEWAY_PORTS = (12_000, 32_000)  # below the range of ephemeral ports
 BOUNDS = """\
 SeedLagS = 3
@@ -269,6 +272,7 @@
             gateway.signal(signal.SIGKILL)
             if gateway.process is not None:
                 gateway.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name: str, kind: str, **more: object) -> dict[str, object]:
@@ -286,11 +290,11 @@
     }
 
 
-def run_case(case: Callable[[], Awaitable[int]]) -> None:
+def run_case(case: Callable[[], Coroutine[Any, Any, int]]) -> None:
     """Run a case and exit with its result, with 2 after an unexpected error."""
     loop = asyncio.new_event_loop()
     try:
-        code = loop.run_until_complete(case())
+        code = loop.run_until_complete(asyncio.wait_for(case(), LIMIT_S))
     except Exception as error:
         sys.stderr.write(f"the case could not run: {error!r}\n")
         code = 2
