Show the resident memory and what incomplete replies count

Change: gauges sardinehook_resident_bytes and sardinehook_receive_buffer_bytes, read when metrics are rendered.

--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -91,6 +91,14 @@
         self.connections = instruments.gauge(
             "sardinehook_connections", "Connections to replicas"
         )
+        self.receive_buffer_bytes = instruments.gauge(
+            "sardinehook_receive_buffer_bytes",
+            "What incomplete replies count against their common limit",
+        )
+        self.resident_bytes = instruments.gauge(
+            "sardinehook_resident_bytes",
+            "Resident memory of the process, 0 if unknown",
+        )
         self.log_lines_dropped = instruments.counter(
             "sardinehook_log_lines_dropped",
             "Log lines left out by the ceiling or by a full pipe",
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -38,6 +38,8 @@
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
+from sardinehook.observe.memory import resident_bytes
+from sardinehook.transport.connection import receive_buffers
 from sardinehook.transport.early_sockets import LISTEN_BACKLOG
 from sardinehook.transport.reactor import StreamServerFactory, Timer
 from sardinehook.transport.tasks import RepeatingCall, sleep, start_task
@@ -146,7 +148,7 @@
         self.probes = ProbeServer(
             reactor,
             self.unready_reason,
-            metrics.render,
+            self.render_metrics,
             self.follower.relay,
             self.request_handler.handle_delegated,
         )
@@ -355,6 +357,12 @@
         self.metrics.watch_pending_seconds.set(self.follower.monitor.pending_s)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
+    def render_metrics(self) -> bytes:
+        """Render all metrics, with the memory in use at this moment."""
+        self.metrics.receive_buffer_bytes.set(receive_buffers.used)
+        self.metrics.resident_bytes.set(resident_bytes())
+        return self.metrics.render()
+
     @property
     def has_work(self) -> bool:
         """Whether callers are connected or searches run for other gateways."""
