Count replies with the memory that they hold, and join their pieces

Cause: a body in small chunks was kept as one object for each chunk, 56 bytes for two bytes of content, while the limits counted the content; heads counted towards no limit of memory. Gateways exceeded the memory of their VM and were killed. Ruled out by the new gauges: replies kept after their end, unread bytes, limits that are too large alone (9 MB of 48 were counted when the process was killed). Change: pieces are joined in one buffer whose allocated size counts; headers count with their overhead, 256 at most; the framing of one reply is at most 1 MiB, which bounds the processor time for small chunks. Why it works: the count can no longer be smaller than what is held, whatever the size of the pieces. The test of the shared limit read the list of pieces, which is gone; it now sums the allocated size of the buffers, against the same bound.

--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -10,6 +10,7 @@
 
 from httptools import HttpParserError, HttpResponseParser
 
+from sardinehook.transport.buffers import BodyBuffer, MemoryAccount
 from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
 from sardinehook.transport.socket_writer import SocketWriter
 
@@ -17,9 +18,12 @@
 
 MAX_BODY_BYTES = 8 * 1024 * 1024  # limit of the body of one reply
 MAX_HEAD_BYTES = 64 * 1024  # limit of the bytes that are not in the body
-MAX_BUFFERED_BYTES = 48 * 1024 * 1024  # limit of incomplete bodies of all replies,
-SMALL_BODY_BYTES = 64 * 1024  # which does not end those that are smaller than this
+MAX_HEADERS = 256  # limit of the headers of one reply
+HEADER_OVERHEAD_BYTES = 160  # memory for a header besides its name and value
+MAX_BUFFERED_BYTES = 48 * 1024 * 1024  # limit of the memory of all incomplete replies,
+SMALL_REPLY_BYTES = 64 * 1024  # which does not end those that hold less than this
 CHUNK_OVERHEAD_RATIO = 8  # bytes of framing for each byte of the smallest chunks
+MAX_CHUNK_OVERHEAD_BYTES = 1024 * 1024  # bounds the processor time for small chunks
 REMEMBERED_SIGNATURES = 8  # of replies; a second copy comes soon after the first
 KEEP_ALIVE_IDLE_S = 1  # idle time until the kernel sends a keep-alive probe
 KEEP_ALIVE_INTERVAL_S = 1  # between two keep-alive probes
@@ -67,14 +71,7 @@
 ExchangeEnd = Replied | Malformed | Lost
 
 
-class ReceiveBuffers:
-    """The bytes that all connections hold of incomplete bodies."""
-
-    def __init__(self) -> None:
-        self.used = 0
-
-
-receive_buffers = ReceiveBuffers()
+receive_buffers = MemoryAccount(MAX_BUFFERED_BYTES)
 
 
 class ClientConnection(StreamProtocol):
@@ -103,16 +100,15 @@
         self.idle_until = 0.0
         self.recent_signatures: deque[bytes] = deque(maxlen=REMEMBERED_SIGNATURES)
         self.ends_with_headers = False
-        self.body_bytes = 0
-        self.buffered_bytes = 0
-        self.chunks: list[bytes] = []
+        self.body = BodyBuffer(receive_buffers)
         self.reset_reply()
 
     def reset_reply(self) -> None:
         """Reset the parser and its state for the next reply."""
         self.parser = HttpResponseParser(self)
         self.headers: list[tuple[bytes, bytes]] = []
-        self.release_buffers()
+        self.header_count = 0
+        self.body.clear()
         self.received_bytes = 0
         self.body_bytes = 0
         self.in_body = False
@@ -123,12 +119,6 @@
         self.is_interim = False
         self.status = 0
 
-    def release_buffers(self) -> None:
-        """Drop the buffered body of the present reply."""
-        receive_buffers.used -= self.buffered_bytes
-        self.buffered_bytes = 0
-        self.chunks = []
-
     @property
     def idle(self) -> bool:
         """Whether the connection is open and has no exchange in progress."""
@@ -152,10 +142,15 @@
         self.exchanges += 1
         self.writer.write(request)
 
+    def release_reply(self) -> None:
+        """Drop what has been received of the present reply."""
+        self.headers = []
+        self.body.clear()
+
     def abort(self) -> None:
         """Abort the connection; ``finish`` is not called for its exchange."""
         self.finish = None
-        self.release_buffers()
+        self.release_reply()
         self.is_open = False
         self.tcp.abortConnection()
 
@@ -188,8 +183,10 @@
             self.has_surplus = True
         if self.is_too_large():
             detail = (
-                f"reply too large: {self.received_bytes} bytes received, limits are "
-                f"{self.max_head_bytes} (head) and {self.max_body_bytes} (body)"
+                f"reply too large: {self.received_bytes} bytes and {self.header_count} "
+                f"headers received, limits are {self.max_head_bytes} (head), "
+                f"{self.max_body_bytes} (body) and {MAX_HEADERS} headers; incomplete "
+                f"replies hold {receive_buffers.used} of {receive_buffers.limit} bytes"
             )
             self.end(Malformed(detail), False)
         elif self.is_complete:
@@ -199,27 +196,27 @@
         """Return whether the reply exceeds a size limit.
 
         Bytes outside the body are those of interim replies, headers, chunk sizes and
-        trailers. An incomplete body also counts towards the limit of all replies.
+        trailers. An incomplete reply also counts towards the limit of all replies.
         """
-        outside = self.received_bytes - self.body_bytes
-        allowed = self.max_head_bytes + CHUNK_OVERHEAD_RATIO * self.body_bytes
-        if self.body_bytes > self.max_body_bytes:
+        if self.body_bytes > self.max_body_bytes or self.header_count > MAX_HEADERS:
             return True
         if self.is_complete:
             return False
-        if self.body_bytes > SMALL_BODY_BYTES:
-            return outside > allowed or receive_buffers.used > MAX_BUFFERED_BYTES
-        return outside > allowed
+        outside = self.received_bytes - self.body_bytes
+        framing = min(CHUNK_OVERHEAD_RATIO * self.body_bytes, MAX_CHUNK_OVERHEAD_BYTES)
+        if outside > self.max_head_bytes + framing:
+            return True
+        return self.body.held > SMALL_REPLY_BYTES and receive_buffers.is_exceeded
 
     def complete(self) -> None:
         """End the exchange with the complete reply."""
-        reply = Reply(self.status, tuple(self.headers), b"".join(self.chunks))
+        reply = Reply(self.status, tuple(self.headers), self.body.take())
         self.end(Replied(reply), self.is_reusable and not self.has_surplus)
 
     def end(self, end: ExchangeEnd, is_reusable: bool) -> None:
         """Report the end of the exchange; close a connection that is not reusable."""
         finish, self.finish = self.finish, None
-        self.release_buffers()
+        self.release_reply()
         if not is_reusable:
             self.drop()
         if finish is not None:
@@ -239,9 +236,9 @@
         finish, self.finish = self.finish, None
         if finish is not None:
             end = self.classify_loss(reason)
-            self.release_buffers()
+            self.release_reply()
             finish(end)
-        self.release_buffers()
+        self.release_reply()
         self.on_close(self)
 
     def classify_loss(self, reason: ConnectionEnd) -> ExchangeEnd:
@@ -254,8 +251,7 @@
             and not self.has_framing
             and not self.is_interim
         ):
-            body = b"".join(self.chunks)
-            return Replied(Reply(self.status, tuple(self.headers), body))
+            return Replied(Reply(self.status, tuple(self.headers), self.body.take()))
         return Malformed(
             f"connection closed before the reply was complete: {reason.detail}"
         )
@@ -266,9 +262,13 @@
             self.has_surplus = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header of the reply; trailers are ignored."""
-        if not self.has_surplus and not self.in_body:
+        """Store a header of the reply, up to the limit; trailers are ignored."""
+        if self.has_surplus or self.in_body:
+            return
+        self.header_count += 1
+        if self.header_count <= MAX_HEADERS:
             self.headers.append((name.lower(), value))
+            self.body.hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Read the status and determine how the end of the body is marked."""
@@ -288,17 +288,15 @@
         if not self.has_surplus:
             self.body_bytes += len(body)
             if self.body_bytes <= self.max_body_bytes:
-                self.chunks.append(body)
-                self.buffered_bytes += len(body)
-                receive_buffers.used += len(body)
+                self.body.append(body)
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete; an interim (1xx) reply is discarded."""
         if self.is_complete:
             return
         if self.is_interim:
-            self.headers.clear()
-            self.chunks.clear()
+            self.release_reply()
+            self.header_count = 0
             self.in_body = False
             return
         self.is_complete = True
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -10,7 +12,8 @@
 
 from sardinehook.transport.connection import (
     MAX_BUFFERED_BYTES,
-    SMALL_BODY_BYTES,
+    MAX_CHUNK_OVERHEAD_BYTES,
+    SMALL_REPLY_BYTES,
     ClientConnection,
     ExchangeEnd,
     Lost,
@@ -192,11 +195,95 @@
         for _ in range(128):
             for fixture in fixtures:
                 fixture.connection.dataReceived(piece)
-            held = sum(
-                len(chunk) for one in fixtures for chunk in one.connection.chunks
-            )
-            assert held <= MAX_BUFFERED_BYTES + len(fixtures) * 2 * SMALL_BODY_BYTES
+            held = sum(one.connection.body.content.__alloc__() for one in fixtures)
+            assert held <= MAX_BUFFERED_BYTES + len(fixtures) * 2 * SMALL_REPLY_BYTES
         assert sum(not one.connection.is_open for one in fixtures) > 0
         for fixture in fixtures:
             fixture.lose(RESET)
         assert receive_buffers.used == before
+
+
+SMALL_CHUNKS = b"2\r\nab\r\n" * 2000
+SMALL_HEADERS = b"X: y\r\n" * 2000
+
+
+def traced_growth(act: Callable[[], object]) -> int:
+    """Return how many bytes of memory an action allocates and keeps."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    act()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return after - before
+
+
+class TestSmallPieces:
+    """Replies of many small pieces, which take more memory than their content.
+
+    Guards against gateways that exceed the memory of their VM: the limits counted the
+    content of pieces only.
+    """
+
+    def test_small_chunks_hold_little_more_than_their_content(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(CHUNKED)
+
+        def receive() -> None:
+            for _ in range(50):
+                fixture.connection.dataReceived(SMALL_CHUNKS)
+
+        grown = traced_growth(receive)
+        assert fixture.connection.body_bytes == 50 * 2 * 2000
+        assert grown <= 2 * fixture.connection.body_bytes
+        fixture.connection.abort()
+
+    def test_the_shared_limit_counts_at_least_what_is_held(self) -> None:
+        before = receive_buffers.used
+        fixtures = [ConnectionFixture() for _ in range(10)]
+
+        def receive() -> None:
+            for fixture in fixtures:
+                fixture.connection.dataReceived(
+                    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                    + SMALL_HEADERS[: 6 * 200]
+                    + b"\r\n"
+                )
+                for _ in range(10):
+                    fixture.connection.dataReceived(SMALL_CHUNKS)
+
+        grown = traced_growth(receive)
+        assert receive_buffers.used - before >= 0.9 * grown
+        for fixture in fixtures:
+            fixture.connection.abort()
+        assert receive_buffers.used == before
+
+    def test_endless_small_chunks_end_before_they_cost_much_time(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(CHUNKED)
+        received = 0
+        while fixture.connection.is_open and received < 16 * 1024 * 1024:
+            fixture.connection.dataReceived(SMALL_CHUNKS)
+            received += len(SMALL_CHUNKS)
+        (end,) = fixture.ends
+        assert isinstance(end, Malformed) and "too large" in end.detail
+        assert received <= 2 * MAX_CHUNK_OVERHEAD_BYTES
+
+    def test_a_reply_in_chunks_of_one_byte_is_complete(self) -> None:
+        fixture = ConnectionFixture()
+        fixture.connection.dataReceived(CHUNKED + b"1\r\na\r\n" * 36_000)
+        fixture.connection.dataReceived(b"0\r\n\r\n")
+        (end,) = fixture.ends
+        assert isinstance(end, Replied) and end.reply.body == b"a" * 36_000
+
+    @pytest.mark.parametrize("tail", [b"", b"Content-Length: 0\r\n\r\n"])
+    def test_small_headers_without_end_are_refused(self, tail: bytes) -> None:
+        fixture = ConnectionFixture()
+
+        def receive() -> None:
+            fixture.connection.dataReceived(
+                b"HTTP/1.1 200 OK\r\n" + SMALL_HEADERS + tail
+            )
+
+        assert traced_growth(receive) <= 64 * 1024
+        (end,) = fixture.ends
+        assert isinstance(end, Malformed) and "too large" in end.detail
