Believe no impossible figure that a replica reports

Cause: numbers of any size were taken from the header, kept, and multiplied at each choice among the replicas; one of 400 digits raised OverflowError there. unhandled_error lines of two of three gateways name the place, 1,036 and 967 times; the third had read no such number and served its callers. Ruled out with that: refusals, failed replicas, a missing route. Change: a figure has at most 19 digits and is at most what a replica can have, else it is malformed, which target_state says; the load of other gateways counts as at most eight times the slots, so that a wrong one decays within half a second; a cold time counts as at most twice the service's cold start. The same for X-Cold-Ms and the timeout of Keep-Alive. Why it works: what is kept can't raise an error later, and what is wrong but possible ends with its short memory.

--- a/sardinehook/decoding.py
+++ b/sardinehook/decoding.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-__all__ = ["DECODE_ERRORS", "is_address", "is_token"]
+__all__ = ["DECODE_ERRORS", "is_address", "is_token", "read_count"]
 
 # Deep nesting exceeds the decoder's recursion limit, also in fields that are skipped.
 DECODE_ERRORS = (
@@ -19,6 +19,7 @@
 )
 PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
 MAX_PORT = 65535
+MAX_DIGITS = 19  # more are not converted: the time grows with their square
 TOKEN = re.compile(r"[!-~]{1,200}", re.ASCII)
 
 
@@ -40,6 +41,18 @@
     return True
 
 
+def read_count(value: bytes, limit: int) -> int | None:
+    """Return a decimal number of at most ``limit``; None if it is no such number.
+
+    >>> [read_count(v, 100) for v in (b"7", b"100", b"101", b"-1", b"9" * 5000)]
+    [7, 100, None, None, None]
+    """
+    if not value.isdigit() or len(value) > MAX_DIGITS:
+        return None
+    number = int(value)
+    return number if number <= limit else None
+
+
 def is_token(value: str) -> bool:
     """Return whether a value can stand in a header: visible ASCII without spaces.
 
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -268,6 +268,12 @@
         share /= self.share_divisor(service)
         return max(1, int(share))
 
+    def cold_start_s(self, service: str) -> float:
+        """Return how long replicas of a service are cold, zero if it is not stated."""
+        configuration = self.configuration
+        known = configuration.services.get(service) if configuration else None
+        return known.cold_start_s if known else 0.0
+
     def can_serve(self, service: str, now: float) -> bool:
         """Return whether a service has a replica that this gateway can connect to."""
         return any(
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -190,7 +190,8 @@
         if self.repeats_reply(exchange, reply):
             replica.observe_result(True, now)
             return Failed("reply repeats an earlier one on its connection")
-        replica.observe_reply(reply, now)
+        cold_start_s = self.directory.cold_start_s(replica.entry.service)
+        replica.observe_reply(reply, cold_start_s, now)
         if reply.misdirected:
             self.directory.discard_misdirected(replica)
             return NotRun("address belongs to another replica", True)
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -25,6 +25,8 @@
 FAILURE_WEIGHT = 0.3  # weight of one result in the moving average
 FAILURE_HALF_LIFE_S = 6.0  # lets a failing replica be tried again
 LOAD_MEMORY_S = 0.1  # a reported load is stale after a few service times
+MAX_LOAD_RATIO = 8.0  # of the slots; bounds how long one bad report keeps requests away
+MAX_COLD_RATIO = 2.0  # of the cold start of the service, for what a reply says
 COLD_RATE_WINDOW_S = 1.0  # window of the cold-start rate limit
 LN_2 = 0.693147
 
@@ -115,27 +117,35 @@
             self.failure_ratio = known + FAILURE_WEIGHT * (float(failed) - known)
             self.failure_ratio_at = now
 
-    def observe_reply(self, reply: ReplicaReply, now: float) -> None:
-        """Record the load and the rest of the cold start that a reply reports."""
+    def observe_reply(
+        self, reply: ReplicaReply, cold_start_s: float, now: float
+    ) -> None:
+        """Record the load and the rest of the cold start that a reply reports.
+
+        ``cold_start_s`` is how long replicas of the service are cold, zero if unknown.
+        """
         if reply.load is not None:
             self.load = reply.load
             self.load_at = now
             self.in_flight_at_load = len(self.in_flight)
         if reply.cold_left_s is not None:
-            self.cold_until = now + reply.cold_left_s
+            most_s = MAX_COLD_RATIO * cold_start_s or reply.cold_left_s
+            self.cold_until = now + min(reply.cold_left_s, most_s)
 
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the replica.
 
         It is the number in flight from here plus the reported load of other gateways,
-        which decays with its age.
+        which decays with its age. Replicas queue only a few requests more than they
+        have slots.
         """
         own = float(len(self.in_flight))
         if self.load is None:
             return own
         age_s = now - self.load_at
         stated = self.load.running + self.load.waiting - self.in_flight_at_load
-        return own + max(0, stated) * exp(-age_s / LOAD_MEMORY_S)
+        others = min(max(0.0, stated), MAX_LOAD_RATIO * self.entry.slots)
+        return own + others * exp(-age_s / LOAD_MEMORY_S)
 
     def expected_service_times(self, now: float) -> float:
         """Return how many service times a new request takes, queueing included."""
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -13,11 +13,11 @@
 from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.platform.configuration import decode_configuration
 
-__all__ = ["PlatformKeys"]
+__all__ = ["MAX_COLD_MS", "MAX_SLOTS", "PlatformKeys"]
 
 MS_PER_S = 1000.0
 MAX_SLOTS = 100_000
-MAX_COLD_MS = 3_600_000.0
+MAX_COLD_MS = 3_600_000
 MAX_INTEGER = 2**63 - 1
 REPLICA_STATES = frozenset({"ready", "draining"})
 
--- a/sardinehook/platform/replicas.py
+++ b/sardinehook/platform/replicas.py
@@ -6,8 +6,10 @@
 from collections.abc import Mapping
 from functools import lru_cache
 
+from sardinehook.decoding import read_count
 from sardinehook.gateway.interfaces import CallerRequest, Load, ReplicaReply
 from sardinehook.gateway.notices import NO_NOTICES, StatedNotices
+from sardinehook.platform.discovery import MAX_COLD_MS, MAX_SLOTS
 from sardinehook.transport.connection import Reply
 
 __all__ = ["PlatformReplicas"]
@@ -32,6 +34,8 @@
 MS_PER_S = 1000.0
 # Replicas close idle connections; this timeout is for those that announce none.
 DEFAULT_KEEP_ALIVE_S = 4.0
+MAX_KEEP_ALIVE_S = 3600
+MAX_LOGGED_BYTES = 40  # of a malformed value
 DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d+)", re.IGNORECASE)
 CONNECTION_HEADERS = frozenset(
@@ -78,6 +82,8 @@
     def read_reply(self, reply: Reply, request_id: bytes) -> ReplicaReply:
         """Decode a replica's reply, checking that it answers ``request_id``."""
         headers = dict(reversed(reply.headers))
+        load = read_load(headers.get(LOAD, b""))
+        cold_left_s = read_cold(headers.get(COLD_LEFT_MS))
         echoed = headers.get(REQUEST_ID)
         misdirected = reply.status == MISDIRECTED
         return ReplicaReply(
@@ -89,10 +95,12 @@
             misdirected,
             echoed is not None and echoed != request_id,
             headers.get(b"content-encoding", b"identity").lower() != b"identity",
-            read_load(headers.get(LOAD, b"")),
-            read_cold(headers.get(COLD_LEFT_MS)),
+            load,
+            cold_left_s,
             read_keep_alive(headers.get(b"keep-alive", b"")),
-            read_notices(reply.status, headers),
+            read_notices(
+                reply.status, headers, {LOAD: load, COLD_LEFT_MS: cold_left_s}
+            ),
         )
 
 
@@ -100,47 +108,69 @@
 def read_load(value: bytes) -> Load | None:
     """Decode a reported load (running, waiting, slots); None if malformed.
 
+    Numbers beyond the slots that any replica can have are malformed too.
+
     >>> read_load(b"3,0,8")
     Load(running=3, waiting=0, slots=8)
-    >>> read_load(b"busy") is None
-    True
+    >>> read_load(b"busy"), read_load(b"9" * 400 + b",0,8")
+    (None, None)
     """
-    parts = [part.strip() for part in value.split(b",")]
-    if len(parts) != 3 or not all(part.isdigit() for part in parts):
-        return None
-    return Load(*(int(part) for part in parts))
+    numbers = [read_count(part.strip(), MAX_SLOTS) for part in value.split(b",")]
+    match numbers:
+        case [int(running), int(waiting), int(slots)]:
+            return Load(running, waiting, slots)
+    return None
 
 
 def read_cold(value: bytes | None) -> float | None:
-    """Return the remaining cold time in seconds; None if absent or malformed."""
-    if value is None or not value.isdigit():
-        return None
-    return int(value) / MS_PER_S
+    """Return the remaining cold time in seconds; None if absent or malformed.
+
+    >>> read_cold(b"1500"), read_cold(b"9" * 400), read_cold(None)
+    (1.5, None, None)
+    """
+    cold_ms = None if value is None else read_count(value, MAX_COLD_MS)
+    return None if cold_ms is None else cold_ms / MS_PER_S
 
 
-def read_notices(status: int, headers: Mapping[bytes, bytes]) -> StatedNotices:
+def read_notices(
+    status: int, headers: Mapping[bytes, bytes], known: Mapping[bytes, object]
+) -> StatedNotices:
     """Decode what a replica says of itself; malformed values count as absent.
 
-    >>> read_notices(503, {b"retry-after": b"1.5"}).pause_s
+    ``known`` has the values of further headers, ``None`` for one that is absent or
+    malformed.
+
+    >>> read_notices(503, {b"retry-after": b"1.5"}, {}).pause_s
     1.5
-    >>> read_notices(503, {b"retry-after": b"Sat, 05 Dec 2026 04:12:41 GMT"}).malformed
+    >>> date = {b"retry-after": b"Sat, 05 Dec 2026 04:12:41 GMT"}
+    >>> read_notices(503, date, {}).malformed
     'retry-after=Sat, 05 Dec 2026 04:12:41 GMT'
+    >>> read_notices(200, {LOAD: b"busy"}, {LOAD: None}).malformed
+    'x-server-load=busy'
     """
+    malformed = describe_malformed(headers, known)
     if headers.keys().isdisjoint(NOTICES):
-        return NO_NOTICES
+        return NO_NOTICES._replace(malformed=malformed) if malformed else NO_NOTICES
     leaving = headers.get(LEAVING, b"").strip() == b"1"
     values = {LIMIT: headers.get(LIMIT)}
     if status == UNAVAILABLE:
         values[RETRY_AFTER] = headers.get(RETRY_AFTER)
     read = {name: read_decimal(value or b"") for name, value in values.items()}
-    malformed = ", ".join(
-        f"{name.decode()}={value.decode('latin-1')}"
-        for name, value in values.items()
-        if value is not None and read[name] is None
-    )
+    malformed = describe_malformed(headers, {**known, **read})
     return StatedNotices(leaving, read[LIMIT], read.get(RETRY_AFTER), malformed)
 
 
+def describe_malformed(
+    headers: Mapping[bytes, bytes], known: Mapping[bytes, object]
+) -> str:
+    """Return the headers, of those in ``known``, whose values could not be read."""
+    return ", ".join(
+        f"{name.decode()}={headers[name][:MAX_LOGGED_BYTES].decode('latin-1')}"
+        for name, value in known.items()
+        if value is None and name in headers
+    )
+
+
 @lru_cache(maxsize=1024)
 def read_decimal(value: bytes) -> float | None:
     """Return a decimal number; None if absent or malformed.
@@ -155,8 +185,9 @@
 def read_keep_alive(value: bytes) -> float:
     """Return the idle timeout of a connection in seconds, or the default.
 
-    >>> read_keep_alive(b"timeout=5, max=100")
-    5.0
+    >>> read_keep_alive(b"timeout=5, max=100"), read_keep_alive(b"timeout=99999999")
+    (5.0, 4.0)
     """
     match = KEEP_ALIVE_TIMEOUT.search(value)
-    return float(match.group(1)) if match else DEFAULT_KEEP_ALIVE_S
+    timeout_s = read_count(match.group(1), MAX_KEEP_ALIVE_S) if match else None
+    return DEFAULT_KEEP_ALIVE_S if timeout_s is None else float(timeout_s)
