Answer callers after unexpected errors in callbacks

Cause: an error that reaches the event loop closes the connection of the callback. At the start of a request this is the caller's; in a reply it is the replica's, and nobody answers the caller; in a timer nothing sets it again. Loops over callers, replicas or housekeeping steps end at the first error.

--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -13,6 +13,7 @@
 from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.policy import RequestPolicy, request_deadline
 from sardinehook.gateway.search_codec import SEARCH_PATH, decode_answer, encode_search
+from sardinehook.gateway.unexpected import answers_errors
 from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
@@ -63,11 +64,13 @@
         self.repeats = 0
         self.connection: ClientConnection | None = None
 
+    @answers_errors
     def start(self) -> None:
         """Request a connection to the delegate."""
         self.delegate.searches[self] = None
         self.delegate.pool.acquire(self.connected)
 
+    @answers_errors
     def connected(self, connection: ClientConnection | None) -> None:
         """Send the search, or search locally if there is no connection."""
         if self.settled:
@@ -87,6 +90,7 @@
         )
         connection.exchange(head + body, self.exchange_ended)
 
+    @answers_errors
     def exchange_ended(self, end: ExchangeEnd) -> None:
         """Process the end of the exchange with the delegate."""
         match end:
@@ -136,6 +140,10 @@
         detail = f"{self.delegate.name}: {reason}"
         self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
 
+    def fail_unexpectedly(self) -> None:
+        """Answer after an unexpected error."""
+        self.fail("unexpected error in the gateway")
+
     def complete(self, answer: CallerAnswer) -> None:
         """Detach from the delegate and finish with ``answer``, once."""
         self.detach()
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -9,6 +9,7 @@
 from sardinehook.gateway.interfaces import CallerRequest, ReplicaCodec, ReplicaReply
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
+from sardinehook.observe.errors import log_error
 from sardinehook.transport.connection import (
     ClientConnection,
     ExchangeEnd,
@@ -139,6 +140,16 @@
     def connection_acquired(
         self, exchange: Exchange, connection: ClientConnection | None
     ) -> None:
+        """Write the request, or end the exchange if that is not possible."""
+        try:
+            self.send(exchange, connection)
+        except Exception as error:
+            log_error(error)
+            if connection is not None:
+                connection.abort()
+            self.end(exchange, unexpected_outcome(exchange))
+
+    def send(self, exchange: Exchange, connection: ClientConnection | None) -> None:
         """Write the request, or end the exchange if there is no connection."""
         if connection is None:
             self.end(exchange, NotRun("no connection to the replica", False))
@@ -149,21 +160,33 @@
             self.end(exchange, NotRun("no connection before the deadline", False))
             return
         replica = exchange.replica
+        request = exchange.request
+        encoded = self.codec.encode_request(request, replica.replica_id, remaining_s)
         exchange.sent_at = now
         exchange.connection = connection
-        request = exchange.request
         if replica.is_cold(now):
             replica.cold_sends.add(1, now)
         if replica.notices.rate_share is not None:
             replica.notices.rate_share.record_sent(now)
         connection.exchange(
-            self.codec.encode_request(request, replica.replica_id, remaining_s),
+            encoded,
             lambda end: self.exchange_ended(exchange, end),
             request.method == b"HEAD",
         )
 
     def exchange_ended(self, exchange: Exchange, end: ExchangeEnd) -> None:
-        """Classify how an exchange ended on its connection."""
+        """Classify how an exchange ended on its connection, and report the outcome."""
+        try:
+            outcome = self.read_end(exchange, end)
+        except Exception as error:
+            log_error(error)
+            if exchange.connection is not None and exchange.connection.is_open:
+                exchange.connection.abort()
+            outcome = unexpected_outcome(exchange)
+        self.end(exchange, outcome)
+
+    def read_end(self, exchange: Exchange, end: ExchangeEnd) -> ExchangeOutcome:
+        """Return the outcome of an exchange, and release its connection."""
         now = self.reactor.seconds()
         replica = exchange.replica
         match end:
@@ -174,10 +197,10 @@
                 reply = self.codec.read_reply(raw, exchange.request.request_id)
                 outcome = self.classify(exchange, reply, now)
                 self.release_connection(exchange, reply)
+                return outcome
             case Malformed(detail) | Lost(detail):
                 replica.observe_result(True, now)
-                outcome = Failed(detail)
-        self.end(exchange, outcome)
+                return Failed(detail)
 
     def classify(
         self, exchange: Exchange, reply: ReplicaReply, now: float
@@ -295,3 +318,9 @@
                 if connection is not None and connection.finish is not None:
                     connection.abort()
                 self.end(exchange, Failed("no reply before the deadline"))
+
+
+def unexpected_outcome(exchange: Exchange) -> ExchangeOutcome:
+    """Return the outcome of an exchange that an unexpected error has ended."""
+    detail = "unexpected error in the gateway"
+    return Failed(detail) if exchange.sent_at else NotRun(detail, False)
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -27,6 +27,7 @@
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.gateway.shard_request import ShardRequest
+from sardinehook.gateway.unexpected import answers_errors, unexpected_error_answer
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["Gather"]
@@ -97,6 +98,7 @@
         needed = self.shard_set.min_coverage * len(self.shards)
         return max(1, ceil(needed - ROUNDING_TOLERANCE))
 
+    @answers_errors
     def start(self) -> None:
         """Send to one replica of each shard, or refuse the search."""
         now = self.reactor.seconds()
@@ -221,6 +223,7 @@
         shard.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
 
+    @answers_errors
     def exchange_ended(
         self, shard: ShardRequest, exchange: Exchange, outcome: ExchangeOutcome
     ) -> None:
@@ -294,6 +297,7 @@
         self.send(shard, choice.replica, now)
         return True
 
+    @answers_errors
     def on_timer(self) -> None:
         """Handle the timer: settle the search or send hedges that are due."""
         self.timer = None
@@ -413,10 +417,19 @@
     def complete(self, answer: CallerAnswer) -> None:
         """Abandon the unsent exchanges and finish with ``answer``."""
         self.settled = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.abandon_unsent()
-        self.finish(answer)
+        try:
+            if self.timer is not None and self.timer.active():
+                self.timer.cancel()
+            self.abandon_unsent()
+        finally:
+            self.finish(answer)
+
+    def fail_unexpectedly(self) -> None:
+        """Answer after an unexpected error."""
+        if not self.settled:
+            was_sent = any(shard.was_sent for shard in self.shards)
+            may_have_run = self.may_have_run or was_sent or self.may_be_running()
+            self.complete(unexpected_error_answer(may_have_run))
 
     def abandon_unsent(self) -> None:
         """Abandon unsent exchanges; those that were sent end by their deadline."""
--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -15,6 +15,8 @@
 from sardinehook.gateway.interfaces import Header, HttpRequest, RequestTiming
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.round_trip import round_trip_s
+from sardinehook.gateway.unexpected import call_logged, unexpected_error_answer
+from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.transport.connection import set_socket_options
 from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
@@ -206,7 +208,7 @@
             self.start(request)
 
     def start(self, request: ParsedRequest) -> None:
-        """Pass a request to the server's handler."""
+        """Pass a request to the server's handler, and answer it after any error."""
         raw = HttpRequest(
             request.method,
             request.url,
@@ -214,7 +216,12 @@
             b"".join(request.body),
             *self.timing(),
         )
-        work = self.server.handle(raw, lambda answer: self.answer(request, answer))
+        try:
+            work = self.server.handle(raw, lambda answer: self.answer(request, answer))
+        except Exception as error:
+            log_error(error)
+            self.answer(request, unexpected_error_answer(may_have_run=True))
+            return
         if self.current is request:
             self.work = work
 
@@ -256,7 +263,7 @@
         if request is None:
             return
         if work is not None:
-            work.cancel()
+            call_logged(work.cancel)
         self.queued.clear()
         self.answer(request, answer)
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -35,6 +35,7 @@
 from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.store_state import StoreState
+from sardinehook.gateway.unexpected import call_logged
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
@@ -322,37 +323,67 @@
 
     def sweep(self) -> None:
         """Enforce deadlines of requests to replicas and of delegated searches."""
-        self.policy.dispatcher.sweep(self.reactor.seconds())
-        self.delegates.sweep()
+        now = self.reactor.seconds()
+        call_logged(lambda: self.policy.dispatcher.sweep(now))
+        call_logged(self.delegates.sweep)
 
     def run_housekeeping(self) -> None:
-        """Sweep expired state, reload changed settings, update delegates and gauges."""
-        now = self.reactor.seconds()
+        """Sweep expired state, reload changed settings, update delegates and gauges.
+
+        An unexpected error in one step does not prevent the others.
+        """
+        for step in (
+            self.sweep_callers,
+            self.update_directory,
+            self.watch_settings,
+            self.fleet.publish_names,
+            self.delegates.update,
+            self.publish_demand,
+            self.update_gauges,
+        ):
+            call_logged(step)
+
+    def sweep_callers(self) -> None:
+        """Enforce the timeouts of callers' connections."""
         self.http_server.closes_after_answer = bool(self.unready_reason())
         self.http_server.sweep()
+
+    def update_directory(self) -> None:
+        """Remove replicas that have left, and connect to those out of reach."""
+        now = self.reactor.seconds()
         self.directory.sweep(now)
         self.directory.probe_suspects(now)
         self.directory.probe_failing(now)
-        self.watch_settings()
-        self.fleet.publish_names()
-        self.delegates.update()
+
+    @property
+    def limited_replicas(self) -> int:
+        """The number of replicas that state a rate limit."""
+        return sum(
+            replica.notices.rate_share is not None
+            for replica in self.directory.replicas.values()
+        )
+
+    def publish_demand(self) -> None:
+        """Tell the other gateways the demand here while replicas limit their rate."""
+        if self.limited_replicas:
+            now = self.reactor.seconds()
+            self.fleet.publish_demand(
+                self.policy.single_requests.total(now) / DEMAND_WINDOW_S,
+                self.policy.searches.total(now) / DEMAND_WINDOW_S,
+            )
+
+    def update_gauges(self) -> None:
+        """Set the gauges that change with time."""
         replicas = self.directory.replicas
         self.metrics.replicas.set(len(replicas))
-        limited = sum(
-            replica.notices.rate_share is not None for replica in replicas.values()
-        )
-        self.metrics.limited_replicas.set(limited)
+        self.metrics.limited_replicas.set(self.limited_replicas)
         leaving = sum(
             replica.notices.leaving_since is not None for replica in replicas.values()
         )
         self.metrics.leaving_replicas.set(leaving)
-        if limited:
-            self.fleet.publish_demand(
-                self.policy.single_requests.total(now) / DEMAND_WINDOW_S,
-                self.policy.searches.total(now) / DEMAND_WINDOW_S,
-            )
         held = sum(replica.pool.connection_count for replica in replicas.values())
         self.metrics.connections.set(held)
+        now = self.reactor.seconds()
         self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
         self.metrics.watch_pending_seconds.set(self.follower.monitor.pending_s)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -252,8 +252,11 @@
 
         def done(answer: CallerAnswer) -> None:
             self.in_flight -= 1
-            self.request_log.record_ended(running.work, configuration.version, answer)
-            finish(answer)
+            try:
+                version = configuration.version
+                self.request_log.record_ended(running.work, version, answer)
+            finally:
+                finish(answer)
 
         match route.destination:
             case ShardSet() as shards:
@@ -339,11 +342,13 @@
         def done(answer: CallerAnswer) -> None:
             self.delegated_in_flight -= shard_count
             work = running.work
-            self.request_log.record_ended(
-                work, delegated.version, answer, delegated.node
-            )
-            outcome = encode_answer(answer, work.hedges, work.repeats)
-            finish(CallerAnswer(200, (), outcome, "for a peer"))
+            try:
+                self.request_log.record_ended(
+                    work, delegated.version, answer, delegated.node
+                )
+            finally:
+                outcome = encode_answer(answer, work.hedges, work.repeats)
+                finish(CallerAnswer(200, (), outcome, "for a peer"))
 
         running.begin(Gather(self.policy, request, route, shards, done))
         return None if running.work.settled else running
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -18,6 +18,7 @@
 from sardinehook.gateway.policy import FAILOVER_AFTER_S, RequestPolicy, request_deadline
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.replica_selection import SelectedReplica
+from sardinehook.gateway.unexpected import answers_errors, unexpected_error_answer
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["SingleCall"]
@@ -70,6 +71,7 @@
         self.hedge_delay_s = min(quantile_s, MAX_HEDGE_RATIO * route.objective_s)
         self.hedge_at: float | None = request.received_at + self.hedge_delay_s
 
+    @answers_errors
     def start(self) -> None:
         """Send the request to the best replica, or refuse it if none can answer."""
         now = self.reactor.seconds()
@@ -115,6 +117,7 @@
         self.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
 
+    @answers_errors
     def exchange_ended(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
         """Process the outcome of one exchange."""
         now = self.reactor.seconds()
@@ -192,6 +195,7 @@
             due_at = min(due_at, self.hedge_at)
         self.timer = self.reactor.callLater(max(0.0, due_at - now), self.on_timer)
 
+    @answers_errors
     def on_timer(self) -> None:
         """Handle the timer: hedge, fail over or end the request at its deadline."""
         self.timer = None
@@ -248,10 +252,19 @@
     def complete(self, answer: CallerAnswer) -> None:
         """Abandon the open exchanges and finish with ``answer``."""
         self.settled = True
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.abandon_all()
-        self.finish(answer)
+        try:
+            if self.timer is not None and self.timer.active():
+                self.timer.cancel()
+            self.abandon_all()
+        finally:
+            self.finish(answer)
+
+    def fail_unexpectedly(self) -> None:
+        """Answer after an unexpected error."""
+        if not self.settled:
+            running = any(exchange.sent_at for exchange in self.open_exchanges)
+            may_have_run = self.may_have_run or self.was_sent or running
+            self.complete(unexpected_error_answer(may_have_run))
 
     def cancel(self) -> None:
         """Stop after the caller has disconnected."""
--- a/sardinehook/gateway/startup_queue.py
+++ b/sardinehook/gateway/startup_queue.py
@@ -9,6 +9,8 @@
 from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.request_log import RequestLog
+from sardinehook.gateway.unexpected import unexpected_error_answer
+from sardinehook.observe.errors import log_error
 
 __all__ = ["MAX_WAITING", "MAX_WAIT_S", "StartupQueue", "WaitingRequest"]
 
@@ -94,4 +96,12 @@
         self.request_log.record_released(len(released), waited_s)
         for waiting in released:
             if not waiting.cancelled:
-                waiting.work = self.start_request(waiting.request, waiting.finish)
+                self.start(waiting)
+
+    def start(self, waiting: WaitingRequest) -> None:
+        """Start one request; an unexpected error does not affect the others."""
+        try:
+            waiting.work = self.start_request(waiting.request, waiting.finish)
+        except Exception as error:
+            log_error(error)
+            waiting.finish(unexpected_error_answer(may_have_run=True))
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -128,8 +128,9 @@
             case Success(configuration):
                 if configuration.version <= self.version:
                     return False
-                self.version = configuration.version
+                # An error leaves the version unknown, so that it is tried again.
                 self.on_configuration(configuration)
+                self.version = configuration.version
                 return True
             case Failure(detail):
                 log_event(logger, EventName.REVISION_REFUSED, detail=str(detail))
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from sardinehook.transport.buffers import BodyBuffer, MemoryAccount
 from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
@@ -176,7 +176,7 @@
         self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
-        except HttpParserError as error:
+        except (HttpParserError, HttpParserUpgrade) as error:
             if not self.is_complete:
                 self.end(Malformed(f"malformed reply: {error}"), False)
                 return
@@ -234,12 +234,12 @@
         """
         self.is_open = False
         finish, self.finish = self.finish, None
-        if finish is not None:
-            end = self.classify_loss(reason)
+        try:
+            if finish is not None:
+                finish(self.classify_loss(reason))
+        finally:
             self.release_reply()
-            finish(end)
-        self.release_reply()
-        self.on_close(self)
+            self.on_close(self)
 
     def classify_loss(self, reason: ConnectionEnd) -> ExchangeEnd:
         """Return how the exchange ends when the connection is lost."""
