Bound the numbers in the headers of targets' replies

Cause: the owner tier took integers of any size and sign from headers of targets; the messages between entry processes can't carry more than 64 bits, so that an odd one raised an error where it was sent on. Change: numbers of at most 19 digits and 2^63 - 1; others make the reply malformed, as other odd headers do.

--- a/sardinehook/decoding.py
+++ b/sardinehook/decoding.py
@@ -4,10 +4,20 @@
 
 import re
 from ipaddress import AddressValueError, IPv4Address
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
-__all__ = ["DECODE_ERRORS", "is_address", "is_token", "read_count"]
+__all__ = [
+    "DECODE_ERRORS",
+    "Count",
+    "Measure",
+    "Number",
+    "is_address",
+    "is_token",
+    "read_count",
+]
 
 # Deep nesting exceeds the decoder's recursion limit, also in fields that are skipped.
 DECODE_ERRORS = (
@@ -17,6 +27,11 @@
     OverflowError,
     RecursionError,
 )
+# Figures in messages. Python's integers and msgspec's decoders have no limit of their
+# own, and a float may be NaN or infinite.
+Number = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Count = Annotated[int, Meta(ge=0, le=10**9)]
+Measure = Annotated[float, Meta(ge=0.0, le=1e9)]
 PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
 MAX_PORT = 65535
 MAX_DIGITS = 19  # more are not converted: the time grows with their square
--- a/sardinehook/target/codec.py
+++ b/sardinehook/target/codec.py
@@ -6,6 +6,7 @@
 from functools import lru_cache
 from typing import NamedTuple
 
+from sardinehook.decoding import read_count
 from sardinehook.messages import ANY_VERSION, SubQuery, TargetState
 
 __all__ = [
@@ -17,6 +18,8 @@
     "read_reply_head",
 ]
 
+MAX_NUMBER = 2**63 - 1  # the messages between entry processes carry no larger one
+
 HEADER_STATES = {
     b"cold": TargetState.COLD,
     b"warm": TargetState.WARM,
@@ -110,10 +113,10 @@
     return ReplyHead(
         found(b"request-id", b""),
         found(b"sub-query-id", b""),
-        int(found(b"index-version", b"0")),
-        int(found(b"partitioning-version", b"0")),
+        read_number(found(b"index-version", b"0")),
+        read_number(found(b"partitioning-version", b"0")),
         state,
-        int(found(b"target-in-flight", b"0")),
+        read_number(found(b"target-in-flight", b"0")),
         read_versions(found(b"index-versions-held", b"")),
         found(b"not-run") == b"true",
     )
@@ -122,4 +125,16 @@
 @lru_cache(maxsize=1024)
 def read_versions(text: bytes) -> tuple[int, ...]:
     """Parse a comma-separated list of versions; raises ``ValueError``."""
-    return tuple(int(part) for part in text.split(b",") if part.strip())
+    return tuple(read_number(part) for part in text.split(b",") if part.strip())
+
+
+def read_number(text: bytes) -> int:
+    """Parse a number; raises ``ValueError`` if it is malformed or too large.
+
+    >>> read_number(b" 7")
+    7
+    """
+    number = read_count(text.strip(), MAX_NUMBER)
+    if number is None:
+        raise ValueError(f"not a number: {text[:40]!r}")
+    return number
