Ask for tiny rate limits again within a bounded time

Cause: a Server-Limit is valid without replies for the number of gateways over a quarter of the limit. A garbled tiny one kept a replica unused for years; one of 0 was asked for again by each gateway every 10 s, 55 times a second by 550. Change: the probes of all gateways together have a floor of one in a window of 4 s, which the tolerated peak leaves room for, and a limit of 0 has that rate as well. Test: TestTinyLimits in tests/gateway/test_rate_limits.py, five of six cases failed before. A limit of 0 that is lifted is learnt by a fleet of 6 after 24 s instead of 10 s, unless a request that was under way tells it before.

--- a/sardinehook/gateway/rate_share.py
+++ b/sardinehook/gateway/rate_share.py
@@ -21,6 +21,7 @@
 MIN_PEAK = 2.0  # of one gateway: a request of the highest priority and another one
 AVERAGING_S = 8.0  # unused requests of this time may be sent later
 PROBE_RATIO = 0.25  # of the limit: the rate of all gateways that ask for it anew
+MIN_PROBE_PER_S = 0.25  # of all gateways, however small the limit: one in a window
 MIN_VALIDITY_S = 10.0  # of a limit that no reply has repeated
 HASH_RANGE = 1 << 32
 
@@ -131,10 +132,11 @@
     def validity_s(self) -> float:
         """How long the limit is valid without a reply.
 
-        Gateways that ask for it anew send ``PROBE_RATIO`` of it together at most.
+        Gateways that ask for it anew send ``PROBE_RATIO`` of it together at most, but
+        not so few that a wrong limit would keep them away for good.
         """
-        probe_rate = PROBE_RATIO * self.limit_per_s
-        return max(MIN_VALIDITY_S, self.gateways / probe_rate if probe_rate else 0.0)
+        probe_rate = max(PROBE_RATIO * self.limit_per_s, MIN_PROBE_PER_S)
+        return max(MIN_VALIDITY_S, self.gateways / probe_rate)
 
     def allows(self, unsent: int, in_flight: int, reserve: float, now: float) -> bool:
         """Return whether one more request may be sent, leaving ``reserve`` of them.
--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -177,3 +177,22 @@
         assert [answer.status for answer in gateway.answers] == [503]
         gateway.gather(urgent)
         assert len(gateway.dispatcher.sent) == 4
+
+
+class TestTinyLimits:
+    @pytest.mark.parametrize("gateways", [1, 6, 550])
+    def test_a_tiny_limit_is_asked_for_again(self, gateways: int) -> None:
+        """Guards against a replica that one garbled limit keeps from being used."""
+        share = RateShare(0.0)
+        weights = {f"g-{number}": 1.0 for number in range(gateways)}
+        share.update(1e-9, weights, "g-0", "i-1", 0.0)
+        assert share.validity_s <= max(10.0, 4.0 * gateways)
+
+    @pytest.mark.parametrize("gateways", [1, 6, 550])
+    def test_without_any_rate_the_fleet_asks_once_in_a_window(
+        self, gateways: int
+    ) -> None:
+        share = RateShare(0.0)
+        weights = {f"g-{number}": 1.0 for number in range(gateways)}
+        share.update(0.0, weights, "g-0", "i-1", 0.0)
+        assert gateways / share.validity_s <= 0.25
