Bound the figures of other gateways, operators and the store

Cause: decoders took integers of any size, NaN and infinite floats, and kept them: times and counts of delegated searches, revisions, leases, the configuration, the start time of a replica; listings and updates had no limit of memory.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -26,6 +26,7 @@
 MAX_CONNECTIONS_RATIO = 0.9  # of the limit; closing connections still count there
 DEFAULT_MAX_CONNECTIONS = 16  # for replicas of a service without a limit
 DEREGISTERED_GRACE_RATIO = 0.7  # of the drain time
+MAX_COLD_RATIO = 2.0  # of the cold start of its service, for one replica
 MAX_PROBES = 32  # of failing replicas at once, since each takes processor time
 MAX_DETAILED_CHANGES = 8  # more changes at once share lines, without their details
 MAX_DEREGISTERED_GRACE_S = 2.4  # entries lost in a store outage return within 2 s
@@ -137,14 +138,14 @@
                 self.discard(known)
             known = self.add(entry)
             if entry.cold_left_s:
-                known.cold_until = now + entry.cold_left_s
+                self.set_cold(known, entry.cold_left_s, now)
             self.record_state_change(known, "registered")
         elif known.entry.draining != entry.draining:
             self.record_state_change(known, "draining" if entry.draining else "ready")
         elif known.deregistered_at is not None:
             self.record_state_change(known, "registered again")
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
-            known.cold_until = now + entry.cold_left_s
+            self.set_cold(known, entry.cold_left_s, now)
         known.entry = entry
         known.deregistered_at = None
 
@@ -268,11 +269,17 @@
         share /= self.share_divisor(service)
         return max(1, int(share))
 
-    def cold_start_s(self, service: str) -> float:
-        """Return how long replicas of a service are cold, zero if it is not stated."""
+    def set_cold(self, replica: Replica, cold_left_s: float, now: float) -> None:
+        """Record for how long a replica says that it is cold.
+
+        It is not believed beyond ``MAX_COLD_RATIO`` of what the service states.
+        """
         configuration = self.configuration
+        service = replica.entry.service
         known = configuration.services.get(service) if configuration else None
-        return known.cold_start_s if known else 0.0
+        if known is not None and known.cold_start_s:
+            cold_left_s = min(cold_left_s, MAX_COLD_RATIO * known.cold_start_s)
+        replica.cold_until = now + cold_left_s
 
     def can_serve(self, service: str, now: float) -> bool:
         """Return whether a service has a replica that this gateway can connect to."""
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -213,8 +213,10 @@
         if self.repeats_reply(exchange, reply):
             replica.observe_result(True, now)
             return Failed("reply repeats an earlier one on its connection")
-        cold_start_s = self.directory.cold_start_s(replica.entry.service)
-        replica.observe_reply(reply, cold_start_s, now)
+        if reply.load is not None:
+            replica.observe_load(reply.load, now)
+        if reply.cold_left_s is not None:
+            self.directory.set_cold(replica, reply.cold_left_s, now)
         if reply.misdirected:
             self.directory.discard_misdirected(replica)
             return NotRun("address belongs to another replica", True)
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -6,7 +6,7 @@
 from math import exp
 from typing import TYPE_CHECKING, NamedTuple
 
-from sardinehook.gateway.interfaces import Load, ReplicaEntry, ReplicaReply
+from sardinehook.gateway.interfaces import Load, ReplicaEntry
 from sardinehook.gateway.notices import Notices
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
@@ -26,7 +26,6 @@
 FAILURE_HALF_LIFE_S = 6.0  # lets a failing replica be tried again
 LOAD_MEMORY_S = 0.1  # a reported load is stale after a few service times
 MAX_LOAD_RATIO = 8.0  # of the slots; bounds how long one bad report keeps requests away
-MAX_COLD_RATIO = 2.0  # of the cold start of the service, for what a reply says
 COLD_RATE_WINDOW_S = 1.0  # window of the cold-start rate limit
 LN_2 = 0.693147
 
@@ -117,20 +116,11 @@
             self.failure_ratio = known + FAILURE_WEIGHT * (float(failed) - known)
             self.failure_ratio_at = now
 
-    def observe_reply(
-        self, reply: ReplicaReply, cold_start_s: float, now: float
-    ) -> None:
-        """Record the load and the rest of the cold start that a reply reports.
-
-        ``cold_start_s`` is how long replicas of the service are cold, zero if unknown.
-        """
-        if reply.load is not None:
-            self.load = reply.load
-            self.load_at = now
-            self.in_flight_at_load = len(self.in_flight)
-        if reply.cold_left_s is not None:
-            most_s = MAX_COLD_RATIO * cold_start_s or reply.cold_left_s
-            self.cold_until = now + min(reply.cold_left_s, most_s)
+    def observe_load(self, load: Load, now: float) -> None:
+        """Record the load that a reply reports."""
+        self.load = load
+        self.load_at = now
+        self.in_flight_at_load = len(self.in_flight)
 
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the replica.
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
+from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS
+from sardinehook.decoding import DECODE_ERRORS, Count, Measure, Number
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.interfaces import CallerRequest
 
@@ -29,28 +30,28 @@
     """A delegated search as sent; times are relative to the sending."""
 
     node: str
-    version: int
+    version: Number
     request_id: bytes
     method: bytes
     target: bytes
     host: str
     headers: list[tuple[bytes, bytes]]
     body: bytes
-    patience_s: float | None
-    elapsed_s: float
-    path_s: float
+    patience_s: Measure | None
+    elapsed_s: Measure
+    path_s: Measure
 
 
 class WireAnswer(msgspec.Struct, array_like=True):
     """The answer to a delegated search as sent, with its log fields."""
 
-    status: int
+    status: Annotated[int, Meta(ge=200, le=599)]
     headers: list[tuple[bytes, bytes]]
     body: bytes
     outcome: str
     detail: str
-    hedges: int
-    repeats: int
+    hedges: Count
+    repeats: Count
 
 
 class DelegatedRequest(NamedTuple):
--- a/sardinehook/gateway/watch_cache.py
+++ b/sardinehook/gateway/watch_cache.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 from collections import deque
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 from zlib import compress, decompressobj
 from zlib import error as zlib_error
 
 import msgspec
+from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS
+from sardinehook.decoding import DECODE_ERRORS, Number
 from sardinehook.gateway.store import Changes, Item
 
 __all__ = ["StateUpdate", "WatchCache", "decode_update", "encode_update"]
@@ -22,7 +23,8 @@
 COMPRESSED = b"z"
 COMPRESSION_THRESHOLD_BYTES = 1400  # a body that fits one packet stays plain
 COMPRESSION_LEVEL = 1  # the fastest level
-MAX_BODY_BYTES = 64 * 1024 * 1024  # bounds the memory for a malformed body
+MAX_BODY_BYTES = 32 * 1024 * 1024  # bounds the memory for a malformed body,
+MAX_ITEMS = 100_000  # which may hold many small items
 
 
 class StateUpdate(NamedTuple):
@@ -43,16 +45,16 @@
 
     key: str
     value: bytes | None
-    revision: int
+    revision: Number
 
 
 class WireUpdate(msgspec.Struct, array_like=True):
     """The wire format of ``StateUpdate``."""
 
-    revision: int
+    revision: Number
     whole: bool
     current: bool
-    items: list[WireItem]
+    items: Annotated[list[WireItem], Meta(max_length=MAX_ITEMS)]
 
 
 def encode_update(update: StateUpdate) -> bytes:
--- a/sardinehook/platform/configuration.py
+++ b/sardinehook/platform/configuration.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
+from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS
+from sardinehook.decoding import DECODE_ERRORS, Count, Measure, Number
 from sardinehook.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -28,7 +31,7 @@
     """A weighted service in a traffic split."""
 
     service: str
-    weight: float
+    weight: Measure
 
 
 class WireRoute(msgspec.Struct, rename="pascal"):
@@ -38,19 +41,19 @@
     host: str
     prefix: str
     route_type: str
-    timeout_ms: float
+    timeout_ms: Measure
     # A latency objective, not a timeout.
-    target_latency_ms: float
+    target_latency_ms: Measure
     # 0 is the highest priority.
-    priority: int = 0
+    priority: Count = 0
     # The number of replicas that may be tried, not the number of retries.
-    max_attempts: int = 1
+    max_attempts: Count = 1
     service: str | None = None
     traffic_split: list[WireSplit] | None = None
     # The services that serve the shards.
     gather: list[str] | None = None
-    top_k: int = 0
-    min_coverage: float = 0.0
+    top_k: Count = 0
+    min_coverage: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.0
 
 
 class WireService(msgspec.Struct, rename="pascal"):
@@ -59,25 +62,25 @@
     name: str
     health_path: str = "/health"
     # The connections to one replica, over all its clients.
-    max_conns: int = 0
-    cold_start_s: float = 0.0
+    max_conns: Count = 0
+    cold_start_s: Measure = 0.0
     # Requests per second that a cold replica can handle; 0 if not specified.
-    cold_per_s: float = 0.0
+    cold_per_s: Measure = 0.0
 
 
 class WireLimits(msgspec.Struct, rename="pascal"):
     """Size limits and timeouts for callers' requests."""
 
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 262144
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15000.0
+    max_header_bytes: Count = 16384
+    max_body_bytes: Count = 262144
+    header_timeout_ms: Measure = 3000.0
+    idle_timeout_ms: Measure = 15000.0
 
 
 class WireConfiguration(msgspec.Struct, rename="pascal"):
     """The configuration document."""
 
-    version: int
+    version: Number
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import time
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS, is_address, is_token
+from sardinehook.decoding import DECODE_ERRORS, Number, is_address, is_token
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.platform.configuration import decode_configuration
@@ -18,7 +19,7 @@
 MS_PER_S = 1000.0
 MAX_SLOTS = 100_000
 MAX_COLD_MS = 3_600_000
-MAX_INTEGER = 2**63 - 1
+MAX_CLOCK_SKEW_MS = 86_400_000  # between the replica's wall clock and this one
 REPLICA_STATES = frozenset({"ready", "draining"})
 
 
@@ -33,11 +34,9 @@
     # The remaining warm-up time of the replica when it wrote the entry.
     cold_left_ms: Annotated[float, Meta(ge=0.0, le=MAX_COLD_MS)] = 0.0
     # Incremented with each write of the replica since its start.
-    seq: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] = 0
+    seq: Number = 0
     # The replica's start time, in milliseconds since the Unix epoch.
-    born: Annotated[int, Meta(ge=0, le=MAX_INTEGER)] = msgspec.field(
-        name="born", default=0
-    )
+    born: Number = msgspec.field(name="born", default=0)
 
 
 DECODER = msgspec.json.Decoder(WireEntry)
@@ -68,6 +67,10 @@
             return Failure(f"unusable id or address: {wire.addr!r}")
         if wire.state not in REPLICA_STATES or not wire.service:
             return Failure(f"unknown state {wire.state!r} or empty service name")
+        # Entries of an earlier start are ignored: a start in the future would make all
+        # later entries of this replica look older.
+        if wire.born > time.time() * MS_PER_S + MAX_CLOCK_SKEW_MS:
+            return Failure(f"started in the future: {wire.born}")
         return Success(
             ReplicaEntry(
                 replica_id,
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -10,7 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS
+from sardinehook.decoding import DECODE_ERRORS, Number
 from sardinehook.gateway.http_call import HttpCall
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
@@ -29,6 +29,8 @@
 CALL_TIMEOUT_S = 1.0  # a healthy store answers within milliseconds
 MAX_CONNECTIONS = 4  # one for the watch, the rest for other calls
 MAX_PAGES = 100  # bounds a listing that always reports more pages
+MAX_LISTING_BYTES = 32 * 1024 * 1024  # bounds the memory that a listing takes
+ITEM_OVERHEAD_BYTES = 256  # memory for an item besides its key and value
 MS_PER_S = 1000.0
 
 Body = TypeVar("Body")
@@ -40,7 +42,7 @@
     key: str
     value: str = ""
     # The store's revision at the last change of the key.
-    revision: int = 0
+    revision: Number = 0
     # True in the event of a deletion.
     deleted: bool = False
 
@@ -50,7 +52,7 @@
 
     items: list[WireItem]
     # The store's revision at the time of the read.
-    as_of: int = msgspec.field(name="AsOf")
+    as_of: Number = msgspec.field(name="AsOf")
     has_more: bool = msgspec.field(name="HasMore", default=False)
 
 
@@ -59,19 +61,19 @@
 
     events: list[WireItem]
     # The revision from which to continue the watch.
-    as_of: int = msgspec.field(name="AsOf")
+    as_of: Number = msgspec.field(name="AsOf")
 
 
 class WireLease(msgspec.Struct, rename="pascal"):
     """The reply to the grant of a lease."""
 
-    lease: int
+    lease: Number
 
 
 class WireRevision(msgspec.Struct, rename="pascal"):
     """The reply to a write."""
 
-    revision: int
+    revision: Number
 
 
 class PlatformStore:
@@ -111,6 +113,7 @@
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
         """Read all items under ``prefix``, with the revision of the first page."""
         items: list[Item] = []
+        held = 0
         revision = 0
         after = ""
         for _ in range(MAX_PAGES):
@@ -121,6 +124,10 @@
             match result.bind(lambda reply: decode(reply, WireRange)):
                 case Success(page):
                     items.extend(read_item(item) for item in page.items)
+                    held += sum(size_of(item) for item in page.items)
+                    if held > MAX_LISTING_BYTES:
+                        detail = f"listing holds more than {MAX_LISTING_BYTES} bytes"
+                        return Failure(StoreUnavailable(detail, False))
                     revision = revision or page.as_of
                     if not page.has_more or not page.items:
                         return Success(Changes(tuple(items), revision))
@@ -218,6 +225,11 @@
         return Failure(StoreUnavailable(f"malformed reply: {error}", True))
 
 
+def size_of(wire: WireItem) -> int:
+    """Return about how many bytes of memory an item takes."""
+    return ITEM_OVERHEAD_BYTES + len(wire.key) + len(wire.value)
+
+
 def read_item(wire: WireItem) -> Item:
     """Convert an item; a value that is not valid base64 becomes empty."""
     if wire.deleted:
--- a/tests/gateway/test_reported_figures.py
+++ b/tests/gateway/test_reported_figures.py
@@ -13,7 +13,6 @@
     configuration,
     good,
     make_gateway,
-    reply,
     search_route,
     single_route,
 )
@@ -63,8 +62,7 @@
         gateway = gateway_with("desk")
         now = gateway.reactor.seconds()
         for replica in gateway.directory.replicas.values():
-            load = Load(running, 0, 6)
-            replica.observe_reply(reply(200, b"s")._replace(load=load), 0.0, now)
+            replica.observe_load(Load(running, 0, 6), now)
         gateway.reactor.advance(0.5)
         gateway.call(single_route(idempotent=False), "desk")
         gateway.end(gateway.dispatcher.sent[0], good("d"))
@@ -75,7 +73,8 @@
         gateway = gateway_with("s00", "s01", "s02", "s03")
         now = gateway.reactor.seconds()
         decoded = read(b"x-server-load", f"{figure},0,6")
-        gateway.directory.replicas["s00-0"].observe_reply(decoded, 0.0, now)
+        if decoded.load is not None:
+            gateway.directory.replicas["s00-0"].observe_load(decoded.load, now)
         gateway.gather(search_route())
         gateway.answer_all()
         assert [answer.status for answer in gateway.answers] == [200]
@@ -92,11 +91,8 @@
         gateway = gateway_with("desk")
         gateway.directory.configure(configuration(single_route(False)))
         replica = gateway.directory.replicas["desk-0"]
-        cold_start_s = gateway.directory.cold_start_s("desk")
-        assert cold_start_s == 3.0
         now = gateway.reactor.seconds()
-        wrong = reply(200, b"s")._replace(cold_left_s=3600.0)
-        replica.observe_reply(wrong, cold_start_s, now)
+        gateway.directory.set_cold(replica, 3600.0, now)
         assert replica.is_cold(now + 5.9)
         assert not replica.is_cold(now + 6.1)
 
