Reserve ports in any free blocks

Cause: reserve_ports wanted consecutive blocks. Change: the blocks may lie anywhere; after a failure none stays reserved. No caller relies on consecutive ports. Test: test_many_ports_are_found_between_other_reservations, which spreads reservations on purpose, failed before. The test of a listening port in a block takes one block at a time now, with the same assertions.

--- a/bench/ports.py
+++ b/bench/ports.py
@@ -20,37 +20,41 @@
 def reserve_ports(count: int) -> list[int]:
     """Reserve ports that are free and that no other caller gets.
 
-    The reservation lasts until this process ends. Raises ``OSError`` if there are not
-    enough consecutive free blocks.
+    The ports come from any free blocks, since few runs of consecutive ones are left
+    where many reservations are held. The reservation lasts until this process ends.
+    Raises ``OSError`` if there are not enough free blocks; none is reserved then.
     """
-    blocks = -(-count // (BLOCK - 1))
-    firsts = list(range(LOWEST_PORT, HIGHEST_PORT - blocks * BLOCK, BLOCK))
+    wanted = -(-count // (BLOCK - 1))
+    firsts = list(range(LOWEST_PORT, HIGHEST_PORT - BLOCK, BLOCK))
     random.SystemRandom().shuffle(firsts)
+    reserved: list[socket.socket] = []
+    ports: list[int] = []
     for first in firsts:
-        ports = reserve_blocks(first, blocks)
-        if ports:
-            return ports[:count]
-    raise OSError(
-        f"no {blocks} consecutive blocks of {BLOCK} free ports "
-        f"between {LOWEST_PORT} and {HIGHEST_PORT}"
-    )
+        if len(reserved) == wanted:
+            break
+        guard = reserve_block(first)
+        if guard is not None:
+            reserved.append(guard)
+            ports += range(first + 1, first + BLOCK)
+    if len(reserved) < wanted:
+        for guard in reserved:
+            guard.close()
+        raise OSError(
+            f"{len(reserved)} of {wanted} blocks of {BLOCK} free ports found "
+            f"between {LOWEST_PORT} and {HIGHEST_PORT}"
+        )
+    guards.extend(reserved)
+    return ports[:count]
 
 
-def reserve_blocks(first: int, blocks: int) -> list[int]:
-    """Reserve consecutive blocks; return no ports if one of them is in use."""
-    sockets: list[socket.socket] = []
-    ports: list[int] = []
-    for first_port in range(first, first + blocks * BLOCK, BLOCK):
-        guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sockets.append(guard)
-        usable = range(first_port + 1, first_port + BLOCK)
-        if not bind(guard, first_port) or not all(is_free(port) for port in usable):
-            for opened in sockets:
-                opened.close()
-            return []
-        ports += usable
-    guards.extend(sockets)
-    return ports
+def reserve_block(first: int) -> socket.socket | None:
+    """Return the bound guard of a block, ``None`` if one of its ports is in use."""
+    guard = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    usable = range(first + 1, first + BLOCK)
+    if bind(guard, first) and all(is_free(port) for port in usable):
+        return guard
+    guard.close()
+    return None
 
 
 def is_free(port: int) -> bool:
--- a/tests/bench/test_ports.py
+++ b/tests/bench/test_ports.py
@@ -11,7 +11,7 @@
 import pytest
 
 from bench import ports
-from bench.ports import BLOCK, LOOPBACK, reserve_blocks, reserve_ports
+from bench.ports import BLOCK, LOOPBACK, reserve_block, reserve_ports
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 RESERVE_COMMAND = (
@@ -60,5 +60,26 @@
         with socket.socket() as listening:
             listening.bind((LOOPBACK, port + 5))
             listening.listen()
-            assert reserve_blocks(first, 1) == []
-        assert port in reserve_blocks(first, 1)
+            assert reserve_block(first) is None
+        guard = reserve_block(first)
+        assert guard is not None
+        guard.close()
+
+    def test_many_ports_are_found_between_other_reservations(self) -> None:
+        """Guards against reservations that fail beside load, with most ports free."""
+        for first in range(ports.LOWEST_PORT, ports.HIGHEST_PORT, 16 * BLOCK):
+            guard = reserve_block(first)
+            ports.guards += [guard] if guard is not None else []
+        held = list(ports.guards)
+        for _ in range(30):
+            assert len(set(reserve_ports(2000))) == 2000
+            for guard in ports.guards[len(held) :]:
+                guard.close()
+            ports.guards[:] = held
+
+    def test_nothing_stays_reserved_after_a_failure(self) -> None:
+        held = list(ports.guards)
+        with pytest.raises(OSError, match="blocks"):
+            reserve_ports(ports.HIGHEST_PORT)
+        assert ports.guards == held
+        assert len(reserve_ports(2000)) == 2000
