Count the requests of callers with the memory that they hold

Cause: bodies were kept as one object for each chunk; trailers without end were kept as headers; the head of a pipelined request had neither a limit nor a timeout; answers piled up for a caller that sends and doesn't read; requests that wait for the first configuration were limited in number only. Change: one buffer for each body, a common limit of 48 MiB beyond which large bodies are refused as not run, 256 headers, no trailers, the limits of a head for each request; reading pauses and nothing is started while an answer waits to be sent.

--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -10,7 +10,8 @@
 import structlog
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 
-from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import CallerLimits
 from sardinehook.gateway.interfaces import Header, HttpRequest, RequestTiming
 from sardinehook.gateway.reactor import GatewayReactor
@@ -18,7 +19,13 @@
 from sardinehook.gateway.unexpected import call_logged, unexpected_error_answer
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
-from sardinehook.transport.connection import set_socket_options
+from sardinehook.transport.buffers import BodyBuffer, MemoryAccount
+from sardinehook.transport.connection import (
+    CHUNK_OVERHEAD_RATIO,
+    HEADER_OVERHEAD_BYTES,
+    MAX_HEADERS,
+    set_socket_options,
+)
 from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
 from sardinehook.transport.socket_writer import SocketWriter
 
@@ -30,6 +37,9 @@
 OPENED_FOR_REQUEST_S = 0.05  # a first request by then opened the connection
 ROUND_TRIP_MARGIN = 1.3  # allows for round trips above the kernel's mean
 MAX_PIPELINED = 16  # complete requests queued on one connection
+MAX_REQUEST_BYTES = 48 * 1024 * 1024  # limit of the memory of all unanswered requests,
+SMALL_REQUEST_BYTES = 64 * 1024  # which does not end those that hold less than this
+OVERLOADED = 503
 NO_BODY_STATUS = frozenset({204, 304})
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 NEVER = float("inf")
@@ -42,6 +52,8 @@
         """Stop after the caller has disconnected."""
 
 
+request_buffers = MemoryAccount(MAX_REQUEST_BYTES)
+
 Handler = Callable[[HttpRequest, Callable[[CallerAnswer], None]], Cancellable | None]
 
 
@@ -52,6 +64,8 @@
         "body",
         "body_bytes",
         "error",
+        "framing_bytes",
+        "header_count",
         "headers",
         "keep_alive",
         "method",
@@ -62,8 +76,10 @@
         self.url = b""
         self.method = b""
         self.headers: list[Header] = []
-        self.body: list[bytes] = []
+        self.header_count = 0
+        self.body = BodyBuffer(request_buffers)
         self.body_bytes = 0
+        self.framing_bytes = 0
         self.keep_alive = False
         self.error = 0
 
@@ -82,11 +98,13 @@
         self.parsing: ParsedRequest | None = None
         self.head_bytes = 0
         self.in_head = False
+        self.has_earlier_request = False
         self.queued: deque[ParsedRequest] = deque()
         self.current: ParsedRequest | None = None
         self.work: Cancellable | None = None
         self.refused = False
         self.closing = False
+        self.is_writing_paused = False
         self.timeout_started_at = 0.0
         self.opened_at: float | None = None
 
@@ -103,11 +121,29 @@
         """Cancel the request of a caller that has disconnected."""
         self.server.connections.discard(self)
         self.closing = True
-        self.queued.clear()
+        self.drop_requests()
         work, self.work = self.work, None
         if work is not None:
             work.cancel()
 
+    def drop_requests(self) -> None:
+        """Release what the requests of this connection hold."""
+        for request in (self.parsing, self.current, *self.queued):
+            if request is not None:
+                request.body.clear()
+        self.queued.clear()
+
+    def pauseProducing(self) -> None:
+        """Start and read no further request: the caller does not read its answers."""
+        self.is_writing_paused = True
+        self.tcp.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """Continue with the requests after the caller has read its answers."""
+        self.is_writing_paused = False
+        self.tcp.resumeProducing()
+        self.serve_next()
+
     def dataReceived(self, data: bytes) -> None:
         """Parse ``data``; refuse invalid HTTP and oversized heads."""
         if self.closing or self.refused:
@@ -118,6 +154,9 @@
             self.timeout_started_at = self.server.now()
         if self.in_head:
             self.head_bytes += len(data)
+        elif self.parsing is not None:
+            self.parsing.framing_bytes += len(data)
+        self.has_earlier_request = False
         try:
             self.parser.feed_data(data)
         except HttpParserUpgrade:
@@ -126,20 +165,36 @@
             self.refuse(400)
         if self.in_head and self.head_bytes > self.server.limits.header_bytes:
             self.refuse(431)
+        self.check_framing()
         self.serve_next()
 
+    def check_framing(self) -> None:
+        """Refuse a chunked body whose chunk sizes and trailers are without measure."""
+        request = self.parsing
+        if request is None or self.in_head:
+            return
+        framing = request.framing_bytes - request.body_bytes
+        allowed = CHUNK_OVERHEAD_RATIO * request.body_bytes
+        if framing > allowed + self.server.limits.header_bytes:
+            self.refuse(400)
+
     def refuse(self, status: int) -> None:
         """Queue an error answer after which the connection is closed."""
         if self.refused:
             return
         self.refused = True
+        if self.parsing is not None:
+            self.parsing.body.clear()
         request = ParsedRequest()
         request.error = status
         self.queued.append(request)
 
     def on_message_begin(self) -> None:
-        """Start a new request."""
+        """Start a new request, which may share its first bytes with an earlier one."""
         self.parsing = ParsedRequest()
+        self.in_head = True
+        if self.has_earlier_request:
+            self.head_bytes = 0
 
     def on_url(self, url: bytes) -> None:
         """Append a piece of the request target."""
@@ -147,9 +202,17 @@
         self.parsing.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
-        assert self.parsing is not None
-        self.parsing.headers.append((name, value))
+        """Append a header, up to the limit; trailers are ignored."""
+        request = self.parsing
+        assert request is not None
+        if not self.in_head or self.refused:
+            return
+        request.header_count += 1
+        if request.header_count > MAX_HEADERS:
+            self.refuse(431)
+            return
+        request.headers.append((name, value))
+        request.body.hold(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
 
     def on_headers_complete(self) -> None:
         """Check the sizes of head and body, and answer ``Expect: 100-continue``."""
@@ -187,10 +250,13 @@
             self.refuse(413)
             return
         request.body.append(body)
+        if request.body.held > SMALL_REQUEST_BYTES and request_buffers.is_exceeded:
+            self.refuse(OVERLOADED)
 
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         request, self.parsing = self.parsing, None
+        self.has_earlier_request = True
         if request is None or self.refused:
             return
         self.queued.append(request)
@@ -200,6 +266,8 @@
     def serve_next(self) -> None:
         """Start the next queued request unless one is in progress."""
         while self.current is None and self.queued and not self.closing:
+            if self.is_writing_paused:
+                return
             request = self.queued.popleft()
             if request.error:
                 self.write_error(request.error)
@@ -209,13 +277,10 @@
 
     def start(self, request: ParsedRequest) -> None:
         """Pass a request to the server's handler, and answer it after any error."""
-        raw = HttpRequest(
-            request.method,
-            request.url,
-            tuple(request.headers),
-            b"".join(request.body),
-            *self.timing(),
-        )
+        body = request.body.take()
+        request.body.hold(len(body))
+        headers = tuple(request.headers)
+        raw = HttpRequest(request.method, request.url, headers, body, *self.timing())
         try:
             work = self.server.handle(raw, lambda answer: self.answer(request, answer))
         except Exception as error:
@@ -244,6 +309,7 @@
             return
         self.current = None
         self.work = None
+        request.body.clear()
         keep = (
             request.keep_alive
             and not self.server.closes_after_answer
@@ -264,6 +330,8 @@
             return
         if work is not None:
             call_logged(work.cancel)
+        for queued in self.queued:
+            queued.body.clear()
         self.queued.clear()
         self.answer(request, answer)
 
@@ -277,6 +345,9 @@
             caller=str(self.tcp.getPeer().host),
         )
         answer = CallerAnswer(status, (), b"", "bad_request")
+        if status == OVERLOADED:
+            problem = Problem(ErrorKind.OVERLOADED, "requests hold too much memory")
+            answer = error_answer(problem)
         self.writer.write(encode_answer(answer, False, False))
         self.close()
 
--- a/sardinehook/gateway/startup_queue.py
+++ b/sardinehook/gateway/startup_queue.py
@@ -16,7 +16,8 @@
 
 MAX_WAIT_S = 0.5  # a large fleet has its state by then, or is in trouble
 MAX_WAIT_RATIO = 0.25  # of the caller's timeout: leaves time to go elsewhere
-MAX_WAITING = 256  # requests
+MAX_WAITING = 256  # requests,
+MAX_WAITING_BYTES = 8 * 1024 * 1024  # of their bodies together
 
 Finish = Callable[[CallerAnswer], None]
 StartRequest = Callable[[CallerRequest, Finish], Cancellable | None]
@@ -58,6 +59,7 @@
         self.start_request = start_request
         self.refuse = refuse
         self.waiting: list[WaitingRequest] = []
+        self.waiting_bytes = 0
         self.open_until = float("-inf")
 
     def open(self) -> None:
@@ -69,12 +71,14 @@
     def has_room(self) -> bool:
         """Whether one more request may wait."""
         is_open = self.reactor.seconds() < self.open_until
-        return is_open and len(self.waiting) < MAX_WAITING
+        has_memory = self.waiting_bytes < MAX_WAITING_BYTES
+        return is_open and has_memory and len(self.waiting) < MAX_WAITING
 
     def add(self, request: CallerRequest, finish: Finish) -> WaitingRequest:
         """Keep a request, for a part of its caller's timeout at most."""
         waiting = WaitingRequest(request, finish)
         self.waiting.append(waiting)
+        self.waiting_bytes += len(request.body)
         if request.caller_timeout_s is not None:
             wait_s = MAX_WAIT_RATIO * request.caller_timeout_s
             self.reactor.callLater(wait_s, self.expire, waiting)
@@ -84,12 +88,14 @@
         """Refuse a request that still waits."""
         if waiting in self.waiting:
             self.waiting.remove(waiting)
+            self.waiting_bytes -= len(waiting.request.body)
             if not waiting.cancelled:
                 self.refuse(waiting.request, waiting.finish)
 
     def release(self) -> None:
         """Start all requests that wait."""
         released, self.waiting = self.waiting, []
+        self.waiting_bytes = 0
         if not released:
             return
         waited_s = self.reactor.seconds() - released[0].request.received_at
--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -97,6 +97,24 @@
         """Pass received bytes to the protocol."""
         self.protocol.dataReceived(bytes(self.buffer[:nbytes]))
 
+    def pause_writing(self) -> None:
+        """Tell the protocol that the peer does not read what it writes."""
+        self.protocol.pauseProducing()
+
+    def resume_writing(self) -> None:
+        """Tell the protocol that the peer has read most of what it wrote."""
+        self.protocol.resumeProducing()
+
+    def pauseProducing(self) -> None:
+        """Stop reading from the connection."""
+        if not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resumeProducing(self) -> None:
+        """Read from the connection again."""
+        if not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Report the end of the connection to the protocol."""
         end = CLOSED_CLEANLY if exc is None else ConnectionEnd(False, str(exc))
--- a/sardinehook/transport/reactor.py
+++ b/sardinehook/transport/reactor.py
@@ -54,6 +54,12 @@
     def connectionLost(self, reason: ConnectionEnd) -> None:
         """Handle that the connection has ended."""
 
+    def pauseProducing(self) -> None:
+        """Handle that the peer does not read, so that written data is kept here."""
+
+    def resumeProducing(self) -> None:
+        """Handle that the peer has read most of the written data."""
+
 
 class StreamServerFactory(Protocol):
     """Makes the protocol of each accepted connection."""
--- a/tests/transport/test_event_loop.py
+++ b/tests/transport/test_event_loop.py
@@ -37,6 +37,12 @@
         self.end = reason
         self.act(self, "lost")
 
+    def pauseProducing(self) -> None:
+        self.act(self, "paused")
+
+    def resumeProducing(self) -> None:
+        self.act(self, "resumed")
+
 
 class Factory:
     """Makes recorders, and records connections that could not be opened."""
@@ -147,6 +153,36 @@
         rig.run()
         assert client.made[0].received == b"question"
 
+    def test_a_protocol_learns_that_its_peer_does_not_read(
+        self, free_port: int
+    ) -> None:
+        """Guards against written data that piles up without bound."""
+        rig = LoopRig()
+        events: list[str] = []
+
+        def write_much(connection: Recorder, event: str) -> None:
+            events.append(event)
+            if event == "made":
+                connection.transport.write(bytes(16 * 1024 * 1024))
+            elif event == "paused":
+                connection.transport.pauseProducing()
+            elif event == "resumed":
+                connection.transport.resumeProducing()
+                connection.transport.loseConnection()
+
+        def read_late(connection: Recorder, event: str) -> None:
+            if event == "made":
+                connection.transport.pauseProducing()
+                rig.loop.callLater(0.05, connection.transport.resumeProducing)
+            elif event == "lost":
+                rig.loop.stop()
+
+        client, server = Factory(write_much), Factory(read_late)
+        rig.connect(free_port, client, server)
+        rig.run()
+        assert events[:3] == ["made", "paused", "resumed"]
+        assert len(server.made[0].received) == 16 * 1024 * 1024
+
     def test_a_refused_connection_is_reported(self, free_port: int) -> None:
         rig = LoopRig()
         client = Factory(echo)
