Limit logged changes and merged records by their memory

Cause: a gateway logs 2,000 changes for the others, whose values may have 1 MiB each; the records of a shard's reply were taken apart for the whole body, at 72 bytes for 16. Change: the log holds 16 MiB at most; bodies over 64 KiB are merged record by record.

--- a/sardinehook/gateway/records.py
+++ b/sardinehook/gateway/records.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from heapq import nlargest
 
 __all__ = ["merge_records", "split_records"]
 
 RECORD_BYTES = 16
+MAX_SORTED_BYTES = 64 * 1024  # of a body; a record of its own takes 72 bytes
 
 
 def split_records(body: bytes, limit: int) -> list[bytes]:
@@ -18,6 +20,9 @@
     [b'bbbbbbbbbbbbbbbb']
     """
     last = len(body) - RECORD_BYTES + 1
+    if last > MAX_SORTED_BYTES:
+        offsets = range(0, last, RECORD_BYTES)
+        return nlargest(limit, (body[n : n + RECORD_BYTES] for n in offsets))
     records = [
         body[offset : offset + RECORD_BYTES] for offset in range(0, last, RECORD_BYTES)
     ]
--- a/sardinehook/gateway/watch_cache.py
+++ b/sardinehook/gateway/watch_cache.py
@@ -19,6 +19,8 @@
 MAX_LOGGED_CHANGES = (
     2000  # for gateways that lag: some minutes of changes in a busy store
 )
+MAX_LOGGED_BYTES = 16 * 1024 * 1024  # values may be large, as a configuration is
+LOGGED_CHANGE_BYTES = 256  # memory for a change besides its key and value
 PLAIN = b"m"
 COMPRESSED = b"z"
 COMPRESSION_THRESHOLD_BYTES = 1400  # a body that fits one packet stays plain
@@ -119,6 +121,7 @@
         self.items: dict[str, Item] = {}
         self.revision: int | None = None
         self.log: deque[Item] = deque()
+        self.logged_bytes = 0
         self.logged_from = 0
 
     def replace(self, listing: Changes) -> None:
@@ -126,6 +129,7 @@
         self.items = {item.key: item for item in listing.items}
         self.revision = self.logged_from = listing.revision
         self.log.clear()
+        self.logged_bytes = 0
 
     def apply(self, changes: Changes) -> tuple[Item, ...]:
         """Apply the changes since ``revision``, and return those that are new.
@@ -141,14 +145,19 @@
         return fresh
 
     def apply_item(self, item: Item) -> None:
-        """Apply and log one change, evicting the oldest one from a full log."""
+        """Apply and log one change, evicting the oldest ones from a full log."""
         if item.value is None:
             self.items.pop(item.key, None)
         else:
             self.items[item.key] = item
         self.log.append(item)
-        if len(self.log) > MAX_LOGGED_CHANGES:
-            self.logged_from = self.log.popleft().revision
+        self.logged_bytes += size_of(item)
+        while (
+            len(self.log) > MAX_LOGGED_CHANGES or self.logged_bytes > MAX_LOGGED_BYTES
+        ):
+            evicted = self.log.popleft()
+            self.logged_bytes -= size_of(evicted)
+            self.logged_from = evicted.revision
 
     def changes_after(self, revision: int) -> Changes | None:
         """Return the changes after a revision, ``None`` if the log begins later.
@@ -167,3 +176,8 @@
     def listing(self) -> Changes:
         """Return a full listing."""
         return Changes(tuple(self.items.values()), self.revision or 0)
+
+
+def size_of(item: Item) -> int:
+    """Return about how many bytes of memory a change takes in the log."""
+    return LOGGED_CHANGE_BYTES + len(item.key) + len(item.value or b"")
