Limit unsent messages and the platform's replies by their memory

Cause: in the owner tier, links counted the fields of queued messages only, and the collector of the platform's replies had no limit at all. Change: each message counts with its overhead; a reply beyond 64 MiB closes its connection.

--- a/sardinehook/fleet/connection.py
+++ b/sardinehook/fleet/connection.py
@@ -33,6 +33,7 @@
 FRAME_TARGET_BYTES = 256 * 1024
 MESSAGE_LIMIT_BYTES = FRAME_LIMIT_BYTES - FRAME_TARGET_BYTES
 UNSENT_LIMIT_BYTES = 8 * 1024 * 1024
+MESSAGE_OVERHEAD_BYTES = 256  # memory for a queued message besides its fields
 HANDSHAKE_TIMEOUT_S = 2.0
 
 
@@ -231,9 +232,10 @@
         size = len(memoryview(message.fields))
         if size > MESSAGE_LIMIT_BYTES:
             return False
-        if self.unsent_bytes + size > UNSENT_LIMIT_BYTES:
+        held = size + MESSAGE_OVERHEAD_BYTES
+        if self.unsent_bytes + held > UNSENT_LIMIT_BYTES:
             return False
-        self.unsent_bytes += size
+        self.unsent_bytes += held
         self.send_queue.append(message)
         if self.flush_call is None and not self.paused:
             self.flush_call = self.links.reactor.callLater(0, self.flush)
--- a/sardinehook/store/http_client.py
+++ b/sardinehook/store/http_client.py
@@ -19,6 +19,7 @@
     FileBodyProducer,
     HTTPConnectionPool,
     ResponseDone,
+    ResponseFailed,
 )
 from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer, IResponse
 from zope.interface import implementer
@@ -32,6 +33,7 @@
 MAX_IDLE_CONNECTIONS = 8
 CONNECT_TIMEOUT_RATIO = 0.5  # of the timeout, to tell failed connects from lost replies
 TOO_MANY_REQUESTS = 429
+MAX_BODY_BYTES = 64 * 1024 * 1024  # bounds the memory for a malformed reply
 
 
 class HttpReply(NamedTuple):
@@ -64,7 +66,7 @@
     """
 
     def __init__(self) -> None:
-        self.chunks: list[bytes] = []
+        self.content = bytearray()
         self.body_read: Deferred[bytes] = Deferred(self.cancel)
 
     def cancel(self, _body_read: Deferred[bytes]) -> None:
@@ -74,15 +76,18 @@
             close()
 
     def dataReceived(self, data: bytes) -> None:
-        """Append a chunk of the body."""
-        self.chunks.append(data)
+        """Append a piece of the body; the connection is closed beyond the limit."""
+        self.content += data
+        if len(self.content) > MAX_BODY_BYTES and not self.body_read.called:
+            self.body_read.errback(ResponseFailed([], None))
+            self.cancel(self.body_read)
 
     def connectionLost(self, reason: TwistedFailure = connectionDone) -> None:
         """Fire with the complete body, or fail if the connection ended early."""
         if self.body_read.called:
             return
         if isinstance(reason.value, ResponseDone):
-            self.body_read.callback(b"".join(self.chunks))
+            self.body_read.callback(bytes(self.content))
         else:
             self.body_read.errback(reason)
 
