Let replicas of the soak send small pieces without end, and watch the memory

Cause: the soak's endless answers were bodies in large pieces, and nothing judged what the gateways hold. Test: TestMemory in tests/bench/soak/test_gateways.py.

--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -14,12 +14,14 @@
 from bench.soak.history import Interval
 from bench.soak.proxy import Proxy
 from bench.soak.testbed import DATA_CENTRES, Testbed
+from sardinehook.observe.memory import resident_bytes
 
 __all__ = ["Gateway", "GatewayOptions", "make_gateways"]
 
 POLL_S = 0.05
 PORTS_PER_GATEWAY = 5  # front, ready, control, two internal ports
 SEED_COUNT = 3  # gateways listed as seeds in all settings files
+MEMORY_BYTES = 300_000_000  # of a VM of the users' sites
 STOP_MARGIN_S = 1.5  # beyond the grace period, to detect the exit
 FAST_LINK_MBPS = 1000.0
 SLOW_LINK_MBPS = 20.0
@@ -178,6 +180,16 @@
             )
             self.start()
 
+    def check_memory(self) -> None:
+        """Report a violation if the process exceeds the memory of its VM."""
+        if not self.child.running:
+            return
+        resident = resident_bytes(self.child.pid)
+        if resident > MEMORY_BYTES:
+            self.report_violation(
+                "memory", f"{self.name} holds {resident} of {MEMORY_BYTES} bytes"
+            )
+
     def record_exit(self, planned: bool) -> None:
         """Record an exit; report a planned one whose exit code is not expected."""
         now = self.testbed.reactor.seconds()
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -5,6 +5,7 @@
 from hashlib import blake2b
 from random import Random
 from typing import Any
+from zlib import crc32
 
 from httptools import HttpParserError, HttpRequestParser
 from twisted.internet.protocol import Protocol, ServerFactory, connectionDone
@@ -22,8 +23,16 @@
 DUPLICATE_DELAY_S = 0.05
 PAUSE_S = 1.5
 LIMIT_PER_S = 6.0
-PIECE_BYTES = 65536
-PIECE_INTERVAL_S = 0.01
+ENDLESS_INTERVAL_S = 0.01
+CHUNKED = b"HTTP/1.1 200 Told\r\nTransfer-Encoding: chunked\r\n\r\n"
+# The first bytes of an endless answer, and those that are sent again and again.
+ENDLESS = (
+    (b"HTTP/1.1 200 Told\r\n\r\n", bytes(65536)),
+    (CHUNKED, b"2\r\nab\r\n" * 16384),
+    (CHUNKED, b"1\r\na\r\n" * 16384),
+    (b"HTTP/1.1 200 Told\r\n", b"X: y\r\n" * 2048),
+    (CHUNKED + b"0\r\n", b"X: y\r\n" * 2048),
+)
 
 
 class ReplicaServer(ServerFactory):
@@ -32,8 +41,8 @@
     ``errors`` fails requests after running them, ``garble`` truncates answers,
     ``extra`` sends them twice, ``lost`` closes the connection instead of answering,
     ``pause`` starts no request, ``cut_head`` closes in the head of answers, ``endless``
-    sends bodies without end. ``refuse`` turns requests away with a pause, ``limit``
-    states a rate. A replica that is ``leaving`` says so in all answers.
+    sends heads and bodies without end. ``refuse`` turns requests away with a pause,
+    ``limit`` states a rate. A replica that is ``leaving`` says so in all answers.
     """
 
     noisy = False
@@ -253,18 +262,19 @@
             self.write(200, answer.signature, answer.body, cut=len(answer.body) + 30)
             return
         if fault == "endless":
-            self.tcp.write(b"HTTP/1.1 200 Told\r\n\r\n")
-            self.send_endless()
+            first, piece = ENDLESS[crc32(self.request.encode()) % len(ENDLESS)]
+            self.tcp.write(first)
+            self.send_endless(piece)
             return
         self.write(200, answer.signature, answer.body)
         if fault == "extra":
             replica.reactor.callLater(DUPLICATE_DELAY_S, self.send_duplicate, answer)
 
-    def send_endless(self) -> None:
-        """Send bytes until the connection is closed."""
+    def send_endless(self, piece: bytes) -> None:
+        """Send a piece again and again until the connection is closed."""
         if self.open:
-            self.tcp.write(bytes(PIECE_BYTES))
-            self.replica.reactor.callLater(PIECE_INTERVAL_S, self.send_endless)
+            self.tcp.write(piece)
+            self.replica.reactor.callLater(ENDLESS_INTERVAL_S, self.send_endless, piece)
 
     def make_answer(self) -> ReplicaAnswer:
         """Create the answer; replicas of a service return the same records."""
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -167,6 +167,7 @@
         while not self.stopping:
             started_at = self.reactor.seconds()
             gateway.restart_if_exited()
+            gateway.check_memory()
             gateway.missed_probes = (
                 0 if await self.is_ready(url) else gateway.missed_probes + 1
             )
--- a/sardinehook/observe/memory.py
+++ b/sardinehook/observe/memory.py
@@ -1,4 +1,4 @@
-"""Memory of this process as the kernel counts it."""
+"""Memory of a process as the kernel counts it."""
 
 from __future__ import annotations
 
@@ -7,18 +7,20 @@
 
 __all__ = ["resident_bytes"]
 
-STATM = Path("/proc/self/statm")
 RESIDENT_FIELD = 1  # of statm, in pages
 
 
-def resident_bytes() -> int:
+def resident_bytes(pid: int | None = None) -> int:
     """Return the resident memory in bytes, 0 where the kernel doesn't tell.
 
+    ``pid`` is another process than this one.
+
     >>> resident_bytes() > 1_000_000
     True
     """
     try:
-        pages = int(STATM.read_text(encoding="ascii").split()[RESIDENT_FIELD])
+        statm = Path(f"/proc/{'self' if pid is None else pid}/statm")
+        pages = int(statm.read_text(encoding="ascii").split()[RESIDENT_FIELD])
     except (OSError, ValueError, IndexError):
         return 0
     return pages * os.sysconf("SC_PAGE_SIZE")
--- a/tests/bench/soak/test_gateways.py
+++ b/tests/bench/soak/test_gateways.py
@@ -1,4 +1,4 @@
-"""Gateways of a soak that exit unexpectedly."""
+"""Gateways of a soak that exit unexpectedly or take too much memory."""
 
 from __future__ import annotations
 
@@ -6,10 +6,11 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from twisted.internet.testing import MemoryReactorClock
 
 from bench.processes import STILL_RUNNING, Child
-from bench.soak.gateways import Gateway, GatewayOptions
+from bench.soak.gateways import MEMORY_BYTES, Gateway, GatewayOptions
 from bench.soak.history import History
 
 
@@ -31,6 +32,10 @@
     def exit_code(self) -> int:
         return self.code
 
+    @property
+    def pid(self) -> int:
+        return 1
+
 
 class Rig:
     """A gateway with a scripted process, and the reported violations."""
@@ -64,3 +69,19 @@
         rig.gateway.restart_if_exited()
         assert rig.violations == []
         assert rig.child.starts == 1
+
+
+class TestMemory:
+    @pytest.mark.parametrize(("excess", "reported"), [(0, []), (1, ["memory"])])
+    def test_more_than_the_memory_of_a_vm_is_reported(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        excess: int,
+        reported: list[str],
+    ) -> None:
+        rig = Rig(tmp_path)
+        held = MEMORY_BYTES + excess
+        monkeypatch.setattr("bench.soak.gateways.resident_bytes", lambda _pid: held)
+        rig.gateway.check_memory()
+        assert [name for name, _ in rig.violations] == reported
