Report connections that fail with an unexpected error

Cause: an attempt to connect that ended with any error but one of the system was reported to nobody, and an option that the kernel refuses for a connection that is reset already kept it from being reported as open. Change: any error is a failed attempt, and logged if it is none of the system's; refused options are left out. Test: TestConnecting in tests/gateway/test_unexpected_errors.py, both cases failed before.

--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -304,9 +304,20 @@
 
 
 def set_socket_options(tcp: Any) -> None:  # noqa: ANN401
-    """Set ``TCP_NODELAY``, and keep-alive to detect an unresponsive peer."""
-    tcp.setTcpNoDelay(True)
-    handle = tcp.getHandle()
+    """Set ``TCP_NODELAY``, and keep-alive to detect an unresponsive peer.
+
+    The kernel may refuse them for a connection that the peer has reset already; its end
+    is reported afterwards, as any other.
+    """
+    try:
+        tcp.setTcpNoDelay(True)
+        set_keep_alive(tcp.getHandle())
+    except OSError:
+        return
+
+
+def set_keep_alive(handle: Any) -> None:  # noqa: ANN401
+    """Set the options that detect an unresponsive peer."""
     for level, option, value in (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -254,7 +254,10 @@
         try:
             async with asyncio.timeout(timeout):
                 await self.loop.create_connection(make, host, port)
-        except OSError as error:
+        except Exception as error:
+            # Whatever the error, those who wait for the connection have to learn it.
+            if not isinstance(error, OSError):
+                self.on_error(f"can't connect to {host}:{port}", error)
             if not made:
                 detail = str(error) or "connection timed out"
                 factory.clientConnectionFailed(None, ConnectionEnd(False, detail))
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -29,6 +29,7 @@
 from tests.gateway.test_http_server import GET, ServerRig
 from tests.gateway.test_process import ProcessRig
 from tests.transport.test_connection import ConnectionFixture
+from tests.transport.test_event_loop import HOST, Factory, LoopRig, echo
 
 
 def fail(*_args: object, **_keywords: object) -> NoReturn:
@@ -196,6 +197,31 @@
         assert isinstance(end, Malformed)
 
 
+class TestConnecting:
+    """Guards against requests that wait for a connection nobody reports on."""
+
+    def test_an_error_while_connecting_is_a_failed_attempt(self) -> None:
+        rig = LoopRig()
+        client = Factory(echo)
+        client.on_failed = rig.loop.stop
+        rig.loop.connectTCP(HOST, 70_000, client, 1.0)
+        rig.run()
+        assert len(client.failed) == 1 and len(rig.errors) == 1
+
+    def test_a_connection_that_is_reset_already_is_reported_as_open(self) -> None:
+        opened: list[ClientConnection] = []
+        connection: Any = ClientConnection(opened.append, lambda _connection: None)
+        transport = make_transport()
+        transport.setTcpNoDelay = refuse_option  # type: ignore[method-assign]
+        connection.makeConnection(transport)
+        assert opened == [connection]
+
+
+def refuse_option(enabled: bool) -> NoReturn:
+    """Refuse an option, ``enabled`` or not, as the kernel does for a closed socket."""
+    raise OSError(22, "Invalid argument")
+
+
 class TestStart:
     def test_an_error_with_one_request_does_not_affect_those_behind_it(self) -> None:
         rig = StartRig()
