Notice a lost watch within the shortest time bound

Cause: after a change all readers send their next watches at once; a silence of 0.07 s loses them all, comparisons between gateways find nothing then, and a watch waited for the whole bound, with its time limit and the backoff on top. Change: a watch waits 1.25 s less than the shortest bound, one of a gateway that is no reader 1 s.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -26,10 +26,12 @@
 
 logger = structlog.get_logger(__name__)
 
-FALLBACK_WATCH_WAIT_S = 2.0  # short, so that a non-reader soon retries the readers
+FALLBACK_WATCH_WAIT_S = 1.0  # short, so that a non-reader soon retries the readers
 PROBE_WATCH_WAIT_S = 0.5  # until the store has answered a watch of this gateway
-# The next four are fractions of the shortest time bound on applying changes.
-WATCH_WAIT_RATIO = 1.0  # long, since each call costs; a lost watch lasts this long
+# Of the shortest time bound on applying changes: what follows the wait of a lost watch,
+# the time limit of the call, the backoff and the answer to the next call.
+LOST_WATCH_MARGIN_S = 1.25
+# The next three are fractions of that bound.
 COALESCE_RATIO = 0.2  # wait after a change, since changes come in bursts
 WATCH_CHECK_RATIO = 0.2  # interval of comparing a watch with another gateway
 LONG_POLL_RATIO = 0.2  # how long a reader may hold a call
@@ -187,13 +189,14 @@
 
         A store that does not answer loses the call for good, and the connection shows
         no error. Longer waits are for a store that answered the previous call; it may
-        also lose the answer to a pending watch without any other call failing.
+        also lose the answer to a pending watch without any other call failing. A lost
+        watch is noticed, and replaced, within the shortest time bound.
         """
         if not self.watch_proven:
             return PROBE_WATCH_WAIT_S
-        if self.reader_selector.is_reader:
-            return WATCH_WAIT_RATIO * self.min_bound_s
-        return FALLBACK_WATCH_WAIT_S
+        if not self.reader_selector.is_reader:
+            return FALLBACK_WATCH_WAIT_S
+        return max(PROBE_WATCH_WAIT_S, self.min_bound_s - LOST_WATCH_MARGIN_S)
 
     def log_watch_without_contact(self, revision: int, wait_s: float) -> None:
         """Log a watch that is sent while the store does not answer this gateway."""
