Forward no status that promises more than the replica states

Cause: a replica's own 503 without X-Not-Executed was returned unchanged, though only that header states that nothing ran. Test: test_a_status_that_promises_too_much_is_not_forwarded, all 8 cases failed before.

--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -28,6 +28,7 @@
 MAX_REFUSALS = 3  # sends that did not run and don't count as attempts
 MIN_TIME_RATIO = 0.3  # of the median latency must remain for another send
 INTERNAL_SERVER_ERROR = 500
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})  # they promise this to callers
 
 
 class SingleCall:
@@ -155,9 +156,13 @@
         return None
 
     def process_error(self, reply: ReplicaReply) -> CallerAnswer | None:
-        """Forward a replica's error unless another replica may succeed."""
+        """Forward a replica's error unless another replica may succeed.
+
+        A status that would promise the caller that nothing ran is not forwarded: only
+        an answer that states so is certain, and this one does not.
+        """
         unsigned = reply.signature is None or reply.mismatched or reply.content_encoded
-        if unsigned or 200 <= reply.status < 300:
+        if unsigned or 200 <= reply.status < 300 or reply.status in NOT_RUN_STATUSES:
             return None
         self.error_reply = reply
         if self.route.idempotent and reply.status >= INTERNAL_SERVER_ERROR:
--- a/tests/gateway/test_single.py
+++ b/tests/gateway/test_single.py
@@ -118,6 +118,18 @@
         (answer,) = gateway.answers
         assert (answer.status, answer.body) == (500, b"broken")
 
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    @pytest.mark.parametrize("idempotent", [False, True])
+    def test_a_status_that_promises_too_much_is_not_forwarded(
+        self, status: int, idempotent: bool
+    ) -> None:
+        """Guards against orders that run twice: their callers send them again."""
+        gateway = gateway_with_replicas(1)
+        gateway.call(single_route(idempotent=idempotent), "desk")
+        failure = Answered(reply(status, b"stamp", b"broken"))
+        gateway.end(gateway.dispatcher.sent[0], failure)
+        assert [answer.status for answer in gateway.answers] == [502]
+
     def test_success_without_signature_is_an_error(self) -> None:
         gateway = gateway_with_replicas(1)
         gateway.call(single_route(idempotent=False), "desk")
