Keep replicas whose address an entry of an unknown service names

Change: it takes the address over only when a configuration names its service. Test: TestAddressesOfLiveReplicas in tests/gateway/test_odd_entries.py, three of four cases failed before.

--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -122,6 +122,17 @@
             for shard in route.destination.shards
         )
 
+    @property
+    def named_services(self) -> frozenset[str]:
+        """All services that are described, or that some route leads to."""
+        routed = (
+            service
+            for routes in self.routes.values()
+            for route in routes
+            for service in services_of(route)
+        )
+        return frozenset((*self.services, *routed))
+
     @property
     def top_priorities(self) -> dict[str, int]:
         """The highest priority among the routes to each service; 0 is the highest."""
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -46,6 +46,7 @@
         self.configuration: Configuration | None = None
         self.shares = Shares(1.0, 1.0, frozenset())
         self.shard_services: frozenset[str] = frozenset()
+        self.named_services: frozenset[str] | None = None
         self.top_priorities: Mapping[str, int] = {}
         self.notice_board = NoticeBoard(node)
         self.reachability = Reachability()
@@ -133,10 +134,10 @@
         if known is not None and entry.started_ms < known.entry.started_ms:
             return
         if known is None or is_other_process(known.entry, entry):
-            self.drop_address(entry.address)
             if known is not None:
                 self.discard(known)
             known = self.add(entry)
+            self.claim_address(known)
             if entry.cold_left_s:
                 self.set_cold(known, entry.cold_left_s, now)
             self.record_state_change(known, "registered")
@@ -165,9 +166,28 @@
         self.notice_board.restore(replica)
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
-        self.by_address[entry.address] = replica
         return replica
 
+    def claim_address(self, replica: Replica) -> None:
+        """Let a replica take over its address from an earlier one.
+
+        The entry of a service that the configuration does not name takes over nothing:
+        another writer may have left it. It may also be that of a service which a later
+        configuration names; ``configure`` claims its address then.
+        """
+        address = replica.entry.address
+        holder = self.by_address.get(address)
+        if holder is replica:
+            return
+        if holder is not None:
+            named = self.named_services
+            if named is not None and replica.entry.service not in named:
+                self.record_state_change(replica, "address held by another replica")
+                return
+            self.record_state_change(holder, "address reused")
+            self.discard(holder)
+        self.by_address[address] = replica
+
     def deregister(self, replica_id: str, now: float) -> None:
         """Record that a replica left discovery.
 
@@ -188,13 +208,6 @@
         for replica_id in self.replicas.keys() - set(replica_ids):
             self.deregister(replica_id, now)
 
-    def drop_address(self, address: str) -> None:
-        """Remove the replica whose address a new entry has taken over."""
-        replica = self.by_address.get(address)
-        if replica is not None:
-            self.record_state_change(replica, "address reused")
-            self.discard(replica)
-
     def discard(self, replica: Replica) -> None:
         """Remove a replica; its exchanges in flight continue."""
         if self.replicas.get(replica.replica_id) is replica:
@@ -232,10 +245,19 @@
         """Apply a configuration and its connection limits."""
         self.configuration = configuration
         self.shard_services = configuration.shard_services
+        known, self.named_services = self.named_services, configuration.named_services
+        if known is not None:
+            self.claim_addresses(self.named_services - known)
         self.top_priorities = configuration.top_priorities
         self.update_connection_limits()
         self.update_rate_shares()
 
+    def claim_addresses(self, services: frozenset[str]) -> None:
+        """Let the replicas of services that are new take over their addresses."""
+        for service in services:
+            for replica in list(self.by_service.get(service, ())):
+                self.claim_address(replica)
+
     def set_shares(self, shares: Shares) -> None:
         """Set this gateway's share of the limits of replicas."""
         self.shares = shares
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -6,11 +6,18 @@
 import pytest
 from structlog.testing import capture_logs
 
+from sardinehook.gateway.configuration import TrafficSplit, WeightedService
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayRecord
-from sardinehook.gateway.interfaces import CallerRequest
+from sardinehook.gateway.interfaces import CallerRequest, ReplicaEntry
 from sardinehook.gateway.store import Item
 from sardinehook.platform.replicas import PlatformReplicas
-from tests.gateway.support import REQUEST
+from tests.gateway.support import (
+    REQUEST,
+    Gateway,
+    configuration,
+    make_gateway,
+    single_route,
+)
 from tests.gateway.test_follower import FollowerRig, replica, version
 
 DEEP = b"[" * 100_000
@@ -153,3 +160,52 @@
         assert errors == []
         assert rig.versions == [1, 2]
         assert "x" not in rig.fleet.records
+
+
+class TestAddressesOfLiveReplicas:
+    """An entry of a service that no configuration names, at the address of a replica.
+
+    Guards against a service all of whose replicas were given up for such entries.
+    """
+
+    def rig(self) -> Gateway:
+        gateway = make_gateway()
+        gateway.directory.configure(configuration(single_route(idempotent=False)))
+        gateway.add("live", "desk")
+        return gateway
+
+    def claim(self, gateway: Gateway, service: str) -> ReplicaEntry:
+        """Register another replica at the address of the live one."""
+        live = gateway.directory.replicas["live"].entry
+        entry = live._replace(replica_id="other", service=service)
+        gateway.directory.put(entry, gateway.reactor.seconds())
+        return entry
+
+    def test_the_replica_stays_in_use(self) -> None:
+        gateway = self.rig()
+        self.claim(gateway, "inventory")
+        gateway.call(single_route(idempotent=False), "desk")
+        assert [e.replica.replica_id for e in gateway.dispatcher.sent] == ["live"]
+
+    def test_the_replica_stays_in_use_when_the_entry_is_gone(self) -> None:
+        gateway = self.rig()
+        self.claim(gateway, "inventory")
+        gateway.directory.deregister("other", gateway.reactor.seconds())
+        gateway.reactor.advance(10.0)
+        gateway.directory.sweep(gateway.reactor.seconds())
+        gateway.call(single_route(idempotent=False), "desk")
+        assert [e.replica.replica_id for e in gateway.dispatcher.sent] == ["live"]
+
+    def test_a_service_that_is_named_takes_the_address_over(self) -> None:
+        gateway = self.rig()
+        self.claim(gateway, "s00")
+        assert set(gateway.directory.replicas) == {"other"}
+
+    def test_a_service_that_is_named_later_takes_the_address_over_then(self) -> None:
+        gateway = self.rig()
+        self.claim(gateway, "inventory")
+        assert set(gateway.directory.replicas) == {"live", "other"}
+        destination = TrafficSplit((WeightedService("inventory", 1.0),))
+        later = single_route(idempotent=False)._replace(destination=destination)
+        gateway.directory.configure(configuration(later))
+        assert set(gateway.directory.replicas) == {"other"}
