Keep pauses and limits of replicas whose entries lapse

Cause: pauses and rate limits were kept with the replica, which is removed some seconds after its entry; only the notice that it leaves was remembered. Change: all notices of a process are kept by its id and start as long as they are in force. Test: four cases of TestPause in tests/gateway/test_notices.py, all failed before.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -163,7 +163,7 @@
             self.reactor, entry.address, max_connections, record_connected
         )
         replica = Replica(entry, pool)
-        self.notice_board.restore(replica)
+        self.notice_board.restore(replica, self.reactor.seconds())
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
         return replica
@@ -210,6 +210,7 @@
 
     def discard(self, replica: Replica) -> None:
         """Remove a replica; its exchanges in flight continue."""
+        self.notice_board.keep(replica, self.reactor.seconds())
         if self.replicas.get(replica.replica_id) is replica:
             del self.replicas[replica.replica_id]
         siblings = self.by_service.get(replica.entry.service, [])
@@ -365,6 +366,8 @@
         """Apply what a reply says of the replica, and log changes."""
         for state in self.notice_board.observe(replica, stated, now):
             self.record_state_change(replica, state)
+        if self.replicas.get(replica.replica_id) is not replica:
+            self.notice_board.keep(replica, now)
 
     def record_state_change(self, replica: Replica, state: str) -> None:
         """Queue a state change of a replica for ``log_changes``."""
--- a/sardinehook/gateway/notice_board.py
+++ b/sardinehook/gateway/notice_board.py
@@ -4,21 +4,19 @@
 
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
-from sardinehook.gateway.notices import StatedNotices
+from sardinehook.gateway.notices import Notices, StatedNotices
 from sardinehook.gateway.rate_share import RateShare
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.shares import Shares
 
 __all__ = ["NoticeBoard"]
 
-LEAVING_MEMORY_S = 600.0  # for entries that lapse and return in an outage
-
 
 class NoticeBoard:
     """The notices of all replicas, as far as they outlast one answer.
 
-    Processes that leave are remembered by id and start time, since their entries may
-    lapse and return. ``on_pause`` is called for each answer that asks for a pause.
+    The notices of processes whose entries are gone are kept by id and start time, as long
+    as they are in force: the entries may lapse and return. ``on_pause`` is called for each answer that asks for a pause.
     """
 
     def __init__(self, node: str) -> None:
@@ -26,7 +24,7 @@
         self.shares = Shares(1.0, 1.0, frozenset())
         self.shard_services: frozenset[str] = frozenset()
         self.cut_off: Sequence[str] = ()
-        self.leaving: dict[tuple[str, int], float] = {}
+        self.kept: dict[tuple[str, int], Notices] = {}
         self.on_pause: Callable[[], object] = int
 
     def configure(self, shares: Shares, shard_services: frozenset[str]) -> None:
@@ -41,7 +39,6 @@
         notices = replica.notices
         if stated.leaving and notices.leaving_since is None:
             notices.leaving_since = now
-            self.leaving[process_of(replica)] = now
             yield "leaving"
         if stated.pause_s:
             notices.pause(stated.pause_s, now)
@@ -71,17 +68,27 @@
             self.update_rate_share(replica, share, now)
             yield f"limit {limit_per_s:g}/s"
 
-    def restore(self, replica: Replica) -> None:
-        """Restore the notice of a process that was known before it registered again."""
-        replica.notices.leaving_since = self.leaving.get(process_of(replica))
+    def keep(self, replica: Replica, now: float) -> None:
+        """Keep the notices of a replica that leaves the directory."""
+        if replica.notices.outlast(now):
+            self.kept[process_of(replica)] = replica.notices
+
+    def restore(self, replica: Replica, now: float) -> None:
+        """Restore the notices of a process that was known before it registered again."""
+        notices = self.kept.pop(process_of(replica), None)
+        if notices is None:
+            return
+        replica.notices = notices
+        if notices.rate_share is not None:
+            self.update_rate_share(replica, notices.rate_share, now)
 
     def sweep(
         self, cut_off: Sequence[str], replicas: Iterable[Replica], now: float
     ) -> None:
-        """Forget processes that left long ago, and apply the cut data centres."""
-        for process, since in list(self.leaving.items()):
-            if now > since + LEAVING_MEMORY_S:
-                del self.leaving[process]
+        """Forget notices that have ended, and apply the cut data centres."""
+        for process, notices in list(self.kept.items()):
+            if not notices.outlast(now):
+                del self.kept[process]
         if cut_off != self.cut_off:
             self.cut_off = cut_off
             self.update_rate_shares(replicas, now)
--- a/sardinehook/gateway/notices.py
+++ b/sardinehook/gateway/notices.py
@@ -12,6 +12,7 @@
 
 __all__ = ["MAX_PAUSE_S", "NO_NOTICES", "Notices", "StatedNotices"]
 
+LEAVING_MEMORY_S = 600.0  # for entries that lapse and return in an outage
 MAX_PAUSE_S = 3600.0  # a replica that asks for more is asked again after this time
 
 
@@ -53,6 +54,20 @@
         """Return whether the replica takes new requests, apart from its rate limit."""
         return self.leaving_since is None and now >= self.paused_until
 
+    def outlast(self, now: float) -> bool:
+        """Return whether any of these is still in force without further answers.
+
+        >>> notices = Notices()
+        >>> notices.pause(2.0, 10.0)
+        >>> notices.outlast(11.9), notices.outlast(12.0)
+        (True, False)
+        """
+        since, share = self.leaving_since, self.rate_share
+        if since is not None and now <= since + LEAVING_MEMORY_S:
+            return True
+        is_limited = share is not None and now <= share.stated_at + share.validity_s
+        return is_limited or now < self.paused_until
+
     def pause(self, pause_s: float, now: float) -> None:
         """Send nothing for ``pause_s``.
 
--- a/tests/gateway/test_notices.py
+++ b/tests/gateway/test_notices.py
@@ -21,6 +21,7 @@
 )
 
 Headers = tuple[tuple[bytes, bytes], ...]
+LIMITED: Headers = ((b"x-server-stamp", b"s"), (b"server-limit", b"2"))
 LEAVING: Headers = ((b"x-server-stamp", b"s"), (b"server-leaving", b"1"))
 
 
@@ -61,6 +62,14 @@
         entry: ReplicaEntry = self.first.entry._replace(**changes)
         self.gateway.directory.put(entry, self.now)
 
+    def lapse_and_return(self, gone_s: float = 10.0) -> None:
+        """Remove the entry of the first replica for a while."""
+        directory = self.gateway.directory
+        directory.deregister("d0", self.now)
+        self.gateway.reactor.advance(gone_s)
+        directory.sweep(self.now)
+        self.put(address="127.0.0.1:9")
+
 
 class TestLeaving:
     """Guards against DRAIN where only the answers of a replica say that it leaves."""
@@ -114,6 +123,41 @@
         fixture.gateway.reactor.advance(0.2)
         assert fixture.usable() == ["d0", "d1"]
 
+    def test_lapsed_entry_that_returns_is_still_paused(self) -> None:
+        """Guards against pauses that end with the discovery entry."""
+        fixture = NoticeFixture()
+        fixture.answer(fixture.first, 503, refusal(b"20"))
+        fixture.lapse_and_return()
+        assert fixture.usable() == ["d1"]
+        fixture.gateway.reactor.advance(11.0)
+        assert fixture.usable() == ["d1", "d0"]
+
+    def test_rate_limit_of_a_lapsed_entry_that_returns_is_still_in_force(self) -> None:
+        fixture = NoticeFixture()
+        fixture.answer(fixture.first, 200, LIMITED)
+        fixture.lapse_and_return(5.0)
+        replica = fixture.gateway.directory.replicas["d0"]
+        share = replica.notices.rate_share
+        assert share is not None and share.limit_per_s == 2.0
+
+    def test_notices_that_have_ended_are_forgotten(self) -> None:
+        fixture = NoticeFixture()
+        fixture.answer(fixture.first, 503, refusal(b"20"))
+        fixture.lapse_and_return(0.0)
+        directory = fixture.gateway.directory
+        directory.discard(directory.replicas["d0"])
+        assert directory.notice_board.kept
+        fixture.gateway.reactor.advance(30.0)
+        directory.sweep(fixture.now)
+        assert not directory.notice_board.kept
+
+    def test_pause_in_an_answer_after_the_entry_is_gone_is_kept(self) -> None:
+        fixture = NoticeFixture()
+        fixture.gateway.directory.discard(fixture.first)
+        fixture.answer(fixture.first, 503, refusal(b"20"))
+        fixture.put(address="127.0.0.1:9")
+        assert fixture.usable() == ["d1"]
+
     @pytest.mark.parametrize(
         "value",
         [b"", b"-1", b"soon", b"1e3", b"Sat, 05 Dec 2026 04:12:41 GMT", b"9" * 400],
