Let callers on slow links read their answers to the end

Cause: a closing connection was aborted after one second, whatever had been read in it; and the kernel's limit of 2.5 s for unacknowledged data, meant for replicas, gateways and the store, also held for callers. Change: a closing connection is aborted one second after its last progress; the limit for callers is 20 s. As one commit, since the first is no use to such a caller without the second. Test: TestStopping in tests/gateway/test_http_server.py, a slow caller's answer was cut before.

--- a/sardinehook/gateway/http_server.py
+++ b/sardinehook/gateway/http_server.py
@@ -33,7 +33,8 @@
 
 logger = structlog.get_logger(__name__)
 
-LINGER_S = 1.0  # time for a caller to read the last answer
+LINGER_S = 1.0  # time in which a caller reads a part of the last answer
+SLOW_CALLER_TIMEOUT_MS = 20_000  # longer than callers wait for an answer
 OPENED_FOR_REQUEST_S = 0.05  # a first request by then opened the connection
 ROUND_TRIP_MARGIN = 1.3  # allows for round trips above the kernel's mean
 MAX_PIPELINED = 16  # complete requests queued on one connection
@@ -105,6 +106,7 @@
         self.refused = False
         self.closing = False
         self.is_writing_paused = False
+        self.unsent_bytes = 0
         self.timeout_started_at = 0.0
         self.opened_at: float | None = None
 
@@ -113,7 +115,7 @@
         tcp: Any = self.transport
         self.tcp = tcp
         self.writer = SocketWriter(tcp)
-        set_socket_options(tcp)
+        set_socket_options(tcp, self.server.unacknowledged_timeout_ms)
         self.timeout_started_at = self.opened_at = self.server.now()
         self.server.connections.add(self)
 
@@ -357,14 +359,14 @@
             return
         self.closing = True
         self.timeout_started_at = self.server.now()
+        self.unsent_bytes = self.tcp.unsent_bytes()
         self.tcp.loseWriteConnection()
 
     def sweep(self, now: float) -> None:
         """Enforce the timeouts for the head, for idling and for closing."""
         limits = self.server.limits
         if self.closing:
-            if now > self.timeout_started_at + LINGER_S:
-                self.tcp.abortConnection()
+            self.sweep_closing(now)
         elif self.current is not None:
             return
         elif self.parsing is not None or (self.in_head and self.head_bytes):
@@ -380,6 +382,18 @@
         ):
             self.close()
 
+    def sweep_closing(self, now: float) -> None:
+        """Abort a closing connection whose caller no longer reads.
+
+        A caller on a slow link may need several seconds for the last answer.
+        """
+        unsent_bytes = self.tcp.unsent_bytes()
+        if unsent_bytes < self.unsent_bytes:
+            self.unsent_bytes = unsent_bytes
+            self.timeout_started_at = now
+        elif now > self.timeout_started_at + LINGER_S:
+            self.tcp.abortConnection()
+
 
 def encode_answer(answer: CallerAnswer, is_head: bool, keep: bool) -> bytes:
     r"""Serialise an answer to HTTP/1.1.
@@ -414,6 +428,7 @@
         self.connections: set[HttpServerConnection] = set()
         self.closes_after_answer = False
         self.closes_idle = False
+        self.unacknowledged_timeout_ms = SLOW_CALLER_TIMEOUT_MS
 
     def buildProtocol(self, addr: object) -> HttpServerConnection:
         """Create the protocol for a new connection."""
--- a/sardinehook/gateway/notice_board.py
+++ b/sardinehook/gateway/notice_board.py
@@ -15,8 +15,9 @@
 class NoticeBoard:
     """The notices of all replicas, as far as they outlast one answer.
 
-    The notices of processes whose entries are gone are kept by id and start time, as long
-    as they are in force: the entries may lapse and return. ``on_pause`` is called for each answer that asks for a pause.
+    The notices of processes whose entries are gone are kept by id and start time, as
+    long as they are in force: the entries may lapse and return. ``on_pause`` is called
+    for each answer that asks for a pause.
     """
 
     def __init__(self, node: str) -> None:
@@ -74,7 +75,7 @@
             self.kept[process_of(replica)] = replica.notices
 
     def restore(self, replica: Replica, now: float) -> None:
-        """Restore the notices of a process that was known before it registered again."""
+        """Restore the notices of a process whose entry lapsed and has returned."""
         notices = self.kept.pop(process_of(replica), None)
         if notices is None:
             return
--- a/sardinehook/gateway/probes.py
+++ b/sardinehook/gateway/probes.py
@@ -10,6 +10,7 @@
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import CHANGES_PATH, ChangeRelay
 from sardinehook.gateway.search_codec import SEARCH_PATH
+from sardinehook.transport.connection import UNACKNOWLEDGED_TIMEOUT_MS
 
 __all__ = ["ProbeServer"]
 
@@ -33,6 +34,7 @@
         ],
     ) -> None:
         super().__init__(reactor, self.answer_probe)
+        self.unacknowledged_timeout_ms = UNACKNOWLEDGED_TIMEOUT_MS
         self.unready_reason = unready_reason
         self.render_metrics = render_metrics
         self.relay = relay
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -303,26 +303,35 @@
         self.is_reusable = self.parser.should_keep_alive()
 
 
-def set_socket_options(tcp: Any) -> None:  # noqa: ANN401
+def set_socket_options(
+    tcp: Any,  # noqa: ANN401
+    unacknowledged_timeout_ms: int = UNACKNOWLEDGED_TIMEOUT_MS,
+) -> None:
     """Set ``TCP_NODELAY``, and keep-alive to detect an unresponsive peer.
 
+    The kernel resets the connection when sent data has not been acknowledged for the
+    timeout. It counts the time in which the window of a slow reader is too small.
+
     The kernel may refuse them for a connection that the peer has reset already; its end
     is reported afterwards, as any other.
     """
     try:
         tcp.setTcpNoDelay(True)
-        set_keep_alive(tcp.getHandle())
+        set_keep_alive(tcp.getHandle(), unacknowledged_timeout_ms)
     except OSError:
         return
 
 
-def set_keep_alive(handle: Any) -> None:  # noqa: ANN401
+def set_keep_alive(
+    handle: Any,  # noqa: ANN401
+    unacknowledged_timeout_ms: int,
+) -> None:
     """Set the options that detect an unresponsive peer."""
     for level, option, value in (
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_timeout_ms),
     ):
         handle.setsockopt(level, option, value)
--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -8,8 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -150,6 +153,18 @@
         """Return the remote address."""
         return PeerAddress(*self.transport.get_extra_info("peername"))
 
+    def unsent_bytes(self) -> int:
+        """Return how much written data the peer has not acknowledged yet.
+
+        Only what this process still holds is known where the kernel doesn't tell.
+        """
+        held: int = self.transport.get_write_buffer_size()
+        try:
+            queued = fcntl.ioctl(self.socket.fileno(), termios.TIOCOUTQ, bytes(4))
+        except OSError:
+            return held
+        return held + int.from_bytes(queued, sys.byteorder)
+
     def loseConnection(self) -> None:
         """Close the connection after all written data has been sent."""
         self.transport.close()
--- a/tests/gateway/fake_transport.py
+++ b/tests/gateway/fake_transport.py
@@ -54,6 +54,12 @@
     def loseWriteConnection(self) -> None:
         """Ignore the close of the sending direction."""
 
+    unsent = 0
+
+    def unsent_bytes(self) -> int:
+        """Return what a test says that the peer has not read yet."""
+        return self.unsent
+
     def written(self) -> bytes:
         """Return all data written so far."""
         return cast(bytes, self.value())  # type: ignore[no-untyped-call]
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -259,3 +259,29 @@
         rig.send(GET[20:])
         rig.answer(0)
         assert rig.written.endswith(b"ok")
+
+    def test_a_slow_caller_gets_all_of_the_last_answer(self) -> None:
+        """Guards against planned stops that cut answers on slow links."""
+        rig = ServerRig()
+        rig.server.closes_after_answer = True
+        rig.send(GET)
+        rig.wire.unsent = 36_000
+        rig.answer(0)
+        for _ in range(40):
+            rig.reactor.advance(0.25)
+            rig.wire.unsent -= 800
+            rig.server.sweep()
+            assert not rig.wire.disconnecting
+
+    def test_a_caller_that_reads_nothing_more_is_aborted(self) -> None:
+        rig = ServerRig()
+        rig.server.closes_after_answer = True
+        rig.send(GET)
+        rig.wire.unsent = 36_000
+        rig.answer(0)
+        rig.reactor.advance(0.9)
+        rig.server.sweep()
+        assert not rig.wire.disconnecting
+        rig.reactor.advance(0.2)
+        rig.server.sweep()
+        assert rig.wire.disconnecting
