Decode organisations, keys, quotas, versions and the work figure of loads

Cause: the platform's new requests, settings and load reports have fields that nothing reads; load reports of four figures are discarded as malformed. Change: the adapter decodes them into the gateway's types, and passes on neither the key nor a stated organisation. Result: tests of the codecs pass; nothing decides by the new fields yet, except that a load of four figures is used.

--- a/sardinehook/decoding.py
+++ b/sardinehook/decoding.py
@@ -15,6 +15,7 @@
     "Measure",
     "Number",
     "is_address",
+    "is_header_value",
     "is_token",
     "read_count",
 ]
@@ -68,6 +69,15 @@
     return number if number <= limit else None
 
 
+def is_header_value(value: str) -> bool:
+    """Return whether a text can be the value of a header: not empty, no control codes.
+
+    >>> [is_header_value(v) for v in ("north desk", chr(10), "")]
+    [True, False, False]
+    """
+    return bool(value) and value == value.strip() and value.isprintable()
+
+
 def is_token(value: str) -> bool:
     """Return whether a value can stand in a header: visible ASCII without spaces.
 
--- a/sardinehook/errors.py
+++ b/sardinehook/errors.py
@@ -18,9 +18,11 @@
     """The kinds of errors; every failed request or operation has one of them."""
 
     BAD_REQUEST = "bad_request"
+    UNKNOWN_KEY = "unknown_key"
     NOT_FOUND = "not_found"
     PAYLOAD_TOO_LARGE = "payload_too_large"
     NO_DOCUMENT = "no_document"
+    QUOTA_EXCEEDED = "quota_exceeded"
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DATA_CENTRE_OUT = "data_centre_out"
@@ -52,9 +54,11 @@
 
 ERROR_RESPONSES: dict[ErrorKind, ErrorResponse] = {
     ErrorKind.BAD_REQUEST: ErrorResponse(400, True, 0),
+    ErrorKind.UNKNOWN_KEY: ErrorResponse(401, True, 0),
     ErrorKind.NOT_FOUND: ErrorResponse(404, True, 0),
     ErrorKind.PAYLOAD_TOO_LARGE: ErrorResponse(413, True, 0),
     ErrorKind.NO_DOCUMENT: ErrorResponse(503, True, 1000),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, True, 1000),
     ErrorKind.OVERLOADED: ErrorResponse(503, True, 500),
     ErrorKind.DEADLINE_TOO_SHORT: ErrorResponse(503, True, 0),
     ErrorKind.DATA_CENTRE_OUT: ErrorResponse(503, True, 100),
--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from sardinehook.gateway.organisations.organisation import Organisations
+
 __all__ = [
     "CallerLimits",
     "Configuration",
@@ -55,6 +57,7 @@
     ``idempotent`` requests may run more than once. ``max_attempts`` is how many
     replicas (of each shard) may get one request. ``objective_s`` is the latency
     objective, ``timeout_s`` the time after which the caller gets an error.
+    ``anonymous`` routes need no key.
     """
 
     name: str
@@ -66,6 +69,7 @@
     priority: int
     max_attempts: int
     destination: Destination
+    anonymous: bool = False
 
 
 class Service(NamedTuple):
@@ -96,6 +100,8 @@
 class Configuration:
     """One version of the configuration. ``routes`` are by host, longest prefix first.
 
+    Callers need a key if ``organisations`` is not ``None``, except on anonymous routes.
+
     >>> to_one = TrafficSplit((WeightedService("desk", 1.0),))
     >>> short = Route("a", "h", "/x/", True, 1.0, 0.5, 0, 2, to_one)
     >>> routes = index_routes([short, short._replace(name="b", prefix="/x/y/")])
@@ -110,6 +116,7 @@
     routes: Mapping[str, tuple[Route, ...]]
     services: Mapping[str, Service]
     limits: CallerLimits
+    organisations: Organisations | None = None
 
     @property
     def shard_services(self) -> frozenset[str]:
--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -51,6 +51,20 @@
         self.notice_board = NoticeBoard(node)
         self.reachability = Reachability()
         self.changes: dict[str, list[Replica]] = {}
+        self.replicas_state_work = False
+
+    @property
+    def adapts_to_load(self) -> bool:
+        """Whether this deployment calls for scheduling by load, speed and organisation.
+
+        It does if the configuration has organisations, or if replicas state how long
+        work takes on their machines.
+        """
+        configuration = self.configuration
+        has_organisations = (
+            configuration is not None and configuration.organisations is not None
+        )
+        return has_organisations or self.replicas_state_work
 
     def replicas_of(self, service: str) -> list[Replica]:
         """Return the replicas of a service that accept new requests."""
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -215,6 +215,8 @@
             return Failed("reply repeats an earlier one on its connection")
         if reply.load is not None:
             replica.observe_load(reply.load, now)
+            if reply.load.work_ratio is not None:
+                self.directory.replicas_state_work = True
         if reply.cold_left_s is not None:
             self.directory.set_cold(replica, reply.cold_left_s, now)
         if reply.misdirected:
--- a/sardinehook/gateway/interfaces.py
+++ b/sardinehook/gateway/interfaces.py
@@ -58,8 +58,9 @@
     """A caller's request.
 
     ``caller_timeout_s`` is how long the caller waits, ``None`` if it states no time.
-    ``headers`` are those that are passed on to replicas. The last fields are those of
-    ``RequestTiming``.
+    ``headers`` are those that are passed on to replicas. The fields after the timeout
+    are those of ``RequestTiming``. ``credential`` is the caller's key, which is never
+    passed on; ``organisation`` is the name of its holder, empty until that is known.
     """
 
     request_id: bytes
@@ -71,6 +72,8 @@
     caller_timeout_s: float | None
     received_at: float
     network_s: float = 0.0
+    credential: bytes | None = None
+    organisation: str = ""
 
     @property
     def path(self) -> str:
@@ -83,11 +86,16 @@
 
 
 class Load(NamedTuple):
-    """The load that a replica reports."""
+    """The load that a replica reports.
+
+    ``work_ratio`` is how long work takes on its machine at this moment, 1 as usual;
+    ``None`` if the replica does not state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_ratio: float | None = None
 
 
 class ReplicaReply(NamedTuple):
@@ -125,7 +133,7 @@
     """A replica as registered in discovery.
 
     ``started_ms`` is when its process started; ``sequence`` counts
-    the writes of its entry since then.
+    the writes of its entry since then. ``version`` is that of its software.
     """
 
     replica_id: str
@@ -137,6 +145,7 @@
     cold_left_s: float
     sequence: int
     started_ms: int
+    version: str = ""
 
 
 class CallerCodec(Protocol):
--- /dev/null
+++ b/sardinehook/gateway/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations whose callers authenticate with keys."""
--- a/sardinehook/gateway/search_codec.py
+++ b/sardinehook/gateway/search_codec.py
@@ -40,6 +40,7 @@
     patience_s: Measure | None
     elapsed_s: Measure
     path_s: Measure
+    organisation: str = ""
 
 
 class WireAnswer(msgspec.Struct, array_like=True):
@@ -76,6 +77,7 @@
         request.caller_timeout_s,
         now - request.received_at,
         request.network_s + DELEGATION_ROUND_TRIP_S,
+        request.organisation,
     )
     return msgspec.msgpack.encode(wire)
 
@@ -100,6 +102,8 @@
         wire.patience_s,
         now - wire.elapsed_s,
         wire.path_s,
+        None,
+        wire.organisation,
     )
     return Success(DelegatedRequest(wire.node, wire.version, request))
 
--- /dev/null
+++ b/sardinehook/gateway/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counts of what all gateways together use of shared limits."""
--- a/sardinehook/platform/callers.py
+++ b/sardinehook/platform/callers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from urllib.parse import urlsplit
 
 from returns.result import Failure, Result, Success
@@ -15,6 +15,11 @@
 # A duration from the time of sending, not a point in time.
 DEADLINE_MS = b"x-deadline-ms"
 EXPECT_REPLICA = b"x-expect-instance"
+# The key of the caller's organisation; never passed on.
+CREDENTIAL = b"x-credential"
+# The name of the organisation, which only the gateway states.
+ORGANISATION = b"x-tenant-id"
+UNDERSCORE, HYPHEN = b"_", b"-"
 # The signatures of the shard answers in a merged answer, separated by commas.
 SIGNATURES = b"X-Part-Stamps"
 # The number of shards missing from a merged answer.
@@ -39,8 +44,12 @@
         REQUEST_ID,
         DEADLINE_MS,
         EXPECT_REPLICA,
+        CREDENTIAL,
+        ORGANISATION,
     }
 )
+# Some servers take underscores in names for hyphens.
+NEVER_FORWARDED = frozenset({CREDENTIAL, ORGANISATION, EXPECT_REPLICA})
 
 
 class PlatformCallers:
@@ -48,7 +57,7 @@
 
     def read_request(self, request: HttpRequest) -> Result[CallerRequest, str]:
         """Decode a caller's request; a failure says which requirement it violates."""
-        hosts, ids, deadlines = [], [], []
+        hosts, ids, deadlines, credentials = [], [], [], []
         dropped = set(NOT_FORWARDED)
         for name, value in request.headers:
             lower_name = name.lower()
@@ -58,6 +67,8 @@
                 ids.append(value)
             elif lower_name == DEADLINE_MS:
                 deadlines.append(value)
+            elif lower_name == CREDENTIAL:
+                credentials.append(value)
             elif lower_name == b"connection":
                 dropped.update(token.strip().lower() for token in value.split(b","))
         if len(hosts) != 1 or not hosts[0]:
@@ -69,7 +80,7 @@
         forwarded = tuple(
             (name, value)
             for name, value in request.headers
-            if name.lower() not in dropped
+            if is_forwarded(name.lower(), dropped)
         )
         return Success(
             CallerRequest(
@@ -82,6 +93,7 @@
                 read_timeout(deadlines),
                 request.received_at,
                 request.network_s,
+                read_credential(credentials),
             )
         )
 
@@ -95,6 +107,28 @@
         )
 
 
+def is_forwarded(lower_name: bytes, dropped: Collection[bytes]) -> bool:
+    """Return whether a header is passed on to replicas.
+
+    >>> is_forwarded(b"x-other", ()), is_forwarded(b"x_tenant-id", ())
+    (True, False)
+    """
+    hyphenated = lower_name.replace(UNDERSCORE, HYPHEN)
+    return lower_name not in dropped and hyphenated not in NEVER_FORWARDED
+
+
+def read_credential(values: Sequence[bytes]) -> bytes | None:
+    """Return the caller's key; None if there is none, empty if there are several.
+
+    >>> read_credential([]), read_credential([b" k "]), read_credential([b"k", b"l"])
+    (None, b'k', b'')
+    """
+    if not values:
+        return None
+    keys = {value.strip() for value in values}
+    return keys.pop() if len(keys) == 1 else b""
+
+
 def read_host(value: bytes) -> str:
     """Return the host name in a Host header without the port; empty if malformed.
 
--- a/sardinehook/platform/configuration.py
+++ b/sardinehook/platform/configuration.py
@@ -8,7 +8,13 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS, Count, Measure, Number
+from sardinehook.decoding import (
+    DECODE_ERRORS,
+    Count,
+    Measure,
+    Number,
+    is_header_value,
+)
 from sardinehook.gateway.configuration import (
     CallerLimits,
     Configuration,
@@ -20,6 +26,11 @@
     WeightedService,
     index_routes,
 )
+from sardinehook.gateway.organisations.organisation import (
+    Organisation,
+    Organisations,
+    index_organisations,
+)
 
 __all__ = ["decode_configuration"]
 
@@ -54,6 +65,8 @@
     gather: list[str] | None = None
     top_k: Count = 0
     min_coverage: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.0
+    # Needs no key.
+    anonymous: bool = False
 
 
 class WireService(msgspec.Struct, rename="pascal"):
@@ -68,6 +81,18 @@
     cold_per_s: Measure = 0.0
 
 
+class WireTenant(msgspec.Struct, rename="pascal"):
+    """An organisation in the operators' configuration."""
+
+    name: str
+    api_keys: list[str] | None = None
+    # Takes precedence over the priority of a route.
+    priority: Count | None = None
+    # The quota over all gateways; none if the rate is 0 or absent.
+    rate_per_s: Measure | None = None
+    burst: Measure | None = None
+
+
 class WireLimits(msgspec.Struct, rename="pascal"):
     """Size limits and timeouts for callers' requests."""
 
@@ -84,6 +109,8 @@
     routes: list[WireRoute]
     services: list[WireService]
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    # If present, callers need keys, also if the list is empty.
+    tenants: list[WireTenant] | None = None
 
 
 DECODER = msgspec.json.Decoder(WireConfiguration, strict=False)
@@ -98,11 +125,16 @@
     try:
         wire = DECODER.decode(value)
         routes = [read_route(route) for route in wire.routes]
+        organisations = read_organisations(wire.tenants)
     except DECODE_ERRORS as error:
         return Failure(f"malformed configuration: {error}")
     services = {service.name: read_service(service) for service in wire.services}
     limits = read_limits(wire.limits)
-    return Success(Configuration(wire.version, index_routes(routes), services, limits))
+    return Success(
+        Configuration(
+            wire.version, index_routes(routes), services, limits, organisations
+        )
+    )
 
 
 def read_route(wire: WireRoute) -> Route:
@@ -117,6 +149,7 @@
         wire.priority,
         max(1, wire.max_attempts),
         read_destination(wire),
+        wire.anonymous,
     )
 
 
@@ -153,6 +186,32 @@
     )
 
 
+def read_organisations(tenants: list[WireTenant] | None) -> Organisations | None:
+    """Convert the organisations; raises ``ValueError`` for a name unfit for a header.
+
+    >>> read_organisations([WireTenant(" ")])
+    Traceback (most recent call last):
+    ValueError: invalid name of an organisation: ' '
+    """
+    if tenants is None:
+        return None
+    for tenant in tenants:
+        if not is_header_value(tenant.name):
+            raise ValueError(f"invalid name of an organisation: {tenant.name!r}")
+    return index_organisations(
+        (
+            Organisation(
+                tenant.name,
+                tenant.priority,
+                tenant.rate_per_s or 0.0,
+                tenant.burst or 0.0,
+            ),
+            [key.encode() for key in tenant.api_keys or ()],
+        )
+        for tenant in tenants
+    )
+
+
 def read_limits(wire: WireLimits) -> CallerLimits:
     """Convert the limits for callers' requests, with times in seconds."""
     return CallerLimits(
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -33,6 +33,8 @@
     slots: Annotated[int, Meta(ge=0, le=MAX_SLOTS)] = 1
     # The remaining warm-up time of the replica when it wrote the entry.
     cold_left_ms: Annotated[float, Meta(ge=0.0, le=MAX_COLD_MS)] = 0.0
+    # The version of the replica's software.
+    version: str = ""
     # Incremented with each write of the replica since its start.
     seq: Number = 0
     # The replica's start time, in milliseconds since the Unix epoch.
@@ -82,5 +84,6 @@
                 wire.cold_left_ms / MS_PER_S,
                 wire.seq,
                 wire.born,
+                wire.version,
             )
         )
--- a/sardinehook/platform/replicas.py
+++ b/sardinehook/platform/replicas.py
@@ -32,6 +32,7 @@
 NOTICES = frozenset({LIMIT, LEAVING, RETRY_AFTER})
 MISDIRECTED = 421
 MS_PER_S = 1000.0
+USUAL_WORK = 100.0  # the work figure of a machine on which work takes the usual time
 # Replicas close idle connections; this timeout is for those that announce none.
 DEFAULT_KEEP_ALIVE_S = 4.0
 MAX_KEEP_ALIVE_S = 3600
@@ -72,6 +73,8 @@
                 replica_id.encode("latin-1"),
             )
         ]
+        if request.organisation:
+            lines.append(b"X-Tenant-Id: %b\r\n" % request.organisation.encode())
         lines.extend(b"%b: %b\r\n" % header for header in request.headers)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
             lines.append(b"Content-Length: %d\r\n" % len(request.body))
@@ -106,12 +109,15 @@
 
 @lru_cache(maxsize=1024)
 def read_load(value: bytes) -> Load | None:
-    """Decode a reported load (running, waiting, slots); None if malformed.
+    """Decode a reported load (running, waiting, slots, work); None if malformed.
 
-    Numbers beyond the slots that any replica can have are malformed too.
+    Replicas may leave out the last figure, the time that work takes in percent of the
+    usual time. Numbers beyond the slots that any replica can have are malformed too.
 
     >>> read_load(b"3,0,8")
-    Load(running=3, waiting=0, slots=8)
+    Load(running=3, waiting=0, slots=8, work_ratio=None)
+    >>> read_load(b"1,0,2,250").work_ratio
+    2.5
     >>> read_load(b"busy"), read_load(b"9" * 400 + b",0,8")
     (None, None)
     """
@@ -119,6 +125,8 @@
     match numbers:
         case [int(running), int(waiting), int(slots)]:
             return Load(running, waiting, slots)
+        case [int(running), int(waiting), int(slots), int(work)] if work:
+            return Load(running, waiting, slots, work / USUAL_WORK)
     return None
 
 
--- a/sardinehook/platform/settings.py
+++ b/sardinehook/platform/settings.py
@@ -38,6 +38,15 @@
     budget_slack: float = 50.0
     cold_over: float = 1.5
     cold_slack: float = 5.0
+    quota_window_s: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
+    # Whether keys are refused while withdrawals of keys can't be heard of.
+    strict_revocation: bool = False
+    revoke_ms: float = 5000.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_ms: float = 5000.0
 
 
 class WirePlatform(msgspec.Struct):
@@ -69,6 +78,7 @@
     seeds: list[str] = []
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
+    contracts: list[str] = []
 
 
 def decode_settings(text: str) -> Result[GatewaySettings, str]:
@@ -101,6 +111,7 @@
         ports[1] if len(ports) > 1 else "",
         wire.limits.link_mbps,
         wire.limits.cpu_share * wire.limits.cores,
+        frozenset(wire.contracts),
     )
 
 
@@ -116,4 +127,12 @@
         repeat_slack=wire.budget_slack,
         cold_factor=wire.cold_over,
         cold_slack=wire.cold_slack,
+        quota_window_s=wire.quota_window_s,
+        quota_overage=wire.quota_overage,
+        quota_slack=wire.quota_slack,
+        revocation_strict=wire.strict_revocation,
+        revocation_s=wire.revoke_ms / MS_PER_S,
+        canary_share=wire.canary_share,
+        canary_slack=wire.canary_slack,
+        rollback_s=wire.rollback_ms / MS_PER_S,
     )
--- a/tests/platform/test_codecs.py
+++ b/tests/platform/test_codecs.py
@@ -8,8 +8,9 @@
 from hypothesis import strategies as st
 from returns.pipeline import is_successful
 
-from sardinehook.gateway.configuration import ShardSet
+from sardinehook.gateway.configuration import Configuration, ShardSet
 from sardinehook.gateway.interfaces import CallerRequest, Header, HttpRequest
+from sardinehook.gateway.organisations.organisation import Organisation
 from sardinehook.platform.callers import PlatformCallers
 from sardinehook.platform.configuration import decode_configuration
 from sardinehook.platform.discovery import PlatformKeys
@@ -214,3 +215,62 @@
     def test_a_malformed_load_is_ignored(self, value: bytes) -> None:
         raw = Reply(200, ((b"x-server-load", value),), b"")
         PlatformReplicas().read_reply(raw, b"r-1")
+
+
+class TestOrganisationCodec:
+    """Guards against keys or forged names of organisations that reach a replica."""
+
+    def decode(self, **fields: object) -> Configuration:
+        value = {"Version": 7, "Routes": [], "Services": [], **fields}
+        return decode_configuration(msgspec.json.encode(value)).unwrap()
+
+    def test_keys_lead_to_their_organisation(self) -> None:
+        tenant = {"Name": "desk", "ApiKeys": ["k1", "k2"], "RatePerS": 9, "Burst": 4}
+        found = self.decode(Tenants=[tenant]).organisations
+        assert found is not None
+        assert found.find(b"k2") == Organisation("desk", None, 9.0, 4.0)
+        assert found.find(b"k") is None
+
+    def test_empty_list_needs_keys_and_absent_list_does_not(self) -> None:
+        assert self.decode(Tenants=[]).organisations is not None
+        assert self.decode().organisations is None
+
+    @pytest.mark.parametrize(
+        "name",
+        [
+            b"X-Credential",
+            b"x_credential",
+            b"X-Tenant-Id",
+            b"X_TENANT_ID",
+            b"x-tenant_id",
+        ],
+    )
+    def test_no_spelling_is_forwarded(self, name: bytes) -> None:
+        raw = request((b"Host", b"h"), (b"X-Request-Id", b"r"), (name, b"forged"))
+        decoded = PlatformCallers().read_request(raw).unwrap()
+        assert decoded.headers == ()
+        assert decoded.organisation == ""
+
+    def test_replica_gets_the_name_that_the_gateway_found(self) -> None:
+        raw = request(
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"r"),
+            (b"X-Credential", b"key"),
+            (b"X-Tenant-Id", b"forged"),
+        )
+        decoded = PlatformCallers().read_request(raw).unwrap()
+        assert decoded.credential == b"key"
+        found = decoded._replace(organisation="desk")
+        encoded = PlatformReplicas().encode_request(found, "i-1", 1.0)
+        assert b"\r\nX-Tenant-Id: desk\r\n" in encoded
+        assert b"forged" not in encoded
+        assert b"key" not in encoded
+
+    def test_several_keys_are_an_unknown_key(self) -> None:
+        raw = request(
+            (b"Host", b"h"),
+            (b"X-Request-Id", b"r"),
+            (b"X-Credential", b"k1"),
+            (b"x-credential", b"k2"),
+        )
+        assert PlatformCallers().read_request(raw).unwrap().credential == b""
