--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -28,6 +28,7 @@
 )
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
+from sardinehook.gateway.round_robin import WeightedRoundRobin
 from sardinehook.gateway.search_codec import (
     DelegatedRequest,
     decode_search,
@@ -46,28 +47,6 @@
 Finish = Callable[[CallerAnswer], None]
 
 
-class WeightedRoundRobin:
-    """Smooth weighted round robin over the services of a route.
-
-    At each request every service gains its weight in credit, and the one with the
-    most credit is chosen and loses the total weight. Random initial credits keep
-    gateways from choosing in step.
-    """
-
-    def __init__(self, services: tuple[WeightedService, ...], random: Random) -> None:
-        self.services = services
-        self.total = sum(weighted.weight for weighted in services)
-        self.credits = [random.random() * self.total for _ in services]
-
-    def next(self) -> str:
-        """Choose the service for the next request."""
-        for position, weighted in enumerate(self.services):
-            self.credits[position] += weighted.weight
-        chosen = max(range(len(self.services)), key=self.credits.__getitem__)
-        self.credits[chosen] -= self.total
-        return self.services[chosen].service
-
-
 class RequestHandler:
     """Starts or refuses each request under the configuration in force."""
 
