Identify callers by their keys

Cause: requests with unknown and withdrawn keys are served. Change: after the route is found, the key is replaced by the name of its holder; the request goes on without the key. The key has a type whose texts hide it, and raw requests show no headers. Earlier versions of the configuration are kept without their index of keys. The number of refusals by reason and of keys and organisations in force are metrics.

--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import NamedTuple
 
 from sardinehook.gateway.organisations.organisation import Organisations
@@ -118,6 +118,12 @@
     limits: CallerLimits
     organisations: Organisations | None = None
 
+    def without_keys(self) -> Configuration:
+        """Return this version without its index of keys, to keep it for searches."""
+        if self.organisations is None:
+            return self
+        return replace(self, organisations=self.organisations.without_keys())
+
     @property
     def shard_services(self) -> frozenset[str]:
         """The services that are shards of some route."""
--- a/sardinehook/gateway/interfaces.py
+++ b/sardinehook/gateway/interfaces.py
@@ -12,6 +12,7 @@
 
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.notices import NO_NOTICES, StatedNotices
+from sardinehook.gateway.organisations.credential import Credential
 from sardinehook.transport.connection import Reply
 
 __all__ = [
@@ -53,6 +54,11 @@
     received_at: float
     network_s: float = 0.0
 
+    def __repr__(self) -> str:
+        # The headers may hold a key.
+        path = self.target.partition(b"?")[0]
+        return f"HttpRequest({self.method!r}, {path!r}, {len(self.headers)} headers)"
+
 
 class CallerRequest(NamedTuple):
     """A caller's request.
@@ -72,7 +78,7 @@
     caller_timeout_s: float | None
     received_at: float
     network_s: float = 0.0
-    credential: bytes | None = None
+    credential: Credential | None = None
     organisation: str = ""
 
     @property
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from sardinehook.gateway.organisations.key_index import KeyIndex
+from sardinehook.gateway.organisations.organisation import Organisations
 from sardinehook.observe.buckets import LAG_BUCKETS_SECONDS, REQUEST_BUCKETS_SECONDS
 from sardinehook.observe.instruments import Instruments
 
@@ -84,6 +86,17 @@
             "sardinehook_configuration_version",
             "Version of the configuration in force",
         )
+        self.keys_refused = instruments.labelled_counter(
+            "sardinehook_keys_refused",
+            "Callers' requests that were refused for their key, by why",
+            ["reason"],
+        )
+        self.keys = instruments.gauge(
+            "sardinehook_keys", "Keys of organisations in force"
+        )
+        self.organisations = instruments.gauge(
+            "sardinehook_organisations", "Organisations in force"
+        )
         self.gateways = instruments.gauge(
             "sardinehook_gateways", "Gateways known in the fleet"
         )
@@ -113,6 +126,12 @@
         """Count a call to another gateway by its outcome."""
         self.peer_calls.labels(outcome).inc()
 
+    def set_organisations(self, organisations: Organisations | None) -> None:
+        """Set the numbers of organisations and keys, ``None`` if there are none."""
+        known = organisations or Organisations({}, KeyIndex({}))
+        self.organisations.set(len(known.by_name))
+        self.keys.set(len(known.keys))
+
     def observe(
         self, kind: str, outcome: str, seconds: float, hedges: int, repeats: int
     ) -> None:
--- a/sardinehook/gateway/organisations/key_index.py
+++ b/sardinehook/gateway/organisations/key_index.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from hashlib import blake2b
 
-__all__ = ["KeyIndex", "digest_key"]
+__all__ = ["DIGEST_BYTES", "KeyIndex", "digest_key"]
 
 DIGEST_BYTES = 16
 PURPOSE = b"sardinehook key"  # keeps digests apart from those of other uses
--- a/sardinehook/gateway/organisations/organisation.py
+++ b/sardinehook/gateway/organisations/organisation.py
@@ -8,7 +8,7 @@
 
 from sardinehook.gateway.organisations.key_index import KeyIndex, digest_key
 
-__all__ = ["Organisation", "Organisations", "index_organisations"]
+__all__ = ["Organisation", "Organisations", "index_digests", "index_organisations"]
 
 
 class Organisation(NamedTuple):
@@ -32,9 +32,16 @@
     by_name: Mapping[str, Organisation]
     keys: KeyIndex
 
+    def without_keys(self) -> Organisations:
+        """Return the organisations without the index of their keys, which is large."""
+        return Organisations(self.by_name, KeyIndex({}))
+
     def find(self, credential: bytes | None) -> Organisation | None:
-        """Return the organisation that holds a key, ``None`` if there is none."""
-        name = None if credential is None else self.keys.find(credential)
+        """Return the organisation that holds a key, ``None`` if there is none.
+
+        An empty key belongs to nobody, also if it stands in the configuration.
+        """
+        name = self.keys.find(credential) if credential else None
         return None if name is None else self.by_name.get(name)
 
 
@@ -47,10 +54,22 @@
     >>> found.find(b"k2").name, found.find(b"k3"), found.find(None)
     ('desk', None, None)
     """
+    return index_digests(
+        (organisation, map(digest_key, keys)) for organisation, keys in organisations
+    )
+
+
+def index_digests(
+    organisations: Iterable[tuple[Organisation, Iterable[bytes]]],
+) -> Organisations:
+    """Index organisations and the digests of their keys.
+
+    Of several organisations that have the same key, the first holds it.
+    """
     by_name: dict[str, Organisation] = {}
-    digests: dict[bytes, str] = {}
-    for organisation, keys in organisations:
+    holders: dict[bytes, str] = {}
+    for organisation, digests in organisations:
         by_name[organisation.name] = organisation
-        for key in keys:
-            digests.setdefault(digest_key(key), organisation.name)
-    return Organisations(by_name, KeyIndex(digests))
+        for digest in digests:
+            holders.setdefault(digest, organisation.name)
+    return Organisations(by_name, KeyIndex(holders))
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -275,6 +275,7 @@
         self.directory.configure(configuration)
         self.http_server.limits = configuration.limits
         self.metrics.version.set(configuration.version)
+        self.metrics.set_organisations(configuration.organisations)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
     def handle_changes(self) -> None:
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from random import Random
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, error_answer
@@ -21,6 +21,11 @@
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.http_server import Cancellable
 from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
+from sardinehook.gateway.organisations.confirmation import Confirmation
+from sardinehook.gateway.organisations.identification import (
+    KeyRefusal,
+    identify_caller,
+)
 from sardinehook.gateway.policy import (
     DEMAND_WINDOW_S,
     RequestPolicy,
@@ -67,6 +72,7 @@
         self.in_flight = 0
         self.recent_versions: dict[int, Configuration] = {}
         self.delegates: Delegates | None = None
+        self.confirmation = Confirmation()
         self.stopping = False
         self.stops_at = float("inf")
         self.delegated_in_flight = 0
@@ -78,7 +84,8 @@
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration to all requests that arrive from now on."""
         self.configuration = configuration
-        self.recent_versions[configuration.version] = configuration
+        # Delegated searches name their organisation: only callers need the keys.
+        self.recent_versions[configuration.version] = configuration.without_keys()
         while len(self.recent_versions) > MAX_KEPT_VERSIONS:
             del self.recent_versions[min(self.recent_versions)]
         for host_routes in configuration.routes.values():
@@ -183,11 +190,29 @@
                 f"no route matches in configuration version {configuration.version}"
             )
             return self.refuse(request, Problem(ErrorKind.NOT_FOUND, detail), finish)
+        match self.identify(request, route, configuration):
+            case Success(identified):
+                request = identified
+            case Failure(KeyRefusal(reason, problem)):
+                self.request_log.count_key_refused(reason)
+                return self.refuse(request, problem, finish)
         if not self.can_finish(request, route):
             detail = "the gateway stops before the request would be finished"
             return self.refuse(request, Problem(ErrorKind.STOPPING, detail), finish)
         return self.begin(request, route, configuration, finish)
 
+    def identify(
+        self, request: CallerRequest, route: Route, configuration: Configuration
+    ) -> Result[CallerRequest, KeyRefusal]:
+        """Replace the key of a request by the name of its holder; nothing keeps it."""
+        return identify_caller(
+            configuration.organisations,
+            route.anonymous,
+            request.credential,
+            self.policy.bounds,
+            self.confirmation.age_s(self.reactor.seconds()),
+        ).map(lambda name: request._replace(organisation=name, credential=None))
+
     def can_finish(self, request: CallerRequest, route: Route) -> bool:
         """Return whether a request that arrives now is finished before the stop.
 
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -51,6 +51,10 @@
             detail=answer.detail,
         )
 
+    def count_key_refused(self, reason: str) -> None:
+        """Count a request that is refused for its key."""
+        self.metrics.keys_refused.labels(reason).inc()
+
     def record_released(self, count: int, waited_s: float) -> None:
         """Record that requests no longer wait for the first configuration."""
         log_event(
--- a/sardinehook/platform/callers.py
+++ b/sardinehook/platform/callers.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.interfaces import CallerRequest, Header, HttpRequest
+from sardinehook.gateway.organisations.credential import Credential
 
 __all__ = ["PlatformCallers"]
 
@@ -117,16 +118,18 @@
     return lower_name not in dropped and hyphenated not in NEVER_FORWARDED
 
 
-def read_credential(values: Sequence[bytes]) -> bytes | None:
+def read_credential(values: Sequence[bytes]) -> Credential | None:
     """Return the caller's key; None if there is none, empty if there are several.
 
-    >>> read_credential([]), read_credential([b" k "]), read_credential([b"k", b"l"])
-    (None, b'k', b'')
+    >>> read_credential([]), read_credential([b" k "])
+    (None, Credential(hidden))
+    >>> read_credential([b" k "]) == b"k", read_credential([b"k", b"l"]) == b""
+    (True, True)
     """
     if not values:
         return None
     keys = {value.strip() for value in values}
-    return keys.pop() if len(keys) == 1 else b""
+    return Credential(keys.pop() if len(keys) == 1 else b"")
 
 
 def read_host(value: bytes) -> str:
