Replace keys by digests as the configuration comes from the store

Cause: gateways keep the configuration in their caches and pass it on with all keys. Change: the store client replaces keys by digests before anything keeps the value; the decoder reads both forms. A value that cannot be read is replaced by a text that says why, which the decoder refuses as before. A value without organisations stays as it is, byte for byte.

--- a/sardinehook/platform/configuration.py
+++ b/sardinehook/platform/configuration.py
@@ -26,13 +26,18 @@
     WeightedService,
     index_routes,
 )
+from sardinehook.gateway.organisations.key_index import DIGEST_BYTES, digest_key
 from sardinehook.gateway.organisations.organisation import (
     Organisation,
     Organisations,
-    index_organisations,
+    index_digests,
 )
 
-__all__ = ["decode_configuration"]
+__all__ = ["CONFIGURATION_KEY", "UNREADABLE", "decode_configuration"]
+
+CONFIGURATION_KEY = "op/config"
+# Begins the text that replaces a configuration whose keys could not be found.
+UNREADABLE = b"unreadable configuration: "
 
 MS_PER_S = 1000.0
 IDEMPOTENT_ROUTE_TYPE = "safe"
@@ -81,11 +86,16 @@
     cold_per_s: Measure = 0.0
 
 
-class WireTenant(msgspec.Struct, rename="pascal"):
+Digest = Annotated[bytes, Meta(min_length=DIGEST_BYTES, max_length=DIGEST_BYTES)]
+
+
+class WireTenant(msgspec.Struct, rename="pascal", omit_defaults=True):
     """An organisation in the operators' configuration."""
 
     name: str
     api_keys: list[str] | None = None
+    # Digests of keys, which the gateways put in place of the keys.
+    key_digests: list[Digest] | None = None
     # Takes precedence over the priority of a route.
     priority: Count | None = None
     # The quota over all gateways; none if the rate is 0 or absent.
@@ -122,6 +132,9 @@
     >>> decode_configuration(b"{").failure()
     'malformed configuration: Input data was truncated'
     """
+    if value.startswith(UNREADABLE):
+        detail = value[len(UNREADABLE) :].decode(errors="replace")
+        return Failure(f"malformed configuration: {detail}")
     try:
         wire = DECODER.decode(value)
         routes = [read_route(route) for route in wire.routes]
@@ -198,7 +211,7 @@
     for tenant in tenants:
         if not is_header_value(tenant.name):
             raise ValueError(f"invalid name of an organisation: {tenant.name!r}")
-    return index_organisations(
+    return index_digests(
         (
             Organisation(
                 tenant.name,
@@ -206,7 +219,10 @@
                 tenant.rate_per_s or 0.0,
                 tenant.burst or 0.0,
             ),
-            [key.encode() for key in tenant.api_keys or ()],
+            [
+                *(tenant.key_digests or ()),
+                *(digest_key(key.encode()) for key in tenant.api_keys or ()),
+            ],
         )
         for tenant in tenants
     )
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -12,7 +12,10 @@
 from sardinehook.decoding import DECODE_ERRORS, Number, is_address, is_token
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.interfaces import ReplicaEntry
-from sardinehook.platform.configuration import decode_configuration
+from sardinehook.platform.configuration import (
+    CONFIGURATION_KEY,
+    decode_configuration,
+)
 
 __all__ = ["MAX_COLD_MS", "MAX_SLOTS", "PlatformKeys"]
 
@@ -47,7 +50,7 @@
 class PlatformKeys:
     """The names of the keys that operators and replicas write, and their decoders."""
 
-    configuration_key = "op/config"
+    configuration_key = CONFIGURATION_KEY
     evacuation_prefix = "op/evacuate/"
     replica_prefix = "servers/"
 
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -21,6 +21,8 @@
     LeaseGone,
     StoreProblem,
 )
+from sardinehook.platform.configuration import CONFIGURATION_KEY
+from sardinehook.platform.key_digests import replace_keys
 from sardinehook.store.port import StoreUnavailable
 from sardinehook.transport.connection import Lost, Reply
 
@@ -231,11 +233,16 @@
 
 
 def read_item(wire: WireItem) -> Item:
-    """Convert an item; a value that is not valid base64 becomes empty."""
+    """Convert an item; a value that is not valid base64 becomes empty.
+
+    Keys of callers are replaced by digests here, before anything keeps the value.
+    """
     if wire.deleted:
         return Item(wire.key, None, wire.revision)
     try:
         value = b64decode(wire.value, validate=True)
     except ValueError:
         value = b""
+    if wire.key == CONFIGURATION_KEY:
+        value = replace_keys(value)
     return Item(wire.key, value, wire.revision)
