Send large values between gateways as differences

Cause: when one of 100,000 keys changes, each gateway gets 1.8 MB. Change: a gateway that asks for it gets a value of 32 KiB or more as the difference from the version at the revision that it names, as far as the log or the value before it has that version. Revision and checksum of the base and of the result are checked; if they differ the values are fetched. Answers also state how long ago the store confirmed the state.

--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -11,16 +11,23 @@
 from sardinehook.gateway.http_call import HttpCall
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.relay import changes_query
+from sardinehook.gateway.relay import (
+    CONFIRMED_HEADER,
+    changes_query,
+    read_confirmation,
+)
 from sardinehook.gateway.watch_cache import StateUpdate, decode_update
 from sardinehook.transport.connection import Reply
 
-__all__ = ["PeerCalls", "PeerClient"]
+__all__ = ["PeerCalls", "PeerClient", "read_update"]
 
 CALL_TIMEOUT_S = 0.4  # peers answer within milliseconds unless cut off
 MAX_PEERS_TRIED = 2  # in one round, so that the store is retried soon
 MAX_POOLS = 8  # peers with open connections: readers, and a few asked recently
 OK = 200
+OTHER_BASE = "other_base"  # counted if a difference is from a value not held here
+
+Restore = Callable[[StateUpdate], Result[StateUpdate, str]]
 
 
 class PeerCalls(Protocol):
@@ -43,6 +50,8 @@
     """Calls other gateways over persistent connections.
 
     ``count_call`` receives the status of each call, ``no_answer`` if it failed.
+    ``restore`` replaces differences in an update by values; without it, none are asked
+    for.
     """
 
     def __init__(
@@ -50,10 +59,12 @@
         reactor: GatewayReactor,
         random: Random,
         count_call: Callable[[str], None],
+        restore: Restore | None = None,
     ) -> None:
         self.reactor = reactor
         self.random = random
         self.count_call = count_call
+        self.restore = restore
         self.pools: dict[str, ConnectionPool] = {}
 
     async def fetch_from_any(
@@ -74,20 +85,38 @@
     async def fetch(
         self, address: str, after: int | None, wait_s: float
     ) -> Result[StateUpdate, str]:
-        """Request the changes after a revision, which may wait up to ``wait_s``."""
+        """Request the changes after a revision, which may wait up to ``wait_s``.
+
+        If differences are from another value than the one here, the values themselves
+        are requested.
+        """
+        restore = self.restore
+        if restore is None or after is None:
+            return await self.call(address, changes_query(after, wait_s), wait_s)
+        query = changes_query(after, wait_s, differences=True)
+        result = await self.call(address, query, wait_s)
+        match result.bind(restore):
+            case Failure() if isinstance(result, Success):
+                self.count_call(OTHER_BASE)
+                return await self.call(address, changes_query(after, 0.0), 0.0)
+            case restored:
+                return restored
+
+    async def call(
+        self, address: str, query: bytes, wait_s: float
+    ) -> Result[StateUpdate, str]:
+        """Call a gateway once, which may hold the call for ``wait_s``."""
         request = b"GET %b HTTP/1.1\r\nHost: %b\r\n\r\n" % (
-            changes_query(after, wait_s),
+            query,
             address.encode(),
         )
         timeout_s = wait_s + CALL_TIMEOUT_S
         pool = self.pool_of(address)
         result = await HttpCall(self.reactor, pool, request, timeout_s).done
         match result:
-            case Success(Reply(status, _, body)):
-                self.count_call(str(status))
-                return (
-                    decode_update(body) if status == OK else Failure(f"status {status}")
-                )
+            case Success(reply):
+                self.count_call(str(reply.status))
+                return read_update(reply)
             case Failure(problem):
                 self.count_call("no_answer")
                 return Failure(problem.detail)
@@ -105,5 +134,15 @@
         return pool
 
 
+def read_update(reply: Reply) -> Result[StateUpdate, str]:
+    """Decode an update, with the time of its confirmation."""
+    if reply.status != OK:
+        return Failure(f"status {reply.status}")
+    confirmed_s = read_confirmation(reply.header(CONFIRMED_HEADER.lower()))
+    return decode_update(reply.body).map(
+        lambda update: update._replace(confirmed_s=confirmed_s)
+    )
+
+
 def ignore() -> None:
     """Ignore that a connection was opened: calls report their own outcome."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -137,7 +137,9 @@
         self.follower = StoreFollower(
             reactor,
             self.store,
-            PeerClient(reactor, self.random, metrics.count_peer_call),
+            PeerClient(
+                reactor, self.random, metrics.count_peer_call, state.cache.restore
+            ),
             state,
             self.fleet,
             self.random,
--- a/sardinehook/gateway/relay.py
+++ b/sardinehook/gateway/relay.py
@@ -2,16 +2,41 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
+from math import ceil
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 from sardinehook.gateway.answer import CallerAnswer
+from sardinehook.gateway.interfaces import Header
+from sardinehook.gateway.organisations.confirmation import Confirmation
 from sardinehook.gateway.reactor import GatewayReactor
-from sardinehook.gateway.watch_cache import StateUpdate, WatchCache, encode_update
-
-__all__ = ["CHANGES_PATH", "ChangeRelay", "changes_query"]
+from sardinehook.gateway.store import Changes, Item
+from sardinehook.gateway.value_difference import (
+    ItemDifference,
+    compare_items,
+    is_large,
+)
+from sardinehook.gateway.watch_cache import (
+    MAX_DIFFERENCES,
+    StateUpdate,
+    WatchCache,
+    encode_update,
+)
+
+__all__ = [
+    "CHANGES_PATH",
+    "CONFIRMED_HEADER",
+    "ChangeRelay",
+    "changes_query",
+    "read_confirmation",
+]
 
 CHANGES_PATH = b"/changes"
+# How long before the call the sender's state was confirmed by the store.
+CONFIRMED_HEADER = b"Confirmed-Before-Ms"
+CONFIRMED_MS = re.compile(rb"-?\d{1,12}")
 MAX_WAIT_S = 10.0  # bounds how long a malformed query holds a call
 MS_PER_S = 1000.0
 UNAVAILABLE = 503
@@ -20,23 +45,40 @@
 FinishCall = Callable[[CallerAnswer], None]
 
 
-def changes_query(after: int | None, wait_s: float) -> bytes:
+def changes_query(after: int | None, wait_s: float, differences: bool = False) -> bytes:
     """Return the request target for the changes after a revision.
 
+    ``differences`` says that large values may be answered as differences from those
+    that the caller has at this revision.
+
     >>> changes_query(7, 1.5)
     b'/changes?after=7&wait_ms=1500'
+    >>> changes_query(7, 1.5, True)
+    b'/changes?after=7&wait_ms=1500&differences=1'
     """
     known = -1 if after is None else after
-    return CHANGES_PATH + b"?after=%d&wait_ms=%d" % (known, int(wait_s * MS_PER_S))
+    query = b"?after=%d&wait_ms=%d" % (known, int(wait_s * MS_PER_S))
+    return CHANGES_PATH + query + (b"&differences=1" if differences else b"")
+
+
+class ChangesQuery(NamedTuple):
+    """The query of a call for changes."""
+
+    after: int = -1
+    wait_s: float = 0.0
+    differences: bool = False
 
 
 class LongPoll:
     """A pending call of another gateway that waits for changes."""
 
-    def __init__(self, relay: ChangeRelay, after: int, finish: FinishCall) -> None:
+    def __init__(
+        self, relay: ChangeRelay, query: ChangesQuery, finish: FinishCall
+    ) -> None:
         self.relay = relay
-        self.after = after
+        self.query = query
         self.finish = finish
+        self.called_at = relay.reactor.seconds()
 
     def cancel(self) -> None:
         """Discard the call, since its connection is closed."""
@@ -50,12 +92,19 @@
     there succeeded. Otherwise calls are answered at once, without waiting.
     """
 
-    def __init__(self, reactor: GatewayReactor, cache: WatchCache) -> None:
+    def __init__(
+        self,
+        reactor: GatewayReactor,
+        cache: WatchCache,
+        confirmation: Confirmation | None = None,
+    ) -> None:
         self.reactor = reactor
         self.cache = cache
+        self.confirmation = confirmation or Confirmation()
         self.current = False
         self.waiting: dict[LongPoll, None] = {}
         self.encoded: tuple[StateUpdate, bytes] | None = None
+        self.compared: tuple[Item, Item, ItemDifference | None] | None = None
 
     def set_current(self, current: bool) -> None:
         """Set ``current``; if it changes, waiting calls are answered."""
@@ -65,13 +114,13 @@
 
     def answer(self, query: bytes, finish: FinishCall) -> LongPoll | None:
         """Answer a call at once, or return it as pending for at most its wait."""
-        after, wait_s = read_query(query)
-        if not self.must_wait(after) or not wait_s:
-            finish(self.answer_now(after))
+        read = read_query(query)
+        if not self.must_wait(read.after) or not read.wait_s:
+            finish(self.answer_now(read, self.reactor.seconds()))
             return None
-        poll = LongPoll(self, after, finish)
+        poll = LongPoll(self, read, finish)
         self.waiting[poll] = None
-        self.reactor.callLater(wait_s, self.answer_poll, poll)
+        self.reactor.callLater(read.wait_s, self.answer_poll, poll)
         return poll
 
     def must_wait(self, after: int) -> bool:
@@ -81,12 +130,43 @@
         update = self.update_since(after)
         return self.current and not update.whole and not update.changes.items
 
-    def answer_now(self, after: int) -> CallerAnswer:
-        """Return the answer to a call as of now."""
+    def answer_now(self, query: ChangesQuery, called_at: float) -> CallerAnswer:
+        """Return the answer as of now to a call that arrived at ``called_at``."""
         if self.cache.revision is None:
             return CallerAnswer(UNAVAILABLE, (), b"", "probe")
-        body = self.encode(self.update_since(after))
-        return CallerAnswer(OK, (), body, "probe")
+        update = self.update_since(query.after)
+        if query.differences and not update.whole:
+            update = self.shorten(update, query.after)
+        headers = confirmation_headers(self.confirmation.age_s(called_at))
+        return CallerAnswer(OK, headers, self.encode(update), "probe")
+
+    def shorten(self, update: StateUpdate, after: int) -> StateUpdate:
+        """Replace large values by differences from those at the revision ``after``.
+
+        A value stays whole if that version is not known, or if much has changed.
+        """
+        items: list[Item] = []
+        differences: list[ItemDifference] = []
+        for item in update.changes.items:
+            difference = self.difference_after(item, after) if is_large(item) else None
+            if difference is None or len(differences) == MAX_DIFFERENCES:
+                items.append(item)
+            else:
+                differences.append(difference)
+        changes = Changes(tuple(items), update.changes.revision)
+        return update._replace(changes=changes, differences=tuple(differences))
+
+    def difference_after(self, item: Item, after: int) -> ItemDifference | None:
+        """Return the difference of an item from its version at a revision.
+
+        The last one is cached, since many calls get the same.
+        """
+        base = self.cache.version_at(item.key, after)
+        if base is None or not is_large(base):
+            return None
+        if self.compared is None or self.compared[:2] != (base, item):
+            self.compared = (base, item, compare_items(base, item))
+        return self.compared[2]
 
     def update_since(self, after: int) -> StateUpdate:
         """Return the changes after a revision, or a listing if these are not logged."""
@@ -106,7 +186,7 @@
         """Answer a pending call, unless it was answered or cancelled before."""
         if poll in self.waiting:
             del self.waiting[poll]
-            poll.finish(self.answer_now(poll.after))
+            poll.finish(self.answer_now(poll.query, poll.called_at))
 
     def encode(self, update: StateUpdate) -> bytes:
         """Encode an update; the last one is cached, since many calls get the same."""
@@ -115,11 +195,35 @@
         return self.encoded[1]
 
 
-def read_query(query: bytes) -> tuple[int, float]:
-    """Return the revision and the wait in seconds of a query, or their defaults.
+def confirmation_headers(confirmed_s: float) -> tuple[Header, ...]:
+    """Return the header that states how long ago the state was confirmed, if it was.
+
+    >>> confirmation_headers(0.0121), confirmation_headers(float("inf"))
+    (((b'Confirmed-Before-Ms', b'13'),), ())
+    """
+    if confirmed_s == float("inf"):
+        return ()
+    return ((CONFIRMED_HEADER, b"%d" % ceil(confirmed_s * MS_PER_S)),)
+
+
+def read_confirmation(value: bytes | None) -> float | None:
+    """Return the stated time in seconds, ``None`` if absent or malformed.
+
+    >>> read_confirmation(b"-13"), read_confirmation(b"x"), read_confirmation(None)
+    (-0.013, None, None)
+    """
+    if value is None or not CONFIRMED_MS.fullmatch(value):
+        return None
+    return int(value) / MS_PER_S
+
+
+def read_query(query: bytes) -> ChangesQuery:
+    """Return the fields of a query, or their defaults.
 
-    >>> read_query(b"after=7&wait_ms=1500"), read_query(b"after=x")
-    ((7, 1.5), (-1, 0.0))
+    >>> read_query(b"after=7&wait_ms=1500")
+    ChangesQuery(after=7, wait_s=1.5, differences=False)
+    >>> read_query(b"after=x&differences=1")
+    ChangesQuery(after=-1, wait_s=0.0, differences=True)
     """
     fields = parse_qs(query.decode("latin-1"))
 
@@ -127,4 +231,5 @@
         value = fields.get(name, [""])[0]
         return int(value) if value.isdecimal() and len(value) < 19 else default
 
-    return number("after", -1), min(number("wait_ms", 0) / MS_PER_S, MAX_WAIT_S)
+    wait_s = min(number("wait_ms", 0) / MS_PER_S, MAX_WAIT_S)
+    return ChangesQuery(number("after", -1), wait_s, bool(number("differences", 0)))
