Accept no keys without confirmation where revocation is strict

Cause: a gateway that is cut off from the store serves withdrawn keys, also where StrictRevocation is set. Change: the age of the configuration counts from the moment at which the answered call to the store was sent; other gateways state the age of theirs. Watches, pauses and polls of strict deployments are short enough for the bound, and a gateway whose data centre has lost the store asks readers of the others. A restarted gateway takes no state from a reader without contact while the store answers itself, since that may lack a withdrawal.

--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -16,14 +16,16 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
+from sardinehook.gateway.peers import read_update
 from sardinehook.gateway.relay import changes_query
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import Changes, Item, LeaseGone, StoreProblem
 from sardinehook.gateway.store_state import StoreState
-from sardinehook.gateway.watch_cache import StateUpdate, decode_update
+from sardinehook.gateway.watch_cache import StateUpdate
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.kv_store import CALL_TIMEOUT_S
 from sardinehook.store.port import StoreUnavailable
+from sardinehook.transport.connection import Reply
 from sardinehook.transport.tasks import Promise
 
 __all__ = ["FleetSimulation", "SimulatedGateway", "SimulatedStore", "run_outages"]
@@ -31,9 +33,9 @@
 ANSWER_S = 0.004
 LEASE_TTL_S = 8.0
 TICK_S = 0.05
-OK = 200
 STABLE_S = 4.0  # after an outage, from when on the bounds hold
 OUTAGES = 2
+BOUNDS = Bounds(drain_s=3.0, configuration_s=3.0, evacuation_s=5.0)
 MAX_EVENTS = 5  # restarts and lapses in one outage
 
 
@@ -242,9 +244,8 @@
         query = changes_query(after, wait_s).partition(b"?")[2]
         gateway.follower.relay.answer(query, answered.resolve)
         answer = await answered
-        if answer.status != OK:
-            return Failure(f"status {answer.status}")
-        return decode_update(answer.body)
+        headers = tuple((name.lower(), value) for name, value in answer.headers)
+        return read_update(Reply(answer.status, headers, answer.body))
 
 
 class SimulatedGateway:
@@ -295,10 +296,12 @@
 class FleetSimulation:
     """Gateways of several data centres with one store."""
 
-    def __init__(self, sizes: dict[str, int], seed: int = 1) -> None:
+    def __init__(
+        self, sizes: dict[str, int], seed: int = 1, bounds: Bounds = BOUNDS
+    ) -> None:
         self.reactor = MemoryReactorClock()
         self.rng = Random(seed)
-        self.bounds = Bounds(drain_s=3.0, configuration_s=3.0, evacuation_s=5.0)
+        self.bounds = bounds
         self.store = SimulatedStore(self.reactor)
         self.peers = SimulatedPeers()
         names = [(f"{dc}-{n}", dc) for dc, size in sizes.items() for n in range(size)]
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -9,6 +9,7 @@
 import structlog
 from returns.result import Failure, Success
 
+from sardinehook.gateway.confirmation_keeper import ConfirmationKeeper
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.peers import PeerCalls
 from sardinehook.gateway.reactor import GatewayReactor
@@ -35,6 +36,10 @@
 COALESCE_RATIO = 0.2  # wait after a change, since changes come in bursts
 WATCH_CHECK_RATIO = 0.2  # interval of comparing a watch with another gateway
 LONG_POLL_RATIO = 0.2  # how long a reader may hold a call
+# Of the bound after which keys are not accepted without confirmation. The keys of a
+# gateway that polls a reader are confirmed as of two waits, a pause after changes and a
+# long poll ago at most, which are 0.8 of the bound together.
+STRICT_WATCH_RATIO = 0.2
 INITIAL_BACKOFF_S = 0.1
 ASK_PEERS_AFTER_S = 1.0  # the store may fail for this gateway only
 MAX_BACKOFF_S = 1.0  # low, since the time bounds are a few seconds
@@ -64,12 +69,15 @@
         self.fleet = fleet
         self.random = random
         self.state = state
-        self.relay = ChangeRelay(reactor, state.cache)
+        self.relay = ChangeRelay(reactor, state.cache, state.confirmation)
         state.on_changed = self.relay.answer_waiting
         self.reader_selector = ReaderSelector(fleet.node, fleet.record)
         self.monitor = WatchMonitor(
             reactor, store, peers, state, fleet, self.reader_selector, random
         )
+        self.confirmation_keeper = ConfirmationKeeper(
+            reactor, peers, state, fleet, random
+        )
         self.running = False
         self.watch_proven = False
         self.backoff_s = 0.0
@@ -77,18 +85,25 @@
         self.last_contact_at = reactor.seconds()
         self.seeds: tuple[str, ...] = ()
         self.min_bound_s = 0.0
+        self.max_watch_s = float("inf")
 
     def configure(self, bounds: Bounds) -> None:
         """Derive poll and check intervals from the deployment's time bounds."""
+        self.confirmation_keeper.bounds = bounds
         self.min_bound_s = min(
             bounds.drain_s, bounds.configuration_s, bounds.evacuation_s
         )
+        if bounds.revocation_strict:
+            self.min_bound_s = min(self.min_bound_s, bounds.revocation_s)
+            self.max_watch_s = STRICT_WATCH_RATIO * bounds.revocation_s
+        else:
+            self.max_watch_s = float("inf")
         self.monitor.interval_s = WATCH_CHECK_RATIO * self.min_bound_s
 
     def start(self) -> None:
-        """Start both tasks, each of which is restarted after an unexpected error."""
+        """Start all tasks, each of which is restarted after an unexpected error."""
         self.running = True
-        for task in (self.follow, self.monitor_watch):
+        for task in (self.follow, self.monitor_watch, self.keep_confirmed):
             self.start_task(task)
 
     def start_task(self, task: Callable[[], Coroutine[Any, Any, None]]) -> None:
@@ -106,7 +121,7 @@
             self.reactor.callLater(MAX_BACKOFF_S, self.start_task, task)
 
     def stop(self) -> None:
-        """Stop both tasks after their current call."""
+        """Stop all tasks after their current call."""
         self.running = False
         self.relay.set_current(False)
 
@@ -149,6 +164,11 @@
         while self.running:
             await self.monitor.check()
 
+    async def keep_confirmed(self) -> None:
+        """Keep the state confirmed by other gateways until stopped."""
+        while self.running:
+            await self.confirmation_keeper.check()
+
     def update_readers(self) -> None:
         """Select readers among the registered gateways, and log a change of readers."""
         if self.reader_selector.update(self.fleet.registered_records()):
@@ -162,6 +182,7 @@
         """List or watch the store once, and apply what it returns."""
         whole = self.state.listing_needed
         known = self.state.cache.revision
+        called_at = self.reactor.seconds()
         if whole or known is None:
             result = await self.store.read_all(ALL_KEYS)
         else:
@@ -175,7 +196,7 @@
                 self.watch_proven = True
                 self.record_contact("")
                 self.relay.set_current(True)
-                self.state.apply_changes(changes, whole)
+                self.state.apply_changes(changes, whole, called_at)
                 if changes.items:
                     await sleep(self.reactor, COALESCE_RATIO * self.min_bound_s)
             case Failure(problem):
@@ -196,7 +217,8 @@
             return PROBE_WATCH_WAIT_S
         if not self.reader_selector.is_reader:
             return FALLBACK_WATCH_WAIT_S
-        return max(PROBE_WATCH_WAIT_S, self.min_bound_s - LOST_WATCH_MARGIN_S)
+        wait_s = min(self.min_bound_s - LOST_WATCH_MARGIN_S, self.max_watch_s)
+        return max(PROBE_WATCH_WAIT_S, wait_s)
 
     def log_watch_without_contact(self, revision: int, wait_s: float) -> None:
         """Log a watch that is sent while the store does not answer this gateway."""
@@ -221,6 +243,7 @@
 
     async def poll_reader(self, reader: Reader, wait_s: float) -> None:
         """Request changes from a reader once; it may hold the call for ``wait_s``."""
+        called_at = self.reactor.seconds()
         answer = await self.peers.fetch(
             reader.address, self.state.cache.revision, wait_s
         )
@@ -232,7 +255,11 @@
                     "" if update.current else "has no contact with the store"
                 )
                 self.record_reader_result(reader, failure_detail)
-                self.state.apply_update(update)
+                # A reader without contact may lack what this gateway knew before its
+                # restart, such as the withdrawal of a key. The store answered.
+                if update.current or self.state.loaded:
+                    self.state.apply_update(update)
+                    self.state.confirm_through(update, called_at)
             case Failure(detail):
                 self.record_reader_result(reader, detail)
 
@@ -272,14 +299,17 @@
         """Apply newer state of another gateway while the store is unavailable."""
         known = self.state.cache.revision
         peers = [*self.seeds, *self.fleet.peers()]
+        called_at = self.reactor.seconds()
         match await self.peers.fetch_from_any(peers, known):
-            case Success(update) if self.state.apply_update(update):
-                log_event(
-                    logger,
-                    EventName.STATE_FROM_PEER,
-                    revision=update.changes.revision,
-                    count=len(update.changes.items),
-                )
+            case Success(update):
+                if self.state.apply_update(update):
+                    log_event(
+                        logger,
+                        EventName.STATE_FROM_PEER,
+                        revision=update.changes.revision,
+                        count=len(update.changes.items),
+                    )
+                self.state.confirm_through(update, called_at)
             case Failure(detail) if not self.state.loaded:
                 log_event(logger, EventName.STATE_FROM_PEER, detail=str(detail))
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -24,6 +24,7 @@
 from sardinehook.gateway.http_server import HttpServer
 from sardinehook.gateway.interfaces import CallerCodec, ReplicaCodec, StoreSchema
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.organisations.confirmation_log import ConfirmationLog
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import DEMAND_WINDOW_S, RequestPolicy
 from sardinehook.gateway.probes import ProbeServer
@@ -148,6 +149,8 @@
             seed for seed in settings.seeds if seed != settings.peer_address
         )
         state.on_changed = self.handle_changes
+        self.request_handler.confirmation = state.confirmation
+        self.confirmation_log = ConfirmationLog(state.confirmation)
         self.probes = ProbeServer(
             reactor,
             self.unready_reason,
@@ -343,6 +346,7 @@
             self.delegates.update,
             self.publish_demand,
             self.update_gauges,
+            self.log_confirmation,
         ):
             call_logged(step)
 
@@ -391,6 +395,13 @@
         self.metrics.watch_pending_seconds.set(self.follower.monitor.pending_s)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
+    def log_confirmation(self) -> None:
+        """Log whether keys are confirmed, where callers need any."""
+        configuration = self.request_handler.configuration
+        if configuration is not None and configuration.organisations is not None:
+            now = self.reactor.seconds()
+            self.confirmation_log.observe(self.policy.bounds, now)
+
     def render_metrics(self) -> bytes:
         """Render all metrics, with the memory in use at this moment."""
         self.metrics.receive_buffer_bytes.set(receive_buffers.used)
--- a/sardinehook/gateway/readers.py
+++ b/sardinehook/gateway/readers.py
@@ -8,7 +8,7 @@
 
 from sardinehook.gateway.fleet import GatewayRecord
 
-__all__ = ["Reader", "ReaderSelector"]
+__all__ = ["Reader", "ReaderSelector", "rank_readers"]
 
 READERS_PER_DATA_CENTRE = 3  # one may be down and one cut off from the store
 AVOID_AFTER_FAILURE_S = 2.0  # covers a restart or a short network interruption
@@ -21,6 +21,22 @@
     address: str
 
 
+def rank_readers(
+    records: Mapping[str, GatewayRecord], data_centre: str, node: str = ""
+) -> list[str]:
+    """Return the names of a data centre's readers, the first ones for long polls.
+
+    Gateways without an address for calls are none, except ``node`` itself.
+    """
+    candidates = [
+        name
+        for name, record in records.items()
+        if record.data_centre == data_centre and (record.peer_address or name == node)
+    ]
+    candidates.sort(key=lambda n: (-records[n].link_mbps, crc32(n.encode()), n))
+    return candidates[:READERS_PER_DATA_CENTRE]
+
+
 class ReaderSelector:
     """Selects the readers of a data centre, and the one to call for changes.
 
@@ -56,16 +72,12 @@
         for name, record in records.items():
             if record.data_centre == here and record.peer_address:
                 candidates[name] = record
-        ranked = sorted(
-            candidates,
-            key=lambda name: (-candidates[name].link_mbps, crc32(name.encode()), name),
-        )
-        chosen = ranked[:READERS_PER_DATA_CENTRE]
+        chosen = rank_readers(candidates, here, self.node)
         readers = tuple(Reader(name, candidates[name].peer_address) for name in chosen)
         if readers == self.readers:
             return False
         self.is_reader = self.node in chosen
-        highest = candidates[ranked[0]].link_mbps
+        highest = candidates[chosen[0]].link_mbps
         self.primary_count = sum(
             candidates[name].link_mbps == highest for name in chosen
         )
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -11,6 +11,7 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.interfaces import StoreSchema
+from sardinehook.gateway.organisations.confirmation import Confirmation
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import Changes, Item
 from sardinehook.gateway.watch_cache import StateUpdate, WatchCache
@@ -42,6 +43,7 @@
         self.fleet = fleet
         self.on_configuration = on_configuration
         self.cache = WatchCache()
+        self.confirmation = Confirmation()
         self.listing_needed = True
         self.version = -1
         self.evacuated: set[str] = set()
@@ -60,8 +62,26 @@
         self.apply_changes(update.changes, update.whole)
         return True
 
-    def apply_changes(self, changes: Changes, whole: bool) -> None:
-        """Apply a full listing, or the changes after the cached revision."""
+    def confirm_through(self, update: StateUpdate, called_at: float) -> None:
+        """Record what the answer of another gateway says of its contact with the store.
+
+        The answer confirms the state here only if that has all changes that the other
+        gateway had. ``called_at`` is when that gateway was called.
+        """
+        age_s = update.confirmed_s
+        known = self.cache.revision
+        if age_s is not None and known is not None and known >= update.changes.revision:
+            # A malformed age must not confirm what is still to come.
+            now = self.reactor.seconds()
+            self.confirmation.confirm(min(called_at - age_s, now))
+
+    def apply_changes(
+        self, changes: Changes, whole: bool, called_at: float = float("-inf")
+    ) -> None:
+        """Apply a full listing, or the changes after the cached revision.
+
+        ``called_at`` is when the store was called that answered with them.
+        """
         if whole:
             self.cache.replace(changes)
             self.listing_needed = False
@@ -73,6 +93,7 @@
             self.apply_item_alone(item)
         self.directory.log_changes()
         self.fleet.log_joined()
+        self.confirmation.confirm(called_at)
         if items:
             self.on_changed()
 
--- a/sardinehook/gateway/watch_monitor.py
+++ b/sardinehook/gateway/watch_monitor.py
@@ -92,12 +92,15 @@
         if known is None or not address:
             return
         watch_number = self.watch_number
+        called_at = self.reactor.seconds()
         result = await self.peers.fetch(address, known, 0.0)
         self.log_comparison(address, result)
         is_pending = self.watching and self.watch_number == watch_number
         match result:
             case Success(update) if is_pending and self.state.apply_update(update):
                 self.overtaken_watch = watch_number
+        if isinstance(result, Success):
+            self.state.confirm_through(result.unwrap(), called_at)
 
     def next_peer(self) -> str:
         """Return the address of a gateway to compare with, empty if none is known.
