--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -204,7 +204,7 @@
     def identify(
         self, request: CallerRequest, route: Route, configuration: Configuration
     ) -> Result[CallerRequest, KeyRefusal]:
-        """Replace the key of a request by the name of its holder; nothing keeps it."""
+        """Replace the key of a request by the name of the organisation that has it."""
         return identify_caller(
             configuration.organisations,
             route.anonymous,
