Keep the quotas of organisations over all gateways

Cause: nothing keeps an organisation within its rate. Its requests arrive at any of 83 gateways, less than one a second at each, so that shares of gateways can't. Change: the delegates of each data centre hold a ledger of the use of all gateways, which they exchange by datagrams. They admit what stays within the quota; other gateways ask them. Beyond it a request gets 429 with the time until quota is available again.

--- a/sardinehook/errors.py
+++ b/sardinehook/errors.py
@@ -23,6 +23,7 @@
     PAYLOAD_TOO_LARGE = "payload_too_large"
     NO_DOCUMENT = "no_document"
     QUOTA_EXCEEDED = "quota_exceeded"
+    QUOTA_UNKNOWN = "quota_unknown"
     OVERLOADED = "overloaded"
     DEADLINE_TOO_SHORT = "deadline_too_short"
     DATA_CENTRE_OUT = "data_centre_out"
@@ -59,6 +60,7 @@
     ErrorKind.PAYLOAD_TOO_LARGE: ErrorResponse(413, True, 0),
     ErrorKind.NO_DOCUMENT: ErrorResponse(503, True, 1000),
     ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, True, 1000),
+    ErrorKind.QUOTA_UNKNOWN: ErrorResponse(503, True, 500),
     ErrorKind.OVERLOADED: ErrorResponse(503, True, 500),
     ErrorKind.DEADLINE_TOO_SHORT: ErrorResponse(503, True, 0),
     ErrorKind.DATA_CENTRE_OUT: ErrorResponse(503, True, 100),
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -37,7 +37,8 @@
 class GatewayRecord(msgspec.Struct):
     """The entry of a gateway in the store.
 
-    Other gateways send calls to ``peer_address`` and heartbeats to ``signs_at``.
+    Other gateways send calls to ``peer_address``, heartbeats to ``signs_at`` and
+    datagrams of the usage ledger to ``usage_at``, which older gateways don't have.
     ``link_mbps`` is the bandwidth of the gateway's VM. The demands are the requests and
     searches a second that it sends to replicas, -1 if they are unknown.
     """
@@ -48,6 +49,7 @@
     link_mbps: Annotated[float, Meta(ge=0.0, le=MAX_FIGURE)] = 0.0
     request_demand: Annotated[float, Meta(ge=-1.0, le=MAX_FIGURE)] = -1.0
     search_demand: Annotated[float, Meta(ge=-1.0, le=MAX_FIGURE)] = -1.0
+    usage_at: str = ""
 
 
 class GatewayFleet:
@@ -252,7 +254,8 @@
 
     Raises ``ValueError`` if the name or an address is unusable.
     """
-    addresses = [one for one in (record.peer_address, record.signs_at) if one]
+    stated = (record.peer_address, record.signs_at, record.usage_at)
+    addresses = [one for one in stated if one]
     if not is_token(node) or not all(is_address(address) for address in addresses):
         raise ValueError(f"unusable name or address of a gateway: {addresses}")
 
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -56,6 +56,27 @@
             "sardinehook_rate_denied",
             "Times that a replica was passed over, since its stated rate was used up",
         )
+        self.quota_decisions = instruments.labelled_counter(
+            "sardinehook_quota_decisions",
+            "Requests of organisations with a quota, by where it was decided, and how",
+            ["place", "outcome"],
+        )
+        self.quota_given_back = instruments.counter(
+            "sardinehook_quota_given_back",
+            "Requests that were admitted and did not run",
+        )
+        self.usage_datagrams = instruments.labelled_counter(
+            "sardinehook_usage_datagrams",
+            "Datagrams of the usage ledger that were sent, and malformed ones",
+            ["kind"],
+        )
+        self.usage_holders = instruments.gauge(
+            "sardinehook_usage_holders", "Holders of the usage ledger in the fleet"
+        )
+        self.usage_silent_holders = instruments.gauge(
+            "sardinehook_usage_silent_holders",
+            "Other holders of the usage ledger that are not in contact",
+        )
         self.pauses = instruments.counter(
             "sardinehook_replica_pauses",
             "Answers of replicas that asked for a pause",
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -4,6 +4,7 @@
 
 import gc
 import signal
+import time
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
@@ -27,6 +28,7 @@
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import DEMAND_WINDOW_S, RequestPolicy
 from sardinehook.gateway.probes import ProbeServer
+from sardinehook.gateway.quota.gate import QuotaGate
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.request_handler import RequestHandler
@@ -36,6 +38,7 @@
 from sardinehook.gateway.store import GatewayStore
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.unexpected import call_logged
+from sardinehook.gateway.usage.service import UsageService
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
@@ -49,6 +52,7 @@
 
 logger = structlog.get_logger(__name__)
 
+MS_PER_S = 1000.0
 SWEEP_INTERVAL_S = 0.05  # resolution of deadlines without a timer of their own
 HOUSEKEEPING_INTERVAL_S = 0.5
 DELEGATED_SUB_REQUESTS_PER_CORE = 400.0  # concurrent; a core does them in 0.1 s
@@ -119,6 +123,7 @@
             settings.data_centre,
             settings.heartbeat_address,
             settings.link_mbps,
+            usage_at=settings.usage_address,
         )
         self.fleet = GatewayFleet(
             reactor, self.store, settings.node, record, self.update_gateways
@@ -131,6 +136,18 @@
         self.request_handler.max_delegated = int(
             DELEGATED_SUB_REQUESTS_PER_CORE * settings.cores
         )
+        self.usage = UsageService(
+            reactor,
+            self.fleet,
+            metrics,
+            settings.usage_address,
+            int(time.time() * MS_PER_S),
+            settings.bounds.quota_window_s,
+        )
+        self.quota = QuotaGate(
+            reactor, self.usage.exchange, settings.bounds, metrics, self.random
+        )
+        self.request_handler.quota = self.quota
         state = StoreState(
             reactor, dialects.keys, self.directory, self.fleet, self.apply_configuration
         )
@@ -240,6 +257,7 @@
                 self.settings = settings
                 self.policy.configure(settings.bounds)
                 self.follower.configure(settings.bounds)
+                self.quota.configure_bounds(settings.bounds)
                 state = "changed" if changed else "unchanged"
                 log_event(logger, EventName.SETTINGS_RELOADED, state=state)
             case Failure(detail):
@@ -274,6 +292,7 @@
         self.request_handler.configure(configuration)
         self.directory.configure(configuration)
         self.http_server.limits = configuration.limits
+        self.usage.require("quotas", self.quota.configure(configuration.organisations))
         self.metrics.version.set(configuration.version)
         log_event(logger, EventName.REVISION_IN_FORCE, revision=configuration.version)
 
@@ -317,6 +336,7 @@
         shares = compute_shares(self.settings.node, records)
         self.directory.set_shares(shares)
         self.delegates.update()
+        self.usage.update_members()
         self.heartbeats.sends_heartbeats = (
             shares.search_divisor < shares.request_divisor
         )
@@ -338,6 +358,8 @@
             self.watch_settings,
             self.fleet.publish_names,
             self.delegates.update,
+            self.usage.update_members,
+            self.quota.sweep,
             self.publish_demand,
             self.update_gauges,
         ):
@@ -437,6 +459,7 @@
         for loop in (self.sweep_loop, self.housekeeping_loop, self.heartbeat_loop):
             loop.stop()
         self.lag_probe.stop()
+        self.usage.stop()
         took_ms = (self.reactor.seconds() - began) * 1000.0
         log_event(
             logger,
--- /dev/null
+++ b/sardinehook/gateway/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations, which all gateways keep together."""
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -21,11 +21,17 @@
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.http_server import Cancellable
 from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
+from sardinehook.gateway.organisations.organisation import Organisation
 from sardinehook.gateway.policy import (
     DEMAND_WINDOW_S,
     RequestPolicy,
     request_deadline,
 )
+from sardinehook.gateway.quota.admitted_request import (
+    AdmittedRequest,
+    LocalSearchAdmission,
+)
+from sardinehook.gateway.quota.gate import UNCOUNTED, QuotaGate, Receipt
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
 from sardinehook.gateway.search_codec import (
@@ -88,6 +94,7 @@
         self.in_flight = 0
         self.recent_versions: dict[int, Configuration] = {}
         self.delegates: Delegates | None = None
+        self.quota: QuotaGate | None = None
         self.stopping = False
         self.stops_at = float("inf")
         self.delegated_in_flight = 0
@@ -207,7 +214,48 @@
         if not self.can_finish(request, route):
             detail = "the gateway stops before the request would be finished"
             return self.refuse(request, Problem(ErrorKind.STOPPING, detail), finish)
-        return self.begin(request, route, configuration, finish)
+        return self.admit(request, route, configuration, finish)
+
+    def admit(
+        self,
+        request: CallerRequest,
+        route: Route,
+        configuration: Configuration,
+        finish: Finish,
+    ) -> Cancellable | None:
+        """Begin a request if the quota of its organisation allows it.
+
+        A search that a delegate will take is admitted there.
+        """
+        limited = self.limited_organisation(request)
+        is_search = isinstance(route.destination, ShardSet)
+        if limited is None or (is_search and self.has_usable_delegate):
+            return self.begin(request, route, configuration, finish)
+
+        def begin(receipt: Receipt) -> Cancellable | None:
+            if is_search and self.has_usable_delegate:
+                receipt.give_back()  # one became usable meanwhile, and admits it
+            settling = receipt.settling(finish)
+            return self.begin(request, route, configuration, settling)
+
+        def refuse(answer: CallerAnswer) -> None:
+            self.refuse_with(request, answer, finish)
+
+        gate, organisation = limited
+        return AdmittedRequest(gate, organisation, begin, refuse).start()
+
+    @property
+    def has_usable_delegate(self) -> bool:
+        """Whether the next search is handed over to a delegate."""
+        return self.delegates is not None and bool(self.delegates.usable())
+
+    def limited_organisation(
+        self, request: CallerRequest
+    ) -> tuple[QuotaGate, Organisation] | None:
+        """Return the organisation of a request if it has a quota, with the gate."""
+        gate = self.quota
+        organisation = gate and gate.find(request.organisation)
+        return (gate, organisation) if gate and organisation else None
 
     def can_finish(self, request: CallerRequest, route: Route) -> bool:
         """Return whether a request that arrives now is finished before the stop.
@@ -234,9 +282,15 @@
         """Answer a request with an error before it is started."""
         starting = problem.kind is ErrorKind.NO_DOCUMENT
         answer = error_answer(problem, STARTING_RETRY_S if starting else None)
+        self.refuse_with(request, answer, finish)
+        return None
+
+    def refuse_with(
+        self, request: CallerRequest, answer: CallerAnswer, finish: Finish
+    ) -> None:
+        """Log and pass on the answer to a request that is not started."""
         self.request_log.record_refused(request.request_id.decode("latin-1"), answer)
         finish(answer)
-        return None
 
     def begin(
         self,
@@ -277,13 +331,23 @@
     ) -> None:
         """Delegate a search, or run it locally if no delegate is usable."""
 
+        def gather(receipt: Receipt) -> None:
+            finish = receipt.settling(done)
+            running.begin(Gather(self.policy, request, route, shards, finish))
+
         def start_local_search() -> None:
-            running.begin(Gather(self.policy, request, route, shards, done))
+            limited = self.limited_organisation(request)
+            if limited is None:
+                gather(UNCOUNTED)
+            else:
+                running.begin(
+                    LocalSearchAdmission(*limited, request, route, gather, done)
+                )
 
         delegates = self.delegates
         delegate = delegates.choose() if delegates else None
         if delegates is None or delegate is None:
-            start_local_search()
+            gather(UNCOUNTED)  # admitted before, as there was no delegate to do it
             return
         version = configuration.version
         running.begin(
@@ -335,12 +399,37 @@
                 )
             )
             return None
+
+        def begin(receipt: Receipt) -> Cancellable | None:
+            return self.run_delegated(delegated, route, shards, receipt, finish)
+
+        def refuse(answer: CallerAnswer) -> None:
+            encoded = CallerAnswer(200, (), encode_answer(answer, 0, 0), "for a peer")
+            self.refuse_with(request, answer, lambda _answer: finish(encoded))
+
+        limited = self.limited_organisation(request)
+        if limited is None:
+            return begin(UNCOUNTED)
+        return AdmittedRequest(*limited, begin, refuse).start()
+
+    def run_delegated(
+        self,
+        delegated: DelegatedRequest,
+        route: Route,
+        shards: ShardSet,
+        receipt: Receipt,
+        finish: Finish,
+    ) -> Cancellable | None:
+        """Run a delegated search that is admitted."""
+        request = delegated.request
+        shard_count = len(shards.shards)
         self.delegated_in_flight += shard_count
         self.demand_of(route).add(1, request.received_at)
         running = RunningRequest(self, delegated.node, shard_count)
 
         def done(answer: CallerAnswer) -> None:
             self.delegated_in_flight -= shard_count
+            receipt.settle(answer)
             work = running.work
             try:
                 self.request_log.record_ended(
@@ -376,9 +465,11 @@
         self.handler = handler
         self.peer = peer
         self.shard_count = shard_count
-        self.work: Gather | SingleCall | DelegatedSearch
+        self.work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
 
-    def begin(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+    def begin(
+        self, work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
+    ) -> None:
         """Start ``work``, replacing a delegated search that was refused."""
         self.work = work
         work.start()
--- a/sardinehook/gateway/settings.py
+++ b/sardinehook/gateway/settings.py
@@ -47,8 +47,10 @@
     ``front_address`` accepts connections of callers, ``ready_address`` probes of the
     load balancer, ``peer_address`` calls of other gateways and ``heartbeat_address``
     their heartbeats. ``metrics_address`` serves the metrics. ``seeds`` are peer
-    addresses of gateways, which may be down. ``link_mbps`` is the bandwidth of the VM,
-    and ``cores`` the number of its processor cores that this process may use.
+    addresses of gateways, which may be down. Datagrams of the usage ledger are sent to
+    ``usage_address``, empty if there is no port for them. ``link_mbps`` is the
+    bandwidth of the VM, and ``cores`` the number of its processor cores that this
+    process may use.
     ``contracts`` names the parts of the service that the deployment has agreed on.
     """
 
@@ -65,3 +67,4 @@
     link_mbps: float = 0.0
     cores: float = 1.0
     contracts: frozenset[str] = frozenset()
+    usage_address: str = ""
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -81,6 +81,7 @@
     STATE_FROM_PEER = "state_from_peer"
     WATCH_COMPARED = "watch_compared"
     READER_STATE = "reader_state"
+    USAGE_HOLDER = "usage_holder"
 
 
 class EventFields(TypedDict, total=False):
--- a/sardinehook/platform/settings.py
+++ b/sardinehook/platform/settings.py
@@ -96,8 +96,15 @@
 
 
 def read_settings(wire: WireSettings) -> GatewaySettings:
-    """Convert the settings; metrics and datagrams use the internal ports."""
+    """Convert the settings; metrics and datagrams use the internal ports.
+
+    The first one serves the metrics, the last one heartbeats. The port after the first
+    one is that of the usage ledger.
+    """
     ports = [f"{wire.ip}:{port}" for port in wire.internal_ports]
+    has_usage_port = len(ports) > 1 and (
+        wire.internal_ports[1] - wire.internal_ports[0] > 1
+    )
     return GatewaySettings(
         wire.node,
         wire.zone,
@@ -112,6 +119,7 @@
         wire.limits.link_mbps,
         wire.limits.cpu_share * wire.limits.cores,
         frozenset(wire.contracts),
+        f"{wire.ip}:{wire.internal_ports[0] + 1}" if has_usage_port else "",
     )
 
 
--- a/sardinehook/transport/event_loop.py
+++ b/sardinehook/transport/event_loop.py
@@ -217,6 +217,7 @@
         self.start_functions: list[Callable[[], object]] = []
         self.listening: list[tuple[socket.socket, StreamServerFactory, int]] = []
         self.datagrams: list[tuple[socket.socket, DatagramHandler]] = []
+        self.opening: set[asyncio.Task[None]] = set()
 
     def handle_error(
         self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]
@@ -291,12 +292,17 @@
         self.listening.append((bound, factory, backlog))
 
     def listenUDP(self, port: int, handler: DatagramHandler, interface: str) -> None:
-        """Bind a UDP port.
+        """Bind a UDP port; datagrams are received once the loop runs.
 
         Raises ``OSError`` if the address is in use or not one of this machine.
         """
         bound = bind_socket(socket.SOCK_DGRAM, interface, port)
-        self.datagrams.append((bound, handler))
+        if self.loop.is_running():
+            opening = self.loop.create_task(self.open_datagrams(bound, handler))
+            self.opening.add(opening)
+            opening.add_done_callback(self.opening.discard)
+        else:
+            self.datagrams.append((bound, handler))
 
     def run(self) -> None:
         """Call the start functions, accept connections and run until ``stop``."""
@@ -316,12 +322,16 @@
                 return StreamTransport(factory.buildProtocol(None), self.buffer)
 
             await self.loop.create_server(make, sock=bound, backlog=backlog)
-        for bound, handler in self.datagrams:
+        for datagram_socket, handler in self.datagrams:
+            await self.open_datagrams(datagram_socket, handler)
 
-            def wrap(handler: DatagramHandler = handler) -> DatagramTransport:
-                return DatagramTransport(handler)
-
-            await self.loop.create_datagram_endpoint(wrap, sock=bound)
+    async def open_datagrams(
+        self, bound: socket.socket, handler: DatagramHandler
+    ) -> None:
+        """Start to receive datagrams on a bound port."""
+        await self.loop.create_datagram_endpoint(
+            lambda: DatagramTransport(handler), sock=bound
+        )
 
     def stop(self) -> None:
         """Stop the loop after the present iteration."""
