--- a/sardinehook/gateway/quota/admission.py
+++ b/sardinehook/gateway/quota/admission.py
@@ -82,6 +82,8 @@
         excess = committed + amount - limit
         if excess <= ROUNDING_TOLERANCE:
             self.ledger.record(subject, amount, now)
+            most_unsent = half_tolerance(full_limit, self.bounds)
+            self.ledger.note_unsent(subject, amount, most_unsent)
             return GRANTED
         if limit < full_limit:
             retry_s = excess / organisation.rate_per_s
--- a/sardinehook/gateway/usage/contacts.py
+++ b/sardinehook/gateway/usage/contacts.py
@@ -12,7 +12,7 @@
 __all__ = ["SILENT_AFTER_S", "HolderContact", "HolderContacts"]
 
 SILENT_AFTER_S = 1.0  # four missed statements, and event-loop lag of a busy holder
-PRIOR_USE = 1.0  # of a subject by all holders, so that a rare one is shared equally
+EQUAL_RATIO = 0.5  # of a limit is shared equally: callers move after a cut
 
 
 class HolderContact:
@@ -139,12 +139,16 @@
     ) -> None:
         """Keep the shares of a holder that has fallen silent.
 
-        ``uses`` are its own use of each subject and that of the whole fleet before.
+        ``uses`` are its own use of each subject and that of the whole fleet before. A
+        part of a limit is shared equally: quotas are above the usual use, and the
+        callers of a data centre that is cut off are led to the others.
         """
         contact.equal_share = 1.0 / (len(self.by_name) + 1)
         contact.shares = {
-            subject: (use + PRIOR_USE * contact.equal_share) / (total + PRIOR_USE)
+            subject: EQUAL_RATIO * contact.equal_share
+            + (1.0 - EQUAL_RATIO) * use / total
             for subject, (use, total) in uses.items()
+            if total > 0.0
         }
 
     def silent_share(self, subject: str, window_s: float, now: float) -> float:
--- a/sardinehook/gateway/usage/exchange.py
+++ b/sardinehook/gateway/usage/exchange.py
@@ -32,6 +32,7 @@
 TICK_S = 0.05  # urgent subjects are told to other holders at each tick,
 REPORT_TICKS = 2  # counts of other gateways at each second one,
 EXCHANGE_TICKS = 5  # all subjects at each fifth,
+FLUSH_DELAY_S = 0.005  # between requests of a burst that are told at once
 SWEEP_TICKS = 20  # and expired counts are removed each second
 MIN_FULL_SET_INTERVAL_S = 0.1  # to one peer that asks
 MALFORMED_LOGGED = 3  # bounds the log lines about faulty senders
@@ -61,7 +62,9 @@
         self.on_ask: Callable[[Ask, float], Grant | None] = lambda _ask, _now: None
         self.on_grant: Callable[[Grant, str], None] = lambda _grant, _sender: None
         self.on_give_back: Callable[[GiveBack, float], None] = lambda _back, _now: None
+        ledger.on_unsent = self.tell_soon
         self.is_active = False
+        self.is_flush_due = False
         self.ticks = EXCHANGE_TICKS - 1  # the first tick tells all others
         self.full_set_sent_at: dict[str, float] = {}
         self.malformed = 0
@@ -79,12 +82,32 @@
         if self.ticks % SWEEP_TICKS == 0:
             self.ledger.sweep(now)
 
+    def tell_soon(self) -> None:
+        """Send counts before the next tick, since others know too few of them."""
+        if self.is_active and not self.is_flush_due:
+            self.is_flush_due = True
+            self.reactor.callLater(FLUSH_DELAY_S, self.flush)
+
+    def flush(self) -> None:
+        """Send the counts that other holders don't know."""
+        self.is_flush_due = False
+        now = self.reactor.seconds()
+        unsent = dict(self.ledger.unsent)
+        self.ledger.unsent.clear()
+        changes = [
+            one for one in self.ledger.changes(now, False) if one.subject in unsent
+        ]
+        for name in self.ledger.contacts.by_name:
+            self.send_counts(name, changes, now)
+
     def tell_holders(self, now: float) -> None:
         """Send counts to the other holders; without any, that this one is alive."""
         is_full_turn = self.ticks % EXCHANGE_TICKS == 0 or self.ledger.lacks_set(now)
         changes = self.ledger.changes(now, not is_full_turn)
         if not is_full_turn and not changes:
             return
+        for change in changes:
+            self.ledger.unsent.pop(change.subject, None)
         relayed = self.ledger.relayed_changes(now) if is_full_turn else []
         for name, contact in self.ledger.contacts.by_name.items():
             is_near = contact.data_centre == self.ledger.data_centre
--- a/sardinehook/gateway/usage/ledger.py
+++ b/sardinehook/gateway/usage/ledger.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from sardinehook.gateway.fleet import GatewayRecord
 from sardinehook.gateway.usage.contacts import (
@@ -43,6 +43,8 @@
         self.contacts = HolderContacts(data_centre)
         self.holders: dict[str, tuple[str, ...]] = {}
         self.urgent_until: dict[str, float] = {}
+        self.unsent: dict[str, float] = {}
+        self.on_unsent: Callable[[], object] = int
         self.holder_since: float | None = None
         self.was_informed = False
         self.set_id = 0
@@ -126,6 +128,13 @@
         """Tell other holders the counts of a subject without delay, for one window."""
         self.urgent_until[shorten(subject)] = now + self.window_s
 
+    def note_unsent(self, subject: str, amount: float, most: float) -> None:
+        """Note use that other holders don't know; tell them when it is too much."""
+        key = shorten(subject)
+        unsent = self.unsent[key] = self.unsent.get(key, 0.0) + amount
+        if unsent >= most / (len(self.contacts.by_name) + 1):
+            self.on_unsent()
+
     def find_silent(self, now: float) -> list[HolderContact]:
         """Return the holders that have fallen silent, after keeping their shares."""
         found = self.contacts.find_silent(now)
--- a/sardinehook/gateway/usage/service.py
+++ b/sardinehook/gateway/usage/service.py
@@ -87,13 +87,16 @@
             self.is_open = True
 
     def update_members(self) -> None:
-        """Choose the holders among the registered gateways."""
+        """Choose the holders among the registered gateways.
+
+        One that has not registered yet is none: in a fleet that starts, each gateway
+        would be a holder of its own.
+        """
         if not self.needed_by:
             return
         self.open()
         now = self.reactor.seconds()
         registered = self.fleet.registered_records()
-        registered[self.fleet.node] = self.fleet.record
         if self.ledger.update_members(registered, self.fleet.left_at, now):
             names = [name for names in self.ledger.holders.values() for name in names]
             log_names(logger, EventName.USAGE_HOLDER, "holders", names)
--- /dev/null
+++ b/tests/gateway/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the usage ledger and of quotas."""
