--- a/sardinehook/gateway/quota/admission.py
+++ b/sardinehook/gateway/quota/admission.py
@@ -19,6 +19,7 @@
 
 URGENT_RATIO = 0.5  # of its limit: a subject's counts are exchanged without delay
 HALF = 0.5
+MAX_START_RATIO = 0.7  # of the tolerance, in the first window after a start
 MIN_RETRY_S = 0.05  # the counts of other gateways are known by then
 ROUNDING_TOLERANCE = 1e-9
 
@@ -86,7 +87,7 @@
             self.ledger.note_unsent(subject, amount, most_unsent)
             return GRANTED
         if limit < full_limit:
-            retry_s = excess / organisation.rate_per_s
+            retry_s = min(self.bounds.quota_window_s, excess / organisation.rate_per_s)
         else:
             retry_s = self.retry_after_s(subject, excess, now)
         detail = f"{organisation.name}: {committed:.0f} of {limit:.0f} requests used"
@@ -95,12 +96,17 @@
     def limit_after_start(
         self, organisation: Organisation, limit: float, now: float
     ) -> float:
-        """Return the limit, lowered while it is not known what ran before a start."""
+        """Return the limit, lowered while it is not known what ran before a start.
+
+        The whole limit may have been used just before. Half of the tolerance and the
+        rate since the start would exceed the rule then (98 requests of 86).
+        """
         known_since = self.ledger.known_since(now)
         if known_since is None:
             return limit
+        half = half_tolerance(limit, self.bounds)
         earned = organisation.rate_per_s * (now - known_since)
-        return min(limit, half_tolerance(limit, self.bounds) + earned)
+        return min(limit, half + earned, MAX_START_RATIO * half / HALF)
 
     def retry_after_s(self, subject: str, excess: float, now: float) -> float:
         """Return when enough of the use has left the window."""
--- a/sardinehook/gateway/usage/service.py
+++ b/sardinehook/gateway/usage/service.py
@@ -46,6 +46,7 @@
         self.loop = RepeatingCall(reactor, TICK_S, self.exchange.tick)
         self.needed_by: set[str] = set()
         self.is_open = False
+        self.has_failed = False
 
     def known_gateways(self) -> dict[str, GatewayRecord]:
         """Return the records of the fleet, with those that left a short time ago."""
@@ -80,9 +81,12 @@
         try:
             self.reactor.listenUDP(int(port), self.exchange, interface=host)
         except OSError as error:
-            log_event(
-                logger, EventName.USAGE_HOLDER, state="port closed", detail=str(error)
-            )
+            if not self.has_failed:
+                detail = str(error)
+                log_event(
+                    logger, EventName.USAGE_HOLDER, state="port closed", detail=detail
+                )
+            self.has_failed = True
         else:
             self.is_open = True
 
