--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -82,6 +82,7 @@
     WATCH_COMPARED = "watch_compared"
     READER_STATE = "reader_state"
     KEYS_STATE = "keys_state"
+    USAGE_HOLDER = "usage_holder"
 
 
 class EventFields(TypedDict, total=False):
