Admit requests under contention by urgency, fairness and deadline

Cause: under bursts, all requests start at once and queue at the replicas, so that the urgent wait behind the others, one organisation displaces the rest, and most answers are late. Change: where the deployment adapts to load, requests to one group of services are limited by the queues that replicas report. A search plans its shards so that queues refuse it before it takes a slot, and hopeless shards are left out. Priorities of organisations take precedence over those of routes.

--- /dev/null
+++ b/sardinehook/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission under contention: which requests start, wait or are refused."""
--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -142,12 +142,20 @@
 
     @property
     def top_priorities(self) -> dict[str, int]:
-        """The highest priority among the routes to each service; 0 is the highest."""
+        """The highest priority of requests to each service; 0 is the highest.
+
+        The priority that an organisation states replaces that of all routes.
+        """
+        known = self.organisations.by_name.values() if self.organisations else ()
+        own = [one.priority for one in known if one.priority is not None]
+        all_state = len(own) == len(known) > 0
         top: dict[str, int] = {}
         for routes in self.routes.values():
             for route in routes:
+                replaced = all_state and not route.anonymous
+                best = min(own if replaced else [route.priority, *own])
                 for service in services_of(route):
-                    top[service] = min(top.get(service, route.priority), route.priority)
+                    top[service] = min(top.get(service, best), best)
         return top
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -6,6 +6,8 @@
 from math import ceil
 
 from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.admission.fan_out import plan_under_load
+from sardinehook.gateway.admission.retry_delay import retry_delay_s
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import Route, ShardSet
 from sardinehook.gateway.dispatch import (
@@ -67,6 +69,7 @@
         self.request = request
         self.route = route
         self.shard_set = shards
+        self.priority = policy.priority_of(request, route)
         self.finish = finish
         self.shards = [ShardRequest(name) for name in shards.shards]
         self.signatures: set[bytes] = set()
@@ -112,7 +115,9 @@
         self.policy.searches.add(1, now)
         choices = [self.choose_reachable(shard, now) for shard in self.shards]
         least = self.least_to_ask(choices, now)
-        match plan_fan_out(choices, least, self.objective_at - now):
+        adapts = self.policy.directory.adapts_to_load
+        plan = plan_under_load if adapts else plan_fan_out
+        match plan(choices, least, self.objective_at - now):
             case Refuse(problem, positions):
                 why = [self.policy.explain(self.shards[p].name) for p in positions[:3]]
                 problem = problem._replace(detail="; ".join([problem.detail, *why]))
@@ -152,7 +157,7 @@
         without it, any pause makes the search fail and wastes the limited requests.
         """
         is_limited = any(
-            choice is None and self.policy.wait_s(self.route, shard.name, now)
+            choice is None and self.policy.wait_s(self.priority, shard.name, now)
             for shard, choice in zip(self.shards, choices, strict=True)
         )
         spare = SPARE_SHARDS if is_limited else 0
@@ -167,7 +172,7 @@
         if lacking <= 0:
             return 0.0
         waits = sorted(
-            self.policy.wait_s(self.route, self.shards[position].name, now)
+            self.policy.wait_s(self.priority, self.shards[position].name, now)
             for position in missing
         )
         return waits[lacking - 1]
@@ -188,13 +193,16 @@
             return notice_wait_s * spread
         if problem.kind is ErrorKind.OVERLOADED:
             patience_s = self.deadline_at - self.request.received_at
+            if self.policy.directory.adapts_to_load:
+                random = self.policy.selector.random
+                return retry_delay_s(self.priority, patience_s, random)
             return MIN_RETRY_RATIO * patience_s * spread
         return None
 
     def choose(self, shard: ShardRequest, now: float) -> SelectedReplica | None:
         """Choose the next replica of a shard."""
         left_s = self.shard_deadline_at - now
-        reserve = self.policy.rate_reserve(self.route, shard.name)
+        reserve = self.policy.rate_reserve(self.priority, shard.name)
         return self.policy.selector.select(
             shard.name, self.median_s, shard.tried, left_s, now, reserve
         )
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -80,6 +80,19 @@
             "sardinehook_handed_over",
             "Sub-requests at work for gateways with narrow links",
         )
+        self.admission_waiting = instruments.gauge(
+            "sardinehook_admission_waiting",
+            "Requests that wait for admission",
+        )
+        self.admission_started_late = instruments.counter(
+            "sardinehook_admission_started_late",
+            "Requests that were started after they waited for admission",
+        )
+        self.admission_refused = instruments.labelled_counter(
+            "sardinehook_admission_refused",
+            "Requests that were refused admission, by why",
+            ["reason"],
+        )
         self.version = instruments.gauge(
             "sardinehook_configuration_version",
             "Version of the configuration in force",
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+from sardinehook.gateway.admission.priority import effective_priority
 from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.dispatch import Dispatcher
@@ -106,17 +107,21 @@
         self.on_retry_denied()
         return False
 
-    def rate_reserve(self, route: Route, service: str) -> float:
+    def priority_of(self, request: CallerRequest, route: Route) -> int:
+        """Return the priority of a request under the configuration in force."""
+        return effective_priority(self.directory.configuration, request, route)
+
+    def rate_reserve(self, priority: int, service: str) -> float:
         """Return how many requests of a limited rate to leave for others.
 
-        Requests of the highest priority among the service's routes may use them all.
+        Requests of the highest priority that the service gets may use them all.
         """
-        top = self.directory.top_priorities.get(service, route.priority)
-        return 0.0 if route.priority <= top else RATE_RESERVE
+        top = self.directory.top_priorities.get(service, priority)
+        return 0.0 if priority <= top else RATE_RESERVE
 
-    def wait_s(self, route: Route, service: str, now: float) -> float:
+    def wait_s(self, priority: int, service: str, now: float) -> float:
         """Return how long until pauses and limits of replicas allow a request."""
-        return self.directory.wait_s(service, self.rate_reserve(route, service), now)
+        return self.directory.wait_s(service, self.rate_reserve(priority, service), now)
 
     def latency_s(self, route: Route, quantile: float = MEDIAN) -> float:
         """Return a quantile of the latency of replicas for a route, in seconds."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -425,6 +425,7 @@
         while self.has_work and self.reactor.seconds() < end_at:
             await sleep(self.reactor, SWEEP_INTERVAL_S)
             self.http_server.sweep()
+        self.request_handler.admission.stop()
         unfinished = len(self.http_server.connections)
         if unfinished:
             problem = Problem(
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Success
 
 from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.admission.gate import AdmissionGate
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import (
     Configuration,
@@ -81,6 +82,7 @@
         self.request_log = request_log
         self.random = random
         self.reactor = policy.reactor
+        self.admission = AdmissionGate(policy, request_log.metrics)
         self.configuration: Configuration | None = None
         self.round_robins: dict[str, WeightedRoundRobin] = {}
         self.demand: dict[str, SlidingWindowCounter] = {}
@@ -379,9 +381,16 @@
         self.work: Gather | SingleCall | DelegatedSearch
 
     def begin(self, work: Gather | SingleCall | DelegatedSearch) -> None:
-        """Start ``work``, replacing a delegated search that was refused."""
+        """Start ``work``, replacing a delegated search that was refused.
+
+        What this gateway gathers itself needs admission first.
+        """
         self.work = work
-        work.start()
+        match work:
+            case DelegatedSearch():
+                work.start()
+            case Gather() | SingleCall():
+                self.handler.admission.submit(work, begun=bool(self.peer))
 
     def cancel(self) -> None:
         """Stop the request and record that its caller has disconnected."""
@@ -392,3 +401,5 @@
                 self.handler.in_flight -= 1
             self.handler.request_log.record_cancelled(self.work)
         self.work.cancel()
+        if not isinstance(self.work, DelegatedSearch):
+            self.handler.admission.withdraw(self.work)
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -53,6 +53,7 @@
         self.request = request
         self.route = route
         self.service = service
+        self.priority = policy.priority_of(request, route)
         self.finish = finish
         self.settled = False
         self.attempts = 0
@@ -97,13 +98,13 @@
 
     def retry_after_s(self, now: float) -> float | None:
         """Return when pauses and limits of replicas allow a request, with jitter."""
-        wait_s = self.policy.wait_s(self.route, self.service, now)
+        wait_s = self.policy.wait_s(self.priority, self.service, now)
         return wait_s * (1.0 + self.policy.selector.random.random()) or None
 
     def choose(self, now: float) -> SelectedReplica | None:
         """Choose the best replica that was not tried yet, ``None`` if none is left."""
         left_s = self.deadline_at - now
-        reserve = self.policy.rate_reserve(self.route, self.service)
+        reserve = self.policy.rate_reserve(self.priority, self.service)
         return self.policy.selector.select(
             self.service, self.median_s, self.tried, left_s, now, reserve
         )
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -33,6 +33,7 @@
     UNHANDLED_ERROR = "unhandled_error"
     QUERY_RECEIVED = "query_received"
     QUERY_PLANNED = "query_planned"
+    ADMISSION_CONTENDED = "admission_contended"
     QUERY_REFUSED = "query_refused"
     REQUESTS_RELEASED = "requests_released"
     QUERY_ANSWERED = "query_answered"
