--- a/sardinehook/gateway/admission/gate.py
+++ b/sardinehook/gateway/admission/gate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, assert_never
+from typing import assert_never
 
 import structlog
 
@@ -16,6 +16,7 @@
     RefusalReason,
     Refused,
     Started,
+    Ticket,
     Waiting,
 )
 from sardinehook.gateway.admission.ticket_maker import TicketMaker
@@ -28,9 +29,6 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.transport.reactor import Timer
 
-if TYPE_CHECKING:
-    from sardinehook.gateway.admission.ticket import Ticket
-
 __all__ = ["AdmissionGate"]
 
 logger = structlog.get_logger(__name__)
@@ -63,7 +61,7 @@
         self.timer: Timer | None = None
         self.timer_at = float("inf")
         self.decided: Counter[str] = Counter()
-        self.logged_at = float("-inf")
+        self.log_timer: Timer | None = None
 
     def submit(self, work: Work, begun: bool) -> None:
         """Start a request, let it wait or refuse it.
@@ -100,7 +98,7 @@
                 case Refused(ticket, reason):
                     self.refuse(work, ticket, reason)
                 case Waiting():
-                    self.count("waited", now)
+                    self.count("waited")
                 case _:
                     assert_never(decision)
         self.metrics.admission_waiting.set(self.scheduler.waiting)
@@ -110,6 +108,7 @@
         """Start a request, which may have waited."""
         if waited_s:
             self.metrics.admission_started_late.inc()
+            self.count("started_late")
             if isinstance(work, SingleCall):
                 work.hedge_at = now + work.hedge_delay_s
         call_logged(work.start)
@@ -117,7 +116,7 @@
     def refuse(self, work: Work, ticket: Ticket, reason: RefusalReason) -> None:
         """Answer a request that has not run, with a spread Retry-After."""
         self.metrics.admission_refused.labels(reason.value).inc()
-        self.count(f"refused_{reason.value}", self.reactor.seconds())
+        self.count(f"refused_{reason.value}")
         patience_s = work.deadline_at - work.request.received_at
         random = self.policy.selector.random
         delay_s = retry_delay_s(ticket.priority, patience_s, random)
@@ -128,9 +127,10 @@
         call_logged(lambda: work.complete(answer))
 
     def release(self, work: Work, answer: CallerAnswer | None = None) -> None:
-        """Record that a request has ended, ``answer`` is ``None`` if it was cancelled.
+        """Record that a request has ended or its caller has disconnected.
 
-        The next ones start in a later turn of the event loop, after this answer.
+        ``answer`` is ``None`` if there was none. The next ones start in a later turn of
+        the event loop, after this answer.
         """
         ticket = self.by_work.pop(work, None)
         if ticket is None:
@@ -147,10 +147,6 @@
             self.set_timer(now, now)
         self.metrics.admission_waiting.set(self.scheduler.waiting)
 
-    def withdraw(self, work: Work) -> None:
-        """Forget a request whose caller has disconnected."""
-        self.release(work)
-
     def advance(self) -> None:
         """Start and refuse what is due."""
         self.timer = None
@@ -178,12 +174,15 @@
         now = self.reactor.seconds()
         self.apply(self.scheduler.refuse_all(), now)
 
-    def count(self, decision: str, now: float) -> None:
-        """Count a decision, and log the counts at most once in ``LOG_INTERVAL_S``."""
+    def count(self, decision: str) -> None:
+        """Count a decision, which is logged with those of ``LOG_INTERVAL_S``."""
         self.decided[decision] += 1
-        if now < self.logged_at + LOG_INTERVAL_S:
-            return
-        self.logged_at = now
+        if self.log_timer is None:
+            self.log_timer = self.reactor.callLater(LOG_INTERVAL_S, self.log_decisions)
+
+    def log_decisions(self) -> None:
+        """Log the counts of the last decisions in one line."""
+        self.log_timer = None
         counts = " ".join(f"{name}={n}" for name, n in sorted(self.decided.items()))
         self.decided.clear()
         log_event(
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -402,4 +402,4 @@
             self.handler.request_log.record_cancelled(self.work)
         self.work.cancel()
         if not isinstance(self.work, DelegatedSearch):
-            self.handler.admission.withdraw(self.work)
+            self.handler.admission.release(self.work)
