Merge admission under contention

Cause: requests that start at once queue at the replicas; the urgent wait behind the others, and most answers are late.

--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.errors import ErrorKind, Problem
+from sardinehook.gateway.admission.gate import AdmissionGate
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import (
     Configuration,
@@ -71,6 +72,7 @@
         self.request_log = request_log
         self.random = random
         self.reactor = policy.reactor
+        self.admission = AdmissionGate(policy, request_log.metrics)
         self.configuration: Configuration | None = None
         self.round_robins: dict[str, WeightedRoundRobin] = {}
         self.demand: dict[str, SlidingWindowCounter] = {}
@@ -474,9 +476,16 @@
     def begin(
         self, work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
     ) -> None:
-        """Start ``work``, replacing a delegated search that was refused."""
+        """Start ``work``, replacing a delegated search that was refused.
+
+        What this gateway gathers itself needs admission first.
+        """
         self.work = work
-        work.start()
+        match work:
+            case DelegatedSearch() | LocalSearchAdmission():
+                work.start()
+            case Gather() | SingleCall():
+                self.handler.admission.submit(work, begun=bool(self.peer))
 
     def cancel(self) -> None:
         """Stop the request and record that its caller has disconnected."""
@@ -487,3 +496,5 @@
                 self.handler.in_flight -= 1
             self.handler.request_log.record_cancelled(self.work)
         self.work.cancel()
+        if isinstance(self.work, Gather | SingleCall):
+            self.handler.admission.release(self.work)
