Test the wiring of confirmed keys in the process

Cause: the parts that keep and use the age of the confirmation are tested apart only. Change: one test starts a process on a simulated clock with organisations and strict revocation.

--- a/tests/gateway/test_revocation.py
+++ b/tests/gateway/test_revocation.py
@@ -7,6 +7,7 @@
 
 from random import Random
 
+import msgspec
 import pytest
 from returns.result import Success
 from structlog.testing import capture_logs
@@ -19,12 +20,15 @@
 from sardinehook.gateway.store import Changes, Item
 from sardinehook.gateway.watch_cache import StateUpdate, WatchCache
 from tests.gateway.fake_transport import RecordingReactor
+from tests.gateway.test_first_second import ROUTE, SERVICES, StartRig
 from tests.gateway.test_follower import FollowerRig, ScriptedPeers
+from tests.gateway.test_process import SETTINGS
 from tests.gateway.test_readers import registration
 
 SIZES = {"a": 7, "b": 6}
 REVOCATION_S = 5.0
 STEP_S = 0.05
+STRICT = Bounds(revocation_strict=True, revocation_s=REVOCATION_S)
 
 
 def strict_fleet(seed: int = 1, shortest_s: float = 3.0) -> FleetSimulation:
@@ -187,6 +191,41 @@
         assert rig.store.calls == ["read_all"]
 
 
+class TestProcess:
+    """Guards against a process whose parts do not know of each other's confirmation."""
+
+    def test_the_store_s_answers_decide_over_keys_and_gauges(self) -> None:
+        rig = StartRig()
+        rig.process.settings = SETTINGS._replace(bounds=STRICT)
+        rig.process.policy.configure(STRICT)
+        rig.process.follower.configure(STRICT)
+        tenants = [{"Name": "desk", "ApiKeys": ["k1", "k2"]}]
+        document = {
+            "Version": 1,
+            "Routes": [ROUTE],
+            "Services": SERVICES,
+            "Tenants": tenants,
+        }
+        rig.store.answer(5, Item("op/config", msgspec.json.encode(document), 5))
+        rig.ask()
+        assert [answer.status for answer in rig.answers] == [401]
+        with capture_logs() as lines:
+            rig.reactor.pump([0.5] * 20)
+        rig.ask()
+        assert [answer.status for answer in rig.answers] == [401, 503]
+        states = [line["state"] for line in lines if line["event"] == "keys_state"]
+        assert states == ["not confirmed"]
+        # The first watch was sent long ago, and confirms nothing about now.
+        for expected in (503, 401):
+            rig.store.answer(5)
+            rig.reactor.advance(0.01)
+            rig.ask()
+            assert rig.answers[-1].status == expected
+        page = rig.process.metrics.render().decode()
+        assert "sardinehook_keys 2.0" in page
+        assert "sardinehook_organisations 1.0" in page
+
+
 class TestLog:
     def test_each_change_is_logged_once(self) -> None:
         log = ConfirmationLog(Confirmation())
