Send no SIGHUP in the soak to a process that can't handle it yet

Change: the soak asks the kernel's masks first. A process that is not that far has not read its settings yet; every later process gets the signal as before.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -90,6 +90,10 @@
             assert self.process is not None
             self.process.send_signal(number)
 
+    def handles(self, number: int) -> bool:
+        """Return whether the process runs and ignores or catches a signal."""
+        return self.running and handles_signal(self.pid, number)
+
     def kill(self) -> None:
         """Send SIGKILL and wait for the exit."""
         self.signal(signal.SIGKILL)
@@ -115,3 +119,17 @@
         except subprocess.TimeoutExpired:
             self.process.kill()
             return self.process.wait()
+
+
+def handles_signal(pid: int, number: int) -> bool:
+    """Return whether a process ignores or catches a signal, by the kernel's masks."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    masks = [
+        int(value, 16)
+        for name, _, value in (line.partition(":") for line in status.splitlines())
+        if name in ("SigIgn", "SigCgt")
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -166,9 +166,13 @@
         await self.restart(self.child.terminate, grace_s)
 
     def reload(self, signalled: bool) -> None:
-        """Rewrite the settings file, with SIGHUP if ``signalled``."""
+        """Rewrite the settings file, with SIGHUP if ``signalled``.
+
+        A process gets no SIGHUP before its interpreter has run the first statement of
+        the gateway, which ignores it: until then the signal ends any process.
+        """
         self.write_settings(f"{self.testbed.reactor.seconds()}")
-        if signalled and not self.in_transition:
+        if signalled and not self.in_transition and self.child.handles(signal.SIGHUP):
             self.child.signal(signal.SIGHUP)
 
     def restart_if_exited(self) -> None:
