Give quota back when a caller leaves before anything was sent

Cause: the receipt of a request was settled by its answer only. A request that waited for admission or for a connection kept its quota when its caller disconnected, since there was no answer. Change: the running request holds the receipt, and gives it back at a cancellation if no replica can have run any part of the request. Result: two tests fail without the change: own and delegated searches at a holder, and a search that asked one.

--- a/sardinehook/gateway/quota/gate.py
+++ b/sardinehook/gateway/quota/gate.py
@@ -46,19 +46,6 @@
         if is_not_run(answer):
             self.give_back()
 
-    def settling(
-        self, finish: Callable[[CallerAnswer], None]
-    ) -> Callable[[CallerAnswer], None]:
-        """Return a function that settles with an answer and passes it on."""
-        if self.take_back is None:
-            return finish
-
-        def settle_and_finish(answer: CallerAnswer) -> None:
-            self.settle(answer)
-            finish(answer)
-
-        return settle_and_finish
-
 
 UNCOUNTED = Receipt()
 
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -229,8 +229,7 @@
         def begin(receipt: Receipt) -> Cancellable | None:
             if is_search and self.has_usable_delegate:
                 receipt.give_back()  # one became usable meanwhile, and admits it
-            settling = receipt.settling(finish)
-            return self.begin(request, route, configuration, settling)
+            return self.begin(request, route, configuration, finish, receipt)
 
         def refuse(answer: CallerAnswer) -> None:
             self.refuse_with(request, answer, finish)
@@ -304,15 +303,17 @@
         route: Route,
         configuration: Configuration,
         finish: Finish,
+        receipt: Receipt = UNCOUNTED,
     ) -> Cancellable | None:
         """Start a search or a single request, as the route requires."""
         self.in_flight += 1
         self.demand_of(route).add(1, request.received_at)
-        running = RunningRequest(self)
+        running = RunningRequest(self, receipt)
 
         def done(answer: CallerAnswer) -> None:
             self.in_flight -= 1
             try:
+                running.receipt.settle(answer)
                 version = configuration.version
                 self.request_log.record_ended(running.work, version, answer)
             finally:
@@ -338,8 +339,8 @@
         """Delegate a search, or run it locally if no delegate is usable."""
 
         def gather(receipt: Receipt) -> None:
-            finish = receipt.settling(done)
-            running.begin(Gather(self.policy, request, route, shards, finish))
+            running.receipt = receipt
+            running.begin(Gather(self.policy, request, route, shards, done))
 
         def start_local_search() -> None:
             limited = self.limited_organisation(request)
@@ -353,7 +354,7 @@
         delegates = self.delegates
         delegate = delegates.choose() if delegates else None
         if delegates is None or delegate is None:
-            gather(UNCOUNTED)  # admitted before, as there was no delegate to do it
+            gather(running.receipt)  # admitted before: no delegate was there to do it
             return
         version = configuration.version
         running.begin(
@@ -431,13 +432,13 @@
         shard_count = len(shards.shards)
         self.delegated_in_flight += shard_count
         self.demand_of(route).add(1, request.received_at)
-        running = RunningRequest(self, delegated.node, shard_count)
+        running = RunningRequest(self, receipt, delegated.node, shard_count)
 
         def done(answer: CallerAnswer) -> None:
             self.delegated_in_flight -= shard_count
-            receipt.settle(answer)
             work = running.work
             try:
+                receipt.settle(answer)
                 self.request_log.record_ended(
                     work, delegated.version, answer, delegated.node
                 )
@@ -463,12 +464,20 @@
 
 
 class RunningRequest:
-    """A request whose caller may disconnect; ``peer`` is the delegating gateway."""
+    """A request whose caller may disconnect; ``peer`` is the delegating gateway.
+
+    ``receipt`` is for the quota that the request has used.
+    """
 
     def __init__(
-        self, handler: RequestHandler, peer: str = "", shard_count: int = 0
+        self,
+        handler: RequestHandler,
+        receipt: Receipt,
+        peer: str = "",
+        shard_count: int = 0,
     ) -> None:
         self.handler = handler
+        self.receipt = receipt
         self.peer = peer
         self.shard_count = shard_count
         self.work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
@@ -488,8 +497,13 @@
                 self.handler.admission.submit(work, begun=bool(self.peer))
 
     def cancel(self) -> None:
-        """Stop the request and record that its caller has disconnected."""
+        """Stop the request and record that its caller has disconnected.
+
+        The quota of one that no replica can have run is given back.
+        """
         if not self.work.settled:
+            if not self.may_have_run:
+                self.receipt.give_back()
             if self.peer:
                 self.handler.delegated_in_flight -= self.shard_count
             else:
@@ -498,3 +512,12 @@
         self.work.cancel()
         if isinstance(self.work, Gather | SingleCall):
             self.handler.admission.release(self.work)
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run the request or may be running it."""
+        match self.work:
+            case Gather() | SingleCall() as work:
+                return work.may_have_run or work.may_be_running()
+            case DelegatedSearch() | LocalSearchAdmission():
+                return True  # what these use is not counted by the receipt here
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -255,6 +255,10 @@
             )
         return error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail))
 
+    def may_be_running(self) -> bool:
+        """Return whether any replica may still be running the request."""
+        return any(exchange.sent_at for exchange in self.open_exchanges)
+
     def complete(self, answer: CallerAnswer) -> None:
         """Abandon the open exchanges and finish with ``answer``."""
         self.settled = True
--- a/tests/gateway/quota/test_requests.py
+++ b/tests/gateway/quota/test_requests.py
@@ -18,10 +18,16 @@
 from sardinehook.gateway.process import GatewayProcess
 from sardinehook.gateway.quota.asking import DECISION_S
 from sardinehook.gateway.quota.gate import QuotaGate
+from sardinehook.gateway.search_codec import DelegatedRequest
 from sardinehook.gateway.settings import Bounds, GatewaySettings
 from sardinehook.gateway.usage.exchange import UsageExchange
 from sardinehook.gateway.usage.ledger import FleetLedger
-from sardinehook.gateway.usage.messages import Ask, GiveBack, decode_message
+from sardinehook.gateway.usage.messages import (
+    Ask,
+    GiveBack,
+    Grant,
+    decode_message,
+)
 from sardinehook.platform.settings import decode_settings
 from sardinehook.transport.connection import Replied, Reply
 from tests.gateway.support import configuration, search_route
@@ -74,6 +80,11 @@
         request = REQUEST._replace(received_at=self.now())
         return self.handler.route(request, self.answers.append)
 
+    def hang_all(self) -> None:
+        """Let no replica accept a connection."""
+        replicas = self.gateway.directory.replicas
+        self.gateway.dispatcher.hangs.update(replicas)
+
     @property
     def statuses(self) -> list[int]:
         """The statuses of all answers."""
@@ -113,6 +124,25 @@
         assert rig.statuses == [503]
         assert rig.used == 0.0
 
+    def test_caller_that_leaves_before_anything_was_sent_uses_no_quota(self) -> None:
+        rig = QuotaRig("wide", WIDE, True)
+        rig.hang_all()
+        rig.search().cancel()
+        assert rig.used == 0.0
+        request = REQUEST._replace(received_at=rig.now(), organisation="desk")
+        delegated = DelegatedRequest("narrow", 1, request)
+        work = rig.handler.begin_delegated(delegated, rig.answers.append)
+        assert work is not None and rig.used == 1.0
+        work.cancel()
+        assert (rig.used, rig.sent, rig.answers) == (0.0, 0, [])
+        assert (rig.handler.in_flight, rig.handler.delegated_in_flight) == (0, 0)
+
+    def test_caller_that_leaves_after_that_has_used_its_quota(self) -> None:
+        rig = QuotaRig("wide", WIDE, True)
+        rig.search().cancel()
+        assert rig.sent > 0
+        assert rig.used == 1.0
+
     def test_without_an_organisation_nothing_is_counted(self) -> None:
         rig = QuotaRig("wide", WIDE, True)
         rig.configure(2)
@@ -140,6 +170,17 @@
         assert wide.used == 2.0
         assert wide.handler.delegated_in_flight == 0
 
+    def test_caller_leaves_before_the_search_here_has_sent_anything(self) -> None:
+        narrow = QuotaRig("narrow", NARROW, False)
+        narrow.hang_all()
+        narrow.add_delegate()
+        work = narrow.search()
+        narrow.pool.opened[0].end(Replied(Reply(503, (), b"stopping")))
+        (ask,) = narrow.sent_messages()
+        narrow.exchange.apply(Grant(ask.id, True, 0.0), "wide", ("10.0.0.2", 9))
+        work.cancel()
+        assert narrow.sent_messages()[1:] == [GiveBack("narrow", 1, ask.id)]
+
     def test_search_that_a_delegate_did_not_take_is_admitted_here(self) -> None:
         narrow = QuotaRig("narrow", NARROW, False)
         narrow.add_delegate()
