Answer a request whose admission fails unexpectedly

Cause: an unexpected error in the admission of a request reached the connection on which a datagram, a reply of a delegate or the request had arrived. The counts of requests in flight stayed too high for good, and a search that had waited for its quota was never answered. Change: the error is logged, and the request ends as after any other unexpected error. Result: two tests fail without the change.

--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -48,6 +48,7 @@
 )
 from sardinehook.gateway.single import SingleCall
 from sardinehook.gateway.startup_queue import StartupQueue
+from sardinehook.observe.errors import log_error
 
 __all__ = ["Cancellable", "RequestHandler"]
 
@@ -494,7 +495,15 @@
             case DelegatedSearch() | LocalSearchAdmission():
                 work.start()
             case Gather() | SingleCall():
-                self.handler.admission.submit(work, begun=bool(self.peer))
+                self.submit(work)
+
+    def submit(self, work: Gather | SingleCall) -> None:
+        """Ask for admission; after an unexpected error the caller gets an answer."""
+        try:
+            self.handler.admission.submit(work, begun=bool(self.peer))
+        except Exception as error:
+            log_error(error)
+            work.fail_unexpectedly()
 
     def cancel(self) -> None:
         """Stop the request and record that its caller has disconnected.
--- a/tests/gateway/test_unexpected_errors.py
+++ b/tests/gateway/test_unexpected_errors.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sardinehook.gateway.admission.gate import AdmissionGate
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.dispatch import Failed, NotRun
 from sardinehook.gateway.request_log import RequestLog
@@ -149,6 +150,33 @@
         assert [answer.status for answer in narrow.answers] == [502]
 
 
+class TestAdmission:
+    """Guards against counts of requests in flight that stay too high for good."""
+
+    def rig(self, monkeypatch: pytest.MonkeyPatch) -> GatewayRig:
+        """Return a gateway whose admission fails."""
+        monkeypatch.setattr(AdmissionGate, "submit", fail)
+        return GatewayRig("wide", WIDE)
+
+    def test_an_error_is_answered_as_not_run(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        rig = self.rig(monkeypatch)
+        rig.start_search()
+        assert [answer.status for answer in rig.answers] == [503]
+        assert rig.handler.in_flight == 0
+
+    def test_an_error_with_a_delegated_search_is_answered(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        narrow, wide = GatewayRig("narrow", NARROW), self.rig(monkeypatch)
+        narrow.add_delegate()
+        narrow.start_search()
+        run_delegated(narrow, wide)
+        assert [answer.status for answer in narrow.answers] == [503]
+        assert wide.handler.delegated_in_flight == 0
+
+
 class TestRequestLog:
     def test_an_error_in_the_log_does_not_cost_the_answer(
         self, monkeypatch: pytest.MonkeyPatch
