Judge queues after a start by measured service times

Cause: the latency that is assumed for a new route entered the average service time of its services, and had a weight of more than a tenth there for 20 requests. Queues of three at two slots, as after a pause of the replicas, counted as congestion and set limits. Change: the average contains measured latencies only, and is updated when a request ends. Requests that were refused no longer evaluate the load reports of all shards. Result: a test with 80 shards fails without the change.

--- a/sardinehook/gateway/admission/gate.py
+++ b/sardinehook/gateway/admission/gate.py
@@ -137,8 +137,8 @@
             return
         del self.works[ticket]
         now = self.reactor.seconds()
-        if not self.scheduler.withdraw(ticket):
-            service_s = self.tickets.service_s(ticket.key)
+        if not self.scheduler.withdraw(ticket) and ticket.started_at:
+            service_s = self.tickets.service_s(work.route, ticket.key)
             held_up = was_held_up(work, ticket.started_at, service_s)
             if answer is not None and answer.outcome == ErrorKind.OVERLOADED.value:
                 held_up = True
--- a/sardinehook/gateway/admission/ticket_maker.py
+++ b/sardinehook/gateway/admission/ticket_maker.py
@@ -5,6 +5,7 @@
 from typing import assert_never
 
 from sardinehook.gateway.admission.ticket import LaneKey, Ticket
+from sardinehook.gateway.configuration import Route
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.organisations.organisation import Organisations
 from sardinehook.gateway.policy import RequestPolicy, answer_deadline
@@ -43,8 +44,7 @@
             case _:
                 assert_never(work)
         key = LaneKey(services, self.policy.selector.data_centre)
-        cost_s = min(self.policy.latency_s(route, UNQUEUED_QUANTILE), route.objective_s)
-        self.observe_service_time(key, cost_s)
+        cost_s = self.cost_s(route)
         refuse_after_s = REFUSE_RATIO * route.objective_s - request.network_s
         return Ticket(
             key,
@@ -59,9 +59,20 @@
             len(request.body),
         )
 
-    def service_s(self, key: LaneKey) -> float:
-        """Return the average service time of the recent requests of a group."""
-        return self.service_times.get(key, 0.0)
+    def cost_s(self, route: Route) -> float:
+        """Return how long a request of a route occupies each service."""
+        return min(self.policy.latency_s(route, UNQUEUED_QUANTILE), route.objective_s)
+
+    def service_s(self, route: Route, key: LaneKey) -> float:
+        """Return the average service time of a group, with a request that has ended.
+
+        The latency that is assumed for a new route is not remembered. For searches it
+        is up to twice the real one, by which short queues look like congestion.
+        """
+        cost_s = self.cost_s(route)
+        if self.policy.knows_latency(route):
+            self.observe_service_time(key, cost_s)
+        return self.service_times.get(key, cost_s)
 
     def observe_service_time(self, key: LaneKey, cost_s: float) -> None:
         """Include one request in the average service time of its group."""
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -130,6 +130,10 @@
             return INITIAL_LATENCY_RATIO * route.objective_s
         return known / MS_PER_S
 
+    def knows_latency(self, route: Route) -> bool:
+        """Return whether the latency of a route is measured and not assumed."""
+        return self.latencies.quantile(route.name, MEDIAN) is not None
+
     def observe(self, route: Route, took_s: float) -> None:
         """Record the latency of a reply."""
         self.latencies.record(route.name, took_s * MS_PER_S)
--- a/tests/gateway/test_admission_gate.py
+++ b/tests/gateway/test_admission_gate.py
@@ -39,16 +39,16 @@
 class Rig:
     """A request handler whose replicas report queues as a test says."""
 
-    def __init__(self, adapts: bool = True) -> None:
+    def __init__(self, adapts: bool = True, shards: int = 4) -> None:
         self.gateway: Gateway = make_gateway()
         self.gateway.directory.replicas_state_work = adapts
         self.metrics = GatewayMetrics()
         log = RequestLog(self.gateway.reactor, self.metrics)
         self.handler = RequestHandler(self.gateway.policy, log, Random(1))
         self.handler.max_delegated = 100
-        self.route = search_route(4)
+        self.route = search_route(shards)
         self.handler.configure(configuration(self.route))
-        for shard in shard_names(4):
+        for shard in shard_names(shards):
             self.gateway.add(f"{shard}-a", shard)
         self.answers: list[CallerAnswer] = []
 
@@ -60,12 +60,12 @@
         """Start a search; return what cancels it."""
         return self.handler.route(self.request(), self.answers.append)
 
-    def end_with_queues(self) -> None:
+    def end_with_queues(self, load: Load = QUEUE) -> None:
         """Answer all shards of the oldest search, which report queues."""
-        for shard in shard_names(4):
+        for shard in self.route.destination.shards:  # type: ignore[union-attr]
             exchange = self.gateway.dispatcher.open_at(shard)[0]
             now = self.gateway.reactor.seconds()
-            exchange.replica.observe_load(QUEUE, now)
+            exchange.replica.observe_load(load, now)
             self.gateway.end(exchange, good(f"{shard}-{len(self.answers)}"))
         for replica in self.gateway.directory.replicas.values():
             replica.load = None
@@ -89,6 +89,18 @@
         assert len(rig.gateway.dispatcher.sent) == 16
         assert rig.answers == []
 
+    def test_first_replies_with_short_queues_set_no_limit(self) -> None:
+        """As after a pause of the replicas: by the assumed latency, queues are long."""
+        rig = Rig(shards=80)
+        for _ in range(4):
+            rig.search()
+        rig.gateway.reactor.advance(0.02)
+        for _ in range(4):
+            rig.end_with_queues(Load(2, 3, 2, 1.0))
+        (lane,) = rig.handler.admission.scheduler.lanes.values()
+        assert len(rig.answers) == 4
+        assert not lane.is_limited
+
     def test_other_deployments_have_no_limits(self) -> None:
         rig = Rig(adapts=False)
         rig.congest()
