Ask holders for quota while the port of the usage ledger opens

Cause: the port is bound with the first configuration and can send two turns of the event loop later. The requests that had waited for the configuration start one turn later, found no port, and got 503 quota_unknown or used up the fallback share, though a holder was in reach. Change: a request waits up to 2 ms for a port that is bound, and then asks as any other. Result: two tests fail without the change.

--- a/sardinehook/gateway/quota/asking.py
+++ b/sardinehook/gateway/quota/asking.py
@@ -14,6 +14,7 @@
 
 __all__ = ["MAX_WAITING", "AskedDecision", "PendingAsk", "QuotaAsker"]
 
+OPEN_S = 0.002  # until a port that is bound can send: a few turns of the event loop
 SECOND_ASK_S = 0.015  # after the first ask: several round trips in a data centre
 DECISION_S = 0.030  # after the first ask, without an answer
 LATE_TURN_S = 0.005  # a timer that is later leaves a turn to read pending datagrams
@@ -50,6 +51,13 @@
         self.due_at = 0.0
 
     def start(self) -> None:
+        """Ask the first holder, once the port is open."""
+        if self.asker.exchange.transport is None:
+            self.schedule(OPEN_S, self.ask_first)
+        else:
+            self.ask_first()
+
+    def ask_first(self) -> None:
         """Ask the first holder."""
         self.ask_next(1)
         self.schedule(SECOND_ASK_S, self.ask_others)
--- a/sardinehook/gateway/quota/gate.py
+++ b/sardinehook/gateway/quota/gate.py
@@ -140,7 +140,7 @@
             return None
         holders = self.asker.candidates(quota_subject(organisation.name))
         is_askable = len(organisation.name) <= MAX_ASKED_NAME and self.asker.has_room
-        if not (holders and is_askable and self.exchange.transport):
+        if not (holders and is_askable and self.exchange.has_port):
             finish(self.decide_alone(organisation))
             return None
 
--- a/sardinehook/gateway/usage/exchange.py
+++ b/sardinehook/gateway/usage/exchange.py
@@ -44,7 +44,8 @@
 
     ``records`` returns the gateways that are known, also those that have left a short
     time ago. ``on_ask`` answers an ask, ``on_grant`` and ``on_give_back`` receive the
-    other messages about quotas. ``count`` counts datagrams by kind.
+    other messages about quotas. ``count`` counts datagrams by kind. ``is_bound`` is set
+    when the port is bound, ``transport`` a few turns of the event loop later.
     """
 
     def __init__(
@@ -64,11 +65,17 @@
         self.on_give_back: Callable[[GiveBack, float], None] = lambda _back, _now: None
         ledger.on_unsent = self.tell_soon
         self.is_active = False
+        self.is_bound = False
         self.is_flush_due = False
         self.ticks = EXCHANGE_TICKS - 1  # the first tick tells all others
         self.full_set_sent_at: dict[str, float] = {}
         self.malformed = 0
 
+    @property
+    def has_port(self) -> bool:
+        """Whether the port is open, or will be in a few turns."""
+        return self.is_bound or self.transport is not None
+
     def tick(self) -> None:
         """Send what is due, and note which holders have fallen silent."""
         now = self.reactor.seconds()
--- a/sardinehook/gateway/usage/service.py
+++ b/sardinehook/gateway/usage/service.py
@@ -88,7 +88,7 @@
                 )
             self.has_failed = True
         else:
-            self.is_open = True
+            self.is_open = self.exchange.is_bound = True
 
     def update_members(self) -> None:
         """Choose the holders among the registered gateways.
--- a/tests/gateway/quota/test_requests.py
+++ b/tests/gateway/quota/test_requests.py
@@ -16,7 +16,7 @@
     index_organisations,
 )
 from sardinehook.gateway.process import GatewayProcess
-from sardinehook.gateway.quota.asking import DECISION_S
+from sardinehook.gateway.quota.asking import DECISION_S, OPEN_S
 from sardinehook.gateway.quota.gate import QuotaGate
 from sardinehook.gateway.search_codec import DelegatedRequest
 from sardinehook.gateway.settings import Bounds, GatewaySettings
@@ -216,6 +216,23 @@
         rig.gateway.reactor.advance(1.0)
         assert (rig.answers, rig.sent) == ([], 0)
 
+    def test_request_that_waited_for_the_configuration_asks_too(self) -> None:
+        """The port is bound with the first configuration, and opens a little later."""
+        rig = QuotaRig("narrow", NARROW, False)
+        rig.exchange.transport, rig.exchange.is_bound = None, True
+        rig.search()
+        assert rig.answers == []
+        rig.exchange.transport = rig.port
+        rig.gateway.reactor.advance(OPEN_S)
+        assert [type(one) for one in rig.sent_messages()] == [Ask]
+
+    def test_caller_leaves_before_the_port_is_open(self) -> None:
+        rig = QuotaRig("narrow", NARROW, False)
+        rig.exchange.transport, rig.exchange.is_bound = None, True
+        rig.search().cancel()
+        rig.gateway.reactor.advance(1.0)
+        assert (rig.answers, rig.exchange.reactor.getDelayedCalls()) == ([], [])
+
     def test_without_an_answer_it_decides_by_its_fallback_share(self) -> None:
         """Not with 429: it is not known here that the quota is used up."""
         rig = QuotaRig("narrow", NARROW, False)
