Choose and hedge replicas by all figures of their load, pace those that start

Cause: the fourth figure of load and the speed of replicas are not used; hedges follow one delay for all; a replica that has recovered is sent everything at once; connections beyond a share below one are kept by all gateways. Change: where the deployment adapts to load, the reply time is estimated from speed, work and queue, hedges follow the expected end of each replica, replicas that start or recover have a window, and connections keep to the share.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -12,6 +12,7 @@
 from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.gateway.notice_board import NoticeBoard
 from sardinehook.gateway.notices import StatedNotices
+from sardinehook.gateway.pace.pacer import Pacer
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
@@ -52,6 +53,7 @@
         self.reachability = Reachability()
         self.changes: dict[str, list[Replica]] = {}
         self.replicas_state_work = False
+        self.pacer = Pacer(self.share_divisor, enabled=True)
 
     @property
     def adapts_to_load(self) -> bool:
@@ -148,9 +150,11 @@
         if known is not None and entry.started_ms < known.entry.started_ms:
             return
         if known is None or is_other_process(known.entry, entry):
+            replaces = known is not None
             if known is not None:
                 self.discard(known)
             known = self.add(entry)
+            self.pacer.add(known, replaces, now)
             self.claim_address(known)
             if entry.cold_left_s:
                 self.set_cold(known, entry.cold_left_s, now)
@@ -159,6 +163,7 @@
             self.record_state_change(known, "draining" if entry.draining else "ready")
         elif known.deregistered_at is not None:
             self.record_state_change(known, "registered again")
+            self.pacer.begin(known, now, resumes=True)
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
             self.set_cold(known, entry.cold_left_s, now)
         known.entry = entry
@@ -177,6 +182,7 @@
             self.reactor, entry.address, max_connections, record_connected
         )
         replica = Replica(entry, pool)
+        self.limit_connections(replica)
         self.notice_board.restore(replica, self.reactor.seconds())
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
@@ -225,6 +231,7 @@
     def discard(self, replica: Replica) -> None:
         """Remove a replica; its exchanges in flight continue."""
         self.notice_board.keep(replica, self.reactor.seconds())
+        self.pacer.keep(replica, self.reactor.seconds())
         if self.replicas.get(replica.replica_id) is replica:
             del self.replicas[replica.replica_id]
         siblings = self.by_service.get(replica.entry.service, [])
@@ -255,6 +262,7 @@
                 self.record_state_change(replica, "gone")
                 self.discard(replica)
         self.log_changes()
+        self.pacer.sweep(now, self.adapts_to_load)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration and its connection limits."""
@@ -276,6 +284,7 @@
     def set_shares(self, shares: Shares) -> None:
         """Set this gateway's share of the limits of replicas."""
         self.shares = shares
+        self.pacer.update_shares()
         self.update_connection_limits()
         self.update_rate_shares()
 
@@ -293,9 +302,29 @@
     def update_connection_limits(self) -> None:
         """Limit the connections to each replica to this gateway's share."""
         for replica in self.replicas.values():
-            replica.pool.max_connections = self.connection_limit(replica.entry.service)
+            self.limit_connections(replica)
+
+    def limit_connections(self, replica: Replica) -> None:
+        """Limit the connections to one replica to this gateway's share.
+
+        Where that is less than one, all gateways together would exceed the limit by
+        keeping one each: there, connections are closed after use.
+        """
+        share = self.connection_share(replica.entry.service)
+        adapts = self.adapts_to_load
+        replica.pool.set_limit(max(1, int(share)), adapts, not adapts or share >= 1.0)
+
+    def record_stated_work(self) -> None:
+        """Record that replicas state how long work takes; connections follow."""
+        if not self.replicas_state_work:
+            self.replicas_state_work = True
+            self.update_connection_limits()
 
     def connection_limit(self, service: str) -> int:
+        """Return how many connections to one replica this gateway may open."""
+        return max(1, int(self.connection_share(service)))
+
+    def connection_share(self, service: str) -> float:
         """Return this gateway's share of the connection limit of one replica."""
         services: Mapping[str, Any] = (
             self.configuration.services if self.configuration else {}
@@ -303,8 +332,7 @@
         known = services.get(service)
         bound = known.max_connections if known else 0
         share = MAX_CONNECTIONS_RATIO * (bound or DEFAULT_MAX_CONNECTIONS)
-        share /= self.share_divisor(service)
-        return max(1, int(share))
+        return share / self.share_divisor(service)
 
     def set_cold(self, replica: Replica, cold_left_s: float, now: float) -> None:
         """Record for how long a replica says that it is cold.
@@ -317,6 +345,8 @@
         if known is not None and known.cold_start_s:
             cold_left_s = min(cold_left_s, MAX_COLD_RATIO * known.cold_start_s)
         replica.cold_until = now + cold_left_s
+        if cold_left_s > 0.0:
+            self.pacer.begin(replica, now)
 
     def can_serve(self, service: str, now: float) -> bool:
         """Return whether a service has a replica that this gateway can connect to."""
@@ -361,6 +391,8 @@
             for replica in self.replicas.values()
             if replica.pool.is_failing and now >= replica.pool.retry_at
         ]
+        for replica in failing:
+            self.pacer.restart(replica, now)
         for replica in self.random.sample(failing, min(len(failing), MAX_PROBES)):
             replica.pool.probe()
 
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -30,6 +30,7 @@
 MIN_SEND_TIME_S = 0.002  # with less time left, a request is not sent
 MIN_BASELINE_S = 0.0001  # keeps latency ratios finite
 OVERDUE_RATIO = 1.5  # expected total time of an overdue reply per time waited
+NEW_CONNECTION_S = 0.1  # one lost sooner was beyond the replica's limit
 CONNECTION_GRACE_S = 0.15  # from the deadline to the abort of the connection
 
 
@@ -62,7 +63,8 @@
     """One request to one replica, from the wait for a connection to its outcome.
 
     ``sent_at`` is zero until the request has been written. ``expected_service_times``
-    is how many service times the reply was expected to take then, queueing included.
+    is how many service times the reply was expected to take then, queueing included,
+    and ``expected_s`` how long that was expected to be, zero if it is not known.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "sent_at",
         "started_at",
         "waiter",
+        "expected_s",
         "expected_service_times",
         "was_overdue",
     )
@@ -94,6 +97,7 @@
         self.on_end = on_end
         self.sent_at = 0.0
         self.expected_service_times = 1.0
+        self.expected_s = 0.0
         self.done = False
         self.was_overdue = False
         self.connection: ClientConnection | None = None
@@ -113,6 +117,7 @@
         self.codec = codec
         self.directory = directory
         self.exchanges: dict[Exchange, None] = {}
+        self.on_new_connection_lost: Callable[[], object] = int
 
     def start(self, exchange: Exchange) -> None:
         """Send the request of an exchange.
@@ -121,9 +126,7 @@
         is abandoned.
         """
         replica = exchange.replica
-        exchange.expected_service_times = replica.expected_service_times(
-            exchange.started_at
-        )
+        exchange.expected_service_times = self.expected_service_times(exchange)
         self.exchanges[exchange] = None
         replica.in_flight[exchange] = None
         self.directory.reachability.record_request(
@@ -137,6 +140,13 @@
         exchange.waiter = connection_acquired
         replica.pool.acquire(connection_acquired)
 
+    def expected_service_times(self, exchange: Exchange) -> float:
+        """Return how many service times an exchange that starts now will take."""
+        replica, now = exchange.replica, exchange.started_at
+        if self.directory.adapts_to_load:
+            return replica.forecast(now).service_times
+        return replica.expected_service_times(now)
+
     def connection_acquired(
         self, exchange: Exchange, connection: ClientConnection | None
     ) -> None:
@@ -152,6 +162,9 @@
     def send(self, exchange: Exchange, connection: ClientConnection | None) -> None:
         """Write the request, or end the exchange if there is no connection."""
         if connection is None:
+            self.directory.pacer.observe_failure(
+                exchange.replica, self.reactor.seconds()
+            )
             self.end(exchange, NotRun("no connection to the replica", False))
             return
         now = self.reactor.seconds()
@@ -166,6 +179,8 @@
         exchange.connection = connection
         if replica.is_cold(now):
             replica.cold_sends.add(1, now)
+        if replica.window is not None:
+            replica.window.record_sent(now, exchange.expected_s)
         if replica.notices.rate_share is not None:
             replica.notices.rate_share.record_sent(now)
         connection.exchange(
@@ -200,8 +215,19 @@
                 return outcome
             case Malformed(detail) | Lost(detail):
                 replica.observe_result(True, now)
+                self.observe_reset(exchange, now)
+                self.directory.pacer.observe_failure(replica, now)
                 return Failed(detail)
 
+    def observe_reset(self, exchange: Exchange, now: float) -> None:
+        """Back off if the replica has closed a connection that was just opened."""
+        connection = exchange.connection
+        if connection is None or connection.exchanges > 1:
+            return
+        if now < connection.idle_since + NEW_CONNECTION_S:
+            self.on_new_connection_lost()
+            exchange.replica.pool.record_reset()
+
     def classify(
         self, exchange: Exchange, reply: ReplicaReply, now: float
     ) -> ExchangeOutcome:
@@ -216,7 +242,7 @@
         if reply.load is not None:
             replica.observe_load(reply.load, now)
             if reply.load.work_ratio is not None:
-                self.directory.replicas_state_work = True
+                self.directory.record_stated_work()
         if reply.cold_left_s is not None:
             self.directory.set_cold(replica, reply.cold_left_s, now)
         if reply.misdirected:
@@ -227,6 +253,7 @@
             self.end_waiting(replica)
         if reply.not_run:
             replica.observe_result(True, now)
+            self.directory.pacer.observe_refusal(replica, now)
             return NotRun(f"refused with status {reply.status}", True)
         replica.observe_result(not reply.is_success and reply.status >= 500, now)
         return Answered(reply)
@@ -276,9 +303,15 @@
     ) -> float:
         """Record how slow the replica was, queueing aside; return the reply time."""
         took_s = now - exchange.sent_at
+        replica = exchange.replica
         expected_s = max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
+        ratio = took_s / expected_s
+        if self.directory.adapts_to_load:
+            ratio = replica.speed.observe_reply(ratio, now)
         if not exchange.was_overdue:
-            exchange.replica.observe_latency(took_s / expected_s, now)
+            replica.observe_latency(ratio, now)
+        if replica.window is not None:
+            self.directory.pacer.observe_answer(replica, ratio, now)
         return took_s
 
     def observe_overdue(
@@ -291,7 +324,10 @@
                 max(baseline_s, MIN_BASELINE_S) * exchange.expected_service_times
             )
             exchange.was_overdue = True
-            exchange.replica.observe_overdue(waited_s / expected_s, now)
+            ratio = waited_s / expected_s
+            if self.directory.adapts_to_load:
+                ratio = exchange.replica.speed.normalise(ratio, now)
+            exchange.replica.observe_overdue(ratio, now)
 
     def abandon(self, exchange: Exchange) -> None:
         """Abandon an exchange; closing its connection makes the replica stop work."""
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -24,17 +24,14 @@
     request_deadline,
 )
 from sardinehook.gateway.records import merge_records, split_records
-from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.replica_selection import SelectedReplica
+from sardinehook.gateway.routing.search_hedges import SearchHedges
 from sardinehook.gateway.shard_request import ShardRequest
 from sardinehook.gateway.unexpected import answers_errors, unexpected_error_answer
 from sardinehook.transport.reactor import Timer
 
 __all__ = ["Gather"]
 
-HEDGE_QUANTILE = 0.95  # of reply times: a shard without a reply by then is hedged
-MIN_HEDGE_RATIO = 0.08  # of the objective: the earliest hedge
-MAX_HEDGE_RATIO = 0.35  # of the objective: leaves time for the hedged reply
 LATE_RATIO = 1.5  # of the objective: a late answer waits no longer for more shards
 SHARD_DEADLINE_RATIO = 2.5  # of the objective: the deadline sent to replicas
 MAX_REFUSALS = 2  # sends that did not run and don't count as attempts
@@ -87,10 +84,9 @@
         shard_deadline_at = received_at + SHARD_DEADLINE_RATIO * route.objective_s
         self.shard_deadline_at = min(shard_deadline_at, self.deadline_at)
         self.median_s = policy.latency_s(route)
-        quantile_s = policy.latency_s(route, HEDGE_QUANTILE)
-        min_s = MIN_HEDGE_RATIO * route.objective_s
-        max_s = MAX_HEDGE_RATIO * route.objective_s
-        self.hedge_delay_s = min(max(quantile_s, min_s), max_s)
+        self.hedge_timing = SearchHedges(
+            policy, route, len(self.shards), self.median_s, self.objective_at
+        )
 
     @property
     def required(self) -> int:
@@ -138,7 +134,7 @@
                 shard.reason = "queue too long" if choice else "no replica"
                 self.failed += 1
             else:
-                self.send(shard, choice.replica, now)
+                self.send(shard, choice, now)
             if self.settled:
                 return
         self.settle_if_decided(now)
@@ -207,19 +203,20 @@
             return None
         return self.choose(shard, now)
 
-    def send(self, shard: ShardRequest, replica: Replica, now: float) -> None:
-        """Send the request for a shard to ``replica``."""
+    def send(self, shard: ShardRequest, choice: SelectedReplica, now: float) -> None:
+        """Send the request for a shard to the replica of a choice."""
         shard.asked = True
         shard.attempts += 1
-        shard.tried.append(replica)
-        shard.hedge_at = now + self.hedge_delay_s
+        shard.tried.append(choice.replica)
+        shard.hedge_at = now + self.hedge_timing.delay_s(choice, now)
         exchange = Exchange(
             self.request,
-            replica,
+            choice.replica,
             now,
             self.shard_deadline_at,
             lambda exchange, outcome: self.exchange_ended(shard, exchange, outcome),
         )
+        exchange.expected_s = choice.expected_s
         shard.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
 
@@ -246,6 +243,9 @@
                 dispatcher = self.policy.dispatcher
                 took_s = dispatcher.observe_reply_time(exchange, self.median_s, now)
                 self.policy.observe(self.route, took_s)
+                self.hedge_timing.observe(
+                    now - exchange.started_at, exchange.expected_s
+                )
 
     def accept(self, shard: ShardRequest, outcome: ExchangeOutcome) -> bool:
         """Accept a shard's records, or record why the reply is unusable."""
@@ -294,7 +294,7 @@
         is_repeat = shard.was_sent or shard.open_exchanges
         if is_repeat and not self.policy.try_spend_retry(shard.name, now):
             return False
-        self.send(shard, choice.replica, now)
+        self.send(shard, choice, now)
         return True
 
     @answers_errors
@@ -307,9 +307,13 @@
         self.settle_if_decided(now)
         if self.settled:
             return
+        unanswered = len(self.shards) - self.answered - self.failed
+        covered = self.answered >= self.required
         for shard in self.shards:
             if shard.answered or not shard.open_exchanges or now < shard.hedge_at:
                 continue
+            if not self.hedge_timing.is_due(shard, now, unanswered, covered):
+                continue
             shard.hedge_at = float("inf")
             self.observe_overdue(shard, now)
             if self.send_extra(shard, now):
@@ -332,10 +336,12 @@
         shard.open_exchanges.remove(oldest)
         self.policy.dispatcher.abandon(oldest)
         shard.attempts -= 1
-        self.send(shard, choice.replica, now)
+        self.send(shard, choice, now)
 
     def observe_overdue(self, shard: ShardRequest, now: float) -> None:
         """Update the replica's latency estimate from an overdue reply."""
+        if self.hedge_timing.adapts and now < self.hedge_timing.overdue_at(shard):
+            return
         for exchange in shard.open_exchanges:
             self.policy.dispatcher.observe_overdue(exchange, self.median_s, now)
 
--- /dev/null
+++ b/sardinehook/gateway/pace/__init__.py
@@ -0,0 +1,1 @@
+"""Pace of requests to replicas after a start or a recovery."""
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -11,6 +11,7 @@
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.retry_budget import RetryBudget, SlidingWindowCounter
+from sardinehook.gateway.routing.hedging import OverdueRatios
 from sardinehook.gateway.settings import Bounds
 from sardinehook.query.latency import LatencyEstimates
 
@@ -70,6 +71,7 @@
         self.callers = callers
         self.bounds = Bounds()
         self.latencies = LatencyEstimates()
+        self.overdue_ratios = OverdueRatios()
         self.budgets: dict[str, RetryBudget] = {}
         self.counting_since = float("-inf")
         self.on_retry_denied: Callable[[], object] = int
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -23,7 +23,9 @@
     """Opens and reuses at most ``max_connections`` connections.
 
     A request that finds no idle connection waits until one is opened or released.
-    ``on_connected`` is called whenever the server accepts a connection.
+    ``on_connected`` is called whenever the server accepts a connection. Where the limit
+    ``is_strict``, none is opened beyond it and idle ones beyond it are closed; without
+    ``keeps_idle``, connections are closed after use.
     """
 
     def __init__(
@@ -47,6 +49,8 @@
         self.retry_at = 0.0
         self.closed = False
         self.established_count = 0
+        self.is_strict = False
+        self.keeps_idle = True
 
     @property
     def connection_count(self) -> int:
@@ -69,14 +73,45 @@
         return self.backoff_s > 0.0 and not self.connections
 
     def probe(self) -> None:
-        """Open a connection to test reachability, one over the limit if needed."""
-        if (
-            not self.closed
-            and not self.connecting
-            and self.connection_count < self.max_connections + 1
-        ):
+        """Open a connection to test reachability, one over the limit if needed.
+
+        Under a strict limit it takes the place of an idle connection instead.
+        """
+        if self.closed or self.connecting:
+            return
+        limit = self.max_connections
+        if self.is_strict:
+            self.close_idle_beyond(limit - 1)
+        else:
+            limit += 1
+        if self.connection_count < limit:
             self.open()
 
+    def set_limit(
+        self, max_connections: int, is_strict: bool, keeps_idle: bool
+    ) -> None:
+        """Apply another limit; under a strict one, close what is beyond it."""
+        self.max_connections = max_connections
+        self.is_strict = is_strict
+        self.keeps_idle = keeps_idle
+        if is_strict:
+            self.close_idle_beyond(max_connections if keeps_idle else 0)
+
+    def close_idle_beyond(self, limit: int) -> None:
+        """Close the longest idle connections while there are more than ``limit``."""
+        while self.idle and self.connection_count > limit:
+            connection = self.idle.pop(0)
+            self.connections.discard(connection)
+            connection.abort()
+
+    def record_reset(self) -> None:
+        """Back off after the server has reset a connection that was just opened.
+
+        Servers do so to connections beyond their limit.
+        """
+        if self.is_strict:
+            self.back_off()
+
     def acquire(self, waiter: Waiter) -> None:
         """Call ``waiter`` with a connection, or with ``None`` if none can be opened.
 
@@ -144,6 +179,7 @@
         if self.closed:
             connection.abort()
             return
+        connection.idle_since = self.reactor.seconds()
         connection.idle_until = float("inf")
         self.assign(connection)
 
@@ -151,9 +187,14 @@
         """Give a free connection to the first waiting request, else keep it idle."""
         while self.waiters and connection.idle:
             self.waiters.popleft()(connection)
-        if connection.idle:
-            connection.idle_since = self.reactor.seconds()
-            self.idle.append(connection)
+        if not connection.idle:
+            return
+        has_room = self.connection_count <= self.max_connections
+        if self.is_strict and not (self.keeps_idle and has_room):
+            connection.abort()
+            return
+        connection.idle_since = self.reactor.seconds()
+        self.idle.append(connection)
 
     def release(self, connection: ClientConnection, keep_alive_s: float) -> None:
         """Return a connection to the pool after its exchange.
@@ -175,11 +216,15 @@
         Waiting requests fail if no other connection is open or being opened.
         """
         self.connecting -= 1
-        self.backoff_s = min(max(self.backoff_s * 2, INITIAL_BACKOFF_S), MAX_BACKOFF_S)
-        self.retry_at = self.reactor.seconds() + self.backoff_s
+        self.back_off()
         if not self.connection_count:
             self.fail_waiters()
 
+    def back_off(self) -> None:
+        """Open no connection for a while, longer after each failure."""
+        self.backoff_s = min(max(self.backoff_s * 2, INITIAL_BACKOFF_S), MAX_BACKOFF_S)
+        self.retry_at = self.reactor.seconds() + self.backoff_s
+
     def fail_waiters(self) -> None:
         """Call all waiting requests with ``None``."""
         waiters, self.waiters = self.waiters, deque()
--- a/sardinehook/gateway/replica.py
+++ b/sardinehook/gateway/replica.py
@@ -8,13 +8,19 @@
 
 from sardinehook.gateway.interfaces import Load, ReplicaEntry
 from sardinehook.gateway.notices import Notices
+from sardinehook.gateway.pace.window import Window
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
+from sardinehook.gateway.routing.load_estimate import (
+    ReplicaSpeed,
+    requests_of_others,
+    service_times,
+)
 
 if TYPE_CHECKING:
     from sardinehook.gateway.dispatch import Exchange
 
-__all__ = ["COLD_RATE_WINDOW_S", "Replica"]
+__all__ = ["COLD_RATE_WINDOW_S", "Forecast", "Replica"]
 
 MIN_SAMPLES = 3  # the fewest whose median ignores a single pause
 MAX_SAMPLES = 9  # bounds the cost; a pause delays fewer than half of them
@@ -26,6 +32,7 @@
 FAILURE_HALF_LIFE_S = 6.0  # lets a failing replica be tried again
 LOAD_MEMORY_S = 0.1  # a reported load is stale after a few service times
 MAX_LOAD_RATIO = 8.0  # of the slots; bounds how long one bad report keeps requests away
+MAX_SLOTS_RATIO = 4.0  # of the registered slots, for the slots that a reply states
 COLD_RATE_WINDOW_S = 1.0  # window of the cold-start rate limit
 LN_2 = 0.693147
 
@@ -37,6 +44,22 @@
     ratio: float
 
 
+class Forecast(NamedTuple):
+    """What is expected of a replica now, relative to the usual service time.
+
+    ``slowdown`` is how long work takes there, ``requests`` how many are there.
+    """
+
+    slowdown: float
+    requests: float
+    slots: int
+
+    @property
+    def service_times(self) -> float:
+        """How many service times a new request takes, queueing included."""
+        return service_times(self.requests, self.slots)
+
+
 class Replica:
     """State of one replica from discovery, its replies and its failures.
 
@@ -44,7 +67,8 @@
     the moving average of failed exchanges. Both decay, so that a replica that gets no
     requests is tried again. ``deregistered_at`` is when it left discovery; it may be
     used for a short time after that, since entries also expire while the store is
-    unavailable.
+    unavailable. ``speed`` and ``window`` have an effect only in deployments that adapt
+    to load.
     """
 
     def __init__(self, entry: ReplicaEntry, pool: ConnectionPool) -> None:
@@ -58,7 +82,10 @@
         self.failure_ratio_at = 0.0
         self.load: Load | None = None
         self.load_at = 0.0
+        self.stated_slots = 0
         self.in_flight_at_load = 0
+        self.speed = ReplicaSpeed()
+        self.window: Window | None = None
         self.cold_until = 0.0
         self.cold_sends = SlidingWindowCounter(COLD_RATE_WINDOW_S)
         self.deregistered_at: float | None = None
@@ -121,6 +148,22 @@
         self.load = load
         self.load_at = now
         self.in_flight_at_load = len(self.in_flight)
+        if load.slots <= MAX_SLOTS_RATIO * self.entry.slots:
+            self.stated_slots = load.slots
+        if load.work_ratio is not None:
+            self.speed.observe_work(load.work_ratio, now)
+
+    def forecast(self, now: float) -> Forecast:
+        """Return what is expected of the replica by all figures of its load."""
+        requests = float(len(self.in_flight))
+        if self.load is not None:
+            requests += requests_of_others(
+                self.load, self.in_flight_at_load, now - self.load_at
+            )
+        slowdown = self.speed.base_slowdown * self.speed.work_ratio(now)
+        if self.slowdown > 1.0:
+            slowdown *= self.current_slowdown(now)
+        return Forecast(slowdown, requests, self.stated_slots or self.entry.slots)
 
     def estimated_requests(self, now: float) -> float:
         """Return the estimated number of requests at the replica.
@@ -139,8 +182,7 @@
 
     def expected_service_times(self, now: float) -> float:
         """Return how many service times a new request takes, queueing included."""
-        ahead = self.estimated_requests(now) + 1.0 - self.entry.slots
-        return 1.0 + max(0.0, ahead) / self.entry.slots
+        return service_times(self.estimated_requests(now), self.entry.slots)
 
     def cold_requests(self, now: float) -> int:
         """Return how many requests count against the cold-start limit now.
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -9,7 +9,9 @@
 
 from sardinehook.gateway.configuration import Service
 from sardinehook.gateway.directory import Directory
-from sardinehook.gateway.replica import COLD_RATE_WINDOW_S, Replica
+from sardinehook.gateway.pace.window import Window
+from sardinehook.gateway.replica import COLD_RATE_WINDOW_S, Forecast, Replica
+from sardinehook.gateway.routing.load_estimate import service_times
 from sardinehook.gateway.settings import Bounds
 
 __all__ = ["ReplicaSelector", "SelectedReplica"]
@@ -20,11 +22,14 @@
 STALL_COST_S = 0.1  # mean remaining length of a pause
 FAILURE_COST_S = 0.4  # a failed exchange costs at least one retry
 COLD_COST_S = 0.02  # replies during a cold start take longer
+BEYOND_WINDOW_COST_S = 0.6  # prefers any reachable sibling with room
 UNREACHABLE_COST_S = 1.0  # makes an unreachable replica a last resort
 DEREGISTERED_COST_S = 0.5  # makes a deregistered replica a last resort
 SPARING_COST_S = 0.08  # less than that of a stalled replica
 SPARED_REQUESTS = 4.0  # of a limited rate, kept for hedges and stalls of siblings
 JITTER = 0.1  # keeps gateways from all selecting the same replica
+SPREAD = 0.3  # the jitter where choices follow load (bench/routing_choices.py)
+MAX_SPREAD_S = 0.0075  # half of the cost of another data centre: none is crossed for it
 COLD_SAFETY_RATIO = 0.9  # of the cold rate; network delay bunches arrivals
 
 
@@ -60,6 +65,7 @@
         self.counting_since = float("-inf")
         self.on_cold_denied: Callable[[], object] = int
         self.on_rate_denied: Callable[[], object] = int
+        self.on_pace_denied: Callable[[], object] = int
 
     def select(
         self,
@@ -75,31 +81,52 @@
         Replicas in ``excluded`` are not eligible, nor are those whose expected reply
         time exceeds ``time_left_s``: the request would expire in the queue and delay
         the requests behind it. Of a replica that limits its rate, ``reserve`` requests
-        are left for others.
+        are left for others. Replicas beyond their window of requests are chosen only if
+        no other one is eligible.
         """
         best: SelectedReplica | None = None
         best_cost = float("inf")
+        adapts = self.directory.adapts_to_load
         for replica in self.directory.replicas_of(service):
             if replica in excluded or not self.limits_allow(replica, reserve, now):
                 continue
-            unloaded_s = baseline_s * replica.current_slowdown(now)
-            expected_s = unloaded_s * replica.expected_service_times(now)
+            forecast = (
+                replica.forecast(now) if adapts else unaided_forecast(replica, now)
+            )
+            unloaded_s = baseline_s * forecast.slowdown
+            expected_s = unloaded_s * service_times(forecast.requests, forecast.slots)
             if expected_s > time_left_s:
                 continue
-            cost = expected_s + self.penalty_s(replica, baseline_s, now)
-            cost *= 1.0 + JITTER * self.random.random()
+            busy = forecast.requests / forecast.slots
+            cost = expected_s + self.penalty_s(replica, baseline_s, busy, now)
+            if adapts:
+                cost += min(SPREAD * cost, MAX_SPREAD_S) * self.random.random()
+                if replica.window is not None:
+                    cost += self.pace_cost_s(replica, replica.window, now)
+            else:
+                cost *= 1.0 + JITTER * self.random.random()
             if cost < best_cost:
                 best, best_cost = SelectedReplica(replica, unloaded_s, expected_s), cost
         return best
 
-    def penalty_s(self, replica: Replica, baseline_s: float, now: float) -> float:
-        """Return the cost added to the expected reply time for risks, in seconds."""
-        cost = (
-            baseline_s
-            * BUSY_COST_RATIO
-            * replica.estimated_requests(now)
-            / replica.entry.slots
-        )
+    def pace_cost_s(self, replica: Replica, window: Window, now: float) -> float:
+        """Return the cost of exceeding a replica's window, infinite if not allowed."""
+        in_flight = len(replica.in_flight)
+        if window.has_room(in_flight, now):
+            return 0.0
+        self.on_pace_denied()
+        if window.has_room_if_needed(in_flight, now):
+            return BEYOND_WINDOW_COST_S
+        return float("inf")
+
+    def penalty_s(
+        self, replica: Replica, baseline_s: float, busy: float, now: float
+    ) -> float:
+        """Return the cost added to the expected reply time for risks, in seconds.
+
+        ``busy`` is the number of requests at the replica for each of its slots.
+        """
+        cost = baseline_s * BUSY_COST_RATIO * busy
         if replica.entry.data_centre != self.data_centre:
             cost += CROSS_DATA_CENTRE_COST_S
         if replica.oldest_pending_s(now) > STALLED_RATIO * baseline_s:
@@ -159,3 +186,12 @@
             alike, key=lambda name: crc32(f"{name} {replica.replica_id}".encode())
         )
         return int(self.node in ranked[: int(part * len(alike))])
+
+
+def unaided_forecast(replica: Replica, now: float) -> Forecast:
+    """Return what is expected of a replica in deployments that don't adapt to load."""
+    return Forecast(
+        replica.current_slowdown(now),
+        replica.estimated_requests(now),
+        replica.entry.slots,
+    )
--- /dev/null
+++ b/sardinehook/gateway/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing by the load and the speed that replicas and delegates report."""
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -71,6 +71,7 @@
         quantile_s = policy.latency_s(route, HEDGE_QUANTILE)
         self.hedge_delay_s = min(quantile_s, MAX_HEDGE_RATIO * route.objective_s)
         self.hedge_at: float | None = request.received_at + self.hedge_delay_s
+        self.adapts = policy.directory.adapts_to_load
 
     @answers_errors
     def start(self) -> None:
@@ -91,10 +92,23 @@
             )
             self.complete(error_answer(problem, self.retry_after_s(now)))
             return
-        self.send(choice.replica, now)
+        self.follow_expected_end(choice, now)
+        self.send(choice, now)
         if not self.settled:
             self.schedule(now)
 
+    def follow_expected_end(self, choice: SelectedReplica, now: float) -> None:
+        """Hedge when the reply of the chosen replica is overdue by its own estimate.
+
+        The latest hedge is that of deployments that don't adapt to load.
+        """
+        if self.adapts:
+            ratio = self.policy.overdue_ratios.overdue_ratio(self.route.name)
+            latest_s = MAX_HEDGE_RATIO * self.route.objective_s
+            self.hedge_delay_s = min(ratio * choice.expected_s, latest_s)
+            latest_at = self.request.received_at + latest_s
+            self.hedge_at = min(now + self.hedge_delay_s, latest_at)
+
     def retry_after_s(self, now: float) -> float | None:
         """Return when pauses and limits of replicas allow a request, with jitter."""
         wait_s = self.policy.wait_s(self.route, self.service, now)
@@ -108,13 +122,14 @@
             self.service, self.median_s, self.tried, left_s, now, reserve
         )
 
-    def send(self, replica: Replica, now: float) -> None:
-        """Send the request to ``replica``."""
+    def send(self, choice: SelectedReplica, now: float) -> None:
+        """Send the request to the replica of a choice."""
         self.attempts += 1
-        self.tried.append(replica)
+        self.tried.append(choice.replica)
         exchange = Exchange(
-            self.request, replica, now, self.deadline_at, self.exchange_ended
+            self.request, choice.replica, now, self.deadline_at, self.exchange_ended
         )
+        exchange.expected_s = choice.expected_s
         self.open_exchanges.append(exchange)
         self.policy.dispatcher.start(exchange)
 
@@ -174,6 +189,9 @@
         dispatcher = self.policy.dispatcher
         took_s = dispatcher.observe_reply_time(exchange, self.median_s, now)
         self.policy.observe(self.route, took_s)
+        if self.adapts and exchange.expected_s > 0.0:
+            ratio = (now - exchange.started_at) / exchange.expected_s
+            self.policy.overdue_ratios.observe(self.route.name, ratio)
 
     def send_extra(self, now: float) -> bool:
         """Send to one more replica if idempotency, attempts, time and budget allow."""
@@ -190,7 +208,7 @@
         if is_repeat and not self.policy.try_spend_retry(self.service, now):
             return False
         self.repeats += 1
-        self.send(choice.replica, now)
+        self.send(choice, now)
         return True
 
     def schedule(self, now: float) -> None:
@@ -236,7 +254,7 @@
             self.policy.dispatcher.abandon(exchange)
             self.attempts -= 1
         self.open_exchanges.clear()
-        self.send(choice.replica, now)
+        self.send(choice, now)
         self.hedge_at = now + self.hedge_delay_s
 
     def failure_answer(self, now: float) -> CallerAnswer:
