Choose the delegate that answers now, spread the first requests to a replica

Cause: searches go to delegates that are frozen or without power for 0.7 s, a full delegate sends 90 shard requests back to a narrow link, and 98 gateways that begin a window at the same time each send a request. Change: delegates state their load in heartbeats and are asked before a search is handed over; a refused or unsent search goes to the other one; windows below one request are spread by a hash.

--- a/bench/routing_choices.py
+++ b/bench/routing_choices.py
@@ -13,13 +13,14 @@
 from typing import NamedTuple
 
 from sardinehook.gateway.interfaces import Load
+from sardinehook.gateway.replica_selection import BUSY_COST_RATIO, SPREAD
 from sardinehook.gateway.routing.load_estimate import (
     ReplicaSpeed,
     requests_of_others,
     service_times,
 )
 
-__all__ = ["Policy", "herding_table", "report_worth", "simulate_choices"]
+__all__ = ["POLICIES", "Policy", "herding_table", "report_worth", "simulate_choices"]
 
 SLOW_SHARE = 0.15  # of the time, work takes SLOW_RATIO as long
 SLOW_RATIO = 2.5
@@ -99,11 +100,11 @@
     return costs.index(min(costs))
 
 
-def hot_cost(views: Sequence[View], random: Random) -> int:
-    """Choose the lowest cost, where each request at a replica costs half a service."""
+def spread_cost(views: Sequence[View], random: Random) -> int:
+    """Choose the lowest cost where requests at a replica count, with 30% jitter."""
     costs = [
-        (view.reply_s + 0.5 * SERVICE_S * view.requests / view.slots)
-        * (1.0 + (0.1 + 0.2 * min(1.0, view.age_s / 0.6)) * random.random())
+        (view.reply_s + BUSY_COST_RATIO * SERVICE_S * view.requests / view.slots)
+        * (1.0 + SPREAD * random.random())
         for view in views
     ]
     return costs.index(min(costs))
@@ -115,7 +116,7 @@
     "two choices": two_choices,
     "hot and cold": hot_and_cold,
     "jitter by age": aged_jitter,
-    "cost of requests, jitter by age": hot_cost,
+    "cost of requests, jitter 0.3": spread_cost,
 }
 
 
@@ -128,7 +129,6 @@
     ratio: float = 1.0
     redraw_at: float = 0.0
     running: int = 0
-    waiting: int = 0
     free_at: tuple[float, ...] = (0.0,) * SLOTS
 
     def serve(self, now: float) -> float:
@@ -223,6 +223,9 @@
     return lines
 
 
+SETTINGS = ((6, 0.3, 1), (6, 0.3, 4), (6, 0.6, 4), (24, 0.5, 12))
+
+
 def main() -> None:
     """Print both tables."""
     for age in (None, 0.005, 0.05, 0.5):
--- a/sardinehook/gateway/delegated_search.py
+++ b/sardinehook/gateway/delegated_search.py
@@ -9,7 +9,7 @@
 from sardinehook.errors import ErrorKind, Problem
 from sardinehook.gateway.answer import CallerAnswer, error_answer
 from sardinehook.gateway.configuration import Route
-from sardinehook.gateway.delegates import Delegate, Delegates
+from sardinehook.gateway.delegates import DELEGATION_FULL, Delegate, Delegates
 from sardinehook.gateway.interfaces import CallerRequest
 from sardinehook.gateway.policy import RequestPolicy, request_deadline
 from sardinehook.gateway.search_codec import SEARCH_PATH, decode_answer, encode_search
@@ -63,6 +63,8 @@
         self.hedges = 0
         self.repeats = 0
         self.connection: ClientConnection | None = None
+        self.was_sent = False
+        self.adapts = policy.directory.adapts_to_load
 
     @answers_errors
     def start(self) -> None:
@@ -88,6 +90,7 @@
             self.delegate.name.encode(),
             len(body),
         )
+        self.was_sent = True
         connection.exchange(head + body, self.exchange_ended)
 
     @answers_errors
@@ -98,8 +101,11 @@
                 if self.connection is not None:
                     self.delegate.pool.release(self.connection, KEEP_ALIVE_S)
                 if reply.status == SERVICE_UNAVAILABLE:
-                    reason = reply.body.decode("latin-1")
-                    self.delegates.avoid(self.delegate, reason, REFUSED_AVOID_S)
+                    self.record_refusal(reply.body.decode("latin-1"))
+                    self.search_locally()
+                elif self.adapts and 400 <= reply.status < 500:
+                    # Its HTTP server rejected the message before any search began.
+                    self.delegates.avoid(self.delegate, f"status {reply.status}")
                     self.search_locally()
                 elif reply.status != OK:
                     self.fail(f"status {reply.status}")
@@ -109,10 +115,21 @@
                 self.delegates.avoid(self.delegate, detail)
                 self.fail(detail)
 
+    def record_refusal(self, reason: str) -> None:
+        """Pass over the delegate for a while, which is short if it is only full."""
+        if self.adapts and reason == DELEGATION_FULL:
+            self.delegate.load.record_full(self.reactor.seconds())
+        else:
+            self.delegates.avoid(self.delegate, reason, REFUSED_AVOID_S)
+
     def accept_answer(self, body: bytes) -> None:
         """Decode the delegate's answer and finish with it."""
         match decode_answer(body):
             case Success(wire):
+                now = self.reactor.seconds()
+                took_s = now - self.request.received_at
+                objective_s = self.route.objective_s
+                self.delegate.load.observe_answer(took_s / objective_s, now)
                 self.hedges = wire.hedges
                 self.repeats = wire.repeats
                 headers = tuple(wire.headers)
@@ -134,12 +151,23 @@
         """Drop the connection and answer that the outcome is unknown."""
         if self.settled:
             return
+        if self.adapts and not self.was_sent:
+            self.replace_unsent(reason)
+            return
         connection, self.connection = self.connection, None
         if connection is not None and connection.finish is not None:
             connection.abort()
         detail = f"{self.delegate.name}: {reason}"
         self.complete(error_answer(Problem(ErrorKind.OUTCOME_UNKNOWN, detail)))
 
+    def replace_unsent(self, reason: str) -> None:
+        """Search elsewhere if there is time; nothing was sent to the delegate."""
+        if self.reactor.seconds() < self.deadline_at:
+            self.search_locally()
+            return
+        detail = f"{self.delegate.name}: {reason}, before the search was sent"
+        self.complete(error_answer(Problem(ErrorKind.TARGET_UNAVAILABLE, detail)))
+
     def fail_unexpectedly(self) -> None:
         """Answer after an unexpected error."""
         self.fail("unexpected error in the gateway")
--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 import structlog
@@ -9,16 +10,18 @@
 from sardinehook.gateway.fleet import GatewayFleet
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.routing.delegate_load import DelegateLoad, DelegateReport
 from sardinehook.gateway.shares import higher_bandwidth_gateways
 from sardinehook.observe.events import EventName, log_event
 
-__all__ = ["Delegate", "Delegates"]
+__all__ = ["DELEGATION_FULL", "Delegate", "Delegates"]
 
 logger = structlog.get_logger(__name__)
 
 HEARTBEAT_TIMEOUT_S = 0.7  # three missed heartbeats and one that is late
 ASK_AFTER_S = 0.3  # one missed heartbeat: the answer comes before the timeout
 AVOID_AFTER_FAILURE_S = 2.0  # covers a restart
+DELEGATION_FULL = "delegation limit reached"  # reason of a refusal, as sent
 MAX_CONNECTIONS = 32  # to one delegate: its concurrent searches from here
 ANSWER_MARGIN_S = 0.05  # a working delegate answers before the deadline
 
@@ -32,6 +35,13 @@
         """Answer the caller that the outcome of the search is unknown."""
 
 
+class Inquiry(Protocol):
+    """Work that waits until a delegate is heard."""
+
+    def heard(self) -> None:
+        """Check whether a delegate can be chosen now."""
+
+
 class Delegate:
     """State about a gateway that runs searches for this one."""
 
@@ -45,6 +55,7 @@
         self.avoided_until = 0.0
         self.cut_off = False
         self.searches: dict[DelegatedWork, None] = {}
+        self.load = DelegateLoad()
 
     def record_heartbeat(self, now: float, cut_off: bool) -> None:
         """Record a heartbeat, and whether the sender says that it is cut off."""
@@ -82,6 +93,9 @@
         self.known: dict[str, Delegate] = {}
         self.removed: list[Delegate] = []
         self.turn = 0
+        self.began_at = reactor.seconds()
+        self.inquiries: dict[Inquiry, None] = {}
+        self.ask: Callable[[list[str]], None] = lambda names: None
 
     def update(self) -> None:
         """Select delegates among the registered gateways.
@@ -116,6 +130,19 @@
         delegate = self.known.get(node)
         if delegate is not None:
             delegate.record_heartbeat(self.reactor.seconds(), cut_off)
+            for inquiry in list(self.inquiries):
+                inquiry.heard()
+
+    def record_report(self, node: str, report: DelegateReport) -> None:
+        """Record the load that a delegate states."""
+        delegate = self.known.get(node)
+        if delegate is not None:
+            now = self.reactor.seconds()
+            delegate.load.observe_report(report, now, len(delegate.searches))
+
+    def ask_all(self) -> None:
+        """Ask all delegates for a heartbeat."""
+        self.ask(list(self.known))
 
     def unheard(self) -> list[str]:
         """Return the names of the delegates without a recent heartbeat."""
@@ -148,6 +175,32 @@
         ordered = usable[first:] + usable[:first]
         return min(ordered, key=lambda delegate: len(delegate.searches))
 
+    def choose_by_load(
+        self, shards: int, tried: Collection[Delegate], heard_since: float
+    ) -> Delegate | None:
+        """Return the delegate at which a search of some shards costs least.
+
+        Delegates without room, those in ``tried`` and those not heard since
+        ``heard_since`` are not eligible, nor are those cut off from most replicas.
+        """
+        now = self.reactor.seconds()
+        eligible = [
+            one
+            for one in self.usable()
+            if one not in tried
+            and not one.cut_off
+            and one.last_heartbeat_at >= heard_since
+            and one.load.has_room(len(one.searches), shards, now)
+        ]
+        if not eligible:
+            return None
+        self.turn += 1
+        first = self.turn % len(eligible)
+        ordered = eligible[first:] + eligible[:first]
+        return min(
+            ordered, key=lambda one: one.load.cost(len(one.searches), shards, now)
+        )
+
     def sweep(self) -> None:
         """Fail searches that are late or whose delegate's heartbeats have timed out."""
         now = self.reactor.seconds()
--- a/sardinehook/gateway/heartbeat.py
+++ b/sardinehook/gateway/heartbeat.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 import structlog
+from msgspec import Meta
 
 from sardinehook.decoding import DECODE_ERRORS
 from sardinehook.gateway.fleet import GatewayFleet
+from sardinehook.gateway.routing.delegate_load import DelegateReport
 from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["HeartbeatProtocol"]
@@ -19,15 +21,22 @@
 MALFORMED_LOGGED = 3  # bounds the log lines about faulty senders
 
 
+Figure = Annotated[int, Meta(ge=0, le=1_000_000)]
+
+
 class Heartbeat(msgspec.Struct, array_like=True, frozen=True):
     """A heartbeat: its sender, and whether that can't reach most replicas.
 
-    With ``asks``, the sender wants a heartbeat in return.
+    With ``asks``, the sender wants a heartbeat in return. ``in_flight`` and
+    ``capacity`` are its load as a delegate (see ``DelegateReport``); the capacity is
+    zero if it states none, as older gateways do.
     """
 
     node: str
     cut_off: bool
     asks: bool = False
+    in_flight: Figure = 0
+    capacity: Figure = 0
 
 
 encode_heartbeat = msgspec.msgpack.Encoder().encode
@@ -40,7 +49,8 @@
     A connection to a paused or cut-off process shows no error for seconds, whereas
     missing heartbeats are detected within a second. ``is_cut_off`` returns whether this
     gateway can't reach most of the replicas that it searches. ``on_heartbeat`` receives
-    the name of each registered sender, and whether that one is cut off.
+    the name of each registered sender, and whether that one is cut off; ``on_report``
+    gets its load before that. ``own_report`` returns the load of this gateway.
 
     A delegate sends heartbeats to the gateways that it knows. One that has just started
     asks for them: its delegates may learn of it late, in a partition only after it.
@@ -60,6 +70,8 @@
         self.was_cut_off = False
         self.reported_cut_off = False
         self.unheard: Callable[[], list[str]] = list
+        self.own_report: Callable[[], DelegateReport] = lambda: DelegateReport(0, 0)
+        self.on_report: Callable[[str, DelegateReport], object] = lambda *_: None
         self.malformed = 0
 
     def send(self) -> None:
@@ -75,7 +87,7 @@
         # report the state only if two checks in a row agree that it is cut off.
         before, self.was_cut_off = self.was_cut_off, self.is_cut_off()
         self.reported_cut_off = before and self.was_cut_off
-        heartbeat = encode_heartbeat(Heartbeat(self.fleet.node, self.reported_cut_off))
+        heartbeat = self.own_heartbeat()
         for record in self.fleet.registered_records().values():
             lower_bandwidth = record.link_mbps < own.link_mbps
             if (
@@ -87,9 +99,15 @@
 
     def ask_unheard(self) -> None:
         """Ask the delegates that have not been heard lately for a heartbeat."""
+        self.ask(self.unheard())
+
+    def ask(self, names: list[str]) -> None:
+        """Ask some delegates for a heartbeat; each answers at once."""
+        if self.transport is None:
+            return
         records = self.fleet.registered_records()
         question = encode_heartbeat(Heartbeat(self.fleet.node, False, True))
-        for name in self.unheard():
+        for name in names:
             record = records.get(name)
             if record is not None and record.signs_at:
                 self.transport.write(question, socket_address(record.signs_at))
@@ -104,6 +122,9 @@
         if heartbeat.asks:
             self.answer(addr)
         elif heartbeat.node in self.fleet.records:
+            if heartbeat.capacity:
+                report = DelegateReport(heartbeat.in_flight, heartbeat.capacity)
+                self.on_report(heartbeat.node, report)
             self.on_heartbeat(heartbeat.node, heartbeat.cut_off)
         else:
             self.log_malformed(addr[0], f"{heartbeat.node!r} is not registered")
@@ -114,8 +135,20 @@
         One that has just started doesn't know yet whether it is cut off.
         """
         if self.sends_heartbeats:
-            heartbeat = Heartbeat(self.fleet.node, self.reported_cut_off)
-            self.transport.write(encode_heartbeat(heartbeat), address)
+            self.transport.write(self.own_heartbeat(), address)
+
+    def own_heartbeat(self) -> bytes:
+        """Return the heartbeat that this gateway sends now."""
+        report = self.own_report()
+        return encode_heartbeat(
+            Heartbeat(
+                self.fleet.node,
+                self.reported_cut_off,
+                False,
+                report.in_flight,
+                report.capacity,
+            )
+        )
 
     def log_malformed(self, address: str, detail: str) -> None:
         """Log the first datagrams that are no heartbeats of a registered gateway."""
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -56,6 +56,18 @@
             "sardinehook_rate_denied",
             "Times that a replica was passed over, since its stated rate was used up",
         )
+        self.pace_denied = instruments.counter(
+            "sardinehook_pace_denied",
+            "Times that a replica was put last, since its window of requests was full",
+        )
+        self.paced_replicas = instruments.gauge(
+            "sardinehook_paced_replicas",
+            "Replicas with a window of requests after a start or a recovery",
+        )
+        self.new_connections_lost = instruments.counter(
+            "sardinehook_new_connections_lost",
+            "Connections that replicas closed at once, as beyond their limit",
+        )
         self.pauses = instruments.counter(
             "sardinehook_replica_pauses",
             "Answers of replicas that asked for a pause",
--- a/sardinehook/gateway/pace/pacer.py
+++ b/sardinehook/gateway/pace/pacer.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
+from zlib import crc32
 
 import structlog
 
@@ -11,7 +12,7 @@
 from sardinehook.gateway.replica import Replica
 from sardinehook.observe.events import EventName, log_event
 
-__all__ = ["PACE_VARIABLE", "Pacer"]
+__all__ = ["PACE_VARIABLE", "RESUME_RATIO", "Pacer"]
 
 logger = structlog.get_logger(__name__)
 
@@ -20,6 +21,7 @@
 KEPT_S = 30.0  # how long a window outlasts the entry of its replica
 MAX_KEPT = 4096  # bounds the memory for entries that are gone
 FAILING_RATIO = 0.5  # of failed exchanges: the replica has to recover
+HASH_RANGE = 2.0**32  # of crc32
 RESUME_RATIO = 0.5  # of the full window, after a short absence
 
 
@@ -40,8 +42,11 @@
     for a service. Without ``enabled`` there are no windows.
     """
 
-    def __init__(self, share_divisor: Callable[[str], float], enabled: bool) -> None:
+    def __init__(
+        self, share_divisor: Callable[[str], float], node: str, enabled: bool
+    ) -> None:
         self.share_divisor = share_divisor
+        self.node = node
         self.enabled = enabled
         self.kept: dict[tuple[str, int], KeptWindow] = {}
         self.paced: dict[Replica, None] = {}
@@ -53,14 +58,14 @@
         divisor = self.share_divisor(replica.entry.service)
         return PaceLimits.of(replica.entry.slots, divisor)
 
-    def begin(self, replica: Replica, now: float, resumes: bool = False) -> None:
-        """Begin a window, unless one has begun; ``resumes`` starts at half its size."""
+    def begin(self, replica: Replica, now: float, ratio: float = 0.0) -> None:
+        """Begin a window at a part of its full size, unless one has begun."""
         if not self.enabled or replica.window is not None:
             return
         limits = self.limits_of(replica)
-        window = replica.window = Window(limits, now)
-        if resumes:
-            window.size = max(limits.start, RESUME_RATIO * limits.full)
+        name = f"{self.node} {replica.replica_id}".encode()
+        phase = crc32(name) / HASH_RANGE
+        replica.window = Window(limits, now, ratio * limits.full, phase)
         self.paced[replica] = None
 
     def add(self, replica: Replica, replaces: bool, now: float) -> None:
@@ -75,12 +80,9 @@
         is_new_process = replaces or started_now or replica.entry.cold_left_s > 0.0
         kept = self.kept.pop(process_of(replica), None)
         if kept is not None and now <= kept.kept_at + KEPT_S:
-            self.begin(replica, now, resumes=True)
-            if replica.window is not None:
-                full = replica.window.limits.full
-                replica.window.size = min(replica.window.size, kept.ratio * full)
+            self.begin(replica, now, min(RESUME_RATIO, kept.ratio))
         else:
-            self.begin(replica, now, resumes=not is_new_process)
+            self.begin(replica, now, 0.0 if is_new_process else RESUME_RATIO)
 
     def keep(self, replica: Replica, now: float) -> None:
         """Remember the window of a replica that leaves the directory."""
--- a/sardinehook/gateway/pace/window.py
+++ b/sardinehook/gateway/pace/window.py
@@ -14,11 +14,13 @@
 FULL_REQUESTS_PER_SLOT = 4.0  # of all gateways together: the window ends there
 HARD_RATIO = 4.0  # of the window, where no sibling has room
 GROWTH = 1.0  # requests more for each answer in time: doubles in a round trip
+FIRST_SPACING_S = 0.05  # more than usual service times, for spreading first requests
+LEAST_RATIO = 0.25  # of the start: the smallest window
 SHRINK = 0.5  # of the window, for a refusal or a slow answer
 SHRINK_INTERVAL_S = 0.05  # one overload shrinks the window once, not for each answer
 SLOW_RATIO = 3.0  # of the expected reply time, beyond which an answer is slow
 QUEUE_PER_SLOT = 1.0  # a longer stated queue shrinks the window, half of it stops it
-IDLE_DOUBLING_S = 1.0  # without bad answers the window doubles in this time
+IDLE_DOUBLING_S = 2.0  # an unused window doubles in this time
 MAX_WINDOW_S = 10.0  # without bad answers for this long it ends
 
 
@@ -51,6 +53,9 @@
     answers in time and slowly without any, and shrinks with refusals, slow answers and
     a long stated queue. It has ended when it has reached its full size.
 
+    ``phase``, between zero and one, differs among gateways. Of those whose windows are
+    smaller than one, it selects the few that may send at once, and spreads the others.
+
     >>> window = Window(PaceLimits(0.5, 4.0), 10.0)
     >>> window.has_room(0, 10.0)
     True
@@ -59,15 +64,32 @@
     (False, True)
     """
 
-    __slots__ = ("bad_at", "began_at", "changed_at", "limits", "next_at", "size")
-
-    def __init__(self, limits: PaceLimits, now: float) -> None:
+    __slots__ = (
+        "bad_at",
+        "began_at",
+        "changed_at",
+        "limits",
+        "needed_at",
+        "next_at",
+        "size",
+    )
+
+    def __init__(
+        self,
+        limits: PaceLimits,
+        now: float,
+        size: float | None = None,
+        phase: float = 0.0,
+    ) -> None:
         self.limits = limits
-        self.size = limits.start
+        self.size = limits.start if size is None else max(size, limits.start)
         self.began_at = now
         self.changed_at = now
         self.bad_at = now
-        self.next_at = now
+        delay_s = phase * FIRST_SPACING_S / self.size
+        self.next_at = now if phase < self.size else now + delay_s
+        hard = HARD_RATIO * self.size
+        self.needed_at = now if phase < hard else now + delay_s / HARD_RATIO
 
     def current_size(self, now: float) -> float:
         """Return the size at ``now``; it doubles slowly while nothing is known."""
@@ -83,14 +105,18 @@
 
     def has_room_if_needed(self, in_flight: int, now: float) -> bool:
         """Return whether a request may be sent for want of a sibling with room."""
-        size = self.current_size(now)
-        return in_flight + 1 <= max(1.0, HARD_RATIO * size)
+        size = HARD_RATIO * self.current_size(now)
+        if size >= 1.0:
+            return in_flight + 1 <= size
+        return not in_flight and now >= self.needed_at
 
     def record_sent(self, now: float, service_s: float) -> None:
         """Space the next request if the window is smaller than one request."""
-        size = self.current_size(now)
+        size = self.size = self.current_size(now)
+        self.changed_at = now
         if size < 1.0:
             self.next_at = now + service_s / size
+            self.needed_at = now + service_s / size / HARD_RATIO
 
     def observe_answer(
         self, ratio: float, waiting: int, slots: int, now: float
@@ -108,14 +134,14 @@
             self.changed_at = now
 
     def shrink(self, now: float) -> None:
-        """Shrink by a refusal or a failure, down to the start of the window."""
+        """Shrink by a refusal or a failure."""
         size = self.current_size(now)
         self.changed_at = now
         if now < self.bad_at + SHRINK_INTERVAL_S and self.bad_at > self.began_at:
             self.size = size
             return
         self.bad_at = now
-        self.size = max(self.limits.start, SHRINK * size)
+        self.size = max(LEAST_RATIO * self.limits.start, SHRINK * size)
 
     def has_ended(self, now: float) -> bool:
         """Return whether the replica has shown that it needs no window any more."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -5,6 +5,7 @@
 import gc
 import signal
 from collections.abc import Callable
+from os import environ
 from random import Random
 from typing import NamedTuple
 from zlib import crc32
@@ -24,6 +25,7 @@
 from sardinehook.gateway.http_server import HttpServer
 from sardinehook.gateway.interfaces import CallerCodec, ReplicaCodec, StoreSchema
 from sardinehook.gateway.metrics import GatewayMetrics
+from sardinehook.gateway.pace.pacer import PACE_VARIABLE
 from sardinehook.gateway.peers import PeerClient
 from sardinehook.gateway.policy import DEMAND_WINDOW_S, RequestPolicy
 from sardinehook.gateway.probes import ProbeServer
@@ -109,6 +111,9 @@
         self.policy.on_retry_denied = metrics.repeats_denied.inc
         selector.on_cold_denied = metrics.cold_denied.inc
         selector.on_rate_denied = metrics.rate_denied.inc
+        selector.on_pace_denied = metrics.pace_denied.inc
+        dispatcher.on_new_connection_lost = metrics.new_connections_lost.inc
+        self.directory.pacer.enabled = environ.get(PACE_VARIABLE) != "off"
         self.request_log = RequestLog(reactor, metrics)
         self.request_handler = RequestHandler(
             self.policy, self.request_log, self.random
@@ -161,6 +166,9 @@
             self.delegates.record_heartbeat,
         )
         self.heartbeats.unheard = self.delegates.unheard
+        self.heartbeats.own_report = self.request_handler.delegate_report
+        self.heartbeats.on_report = self.delegates.record_report
+        self.delegates.ask = self.heartbeats.ask
         self.heartbeat_loop = RepeatingCall(
             reactor, HEARTBEAT_INTERVAL_S, self.heartbeats.send
         )
@@ -381,6 +389,7 @@
             replica.notices.leaving_since is not None for replica in replicas.values()
         )
         self.metrics.leaving_replicas.set(leaving)
+        self.metrics.paced_replicas.set(len(self.directory.pacer.paced))
         held = sum(replica.pool.connection_count for replica in replicas.values())
         self.metrics.connections.set(held)
         now = self.reactor.seconds()
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -17,7 +17,7 @@
     WeightedService,
 )
 from sardinehook.gateway.delegated_search import DelegatedSearch
-from sardinehook.gateway.delegates import Delegates
+from sardinehook.gateway.delegates import DELEGATION_FULL, Delegates
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.http_server import Cancellable
 from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
@@ -28,6 +28,15 @@
 )
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
+from sardinehook.gateway.routing.delegate_load import (
+    MIN_CONCURRENT_SEARCHES,
+    DelegateReport,
+)
+from sardinehook.gateway.routing.search_routing import (
+    DelegateInquiry,
+    PendingSearch,
+    SearchRouting,
+)
 from sardinehook.gateway.search_codec import (
     DelegatedRequest,
     decode_search,
@@ -281,6 +290,13 @@
             running.begin(Gather(self.policy, request, route, shards, done))
 
         delegates = self.delegates
+        if delegates is not None and self.policy.directory.adapts_to_load:
+            count, version = len(shards.shards), configuration.version
+            search = PendingSearch(request, route, count, version)
+            SearchRouting(
+                self.policy, delegates, search, running.begin, done, start_local_search
+            ).start()
+            return
         delegate = delegates.choose() if delegates else None
         if delegates is None or delegate is None:
             start_local_search()
@@ -328,12 +344,11 @@
             return None
         shards = route.destination
         shard_count = len(shards.shards)
-        if self.stopping or self.delegated_in_flight + shard_count > self.max_delegated:
-            finish(
-                delegation_refused(
-                    "stopping" if self.stopping else "delegation limit reached"
-                )
-            )
+        limit = self.max_delegated
+        if self.policy.directory.adapts_to_load:
+            limit = max(limit, MIN_CONCURRENT_SEARCHES * shard_count)
+        if self.stopping or self.delegated_in_flight + shard_count > limit:
+            finish(delegation_refused("stopping" if self.stopping else DELEGATION_FULL))
             return None
         self.delegated_in_flight += shard_count
         self.demand_of(route).add(1, request.received_at)
@@ -353,6 +368,12 @@
         running.begin(Gather(self.policy, request, route, shards, done))
         return None if running.work.settled else running
 
+    def delegate_report(self) -> DelegateReport:
+        """Return the load of this gateway as a delegate of others."""
+        open_exchanges = len(self.policy.dispatcher.exchanges)
+        in_flight = max(self.delegated_in_flight, open_exchanges)
+        return DelegateReport(in_flight, self.max_delegated)
+
     def choose_service(
         self, route: Route, services: tuple[WeightedService, ...]
     ) -> str:
@@ -376,9 +397,11 @@
         self.handler = handler
         self.peer = peer
         self.shard_count = shard_count
-        self.work: Gather | SingleCall | DelegatedSearch
+        self.work: Gather | SingleCall | DelegatedSearch | DelegateInquiry
 
-    def begin(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+    def begin(
+        self, work: Gather | SingleCall | DelegatedSearch | DelegateInquiry
+    ) -> None:
         """Start ``work``, replacing a delegated search that was refused."""
         self.work = work
         work.start()
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from sardinehook.gateway.delegated_search import DelegatedSearch
     from sardinehook.gateway.gather import Gather
+    from sardinehook.gateway.routing.search_routing import DelegateInquiry
     from sardinehook.gateway.single import SingleCall
 
 __all__ = ["RequestLog"]
@@ -62,7 +63,7 @@
 
     def record_ended(
         self,
-        work: Gather | SingleCall | DelegatedSearch,
+        work: Gather | SingleCall | DelegatedSearch | DelegateInquiry,
         version: int,
         answer: CallerAnswer,
         peer: str = "",
@@ -96,14 +97,18 @@
             peer=peer or delegate_of(work),
         )
 
-    def count_missing(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+    def count_missing(
+        self, work: Gather | SingleCall | DelegatedSearch | DelegateInquiry
+    ) -> None:
         """Count the shards that are missing from an answer, by reason."""
         for shard in getattr(work, "shards", ()):
             if not shard.answered:
                 kind = missing_reason(shard.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
-    def record_cancelled(self, work: Gather | SingleCall | DelegatedSearch) -> None:
+    def record_cancelled(
+        self, work: Gather | SingleCall | DelegatedSearch | DelegateInquiry
+    ) -> None:
         """Record a request whose caller has disconnected."""
         took_s = self.reactor.seconds() - work.request.received_at
         self.metrics.requests.labels("any", "caller_left").inc()
@@ -116,13 +121,13 @@
         )
 
 
-def target_of(work: Gather | SingleCall | DelegatedSearch) -> str:
+def target_of(work: Gather | SingleCall | DelegatedSearch | DelegateInquiry) -> str:
     """Return the ids of the replicas that a single request was sent to."""
     tried = getattr(work, "tried", [])
     return ",".join(replica.replica_id for replica in tried)
 
 
-def delegate_of(work: Gather | SingleCall | DelegatedSearch) -> str:
+def delegate_of(work: Gather | SingleCall | DelegatedSearch | DelegateInquiry) -> str:
     """Return the name of the gateway to which a search was delegated."""
     delegate = getattr(work, "delegate", None)
     return delegate.name if delegate else ""
--- a/sardinehook/gateway/routing/hedging.py
+++ b/sardinehook/gateway/routing/hedging.py
@@ -71,7 +71,8 @@
     """Return how long after sending a request its hedge is due.
 
     It is due when the reply is overdue by the replica's own estimate, and no later than
-    ``last_chance_s``, when a hedge would still end within the objective.
+    ``last_chance_s``, when a hedge would still end within the objective. If that is too
+    soon after the request for a hedge, the objective is not considered.
 
     >>> bounds = HedgeBounds(0.004, 0.016)
     >>> hedge_delay_s(0.004, 1.5, bounds, 0.02)
@@ -79,7 +80,9 @@
     >>> hedge_delay_s(0.01, 1.5, bounds, 0.02), hedge_delay_s(0.01, 1.5, bounds, 0.013)
     (0.015, 0.013)
     """
-    due_s = min(expected_s * overdue_ratio, bounds.latest_s, last_chance_s)
+    due_s = min(expected_s * overdue_ratio, bounds.latest_s)
+    if last_chance_s > bounds.earliest_s:
+        due_s = min(due_s, last_chance_s)
     return max(due_s, bounds.earliest_s)
 
 
