Split the answer of a search and the log of replica states from their files

Change: search_answer.py, replica_states.py and unused_replica.py; the log says by which figures a replica was not chosen.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -17,8 +17,9 @@
 from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_states import is_other_process, log_state_changes
 from sardinehook.gateway.shares import Shares
-from sardinehook.observe.events import EventName, log_event, log_names
+from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["Directory"]
 
@@ -29,7 +30,6 @@
 DEREGISTERED_GRACE_RATIO = 0.7  # of the drain time
 MAX_COLD_RATIO = 2.0  # of the cold start of its service, for one replica
 MAX_PROBES = 32  # of failing replicas at once, since each takes processor time
-MAX_DETAILED_CHANGES = 8  # more changes at once share lines, without their details
 MAX_DEREGISTERED_GRACE_S = 2.4  # entries lost in a store outage return within 2 s
 
 
@@ -111,34 +111,6 @@
                 waits.append(max(notices.pause_left_s(now), rate_wait_s))
         return min(waits, default=0.0)
 
-    def describe(self, replica: Replica, now: float) -> str:
-        """Describe for the log why a replica gets no requests."""
-        data_centre = replica.entry.data_centre
-        if replica.entry.draining:
-            return "draining"
-        if data_centre in self.evacuated:
-            return f"in evacuated {data_centre}"
-        if replica.notices.leaving_since is not None:
-            return f"leaving for {now - replica.notices.leaving_since:.1f} s"
-        if pause_left_s := replica.notices.pause_left_s(now):
-            return f"paused for another {pause_left_s:.1f} s"
-        if replica.deregistered_at is not None:
-            return f"left discovery {now - replica.deregistered_at:.1f} s ago"
-        if self.reachability.is_cut_off(data_centre, now):
-            return f"data centre {data_centre} unreachable"
-        if replica.pool.is_failing:
-            return "refuses connections"
-        if replica.notices.rate_share is not None and not replica.limit_allows(
-            0.0, now
-        ):
-            return f"rate limit of {replica.notices.rate_share.limit_per_s:g}/s used up"
-        load_age_s = now - replica.load_at
-        return (
-            f"expected wait {replica.expected_service_times(now):.1f} service times "
-            f"(load {load_age_s:.1f} s old), "
-            f"slowdown {replica.current_slowdown(now):.1f}"
-        )
-
     @property
     def deregistered_grace_s(self) -> float:
         """How long a replica that left discovery still gets requests."""
@@ -420,33 +392,6 @@
         self.changes.setdefault(state, []).append(replica)
 
     def log_changes(self) -> None:
-        """Log the state changes since the last call.
-
-        Listings, outages of the store and new shards change many replicas at once. A
-        line for each would use up the budget of log lines that requests need.
-        """
+        """Log the state changes since the last call."""
         changes, self.changes = self.changes, {}
-        for state, replicas in changes.items():
-            if len(replicas) > MAX_DETAILED_CHANGES:
-                names = [replica.replica_id for replica in replicas]
-                log_names(logger, EventName.TARGET_STATE, state, names)
-                continue
-            for replica in replicas:
-                log_event(
-                    logger,
-                    EventName.TARGET_STATE,
-                    target=replica.replica_id,
-                    service=replica.entry.service,
-                    address=replica.entry.address,
-                    state=state,
-                    incarnation=str(replica.entry.started_ms),
-                )
-
-
-def is_other_process(known: ReplicaEntry, new: ReplicaEntry) -> bool:
-    """Return whether two entries of one id come from different processes."""
-    return (known.started_ms, known.address, known.service) != (
-        new.started_ms,
-        new.address,
-        new.service,
-    )
+        log_state_changes(changes)
--- a/sardinehook/gateway/gather.py
+++ b/sardinehook/gateway/gather.py
@@ -23,9 +23,10 @@
     answer_deadline,
     request_deadline,
 )
-from sardinehook.gateway.records import merge_records, split_records
+from sardinehook.gateway.records import split_records
 from sardinehook.gateway.replica_selection import SelectedReplica
 from sardinehook.gateway.routing.search_hedges import SearchHedges
+from sardinehook.gateway.search_answer import merge_answer, missing_reasons
 from sardinehook.gateway.shard_request import ShardRequest
 from sardinehook.gateway.unexpected import answers_errors, unexpected_error_answer
 from sardinehook.transport.reactor import Timer
@@ -376,10 +377,13 @@
     def settle(self) -> None:
         """Answer with the shards that replied, or with an error if too few did."""
         if self.answered >= self.required:
-            self.complete(self.merge_answer())
+            self.complete(
+                merge_answer(self.policy.callers, self.shard_set, self.shards)
+            )
             return
         missing = len(self.shards) - self.answered
-        detail = f"{missing} of {len(self.shards)} shards missing: {self.reasons()}"
+        reasons = missing_reasons(self.shards)
+        detail = f"{missing} of {len(self.shards)} shards missing: {reasons}"
         if not self.may_have_run and not self.may_be_running():
             problem = Problem(ErrorKind.TARGET_UNAVAILABLE, detail)
             failed = tuple(n for n, one in enumerate(self.shards) if not one.answered)
@@ -399,27 +403,6 @@
             for exchange in shard.open_exchanges
         )
 
-    def merge_answer(self) -> CallerAnswer:
-        """Merge the records of the shards that replied into the answer."""
-        merged = [shard for shard in self.shards if shard.records is not None]
-        missing = len(self.shards) - len(merged)
-        headers = self.policy.callers.merged_headers(
-            [shard.signature for shard in merged], missing
-        )
-        records = [shard.records or [] for shard in merged]
-        body = merge_records(records, self.shard_set.max_records)
-        detail = self.reasons() if missing else ""
-        return CallerAnswer(200, headers, body, "answered", detail)
-
-    def reasons(self) -> str:
-        """List the first missing shards with their replicas and failure reasons."""
-        missing = [shard for shard in self.shards if not shard.answered]
-        causes = [
-            f"{shard.name}:{'+'.join(r.replica_id for r in shard.tried)}:{shard.reason}"
-            for shard in missing[:8]
-        ]
-        return "; ".join(causes)
-
     def complete(self, answer: CallerAnswer) -> None:
         """Abandon the unsent exchanges and finish with ``answer``."""
         self.settled = True
--- a/sardinehook/gateway/policy.py
+++ b/sardinehook/gateway/policy.py
@@ -13,6 +13,7 @@
 from sardinehook.gateway.retry_budget import RetryBudget, SlidingWindowCounter
 from sardinehook.gateway.routing.hedging import OverdueRatios
 from sardinehook.gateway.settings import Bounds
+from sardinehook.gateway.unused_replica import describe_unused
 from sardinehook.query.latency import LatencyEstimates
 
 __all__ = [
@@ -136,7 +137,7 @@
         now = self.reactor.seconds()
         known = self.directory.by_service.get(service, [])
         states = [
-            f"{replica.replica_id} {self.directory.describe(replica, now)}"
+            f"{replica.replica_id} {describe_unused(self.directory, replica, now)}"
             for replica in known[:MAX_EXPLAINED_REPLICAS]
         ]
         return f"{service}: {', '.join(states) or 'none registered'}"
