--- a/tests/gateway/test_pace.py
+++ b/tests/gateway/test_pace.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sardinehook.gateway.interfaces import Load
+from sardinehook.gateway.pace.pacer import PACE_VARIABLE
 from sardinehook.gateway.pace.window import PaceLimits, Window
 from sardinehook.gateway.replica import Replica
 from tests.gateway.support import (
@@ -16,6 +17,7 @@
     make_gateway,
     search_route,
 )
+from tests.gateway.test_process import ProcessRig
 
 SERVICE_S = 0.03
 
@@ -172,3 +174,10 @@
         gateway = self.gateway()
         gateway.directory.pacer.enabled = False
         assert gateway.add("s00-a", "s00").window is None
+
+    @pytest.mark.parametrize(("value", "enabled"), [("off", False), ("on", True)])
+    def test_the_environment_turns_it_off(
+        self, value: str, enabled: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setenv(PACE_VARIABLE, value)
+        assert ProcessRig().process.directory.pacer.enabled is enabled
