Let a gateway with a small window send soon where no sibling can

Cause: of 98 gateways most refused single requests for up to 0.6 s after all replicas of a service had restarted. Change: below one request, the window allows sixteen times its rate if no other replica is eligible.

--- a/sardinehook/gateway/pace/window.py
+++ b/sardinehook/gateway/pace/window.py
@@ -13,6 +13,7 @@
 START_REQUESTS_PER_SLOT = 1.0  # of all gateways together, at the start of a window
 FULL_REQUESTS_PER_SLOT = 4.0  # of all gateways together: the window ends there
 HARD_RATIO = 4.0  # of the window, where no sibling has room
+NEEDED_RATIO = 16.0  # the same below one request: few gateways have one at a time
 GROWTH = 1.0  # requests more for each answer in time: doubles in a round trip
 FIRST_SPACING_S = 0.05  # more than usual service times, for spreading first requests
 LEAST_RATIO = 0.25  # of the start: the smallest window
@@ -88,8 +89,8 @@
         self.bad_at = now
         delay_s = phase * FIRST_SPACING_S / self.size
         self.next_at = now if phase < self.size else now + delay_s
-        hard = HARD_RATIO * self.size
-        self.needed_at = now if phase < hard else now + delay_s / HARD_RATIO
+        is_early = phase < NEEDED_RATIO * self.size
+        self.needed_at = now if is_early else now + delay_s / NEEDED_RATIO
 
     def current_size(self, now: float) -> float:
         """Return the size at ``now``; it doubles slowly while nothing is known."""
@@ -116,7 +117,7 @@
         self.changed_at = now
         if size < 1.0:
             self.next_at = now + service_s / size
-            self.needed_at = now + service_s / size / HARD_RATIO
+            self.needed_at = now + service_s / size / NEEDED_RATIO
 
     def observe_answer(
         self, ratio: float, waiting: int, slots: int, now: float
--- a/tests/gateway/test_pace.py
+++ b/tests/gateway/test_pace.py
@@ -94,6 +94,12 @@
         window.observe_answer(ratio, waiting, 2, 0.1)
         assert window.size < 4.0
 
+    def test_a_gateway_without_a_sibling_to_ask_soon_has_its_turn(self) -> None:
+        window = Window(PaceLimits.of(2, 98.0), 0.0, phase=0.9)
+        assert not window.has_room_if_needed(0, 0.0)
+        assert window.has_room_if_needed(0, 0.15)
+        assert not window.has_room(0, 0.15)
+
     def test_it_does_not_last_without_answers(self) -> None:
         assert Window(PaceLimits(0.02, 0.08), 0.0).has_ended(4.1)
 
