Merge routing by load and the pace of replicas that start

Cause: choices use three of four figures of a load, herd to the replica that looked idle, and flood replicas that start; gateways keep more connections than replicas take; a silent delegate loses searches. A search that was admitted here and then taken by a delegate gives its quota back, since the delegate counts it.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -12,12 +12,14 @@
 from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.gateway.notice_board import NoticeBoard
 from sardinehook.gateway.notices import StatedNotices
+from sardinehook.gateway.pace.pacer import RESUME_RATIO, Pacer
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.replica_states import is_other_process, log_state_changes
 from sardinehook.gateway.shares import Shares
-from sardinehook.observe.events import EventName, log_event, log_names
+from sardinehook.observe.events import EventName, log_event
 
 __all__ = ["Directory"]
 
@@ -28,7 +30,6 @@
 DEREGISTERED_GRACE_RATIO = 0.7  # of the drain time
 MAX_COLD_RATIO = 2.0  # of the cold start of its service, for one replica
 MAX_PROBES = 32  # of failing replicas at once, since each takes processor time
-MAX_DETAILED_CHANGES = 8  # more changes at once share lines, without their details
 MAX_DEREGISTERED_GRACE_S = 2.4  # entries lost in a store outage return within 2 s
 
 
@@ -52,6 +53,7 @@
         self.reachability = Reachability()
         self.changes: dict[str, list[Replica]] = {}
         self.replicas_state_work = False
+        self.pacer = Pacer(self.share_divisor, node, enabled=True)
 
     @property
     def adapts_to_load(self) -> bool:
@@ -109,34 +111,6 @@
                 waits.append(max(notices.pause_left_s(now), rate_wait_s))
         return min(waits, default=0.0)
 
-    def describe(self, replica: Replica, now: float) -> str:
-        """Describe for the log why a replica gets no requests."""
-        data_centre = replica.entry.data_centre
-        if replica.entry.draining:
-            return "draining"
-        if data_centre in self.evacuated:
-            return f"in evacuated {data_centre}"
-        if replica.notices.leaving_since is not None:
-            return f"leaving for {now - replica.notices.leaving_since:.1f} s"
-        if pause_left_s := replica.notices.pause_left_s(now):
-            return f"paused for another {pause_left_s:.1f} s"
-        if replica.deregistered_at is not None:
-            return f"left discovery {now - replica.deregistered_at:.1f} s ago"
-        if self.reachability.is_cut_off(data_centre, now):
-            return f"data centre {data_centre} unreachable"
-        if replica.pool.is_failing:
-            return "refuses connections"
-        if replica.notices.rate_share is not None and not replica.limit_allows(
-            0.0, now
-        ):
-            return f"rate limit of {replica.notices.rate_share.limit_per_s:g}/s used up"
-        load_age_s = now - replica.load_at
-        return (
-            f"expected wait {replica.expected_service_times(now):.1f} service times "
-            f"(load {load_age_s:.1f} s old), "
-            f"slowdown {replica.current_slowdown(now):.1f}"
-        )
-
     @property
     def deregistered_grace_s(self) -> float:
         """How long a replica that left discovery still gets requests."""
@@ -148,9 +122,11 @@
         if known is not None and entry.started_ms < known.entry.started_ms:
             return
         if known is None or is_other_process(known.entry, entry):
+            replaces = known is not None
             if known is not None:
                 self.discard(known)
             known = self.add(entry)
+            self.pacer.add(known, replaces, now)
             self.claim_address(known)
             if entry.cold_left_s:
                 self.set_cold(known, entry.cold_left_s, now)
@@ -159,6 +135,7 @@
             self.record_state_change(known, "draining" if entry.draining else "ready")
         elif known.deregistered_at is not None:
             self.record_state_change(known, "registered again")
+            self.pacer.begin(known, now, RESUME_RATIO)
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
             self.set_cold(known, entry.cold_left_s, now)
         known.entry = entry
@@ -177,6 +154,7 @@
             self.reactor, entry.address, max_connections, record_connected
         )
         replica = Replica(entry, pool)
+        self.limit_connections(replica)
         self.notice_board.restore(replica, self.reactor.seconds())
         self.replicas[entry.replica_id] = replica
         self.by_service.setdefault(entry.service, []).append(replica)
@@ -225,6 +203,7 @@
     def discard(self, replica: Replica) -> None:
         """Remove a replica; its exchanges in flight continue."""
         self.notice_board.keep(replica, self.reactor.seconds())
+        self.pacer.keep(replica, self.reactor.seconds())
         if self.replicas.get(replica.replica_id) is replica:
             del self.replicas[replica.replica_id]
         siblings = self.by_service.get(replica.entry.service, [])
@@ -255,6 +234,7 @@
                 self.record_state_change(replica, "gone")
                 self.discard(replica)
         self.log_changes()
+        self.pacer.sweep(now, self.adapts_to_load)
 
     def configure(self, configuration: Configuration) -> None:
         """Apply a configuration and its connection limits."""
@@ -276,6 +256,7 @@
     def set_shares(self, shares: Shares) -> None:
         """Set this gateway's share of the limits of replicas."""
         self.shares = shares
+        self.pacer.update_shares()
         self.update_connection_limits()
         self.update_rate_shares()
 
@@ -293,9 +274,29 @@
     def update_connection_limits(self) -> None:
         """Limit the connections to each replica to this gateway's share."""
         for replica in self.replicas.values():
-            replica.pool.max_connections = self.connection_limit(replica.entry.service)
+            self.limit_connections(replica)
+
+    def limit_connections(self, replica: Replica) -> None:
+        """Limit the connections to one replica to this gateway's share.
+
+        Where that is less than one, all gateways together would exceed the limit by
+        keeping one each: there, connections are closed after use.
+        """
+        share = self.connection_share(replica.entry.service)
+        adapts = self.adapts_to_load
+        replica.pool.set_limit(max(1, int(share)), adapts, not adapts or share >= 1.0)
+
+    def record_stated_work(self) -> None:
+        """Record that replicas state how long work takes; connections follow."""
+        if not self.replicas_state_work:
+            self.replicas_state_work = True
+            self.update_connection_limits()
 
     def connection_limit(self, service: str) -> int:
+        """Return how many connections to one replica this gateway may open."""
+        return max(1, int(self.connection_share(service)))
+
+    def connection_share(self, service: str) -> float:
         """Return this gateway's share of the connection limit of one replica."""
         services: Mapping[str, Any] = (
             self.configuration.services if self.configuration else {}
@@ -303,8 +304,7 @@
         known = services.get(service)
         bound = known.max_connections if known else 0
         share = MAX_CONNECTIONS_RATIO * (bound or DEFAULT_MAX_CONNECTIONS)
-        share /= self.share_divisor(service)
-        return max(1, int(share))
+        return share / self.share_divisor(service)
 
     def set_cold(self, replica: Replica, cold_left_s: float, now: float) -> None:
         """Record for how long a replica says that it is cold.
@@ -317,6 +317,8 @@
         if known is not None and known.cold_start_s:
             cold_left_s = min(cold_left_s, MAX_COLD_RATIO * known.cold_start_s)
         replica.cold_until = now + cold_left_s
+        if cold_left_s > 0.0:
+            self.pacer.begin(replica, now)
 
     def can_serve(self, service: str, now: float) -> bool:
         """Return whether a service has a replica that this gateway can connect to."""
@@ -361,6 +363,8 @@
             for replica in self.replicas.values()
             if replica.pool.is_failing and now >= replica.pool.retry_at
         ]
+        for replica in failing:
+            self.pacer.restart(replica, now)
         for replica in self.random.sample(failing, min(len(failing), MAX_PROBES)):
             replica.pool.probe()
 
@@ -388,33 +392,6 @@
         self.changes.setdefault(state, []).append(replica)
 
     def log_changes(self) -> None:
-        """Log the state changes since the last call.
-
-        Listings, outages of the store and new shards change many replicas at once. A
-        line for each would use up the budget of log lines that requests need.
-        """
+        """Log the state changes since the last call."""
         changes, self.changes = self.changes, {}
-        for state, replicas in changes.items():
-            if len(replicas) > MAX_DETAILED_CHANGES:
-                names = [replica.replica_id for replica in replicas]
-                log_names(logger, EventName.TARGET_STATE, state, names)
-                continue
-            for replica in replicas:
-                log_event(
-                    logger,
-                    EventName.TARGET_STATE,
-                    target=replica.replica_id,
-                    service=replica.entry.service,
-                    address=replica.entry.address,
-                    state=state,
-                    incarnation=str(replica.entry.started_ms),
-                )
-
-
-def is_other_process(known: ReplicaEntry, new: ReplicaEntry) -> bool:
-    """Return whether two entries of one id come from different processes."""
-    return (known.started_ms, known.address, known.service) != (
-        new.started_ms,
-        new.address,
-        new.service,
-    )
+        log_state_changes(changes)
--- a/sardinehook/gateway/quota/gate.py
+++ b/sardinehook/gateway/quota/gate.py
@@ -35,6 +35,11 @@
     def __init__(self, take_back: Callable[[], object] | None = None) -> None:
         self.take_back = take_back
 
+    @property
+    def is_counted(self) -> bool:
+        """Whether the request has used quota that it has not given back."""
+        return self.take_back is not None
+
     def give_back(self) -> None:
         """Give the quota of a request back that did not run."""
         take_back, self.take_back = self.take_back, None
--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -18,7 +18,7 @@
     WeightedService,
 )
 from sardinehook.gateway.delegated_search import DelegatedSearch
-from sardinehook.gateway.delegates import Delegates
+from sardinehook.gateway.delegates import DELEGATION_FULL, Delegates
 from sardinehook.gateway.gather import Gather
 from sardinehook.gateway.http_server import Cancellable
 from sardinehook.gateway.interfaces import CallerRequest, HttpRequest
@@ -41,6 +41,15 @@
 from sardinehook.gateway.request_log import RequestLog
 from sardinehook.gateway.retry_budget import SlidingWindowCounter
 from sardinehook.gateway.round_robin import WeightedRoundRobin
+from sardinehook.gateway.routing.delegate_load import (
+    MIN_CONCURRENT_SEARCHES,
+    DelegateReport,
+)
+from sardinehook.gateway.routing.search_routing import (
+    DelegateInquiry,
+    PendingSearch,
+    SearchRouting,
+)
 from sardinehook.gateway.search_codec import (
     DelegatedRequest,
     decode_search,
@@ -58,6 +67,7 @@
 MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
 
 Finish = Callable[[CallerAnswer], None]
+Work = Gather | SingleCall | DelegateInquiry | DelegatedSearch | LocalSearchAdmission
 
 
 class RequestHandler:
@@ -345,14 +355,26 @@
 
         def start_local_search() -> None:
             limited = self.limited_organisation(request)
-            if limited is None:
-                gather(UNCOUNTED)
+            if limited is None or running.receipt.is_counted:
+                gather(running.receipt)
             else:
                 running.begin(
                     LocalSearchAdmission(*limited, request, route, gather, done)
                 )
 
+        def begin(work: DelegateInquiry | DelegatedSearch) -> None:
+            if isinstance(work, DelegatedSearch):
+                running.receipt.give_back()  # the delegate admits the search
+            running.begin(work)
+
         delegates = self.delegates
+        if delegates is not None and self.policy.directory.adapts_to_load:
+            count, version = len(shards.shards), configuration.version
+            search = PendingSearch(request, route, count, version)
+            SearchRouting(
+                self.policy, delegates, search, begin, done, start_local_search
+            ).start()
+            return
         delegate = delegates.choose() if delegates else None
         if delegates is None or delegate is None:
             gather(running.receipt)  # admitted before: no delegate was there to do it
@@ -400,12 +422,11 @@
             return None
         shards = route.destination
         shard_count = len(shards.shards)
-        if self.stopping or self.delegated_in_flight + shard_count > self.max_delegated:
-            finish(
-                delegation_refused(
-                    "stopping" if self.stopping else "delegation limit reached"
-                )
-            )
+        limit = self.max_delegated
+        if self.policy.directory.adapts_to_load:
+            limit = max(limit, MIN_CONCURRENT_SEARCHES * shard_count)
+        if self.stopping or self.delegated_in_flight + shard_count > limit:
+            finish(delegation_refused("stopping" if self.stopping else DELEGATION_FULL))
             return None
 
         def begin(receipt: Receipt) -> Cancellable | None:
@@ -450,6 +471,12 @@
         running.begin(Gather(self.policy, request, route, shards, done))
         return None if running.work.settled else running
 
+    def delegate_report(self) -> DelegateReport:
+        """Return the load of this gateway as a delegate of others."""
+        open_exchanges = len(self.policy.dispatcher.exchanges)
+        in_flight = max(self.delegated_in_flight, open_exchanges)
+        return DelegateReport(in_flight, self.max_delegated)
+
     def choose_service(
         self, route: Route, services: tuple[WeightedService, ...]
     ) -> str:
@@ -481,18 +508,16 @@
         self.receipt = receipt
         self.peer = peer
         self.shard_count = shard_count
-        self.work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
+        self.work: Work
 
-    def begin(
-        self, work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
-    ) -> None:
+    def begin(self, work: Work) -> None:
         """Start ``work``, replacing a delegated search that was refused.
 
         What this gateway gathers itself needs admission first.
         """
         self.work = work
         match work:
-            case DelegatedSearch() | LocalSearchAdmission():
+            case DelegateInquiry() | DelegatedSearch() | LocalSearchAdmission():
                 work.start()
             case Gather() | SingleCall():
                 self.submit(work)
@@ -528,5 +553,7 @@
         match self.work:
             case Gather() | SingleCall() as work:
                 return work.may_have_run or work.may_be_running()
+            case DelegateInquiry():
+                return False
             case DelegatedSearch() | LocalSearchAdmission():
                 return True  # what these use is not counted by the receipt here
--- a/sardinehook/gateway/request_log.py
+++ b/sardinehook/gateway/request_log.py
@@ -15,8 +15,13 @@
     from sardinehook.gateway.delegated_search import DelegatedSearch
     from sardinehook.gateway.gather import Gather
     from sardinehook.gateway.quota.admitted_request import LocalSearchAdmission
+    from sardinehook.gateway.routing.search_routing import DelegateInquiry
     from sardinehook.gateway.single import SingleCall
 
+    Work = (
+        Gather | SingleCall | DelegatedSearch | DelegateInquiry | LocalSearchAdmission
+    )
+
 __all__ = ["RequestLog"]
 
 logger = structlog.get_logger(__name__)
@@ -67,7 +72,7 @@
 
     def record_ended(
         self,
-        work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission,
+        work: Work,
         version: int,
         answer: CallerAnswer,
         peer: str = "",
@@ -101,18 +106,14 @@
             peer=peer or delegate_of(work),
         )
 
-    def count_missing(
-        self, work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
-    ) -> None:
+    def count_missing(self, work: Work) -> None:
         """Count the shards that are missing from an answer, by reason."""
         for shard in getattr(work, "shards", ()):
             if not shard.answered:
                 kind = missing_reason(shard.reason)
                 self.metrics.missing_shards.labels(kind).inc()
 
-    def record_cancelled(
-        self, work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission
-    ) -> None:
+    def record_cancelled(self, work: Work) -> None:
         """Record a request whose caller has disconnected."""
         took_s = self.reactor.seconds() - work.request.received_at
         self.metrics.requests.labels("any", "caller_left").inc()
@@ -125,17 +126,13 @@
         )
 
 
-def target_of(
-    work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission,
-) -> str:
+def target_of(work: Work) -> str:
     """Return the ids of the replicas that a single request was sent to."""
     tried = getattr(work, "tried", [])
     return ",".join(replica.replica_id for replica in tried)
 
 
-def delegate_of(
-    work: Gather | SingleCall | DelegatedSearch | LocalSearchAdmission,
-) -> str:
+def delegate_of(work: Work) -> str:
     """Return the name of the gateway to which a search was delegated."""
     delegate = getattr(work, "delegate", None)
     return delegate.name if delegate else ""
--- a/tests/gateway/quota/test_requests.py
+++ b/tests/gateway/quota/test_requests.py
@@ -208,6 +208,30 @@
         assert (narrow.answers, narrow.handler.in_flight) == ([], 0)
 
 
+class TestSearchesThatWaitForDelegates:
+    """Guards against a search that is counted here and at the delegate that takes it.
+
+    Where the deployment adapts to load, a search that was admitted here may find a
+    delegate that has just started.
+    """
+
+    def test_what_was_counted_here_is_given_back(self) -> None:
+        narrow = QuotaRig("narrow", NARROW, False)
+        narrow.gateway.directory.replicas_state_work = True
+        delegate = narrow.add_delegate()
+        delegate.last_heartbeat_at = narrow.now() - 10.0
+        narrow.delegates.began_at = narrow.now()
+        narrow.search()
+        (ask,) = narrow.sent_messages()
+        assert isinstance(ask, Ask)
+        grant = QuotaRig("wide", WIDE, True).handler.quota.desk.answer(ask, 150.0)  # type: ignore[union-attr]
+        narrow.exchange.apply(grant, "wide", ("10.0.0.2", 9))  # type: ignore[arg-type]
+        assert [type(one) for one in narrow.sent_messages()] == [Ask]
+        narrow.delegates.record_heartbeat("wide", False)
+        assert [type(one) for one in narrow.sent_messages()] == [Ask, GiveBack]
+        assert len(narrow.pool.opened) == 1
+
+
 class TestWaitingForAGrant:
     def test_caller_leaves_before_the_grant(self) -> None:
         rig = QuotaRig("narrow", NARROW, False)
