Let the soak's defect of dropped records reach the merge again

Cause: merge_records is called from search_answer.py now; the defect replaced it in gather.py, where nothing calls it. Change: the defect replaces it where it is called. The test is unchanged.

--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from sardinehook.gateway import gather, records, run
+from sardinehook.gateway import records, run, search_answer
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.process import GatewayProcess
@@ -61,7 +61,7 @@
     def mutated(parts: Any, most: int) -> bytes:  # noqa: ANN401
         return merge(parts, most - 1)
 
-    patch(gather, "merge_records", mutated)
+    patch(search_answer, "merge_records", mutated)
 
 
 def ignore_changes() -> None:
