Decide on rollouts by sequential tests of both versions' answers

Cause: an order to move a service to another version had no effect; a bad version got its share like any other. Change: gateway/rollout/ decides which requests go to the new version, compares the answers of both with Wald and CUSUM tests, and lets one holder write state and status conditionally. The store client gets a conditional write.

--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from ipaddress import IPv4Address
 from random import Random
 from typing import Any
@@ -18,7 +18,14 @@
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.relay import changes_query
 from sardinehook.gateway.settings import Bounds
-from sardinehook.gateway.store import Changes, Item, LeaseGone, StoreProblem
+from sardinehook.gateway.store import (
+    Changes,
+    Conflict,
+    Item,
+    LeaseGone,
+    StoreProblem,
+    Write,
+)
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.watch_cache import StateUpdate, decode_update
 from sardinehook.platform.discovery import PlatformKeys
@@ -67,6 +74,17 @@
             self.answer_watch(call, after)
         return self.revision
 
+    def write_if(self, writes: Sequence[Write]) -> int | Conflict:
+        """Write keys if all are at their expected revisions."""
+        held = {one.key: self.items.get(one.key) for one in writes}
+        for one in writes:
+            item = held[one.key]
+            if one.expected_revision != (item.revision if item else 0):
+                return Conflict(tuple(item for item in held.values() if item))
+        for one in writes:
+            self.write(one.key, one.value)
+        return self.revision
+
     def answer_watch(self, call: Call, after: int, ended: bool = False) -> None:
         """Answer a pending watch if it has events or its wait has ended."""
         events = tuple(item for item in self.events if item.revision > after)
@@ -170,6 +188,22 @@
 
         return (await self.call(serve)).map(lambda _: self.store.revision)
 
+    async def write_if(
+        self, writes: Sequence[Write]
+    ) -> Result[int, StoreProblem | Conflict]:
+        """Write keys if all are at their expected revisions."""
+        store = self.store
+
+        def serve(call: Call) -> None:
+            store.answer(call, Success(store.write_if(writes)))
+
+        match await self.call(serve):
+            case Success(Conflict() as conflict):
+                return Failure(conflict)
+            case Failure(problem):
+                return Failure(problem)
+        return Success(store.revision)
+
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
         """Grant a lease."""
         number = len(self.store.leases) + 1000 * self.store.calls
--- a/sardinehook/gateway/configuration.py
+++ b/sardinehook/gateway/configuration.py
@@ -18,6 +18,7 @@
     "TrafficSplit",
     "WeightedService",
     "index_routes",
+    "services_of",
 ]
 
 
--- a/sardinehook/gateway/dispatch.py
+++ b/sardinehook/gateway/dispatch.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.interfaces import CallerRequest, ReplicaCodec, ReplicaReply
@@ -22,6 +23,7 @@
     "Answered",
     "Dispatcher",
     "Exchange",
+    "ExchangeMonitor",
     "ExchangeOutcome",
     "Failed",
     "NotRun",
@@ -100,6 +102,22 @@
         self.waiter: Callable[[ClientConnection | None], None] | None = None
 
 
+class ExchangeMonitor(Protocol):
+    """Is told of the start and the end of each exchange."""
+
+    def started(self, exchange: Exchange) -> None:
+        """Handle the start of an exchange, which may still wait for a connection."""
+        ...
+
+    def ended(self, exchange: Exchange, outcome: ExchangeOutcome) -> None:
+        """Handle the end of an exchange; ``sent_at`` is zero if it was not sent."""
+        ...
+
+    def abandoned(self, exchange: Exchange) -> None:
+        """Handle that the outcome of an exchange is not waited for any longer."""
+        ...
+
+
 class Dispatcher:
     """Starts exchanges with replicas, classifies their outcomes, abandons them."""
 
@@ -113,6 +131,7 @@
         self.codec = codec
         self.directory = directory
         self.exchanges: dict[Exchange, None] = {}
+        self.monitor: ExchangeMonitor | None = None
 
     def start(self, exchange: Exchange) -> None:
         """Send the request of an exchange.
@@ -126,6 +145,8 @@
         )
         self.exchanges[exchange] = None
         replica.in_flight[exchange] = None
+        if self.monitor is not None:
+            self.monitor.started(exchange)
         self.directory.reachability.record_request(
             replica.entry.data_centre, replica.replica_id, exchange.started_at
         )
@@ -269,6 +290,8 @@
         self.exchanges.pop(exchange, None)
         if not exchange.done:
             exchange.done = True
+            if self.monitor is not None:
+                self.monitor.ended(exchange, outcome)
             exchange.on_end(exchange, outcome)
 
     def observe_reply_time(
@@ -295,6 +318,8 @@
 
     def abandon(self, exchange: Exchange) -> None:
         """Abandon an exchange; closing its connection makes the replica stop work."""
+        if self.monitor is not None and not exchange.done:
+            self.monitor.abandoned(exchange)
         exchange.done = True
         self.exchanges.pop(exchange, None)
         exchange.replica.in_flight.pop(exchange, None)
--- a/sardinehook/gateway/interfaces.py
+++ b/sardinehook/gateway/interfaces.py
@@ -12,6 +12,7 @@
 
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.notices import NO_NOTICES, StatedNotices
+from sardinehook.gateway.rollout.orders import RolloutOrder, RolloutStatus
 from sardinehook.transport.connection import Reply
 
 __all__ = [
@@ -191,6 +192,8 @@
     configuration_key: str
     evacuation_prefix: str
     replica_prefix: str
+    rollout_prefix: str
+    rollout_status_prefix: str
 
     def read_configuration(self, value: bytes) -> Result[Configuration, str]:
         """Decode the configuration; a failure describes the error."""
@@ -199,3 +202,15 @@
     def read_replica(self, replica_id: str, value: bytes) -> Result[ReplicaEntry, str]:
         """Decode a discovery entry; a failure describes the error."""
         ...
+
+    def read_rollout(self, service: str, value: bytes) -> Result[RolloutOrder, str]:
+        """Decode an order to roll out a version; a failure describes the error."""
+        ...
+
+    def read_rollout_status(self, value: bytes) -> Result[RolloutStatus, str]:
+        """Decode the status of a rollout; a failure describes the error."""
+        ...
+
+    def encode_rollout_status(self, status: RolloutStatus) -> bytes:
+        """Encode the status of a rollout."""
+        ...
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -68,6 +68,25 @@
             "sardinehook_limited_replicas",
             "Replicas that state a limit of requests per second",
         )
+        self.rollout_sends = instruments.labelled_counter(
+            "sardinehook_rollout_sends",
+            "Requests to services with a rollout, by old or new version",
+            ["version"],
+        )
+        self.rollout_answers = instruments.labelled_counter(
+            "sardinehook_rollout_answers",
+            "Answers of services with a rollout, by old or new version",
+            ["version", "outcome"],
+        )
+        self.rollout_decisions = instruments.labelled_counter(
+            "sardinehook_rollout_decisions",
+            "Rollouts that this gateway has ended, by how",
+            ["outcome"],
+        )
+        self.rollout_share = instruments.gauge(
+            "sardinehook_rollout_share",
+            "Share of the requests that goes to the version rolled out last",
+        )
         self.store_age_seconds = instruments.gauge(
             "sardinehook_store_age_seconds",
             "Time since the store, or a reader of it, was heard",
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -31,6 +31,9 @@
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.request_log import RequestLog
+from sardinehook.gateway.rollout.controller import RolloutController, RolloutSite
+from sardinehook.gateway.rollout.leader import is_lowest
+from sardinehook.gateway.rollout.local_ledger import LocalLedger
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.store import GatewayStore
@@ -146,6 +149,10 @@
             seed for seed in settings.seeds if seed != settings.peer_address
         )
         state.on_changed = self.handle_changes
+        self.rollouts = self.make_rollouts(dialects.keys)
+        state.rollouts = self.rollouts
+        dispatcher.monitor = self.rollouts
+        selector.version_groups = self.rollouts.groups
         self.probes = ProbeServer(
             reactor,
             self.unready_reason,
@@ -172,6 +179,33 @@
         self.stopping = False
         self.last_reason_kind = "starting"
 
+    def make_rollouts(self, schema: StoreSchema) -> RolloutController:
+        """Return the controller of rollouts, with the ledger that it counts in."""
+        node = self.settings.node
+
+        def contact_age_s() -> float:
+            age_s: float = self.reactor.seconds() - self.follower.last_contact_at
+            return age_s
+
+        def names() -> frozenset[str]:
+            return frozenset({*self.fleet.records, node})
+
+        # The ledger of the fleet is passed here instead, once there is one.
+        rollout_ledger = LocalLedger(
+            lambda: is_lowest(node, self.fleet.registered_records())
+        )
+        rollouts = RolloutController(
+            self.reactor,
+            self.directory,
+            self.store,
+            schema,
+            rollout_ledger,
+            RolloutSite(node, self.settings.data_centre, names, contact_age_s),
+            self.metrics,
+        )
+        rollouts.bounds = self.settings.bounds
+        return rollouts
+
     def run(self) -> None:
         """Listen and run the reactor until a signal has caused a graceful stop.
 
@@ -240,6 +274,7 @@
                 self.settings = settings
                 self.policy.configure(settings.bounds)
                 self.follower.configure(settings.bounds)
+                self.rollouts.bounds = settings.bounds
                 state = "changed" if changed else "unchanged"
                 log_event(logger, EventName.SETTINGS_RELOADED, state=state)
             case Failure(detail):
@@ -436,6 +471,7 @@
         self.follower.stop()
         for loop in (self.sweep_loop, self.housekeeping_loop, self.heartbeat_loop):
             loop.stop()
+        self.rollouts.loop.stop()
         self.lag_probe.stop()
         took_ms = (self.reactor.seconds() - began) * 1000.0
         log_event(
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from typing import NamedTuple
 from zlib import crc32
@@ -28,6 +28,16 @@
 COLD_SAFETY_RATIO = 0.9  # of the cold rate; network delay bunches arrivals
 
 
+VersionGroups = Callable[[str, Sequence[Replica], float], Sequence[Sequence[Replica]]]
+
+
+def one_group(
+    service: str, replicas: Sequence[Replica], now: float
+) -> Sequence[Sequence[Replica]]:
+    """Return all replicas as one group: versions make no difference."""
+    return (replicas,)
+
+
 class SelectedReplica(NamedTuple):
     """The selected replica and its expected reply time in seconds.
 
@@ -60,6 +70,8 @@
         self.counting_since = float("-inf")
         self.on_cold_denied: Callable[[], object] = int
         self.on_rate_denied: Callable[[], object] = int
+        # Groups of replicas in order of preference, while a version is rolled out.
+        self.version_groups: VersionGroups = one_group
 
     def select(
         self,
@@ -77,9 +89,26 @@
         the requests behind it. Of a replica that limits its rate, ``reserve`` requests
         are left for others.
         """
+        replicas = self.directory.replicas_of(service)
+        for group in self.version_groups(service, replicas, now):
+            best = self.best_of(group, baseline_s, excluded, time_left_s, now, reserve)
+            if best is not None:
+                return best
+        return None
+
+    def best_of(
+        self,
+        replicas: Iterable[Replica],
+        baseline_s: float,
+        excluded: Collection[Replica],
+        time_left_s: float,
+        now: float,
+        reserve: float,
+    ) -> SelectedReplica | None:
+        """Return the replica with the lowest cost, ``None`` if none is eligible."""
         best: SelectedReplica | None = None
         best_cost = float("inf")
-        for replica in self.directory.replicas_of(service):
+        for replica in replicas:
             if replica in excluded or not self.limits_allow(replica, reserve, now):
                 continue
             unloaded_s = baseline_s * replica.current_slowdown(now)
--- /dev/null
+++ b/sardinehook/gateway/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Moves the requests of a service to replicas of another version."""
--- a/sardinehook/gateway/store.py
+++ b/sardinehook/gateway/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -11,11 +12,13 @@
 
 __all__ = [
     "Changes",
+    "Conflict",
     "GatewayStore",
     "HistoryGone",
     "Item",
     "LeaseGone",
     "StoreProblem",
+    "Write",
 ]
 
 
@@ -44,6 +47,24 @@
     """The lease has expired or was revoked."""
 
 
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """A key of a conditional write was not at its expected revision.
+
+    ``items`` are the current items of these keys; a key that does not exist has none.
+    """
+
+    items: tuple[Item, ...]
+
+
+class Write(NamedTuple):
+    """A key to write, if it is still at a revision; 0 if it must not exist yet."""
+
+    key: str
+    value: bytes
+    expected_revision: int
+
+
 StoreProblem = StoreUnavailable | HistoryGone | LeaseGone
 
 
@@ -69,6 +90,16 @@
         """Write a key that is deleted when ``lease`` ends; returns its revision."""
         ...
 
+    async def write_if(
+        self, writes: Sequence[Write]
+    ) -> Result[int, StoreProblem | Conflict]:
+        """Write all keys without a lease, or none if one has another revision.
+
+        After ``StoreUnavailable``, the write may have been executed, or may be executed
+        seconds later if its condition still holds.
+        """
+        ...
+
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
         """Grant a lease that expires without renewal in ``ttl_s``; returns its id."""
         ...
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -12,6 +12,7 @@
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.interfaces import StoreSchema
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.rollout.controller import RolloutController
 from sardinehook.gateway.store import Changes, Item
 from sardinehook.gateway.watch_cache import StateUpdate, WatchCache
 from sardinehook.observe.events import EventName, log_event
@@ -46,6 +47,7 @@
         self.version = -1
         self.evacuated: set[str] = set()
         self.on_changed: Callable[[], None] = lambda: None
+        self.rollouts: RolloutController | None = None
 
     @property
     def loaded(self) -> bool:
@@ -62,6 +64,8 @@
 
     def apply_changes(self, changes: Changes, whole: bool) -> None:
         """Apply a full listing, or the changes after the cached revision."""
+        if self.rollouts is not None:
+            self.rollouts.initial_listing = not self.loaded
         if whole:
             self.cache.replace(changes)
             self.listing_needed = False
@@ -95,6 +99,8 @@
             name[len(prefix) :] for name in names if name.startswith(prefix)
         }
         self.directory.set_evacuated(set(self.evacuated))
+        if self.rollouts is not None:
+            self.rollouts.retain(frozenset(names))
         self.fleet.retain(
             [n[len(GATEWAY_PREFIX) :] for n in names if n.startswith(GATEWAY_PREFIX)]
         )
@@ -121,6 +127,8 @@
             )
         elif item.key.startswith(GATEWAY_PREFIX):
             self.fleet.apply_record(item.key[len(GATEWAY_PREFIX) :], item.value)
+        elif self.rollouts is not None:
+            self.rollouts.apply_item(item)
 
     def apply_configuration(self, value: bytes) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -81,6 +81,11 @@
     STATE_FROM_PEER = "state_from_peer"
     WATCH_COMPARED = "watch_compared"
     READER_STATE = "reader_state"
+    ROLLOUT_ORDER = "rollout_order"
+    ROLLOUT_PHASE = "rollout_phase"
+    ROLLOUT_VERDICT = "rollout_verdict"
+    ROLLOUT_WRITE = "rollout_write"
+    ROLLOUT_PAUSED = "rollout_paused"
 
 
 class EventFields(TypedDict, total=False):
--- a/sardinehook/platform/discovery.py
+++ b/sardinehook/platform/discovery.py
@@ -9,9 +9,20 @@
 from msgspec import Meta
 from returns.result import Failure, Result, Success
 
-from sardinehook.decoding import DECODE_ERRORS, Number, is_address, is_token
+from sardinehook.decoding import (
+    DECODE_ERRORS,
+    Measure,
+    Number,
+    is_address,
+    is_token,
+)
 from sardinehook.gateway.configuration import Configuration
 from sardinehook.gateway.interfaces import ReplicaEntry
+from sardinehook.gateway.rollout.orders import (
+    RolloutOrder,
+    RolloutStatus,
+    StatusState,
+)
 from sardinehook.platform.configuration import decode_configuration
 
 __all__ = ["MAX_COLD_MS", "MAX_SLOTS", "PlatformKeys"]
@@ -41,6 +52,22 @@
     born: Number = msgspec.field(name="born", default=0)
 
 
+class WireRollout(msgspec.Struct, rename="pascal"):
+    """An operator's order to move a service to another version."""
+
+    service: str
+    target_version: str
+    duration_s: Measure
+
+
+class WireRolloutStatus(msgspec.Struct, rename="pascal"):
+    """What became of a rollout."""
+
+    # running, completed or rolled_back
+    state: str
+    target_version: str
+
+
 DECODER = msgspec.json.Decoder(WireEntry)
 
 
@@ -50,6 +77,8 @@
     configuration_key = "op/config"
     evacuation_prefix = "op/evacuate/"
     replica_prefix = "servers/"
+    rollout_prefix = "op/rollout/"
+    rollout_status_prefix = "status/rollout/"
 
     def read_configuration(self, value: bytes) -> Result[Configuration, str]:
         """Decode the operators' configuration; a failure is one line for the log."""
@@ -87,3 +116,42 @@
                 wire.version,
             )
         )
+
+    def read_rollout(self, service: str, value: bytes) -> Result[RolloutOrder, str]:
+        """Decode an order to roll out a version; a failure says why it is invalid.
+
+        >>> order = b'{"Service":"desk","TargetVersion":"2","DurationS":60}'
+        >>> PlatformKeys().read_rollout("desk", order).unwrap()
+        RolloutOrder(service='desk', target_version='2', duration_s=60.0)
+        >>> PlatformKeys().read_rollout("till", order).failure()
+        "the order is for the service 'desk'"
+        """
+        try:
+            wire = msgspec.json.decode(value, type=WireRollout)
+        except DECODE_ERRORS as error:
+            return Failure(str(error))
+        if wire.service != service:
+            return Failure(f"the order is for the service {wire.service!r}")
+        if not wire.target_version or wire.duration_s <= 0.0:
+            return Failure("an empty version or no duration")
+        return Success(RolloutOrder(service, wire.target_version, wire.duration_s))
+
+    def read_rollout_status(self, value: bytes) -> Result[RolloutStatus, str]:
+        """Decode the status of a rollout; a failure says why it is invalid."""
+        try:
+            wire = msgspec.json.decode(value, type=WireRolloutStatus)
+            return Success(RolloutStatus(StatusState(wire.state), wire.target_version))
+        except DECODE_ERRORS as error:
+            return Failure(str(error))
+
+    def encode_rollout_status(self, status: RolloutStatus) -> bytes:
+        """Encode the status of a rollout.
+
+        >>> keys = PlatformKeys()
+        >>> status = RolloutStatus(StatusState.COMPLETED, "2")
+        >>> keys.read_rollout_status(keys.encode_rollout_status(status)).unwrap()
+        RolloutStatus(state=<StatusState.COMPLETED: 'completed'>, target_version='2')
+        """
+        return msgspec.json.encode(
+            WireRolloutStatus(str(status.state), status.target_version)
+        )
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from base64 import b64decode, b64encode
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -16,10 +16,12 @@
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.store import (
     Changes,
+    Conflict,
     HistoryGone,
     Item,
     LeaseGone,
     StoreProblem,
+    Write,
 )
 from sardinehook.store.port import StoreUnavailable
 from sardinehook.transport.connection import Lost, Reply
@@ -76,6 +78,12 @@
     revision: Number
 
 
+class WireCurrent(msgspec.Struct):
+    """The reply to a conditional write that was refused."""
+
+    items: list[WireItem] = []
+
+
 class PlatformStore:
     """Implements the gateway's store port over the platform's HTTP API."""
 
@@ -94,6 +102,13 @@
         self, operation: str, method: str, path: str, body: object, timeout_s: float
     ) -> Result[Reply, StoreProblem]:
         """Send one request and count it; any status but 200 is a failure."""
+        result = await self.exchange(operation, method, path, body, timeout_s)
+        return result.bind(check_status)
+
+    async def exchange(
+        self, operation: str, method: str, path: str, body: object, timeout_s: float
+    ) -> Result[Reply, StoreProblem]:
+        """Send one request, and count its reply by the status."""
         content = b"" if body is None else msgspec.json.encode(body)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
@@ -102,9 +117,8 @@
         request = head.encode() + content
         match await HttpCall(self.reactor, self.pool, request, timeout_s).done:
             case Success(reply):
-                checked = check_status(reply)
                 self.count_call(operation, str(reply.status))
-                return checked
+                return Success(reply)
             case Failure(problem):
                 self.count_call(operation, "no_answer")
                 return Failure(problem)
@@ -168,6 +182,30 @@
             lambda written: written.revision
         )
 
+    async def write_if(
+        self, writes: Sequence[Write]
+    ) -> Result[int, StoreProblem | Conflict]:
+        """Write keys without a lease if all are at their expected revisions."""
+        body = {
+            "ExpectedRev": [
+                {"Key": one.key, "Revision": one.expected_revision} for one in writes
+            ],
+            "Puts": [
+                {"Key": one.key, "Value": b64encode(one.value).decode(), "Lease": 0}
+                for one in writes
+            ],
+            "Deletes": [],
+        }
+        result = await self.exchange(
+            "write_if", "POST", "/kv-txn", body, CALL_TIMEOUT_S
+        )
+        match result:
+            case Success(reply):
+                return read_conditional_write(reply)
+            case Failure(problem):
+                return Failure(problem)
+        return Failure(StoreUnavailable("no result", True))
+
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
         """Grant a lease that expires after ``ttl_s`` unless renewed."""
         body = {"TtlMs": int(ttl_s * MS_PER_S)}
@@ -217,6 +255,26 @@
     return Failure(StoreUnavailable(f"status {reply.status}", False))
 
 
+def read_conditional_write(reply: Reply) -> Result[int, StoreProblem | Conflict]:
+    """Decode the reply to a conditional write; 412 is a conflict.
+
+    >>> read_conditional_write(Reply(200, (), b'{"Revision":8}')).unwrap()
+    8
+    >>> read_conditional_write(Reply(412, (), b'{"items":[]}')).failure()
+    Conflict(items=())
+    """
+    written = check_status(reply).bind(lambda one: decode(one, WireRevision))
+    refused = decode(reply, WireCurrent)
+    match reply.status, written, refused:
+        case 412, _, Success(current):
+            return Failure(Conflict(tuple(map(read_item, current.items))))
+        case 200, Success(body), _:
+            return Success(body.revision)
+        case _, Failure(problem), _:
+            return Failure(problem)
+    return Failure(StoreUnavailable(f"status {reply.status}", True))
+
+
 def decode(reply: Reply, reply_type: type[Body]) -> Result[Body, StoreProblem]:
     """Decode the body of a reply; a malformed one counts as unavailability."""
     try:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from ipaddress import IPv4Address
 from random import Random
 from typing import Any
@@ -21,10 +21,12 @@
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import (
     Changes,
+    Conflict,
     HistoryGone,
     Item,
     LeaseGone,
     StoreProblem,
+    Write,
 )
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.watch_cache import StateUpdate, decode_update, encode_update
@@ -67,6 +69,13 @@
         self.calls.append(f"put {key}")
         return Success(1)
 
+    async def write_if(
+        self, writes: Sequence[Write]
+    ) -> Result[int, StoreProblem | Conflict]:
+        """Accept a conditional write."""
+        self.calls.extend(f"write_if {write.key}" for write in writes)
+        return Success(1)
+
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
         """Grant a lease."""
         self.calls.append("grant")
