--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -16,6 +16,7 @@
 from sardinehook.gateway.directory import Directory
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import changes_query
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import (
@@ -51,7 +52,7 @@
     lost stays lost after the store answers again.
     """
 
-    def __init__(self, reactor: MemoryReactorClock) -> None:
+    def __init__(self, reactor: GatewayReactor) -> None:
         self.reactor = reactor
         self.items: dict[str, Item] = {}
         self.events: list[Item] = []
@@ -64,6 +65,10 @@
     def write(self, key: str, value: bytes | None) -> int:
         """Write or delete a key, and answer the watches."""
         self.revision += 1
+        return self.change(key, value)
+
+    def change(self, key: str, value: bytes | None) -> int:
+        """Change a key at the present revision, and answer the watches."""
         item = Item(key, value, self.revision)
         self.events.append(item)
         if value is None:
@@ -81,8 +86,9 @@
             item = held[one.key]
             if one.expected_revision != (item.revision if item else 0):
                 return Conflict(tuple(item for item in held.values() if item))
+        self.revision += 1
         for one in writes:
-            self.write(one.key, one.value)
+            self.change(one.key, one.value)
         return self.revision
 
     def answer_watch(self, call: Call, after: int, ended: bool = False) -> None:
@@ -200,9 +206,11 @@
         match await self.call(serve):
             case Success(Conflict() as conflict):
                 return Failure(conflict)
+            case Success(int(revision)):
+                return Success(revision)
             case Failure(problem):
                 return Failure(problem)
-        return Success(store.revision)
+        raise AssertionError("a write returns a revision or a conflict")
 
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
         """Grant a lease."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -31,7 +31,8 @@
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.request_log import RequestLog
-from sardinehook.gateway.rollout.controller import RolloutController, RolloutSite
+from sardinehook.gateway.rollout.controller import RolloutController
+from sardinehook.gateway.rollout.items import RolloutSite
 from sardinehook.gateway.rollout.leader import is_lowest
 from sardinehook.gateway.rollout.local_ledger import LocalLedger
 from sardinehook.gateway.settings import GatewaySettings
@@ -203,7 +204,7 @@
             RolloutSite(node, self.settings.data_centre, names, contact_age_s),
             self.metrics,
         )
-        rollouts.bounds = self.settings.bounds
+        rollouts.configure(self.settings.bounds)
         return rollouts
 
     def run(self) -> None:
@@ -274,7 +275,7 @@
                 self.settings = settings
                 self.policy.configure(settings.bounds)
                 self.follower.configure(settings.bounds)
-                self.rollouts.bounds = settings.bounds
+                self.rollouts.configure(settings.bounds)
                 state = "changed" if changed else "unchanged"
                 log_event(logger, EventName.SETTINGS_RELOADED, state=state)
             case Failure(detail):
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -65,7 +65,7 @@
     def apply_changes(self, changes: Changes, whole: bool) -> None:
         """Apply a full listing, or the changes after the cached revision."""
         if self.rollouts is not None:
-            self.rollouts.initial_listing = not self.loaded
+            self.rollouts.set_initial_listing(not self.loaded)
         if whole:
             self.cache.replace(changes)
             self.listing_needed = False
