Play a rollout in the soak, with a version that may be bad

Cause: rollouts were only played on a simulated clock. The bound of a bad verdict is a little higher.

--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -45,6 +45,9 @@
 BudgetSlack = 58
 BudgetWindowS = 10
 RetryBudgetRatio = 0.2
+CanaryShare = 0.1
+CanarySlack = 50
+RollbackMs = 5000
 [Limits]
 LinkMbps = {link_mbps}
 [platform]
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -15,6 +15,7 @@
     "Notice",
     "ReplicaAnswer",
     "Revision",
+    "RolloutRecord",
     "Withdrawal",
 ]
 
@@ -125,6 +126,28 @@
     end: float
 
 
+@dataclass
+class RolloutRecord:
+    """A rollout: the replicas of both versions, and what the status said when.
+
+    ``bad_answers`` are the times of failed and slow answers of the new version.
+    ``at_old_when_completed`` is how many requests were at old replicas then.
+    """
+
+    service: str
+    defect: str
+    ordered_at: float = 0.0
+    deadline_at: float = 0.0
+    old: list[str] = field(default_factory=list)
+    new: list[str] = field(default_factory=list)
+    bad_answers: list[float] = field(default_factory=list)
+    found_good_at: float | None = None
+    decision: str = ""
+    decided_at: float = 0.0
+    later_decision: str = ""
+    at_old_when_completed: int = 0
+
+
 @dataclass
 class History:
     """All observations that the checks evaluate."""
@@ -141,6 +164,7 @@
     cold_starts: list[Interval] = field(default_factory=list)
     disturbances: list[Interval] = field(default_factory=list)
     planned_stops: list[Interval] = field(default_factory=list)
+    rollouts: list[RolloutRecord] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
     recovered_at: float = 0.0
     # Whether some gateways run the searches of others.
--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -193,9 +193,17 @@
             self.reply(watch.request, 200, content)
 
     def write_transaction(self, request: Request, content: bytes) -> None:
-        """Write the keys of a transaction; gateways send no conditions."""
+        """Write the keys of a transaction if its conditions hold, else answer 412."""
         body = msgspec.json.decode(content)
         now = self.reactor.seconds()
+        rows = {row["Key"]: row["Revision"] for row in body["ExpectedRev"]}
+        found = {key: self.values.held.get(key) for key in rows}
+        if any(
+            rows[key] != (held.revision if held else 0) for key, held in found.items()
+        ):
+            items = [encode_item(held) for held in found.values() if held]
+            self.reply(request, 412, {"items": items})
+            return
         for put in body["Puts"]:
             lease = f"lease-{put['Lease']}" if put["Lease"] else ""
             held = self.values.held.get(put["Key"])
--- a/bench/soak/replica_server.py
+++ b/bench/soak/replica_server.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from bench.soak.history import Arrival, Execution, History, Notice, ReplicaAnswer
+from bench.soak.rollouts import Defect
 from sardinehook.gateway.reactor import GatewayReactor
 
 __all__ = ["ReplicaServer"]
@@ -69,6 +70,8 @@
         self.queue: list[ReplicaConnection] = []
         self.connections: set[ReplicaConnection] = set()
         self.most_connections = 0
+        self.defect: Defect | None = None
+        self.started_at = reactor.seconds()
 
     def buildProtocol(self, addr: object) -> ReplicaConnection:
         """Return a new protocol for an accepted connection."""
@@ -97,8 +100,33 @@
         self.running += 1
         connection.record_execution()
         took_s = self.work_s * self.rng.uniform(0.7, 1.5)
+        if self.shows_defect(connection) and self.defect is not None:
+            took_s *= self.defect.slowness
+            connection.fails = self.rng.random() < self.defect.failing
         self.reactor.callLater(took_s, self.finish_request, connection)
 
+    def shows_defect(self, connection: ReplicaConnection) -> bool:
+        """Return whether the version is bad for a request."""
+        defect = self.defect
+        if defect is None:
+            return False
+        since_s = self.reactor.seconds() - self.started_at
+        target = connection.target.decode()
+        has_load = self.running >= defect.running
+        return (
+            has_load and since_s >= defect.after_s and target.startswith(defect.prefix)
+        )
+
+    def pending_requests(self) -> int:
+        """Return how many requests run or wait here."""
+        return self.running + sum(one.open for one in self.queue)
+
+    def record_bad_answer(self) -> None:
+        """Record a failed or slow answer of a version that is rolled out."""
+        for record in self.history.rollouts:
+            if self.name in record.new:
+                record.bad_answers.append(self.reactor.seconds())
+
     def finish_request(self, connection: ReplicaConnection) -> None:
         """Answer a request and start the next queued one."""
         self.running -= 1
@@ -165,6 +193,7 @@
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
         self.complete = False
+        self.fails = False
 
     def connectionMade(self) -> None:
         """Register the connection with the replica."""
@@ -247,6 +276,11 @@
         if not self.open:
             return
         fault = replica.rng.random() < FAULTY_SHARE and replica.mode
+        defect = replica.defect
+        if self.fails or (defect is not None and defect.slowness > 1.0):
+            replica.record_bad_answer()
+        if self.fails:
+            fault = "errors"
         if fault == "lost":
             self.tcp.abortConnection()
             return
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,7 +19,13 @@
 from bench.soak.faults import FaultInjector
 from bench.soak.gateways import STOP_MARGIN_S, Gateway, GatewayOptions, make_gateways
 from bench.soak.history import Interval
-from bench.soak.schedule import Topology, make_overlaps, make_schedule
+from bench.soak.rollouts import RolloutPlayer
+from bench.soak.schedule import (
+    Topology,
+    make_overlaps,
+    make_rollout_faults,
+    make_schedule,
+)
 from bench.soak.testbed import DATA_CENTRES, Testbed
 from sardinehook.gateway.reactor import GatewayReactor
 
@@ -40,6 +46,7 @@
     """Options of a soak; ``mutant`` names a defect injected into the gateways.
 
     With ``overlaps``, the store has outages that overlap with restarts and changes.
+    With ``rollouts``, a service moves to another version beside other faults.
     """
 
     seed: int
@@ -49,6 +56,7 @@
     mean_gap_s: float = 1.0
     mutant: str = ""
     overlaps: bool = False
+    rollouts: bool = False
 
 
 class SoakResult(NamedTuple):
@@ -114,7 +122,10 @@
             len(self.gateways), len(self.testbed.replicas), len(DATA_CENTRES)
         )
         options = self.options
-        if options.overlaps:
+        if options.rollouts:
+            RolloutPlayer(self.testbed, options.seed).start()
+            schedule = make_rollout_faults(options.seed, topology, options.faults_s)
+        elif options.overlaps:
             schedule = make_overlaps(options.seed, topology, options.faults_s)
         else:
             schedule = make_schedule(
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -26,6 +26,7 @@
     "StoreLink",
     "Topology",
     "make_overlaps",
+    "make_rollout_faults",
     "make_schedule",
 ]
 
@@ -41,6 +42,7 @@
 MAX_CALM_S = 9.0
 LAPSE_SHARE = 0.5
 MEAN_BETWEEN_TOTAL_RESTARTS_S = 10.0
+MEAN_BETWEEN_ROLLOUT_FAULTS_S = 4.0
 EVACUATION_SHARE = 0.4
 WHOLE_DATA_CENTRE_SHARE = 0.5
 OUTAGE_MODES = ("silent", "silent", "silent", "busy", "slow", "lost")
@@ -224,6 +226,35 @@
     return sorted(within, key=lambda one: one.at)
 
 
+def make_rollout_faults(
+    seed: int, topology: Topology, duration_s: float
+) -> list[ScheduledFault]:
+    """Draw the faults beside a rollout: gateways, their way to the store, the store.
+
+    >>> topology = Topology(6, 8, 3)
+    >>> len(make_rollout_faults(1, topology, 60.0)) > 5
+    True
+    """
+    rng = Random(f"{seed} rollout faults")
+    scheduled: list[ScheduledFault] = []
+    at = QUIET_START_S
+    while at < duration_s:
+        gateway = rng.randrange(topology.gateways)
+        fault: Fault = rng.choice(
+            (
+                GatewayKill(gateway),
+                GatewayStop(gateway),
+                GatewayPause(gateway),
+                StoreLink(gateway, rng.choice(LINK_MODES)),
+                StoreFault(rng.choice(("silent", "busy", "lost", "slow", "lapse"))),
+            )
+        )
+        length_s = rng.uniform(MIN_DURATION_S, MAX_DURATION_S)
+        scheduled.append(ScheduledFault(at, fault, length_s))
+        at += rng.expovariate(1.0 / MEAN_BETWEEN_ROLLOUT_FAULTS_S)
+    return [one for one in scheduled if one.at < duration_s]
+
+
 def draw_outage(
     rng: Random, topology: Topology, at: float, outage_s: float
 ) -> Iterator[ScheduledFault]:
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -12,6 +12,7 @@
 from bench.soak.kv_server import KvServer
 from bench.soak.proxy import Proxy
 from bench.soak.replica_server import ReplicaServer
+from bench.soak.rollouts import Defect
 from sardinehook.gateway.reactor import GatewayReactor
 
 __all__ = ["DATA_CENTRES", "ReplicaSite", "Testbed"]
@@ -54,8 +55,16 @@
     """An address behind a proxy at which successive replicas run."""
 
     def __init__(
-        self, testbed: Testbed, number: int, service: str, data_centre: str
+        self,
+        testbed: Testbed,
+        number: int,
+        service: str,
+        data_centre: str,
+        version: str = "1",
+        defect: Defect | None = None,
     ) -> None:
+        self.version = version
+        self.defect = defect
         self.testbed = testbed
         self.number = number
         self.service = service
@@ -83,6 +92,7 @@
         self.server = ReplicaServer(
             testbed.reactor, testbed.history, rng, name, self.service, WORK_S
         )
+        self.server.defect = self.defect
         self.listening = testbed.reactor.listenTCP(
             0, self.server, interface="127.0.0.1"
         )
@@ -108,7 +118,7 @@
             "Service": self.identity.service,
             "Addr": f"127.0.0.1:{self.proxy.port}",
             "Zone": self.identity.data_centre,
-            "Version": "1",
+            "Version": self.version,
             "Slots": 2,
             "State": state,
             "ColdLeftMs": int(1000 * max(0.0, self.cold_until - now)),
@@ -142,6 +152,15 @@
         self.server = None
         self.testbed.reactor.callLater(RESTART_DELAY_S, self.start)
 
+    def stop_for_good(self) -> None:
+        """Stop the replica without draining; none follows it at this address."""
+        if self.server is None:
+            return
+        self.testbed.store.delete(f"servers/{self.identity.name}")
+        self.listening.stopListening()
+        self.server.close()
+        self.server = None
+
 
 class Testbed:
     """The store, the replicas and the operators' actions of a soak."""
@@ -166,6 +185,15 @@
         self.configure()
         self.send_heartbeats()
 
+    def add_replica(
+        self, service: str, data_centre: str, version: str, defect: Defect
+    ) -> ReplicaSite:
+        """Start a replica of another version of a service."""
+        number = len(self.replicas)
+        site = ReplicaSite(self, number, service, data_centre, version, defect)
+        self.replicas.append(site)
+        return site
+
     def send_heartbeats(self) -> None:
         """Register replicas again whose registrations are missing, periodically."""
         for replica in self.replicas:
--- a/bench/soak/violation.py
+++ b/bench/soak/violation.py
@@ -25,6 +25,9 @@
     max_records: int = 8
     timeout_s: float = 1.2
     recovered_share: float = 0.9
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_s: float = 5.0
 
 
 class Violation(NamedTuple):
--- a/sardinehook/gateway/rollout/sequential.py
+++ b/sardinehook/gateway/rollout/sequential.py
@@ -17,6 +17,7 @@
 CLEAR_BAD_ANSWERS = 30  # before the 50th; then a weaker sign in the others suffices
 MIN_SIGN_RATIO = 0.35  # of the bound, for the others with that many bad answers
 MAX_RECENT_RATIO = 0.3  # of the bound of a bad verdict, in a good one
+EXCURSION_WEIGHT = 1.5  # more than 1, since the expected share is an estimate
 LEAST_TOTAL = -9.0  # twice what a good verdict needs, so that it has to be recent
 WITHOUT_WORST_ERROR_RATIO = (
     0.1  # chance alone can gather the bad answers at one replica
@@ -115,7 +116,8 @@
 
     def bad_bound(self, error_rate: float) -> float:
         """Return the score from which the version is bad."""
-        return log(1.0 / error_rate) + log(1.0 + self.expected_bad)
+        excursions = EXCURSION_WEIGHT * log(1.0 + self.expected_bad)
+        return log(1.0 / error_rate) + excursions
 
     @property
     def score(self) -> float:
