Renew contact with the store often while a rollout is undecided

Cause: where all bounds are 5 s, a watch waits 3.75 s, which looks like lost contact to a rollout and pauses it. Change: watches wait 0.3 of RollbackMs at most while a rollout is undecided. Own evidence is read only after answers, and subjects of the ledger are cached.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -77,6 +77,8 @@
         self.last_contact_at = reactor.seconds()
         self.seeds: tuple[str, ...] = ()
         self.min_bound_s = 0.0
+        # Shorter while a rollout depends on contact with the store.
+        self.max_watch_wait_s = float("inf")
 
     def configure(self, bounds: Bounds) -> None:
         """Derive poll and check intervals from the deployment's time bounds."""
@@ -196,7 +198,8 @@
             return PROBE_WATCH_WAIT_S
         if not self.reader_selector.is_reader:
             return FALLBACK_WATCH_WAIT_S
-        return max(PROBE_WATCH_WAIT_S, self.min_bound_s - LOST_WATCH_MARGIN_S)
+        wait_s = max(PROBE_WATCH_WAIT_S, self.min_bound_s - LOST_WATCH_MARGIN_S)
+        return min(wait_s, self.max_watch_wait_s)
 
     def log_watch_without_contact(self, revision: int, wait_s: float) -> None:
         """Log a watch that is sent while the store does not answer this gateway."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -205,8 +205,13 @@
             self.metrics,
         )
         rollouts.configure(self.settings.bounds)
+        rollouts.on_watch_limit = self.limit_watches
         return rollouts
 
+    def limit_watches(self, wait_s: float) -> None:
+        """Limit how long watches of the store wait for a change."""
+        self.follower.max_watch_wait_s = wait_s
+
     def run(self) -> None:
         """Listen and run the reactor until a signal has caused a graceful stop.
 
--- a/sardinehook/gateway/rollout/controller.py
+++ b/sardinehook/gateway/rollout/controller.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from functools import partial
 from random import Random
 
@@ -27,6 +27,7 @@
 
 __all__ = ["RolloutController"]
 
+WATCH_WAIT_RATIO = 0.3  # of the time to roll back; half of that without contact
 TICK_S = 0.25  # the interval of reading evidence and of marks of holders
 
 
@@ -72,6 +73,8 @@
         )
         self.loop = RepeatingCall(reactor, TICK_S, self.tick)
         self.running = False
+        # Called with the longest wait of a watch that a rollout allows.
+        self.on_watch_limit: Callable[[float], object] = float
 
     def configure(self, bounds: Bounds) -> None:
         """Apply the limits of the deployment."""
@@ -161,6 +164,7 @@
     def tick(self) -> None:
         """Read evidence, stop what is bad, and write what this gateway decides."""
         now = self.reactor.seconds()
+        self.limit_watches(now)
         active = [one for one in self.items.services.values() if one.is_active(now)]
         if not active:
             self.running = False
@@ -168,3 +172,16 @@
             return
         for rollout in active:
             call_logged(partial(self.decisions.update, rollout, now))
+
+    def limit_watches(self, now: float) -> None:
+        """Let contact with the store be renewed often while a rollout is undecided.
+
+        Without contact the new version gets nothing, so an idle watch must not look
+        like a loss of contact.
+        """
+        undecided = any(
+            one.is_active(now) and not one.is_decided
+            for one in self.items.services.values()
+        )
+        limit_s = WATCH_WAIT_RATIO * self.decisions.bounds.rollback_s
+        self.on_watch_limit(limit_s if undecided else float("inf"))
--- a/sardinehook/gateway/rollout/decisions.py
+++ b/sardinehook/gateway/rollout/decisions.py
@@ -34,6 +34,7 @@
 
 PAUSE_RATIO = 0.6  # of the time to roll back: a verdict may come that much later
 OWN_VERDICT_DELAY_S = 0.5  # spreads the writes of gateways with a verdict of their own
+OWN_EVIDENCE_S = 2.0  # after an answer, its counts have been read
 IDLE_WINDOW_S = 1.5  # without requests at old replicas before they count as idle
 
 
@@ -105,7 +106,7 @@
         running_old = sum(not is_new for is_new in rollout.in_flight.values())
         if running_old and not rollout.is_decided:
             self.record_open(rollout, running_old, now)
-        if not rollout.is_decided:
+        if not rollout.is_decided and now < rollout.last_answer_at + OWN_EVIDENCE_S:
             self.update_own_verdict(rollout, now)
         if self.needs_decision(rollout, now):
             self.decide(rollout, now)
--- a/sardinehook/gateway/rollout/evidence.py
+++ b/sardinehook/gateway/rollout/evidence.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import lru_cache
 from math import floor, log
 from typing import NamedTuple
 from urllib.parse import quote
@@ -56,6 +57,7 @@
     times: dict[int, int] = field(default_factory=dict)
 
 
+@lru_cache(maxsize=16384)
 def subject_of(
     service: str, version: str, route: str, key: ReplicaKey, counter: str
 ) -> str:
--- a/sardinehook/gateway/rollout/recorder.py
+++ b/sardinehook/gateway/rollout/recorder.py
@@ -149,6 +149,7 @@
         order = rollout.order
         if route is None or order is None:
             return
+        rollout.last_answer_at = now
         key = self.key_of(rollout, exchange)
         counters = [REQUESTS]
         if counted.failed:
--- a/sardinehook/gateway/rollout/service.py
+++ b/sardinehook/gateway/rollout/service.py
@@ -54,6 +54,7 @@
         self.own_verdict = ""
         self.paused = False
         self.closed_round = 0
+        self.last_answer_at = float("-inf")
 
     def begin(
         self, order: RolloutOrder, revision: int, is_new: bool, now: float
