Explain refused writes by the items that differ

Cause: if the store's 412 lists only the keys that differ, the others were taken for deleted, and writes went on to conflict. Change: a key without an item counts as deleted only if nothing else explains the conflict.

--- a/sardinehook/gateway/rollout/leader.py
+++ b/sardinehook/gateway/rollout/leader.py
@@ -154,6 +154,9 @@
     async def send(self, rollout: ServiceRollout, state: RolloutState) -> None:
         """Write, and apply the result."""
         writes = self.writes_of(rollout, state)
+        if not writes:
+            self.busy.discard(rollout.service)
+            return
         result = await self.store.write_if(writes)
         self.busy.discard(rollout.service)
         self.handle(rollout, state, writes, result)
@@ -176,14 +179,8 @@
                 self.on_written(rollout, state, revision)
             case Failure(Conflict(items)):
                 self.log_problem(rollout, state, "written by another gateway")
-                found = {item.key: item for item in items}
-                missing = [
-                    Item(write.key, None, 0)
-                    for write in writes
-                    if write.key not in found
-                ]
                 self.retry_at[rollout.service] = self.reactor.seconds() + RETRY_S
-                self.apply_items(rollout, [*items, *missing])
+                self.apply_items(rollout, differing_items(writes, items))
             case Failure(problem):
                 self.retry_at[rollout.service] = self.reactor.seconds() + RETRY_S
                 self.log_problem(rollout, state, str(problem))
@@ -199,3 +196,27 @@
             state=str(state.phase),
             detail=detail,
         )
+
+
+def differing_items(writes: Sequence[Write], items: Sequence[Item]) -> list[Item]:
+    """Return the items that explain why a write was refused.
+
+    The store may return the items of all keys, or of those that differ only. A key
+    without an item is taken as deleted if nothing else explains the conflict.
+
+    >>> writes = [Write("a", b"", 5), Write("b", b"", 6)]
+    >>> differing_items(writes, [Item("b", b"1", 8)])
+    [Item(key='b', value=b'1', revision=8)]
+    >>> differing_items(writes, [Item("b", b"1", 6)])
+    [Item(key='a', value=None, revision=0)]
+    """
+    expected = {write.key: write.expected_revision for write in writes}
+    changed = [item for item in items if expected.get(item.key) != item.revision]
+    if changed:
+        return changed
+    known = {item.key for item in items}
+    return [
+        Item(key, None, 0)
+        for key, revision in expected.items()
+        if revision and key not in known
+    ]
