Keep the evidence on a rollout over a restart of all gateways

Change: the state in the store has the number of answers and the scores; a holder that restarts goes on from them.

--- a/sardinehook/gateway/rollout/decisions.py
+++ b/sardinehook/gateway/rollout/decisions.py
@@ -164,6 +164,8 @@
         verdict: Verdict = Undecided("not evaluated here", False)
         if is_holder and not rollout.is_decided:
             evaluation = self.fleet_evaluations[service]
+            if rollout.state is not None and not rollout.gets_extra:
+                evaluation.restore(rollout.state)
             known = evaluation.bad
             verdict = self.evaluate(evaluation, rollout, now)
             if isinstance(verdict, Bad) and known is None:
@@ -223,6 +225,7 @@
     ) -> Situation:
         """Return what the next state depends on."""
         routes = routes_to(self.directory.configuration, rollout.service)
+        trial = self.fleet_evaluations[rollout.service].trial
         has_new = any(
             rollout.is_new(replica) and not replica.pool.is_failing
             for replica in self.directory.replicas_of(rollout.service)
@@ -231,7 +234,8 @@
             rollout.age_s(now),
             now - rollout.state_since,
             verdict,
-            self.fleet_evaluations[rollout.service].trial.answers,
+            trial.answers,
+            trial.scores,
             has_new,
             self.old_is_idle(rollout, now),
             self.bounds.configuration_s,
--- a/sardinehook/gateway/rollout/evaluation.py
+++ b/sardinehook/gateway/rollout/evaluation.py
@@ -7,7 +7,7 @@
 from sardinehook.gateway.configuration import Configuration, Route, services_of
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.rollout.evidence import EvidenceReader, ReplicaKey
-from sardinehook.gateway.rollout.orders import RolloutOrder
+from sardinehook.gateway.rollout.orders import RolloutOrder, RolloutState
 from sardinehook.gateway.rollout.plan import LATEST_GOOD_RATIO
 from sardinehook.gateway.rollout.verdict import Bad, Verdict, VersionTrial
 from sardinehook.gateway.usage.interfaces import UsageLedger
@@ -28,6 +28,7 @@
         self.trial = VersionTrial(error_rate)
         self.reader = EvidenceReader(ledger, order.service, order.target_version, now)
         self.bad: Bad | None = None
+        self.restored = False
 
     def update(
         self, routes: Sequence[Route], replicas: Sequence[Replica], now: float
@@ -47,6 +48,12 @@
         if samples:
             self.trial.add(samples, now)
 
+    def restore(self, state: RolloutState) -> None:
+        """Go on, once, from the evidence that the state had when this process began."""
+        if not self.restored:
+            self.restored = True
+            self.trial.restore(state.answers, state.scores)
+
     def verdict(self, age_s: float) -> Verdict:
         """Return the verdict at an age of the order."""
         if self.bad is not None:
--- a/sardinehook/gateway/rollout/orders.py
+++ b/sardinehook/gateway/rollout/orders.py
@@ -24,6 +24,8 @@
     "status_of",
 ]
 
+Score = Annotated[float, Meta(ge=-1000.0, le=1000.0)]
+Scores = tuple[Score, Score]
 STATE_PREFIX = "sardinehook/rollouts/"
 
 
@@ -76,7 +78,8 @@
     service, of which two may be equal. ``share`` of the requests and ``extra``
     more in the whole fleet go to the new version. ``age_s`` is the age of the order at
     the write, ``ordered_at`` the time of day at which it was first read. ``is_bad`` is
-    set if answers of the version decided against it.
+    set if answers of the version decided against it. ``answers`` and ``scores``, of the
+    tests of failures and of slow answers, let a holder go on after a restart.
     """
 
     target_version: str
@@ -91,6 +94,8 @@
     is_bad: bool = False
     reason: str = ""
     round_number: Number = 1
+    answers: Number = 0
+    scores: Scores = (0.0, 0.0)
 
     def belongs_to(self, order: RolloutOrder) -> bool:
         """Return whether this is a state of ``order``."""
--- a/sardinehook/gateway/rollout/plan.py
+++ b/sardinehook/gateway/rollout/plan.py
@@ -22,6 +22,7 @@
 CANARY_SHARES = (0.1, 0.3, 0.9)  # of the limit, by step; 0.9 leaves room for rounding
 CANARY_EXTRA = (0.2, 0.4, 0.6)  # of the slack; the rest is for restarts and rounding
 ANSWERS_PER_STEP = 6  # of the new version, without a sign that it is bad
+ANSWERS_PER_CHECKPOINT = 10
 RAMP_SHARES = (0.3, 0.6)
 
 
@@ -38,6 +39,7 @@
     phase_age_s: float
     verdict: Verdict
     answers: int
+    scores: tuple[float, float]
     has_new: bool
     old_is_idle: bool
     spread_s: float
@@ -75,7 +77,9 @@
     >>> order = RolloutOrder("desk", "2", 60.0)
     >>> state = first_state(order, 0.1, 50.0)
     >>> bad = Bad("9 of 10 failures")
-    >>> now = Situation(3.0, 3.0, bad, 10, True, False, 5.0, 1.0, 0.1, 50.0)
+    >>> now = Situation(
+    ...     3.0, 3.0, bad, 10, (9.0, 0.0), True, False, 5.0, 1.0, 0.1, 50.0
+    ... )
     >>> next_state(state, now).phase.value
     'rolled_back'
     """
@@ -109,7 +113,10 @@
                 return None
     step = min(now.answers // ANSWERS_PER_STEP, len(CANARY_SHARES) - 1)
     if step <= state.step:
-        return None
+        if now.answers < state.answers + ANSWERS_PER_CHECKPOINT:
+            return None
+        # Kept for holders that restart.
+        step = state.step
     share = CANARY_SHARES[step] * now.share
     reason = f"{now.answers} answers without a sign against the version"
     following = change(state, now, Phase.CANARY, share, step, reason)
@@ -180,4 +187,6 @@
         step=step,
         age_s=now.age_s,
         reason=reason,
+        answers=now.answers,
+        scores=now.scores,
     )
--- a/sardinehook/gateway/rollout/verdict.py
+++ b/sardinehook/gateway/rollout/verdict.py
@@ -142,6 +142,19 @@
         """The answers of the new version so far."""
         return self.all_routes.failures.answers
 
+    @property
+    def scores(self) -> tuple[float, float]:
+        """The scores of Wald's tests of failures and slow answers, on all routes."""
+        tests = self.all_routes
+        return tests.failures.pooled.total, tests.slowness.pooled.total
+
+    def restore(self, answers: int, scores: tuple[float, float]) -> None:
+        """Go on from the answers and scores that an earlier process has written."""
+        tests = self.all_routes
+        tests.failures.answers += answers
+        tests.failures.pooled.total += scores[0]
+        tests.slowness.pooled.total += scores[1]
+
     def candidates(self) -> Iterator[tuple[str, BadShareTest]]:
         """Return all tests with their names."""
         named = [("all", self.all_routes)]
--- a/tests/gateway/rollout/test_fleet.py
+++ b/tests/gateway/rollout/test_fleet.py
@@ -261,6 +261,17 @@
         assert decide(fleet) == "completed"
         assert fleet.now - fleet.ordered_at < 60.0
 
+    def test_evidence_outlives_a_restart_of_all_gateways(self) -> None:
+        """Guards against a good version that goes back, as its answers were forgotten.
+
+        At 6 requests a second there is no time to gather them a second time.
+        """
+        fleet = started(Fleet(rate_per_s=6.0))
+        fleet.run(22.0)
+        for name in list(fleet.gateways):
+            fleet.restart(name)
+        assert decide(fleet) == "completed"
+
     def test_repeated_restarts_do_not_exceed_the_share(self) -> None:
         fleet = started(Fleet(gateways=30, rate_per_s=40.0))
         for _ in range(6):
