Let the share of a canary grow by time where answers are rare

Change: with two answers and no sign against the version, a step follows after 0.08 of the duration, too.

--- a/sardinehook/gateway/rollout/plan.py
+++ b/sardinehook/gateway/rollout/plan.py
@@ -22,6 +22,8 @@
 CANARY_SHARES = (0.1, 0.3, 0.9)  # of the limit, by step; 0.9 leaves room for rounding
 CANARY_EXTRA = (0.2, 0.4, 0.6)  # of the slack; the rest is for restarts and rounding
 ANSWERS_PER_STEP = 6  # of the new version, without a sign that it is bad
+MIN_ANSWERS_TO_GROW = 2  # then a step follows after a part of the duration, too
+CANARY_STEP_RATIO = 0.08
 ANSWERS_PER_CHECKPOINT = 10
 RAMP_SHARES = (0.3, 0.6)
 
@@ -111,7 +113,7 @@
                 return roll_back(state, now, f"too little evidence: {figures}", False)
             if suspicious:
                 return None
-    step = min(now.answers // ANSWERS_PER_STEP, len(CANARY_SHARES) - 1)
+    step = canary_step(now.answers, progress)
     if step <= state.step:
         if now.answers < state.answers + ANSWERS_PER_CHECKPOINT:
             return None
@@ -123,6 +125,20 @@
     return replace(following, extra=CANARY_EXTRA[step] * now.slack)
 
 
+def canary_step(answers: int, progress: float) -> int:
+    """Return the step of a canary, by its answers or by the time that has passed.
+
+    Where requests are rare, a small share gives too few answers to grow by them alone.
+
+    >>> [canary_step(n, 0.05) for n in (1, 6, 60)], canary_step(2, 0.2)
+    ([0, 1, 2], 2)
+    """
+    step = answers // ANSWERS_PER_STEP
+    if answers >= MIN_ANSWERS_TO_GROW:
+        step = max(step, int(progress / CANARY_STEP_RATIO))
+    return min(step, len(CANARY_SHARES) - 1)
+
+
 def next_ramp(state: RolloutState, now: Situation) -> RolloutState | None:
     """Return the state after a share beyond the limit, once that was kept a while."""
     if now.age_s >= COMPLETED_RATIO * state.duration_s:
