--- a/tests/gateway/rollout/test_fleet.py
+++ b/tests/gateway/rollout/test_fleet.py
@@ -128,6 +128,15 @@
             fleet.gateways[name].kill()
         assert decide(fleet) == "completed"
 
+    def test_own_counts_of_a_gateway_suffice_without_a_holder(self) -> None:
+        fleet = started(Fleet(gateways=3))
+        fleet.run(4.0)
+        for gateway in fleet.gateways.values():
+            gateway.ledger.holder = False
+        fleet.behaviour = failing
+        assert decide(fleet) == "rolled_back"
+        assert not fleet.late_requests()
+
     def test_two_leaders_do_not_overwrite_each_other(self) -> None:
         """Holders that do not hear each other all take themselves for the leader."""
         fleet = started(Fleet())
