--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from ipaddress import IPv4Address
 from random import Random
 from typing import Any
@@ -17,9 +17,17 @@
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet, GatewayRecord
 from sardinehook.gateway.follower import StoreFollower
 from sardinehook.gateway.peers import read_update
+from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.relay import changes_query
 from sardinehook.gateway.settings import Bounds
-from sardinehook.gateway.store import Changes, Item, LeaseGone, StoreProblem
+from sardinehook.gateway.store import (
+    Changes,
+    Conflict,
+    Item,
+    LeaseGone,
+    StoreProblem,
+    Write,
+)
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.watch_cache import StateUpdate
 from sardinehook.platform.discovery import PlatformKeys
@@ -46,7 +54,7 @@
     lost stays lost after the store answers again.
     """
 
-    def __init__(self, reactor: MemoryReactorClock) -> None:
+    def __init__(self, reactor: GatewayReactor) -> None:
         self.reactor = reactor
         self.items: dict[str, Item] = {}
         self.events: list[Item] = []
@@ -59,6 +67,10 @@
     def write(self, key: str, value: bytes | None) -> int:
         """Write or delete a key, and answer the watches."""
         self.revision += 1
+        return self.change(key, value)
+
+    def change(self, key: str, value: bytes | None) -> int:
+        """Change a key at the present revision, and answer the watches."""
         item = Item(key, value, self.revision)
         self.events.append(item)
         if value is None:
@@ -69,6 +81,18 @@
             self.answer_watch(call, after)
         return self.revision
 
+    def write_if(self, writes: Sequence[Write]) -> int | Conflict:
+        """Write keys if all are at their expected revisions."""
+        held = {one.key: self.items.get(one.key) for one in writes}
+        for one in writes:
+            item = held[one.key]
+            if one.expected_revision != (item.revision if item else 0):
+                return Conflict(tuple(item for item in held.values() if item))
+        self.revision += 1
+        for one in writes:
+            self.change(one.key, one.value)
+        return self.revision
+
     def answer_watch(self, call: Call, after: int, ended: bool = False) -> None:
         """Answer a pending watch if it has events or its wait has ended."""
         events = tuple(item for item in self.events if item.revision > after)
@@ -172,6 +196,24 @@
 
         return (await self.call(serve)).map(lambda _: self.store.revision)
 
+    async def write_if(
+        self, writes: Sequence[Write]
+    ) -> Result[int, StoreProblem | Conflict]:
+        """Write keys if all are at their expected revisions."""
+        store = self.store
+
+        def serve(call: Call) -> None:
+            store.answer(call, Success(store.write_if(writes)))
+
+        match await self.call(serve):
+            case Success(Conflict() as conflict):
+                return Failure(conflict)
+            case Success(int(revision)):
+                return Success(revision)
+            case Failure(problem):
+                return Failure(problem)
+        raise AssertionError("a write returns a revision or a conflict")
+
     async def grant_lease(self, ttl_s: float) -> Result[int, StoreProblem]:
         """Grant a lease."""
         number = len(self.store.leases) + 1000 * self.store.calls
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -86,6 +86,8 @@
         self.seeds: tuple[str, ...] = ()
         self.min_bound_s = 0.0
         self.max_watch_s = float("inf")
+        # Shorter while a rollout depends on contact with the store.
+        self.max_watch_wait_s = float("inf")
 
     def configure(self, bounds: Bounds) -> None:
         """Derive poll and check intervals from the deployment's time bounds."""
@@ -218,7 +220,7 @@
         if not self.reader_selector.is_reader:
             return FALLBACK_WATCH_WAIT_S
         wait_s = min(self.min_bound_s - LOST_WATCH_MARGIN_S, self.max_watch_s)
-        return max(PROBE_WATCH_WAIT_S, wait_s)
+        return min(max(PROBE_WATCH_WAIT_S, wait_s), self.max_watch_wait_s)
 
     def log_watch_without_contact(self, revision: int, wait_s: float) -> None:
         """Log a watch that is sent while the store does not answer this gateway."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from os import environ
 from random import Random
 from typing import NamedTuple
@@ -36,6 +37,8 @@
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.request_handler import RequestHandler
 from sardinehook.gateway.request_log import RequestLog
+from sardinehook.gateway.rollout.controller import RolloutController
+from sardinehook.gateway.rollout.items import RolloutSite
 from sardinehook.gateway.settings import GatewaySettings
 from sardinehook.gateway.shares import compute_shares
 from sardinehook.gateway.store import GatewayStore
@@ -173,6 +176,10 @@
         state.on_changed = self.handle_changes
         self.request_handler.confirmation = state.confirmation
         self.confirmation_log = ConfirmationLog(state.confirmation)
+        self.rollouts = self.make_rollouts(dialects.keys)
+        state.rollouts = self.rollouts
+        dispatcher.monitor = self.rollouts
+        selector.version_groups = self.rollouts.groups
         self.probes = ProbeServer(
             reactor,
             self.unready_reason,
@@ -202,6 +209,35 @@
         self.stopping = False
         self.last_reason_kind = "starting"
 
+    def make_rollouts(self, schema: StoreSchema) -> RolloutController:
+        """Return the controller of rollouts, with the ledger that it counts in."""
+        node = self.settings.node
+
+        def contact_age_s() -> float:
+            age_s: float = self.reactor.seconds() - self.follower.last_contact_at
+            return age_s
+
+        def names() -> frozenset[str]:
+            return frozenset({*self.fleet.records, node})
+
+        rollouts = RolloutController(
+            self.reactor,
+            self.directory,
+            self.store,
+            schema,
+            self.usage.ledger,
+            RolloutSite(node, self.settings.data_centre, names, contact_age_s),
+            self.metrics,
+        )
+        rollouts.configure(self.settings.bounds)
+        rollouts.on_watch_limit = self.limit_watches
+        rollouts.on_running = partial(self.usage.require, "rollouts")
+        return rollouts
+
+    def limit_watches(self, wait_s: float) -> None:
+        """Limit how long watches of the store wait for a change."""
+        self.follower.max_watch_wait_s = wait_s
+
     def run(self) -> None:
         """Listen and run the reactor until a signal has caused a graceful stop.
 
@@ -271,6 +307,7 @@
                 self.policy.configure(settings.bounds)
                 self.follower.configure(settings.bounds)
                 self.quota.configure_bounds(settings.bounds)
+                self.rollouts.configure(settings.bounds)
                 state = "changed" if changed else "unchanged"
                 log_event(logger, EventName.SETTINGS_RELOADED, state=state)
             case Failure(detail):
@@ -482,6 +519,7 @@
         self.follower.stop()
         for loop in (self.sweep_loop, self.housekeeping_loop, self.heartbeat_loop):
             loop.stop()
+        self.rollouts.loop.stop()
         self.lag_probe.stop()
         self.usage.stop()
         took_ms = (self.reactor.seconds() - began) * 1000.0
--- a/sardinehook/gateway/replica_selection.py
+++ b/sardinehook/gateway/replica_selection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable, Sequence
 from random import Random
 from typing import NamedTuple
 from zlib import crc32
@@ -33,6 +33,16 @@
 COLD_SAFETY_RATIO = 0.9  # of the cold rate; network delay bunches arrivals
 
 
+VersionGroups = Callable[[str, Sequence[Replica], float], Sequence[Sequence[Replica]]]
+
+
+def one_group(
+    service: str, replicas: Sequence[Replica], now: float
+) -> Sequence[Sequence[Replica]]:
+    """Return all replicas as one group: versions make no difference."""
+    return (replicas,)
+
+
 class SelectedReplica(NamedTuple):
     """The selected replica and its expected reply time in seconds.
 
@@ -66,6 +76,8 @@
         self.on_cold_denied: Callable[[], object] = int
         self.on_rate_denied: Callable[[], object] = int
         self.on_pace_denied: Callable[[], object] = int
+        # Groups of replicas in order of preference, while a version is rolled out.
+        self.version_groups: VersionGroups = one_group
 
     def select(
         self,
@@ -84,10 +96,27 @@
         are left for others. Replicas beyond their window of requests are chosen only if
         no other one is eligible.
         """
+        replicas = self.directory.replicas_of(service)
+        for group in self.version_groups(service, replicas, now):
+            best = self.best_of(group, baseline_s, excluded, time_left_s, now, reserve)
+            if best is not None:
+                return best
+        return None
+
+    def best_of(
+        self,
+        replicas: Iterable[Replica],
+        baseline_s: float,
+        excluded: Collection[Replica],
+        time_left_s: float,
+        now: float,
+        reserve: float,
+    ) -> SelectedReplica | None:
+        """Return the replica with the lowest cost, ``None`` if none is eligible."""
         best: SelectedReplica | None = None
         best_cost = float("inf")
         adapts = self.directory.adapts_to_load
-        for replica in self.directory.replicas_of(service):
+        for replica in replicas:
             if replica in excluded or not self.limits_allow(replica, reserve, now):
                 continue
             forecast = (
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -13,6 +13,7 @@
 from sardinehook.gateway.interfaces import StoreSchema
 from sardinehook.gateway.organisations.confirmation import Confirmation
 from sardinehook.gateway.reactor import GatewayReactor
+from sardinehook.gateway.rollout.controller import RolloutController
 from sardinehook.gateway.store import Changes, Item
 from sardinehook.gateway.watch_cache import StateUpdate, WatchCache
 from sardinehook.observe.events import EventName, log_event
@@ -48,6 +49,7 @@
         self.version = -1
         self.evacuated: set[str] = set()
         self.on_changed: Callable[[], None] = lambda: None
+        self.rollouts: RolloutController | None = None
 
     @property
     def loaded(self) -> bool:
@@ -82,6 +84,8 @@
 
         ``called_at`` is when the store was called that answered with them.
         """
+        if self.rollouts is not None:
+            self.rollouts.set_initial_listing(not self.loaded)
         if whole:
             self.cache.replace(changes)
             self.listing_needed = False
@@ -116,6 +120,8 @@
             name[len(prefix) :] for name in names if name.startswith(prefix)
         }
         self.directory.set_evacuated(set(self.evacuated))
+        if self.rollouts is not None:
+            self.rollouts.retain(frozenset(names))
         self.fleet.retain(
             [n[len(GATEWAY_PREFIX) :] for n in names if n.startswith(GATEWAY_PREFIX)]
         )
@@ -142,6 +148,8 @@
             )
         elif item.key.startswith(GATEWAY_PREFIX):
             self.fleet.apply_record(item.key[len(GATEWAY_PREFIX) :], item.value)
+        elif self.rollouts is not None:
+            self.rollouts.apply_item(item)
 
     def apply_configuration(self, value: bytes) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -84,6 +84,11 @@
     READER_STATE = "reader_state"
     KEYS_STATE = "keys_state"
     USAGE_HOLDER = "usage_holder"
+    ROLLOUT_ORDER = "rollout_order"
+    ROLLOUT_PHASE = "rollout_phase"
+    ROLLOUT_VERDICT = "rollout_verdict"
+    ROLLOUT_WRITE = "rollout_write"
+    ROLLOUT_PAUSED = "rollout_paused"
 
 
 class EventFields(TypedDict, total=False):
