Let a canary without any answer grow by time as well

Change: a step follows after 0.08 of the duration, whether there are answers or not, unless they speak against the version.

--- a/sardinehook/gateway/rollout/plan.py
+++ b/sardinehook/gateway/rollout/plan.py
@@ -22,8 +22,7 @@
 CANARY_SHARES = (0.1, 0.3, 0.9)  # of the limit, by step; 0.9 leaves room for rounding
 CANARY_EXTRA = (0.2, 0.4, 0.6)  # of the slack; the rest is for restarts and rounding
 ANSWERS_PER_STEP = 6  # of the new version, without a sign that it is bad
-MIN_ANSWERS_TO_GROW = 2  # then a step follows after a part of the duration, too
-CANARY_STEP_RATIO = 0.08
+CANARY_STEP_RATIO = 0.08  # of the duration: a step follows without a sign, too
 ANSWERS_PER_CHECKPOINT = 10
 RAMP_SHARES = (0.3, 0.6)
 
@@ -130,12 +129,10 @@
 
     Where requests are rare, a small share gives too few answers to grow by them alone.
 
-    >>> [canary_step(n, 0.05) for n in (1, 6, 60)], canary_step(2, 0.2)
-    ([0, 1, 2], 2)
+    >>> [canary_step(n, 0.05) for n in (1, 6, 60)], canary_step(0, 0.1)
+    ([0, 1, 2], 1)
     """
-    step = answers // ANSWERS_PER_STEP
-    if answers >= MIN_ANSWERS_TO_GROW:
-        step = max(step, int(progress / CANARY_STEP_RATIO))
+    step = max(answers // ANSWERS_PER_STEP, int(progress / CANARY_STEP_RATIO))
     return min(step, len(CANARY_SHARES) - 1)
 
 
