Take replies with an invalid status as malformed

A replica in trouble answered with status 000, and a caller received it: such a reply was taken for an interim one, 600 to 999 for a final one. A status outside of 100 to 599, 101 (no request asks for another protocol) and more than 16 interim replies before the final one now end the exchange at once as malformed, at replicas, gateways and the store. The client of the document service checks the status in the same way. Replies are counted by the kind of their sender.

--- a/sardinehook/gateway/delegates.py
+++ b/sardinehook/gateway/delegates.py
@@ -106,7 +106,9 @@
         def record_connected() -> None:
             delegate.record_connected(self.reactor.seconds())
 
-        pool = ConnectionPool(self.reactor, address, MAX_CONNECTIONS, record_connected)
+        pool = ConnectionPool(
+            self.reactor, address, MAX_CONNECTIONS, record_connected, "gateway"
+        )
         last_heartbeat_at = self.reactor.seconds() - 2 * HEARTBEAT_TIMEOUT_S
         delegate = self.known[name] = Delegate(name, pool, last_heartbeat_at)
         pool.probe()
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from sardinehook.gateway.organisations.key_index import KeyIndex
 from sardinehook.gateway.organisations.organisation import Organisations
 from sardinehook.observe.buckets import LAG_BUCKETS_SECONDS, REQUEST_BUCKETS_SECONDS
@@ -41,6 +43,11 @@
             "Calls for changes to other gateways",
             ["outcome"],
         )
+        self.invalid_statuses = instruments.labelled_counter(
+            "sardinehook_invalid_statuses",
+            "Replies with an invalid status, by the kind of sender",
+            ["sender"],
+        )
         self.missing_shards = instruments.labelled_counter(
             "sardinehook_missing_shards",
             "Shards that were left out of answers, by why",
@@ -126,6 +133,11 @@
         """Count a call to another gateway by its outcome."""
         self.peer_calls.labels(outcome).inc()
 
+    def count_invalid_statuses(self, counts: Mapping[str, int]) -> None:
+        """Take over the counts of this process by the kind of sender."""
+        for sender, count in counts.items():
+            self.invalid_statuses.labels(sender).value = float(count)
+
     def set_organisations(self, organisations: Organisations | None) -> None:
         """Set the numbers of organisations and keys, ``None`` if there are none."""
         known = organisations or Organisations({}, KeyIndex({}))
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -126,7 +126,7 @@
         """Return the pool of a peer, evicting the least recently used one if needed."""
         pool = self.pools.pop(address, None)
         if pool is None:
-            pool = ConnectionPool(self.reactor, address, 1, ignore)
+            pool = ConnectionPool(self.reactor, address, 1, ignore, "gateway")
         self.pools[address] = pool
         if len(self.pools) > MAX_POOLS:
             oldest = next(iter(self.pools))
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -23,7 +23,8 @@
     """Opens and reuses at most ``max_connections`` connections.
 
     A request that finds no idle connection waits until one is opened or released.
-    ``on_connected`` is called whenever the server accepts a connection.
+    ``on_connected`` is called whenever the server accepts a connection. ``sender`` is
+    the kind of server, for the counts of malformed replies.
     """
 
     def __init__(
@@ -32,7 +33,9 @@
         address: str,
         max_connections: int,
         on_connected: Callable[[], None],
+        sender: str = "replica",
     ) -> None:
+        self.sender = sender
         host, _, port = address.rpartition(":")
         self.reactor = reactor
         self.host = host
@@ -213,9 +216,11 @@
 
     def buildProtocol(self, addr: object) -> ClientConnection:
         """Return the protocol for an established connection."""
-        return ClientConnection(
+        connection = ClientConnection(
             self.pool.connection_established, self.pool.connection_lost
         )
+        connection.sender = self.pool.sender
+        return connection
 
     def clientConnectionFailed(self, connector: object, reason: ConnectionEnd) -> None:
         """Report a failed connection attempt to the pool."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -41,7 +41,7 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
 from sardinehook.observe.memory import resident_bytes
-from sardinehook.transport.connection import receive_buffers
+from sardinehook.transport.connection import invalid_statuses, receive_buffers
 from sardinehook.transport.early_sockets import LISTEN_BACKLOG
 from sardinehook.transport.reactor import StreamServerFactory, Timer
 from sardinehook.transport.tasks import RepeatingCall, sleep, start_task
@@ -405,6 +405,7 @@
     def render_metrics(self) -> bytes:
         """Render all metrics, with the memory in use at this moment."""
         self.metrics.receive_buffer_bytes.set(receive_buffers.used)
+        self.metrics.count_invalid_statuses(invalid_statuses)
         self.metrics.resident_bytes.set(resident_bytes())
         return self.metrics.render()
 
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -90,7 +90,9 @@
         self.reactor = reactor
         self.address = address
         self.count_call = count_call
-        self.pool = ConnectionPool(reactor, address, MAX_CONNECTIONS, ignore_connection)
+        self.pool = ConnectionPool(
+            reactor, address, MAX_CONNECTIONS, ignore_connection, "store"
+        )
 
     async def call(
         self, operation: str, method: str, path: str, body: object, timeout_s: float
--- a/sardinehook/store/http_client.py
+++ b/sardinehook/store/http_client.py
@@ -25,6 +25,7 @@
 from zope.interface import implementer
 
 from sardinehook.store.port import StoreUnavailable
+from sardinehook.transport.connection import invalid_statuses, is_final_status
 from sardinehook.transport.reactor import Timer, Timers
 
 __all__ = ["HttpClient", "HttpReply"]
@@ -174,6 +175,10 @@
         agent = self.agents[pool]
         uri = (self.base + path).encode()
         response = await agent.request(method.encode(), uri, bodyProducer=producer)
+        if not is_final_status(response.code):
+            invalid_statuses["store"] += 1
+            read_body(response).addErrback(ignore_failure).cancel()
+            raise ValueError(f"invalid status {response.code:03}")
         return HttpReply(response.code, await read_body(response))
 
     def close(self) -> Deferred[list[object]]:
@@ -198,6 +203,10 @@
     return collector.body_read
 
 
+def ignore_failure(_failure: TwistedFailure) -> None:
+    """Ignore that a body was not read."""
+
+
 def make_producer(body: bytes) -> IBodyProducer:
     """Create a producer that sends ``body``."""
     producer = FileBodyProducer(BytesIO(body))
--- a/sardinehook/transport/connection.py
+++ b/sardinehook/transport/connection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -14,7 +14,16 @@
 from sardinehook.transport.reactor import ConnectionEnd, StreamProtocol
 from sardinehook.transport.socket_writer import SocketWriter
 
-__all__ = ["ClientConnection", "ExchangeEnd", "Lost", "Malformed", "Replied", "Reply"]
+__all__ = [
+    "ClientConnection",
+    "ExchangeEnd",
+    "Lost",
+    "Malformed",
+    "Replied",
+    "Reply",
+    "invalid_statuses",
+    "is_final_status",
+]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024  # limit of the body of one reply
 MAX_HEAD_BYTES = 64 * 1024  # limit of the bytes that are not in the body
@@ -30,6 +39,11 @@
 KEEP_ALIVE_PROBES = 2  # unanswered probes after which the connection is reset
 UNACKNOWLEDGED_TIMEOUT_MS = 2500  # limit for sent data without acknowledgement
 NO_BODY_STATUS = frozenset({204, 304})
+SWITCHING_PROTOCOLS = 101  # no request of a gateway asks for another protocol
+MIN_STATUS = 100
+FIRST_FINAL_STATUS = 200
+MAX_STATUS = 599
+MAX_INTERIM_REPLIES = 16  # before one final reply; usual servers send one or two
 
 
 class Reply(NamedTuple):
@@ -72,6 +86,17 @@
 
 
 receive_buffers = MemoryAccount(MAX_BUFFERED_BYTES)
+# Replies of this process that had an invalid status, by the kind of their sender.
+invalid_statuses: Counter[str] = Counter()
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether a complete reply may have this status.
+
+    >>> [status for status in (0, 99, 101, 200, 599, 600) if is_final_status(status)]
+    [200, 599]
+    """
+    return FIRST_FINAL_STATUS <= status <= MAX_STATUS
 
 
 class ClientConnection(StreamProtocol):
@@ -81,8 +106,14 @@
     it is closed. The connection is closed and never reused after anything but a
     complete reply, and after bytes that belong to no request. ``recent_signatures`` is
     for the user, who can tell a second copy of a reply from the one that is due.
+
+    Interim replies (1xx) before the final one are skipped. A status outside of 100 to
+    599, a switch of protocols and interim replies without end are malformed at once:
+    no later byte on such a connection can be trusted. ``sender`` is the kind of server
+    under which they are counted.
     """
 
+    sender = "replica"
     max_head_bytes = MAX_HEAD_BYTES
     max_body_bytes = MAX_BODY_BYTES
 
@@ -117,7 +148,9 @@
         self.has_framing = False
         self.is_reusable = False
         self.is_interim = False
+        self.interim_count = 0
         self.status = 0
+        self.status_problem = ""
 
     @property
     def idle(self) -> bool:
@@ -178,10 +211,13 @@
             self.parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             if not self.is_complete:
-                self.end(Malformed(f"malformed reply: {error}"), False)
+                detail = self.status_problem or f"malformed reply: {error}"
+                self.end(Malformed(detail), False)
                 return
             self.has_surplus = True
-        if self.is_too_large():
+        if self.status_problem:
+            self.end(Malformed(self.status_problem), False)
+        elif self.is_too_large():
             detail = (
                 f"reply too large: {self.received_bytes} bytes and {self.header_count} "
                 f"headers received, limits are {self.max_head_bytes} (head), "
@@ -272,10 +308,14 @@
 
     def on_headers_complete(self) -> None:
         """Read the status and determine how the end of the body is marked."""
-        if self.has_surplus:
+        if self.has_surplus or self.status_problem:
             return
         self.status = self.parser.get_status_code()
-        self.is_interim = self.status < 200
+        self.is_interim = not is_final_status(self.status)
+        self.interim_count += self.is_interim
+        self.status_problem = self.find_status_problem()
+        if self.status_problem:
+            invalid_statuses[self.sender] += 1
         self.in_body = True
         self.is_complete = self.ends_with_headers and not self.is_interim
         self.has_framing = self.status in NO_BODY_STATUS or any(
@@ -283,6 +323,16 @@
             for name, _ in self.headers
         )
 
+    def find_status_problem(self) -> str:
+        """Return why the status makes the reply malformed, empty if it does not."""
+        if not MIN_STATUS <= self.status <= MAX_STATUS:
+            return f"invalid status {self.status:03}"
+        if self.status == SWITCHING_PROTOCOLS:
+            return "status 101 without a request for another protocol"
+        if self.interim_count > MAX_INTERIM_REPLIES:
+            return f"more than {MAX_INTERIM_REPLIES} interim replies"
+        return ""
+
     def on_body(self, body: bytes) -> None:
         """Buffer a part of the body, up to the size limit."""
         if not self.has_surplus:
@@ -292,7 +342,7 @@
 
     def on_message_complete(self) -> None:
         """Mark the reply as complete; an interim (1xx) reply is discarded."""
-        if self.is_complete:
+        if self.is_complete or self.status_problem:
             return
         if self.is_interim:
             self.release_reply()
