Keep what is in force when the store comes back from an older copy

The store gives out revisions again after it came back from a copy. A watch from a revision of before then misses changes, another gateway's older state looks newer, and a lease number may be that of another gateway. Each answer now tells of the store's era (Store-Era), and states are ordered by era and revision, in the store's answers and between gateways. A new era leads to a listing that undoes neither the configuration in force nor drains and evacuations, and to a registration within one second, at a time that depends on the name. A store without the header is called as before.

--- a/bench/store_simulation.py
+++ b/bench/store_simulation.py
@@ -126,6 +126,7 @@
         self.pending: list[Call] = []
         self.killed = False
         self.dropped = 0
+        self.on_era: Callable[[int], object] = lambda _era: None
 
     async def call(
         self,
--- a/sardinehook/gateway/fleet.py
+++ b/sardinehook/gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import Annotated
 
 import msgspec
@@ -15,7 +16,7 @@
 from sardinehook.gateway.store import GatewayStore, LeaseGone, StoreProblem
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event, log_names
-from sardinehook.transport.tasks import sleep, start_task
+from sardinehook.transport.tasks import Promise, sleep, start_task
 
 __all__ = ["GATEWAY_PREFIX", "GatewayFleet"]
 
@@ -25,6 +26,7 @@
 LEASE_TTL_S = 8.0  # an entry survives shorter losses of contact with the store
 RENEW_INTERVAL_S = 2.5  # three renewals may fail before the lease expires
 RETRY_INTERVAL_S = 0.5  # after a failed registration
+REJOIN_SPREAD_S = 1.0  # within which all gateways register again in a new era
 DEMAND_INTERVAL_S = 10.0  # between two writes of the demand
 DEMAND_CHANGE_RATIO = 2.0  # smaller changes are not written
 MIN_DEMAND_CHANGE = 1.0  # requests per second
@@ -80,6 +82,9 @@
         self.running = False
         self.store_failed = False
         self.demand_written_at = float("-inf")
+        self.era = 0
+        self.rejoin_at = float("-inf")
+        self.renewal_due: Promise[None] = Promise()
         self.on_recovery: Callable[[], None] = lambda: None
 
     def start(self) -> None:
@@ -96,21 +101,53 @@
     async def maintain_registration(self) -> None:
         """Register, renew the lease, and register again if the registration is lost."""
         while self.running:
-            if not self.lease:
+            wait_s = self.rejoin_at - self.reactor.seconds()
+            if not self.lease and wait_s > 0.0:
+                await sleep(self.reactor, wait_s)
+            elif not self.lease:
                 await self.obtain_lease()
             elif not self.registered:
                 await self.register()
             else:
-                await sleep(self.reactor, RENEW_INTERVAL_S)
-                if self.running:
+                await self.wait_for_renewal()
+                if self.running and self.registered:
                     await self.renew()
 
+    async def wait_for_renewal(self) -> None:
+        """Wait until the lease is to be renewed, or is lost."""
+        due: Promise[None] = Promise()
+        self.renewal_due = due
+        timer = self.reactor.callLater(RENEW_INTERVAL_S, due.resolve, None)
+        await due
+        if timer.active():
+            timer.cancel()
+
+    def enter_era(self, era: int) -> None:
+        """Discard the lease and register again, as the store may have lost both.
+
+        Its number may be that of another gateway's lease by now, so it is neither
+        renewed nor ended. The gateways register at times that their names determine,
+        so that they do not all call at once.
+        """
+        self.era = era
+        spread = Random(f"{self.node} {era}").uniform(0.0, REJOIN_SPREAD_S)
+        self.rejoin_at = self.reactor.seconds() + spread
+        self.lease = 0
+        self.registered = False
+        if not self.renewal_due.is_resolved:
+            self.renewal_due.resolve(None)
+
     async def obtain_lease(self) -> None:
-        """Request a lease; wait before the next attempt if that fails."""
+        """Request a lease; wait before the next attempt if that fails.
+
+        One that was requested in an earlier era is not used.
+        """
+        era = self.era
         match await self.store.grant_lease(LEASE_TTL_S):
             case Success(lease):
                 self.record_answer()
-                self.lease = lease
+                if era == self.era:
+                    self.lease = lease
             case Failure(problem):
                 self.record_failure(problem)
                 await sleep(self.reactor, RETRY_INTERVAL_S)
@@ -118,10 +155,11 @@
     async def register(self) -> None:
         """Write this gateway's record; a failure discards the lease and waits."""
         value = msgspec.json.encode(self.record)
+        era = self.era
         match await self.store.put(GATEWAY_PREFIX + self.node, value, self.lease):
             case Success():
                 self.record_answer()
-                self.registered = True
+                self.registered = era == self.era
             case Failure(problem):
                 self.lease = 0
                 self.record_failure(problem)
@@ -154,6 +192,8 @@
         match await self.store.renew_lease(self.lease):
             case Success():
                 self.record_answer()
+            case Failure(LeaseGone()) if not self.lease:
+                self.record_answer()
             case Failure(LeaseGone()):
                 self.record_answer()
                 log_event(
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -7,20 +7,27 @@
 from typing import Any
 
 import structlog
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.confirmation_keeper import ConfirmationKeeper
+from sardinehook.gateway.era import EraVerdict
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.peers import PeerCalls
 from sardinehook.gateway.reactor import GatewayReactor
 from sardinehook.gateway.readers import Reader, ReaderSelector
 from sardinehook.gateway.relay import ChangeRelay
 from sardinehook.gateway.settings import Bounds
-from sardinehook.gateway.store import GatewayStore, HistoryGone
+from sardinehook.gateway.store import (
+    Changes,
+    GatewayStore,
+    HistoryGone,
+    StoreProblem,
+)
 from sardinehook.gateway.store_state import StoreState
 from sardinehook.gateway.watch_monitor import WatchMonitor
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
+from sardinehook.store.port import StoreUnavailable
 from sardinehook.transport.tasks import sleep, start_task
 
 __all__ = ["StoreFollower"]
@@ -71,6 +78,7 @@
         self.state = state
         self.relay = ChangeRelay(reactor, state.cache, state.confirmation)
         state.on_changed = self.relay.answer_waiting
+        state.on_era.append(self.handle_era)
         self.reader_selector = ReaderSelector(fleet.node, fleet.record)
         self.monitor = WatchMonitor(
             reactor, store, peers, state, fleet, self.reader_selector, random
@@ -180,7 +188,10 @@
 
     async def read_store(self) -> None:
         """List or watch the store once, and apply what it returns."""
-        whole = self.state.listing_needed
+        state = self.state
+        whole = state.listing_needed or state.is_behind
+        is_first = not state.loaded
+        era = state.cache.era
         known = self.state.cache.revision
         called_at = self.reactor.seconds()
         if whole or known is None:
@@ -191,12 +202,16 @@
             self.monitor.begin()
             result = await self.store.watch(ALL_KEYS, known, wait_s)
             self.monitor.end()
-        match result:
+        match result.bind(self.check_era):
             case Success(changes):
                 self.watch_proven = True
                 self.record_contact("")
                 self.relay.set_current(True)
-                self.state.apply_changes(changes, whole, called_at)
+                if not whole and (state.is_behind or changes.era != era):
+                    return  # revisions of another era than that of the call
+                state.apply_changes(changes, whole, called_at)
+                if is_first and changes.era:
+                    await self.fetch_configuration()
                 if changes.items:
                     await sleep(self.reactor, COALESCE_RATIO * self.min_bound_s)
             case Failure(problem):
@@ -204,6 +219,36 @@
                 self.relay.set_current(False)
                 await self.handle_failure(problem)
 
+    def check_era(self, changes: Changes) -> Result[Changes, StoreProblem]:
+        """Return changes with the era in force; one that has ended is no answer."""
+        if self.state.observe_era(changes.era) is EraVerdict.EARLIER:
+            known = self.state.era.known
+            detail = f"answer of era {changes.era}, in force is era {known}"
+            return Failure(StoreUnavailable(detail, False))
+        return Success(changes._replace(era=self.state.era.known or 0))
+
+    def handle_era(self, _era: int) -> None:
+        """End a watch that was sent in an earlier era, once the present call is over.
+
+        It may be pending at a connection that the store has lost.
+        """
+        self.reactor.callLater(0.0, self.end_earlier_watch)
+
+    def end_earlier_watch(self) -> None:
+        """Drop the connection of a pending watch if it is of an earlier era."""
+        if self.monitor.watching and self.state.is_behind:
+            self.store.drop_connections()
+
+    async def fetch_configuration(self) -> None:
+        """Ask another gateway for a newer configuration than the store's, once.
+
+        A store that came back from an older copy may lack the last versions until the
+        operator has written them again.
+        """
+        match await self.peers.fetch_from_any(self.fleet.peers(), None):
+            case Success(update):
+                self.state.adopt_configuration(update)
+
     @property
     def watch_wait_s(self) -> float:
         """How long the next watch may wait for a change.
--- a/sardinehook/gateway/metrics.py
+++ b/sardinehook/gateway/metrics.py
@@ -81,6 +81,10 @@
             "sardinehook_store_age_seconds",
             "Time since the store, or a reader of it, was heard",
         )
+        self.store_era = instruments.gauge(
+            "sardinehook_store_era",
+            "Era of the store, which rises when it comes back from an older copy",
+        )
         self.watch_pending_seconds = instruments.gauge(
             "sardinehook_watch_pending_seconds",
             "Time since the pending watch was sent to the store, 0 if none is",
--- a/sardinehook/gateway/peers.py
+++ b/sardinehook/gateway/peers.py
@@ -51,7 +51,7 @@
 
     ``count_call`` receives the status of each call, ``no_answer`` if it failed.
     ``restore`` replaces differences in an update by values; without it, none are asked
-    for.
+    for. ``held_era`` returns the store's era of the state that this gateway holds.
     """
 
     def __init__(
@@ -60,22 +60,25 @@
         random: Random,
         count_call: Callable[[str], None],
         restore: Restore | None = None,
+        held_era: Callable[[], int] | None = None,
     ) -> None:
         self.reactor = reactor
         self.random = random
         self.count_call = count_call
         self.restore = restore
+        self.held_era = held_era
         self.pools: dict[str, ConnectionPool] = {}
 
     async def fetch_from_any(
         self, addresses: Collection[str], after: int | None
     ) -> Result[StateUpdate, str]:
         """Call peers in random order; return the first update received."""
+        era = self.era_of(after)
         candidates = sorted(set(addresses))
         self.random.shuffle(candidates)
         detail = "no peer gateway is known"
         for address in candidates[:MAX_PEERS_TRIED]:
-            match await self.fetch(address, after, 0.0):
+            match await self.fetch_in_era(address, after, 0.0, era):
                 case Success(update):
                     return Success(update)
                 case Failure(problem):
@@ -85,20 +88,32 @@
     async def fetch(
         self, address: str, after: int | None, wait_s: float
     ) -> Result[StateUpdate, str]:
-        """Request the changes after a revision, which may wait up to ``wait_s``.
+        """Request the changes after a revision, which may wait up to ``wait_s``."""
+        return await self.fetch_in_era(address, after, wait_s, self.era_of(after))
+
+    def era_of(self, after: int | None) -> int | None:
+        """Return the era of a revision that is held now, ``None`` if unknown."""
+        return None if after is None or self.held_era is None else self.held_era()
+
+    async def fetch_in_era(
+        self, address: str, after: int | None, wait_s: float, era: int | None
+    ) -> Result[StateUpdate, str]:
+        """Request the changes after a revision of an era.
 
-        If differences are from another value than the one here, the values themselves
-        are requested.
+        The era in force may change during the call. If differences are from another
+        value than the one here, the values themselves are requested.
         """
         restore = self.restore
         if restore is None or after is None:
-            return await self.call(address, changes_query(after, wait_s), wait_s)
-        query = changes_query(after, wait_s, differences=True)
+            query = changes_query(after, wait_s, era=era)
+            return await self.call(address, query, wait_s)
+        query = changes_query(after, wait_s, True, era)
         result = await self.call(address, query, wait_s)
         match result.bind(restore):
             case Failure() if isinstance(result, Success):
                 self.count_call(OTHER_BASE)
-                return await self.call(address, changes_query(after, 0.0), 0.0)
+                query = changes_query(after, 0.0, era=era)
+                return await self.call(address, query, 0.0)
             case restored:
                 return restored
 
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -139,7 +139,11 @@
             reactor,
             self.store,
             PeerClient(
-                reactor, self.random, metrics.count_peer_call, state.cache.restore
+                reactor,
+                self.random,
+                metrics.count_peer_call,
+                state.cache.restore,
+                lambda: state.cache.era,
             ),
             state,
             self.fleet,
@@ -149,6 +153,7 @@
             seed for seed in settings.seeds if seed != settings.peer_address
         )
         state.on_changed = self.handle_changes
+        self.store.on_era = state.observe_era
         self.request_handler.confirmation = state.confirmation
         self.confirmation_log = ConfirmationLog(state.confirmation)
         self.probes = ProbeServer(
@@ -392,6 +397,7 @@
         self.metrics.connections.set(held)
         now = self.reactor.seconds()
         self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
+        self.metrics.store_era.set(self.follower.state.era.known or 0)
         self.metrics.watch_pending_seconds.set(self.follower.monitor.pending_s)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
--- a/sardinehook/gateway/relay.py
+++ b/sardinehook/gateway/relay.py
@@ -45,28 +45,44 @@
 FinishCall = Callable[[CallerAnswer], None]
 
 
-def changes_query(after: int | None, wait_s: float, differences: bool = False) -> bytes:
+def changes_query(
+    after: int | None,
+    wait_s: float,
+    differences: bool = False,
+    era: int | None = None,
+) -> bytes:
     """Return the request target for the changes after a revision.
 
     ``differences`` says that large values may be answered as differences from those
-    that the caller has at this revision.
+    that the caller has at this revision. ``era`` is the store's era of the revision.
 
     >>> changes_query(7, 1.5)
     b'/changes?after=7&wait_ms=1500'
     >>> changes_query(7, 1.5, True)
     b'/changes?after=7&wait_ms=1500&differences=1'
+    >>> changes_query(7, 1.5, era=2)
+    b'/changes?after=7&wait_ms=1500&era=2'
     """
     known = -1 if after is None else after
     query = b"?after=%d&wait_ms=%d" % (known, int(wait_s * MS_PER_S))
-    return CHANGES_PATH + query + (b"&differences=1" if differences else b"")
+    if differences:
+        query += b"&differences=1"
+    if era is not None:
+        query += b"&era=%d" % era
+    return CHANGES_PATH + query
 
 
 class ChangesQuery(NamedTuple):
-    """The query of a call for changes."""
+    """The query of a call for changes.
+
+    ``era`` is ``None`` if the caller states none, as earlier versions of gateways do.
+    These compare revisions alone.
+    """
 
     after: int = -1
     wait_s: float = 0.0
     differences: bool = False
+    era: int | None = None
 
 
 class LongPoll:
@@ -115,7 +131,7 @@
     def answer(self, query: bytes, finish: FinishCall) -> LongPoll | None:
         """Answer a call at once, or return it as pending for at most its wait."""
         read = read_query(query)
-        if not self.must_wait(read.after) or not read.wait_s:
+        if not self.must_wait(read) or not read.wait_s:
             finish(self.answer_now(read, self.reactor.seconds()))
             return None
         poll = LongPoll(self, read, finish)
@@ -123,18 +139,18 @@
         self.reactor.callLater(read.wait_s, self.answer_poll, poll)
         return poll
 
-    def must_wait(self, after: int) -> bool:
+    def must_wait(self, query: ChangesQuery) -> bool:
         """Return whether there is nothing to tell yet: no state, or no change."""
         if self.cache.revision is None:
             return True
-        update = self.update_since(after)
+        update = self.update_since(query.after, query.era)
         return self.current and not update.whole and not update.changes.items
 
     def answer_now(self, query: ChangesQuery, called_at: float) -> CallerAnswer:
         """Return the answer as of now to a call that arrived at ``called_at``."""
         if self.cache.revision is None:
             return CallerAnswer(UNAVAILABLE, (), b"", "probe")
-        update = self.update_since(query.after)
+        update = self.update_since(query.after, query.era)
         if query.differences and not update.whole:
             update = self.shorten(update, query.after)
         headers = confirmation_headers(self.confirmation.age_s(called_at))
@@ -153,7 +169,7 @@
                 items.append(item)
             else:
                 differences.append(difference)
-        changes = Changes(tuple(items), update.changes.revision)
+        changes = update.changes._replace(items=tuple(items))
         return update._replace(changes=changes, differences=tuple(differences))
 
     def difference_after(self, item: Item, after: int) -> ItemDifference | None:
@@ -168,9 +184,17 @@
             self.compared = (base, item, compare_items(base, item))
         return self.compared[2]
 
-    def update_since(self, after: int) -> StateUpdate:
-        """Return the changes after a revision, or a listing if these are not logged."""
-        changes = self.cache.changes_after(after)
+    def update_since(self, after: int, era: int | None = None) -> StateUpdate:
+        """Return the changes after a revision, or a listing if these are not logged.
+
+        A caller in an earlier era gets a listing, and one in a later era no changes.
+        """
+        cache = self.cache
+        if era is not None and era > cache.era:
+            nothing = Changes((), cache.revision or 0, cache.era)
+            return StateUpdate(nothing, False, self.current)
+        is_earlier = era is not None and era < cache.era
+        changes = None if is_earlier else cache.changes_after(after)
         if changes is None:
             return StateUpdate(self.cache.listing(), True, self.current)
         return StateUpdate(changes, False, self.current)
@@ -221,9 +245,9 @@
     """Return the fields of a query, or their defaults.
 
     >>> read_query(b"after=7&wait_ms=1500")
-    ChangesQuery(after=7, wait_s=1.5, differences=False)
-    >>> read_query(b"after=x&differences=1")
-    ChangesQuery(after=-1, wait_s=0.0, differences=True)
+    ChangesQuery(after=7, wait_s=1.5, differences=False, era=None)
+    >>> read_query(b"after=x&differences=1&era=2")
+    ChangesQuery(after=-1, wait_s=0.0, differences=True, era=2)
     """
     fields = parse_qs(query.decode("latin-1"))
 
@@ -232,4 +256,10 @@
         return int(value) if value.isdecimal() and len(value) < 19 else default
 
     wait_s = min(number("wait_ms", 0) / MS_PER_S, MAX_WAIT_S)
-    return ChangesQuery(number("after", -1), wait_s, bool(number("differences", 0)))
+    era = number("era", -1)
+    return ChangesQuery(
+        number("after", -1),
+        wait_s,
+        bool(number("differences", 0)),
+        None if era < 0 else era,
+    )
--- a/sardinehook/gateway/store.py
+++ b/sardinehook/gateway/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple, Protocol
 
@@ -28,10 +29,14 @@
 
 
 class Changes(NamedTuple):
-    """A listing or a batch of changes, valid as of the store revision ``revision``."""
+    """A listing or a batch of changes, valid as of the store revision ``revision``.
+
+    All revisions are of the era ``era``, 0 if the store states none.
+    """
 
     items: tuple[Item, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,9 +55,13 @@
 class GatewayStore(Protocol):
     """A key-value store with watches and leases.
 
-    Methods return failures instead of raising, and do not retry.
+    Methods return failures instead of raising, and do not retry. ``on_era`` is called
+    with the era that an answer states, 0 if it states none, before the result of the
+    call is returned.
     """
 
+    on_era: Callable[[int], object]
+
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
         """List the keys that begin with ``prefix``, as of the first page."""
         ...
--- a/sardinehook/gateway/watch_cache.py
+++ b/sardinehook/gateway/watch_cache.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.decoding import DECODE_ERRORS, Number
+from sardinehook.gateway.era import Position
 from sardinehook.gateway.store import Changes, Item
 from sardinehook.gateway.value_difference import (
     MAX_PARTS,
@@ -84,6 +85,7 @@
     current: bool
     items: Annotated[list[WireItem], Meta(max_length=MAX_ITEMS)]
     differences: Annotated[list[WireDifference], Meta(max_length=MAX_DIFFERENCES)] = []
+    era: Number = 0
 
 
 def encode_update(update: StateUpdate) -> bytes:
@@ -98,6 +100,7 @@
         update.current,
         items,
         [WireDifference(*difference) for difference in update.differences],
+        update.changes.era,
     )
     body = msgspec.msgpack.encode(wire)
     if len(body) < COMPRESSION_THRESHOLD_BYTES:
@@ -120,7 +123,7 @@
         return Failure(f"malformed update of a peer: {error}")
     items = tuple(Item(item.key, item.value, item.revision) for item in wire.items)
     differences = tuple(map(read_difference, wire.differences))
-    changes = Changes(items, wire.revision)
+    changes = Changes(items, wire.revision, wire.era)
     return Success(StateUpdate(changes, wire.whole, wire.current, differences))
 
 
@@ -149,6 +152,8 @@
 class WatchCache:
     """All keys as of ``revision``, which is ``None`` before the first listing.
 
+    All revisions are of the store's era ``era``.
+
     Changes after the revision ``logged_from`` are logged, so that other gateways can
     be sent these instead of a full listing.
 
@@ -159,7 +164,7 @@
     >>> cache.apply(Changes((Item("a", b"1", 6),), 6))
     ()
     >>> cache.changes_after(5)
-    Changes(items=(Item(key='a', value=None, revision=6),), revision=6)
+    Changes(items=(Item(key='a', value=None, revision=6),), revision=6, era=0)
     >>> cache.changes_after(4) is None
     True
     """
@@ -167,6 +172,7 @@
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
         self.revision: int | None = None
+        self.era = 0
         self.log: deque[Item] = deque()
         self.logged_bytes = 0
         self.logged_from = 0
@@ -177,6 +183,7 @@
         """Replace all keys with a full listing, and clear the log."""
         self.items = {item.key: item for item in listing.items}
         self.revision = self.logged_from = listing.revision
+        self.era = listing.era
         self.log.clear()
         self.bases.clear()
         self.logged_bytes = 0
@@ -184,6 +191,8 @@
     def apply(self, changes: Changes) -> tuple[Item, ...]:
         """Apply the changes since ``revision``, and return those that are new.
 
+        They are of the same era.
+
         Changes up to ``revision`` are known, from another gateway for example. To apply
         them again could restore a key that was deleted since.
         """
@@ -226,7 +235,16 @@
             if item.revision > revision:
                 last.pop(item.key, None)
                 last[item.key] = item
-        return Changes(tuple(last.values()), max(self.revision, revision))
+        return Changes(tuple(last.values()), max(self.revision, revision), self.era)
+
+    @property
+    def position(self) -> Position:
+        """The state of the store that is held, before all others if there is none."""
+        return (
+            Position(-1, -1)
+            if self.revision is None
+            else Position(self.era, self.revision)
+        )
 
     def keep_base(self, item: Item) -> None:
         """Keep the value of a key at the start of the log, within the limit."""
@@ -272,12 +290,12 @@
             return Failure(str(error))
         # The log is in the order of the revisions.
         items = sorted([*update.changes.items, *restored], key=lambda i: i.revision)
-        changes = Changes(tuple(items), update.changes.revision)
+        changes = update.changes._replace(items=tuple(items))
         return Success(update._replace(changes=changes, differences=()))
 
     def listing(self) -> Changes:
         """Return a full listing."""
-        return Changes(tuple(self.items.values()), self.revision or 0)
+        return Changes(tuple(self.items.values()), self.revision or 0, self.era)
 
 
 def size_of(item: Item) -> int:
--- a/sardinehook/gateway/watch_monitor.py
+++ b/sardinehook/gateway/watch_monitor.py
@@ -120,6 +120,8 @@
                 revision = update.changes.revision
                 state = "newer" if update.changes.items else "equal"
                 detail = "" if update.current else "has no contact with the store"
+                if update.changes.era < self.state.cache.era:
+                    state = "earlier era"
             case Failure(problem):
                 state, detail = "unknown", str(problem)
         if state != self.last_comparison:
--- a/sardinehook/observe/events.py
+++ b/sardinehook/observe/events.py
@@ -78,6 +78,7 @@
     STORE_DOWN = "store_down"
     STORE_UP = "store_up"
     STORE_WATCH = "store_watch"
+    STORE_ERA = "store_era"
     STATE_FROM_PEER = "state_from_peer"
     WATCH_COMPARED = "watch_compared"
     READER_STATE = "reader_state"
--- a/sardinehook/platform/kv_store.py
+++ b/sardinehook/platform/kv_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from typing import TypeVar
@@ -34,6 +35,9 @@
 MAX_LISTING_BYTES = 32 * 1024 * 1024  # bounds the memory that a listing takes
 ITEM_OVERHEAD_BYTES = 256  # memory for an item besides its key and value
 MS_PER_S = 1000.0
+ERA_HEADER = b"store-era"
+ERA = re.compile(rb"\d{1,18}")
+OK = 200
 
 Body = TypeVar("Body")
 
@@ -90,6 +94,7 @@
         self.reactor = reactor
         self.address = address
         self.count_call = count_call
+        self.on_era: Callable[[int], object] = ignore_era
         self.pool = ConnectionPool(
             reactor, address, MAX_CONNECTIONS, ignore_connection, "store"
         )
@@ -97,7 +102,10 @@
     async def call(
         self, operation: str, method: str, path: str, body: object, timeout_s: float
     ) -> Result[Reply, StoreProblem]:
-        """Send one request and count it; any status but 200 is a failure."""
+        """Send one request and count it; any status but 200 is a failure.
+
+        ``on_era`` is called with the era of the answer before it is returned.
+        """
         content = b"" if body is None else msgspec.json.encode(body)
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: {self.address}\r\n"
@@ -108,17 +116,30 @@
             case Success(reply):
                 checked = check_status(reply)
                 self.count_call(operation, str(reply.status))
+                self.report_era(reply)
                 return checked
             case Failure(problem):
                 self.count_call(operation, "no_answer")
                 return Failure(problem)
         raise AssertionError("a result is a success or a failure")
 
+    def report_era(self, reply: Reply) -> None:
+        """Report the era of an answer.
+
+        An error without one may be that of a server in between.
+        """
+        value = reply.header(ERA_HEADER)
+        if value is not None and not ERA.fullmatch(value):
+            self.count_call("era", "malformed")
+        era = read_era(reply)
+        if era or reply.status == OK:
+            self.on_era(era)
+
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
         """Read all items under ``prefix``, with the revision of the first page."""
         items: list[Item] = []
         held = 0
-        revision = 0
+        revision = era = 0
         after = ""
         for _ in range(MAX_PAGES):
             path = f"/kv-range?Prefix={quote(prefix, safe='')}"
@@ -127,6 +148,10 @@
             result = await self.call("range", "GET", path, None, CALL_TIMEOUT_S)
             match result.bind(lambda reply: decode(reply, WireRange)):
                 case Success(page):
+                    page_era = result.map(read_era).value_or(0)
+                    if era and page_era and era != page_era:
+                        return Failure(HistoryGone())
+                    era = era or page_era
                     items.extend(read_item(item) for item in page.items)
                     held += sum(size_of(item) for item in page.items)
                     if held > MAX_LISTING_BYTES:
@@ -134,7 +159,7 @@
                         return Failure(StoreUnavailable(detail, False))
                     revision = revision or page.as_of
                     if not page.has_more or not page.items:
-                        return Success(Changes(tuple(items), revision))
+                        return Success(Changes(tuple(items), revision, era))
                     after = page.items[-1].key
                 case Failure(problem):
                     return Failure(problem)
@@ -151,9 +176,10 @@
             f"&WaitMs={int(wait_s * MS_PER_S)}"
         )
         result = await self.call("watch", "GET", path, None, wait_s + CALL_TIMEOUT_S)
+        era = result.map(read_era).value_or(0)
         return result.bind(lambda reply: decode(reply, WireEvents)).map(
             lambda page: Changes(
-                tuple(read_item(item) for item in page.events), page.as_of
+                tuple(read_item(item) for item in page.events), page.as_of, era
             )
         )
 
@@ -209,6 +235,22 @@
     """Ignore new connections: the calls' results show whether the store answers."""
 
 
+def ignore_era(_era: int) -> None:
+    """Ignore the era of an answer, until the gateway follows the store."""
+
+
+def read_era(reply: Reply) -> int:
+    """Return the era that an answer states, 0 if it states none or a malformed one.
+
+    >>> read_era(Reply(200, ((b"store-era", b"3"),), b""))
+    3
+    >>> read_era(Reply(200, ((b"store-era", b"-3"),), b""))
+    0
+    """
+    value = reply.header(ERA_HEADER)
+    return int(value) if value is not None and ERA.fullmatch(value) else 0
+
+
 def check_status(reply: Reply) -> Result[Reply, StoreProblem]:
     """Map 404 and 410 to their failures, and any other status but 200 to a third."""
     match reply.status:
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from ipaddress import IPv4Address
 from random import Random
 from typing import Any
@@ -45,6 +45,7 @@
         self.registered: tuple[Item, ...] = ()
         self.lease_gone = False
         self.dropped = 0
+        self.on_era: Callable[[int], object] = lambda _era: None
 
     async def read_all(self, prefix: str) -> Result[Changes, StoreProblem]:
         """Return the registered gateways, or what the test supplies later."""
