Let the soak's store come back from older copies

Operator and replicas write again within 4 s. A check of its own judges that replicas which were withdrawn before stay so in this time. The stand-in's entries count their writes, as Seq says; they stated whole seconds.

--- a/bench/commands.py
+++ b/bench/commands.py
@@ -73,13 +73,16 @@
     overlaps: Annotated[
         bool, typer.Option(help="Outages of the store with restarts and changes.")
     ] = False,
+    restores: Annotated[
+        bool, typer.Option(help="The store comes back from older copies.")
+    ] = False,
     keep: Annotated[
         Path | None, typer.Option(help="Keep settings and logs in this directory.")
     ] = None,
 ) -> None:
     """Run gateways under injected faults and check the guarantees."""
     options = SoakOptions(
-        seed, gateways, callers, minutes * 60.0, gap, mutant, overlaps
+        seed, gateways, callers, minutes * 60.0, gap, mutant, overlaps, restores
     )
     with tempfile.TemporaryDirectory() as scratch:
         folder = keep or Path(scratch)
--- a/bench/soak/checks.py
+++ b/bench/soak/checks.py
@@ -7,6 +7,7 @@
 
 from bench.soak.history import Attempt, Execution, History
 from bench.soak.notice_checks import check_leaving, check_limits, check_pauses
+from bench.soak.restore_checks import check_restores
 from bench.soak.violation import Guarantees, Violation
 
 __all__ = ["CHECKS", "Guarantees", "Violation", "check_all"]
@@ -374,4 +375,5 @@
     check_leaving,
     check_pauses,
     check_limits,
+    check_restores,
 )
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -21,6 +21,7 @@
     OddEntry,
     ReplicaFault,
     Reshard,
+    RestoreStore,
     ScheduledFault,
     StoreFault,
     StoreLink,
@@ -78,6 +79,8 @@
         match scheduled.fault:
             case StoreFault(mode):
                 self.inject_store_fault(mode, scheduled.duration_s)
+            case RestoreStore(copy_age_s):
+                testbed.restore_store(copy_age_s, scheduled.duration_s)
             case ReplicaFault(number, mode):
                 self.inject_replica_fault(number, mode, scheduled.duration_s)
             case DrainReplica(number):
--- a/bench/soak/history.py
+++ b/bench/soak/history.py
@@ -141,6 +141,8 @@
     cold_starts: list[Interval] = field(default_factory=list)
     disturbances: list[Interval] = field(default_factory=list)
     planned_stops: list[Interval] = field(default_factory=list)
+    # From when the store went away until its lost keys were written again.
+    restores: list[Interval] = field(default_factory=list)
     connections: dict[str, int] = field(default_factory=dict)
     recovered_at: float = 0.0
     # Whether some gateways run the searches of others.
--- a/bench/soak/kv_server.py
+++ b/bench/soak/kv_server.py
@@ -4,6 +4,7 @@
 
 from base64 import b64decode, b64encode
 from collections import deque
+from copy import deepcopy
 from random import Random
 from typing import NamedTuple, TypedDict
 
@@ -23,6 +24,8 @@
 RESPONSE_DELAY_S = 0.8
 LOST_REPLY_SHARE = 0.5  # of writes, in mode ``lost``
 HISTORY_EVENTS = 4000
+COPY_INTERVAL_S = 0.25
+MAX_COPIES = 40  # ten seconds, more than the greatest age of a restored copy
 
 
 class WireEvent(TypedDict, total=False):
@@ -36,6 +39,13 @@
     Deleted: bool
 
 
+class Copy(NamedTuple):
+    """The keys and leases at a time."""
+
+    at: float
+    values: KeyValues
+
+
 class Watch(NamedTuple):
     """A pending long poll for changes below a prefix after a revision."""
 
@@ -49,13 +59,16 @@
 
     ``busy`` refuses calls, ``slow`` delays them, ``lost`` drops answers to completed
     writes. ``silent`` loses calls, and answers that fall due, for good: their
-    connections stay open without an error. ``expire_leases`` and ``compact`` inject
-    the faults that happen once.
+    connections stay open without an error. ``away`` ends all connections.
+    ``expire_leases`` and ``compact`` inject the faults that happen once, and
+    ``restore`` brings back an older copy.
+
+    ``era`` is stated in all answers, unless it is 0; the store then keeps no copies.
     """
 
     isLeaf = True  # noqa: N815 - the name that twisted.web reads
 
-    def __init__(self, reactor: GatewayReactor, rng: Random) -> None:
+    def __init__(self, reactor: GatewayReactor, rng: Random, era: int = 0) -> None:
         super().__init__()  # type: ignore[no-untyped-call]
         self.reactor = reactor
         self.rng = rng
@@ -65,7 +78,11 @@
         self.mode = ""
         self.watches: dict[Watch, None] = {}
         self.calls = 0
+        self.era = era
+        self.copies: deque[Copy] = deque(maxlen=MAX_COPIES)
         self.expire_periodically()
+        if era:
+            self.keep_copies()
 
     def expire_periodically(self) -> None:
         """Expire leases periodically, except in mode ``busy``."""
@@ -74,6 +91,30 @@
             self.publish()
         self.reactor.callLater(EXPIRY_INTERVAL_S, self.expire_periodically)
 
+    def keep_copies(self) -> None:
+        """Keep a copy of the keys and leases periodically."""
+        self.copies.append(Copy(self.reactor.seconds(), deepcopy(self.values)))
+        self.reactor.callLater(COPY_INTERVAL_S, self.keep_copies)
+
+    def leave(self) -> None:
+        """End all connections, and accept no calls until ``restore``."""
+        self.mode = "away"
+        self.end_watches()
+
+    def restore(self, age_s: float) -> None:
+        """Come back in the next era with the latest copy of at least an age.
+
+        Revisions and the numbers of leases are given out again.
+        """
+        latest = self.reactor.seconds() - age_s
+        copy = next((one for one in reversed(self.copies) if one.at <= latest), None)
+        self.values = deepcopy((copy or self.copies[0]).values)
+        self.copies.clear()
+        self.history.clear()
+        self.compacted_at = self.values.revision
+        self.era += 1
+        self.mode = ""
+
     def write(self, key: str, value: bytes, lease: str = "") -> int:
         """Write a key unconditionally, as operators and replicas do."""
         held = self.values.held.get(key)
@@ -105,6 +146,10 @@
     def compact(self) -> None:
         """Compact the history and close the connections of pending watches."""
         self.compacted_at = self.values.revision
+        self.end_watches()
+
+    def end_watches(self) -> None:
+        """Close the connections of pending watches."""
         for watch in list(self.watches):
             del self.watches[watch]
             abort_connection(watch.request)
@@ -121,7 +166,10 @@
         # The body is gone once the connection is closed.
         body = request_body(request)
         if self.mode == "busy":
+            self.state_era(request)
             send_reply(request, 503, b"{}")
+        elif self.mode == "away":
+            abort_connection(request)
         elif self.mode == "slow":
             self.reactor.callLater(RESPONSE_DELAY_S, self.serve, request, body)
         elif self.mode != "silent":
@@ -169,9 +217,9 @@
         }
 
     def start_watch(self, request: Request) -> None:
-        """Answer a watch or keep it pending; 410 if its revision is compacted."""
+        """Answer a watch or keep it pending; 410 if its revision is unknown."""
         after = int(query_argument(request, "after", "0"))
-        if after < self.compacted_at:
+        if not self.compacted_at <= after <= self.values.revision:
             self.reply(request, 410, {})
             return
         watch = Watch(request, query_argument(request, "Prefix", ""), after)
@@ -217,10 +265,16 @@
         else:
             self.reply(request, status, content)
 
+    def state_era(self, request: Request) -> None:
+        """Add the header with the era to an answer."""
+        if self.era and not request._disconnected and not request.finished:
+            request.responseHeaders.setRawHeaders("Store-Era", [str(self.era)])
+
     def reply(self, request: Request, status: int, content: object) -> None:
         """Send a JSON answer, unless the store is silent."""
         if self.mode == "silent":
             return
+        self.state_era(request)
         send_reply(request, status, msgspec.json.encode(content))
 
 
--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -10,8 +10,10 @@
 from sardinehook.gateway import gather, records, run
 from sardinehook.gateway.answer import CallerAnswer
 from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.era import EraVerdict, StoreEra
 from sardinehook.gateway.process import GatewayProcess
 from sardinehook.gateway.replica import Replica
+from sardinehook.gateway.retained_state import RetainedState
 from sardinehook.gateway.single import SingleCall
 from sardinehook.gateway.store_state import StoreState
 
@@ -93,6 +95,26 @@
     patch(Replica, "is_cold", mutated)
 
 
+def believe_copies() -> None:
+    """Forget what an older copy of the store lacks, or has from before."""
+
+    def mutated(retained: RetainedState, *_arguments: Any) -> None:  # noqa: ANN401
+        retained.until.clear()
+        retained.earlier.clear()
+
+    patch(RetainedState, "compare", mutated)
+
+
+def ignore_eras() -> None:
+    """Compare revisions of different eras of the store."""
+
+    def mutated(era: StoreEra, stated: int, now: float) -> EraVerdict:  # noqa: ARG001
+        era.known = 0
+        return EraVerdict.SAME
+
+    patch(StoreEra, "observe_store", mutated)
+
+
 MUTANTS: dict[str, Callable[[], None]] = {
     "repeat-orders": repeat_orders,
     "refuse-falsely": refuse_falsely,
@@ -101,6 +123,8 @@
     "ignore-changes": ignore_changes,
     "stop-at-once": stop_at_once,
     "forget-cold": forget_cold,
+    "believe-copies": believe_copies,
+    "ignore-eras": ignore_eras,
 }
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,7 +19,12 @@
 from bench.soak.faults import FaultInjector
 from bench.soak.gateways import STOP_MARGIN_S, Gateway, GatewayOptions, make_gateways
 from bench.soak.history import Interval
-from bench.soak.schedule import Topology, make_overlaps, make_schedule
+from bench.soak.schedule import (
+    Topology,
+    make_overlaps,
+    make_restores,
+    make_schedule,
+)
 from bench.soak.testbed import DATA_CENTRES, Testbed
 from sardinehook.gateway.reactor import GatewayReactor
 
@@ -40,6 +45,7 @@
     """Options of a soak; ``mutant`` names a defect injected into the gateways.
 
     With ``overlaps``, the store has outages that overlap with restarts and changes.
+    With ``restores``, it states eras and comes back from older copies besides.
     """
 
     seed: int
@@ -49,6 +55,7 @@
     mean_gap_s: float = 1.0
     mutant: str = ""
     overlaps: bool = False
+    restores: bool = False
 
 
 class SoakResult(NamedTuple):
@@ -70,7 +77,7 @@
         self.reactor = reactor
         self.options = options
         self.folder = folder
-        self.testbed = Testbed(reactor, options.seed)
+        self.testbed = Testbed(reactor, options.seed, options.restores)
         self.history = self.testbed.history
         self.guarantees = Guarantees()
         self.violations: list[Violation] = []
@@ -120,6 +127,9 @@
             schedule = make_schedule(
                 options.seed, topology, options.faults_s, options.mean_gap_s
             )
+        if options.restores:
+            schedule += make_restores(options.seed, topology, options.faults_s)
+            schedule.sort(key=lambda one: one.at)
         started_at = self.reactor.seconds()
         for scheduled in schedule:
             await self.sleep(started_at + scheduled.at - self.reactor.seconds())
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -21,11 +21,13 @@
     "OddEntry",
     "ReplicaFault",
     "Reshard",
+    "RestoreStore",
     "ScheduledFault",
     "StoreFault",
     "StoreLink",
     "Topology",
     "make_overlaps",
+    "make_restores",
     "make_schedule",
 ]
 
@@ -43,6 +45,10 @@
 MEAN_BETWEEN_TOTAL_RESTARTS_S = 10.0
 EVACUATION_SHARE = 0.4
 WHOLE_DATA_CENTRE_SHARE = 0.5
+MAX_COPY_AGE_S = 8.0
+RESTORED_EVACUATION_SHARE = 0.7
+MIN_RESTORE_S = 0.2
+MAX_RESTORE_S = 1.5
 OUTAGE_MODES = ("silent", "silent", "silent", "busy", "slow", "lost")
 
 
@@ -90,6 +96,13 @@
     mode: str
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """The store goes away and comes back from a copy that is some seconds old."""
+
+    copy_age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaFault:
     """A fault of a replica or of the proxy in front of it."""
@@ -141,6 +154,7 @@
     | GatewayReload
     | StoreLink
     | StoreFault
+    | RestoreStore
     | ReplicaFault
     | DrainReplica
     | Evacuate
@@ -264,6 +278,35 @@
         at += MIN_CALM_S + rng.expovariate(1.0 / MEAN_BETWEEN_TOTAL_RESTARTS_S)
 
 
+def make_restores(
+    seed: int, topology: Topology, duration_s: float
+) -> list[ScheduledFault]:
+    """Draw the times at which the store comes back from an older copy.
+
+    Before each, a replica drains and a data centre may be evacuated, at times that most
+    copies are older than.
+
+    >>> topology = Topology(6, 8, 3)
+    >>> make_restores(1, topology, 20.0) == make_restores(1, topology, 20.0)
+    True
+    """
+    rng = Random(f"{seed} restores")
+    scheduled: list[ScheduledFault] = []
+    at = QUIET_START_S + rng.uniform(MIN_CALM_S, MAX_CALM_S)
+    while at < duration_s:
+        fault = RestoreStore(rng.uniform(MIN_DURATION_S, MAX_COPY_AGE_S))
+        away_s = rng.uniform(MIN_RESTORE_S, MAX_RESTORE_S)
+        scheduled.append(ScheduledFault(at, fault, away_s))
+        drain = DrainReplica(rng.randrange(topology.replicas))
+        scheduled.append(ScheduledFault(at - rng.uniform(3.2, 5.0), drain, 0.0))
+        if rng.random() < RESTORED_EVACUATION_SHARE:
+            evacuation = Evacuate(rng.randrange(topology.data_centres))
+            started_at = at - rng.uniform(5.2, 7.0)
+            scheduled.append(ScheduledFault(started_at, evacuation, MAX_DURATION_S))
+        at += away_s + rng.uniform(MIN_CALM_S, 2 * MAX_CALM_S)
+    return scheduled
+
+
 def draw_gateways(rng: Random, topology: Topology) -> list[int]:
     """Draw the gateways of one data centre, or any of them."""
     gateways = range(topology.gateways)
--- a/bench/soak/testbed.py
+++ b/bench/soak/testbed.py
@@ -32,6 +32,7 @@
 COLD_START_S = 2.0
 COLD_PER_S = 2.0  # 8 requests in a second, with the bounds in the gateways' settings
 NO_END = float("inf")
+MAX_REWRITE_S = 4.0  # until the operator and replicas have written again
 ODD_VALUES = (
     b'{"Note": ' + b"[" * 5000,
     b'{"Service": "desk", "Addr": "127.0.0.1:70000", "Zone": "a", "State": "ready"}',
@@ -61,6 +62,7 @@
         self.service = service
         self.data_centre = data_centre
         self.starts = 0
+        self.writes = 0
         self.draining = False
         self.server: ReplicaServer | None = None
         self.listening: Any = None
@@ -100,10 +102,16 @@
             return
         self.write("draining" if self.draining else "ready")
 
+    def write_again(self) -> None:
+        """Write the registration, which the store may have lost or have from before."""
+        if self.server is not None:
+            self.write("draining" if self.draining else "ready")
+
     def write(self, state: str) -> float:
         """Write the registration; return the time at which the store accepted it."""
         assert self.proxy is not None
         now: float = self.testbed.reactor.seconds()
+        self.writes += 1
         entry = {
             "Service": self.identity.service,
             "Addr": f"127.0.0.1:{self.proxy.port}",
@@ -112,7 +120,7 @@
             "Slots": 2,
             "State": state,
             "ColdLeftMs": int(1000 * max(0.0, self.cold_until - now)),
-            "Seq": int(now),
+            "Seq": self.writes,
             "born": self.identity.born_ms,
         }
         key = f"servers/{self.identity.name}"
@@ -146,12 +154,14 @@
 class Testbed:
     """The store, the replicas and the operators' actions of a soak."""
 
-    def __init__(self, reactor: GatewayReactor, seed: int) -> None:
+    def __init__(
+        self, reactor: GatewayReactor, seed: int, restores: bool = False
+    ) -> None:
         self.reactor = reactor
         self.seed = seed
         self.rng = Random(f"{seed} world")
         self.history = History()
-        self.store = KvServer(reactor, Random(f"{seed} store"))
+        self.store = KvServer(reactor, Random(f"{seed} store"), int(restores))
         self.store_port: int = listen(reactor, self.store).getHost().port
         self.replicas: list[ReplicaSite] = []
         for service in [*SHARD_SETS[0], *SHARD_SETS[1], *SINGLE_SERVICES]:
@@ -160,6 +170,7 @@
                 data_centre = DATA_CENTRES[(number + copy) % len(DATA_CENTRES)]
                 self.replicas.append(ReplicaSite(self, number, service, data_centre))
         self.version = 0
+        self.configuration = b""
         self.active_shard_set = 0
         self.active_single = 0
         self.evacuated = ""
@@ -206,7 +217,8 @@
             ],
         }
         sent_at = self.reactor.seconds()
-        self.store.write("op/config", msgspec.json.encode(value))
+        self.configuration = msgspec.json.encode(value)
+        self.store.write("op/config", self.configuration)
         allowed = {
             "/find/": search,
             "/one/": (active_single,),
@@ -215,6 +227,48 @@
         now = self.reactor.seconds()
         self.history.revisions.append(Revision(self.version, sent_at, now, allowed))
 
+    def restore_store(self, copy_age_s: float, away_s: float) -> None:
+        """Let the store go away and come back from a copy of before.
+
+        The operator and the replicas write what they wrote since at times of their own.
+        """
+        if self.store.mode == "away":
+            return
+        now = self.reactor.seconds()
+        end = now + away_s + MAX_REWRITE_S
+        self.history.record_disturbance("store", now, end)
+        self.history.restores.append(Interval("store", now, end))
+        self.store.leave()
+        self.reactor.callLater(away_s, self.bring_back, copy_age_s + away_s)
+
+    def bring_back(self, age_s: float) -> None:
+        """Bring the store back, and schedule what is written again."""
+        self.store.restore(age_s)
+        for replica in self.replicas:
+            delay_s = self.rng.uniform(0.0, MAX_REWRITE_S)
+            self.reactor.callLater(delay_s, replica.write_again)
+        delay_s = self.rng.uniform(0.0, MAX_REWRITE_S)
+        self.reactor.callLater(delay_s, self.write_again)
+
+    def write_again(self) -> None:
+        """Write the operator's keys, and delete those that are not in force.
+
+        The entries of replicas that have stopped end with them, as their leases would.
+        """
+        self.store.write("op/config", self.configuration)
+        in_force = {
+            f"servers/{replica.identity.name}"
+            for replica in self.replicas
+            if replica.server is not None
+        }
+        if self.evacuated:
+            in_force.add(f"op/evacuate/{self.evacuated}")
+            self.store.write(f"op/evacuate/{self.evacuated}", b"{}")
+        for prefix in ("servers/", "op/evacuate/"):
+            for held in self.store.values.scan(prefix):
+                if held.key not in in_force:
+                    self.store.delete(held.key)
+
     def change_route(self) -> None:
         """Move the route ``one`` to the other service."""
         self.active_single = 1 - self.active_single
--- a/tests/bench/soak/test_run.py
+++ b/tests/bench/soak/test_run.py
@@ -11,7 +11,7 @@
 
 from bench.soak.mutant import MUTANTS
 from bench.soak.regressions import REGRESSIONS, Regression
-from bench.soak.schedule import Topology, make_schedule
+from bench.soak.schedule import Topology, make_restores, make_schedule
 
 REPOSITORY = Path(__file__).resolve().parents[3]
 TIMEOUT_S = 150.0
@@ -110,6 +110,12 @@
         assert len(kinds) == 12
 
 
+class TestRestores:
+    @pytest.mark.parametrize("seed", range(5))
+    def test_each_schedule_has_a_restore(self, seed: int) -> None:
+        assert make_restores(seed, Topology(6, 28, 3), 20.0)
+
+
 class TestMutants:
     def test_each_mutant_documents_its_defect(self) -> None:
         assert all(mutant.__doc__ for mutant in MUTANTS.values())
