Keep what held before when the store comes back twice

The second copy was compared with the items of the first one, so that a drain which held against the first was undone by the second. What is in force against a copy is kept apart. A gateway that lists a new era asks another one for the configuration first, so that the gateways which ask it get the newest version.

3 new tests; the two of the second copy fail without the change.

--- a/bench/soak/mutant.py
+++ b/bench/soak/mutant.py
@@ -99,6 +99,7 @@
     """Forget what an older copy of the store lacks, or has from before."""
 
     def mutated(retained: RetainedState, *_arguments: Any) -> None:  # noqa: ANN401
+        retained.in_force.clear()
         retained.until.clear()
         retained.earlier.clear()
 
--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -209,9 +209,11 @@
                 self.relay.set_current(True)
                 if not whole and (state.is_behind or changes.era != era):
                     return  # revisions of another era than that of the call
+                if changes.era != era and not is_first:
+                    await self.fetch_configuration()
                 state.apply_changes(changes, whole, called_at)
                 if is_first and changes.era:
-                    await self.fetch_configuration()
+                    start_task(self.fetch_configuration(), log_error)
                 if changes.items:
                     await sleep(self.reactor, COALESCE_RATIO * self.min_bound_s)
             case Failure(problem):
@@ -240,10 +242,11 @@
             self.store.drop_connections()
 
     async def fetch_configuration(self) -> None:
-        """Ask another gateway for a newer configuration than the store's, once.
+        """Ask another gateway for a newer configuration than the known one, once.
 
         A store that came back from an older copy may lack the last versions until the
-        operator has written them again.
+        operator has written them again. In a new era the answer is awaited, so that
+        the gateways which ask this one get the configuration with the listing.
         """
         match await self.peers.fetch_from_any(self.fleet.peers(), None):
             case Success(update):
--- a/sardinehook/gateway/retained_state.py
+++ b/sardinehook/gateway/retained_state.py
@@ -23,15 +23,16 @@
 class RetainedState:
     """Decides which keys of a listing from an older copy count.
 
-    ``until`` has the keys that keep their state from before: those that the copy lacks,
-    and those that had been removed and are back with their value from before. After
-    that time the copy counts, unless the operator or the replica has written the key in
-    the meantime. ``earlier`` has the values in the copy that do not count. One that is
-    older than a later write of the same process never counts.
+    ``in_force`` has what holds against the copy: the item from before, or ``None`` for
+    a key that had been removed and is back in the copy. ``until`` tells when the copy
+    counts, unless the operator or the replica has written the key in the meantime. A
+    value that is older than a later write of the same process never counts. ``earlier``
+    has the values in the copy that do not count.
     """
 
     def __init__(self, schema: StoreSchema) -> None:
         self.schema = schema
+        self.in_force: dict[str, Item | None] = {}
         self.until: dict[str, float] = {}
         self.earlier: dict[str, Item] = {}
         self.removed: dict[str, Item] = {}
@@ -66,24 +67,33 @@
     def compare(
         self, known: Mapping[str, Item], listed: Iterable[Item], now: float
     ) -> None:
-        """Decide by the items known before, when an older copy was listed."""
+        """Decide by the items known before, when an older copy was listed.
+
+        What held against the copy before that one holds on.
+        """
+        before: dict[str, Item | None] = {**known, **self.in_force}
+        self.in_force, self.until, self.earlier = {}, {}, {}
         by_key = {item.key: item for item in listed}
-        missing = (known.keys() | (self.until.keys() - self.earlier.keys())) - (
-            by_key.keys()
-        )
-        self.until = {
-            key: now + self.retention_s(key) for key in missing if self.retention_s(key)
-        }
-        self.earlier = {
-            key: item
-            for key, item in by_key.items()
-            if self.is_earlier(item, known.get(key), now)
-        }
+        for key in before.keys() - by_key.keys():
+            item, retention_s = before[key], self.retention_s(key)
+            if item is not None and retention_s:
+                self.in_force[key] = item
+                self.until[key] = now + retention_s
+        for key, item in by_key.items():
+            held = before.get(key)
+            if held is not None:
+                if self.is_earlier_write(item, held):
+                    self.in_force[key] = held
+                    self.earlier[key] = item
+            elif self.is_removed(item):
+                self.in_force[key] = None
+                self.until[key] = now + self.retention_s(key)
+                self.earlier[key] = item
 
     def compare_again(self, listed: Iterable[Item]) -> None:
-        """Release the keys of which a later listing has a newer value."""
+        """Release the keys of which a later listing has another value."""
         for item in listed:
-            if item.key in self.until and self.earlier.get(item.key) != item:
+            if item.key in self.in_force and self.earlier.get(item.key) != item:
                 self.release(item)
 
     def retention_s(self, key: str) -> float:
@@ -94,18 +104,13 @@
             return RECORD_RETENTION_S
         return 0.0
 
-    def is_earlier(self, listed: Item, known: Item | None, now: float) -> bool:
-        """Return whether a listed item is from before what is known of its key."""
-        if known is not None:
-            return self.is_earlier_write(listed, known)
+    def is_removed(self, listed: Item) -> bool:
+        """Return whether a listed item is one that was removed since the copy."""
         removed = self.removed.get(listed.key)
         if removed is None:
             return False
         same = (removed.value, removed.revision) == (listed.value, listed.revision)
-        if same or self.is_earlier_write(listed, removed):
-            self.until[listed.key] = now + self.retention_s(listed.key)
-            return True
-        return False
+        return same or self.is_earlier_write(listed, removed)
 
     def is_earlier_write(self, listed: Item, known: Item) -> bool:
         """Return whether a replica wrote ``listed`` before ``known``."""
@@ -121,21 +126,25 @@
 
     def keys(self) -> list[str]:
         """Return the keys whose state in force is another one than the store's."""
-        return sorted(self.until.keys() | self.earlier.keys())
+        return sorted(self.in_force)
 
     def release(self, item: Item) -> None:
         """Record that a key was written or removed in the present era."""
-        self.until.pop(item.key, None)
-        self.earlier.pop(item.key, None)
+        self.forget(item.key)
         if item.value is not None:
             self.removed.pop(item.key, None)
 
+    def forget(self, key: str) -> None:
+        """Let the store's word count for a key."""
+        self.in_force.pop(key, None)
+        self.until.pop(key, None)
+        self.earlier.pop(key, None)
+
     def take_expired(self, now: float) -> list[str]:
         """Return the keys for which the copy counts from now on."""
         expired = sorted(key for key, until in self.until.items() if now >= until)
         for key in expired:
-            del self.until[key]
-            self.earlier.pop(key, None)
+            self.forget(key)
             self.removed.pop(key, None)
         return expired
 
@@ -144,7 +153,5 @@
 
         Those that were removed are left out, and those that are retained are added.
         """
-        listed = set(names)
-        returned = self.until.keys() & self.earlier.keys()
-        retained = self.until.keys() - self.earlier.keys()
-        return sorted((listed - returned) | retained)
+        removed = {key for key, item in self.in_force.items() if item is None}
+        return sorted((set(names) | self.in_force.keys()) - removed)
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -211,7 +211,8 @@
     def adopt_configuration(self, update: StateUpdate) -> None:
         """Apply the configuration of another gateway if its version is higher.
 
-        The store may have come back without it, and this process has just started.
+        The store may have come back without it. An update of another era than the
+        present one gives nothing else.
         """
         for item in update.changes.items:
             if item.key == self.dialect.configuration_key:
--- a/tests/gateway/test_retained_state.py
+++ b/tests/gateway/test_retained_state.py
@@ -112,6 +112,41 @@
         rig.reactor.pump([0.5] * int(2 * RECORD_RETENTION_S))
         assert usable(rig) == ["a"]
 
+    def test_a_drain_stays_when_the_store_comes_back_twice(self) -> None:
+        rig = FollowerRig()
+        answer(rig, 1, 100, replica("a", 90, "draining"))
+        enter_era(rig, 2, 60, replica("a", 50))
+        enter_era(rig, 3, 60, replica("a", 50))
+        assert usable(rig) == []
+        enter_era(rig, 4, 40)
+        enter_era(rig, 5, 60, replica("a", 50))
+        assert usable(rig) == []
+
+    def test_what_had_left_stays_away_when_the_store_comes_back_twice(self) -> None:
+        rig = FollowerRig()
+        answer(rig, 1, 100, replica("a", 90, "draining"))
+        answer(rig, 1, 101, Item("servers/a", None, 101))
+        enter_era(rig, 2, 60, replica("a", 50))
+        enter_era(rig, 3, 60, replica("a", 50))
+        assert usable(rig) == []
+
+    def test_a_configuration_that_the_store_lost_is_taken_from_another_gateway(
+        self,
+    ) -> None:
+        """One that lagged would otherwise wait until it is written again."""
+        peers = ScriptedPeers()
+        first = FollowerRig(node="g-1", peers=peers)
+        record = msgspec.json.encode(GatewayRecord(peer_address("g-1"), "there"))
+        registered = Item(GATEWAY_PREFIX + "g-1", record, 5)
+        answer(first, 1, 100, version(7, 90), registered)
+        lagging = FollowerRig(node="g-2", peers=peers)
+        answer(lagging, 1, 80, version(6, 50), registered)
+        enter_era(lagging, 2, 60, version(6, 50), registered)
+        assert lagging.versions == [6, 7]
+        fresh = FollowerRig(node="g-3")
+        fresh.follower.state.apply_update(lagging.follower.relay.update_since(-1))
+        assert fresh.versions == [7]
+
     def test_a_restarted_replica_counts_at_once(self) -> None:
         rig = FollowerRig()
         answer(rig, 1, 100, replica("a", 90, "draining"))
