--- a/tests/bench/soak/test_checks.py
+++ b/tests/bench/soak/test_checks.py
@@ -176,6 +176,13 @@
     history.evacuated.append(Withdrawal("i-desk", 4.0, 100.0))
 
 
+def request_after_restore(history: History) -> None:
+    """Send a request to a drained replica when the store is back with an old copy."""
+    history.draining.append(Withdrawal("i-desk", 5.0, 1e9))
+    history.restores.append(Interval("store", 10.5, 15.0))
+    history.record_disturbance("store", 10.5, 15.0)
+
+
 def cold_start_limit_exceeded(history: History) -> None:
     """Exceed the request rate limit of a replica in its cold start."""
     history.cold_starts.append(Interval("i-desk", 30.0, 32.0))
@@ -242,6 +249,7 @@
     retry_budget_exceeded: "budget",
     request_after_drain: "drain",
     request_after_evacuation: "evacuation",
+    request_after_restore: "restore",
     cold_start_limit_exceeded: "cold",
     outdated_version: "configuration",
     version_reverted: "never back",
@@ -290,6 +298,13 @@
         history.record_disturbance("g-0", 8.0, 9.0)
         assert check_all(history, Guarantees()) == []
 
+    def test_a_withdrawal_right_before_a_restore_is_not_checked(self) -> None:
+        """The store may lose it before the gateways have it."""
+        history = correct_history()
+        request_after_restore(history)
+        history.draining[0] = history.draining[0]._replace(acked_at=8.0)
+        assert check_all(history, Guarantees()) == []
+
 
 def notice_history(notice: Notice, arrivals: list[float]) -> History:
     """Return a history with a notice and later requests to the same replica."""
--- a/tests/gateway/test_retained_state.py
+++ b/tests/gateway/test_retained_state.py
@@ -138,9 +138,10 @@
         first = FollowerRig(node="g-1", peers=peers)
         record = msgspec.json.encode(GatewayRecord(peer_address("g-1"), "there"))
         registered = Item(GATEWAY_PREFIX + "g-1", record, 5)
-        answer(first, 1, 100, version(7, 90), registered)
+        answer(first, 1, 80, version(6, 50), registered)
         lagging = FollowerRig(node="g-2", peers=peers)
         answer(lagging, 1, 80, version(6, 50), registered)
+        answer(first, 1, 100, version(7, 90))
         enter_era(lagging, 2, 60, version(6, 50), registered)
         assert lagging.versions == [6, 7]
         fresh = FollowerRig(node="g-3")
