--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -28,7 +28,7 @@
 from sardinehook.observe.errors import log_error
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.store.port import StoreUnavailable
-from sardinehook.transport.tasks import sleep, start_task
+from sardinehook.transport.tasks import Promise, sleep, start_task
 
 __all__ = ["StoreFollower"]
 
@@ -48,6 +48,7 @@
 # long poll ago at most, which are 0.8 of the bound together.
 STRICT_WATCH_RATIO = 0.2
 INITIAL_BACKOFF_S = 0.1
+MAX_CONFIGURATION_WAIT_S = 0.15  # gateways answer within milliseconds; starts are short
 ASK_PEERS_AFTER_S = 1.0  # the store may fail for this gateway only
 MAX_BACKOFF_S = 1.0  # low, since the time bounds are a few seconds
 ALL_KEYS = ""
@@ -209,11 +210,9 @@
                 self.relay.set_current(True)
                 if not whole and (state.is_behind or changes.era != era):
                     return  # revisions of another era than that of the call
-                if changes.era != era and not is_first:
-                    await self.fetch_configuration()
+                if changes.era and (is_first or changes.era != era):
+                    await self.await_configuration()
                 state.apply_changes(changes, whole, called_at)
-                if is_first and changes.era:
-                    start_task(self.fetch_configuration(), log_error)
                 if changes.items:
                     await sleep(self.reactor, COALESCE_RATIO * self.min_bound_s)
             case Failure(problem):
@@ -241,12 +240,33 @@
         if self.monitor.watching and self.state.is_behind:
             self.store.drop_connections()
 
+    async def await_configuration(self) -> None:
+        """Ask another gateway for a newer configuration, and wait for a short time.
+
+        An answer in time is in force with the listing: no request is served by the
+        older version, and the gateways which ask this one get the newer one.
+        """
+        answered: Promise[None] = Promise()
+
+        def end_wait() -> None:
+            if not answered.is_resolved:
+                answered.resolve(None)
+
+        async def fetch() -> None:
+            await self.fetch_configuration()
+            end_wait()
+
+        start_task(fetch(), log_error)
+        timer = self.reactor.callLater(MAX_CONFIGURATION_WAIT_S, end_wait)
+        await answered
+        if timer.active():
+            timer.cancel()
+
     async def fetch_configuration(self) -> None:
         """Ask another gateway for a newer configuration than the known one, once.
 
         A store that came back from an older copy may lack the last versions until the
-        operator has written them again. In a new era the answer is awaited, so that
-        the gateways which ask this one get the configuration with the listing.
+        operator has written them again.
         """
         match await self.peers.fetch_from_any(self.fleet.peers(), None):
             case Success(update):
--- a/sardinehook/gateway/store_state.py
+++ b/sardinehook/gateway/store_state.py
@@ -219,7 +219,7 @@
                 kept = item._replace(revision=self.cache.revision or 0)
                 before = self.version
                 self.apply_item_alone(kept)
-                if self.version > before:
+                if self.version > before and self.loaded:
                     self.cache.items[item.key] = kept
                     self.on_changed()
 
--- a/tests/gateway/test_retained_state.py
+++ b/tests/gateway/test_retained_state.py
@@ -6,21 +6,27 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 import pytest
+from returns.result import Result, Success
 
 from sardinehook.gateway.fleet import (
     GATEWAY_PREFIX,
     GatewayRecord,
 )
+from sardinehook.gateway.follower import MAX_CONFIGURATION_WAIT_S
 from sardinehook.gateway.retained_state import (
     EVACUATION_RETENTION_S,
     MAX_REMOVED,
     RECORD_RETENTION_S,
     RetainedState,
 )
-from sardinehook.gateway.store import Item
+from sardinehook.gateway.store import Changes, Item
+from sardinehook.gateway.watch_cache import StateUpdate
 from sardinehook.platform.discovery import PlatformKeys
+from sardinehook.transport.tasks import Promise
 from tests.gateway.test_follower import (
     FollowerRig,
     ScriptedPeers,
@@ -64,9 +70,32 @@
         registered = Item(GATEWAY_PREFIX + "g-1", record, 5)
         fresh = FollowerRig(node="g-2", peers=peers, registered=(registered,))
         answer(fresh, 2, 60, version(6, 50), registered)
-        assert fresh.versions == [6, 7]
+        assert fresh.versions == [7]
         assert fresh.follower.state.cache.revision == 60
 
+    def test_a_gateway_that_starts_does_not_wait_for_long(self) -> None:
+        """All gateways may start at once, and none answers."""
+        peers = ScriptedPeers()
+        held: list[Promise[Result[StateUpdate, str]]] = []
+
+        async def fetch_from_any(
+            addresses: Collection[str], after: int | None
+        ) -> Result[StateUpdate, str]:
+            held.append(Promise())
+            return await held[-1]
+
+        peers.fetch_from_any = fetch_from_any  # type: ignore[method-assign]
+        rig = FollowerRig(peers=peers)
+        listing = Changes((version(6, 50),), 60, 2)
+        rig.store.waiting.popleft().resolve(Success(listing))
+        assert rig.versions == []
+        rig.reactor.advance(MAX_CONFIGURATION_WAIT_S)
+        assert rig.versions == [6]
+        held[0].resolve(
+            Success(StateUpdate(Changes((version(7, 90),), 100), True, True))
+        )
+        assert rig.versions == [6, 7]
+
     def test_a_replica_that_the_copy_lacks_is_believed_for_a_time(self) -> None:
         rig = FollowerRig()
         answer(rig, 1, 100, replica("a", 90))
