--- a/bench/commands.py
+++ b/bench/commands.py
@@ -76,13 +76,24 @@
     rollouts: Annotated[
         bool, typer.Option(help="A rollout beside kills and a lost store.")
     ] = False,
+    restores: Annotated[
+        bool, typer.Option(help="The store comes back from older copies.")
+    ] = False,
     keep: Annotated[
         Path | None, typer.Option(help="Keep settings and logs in this directory.")
     ] = None,
 ) -> None:
     """Run gateways under injected faults and check the guarantees."""
     options = SoakOptions(
-        seed, gateways, callers, minutes * 60.0, gap, mutant, overlaps, rollouts
+        seed,
+        gateways,
+        callers,
+        minutes * 60.0,
+        gap,
+        mutant,
+        overlaps,
+        rollouts,
+        restores,
     )
     with tempfile.TemporaryDirectory() as scratch:
         folder = keep or Path(scratch)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -23,6 +23,7 @@
 from bench.soak.schedule import (
     Topology,
     make_overlaps,
+    make_restores,
     make_rollout_faults,
     make_schedule,
 )
@@ -47,6 +48,7 @@
 
     With ``overlaps``, the store has outages that overlap with restarts and changes.
     With ``rollouts``, a service moves to another version beside other faults.
+    With ``restores``, it states eras and comes back from older copies besides.
     """
 
     seed: int
@@ -57,6 +59,7 @@
     mutant: str = ""
     overlaps: bool = False
     rollouts: bool = False
+    restores: bool = False
 
 
 class SoakResult(NamedTuple):
@@ -78,7 +81,7 @@
         self.reactor = reactor
         self.options = options
         self.folder = folder
-        self.testbed = Testbed(reactor, options.seed)
+        self.testbed = Testbed(reactor, options.seed, options.restores)
         self.history = self.testbed.history
         self.guarantees = Guarantees()
         self.violations: list[Violation] = []
@@ -131,6 +134,9 @@
             schedule = make_schedule(
                 options.seed, topology, options.faults_s, options.mean_gap_s
             )
+        if options.restores:
+            schedule += make_restores(options.seed, topology, options.faults_s)
+            schedule.sort(key=lambda one: one.at)
         started_at = self.reactor.seconds()
         for scheduled in schedule:
             await self.sleep(started_at + scheduled.at - self.reactor.seconds())
--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -26,6 +26,7 @@
     ``on_connected`` is called whenever the server accepts a connection. Where the limit
     ``is_strict``, none is opened beyond it and idle ones beyond it are closed; without
     ``keeps_idle``, connections are closed after use.
+    ``sender`` is the kind of server, for the counts of malformed replies.
     """
 
     def __init__(
@@ -34,7 +35,9 @@
         address: str,
         max_connections: int,
         on_connected: Callable[[], None],
+        sender: str = "replica",
     ) -> None:
+        self.sender = sender
         host, _, port = address.rpartition(":")
         self.reactor = reactor
         self.host = host
@@ -258,9 +261,11 @@
 
     def buildProtocol(self, addr: object) -> ClientConnection:
         """Return the protocol for an established connection."""
-        return ClientConnection(
+        connection = ClientConnection(
             self.pool.connection_established, self.pool.connection_lost
         )
+        connection.sender = self.pool.sender
+        return connection
 
     def clientConnectionFailed(self, connector: object, reason: ConnectionEnd) -> None:
         """Report a failed connection attempt to the pool."""
--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -49,7 +49,7 @@
 from sardinehook.observe.events import EventName, log_event
 from sardinehook.observe.loop_lag import LoopLagProbe
 from sardinehook.observe.memory import resident_bytes
-from sardinehook.transport.connection import receive_buffers
+from sardinehook.transport.connection import invalid_statuses, receive_buffers
 from sardinehook.transport.early_sockets import LISTEN_BACKLOG
 from sardinehook.transport.reactor import StreamServerFactory, Timer
 from sardinehook.transport.tasks import RepeatingCall, sleep, start_task
@@ -164,7 +164,11 @@
             reactor,
             self.store,
             PeerClient(
-                reactor, self.random, metrics.count_peer_call, state.cache.restore
+                reactor,
+                self.random,
+                metrics.count_peer_call,
+                state.cache.restore,
+                lambda: state.cache.era,
             ),
             state,
             self.fleet,
@@ -174,10 +178,12 @@
             seed for seed in settings.seeds if seed != settings.peer_address
         )
         state.on_changed = self.handle_changes
+        self.store.on_era = state.observe_era
         self.request_handler.confirmation = state.confirmation
         self.confirmation_log = ConfirmationLog(state.confirmation)
         self.rollouts = self.make_rollouts(dialects.keys)
         state.rollouts = self.rollouts
+        self.rollouts.decisions.writer.is_behind = lambda: state.is_behind
         dispatcher.monitor = self.rollouts
         selector.version_groups = self.rollouts.groups
         self.probes = ProbeServer(
@@ -460,6 +466,7 @@
         self.metrics.connections.set(held)
         now = self.reactor.seconds()
         self.metrics.store_age_seconds.set(now - self.follower.last_contact_at)
+        self.metrics.store_era.set(self.follower.state.era.known or 0)
         self.metrics.watch_pending_seconds.set(self.follower.monitor.pending_s)
         self.metrics.delegated_in_flight.set(self.request_handler.delegated_in_flight)
 
@@ -473,6 +480,7 @@
     def render_metrics(self) -> bytes:
         """Render all metrics, with the memory in use at this moment."""
         self.metrics.receive_buffer_bytes.set(receive_buffers.used)
+        self.metrics.count_invalid_statuses(invalid_statuses)
         self.metrics.resident_bytes.set(resident_bytes())
         return self.metrics.render()
 
--- a/sardinehook/gateway/rollout/leader.py
+++ b/sardinehook/gateway/rollout/leader.py
@@ -108,12 +108,20 @@
         self.schema = schema
         self.apply_items = apply_items
         self.on_written = on_written
+        # Whether the cached state is of an earlier era of the store.
+        self.is_behind: Callable[[], bool] = bool
         self.busy: set[str] = set()
         self.retry_at: dict[str, float] = {}
         self.attempted: dict[str, tuple[RolloutState, int]] = {}
 
     def may_write(self, service: str, now: float) -> bool:
-        """Return whether a write may be sent now."""
+        """Return whether a write may be sent now.
+
+        The known revisions are no conditions while the store is in a later era than
+        the cached state: it may have given them out again.
+        """
+        if self.is_behind():
+            return False
         return service not in self.busy and now >= self.retry_at.get(service, 0.0)
 
     def may_be_completed(self, rollout: ServiceRollout) -> RolloutState | None:
--- a/tests/gateway/rollout/test_parts.py
+++ b/tests/gateway/rollout/test_parts.py
@@ -17,6 +17,7 @@
     subject_of,
 )
 from sardinehook.gateway.rollout.exposure import Exposure
+from sardinehook.gateway.rollout.leader import StateWriter
 from sardinehook.gateway.rollout.local_ledger import LocalLedger
 from sardinehook.gateway.rollout.orders import RolloutOrder, decode_state
 from sardinehook.gateway.rollout.recorder import RolloutRecorder
@@ -26,6 +27,7 @@
 from sardinehook.platform.kv_store import read_conditional_write
 from sardinehook.store.port import StoreUnavailable
 from sardinehook.transport.connection import Reply
+from tests.gateway.fake_transport import RecordingReactor
 from tests.gateway.support import (
     REQUEST,
     configuration,
@@ -33,6 +35,7 @@
     reply,
     single_route,
 )
+from tests.gateway.test_follower import ScriptedStore
 
 KEY = ReplicaKey("i-1", "here", True, False)
 
@@ -161,3 +164,18 @@
     def test_malformed_answer_is_no_success(self, status: int) -> None:
         problem = read_conditional_write(Reply(status, (), b"x")).failure()
         assert isinstance(problem, StoreUnavailable)
+
+
+class TestStateWriter:
+    def test_nothing_is_written_on_revisions_of_an_earlier_era(self) -> None:
+        """The store may have given the same revision to another write."""
+        writer = StateWriter(
+            RecordingReactor(),
+            ScriptedStore(),
+            PlatformKeys(),
+            lambda _rollout, _items: None,
+            lambda _rollout, _state, _revision: None,
+        )
+        assert writer.may_write("desk", 1.0)
+        writer.is_behind = lambda: True
+        assert not writer.may_write("desk", 1.0)
