Assume an age for an order that is found at a start

Change: a process that finds an order at its start, without a state, takes it for 0.1 of its duration old.

--- a/sardinehook/gateway/rollout/service.py
+++ b/sardinehook/gateway/rollout/service.py
@@ -24,6 +24,7 @@
 # An order that an older store has lost is written again by then. Meanwhile nothing goes
 # to an undecided version.
 WITHDRAWN_GRACE_S = 10.0
+UNKNOWN_AGE_RATIO = 0.1  # of the duration: the age assumed of an order found at a start
 # How long the decision on a withdrawn order is kept: bad replicas may still drain.
 RETENTION_S = 30.0
 
@@ -62,7 +63,10 @@
         """Begin a rollout; ``is_new`` if this gateway ran before the order came."""
         self.order = order
         self.order_revision = revision
-        self.ordered_at = now
+        # A process that found the order at its start does not know how old it is.
+        self.ordered_at = now - (
+            0.0 if is_new else UNKNOWN_AGE_RATIO * order.duration_s
+        )
         self.withdrawn_at = None
         self.exposure = Exposure(self.first_credit)
         self.gets_extra = is_new
