--- a/bench/soak/gateways.py
+++ b/bench/soak/gateways.py
@@ -19,7 +19,7 @@
 __all__ = ["Gateway", "GatewayOptions", "make_gateways"]
 
 POLL_S = 0.05
-PORTS_PER_GATEWAY = 5  # front, ready, control, two internal ports
+PORTS_PER_GATEWAY = 6  # front, ready, control, a range of three internal ports
 SEED_COUNT = 3  # gateways listed as seeds in all settings files
 MEMORY_BYTES = 300_000_000  # of a VM of the users' sites
 STOP_MARGIN_S = 1.5  # beyond the grace period, to detect the exit
@@ -31,7 +31,7 @@
 Node = "{name}"
 Ip = "127.0.0.1"
 Zone = "{data_centre}"
-InternalPorts = [{ports[3]}, {ports[4]}]
+InternalPorts = [{ports[3]}, {ports[5]}]
 Seeds = [{seeds}]
 [Listen]
 Front = "127.0.0.1:{ports[0]}"
@@ -214,10 +214,8 @@
     testbed: Testbed, options: GatewayOptions, count: int
 ) -> list[Gateway]:
     """Create gateways without starting them, and record who may forward for whom."""
-    ports = reserve_ports(PORTS_PER_GATEWAY * count)
-    ports_by_gateway = [
-        ports[n * PORTS_PER_GATEWAY :][:PORTS_PER_GATEWAY] for n in range(count)
-    ]
+    # A block for each, since its internal ports have to follow each other.
+    ports_by_gateway = [reserve_ports(PORTS_PER_GATEWAY) for _ in range(count)]
     gateways = [
         Gateway(testbed, options, number, ports_by_gateway) for number in range(count)
     ]
