Read the evidence of rollouts by slots, each one once

Cause: intervals of evidence ended at times of the local clock. Change: UsageLedger.take returns all counts of a rollout in one pass. It remembers the first slot of each origin that was not read, and leaves slots for later that the origin has not completed. Rollouts in nine gateways with real ledgers are completed, and rolled back while holders die and restart; the last two tests pass without the change, too.

--- a/sardinehook/gateway/rollout/evidence.py
+++ b/sardinehook/gateway/rollout/evidence.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import lru_cache
 from math import floor, log
 from typing import NamedTuple
 from urllib.parse import quote
 
-from sardinehook.gateway.usage.interfaces import UsageLedger
+from sardinehook.gateway.usage.interfaces import Marks, UsageLedger
+from sardinehook.gateway.usage.table import shorten
 
 __all__ = [
     "BUCKETS",
@@ -28,7 +29,6 @@
 BUCKETS = 32  # the last one begins at 34 s
 REPORT_DELAY_S = 0.6  # counts of other gateways are known by then
 MAX_READ_BACK_S = 3.0  # the ledger covers a few seconds only
-SLOT_S = 0.1  # of the ledger; reads end at the bounds of slots
 
 REQUESTS = "requests"
 FAILURES = "failures"
@@ -69,9 +69,15 @@
     """
     kind = NEW if key.is_new else OLD
     distance = "far" if key.far else "near"
-    parts = [quote(part, safe="") for part in (service, version, route)]
+    prefix = subject_prefix(service, version)
     replica = quote(key.replica_id, safe="")
-    return f"rollout/{'/'.join(parts)}/{kind}.{replica}.{distance}.{counter}"
+    counted = f"{kind}.{replica}.{distance}.{counter}"
+    return shorten(f"{prefix}{quote(route, safe='')}/{counted}")
+
+
+def subject_prefix(service: str, version: str) -> str:
+    """Return what the subjects of all counters of a rollout begin with."""
+    return f"rollout/{quote(service, safe='')}/{quote(version, safe='')}/"
 
 
 def bucket_of(seconds: float) -> int:
@@ -103,8 +109,8 @@
 class EvidenceReader:
     """Reads from the ledger what was counted since the last call.
 
-    Intervals follow each other without gaps and end ``REPORT_DELAY_S`` before the call,
-    so that counts of other gateways have arrived.
+    A read ends ``REPORT_DELAY_S`` before the call, so that counts of other gateways
+    have arrived, and returns each count once.
     """
 
     def __init__(
@@ -113,35 +119,38 @@
         self.ledger = ledger
         self.service = service
         self.version = version
-        self.read_until = since
+        self.since = since
+        self.marks: Marks = {}
 
     def read(
         self, routes: Iterable[str], keys: Iterable[ReplicaKey], now: float
     ) -> dict[str, dict[ReplicaKey, ReplicaSample]]:
         """Return the samples of each route since the last call."""
-        until = floor((now - REPORT_DELAY_S) / SLOT_S) * SLOT_S
-        since = max(self.read_until, now - MAX_READ_BACK_S)
-        if until <= since:
+        counts = self.ledger.take(
+            subject_prefix(self.service, self.version),
+            self.marks,
+            max(self.since, now - MAX_READ_BACK_S),
+            now - REPORT_DELAY_S,
+        )
+        if not counts:
             return {}
-        self.read_until = until
         replicas = list(keys)
         found: dict[str, dict[ReplicaKey, ReplicaSample]] = {}
         for route in routes:
             for key in replicas:
-                sample = self.read_replica(route, key, since, until, now)
+                sample = self.sample_of(route, key, counts)
                 if sample is not None:
                     found.setdefault(route, {})[key] = sample
         return found
 
-    def read_replica(
-        self, route: str, key: ReplicaKey, since: float, until: float, now: float
+    def sample_of(
+        self, route: str, key: ReplicaKey, counts: Mapping[str, float]
     ) -> ReplicaSample | None:
         """Return the sample of one replica, ``None`` if it has no requests."""
 
         def count(counter: str) -> int:
             subject = subject_of(self.service, self.version, route, key, counter)
-            newer = self.ledger.total(subject, now - until, now)
-            return round(self.ledger.total(subject, now - since, now) - newer)
+            return round(counts.get(subject, 0.0))
 
         requests = count(REQUESTS)
         if requests <= 0:
--- a/sardinehook/gateway/rollout/local_ledger.py
+++ b/sardinehook/gateway/rollout/local_ledger.py
@@ -4,11 +4,16 @@
 
 from collections import deque
 from collections.abc import Callable
+from math import ceil
 
-__all__ = ["LocalLedger"]
+from sardinehook.gateway.usage.interfaces import Marks
+
+__all__ = ["OWN", "LocalLedger"]
 
 SLOT_S = 0.1
 RETENTION_S = 6.0
+TOLERANCE = 1e-6  # of a slot, for times at the border of two
+OWN = ("", 0)  # the only origin
 MAX_SUBJECTS = 4096  # bounds the memory; the oldest subject is forgotten first
 
 
@@ -53,6 +58,22 @@
             0.0,
         )
 
+    def take(
+        self, prefix: str, marks: Marks, since: float, until: float
+    ) -> dict[str, float]:
+        """Return the use between two times, each slot once."""
+        first = max(marks.get(OWN, 0), ceil(since / SLOT_S - TOLERANCE))
+        end = ceil(until / SLOT_S - TOLERANCE)
+        if end <= first:
+            return {}
+        marks[OWN] = end
+        taken: dict[str, float] = {}
+        for subject, slots in self.slots.items():
+            for number, amount in slots:
+                if first <= number < end:
+                    taken[subject] = taken.get(subject, 0.0) + amount
+        return taken
+
     def is_holder(self) -> bool:
         """Return whether this gateway is the one that decides."""
         return self.holds()
--- a/sardinehook/gateway/usage/interfaces.py
+++ b/sardinehook/gateway/usage/interfaces.py
@@ -4,7 +4,10 @@
 
 from typing import Protocol
 
-__all__ = ["UsageLedger"]
+__all__ = ["Marks", "UsageLedger"]
+
+# The first slot that was not read yet, by the name and incarnation of an origin.
+Marks = dict[tuple[str, int], int]
 
 
 class UsageLedger(Protocol):
@@ -22,6 +25,16 @@
         """Return the use of the fleet in the last ``window_s``, as far as known."""
         ...
 
+    def take(
+        self, prefix: str, marks: Marks, since: float, until: float
+    ) -> dict[str, float]:
+        """Return the use between two times, by the subjects that begin with a prefix.
+
+        Use that an earlier call with the same ``marks`` has returned is left out. The
+        result may have further subjects that are too long to be kept as they are.
+        """
+        ...
+
     def is_holder(self) -> bool:
         """Return whether this gateway receives the counts of all gateways."""
         ...
--- a/sardinehook/gateway/usage/ledger.py
+++ b/sardinehook/gateway/usage/ledger.py
@@ -11,6 +11,7 @@
     HolderContacts,
 )
 from sardinehook.gateway.usage.holders import choose_holders, rank_gateways
+from sardinehook.gateway.usage.interfaces import Marks
 from sardinehook.gateway.usage.messages import Counts, Header, read_statements
 from sardinehook.gateway.usage.table import (
     MIN_RETENTION_S,
@@ -94,6 +95,12 @@
         """Return the use of the fleet in the last ``window_s``, as far as known."""
         return self.table.total(subject, window_s, now)
 
+    def take(
+        self, prefix: str, marks: Marks, since: float, until: float
+    ) -> dict[str, float]:
+        """Return the use of the fleet between two times, each slot once."""
+        return self.table.take(prefix, marks, since, until)
+
     def is_holder(self) -> bool:
         """Return whether this gateway receives the counts of all gateways."""
         return self.node in self.holders.get(self.data_centre, NO_HOLDERS)
--- a/sardinehook/gateway/usage/table.py
+++ b/sardinehook/gateway/usage/table.py
@@ -9,8 +9,11 @@
 
 from collections.abc import Callable, Iterator
 from hashlib import blake2b
+from math import ceil
 from typing import NamedTuple
 
+from sardinehook.gateway.usage.interfaces import Marks
+
 __all__ = ["RESEND_S", "SLOT_S", "Source", "Statement", "UsageTable", "shorten"]
 
 SLOT_MS = 100
@@ -22,6 +25,7 @@
 MAX_SUBJECTS = 4096  # of one origin
 MAX_SUBJECT_BYTES = 160  # longer subjects are replaced by their digests
 DIGEST_BYTES = 16
+DIGEST_PREFIX = "#"
 TOLERANCE_S = 1e-6  # for slots at the border of a window
 
 IsIncluded = Callable[["Source"], bool]
@@ -188,6 +192,35 @@
             for use in source.slots_since(subject, now - window_s)
         ]
 
+    def take(
+        self, prefix: str, marks: Marks, since: float, until: float
+    ) -> dict[str, float]:
+        """Return the use in the slots that start between two times, each slot once.
+
+        ``marks`` has the first slot of each origin that was not returned. The local
+        start of a slot moves by milliseconds with the delays of datagrams, so that by
+        times alone some slots were returned twice and others never. A slot is complete
+        once its origin has stated counts of a later time.
+        """
+        for key in marks.keys() - self.sources.keys():
+            del marks[key]
+        taken: dict[str, float] = {}
+        for key, source in self.sources.items():
+            end = first_slot(until - source.zero_s)
+            if source is not self.own:
+                end = min(end, source.newest_ms // SLOT_MS)
+            first = max(marks.get(key, 0), first_slot(since - source.zero_s))
+            if end <= first:
+                continue
+            marks[key] = end
+            for subject, series in source.series.items():
+                if not subject.startswith((prefix, DIGEST_PREFIX)):
+                    continue
+                for slot, count in series.counts.items():
+                    if first <= slot < end:
+                        taken[subject] = taken.get(subject, 0.0) + count
+        return taken
+
     def subjects(self) -> set[str]:
         """Return all subjects with counts."""
         return {name for source in self.sources.values() for name in source.series}
@@ -263,6 +296,15 @@
     return int(now * MS_PER_S + TOLERANCE_S) // SLOT_MS
 
 
+def first_slot(seconds: float) -> int:
+    """Return the first slot that starts at a time of its origin's clock, or later.
+
+    >>> first_slot(12.3), first_slot(12.301)
+    (123, 124)
+    """
+    return ceil((seconds - TOLERANCE_S) / SLOT_S)
+
+
 def shorten(subject: str) -> str:
     """Return a subject that fits into a datagram beside its counts.
 
@@ -272,4 +314,4 @@
     encoded = subject.encode("utf-8", "surrogatepass")
     if len(encoded) <= MAX_SUBJECT_BYTES:
         return subject
-    return "#" + blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
+    return DIGEST_PREFIX + blake2b(encoded, digest_size=DIGEST_BYTES).hexdigest()
--- a/tests/gateway/rollout/fleet.py
+++ b/tests/gateway/rollout/fleet.py
@@ -24,9 +24,10 @@
 from sardinehook.gateway.replica_selection import ReplicaSelector
 from sardinehook.gateway.rollout.controller import RolloutController
 from sardinehook.gateway.rollout.items import RolloutSite
-from sardinehook.gateway.rollout.local_ledger import LocalLedger
+from sardinehook.gateway.rollout.local_ledger import OWN, LocalLedger
 from sardinehook.gateway.settings import Bounds
 from sardinehook.gateway.store import Item
+from sardinehook.gateway.usage.interfaces import Marks, UsageLedger
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.replicas import PlatformReplicas
 from tests.gateway.fake_transport import RecordingReactor
@@ -66,6 +67,22 @@
             known = [g.ledger.own for g in self.fleet.gateways.values() if not g.killed]
         return sum(ledger.total(subject, window_s, now) for ledger in known)
 
+    def take(
+        self, prefix: str, marks: Marks, since: float, until: float
+    ) -> dict[str, float]:
+        """Return the use that this gateway knows of, each slot once."""
+        known = [self.own]
+        if self.holder:
+            known = [g.ledger.own for g in self.fleet.gateways.values() if not g.killed]
+        taken: dict[str, float] = {}
+        for ledger in known:
+            origin = ("", id(ledger))
+            own_marks = {OWN: marks.get(origin, 0)}
+            for subject, count in ledger.take(prefix, own_marks, since, until).items():
+                taken[subject] = taken.get(subject, 0.0) + count
+            marks[origin] = own_marks[OWN]
+        return taken
+
     def is_holder(self) -> bool:
         """Return whether this gateway is a holder."""
         return self.holder
@@ -127,7 +144,7 @@
         self.dispatcher = SimulatedDispatcher(reactor, self.directory, fleet)
         data_centre = DATA_CENTRES[int(name[2:]) % 3]
         self.selector = ReplicaSelector(self.directory, name, data_centre, 1)
-        self.ledger = SharedLedger(name, fleet, holder)
+        self.ledger: Any = fleet.make_ledger(name, holder)
         self.client = StoreClient(fleet.store)
         site = RolloutSite(
             name,
@@ -258,6 +275,10 @@
             gateway.directory.put(entry, self.now)
         self.gateways[name] = gateway
 
+    def make_ledger(self, name: str, holder: bool) -> UsageLedger:
+        """Return the ledger of a gateway."""
+        return SharedLedger(name, self, holder)
+
     def restart(self, name: str) -> None:
         """Kill a gateway and start it anew."""
         self.gateways[name].kill()
