Complete no rollout while requests may run at old replicas

Cause: from 0.9 of the duration on, `completed` was written at once, also when the drain had just begun and gateways still sent to the old replicas, which stop without draining. Change: `completed` follows only when the ledger shows that nothing runs there, or after the longest time that requests can last. If neither holds by the deadline, the rollout is rolled back, which ends no request.

--- a/sardinehook/gateway/rollout/plan.py
+++ b/sardinehook/gateway/rollout/plan.py
@@ -162,10 +162,9 @@
     is_late = now.age_s >= COMPLETED_RATIO * state.duration_s
     if is_suspicious(now.verdict) and not is_late:
         return None
-    if is_idle or has_ended or is_late:
+    # Without either, the deadline rolls back: that ends no request.
+    if is_idle or has_ended:
         reason = f"nothing runs at old replicas, {now.answers} answers"
-        if is_late and not is_idle and not has_ended:
-            reason = "the deadline is near; requests may run at old replicas"
         return change(state, now, Phase.COMPLETED, 1.0, state.step, reason)
     return None
 
--- a/tests/gateway/rollout/test_parts.py
+++ b/tests/gateway/rollout/test_parts.py
@@ -19,9 +19,16 @@
 from sardinehook.gateway.rollout.exposure import Exposure
 from sardinehook.gateway.rollout.leader import StateWriter
 from sardinehook.gateway.rollout.local_ledger import LocalLedger
-from sardinehook.gateway.rollout.orders import RolloutOrder, decode_state
+from sardinehook.gateway.rollout.orders import (
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    decode_state,
+)
+from sardinehook.gateway.rollout.plan import Situation, next_state
 from sardinehook.gateway.rollout.recorder import RolloutRecorder
 from sardinehook.gateway.rollout.service import ServiceRollout
+from sardinehook.gateway.rollout.verdict import Undecided
 from sardinehook.gateway.store import Conflict, Item
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.kv_store import read_conditional_write
@@ -90,6 +97,31 @@
         assert len(subjects) == 3
 
 
+class TestDrainOfTheOldReplicas:
+    """Guards against requests that are lost when the old replicas stop."""
+
+    @pytest.mark.parametrize("age_s", [54.0, 59.9])
+    def test_nothing_is_completed_while_requests_may_run_there(
+        self, age_s: float
+    ) -> None:
+        state = RolloutState("2", 60.0, 6, Phase.DRAINING_OLD, 1.0)
+        found = Undecided("", False)
+        draining = Situation(
+            age_s, 1.0, found, 90, (0.0, 0.0), True, False, 5.0, 10.0, 0.1, 50.0
+        )
+        assert next_state(state, draining) is None
+        for drained in (
+            draining._replace(phase_age_s=5.0, old_is_idle=True),
+            draining._replace(phase_age_s=15.0),
+        ):
+            following = next_state(state, drained)
+            assert following is not None
+            assert following.phase is Phase.COMPLETED
+        ended = next_state(state, draining._replace(age_s=60.0))
+        assert ended is not None
+        assert ended.phase is Phase.ROLLED_BACK
+
+
 class TestRecorder:
     """Guards against trouble of a replica that counts against its version."""
 
