Record no revision of a write that ended in a new era

Cause: a leader's write that succeeded while the store entered a new era was recorded over the listing of that era: the leader took the state for stored, which the older copy had lost, and kept a revision of the earlier era as a condition. Change: a result that comes after the era has changed sets no revisions. A state that was written stays decided, since it may have been read, and is written again if the new era lacks it.

--- a/sardinehook/gateway/process.py
+++ b/sardinehook/gateway/process.py
@@ -184,6 +184,7 @@
         self.rollouts = self.make_rollouts(dialects.keys)
         state.rollouts = self.rollouts
         self.rollouts.decisions.writer.is_behind = lambda: state.is_behind
+        self.rollouts.decisions.writer.era = lambda: state.era.known or 0
         dispatcher.monitor = self.rollouts
         selector.version_groups = self.rollouts.groups
         self.probes = ProbeServer(
--- a/sardinehook/gateway/rollout/leader.py
+++ b/sardinehook/gateway/rollout/leader.py
@@ -110,6 +110,8 @@
         self.on_written = on_written
         # Whether the cached state is of an earlier era of the store.
         self.is_behind: Callable[[], bool] = bool
+        # The era of the store that is in force.
+        self.era: Callable[[], int] = int
         self.busy: set[str] = set()
         self.retry_at: dict[str, float] = {}
         self.attempted: dict[str, tuple[RolloutState, int]] = {}
@@ -165,10 +167,31 @@
         if not writes:
             self.busy.discard(rollout.service)
             return
+        era = self.era()
         result = await self.store.write_if(writes)
         self.busy.discard(rollout.service)
+        if self.era() != era:
+            self.handle_earlier(rollout, state, result)
+            return
         self.handle(rollout, state, writes, result)
 
+    def handle_earlier(
+        self,
+        rollout: ServiceRollout,
+        state: RolloutState,
+        result: Result[int, StoreProblem | Conflict],
+    ) -> None:
+        """Use a result that came after the store entered a new era.
+
+        Its revisions may be those of the earlier era, and the write may be undone. What
+        was written may have been read, and stays decided.
+        """
+        self.retry_at[rollout.service] = self.reactor.seconds() + RETRY_S
+        self.log_problem(rollout, state, "the store has entered a new era")
+        match result:
+            case Success(revision):
+                self.on_written(rollout, state, revision)
+
     def handle(
         self,
         rollout: ServiceRollout,
--- a/tests/gateway/rollout/test_parts.py
+++ b/tests/gateway/rollout/test_parts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.result import Result, Success
 
 from sardinehook.gateway.dispatch import Answered, Exchange, Failed, NotRun
 from sardinehook.gateway.interfaces import Load
@@ -29,7 +31,7 @@
 from sardinehook.gateway.rollout.recorder import RolloutRecorder
 from sardinehook.gateway.rollout.service import ServiceRollout
 from sardinehook.gateway.rollout.verdict import Undecided
-from sardinehook.gateway.store import Conflict, Item
+from sardinehook.gateway.store import Conflict, Item, StoreProblem, Write
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.kv_store import read_conditional_write
 from sardinehook.store.port import StoreUnavailable
@@ -211,3 +213,29 @@
         assert writer.may_write("desk", 1.0)
         writer.is_behind = lambda: True
         assert not writer.may_write("desk", 1.0)
+
+    def test_a_write_that_an_older_copy_lost_is_written_again(self) -> None:
+        """Its revision, of the earlier era, would count as that of the new one."""
+        store, eras, written = ScriptedStore(), [1], []
+
+        async def write_if(writes: Sequence[Write]) -> Result[int, StoreProblem]:
+            eras.append(2)
+            rollout.record_stored(None, 0)  # by the listing of the new era
+            return Success(70)
+
+        store.write_if = write_if  # type: ignore[method-assign]
+        writer = StateWriter(
+            RecordingReactor(),
+            store,
+            PlatformKeys(),
+            lambda _rollout, _items: None,
+            lambda _rollout, state, _revision: written.append(state),
+        )
+        writer.era = lambda: eras[-1]
+        rollout = ServiceRollout("desk", 0.5)
+        rollout.begin(RolloutOrder("desk", "2", 60.0), 5, True, 0.0)
+        rollout.state = RolloutState("2", 60.0, 7, Phase.COMPLETED, 1.0)
+        writer.write(rollout, rollout.state)
+        assert written == [rollout.state]
+        assert (rollout.stored_state, rollout.status_revision) == (None, 0)
+        assert rollout.must_write
