Apply no listing that another gateway overtook during the call

Cause: a listing takes a call, and 0.15 s more for the configuration in a new era. If another gateway told of a later state meanwhile, the listing was taken for an older copy of the store and undid changes until the next watch. Change: such a listing is not applied; the state that is held is followed, or all keys are listed again. Result: a test which failed before (a removed replica was used again); tests of the follower, of eras and of retained state pass.

--- a/sardinehook/gateway/follower.py
+++ b/sardinehook/gateway/follower.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from sardinehook.gateway.confirmation_keeper import ConfirmationKeeper
-from sardinehook.gateway.era import EraVerdict
+from sardinehook.gateway.era import EraVerdict, Position
 from sardinehook.gateway.fleet import GATEWAY_PREFIX, GatewayFleet
 from sardinehook.gateway.peers import PeerCalls
 from sardinehook.gateway.reactor import GatewayReactor
@@ -194,6 +194,7 @@
         state = self.state
         whole = state.listing_needed or state.is_behind
         is_first = not state.loaded
+        position = state.cache.position
         era = state.cache.era
         known = self.state.cache.revision
         called_at = self.reactor.seconds()
@@ -214,6 +215,8 @@
                     return  # revisions of another era than that of the call
                 if changes.era and (is_first or changes.era != era):
                     await self.await_configuration()
+                if whole and self.is_outdated(changes, position):
+                    return  # listed again, unless another gateway had all keys
                 state.apply_changes(changes, whole, called_at)
                 if changes.items:
                     await sleep(self.reactor, COALESCE_RATIO * self.min_bound_s)
@@ -222,6 +225,15 @@
                 self.relay.set_current(False)
                 await self.handle_failure(problem)
 
+    def is_outdated(self, listing: Changes, before: Position) -> bool:
+        """Return whether another gateway told of a later state during the call.
+
+        The listing would then be taken for an older copy of the store. ``before`` is
+        the state that was held at the call.
+        """
+        known = self.state.cache.position
+        return known != before and Position(listing.era, listing.revision) < known
+
     def check_era(self, changes: Changes) -> Result[Changes, StoreProblem]:
         """Return changes with the era in force; one that has ended is no answer."""
         if self.state.observe_era(changes.era) is EraVerdict.EARLIER:
--- a/tests/gateway/test_store_eras.py
+++ b/tests/gateway/test_store_eras.py
@@ -129,6 +129,20 @@
         assert usable(rig) == ["a"]
         assert rig.store.calls[-1] == "watch 60"
 
+    def test_a_listing_that_another_gateway_overtook_is_not_applied(self) -> None:
+        """A change that this gateway has would be undone, as by an older copy."""
+        rig, other = FollowerRig(node="g-1"), FollowerRig(node="g-2")
+        answer(rig, 1, 100)
+        answer(rig, 2, 60)
+        assert rig.store.calls[-1] == "read_all"
+        answer(other, 2, 70, replica("b", 65, port=81))
+        rig.follower.state.apply_update(other.follower.relay.update_since(-1))
+        assert usable(rig) == ["b"]
+        answer(rig, 2, 60, replica("a", 3))
+        assert usable(rig) == ["b"]
+        assert rig.follower.state.cache.revision == 70
+        assert rig.store.calls[-1] == "watch 70"
+
     def test_a_store_without_eras_is_called_as_before(self) -> None:
         rig = FollowerRig()
         answer(rig, 0, 100, replica("a", 3))
