Keep a gateway's part of the extra requests when others leave

Cause: each gateway takes its part of the extra requests of a canary, divided by the registered gateways at that moment. When registrations end, as after a loss of leases, each one took a part for all the others: 30 of 30 where one other gateway is known at last. Change: the part is divided by the most gateways known since the order.

--- a/sardinehook/gateway/rollout/service.py
+++ b/sardinehook/gateway/rollout/service.py
@@ -49,6 +49,7 @@
         self.status: RolloutStatus | None = None
         self.status_revision = 0
         self.gets_extra = False
+        self.most_gateways = 1  # known at once since the order
         self.exposure = Exposure(first_credit)
         self.in_flight: dict[Exchange, bool] = {}
         self.own_verdict = ""
@@ -66,6 +67,7 @@
         self.withdrawn_at = None
         self.exposure = Exposure(self.first_credit)
         self.gets_extra = is_new
+        self.most_gateways = 1
         self.own_verdict = ""
         self.state = None
         if is_new and self.stored_state and self.state_revision < revision:
@@ -128,11 +130,16 @@
         return True
 
     def update_share(self, gateways: int, now: float) -> None:
-        """Apply the share of the state, and this gateway's part of the extra ones."""
+        """Apply the share of the state, and this gateway's part of the extra ones.
+
+        The part does not grow when registrations end: gateways that are cut off have
+        used theirs.
+        """
         state = self.state
         if state is None:
             return
-        extra = state.extra / max(1, gateways) if self.gets_extra else 0.0
+        self.most_gateways = max(self.most_gateways, gateways)
+        extra = state.extra / self.most_gateways if self.gets_extra else 0.0
         self.exposure.set_share(state.share, extra)
 
     def is_new(self, replica: Replica) -> bool:
--- a/tests/gateway/rollout/test_parts.py
+++ b/tests/gateway/rollout/test_parts.py
@@ -65,6 +65,15 @@
                 new += due
         assert abs(new - 0.1 * 400 * requests) < 30 + 25
 
+    def test_extra_requests_do_not_grow_when_registrations_end(self) -> None:
+        """Where leases are lost, each gateway would take a part for all the others."""
+        rollout = ServiceRollout("desk", 0.0)
+        rollout.begin(RolloutOrder("desk", "2", 60.0), 5, True, 0.0)
+        rollout.state = RolloutState("2", 60.0, 3, Phase.CANARY, 0.0, 30.0)
+        for gateways in (60, 98, 5, 1):
+            rollout.update_share(gateways, 1.0)
+        assert rollout.exposure.credit == pytest.approx(30.0 / 60)
+
     def test_request_that_reached_no_replica_is_counted_back(self) -> None:
         exposure = Exposure(0.95)
         exposure.set_share(0.1, 0.0)
