--- a/sardinehook/gateway/rollout/recorder.py
+++ b/sardinehook/gateway/rollout/recorder.py
@@ -156,7 +156,8 @@
             counters.append(FAILURES)
         if counted.took_s is not None:
             counters.append(f"t{bucket_of(counted.took_s)}")
-        for counter in counters:
+        # Evidence after the decision would be sent for as long as the order stays.
+        for counter in () if rollout.is_decided else counters:
             subject = subject_of(
                 order.service, order.target_version, route[0], key, counter
             )
--- a/tests/gateway/rollout/test_parts.py
+++ b/tests/gateway/rollout/test_parts.py
@@ -169,6 +169,12 @@
         self.end(Failed("lost"))
         assert (self.counted("requests"), self.counted("failures")) == (4.0, 2.0)
 
+    def test_nothing_is_sent_to_holders_after_the_decision(self) -> None:
+        """An order may stay in the store for days."""
+        self.rollout.state = RolloutState("2", 60.0, 9, Phase.COMPLETED, 1.0)
+        self.end(Answered(reply(200, b"s")))
+        assert not self.ledger.slots
+
     def test_refusal_counts_unless_the_replica_is_busy(self) -> None:
         self.end(NotRun("refused with status 503", True))
         assert self.counted("failures") == 1.0
