--- a/tests/gateway/rollout/test_parts.py
+++ b/tests/gateway/rollout/test_parts.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from returns.result import Result, Success
 
 from sardinehook.gateway.dispatch import Answered, Exchange, Failed, NotRun
 from sardinehook.gateway.interfaces import Load
@@ -19,10 +21,17 @@
 from sardinehook.gateway.rollout.exposure import Exposure
 from sardinehook.gateway.rollout.leader import StateWriter
 from sardinehook.gateway.rollout.local_ledger import LocalLedger
-from sardinehook.gateway.rollout.orders import RolloutOrder, decode_state
+from sardinehook.gateway.rollout.orders import (
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    decode_state,
+)
+from sardinehook.gateway.rollout.plan import Situation, next_state
 from sardinehook.gateway.rollout.recorder import RolloutRecorder
 from sardinehook.gateway.rollout.service import ServiceRollout
-from sardinehook.gateway.store import Conflict, Item
+from sardinehook.gateway.rollout.verdict import Undecided
+from sardinehook.gateway.store import Conflict, Item, StoreProblem, Write
 from sardinehook.platform.discovery import PlatformKeys
 from sardinehook.platform.kv_store import read_conditional_write
 from sardinehook.store.port import StoreUnavailable
@@ -56,6 +65,15 @@
                 new += due
         assert abs(new - 0.1 * 400 * requests) < 30 + 25
 
+    def test_extra_requests_do_not_grow_when_registrations_end(self) -> None:
+        """Where leases are lost, each gateway would take a part for all the others."""
+        rollout = ServiceRollout("desk", 0.0)
+        rollout.begin(RolloutOrder("desk", "2", 60.0), 5, True, 0.0)
+        rollout.state = RolloutState("2", 60.0, 3, Phase.CANARY, 0.0, 30.0)
+        for gateways in (60, 98, 5, 1):
+            rollout.update_share(gateways, 1.0)
+        assert rollout.exposure.credit == pytest.approx(30.0 / 60)
+
     def test_request_that_reached_no_replica_is_counted_back(self) -> None:
         exposure = Exposure(0.95)
         exposure.set_share(0.1, 0.0)
@@ -90,6 +108,31 @@
         assert len(subjects) == 3
 
 
+class TestDrainOfTheOldReplicas:
+    """Guards against requests that are lost when the old replicas stop."""
+
+    @pytest.mark.parametrize("age_s", [54.0, 59.9])
+    def test_nothing_is_completed_while_requests_may_run_there(
+        self, age_s: float
+    ) -> None:
+        state = RolloutState("2", 60.0, 6, Phase.DRAINING_OLD, 1.0)
+        found = Undecided("", False)
+        draining = Situation(
+            age_s, 1.0, found, 90, (0.0, 0.0), True, False, 5.0, 10.0, 0.1, 50.0
+        )
+        assert next_state(state, draining) is None
+        for drained in (
+            draining._replace(phase_age_s=5.0, old_is_idle=True),
+            draining._replace(phase_age_s=15.0),
+        ):
+            following = next_state(state, drained)
+            assert following is not None
+            assert following.phase is Phase.COMPLETED
+        ended = next_state(state, draining._replace(age_s=60.0))
+        assert ended is not None
+        assert ended.phase is Phase.ROLLED_BACK
+
+
 class TestRecorder:
     """Guards against trouble of a replica that counts against its version."""
 
@@ -126,6 +169,12 @@
         self.end(Failed("lost"))
         assert (self.counted("requests"), self.counted("failures")) == (4.0, 2.0)
 
+    def test_nothing_is_sent_to_holders_after_the_decision(self) -> None:
+        """An order may stay in the store for days."""
+        self.rollout.state = RolloutState("2", 60.0, 9, Phase.COMPLETED, 1.0)
+        self.end(Answered(reply(200, b"s")))
+        assert not self.ledger.slots
+
     def test_refusal_counts_unless_the_replica_is_busy(self) -> None:
         self.end(NotRun("refused with status 503", True))
         assert self.counted("failures") == 1.0
@@ -179,3 +228,29 @@
         assert writer.may_write("desk", 1.0)
         writer.is_behind = lambda: True
         assert not writer.may_write("desk", 1.0)
+
+    def test_a_write_that_an_older_copy_lost_is_written_again(self) -> None:
+        """Its revision, of the earlier era, would count as that of the new one."""
+        store, eras, written = ScriptedStore(), [1], []
+
+        async def write_if(writes: Sequence[Write]) -> Result[int, StoreProblem]:
+            eras.append(2)
+            rollout.record_stored(None, 0)  # by the listing of the new era
+            return Success(70)
+
+        store.write_if = write_if  # type: ignore[method-assign]
+        writer = StateWriter(
+            RecordingReactor(),
+            store,
+            PlatformKeys(),
+            lambda _rollout, _items: None,
+            lambda _rollout, state, _revision: written.append(state),
+        )
+        writer.era = lambda: eras[-1]
+        rollout = ServiceRollout("desk", 0.5)
+        rollout.begin(RolloutOrder("desk", "2", 60.0), 5, True, 0.0)
+        rollout.state = RolloutState("2", 60.0, 7, Phase.COMPLETED, 1.0)
+        writer.write(rollout, rollout.state)
+        assert written == [rollout.state]
+        assert (rollout.stored_state, rollout.status_revision) == (None, 0)
+        assert rollout.must_write
