Admit quotas by token buckets whose bursts use half of the tolerance

Cause: an organisation with RatePerS 2 and Burst 2 (12 requests in 5 s) and 1.25 requests a second has chance bursts of 13 or 14 in 5 s. Change: a holder replays the slots of all origins into a bucket with the rate RatePerS and the depth Burst + min(half of the tolerance, RatePerS x window). Counts are kept for 30 s; the level is settled when they expire. Silent holders keep their share of the rate and the depth. Full sets state the counts of two windows first. Bounds of the rule are unchanged.

--- a/sardinehook/gateway/quota/admission.py
+++ b/sardinehook/gateway/quota/admission.py
@@ -5,21 +5,25 @@
 from typing import NamedTuple
 
 from sardinehook.gateway.organisations.organisation import Organisation
+from sardinehook.gateway.quota.bucket import Bucket, BucketLevels, FleetLevel
 from sardinehook.gateway.settings import Bounds
-from sardinehook.gateway.usage.ledger import FleetLedger
+from sardinehook.gateway.usage.ledger import START_S, FleetLedger
 from sardinehook.gateway.usage.table import SLOT_S
 
 __all__ = [
     "QuotaAdmission",
     "Verdict",
     "half_tolerance",
+    "quota_bucket",
     "quota_limit",
     "quota_subject",
 ]
 
-URGENT_RATIO = 0.5  # of its limit: a subject's counts are exchanged without delay
+URGENT_RATIO = 0.5  # of a bucket's depth: counts are exchanged without delay below it
 HALF = 0.5
-MAX_START_RATIO = 0.7  # of the tolerance, in the first window after a start
+START_RATIO = 0.4  # of the tolerance, at a start; 0.5 breaks the rule after a surge
+MAX_START_RATIO = 0.7  # of the tolerance, until nothing from before a start counts
+MIN_DEPTH = 1.0  # a bucket with less would never admit a request
 MIN_RETRY_S = 0.05  # the counts of other gateways are known by then
 ROUNDING_TOLERANCE = 1e-9
 
@@ -60,8 +64,24 @@
     return HALF * (bounds.quota_overage * limit + bounds.quota_slack)
 
 
+def quota_bucket(organisation: Organisation, bounds: Bounds) -> Bucket:
+    """Return the bucket of an organisation: its rate, and bursts within the tolerance.
+
+    Bursts use half of the tolerance, since callers with less than the rate on average
+    have chance bursts beyond ``burst``. The other half is for counts that are not known
+    yet. A bucket contains one request at least.
+
+    >>> quota_bucket(Organisation("desk", None, 2.0, 2.0), Bounds())
+    Bucket(rate_per_s=2.0, depth=12.0)
+    """
+    earned = organisation.rate_per_s * bounds.quota_window_s
+    half = half_tolerance(quota_limit(organisation, bounds.quota_window_s), bounds)
+    depth = organisation.burst + min(half, earned)
+    return Bucket(organisation.rate_per_s, max(MIN_DEPTH, depth))
+
+
 class QuotaAdmission:
-    """Admits requests while the fleet's use stays within the limits.
+    """Admits requests while the buckets of organisations are not empty.
 
     Use that is not known yet is covered by the tolerance of the rule: what other
     holders have admitted in the last tenths of a second, and after a start what was
@@ -71,49 +91,62 @@
     def __init__(self, ledger: FleetLedger, bounds: Bounds) -> None:
         self.ledger = ledger
         self.bounds = bounds
+        self.levels = BucketLevels(ledger)
 
     def decide(self, organisation: Organisation, amount: float, now: float) -> Verdict:
         """Grant an amount and count it, or tell when it would be granted."""
         subject = quota_subject(organisation.name)
-        full_limit = quota_limit(organisation, self.bounds.quota_window_s)
-        limit = self.limit_after_start(organisation, full_limit, now)
-        committed = self.ledger.committed(subject, limit, now)
-        if committed > URGENT_RATIO * full_limit:
+        bucket = quota_bucket(organisation, self.bounds)
+        limit = quota_limit(organisation, self.bounds.quota_window_s)
+        half = half_tolerance(limit, self.bounds)
+        allowance = START_RATIO * half / HALF
+        found = self.levels.find(subject, bucket, allowance, now)
+        if found.level < URGENT_RATIO * bucket.depth:
             self.ledger.mark_urgent(subject, now)
-        excess = committed + amount - limit
-        if excess <= ROUNDING_TOLERANCE:
+        missing = amount / found.share - found.level
+        most = self.limit_after_start(bucket, limit, now)
+        excess = self.window_excess(found, amount, most, now)
+        if max(missing, excess) <= ROUNDING_TOLERANCE:
             self.ledger.record(subject, amount, now)
-            most_unsent = half_tolerance(full_limit, self.bounds)
-            self.ledger.note_unsent(subject, amount, most_unsent)
+            self.ledger.note_unsent(subject, amount, half)
             return GRANTED
-        if limit < full_limit:
-            retry_s = min(self.bounds.quota_window_s, excess / organisation.rate_per_s)
-        else:
-            retry_s = self.retry_after_s(subject, excess, now)
-        detail = f"{organisation.name}: {committed:.0f} of {limit:.0f} requests used"
+        retry_s = missing / bucket.rate_per_s
+        if excess > ROUNDING_TOLERANCE:
+            retry_s = max(retry_s, self.window_retry_s(found, excess, now))
+        detail = f"{organisation.name}: {found.level:.1f} of {bucket.depth:.0f} left"
         return Verdict(False, max(MIN_RETRY_S, retry_s), detail)
 
-    def limit_after_start(
-        self, organisation: Organisation, limit: float, now: float
+    def window_excess(
+        self, found: FleetLevel, amount: float, most: float, now: float
     ) -> float:
-        """Return the limit, lowered while it is not known what ran before a start.
-
-        The whole limit may have been used just before. Half of the tolerance and the
-        rate since the start would exceed the rule then (98 requests of 86).
+        """Return by how much an amount exceeds the most that the window may contain."""
+        since = now - self.bounds.quota_window_s
+        used = sum(count for at, count in found.uses if at >= since)
+        return used + amount / found.share - most
+
+    def limit_after_start(self, bucket: Bucket, limit: float, now: float) -> float:
+        """Return the most in a window, infinite where the bucket keeps the rule alone.
+
+        While it is not known what ran before a start, the whole limit may have been
+        used just before. The allowance at a start and the rate since, which the bucket
+        allows, would exceed the rule then. A bucket of one request exceeds the rule in
+        a deployment without tolerance.
         """
-        known_since = self.ledger.known_since(now)
-        if known_since is None:
-            return limit
         half = half_tolerance(limit, self.bounds)
-        earned = organisation.rate_per_s * (now - known_since)
-        return min(limit, half + earned, MAX_START_RATIO * half / HALF)
+        if self.ledger.known_since(now) is None:
+            return limit + half if bucket.depth <= MIN_DEPTH else float("inf")
+        return min(limit, MAX_START_RATIO * half / HALF)
 
-    def retry_after_s(self, subject: str, excess: float, now: float) -> float:
-        """Return when enough of the use has left the window."""
+    def window_retry_s(self, found: FleetLevel, excess: float, now: float) -> float:
+        """Return when the start is over, or enough of the use has left the window."""
         window_s = self.bounds.quota_window_s
+        known_since = self.ledger.known_since(now)
+        if known_since is not None:
+            return known_since + window_s - START_S - now
         freed = 0.0
-        for used_at, count in sorted(self.ledger.table.uses(subject, window_s, now)):
-            freed += count
-            if freed >= excess - ROUNDING_TOLERANCE:
-                return used_at + window_s + SLOT_S - now
+        for used_at, count in found.uses:
+            if used_at >= now - window_s:
+                freed += count
+                if freed >= excess - ROUNDING_TOLERANCE:
+                    return used_at + window_s + SLOT_S - now
         return window_s
--- a/sardinehook/gateway/usage/contacts.py
+++ b/sardinehook/gateway/usage/contacts.py
@@ -49,6 +49,13 @@
         """Whether this holder has ever been in contact."""
         return self.last_heard_at > float("-inf")
 
+    @property
+    def split_at(self) -> float:
+        """Since when a silent holder uses its share only: no counts came later."""
+        if self.was_heard or self.silent_since is None:
+            return self.last_heard_at
+        return self.silent_since
+
 
 class HolderContacts:
     """The contacts of one holder with all others."""
--- a/sardinehook/gateway/usage/ledger.py
+++ b/sardinehook/gateway/usage/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterator, Mapping
+from typing import NamedTuple
 
 from sardinehook.gateway.fleet import GatewayRecord
 from sardinehook.gateway.usage.contacts import (
@@ -21,10 +22,23 @@
     shorten,
 )
 
-__all__ = ["FleetLedger"]
+__all__ = ["START_S", "FleetLedger", "WeighedUses"]
 
 NO_HOLDERS: tuple[str, ...] = ()
 RETAINED_WINDOWS = 2.0  # the shares of a silent holder are those of one window before
+START_S = 0.3  # from a kill to the first decision: interpreter, modules, first calls
+MIN_SHARE = 0.01  # of a bucket; with less, one use would count as hundreds
+
+
+class WeighedUses(NamedTuple):
+    """The uses of a subject by time, in units of the whole fleet.
+
+    What this side has used of its ``share`` counts as if all others had used theirs to
+    the same extent.
+    """
+
+    uses: list[tuple[float, float]]
+    share: float
 
 
 class FleetLedger:
@@ -45,6 +59,7 @@
         self.urgent_until: dict[str, float] = {}
         self.unsent: dict[str, float] = {}
         self.on_unsent: Callable[[], object] = int
+        self.on_sweep: Callable[[float], object] = float
         self.holder_since: float | None = None
         self.was_informed = False
         self.set_id = 0
@@ -102,25 +117,44 @@
         """Return the share of recent use counted by holders that are silent now."""
         return self.contacts.silent_share(shorten(subject), self.window_s, now)
 
-    def committed(self, subject: str, limit: float, now: float) -> float:
-        """Return the use in the window, and what silent holders may use of a limit."""
-        total = self.table.total(subject, self.window_s, now)
-        share = self.silent_share(subject, now)
-        if not share:
-            return total
-        silent = {one.name for one in self.contacts.reserved(self.window_s, now)}
-        counted = self.table.total(
+    def weigh_uses(self, subject: str, within_s: float, now: float) -> WeighedUses:
+        """Return the uses of a subject, and the share of this side of a cut.
+
+        While holders are silent, this side has the share that they don't have, for all
+        that they have not counted themselves.
+        """
+        share = 1.0 - self.silent_share(subject, now)
+        if share >= 1.0:
+            uses = self.table.uses(subject, within_s, now)
+            uses.sort()
+            return WeighedUses(uses, 1.0)
+        reserved = self.contacts.reserved(self.window_s, now)
+        since = min(one.split_at for one in reserved)
+        share = max(share, MIN_SHARE)
+        silent = {one.name for one in reserved}
+        here = self.table.uses(
             subject,
-            self.window_s,
+            within_s,
             now,
-            lambda source: source.node in silent or source.via in silent,
+            lambda source: source.node not in silent and source.via not in silent,
         )
-        return total - counted + max(counted, share * limit)
+        uses = [
+            use for use in self.table.uses(subject, within_s, now) if use[0] < since
+        ]
+        uses += [(at, count / share) for at, count in here if at >= since]
+        return WeighedUses(sorted(uses), share)
+
+    def started_at(self) -> float | None:
+        """Return when counting began, ``None`` if use before is known from others."""
+        return None if self.was_informed else self.holder_since
 
     def known_since(self, now: float) -> float | None:
-        """Return since when use is known, ``None`` if it is for a whole window."""
-        since = self.holder_since
-        if since is None or self.was_informed or now >= since + self.window_s:
+        """Return since when use is known, ``None`` if it is for a whole window.
+
+        Nothing ran in the time that a process needs to start.
+        """
+        since = self.started_at()
+        if since is None or now >= since + self.window_s - START_S:
             return None
         return since
 
@@ -214,9 +248,16 @@
         )
 
     def everything(self, now: float) -> Iterator[Statement]:
-        """Yield all that is known, also what a peer counted before it restarted."""
-        for source in list(self.table.sources.values()):
-            yield from self.table.statements(source, now, float("inf"))
+        """Yield all that is known, also what a peer counted before it restarted.
+
+        The latest counts come first, since the number of datagrams is limited.
+        """
+        recent_s = RETAINED_WINDOWS * self.window_s
+        sources = list(self.table.sources.values())
+        for source in sources:
+            yield from self.table.statements(source, now, recent_s)
+        for source in sources:
+            yield from self.table.statements(source, now, float("inf"), recent_s)
 
     def apply(self, counts: Counts, now: float) -> None:
         """Apply a datagram of counts."""
@@ -240,6 +281,7 @@
 
     def sweep(self, now: float) -> None:
         """Remove expired counts."""
+        self.on_sweep(now)
         self.table.sweep(now)
         for subject in [s for s, until in self.urgent_until.items() if until <= now]:
             del self.urgent_until[subject]
--- a/sardinehook/gateway/usage/table.py
+++ b/sardinehook/gateway/usage/table.py
@@ -11,12 +11,20 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-__all__ = ["RESEND_S", "SLOT_S", "Source", "Statement", "UsageTable", "shorten"]
+__all__ = [
+    "MIN_RETENTION_S",
+    "RESEND_S",
+    "SLOT_S",
+    "Source",
+    "Statement",
+    "UsageTable",
+    "shorten",
+]
 
 SLOT_MS = 100
 SLOT_S = 0.1
 MS_PER_S = 1000.0
-MIN_RETENTION_S = 10.0
+MIN_RETENTION_S = 30.0  # levels of buckets depend on counts that come late after a cut
 RESEND_S = 1.5  # a changed slot is stated again; longer gaps need a full set
 MAX_SOURCES = 1024
 MAX_SUBJECTS = 4096  # of one origin
@@ -184,7 +192,7 @@
         return [
             use
             for source in self.sources.values()
-            if includes is None or includes(source)
+            if subject in source.series and (includes is None or includes(source))
             for use in source.slots_since(subject, now - window_s)
         ]
 
@@ -193,21 +201,25 @@
         return {name for source in self.sources.values() for name in source.series}
 
     def statements(
-        self, source: Source, now: float, changed_within_s: float
+        self,
+        source: Source,
+        now: float,
+        changed_within_s: float,
+        changed_before_s: float = 0.0,
     ) -> Iterator[Statement]:
         """Yield what is to be stated about one origin.
 
         These are the slots that have changed lately, or all of them if
-        ``changed_within_s`` is infinite.
+        ``changed_within_s`` is infinite, and ``changed_before_s`` ago at the latest.
         """
         is_own = source is self.own
         now_ms = int(now * MS_PER_S)
-        since = now - changed_within_s
+        since, until = now - changed_within_s, now - changed_before_s
         for subject, series in source.series.items():
             slots = tuple(
                 (slot, series.counts[slot])
                 for slot, changed_at in series.changed_at.items()
-                if changed_at >= since
+                if since <= changed_at <= until
             )
             if not slots:
                 continue
