Hedge no later than without reports of load

Cause: the hedge of a shard waited for the expected time of its replica times the overdue ratio, up to 0.35 of the objective. A replica that is expected to be slow was hedged later than the 95% quantile of the route, which binds elsewhere, although its shard is the one that is missing at the objective. Single requests did the same.

Change: the usual delay of the route is the latest hedge of both.

--- a/sardinehook/gateway/routing/search_hedges.py
+++ b/sardinehook/gateway/routing/search_hedges.py
@@ -24,7 +24,7 @@
     """The hedge delays of one search.
 
     Without ``adapts_to_load`` each shard is hedged after the same delay. With it, the
-    delay follows the expected end at the replica that was chosen.
+    hedge comes sooner where the replica that was chosen is expected to end sooner.
     """
 
     def __init__(
@@ -41,13 +41,13 @@
         self.median_s = median_s
         self.objective_at = objective_at
         self.adapts = policy.directory.adapts_to_load
-        self.bounds = HedgeBounds(
-            MIN_HEDGE_RATIO * route.objective_s, MAX_HEDGE_RATIO * route.objective_s
-        )
+        earliest_s = MIN_HEDGE_RATIO * route.objective_s
+        latest_s = MAX_HEDGE_RATIO * route.objective_s
         quantile_s = policy.latency_s(route, HEDGE_QUANTILE)
-        self.usual_delay_s = min(
-            max(quantile_s, self.bounds.earliest_s), self.bounds.latest_s
-        )
+        self.usual_delay_s = min(max(quantile_s, earliest_s), latest_s)
+        # A replica that is expected to be slow needs its hedge no later than others:
+        # it is the one whose shard would be missing at the objective.
+        self.bounds = HedgeBounds(earliest_s, self.usual_delay_s)
         self.overdue_ratio = policy.overdue_ratios.overdue_ratio(route.name)
 
     def delay_s(self, choice: SelectedReplica, now: float) -> float:
--- a/sardinehook/gateway/single.py
+++ b/sardinehook/gateway/single.py
@@ -105,9 +105,8 @@
         """
         if self.adapts:
             ratio = self.policy.overdue_ratios.overdue_ratio(self.route.name)
-            latest_s = MAX_HEDGE_RATIO * self.route.objective_s
-            self.hedge_delay_s = min(ratio * choice.expected_s, latest_s)
-            latest_at = self.request.received_at + latest_s
+            latest_at = self.request.received_at + self.hedge_delay_s
+            self.hedge_delay_s = min(ratio * choice.expected_s, self.hedge_delay_s)
             self.hedge_at = min(now + self.hedge_delay_s, latest_at)
 
     def retry_after_s(self, now: float) -> float | None:
