Begin windows only for replicas that are cold, new or failing

Cause: after the start of a gateway, and when entries returned after an outage of the store, every replica had a window of two requests for each slot over all gateways. The part of a gateway without a delegate is 0.012 of a request, so that after a power loss of the gateways alone a search of 40 shards with three warm replicas each was refused without a single request.

Change: a replica that a gateway only learns of has no window, nor one that was warm and whose entry was away. A window that had not ended continues. Cold limits, windows of cold, new and failing replicas and their shares are as before. The tests of a short absence, of shares and of the switch begin a window first or let the replica be cold, since registration alone does not begin one any more.

Result: the test with the part of one of 83 gateways sends 40 of 40 requests for each of two searches instead of none.

--- a/sardinehook/gateway/directory.py
+++ b/sardinehook/gateway/directory.py
@@ -12,7 +12,7 @@
 from sardinehook.gateway.interfaces import ReplicaEntry
 from sardinehook.gateway.notice_board import NoticeBoard
 from sardinehook.gateway.notices import StatedNotices
-from sardinehook.gateway.pace.pacer import RESUME_RATIO, Pacer
+from sardinehook.gateway.pace.pacer import Pacer
 from sardinehook.gateway.pool import ConnectionPool
 from sardinehook.gateway.reachability import Reachability
 from sardinehook.gateway.reactor import GatewayReactor
@@ -135,7 +135,6 @@
             self.record_state_change(known, "draining" if entry.draining else "ready")
         elif known.deregistered_at is not None:
             self.record_state_change(known, "registered again")
-            self.pacer.begin(known, now, RESUME_RATIO)
         if entry.cold_left_s and entry.sequence != known.entry.sequence:
             self.set_cold(known, entry.cold_left_s, now)
         known.entry = entry
--- a/sardinehook/gateway/pace/pacer.py
+++ b/sardinehook/gateway/pace/pacer.py
@@ -12,7 +12,7 @@
 from sardinehook.gateway.replica import Replica
 from sardinehook.observe.events import EventName, log_event
 
-__all__ = ["PACE_VARIABLE", "RESUME_RATIO", "Pacer"]
+__all__ = ["PACE_VARIABLE", "Pacer"]
 
 logger = structlog.get_logger(__name__)
 
@@ -22,7 +22,6 @@
 MAX_KEPT = 4096  # bounds the memory for entries that are gone
 FAILING_RATIO = 0.5  # of failed exchanges: the replica has to recover
 HASH_RANGE = 2.0**32  # of crc32
-RESUME_RATIO = 0.5  # of the full window, after a short absence
 
 
 class KeptWindow(NamedTuple):
@@ -36,10 +35,11 @@
     """Begins, restores and ends the windows of replicas.
 
     A window begins small when a replica is cold, is another process than before, has
-    refused connections, or fails. It begins at half of its full size for a replica that
-    this gateway only learns of, for example after its own start, and for one whose
-    entry returns after a short absence. ``share_divisor`` gives this gateway's share
-    for a service. Without ``enabled`` there are no windows.
+    refused connections, or fails. A window that had not ended continues where the entry
+    of its replica returns after a short absence. A replica that this gateway only
+    learns of, for example after its own start, has none: it is warm, and the shares of
+    narrow gateways would be far below one request. ``share_divisor`` gives this
+    gateway's share for a service. Without ``enabled`` there are no windows.
     """
 
     def __init__(
@@ -80,9 +80,10 @@
         is_new_process = replaces or started_now or replica.entry.cold_left_s > 0.0
         kept = self.kept.pop(process_of(replica), None)
         if kept is not None and now <= kept.kept_at + KEPT_S:
-            self.begin(replica, now, min(RESUME_RATIO, kept.ratio))
-        else:
-            self.begin(replica, now, 0.0 if is_new_process else RESUME_RATIO)
+            if kept.ratio < 1.0:
+                self.begin(replica, now, kept.ratio)
+        elif is_new_process:
+            self.begin(replica, now)
 
     def keep(self, replica: Replica, now: float) -> None:
         """Remember the window of a replica that leaves the directory."""
--- a/tests/gateway/test_pace.py
+++ b/tests/gateway/test_pace.py
@@ -16,6 +16,7 @@
     equal_shares,
     make_gateway,
     search_route,
+    shard_names,
 )
 from tests.gateway.test_process import ProcessRig
 
@@ -155,11 +156,27 @@
     def test_a_short_absence_is_remembered(self) -> None:
         gateway = self.gateway()
         replica = self.settled(gateway)
+        gateway.directory.pacer.begin(replica, gateway.reactor.seconds(), 0.4)
         gateway.directory.discard(replica)
         returned = gateway.add("s00-a", "s00")
         assert returned.window is not None
         assert returned.window.size > returned.window.limits.start
 
+    def test_a_warm_replica_that_was_away_has_none(self) -> None:
+        gateway = self.gateway()
+        replica = self.settled(gateway)
+        gateway.directory.discard(replica)
+        assert gateway.add("s00-a", "s00").window is None
+
+    def test_entries_that_lapsed_with_the_store_leave_no_window(self) -> None:
+        gateway = self.gateway()
+        replica = self.settled(gateway)
+        replica.deregistered_at = gateway.reactor.seconds()
+        entry = replica.entry._replace(sequence=replica.entry.sequence + 1)
+        gateway.directory.put(entry, gateway.reactor.seconds())
+        assert gateway.directory.replicas["s00-a"] is replica
+        assert not replica.window
+
     def test_a_new_process_starts_small(self) -> None:
         gateway = self.gateway()
         replica = self.settled(gateway)
@@ -172,6 +189,7 @@
     def test_it_follows_this_gateways_share(self) -> None:
         gateway = self.gateway(2)
         replica = gateway.add("s00-a", "s00")
+        gateway.directory.pacer.begin(replica, gateway.reactor.seconds())
         gateway.directory.set_shares(equal_shares(98))
         assert replica.window is not None
         assert replica.window.limits == PaceLimits.of(2, 98.0)
@@ -179,7 +197,9 @@
     def test_it_can_be_turned_off(self) -> None:
         gateway = self.gateway()
         gateway.directory.pacer.enabled = False
-        assert gateway.add("s00-a", "s00").window is None
+        replica = gateway.add("s00-a", "s00")
+        gateway.directory.set_cold(replica, 3.0, gateway.reactor.seconds())
+        assert replica.window is None
 
     @pytest.mark.parametrize(("value", "enabled"), [("off", False), ("on", True)])
     def test_the_environment_turns_it_off(
@@ -187,3 +207,25 @@
     ) -> None:
         monkeypatch.setenv(PACE_VARIABLE, value)
         assert ProcessRig().process.directory.pacer.enabled is enabled
+
+
+class TestStartOfGateways:
+    """Guards against searches that leave shards out because gateways have restarted.
+
+    The load: 83 gateways lose power and search 40 shards whose replicas run on. A
+    window of a few requests, shared by all gateways, left most shards of a gateway
+    without a replica that could be asked.
+    """
+
+    def test_all_shards_of_warm_replicas_are_asked(self) -> None:
+        gateway = make_gateway(gateways=83)
+        route = search_route(40)
+        gateway.directory.configure(configuration(route))
+        gateway.directory.record_stated_work()
+        gateway.directory.set_shares(equal_shares(339))  # the part of a narrow gateway
+        for shard in shard_names(40):
+            for suffix in "abc":
+                gateway.add(f"{shard}-{suffix}", shard)
+        for _ in range(2):
+            gateway.gather(route)
+        assert len(gateway.dispatcher.sent) == 2 * 40
