Compare delegates by one core at most

Cause: the cost of a search at a delegate was relative to 400 sub-requests for each core, also beyond one. A gateway is one process of one thread, so a delegate of 2.15 cores beside one of a whole core got searches until it had 2.15 times as much work as the other one could do as fast.

Change: the capacity compared is at most that of one core. What a delegate takes before it refuses is as before.

Result: of delegates of 1 and 2.15 cores, the idle one gets the search.

--- a/sardinehook/gateway/routing/delegate_load.py
+++ b/sardinehook/gateway/routing/delegate_load.py
@@ -11,6 +11,7 @@
 __all__ = ["MIN_CONCURRENT_SEARCHES", "DelegateLoad", "DelegateReport"]
 
 MIN_CONCURRENT_SEARCHES = 2  # at a small delegate, rather than on a narrow link
+MAX_COMPARED_CAPACITY = 400  # of one core: a gateway is a process of one thread
 REPORT_MEMORY_S = 0.2  # searches end and begin within this time
 SPEED_GAIN = 0.2  # of one answer in the recent ratio of answer times
 SPEED_MEMORY_S = 3.0  # a slow delegate is tried again after some of these
@@ -33,9 +34,9 @@
     """What is known of the load of one delegate.
 
     The cost of a search there grows with the work that the delegate has and gets from
-    here, relative to its cores, and with the time that its answers took lately. A
-    search takes more of a small delegate than of a large one, so that of two idle
-    delegates the larger is chosen.
+    here, relative to its cores (one at most), and with the time that its answers took
+    lately. A search takes more of a small delegate than of a large one, so that of two
+    idle delegates the larger is chosen.
 
     >>> large, small = DelegateLoad(), DelegateLoad()
     >>> large.observe_report(DelegateReport(0, 860), 10.0)
@@ -104,4 +105,5 @@
         """Return the cost of one more search, for comparison among delegates."""
         in_flight = self.expected_in_flight(own_searches, shards, now) + shards
         capacity = self.report.capacity if self.report is not None else shards
+        capacity = min(capacity, MAX_COMPARED_CAPACITY)
         return in_flight / max(1, capacity) * self.current_speed_ratio(now)
--- a/tests/gateway/test_search_routing.py
+++ b/tests/gateway/test_search_routing.py
@@ -73,6 +73,14 @@
         rig.answer("two", capacity=288)
         assert (rig.begun_at("one"), rig.begun_at("two")) == (0, 1)
 
+    def test_cores_beyond_one_count_nothing(self) -> None:
+        """The load: delegates of one and of 2.15 cores, whose process uses one."""
+        rig = RoutingRig()
+        rig.start_search()
+        rig.answer("one", in_flight=0, capacity=400)
+        rig.answer("two", in_flight=90, capacity=860)
+        assert (rig.begun_at("one"), rig.begun_at("two")) == (1, 0)
+
     def test_work_of_others_counts(self) -> None:
         rig = RoutingRig()
         rig.start_search()
