Do not take a reset connection for a replica that refuses all

Cause: a connection that was reset in its first exchange made the pool back off as a refused one does. Where a gateway keeps no connection, its pool then counted as failing until a new connection was open: the replica was put last, got a window of a share of one request, and a shard whose three replicas had each reset one was not asked. After a power loss replicas still count the connections of the processes before and reset new ones.

Change: a pool fails only after an attempt to connect has failed. The pause after a reset stays, as does all else where limits are not strict.

--- a/sardinehook/gateway/pool.py
+++ b/sardinehook/gateway/pool.py
@@ -49,6 +49,7 @@
         self.connecting = 0
         self.waiters: deque[Waiter] = deque()
         self.backoff_s = 0.0
+        self.refused = False
         self.retry_at = 0.0
         self.closed = False
         self.established_count = 0
@@ -73,7 +74,7 @@
     @property
     def is_failing(self) -> bool:
         """Whether no connection is open and the last attempt to open one failed."""
-        return self.backoff_s > 0.0 and not self.connections
+        return self.refused and not self.connections
 
     def probe(self) -> None:
         """Open a connection to test reachability, one over the limit if needed.
@@ -110,7 +111,8 @@
     def record_reset(self) -> None:
         """Back off after the server has reset a connection that was just opened.
 
-        Servers do so to connections beyond their limit.
+        Servers do so to connections beyond their limit; they still accept others, so
+        that the pool is not failing.
         """
         if self.is_strict:
             self.back_off()
@@ -177,6 +179,7 @@
         self.connecting -= 1
         self.established_count += 1
         self.backoff_s = 0.0
+        self.refused = False
         self.on_connected()
         self.connections.add(connection)
         if self.closed:
@@ -219,6 +222,7 @@
         Waiting requests fail if no other connection is open or being opened.
         """
         self.connecting -= 1
+        self.refused = True
         self.back_off()
         if not self.connection_count:
             self.fail_waiters()
--- a/tests/gateway/test_routing_by_load.py
+++ b/tests/gateway/test_routing_by_load.py
@@ -6,12 +6,14 @@
 
 from bench.routing_choices import POLICIES, report_worth, simulate_choices
 from sardinehook.gateway.directory import Directory
+from sardinehook.gateway.dispatch import Exchange
 from sardinehook.gateway.interfaces import Load
 from sardinehook.gateway.replica import Replica
 from sardinehook.gateway.routing.load_estimate import ReplicaSpeed
 from sardinehook.transport.connection import Lost
 from tests.gateway.support import (
     HERE,
+    REQUEST,
     THERE,
     Gateway,
     configuration,
@@ -236,6 +238,22 @@
         gateway.dispatcher.exchange_ended(exchange, Lost("reset"))
         assert exchange.replica.pool.retry_at > gateway.reactor.seconds()
 
+    def test_one_reset_is_no_replica_that_accepts_no_connections(self) -> None:
+        """Guards against shards left out for half a second after each reset.
+
+        The load: all machines have lost power, and replicas whose connections of the
+        processes before still count reset those of gateways that keep none idle.
+        """
+        gateway = adapting_gateway(1)
+        for replica in gateway.directory.replicas.values():
+            replica.pool.set_limit(1, True, False)
+            exchange = Exchange(REQUEST, replica, 100.0, 101.0, lambda *_: None)
+            exchange.connection = NewConnection()  # type: ignore[assignment]
+            gateway.dispatcher.exchange_ended(exchange, Lost("reset"))
+            assert replica.pool.retry_at > gateway.reactor.seconds()
+            assert replica.window is None
+        assert gateway.directory.can_serve("s00", gateway.reactor.seconds())
+
     def test_an_answer_is_no_reset(self) -> None:
         gateway = adapting_gateway(1)
         gateway.gather(search_route(1))
