--- a/sardinehook/gateway/retained_state.py
+++ b/sardinehook/gateway/retained_state.py
@@ -15,8 +15,9 @@
 # Replicas and gateways write their entries again within seconds, once their lease or
 # their entry turns out to be lost.
 RECORD_RETENTION_S = 10.0
-# A person may have to repeat an evacuation.
-EVACUATION_RETENTION_S = 30.0
+# An operator may have to repeat an evacuation. One that was lifted while the store was
+# not listed is held for as long, and its replicas are missed.
+EVACUATION_RETENTION_S = 15.0
 MAX_REMOVED = 1000  # keys whose last value before their removal is remembered
 
 
