--- a/sardinehook/gateway/request_handler.py
+++ b/sardinehook/gateway/request_handler.py
@@ -50,6 +50,7 @@
     PendingSearch,
     SearchRouting,
 )
+from sardinehook.gateway.running_request import RunningRequest
 from sardinehook.gateway.search_codec import (
     DelegatedRequest,
     decode_search,
@@ -57,7 +58,6 @@
 )
 from sardinehook.gateway.single import SingleCall
 from sardinehook.gateway.startup_queue import StartupQueue
-from sardinehook.observe.errors import log_error
 
 __all__ = ["Cancellable", "RequestHandler"]
 
@@ -67,7 +67,6 @@
 MAX_UNSERVED_RATIO = 0.5  # of the demand: not ready if more can't be served
 
 Finish = Callable[[CallerAnswer], None]
-Work = Gather | SingleCall | DelegateInquiry | DelegatedSearch | LocalSearchAdmission
 
 
 class RequestHandler:
@@ -489,71 +488,3 @@
 def delegation_refused(reason: str) -> CallerAnswer:
     """Return the answer to a gateway whose delegated search is refused."""
     return CallerAnswer(503, (), reason.encode(), "not taken", reason)
-
-
-class RunningRequest:
-    """A request whose caller may disconnect; ``peer`` is the delegating gateway.
-
-    ``receipt`` is for the quota that the request has used.
-    """
-
-    def __init__(
-        self,
-        handler: RequestHandler,
-        receipt: Receipt,
-        peer: str = "",
-        shard_count: int = 0,
-    ) -> None:
-        self.handler = handler
-        self.receipt = receipt
-        self.peer = peer
-        self.shard_count = shard_count
-        self.work: Work
-
-    def begin(self, work: Work) -> None:
-        """Start ``work``, replacing a delegated search that was refused.
-
-        What this gateway gathers itself needs admission first.
-        """
-        self.work = work
-        match work:
-            case DelegateInquiry() | DelegatedSearch() | LocalSearchAdmission():
-                work.start()
-            case Gather() | SingleCall():
-                self.submit(work)
-
-    def submit(self, work: Gather | SingleCall) -> None:
-        """Ask for admission; after an unexpected error the caller gets an answer."""
-        try:
-            self.handler.admission.submit(work, begun=bool(self.peer))
-        except Exception as error:
-            log_error(error)
-            work.fail_unexpectedly()
-
-    def cancel(self) -> None:
-        """Stop the request and record that its caller has disconnected.
-
-        The quota of one that no replica can have run is given back.
-        """
-        if not self.work.settled:
-            if not self.may_have_run:
-                self.receipt.give_back()
-            if self.peer:
-                self.handler.delegated_in_flight -= self.shard_count
-            else:
-                self.handler.in_flight -= 1
-            self.handler.request_log.record_cancelled(self.work)
-        self.work.cancel()
-        if isinstance(self.work, Gather | SingleCall):
-            self.handler.admission.release(self.work)
-
-    @property
-    def may_have_run(self) -> bool:
-        """Whether a replica may have run the request or may be running it."""
-        match self.work:
-            case Gather() | SingleCall() as work:
-                return work.may_have_run or work.may_be_running()
-            case DelegateInquiry():
-                return False
-            case DelegatedSearch() | LocalSearchAdmission():
-                return True  # what these use is not counted by the receipt here
