--- a/tests/bench/soak/test_gateways.py
+++ b/tests/bench/soak/test_gateways.py
@@ -47,7 +47,7 @@
         options = GatewayOptions(
             folder, False, "", lambda *one: self.violations.append(one)
         )
-        self.gateway = Gateway(testbed, options, 0, [[1, 2, 3, 4, 5]])
+        self.gateway = Gateway(testbed, options, 0, [[1, 2, 3, 4, 5, 6]])
         self.child = ScriptedChild("g-0", [], folder / "log", folder)
         self.gateway.child = self.child
         self.gateway.start()
