Grant what a quota allows in a window, beside bursts from the bucket

Cause: the token bucket alone refuses requests below RatePerS x window + Burst, 33 at once in place of 60. Change: a request is granted by the window or by the bucket, and empties both; after a start by the bucket alone, as before.

--- a/sardinehook/gateway/quota/admission.py
+++ b/sardinehook/gateway/quota/admission.py
@@ -81,7 +81,11 @@
 
 
 class QuotaAdmission:
-    """Admits requests while the buckets of organisations are not empty.
+    """Admits requests within the limit of a window, and bursts from a token bucket.
+
+    What ``quota_limit`` allows in a window is always granted. An organisation with less
+    than its rate on average gets a burst beyond that from its bucket, which all of its
+    requests empty.
 
     Use that is not known yet is covered by the tolerance of the rule: what other
     holders have admitted in the last tenths of a second, and after a start what was
@@ -106,11 +110,17 @@
         missing = amount / found.share - found.level
         most = self.limit_after_start(bucket, limit, now)
         excess = self.window_excess(found, amount, most, now)
-        if max(missing, excess) <= ROUNDING_TOLERANCE:
+        # After a start, the window is not known: the bucket alone decides.
+        over_limit = self.window_excess(found, amount, min(limit, most), now)
+        is_known = self.ledger.known_since(now) is None
+        lacking = min(missing, over_limit) if is_known else missing
+        if max(lacking, excess) <= ROUNDING_TOLERANCE:
             self.ledger.record(subject, amount, now)
             self.ledger.note_unsent(subject, amount, half)
             return GRANTED
-        retry_s = missing / bucket.rate_per_s
+        retry_s = min(
+            missing / bucket.rate_per_s, self.window_retry_s(found, over_limit, now)
+        )
         if excess > ROUNDING_TOLERANCE:
             retry_s = max(retry_s, self.window_retry_s(found, excess, now))
         detail = f"{organisation.name}: {found.level:.1f} of {bucket.depth:.0f} left"
