Show that machines of a dark zone each take a replica's whole rate limit

Its fault is the division of limits among gateways: one that is in a data centre taken for cut off leaves itself out, and then counts alone.

The stand-ins' replicas now keep entries of which only Seq would change.

--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -37,6 +38,10 @@
     code = NOT_RUN
 
     async def run() -> bool | None:
+        task = asyncio.current_task()
+        if task is not None:
+            # What the case has started ends with it, also when it is stopped.
+            asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             deployment = Deployment(zones, Path(folder), record)
             try:
@@ -48,6 +53,8 @@
     try:
         held = asyncio.run(run())
         code = NOT_RUN if held is None else HELD if held else BROKEN
+    except asyncio.CancelledError:
+        record.write("stopped by a signal")
     except Exception:
         record.write(traceback.format_exc())
         traceback.print_exc()
--- a/review/standins_2/http.py
+++ b/review/standins_2/http.py
@@ -61,8 +61,10 @@
     if "content-length" in headers:
         size = int(headers["content-length"])
         return Message(start, headers, await reader.readexactly(size))
-    if start.startswith("HTTP/") and int(start.split(" ")[1]) not in (204, 304):
-        return Message(start, headers, await reader.read())
+    if start.startswith("HTTP/"):
+        status = int(start.split(" ")[1])
+        if status >= 200 and status not in (204, 304):
+            return Message(start, headers, await reader.read())
     return Message(start, headers, b"")
 
 
--- a/review/standins_2/replica.py
+++ b/review/standins_2/replica.py
@@ -55,6 +55,7 @@
         self.work_s = work_s
         self.max_connections = max_connections
         self.state = "ready"
+        self.registered_state = ""
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.running = 0
@@ -78,10 +79,12 @@
         self.beat = asyncio.create_task(self.send_heartbeats())
 
     def register(self) -> None:
-        """Write the entry in the store."""
+        """Write the entry in the store, which keeps it if only ``Seq`` would change."""
         self.sequence += 1
-        if self.store.away:
+        written = f"servers/{self.identity}" in self.store.items
+        if self.store.away or (written and self.state == self.registered_state):
             return
+        self.registered_state = self.state
         entry = {
             "Service": self.service,
             "Addr": f"{LOOPBACK}:{self.port}",
@@ -110,6 +113,14 @@
         for writer in list(self.writers):
             reset(writer)
 
+    async def return_anew(self) -> None:
+        """Start again under another id at the same address, after ``leave_dark``."""
+        self.store.delete(f"servers/{self.identity}")
+        self.identity += "n"
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        await self.start()
+
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
