--- /dev/null
+++ b/review/trials_2/__init__.py
@@ -0,0 +1,1 @@
+"""Trials of the second review that are no cases."""
