--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -53,7 +53,7 @@
     try:
         held = asyncio.run(run())
         code = NOT_RUN if held is None else HELD if held else BROKEN
-    except asyncio.CancelledError:
+    except (asyncio.CancelledError, KeyboardInterrupt):
         record.write("stopped by a signal")
     except Exception:
         record.write(traceback.format_exc())
--- a/review/standins_2/client.py
+++ b/review/standins_2/client.py
@@ -50,6 +50,8 @@
             "X-Deadline-Ms": str(int(deadline_s * 1000)),
             **(headers or {}),
         }
+        offered = f" Upgrade: {fields['Upgrade']}" if "Upgrade" in fields else ""
+        self.record.write(f"{identity} sends {method} {path} {body[:60]!r}{offered}")
         sent_at = time.monotonic()
         answer: Message | None = None
         detail = ""
@@ -66,7 +68,7 @@
         if answer is None or answer.headers.get("connection", "") == "close":
             self.close()
         status = answer.status if answer is not None else detail
-        self.record.write(f"{identity} {method} {path} -> {status}")
+        self.record.write(f"{identity} gets {status}")
         return Outcome(identity, sent_at, time.monotonic(), answer, detail)
 
     def close(self) -> None:
--- a/review/standins_2/http.py
+++ b/review/standins_2/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import struct
 from typing import NamedTuple
@@ -25,8 +26,13 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return consecutive free ports, so that ranges can be named by their ends."""
-    for first in range(21000, 32000, count):
+    """Return consecutive free ports, so that ranges can be named by their ends.
+
+    The first one is drawn, so that runs at the same time rarely meet.
+    """
+    starts = list(range(21000, 32000 - count, count))
+    random.shuffle(starts)
+    for first in starts:
         bound: list[socket.socket] = []
         try:
             for port in range(first, first + count):
--- a/review/standins_2/replica.py
+++ b/review/standins_2/replica.py
@@ -19,6 +19,9 @@
 from review.standins_2.store import Store
 
 HEARTBEAT_S = 1.2
+EXPIRY_S = 3 * HEARTBEAT_S  # of silence, after which an entry is removed
+COLD_S = 3.0  # ColdStartS of the site
+COLD_RATIO = 1.6  # of the usual work, while cold
 IDLE_S = 8
 stamps = itertools.count(1)
 
@@ -41,7 +44,7 @@
         record: Record,
         slots: int = 6,
         queue: int = 24,
-        work_s: float = 0.2,
+        work_s: float = 0.244,
         max_connections: int = 48,
     ) -> None:
         self.identity = identity
@@ -55,7 +58,9 @@
         self.work_s = work_s
         self.max_connections = max_connections
         self.state = "ready"
-        self.registered_state = ""
+        self.registered = ""
+        self.cold_until = 0.0
+        self.stated_at: float | None = None  # the first answer with extra headers
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.running = 0
@@ -82,9 +87,11 @@
         """Write the entry in the store, which keeps it if only ``Seq`` would change."""
         self.sequence += 1
         written = f"servers/{self.identity}" in self.store.items
-        if self.store.away or (written and self.state == self.registered_state):
+        cold_ms = int(1000 * max(0.0, self.cold_until - time.monotonic()))
+        stated = f"{self.state} {cold_ms}"
+        if self.store.away or (written and stated == self.registered):
             return
-        self.registered_state = self.state
+        self.registered = stated
         entry = {
             "Service": self.service,
             "Addr": f"{LOOPBACK}:{self.port}",
@@ -92,7 +99,7 @@
             "Version": "v1",
             "Slots": self.slots,
             "State": self.state,
-            "ColdLeftMs": 0,
+            "ColdLeftMs": cold_ms,
             "Seq": self.sequence,
             "born": self.born,
         }
@@ -104,21 +111,27 @@
             await asyncio.sleep(HEARTBEAT_S)
             self.register()
 
-    def leave_dark(self) -> None:
-        """Crash without a word: no answers, no heartbeats, the entry stays."""
+    def crash(self) -> None:
+        """End without a word; the entry is removed after some silence."""
         if self.beat is not None:
             self.beat.cancel()
         if self.server is not None:
             self.server.close()
         for writer in list(self.writers):
             reset(writer)
+        self.expiry = asyncio.create_task(self.expire(self.identity))
 
-    async def return_anew(self) -> None:
-        """Start again under another id at the same address, after ``leave_dark``."""
-        self.store.delete(f"servers/{self.identity}")
+    async def expire(self, identity: str) -> None:
+        """Remove the entry of a process that has crashed."""
+        await asyncio.sleep(EXPIRY_S)
+        self.store.delete(f"servers/{identity}")
+
+    async def return_cold(self) -> None:
+        """Start again at the same address, under another id and cold."""
         self.identity += "n"
         self.sequence = 0
         self.born = int(time.time() * 1000)
+        self.cold_until = time.monotonic() + COLD_S
         await self.start()
 
     async def serve(
@@ -160,6 +173,8 @@
             "Keep-Alive": f"timeout={IDLE_S}",
             **self.extra_headers(),
         }
+        if self.extra_headers is not dict and self.stated_at is None:
+            self.stated_at = time.monotonic()
         if message.headers.get("x-expect-instance", self.identity) != self.identity:
             headers["X-Instance-Id"] = self.identity
             return response(421, headers)
@@ -186,13 +201,15 @@
             what = f"{' '.join(message.start.split(' ')[:2])} {message.body[:60]!r}"
             self.record.write(f"{self.identity} runs {identity}: {what}")
             left_s = deadline_s - (time.monotonic() - now)
-            await asyncio.sleep(min(self.work_s, max(0.0, left_s)))
+            is_cold = time.monotonic() < self.cold_until
+            work_s = self.work_s * (COLD_RATIO if is_cold else 1.0)
+            await asyncio.sleep(min(work_s, max(0.0, left_s)))
         finally:
             self.running -= 1
             self.free.release()
         headers["X-Server-Stamp"] = f"{next(stamps):x}.{self.identity}"
         headers["X-Server-Load"] = f"{self.running},{self.waiting},{self.slots}"
-        if self.work_s > left_s:
+        if work_s > left_s:
             return response(504, headers)
         return response(200, headers, self.body(message))
 
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -18,11 +18,7 @@
 
 
 class Store:
-    """Keys with revisions, leases and watches, all in memory.
-
-    ``is_away`` is asked for each call with the port that the caller has connected
-    from; a call for which it is true is reset.
-    """
+    """Keys with revisions, leases and watches, all in memory."""
 
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
